--- /dev/null
+++ b/src/papayagw/_internal/core/deadlines.py
@@ -0,0 +1,51 @@
+"""A queue of deadlines, one for each key."""
+
+import heapq
+from typing import Generic, TypeVar
+
+from papayagw._internal.models.clock import Millis
+
+K = TypeVar("K", bound=object)
+
+
+class DeadlineQueue(Generic[K]):
+    """Deadlines of many keys, of which the earliest is found quickly.
+
+    A moved deadline leaves its old entry in the heap, which is skipped when it
+    comes up.
+    """
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[Millis, int, K]] = []
+        self._deadlines: dict[K, Millis] = {}
+        self._count = 0
+
+    @property
+    def next_at(self) -> Millis | None:
+        """The earliest deadline, or None if there is none."""
+        while self._heap:
+            at, _, key = self._heap[0]
+            if self._deadlines.get(key) == at:
+                return at
+            heapq.heappop(self._heap)
+        return None
+
+    def set(self, key: K, at: Millis | None) -> None:
+        """Set, move or (with None) remove the deadline of `key`."""
+        if at is None:
+            self._deadlines.pop(key, None)
+        elif self._deadlines.get(key) != at:
+            self._deadlines[key] = at
+            self._count += 1
+            heapq.heappush(self._heap, (at, self._count, key))
+
+    def pop_due(self, now: Millis) -> list[K]:
+        """Remove and return the keys whose deadline has come."""
+        due = []
+        next_at = self.next_at
+        while next_at is not None and next_at <= now:
+            _, _, key = heapq.heappop(self._heap)
+            del self._deadlines[key]
+            due.append(key)
+            next_at = self.next_at
+        return due
--- /dev/null
+++ b/src/papayagw/_internal/net/agent.py
@@ -0,0 +1,238 @@
+"""The agent: the process beside each backend server that owns its flows."""
+
+import random
+
+import anyio
+import anyio.abc
+
+from papayagw._internal.core.agent import AgentCore
+from papayagw._internal.core.choice import RendezvousChooser
+from papayagw._internal.core.directory import Directory
+from papayagw._internal.core.return_path import ReturnPath
+from papayagw._internal.models.clock import Clock, Millis, to_seconds
+from papayagw._internal.models.configuration import Configuration
+from papayagw._internal.models.decision import Accept, DropReason, Forward
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.flow import FlowOutcome, FlowRoute
+from papayagw._internal.models.node import AgentSettings
+from papayagw._internal.models.service import Service
+from papayagw._internal.net.agent_flow import AgentFlow
+from papayagw._internal.net.flow_table import FlowHandler, FlowTable
+from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.wire.envelope import (
+    ENVELOPE_BYTES,
+    Envelope,
+    EnvelopeCodec,
+    FrameKind,
+)
+from papayagw._internal.wire.header import is_opening, read_connection_id
+from papayagw._internal.wire.quic import FlowAcceptor, ResetTokens
+from papayagw._internal.wire.tag import TagCodec
+
+_DRAIN_CHECK_MS = Millis(50)
+
+
+class AgentPackets:
+    """The agent's packet path: envelopes in, answers out.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Where this agent and its backend server are.
+    service : Service
+        The service that the backend server runs.
+    configuration : Configuration
+        What is in force.
+    route : FlowRoute
+        This run of the agent.
+    siblings : Directory
+        The other agents of the service.
+    socket : DatagramSocket
+        The socket that envelopes come to.
+    clock : Clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        service: Service,
+        configuration: Configuration,
+        route: FlowRoute,
+        siblings: Directory,
+        socket: DatagramSocket,
+        clock: Clock,
+    ):
+        self._settings = settings
+        self._service = service
+        self._socket = socket
+        self._clock = clock
+        self._core = AgentCore(route, siblings, RendezvousChooser(), service.max_flows)
+        self._returns = ReturnPath(random.SystemRandom().randrange)
+        self._table = FlowTable(clock, self._on_removed)
+        self._counts: dict[str, int] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self.apply(configuration)
+
+    @property
+    def core(self) -> AgentCore:
+        """The decisions of this agent."""
+        return self._core
+
+    @property
+    def flows(self) -> int:
+        """How many flows are open."""
+        return len(self._table)
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """How often each thing has happened."""
+        return self._counts
+
+    def apply(self, configuration: Configuration) -> None:
+        """Use the keys of a configuration for whatever comes from now on."""
+        keys = configuration.site.keys
+        self._tags = TagCodec(keys)
+        self._envelopes = EnvelopeCodec(keys)
+        self._resets = ResetTokens(keys[0])
+        self._acceptor = FlowAcceptor(
+            self._settings.certificate,
+            self._settings.private_key,
+            self._service.idle_timeout_ms,
+            self._resets,
+        )
+
+    async def run(self) -> None:
+        """Serve the flows until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await self._table.run()
+
+    def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
+        """Take in an envelope; `flush` must follow."""
+        envelope = self._envelopes.read(frame)
+        if envelope is None or envelope.kind is not FrameKind.FORWARD:
+            self._count_drop(DropReason.UNAUTHENTICATED)
+            return
+        balancer = envelope.balancer or Endpoint(*source)
+        self._returns.note_heard(balancer, self._clock.now())
+        datagram = frame[ENVELOPE_BYTES:]
+        connection_id = read_connection_id(datagram)
+        if connection_id is None:
+            self._count_drop(DropReason.MALFORMED)
+            return
+        handler = self._table.find(connection_id)
+        if handler is None:
+            self._on_stray(envelope, balancer, connection_id, datagram)
+        elif envelope.service_id != self._service.service_id:
+            self._count_drop(DropReason.WRONG_SERVICE)
+        else:
+            self._table.receive(handler, datagram, envelope.client.sockaddr)
+
+    def flush(self) -> None:
+        """Send what the last envelopes have made due."""
+        self._table.flush()
+
+    def close_flows(self, reason: str) -> None:
+        """End all flows; what they were asked for is not known to be done."""
+        for handler in self._table.handlers:
+            if isinstance(handler, AgentFlow):
+                handler.close(FlowOutcome.UNKNOWN, reason)
+        self._table.flush()
+
+    def _on_stray(
+        self,
+        envelope: Envelope,
+        balancer: Endpoint,
+        connection_id: bytes,
+        datagram: bytes,
+    ) -> None:
+        route = self._tags.open_route(connection_id)
+        if route is None and is_opening(datagram, connection_id):
+            self._on_opening(envelope, balancer, connection_id, datagram)
+            return
+        reason = self._core.check_tagged(envelope.service_id, route)
+        self._count_drop(reason or DropReason.UNKNOWN_FLOW)
+        if reason in (None, DropReason.STALE_INCARNATION):
+            # The flow is gone for good: its caller has to know.
+            reset = self._resets.make_datagram(connection_id)
+            self._send_answer(reset, envelope.client.sockaddr)
+
+    def _on_opening(
+        self,
+        envelope: Envelope,
+        balancer: Endpoint,
+        connection_id: bytes,
+        datagram: bytes,
+    ) -> None:
+        decision = self._core.decide_opening(
+            envelope.service_id, connection_id, len(self._table), envelope.hops
+        )
+        match decision:
+            case Accept():
+                self._accept(envelope, connection_id, datagram)
+            case Forward(sibling):
+                self._count("passed")
+                self._pass_on(envelope, balancer, datagram, sibling)
+            case _:
+                self._count_drop(decision.reason)
+
+    def _accept(
+        self, envelope: Envelope, connection_id: bytes, datagram: bytes
+    ) -> None:
+        tag = self._make_tag()
+        flow = AgentFlow(
+            self._acceptor.accept(connection_id, tag),
+            envelope.client,
+            self._settings.backend,
+            touch=self._table.touch,
+            spawn=self._spawn,
+            sink=self._send_answer,
+            on_outcome=self._on_outcome,
+        )
+        self._count("opened")
+        self._table.add(flow, connection_id, tag)
+        self._table.receive(flow, datagram, envelope.client.sockaddr)
+
+    def _make_tag(self) -> bytes:
+        while True:
+            tag = self._tags.seal(self._tags.make(self._core.route))
+            if self._table.find(tag) is None:
+                return tag
+
+    def _pass_on(
+        self, envelope: Envelope, balancer: Endpoint, datagram: bytes, sibling: Endpoint
+    ) -> None:
+        passed = Envelope(
+            FrameKind.FORWARD,
+            envelope.service_id,
+            envelope.client,
+            balancer,
+            envelope.hops + 1,
+        )
+        self._socket.send(self._envelopes.write(passed) + datagram, sibling.sockaddr)
+
+    def _send_answer(self, datagram: bytes, client: tuple[str, int]) -> None:
+        balancer = self._returns.pick(self._clock.now())
+        if balancer is None:
+            return
+        header = self._envelopes.write_raw(
+            FrameKind.ANSWER, self._service.service_id, client
+        )
+        self._socket.send(header + datagram, balancer.sockaddr)
+
+    def _spawn(self, task: object) -> None:
+        assert self._tasks is not None, "run() comes first"
+        self._tasks.start_soon(task)  # type: ignore[arg-type]
+
+    def _on_outcome(self, outcome: FlowOutcome, reason: str) -> None:
+        self._count(outcome.value)
+
+    def _on_removed(self, handler: FlowHandler) -> None:
+        self._count("removed")
+
+    def _count_drop(self, reason: DropReason) -> None:
+        self._count(f"drop.{reason.value}")
+
+    def _count(self, name: str) -> None:
+        self._counts[name] = self._counts.get(name, 0) + 1
--- /dev/null
+++ b/src/papayagw/_internal/net/bridge.py
@@ -0,0 +1,99 @@
+"""Carrying of bytes between a flow and a TCP connection, in both directions."""
+
+from collections import deque
+from typing import Protocol
+
+import anyio
+
+from papayagw._internal.net.tcp import TcpStream
+
+HIGH_WATER_BYTES = 512 << 10
+"""Above this many unacknowledged bytes, no more are read from TCP."""
+
+
+class FlowSide(Protocol):
+    """The flow, as a bridge needs it."""
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes written that the peer hasn't acknowledged."""
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the peer."""
+
+    def finish(self) -> None:
+        """Send no more bytes."""
+
+    def consume(self, count: int) -> None:
+        """Note that bytes of the peer have been handed to TCP."""
+
+
+class FlowBridge:
+    """Both directions of one flow.
+
+    Parameters
+    ----------
+    flow : FlowSide
+        The flow.
+    """
+
+    def __init__(self, flow: FlowSide):
+        self._flow = flow
+        self._arrived: deque[bytes] = deque()
+        self._finished = False
+        self._arrival = anyio.Event()
+        self._room = anyio.Event()
+        self._handed_over = 0
+
+    @property
+    def handed_over(self) -> int:
+        """How many bytes of the peer may have reached the TCP connection's end."""
+        return self._handed_over
+
+    def on_bytes(self, data: bytes, finished: bool) -> None:
+        """Take in bytes of the peer."""
+        if data:
+            self._arrived.append(data)
+        self._finished = self._finished or finished
+        self._arrival.set()
+
+    def on_writable(self) -> None:
+        """Note that the peer may have acknowledged bytes."""
+        if not self._room.is_set() and self._flow.buffered_bytes < HIGH_WATER_BYTES:
+            self._room.set()
+
+    async def run(self, stream: TcpStream) -> None:
+        """Carry bytes until both directions have ended in order.
+
+        Raises
+        ------
+        TcpBrokenError
+            If the TCP connection is reset.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._deliver, stream)
+            tasks.start_soon(self._collect, stream)
+
+    async def _deliver(self, stream: TcpStream) -> None:
+        while True:
+            while self._arrived:
+                data = self._arrived.popleft()
+                self._handed_over += len(data)
+                await stream.send(data)
+                self._flow.consume(len(data))
+            if self._finished:
+                stream.send_eof()
+                return
+            self._arrival = anyio.Event()
+            await self._arrival.wait()
+
+    async def _collect(self, stream: TcpStream) -> None:
+        while True:
+            if self._flow.buffered_bytes >= HIGH_WATER_BYTES:
+                self._room = anyio.Event()
+                await self._room.wait()
+            data = await stream.receive()
+            if not data:
+                self._flow.finish()
+                return
+            self._flow.write(data)
--- /dev/null
+++ b/src/papayagw/_internal/net/connect.py
@@ -0,0 +1,155 @@
+"""The caller's side: TCP connections in, flows over the entry address out."""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+
+from papayagw._internal.models.clock import Clock, Millis, to_seconds
+from papayagw._internal.models.flow import FlowOutcome
+from papayagw._internal.models.node import Listener
+from papayagw._internal.net.caller_flow import (
+    CallerFlow,
+    OpeningAttempt,
+    RetryPolicy,
+)
+from papayagw._internal.net.flow_table import FlowHandler, FlowTable
+from papayagw._internal.net.tcp import TcpListener, TcpStream
+from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.wire.header import read_connection_id
+from papayagw._internal.wire.quic import (
+    CALLER_ID_BYTES,
+    RESET_TOKEN_BYTES,
+    FlowConnection,
+    FlowOpener,
+)
+
+PROBE_MS = Millis(1_000)
+"""How long a flow may be silent before its agent is probed."""
+
+
+class ServiceConnector:
+    """Carries the TCP connections of one listener to one service.
+
+    Parameters
+    ----------
+    listener : Listener
+        Where callers connect, and the service behind.
+    opener : FlowOpener
+        Makes the callers' ends of flows.
+    make_retry : callable
+        Returns a retry policy for one flow.
+    clock : Clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        listener: Listener,
+        opener: FlowOpener,
+        make_retry: Callable[[], RetryPolicy],
+        clock: Clock,
+    ):
+        self._listener = TcpListener(listener.listen)
+        self._opener = opener
+        self._make_retry = make_retry
+        self._clock = clock
+        self._socket = DatagramSocket(None)
+        self._table = FlowTable(clock, self._on_removed)
+        self._outcomes: dict[FlowOutcome, int] = dict.fromkeys(FlowOutcome, 0)
+        self._open_streams = 0
+        self._heard: dict[FlowHandler, Millis] = {}
+
+    @property
+    def outcomes(self) -> dict[FlowOutcome, int]:
+        """How many flows ended in each way."""
+        return self._outcomes
+
+    @property
+    def flows(self) -> int:
+        """How many TCP connections are open."""
+        return self._open_streams
+
+    def start(self) -> None:
+        """Take the addresses."""
+        self._socket.start()
+        self._listener.start()
+
+    def close(self) -> None:
+        """Give the addresses back."""
+        self._listener.close()
+        self._socket.close()
+
+    def stop_listening(self) -> None:
+        """Take no new TCP connections."""
+        self._listener.close()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._receive)
+            tasks.start_soon(self._table.run)
+            tasks.start_soon(self._probe)
+            await self._listener.serve(self._carry, tasks)
+
+    def open(self) -> FlowConnection:
+        """Return a new connection."""
+        return self._opener.open(self._clock.now())
+
+    def add(self, attempt: OpeningAttempt) -> None:
+        """Send the packets of an attempt's connection to it from now on."""
+        self._table.add(attempt, attempt.connection.local_id)
+        self._heard[attempt] = self._clock.now()
+
+    def on_handshake(self, attempt: OpeningAttempt) -> None:
+        """Let a stateless reset by the agent find the attempt."""
+        token = attempt.connection.peer_reset_token
+        if token:
+            self._table.add_id(attempt, token)
+
+    def touch(self, attempt: OpeningAttempt) -> None:
+        """Note that an attempt has something to send."""
+        self._table.touch(attempt)
+
+    def send(self, datagram: bytes, peer: tuple[str, int]) -> None:
+        """Send a datagram to the entry address."""
+        self._socket.send(datagram, peer)
+
+    async def _carry(self, stream: TcpStream) -> None:
+        flow = CallerFlow(stream, self, self._make_retry())
+        self._open_streams += 1
+        try:
+            ended = await flow.run()
+            self._outcomes[ended.outcome] += 1
+        finally:
+            self._open_streams -= 1
+
+    async def _receive(self) -> None:
+        while True:
+            await self._socket.wait_readable()
+            now = self._clock.now()
+            for datagram, peer in self._socket.receive_batch():
+                handler = self._find(datagram)
+                if handler is not None:
+                    self._heard[handler] = now
+                    self._table.receive(handler, datagram, peer)
+            self._table.flush()
+
+    def _find(self, datagram: bytes) -> FlowHandler | None:
+        connection_id = read_connection_id(datagram, CALLER_ID_BYTES)
+        handler = self._table.find(connection_id or b"")
+        if handler is None:
+            handler = self._table.find(datagram[-RESET_TOKEN_BYTES:])
+        return handler
+
+    async def _probe(self) -> None:
+        while True:
+            await anyio.sleep(to_seconds(PROBE_MS) / 2)
+            now = self._clock.now()
+            for handler, heard_at in self._heard.items():
+                if now - heard_at >= PROBE_MS:
+                    handler.connection.probe()
+                    self._table.touch(handler)
+
+    def _on_removed(self, handler: FlowHandler) -> None:
+        self._heard.pop(handler, None)
--- /dev/null
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -0,0 +1,136 @@
+"""The flows of one process: their packets, deadlines and transmissions."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from papayagw._internal.core.deadlines import DeadlineQueue
+from papayagw._internal.models.clock import Clock, to_seconds
+from papayagw._internal.models.stream import StreamEvent
+from papayagw._internal.wire.quic import FlowConnection
+
+
+class FlowHandler(Protocol):
+    """What a process does with the events of one flow."""
+
+    @property
+    def connection(self) -> FlowConnection:
+        """The flow's connection."""
+
+    def on_events(self, events: list[StreamEvent]) -> None:
+        """Act on what has happened, without waiting."""
+
+    def on_writable(self) -> None:
+        """Act on the peer having acknowledged bytes."""
+
+    def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
+        """Send a datagram of the flow."""
+
+
+class FlowTable:
+    """Drives the connections of many flows from one loop.
+
+    Parameters
+    ----------
+    clock : Clock
+        The time.
+    on_removed : callable
+        Told of each handler whose flow is over.
+    """
+
+    def __init__(self, clock: Clock, on_removed: Callable[[FlowHandler], None]):
+        self._clock = clock
+        self._on_removed = on_removed
+        self._handlers: dict[bytes, FlowHandler] = {}
+        self._ids: dict[FlowHandler, tuple[bytes, ...]] = {}
+        self._touched: dict[FlowHandler, None] = {}
+        self._deadlines: DeadlineQueue[FlowHandler] = DeadlineQueue()
+        self._wake = anyio.Event()
+
+    def __len__(self) -> int:
+        return len(self._ids)
+
+    @property
+    def handlers(self) -> tuple[FlowHandler, ...]:
+        """The handlers of all flows."""
+        return tuple(self._ids)
+
+    def find(self, connection_id: bytes) -> FlowHandler | None:
+        """Return the handler of the flow with a connection id, or None."""
+        return self._handlers.get(connection_id)
+
+    def add(self, handler: FlowHandler, *connection_ids: bytes) -> None:
+        """Take in a flow, whose packets carry any of `connection_ids`."""
+        self._ids[handler] = connection_ids
+        for connection_id in connection_ids:
+            self._handlers[connection_id] = handler
+        self.touch(handler)
+
+    def add_id(self, handler: FlowHandler, connection_id: bytes) -> None:
+        """Let packets with one more id find a flow."""
+        self._ids[handler] = (*self._ids[handler], connection_id)
+        self._handlers[connection_id] = handler
+
+    def receive(
+        self, handler: FlowHandler, datagram: bytes, peer: tuple[str, int]
+    ) -> None:
+        """Hand a datagram to its flow; `flush` must follow."""
+        handler.connection.receive(datagram, peer, self._clock.now())
+        self._touched[handler] = None
+
+    def touch(self, handler: FlowHandler) -> None:
+        """Note that a flow has something to do, and wake the loop."""
+        if handler in self._ids:
+            self._touched[handler] = None
+            self._wake.set()
+
+    def flush(self) -> None:
+        """Act on the events of the touched flows and send what is due."""
+        while self._touched:
+            touched = list(self._touched)
+            self._touched.clear()
+            for handler in touched:
+                self._serve(handler)
+
+    async def run(self) -> None:
+        """Serve deadlines and touched flows until cancelled."""
+        while True:
+            await self._wait()
+            now = self._clock.now()
+            for handler in self._deadlines.pop_due(now):
+                handler.connection.on_deadline(now)
+                self._touched[handler] = None
+            self.flush()
+
+    async def _wait(self) -> None:
+        next_at = self._deadlines.next_at
+        if self._touched:
+            await anyio.lowlevel.checkpoint()
+        elif next_at is None:
+            await self._wake.wait()
+        else:
+            with anyio.move_on_after(to_seconds(next_at - self._clock.now())):
+                await self._wake.wait()
+        self._wake = anyio.Event()
+
+    def _serve(self, handler: FlowHandler) -> None:
+        if handler not in self._ids:
+            return
+        connection = handler.connection
+        events = connection.take_events()
+        if events:
+            handler.on_events(events)
+        handler.on_writable()
+        connection.transmit(self._clock.now(), handler.transmit)
+        deadline = connection.next_deadline
+        self._deadlines.set(handler, deadline)
+        if deadline is None:
+            self._remove(handler)
+
+    def _remove(self, handler: FlowHandler) -> None:
+        for connection_id in self._ids.pop(handler):
+            self._handlers.pop(connection_id, None)
+        self._deadlines.set(handler, None)
+        self._touched.pop(handler, None)
+        self._on_removed(handler)
--- /dev/null
+++ b/src/papayagw/_internal/net/tcp.py
@@ -0,0 +1,166 @@
+"""TCP streams over plain sockets.
+
+A broken flow has to reach the other side as a reset, never as an orderly end, so
+these streams close in the way that they are told to.
+"""
+
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+
+from papayagw._internal.exceptions import BindError, PapayagwError, Step
+from papayagw._internal.models.clock import Millis, to_seconds
+from papayagw._internal.models.endpoint import Endpoint
+
+READ_BYTES = 1 << 16
+_BACKLOG = 1024
+_LINGER_ZERO = struct.pack("ii", 1, 0)
+
+
+class TcpBrokenError(PapayagwError):
+    """A TCP connection that was reset or can't be made."""
+
+
+class TcpStream:
+    """One TCP connection.
+
+    Parameters
+    ----------
+    connection : socket.socket
+        A connected socket.
+    """
+
+    def __init__(self, connection: socket.socket):
+        connection.setblocking(False)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = connection
+
+    @classmethod
+    async def connect(cls, endpoint: Endpoint, timeout_ms: Millis) -> "TcpStream":
+        """Connect to `endpoint`.
+
+        Raises
+        ------
+        TcpBrokenError
+            If it refuses or doesn't answer in `timeout_ms`.
+        """
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.setblocking(False)
+        try:
+            with anyio.fail_after(to_seconds(timeout_ms)):
+                await _connect(connection, endpoint)
+            return cls(connection)
+        except (OSError, TimeoutError) as error:
+            connection.close()
+            raise TcpBrokenError(
+                f"can't connect: {error or 'no answer'}",
+                step=Step.CONNECT_BACKEND,
+                peer=str(endpoint),
+                remedy="see whether the backend server runs",
+            ) from error
+        except BaseException:
+            connection.close()
+            raise
+
+    async def receive(self) -> bytes:
+        """Return bytes from the peer, or none at its orderly end."""
+        while True:
+            try:
+                return self._socket.recv(READ_BYTES)
+            except BlockingIOError:
+                await anyio.wait_readable(self._socket)
+            except OSError as error:
+                raise self._broken(error) from error
+
+    async def send(self, data: bytes) -> None:
+        """Hand all of `data` to the machine."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self._socket.send(view) :]
+            except BlockingIOError:
+                await anyio.wait_writable(self._socket)
+            except OSError as error:
+                raise self._broken(error) from error
+
+    def send_eof(self) -> None:
+        """Tell the peer that no more bytes come."""
+        try:
+            self._socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            raise self._broken(error) from error
+
+    def close(self) -> None:
+        """End the connection in order."""
+        self._socket.close()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+        self._socket.close()
+
+    def _broken(self, error: OSError) -> TcpBrokenError:
+        return TcpBrokenError(f"connection lost: {error}", step=Step.DELIVER)
+
+
+class TcpListener:
+    """A listening TCP socket.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Where to listen.
+    """
+
+    def __init__(self, endpoint: Endpoint):
+        self._endpoint = endpoint
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+
+    def start(self) -> None:
+        """Bind and listen."""
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self._socket.bind(self._endpoint.sockaddr)
+        except OSError as error:
+            raise BindError(
+                f"can't bind TCP: {error.strerror}",
+                step=Step.BIND,
+                peer=str(self._endpoint),
+                remedy="choose an address of this machine that no process uses",
+            ) from error
+        self._socket.listen(_BACKLOG)
+
+    def close(self) -> None:
+        """Listen no more."""
+        self._socket.close()
+
+    async def serve(
+        self,
+        handle: Callable[[TcpStream], Awaitable[None]],
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Start a task of `tasks` for each connection, until cancelled."""
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except BlockingIOError:
+                await anyio.wait_readable(self._socket)
+            except OSError:
+                # Out of file descriptors, or the peer has gone already.
+                await anyio.sleep(0.01)
+            else:
+                tasks.start_soon(handle, TcpStream(connection))
+
+
+async def _connect(connection: socket.socket, endpoint: Endpoint) -> None:
+    try:
+        connection.connect(endpoint.sockaddr)
+    except BlockingIOError:
+        await anyio.wait_writable(connection)
+    code = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise OSError(code, f"error {code}")
--- a/src/papayagw/_internal/wire/header.py
+++ b/src/papayagw/_internal/wire/header.py
@@ -7,25 +7,32 @@
 _LENGTH_OFFSET = 5
 _LONG_ID_OFFSET = 6
 _SHORT_ID_OFFSET = 1
-_SHORT_ID_END = _SHORT_ID_OFFSET + TAG_BYTES
 _MAX_ID_BYTES = 20
 _MIN_OPENING_ID_BYTES = 8
 MIN_OPENING_BYTES = 1200
 """An opening is padded to at least this size, in bytes (RFC 9000, 14.1)."""
 
 
-def read_connection_id(datagram: bytes) -> bytes | None:
-    """Return the destination connection id of a caller's datagram, or None."""
+def read_connection_id(datagram: bytes, length: int = TAG_BYTES) -> bytes | None:
+    """Return the destination connection id of a datagram, or None.
+
+    Parameters
+    ----------
+    datagram : bytes
+        A datagram of a caller, or of an agent to a caller.
+    length : int
+        The length of the receiver's ids, which short headers don't tell, in bytes.
+    """
     if not datagram:
         return None
     if not datagram[0] & _LONG_HEADER_BIT:
-        connection_id = datagram[_SHORT_ID_OFFSET:_SHORT_ID_END]
-        return connection_id if len(connection_id) == TAG_BYTES else None
+        connection_id = datagram[_SHORT_ID_OFFSET : _SHORT_ID_OFFSET + length]
+        return connection_id if len(connection_id) == length else None
     if len(datagram) < _LONG_ID_OFFSET:
         return None
-    length = datagram[_LENGTH_OFFSET]
-    end = _LONG_ID_OFFSET + length
-    if length > _MAX_ID_BYTES or len(datagram) < end:
+    id_bytes = datagram[_LENGTH_OFFSET]
+    end = _LONG_ID_OFFSET + id_bytes
+    if id_bytes > _MAX_ID_BYTES or len(datagram) < end:
         return None
     return datagram[_LONG_ID_OFFSET:end]
 
--- /dev/null
+++ b/src/papayagw/_internal/wire/quic.py
@@ -0,0 +1,413 @@
+"""Driving of QUIC (RFC 9000) without input or output.
+
+The library makes its connection ids at random and grants the peer flow-control
+credit for what has arrived. Here a server's connection id is a flow tag, and
+credit is granted for what has been consumed, so that a slow backend server holds
+its caller back. `_Connection` is the one place that reaches into the library; the
+library's version is pinned, and ``tests/unit/test_quic.py`` fails if it changes.
+"""
+
+import hashlib
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from aioquic.quic import events
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import (
+    END_STATES,
+    MAX_STREAM_DATA_FRAME_CAPACITY,
+    QuicConnection,
+)
+from aioquic.quic.packet import QuicFrameType
+from aioquic.quic.packet_builder import QuicPacketBuilder
+from aioquic.quic.recovery import QuicPacketSpace
+from aioquic.quic.stream import QuicStream
+
+from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis, to_seconds
+from papayagw._internal.models.configuration import FleetKey
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.flow import FlowOutcome
+from papayagw._internal.models.stream import (
+    BytesArrived,
+    FlowEnded,
+    HandshakeDone,
+    StreamEvent,
+)
+from papayagw._internal.wire.keys import derive_key
+from papayagw._internal.wire.tag import TAG_BYTES
+
+ALPN = "papayagw/1"
+CALLER_ID_BYTES = 8
+"""Length of the connection ids of callers, in bytes."""
+
+STREAM_ID = 0
+"""The one stream of a flow, which carries both directions."""
+
+WINDOW_BYTES = 1 << 20
+"""How much a peer may send that hasn't been consumed, in bytes."""
+
+_UNLIMITED_BYTES = 1 << 60
+_INITIAL_RTT_SECONDS = 0.05
+_CLOSE_COPIES = 2
+_MAX_CLOSE_REPEATS = 3
+RESET_TOKEN_BYTES = 16
+_MIN_RESET_BYTES = 40
+_RESET_FIRST_BYTE = 0x40
+
+_CODES = {
+    FlowOutcome.ANSWERED: 0,
+    FlowOutcome.REFUSED: 1,
+    FlowOutcome.CANCELLED: 2,
+    FlowOutcome.UNKNOWN: 3,
+}
+_OUTCOMES = {code: outcome for outcome, code in _CODES.items()}
+
+DatagramSink = Callable[[bytes, tuple[str, int]], None]
+"""Takes a datagram and the peer that it is for."""
+
+
+class ResetTokens:
+    """Stateless reset tokens (RFC 9000, 10.3) of flow tags.
+
+    Any process that holds the fleet key can end a flow whose agent has forgotten
+    it.
+
+    Parameters
+    ----------
+    key : FleetKey
+        The key that the tokens are derived from.
+    """
+
+    def __init__(self, key: FleetKey):
+        self._key = derive_key(key, "stateless reset", 32)
+
+    def make_token(self, tag: bytes) -> bytes:
+        """Return the token of a tag, which only its flow's caller is told."""
+        hashed = hashlib.blake2s(tag, key=self._key, digest_size=RESET_TOKEN_BYTES)
+        return hashed.digest()
+
+    def make_datagram(self, tag: bytes) -> bytes:
+        """Return the datagram that ends the flow of a tag."""
+        noise = hashlib.blake2s(tag, digest_size=32).digest()
+        padding = _MIN_RESET_BYTES - RESET_TOKEN_BYTES - 1
+        return bytes((_RESET_FIRST_BYTE,)) + noise[:padding] + self.make_token(tag)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerTag:
+    """The connection id that an agent gives to a flow.
+
+    Attributes
+    ----------
+    tag : bytes of shape (TAG_BYTES,)
+        The sealed flow tag.
+    reset_token : bytes
+        Its stateless reset token.
+    """
+
+    tag: bytes
+    reset_token: bytes
+
+
+class _Connection(QuicConnection):
+    """The library's connection with our ids and our flow control."""
+
+    def __init__(
+        self,
+        configuration: QuicConfiguration,
+        original_id: bytes | None = None,
+        server_tag: ServerTag | None = None,
+    ):
+        super().__init__(
+            configuration=configuration, original_destination_connection_id=original_id
+        )
+        self._local_max_streams_bidi.value = 1
+        self._local_max_streams_bidi.sent = 1
+        self._local_max_streams_uni.value = 0
+        self._local_max_streams_uni.sent = 0
+        if server_tag is not None:
+            first = self._host_cids[0]
+            first.cid = server_tag.tag
+            first.stateless_reset_token = server_tag.reset_token
+            self.host_cid = server_tag.tag
+            self._local_initial_source_connection_id = server_tag.tag
+
+    @property
+    def peer_reset_token(self) -> bytes:
+        """The token with which the peer would reset this connection."""
+        return self._peer_cid.stateless_reset_token
+
+    @property
+    def close_event(self) -> events.ConnectionTerminated | None:
+        """How the connection ends, as soon as that is known."""
+        return self._close_event
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether the connection is closing, draining or over."""
+        return self._state in END_STATES
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes written to the stream that the peer hasn't acknowledged."""
+        stream = self._streams.get(STREAM_ID)
+        if stream is None:
+            return 0
+        return int(stream.sender._buffer_stop - stream.sender._buffer_start)
+
+    def grant(self, consumed: int) -> bool:
+        """Let the peer send up to a window beyond `consumed`; return if it is told.
+
+        Credit is told in steps of half a window, so that it costs few frames.
+        """
+        stream = self._streams.get(STREAM_ID)
+        if stream is None or stream.receiver.is_finished:
+            return False
+        limit = consumed + WINDOW_BYTES
+        if limit - stream.max_stream_data_local < WINDOW_BYTES // 2:
+            return False
+        stream.max_stream_data_local = limit
+        return True
+
+    def _replenish_connection_ids(self) -> None:
+        """Issue no further ids: a flow has one tag for life."""
+
+    def _write_stream_limits(
+        self, builder: QuicPacketBuilder, space: QuicPacketSpace, stream: QuicStream
+    ) -> None:
+        """Tell the peer of credit, without the library's doubling of it."""
+        if stream.max_stream_data_local_sent == stream.max_stream_data_local:
+            return
+        buffer = builder.start_frame(
+            QuicFrameType.MAX_STREAM_DATA,
+            capacity=MAX_STREAM_DATA_FRAME_CAPACITY,
+            handler=self._on_max_stream_data_delivery,
+            handler_args=(stream,),
+        )
+        buffer.push_uint_var(stream.stream_id)
+        buffer.push_uint_var(stream.max_stream_data_local)
+        stream.max_stream_data_local_sent = stream.max_stream_data_local
+
+
+class FlowConnection:
+    """One flow over QUIC: datagrams and deadlines in, events and datagrams out.
+
+    Parameters
+    ----------
+    connection : _Connection
+        The driven connection.
+    local_id : bytes
+        The connection id that the peer's packets carry.
+    """
+
+    def __init__(self, connection: _Connection, local_id: bytes):
+        self._connection = connection
+        self._local_id = local_id
+        self._consumed = 0
+        self._close_datagrams: list[tuple[bytes, tuple[str, int]]] = []
+        self._close_repeats = 0
+        self._is_reset = False
+        self._end_taken = False
+        self._pings = 0
+
+    @property
+    def local_id(self) -> bytes:
+        """The connection id that the peer's packets carry."""
+        return self._local_id
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes written that the peer hasn't acknowledged."""
+        return self._connection.buffered_bytes
+
+    @property
+    def peer_reset_token(self) -> bytes:
+        """What the last bytes of a stateless reset by the peer would be."""
+        return self._connection.peer_reset_token
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether nothing more can be sent or received."""
+        return self._is_reset or self._connection.is_ending
+
+    @property
+    def next_deadline(self) -> Millis | None:
+        """When `on_deadline` is due, or None once the flow is over."""
+        if self._is_reset:
+            return None
+        at = self._connection.get_timer()
+        return None if at is None else Millis(math.ceil(at * MILLIS_PER_SECOND))
+
+    def receive(self, datagram: bytes, peer: tuple[str, int], now: Millis) -> None:
+        """Take in a datagram of the flow."""
+        connection = self._connection
+        if connection.is_ending:
+            self._close_repeats += 1
+            return
+        if self._resets(datagram):
+            self._is_reset = True
+            return
+        connection.receive_datagram(datagram, peer, to_seconds(now))
+
+    def on_deadline(self, now: Millis) -> None:
+        """Act on `next_deadline`, which has come."""
+        if not self._is_reset:
+            self._connection.handle_timer(to_seconds(now))
+
+    def transmit(self, now: Millis, sink: DatagramSink) -> None:
+        """Hand all datagrams that are due to `sink`."""
+        connection = self._connection
+        was_ending = connection.is_ending
+        if was_ending:
+            self._repeat_close(sink)
+            return
+        datagrams = connection.datagrams_to_send(to_seconds(now))
+        for datagram, peer in datagrams:
+            sink(datagram, peer)
+        if connection.is_ending and datagrams:
+            self._close_datagrams = datagrams
+            for _ in range(_CLOSE_COPIES - 1):
+                for datagram, peer in datagrams:
+                    sink(datagram, peer)
+
+    def take_events(self) -> list[StreamEvent]:
+        """Return what has happened since the last call."""
+        taken: list[StreamEvent] = []
+        event = self._connection.next_event()
+        while event is not None:
+            if isinstance(event, events.HandshakeCompleted):
+                taken.append(HandshakeDone())
+            elif isinstance(event, events.StreamDataReceived):
+                taken.append(BytesArrived(event.data, event.end_stream))
+            event = self._connection.next_event()
+        end = self._take_end()
+        if end is not None:
+            taken.append(end)
+        return taken
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the peer."""
+        if not self.is_ending:
+            self._connection.send_stream_data(STREAM_ID, data)
+
+    def finish(self) -> None:
+        """Send no more bytes to the peer."""
+        if not self.is_ending:
+            self._connection.send_stream_data(STREAM_ID, b"", end_stream=True)
+
+    def consume(self, count: int) -> bool:
+        """Note that `count` bytes left this process; return if credit is granted."""
+        self._consumed += count
+        return not self.is_ending and self._connection.grant(self._consumed)
+
+    def probe(self) -> None:
+        """Ask the peer for a sign of life."""
+        if not self.is_ending:
+            self._pings += 1
+            self._connection.send_ping(self._pings)
+
+    def close(self, outcome: FlowOutcome, reason: str) -> None:
+        """End the flow and tell the peer how."""
+        self._connection.close(error_code=_CODES[outcome], reason_phrase=reason)
+
+    def _resets(self, datagram: bytes) -> bool:
+        token = self._connection.peer_reset_token
+        return bool(token) and datagram[-RESET_TOKEN_BYTES:] == token
+
+    def _repeat_close(self, sink: DatagramSink) -> None:
+        if 0 < self._close_repeats <= _MAX_CLOSE_REPEATS:
+            for datagram, peer in self._close_datagrams:
+                sink(datagram, peer)
+
+    def _take_end(self) -> FlowEnded | None:
+        if self._end_taken:
+            return None
+        if self._is_reset:
+            self._end_taken = True
+            return FlowEnded(FlowOutcome.UNKNOWN, "the agent has forgotten the flow")
+        event = self._connection.close_event
+        if event is None:
+            return None
+        self._end_taken = True
+        is_told = event.frame_type is None
+        outcome = _OUTCOMES.get(event.error_code) if is_told else None
+        return FlowEnded(outcome or FlowOutcome.UNKNOWN, event.reason_phrase)
+
+
+class FlowAcceptor:
+    """Makes the agent's ends of flows.
+
+    Parameters
+    ----------
+    certificate, private_key : Path
+        PEM files of the certificate that is shown to callers.
+    idle_timeout_ms : Millis
+        How long a flow may be silent.
+    reset_tokens : ResetTokens
+        Where the flows' stateless reset tokens come from.
+    """
+
+    def __init__(
+        self,
+        certificate: Path,
+        private_key: Path,
+        idle_timeout_ms: Millis,
+        reset_tokens: ResetTokens,
+    ):
+        self._configuration = QuicConfiguration(
+            is_client=False,
+            alpn_protocols=[ALPN],
+            connection_id_length=TAG_BYTES,
+            idle_timeout=to_seconds(idle_timeout_ms),
+            max_data=_UNLIMITED_BYTES,
+            max_stream_data=WINDOW_BYTES,
+            initial_rtt=_INITIAL_RTT_SECONDS,
+        )
+        self._configuration.load_cert_chain(certificate, private_key)
+        self._reset_tokens = reset_tokens
+
+    def accept(self, opening_id: bytes, tag: bytes) -> FlowConnection:
+        """Return the flow of an opening, whose packets will carry `tag`."""
+        server_tag = ServerTag(tag, self._reset_tokens.make_token(tag))
+        connection = _Connection(self._configuration, opening_id, server_tag)
+        return FlowConnection(connection, tag)
+
+
+class FlowOpener:
+    """Makes the callers' ends of flows.
+
+    Parameters
+    ----------
+    service : str
+        The service, which the certificate must name.
+    entry : Endpoint
+        The entry address of the service.
+    authority : Path
+        PEM file of the authority that signs the agents' certificates.
+    idle_timeout_ms : Millis
+        How long a flow may be silent.
+    """
+
+    def __init__(
+        self, service: str, entry: Endpoint, authority: Path, idle_timeout_ms: Millis
+    ):
+        self._entry = entry
+        self._configuration = QuicConfiguration(
+            is_client=True,
+            alpn_protocols=[ALPN],
+            connection_id_length=CALLER_ID_BYTES,
+            idle_timeout=to_seconds(idle_timeout_ms),
+            max_data=_UNLIMITED_BYTES,
+            max_stream_data=WINDOW_BYTES,
+            initial_rtt=_INITIAL_RTT_SECONDS,
+            server_name=service,
+        )
+        self._configuration.load_verify_locations(cafile=str(authority))
+
+    def open(self, now: Millis) -> FlowConnection:
+        """Return a new flow, whose opening is ready to be transmitted."""
+        connection = _Connection(self._configuration)
+        connection.connect(self._entry.sockaddr, to_seconds(now))
+        return FlowConnection(connection, connection.host_cid)
