--- a/src/papayagw/_internal/cli/commands/keys_make.py
+++ b/src/papayagw/_internal/cli/commands/keys_make.py
@@ -1,4 +1,4 @@
-"""``papayagw keys make``: a development certificate."""
+"""``papayagw keys make``: a development certificate and a fleet key."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -9,7 +9,7 @@
 
 
 class KeysMakeCommand:
-    """Make a certificate authority and a server certificate."""
+    """Make a certificate authority, a server certificate and a fleet key."""
 
     @property
     def run(self) -> Callable[..., int]:
@@ -18,7 +18,7 @@
 
 
 def make_keys(folder: str, names: FlagList = "order,drawings,ledger,intake") -> int:
-    """Make a development certificate and print where it is.
+    """Make a development certificate and a fleet key and print where they are.
 
     Production certificates come from your own authority. The files made here are
     for trials: the authority's key isn't kept.
@@ -34,6 +34,7 @@
     print(f"authority:   {keys.authority}")
     print(f"certificate: {keys.certificate}")
     print(f"private key: {keys.private_key}")
+    print(f"fleet key:   {keys.fleet_key}")
     return ExitCode.OK
 
 
--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -37,7 +37,9 @@
 
 
 COMMANDS = (
-    CommandInfo(("keys", "make"), "keys_make", "Make a development certificate."),
+    CommandInfo(
+        ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
+    ),
 )
 
 
--- a/src/papayagw/_internal/models/configuration.py
+++ b/src/papayagw/_internal/models/configuration.py
@@ -1,6 +1,6 @@
 """The configuration of a site, as every node holds it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Service, ServiceId
@@ -22,7 +22,7 @@
     """
 
     key_id: int
-    secret: bytes
+    secret: bytes = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/papayagw/_internal/settings/development_keys.py
+++ b/src/papayagw/_internal/settings/development_keys.py
@@ -1,5 +1,6 @@
-"""Making of certificates for trials (X.509, RFC 5280)."""
+"""Making of certificates for trials (X.509, RFC 5280) and of fleet keys."""
 
+import secrets
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
@@ -9,6 +10,8 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from papayagw._internal.models.configuration import KEY_BYTES
+
 _VALID_FOR = timedelta(days=90)
 _PRIVATE_MODE = 0o600
 
@@ -25,15 +28,18 @@
         The certificate that agents show.
     private_key : Path
         The key of `certificate`.
+    fleet_key : Path
+        The secret that the site's own processes share.
     """
 
     authority: Path
     certificate: Path
     private_key: Path
+    fleet_key: Path
 
 
 def make_development_keys(folder: Path, names: tuple[str, ...]) -> KeyFiles:
-    """Make an authority and a certificate for `names` in `folder`."""
+    """Make an authority, a certificate for `names` and a fleet key in `folder`."""
     folder.mkdir(parents=True, exist_ok=True)
     authority_key = ec.generate_private_key(ec.SECP256R1())
     server_key = ec.generate_private_key(ec.SECP256R1())
@@ -49,20 +55,29 @@
         .add_extension(alternatives, critical=False)
         .sign(authority_key, hashes.SHA256())
     )
-    files = KeyFiles(folder / "ca.pem", folder / "cert.pem", folder / "key.pem")
+    files = KeyFiles(
+        folder / "ca.pem",
+        folder / "cert.pem",
+        folder / "key.pem",
+        folder / "fleet.key",
+    )
     files.authority.write_bytes(authority.public_bytes(serialization.Encoding.PEM))
     files.certificate.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
-    files.private_key.touch(mode=_PRIVATE_MODE)
-    files.private_key.write_bytes(
-        server_key.private_bytes(
-            serialization.Encoding.PEM,
-            serialization.PrivateFormat.PKCS8,
-            serialization.NoEncryption(),
-        )
+    private_key = server_key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
     )
+    _write_private(files.private_key, private_key)
+    _write_private(files.fleet_key, secrets.token_hex(KEY_BYTES).encode() + b"\n")
     return files
 
 
+def _write_private(path: Path, content: bytes) -> None:
+    path.touch(mode=_PRIVATE_MODE)
+    path.write_bytes(content)
+
+
 def _make_name(text: str) -> x509.Name:
     return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
 
--- /dev/null
+++ b/src/papayagw/_internal/settings/node.py
@@ -0,0 +1,157 @@
+"""The settings files of processes."""
+
+from dataclasses import fields
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.node import (
+    AgentSettings,
+    BalancerSettings,
+    ConnectSettings,
+    Listener,
+    NodeSettings,
+)
+from papayagw._internal.settings.document import read_document
+from papayagw._internal.settings.kinds import (
+    MILLIS,
+    Address,
+    Choice,
+    IpNumber,
+    Kind,
+    Name,
+    ReadableFile,
+    Url,
+    Whole,
+)
+from papayagw._internal.settings.place import Place
+from papayagw._internal.settings.problem import Problems
+from papayagw._internal.settings.structure import ListOf, ObjectOf, make_keys
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+_MAX_STOP_LIMIT_MS = 86_400_000
+
+_PROCESS_KINDS: dict[str, Kind] = {
+    "admin": Address(),
+    "statsd": Address(),
+    "log_level": Choice(LOG_LEVELS),
+    "stop_limit_ms": Whole(0, _MAX_STOP_LIMIT_MS, MILLIS),
+}
+_NODE_KINDS: dict[str, Kind] = {
+    "name": Name(),
+    "zone": Name(),
+    "inner": Address(),
+    "platform": ListOf(Url()),
+    "base": ReadableFile(),
+    "overlay": ReadableFile(),
+}
+_NODE_ATTRIBUTES = {one.name for one in fields(NodeSettings)}
+
+
+def _split_node(values: dict[str, Any], place: Place) -> dict[str, Any]:
+    own = {name: one for name, one in values.items() if name not in _NODE_ATTRIBUTES}
+    shared = {name: one for name, one in values.items() if name in _NODE_ATTRIBUTES}
+    node = NodeSettings(**shared)
+    _check_source(node, place)
+    _check_overlap(place, inner=node.inner, admin=node.admin)
+    return {"node": node, **own}
+
+
+def _build_balancer(values: dict[str, Any], place: Place) -> BalancerSettings:
+    return BalancerSettings(**_split_node(values, place))
+
+
+def _build_agent(values: dict[str, Any], place: Place) -> AgentSettings:
+    settings = AgentSettings(**_split_node(values, place))
+    node = settings.node
+    _check_overlap(place, inner=node.inner, backend=settings.backend)
+    _check_overlap(place, admin=node.admin, backend=settings.backend)
+    return settings
+
+
+def _build_listener(values: dict[str, Any], _place: Place) -> Listener:
+    return Listener(**values)
+
+
+def _build_connect(values: dict[str, Any], place: Place) -> ConnectSettings:
+    settings = ConnectSettings(**values)
+    owners: dict[Endpoint, int] = {}
+    for index, listener in enumerate(settings.listeners):
+        owner = owners.setdefault(listener.listen, index)
+        if owner != index:
+            place.enter("listeners").enter(index).enter("listen").report(
+                f"{listener.listen}, which overlaps with listeners.{owner}",
+                "an address of its own",
+            )
+    return settings
+
+
+def _check_source(node: NodeSettings, place: Place) -> None:
+    if bool(node.platform) == (node.base is not None):
+        place.enter("platform").report(
+            "platform and base" if node.platform else "neither platform nor base",
+            "exactly one of them",
+            "name the platform's URLs, or a base file for trials without it",
+        )
+    if node.overlay is not None and node.base is None:
+        place.enter("overlay").report("an overlay without base", "base with it")
+
+
+def _check_overlap(place: Place, **endpoints: Endpoint | None) -> None:
+    (first, one), (second, other) = endpoints.items()
+    if one is not None and one == other:
+        place.enter(second).report(
+            f"{other}, which overlaps with {first}", "an address of its own"
+        )
+
+
+LISTENER_KEYS = make_keys(
+    Listener, {"service": Name(), "listen": Address(), "entry": Address()}
+)
+NODE_KEYS = make_keys(NodeSettings, {**_NODE_KINDS, **_PROCESS_KINDS})
+BALANCER_KEYS = make_keys(BalancerSettings, {"bind_ip": IpNumber()})
+AGENT_KEYS = make_keys(
+    AgentSettings,
+    {
+        "service": Name(),
+        "backend": Address(),
+        "certificate": ReadableFile(),
+        "private_key": ReadableFile(),
+    },
+)
+CONNECT_KEYS = make_keys(
+    ConnectSettings,
+    {
+        "listeners": ListOf(ObjectOf(LISTENER_KEYS, _build_listener)),
+        "authority": ReadableFile(),
+        **_PROCESS_KINDS,
+    },
+)
+
+
+def load_balancer(path: Path) -> Result[BalancerSettings, Problems]:
+    """Return a balancer's settings, or every problem of its file."""
+    return _load(path, ObjectOf(NODE_KEYS + BALANCER_KEYS, _build_balancer))
+
+
+def load_agent(path: Path) -> Result[AgentSettings, Problems]:
+    """Return an agent's settings, or every problem of its file."""
+    return _load(path, ObjectOf(NODE_KEYS + AGENT_KEYS, _build_agent))
+
+
+def load_connect(path: Path) -> Result[ConnectSettings, Problems]:
+    """Return the settings of a caller's machine, or every problem of its file."""
+    return _load(path, ObjectOf(CONNECT_KEYS, _build_connect))
+
+
+def _load(path: Path, kind: ObjectOf) -> Result[Any, Problems]:
+    document = read_document(path)
+    if not isinstance(document, Success):
+        return document
+    place = Place(lambda _: path)
+    settings = kind.read(document.unwrap(), place)
+    if settings is None or place.problems:
+        return Failure(place.problems)
+    return Success(settings)
--- /dev/null
+++ b/src/papayagw/_internal/settings/site.py
@@ -0,0 +1,195 @@
+"""Base file and overlay into the site that they describe."""
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from papayagw._internal.models.configuration import KEY_BYTES, FleetKey, Site
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.service import Objectives, Service
+from papayagw._internal.settings.document import Document, read_document
+from papayagw._internal.settings.kinds import (
+    MILLIS,
+    Address,
+    Flag,
+    Name,
+    Number,
+    ReadableFile,
+    Whole,
+)
+from papayagw._internal.settings.overlay import merge_overlay
+from papayagw._internal.settings.place import KeyPath, Place
+from papayagw._internal.settings.problem import Problems
+from papayagw._internal.settings.structure import ListOf, MapOf, ObjectOf, make_keys
+
+MAX_KEY_ID = 255
+MAX_SERVICE_ID = 65_535
+_DAY_MS = 86_400_000
+
+
+def _build_objectives(values: dict[str, Any], _place: Place) -> Objectives:
+    return Objectives(**values)
+
+
+def _build_service(values: dict[str, Any], place: Place) -> Service | None:
+    service = Service(name=place.name, **values)
+    if service.probe_interval_ms * 2 > service.idle_timeout_ms:
+        place.enter("probe_interval_ms").report(
+            str(service.probe_interval_ms),
+            f"at most half of idle_timeout_ms, which is {service.idle_timeout_ms}",
+        )
+        return None
+    return service
+
+
+def _build_key(values: dict[str, Any], place: Place) -> FleetKey | None:
+    path = Path(values["secret"])
+    try:
+        secret = bytes.fromhex(path.read_text(encoding="ascii").strip())
+    except (OSError, ValueError):
+        secret = b""
+    if len(secret) != KEY_BYTES:
+        place.enter("file").report(
+            f"no key in {path}",
+            f"{KEY_BYTES} bytes in hexadecimal digits",
+            "papayagw keys make writes one",
+        )
+        return None
+    return FleetKey(values["key_id"], secret)
+
+
+def _build_site(values: dict[str, Any], place: Place) -> Site:
+    _check_ids(values["services"], place.enter("services"))
+    _check_addresses(values["services"], values["control_address"], place)
+    _check_distinct((key.key_id for key in values["keys"]), place.enter("keys"))
+    _check_distinct(values["zones"], place.enter("zones"))
+    values["services"] = tuple(sorted(values["services"], key=lambda s: s.service_id))
+    return Site(**values)
+
+
+OBJECTIVES_KEYS = make_keys(
+    Objectives,
+    {
+        "availability": Number(0, 1),
+        "latency_ms": Whole(1, 60_000, MILLIS),
+        "latency_share": Number(0, 1),
+        "imbalance": Number(1, 100),
+    },
+)
+SERVICE_KEYS = make_keys(
+    Service,
+    {
+        "id": Whole(1, MAX_SERVICE_ID),
+        "address": Address(),
+        "idempotent": Flag(),
+        "max_flows": Whole(1, 1_000_000, "flows"),
+        "idle_timeout_ms": Whole(1_000, _DAY_MS, MILLIS),
+        "probe_interval_ms": Whole(100, 60_000, MILLIS),
+        "drain_limit_ms": Whole(0, _DAY_MS, MILLIS),
+        "objectives": ObjectOf(OBJECTIVES_KEYS, _build_objectives),
+    },
+    renamed={"id": "service_id"},
+)
+FLEET_KEY_KEYS = make_keys(
+    FleetKey,
+    {"id": Whole(0, MAX_KEY_ID), "file": ReadableFile()},
+    renamed={"id": "key_id", "file": "secret"},
+)
+SITE_KEYS = make_keys(
+    Site,
+    {
+        "name": Name(),
+        "control_address": Address(),
+        "zones": ListOf(Name()),
+        "services": MapOf(Name(), ObjectOf(SERVICE_KEYS, _build_service)),
+        "keys": ListOf(ObjectOf(FLEET_KEY_KEYS, _build_key)),
+    },
+)
+SITE = ObjectOf(SITE_KEYS, _build_site)
+
+
+def load_site(base: Path, overlay: Path | None = None) -> Result[Site, Problems]:
+    """Return the site that a base file and an overlay describe, or every problem.
+
+    Parameters
+    ----------
+    base : Path
+        The base file.
+    overlay : Path or None
+        The overlay of one site; None takes the base file alone.
+    """
+    documents = [read_document(path) for path in (base, overlay) if path]
+    unread = [problem for one in documents for problem in one.swap().value_or(())]
+    if unread:
+        return Failure(tuple(unread))
+    base_document, *overlays = (one.unwrap() for one in documents)
+    if overlay is None:
+        return _read_site(base_document, Place(lambda _: base))
+    return _read_merged(base_document, overlays[0], base, overlay)
+
+
+def _read_merged(
+    base_document: Document, overlay_document: Document, base: Path, overlay: Path
+) -> Result[Site, Problems]:
+    def find_file(path: KeyPath) -> Path:
+        return overlay if _has_path(overlay_document, path) else base
+
+    place = Place(find_file)
+    merged = merge_overlay(base_document, overlay_document, place)
+    return _read_site(merged, place)
+
+
+def _read_site(document: Document, place: Place) -> Result[Site, Problems]:
+    site = SITE.read(document, place)
+    if site is None or place.problems:
+        return Failure(place.problems)
+    return Success(site)
+
+
+def _has_path(document: object, path: KeyPath) -> bool:
+    for key in path:
+        if isinstance(document, list):
+            return key.isdigit()
+        if not isinstance(document, dict) or key not in document:
+            return False
+        document = document[key]
+    return True
+
+
+def _check_ids(services: Iterable[Service], place: Place) -> None:
+    owners: dict[int, str] = {}
+    for service in services:
+        owner = owners.setdefault(service.service_id, service.name)
+        if owner != service.name:
+            place.enter(service.name).enter("id").report(
+                f"{service.service_id}, which {owner} has",
+                "a number of its own",
+                "numbers are never reused: take a new one",
+            )
+
+
+def _check_addresses(
+    services: Iterable[Service], control: Endpoint, place: Place
+) -> None:
+    owners = {control.port: ("control_address", control)}
+    for service in services:
+        own = ("services." + service.name, service.address)
+        owner, taken = owners.setdefault(service.address.port, own)
+        if owner == own[0]:
+            continue
+        found = f"{service.address}, which overlaps with {owner} at {taken}"
+        place.enter("services").enter(service.name).enter("address").report(
+            found,
+            "an address with a port of its own",
+            "a balancer that binds one IP number tells services apart by port",
+        )
+
+
+def _check_distinct(members: Iterable[int | str], place: Place) -> None:
+    seen: set[int | str] = set()
+    for index, member in enumerate(members):
+        if member in seen:
+            place.enter(index).report(f"{member} twice", "each once", "take one out")
+        seen.add(member)
