--- /dev/null
+++ b/src/papayagw/_internal/cli/commands/standin_backend.py
@@ -0,0 +1,103 @@
+"""``papayagw standin backend``: a stand-in of a backend server."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+import anyio
+
+from papayagw._internal.cli.base import ExitCode
+from papayagw._internal.exceptions import SettingsError, Step
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.standins.backend import BackendServer
+from papayagw._internal.standins.lifetime import announce_ready, wait_for_stop
+from papayagw._internal.standins.workload import (
+    DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_SERVICE_MS,
+    BackendKind,
+    BackendPlan,
+)
+
+_Value = TypeVar("_Value")
+
+
+class StandinBackendCommand:
+    """Run a stand-in of a backend server."""
+
+    @property
+    def run(self) -> Callable[..., int]:
+        """Carry the command out."""
+        return run_backend
+
+
+def run_backend(
+    listen: str,
+    kind: str,
+    name: str,
+    speed: float = 1.0,
+    slots: int = 1,
+    max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    service_ms: int = DEFAULT_SERVICE_MS,
+    runs_file: str = "",
+) -> int:
+    """Serve requests over TCP until SIGTERM; SIGUSR1 sheds new requests.
+
+    Requests are lines: ORDER id, CHECK id, FEED id count interval_ms, and
+    UPLOAD id bytes followed by the bytes. RUNS lists what was run, HEALTH tells
+    state and load; DRAIN, STALL ms, SHED 0|1 and LIE load change its behaviour.
+
+    Parameters
+    ----------
+    listen : str
+        Where to listen, as ip:port.
+    kind : str
+        The service: order, drawings, ledger or intake.
+    name : str
+        What it signs its answers with.
+    speed : float
+        1 is ordinary; a server of 0.25 takes four times the service time.
+    slots : int
+        How many requests it works on at once; the others queue.
+    max_connections : int
+        Connections beyond these are closed at once.
+    service_ms : int
+        The service time of one request at speed 1, in milliseconds.
+    runs_file : str
+        Where the list of requests that were run goes when the server stops.
+    """
+    plan = BackendPlan(
+        name=str(name),
+        kind=_read(lambda: BackendKind(kind)),
+        speed=float(speed),
+        slots=slots,
+        max_connections=max_connections,
+        service_ms=Millis(service_ms),
+    )
+    server = BackendServer(_read(lambda: Endpoint.parse(listen)), plan)
+    anyio.run(_serve, server, plan.name)
+    if runs_file:
+        Path(runs_file).write_text(server.journal.format_lines(), encoding="utf-8")
+    return ExitCode.OK
+
+
+def _read(read: Callable[[], _Value]) -> _Value:
+    try:
+        return read()
+    except ValueError as error:
+        raise SettingsError(
+            str(error), step=Step.SETTINGS, remedy="see --help"
+        ) from error
+
+
+async def _serve(server: BackendServer, name: str) -> None:
+    async with anyio.create_task_group() as tasks:
+        await server.start(tasks)
+        announce_ready(name)
+        await wait_for_stop(server.drain)
+        await server.close()
+        await server.wait_idle()
+        tasks.cancel_scope.cancel()
+
+
+COMMAND = StandinBackendCommand()
--- /dev/null
+++ b/src/papayagw/_internal/cli/commands/standin_fabric.py
@@ -0,0 +1,96 @@
+"""``papayagw standin fabric``: a stand-in of the platform's fabric."""
+
+import json
+import sys
+from collections.abc import Callable
+from dataclasses import asdict
+
+import anyio
+from returns.pipeline import is_successful
+
+from papayagw._internal.cli.base import ExitCode
+from papayagw._internal.exceptions import SettingsError, Step
+from papayagw._internal.net.clock import MonotonicClock
+from papayagw._internal.standins.fabric import Fabric, max_callers
+from papayagw._internal.standins.lifetime import announce_ready, cancelled_by_stop
+from papayagw._internal.standins.spray import Impairments, Route, parse_route
+
+FEW_CALLERS = 1_000
+
+
+class StandinFabricCommand:
+    """Run a stand-in of the platform's fabric."""
+
+    @property
+    def run(self) -> Callable[..., int]:
+        """Carry the command out."""
+        return run_fabric
+
+
+def run_fabric(
+    *routes: object,
+    loss: float = 0.0,
+    duplicate: float = 0.0,
+    seed: int = 1,
+    health: bool = False,
+) -> int:
+    """Hand each packet to any balancer, until SIGTERM; then print the counts.
+
+    A route is ENTRY=TARGET,TARGET, such as
+    127.0.1.1:4401=127.0.0.11:4401,127.0.0.12:4401. Each packet to the entry
+    address goes to a random target, dead or alive.
+
+    Parameters
+    ----------
+    routes : list of str
+        One route for each entry address.
+    loss : float
+        The share of packets that are lost, 0 to 1.
+    duplicate : float
+        The share of packets that are sent twice, 0 to 1.
+    seed : int
+        Seed of the random choices.
+    health : bool
+        Leave out for a second a target whose host refuses a packet.
+    """
+    fabric = Fabric(
+        tuple(_read_route(str(one)) for one in routes),
+        Impairments(float(loss), float(duplicate)),
+        seed,
+        health,
+        MonotonicClock(),
+    )
+    if max_callers() < FEW_CALLERS:
+        print(
+            f"the limit of open files allows only {max_callers()} callers;"
+            " raise it (ulimit -n) before starting the fabric",
+            file=sys.stderr,
+        )
+    anyio.run(_serve, fabric)
+    return ExitCode.OK
+
+
+def _read_route(text: str) -> Route:
+    parsed = parse_route(text)
+    if is_successful(parsed):
+        return parsed.unwrap()
+    raise SettingsError(
+        parsed.failure(),
+        step=Step.SETTINGS,
+        remedy="give routes as ip:port=ip:port,ip:port",
+    )
+
+
+async def _serve(fabric: Fabric) -> None:
+    fabric.start()
+    try:
+        async with cancelled_by_stop():
+            announce_ready("fabric")
+            await fabric.run()
+    finally:
+        counts = asdict(fabric.counts)
+        fabric.close()
+        print(json.dumps(counts), flush=True)
+
+
+COMMAND = StandinFabricCommand()
--- a/src/papayagw/_internal/standins/__init__.py
+++ b/src/papayagw/_internal/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the systems that surround papayagw."""
+"""Small stand-ins of the platform, the fabric and the backend servers."""
--- /dev/null
+++ b/src/papayagw/_internal/standins/backend.py
@@ -0,0 +1,245 @@
+"""Stand-in of a backend server: an ordinary TCP server."""
+
+import hashlib
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import anyio
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
+from anyio.streams.buffered import BufferedByteReceiveStream
+from returns.pipeline import is_successful
+
+from papayagw._internal.exceptions import BindError, Step
+from papayagw._internal.models.clock import Millis, to_seconds
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.standins.workload import (
+    SERVED,
+    WORK,
+    BackendPlan,
+    Journal,
+    Request,
+    Verb,
+    parse_request,
+)
+
+MAX_LINE_BYTES = 1_024
+READ_BYTES = 256 << 10
+_BACKLOG = 1_024
+_PERCENT = 100
+
+Handler = Callable[["Connection", Request], Awaitable[None]]
+
+
+class Connection:
+    """One caller's connection.
+
+    Parameters
+    ----------
+    stream : SocketStream
+        The connection.
+    """
+
+    def __init__(self, stream: SocketStream):
+        self._stream = stream
+        self._reader = BufferedByteReceiveStream(stream)
+
+    async def read_line(self) -> bytes:
+        """Return the next line without its end."""
+        return await self._reader.receive_until(b"\n", MAX_LINE_BYTES)
+
+    async def read_chunk(self, most: int) -> bytes:
+        """Return some bytes, `most` at the most."""
+        return await self._reader.receive(most)
+
+    async def write(self, text: str) -> None:
+        """Send a line."""
+        await self._stream.send(f"{text}\n".encode())
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+
+class BackendServer:
+    """A stand-in of a backend server.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Where it listens.
+    plan : BackendPlan
+        How it behaves.
+    """
+
+    def __init__(self, endpoint: Endpoint, plan: BackendPlan):
+        self._endpoint = endpoint
+        self._plan = plan
+        self._journal = Journal()
+        self._slots = anyio.Semaphore(plan.slots)
+        self._connections = 0
+        self._working = 0
+        self._is_draining = False
+        self._is_shedding = False
+        self._stall_ms = Millis(0)
+        self._told_load: int | None = None
+        self._handlers: dict[Verb, Handler] = {
+            Verb.ORDER: self._serve_order,
+            Verb.CHECK: self._serve_check,
+            Verb.FEED: self._serve_feed,
+            Verb.UPLOAD: self._serve_upload,
+            Verb.RUNS: self._serve_runs,
+            Verb.HEALTH: self._serve_health,
+            Verb.DRAIN: self._serve_drain,
+            Verb.STALL: self._serve_stall,
+            Verb.SHED: self._serve_shed,
+            Verb.LIE: self._serve_lie,
+        }
+
+    @property
+    def journal(self) -> Journal:
+        """The requests that it ran."""
+        return self._journal
+
+    @property
+    def working(self) -> int:
+        """How many requests are in progress or queue, feeds included."""
+        return self._working
+
+    def drain(self) -> None:
+        """Shed new requests; those in progress go on."""
+        self._is_draining = True
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen, and serve in `tasks`."""
+        own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            own.bind(self._endpoint.sockaddr)
+        except OSError as error:
+            own.close()
+            raise BindError(
+                error.strerror or "can't listen",
+                step=Step.BIND,
+                peer=str(self._endpoint),
+                remedy="stop what holds the address, or choose another one",
+            ) from error
+        own.listen(_BACKLOG)
+        self._listener = await SocketListener.from_socket(own)
+        tasks.start_soon(self._accept, tasks)
+
+    async def close(self) -> None:
+        """Stop listening; connections in progress go on."""
+        await self._listener.aclose()
+
+    async def wait_idle(self) -> None:
+        """Return when no request is in progress."""
+        while self._working:
+            await anyio.sleep(0.01)
+
+    async def _accept(self, tasks: TaskGroup) -> None:
+        with suppress(anyio.ClosedResourceError):
+            while True:
+                tasks.start_soon(self._serve_connection, await self._listener.accept())
+
+    async def _serve_connection(self, stream: SocketStream) -> None:
+        connection = Connection(stream)
+        self._connections += 1
+        try:
+            if self._connections <= self._plan.max_connections:
+                await self._serve_requests(connection)
+        except (anyio.EndOfStream, anyio.IncompleteRead, anyio.DelimiterNotFound):
+            pass
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            peer = stream.extra(SocketAttribute.remote_address, "?")
+            print(f"{self._plan.name}: {peer} left: {error!r}", file=sys.stderr)
+        finally:
+            self._connections -= 1
+            await connection.close()
+
+    async def _serve_requests(self, connection: Connection) -> None:
+        while True:
+            parsed = parse_request(await connection.read_line())
+            if is_successful(parsed):
+                await self._serve_request(connection, parsed.unwrap())
+            else:
+                await connection.write(f"ERROR {parsed.failure()} {self._plan.name}")
+
+    async def _serve_request(self, connection: Connection, request: Request) -> None:
+        name = self._plan.name
+        if request.verb not in WORK:
+            await self._handlers[request.verb](connection, request)
+        elif request.verb not in SERVED[self._plan.kind]:
+            await connection.write(f"WRONG {request.request_id} {name}")
+        elif self._is_draining or self._is_shedding:
+            await connection.write(f"SHED {request.request_id} {name}")
+        else:
+            await self._work(connection, request)
+
+    async def _work(self, connection: Connection, request: Request) -> None:
+        self._working += 1
+        try:
+            await self._handlers[request.verb](connection, request)
+        finally:
+            self._working -= 1
+
+    async def _take_service_time(self, request: Request) -> None:
+        async with self._slots:
+            self._journal.note(request)
+            wait = self._plan.scaled_service_ms + self._stall_ms
+            await anyio.sleep(to_seconds(Millis(wait)))
+
+    async def _serve_order(self, connection: Connection, request: Request) -> None:
+        await self._take_service_time(request)
+        await connection.write(f"DONE {request.request_id} {self._plan.name}")
+
+    async def _serve_check(self, connection: Connection, request: Request) -> None:
+        await self._take_service_time(request)
+        await connection.write(f"RATE {request.request_id} {self._plan.name}")
+
+    async def _serve_feed(self, connection: Connection, request: Request) -> None:
+        count, interval = request.numbers
+        self._journal.note(request)
+        for number in range(count):
+            await connection.write(
+                f"STATUS {request.request_id} {number} {self._plan.name}"
+            )
+            await anyio.sleep(to_seconds(Millis(interval + self._stall_ms)))
+        await connection.write(f"END {request.request_id} {count} {self._plan.name}")
+
+    async def _serve_upload(self, connection: Connection, request: Request) -> None:
+        digest = hashlib.sha256()
+        left = request.numbers[0]
+        while left:
+            chunk = await connection.read_chunk(min(left, READ_BYTES))
+            digest.update(chunk)
+            left -= len(chunk)
+        await self._take_service_time(request)
+        await connection.write(f"SHA256 {digest.hexdigest()} {self._plan.name}")
+
+    async def _serve_runs(self, connection: Connection, request: Request) -> None:
+        await connection.write(self._journal.format_lines().rstrip("\n"))
+
+    async def _serve_health(self, connection: Connection, request: Request) -> None:
+        state = "draining" if self._is_draining else "ready"
+        load = self._told_load
+        if load is None:
+            load = _PERCENT * self._working // self._plan.slots
+        await connection.write(f"HEALTH {state} {load} {self._plan.name}")
+
+    async def _serve_drain(self, connection: Connection, request: Request) -> None:
+        self.drain()
+        await connection.write(f"OK {self._plan.name}")
+
+    async def _serve_stall(self, connection: Connection, request: Request) -> None:
+        self._stall_ms = Millis(request.numbers[0])
+        await connection.write(f"OK {self._plan.name}")
+
+    async def _serve_shed(self, connection: Connection, request: Request) -> None:
+        self._is_shedding = bool(request.numbers[0])
+        await connection.write(f"OK {self._plan.name}")
+
+    async def _serve_lie(self, connection: Connection, request: Request) -> None:
+        self._told_load = request.numbers[0]
+        await connection.write(f"OK {self._plan.name}")
--- /dev/null
+++ b/tests/lib/processes.py
@@ -0,0 +1,27 @@
+"""Starting of papayagw's processes in tests."""
+
+import os
+import subprocess
+import sys
+from contextlib import contextmanager
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+@contextmanager
+def running(*words):
+    """Run a command until the block ends, once it has said that it serves."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "papayagw", *map(str, words)],
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert process.stdout.readline().startswith("ready")
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
