--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -1,21 +1,19 @@
 """The agent: the process beside each backend server that owns its flows."""
 
 import random
+from pathlib import Path
 
 import anyio
 import anyio.abc
 
 from papayagw._internal.core.agent import AgentCore
-from papayagw._internal.core.choice import RendezvousChooser
-from papayagw._internal.core.directory import Directory
 from papayagw._internal.core.return_path import ReturnPath
-from papayagw._internal.models.clock import Clock, Millis, to_seconds
+from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import Accept, DropReason, Forward
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.flow import FlowOutcome, FlowRoute
+from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.node import AgentSettings
-from papayagw._internal.models.service import Service
 from papayagw._internal.net.agent_flow import AgentFlow
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
 from papayagw._internal.net.udp import DatagramSocket
@@ -29,8 +27,6 @@
 from papayagw._internal.wire.quic import FlowAcceptor, ResetTokens
 from papayagw._internal.wire.tag import TagCodec
 
-_DRAIN_CHECK_MS = Millis(50)
-
 
 class AgentPackets:
     """The agent's packet path: envelopes in, answers out.
@@ -39,14 +35,10 @@
     ----------
     settings : AgentSettings
         Where this agent and its backend server are.
-    service : Service
-        The service that the backend server runs.
     configuration : Configuration
         What is in force.
-    route : FlowRoute
-        This run of the agent.
-    siblings : Directory
-        The other agents of the service.
+    core : AgentCore
+        The decisions.
     socket : DatagramSocket
         The socket that envelopes come to.
     clock : Clock
@@ -56,18 +48,16 @@
     def __init__(
         self,
         settings: AgentSettings,
-        service: Service,
         configuration: Configuration,
-        route: FlowRoute,
-        siblings: Directory,
+        core: AgentCore,
         socket: DatagramSocket,
         clock: Clock,
     ):
         self._settings = settings
-        self._service = service
+        self._service_id = core.route.service_id
         self._socket = socket
         self._clock = clock
-        self._core = AgentCore(route, siblings, RendezvousChooser(), service.max_flows)
+        self._core = core
         self._returns = ReturnPath(random.SystemRandom().randrange)
         self._table = FlowTable(clock, self._on_removed)
         self._counts: dict[str, int] = {}
@@ -92,15 +82,17 @@
     def apply(self, configuration: Configuration) -> None:
         """Use the keys of a configuration for whatever comes from now on."""
         keys = configuration.site.keys
+        service = configuration.site.find_service_by_id(self._service_id)
         self._tags = TagCodec(keys)
         self._envelopes = EnvelopeCodec(keys)
         self._resets = ResetTokens(keys[0])
-        self._acceptor = FlowAcceptor(
-            self._settings.certificate,
-            self._settings.private_key,
-            self._service.idle_timeout_ms,
-            self._resets,
-        )
+        if service is not None:
+            self._acceptor = FlowAcceptor(
+                Path(self._settings.certificate),
+                Path(self._settings.private_key),
+                service.idle_timeout_ms,
+                self._resets,
+            )
 
     async def run(self) -> None:
         """Serve the flows until cancelled."""
@@ -124,7 +116,7 @@
         handler = self._table.find(connection_id)
         if handler is None:
             self._on_stray(envelope, balancer, connection_id, datagram)
-        elif envelope.service_id != self._service.service_id:
+        elif envelope.service_id != self._service_id:
             self._count_drop(DropReason.WRONG_SERVICE)
         else:
             self._table.receive(handler, datagram, envelope.client.sockaddr)
@@ -216,9 +208,7 @@
         balancer = self._returns.pick(self._clock.now())
         if balancer is None:
             return
-        header = self._envelopes.write_raw(
-            FrameKind.ANSWER, self._service.service_id, client
-        )
+        header = self._envelopes.write_raw(FrameKind.ANSWER, self._service_id, client)
         self._socket.send(header + datagram, balancer.sockaddr)
 
     def _spawn(self, task: object) -> None:
--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -6,7 +6,7 @@
 import anyio
 
 from papayagw._internal.core.deadlines import DeadlineQueue
-from papayagw._internal.models.clock import Clock, to_seconds
+from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.stream import StreamEvent
 from papayagw._internal.wire.quic import FlowConnection
 
@@ -110,7 +110,8 @@
         elif next_at is None:
             await self._wake.wait()
         else:
-            with anyio.move_on_after(to_seconds(next_at - self._clock.now())):
+            wait_ms = Millis(max(0, next_at - self._clock.now()))
+            with anyio.move_on_after(to_seconds(wait_ms)):
                 await self._wake.wait()
         self._wake = anyio.Event()
 
--- a/src/papayagw/_internal/net/tcp.py
+++ b/src/papayagw/_internal/net/tcp.py
@@ -6,7 +6,8 @@
 
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -140,7 +141,7 @@
 
     async def serve(
         self,
-        handle: Callable[[TcpStream], Awaitable[None]],
+        handle: Callable[[TcpStream], Coroutine[Any, Any, None]],
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Start a task of `tasks` for each connection, until cancelled."""
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -180,6 +180,7 @@
         """Tell the peer of credit, without the library's doubling of it."""
         if stream.max_stream_data_local_sent == stream.max_stream_data_local:
             return
+        assert stream.stream_id is not None, "only the crypto streams have no id"
         buffer = builder.start_frame(
             QuicFrameType.MAX_STREAM_DATA,
             capacity=MAX_STREAM_DATA_FRAME_CAPACITY,
