--- /dev/null
+++ b/src/papayagw/_internal/core/record_maker.py
@@ -0,0 +1,80 @@
+"""Service-level records from the totals that nodes report.
+
+Nodes keep nothing and count from their start, so a record is the difference
+between two reports of one run. Flows that were open when a run was last seen
+and whose run then made way for another without draining count as lost.
+"""
+
+from dataclasses import dataclass, replace
+
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.report import (
+    ServiceRecord,
+    ServiceTotals,
+    Side,
+)
+from papayagw._internal.models.status import NodeState, Role, StatusReport
+
+
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """The last report of a node, and when it came."""
+
+    report: StatusReport
+    at: Millis
+
+
+class RecordMaker:
+    """Turns successive status reports into records."""
+
+    def __init__(self) -> None:
+        self._seen: dict[str, _Seen] = {}
+
+    def take(self, report: StatusReport, now: Millis) -> tuple[ServiceRecord, ...]:
+        """Return the records of the interval since the node's last report.
+
+        Nothing comes of a node's first report: there is nothing to compare with.
+
+        Parameters
+        ----------
+        report : StatusReport
+            What the node said.
+        now : Millis
+            When it said so, in ms since 1970.
+        """
+        seen = self._seen.get(report.node)
+        if seen is not None and (now <= seen.at or report.run < seen.report.run):
+            return ()
+        self._seen[report.node] = _Seen(report, now)
+        if seen is None:
+            return ()
+        return tuple(
+            _make_record(report, totals, seen, now) for totals in report.services
+        )
+
+
+def _make_record(
+    report: StatusReport, totals: ServiceTotals, seen: _Seen, now: Millis
+) -> ServiceRecord:
+    earlier = next(
+        (one for one in seen.report.services if one.service == totals.service),
+        ServiceTotals(totals.service),
+    )
+    same_run = report.run == seen.report.run
+    counts, work_ms = totals.counts, totals.work_ms
+    if same_run:
+        counts = counts.minus(earlier.counts)
+        work_ms = Millis(work_ms - earlier.work_ms)
+    elif seen.report.state is not NodeState.DRAINING:
+        counts = replace(counts, lost=earlier.flows_open)
+    return ServiceRecord(
+        start_ms=seen.at,
+        end_ms=now,
+        service=totals.service,
+        instance=report.node,
+        zone=report.zone,
+        side=Side.CALLER if report.role is Role.CONNECT else Side.AGENT,
+        counts=counts,
+        work_ms=work_ms,
+        capacity=totals.capacity,
+    )
--- a/src/papayagw/_internal/exceptions.py
+++ b/src/papayagw/_internal/exceptions.py
@@ -80,3 +80,11 @@
 
 class PlatformUnreachableError(PlatformError):
     """The platform's service gave no answer; a write may have taken effect."""
+
+
+class StatusError(PapayagwError):
+    """A node that gave no usable account of itself."""
+
+
+class ReportError(PapayagwError):
+    """Records from which no report can be made."""
--- /dev/null
+++ b/src/papayagw/_internal/observe/logs.py
@@ -0,0 +1,161 @@
+"""Logs: one JSON object a line, on standard error, through absl.
+
+Every line has ``time``, ``level``, ``message`` and ``node``. Further fields are
+those of the call: ``step``, ``peer`` and ``flow`` where there are any.
+"""
+
+import json
+import logging as stdlib_logging
+from datetime import UTC, datetime
+from enum import Enum
+from typing import Any
+
+from absl import flags
+from absl import logging as absl_logging
+
+from papayagw._internal.core.log_limiter import LogLimiter
+from papayagw._internal.exceptions import PapayagwError
+from papayagw._internal.models.clock import Millis
+
+_FIELDS = "papayagw_fields"
+_LEVELS = {
+    "debug": absl_logging.DEBUG,
+    "info": absl_logging.INFO,
+    "warning": absl_logging.WARNING,
+    "error": absl_logging.ERROR,
+}
+LEVEL_NAMES = tuple(_LEVELS)
+
+
+class JsonLinesFormatter(stdlib_logging.Formatter):
+    """Formats a log record as a JSON object on one line.
+
+    Parameters
+    ----------
+    node : str
+        The name of the node.
+    """
+
+    def __init__(self, node: str):
+        super().__init__()
+        self._node = node
+
+    def format(self, record: stdlib_logging.LogRecord) -> str:
+        """Return the line without its end."""
+        line: dict[str, Any] = {
+            "time": _format_time(record.created),
+            "level": record.levelname.lower(),
+            "message": record.getMessage(),
+            "node": self._node,
+        }
+        if record.name != "absl":
+            line["library"] = record.name
+        fields = getattr(record, _FIELDS, {})
+        # The caller's fields never hide those that every line has.
+        line.update({key: one for key, one in fields.items() if key not in line})
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=_to_text)
+
+
+class Log:
+    """Writes log lines with fields.
+
+    Parameters
+    ----------
+    limiter : LogLimiter
+        The limit on messages that packets from outside may cause.
+    """
+
+    def __init__(self, limiter: LogLimiter | None = None):
+        self._limiter = limiter or LogLimiter()
+
+    def debug(self, message: str, **fields: object) -> None:
+        """Log what only a developer wants to see."""
+        self._write("debug", message, fields)
+
+    def info(self, message: str, **fields: object) -> None:
+        """Log an ordinary event."""
+        self._write("info", message, fields)
+
+    def warning(self, message: str, **fields: object) -> None:
+        """Log what an operator should look at some day."""
+        self._write("warning", message, fields)
+
+    def error(self, message: str, **fields: object) -> None:
+        """Log what an operator should look at now."""
+        self._write("error", message, fields)
+
+    def failure(self, error: PapayagwError, **fields: object) -> None:
+        """Log an error with its step, its peer and its remedy."""
+        known = {"step": error.step, "peer": error.peer, "remedy": error.remedy}
+        present = {key: value for key, value in known.items() if value}
+        self._write("error", error.what, {**present, **fields})
+
+    def exception(self, message: str, **fields: object) -> None:
+        """Log a fault of the program with its traceback."""
+        absl_logging.error("%s", message, extra={_FIELDS: fields}, exc_info=True)
+
+    def limited(self, message: str, now: Millis, **fields: object) -> None:
+        """Log a warning that may be one of a flood; `message` is its kind.
+
+        Parameters
+        ----------
+        message : str
+            The same for all messages of its kind: what differs goes in `fields`.
+        now : Millis
+            The present time.
+        **fields : object
+            Further fields of the line.
+        """
+        suppressed = self._limiter.admit(message, now)
+        if suppressed is None:
+            return
+        if suppressed:
+            fields["suppressed"] = suppressed
+        self._write("warning", message, fields)
+
+    def flush_suppressed(self, now: Millis) -> None:
+        """Log how many messages were held back in floods that are over."""
+        for message, count in self._limiter.take_suppressed(now).items():
+            self._write("warning", message, {"suppressed": count})
+
+    def _write(self, level: str, message: str, fields: dict[str, Any]) -> None:
+        absl_logging.log(_LEVELS[level], "%s", message, extra={_FIELDS: fields})
+
+
+def start_logs(node: str, level: str = "info") -> Log:
+    """Send all logs of this process to standard error as JSON lines.
+
+    Those of other libraries get through from ``warning`` up.
+
+    Parameters
+    ----------
+    node : str
+        The name of the node.
+    level : str
+        The lowest level that is written; one of `LEVEL_NAMES`.
+    """
+    if not flags.FLAGS.is_parsed():
+        flags.FLAGS.mark_as_parsed()
+    flags.FLAGS["logtostderr"].value = True
+    absl_logging.use_absl_handler()
+    absl_logging.get_absl_handler().setFormatter(JsonLinesFormatter(node))
+    absl_logging.set_verbosity(_LEVELS[level])
+    # absl sets the level of the root logger, which is that of other libraries.
+    stdlib_logging.getLogger().setLevel(stdlib_logging.WARNING)
+    absl_logging.get_absl_logger().setLevel(level.upper())
+    return Log()
+
+
+def _format_time(seconds: float) -> str:
+    moment = datetime.fromtimestamp(seconds, UTC)
+    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
+def _to_text(value: object) -> str:
+    if isinstance(value, bytes):
+        return value.hex()
+    if isinstance(value, Enum):
+        return str(value.value)
+    return str(value)
--- /dev/null
+++ b/src/papayagw/_internal/observe/records.py
@@ -0,0 +1,173 @@
+"""Files of service-level records: JSON lines, one record each.
+
+They are kept where the operators run ``papayagw status --record``, never on the
+nodes, which have no disks.
+"""
+
+import json
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from io import BufferedWriter
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from papayagw._internal.exceptions import ReportError, Step
+from papayagw._internal.models.report import LATENCY_BUCKETS, ServiceRecord
+from papayagw._internal.observe.plain import from_plain, to_plain
+
+
+@dataclass(frozen=True, slots=True)
+class LineFault:
+    """A line that isn't a record.
+
+    Attributes
+    ----------
+    file : str
+        The file.
+    line : int
+        The number of the line, from 1.
+    what : str
+        What is wrong with it.
+    """
+
+    file: str
+    line: int
+    what: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.what}"
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsRead:
+    """What files of records hold.
+
+    Attributes
+    ----------
+    records : tuple of ServiceRecord
+        The records, in order of the files.
+    faults : tuple of LineFault
+        The lines that were passed over.
+    """
+
+    records: tuple[ServiceRecord, ...]
+    faults: tuple[LineFault, ...]
+
+
+class RecordWriter:
+    """Appends records to a file.
+
+    Parameters
+    ----------
+    path : Path
+        The file; it is made if it isn't there.
+    """
+
+    def __init__(self, path: Path):
+        self._path = path
+        self._file: BufferedWriter | None = None
+
+    def start(self) -> None:
+        """Open the file.
+
+        Raises
+        ------
+        ReportError
+            If it can't be opened for writing.
+        """
+        try:
+            self._file = self._path.open("ab")
+        except OSError as error:
+            raise _make_file_error(self._path, error, "written to") from error
+        if self._file.tell() and not _ends_with_newline(self._path):
+            # An earlier recorder was cut off: its last line must not spoil ours.
+            self._file.write(b"\n")
+
+    def write(self, records: Iterable[ServiceRecord]) -> None:
+        """Append records and hand them to the operating system.
+
+        Raises
+        ------
+        ReportError
+            If there is no room for them.
+        """
+        if self._file is None:
+            return
+        try:
+            for record in records:
+                self._file.write(write_record(record))
+            self._file.flush()
+        except OSError as error:
+            raise _make_file_error(self._path, error, "written to") from error
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._file is not None:
+            self._file.close()
+        self._file = None
+
+
+def write_record(record: ServiceRecord) -> bytes:
+    """Return the line of `record`."""
+    return json.dumps(to_plain(record), separators=(",", ":")).encode() + b"\n"
+
+
+def read_records(paths: Sequence[Path]) -> Result[RecordsRead, ReportError]:
+    """Return what is in the files, or why one of them can't be read."""
+    records: list[ServiceRecord] = []
+    faults: list[LineFault] = []
+    for path in paths:
+        try:
+            lines = path.read_bytes().splitlines(keepends=True)
+        except OSError as error:
+            return Failure(_make_file_error(path, error, "read"))
+        for number, line in enumerate(lines, start=1):
+            match _read_line(line):
+                case Success(record):
+                    records.append(record)
+                case Failure(what):
+                    faults.append(LineFault(str(path), number, what))
+    return Success(RecordsRead(tuple(records), tuple(faults)))
+
+
+def _read_line(line: bytes) -> Result[ServiceRecord, str]:
+    try:
+        value = json.loads(line)
+    except (ValueError, RecursionError):
+        cut_off = not line.endswith(b"\n")
+        return Failure("cut off before its end" if cut_off else "not JSON")
+    match from_plain(ServiceRecord, value):
+        case Success(record):
+            what = _find_fault(record)
+            return Failure(what) if what else Success(record)
+        case Failure(error):
+            return Failure(str(error))
+    raise AssertionError("a result is a success or a failure")
+
+
+def _find_fault(record: ServiceRecord) -> str:
+    counts = record.counts
+    numbers = (counts.opened, counts.refused, counts.cut, *counts.answered)
+    if record.end_ms <= record.start_ms:
+        return "ends before it starts: the recorder's clock was set back"
+    if len(counts.answered) != LATENCY_BUCKETS:
+        return f"expected {LATENCY_BUCKETS} buckets of latency"
+    if min(*numbers, record.work_ms) < 0 or not 0 <= record.capacity < float("inf"):
+        return "a count below zero"
+    return ""
+
+
+def _ends_with_newline(path: Path) -> bool:
+    with path.open("rb") as file:
+        file.seek(-1, 2)
+        return file.read(1) == b"\n"
+
+
+def _make_file_error(path: Path, error: OSError, verb: str) -> ReportError:
+    return ReportError(
+        f"the file can't be {verb}: {error.strerror}",
+        step=Step.REPORT,
+        peer=str(path),
+        remedy="give a file that you may use",
+    )
--- /dev/null
+++ b/tests/unit/test_log_limiter.py
@@ -0,0 +1,37 @@
+import pytest
+
+from papayagw._internal.core.log_limiter import MAX_KINDS, LogLimiter
+
+
+@pytest.mark.parametrize(
+    ("times", "admitted"),
+    [
+        ([0, 0, 0], [0, 0, None]),
+        ([0, 0, 0, 999], [0, 0, None, None]),
+        ([0, 0, 0, 0, 1_000], [0, 0, None, None, 2]),
+        ([0, 0, 0, 1_000, 1_000, 1_000, 2_500], [0, 0, None, 1, 0, None, 1]),
+    ],
+)
+def test_window_admits_burst_and_counts_rest(times, admitted):
+    limiter = LogLimiter(burst=2, window=1_000)
+    assert [limiter.admit("bad tag", at) for at in times] == admitted
+
+
+def test_kinds_do_not_hold_each_other_back():
+    limiter = LogLimiter(burst=1, window=1_000)
+    assert [limiter.admit(kind, 0) for kind in "abab"] == [0, 0, None, None]
+
+
+def test_suppressed_are_told_once_when_flood_is_over():
+    limiter = LogLimiter(burst=1, window=1_000)
+    for _ in range(5):
+        limiter.admit("bad tag", 0)
+    assert limiter.take_suppressed(999) == {}
+    assert limiter.take_suppressed(1_000) == {"bad tag": 4}
+    assert limiter.take_suppressed(1_000) == {}
+
+
+def test_kinds_made_up_by_peer_are_bounded():
+    limiter = LogLimiter(burst=1, window=1_000)
+    admitted = [limiter.admit(f"kind {number}", 0) for number in range(2 * MAX_KINDS)]
+    assert admitted.count(0) == MAX_KINDS
