--- /dev/null
+++ b/src/papayagw/_internal/core/admission.py
@@ -0,0 +1,211 @@
+"""Which accepted flows an agent lets through to its backend server.
+
+A flow is work in progress from its admission to the first byte of its answer. An
+open feed that was answered, or a flow that asked for nothing yet, counts only
+against the number of flows held. So long-lived flows don't use up the limit, and
+an overloaded backend server that answers late keeps its work counted. The shell
+polls after each `note_end` and `close`, and at `next_at`.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Protocol
+
+from papayagw._internal.core.concurrency_limit import (
+    AdaptiveLimit,
+    ConcurrencyLimit,
+    FixedLimit,
+)
+from papayagw._internal.core.fair_queue import FairQueue
+from papayagw._internal.models.admission import (
+    AdmissionDecision,
+    AdmissionPolicy,
+    AdmissionRequest,
+    AdmissionResults,
+    FlowNumber,
+    WorkEnd,
+)
+from papayagw._internal.models.clock import Millis
+
+
+class Admission(Protocol):
+    """Decides which accepted flows go on to the backend server, and when."""
+
+    @property
+    def next_at(self) -> Millis | None:
+        """When `poll` is due without another event, or None."""
+
+    def offer(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
+        """Decide about an accepted flow."""
+
+    def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
+        """Note that a flow's work is over, while the flow may stay open."""
+
+    def close(self, flow: FlowNumber) -> None:
+        """Note that a flow is gone, whether it waited, worked or idled."""
+
+    def poll(self, now: Millis) -> AdmissionResults:
+        """Return which waiting flows are let through or turned away."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Work:
+    client: str
+    admitted_at: Millis
+
+
+class FairAdmission:
+    """Admission under a concurrency limit, fair between clients.
+
+    Parameters
+    ----------
+    policy : AdmissionPolicy
+        The bounds.
+    limit : ConcurrencyLimit
+        How much work is let through at once.
+    """
+
+    def __init__(self, policy: AdmissionPolicy, limit: ConcurrencyLimit):
+        self._policy = policy
+        self._limit = limit
+        self._queue = FairQueue(policy.queue_limit)
+        self._work: dict[FlowNumber, _Work] = {}
+        self._open: set[FlowNumber] = set()
+        self._in_progress_of: dict[str, int] = {}
+        self._pushed_out: list[FlowNumber] = []
+
+    @property
+    def limit(self) -> int:
+        """The concurrency limit in force."""
+        return self._limit.limit
+
+    @property
+    def in_progress(self) -> int:
+        """Flows that wait for the first byte of their answer."""
+        return len(self._work)
+
+    @property
+    def flows(self) -> int:
+        """Flows that were let through and are open."""
+        return len(self._open)
+
+    @property
+    def waiting(self) -> int:
+        """Flows in the queue."""
+        return len(self._queue)
+
+    @property
+    def next_at(self) -> Millis | None:
+        """When `poll` is due without another event, or None."""
+        return self._queue.next_expiry
+
+    def offer(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
+        """Decide about an accepted flow."""
+        until = self._wait_limit(request, now)
+        if self.flows >= self._policy.max_flows or until <= now:
+            return AdmissionDecision.REFUSE
+        # Whoever waits is blocked by a share of its own, or `poll` is due.
+        if not self._queue.holds(request.client) and self._may_start(request.client):
+            self._start(request, now)
+            return AdmissionDecision.ADMIT
+        pushed_out = self._queue.push(request, until)
+        if pushed_out == request.flow:
+            return AdmissionDecision.REFUSE
+        if pushed_out is not None:
+            self._pushed_out.append(pushed_out)
+        return AdmissionDecision.QUEUE
+
+    def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
+        """Note that a flow's work is over, while the flow may stay open."""
+        work = self._work.get(flow)
+        if work is None:
+            return
+        if end is WorkEnd.ANSWERED:
+            latency = Millis(now - work.admitted_at)
+            self._limit.note_answer(latency, self.in_progress, now)
+        elif end is WorkEnd.FAILED:
+            self._limit.note_failure(now)
+        self._finish(flow)
+
+    def close(self, flow: FlowNumber) -> None:
+        """Note that a flow is gone, whether it waited, worked or idled."""
+        self._queue.remove(flow)
+        self._finish(flow)
+        self._open.discard(flow)
+
+    def poll(self, now: Millis) -> AdmissionResults:
+        """Return which waiting flows are let through or turned away."""
+        refused = (*self._pushed_out, *self._queue.expire(now))
+        self._pushed_out.clear()
+        admitted: list[FlowNumber] = []
+        while self.flows < self._policy.max_flows:
+            request = self._queue.pop(self._rank)
+            if request is None:
+                break
+            self._start(request, now)
+            admitted.append(request.flow)
+        return AdmissionResults(tuple(admitted), refused)
+
+    def _wait_limit(self, request: AdmissionRequest, now: Millis) -> Millis:
+        until = Millis(now + self._policy.queue_timeout_ms)
+        return until if request.deadline is None else min(until, request.deadline)
+
+    def _may_start(self, client: str) -> bool:
+        share = math.ceil(self.limit * self._policy.max_client_share)
+        own = self._in_progress_of.get(client, 0)
+        return self.in_progress < self.limit and own < max(1, share)
+
+    def _rank(self, client: str) -> float | None:
+        if not self._may_start(client):
+            return None
+        return self._in_progress_of.get(client, 0)
+
+    def _start(self, request: AdmissionRequest, now: Millis) -> None:
+        self._open.add(request.flow)
+        self._work[request.flow] = _Work(request.client, now)
+        own = self._in_progress_of.get(request.client, 0)
+        self._in_progress_of[request.client] = own + 1
+
+    def _finish(self, flow: FlowNumber) -> None:
+        work = self._work.pop(flow, None)
+        if work is None:
+            return
+        left = self._in_progress_of[work.client] - 1
+        if left:
+            self._in_progress_of[work.client] = left
+        else:
+            del self._in_progress_of[work.client]
+
+
+def make_adaptive(policy: AdmissionPolicy) -> FairAdmission:
+    """Return the product's admission control."""
+    limit = AdaptiveLimit(policy.initial_limit, policy.min_limit, policy.max_limit)
+    return FairAdmission(policy, limit)
+
+
+def make_fixed(policy: AdmissionPolicy) -> FairAdmission:
+    """Return a baseline with the highest limit, which never moves."""
+    return FairAdmission(policy, FixedLimit(policy.max_limit))
+
+
+class Unlimited:
+    """A baseline that lets every flow through at once."""
+
+    @property
+    def next_at(self) -> Millis | None:
+        """None: nothing ever waits."""
+        return None
+
+    def offer(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
+        """Let the flow through."""
+        return AdmissionDecision.ADMIT
+
+    def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
+        """Ignore the end."""
+
+    def close(self, flow: FlowNumber) -> None:
+        """Ignore the end."""
+
+    def poll(self, now: Millis) -> AdmissionResults:
+        """Return that nothing waits."""
+        return AdmissionResults()
--- /dev/null
+++ b/src/papayagw/_internal/core/lifecycle.py
@@ -0,0 +1,312 @@
+"""The life of one flow at the agent that owns it.
+
+One rule decides what the caller may be told: a byte counts as delivered from the
+moment at which it is handed to the backend server's socket. Before that moment
+any failure ends in REFUSED, and opening again is safe; after it a failure ends in
+UNKNOWN. An event that comes late, twice or from an earlier connection changes
+nothing and is counted.
+"""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from papayagw._internal.models.flow import FlowOutcome
+from papayagw._internal.models.lifecycle import (
+    AdmissionRefused,
+    Admitted,
+    AnswerAcknowledged,
+    BackendBroke,
+    BackendClosed,
+    BackendConnected,
+    BackendConnectFailed,
+    BackendSent,
+    BackendWrote,
+    CallerCancelled,
+    CallerFinished,
+    CallerSent,
+    CancelBackend,
+    ConnectBackend,
+    DeadlineReached,
+    DeliverToBackend,
+    FinishToBackend,
+    FinishToCaller,
+    FlowActions,
+    FlowEvent,
+    FlowState,
+    HandshakeCompleted,
+    IdleTimedOut,
+    SendToCaller,
+    StopAsked,
+    StopLimitReached,
+    TellCaller,
+)
+
+MAX_CONNECTS = 2
+"""How often an agent tries to reach its backend server for one flow."""
+
+NOTHING: FlowActions = ()
+FINISH_TO_BACKEND = FinishToBackend()
+FINISH_TO_CALLER = FinishToCaller()
+CANCEL_BACKEND = CancelBackend()
+
+_FINAL_STATES = {
+    FlowOutcome.ANSWERED: FlowState.ANSWERED,
+    FlowOutcome.REFUSED: FlowState.REFUSED,
+    FlowOutcome.CANCELLED: FlowState.CANCELLED,
+    FlowOutcome.UNKNOWN: FlowState.UNKNOWN,
+}
+_CONNECTED_STATES = (FlowState.DELIVERING, FlowState.FINISHING)
+
+
+class Lifecycle(Protocol):
+    """Decides about one flow at the agent that owns it."""
+
+    @property
+    def outcome(self) -> FlowOutcome | None:
+        """How the flow ended, or None while it lives."""
+
+    def handle(self, event: FlowEvent) -> FlowActions:
+        """Return what to do about `event`, in order."""
+
+
+class FlowLifecycle:
+    """The state machine of one flow.
+
+    Parameters
+    ----------
+    max_connects : int
+        How often to try to reach the backend server; a further try is made only
+        while no byte was handed over.
+    """
+
+    __slots__ = (
+        "_answer_bytes",
+        "_attempt",
+        "_caller_finished",
+        "_handed",
+        "_held",
+        "_ignored",
+        "_max_connects",
+        "_outcome",
+        "_state",
+        "_undelivered",
+        "_writable",
+    )
+
+    def __init__(self, max_connects: int = MAX_CONNECTS):
+        self._max_connects = max_connects
+        self._state = FlowState.OPENING
+        self._outcome: FlowOutcome | None = None
+        self._attempt = 0
+        self._held = 0
+        self._handed = 0
+        self._undelivered = 0
+        self._answer_bytes = 0
+        self._ignored = 0
+        self._caller_finished = False
+        self._writable = True
+
+    @property
+    def state(self) -> FlowState:
+        """Where the flow stands."""
+        return self._state
+
+    @property
+    def outcome(self) -> FlowOutcome | None:
+        """How the flow ended, or None while it lives."""
+        return self._outcome
+
+    @property
+    def held(self) -> int:
+        """Bytes of the caller that wait for the backend server's connection."""
+        return self._held
+
+    @property
+    def handed(self) -> int:
+        """Bytes that may have reached the backend server."""
+        return self._handed
+
+    @property
+    def undelivered(self) -> int:
+        """Bytes handed to the backend server's socket that it hasn't taken yet."""
+        return self._undelivered
+
+    @property
+    def answer_bytes(self) -> int:
+        """Bytes of the answer that were passed on."""
+        return self._answer_bytes
+
+    @property
+    def ignored(self) -> int:
+        """Events that came late, twice or crossed and changed nothing."""
+        return self._ignored
+
+    def handle(self, event: FlowEvent) -> FlowActions:
+        """Return what to do about `event`, in order."""
+        if self._outcome is not None:
+            return self._ignore()
+        return _HANDLERS[type(event)](self, event)
+
+    def _ignore(self) -> FlowActions:
+        self._ignored += 1
+        return NOTHING
+
+    def _on_handshake(self, event: HandshakeCompleted) -> FlowActions:
+        if self._state is not FlowState.OPENING:
+            return self._ignore()
+        self._state = FlowState.ACCEPTED
+        return NOTHING
+
+    def _on_admitted(self, event: Admitted) -> FlowActions:
+        if self._state is not FlowState.ACCEPTED:
+            return self._ignore()
+        return self._connect()
+
+    def _on_admission_refused(self, event: AdmissionRefused) -> FlowActions:
+        if self._state not in (FlowState.OPENING, FlowState.ACCEPTED):
+            return self._ignore()
+        return self._fail()
+
+    def _connect(self) -> FlowActions:
+        self._state = FlowState.CONNECTING
+        self._attempt += 1
+        return (ConnectBackend(self._attempt),)
+
+    def _on_caller_sent(self, event: CallerSent) -> FlowActions:
+        if self._caller_finished or not self._writable:
+            return self._ignore()
+        if self._state not in _CONNECTED_STATES:
+            self._held += event.count
+            return NOTHING
+        return (self._hand_over(event.count),)
+
+    def _hand_over(self, count: int) -> DeliverToBackend:
+        self._handed += count
+        self._undelivered += count
+        return DeliverToBackend(count)
+
+    def _on_caller_finished(self, event: CallerFinished) -> FlowActions:
+        if self._caller_finished:
+            return self._ignore()
+        self._caller_finished = True
+        if self._state in _CONNECTED_STATES and self._writable:
+            return (FINISH_TO_BACKEND,)
+        return NOTHING
+
+    def _on_caller_cancelled(self, event: CallerCancelled) -> FlowActions:
+        return self._end(FlowOutcome.CANCELLED)
+
+    def _on_answer_acknowledged(self, event: AnswerAcknowledged) -> FlowActions:
+        if self._state is not FlowState.FINISHING:
+            return self._ignore()
+        return self._end(FlowOutcome.ANSWERED)
+
+    def _on_connected(self, event: BackendConnected) -> FlowActions:
+        if self._state is not FlowState.CONNECTING or self._is_stale(event.attempt):
+            return self._ignore()
+        self._state = FlowState.DELIVERING
+        first: FlowActions = NOTHING
+        if self._held:
+            first = (self._hand_over(self._held),)
+            self._held = 0
+        return (*first, FINISH_TO_BACKEND) if self._caller_finished else first
+
+    def _on_connect_failed(self, event: BackendConnectFailed) -> FlowActions:
+        if self._state is not FlowState.CONNECTING or self._is_stale(event.attempt):
+            return self._ignore()
+        if self._attempt < self._max_connects:
+            return self._connect()
+        self._state = FlowState.ACCEPTED
+        return self._fail()
+
+    def _on_backend_wrote(self, event: BackendWrote) -> FlowActions:
+        if self._is_stale(event.attempt) or event.count > self._undelivered:
+            return self._ignore()
+        self._undelivered -= event.count
+        return NOTHING
+
+    def _on_backend_sent(self, event: BackendSent) -> FlowActions:
+        if self._state is not FlowState.DELIVERING or self._is_stale(event.attempt):
+            return self._ignore()
+        self._answer_bytes += event.count
+        return (SendToCaller(event.count),)
+
+    def _on_backend_closed(self, event: BackendClosed) -> FlowActions:
+        if self._state is not FlowState.DELIVERING or self._is_stale(event.attempt):
+            return self._ignore()
+        if not (self._is_begun or self._caller_finished):
+            return self._fail()
+        self._state = FlowState.FINISHING
+        return (FINISH_TO_CALLER,)
+
+    def _on_backend_broke(self, event: BackendBroke) -> FlowActions:
+        if self._state not in _CONNECTED_STATES or self._is_stale(event.attempt):
+            return self._ignore()
+        if self._state is FlowState.DELIVERING:
+            return self._fail()
+        # The answer is whole; what the caller still sends has no reader.
+        if not self._writable:
+            return self._ignore()
+        self._writable = False
+        return NOTHING
+
+    def _on_time_over(self, event: DeadlineReached | IdleTimedOut) -> FlowActions:
+        return self._fail()
+
+    def _on_stop_asked(self, event: StopAsked) -> FlowActions:
+        if self._is_begun or self._state is FlowState.FINISHING:
+            return NOTHING
+        return self._fail()
+
+    def _on_stop_limit(self, event: StopLimitReached) -> FlowActions:
+        return self._fail()
+
+    @property
+    def _is_begun(self) -> bool:
+        return self._handed > 0 or self._answer_bytes > 0
+
+    def _is_stale(self, attempt: int) -> bool:
+        return attempt != self._attempt
+
+    def _fail(self) -> FlowActions:
+        nothing_delivered = self._handed == 0
+        return self._end(
+            FlowOutcome.REFUSED if nothing_delivered else FlowOutcome.UNKNOWN
+        )
+
+    def _end(self, outcome: FlowOutcome) -> FlowActions:
+        cancels = outcome is not FlowOutcome.ANSWERED and self._has_connection
+        self._outcome = outcome
+        self._state = _FINAL_STATES[outcome]
+        self._held = 0
+        tell = TellCaller(outcome)
+        return (CANCEL_BACKEND, tell) if cancels else (tell,)
+
+    @property
+    def _has_connection(self) -> bool:
+        if self._state is FlowState.CONNECTING:
+            return True
+        return self._state in _CONNECTED_STATES and self._writable
+
+
+_Handler = Callable[[FlowLifecycle, Any], FlowActions]
+
+_HANDLERS: dict[type, _Handler] = {
+    HandshakeCompleted: FlowLifecycle._on_handshake,
+    Admitted: FlowLifecycle._on_admitted,
+    AdmissionRefused: FlowLifecycle._on_admission_refused,
+    CallerSent: FlowLifecycle._on_caller_sent,
+    CallerFinished: FlowLifecycle._on_caller_finished,
+    CallerCancelled: FlowLifecycle._on_caller_cancelled,
+    AnswerAcknowledged: FlowLifecycle._on_answer_acknowledged,
+    BackendConnected: FlowLifecycle._on_connected,
+    BackendConnectFailed: FlowLifecycle._on_connect_failed,
+    BackendWrote: FlowLifecycle._on_backend_wrote,
+    BackendSent: FlowLifecycle._on_backend_sent,
+    BackendClosed: FlowLifecycle._on_backend_closed,
+    BackendBroke: FlowLifecycle._on_backend_broke,
+    DeadlineReached: FlowLifecycle._on_time_over,
+    IdleTimedOut: FlowLifecycle._on_time_over,
+    StopAsked: FlowLifecycle._on_stop_asked,
+    StopLimitReached: FlowLifecycle._on_stop_limit,
+}
--- /dev/null
+++ b/tests/unit/test_admission.py
@@ -0,0 +1,112 @@
+import pytest
+
+from papayagw._internal.core.admission import FairAdmission, Unlimited
+from papayagw._internal.core.concurrency_limit import AdaptiveLimit, FixedLimit
+from papayagw._internal.models.admission import (
+    AdmissionDecision,
+    AdmissionPolicy,
+    AdmissionRequest,
+    WorkEnd,
+)
+from papayagw._internal.models.clock import Millis
+
+ADMIT, QUEUE, REFUSE = AdmissionDecision
+NOW = Millis(0)
+
+
+def make_admission(limit=4, **bounds):
+    policy = AdmissionPolicy(**{"max_client_share": 1.0, "queue_limit": 4, **bounds})
+    return FairAdmission(policy, FixedLimit(limit))
+
+
+def offer_all(admission, clients, now=NOW):
+    return [
+        admission.offer(AdmissionRequest(number, client), now)
+        for number, client in enumerate(clients)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("bounds", "clients", "decisions"),
+    [
+        ({}, "aaaa", [ADMIT] * 4),
+        ({}, "aaaaa", [ADMIT] * 4 + [QUEUE]),
+        ({}, "a" * 9, [ADMIT] * 4 + [QUEUE] * 4 + [REFUSE]),
+        ({}, "a" * 8 + "b", [ADMIT] * 4 + [QUEUE] * 5),
+        ({"max_client_share": 0.75}, "aaaab", [ADMIT] * 3 + [QUEUE, ADMIT]),
+        ({"max_flows": 2}, "aaa", [ADMIT, ADMIT, REFUSE]),
+        ({"queue_timeout_ms": Millis(0)}, "a", [REFUSE]),
+    ],
+)
+def test_offer(bounds, clients, decisions):
+    assert offer_all(make_admission(**bounds), clients) == decisions
+
+
+def test_baseline_without_limit_admits_everything():
+    assert offer_all(Unlimited(), "a" * 99) == [ADMIT] * 99
+
+
+@pytest.mark.parametrize("end", list(WorkEnd))
+def test_feed_whose_work_ended_counts_as_flow_only(end):
+    admission = make_admission(limit=1)
+    assert offer_all(admission, "ab") == [ADMIT, QUEUE]
+    admission.note_end(0, end, Millis(5))
+    assert admission.poll(Millis(5)).admitted == (1,)
+    assert (admission.in_progress, admission.flows) == (1, 2)
+
+
+def test_turn_goes_to_client_with_least_in_progress():
+    admission = make_admission(limit=3)
+    offer_all(admission, "aaaaab")
+    admission.close(0)
+    assert admission.poll(NOW).admitted == (5,)
+
+
+def test_full_queue_pushes_out_newest_of_longest_line():
+    admission = make_admission(limit=1)
+    offer_all(admission, "aaaaab")
+    assert admission.poll(NOW).refused == (4,)
+
+
+@pytest.mark.parametrize(("deadline", "due"), [(None, 500), (90, 90), (900, 500)])
+def test_waiting_ends_at_timeout_or_deadline(deadline, due):
+    admission = make_admission(limit=1)
+    offer_all(admission, "a")
+    admission.offer(AdmissionRequest(7, "a", deadline), NOW)
+    assert admission.next_at == due
+    assert admission.poll(Millis(due - 1)).refused == ()
+    assert admission.poll(Millis(due)).refused == (7,)
+
+
+def run_limit(limit, latency_of, duration):
+    for now in range(0, duration, 10):
+        limit.note_answer(Millis(latency_of(now)), limit.limit, Millis(now))
+    return limit.limit
+
+
+@pytest.mark.parametrize(
+    ("latency_of", "duration", "lowest", "highest"),
+    [
+        (lambda now: 20, 2_000, 100, 200),
+        (lambda now: 20 if now < 500 else 100, 4_000, 4, 4),
+        (lambda now: 20 if now % 100 else 200, 2_000, 100, 200),
+    ],
+    ids=["steady", "slowed", "mixed"],
+)
+def test_limit_follows_latency(latency_of, duration, lowest, highest):
+    assert lowest <= run_limit(AdaptiveLimit(16, 4, 200), latency_of, duration)
+    assert run_limit(AdaptiveLimit(16, 4, 200), latency_of, duration) <= highest
+
+
+def test_long_overload_never_passes_for_normal_pace():
+    limit = AdaptiveLimit(16, 4, 1_000)
+    # Latency grows with the limit beyond 30 flows at once: a queue behind it.
+    run_limit(limit, lambda now: 20 * max(1, limit.limit / 30), 300_000)
+    assert limit.limit < 120
+
+
+def test_failures_lower_limit_once_an_interval():
+    limit = AdaptiveLimit(100, 4, 200)
+    for now in (0, 1, 2, 100):
+        limit.note_failure(Millis(now))
+    assert limit.limit == 81
