--- /dev/null
+++ b/src/papayagw/_internal/cli/commands/report_burn.py
@@ -0,0 +1,122 @@
+"""``papayagw report burn``: how fast service-level budgets go."""
+
+import json
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+
+from returns.result import Failure
+
+from papayagw._internal.cli.base import ExitCode
+from papayagw._internal.core.burn import make_report
+from papayagw._internal.core.record_selection import select_records
+from papayagw._internal.exceptions import ReportError, SettingsError, Step
+from papayagw._internal.models.burn import BurnReport, Risk
+from papayagw._internal.models.service import Objectives
+from papayagw._internal.net.clock import WallClock
+from papayagw._internal.observe.burn_text import format_burn
+from papayagw._internal.observe.plain import to_plain
+from papayagw._internal.observe.records import LineFault, read_records
+from papayagw._internal.settings.problem import make_error
+from papayagw._internal.settings.site import load_site
+
+_SHOWN_FAULTS = 3
+_MAKE_RECORDS = "make records with papayagw status NODE... --record FILE"
+
+
+class ReportBurnCommand:
+    """Report how fast service-level budgets go."""
+
+    @property
+    def run(self) -> Callable[..., int]:
+        """Carry the command out."""
+        return report_burn
+
+
+def report_burn(
+    *records: str,
+    settings: str | None = None,
+    overlay: str | None = None,
+    json: bool = False,
+    picture: str | None = None,
+) -> int:
+    """Report how fast each service uses up the budgets of its objectives.
+
+    The windows end with the newest record. A burn of 1 uses up exactly the
+    budget; the last window, 30 d, is the budget itself, taken from what was
+    recorded of it.
+
+    Exit code 0: no budget is spent. 1: one is. 2: the command line or a settings
+    file can't be used. 4: there are no records to report on, or a file can't be
+    used.
+
+    Parameters
+    ----------
+    records : str
+        Files that ``papayagw status --record`` wrote.
+    settings : str
+        The base file, which holds the objectives. Without it each service is
+        held against the defaults.
+    overlay : str
+        The site's overlay of the base file.
+    json : bool
+        Print JSON in place of tables.
+    picture : str
+        Also draw the report, into this PNG file.
+    """
+    objectives = _read_objectives(settings, overlay)
+    report = _read_report([str(one) for one in records], objectives)
+    print(_format_json(report) if json else format_burn(report))
+    if picture is not None:
+        _draw(report, Path(str(picture)))
+    return ExitCode.REFUSED if report.risk is Risk.SPENT else ExitCode.OK
+
+
+def _read_objectives(base: str | None, overlay: str | None) -> Mapping[str, Objectives]:
+    if base is None:
+        return {}
+    loaded = load_site(Path(base), Path(overlay) if overlay else None)
+    if isinstance(loaded, Failure):
+        raise make_error(loaded.failure())
+    return {one.name: one.objectives for one in loaded.unwrap().services}
+
+
+def _read_report(
+    names: Sequence[str], objectives: Mapping[str, Objectives]
+) -> BurnReport:
+    if not names:
+        raise SettingsError(
+            "no file of records is named", step=Step.SETTINGS, remedy=_MAKE_RECORDS
+        )
+    result = read_records([Path(name) for name in names])
+    if isinstance(result, Failure):
+        raise result.failure()
+    read = result.unwrap()
+    selection = select_records(read.records, WallClock().now())
+    if not selection.records:
+        what = "; ".join(("no usable records", *selection.notes, *_tell(read.faults)))
+        peer = ", ".join(names)
+        raise ReportError(what, step=Step.REPORT, peer=peer, remedy=_MAKE_RECORDS)
+    report = make_report(selection, objectives)
+    notes = (*report.notes, *_tell(read.faults))
+    return BurnReport(report.start_ms, report.end_ms, report.services, notes)
+
+
+def _tell(faults: Sequence[LineFault]) -> list[str]:
+    told = [f"passed over {fault}" for fault in faults[:_SHOWN_FAULTS]]
+    if len(faults) > _SHOWN_FAULTS:
+        told.append(f"passed over {len(faults) - _SHOWN_FAULTS} more lines")
+    return told
+
+
+def _format_json(report: BurnReport) -> str:
+    return json.dumps(to_plain(report))
+
+
+def _draw(report: BurnReport, path: Path) -> None:
+    # The plotting library takes a second to load and is seldom wanted.
+    from papayagw._internal.observe.burn_picture import draw_burn
+
+    draw_burn(report, path)
+
+
+COMMAND = ReportBurnCommand()
--- /dev/null
+++ b/src/papayagw/_internal/cli/commands/status.py
@@ -0,0 +1,166 @@
+"""``papayagw status``: what nodes say about themselves."""
+
+import json
+import signal
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import anyio
+
+from papayagw._internal.cli.base import ExitCode
+from papayagw._internal.cli.values import read_seconds
+from papayagw._internal.exceptions import SettingsError, StatusError, Step
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.status import StatusReport
+from papayagw._internal.net.clock import WallClock
+from papayagw._internal.net.polling import Poller, PollHandler, Recorder
+from papayagw._internal.observe.durations import format_moment
+from papayagw._internal.observe.plain import to_plain
+from papayagw._internal.observe.records import RecordWriter
+from papayagw._internal.observe.status_text import format_status
+
+DEFAULT_RECORD_SECONDS = 10.0
+
+
+class StatusCommand:
+    """Ask nodes for their status."""
+
+    @property
+    def run(self) -> Callable[..., int]:
+        """Carry the command out."""
+        return show_status
+
+
+def show_status(
+    *nodes: str,
+    json: bool = False,
+    every: float | None = None,
+    rounds: int | None = None,
+    record: str | None = None,
+) -> int:
+    """Ask nodes what they are doing and print it as tables.
+
+    Exit code 0: all nodes answered. 1: some didn't; they are named with the
+    remedy. 2: the command line can't be used. 4: the file of records can't be
+    written.
+
+    Parameters
+    ----------
+    nodes : str
+        The admin endpoints of the nodes, each as ip:port.
+    json : bool
+        Print JSON in place of tables: one object a round.
+    every : float
+        Ask again after so many seconds, until stopped by ctrl-C or SIGTERM. The
+        exit code is then that of the last round.
+    rounds : int
+        Stop after so many rounds.
+    record : str
+        Append what was counted between two rounds to this file, for
+        ``papayagw report burn``. Without --every, every 10 seconds.
+    """
+    endpoints = _read_nodes(nodes)
+    if record is not None and every is None:
+        every = DEFAULT_RECORD_SECONDS
+    interval = read_seconds(every, "every") if every is not None else None
+    printer = _Printer(_print_json if json else _print_tables)
+    if record is None:
+        anyio.run(_watch, endpoints, printer.show, interval, rounds)
+    else:
+        recorder = Recorder(RecordWriter(Path(record)), WallClock())
+        recorder.start()
+        try:
+            handle = printer.record_with(recorder)
+            anyio.run(_watch, endpoints, handle, interval, rounds)
+        finally:
+            recorder.close()
+    return printer.exit_code
+
+
+class _Printer:
+    """Prints rounds and remembers how the last one went."""
+
+    def __init__(self, write: PollHandler):
+        self._write = write
+        self._exit_code = ExitCode.OK
+
+    @property
+    def exit_code(self) -> ExitCode:
+        """The exit code after the last round."""
+        return self._exit_code
+
+    def show(
+        self, reports: Sequence[StatusReport], errors: Sequence[StatusError]
+    ) -> None:
+        """Print one round."""
+        self._write(reports, errors)
+        self._exit_code = ExitCode.REFUSED if errors else ExitCode.OK
+
+    def record_with(self, recorder: Recorder) -> PollHandler:
+        """Return what records a round and prints a line about it."""
+
+        def record(
+            reports: Sequence[StatusReport], errors: Sequence[StatusError]
+        ) -> None:
+            count = recorder.take(reports)
+            moment = format_moment(WallClock().now())
+            print(f"{moment} nodes {len(reports)}, records {count}", flush=True)
+            for error in errors:
+                print(f"{moment} no answer: {error}", flush=True)
+            self._exit_code = ExitCode.REFUSED if errors else ExitCode.OK
+
+        return record
+
+
+def _read_nodes(nodes: Sequence[str]) -> tuple[Endpoint, ...]:
+    try:
+        endpoints = tuple(Endpoint.parse(str(node)) for node in nodes)
+    except ValueError as error:
+        raise _make_usage_error(str(error)) from error
+    if not endpoints:
+        raise _make_usage_error("no node is named")
+    return endpoints
+
+
+def _make_usage_error(what: str) -> SettingsError:
+    remedy = "give the admin endpoint of each node as ip:port"
+    return SettingsError(what, step=Step.SETTINGS, remedy=remedy)
+
+
+async def _watch(
+    nodes: Sequence[Endpoint],
+    handle: PollHandler,
+    interval: Millis | None,
+    rounds: int | None,
+) -> None:
+    poller = Poller(nodes, handle, interval or Millis(0))
+    await poller.start()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_cancel_on_signal, tasks.cancel_scope)
+        await poller.run(1 if interval is None else rounds)
+        tasks.cancel_scope.cancel()
+    await poller.close()
+
+
+async def _cancel_on_signal(scope: anyio.CancelScope) -> None:
+    with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        async for _ in signals:
+            scope.cancel()
+
+
+def _print_tables(
+    reports: Sequence[StatusReport], errors: Sequence[StatusError]
+) -> None:
+    print(format_status(reports, errors), flush=True)
+
+
+def _print_json(reports: Sequence[StatusReport], errors: Sequence[StatusError]) -> None:
+    silent = [
+        {"peer": one.peer, "what": one.what, "remedy": one.remedy} for one in errors
+    ]
+    line = {"nodes": to_plain(tuple(reports)), "no_answer": silent}
+    print(json.dumps(line), flush=True)
+
+
+COMMAND = StatusCommand()
--- a/src/papayagw/_internal/cli/main.py
+++ b/src/papayagw/_internal/cli/main.py
@@ -1,8 +1,8 @@
 """Entry of the command line."""
 
 import sys
-from collections.abc import Callable, Sequence
-from functools import wraps
+from collections.abc import Callable, Iterator, Sequence
+from functools import partial, wraps
 
 import fire
 
@@ -27,8 +27,9 @@
         print(f"papayagw: no command {typed!r}\n\n{format_overview()}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
     name = " ".join(("papayagw", *info.words))
-    run = _exit_with_code(info.load().run)
-    fire.Fire(run, command=list(words[len(info.words) :]), name=name)
+    command = _Deferred(info.load().run)
+    fire.Fire(command.keep, command=list(words[len(info.words) :]), name=name)
+    sys.exit(_run(command.call))
 
 
 def format_overview() -> str:
@@ -39,19 +40,57 @@
     return head + "\n".join(lines)
 
 
-def _exit_with_code(run: Callable[..., int]) -> Callable[..., None]:
-    @wraps(run)
-    def run_and_exit(*args: object, **flags: object) -> None:
-        try:
-            code = run(*args, **flags)
-        except SettingsError as error:
-            print(f"papayagw: {error}", file=sys.stderr)
-            sys.exit(ExitCode.USAGE)
-        except PapayagwError as error:
-            print(f"papayagw: {error}", file=sys.stderr)
-            sys.exit(ExitCode.FAILED)
-        except KeyboardInterrupt:
-            sys.exit(ExitCode.FAILED)
-        sys.exit(code)
-
-    return run_and_exit
+class _Deferred:
+    """Keeps the call that the command line makes until all of it is understood.
+
+    The library calls a command before it looks at what is left of the line, so
+    that a flag that doesn't exist would be told only after the command has run.
+    """
+
+    def __init__(self, run: Callable[..., int]):
+        self._run = run
+        self._call: Callable[[], int] = lambda: ExitCode.USAGE
+
+    @property
+    def keep(self) -> Callable[..., None]:
+        """Take the arguments; it has the help page and the flags of the command."""
+
+        @wraps(self._run)
+        def keep(*args: object, **flags: object) -> None:
+            self._call = partial(self._run, *args, **flags)
+
+        return keep
+
+    def call(self) -> int:
+        """Run the command with the arguments that were taken."""
+        return self._call()
+
+
+def _run(call: Callable[[], int]) -> int:
+    try:
+        return call()
+    except PapayagwError as error:
+        return _tell(error)
+    except BaseExceptionGroup as group:
+        # The tasks of a daemon end in a group; one error of ours is told plainly.
+        ours, others = group.split(PapayagwError)
+        if ours is None or others is not None:
+            raise
+        return max(_tell(error) for error in _find_leaves(ours))
+    except KeyboardInterrupt:
+        return ExitCode.FAILED
+
+
+def _tell(error: PapayagwError) -> ExitCode:
+    print(f"papayagw: {error}", file=sys.stderr)
+    if isinstance(error, SettingsError):
+        return ExitCode.USAGE
+    return ExitCode.FAILED
+
+
+def _find_leaves(group: BaseExceptionGroup[PapayagwError]) -> Iterator[PapayagwError]:
+    for one in group.exceptions:
+        if isinstance(one, BaseExceptionGroup):
+            yield from _find_leaves(one)
+        else:
+            yield one
--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -40,6 +40,8 @@
     CommandInfo(
         ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
     ),
+    CommandInfo(("status",), "status", "Show what nodes are doing; record it."),
+    CommandInfo(("report", "burn"), "report_burn", "Report on service-level burn."),
     CommandInfo(("standin", "fabric"), "standin_fabric", "Spray packets at random."),
     CommandInfo(("standin", "backend"), "standin_backend", "Serve as a backend."),
 )
--- a/src/papayagw/_internal/cli/values.py
+++ b/src/papayagw/_internal/cli/values.py
@@ -1,5 +1,8 @@
 """Reading of flag values, which the command-line library has already parsed."""
 
+from papayagw._internal.exceptions import SettingsError, Step
+from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
+
 FlagList = str | int | tuple[object, ...] | list[object]
 """A flag with commas: the library makes a tuple of it when it has any."""
 
@@ -9,3 +12,20 @@
     if isinstance(value, (tuple, list)):
         return tuple(str(one) for one in value)
     return tuple(word for word in str(value).split(",") if word)
+
+
+def read_seconds(value: object, flag: str) -> Millis:
+    """Return the duration that a flag gives in seconds.
+
+    Raises
+    ------
+    SettingsError
+        If it isn't a number above 0.
+    """
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or value <= 0:
+        raise SettingsError(
+            f"expected seconds, found {value!r}",
+            step=Step.SETTINGS,
+            remedy=f"give --{flag} a number above 0",
+        )
+    return Millis(int(value * MILLIS_PER_SECOND))
--- /dev/null
+++ b/src/papayagw/_internal/core/balance.py
@@ -0,0 +1,57 @@
+"""How evenly work is spread over backend servers and availability zones."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from papayagw._internal.models.burn import Balance, GroupLoad
+from papayagw._internal.models.clock import to_seconds
+from papayagw._internal.models.report import ServiceRecord, Side
+
+
+def by_backend(record: ServiceRecord) -> str:
+    """Group records by backend server."""
+    return record.instance
+
+
+def by_zone(record: ServiceRecord) -> str:
+    """Group records by availability zone."""
+    return record.zone
+
+
+def measure_balance(
+    records: Iterable[ServiceRecord], group: Callable[[ServiceRecord], str]
+) -> Balance:
+    """Return the load of each group and how far the highest is above the mean.
+
+    The load is work over capacity for the time that an instance was there, so
+    that one that came late isn't taken for an idle one. A backend server without
+    capacity, such as one that drains, isn't compared.
+
+    Parameters
+    ----------
+    records : iterable of ServiceRecord
+        Records of one service.
+    group : callable
+        Returns the group of a record.
+    """
+    grouped: dict[str, list[ServiceRecord]] = defaultdict(list)
+    for record in records:
+        if record.side is Side.AGENT and record.capacity > 0:
+            grouped[group(record)].append(record)
+    groups = tuple(_measure_group(name, grouped[name]) for name in sorted(grouped))
+    total = sum(one.load for one in groups)
+    if not total:
+        return Balance(groups, 0.0)
+    highest = max(one.load for one in groups)
+    return Balance(groups, highest * len(groups) / total)
+
+
+def _measure_group(name: str, records: list[ServiceRecord]) -> GroupLoad:
+    work = sum(record.work_ms for record in records)
+    room = sum(record.capacity * to_seconds(record.duration_ms) for record in records)
+    return GroupLoad(
+        name=name,
+        load=work / room,
+        opened=sum(record.counts.opened for record in records),
+        cut=sum(record.counts.cut for record in records),
+    )
--- /dev/null
+++ b/src/papayagw/_internal/core/burn.py
@@ -0,0 +1,276 @@
+"""Burn of service-level budgets over several windows.
+
+The windows and factors are those of the SRE workbook's alerts on several windows
+and burn rates (Beyer et al. 2018, chapter 5): a long window shows that it
+matters, a short one that it still goes on. A budget is a share of the flows that
+were recorded in 30 days.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import reduce
+
+from papayagw._internal.core.balance import by_backend, by_zone, measure_balance
+from papayagw._internal.core.record_selection import PERIOD_MS, Selection
+from papayagw._internal.models.burn import (
+    BurnReport,
+    Objective,
+    ObjectiveBurn,
+    Risk,
+    ServiceBurn,
+    SideCounts,
+    Window,
+    WindowBurn,
+)
+from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
+from papayagw._internal.models.report import (
+    LATENCY_BOUNDS_MS,
+    FlowCounts,
+    ServiceRecord,
+    Side,
+)
+from papayagw._internal.models.service import Objectives
+
+_MINUTE_MS = 60 * MILLIS_PER_SECOND
+_HOUR_MS = 60 * _MINUTE_MS
+
+WINDOWS = (
+    Window("5 min", Millis(5 * _MINUTE_MS)),
+    Window("30 min", Millis(30 * _MINUTE_MS)),
+    Window("1 h", Millis(_HOUR_MS)),
+    Window("6 h", Millis(6 * _HOUR_MS)),
+    Window("3 d", Millis(72 * _HOUR_MS)),
+    Window("30 d", PERIOD_MS),
+)
+"""The last one is the period of the budget."""
+
+MAX_BURN = 1_000_000.0
+"""The burn of a budget of nothing."""
+
+_BURN_DIGITS = 9
+
+MIN_FLOWS_PER_INSTANCE = 20
+"""With fewer flows on average, imbalance is chance and isn't judged."""
+
+
+@dataclass(frozen=True, slots=True)
+class BurnRule:
+    """A burn that makes an objective urgent.
+
+    Attributes
+    ----------
+    long_window, short_window : str
+        The windows that must both burn.
+    factor : float
+        The burn that both must reach.
+    risk : Risk
+        How urgent it is then.
+    """
+
+    long_window: str
+    short_window: str
+    factor: float
+    risk: Risk
+
+
+RULES = (
+    BurnRule("1 h", "5 min", 14.4, Risk.PAGE),
+    BurnRule("6 h", "30 min", 6.0, Risk.PAGE),
+    BurnRule("3 d", "6 h", 1.0, Risk.TICKET),
+)
+IMBALANCE_RULES = (BurnRule("1 h", "5 min", 1.0, Risk.TICKET),)
+
+
+def make_report(
+    selection: Selection, objectives: Mapping[str, Objectives]
+) -> BurnReport:
+    """Return how all services stand at the end of the newest record.
+
+    Parameters
+    ----------
+    selection : Selection
+        The records; at least one.
+    objectives : mapping of str to Objectives
+        The objectives of services by name; one that is missing is held against
+        the defaults.
+    """
+    records = selection.records
+    end = records[-1].end_ms
+    names = sorted({record.service for record in records})
+    services = tuple(
+        measure_service(
+            [record for record in records if record.service == name],
+            objectives.get(name, Objectives()),
+            end,
+        )
+        for name in names
+    )
+    start = min(record.start_ms for record in records)
+    return BurnReport(start, end, services, selection.notes)
+
+
+def measure_service(
+    records: Sequence[ServiceRecord], objectives: Objectives, end: Millis
+) -> ServiceBurn:
+    """Return how one service stands at `end`.
+
+    Parameters
+    ----------
+    records : sequence of ServiceRecord
+        The records of the service; at least one.
+    objectives : Objectives
+        What it is held against.
+    end : Millis
+        Where all windows end, in ms since 1970.
+    """
+    measured = tuple(_take_window(records, window, end) for window in WINDOWS)
+    period = measured[-1]
+    return ServiceBurn(
+        service=records[0].service,
+        objectives=(
+            _judge_availability(measured, objectives),
+            _judge_latency(measured, objectives),
+            _judge_imbalance(measured, objectives),
+        ),
+        sides=period.sides,
+        by_backend=measure_balance(period.records, by_backend),
+        by_zone=measure_balance(period.records, by_zone),
+    )
+
+
+def sum_counts(
+    records: Iterable[ServiceRecord], start: Millis, end: Millis, side: Side
+) -> FlowCounts:
+    """Return what one side counted in the records that end in (`start`, `end`]."""
+    counts = (
+        record.counts
+        for record in records
+        if record.side is side and start < record.end_ms <= end
+    )
+    return reduce(FlowCounts.plus, counts, FlowCounts())
+
+
+def count_late(counts: FlowCounts, latency: Millis) -> int:
+    """Return the openings that were refused or not surely answered in `latency`.
+
+    A bucket that the limit falls into counts as late: it may be a little
+    overstated, but never understated.
+    """
+    within = sum(bound <= latency for bound in LATENCY_BOUNDS_MS)
+    return sum(counts.answered[within:]) + counts.refused
+
+
+def divide_burn(bad: float, allowed: float) -> float:
+    """Return how many times over `bad` uses up what is `allowed`."""
+    if bad <= 0:
+        return 0.0
+    if allowed <= 0:
+        return MAX_BURN
+    # 1 - 0.999 isn't exactly 0.001: a budget that is just spent has a burn of 1.
+    return min(round(bad / allowed, _BURN_DIGITS), MAX_BURN)
+
+
+@dataclass(frozen=True, slots=True)
+class _WindowRecords:
+    """The records of one window and what each side counted in it."""
+
+    name: str
+    records: tuple[ServiceRecord, ...]
+    sides: tuple[SideCounts, ...]
+
+
+def _take_window(
+    records: Iterable[ServiceRecord], window: Window, end: Millis
+) -> _WindowRecords:
+    start = Millis(end - window.length_ms)
+    inside = tuple(one for one in records if start < one.end_ms <= end)
+    present = {record.side for record in inside}
+    sides = tuple(
+        SideCounts(side, sum_counts(inside, start, end, side))
+        for side in Side
+        if side in present
+    )
+    return _WindowRecords(window.name, inside, sides)
+
+
+def _judge_availability(
+    measured: Sequence[_WindowRecords], objectives: Objectives
+) -> ObjectiveBurn:
+    allowed = 1 - objectives.availability
+    windows = tuple(
+        _pick_worst(
+            one.name, allowed, [(side.counts.cut, _flows(side)) for side in one.sides]
+        )
+        for one in measured
+    )
+    return _judge(Objective.AVAILABILITY, objectives.availability, windows, RULES)
+
+
+def _judge_latency(
+    measured: Sequence[_WindowRecords], objectives: Objectives
+) -> ObjectiveBurn:
+    allowed = 1 - objectives.latency_share
+    windows = tuple(
+        _pick_worst(
+            one.name, allowed, [_count_openings(side, objectives) for side in one.sides]
+        )
+        for one in measured
+    )
+    return _judge(Objective.LATENCY, objectives.latency_share, windows, RULES)
+
+
+def _judge_imbalance(
+    measured: Sequence[_WindowRecords], objectives: Objectives
+) -> ObjectiveBurn:
+    windows = tuple(_measure_imbalance(one, objectives) for one in measured)
+    target = objectives.imbalance
+    return _judge(Objective.IMBALANCE, target, windows, IMBALANCE_RULES)
+
+
+def _flows(side: SideCounts) -> int:
+    # A lost flow may have been opened before the first record.
+    return max(side.counts.opened, side.counts.cut)
+
+
+def _count_openings(side: SideCounts, objectives: Objectives) -> tuple[int, int]:
+    counts = side.counts
+    openings = sum(counts.answered) + counts.refused
+    return count_late(counts, objectives.latency_ms), openings
+
+
+def _pick_worst(
+    window: str, allowed: float, sides: Iterable[tuple[int, int]]
+) -> WindowBurn:
+    """Return the burn of the side that saw the larger share of bad ones.
+
+    Both sides count the same flows, so that their counts can't be added up.
+    """
+    shares = [(bad / flows, flows) for bad, flows in sides if flows]
+    share, flows = max(shares, default=(0.0, 0))
+    return WindowBurn(window, divide_burn(share, allowed), share, flows)
+
+
+def _measure_imbalance(one: _WindowRecords, objectives: Objectives) -> WindowBurn:
+    balance = measure_balance(one.records, by_backend)
+    flows = sum(group.opened for group in balance.groups)
+    burn = 0.0
+    if flows >= MIN_FLOWS_PER_INSTANCE * len(balance.groups):
+        burn = divide_burn(balance.ratio - 1, objectives.imbalance - 1)
+    return WindowBurn(one.name, burn, balance.ratio, flows)
+
+
+def _judge(
+    objective: Objective,
+    target: float,
+    windows: tuple[WindowBurn, ...],
+    rules: Iterable[BurnRule],
+) -> ObjectiveBurn:
+    burns = {one.window: one.burn for one in windows}
+    risks = [
+        rule.risk
+        for rule in rules
+        if min(burns[rule.long_window], burns[rule.short_window]) >= rule.factor
+    ]
+    if windows[-1].burn >= 1:
+        risks.append(Risk.SPENT)
+    return ObjectiveBurn(objective, target, windows, Risk.find_worst(risks))
--- /dev/null
+++ b/src/papayagw/_internal/core/record_selection.py
@@ -0,0 +1,90 @@
+"""Which service-level records a report can rely on.
+
+Records may come from several files, in any order, twice, and from machines whose
+clocks are wrong.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
+from papayagw._internal.models.report import ServiceRecord, Side
+
+PERIOD_MS = Millis(30 * 24 * 3600 * MILLIS_PER_SECOND)
+"""The period of a budget."""
+
+SKEW_MS = Millis(60_000)
+"""How far ahead a recorder's clock may be."""
+
+LONG_INTERVAL_MS = Millis(300_000)
+"""A record longer than this overstates the shortest window."""
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """Records to rely on, and how many were passed over.
+
+    Attributes
+    ----------
+    records : tuple of ServiceRecord
+        In order of their end; none overlaps another of its instance and service.
+    ahead : int
+        Records from the future.
+    overlapping : int
+        Records of a time that another one covers already.
+    old : int
+        Records from before the period.
+    long : int
+        Records of intervals longer than the shortest window; they are kept.
+    """
+
+    records: tuple[ServiceRecord, ...]
+    ahead: int = 0
+    overlapping: int = 0
+    old: int = 0
+    long: int = 0
+
+    @property
+    def notes(self) -> tuple[str, ...]:
+        """What the reader of a report has to know."""
+        told = (
+            ("passed over, from the future (a clock is wrong)", self.ahead),
+            ("passed over, of a time that others cover", self.overlapping),
+            ("passed over, older than 30 d", self.old),
+            ("of more than 5 min, which overstate short windows", self.long),
+        )
+        return tuple(f"records {what}: {count}" for what, count in told if count)
+
+
+def select_records(records: Iterable[ServiceRecord], now: Millis) -> Selection:
+    """Return the records of the period before `now` that don't overlap.
+
+    Parameters
+    ----------
+    records : iterable of ServiceRecord
+        In any order.
+    now : Millis
+        The present time, in ms since 1970.
+    """
+    ordered = sorted(records, key=lambda record: (record.start_ms, record.end_ms))
+    past = [record for record in ordered if record.end_ms <= now + SKEW_MS]
+    recent = [record for record in past if record.end_ms > now - PERIOD_MS]
+    kept = _drop_overlapping(recent)
+    return Selection(
+        records=tuple(sorted(kept, key=lambda record: record.end_ms)),
+        ahead=len(ordered) - len(past),
+        overlapping=len(recent) - len(kept),
+        old=len(past) - len(recent),
+        long=sum(one.duration_ms > LONG_INTERVAL_MS for one in kept),
+    )
+
+
+def _drop_overlapping(ordered: Iterable[ServiceRecord]) -> list[ServiceRecord]:
+    covered: dict[tuple[str, str, Side], Millis] = {}
+    kept = []
+    for record in ordered:
+        key = (record.service, record.instance, record.side)
+        if record.start_ms >= covered.get(key, record.start_ms):
+            covered[key] = record.end_ms
+            kept.append(record)
+    return kept
--- a/src/papayagw/_internal/models/report.py
+++ b/src/papayagw/_internal/models/report.py
@@ -136,3 +136,8 @@
     counts: FlowCounts
     work_ms: Millis = Millis(0)
     capacity: float = 0.0
+
+    @property
+    def duration_ms(self) -> Millis:
+        """The length of the interval."""
+        return Millis(self.end_ms - self.start_ms)
--- a/src/papayagw/_internal/net/clock.py
+++ b/src/papayagw/_internal/net/clock.py
@@ -13,3 +13,11 @@
     def now(self) -> Millis:
         """Return the milliseconds since an arbitrary fixed point."""
         return Millis(time.monotonic_ns() // _NANOS_PER_MILLI)
+
+
+class WallClock:
+    """The time of day, for records that people and other machines read."""
+
+    def now(self) -> Millis:
+        """Return the milliseconds since 1970."""
+        return Millis(time.time_ns() // _NANOS_PER_MILLI)
--- /dev/null
+++ b/src/papayagw/_internal/net/polling.py
@@ -0,0 +1,95 @@
+"""Polling of nodes, for records and for tables that renew themselves."""
+
+from collections.abc import Callable, Sequence
+
+import anyio
+
+from papayagw._internal.core.record_maker import RecordMaker
+from papayagw._internal.exceptions import StatusError
+from papayagw._internal.models.clock import Clock, Millis, to_seconds
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.status import StatusReport
+from papayagw._internal.net.admin_client import AdminClient
+from papayagw._internal.observe.records import RecordWriter
+
+PollHandler = Callable[[Sequence[StatusReport], Sequence[StatusError]], None]
+
+
+class Poller:
+    """Asks nodes for their status again and again.
+
+    Parameters
+    ----------
+    nodes : sequence of Endpoint
+        Their admin endpoints.
+    handle : callable
+        Takes the reports and the errors of one round.
+    interval : Millis
+        The time from the start of one round to that of the next.
+    """
+
+    def __init__(
+        self, nodes: Sequence[Endpoint], handle: PollHandler, interval: Millis
+    ):
+        self._nodes = tuple(nodes)
+        self._handle = handle
+        self._interval = interval
+        self._client = AdminClient()
+
+    async def start(self) -> None:
+        """Get ready to ask."""
+        await self._client.start()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.close()
+
+    async def run(self, rounds: int | None = None) -> None:
+        """Ask until cancelled, or for a number of rounds."""
+        due = anyio.current_time()
+        while rounds is None or rounds > 0:
+            await anyio.sleep_until(due)
+            await self.poll()
+            rounds = None if rounds is None else rounds - 1
+            due = max(due + to_seconds(self._interval), anyio.current_time())
+
+    async def poll(self) -> None:
+        """Ask all nodes once."""
+        answers = await self._client.ask_all(self._nodes)
+        reports = [one.unwrap() for one in answers if one.value_or(None)]
+        errors = [one.failure() for one in answers if not one.value_or(None)]
+        self._handle(reports, errors)
+
+
+class Recorder:
+    """Appends what nodes did between two rounds to a file of records.
+
+    Parameters
+    ----------
+    writer : RecordWriter
+        The file; started and closed with the recorder.
+    clock : Clock
+        The time since 1970.
+    """
+
+    def __init__(self, writer: RecordWriter, clock: Clock):
+        self._writer = writer
+        self._clock = clock
+        self._maker = RecordMaker()
+
+    def start(self) -> None:
+        """Open the file."""
+        self._writer.start()
+
+    def close(self) -> None:
+        """Close the file."""
+        self._writer.close()
+
+    def take(self, reports: Sequence[StatusReport]) -> int:
+        """Append the records that one round gives and return their number."""
+        now = self._clock.now()
+        records = [
+            record for report in reports for record in self._maker.take(report, now)
+        ]
+        self._writer.write(records)
+        return len(records)
--- /dev/null
+++ b/src/papayagw/_internal/observe/burn_text.py
@@ -0,0 +1,109 @@
+"""The burn report as text."""
+
+from collections.abc import Iterable
+
+from papayagw._internal.models.burn import (
+    Balance,
+    BurnReport,
+    Objective,
+    ObjectiveBurn,
+    Risk,
+    ServiceBurn,
+    WindowBurn,
+)
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.report import Side
+from papayagw._internal.observe.durations import format_duration, format_moment
+from papayagw._internal.observe.table import format_table
+
+RISK_WORDS = {
+    Risk.NONE: "ok",
+    Risk.TICKET: "at risk",
+    Risk.PAGE: "at risk now",
+    Risk.SPENT: "BUDGET SPENT",
+}
+_SIDE_WORDS = {Side.AGENT: "agents", Side.CALLER: "callers"}
+_FLOW_HEAD = ("COUNTED BY", "OPENED", "REFUSED", "UNKNOWN", "BROKEN", "LOST")
+
+
+def format_burn(report: BurnReport) -> str:
+    """Return the report as an operator reads it."""
+    span = Millis(report.end_ms - report.start_ms)
+    head = (
+        f"service-level burn, from {format_moment(report.start_ms)} "
+        f"to {format_moment(report.end_ms)} ({format_duration(span)} recorded)"
+    )
+    lines = [head, *(f"note: {note}" for note in report.notes)]
+    for service in report.services:
+        lines += ["", *_format_service(service)]
+    return "\n".join((*lines, "", *_format_verdict(report)))
+
+
+def _format_service(service: ServiceBurn) -> list[str]:
+    windows = [one.window for one in service.objectives[0].windows]
+    head = ("OBJECTIVE", "TARGET", *windows, "STATE")
+    flows = [
+        (
+            *(_SIDE_WORDS[one.side], one.counts.opened, one.counts.refused),
+            *(one.counts.unknown, one.counts.broken, one.counts.lost),
+        )
+        for one in service.sides
+    ]
+    return [
+        f"service {service.service}: burn of each objective in each window",
+        *format_table(head, [_describe(one) for one in service.objectives]),
+        *format_table(_FLOW_HEAD, flows),
+        *_format_balance("backend server", service.by_backend),
+        *_format_balance("zone", service.by_zone),
+    ]
+
+
+def _describe(one: ObjectiveBurn) -> tuple[str, ...]:
+    cells = (_format_window(window) for window in one.windows)
+    name = one.objective.value
+    return (name, f"{one.target:g}", *cells, RISK_WORDS[one.risk])
+
+
+def _format_window(window: WindowBurn) -> str:
+    return f"{window.burn:.2f}" if window.flows else "-"
+
+
+def _format_balance(name: str, balance: Balance) -> list[str]:
+    if not balance.groups:
+        return []
+    mean = sum(group.load for group in balance.groups) / len(balance.groups)
+    rows = [
+        (
+            *(group.name, group.opened, group.cut, f"{group.load:.2f}"),
+            f"{group.load / mean:.2f}" if mean else "-",
+        )
+        for group in balance.groups
+    ]
+    title = f"imbalance by {name}, max to mean: {balance.ratio:.2f}"
+    head = (name.upper(), "OPENED", "CUT", "WORK/CAPACITY", "TO MEAN")
+    return [title, *format_table(head, rows)]
+
+
+def _format_verdict(report: BurnReport) -> Iterable[str]:
+    urgent = [
+        (one.risk, service, one)
+        for service in report.services
+        for one in service.objectives
+        if one.risk is not Risk.NONE
+    ]
+    if not urgent:
+        return ["all objectives are met"]
+    urgent.sort(key=lambda item: -item[0].rank)
+    return [_format_urgent(service, one) for _, service, one in urgent]
+
+
+def _format_urgent(service: ServiceBurn, one: ObjectiveBurn) -> str:
+    state = RISK_WORDS[one.risk]
+    period = one.windows[-1]
+    if one.objective is Objective.IMBALANCE:
+        found = f"max to mean is {period.value:.2f}, {one.target:g} is allowed"
+    else:
+        bad = round(period.value * period.flows)
+        what = "flows broken" if one.objective is Objective.AVAILABILITY else "late"
+        found = f"{bad} of {period.flows} {what}, {one.spent:.0%} of the budget"
+    return f"{state}: {service.service}, {one.objective.value}: {found}"
--- a/src/papayagw/_internal/observe/records.py
+++ b/src/papayagw/_internal/observe/records.py
@@ -6,6 +6,7 @@
 
 import json
 from collections.abc import Iterable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from io import BufferedWriter
 from pathlib import Path
@@ -104,7 +105,9 @@
     def close(self) -> None:
         """Close the file."""
         if self._file is not None:
-            self._file.close()
+            # What a full disk didn't take was told when it was written.
+            with suppress(OSError):
+                self._file.close()
         self._file = None
 
 
--- /dev/null
+++ b/tests/unit/test_operator_commands.py
@@ -0,0 +1,128 @@
+import json
+import time
+
+import pytest
+
+from papayagw._internal.cli.main import main
+from papayagw._internal.exceptions import StatusError, Step
+from papayagw._internal.observe.records import write_record
+from papayagw._internal.observe.status_text import format_status
+from tests.lib.reports import make_record, make_status
+
+NOBODY = "127.0.0.1:1"
+
+
+def run(capsys, *words):
+    """Return the exit code and what was printed."""
+    with pytest.raises(SystemExit) as raised:
+        main([str(word) for word in words])
+    printed = capsys.readouterr()
+    return raised.value.code, printed.out, printed.err
+
+
+def write_records(path, *records):
+    """Write records whose times are in ms from now."""
+    now = int(time.time() * 1_000)
+    lines = [
+        write_record(make_record(now + end, **changes)) for end, changes in records
+    ]
+    path.write_bytes(b"".join(lines))
+    return path
+
+
+@pytest.mark.parametrize(
+    ("words", "code", "told"),
+    [
+        (["status"], 2, "no node is named; give the admin endpoint"),
+        (["status", "localhost:1"], 2, "expected an IPv4 number, found 'localhost'"),
+        (["status", NOBODY], 1, f"(peer {NOBODY}); check that the node runs"),
+        (["status", NOBODY, "--json"], 1, '"no_answer": [{"peer": "127.0.0.1:1"'),
+        (["status", NOBODY, "--every=0"], 2, "give --every a number above 0"),
+        (["status", NOBODY, "--every=x"], 2, "expected seconds, found 'x'"),
+        (["status", NOBODY, "--every=0.01", "--rounds=2"], 1, "check that the node"),
+        (["status", NOBODY, "--colour"], 2, "Could not consume arg: --colour"),
+        (["status", NOBODY, "--record=/", "--rounds=1"], 4, "can't be written to"),
+        (["report", "burn"], 2, "no file of records is named"),
+        (["report", "burn", "/none"], 4, "can't be read: No such file"),
+        (["report", "burn", "/"], 4, "can't be read: Is a directory"),
+        (["report", "burn", "/dev/null"], 4, "no usable records (peer /dev/null)"),
+        (["report", "burn", "/dev/null", "--settings=/none"], 2, "/none"),
+    ],
+)
+def test_command_line_that_fails_says_why(capsys, words, code, told):
+    found, out, err = run(capsys, *words)
+    assert found == code
+    assert told in out + err
+    assert "Traceback" not in err
+
+
+@pytest.mark.parametrize(
+    ("records", "code", "told"),
+    [
+        ([(0, {})], 0, "all objectives are met"),
+        ([(0, {"broken": 1})], 1, "order, availability: 1 of 100 flows broken, 1000%"),
+        ([(10_000, {}), (0, {})], 0, "all objectives are met"),
+        ([(0, {}), (-60_000, {"broken": 1})], 1, "BUDGET SPENT"),
+        ([(0, {}), (0, {})], 0, "of a time that others cover: 1"),
+        ([(0, {}), (600_000, {"broken": 1})], 0, "from the future (a clock is wrong)"),
+    ],
+)
+def test_burn_report_judges_records(capsys, tmp_path, records, code, told):
+    path = write_records(tmp_path / "records", *records)
+    found, out, _ = run(capsys, "report", "burn", path)
+    assert (found, told in out) == (code, True)
+
+
+@pytest.mark.parametrize(
+    ("records", "told"),
+    [
+        ([(600_000, {})], "from the future"),
+        ([(-40 * 86_400_000, {})], "older than 30 d"),
+    ],
+)
+def test_no_usable_records_says_why(capsys, tmp_path, records, told):
+    path = write_records(tmp_path / "records", *records)
+    found, _, err = run(capsys, "report", "burn", path)
+    assert (found, told in err) == (4, True)
+
+
+def test_cut_off_record_is_noted(capsys, tmp_path):
+    path = write_records(tmp_path / "records", (-10_000, {}), (0, {}))
+    path.write_bytes(path.read_bytes()[:-20])
+    found, out, _ = run(capsys, "report", "burn", path)
+    assert found == 0
+    assert f"passed over {path}:2: cut off before its end" in out
+
+
+def test_burn_report_as_json_and_picture(capsys, tmp_path):
+    path = write_records(tmp_path / "records", (0, {"broken": 1}))
+    picture = tmp_path / "burn.png"
+    found, out, _ = run(capsys, "report", "burn", path, "--json", "--picture", picture)
+    (service,) = json.loads(out)["services"]
+    assert found == 1
+    assert (service["service"], service["objectives"][0]["risk"]) == ("order", "spent")
+    assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+def test_picture_that_cannot_be_written_is_named(capsys, tmp_path):
+    path = write_records(tmp_path / "records", (0, {}))
+    found, _, err = run(capsys, "report", "burn", path, "--picture=/none/x.png")
+    assert (found, "/none/x.png" in err) == (4, True)
+
+
+def test_status_tables_show_every_part():
+    other = make_status(node="order-2", configuration_version=8, services=())
+    error = StatusError("silent", step=Step.STATUS, peer=NOBODY, remedy="start it")
+    lines = format_status([make_status(), other], [error]).splitlines()
+    squeezed = [" ".join(line.split()) for line in lines]
+    for line in (
+        "NODE ROLE ZONE STATE UP CONFIG FLOWS VERSION",
+        "order-1 agent a ready 1 min 30 s 7 12 0.1.0",
+        "order-1 order 12 100 0 0 0 1.0 64",
+        "order-1 127.0.0.10:4300 balancer up 40",
+        "order-2 127.0.1.2:4310 order a ready 64 12",
+        "order-1 agent.drop.bad-tag 2",
+        f"no answer: status: silent (peer {NOBODY}); start it",
+        "configuration versions differ: 7, 8; see docs/OPERATING.md",
+    ):
+        assert line in squeezed
