--- /dev/null
+++ b/src/papayagw/_internal/cli/commands/connect.py
@@ -0,0 +1,42 @@
+"""``papayagw connect``: the callers' side."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+
+from papayagw._internal.cli.base import ExitCode
+from papayagw._internal.cli.loading import unwrap
+from papayagw._internal.net.clock import MonotonicClock
+from papayagw._internal.net.connect_process import ConnectProcess
+from papayagw._internal.net.daemon import run_daemon
+from papayagw._internal.settings.node import load_connect
+
+
+class ConnectCommand:
+    """Carry ordinary TCP connections as flows."""
+
+    @property
+    def run(self) -> Callable[..., int]:
+        """Carry the command out."""
+        return run_connect
+
+
+def run_connect(settings: str) -> int:
+    """Listen on TCP and carry each connection to its service as one flow.
+
+    SIGTERM takes no more connections and waits for those that are open, up to
+    the setting stop_limit_ms; a second SIGTERM stops at once.
+
+    Parameters
+    ----------
+    settings : str
+        The settings file of this process.
+    """
+    read = unwrap(load_connect(Path(settings)))
+    process = ConnectProcess(read, MonotonicClock())
+    anyio.run(run_daemon, process, "connect", read.stop_limit_ms)
+    return ExitCode.OK
+
+
+COMMAND = ConnectCommand()
--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -37,6 +37,9 @@
 
 
 COMMANDS = (
+    CommandInfo(("balancer",), "balancer", "Hand packets to the agents."),
+    CommandInfo(("agent",), "agent", "Own the flows of a backend server."),
+    CommandInfo(("connect",), "connect", "Carry TCP connections as flows."),
     CommandInfo(
         ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
     ),
--- a/src/papayagw/_internal/net/caller_flow.py
+++ b/src/papayagw/_internal/net/caller_flow.py
@@ -4,7 +4,10 @@
 
 import anyio
 
+from papayagw._internal.core.retry import OpeningRetry
+from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.flow import FlowOutcome
+from papayagw._internal.models.opening import AttemptEnded, Reopen
 from papayagw._internal.models.stream import (
     BytesArrived,
     FlowEnded,
@@ -16,6 +19,9 @@
 from papayagw._internal.net.tcp import TcpBrokenError, TcpStream
 from papayagw._internal.wire.quic import FlowConnection
 
+OPENING_TIMEOUT_MS = Millis(1_500)
+"""How long an opening may go unanswered before another one is tried."""
+
 
 class OpeningPort(Protocol):
     """Where a caller's flow opens its connections."""
@@ -77,34 +83,48 @@
         The caller's TCP connection.
     port : OpeningPort
         Where openings are made.
-    retry : RetryPolicy
-        Whether and when a refused opening is made again.
+    retry : OpeningRetry
+        Whether and when an opening is made again.
+    clock : Clock
+        The time.
     """
 
-    def __init__(self, stream: TcpStream, port: OpeningPort, retry: "RetryPolicy"):
+    def __init__(
+        self, stream: TcpStream, port: OpeningPort, retry: OpeningRetry, clock: Clock
+    ):
         self._stream = stream
         self._port = port
         self._retry = retry
+        self._clock = clock
         self._kept: list[bytes] | None = []
+        self._kept_bytes = 0
         self._finished = False
         self._has_handshake = False
         self._bridge = FlowBridge(self)
         self._scope = anyio.CancelScope()
-        self._ended: FlowEnded | None = None
-        self._refused = anyio.Event()
+        self._outcome: FlowOutcome | None = None
+        self._reason = ""
+        self._attempt_ended: AttemptEnded | None = None
+        self._progress = anyio.Event()
         self._attempt = OpeningAttempt(self, port)
 
     @property
     def buffered_bytes(self) -> int:
         """Bytes written that the agent hasn't acknowledged, or that are kept."""
         if self._kept is not None:
-            return sum(len(data) for data in self._kept)
+            return self._kept_bytes
         return self._attempt.connection.buffered_bytes
 
+    @property
+    def reason(self) -> str:
+        """A word on how the flow ended, for the logs."""
+        return self._reason
+
     def write(self, data: bytes) -> None:
         """Send bytes to the agent."""
         if self._kept is not None:
             self._kept.append(data)
+            self._kept_bytes += len(data)
         self._attempt.connection.write(data)
         self._port.touch(self._attempt)
 
@@ -121,7 +141,7 @@
 
     def on_event(self, attempt: OpeningAttempt, event: StreamEvent) -> None:
         """Act on an event of an attempt."""
-        if attempt is not self._attempt or self._ended is not None:
+        if attempt is not self._attempt or self._attempt_ended is not None:
             return
         match event:
             case HandshakeDone():
@@ -129,28 +149,27 @@
                 self._port.on_handshake(attempt)
             case BytesArrived(data, finished):
                 self._on_bytes(data, finished)
-            case FlowEnded():
-                self._on_ended(event)
+            case FlowEnded(outcome, reason):
+                self._end_attempt(outcome, reason)
 
     def on_writable(self, attempt: OpeningAttempt) -> None:
         """Read on from the TCP connection if there is room."""
         if attempt is self._attempt:
             self._bridge.on_writable()
 
-    async def run(self) -> FlowEnded:
+    async def run(self) -> FlowOutcome:
         """Carry the flow to its end and return how it ended."""
         with self._scope:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._reopen)
+                tasks.start_soon(self._supervise)
                 await self._carry()
                 tasks.cancel_scope.cancel()
-        ended = self._ended
-        assert ended is not None, "the flow ends in one way or another"
-        if ended.outcome is FlowOutcome.ANSWERED:
+        outcome = self._outcome or FlowOutcome.CANCELLED
+        if outcome is FlowOutcome.ANSWERED:
             self._stream.close()
         else:
             self._stream.abort()
-        return ended
+        return outcome
 
     async def _carry(self) -> None:
         try:
@@ -160,52 +179,63 @@
             self._close(FlowOutcome.CANCELLED, str(errors.exceptions[0]))
 
     def _close(self, outcome: FlowOutcome, reason: str) -> None:
-        if self._ended is None:
-            self._ended = FlowEnded(outcome, reason)
+        if self._outcome is None:
+            self._outcome = outcome
+            self._reason = reason
             self._attempt.connection.close(outcome, reason)
             self._port.touch(self._attempt)
 
     def _on_bytes(self, data: bytes, finished: bool) -> None:
         if self._kept is not None and data:
             self._kept = None
+            self._progress.set()
             self._attempt.connection.consume(len(ACCEPTED))
             data = data[len(ACCEPTED) :]
         self._bridge.on_bytes(data, finished)
 
-    def _on_ended(self, ended: FlowEnded) -> None:
-        is_safe = self._kept is not None and (
-            ended.outcome is FlowOutcome.REFUSED or not self._has_handshake
+    def _end_attempt(self, outcome: FlowOutcome | None, reason: str) -> None:
+        self._reason = reason
+        self._attempt_ended = AttemptEnded(
+            self._retry.attempt,
+            outcome,
+            handshake_completed=self._has_handshake,
+            answer_started=self._kept is None,
+            replayable=self._kept is not None,
         )
-        if is_safe:
-            self._refused.set()
-            return
-        self._ended = ended
-        self._scope.cancel()
+        self._progress.set()
 
-    async def _reopen(self) -> None:
+    async def _supervise(self) -> None:
+        """Open again after each attempt that ends, as long as that is safe."""
         while True:
-            await self._refused.wait()
-            self._refused = anyio.Event()
-            delay = self._retry.next_delay_seconds()
-            if delay is None:
-                self._ended = FlowEnded(FlowOutcome.REFUSED, "no agent took the flow")
+            ended = await self._wait_for_end()
+            action = self._retry.handle_end(ended, self._clock.now())
+            if not isinstance(action, Reopen):
+                self._outcome = action.outcome if action else FlowOutcome.UNKNOWN
                 self._scope.cancel()
                 return
-            await anyio.sleep(delay)
+            delay = Millis(max(0, action.at - self._clock.now()))
+            await anyio.sleep(to_seconds(delay))
             self._open_again()
 
+    async def _wait_for_end(self) -> AttemptEnded:
+        with anyio.move_on_after(to_seconds(OPENING_TIMEOUT_MS)):
+            await self._progress.wait()
+        if not (self._has_handshake or self._attempt_ended):
+            self._attempt.connection.close(FlowOutcome.CANCELLED, "opening timed out")
+            self._port.touch(self._attempt)
+            self._end_attempt(None, "no agent answered the opening")
+        while self._attempt_ended is None:
+            self._progress = anyio.Event()
+            await self._progress.wait()
+        return self._attempt_ended
+
     def _open_again(self) -> None:
         self._has_handshake = False
+        self._attempt_ended = None
+        self._progress = anyio.Event()
         self._attempt = OpeningAttempt(self, self._port)
         for data in self._kept or ():
             self._attempt.connection.write(data)
         if self._finished:
             self._attempt.connection.finish()
         self._port.touch(self._attempt)
-
-
-class RetryPolicy(Protocol):
-    """Whether and when a refused opening is made again."""
-
-    def next_delay_seconds(self) -> float | None:
-        """Return how long to wait, or None to give up."""
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -5,13 +5,13 @@
 import anyio
 import anyio.abc
 
+from papayagw._internal.core.retry import OpeningRetry
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.node import Listener
 from papayagw._internal.net.caller_flow import (
     CallerFlow,
     OpeningAttempt,
-    RetryPolicy,
 )
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
 from papayagw._internal.net.tcp import TcpListener, TcpStream
@@ -38,7 +38,7 @@
     opener : FlowOpener
         Makes the callers' ends of flows.
     make_retry : callable
-        Returns a retry policy for one flow.
+        Returns what decides about further attempts of one flow.
     clock : Clock
         The time.
     """
@@ -47,7 +47,7 @@
         self,
         listener: Listener,
         opener: FlowOpener,
-        make_retry: Callable[[], RetryPolicy],
+        make_retry: Callable[[], OpeningRetry],
         clock: Clock,
     ):
         self._listener = TcpListener(listener.listen)
@@ -116,11 +116,12 @@
         self._socket.send(datagram, peer)
 
     async def _carry(self, stream: TcpStream) -> None:
-        flow = CallerFlow(stream, self, self._make_retry())
+        retry = self._make_retry()
+        flow = CallerFlow(stream, self, retry, self._clock)
         self._open_streams += 1
         try:
-            ended = await flow.run()
-            self._outcomes[ended.outcome] += 1
+            outcome = await flow.run()
+            self._outcomes[outcome] += 1
         finally:
             self._open_streams -= 1
 
--- /dev/null
+++ b/src/papayagw/_internal/net/connect_process.py
@@ -0,0 +1,85 @@
+"""The caller's side as a process: one connector for each listener."""
+
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+
+from papayagw._internal.core.retry import OpeningRetry, TokenBudget
+from papayagw._internal.models.clock import Clock, Millis, to_seconds
+from papayagw._internal.models.node import ConnectSettings, Listener
+from papayagw._internal.models.opening import RetryPolicy
+from papayagw._internal.net.connect import ServiceConnector
+from papayagw._internal.wire.quic import FlowOpener
+
+IDLE_TIMEOUT_MS = Millis(60_000)
+"""How long a flow may be silent before it is given up."""
+
+_DRAIN_CHECK_MS = Millis(50)
+
+
+class ConnectProcess:
+    """Everything that a connect process runs.
+
+    Parameters
+    ----------
+    settings : ConnectSettings
+        Its own settings.
+    clock : Clock
+        The time.
+    """
+
+    def __init__(self, settings: ConnectSettings, clock: Clock):
+        authority = Path(settings.authority)
+        self._connectors = tuple(
+            _make_connector(listener, authority, clock)
+            for listener in settings.listeners
+        )
+
+    @property
+    def connectors(self) -> tuple[ServiceConnector, ...]:
+        """The connectors, in the order of the listeners."""
+        return self._connectors
+
+    def start(self) -> None:
+        """Take the addresses."""
+        for connector in self._connectors:
+            connector.start()
+
+    def close(self) -> None:
+        """Give the addresses back."""
+        for connector in self._connectors:
+            connector.close()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for connector in self._connectors:
+                tasks.start_soon(connector.run)
+
+    async def drain(self) -> None:
+        """Take no more connections, and return when the last one has ended."""
+        for connector in self._connectors:
+            connector.stop_listening()
+        while any(connector.flows for connector in self._connectors):
+            await anyio.sleep(to_seconds(_DRAIN_CHECK_MS))
+
+
+def _make_connector(
+    listener: Listener, authority: Path, clock: Clock
+) -> ServiceConnector:
+    opener = FlowOpener(listener.service, listener.entry, authority, IDLE_TIMEOUT_MS)
+    return ServiceConnector(listener, opener, _make_retries(), clock)
+
+
+def _make_retries() -> Callable[[], OpeningRetry]:
+    policy = RetryPolicy()
+    budget = TokenBudget(policy)
+    # Which calls are idempotent isn't known here, so none is taken to be.
+    draw = random.SystemRandom().random
+
+    def make_retry() -> OpeningRetry:
+        return OpeningRetry(policy, budget, idempotent=False, draw=draw)
+
+    return make_retry
--- /dev/null
+++ b/tests/unit/test_quic.py
@@ -0,0 +1,84 @@
+"""What papayagw needs of the QUIC library, which reaches into its private parts."""
+
+import pytest
+
+from papayagw._internal.models.flow import FlowOutcome
+from papayagw._internal.models.stream import BytesArrived, FlowEnded, HandshakeDone
+from papayagw._internal.wire.header import is_opening, read_connection_id
+from papayagw._internal.wire.quic import WINDOW_BYTES
+from tests.lib.quic import ROUTE, FlowPair
+
+
+def received(events):
+    return b"".join(one.data for one in events if isinstance(one, BytesArrived))
+
+
+def lose_none(number):
+    return False
+
+
+def lose_every_fifth(number):
+    return number % 5 == 0
+
+
+@pytest.mark.parametrize("lose", [lose_none, lose_every_fifth])
+@pytest.mark.parametrize("size", [1, 100_000])
+def test_bytes_arrive_whole_in_both_directions(tmp_path, lose, size):
+    pair = FlowPair(tmp_path, lose)
+    request, answer = b"r" * size, b"a" * size
+    pair.caller.write(request)
+    pair.caller.finish()
+    pair.exchange(400)
+    pair.agent.write(answer)
+    pair.agent.finish()
+    pair.exchange(400)
+    assert HandshakeDone() in pair.caller_events
+    assert received(pair.agent_events) == request
+    assert received(pair.caller_events) == answer
+
+
+def test_every_packet_after_the_first_answer_carries_the_tag(tmp_path):
+    pair = FlowPair(tmp_path)
+    pair.caller.write(b"request")
+    pair.exchange()
+    ids = [read_connection_id(datagram) for datagram in pair.to_agent]
+    opening, rest = ids[0], ids[1:]
+    assert is_opening(pair.to_agent[0], opening)
+    assert pair.codec.open_route(opening) is None
+    assert rest
+    assert {pair.codec.open_route(one) for one in rest} == {ROUTE}
+
+
+def test_sender_waits_for_a_receiver_that_consumes_nothing(tmp_path):
+    pair = FlowPair(tmp_path)
+    pair.caller.write(bytes(3 * WINDOW_BYTES))
+    pair.exchange(2_000)
+    assert len(received(pair.agent_events)) == WINDOW_BYTES
+    pair.agent.consume(WINDOW_BYTES)
+    pair.exchange(2_000)
+    assert len(received(pair.agent_events)) == 2 * WINDOW_BYTES
+
+
+@pytest.mark.parametrize("outcome", FlowOutcome)
+@pytest.mark.parametrize("lost", [lose_none, lose_every_fifth])
+def test_close_tells_the_outcome(tmp_path, outcome, lost):
+    pair = FlowPair(tmp_path, lost)
+    pair.exchange(100)
+    pair.agent.close(outcome, "why")
+    pair.exchange(100)
+    assert FlowEnded(outcome, "why") in pair.caller_events
+
+
+@pytest.mark.parametrize(
+    ("is_genuine", "is_ended"), [(True, True), (False, False)], ids=["own", "forged"]
+)
+def test_stateless_reset_ends_only_its_flow(tmp_path, is_genuine, is_ended):
+    pair = FlowPair(tmp_path)
+    pair.exchange()
+    tag = pair.tag if is_genuine else bytes(20)
+    pair.caller.receive(
+        pair.resets.make_datagram(tag), ("127.0.1.1", 4401), pair.clock.now()
+    )
+    ends = [one for one in pair.caller.take_events() if isinstance(one, FlowEnded)]
+    assert [one.outcome for one in ends] == [FlowOutcome.UNKNOWN] * is_ended
+    assert pair.caller.is_ending is is_ended
