--- /dev/null
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -0,0 +1,82 @@
+"""``papayagw agent``: the process beside each backend server."""
+
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+
+from papayagw._internal.cli.base import ExitCode
+from papayagw._internal.cli.loading import load_file_configuration, unwrap
+from papayagw._internal.core.agent import AgentCore
+from papayagw._internal.core.announcer import AgentAnnouncer
+from papayagw._internal.core.choice import RendezvousChooser
+from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.exceptions import SettingsError, Step
+from papayagw._internal.models.agent import AgentRecord
+from papayagw._internal.models.configuration import Configuration
+from papayagw._internal.models.flow import FlowRoute
+from papayagw._internal.models.node import AgentSettings
+from papayagw._internal.models.service import Service
+from papayagw._internal.net.agent_process import AgentProcess
+from papayagw._internal.net.clock import MonotonicClock, make_incarnation
+from papayagw._internal.net.daemon import run_daemon
+from papayagw._internal.settings.node import load_agent
+
+
+class AgentCommand:
+    """Own the flows of a backend server."""
+
+    @property
+    def run(self) -> Callable[..., int]:
+        """Carry the command out."""
+        return run_agent
+
+
+def run_agent(settings: str) -> int:
+    """Accept flows, carry them to the backend server and announce it.
+
+    SIGTERM drains: no new flow is taken, those that are open go on up to the
+    setting stop_limit_ms. A second SIGTERM stops at once, and the callers of
+    open flows are told that their outcome is unknown.
+
+    Parameters
+    ----------
+    settings : str
+        The settings file of this process.
+    """
+    read = unwrap(load_agent(Path(settings)))
+    configuration = load_file_configuration(read.node)
+    process = _make_process(read, configuration)
+    anyio.run(run_daemon, process, read.node.name, read.node.stop_limit_ms)
+    return ExitCode.OK
+
+
+def _make_process(settings: AgentSettings, configuration: Configuration) -> AgentProcess:
+    service = _find_service(settings, configuration)
+    inner = settings.node.inner
+    incarnation = make_incarnation()
+    siblings = AgentDirectory()
+    route = FlowRoute.of(service.service_id, inner, incarnation)
+    core = AgentCore(route, siblings, RendezvousChooser(), service.max_flows)
+    own = AgentRecord(inner, incarnation, 1, service.service_id, settings.node.zone)
+    announcer = AgentAnnouncer(
+        own, configuration.site.control_address, siblings, random.Random()
+    )
+    return AgentProcess(settings, configuration, core, announcer, MonotonicClock())
+
+
+def _find_service(settings: AgentSettings, configuration: Configuration) -> Service:
+    service = configuration.site.find_service(settings.service)
+    if service is None:
+        names = ", ".join(one.name for one in configuration.site.services)
+        raise SettingsError(
+            f"service: found {settings.service!r}, expected one of {names}",
+            step=Step.SETTINGS,
+            peer=settings.node.name,
+            remedy="name a service of the configuration in the settings file",
+        )
+    return service
+
+
+COMMAND = AgentCommand()
--- /dev/null
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -0,0 +1,58 @@
+"""``papayagw balancer``: the thin entry instance."""
+
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+
+from papayagw._internal.cli.base import ExitCode
+from papayagw._internal.cli.loading import load_file_configuration, unwrap
+from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.core.membership import BalancerMembership
+from papayagw._internal.models.control import BalancerRecord
+from papayagw._internal.net.balancer_process import BalancerProcess
+from papayagw._internal.net.clock import MonotonicClock, make_incarnation
+from papayagw._internal.net.daemon import run_daemon
+from papayagw._internal.settings.node import load_balancer
+
+
+class BalancerCommand:
+    """Hand callers' packets to the agents."""
+
+    @property
+    def run(self) -> Callable[..., int]:
+        """Carry the command out."""
+        return run_balancer
+
+
+def run_balancer(settings: str) -> int:
+    """Hand each packet to the agent that its tag names, or that is chosen for it.
+
+    A balancer holds no state of a flow: it may be stopped and started at any
+    time. SIGTERM hands on what still comes for a second and exits; a second
+    SIGTERM exits at once.
+
+    Parameters
+    ----------
+    settings : str
+        The settings file of this process.
+    """
+    read = unwrap(load_balancer(Path(settings)))
+    node = read.node
+    configuration = load_file_configuration(node)
+    directory = AgentDirectory()
+    membership = BalancerMembership(
+        BalancerRecord(node.inner, make_incarnation(), node.zone),
+        configuration.site.control_address,
+        directory,
+        random.Random(),
+    )
+    process = BalancerProcess(
+        read, configuration, directory, membership, MonotonicClock()
+    )
+    anyio.run(run_daemon, process, node.name, node.stop_limit_ms)
+    return ExitCode.OK
+
+
+COMMAND = BalancerCommand()
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -139,15 +139,17 @@
             await self._carry(stream)
 
     async def _carry(self, stream: TcpStream) -> None:
+        is_whole = False
         try:
             await self._bridge.run(stream)
+            is_whole = True
         except* TcpBrokenError as errors:
             delivered = self._bridge.handed_over > 0
             outcome = FlowOutcome.UNKNOWN if delivered else FlowOutcome.REFUSED
             self.close(outcome, str(errors.exceptions[0]))
         finally:
             ended = self._ended
-            if ended is None or ended.outcome is FlowOutcome.ANSWERED:
+            if is_whole or (ended and ended.outcome is FlowOutcome.ANSWERED):
                 stream.close()
             else:
                 stream.abort()
--- a/src/papayagw/_internal/net/clock.py
+++ b/src/papayagw/_internal/net/clock.py
@@ -2,6 +2,7 @@
 
 import time
 
+from papayagw._internal.models.agent import Incarnation
 from papayagw._internal.models.clock import Millis
 
 _NANOS_PER_MILLI = 1_000_000
@@ -13,3 +14,8 @@
     def now(self) -> Millis:
         """Return the milliseconds since an arbitrary fixed point."""
         return Millis(time.monotonic_ns() // _NANOS_PER_MILLI)
+
+
+def make_incarnation() -> Incarnation:
+    """Return the number of the run that starts now, from the machine's date."""
+    return Incarnation(time.time_ns() // _NANOS_PER_MILLI)
