--- a/src/papayagw/_internal/core/directory.py
+++ b/src/papayagw/_internal/core/directory.py
@@ -1,7 +1,11 @@
 """The agents that a node knows of.
 
-The newest record of an endpoint wins, by incarnation and then by sequence, so
-that records may arrive in any order, late and twice.
+The newest record of an endpoint wins, by incarnation, sequence, state and
+suspicion, so that records may arrive in any order, late and twice.
+
+An agent under suspicion gets no openings. But a bad signal must not empty a
+service: suspicion keeps at most `MAX_SUSPECTED_SHARE` of the agents that say they
+are ready from taking openings; beyond it, suspected ones count as ready.
 """
 
 from collections.abc import Sequence
@@ -10,6 +14,9 @@
 from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.service import ServiceId
 
+MAX_SUSPECTED_SHARE = 0.5
+"""The largest share of a service's ready agents that suspicion may exclude."""
+
 
 class Directory(Protocol):
     """Where a balancer looks for the agents of a service."""
@@ -23,6 +30,7 @@
 
     def __init__(self) -> None:
         self._records: dict[tuple[str, int], AgentRecord] = {}
+        self._by_service: dict[ServiceId, dict[tuple[str, int], AgentRecord]] = {}
         self._ready: dict[ServiceId, tuple[AgentRecord, ...]] = {}
 
     @property
@@ -36,24 +44,47 @@
         known = self._records.get(key)
         if known is not None and known.precedence >= record.precedence:
             return False
+        if known is not None and known.service_id != record.service_id:
+            self._remove(known)
         self._records[key] = record
-        if known is not None:
-            self._refresh(known.service_id)
+        self._by_service.setdefault(record.service_id, {})[key] = record
         self._refresh(record.service_id)
         return True
 
     def forget(self, record: AgentRecord) -> None:
         """Drop a record that is no longer worth keeping."""
-        if self._records.pop(record.endpoint.sockaddr, None) is not None:
-            self._refresh(record.service_id)
+        known = self._records.pop(record.endpoint.sockaddr, None)
+        if known is not None:
+            self._remove(known)
 
     def find_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
         """Return the agents of a service that take openings."""
         return self._ready.get(service_id, ())
 
+    def find_willing(self, service_id: ServiceId) -> Sequence[AgentRecord]:
+        """Return the agents of a service that say they are ready, suspected or not."""
+        records = self._by_service.get(service_id, {}).values()
+        return [record for record in records if record.state is AgentState.READY]
+
+    def _remove(self, record: AgentRecord) -> None:
+        of_service = self._by_service.get(record.service_id, {})
+        of_service.pop(record.endpoint.sockaddr, None)
+        self._refresh(record.service_id)
+
     def _refresh(self, service_id: ServiceId) -> None:
+        willing = self.find_willing(service_id)
+        excluded = select_excluded(willing)
         self._ready[service_id] = tuple(
-            record
-            for record in self._records.values()
-            if record.service_id == service_id and record.state is AgentState.READY
+            record for record in willing if record.endpoint.sockaddr not in excluded
         )
+
+
+def select_excluded(willing: Sequence[AgentRecord]) -> set[tuple[str, int]]:
+    """Return the socket addresses of those whom suspicion keeps from openings.
+
+    Nodes that hold the same records exclude the same agents.
+    """
+    suspected = sorted(
+        record.endpoint.sockaddr for record in willing if record.is_suspected
+    )
+    return set(suspected[: int(len(willing) * MAX_SUSPECTED_SHARE)])
--- /dev/null
+++ b/src/papayagw/_internal/core/fleet.py
@@ -0,0 +1,161 @@
+"""One balancer's view of the fleet, and how a change of it becomes news."""
+
+from dataclasses import replace
+
+from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.core.gossip_news import NewsQueue
+from papayagw._internal.core.gossip_table import (
+    MergeOutcome,
+    RecordTable,
+    find_bucket,
+)
+from papayagw._internal.core.rendezvous import Rendezvous
+from papayagw._internal.models.agent import AgentRecord, AgentState
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.control import BalancerRecord, Record
+from papayagw._internal.models.endpoint import Endpoint
+
+WATCHERS = 3
+"""How many balancers watch an agent."""
+
+
+class Fleet:
+    """The records of all nodes, and what is still to be told of them.
+
+    Parameters
+    ----------
+    own : BalancerRecord
+        This balancer's record.
+    directory : AgentDirectory
+        Kept equal to the agents.
+    """
+
+    def __init__(self, own: BalancerRecord, directory: AgentDirectory):
+        self._own = own
+        self._table = RecordTable(directory)
+        self._table.merge(own, Millis(0))
+        self._news = NewsQueue(self._table)
+        self._superseded = False
+        self._version = -1
+        self._peers: tuple[Endpoint, ...] = ()
+        self._reachable: tuple[Endpoint, ...] = ()
+        self._suspected: tuple[BalancerRecord, ...] = ()
+        self._rendezvous = Rendezvous(())
+
+    @property
+    def own(self) -> BalancerRecord:
+        """The balancer's own record."""
+        return self._own
+
+    @property
+    def table(self) -> RecordTable:
+        """All records."""
+        return self._table
+
+    @property
+    def news(self) -> NewsQueue:
+        """What is still to be told."""
+        return self._news
+
+    @property
+    def superseded(self) -> bool:
+        """Whether a later run has taken over this balancer's endpoint."""
+        return self._superseded
+
+    @property
+    def peers(self) -> tuple[Endpoint, ...]:
+        """The other balancers that aren't gone, suspected ones among them."""
+        self._refresh()
+        return self._peers
+
+    @property
+    def reachable(self) -> tuple[Endpoint, ...]:
+        """The other balancers that aren't suspected either."""
+        self._refresh()
+        return self._reachable
+
+    @property
+    def suspected(self) -> tuple[BalancerRecord, ...]:
+        """The balancers under suspicion."""
+        self._refresh()
+        return self._suspected
+
+    @property
+    def size(self) -> int:
+        """How many balancers there are, this one among them."""
+        return len(self.peers) + 1
+
+    def list_watchers(self, agent: Endpoint) -> tuple[Endpoint, ...]:
+        """Return the balancers that watch an agent."""
+        self._refresh()
+        return self._rendezvous.choose(str(agent), WATCHERS)
+
+    def is_watcher(self, agent: Endpoint) -> bool:
+        """Return whether this balancer watches an agent."""
+        return self._own.endpoint in self.list_watchers(agent)
+
+    def merge(self, record: Record, now: Millis) -> MergeOutcome:
+        """Take in a record and tell others if it is news."""
+        outcome = self.merge_quietly(record, now)
+        if outcome is MergeOutcome.NEWS:
+            self._news.add_record(record, self.size)
+        elif outcome is MergeOutcome.KNOWN:
+            self._news.note_heard(record.endpoint)
+        return outcome
+
+    def merge_quietly(self, record: Record, now: Millis) -> MergeOutcome:
+        """Take in a record that needs no telling; refute what is false of us."""
+        if record.endpoint == self._own.endpoint:
+            return self._hear_of_self(record, now)
+        return self._table.merge(record, now)
+
+    def set_suspicion(self, record: Record, now: Millis) -> None:
+        """Suspect a node, or take the suspicion of it back, and tell others."""
+        changed = replace(record, suspicion=record.suspicion + 1)
+        if self.merge_quietly(changed, now) is MergeOutcome.NEWS:
+            self._news.add_suspicion(find_bucket(record), self.size)
+
+    def mark_gone(self, record: Record, now: Millis) -> None:
+        """Give a node up and tell others."""
+        self.merge(replace(record, state=AgentState.GONE), now)
+
+    def leave(self, now: Millis) -> None:
+        """Tell that this balancer stops."""
+        self._own = replace(
+            self._own, sequence=self._own.sequence + 1, state=AgentState.GONE
+        )
+        self._table.merge(self._own, now)
+        self._news.add_record(self._own, self.size)
+
+    def _hear_of_self(self, record: Record, now: Millis) -> MergeOutcome:
+        if isinstance(record, AgentRecord) or record.incarnation > (
+            self._own.incarnation
+        ):
+            self._superseded = True
+            return MergeOutcome.KNOWN
+        if record.precedence <= self._own.precedence:
+            return MergeOutcome.KNOWN
+        if self._own.state is AgentState.GONE:
+            return MergeOutcome.KNOWN
+        self._refute(record, now)
+        return MergeOutcome.KNOWN
+
+    def _refute(self, heard: BalancerRecord, now: Millis) -> None:
+        if heard.sequence > self._own.sequence or heard.state is AgentState.GONE:
+            self._own = replace(self._own, sequence=heard.sequence + 1, suspicion=0)
+            self._news.add_record(self._own, self.size)
+        else:
+            self._own = replace(self._own, suspicion=heard.suspicion + 1)
+            self._news.add_suspicion(find_bucket(heard), self.size)
+        self._table.merge(self._own, now)
+
+    def _refresh(self) -> None:
+        if self._version == self._table.balancers_version:
+            return
+        self._version = self._table.balancers_version
+        balancers = self._table.balancers
+        others = [one for one in balancers if one.endpoint != self._own.endpoint]
+        self._peers = tuple(one.endpoint for one in others)
+        self._reachable = tuple(one.endpoint for one in others if not one.is_suspected)
+        self._suspected = tuple(one for one in others if one.is_suspected)
+        self._rendezvous = Rendezvous(balancers)
--- /dev/null
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -0,0 +1,173 @@
+"""Comparison of records between two balancers, which repairs what gossip missed.
+
+A node that sees another digest sends its digests by bucket; the other sends what
+it holds of a few buckets that differ; from there each side sends and asks for what
+the other or it itself misses. A new node's buckets are empty, so it is sent whole
+buckets at once.
+"""
+
+import random
+from collections.abc import Iterator, Sequence
+
+from papayagw._internal.core.gossip_budget import TokenBucket
+from papayagw._internal.core.gossip_news import RECORD_BYTES, make_news
+from papayagw._internal.core.gossip_table import RecordTable
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.control import (
+    BUCKETS_PER_ZONE,
+    Bucket,
+    Digests,
+    Record,
+    RecordRequest,
+    Records,
+    Send,
+    Summary,
+)
+from papayagw._internal.models.endpoint import Endpoint
+
+DATAGRAM_BYTES = 60
+"""What a control datagram costs without its lists, in bytes."""
+
+RECORDS_PER_DATAGRAM = 40
+FINGERPRINT_BYTES = 4.5
+DIGEST_BYTES = 4.5
+
+REPAIR_INTERVAL_MS = Millis(2_000)
+"""The least time between two comparisons that a caught-up node begins."""
+
+CATCH_UP_INTERVAL_MS = Millis(300)
+"""The same while a new node is catching up."""
+
+BUCKETS_AT_ONCE = 4
+"""How many differing buckets one comparison repairs."""
+
+CAUGHT_UP_SHARE = 0.05
+"""A node has caught up when no more than this share of the buckets differ."""
+
+
+class Repairer:
+    """Finds and sends what two nodes hold differently.
+
+    Parameters
+    ----------
+    table : RecordTable
+        The records of this node.
+    budget : TokenBucket
+        Pays for what is sent.
+    random_source : random.Random
+        Chooses among differing buckets.
+    """
+
+    def __init__(
+        self, table: RecordTable, budget: TokenBucket, random_source: random.Random
+    ):
+        self._table = table
+        self._budget = budget
+        self._random = random_source
+        self._next_at = Millis(0)
+        self._caught_up = False
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether this node ever held nearly all that another one held."""
+        return self._caught_up
+
+    def on_digest(self, digest: int, source: Endpoint, now: Millis) -> Iterator[Send]:
+        """Compare the digest of all records with a peer's."""
+        if digest == self._table.digest:
+            self._caught_up = True
+            return
+        if now < self._next_at or self._budget.get_level(now) <= 0:
+            return
+        wait = REPAIR_INTERVAL_MS if self._caught_up else CATCH_UP_INTERVAL_MS
+        self._next_at = Millis(now + wait + self._random.randrange(wait))
+        message = self._make_digests()
+        self._spend(len(message.digests) * DIGEST_BYTES, now)
+        yield Send(source, message)
+
+    def on_digests(
+        self, message: Digests, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
+        """Answer a peer's digests with what this node holds of a few buckets."""
+        differing = self._find_differing(message)
+        if len(differing) <= CAUGHT_UP_SHARE * len(self._table.buckets):
+            self._caught_up = True
+        empty = set(_list_empty(message))
+        self._random.shuffle(differing)
+        for bucket in differing[:BUCKETS_AT_ONCE]:
+            if self._budget.get_level(now) <= 0:
+                return
+            if bucket in empty or bucket.zone not in message.zones:
+                members = self._table.list_members(bucket)
+                yield from self._send_records(members, source, now)
+            else:
+                yield self._summarise(bucket, source, now)
+
+    def on_summary(
+        self, message: Summary, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
+        """Send what the peer misses of a bucket, and ask for what is missing here."""
+        theirs = set(message.fingerprints)
+        ours = set(self._table.list_fingerprints(message.bucket))
+        here_only = [self._table.find(one) for one in sorted(ours - theirs)]
+        records = [record for record in here_only if record is not None]
+        yield from self._send_records(records, source, now)
+        if theirs - ours:
+            self._spend(len(theirs - ours) * FINGERPRINT_BYTES, now)
+            yield Send(source, RecordRequest(tuple(sorted(theirs - ours))))
+
+    def on_request(
+        self, message: RecordRequest, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
+        """Send the records that a peer asked for."""
+        found = [self._table.find(one) for one in message.fingerprints]
+        records = [record for record in found if record is not None]
+        yield from self._send_records(records, source, now)
+
+    def send_bucket(
+        self, bucket: Bucket, destination: Endpoint, now: Millis
+    ) -> Iterator[Send]:
+        """Tell a peer what this node holds of a bucket, as far as there is budget."""
+        if self._budget.get_level(now) > 0:
+            yield self._summarise(bucket, destination, now)
+
+    def _summarise(self, bucket: Bucket, destination: Endpoint, now: Millis) -> Send:
+        fingerprints = self._table.list_fingerprints(bucket)
+        self._spend(len(fingerprints) * FINGERPRINT_BYTES, now)
+        return Send(destination, Summary(bucket, fingerprints))
+
+    def _send_records(
+        self, records: Sequence[Record], destination: Endpoint, now: Millis
+    ) -> Iterator[Send]:
+        for start in range(0, len(records), RECORDS_PER_DATAGRAM):
+            chunk = list(records[start : start + RECORDS_PER_DATAGRAM])
+            self._spend(len(chunk) * RECORD_BYTES, now)
+            yield Send(destination, Records(make_news(chunk)))
+
+    def _make_digests(self) -> Digests:
+        zones = self._table.zones
+        buckets = _list_buckets(zones)
+        return Digests(zones, tuple(self._table.get_digest(one) for one in buckets))
+
+    def _find_differing(self, message: Digests) -> list[Bucket]:
+        theirs = dict(zip(_list_buckets(message.zones), message.digests, strict=False))
+        buckets = sorted(set(theirs) | set(self._table.buckets))
+        return [
+            bucket
+            for bucket in buckets
+            if theirs.get(bucket, 0) != self._table.get_digest(bucket)
+        ]
+
+    def _spend(self, size_bytes: float, now: Millis) -> None:
+        self._budget.spend(DATAGRAM_BYTES + int(size_bytes), now)
+
+
+def _list_buckets(zones: Sequence[str]) -> list[Bucket]:
+    return [
+        Bucket(zone, number) for zone in zones for number in range(BUCKETS_PER_ZONE)
+    ]
+
+
+def _list_empty(message: Digests) -> Iterator[Bucket]:
+    pairs = zip(_list_buckets(message.zones), message.digests, strict=False)
+    return (bucket for bucket, digest in pairs if digest == 0)
--- /dev/null
+++ b/src/papayagw/_internal/core/gossip_table.py
@@ -0,0 +1,261 @@
+"""All records that a balancer holds, with digests by which two nodes compare them.
+
+Each zone has `BUCKETS_PER_ZONE` buckets. Records of nodes that are gone stay, so
+that an older message can't bring them back, but they are in no digest: a node that
+has forgotten one and a node that hasn't yet are equal.
+"""
+
+import hashlib
+from dataclasses import replace
+from enum import Enum
+
+from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.models.agent import AgentRecord, AgentState
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.control import (
+    BUCKETS_PER_ZONE,
+    COUNTER_SPAN,
+    BalancerRecord,
+    Bucket,
+    Fingerprint,
+    Record,
+    SuspicionVector,
+)
+from papayagw._internal.models.endpoint import Endpoint
+
+GONE_KEPT_MS = Millis(24 * 3_600_000)
+"""How long the record of a node that is gone is kept."""
+
+MAX_GONE = 20_000
+"""The most records of nodes that are gone."""
+
+_HASH_BYTES = 4
+
+
+class MergeOutcome(Enum):
+    """What a record that arrived was."""
+
+    NEWS = "news"
+    KNOWN = "known"
+    STALE = "stale"
+
+
+class RecordTable:
+    """The newest record of each balancer and agent.
+
+    Parameters
+    ----------
+    directory : AgentDirectory
+        Kept equal to the agents of the table.
+    """
+
+    def __init__(self, directory: AgentDirectory):
+        self._directory = directory
+        self._records: dict[Endpoint, Record] = {}
+        self._fingerprints: dict[Endpoint, Fingerprint] = {}
+        self._by_fingerprint: dict[Fingerprint, Record] = {}
+        self._buckets: dict[Bucket, _BucketState] = {}
+        self._digest = 0
+        self._gone_at: dict[Endpoint, Millis] = {}
+        self._balancers: dict[Endpoint, BalancerRecord] = {}
+        self._balancers_version = 0
+        self._agents = 0
+
+    @property
+    def directory(self) -> AgentDirectory:
+        """The agents of the table."""
+        return self._directory
+
+    @property
+    def digest(self) -> int:
+        """Over all records of nodes that aren't gone."""
+        return self._digest
+
+    @property
+    def balancers(self) -> tuple[BalancerRecord, ...]:
+        """The balancers that aren't gone."""
+        return tuple(self._balancers.values())
+
+    @property
+    def balancers_version(self) -> int:
+        """Rises with each change of `balancers`."""
+        return self._balancers_version
+
+    @property
+    def agent_count(self) -> int:
+        """How many agents aren't gone."""
+        return self._agents
+
+    @property
+    def buckets(self) -> tuple[Bucket, ...]:
+        """The buckets that ever held a record."""
+        return tuple(self._buckets)
+
+    @property
+    def zones(self) -> tuple[str, ...]:
+        """The zones of all records."""
+        return tuple(sorted({bucket.zone for bucket in self._buckets}))
+
+    def get(self, endpoint: Endpoint) -> Record | None:
+        """Return the record of a node, or None."""
+        return self._records.get(endpoint)
+
+    def find(self, fingerprint: Fingerprint) -> Record | None:
+        """Return the record with this fingerprint, or None."""
+        return self._by_fingerprint.get(fingerprint)
+
+    def merge(self, record: Record, now: Millis) -> MergeOutcome:
+        """Take in a record."""
+        known = self._records.get(record.endpoint)
+        if known is not None and known.precedence >= record.precedence:
+            same = known.precedence == record.precedence
+            return MergeOutcome.KNOWN if same else MergeOutcome.STALE
+        if known is not None and known.state is not AgentState.GONE:
+            self._remove(known)
+        self._records[record.endpoint] = record
+        if record.state is AgentState.GONE:
+            self._gone_at[record.endpoint] = now
+        else:
+            self._gone_at.pop(record.endpoint, None)
+            self._add(record)
+        if isinstance(record, AgentRecord):
+            self._directory.merge(record)
+        return MergeOutcome.NEWS
+
+    def forget_gone(self, now: Millis) -> None:
+        """Drop the oldest records of nodes that are gone."""
+        while self._gone_at:
+            endpoint, gone_at = next(iter(self._gone_at.items()))
+            if now - gone_at < GONE_KEPT_MS and len(self._gone_at) <= MAX_GONE:
+                return
+            del self._gone_at[endpoint]
+            record = self._records.pop(endpoint)
+            if isinstance(record, AgentRecord):
+                self._directory.forget(record)
+
+    def get_digest(self, bucket: Bucket) -> int:
+        """Return the digest of a bucket, 0 for an empty one."""
+        state = self._buckets.get(bucket)
+        return 0 if state is None else state.digest
+
+    def get_size(self, bucket: Bucket) -> int:
+        """Return how many records a bucket holds."""
+        state = self._buckets.get(bucket)
+        return 0 if state is None else len(state.members)
+
+    def list_members(self, bucket: Bucket) -> tuple[Record, ...]:
+        """Return the records of a bucket."""
+        state = self._buckets.get(bucket)
+        if state is None:
+            return ()
+        return tuple(self._records[endpoint] for endpoint in state.members)
+
+    def list_fingerprints(self, bucket: Bucket) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of the records of a bucket."""
+        state = self._buckets.get(bucket)
+        if state is None:
+            return ()
+        return tuple(self._fingerprints[endpoint] for endpoint in state.members)
+
+    def make_vector(self, bucket: Bucket) -> SuspicionVector:
+        """Return who of a bucket is under suspicion."""
+        state = self._buckets.get(bucket)
+        if state is None:
+            return SuspicionVector(bucket, 0, ())
+        counters = tuple(
+            self._records[endpoint].suspicion % COUNTER_SPAN
+            for endpoint in state.list_sorted()
+        )
+        return SuspicionVector(bucket, state.index_digest, counters)
+
+    def read_vector(self, vector: SuspicionVector) -> tuple[Record, ...] | None:
+        """Return the records that `vector` changes, or None if it doesn't apply."""
+        state = self._buckets.get(vector.bucket)
+        if state is None or state.index_digest != vector.index_digest:
+            return None
+        members = state.list_sorted()
+        if len(members) != len(vector.counters):
+            return None
+        changed = []
+        for endpoint, counter in zip(members, vector.counters, strict=True):
+            record = self._records[endpoint]
+            ahead = (counter - record.suspicion) % COUNTER_SPAN
+            if 0 < ahead < COUNTER_SPAN // 2:
+                changed.append(replace(record, suspicion=record.suspicion + ahead))
+        return tuple(changed)
+
+    def _add(self, record: Record) -> None:
+        fingerprint = compute_fingerprint(record)
+        self._fingerprints[record.endpoint] = fingerprint
+        self._by_fingerprint[fingerprint] = record
+        self._digest ^= fingerprint
+        bucket = find_bucket(record)
+        state = self._buckets.setdefault(bucket, _BucketState())
+        state.add(record, fingerprint)
+        if isinstance(record, BalancerRecord):
+            self._balancers[record.endpoint] = record
+            self._balancers_version += 1
+        else:
+            self._agents += 1
+
+    def _remove(self, record: Record) -> None:
+        fingerprint = self._fingerprints.pop(record.endpoint)
+        self._by_fingerprint.pop(fingerprint, None)
+        self._digest ^= fingerprint
+        self._buckets[find_bucket(record)].remove(record, fingerprint)
+        if isinstance(record, BalancerRecord):
+            del self._balancers[record.endpoint]
+            self._balancers_version += 1
+        else:
+            self._agents -= 1
+
+
+class _BucketState:
+    """The members and digests of one bucket."""
+
+    def __init__(self) -> None:
+        self.members: set[Endpoint] = set()
+        self.digest = 0
+        self.index_digest = 0
+        self._sorted: list[Endpoint] | None = None
+
+    def add(self, record: Record, fingerprint: Fingerprint) -> None:
+        """Take in a record."""
+        self.members.add(record.endpoint)
+        self._change(record, fingerprint)
+
+    def remove(self, record: Record, fingerprint: Fingerprint) -> None:
+        """Take out a record."""
+        self.members.discard(record.endpoint)
+        self._change(record, fingerprint)
+
+    def list_sorted(self) -> list[Endpoint]:
+        """Return the members by rising endpoint."""
+        if self._sorted is None:
+            self._sorted = sorted(self.members)
+        return self._sorted
+
+    def _change(self, record: Record, fingerprint: Fingerprint) -> None:
+        self.digest ^= fingerprint
+        self.index_digest ^= _compute_identity(record)
+        self._sorted = None
+
+
+def find_bucket(record: Record) -> Bucket:
+    """Return the bucket of a record."""
+    number = _hash(str(record.endpoint)) % BUCKETS_PER_ZONE
+    return Bucket(record.zone, number)
+
+
+def compute_fingerprint(record: Record) -> Fingerprint:
+    """Return the hash of a whole record."""
+    return _hash(f"{record.endpoint} {record.precedence}")
+
+
+def _compute_identity(record: Record) -> int:
+    return _hash(f"{record.endpoint} {record.incarnation} {record.sequence}")
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2s(text.encode(), digest_size=_HASH_BYTES).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/src/papayagw/_internal/core/watcher.py
@@ -0,0 +1,261 @@
+"""A balancer's part in watching agents.
+
+An agent that falls silent is suspected, not dead: its next heartbeat at any watcher
+takes the suspicion back. It is given up only after `ABANDON_MS`, and only while
+enough agents of its service stay that say they are ready.
+"""
+
+from collections.abc import Iterator, Sequence
+
+from papayagw._internal.core.choice import unit_hash
+from papayagw._internal.core.fleet import WATCHERS, Fleet
+from papayagw._internal.core.gossip_table import compute_fingerprint
+from papayagw._internal.core.watch import SUSPECT_BEATS, WatchList
+from papayagw._internal.models.agent import AgentRecord, AgentState, Incarnation
+from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
+from papayagw._internal.models.control import (
+    Acknowledgement,
+    Announcement,
+    Heartbeat,
+    Inquiry,
+    Send,
+    Voucher,
+)
+from papayagw._internal.models.endpoint import Endpoint
+
+HEARTBEAT_BYTES = 72
+"""What a heartbeat costs on the wire, in bytes."""
+
+HEARTBEAT_BYTES_PER_SECOND = 1_800
+"""What the heartbeats that one balancer receives may cost."""
+
+MIN_INTERVAL_MS = Millis(250)
+MAX_INTERVAL_MS = Millis(3_000)
+
+ACK_BEATS = 5
+"""One heartbeat in so many is acknowledged."""
+
+MAX_SIBLINGS = 8
+"""The most siblings that an agent is told of."""
+
+ABANDON_MS = Millis(600_000)
+"""After this silence an agent is given up."""
+
+MIN_READY_SHARE = 0.5
+"""No agent is given up while fewer of its service are ready and heard."""
+
+ABANDON_CHECK_MS = Millis(5_000)
+AUDIT_TICKS = 600
+"""In so many ticks all records are checked for agents that nobody watches."""
+
+
+class Watcher:
+    """Answers agents, and notices those that fall silent.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        What this balancer knows.
+    ack_offset : int
+        Which of the heartbeats are acknowledged, so that the watchers of an agent
+        take turns.
+    """
+
+    def __init__(self, fleet: Fleet, ack_offset: int):
+        self._fleet = fleet
+        self._ack_offset = ack_offset
+        self._watch = WatchList()
+        self._configuration_version = 0
+        self._next_abandon_at = Millis(0)
+        self._audit_queue: list[AgentRecord] = []
+
+    @property
+    def watched_count(self) -> int:
+        """How many agents this balancer watches."""
+        return len(self._watch)
+
+    def set_configuration_version(self, version: int) -> None:
+        """Set the version that acknowledgements carry."""
+        self._configuration_version = version
+
+    def compute_interval(self) -> Millis:
+        """Return the time between heartbeats that keeps them within their budget."""
+        size = self._fleet.size
+        watched = self._fleet.table.agent_count * min(WATCHERS, size) / size
+        seconds = watched * HEARTBEAT_BYTES / HEARTBEAT_BYTES_PER_SECOND
+        interval = int(seconds * MILLIS_PER_SECOND)
+        return Millis(max(MIN_INTERVAL_MS, min(MAX_INTERVAL_MS, interval)))
+
+    def on_announcement(self, message: Announcement, now: Millis) -> Iterator[Send]:
+        """Take in an agent's record and acknowledge it."""
+        self._fleet.merge(message.record, now)
+        known = self._fleet.table.get(message.record.endpoint)
+        if isinstance(known, AgentRecord) and _is_alive(known, message.record):
+            self._fleet.set_suspicion(known, now)
+        yield self._acknowledge(message.record.endpoint, 0, now)
+
+    def on_heartbeat(self, message: Heartbeat, now: Millis) -> Iterator[Send]:
+        """Note a heartbeat; acknowledge some of them."""
+        known = self._fleet.table.get(message.endpoint)
+        if not _is_current(known, message):
+            yield self._acknowledge(message.endpoint, message.siblings_digest, now)
+            return
+        if not self._note_beat(
+            message.endpoint, message.incarnation, message.beat, now
+        ):
+            return
+        if (message.beat + self._ack_offset) % ACK_BEATS == 0:
+            yield self._acknowledge(message.endpoint, message.siblings_digest, now)
+
+    def on_inquiry(
+        self, message: Inquiry, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
+        """Vouch for an agent that was heard lately."""
+        since = Millis(now - int(SUSPECT_BEATS * self.compute_interval()))
+        beat = self._watch.get_beat(message.endpoint, message.incarnation, since)
+        if beat is not None:
+            yield Send(source, Voucher(message.endpoint, message.incarnation, beat))
+
+    def on_voucher(self, message: Voucher, now: Millis) -> None:
+        """Take another watcher's word for a heartbeat."""
+        if message.endpoint in self._watch:
+            self._note_beat(message.endpoint, message.incarnation, message.beat, now)
+
+    def on_tick(self, isolated: bool, now: Millis) -> Iterator[Send]:
+        """Ask about silent agents, suspect them, give them up."""
+        silence = self._watch.find_silent(now)
+        for endpoint in silence.inquire:
+            yield from self._inquire(endpoint)
+        cut_off = isolated and self._is_all_silent(now)
+        for endpoint in silence.suspect:
+            self._suspect(endpoint, cut_off, now)
+        self._audit(now)
+        if now >= self._next_abandon_at:
+            self._next_abandon_at = Millis(now + ABANDON_CHECK_MS)
+            self._abandon(now)
+
+    def excuse(self, pause_ms: Millis) -> None:
+        """Forgive all a silence during which this node was itself paused."""
+        self._watch.excuse(pause_ms)
+
+    def _note_beat(
+        self, endpoint: Endpoint, incarnation: Incarnation, beat: int, now: Millis
+    ) -> bool:
+        if not self._watch.note_beat(endpoint, incarnation, beat, now):
+            return False
+        known = self._fleet.table.get(endpoint)
+        if known is not None and known.is_suspected:
+            self._fleet.set_suspicion(known, now)
+        return True
+
+    def _acknowledge(self, agent: Endpoint, digest: int, now: Millis) -> Send:
+        known = self._fleet.table.get(agent)
+        interval = self.compute_interval()
+        watchers = self._fleet.list_watchers(agent)
+        if not isinstance(known, AgentRecord):
+            unknown = Acknowledgement(
+                Incarnation(0), 0, AgentState.READY, watchers, interval
+            )
+            return Send(agent, unknown)
+        self._watch.note_interval(agent, interval)
+        siblings = self._list_siblings(known)
+        own_digest = _compute_digest(siblings)
+        return Send(
+            agent,
+            Acknowledgement(
+                known.incarnation,
+                known.sequence,
+                known.state,
+                watchers,
+                interval,
+                () if own_digest == digest else siblings,
+                own_digest,
+                self._configuration_version,
+            ),
+        )
+
+    def _list_siblings(self, record: AgentRecord) -> tuple[AgentRecord, ...]:
+        ready = self._fleet.table.directory.find_ready(record.service_id)
+        others = [one for one in ready if one.endpoint != record.endpoint]
+        if len(others) > MAX_SIBLINGS:
+            key = str(record.endpoint).encode()
+            others.sort(key=lambda one: unit_hash(key, str(one.endpoint).encode()))
+        return tuple(others[:MAX_SIBLINGS])
+
+    def _inquire(self, endpoint: Endpoint) -> Iterator[Send]:
+        known = self._fleet.table.get(endpoint)
+        if known is None:
+            return
+        for watcher in self._fleet.list_watchers(endpoint):
+            if watcher != self._fleet.own.endpoint:
+                yield Send(watcher, Inquiry(endpoint, known.incarnation))
+
+    def _suspect(self, endpoint: Endpoint, cut_off: bool, now: Millis) -> None:
+        known = self._fleet.table.get(endpoint)
+        gone = known is None or known.state is AgentState.GONE
+        if known is None or gone or not self._fleet.is_watcher(endpoint):
+            self._watch.remove(endpoint)
+        elif not known.is_suspected and not cut_off:
+            self._fleet.set_suspicion(known, now)
+
+    def _is_all_silent(self, now: Millis) -> bool:
+        since = Millis(now - int(SUSPECT_BEATS * self.compute_interval()))
+        return len(self._watch.list_silent_since(since)) == len(self._watch)
+
+    def _audit(self, now: Millis) -> None:
+        if not self._audit_queue:
+            self._audit_queue = list(self._fleet.table.directory.records)
+        for _ in range(1 + len(self._audit_queue) // AUDIT_TICKS):
+            if not self._audit_queue:
+                return
+            record = self._audit_queue.pop()
+            if self._needs_watch(record):
+                self._watch.add(record.endpoint, record.incarnation, now)
+
+    def _needs_watch(self, record: AgentRecord) -> bool:
+        return (
+            record.endpoint not in self._watch
+            and record.state is not AgentState.GONE
+            and self._fleet.is_watcher(record.endpoint)
+        )
+
+    def _abandon(self, now: Millis) -> None:
+        since = Millis(now - ABANDON_MS)
+        for endpoint in self._watch.list_silent_since(since):
+            known = self._fleet.table.get(endpoint)
+            if isinstance(known, AgentRecord) and self._may_abandon(known):
+                self._fleet.mark_gone(known, now)
+                self._watch.remove(endpoint)
+
+    def _may_abandon(self, record: AgentRecord) -> bool:
+        if record.state is AgentState.DRAINING:
+            return record.is_suspected
+        willing = self._fleet.table.directory.find_willing(record.service_id)
+        heard = [one for one in willing if not one.is_suspected]
+        return record.is_suspected and len(heard) >= MIN_READY_SHARE * len(willing)
+
+
+def _is_current(known: object, heartbeat: Heartbeat) -> bool:
+    return (
+        isinstance(known, AgentRecord)
+        and known.incarnation == heartbeat.incarnation
+        and known.sequence == heartbeat.sequence
+        and known.state is not AgentState.GONE
+    )
+
+
+def _is_alive(known: AgentRecord, announced: AgentRecord) -> bool:
+    """Return whether an announcement takes back a suspicion."""
+    return (
+        known.is_suspected
+        and known.incarnation == announced.incarnation
+        and known.sequence == announced.sequence
+        and known.state == announced.state
+    )
+
+
+def _compute_digest(records: Sequence[AgentRecord]) -> int:
+    digest = 0
+    for record in records:
+        digest ^= compute_fingerprint(record)
+    return digest
--- a/src/papayagw/_internal/models/agent.py
+++ b/src/papayagw/_internal/models/agent.py
@@ -35,7 +35,7 @@
     incarnation : Incarnation
         The run of the agent.
     sequence : int
-        Rises with each announcement of one incarnation.
+        Rises with each change that one incarnation announces.
     service_id : ServiceId
         The service that its backend server runs.
     zone : str
@@ -44,6 +44,9 @@
         Whether it takes openings.
     weight : int
         Its strength, quantised, 0 to `MAX_WEIGHT`.
+    suspicion : int
+        How often its watchers suspected it dead and took that back since its last
+        change: odd while it is under suspicion.
     """
 
     endpoint: Endpoint
@@ -53,8 +56,14 @@
     zone: str
     state: AgentState = AgentState.READY
     weight: int = WEIGHT_ONE
+    suspicion: int = 0
 
     @property
-    def precedence(self) -> tuple[int, int, int]:
+    def precedence(self) -> tuple[int, int, int, int]:
         """What decides which of two records of one endpoint is the newer."""
-        return (self.incarnation, self.sequence, self.state)
+        return (self.incarnation, self.sequence, self.state, self.suspicion)
+
+    @property
+    def is_suspected(self) -> bool:
+        """Whether its watchers miss its heartbeats."""
+        return self.suspicion % 2 == 1
--- /dev/null
+++ b/src/papayagw/_internal/wire/control.py
@@ -0,0 +1,411 @@
+"""Encoding of control messages: one authenticated datagram each.
+
+A frame is the kind byte, the id of the fleet key, an authentication code over
+all the rest, and a packed capnp message.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from papayagw._internal.models.agent import AgentRecord, AgentState, Incarnation
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.configuration import FleetKey
+from papayagw._internal.models.control import (
+    Acknowledgement,
+    Announcement,
+    BalancerRecord,
+    Bucket,
+    ControlMessage,
+    Digests,
+    Gossip,
+    GossipKind,
+    Heartbeat,
+    Inquiry,
+    Join,
+    News,
+    RecordRequest,
+    Records,
+    Summary,
+    SuspicionVector,
+    Voucher,
+)
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.service import ServiceId
+from papayagw._internal.wire.envelope import FrameKind, pack_ip, unpack_ip
+from papayagw._internal.wire.keys import derive_key
+
+MAX_FRAME_BYTES = 1200
+"""The most bytes of a control frame, so that it is never fragmented."""
+
+_MAC_BYTES = 8
+_MAC_KEY_BYTES = 32
+_MAC_OFFSET = 2
+_PAYLOAD_OFFSET = _MAC_OFFSET + _MAC_BYTES
+_IP_BYTES = 4
+_PORT_BITS = 16
+_PORT_MASK = 0xFFFF
+_COUNTER_BITS = 4
+_COUNTER_MASK = 0x0F
+
+_schema = capnp.load(str(Path(__file__).with_name("control.capnp")))
+
+
+class ControlCodec:
+    """Writes and reads the frames of control messages.
+
+    Parameters
+    ----------
+    keys : sequence of FleetKey
+        The first one signs; all of them verify.
+    """
+
+    def __init__(self, keys: Sequence[FleetKey]):
+        self._sign_id = keys[0].key_id
+        self._macs = {key.key_id: _make_mac(key) for key in keys}
+
+    def write(self, message: ControlMessage) -> bytes:
+        """Return the frame of `message`."""
+        root = _schema.Control.new_message()
+        _WRITERS[type(message)](root, message)
+        payload: bytes = root.to_bytes_packed()
+        head = bytes((FrameKind.CONTROL, self._sign_id))
+        mac = self._macs[self._sign_id].copy()
+        mac.update(head)
+        mac.update(payload)
+        return head + mac.digest() + payload
+
+    def read(self, frame: bytes) -> ControlMessage | None:
+        """Return the message of `frame`, or None if it isn't authentic and whole."""
+        if not self._is_authentic(frame):
+            return None
+        try:
+            root = _schema.Control.from_bytes_packed(frame[_PAYLOAD_OFFSET:])
+            return _READERS[str(root.which())](root)
+        except (capnp.KjException, ValueError, IndexError, KeyError):
+            return None
+
+    def _is_authentic(self, frame: bytes) -> bool:
+        if len(frame) <= _PAYLOAD_OFFSET or frame[0] != FrameKind.CONTROL:
+            return False
+        known = self._macs.get(frame[1])
+        if known is None:
+            return False
+        mac = known.copy()
+        mac.update(frame[:_MAC_OFFSET])
+        mac.update(frame[_PAYLOAD_OFFSET:])
+        return hmac.compare_digest(mac.digest(), frame[_MAC_OFFSET:_PAYLOAD_OFFSET])
+
+
+def _make_mac(key: FleetKey) -> hashlib.blake2s:
+    secret = derive_key(key, "control", _MAC_KEY_BYTES)
+    return hashlib.blake2s(key=secret, digest_size=_MAC_BYTES)
+
+
+def _ip_to_int(endpoint: Endpoint) -> int:
+    return int.from_bytes(pack_ip(endpoint.ip), "big")
+
+
+def _int_to_ip(number: int) -> str:
+    return unpack_ip(number.to_bytes(_IP_BYTES, "big"))
+
+
+def _write_endpoint(target: Any, endpoint: Endpoint) -> None:
+    target.ip = _ip_to_int(endpoint)
+    target.port = endpoint.port
+
+
+def _read_endpoint(source: Any) -> Endpoint:
+    return Endpoint(_int_to_ip(source.ip), source.port)
+
+
+def _write_agent(target: Any, record: AgentRecord, zone: int) -> None:
+    _write_endpoint(target, record.endpoint)
+    target.service = record.service_id
+    target.incarnation = record.incarnation
+    target.sequence = record.sequence
+    target.zone = zone
+    target.state = int(record.state)
+    target.weight = record.weight
+    target.suspicion = record.suspicion
+
+
+def _read_agent(source: Any, zones: Sequence[str]) -> AgentRecord:
+    return AgentRecord(
+        _read_endpoint(source),
+        Incarnation(source.incarnation),
+        source.sequence,
+        ServiceId(source.service),
+        zones[source.zone],
+        AgentState(source.state),
+        source.weight,
+        source.suspicion,
+    )
+
+
+def _write_balancer(target: Any, record: BalancerRecord, zone: int) -> None:
+    _write_endpoint(target, record.endpoint)
+    target.incarnation = record.incarnation
+    target.sequence = record.sequence
+    target.zone = zone
+    target.state = int(record.state)
+    target.suspicion = record.suspicion
+
+
+def _read_balancer(source: Any, zones: Sequence[str]) -> BalancerRecord:
+    return BalancerRecord(
+        _read_endpoint(source),
+        Incarnation(source.incarnation),
+        zones[source.zone],
+        source.sequence,
+        AgentState(source.state),
+        source.suspicion,
+    )
+
+
+def _write_news(root: Any, news: News) -> None:
+    zones = _write_zones(root, news)
+    if news.agents:
+        agents = root.init("agents", len(news.agents))
+        for target, agent in zip(agents, news.agents, strict=True):
+            _write_agent(target, agent, zones[agent.zone])
+    if news.balancers:
+        balancers = root.init("balancers", len(news.balancers))
+        for target, balancer in zip(balancers, news.balancers, strict=True):
+            _write_balancer(target, balancer, zones[balancer.zone])
+    if news.vectors:
+        vectors = root.init("vectors", len(news.vectors))
+        for target, vector in zip(vectors, news.vectors, strict=True):
+            _write_vector(target, vector, zones[vector.bucket.zone])
+
+
+def _write_zones(root: Any, news: News) -> dict[str, int]:
+    zones = {record.zone for record in news.records}
+    zones.update(vector.bucket.zone for vector in news.vectors)
+    names = sorted(zones)
+    if names:
+        root.zones = names
+    return {name: index for index, name in enumerate(names)}
+
+
+def _read_news(root: Any) -> News:
+    zones = tuple(root.zones)
+    return News(
+        tuple(_read_agent(agent, zones) for agent in root.agents),
+        tuple(_read_balancer(balancer, zones) for balancer in root.balancers),
+        tuple(_read_vector(vector, zones) for vector in root.vectors),
+    )
+
+
+def _write_vector(target: Any, vector: SuspicionVector, zone: int) -> None:
+    target.indexDigest = vector.index_digest
+    target.number = vector.bucket.number
+    target.zone = zone
+    target.length = len(vector.counters)
+    target.counters = _pack_counters(vector.counters)
+
+
+def _read_vector(source: Any, zones: Sequence[str]) -> SuspicionVector:
+    bucket = Bucket(zones[source.zone], source.number)
+    counters = _unpack_counters(source.counters, source.length)
+    return SuspicionVector(bucket, source.indexDigest, counters)
+
+
+def _pack_counters(counters: Sequence[int]) -> bytes:
+    padded = (*counters, 0)
+    pairs = zip(padded[::2], padded[1::2], strict=False)
+    return bytes(low | high << _COUNTER_BITS for low, high in pairs)
+
+
+def _unpack_counters(packed: bytes, length: int) -> tuple[int, ...]:
+    counters: list[int] = []
+    for pair in packed:
+        counters += (pair & _COUNTER_MASK, pair >> _COUNTER_BITS)
+    return tuple(counters[:length])
+
+
+def _write_announcement(root: Any, message: Announcement) -> None:
+    root.announcement = None
+    _write_news(root, News(agents=(message.record,)))
+
+
+def _read_announcement(root: Any) -> Announcement:
+    return Announcement(_read_news(root).agents[0])
+
+
+def _write_heartbeat(root: Any, message: Heartbeat) -> None:
+    target = root.init("heartbeat")
+    _write_endpoint(target, message.endpoint)
+    target.incarnation = message.incarnation
+    target.sequence = message.sequence
+    target.beat = message.beat
+    target.siblingsDigest = message.siblings_digest
+
+
+def _read_heartbeat(root: Any) -> Heartbeat:
+    source = root.heartbeat
+    return Heartbeat(
+        _read_endpoint(source),
+        Incarnation(source.incarnation),
+        source.sequence,
+        source.beat,
+        source.siblingsDigest,
+    )
+
+
+def _write_acknowledgement(root: Any, message: Acknowledgement) -> None:
+    target = root.init("acknowledgement")
+    target.incarnation = message.incarnation
+    target.sequence = message.sequence
+    target.intervalMs = message.interval_ms
+    target.siblingsDigest = message.siblings_digest
+    target.configurationVersion = message.configuration_version
+    target.state = int(message.state)
+    target.watchers = [_endpoint_to_int(one) for one in message.watchers]
+    _write_news(root, News(agents=message.siblings))
+
+
+def _read_acknowledgement(root: Any) -> Acknowledgement:
+    source = root.acknowledgement
+    return Acknowledgement(
+        Incarnation(source.incarnation),
+        source.sequence,
+        AgentState(source.state),
+        tuple(_int_to_endpoint(number) for number in source.watchers),
+        Millis(source.intervalMs),
+        _read_news(root).agents,
+        source.siblingsDigest,
+        source.configurationVersion,
+    )
+
+
+def _endpoint_to_int(endpoint: Endpoint) -> int:
+    return _ip_to_int(endpoint) << _PORT_BITS | endpoint.port
+
+
+def _int_to_endpoint(number: int) -> Endpoint:
+    return Endpoint(_int_to_ip(number >> _PORT_BITS), number & _PORT_MASK)
+
+
+def _write_join(root: Any, message: Join) -> None:
+    root.join = None
+    _write_news(root, News(balancers=(message.record,)))
+
+
+def _read_join(root: Any) -> Join:
+    return Join(_read_news(root).balancers[0])
+
+
+def _write_gossip(root: Any, message: Gossip) -> None:
+    target = root.init("gossip")
+    target.kind = int(message.kind)
+    target.number = message.number
+    target.digest = message.digest
+    target.configurationVersion = message.configuration_version
+    _write_news(root, message.news)
+
+
+def _read_gossip(root: Any) -> Gossip:
+    source = root.gossip
+    return Gossip(
+        GossipKind(source.kind),
+        source.number,
+        source.digest,
+        source.configurationVersion,
+        _read_news(root),
+    )
+
+
+def _write_digests(root: Any, message: Digests) -> None:
+    root.digests = message.digests
+    root.zones = message.zones
+
+
+def _read_digests(root: Any) -> Digests:
+    return Digests(tuple(root.zones), tuple(root.digests))
+
+
+def _write_summary(root: Any, message: Summary) -> None:
+    target = root.init("summary")
+    target.number = message.bucket.number
+    root.zones = (message.bucket.zone,)
+    target.fingerprints = message.fingerprints
+
+
+def _read_summary(root: Any) -> Summary:
+    bucket = Bucket(root.zones[0], root.summary.number)
+    return Summary(bucket, tuple(root.summary.fingerprints))
+
+
+def _write_request(root: Any, message: RecordRequest) -> None:
+    root.recordRequest = message.fingerprints
+
+
+def _read_request(root: Any) -> RecordRequest:
+    return RecordRequest(tuple(root.recordRequest))
+
+
+def _write_records(root: Any, message: Records) -> None:
+    root.records = None
+    _write_news(root, message.news)
+
+
+def _read_records(root: Any) -> Records:
+    return Records(_read_news(root))
+
+
+def _write_inquiry(root: Any, message: Inquiry) -> None:
+    target = root.init("inquiry")
+    _write_endpoint(target, message.endpoint)
+    target.incarnation = message.incarnation
+
+
+def _read_inquiry(root: Any) -> Inquiry:
+    source = root.inquiry
+    return Inquiry(_read_endpoint(source), Incarnation(source.incarnation))
+
+
+def _write_voucher(root: Any, message: Voucher) -> None:
+    target = root.init("voucher")
+    _write_endpoint(target, message.endpoint)
+    target.incarnation = message.incarnation
+    target.beat = message.beat
+
+
+def _read_voucher(root: Any) -> Voucher:
+    source = root.voucher
+    incarnation = Incarnation(source.incarnation)
+    return Voucher(_read_endpoint(source), incarnation, source.beat)
+
+
+_WRITERS: dict[type, Callable[[Any, Any], None]] = {
+    Announcement: _write_announcement,
+    Heartbeat: _write_heartbeat,
+    Acknowledgement: _write_acknowledgement,
+    Join: _write_join,
+    Gossip: _write_gossip,
+    Digests: _write_digests,
+    Summary: _write_summary,
+    RecordRequest: _write_request,
+    Records: _write_records,
+    Inquiry: _write_inquiry,
+    Voucher: _write_voucher,
+}
+
+_READERS: dict[str, Callable[[Any], ControlMessage]] = {
+    "announcement": _read_announcement,
+    "heartbeat": _read_heartbeat,
+    "acknowledgement": _read_acknowledgement,
+    "join": _read_join,
+    "gossip": _read_gossip,
+    "digests": _read_digests,
+    "summary": _read_summary,
+    "recordRequest": _read_request,
+    "records": _read_records,
+    "inquiry": _read_inquiry,
+    "voucher": _read_voucher,
+}
