Add the load tool

Latency counts from the intended start of each request, which a closed loop would hide while the system is slow. Answers are judged by the request's id, the service that signed them and the checksum; at the end the backend servers' journals are held against what the callers were told, which shows doubled requests and requests that were refused and yet run.

A type of microseconds was ruled out: time is Millis, and latencies are plain integers named in microseconds on their way into the histogram.

--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -38,6 +38,7 @@
 
 COMMANDS = (
     CommandInfo(("keys", "make"), "keys_make", "Make a development certificate."),
+    CommandInfo(("load",), "load", "Put load on a site and report."),
     CommandInfo(("standin", "fabric"), "standin_fabric", "Spray packets at random."),
     CommandInfo(("standin", "backend"), "standin_backend", "Serve as a backend."),
 )
--- /dev/null
+++ b/src/papayagw/_internal/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool: open-loop arrivals of the users' workloads over TCP."""
--- /dev/null
+++ b/src/papayagw/_internal/load/client.py
@@ -0,0 +1,127 @@
+"""One request over one TCP connection."""
+
+import hashlib
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import SocketStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from papayagw._internal.load.profiles import RequestKind
+from papayagw._internal.load.verdict import (
+    Outcome,
+    judge_feed_line,
+    judge_short,
+    judge_upload,
+)
+from papayagw._internal.models.clock import Millis, to_seconds
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.standins.workload import Request, Verb
+
+MAX_LINE_BYTES = 1_024
+_PATTERN = bytes(range(256))
+
+OnFirst = Callable[[], None]
+
+
+class Exchange:
+    """A connection that carries one request.
+
+    Parameters
+    ----------
+    stream : SocketStream
+        The connection.
+    kind : RequestKind
+        What is asked for.
+    request : Request
+        The request.
+    on_first : callable
+        Called when the first line of the answer is there.
+    """
+
+    def __init__(
+        self,
+        stream: SocketStream,
+        kind: RequestKind,
+        request: Request,
+        on_first: OnFirst,
+    ):
+        self._stream = stream
+        self._reader = BufferedByteReceiveStream(stream)
+        self._kind = kind
+        self._request = request
+        self._on_first = on_first
+
+    async def run(self) -> Outcome:
+        """Send the request and judge the answer."""
+        runs: dict[Verb, Callable[[], Awaitable[Outcome]]] = {
+            Verb.FEED: self._run_feed,
+            Verb.UPLOAD: self._run_upload,
+        }
+        await self._stream.send(self._request.format_line())
+        return await runs.get(self._request.verb, self._run_short)()
+
+    async def _read_line(self) -> str:
+        line = await self._reader.receive_until(b"\n", MAX_LINE_BYTES)
+        return line.decode("ascii", "replace")
+
+    async def _run_short(self) -> Outcome:
+        line = await self._read_line()
+        self._on_first()
+        return judge_short(self._request, self._kind.service, line)
+
+    async def _run_upload(self) -> Outcome:
+        blob = make_blob(self._request)
+        await self._stream.send(blob)
+        line = await self._read_line()
+        self._on_first()
+        digest = hashlib.sha256(blob).hexdigest()
+        return judge_upload(self._request, self._kind.service, digest, line)
+
+    async def _run_feed(self) -> Outcome:
+        for number in range(self._request.numbers[0] + 1):
+            line = await self._read_line()
+            if number == 0:
+                self._on_first()
+            service = self._kind.service
+            outcome = judge_feed_line(self._request, service, number, line)
+            if outcome is not Outcome.DONE:
+                return outcome
+        return Outcome.DONE
+
+
+def make_blob(request: Request) -> bytes:
+    """Return the bytes of an upload, which no other upload shares."""
+    size = request.numbers[0]
+    name = request.request_id.encode()
+    body = _PATTERN * (size // len(_PATTERN) + 1)
+    return (name + body)[:size]
+
+
+async def run_request(
+    target: Endpoint,
+    kind: RequestKind,
+    request: Request,
+    timeout: Millis,
+    on_first: OnFirst,
+) -> Outcome:
+    """Connect, run one request and say how it ended.
+
+    `timeout` is for the first line of a feed's answer and for the whole of other
+    answers; a feed's lines may each take as long again.
+    """
+    lines = request.numbers[0] if request.verb is Verb.FEED else 0
+    interval = request.numbers[1] if request.verb is Verb.FEED else 0
+    limit = to_seconds(Millis(timeout + lines * interval))
+    try:
+        with anyio.fail_after(limit):
+            async with await anyio.connect_tcp(*target.sockaddr) as stream:
+                return await Exchange(stream, kind, request, on_first).run()
+    except TimeoutError:
+        return Outcome.UNKNOWN
+    except OSError:
+        return Outcome.REFUSED
+    except (anyio.EndOfStream, anyio.IncompleteRead, anyio.DelimiterNotFound):
+        return Outcome.BROKEN
+    except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        return Outcome.BROKEN
--- /dev/null
+++ b/src/papayagw/_internal/load/profiles.py
@@ -0,0 +1,78 @@
+"""The workloads of the two users."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from papayagw._internal.core.arrivals import Share
+from papayagw._internal.standins.workload import BackendKind, Request, Verb
+
+DEFAULT_FEED_LINES = 50
+FEED_INTERVAL_MS = 200
+DRAWING_BYTES = 256 << 10
+SPREADSHEET_BYTES = 128 << 10
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """A kind of request of a workload.
+
+    Attributes
+    ----------
+    name : str
+        What reports call it.
+    service : BackendKind
+        The service that it goes to.
+    verb : Verb
+        What it asks for.
+    numbers : tuple of int
+        The numbers that follow the id.
+    """
+
+    name: str
+    service: BackendKind
+    verb: Verb
+    numbers: tuple[int, ...] = ()
+
+    def make_request(self, request_id: str) -> Request:
+        """Return one request of this kind."""
+        return Request(self.verb, request_id, self.numbers)
+
+
+Workload = tuple[Share[RequestKind], ...]
+
+_ORDER = RequestKind("order", BackendKind.ORDER, Verb.ORDER)
+_DRAWING = RequestKind(
+    "drawing upload", BackendKind.DRAWINGS, Verb.UPLOAD, (DRAWING_BYTES,)
+)
+_RATE_CHECK = RequestKind("rate check", BackendKind.LEDGER, Verb.CHECK)
+_SPREADSHEET = RequestKind(
+    "intake upload", BackendKind.INTAKE, Verb.UPLOAD, (SPREADSHEET_BYTES,)
+)
+
+
+def make_valukoja(feed_lines: int) -> Workload:
+    """Return order feeds, orders and drawing uploads."""
+    return (
+        Share(_make_feed("order feed", BackendKind.ORDER, feed_lines), 0.1),
+        Share(_ORDER, 0.8),
+        Share(_DRAWING, 0.1),
+    )
+
+
+def make_norrbo(feed_lines: int) -> Workload:
+    """Return ledger streams, rate checks and intake uploads."""
+    return (
+        Share(_make_feed("ledger stream", BackendKind.LEDGER, feed_lines), 0.1),
+        Share(_RATE_CHECK, 0.8),
+        Share(_SPREADSHEET, 0.1),
+    )
+
+
+def _make_feed(name: str, service: BackendKind, lines: int) -> RequestKind:
+    return RequestKind(name, service, Verb.FEED, (lines, FEED_INTERVAL_MS))
+
+
+PROFILES: Mapping[str, Callable[[int], Workload]] = {
+    "valukoja": make_valukoja,
+    "norrbo": make_norrbo,
+}
--- /dev/null
+++ b/src/papayagw/_internal/load/report.py
@@ -0,0 +1,185 @@
+"""What a run of the load tool has seen, as a table and as JSON."""
+
+import json
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import asdict, dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from papayagw._internal.load.verdict import FAULTS, Outcome
+
+_LOWEST_US = 1
+_HIGHEST_US = 3_600_000_000
+_DIGITS = 3
+_US_PER_MS = 1_000
+_PERCENTILES = (50.0, 99.0, 99.9, 100.0)
+
+
+@dataclass(frozen=True, slots=True)
+class KindReport:
+    """The requests of one kind.
+
+    Attributes
+    ----------
+    outcomes : dict
+        How many requests ended in each way.
+    p50_ms, p99_ms, p999_ms, max_ms : float
+        Latency of the first answer line from the intended start.
+    """
+
+    outcomes: dict[str, int]
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class JournalReport:
+    """What the backend servers' journals say about a run.
+
+    Attributes
+    ----------
+    run : int
+        Requests that were run.
+    doubled : int
+        Requests that were run more than once, anywhere.
+    refused_but_run : int
+        Requests that were run though their caller was told that they were not.
+    done_but_not_run : int
+        Requests that were answered but are in no journal.
+    """
+
+    run: int
+    doubled: int
+    refused_but_run: int
+    done_but_not_run: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The whole run.
+
+    Attributes
+    ----------
+    seconds : float
+        How long it took.
+    kinds : dict
+        One report for each kind of request.
+    journal : JournalReport or None
+        None if no backend server's journal was read.
+    """
+
+    seconds: float
+    kinds: dict[str, KindReport]
+    journal: JournalReport | None = None
+
+    @property
+    def outcomes(self) -> Counter[str]:
+        """The outcomes of all kinds together."""
+        total: Counter[str] = Counter()
+        for report in self.kinds.values():
+            total.update(report.outcomes)
+        return total
+
+    @property
+    def has_faults(self) -> bool:
+        """Whether anything happened that must never happen."""
+        if any(self.outcomes[fault.value] for fault in FAULTS):
+            return True
+        journal = self.journal
+        return journal is not None and bool(
+            journal.doubled or journal.refused_but_run or journal.done_but_not_run
+        )
+
+    def format_json(self) -> str:
+        """Return the report as JSON."""
+        return json.dumps(asdict(self), indent=2)
+
+    def format_table(self) -> str:
+        """Return the report as a table to read."""
+        names = [outcome.value for outcome in Outcome]
+        head = ["kind", *names, "p50 ms", "p99 ms", "max ms"]
+        rows = [[name, *_format_row(one, names)] for name, one in self.kinds.items()]
+        widths = [max(len(row[i]) for row in (head, *rows)) for i in range(len(head))]
+        lines = [
+            "  ".join(
+                cell.rjust(width) for cell, width in zip(row, widths, strict=True)
+            )
+            for row in (head, *rows)
+        ]
+        if self.journal is not None:
+            counts = asdict(self.journal).items()
+            words = ", ".join(f"{name.replace('_', ' ')} {n}" for name, n in counts)
+            lines.append(f"backend servers: {words}")
+        return "\n".join(lines)
+
+
+class LoadRecorder:
+    """Collects outcomes and latencies while a run goes on."""
+
+    def __init__(self) -> None:
+        self._outcomes: dict[str, Counter[str]] = defaultdict(Counter)
+        self._latencies: dict[str, HdrHistogram] = {}
+        self._ended: dict[str, Outcome] = {}
+
+    @property
+    def ended(self) -> Mapping[str, Outcome]:
+        """How each request ended, by its id."""
+        return self._ended
+
+    def note_latency(self, kind: str, micros: int) -> None:
+        """Note the time from the intended start to the first answer line."""
+        histogram = self._latencies.get(kind)
+        if histogram is None:
+            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+            self._latencies[kind] = histogram
+        histogram.record_value(max(micros, _LOWEST_US))
+
+    def note_outcome(self, kind: str, request_id: str, outcome: Outcome) -> None:
+        """Note how a request ended."""
+        self._outcomes[kind][outcome.value] += 1
+        self._ended[request_id] = outcome
+
+    def make_report(
+        self, seconds: float, journal: JournalReport | None = None
+    ) -> LoadReport:
+        """Return what was collected."""
+        kinds = {
+            kind: KindReport(dict(outcomes), *self._percentiles(kind))
+            for kind, outcomes in sorted(self._outcomes.items())
+        }
+        return LoadReport(seconds, kinds, journal)
+
+    def _percentiles(self, kind: str) -> tuple[float, float, float, float]:
+        histogram = self._latencies.get(kind)
+        if histogram is None:
+            return (0.0, 0.0, 0.0, 0.0)
+        p50, p99, p999, top = (
+            histogram.get_value_at_percentile(one) / _US_PER_MS for one in _PERCENTILES
+        )
+        return (p50, p99, p999, top)
+
+
+def compare_journals(
+    ended: Mapping[str, Outcome], journals: Iterable[Mapping[str, int]]
+) -> JournalReport:
+    """Hold what callers were told against what the backend servers ran."""
+    runs: Counter[str] = Counter()
+    for journal in journals:
+        runs.update({one: n for one, n in journal.items() if one in ended})
+    refused = [one for one, outcome in ended.items() if outcome is Outcome.REFUSED]
+    done = [one for one, outcome in ended.items() if outcome is Outcome.DONE]
+    return JournalReport(
+        run=len(runs),
+        doubled=sum(1 for times in runs.values() if times > 1),
+        refused_but_run=sum(1 for one in refused if one in runs),
+        done_but_not_run=sum(1 for one in done if one not in runs),
+    )
+
+
+def _format_row(report: KindReport, names: list[str]) -> list[str]:
+    counts = [str(report.outcomes.get(name, 0)) for name in names]
+    times = (report.p50_ms, report.p99_ms, report.max_ms)
+    return [*counts, *(f"{one:.1f}" for one in times)]
--- /dev/null
+++ b/src/papayagw/_internal/load/run.py
@@ -0,0 +1,153 @@
+"""A run of the load tool: starts each request when it is due."""
+
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+from tqdm import tqdm
+
+from papayagw._internal.core.arrivals import Arrival, plan_arrivals
+from papayagw._internal.exceptions import PapayagwError, Step
+from papayagw._internal.load.client import run_request
+from papayagw._internal.load.profiles import RequestKind, Workload
+from papayagw._internal.load.report import (
+    LoadRecorder,
+    LoadReport,
+    compare_journals,
+)
+from papayagw._internal.load.verdict import Outcome
+from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.standins.journal_client import fetch_runs
+from papayagw._internal.standins.workload import BackendKind
+
+LONG_RUN_MS = Millis(5_000)
+"""Runs at least this long show a progress bar."""
+
+_NANOS_PER_MILLI = 1_000_000
+_NANOS_PER_MICRO = 1_000
+_NANOS_PER_SECOND = 1_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What a run does.
+
+    Attributes
+    ----------
+    workload : Workload
+        The kinds of requests.
+    targets : mapping
+        Where the requests of each service go.
+    rate : float
+        Requests a second, all kinds together.
+    duration : Millis
+        How long requests are started.
+    timeout : Millis
+        How long a caller waits for an answer.
+    max_open : int
+        Requests beyond these aren't sent.
+    seed : int
+        Seed of the arrivals.
+    run_id : str
+        The start of each request's id.
+    backends : tuple of Endpoint
+        Backend servers whose journals are read at the end.
+    """
+
+    workload: Workload
+    targets: Mapping[BackendKind, Endpoint]
+    rate: float
+    duration: Millis
+    timeout: Millis
+    max_open: int
+    seed: int
+    run_id: str
+    backends: tuple[Endpoint, ...] = ()
+
+
+class LoadRun:
+    """One run of the load tool.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        What the run does.
+    """
+
+    def __init__(self, plan: LoadPlan):
+        self._plan = plan
+        self._recorder = LoadRecorder()
+        self._open = 0
+        self._started_ns = 0
+
+    async def run(self) -> LoadReport:
+        """Carry the run out and report."""
+        self._started_ns = time.monotonic_ns()
+        is_short = self._plan.duration < LONG_RUN_MS
+        total = round(self._plan.rate * self._plan.duration / MILLIS_PER_SECOND)
+        with tqdm(total=total, disable=is_short or None, unit="request") as bar:
+            async with anyio.create_task_group() as tasks:
+                await self._start_all(tasks, bar.update)
+        seconds = (time.monotonic_ns() - self._started_ns) / _NANOS_PER_SECOND
+        if not self._plan.backends:
+            return self._recorder.make_report(seconds)
+        journals = [await fetch_runs(one) for one in self._plan.backends]
+        compared = compare_journals(self._recorder.ended, journals)
+        return self._recorder.make_report(seconds, compared)
+
+    async def _start_all(self, tasks: TaskGroup, advance: Callable[[], object]) -> None:
+        plan = self._plan
+        for arrival in plan_arrivals(
+            plan.workload, plan.rate, plan.duration, plan.seed
+        ):
+            wait_ns = self._due_ns(arrival) - time.monotonic_ns()
+            if wait_ns > 0:
+                await anyio.sleep(wait_ns / _NANOS_PER_SECOND)
+            advance()
+            if self._open >= plan.max_open:
+                self._note(arrival, Outcome.NOT_SENT)
+                continue
+            self._open += 1
+            tasks.start_soon(self._run_one, arrival)
+
+    async def _run_one(self, arrival: Arrival[RequestKind]) -> None:
+        kind = arrival.kind
+        target = self._plan.targets[kind.service]
+
+        def note_first() -> None:
+            late_ns = time.monotonic_ns() - self._due_ns(arrival)
+            self._recorder.note_latency(kind.name, late_ns // _NANOS_PER_MICRO)
+
+        request = kind.make_request(self._request_id(arrival))
+        try:
+            outcome = await run_request(
+                target, kind, request, self._plan.timeout, note_first
+            )
+        finally:
+            self._open -= 1
+        self._note(arrival, outcome)
+
+    def _note(self, arrival: Arrival[RequestKind], outcome: Outcome) -> None:
+        name = arrival.kind.name
+        self._recorder.note_outcome(name, self._request_id(arrival), outcome)
+
+    def _request_id(self, arrival: Arrival[RequestKind]) -> str:
+        return f"{self._plan.run_id}-{arrival.number}"
+
+    def _due_ns(self, arrival: Arrival[RequestKind]) -> int:
+        return self._started_ns + arrival.due * _NANOS_PER_MILLI
+
+
+def check_targets(plan: LoadPlan) -> None:
+    """Raise if a request of the workload has no target."""
+    services = {share.kind.service for share in plan.workload}
+    missing = sorted(one.value for one in services if one not in plan.targets)
+    if missing:
+        raise PapayagwError(
+            f"no target for {', '.join(missing)}",
+            step=Step.SETTINGS,
+            remedy="name one for each service: --targets order=ip:port,...",
+        )
--- a/src/papayagw/_internal/standins/workload.py
+++ b/src/papayagw/_internal/standins/workload.py
@@ -76,6 +76,11 @@
     request_id: str = ""
     numbers: tuple[int, ...] = ()
 
+    def format_line(self) -> bytes:
+        """Return the line that asks for it."""
+        words = [self.verb.value, self.request_id, *map(str, self.numbers)]
+        return " ".join(word for word in words if word).encode() + b"\n"
+
 
 def parse_request(line: bytes) -> Result[Request, str]:
     """Read a request line, or say what is wrong with it."""
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -9,12 +9,17 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
+def environment():
+    """Return the environment in which this tree's code runs."""
+    return {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+
+
 @contextmanager
 def running(*words):
     """Run a command until the block ends, once it has said that it serves."""
     process = subprocess.Popen(
         [sys.executable, "-m", "papayagw", *map(str, words)],
-        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        env=environment(),
         stdout=subprocess.PIPE,
         text=True,
     )
