Add echo requests and the starting of local fleets

The churn bench needs numbered data in both directions on one flow, and benches and tests need one way to start, kill and stop processes by name. A fleet is a settings folder, written for a bench or taken from examples/.

--- a/src/papayagw/_internal/load/client.py
+++ b/src/papayagw/_internal/load/client.py
@@ -10,6 +10,7 @@
 from papayagw._internal.load.profiles import RequestKind
 from papayagw._internal.load.verdict import (
     Outcome,
+    judge_echo,
     judge_feed_line,
     judge_short,
     judge_upload,
@@ -19,6 +20,7 @@
 from papayagw._internal.standins.workload import Request, Verb
 
 MAX_LINE_BYTES = 1_024
+ECHO_FILLING = "x" * 160
 _PATTERN = bytes(range(256))
 
 OnFirst = Callable[[], None]
@@ -57,6 +59,7 @@
         runs: dict[Verb, Callable[[], Awaitable[Outcome]]] = {
             Verb.FEED: self._run_feed,
             Verb.UPLOAD: self._run_upload,
+            Verb.ECHO: self._run_echo,
         }
         await self._stream.send(self._request.format_line())
         return await runs.get(self._request.verb, self._run_short)()
@@ -89,6 +92,19 @@
                 return outcome
         return Outcome.DONE
 
+    async def _run_echo(self) -> Outcome:
+        for number in range(self._request.numbers[0]):
+            sent = f"{number}-{self._request.request_id}-{ECHO_FILLING}"
+            await self._stream.send(f"{sent}\n".encode())
+            line = await self._read_line()
+            if number == 0:
+                self._on_first()
+            outcome = judge_echo(self._request, self._kind.service, sent, line)
+            if outcome is not Outcome.DONE:
+                return outcome
+            await anyio.sleep(to_seconds(self._kind.pause))
+        return Outcome.DONE
+
 
 def make_blob(request: Request) -> bytes:
     """Return the bytes of an upload, which no other upload shares."""
@@ -107,12 +123,9 @@
 ) -> Outcome:
     """Connect, run one request and say how it ended.
 
-    `timeout` is for the first line of a feed's answer and for the whole of other
-    answers; a feed's lines may each take as long again.
+    `timeout` counts from the time at which the last line of the answer is due.
     """
-    lines = request.numbers[0] if request.verb is Verb.FEED else 0
-    interval = request.numbers[1] if request.verb is Verb.FEED else 0
-    limit = to_seconds(Millis(timeout + lines * interval))
+    limit = to_seconds(Millis(timeout + kind.length))
     try:
         with anyio.fail_after(limit):
             async with await anyio.connect_tcp(*target.sockaddr) as stream:
--- a/src/papayagw/_internal/load/profiles.py
+++ b/src/papayagw/_internal/load/profiles.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from papayagw._internal.core.arrivals import Share
+from papayagw._internal.models.clock import Millis
 from papayagw._internal.standins.workload import BackendKind, Request, Verb
 
 DEFAULT_FEED_LINES = 50
@@ -26,12 +27,25 @@
         What it asks for.
     numbers : tuple of int
         The numbers that follow the id.
+    pause : Millis
+        The time between two lines of an echo.
     """
 
     name: str
     service: BackendKind
     verb: Verb
     numbers: tuple[int, ...] = ()
+    pause: Millis = Millis(0)
+
+    @property
+    def length(self) -> Millis:
+        """How long a request of this kind takes when nothing is late."""
+        if self.verb is Verb.FEED:
+            count, interval = self.numbers
+            return Millis(count * interval)
+        if self.verb is Verb.ECHO:
+            return Millis(self.numbers[0] * self.pause)
+        return Millis(0)
 
     def make_request(self, request_id: str) -> Request:
         """Return one request of this kind."""
--- a/src/papayagw/_internal/load/verdict.py
+++ b/src/papayagw/_internal/load/verdict.py
@@ -64,6 +64,17 @@
     return Outcome.DONE if right else Outcome.WRONG_BYTES
 
 
+def judge_echo(request: Request, service: BackendKind, sent: str, line: str) -> Outcome:
+    """Judge the answer to one line of an echo."""
+    words = line.split()
+    if (early := _judge_signature(request, service, words)) is not None:
+        return early
+    if words[1] != request.request_id:
+        return Outcome.CROSSED
+    right = words[0] == "ECHO" and words[2] == sent
+    return Outcome.DONE if right else Outcome.WRONG_BYTES
+
+
 def _judge_signature(
     request: Request, service: BackendKind, words: list[str]
 ) -> Outcome | None:
--- a/src/papayagw/_internal/standins/backend.py
+++ b/src/papayagw/_internal/standins/backend.py
@@ -89,6 +89,7 @@
             Verb.CHECK: self._serve_check,
             Verb.FEED: self._serve_feed,
             Verb.UPLOAD: self._serve_upload,
+            Verb.ECHO: self._serve_echo,
             Verb.RUNS: self._serve_runs,
             Verb.HEALTH: self._serve_health,
             Verb.DRAIN: self._serve_drain,
@@ -218,6 +219,14 @@
         await self._take_service_time(request)
         await connection.write(f"SHA256 {digest.hexdigest()} {self._plan.name}")
 
+    async def _serve_echo(self, connection: Connection, request: Request) -> None:
+        self._journal.note(request)
+        for _ in range(request.numbers[0]):
+            line = (await connection.read_line()).decode("ascii", "replace")
+            await connection.write(
+                f"ECHO {request.request_id} {line} {self._plan.name}"
+            )
+
     async def _serve_runs(self, connection: Connection, request: Request) -> None:
         await connection.write(self._journal.format_lines().rstrip("\n"))
 
--- a/src/papayagw/_internal/standins/workload.py
+++ b/src/papayagw/_internal/standins/workload.py
@@ -2,7 +2,8 @@
 
 The protocol is lines of words. ``ORDER id`` and ``CHECK id`` take a service
 time; ``FEED id count interval_ms`` is held open; ``UPLOAD id bytes`` is followed
-by that many bytes. The rest, such as ``RUNS`` and ``DRAIN``, is for whoever
+by that many bytes, and ``ECHO id count`` by that many lines, each of which is sent
+back. The rest, such as ``RUNS`` and ``DRAIN``, is for whoever
 drives a test.
 """
 
@@ -27,6 +28,7 @@
     CHECK = "CHECK"
     FEED = "FEED"
     UPLOAD = "UPLOAD"
+    ECHO = "ECHO"
     RUNS = "RUNS"
     HEALTH = "HEALTH"
     DRAIN = "DRAIN"
@@ -44,18 +46,25 @@
     INTAKE = "intake"
 
 
-WORK = frozenset((Verb.ORDER, Verb.CHECK, Verb.FEED, Verb.UPLOAD))
+WORK = frozenset((Verb.ORDER, Verb.CHECK, Verb.FEED, Verb.UPLOAD, Verb.ECHO))
 """The requests of callers; the others drive the stand-in."""
 
 SERVED: Mapping[BackendKind, frozenset[Verb]] = {
-    BackendKind.ORDER: frozenset((Verb.ORDER, Verb.FEED)),
+    BackendKind.ORDER: frozenset((Verb.ORDER, Verb.FEED, Verb.ECHO)),
     BackendKind.DRAWINGS: frozenset((Verb.UPLOAD,)),
-    BackendKind.LEDGER: frozenset((Verb.CHECK, Verb.FEED)),
+    BackendKind.LEDGER: frozenset((Verb.CHECK, Verb.FEED, Verb.ECHO)),
     BackendKind.INTAKE: frozenset((Verb.UPLOAD,)),
 }
 
 # How many numbers follow the id, or stand alone, after each verb.
-_NUMBERS = {Verb.FEED: 2, Verb.UPLOAD: 1, Verb.STALL: 1, Verb.SHED: 1, Verb.LIE: 1}
+_NUMBERS = {
+    Verb.FEED: 2,
+    Verb.UPLOAD: 1,
+    Verb.ECHO: 1,
+    Verb.STALL: 1,
+    Verb.SHED: 1,
+    Verb.LIE: 1,
+}
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/processes/test_standin_backend.py
+++ b/tests/processes/test_standin_backend.py
@@ -41,6 +41,11 @@
             b"FEED f-1 2 1\n",
             "STATUS f-1 0 order-1\nSTATUS f-1 1 order-1\nEND f-1 2 order-1\n",
         ),
+        (
+            ORDER,
+            b"ECHO e-1 2\n7\n8\n",
+            "ECHO e-1 7 order-1\nECHO e-1 8 order-1\n",
+        ),
         (ORDER, b"SING\n", "ERROR unknown request b'SING' order-1\n"),
         (ORDER, b"LIE 3\nHEALTH\n", "OK order-1\nHEALTH ready 3 order-1\n"),
         (
--- a/tests/unit/test_load_verdict.py
+++ b/tests/unit/test_load_verdict.py
@@ -3,6 +3,7 @@
 from papayagw._internal.load.report import JournalReport, LoadRecorder, compare_journals
 from papayagw._internal.load.verdict import (
     Outcome,
+    judge_echo,
     judge_feed_line,
     judge_short,
     judge_upload,
@@ -62,6 +63,20 @@
     assert judge_feed_line(FEED, BackendKind.ORDER, number, line) is outcome
 
 
+@pytest.mark.parametrize(
+    ("line", "outcome"),
+    [
+        ("ECHO e-1 7 order-1", Outcome.DONE),
+        ("ECHO e-1 8 order-1", Outcome.WRONG_BYTES),
+        ("ECHO e-2 7 order-1", Outcome.CROSSED),
+        ("ECHO e-1 7 ledger-1", Outcome.CROSSED),
+    ],
+)
+def test_echo_is_judged(line, outcome):
+    request = Request(Verb.ECHO, "e-1", (9,))
+    assert judge_echo(request, BackendKind.ORDER, "7", line) is outcome
+
+
 @pytest.mark.parametrize(
     ("ended", "journals", "expected"),
     [
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts round the product: starting fleets and running tests."""
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,229 @@
+"""Start and stop a fleet of papayagw processes on this machine.
+
+Run ``python -m tools.fleet FOLDER`` to start the fleet of a settings folder, such
+as examples/valukoja, until Ctrl-C. Benches and tests use :class:`Fleet`.
+"""
+
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Mapping, Sequence
+from contextlib import contextmanager, suppress
+from pathlib import Path
+
+from papayagw._internal.models.endpoint import Endpoint
+from tools.fleet_folder import SUFFIX, FleetPlan, read_folder, write_folder
+
+ROOT = Path(__file__).resolve().parents[1]
+READY_LIMIT_S = 60.0
+SERVING_LIMIT_S = 30.0
+STOP_LIMIT_S = 15.0
+_POLL_S = 0.02
+_ASK_LIMIT_S = 2.0
+FABRIC = "fabric"
+CONNECT = "connect"
+
+
+class FleetError(Exception):
+    """A process that doesn't do what the fleet needs."""
+
+
+class Fleet:
+    """A fleet of processes, each under the name of its settings file.
+
+    Parameters
+    ----------
+    folder : Path
+        The settings folder.
+    logs : Path
+        Where the output of each process goes.
+    fabric_flags, backend_flags : sequence of str
+        Flags for the stand-ins; `backend_flags` maps names of backend servers to
+        theirs.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        logs: Path,
+        fabric_flags: Sequence[str] = (),
+        backend_flags: Mapping[str, Sequence[str]] | None = None,
+    ):
+        self._settings = read_folder(folder)
+        self._folder = folder
+        self._logs = logs
+        self._fabric_flags = tuple(fabric_flags)
+        self._backend_flags = backend_flags or {}
+        self._processes: dict[str, subprocess.Popen] = {}
+
+    @property
+    def settings(self):
+        """What the folder says."""
+        return self._settings
+
+    @property
+    def targets(self) -> dict[str, Endpoint]:
+        """Where ordinary TCP clients reach each service."""
+        return self._settings.targets
+
+    @property
+    def backends(self) -> dict[str, Endpoint]:
+        """The backend servers, by their names."""
+        return self._settings.backends
+
+    @property
+    def names(self) -> list[str]:
+        """The names of all processes, in the order of their start."""
+        backends = [f"backend-{name}" for name in self.backends]
+        nodes = [*self._settings.balancers, *self._settings.agents]
+        return [*backends, FABRIC, *nodes, CONNECT]
+
+    def pid(self, name: str) -> int:
+        """Return the process id of a running process."""
+        return self._processes[name].pid
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a process runs."""
+        return name in self._processes and self._processes[name].poll() is None
+
+    def start(self) -> None:
+        """Start all processes, and wait until each service answers."""
+        for name in self.names:
+            self._spawn(name)
+        for name in self.names:
+            self._wait_ready(name)
+        self.wait_serving()
+
+    def start_one(self, name: str) -> None:
+        """Start one process and wait until it is ready."""
+        self._spawn(name)
+        self._wait_ready(name)
+
+    def kill(self, name: str) -> None:
+        """End a process at once, as a dead machine would."""
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def stop(self, name: str) -> int:
+        """Stop a process gracefully and return its exit code."""
+        self._processes[name].terminate()
+        return self._processes[name].wait(STOP_LIMIT_S)
+
+    def close(self) -> None:
+        """Stop all processes, in the reverse order of their start."""
+        for name in reversed(list(self._processes)):
+            if self.is_running(name):
+                self._processes[name].terminate()
+        deadline = time.monotonic() + STOP_LIMIT_S
+        for process in self._processes.values():
+            with suppress(subprocess.TimeoutExpired):
+                process.wait(max(deadline - time.monotonic(), 0))
+            process.kill()
+            process.wait()
+
+    def output(self, name: str) -> str:
+        """Return what a process has printed."""
+        return self._output_file(name).read_text(encoding="utf-8")
+
+    def wait_serving(self) -> None:
+        """Return when each service answers through the whole path."""
+        deadline = time.monotonic() + SERVING_LIMIT_S
+        for service, target in self.targets.items():
+            while not _answers(target):
+                if time.monotonic() > deadline:
+                    raise FleetError(f"{service} doesn't answer at {target}")
+                time.sleep(_POLL_S)
+
+    def _spawn(self, name: str) -> None:
+        with (
+            self._output_file(name).open("w", encoding="utf-8") as output,
+            (self._logs / f"{name}.err").open("a", encoding="utf-8") as errors,
+        ):
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "papayagw", *self._make_words(name)],
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=errors,
+            )
+
+    def _make_words(self, name: str) -> list[str]:
+        if name == FABRIC:
+            return ["standin", FABRIC, *self._settings.routes, *self._fabric_flags]
+        role, _, rest = name.partition("-")
+        if role != "backend":
+            return [role, str(self._folder / f"{name}{SUFFIX}")]
+        kind = rest.rpartition("-")[0]
+        words = ["standin", "backend", "--listen", str(self.backends[rest])]
+        flags = self._backend_flags.get(rest, ())
+        return [*words, "--kind", kind, "--name", rest, *flags]
+
+    def _wait_ready(self, name: str) -> None:
+        deadline = time.monotonic() + READY_LIMIT_S
+        while not self.output(name).startswith("ready"):
+            code = self._processes[name].poll()
+            if code is not None or time.monotonic() > deadline:
+                errors = (self._logs / f"{name}.err").read_text(encoding="utf-8")
+                raise FleetError(f"{name} isn't ready (exit code {code}): {errors}")
+            time.sleep(_POLL_S)
+
+    def _output_file(self, name: str) -> Path:
+        return self._logs / f"{name}.out"
+
+
+@contextmanager
+def running_fleet(plan: FleetPlan, **flags):
+    """Run a fleet of a plan until the block ends."""
+    with tempfile.TemporaryDirectory(prefix="papayagw-fleet-") as name:
+        folder = Path(name)
+        write_folder(plan, folder)
+        fleet = Fleet(folder, folder, **flags)
+        try:
+            fleet.start()
+            yield fleet
+        finally:
+            fleet.close()
+
+
+def ask(target: Endpoint, line: str) -> str:
+    """Return the first line of a backend server's answer, or nothing."""
+    try:
+        with socket.create_connection(target.sockaddr, _ASK_LIMIT_S) as connection:
+            connection.sendall(f"{line}\n".encode())
+            with connection.makefile("rb") as answers:
+                return answers.readline().decode().strip()
+    except OSError:
+        return ""
+
+
+def _answers(target: Endpoint) -> bool:
+    return ask(target, "HEALTH").startswith("HEALTH")
+
+
+def main(folder: str) -> None:
+    """Run the fleet of a settings folder until Ctrl-C."""
+    with tempfile.TemporaryDirectory(prefix="papayagw-logs-") as logs:
+        fleet = Fleet(Path(folder).resolve(), Path(logs))
+        try:
+            fleet.start()
+            for name in fleet.names:
+                print(f"{name:24} {fleet.pid(name)}")
+            for service, target in fleet.targets.items():
+                print(f"{service}: connect over TCP to {target}")
+            print(f"logs: {logs}; Ctrl-C stops all", flush=True)
+            while True:
+                time.sleep(1)
+        except KeyboardInterrupt:
+            pass
+        finally:
+            fleet.close()
+
+
+if __name__ == "__main__":
+    import fire
+
+    fire.Fire(main)
--- /dev/null
+++ b/tools/fleet_folder.py
@@ -0,0 +1,207 @@
+"""Settings folders of fleets: writing one for a bench, reading any.
+
+A folder holds one settings file for each process: ``balancer-*.jsonc``,
+``agent-*.jsonc`` and ``connect.jsonc``, with the base file and the overlay that
+they name. The folders under examples/ have the same form.
+"""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+from papayagw._internal.models.configuration import Site
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.node import (
+    AgentSettings,
+    BalancerSettings,
+    ConnectSettings,
+)
+from papayagw._internal.settings.development_keys import make_development_keys
+from papayagw._internal.settings.node import load_agent, load_balancer, load_connect
+from papayagw._internal.settings.site import load_site
+
+BASE = "base.jsonc"
+OVERLAY = "site.jsonc"
+KEYS = "keys"
+ENTRY_PORT = 4401
+CONNECT_PORT = 4501
+CONTROL_PORT = 4400
+SUFFIX = ".jsonc"
+
+
+@dataclass(frozen=True, slots=True)
+class Hosts:
+    """The backend servers of one service.
+
+    Attributes
+    ----------
+    service : str
+        The service: order, drawings, ledger or intake.
+    count : int
+        How many backend servers, each with an agent beside it.
+    """
+
+    service: str
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """A fleet on this machine.
+
+    Attributes
+    ----------
+    hosts : tuple of Hosts
+        The services.
+    balancers : int
+        How many balancers.
+    block : int
+        The second number of all IP numbers, so that fleets don't meet.
+    """
+
+    hosts: tuple[Hosts, ...]
+    balancers: int = 3
+    block: int = 40
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """What a folder says about its processes, by the names of their files.
+
+    Attributes
+    ----------
+    site : Site
+        The base file with its overlay.
+    balancers, agents : dict
+        The settings of each balancer and agent.
+    connect : ConnectSettings
+        The settings of the caller's machine.
+    """
+
+    site: Site
+    balancers: dict[str, BalancerSettings]
+    agents: dict[str, AgentSettings]
+    connect: ConnectSettings
+
+    @property
+    def routes(self) -> list[str]:
+        """The routes of the fabric, as its command takes them."""
+        ips = [one.bind_ip for one in self.balancers.values()]
+        entries = [service.address for service in self.site.services]
+        return [
+            f"{entry}=" + ",".join(f"{ip}:{entry.port}" for ip in ips)
+            for entry in (*entries, self.site.control_address)
+        ]
+
+    @property
+    def targets(self) -> dict[str, Endpoint]:
+        """Where ordinary TCP clients reach each service."""
+        return {one.service: one.listen for one in self.connect.listeners}
+
+    @property
+    def backends(self) -> dict[str, Endpoint]:
+        """The backend servers, by their names."""
+        return {
+            name.removeprefix("agent-"): agent.backend
+            for name, agent in self.agents.items()
+        }
+
+
+def read_folder(folder: Path) -> FleetSettings:
+    """Return what the settings files of a folder say."""
+    balancers = _read_all(folder, "balancer-*", load_balancer)
+    first = next(iter(balancers.values())).node
+    overlay = Path(first.overlay) if first.overlay else None
+    return FleetSettings(
+        site=load_site(Path(first.base or folder / BASE), overlay).unwrap(),
+        balancers=balancers,
+        agents=_read_all(folder, "agent-*", load_agent),
+        connect=load_connect(folder / f"connect{SUFFIX}").unwrap(),
+    )
+
+
+def _read_all(folder, pattern, load):
+    files = sorted(folder.glob(pattern + SUFFIX))
+    return {file.name.removesuffix(SUFFIX): load(file).unwrap() for file in files}
+
+
+def write_folder(plan: FleetPlan, folder: Path) -> None:
+    """Write the settings files and development keys of a fleet."""
+    make_development_keys(folder / KEYS, tuple(one.service for one in plan.hosts))
+    services = {one.service: {"id": i} for i, one in enumerate(plan.hosts, 1)}
+    _write(folder, BASE, {"zones": ["a", "b", "c", "d"], "services": services})
+    _write(folder, OVERLAY, _make_overlay(plan))
+    for number in range(1, plan.balancers + 1):
+        _write(folder, f"balancer-{number}{SUFFIX}", make_balancer(plan, number))
+    number = 0
+    for one in plan.hosts:
+        for index in range(1, one.count + 1):
+            number += 1
+            name = f"{one.service}-{index}"
+            settings = _make_agent(plan, one.service, name, number)
+            _write(folder, f"agent-{name}{SUFFIX}", settings)
+    _write(folder, f"connect{SUFFIX}", _make_connect(plan))
+
+
+def _write(folder: Path, name: str, content: object) -> None:
+    (folder / name).write_text(json.dumps(content, indent=2), encoding="utf-8")
+
+
+def _make_overlay(plan: FleetPlan) -> dict:
+    return {
+        "name": "bench",
+        "control_address": f"127.{plan.block}.1.100:{CONTROL_PORT}",
+        "keys": [{"id": 1, "file": f"{KEYS}/fleet.key"}],
+        "services": {
+            one.service: {"address": _make_entry(plan, index)}
+            for index, one in enumerate(plan.hosts, 1)
+        },
+    }
+
+
+def _make_entry(plan: FleetPlan, index: int) -> str:
+    return f"127.{plan.block}.1.{index}:{ENTRY_PORT + index - 1}"
+
+
+def make_balancer(plan: FleetPlan, number: int) -> dict:
+    """Return the settings of one balancer."""
+    ip = f"127.{plan.block}.0.{10 + number}"
+    return {
+        "name": f"balancer-{number}",
+        "zone": "abcd"[number % 4],
+        "inner": f"{ip}:4300",
+        "admin": f"{ip}:4390",
+        "bind_ip": ip,
+        "base": BASE,
+        "overlay": OVERLAY,
+    }
+
+
+def _make_agent(plan: FleetPlan, service: str, name: str, number: int) -> dict:
+    ip = f"127.{plan.block}.2.{number}"
+    return {
+        "name": f"agent-{name}",
+        "zone": "abcd"[number % 4],
+        "service": service,
+        "inner": f"{ip}:4310",
+        "admin": f"{ip}:4390",
+        "backend": f"127.{plan.block}.3.{number}:4320",
+        "certificate": f"{KEYS}/cert.pem",
+        "private_key": f"{KEYS}/key.pem",
+        "base": BASE,
+        "overlay": OVERLAY,
+    }
+
+
+def _make_connect(plan: FleetPlan) -> dict:
+    ip = f"127.{plan.block}.4.1"
+    listeners = [
+        {
+            "service": one.service,
+            "listen": f"{ip}:{CONNECT_PORT + index - 1}",
+            "entry": _make_entry(plan, index),
+        }
+        for index, one in enumerate(plan.hosts, 1)
+    ]
+    authority = f"{KEYS}/ca.pem"
+    return {"listeners": listeners, "authority": authority, "admin": f"{ip}:4390"}
