--- /dev/null
+++ b/bench/balancer_churn.py
@@ -0,0 +1,91 @@
+"""Flows that carry numbered data while balancers are killed and started.
+
+``python -m bench.balancer_churn`` ends one of three balancers with SIGKILL each
+second and starts the one that it ended before, while half of the flows are feeds
+and half echo numbered lines. It exits with 1 on any fault.
+"""
+
+import random
+import sys
+from functools import partial
+
+import anyio
+import fire
+
+from bench.requests import Batch, run_batches
+from bench.usage import describe_machine
+from papayagw._internal.load.profiles import RequestKind
+from papayagw._internal.load.report import LoadReport
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.standins.workload import BackendKind, Verb
+from tools.fleet import Fleet, running_fleet
+from tools.fleet_folder import FleetPlan, Hosts
+
+INTERVAL_MS = 100
+MILLIS_PER_SECOND = 1_000
+TIMEOUT_MS = Millis(60_000)
+LINE_BYTES = 190
+PLAN = FleetPlan(hosts=(Hosts("order", 2), Hosts("ledger", 2)), block=42)
+
+
+async def churn(fleet: Fleet, seconds: int, seed: int) -> int:
+    """Kill one balancer a second and start the one before; return the kills."""
+    draw = random.Random(seed)
+    names = list(fleet.settings.balancers)
+    dead = None
+    for _ in range(seconds):
+        victim = draw.choice([name for name in names if name != dead])
+        fleet.kill(victim)
+        if dead is not None:
+            await anyio.to_thread.run_sync(fleet.start_one, dead)
+        dead = victim
+        await anyio.sleep(1)
+    return seconds
+
+
+async def run(fleet: Fleet, flows: int, seconds: int, seed: int) -> LoadReport:
+    lines = seconds * MILLIS_PER_SECOND // INTERVAL_MS
+    feed = RequestKind("feed", BackendKind.ORDER, Verb.FEED, (lines, INTERVAL_MS))
+    pause = Millis(INTERVAL_MS)
+    echo = RequestKind("echo", BackendKind.LEDGER, Verb.ECHO, (lines,), pause)
+    half = flows // 2
+    batches = [
+        Batch(feed, fleet.targets["order"], half, half),
+        Batch(echo, fleet.targets["ledger"], flows - half, flows - half),
+    ]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(partial(churn, fleet, seconds, seed))
+        return await run_batches(batches, TIMEOUT_MS, tuple(fleet.backends.values()))
+
+
+def main(flows: int = 200, seconds: int = 30, seed: int = 1, health: bool = False):
+    """Run the churn once and print what became of the flows.
+
+    Parameters
+    ----------
+    flows : int
+        How many flows are open all the time.
+    seconds : int
+        How long.
+    seed : int
+        Seed of the choice of balancers and of the fabric's choices.
+    health : bool
+        Whether the fabric leaves out a balancer whose host refuses packets.
+    """
+    flags = ["--seed", str(seed), *(["--health"] if health else [])]
+    with running_fleet(PLAN, fabric_flags=flags) as fleet:
+        report = anyio.run(run, fleet, flows, seconds, seed)
+    done = report.outcomes["done"]
+    lines = flows * seconds * MILLIS_PER_SECOND // INTERVAL_MS
+    print(describe_machine())
+    print(report.format_table())
+    print(
+        f"balancers killed {seconds}, seed {seed}, flows {flows}, done {done},"
+        f" broken {report.outcomes['broken']}, crossed {report.outcomes['crossed']},"
+        f" lines {lines}, about {lines * LINE_BYTES} bytes, {report.seconds:.1f} s"
+    )
+    sys.exit(1 if report.has_faults or done != flows else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/bench/held_flows.py
@@ -0,0 +1,83 @@
+"""Flows that are held open and silent, to see what each one costs."""
+
+import socket
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+
+from bench.usage import Line, Usage, fit_line, read_usage
+from papayagw._internal.models.endpoint import Endpoint
+from tools.fleet import Fleet
+
+_ANSWER_LIMIT_S = 30.0
+_SETTLE_S = 1.0
+_WATCH_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """What the processes use at one number of open flows.
+
+    Attributes
+    ----------
+    flows : int
+        How many flows are open and silent.
+    rss_kb : dict
+        Memory of each process, by its name.
+    cpu_share : dict
+        The share of a core that each process uses.
+    """
+
+    flows: int
+    rss_kb: dict[str, int]
+    cpu_share: dict[str, float]
+
+
+def hold_flows(
+    fleet: Fleet, target: Endpoint, sizes: tuple[int, ...], names: tuple[str, ...]
+) -> Iterator[Held]:
+    """Open more and more flows, and measure the named processes at each size."""
+    with ExitStack() as stack:
+        flows = 0
+        for size in sizes:
+            for number in range(flows, size):
+                stack.enter_context(open_feed(target, f"held-{number}"))
+            flows = size
+            time.sleep(_SETTLE_S)
+            yield _watch(fleet, size, names)
+
+
+def fit_memory(held: list[Held], name: str) -> Line:
+    """Return the memory of a process, in KB, as a line over open flows."""
+    return fit_line([one.flows for one in held], [one.rss_kb[name] for one in held])
+
+
+def fit_cpu(held: list[Held], name: str) -> Line:
+    """Return the share of a core of a process as a line over open flows."""
+    return fit_line([one.flows for one in held], [one.cpu_share[name] for one in held])
+
+
+@contextmanager
+def open_feed(target: Endpoint, feed_id: str) -> Iterator[None]:
+    """Hold a feed open that says nothing for a long time after its first line."""
+    with socket.create_connection(target.sockaddr, _ANSWER_LIMIT_S) as connection:
+        connection.sendall(f"FEED {feed_id} 2 3600000\n".encode())
+        if not connection.recv(1_024).startswith(b"STATUS"):
+            raise SystemExit(f"the feed {feed_id} wasn't opened")
+        yield
+
+
+def _watch(fleet: Fleet, flows: int, names: tuple[str, ...]) -> Held:
+    before = {name: read_usage(fleet.pid(name)) for name in names}
+    time.sleep(_WATCH_S)
+    after = {name: read_usage(fleet.pid(name)) for name in names}
+    return Held(
+        flows,
+        {name: usage.rss_kb for name, usage in after.items()},
+        {name: _share(before[name], after[name]) for name in names},
+    )
+
+
+def _share(before: Usage, after: Usage) -> float:
+    return (after.cpu_seconds - before.cpu_seconds) / _WATCH_S
--- /dev/null
+++ b/bench/packet_rate.py
@@ -0,0 +1,237 @@
+"""Packets a second through one balancer, against a bare loop in the same run.
+
+``python -m bench.packet_rate`` sends 1,200-byte packets of 100 and of 100,000
+flows to a balancer process, and the same packets to a process that does nothing
+but recvfrom and sendto. Three processes are busy: sender, middle and sink.
+"""
+
+import multiprocessing
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from multiprocessing.connection import Connection
+from pathlib import Path
+
+import fire
+
+from bench.usage import describe_machine, read_usage
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.flow import FlowRoute
+from papayagw._internal.models.service import ServiceId
+from papayagw._internal.wire.envelope import EnvelopeCodec, FrameKind
+from papayagw._internal.wire.tag import TagCodec
+from tools.fleet import ROOT
+from tools.fleet_folder import FleetPlan, Hosts, read_folder, write_folder
+
+PACKET_BYTES = 1_200
+BLOCK = 43
+SINK_PORT = 24_310
+AGENTS = 100
+BUFFER_BYTES = 4 << 20
+SHORT_HEADER = b"\x40"
+CLIENT = (f"127.{BLOCK}.9.9", SINK_PORT)
+BARE = (f"127.{BLOCK}.8.1", 24_400)
+SERVICE = ServiceId(1)
+WARM_UP_S = 0.5
+MICROS = 1_000_000
+
+_SPAWN = multiprocessing.get_context("spawn")
+
+
+@dataclass(frozen=True, slots=True)
+class Rate:
+    """What one middle process has done.
+
+    Attributes
+    ----------
+    name : str
+        The case.
+    per_second : float
+        Packets that it handed on.
+    cpu_us : float
+        Its processor time for each of them.
+    busy : float
+        The share of one core that it used.
+    rss_kb : int
+        Its memory.
+    """
+
+    name: str
+    per_second: float
+    cpu_us: float
+    busy: float
+    rss_kb: int
+
+
+def make_socket(address: tuple[str, int] | None = None) -> socket.socket:
+    one = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    if address is not None:
+        one.bind(address)
+    return one
+
+
+def send_packets(target: tuple[str, int], folder: str, case: str, flows: int) -> None:
+    """Send packets of `flows` flows in turn, until killed."""
+    packets = make_packets(Path(folder), case, flows)
+    send = make_socket().sendto
+    while True:
+        for packet in packets:
+            send(packet, target)
+
+
+def make_packets(folder: Path, case: str, flows: int) -> list[bytes]:
+    keys = read_folder(folder).site.keys
+    if case == "answers":
+        header = EnvelopeCodec(keys).write_raw(FrameKind.ANSWER, SERVICE, CLIENT)
+        return [header + bytes(PACKET_BYTES)] * flows
+    tags = TagCodec(keys)
+    routes = [
+        FlowRoute(SERVICE, Endpoint(f"127.{BLOCK}.2.{number}", SINK_PORT), 1)
+        for number in range(1, AGENTS + 1)
+    ]
+    heads = (
+        SHORT_HEADER + tags.seal(tags.make(routes[number % AGENTS]))
+        for number in range(flows)
+    )
+    return [head.ljust(PACKET_BYTES, b"\0") for head in heads]
+
+
+def count_packets(pipe: Connection) -> None:
+    """Count what arrives; answer each message with the count so far."""
+    own = make_socket(("0.0.0.0", SINK_PORT))
+    buffer = bytearray(2 * PACKET_BYTES)
+    own.settimeout(0.2)
+    count = 0
+    pipe.send(count)
+    while True:
+        try:
+            for _ in range(1_000):
+                own.recv_into(buffer)
+                count += 1
+        except TimeoutError:
+            pass
+        if pipe.poll():
+            pipe.recv()
+            pipe.send(count)
+
+
+def run_bare_loop() -> None:
+    """Hand each packet on, with nothing but the two calls."""
+    own, out = make_socket(BARE), make_socket()
+    receive, send = own.recvfrom, out.sendto
+    while True:
+        data, _ = receive(65_535)
+        send(data, CLIENT)
+
+
+@contextmanager
+def spawned(function, *arguments) -> Iterator[int]:
+    process = _SPAWN.Process(target=function, args=arguments, daemon=True)
+    process.start()
+    try:
+        yield process.pid
+    finally:
+        process.kill()
+        process.join()
+
+
+@contextmanager
+def balancer(folder: Path) -> Iterator[int]:
+    command = [sys.executable, "-m", "papayagw", "balancer"]
+    process = subprocess.Popen(
+        [*command, str(folder / "balancer-1.jsonc")],
+        stdout=subprocess.PIPE,
+        text=True,
+        cwd=ROOT,
+    )
+    try:
+        if not process.stdout.readline().startswith("ready"):
+            raise SystemExit("the balancer didn't start")
+        yield process.pid
+    finally:
+        process.kill()
+        process.wait()
+
+
+def measure(name: str, pid: int, sink: Connection, seconds: float) -> Rate:
+    """Measure a middle process that is being sent packets."""
+    time.sleep(WARM_UP_S)
+    before, count, started = read_usage(pid), ask_count(sink), time.monotonic()
+    time.sleep(seconds)
+    after, packets = read_usage(pid), ask_count(sink) - count
+    elapsed = time.monotonic() - started
+    cpu = after.cpu_seconds - before.cpu_seconds
+    per_packet = MICROS * cpu / max(packets, 1)
+    return Rate(name, packets / elapsed, per_packet, cpu / elapsed, after.rss_kb)
+
+
+def ask_count(sink: Connection) -> int:
+    sink.send(None)
+    return sink.recv()
+
+
+def measure_all(folder: Path, seconds: float, sink: Connection) -> Iterator[Rate]:
+    """Measure the bare loop and then the balancer in each case."""
+    with (
+        spawned(run_bare_loop) as pid,
+        spawned(send_packets, BARE, str(folder), "tagged", 100),
+    ):
+        yield measure("bare loop", pid, sink, seconds)
+    settings = read_folder(folder)
+    node = settings.balancers["balancer-1"]
+    entry = (node.bind_ip, settings.site.services[0].address.port)
+    cases = [
+        ("100 flows", entry, "tagged", 100),
+        ("100,000 flows", entry, "tagged", 100_000),
+        ("answers", node.node.inner.sockaddr, "answers", 100),
+    ]
+    for name, target, case, flows in cases:
+        with (
+            balancer(folder) as pid,
+            spawned(send_packets, target, str(folder), case, flows),
+        ):
+            if flows > AGENTS:
+                time.sleep(2)
+            yield measure(name, pid, sink, seconds)
+
+
+def main(seconds: float = 4.0, least_ratio: float = 0.6, most_mb: int = 64):
+    """Measure, print a table, and exit with 1 if a target is missed.
+
+    Parameters
+    ----------
+    seconds : float
+        How long each case is measured.
+    least_ratio : float
+        The least share of the bare loop's packets that each case must reach.
+    most_mb : int
+        The most memory of the balancer.
+    """
+    here, there = _SPAWN.Pipe()
+    plan = FleetPlan((Hosts("order", 1),), balancers=1, block=BLOCK)
+    with tempfile.TemporaryDirectory() as name, spawned(count_packets, there):
+        here.recv()
+        write_folder(plan, Path(name))
+        rates = list(measure_all(Path(name), seconds, here))
+    print(f"{describe_machine()}; 3 busy processes; {PACKET_BYTES}-byte packets")
+    bare, *others = rates
+    print(f"{'case':>14} {'packets/s':>10} {'ratio':>6} {'us CPU':>7} {'busy':>5} MB")
+    for one in rates:
+        ratio = one.per_second / bare.per_second
+        print(
+            f"{one.name:>14} {one.per_second:>10.0f} {ratio:>6.2f} {one.cpu_us:>7.1f}"
+            f" {one.busy:>5.2f} {one.rss_kb / 1024:.0f}"
+        )
+    slow = any(one.per_second < least_ratio * bare.per_second for one in others)
+    large = any(one.rss_kb > most_mb * 1024 for one in others)
+    sys.exit(1 if slow or large else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/bench/usage.py
@@ -0,0 +1,69 @@
+"""Processor time and memory of processes, as Linux counts them."""
+
+import os
+import statistics
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+_UTIME, _STIME = 11, 12
+"""Places in /proc/PID/stat after the command's name."""
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a process has used.
+
+    Attributes
+    ----------
+    cpu_seconds : float
+        Processor time since its start, user and system.
+    rss_kb : int
+        Memory that it holds.
+    """
+
+    cpu_seconds: float
+    rss_kb: int
+
+
+def read_usage(pid: int) -> Usage:
+    """Return what a process has used so far."""
+    stat = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2]
+    fields = stat.split()
+    ticks = int(fields[_UTIME]) + int(fields[_STIME])
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    rss = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+    return Usage(ticks / _TICKS_PER_SECOND, int(rss.split()[1]))
+
+
+def describe_machine() -> str:
+    """Return one line on the machine and how busy others keep it."""
+    one, five, _ = os.getloadavg()
+    return f"machine: {os.cpu_count()} cores, load average {one:.1f} (1 min) {five:.1f}"
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """A straight line fitted to measurements.
+
+    Attributes
+    ----------
+    base : float
+        The value at size 0.
+    slope : float
+        What one more costs.
+    """
+
+    base: float
+    slope: float
+
+    def at(self, size: float) -> float:
+        """Return the value at `size`."""
+        return self.base + self.slope * size
+
+
+def fit_line(sizes: Sequence[float], values: Sequence[float]) -> Line:
+    """Return the least-squares line through measurements."""
+    slope, base = statistics.linear_regression(sizes, values)
+    return Line(base, slope)
