--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,169 @@
+"""What the control state of a node costs against the size of the fleet.
+
+``python -m bench.control_cost`` measures, in this process alone, the memory of
+the directory of agents, the processor time of a record that is news, of the
+choice for an opening and of reading a site's settings, each at several sizes,
+and fits a line. One process is busy.
+"""
+
+import json
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+
+from bench.usage import describe_machine, fit_line
+from papayagw._internal.core.choice import RendezvousChooser
+from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.models.agent import AgentRecord, Incarnation
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.service import ServiceId
+from papayagw._internal.settings.development_keys import make_development_keys
+from papayagw._internal.settings.site import load_site
+
+HOSTS = (500, 1_000, 2_000, 4_000, 9_500)
+SERVICES = (150, 300, 600, 1_200, 2_400)
+HOSTS_PER_SERVICE = 4
+NEWS = 200
+OPENINGS = 2_000
+MICROS = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Sweep:
+    """One cost at several sizes.
+
+    Attributes
+    ----------
+    name : str
+        What was measured.
+    unit : str
+        The unit of the values.
+    sizes : tuple of int
+        The sizes.
+    values : tuple of float
+        The cost at each size.
+    """
+
+    name: str
+    unit: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+
+
+def make_records(hosts: int, sequence: int = 1) -> list[AgentRecord]:
+    return [
+        AgentRecord(
+            Endpoint(f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 4310),
+            Incarnation(5_000),
+            sequence,
+            ServiceId(1 + number // HOSTS_PER_SERVICE),
+            "abcd"[number % 4],
+        )
+        for number in range(hosts)
+    ]
+
+
+def fill(hosts: int) -> AgentDirectory:
+    directory = AgentDirectory()
+    for record in make_records(hosts):
+        directory.merge(record)
+    return directory
+
+
+def measure_memory(hosts: int) -> float:
+    """Return KB of a directory of `hosts` agents."""
+    tracemalloc.start()
+    directory = fill(hosts)
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del directory
+    return used / 1_024
+
+
+def measure_news(hosts: int) -> float:
+    """Return us CPU of taking in one record that is news."""
+    directory = fill(hosts)
+    news = make_records(hosts, sequence=2)[:NEWS]
+    started = time.process_time()
+    for record in news:
+        directory.merge(record)
+    return (time.process_time() - started) * MICROS / len(news)
+
+
+def measure_choice(hosts: int) -> float:
+    """Return us CPU of the choice for one opening."""
+    directory, chooser = fill(hosts), RendezvousChooser()
+    keys = [number.to_bytes(8, "big") for number in range(OPENINGS)]
+    services = hosts // HOSTS_PER_SERVICE
+    started = time.process_time()
+    for number, key in enumerate(keys):
+        service_id = ServiceId(1 + number % services)
+        chooser.choose(key, directory.find_ready(service_id))
+    return (time.process_time() - started) * MICROS / OPENINGS
+
+
+def measure_settings(services: int) -> float:
+    """Return ms CPU of reading the settings of a site."""
+    with tempfile.TemporaryDirectory() as name:
+        base = write_site(Path(name), services)
+        started = time.process_time()
+        load_site(base).unwrap()
+        return (time.process_time() - started) * 1_000
+
+
+def write_site(folder: Path, services: int) -> Path:
+    make_development_keys(folder, ("order",))
+    site = {
+        "name": "large",
+        "control_address": "10.9.255.1:4400",
+        "zones": ["a", "b", "c", "d"],
+        "keys": [{"id": 1, "file": "fleet.key"}],
+        "services": {
+            f"service-{number}": {
+                "id": number,
+                "address": f"10.8.{number >> 8}.{number & 255}:{10_000 + number}",
+            }
+            for number in range(1, services + 1)
+        },
+    }
+    base = folder / "base.jsonc"
+    base.write_text(json.dumps(site, indent=2), encoding="utf-8")
+    return base
+
+
+def sweep(
+    name: str, unit: str, sizes: Sequence[int], measure: Callable[[int], float]
+) -> Sweep:
+    """Measure at each size, smallest first."""
+    return Sweep(name, unit, tuple(sizes), tuple(measure(size) for size in sizes))
+
+
+def measure_all() -> list[Sweep]:
+    return [
+        sweep("directory memory by hosts", "KB", HOSTS, measure_memory),
+        sweep("a record that is news by hosts", "us CPU", HOSTS, measure_news),
+        sweep("choice for an opening by hosts", "us CPU", HOSTS, measure_choice),
+        sweep("reading settings by services", "ms CPU", SERVICES, measure_settings),
+    ]
+
+
+def main():
+    """Measure and print."""
+    print(f"{describe_machine()}; 1 busy process")
+    for one in measure_all():
+        line = fit_line(one.sizes, one.values)
+        cells = "  ".join(
+            f"{size}: {value:.1f}"
+            for size, value in zip(one.sizes, one.values, strict=True)
+        )
+        print(f"{one.name} ({one.unit}): {cells}")
+        print(f"    line: {line.base:.2f} + {line.slope:.4f} for each one more")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
