--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -43,6 +43,7 @@
     CommandInfo(
         ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
     ),
+    CommandInfo(("load",), "load", "Put load on a site and report."),
     CommandInfo(("standin", "fabric"), "standin_fabric", "Spray packets at random."),
     CommandInfo(("standin", "backend"), "standin_backend", "Serve as a backend."),
 )
