--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -37,11 +37,15 @@
 
 
 COMMANDS = (
+    CommandInfo(("balancer",), "balancer", "Hand packets to the agents."),
+    CommandInfo(("agent",), "agent", "Own the flows of a backend server."),
+    CommandInfo(("connect",), "connect", "Carry TCP connections as flows."),
     CommandInfo(
         ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
     ),
     CommandInfo(("status",), "status", "Show what nodes are doing; record it."),
     CommandInfo(("report", "burn"), "report_burn", "Report on service-level burn."),
+    CommandInfo(("load",), "load", "Put load on a site and report."),
     CommandInfo(("standin", "fabric"), "standin_fabric", "Spray packets at random."),
     CommandInfo(("standin", "backend"), "standin_backend", "Serve as a backend."),
 )
--- a/tests/unit/test_polling.py
+++ b/tests/unit/test_polling.py
@@ -49,7 +49,8 @@
 
     poller = Poller([endpoint, silent], handle, 1)
     async with anyio.create_task_group() as tasks:
-        await server.start(tasks)
+        server.start()
+        tasks.start_soon(server.run)
         recorder.start()
         await poller.start()
         try:
@@ -57,7 +58,8 @@
         finally:
             await poller.close()
             recorder.close()
-            await server.close()
+            tasks.cancel_scope.cancel()
+            server.close()
     return seen, str(silent)
 
 
