Serve a request from end to end by separate processes

The first fleet answered nothing: the fabric's counts showed packets in and out on the control address, but they went to port 4400 of the balancers, where nobody listens; announcements belong on the inner endpoint.

--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -52,7 +52,9 @@
     return ExitCode.OK
 
 
-def _make_process(settings: AgentSettings, configuration: Configuration) -> AgentProcess:
+def _make_process(
+    settings: AgentSettings, configuration: Configuration
+) -> AgentProcess:
     service = _find_service(settings, configuration)
     inner = settings.node.inner
     incarnation = make_incarnation()
--- a/tools/fleet_folder.py
+++ b/tools/fleet_folder.py
@@ -86,12 +86,14 @@
     @property
     def routes(self) -> list[str]:
         """The routes of the fabric, as its command takes them."""
-        ips = [one.bind_ip for one in self.balancers.values()]
-        entries = [service.address for service in self.site.services]
-        return [
-            f"{entry}=" + ",".join(f"{ip}:{entry.port}" for ip in ips)
-            for entry in (*entries, self.site.control_address)
-        ]
+        balancers = self.balancers.values()
+        inner = ",".join(str(one.node.inner) for one in balancers)
+        routes = [f"{self.site.control_address}={inner}"]
+        for service in self.site.services:
+            entry = service.address
+            targets = ",".join(f"{one.bind_ip}:{entry.port}" for one in balancers)
+            routes.append(f"{entry}={targets}")
+        return routes
 
     @property
     def targets(self) -> dict[str, Endpoint]:
