--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -12,6 +12,7 @@
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.exceptions import SettingsError, Step
 from papayagw._internal.models.agent import AgentRecord
+from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.flow import FlowRoute
 from papayagw._internal.models.node import AgentSettings
@@ -20,6 +21,7 @@
 from papayagw._internal.net.agent_account import AgentAccount
 from papayagw._internal.net.agent_process import AgentProcess
 from papayagw._internal.net.clock import MonotonicClock, make_incarnation
+from papayagw._internal.observe.logs import Log, start_logs
 from papayagw._internal.settings.node import load_agent
 
 
@@ -46,16 +48,16 @@
     """
     read = unwrap(load_agent(Path(settings)))
     configuration = load_file_configuration(read.node)
-    process = _make_process(read, configuration)
+    clock = MonotonicClock()
+    log = start_logs(read.node.name, clock, read.node.log_level)
+    process = _make_process(read, configuration, clock, log)
     identity = make_identity(read.node.name, Role.AGENT, read.node.zone)
-    account = AgentAccount(
-        identity, read, process, lambda: configuration, MonotonicClock()
-    )
-    return run_observed(process, account, read.node)
+    account = AgentAccount(identity, read, process, lambda: configuration, clock)
+    return run_observed(process, account, read.node, log)
 
 
 def _make_process(
-    settings: AgentSettings, configuration: Configuration
+    settings: AgentSettings, configuration: Configuration, clock: Clock, log: Log
 ) -> AgentProcess:
     service = _find_service(settings, configuration)
     inner = settings.node.inner
@@ -67,7 +69,7 @@
     announcer = AgentAnnouncer(
         own, configuration.site.control_address, siblings, random.Random()
     )
-    return AgentProcess(settings, configuration, core, announcer, MonotonicClock())
+    return AgentProcess(settings, configuration, core, announcer, clock, log)
 
 
 def _find_service(settings: AgentSettings, configuration: Configuration) -> Service:
--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -13,6 +13,7 @@
 from papayagw._internal.net.balancer_account import BalancerAccount
 from papayagw._internal.net.balancer_process import BalancerProcess
 from papayagw._internal.net.clock import MonotonicClock, make_incarnation
+from papayagw._internal.observe.logs import start_logs
 from papayagw._internal.settings.node import load_balancer
 
 
@@ -48,12 +49,13 @@
         random.Random(),
     )
     clock = MonotonicClock()
-    process = BalancerProcess(read, configuration, directory, membership, clock)
+    log = start_logs(node.name, clock, node.log_level)
+    process = BalancerProcess(read, configuration, directory, membership, clock, log)
     identity = make_identity(node.name, Role.BALANCER, node.zone)
     account = BalancerAccount(
         identity, process, membership, lambda: configuration, clock
     )
-    return run_observed(process, account, node)
+    return run_observed(process, account, node, log)
 
 
 COMMAND = BalancerCommand()
--- a/src/papayagw/_internal/cli/commands/status.py
+++ b/src/papayagw/_internal/cli/commands/status.py
@@ -3,6 +3,7 @@
 import json
 import signal
 from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -34,6 +35,7 @@
 
 def show_status(
     *nodes: str,
+    full: bool = False,
     json: bool = False,
     every: float | None = None,
     rounds: int | None = None,
@@ -49,8 +51,10 @@
     ----------
     nodes : str
         The admin endpoints of the nodes, each as ip:port.
+    full : bool
+        Show also the peers and agents that each node knows, and its counters.
     json : bool
-        Print JSON in place of tables: one object a round.
+        Print JSON in place of tables: one object a round, with everything.
     every : float
         Ask again after so many seconds, until stopped by ctrl-C or SIGTERM. The
         exit code is then that of the last round.
@@ -64,7 +68,7 @@
     if record is not None and every is None:
         every = DEFAULT_RECORD_SECONDS
     interval = read_seconds(every, "every") if every is not None else None
-    printer = _Printer(_print_json if json else _print_tables)
+    printer = _Printer(_print_json if json else partial(_print_tables, full))
     if record is None:
         anyio.run(_watch, endpoints, printer.show, interval, rounds)
     else:
@@ -150,9 +154,9 @@
 
 
 def _print_tables(
-    reports: Sequence[StatusReport], errors: Sequence[StatusError]
+    full: bool, reports: Sequence[StatusReport], errors: Sequence[StatusError]
 ) -> None:
-    print(format_status(reports, errors), flush=True)
+    print(format_status(reports, errors, full), flush=True)
 
 
 def _print_json(reports: Sequence[StatusReport], errors: Sequence[StatusError]) -> None:
--- a/src/papayagw/_internal/cli/running.py
+++ b/src/papayagw/_internal/cli/running.py
@@ -10,7 +10,7 @@
 from papayagw._internal.net.clock import MonotonicClock, make_incarnation
 from papayagw._internal.net.daemon import Daemon, run_daemon
 from papayagw._internal.net.observed import ObservedDaemon
-from papayagw._internal.observe.logs import start_logs
+from papayagw._internal.observe.logs import Log
 
 
 def make_identity(name: str, role: Role, zone: str) -> NodeIdentity:
@@ -19,10 +19,11 @@
     return NodeIdentity(name, role, zone, make_incarnation(), started_at)
 
 
-def run_observed(daemon: Daemon, account: Account, settings: ProcessSettings) -> int:
+def run_observed(
+    daemon: Daemon, account: Account, settings: ProcessSettings, log: Log
+) -> int:
     """Run a daemon with logs, metrics and status, and return its exit code."""
     name = account.identity.name
-    log = start_logs(name, settings.log_level)
     observed = ObservedDaemon(daemon, account, settings, log)
     try:
         anyio.run(run_daemon, observed, name, settings.stop_limit_ms)
--- a/src/papayagw/_internal/exceptions.py
+++ b/src/papayagw/_internal/exceptions.py
@@ -13,6 +13,7 @@
     SETTINGS = "settings"
     START = "start"
     BIND = "bind"
+    FORWARD = "forward"
     OPEN_FLOW = "open-flow"
     HANDSHAKE = "handshake"
     CONNECT_BACKEND = "connect-backend"
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -1,6 +1,7 @@
 """The agent: the process beside each backend server that owns its flows."""
 
 import random
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -9,6 +10,7 @@
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.return_path import ReturnPath
 from papayagw._internal.core.service_meter import ServiceMeter
+from papayagw._internal.exceptions import Step
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import Accept, DropReason, Forward
@@ -19,6 +21,7 @@
 from papayagw._internal.net.agent_flow import AgentFlow
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import (
     ENVELOPE_BYTES,
     Envelope,
@@ -29,6 +32,9 @@
 from papayagw._internal.wire.quic import FlowAcceptor, ResetTokens
 from papayagw._internal.wire.tag import TagCodec
 
+LOGGED_OUTCOMES = (FlowOutcome.REFUSED, FlowOutcome.UNKNOWN)
+"""The ends of flows that are worth a line."""
+
 
 class AgentPackets:
     """The agent's packet path: envelopes in, answers out.
@@ -45,6 +51,8 @@
         The socket that envelopes come to.
     clock : Clock
         The time.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
     def __init__(
@@ -54,11 +62,13 @@
         core: AgentCore,
         socket: DatagramSocket,
         clock: Clock,
+        log: Log,
     ):
         self._settings = settings
         self._service_id = core.route.service_id
         self._socket = socket
         self._clock = clock
+        self._log = log
         self._core = core
         self._returns = ReturnPath(random.SystemRandom().randrange)
         self._table = FlowTable(clock, self._on_removed)
@@ -112,20 +122,20 @@
         """Take in an envelope; `flush` must follow."""
         envelope = self._envelopes.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
-            self._count_drop(DropReason.UNAUTHENTICATED)
+            self._count_drop(DropReason.UNAUTHENTICATED, Endpoint(*source))
             return
         balancer = envelope.balancer or Endpoint(*source)
         self._returns.note_heard(balancer, self._clock.now())
         datagram = frame[ENVELOPE_BYTES:]
         connection_id = read_connection_id(datagram)
         if connection_id is None:
-            self._count_drop(DropReason.MALFORMED)
+            self._count_drop(DropReason.MALFORMED, envelope.client)
             return
         handler = self._table.find(connection_id)
         if handler is None:
             self._on_stray(envelope, balancer, connection_id, datagram)
         elif envelope.service_id != self._service_id:
-            self._count_drop(DropReason.WRONG_SERVICE)
+            self._count_drop(DropReason.WRONG_SERVICE, envelope.client)
         else:
             self._table.receive(handler, datagram, envelope.client.sockaddr)
 
@@ -152,7 +162,7 @@
             self._on_opening(envelope, balancer, connection_id, datagram)
             return
         reason = self._core.check_tagged(envelope.service_id, route)
-        self._count_drop(reason or DropReason.UNKNOWN_FLOW)
+        self._count_drop(reason or DropReason.UNKNOWN_FLOW, envelope.client)
         if reason in (None, DropReason.STALE_INCARNATION):
             # The flow is gone for good: its caller has to know.
             reset = self._resets.make_datagram(connection_id)
@@ -176,7 +186,7 @@
                 self._pass_on(envelope, balancer, datagram, sibling)
             case _:
                 self._meter.note_refused()
-                self._count_drop(decision.reason)
+                self._count_drop(decision.reason, envelope.client)
 
     def _accept(
         self, envelope: Envelope, connection_id: bytes, datagram: bytes
@@ -191,7 +201,7 @@
             sink=self._send_answer,
             meter=self._meter.start_flow(self._clock.now()),
             clock=self._clock,
-            on_outcome=self._on_outcome,
+            on_outcome=partial(self._on_outcome, envelope.client, tag),
         )
         self._count("opened")
         self._table.add(flow, connection_id, tag)
@@ -226,14 +236,27 @@
         assert self._tasks is not None, "run() comes first"
         self._tasks.start_soon(task)  # type: ignore[arg-type]
 
-    def _on_outcome(self, outcome: FlowOutcome, reason: str) -> None:
+    def _on_outcome(
+        self, client: Endpoint, tag: bytes, outcome: FlowOutcome, reason: str
+    ) -> None:
         self._count(outcome.value)
+        if outcome in LOGGED_OUTCOMES:
+            self._log.limited(
+                f"flow {outcome.value}",
+                step=Step.DELIVER,
+                peer=client,
+                flow=tag,
+                reason=reason,
+            )
 
     def _on_removed(self, handler: FlowHandler) -> None:
         self._count("removed")
 
-    def _count_drop(self, reason: DropReason) -> None:
+    def _count_drop(self, reason: DropReason, peer: Endpoint) -> None:
         self._count(f"drop.{reason.value}")
+        self._log.limited(
+            f"packet dropped: {reason.value}", step=Step.DELIVER, peer=peer
+        )
 
     def _count(self, name: str) -> None:
         self._counts[name] = self._counts.get(name, 0) + 1
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -10,6 +10,7 @@
 from papayagw._internal.net.agent import AgentPackets
 from papayagw._internal.net.control import ControlLoop
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import FrameKind
 
 LEAVE_MS = Millis(500)
@@ -33,6 +34,8 @@
         Its part in the membership.
     clock : Clock
         The time.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
     def __init__(
@@ -42,11 +45,14 @@
         core: AgentCore,
         announcer: AgentAnnouncer,
         clock: Clock,
+        log: Log,
     ):
         self._inner = DatagramSocket(settings.node.inner)
         self._announcer = announcer
         self._clock = clock
-        self._packets = AgentPackets(settings, configuration, core, self._inner, clock)
+        self._packets = AgentPackets(
+            settings, configuration, core, self._inner, clock, log
+        )
         keys = configuration.site.keys
         self._control = ControlLoop(announcer, keys, self._inner, clock)
 
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -1,10 +1,12 @@
 """The balancer: a thin process that hands each packet on."""
 
 from papayagw._internal.core.balancer import DROP_MALFORMED, BalancerCore
+from papayagw._internal.exceptions import Step
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import BalancerDecision, DropReason, Forward
 from papayagw._internal.models.service import ServiceId
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import ENVELOPE_BYTES, EnvelopeCodec, FrameKind
 from papayagw._internal.wire.header import is_opening, read_connection_id
 from papayagw._internal.wire.tag import TagCodec
@@ -23,6 +25,8 @@
         The socket towards the agents.
     entries : dict of ServiceId to DatagramSocket
         The sockets that callers' packets come to.
+    log : Log
+        Where dropped packets are logged, a few of each kind.
     """
 
     def __init__(
@@ -31,10 +35,12 @@
         configuration: Configuration,
         inner: DatagramSocket,
         entries: dict[ServiceId, DatagramSocket],
+        log: Log,
     ):
         self._core = core
         self._inner = inner
         self._entries = entries
+        self._log = log
         self._forwarded = 0
         self._answered = 0
         self._drops: dict[DropReason, int] = dict.fromkeys(DropReason, 0)
@@ -66,26 +72,33 @@
         """Hand a caller's packet to an agent, or drop it."""
         decision = self._decide(service_id, datagram)
         if not isinstance(decision, Forward):
-            self._drops[decision.reason] += 1
+            self._drop(decision.reason, client)
             return
         self._forwarded += 1
         header = self._envelopes.write_raw(FrameKind.FORWARD, service_id, client)
         self._inner.send(header + datagram, decision.agent.sockaddr)
 
-    def on_frame(self, frame: bytes) -> None:
+    def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
         """Hand an agent's answer to its caller, or drop it."""
         answer = self._envelopes.read_answer(frame)
         if answer is None:
-            self._drops[DropReason.UNAUTHENTICATED] += 1
+            self._drop(DropReason.UNAUTHENTICATED, source)
             return
         service_id, client = answer
         entry = self._entries.get(ServiceId(service_id))
         if entry is None:
-            self._drops[DropReason.WRONG_SERVICE] += 1
+            self._drop(DropReason.WRONG_SERVICE, source)
             return
         self._answered += 1
         entry.send(frame[ENVELOPE_BYTES:], client)
 
+    def _drop(self, reason: DropReason, source: tuple[str, int]) -> None:
+        self._drops[reason] += 1
+        peer = f"{source[0]}:{source[1]}"
+        self._log.limited(
+            f"packet dropped: {reason.value}", step=Step.FORWARD, peer=peer
+        )
+
     def _decide(self, service_id: ServiceId, datagram: bytes) -> BalancerDecision:
         connection_id = read_connection_id(datagram)
         if connection_id is None:
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -13,6 +13,7 @@
 from papayagw._internal.net.balancer import BalancerPackets
 from papayagw._internal.net.control import ControlLoop, ControlNode
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import FrameKind
 
 LEAVE_MS = Millis(1_000)
@@ -34,6 +35,8 @@
         Its part in the membership.
     clock : Clock
         The time.
+    log : Log
+        Where dropped packets are logged.
     """
 
     def __init__(
@@ -43,13 +46,16 @@
         directory: AgentDirectory,
         membership: ControlNode,
         clock: Clock,
+        log: Log,
     ):
         self._settings = settings
         self._configuration = configuration
         self._inner = DatagramSocket(settings.node.inner)
         self._entries: dict[ServiceId, DatagramSocket] = {}
         core = BalancerCore(directory, RendezvousChooser())
-        self._packets = BalancerPackets(core, configuration, self._inner, self._entries)
+        self._packets = BalancerPackets(
+            core, configuration, self._inner, self._entries, log
+        )
         keys = configuration.site.keys
         self._control = ControlLoop(membership, keys, self._inner, clock)
 
@@ -113,4 +119,4 @@
                 if frame[:1] == control:
                     self._control.on_frame(frame, source)
                 else:
-                    self._packets.on_frame(frame)
+                    self._packets.on_frame(frame, source)
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -7,10 +7,12 @@
 
 from papayagw._internal.core.retry import OpeningRetry
 from papayagw._internal.core.service_meter import ServiceMeter
+from papayagw._internal.exceptions import Step
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.node import Listener
 from papayagw._internal.models.report import Side
+from papayagw._internal.net.agent import LOGGED_OUTCOMES
 from papayagw._internal.net.caller_flow import (
     CallerFlow,
     OpeningAttempt,
@@ -18,6 +20,7 @@
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
 from papayagw._internal.net.tcp import TcpListener, TcpStream
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.header import read_connection_id
 from papayagw._internal.wire.quic import (
     CALLER_ID_BYTES,
@@ -43,6 +46,8 @@
         Returns what decides about further attempts of one flow.
     clock : Clock
         The time.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
     def __init__(
@@ -51,11 +56,14 @@
         opener: FlowOpener,
         make_retry: Callable[[], OpeningRetry],
         clock: Clock,
+        log: Log,
     ):
         self._listener = TcpListener(listener.listen)
+        self._entry = listener.entry
         self._opener = opener
         self._make_retry = make_retry
         self._clock = clock
+        self._log = log
         self._socket = DatagramSocket(None)
         self._meter = ServiceMeter(listener.service, Side.CALLER)
         self._table = FlowTable(clock, self._on_removed)
@@ -131,9 +139,19 @@
         try:
             outcome = await flow.run()
             self._outcomes[outcome] += 1
+            if outcome in LOGGED_OUTCOMES:
+                self._log_end(outcome, flow.reason)
         finally:
             self._open_streams -= 1
 
+    def _log_end(self, outcome: FlowOutcome, reason: str) -> None:
+        self._log.limited(
+            f"flow {outcome.value}",
+            step=Step.OPEN_FLOW if outcome is FlowOutcome.REFUSED else Step.DELIVER,
+            peer=self._entry,
+            reason=reason,
+        )
+
     async def _receive(self) -> None:
         while True:
             await self._socket.wait_readable()
--- a/src/papayagw/_internal/net/connect_process.py
+++ b/src/papayagw/_internal/net/connect_process.py
@@ -11,6 +11,7 @@
 from papayagw._internal.models.node import ConnectSettings, Listener
 from papayagw._internal.models.opening import RetryPolicy
 from papayagw._internal.net.connect import ServiceConnector
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.quic import FlowOpener
 
 IDLE_TIMEOUT_MS = Millis(60_000)
@@ -28,12 +29,14 @@
         Its own settings.
     clock : Clock
         The time.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
-    def __init__(self, settings: ConnectSettings, clock: Clock):
+    def __init__(self, settings: ConnectSettings, clock: Clock, log: Log):
         authority = Path(settings.authority)
         self._connectors = tuple(
-            _make_connector(listener, authority, clock)
+            _make_connector(listener, authority, clock, log)
             for listener in settings.listeners
         )
 
@@ -67,10 +70,10 @@
 
 
 def _make_connector(
-    listener: Listener, authority: Path, clock: Clock
+    listener: Listener, authority: Path, clock: Clock, log: Log
 ) -> ServiceConnector:
     opener = FlowOpener(listener.service, listener.entry, authority, IDLE_TIMEOUT_MS)
-    return ServiceConnector(listener, opener, _make_retries(), clock)
+    return ServiceConnector(listener, opener, _make_retries(), clock, log)
 
 
 def _make_retries() -> Callable[[], OpeningRetry]:
--- a/src/papayagw/_internal/net/observed.py
+++ b/src/papayagw/_internal/net/observed.py
@@ -4,12 +4,13 @@
 
 import anyio
 
+from papayagw._internal.models.clock import to_seconds
 from papayagw._internal.models.node import ProcessSettings
 from papayagw._internal.models.status import NodeState, StatusReport
 from papayagw._internal.net.account import Account
 from papayagw._internal.net.admin import AdminServer
 from papayagw._internal.net.daemon import Daemon
-from papayagw._internal.net.metrics_timer import MetricsTimer
+from papayagw._internal.net.metrics_timer import FLUSH_INTERVAL_MS, MetricsTimer
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.observe.metrics import StatsdMetrics
 
@@ -58,6 +59,7 @@
         async with anyio.create_task_group() as tasks:
             for helper in self._helpers:
                 tasks.start_soon(helper.run)
+            tasks.start_soon(self._flush_logs)
             await self._daemon.run()
 
     async def drain(self) -> None:
@@ -67,6 +69,11 @@
         await self._daemon.drain()
         self._log.info("drained", **self._describe())
 
+    async def _flush_logs(self) -> None:
+        while True:
+            await anyio.sleep(to_seconds(FLUSH_INTERVAL_MS))
+            self._log.flush_suppressed()
+
     def _make_helpers(
         self, settings: ProcessSettings
     ) -> Iterator[AdminServer | MetricsTimer]:
--- a/src/papayagw/_internal/observe/logs.py
+++ b/src/papayagw/_internal/observe/logs.py
@@ -15,7 +15,7 @@
 
 from papayagw._internal.core.log_limiter import LogLimiter
 from papayagw._internal.exceptions import PapayagwError
-from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.clock import Clock
 
 _FIELDS = "papayagw_fields"
 _LEVELS = {
@@ -63,12 +63,13 @@
 
     Parameters
     ----------
-    limiter : LogLimiter
-        The limit on messages that packets from outside may cause.
+    clock : Clock
+        The time, for the limit on messages that packets from outside may cause.
     """
 
-    def __init__(self, limiter: LogLimiter | None = None):
-        self._limiter = limiter or LogLimiter()
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._limiter = LogLimiter()
 
     def debug(self, message: str, **fields: object) -> None:
         """Log what only a developer wants to see."""
@@ -96,35 +97,34 @@
         """Log a fault of the program with its traceback."""
         absl_logging.error("%s", message, extra={_FIELDS: fields}, exc_info=True)
 
-    def limited(self, message: str, now: Millis, **fields: object) -> None:
+    def limited(self, message: str, **fields: object) -> None:
         """Log a warning that may be one of a flood; `message` is its kind.
 
         Parameters
         ----------
         message : str
             The same for all messages of its kind: what differs goes in `fields`.
-        now : Millis
-            The present time.
         **fields : object
             Further fields of the line.
         """
-        suppressed = self._limiter.admit(message, now)
+        suppressed = self._limiter.admit(message, self._clock.now())
         if suppressed is None:
             return
         if suppressed:
             fields["suppressed"] = suppressed
         self._write("warning", message, fields)
 
-    def flush_suppressed(self, now: Millis) -> None:
+    def flush_suppressed(self) -> None:
         """Log how many messages were held back in floods that are over."""
-        for message, count in self._limiter.take_suppressed(now).items():
+        suppressed = self._limiter.take_suppressed(self._clock.now())
+        for message, count in suppressed.items():
             self._write("warning", message, {"suppressed": count})
 
     def _write(self, level: str, message: str, fields: dict[str, Any]) -> None:
         absl_logging.log(_LEVELS[level], "%s", message, extra={_FIELDS: fields})
 
 
-def start_logs(node: str, level: str = "info") -> Log:
+def start_logs(node: str, clock: Clock, level: str = "info") -> Log:
     """Send all logs of this process to standard error as JSON lines.
 
     Those of other libraries get through from ``warning`` up.
@@ -133,6 +133,8 @@
     ----------
     node : str
         The name of the node.
+    clock : Clock
+        The time.
     level : str
         The lowest level that is written; one of `LEVEL_NAMES`.
     """
@@ -145,7 +147,7 @@
     # absl sets the level of the root logger, which is that of other libraries.
     stdlib_logging.getLogger().setLevel(stdlib_logging.WARNING)
     absl_logging.get_absl_logger().setLevel(level.upper())
-    return Log()
+    return Log(clock)
 
 
 def _format_time(seconds: float) -> str:
--- a/src/papayagw/_internal/observe/status_text.py
+++ b/src/papayagw/_internal/observe/status_text.py
@@ -18,15 +18,26 @@
 
 
 def format_status(
-    reports: Sequence[StatusReport], errors: Sequence[StatusError]
+    reports: Sequence[StatusReport],
+    errors: Sequence[StatusError],
+    full: bool = False,
 ) -> str:
-    """Return the accounts of several nodes, and what is wrong with the others."""
+    """Return the accounts of several nodes, and what is wrong with the others.
+
+    Parameters
+    ----------
+    reports : sequence of StatusReport
+        The accounts.
+    errors : sequence of StatusError
+        The nodes that gave none.
+    full : bool
+        Whether peers, agents and counters are shown too.
+    """
+    details = (_format_peers, _format_agents, _format_counters) if full else ()
     sections = (
         _format_nodes(reports),
         _format_services(reports),
-        _format_peers(reports),
-        _format_agents(reports),
-        _format_counters(reports),
+        *(format_detail(reports) for format_detail in details),
         [f"no answer: {error}" for error in errors],
         _find_differences(reports),
     )
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -11,6 +11,7 @@
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.observe.status_json import read_status
 from tests.lib.reports import make_status
+from tests.lib.samples import ManualClock
 
 GET_STATUS = b"GET /status HTTP/1.1\r\nhost: x\r\n\r\n"
 
@@ -24,7 +25,7 @@
 async def ask_in_turn(requests, report=make_status):
     """Return the answer to each request, all to one server."""
     endpoint = find_free_endpoint()
-    server = AdminServer(endpoint, report, Log())
+    server = AdminServer(endpoint, report, Log(ManualClock()))
     answers = []
     async with anyio.create_task_group() as tasks:
         server.start()
@@ -102,4 +103,4 @@
         sock.listen()
         taken = Endpoint(*sock.getsockname())
         with pytest.raises(BindError, match=str(taken)):
-            AdminServer(taken, make_status, Log()).start()
+            AdminServer(taken, make_status, Log(ManualClock())).start()
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -6,11 +6,17 @@
 
 from papayagw._internal.exceptions import BindError, Step
 from papayagw._internal.observe.logs import start_logs
+from tests.lib.samples import ManualClock
 
 
 @pytest.fixture
-def log():
-    return start_logs("balancer-1")
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def log(clock):
+    return start_logs("balancer-1", clock)
 
 
 def read_lines(capsys):
@@ -78,10 +84,12 @@
     assert "KeyError" in line["traceback"]
 
 
-def test_flood_logs_few_lines_and_a_count(log, capsys):
+def test_flood_logs_few_lines_and_a_count(log, clock, capsys):
     for _ in range(1_000):
-        log.limited("bad tag", 0, peer="p")
-    log.flush_suppressed(1_000)
+        log.limited("bad tag", peer="p")
+    log.flush_suppressed()
+    clock.advance(1_000)
+    log.flush_suppressed()
     *first, last = read_lines(capsys)
     assert [line["peer"] for line in first] == ["p", "p", "p"]
     assert last == {"level": "warning", "message": "bad tag", "suppressed": 997}
--- a/tests/unit/test_operator_commands.py
+++ b/tests/unit/test_operator_commands.py
@@ -113,7 +113,7 @@
 def test_status_tables_show_every_part():
     other = make_status(node="order-2", configuration_version=8, services=())
     error = StatusError("silent", step=Step.STATUS, peer=NOBODY, remedy="start it")
-    lines = format_status([make_status(), other], [error]).splitlines()
+    lines = format_status([make_status(), other], [error], full=True).splitlines()
     squeezed = [" ".join(line.split()) for line in lines]
     for line in (
         "NODE ROLE ZONE STATE UP CONFIG FLOWS VERSION",
--- a/tests/unit/test_polling.py
+++ b/tests/unit/test_polling.py
@@ -39,7 +39,7 @@
         return make_status(services=(make_totals(next(opened)),))
 
     endpoint, silent = find_free_endpoint(), find_free_endpoint()
-    server = AdminServer(endpoint, report, Log())
+    server = AdminServer(endpoint, report, Log(clock))
     recorder = Recorder(RecordWriter(path), clock)
     seen = []
 
