Prove lifecycle, retry and admission by drawn histories and by mutations

Cause: the three decision modules had tables only.

Each property watches the mechanism from outside: an observer keeps its own count of what was handed over, acknowledged and told.

Random orders alone seldom reach delivery, so a history is now a plain beginning of drawn length followed by a mixture, and the admission histories run against bounds small enough to be met.

--- /dev/null
+++ b/tests/properties/admission_proof.py
@@ -0,0 +1,195 @@
+"""What must hold of admission, whatever clients offer and however work ends."""
+
+from dataclasses import dataclass
+
+from hypothesis import strategies as st
+
+from papayagw._internal.core.admission import FairAdmission, Unlimited
+from papayagw._internal.core.concurrency_limit import AdaptiveLimit, FixedLimit
+from papayagw._internal.core.fair_queue import FairQueue
+from papayagw._internal.models.admission import (
+    AdmissionDecision,
+    AdmissionPolicy,
+    AdmissionRequest,
+    WorkEnd,
+)
+from papayagw._internal.models.clock import Millis
+from tests.properties.proving import Mutation, Property
+
+POLICY = AdmissionPolicy(
+    initial_limit=2,
+    min_limit=1,
+    max_limit=2,
+    max_flows=6,
+    max_client_share=0.5,
+    queue_limit=3,
+    queue_timeout_ms=Millis(50),
+)
+
+
+@dataclass(frozen=True)
+class Offer:
+    """A client's flow arrives."""
+
+    client: str
+    patience: int | None
+
+
+@dataclass(frozen=True)
+class End:
+    """The work of some open flow ends; the flow may stay open."""
+
+    which: int
+    end: WorkEnd
+    closes: bool
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Time passes."""
+
+    duration: int
+
+
+OFFERS = st.builds(
+    Offer, st.sampled_from("aaabc"), st.one_of(st.none(), st.integers(0, 80))
+)
+ENDS = st.builds(End, st.integers(0, 20), st.sampled_from(WorkEnd), st.booleans())
+WAITS = st.builds(Wait, st.integers(1, 60))
+HISTORIES = st.lists(st.one_of(OFFERS, OFFERS, OFFERS, ENDS, WAITS), max_size=60)
+
+
+class Ledger:
+    """Every flow's story, kept apart from the mechanism."""
+
+    def __init__(self, admission):
+        self.admission = admission
+        self.now = Millis(0)
+        self.offered = 0
+        self.waiting = {}
+        self.open = []
+        self.working = {}
+
+    def offer(self, step):
+        flow, self.offered = self.offered, self.offered + 1
+        deadline = None if step.patience is None else Millis(self.now + step.patience)
+        decision = self.admission.offer(
+            AdmissionRequest(flow, step.client, deadline), self.now
+        )
+        if decision is AdmissionDecision.ADMIT:
+            self.start(flow, step.client)
+        elif decision is AdmissionDecision.QUEUE:
+            last = self.now + POLICY.queue_timeout_ms
+            until = last if deadline is None else min(last, deadline)
+            self.waiting[flow] = (step.client, until)
+
+    def start(self, flow, client):
+        own = sum(one == client for one in self.working.values())
+        assert len(self.working) < POLICY.max_limit, "over the limit"
+        assert own < POLICY.max_limit * POLICY.max_client_share, "over the share"
+        self.working[flow] = client
+        self.open.append(flow)
+        assert len(self.open) <= POLICY.max_flows, "too many flows"
+
+    def end(self, step):
+        if not self.open:
+            return
+        flow = self.open[step.which % len(self.open)]
+        self.admission.note_end(flow, step.end, self.now)
+        self.working.pop(flow, None)
+        if step.closes:
+            self.admission.close(flow)
+            self.open.remove(flow)
+
+    def poll(self):
+        results = self.admission.poll(self.now)
+        for flow in results.refused:
+            del self.waiting[flow]
+        for flow in results.admitted:
+            client, until = self.waiting.pop(flow)
+            assert until > self.now, "let through after its deadline"
+            self.start(flow, client)
+        assert len(self.waiting) <= POLICY.queue_limit, "queue over its bound"
+        assert all(until > self.now for _, until in self.waiting.values())
+        self.check_idle_capacity()
+
+    def check_idle_capacity(self):
+        """Check that nobody waits while the backend server has nothing to do."""
+        blocked = self.working or len(self.open) >= POLICY.max_flows
+        assert blocked or not self.waiting, "waits for nothing"
+
+
+def check(make, history):
+    """Run a history and then let all that wait run out."""
+    ledger = Ledger(make())
+    for step in history:
+        match step:
+            case Offer():
+                ledger.offer(step)
+            case End():
+                ledger.end(step)
+            case Wait(duration):
+                ledger.now = Millis(ledger.now + duration)
+        ledger.poll()
+    while ledger.waiting:
+        due = ledger.admission.next_at
+        assert due is not None and due > ledger.now, "a flow was forgotten"
+        ledger.now = due
+        ledger.poll()
+
+
+class NeverExpires(FairQueue):
+    """Lets flows wait beyond their time."""
+
+    def expire(self, now):
+        return ()
+
+
+class Unbounded(FairQueue):
+    """Takes any number of flows."""
+
+    def push(self, request, until):
+        self._capacity = len(self) + 1
+        return super().push(request, until)
+
+
+class ForgetsPushedOut(FairAdmission):
+    """Never tells the flows that a newcomer pushed out."""
+
+    def poll(self, now):
+        self._pushed_out.clear()
+        return super().poll(now)
+
+
+class SharesNothing(FairAdmission):
+    """Lets one client take the whole limit."""
+
+    def _may_start(self, client):
+        return self.in_progress < self.limit
+
+
+def make_product(kind=FairAdmission, queue=None):
+    """Return a factory of admission control, or of a double of it."""
+
+    def make():
+        limit = AdaptiveLimit(POLICY.initial_limit, POLICY.min_limit, POLICY.max_limit)
+        admission = kind(POLICY, limit)
+        if queue is not None:
+            admission._queue = queue(POLICY.queue_limit)
+        return admission
+
+    return make
+
+
+PROOF = Property("admission", HISTORIES, check, make_product())
+MUTATIONS = [
+    Mutation(name, PROOF, make)
+    for name, make in {
+        "NoLimit": Unlimited,
+        "HighFixedLimit": lambda: FairAdmission(POLICY, FixedLimit(99)),
+        "NeverExpires": make_product(queue=NeverExpires),
+        "UnboundedQueue": make_product(queue=Unbounded),
+        "ForgetsPushedOut": make_product(ForgetsPushedOut),
+        "SharesNothing": make_product(SharesNothing),
+    }.items()
+]
--- /dev/null
+++ b/tests/properties/retry_proof.py
@@ -0,0 +1,185 @@
+"""What must hold of the attempts of several flows that share a retry budget.
+
+A history says of each attempt what truly happened; what the caller's side hears
+of it is the truth or less: an agent that delivered a byte never says REFUSED, and
+without a completed handshake nothing was delivered.
+"""
+
+from dataclasses import dataclass
+
+from hypothesis import strategies as st
+
+from papayagw._internal.core.retry import OpeningRetry, TokenBudget, UndeliveredOnly
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.flow import FlowOutcome
+from papayagw._internal.models.opening import (
+    AttemptEnded,
+    GiveUp,
+    Reopen,
+    RetryPolicy,
+)
+from tests.properties.proving import Mutation, Property
+
+POLICY = RetryPolicy(burst=3, floor_per_second=0.5)
+
+
+@dataclass(frozen=True)
+class Truth:
+    """What happened to one attempt."""
+
+    delivered: bool
+    ended: AttemptEnded
+
+
+@st.composite
+def truths(draw):
+    """Draw what happened to an attempt and what was heard of it."""
+    handshake = draw(st.booleans())
+    delivered = handshake and draw(st.booleans())
+    told = [None, FlowOutcome.UNKNOWN]
+    told += [FlowOutcome.ANSWERED] if delivered else [FlowOutcome.REFUSED]
+    outcome = draw(st.sampled_from(told)) if handshake else None
+    answer_started = delivered and draw(st.booleans())
+    number = draw(st.sampled_from([0, 0, 0, 0, -1, 1]))
+    replayable = draw(st.sampled_from([True, True, True, False]))
+    ended = AttemptEnded(number, outcome, handshake, answer_started, replayable)
+    return Truth(delivered, ended)
+
+
+@dataclass(frozen=True)
+class Flow:
+    """One flow: its settings and its attempts, in order."""
+
+    idempotent: bool
+    deadline: Millis | None
+    attempts: list
+    waits: list
+
+
+FLOWS = st.builds(
+    Flow,
+    st.booleans(),
+    st.one_of(st.none(), st.integers(0, 3_000).map(Millis)),
+    st.lists(truths(), min_size=1, max_size=6),
+    st.lists(st.integers(0, 600), min_size=6, max_size=6),
+)
+HISTORIES = st.lists(FLOWS, min_size=1, max_size=8)
+
+
+@dataclass(frozen=True)
+class Makers:
+    """Factories of the mechanisms under test."""
+
+    rule: type = UndeliveredOnly
+    budget: type = TokenBudget
+    retry: type = OpeningRetry
+
+
+def check(make, flows):
+    """Run the flows one after the other over a shared budget."""
+    budget = make.budget(POLICY)
+    now, reopened = 0, 0
+    for flow in flows:
+        retry = make.retry(
+            POLICY,
+            budget,
+            idempotent=flow.idempotent,
+            draw=lambda: 0.5,
+            deadline=flow.deadline,
+            rule=make.rule(),
+        )
+        now, count = run_flow(retry, flow, now)
+        reopened += count
+    allowed = POLICY.burst + POLICY.ratio * len(flows)
+    assert reopened <= allowed + POLICY.floor_per_second * now / 1_000, "over budget"
+
+
+def run_flow(retry, flow, now):
+    """Return the time at the flow's end and how often it was opened again."""
+    delivered, attempt, told = 0, 1, None
+    for truth, wait in zip(flow.attempts, flow.waits, strict=False):
+        now += wait
+        ended = truth.ended
+        is_current = ended.attempt == 0 and told is None
+        number = attempt + ended.attempt
+        event = AttemptEnded(
+            number,
+            ended.outcome,
+            ended.handshake_completed,
+            ended.answer_started,
+            ended.replayable,
+        )
+        action = retry.handle_end(event, Millis(now))
+        if not is_current:
+            assert action is None, "acted on a late or crossed event"
+            continue
+        delivered += truth.delivered
+        if isinstance(action, Reopen):
+            assert action.attempt == attempt + 1 <= POLICY.max_attempts
+            assert ended.replayable and not ended.answer_started
+            assert flow.idempotent or not delivered, "may run twice"
+            assert flow.deadline is None or now <= action.at < flow.deadline
+            attempt = action.attempt
+        else:
+            assert isinstance(action, GiveUp)
+            told = action.outcome
+            assert told is not FlowOutcome.REFUSED or not delivered, "untrue refusal"
+    return now, attempt - 1
+
+
+class RetriesSilence(UndeliveredOnly):
+    """Takes an established flow that fell silent for undelivered."""
+
+    def may_have_run(self, ended):
+        return ended.outcome is FlowOutcome.UNKNOWN
+
+
+class RetriesAlways(UndeliveredOnly):
+    """Opens again whatever was delivered."""
+
+    def is_safe(self, ended, idempotent):
+        return ended.replayable and not ended.answer_started
+
+
+class RetriesStartedAnswers(UndeliveredOnly):
+    """Opens again though the caller has bytes of an answer."""
+
+    def is_safe(self, ended, idempotent):
+        return idempotent or not self.may_have_run(ended)
+
+
+class ForgetsEarlierAttempts(OpeningRetry):
+    """Tells the outcome of the last attempt only."""
+
+    def handle_end(self, ended, now):
+        self._may_have_run = False
+        return super().handle_end(ended, now)
+
+
+class TakesLateEnds(OpeningRetry):
+    """Takes the end of an abandoned attempt for the present one's."""
+
+    def handle_end(self, ended, now):
+        current = AttemptEnded(self.attempt, ended.outcome, ended.handshake_completed)
+        return super().handle_end(current, now)
+
+
+class EndlessBudget(TokenBudget):
+    """Grants every further try."""
+
+    def take(self, now):
+        return True
+
+
+PROOF = Property("retry", HISTORIES, check, Makers())
+MUTATIONS = [
+    Mutation(name, PROOF, makers)
+    for name, makers in {
+        "RetriesSilence": Makers(rule=RetriesSilence),
+        "RetriesAlways": Makers(rule=RetriesAlways),
+        "RetriesStartedAnswers": Makers(rule=RetriesStartedAnswers),
+        "ForgetsEarlierAttempts": Makers(retry=ForgetsEarlierAttempts),
+        "TakesLateEnds": Makers(retry=TakesLateEnds),
+        "EndlessBudget": Makers(budget=EndlessBudget),
+    }.items()
+]
--- /dev/null
+++ b/tests/properties/table.py
@@ -0,0 +1,7 @@
+"""All properties and all mutations, for the tests and the bench commands."""
+
+from tests.properties import admission_proof, lifecycle_proof, retry_proof
+
+MODULES = (lifecycle_proof, retry_proof, admission_proof)
+PROPERTIES = {module.PROOF.name: module.PROOF for module in MODULES}
+MUTATIONS = [mutation for module in MODULES for mutation in module.MUTATIONS]
