--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -37,7 +37,14 @@
 
 
 COMMANDS = (
-    CommandInfo(("keys", "make"), "keys_make", "Make a development certificate."),
+    CommandInfo(("balancer",), "balancer", "Hand packets to the agents."),
+    CommandInfo(("agent",), "agent", "Own the flows of a backend server."),
+    CommandInfo(("connect",), "connect", "Carry TCP connections as flows."),
+    CommandInfo(
+        ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
+    ),
+    CommandInfo(("standin", "fabric"), "standin_fabric", "Spray packets at random."),
+    CommandInfo(("standin", "backend"), "standin_backend", "Serve as a backend."),
 )
 
 
