--- a/src/papayagw/_internal/core/lifecycle.py
+++ b/src/papayagw/_internal/core/lifecycle.py
@@ -254,7 +254,8 @@
         return self._fail()
 
     def _on_stop_asked(self, event: StopAsked) -> FlowActions:
-        if self._is_begun or self._state is FlowState.FINISHING:
+        # A flow that is connected is established: it may end in its own time.
+        if self._state in _CONNECTED_STATES:
             return NOTHING
         return self._fail()
 
--- a/src/papayagw/_internal/models/lifecycle.py
+++ b/src/papayagw/_internal/models/lifecycle.py
@@ -162,7 +162,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """The agent drains: work that hasn't begun goes elsewhere."""
+    """The agent drains: a flow without a backend connection goes elsewhere."""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/lib/scenario.py
@@ -0,0 +1,126 @@
+"""A small language for scenarios; each line is a statement.
+
+    network seed=1 delay=1-20 loss=0.1 double=0.1
+    balancer NAME...            agent NAME SERVICE
+    at MS VERB WORD...          run MS
+    expect CALL OUTCOME...      (CALL may hold *; any of the outcomes)
+    expect-runs CALL COUNT      expect-idle AGENT MS    (no work after MS)
+
+Verbs: call NAME SERVICE LINES, calls PREFIX COUNT SERVICE LINES EVERY_MS, kill,
+start BALANCER, restart AGENT SERVICE, drain, freeze, thaw, cut FROM TO, split NODE
+NODE, heal, backend AGENT up|refuse|stall|break. `#` begins a comment.
+"""
+
+import random
+from fnmatch import fnmatch
+
+from tests.lib.world import World
+from tests.lib.world_nodes import Agent, Balancer, Caller
+
+
+class Scenario:
+    """Carries statements out on a world."""
+
+    def __init__(self, mechanisms=None):
+        self.random = random.Random(0)
+        self.delay = (1, 1)
+        self.loss = self.double = 0.0
+        self.world = World(self.draw_fate, self.random.choice, mechanisms)
+        self.numbers = {}
+
+    def draw_fate(self):
+        if self.random.random() < self.loss:
+            return ()
+        copies = 2 if self.random.random() < self.double else 1
+        return tuple(self.random.randint(*self.delay) for _ in range(copies))
+
+    def execute(self, text):
+        """Carry out each line of `text`."""
+        for line in text.splitlines():
+            words = line.partition("#")[0].split()
+            if words:
+                self.do(*words)
+
+    def do(self, verb, *words):
+        getattr(self, "do_" + verb.replace("-", "_"))(*words)
+
+    def find(self, name):
+        nodes = {**self.world.balancers, **self.world.agents, **self.world.calls}
+        return nodes[name]
+
+    def do_network(self, *words):
+        options = dict(word.split("=") for word in words)
+        self.random.seed(int(options.get("seed", 0)))
+        self.delay = tuple(int(end) for end in options.get("delay", "1-1").split("-"))
+        self.loss = float(options.get("loss", 0))
+        self.double = float(options.get("double", 0))
+
+    def do_balancer(self, *names):
+        for name in names:
+            self.world.balancers[name] = Balancer(self.world, name)
+
+    do_start = do_balancer
+
+    def do_agent(self, name, service):
+        number = self.numbers.setdefault(name, len(self.numbers) + 1)
+        self.world.agents[name] = Agent(self.world, name, service, number)
+
+    def do_at(self, at, *words):
+        self.world.at(int(at) - self.world.now(), lambda: self.do(*words))
+
+    def do_run(self, duration):
+        self.world.run(int(duration))
+
+    def do_call(self, name, service, lines):
+        self.world.calls[name] = Caller(self.world, name, service, int(lines))
+
+    def do_calls(self, prefix, count, service, lines, every):
+        for number in range(int(count)):
+            words = ("call", f"{prefix}{number}", service, lines)
+            self.world.at(number * int(every), lambda words=words: self.do(*words))
+
+    def do_kill(self, name):
+        node = self.find(name)
+        node.die() if isinstance(node, Agent) else setattr(node, "alive", False)
+
+    def do_restart(self, name, service):
+        self.do_kill(name)
+        self.do_agent(name, service)
+
+    def do_drain(self, name):
+        self.find(name).drain()
+
+    def do_freeze(self, name):
+        self.find(name).frozen = True
+
+    def do_thaw(self, name):
+        self.find(name).thaw()
+
+    def do_cut(self, source, target):
+        self.world.cut.add((source, target))
+
+    def do_split(self, one, other):
+        self.world.cut |= {(one, other), (other, one)}
+
+    def do_heal(self):
+        self.world.cut.clear()
+
+    def do_backend(self, name, mode):
+        if mode == "break":
+            self.find(name).break_backend()
+        else:
+            self.find(name).backend = mode
+
+    def do_expect(self, pattern, *outcomes):
+        calls = [c for c in self.world.calls.values() if fnmatch(c.name, pattern)]
+        assert calls, f"no call is named {pattern}"
+        for call in calls:
+            told = "open" if call.told is None else call.told.value
+            assert told in outcomes, f"{call.name} was told {told}"
+
+    def do_expect_runs(self, name, count):
+        assert self.world.book.count_runs(name) == int(count)
+
+    def do_expect_idle(self, name, after):
+        late = [run for run in self.world.book.runs if run[1] == name]
+        assert all(at <= int(after) for _, _, at in late), f"{name} got work late"
--- /dev/null
+++ b/tests/lib/world.py
@@ -0,0 +1,185 @@
+"""Balancers, agents, callers and backend servers on a manual clock.
+
+The decisions are those of the product. Round them stands the least that lets them
+meet: messages that are late, lost, doubled and reordered, and, in place of QUIC's
+loss recovery, streams that send all they have until it is acknowledged.
+"""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+from papayagw._internal.core.agent import AgentCore
+from papayagw._internal.core.balancer import BalancerCore
+from papayagw._internal.core.lifecycle import FlowLifecycle
+from papayagw._internal.core.retry import UndeliveredOnly
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.flow import FlowOutcome
+from papayagw._internal.models.service import ServiceId
+from tests.lib.samples import ManualClock
+
+SERVICES = {"order": ServiceId(1), "drawings": ServiceId(2), "rates": ServiceId(3)}
+IDEMPOTENT = {SERVICES["rates"]}
+TICK_MS = 100
+
+
+@dataclass(frozen=True)
+class Up:
+    """What a caller's side has sent so far, and what it has received."""
+
+    tag: bytes
+    data: bytes
+    finished: bool
+    received: int
+    has_end: bool
+
+
+@dataclass(frozen=True)
+class Down:
+    """What an agent has answered so far; the end is one more than its length."""
+
+    tag: bytes
+    data: bytes
+    finished: bool
+
+
+@dataclass(frozen=True)
+class Shake:
+    """An agent's answer to an opening."""
+
+    opening: bytes
+    tag: bytes
+
+
+@dataclass(frozen=True)
+class Close:
+    """How a flow ended, as its agent tells."""
+
+    tag: bytes
+    outcome: FlowOutcome
+
+
+@dataclass(frozen=True)
+class Mechanisms:
+    """The decisions under test; a mutation puts a double in one's place."""
+
+    lifecycle: Callable[[], Any] = FlowLifecycle
+    rule: Callable[[], Any] = UndeliveredOnly
+    balancer: Any = BalancerCore
+    agent: Any = AgentCore
+    keeps_first_answer: bool = True
+
+
+@dataclass
+class Book:
+    """What truly happened, for the checks at the end."""
+
+    runs: list[tuple[str, str, int]] = field(default_factory=list)
+    deliveries: list[tuple[str, str, ServiceId]] = field(default_factory=list)
+
+    def count_runs(self, call: str) -> int:
+        return sum(one == call for one, _, _ in self.runs)
+
+    def is_touched(self, call: str) -> bool:
+        return any(one == call for one, _, _ in self.deliveries)
+
+
+class World:
+    """The clock, the network and the nodes by name.
+
+    Parameters
+    ----------
+    fate : callable
+        Returns the delays of the copies of the next message; none is a loss.
+    pick : callable
+        Returns one of a sequence, as the fabric does.
+    """
+
+    def __init__(self, fate, pick, mechanisms=None):
+        self.clock = ManualClock(0)
+        self.fate = fate
+        self.pick = pick
+        self.mechanisms = mechanisms or Mechanisms()
+        self.book = Book()
+        self.balancers: dict[str, Any] = {}
+        self.agents: dict[str, Any] = {}
+        self.calls: dict[str, Any] = {}
+        self.bound: dict[Endpoint, Any] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.numbers = count(1)
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+
+    def now(self):
+        return self.clock.now()
+
+    def at(self, delay, action):
+        """Run `action` after `delay` milliseconds."""
+        heapq.heappush(self._queue, (self.now() + delay, next(self.numbers), action))
+
+    def every_tick(self, node, action):
+        """Run `action` each tick while `node` lives; a frozen one misses it."""
+
+        def tick():
+            if node.alive:
+                if not node.frozen:
+                    action()
+                self.at(TICK_MS, tick)
+
+        self.at(TICK_MS, tick)
+
+    def send(self, source, target, receive, *message):
+        """Bring a message to `target`, if the network and both ends let it."""
+        if target is None or (source.name, target.name) in self.cut:
+            return
+        for delay in self.fate():
+            self.at(delay, lambda: target.take(lambda: receive(target, *message)))
+
+    def enter(self, caller, service_id, connection_id, payload):
+        """Hand a caller's packet to some balancer, as the fabric does."""
+        live = [one for one in self.balancers.values() if one.alive]
+        if live:
+            balancer = self.pick(live)
+            receive = type(balancer).on_packet
+            self.send(caller, balancer, receive, service_id, connection_id, payload)
+
+    def run(self, duration):
+        """Let `duration` milliseconds pass."""
+        end = self.now() + duration
+        while self._queue and self._queue[0][0] <= end:
+            at, _, action = heapq.heappop(self._queue)
+            self.clock.advance(at - self.now())
+            action()
+        self.clock.advance(end - self.now())
+
+    def check(self):
+        """Raise AssertionError if a promise to a caller or a service is broken."""
+        for call, agent, service_id in self.book.deliveries:
+            assert self.calls[call].service_id == service_id, f"{call} crossed: {agent}"
+        for call in self.calls.values():
+            call.check(self.book)
+
+
+class Node:
+    """Something with a name that may die or freeze."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.alive = True
+        self.frozen = False
+        self._inbox: list[Callable[[], None]] = []
+
+    def take(self, action):
+        """Act on a message, now or when thawed."""
+        if self.frozen:
+            self._inbox.append(action)
+        elif self.alive:
+            action()
+
+    def thaw(self):
+        self.frozen = False
+        inbox, self._inbox = self._inbox, []
+        for action in inbox:
+            self.take(action)
--- /dev/null
+++ b/tests/lib/world_nodes.py
@@ -0,0 +1,395 @@
+"""The nodes of `World`: each a thin shell round the product's decisions."""
+
+from papayagw._internal.core.admission import make_adaptive
+from papayagw._internal.core.choice import RendezvousChooser
+from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.core.retry import OpeningRetry, TokenBudget
+from papayagw._internal.models import lifecycle as on
+from papayagw._internal.models.admission import (
+    AdmissionDecision,
+    AdmissionPolicy,
+    AdmissionRequest,
+    WorkEnd,
+)
+from papayagw._internal.models.agent import AgentRecord, Incarnation
+from papayagw._internal.models.decision import Accept, DropReason, Forward
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.flow import FlowOutcome, FlowRoute, FlowTag
+from papayagw._internal.models.opening import AttemptEnded, Reopen, RetryPolicy
+from papayagw._internal.wire.tag import NONCE_BYTES, TAG_BYTES, TagCodec
+from tests.lib.samples import KEY
+from tests.lib.world import IDEMPOTENT, SERVICES, Close, Down, Node, Shake, Up
+
+SILENCE_MS = 3_000
+HALF_OPEN_MS = 2_000
+OPENING_MS = 1_500
+PROBE_MS = 500
+ANNOUNCE_MS = 500
+SERVICE_MS = 30
+CODEC = TagCodec([KEY])
+
+
+class Balancer(Node):
+    """Routes packets by the core; holds nothing of a flow."""
+
+    def __init__(self, world, name):
+        super().__init__(world, name)
+        self.directory = AgentDirectory()
+        self.heard = {}
+        core = world.mechanisms.balancer
+        self.core = core(self.directory, RendezvousChooser())
+        world.every_tick(self, self.expire)
+
+    def on_record(self, record):
+        if self.directory.merge(record):
+            self.heard[record.endpoint] = (self.world.now(), record)
+
+    def expire(self):
+        for endpoint, (at, record) in list(self.heard.items()):
+            if self.world.now() - at > 4 * ANNOUNCE_MS:
+                del self.heard[endpoint]
+                self.directory.forget(record)
+
+    def on_packet(self, service_id, connection_id, payload):
+        if len(connection_id) == TAG_BYTES:
+            route = CODEC.open_route(connection_id)
+            decision = self.core.route_tagged(service_id, route)
+        else:
+            decision = self.core.route_opening(service_id, connection_id)
+        if isinstance(decision, Forward):
+            agent = self.world.bound.get(decision.agent)
+            message = (service_id, connection_id, payload, 0)
+            self.world.send(self, agent, Agent.on_frame, *message)
+
+
+class Agent(Node):
+    """Owns flows; its backend server is a part of it that may fail apart."""
+
+    def __init__(self, world, name, service, number):
+        super().__init__(world, name)
+        self.service_id = SERVICES[service]
+        self.endpoint = Endpoint("127.0.5.1", 4_000 + number)
+        self.incarnation = Incarnation(world.now() + 1)
+        self.sequence = 0
+        self.backend = "up"
+        self.siblings = AgentDirectory()
+        self.route = FlowRoute.of(self.service_id, self.endpoint, self.incarnation)
+        core = world.mechanisms.agent
+        self.core = core(self.route, self.siblings, RendezvousChooser(), 100)
+        self.admission = make_adaptive(AdmissionPolicy())
+        self.openings = {}
+        self.flows = {}
+        world.bound[self.endpoint] = self
+        world.every_tick(self, self.tick)
+        self.announce()
+
+    def announce(self):
+        """Tell all balancers and agents what this agent is."""
+        self.sequence += 1
+        state = self.core.state
+        run = (self.incarnation, self.sequence, self.service_id)
+        record = AgentRecord(self.endpoint, *run, "a", state)
+        for balancer in self.world.balancers.values():
+            self.world.send(self, balancer, Balancer.on_record, record)
+        for agent in self.world.agents.values():
+            self.world.send(self, agent, lambda one, r: one.siblings.merge(r), record)
+
+    def tick(self):
+        if self.world.now() % ANNOUNCE_MS < 100:
+            self.announce()
+        for flow in list(self.flows.values()):
+            flow.tick()
+        self.poll()
+
+    def poll(self):
+        results = self.admission.poll(self.world.now())
+        for number in results.admitted:
+            self.flow_of(number).apply(on.Admitted())
+        for number in results.refused:
+            self.flow_of(number).apply(on.AdmissionRefused())
+
+    def flow_of(self, number):
+        return next(flow for flow in self.flows.values() if flow.number == number)
+
+    def drain(self):
+        self.core.drain()
+        self.announce()
+        for flow in list(self.flows.values()):
+            flow.apply(on.StopAsked())
+
+    def die(self):
+        self.alive = False
+        if self.world.bound.get(self.endpoint) is self:
+            del self.world.bound[self.endpoint]
+
+    def break_backend(self):
+        """Kill the backend server: its connections break and none is taken."""
+        self.backend = "refuse"
+        for flow in list(self.flows.values()):
+            flow.apply(on.BackendBroke(flow.attempt))
+
+    def on_frame(self, service_id, connection_id, payload, hops):
+        flow = self.flows.get(connection_id) or self.openings.get(connection_id)
+        if flow is not None:
+            flow.on_payload(payload)
+        elif len(connection_id) == TAG_BYTES:
+            self.on_stray(service_id, connection_id, payload)
+        else:
+            self.on_opening(service_id, connection_id, payload, hops)
+
+    def on_stray(self, service_id, tag, payload):
+        reason = self.core.check_tagged(service_id, CODEC.open_route(tag))
+        if reason in (None, DropReason.STALE_INCARNATION):
+            caller, _ = payload
+            close = Close(tag, FlowOutcome.UNKNOWN)
+            self.world.send(self, caller, Caller.on_message, close)
+
+    def on_opening(self, service_id, opening, payload, hops):
+        open_flows = sum(flow.lifecycle.outcome is None for flow in self.flows.values())
+        decision = self.core.decide_opening(service_id, opening, open_flows, hops)
+        match decision:
+            case Accept():
+                flow = AgentFlow(self, opening, payload[0])
+                self.openings[opening] = self.flows[flow.tag] = flow
+                flow.on_payload(payload)
+            case Forward(sibling):
+                target = self.world.bound.get(sibling)
+                message = (service_id, opening, payload, hops + 1)
+                self.world.send(self, target, Agent.on_frame, *message)
+
+
+class AgentFlow:
+    """One flow at its agent: acts on what the lifecycle says."""
+
+    def __init__(self, agent, opening, caller):
+        self.agent = agent
+        self.world = agent.world
+        self.opening = opening
+        self.caller = caller
+        self.number = next(self.world.numbers)
+        nonce = self.number.to_bytes(NONCE_BYTES, "big")
+        self.tag = CODEC.seal(FlowTag(KEY.key_id, agent.route, nonce))
+        self.lifecycle = self.world.mechanisms.lifecycle()
+        self.heard_at = self.world.now()
+        self.shaken = False
+        self.request, self.finished, self.handed = b"", False, 0
+        self.answer, self.answer_end = b"", False
+        self.attempt = 0
+        self.ran = False
+        self.told = None
+
+    def send(self, message):
+        self.world.send(self.agent, self.caller, Caller.on_message, message)
+
+    def on_payload(self, payload):
+        _, up = payload
+        self.heard_at = self.world.now()
+        if self.told is not None:
+            self.send(Close(self.tag, self.told))
+        elif up is None:
+            self.send(Shake(self.opening, self.tag))
+        else:
+            self.on_up(up)
+
+    def on_up(self, up):
+        if not self.shaken:
+            self.shaken = True
+            self.apply(on.HandshakeCompleted())
+            self.ask_admission()
+        fresh = up.data[len(self.request) :]
+        if fresh:
+            self.request += fresh
+            self.apply(on.CallerSent(len(fresh)))
+        if up.finished and not self.finished:
+            self.finished = True
+            self.apply(on.CallerFinished())
+        if self.answer_end and up.has_end:
+            self.apply(on.AnswerAcknowledged())
+        elif up.received < len(self.answer) or self.answer_end:
+            self.send_answer()
+
+    def ask_admission(self):
+        request = AdmissionRequest(self.number, self.caller.name)
+        match self.agent.admission.offer(request, self.world.now()):
+            case AdmissionDecision.ADMIT:
+                self.apply(on.Admitted())
+            case AdmissionDecision.REFUSE:
+                self.apply(on.AdmissionRefused())
+
+    def send_answer(self):
+        self.send(Down(self.tag, self.answer, self.answer_end))
+
+    def tick(self):
+        now = self.world.now()
+        patience = SILENCE_MS if self.shaken else HALF_OPEN_MS
+        if self.told is None and now - self.heard_at > patience:
+            self.apply(on.IdleTimedOut())
+
+    def apply(self, event):
+        """Let the lifecycle decide and act on it."""
+        if not self.agent.alive:
+            return
+        for action in self.lifecycle.handle(event):
+            self.act(action)
+
+    def act(self, action):
+        match action:
+            case on.ConnectBackend(attempt):
+                self.attempt = attempt
+                self.world.at(1, lambda: self.agent.take(self.on_connect))
+            case on.DeliverToBackend(size):
+                end = self.handed + size
+                self.on_delivery(self.request[self.handed : end])
+                self.handed = end
+            case on.SendToCaller() | on.FinishToCaller():
+                self.answer_end = isinstance(action, on.FinishToCaller)
+                self.send_answer()
+            case on.TellCaller(outcome):
+                self.told = outcome
+                self.agent.admission.close(self.number)
+                self.send(Close(self.tag, outcome))
+
+    def on_connect(self):
+        up = self.agent.backend != "refuse"
+        kind = on.BackendConnected if up else on.BackendConnectFailed
+        self.apply(kind(self.attempt))
+
+    def on_delivery(self, data):
+        """Be the backend server, which runs a request when its line is whole."""
+        name = self.caller.name
+        book = self.world.book
+        book.deliveries.append((name, self.agent.name, self.agent.service_id))
+        line = self.request[: self.handed + len(data)]
+        if line.endswith(b"\n") and not self.ran:
+            self.ran = True
+            book.runs.append((name, self.agent.name, self.world.now()))
+            if self.agent.backend != "stall":
+                self.world.at(SERVICE_MS, lambda: self.write(1))
+
+    def write(self, line):
+        """Be the backend server, which answers line by line and then closes."""
+        lines = self.caller.lines
+        if self.told is not None or not self.agent.alive:
+            return
+        if line > lines:
+            self.apply(on.BackendClosed(self.attempt))
+            return
+        self.agent.admission.note_end(self.number, WorkEnd.ANSWERED, self.world.now())
+        text = self.caller.expect_line(line)
+        self.answer += text
+        self.apply(on.BackendSent(self.attempt, len(text)))
+        self.world.at(100, lambda: self.agent.take(lambda: self.write(line + 1)))
+
+
+class Caller(Node):
+    """One call: opens a flow, sends a request, wants so many lines of answer."""
+
+    def __init__(self, world, name, service, lines=1, deadline=None):
+        super().__init__(world, name)
+        self.service_id = SERVICES[service]
+        self.lines = lines
+        policy = RetryPolicy()
+        self.retry = OpeningRetry(
+            policy,
+            TokenBudget(policy),
+            idempotent=self.service_id in IDEMPOTENT,
+            draw=lambda: 1.0,
+            deadline=deadline,
+            rule=world.mechanisms.rule(),
+        )
+        self.request = f"run {name}\n".encode()
+        self.received = b""
+        self.told = None
+        self.crossed = 0
+        self.open()
+        world.every_tick(self, self.tick)
+
+    def expect_line(self, line):
+        return f"{self.name} {line};".encode()
+
+    def open(self):
+        self.opening = next(self.world.numbers).to_bytes(8, "big")
+        self.tags = []
+        self.sent = 0
+        self.has_end = False
+        self.heard_at = self.sent_at = self.world.now()
+        self.send()
+
+    def send(self):
+        self.sent_at = self.world.now()
+        if not self.tags:
+            self.world.enter(self, self.service_id, self.opening, (self, None))
+        for tag in self.tags:
+            data = self.request[: self.sent]
+            finished = self.sent == len(self.request)
+            up = Up(tag, data, finished, len(self.received), self.has_end)
+            self.world.enter(self, self.service_id, tag, (self, up))
+
+    def tick(self):
+        now = self.world.now()
+        if self.told is not None:
+            return
+        patience = SILENCE_MS if self.tags else OPENING_MS
+        if now - self.heard_at > patience:
+            self.end(None)
+        elif self.sent < len(self.request) or now - self.sent_at >= PROBE_MS:
+            self.sent = min(len(self.request), self.sent + 4)
+            self.send()
+        elif not self.tags:
+            self.send()
+
+    def on_message(self, message):
+        if self.told is not None:
+            self.crossed += 1
+        elif isinstance(message, Shake):
+            self.on_shake(message)
+        elif message.tag not in self.tags:
+            self.crossed += 1
+        elif isinstance(message, Close):
+            self.end(message.outcome)
+        else:
+            self.on_answer(message)
+
+    def on_shake(self, shake):
+        keeps = not (self.tags and self.world.mechanisms.keeps_first_answer)
+        if shake.opening == self.opening and keeps and shake.tag not in self.tags:
+            self.tags.append(shake.tag)
+            self.heard_at = self.world.now()
+            self.sent = min(4, len(self.request))
+            self.send()
+        else:
+            self.crossed += 1
+
+    def on_answer(self, down):
+        self.heard_at = self.world.now()
+        self.received = max(self.received, down.data, key=len)
+        self.has_end = down.finished
+        self.sent = len(self.request)
+        self.send()
+        if self.has_end:
+            self.end(FlowOutcome.ANSWERED)
+
+    def end(self, outcome):
+        """Let the retry decide after an attempt's end."""
+        started = bool(self.received)
+        ended = AttemptEnded(self.retry.attempt, outcome, bool(self.tags), started)
+        action = self.retry.handle_end(ended, self.world.now())
+        self.tags, self.opening = [], b""
+        if isinstance(action, Reopen):
+            delay = action.at - self.world.now()
+            self.heard_at = self.world.now() + delay
+            self.world.at(delay, self.open)
+        else:
+            self.told = action.outcome
+
+    def check(self, book):
+        """Raise AssertionError if this call's promises are broken."""
+        runs = book.count_runs(self.name)
+        whole = b"".join(self.expect_line(line + 1) for line in range(self.lines))
+        idempotent = self.service_id in IDEMPOTENT
+        assert runs <= 1 or idempotent, f"{self.name} ran {runs} times"
+        assert whole.startswith(self.received), f"{self.name} got a crossed answer"
+        if self.told is FlowOutcome.REFUSED:
+            assert not book.is_touched(self.name), f"{self.name} refused but delivered"
+        if self.told is FlowOutcome.ANSWERED:
+            assert self.received == whole, f"{self.name} got half an answer"
--- /dev/null
+++ b/tests/properties/isolation_proof.py
@@ -0,0 +1,193 @@
+"""No packet of one service reaches another, whatever restarts and whatever is late.
+
+Three addresses are taken by agents of two services in turn. Balancers hold any
+records that they ever heard; packets wait in the network and meet whoever has the
+address by then.
+"""
+
+from dataclasses import dataclass
+
+from hypothesis import strategies as st
+
+from papayagw._internal.core.agent import AgentCore
+from papayagw._internal.core.balancer import BalancerCore
+from papayagw._internal.core.choice import RendezvousChooser
+from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.models.agent import AgentRecord, Incarnation
+from papayagw._internal.models.decision import Accept, Forward
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.flow import FlowRoute, FlowTag
+from papayagw._internal.wire.tag import TAG_BYTES, TagCodec
+from tests.lib.samples import DRAWINGS, KEY, ORDER
+from tests.properties.proving import Mutation, Property
+from tests.properties.world_proof import RoutesByTagOnly, TakesAnyService
+
+PLACES = tuple(Endpoint("127.0.7.1", 4_000 + number) for number in range(3))
+WRAP = 1 << 16
+"""After so many milliseconds the incarnation in a tag is the same again."""
+
+SERVICES = st.sampled_from([ORDER, DRAWINGS])
+BALANCERS = st.integers(0, 1)
+ANY = st.integers(0, 30)
+STEPS = st.one_of(
+    st.tuples(
+        st.just("restart"), st.integers(0, 2), SERVICES, st.sampled_from([1, WRAP])
+    ),
+    st.tuples(st.just("hear"), BALANCERS, ANY),
+    st.tuples(st.just("open"), SERVICES, BALANCERS, ANY),
+    st.tuples(st.just("send"), ANY, BALANCERS, SERVICES),
+    st.tuples(st.just("forge"), st.integers(0, 2), BALANCERS),
+    st.tuples(st.just("arrive"), ANY),
+)
+BEGINNING = [("restart", place, ORDER, 1) for place in range(2)]
+BEGINNING += [("restart", 2, DRAWINGS, 1)]
+BEGINNING += [("hear", balancer, number) for balancer in (0, 1) for number in range(3)]
+HISTORIES = st.lists(STEPS, min_size=10, max_size=60).map(lambda own: BEGINNING + own)
+
+
+@dataclass(frozen=True)
+class Parts:
+    """The mechanisms under test."""
+
+    balancer: type = BalancerCore
+    agent: type = AgentCore
+    codec: type = TagCodec
+    id_end: int = TAG_BYTES
+
+
+@dataclass(frozen=True)
+class Sent:
+    """A packet on its way to an agent's address."""
+
+    place: Endpoint
+    service_id: int
+    connection_id: bytes
+
+
+class Site:
+    """Two balancers, three addresses and the packets on their way."""
+
+    def __init__(self, parts):
+        self.parts = parts
+        self.codec = parts.codec([KEY])
+        self.views = [AgentDirectory(), AgentDirectory()]
+        self.balancers = [
+            parts.balancer(view, RendezvousChooser()) for view in self.views
+        ]
+        self.now = 0
+        self.records = []
+        self.agents = {}
+        self.flows = []
+        self.network = []
+
+    def restart(self, place, service_id, gap):
+        self.now += gap
+        endpoint, run = PLACES[place], Incarnation(self.now)
+        record = AgentRecord(endpoint, run, 1, service_id, "a")
+        self.records.append(record)
+        siblings = AgentDirectory()
+        for one in self.records:
+            siblings.merge(one)
+        route = FlowRoute.of(service_id, endpoint, run)
+        core = self.parts.agent(route, siblings, RendezvousChooser(), 100)
+        self.agents[endpoint] = (core, {})
+
+    def hear(self, balancer, which):
+        self.views[balancer].merge(self.records[which % len(self.records)])
+
+    def open(self, service_id, balancer, key):
+        opening = b"opening" + bytes((key,))
+        decision = self.balancers[balancer].route_opening(service_id, opening)
+        self.note(decision, service_id, opening)
+
+    def send(self, which, balancer, service_id):
+        """Send a packet of an open flow, now and then to the wrong address."""
+        if self.flows:
+            tag, own = self.flows[which % len(self.flows)]
+            self.send_tagged(balancer, service_id if which % 5 == 0 else own, tag)
+
+    def forge(self, place, balancer):
+        """Send a packet whose tag a stranger made up, with all but the key."""
+        core, _ = self.agents[PLACES[place]]
+        tag = PlainTags([KEY]).seal(FlowTag(KEY.key_id, core.route, b"xyz"))
+        self.send_tagged(balancer, core.route.service_id, tag)
+
+    def send_tagged(self, balancer, service_id, tag):
+        route = self.codec.open_route(tag)
+        decision = self.balancers[balancer].route_tagged(service_id, route)
+        self.note(decision, service_id, tag)
+
+    def note(self, decision, service_id, connection_id):
+        if isinstance(decision, Forward):
+            self.network.append(Sent(decision.agent, service_id, connection_id))
+
+    def arrive(self, which):
+        if not self.network:
+            return
+        packet = self.network[which % len(self.network)]
+        if packet.place not in self.agents:
+            return
+        core, flows = self.agents[packet.place]
+        tag = packet.connection_id
+        if len(tag) != TAG_BYTES:
+            self.arrive_opening(core, flows, packet)
+        elif (found := flows.get(tag[: self.parts.id_end])) is not None:
+            assert found == tag, "a packet of another flow was taken in"
+            assert core.route.service_id == packet.service_id, "wrong service"
+        elif core.check_tagged(packet.service_id, self.codec.open_route(tag)) is None:
+            assert core.route.service_id == packet.service_id, "wrong service"
+            sent_by = [own for one, own in self.flows if one == tag]
+            assert sent_by == [packet.service_id], "forged, or of another service"
+
+    def arrive_opening(self, core, flows, packet):
+        decision = core.decide_opening(packet.service_id, packet.connection_id, 0, 0)
+        if isinstance(decision, Accept):
+            assert core.route.service_id == packet.service_id, "opened across services"
+            nonce = bytes((0, 0, len(flows) % 3))
+            tag = self.codec.seal(FlowTag(KEY.key_id, core.route, nonce))
+            flows.setdefault(tag[: self.parts.id_end], tag)
+            self.flows.append((tag, packet.service_id))
+        elif isinstance(decision, Forward):
+            self.note(decision, packet.service_id, packet.connection_id)
+
+
+def check(parts, history):
+    """Carry out the steps; the site checks each arrival."""
+    site = Site(parts)
+    for verb, *words in history:
+        getattr(site, verb)(*words)
+
+
+class SkipsChecks(AgentCore):
+    """Takes each tagged packet for its own."""
+
+    def check_tagged(self, service_id, route):
+        return None
+
+
+class NoCipher:
+    """Leaves blocks as they are."""
+
+    def update(self, block):
+        return block
+
+
+class PlainTags(TagCodec):
+    """Writes and reads tags in the clear."""
+
+    def __init__(self, keys):
+        super().__init__(keys)
+        self._encryptor = NoCipher()
+        self._decryptors = {KEY.key_id: NoCipher()}
+
+
+PROOF = Property("isolation", HISTORIES, check, Parts())
+MUTATIONS = [
+    Mutation(name, PROOF, parts)
+    for name, parts in {
+        "TakesAnyService": Parts(agent=TakesAnyService),
+        "SkipsChecks": Parts(agent=SkipsChecks, balancer=RoutesByTagOnly),
+        "PlainTags": Parts(codec=PlainTags),
+        "FlowsByNonce": Parts(id_end=4, balancer=RoutesByTagOnly),
+    }.items()
+]
--- /dev/null
+++ b/tests/scenarios/test_scenarios.py
@@ -0,0 +1,53 @@
+from pathlib import Path
+
+import pytest
+
+from papayagw._internal.core.agent import AgentCore
+from tests.lib.scenario import Scenario
+from tests.lib.world import Mechanisms
+from tests.properties import lifecycle_proof, retry_proof, world_proof
+
+FILES = sorted(Path(__file__).parent.glob("*.txt"))
+
+
+class NeverDrains(AgentCore):
+    """Goes on taking openings."""
+
+    def drain(self):
+        pass
+
+
+def play(stem, mechanisms=None):
+    path = Path(__file__).parent / f"{stem}.txt"
+    scenario = Scenario(mechanisms)
+    scenario.execute(path.read_text(encoding="utf-8"))
+    scenario.world.check()
+
+
+@pytest.mark.parametrize("stem", [path.stem for path in FILES])
+def test_scenario(stem):
+    play(stem)
+
+
+@pytest.mark.parametrize(
+    ("stem", "mechanisms"),
+    [
+        ("agent_drains", Mechanisms(agent=NeverDrains)),
+        ("rolling_restart", Mechanisms(agent=NeverDrains)),
+        ("agent_dies", Mechanisms(rule=retry_proof.RetriesSilence)),
+        ("agent_freezes", Mechanisms(rule=retry_proof.RetriesAlways)),
+        ("lost_answers", Mechanisms(rule=retry_proof.RetriesAlways)),
+        ("backend_breaks", Mechanisms(lifecycle=lifecycle_proof.CountsWritesOnly)),
+        ("backend_refuses", Mechanisms(lifecycle=lifecycle_proof.HandsOverEarly)),
+        ("views_differ", Mechanisms(keeps_first_answer=False)),
+        (
+            "address_reused",
+            Mechanisms(
+                agent=world_proof.TakesAnyService, balancer=world_proof.RoutesByTagOnly
+            ),
+        ),
+    ],
+)
+def test_scenario_turns_red_without_mechanism(stem, mechanisms):
+    with pytest.raises(AssertionError):
+        play(stem, mechanisms)
