--- /dev/null
+++ b/src/papayagw/_internal/cli/commands/config_diff.py
@@ -0,0 +1,74 @@
+"""``papayagw config diff``: what a change would change."""
+
+from collections.abc import Callable
+
+import anyio
+
+from papayagw._internal.cli.base import ExitCode
+from papayagw._internal.cli.platform_access import read_site_in_force
+from papayagw._internal.cli.site_files import read_site
+from papayagw._internal.cli.values import FlagList, split_list
+from papayagw._internal.core.comparison import compare_sites
+from papayagw._internal.exceptions import SettingsError, Step
+from papayagw._internal.models.configuration import Site
+
+
+class ConfigDiffCommand:
+    """Compare a site's files with other files or with what is in force."""
+
+    @property
+    def run(self) -> Callable[..., int]:
+        """Carry the command out."""
+        return diff_config
+
+
+def diff_config(
+    base: str,
+    overlay: str | None = None,
+    platform: FlagList = (),
+    against_base: str | None = None,
+    against_overlay: str | None = None,
+) -> int:
+    """Print what differs between files and the version in force, or other files.
+
+    Exit codes: 0 nothing differs, 1 something does, 2 a file can't be used, 4 the
+    platform gave no answer.
+
+    Parameters
+    ----------
+    base : str
+        The base file.
+    overlay : str
+        The overlay of one site.
+    platform : list of str
+        URLs of the platform's service: compare with the version in force.
+    against_base : str
+        Compare with this base file.
+    against_overlay : str
+        The overlay to `against_base`.
+    """
+    after = read_site(base, overlay)
+    before = _read_before(
+        after.name, split_list(platform), against_base, against_overlay
+    )
+    differences = compare_sites(before, after)
+    for difference in differences:
+        print(difference)
+    return ExitCode.REFUSED if differences else ExitCode.OK
+
+
+def _read_before(
+    site: str, platform: tuple[str, ...], base: str | None, overlay: str | None
+) -> Site:
+    if bool(platform) == bool(base):
+        raise SettingsError(
+            "nothing to compare with",
+            step=Step.SETTINGS,
+            remedy="give exactly one of --platform and --against-base",
+        )
+    if base:
+        return read_site(base, overlay)
+    return anyio.run(read_site_in_force, platform, site)
+
+
+COMMAND = ConfigDiffCommand()
--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -37,6 +37,10 @@
 
 
 COMMANDS = (
+    CommandInfo(("config", "check"), "config_check", "Check a site's files."),
+    CommandInfo(("config", "diff"), "config_diff", "Show what a change changes."),
+    CommandInfo(("config", "submit"), "config_submit", "Make files the next version."),
+    CommandInfo(("config", "status"), "config_status", "Show the version in force."),
     CommandInfo(
         ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
     ),
--- a/src/papayagw/_internal/models/configuration.py
+++ b/src/papayagw/_internal/models/configuration.py
@@ -8,6 +8,9 @@
 KEY_BYTES = 32
 """Length of a fleet key's secret, in bytes."""
 
+HISTORY_LENGTH = 64
+"""How many submissions a configuration remembers, its own included."""
+
 
 @dataclass(frozen=True, slots=True)
 class FleetKey:
@@ -61,6 +64,25 @@
         return next(found, None)
 
 
+@dataclass(frozen=True, slots=True)
+class SubmissionMark:
+    """Whose submission a version is.
+
+    Attributes
+    ----------
+    version : int
+        The version that it became.
+    submission_id : str
+        A random id, the same in each retry of one submission.
+    operator : str
+        Who submitted it.
+    """
+
+    version: int
+    submission_id: str
+    operator: str
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """An accepted version of a site's configuration.
@@ -72,7 +94,20 @@
         never submitted.
     site : Site
         What is in force.
+    history : tuple of SubmissionMark
+        The last submissions, this one first, at most `HISTORY_LENGTH`.
     """
 
     version: int
     site: Site
+    history: tuple[SubmissionMark, ...] = ()
+
+    @property
+    def submission_id(self) -> str:
+        """The id of the submission that became this version; empty for a file."""
+        return self.history[0].submission_id if self.history else ""
+
+    def find_mark(self, submission_id: str) -> SubmissionMark | None:
+        """Return the mark of a submission, or None if it isn't remembered."""
+        found = (mark for mark in self.history if mark.submission_id == submission_id)
+        return next(found, None)
--- /dev/null
+++ b/src/papayagw/_internal/net/submission.py
@@ -0,0 +1,93 @@
+"""Carrying a submission to the platform's service."""
+
+from random import Random
+
+import anyio
+from returns.result import Failure
+
+from papayagw._internal.core.backoff import Backoff
+from papayagw._internal.core.submission import (
+    Finish,
+    Outcome,
+    Proposal,
+    Read,
+    Submission,
+    Write,
+)
+from papayagw._internal.exceptions import PlatformUnreachableError
+from papayagw._internal.models.clock import Millis, to_seconds
+from papayagw._internal.net.configuration_store import (
+    ConfigurationStore,
+    Rejected,
+    StoreError,
+)
+
+
+async def submit(
+    store: ConfigurationStore, proposal: Proposal, limit_ms: Millis, random: Random
+) -> Outcome:
+    """Submit a change and return what the operator is to be told.
+
+    Parameters
+    ----------
+    store : ConfigurationStore
+        Where the site's configuration is.
+    proposal : Proposal
+        What is submitted.
+    limit_ms : Millis
+        How long to go on where answers don't come.
+    random : Random
+        The source of the jitter between tries.
+    """
+    submission = Submission(proposal)
+    backoff = Backoff(random)
+    with anyio.move_on_after(to_seconds(limit_ms)):
+        while not isinstance(submission.action, Finish):
+            answered = await _take_step(submission, store)
+            if not answered:
+                await anyio.sleep(to_seconds(backoff.fail()))
+    submission.on_deadline()
+    assert isinstance(submission.action, Finish)
+    return submission.action.outcome
+
+
+async def _take_step(submission: Submission, store: ConfigurationStore) -> bool:
+    """Do the next call; return whether it was answered."""
+    match submission.action:
+        case Read():
+            return await _read(submission, store)
+        case Write() as write:
+            return await _write(submission, store, write)
+        case Finish():
+            return True
+
+
+async def _read(submission: Submission, store: ConfigurationStore) -> bool:
+    answer = await store.read()
+    if isinstance(answer, Failure):
+        return _fail(submission, answer.failure())
+    stored = answer.unwrap()
+    submission.on_read(stored.configuration, stored.key_revision)
+    return True
+
+
+async def _write(
+    submission: Submission, store: ConfigurationStore, write: Write
+) -> bool:
+    answer = await store.swap(write.configuration, write.expected)
+    if isinstance(answer, Failure):
+        return _fail(submission, answer.failure())
+    outcome = answer.unwrap()
+    if isinstance(outcome, Rejected):
+        submission.on_conflict(outcome.current)
+    else:
+        submission.on_written()
+    return True
+
+
+def _fail(submission: Submission, error: StoreError) -> bool:
+    if isinstance(error, PlatformUnreachableError):
+        submission.on_no_answer()
+        return False
+    submission.on_refusal(error.what)
+    return True
--- /dev/null
+++ b/src/papayagw/_internal/platform/etcd.py
@@ -0,0 +1,207 @@
+"""A client of the platform's service over the JSON gateway of etcd v3."""
+
+import json
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
+
+import anyio
+import httpx
+from returns.result import Failure, Result, Success
+
+from papayagw._internal.exceptions import (
+    PlatformError,
+    PlatformUnreachableError,
+    Step,
+)
+from papayagw._internal.models.clock import Millis, to_seconds
+from papayagw._internal.platform.etcd_messages import (
+    Message,
+    read_events,
+    read_range,
+    read_revision,
+    read_swap,
+    write_range,
+    write_swap,
+    write_watch,
+)
+from papayagw._internal.platform.store import (
+    MAX_VALUE_BYTES,
+    Entry,
+    Snapshot,
+    SwapAnswer,
+)
+
+AnswerT = TypeVar("AnswerT")
+
+_CONNECT_TIMEOUT_S = 2.0
+_FIRST_SERVER_ERROR = 500
+
+
+class EtcdStore:
+    """The platform's service behind one or more base URLs.
+
+    Parameters
+    ----------
+    urls : sequence of str
+        Base URLs of one service, tried in turn until one takes the connection.
+    """
+
+    def __init__(self, urls: Sequence[str]):
+        self._urls = tuple(urls)
+        self._client = httpx.AsyncClient(trust_env=False)
+
+    async def get(
+        self, key: str, timeout_ms: Millis
+    ) -> Result[Snapshot, PlatformError]:
+        """Return what `key` holds."""
+        return await self._call(
+            "/v3/kv/range", write_range(key), timeout_ms, read_range
+        )
+
+    async def swap(
+        self, key: str, value: bytes, expected: int, timeout_ms: Millis
+    ) -> Result[SwapAnswer, PlatformError]:
+        """Write `value` if `key` still has the revision `expected`."""
+        if len(value) > MAX_VALUE_BYTES:
+            return Failure(_too_large(key, len(value)))
+        request = write_swap(key, value, expected)
+        return await self._call("/v3/kv/txn", request, timeout_ms, read_swap)
+
+    async def watch(
+        self,
+        key: str,
+        after: int,
+        on_entry: Callable[[Entry], None],
+        timeout_ms: Millis,
+    ) -> Result[int, PlatformError]:
+        """Hear of each write of `key` until `timeout_ms` has passed."""
+        heard = _Heard(after, on_entry)
+        request = write_watch(key, after)
+        with anyio.move_on_after(to_seconds(timeout_ms)) as scope:
+            failure = await self._try_urls(
+                lambda url: self._stream(url, request, heard)
+            )
+            if isinstance(failure, Failure):
+                return failure
+        if scope.cancelled_caught or heard.is_over:
+            return Success(heard.revision)
+        return Failure(_unreachable(self._urls[0], "the watch was cut"))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _call(
+        self,
+        path: str,
+        request: Message,
+        timeout_ms: Millis,
+        read: Callable[[Message], AnswerT],
+    ) -> Result[AnswerT, PlatformError]:
+        with anyio.move_on_after(to_seconds(timeout_ms)):
+            return await self._try_urls(
+                lambda url: self._post(url, path, request, read)
+            )
+        return Failure(_unreachable(self._urls[0], f"no answer in {timeout_ms} ms"))
+
+    async def _try_urls(
+        self, call: Callable[[str], Awaitable[Result[AnswerT, PlatformError]]]
+    ) -> Result[AnswerT, PlatformError]:
+        """Return the first answer; only an unmade connection tries the next URL."""
+        for url in self._urls:
+            try:
+                return await call(url)
+            except (httpx.ConnectError, httpx.ConnectTimeout):
+                continue
+            except httpx.HTTPError as error:
+                return Failure(_unreachable(url, str(error) or type(error).__name__))
+        return Failure(_unreachable(", ".join(self._urls), "no connection"))
+
+    async def _post(
+        self,
+        url: str,
+        path: str,
+        request: Message,
+        read: Callable[[Message], AnswerT],
+    ) -> Result[AnswerT, PlatformError]:
+        timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
+        response = await self._client.post(url + path, json=request, timeout=timeout)
+        if response.status_code >= _FIRST_SERVER_ERROR:
+            return Failure(_unreachable(url, f"status {response.status_code}"))
+        if response.is_error:
+            return Failure(_refused(url, response.text))
+        try:
+            return Success(read(response.json()))
+        except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
+            return Failure(_unreachable(url, f"no usable answer: {error!r}"))
+
+    async def _stream(
+        self, url: str, request: Message, heard: "_Heard"
+    ) -> Result[int, PlatformError]:
+        timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
+        target = url + "/v3/watch"
+        async with self._client.stream(
+            "POST", target, json=request, timeout=timeout
+        ) as response:
+            if response.is_error:
+                return Failure(_unreachable(url, f"status {response.status_code}"))
+            async for line in response.aiter_lines():
+                try:
+                    heard.take(json.loads(line)["result"])
+                except (ValueError, KeyError, TypeError, AttributeError) as error:
+                    return Failure(_unreachable(url, f"no usable answer: {error!r}"))
+                if heard.is_over:
+                    break
+        return Success(heard.revision)
+
+
+class _Heard:
+    """What a watch has told so far."""
+
+    def __init__(self, after: int, on_entry: Callable[[Entry], None]):
+        self._after = after
+        self._on_entry = on_entry
+        self._cancelled = False
+        self._revision = after
+
+    @property
+    def revision(self) -> int:
+        """The last revision of the store that was heard of."""
+        return self._revision
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more can come: the store is older or cancelled it."""
+        return self._cancelled or self._revision < self._after
+
+    def take(self, message: Message) -> None:
+        """Take in one message of the stream."""
+        self._revision = read_revision(message)
+        self._cancelled = bool(message.get("canceled", False))
+        for entry in read_events(message):
+            self._on_entry(entry)
+
+
+def _unreachable(url: str, what: str) -> PlatformUnreachableError:
+    return PlatformUnreachableError(
+        f"the platform's service gave no answer: {what}",
+        step=Step.PLATFORM,
+        peer=url,
+        remedy="see whether the service runs at this URL",
+    )
+
+
+def _refused(url: str, what: str) -> PlatformError:
+    return PlatformError(
+        f"the platform's service refused the call: {what}",
+        step=Step.PLATFORM,
+        peer=url,
+    )
+
+
+def _too_large(key: str, size: int) -> PlatformError:
+    return PlatformError(
+        f"the value of {key} has {size} bytes, the service holds {MAX_VALUE_BYTES}",
+        step=Step.PLATFORM,
+        remedy="describe fewer services in one site",
+    )
--- a/src/papayagw/_internal/settings/problem.py
+++ b/src/papayagw/_internal/settings/problem.py
@@ -42,4 +42,9 @@
     """Return the error of a process that can't start with its settings."""
     listed = "".join(f"\n  {problem}" for problem in problems)
     count = "1 problem" if len(problems) == 1 else f"{len(problems)} problems"
-    return SettingsError(f"{count}{listed}", step=Step.SETTINGS, peer=problems[0].file)
+    return SettingsError(
+        count,
+        step=Step.SETTINGS,
+        peer=problems[0].file,
+        remedy=f"correct what is listed here:{listed}",
+    )
--- /dev/null
+++ b/src/papayagw/_internal/standins/platform.py
@@ -0,0 +1,236 @@
+"""A stand-in of the platform's service: the JSON gateway of etcd v3, in memory.
+
+Under ``/standin`` it takes faults, keeps and restores copies, and tells how many
+calls came.
+"""
+
+import json
+from base64 import b64decode, b64encode
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import anyio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from papayagw._internal.models.clock import Clock, to_seconds
+from papayagw._internal.platform.store import MAX_VALUE_BYTES
+from papayagw._internal.standins.faults import CallCounts, Faults
+from papayagw._internal.standins.key_values import Copy, Event, KeyValue, KeyValues
+
+Message = dict[str, Any]
+
+_UNAVAILABLE = 503
+_LOST = 504
+_BAD_REQUEST = 400
+_WATCH_TICK_S = 1.0
+
+
+class PlatformStandin:
+    """The service and its control path.
+
+    Parameters
+    ----------
+    clock : Clock
+        The time, for leases.
+    """
+
+    def __init__(self, clock: Clock):
+        self._store = KeyValues(clock)
+        self._faults = Faults()
+        self._counts = CallCounts()
+        self._copies: dict[str, Copy] = {}
+        self._app = Starlette(routes=self._make_routes())
+
+    @property
+    def app(self) -> Starlette:
+        """The application, for a server."""
+        return self._app
+
+    @property
+    def counts(self) -> CallCounts:
+        """The calls so far."""
+        return self._counts
+
+    def _make_routes(self) -> list[Route]:
+        calls = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/put": self._put,
+            "/v3/kv/txn": self._txn,
+            "/v3/lease/grant": self._grant_lease,
+            "/v3/lease/revoke": self._revoke_lease,
+            "/v3/lease/keepalive": self._renew_lease,
+        }
+        service = [
+            Route(path, self._make_endpoint(path, call), methods=["POST"])
+            for path, call in calls.items()
+        ]
+        return [
+            *service,
+            Route("/v3/watch", self._watch, methods=["POST"]),
+            Route("/standin/faults", self._set_faults, methods=["POST"]),
+            Route("/standin/copies/{name}", self._keep_copy, methods=["POST"]),
+            Route("/standin/restore/{name}", self._restore, methods=["POST"]),
+            Route("/standin/calls", self._show_calls, methods=["GET"]),
+        ]
+
+    def _make_endpoint(
+        self, path: str, call: Callable[[Message], Message]
+    ) -> Callable[[Request], Awaitable[Response]]:
+        kind = path.removeprefix("/v3/").replace("/", "_")
+
+        async def endpoint(request: Request) -> Response:
+            self._counts.add(kind)
+            message = await request.json()
+            await anyio.sleep(to_seconds(self._faults.delay_ms))
+            if self._faults.outage:
+                return Response(status_code=_UNAVAILABLE)
+            try:
+                answer = call(message)
+            except (KeyError, ValueError, TypeError) as error:
+                return JSONResponse({"error": repr(error)}, _BAD_REQUEST)
+            await anyio.sleep(to_seconds(self._faults.answer_delay_ms))
+            if kind == "kv_txn" and self._faults.lost_answers > 0:
+                left = self._faults.lost_answers - 1
+                self._faults = replace(self._faults, lost_answers=left)
+                return Response(status_code=_LOST)
+            return JSONResponse(answer)
+
+        return endpoint
+
+    def _range(self, message: Message) -> Message:
+        end = b64decode(message.get("range_end", ""))
+        found = self._store.find(b64decode(message["key"]), end)
+        shown = [_show(one) for one in found]
+        return {"header": self._header(), "kvs": shown, "count": str(len(found))}
+
+    def _put(self, message: Message) -> Message:
+        value = b64decode(message.get("value", ""))
+        if len(value) > MAX_VALUE_BYTES:
+            raise ValueError(f"value over {MAX_VALUE_BYTES} bytes")
+        lease = int(message.get("lease", 0))
+        self._store.put(b64decode(message["key"]), value, lease)
+        return {"header": self._header()}
+
+    def _delete(self, message: Message) -> Message:
+        gone = self._store.delete(b64decode(message["key"]))
+        return {"header": self._header(), "deleted": str(int(gone))}
+
+    def _txn(self, message: Message) -> Message:
+        holds = all(self._compare(one) for one in message.get("compare", []))
+        todo = message.get("success" if holds else "failure", [])
+        responses = [self._run_operation(one) for one in todo]
+        return {"header": self._header(), "succeeded": holds, "responses": responses}
+
+    def _compare(self, message: Message) -> bool:
+        if message.get("result", "EQUAL") != "EQUAL":
+            raise ValueError("only EQUAL is compared")
+        found = self._store.find(b64decode(message["key"]))
+        targets: dict[str, tuple[object, object]] = {
+            "MOD": (found[0].modified if found else 0, message.get("mod_revision")),
+            "VERSION": (found[0].version if found else 0, message.get("version")),
+            "LEASE": (found[0].lease if found else 0, message.get("lease")),
+        }
+        actual, wanted = targets[message["target"]]
+        return str(actual) == str(wanted or 0)
+
+    def _run_operation(self, message: Message) -> Message:
+        runs = {
+            "request_put": ("response_put", self._put),
+            "request_range": ("response_range", self._range),
+            "request_delete_range": ("response_delete_range", self._delete),
+        }
+        ((name, request),) = message.items()
+        answer, run = runs[name]
+        return {answer: run(request)}
+
+    def _grant_lease(self, message: Message) -> Message:
+        lease = self._store.grant_lease(int(message["TTL"]))
+        duration = str(lease.duration_s)
+        return {"header": self._header(), "ID": str(lease.lease_id), "TTL": duration}
+
+    def _revoke_lease(self, message: Message) -> Message:
+        self._store.revoke_lease(int(message["ID"]))
+        return {"header": self._header()}
+
+    def _renew_lease(self, message: Message) -> Message:
+        lease = self._store.renew_lease(int(message["ID"]))
+        duration = str(lease.duration_s) if lease else "0"
+        result = {"header": self._header(), "ID": message["ID"], "TTL": duration}
+        return {"result": result}
+
+    async def _watch(self, request: Request) -> Response:
+        self._counts.add("watch")
+        message = (await request.json())["create_request"]
+        await anyio.sleep(to_seconds(self._faults.delay_ms))
+        if self._faults.outage:
+            return Response(status_code=_UNAVAILABLE)
+        key = b64decode(message["key"])
+        start = int(message.get("start_revision", 0)) or self._store.revision + 1
+        return StreamingResponse(self._tell_events(key, start))
+
+    async def _tell_events(self, key: bytes, start: int) -> AsyncIterator[str]:
+        """Yield the messages of a watch until an outage or a restore cuts it."""
+        changed = anyio.Event()
+
+        def on_change() -> None:
+            changed.set()
+
+        self._store.listen(on_change)
+        try:
+            yield _make_line({"header": self._header(), "created": True})
+            seen = self._store.revision
+            while not self._faults.outage and self._store.revision >= seen:
+                seen = self._store.revision
+                events = self._store.find_events(key, start)
+                changed = anyio.Event()
+                if events:
+                    start = events[-1].key_value.modified + 1
+                    shown = [_show_event(one) for one in events]
+                    yield _make_line({"header": self._header(), "events": shown})
+                with anyio.move_on_after(_WATCH_TICK_S):
+                    await changed.wait()
+        finally:
+            self._store.unlisten(on_change)
+
+    async def _set_faults(self, request: Request) -> Response:
+        self._faults = Faults.read(await request.json())
+        self._store.tell()
+        return JSONResponse({})
+
+    async def _keep_copy(self, request: Request) -> Response:
+        self._copies[request.path_params["name"]] = self._store.copy()
+        return JSONResponse({"revision": self._store.revision})
+
+    async def _restore(self, request: Request) -> Response:
+        self._store.restore(self._copies[request.path_params["name"]])
+        return JSONResponse({"revision": self._store.revision})
+
+    async def _show_calls(self, _request: Request) -> Response:
+        return JSONResponse(self._counts.by_kind)
+
+    def _header(self) -> Message:
+        return {"revision": str(self._store.revision)}
+
+
+def _show(one: KeyValue) -> Message:
+    return {
+        "key": b64encode(one.key).decode(),
+        "value": b64encode(one.value).decode(),
+        "create_revision": str(one.created),
+        "mod_revision": str(one.modified),
+        "version": str(one.version),
+        "lease": str(one.lease),
+    }
+
+
+def _show_event(event: Event) -> Message:
+    kind = {"type": "DELETE"} if event.is_delete else {}
+    return {**kind, "kv": _show(event.key_value)}
+
+
+def _make_line(result: Message) -> str:
+    return json.dumps({"result": result}) + "\n"
