--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -37,6 +37,9 @@
 
 
 COMMANDS = (
+    CommandInfo(("balancer",), "balancer", "Hand packets to the agents."),
+    CommandInfo(("agent",), "agent", "Own the flows of a backend server."),
+    CommandInfo(("connect",), "connect", "Carry TCP connections as flows."),
     CommandInfo(("config", "check"), "config_check", "Check a site's files."),
     CommandInfo(("config", "diff"), "config_diff", "Show what a change changes."),
     CommandInfo(("config", "submit"), "config_submit", "Make files the next version."),
@@ -44,6 +47,11 @@
     CommandInfo(
         ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
     ),
+    CommandInfo(
+        ("standin", "platform"), "standin_platform", "Hold keys and values in memory."
+    ),
+    CommandInfo(("standin", "fabric"), "standin_fabric", "Spray packets at random."),
+    CommandInfo(("standin", "backend"), "standin_backend", "Serve as a backend."),
 )
 
 
--- a/src/papayagw/_internal/cli/site_files.py
+++ b/src/papayagw/_internal/cli/site_files.py
@@ -2,8 +2,8 @@
 
 from pathlib import Path
 
+from papayagw._internal.cli.loading import unwrap
 from papayagw._internal.models.configuration import Site
-from papayagw._internal.settings.problem import make_error
 from papayagw._internal.settings.site import load_site
 
 
@@ -15,8 +15,4 @@
     SettingsError
         If there is any problem; it names every one.
     """
-    loaded = load_site(Path(base), Path(overlay) if overlay else None)
-    problems = loaded.swap().value_or(())
-    if problems:
-        raise make_error(problems)
-    return loaded.unwrap()
+    return unwrap(load_site(Path(base), Path(overlay) if overlay else None))
