--- a/src/papayagw/_internal/cli/commands/config_status.py
+++ b/src/papayagw/_internal/cli/commands/config_status.py
@@ -79,7 +79,7 @@
     async def ask(client: httpx.AsyncClient, node: str) -> None:
         try:
             answer = (await client.get(f"http://{node}/status")).json()
-            versions[node] = int(answer["version"])
+            versions[node] = int(answer["configuration_version"])
         except (httpx.HTTPError, ValueError, KeyError, TypeError):
             versions[node] = None
 
--- a/src/papayagw/_internal/cli/commands/standin_platform.py
+++ b/src/papayagw/_internal/cli/commands/standin_platform.py
@@ -3,6 +3,7 @@
 import json
 import signal
 from collections.abc import Callable
+from functools import partial
 
 import anyio
 
@@ -11,6 +12,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.net.clock import MonotonicClock
 from papayagw._internal.standins.http_server import HttpServer
+from papayagw._internal.standins.lifetime import announce_ready
 from papayagw._internal.standins.platform import PlatformStandin
 
 DEFAULT_LISTEN = "127.0.0.1:2379"
@@ -52,9 +54,7 @@
 
 
 async def _serve(standin: PlatformStandin, listen: Endpoint) -> None:
-    server = HttpServer(
-        standin.app, listen, lambda: print("ready platform", flush=True)
-    )
+    server = HttpServer(standin.app, listen, partial(announce_ready, "platform"))
     await server.serve()
 
 
--- /dev/null
+++ b/src/papayagw/_internal/core/change.py
@@ -0,0 +1,101 @@
+"""Finding and applying changes between versions of a configuration.
+
+A node fetches changes, not whole configurations: one service of a change is a few
+hundred bytes where the whole is up to a megabyte.
+"""
+
+from collections import OrderedDict
+from dataclasses import replace
+
+from papayagw._internal.models.change import ConfigurationChange
+from papayagw._internal.models.configuration import (
+    HISTORY_LENGTH,
+    Configuration,
+    Site,
+)
+
+REMEMBERED_VERSIONS = 16
+"""How many earlier versions a node can tell the changes from."""
+
+
+def find_change(before: Configuration, after: Configuration) -> ConfigurationChange:
+    """Return the change from one version to a later one."""
+    known = {service.service_id: service for service in before.site.services}
+    kept = {service.service_id for service in after.site.services}
+    changed = [one for one in after.site.services if known.get(one.service_id) != one]
+    marks = [mark for mark in after.history if mark.version > before.version]
+    return ConfigurationChange(
+        base=before.version,
+        base_submission_id=before.submission_id,
+        marks=tuple(marks),
+        name=after.site.name,
+        control_address=after.site.control_address,
+        zones=after.site.zones,
+        keys=after.site.keys,
+        services=tuple(changed),
+        removed=tuple(one for one in known if one not in kept),
+    )
+
+
+def apply_change(
+    before: Configuration, change: ConfigurationChange
+) -> Configuration | None:
+    """Return the later version, or None if the change isn't one of `before`."""
+    if (change.base, change.base_submission_id) != (
+        before.version,
+        before.submission_id,
+    ):
+        return None
+    if not change.marks:
+        return None
+    services = {service.service_id: service for service in before.site.services}
+    for service_id in change.removed:
+        services.pop(service_id, None)
+    services.update({service.service_id: service for service in change.services})
+    ordered = sorted(services.values(), key=lambda service: service.service_id)
+    site = Site(
+        name=change.name,
+        control_address=change.control_address,
+        zones=change.zones,
+        services=tuple(ordered),
+        keys=change.keys,
+    )
+    history = (*change.marks, *before.history)[:HISTORY_LENGTH]
+    return Configuration(change.marks[0].version, site, history)
+
+
+def share_services(before: Configuration, after: Configuration) -> Configuration:
+    """Return `after` with the objects of `before` for the services that are equal.
+
+    So a version that is remembered costs what changed in it and one reference for
+    each service.
+    """
+    known = {service.service_id: service for service in before.site.services}
+    services = []
+    for service in after.site.services:
+        earlier = known.get(service.service_id)
+        services.append(earlier if earlier == service and earlier else service)
+    return replace(after, site=replace(after.site, services=tuple(services)))
+
+
+class ChangeLog:
+    """The last versions of a node, from which it finds changes."""
+
+    def __init__(self) -> None:
+        self._versions: OrderedDict[int, Configuration] = OrderedDict()
+
+    def add(self, configuration: Configuration) -> None:
+        """Remember the version that is in force now."""
+        self._versions[configuration.version] = configuration
+        while len(self._versions) > REMEMBERED_VERSIONS:
+            self._versions.popitem(last=False)
+
+    def find_since(
+        self, version: int, submission_id: str
+    ) -> ConfigurationChange | None:
+        """Return the change from a version to the last, if it is remembered."""
+        before = self._versions.get(version)
+        if before is None or before.submission_id != submission_id:
+            return None
+        last = next(reversed(self._versions.values()))
+        return None if last is before else find_change(before, last)
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -2,6 +2,8 @@
 
 from enum import Enum
 
+from papayagw._internal.core.change import ChangeLog, apply_change, share_services
+from papayagw._internal.models.change import Answer, Nothing, Question
 from papayagw._internal.models.configuration import Configuration
 
 
@@ -20,6 +22,7 @@
 
     def __init__(self) -> None:
         self._current: Configuration | None = None
+        self._changes = ChangeLog()
         self._refused = 0
 
     @property
@@ -37,15 +40,40 @@
         """How many older or forked versions were refused."""
         return self._refused
 
+    @property
+    def question(self) -> Question:
+        """What this node asks a peer that may have a newer version."""
+        submission_id = self._current.submission_id if self._current else ""
+        return Question(self.version, submission_id)
+
     def offer(self, configuration: Configuration) -> Offer:
         """Put a configuration in force if it is newer."""
         offer = self._judge(configuration)
         if offer is Offer.NEWER:
+            if self._current is not None:
+                configuration = share_services(self._current, configuration)
             self._current = configuration
+            self._changes.add(configuration)
         elif offer is not Offer.SAME:
             self._refused += 1
         return offer
 
+    def answer(self, question: Question) -> Answer:
+        """Return what a peer needs to get from its version to this node's."""
+        current = self._current
+        if current is None or question.version >= current.version:
+            return Nothing()
+        change = self._changes.find_since(question.version, question.submission_id)
+        return current if change is None else change
+
+    def resolve(self, answer: Answer) -> Configuration | None:
+        """Return the configuration that a peer's answer leads to, or None."""
+        if isinstance(answer, Nothing):
+            return None
+        if isinstance(answer, Configuration):
+            return answer
+        return apply_change(self._current, answer) if self._current else None
+
     def _judge(self, configuration: Configuration) -> Offer:
         if self._current is None or configuration.version > self._current.version:
             return Offer.NEWER
--- a/src/papayagw/_internal/models/node.py
+++ b/src/papayagw/_internal/models/node.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.configuration import FleetKey
 from papayagw._internal.models.endpoint import Endpoint
 
 
@@ -45,6 +46,8 @@
     inner : Endpoint
         Where envelopes and control frames of the system's own processes come, over
         UDP, and where peers fetch the configuration, over TCP.
+    site : str or None
+        The name of the site whose configuration the platform holds.
     platform : tuple of str
         Base URLs of the platform's service, tried in turn. Empty when `base` is
         given.
@@ -52,14 +55,22 @@
         A base file to use in place of the platform.
     overlay : str or None
         The overlay to `base`.
+    peers : tuple of Endpoint
+        Inner endpoints of balancers that are asked for the configuration at the
+        start, besides the platform.
+    keys : tuple of FleetKey
+        The keys that seal what is asked of `peers` before a configuration is held.
     """
 
     name: str
     zone: str
     inner: Endpoint
+    site: str | None = None
     platform: tuple[str, ...] = ()
     base: str | None = None
     overlay: str | None = None
+    peers: tuple[Endpoint, ...] = ()
+    keys: tuple[FleetKey, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -0,0 +1,181 @@
+"""Handing the configuration from node to node, over TCP on the inner endpoint."""
+
+from collections.abc import Sequence
+
+import anyio
+from anyio.abc import Listener, SocketStream, TaskGroup
+from returns.result import Failure, Result, Success
+
+from papayagw._internal.core.configuration import ConfigurationLog
+from papayagw._internal.exceptions import (
+    BindError,
+    DecodeError,
+    PapayagwError,
+    Step,
+)
+from papayagw._internal.models.change import Answer
+from papayagw._internal.models.clock import Millis, to_seconds
+from papayagw._internal.models.configuration import Configuration, FleetKey
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.net.frames import receive_frame, send_frame
+from papayagw._internal.wire.configuration_exchange import ExchangeCodec
+
+EXCHANGE_TIMEOUT_MS = Millis(3_000)
+MAX_QUESTION_BYTES = 512
+MAX_ANSWER_BYTES = 2_000_000
+MAX_CONNECTIONS = 32
+
+_STREAM_ERRORS = (OSError, anyio.BrokenResourceError, anyio.IncompleteRead)
+
+
+class PeerConfigurationSource:
+    """Asks peers for what they have in force.
+
+    Parameters
+    ----------
+    log : ConfigurationLog
+        What this node has in force.
+    keys : sequence of FleetKey
+        The keys that seal questions before a configuration is held.
+    timeout_ms : Millis
+        How long one peer may take.
+    """
+
+    def __init__(
+        self,
+        log: ConfigurationLog,
+        keys: Sequence[FleetKey],
+        timeout_ms: Millis = EXCHANGE_TIMEOUT_MS,
+    ):
+        self._log = log
+        self._keys = tuple(keys)
+        self._timeout_ms = timeout_ms
+
+    async def fetch(
+        self, peer: Endpoint
+    ) -> Result[Configuration | None, PapayagwError]:
+        """Return a newer configuration of `peer`, or None if it has none."""
+        current = self._log.current
+        keys = self._keys if current is None else current.site.keys
+        result: Result[Configuration | None, PapayagwError] = Failure(
+            _fail(peer, "no key to ask with")
+        )
+        # A peer may know only one of the keys, so each is tried.
+        for key in keys:
+            result = await self._fetch(peer, ExchangeCodec([key]))
+            if isinstance(result, Success):
+                return result
+        return result
+
+    async def _fetch(
+        self, peer: Endpoint, codec: ExchangeCodec
+    ) -> Result[Configuration | None, PapayagwError]:
+        try:
+            with anyio.fail_after(to_seconds(self._timeout_ms)):
+                answer = await self._ask(peer, codec)
+        except TimeoutError:
+            return Failure(_fail(peer, f"no answer in {self._timeout_ms} ms"))
+        except _STREAM_ERRORS as error:
+            return Failure(_fail(peer, f"no answer: {error or type(error).__name__}"))
+        except DecodeError as error:
+            return Failure(error)
+        if answer is None:
+            return Failure(_fail(peer, "an answer that isn't authentic"))
+        return Success(self._log.resolve(answer))
+
+    async def _ask(self, peer: Endpoint, codec: ExchangeCodec) -> Answer | None:
+        question, nonce = codec.seal_question(self._log.question)
+        async with await anyio.connect_tcp(peer.ip, peer.port) as stream:
+            await send_frame(stream, question)
+            frame = await receive_frame(stream, MAX_ANSWER_BYTES)
+        return codec.open_answer(frame, nonce)
+
+
+class ConfigurationServer:
+    """Answers peers.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Where to listen.
+    log : ConfigurationLog
+        What this node has in force, whose keys open questions.
+    """
+
+    def __init__(self, endpoint: Endpoint, log: ConfigurationLog):
+        self._endpoint = endpoint
+        self._log = log
+        self._refused = 0
+        self._connections = 0
+        self._scope = anyio.CancelScope()
+
+    @property
+    def refused(self) -> int:
+        """How many questions weren't authentic."""
+        return self._refused
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen, and serve in `tasks` until `close`.
+
+        Raises
+        ------
+        BindError
+            If the endpoint is taken or isn't of this host.
+        """
+        try:
+            listener = await anyio.create_tcp_listener(
+                local_host=self._endpoint.ip, local_port=self._endpoint.port
+            )
+        except OSError as error:
+            raise BindError(
+                f"can't listen for peers: {error.strerror}",
+                step=Step.BIND,
+                peer=str(self._endpoint),
+                remedy="choose an address of this host and a free port",
+            ) from error
+        tasks.start_soon(self._serve, listener)
+
+    def close(self) -> None:
+        """Stop listening and end all connections."""
+        self._scope.cancel()
+
+    async def _serve(self, listener: Listener[SocketStream]) -> None:
+        with self._scope:
+            async with listener:
+                await listener.serve(self._handle)
+
+    async def _handle(self, stream: SocketStream) -> None:
+        async with stream:
+            if self._connections >= MAX_CONNECTIONS:
+                return
+            self._connections += 1
+            try:
+                with anyio.move_on_after(to_seconds(EXCHANGE_TIMEOUT_MS)):
+                    await self._answer(stream)
+            except (*_STREAM_ERRORS, DecodeError):
+                # The peer went away or isn't one; it asks again if it is.
+                self._refused += 1
+            finally:
+                self._connections -= 1
+
+    async def _answer(self, stream: SocketStream) -> None:
+        frame = await receive_frame(stream, MAX_QUESTION_BYTES)
+        current = self._log.current
+        if current is None:
+            return
+        codec = ExchangeCodec(current.site.keys)
+        asked = codec.open_question(frame)
+        if asked is None:
+            self._refused += 1
+            return
+        answer = self._log.answer(asked.question)
+        await send_frame(stream, codec.seal_answer(answer, asked))
+
+
+def _fail(peer: Endpoint, what: str) -> PapayagwError:
+    return PapayagwError(
+        f"can't fetch the configuration: {what}",
+        step=Step.PLATFORM,
+        peer=str(peer),
+        remedy="see whether the peer runs and shares a fleet key",
+    )
--- /dev/null
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -0,0 +1,216 @@
+"""The configuration from the platform's service and from peers.
+
+A few relays of each zone watch the service; every other node hears of a version on
+the messages that nodes exchange anyway and fetches what changed from the node that
+told it. While the service is down, nodes go on with what they hold.
+"""
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from papayagw._internal.core.backoff import Backoff
+from papayagw._internal.core.configuration import ConfigurationLog, Offer
+from papayagw._internal.exceptions import PapayagwError, PlatformError, Step
+from papayagw._internal.models.clock import Millis, to_seconds
+from papayagw._internal.models.configuration import Configuration
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.net.configuration import OnChange
+from papayagw._internal.net.configuration_peer import PeerConfigurationSource
+from papayagw._internal.net.configuration_store import (
+    ConfigurationStore,
+    Stored,
+    StoreError,
+)
+from papayagw._internal.platform.store import NO_ENTRY
+
+WATCH_LIMIT_MS = Millis(60_000)
+"""A watch that died without notice is noticed after this time."""
+
+RELAY_CHECK_MS = Millis(1_000)
+
+
+class PlatformConfigurationSource:
+    """The platform's service, and peers beside it.
+
+    Parameters
+    ----------
+    store : ConfigurationStore
+        The site's configuration in the service.
+    log : ConfigurationLog
+        What this node has in force, shared with the server for peers.
+    peers : PeerConfigurationSource
+        How peers are asked.
+    seeds : sequence of Endpoint
+        Peers that are asked at the start.
+    is_relay : callable
+        Returns whether this node watches the service.
+    on_failure : callable
+        Takes each error, for the log.
+    random : Random
+        The source of the jitter.
+    """
+
+    def __init__(
+        self,
+        store: ConfigurationStore,
+        log: ConfigurationLog,
+        peers: PeerConfigurationSource,
+        *,
+        seeds: Sequence[Endpoint] = (),
+        is_relay: Callable[[], bool] = lambda: True,
+        on_failure: Callable[[PapayagwError], None] = lambda _: None,
+        random: Random | None = None,
+    ):
+        self._store = store
+        self._log = log
+        self._peers = peers
+        self._seeds = tuple(seeds)
+        self._is_relay = is_relay
+        self._on_failure = on_failure
+        self._random = random or Random()
+        self._on_change: OnChange = lambda _: None
+        self._rumour: tuple[int, Endpoint] | None = None
+        self._rumoured = anyio.Event()
+
+    @property
+    def log(self) -> ConfigurationLog:
+        """What this node has in force."""
+        return self._log
+
+    async def start(self) -> Configuration:
+        """Return the newest configuration of the service and the seeds.
+
+        The seeds are asked even if the service answers: it may have been restored
+        from an older copy.
+        """
+        backoff = Backoff(self._random)
+        while True:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._read)
+                for seed in self._seeds:
+                    tasks.start_soon(self._fetch, seed)
+            if self._log.current is not None:
+                return self._log.current
+            await anyio.sleep(to_seconds(backoff.fail()))
+
+    async def run(self, on_change: OnChange) -> None:
+        """Call `on_change` with each later configuration, until cancelled."""
+        self._on_change = on_change
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_store)
+            tasks.start_soon(self._follow_rumours)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._store.close()
+
+    def hear_version(self, version: int, peer: Endpoint) -> None:
+        """Take in that `peer` has `version` in force, as its messages say."""
+        if version <= self._log.version:
+            return
+        if self._rumour is None or version > self._rumour[0]:
+            self._rumour = (version, peer)
+            self._rumoured.set()
+
+    async def _follow_store(self) -> None:
+        backoff = Backoff(self._random)
+        while True:
+            if not self._is_relay():
+                await anyio.sleep(self._random.random() * to_seconds(RELAY_CHECK_MS))
+            elif await self._watch():
+                backoff.succeed()
+            else:
+                await anyio.sleep(to_seconds(backoff.fail()))
+
+    async def _watch(self) -> bool:
+        """Read the store, then watch it for a while; return whether it answered."""
+        stored = await self._read()
+        if stored is None or not await self._mend(stored):
+            return False
+        heard = await self._store.watch(
+            stored.store_revision, self._take_answer, WATCH_LIMIT_MS
+        )
+        if isinstance(heard, Failure):
+            self._on_failure(heard.failure())
+            return False
+        return True
+
+    async def _read(self) -> Stored | None:
+        answer = await self._store.read()
+        if isinstance(answer, Failure):
+            self._on_failure(answer.failure())
+            return None
+        stored = answer.unwrap()
+        self._take_answer(Success(stored.configuration))
+        return stored
+
+    async def _mend(self, stored: Stored) -> bool:
+        """Put back what is in force if the store has lost it.
+
+        Returns False where the store has to be read again.
+        """
+        current = self._log.current
+        held = stored.configuration
+        if current is None or (held is not None and held.version >= current.version):
+            return True
+        expected = stored.key_revision if held is not None else NO_ENTRY
+        answer = await self._store.swap(current, expected)
+        if isinstance(answer, Failure):
+            self._on_failure(answer.failure())
+        return False
+
+    async def _follow_rumours(self) -> None:
+        backoff = Backoff(self._random)
+        while True:
+            await self._rumoured.wait()
+            self._rumoured = anyio.Event()
+            rumour, self._rumour = self._rumour, None
+            if rumour is None or rumour[0] <= self._log.version:
+                continue
+            if await self._fetch(rumour[1]):
+                backoff.succeed()
+            else:
+                await anyio.sleep(to_seconds(backoff.fail()))
+
+    async def _fetch(self, peer: Endpoint) -> bool:
+        answer = await self._peers.fetch(peer)
+        if isinstance(answer, Failure):
+            self._on_failure(answer.failure())
+            return False
+        configuration = answer.unwrap()
+        if configuration is not None:
+            self._take(configuration, str(peer))
+        return True
+
+    def _take_answer(self, answer: Result[Configuration | None, StoreError]) -> None:
+        if isinstance(answer, Failure):
+            self._on_failure(answer.failure())
+            return
+        configuration = answer.unwrap()
+        if configuration is not None:
+            self._take(configuration, "platform")
+
+    def _take(self, configuration: Configuration, peer: str) -> None:
+        offer = self._log.offer(configuration)
+        if offer is Offer.NEWER:
+            assert self._log.current is not None
+            self._on_change(self._log.current)
+        elif offer in (Offer.OLDER, Offer.FORKED):
+            self._on_failure(_refuse(configuration, self._log.version, offer, peer))
+
+
+def _refuse(
+    configuration: Configuration, version: int, offer: Offer, peer: str
+) -> PlatformError:
+    if offer is Offer.FORKED:
+        what = f"version {version} of another submission than the one in force"
+        remedy = "look at config status and submit the change that is missing again"
+    else:
+        what = f"version {configuration.version}, older than {version} in force"
+        remedy = "it is put back; see why the service was restored"
+    return PlatformError(
+        f"refused {what}", step=Step.PLATFORM, peer=peer, remedy=remedy
+    )
--- a/src/papayagw/_internal/settings/node.py
+++ b/src/papayagw/_internal/settings/node.py
@@ -28,6 +28,7 @@
 )
 from papayagw._internal.settings.place import Place
 from papayagw._internal.settings.problem import Problems
+from papayagw._internal.settings.site import FLEET_KEY
 from papayagw._internal.settings.structure import ListOf, ObjectOf, make_keys
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
@@ -43,9 +44,12 @@
     "name": Name(),
     "zone": Name(),
     "inner": Address(),
+    "site": Name(),
     "platform": ListOf(Url()),
     "base": ReadableFile(),
     "overlay": ReadableFile(),
+    "peers": ListOf(Address()),
+    "keys": ListOf(FLEET_KEY),
 }
 _NODE_ATTRIBUTES = {one.name for one in fields(NodeSettings)}
 
@@ -95,6 +99,10 @@
             "exactly one of them",
             "name the platform's URLs, or a base file for trials without it",
         )
+    if node.platform and node.site is None:
+        place.enter("site").report("nothing", "the name of the site", "add it")
+    if node.peers and not node.keys:
+        place.enter("keys").report("nothing", "the keys shared with peers", "add them")
     if node.overlay is not None and node.base is None:
         place.enter("overlay").report("an overlay without base", "base with it")
 
--- a/src/papayagw/_internal/settings/site.py
+++ b/src/papayagw/_internal/settings/site.py
@@ -97,6 +97,7 @@
     {"id": Whole(0, MAX_KEY_ID), "file": ReadableFile()},
     renamed={"id": "key_id", "file": "secret"},
 )
+FLEET_KEY = ObjectOf(FLEET_KEY_KEYS, _build_key)
 SITE_KEYS = make_keys(
     Site,
     {
@@ -104,7 +105,7 @@
         "control_address": Address(),
         "zones": ListOf(Name()),
         "services": MapOf(Name(), ObjectOf(SERVICE_KEYS, _build_service)),
-        "keys": ListOf(ObjectOf(FLEET_KEY_KEYS, _build_key)),
+        "keys": ListOf(FLEET_KEY),
     },
 )
 SITE = ObjectOf(SITE_KEYS, _build_site)
--- a/src/papayagw/_internal/standins/http_server.py
+++ b/src/papayagw/_internal/standins/http_server.py
@@ -35,7 +35,7 @@
                 app,
                 host=endpoint.ip,
                 port=endpoint.port,
-                log_level="warning",
+                log_level="critical",
                 access_log=False,
                 backlog=_BACKLOG,
                 timeout_graceful_shutdown=_STOP_LIMIT_S,
--- a/src/papayagw/_internal/wire/configuration.capnp
+++ b/src/papayagw/_internal/wire/configuration.capnp
@@ -41,3 +41,30 @@
   keyId @0 :UInt8;
   secret @1 :Data;
 }
+
+# What changes from one version to a later one.
+struct Change {
+  base @0 :UInt64;
+  baseSubmissionId @1 :Text;
+  marks @2 :List(Mark);
+  name @3 :Text;
+  controlAddress @4 :Endpoint;
+  zones @5 :List(Text);
+  keys @6 :List(Key);
+  services @7 :List(Service);
+  removed @8 :List(UInt16);
+}
+
+# What a node asks a peer: the version that it has.
+struct Question {
+  version @0 :Int64;
+  submissionId @1 :Text;
+}
+
+struct Answer {
+  union {
+    nothing @0 :Void;
+    whole @1 :Configuration;
+    change @2 :Change;
+  }
+}
--- a/src/papayagw/_internal/wire/configuration.py
+++ b/src/papayagw/_internal/wire/configuration.py
@@ -25,37 +25,37 @@
 from papayagw._internal.models.service import Objectives, Service, ServiceId
 
 capnp.remove_import_hook()
-_SCHEMA = capnp.load(str(Path(__file__).with_name("configuration.capnp")))
+SCHEMA = capnp.load(str(Path(__file__).with_name("configuration.capnp")))
 
 
 def write_configuration(configuration: Configuration) -> bytes:
     """Return the bytes of a configuration."""
-    site = configuration.site
-    message = _SCHEMA.Configuration.new_message(
-        version=configuration.version,
-        history=[_write_mark(one) for one in configuration.history],
-        name=site.name,
-        controlAddress=_write_endpoint(site.control_address),
-        zones=list(site.zones),
-        services=[_write_service(one) for one in site.services],
-        keys=[{"keyId": one.key_id, "secret": one.secret} for one in site.keys],
-    )
+    message = SCHEMA.Configuration.new_message(**make_fields(configuration))
     written: bytes = message.to_bytes_packed()
     return written
 
 
+def make_fields(configuration: Configuration) -> dict[str, Any]:
+    """Return the fields of the message of a configuration."""
+    site = configuration.site
+    return {
+        "version": configuration.version,
+        "history": [write_mark(one) for one in configuration.history],
+        "name": site.name,
+        "controlAddress": write_endpoint(site.control_address),
+        "zones": list(site.zones),
+        "services": [write_service(one) for one in site.services],
+        "keys": [write_key(one) for one in site.keys],
+    }
+
+
 def read_configuration(data: bytes) -> Result[Configuration, DecodeError]:
     """Return the configuration that bytes hold, or why they hold none."""
     try:
-        configuration = _read(_SCHEMA.Configuration.from_bytes_packed(data))
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        message = SCHEMA.Configuration.from_bytes_packed(data)
+        return Success(read_message(message))
+    except (capnp.KjException, ValueError) as error:
         return Failure(_bad(str(error).splitlines()[0]))
-    site = configuration.site
-    if not (configuration.version and site.services and site.keys):
-        return Failure(_bad("no version, services or keys in it"))
-    if any(len(key.secret) != KEY_BYTES for key in site.keys):
-        return Failure(_bad("a key of the wrong length"))
-    return Success(configuration)
 
 
 def _bad(what: str) -> DecodeError:
@@ -66,22 +66,47 @@
     )
 
 
-def _read(message: Any) -> Configuration:
+def read_message(message: Any) -> Configuration:
+    """Return the configuration of a message.
+
+    Raises
+    ------
+    ValueError
+        If a field doesn't hold what it must.
+    """
     site = Site(
         name=message.name,
-        control_address=_read_endpoint(message.controlAddress),
+        control_address=read_endpoint(message.controlAddress),
         zones=tuple(message.zones),
-        services=tuple(_read_service(one) for one in message.services),
-        keys=tuple(FleetKey(one.keyId, bytes(one.secret)) for one in message.keys),
-    )
-    history = tuple(
-        SubmissionMark(one.version, one.submissionId, one.operator)
-        for one in message.history
+        services=tuple(read_service(one) for one in message.services),
+        keys=tuple(read_key(one) for one in message.keys),
     )
+    if not (site.services and site.keys):
+        raise ValueError("no services or no keys")
+    history = tuple(read_mark(one) for one in message.history)
     return Configuration(message.version, site, history)
 
 
-def _write_mark(mark: SubmissionMark) -> dict[str, Any]:
+def read_key(message: Any) -> FleetKey:
+    """Return the fleet key of a message."""
+    secret = bytes(message.secret)
+    if len(secret) != KEY_BYTES:
+        raise ValueError("a key of the wrong length")
+    return FleetKey(message.keyId, secret)
+
+
+def write_key(key: FleetKey) -> dict[str, Any]:
+    """Return the fields of a fleet key."""
+    return {"keyId": key.key_id, "secret": key.secret}
+
+
+def read_mark(message: Any) -> SubmissionMark:
+    """Return the submission's mark of a message."""
+    return SubmissionMark(message.version, message.submissionId, message.operator)
+
+
+def write_mark(mark: SubmissionMark) -> dict[str, Any]:
+    """Return the fields of a submission's mark."""
     return {
         "version": mark.version,
         "submissionId": mark.submission_id,
@@ -89,21 +114,24 @@
     }
 
 
-def _write_endpoint(endpoint: Endpoint) -> dict[str, int]:
+def write_endpoint(endpoint: Endpoint) -> dict[str, int]:
+    """Return the fields of an endpoint."""
     return {"ip": int(IPv4Address(endpoint.ip)), "port": endpoint.port}
 
 
-def _read_endpoint(message: Any) -> Endpoint:
+def read_endpoint(message: Any) -> Endpoint:
+    """Return the endpoint of a message."""
     if not message.port:
         raise ValueError("an address without a port")
     return Endpoint(str(IPv4Address(message.ip)), message.port)
 
 
-def _write_service(service: Service) -> dict[str, Any]:
+def write_service(service: Service) -> dict[str, Any]:
+    """Return the fields of a service."""
     return {
         "name": service.name,
         "serviceId": service.service_id,
-        "address": _write_endpoint(service.address),
+        "address": write_endpoint(service.address),
         "idempotent": service.idempotent,
         "maxFlows": service.max_flows,
         "idleTimeoutMs": service.idle_timeout_ms,
@@ -116,7 +144,8 @@
     }
 
 
-def _read_service(message: Any) -> Service:
+def read_service(message: Any) -> Service:
+    """Return the service of a message."""
     objectives = Objectives(
         availability=message.availability,
         latency_ms=Millis(message.latencyMs),
@@ -126,7 +155,7 @@
     return Service(
         name=message.name,
         service_id=ServiceId(message.serviceId),
-        address=_read_endpoint(message.address),
+        address=read_endpoint(message.address),
         idempotent=message.idempotent,
         max_flows=message.maxFlows,
         idle_timeout_ms=Millis(message.idleTimeoutMs),
--- /dev/null
+++ b/src/papayagw/_internal/wire/configuration_exchange.py
@@ -0,0 +1,183 @@
+"""Sealing of what peers ask and answer about the configuration.
+
+A configuration holds the fleet keys, so both directions are enciphered and
+authenticated (AES-GCM) under a key that is derived from a fleet key. An answer is
+bound to the nonce of its question: an earlier answer can't be played back.
+
+A frame is a byte with the key id, a nonce of 12 bytes and the enciphered message.
+"""
+
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import capnp
+from cryptography.exceptions import InvalidTag
+from cryptography.hazmat.primitives.ciphers.aead import AESGCM
+
+from papayagw._internal.models.change import (
+    Answer,
+    ConfigurationChange,
+    Nothing,
+    Question,
+)
+from papayagw._internal.models.configuration import Configuration, FleetKey
+from papayagw._internal.models.service import ServiceId
+from papayagw._internal.wire.configuration import (
+    SCHEMA,
+    make_fields,
+    read_endpoint,
+    read_key,
+    read_mark,
+    read_message,
+    read_service,
+    write_endpoint,
+    write_key,
+    write_mark,
+    write_service,
+)
+from papayagw._internal.wire.keys import derive_key
+
+NONCE_BYTES = 12
+_KEY_BYTES = 32
+_QUESTION = b"question"
+_ANSWER = b"answer"
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A question that was opened.
+
+    Attributes
+    ----------
+    question : Question
+        What is asked.
+    key_id : int
+        The key that sealed it, which seals the answer.
+    nonce : bytes of shape (NONCE_BYTES,)
+        What the answer is bound to.
+    """
+
+    question: Question
+    key_id: int
+    nonce: bytes
+
+
+class ExchangeCodec:
+    """Seals and opens questions and answers.
+
+    Parameters
+    ----------
+    keys : sequence of FleetKey
+        The first one seals questions; all of them open.
+    """
+
+    def __init__(self, keys: Sequence[FleetKey]):
+        self._seal_id = keys[0].key_id
+        self._ciphers = {
+            key.key_id: AESGCM(derive_key(key, "configuration exchange", _KEY_BYTES))
+            for key in keys
+        }
+
+    def seal_question(self, question: Question) -> tuple[bytes, bytes]:
+        """Return the frame of a question and the nonce that its answer needs."""
+        message = SCHEMA.Question.new_message(
+            version=question.version, submissionId=question.submission_id
+        )
+        nonce = os.urandom(NONCE_BYTES)
+        plain = message.to_bytes_packed()
+        return self._seal(self._seal_id, nonce, plain, _QUESTION), nonce
+
+    def open_question(self, frame: bytes) -> Asked | None:
+        """Return the question of a frame, or None if it isn't authentic."""
+        plain = self._open(frame, _QUESTION)
+        if plain is None:
+            return None
+        try:
+            message = SCHEMA.Question.from_bytes_packed(plain)
+            question = Question(message.version, message.submissionId)
+        except (capnp.KjException, ValueError):
+            return None
+        return Asked(question, frame[0], frame[1 : 1 + NONCE_BYTES])
+
+    def seal_answer(self, answer: Answer, asked: Asked) -> bytes:
+        """Return the frame of an answer."""
+        plain = _write_answer(answer)
+        nonce = os.urandom(NONCE_BYTES)
+        return self._seal(asked.key_id, nonce, plain, _ANSWER + asked.nonce)
+
+    def open_answer(self, frame: bytes, nonce: bytes) -> Answer | None:
+        """Return the answer to the question with `nonce`, or None if it isn't it."""
+        plain = self._open(frame, _ANSWER + nonce)
+        if plain is None:
+            return None
+        try:
+            return _read_answer(plain)
+        except (capnp.KjException, ValueError):
+            return None
+
+    def _seal(self, key_id: int, nonce: bytes, plain: bytes, bound: bytes) -> bytes:
+        sealed = self._ciphers[key_id].encrypt(nonce, plain, bound)
+        return bytes((key_id,)) + nonce + sealed
+
+    def _open(self, frame: bytes, bound: bytes) -> bytes | None:
+        cipher = self._ciphers.get(frame[0]) if frame else None
+        if cipher is None:
+            return None
+        nonce, sealed = frame[1 : 1 + NONCE_BYTES], frame[1 + NONCE_BYTES :]
+        try:
+            return cipher.decrypt(nonce, sealed, bound)
+        except (InvalidTag, ValueError):
+            return None
+
+
+def _write_answer(answer: Answer) -> bytes:
+    message = SCHEMA.Answer.new_message()
+    match answer:
+        case Configuration():
+            message.whole = make_fields(answer)
+        case ConfigurationChange():
+            message.change = _make_change_fields(answer)
+        case Nothing():
+            message.nothing = None
+    written: bytes = message.to_bytes_packed()
+    return written
+
+
+def _read_answer(plain: bytes) -> Answer:
+    message = SCHEMA.Answer.from_bytes_packed(plain)
+    kind = message.which()
+    if kind == "whole":
+        return read_message(message.whole)
+    if kind == "change":
+        return _read_change(message.change)
+    return Nothing()
+
+
+def _make_change_fields(change: ConfigurationChange) -> dict[str, object]:
+    return {
+        "base": change.base,
+        "baseSubmissionId": change.base_submission_id,
+        "marks": [write_mark(one) for one in change.marks],
+        "name": change.name,
+        "controlAddress": write_endpoint(change.control_address),
+        "zones": list(change.zones),
+        "keys": [write_key(one) for one in change.keys],
+        "services": [write_service(one) for one in change.services],
+        "removed": list(change.removed),
+    }
+
+
+def _read_change(message: Any) -> ConfigurationChange:
+    return ConfigurationChange(
+        base=message.base,
+        base_submission_id=message.baseSubmissionId,
+        marks=tuple(read_mark(one) for one in message.marks),
+        name=message.name,
+        control_address=read_endpoint(message.controlAddress),
+        zones=tuple(message.zones),
+        keys=tuple(read_key(one) for one in message.keys),
+        services=tuple(read_service(one) for one in message.services),
+        removed=tuple(ServiceId(one) for one in message.removed),
+    )
--- a/tests/lib/settings.py
+++ b/tests/lib/settings.py
@@ -21,6 +21,7 @@
     "name": "balancer-1",
     "zone": "a",
     "inner": "127.0.0.11:4300",
+    "site": "ee-north",
     "platform": ["http://127.0.0.1:2379"],
 }
 AGENT = {
