--- a/src/papayagw/_internal/wire/configuration_exchange.py
+++ b/src/papayagw/_internal/wire/configuration_exchange.py
@@ -136,9 +136,9 @@
     message = SCHEMA.Answer.new_message()
     match answer:
         case Configuration():
-            message.whole = make_fields(answer)
+            message.init("whole").from_dict(make_fields(answer))
         case ConfigurationChange():
-            message.change = _make_change_fields(answer)
+            message.init("change").from_dict(_make_change_fields(answer))
         case Nothing():
             message.nothing = None
     written: bytes = message.to_bytes_packed()
--- /dev/null
+++ b/tests/properties/test_submission.py
@@ -0,0 +1,103 @@
+import pytest
+from hypothesis import Phase, find, given, settings
+from hypothesis import strategies as st
+
+from papayagw._internal.core.configuration import ConfigurationLog, Offer
+from papayagw._internal.core.submission import Read, Refused, Submission
+from tests.lib.configurations import World
+
+CALM = ("submit", "call", "send", "serve", "answer", "observe")
+FAULTS = ("lose_answer", "delay", "give_up")
+RESTORES = ("restore", "observe_all")
+
+
+def schedules(names):
+    step = st.tuples(st.sampled_from(names), st.integers(0, 9))
+    return st.lists(step, min_size=10, max_size=60)
+
+
+class DoesNotReadBack(Submission):
+    """Takes any conflict for a refusal."""
+
+    def on_conflict(self, current):
+        self._finish(Refused("conflict"))
+
+
+class TrustsSilence(Submission):
+    """Takes a write without an answer for a refusal."""
+
+    def on_deadline(self):
+        self._has_pending_write = False
+        self._finish(Refused("no answer"))
+
+
+class StartsAgain(Submission):
+    """Reads anew and submits on top after a write without an answer."""
+
+    def on_no_answer(self):
+        super().on_no_answer()
+        self._action = Read()
+
+
+class TakesAny(ConfigurationLog):
+    """Puts in force whatever it is offered."""
+
+    def offer(self, configuration):
+        self._current = configuration
+        return Offer.NEWER
+
+
+def check(operators, schedule, make_submission=Submission):
+    world = World(operators, make_submission)
+    world.run(schedule)
+    world.finish()
+    versions = [one.version for one in world.written]
+    assert versions == list(range(1, len(versions) + 1))
+    assert len({one.submission_id for one in world.written}) == len(world.written)
+    assert world.find_lies() == []
+
+
+@pytest.mark.parametrize("operators", [2, 10])
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(schedule=schedules(CALM + FAULTS))
+def test_one_wins_each_version_and_each_is_told_the_truth(operators, schedule):
+    check(operators, schedule)
+
+
+def check_nodes(operators, schedule, make_log=ConfigurationLog):
+    world = World(operators, make_log=make_log)
+    world.run(schedule)
+    for seen in world.seen:
+        versions = [version for version, _ in seen]
+        assert versions == sorted(versions)
+        assert len(set(seen)) == len(set(versions))
+
+
+@pytest.mark.parametrize("operators", [2, 10])
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(schedule=schedules(CALM + FAULTS + RESTORES))
+def test_versions_never_fall_when_the_store_is_restored(operators, schedule):
+    check_nodes(operators, schedule)
+
+
+@pytest.mark.parametrize(
+    ("check_it", "names", "mutant"),
+    [
+        (check, CALM + FAULTS, DoesNotReadBack),
+        (check, CALM + FAULTS, TrustsSilence),
+        (check, CALM + FAULTS, StartsAgain),
+        (check_nodes, CALM + FAULTS + RESTORES, TakesAny),
+    ],
+)
+def test_property_is_red_without_the_mechanism(check_it, names, mutant):
+    def is_violated(schedule):
+        try:
+            check_it(4, schedule, mutant)
+        except AssertionError:
+            return True
+        return False
+
+    quick = settings(
+        max_examples=2_000, derandomize=True, deadline=None, phases=[Phase.generate]
+    )
+    assert is_violated(find(schedules(names), is_violated, settings=quick))
--- /dev/null
+++ b/tests/unit/test_configuration.py
@@ -0,0 +1,199 @@
+from dataclasses import replace
+
+import pytest
+
+from papayagw._internal.core.change import apply_change, find_change
+from papayagw._internal.core.comparison import compare_sites
+from papayagw._internal.core.configuration import ConfigurationLog, Offer
+from papayagw._internal.core.relay import choose_relays, is_relay
+from papayagw._internal.core.transition import find_objections
+from papayagw._internal.models.change import Nothing, Question
+from papayagw._internal.models.configuration import FleetKey
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.service import Service, ServiceId
+from papayagw._internal.wire.configuration import (
+    read_configuration,
+    write_configuration,
+)
+from papayagw._internal.wire.configuration_exchange import ExchangeCodec
+from tests.lib.configurations import make_configuration, make_site
+from tests.lib.samples import KEY, OLD_KEY, SITE
+
+NEW_KEY = FleetKey(9, bytes(32))
+ORDER_SERVICE, DRAWINGS_SERVICE = SITE.services
+RATES = Service("rates", ServiceId(3), Endpoint("127.0.1.3", 4403))
+
+
+def with_services(*services):
+    return replace(SITE, services=services)
+
+
+def with_keys(*keys):
+    return replace(SITE, keys=keys)
+
+
+CHANGED_SITES = [
+    make_site(7),
+    with_services(ORDER_SERVICE),
+    with_services(*SITE.services, RATES),
+    with_keys(OLD_KEY, NEW_KEY),
+    replace(SITE, zones=("a",), control_address=Endpoint("127.0.1.101", 4400)),
+]
+
+
+@pytest.mark.parametrize(
+    ("offered", "offer", "version"),
+    [
+        (make_configuration(3), Offer.NEWER, 3),
+        (make_configuration(9), Offer.NEWER, 9),
+        (make_configuration(2), Offer.SAME, 2),
+        (make_configuration(2, "another"), Offer.FORKED, 2),
+        (make_configuration(1), Offer.OLDER, 2),
+    ],
+)
+def test_node_moves_only_to_a_higher_version(offered, offer, version):
+    log = ConfigurationLog()
+    log.offer(make_configuration(2))
+    assert log.offer(offered) is offer
+    assert log.version == version
+    assert log.refused == (offer in (Offer.OLDER, Offer.FORKED))
+
+
+@pytest.mark.parametrize("site", CHANGED_SITES)
+def test_change_leads_from_one_version_to_the_other(site):
+    before, after = make_configuration(2), make_configuration(5, site=site)
+    change = find_change(before, after)
+    assert apply_change(before, change) == after
+    assert apply_change(make_configuration(2, "another"), change) is None
+    assert apply_change(make_configuration(3), change) is None
+
+
+@pytest.mark.parametrize(
+    ("question", "kind"),
+    [
+        (Question(-1), "Configuration"),
+        (Question(1, "id-1"), "ConfigurationChange"),
+        (Question(1, "another"), "Configuration"),
+        (Question(2, "id-2"), "Nothing"),
+        (Question(3, "id-3"), "Nothing"),
+    ],
+)
+def test_peer_is_told_what_it_lacks(question, kind):
+    log = ConfigurationLog()
+    log.offer(make_configuration(1))
+    log.offer(make_configuration(2, site=make_site(7)))
+    assert type(log.answer(question)).__name__ == kind
+
+
+def test_versions_share_the_services_that_are_equal():
+    log = ConfigurationLog()
+    log.offer(make_configuration(1))
+    encoded = write_configuration(make_configuration(2, site=make_site(7)))
+    log.offer(read_configuration(encoded).unwrap())
+    assert log.current.site.services[1] is DRAWINGS_SERVICE
+    assert log.current.site == make_site(7)
+
+
+@pytest.mark.parametrize(
+    ("after", "path", "is_final"),
+    [
+        (make_site(7), None, None),
+        (with_services(*SITE.services, RATES), None, None),
+        (with_keys(KEY, OLD_KEY, NEW_KEY), None, None),
+        (with_keys(OLD_KEY, KEY), None, None),
+        (with_keys(KEY), None, None),
+        (with_keys(NEW_KEY, KEY), "keys.9", False),
+        (with_keys(OLD_KEY), "keys.1", False),
+        (with_keys(KEY, replace(OLD_KEY, secret=bytes(32))), "keys.7", True),
+        (replace(SITE, name="other"), "name", True),
+        (with_services(ORDER_SERVICE), "services.drawings", False),
+        (
+            with_services(replace(ORDER_SERVICE, service_id=ServiceId(5))),
+            "services.order.id",
+            True,
+        ),
+        (
+            with_services(ORDER_SERVICE, replace(RATES, service_id=ServiceId(2))),
+            "services.rates.id",
+            True,
+        ),
+        (
+            with_services(
+                replace(ORDER_SERVICE, address=RATES.address), DRAWINGS_SERVICE
+            ),
+            "services.order.address",
+            False,
+        ),
+    ],
+)
+def test_objections_to_a_change(after, path, is_final):
+    objections = {one.path: one.is_final for one in find_objections(SITE, after)}
+    assert objections.get(path) is is_final
+    assert bool(objections) is (path is not None)
+
+
+@pytest.mark.parametrize("site", CHANGED_SITES)
+def test_comparison_names_what_differs_and_no_secret(site):
+    assert compare_sites(SITE, SITE) == ()
+    differences = compare_sites(SITE, site)
+    assert differences
+    assert all(NEW_KEY.secret.hex() not in str(one) for one in differences)
+
+
+@pytest.mark.parametrize("site", [SITE, *CHANGED_SITES])
+def test_stored_configuration_reads_back(site):
+    configuration = make_configuration(70, site=site)
+    assert read_configuration(write_configuration(configuration)).unwrap() == (
+        configuration
+    )
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00" * 40, b"\xff" * 40, b"{}", None])
+def test_other_bytes_are_no_configuration(data):
+    if data is None:
+        data = write_configuration(make_configuration(1))[:-30]
+    assert "not a configuration" in read_configuration(data).failure().what
+
+
+CHANGE = find_change(make_configuration(2), make_configuration(3, site=make_site(7)))
+
+
+@pytest.mark.parametrize("answer", [Nothing(), make_configuration(2), CHANGE])
+def test_exchange_reads_back(answer):
+    asking, answering = ExchangeCodec([KEY]), ExchangeCodec([OLD_KEY, KEY])
+    frame, nonce = asking.seal_question(Question(4, "id-4"))
+    asked = answering.open_question(frame)
+    assert asked.question == Question(4, "id-4")
+    assert asking.open_answer(answering.seal_answer(answer, asked), nonce) == answer
+
+
+@pytest.mark.parametrize(
+    ("keys", "change_frame", "change_nonce"),
+    [
+        ([OLD_KEY], lambda frame: frame, lambda nonce: nonce),
+        ([KEY], lambda frame: frame[:-1] + b"x", lambda nonce: nonce),
+        ([KEY], lambda frame: frame[:9], lambda nonce: nonce),
+        ([KEY], lambda frame: b"", lambda nonce: nonce),
+        ([KEY], lambda frame: frame, lambda nonce: bytes(12)),
+    ],
+)
+def test_forged_or_replayed_answer_is_refused(keys, change_frame, change_nonce):
+    codec = ExchangeCodec([KEY])
+    frame, nonce = codec.seal_question(Question(4))
+    answer = codec.seal_answer(make_configuration(5), codec.open_question(frame))
+    opened = ExchangeCodec(keys).open_answer(change_frame(answer), change_nonce(nonce))
+    assert opened is None
+    assert codec.open_question(answer) is None
+
+
+@pytest.mark.parametrize("count", [0, 1, 2, 210])
+def test_a_few_nodes_of_a_zone_are_relays(count):
+    nodes = [Endpoint(f"127.0.{i // 250}.{1 + i % 250}", 4300) for i in range(count)]
+    relays = choose_relays(nodes)
+    assert len(relays) == min(count, 2)
+    assert [one for one in nodes if is_relay(one, nodes)] == sorted(
+        relays, key=nodes.index
+    )
+    if relays:
+        rest = [one for one in nodes if one != relays[0]]
+        assert relays[1:] == choose_relays(rest)[: len(relays) - 1]
