--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -50,6 +50,12 @@
         self._log = log
         self._keys = tuple(keys)
         self._timeout_ms = timeout_ms
+        self._received_bytes = 0
+
+    @property
+    def received_bytes(self) -> int:
+        """How many bytes of answers came so far."""
+        return self._received_bytes
 
     async def fetch(
         self, peer: Endpoint
@@ -88,6 +94,7 @@
         async with await anyio.connect_tcp(peer.ip, peer.port) as stream:
             await send_frame(stream, question)
             frame = await receive_frame(stream, MAX_ANSWER_BYTES)
+        self._received_bytes += len(frame)
         return codec.open_answer(frame, nonce)
 
 
--- /dev/null
+++ b/tests/unit/test_configuration_source.py
@@ -0,0 +1,243 @@
+from contextlib import asynccontextmanager
+from random import Random
+
+import anyio
+import pytest
+
+from papayagw._internal.core.configuration import ConfigurationLog
+from papayagw._internal.core.submission import Accepted, Proposal, Refused, Unknown
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.configuration import FleetKey
+from papayagw._internal.net.configuration import FileConfigurationSource
+from papayagw._internal.net.configuration_peer import (
+    ConfigurationServer,
+    PeerConfigurationSource,
+)
+from papayagw._internal.net.configuration_platform import PlatformConfigurationSource
+from papayagw._internal.net.configuration_store import ConfigurationStore
+from papayagw._internal.net.submission import submit
+from papayagw._internal.standins.memory_store import MemoryStore
+from tests.lib.configurations import make_site
+from tests.lib.samples import KEY, OLD_KEY, SITE, ManualClock
+from tests.lib.settings import BASE, OVERLAY, SettingsFolder
+from tests.lib.stores import find_free_endpoint
+
+
+class Node:
+    """A node's configuration, with a server for its peers."""
+
+    def __init__(self, store, *, seeds=(), keys=(KEY,), relay=True):
+        self.endpoint = find_free_endpoint()
+        self.log = ConfigurationLog()
+        self.failures = []
+        self.source = PlatformConfigurationSource(
+            ConfigurationStore(store, SITE.name),
+            self.log,
+            PeerConfigurationSource(self.log, keys),
+            seeds=seeds,
+            is_relay=lambda: relay,
+            on_failure=self.failures.append,
+            random=Random(1),
+        )
+        self.server = ConfigurationServer(self.endpoint, self.log)
+        self._moved = anyio.Event()
+
+    async def start(self, tasks):
+        await self.server.start(tasks)
+        await self.source.start()
+        tasks.start_soon(self.source.run, self._on_change)
+
+    async def reach(self, version):
+        while self.log.version < version:
+            await self._moved.wait()
+
+    async def fail(self, text):
+        while not any(text in str(one) for one in self.failures):
+            await anyio.sleep(0.01)
+
+    def _on_change(self, configuration):
+        moved, self._moved = self._moved, anyio.Event()
+        moved.set()
+
+
+@asynccontextmanager
+async def running():
+    with anyio.fail_after(60):
+        async with anyio.create_task_group() as tasks:
+            yield tasks
+            tasks.cancel_scope.cancel()
+
+
+async def put(store, max_flows):
+    proposal = Proposal(make_site(max_flows), f"id-of-{max_flows}", "anna")
+    target = ConfigurationStore(store, SITE.name)
+    return await submit(target, proposal, Millis(10_000), Random(1))
+
+
+def test_relay_hears_each_version_from_the_store():
+    async def main():
+        store = MemoryStore(ManualClock())
+        assert await put(store, 1) == Accepted(1)
+        async with running() as tasks:
+            node = Node(store)
+            await node.start(tasks)
+            assert node.log.version == 1
+            for version in (2, 3):
+                assert await put(store, version) == Accepted(version)
+                await node.reach(version)
+        assert node.log.current.site == make_site(3)
+
+    anyio.run(main)
+
+
+def test_other_node_hears_from_its_peer_and_never_watches():
+    async def main():
+        store = MemoryStore(ManualClock())
+        await put(store, 1)
+        async with running() as tasks:
+            relay, other = Node(store), Node(store, relay=False)
+            await relay.start(tasks)
+            await other.start(tasks)
+            await put(store, 2)
+            await relay.reach(2)
+            store.set_down(True)
+            other.source.hear_version(2, relay.endpoint)
+            await other.reach(2)
+        assert other.log.current == relay.log.current
+        assert store.counts.by_kind["watch"] == 1
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize("keys", [(KEY,), (OLD_KEY,), (OLD_KEY, KEY)])
+def test_new_node_starts_from_a_peer_while_the_store_is_down(keys):
+    async def main():
+        store = MemoryStore(ManualClock())
+        await put(store, 1)
+        async with running() as tasks:
+            old = Node(store)
+            await old.start(tasks)
+            store.set_down(True)
+            new = Node(store, seeds=(old.endpoint,), keys=keys)
+            await new.start(tasks)
+            assert new.log.current == old.log.current
+            store.set_down(False)
+            await put(store, 2)
+            await new.reach(2)
+
+    anyio.run(main)
+
+
+def test_stranger_gets_nothing_from_a_peer():
+    async def main():
+        store = MemoryStore(ManualClock())
+        await put(store, 1)
+        async with running() as tasks:
+            node = Node(store)
+            await node.start(tasks)
+            log = ConfigurationLog()
+            stranger = PeerConfigurationSource(log, [FleetKey(1, bytes(32))])
+            answer = await stranger.fetch(node.endpoint)
+        assert "no answer" in answer.failure().what
+        assert node.server.refused == 1
+
+    anyio.run(main)
+
+
+def test_restored_store_is_refused_reported_and_put_right():
+    async def main():
+        store = MemoryStore(ManualClock())
+        await put(store, 1)
+        copy = store.values.copy()
+        async with running() as tasks:
+            node = Node(store)
+            await node.start(tasks)
+            await put(store, 2)
+            await node.reach(2)
+            store.values.restore(copy)
+            await node.fail("older than 2 in force")
+            fresh = Node(store, seeds=(node.endpoint,))
+            await fresh.start(tasks)
+            assert fresh.log.version == 2
+            held = await ConfigurationStore(store, SITE.name).read()
+            while held.unwrap().configuration.version < 2:
+                await anyio.sleep(0.01)
+                held = await ConfigurationStore(store, SITE.name).read()
+            assert await put(store, 3) == Accepted(3)
+            await node.reach(3)
+
+    anyio.run(main)
+
+
+def test_node_keeps_what_is_in_force_through_an_outage():
+    async def main():
+        store = MemoryStore(ManualClock())
+        await put(store, 1)
+        async with running() as tasks:
+            node = Node(store)
+            await node.start(tasks)
+            store.set_down(True)
+            await node.fail("outage")
+            assert node.log.version == 1
+            store.set_down(False)
+            await put(store, 2)
+            await node.reach(2)
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("lost", "down", "outcome"),
+    [
+        (0, False, Accepted),
+        (3, False, Accepted),
+        (99, False, Unknown),
+        (0, True, Refused),
+    ],
+)
+def test_operator_is_told_through_faults(lost, down, outcome):
+    async def main():
+        store = MemoryStore(ManualClock())
+        store.lose_answers(lost)
+        store.set_down(down)
+        proposal = Proposal(make_site(1), "id-of-anna", "anna")
+        target = ConfigurationStore(store, SITE.name)
+        limit = Millis(600 if outcome is not Accepted else 30_000)
+        return await submit(target, proposal, limit, Random(1))
+
+    assert isinstance(anyio.run(main), outcome)
+
+
+def test_files_stand_in_for_the_platform(tmp_path):
+    folder = SettingsFolder(tmp_path)
+    base, overlay = folder.write("b.jsonc", BASE), folder.write("o.jsonc", OVERLAY)
+    configuration = anyio.run(FileConfigurationSource(base, overlay).start)
+    assert configuration.version == 0
+    assert configuration.site.name == "ee-north"
+
+
+def test_racing_operators_over_one_store():
+    outcomes = {}
+
+    async def race(store, number):
+        outcomes[number] = await put(store, number + 1)
+
+    async def main():
+        store = MemoryStore(ManualClock())
+        store.lose_answers(4)
+        async with running(), anyio.create_task_group() as operators:
+            for number in range(10):
+                operators.start_soon(race, store, number)
+        held = await ConfigurationStore(store, SITE.name).read()
+        return held.unwrap().configuration
+
+    last = anyio.run(main)
+    accepted = {
+        one.version: number
+        for number, one in outcomes.items()
+        if isinstance(one, Accepted)
+    }
+    assert len(outcomes) == 10
+    assert sorted(accepted) == list(range(1, last.version + 1))
+    for mark in last.history:
+        assert mark.submission_id == f"id-of-{accepted[mark.version] + 1}"
