--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -50,6 +50,7 @@
     CommandInfo(
         ("standin", "platform"), "standin_platform", "Hold keys and values in memory."
     ),
+    CommandInfo(("load",), "load", "Put load on a site and report."),
     CommandInfo(("standin", "fabric"), "standin_fabric", "Spray packets at random."),
     CommandInfo(("standin", "backend"), "standin_backend", "Serve as a backend."),
 )
