--- a/src/papayagw/_internal/cli/values.py
+++ b/src/papayagw/_internal/cli/values.py
@@ -2,6 +2,7 @@
 
 from papayagw._internal.exceptions import SettingsError, Step
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
+from papayagw._internal.models.endpoint import Endpoint
 
 FlagList = str | int | tuple[object, ...] | list[object]
 """A flag with commas: the library makes a tuple of it when it has any."""
@@ -29,3 +30,19 @@
             remedy=f"give --{flag} a number above 0",
         )
     return Millis(int(value * MILLIS_PER_SECOND))
+
+
+def read_endpoint(value: object, flag: str) -> Endpoint:
+    """Return the endpoint that a flag holds.
+
+    Raises
+    ------
+    SettingsError
+        If it isn't an IPv4 number, a colon and a port.
+    """
+    try:
+        return Endpoint.parse(str(value))
+    except ValueError as error:
+        raise SettingsError(
+            str(error), step=Step.SETTINGS, remedy=f"give --{flag} as ip:port"
+        ) from error
--- /dev/null
+++ b/tests/properties/lifecycle_proof.py
@@ -0,0 +1,283 @@
+"""What must hold of a flow's lifecycle, whatever the order of its events.
+
+A history is mostly the plain course of a flow, with any other event put between:
+late, twice, crossed, of an earlier connection.
+"""
+
+from hypothesis import strategies as st
+
+from papayagw._internal.core.lifecycle import FlowLifecycle
+from papayagw._internal.models import lifecycle as on
+from papayagw._internal.models.flow import FlowOutcome
+from tests.properties.proving import Mutation, Property
+
+ATTEMPTS = st.integers(1, 3)
+COUNTS = st.integers(1, 3)
+PLAIN_COURSES = (
+    (
+        on.HandshakeCompleted(),
+        on.Admitted(),
+        on.CallerSent(1),
+        on.BackendConnected(1),
+        on.CallerSent(2),
+        on.BackendWrote(1, 1),
+        on.CallerFinished(),
+        on.BackendSent(1, 5),
+        on.BackendClosed(1),
+        on.AnswerAcknowledged(),
+    ),
+    (
+        on.CallerSent(1),
+        on.HandshakeCompleted(),
+        on.Admitted(),
+        on.BackendConnectFailed(1),
+        on.BackendConnected(2),
+        on.BackendWrote(2, 1),
+        on.BackendSent(2, 5),
+        on.CallerSent(2),
+        on.BackendClosed(2),
+        on.CallerFinished(),
+        on.AnswerAcknowledged(),
+    ),
+)
+ENDINGS = (on.CallerCancelled, on.DeadlineReached, on.IdleTimedOut, on.StopLimitReached)
+NOISE = st.one_of(
+    st.sampled_from([e for course in PLAIN_COURSES for e in course]),
+    st.builds(on.CallerSent, COUNTS),
+    st.builds(on.BackendConnected, ATTEMPTS),
+    st.builds(on.BackendConnectFailed, ATTEMPTS),
+    st.builds(on.BackendWrote, ATTEMPTS, COUNTS),
+    st.builds(on.BackendSent, ATTEMPTS, COUNTS),
+    st.builds(on.BackendClosed, ATTEMPTS),
+    st.builds(on.BackendBroke, ATTEMPTS),
+    st.just(on.StopAsked()),
+    st.sampled_from([kind() for kind in (*ENDINGS, on.AdmissionRefused)]),
+)
+NEXT = st.none()
+HISTORIES = st.tuples(
+    st.sampled_from(PLAIN_COURSES),
+    st.integers(0, 10),
+    st.lists(st.one_of(NEXT, NOISE, NOISE), max_size=30),
+)
+
+
+def expand(history):
+    """Return the events: a plain beginning, then a mixture."""
+    course, begun, steps = history
+    plain = iter(course[begun:])
+    events = (next(plain, None) if step is None else step for step in steps)
+    return [*course[:begun], *(event for event in events if event is not None)]
+
+
+class Observer:
+    """What an outsider knows of a flow, from its events and actions alone."""
+
+    def __init__(self):
+        self.handshake = False
+        self.cancelled = False
+        self.acknowledged = False
+        self.caller_finished = False
+        self.received = 0
+        self.handed = 0
+        self.attempt = 0
+        self.connecting = False
+        self.connected = False
+        self.backend_finished = False
+        self.answer_finished = False
+        self.told = None
+
+    def note(self, event):
+        """Take in what an event proves, before the lifecycle answers it."""
+        match event:
+            case on.HandshakeCompleted():
+                self.handshake = True
+            case on.CallerSent(count) if not self.caller_finished:
+                self.received += count
+            case on.CallerFinished():
+                self.caller_finished = True
+            case on.CallerCancelled():
+                self.cancelled = True
+            case on.AnswerAcknowledged():
+                self.acknowledged = self.answer_finished
+            case on.BackendConnected(attempt) if attempt == self.attempt:
+                self.connected |= self.connecting
+                self.connecting = False
+            case on.BackendConnectFailed(attempt) if attempt == self.attempt:
+                self.connecting = False
+            case on.BackendBroke(attempt) if attempt == self.attempt:
+                self.connected = False
+
+    def check(self, event, action):
+        """Raise AssertionError if `action` may not follow `event`."""
+        assert self.told is None, "acted after the end"
+        _CHECKS.get(type(action), Observer._check_nothing)(self, event, action)
+
+    def _check_nothing(self, event, action):
+        pass
+
+    def _check_connect(self, event, action):
+        assert self.handshake, "connected before the handshake"
+        assert not (self.connecting or self.connected), "two connections"
+        assert self.handed == 0, "connected again after delivery"
+        assert action.attempt == self.attempt + 1
+        self.attempt = action.attempt
+        self.connecting = True
+
+    def _check_deliver(self, event, action):
+        assert self.connected, "delivered without a connection"
+        self.handed += action.count
+        assert self.handed <= self.received, "delivered what never came"
+        assert not self.backend_finished, "delivered after the end"
+
+    def _check_finish_backend(self, event, action):
+        assert self.caller_finished and not self.backend_finished
+        assert self.handed == self.received, "finished before all was delivered"
+        self.backend_finished = True
+
+    def _check_send(self, event, action):
+        assert isinstance(event, on.BackendSent) and event.count == action.count
+        assert event.attempt == self.attempt and self.connected, "crossed answer"
+        assert not self.answer_finished, "sent after the answer's end"
+
+    def _check_finish_caller(self, event, action):
+        assert isinstance(event, on.BackendClosed) and event.attempt == self.attempt
+        assert not self.answer_finished, "two ends"
+        self.answer_finished = True
+
+    def _check_tell(self, event, action):
+        self.told = action.outcome
+        match action.outcome:
+            case FlowOutcome.ANSWERED:
+                assert self.acknowledged, "answered without the whole answer"
+            case FlowOutcome.REFUSED:
+                assert self.handed == 0, "refused after delivery"
+            case FlowOutcome.CANCELLED:
+                assert self.cancelled
+            case FlowOutcome.UNKNOWN:
+                assert self.handed > 0, "unknown though nothing was delivered"
+
+
+_CHECKS = {
+    on.ConnectBackend: Observer._check_connect,
+    on.DeliverToBackend: Observer._check_deliver,
+    on.FinishToBackend: Observer._check_finish_backend,
+    on.SendToCaller: Observer._check_send,
+    on.FinishToCaller: Observer._check_finish_caller,
+    on.TellCaller: Observer._check_tell,
+}
+
+
+def check(make, history):
+    """Check each action, and that no byte is lost and each ending ends."""
+    lifecycle, observer = make(), Observer()
+    for event in expand(history):
+        observer.note(event)
+        for action in lifecycle.handle(event):
+            observer.check(event, action)
+        assert lifecycle.outcome is observer.told
+        if observer.told is None:
+            assert not isinstance(event, ENDINGS), f"lived on after {event}"
+            if observer.connected:
+                assert observer.handed == observer.received, "lost bytes"
+
+
+class HandsOverEarly(FlowLifecycle):
+    """Hands bytes over before the connection, so before the handshake too."""
+
+    __slots__ = ()
+
+    def handle(self, event):
+        if isinstance(event, on.CallerSent) and self.outcome is None:
+            return (self._hand_over(event.count),)
+        return super().handle(event)
+
+
+class ConnectsEarly(FlowLifecycle):
+    """Connects on the first byte, whether or not the handshake is complete."""
+
+    __slots__ = ()
+
+    def handle(self, event):
+        if isinstance(event, on.CallerSent) and not self._attempt:
+            self._held += event.count
+            return self._connect()
+        return super().handle(event)
+
+
+class CountsWritesOnly(FlowLifecycle):
+    """Takes bytes for undelivered until the socket took them."""
+
+    __slots__ = ()
+
+    def _fail(self):
+        self._handed -= self._undelivered
+        return super()._fail()
+
+
+class ForgetsAttempts(FlowLifecycle):
+    """Takes events of an earlier connection for those of the present one."""
+
+    __slots__ = ()
+
+    def _is_stale(self, attempt):
+        return False
+
+
+class ReconnectsAfterDelivery(FlowLifecycle):
+    """Opens a second connection after a break, whatever was delivered."""
+
+    __slots__ = ()
+
+    def handle(self, event):
+        if isinstance(event, on.BackendBroke) and self.handed and self.outcome is None:
+            return self._connect()
+        return super().handle(event)
+
+
+class LivesAfterEnd(FlowLifecycle):
+    """Goes on after its outcome was told."""
+
+    __slots__ = ()
+
+    def handle(self, event):
+        self._outcome = None
+        return super().handle(event)
+
+
+class LosesHeldBytes(FlowLifecycle):
+    """Forgets what came before the connection."""
+
+    __slots__ = ()
+
+    def handle(self, event):
+        if isinstance(event, on.BackendConnected):
+            self._held = 0
+        return super().handle(event)
+
+
+class AnswersEarly(FlowLifecycle):
+    """Tells ANSWERED before the caller has the whole answer."""
+
+    __slots__ = ()
+
+    def handle(self, event):
+        actions = super().handle(event)
+        if isinstance(event, on.BackendClosed) and on.FinishToCaller() in actions:
+            actions = (*actions, *self._end(FlowOutcome.ANSWERED))
+        return actions
+
+
+PROOF = Property("lifecycle", HISTORIES, check, FlowLifecycle)
+MUTATIONS = [
+    Mutation(double.__name__, PROOF, double)
+    for double in (
+        HandsOverEarly,
+        ConnectsEarly,
+        CountsWritesOnly,
+        ForgetsAttempts,
+        ReconnectsAfterDelivery,
+        LivesAfterEnd,
+        LosesHeldBytes,
+        AnswersEarly,
+    )
+]
