Catch three mutations of the burn report that tests let pass

Cause: of 23 faults put into a scratch copy one at a time, 4 left the tests green: the long window alone deciding, a record counted in two windows, the length of records ignored in the load, and a blocking statsd socket. The first three now turn a test red; the last can't be seen over loopback.

--- a/tests/properties/test_burn_properties.py
+++ b/tests/properties/test_burn_properties.py
@@ -1,6 +1,6 @@
 from dataclasses import replace
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from papayagw._internal.core.burn import measure_service, sum_counts
@@ -73,6 +73,7 @@
 
 @FIXED
 @given(histories, st.tuples(*[st.integers(0, SPAN)] * 3), st.sampled_from(Side))
+@example([make_record(HOUR)], (0, HOUR, SPAN), Side.AGENT)
 def test_windows_are_additive(history, edges, side):
     start, middle, end = sorted(edges)
     parts = sum_counts(history, start, middle, side).plus(
--- a/tests/unit/test_burn.py
+++ b/tests/unit/test_burn.py
@@ -66,6 +66,17 @@
     assert report_on(make_history(span, **last)).risk is risk
 
 
+@pytest.mark.parametrize(
+    ("ago", "risk"),
+    [(0, Risk.PAGE), (4 * MINUTE, Risk.PAGE), (10 * MINUTE, Risk.NONE)],
+)
+def test_burst_that_is_over_pages_no_more(ago, risk):
+    records = make_history(80 * HOUR)
+    bad = 80 * HOUR - ago
+    records[bad // STEP - 1] = make_record(bad, broken=600, opened=600)
+    assert report_on(records).risk is risk
+
+
 def test_slow_burn_for_days_is_a_ticket():
     good = [make_record(end, opened=1_000) for end in range(HOUR, 600 * HOUR, HOUR)]
     bad = [
@@ -105,9 +116,9 @@
 
 
 def test_instance_that_came_late_is_not_idle():
-    whole = [make_record(end, instance="order-1") for end in (10_000, 20_000)]
+    whole = make_record(20_000, start=0, instance="order-1", work=2_000)
     late = make_record(20_000, instance="order-2")
-    assert report_on([*whole, late]).services[0].by_backend.ratio == 1.0
+    assert report_on([whole, late]).services[0].by_backend.ratio == 1.0
 
 
 def test_worse_side_counts():
