--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -9,6 +9,7 @@
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.return_path import ReturnPath
 from papayagw._internal.core.service_meter import ServiceMeter
+from papayagw._internal.exceptions import Step
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import Accept, DropReason, Forward
@@ -19,6 +20,7 @@
 from papayagw._internal.net.agent_flow import AgentFlow
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import (
     ENVELOPE_BYTES,
     Envelope,
@@ -58,6 +60,7 @@
         self._settings = settings
         self._service_id = core.route.service_id
         self._socket = socket
+        self._log = Log()
         self._clock = clock
         self._core = core
         self._returns = ReturnPath(random.SystemRandom().randrange)
@@ -228,6 +231,15 @@
 
     def _on_outcome(self, outcome: FlowOutcome, reason: str) -> None:
         self._count(outcome.value)
+        if outcome is not FlowOutcome.ANSWERED:
+            self._log.limited(
+                "flow not answered",
+                self._clock.now(),
+                step=Step.DELIVER,
+                peer=str(self._settings.backend),
+                outcome=outcome,
+                reason=reason,
+            )
 
     def _on_removed(self, handler: FlowHandler) -> None:
         self._count("removed")
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -7,6 +7,7 @@
 
 from papayagw._internal.core.retry import OpeningRetry
 from papayagw._internal.core.service_meter import ServiceMeter
+from papayagw._internal.exceptions import Step
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.node import Listener
@@ -18,6 +19,7 @@
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
 from papayagw._internal.net.tcp import TcpListener, TcpStream
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.header import read_connection_id
 from papayagw._internal.wire.quic import (
     CALLER_ID_BYTES,
@@ -52,6 +54,8 @@
         make_retry: Callable[[], OpeningRetry],
         clock: Clock,
     ):
+        self._service = listener.service
+        self._log = Log()
         self._listener = TcpListener(listener.listen)
         self._opener = opener
         self._make_retry = make_retry
@@ -131,6 +135,15 @@
         try:
             outcome = await flow.run()
             self._outcomes[outcome] += 1
+            if outcome is not FlowOutcome.ANSWERED:
+                self._log.limited(
+                    "flow not answered",
+                    self._clock.now(),
+                    step=Step.OPEN_FLOW,
+                    peer=self._service,
+                    outcome=outcome,
+                    reason=flow.reason,
+                )
         finally:
             self._open_streams -= 1
 
