--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -1,6 +1,7 @@
 """The agent: the process beside each backend server that owns its flows."""
 
 import random
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 
@@ -32,9 +33,6 @@
 from papayagw._internal.wire.quic import FlowAcceptor, ResetTokens
 from papayagw._internal.wire.tag import TagCodec
 
-LOGGED_OUTCOMES = (FlowOutcome.REFUSED, FlowOutcome.UNKNOWN)
-"""The ends of flows that are worth a line."""
-
 
 class AgentPackets:
     """The agent's packet path: envelopes in, answers out.
@@ -71,7 +69,7 @@
         self._log = log
         self._core = core
         self._returns = ReturnPath(random.SystemRandom().randrange)
-        self._table = FlowTable(clock, self._on_removed)
+        self._table = FlowTable(clock, self._on_removed, log)
         self._meter = ServiceMeter(settings.service, Side.AGENT)
         self._counts: dict[str, int] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -232,20 +230,28 @@
         header = self._envelopes.write_raw(FrameKind.ANSWER, self._service_id, client)
         self._socket.send(header + datagram, balancer.sockaddr)
 
-    def _spawn(self, task: object) -> None:
+    def _spawn(self, task: Callable[[], Awaitable[None]]) -> None:
         assert self._tasks is not None, "run() comes first"
-        self._tasks.start_soon(task)  # type: ignore[arg-type]
+        self._tasks.start_soon(self._run_contained, task)
+
+    async def _run_contained(self, task: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await task()
+        except Exception:
+            # One flow's fault must not end the others; its own times out.
+            self._log.exception("a fault ended a flow's task", step=Step.DELIVER)
 
     def _on_outcome(
         self, client: Endpoint, tag: bytes, outcome: FlowOutcome, reason: str
     ) -> None:
         self._count(outcome.value)
-        if outcome in LOGGED_OUTCOMES:
+        if outcome is not FlowOutcome.ANSWERED:
             self._log.limited(
                 f"flow {outcome.value}",
                 step=Step.DELIVER,
                 peer=client,
                 flow=tag,
+                backend=self._settings.backend,
                 reason=reason,
             )
 
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -12,7 +12,6 @@
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.node import Listener
 from papayagw._internal.models.report import Side
-from papayagw._internal.net.agent import LOGGED_OUTCOMES
 from papayagw._internal.net.caller_flow import (
     CallerFlow,
     OpeningAttempt,
@@ -58,6 +57,7 @@
         clock: Clock,
         log: Log,
     ):
+        self._service = listener.service
         self._listener = TcpListener(listener.listen)
         self._entry = listener.entry
         self._opener = opener
@@ -66,7 +66,7 @@
         self._log = log
         self._socket = DatagramSocket(None)
         self._meter = ServiceMeter(listener.service, Side.CALLER)
-        self._table = FlowTable(clock, self._on_removed)
+        self._table = FlowTable(clock, self._on_removed, log)
         self._outcomes: dict[FlowOutcome, int] = dict.fromkeys(FlowOutcome, 0)
         self._open_streams = 0
         self._heard: dict[FlowHandler, Millis] = {}
@@ -139,7 +139,7 @@
         try:
             outcome = await flow.run()
             self._outcomes[outcome] += 1
-            if outcome in LOGGED_OUTCOMES:
+            if outcome is not FlowOutcome.ANSWERED:
                 self._log_end(outcome, flow.reason)
         finally:
             self._open_streams -= 1
@@ -149,6 +149,7 @@
             f"flow {outcome.value}",
             step=Step.OPEN_FLOW if outcome is FlowOutcome.REFUSED else Step.DELIVER,
             peer=self._entry,
+            service=self._service,
             reason=reason,
         )
 
