--- a/src/papayagw/_internal/cli/commands/report_burn.py
+++ b/src/papayagw/_internal/cli/commands/report_burn.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from papayagw._internal.cli.base import ExitCode
+from papayagw._internal.cli.site_files import read_site
 from papayagw._internal.core.burn import make_report
 from papayagw._internal.core.record_selection import select_records
 from papayagw._internal.exceptions import ReportError, SettingsError, Step
@@ -16,8 +17,6 @@
 from papayagw._internal.observe.burn_text import format_burn
 from papayagw._internal.observe.plain import to_plain
 from papayagw._internal.observe.records import LineFault, read_records
-from papayagw._internal.settings.problem import make_error
-from papayagw._internal.settings.site import load_site
 
 _SHOWN_FAULTS = 3
 _MAKE_RECORDS = "make records with papayagw status NODE... --record FILE"
@@ -74,10 +73,8 @@
 def _read_objectives(base: str | None, overlay: str | None) -> Mapping[str, Objectives]:
     if base is None:
         return {}
-    loaded = load_site(Path(base), Path(overlay) if overlay else None)
-    if isinstance(loaded, Failure):
-        raise make_error(loaded.failure())
-    return {one.name: one.objectives for one in loaded.unwrap().services}
+    site = read_site(base, overlay)
+    return {service.name: service.objectives for service in site.services}
 
 
 def _read_report(
--- a/src/papayagw/_internal/cli/main.py
+++ b/src/papayagw/_internal/cli/main.py
@@ -5,12 +5,16 @@
 from functools import partial, wraps
 
 import fire
+from fire.helptext import HelpText
+from fire.trace import FireTrace
 
 from papayagw import __version__
 from papayagw._internal.cli.base import ExitCode
-from papayagw._internal.cli.registry import COMMANDS, find_command
+from papayagw._internal.cli.registry import COMMANDS, CommandInfo, find_command
 from papayagw._internal.exceptions import PapayagwError, SettingsError
 
+_HELP_FLAG = "--help"
+
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the command that the command line names, and exit with its code."""
@@ -18,28 +22,54 @@
     if words[:1] == ("--version",):
         print(f"papayagw {__version__}")
         sys.exit(ExitCode.OK)
-    if words[:1] in ((), ("--help",), ("-h",), ("help",)):
-        print(format_overview())
+    if words[:1] in ((), (_HELP_FLAG,), ("-h",), ("help",)):
+        print(format_overview(COMMANDS))
         sys.exit(ExitCode.OK)
     info = find_command(words)
     if info is None:
-        typed = " ".join(words[:2])
-        print(f"papayagw: no command {typed!r}\n\n{format_overview()}", file=sys.stderr)
-        sys.exit(ExitCode.USAGE)
-    name = " ".join(("papayagw", *info.words))
-    command = _Deferred(info.load().run)
-    fire.Fire(command.keep, command=list(words[len(info.words) :]), name=name)
+        sys.exit(_explain(words))
+    rest = list(words[len(info.words) :])
+    run = info.load().run
+    if _HELP_FLAG in rest:
+        print(format_help(info, run))
+        sys.exit(ExitCode.OK)
+    command = _Deferred(run)
+    fire.Fire(command.keep, command=rest, name=_join(info.words))
     sys.exit(_run(command.call))
 
 
-def format_overview() -> str:
-    """Return the list of all commands."""
-    width = max(len(" ".join(info.words)) for info in COMMANDS)
-    lines = [f"  {' '.join(one.words):{width}}  {one.summary}" for one in COMMANDS]
+def format_overview(commands: Sequence[CommandInfo]) -> str:
+    """Return a list of commands."""
+    width = max(len(" ".join(info.words)) for info in commands)
+    lines = [f"  {' '.join(one.words):{width}}  {one.summary}" for one in commands]
     head = "usage: papayagw COMMAND [--help] [flags]\n\ncommands:\n"
     return head + "\n".join(lines)
 
 
+def format_help(info: CommandInfo, run: Callable[..., int]) -> str:
+    """Return the help page of a command."""
+    name = _join(info.words)
+    page: str = HelpText(run, FireTrace(run, name=name))
+    # The library quotes a name of several words as one word of a shell.
+    return page.replace(f"'{name}'", name)
+
+
+def _join(words: Sequence[str]) -> str:
+    return " ".join(("papayagw", *words))
+
+
+def _explain(words: Sequence[str]) -> ExitCode:
+    """Say which commands there are, where the command line names none."""
+    group = [info for info in COMMANDS if info.words[0] == words[0]]
+    if group and words[1:2] in ((), (_HELP_FLAG,)):
+        print(format_overview(group))
+        return ExitCode.OK
+    typed = " ".join(words[:2])
+    overview = format_overview(group or COMMANDS)
+    print(f"papayagw: no command {typed!r}\n\n{overview}", file=sys.stderr)
+    return ExitCode.USAGE
+
+
 class _Deferred:
     """Keeps the call that the command line makes until all of it is understood.
 
--- a/tests/unit/test_operator_commands.py
+++ b/tests/unit/test_operator_commands.py
@@ -4,6 +4,7 @@
 import pytest
 
 from papayagw._internal.cli.main import main
+from papayagw._internal.cli.registry import COMMANDS
 from papayagw._internal.exceptions import StatusError, Step
 from papayagw._internal.observe.records import write_record
 from papayagw._internal.observe.status_text import format_status
@@ -56,6 +57,28 @@
     assert "Traceback" not in err
 
 
+@pytest.mark.parametrize(
+    ("words", "code", "told"),
+    [
+        ([], 0, "  report burn  "),
+        (["--help"], 0, "  report burn  "),
+        (["--version"], 0, "papayagw 0."),
+        (["config"], 0, "  config submit  "),
+        (["config", "--help"], 0, "  config submit  "),
+        (["config", "sumbit"], 2, "no command 'config sumbit'"),
+        (["sing"], 2, "no command 'sing'"),
+        *(
+            ([*info.words, "--help"], 0, f"papayagw {' '.join(info.words)} - ")
+            for info in COMMANDS
+        ),
+    ],
+)
+def test_help_names_every_command(capsys, words, code, told):
+    found, out, err = run(capsys, *words)
+    assert (found, bool(out), bool(err)) == (code, code == 0, code != 0)
+    assert told in out + err
+
+
 @pytest.mark.parametrize(
     ("records", "code", "told"),
     [
