--- a/src/papayagw/_internal/net/udp.py
+++ b/src/papayagw/_internal/net/udp.py
@@ -3,11 +3,13 @@
 import socket
 
 import anyio
+import anyio.lowlevel
 
 from papayagw._internal.exceptions import BindError, Step
 from papayagw._internal.models.endpoint import Endpoint
 
-MAX_DATAGRAM_BYTES = 65_535
+MAX_DATAGRAM_BYTES = 2_048
+"""No process of the system sends more; a longer datagram is cut and fails its check."""
 BATCH_DATAGRAMS = 64
 """How many datagrams are read before other tasks get a turn."""
 
@@ -31,6 +33,8 @@
     def __init__(self, endpoint: Endpoint | None):
         self._endpoint = endpoint
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sendto = self._socket.sendto
+        self._is_full_batch = False
         self._send_failures = 0
 
     @property
@@ -65,8 +69,12 @@
         self._socket.close()
 
     async def wait_readable(self) -> None:
-        """Wait until a datagram is there."""
-        await anyio.wait_readable(self._socket)
+        """Wait until a datagram is there, and let other tasks have a turn."""
+        if self._is_full_batch:
+            # More are there, most likely: asking the machine costs more than to try.
+            await anyio.lowlevel.checkpoint()
+        else:
+            await anyio.wait_readable(self._socket)
 
     def receive_batch(self) -> list[Received]:
         """Return the datagrams that are there, up to a batch."""
@@ -80,12 +88,13 @@
             except OSError:
                 # An earlier datagram met a closed port; the next one may be fine.
                 continue
+        self._is_full_batch = len(received) == BATCH_DATAGRAMS
         return received
 
     def send(self, data: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram, or count it if the machine doesn't take it."""
         try:
-            self._socket.sendto(data, peer)
+            self._sendto(data, peer)
         except OSError:
             # Datagrams may be lost anywhere: the flow's loss recovery resends.
             self._send_failures += 1
