Send timers: latency of openings and lag of the loop

Cause: the daemons sent counts and gauges, but no timer.

The lag of the one-second timer shows how long a packet may wait for other work of the one loop. Latencies of openings are kept by the meter, at most 1,000 between two flushes.

--- a/src/papayagw/_internal/core/service_meter.py
+++ b/src/papayagw/_internal/core/service_meter.py
@@ -1,6 +1,7 @@
 """Counting of what becomes of the flows of one service at one node."""
 
 from bisect import bisect_left
+from collections import deque
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.flow import FlowOutcome
@@ -12,6 +13,9 @@
     Side,
 )
 
+MAX_LATENCIES = 1_000
+"""The most latencies that are kept for the next timer."""
+
 
 class ServiceMeter:
     """Totals of one service since the node started.
@@ -33,6 +37,7 @@
         self._broken = 0
         self._answered = [0] * LATENCY_BUCKETS
         self._work_ms = 0
+        self._latencies: deque[Millis] = deque(maxlen=MAX_LATENCIES)
 
     @property
     def side(self) -> Side:
@@ -46,8 +51,15 @@
     def note_opened(self, latency: Millis) -> None:
         """Note that a flow reached its backend server, `latency` after it came."""
         self._opened += 1
+        self._latencies.append(latency)
         self._answered[bisect_left(LATENCY_BOUNDS_MS, latency)] += 1
 
+    def take_latencies(self) -> tuple[Millis, ...]:
+        """Return the newest latencies of openings, each of them once."""
+        taken = tuple(self._latencies)
+        self._latencies.clear()
+        return taken
+
     def note_refused(self) -> None:
         """Note that an opening was refused."""
         self._refused += 1
--- a/src/papayagw/_internal/net/account.py
+++ b/src/papayagw/_internal/net/account.py
@@ -1,6 +1,6 @@
 """What a process says about itself, to operators and to statsd."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -47,6 +47,9 @@
     def read_gauges(self) -> Mapping[str, float]:
         """Return the gauges of the moment, by the names of their metrics."""
 
+    def take_timings(self) -> Mapping[str, Sequence[float]]:
+        """Return durations in ms since the last call, by the names of their metrics."""
+
     def report(self, state: NodeState) -> StatusReport:
         """Return the whole account."""
 
--- a/src/papayagw/_internal/net/agent_account.py
+++ b/src/papayagw/_internal/net/agent_account.py
@@ -1,6 +1,6 @@
 """An agent's account of itself."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 
 from papayagw._internal.models.clock import Clock
@@ -70,6 +70,10 @@
             "agent.configuration-version": self._read_configuration().version,
         }
 
+    def take_timings(self) -> Mapping[str, Sequence[float]]:
+        """Return durations in ms since the last call, by the names of their metrics."""
+        return {"agent.opening": self._process.packets.meter.take_latencies()}
+
     def report(self, state: NodeState) -> StatusReport:
         """Return the whole account."""
         packets = self._process.packets
--- a/src/papayagw/_internal/net/balancer_account.py
+++ b/src/papayagw/_internal/net/balancer_account.py
@@ -77,6 +77,10 @@
             "balancer.configuration-version": self._read_configuration().version,
         }
 
+    def take_timings(self) -> Mapping[str, Sequence[float]]:
+        """Return nothing: a balancer sees no end of what it hands on."""
+        return {}
+
     def report(self, state: NodeState) -> StatusReport:
         """Return the whole account."""
         configuration = self._read_configuration()
--- a/src/papayagw/_internal/net/connect_account.py
+++ b/src/papayagw/_internal/net/connect_account.py
@@ -1,6 +1,6 @@
 """The callers' side's account of itself."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
 from papayagw._internal.models.clock import Clock
@@ -63,6 +63,13 @@
             for listener, connector in self._pairs
         }
 
+    def take_timings(self) -> Mapping[str, Sequence[float]]:
+        """Return durations in ms since the last call, by the names of their metrics."""
+        return {
+            f"connect.{listener.service}.opening": connector.meter.take_latencies()
+            for listener, connector in self._pairs
+        }
+
     def report(self, state: NodeState) -> StatusReport:
         """Return the whole account."""
         connectors = self._process.connectors
--- a/src/papayagw/_internal/net/metrics_timer.py
+++ b/src/papayagw/_internal/net/metrics_timer.py
@@ -1,37 +1,33 @@
-"""The timer that hands counts and gauges on once a second."""
-
-from collections.abc import Callable, Mapping
+"""The timer that hands a node's figures on to statsd once a second."""
 
 import anyio
 
-from papayagw._internal.models.clock import Millis, to_seconds
+from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis, to_seconds
+from papayagw._internal.net.account import Account
 from papayagw._internal.observe.metrics import CountFlusher, StatsdMetrics
 
 FLUSH_INTERVAL_MS = Millis(1_000)
 
 
 class MetricsTimer:
-    """Flushes counts and gauges to statsd.
+    """Flushes counts, gauges and timings to statsd.
+
+    It also measures how late the loop runs it: with one loop on one thread that
+    is how long a packet may have to wait for other work.
 
     Parameters
     ----------
     metrics : StatsdMetrics
         Where they go; started and closed with the timer.
-    read_counts : callable
-        Returns the counts since the start, by name.
-    read_gauges : callable
-        Returns the gauges of the moment, by name.
+    account : Account
+        The figures.
     """
 
-    def __init__(
-        self,
-        metrics: StatsdMetrics,
-        read_counts: Callable[[], Mapping[str, int]],
-        read_gauges: Callable[[], Mapping[str, float]],
-    ):
+    def __init__(self, metrics: StatsdMetrics, account: Account):
         self._metrics = metrics
-        self._flusher = CountFlusher(read_counts)
-        self._read_gauges = read_gauges
+        self._account = account
+        self._flusher = CountFlusher(account.read_counts)
+        self._lag_name = f"{account.identity.role.value}.loop-lag"
 
     def start(self) -> None:
         """Open the socket."""
@@ -45,11 +41,17 @@
     async def run(self) -> None:
         """Flush until cancelled."""
         while True:
-            await anyio.sleep(to_seconds(FLUSH_INTERVAL_MS))
+            due = anyio.current_time() + to_seconds(FLUSH_INTERVAL_MS)
+            await anyio.sleep_until(due)
+            lag = (anyio.current_time() - due) * MILLIS_PER_SECOND
+            self._metrics.timing(self._lag_name, lag)
             self._flush()
 
     def _flush(self) -> None:
         self._flusher.flush(self._metrics)
-        for name, value in self._read_gauges().items():
+        for name, value in self._account.read_gauges().items():
             self._metrics.gauge(name, value)
+        for name, durations in self._account.take_timings().items():
+            for duration in durations:
+                self._metrics.timing(name, duration)
         self._metrics.flush()
--- a/src/papayagw/_internal/net/observed.py
+++ b/src/papayagw/_internal/net/observed.py
@@ -80,9 +80,7 @@
         if settings.admin is not None:
             yield AdminServer(settings.admin, self._report, self._log)
         if settings.statsd is not None:
-            account = self._account
-            metrics = StatsdMetrics(settings.statsd)
-            yield MetricsTimer(metrics, account.read_counts, account.read_gauges)
+            yield MetricsTimer(StatsdMetrics(settings.statsd), self._account)
 
     def _report(self) -> StatusReport:
         return self._account.report(self._state)
