Let balancers end flows of agents that are gone, and pass openings on while behind

Cause: two gaps of the design. A balancer that has just joined drops openings for agents that it hasn't heard of.

Now a balancer answers a tagged packet for a run that the membership knows to be over with a stateless reset, whose token follows from the tag and its fleet key. Suspicion alone never resets. An opening goes to a peer, once, until the balancer has caught up.

--- a/src/papayagw/_internal/core/balancer.py
+++ b/src/papayagw/_internal/core/balancer.py
@@ -5,6 +5,8 @@
 reaches a backend server before the handshake is complete.
 """
 
+from typing import Protocol
+
 from papayagw._internal.core.choice import Chooser
 from papayagw._internal.core.directory import Directory
 from papayagw._internal.models.decision import (
@@ -12,7 +14,9 @@
     Drop,
     DropReason,
     Forward,
+    Reset,
 )
+from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.flow import FlowRoute
 from papayagw._internal.models.service import ServiceId
 
@@ -20,9 +24,22 @@
 DROP_BAD_TAG = Drop(DropReason.BAD_TAG)
 DROP_WRONG_SERVICE = Drop(DropReason.WRONG_SERVICE)
 DROP_NO_AGENT = Drop(DropReason.NO_AGENT)
+RESET = Reset()
 DROP_MALFORMED = Drop(DropReason.MALFORMED)
 
 
+class Peers(Protocol):
+    """The other balancers, as far as this one needs them for openings."""
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether this balancer knows nearly all agents that its peers know."""
+
+    @property
+    def peers(self) -> tuple[Endpoint, ...]:
+        """The inner endpoints of the other balancers."""
+
+
 class BalancerCore:
     """Routing of callers' packets.
 
@@ -32,12 +49,14 @@
         The agents that the balancer knows of.
     chooser : Chooser
         The policy for openings.
+    peers : Peers
+        The other balancers, which know agents that this one hasn't heard of yet.
     """
 
-    def __init__(self, directory: Directory, chooser: Chooser):
+    def __init__(self, directory: Directory, chooser: Chooser, peers: Peers):
         self._directory = directory
         self._chooser = chooser
-        self._forwards: dict[FlowRoute, Forward] = {}
+        self._peers = peers
 
     def route_tagged(
         self, service_id: ServiceId, route: FlowRoute | None
@@ -55,15 +74,14 @@
             return DROP_BAD_TAG
         if route.service_id != service_id:
             return DROP_WRONG_SERVICE
-        forward = self._forwards.get(route)
-        if forward is None:
-            forward = self._forwards[route] = Forward(route.agent)
-        return forward
+        if self._directory.is_gone(route):
+            return RESET
+        return Forward(route.agent)
 
     def route_opening(
-        self, service_id: ServiceId, connection_id: bytes
+        self, service_id: ServiceId, connection_id: bytes, hops: int = 0
     ) -> BalancerDecision:
-        """Choose an agent for an opening.
+        """Choose an agent for an opening, or a peer that knows more agents.
 
         Parameters
         ----------
@@ -71,9 +89,19 @@
             The service whose address the packet was sent to.
         connection_id : bytes
             The caller's random connection id, the same in each copy.
+        hops : int
+            How many balancers have passed it on: one at most.
         """
         candidates = self._directory.find_ready(service_id)
+        is_last = hops > 0 or not self._peers.peers
+        if not is_last and not (candidates and self._peers.caught_up):
+            return Forward(self._pick_peer(connection_id))
         record = self._chooser.choose(connection_id, candidates)
         if record is None:
             return DROP_NO_AGENT
         return Forward(record.endpoint)
+
+    def _pick_peer(self, connection_id: bytes) -> Endpoint:
+        # By the connection id, so that a retransmission meets the same peer.
+        peers = self._peers.peers
+        return peers[int.from_bytes(connection_id[:4], "big") % len(peers)]
--- a/src/papayagw/_internal/core/directory.py
+++ b/src/papayagw/_internal/core/directory.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from papayagw._internal.models.agent import AgentRecord, AgentState
+from papayagw._internal.models.flow import INCARNATION_MASK, FlowRoute
 from papayagw._internal.models.service import ServiceId
 
 MAX_SUSPECTED_SHARE = 0.5
@@ -24,6 +25,9 @@
     def find_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
         """Return the agents of a service that take openings."""
 
+    def is_gone(self, route: FlowRoute) -> bool:
+        """Return whether the agent's run that a flow tag names is known to be over."""
+
 
 class AgentDirectory:
     """The newest record of each agent."""
@@ -32,6 +36,7 @@
         self._records: dict[tuple[str, int], AgentRecord] = {}
         self._by_service: dict[ServiceId, dict[tuple[str, int], AgentRecord]] = {}
         self._ready: dict[ServiceId, tuple[AgentRecord, ...]] = {}
+        self._gone: dict[tuple[str, int], int] = {}
 
     @property
     def records(self) -> tuple[AgentRecord, ...]:
@@ -47,6 +52,10 @@
         if known is not None and known.service_id != record.service_id:
             self._remove(known)
         self._records[key] = record
+        if record.state is AgentState.GONE:
+            self._gone[key] = record.incarnation & INCARNATION_MASK
+        else:
+            self._gone.pop(key, None)
         self._by_service.setdefault(record.service_id, {})[key] = record
         self._refresh(record.service_id)
         return True
@@ -54,6 +63,7 @@
     def forget(self, record: AgentRecord) -> None:
         """Drop a record that is no longer worth keeping."""
         known = self._records.pop(record.endpoint.sockaddr, None)
+        self._gone.pop(record.endpoint.sockaddr, None)
         if known is not None:
             self._remove(known)
 
@@ -61,6 +71,10 @@
         """Return the agents of a service that take openings."""
         return self._ready.get(service_id, ())
 
+    def is_gone(self, route: FlowRoute) -> bool:
+        """Return whether the agent's run that a flow tag names is known to be over."""
+        return self._gone.get(route.agent.sockaddr) == route.incarnation
+
     def find_willing(self, service_id: ServiceId) -> Sequence[AgentRecord]:
         """Return the agents of a service that say they are ready, suspected or not."""
         records = self._by_service.get(service_id, {}).values()
--- a/src/papayagw/_internal/models/decision.py
+++ b/src/papayagw/_internal/models/decision.py
@@ -51,5 +51,10 @@
     reason: DropReason
 
 
-BalancerDecision = Forward | Drop
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """Tell the caller that its flow is over, since its agent is gone."""
+
+
+BalancerDecision = Forward | Drop | Reset
 AgentDecision = Accept | Forward | Drop
--- a/src/papayagw/_internal/models/endpoint.py
+++ b/src/papayagw/_internal/models/endpoint.py
@@ -1,6 +1,6 @@
 """The address of a socket: an IPv4 number and a port."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from ipaddress import AddressValueError, IPv4Address
 
 MAX_PORT = 65_535
@@ -16,15 +16,17 @@
         The dotted IPv4 number.
     port : int
         The port, 1 to 65,535.
+    sockaddr : tuple of str and int
+        The form that the socket calls take.
     """
 
     ip: str
     port: int
+    sockaddr: tuple[str, int] = field(init=False, repr=False, compare=False)
 
-    @property
-    def sockaddr(self) -> tuple[str, int]:
-        """The form that the socket calls take."""
-        return (self.ip, self.port)
+    def __post_init__(self) -> None:
+        # Kept rather than made: the packet path reads it for each packet.
+        object.__setattr__(self, "sockaddr", (self.ip, self.port))
 
     @classmethod
     def parse(cls, text: str) -> "Endpoint":
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -29,7 +29,8 @@
     FrameKind,
 )
 from papayagw._internal.wire.header import is_opening, read_connection_id
-from papayagw._internal.wire.quic import FlowAcceptor, ResetTokens
+from papayagw._internal.wire.quic import FlowAcceptor
+from papayagw._internal.wire.reset import ResetTokens
 from papayagw._internal.wire.tag import TagCodec
 
 
@@ -97,7 +98,7 @@
         service = configuration.site.find_service_by_id(self._service_id)
         self._tags = TagCodec(keys)
         self._envelopes = EnvelopeCodec(keys)
-        self._resets = ResetTokens(keys[0])
+        self._resets = ResetTokens(keys)
         if service is not None:
             self._acceptor = FlowAcceptor(
                 Path(self._settings.certificate),
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -1,12 +1,21 @@
 """The balancer: a thin process that hands each packet on."""
 
+from dataclasses import replace
+
 from papayagw._internal.core.balancer import DROP_MALFORMED, BalancerCore
 from papayagw._internal.models.configuration import Configuration
-from papayagw._internal.models.decision import BalancerDecision, DropReason, Forward
+from papayagw._internal.models.decision import (
+    BalancerDecision,
+    DropReason,
+    Forward,
+    Reset,
+)
+from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import ServiceId
 from papayagw._internal.net.udp import DatagramSocket
 from papayagw._internal.wire.envelope import ENVELOPE_BYTES, EnvelopeCodec, FrameKind
 from papayagw._internal.wire.header import is_opening, read_connection_id
+from papayagw._internal.wire.reset import ResetTokens
 from papayagw._internal.wire.tag import TagCodec
 
 
@@ -37,6 +46,8 @@
         self._entries = entries
         self._forwarded = 0
         self._answered = 0
+        self._passed = 0
+        self._reset_count = 0
         self._drops: dict[DropReason, int] = dict.fromkeys(DropReason, 0)
         self.apply(configuration)
 
@@ -50,6 +61,16 @@
         """How many packets went to callers."""
         return self._answered
 
+    @property
+    def passed(self) -> int:
+        """How many openings of peers went to agents."""
+        return self._passed
+
+    @property
+    def resets(self) -> int:
+        """How many flows were ended because their agent is gone."""
+        return self._reset_count
+
     @property
     def drops(self) -> dict[DropReason, int]:
         """How many packets were dropped, by reason."""
@@ -57,23 +78,30 @@
 
     def apply(self, configuration: Configuration) -> None:
         """Use the keys of a configuration for whatever comes from now on."""
-        self._tags = TagCodec(configuration.site.keys)
-        self._envelopes = EnvelopeCodec(configuration.site.keys)
+        keys = configuration.site.keys
+        self._tags = TagCodec(keys)
+        self._envelopes = EnvelopeCodec(keys)
+        self._resets = ResetTokens(keys)
 
     def on_datagram(
         self, service_id: ServiceId, datagram: bytes, client: tuple[str, int]
     ) -> None:
         """Hand a caller's packet to an agent, or drop it."""
         decision = self._decide(service_id, datagram)
-        if not isinstance(decision, Forward):
+        if isinstance(decision, Forward):
+            self._forwarded += 1
+            header = self._envelopes.write_raw(_FORWARD, service_id, client)
+            self._inner.send(header + datagram, decision.agent.sockaddr)
+        elif isinstance(decision, Reset):
+            self._reset(service_id, datagram, client)
+        else:
             self._drops[decision.reason] += 1
-            return
-        self._forwarded += 1
-        header = self._envelopes.write_raw(FrameKind.FORWARD, service_id, client)
-        self._inner.send(header + datagram, decision.agent.sockaddr)
 
-    def on_frame(self, frame: bytes) -> None:
-        """Hand an agent's answer to its caller, or drop it."""
+    def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
+        """Hand an agent's answer to its caller, or a peer's opening to an agent."""
+        if frame[0] == _FORWARD:
+            self._on_passed(frame, source)
+            return
         answer = self._envelopes.read_answer(frame)
         if answer is None:
             self._drops[DropReason.UNAUTHENTICATED] += 1
@@ -86,6 +114,33 @@
         self._answered += 1
         entry.send(frame[ENVELOPE_BYTES:], client)
 
+    def _on_passed(self, frame: bytes, source: tuple[str, int]) -> None:
+        envelope = self._envelopes.read(frame)
+        if envelope is None:
+            self._drops[DropReason.UNAUTHENTICATED] += 1
+            return
+        datagram = frame[ENVELOPE_BYTES:]
+        connection_id = read_connection_id(datagram)
+        if connection_id is None or not is_opening(datagram, connection_id):
+            self._drops[DropReason.MALFORMED] += 1
+            return
+        decision = self._core.route_opening(envelope.service_id, connection_id, hops=1)
+        if not isinstance(decision, Forward):
+            self._drops[DropReason.NO_AGENT] += 1
+            return
+        self._passed += 1
+        passed = replace(envelope, balancer=Endpoint(*source))
+        header = self._envelopes.write(passed)
+        self._inner.send(header + datagram, decision.agent.sockaddr)
+
+    def _reset(
+        self, service_id: ServiceId, datagram: bytes, client: tuple[str, int]
+    ) -> None:
+        tag = read_connection_id(datagram)
+        if tag is not None:
+            self._reset_count += 1
+            self._entries[service_id].send(self._resets.make_datagram(tag), client)
+
     def _decide(self, service_id: ServiceId, datagram: bytes) -> BalancerDecision:
         connection_id = read_connection_id(datagram)
         if connection_id is None:
@@ -94,3 +149,6 @@
         if route is None and is_opening(datagram, connection_id):
             return self._core.route_opening(service_id, connection_id)
         return self._core.route_tagged(service_id, route)
+
+
+_FORWARD = int(FrameKind.FORWARD)
--- a/src/papayagw/_internal/net/balancer_account.py
+++ b/src/papayagw/_internal/net/balancer_account.py
@@ -64,6 +64,8 @@
         return {
             "balancer.forwarded": packets.forwarded,
             "balancer.answered": packets.answered,
+            "balancer.passed": packets.passed,
+            "balancer.reset": packets.resets,
             "balancer.drop.control": self._process.refused_control,
             **drops,
         }
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -5,13 +5,14 @@
 from papayagw._internal.core.balancer import BalancerCore
 from papayagw._internal.core.choice import RendezvousChooser
 from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.core.membership import BalancerMembership
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.node import BalancerSettings
 from papayagw._internal.models.service import Service, ServiceId
 from papayagw._internal.net.balancer import BalancerPackets
-from papayagw._internal.net.control import ControlLoop, ControlNode
+from papayagw._internal.net.control import ControlLoop
 from papayagw._internal.net.udp import DatagramSocket
 from papayagw._internal.wire.envelope import FrameKind
 
@@ -30,7 +31,7 @@
         What is in force at the start.
     directory : AgentDirectory
         The agents that it knows of, which `membership` keeps.
-    membership : ControlNode
+    membership : BalancerMembership
         Its part in the membership.
     clock : Clock
         The time.
@@ -41,14 +42,14 @@
         settings: BalancerSettings,
         configuration: Configuration,
         directory: AgentDirectory,
-        membership: ControlNode,
+        membership: BalancerMembership,
         clock: Clock,
     ):
         self._settings = settings
         self._configuration = configuration
         self._inner = DatagramSocket(settings.node.inner)
         self._entries: dict[ServiceId, DatagramSocket] = {}
-        core = BalancerCore(directory, RendezvousChooser())
+        core = BalancerCore(directory, RendezvousChooser(), membership)
         self._packets = BalancerPackets(core, configuration, self._inner, self._entries)
         keys = configuration.site.keys
         self._control = ControlLoop(membership, keys, self._inner, clock)
@@ -113,4 +114,4 @@
                 if frame[:1] == control:
                     self._control.on_frame(frame, source)
                 else:
-                    self._packets.on_frame(frame)
+                    self._packets.on_frame(frame, source)
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -23,10 +23,10 @@
 from papayagw._internal.wire.header import read_connection_id
 from papayagw._internal.wire.quic import (
     CALLER_ID_BYTES,
-    RESET_TOKEN_BYTES,
     FlowConnection,
     FlowOpener,
 )
+from papayagw._internal.wire.reset import RESET_TOKEN_BYTES
 
 PROBE_MS = Millis(1_000)
 """How long a flow may be silent before its agent is probed."""
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -7,7 +7,6 @@
 library's version is pinned, and ``tests/unit/test_quic.py`` fails if it changes.
 """
 
-import hashlib
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -30,7 +29,6 @@
 from aioquic.quic.stream import QuicStream
 
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis, to_seconds
-from papayagw._internal.models.configuration import FleetKey
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.stream import (
@@ -39,7 +37,7 @@
     HandshakeDone,
     StreamEvent,
 )
-from papayagw._internal.wire.keys import derive_key
+from papayagw._internal.wire.reset import RESET_TOKEN_BYTES, ResetTokens
 from papayagw._internal.wire.tag import TAG_BYTES
 
 ALPN = "papayagw/1"
@@ -63,9 +61,6 @@
 _REORDERING_SECONDS = 0.010
 _CLOSE_COPIES = 2
 _MAX_CLOSE_REPEATS = 3
-RESET_TOKEN_BYTES = 16
-_MIN_RESET_BYTES = 40
-_RESET_FIRST_BYTE = 0x40
 
 _CODES = {
     FlowOutcome.ANSWERED: 0,
@@ -79,33 +74,6 @@
 """Takes a datagram and the peer that it is for."""
 
 
-class ResetTokens:
-    """Stateless reset tokens (RFC 9000, 10.3) of flow tags.
-
-    Any process that holds the fleet key can end a flow whose agent has forgotten
-    it.
-
-    Parameters
-    ----------
-    key : FleetKey
-        The key that the tokens are derived from.
-    """
-
-    def __init__(self, key: FleetKey):
-        self._key = derive_key(key, "stateless reset", 32)
-
-    def make_token(self, tag: bytes) -> bytes:
-        """Return the token of a tag, which only its flow's caller is told."""
-        hashed = hashlib.blake2s(tag, key=self._key, digest_size=RESET_TOKEN_BYTES)
-        return hashed.digest()
-
-    def make_datagram(self, tag: bytes) -> bytes:
-        """Return the datagram that ends the flow of a tag."""
-        noise = hashlib.blake2s(tag, digest_size=32).digest()
-        padding = _MIN_RESET_BYTES - RESET_TOKEN_BYTES - 1
-        return bytes((_RESET_FIRST_BYTE,)) + noise[:padding] + self.make_token(tag)
-
-
 @dataclass(frozen=True, slots=True)
 class ServerTag:
     """The connection id that an agent gives to a flow.
--- /dev/null
+++ b/src/papayagw/_internal/wire/reset.py
@@ -0,0 +1,42 @@
+"""Stateless resets (RFC 9000, 10.3) of flows that nobody owns any more."""
+
+import hashlib
+from collections.abc import Sequence
+
+from papayagw._internal.models.configuration import FleetKey
+from papayagw._internal.wire.keys import derive_key
+
+RESET_TOKEN_BYTES = 16
+_KEY_BYTES = 32
+_RESET_BYTES = 40
+_FIRST_BYTE = 0x40
+
+
+class ResetTokens:
+    """Stateless reset tokens of flow tags.
+
+    A token is derived from the tag and the fleet key that sealed it, so that any
+    process that holds the key can end a flow whose agent is gone.
+
+    Parameters
+    ----------
+    keys : sequence of FleetKey
+        All keys in force.
+    """
+
+    def __init__(self, keys: Sequence[FleetKey]):
+        self._keys = {
+            key.key_id: derive_key(key, "stateless reset", _KEY_BYTES) for key in keys
+        }
+
+    def make_token(self, tag: bytes) -> bytes:
+        """Return the token of a tag, which only its flow's caller is told."""
+        key = self._keys.get(tag[0], b"")
+        hashed = hashlib.blake2s(tag, key=key, digest_size=RESET_TOKEN_BYTES)
+        return hashed.digest()
+
+    def make_datagram(self, tag: bytes) -> bytes:
+        """Return the datagram that ends the flow of a tag."""
+        noise = hashlib.blake2s(tag, digest_size=32).digest()
+        padding = _RESET_BYTES - RESET_TOKEN_BYTES - 1
+        return bytes((_FIRST_BYTE,)) + noise[:padding] + self.make_token(tag)
--- a/tests/lib/quic.py
+++ b/tests/lib/quic.py
@@ -6,7 +6,8 @@
 from papayagw._internal.models.stream import StreamEvent
 from papayagw._internal.settings.development_keys import make_development_keys
 from papayagw._internal.wire.header import read_connection_id
-from papayagw._internal.wire.quic import FlowAcceptor, FlowOpener, ResetTokens
+from papayagw._internal.wire.quic import FlowAcceptor, FlowOpener
+from papayagw._internal.wire.reset import ResetTokens
 from papayagw._internal.wire.tag import TagCodec
 from tests.lib.samples import CLIENT, KEY, ORDER, ManualClock
 
@@ -22,7 +23,7 @@
     def __init__(self, folder, lose=lambda number: False):
         files = make_development_keys(folder, ("order",))
         self.clock = ManualClock()
-        self.resets = ResetTokens(KEY)
+        self.resets = ResetTokens([KEY])
         self.acceptor = FlowAcceptor(
             files.certificate, files.private_key, IDLE_MS, self.resets
         )
--- a/tests/lib/samples.py
+++ b/tests/lib/samples.py
@@ -1,5 +1,7 @@
 """Sample values that many tests share."""
 
+from dataclasses import dataclass
+
 from papayagw._internal.models.agent import AgentRecord, AgentState, Incarnation
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.configuration import FleetKey, Site
@@ -14,6 +16,17 @@
 BALANCERS = tuple(Endpoint(f"127.0.0.{10 + i}", 4300) for i in range(3))
 
 
+@dataclass(frozen=True)
+class StubPeers:
+    """The other balancers, as a test says."""
+
+    caught_up: bool = True
+    peers: tuple[Endpoint, ...] = ()
+
+
+NO_PEERS = StubPeers()
+
+
 class ManualClock:
     """A clock that a test moves."""
 
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -17,7 +17,7 @@
 from papayagw._internal.models.flow import FlowOutcome, FlowRoute, FlowTag
 from papayagw._internal.models.opening import AttemptEnded, Reopen, RetryPolicy
 from papayagw._internal.wire.tag import NONCE_BYTES, TAG_BYTES, TagCodec
-from tests.lib.samples import KEY
+from tests.lib.samples import KEY, NO_PEERS
 from tests.lib.world import IDEMPOTENT, SERVICES, Close, Down, Node, Shake, Up
 
 SILENCE_MS = 3_000
@@ -37,7 +37,7 @@
         self.directory = AgentDirectory()
         self.heard = {}
         core = world.mechanisms.balancer
-        self.core = core(self.directory, RendezvousChooser())
+        self.core = core(self.directory, RendezvousChooser(), NO_PEERS)
         world.every_tick(self, self.expire)
 
     def on_record(self, record):
--- a/tests/properties/isolation_proof.py
+++ b/tests/properties/isolation_proof.py
@@ -18,7 +18,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.flow import FlowRoute, FlowTag
 from papayagw._internal.wire.tag import TAG_BYTES, TagCodec
-from tests.lib.samples import DRAWINGS, KEY, ORDER
+from tests.lib.samples import DRAWINGS, KEY, NO_PEERS, ORDER
 from tests.properties.proving import Mutation, Property
 from tests.properties.world_proof import RoutesByTagOnly, TakesAnyService
 
@@ -72,7 +72,7 @@
         self.codec = parts.codec([KEY])
         self.views = [AgentDirectory(), AgentDirectory()]
         self.balancers = [
-            parts.balancer(view, RendezvousChooser()) for view in self.views
+            parts.balancer(view, RendezvousChooser(), NO_PEERS) for view in self.views
         ]
         self.now = 0
         self.records = []
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -4,19 +4,26 @@
 from papayagw._internal.core.choice import RendezvousChooser
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.models.agent import AgentState
-from papayagw._internal.models.decision import Drop, DropReason, Forward
+from papayagw._internal.models.decision import Drop, DropReason, Forward, Reset
 from papayagw._internal.models.flow import FlowRoute
-from tests.lib.samples import DRAWINGS, ORDER, make_record
+from tests.lib.samples import (
+    BALANCERS,
+    DRAWINGS,
+    NO_PEERS,
+    ORDER,
+    StubPeers,
+    make_record,
+)
 
 AGENT = make_record(1)
 ROUTE = FlowRoute.of(ORDER, AGENT.endpoint, AGENT.incarnation)
 
 
-def make_core(records):
+def make_core(records, peers=NO_PEERS):
     directory = AgentDirectory()
     for record in records:
         directory.merge(record)
-    return BalancerCore(directory, RendezvousChooser())
+    return BalancerCore(directory, RendezvousChooser(), peers)
 
 
 @pytest.mark.parametrize(
@@ -26,6 +33,22 @@
         ([], ORDER, ROUTE, Forward(AGENT.endpoint)),
         ([AGENT], DRAWINGS, ROUTE, Drop(DropReason.WRONG_SERVICE)),
         ([AGENT], ORDER, None, Drop(DropReason.BAD_TAG)),
+        ([make_record(1, sequence=2, state=AgentState.GONE)], ORDER, ROUTE, Reset()),
+        (
+            [make_record(1, incarnation=6_000, state=AgentState.GONE)],
+            ORDER,
+            ROUTE,
+            Forward(AGENT.endpoint),
+        ),
+        (
+            [
+                make_record(1, sequence=2, state=AgentState.GONE),
+                make_record(1, incarnation=6_000),
+            ],
+            ORDER,
+            ROUTE,
+            Forward(AGENT.endpoint),
+        ),
     ],
 )
 def test_tagged_packet_goes_where_its_tag_says(records, service_id, route, decision):
@@ -67,3 +90,27 @@
     for number in range(200):
         opening = number.to_bytes(8, "big")
         assert here.route_opening(ORDER, opening) == there.route_opening(ORDER, opening)
+
+
+PEER = BALANCERS[1]
+TO_PEER = Forward(PEER)
+TO_AGENT = Forward(AGENT.endpoint)
+
+
+@pytest.mark.parametrize(
+    ("records", "caught_up", "peers", "hops", "decision"),
+    [
+        ([AGENT], True, (PEER,), 0, TO_AGENT),
+        ([AGENT], False, (PEER,), 0, TO_PEER),
+        ([AGENT], False, (), 0, TO_AGENT),
+        ([AGENT], False, (PEER,), 1, TO_AGENT),
+        ([], True, (PEER,), 0, TO_PEER),
+        ([], True, (PEER,), 1, Drop(DropReason.NO_AGENT)),
+        ([], False, (), 0, Drop(DropReason.NO_AGENT)),
+    ],
+)
+def test_opening_goes_to_a_peer_once_where_the_balancer_knows_too_little(
+    records, caught_up, peers, hops, decision
+):
+    core = make_core(records, StubPeers(caught_up, peers))
+    assert core.route_opening(ORDER, b"opening1", hops) == decision
