Take relays from the membership; peers talk over the plain TCP streams

The membership chooses relays already, so core/relay.py stood twice and is gone. anyio's listener resolves names in a thread; the plain listener doesn't.

test_stranger_gets_nothing_from_a_peer was flaky for one run: the server bound after start() returned.

--- a/bench/config_store_calls.py
+++ b/bench/config_store_calls.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass, replace
+from functools import partial
 from random import Random
 from statistics import median
 
@@ -14,10 +15,13 @@
 from tqdm import tqdm
 
 from papayagw._internal.core.configuration import ConfigurationLog
-from papayagw._internal.core.relay import choose_relays
+from papayagw._internal.core.membership import RELAYS_PER_ZONE
+from papayagw._internal.core.rendezvous import Rendezvous
 from papayagw._internal.core.submission import Accepted, Proposal
+from papayagw._internal.models.agent import Incarnation
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.configuration import FleetKey, Site
+from papayagw._internal.models.control import BalancerRecord
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Service, ServiceId
 from papayagw._internal.net.clock import MonotonicClock
@@ -79,7 +83,7 @@
                 ConfigurationStore(store, "bench"),
                 log,
                 peer,
-                is_relay=lambda endpoint=endpoint: endpoint in self.relays,
+                server=ConfigurationServer(endpoint, log),
                 random=self._random,
             )
             for endpoint, log, peer in zip(
@@ -89,16 +93,22 @@
 
     def _find_relays(self):
         zones = [self._endpoints[number::ZONES] for number in range(ZONES)]
-        return [relay for zone in zones for relay in choose_relays(zone)]
+        return [
+            relay
+            for number, zone in enumerate(zones)
+            for relay in self._choose(zone, str(number))
+        ]
+
+    def _choose(self, zone, name):
+        records = [BalancerRecord(one, Incarnation(1), name) for one in zone]
+        return Rendezvous(records).choose(f"relay {name}", RELAYS_PER_ZONE)
 
     async def start(self, tasks):
         """Start every node, one after the other."""
-        for endpoint, log, source in zip(
-            self._endpoints, self.logs, self.sources, strict=True
-        ):
-            await ConfigurationServer(endpoint, log).start(tasks)
+        for endpoint, source in zip(self._endpoints, self.sources, strict=True):
+            is_relay = partial(self.relays.__contains__, endpoint)
             await source.start()
-            tasks.start_soon(source.run, lambda _: None)
+            tasks.start_soon(source.run, lambda _: None, is_relay)
         tasks.start_soon(self._gossip)
 
     async def wait_for(self, version):
@@ -164,6 +174,8 @@
         # The operator's own read and write of each change aren't the nodes'.
         calls = count_calls(store) - started - 2 * changes
         tasks.cancel_scope.cancel()
+    for source in fleet.sources:
+        await source.close()
     received = sum(peer.received_bytes for peer in fleet.peers)
     return Figures(
         count,
--- a/src/papayagw/_internal/net/configuration.py
+++ b/src/papayagw/_internal/net/configuration.py
@@ -8,12 +8,16 @@
 from returns.result import Failure
 
 from papayagw._internal.models.configuration import Configuration
+from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.settings.problem import make_error
 from papayagw._internal.settings.site import load_site
 
 OnChange = Callable[[Configuration], None]
 """Takes a configuration that is in force from now on."""
 
+IsRelay = Callable[[], bool]
+"""Returns whether this node watches the platform's service now."""
+
 FILE_VERSION = 0
 """The version of a configuration that was never submitted."""
 
@@ -24,8 +28,19 @@
     async def start(self) -> Configuration:
         """Return the first configuration, however long it takes."""
 
-    async def run(self, on_change: OnChange) -> None:
-        """Call `on_change` with each later one, until cancelled."""
+    async def run(self, on_change: OnChange, is_relay: IsRelay) -> None:
+        """Call `on_change` with each later one, until cancelled.
+
+        Parameters
+        ----------
+        on_change : callable
+            Takes each configuration from the moment that it is in force.
+        is_relay : callable
+            Returns whether this node watches the platform's service now.
+        """
+
+    def hear_version(self, version: int, peer: Endpoint) -> None:
+        """Take in that `peer` has `version` in force, as its messages say."""
 
     async def close(self) -> None:
         """Close the connections."""
@@ -59,9 +74,12 @@
             raise make_error(loaded.failure())
         return Configuration(FILE_VERSION, loaded.unwrap())
 
-    async def run(self, on_change: OnChange) -> None:
+    async def run(self, on_change: OnChange, is_relay: IsRelay) -> None:
         """Wait: files aren't read again."""
         await anyio.sleep_forever()
 
+    def hear_version(self, version: int, peer: Endpoint) -> None:
+        """Do nothing: what is in the files stays in force."""
+
     async def close(self) -> None:
         """Do nothing: no connection is open."""
--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -3,12 +3,10 @@
 from collections.abc import Sequence
 
 import anyio
-from anyio.abc import Listener, SocketStream, TaskGroup
 from returns.result import Failure, Result, Success
 
 from papayagw._internal.core.configuration import ConfigurationLog
 from papayagw._internal.exceptions import (
-    BindError,
     DecodeError,
     PapayagwError,
     Step,
@@ -18,6 +16,7 @@
 from papayagw._internal.models.configuration import Configuration, FleetKey
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.net.frames import receive_frame, send_frame
+from papayagw._internal.net.tcp import TcpBrokenError, TcpListener, TcpStream
 from papayagw._internal.wire.configuration_exchange import ExchangeCodec
 
 EXCHANGE_TIMEOUT_MS = Millis(3_000)
@@ -25,8 +24,6 @@
 MAX_ANSWER_BYTES = 2_000_000
 MAX_CONNECTIONS = 32
 
-_STREAM_ERRORS = (OSError, anyio.BrokenResourceError, anyio.IncompleteRead)
-
 
 class PeerConfigurationSource:
     """Asks peers for what they have in force.
@@ -81,19 +78,20 @@
                 answer = await self._ask(peer, codec)
         except TimeoutError:
             return Failure(_fail(peer, f"no answer in {self._timeout_ms} ms"))
-        except _STREAM_ERRORS as error:
-            return Failure(_fail(peer, f"no answer: {error or type(error).__name__}"))
-        except DecodeError as error:
-            return Failure(error)
+        except (TcpBrokenError, DecodeError) as error:
+            return Failure(_fail(peer, f"no answer: {error.what}"))
         if answer is None:
             return Failure(_fail(peer, "an answer that isn't authentic"))
         return Success(self._log.resolve(answer))
 
     async def _ask(self, peer: Endpoint, codec: ExchangeCodec) -> Answer | None:
         question, nonce = codec.seal_question(self._log.question)
-        async with await anyio.connect_tcp(peer.ip, peer.port) as stream:
+        stream = await TcpStream.connect(peer, self._timeout_ms)
+        try:
             await send_frame(stream, question)
             frame = await receive_frame(stream, MAX_ANSWER_BYTES)
+        finally:
+            stream.close()
         self._received_bytes += len(frame)
         return codec.open_answer(frame, nonce)
 
@@ -110,62 +108,49 @@
     """
 
     def __init__(self, endpoint: Endpoint, log: ConfigurationLog):
-        self._endpoint = endpoint
+        self._listener = TcpListener(endpoint)
         self._log = log
         self._refused = 0
         self._connections = 0
-        self._scope = anyio.CancelScope()
 
     @property
     def refused(self) -> int:
-        """How many questions weren't authentic."""
+        """How many connections brought no authentic question."""
         return self._refused
 
-    async def start(self, tasks: TaskGroup) -> None:
-        """Listen, and serve in `tasks` until `close`.
+    def start(self) -> None:
+        """Listen.
 
         Raises
         ------
         BindError
             If the endpoint is taken or isn't of this host.
         """
-        try:
-            listener = await anyio.create_tcp_listener(
-                local_host=self._endpoint.ip, local_port=self._endpoint.port
-            )
-        except OSError as error:
-            raise BindError(
-                f"can't listen for peers: {error.strerror}",
-                step=Step.BIND,
-                peer=str(self._endpoint),
-                remedy="choose an address of this host and a free port",
-            ) from error
-        tasks.start_soon(self._serve, listener)
+        self._listener.start()
+
+    async def run(self) -> None:
+        """Answer until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            await self._listener.serve(self._handle, tasks)
 
     def close(self) -> None:
-        """Stop listening and end all connections."""
-        self._scope.cancel()
-
-    async def _serve(self, listener: Listener[SocketStream]) -> None:
-        with self._scope:
-            async with listener:
-                await listener.serve(self._handle)
-
-    async def _handle(self, stream: SocketStream) -> None:
-        async with stream:
-            if self._connections >= MAX_CONNECTIONS:
-                return
-            self._connections += 1
-            try:
+        """Listen no more."""
+        self._listener.close()
+
+    async def _handle(self, stream: TcpStream) -> None:
+        self._connections += 1
+        try:
+            if self._connections <= MAX_CONNECTIONS:
                 with anyio.move_on_after(to_seconds(EXCHANGE_TIMEOUT_MS)):
                     await self._answer(stream)
-            except (*_STREAM_ERRORS, DecodeError):
-                # The peer went away or isn't one; it asks again if it is.
-                self._refused += 1
-            finally:
-                self._connections -= 1
+        except (TcpBrokenError, DecodeError):
+            # The peer went away or isn't one; it asks again if it is.
+            self._refused += 1
+        finally:
+            self._connections -= 1
+            stream.close()
 
-    async def _answer(self, stream: SocketStream) -> None:
+    async def _answer(self, stream: TcpStream) -> None:
         frame = await receive_frame(stream, MAX_QUESTION_BYTES)
         current = self._log.current
         if current is None:
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -17,8 +17,11 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.net.configuration import OnChange
-from papayagw._internal.net.configuration_peer import PeerConfigurationSource
+from papayagw._internal.net.configuration import IsRelay, OnChange
+from papayagw._internal.net.configuration_peer import (
+    ConfigurationServer,
+    PeerConfigurationSource,
+)
 from papayagw._internal.net.configuration_store import (
     ConfigurationStore,
     Stored,
@@ -45,8 +48,8 @@
         How peers are asked.
     seeds : sequence of Endpoint
         Peers that are asked at the start.
-    is_relay : callable
-        Returns whether this node watches the service.
+    server : ConfigurationServer or None
+        Answers peers while this source runs; None at a node that no peer asks.
     on_failure : callable
         Takes each error, for the log.
     random : Random
@@ -60,7 +63,7 @@
         peers: PeerConfigurationSource,
         *,
         seeds: Sequence[Endpoint] = (),
-        is_relay: Callable[[], bool] = lambda: True,
+        server: ConfigurationServer | None = None,
         on_failure: Callable[[PapayagwError], None] = lambda _: None,
         random: Random | None = None,
     ):
@@ -68,7 +71,7 @@
         self._log = log
         self._peers = peers
         self._seeds = tuple(seeds)
-        self._is_relay = is_relay
+        self._server = server
         self._on_failure = on_failure
         self._random = random or Random()
         self._on_change: OnChange = lambda _: None
@@ -93,18 +96,24 @@
                 for seed in self._seeds:
                     tasks.start_soon(self._fetch, seed)
             if self._log.current is not None:
+                if self._server is not None:
+                    self._server.start()
                 return self._log.current
             await anyio.sleep(to_seconds(backoff.fail()))
 
-    async def run(self, on_change: OnChange) -> None:
+    async def run(self, on_change: OnChange, is_relay: IsRelay) -> None:
         """Call `on_change` with each later configuration, until cancelled."""
         self._on_change = on_change
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follow_store)
+            if self._server is not None:
+                tasks.start_soon(self._server.run)
+            tasks.start_soon(self._follow_store, is_relay)
             tasks.start_soon(self._follow_rumours)
 
     async def close(self) -> None:
         """Close the connections."""
+        if self._server is not None:
+            self._server.close()
         await self._store.close()
 
     def hear_version(self, version: int, peer: Endpoint) -> None:
@@ -115,10 +124,10 @@
             self._rumour = (version, peer)
             self._rumoured.set()
 
-    async def _follow_store(self) -> None:
+    async def _follow_store(self, is_relay: IsRelay) -> None:
         backoff = Backoff(self._random)
         while True:
-            if not self._is_relay():
+            if not is_relay():
                 await anyio.sleep(self._random.random() * to_seconds(RELAY_CHECK_MS))
             elif await self._watch():
                 backoff.succeed()
--- /dev/null
+++ b/src/papayagw/_internal/net/configuration_setup.py
@@ -0,0 +1,50 @@
+"""Making of the configuration source that a node's settings name."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+from papayagw._internal.core.configuration import ConfigurationLog
+from papayagw._internal.exceptions import PapayagwError
+from papayagw._internal.models.node import NodeSettings
+from papayagw._internal.net.configuration import (
+    ConfigurationSource,
+    FileConfigurationSource,
+)
+from papayagw._internal.net.configuration_peer import (
+    ConfigurationServer,
+    PeerConfigurationSource,
+)
+from papayagw._internal.net.configuration_platform import PlatformConfigurationSource
+from papayagw._internal.net.configuration_store import ConfigurationStore
+from papayagw._internal.platform.etcd import EtcdStore
+
+
+def make_source(
+    node: NodeSettings,
+    on_failure: Callable[[PapayagwError], None],
+    *,
+    serves_peers: bool,
+) -> ConfigurationSource:
+    """Return the source that a node's settings name.
+
+    Parameters
+    ----------
+    node : NodeSettings
+        The settings.
+    on_failure : callable
+        Takes each error, for the log.
+    serves_peers : bool
+        Whether peers ask this node, as they ask balancers.
+    """
+    if not node.platform or node.site is None:
+        overlay = None if node.overlay is None else Path(node.overlay)
+        return FileConfigurationSource(Path(node.base or ""), overlay)
+    log = ConfigurationLog()
+    return PlatformConfigurationSource(
+        ConfigurationStore(EtcdStore(node.platform), node.site),
+        log,
+        PeerConfigurationSource(log, node.keys),
+        seeds=tuple(peer for peer in node.peers if peer != node.inner),
+        server=ConfigurationServer(node.inner, log) if serves_peers else None,
+        on_failure=on_failure,
+    )
--- a/src/papayagw/_internal/net/frames.py
+++ b/src/papayagw/_internal/net/frames.py
@@ -2,25 +2,23 @@
 
 import struct
 
-from anyio.abc import ByteStream
-from anyio.streams.buffered import BufferedByteReceiveStream
-
 from papayagw._internal.exceptions import DecodeError, Step
+from papayagw._internal.net.tcp import TcpStream
 
 _LENGTH = struct.Struct("!I")
 
 
-async def send_frame(stream: ByteStream, frame: bytes) -> None:
+async def send_frame(stream: TcpStream, frame: bytes) -> None:
     """Send one frame."""
     await stream.send(_LENGTH.pack(len(frame)) + frame)
 
 
-async def receive_frame(stream: ByteStream, limit: int) -> bytes:
-    """Return the first frame of a stream.
+async def receive_frame(stream: TcpStream, limit: int) -> bytes:
+    """Return the first frame of a connection.
 
     Parameters
     ----------
-    stream : ByteStream
+    stream : TcpStream
         The connection.
     limit : int
         The longest frame that is taken, in bytes.
@@ -28,10 +26,20 @@
     Raises
     ------
     DecodeError
-        If the frame is longer than `limit`.
+        If the frame is longer than `limit`, or the connection ends within it.
+    TcpBrokenError
+        If the connection is lost.
     """
-    buffered = BufferedByteReceiveStream(stream)
-    (length,) = _LENGTH.unpack(await buffered.receive_exactly(_LENGTH.size))
-    if length > limit:
-        raise DecodeError(f"a frame of {length} bytes", step=Step.DECODE)
-    return await buffered.receive_exactly(length)
+    data = bytearray()
+    end = _LENGTH.size
+    while len(data) < end:
+        chunk = await stream.receive()
+        if not chunk:
+            raise DecodeError("the peer hung up", step=Step.DECODE)
+        data += chunk
+        if len(data) >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(data)
+            end = _LENGTH.size + length
+        if end > _LENGTH.size + limit:
+            raise DecodeError(f"a frame of {length} bytes", step=Step.DECODE)
+    return bytes(data[_LENGTH.size : end])
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -5,7 +5,6 @@
 from papayagw._internal.core.change import apply_change, find_change
 from papayagw._internal.core.comparison import compare_sites
 from papayagw._internal.core.configuration import ConfigurationLog, Offer
-from papayagw._internal.core.relay import choose_relays, is_relay
 from papayagw._internal.core.transition import find_objections
 from papayagw._internal.models.change import Nothing, Question
 from papayagw._internal.models.configuration import FleetKey
@@ -184,16 +183,3 @@
     opened = ExchangeCodec(keys).open_answer(change_frame(answer), change_nonce(nonce))
     assert opened is None
     assert codec.open_question(answer) is None
-
-
-@pytest.mark.parametrize("count", [0, 1, 2, 210])
-def test_a_few_nodes_of_a_zone_are_relays(count):
-    nodes = [Endpoint(f"127.0.{i // 250}.{1 + i % 250}", 4300) for i in range(count)]
-    relays = choose_relays(nodes)
-    assert len(relays) == min(count, 2)
-    assert [one for one in nodes if is_relay(one, nodes)] == sorted(
-        relays, key=nodes.index
-    )
-    if relays:
-        rest = [one for one in nodes if one != relays[0]]
-        assert relays[1:] == choose_relays(rest)[: len(relays) - 1]
--- a/tests/unit/test_configuration_source.py
+++ b/tests/unit/test_configuration_source.py
@@ -30,22 +30,22 @@
         self.endpoint = find_free_endpoint()
         self.log = ConfigurationLog()
         self.failures = []
+        self.server = ConfigurationServer(self.endpoint, self.log)
         self.source = PlatformConfigurationSource(
             ConfigurationStore(store, SITE.name),
             self.log,
             PeerConfigurationSource(self.log, keys),
             seeds=seeds,
-            is_relay=lambda: relay,
+            server=self.server,
             on_failure=self.failures.append,
             random=Random(1),
         )
-        self.server = ConfigurationServer(self.endpoint, self.log)
+        self.relay = relay
         self._moved = anyio.Event()
 
     async def start(self, tasks):
-        await self.server.start(tasks)
         await self.source.start()
-        tasks.start_soon(self.source.run, self._on_change)
+        tasks.start_soon(self._run)
 
     async def reach(self, version):
         while self.log.version < version:
@@ -55,6 +55,13 @@
         while not any(text in str(one) for one in self.failures):
             await anyio.sleep(0.01)
 
+    async def _run(self):
+        try:
+            await self.source.run(self._on_change, lambda: self.relay)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.source.close()
+
     def _on_change(self, configuration):
         moved, self._moved = self._moved, anyio.Event()
         moved.set()
