--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -47,6 +47,8 @@
     CommandInfo(
         ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
     ),
+    CommandInfo(("status",), "status", "Show what nodes are doing; record it."),
+    CommandInfo(("report", "burn"), "report_burn", "Report on service-level burn."),
     CommandInfo(
         ("standin", "platform"), "standin_platform", "Hold keys and values in memory."
     ),
--- a/src/papayagw/_internal/net/admin.py
+++ b/src/papayagw/_internal/net/admin.py
@@ -9,13 +9,13 @@
 
 import anyio
 import h11
-from anyio.abc import SocketStream, TaskGroup
 
 from papayagw import __version__
-from papayagw._internal.exceptions import BindError, Step
+from papayagw._internal.exceptions import Step
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.status import StatusReport
+from papayagw._internal.net.tcp import TcpBrokenError, TcpListener, TcpStream
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.observe.status_json import write_status
 
@@ -24,7 +24,6 @@
 MAX_CONNECTIONS = 16
 REQUEST_TIMEOUT_MS = Millis(5_000)
 EMPTY_BODY = b""
-_READ_BYTES = 4_096
 
 
 class AdminServer:
@@ -43,65 +42,49 @@
     def __init__(
         self, endpoint: Endpoint, report: Callable[[], StatusReport], log: Log
     ):
-        self._endpoint = endpoint
+        self._listener = TcpListener(endpoint)
         self._report = report
         self._log = log
         self._connections = 0
-        self._serving = False
-        self._scope = anyio.CancelScope()
-        self._closed = anyio.Event()
 
-    async def start(self, tasks: TaskGroup) -> None:
-        """Listen, and serve in `tasks` until `close`.
+    def start(self) -> None:
+        """Listen.
 
         Raises
         ------
         BindError
-            If the endpoint is taken or isn't of this host.
+            If the endpoint is taken or isn't of this machine.
         """
+        self._listener.start()
+
+    def close(self) -> None:
+        """Listen no more."""
+        self._listener.close()
+
+    async def run(self) -> None:
+        """Answer until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            await self._listener.serve(self._handle, tasks)
+
+    async def _handle(self, stream: TcpStream) -> None:
         try:
-            listener = await anyio.create_tcp_listener(
-                local_host=self._endpoint.ip, local_port=self._endpoint.port
-            )
-        except OSError as error:
-            raise BindError(
-                f"can't listen for operators: {error.strerror}",
-                step=Step.BIND,
-                peer=str(self._endpoint),
-                remedy="choose an address of this host and a free port",
-            ) from error
-        self._serving = True
-        tasks.start_soon(self._serve, listener)
-
-    async def close(self) -> None:
-        """Stop listening and end all connections."""
-        self._scope.cancel()
-        if self._serving:
-            await self._closed.wait()
-
-    async def _serve(self, listener: anyio.abc.Listener[SocketStream]) -> None:
+            if self._connections < MAX_CONNECTIONS:
+                await self._answer_in_time(stream)
+        except TcpBrokenError:
+            # The operator's side went away; nothing is left to answer.
+            pass
+        finally:
+            stream.close()
+
+    async def _answer_in_time(self, stream: TcpStream) -> None:
+        self._connections += 1
         try:
-            with self._scope:
-                async with listener:
-                    await listener.serve(self._handle)
+            with anyio.move_on_after(to_seconds(REQUEST_TIMEOUT_MS)):
+                await self._converse(stream)
         finally:
-            self._closed.set()
+            self._connections -= 1
 
-    async def _handle(self, stream: SocketStream) -> None:
-        async with stream:
-            if self._connections >= MAX_CONNECTIONS:
-                return
-            self._connections += 1
-            try:
-                with anyio.move_on_after(to_seconds(REQUEST_TIMEOUT_MS)):
-                    await self._converse(stream)
-            except (OSError, anyio.BrokenResourceError, anyio.EndOfStream):
-                # The operator's side went away; nothing is left to answer.
-                pass
-            finally:
-                self._connections -= 1
-
-    async def _converse(self, stream: SocketStream) -> None:
+    async def _converse(self, stream: TcpStream) -> None:
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES
         )
@@ -110,6 +93,8 @@
         except h11.RemoteProtocolError as error:
             status, body = HTTPStatus(error.error_status_hint), EMPTY_BODY
         else:
+            if request is None:
+                return
             status, body = self._answer(request)
         await stream.send(_write_response(connection, status, body))
 
@@ -127,15 +112,16 @@
 
 
 async def _read_request(
-    stream: SocketStream, connection: h11.Connection
-) -> h11.Request:
+    stream: TcpStream, connection: h11.Connection
+) -> h11.Request | None:
+    """Return the request, or None if the peer went away before its end."""
     while True:
         event = connection.next_event()
         if isinstance(event, h11.Request):
             return event
         if event is not h11.NEED_DATA:
-            raise anyio.EndOfStream
-        connection.receive_data(await stream.receive(_READ_BYTES))
+            return None
+        connection.receive_data(await stream.receive())
 
 
 def _write_response(
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -6,9 +6,12 @@
 import anyio.abc
 
 from papayagw._internal.core.retry import OpeningRetry
+from papayagw._internal.core.service_meter import ServiceMeter
+from papayagw._internal.exceptions import Step
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.node import Listener
+from papayagw._internal.models.report import Side
 from papayagw._internal.net.caller_flow import (
     CallerFlow,
     OpeningAttempt,
@@ -16,6 +19,7 @@
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
 from papayagw._internal.net.tcp import TcpListener, TcpStream
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.header import read_connection_id
 from papayagw._internal.wire.quic import (
     CALLER_ID_BYTES,
@@ -50,11 +54,14 @@
         make_retry: Callable[[], OpeningRetry],
         clock: Clock,
     ):
+        self._service = listener.service
+        self._log = Log()
         self._listener = TcpListener(listener.listen)
         self._opener = opener
         self._make_retry = make_retry
         self._clock = clock
         self._socket = DatagramSocket(None)
+        self._meter = ServiceMeter(listener.service, Side.CALLER)
         self._table = FlowTable(clock, self._on_removed)
         self._outcomes: dict[FlowOutcome, int] = dict.fromkeys(FlowOutcome, 0)
         self._open_streams = 0
@@ -65,6 +72,11 @@
         """How many flows ended in each way."""
         return self._outcomes
 
+    @property
+    def meter(self) -> ServiceMeter:
+        """What became of the flows."""
+        return self._meter
+
     @property
     def flows(self) -> int:
         """How many TCP connections are open."""
@@ -117,11 +129,21 @@
 
     async def _carry(self, stream: TcpStream) -> None:
         retry = self._make_retry()
-        flow = CallerFlow(stream, self, retry, self._clock)
+        meter = self._meter.start_flow(self._clock.now())
+        flow = CallerFlow(stream, self, retry, self._clock, meter)
         self._open_streams += 1
         try:
             outcome = await flow.run()
             self._outcomes[outcome] += 1
+            if outcome is not FlowOutcome.ANSWERED:
+                self._log.limited(
+                    "flow not answered",
+                    self._clock.now(),
+                    step=Step.OPEN_FLOW,
+                    peer=self._service,
+                    outcome=outcome,
+                    reason=flow.reason,
+                )
         finally:
             self._open_streams -= 1
 
