--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -87,7 +87,8 @@
         """Return the newest configuration of the service and the seeds.
 
         The seeds are asked even if the service answers: it may have been restored
-        from an older copy.
+        from an older copy. The connections of the start aren't kept, so that `run`
+        may be on a later loop.
         """
         backoff = Backoff(self._random)
         while True:
@@ -96,6 +97,7 @@
                 for seed in self._seeds:
                     tasks.start_soon(self._fetch, seed)
             if self._log.current is not None:
+                await self._store.close()
                 if self._server is not None:
                     self._server.start()
                 return self._log.current
--- a/src/papayagw/_internal/net/udp.py
+++ b/src/papayagw/_internal/net/udp.py
@@ -64,6 +64,11 @@
         """Close the socket."""
         self._socket.close()
 
+    def abandon(self) -> None:
+        """Close the socket while a task may wait for it, which is told so."""
+        anyio.notify_closing(self._socket)
+        self._socket.close()
+
     async def wait_readable(self) -> None:
         """Wait until a datagram is there."""
         await anyio.wait_readable(self._socket)
--- a/src/papayagw/_internal/platform/etcd.py
+++ b/src/papayagw/_internal/platform/etcd.py
@@ -40,6 +40,8 @@
 class EtcdStore:
     """The platform's service behind one or more base URLs.
 
+    Connections open with the first call, also after a `close`.
+
     Parameters
     ----------
     urls : sequence of str
@@ -48,7 +50,7 @@
 
     def __init__(self, urls: Sequence[str]):
         self._urls = tuple(urls)
-        self._client = httpx.AsyncClient(trust_env=False)
+        self._client: httpx.AsyncClient | None = None
 
     async def get(
         self, key: str, timeout_ms: Millis
@@ -89,7 +91,14 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._client.aclose()
+        if self._client is not None:
+            await self._client.aclose()
+        self._client = None
+
+    def _open_client(self) -> httpx.AsyncClient:
+        if self._client is None:
+            self._client = httpx.AsyncClient(trust_env=False)
+        return self._client
 
     async def _call(
         self,
@@ -125,7 +134,9 @@
         read: Callable[[Message], AnswerT],
     ) -> Result[AnswerT, PlatformError]:
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
-        response = await self._client.post(url + path, json=request, timeout=timeout)
+        response = await self._open_client().post(
+            url + path, json=request, timeout=timeout
+        )
         if response.status_code >= _FIRST_SERVER_ERROR:
             return Failure(_unreachable(url, f"status {response.status_code}"))
         if response.is_error:
@@ -140,7 +151,7 @@
     ) -> Result[int, PlatformError]:
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
         target = url + "/v3/watch"
-        async with self._client.stream(
+        async with self._open_client().stream(
             "POST", target, json=request, timeout=timeout
         ) as response:
             if response.is_error:
