--- a/src/papayagw/_internal/net/entries.py
+++ b/src/papayagw/_internal/net/entries.py
@@ -91,7 +91,11 @@
     def _open(self, service: Service) -> None:
         endpoint = self._find_endpoint(service)
         entry = DatagramSocket(endpoint)
-        entry.start()
+        try:
+            entry.start()
+        except BindError:
+            entry.close()
+            raise
         self._sockets[service.service_id] = entry
         self._endpoints[service.service_id] = endpoint
 
