Bring later versions into force at running balancers and agents

Processes read their configuration once. They now start from the source that their settings name and apply what it brings: keys, entry sockets, limits; an agent whose service was taken out takes no more openings. Versions travel on the membership's messages.

--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from papayagw._internal.cli.loading import load_file_configuration, unwrap
+from papayagw._internal.cli.loading import start_source, unwrap
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.announcer import AgentAnnouncer
@@ -20,6 +20,7 @@
 from papayagw._internal.net.agent_account import AgentAccount
 from papayagw._internal.net.agent_process import AgentProcess
 from papayagw._internal.net.clock import MonotonicClock, make_incarnation
+from papayagw._internal.net.configuration import ConfigurationSource
 from papayagw._internal.settings.node import load_agent
 
 
@@ -45,17 +46,19 @@
         The settings file of this process.
     """
     read = unwrap(load_agent(Path(settings)))
-    configuration = load_file_configuration(read.node)
-    process = _make_process(read, configuration)
+    source, configuration = start_source(read.node, serves_peers=False)
+    process = _make_process(read, configuration, source)
     identity = make_identity(read.node.name, Role.AGENT, read.node.zone)
     account = AgentAccount(
-        identity, read, process, lambda: configuration, MonotonicClock()
+        identity, read, process, lambda: process.configuration, MonotonicClock()
     )
     return run_observed(process, account, read.node)
 
 
 def _make_process(
-    settings: AgentSettings, configuration: Configuration
+    settings: AgentSettings,
+    configuration: Configuration,
+    source: ConfigurationSource,
 ) -> AgentProcess:
     service = _find_service(settings, configuration)
     inner = settings.node.inner
@@ -67,7 +70,9 @@
     announcer = AgentAnnouncer(
         own, configuration.site.control_address, siblings, random.Random()
     )
-    return AgentProcess(settings, configuration, core, announcer, MonotonicClock())
+    return AgentProcess(
+        settings, configuration, core, announcer, MonotonicClock(), source
+    )
 
 
 def _find_service(settings: AgentSettings, configuration: Configuration) -> Service:
--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from papayagw._internal.cli.loading import load_file_configuration, unwrap
+from papayagw._internal.cli.loading import start_source, unwrap
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.core.membership import BalancerMembership
@@ -39,7 +39,7 @@
     """
     read = unwrap(load_balancer(Path(settings)))
     node = read.node
-    configuration = load_file_configuration(node)
+    source, configuration = start_source(node, serves_peers=True)
     directory = AgentDirectory()
     membership = BalancerMembership(
         BalancerRecord(node.inner, make_incarnation(), node.zone),
@@ -48,10 +48,10 @@
         random.Random(),
     )
     clock = MonotonicClock()
-    process = BalancerProcess(read, configuration, directory, membership, clock)
+    process = BalancerProcess(read, configuration, directory, membership, clock, source)
     identity = make_identity(node.name, Role.BALANCER, node.zone)
     account = BalancerAccount(
-        identity, process, membership, lambda: configuration, clock
+        identity, process, membership, lambda: process.configuration, clock
     )
     return run_observed(process, account, node)
 
--- a/src/papayagw/_internal/cli/loading.py
+++ b/src/papayagw/_internal/cli/loading.py
@@ -1,15 +1,17 @@
 """Reading of a process's settings for the commands that run one."""
 
-from pathlib import Path
 from typing import TypeVar
 
+import anyio
 from returns.pipeline import is_successful
 from returns.result import Result
 
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.node import NodeSettings
+from papayagw._internal.net.configuration import ConfigurationSource
+from papayagw._internal.net.configuration_setup import make_source
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.settings.problem import Problems, make_error
-from papayagw._internal.settings.site import load_site
 
 T = TypeVar("T")
 
@@ -27,7 +29,17 @@
     raise make_error(result.failure())
 
 
-def load_file_configuration(node: NodeSettings) -> Configuration:
-    """Return the configuration of the files that a node's settings name."""
-    overlay = None if node.overlay is None else Path(node.overlay)
-    return Configuration(0, unwrap(load_site(Path(node.base or ""), overlay)))
+def start_source(
+    node: NodeSettings, *, serves_peers: bool
+) -> tuple[ConfigurationSource, Configuration]:
+    """Return the configuration source of a node, started, and what is in force.
+
+    Parameters
+    ----------
+    node : NodeSettings
+        The node's settings.
+    serves_peers : bool
+        Whether peers ask this node for the configuration.
+    """
+    source = make_source(node, Log().failure, serves_peers=serves_peers)
+    return source, anyio.run(source.start)
--- a/src/papayagw/_internal/core/agent.py
+++ b/src/papayagw/_internal/core/agent.py
@@ -54,6 +54,10 @@
         """The service, endpoint and run of this agent."""
         return self._route
 
+    def set_max_flows(self, max_flows: int) -> None:
+        """Change the most flows that this agent holds."""
+        self._max_flows = max_flows
+
     def drain(self) -> None:
         """Take no more openings."""
         self._state = AgentState.DRAINING
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -8,6 +8,7 @@
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.node import AgentSettings
 from papayagw._internal.net.agent import AgentPackets
+from papayagw._internal.net.configuration import ConfigurationSource
 from papayagw._internal.net.control import ControlLoop
 from papayagw._internal.net.udp import DatagramSocket
 from papayagw._internal.wire.envelope import FrameKind
@@ -33,6 +34,8 @@
         Its part in the membership.
     clock : Clock
         The time.
+    source : ConfigurationSource
+        Where later configurations come from; it has been started.
     """
 
     def __init__(
@@ -42,14 +45,22 @@
         core: AgentCore,
         announcer: AgentAnnouncer,
         clock: Clock,
+        source: ConfigurationSource,
     ):
         self._inner = DatagramSocket(settings.node.inner)
         self._announcer = announcer
         self._clock = clock
+        self._configuration = configuration
+        self._source = source
         self._packets = AgentPackets(settings, configuration, core, self._inner, clock)
         keys = configuration.site.keys
         self._control = ControlLoop(announcer, keys, self._inner, clock)
 
+    @property
+    def configuration(self) -> Configuration:
+        """What is in force."""
+        return self._configuration
+
     @property
     def packets(self) -> AgentPackets:
         """The packet path."""
@@ -78,19 +89,47 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._packets.run)
-            tasks.start_soon(self._control.run)
+            tasks.start_soon(self._control.run, self._pass_on_versions)
+            tasks.start_soon(self._follow_configuration)
             tasks.start_soon(self._receive)
 
     async def drain(self) -> None:
         """Take no more openings, and return when the last flow has ended."""
-        self._packets.core.drain()
-        self._control.send(self._announcer.drain(self._clock.now()))
+        self._refuse_openings()
         while self._packets.flows:
             await anyio.sleep(to_seconds(_DRAIN_CHECK_MS))
         self._control.send(self._announcer.close(self._clock.now()))
         # The ticks of this time repeat the word, since a datagram may be lost.
         await anyio.sleep(to_seconds(LEAVE_MS))
 
+    def _refuse_openings(self) -> None:
+        self._packets.core.drain()
+        self._control.send(self._announcer.drain(self._clock.now()))
+
+    async def _follow_configuration(self) -> None:
+        try:
+            await self._source.run(self._apply, is_relay=lambda: False)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._source.close()
+
+    def _apply(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._packets.apply(configuration)
+        self._control.apply(configuration.site.keys)
+        core = self._packets.core
+        service = configuration.site.find_service_by_id(core.route.service_id)
+        if service is None:
+            # The service was taken out: what is open goes on, nothing new comes.
+            self._refuse_openings()
+        else:
+            core.set_max_flows(service.max_flows)
+
+    def _pass_on_versions(self) -> None:
+        heard = self._announcer.heard_configuration
+        if heard is not None:
+            self._source.hear_version(*heard)
+
     async def _receive(self) -> None:
         control = bytes((FrameKind.CONTROL,))
         while True:
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -5,14 +5,16 @@
 from papayagw._internal.core.balancer import BalancerCore
 from papayagw._internal.core.choice import RendezvousChooser
 from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.core.membership import BalancerMembership
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
-from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.node import BalancerSettings
-from papayagw._internal.models.service import Service, ServiceId
 from papayagw._internal.net.balancer import BalancerPackets
-from papayagw._internal.net.control import ControlLoop, ControlNode
+from papayagw._internal.net.configuration import ConfigurationSource
+from papayagw._internal.net.control import ControlLoop
+from papayagw._internal.net.entries import EntrySockets
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import FrameKind
 
 LEAVE_MS = Millis(1_000)
@@ -34,6 +36,8 @@
         Its part in the membership.
     clock : Clock
         The time.
+    source : ConfigurationSource
+        Where later configurations come from; it has been started.
     """
 
     def __init__(
@@ -41,18 +45,28 @@
         settings: BalancerSettings,
         configuration: Configuration,
         directory: AgentDirectory,
-        membership: ControlNode,
+        membership: BalancerMembership,
         clock: Clock,
+        source: ConfigurationSource,
     ):
         self._settings = settings
         self._configuration = configuration
         self._inner = DatagramSocket(settings.node.inner)
-        self._entries: dict[ServiceId, DatagramSocket] = {}
+        self._membership = membership
+        self._source = source
+        self._entries = EntrySockets(settings.bind_ip, Log().failure)
         core = BalancerCore(directory, RendezvousChooser())
-        self._packets = BalancerPackets(core, configuration, self._inner, self._entries)
+        self._packets = BalancerPackets(
+            core, configuration, self._inner, self._entries.sockets
+        )
         keys = configuration.site.keys
         self._control = ControlLoop(membership, keys, self._inner, clock)
 
+    @property
+    def configuration(self) -> Configuration:
+        """What is in force."""
+        return self._configuration
+
     @property
     def packets(self) -> BalancerPackets:
         """The packet path."""
@@ -66,44 +80,47 @@
     def start(self) -> None:
         """Bind the sockets."""
         self._inner.start()
-        for service in self._configuration.site.services:
-            self._bind_entry(service)
+        self._entries.start(self._configuration.site.services)
 
     def close(self) -> None:
         """Close the sockets."""
         self._inner.close()
-        for entry in self._entries.values():
-            entry.close()
+        self._entries.close()
 
     async def run(self) -> None:
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive_inner)
-            tasks.start_soon(self._control.run)
-            for service_id, entry in self._entries.items():
-                tasks.start_soon(self._receive_entry, service_id, entry)
+            tasks.start_soon(self._control.run, self._pass_on_versions)
+            tasks.start_soon(self._entries.run, self._packets.on_datagram)
+            tasks.start_soon(self._follow_configuration)
 
     async def drain(self) -> None:
         """Hand on what still comes while the others learn of the leave."""
         await anyio.sleep(to_seconds(LEAVE_MS))
 
-    def _bind_entry(self, service: Service) -> None:
-        bind_ip = self._settings.bind_ip
-        endpoint = service.address
-        if bind_ip is not None:
-            endpoint = Endpoint(bind_ip, service.address.port)
-        entry = DatagramSocket(endpoint)
-        entry.start()
-        self._entries[service.service_id] = entry
-
-    async def _receive_entry(
-        self, service_id: ServiceId, entry: DatagramSocket
-    ) -> None:
-        on_datagram = self._packets.on_datagram
-        while True:
-            await entry.wait_readable()
-            for datagram, client in entry.receive_batch():
-                on_datagram(service_id, datagram, client)
+    async def _follow_configuration(self) -> None:
+        self._membership.set_configuration_version(self._configuration.version)
+        try:
+            await self._source.run(self._apply, self._is_relay)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._source.close()
+
+    def _apply(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._packets.apply(configuration)
+        self._control.apply(configuration.site.keys)
+        self._entries.apply(configuration.site.services)
+        self._membership.set_configuration_version(configuration.version)
+
+    def _is_relay(self) -> bool:
+        return self._membership.is_relay(self._settings.node.zone)
+
+    def _pass_on_versions(self) -> None:
+        heard = self._membership.heard_configuration
+        if heard is not None:
+            self._source.hear_version(*heard)
 
     async def _receive_inner(self) -> None:
         control = bytes((FrameKind.CONTROL,))
