--- /dev/null
+++ b/bench/config_in_force.py
@@ -0,0 +1,226 @@
+"""How fast a change is in force at every balancer, with balancers as processes.
+
+Starts the stand-ins of platform and fabric and the balancers, submits changes, then
+lets the platform fail: a new balancer starts in an outage, and the platform is
+restored from an older copy. Run: python -m bench.config_in_force
+"""
+
+import json
+import sys
+import tempfile
+import time
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from random import Random
+from statistics import median
+
+import anyio
+import fire
+import httpx
+
+from bench.usage import describe_machine
+from papayagw._internal.core.submission import Accepted, Proposal
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.net.configuration_store import ConfigurationStore
+from papayagw._internal.net.submission import submit
+from papayagw._internal.platform.etcd import EtcdStore
+from papayagw._internal.settings.site import load_site
+from tests.lib.processes import running
+from tools.fleet_folder import (
+    BASE,
+    KEYS,
+    OVERLAY,
+    FleetPlan,
+    Hosts,
+    make_balancer,
+    write_folder,
+)
+
+POLL_S = 0.02
+WAIT_LIMIT_S = 60.0
+SUBMIT_LIMIT_MS = Millis(15_000)
+HOLD_S = 5.0
+SITE = "bench"
+
+
+class Bench:
+    """The processes and the operator's side of one run."""
+
+    def __init__(self, folder, plan, stack):
+        self._folder = folder
+        self._plan = plan
+        self._stack = stack
+        self.platform = f"127.{plan.block}.5.1:2379"
+        self.url = f"http://{self.platform}"
+        self._client = stack.enter_context(httpx.Client(trust_env=False, timeout=5))
+        self.nodes = {}
+        self.highest = {}
+
+    def start(self):
+        """Start the stand-ins, submit the first version, start the balancers."""
+        write_folder(self._plan, self._folder)
+        self._run("standin", "platform", "--listen", self.platform)
+        numbers = range(1, self._plan.balancers + 1)
+        inner = [make_balancer(self._plan, one)["inner"] for one in numbers]
+        control = self.load_site().control_address
+        self._run("standin", "fabric", f"{control}={','.join(inner)}")
+        self.submit(0)
+        for number in numbers[:-1]:
+            self.start_balancer(number)
+
+    def start_balancer(self, number):
+        """Start one balancer, which asks the platform and two peers."""
+        settings = make_balancer(self._plan, number)
+        del settings["base"], settings["overlay"]
+        settings |= {
+            "site": SITE,
+            "platform": [self.url],
+            "peers": [make_balancer(self._plan, one)["inner"] for one in (1, 2)],
+            "keys": [{"id": 1, "file": f"{KEYS}/fleet.key"}],
+        }
+        file = self._folder / f"platform-{number}.jsonc"
+        file.write_text(json.dumps(settings), encoding="utf-8")
+        self._run("balancer", file)
+        self.nodes[settings["name"]] = settings["admin"]
+
+    def load_site(self, max_flows=None):
+        """Return the site of the files, after an edit of the overlay."""
+        overlay = self._folder / OVERLAY
+        if max_flows is not None:
+            content = json.loads(overlay.read_text(encoding="utf-8"))
+            content["services"]["order"]["max_flows"] = max_flows
+            overlay.write_text(json.dumps(content), encoding="utf-8")
+        return load_site(self._folder / BASE, overlay).unwrap()
+
+    def submit(self, change):
+        """Submit a change and return its version."""
+        proposal = Proposal(self.load_site(1_000 + change), f"change-{change}", "bench")
+        outcome = anyio.run(_submit, self.url, proposal)
+        assert isinstance(outcome, Accepted), outcome
+        return outcome.version
+
+    def control(self, path, **message):
+        """Tell the stand-in of the platform what to do."""
+        self._client.post(f"{self.url}/standin/{path}", json=message)
+
+    def count_calls(self):
+        """Return the calls that the platform has counted."""
+        return self._client.get(f"{self.url}/standin/calls").json()
+
+    def read_versions(self):
+        """Return the version at each balancer, and check that none fell."""
+        versions = {}
+        for name, admin in self.nodes.items():
+            report = self._client.get(f"http://{admin}/status").json()
+            versions[name] = report["configuration_version"]
+            assert versions[name] >= self.highest.get(name, 0), (name, versions)
+            self.highest[name] = versions[name]
+        return versions
+
+    def read_held(self):
+        """Return the version that the platform holds."""
+        return anyio.run(_read_held, self.url)
+
+    def _run(self, *words):
+        self._stack.enter_context(running(*words))
+
+
+async def _submit(url, proposal):
+    store = ConfigurationStore(EtcdStore([url]), SITE)
+    try:
+        return await submit(store, proposal, SUBMIT_LIMIT_MS, Random(1))
+    finally:
+        await store.close()
+
+
+async def _read_held(url):
+    store = ConfigurationStore(EtcdStore([url]), SITE)
+    try:
+        return (await store.read()).unwrap().configuration.version
+    finally:
+        await store.close()
+
+
+def wait_until(condition):
+    """Return how many ms it took until `condition` held."""
+    start = time.monotonic()
+    while not condition():
+        assert time.monotonic() - start < WAIT_LIMIT_S, condition
+        time.sleep(POLL_S)
+    return round(1000 * (time.monotonic() - start))
+
+
+def measure_changes(bench, changes):
+    """Print how long each change took until it was in force everywhere."""
+    before = bench.count_calls()
+    in_force = []
+    for change in range(1, changes + 1):
+        version = bench.submit(change)
+        in_force.append(
+            wait_until(lambda: set(bench.read_versions().values()) == {version})  # noqa: B023
+        )
+    after = bench.count_calls()
+    calls = {kind: after[kind] - before.get(kind, 0) for kind in after}
+    print(f"changes {changes}: in force at {len(bench.nodes)} balancers after")
+    print(f"  median {median(in_force)} ms, longest {max(in_force)} ms")
+    print(f"  calls, the operator's read and write of each change with them: {calls}")
+
+
+def measure_outage(bench, number):
+    """Print how a new balancer starts while the platform is down."""
+    newest = max(bench.read_versions().values())
+    bench.control("faults", outage=True)
+    start = time.monotonic()
+    bench.start_balancer(number)
+    started = round(1000 * (time.monotonic() - start))
+    assert set(bench.read_versions().values()) == {newest}
+    bench.control("faults")
+    print(f"outage: a new balancer had version {newest} from a peer, ready in")
+    print(f"  {started} ms, process start with it; no version fell")
+
+
+def measure_restore(bench, change):
+    """Print what happens when the platform goes back to an older copy."""
+    bench.control("copies/older")
+    newest = bench.submit(change)
+    wait_until(lambda: set(bench.read_versions().values()) == {newest})
+    bench.control("restore/older")
+    held = bench.read_held()
+    mended = wait_until(lambda: bench.read_held() == newest)
+    deadline = time.monotonic() + HOLD_S
+    while time.monotonic() < deadline:
+        assert set(bench.read_versions().values()) == {newest}
+        time.sleep(POLL_S)
+    print(f"restore: the platform fell to version {held}; back at {newest} after")
+    print(f"  {mended} ms; in {HOLD_S:.0f} s no balancer left version {newest}")
+
+
+@contextmanager
+def open_bench(balancers, block):
+    """Start everything, and stop it when the block ends."""
+    plan = FleetPlan((Hosts("order", 1), Hosts("drawings", 1)), balancers, block)
+    with (
+        tempfile.TemporaryDirectory(prefix="papayagw-bench-") as name,
+        ExitStack() as s,
+    ):
+        bench = Bench(Path(name), plan, s)
+        bench.start()
+        yield bench
+
+
+def main(balancers=20, changes=10, block=61):
+    """Run all measurements; exit with 1 if a promise is broken."""
+    print(describe_machine())
+    try:
+        with open_bench(balancers, block) as bench:
+            wait_until(lambda: len(set(bench.read_versions().values())) == 1)
+            measure_changes(bench, changes)
+            measure_outage(bench, balancers)
+            measure_restore(bench, changes + 1)
+    except AssertionError as error:
+        print(f"broken: {error!r}")
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -34,6 +34,8 @@
 
 RELAY_CHECK_MS = Millis(1_000)
 
+_PLATFORM = "platform"
+
 
 class PlatformConfigurationSource:
     """The platform's service, and peers beside it.
@@ -75,6 +77,7 @@
         self._on_failure = on_failure
         self._random = random or Random()
         self._on_change: OnChange = lambda _: None
+        self._silent: set[str] = set()
         self._rumour: tuple[int, Endpoint] | None = None
         self._rumoured = anyio.Event()
 
@@ -145,15 +148,16 @@
             stored.store_revision, self._take_answer, WATCH_LIMIT_MS
         )
         if isinstance(heard, Failure):
-            self._on_failure(heard.failure())
+            self._report(heard.failure())
             return False
         return True
 
     async def _read(self) -> Stored | None:
         answer = await self._store.read()
         if isinstance(answer, Failure):
-            self._on_failure(answer.failure())
+            self._report(answer.failure())
             return None
+        self._silent.discard(_PLATFORM)
         stored = answer.unwrap()
         self._take_answer(Success(stored.configuration))
         return stored
@@ -170,7 +174,7 @@
         expected = stored.key_revision if held is not None else NO_ENTRY
         answer = await self._store.swap(current, expected)
         if isinstance(answer, Failure):
-            self._on_failure(answer.failure())
+            self._report(answer.failure())
         return False
 
     async def _follow_rumours(self) -> None:
@@ -189,20 +193,27 @@
     async def _fetch(self, peer: Endpoint) -> bool:
         answer = await self._peers.fetch(peer)
         if isinstance(answer, Failure):
-            self._on_failure(answer.failure())
+            self._report(answer.failure(), str(peer))
             return False
+        self._silent.discard(str(peer))
         configuration = answer.unwrap()
         if configuration is not None:
             self._take(configuration, str(peer))
         return True
 
+    def _report(self, error: PapayagwError, peer: str = _PLATFORM) -> None:
+        """Report the first failure of each row, not those of the tries after it."""
+        if peer not in self._silent:
+            self._silent.add(peer)
+            self._on_failure(error)
+
     def _take_answer(self, answer: Result[Configuration | None, StoreError]) -> None:
         if isinstance(answer, Failure):
             self._on_failure(answer.failure())
             return
         configuration = answer.unwrap()
         if configuration is not None:
-            self._take(configuration, "platform")
+            self._take(configuration, _PLATFORM)
 
     def _take(self, configuration: Configuration, peer: str) -> None:
         offer = self._log.offer(configuration)
