--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -99,7 +99,7 @@
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
         """Hand an agent's answer to its caller, or a peer's opening to an agent."""
-        if frame[0] == _FORWARD:
+        if frame[:1] == _FORWARD_BYTE:
             self._on_passed(frame, source)
             return
         answer = self._envelopes.read_answer(frame)
@@ -152,3 +152,4 @@
 
 
 _FORWARD = int(FrameKind.FORWARD)
+_FORWARD_BYTE = bytes((_FORWARD,))
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -17,8 +17,11 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.net.configuration import OnChange
-from papayagw._internal.net.configuration_peer import PeerConfigurationSource
+from papayagw._internal.net.configuration import IsRelay, OnChange
+from papayagw._internal.net.configuration_peer import (
+    ConfigurationServer,
+    PeerConfigurationSource,
+)
 from papayagw._internal.net.configuration_store import (
     ConfigurationStore,
     Stored,
@@ -31,6 +34,8 @@
 
 RELAY_CHECK_MS = Millis(1_000)
 
+_PLATFORM = "platform"
+
 
 class PlatformConfigurationSource:
     """The platform's service, and peers beside it.
@@ -45,8 +50,8 @@
         How peers are asked.
     seeds : sequence of Endpoint
         Peers that are asked at the start.
-    is_relay : callable
-        Returns whether this node watches the service.
+    server : ConfigurationServer or None
+        Answers peers while this source runs; None at a node that no peer asks.
     on_failure : callable
         Takes each error, for the log.
     random : Random
@@ -60,7 +65,7 @@
         peers: PeerConfigurationSource,
         *,
         seeds: Sequence[Endpoint] = (),
-        is_relay: Callable[[], bool] = lambda: True,
+        server: ConfigurationServer | None = None,
         on_failure: Callable[[PapayagwError], None] = lambda _: None,
         random: Random | None = None,
     ):
@@ -68,10 +73,11 @@
         self._log = log
         self._peers = peers
         self._seeds = tuple(seeds)
-        self._is_relay = is_relay
+        self._server = server
         self._on_failure = on_failure
         self._random = random or Random()
         self._on_change: OnChange = lambda _: None
+        self._silent: set[str] = set()
         self._rumour: tuple[int, Endpoint] | None = None
         self._rumoured = anyio.Event()
 
@@ -84,7 +90,8 @@
         """Return the newest configuration of the service and the seeds.
 
         The seeds are asked even if the service answers: it may have been restored
-        from an older copy.
+        from an older copy. The connections of the start aren't kept, so that `run`
+        may be on a later loop.
         """
         backoff = Backoff(self._random)
         while True:
@@ -93,18 +100,25 @@
                 for seed in self._seeds:
                     tasks.start_soon(self._fetch, seed)
             if self._log.current is not None:
+                await self._store.close()
+                if self._server is not None:
+                    self._server.start()
                 return self._log.current
             await anyio.sleep(to_seconds(backoff.fail()))
 
-    async def run(self, on_change: OnChange) -> None:
+    async def run(self, on_change: OnChange, is_relay: IsRelay) -> None:
         """Call `on_change` with each later configuration, until cancelled."""
         self._on_change = on_change
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follow_store)
+            if self._server is not None:
+                tasks.start_soon(self._server.run)
+            tasks.start_soon(self._follow_store, is_relay)
             tasks.start_soon(self._follow_rumours)
 
     async def close(self) -> None:
         """Close the connections."""
+        if self._server is not None:
+            self._server.close()
         await self._store.close()
 
     def hear_version(self, version: int, peer: Endpoint) -> None:
@@ -115,10 +129,10 @@
             self._rumour = (version, peer)
             self._rumoured.set()
 
-    async def _follow_store(self) -> None:
+    async def _follow_store(self, is_relay: IsRelay) -> None:
         backoff = Backoff(self._random)
         while True:
-            if not self._is_relay():
+            if not is_relay():
                 await anyio.sleep(self._random.random() * to_seconds(RELAY_CHECK_MS))
             elif await self._watch():
                 backoff.succeed()
@@ -134,15 +148,16 @@
             stored.store_revision, self._take_answer, WATCH_LIMIT_MS
         )
         if isinstance(heard, Failure):
-            self._on_failure(heard.failure())
+            self._report(heard.failure())
             return False
         return True
 
     async def _read(self) -> Stored | None:
         answer = await self._store.read()
         if isinstance(answer, Failure):
-            self._on_failure(answer.failure())
+            self._report(answer.failure())
             return None
+        self._silent.discard(_PLATFORM)
         stored = answer.unwrap()
         self._take_answer(Success(stored.configuration))
         return stored
@@ -159,7 +174,7 @@
         expected = stored.key_revision if held is not None else NO_ENTRY
         answer = await self._store.swap(current, expected)
         if isinstance(answer, Failure):
-            self._on_failure(answer.failure())
+            self._report(answer.failure())
         return False
 
     async def _follow_rumours(self) -> None:
@@ -178,20 +193,27 @@
     async def _fetch(self, peer: Endpoint) -> bool:
         answer = await self._peers.fetch(peer)
         if isinstance(answer, Failure):
-            self._on_failure(answer.failure())
+            self._report(answer.failure(), str(peer))
             return False
+        self._silent.discard(str(peer))
         configuration = answer.unwrap()
         if configuration is not None:
             self._take(configuration, str(peer))
         return True
 
+    def _report(self, error: PapayagwError, peer: str = _PLATFORM) -> None:
+        """Report the first failure of each row, not those of the tries after it."""
+        if peer not in self._silent:
+            self._silent.add(peer)
+            self._on_failure(error)
+
     def _take_answer(self, answer: Result[Configuration | None, StoreError]) -> None:
         if isinstance(answer, Failure):
             self._on_failure(answer.failure())
             return
         configuration = answer.unwrap()
         if configuration is not None:
-            self._take(configuration, "platform")
+            self._take(configuration, _PLATFORM)
 
     def _take(self, configuration: Configuration, peer: str) -> None:
         offer = self._log.offer(configuration)
