--- a/tests/processes/test_load.py
+++ b/tests/processes/test_load.py
@@ -16,8 +16,8 @@
         ("norrbo", ("ledger", "intake"), True, 1),
     ],
 )
-def test_load_reports_what_backends_ran(profile, services, swapped, code):
-    servers = {one: f"127.0.3.22{i}:19020" for i, one in enumerate(services)}
+def test_load_reports_what_backends_ran(block, profile, services, swapped, code):
+    servers = {one: f"127.{block}.3.{i + 1}:19020" for i, one in enumerate(services)}
     answering = reversed(services) if swapped else services
     targets = zip(answering, servers.values(), strict=True)
     words = "--targets", ",".join(f"{name}={at}" for name, at in targets)
--- a/tests/processes/test_standin_backend.py
+++ b/tests/processes/test_standin_backend.py
@@ -1,26 +1,28 @@
 import hashlib
 import signal
 import socket
+from contextlib import ExitStack
 
 import pytest
 
 from tests.lib.processes import running
 
-ORDER = ("127.0.3.201", 19_001)
-DRAWINGS = ("127.0.3.202", 19_002)
+ORDER, DRAWINGS = "order", "drawings"
 BLOB = bytes(range(256)) * 1_000
 DIGEST = hashlib.sha256(BLOB).hexdigest()
 
 
 @pytest.fixture(scope="module")
-def servers():
-    order = "standin", "backend", "--listen", f"{ORDER[0]}:{ORDER[1]}"
-    drawings = "standin", "backend", "--listen", f"{DRAWINGS[0]}:{DRAWINGS[1]}"
-    with (
-        running(*order, "--kind", "order", "--name", "order-1"),
-        running(*drawings, "--kind", "drawings", "--name", "drawings-1"),
-    ):
-        yield
+def servers(block):
+    addresses = {
+        ORDER: (f"127.{block}.3.1", 19_001),
+        DRAWINGS: (f"127.{block}.3.2", 19_002),
+    }
+    with ExitStack() as stack:
+        for kind, (ip, port) in addresses.items():
+            words = "--listen", f"{ip}:{port}", "--kind", kind, "--name", f"{kind}-1"
+            stack.enter_context(running("standin", "backend", *words))
+        yield addresses
 
 
 def ask(address, request):
@@ -32,7 +34,7 @@
 
 
 @pytest.mark.parametrize(
-    ("address", "request_", "answer"),
+    ("kind", "request_", "answer"),
     [
         (ORDER, b"ORDER o-1\n", "DONE o-1 order-1\n"),
         (ORDER, b"CHECK c-1\n", "WRONG c-1 order-1\n"),
@@ -63,13 +65,13 @@
         (DRAWINGS, b"RUNS\n", "RUN u-1 1\nEND 1 0\n"),
     ],
 )
-def test_backend_answers_its_own_requests(servers, address, request_, answer):
-    assert ask(address, request_) == answer
+def test_backend_answers_its_own_requests(servers, kind, request_, answer):
+    assert ask(servers[kind], request_) == answer
 
 
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
-def test_stop_finishes_what_is_in_progress(tmp_path, number):
-    address = ("127.0.3.203", 19_003)
+def test_stop_finishes_what_is_in_progress(block, tmp_path, number):
+    address = (f"127.{block}.3.3", 19_003)
     runs = tmp_path / "runs"
     words = "standin", "backend", "--listen", f"{address[0]}:{address[1]}"
     plan = "--kind", "order", "--name", "order-2", "--service_ms", 300
--- a/tests/processes/test_standin_fabric.py
+++ b/tests/processes/test_standin_fabric.py
@@ -8,7 +8,6 @@
 
 from tests.lib.processes import running
 
-ENTRY = ("127.0.3.210", 19_010)
 PACKETS = 60
 
 
@@ -20,21 +19,22 @@
 
 
 @pytest.mark.parametrize("alive", [1, 2, 3])
-def test_packets_are_sprayed_and_answers_come_from_the_entry(alive):
-    targets = [(f"127.0.3.{211 + number}", 19_011) for number in range(3)]
-    route = f"{ENTRY[0]}:{ENTRY[1]}=" + ",".join(f"{ip}:{port}" for ip, port in targets)
+def test_packets_are_sprayed_and_answers_come_from_the_entry(block, alive):
+    targets = [(f"127.{block}.0.{11 + number}", 19_011) for number in range(3)]
+    entry = (f"127.{block}.1.1", 19_010)
+    route = f"{entry[0]}:{entry[1]}=" + ",".join(f"{ip}:{port}" for ip, port in targets)
     with ExitStack() as stack:
         balancers = [make_socket(stack, one) for one in targets[:alive]]
-        client = make_socket(stack, ("127.0.3.209", 0))
+        client = make_socket(stack, (f"127.{block}.4.1", 0))
         process = stack.enter_context(running("standin", "fabric", route))
         for number in range(PACKETS):
-            client.sendto(b"%d" % number, ENTRY)
+            client.sendto(b"%d" % number, entry)
         seen = Counter()
         for balancer in balancers:
             _, caller = balancer.recvfrom(100)
             seen[caller] += 1
             balancer.sendto(b"answer", caller)
-            assert client.recvfrom(100) == (b"answer", ENTRY)
+            assert client.recvfrom(100) == (b"answer", entry)
         assert len(seen) == 1
         process.send_signal(signal.SIGTERM)
         counts = json.loads(process.stdout.readline())
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -10,8 +10,9 @@
 import sys
 import tempfile
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
+from dataclasses import replace
 from pathlib import Path
 
 from papayagw._internal.models.endpoint import Endpoint
@@ -22,6 +23,8 @@
 SERVING_LIMIT_S = 30.0
 STOP_LIMIT_S = 15.0
 _POLL_S = 0.02
+_BLOCKS_END = 255
+_CLAIM_PORT = 4399
 _ASK_LIMIT_S = 2.0
 FABRIC = "fabric"
 CONNECT = "connect"
@@ -175,12 +178,40 @@
         return self._logs / f"{name}.out"
 
 
+@contextmanager
+def claimed_block(first: int) -> Iterator[int]:
+    """Claim a block of IP numbers that no other fleet on this machine uses.
+
+    Parameters
+    ----------
+    first : int
+        The block that is tried first.
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as claim:
+        for block in range(first, _BLOCKS_END):
+            if _is_bound(claim, (f"127.{block}.255.254", _CLAIM_PORT)):
+                yield block
+                return
+    raise FleetError(f"no free block of IP numbers from 127.{first} on")
+
+
+def _is_bound(claim: socket.socket, address: tuple[str, int]) -> bool:
+    try:
+        claim.bind(address)
+    except OSError:
+        return False
+    return True
+
+
 @contextmanager
 def running_fleet(plan: FleetPlan, **flags):
-    """Run a fleet of a plan until the block ends."""
-    with tempfile.TemporaryDirectory(prefix="papayagw-fleet-") as name:
+    """Run a fleet of a plan, in its block or the next free one."""
+    with (
+        tempfile.TemporaryDirectory(prefix="papayagw-fleet-") as name,
+        claimed_block(plan.block) as block,
+    ):
         folder = Path(name)
-        write_folder(plan, folder)
+        write_folder(replace(plan, block=block), folder)
         fleet = Fleet(folder, folder, **flags)
         try:
             fleet.start()
