--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -22,7 +22,11 @@
 )
 from aioquic.quic.packet import QuicFrameType
 from aioquic.quic.packet_builder import QuicPacketBuilder
-from aioquic.quic.recovery import QuicPacketSpace
+from aioquic.quic.recovery import (
+    K_TIME_THRESHOLD,
+    QuicPacketRecovery,
+    QuicPacketSpace,
+)
 from aioquic.quic.stream import QuicStream
 
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis, to_seconds
@@ -48,8 +52,15 @@
 WINDOW_BYTES = 1 << 20
 """How much a peer may send that hasn't been consumed, in bytes."""
 
+PREFACE = b"\x01"
+"""What a caller's end sends first, so that the agent may answer before a request.
+
+A server can't send on a stream that its client hasn't opened.
+"""
+
 _UNLIMITED_BYTES = 1 << 60
 _INITIAL_RTT_SECONDS = 0.05
+_REORDERING_SECONDS = 0.010
 _CLOSE_COPIES = 2
 _MAX_CLOSE_REPEATS = 3
 RESET_TOKEN_BYTES = 16
@@ -111,6 +122,33 @@
     reset_token: bytes
 
 
+class _Recovery(QuicPacketRecovery):
+    """Loss detection for packets that overtake one another all the time.
+
+    The fabric sprays the packets of one flow over balancers, so a packet that three
+    later ones have overtaken isn't lost: only time tells (RFC 9002, 6.1).
+    """
+
+    def _detect_loss(self, *, now: float, space: QuicPacketSpace) -> None:
+        rtt = max(self._rtt_latest, self._rtt_smoothed)
+        delay = K_TIME_THRESHOLD * (rtt if self._rtt_initialized else self._rtt_initial)
+        delay = max(delay, _REORDERING_SECONDS)
+        lost = []
+        space.loss_time = None
+        for packet_number, packet in space.sent_packets.items():
+            if packet_number > space.largest_acked_packet:
+                break
+            lost_at = (packet.sent_time or 0.0) + delay
+            if lost_at <= now:
+                lost.append(packet)
+            elif space.loss_time is None or space.loss_time > lost_at:
+                space.loss_time = lost_at
+        is_persistent = self._in_persistent_congestion(packets=lost)
+        self._on_packets_lost(
+            now=now, packets=lost, persistent_congestion=is_persistent, space=space
+        )
+
+
 class _Connection(QuicConnection):
     """The library's connection with our ids and our flow control."""
 
@@ -123,6 +161,14 @@
         super().__init__(
             configuration=configuration, original_destination_connection_id=original_id
         )
+        self._loss = _Recovery(
+            congestion_control_algorithm=configuration.congestion_control_algorithm,
+            initial_rtt=configuration.initial_rtt,
+            max_datagram_size=self._max_datagram_size,
+            peer_completed_address_validation=not self._is_client,
+            send_probe=self._send_probe,
+            logger=self._logger,
+        )
         self._local_max_streams_bidi.value = 1
         self._local_max_streams_bidi.sent = 1
         self._local_max_streams_uni.value = 0
@@ -149,6 +195,11 @@
         """Whether the connection is closing, draining or over."""
         return self._state in END_STATES
 
+    @property
+    def has_stream(self) -> bool:
+        """Whether the stream may be written to."""
+        return self._is_client or STREAM_ID in self._streams
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes written to the stream that the peer hasn't acknowledged."""
@@ -201,12 +252,16 @@
         The driven connection.
     local_id : bytes
         The connection id that the peer's packets carry.
+    preface : bytes
+        What the peer sends before its own bytes.
     """
 
-    def __init__(self, connection: _Connection, local_id: bytes):
+    def __init__(self, connection: _Connection, local_id: bytes, preface: bytes = b""):
         self._connection = connection
         self._local_id = local_id
-        self._consumed = 0
+        self._preface_left = len(preface)
+        self._held: list[tuple[bytes, bool]] = []
+        self._consumed = len(preface)
         self._close_datagrams: list[tuple[bytes, tuple[str, int]]] = []
         self._close_repeats = 0
         self._is_reset = False
@@ -251,6 +306,10 @@
             self._is_reset = True
             return
         connection.receive_datagram(datagram, peer, to_seconds(now))
+        if self._held and connection.has_stream:
+            held, self._held = self._held, []
+            for data, finished in held:
+                self._send(data, finished)
 
     def on_deadline(self, now: Millis) -> None:
         """Act on `next_deadline`, which has come."""
@@ -281,7 +340,7 @@
             if isinstance(event, events.HandshakeCompleted):
                 taken.append(HandshakeDone())
             elif isinstance(event, events.StreamDataReceived):
-                taken.append(BytesArrived(event.data, event.end_stream))
+                taken.append(self._strip_preface(event))
             event = self._connection.next_event()
         end = self._take_end()
         if end is not None:
@@ -290,13 +349,11 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes to the peer."""
-        if not self.is_ending:
-            self._connection.send_stream_data(STREAM_ID, data)
+        self._send(data, finished=False)
 
     def finish(self) -> None:
         """Send no more bytes to the peer."""
-        if not self.is_ending:
-            self._connection.send_stream_data(STREAM_ID, b"", end_stream=True)
+        self._send(b"", finished=True)
 
     def consume(self, count: int) -> bool:
         """Note that `count` bytes left this process; return if credit is granted."""
@@ -313,6 +370,19 @@
         """End the flow and tell the peer how."""
         self._connection.close(error_code=_CODES[outcome], reason_phrase=reason)
 
+    def _send(self, data: bytes, finished: bool) -> None:
+        if self.is_ending:
+            return
+        if not self._connection.has_stream:
+            self._held.append((data, finished))
+            return
+        self._connection.send_stream_data(STREAM_ID, data, finished)
+
+    def _strip_preface(self, event: events.StreamDataReceived) -> BytesArrived:
+        data = event.data[self._preface_left :]
+        self._preface_left -= len(event.data) - len(data)
+        return BytesArrived(data, event.end_stream)
+
     def _resets(self, datagram: bytes) -> bool:
         token = self._connection.peer_reset_token
         return bool(token) and datagram[-RESET_TOKEN_BYTES:] == token
@@ -373,7 +443,7 @@
         """Return the flow of an opening, whose packets will carry `tag`."""
         server_tag = ServerTag(tag, self._reset_tokens.make_token(tag))
         connection = _Connection(self._configuration, opening_id, server_tag)
-        return FlowConnection(connection, tag)
+        return FlowConnection(connection, tag, PREFACE)
 
 
 class FlowOpener:
@@ -411,4 +481,6 @@
         """Return a new flow, whose opening is ready to be transmitted."""
         connection = _Connection(self._configuration)
         connection.connect(self._entry.sockaddr, to_seconds(now))
-        return FlowConnection(connection, connection.host_cid)
+        flow = FlowConnection(connection, connection.host_cid)
+        flow.write(PREFACE)
+        return flow
