Let the lifecycle and admission decide at the agent

Cause: the agent decided in its shell, flow by flow, whether a failure was REFUSED or UNKNOWN, took every accepted flow to its backend server at once, and a drain left flows alone that weren't connected yet.

AgentFlow now reports events to FlowLifecycle and acts on its actions; AdmissionGate puts timers round FairAdmission. The byte that ends the caller's right to open again unseen goes out with the first byte that is handed over or answered, and no longer on connecting: a backend server that accepts and breaks off is answered by another opening. Ruled out: counting each later request of a flow against the limit (a feed that needs no answer would hold a place for life). Found on the way: a flow pushed out of the queue and closed before the next poll would have been told twice.

--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -8,11 +8,13 @@
 
 from papayagw._internal.cli.base import ExitCode
 from papayagw._internal.cli.loading import load_file_configuration, unwrap
+from papayagw._internal.core.admission import make_adaptive
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.announcer import AgentAnnouncer
 from papayagw._internal.core.choice import RendezvousChooser
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.exceptions import SettingsError, Step
+from papayagw._internal.models.admission import AdmissionPolicy
 from papayagw._internal.models.agent import AgentRecord
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.flow import FlowRoute
@@ -65,7 +67,10 @@
     announcer = AgentAnnouncer(
         own, configuration.site.control_address, siblings, random.Random()
     )
-    return AgentProcess(settings, configuration, core, announcer, MonotonicClock())
+    admission = make_adaptive(AdmissionPolicy(max_flows=service.max_flows))
+    return AgentProcess(
+        settings, configuration, core, admission, announcer, MonotonicClock()
+    )
 
 
 def _find_service(settings: AgentSettings, configuration: Configuration) -> Service:
--- a/src/papayagw/_internal/core/admission.py
+++ b/src/papayagw/_internal/core/admission.py
@@ -1,7 +1,7 @@
 """Which accepted flows an agent lets through to its backend server.
 
 A flow is work in progress from its admission to the first byte of its answer. An
-open feed that was answered, or a flow that asked for nothing yet, counts only
+open feed that was answered, or a flow that has asked for nothing yet, counts only
 against the number of flows held. So long-lived flows don't use up the limit, and
 an overloaded backend server that answers late keeps its work counted. The shell
 polls after each `note_end` and `close`, and at `next_at`.
@@ -41,6 +41,9 @@
     def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
         """Note that a flow's work is over, while the flow may stay open."""
 
+    def note_start(self, flow: FlowNumber, now: Millis) -> None:
+        """Note that a flow that was idle since its admission asks for work."""
+
     def close(self, flow: FlowNumber) -> None:
         """Note that a flow is gone, whether it waited, worked or idled."""
 
@@ -70,7 +73,7 @@
         self._limit = limit
         self._queue = FairQueue(policy.queue_limit)
         self._work: dict[FlowNumber, _Work] = {}
-        self._open: set[FlowNumber] = set()
+        self._open: dict[FlowNumber, str] = {}
         self._in_progress_of: dict[str, int] = {}
         self._pushed_out: list[FlowNumber] = []
 
@@ -106,7 +109,7 @@
             return AdmissionDecision.REFUSE
         # Whoever waits is blocked by a share of its own, or `poll` is due.
         if not self._queue.holds(request.client) and self._may_start(request.client):
-            self._start(request, now)
+            self._start(request.flow, request.client, now)
             return AdmissionDecision.ADMIT
         pushed_out = self._queue.push(request, until)
         if pushed_out == request.flow:
@@ -127,11 +130,19 @@
             self._limit.note_failure(now)
         self._finish(flow)
 
+    def note_start(self, flow: FlowNumber, now: Millis) -> None:
+        """Note that a flow that was idle since its admission asks for work."""
+        client = self._open.get(flow)
+        if client is not None and flow not in self._work:
+            self._start(flow, client, now)
+
     def close(self, flow: FlowNumber) -> None:
         """Note that a flow is gone, whether it waited, worked or idled."""
         self._queue.remove(flow)
+        if flow in self._pushed_out:
+            self._pushed_out.remove(flow)
         self._finish(flow)
-        self._open.discard(flow)
+        self._open.pop(flow, None)
 
     def poll(self, now: Millis) -> AdmissionResults:
         """Return which waiting flows are let through or turned away."""
@@ -142,7 +153,7 @@
             request = self._queue.pop(self._rank)
             if request is None:
                 break
-            self._start(request, now)
+            self._start(request.flow, request.client, now)
             admitted.append(request.flow)
         return AdmissionResults(tuple(admitted), refused)
 
@@ -160,11 +171,10 @@
             return None
         return self._in_progress_of.get(client, 0)
 
-    def _start(self, request: AdmissionRequest, now: Millis) -> None:
-        self._open.add(request.flow)
-        self._work[request.flow] = _Work(request.client, now)
-        own = self._in_progress_of.get(request.client, 0)
-        self._in_progress_of[request.client] = own + 1
+    def _start(self, flow: FlowNumber, client: str, now: Millis) -> None:
+        self._open[flow] = client
+        self._work[flow] = _Work(client, now)
+        self._in_progress_of[client] = self._in_progress_of.get(client, 0) + 1
 
     def _finish(self, flow: FlowNumber) -> None:
         work = self._work.pop(flow, None)
@@ -203,6 +213,9 @@
     def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
         """Ignore the end."""
 
+    def note_start(self, flow: FlowNumber, now: Millis) -> None:
+        """Ignore the start."""
+
     def close(self, flow: FlowNumber) -> None:
         """Ignore the end."""
 
--- a/src/papayagw/_internal/models/admission.py
+++ b/src/papayagw/_internal/models/admission.py
@@ -32,13 +32,13 @@
         The longest that an opening waits.
     """
 
-    initial_limit: int = 16
-    min_limit: int = 4
+    initial_limit: int = 64
+    min_limit: int = 8
     max_limit: int = 1_000
     max_flows: int = 2_000
     max_client_share: float = 0.75
-    queue_limit: int = 256
-    queue_timeout_ms: Millis = Millis(500)
+    queue_limit: int = 1_000
+    queue_timeout_ms: Millis = Millis(1_000)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/papayagw/_internal/net/admission_gate.py
@@ -0,0 +1,94 @@
+"""Admission of an agent's flows: timers round `Admission`, which decides."""
+
+from itertools import count
+
+import anyio
+
+from papayagw._internal.core.admission import Admission
+from papayagw._internal.models.admission import (
+    AdmissionDecision,
+    AdmissionRequest,
+    FlowNumber,
+    WorkEnd,
+)
+from papayagw._internal.models.clock import Clock, Millis, to_seconds
+from papayagw._internal.net.agent_flow import AgentFlow
+
+
+class AdmissionGate:
+    """Lets flows through to the backend server, at once, later or never.
+
+    Parameters
+    ----------
+    admission : Admission
+        The decisions.
+    clock : Clock
+        The time.
+    """
+
+    def __init__(self, admission: Admission, clock: Clock):
+        self._admission = admission
+        self._clock = clock
+        self._numbers = count(1)
+        self._flows: dict[FlowNumber, AgentFlow] = {}
+        self._number_of: dict[AgentFlow, FlowNumber] = {}
+        self._wake = anyio.Event()
+
+    def ask(self, flow: AgentFlow) -> None:
+        """Let a flow through, turn it away, or do either later."""
+        number = FlowNumber(next(self._numbers))
+        self._flows[number] = flow
+        self._number_of[flow] = number
+        request = AdmissionRequest(number, flow.client.ip)
+        match self._admission.offer(request, self._clock.now()):
+            case AdmissionDecision.ADMIT:
+                flow.admit()
+            case AdmissionDecision.REFUSE:
+                flow.turn_away()
+            case AdmissionDecision.QUEUE:
+                # A waiting flow may have been pushed out, and the timer may move.
+                self._wake.set()
+
+    def note_start(self, flow: AgentFlow) -> None:
+        """Note that a flow asks for work."""
+        number = self._number_of.get(flow)
+        if number is not None:
+            self._admission.note_start(number, self._clock.now())
+
+    def note_end(self, flow: AgentFlow, end: WorkEnd) -> None:
+        """Note that a flow's work is over, while the flow may stay open."""
+        number = self._number_of.get(flow)
+        if number is not None:
+            self._admission.note_end(number, end, self._clock.now())
+            self._wake.set()
+
+    def close(self, flow: AgentFlow) -> None:
+        """Note that a flow is gone."""
+        number = self._number_of.pop(flow, None)
+        if number is not None:
+            del self._flows[number]
+            self._admission.close(number)
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Let waiting flows through or turn them away, until cancelled."""
+        while True:
+            await self._wait()
+            self._poll()
+
+    def _poll(self) -> None:
+        results = self._admission.poll(self._clock.now())
+        for number in results.admitted:
+            self._flows[number].admit()
+        for number in results.refused:
+            self._flows[number].turn_away()
+
+    async def _wait(self) -> None:
+        next_at = self._admission.next_at
+        if next_at is None:
+            await self._wake.wait()
+        else:
+            wait_ms = Millis(max(0, next_at - self._clock.now()))
+            with anyio.move_on_after(to_seconds(wait_ms)):
+                await self._wake.wait()
+        self._wake = anyio.Event()
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -1,19 +1,25 @@
 """The agent: the process beside each backend server that owns its flows."""
 
 import random
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import anyio
 import anyio.abc
 
+from papayagw._internal.core.admission import Admission
 from papayagw._internal.core.agent import AgentCore
+from papayagw._internal.core.lifecycle import FlowLifecycle
 from papayagw._internal.core.return_path import ReturnPath
+from papayagw._internal.models.admission import WorkEnd
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import Accept, DropReason, Forward
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.node import AgentSettings
+from papayagw._internal.net.admission_gate import AdmissionGate
 from papayagw._internal.net.agent_flow import AgentFlow
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
 from papayagw._internal.net.udp import DatagramSocket
@@ -27,6 +33,9 @@
 from papayagw._internal.wire.quic import FlowAcceptor, ResetTokens
 from papayagw._internal.wire.tag import TagCodec
 
+BACKEND_CONNECTS = 1
+"""Connections tried for one flow: an opening at a sibling is the better second."""
+
 
 class AgentPackets:
     """The agent's packet path: envelopes in, answers out.
@@ -38,7 +47,9 @@
     configuration : Configuration
         What is in force.
     core : AgentCore
-        The decisions.
+        The decisions about packets.
+    admission : Admission
+        The decisions about accepted flows.
     socket : DatagramSocket
         The socket that envelopes come to.
     clock : Clock
@@ -50,6 +61,7 @@
         settings: AgentSettings,
         configuration: Configuration,
         core: AgentCore,
+        admission: Admission,
         socket: DatagramSocket,
         clock: Clock,
     ):
@@ -60,6 +72,7 @@
         self._core = core
         self._returns = ReturnPath(random.SystemRandom().randrange)
         self._table = FlowTable(clock, self._on_removed)
+        self._gate = AdmissionGate(admission, clock)
         self._counts: dict[str, int] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self.apply(configuration)
@@ -98,6 +111,7 @@
         """Serve the flows until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            tasks.start_soon(self._gate.run)
             await self._table.run()
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
@@ -125,13 +139,63 @@
         """Send what the last envelopes have made due."""
         self._table.flush()
 
+    def drain(self) -> None:
+        """Take no more openings, and give up flows that aren't established yet."""
+        self._core.drain()
+        for flow in self._agent_flows:
+            flow.drain()
+        self._table.flush()
+
     def close_flows(self, reason: str) -> None:
-        """End all flows; what they were asked for is not known to be done."""
-        for handler in self._table.handlers:
-            if isinstance(handler, AgentFlow):
-                handler.close(FlowOutcome.UNKNOWN, reason)
+        """End all flows."""
+        for flow in self._agent_flows:
+            flow.stop(reason)
         self._table.flush()
 
+    def touch(self, flow: AgentFlow) -> None:
+        """Note that a flow has something to send."""
+        self._table.touch(flow)
+
+    def spawn(self, task: Callable[..., Any]) -> None:
+        """Start a coroutine function as a task."""
+        assert self._tasks is not None, "run() comes first"
+        self._tasks.start_soon(task)
+
+    def send(self, datagram: bytes, client: tuple[str, int]) -> None:
+        """Send a datagram to a caller, through some balancer."""
+        balancer = self._returns.pick(self._clock.now())
+        if balancer is None:
+            return
+        header = self._envelopes.write_raw(FrameKind.ANSWER, self._service_id, client)
+        self._socket.send(header + datagram, balancer.sockaddr)
+
+    def on_accepted(self, flow: AgentFlow) -> None:
+        """Ask for the admission of a flow whose handshake is complete."""
+        self._gate.ask(flow)
+
+    def on_work(self, flow: AgentFlow) -> None:
+        """Note the first bytes that are handed to the backend server."""
+        self._gate.note_start(flow)
+
+    def on_answer(self, flow: AgentFlow) -> None:
+        """Note the first bytes of the backend server."""
+        self._gate.note_end(flow, WorkEnd.ANSWERED)
+
+    def on_idle(self, flow: AgentFlow) -> None:
+        """Note that a connected flow has asked for nothing yet."""
+        self._gate.note_end(flow, WorkEnd.IDLE)
+
+    def on_outcome(self, flow: AgentFlow, outcome: FlowOutcome, reason: str) -> None:
+        """Note how a flow ended."""
+        self._count(outcome.value)
+        if flow.backend_failed:
+            self._gate.note_end(flow, WorkEnd.FAILED)
+        self._gate.close(flow)
+
+    @property
+    def _agent_flows(self) -> list[AgentFlow]:
+        return [flow for flow in self._table.handlers if isinstance(flow, AgentFlow)]
+
     def _on_stray(
         self,
         envelope: Envelope,
@@ -148,7 +212,7 @@
         if reason in (None, DropReason.STALE_INCARNATION):
             # The flow is gone for good: its caller has to know.
             reset = self._resets.make_datagram(connection_id)
-            self._send_answer(reset, envelope.client.sockaddr)
+            self.send(reset, envelope.client.sockaddr)
 
     def _on_opening(
         self,
@@ -175,12 +239,10 @@
         tag = self._make_tag()
         flow = AgentFlow(
             self._acceptor.accept(connection_id, tag),
+            FlowLifecycle(BACKEND_CONNECTS),
             envelope.client,
             self._settings.backend,
-            touch=self._table.touch,
-            spawn=self._spawn,
-            sink=self._send_answer,
-            on_outcome=self._on_outcome,
+            self,
         )
         self._count("opened")
         self._table.add(flow, connection_id, tag)
@@ -204,20 +266,6 @@
         )
         self._socket.send(self._envelopes.write(passed) + datagram, sibling.sockaddr)
 
-    def _send_answer(self, datagram: bytes, client: tuple[str, int]) -> None:
-        balancer = self._returns.pick(self._clock.now())
-        if balancer is None:
-            return
-        header = self._envelopes.write_raw(FrameKind.ANSWER, self._service_id, client)
-        self._socket.send(header + datagram, balancer.sockaddr)
-
-    def _spawn(self, task: object) -> None:
-        assert self._tasks is not None, "run() comes first"
-        self._tasks.start_soon(task)  # type: ignore[arg-type]
-
-    def _on_outcome(self, outcome: FlowOutcome, reason: str) -> None:
-        self._count(outcome.value)
-
     def _on_removed(self, handler: FlowHandler) -> None:
         self._count("removed")
 
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -1,12 +1,38 @@
-"""A flow at its agent: from the opening to its last byte."""
+"""A flow at its agent: sockets round `FlowLifecycle`, which decides."""
 
 from collections.abc import Callable
+from typing import Any, Protocol
 
 import anyio
 
+from papayagw._internal.core.lifecycle import Lifecycle
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.flow import FlowOutcome
+from papayagw._internal.models.lifecycle import (
+    AdmissionRefused,
+    Admitted,
+    AnswerAcknowledged,
+    BackendBroke,
+    BackendClosed,
+    BackendConnected,
+    BackendConnectFailed,
+    BackendSent,
+    BackendWrote,
+    CallerCancelled,
+    CallerFinished,
+    CallerSent,
+    ConnectBackend,
+    DeliverToBackend,
+    FinishToCaller,
+    FlowAction,
+    FlowEvent,
+    HandshakeCompleted,
+    IdleTimedOut,
+    StopAsked,
+    StopLimitReached,
+    TellCaller,
+)
 from papayagw._internal.models.stream import (
     BytesArrived,
     FlowEnded,
@@ -15,13 +41,48 @@
 )
 from papayagw._internal.net.bridge import FlowBridge
 from papayagw._internal.net.tcp import TcpBrokenError, TcpStream
-from papayagw._internal.wire.quic import DatagramSink, FlowConnection
+from papayagw._internal.wire.quic import FlowConnection
 
 ACCEPTED = b"\x01"
-"""The first byte of each answer: the backend server has been reached."""
+"""The first byte of each answer: a refusal can't be made good any more."""
 
 CONNECT_TIMEOUT_MS = Millis(1_000)
 
+_ENDINGS: dict[FlowOutcome, FlowEvent] = {
+    FlowOutcome.ANSWERED: AnswerAcknowledged(),
+    FlowOutcome.REFUSED: CallerCancelled(),
+    FlowOutcome.CANCELLED: CallerCancelled(),
+    FlowOutcome.UNKNOWN: IdleTimedOut(),
+}
+
+
+class FlowOwner(Protocol):
+    """The agent, as its flows need it."""
+
+    def touch(self, flow: "AgentFlow") -> None:
+        """Note that a flow has something to send."""
+
+    def spawn(self, task: Callable[..., Any]) -> None:
+        """Start a coroutine function as a task."""
+
+    def send(self, datagram: bytes, client: tuple[str, int]) -> None:
+        """Send a datagram to a caller."""
+
+    def on_accepted(self, flow: "AgentFlow") -> None:
+        """Ask for the admission of a flow whose handshake is complete."""
+
+    def on_work(self, flow: "AgentFlow") -> None:
+        """Note the first bytes that are handed to the backend server."""
+
+    def on_answer(self, flow: "AgentFlow") -> None:
+        """Note the first bytes of the backend server."""
+
+    def on_idle(self, flow: "AgentFlow") -> None:
+        """Note that a connected flow has asked for nothing yet."""
+
+    def on_outcome(self, flow: "AgentFlow", outcome: FlowOutcome, reason: str) -> None:
+        """Note how a flow ended."""
+
 
 class AgentFlow:
     """Ends a caller's flow and carries it to the backend server.
@@ -30,41 +91,37 @@
     ----------
     connection : FlowConnection
         The agent's end of the flow.
+    lifecycle : Lifecycle
+        The decisions about it.
     client : Endpoint
         The caller.
     backend : Endpoint
         The backend server.
-    touch : callable
-        Tells the flow table that this flow has something to send.
-    spawn : callable
-        Starts a coroutine function as a task.
-    sink : callable
-        Sends a datagram to the caller.
-    on_outcome : callable
-        Told how the flow ended, and a word about it.
+    owner : FlowOwner
+        The agent.
     """
 
     def __init__(
         self,
         connection: FlowConnection,
+        lifecycle: Lifecycle,
         client: Endpoint,
         backend: Endpoint,
-        *,
-        touch: Callable[["AgentFlow"], None],
-        spawn: Callable[..., None],
-        sink: DatagramSink,
-        on_outcome: Callable[[FlowOutcome, str], None],
+        owner: FlowOwner,
     ):
         self._connection = connection
+        self._lifecycle = lifecycle
         self._client = client
         self._backend = backend
-        self._touch = touch
-        self._spawn = spawn
-        self._sink = sink
-        self._on_outcome = on_outcome
+        self._owner = owner
         self._bridge = FlowBridge(self)
         self._scope = anyio.CancelScope()
-        self._ended: FlowEnded | None = None
+        self._attempt = 0
+        self._is_accepted = False
+        self._has_work = False
+        self._has_answer = False
+        self._backend_failed = False
+        self._backend_gone = False
 
     @property
     def connection(self) -> FlowConnection:
@@ -76,43 +133,59 @@
         """The caller."""
         return self._client
 
+    @property
+    def backend_failed(self) -> bool:
+        """Whether the backend server couldn't be reached or broke off."""
+        return self._backend_failed
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes written that the caller hasn't acknowledged."""
         return self._connection.buffered_bytes
 
+    def admit(self) -> None:
+        """Go on to the backend server."""
+        self._apply(Admitted())
+
+    def turn_away(self) -> None:
+        """End the flow before anything was delivered."""
+        self._apply(AdmissionRefused(), "the agent has too much work")
+
+    def drain(self) -> None:
+        """End the flow if it isn't established yet."""
+        self._apply(StopAsked(), "the agent is leaving")
+
+    def stop(self, reason: str) -> None:
+        """End the flow now."""
+        self._apply(StopLimitReached(), reason)
+
     def write(self, data: bytes) -> None:
-        """Send bytes to the caller."""
-        self._connection.write(data)
-        self._touch(self)
+        """Send bytes of the backend server to the caller."""
+        if self._lifecycle.handle(BackendSent(self._attempt, len(data))):
+            self._begin_answer()
+            self._connection.write(data)
+            self._owner.touch(self)
 
     def finish(self) -> None:
-        """Send no more bytes to the caller."""
-        self._connection.finish()
-        self._touch(self)
+        """Take the end of the backend server's bytes."""
+        self._apply(BackendClosed(self._attempt), "the backend server closed")
 
     def consume(self, count: int) -> None:
-        """Note that bytes have been handed to the backend server."""
+        """Note that the backend server's socket took bytes."""
+        self._lifecycle.handle(BackendWrote(self._attempt, count))
         if self._connection.consume(count):
-            self._touch(self)
-
-    def close(self, outcome: FlowOutcome, reason: str) -> None:
-        """End the flow and tell the caller how."""
-        if self._ended is None:
-            self._end(FlowEnded(outcome, reason))
-            self._connection.close(outcome, reason)
-            self._touch(self)
+            self._owner.touch(self)
 
     def on_events(self, events: list[StreamEvent]) -> None:
         """Act on what has happened at the caller's side."""
         for event in events:
             match event:
                 case HandshakeDone():
-                    self._spawn(self._run)
+                    self._on_handshake()
                 case BytesArrived(data, finished):
-                    self._bridge.on_bytes(data, finished)
-                case FlowEnded():
-                    self._end(event)
+                    self._on_bytes(data, finished)
+                case FlowEnded(outcome, reason):
+                    self._on_flow_ended(outcome, reason)
 
     def on_writable(self) -> None:
         """Read on from the backend server if there is room."""
@@ -120,36 +193,99 @@
 
     def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram of the flow."""
-        self._sink(datagram, peer)
+        self._owner.send(datagram, peer)
+
+    def _on_handshake(self) -> None:
+        self._apply(HandshakeCompleted())
+        if self._lifecycle.outcome is None:
+            self._owner.on_accepted(self)
+
+    def _on_bytes(self, data: bytes, finished: bool) -> None:
+        if self._backend_gone:
+            # Nobody reads them, and the caller has to get on to its end.
+            self._connection.consume(len(data))
+        else:
+            self._bridge.on_bytes(data, finished)
+        if data:
+            self._apply(CallerSent(len(data)))
+        if finished:
+            self._apply(CallerFinished())
 
-    def _end(self, ended: FlowEnded) -> None:
-        if self._ended is None:
-            self._ended = ended
-            self._scope.cancel()
-            self._on_outcome(ended.outcome, ended.reason)
+    def _on_flow_ended(self, outcome: FlowOutcome, reason: str) -> None:
+        self._apply(_ENDINGS[outcome], reason)
+        # An answer that is acknowledged before its end is one that was given up.
+        self._apply(CallerCancelled(), reason)
+
+    def _apply(self, event: FlowEvent, reason: str = "") -> None:
+        for action in self._lifecycle.handle(event):
+            self._act(action, reason)
+
+    def _act(self, action: FlowAction, reason: str) -> None:
+        match action:
+            case ConnectBackend(attempt):
+                self._attempt = attempt
+                self._owner.spawn(self._run)
+            case DeliverToBackend():
+                self._begin_work()
+            case FinishToCaller():
+                self._connection.finish()
+                self._owner.touch(self)
+            case TellCaller(outcome):
+                self._end(outcome, reason)
+
+    def _begin_work(self) -> None:
+        # The bridge holds the bytes and hands them over.
+        if not self._has_work:
+            self._has_work = True
+            self._owner.on_work(self)
+        self._accept()
+
+    def _begin_answer(self) -> None:
+        if not self._has_answer:
+            self._accept()
+            self._has_answer = True
+            self._owner.on_answer(self)
+
+    def _accept(self) -> None:
+        if not self._is_accepted:
+            self._is_accepted = True
+            self._connection.write(ACCEPTED)
+            self._owner.touch(self)
+
+    def _end(self, outcome: FlowOutcome, reason: str) -> None:
+        self._scope.cancel()
+        if not self._connection.is_ending:
+            self._connection.close(outcome, reason)
+        self._owner.touch(self)
+        self._owner.on_outcome(self, outcome, reason)
 
     async def _run(self) -> None:
-        with self._scope:
+        if self._lifecycle.outcome is not None:
+            return
+        attempt = self._attempt
+        with anyio.CancelScope() as self._scope:
             try:
                 stream = await TcpStream.connect(self._backend, CONNECT_TIMEOUT_MS)
             except TcpBrokenError as error:
-                self.close(FlowOutcome.REFUSED, str(error))
+                self._backend_failed = True
+                self._apply(BackendConnectFailed(attempt), str(error))
                 return
-            self.write(ACCEPTED)
-            await self._carry(stream)
+            self._apply(BackendConnected(attempt))
+            if not self._has_work:
+                self._owner.on_idle(self)
+            await self._carry(stream, attempt)
 
-    async def _carry(self, stream: TcpStream) -> None:
+    async def _carry(self, stream: TcpStream, attempt: int) -> None:
         is_whole = False
         try:
             await self._bridge.run(stream)
             is_whole = True
         except* TcpBrokenError as errors:
-            delivered = self._bridge.handed_over > 0
-            outcome = FlowOutcome.UNKNOWN if delivered else FlowOutcome.REFUSED
-            self.close(outcome, str(errors.exceptions[0]))
+            self._backend_failed = True
+            self._backend_gone = True
+            self._apply(BackendBroke(attempt), str(errors.exceptions[0]))
         finally:
-            ended = self._ended
-            if is_whole or (ended and ended.outcome is FlowOutcome.ANSWERED):
+            if is_whole or self._lifecycle.outcome is FlowOutcome.ANSWERED:
                 stream.close()
             else:
                 stream.abort()
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from papayagw._internal.core.admission import Admission
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.announcer import AgentAnnouncer
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
@@ -29,6 +30,8 @@
         What is in force at the start.
     core : AgentCore
         Its decisions about packets.
+    admission : Admission
+        Its decisions about accepted flows.
     announcer : AgentAnnouncer
         Its part in the membership.
     clock : Clock
@@ -40,13 +43,16 @@
         settings: AgentSettings,
         configuration: Configuration,
         core: AgentCore,
+        admission: Admission,
         announcer: AgentAnnouncer,
         clock: Clock,
     ):
         self._inner = DatagramSocket(settings.node.inner)
         self._announcer = announcer
         self._clock = clock
-        self._packets = AgentPackets(settings, configuration, core, self._inner, clock)
+        self._packets = AgentPackets(
+            settings, configuration, core, admission, self._inner, clock
+        )
         keys = configuration.site.keys
         self._control = ControlLoop(announcer, keys, self._inner, clock)
 
@@ -73,7 +79,7 @@
 
     async def drain(self) -> None:
         """Take no more openings, and return when the last flow has ended."""
-        self._packets.core.drain()
+        self._packets.drain()
         self._control.send(self._announcer.drain(self._clock.now()))
         while self._packets.flows:
             await anyio.sleep(to_seconds(_DRAIN_CHECK_MS))
--- a/src/papayagw/_internal/net/bridge.py
+++ b/src/papayagw/_internal/net/bridge.py
@@ -43,12 +43,6 @@
         self._finished = False
         self._arrival = anyio.Event()
         self._room = anyio.Event()
-        self._handed_over = 0
-
-    @property
-    def handed_over(self) -> int:
-        """How many bytes of the peer may have reached the TCP connection's end."""
-        return self._handed_over
 
     def on_bytes(self, data: bytes, finished: bool) -> None:
         """Take in bytes of the peer."""
@@ -78,7 +72,6 @@
         while True:
             while self._arrived:
                 data = self._arrived.popleft()
-                self._handed_over += len(data)
                 await stream.send(data)
                 self._flow.consume(len(data))
             if self._finished:
--- a/tests/properties/admission_proof.py
+++ b/tests/properties/admission_proof.py
@@ -92,6 +92,10 @@
         assert len(self.open) <= POLICY.max_flows, "too many flows"
 
     def end(self, step):
+        if step.which % 3 == 0 and self.waiting:
+            flow, _ = self.waiting.popitem()
+            self.admission.close(flow)
+            return
         if not self.open:
             return
         flow = self.open[step.which % len(self.open)]
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -55,6 +55,17 @@
     assert (admission.in_progress, admission.flows) == (1, 2)
 
 
+def test_idle_flow_that_asks_for_work_counts_again():
+    admission = make_admission(limit=1)
+    offer_all(admission, "a")
+    admission.note_end(0, WorkEnd.IDLE, NOW)
+    admission.note_start(0, NOW)
+    assert admission.in_progress == 1
+    admission.close(0)
+    admission.note_start(0, NOW)
+    assert admission.in_progress == 0
+
+
 def test_turn_goes_to_client_with_least_in_progress():
     admission = make_admission(limit=3)
     offer_all(admission, "aaaaab")
@@ -62,15 +73,17 @@
     assert admission.poll(NOW).admitted == (5,)
 
 
-def test_full_queue_pushes_out_newest_of_longest_line():
+@pytest.mark.parametrize(("closed", "refused"), [(3, (4,)), (4, ())])
+def test_full_queue_pushes_out_newest_of_longest_line(closed, refused):
     admission = make_admission(limit=1)
     offer_all(admission, "aaaaab")
-    assert admission.poll(NOW).refused == (4,)
+    admission.close(closed)
+    assert admission.poll(NOW).refused == refused
 
 
 @pytest.mark.parametrize(("deadline", "due"), [(None, 500), (90, 90), (900, 500)])
 def test_waiting_ends_at_timeout_or_deadline(deadline, due):
-    admission = make_admission(limit=1)
+    admission = make_admission(limit=1, queue_timeout_ms=Millis(500))
     offer_all(admission, "a")
     admission.offer(AdmissionRequest(7, "a", deadline), NOW)
     assert admission.next_at == due
