--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from papayagw._internal.core.admission import Admission
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.announcer import AgentAnnouncer
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
@@ -30,6 +31,8 @@
         What is in force at the start.
     core : AgentCore
         Its decisions about packets.
+    admission : Admission
+        Its decisions about accepted flows.
     announcer : AgentAnnouncer
         Its part in the membership.
     clock : Clock
@@ -43,6 +46,7 @@
         settings: AgentSettings,
         configuration: Configuration,
         core: AgentCore,
+        admission: Admission,
         announcer: AgentAnnouncer,
         clock: Clock,
         source: ConfigurationSource,
@@ -52,7 +56,9 @@
         self._clock = clock
         self._configuration = configuration
         self._source = source
-        self._packets = AgentPackets(settings, configuration, core, self._inner, clock)
+        self._packets = AgentPackets(
+            settings, configuration, core, admission, self._inner, clock
+        )
         keys = configuration.site.keys
         self._control = ControlLoop(announcer, keys, self._inner, clock)
 
@@ -103,7 +109,7 @@
         await anyio.sleep(to_seconds(LEAVE_MS))
 
     def _refuse_openings(self) -> None:
-        self._packets.core.drain()
+        self._packets.drain()
         self._control.send(self._announcer.drain(self._clock.now()))
 
     async def _follow_configuration(self) -> None:
