--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -59,6 +59,8 @@
         The socket that envelopes come to.
     clock : Clock
         The time.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
     def __init__(
@@ -69,15 +71,16 @@
         admission: Admission,
         socket: DatagramSocket,
         clock: Clock,
+        log: Log,
     ):
         self._settings = settings
         self._service_id = core.route.service_id
         self._socket = socket
-        self._log = Log()
         self._clock = clock
+        self._log = log
         self._core = core
         self._returns = ReturnPath(random.SystemRandom().randrange)
-        self._table = FlowTable(clock, self._on_removed)
+        self._table = FlowTable(clock, self._on_removed, log)
         self._gate = AdmissionGate(admission, clock)
         self._meter = ServiceMeter(settings.service, Side.AGENT)
         self._counts: dict[str, int] = {}
@@ -130,20 +133,20 @@
         """Take in an envelope; `flush` must follow."""
         envelope = self._envelopes.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
-            self._count_drop(DropReason.UNAUTHENTICATED)
+            self._count_drop(DropReason.UNAUTHENTICATED, Endpoint(*source))
             return
         balancer = envelope.balancer or Endpoint(*source)
         self._returns.note_heard(balancer, self._clock.now())
         datagram = frame[ENVELOPE_BYTES:]
         connection_id = read_connection_id(datagram)
         if connection_id is None:
-            self._count_drop(DropReason.MALFORMED)
+            self._count_drop(DropReason.MALFORMED, envelope.client)
             return
         handler = self._table.find(connection_id)
         if handler is None:
             self._on_stray(envelope, balancer, connection_id, datagram)
         elif envelope.service_id != self._service_id:
-            self._count_drop(DropReason.WRONG_SERVICE)
+            self._count_drop(DropReason.WRONG_SERVICE, envelope.client)
         else:
             self._table.receive(handler, datagram, envelope.client.sockaddr)
 
@@ -212,11 +215,11 @@
         self._gate.close(flow)
         if outcome is not FlowOutcome.ANSWERED:
             self._log.limited(
-                "flow not answered",
-                self._clock.now(),
+                f"flow {outcome.value}",
                 step=Step.DELIVER,
-                peer=str(self._settings.backend),
-                outcome=outcome,
+                peer=flow.client,
+                flow=flow.connection.local_id,
+                backend=self._settings.backend,
                 reason=reason,
             )
 
@@ -236,7 +239,7 @@
             self._on_opening(envelope, balancer, connection_id, datagram)
             return
         reason = self._core.check_tagged(envelope.service_id, route)
-        self._count_drop(reason or DropReason.UNKNOWN_FLOW)
+        self._count_drop(reason or DropReason.UNKNOWN_FLOW, envelope.client)
         if reason in (None, DropReason.STALE_INCARNATION):
             # The flow is gone for good: its caller has to know.
             reset = self._resets.make_datagram(connection_id)
@@ -260,7 +263,7 @@
                 self._pass_on(envelope, balancer, datagram, sibling)
             case _:
                 self._meter.note_refused()
-                self._count_drop(decision.reason)
+                self._count_drop(decision.reason, envelope.client)
 
     def _accept(
         self, envelope: Envelope, connection_id: bytes, datagram: bytes
@@ -300,8 +303,11 @@
     def _on_removed(self, handler: FlowHandler) -> None:
         self._count("removed")
 
-    def _count_drop(self, reason: DropReason) -> None:
+    def _count_drop(self, reason: DropReason, peer: Endpoint) -> None:
         self._count(f"drop.{reason.value}")
+        self._log.limited(
+            f"packet dropped: {reason.value}", step=Step.DELIVER, peer=peer
+        )
 
     def _count(self, name: str) -> None:
         self._counts[name] = self._counts.get(name, 0) + 1
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -12,6 +12,7 @@
 from papayagw._internal.net.configuration import ConfigurationSource
 from papayagw._internal.net.control import ControlLoop
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import FrameKind
 
 LEAVE_MS = Millis(500)
@@ -39,6 +40,8 @@
         The time.
     source : ConfigurationSource
         Where later configurations come from; it has been started.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         announcer: AgentAnnouncer,
         clock: Clock,
         source: ConfigurationSource,
+        log: Log,
     ):
         self._inner = DatagramSocket(settings.node.inner)
         self._announcer = announcer
@@ -57,7 +61,7 @@
         self._configuration = configuration
         self._source = source
         self._packets = AgentPackets(
-            settings, configuration, core, admission, self._inner, clock
+            settings, configuration, core, admission, self._inner, clock, log
         )
         keys = configuration.site.keys
         self._control = ControlLoop(announcer, keys, self._inner, clock)
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from papayagw._internal.core.balancer import DROP_MALFORMED, BalancerCore
+from papayagw._internal.exceptions import Step
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import (
     BalancerDecision,
@@ -13,6 +14,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import ServiceId
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import ENVELOPE_BYTES, EnvelopeCodec, FrameKind
 from papayagw._internal.wire.header import is_opening, read_connection_id
 from papayagw._internal.wire.reset import ResetTokens
@@ -32,6 +34,8 @@
         The socket towards the agents.
     entries : dict of ServiceId to DatagramSocket
         The sockets that callers' packets come to.
+    log : Log
+        Where dropped packets are logged, a few of each kind.
     """
 
     def __init__(
@@ -40,10 +44,12 @@
         configuration: Configuration,
         inner: DatagramSocket,
         entries: dict[ServiceId, DatagramSocket],
+        log: Log,
     ):
         self._core = core
         self._inner = inner
         self._entries = entries
+        self._log = log
         self._forwarded = 0
         self._answered = 0
         self._passed = 0
@@ -95,7 +101,7 @@
         elif isinstance(decision, Reset):
             self._reset(service_id, datagram, client)
         else:
-            self._drops[decision.reason] += 1
+            self._drop(decision.reason, client)
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
         """Hand an agent's answer to its caller, or a peer's opening to an agent."""
@@ -104,12 +110,12 @@
             return
         answer = self._envelopes.read_answer(frame)
         if answer is None:
-            self._drops[DropReason.UNAUTHENTICATED] += 1
+            self._drop(DropReason.UNAUTHENTICATED, source)
             return
         service_id, client = answer
         entry = self._entries.get(ServiceId(service_id))
         if entry is None:
-            self._drops[DropReason.WRONG_SERVICE] += 1
+            self._drop(DropReason.WRONG_SERVICE, source)
             return
         self._answered += 1
         entry.send(frame[ENVELOPE_BYTES:], client)
@@ -117,16 +123,16 @@
     def _on_passed(self, frame: bytes, source: tuple[str, int]) -> None:
         envelope = self._envelopes.read(frame)
         if envelope is None:
-            self._drops[DropReason.UNAUTHENTICATED] += 1
+            self._drop(DropReason.UNAUTHENTICATED, source)
             return
         datagram = frame[ENVELOPE_BYTES:]
         connection_id = read_connection_id(datagram)
         if connection_id is None or not is_opening(datagram, connection_id):
-            self._drops[DropReason.MALFORMED] += 1
+            self._drop(DropReason.MALFORMED, source)
             return
         decision = self._core.route_opening(envelope.service_id, connection_id, hops=1)
         if not isinstance(decision, Forward):
-            self._drops[DropReason.NO_AGENT] += 1
+            self._drop(DropReason.NO_AGENT, source)
             return
         self._passed += 1
         passed = replace(envelope, balancer=Endpoint(*source))
@@ -141,6 +147,13 @@
             self._reset_count += 1
             self._entries[service_id].send(self._resets.make_datagram(tag), client)
 
+    def _drop(self, reason: DropReason, source: tuple[str, int]) -> None:
+        self._drops[reason] += 1
+        peer = f"{source[0]}:{source[1]}"
+        self._log.limited(
+            f"packet dropped: {reason.value}", step=Step.FORWARD, peer=peer
+        )
+
     def _decide(self, service_id: ServiceId, datagram: bytes) -> BalancerDecision:
         connection_id = read_connection_id(datagram)
         if connection_id is None:
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -38,6 +38,8 @@
         The time.
     source : ConfigurationSource
         Where later configurations come from; it has been started.
+    log : Log
+        Where dropped packets are logged.
     """
 
     def __init__(
@@ -48,16 +50,17 @@
         membership: BalancerMembership,
         clock: Clock,
         source: ConfigurationSource,
+        log: Log,
     ):
         self._settings = settings
         self._configuration = configuration
         self._inner = DatagramSocket(settings.node.inner)
         self._membership = membership
         self._source = source
-        self._entries = EntrySockets(settings.bind_ip, Log().failure)
+        self._entries = EntrySockets(settings.bind_ip, log.failure)
         core = BalancerCore(directory, RendezvousChooser(), membership)
         self._packets = BalancerPackets(
-            core, configuration, self._inner, self._entries.sockets
+            core, configuration, self._inner, self._entries.sockets, log
         )
         keys = configuration.site.keys
         self._control = ControlLoop(membership, keys, self._inner, clock)
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -45,6 +45,8 @@
         Returns what decides about further attempts of one flow.
     clock : Clock
         The time.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
     def __init__(
@@ -53,16 +55,18 @@
         opener: FlowOpener,
         make_retry: Callable[[], OpeningRetry],
         clock: Clock,
+        log: Log,
     ):
         self._service = listener.service
-        self._log = Log()
         self._listener = TcpListener(listener.listen)
+        self._entry = listener.entry
         self._opener = opener
         self._make_retry = make_retry
         self._clock = clock
+        self._log = log
         self._socket = DatagramSocket(None)
         self._meter = ServiceMeter(listener.service, Side.CALLER)
-        self._table = FlowTable(clock, self._on_removed)
+        self._table = FlowTable(clock, self._on_removed, log)
         self._outcomes: dict[FlowOutcome, int] = dict.fromkeys(FlowOutcome, 0)
         self._open_streams = 0
         self._heard: dict[FlowHandler, Millis] = {}
@@ -136,17 +140,19 @@
             outcome = await flow.run()
             self._outcomes[outcome] += 1
             if outcome is not FlowOutcome.ANSWERED:
-                self._log.limited(
-                    "flow not answered",
-                    self._clock.now(),
-                    step=Step.OPEN_FLOW,
-                    peer=self._service,
-                    outcome=outcome,
-                    reason=flow.reason,
-                )
+                self._log_end(outcome, flow.reason)
         finally:
             self._open_streams -= 1
 
+    def _log_end(self, outcome: FlowOutcome, reason: str) -> None:
+        self._log.limited(
+            f"flow {outcome.value}",
+            step=Step.OPEN_FLOW if outcome is FlowOutcome.REFUSED else Step.DELIVER,
+            peer=self._entry,
+            service=self._service,
+            reason=reason,
+        )
+
     async def _receive(self) -> None:
         while True:
             await self._socket.wait_readable()
