Bound control traffic: batched news, its own share for repair, zone loss inferred

Cause: with 1,200 agents of a zone silent at once, single suspicions took over 60 s to spread at 1.3 KB/s, and a cold start of 20 balancers under 10% loss never converged: inquiries about agents that others watch ate the budget. Ruled out: charging inquiries to the budget (starves repair); one datagram for each record as tokens come in (60 B of header for 26 B of news). Now: vouched agents are asked about less and less often, datagrams wait until they are well filled, repair has 40% of the budget, and a balancer that misses all agents of a zone that it watches suspects the rest of the zone.

--- /dev/null
+++ b/bench/membership_bytes.py
@@ -0,0 +1,374 @@
+"""Control traffic, processor time and memory of the membership by fleet size.
+
+Runs the real cores and the real codec on a controlled clock: four fleet sizes with
+eleven agents to a balancer in eight zones; each steady, under restarts, and through
+the loss and the return of a zone. Prints what it measured, fits it against the size
+and exits with 1 when the fit at 840 balancers and 9,500 agents is over a budget.
+
+Run it with ``python -m bench.membership_bytes``.
+"""
+
+import argparse
+import math
+import sys
+import time
+import tracemalloc
+from dataclasses import dataclass
+
+import numpy as np
+
+from papayagw._internal.core.announcer import AgentAnnouncer
+from papayagw._internal.core.directory import AgentDirectory
+from papayagw._internal.core.membership import BalancerMembership
+from papayagw._internal.models.agent import AgentRecord, Incarnation
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.control import BalancerRecord, News, Records, Send
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.wire.control import ControlCodec
+from tests.lib.fleet import CONTROL_ADDRESS, FleetDriver, restart
+from tests.lib.samples import KEY
+
+SIZES = (40, 80, 160, 280)
+AGENTS_PER_BALANCER = 11
+AGENTS_PER_SERVICE = 4
+ZONES = tuple(f"region-{1 + i // 4}{'abcd'[i % 4]}" for i in range(8))
+LOST_ZONE = ZONES[0]
+
+TARGET_BALANCERS = 840
+TARGET_AGENTS = 9_500
+MAX_BYTES_PER_SECOND = 4_096
+MAX_CPU_SHARE = 0.018
+MAX_MEMORY_BYTES = 128 * 1024 * 1024
+RESTARTS_PER_DAY = 1_200
+SECONDS_PER_DAY = 86_400
+
+IP_UDP_BYTES = 28
+SETTLE_MS = 8_000
+STEADY_SECONDS = 10
+RESTARTS = 10
+LOSS_LIMIT_SECONDS = 60
+MOST = 0.99
+NANOS_PER_MICRO = 1_000
+FIRST_INCARNATION = 1_796_371_200_000
+
+
+@dataclass
+class Meter:
+    """What one node sent, received and spent."""
+
+    bytes: int = 0
+    messages: int = 0
+    cpu_ns: int = 0
+
+
+class MeteredFleet(FleetDriver):
+    """A fleet whose datagrams are encoded, decoded and counted."""
+
+    def __post_init__(self):
+        super().__post_init__()
+        self.codec = ControlCodec([KEY])
+        self.meters: dict[Endpoint, Meter] = {}
+
+    def send_all(self, source: Endpoint, sends: tuple[Send, ...]) -> None:
+        """Encode messages and put them into the network."""
+        for send in sends:
+            started = time.perf_counter_ns()
+            frame = self.codec.write(send.message)
+            self._charge(source, frame, started)
+            self._send(source, Send(send.destination, frame))
+
+    def receive(self, node, destination: Endpoint, send: Send, source) -> None:
+        """Decode a message and hand it to its node."""
+        started = time.perf_counter_ns()
+        message = self.codec.read(send.message)
+        sends = node.on_message(message, source, self.now)
+        self._charge(destination, send.message, started)
+        self.send_all(destination, sends)
+
+    def tick(self, endpoint, node) -> None:
+        """Tick a node."""
+        started = time.perf_counter_ns()
+        sends = node.on_tick(self.now)
+        self._meter(endpoint).cpu_ns += time.perf_counter_ns() - started
+        self.send_all(endpoint, sends)
+
+    def _charge(self, endpoint: Endpoint, frame: bytes, started: int) -> None:
+        meter = self._meter(endpoint)
+        meter.bytes += len(frame) + IP_UDP_BYTES
+        meter.messages += 1
+        meter.cpu_ns += time.perf_counter_ns() - started
+
+    def _meter(self, endpoint: Endpoint) -> Meter:
+        meter = self.meters.get(endpoint)
+        if meter is None:
+            meter = self.meters[endpoint] = Meter()
+        return meter
+
+
+@dataclass(frozen=True)
+class Usage:
+    """What nodes of one role spent each second."""
+
+    mean_bytes: float
+    worst_bytes: float
+    messages: float
+    cpu_us: float
+
+
+@dataclass(frozen=True)
+class Row:
+    """The measurements of one fleet size."""
+
+    balancers: int
+    agents: int
+    balancer: Usage
+    agent: Usage
+    restart_bytes: float
+    loss_bytes: float
+    loss_worst: float
+    loss_seconds_most: int
+    loss_seconds: int
+    return_seconds: int
+
+
+def make_fleet(balancers: int) -> MeteredFleet:
+    """Return a fleet in which everybody knows everybody."""
+    fleet = MeteredFleet(seed=balancers)
+    records = [make_agent(number) for number in range(balancers * AGENTS_PER_BALANCER)]
+    for number in range(balancers):
+        add_balancer(fleet, number)
+    owns = tuple(node.own for node in fleet.balancers.values())
+    everything = Records(News(tuple(records), owns))
+    for node in fleet.balancers.values():
+        node.on_message(everything, CONTROL_ADDRESS, fleet.now)
+    for record in records:
+        fleet.add_agent(record)
+    fleet.run(SETTLE_MS)
+    return fleet
+
+
+def make_agent(number: int) -> AgentRecord:
+    endpoint = Endpoint(
+        f"10.{1 + number // 62_500}.{number // 250 % 250}.{1 + number % 250}", 4310
+    )
+    return AgentRecord(
+        endpoint,
+        Incarnation(FIRST_INCARNATION + 977 * number),
+        1,
+        1 + number // AGENTS_PER_SERVICE,
+        ZONES[number % len(ZONES)],
+    )
+
+
+def add_balancer(fleet: MeteredFleet, number: int) -> None:
+    endpoint = Endpoint(f"10.200.{number // 250}.{1 + number % 250}", 4300)
+    zone = ZONES[number % len(ZONES)]
+    own = BalancerRecord(endpoint, Incarnation(FIRST_INCARNATION + number), zone)
+    fleet.balancers[endpoint] = BalancerMembership(
+        own, CONTROL_ADDRESS, AgentDirectory(), fleet._make_random()
+    )
+
+
+def measure(fleet: MeteredFleet, seconds: int) -> tuple[Usage, Usage]:
+    """Run for `seconds` and return what balancers and agents spent."""
+    fleet.meters.clear()
+    fleet.run(seconds * 1_000)
+    return (
+        summarise([fleet.meters.get(one, Meter()) for one in fleet.balancers], seconds),
+        summarise([fleet.meters.get(one, Meter()) for one in fleet.agents], seconds),
+    )
+
+
+def summarise(meters: list[Meter], seconds: int) -> Usage:
+    sizes = [meter.bytes / seconds for meter in meters]
+    return Usage(
+        float(np.mean(sizes)),
+        max(sizes),
+        float(np.mean([meter.messages for meter in meters])) / seconds,
+        float(np.mean([meter.cpu_ns for meter in meters])) / NANOS_PER_MICRO / seconds,
+    )
+
+
+def measure_restarts(fleet: MeteredFleet, steady: Usage) -> float:
+    """Return the bytes that one restart of an agent costs each balancer."""
+    fleet.meters.clear()
+    victims = list(fleet.agents)[:: len(fleet.agents) // RESTARTS][:RESTARTS]
+    started = fleet.now
+    for endpoint in victims:
+        agent = fleet.agents[endpoint]
+        fleet.send_all(endpoint, agent.drain(fleet.now))
+        fleet.run(500)
+        fleet.send_all(endpoint, agent.close(fleet.now))
+        fleet.run(500)
+        fleet.agents[endpoint] = AgentAnnouncer(
+            restart(agent.own), CONTROL_ADDRESS, AgentDirectory(), fleet._make_random()
+        )
+    fleet.run(5_000)
+    seconds = (fleet.now - started) // 1_000
+    meters = [fleet.meters.get(one, Meter()) for one in fleet.balancers]
+    extra = summarise(meters, seconds).mean_bytes - steady.mean_bytes
+    return max(0.0, extra * seconds / RESTARTS)
+
+
+@dataclass(frozen=True)
+class Loss:
+    """How the loss of a zone went."""
+
+    nodes: frozenset[Endpoint]
+    mean_bytes: float
+    worst_second: float
+    seconds_most: int
+    seconds_all: int
+
+
+def lose_zone(fleet: MeteredFleet) -> Loss:
+    """Freeze and cut off a zone, and run until all others know."""
+    lost = frozenset(
+        endpoint
+        for endpoint, node in (*fleet.balancers.items(), *fleet.agents.items())
+        if node.own.zone == LOST_ZONE
+    )
+    everybody = set(fleet.balancers) | set(fleet.agents)
+    fleet.frozen |= lost
+    fleet.cut_off(everybody, lost)
+    fleet.cut_off(lost, everybody - lost)
+    means: list[float] = []
+    most = LOSS_LIMIT_SECONDS
+    known = 0.0
+    while len(means) < LOSS_LIMIT_SECONDS and known < 1:
+        fleet.meters.clear()
+        fleet.run(1_000)
+        kept = [fleet.meters.get(one, Meter()) for one in fleet.balancers.keys() - lost]
+        means.append(summarise(kept, 1).mean_bytes)
+        known = measure_known(fleet, lost, suspected=True)
+        if known >= MOST:
+            most = min(most, len(means))
+    return Loss(lost, float(np.mean(means)), max(means), most, len(means))
+
+
+def return_zone(fleet: MeteredFleet, lost: frozenset[Endpoint]) -> int:
+    """Heal the cut and return the seconds until all others know."""
+    fleet.heal()
+    fleet.frozen.clear()
+    for seconds in range(1, LOSS_LIMIT_SECONDS + 1):
+        fleet.run(1_000)
+        if measure_known(fleet, lost, suspected=False) == 1:
+            return seconds
+    return LOSS_LIMIT_SECONDS
+
+
+def measure_known(fleet: MeteredFleet, lost, *, suspected: bool) -> float:
+    """Return the share of lost agents, over all balancers left, seen as they are."""
+    seen = [
+        record.is_suspected == suspected
+        for endpoint, node in fleet.balancers.items()
+        if endpoint not in lost
+        for record in node.directory.records
+        if record.endpoint in lost
+    ]
+    return sum(seen) / len(seen)
+
+
+def measure_size(balancers: int) -> Row:
+    fleet = make_fleet(balancers)
+    balancer, agent = measure(fleet, STEADY_SECONDS)
+    restart_bytes = measure_restarts(fleet, balancer)
+    loss = lose_zone(fleet)
+    return_seconds = return_zone(fleet, loss.nodes)
+    return Row(
+        balancers,
+        len(fleet.agents),
+        balancer,
+        agent,
+        restart_bytes,
+        loss.mean_bytes,
+        loss.worst_second,
+        loss.seconds_most,
+        loss.seconds_all,
+        return_seconds,
+    )
+
+
+def measure_memory() -> int:
+    """Return the bytes of one balancer's core at the target size."""
+    fleet = MeteredFleet(seed=1)
+    add_balancer(fleet, 0)
+    node = next(iter(fleet.balancers.values()))
+    tracemalloc.start()
+    records = tuple(make_agent(number) for number in range(TARGET_AGENTS))
+    for number in range(1, TARGET_BALANCERS):
+        add_balancer(fleet, number)
+    owns = tuple(one.own for one in fleet.balancers.values())
+    for endpoint in tuple(fleet.balancers)[1:]:
+        del fleet.balancers[endpoint]
+    node.on_message(Records(News(records, owns)), CONTROL_ADDRESS, Millis(1_000))
+    del records, owns
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size
+
+
+def fit(rows: list[Row], values: list[float]) -> float:
+    """Return the value at the target size of a fit over the logarithm of the size."""
+    sizes = np.log([row.balancers for row in rows])
+    slope, base = np.polyfit(sizes, values, 1)
+    return float(base + slope * math.log(TARGET_BALANCERS))
+
+
+def print_row(row: Row) -> None:
+    for role, usage in (("balancer", row.balancer), ("agent", row.agent)):
+        print(
+            f"{row.balancers:5} {row.agents:6} {role:8} {usage.mean_bytes:7.0f} B/s "
+            f"(worst {usage.worst_bytes:5.0f}) {usage.messages:6.1f} msg/s "
+            f"{usage.cpu_us:7.0f} us/s"
+        )
+    print(
+        f"{'':12} restart {row.restart_bytes:6.0f} B each at each balancer; zone lost "
+        f"{row.loss_bytes:5.0f} B/s (worst second {row.loss_worst:5.0f}), 99% "
+        f"known after {row.loss_seconds_most} s, all after {row.loss_seconds} s, "
+        f"its return after {row.return_seconds} s",
+        flush=True,
+    )
+
+
+def print_verdict(rows: list[Row], memory: int) -> bool:
+    steady = fit(rows, [row.balancer.mean_bytes for row in rows])
+    restart_bytes = fit(rows, [row.restart_bytes for row in rows])
+    rolling = steady + restart_bytes * RESTARTS_PER_DAY / SECONDS_PER_DAY
+    loss = fit(rows, [row.loss_worst for row in rows])
+    # The queue of peers makes processor time grow with the size itself.
+    sizes = [row.balancers for row in rows]
+    slope, base = np.polyfit(sizes, [row.balancer.cpu_us for row in rows], 1)
+    cpu = float(base + slope * TARGET_BALANCERS) / 1e6
+    print(f"fitted at {TARGET_BALANCERS} balancers and {TARGET_AGENTS} agents:")
+    checks = [
+        ("steady", steady, MAX_BYTES_PER_SECOND, "B/s"),
+        (
+            f"with {RESTARTS_PER_DAY} restarts a day",
+            rolling,
+            MAX_BYTES_PER_SECOND,
+            "B/s",
+        ),
+        ("worst second of a zone's loss", loss, MAX_BYTES_PER_SECOND, "B/s"),
+        ("processor", 100 * cpu, 100 * MAX_CPU_SHARE, "% of a core"),
+        ("memory", memory / 2**20, MAX_MEMORY_BYTES / 2**20, "MB"),
+    ]
+    for name, value, limit, unit in checks:
+        word = "ok" if value <= limit else "OVER"
+        print(f"  {name:34} {value:8.2f} of {limit:7.1f} {unit:12} {word}")
+    return all(value <= limit for _, value, limit, _ in checks)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--sizes", type=int, nargs="*", default=SIZES)
+    sizes = parser.parse_args().sizes
+    rows = []
+    for balancers in sizes:
+        rows.append(measure_size(balancers))
+        print_row(rows[-1])
+    return 0 if print_verdict(rows, measure_memory()) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -34,6 +34,13 @@
 SILENT_BEATS = 12
 """A watcher that acknowledged none of so many heartbeats counts as dead."""
 
+BEAT_JITTER = 0.1
+"""The share of the interval by which heartbeats vary, so that agents fall out of
+step."""
+
+TICK_MS = Millis(100)
+"""The time between two ticks."""
+
 WEIGHT_STEP = 0.25
 """A change of weight smaller than this share isn't told."""
 
@@ -137,7 +144,7 @@
         if message.incarnation > self._own.incarnation:
             self._superseded = True
             return ()
-        self._note_watchers(message, source)
+        self._note_watchers(message, source, now)
         self._note_siblings(message)
         self._note_version(message.configuration_version, source)
         return self._correct(message, source, now)
@@ -177,9 +184,10 @@
     def _beat_once(self, now: Millis) -> tuple[Send, ...]:
         if now < self._beat_at:
             return ()
-        late = now - self._beat_at
-        # Keep the pace when a tick comes late, but make up for no pause.
-        self._beat_at = Millis(now + self._interval - min(late, self._interval // 4))
+        spread = int(BEAT_JITTER * self._interval)
+        jitter = self._random.randint(-spread, spread)
+        late = min(now - self._beat_at, TICK_MS)
+        self._beat_at = Millis(now + self._interval + jitter - late)
         self._beat += 1
         message = Heartbeat(
             self._own.endpoint,
@@ -198,7 +206,12 @@
             return
         self._announce_wait = FIRST_ANNOUNCE_MS
 
-    def _note_watchers(self, message: Acknowledgement, source: Endpoint) -> None:
+    def _note_watchers(
+        self, message: Acknowledgement, source: Endpoint, now: Millis
+    ) -> None:
+        if not self._watchers:
+            wait = self._random.randrange(1 + message.interval_ms)
+            self._beat_at = Millis(now + wait)
         self._interval = message.interval_ms
         self._watchers = {
             watcher: self._watchers.get(watcher, self._beat)
--- a/src/papayagw/_internal/core/fleet.py
+++ b/src/papayagw/_internal/core/fleet.py
@@ -12,7 +12,7 @@
 from papayagw._internal.core.rendezvous import Rendezvous
 from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.clock import Millis
-from papayagw._internal.models.control import BalancerRecord, Record
+from papayagw._internal.models.control import BalancerRecord, Record, SuspicionVector
 from papayagw._internal.models.endpoint import Endpoint
 
 WATCHERS = 3
@@ -109,6 +109,19 @@
             return self._hear_of_self(record, now)
         return self._table.merge(record, now)
 
+    def merge_vector(self, vector: SuspicionVector, now: Millis) -> bool:
+        """Take in a suspicion vector; return False if it can't be compared."""
+        compared = self._table.compare(vector)
+        if compared is None:
+            return False
+        for record in compared.ahead:
+            self.merge_quietly(record, now)
+        if compared.ahead:
+            self._news.add_suspicion(vector.bucket, self.size)
+        elif not compared.behind:
+            self._news.note_heard(vector.bucket)
+        return True
+
     def set_suspicion(self, record: Record, now: Millis) -> None:
         """Suspect a node, or take the suspicion of it back, and tell others."""
         changed = replace(record, suspicion=record.suspicion + 1)
--- a/src/papayagw/_internal/core/gossip_budget.py
+++ b/src/papayagw/_internal/core/gossip_budget.py
@@ -11,15 +11,20 @@
     bytes_per_second : int
         The rate at which it fills.
     burst_bytes : int
-        The most that it holds; it begins full.
+        The most that it holds, and the most that it owes; it begins full.
     """
 
     def __init__(self, bytes_per_second: int, burst_bytes: int):
         self._bytes_per_second = bytes_per_second
-        self._burst_bytes = burst_bytes
-        self._level = float(burst_bytes)
+        self._burst_bytes = float(burst_bytes)
+        self._level = self._burst_bytes
         self._filled_at: Millis | None = None
 
+    def set_rate(self, bytes_per_second: int, now: Millis) -> None:
+        """Fill at another rate from now on."""
+        self.get_level(now)
+        self._bytes_per_second = bytes_per_second
+
     def get_level(self, now: Millis) -> float:
         """Return how many bytes may be spent at once; negative when in debt."""
         if self._filled_at is not None and now > self._filled_at:
@@ -30,4 +35,4 @@
 
     def spend(self, size_bytes: int, now: Millis) -> None:
         """Take `size_bytes` out; the bucket may go into debt."""
-        self._level = self.get_level(now) - size_bytes
+        self._level = max(-self._burst_bytes, self.get_level(now) - size_bytes)
--- a/src/papayagw/_internal/core/gossip_news.py
+++ b/src/papayagw/_internal/core/gossip_news.py
@@ -7,7 +7,6 @@
 """
 
 import math
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from papayagw._internal.core.gossip_table import RecordTable
@@ -49,7 +48,6 @@
 
     urgency: int
     copies: int
-    size_bytes: float
 
 
 class NewsQueue:
@@ -73,17 +71,12 @@
         leaving = record.state is not AgentState.READY
         urgency = _URGENCY_LEAVING if leaving else _URGENCY_READY
         self._rumours.pop(record.endpoint, None)
-        self._rumours[record.endpoint] = _Rumour(
-            urgency, compute_copies(nodes), RECORD_BYTES
-        )
+        self._rumours[record.endpoint] = _Rumour(urgency, compute_copies(nodes))
 
     def add_suspicion(self, bucket: Bucket, nodes: int) -> None:
         """Tell of a suspicion or a refutation in `bucket`."""
-        size_bytes = VECTOR_BYTES + VECTOR_MEMBER_BYTES * self._table.get_size(bucket)
         self._rumours.pop(bucket, None)
-        self._rumours[bucket] = _Rumour(
-            _URGENCY_SUSPICION, compute_copies(nodes), size_bytes
-        )
+        self._rumours[bucket] = _Rumour(_URGENCY_SUSPICION, compute_copies(nodes))
 
     def note_heard(self, subject: Endpoint | Bucket) -> None:
         """Note that somebody told what this node knows already."""
@@ -95,23 +88,28 @@
         """Return what fits into `room_bytes`, counted as told once."""
         records: list[Record] = []
         vectors: list[SuspicionVector] = []
-        for subject in tuple(self._select(room_bytes)):
-            self._count_down(subject, self._rumours[subject], 1)
-            if isinstance(subject, Bucket):
-                vectors.append(self._table.make_vector(subject))
-            elif (record := self._table.get(subject)) is not None:
-                records.append(record)
+        for subject, rumour in self._sort():
+            told = self._read(subject)
+            size_bytes = 0 if told is None else estimate_bytes(told)
+            if size_bytes > room_bytes:
+                break
+            room_bytes -= size_bytes
+            self._count_down(subject, rumour, 1)
+            if isinstance(told, SuspicionVector):
+                vectors.append(told)
+            elif told is not None:
+                records.append(told)
         return make_news(records, vectors)
 
-    def _select(self, room_bytes: float) -> Iterator[Endpoint | Bucket]:
-        order = sorted(
+    def _sort(self) -> list[tuple[Endpoint | Bucket, _Rumour]]:
+        return sorted(
             self._rumours.items(), key=lambda item: (item[1].urgency, -item[1].copies)
         )
-        for subject, rumour in order:
-            if rumour.size_bytes > room_bytes:
-                return
-            room_bytes -= rumour.size_bytes
-            yield subject
+
+    def _read(self, subject: Endpoint | Bucket) -> Record | SuspicionVector | None:
+        if isinstance(subject, Bucket):
+            return self._table.make_vector(subject)
+        return self._table.get(subject)
 
     def _count_down(
         self, subject: Endpoint | Bucket, rumour: _Rumour, count: int
@@ -132,6 +130,15 @@
     )
 
 
+def estimate_bytes(told: Record | SuspicionVector) -> float:
+    """Return what a record or a vector costs in a datagram, in bytes."""
+    if not isinstance(told, SuspicionVector):
+        return RECORD_BYTES
+    if len(set(told.counters)) <= 1:
+        return VECTOR_BYTES
+    return VECTOR_BYTES + VECTOR_MEMBER_BYTES * len(told.counters)
+
+
 def compute_copies(nodes: int) -> int:
     """Return how often a change is told in a fleet of `nodes` balancers."""
     return MIN_COPIES + math.ceil(COPIES_FACTOR * math.log(nodes + 1))
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -38,6 +38,9 @@
 CATCH_UP_INTERVAL_MS = Millis(300)
 """The same while a new node is catching up."""
 
+BUCKET_INTERVAL_MS = Millis(1_000)
+"""The least time between two single buckets that are sent."""
+
 BUCKETS_AT_ONCE = 4
 """How many differing buckets one comparison repairs."""
 
@@ -65,6 +68,7 @@
         self._budget = budget
         self._random = random_source
         self._next_at = Millis(0)
+        self._next_bucket_at = Millis(0)
         self._caught_up = False
 
     @property
@@ -127,8 +131,9 @@
     def send_bucket(
         self, bucket: Bucket, destination: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Tell a peer what this node holds of a bucket, as far as there is budget."""
-        if self._budget.get_level(now) > 0:
+        """Tell a peer what this node holds of a bucket, now and then."""
+        if now >= self._next_bucket_at and self._budget.get_level(now) > 0:
+            self._next_bucket_at = Millis(now + BUCKET_INTERVAL_MS)
             yield self._summarise(bucket, destination, now)
 
     def _summarise(self, bucket: Bucket, destination: Endpoint, now: Millis) -> Send:
--- a/src/papayagw/_internal/core/gossip_table.py
+++ b/src/papayagw/_internal/core/gossip_table.py
@@ -6,7 +6,7 @@
 """
 
 import hashlib
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from papayagw._internal.core.directory import AgentDirectory
@@ -40,6 +40,22 @@
     STALE = "stale"
 
 
+@dataclass(frozen=True, slots=True)
+class VectorComparison:
+    """What a suspicion vector says against the records of this node.
+
+    Attributes
+    ----------
+    ahead : tuple of Record
+        Records as the vector has them, where it is ahead.
+    behind : bool
+        Whether it is behind for any record.
+    """
+
+    ahead: tuple[Record, ...]
+    behind: bool
+
+
 class RecordTable:
     """The newest record of each balancer and agent.
 
@@ -168,21 +184,24 @@
         )
         return SuspicionVector(bucket, state.index_digest, counters)
 
-    def read_vector(self, vector: SuspicionVector) -> tuple[Record, ...] | None:
-        """Return the records that `vector` changes, or None if it doesn't apply."""
+    def compare(self, vector: SuspicionVector) -> VectorComparison | None:
+        """Compare a vector with the records here, or return None if it can't be."""
         state = self._buckets.get(vector.bucket)
         if state is None or state.index_digest != vector.index_digest:
             return None
         members = state.list_sorted()
         if len(members) != len(vector.counters):
             return None
-        changed = []
+        ahead: list[Record] = []
+        behind = False
         for endpoint, counter in zip(members, vector.counters, strict=True):
             record = self._records[endpoint]
-            ahead = (counter - record.suspicion) % COUNTER_SPAN
-            if 0 < ahead < COUNTER_SPAN // 2:
-                changed.append(replace(record, suspicion=record.suspicion + ahead))
-        return tuple(changed)
+            steps = (counter - record.suspicion) % COUNTER_SPAN
+            if steps >= COUNTER_SPAN // 2:
+                behind = True
+            elif steps:
+                ahead.append(replace(record, suspicion=record.suspicion + steps))
+        return VectorComparison(tuple(ahead), behind)
 
     def _add(self, record: Record) -> None:
         fingerprint = compute_fingerprint(record)
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -14,8 +14,7 @@
 from papayagw._internal.core.gossip_budget import TokenBucket
 from papayagw._internal.core.gossip_news import (
     RECORD_BYTES,
-    VECTOR_BYTES,
-    VECTOR_MEMBER_BYTES,
+    estimate_bytes,
     make_news,
 )
 from papayagw._internal.core.gossip_probe import Prober
@@ -46,10 +45,19 @@
 )
 from papayagw._internal.models.endpoint import Endpoint
 
-NEWS_BYTES_PER_SECOND = 1_600
-"""What gossip and repair may cost a balancer, sent and received together."""
+CONTROL_BYTES_PER_SECOND = 3_600
+"""What all control traffic may cost a balancer, sent and received together."""
 
-NEWS_BURST_BYTES = 4_000
+PROBE_BYTES_PER_SECOND = 400
+"""What probes and their answers cost without news."""
+
+MIN_NEWS_BYTES_PER_SECOND = 800
+"""What is left for gossip and repair at the least."""
+
+REPAIR_SHARE = 0.4
+"""The share of that which is kept for repair."""
+
+NEWS_BURST_BYTES = 400
 
 MAX_NEWS_BYTES = 1_050
 """The most that news take of one datagram, in bytes."""
@@ -114,10 +122,11 @@
         self._control_address = control_address
         self._random = random_source
         self._fleet = Fleet(own, directory)
-        self._budget = TokenBucket(NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
+        self._budget = TokenBucket(MIN_NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
         self._watcher = Watcher(self._fleet, random_source.randrange(ACK_BEATS))
         self._prober = Prober(random_source)
-        self._repairer = Repairer(self._fleet.table, self._budget, random_source)
+        self._repair_budget = TokenBucket(MIN_NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
+        self._repairer = Repairer(self._fleet.table, self._repair_budget, random_source)
         self._suspects: dict[Endpoint, Millis] = {}
         self._inquirers: dict[int, tuple[Endpoint, Inquiry]] = {}
         self._inquiry_number = _FIRST_INQUIRY
@@ -310,11 +319,12 @@
             return
         self._fanout_at = Millis(now + FANOUT_INTERVAL_MS)
         self._fleet.table.forget_gone(now)
+        self._set_news_rate(now)
         if not self._fleet.news and not self._version_copies:
             return
         self._version_copies = max(0, self._version_copies - 1)
         for peer in self._sample_peers(FANOUT):
-            if self._budget.get_level(now) <= 0 and not self._version_copies:
+            if not self._may_send_news(now) and not self._version_copies:
                 return
             news = self._take_news(now)
             if news == NO_NEWS and not self._version_copies:
@@ -322,6 +332,18 @@
             self._budget.spend(DATAGRAM_BYTES, now)
             yield self._gossip(GossipKind.NEWS, peer, 0, news)
 
+    def _may_send_news(self, now: Millis) -> bool:
+        """Return whether the budget lets a datagram be well filled."""
+        wanted = DATAGRAM_BYTES + RECORD_BYTES * len(self._fleet.news)
+        return self._budget.get_level(now) >= min(wanted, NEWS_BURST_BYTES)
+
+    def _set_news_rate(self, now: Millis) -> None:
+        watching = self._watcher.estimate_bytes_per_second()
+        left = CONTROL_BYTES_PER_SECOND - PROBE_BYTES_PER_SECOND - watching
+        rate = max(MIN_NEWS_BYTES_PER_SECOND, left)
+        self._repair_budget.set_rate(int(REPAIR_SHARE * rate), now)
+        self._budget.set_rate(int((1 - REPAIR_SHARE) * rate), now)
+
     def _take_news(self, now: Millis) -> News:
         room = min(MAX_NEWS_BYTES, self._budget.get_level(now))
         news = self._fleet.news.take(room)
@@ -406,21 +428,14 @@
         for record in news.records:
             self._fleet.merge(record, now)
         for vector in news.vectors:
-            changed = self._fleet.table.read_vector(vector)
-            if changed is None:
+            if not self._fleet.merge_vector(vector, now):
                 yield from self._repairer.send_bucket(vector.bucket, source, now)
-            elif not changed:
-                self._fleet.news.note_heard(vector.bucket)
-            for record in changed or ():
-                self._fleet.merge_quietly(record, now)
-            if changed:
-                self._fleet.news.add_suspicion(vector.bucket, self._fleet.size)
 
     def _on_records(
         self, message: Records, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         news = message.news
-        self._budget.spend(DATAGRAM_BYTES + _estimate_bytes(news), now)
+        self._repair_budget.spend(DATAGRAM_BYTES + _estimate_bytes(news), now)
         newer: list[Record] = []
         for record in news.records:
             outcome = self._fleet.merge_quietly(record, now)
@@ -458,8 +473,4 @@
 
 
 def _estimate_bytes(news: News) -> int:
-    records = RECORD_BYTES * (len(news.agents) + len(news.balancers))
-    members = sum(len(vector.counters) for vector in news.vectors)
-    return records + int(
-        VECTOR_BYTES * len(news.vectors) + VECTOR_MEMBER_BYTES * members
-    )
+    return int(sum(estimate_bytes(one) for one in (*news.records, *news.vectors)))
--- a/src/papayagw/_internal/core/watch.py
+++ b/src/papayagw/_internal/core/watch.py
@@ -4,7 +4,7 @@
 agent's other watchers, and their word counts as a heartbeat.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from papayagw._internal.models.agent import Incarnation
@@ -17,6 +17,9 @@
 SUSPECT_BEATS = 3.0
 """After how many silent intervals a watcher suspects."""
 
+MAX_VOUCHED = 3
+"""How often another watcher's word doubles the patience with an agent."""
+
 FIRST_INTERVAL_MS = Millis(2_000)
 """The interval that is assumed of an agent until it is told one."""
 
@@ -31,6 +34,7 @@
     interval_ms: Millis
     inquired: bool = False
     suspected: bool = False
+    vouched: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +62,11 @@
     def __len__(self) -> int:
         return len(self._watched)
 
+    @property
+    def heard_count(self) -> int:
+        """How many of the agents this node hears itself."""
+        return sum(not watched.vouched for watched in self._watched.values())
+
     def __contains__(self, endpoint: Endpoint) -> bool:
         return endpoint in self._watched
 
@@ -88,6 +97,22 @@
         watched.beat = beat
         watched.heard_at = now
         watched.inquired = watched.suspected = False
+        watched.vouched = 0
+        return True
+
+    def note_voucher(
+        self, endpoint: Endpoint, incarnation: Incarnation, beat: int, now: Millis
+    ) -> bool:
+        """Note another watcher's word, which counts as a heartbeat.
+
+        An agent that others hear and this node doesn't probably has other watchers
+        in its own view, so this node asks about it less and less often.
+        """
+        watched = self._watched.get(endpoint)
+        vouched = 0 if watched is None else watched.vouched
+        if watched is None or not self.note_beat(endpoint, incarnation, beat, now):
+            return False
+        watched.vouched = min(vouched + 1, MAX_VOUCHED)
         return True
 
     def get_beat(
@@ -104,7 +129,8 @@
         inquire: list[Endpoint] = []
         suspect: list[Endpoint] = []
         for endpoint, watched in self._watched.items():
-            beats = (now - watched.heard_at) / watched.interval_ms
+            patience_ms = watched.interval_ms << watched.vouched
+            beats = (now - watched.heard_at) / patience_ms
             if not watched.inquired and beats >= INQUIRE_BEATS:
                 watched.inquired = True
                 inquire.append(endpoint)
@@ -113,6 +139,10 @@
                 suspect.append(endpoint)
         return Silence(tuple(inquire), tuple(suspect))
 
+    def list_watched(self) -> Iterator[tuple[Endpoint, bool]]:
+        """Return each agent and whether its silence is long enough to suspect it."""
+        return ((one, at.suspected) for one, at in self._watched.items())
+
     def list_silent_since(self, since: Millis) -> Sequence[Endpoint]:
         """Return the agents that weren't heard after `since`."""
         return [one for one, at in self._watched.items() if at.heard_at < since]
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -11,6 +11,7 @@
 from papayagw._internal.core.fleet import WATCHERS, Fleet
 from papayagw._internal.core.gossip_table import compute_fingerprint
 from papayagw._internal.core.watch import SUSPECT_BEATS, WatchList
+from papayagw._internal.core.zone_loss import ZoneLossDetector
 from papayagw._internal.models.agent import AgentRecord, AgentState, Incarnation
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
 from papayagw._internal.models.control import (
@@ -26,10 +27,13 @@
 HEARTBEAT_BYTES = 72
 """What a heartbeat costs on the wire, in bytes."""
 
-HEARTBEAT_BYTES_PER_SECOND = 1_800
+ACKNOWLEDGEMENT_BYTES = 100
+"""What an acknowledgement without siblings costs on the wire, in bytes."""
+
+HEARTBEAT_BYTES_PER_SECOND = 1_500
 """What the heartbeats that one balancer receives may cost."""
 
-MIN_INTERVAL_MS = Millis(250)
+MIN_INTERVAL_MS = Millis(400)
 MAX_INTERVAL_MS = Millis(3_000)
 
 ACK_BEATS = 5
@@ -65,6 +69,7 @@
         self._fleet = fleet
         self._ack_offset = ack_offset
         self._watch = WatchList()
+        self._zone_loss = ZoneLossDetector(fleet, self._watch)
         self._configuration_version = 0
         self._next_abandon_at = Millis(0)
         self._audit_queue: list[AgentRecord] = []
@@ -86,6 +91,12 @@
         interval = int(seconds * MILLIS_PER_SECOND)
         return Millis(max(MIN_INTERVAL_MS, min(MAX_INTERVAL_MS, interval)))
 
+    def estimate_bytes_per_second(self) -> int:
+        """Return what heartbeats and their acknowledgements cost."""
+        each = HEARTBEAT_BYTES + ACKNOWLEDGEMENT_BYTES // ACK_BEATS
+        per_interval = self._watch.heard_count * each
+        return per_interval * MILLIS_PER_SECOND // self.compute_interval()
+
     def on_announcement(self, message: Announcement, now: Millis) -> Iterator[Send]:
         """Take in an agent's record and acknowledge it."""
         self._fleet.merge(message.record, now)
@@ -100,10 +111,11 @@
         if not _is_current(known, message):
             yield self._acknowledge(message.endpoint, message.siblings_digest, now)
             return
-        if not self._note_beat(
+        if not self._watch.note_beat(
             message.endpoint, message.incarnation, message.beat, now
         ):
             return
+        self._refute(message.endpoint, now)
         if (message.beat + self._ack_offset) % ACK_BEATS == 0:
             yield self._acknowledge(message.endpoint, message.siblings_digest, now)
 
@@ -118,8 +130,11 @@
 
     def on_voucher(self, message: Voucher, now: Millis) -> None:
         """Take another watcher's word for a heartbeat."""
-        if message.endpoint in self._watch:
-            self._note_beat(message.endpoint, message.incarnation, message.beat, now)
+        heard = self._watch.note_voucher(
+            message.endpoint, message.incarnation, message.beat, now
+        )
+        if heard:
+            self._refute(message.endpoint, now)
 
     def on_tick(self, isolated: bool, now: Millis) -> Iterator[Send]:
         """Ask about silent agents, suspect them, give them up."""
@@ -129,6 +144,8 @@
         cut_off = isolated and self._is_all_silent(now)
         for endpoint in silence.suspect:
             self._suspect(endpoint, cut_off, now)
+        if not cut_off:
+            self._zone_loss.on_tick(now)
         self._audit(now)
         if now >= self._next_abandon_at:
             self._next_abandon_at = Millis(now + ABANDON_CHECK_MS)
@@ -138,15 +155,10 @@
         """Forgive all a silence during which this node was itself paused."""
         self._watch.excuse(pause_ms)
 
-    def _note_beat(
-        self, endpoint: Endpoint, incarnation: Incarnation, beat: int, now: Millis
-    ) -> bool:
-        if not self._watch.note_beat(endpoint, incarnation, beat, now):
-            return False
+    def _refute(self, endpoint: Endpoint, now: Millis) -> None:
         known = self._fleet.table.get(endpoint)
         if known is not None and known.is_suspected:
             self._fleet.set_suspicion(known, now)
-        return True
 
     def _acknowledge(self, agent: Endpoint, digest: int, now: Millis) -> Send:
         known = self._fleet.table.get(agent)
--- a/src/papayagw/_internal/wire/control.capnp
+++ b/src/papayagw/_internal/wire/control.capnp
@@ -30,7 +30,7 @@
   number @1 :UInt8;
   zone @2 :UInt8;    # index into the zones of the message
   length @3 :UInt16;
-  counters @4 :Data; # two to a byte, the lower half first
+  counters @4 :Data; # two to a byte, the lower half first; one if all are equal
 }
 
 struct Heartbeat {
--- a/src/papayagw/_internal/wire/control.py
+++ b/src/papayagw/_internal/wire/control.py
@@ -51,6 +51,7 @@
 _PORT_MASK = 0xFFFF
 _COUNTER_BITS = 4
 _COUNTER_MASK = 0x0F
+_PAIR = 2
 
 _schema = capnp.load(str(Path(__file__).with_name("control.capnp")))
 
@@ -216,12 +217,16 @@
 
 
 def _pack_counters(counters: Sequence[int]) -> bytes:
+    if len(counters) > _PAIR and len(set(counters)) == 1:
+        return bytes((counters[0],))
     padded = (*counters, 0)
     pairs = zip(padded[::2], padded[1::2], strict=False)
     return bytes(low | high << _COUNTER_BITS for low, high in pairs)
 
 
 def _unpack_counters(packed: bytes, length: int) -> tuple[int, ...]:
+    if len(packed) == 1 and length > _PAIR:
+        return (packed[0] & _COUNTER_MASK,) * length
     counters: list[int] = []
     for pair in packed:
         counters += (pair & _COUNTER_MASK, pair >> _COUNTER_BITS)
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -8,7 +8,7 @@
 from papayagw._internal.core.announcer import AgentAnnouncer
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.core.membership import BalancerMembership
-from papayagw._internal.models.agent import AgentRecord, Incarnation
+from papayagw._internal.models.agent import AgentRecord, AgentState, Incarnation
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.control import BalancerRecord, Send
 from papayagw._internal.models.endpoint import Endpoint
@@ -88,7 +88,7 @@
             self._deliver()
             for endpoint, node in self._list_nodes():
                 if endpoint not in self.frozen:
-                    self.send_all(endpoint, node.on_tick(self.now))
+                    self.tick(endpoint, node)
             self._deliver()
 
     def send_all(self, source: Endpoint, sends: tuple[Send, ...]) -> None:
@@ -109,7 +109,7 @@
         if destination == CONTROL_ADDRESS:
             if not self.balancers:
                 return
-            destination = self.random.choice(sorted(self.balancers))
+            destination = self.random.choice(list(self.balancers))
         is_cut = any(
             source in ones and destination in others for ones, others in self.cut
         )
@@ -139,6 +139,9 @@
         sends = node.on_message(send.message, source, self.now)
         self.send_all(destination, sends)
 
+    def tick(self, endpoint: Endpoint, node: Node) -> None:
+        self.send_all(endpoint, node.on_tick(self.now))
+
     def _list_nodes(self) -> list[tuple[Endpoint, Node]]:
         return [*self.balancers.items(), *self.agents.items()]
 
@@ -149,4 +152,6 @@
 def restart(record: AgentRecord) -> AgentRecord:
     """Return the record of the next run of an agent."""
     incarnation = Incarnation(record.incarnation + 1_000)
-    return replace(record, incarnation=incarnation, sequence=1, suspicion=0)
+    return replace(
+        record, incarnation=incarnation, sequence=1, state=AgentState.READY, suspicion=0
+    )
--- a/tests/unit/test_control_codec.py
+++ b/tests/unit/test_control_codec.py
@@ -30,6 +30,9 @@
 VECTORS = (
     SuspicionVector(BUCKET, 2**32 - 1, (1, 15, 0)),
     SuspicionVector(Bucket("b", 0), 8, (0, 2, 0, 4)),
+    SuspicionVector(Bucket("b", 1), 8, (5,) * 70),
+    SuspicionVector(Bucket("b", 2), 8, (0, 3)),
+    SuspicionVector(Bucket("b", 3), 8, (7,)),
 )
 NEWS = News((AGENT, make_record(4)), (BALANCER,), VECTORS)
 HEARTBEAT = Heartbeat(AGENT.endpoint, RUN, 3, 900, 77)
