--- /dev/null
+++ b/src/papayagw/_internal/cli/commands/connect.py
@@ -0,0 +1,44 @@
+"""``papayagw connect``: the callers' side."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+from papayagw._internal.cli.loading import unwrap
+from papayagw._internal.cli.running import make_identity, run_observed
+from papayagw._internal.models.status import Role
+from papayagw._internal.net.clock import MonotonicClock
+from papayagw._internal.net.connect_account import ConnectAccount
+from papayagw._internal.net.connect_process import ConnectProcess
+from papayagw._internal.settings.node import load_connect
+
+
+class ConnectCommand:
+    """Carry ordinary TCP connections as flows."""
+
+    @property
+    def run(self) -> Callable[..., int]:
+        """Carry the command out."""
+        return run_connect
+
+
+def run_connect(settings: str) -> int:
+    """Listen on TCP and carry each connection to its service as one flow.
+
+    SIGTERM takes no more connections and waits for those that are open, up to
+    the setting stop_limit_ms; a second SIGTERM stops at once.
+
+    Parameters
+    ----------
+    settings : str
+        The settings file of this process.
+    """
+    read = unwrap(load_connect(Path(settings)))
+    clock = MonotonicClock()
+    process = ConnectProcess(read, clock)
+    name = f"connect-{read.admin or read.listeners[0].listen}"
+    identity = make_identity(name, Role.CONNECT, zone="")
+    account = ConnectAccount(identity, read, process, clock)
+    return run_observed(process, account, read)
+
+
+COMMAND = ConnectCommand()
--- /dev/null
+++ b/src/papayagw/_internal/wire/configuration.py
@@ -0,0 +1,165 @@
+"""Encoding of configurations as packed Cap'n Proto messages.
+
+The platform's service holds the same bytes that peers hand each other, so a node can
+put back what it holds, byte for byte. The commands show operators what the bytes
+say, so the stored value needn't be text.
+"""
+
+from ipaddress import IPv4Address
+from pathlib import Path
+from typing import Any
+
+import capnp
+from returns.result import Failure, Result, Success
+
+from papayagw._internal.exceptions import DecodeError, Step
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.configuration import (
+    KEY_BYTES,
+    Configuration,
+    FleetKey,
+    Site,
+    SubmissionMark,
+)
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.service import Objectives, Service, ServiceId
+
+capnp.remove_import_hook()
+SCHEMA = capnp.load(str(Path(__file__).with_name("configuration.capnp")))
+
+
+def write_configuration(configuration: Configuration) -> bytes:
+    """Return the bytes of a configuration."""
+    message = SCHEMA.Configuration.new_message(**make_fields(configuration))
+    written: bytes = message.to_bytes_packed()
+    return written
+
+
+def make_fields(configuration: Configuration) -> dict[str, Any]:
+    """Return the fields of the message of a configuration."""
+    site = configuration.site
+    return {
+        "version": configuration.version,
+        "history": [write_mark(one) for one in configuration.history],
+        "name": site.name,
+        "controlAddress": write_endpoint(site.control_address),
+        "zones": list(site.zones),
+        "services": [write_service(one) for one in site.services],
+        "keys": [write_key(one) for one in site.keys],
+    }
+
+
+def read_configuration(data: bytes) -> Result[Configuration, DecodeError]:
+    """Return the configuration that bytes hold, or why they hold none."""
+    try:
+        message = SCHEMA.Configuration.from_bytes_packed(data)
+        return Success(read_message(message))
+    except (capnp.KjException, ValueError) as error:
+        return Failure(_bad(str(error).splitlines()[0]))
+
+
+def _bad(what: str) -> DecodeError:
+    return DecodeError(
+        f"not a configuration: {what}",
+        step=Step.DECODE,
+        remedy="submit the site again with this release",
+    )
+
+
+def read_message(message: Any) -> Configuration:
+    """Return the configuration of a message.
+
+    Raises
+    ------
+    ValueError
+        If a field doesn't hold what it must.
+    """
+    site = Site(
+        name=message.name,
+        control_address=read_endpoint(message.controlAddress),
+        zones=tuple(message.zones),
+        services=tuple(read_service(one) for one in message.services),
+        keys=tuple(read_key(one) for one in message.keys),
+    )
+    if not (site.services and site.keys):
+        raise ValueError("no services or no keys")
+    history = tuple(read_mark(one) for one in message.history)
+    return Configuration(message.version, site, history)
+
+
+def read_key(message: Any) -> FleetKey:
+    """Return the fleet key of a message."""
+    secret = bytes(message.secret)
+    if len(secret) != KEY_BYTES:
+        raise ValueError("a key of the wrong length")
+    return FleetKey(message.keyId, secret)
+
+
+def write_key(key: FleetKey) -> dict[str, Any]:
+    """Return the fields of a fleet key."""
+    return {"keyId": key.key_id, "secret": key.secret}
+
+
+def read_mark(message: Any) -> SubmissionMark:
+    """Return the submission's mark of a message."""
+    return SubmissionMark(message.version, message.submissionId, message.operator)
+
+
+def write_mark(mark: SubmissionMark) -> dict[str, Any]:
+    """Return the fields of a submission's mark."""
+    return {
+        "version": mark.version,
+        "submissionId": mark.submission_id,
+        "operator": mark.operator,
+    }
+
+
+def write_endpoint(endpoint: Endpoint) -> dict[str, int]:
+    """Return the fields of an endpoint."""
+    return {"ip": int(IPv4Address(endpoint.ip)), "port": endpoint.port}
+
+
+def read_endpoint(message: Any) -> Endpoint:
+    """Return the endpoint of a message."""
+    if not message.port:
+        raise ValueError("an address without a port")
+    return Endpoint(str(IPv4Address(message.ip)), message.port)
+
+
+def write_service(service: Service) -> dict[str, Any]:
+    """Return the fields of a service."""
+    return {
+        "name": service.name,
+        "serviceId": service.service_id,
+        "address": write_endpoint(service.address),
+        "idempotent": service.idempotent,
+        "maxFlows": service.max_flows,
+        "idleTimeoutMs": service.idle_timeout_ms,
+        "probeIntervalMs": service.probe_interval_ms,
+        "drainLimitMs": service.drain_limit_ms,
+        "availability": service.objectives.availability,
+        "latencyMs": service.objectives.latency_ms,
+        "latencyShare": service.objectives.latency_share,
+        "imbalance": service.objectives.imbalance,
+    }
+
+
+def read_service(message: Any) -> Service:
+    """Return the service of a message."""
+    objectives = Objectives(
+        availability=message.availability,
+        latency_ms=Millis(message.latencyMs),
+        latency_share=message.latencyShare,
+        imbalance=message.imbalance,
+    )
+    return Service(
+        name=message.name,
+        service_id=ServiceId(message.serviceId),
+        address=read_endpoint(message.address),
+        idempotent=message.idempotent,
+        max_flows=message.maxFlows,
+        idle_timeout_ms=Millis(message.idleTimeoutMs),
+        probe_interval_ms=Millis(message.probeIntervalMs),
+        drain_limit_ms=Millis(message.drainLimitMs),
+        objectives=objectives,
+    )
