--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -6,11 +6,13 @@
 
 from papayagw._internal.cli.loading import start_source, unwrap
 from papayagw._internal.cli.running import make_identity, run_observed
+from papayagw._internal.core.admission import make_adaptive
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.announcer import AgentAnnouncer
 from papayagw._internal.core.choice import RendezvousChooser
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.exceptions import SettingsError, Step
+from papayagw._internal.models.admission import AdmissionPolicy
 from papayagw._internal.models.agent import AgentRecord
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
@@ -76,7 +78,10 @@
     announcer = AgentAnnouncer(
         own, configuration.site.control_address, siblings, random.Random()
     )
-    return AgentProcess(settings, configuration, core, announcer, clock, log, source)
+    admission = make_adaptive(AdmissionPolicy(max_flows=service.max_flows))
+    return AgentProcess(
+        settings, configuration, core, admission, announcer, clock, source, log
+    )
 
 
 def _find_service(settings: AgentSettings, configuration: Configuration) -> Service:
--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -51,7 +51,7 @@
         random.Random(),
     )
     process = BalancerProcess(
-        read, configuration, directory, membership, clock, log, source
+        read, configuration, directory, membership, clock, source, log
     )
     identity = make_identity(node.name, Role.BALANCER, node.zone)
     account = BalancerAccount(
--- a/src/papayagw/_internal/cli/loading.py
+++ b/src/papayagw/_internal/cli/loading.py
@@ -39,7 +39,7 @@
     node : NodeSettings
         The node's settings.
     log : Log
-        Where it is logged that a source gives no answer.
+        Where trouble with the platform is logged.
     serves_peers : bool
         Whether peers ask this node for the configuration.
     """
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -120,13 +120,6 @@
         self._answered += 1
         entry.send(frame[ENVELOPE_BYTES:], client)
 
-    def _drop(self, reason: DropReason, source: tuple[str, int]) -> None:
-        self._drops[reason] += 1
-        peer = f"{source[0]}:{source[1]}"
-        self._log.limited(
-            f"packet dropped: {reason.value}", step=Step.FORWARD, peer=peer
-        )
-
     def _on_passed(self, frame: bytes, source: tuple[str, int]) -> None:
         envelope = self._envelopes.read(frame)
         if envelope is None:
@@ -154,6 +147,13 @@
             self._reset_count += 1
             self._entries[service_id].send(self._resets.make_datagram(tag), client)
 
+    def _drop(self, reason: DropReason, source: tuple[str, int]) -> None:
+        self._drops[reason] += 1
+        peer = f"{source[0]}:{source[1]}"
+        self._log.limited(
+            f"packet dropped: {reason.value}", step=Step.FORWARD, peer=peer
+        )
+
     def _decide(self, service_id: ServiceId, datagram: bytes) -> BalancerDecision:
         connection_id = read_connection_id(datagram)
         if connection_id is None:
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -36,10 +36,10 @@
         Its part in the membership.
     clock : Clock
         The time.
-    log : Log
-        Where dropped packets are logged.
     source : ConfigurationSource
         Where later configurations come from; it has been started.
+    log : Log
+        Where dropped packets are logged.
     """
 
     def __init__(
@@ -49,8 +49,8 @@
         directory: AgentDirectory,
         membership: BalancerMembership,
         clock: Clock,
-        log: Log,
         source: ConfigurationSource,
+        log: Log,
     ):
         self._settings = settings
         self._configuration = configuration
