Add the operators' page and log each configuration that comes into force

Cause: no page told operators how to start, watch and stop the daemons, what each field, metric and exit code means and what to do when something fails.

The page says what was seen in trials of small fleets on one machine, with kills of balancer, agent, backend server and platform: tests compare its names with the code and with what a running fleet counts and logs.

Seen in these trials and not mended here: a feed is cut 30 s after its agent's first SIGTERM (stop_limit_ms, not the service's drain_limit_ms of 600 s); an agent that is killed and not started again leaves its callers waiting for 61 s (idle timeout; balancers end flows only of agents that are gone, and a killed one isn't for 600 s); with one of two backend servers dead 1 to 3 of 20 orders were refused, since its agent still takes openings.

--- a/src/papayagw/_internal/net/account.py
+++ b/src/papayagw/_internal/net/account.py
@@ -41,6 +41,10 @@
     def identity(self) -> NodeIdentity:
         """Who it is."""
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force."""
+
     def read_counts(self) -> Mapping[str, int]:
         """Return the counts since the start, by the names of their metrics."""
 
--- a/src/papayagw/_internal/net/agent_account.py
+++ b/src/papayagw/_internal/net/agent_account.py
@@ -54,6 +54,11 @@
         """Who it is."""
         return self._identity
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force."""
+        return self._read_configuration().version
+
     def read_counts(self) -> Mapping[str, int]:
         """Return the counts since the start, by the names of their metrics."""
         counts = self._process.packets.counts
@@ -67,7 +72,7 @@
             "agent.weight": self._announcer.own.weight,
             "agent.watchers": len(self._announcer.watchers),
             "agent.siblings": len(self._announcer.siblings.records),
-            "agent.configuration-version": self._read_configuration().version,
+            "agent.configuration-version": self.configuration_version,
         }
 
     def take_timings(self) -> Mapping[str, Sequence[float]]:
--- a/src/papayagw/_internal/net/balancer_account.py
+++ b/src/papayagw/_internal/net/balancer_account.py
@@ -54,6 +54,11 @@
         """Who it is."""
         return self._identity
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force."""
+        return self._read_configuration().version
+
     def read_counts(self) -> Mapping[str, int]:
         """Return the counts since the start, by the names of their metrics."""
         packets = self._process.packets
@@ -76,7 +81,7 @@
             "balancer.agents": len(self._membership.directory.records),
             "balancer.peers": len(self._membership.peers),
             "balancer.watched": self._membership.watched_count,
-            "balancer.configuration-version": self._read_configuration().version,
+            "balancer.configuration-version": self.configuration_version,
         }
 
     def take_timings(self) -> Mapping[str, Sequence[float]]:
--- a/src/papayagw/_internal/net/connect_account.py
+++ b/src/papayagw/_internal/net/connect_account.py
@@ -43,6 +43,11 @@
         """Who it is."""
         return self._identity
 
+    @property
+    def configuration_version(self) -> int:
+        """A caller's machine has no configuration but its own settings."""
+        return 0
+
     @property
     def _pairs(self) -> tuple[tuple[Listener, ServiceConnector], ...]:
         connectors = self._process.connectors
--- a/src/papayagw/_internal/net/observed.py
+++ b/src/papayagw/_internal/net/observed.py
@@ -59,7 +59,7 @@
         async with anyio.create_task_group() as tasks:
             for helper in self._helpers:
                 tasks.start_soon(helper.run)
-            tasks.start_soon(self._flush_logs)
+            tasks.start_soon(self._keep_logs)
             await self._daemon.run()
 
     async def drain(self) -> None:
@@ -69,10 +69,14 @@
         await self._daemon.drain()
         self._log.info("drained", **self._describe())
 
-    async def _flush_logs(self) -> None:
+    async def _keep_logs(self) -> None:
+        version = self._account.configuration_version
         while True:
             await anyio.sleep(to_seconds(FLUSH_INTERVAL_MS))
             self._log.flush_suppressed()
+            if self._account.configuration_version != version:
+                version = self._account.configuration_version
+                self._log.info("configuration in force", configuration_version=version)
 
     def _make_helpers(
         self, settings: ProcessSettings
--- a/src/papayagw/_internal/observe/plain.py
+++ b/src/papayagw/_internal/observe/plain.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import MISSING, fields, is_dataclass
 from enum import Enum
+from functools import cache
 from types import NoneType, UnionType
 from typing import Any, NewType, TypeVar, Union, get_args, get_origin, get_type_hints
 
@@ -50,7 +51,7 @@
 def _read_dataclass(kind: Any, value: object, path: str) -> Any:
     if not isinstance(value, dict):
         raise _mismatch("an object", value, path)
-    hints = get_type_hints(kind)
+    hints = _find_hints(kind)
     found: dict[str, Any] = {}
     for one in fields(kind):
         if one.name in value:
@@ -61,9 +62,16 @@
     return kind(**found)
 
 
+@cache
+def _find_hints(kind: type) -> dict[str, Any]:
+    return get_type_hints(kind)
+
+
 def _read_tuple(kind: Any, value: object, path: str) -> tuple[Any, ...]:
     if not isinstance(value, list):
         raise _mismatch("a list", value, path)
+    if kind is int and all(type(one) is int for one in value):
+        return tuple(value)
     return tuple(_read(kind, one, f"{path}[{at}]") for at, one in enumerate(value))
 
 
--- a/tests/processes/test_operating.py
+++ b/tests/processes/test_operating.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from papayagw._internal.models.decision import DropReason
 from tests.lib.processes import ROOT, environment, running
 from tools.fleet import Fleet, ask
 from tools.fleet_folder import FleetPlan, Hosts, make_balancer, write_folder
@@ -83,6 +84,20 @@
     assert ("balancer.forwarded" in out) == bool(flags)
 
 
+def test_operating_page_names_every_counter(admins):
+    page = (ROOT / "docs" / "OPERATING.md").read_text()
+    reasons = [one.value for one in DropReason]
+    documented = page.replace("SERVICE", "order").replace("`, `.", "`, `connect.order.")
+    for node in read_status(admins):
+        for counter in node["counters"]:
+            name, _, reason = counter["name"].rpartition("drop.")
+            if name and reason in reasons:
+                assert f"`{reason}`" in documented
+                assert f"`{name}drop.REASON`" in documented
+            else:
+                assert f"`{counter['name']}`" in documented
+
+
 def test_records_of_a_fleet_become_a_report(fleet, admins, tmp_path):
     records = tmp_path / "records"
     watch = "status", *admins, "--record", records, "--every", 0.2, "--rounds", 3
@@ -164,6 +179,8 @@
         assert process.wait(20) == 0
     lines = [json.loads(line) for line in capfd.readouterr().err.splitlines()]
     messages = [one["message"] for one in lines]
+    page = (ROOT / "docs" / "OPERATING.md").read_text()
+    assert all(f"`{field}`" in page for one in lines for field in one)
     assert messages[0] == "started"
     assert messages[-3:] == ["draining", "drained", "stopped"]
     assert 3 <= messages.count("packet dropped: malformed") < 50
