Kill a balancer in each second of the churn

Cause: the bench waited for the started balancer, so that 30 kills took 60 s. Now the schedule is fixed and nothing is waited for.

--- a/bench/balancer_churn.py
+++ b/bench/balancer_churn.py
@@ -1,8 +1,8 @@
 """Flows that carry numbered data while balancers are killed and started.
 
 ``python -m bench.balancer_churn`` ends one of three balancers with SIGKILL each
-second and starts the one that it ended before, while half of the flows are feeds
-and half echo numbered lines. It exits with 1 on any fault.
+second and starts the one that it ended a second before, while half of the flows
+are feeds and half echo numbered lines. It exits with 1 on any fault.
 """
 
 import random
@@ -28,19 +28,23 @@
 PLAN = FleetPlan(hosts=(Hosts("order", 2), Hosts("ledger", 2)), block=42)
 
 
-async def churn(fleet: Fleet, seconds: int, seed: int) -> int:
-    """Kill one balancer a second and start the one before; return the kills."""
+async def churn(fleet: Fleet, seconds: int, seed: int) -> None:
+    """Each second kill one balancer and start the one that was killed before.
+
+    A balancer that starts is not waited for, so that for part of each second only
+    one of three is there.
+    """
     draw = random.Random(seed)
     names = list(fleet.settings.balancers)
     dead = None
-    for _ in range(seconds):
+    started = anyio.current_time()
+    for number in range(1, seconds + 1):
         victim = draw.choice([name for name in names if name != dead])
         fleet.kill(victim)
         if dead is not None:
-            await anyio.to_thread.run_sync(fleet.start_one, dead)
+            fleet.spawn(dead)
         dead = victim
-        await anyio.sleep(1)
-    return seconds
+        await anyio.sleep_until(started + number)
 
 
 async def run(fleet: Fleet, flows: int, seconds: int, seed: int) -> LoadReport:
@@ -80,7 +84,8 @@
     print(describe_machine())
     print(report.format_table())
     print(
-        f"balancers killed {seconds}, seed {seed}, flows {flows}, done {done},"
+        f"balancers killed {seconds} in as many seconds, seed {seed},"
+        f" flows {flows}, done {done},"
         f" broken {report.outcomes['broken']}, crossed {report.outcomes['crossed']},"
         f" lines {lines}, about {lines * LINE_BYTES} bytes, {report.seconds:.1f} s"
     )
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -95,14 +95,29 @@
     def start(self) -> None:
         """Start all processes, and wait until each service answers."""
         for name in self.names:
-            self._spawn(name)
+            self.spawn(name)
         for name in self.names:
             self._wait_ready(name)
         self.wait_serving()
 
+    def spawn(self, name: str) -> None:
+        """Start one process without waiting for it."""
+        with (
+            self._output_file(name).open("w", encoding="utf-8") as output,
+            (self._logs / f"{name}.err").open("a", encoding="utf-8") as errors,
+        ):
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "papayagw", *self._make_words(name)],
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=errors,
+            )
+
     def start_one(self, name: str) -> None:
         """Start one process and wait until it is ready."""
-        self._spawn(name)
+        self.spawn(name)
         self._wait_ready(name)
 
     def kill(self, name: str) -> None:
@@ -140,20 +155,6 @@
                     raise FleetError(f"{service} doesn't answer at {target}")
                 time.sleep(_POLL_S)
 
-    def _spawn(self, name: str) -> None:
-        with (
-            self._output_file(name).open("w", encoding="utf-8") as output,
-            (self._logs / f"{name}.err").open("a", encoding="utf-8") as errors,
-        ):
-            self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "papayagw", *self._make_words(name)],
-                cwd=ROOT,
-                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=errors,
-            )
-
     def _make_words(self, name: str) -> list[str]:
         if name == FABRIC:
             return ["standin", FABRIC, *self._settings.routes, *self._fabric_flags]
