--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -40,12 +40,16 @@
         The time.
     on_removed : callable
         Told of each handler whose flow is over.
+    log : Log
+        Where faults that end a flow are logged.
     """
 
-    def __init__(self, clock: Clock, on_removed: Callable[[FlowHandler], None]):
+    def __init__(
+        self, clock: Clock, on_removed: Callable[[FlowHandler], None], log: Log
+    ):
         self._clock = clock
         self._on_removed = on_removed
-        self._log = Log()
+        self._log = log
         self._handlers: dict[bytes, FlowHandler] = {}
         self._ids: dict[FlowHandler, tuple[bytes, ...]] = {}
         self._touched: dict[FlowHandler, None] = {}
