Prove that established flows survive changes and a rotation of keys

A flow that echoes lines is held through a change, the two steps of a key rotation, another change and an outage of the platform, over 4 balancers, an agent and connect as processes.

--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -21,15 +21,18 @@
 from bench.usage import describe_machine
 from papayagw._internal.core.submission import Accepted, Proposal
 from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.net.configuration_store import ConfigurationStore
 from papayagw._internal.net.submission import submit
 from papayagw._internal.platform.etcd import EtcdStore
+from papayagw._internal.settings.development_keys import make_development_keys
 from papayagw._internal.settings.site import load_site
 from tests.lib.processes import running
 from tools.fleet_folder import (
     BASE,
     KEYS,
     OVERLAY,
+    SUFFIX,
     FleetPlan,
     Hosts,
     make_balancer,
@@ -62,39 +65,49 @@
         self._run("standin", "platform", "--listen", self.platform)
         numbers = range(1, self._plan.balancers + 1)
         inner = [make_balancer(self._plan, one)["inner"] for one in numbers]
-        control = self.load_site().control_address
-        self._run("standin", "fabric", f"{control}={','.join(inner)}")
+        site = load_site(self._folder / BASE, self._folder / OVERLAY).unwrap()
+        routes = [f"{site.control_address}={','.join(inner)}"]
+        for service in site.services:
+            port = service.address.port
+            targets = [one.replace(":4300", f":{port}") for one in inner]
+            routes.append(f"{service.address}={','.join(targets)}")
+        self._run("standin", "fabric", *routes)
         self.submit(0)
         for number in numbers[:-1]:
             self.start_balancer(number)
 
     def start_balancer(self, number):
         """Start one balancer, which asks the platform and two peers."""
-        settings = make_balancer(self._plan, number)
-        del settings["base"], settings["overlay"]
-        settings |= {
-            "site": SITE,
-            "platform": [self.url],
-            "peers": [make_balancer(self._plan, one)["inner"] for one in (1, 2)],
-            "keys": [{"id": 1, "file": f"{KEYS}/fleet.key"}],
-        }
-        file = self._folder / f"platform-{number}.jsonc"
-        file.write_text(json.dumps(settings), encoding="utf-8")
-        self._run("balancer", file)
-        self.nodes[settings["name"]] = settings["admin"]
-
-    def load_site(self, max_flows=None):
-        """Return the site of the files, after an edit of the overlay."""
+        self._start_node("balancer", make_balancer(self._plan, number))
+
+    def start_path(self, service):
+        """Start a backend server of a service, its agent and the callers' side."""
+        name = f"agent-{service}-1"
+        settings = self._read(f"{name}{SUFFIX}")
+        backend = "--listen", settings["backend"], "--kind", service
+        self._run("standin", "backend", *backend, "--name", f"{service}-1")
+        self._start_node("agent", settings)
+        self._run("connect", self._folder / f"connect{SUFFIX}")
+        listeners = self._read(f"connect{SUFFIX}")["listeners"]
+        listen = next(one["listen"] for one in listeners if one["service"] == service)
+        return Endpoint.parse(listen)
+
+    def make_fleet_key(self, name):
+        """Write a new fleet key and return its file as the settings name it."""
+        make_development_keys(self._folder / name, ("order",))
+        return f"{name}/fleet.key"
+
+    def submit(self, change, edit=None):
+        """Submit the files after an edit of the overlay, and return the version."""
         overlay = self._folder / OVERLAY
-        if max_flows is not None:
-            content = json.loads(overlay.read_text(encoding="utf-8"))
-            content["services"]["order"]["max_flows"] = max_flows
-            overlay.write_text(json.dumps(content), encoding="utf-8")
-        return load_site(self._folder / BASE, overlay).unwrap()
-
-    def submit(self, change):
-        """Submit a change and return its version."""
-        proposal = Proposal(self.load_site(1_000 + change), f"change-{change}", "bench")
+        content = self._read(OVERLAY)
+        if edit is None:
+            content["services"]["order"]["max_flows"] = 1_000 + change
+        else:
+            edit(content)
+        overlay.write_text(json.dumps(content), encoding="utf-8")
+        site = load_site(self._folder / BASE, overlay).unwrap()
+        proposal = Proposal(site, f"change-{change}", "bench")
         outcome = anyio.run(_submit, self.url, proposal)
         assert isinstance(outcome, Accepted), outcome
         return outcome.version
@@ -121,6 +134,26 @@
         """Return the version that the platform holds."""
         return anyio.run(_read_held, self.url)
 
+    def wait_in_force(self, version):
+        """Return how many ms it took until a version was in force everywhere."""
+        return wait_until(lambda: set(self.read_versions().values()) == {version})
+
+    def _start_node(self, role, settings):
+        del settings["base"], settings["overlay"]
+        settings |= {
+            "site": SITE,
+            "platform": [self.url],
+            "peers": [make_balancer(self._plan, one)["inner"] for one in (1, 2)],
+            "keys": [{"id": 1, "file": f"{KEYS}/fleet.key"}],
+        }
+        file = self._folder / f"platform-{settings['name']}{SUFFIX}"
+        file.write_text(json.dumps(settings), encoding="utf-8")
+        self._run(role, file)
+        self.nodes[settings["name"]] = settings["admin"]
+
+    def _read(self, name):
+        return json.loads((self._folder / name).read_text(encoding="utf-8"))
+
     def _run(self, *words):
         self._stack.enter_context(running(*words))
 
@@ -155,10 +188,7 @@
     before = bench.count_calls()
     in_force = []
     for change in range(1, changes + 1):
-        version = bench.submit(change)
-        in_force.append(
-            wait_until(lambda: set(bench.read_versions().values()) == {version})  # noqa: B023
-        )
+        in_force.append(bench.wait_in_force(bench.submit(change)))
     after = bench.count_calls()
     calls = {kind: after[kind] - before.get(kind, 0) for kind in after}
     print(f"changes {changes}: in force at {len(bench.nodes)} balancers after")
@@ -183,7 +213,7 @@
     """Print what happens when the platform goes back to an older copy."""
     bench.control("copies/older")
     newest = bench.submit(change)
-    wait_until(lambda: set(bench.read_versions().values()) == {newest})
+    bench.wait_in_force(newest)
     bench.control("restore/older")
     held = bench.read_held()
     mended = wait_until(lambda: bench.read_held() == newest)
--- a/src/papayagw/_internal/core/transition.py
+++ b/src/papayagw/_internal/core/transition.py
@@ -1,7 +1,8 @@
 """Whether one version of a site may follow another.
 
-For some seconds both are in force, at different nodes. So a tag that one node seals
-must open at every other, and a number must never mean two services.
+For some seconds both are in force, at different nodes. So what one node seals
+must open at every other, or the fleet falls apart in two, and a number must never mean
+two services.
 """
 
 from collections.abc import Iterator
@@ -72,11 +73,11 @@
             "it would seal before every node can open: submit it behind the old key "
             "first, in front of it next"
         )
-        yield Objection(f"keys.{after.keys[0].key_id}", reason, is_final=False)
+        yield Objection(f"keys.{after.keys[0].key_id}", reason, is_final=True)
     sealing = before.keys[0].key_id
     if all(key.key_id != sealing for key in after.keys):
         reason = "it seals now: keep it behind the new key until its flows have ended"
-        yield Objection(f"keys.{sealing}", reason, is_final=False)
+        yield Objection(f"keys.{sealing}", reason, is_final=True)
 
 
 def _object_to_addresses(before: Site, after: Site) -> Iterator[Objection]:
--- /dev/null
+++ b/tests/processes/test_configuration_in_force.py
@@ -0,0 +1,72 @@
+import os
+import socket
+
+import pytest
+
+from bench.config_in_force import (
+    measure_changes,
+    measure_outage,
+    measure_restore,
+    open_bench,
+    wait_until,
+)
+
+BALANCERS = 4
+BLOCK = 100 + os.getpid() % 100
+"""Runs of these tests side by side take different IP numbers."""
+
+
+@pytest.fixture(scope="module")
+def bench():
+    with open_bench(BALANCERS, BLOCK) as bench:
+        yield bench
+
+
+def test_versions_never_fall_through_changes_outage_and_restore(bench):
+    measure_changes(bench, 3)
+    measure_outage(bench, BALANCERS)
+    measure_restore(bench, 4)
+
+
+class Caller:
+    """A flow that stays open: each line comes back."""
+
+    def __init__(self, target):
+        self._connection = socket.create_connection(target.sockaddr, 30)
+        self._answers = self._connection.makefile("rb")
+        self._connection.sendall(b"ECHO flow 1000\n")
+
+    def ask(self, line):
+        self._connection.sendall(f"{line}\n".encode())
+        return self._answers.readline().decode().split()
+
+    def close(self):
+        self._answers.close()
+        self._connection.close()
+
+
+def rotate(*keys):
+    def edit(content):
+        content["keys"] = [{"id": key_id, "file": file} for key_id, file in keys]
+
+    return edit
+
+
+def test_established_flow_survives_changes_and_a_rotation_of_keys(bench):
+    target = bench.start_path("order")
+    old, new = (1, "keys/fleet.key"), (2, bench.make_fleet_key("new"))
+    edits = [None, rotate(old, new), rotate(new, old), None]
+    held = Caller(target)
+    assert held.ask("hello") == ["ECHO", "flow", "hello", "order-1"]
+    for number, edit in enumerate(edits, 100):
+        bench.wait_in_force(bench.submit(number, edit))
+        for caller in (held, Caller(target)):
+            line = f"line-{number}"
+            assert caller.ask(line) == ["ECHO", "flow", line, "order-1"]
+            if caller is not held:
+                caller.close()
+    bench.control("faults", outage=True)
+    assert held.ask("outage") == ["ECHO", "flow", "outage", "order-1"]
+    bench.control("faults")
+    held.close()
+    wait_until(lambda: bench.read_held() == max(bench.read_versions().values()))
