--- a/src/papayagw/_internal/cli/loading.py
+++ b/src/papayagw/_internal/cli/loading.py
@@ -30,7 +30,7 @@
 
 
 def start_source(
-    node: NodeSettings, *, serves_peers: bool
+    node: NodeSettings, log: Log, *, serves_peers: bool
 ) -> tuple[ConfigurationSource, Configuration]:
     """Return the configuration source of a node, started, and what is in force.
 
@@ -38,8 +38,10 @@
     ----------
     node : NodeSettings
         The node's settings.
+    log : Log
+        Where trouble with the platform is logged.
     serves_peers : bool
         Whether peers ask this node for the configuration.
     """
-    source = make_source(node, Log().failure, serves_peers=serves_peers)
+    source = make_source(node, log.failure, serves_peers=serves_peers)
     return source, anyio.run(source.start)
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from papayagw._internal.core.admission import Admission
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.announcer import AgentAnnouncer
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
@@ -11,6 +12,7 @@
 from papayagw._internal.net.configuration import ConfigurationSource
 from papayagw._internal.net.control import ControlLoop
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import FrameKind
 
 LEAVE_MS = Millis(500)
@@ -30,12 +32,16 @@
         What is in force at the start.
     core : AgentCore
         Its decisions about packets.
+    admission : Admission
+        Its decisions about accepted flows.
     announcer : AgentAnnouncer
         Its part in the membership.
     clock : Clock
         The time.
     source : ConfigurationSource
         Where later configurations come from; it has been started.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
     def __init__(
@@ -43,16 +49,20 @@
         settings: AgentSettings,
         configuration: Configuration,
         core: AgentCore,
+        admission: Admission,
         announcer: AgentAnnouncer,
         clock: Clock,
         source: ConfigurationSource,
+        log: Log,
     ):
         self._inner = DatagramSocket(settings.node.inner)
         self._announcer = announcer
         self._clock = clock
         self._configuration = configuration
         self._source = source
-        self._packets = AgentPackets(settings, configuration, core, self._inner, clock)
+        self._packets = AgentPackets(
+            settings, configuration, core, admission, self._inner, clock, log
+        )
         keys = configuration.site.keys
         self._control = ControlLoop(announcer, keys, self._inner, clock)
 
@@ -103,7 +113,7 @@
         await anyio.sleep(to_seconds(LEAVE_MS))
 
     def _refuse_openings(self) -> None:
-        self._packets.core.drain()
+        self._packets.drain()
         self._control.send(self._announcer.drain(self._clock.now()))
 
     async def _follow_configuration(self) -> None:
