Let agents answer peers, so that all balancers may be replaced in an outage

A new balancer asked only balancers; with all of them gone and the platform down nobody answered, though agents hold the configuration. Every node answers peers now.

A node that has just started may believe itself a relay: its first watch lasts 5 s, not 60. Watches end at jittered times. Bad input to the peers' port is counted.

Process test: platform down, all 4 balancers killed and started anew: one version, and the held flow goes on.

--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -58,6 +58,7 @@
         self._client = stack.enter_context(httpx.Client(trust_env=False, timeout=5))
         self.nodes = {}
         self.highest = {}
+        self._running = {}
 
     def start(self):
         """Start the stand-ins, submit the first version, start the balancers."""
@@ -80,6 +81,13 @@
         """Start one balancer, which asks the platform and two peers."""
         self._start_node("balancer", make_balancer(self._plan, number))
 
+    def kill_balancers(self):
+        """End every balancer at once."""
+        for name in [one for one in self.nodes if one.startswith("balancer")]:
+            self._running[name].kill()
+            self._running[name].wait()
+            del self.nodes[name], self.highest[name]
+
     def start_path(self, service):
         """Start a backend server of a service, its agent and the callers' side."""
         name = f"agent-{service}-1"
@@ -143,19 +151,24 @@
         settings |= {
             "site": SITE,
             "platform": [self.url],
-            "peers": [make_balancer(self._plan, one)["inner"] for one in (1, 2)],
+            "peers": self._peers,
             "keys": [{"id": 1, "file": f"{KEYS}/fleet.key"}],
         }
         file = self._folder / f"platform-{settings['name']}{SUFFIX}"
         file.write_text(json.dumps(settings), encoding="utf-8")
-        self._run(role, file)
+        self._running[settings["name"]] = self._run(role, file)
         self.nodes[settings["name"]] = settings["admin"]
 
+    @property
+    def _peers(self):
+        balancers = [make_balancer(self._plan, one)["inner"] for one in (1, 2)]
+        return [*balancers, self._read(f"agent-order-1{SUFFIX}")["inner"]]
+
     def _read(self, name):
         return json.loads((self._folder / name).read_text(encoding="utf-8"))
 
     def _run(self, *words):
-        self._stack.enter_context(running(*words))
+        return self._stack.enter_context(running(*words))
 
 
 async def _submit(url, proposal):
--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -52,7 +52,7 @@
     read = unwrap(load_agent(Path(settings)))
     clock = MonotonicClock()
     log = start_logs(read.node.name, clock, read.node.log_level)
-    source, configuration = start_source(read.node, log, serves_peers=False)
+    source, configuration = start_source(read.node, log)
     process = _make_process(read, configuration, source, clock, log)
     identity = make_identity(read.node.name, Role.AGENT, read.node.zone)
     account = AgentAccount(
--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -42,7 +42,7 @@
     node = read.node
     clock = MonotonicClock()
     log = start_logs(node.name, clock, node.log_level)
-    source, configuration = start_source(node, log, serves_peers=True)
+    source, configuration = start_source(node, log)
     directory = AgentDirectory()
     membership = BalancerMembership(
         BalancerRecord(node.inner, make_incarnation(), node.zone),
--- a/src/papayagw/_internal/cli/loading.py
+++ b/src/papayagw/_internal/cli/loading.py
@@ -30,7 +30,7 @@
 
 
 def start_source(
-    node: NodeSettings, log: Log, *, serves_peers: bool
+    node: NodeSettings, log: Log
 ) -> tuple[ConfigurationSource, Configuration]:
     """Return the configuration source of a node, started, and what is in force.
 
@@ -40,8 +40,6 @@
         The node's settings.
     log : Log
         Where trouble with the platform is logged.
-    serves_peers : bool
-        Whether peers ask this node for the configuration.
     """
-    source = make_source(node, log.failure, serves_peers=serves_peers)
+    source = make_source(node, log.failure)
     return source, anyio.run(source.start)
--- a/src/papayagw/_internal/models/node.py
+++ b/src/papayagw/_internal/models/node.py
@@ -56,8 +56,8 @@
     overlay : str or None
         The overlay to `base`.
     peers : tuple of Endpoint
-        Inner endpoints of balancers that are asked for the configuration at the
-        start, besides the platform.
+        Inner endpoints of balancers and agents that are asked for the configuration
+        at the start, besides the platform.
     keys : tuple of FleetKey
         The keys that seal what is asked of `peers` before a configuration is held.
     """
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -32,7 +32,14 @@
 WATCH_LIMIT_MS = Millis(60_000)
 """A watch that died without notice is noticed after this time."""
 
+FIRST_WATCH_LIMIT_MS = Millis(5_000)
+"""A node that has just started may not know yet that others are relays."""
+
+WATCH_JITTER = 0.2
+"""By which share a watch may be longer or shorter."""
+
 RELAY_CHECK_MS = Millis(1_000)
+LONGEST_FETCH_WAIT_MS = Millis(1_000)
 
 _PLATFORM = "platform"
 
@@ -48,10 +55,10 @@
         What this node has in force, shared with the server for peers.
     peers : PeerConfigurationSource
         How peers are asked.
+    server : ConfigurationServer
+        Answers peers while this source runs.
     seeds : sequence of Endpoint
         Peers that are asked at the start.
-    server : ConfigurationServer or None
-        Answers peers while this source runs; None at a node that no peer asks.
     on_failure : callable
         Takes each error, for the log.
     random : Random
@@ -64,8 +71,8 @@
         log: ConfigurationLog,
         peers: PeerConfigurationSource,
         *,
+        server: ConfigurationServer,
         seeds: Sequence[Endpoint] = (),
-        server: ConfigurationServer | None = None,
         on_failure: Callable[[PapayagwError], None] = lambda _: None,
         random: Random | None = None,
     ):
@@ -101,8 +108,7 @@
                     tasks.start_soon(self._fetch, seed)
             if self._log.current is not None:
                 await self._store.close()
-                if self._server is not None:
-                    self._server.start()
+                self._server.start()
                 return self._log.current
             await anyio.sleep(to_seconds(backoff.fail()))
 
@@ -110,15 +116,13 @@
         """Call `on_change` with each later configuration, until cancelled."""
         self._on_change = on_change
         async with anyio.create_task_group() as tasks:
-            if self._server is not None:
-                tasks.start_soon(self._server.run)
+            tasks.start_soon(self._server.run)
             tasks.start_soon(self._follow_store, is_relay)
             tasks.start_soon(self._follow_rumours)
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._server is not None:
-            self._server.close()
+        self._server.close()
         await self._store.close()
 
     def hear_version(self, version: int, peer: Endpoint) -> None:
@@ -131,21 +135,27 @@
 
     async def _follow_store(self, is_relay: IsRelay) -> None:
         backoff = Backoff(self._random)
+        limit_ms = FIRST_WATCH_LIMIT_MS
         while True:
             if not is_relay():
                 await anyio.sleep(self._random.random() * to_seconds(RELAY_CHECK_MS))
-            elif await self._watch():
+            elif await self._watch(self._jitter(limit_ms)):
+                limit_ms = WATCH_LIMIT_MS
                 backoff.succeed()
             else:
                 await anyio.sleep(to_seconds(backoff.fail()))
 
-    async def _watch(self) -> bool:
+    def _jitter(self, limit_ms: Millis) -> Millis:
+        spread = self._random.uniform(-WATCH_JITTER, WATCH_JITTER)
+        return Millis(round(limit_ms * (1 + spread)))
+
+    async def _watch(self, limit_ms: Millis) -> bool:
         """Read the store, then watch it for a while; return whether it answered."""
         stored = await self._read()
         if stored is None or not await self._mend(stored):
             return False
         heard = await self._store.watch(
-            stored.store_revision, self._take_answer, WATCH_LIMIT_MS
+            stored.store_revision, self._take_answer, limit_ms
         )
         if isinstance(heard, Failure):
             self._report(heard.failure())
@@ -178,7 +188,7 @@
         return False
 
     async def _follow_rumours(self) -> None:
-        backoff = Backoff(self._random)
+        backoff = Backoff(self._random, longest_ms=LONGEST_FETCH_WAIT_MS)
         while True:
             await self._rumoured.wait()
             self._rumoured = anyio.Event()
--- a/src/papayagw/_internal/net/configuration_setup.py
+++ b/src/papayagw/_internal/net/configuration_setup.py
@@ -20,10 +20,7 @@
 
 
 def make_source(
-    node: NodeSettings,
-    on_failure: Callable[[PapayagwError], None],
-    *,
-    serves_peers: bool,
+    node: NodeSettings, on_failure: Callable[[PapayagwError], None]
 ) -> ConfigurationSource:
     """Return the source that a node's settings name.
 
@@ -33,8 +30,6 @@
         The settings.
     on_failure : callable
         Takes each error, for the log.
-    serves_peers : bool
-        Whether peers ask this node, as they ask balancers.
     """
     if not node.platform or node.site is None:
         overlay = None if node.overlay is None else Path(node.overlay)
@@ -45,6 +40,6 @@
         log,
         PeerConfigurationSource(log, node.keys),
         seeds=tuple(peer for peer in node.peers if peer != node.inner),
-        server=ConfigurationServer(node.inner, log) if serves_peers else None,
+        server=ConfigurationServer(node.inner, log),
         on_failure=on_failure,
     )
--- a/tests/processes/test_configuration_in_force.py
+++ b/tests/processes/test_configuration_in_force.py
@@ -8,7 +8,6 @@
     measure_outage,
     measure_restore,
     open_bench,
-    wait_until,
 )
 
 BALANCERS = 4
@@ -68,5 +67,12 @@
     bench.control("faults", outage=True)
     assert held.ask("outage") == ["ECHO", "flow", "outage", "order-1"]
     bench.control("faults")
+    assert bench.read_held() == max(bench.read_versions().values())
+    bench.control("faults", outage=True)
+    bench.kill_balancers()
+    for number in range(1, BALANCERS + 1):
+        bench.start_balancer(number)
+    assert len(set(bench.read_versions().values())) == 1
+    assert held.ask("again") == ["ECHO", "flow", "again", "order-1"]
+    bench.control("faults")
     held.close()
-    wait_until(lambda: bench.read_held() == max(bench.read_versions().values()))
--- a/tests/unit/test_configuration_page.py
+++ b/tests/unit/test_configuration_page.py
@@ -4,6 +4,7 @@
 import pytest
 
 from papayagw._internal.settings import node, site
+from tests.lib.settings import SettingsFolder
 
 PAGE = Path(__file__).resolve().parents[2] / "docs" / "CONFIGURATION.md"
 ROW = re.compile(r"^\| `([\w.]+)` \| (.*?) \| (.*?) \| (.+) \|$", re.MULTILINE)
@@ -21,6 +22,12 @@
 ]
 
 
+def test_example_on_the_page_loads(tmp_path):
+    (example,) = re.findall(r"```jsonc\n(.*?)```", PAGE.read_text(), re.DOTALL)
+    file = SettingsFolder(tmp_path).write("balancer.jsonc", example)
+    assert len(node.load_balancer(file).unwrap().node.peers) == 3
+
+
 def describe_default(key):
     if key.is_required:
         return "required"
--- a/tests/unit/test_configuration_source.py
+++ b/tests/unit/test_configuration_source.py
@@ -1,4 +1,4 @@
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from random import Random
 
 import anyio
@@ -10,6 +10,7 @@
 from papayagw._internal.models.configuration import FleetKey
 from papayagw._internal.net.configuration import FileConfigurationSource
 from papayagw._internal.net.configuration_peer import (
+    MAX_CONNECTIONS,
     ConfigurationServer,
     PeerConfigurationSource,
 )
@@ -151,6 +152,39 @@
     anyio.run(main)
 
 
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"",
+        b"\x00",
+        bytes(4),
+        b"\xff" * 64,
+        b"\x00\x00\x00\x10" + bytes(16),
+        bytes(9_000),
+    ],
+)
+def test_bad_input_is_counted_and_leaves_the_server_alone(payload):
+    async def main():
+        store = MemoryStore(ManualClock())
+        await put(store, 1)
+        async with running() as tasks:
+            node = Node(store)
+            await node.start(tasks)
+            for _ in range(MAX_CONNECTIONS + 8):
+                async with await anyio.connect_tcp(*node.endpoint.sockaddr) as stream:
+                    await stream.send(payload)
+                    await stream.send_eof()
+                    with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                        await stream.receive()
+            answer = await PeerConfigurationSource(ConfigurationLog(), [KEY]).fetch(
+                node.endpoint
+            )
+        assert answer.unwrap().version == 1
+        assert node.server.refused == MAX_CONNECTIONS + 8
+
+    anyio.run(main)
+
+
 def test_restored_store_is_refused_reported_and_put_right():
     async def main():
         store = MemoryStore(ManualClock())
