--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -16,7 +16,14 @@
 from pathlib import Path
 
 from papayagw._internal.models.endpoint import Endpoint
-from tools.fleet_folder import SUFFIX, FleetPlan, read_folder, write_folder
+from tools.fleet_folder import (
+    BASE,
+    OVERLAY,
+    SUFFIX,
+    FleetPlan,
+    read_folder,
+    write_folder,
+)
 
 ROOT = Path(__file__).resolve().parents[1]
 READY_LIMIT_S = 60.0
@@ -27,6 +34,7 @@
 _CLAIM_PORT = 4399
 _ASK_LIMIT_S = 2.0
 FABRIC = "fabric"
+PLATFORM = "platform"
 CONNECT = "connect"
 
 
@@ -82,7 +90,8 @@
         """The names of all processes, in the order of their start."""
         backends = [f"backend-{name}" for name in self.backends]
         nodes = [*self._settings.balancers, *self._settings.agents]
-        return [*backends, FABRIC, *nodes, CONNECT]
+        platform = [PLATFORM] if self._settings.platform else []
+        return [*platform, *backends, FABRIC, *nodes, CONNECT]
 
     def pid(self, name: str) -> int:
         """Return the process id of a running process."""
@@ -94,8 +103,12 @@
 
     def start(self) -> None:
         """Start all processes, and wait until each service answers."""
+        if self._settings.platform:
+            self.start_one(PLATFORM)
+            self.submit()
         for name in self.names:
-            self.spawn(name)
+            if name != PLATFORM:
+                self.spawn(name)
         for name in self.names:
             self._wait_ready(name)
         self.wait_serving()
@@ -107,9 +120,9 @@
             (self._logs / f"{name}.err").open("a", encoding="utf-8") as errors,
         ):
             self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "papayagw", *self._make_words(name)],
+                make_command(self._make_words(name)),
                 cwd=ROOT,
-                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+                env=make_environment(),
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=errors,
@@ -120,6 +133,17 @@
         self.spawn(name)
         self._wait_ready(name)
 
+    def submit(self) -> str:
+        """Submit the base file and the overlay, and return what is said."""
+        files = [str(self._folder / BASE), "--overlay", str(self._folder / OVERLAY)]
+        words = ["config", "submit", *files, "--platform", self._settings.platform]
+        done = subprocess.run(
+            make_command(words), env=make_environment(), capture_output=True, text=True
+        )
+        if done.returncode:
+            raise FleetError(f"config submit: {done.stdout}{done.stderr}")
+        return done.stdout
+
     def kill(self, name: str) -> None:
         """End a process at once, as a dead machine would."""
         self._processes[name].kill()
@@ -156,6 +180,9 @@
                 time.sleep(_POLL_S)
 
     def _make_words(self, name: str) -> list[str]:
+        if name == PLATFORM:
+            listen = self._settings.platform.removeprefix("http://")
+            return ["standin", PLATFORM, "--listen", listen]
         if name == FABRIC:
             return ["standin", FABRIC, *self._settings.routes, *self._fabric_flags]
         role, _, rest = name.partition("-")
@@ -204,6 +231,16 @@
     return True
 
 
+def make_command(words: Sequence[str]) -> list[str]:
+    """Return the command line of a papayagw command."""
+    return [sys.executable, "-m", "papayagw", *words]
+
+
+def make_environment() -> dict[str, str]:
+    """Return the environment in which papayagw is found."""
+    return {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+
+
 @contextmanager
 def running_fleet(plan: FleetPlan, **flags):
     """Run a fleet of a plan, in its block or the next free one."""
--- a/tools/fleet_folder.py
+++ b/tools/fleet_folder.py
@@ -22,6 +22,7 @@
 
 BASE = "base.jsonc"
 OVERLAY = "site.jsonc"
+SITE = "bench"
 KEYS = "keys"
 ENTRY_PORT = 4401
 CONNECT_PORT = 4501
@@ -57,11 +58,22 @@
         How many balancers.
     block : int
         The second number of all IP numbers, so that fleets don't meet.
+    has_platform : bool
+        Whether the nodes get their configuration from the platform's stand-in
+        rather than from the files.
     """
 
     hosts: tuple[Hosts, ...]
     balancers: int = 3
     block: int = 40
+    has_platform: bool = False
+
+    @property
+    def source(self) -> dict[str, object]:
+        """The settings that say where a node gets its configuration."""
+        if not self.has_platform:
+            return {"base": BASE, "overlay": OVERLAY}
+        return {"site": SITE, "platform": [f"http://127.{self.block}.5.1:2379"]}
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +84,8 @@
     ----------
     site : Site
         The base file with its overlay.
+    platform : str or None
+        The URL of the platform's stand-in.
     balancers, agents : dict
         The settings of each balancer and agent.
     connect : ConnectSettings
@@ -79,6 +93,7 @@
     """
 
     site: Site
+    platform: str | None
     balancers: dict[str, BalancerSettings]
     agents: dict[str, AgentSettings]
     connect: ConnectSettings
@@ -113,9 +128,10 @@
     """Return what the settings files of a folder say."""
     balancers = _read_all(folder, "balancer-*", load_balancer)
     first = next(iter(balancers.values())).node
-    overlay = Path(first.overlay) if first.overlay else None
+    overlay = Path(first.overlay) if first.overlay else folder / OVERLAY
     return FleetSettings(
         site=load_site(Path(first.base or folder / BASE), overlay).unwrap(),
+        platform=next(iter(first.platform), None),
         balancers=balancers,
         agents=_read_all(folder, "agent-*", load_agent),
         connect=load_connect(folder / f"connect{SUFFIX}").unwrap(),
@@ -151,7 +167,7 @@
 
 def _make_overlay(plan: FleetPlan) -> dict:
     return {
-        "name": "bench",
+        "name": SITE,
         "control_address": f"127.{plan.block}.1.100:{CONTROL_PORT}",
         "keys": [{"id": 1, "file": f"{KEYS}/fleet.key"}],
         "services": {
@@ -174,8 +190,7 @@
         "inner": f"{ip}:4300",
         "admin": f"{ip}:4390",
         "bind_ip": ip,
-        "base": BASE,
-        "overlay": OVERLAY,
+        **plan.source,
     }
 
 
@@ -190,8 +205,7 @@
         "backend": f"127.{plan.block}.3.{number}:4320",
         "certificate": f"{KEYS}/cert.pem",
         "private_key": f"{KEYS}/key.pem",
-        "base": BASE,
-        "overlay": OVERLAY,
+        **plan.source,
     }
 
 
