--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from papayagw._internal.cli.loading import load_file_configuration, unwrap
+from papayagw._internal.cli.loading import start_source, unwrap
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.core.admission import make_adaptive
 from papayagw._internal.core.agent import AgentCore
@@ -14,6 +14,7 @@
 from papayagw._internal.exceptions import SettingsError, Step
 from papayagw._internal.models.admission import AdmissionPolicy
 from papayagw._internal.models.agent import AgentRecord
+from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.flow import FlowRoute
 from papayagw._internal.models.node import AgentSettings
@@ -22,6 +23,8 @@
 from papayagw._internal.net.agent_account import AgentAccount
 from papayagw._internal.net.agent_process import AgentProcess
 from papayagw._internal.net.clock import MonotonicClock, make_incarnation
+from papayagw._internal.net.configuration import ConfigurationSource
+from papayagw._internal.observe.logs import Log, start_logs
 from papayagw._internal.settings.node import load_agent
 
 
@@ -47,17 +50,23 @@
         The settings file of this process.
     """
     read = unwrap(load_agent(Path(settings)))
-    configuration = load_file_configuration(read.node)
-    process = _make_process(read, configuration)
+    clock = MonotonicClock()
+    log = start_logs(read.node.name, clock, read.node.log_level)
+    source, configuration = start_source(read.node, log, serves_peers=False)
+    process = _make_process(read, configuration, source, clock, log)
     identity = make_identity(read.node.name, Role.AGENT, read.node.zone)
     account = AgentAccount(
-        identity, read, process, lambda: configuration, MonotonicClock()
+        identity, read, process, lambda: process.configuration, clock
     )
-    return run_observed(process, account, read.node)
+    return run_observed(process, account, read.node, log)
 
 
 def _make_process(
-    settings: AgentSettings, configuration: Configuration
+    settings: AgentSettings,
+    configuration: Configuration,
+    source: ConfigurationSource,
+    clock: Clock,
+    log: Log,
 ) -> AgentProcess:
     service = _find_service(settings, configuration)
     inner = settings.node.inner
@@ -71,7 +80,7 @@
     )
     admission = make_adaptive(AdmissionPolicy(max_flows=service.max_flows))
     return AgentProcess(
-        settings, configuration, core, admission, announcer, MonotonicClock()
+        settings, configuration, core, admission, announcer, clock, source, log
     )
 
 
--- a/src/papayagw/_internal/net/balancer_account.py
+++ b/src/papayagw/_internal/net/balancer_account.py
@@ -64,6 +64,8 @@
         return {
             "balancer.forwarded": packets.forwarded,
             "balancer.answered": packets.answered,
+            "balancer.passed": packets.passed,
+            "balancer.reset": packets.resets,
             "balancer.drop.control": self._process.refused_control,
             **drops,
         }
@@ -77,6 +79,10 @@
             "balancer.configuration-version": self._read_configuration().version,
         }
 
+    def take_timings(self) -> Mapping[str, Sequence[float]]:
+        """Return nothing: a balancer sees no end of what it hands on."""
+        return {}
+
     def report(self, state: NodeState) -> StatusReport:
         """Return the whole account."""
         configuration = self._read_configuration()
