Pass openings on while the backend server can't be reached

Cause: an agent whose backend server refuses connections refused each opening that it was given, and a caller's four openings met the same of two agents once in sixteen times: scenario backend_refuses was red, its caller told REFUSED while a sibling was idle.

Ruled out: more attempts on the caller's side (they cost the retry budget and a round trip each).

--- a/src/papayagw/_internal/core/agent.py
+++ b/src/papayagw/_internal/core/agent.py
@@ -63,7 +63,12 @@
         self._state = AgentState.DRAINING
 
     def decide_opening(
-        self, service_id: ServiceId, connection_id: bytes, flows: int, hops: int
+        self,
+        service_id: ServiceId,
+        connection_id: bytes,
+        flows: int,
+        hops: int,
+        reachable: bool = True,
     ) -> AgentDecision:
         """Decide about an opening.
 
@@ -77,15 +82,21 @@
             The flows that this agent holds now.
         hops : int
             How many agents have passed the opening on already.
+        reachable : bool
+            Whether the backend server can be reached, as far as is known; if not,
+            the opening is taken only where no sibling can take it.
         """
         own = service_id == self._route.service_id
-        if own and self._state is AgentState.READY and flows < self._max_flows:
+        takes = own and self._state is AgentState.READY and flows < self._max_flows
+        if takes and (reachable or hops >= MAX_HOPS):
             return ACCEPT
         if hops >= MAX_HOPS:
             return Drop(DropReason.TOO_MANY_HOPS)
         sibling = self._pick_sibling(service_id, connection_id)
         if sibling is not None:
             return Forward(sibling)
+        if takes:
+            return ACCEPT
         return Drop(DropReason.OVERLOADED if own else DropReason.WRONG_SERVICE)
 
     def check_tagged(
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -10,6 +10,7 @@
 
 from papayagw._internal.core.admission import Admission
 from papayagw._internal.core.agent import AgentCore
+from papayagw._internal.core.backend_health import ConnectHealth
 from papayagw._internal.core.lifecycle import FlowLifecycle
 from papayagw._internal.core.return_path import ReturnPath
 from papayagw._internal.core.service_meter import ServiceMeter
@@ -82,6 +83,7 @@
         self._returns = ReturnPath(random.SystemRandom().randrange)
         self._table = FlowTable(clock, self._on_removed, log)
         self._gate = AdmissionGate(admission, clock)
+        self._health = ConnectHealth()
         self._meter = ServiceMeter(settings.service, Side.AGENT)
         self._counts: dict[str, int] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -195,6 +197,10 @@
         """Ask for the admission of a flow whose handshake is complete."""
         self._gate.ask(flow)
 
+    def on_connect(self, reached: bool) -> None:
+        """Note whether a connection to the backend server was made."""
+        self._health.note_connect(reached, self._clock.now())
+
     def on_work(self, flow: AgentFlow) -> None:
         """Note the first bytes that are handed to the backend server."""
         self._gate.note_start(flow)
@@ -253,7 +259,11 @@
         datagram: bytes,
     ) -> None:
         decision = self._core.decide_opening(
-            envelope.service_id, connection_id, len(self._table), envelope.hops
+            envelope.service_id,
+            connection_id,
+            len(self._table),
+            envelope.hops,
+            self._health.is_reachable(self._clock.now()),
         )
         match decision:
             case Accept():
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -72,6 +72,9 @@
     def on_accepted(self, flow: "AgentFlow") -> None:
         """Ask for the admission of a flow whose handshake is complete."""
 
+    def on_connect(self, reached: bool) -> None:
+        """Note whether a connection to the backend server was made."""
+
     def on_work(self, flow: "AgentFlow") -> None:
         """Note the first bytes that are handed to the backend server."""
 
@@ -280,8 +283,10 @@
                 stream = await TcpStream.connect(self._backend, CONNECT_TIMEOUT_MS)
             except TcpBrokenError as error:
                 self._backend_failed = True
+                self._owner.on_connect(False)
                 self._apply(BackendConnectFailed(attempt), str(error))
                 return
+            self._owner.on_connect(True)
             self._meter.note_opened(self._clock.now())
             self._apply(BackendConnected(attempt))
             if not self._has_work:
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from papayagw._internal.core.agent import AgentCore
+from papayagw._internal.core.backend_health import ConnectHealth
 from papayagw._internal.core.balancer import BalancerCore
 from papayagw._internal.core.lifecycle import FlowLifecycle
 from papayagw._internal.core.retry import UndeliveredOnly
@@ -69,6 +70,7 @@
     rule: Callable[[], Any] = UndeliveredOnly
     balancer: Any = BalancerCore
     agent: Any = AgentCore
+    health: Callable[[], Any] = ConnectHealth
     keeps_first_answer: bool = True
 
 
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -77,6 +77,7 @@
         core = world.mechanisms.agent
         self.core = core(self.route, self.siblings, RendezvousChooser(), 100)
         self.admission = make_adaptive(AdmissionPolicy())
+        self.health = world.mechanisms.health()
         self.openings = {}
         self.flows = {}
         world.bound[self.endpoint] = self
@@ -146,7 +147,9 @@
 
     def on_opening(self, service_id, opening, payload, hops):
         open_flows = sum(flow.lifecycle.outcome is None for flow in self.flows.values())
-        decision = self.core.decide_opening(service_id, opening, open_flows, hops)
+        reachable = self.health.is_reachable(self.world.now())
+        load = (open_flows, hops, reachable)
+        decision = self.core.decide_opening(service_id, opening, *load)
         match decision:
             case Accept():
                 flow = AgentFlow(self, opening, payload[0])
@@ -251,6 +254,7 @@
 
     def on_connect(self):
         up = self.agent.backend != "refuse"
+        self.agent.health.note_connect(up, self.world.now())
         kind = on.BackendConnected if up else on.BackendConnectFailed
         self.apply(kind(self.attempt))
 
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -17,6 +17,16 @@
         pass
 
 
+class NoHealth:
+    """Takes each backend server for reachable."""
+
+    def is_reachable(self, now):
+        return True
+
+    def note_connect(self, reached, now):
+        pass
+
+
 def play(stem, mechanisms=None):
     path = Path(__file__).parent / f"{stem}.txt"
     scenario = Scenario(mechanisms)
@@ -39,6 +49,7 @@
         ("lost_answers", Mechanisms(rule=retry_proof.RetriesAlways)),
         ("backend_breaks", Mechanisms(lifecycle=lifecycle_proof.CountsWritesOnly)),
         ("backend_refuses", Mechanisms(lifecycle=lifecycle_proof.HandsOverEarly)),
+        ("backend_refuses", Mechanisms(health=NoHealth)),
         ("views_differ", Mechanisms(keeps_first_answer=False)),
         (
             "address_reused",
