Let an agent's planned stop keep its feeds for the service's drain limit

Cause: a trial cut a feed 30.0 s after its agent's first SIGTERM. The daemon waited for stop_limit_ms (default 30 s) and never looked at drain_limit_ms, which says how long a leaving agent keeps its flows (default 600 s).

Now the longer of both counts. Ruled out: raising the default of stop_limit_ms, which balancers and connect share.

test_feed_outlives_stop_limit_up_to_drain_limit (stop_limit_ms 100, a feed of 1 s) failed before with a reset and passes now.

--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 from papayagw._internal.cli.loading import start_source, unwrap
@@ -41,8 +42,9 @@
     """Accept flows, carry them to the backend server and announce it.
 
     SIGTERM drains: no new flow is taken, those that are open go on up to the
-    setting stop_limit_ms. A second SIGTERM stops at once, and the callers of
-    open flows are told that their outcome is unknown.
+    service's drain_limit_ms, or stop_limit_ms where that is longer. A second
+    SIGTERM stops at once, and the callers of open flows are told that their
+    outcome is unknown.
 
     Parameters
     ----------
@@ -58,7 +60,11 @@
     account = AgentAccount(
         identity, read, process, lambda: process.configuration, clock
     )
-    return run_observed(process, account, read.node, log)
+    # A process with long flows may stay longer than others.
+    drain_limit = _find_service(read, configuration).drain_limit_ms
+    stop_limit = max(read.node.stop_limit_ms, drain_limit)
+    node = replace(read.node, stop_limit_ms=stop_limit)
+    return run_observed(process, account, node, log)
 
 
 def _make_process(
--- a/tests/processes/test_operating.py
+++ b/tests/processes/test_operating.py
@@ -14,6 +14,7 @@
 from tools.fleet_folder import FleetPlan, Hosts, make_balancer, write_folder
 
 PLAN = FleetPlan((Hosts("order", 2),), balancers=2, block=93)
+STOP_LIMIT_MS = 100
 LOG_FIELDS = {"time", "level", "message", "node"}
 
 
@@ -38,6 +39,9 @@
 @pytest.fixture(scope="module")
 def fleet(folder):
     write_folder(PLAN, folder)
+    for path in folder.glob("agent-*.jsonc"):
+        settings = json.loads(path.read_text()) | {"stop_limit_ms": STOP_LIMIT_MS}
+        path.write_text(json.dumps(settings))
     one = Fleet(folder, folder)
     try:
         one.start()
@@ -125,6 +129,24 @@
         time.sleep(0.02)
 
 
+def test_feed_outlives_stop_limit_up_to_drain_limit(fleet, folder):
+    lines = STOP_LIMIT_MS // 10
+    with socket.create_connection(fleet.targets["order"].sockaddr) as feed:
+        feed.sendall(b"FEED f-2 %d 100\n" % lines)
+        feed.shutdown(socket.SHUT_WR)
+        answers = feed.makefile("rb")
+        name = "agent-" + answers.readline().decode().split()[-1]
+        os.kill(fleet.pid(name), signal.SIGTERM)
+        rest = answers.readlines()
+    assert len(rest) == lines
+    assert rest[-1].startswith(b"END f-2")
+    deadline = time.monotonic() + 20
+    while fleet.is_running(name):
+        assert time.monotonic() < deadline, f"{name} hasn't stopped"
+        time.sleep(0.02)
+    fleet.start_one(name)
+
+
 def test_flow_cut_by_second_signal_is_logged_at_both_ends(fleet, folder):
     agents = ("agent-order-1", "agent-order-2")
     with socket.create_connection(fleet.targets["order"].sockaddr) as feed:
