--- a/src/papayagw/_internal/models/status.py
+++ b/src/papayagw/_internal/models/status.py
@@ -62,7 +62,8 @@
     zone : str
         Its availability zone.
     state : str
-        Whether it takes openings: ``ready``, ``draining`` or ``gone``.
+        Whether it takes openings: ``ready``, ``suspected``, ``draining`` or
+        ``gone``.
     weight : int
         Its announced strength.
     flows : int or None
--- a/src/papayagw/_internal/net/balancer_account.py
+++ b/src/papayagw/_internal/net/balancer_account.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from papayagw._internal.core.membership import BalancerMembership
-from papayagw._internal.models.agent import AgentRecord
+from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.status import (
@@ -125,8 +125,14 @@
             endpoint=str(record.endpoint),
             service=names.get(record.service_id, str(record.service_id)),
             zone=record.zone,
-            state=record.state.name.lower(),
+            state=_describe_state(record),
             weight=record.weight,
         )
         for record in records
     )
+
+
+def _describe_state(record: AgentRecord) -> str:
+    if record.state is AgentState.READY and record.is_suspected:
+        return "suspected"
+    return record.state.name.lower()
