Tell callers at once that their agent is gone, by the host's own word

Cause: tests/processes/test_path.py (new) killed an agent under a feed: its caller heard nothing for 60 s. The membership suspects the agent but confirms its end only after ten minutes, rightly: suspicion must not break flows.

Ruled out: shortening that time (a frozen or cut-off agent's flows would be broken).

A host whose process has ended answers a datagram with 'port unreachable' and the start of the datagram. Balancers keep these (IP_RECVERR): the envelope's own code shows that it is ours, its tag names the flow, and the caller gets a stateless reset. The agent gets no openings from that balancer for 2 s. Agents drop balancers with closed ports from their return paths in the same way.

Before: the caller was told after 60 s. A lost host gives no such word; there the idle timeout of 60 s still stands.

--- a/src/papayagw/_internal/core/balancer.py
+++ b/src/papayagw/_internal/core/balancer.py
@@ -5,10 +5,13 @@
 reaches a backend server before the handshake is complete.
 """
 
+from collections.abc import Sequence
 from typing import Protocol
 
 from papayagw._internal.core.choice import Chooser
 from papayagw._internal.core.directory import Directory
+from papayagw._internal.models.agent import AgentRecord
+from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.decision import (
     BalancerDecision,
     Drop,
@@ -28,6 +31,10 @@
 DROP_MALFORMED = Drop(DropReason.MALFORMED)
 
 
+REFUSED_KEPT_MS = Millis(2_000)
+"""How long an agent with a closed port gets no openings."""
+
+
 class Peers(Protocol):
     """The other balancers, as far as this one needs them for openings."""
 
@@ -57,6 +64,7 @@
         self._directory = directory
         self._chooser = chooser
         self._peers = peers
+        self._refused: dict[Endpoint, Millis] = {}
 
     def route_tagged(
         self, service_id: ServiceId, route: FlowRoute | None
@@ -92,7 +100,7 @@
         hops : int
             How many balancers have passed it on: one at most.
         """
-        candidates = self._directory.find_ready(service_id)
+        candidates = self._find_open(service_id)
         is_last = hops > 0 or not self._peers.peers
         if not is_last and not (candidates and self._peers.caught_up):
             return Forward(self._pick_peer(connection_id))
@@ -101,6 +109,22 @@
             return DROP_NO_AGENT
         return Forward(record.endpoint)
 
+    def note_refused(self, agent: Endpoint, now: Millis) -> None:
+        """Note that an agent's host said that no process holds its port."""
+        self._refused[agent] = now
+
+    def forget_refused(self, now: Millis) -> None:
+        """Choose agents again whose port was closed a while ago."""
+        for agent, refused_at in tuple(self._refused.items()):
+            if now - refused_at >= REFUSED_KEPT_MS:
+                del self._refused[agent]
+
+    def _find_open(self, service_id: ServiceId) -> Sequence[AgentRecord]:
+        ready = self._directory.find_ready(service_id)
+        if not self._refused:
+            return ready
+        return [one for one in ready if one.endpoint not in self._refused]
+
     def _pick_peer(self, connection_id: bytes) -> Endpoint:
         # By the connection id, so that a retransmission meets the same peer.
         peers = self._peers.peers
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -152,6 +152,10 @@
         else:
             self._table.receive(handler, datagram, envelope.client.sockaddr)
 
+    def on_unreachable(self, balancer: Endpoint) -> None:
+        """Answer no longer through a balancer whose port is closed."""
+        self._returns.note_unreachable(balancer)
+
     def flush(self) -> None:
         """Send what the last envelopes have made due."""
         self._table.flush()
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -7,6 +7,7 @@
 from papayagw._internal.core.announcer import AgentAnnouncer
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
+from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.node import AgentSettings
 from papayagw._internal.net.agent import AgentPackets
 from papayagw._internal.net.configuration import ConfigurationSource
@@ -55,7 +56,7 @@
         source: ConfigurationSource,
         log: Log,
     ):
-        self._inner = DatagramSocket(settings.node.inner)
+        self._inner = DatagramSocket(settings.node.inner, keeps_refused=True)
         self._announcer = announcer
         self._clock = clock
         self._configuration = configuration
@@ -149,4 +150,6 @@
                     self._control.on_frame(frame, source)
                 else:
                     self._packets.on_frame(frame, source)
+            for _, peer in self._inner.take_refused():
+                self._packets.on_unreachable(Endpoint(*peer))
             self._packets.flush()
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -4,6 +4,7 @@
 
 from papayagw._internal.core.balancer import DROP_MALFORMED, BalancerCore
 from papayagw._internal.exceptions import Step
+from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import (
     BalancerDecision,
@@ -120,6 +121,30 @@
         self._answered += 1
         entry.send(frame[ENVELOPE_BYTES:], client)
 
+    def on_refused(self, frame: bytes, agent: Endpoint, now: Millis) -> None:
+        """Act on a packet that met a closed port, which no agent holds.
+
+        A flow of that agent is over, which its caller is told. An opening is sent
+        again by its caller soon, and then goes to another agent.
+
+        Parameters
+        ----------
+        frame : bytes
+            What this balancer sent, as the agent's host returned it.
+        agent : Endpoint
+            Where it was sent.
+        now : Millis
+            The present time.
+        """
+        envelope = self._envelopes.read(frame)
+        if envelope is None or envelope.kind is not FrameKind.FORWARD:
+            return
+        self._core.note_refused(agent, now)
+        datagram = frame[ENVELOPE_BYTES:]
+        tag = read_connection_id(datagram)
+        if tag is not None and self._tags.open_route(tag) is not None:
+            self._reset(envelope.service_id, datagram, envelope.client.sockaddr)
+
     def _on_passed(self, frame: bytes, source: tuple[str, int]) -> None:
         envelope = self._envelopes.read(frame)
         if envelope is None:
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -8,6 +8,7 @@
 from papayagw._internal.core.membership import BalancerMembership
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
+from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.node import BalancerSettings
 from papayagw._internal.net.balancer import BalancerPackets
 from papayagw._internal.net.configuration import ConfigurationSource
@@ -54,13 +55,14 @@
     ):
         self._settings = settings
         self._configuration = configuration
-        self._inner = DatagramSocket(settings.node.inner)
+        self._inner = DatagramSocket(settings.node.inner, keeps_refused=True)
         self._membership = membership
+        self._clock = clock
+        self._core = BalancerCore(directory, RendezvousChooser(), membership)
         self._source = source
         self._entries = EntrySockets(settings.bind_ip, log.failure)
-        core = BalancerCore(directory, RendezvousChooser(), membership)
         self._packets = BalancerPackets(
-            core, configuration, self._inner, self._entries.sockets, log
+            self._core, configuration, self._inner, self._entries.sockets, log
         )
         keys = configuration.site.keys
         self._control = ControlLoop(membership, keys, self._inner, clock)
@@ -94,7 +96,7 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive_inner)
-            tasks.start_soon(self._control.run, self._pass_on_versions)
+            tasks.start_soon(self._control.run, self._after_tick)
             tasks.start_soon(self._entries.run, self._packets.on_datagram)
             tasks.start_soon(self._follow_configuration)
 
@@ -120,7 +122,8 @@
     def _is_relay(self) -> bool:
         return self._membership.is_relay(self._settings.node.zone)
 
-    def _pass_on_versions(self) -> None:
+    def _after_tick(self) -> None:
+        self._core.forget_refused(self._clock.now())
         heard = self._membership.heard_configuration
         if heard is not None:
             self._source.hear_version(*heard)
@@ -134,3 +137,6 @@
                     self._control.on_frame(frame, source)
                 else:
                     self._packets.on_frame(frame, source)
+            for frame, agent in self._inner.take_refused():
+                now = self._clock.now()
+                self._packets.on_refused(frame, Endpoint(*agent), now)
--- a/src/papayagw/_internal/net/udp.py
+++ b/src/papayagw/_internal/net/udp.py
@@ -14,6 +14,9 @@
 """How many datagrams are read before other tasks get a turn."""
 
 _BUFFER_BYTES = 4 << 20
+_ANCILLARY_BYTES = 512
+_IP_RECVERR = 11
+"""The option of Linux's ip(7) that keeps errors with what they are about."""
 
 Received = tuple[bytes, tuple[str, int]]
 
@@ -28,10 +31,14 @@
     ----------
     endpoint : Endpoint or None
         Where to bind; None takes a free port.
+    keeps_refused : bool
+        Whether datagrams that met a closed port are kept for `take_refused`.
     """
 
-    def __init__(self, endpoint: Endpoint | None):
+    def __init__(self, endpoint: Endpoint | None, *, keeps_refused: bool = False):
         self._endpoint = endpoint
+        self._keeps_refused = keeps_refused
+        self._may_have_refused = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sendto = self._socket.sendto
         self._is_full_batch = False
@@ -53,6 +60,8 @@
         self._socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self._socket.setsockopt(socket.SOL_SOCKET, option, _BUFFER_BYTES)
+        if self._keeps_refused:
+            self._socket.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
         address = ("0.0.0.0", 0) if self._endpoint is None else self._endpoint.sockaddr
         try:
             self._socket.bind(address)
@@ -94,12 +103,44 @@
                 # An earlier datagram met a closed port; the next one may be fine.
                 continue
         self._is_full_batch = len(received) == BATCH_DATAGRAMS
+        # Readiness without a datagram tells of an error.
+        self._may_have_refused |= not received
         return received
 
+    def take_refused(self) -> list[Received]:
+        """Return datagrams that met a closed port, and where each one was sent.
+
+        The host of the peer lives and says that no process holds the port. The
+        network may have cut a datagram to its first 500 bytes or so.
+        """
+        refused: list[Received] = []
+        if not (self._keeps_refused and self._may_have_refused):
+            return refused
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                data, _, _, peer = self._socket.recvmsg(
+                    MAX_DATAGRAM_BYTES, _ANCILLARY_BYTES, socket.MSG_ERRQUEUE
+                )
+            except OSError:
+                self._may_have_refused = False
+                break
+            refused.append((data, peer))
+        return refused
+
     def send(self, data: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram, or count it if the machine doesn't take it."""
         try:
             self._sendto(data, peer)
+        except ConnectionRefusedError:
+            # That was the error of an earlier datagram: this one wasn't sent yet.
+            self._may_have_refused = True
+            self._send_again(data, peer)
         except OSError:
             # Datagrams may be lost anywhere: the flow's loss recovery resends.
             self._send_failures += 1
+
+    def _send_again(self, data: bytes, peer: tuple[str, int]) -> None:
+        try:
+            self._sendto(data, peer)
+        except OSError:
+            self._send_failures += 1
--- /dev/null
+++ b/tests/processes/test_path.py
@@ -0,0 +1,119 @@
+"""The whole path as separate processes, while single ones of them end."""
+
+import hashlib
+import socket
+from contextlib import contextmanager
+
+import pytest
+
+from tools.fleet import running_fleet
+from tools.fleet_folder import FleetPlan, Hosts
+
+PLAN = FleetPlan(
+    hosts=(Hosts("order", 3), Hosts("drawings", 1)), block=60, has_platform=True
+)
+LIMIT_S = 60
+LINES = 20
+INTERVAL_MS = 100
+BLOB = bytes(range(256)) * 4_096
+DIGEST = hashlib.sha256(BLOB).hexdigest()
+
+
+@pytest.fixture
+def fleet():
+    with running_fleet(PLAN) as fleet:
+        yield fleet
+
+
+@contextmanager
+def open_feed(fleet, name):
+    """Open an order feed and yield its lines, once the first one is there."""
+    target = fleet.targets["order"].sockaddr
+    with socket.create_connection(target, LIMIT_S) as connection:
+        connection.sendall(f"FEED {name} {LINES} {INTERVAL_MS}\n".encode())
+        with connection.makefile("rb") as lines:
+            yield lines.readline().decode().split(), lines
+
+
+def read_numbers(lines):
+    """Return the numbers of the lines that are left of a feed."""
+    return [int(lines.readline().split()[2]) for _ in range(LINES)]
+
+
+def ask_patiently(fleet, line):
+    """Return the answer of an order, which may need further openings."""
+    target = fleet.targets["order"].sockaddr
+    with socket.create_connection(target, LIMIT_S) as connection:
+        connection.sendall(f"{line}\n".encode())
+        with connection.makefile("rb") as answers:
+            return answers.readline().decode()
+
+
+def restart_balancers(fleet, owner):
+    for name in fleet.settings.balancers:
+        fleet.kill(name)
+        fleet.start_one(name)
+
+
+def drain_agent(fleet, owner):
+    fleet.terminate(f"agent-{owner}")
+
+
+def change_configuration(fleet, owner):
+    fleet.change_overlay(lambda site: site["services"]["order"].update(max_flows=77))
+    fleet.submit()
+
+
+def kill_other_agents(fleet, owner):
+    for name in fleet.settings.agents:
+        if name != f"agent-{owner}":
+            fleet.kill(name)
+
+
+@pytest.mark.parametrize(
+    "event",
+    [restart_balancers, drain_agent, change_configuration, kill_other_agents],
+)
+def test_feed_survives(fleet, event):
+    with open_feed(fleet, "feed") as (first, lines):
+        event(fleet, first[-1])
+        assert read_numbers(lines) == list(range(1, LINES + 1))
+
+
+def kill_agent(fleet, owner):
+    fleet.kill(f"agent-{owner}")
+
+
+def restart_agent(fleet, owner):
+    fleet.kill(f"agent-{owner}")
+    fleet.start_one(f"agent-{owner}")
+
+
+@pytest.mark.parametrize("event", [kill_agent, restart_agent])
+def test_broken_feed_never_looks_whole_and_orders_go_on(fleet, event):
+    with open_feed(fleet, "feed") as (first, lines):
+        event(fleet, first[-1])
+        with pytest.raises(ConnectionResetError):
+            read_numbers(lines)
+    for number in range(6):
+        assert f"DONE o{number} " in ask_patiently(fleet, f"ORDER o{number}")
+
+
+@pytest.mark.parametrize(
+    ("service", "request_line", "body", "expected"),
+    [
+        ("order", "ORDER whole", b"", "DONE whole order-"),
+        (
+            "drawings",
+            f"UPLOAD whole {len(BLOB)}",
+            BLOB,
+            DIGEST,
+        ),
+    ],
+)
+def test_whole_answer_comes_back(fleet, service, request_line, body, expected):
+    target = fleet.targets[service].sockaddr
+    with socket.create_connection(target, LIMIT_S) as connection:
+        connection.sendall(f"{request_line}\n".encode() + body)
+        with connection.makefile("rb") as answers:
+            assert expected in answers.readline().decode()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,13 +4,14 @@
 as examples/valukoja, until Ctrl-C. Benches and tests use :class:`Fleet`.
 """
 
+import json
 import os
 import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
@@ -133,6 +134,13 @@
         self.spawn(name)
         self._wait_ready(name)
 
+    def change_overlay(self, edit: Callable[[dict], None]) -> None:
+        """Change the content of the overlay's file."""
+        file = self._folder / OVERLAY
+        content = json.loads(file.read_text(encoding="utf-8"))
+        edit(content)
+        file.write_text(json.dumps(content), encoding="utf-8")
+
     def submit(self) -> str:
         """Submit the base file and the overlay, and return what is said."""
         files = [str(self._folder / BASE), "--overlay", str(self._folder / OVERLAY)]
@@ -149,18 +157,33 @@
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop gracefully, without waiting for it."""
+        self._processes[name].terminate()
+
     def stop(self, name: str) -> int:
         """Stop a process gracefully and return its exit code."""
-        self._processes[name].terminate()
+        self.terminate(name)
         return self._processes[name].wait(STOP_LIMIT_S)
 
     def close(self) -> None:
-        """Stop all processes, in the reverse order of their start."""
-        for name in reversed(list(self._processes)):
+        """Stop all processes: the callers' side, then the agents, then the rest.
+
+        A flow ends at its agent through balancers and fabric, which stay that long.
+        """
+        names = list(self._processes)
+        agents = [name for name in names if name.startswith("agent-")]
+        rest = [name for name in names if name != CONNECT and name not in agents]
+        for group in ([CONNECT] if CONNECT in names else [], agents, rest):
+            self._stop_all(group)
+
+    def _stop_all(self, names: Sequence[str]) -> None:
+        for name in names:
             if self.is_running(name):
-                self._processes[name].terminate()
+                self.terminate(name)
         deadline = time.monotonic() + STOP_LIMIT_S
-        for process in self._processes.values():
+        for name in names:
+            process = self._processes[name]
             with suppress(subprocess.TimeoutExpired):
                 process.wait(max(deadline - time.monotonic(), 0))
             process.kill()
