--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -2,8 +2,8 @@
 
 ``python -m bench.control_cost`` measures, in this process alone, the memory of
 the directory of agents, the processor time of a record that is news, of the
-choice for an opening and of reading a site's settings, each at several sizes,
-and fits a line. One process is busy.
+choice for an opening, of reading a site's settings and of taking in a
+configuration, each at several sizes, and fits a line. One process is busy.
 """
 
 import json
@@ -11,19 +11,31 @@
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import fire
 
 from bench.usage import describe_machine, fit_line
 from papayagw._internal.core.choice import RendezvousChooser
+from papayagw._internal.core.configuration import ConfigurationLog
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.models.agent import AgentRecord, Incarnation
+from papayagw._internal.models.configuration import (
+    KEY_BYTES,
+    Configuration,
+    FleetKey,
+    Site,
+    SubmissionMark,
+)
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.service import ServiceId
+from papayagw._internal.models.service import Service, ServiceId
 from papayagw._internal.settings.development_keys import make_development_keys
 from papayagw._internal.settings.site import load_site
+from papayagw._internal.wire.configuration import (
+    read_configuration,
+    write_configuration,
+)
 
 HOSTS = (500, 1_000, 2_000, 4_000, 9_500)
 SERVICES = (150, 300, 600, 1_200, 2_400)
@@ -116,6 +128,56 @@
         return (time.process_time() - started) * 1_000
 
 
+def make_configuration(services: int) -> Configuration:
+    """Return a configuration with that many services."""
+    site = Site(
+        name="large",
+        control_address=Endpoint("10.9.255.1", 4400),
+        zones=("a", "b", "c", "d"),
+        services=tuple(make_service(number) for number in range(1, services + 1)),
+        keys=(FleetKey(1, bytes(KEY_BYTES)),),
+    )
+    return Configuration(1, site, (SubmissionMark(1, "first", "operator"),))
+
+
+def make_service(number: int, max_flows: int = 2_000) -> Service:
+    address = Endpoint(f"10.8.{number >> 8}.{number & 255}", 10_000 + number)
+    service_id = ServiceId(number)
+    return Service(f"service-{number}", service_id, address, max_flows=max_flows)
+
+
+def measure_body(services: int) -> float:
+    """Return KB of a whole configuration as nodes hand it on."""
+    return len(write_configuration(make_configuration(services))) / 1_024
+
+
+def measure_whole(services: int) -> float:
+    """Return ms CPU of taking in a whole configuration."""
+    body = write_configuration(make_configuration(services))
+    log = ConfigurationLog()
+    started = time.process_time()
+    log.offer(read_configuration(body).unwrap())
+    return (time.process_time() - started) * 1_000
+
+
+def measure_change(services: int) -> float:
+    """Return ms CPU of taking in a change of one service, and handing it on."""
+    before = make_configuration(services)
+    first = make_service(1, max_flows=1_000)
+    site = replace(before.site, services=(first, *before.site.services[1:]))
+    marks = (SubmissionMark(2, "second", "operator"), *before.history)
+    giver, taker = ConfigurationLog(), ConfigurationLog()
+    giver.offer(before)
+    taker.offer(before)
+    giver.offer(Configuration(2, site, marks))
+    started = time.process_time()
+    taken = taker.resolve(giver.answer(taker.question))
+    if taken is None:
+        raise SystemExit("the change didn't apply")
+    taker.offer(taken)
+    return (time.process_time() - started) * 1_000
+
+
 def write_site(folder: Path, services: int) -> Path:
     make_development_keys(folder, ("order",))
     site = {
@@ -149,6 +211,9 @@
         sweep("a record that is news by hosts", "us CPU", HOSTS, measure_news),
         sweep("choice for an opening by hosts", "us CPU", HOSTS, measure_choice),
         sweep("reading settings by services", "ms CPU", SERVICES, measure_settings),
+        sweep("whole configuration by services", "KB", SERVICES, measure_body),
+        sweep("taking in a whole one by services", "ms CPU", SERVICES, measure_whole),
+        sweep("taking in a change by services", "ms CPU", SERVICES, measure_change),
     ]
 
 
