--- /dev/null
+++ b/bench/region_cut.py
@@ -0,0 +1,120 @@
+"""What the membership does while two regions are cut from each other.
+
+``python -m bench.region_cut`` runs the real cores on a controlled clock, cuts all
+messages between two regions for three minutes and heals them. One process is busy.
+It exits with 1 if a region loses sight of an agent of its own.
+"""
+
+import sys
+from collections.abc import Set
+from dataclasses import dataclass
+
+import fire
+
+from bench.membership_bytes import MeteredFleet, make_fleet, measure
+from bench.usage import describe_machine
+from papayagw._internal.models.endpoint import Endpoint
+
+SIZES = (24, 48)
+CUT_SECONDS = 180
+STEP_SECONDS = 20
+HEAL_LIMIT_SECONDS = 120
+REGIONS = ("region-1", "region-2")
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What balancers see of agents, as shares from 0 to 1.
+
+    Attributes
+    ----------
+    own : float
+        Agents of the balancer's own region that take openings in its view.
+    other : float
+        Agents of the other region that take openings in its view.
+    """
+
+    own: float
+    other: float
+
+
+def find_region(fleet: MeteredFleet, region: str) -> set[Endpoint]:
+    nodes = (*fleet.balancers.items(), *fleet.agents.items())
+    return {one for one, node in nodes if node.own.zone.startswith(region)}
+
+
+def cut_regions(fleet: MeteredFleet) -> None:
+    one, other = (find_region(fleet, region) for region in REGIONS)
+    fleet.cut_off(one, other)
+    fleet.cut_off(other, one)
+
+
+def view_agents(fleet: MeteredFleet) -> View:
+    """Return what balancers see of the two regions, on average."""
+    members = {region: find_region(fleet, region) for region in REGIONS}
+    own, other = [], []
+    for endpoint, node in fleet.balancers.items():
+        services = {one.service_id for one in node.directory.records}
+        ready = {
+            record.endpoint
+            for service_id in services
+            for record in node.directory.find_ready(service_id)
+        }
+        for nodes in members.values():
+            agents = nodes & fleet.agents.keys()
+            shares = own if endpoint in nodes else other
+            shares.append(share(ready, agents))
+    return View(sum(own) / len(own), sum(other) / len(other))
+
+
+def share(found: Set[Endpoint], wanted: Set[Endpoint]) -> float:
+    return len(found & wanted) / len(wanted)
+
+
+def heal(fleet: MeteredFleet) -> int:
+    """Heal the cut and return the seconds until everybody sees everybody."""
+    fleet.heal()
+    for seconds in range(1, HEAL_LIMIT_SECONDS + 1):
+        fleet.run(1_000)
+        if view_agents(fleet) == View(1.0, 1.0):
+            return seconds
+    return HEAL_LIMIT_SECONDS
+
+
+def measure_cut(balancers: int) -> float:
+    """Print one size's figures; return the least share of own agents in sight."""
+    fleet = make_fleet(balancers)
+    steady, _ = measure(fleet, STEP_SECONDS)
+    cut_regions(fleet)
+    least, worst, view = 1.0, 0.0, View(1.0, 1.0)
+    for _ in range(CUT_SECONDS // STEP_SECONDS):
+        usage, _ = measure(fleet, STEP_SECONDS)
+        view = view_agents(fleet)
+        least = min(least, view.own)
+        worst = max(worst, usage.mean_bytes)
+    healed = heal(fleet)
+    print(
+        f"{balancers:>5} balancers {len(fleet.agents):>6} agents: steady"
+        f" {steady.mean_bytes:.0f} B/s, cut at most {worst:.0f} B/s; own agents in"
+        f" sight {least:.3f}, the other region's {view.other:.3f}; whole again"
+        f" {healed} s after the cut",
+        flush=True,
+    )
+    return least
+
+
+def main(sizes: tuple[int, ...] = SIZES):
+    """Measure at each size, and exit with 1 if own agents are lost from sight.
+
+    Parameters
+    ----------
+    sizes : list of int
+        The numbers of balancers.
+    """
+    print(f"{describe_machine()}; 1 busy process; cut for {CUT_SECONDS} s")
+    least = min(measure_cut(size) for size in sizes)
+    sys.exit(0 if least == 1.0 else 1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
