--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,171 @@
+"""What each role needs at the size to design for, from the measured slopes.
+
+``python -m bench.capacity`` prints the tables of docs/CAPACITY.md, and a test holds
+the page against them.
+"""
+
+from dataclasses import dataclass
+
+import fire
+
+from bench import slopes
+
+BALANCERS = 840
+AGENTS = 9_500
+SERVICES = 2_400
+FLOWS = 11_000_000
+OPENINGS = 65_000
+CHANGES_A_DAY = 1_500
+SECONDS_A_DAY = 86_400
+RELAYS = 24
+"""Three nodes in each of the 8 availability zones watch the platform's store."""
+
+FLOWS_A_BALANCER = FLOWS / BALANCERS
+FLOWS_AN_AGENT = FLOWS / AGENTS
+MAX_CPU = 1.8
+MAX_MEMORY_MB = 128
+MAX_BYTES = 4_096
+KB_A_MB = 1_024
+US_A_PERCENT = 10_000
+MS_A_PERCENT = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What one node of a role needs of one resource.
+
+    Attributes
+    ----------
+    role : str
+        The role.
+    what : str
+        What it is needed for.
+    value : float
+        How much.
+    unit : str
+        The unit of `value` and `budget`.
+    budget : float or None
+        The letter's limit for control, or None where it sets none.
+    """
+
+    role: str
+    what: str
+    value: float
+    unit: str
+    budget: float | None = None
+
+    @property
+    def verdict(self) -> str:
+        """Whether the budget is kept."""
+        if self.budget is None:
+            return "no budget"
+        return "kept" if self.value <= self.budget else "broken"
+
+
+def list_needs() -> list[Need]:
+    """Return the needs of all roles at the size to design for."""
+    return [*_balancer(), *_agent(), *_connect(), *_platform(), *_operator()]
+
+
+def _balancer() -> list[Need]:
+    s, role = slopes, "balancer"
+    memory_kb = s.BALANCER_BASE.value + SERVICES * s.BALANCER_SERVICE.value
+    memory = memory_kb / KB_A_MB + s.MEMBERSHIP_MEMORY.value
+    change = CHANGES_A_DAY / SECONDS_A_DAY
+    cpu = s.MEMBERSHIP_CPU.value / US_A_PERCENT
+    cpu += change * s.CHANGE_CPU.value / MS_A_PERCENT
+    sent = s.MEMBERSHIP_BYTES.value + change * s.CHANGE_BYTES.value
+    openings = OPENINGS / BALANCERS * s.BALANCER_OPENING.value / MS_A_PERCENT
+    probes = FLOWS_A_BALANCER * s.BALANCER_PROBE.value / US_A_PERCENT
+    table = FLOWS / 2 * s.FLOW_TABLE.value / KB_A_MB**2
+    return [
+        Need(role, "control: memory", memory, "MB", MAX_MEMORY_MB),
+        Need(role, "control: processor", cpu, "% core", MAX_CPU),
+        Need(role, "control: bytes", sent, "B/s", MAX_BYTES),
+        Need(role, "worst second", s.MEMBERSHIP_WORST.value, "B/s", MAX_BYTES),
+        Need(role, "traffic: openings", openings, "% core"),
+        Need(role, "traffic: probes at 1 s", probes, "% core"),
+        Need(role, "traffic: probes at 30 s", probes / 30, "% core"),
+        Need(role, "flow table (not used)", table, "MB", MAX_MEMORY_MB),
+    ]
+
+
+def _agent() -> list[Need]:
+    s, role = slopes, "agent"
+    base = s.AGENT_BASE.value / KB_A_MB
+    flows = FLOWS_AN_AGENT * s.AGENT_FLOW.value / KB_A_MB
+    cpu = s.AGENT_CONTROL_CPU.value / US_A_PERCENT
+    openings = OPENINGS / AGENTS * s.AGENT_OPENING.value / MS_A_PERCENT
+    probes = FLOWS_AN_AGENT * s.AGENT_PROBE.value / US_A_PERCENT
+    return [
+        Need(role, "control: memory", base, "MB", MAX_MEMORY_MB),
+        Need(role, "control and flows", base + flows, "MB", MAX_MEMORY_MB),
+        Need(role, "control: processor", cpu, "% core", MAX_CPU),
+        Need(role, "control: bytes", s.AGENT_CONTROL_BYTES.value, "B/s", MAX_BYTES),
+        Need(role, "traffic: openings", openings, "% core"),
+        Need(role, "traffic: probes at 1 s", probes, "% core"),
+        Need(role, "traffic: probes at 30 s", probes / 30, "% core"),
+    ]
+
+
+def _connect() -> list[Need]:
+    s, role = slopes, "connect"
+    flows = 1_000
+    memory = (s.CONNECT_BASE.value + flows * s.CONNECT_FLOW.value) / KB_A_MB
+    probes = flows * s.CONNECT_PROBE.value / US_A_PERCENT
+    opening = s.CONNECT_OPENING.value / MS_A_PERCENT
+    return [
+        Need(role, "memory, 1,000 flows", memory, "MB"),
+        Need(role, "probes, 1,000 flows", probes, "% core"),
+        Need(role, "an opening a second", opening, "% core"),
+    ]
+
+
+def _platform() -> list[Need]:
+    role = "platform"
+    start = BALANCERS + AGENTS
+    return [
+        Need(role, "waiting watches", RELAYS, "calls", 2_000),
+        Need(role, "writes", CHANGES_A_DAY / SECONDS_A_DAY, "/s", 300),
+        Need(role, "reads, all start at once", start, "calls"),
+        Need(role, "the same at 2,000/s", start / 2_000, "s"),
+    ]
+
+
+def _operator() -> list[Need]:
+    seconds = SERVICES * slopes.SETTINGS_READ.value / 1_000
+    return [Need("operator", "reading all settings", seconds, "s")]
+
+
+def format_needs() -> list[str]:
+    """Return the table of needs, as lines of Markdown."""
+    head = [
+        "| role | what | need | unit | budget | verdict |",
+        "|---|---|---|---|---|---|",
+    ]
+    rows = [
+        f"| {one.role} | {one.what} | {one.value:,.2f} | {one.unit} |"
+        f" {'-' if one.budget is None else f'{one.budget:g}'} | {one.verdict} |"
+        for one in list_needs()
+    ]
+    return head + rows
+
+
+def format_slopes() -> list[str]:
+    """Return the table of slopes, as lines of Markdown."""
+    head = ["| slope | value | unit | measured at | command |", "|---|---|---|---|---|"]
+    rows = [
+        f"| {one.name} | {one.value:g} | {one.unit} | {one.sizes} |"
+        f" `python -m {one.command}` |"
+        for one in slopes.ALL
+    ]
+    return head + rows
+
+
+def main():
+    """Print both tables."""
+    print("\n".join([*format_needs(), "", *format_slopes()]))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
