Stop a fleet's processes when its script gets SIGTERM

A script that was ended by timeout left its 27 processes running. SIGINT is ignored by a shell's background jobs, so both signals get a handler.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -273,8 +274,14 @@
     return ask(target, "HEALTH").startswith("HEALTH")
 
 
+def _stop(number: int, frame: object) -> None:
+    raise KeyboardInterrupt
+
+
 def main(folder: str) -> None:
-    """Run the fleet of a settings folder until Ctrl-C."""
+    """Run the fleet of a settings folder until Ctrl-C or SIGTERM."""
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _stop)
     with tempfile.TemporaryDirectory(prefix="papayagw-logs-") as logs:
         fleet = Fleet(Path(folder).resolve(), Path(logs))
         try:
