--- a/src/papayagw/_internal/cli/values.py
+++ b/src/papayagw/_internal/cli/values.py
@@ -46,3 +46,20 @@
         raise SettingsError(
             str(error), step=Step.SETTINGS, remedy=f"give --{flag} as ip:port"
         ) from error
+
+
+def read_whole(value: object, flag: str) -> int:
+    """Return the whole number that a flag holds.
+
+    Raises
+    ------
+    SettingsError
+        If it isn't one, or below 0.
+    """
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise SettingsError(
+            f"expected a whole number, found {value!r}",
+            step=Step.SETTINGS,
+            remedy=f"give --{flag} as digits",
+        )
+    return value
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -102,14 +102,18 @@
         """
         backoff = Backoff(self._random)
         while True:
+            failures: list[PapayagwError] = []
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._read)
                 for seed in self._seeds:
-                    tasks.start_soon(self._fetch, seed)
+                    tasks.start_soon(self._fetch, seed, failures.append)
             if self._log.current is not None:
                 await self._store.close()
                 self._server.start()
                 return self._log.current
+            # A silent seed matters only where nothing else answers.
+            for failure in failures:
+                self._report_peer(failure)
             await anyio.sleep(to_seconds(backoff.fail()))
 
     async def run(self, on_change: OnChange, is_relay: IsRelay) -> None:
@@ -195,15 +199,17 @@
             rumour, self._rumour = self._rumour, None
             if rumour is None or rumour[0] <= self._log.version:
                 continue
-            if await self._fetch(rumour[1]):
+            if await self._fetch(rumour[1], self._report_peer):
                 backoff.succeed()
             else:
                 await anyio.sleep(to_seconds(backoff.fail()))
 
-    async def _fetch(self, peer: Endpoint) -> bool:
+    async def _fetch(
+        self, peer: Endpoint, on_failure: Callable[[PapayagwError], None]
+    ) -> bool:
         answer = await self._peers.fetch(peer)
         if isinstance(answer, Failure):
-            self._report(answer.failure(), str(peer))
+            on_failure(answer.failure())
             return False
         self._silent.discard(str(peer))
         configuration = answer.unwrap()
@@ -211,6 +217,9 @@
             self._take(configuration, str(peer))
         return True
 
+    def _report_peer(self, error: PapayagwError) -> None:
+        self._report(error, error.peer)
+
     def _report(self, error: PapayagwError, peer: str = _PLATFORM) -> None:
         """Report the first failure of each row, not those of the tries after it."""
         if peer not in self._silent:
--- a/src/papayagw/_internal/net/tcp.py
+++ b/src/papayagw/_internal/net/tcp.py
@@ -4,6 +4,7 @@
 these streams close in the way that they are told to.
 """
 
+import os
 import socket
 import struct
 from collections.abc import Callable, Coroutine
@@ -164,4 +165,4 @@
         await anyio.wait_writable(connection)
     code = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if code:
-        raise OSError(code, f"error {code}")
+        raise OSError(code, os.strerror(code))
--- a/tests/processes/test_config_commands.py
+++ b/tests/processes/test_config_commands.py
@@ -33,6 +33,9 @@
         assert process.wait() == 0
 
 
+SITE = ("base.jsonc", "--overlay", "site.jsonc")
+
+
 def run(folder, *words):
     done = subprocess.run(
         [sys.executable, "-m", "papayagw", "config", *words],
@@ -48,12 +51,16 @@
 @pytest.mark.parametrize(
     ("words", "code", "texts"),
     [
-        (("check", "base.jsonc", "--overlay", "site.jsonc"), 0, ["no problems"]),
+        (("check", *SITE), 0, ["no problems"]),
         (("check", "base.jsonc"), 2, ["name", "control_address", "order.address"]),
         (("check", "bad.jsonc", "--overlay", "site.jsonc"), 2, ["order.id"]),
         (("check", "nowhere.jsonc"), 2, ["No such file"]),
-        (("diff", "base.jsonc", "--overlay", "site.jsonc"), 2, ["--platform"]),
-        (("submit", "base.jsonc", "--overlay", "site.jsonc"), 2, ["--platform"]),
+        (("diff", *SITE), 2, ["--platform"]),
+        (("submit", *SITE), 2, ["--platform"]),
+        (
+            ("submit", *SITE, "--platform", "http://x", "--expect-version", "new"),
+            *(2, ["--expect_version"]),
+        ),
         (("status", "ee-north", "--platform", "http://127.0.0.1:1"), 4, ["no answer"]),
     ],
 )
