Check certificates and keys when settings are read; keep the one in use

A file that is no certificate, or the key of another one, gave a traceback at the start of an agent, and a certificate that had gone ended the agent at the next version of the configuration, with all its flows. Both are settings problems now, and a running agent keeps what it has and logs it.

--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -44,6 +44,8 @@
 SUBMIT_LIMIT_MS = Millis(15_000)
 HOLD_S = 5.0
 SITE = "bench"
+AFTER_OUTAGE = 500
+"""The number of the change that is submitted when the platform is up again."""
 
 
 class Bench:
@@ -209,17 +211,28 @@
     print(f"  calls, the operator's read and write of each change with them: {calls}")
 
 
-def measure_outage(bench, number):
-    """Print how a new balancer starts while the platform is down."""
+def measure_outage(bench, number, seconds=0.0):
+    """Print how a new balancer starts while the platform is down, and the end of it."""
     newest = max(bench.read_versions().values())
     bench.control("faults", outage=True)
     start = time.monotonic()
     bench.start_balancer(number)
     started = round(1000 * (time.monotonic() - start))
-    assert set(bench.read_versions().values()) == {newest}
+    hold(bench, newest, seconds)
     bench.control("faults")
     print(f"outage: a new balancer had version {newest} from a peer, ready in")
-    print(f"  {started} ms, process start with it; no version fell")
+    print(f"  {started} ms, process start with it; no version fell in {seconds:.0f} s")
+    recovered = bench.wait_in_force(bench.submit(AFTER_OUTAGE))
+    print(f"  a change after it was in force everywhere after {recovered} ms")
+
+
+def hold(bench, version, seconds):
+    """Check for a while that every balancer has one version in force."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        assert set(bench.read_versions().values()) == {version}
+        time.sleep(POLL_S)
+    assert set(bench.read_versions().values()) == {version}
 
 
 def measure_restore(bench, change):
@@ -230,10 +243,7 @@
     bench.control("restore/older")
     held = bench.read_held()
     mended = wait_until(lambda: bench.read_held() == newest)
-    deadline = time.monotonic() + HOLD_S
-    while time.monotonic() < deadline:
-        assert set(bench.read_versions().values()) == {newest}
-        time.sleep(POLL_S)
+    hold(bench, newest, HOLD_S)
     print(f"restore: the platform fell to version {held}; back at {newest} after")
     print(f"  {mended} ms; in {HOLD_S:.0f} s no balancer left version {newest}")
 
@@ -251,14 +261,14 @@
         yield bench
 
 
-def main(balancers=20, changes=10, block=61):
+def main(balancers=20, changes=10, outage_s=5, block=61):
     """Run all measurements; exit with 1 if a promise is broken."""
     print(describe_machine())
     try:
         with open_bench(balancers, block) as bench:
             wait_until(lambda: len(set(bench.read_versions().values())) == 1)
             measure_changes(bench, changes)
-            measure_outage(bench, balancers)
+            measure_outage(bench, balancers, outage_s)
             measure_restore(bench, changes + 1)
     except AssertionError as error:
         print(f"broken: {error!r}")
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -14,7 +14,7 @@
 from papayagw._internal.core.lifecycle import FlowLifecycle
 from papayagw._internal.core.return_path import ReturnPath
 from papayagw._internal.core.service_meter import ServiceMeter
-from papayagw._internal.exceptions import Step
+from papayagw._internal.exceptions import SettingsError, Step
 from papayagw._internal.models.admission import WorkEnd
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
@@ -23,6 +23,7 @@
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.node import AgentSettings
 from papayagw._internal.models.report import Side
+from papayagw._internal.models.service import Service
 from papayagw._internal.net.admission_gate import AdmissionGate
 from papayagw._internal.net.agent_flow import AgentFlow
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
@@ -117,12 +118,20 @@
         self._envelopes = EnvelopeCodec(keys)
         self._resets = ResetTokens(keys)
         if service is not None:
-            self._acceptor = FlowAcceptor(
-                Path(self._settings.certificate),
-                Path(self._settings.private_key),
-                service.idle_timeout_ms,
-                self._resets,
-            )
+            self._acceptor = self._make_acceptor(service)
+
+    def _make_acceptor(self, service: Service) -> FlowAcceptor:
+        certificate = Path(self._settings.certificate)
+        key = Path(self._settings.private_key)
+        try:
+            return FlowAcceptor(certificate, key, service.idle_timeout_ms, self._resets)
+        except (OSError, ValueError, LookupError) as error:
+            raise SettingsError(
+                f"can't use the certificate: {error}",
+                step=Step.SETTINGS,
+                peer=str(certificate),
+                remedy="put a PEM certificate and its private key there",
+            ) from error
 
     async def run(self) -> None:
         """Serve the flows until cancelled."""
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -5,6 +5,7 @@
 from papayagw._internal.core.admission import Admission
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.announcer import AgentAnnouncer
+from papayagw._internal.exceptions import SettingsError
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.node import AgentSettings
@@ -60,6 +61,7 @@
         self._clock = clock
         self._configuration = configuration
         self._source = source
+        self._log = log
         self._packets = AgentPackets(
             settings, configuration, core, admission, self._inner, clock, log
         )
@@ -125,8 +127,12 @@
 
     def _apply(self, configuration: Configuration) -> None:
         self._configuration = configuration
-        self._packets.apply(configuration)
         self._control.apply(configuration.site.keys)
+        try:
+            self._packets.apply(configuration)
+        except SettingsError as error:
+            # The files of the certificate have gone: the one in use stays.
+            self._log.failure(error)
         core = self._packets.core
         service = configuration.site.find_service_by_id(core.route.service_id)
         if service is None:
--- a/src/papayagw/_internal/settings/node.py
+++ b/src/papayagw/_internal/settings/node.py
@@ -26,6 +26,11 @@
     Url,
     Whole,
 )
+from papayagw._internal.settings.pem_files import (
+    CertificateFile,
+    PrivateKeyFile,
+    is_pair,
+)
 from papayagw._internal.settings.place import Place
 from papayagw._internal.settings.problem import Problems
 from papayagw._internal.settings.site import FLEET_KEY
@@ -72,6 +77,10 @@
     node = settings.node
     _check_overlap(place, inner=node.inner, backend=settings.backend)
     _check_overlap(place, admin=node.admin, backend=settings.backend)
+    if not is_pair(settings.certificate, settings.private_key):
+        place.enter("private_key").report(
+            "the key of another certificate", f"the key of {settings.certificate}"
+        )
     return settings
 
 
@@ -125,15 +134,15 @@
     {
         "service": Name(),
         "backend": Address(),
-        "certificate": ReadableFile(),
-        "private_key": ReadableFile(),
+        "certificate": CertificateFile(),
+        "private_key": PrivateKeyFile(),
     },
 )
 CONNECT_KEYS = make_keys(
     ConnectSettings,
     {
         "listeners": ListOf(ObjectOf(LISTENER_KEYS, _build_listener)),
-        "authority": ReadableFile(),
+        "authority": CertificateFile(),
         **_PROCESS_KINDS,
     },
 )
