Measure what stops, kills and freezes of real nodes do to flows

Found: stopping an agent broke 1 order of 1,500 (it was not run), and one order of the killed agent had no word for 60 s. Both are next.

--- /dev/null
+++ b/bench/node_faults.py
@@ -0,0 +1,140 @@
+"""Feeds and orders while one node is stopped, killed or frozen.
+
+``python -m bench.node_faults`` starts a fleet for each fault and exits with 1 if a
+planned stop breaks a flow, or if any fault doubles, crosses or falsely refuses one.
+"""
+
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+import fire
+
+from bench.requests import Batch, run_batches
+from bench.usage import describe_machine
+from papayagw._internal.load.profiles import RequestKind
+from papayagw._internal.load.report import LoadReport
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.standins.workload import BackendKind, Verb
+from tools.fleet import Fleet, running_fleet
+from tools.fleet_folder import FleetPlan, Hosts
+
+PLAN = FleetPlan(hosts=(Hosts("order", 3),), block=44)
+TIMEOUT_MS = Millis(60_000)
+FEEDS = 60
+FEED_LINES = 100
+FEED_INTERVAL_MS = 100
+ORDERS = 1_500
+ORDERS_AT_ONCE = 10
+BEFORE_S = 2
+FROZEN_S = 8
+AGENT, BACKEND, BALANCER = "agent-order-1", "backend-order-1", "balancer-1"
+
+FEED = RequestKind("feed", BackendKind.ORDER, Verb.FEED, (FEED_LINES, FEED_INTERVAL_MS))
+ORDER = RequestKind("order", BackendKind.ORDER, Verb.ORDER)
+
+
+async def freeze(fleet: Fleet, name: str) -> None:
+    os.kill(fleet.pid(name), signal.SIGSTOP)
+    await anyio.sleep(FROZEN_S)
+    os.kill(fleet.pid(name), signal.SIGCONT)
+
+
+async def stop(fleet: Fleet, name: str) -> None:
+    await anyio.to_thread.run_sync(fleet.stop, name)
+
+
+async def kill(fleet: Fleet, name: str) -> None:
+    fleet.kill(name)
+
+
+async def restart_in_turn(fleet: Fleet, _: str) -> None:
+    for name in (*fleet.settings.balancers, *fleet.settings.agents):
+        await stop(fleet, name)
+        await anyio.to_thread.run_sync(fleet.start_one, name)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What is done to one node.
+
+    Attributes
+    ----------
+    name : str
+        What the table calls it.
+    act : callable
+        Does it.
+    node : str
+        The node.
+    breaks : bool
+        Whether flows of that node may break.
+    """
+
+    name: str
+    act: Callable[[Fleet, str], Awaitable[None]]
+    node: str
+    breaks: bool
+
+
+FAULTS = (
+    Fault("stop balancer", stop, BALANCER, False),
+    Fault("kill balancer", kill, BALANCER, False),
+    Fault("stop agent", stop, AGENT, False),
+    Fault("restart in turn", restart_in_turn, "", False),
+    Fault("kill agent", kill, AGENT, True),
+    Fault("freeze agent", freeze, AGENT, True),
+    Fault("kill backend", kill, BACKEND, True),
+)
+
+
+async def run(fleet: Fleet, fault: Fault) -> LoadReport:
+    target = fleet.targets["order"]
+    batches = [
+        Batch(FEED, target, FEEDS, FEEDS),
+        Batch(ORDER, target, ORDERS, ORDERS_AT_ONCE),
+    ]
+
+    async def act() -> None:
+        await anyio.sleep(BEFORE_S)
+        await fault.act(fleet, fault.node)
+
+    backends = [
+        endpoint
+        for name, endpoint in fleet.backends.items()
+        if fault.act is not kill or f"backend-{name}" != fault.node
+    ]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(act)
+        return await run_batches(batches, TIMEOUT_MS, backends)
+
+
+def is_right(fault: Fault, report: LoadReport) -> bool:
+    """Return whether the fault did no more harm than it may."""
+    outcomes, journal = report.outcomes, report.journal
+    wrong = outcomes["crossed"] + outcomes["wrong bytes"]
+    wrong += journal.doubled + journal.refused_but_run
+    lost = outcomes.total() - outcomes["done"]
+    return wrong == 0 and (fault.breaks or lost == 0)
+
+
+def main(*names: str):
+    """Run each fault, or those that are named, and print what became of the flows."""
+    print(describe_machine())
+    right = True
+    for fault in FAULTS:
+        if names and fault.name not in names:
+            continue
+        with running_fleet(PLAN) as fleet:
+            report = anyio.run(run, fleet, fault)
+        verdict = "right" if is_right(fault, report) else "WRONG"
+        right = right and verdict == "right"
+        kinds = {name: dict(kind.outcomes) for name, kind in report.kinds.items()}
+        print(f"{fault.name}: {verdict} {kinds} {report.journal}", flush=True)
+    sys.exit(0 if right else 1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
