Refuse an opening flow only after its handshake

Cause: a drain ended flows whose handshake wasn't complete at the agent. A flow that is opening now waits for its handshake and is refused then.

--- a/src/papayagw/_internal/core/lifecycle.py
+++ b/src/papayagw/_internal/core/lifecycle.py
@@ -89,6 +89,7 @@
         "_max_connects",
         "_outcome",
         "_state",
+        "_stopping",
         "_undelivered",
         "_writable",
     )
@@ -104,6 +105,7 @@
         self._answer_bytes = 0
         self._ignored = 0
         self._caller_finished = False
+        self._stopping = False
         self._writable = True
 
     @property
@@ -155,7 +157,7 @@
         if self._state is not FlowState.OPENING:
             return self._ignore()
         self._state = FlowState.ACCEPTED
-        return NOTHING
+        return self._fail() if self._stopping else NOTHING
 
     def _on_admitted(self, event: Admitted) -> FlowActions:
         if self._state is not FlowState.ACCEPTED:
@@ -254,9 +256,14 @@
         return self._fail()
 
     def _on_stop_asked(self, event: StopAsked) -> FlowActions:
-        # A flow that is connected is established: it may end in its own time.
+        # A flow that is connected is established: it may end in its own time. One
+        # that is opening can't be told yet: its caller may hold the handshake for
+        # complete, and a word in the middle of it doesn't carry an outcome.
         if self._state in _CONNECTED_STATES:
             return NOTHING
+        if self._state is FlowState.OPENING:
+            self._stopping = True
+            return NOTHING
         return self._fail()
 
     def _on_stop_limit(self, event: StopLimitReached) -> FlowActions:
--- a/tests/unit/test_lifecycle.py
+++ b/tests/unit/test_lifecycle.py
@@ -50,6 +50,7 @@
         ([*FINISHING, on.BackendBroke(1), on.CallerSent(3)], ()),
         ([*FINISHING, on.AnswerAcknowledged()], (ANSWERED,)),
         ([*CONNECTED, on.StopAsked()], ()),
+        ([on.CallerSent(9), on.StopAsked()], ()),
         ([*ANSWERING, on.StopAsked()], ()),
     ],
 )
@@ -64,6 +65,8 @@
         ([on.HandshakeCompleted(), on.AdmissionRefused()], (REFUSED,)),
         ([on.CallerSent(9), on.DeadlineReached()], (REFUSED,)),
         ([*ACCEPTED, on.StopAsked()], (on.CancelBackend(), REFUSED)),
+        ([on.HandshakeCompleted(), on.StopAsked()], (REFUSED,)),
+        ([on.StopAsked(), on.HandshakeCompleted()], (REFUSED,)),
         (
             [
                 *ACCEPTED,
