Give up handshakes that take more than 3 s

Cause: a copy of an opening that reached a second agent never completes its handshake there, and was kept for the idle timeout of 60 s; a drain waited for it as for an open flow.

--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -11,12 +11,13 @@
 from papayagw._internal.core.admission import Admission
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.backend_health import ConnectHealth
+from papayagw._internal.core.deadlines import DeadlineQueue
 from papayagw._internal.core.lifecycle import FlowLifecycle
 from papayagw._internal.core.return_path import ReturnPath
 from papayagw._internal.core.service_meter import ServiceMeter
 from papayagw._internal.exceptions import Step
 from papayagw._internal.models.admission import WorkEnd
-from papayagw._internal.models.clock import Clock
+from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import Accept, DropReason, Forward
 from papayagw._internal.models.endpoint import Endpoint
@@ -42,6 +43,11 @@
 BACKEND_CONNECTS = 1
 """Connections tried for one flow: an opening at a sibling is the better second."""
 
+HALF_OPEN_MS = Millis(3_000)
+"""How long a handshake may take; a copy of an opening never completes its own."""
+
+_SWEEP_MS = Millis(500)
+
 
 class AgentPackets:
     """The agent's packet path: envelopes in, answers out.
@@ -84,6 +90,7 @@
         self._table = FlowTable(clock, self._on_removed, log)
         self._gate = AdmissionGate(admission, clock)
         self._health = ConnectHealth()
+        self._half_open: DeadlineQueue[AgentFlow] = DeadlineQueue()
         self._meter = ServiceMeter(settings.service, Side.AGENT)
         self._counts: dict[str, int] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -129,6 +136,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._gate.run)
+            tasks.start_soon(self._sweep_half_open)
             await self._table.run()
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
@@ -195,6 +203,7 @@
 
     def on_accepted(self, flow: AgentFlow) -> None:
         """Ask for the admission of a flow whose handshake is complete."""
+        self._half_open.set(flow, None)
         self._gate.ask(flow)
 
     def on_connect(self, reached: bool) -> None:
@@ -218,6 +227,7 @@
         self._count(outcome.value)
         if flow.backend_failed:
             self._gate.note_end(flow, WorkEnd.FAILED)
+        self._half_open.set(flow, None)
         self._gate.close(flow)
         if outcome is not FlowOutcome.ANSWERED:
             self._log.limited(
@@ -289,9 +299,17 @@
             self._clock,
         )
         self._count("opened")
+        self._half_open.set(flow, Millis(self._clock.now() + HALF_OPEN_MS))
         self._table.add(flow, connection_id, tag)
         self._table.receive(flow, datagram, envelope.client.sockaddr)
 
+    async def _sweep_half_open(self) -> None:
+        while True:
+            await anyio.sleep(to_seconds(_SWEEP_MS))
+            for flow in self._half_open.pop_due(self._clock.now()):
+                flow.give_up()
+            self._table.flush()
+
     def _make_tag(self) -> bytes:
         while True:
             tag = self._tags.seal(self._tags.make(self._core.route))
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -167,6 +167,10 @@
         """End the flow if it isn't established yet."""
         self._apply(StopAsked(), "the agent is leaving")
 
+    def give_up(self) -> None:
+        """End the flow, whose handshake wasn't completed in time."""
+        self._apply(IdleTimedOut(), "the handshake took too long")
+
     def stop(self, reason: str) -> None:
         """End the flow now."""
         self._apply(StopLimitReached(), reason)
