--- /dev/null
+++ b/bench/membership_properties.py
@@ -0,0 +1,37 @@
+"""Run each property of the membership over many drawn histories, one seed each.
+
+    python -m bench.membership_properties --examples 20000 --seed 1
+    python -m bench.membership_properties --mutations
+
+With ``--mutations`` each mechanism is turned off by a double, which its property
+must find. Exit code 1 if a property fails or a double stays green.
+"""
+
+import argparse
+import sys
+
+from bench.flow_mutations import is_found
+from bench.flow_properties import check
+from tests.properties.membership_proof import MUTATIONS, PROOFS
+
+PROPERTIES = {proof.name: proof for proof in PROOFS}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--examples", type=int, default=2_000)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--property", choices=PROPERTIES, action="append")
+    parser.add_argument("--mutations", action="store_true")
+    options = parser.parse_args()
+    if options.mutations:
+        found = [is_found(one, options.examples, options.seed) for one in MUTATIONS]
+        print(f"{sum(found)} of {len(found)} doubles found, seed={options.seed}")
+        return 0 if all(found) else 1
+    names = options.property or list(PROPERTIES)
+    held = [check(PROPERTIES[name], options.examples, options.seed) for name in names]
+    return 0 if all(held) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -84,6 +84,9 @@
 JOIN_PEERS = 50
 """The number of peers that doubles `JOIN_MS`."""
 
+MEET_MS = Millis(100)
+"""The least time between two answers to nodes that are unknown or taken for gone."""
+
 JOIN_RECORDS = 30
 """How many records the answer to a join carries."""
 
@@ -134,6 +137,7 @@
         self._join_at = Millis(0)
         self._join_wait = FIRST_JOIN_MS
         self._fanout_at = Millis(0)
+        self._meet_at = Millis(0)
         self._version = 0
         self._version_copies = 0
         self._heard: tuple[int, Endpoint] | None = None
@@ -402,7 +406,7 @@
         yield from self._answer(message, source, now)
         known = self._fleet.table.get(source)
         if known is None or known.state is AgentState.GONE:
-            yield from self._meet(known, source)
+            yield from self._meet(known, source, now)
             return
         settled = not self._fleet.news
         yield from self._repairer.on_digest(message.digest, source, settled, now)
@@ -419,8 +423,13 @@
                 voucher = Voucher(inquiry.endpoint, inquiry.incarnation, 0)
                 yield Send(inquirer, voucher)
 
-    def _meet(self, known: Record | None, source: Endpoint) -> Iterator[Send]:
+    def _meet(
+        self, known: Record | None, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
         """Make a node known that speaks though it is unknown, or taken for gone."""
+        if now < self._meet_at:
+            return
+        self._meet_at = Millis(now + MEET_MS)
         if known is not None:
             yield self._gossip(GossipKind.NEWS, source, 0, make_news([known]))
         yield Send(source, Join(self._fleet.own))
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -48,6 +48,7 @@
         self.cut: list[tuple[frozenset[Endpoint], frozenset[Endpoint]]] = []
         self._queue = []
         self._order = count()
+        self._arrived_at = 0
 
     def add_balancer(self, number: int, incarnation: int = 1_000) -> Endpoint:
         endpoint = Endpoint(f"127.1.{number // 250}.{1 + number % 250}", 4300)
@@ -118,14 +119,15 @@
         delay_ms = self.network.delay_ms + self.random.randint(
             0, self.network.jitter_ms
         )
-        item = (self.now + delay_ms, next(self._order), source, destination, send)
+        at = max(self.now, self._arrived_at) + delay_ms
+        item = (at, next(self._order), source, destination, send)
         heapq.heappush(self._queue, item)
 
     def _deliver(self) -> None:
         later = []
         while self._queue and self._queue[0][0] <= self.now + TICK_MS // 2:
             item = heapq.heappop(self._queue)
-            _, _, source, destination, send = item
+            self._arrived_at, _, source, destination, send = item
             node = self.balancers.get(destination) or self.agents.get(destination)
             if destination in self.frozen:
                 # A socket's buffer keeps what a paused process doesn't read.
