--- a/src/papayagw/__init__.py
+++ b/src/papayagw/__init__.py
@@ -1,9 +1,33 @@
 """A layer-4 load balancer whose packets carry the state of their flow.
 
-The public surface is this module: the caller library (:func:`open_flow`), the
-version and the errors. Everything under ``papayagw._internal`` may change.
+The public surface is this module: the caller library (`Caller`, `Flow`), its errors
+and the version. Everything under ``papayagw._internal`` may change.
 """
 
+from importlib import import_module
+
+from papayagw._internal.exceptions import (
+    FlowRefusedError,
+    FlowUnknownError,
+    PapayagwError,
+)
+
 __version__ = "0.1.0"
 
-__all__ = ["__version__"]
+__all__ = [
+    "Caller",
+    "Flow",
+    "FlowRefusedError",
+    "FlowUnknownError",
+    "PapayagwError",
+    "__version__",
+]
+
+_LAZY = ("Caller", "Flow")
+
+
+def __getattr__(name: str) -> object:
+    # Loaded when asked for: a balancer needn't hold the caller library in memory.
+    if name in _LAZY:
+        return getattr(import_module("papayagw._internal.net.caller"), name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/src/papayagw/_internal/net/admin.py
+++ b/src/papayagw/_internal/net/admin.py
@@ -15,7 +15,8 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.status import StatusReport
-from papayagw._internal.net.tcp import TcpBrokenError, TcpListener, TcpStream
+from papayagw._internal.net.byte_stream import StreamBrokenError
+from papayagw._internal.net.tcp import TcpListener, TcpStream
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.observe.status_json import write_status
 
@@ -70,7 +71,7 @@
         try:
             if self._connections < MAX_CONNECTIONS:
                 await self._answer_in_time(stream)
-        except TcpBrokenError:
+        except StreamBrokenError:
             # The operator's side went away; nothing is left to answer.
             pass
         finally:
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -41,7 +41,8 @@
     StreamEvent,
 )
 from papayagw._internal.net.bridge import FlowBridge
-from papayagw._internal.net.tcp import TcpBrokenError, TcpStream
+from papayagw._internal.net.byte_stream import StreamBrokenError
+from papayagw._internal.net.tcp import TcpStream
 from papayagw._internal.wire.quic import FlowConnection
 
 ACCEPTED = b"\x01"
@@ -285,7 +286,7 @@
         with anyio.CancelScope() as self._scope:
             try:
                 stream = await TcpStream.connect(self._backend, CONNECT_TIMEOUT_MS)
-            except TcpBrokenError as error:
+            except StreamBrokenError as error:
                 self._backend_failed = True
                 self._owner.on_connect(False)
                 self._apply(BackendConnectFailed(attempt), str(error))
@@ -302,7 +303,7 @@
         try:
             await self._bridge.run(stream)
             is_whole = True
-        except* TcpBrokenError as errors:
+        except* StreamBrokenError as errors:
             self._backend_failed = True
             self._backend_gone = True
             self._apply(BackendBroke(attempt), str(errors.exceptions[0]))
--- a/src/papayagw/_internal/net/bridge.py
+++ b/src/papayagw/_internal/net/bridge.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from papayagw._internal.net.tcp import TcpStream
+from papayagw._internal.net.byte_stream import ByteStream
 
 HIGH_WATER_BYTES = 512 << 10
 """Above this many unacknowledged bytes, no more are read from TCP."""
@@ -56,19 +56,19 @@
         if not self._room.is_set() and self._flow.buffered_bytes < HIGH_WATER_BYTES:
             self._room.set()
 
-    async def run(self, stream: TcpStream) -> None:
+    async def run(self, stream: ByteStream) -> None:
         """Carry bytes until both directions have ended in order.
 
         Raises
         ------
-        TcpBrokenError
+        StreamBrokenError
             If the TCP connection is reset.
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._deliver, stream)
             tasks.start_soon(self._collect, stream)
 
-    async def _deliver(self, stream: TcpStream) -> None:
+    async def _deliver(self, stream: ByteStream) -> None:
         while True:
             while self._arrived:
                 data = self._arrived.popleft()
@@ -80,7 +80,7 @@
             self._arrival = anyio.Event()
             await self._arrival.wait()
 
-    async def _collect(self, stream: TcpStream) -> None:
+    async def _collect(self, stream: ByteStream) -> None:
         while True:
             if self._flow.buffered_bytes >= HIGH_WATER_BYTES:
                 self._room = anyio.Event()
--- /dev/null
+++ b/src/papayagw/_internal/net/byte_stream.py
@@ -0,0 +1,101 @@
+"""Streams of bytes with an orderly end and a reset, and a pair of them in memory."""
+
+from typing import Protocol
+
+import anyio
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from papayagw._internal.exceptions import PapayagwError, Step
+
+_CHUNKS = 16
+"""How many pieces one end may send before the other has to receive."""
+
+
+class StreamBrokenError(PapayagwError):
+    """A stream that was reset or can't be made."""
+
+
+class ByteStream(Protocol):
+    """A stream of bytes in both directions."""
+
+    async def receive(self) -> bytes:
+        """Return bytes from the peer, or none at its orderly end."""
+
+    async def send(self, data: bytes) -> None:
+        """Hand over all of `data`."""
+
+    def send_eof(self) -> None:
+        """Tell the peer that no more bytes come."""
+
+    def close(self) -> None:
+        """End the stream in order."""
+
+    def abort(self) -> None:
+        """Reset the stream."""
+
+
+class MemoryStream:
+    """One end of a stream within this process.
+
+    Parameters
+    ----------
+    outgoing : MemoryObjectSendStream
+        Where this end's bytes go.
+    incoming : MemoryObjectReceiveStream
+        Where the peer's bytes come from; none of them is empty.
+    """
+
+    def __init__(
+        self,
+        outgoing: MemoryObjectSendStream[bytes],
+        incoming: MemoryObjectReceiveStream[bytes],
+    ):
+        self._outgoing = outgoing
+        self._incoming = incoming
+        self._peer: MemoryStream | None = None
+        self._is_reset = False
+
+    @classmethod
+    def make_pair(cls) -> tuple["MemoryStream", "MemoryStream"]:
+        """Return the two ends of a new stream."""
+        to_second, from_first = anyio.create_memory_object_stream[bytes](_CHUNKS)
+        to_first, from_second = anyio.create_memory_object_stream[bytes](_CHUNKS)
+        first, second = cls(to_second, from_second), cls(to_first, from_first)
+        first._peer, second._peer = second, first
+        return first, second
+
+    async def receive(self) -> bytes:
+        """Return bytes from the peer, or none at its orderly end."""
+        try:
+            return await self._incoming.receive()
+        except (anyio.EndOfStream, anyio.ClosedResourceError):
+            if self._is_reset:
+                raise self._broken() from None
+            return b""
+
+    async def send(self, data: bytes) -> None:
+        """Hand over all of `data`."""
+        if not data:
+            return
+        try:
+            await self._outgoing.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            raise self._broken() from None
+
+    def send_eof(self) -> None:
+        """Tell the peer that no more bytes come."""
+        self._outgoing.close()
+
+    def close(self) -> None:
+        """End the stream in order."""
+        self._outgoing.close()
+        self._incoming.close()
+
+    def abort(self) -> None:
+        """Reset the stream."""
+        if self._peer is not None:
+            self._peer._is_reset = True
+        self.close()
+
+    def _broken(self) -> StreamBrokenError:
+        return StreamBrokenError("the stream was reset", step=Step.DELIVER)
--- /dev/null
+++ b/src/papayagw/_internal/net/caller.py
@@ -0,0 +1,182 @@
+r"""The caller library: flows to one service from within a program.
+
+>>> async def place_order(tasks):
+...     caller = Caller("order", "127.0.1.1:4401", "keys/ca.pem")
+...     await caller.start(tasks)
+...     flow = caller.open()
+...     await flow.send(b"ORDER 7\n")
+...     return await flow.receive()
+"""
+
+from pathlib import Path
+
+import anyio
+import anyio.abc
+
+from papayagw._internal.core.service_meter import ServiceMeter
+from papayagw._internal.exceptions import (
+    FlowRefusedError,
+    FlowUnknownError,
+    PapayagwError,
+    Step,
+)
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.flow import FlowOutcome
+from papayagw._internal.models.report import Side
+from papayagw._internal.net.byte_stream import MemoryStream, StreamBrokenError
+from papayagw._internal.net.caller_flow import CallerFlow
+from papayagw._internal.net.clock import MonotonicClock
+from papayagw._internal.net.flow_port import FlowPort
+from papayagw._internal.net.retries import make_retries
+from papayagw._internal.observe.logs import Log
+from papayagw._internal.wire.quic import FlowOpener
+
+DEFAULT_IDLE_TIMEOUT_MS = Millis(60_000)
+"""How long a flow may be silent before it is given up."""
+
+
+class Flow:
+    """One flow, as a stream of bytes in both directions.
+
+    Parameters
+    ----------
+    stream : MemoryStream
+        The program's end of the flow's bytes.
+    service : str
+        The service, for errors.
+    """
+
+    def __init__(self, stream: MemoryStream, service: str):
+        self._stream = stream
+        self._service = service
+        self._outcome: FlowOutcome | None = None
+        self._reason = ""
+
+    @property
+    def outcome(self) -> FlowOutcome | None:
+        """How the flow ended, or None while it lives."""
+        return self._outcome
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes to the backend server.
+
+        Raises
+        ------
+        FlowRefusedError
+            If no byte reached a backend server: opening again is safe.
+        FlowUnknownError
+            If bytes may have reached one.
+        """
+        try:
+            await self._stream.send(data)
+        except StreamBrokenError as error:
+            raise self._make_error() from error
+
+    def send_eof(self) -> None:
+        """Send no more bytes."""
+        self._stream.send_eof()
+
+    async def receive(self) -> bytes:
+        """Return bytes of the backend server, or none at the end of its answer.
+
+        Raises
+        ------
+        FlowRefusedError, FlowUnknownError
+            As `send` does.
+        """
+        try:
+            return await self._stream.receive()
+        except StreamBrokenError as error:
+            raise self._make_error() from error
+
+    def close(self) -> None:
+        """End the flow; what it asked for is cancelled if it hasn't been answered."""
+        self._stream.abort()
+
+    def note_end(self, outcome: FlowOutcome, reason: str) -> None:
+        """Note how the flow ended."""
+        self._outcome = outcome
+        self._reason = reason
+
+    def _make_error(self) -> PapayagwError:
+        if self._outcome is FlowOutcome.REFUSED:
+            return FlowRefusedError(
+                self._reason or "no agent took the flow",
+                step=Step.OPEN_FLOW,
+                peer=self._service,
+                remedy="it was not run: open another flow when you like",
+            )
+        return FlowUnknownError(
+            self._reason or "the flow broke",
+            step=Step.DELIVER,
+            peer=self._service,
+            remedy="it may have run: ask the service before you send it again",
+        )
+
+
+class Caller:
+    """Opens flows to one service.
+
+    Parameters
+    ----------
+    service : str
+        The service, which the agents' certificate names.
+    entry : str
+        The entry address of the service, as ``ip:port``.
+    authority : str or Path
+        PEM file of the authority that signs the agents' certificates.
+    idle_timeout_ms : Millis
+        How long a flow may be silent.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        entry: str,
+        authority: str | Path,
+        idle_timeout_ms: Millis = DEFAULT_IDLE_TIMEOUT_MS,
+    ):
+        self._service = service
+        self._clock = MonotonicClock()
+        opener = FlowOpener(
+            service, Endpoint.parse(entry), Path(authority), idle_timeout_ms
+        )
+        self._port = FlowPort(opener, self._clock, Log(self._clock))
+        self._make_retry = make_retries()
+        self._meter = ServiceMeter(service, Side.CALLER)
+        self._flows: anyio.abc.TaskGroup | None = None
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Take a UDP port and serve flows in `tasks` until `close`."""
+        await tasks.start(self._run)
+
+    def close(self) -> None:
+        """Cut the flows that are open, and give the port back."""
+        if self._flows is not None:
+            self._flows.cancel_scope.cancel()
+
+    def open(self) -> Flow:
+        """Return a new flow, whose opening is on its way."""
+        assert self._flows is not None, "start() comes first"
+        own, other = MemoryStream.make_pair()
+        flow = Flow(own, self._service)
+        self._flows.start_soon(self._carry, other, flow)
+        return flow
+
+    async def _run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        self._port.start()
+        try:
+            async with anyio.create_task_group() as flows:
+                self._flows = flows
+                task_status.started()
+                await self._port.run()
+        finally:
+            self._port.close()
+
+    async def _carry(self, stream: MemoryStream, flow: Flow) -> None:
+        meter = self._meter.start_flow(self._clock.now())
+        carried = CallerFlow(
+            stream, self._port, self._make_retry(), self._clock, meter, flow.note_end
+        )
+        await carried.run()
--- a/src/papayagw/_internal/net/caller_flow.py
+++ b/src/papayagw/_internal/net/caller_flow.py
@@ -1,5 +1,6 @@
 """A flow at its caller: one TCP connection, carried over as many openings as safe."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import anyio
@@ -17,7 +18,7 @@
 )
 from papayagw._internal.net.agent_flow import ACCEPTED
 from papayagw._internal.net.bridge import FlowBridge
-from papayagw._internal.net.tcp import TcpBrokenError, TcpStream
+from papayagw._internal.net.byte_stream import ByteStream, StreamBrokenError
 from papayagw._internal.wire.quic import FlowConnection
 
 OPENING_TIMEOUT_MS = Millis(1_500)
@@ -80,8 +81,8 @@
 
     Parameters
     ----------
-    stream : TcpStream
-        The caller's TCP connection.
+    stream : ByteStream
+        The caller's TCP connection, or another stream of its bytes.
     port : OpeningPort
         Where openings are made.
     retry : OpeningRetry
@@ -90,17 +91,21 @@
         The time.
     meter : FlowMeter
         Counts what becomes of the flow.
+    on_end : callable
+        Told how the flow ended and why, before its stream ends.
     """
 
     def __init__(
         self,
-        stream: TcpStream,
+        stream: ByteStream,
         port: OpeningPort,
         retry: OpeningRetry,
         clock: Clock,
         meter: FlowMeter,
+        on_end: Callable[[FlowOutcome, str], None],
     ):
         self._stream = stream
+        self._on_end = on_end
         self._port = port
         self._retry = retry
         self._clock = clock
@@ -124,11 +129,6 @@
             return self._kept_bytes
         return self._attempt.connection.buffered_bytes
 
-    @property
-    def reason(self) -> str:
-        """A word on how the flow ended, for the logs."""
-        return self._reason
-
     def write(self, data: bytes) -> None:
         """Send bytes to the agent."""
         if self._kept is not None:
@@ -167,26 +167,29 @@
         if attempt is self._attempt:
             self._bridge.on_writable()
 
-    async def run(self) -> FlowOutcome:
-        """Carry the flow to its end and return how it ended."""
-        with self._scope:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._supervise)
-                await self._carry()
-                tasks.cancel_scope.cancel()
-        outcome = self._outcome or FlowOutcome.CANCELLED
-        self._meter.note_ended(outcome, self._clock.now())
-        if outcome is FlowOutcome.ANSWERED:
-            self._stream.close()
-        else:
-            self._stream.abort()
-        return outcome
+    async def run(self) -> None:
+        """Carry the flow to its end."""
+        try:
+            with self._scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._supervise)
+                    await self._carry()
+                    tasks.cancel_scope.cancel()
+        finally:
+            # Also when this process stops: a cut flow must not look whole.
+            outcome = self._outcome or FlowOutcome.UNKNOWN
+            self._meter.note_ended(outcome, self._clock.now())
+            self._on_end(outcome, self._reason)
+            if outcome is FlowOutcome.ANSWERED:
+                self._stream.close()
+            else:
+                self._stream.abort()
 
     async def _carry(self) -> None:
         try:
             await self._bridge.run(self._stream)
             self._close(FlowOutcome.ANSWERED, "")
-        except* TcpBrokenError as errors:
+        except* StreamBrokenError as errors:
             self._close(FlowOutcome.CANCELLED, str(errors.exceptions[0]))
 
     def _close(self, outcome: FlowOutcome, reason: str) -> None:
--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -15,8 +15,9 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration, FleetKey
 from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.net.byte_stream import StreamBrokenError
 from papayagw._internal.net.frames import receive_frame, send_frame
-from papayagw._internal.net.tcp import TcpBrokenError, TcpListener, TcpStream
+from papayagw._internal.net.tcp import TcpListener, TcpStream
 from papayagw._internal.wire.configuration_exchange import ExchangeCodec
 
 EXCHANGE_TIMEOUT_MS = Millis(3_000)
@@ -78,7 +79,7 @@
                 answer = await self._ask(peer, codec)
         except TimeoutError:
             return Failure(_fail(peer, f"no answer in {self._timeout_ms} ms"))
-        except (TcpBrokenError, DecodeError) as error:
+        except (StreamBrokenError, DecodeError) as error:
             return Failure(_fail(peer, f"no answer: {error.what}"))
         if answer is None:
             return Failure(_fail(peer, "an answer that isn't authentic"))
@@ -143,7 +144,7 @@
             if self._connections <= MAX_CONNECTIONS:
                 with anyio.move_on_after(to_seconds(EXCHANGE_TIMEOUT_MS)):
                     await self._answer(stream)
-        except (TcpBrokenError, DecodeError):
+        except (StreamBrokenError, DecodeError):
             # The peer went away or isn't one; it asks again if it is.
             self._refused += 1
         finally:
--- a/src/papayagw/_internal/net/connect_process.py
+++ b/src/papayagw/_internal/net/connect_process.py
@@ -1,16 +1,13 @@
 """The caller's side as a process: one connector for each listener."""
 
-import random
-from collections.abc import Callable
 from pathlib import Path
 
 import anyio
 
-from papayagw._internal.core.retry import OpeningRetry, TokenBudget
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.node import ConnectSettings, Listener
-from papayagw._internal.models.opening import RetryPolicy
 from papayagw._internal.net.connect import ServiceConnector
+from papayagw._internal.net.retries import make_retries
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.quic import FlowOpener
 
@@ -73,16 +70,4 @@
     listener: Listener, authority: Path, clock: Clock, log: Log
 ) -> ServiceConnector:
     opener = FlowOpener(listener.service, listener.entry, authority, IDLE_TIMEOUT_MS)
-    return ServiceConnector(listener, opener, _make_retries(), clock, log)
-
-
-def _make_retries() -> Callable[[], OpeningRetry]:
-    policy = RetryPolicy()
-    budget = TokenBudget(policy)
-    # Which calls are idempotent isn't known here, so none is taken to be.
-    draw = random.SystemRandom().random
-
-    def make_retry() -> OpeningRetry:
-        return OpeningRetry(policy, budget, idempotent=False, draw=draw)
-
-    return make_retry
+    return ServiceConnector(listener, opener, make_retries(), clock, log)
--- /dev/null
+++ b/src/papayagw/_internal/net/flow_port.py
@@ -0,0 +1,109 @@
+"""The callers' end of the network: flows over one UDP socket to an entry address."""
+
+import anyio
+
+from papayagw._internal.models.clock import Clock, Millis, to_seconds
+from papayagw._internal.net.caller_flow import OpeningAttempt
+from papayagw._internal.net.flow_table import FlowHandler, FlowTable
+from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
+from papayagw._internal.wire.header import read_connection_id
+from papayagw._internal.wire.quic import (
+    CALLER_ID_BYTES,
+    FlowConnection,
+    FlowOpener,
+)
+from papayagw._internal.wire.reset import RESET_TOKEN_BYTES
+
+PROBE_MS = Millis(1_000)
+"""How long a flow may be silent before its agent is probed."""
+
+
+class FlowPort:
+    """Opens flows to one service and moves their packets.
+
+    Parameters
+    ----------
+    opener : FlowOpener
+        Makes the callers' ends of flows.
+    clock : Clock
+        The time.
+    log : Log
+        Where faults are logged.
+    """
+
+    def __init__(self, opener: FlowOpener, clock: Clock, log: Log):
+        self._opener = opener
+        self._clock = clock
+        self._socket = DatagramSocket(None)
+        self._table = FlowTable(clock, self._on_removed, log)
+        self._heard: dict[FlowHandler, Millis] = {}
+
+    def start(self) -> None:
+        """Take a UDP port."""
+        self._socket.start()
+
+    def close(self) -> None:
+        """Send what is due, and give the port back."""
+        self._table.flush()
+        self._socket.close()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._receive)
+            tasks.start_soon(self._table.run)
+            tasks.start_soon(self._probe)
+
+    def open(self) -> FlowConnection:
+        """Return a new connection."""
+        return self._opener.open(self._clock.now())
+
+    def add(self, attempt: OpeningAttempt) -> None:
+        """Send the packets of an attempt's connection to it from now on."""
+        self._table.add(attempt, attempt.connection.local_id)
+        self._heard[attempt] = self._clock.now()
+
+    def on_handshake(self, attempt: OpeningAttempt) -> None:
+        """Let a stateless reset by the agent find the attempt."""
+        token = attempt.connection.peer_reset_token
+        if token:
+            self._table.add_id(attempt, token)
+
+    def touch(self, attempt: OpeningAttempt) -> None:
+        """Note that an attempt has something to send."""
+        self._table.touch(attempt)
+
+    def send(self, datagram: bytes, peer: tuple[str, int]) -> None:
+        """Send a datagram to the entry address."""
+        self._socket.send(datagram, peer)
+
+    async def _receive(self) -> None:
+        while True:
+            await self._socket.wait_readable()
+            now = self._clock.now()
+            for datagram, peer in self._socket.receive_batch():
+                handler = self._find(datagram)
+                if handler is not None:
+                    self._heard[handler] = now
+                    self._table.receive(handler, datagram, peer)
+            self._table.flush()
+
+    def _find(self, datagram: bytes) -> FlowHandler | None:
+        connection_id = read_connection_id(datagram, CALLER_ID_BYTES)
+        handler = self._table.find(connection_id or b"")
+        if handler is None:
+            handler = self._table.find(datagram[-RESET_TOKEN_BYTES:])
+        return handler
+
+    async def _probe(self) -> None:
+        while True:
+            await anyio.sleep(to_seconds(PROBE_MS) / 2)
+            now = self._clock.now()
+            for handler, heard_at in self._heard.items():
+                if now - heard_at >= PROBE_MS:
+                    handler.connection.probe()
+                    self._table.touch(handler)
+
+    def _on_removed(self, handler: FlowHandler) -> None:
+        self._heard.pop(handler, None)
--- a/src/papayagw/_internal/net/frames.py
+++ b/src/papayagw/_internal/net/frames.py
@@ -27,7 +27,7 @@
     ------
     DecodeError
         If the frame is longer than `limit`, or the connection ends within it.
-    TcpBrokenError
+    StreamBrokenError
         If the connection is lost.
     """
     data = bytearray()
--- a/src/papayagw/_internal/net/tcp.py
+++ b/src/papayagw/_internal/net/tcp.py
@@ -13,19 +13,16 @@
 import anyio
 import anyio.abc
 
-from papayagw._internal.exceptions import BindError, PapayagwError, Step
+from papayagw._internal.exceptions import BindError, Step
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.net.byte_stream import StreamBrokenError
 
 READ_BYTES = 1 << 16
 _BACKLOG = 1024
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
-class TcpBrokenError(PapayagwError):
-    """A TCP connection that was reset or can't be made."""
-
-
 class TcpStream:
     """One TCP connection.
 
@@ -46,7 +43,7 @@
 
         Raises
         ------
-        TcpBrokenError
+        StreamBrokenError
             If it refuses or doesn't answer in `timeout_ms`.
         """
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -57,7 +54,7 @@
             return cls(connection)
         except (OSError, TimeoutError) as error:
             connection.close()
-            raise TcpBrokenError(
+            raise StreamBrokenError(
                 f"can't connect: {error or 'no answer'}",
                 step=Step.CONNECT_BACKEND,
                 peer=str(endpoint),
@@ -104,8 +101,8 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         self._socket.close()
 
-    def _broken(self, error: OSError) -> TcpBrokenError:
-        return TcpBrokenError(f"connection lost: {error}", step=Step.DELIVER)
+    def _broken(self, error: OSError) -> StreamBrokenError:
+        return StreamBrokenError(f"connection lost: {error}", step=Step.DELIVER)
 
 
 class TcpListener:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -77,6 +77,11 @@
         """What the folder says."""
         return self._settings
 
+    @property
+    def folder(self) -> Path:
+        """The settings folder."""
+        return self._folder
+
     @property
     def targets(self) -> dict[str, Endpoint]:
         """Where ordinary TCP clients reach each service."""
