Give back what only the handshake needed

One attempt also emptied the table of the first packets' keys: a late copy of such a packet then raises KeyError and would end the flow (test_late_copies_of_the_first_packets_change_nothing fails with it), so the table stays.

--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from aioquic._buffer import Buffer
 from aioquic.quic import events
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import (
@@ -23,6 +24,7 @@
 from aioquic.quic.packet_builder import QuicPacketBuilder
 from aioquic.quic.recovery import QuicPacketSpace
 from aioquic.quic.stream import QuicStream
+from aioquic.tls import Epoch
 
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis, to_seconds
 from papayagw._internal.models.endpoint import Endpoint
@@ -56,6 +58,8 @@
 _UNLIMITED_BYTES = 1 << 60
 _INITIAL_RTT_SECONDS = 0.05
 _CLOSE_COPIES = 2
+_NO_BUFFER = Buffer(capacity=0)
+_EPOCHS: dict[frozenset[Epoch], frozenset[Epoch]] = {}
 _MAX_CLOSE_REPEATS = 3
 
 _CODES = {
@@ -99,6 +103,7 @@
             configuration=configuration, original_destination_connection_id=original_id
         )
         self._loss = SprayRecovery(configuration, self._send_probe, self._logger)
+        self._share_epochs()
         self._local_max_streams_bidi.value = 1
         self._local_max_streams_bidi.sent = 1
         self._local_max_streams_uni.value = 0
@@ -138,6 +143,25 @@
             return 0
         return int(stream.sender._buffer_stop - stream.sender._buffer_start)
 
+    def release_handshake(self) -> None:
+        """Give back what only the handshake needed, for it is complete.
+
+        The library keeps it for as long as a flow lives: three buffers of 16 KB, the
+        peer's certificates and the ephemeral keys. The table of the first packets'
+        keys stays, since such a packet may still come, late or twice.
+        """
+        self._crypto_buffers = dict.fromkeys(self._crypto_buffers, _NO_BUFFER)
+        self.tls._peer_certificate = None
+        self.tls._peer_certificate_chain = []
+        self.tls._ec_private_keys = []
+        self.tls._x25519_private_key = None
+
+    def _share_epochs(self) -> None:
+        """Let all connections share the sets in the table of frame handlers."""
+        handlers = vars(self)["_QuicConnection__frame_handlers"]
+        for frame_type, (handler, epochs) in handlers.items():
+            handlers[frame_type] = (handler, _EPOCHS.setdefault(epochs, epochs))
+
     def grant(self, consumed: int) -> bool:
         """Let the peer send up to a window beyond `consumed`; return if it is told.
 
@@ -268,6 +292,7 @@
         event = self._connection.next_event()
         while event is not None:
             if isinstance(event, events.HandshakeCompleted):
+                self._connection.release_handshake()
                 taken.append(HandshakeDone())
             elif isinstance(event, events.StreamDataReceived):
                 taken.append(self._strip_preface(event))
--- a/tests/lib/quic.py
+++ b/tests/lib/quic.py
@@ -33,6 +33,7 @@
         self.caller = self.opener.open(self.clock.now())
         self.agent = None
         self.to_agent: list[bytes] = []
+        self.to_caller: list[bytes] = []
         self.caller_events: list[StreamEvent] = []
         self.agent_events: list[StreamEvent] = []
         self._lose = lose
@@ -48,6 +49,7 @@
                 self._hand_to_agent(datagram, now)
             if self.agent is not None:
                 for datagram in self._collect(self.agent, now):
+                    self.to_caller.append(datagram)
                     self.caller.receive(datagram, ENTRY.sockaddr, now)
                 self.agent_events += self.agent.take_events()
             self.caller_events += self.caller.take_events()
--- a/tests/unit/test_quic.py
+++ b/tests/unit/test_quic.py
@@ -7,6 +7,7 @@
 from papayagw._internal.wire.header import is_opening, read_connection_id
 from papayagw._internal.wire.quic import PREFACE, WINDOW_BYTES
 from tests.lib.quic import ROUTE, FlowPair
+from tests.lib.samples import CLIENT
 
 
 def received(events):
@@ -96,3 +97,26 @@
     ends = [one for one in pair.caller.take_events() if isinstance(one, FlowEnded)]
     assert [one.outcome for one in ends] == [FlowOutcome.UNKNOWN] * is_ended
     assert pair.caller.is_ending is is_ended
+
+
+def test_late_copies_of_the_first_packets_change_nothing(tmp_path):
+    pair = FlowPair(tmp_path)
+    pair.exchange()
+    pair.agent.write(b"answer")
+    first = list(pair.to_agent)
+    for datagram in first:
+        pair.agent.receive(datagram, CLIENT.sockaddr, pair.clock.now())
+    for datagram in pair.to_caller[:4]:
+        pair.caller.receive(datagram, ("127.0.1.1", 4401), pair.clock.now())
+    pair.exchange()
+    assert received(pair.caller_events) == b"answer"
+
+
+def test_ends_of_a_flow_keep_nothing_of_the_handshake(tmp_path):
+    pair = FlowPair(tmp_path)
+    pair.exchange()
+    for end in (pair.caller, pair.agent):
+        connection = end._connection
+        buffers = connection._crypto_buffers.values()
+        assert sum(buffer.capacity for buffer in buffers) == 0
+        assert connection.tls._peer_certificate is None
