--- a/src/papayagw/_internal/net/balancer_account.py
+++ b/src/papayagw/_internal/net/balancer_account.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from papayagw._internal.core.membership import BalancerMembership
-from papayagw._internal.models.agent import AgentRecord
+from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.status import (
@@ -54,6 +54,11 @@
         """Who it is."""
         return self._identity
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force."""
+        return self._read_configuration().version
+
     def read_counts(self) -> Mapping[str, int]:
         """Return the counts since the start, by the names of their metrics."""
         packets = self._process.packets
@@ -76,7 +81,7 @@
             "balancer.agents": len(self._membership.directory.records),
             "balancer.peers": len(self._membership.peers),
             "balancer.watched": self._membership.watched_count,
-            "balancer.configuration-version": self._read_configuration().version,
+            "balancer.configuration-version": self.configuration_version,
         }
 
     def take_timings(self) -> Mapping[str, Sequence[float]]:
@@ -120,8 +125,14 @@
             endpoint=str(record.endpoint),
             service=names.get(record.service_id, str(record.service_id)),
             zone=record.zone,
-            state=record.state.name.lower(),
+            state=_describe_state(record),
             weight=record.weight,
         )
         for record in records
     )
+
+
+def _describe_state(record: AgentRecord) -> str:
+    if record.state is AgentState.READY and record.is_suspected:
+        return "suspected"
+    return record.state.name.lower()
--- a/tests/processes/test_operating.py
+++ b/tests/processes/test_operating.py
@@ -8,11 +8,13 @@
 
 import pytest
 
+from papayagw._internal.models.decision import DropReason
 from tests.lib.processes import ROOT, environment, running
 from tools.fleet import Fleet, ask
 from tools.fleet_folder import FleetPlan, Hosts, make_balancer, write_folder
 
 PLAN = FleetPlan((Hosts("order", 2),), balancers=2, block=93)
+STOP_LIMIT_MS = 100
 LOG_FIELDS = {"time", "level", "message", "node"}
 
 
@@ -37,6 +39,9 @@
 @pytest.fixture(scope="module")
 def fleet(folder):
     write_folder(PLAN, folder)
+    for path in folder.glob("agent-*.jsonc"):
+        settings = json.loads(path.read_text()) | {"stop_limit_ms": STOP_LIMIT_MS}
+        path.write_text(json.dumps(settings))
     one = Fleet(folder, folder)
     try:
         one.start()
@@ -83,6 +88,20 @@
     assert ("balancer.forwarded" in out) == bool(flags)
 
 
+def test_operating_page_names_every_counter(admins):
+    page = (ROOT / "docs" / "OPERATING.md").read_text()
+    reasons = [one.value for one in DropReason]
+    documented = page.replace("SERVICE", "order").replace("`, `.", "`, `connect.order.")
+    for node in read_status(admins):
+        for counter in node["counters"]:
+            name, _, reason = counter["name"].rpartition("drop.")
+            if name and reason in reasons:
+                assert f"`{reason}`" in documented
+                assert f"`{name}drop.REASON`" in documented
+            else:
+                assert f"`{counter['name']}`" in documented
+
+
 def test_records_of_a_fleet_become_a_report(fleet, admins, tmp_path):
     records = tmp_path / "records"
     watch = "status", *admins, "--record", records, "--every", 0.2, "--rounds", 3
@@ -110,6 +129,24 @@
         time.sleep(0.02)
 
 
+def test_feed_outlives_stop_limit_up_to_drain_limit(fleet, folder):
+    lines = STOP_LIMIT_MS // 10
+    with socket.create_connection(fleet.targets["order"].sockaddr) as feed:
+        feed.sendall(b"FEED f-2 %d 100\n" % lines)
+        feed.shutdown(socket.SHUT_WR)
+        answers = feed.makefile("rb")
+        name = "agent-" + answers.readline().decode().split()[-1]
+        os.kill(fleet.pid(name), signal.SIGTERM)
+        rest = answers.readlines()
+    assert len(rest) == lines
+    assert rest[-1].startswith(b"END f-2")
+    deadline = time.monotonic() + 20
+    while fleet.is_running(name):
+        assert time.monotonic() < deadline, f"{name} hasn't stopped"
+        time.sleep(0.02)
+    fleet.start_one(name)
+
+
 def test_flow_cut_by_second_signal_is_logged_at_both_ends(fleet, folder):
     agents = ("agent-order-1", "agent-order-2")
     with socket.create_connection(fleet.targets["order"].sockaddr) as feed:
@@ -164,6 +201,8 @@
         assert process.wait(20) == 0
     lines = [json.loads(line) for line in capfd.readouterr().err.splitlines()]
     messages = [one["message"] for one in lines]
+    page = (ROOT / "docs" / "OPERATING.md").read_text()
+    assert all(f"`{field}`" in page for one in lines for field in one)
     assert messages[0] == "started"
     assert messages[-3:] == ["draining", "drained", "stopped"]
     assert 3 <= messages.count("packet dropped: malformed") < 50
