--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -45,7 +45,10 @@
 """The least time between two single buckets that are sent."""
 
 BUCKETS_AT_ONCE = 4
-"""How many differing buckets one comparison repairs."""
+"""How many large buckets one comparison repairs."""
+
+SMALL_BUCKET = 6
+"""A bucket of so many records is sent whole: comparing it first costs more."""
 
 CAUGHT_UP_SHARE = 0.05
 """A node has caught up when no more than this share of the buckets differ."""
@@ -113,15 +116,13 @@
         differing = self._find_differing(message)
         if len(differing) <= CAUGHT_UP_SHARE * len(self._table.buckets):
             self._caught_up = True
-        empty = set(_list_empty(message))
+        if self._budget.get_level(now) <= 0:
+            return
         self._random.shuffle(differing)
-        for bucket in differing[:BUCKETS_AT_ONCE]:
-            if self._budget.get_level(now) <= 0:
-                return
-            if bucket in empty or bucket.zone not in message.zones:
-                members = self._table.list_members(bucket)
-                yield from self._send_records(members, source, now)
-            else:
+        whole, compared = self._divide(differing, message)
+        yield from self._send_records(whole, source, now)
+        for bucket in compared[:BUCKETS_AT_ONCE]:
+            if self._budget.get_level(now) > 0:
                 yield self._summarise(bucket, source, now)
 
     def on_summary(
@@ -153,6 +154,22 @@
             self._next_bucket_at = Millis(now + BUCKET_INTERVAL_MS)
             yield self._summarise(bucket, destination, now)
 
+    def _divide(
+        self, differing: Sequence[Bucket], message: Digests
+    ) -> tuple[list[Record], list[Bucket]]:
+        """Return records to send at once, and buckets that are worth a comparison."""
+        empty = set(_list_empty(message))
+        whole: list[Record] = []
+        compared: list[Bucket] = []
+        for bucket in differing:
+            members = self._table.list_members(bucket)
+            missing = bucket in empty or bucket.zone not in message.zones
+            if not missing and len(members) > SMALL_BUCKET:
+                compared.append(bucket)
+            elif len(whole) < RECORDS_PER_DATAGRAM:
+                whole += members
+        return whole, compared
+
     def _summarise(self, bucket: Bucket, destination: Endpoint, now: Millis) -> Send:
         fingerprints = self._table.list_fingerprints(bucket)
         self._spend(len(fingerprints) * FINGERPRINT_BYTES, now)
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -84,7 +84,7 @@
 JOIN_PEERS = 50
 """The number of peers that doubles `JOIN_MS`."""
 
-MEET_MS = Millis(100)
+MEET_MS = Millis(20)
 """The least time between two answers to nodes that are unknown or taken for gone."""
 
 JOIN_RECORDS = 30
--- a/src/papayagw/_internal/core/watch.py
+++ b/src/papayagw/_internal/core/watch.py
@@ -20,6 +20,9 @@
 MAX_VOUCHED = 3
 """How often another watcher's word doubles the patience with an agent."""
 
+WAKE_GRACE_MS = Millis(4_000)
+"""The time after a pause in which agents that gave this node up find it again."""
+
 FIRST_INTERVAL_MS = Millis(2_000)
 """The interval that is assumed of an agent until it is told one."""
 
@@ -34,6 +37,7 @@
     interval_ms: Millis
     inquired: bool = False
     suspected: bool = False
+    excused: bool = False
     vouched: int = 0
 
 
@@ -112,7 +116,7 @@
             return False
         watched.beat = beat
         watched.heard_at = now
-        watched.inquired = watched.suspected = False
+        watched.inquired = watched.suspected = watched.excused = False
         watched.vouched = 0
         return True
 
@@ -140,7 +144,7 @@
         watched = self._watched.get(endpoint)
         if watched is None or watched.incarnation != incarnation:
             return None
-        if watched.heard_at < since or not watched.beat:
+        if watched.heard_at < since or not watched.beat or watched.excused:
             return None
         return Beat(watched.beat, watched.heard_at)
 
@@ -170,4 +174,6 @@
     def excuse(self, pause_ms: Millis) -> None:
         """Forgive all a silence during which this node was itself paused."""
         for watched in self._watched.values():
-            watched.heard_at = Millis(watched.heard_at + pause_ms)
+            heard_at = watched.heard_at + pause_ms + WAKE_GRACE_MS
+            watched.heard_at = Millis(heard_at)
+            watched.excused = True
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -45,6 +45,7 @@
         self.balancers: dict[Endpoint, BalancerMembership] = {}
         self.agents: dict[Endpoint, AgentAnnouncer] = {}
         self.frozen: set[Endpoint] = set()
+        self.frozen_loses = False
         self.cut: list[tuple[frozenset[Endpoint], frozenset[Endpoint]]] = []
         self._queue = []
         self._order = count()
@@ -130,8 +131,10 @@
             self._arrived_at, _, source, destination, send = item
             node = self.balancers.get(destination) or self.agents.get(destination)
             if destination in self.frozen:
-                # A socket's buffer keeps what a paused process doesn't read.
-                later.append(item)
+                # A socket's buffer keeps what a paused process doesn't read; a
+                # paused machine loses it.
+                if not self.frozen_loses:
+                    later.append(item)
             elif node is not None:
                 self.receive(node, destination, send, source)
         for item in later:
