--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from papayagw._internal.cli.loading import load_file_configuration, unwrap
+from papayagw._internal.cli.loading import start_source, unwrap
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.core.membership import BalancerMembership
@@ -13,6 +13,7 @@
 from papayagw._internal.net.balancer_account import BalancerAccount
 from papayagw._internal.net.balancer_process import BalancerProcess
 from papayagw._internal.net.clock import MonotonicClock, make_incarnation
+from papayagw._internal.observe.logs import start_logs
 from papayagw._internal.settings.node import load_balancer
 
 
@@ -39,7 +40,9 @@
     """
     read = unwrap(load_balancer(Path(settings)))
     node = read.node
-    configuration = load_file_configuration(node)
+    clock = MonotonicClock()
+    log = start_logs(node.name, clock, node.log_level)
+    source, configuration = start_source(node, log)
     directory = AgentDirectory()
     membership = BalancerMembership(
         BalancerRecord(node.inner, make_incarnation(), node.zone),
@@ -47,13 +50,14 @@
         directory,
         random.Random(),
     )
-    clock = MonotonicClock()
-    process = BalancerProcess(read, configuration, directory, membership, clock)
+    process = BalancerProcess(
+        read, configuration, directory, membership, clock, source, log
+    )
     identity = make_identity(node.name, Role.BALANCER, node.zone)
     account = BalancerAccount(
-        identity, process, membership, lambda: configuration, clock
+        identity, process, membership, lambda: process.configuration, clock
     )
-    return run_observed(process, account, node)
+    return run_observed(process, account, node, log)
 
 
 COMMAND = BalancerCommand()
--- a/src/papayagw/_internal/net/account.py
+++ b/src/papayagw/_internal/net/account.py
@@ -1,6 +1,6 @@
 """What a process says about itself, to operators and to statsd."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -41,12 +41,19 @@
     def identity(self) -> NodeIdentity:
         """Who it is."""
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force."""
+
     def read_counts(self) -> Mapping[str, int]:
         """Return the counts since the start, by the names of their metrics."""
 
     def read_gauges(self) -> Mapping[str, float]:
         """Return the gauges of the moment, by the names of their metrics."""
 
+    def take_timings(self) -> Mapping[str, Sequence[float]]:
+        """Return durations in ms since the last call, by the names of their metrics."""
+
     def report(self, state: NodeState) -> StatusReport:
         """Return the whole account."""
 
--- a/src/papayagw/_internal/net/agent_account.py
+++ b/src/papayagw/_internal/net/agent_account.py
@@ -1,6 +1,6 @@
 """An agent's account of itself."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 
 from papayagw._internal.models.clock import Clock
@@ -54,6 +54,11 @@
         """Who it is."""
         return self._identity
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force."""
+        return self._read_configuration().version
+
     def read_counts(self) -> Mapping[str, int]:
         """Return the counts since the start, by the names of their metrics."""
         counts = self._process.packets.counts
@@ -67,9 +72,13 @@
             "agent.weight": self._announcer.own.weight,
             "agent.watchers": len(self._announcer.watchers),
             "agent.siblings": len(self._announcer.siblings.records),
-            "agent.configuration-version": self._read_configuration().version,
+            "agent.configuration-version": self.configuration_version,
         }
 
+    def take_timings(self) -> Mapping[str, Sequence[float]]:
+        """Return durations in ms since the last call, by the names of their metrics."""
+        return {"agent.opening": self._process.packets.meter.take_latencies()}
+
     def report(self, state: NodeState) -> StatusReport:
         """Return the whole account."""
         packets = self._process.packets
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -2,14 +2,19 @@
 
 import anyio
 
+from papayagw._internal.core.admission import Admission
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.announcer import AgentAnnouncer
+from papayagw._internal.exceptions import SettingsError
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
+from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.node import AgentSettings
 from papayagw._internal.net.agent import AgentPackets
+from papayagw._internal.net.configuration import ConfigurationSource
 from papayagw._internal.net.control import ControlLoop
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import FrameKind
 
 LEAVE_MS = Millis(500)
@@ -29,10 +34,16 @@
         What is in force at the start.
     core : AgentCore
         Its decisions about packets.
+    admission : Admission
+        Its decisions about accepted flows.
     announcer : AgentAnnouncer
         Its part in the membership.
     clock : Clock
         The time.
+    source : ConfigurationSource
+        Where later configurations come from; it has been started.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
     def __init__(
@@ -40,16 +51,29 @@
         settings: AgentSettings,
         configuration: Configuration,
         core: AgentCore,
+        admission: Admission,
         announcer: AgentAnnouncer,
         clock: Clock,
+        source: ConfigurationSource,
+        log: Log,
     ):
-        self._inner = DatagramSocket(settings.node.inner)
+        self._inner = DatagramSocket(settings.node.inner, keeps_refused=True)
         self._announcer = announcer
         self._clock = clock
-        self._packets = AgentPackets(settings, configuration, core, self._inner, clock)
+        self._configuration = configuration
+        self._source = source
+        self._log = log
+        self._packets = AgentPackets(
+            settings, configuration, core, admission, self._inner, clock, log
+        )
         keys = configuration.site.keys
         self._control = ControlLoop(announcer, keys, self._inner, clock)
 
+    @property
+    def configuration(self) -> Configuration:
+        """What is in force."""
+        return self._configuration
+
     @property
     def packets(self) -> AgentPackets:
         """The packet path."""
@@ -78,19 +102,51 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._packets.run)
-            tasks.start_soon(self._control.run)
+            tasks.start_soon(self._control.run, self._pass_on_versions)
+            tasks.start_soon(self._follow_configuration)
             tasks.start_soon(self._receive)
 
     async def drain(self) -> None:
         """Take no more openings, and return when the last flow has ended."""
-        self._packets.core.drain()
-        self._control.send(self._announcer.drain(self._clock.now()))
+        self._refuse_openings()
         while self._packets.flows:
             await anyio.sleep(to_seconds(_DRAIN_CHECK_MS))
         self._control.send(self._announcer.close(self._clock.now()))
         # The ticks of this time repeat the word, since a datagram may be lost.
         await anyio.sleep(to_seconds(LEAVE_MS))
 
+    def _refuse_openings(self) -> None:
+        self._packets.drain()
+        self._control.send(self._announcer.drain(self._clock.now()))
+
+    async def _follow_configuration(self) -> None:
+        try:
+            await self._source.run(self._apply, is_relay=lambda: False)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._source.close()
+
+    def _apply(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._control.apply(configuration.site.keys)
+        try:
+            self._packets.apply(configuration)
+        except SettingsError as error:
+            # The files of the certificate have gone: the one in use stays.
+            self._log.failure(error)
+        core = self._packets.core
+        service = configuration.site.find_service_by_id(core.route.service_id)
+        if service is None:
+            # The service was taken out: what is open goes on, nothing new comes.
+            self._refuse_openings()
+        else:
+            core.set_max_flows(service.max_flows)
+
+    def _pass_on_versions(self) -> None:
+        heard = self._announcer.heard_configuration
+        if heard is not None:
+            self._source.hear_version(*heard)
+
     async def _receive(self) -> None:
         control = bytes((FrameKind.CONTROL,))
         while True:
@@ -100,4 +156,6 @@
                     self._control.on_frame(frame, source)
                 else:
                     self._packets.on_frame(frame, source)
+            for _, peer in self._inner.take_refused():
+                self._packets.on_unreachable(Endpoint(*peer))
             self._packets.flush()
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -7,6 +7,7 @@
 
 from papayagw._internal.core.retry import OpeningRetry
 from papayagw._internal.core.service_meter import ServiceMeter
+from papayagw._internal.exceptions import Step
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.node import Listener
@@ -18,13 +19,14 @@
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
 from papayagw._internal.net.tcp import TcpListener, TcpStream
 from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.header import read_connection_id
 from papayagw._internal.wire.quic import (
     CALLER_ID_BYTES,
-    RESET_TOKEN_BYTES,
     FlowConnection,
     FlowOpener,
 )
+from papayagw._internal.wire.reset import RESET_TOKEN_BYTES
 
 PROBE_MS = Millis(1_000)
 """How long a flow may be silent before its agent is probed."""
@@ -43,6 +45,8 @@
         Returns what decides about further attempts of one flow.
     clock : Clock
         The time.
+    log : Log
+        Where flows that don't end well are logged.
     """
 
     def __init__(
@@ -51,14 +55,18 @@
         opener: FlowOpener,
         make_retry: Callable[[], OpeningRetry],
         clock: Clock,
+        log: Log,
     ):
+        self._service = listener.service
         self._listener = TcpListener(listener.listen)
+        self._entry = listener.entry
         self._opener = opener
         self._make_retry = make_retry
         self._clock = clock
+        self._log = log
         self._socket = DatagramSocket(None)
         self._meter = ServiceMeter(listener.service, Side.CALLER)
-        self._table = FlowTable(clock, self._on_removed)
+        self._table = FlowTable(clock, self._on_removed, log)
         self._outcomes: dict[FlowOutcome, int] = dict.fromkeys(FlowOutcome, 0)
         self._open_streams = 0
         self._heard: dict[FlowHandler, Millis] = {}
@@ -131,9 +139,20 @@
         try:
             outcome = await flow.run()
             self._outcomes[outcome] += 1
+            if outcome is not FlowOutcome.ANSWERED:
+                self._log_end(outcome, flow.reason)
         finally:
             self._open_streams -= 1
 
+    def _log_end(self, outcome: FlowOutcome, reason: str) -> None:
+        self._log.limited(
+            f"flow {outcome.value}",
+            step=Step.OPEN_FLOW if outcome is FlowOutcome.REFUSED else Step.DELIVER,
+            peer=self._entry,
+            service=self._service,
+            reason=reason,
+        )
+
     async def _receive(self) -> None:
         while True:
             await self._socket.wait_readable()
--- a/src/papayagw/_internal/net/connect_account.py
+++ b/src/papayagw/_internal/net/connect_account.py
@@ -1,6 +1,6 @@
 """The callers' side's account of itself."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
 from papayagw._internal.models.clock import Clock
@@ -43,6 +43,11 @@
         """Who it is."""
         return self._identity
 
+    @property
+    def configuration_version(self) -> int:
+        """A caller's machine has no configuration but its own settings."""
+        return 0
+
     @property
     def _pairs(self) -> tuple[tuple[Listener, ServiceConnector], ...]:
         connectors = self._process.connectors
@@ -63,6 +68,13 @@
             for listener, connector in self._pairs
         }
 
+    def take_timings(self) -> Mapping[str, Sequence[float]]:
+        """Return durations in ms since the last call, by the names of their metrics."""
+        return {
+            f"connect.{listener.service}.opening": connector.meter.take_latencies()
+            for listener, connector in self._pairs
+        }
+
     def report(self, state: NodeState) -> StatusReport:
         """Return the whole account."""
         connectors = self._process.connectors
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,26 +4,39 @@
 as examples/valukoja, until Ctrl-C. Benches and tests use :class:`Fleet`.
 """
 
+import json
 import os
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
+from dataclasses import replace
 from pathlib import Path
 
 from papayagw._internal.models.endpoint import Endpoint
-from tools.fleet_folder import SUFFIX, FleetPlan, read_folder, write_folder
+from tools.fleet_folder import (
+    BASE,
+    OVERLAY,
+    SUFFIX,
+    FleetPlan,
+    read_folder,
+    write_folder,
+)
 
 ROOT = Path(__file__).resolve().parents[1]
 READY_LIMIT_S = 60.0
 SERVING_LIMIT_S = 30.0
 STOP_LIMIT_S = 15.0
 _POLL_S = 0.02
+_BLOCKS_END = 255
+_CLAIM_PORT = 4399
 _ASK_LIMIT_S = 2.0
 FABRIC = "fabric"
+PLATFORM = "platform"
 CONNECT = "connect"
 
 
@@ -79,7 +92,8 @@
         """The names of all processes, in the order of their start."""
         backends = [f"backend-{name}" for name in self.backends]
         nodes = [*self._settings.balancers, *self._settings.agents]
-        return [*backends, FABRIC, *nodes, CONNECT]
+        platform = [PLATFORM] if self._settings.platform else []
+        return [*platform, *backends, FABRIC, *nodes, CONNECT]
 
     def pid(self, name: str) -> int:
         """Return the process id of a running process."""
@@ -91,34 +105,86 @@
 
     def start(self) -> None:
         """Start all processes, and wait until each service answers."""
+        if self._settings.platform:
+            self.start_one(PLATFORM)
+            self.submit()
         for name in self.names:
-            self._spawn(name)
+            if name != PLATFORM:
+                self.spawn(name)
         for name in self.names:
             self._wait_ready(name)
         self.wait_serving()
 
+    def spawn(self, name: str) -> None:
+        """Start one process without waiting for it."""
+        with (
+            self._output_file(name).open("w", encoding="utf-8") as output,
+            (self._logs / f"{name}.err").open("a", encoding="utf-8") as errors,
+        ):
+            self._processes[name] = subprocess.Popen(
+                make_command(self._make_words(name)),
+                cwd=ROOT,
+                env=make_environment(),
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=errors,
+            )
+
     def start_one(self, name: str) -> None:
         """Start one process and wait until it is ready."""
-        self._spawn(name)
+        self.spawn(name)
         self._wait_ready(name)
 
+    def change_overlay(self, edit: Callable[[dict], None]) -> None:
+        """Change the content of the overlay's file."""
+        file = self._folder / OVERLAY
+        content = json.loads(file.read_text(encoding="utf-8"))
+        edit(content)
+        file.write_text(json.dumps(content), encoding="utf-8")
+
+    def submit(self) -> str:
+        """Submit the base file and the overlay, and return what is said."""
+        files = [str(self._folder / BASE), "--overlay", str(self._folder / OVERLAY)]
+        words = ["config", "submit", *files, "--platform", self._settings.platform]
+        done = subprocess.run(
+            make_command(words), env=make_environment(), capture_output=True, text=True
+        )
+        if done.returncode:
+            raise FleetError(f"config submit: {done.stdout}{done.stderr}")
+        return done.stdout
+
     def kill(self, name: str) -> None:
         """End a process at once, as a dead machine would."""
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop gracefully, without waiting for it."""
+        self._processes[name].terminate()
+
     def stop(self, name: str) -> int:
         """Stop a process gracefully and return its exit code."""
-        self._processes[name].terminate()
+        self.terminate(name)
         return self._processes[name].wait(STOP_LIMIT_S)
 
     def close(self) -> None:
-        """Stop all processes, in the reverse order of their start."""
-        for name in reversed(list(self._processes)):
+        """Stop all processes: the callers' side, then the agents, then the rest.
+
+        A flow ends at its agent through balancers and fabric, which stay that long.
+        """
+        names = list(self._processes)
+        agents = [name for name in names if name.startswith("agent-")]
+        rest = [name for name in names if name != CONNECT and name not in agents]
+        for group in ([CONNECT] if CONNECT in names else [], agents, rest):
+            self._stop_all(group)
+
+    def _stop_all(self, names: Sequence[str]) -> None:
+        for name in names:
             if self.is_running(name):
-                self._processes[name].terminate()
+                self.terminate(name)
         deadline = time.monotonic() + STOP_LIMIT_S
-        for process in self._processes.values():
+        for name in names:
+            process = self._processes[name]
             with suppress(subprocess.TimeoutExpired):
                 process.wait(max(deadline - time.monotonic(), 0))
             process.kill()
@@ -137,21 +203,10 @@
                     raise FleetError(f"{service} doesn't answer at {target}")
                 time.sleep(_POLL_S)
 
-    def _spawn(self, name: str) -> None:
-        with (
-            self._output_file(name).open("w", encoding="utf-8") as output,
-            (self._logs / f"{name}.err").open("a", encoding="utf-8") as errors,
-        ):
-            self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "papayagw", *self._make_words(name)],
-                cwd=ROOT,
-                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=errors,
-            )
-
     def _make_words(self, name: str) -> list[str]:
+        if name == PLATFORM:
+            listen = self._settings.platform.removeprefix("http://")
+            return ["standin", PLATFORM, "--listen", listen]
         if name == FABRIC:
             return ["standin", FABRIC, *self._settings.routes, *self._fabric_flags]
         role, _, rest = name.partition("-")
@@ -175,12 +230,50 @@
         return self._logs / f"{name}.out"
 
 
+@contextmanager
+def claimed_block(first: int) -> Iterator[int]:
+    """Claim a block of IP numbers that no other fleet on this machine uses.
+
+    Parameters
+    ----------
+    first : int
+        The block that is tried first.
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as claim:
+        for block in range(first, _BLOCKS_END):
+            if _is_bound(claim, (f"127.{block}.255.254", _CLAIM_PORT)):
+                yield block
+                return
+    raise FleetError(f"no free block of IP numbers from 127.{first} on")
+
+
+def _is_bound(claim: socket.socket, address: tuple[str, int]) -> bool:
+    try:
+        claim.bind(address)
+    except OSError:
+        return False
+    return True
+
+
+def make_command(words: Sequence[str]) -> list[str]:
+    """Return the command line of a papayagw command."""
+    return [sys.executable, "-m", "papayagw", *words]
+
+
+def make_environment() -> dict[str, str]:
+    """Return the environment in which papayagw is found."""
+    return {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+
+
 @contextmanager
 def running_fleet(plan: FleetPlan, **flags):
-    """Run a fleet of a plan until the block ends."""
-    with tempfile.TemporaryDirectory(prefix="papayagw-fleet-") as name:
+    """Run a fleet of a plan, in its block or the next free one."""
+    with (
+        tempfile.TemporaryDirectory(prefix="papayagw-fleet-") as name,
+        claimed_block(plan.block) as block,
+    ):
         folder = Path(name)
-        write_folder(plan, folder)
+        write_folder(replace(plan, block=block), folder)
         fleet = Fleet(folder, folder, **flags)
         try:
             fleet.start()
@@ -204,8 +297,14 @@
     return ask(target, "HEALTH").startswith("HEALTH")
 
 
+def _stop(number: int, frame: object) -> None:
+    raise KeyboardInterrupt
+
+
 def main(folder: str) -> None:
-    """Run the fleet of a settings folder until Ctrl-C."""
+    """Run the fleet of a settings folder until Ctrl-C or SIGTERM."""
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _stop)
     with tempfile.TemporaryDirectory(prefix="papayagw-logs-") as logs:
         fleet = Fleet(Path(folder).resolve(), Path(logs))
         try:
