--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -17,6 +17,7 @@
 )
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.control import (
+    KEEP_INTERVAL_MS,
     Acknowledgement,
     Announcement,
     ControlMessage,
@@ -34,6 +35,9 @@
 SILENT_BEATS = 12
 """A watcher that acknowledged none of so many heartbeats counts as dead."""
 
+FIRST_INTERVAL_MS = Millis(1_000)
+"""The time between heartbeats until a balancer tells one."""
+
 BEAT_JITTER = 0.1
 """The share of the interval by which heartbeats vary, so that agents fall out of
 step."""
@@ -76,7 +80,7 @@
         self._random = random_source
         self._siblings_digest = 0
         self._watchers: dict[Endpoint, int] = {}
-        self._interval = FIRST_ANNOUNCE_MS
+        self._interval = FIRST_INTERVAL_MS
         self._beat = 0
         self._beat_at = Millis(0)
         self._announce_at = Millis(0)
@@ -209,10 +213,11 @@
     def _note_watchers(
         self, message: Acknowledgement, source: Endpoint, now: Millis
     ) -> None:
+        if message.interval_ms != KEEP_INTERVAL_MS:
+            self._interval = message.interval_ms
         if not self._watchers:
-            wait = self._random.randrange(1 + message.interval_ms)
+            wait = self._random.randrange(1 + self._interval)
             self._beat_at = Millis(now + wait)
-        self._interval = message.interval_ms
         self._watchers = {
             watcher: self._watchers.get(watcher, self._beat)
             for watcher in message.watchers
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -57,6 +57,9 @@
 REPAIR_SHARE = 0.4
 """The share of that which is kept for repair."""
 
+CATCH_UP_SHARE = 0.8
+"""The same while a new balancer is catching up."""
+
 NEWS_BURST_BYTES = 400
 
 MAX_NEWS_BYTES = 1_050
@@ -242,6 +245,7 @@
         if self._fleet.superseded:
             return ()
         self._give_up_suspects(now)
+        self._watcher.set_caught_up(self.caught_up)
         return (
             *self._join(now),
             *self._probe(now),
@@ -345,8 +349,9 @@
         watching = self._watcher.estimate_bytes_per_second()
         left = CONTROL_BYTES_PER_SECOND - PROBE_BYTES_PER_SECOND - watching
         rate = max(MIN_NEWS_BYTES_PER_SECOND, left)
-        self._repair_budget.set_rate(int(REPAIR_SHARE * rate), now)
-        self._budget.set_rate(int((1 - REPAIR_SHARE) * rate), now)
+        share = REPAIR_SHARE if self.caught_up else CATCH_UP_SHARE
+        self._repair_budget.set_rate(int(share * rate), now)
+        self._budget.set_rate(int((1 - share) * rate), now)
 
     def _take_news(self, now: Millis) -> News:
         room = min(MAX_NEWS_BYTES, self._budget.get_level(now))
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -16,6 +16,7 @@
 from papayagw._internal.models.agent import AgentRecord, AgentState, Incarnation
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
 from papayagw._internal.models.control import (
+    KEEP_INTERVAL_MS,
     Acknowledgement,
     Announcement,
     Heartbeat,
@@ -73,6 +74,7 @@
         self._watch = WatchList()
         self._zone_loss = ZoneLossDetector(fleet, self._watch)
         self._configuration_version = 0
+        self._caught_up = False
         self._next_abandon_at = Millis(0)
         self._audit_queue: list[AgentRecord] = []
 
@@ -85,6 +87,10 @@
         """Set the version that acknowledgements carry."""
         self._configuration_version = version
 
+    def set_caught_up(self, caught_up: bool) -> None:
+        """Set whether this balancer knows enough to tell agents their interval."""
+        self._caught_up = caught_up
+
     def compute_interval(self) -> Millis:
         """Return the time between heartbeats that keeps them within their budget."""
         size = self._fleet.size
@@ -166,14 +172,15 @@
 
     def _acknowledge(self, agent: Endpoint, digest: int, now: Millis) -> Send:
         known = self._fleet.table.get(agent)
-        interval = self.compute_interval()
+        interval = self.compute_interval() if self._caught_up else KEEP_INTERVAL_MS
         watchers = self._fleet.list_watchers(agent)
         if not isinstance(known, AgentRecord):
             unknown = Acknowledgement(
                 Incarnation(0), 0, AgentState.READY, watchers, interval
             )
             return Send(agent, unknown)
-        self._watch.note_interval(agent, interval)
+        if interval != KEEP_INTERVAL_MS:
+            self._watch.note_interval(agent, interval)
         siblings = self._list_siblings(known)
         own_digest = _compute_digest(siblings)
         return Send(
--- a/src/papayagw/_internal/models/control.py
+++ b/src/papayagw/_internal/models/control.py
@@ -92,6 +92,10 @@
     siblings_digest: int = 0
 
 
+KEEP_INTERVAL_MS = Millis(0)
+"""Told by a balancer that doesn't know the fleet yet: the interval stays."""
+
+
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
     """A balancer's answer to an announcement or a heartbeat.
@@ -107,7 +111,7 @@
     watchers : tuple of Endpoint
         The balancers to which the agent sends its heartbeats.
     interval_ms : Millis
-        The time between two heartbeats.
+        The time between two heartbeats, or `KEEP_INTERVAL_MS`.
     siblings : tuple of AgentRecord
         Other agents of the service, at most a few; empty when unchanged.
     siblings_digest : int
