--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -35,6 +35,9 @@
 REPAIR_INTERVAL_MS = Millis(2_000)
 """The least time between two comparisons that a caught-up node begins."""
 
+NO_DIGEST = 0
+"""Sent by a node that is catching up: no comparison is wanted."""
+
 UNSETTLED_MS = Millis(6_000)
 """How long a difference is left to gossip while there is news."""
 
@@ -74,6 +77,7 @@
         self._budget = budget
         self._random = random_source
         self._next_at = Millis(0)
+        self._asked = 0
         self._next_bucket_at = Millis(0)
         self._caught_up = False
         self._differs_since: Millis | None = None
@@ -91,6 +95,8 @@
         While this node has news to tell, it isn't `settled`: gossip will mend most
         differences for less.
         """
+        if digest == NO_DIGEST and self._caught_up:
+            return
         if digest == self._table.digest:
             self._caught_up = True
             self._differs_since = None
@@ -114,7 +120,8 @@
     ) -> Iterator[Send]:
         """Answer a peer's digests with what this node holds of a few buckets."""
         differing = self._find_differing(message)
-        if len(differing) <= CAUGHT_UP_SHARE * len(self._table.buckets):
+        few = CAUGHT_UP_SHARE * len(self._table.buckets)
+        if message.complete and len(differing) <= few:
             self._caught_up = True
         if self._budget.get_level(now) <= 0:
             return
@@ -185,12 +192,17 @@
 
     def _make_digests(self) -> Digests:
         zones = self._table.zones
-        buckets = _list_buckets(zones)
-        return Digests(zones, tuple(self._table.get_digest(one) for one in buckets))
+        complete = self._caught_up or len(zones) <= 1 or self._asked % len(zones) == 0
+        if not complete:
+            zones = (zones[self._asked % len(zones)],)
+        self._asked += 1
+        digests = tuple(self._table.get_digest(one) for one in _list_buckets(zones))
+        return Digests(zones, digests, complete)
 
     def _find_differing(self, message: Digests) -> list[Bucket]:
         theirs = dict(zip(_list_buckets(message.zones), message.digests, strict=False))
-        buckets = sorted(set(theirs) | set(self._table.buckets))
+        ours = set(self._table.buckets) if message.complete else set()
+        buckets = sorted(set(theirs) | ours)
         return [
             bucket
             for bucket in buckets
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -18,7 +18,7 @@
     make_news,
 )
 from papayagw._internal.core.gossip_probe import Prober
-from papayagw._internal.core.gossip_repair import DATAGRAM_BYTES, Repairer
+from papayagw._internal.core.gossip_repair import DATAGRAM_BYTES, NO_DIGEST, Repairer
 from papayagw._internal.core.gossip_table import MergeOutcome
 from papayagw._internal.core.rendezvous import Rendezvous
 from papayagw._internal.core.watcher import Watcher
@@ -366,7 +366,7 @@
     def _gossip(
         self, kind: GossipKind, destination: Endpoint, number: int, news: News
     ) -> Send:
-        digest = self._fleet.table.digest
+        digest = self._fleet.table.digest if self.caught_up else NO_DIGEST
         return Send(destination, Gossip(kind, number, digest, self._version, news))
 
     def _on_announcement(
--- a/src/papayagw/_internal/models/control.py
+++ b/src/papayagw/_internal/models/control.py
@@ -239,7 +239,8 @@
     number : int
         Binds an answer to its probe.
     digest : int
-        Over all records that the sender holds.
+        Over all records that the sender holds; 0 from a node that is catching up
+        and asks for what it needs by itself.
     configuration_version : int
         The version that the sender holds.
     news : News
@@ -263,10 +264,13 @@
         The zones of the buckets.
     digests : tuple of int
         `BUCKETS_PER_ZONE` for each zone, in the order of `zones`.
+    complete : bool
+        Whether the sender holds nothing of other zones.
     """
 
     zones: tuple[str, ...]
     digests: tuple[int, ...]
+    complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/papayagw/_internal/wire/control.capnp
+++ b/src/papayagw/_internal/wire/control.capnp
@@ -90,4 +90,5 @@
   agents @12 :List(Agent);
   balancers @13 :List(Balancer);
   vectors @14 :List(Vector);
+  complete @15 :Bool;
 }
--- a/src/papayagw/_internal/wire/control.py
+++ b/src/papayagw/_internal/wire/control.py
@@ -327,11 +327,12 @@
 
 def _write_digests(root: Any, message: Digests) -> None:
     root.digests = message.digests
+    root.complete = message.complete
     root.zones = message.zones
 
 
 def _read_digests(root: Any) -> Digests:
-    return Digests(tuple(root.zones), tuple(root.digests))
+    return Digests(tuple(root.zones), tuple(root.digests), root.complete)
 
 
 def _write_summary(root: Any, message: Summary) -> None:
