--- a/src/papayagw/_internal/models/control.py
+++ b/src/papayagw/_internal/models/control.py
@@ -92,6 +92,10 @@
     siblings_digest: int = 0
 
 
+KEEP_INTERVAL_MS = Millis(0)
+"""Told by a balancer that doesn't know the fleet yet: the interval stays."""
+
+
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
     """A balancer's answer to an announcement or a heartbeat.
@@ -107,7 +111,7 @@
     watchers : tuple of Endpoint
         The balancers to which the agent sends its heartbeats.
     interval_ms : Millis
-        The time between two heartbeats.
+        The time between two heartbeats, or `KEEP_INTERVAL_MS`.
     siblings : tuple of AgentRecord
         Other agents of the service, at most a few; empty when unchanged.
     siblings_digest : int
@@ -235,7 +239,8 @@
     number : int
         Binds an answer to its probe.
     digest : int
-        Over all records that the sender holds.
+        Over all records that the sender holds; 0 from a node that is catching up
+        and asks for what it needs by itself.
     configuration_version : int
         The version that the sender holds.
     news : News
@@ -259,10 +264,13 @@
         The zones of the buckets.
     digests : tuple of int
         `BUCKETS_PER_ZONE` for each zone, in the order of `zones`.
+    complete : bool
+        Whether the sender holds nothing of other zones.
     """
 
     zones: tuple[str, ...]
     digests: tuple[int, ...]
+    complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
