Tell callers of a dead agent at once

Cause: an agent that dies without a word is suspected by the membership, and for good reason not given up for minutes; its callers heard nothing before the idle timeout of 60 s, and openings were lost to it until it was suspected.

A balancer now reads what the host of a dead process says about a closed port (IP_RECVERR). The returned datagram holds our own envelope, whose code proves who sent it. The flow of a returned packet ends with a stateless reset; the agent gets no openings for 1 s, so that the retransmission of a returned opening meets another agent. Ruled out: a silence limit of 3 s on the caller's side (with one balancer in three dead, eight probes in a row fail once in a hundred silences); giving suspected agents up sooner (a frozen or cut-off agent keeps its flows); resending a returned opening (the host returns 548 bytes of 1,200). A host that dies with its process says nothing: there the idle timeout and the suspicion remain.

--- a/src/papayagw/_internal/core/balancer.py
+++ b/src/papayagw/_internal/core/balancer.py
@@ -5,10 +5,13 @@
 reaches a backend server before the handshake is complete.
 """
 
+from collections.abc import Sequence
 from typing import Protocol
 
 from papayagw._internal.core.choice import Chooser
 from papayagw._internal.core.directory import Directory
+from papayagw._internal.models.agent import AgentRecord
+from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.decision import (
     BalancerDecision,
     Drop,
@@ -27,6 +30,9 @@
 RESET = Reset()
 DROP_MALFORMED = Drop(DropReason.MALFORMED)
 
+UNREACHABLE_MS = Millis(1_000)
+"""How long an agent without a process gets no openings."""
+
 
 class Peers(Protocol):
     """The other balancers, as far as this one needs them for openings."""
@@ -57,6 +63,7 @@
         self._directory = directory
         self._chooser = chooser
         self._peers = peers
+        self._unreachable: dict[Endpoint, Millis] = {}
 
     def route_tagged(
         self, service_id: ServiceId, route: FlowRoute | None
@@ -92,7 +99,7 @@
         hops : int
             How many balancers have passed it on: one at most.
         """
-        candidates = self._directory.find_ready(service_id)
+        candidates = self._find_reachable(service_id)
         is_last = hops > 0 or not self._peers.peers
         if not is_last and not (candidates and self._peers.caught_up):
             return Forward(self._pick_peer(connection_id))
@@ -101,6 +108,23 @@
             return DROP_NO_AGENT
         return Forward(record.endpoint)
 
+    def note_unreachable(self, agent: Endpoint, now: Millis) -> None:
+        """Note that an agent's host says that no process has the agent's port."""
+        self._unreachable[agent] = Millis(now + UNREACHABLE_MS)
+
+    def forget_unreachable(self, now: Millis) -> None:
+        """Let agents be chosen again whose time is over."""
+        if self._unreachable:
+            kept = {one: at for one, at in self._unreachable.items() if at > now}
+            self._unreachable = kept
+
+    def _find_reachable(self, service_id: ServiceId) -> Sequence[AgentRecord]:
+        candidates = self._directory.find_ready(service_id)
+        if not self._unreachable:
+            return candidates
+        reachable = [one for one in candidates if one.endpoint not in self._unreachable]
+        return reachable or candidates
+
     def _pick_peer(self, connection_id: bytes) -> Endpoint:
         # By the connection id, so that a retransmission meets the same peer.
         peers = self._peers.peers
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -4,6 +4,7 @@
 
 from papayagw._internal.core.balancer import DROP_MALFORMED, BalancerCore
 from papayagw._internal.exceptions import Step
+from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import (
     BalancerDecision,
@@ -120,6 +121,25 @@
         self._answered += 1
         entry.send(frame[ENVELOPE_BYTES:], client)
 
+    def on_returned(self, frame: bytes, agent: Endpoint, now: Millis) -> None:
+        """Act on a packet that met no process at its agent's port.
+
+        A flow ends; an opening is left to its retransmission, which meets another
+        agent. The envelope's code proves that this process sent the packet.
+        """
+        envelope = self._envelopes.read(frame)
+        if envelope is None or envelope.service_id not in self._entries:
+            return
+        self._core.note_unreachable(agent, now)
+        datagram = frame[ENVELOPE_BYTES:]
+        tag = read_connection_id(datagram)
+        if tag is not None and self._tags.open_route(tag) is not None:
+            self._reset(envelope.service_id, datagram, envelope.client.sockaddr)
+
+    def on_tick(self, now: Millis) -> None:
+        """Let what was unreachable be tried again in its time."""
+        self._core.forget_unreachable(now)
+
     def _on_passed(self, frame: bytes, source: tuple[str, int]) -> None:
         envelope = self._envelopes.read(frame)
         if envelope is None:
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -8,6 +8,7 @@
 from papayagw._internal.core.membership import BalancerMembership
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
+from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.node import BalancerSettings
 from papayagw._internal.net.balancer import BalancerPackets
 from papayagw._internal.net.configuration import ConfigurationSource
@@ -54,7 +55,8 @@
     ):
         self._settings = settings
         self._configuration = configuration
-        self._inner = DatagramSocket(settings.node.inner)
+        self._clock = clock
+        self._inner = DatagramSocket(settings.node.inner, returns=True)
         self._membership = membership
         self._source = source
         self._entries = EntrySockets(settings.bind_ip, log.failure)
@@ -94,7 +96,7 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive_inner)
-            tasks.start_soon(self._control.run, self._pass_on_versions)
+            tasks.start_soon(self._control.run, self._on_tick)
             tasks.start_soon(self._entries.run, self._packets.on_datagram)
             tasks.start_soon(self._follow_configuration)
 
@@ -120,6 +122,10 @@
     def _is_relay(self) -> bool:
         return self._membership.is_relay(self._settings.node.zone)
 
+    def _on_tick(self) -> None:
+        self._packets.on_tick(self._clock.now())
+        self._pass_on_versions()
+
     def _pass_on_versions(self) -> None:
         heard = self._membership.heard_configuration
         if heard is not None:
@@ -134,3 +140,5 @@
                     self._control.on_frame(frame, source)
                 else:
                     self._packets.on_frame(frame, source)
+            for frame, agent in self._inner.take_returned():
+                self._packets.on_returned(frame, Endpoint(*agent), self._clock.now())
--- a/src/papayagw/_internal/net/udp.py
+++ b/src/papayagw/_internal/net/udp.py
@@ -1,6 +1,8 @@
 """UDP sockets that are drained in batches."""
 
+import errno
 import socket
+import struct
 
 import anyio
 import anyio.lowlevel
@@ -15,6 +17,12 @@
 
 _BUFFER_BYTES = 4 << 20
 
+# The socket module of the oldest Python that is supported has no name for it.
+_IP_RECVERR = 11
+_EXTENDED_ERROR = struct.Struct("=IBBBBII")
+_ORIGIN_ICMP = 2
+_ERROR_ANCILLARY_BYTES = 512
+
 Received = tuple[bytes, tuple[str, int]]
 
 
@@ -28,10 +36,14 @@
     ----------
     endpoint : Endpoint or None
         Where to bind; None takes a free port.
+    returns : bool
+        Whether datagrams that met a closed port are kept for `take_returned`, which
+        must then follow each `receive_batch`.
     """
 
-    def __init__(self, endpoint: Endpoint | None):
+    def __init__(self, endpoint: Endpoint | None, returns: bool = False):
         self._endpoint = endpoint
+        self._returns = returns
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sendto = self._socket.sendto
         self._is_full_batch = False
@@ -53,6 +65,8 @@
         self._socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self._socket.setsockopt(socket.SOL_SOCKET, option, _BUFFER_BYTES)
+        if self._returns:
+            self._socket.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
         address = ("0.0.0.0", 0) if self._endpoint is None else self._endpoint.sockaddr
         try:
             self._socket.bind(address)
@@ -96,10 +110,43 @@
         self._is_full_batch = len(received) == BATCH_DATAGRAMS
         return received
 
+    def take_returned(self) -> list[Received]:
+        """Return the beginnings of datagrams that met a closed port, and the ports.
+
+        A host says so (RFC 1122, 3.2.2.1) when no process has the port any more.
+        """
+        returned: list[Received] = []
+        while self._returns:
+            try:
+                data, ancillary, _, peer = self._socket.recvmsg(
+                    MAX_DATAGRAM_BYTES, _ERROR_ANCILLARY_BYTES, socket.MSG_ERRQUEUE
+                )
+            except OSError:
+                break
+            if any(_is_closed_port(error) for _, _, error in ancillary):
+                returned.append((data, peer))
+        return returned
+
     def send(self, data: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram, or count it if the machine doesn't take it."""
         try:
             self._sendto(data, peer)
+        except ConnectionRefusedError:
+            # The word is about an earlier datagram, and this one wasn't sent.
+            self._send_again(data, peer)
         except OSError:
             # Datagrams may be lost anywhere: the flow's loss recovery resends.
             self._send_failures += 1
+
+    def _send_again(self, data: bytes, peer: tuple[str, int]) -> None:
+        try:
+            self._sendto(data, peer)
+        except OSError:
+            self._send_failures += 1
+
+
+def _is_closed_port(error: bytes) -> bool:
+    if len(error) < _EXTENDED_ERROR.size:
+        return False
+    code, origin, *_ = _EXTENDED_ERROR.unpack_from(error)
+    return bool(code == errno.ECONNREFUSED and origin == _ORIGIN_ICMP)
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -4,6 +4,7 @@
 from papayagw._internal.core.choice import RendezvousChooser
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.models.agent import AgentState
+from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.decision import Drop, DropReason, Forward, Reset
 from papayagw._internal.models.flow import FlowRoute
 from tests.lib.samples import (
@@ -114,3 +115,22 @@
 ):
     core = make_core(records, StubPeers(caught_up, peers))
     assert core.route_opening(ORDER, b"opening1", hops) == decision
+
+
+@pytest.mark.parametrize(
+    ("unreachable", "now", "agents"),
+    [
+        ([], 0, {1, 2}),
+        ([1], 999, {2}),
+        ([1], 1_000, {1, 2}),
+        ([1, 2], 999, {1, 2}),
+    ],
+)
+def test_openings_avoid_agents_without_process(unreachable, now, agents):
+    core = make_core([make_record(1), make_record(2)])
+    for number in unreachable:
+        core.note_unreachable(make_record(number).endpoint, Millis(0))
+    core.forget_unreachable(Millis(now))
+    openings = [number.to_bytes(8, "big") for number in range(50)]
+    chosen = {core.route_opening(ORDER, opening).agent for opening in openings}
+    assert chosen == {make_record(number).endpoint for number in agents}
