--- a/src/papayagw/_internal/core/balancer.py
+++ b/src/papayagw/_internal/core/balancer.py
@@ -30,8 +30,9 @@
 RESET = Reset()
 DROP_MALFORMED = Drop(DropReason.MALFORMED)
 
-UNREACHABLE_MS = Millis(1_000)
-"""How long an agent without a process gets no openings."""
+
+REFUSED_KEPT_MS = Millis(2_000)
+"""How long an agent with a closed port gets no openings."""
 
 
 class Peers(Protocol):
@@ -63,7 +64,7 @@
         self._directory = directory
         self._chooser = chooser
         self._peers = peers
-        self._unreachable: dict[Endpoint, Millis] = {}
+        self._refused: dict[Endpoint, Millis] = {}
 
     def route_tagged(
         self, service_id: ServiceId, route: FlowRoute | None
@@ -99,7 +100,7 @@
         hops : int
             How many balancers have passed it on: one at most.
         """
-        candidates = self._find_reachable(service_id)
+        candidates = self._find_open(service_id)
         is_last = hops > 0 or not self._peers.peers
         if not is_last and not (candidates and self._peers.caught_up):
             return Forward(self._pick_peer(connection_id))
@@ -108,22 +109,21 @@
             return DROP_NO_AGENT
         return Forward(record.endpoint)
 
-    def note_unreachable(self, agent: Endpoint, now: Millis) -> None:
-        """Note that an agent's host says that no process has the agent's port."""
-        self._unreachable[agent] = Millis(now + UNREACHABLE_MS)
-
-    def forget_unreachable(self, now: Millis) -> None:
-        """Let agents be chosen again whose time is over."""
-        if self._unreachable:
-            kept = {one: at for one, at in self._unreachable.items() if at > now}
-            self._unreachable = kept
-
-    def _find_reachable(self, service_id: ServiceId) -> Sequence[AgentRecord]:
-        candidates = self._directory.find_ready(service_id)
-        if not self._unreachable:
-            return candidates
-        reachable = [one for one in candidates if one.endpoint not in self._unreachable]
-        return reachable or candidates
+    def note_refused(self, agent: Endpoint, now: Millis) -> None:
+        """Note that an agent's host said that no process holds its port."""
+        self._refused[agent] = now
+
+    def forget_refused(self, now: Millis) -> None:
+        """Choose agents again whose port was closed a while ago."""
+        for agent, refused_at in tuple(self._refused.items()):
+            if now - refused_at >= REFUSED_KEPT_MS:
+                del self._refused[agent]
+
+    def _find_open(self, service_id: ServiceId) -> Sequence[AgentRecord]:
+        ready = self._directory.find_ready(service_id)
+        if not self._refused:
+            return ready
+        return [one for one in ready if one.endpoint not in self._refused]
 
     def _pick_peer(self, connection_id: bytes) -> Endpoint:
         # By the connection id, so that a retransmission meets the same peer.
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -21,7 +21,7 @@
 from papayagw._internal.core.gossip_repair import DATAGRAM_BYTES, Repairer
 from papayagw._internal.core.gossip_table import MergeOutcome
 from papayagw._internal.core.rendezvous import Rendezvous
-from papayagw._internal.core.watcher import ACK_BEATS, Watcher
+from papayagw._internal.core.watcher import Watcher
 from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.control import (
@@ -45,7 +45,7 @@
 )
 from papayagw._internal.models.endpoint import Endpoint
 
-CONTROL_BYTES_PER_SECOND = 3_600
+CONTROL_BYTES_PER_SECOND = 3_400
 """What all control traffic may cost a balancer, sent and received together."""
 
 PROBE_BYTES_PER_SECOND = 400
@@ -84,6 +84,9 @@
 JOIN_PEERS = 50
 """The number of peers that doubles `JOIN_MS`."""
 
+MEET_MS = Millis(100)
+"""The least time between two answers to nodes that are unknown or taken for gone."""
+
 JOIN_RECORDS = 30
 """How many records the answer to a join carries."""
 
@@ -123,7 +126,7 @@
         self._random = random_source
         self._fleet = Fleet(own, directory)
         self._budget = TokenBucket(MIN_NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
-        self._watcher = Watcher(self._fleet, random_source.randrange(ACK_BEATS))
+        self._watcher = Watcher(self._fleet, random_source)
         self._prober = Prober(random_source)
         self._repair_budget = TokenBucket(MIN_NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
         self._repairer = Repairer(self._fleet.table, self._repair_budget, random_source)
@@ -134,6 +137,7 @@
         self._join_at = Millis(0)
         self._join_wait = FIRST_JOIN_MS
         self._fanout_at = Millis(0)
+        self._meet_at = Millis(0)
         self._version = 0
         self._version_copies = 0
         self._heard: tuple[int, Endpoint] | None = None
@@ -402,9 +406,10 @@
         yield from self._answer(message, source, now)
         known = self._fleet.table.get(source)
         if known is None or known.state is AgentState.GONE:
-            yield from self._meet(known, source)
+            yield from self._meet(known, source, now)
             return
-        yield from self._repairer.on_digest(message.digest, source, now)
+        settled = not self._fleet.news
+        yield from self._repairer.on_digest(message.digest, source, settled, now)
 
     def _answer(self, message: Gossip, source: Endpoint, now: Millis) -> Iterator[Send]:
         if message.kind is GossipKind.PROBE:
@@ -418,8 +423,13 @@
                 voucher = Voucher(inquiry.endpoint, inquiry.incarnation, 0)
                 yield Send(inquirer, voucher)
 
-    def _meet(self, known: Record | None, source: Endpoint) -> Iterator[Send]:
+    def _meet(
+        self, known: Record | None, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
         """Make a node known that speaks though it is unknown, or taken for gone."""
+        if now < self._meet_at:
+            return
+        self._meet_at = Millis(now + MEET_MS)
         if known is not None:
             yield self._gossip(GossipKind.NEWS, source, 0, make_news([known]))
         yield Send(source, Join(self._fleet.own))
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -55,14 +55,14 @@
     ):
         self._settings = settings
         self._configuration = configuration
-        self._clock = clock
-        self._inner = DatagramSocket(settings.node.inner, returns=True)
+        self._inner = DatagramSocket(settings.node.inner, keeps_refused=True)
         self._membership = membership
+        self._clock = clock
+        self._core = BalancerCore(directory, RendezvousChooser(), membership)
         self._source = source
         self._entries = EntrySockets(settings.bind_ip, log.failure)
-        core = BalancerCore(directory, RendezvousChooser(), membership)
         self._packets = BalancerPackets(
-            core, configuration, self._inner, self._entries.sockets, log
+            self._core, configuration, self._inner, self._entries.sockets, log
         )
         keys = configuration.site.keys
         self._control = ControlLoop(membership, keys, self._inner, clock)
@@ -96,7 +96,7 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive_inner)
-            tasks.start_soon(self._control.run, self._on_tick)
+            tasks.start_soon(self._control.run, self._after_tick)
             tasks.start_soon(self._entries.run, self._packets.on_datagram)
             tasks.start_soon(self._follow_configuration)
 
@@ -122,11 +122,8 @@
     def _is_relay(self) -> bool:
         return self._membership.is_relay(self._settings.node.zone)
 
-    def _on_tick(self) -> None:
-        self._packets.on_tick(self._clock.now())
-        self._pass_on_versions()
-
-    def _pass_on_versions(self) -> None:
+    def _after_tick(self) -> None:
+        self._core.forget_refused(self._clock.now())
         heard = self._membership.heard_configuration
         if heard is not None:
             self._source.hear_version(*heard)
@@ -140,5 +137,6 @@
                     self._control.on_frame(frame, source)
                 else:
                     self._packets.on_frame(frame, source)
-            for frame, agent in self._inner.take_returned():
-                self._packets.on_returned(frame, Endpoint(*agent), self._clock.now())
+            for frame, agent in self._inner.take_refused():
+                now = self._clock.now()
+                self._packets.on_refused(frame, Endpoint(*agent), now)
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -1,10 +1,9 @@
 import pytest
 
-from papayagw._internal.core.balancer import BalancerCore
+from papayagw._internal.core.balancer import REFUSED_KEPT_MS, BalancerCore
 from papayagw._internal.core.choice import RendezvousChooser
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.models.agent import AgentState
-from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.decision import Drop, DropReason, Forward, Reset
 from papayagw._internal.models.flow import FlowRoute
 from tests.lib.samples import (
@@ -117,20 +116,24 @@
     assert core.route_opening(ORDER, b"opening1", hops) == decision
 
 
+OTHER = make_record(2)
+
+
 @pytest.mark.parametrize(
-    ("unreachable", "now", "agents"),
+    ("refused", "now", "chosen"),
     [
-        ([], 0, {1, 2}),
-        ([1], 999, {2}),
-        ([1], 1_000, {1, 2}),
-        ([1, 2], 999, {1, 2}),
+        ([], 0, {AGENT.endpoint, OTHER.endpoint}),
+        ([AGENT], 0, {OTHER.endpoint}),
+        ([AGENT], REFUSED_KEPT_MS - 1, {OTHER.endpoint}),
+        ([AGENT], REFUSED_KEPT_MS, {AGENT.endpoint, OTHER.endpoint}),
+        ([AGENT, OTHER], 0, set()),
     ],
 )
-def test_openings_avoid_agents_without_process(unreachable, now, agents):
-    core = make_core([make_record(1), make_record(2)])
-    for number in unreachable:
-        core.note_unreachable(make_record(number).endpoint, Millis(0))
-    core.forget_unreachable(Millis(now))
-    openings = [number.to_bytes(8, "big") for number in range(50)]
-    chosen = {core.route_opening(ORDER, opening).agent for opening in openings}
-    assert chosen == {make_record(number).endpoint for number in agents}
+def test_agent_with_closed_port_gets_no_openings_for_a_while(refused, now, chosen):
+    core = make_core([AGENT, OTHER])
+    for record in refused:
+        core.note_refused(record.endpoint, 0)
+    core.forget_refused(now)
+    decisions = [core.route_opening(ORDER, bytes([one] * 8)) for one in range(64)]
+    forwards = [one for one in decisions if isinstance(one, Forward)]
+    assert {one.agent for one in forwards} == chosen
--- a/tests/unit/test_udp.py
+++ b/tests/unit/test_udp.py
@@ -6,7 +6,9 @@
 
 async def exchange(returns, sent):
     """Send to a closed port and to an open one; return what came of it."""
-    source, closed, heard = (DatagramSocket(None, returns) for _ in range(3))
+    source, closed, heard = (
+        DatagramSocket(None, keeps_refused=returns) for _ in range(3)
+    )
     for one in (source, closed, heard):
         one.start()
     gone = ("127.0.0.1", closed.local.port)
@@ -19,7 +21,8 @@
         while len(received) < len(sent):
             await heard.wait_readable()
             received += [data for data, _ in heard.receive_batch()]
-    returned = [data for data, port in source.take_returned() if port == gone]
+    source.receive_batch()
+    returned = [data for data, port in source.take_refused() if port == gone]
     source.close()
     heard.close()
     return returned, received
