Settle answered flows whose caller's close was lost

Cause: an agent kept an answered flow until the idle timeout of 60 s if both copies of its caller's close were lost with a balancer. Seen with a trial that replaced all balancers in turn: 1 flow open at an agent 12 s after the last answer, none open at connect.

When both directions have ended and all bytes are acknowledged, the caller's side has the whole answer: 3 s later the agent acknowledges it for the caller. On the caller's side that word changes nothing while the answer is still on its way to the TCP client. Ruled out: more copies of the close (a dead balancer may take each).

--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -47,6 +47,9 @@
 HALF_OPEN_MS = Millis(3_000)
 """How long a handshake may take; a copy of an opening never completes its own."""
 
+SETTLE_MS = Millis(3_000)
+"""How long a caller that has its whole answer may take to close the flow."""
+
 _SWEEP_MS = Millis(500)
 
 
@@ -92,6 +95,7 @@
         self._gate = AdmissionGate(admission, clock)
         self._health = ConnectHealth()
         self._half_open: DeadlineQueue[AgentFlow] = DeadlineQueue()
+        self._unsettled: DeadlineQueue[AgentFlow] = DeadlineQueue()
         self._meter = ServiceMeter(settings.service, Side.AGENT)
         self._counts: dict[str, int] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -145,7 +149,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._gate.run)
-            tasks.start_soon(self._sweep_half_open)
+            tasks.start_soon(self._sweep)
             await self._table.run()
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
@@ -235,12 +239,17 @@
         """Note that a connected flow has asked for nothing yet."""
         self._gate.note_end(flow, WorkEnd.IDLE)
 
+    def on_stream_done(self, flow: AgentFlow) -> None:
+        """Note that the caller has the whole answer and will send no more."""
+        self._unsettled.set(flow, Millis(self._clock.now() + SETTLE_MS))
+
     def on_outcome(self, flow: AgentFlow, outcome: FlowOutcome, reason: str) -> None:
         """Note how a flow ended."""
         self._count(outcome.value)
         if flow.backend_failed:
             self._gate.note_end(flow, WorkEnd.FAILED)
         self._half_open.set(flow, None)
+        self._unsettled.set(flow, None)
         self._gate.close(flow)
         if outcome is not FlowOutcome.ANSWERED:
             self._log.limited(
@@ -316,11 +325,14 @@
         self._table.add(flow, connection_id, tag)
         self._table.receive(flow, datagram, envelope.client.sockaddr)
 
-    async def _sweep_half_open(self) -> None:
+    async def _sweep(self) -> None:
         while True:
             await anyio.sleep(to_seconds(_SWEEP_MS))
-            for flow in self._half_open.pop_due(self._clock.now()):
+            now = self._clock.now()
+            for flow in self._half_open.pop_due(now):
                 flow.give_up()
+            for flow in self._unsettled.pop_due(now):
+                flow.settle()
             self._table.flush()
 
     def _make_tag(self) -> bytes:
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -84,6 +84,9 @@
     def on_idle(self, flow: "AgentFlow") -> None:
         """Note that a connected flow has asked for nothing yet."""
 
+    def on_stream_done(self, flow: "AgentFlow") -> None:
+        """Note that the caller has the whole answer and will send no more."""
+
     def on_outcome(self, flow: "AgentFlow", outcome: FlowOutcome, reason: str) -> None:
         """Note how a flow ended."""
 
@@ -130,6 +133,7 @@
         self._scope = anyio.CancelScope()
         self._attempt = 0
         self._is_accepted = False
+        self._is_stream_done = False
         self._has_work = False
         self._has_answer = False
         self._backend_failed = False
@@ -171,6 +175,10 @@
         """End the flow, whose handshake wasn't completed in time."""
         self._apply(IdleTimedOut(), "the handshake took too long")
 
+    def settle(self) -> None:
+        """End the flow, whose caller has the whole answer but doesn't say so."""
+        self._apply(AnswerAcknowledged(), "the caller's close was lost")
+
     def stop(self, reason: str) -> None:
         """End the flow now."""
         self._apply(StopLimitReached(), reason)
@@ -208,6 +216,9 @@
     def on_writable(self) -> None:
         """Read on from the backend server if there is room."""
         self._bridge.on_writable()
+        if self._connection.is_stream_done and not self._is_stream_done:
+            self._is_stream_done = True
+            self._owner.on_stream_done(self)
 
     def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram of the flow."""
--- a/src/papayagw/_internal/net/caller_flow.py
+++ b/src/papayagw/_internal/net/caller_flow.py
@@ -109,6 +109,7 @@
         self._kept_bytes = 0
         self._finished = False
         self._has_handshake = False
+        self._has_answer = False
         self._bridge = FlowBridge(self)
         self._scope = anyio.CancelScope()
         self._outcome: FlowOutcome | None = None
@@ -159,6 +160,9 @@
                 self._port.on_handshake(attempt)
             case BytesArrived(data, finished):
                 self._on_bytes(data, finished)
+            case FlowEnded(FlowOutcome.ANSWERED) if self._has_answer:
+                # The agent needs no word any more; the bridge finishes by itself.
+                pass
             case FlowEnded(outcome, reason):
                 self._end_attempt(outcome, reason)
 
@@ -203,6 +207,7 @@
             self._progress.set()
             self._attempt.connection.consume(len(ACCEPTED))
             data = data[len(ACCEPTED) :]
+        self._has_answer = self._has_answer or finished
         self._bridge.on_bytes(data, finished)
 
     def _end_attempt(self, outcome: FlowOutcome | None, reason: str) -> None:
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -138,6 +138,12 @@
             return 0
         return int(stream.sender._buffer_stop - stream.sender._buffer_start)
 
+    @property
+    def has_open_stream(self) -> bool:
+        """Whether the stream exists and one of its directions hasn't ended."""
+        stream = self._streams.get(STREAM_ID)
+        return stream is not None and not stream.is_finished
+
     def grant(self, consumed: int) -> bool:
         """Let the peer send up to a window beyond `consumed`; return if it is told.
 
@@ -196,6 +202,7 @@
         self._close_repeats = 0
         self._is_reset = False
         self._end_taken = False
+        self._has_stream = False
         self._pings = 0
 
     @property
@@ -208,6 +215,11 @@
         """Bytes written that the peer hasn't acknowledged."""
         return self._connection.buffered_bytes
 
+    @property
+    def is_stream_done(self) -> bool:
+        """Whether both directions have ended and all bytes are acknowledged."""
+        return self._has_stream and not self._connection.has_open_stream
+
     @property
     def peer_reset_token(self) -> bytes:
         """What the last bytes of a stateless reset by the peer would be."""
@@ -270,6 +282,7 @@
             if isinstance(event, events.HandshakeCompleted):
                 taken.append(HandshakeDone())
             elif isinstance(event, events.StreamDataReceived):
+                self._has_stream = True
                 taken.append(self._strip_preface(event))
             event = self._connection.next_event()
         end = self._take_end()
--- a/tests/unit/test_quic.py
+++ b/tests/unit/test_quic.py
@@ -63,6 +63,25 @@
     assert {pair.codec.open_route(one) for one in rest} == {ROUTE}
 
 
+@pytest.mark.parametrize(
+    ("caller_ends", "agent_ends", "done"),
+    [(False, False, False), (True, False, False), (False, True, False), (True,) * 3],
+)
+def test_stream_is_done_when_both_ends_have_ended(
+    tmp_path, caller_ends, agent_ends, done
+):
+    pair = FlowPair(tmp_path)
+    pair.caller.write(b"request")
+    pair.exchange()
+    pair.agent.write(b"answer")
+    for end, ends in ((pair.caller, caller_ends), (pair.agent, agent_ends)):
+        if ends:
+            end.finish()
+    pair.exchange()
+    assert pair.agent.is_stream_done is done
+    assert not pair.agent.is_ending
+
+
 def test_sender_waits_for_a_receiver_that_consumes_nothing(tmp_path):
     pair = FlowPair(tmp_path)
     pair.caller.write(bytes(3 * WINDOW_BYTES))
