--- a/src/papayagw/_internal/net/udp.py
+++ b/src/papayagw/_internal/net/udp.py
@@ -1,6 +1,8 @@
 """UDP sockets that are drained in batches."""
 
+import errno
 import socket
+import struct
 
 import anyio
 import anyio.lowlevel
@@ -17,6 +19,8 @@
 _ANCILLARY_BYTES = 512
 _IP_RECVERR = 11
 """The option of Linux's ip(7) that keeps errors with what they are about."""
+_EXTENDED_ERROR = struct.Struct("=IBBBBII")
+_ORIGIN_ICMP = 2
 
 Received = tuple[bytes, tuple[str, int]]
 
@@ -118,13 +122,14 @@
             return refused
         for _ in range(BATCH_DATAGRAMS):
             try:
-                data, _, _, peer = self._socket.recvmsg(
+                data, ancillary, _, peer = self._socket.recvmsg(
                     MAX_DATAGRAM_BYTES, _ANCILLARY_BYTES, socket.MSG_ERRQUEUE
                 )
             except OSError:
                 self._may_have_refused = False
                 break
-            refused.append((data, peer))
+            if any(_is_closed_port(error) for _, _, error in ancillary):
+                refused.append((data, peer))
         return refused
 
     def send(self, data: bytes, peer: tuple[str, int]) -> None:
@@ -144,3 +149,11 @@
             self._sendto(data, peer)
         except OSError:
             self._send_failures += 1
+
+
+def _is_closed_port(error: bytes) -> bool:
+    """Return whether an error of the queue is 'port unreachable', and no other."""
+    if len(error) < _EXTENDED_ERROR.size:
+        return False
+    code, origin, *_ = _EXTENDED_ERROR.unpack_from(error)
+    return bool(code == errno.ECONNREFUSED and origin == _ORIGIN_ICMP)
