Show at most 24 backend servers in the tables of the burn report

Cause: with 9,500 hosts the report would print a line for each. Of many, those with cut flows and the highest loads are shown; JSON has all.

--- a/src/papayagw/_internal/observe/burn_text.py
+++ b/src/papayagw/_internal/observe/burn_text.py
@@ -1,10 +1,11 @@
 """The burn report as text."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from papayagw._internal.models.burn import (
     Balance,
     BurnReport,
+    GroupLoad,
     Objective,
     ObjectiveBurn,
     Risk,
@@ -23,6 +24,7 @@
     Risk.SPENT: "BUDGET SPENT",
 }
 _SIDE_WORDS = {Side.AGENT: "agents", Side.CALLER: "callers"}
+_MAX_ROWS = 24
 _FLOW_HEAD = ("COUNTED BY", "OPENED", "REFUSED", "UNKNOWN", "BROKEN", "LOST")
 
 
@@ -72,16 +74,27 @@
     if not balance.groups:
         return []
     mean = sum(group.load for group in balance.groups) / len(balance.groups)
+    shown = _pick_groups(balance)
     rows = [
         (
             *(group.name, group.opened, group.cut, f"{group.load:.2f}"),
             f"{group.load / mean:.2f}" if mean else "-",
         )
-        for group in balance.groups
+        for group in shown
     ]
     title = f"imbalance by {name}, max to mean: {balance.ratio:.2f}"
     head = (name.upper(), "OPENED", "CUT", "WORK/CAPACITY", "TO MEAN")
-    return [title, *format_table(head, rows)]
+    left_out = len(balance.groups) - len(shown)
+    rest = [f"and {left_out} more, with fewer cut flows or less load"]
+    return [title, *format_table(head, rows), *(rest if left_out else ())]
+
+
+def _pick_groups(balance: Balance) -> Sequence[GroupLoad]:
+    """Return all groups, or of many those with cut flows and the highest loads."""
+    if len(balance.groups) <= _MAX_ROWS:
+        return balance.groups
+    worst = sorted(balance.groups, key=lambda group: (-group.cut, -group.load))
+    return worst[:_MAX_ROWS]
 
 
 def _format_verdict(report: BurnReport) -> Iterable[str]:
--- a/tests/unit/test_operator_commands.py
+++ b/tests/unit/test_operator_commands.py
@@ -127,6 +127,23 @@
     assert picture.read_bytes().startswith(b"\x89PNG")
 
 
+@pytest.mark.parametrize(
+    ("instances", "first", "rest"),
+    [(24, "order-0", ""), (40, "order-7", "and 16 more, with fewer cut flows")],
+)
+def test_many_backend_servers_show_the_worst(capsys, tmp_path, instances, first, rest):
+    records = [
+        (0, {"instance": f"order-{number}", "work": 10, "broken": int(number == 7)})
+        for number in range(instances)
+    ]
+    path = write_records(tmp_path / "records", *records)
+    _, out, _ = run(capsys, "report", "burn", path)
+    lines = out.splitlines()
+    head = next(at for at, one in enumerate(lines) if one.startswith("BACKEND"))
+    assert lines[head + 1].split()[0] == first
+    assert ("and " in out, rest in out) == (bool(rest), True)
+
+
 def test_picture_that_cannot_be_written_is_named(capsys, tmp_path):
     path = write_records(tmp_path / "records", (0, {}))
     found, _, err = run(capsys, "report", "burn", path, "--picture=/none/x.png")
