--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -48,10 +48,10 @@
 """The least time between two single buckets that are sent."""
 
 BUCKETS_AT_ONCE = 4
-"""How many large buckets one comparison repairs."""
+"""How many buckets one comparison compares record by record."""
 
 SMALL_BUCKET = 6
-"""A bucket of so many records is sent whole: comparing it first costs more."""
+"""A bucket of so many records is sent whole: asking for them costs more."""
 
 CAUGHT_UP_SHARE = 0.05
 """A node has caught up when no more than this share of the buckets differ."""
@@ -171,9 +171,11 @@
         for bucket in differing:
             members = self._table.list_members(bucket)
             missing = bucket in empty or bucket.zone not in message.zones
-            if not missing and len(members) > SMALL_BUCKET:
+            small = len(members) <= SMALL_BUCKET
+            if not missing:
+                # The sender may hold records that are gone here, too.
                 compared.append(bucket)
-            elif len(whole) < RECORDS_PER_DATAGRAM:
+            if (missing or small) and len(whole) < RECORDS_PER_DATAGRAM:
                 whole += members
         return whole, compared
 
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -244,12 +244,13 @@
         self._excuse_pause(now)
         if self._fleet.superseded:
             return ()
-        self._give_up_suspects(now)
+        cut_off = self._is_cut_off(now)
+        self._give_up_suspects(cut_off, now)
         self._watcher.set_caught_up(self.caught_up)
         return (
             *self._join(now),
             *self._probe(now),
-            *self._watcher.on_tick(self._prober.is_isolated, now),
+            *self._watcher.on_tick(cut_off, now),
             *self._spread(now),
         )
 
@@ -262,6 +263,10 @@
             self._gossip(GossipKind.NEWS, target, 0, news) for target in targets
         )
 
+    def _is_cut_off(self, now: Millis) -> bool:
+        """Return whether nobody at all is heard, so that silence tells nothing."""
+        return self._prober.is_isolated and not self._watcher.hears_agents(now)
+
     def _excuse_pause(self, now: Millis) -> None:
         if self._ticked_at is not None and now - self._ticked_at > PAUSE_MS:
             pause_ms = Millis(now - self._ticked_at)
@@ -307,17 +312,17 @@
         record = self._fleet.table.get(silent)
         if not isinstance(record, BalancerRecord) or record.is_suspected:
             return
-        if record.state is not AgentState.GONE and not self._prober.is_isolated:
+        if record.state is not AgentState.GONE and not self._is_cut_off(now):
             self._fleet.set_suspicion(record, now)
 
-    def _give_up_suspects(self, now: Millis) -> None:
+    def _give_up_suspects(self, cut_off: bool, now: Millis) -> None:
         suspected = self._fleet.suspected
         self._suspects = {
             one.endpoint: self._suspects.get(one.endpoint, now) for one in suspected
         }
         for record in suspected:
             since = self._suspects[record.endpoint]
-            if now - since >= SUSPECT_KEPT_MS and not self._prober.is_isolated:
+            if now - since >= SUSPECT_KEPT_MS and not cut_off:
                 # All nodes come to this by themselves: it needs no telling.
                 gone = replace(record, state=AgentState.GONE)
                 self._fleet.merge_quietly(gone, now)
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -146,12 +146,11 @@
         if self._watch.note_voucher(message.endpoint, message.incarnation, beat):
             self._refute(message.endpoint, now)
 
-    def on_tick(self, isolated: bool, now: Millis) -> Iterator[Send]:
+    def on_tick(self, cut_off: bool, now: Millis) -> Iterator[Send]:
         """Ask about silent agents, suspect them, give them up."""
         silence = self._watch.find_silent(now)
         for endpoint in silence.inquire:
             yield from self._inquire(endpoint)
-        cut_off = isolated and self._is_all_silent(now)
         for endpoint in silence.suspect:
             self._suspect(endpoint, cut_off, now)
         if not cut_off:
@@ -161,6 +160,11 @@
             self._next_abandon_at = Millis(now + ABANDON_CHECK_MS)
             self._abandon(now)
 
+    def hears_agents(self, now: Millis) -> bool:
+        """Return whether any watched agent was heard lately."""
+        since = Millis(now - int(SUSPECT_BEATS * self.compute_interval()))
+        return len(self._watch.list_silent_since(since)) < len(self._watch)
+
     def excuse(self, pause_ms: Millis) -> None:
         """Forgive all a silence during which this node was itself paused."""
         self._watch.excuse(pause_ms)
@@ -224,10 +228,6 @@
         elif not known.is_suspected and not cut_off:
             self._fleet.set_suspicion(known, now)
 
-    def _is_all_silent(self, now: Millis) -> bool:
-        since = Millis(now - int(SUSPECT_BEATS * self.compute_interval()))
-        return len(self._watch.list_silent_since(since)) == len(self._watch)
-
     def _audit(self, now: Millis) -> None:
         if not self._audit_queue:
             self._audit_queue = list(self._fleet.table.directory.records)
--- a/tests/unit/test_membership_faults.py
+++ b/tests/unit/test_membership_faults.py
@@ -49,6 +49,7 @@
         [Step(Event.CUT_ZONE, 0, 5_000), Step(Event.REPLACE_BALANCERS, 0, 1_000)],
         [Step(Event.REPLACE_BALANCERS, 0, 1_000), Step(Event.KILL_AGENT, 2, 0)],
         [Step(Event.KILL_BALANCER, 0, 0), Step(Event.KILL_AGENT, 2, 0)],
+        [Step(Event.KILL_BALANCER, 0, 0) for _ in range(3)],
         [Step(Event.RESTART_AGENT, number, 500) for number in range(8)],
         [Step(Event.CLOSE, 1, 0), Step(Event.CUT_ZONE, 1, 5_000)],
     ],
@@ -110,6 +111,16 @@
         assert fleet.find_ready() == [set(fleet.agents)] * 3
 
 
+def test_agent_that_dies_with_its_watchers_is_noticed():
+    fleet = make_fleet(balancers=6)
+    endpoint = sorted(fleet.agents)[1]
+    for watcher in fleet.agents[endpoint].watchers:
+        fleet.kill(watcher)
+    fleet.kill(endpoint)
+    fleet.run(60_000)
+    assert all(endpoint not in ready for ready in fleet.find_ready())
+
+
 def test_late_announcement_does_not_revive_a_closed_agent():
     fleet = make_fleet()
     endpoint = sorted(fleet.agents)[1]
@@ -188,6 +199,12 @@
             lambda *_: None,
             lambda: test_balancer_that_wakes_suspects_nobody(1, 5_000),
         ),
+        (
+            Watcher,
+            "_audit",
+            lambda *_: None,
+            test_agent_that_dies_with_its_watchers_is_noticed,
+        ),
         (
             AgentRecord,
             "precedence",
