End flows whose caller fell silent after the answer

Now a flow whose two directions have ended is settled 3 s later: answered if all is acknowledged, unknown if the caller has been silent for 3 s, and looked at again otherwise.

--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -48,7 +48,7 @@
 """How long a handshake may take; a copy of an opening never completes its own."""
 
 SETTLE_MS = Millis(3_000)
-"""How long a caller that has its whole answer may take to close the flow."""
+"""How long the caller of an answered flow may be silent without closing it."""
 
 _SWEEP_MS = Millis(500)
 
@@ -240,7 +240,7 @@
         self._gate.note_end(flow, WorkEnd.IDLE)
 
     def on_stream_done(self, flow: AgentFlow) -> None:
-        """Note that the caller has the whole answer and will send no more."""
+        """Note that both directions have ended, and only the caller's word lacks."""
         self._unsettled.set(flow, Millis(self._clock.now() + SETTLE_MS))
 
     def on_outcome(self, flow: AgentFlow, outcome: FlowOutcome, reason: str) -> None:
@@ -332,7 +332,7 @@
             for flow in self._half_open.pop_due(now):
                 flow.give_up()
             for flow in self._unsettled.pop_due(now):
-                flow.settle()
+                flow.settle(SETTLE_MS)
             self._table.flush()
 
     def _make_tag(self) -> bytes:
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -85,7 +85,7 @@
         """Note that a connected flow has asked for nothing yet."""
 
     def on_stream_done(self, flow: "AgentFlow") -> None:
-        """Note that the caller has the whole answer and will send no more."""
+        """Note that both directions have ended, and only the caller's word lacks."""
 
     def on_outcome(self, flow: "AgentFlow", outcome: FlowOutcome, reason: str) -> None:
         """Note how a flow ended."""
@@ -133,7 +133,7 @@
         self._scope = anyio.CancelScope()
         self._attempt = 0
         self._is_accepted = False
-        self._is_stream_done = False
+        self._open_directions = 2
         self._has_work = False
         self._has_answer = False
         self._backend_failed = False
@@ -175,9 +175,20 @@
         """End the flow, whose handshake wasn't completed in time."""
         self._apply(IdleTimedOut(), "the handshake took too long")
 
-    def settle(self) -> None:
-        """End the flow, whose caller has the whole answer but doesn't say so."""
-        self._apply(AnswerAcknowledged(), "the caller's close was lost")
+    def settle(self, silence_ms: Millis) -> None:
+        """End the flow if its caller has the whole answer, or has gone silent.
+
+        Parameters
+        ----------
+        silence_ms : Millis
+            The silence after which the caller is taken for gone.
+        """
+        if self._connection.is_stream_done:
+            self._apply(AnswerAcknowledged(), "the caller's close was lost")
+        elif self._clock.now() - self._connection.heard_at >= silence_ms:
+            self._apply(IdleTimedOut(), "the caller fell silent at the end")
+        else:
+            self._owner.on_stream_done(self)
 
     def stop(self, reason: str) -> None:
         """End the flow now."""
@@ -216,9 +227,6 @@
     def on_writable(self) -> None:
         """Read on from the backend server if there is room."""
         self._bridge.on_writable()
-        if self._connection.is_stream_done and not self._is_stream_done:
-            self._is_stream_done = True
-            self._owner.on_stream_done(self)
 
     def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram of the flow."""
@@ -239,6 +247,7 @@
             self._apply(CallerSent(len(data)))
         if finished:
             self._apply(CallerFinished())
+            self._end_direction()
 
     def _on_flow_ended(self, outcome: FlowOutcome, reason: str) -> None:
         self._apply(_ENDINGS[outcome], reason)
@@ -259,9 +268,15 @@
             case FinishToCaller():
                 self._connection.finish()
                 self._owner.touch(self)
+                self._end_direction()
             case TellCaller(outcome):
                 self._end(outcome, reason)
 
+    def _end_direction(self) -> None:
+        self._open_directions -= 1
+        if not self._open_directions and self._lifecycle.outcome is None:
+            self._owner.on_stream_done(self)
+
     def _begin_work(self) -> None:
         # The bridge holds the bytes and hands them over.
         if not self._has_work:
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -203,6 +203,7 @@
         self._is_reset = False
         self._end_taken = False
         self._has_stream = False
+        self._heard_at = Millis(0)
         self._pings = 0
 
     @property
@@ -220,6 +221,11 @@
         """Whether both directions have ended and all bytes are acknowledged."""
         return self._has_stream and not self._connection.has_open_stream
 
+    @property
+    def heard_at(self) -> Millis:
+        """When the peer's last datagram came."""
+        return self._heard_at
+
     @property
     def peer_reset_token(self) -> bytes:
         """What the last bytes of a stateless reset by the peer would be."""
@@ -241,6 +247,7 @@
     def receive(self, datagram: bytes, peer: tuple[str, int], now: Millis) -> None:
         """Take in a datagram of the flow."""
         connection = self._connection
+        self._heard_at = now
         if connection.is_ending:
             self._close_repeats += 1
             return
