--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -35,6 +35,9 @@
 REPAIR_INTERVAL_MS = Millis(2_000)
 """The least time between two comparisons that a caught-up node begins."""
 
+NO_DIGEST = 0
+"""Sent by a node that is catching up: no comparison is wanted."""
+
 UNSETTLED_MS = Millis(6_000)
 """How long a difference is left to gossip while there is news."""
 
@@ -45,7 +48,10 @@
 """The least time between two single buckets that are sent."""
 
 BUCKETS_AT_ONCE = 4
-"""How many differing buckets one comparison repairs."""
+"""How many large buckets one comparison repairs."""
+
+SMALL_BUCKET = 6
+"""A bucket of so many records is sent whole: comparing it first costs more."""
 
 CAUGHT_UP_SHARE = 0.05
 """A node has caught up when no more than this share of the buckets differ."""
@@ -71,6 +77,7 @@
         self._budget = budget
         self._random = random_source
         self._next_at = Millis(0)
+        self._asked = 0
         self._next_bucket_at = Millis(0)
         self._caught_up = False
         self._differs_since: Millis | None = None
@@ -88,6 +95,8 @@
         While this node has news to tell, it isn't `settled`: gossip will mend most
         differences for less.
         """
+        if digest == NO_DIGEST and self._caught_up:
+            return
         if digest == self._table.digest:
             self._caught_up = True
             self._differs_since = None
@@ -111,17 +120,16 @@
     ) -> Iterator[Send]:
         """Answer a peer's digests with what this node holds of a few buckets."""
         differing = self._find_differing(message)
-        if len(differing) <= CAUGHT_UP_SHARE * len(self._table.buckets):
+        few = CAUGHT_UP_SHARE * len(self._table.buckets)
+        if message.complete and len(differing) <= few:
             self._caught_up = True
-        empty = set(_list_empty(message))
+        if self._budget.get_level(now) <= 0:
+            return
         self._random.shuffle(differing)
-        for bucket in differing[:BUCKETS_AT_ONCE]:
-            if self._budget.get_level(now) <= 0:
-                return
-            if bucket in empty or bucket.zone not in message.zones:
-                members = self._table.list_members(bucket)
-                yield from self._send_records(members, source, now)
-            else:
+        whole, compared = self._divide(differing, message)
+        yield from self._send_records(whole, source, now)
+        for bucket in compared[:BUCKETS_AT_ONCE]:
+            if self._budget.get_level(now) > 0:
                 yield self._summarise(bucket, source, now)
 
     def on_summary(
@@ -153,6 +161,22 @@
             self._next_bucket_at = Millis(now + BUCKET_INTERVAL_MS)
             yield self._summarise(bucket, destination, now)
 
+    def _divide(
+        self, differing: Sequence[Bucket], message: Digests
+    ) -> tuple[list[Record], list[Bucket]]:
+        """Return records to send at once, and buckets that are worth a comparison."""
+        empty = set(_list_empty(message))
+        whole: list[Record] = []
+        compared: list[Bucket] = []
+        for bucket in differing:
+            members = self._table.list_members(bucket)
+            missing = bucket in empty or bucket.zone not in message.zones
+            if not missing and len(members) > SMALL_BUCKET:
+                compared.append(bucket)
+            elif len(whole) < RECORDS_PER_DATAGRAM:
+                whole += members
+        return whole, compared
+
     def _summarise(self, bucket: Bucket, destination: Endpoint, now: Millis) -> Send:
         fingerprints = self._table.list_fingerprints(bucket)
         self._spend(len(fingerprints) * FINGERPRINT_BYTES, now)
@@ -168,12 +192,17 @@
 
     def _make_digests(self) -> Digests:
         zones = self._table.zones
-        buckets = _list_buckets(zones)
-        return Digests(zones, tuple(self._table.get_digest(one) for one in buckets))
+        complete = self._caught_up or len(zones) <= 1 or self._asked % len(zones) == 0
+        if not complete:
+            zones = (zones[self._asked % len(zones)],)
+        self._asked += 1
+        digests = tuple(self._table.get_digest(one) for one in _list_buckets(zones))
+        return Digests(zones, digests, complete)
 
     def _find_differing(self, message: Digests) -> list[Bucket]:
         theirs = dict(zip(_list_buckets(message.zones), message.digests, strict=False))
-        buckets = sorted(set(theirs) | set(self._table.buckets))
+        ours = set(self._table.buckets) if message.complete else set()
+        buckets = sorted(set(theirs) | ours)
         return [
             bucket
             for bucket in buckets
