--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -143,6 +143,12 @@
             return 0
         return int(stream.sender._buffer_stop - stream.sender._buffer_start)
 
+    @property
+    def has_open_stream(self) -> bool:
+        """Whether the stream exists and one of its directions hasn't ended."""
+        stream = self._streams.get(STREAM_ID)
+        return stream is not None and not stream.is_finished
+
     def release_handshake(self) -> None:
         """Give back what only the handshake needed, for it is complete.
 
@@ -162,12 +168,6 @@
         for frame_type, (handler, epochs) in handlers.items():
             handlers[frame_type] = (handler, _EPOCHS.setdefault(epochs, epochs))
 
-    @property
-    def has_open_stream(self) -> bool:
-        """Whether the stream exists and one of its directions hasn't ended."""
-        stream = self._streams.get(STREAM_ID)
-        return stream is not None and not stream.is_finished
-
     def grant(self, consumed: int) -> bool:
         """Let the peer send up to a window beyond `consumed`; return if it is told.
 
@@ -227,6 +227,7 @@
         self._is_reset = False
         self._end_taken = False
         self._has_stream = False
+        self._heard_at = Millis(0)
         self._pings = 0
 
     @property
@@ -244,6 +245,11 @@
         """Whether both directions have ended and all bytes are acknowledged."""
         return self._has_stream and not self._connection.has_open_stream
 
+    @property
+    def heard_at(self) -> Millis:
+        """When the peer's last datagram came."""
+        return self._heard_at
+
     @property
     def peer_reset_token(self) -> bytes:
         """What the last bytes of a stateless reset by the peer would be."""
@@ -265,6 +271,7 @@
     def receive(self, datagram: bytes, peer: tuple[str, int], now: Millis) -> None:
         """Take in a datagram of the flow."""
         connection = self._connection
+        self._heard_at = now
         if connection.is_ending:
             self._close_repeats += 1
             return
