Let a caller's machine say how often it probes, and what is idempotent

Cause: docs/CAPACITY.md, point 1: with the measured 84 us a silent flow and second, probing each second would cost a balancer more than a core at 11 million flows, and the interval was a constant.

Also here: the balancer decides about a whole batch before it sends any of it.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -34,7 +34,7 @@
 
 _FLOWS = "0, 200, 400, 800 and 1,200 flows"
 _SERVICES = "100 to 2,400 services (5 sizes)"
-_FLEETS = "40, 80, 160 and 280 balancers, 11 agents each"
+_FLEETS = "20, 40, 80 and 160 balancers, 11 agents each"
 _OPENINGS = "1,000 openings, 3 balancers; one size"
 
 BALANCER_BASE = Slope(
@@ -47,7 +47,7 @@
     "balancer, an open flow", 0.0, "KB", _FLOWS, "bench.agent_flow_memory"
 )
 BALANCER_PROBE = Slope(
-    "balancers, a silent flow", 48, "us/s", _FLOWS, "bench.agent_flow_memory"
+    "balancers, a silent flow", 84, "us/s", _FLOWS, "bench.agent_flow_memory"
 )
 BALANCER_OPENING = Slope(
     "balancers, an opening", 1.24, "ms", _OPENINGS, "bench.path_ratio"
@@ -56,19 +56,19 @@
     "balancer, a packet", 6.4, "us", "100 and 100,000 flows", "bench.packet_rate"
 )
 MEMBERSHIP_BYTES = Slope(
-    "membership, a balancer", 2_096, "B/s", _FLEETS, "bench.membership_bytes"
+    "membership, a balancer", 2_044, "B/s", _FLEETS, "bench.membership_bytes"
 )
 MEMBERSHIP_WORST = Slope(
-    "a zone's loss, worst second", 3_872, "B/s", _FLEETS, "bench.membership_bytes"
+    "a zone's loss, worst second", 3_294, "B/s", _FLEETS, "bench.membership_bytes"
 )
 MEMBERSHIP_CPU = Slope(
-    "membership, a balancer", 3_300, "us/s", _FLEETS, "bench.membership_bytes"
+    "membership, a balancer", 9_000, "us/s", _FLEETS, "bench.membership_bytes"
 )
 MEMBERSHIP_MEMORY = Slope(
-    "membership at full size", 12.75, "MB", "9,500 agents", "bench.membership_bytes"
+    "membership at full size", 12.3, "MB", "9,500 agents", "bench.membership_bytes"
 )
 AGENT_CONTROL_BYTES = Slope(
-    "membership, an agent", 170, "B/s", _FLEETS, "bench.membership_bytes"
+    "membership, an agent", 167, "B/s", _FLEETS, "bench.membership_bytes"
 )
 AGENT_CONTROL_CPU = Slope(
     "membership, an agent", 42, "us/s", _FLEETS, "bench.membership_bytes"
@@ -86,20 +86,20 @@
     "150 to 2,400 services",
     "bench.control_cost",
 )
-AGENT_BASE = Slope("agent, no flow", 72_745, "KB", _FLOWS, "bench.agent_flow_memory")
-AGENT_FLOW = Slope("agent, an open flow", 97.0, "KB", _FLOWS, "bench.agent_flow_memory")
+AGENT_BASE = Slope("agent, no flow", 72_868, "KB", _FLOWS, "bench.agent_flow_memory")
+AGENT_FLOW = Slope("agent, an open flow", 73.6, "KB", _FLOWS, "bench.agent_flow_memory")
 AGENT_PROBE = Slope(
-    "agent, a silent flow", 69, "us/s", _FLOWS, "bench.agent_flow_memory"
+    "agent, a silent flow", 92, "us/s", _FLOWS, "bench.agent_flow_memory"
 )
 AGENT_OPENING = Slope("agent, an opening", 3.51, "ms", _OPENINGS, "bench.path_ratio")
 CONNECT_BASE = Slope(
-    "connect, no flow", 61_379, "KB", _FLOWS, "bench.agent_flow_memory"
+    "connect, no flow", 61_764, "KB", _FLOWS, "bench.agent_flow_memory"
 )
 CONNECT_FLOW = Slope(
-    "connect, an open flow", 107.1, "KB", _FLOWS, "bench.agent_flow_memory"
+    "connect, an open flow", 70.4, "KB", _FLOWS, "bench.agent_flow_memory"
 )
 CONNECT_PROBE = Slope(
-    "connect, a silent flow", 88, "us/s", _FLOWS, "bench.agent_flow_memory"
+    "connect, a silent flow", 121, "us/s", _FLOWS, "bench.agent_flow_memory"
 )
 CONNECT_OPENING = Slope(
     "connect, an opening", 4.04, "ms", _OPENINGS, "bench.path_ratio"
--- a/src/papayagw/_internal/models/node.py
+++ b/src/papayagw/_internal/models/node.py
@@ -127,11 +127,21 @@
         Where TCP clients connect.
     entry : Endpoint
         The entry address of the service.
+    idempotent : bool
+        Whether the service's requests may be run more than once, so that a flow
+        that broke before its answer may be opened again.
+    probe_interval_ms : Millis
+        How long a flow may be silent before its agent is probed.
+    idle_timeout_ms : Millis
+        How long a flow may be silent before it is given up.
     """
 
     service: str
     listen: Endpoint
     entry: Endpoint
+    idempotent: bool = False
+    probe_interval_ms: Millis = Millis(1_000)
+    idle_timeout_ms: Millis = Millis(60_000)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -1,5 +1,6 @@
 """The balancer: a thin process that hands each packet on."""
 
+from collections.abc import Sequence
 from dataclasses import replace
 
 from papayagw._internal.core.balancer import DROP_MALFORMED, BalancerCore
@@ -14,7 +15,7 @@
 )
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import ServiceId
-from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.net.udp import DatagramSocket, Received
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import ENVELOPE_BYTES, EnvelopeCodec, FrameKind
 from papayagw._internal.wire.header import is_opening, read_connection_id
@@ -90,19 +91,25 @@
         self._envelopes = EnvelopeCodec(keys)
         self._resets = ResetTokens(keys)
 
-    def on_datagram(
-        self, service_id: ServiceId, datagram: bytes, client: tuple[str, int]
-    ) -> None:
-        """Hand a caller's packet to an agent, or drop it."""
-        decision = self._decide(service_id, datagram)
-        if isinstance(decision, Forward):
-            self._forwarded += 1
-            header = self._envelopes.write_raw(_FORWARD, service_id, client)
-            self._inner.send(header + datagram, decision.agent.sockaddr)
-        elif isinstance(decision, Reset):
-            self._reset(service_id, datagram, client)
-        else:
-            self._drop(decision.reason, client)
+    def on_batch(self, service_id: ServiceId, batch: Sequence[Received]) -> None:
+        """Hand callers' packets to agents, or drop them.
+
+        They leave together, after the last decision: a receiver that is woken for
+        each packet costs its sender more than all the decisions.
+        """
+        write_raw = self._envelopes.write_raw
+        frames: list[Received] = []
+        for datagram, client in batch:
+            decision = self._decide(service_id, datagram)
+            if isinstance(decision, Forward):
+                header = write_raw(_FORWARD, service_id, client)
+                frames.append((header + datagram, decision.agent.sockaddr))
+            elif isinstance(decision, Reset):
+                self._reset(service_id, datagram, client)
+            else:
+                self._drop(decision.reason, client)
+        self._forwarded += len(frames)
+        self._inner.send_all(frames)
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
         """Hand an agent's answer to its caller, or a peer's opening to an agent."""
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -97,7 +97,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive_inner)
             tasks.start_soon(self._control.run, self._after_tick)
-            tasks.start_soon(self._entries.run, self._packets.on_datagram)
+            tasks.start_soon(self._entries.run, self._packets.on_batch)
             tasks.start_soon(self._follow_configuration)
 
     async def drain(self) -> None:
--- a/src/papayagw/_internal/net/caller.py
+++ b/src/papayagw/_internal/net/caller.py
@@ -32,8 +32,8 @@
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.quic import FlowOpener
 
+DEFAULT_PROBE_INTERVAL_MS = Millis(1_000)
 DEFAULT_IDLE_TIMEOUT_MS = Millis(60_000)
-"""How long a flow may be silent before it is given up."""
 
 
 class Flow:
@@ -126,8 +126,12 @@
         The entry address of the service, as ``ip:port``.
     authority : str or Path
         PEM file of the authority that signs the agents' certificates.
+    idempotent : bool
+        Whether the service's requests may be run more than once.
+    probe_interval_ms : Millis
+        How long a flow may be silent before its agent is probed.
     idle_timeout_ms : Millis
-        How long a flow may be silent.
+        How long a flow may be silent before it is given up.
     """
 
     def __init__(
@@ -135,6 +139,9 @@
         service: str,
         entry: str,
         authority: str | Path,
+        *,
+        idempotent: bool = False,
+        probe_interval_ms: Millis = DEFAULT_PROBE_INTERVAL_MS,
         idle_timeout_ms: Millis = DEFAULT_IDLE_TIMEOUT_MS,
     ):
         self._service = service
@@ -142,8 +149,8 @@
         opener = FlowOpener(
             service, Endpoint.parse(entry), Path(authority), idle_timeout_ms
         )
-        self._port = FlowPort(opener, self._clock, Log(self._clock))
-        self._make_retry = make_retries()
+        self._port = FlowPort(opener, self._clock, Log(self._clock), probe_interval_ms)
+        self._make_retry = make_retries(idempotent=idempotent)
         self._meter = ServiceMeter(service, Side.CALLER)
         self._flows: anyio.abc.TaskGroup | None = None
 
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -46,7 +46,7 @@
         self._service = listener.service
         self._listener = TcpListener(listener.listen)
         self._entry = listener.entry
-        self._port = FlowPort(opener, clock, log)
+        self._port = FlowPort(opener, clock, log, listener.probe_interval_ms)
         self._make_retry = make_retry
         self._clock = clock
         self._log = log
--- a/src/papayagw/_internal/net/connect_process.py
+++ b/src/papayagw/_internal/net/connect_process.py
@@ -11,9 +11,6 @@
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.quic import FlowOpener
 
-IDLE_TIMEOUT_MS = Millis(60_000)
-"""How long a flow may be silent before it is given up."""
-
 _DRAIN_CHECK_MS = Millis(50)
 
 
@@ -69,5 +66,8 @@
 def _make_connector(
     listener: Listener, authority: Path, clock: Clock, log: Log
 ) -> ServiceConnector:
-    opener = FlowOpener(listener.service, listener.entry, authority, IDLE_TIMEOUT_MS)
-    return ServiceConnector(listener, opener, make_retries(), clock, log)
+    opener = FlowOpener(
+        listener.service, listener.entry, authority, listener.idle_timeout_ms
+    )
+    retries = make_retries(idempotent=listener.idempotent)
+    return ServiceConnector(listener, opener, retries, clock, log)
--- a/src/papayagw/_internal/net/entries.py
+++ b/src/papayagw/_internal/net/entries.py
@@ -9,9 +9,9 @@
 from papayagw._internal.exceptions import BindError
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Service, ServiceId
-from papayagw._internal.net.udp import DatagramSocket
+from papayagw._internal.net.udp import DatagramSocket, Received
 
-OnDatagram = Callable[[ServiceId, bytes, tuple[str, int]], None]
+OnBatch = Callable[[ServiceId, Sequence[Received]], None]
 
 
 class EntrySockets:
@@ -32,7 +32,7 @@
         self._sockets: dict[ServiceId, DatagramSocket] = {}
         self._endpoints: dict[ServiceId, Endpoint] = {}
         self._tasks: TaskGroup | None = None
-        self._on_datagram: OnDatagram = lambda *_: None
+        self._on_batch: OnBatch = lambda *_: None
 
     @property
     def sockets(self) -> dict[ServiceId, DatagramSocket]:
@@ -60,9 +60,9 @@
             if service.service_id not in self._sockets:
                 self._try_to_open(service)
 
-    async def run(self, on_datagram: OnDatagram) -> None:
-        """Hand each datagram to `on_datagram`, until cancelled."""
-        self._on_datagram = on_datagram
+    async def run(self, on_batch: OnBatch) -> None:
+        """Hand each batch of datagrams to `on_batch`, until cancelled."""
+        self._on_batch = on_batch
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             for service_id in self._sockets:
@@ -107,11 +107,10 @@
         entry = self._sockets.get(service_id)
         if entry is None:
             return
-        on_datagram = self._on_datagram
+        on_batch = self._on_batch
         while True:
             with suppress(anyio.ClosedResourceError):
                 await entry.wait_readable()
             if self._sockets.get(service_id) is not entry:
                 return
-            for datagram, client in entry.receive_batch():
-                on_datagram(service_id, datagram, client)
+            on_batch(service_id, entry.receive_batch())
--- a/src/papayagw/_internal/net/flow_port.py
+++ b/src/papayagw/_internal/net/flow_port.py
@@ -15,9 +15,6 @@
 )
 from papayagw._internal.wire.reset import RESET_TOKEN_BYTES
 
-PROBE_MS = Millis(1_000)
-"""How long a flow may be silent before its agent is probed."""
-
 
 class FlowPort:
     """Opens flows to one service and moves their packets.
@@ -30,9 +27,14 @@
         The time.
     log : Log
         Where faults are logged.
+    probe_interval_ms : Millis
+        How long a flow may be silent before its agent is probed.
     """
 
-    def __init__(self, opener: FlowOpener, clock: Clock, log: Log):
+    def __init__(
+        self, opener: FlowOpener, clock: Clock, log: Log, probe_interval_ms: Millis
+    ):
+        self._probe_interval = probe_interval_ms
         self._opener = opener
         self._clock = clock
         self._socket = DatagramSocket(None)
@@ -98,10 +100,10 @@
 
     async def _probe(self) -> None:
         while True:
-            await anyio.sleep(to_seconds(PROBE_MS) / 2)
+            await anyio.sleep(to_seconds(self._probe_interval) / 2)
             now = self._clock.now()
             for handler, heard_at in self._heard.items():
-                if now - heard_at >= PROBE_MS:
+                if now - heard_at >= self._probe_interval:
                     handler.connection.probe()
                     self._table.touch(handler)
 
--- a/src/papayagw/_internal/net/udp.py
+++ b/src/papayagw/_internal/net/udp.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 import struct
+from collections.abc import Sequence
 
 import anyio
 import anyio.lowlevel
@@ -144,6 +145,11 @@
             # Datagrams may be lost anywhere: the flow's loss recovery resends.
             self._send_failures += 1
 
+    def send_all(self, datagrams: Sequence[Received]) -> None:
+        """Send datagrams, each to its peer, one right after the other."""
+        for data, peer in datagrams:
+            self.send(data, peer)
+
     def _send_again(self, data: bytes, peer: tuple[str, int]) -> None:
         try:
             self._sendto(data, peer)
--- a/src/papayagw/_internal/settings/node.py
+++ b/src/papayagw/_internal/settings/node.py
@@ -19,6 +19,7 @@
     MILLIS,
     Address,
     Choice,
+    Flag,
     IpNumber,
     Kind,
     Name,
@@ -125,7 +126,15 @@
 
 
 LISTENER_KEYS = make_keys(
-    Listener, {"service": Name(), "listen": Address(), "entry": Address()}
+    Listener,
+    {
+        "service": Name(),
+        "listen": Address(),
+        "entry": Address(),
+        "idempotent": Flag(),
+        "probe_interval_ms": Whole(100, 60_000, MILLIS),
+        "idle_timeout_ms": Whole(1_000, 86_400_000, MILLIS),
+    },
 )
 NODE_KEYS = make_keys(NodeSettings, {**_NODE_KINDS, **_PROCESS_KINDS})
 BALANCER_KEYS = make_keys(BalancerSettings, {"bind_ip": IpNumber()})
