--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -173,9 +173,9 @@
         else:
             self._table.receive(handler, datagram, envelope.client.sockaddr)
 
-    def on_unreachable(self, balancer: Endpoint) -> None:
+    def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
         """Answer no longer through a balancer whose port is closed."""
-        self._returns.note_unreachable(balancer)
+        self._returns.note_unreachable(peer)
 
     def flush(self) -> None:
         """Send what the last envelopes have made due."""
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -8,14 +8,13 @@
 from papayagw._internal.exceptions import SettingsError
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
-from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.node import AgentSettings
 from papayagw._internal.net.agent import AgentPackets
-from papayagw._internal.net.configuration import ConfigurationSource
+from papayagw._internal.net.configuration import ConfigurationSource, follow
 from papayagw._internal.net.control import ControlLoop
+from papayagw._internal.net.inner_loop import serve_inner
 from papayagw._internal.net.udp import DatagramSocket
 from papayagw._internal.observe.logs import Log
-from papayagw._internal.wire.envelope import FrameKind
 
 LEAVE_MS = Millis(500)
 """How long a closed agent repeats that it is gone, and ends stray flows."""
@@ -103,8 +102,10 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._packets.run)
             tasks.start_soon(self._control.run, self._pass_on_versions)
-            tasks.start_soon(self._follow_configuration)
-            tasks.start_soon(self._receive)
+            tasks.start_soon(follow, self._source, self._apply, lambda: False)
+            tasks.start_soon(
+                serve_inner, self._inner, self._control, self._packets, self._clock
+            )
 
     async def drain(self) -> None:
         """Take no more openings, and return when the last flow has ended."""
@@ -119,13 +120,6 @@
         self._packets.drain()
         self._control.send(self._announcer.drain(self._clock.now()))
 
-    async def _follow_configuration(self) -> None:
-        try:
-            await self._source.run(self._apply, is_relay=lambda: False)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self._source.close()
-
     def _apply(self, configuration: Configuration) -> None:
         self._configuration = configuration
         self._control.apply(configuration.site.keys)
@@ -146,16 +140,3 @@
         heard = self._announcer.heard_configuration
         if heard is not None:
             self._source.hear_version(*heard)
-
-    async def _receive(self) -> None:
-        control = bytes((FrameKind.CONTROL,))
-        while True:
-            await self._inner.wait_readable()
-            for frame, source in self._inner.receive_batch():
-                if frame[:1] == control:
-                    self._control.on_frame(frame, source)
-                else:
-                    self._packets.on_frame(frame, source)
-            for _, peer in self._inner.take_refused():
-                self._packets.on_unreachable(Endpoint(*peer))
-            self._packets.flush()
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -52,6 +52,7 @@
         self._inner = inner
         self._entries = entries
         self._log = log
+        self._answers: list[tuple[DatagramSocket, bytes, tuple[str, int]]] = []
         self._forwarded = 0
         self._answered = 0
         self._passed = 0
@@ -125,10 +126,16 @@
         if entry is None:
             self._drop(DropReason.WRONG_SERVICE, source)
             return
-        self._answered += 1
-        entry.send(frame[ENVELOPE_BYTES:], client)
+        self._answers.append((entry, frame[ENVELOPE_BYTES:], client))
 
-    def on_refused(self, frame: bytes, agent: Endpoint, now: Millis) -> None:
+    def flush(self) -> None:
+        """Send the answers of the last batch of frames, one right after the other."""
+        self._answered += len(self._answers)
+        for entry, datagram, client in self._answers:
+            entry.send(datagram, client)
+        self._answers.clear()
+
+    def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
         """Act on a packet that met a closed port, which no agent holds.
 
         A flow of that agent is over, which its caller is told. An opening is sent
@@ -138,15 +145,15 @@
         ----------
         frame : bytes
             What this balancer sent, as the agent's host returned it.
-        agent : Endpoint
-            Where it was sent.
+        peer : Endpoint
+            Where it was sent: an agent.
         now : Millis
             The present time.
         """
         envelope = self._envelopes.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
             return
-        self._core.note_refused(agent, now)
+        self._core.note_refused(peer, now)
         datagram = frame[ENVELOPE_BYTES:]
         tag = read_connection_id(datagram)
         if tag is not None and self._tags.open_route(tag) is not None:
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -8,15 +8,14 @@
 from papayagw._internal.core.membership import BalancerMembership
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
-from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.node import BalancerSettings
 from papayagw._internal.net.balancer import BalancerPackets
-from papayagw._internal.net.configuration import ConfigurationSource
+from papayagw._internal.net.configuration import ConfigurationSource, follow
 from papayagw._internal.net.control import ControlLoop
 from papayagw._internal.net.entries import EntrySockets
+from papayagw._internal.net.inner_loop import serve_inner
 from papayagw._internal.net.udp import DatagramSocket
 from papayagw._internal.observe.logs import Log
-from papayagw._internal.wire.envelope import FrameKind
 
 LEAVE_MS = Millis(1_000)
 """How long a leaving balancer still hands packets on, so that none meets a void."""
@@ -94,24 +93,20 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
+        self._membership.set_configuration_version(self._configuration.version)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._receive_inner)
+            tasks.start_soon(
+                serve_inner, self._inner, self._control, self._packets, self._clock
+            )
             tasks.start_soon(self._control.run, self._after_tick)
             tasks.start_soon(self._entries.run, self._packets.on_batch)
-            tasks.start_soon(self._follow_configuration)
+            tasks.start_soon(follow, self._source, self._apply, self._is_relay)
 
     async def drain(self) -> None:
         """Hand on what still comes while the others learn of the leave."""
+        self._control.send(self._membership.leave(self._clock.now()))
         await anyio.sleep(to_seconds(LEAVE_MS))
 
-    async def _follow_configuration(self) -> None:
-        self._membership.set_configuration_version(self._configuration.version)
-        try:
-            await self._source.run(self._apply, self._is_relay)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self._source.close()
-
     def _apply(self, configuration: Configuration) -> None:
         self._configuration = configuration
         self._packets.apply(configuration)
@@ -127,16 +122,3 @@
         heard = self._membership.heard_configuration
         if heard is not None:
             self._source.hear_version(*heard)
-
-    async def _receive_inner(self) -> None:
-        control = bytes((FrameKind.CONTROL,))
-        while True:
-            await self._inner.wait_readable()
-            for frame, source in self._inner.receive_batch():
-                if frame[:1] == control:
-                    self._control.on_frame(frame, source)
-                else:
-                    self._packets.on_frame(frame, source)
-            for frame, agent in self._inner.take_refused():
-                now = self._clock.now()
-                self._packets.on_refused(frame, Endpoint(*agent), now)
--- a/src/papayagw/_internal/net/configuration.py
+++ b/src/papayagw/_internal/net/configuration.py
@@ -83,3 +83,14 @@
 
     async def close(self) -> None:
         """Do nothing: no connection is open."""
+
+
+async def follow(
+    source: ConfigurationSource, on_change: OnChange, is_relay: IsRelay
+) -> None:
+    """Run a source until cancelled, and close it then."""
+    try:
+        await source.run(on_change, is_relay)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await source.close()
