A balancer that wakes from a pause clears nobody of a suspicion by old heartbeats

Ruled out: the cap on suspicion (none applied), the network (no loss, no delay).

The history is a test (test_history_that_was_once_found_stays_right), red before and green now.

--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -236,6 +236,7 @@
         now : Millis
             The time.
         """
+        self._excuse_pause(now)
         handler = self._handlers.get(type(message))
         return () if handler is None else tuple(handler(message, source, now))
 
@@ -270,7 +271,7 @@
     def _excuse_pause(self, now: Millis) -> None:
         if self._ticked_at is not None and now - self._ticked_at > PAUSE_MS:
             pause_ms = Millis(now - self._ticked_at)
-            self._watcher.excuse(pause_ms)
+            self._watcher.excuse(pause_ms, now)
             self._prober.drop_pending()
             self._suspects = {
                 endpoint: Millis(since + pause_ms)
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -11,7 +11,7 @@
 from papayagw._internal.core.choice import unit_hash
 from papayagw._internal.core.fleet import WATCHERS, Fleet
 from papayagw._internal.core.gossip_table import compute_fingerprint
-from papayagw._internal.core.watch import SUSPECT_BEATS, Beat, WatchList
+from papayagw._internal.core.watch import SUSPECT_BEATS, WAKE_GRACE_MS, Beat, WatchList
 from papayagw._internal.core.zone_loss import ZoneLossDetector
 from papayagw._internal.models.agent import AgentRecord, AgentState, Incarnation
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
@@ -77,6 +77,7 @@
         self._caught_up = False
         self._next_abandon_at = Millis(0)
         self._audit_queue: list[AgentRecord] = []
+        self._trusts_beats_at = Millis(0)
 
     @property
     def watched_count(self) -> int:
@@ -110,7 +111,7 @@
         self._fleet.merge(message.record, now)
         known = self._fleet.table.get(message.record.endpoint)
         if isinstance(known, AgentRecord) and _is_alive(known, message.record):
-            self._fleet.set_suspicion(known, now)
+            self._refute(message.record.endpoint, now)
         yield self._acknowledge(message.record.endpoint, 0, now)
 
     def on_heartbeat(self, message: Heartbeat, now: Millis) -> Iterator[Send]:
@@ -165,11 +166,18 @@
         since = Millis(now - int(SUSPECT_BEATS * self.compute_interval()))
         return len(self._watch.list_silent_since(since)) < len(self._watch)
 
-    def excuse(self, pause_ms: Millis) -> None:
-        """Forgive all a silence during which this node was itself paused."""
+    def excuse(self, pause_ms: Millis, now: Millis) -> None:
+        """Forgive all a silence during which this node was itself paused.
+
+        What it finds in its socket on waking may be as old as the pause, so for a
+        while it clears nobody of a suspicion.
+        """
         self._watch.excuse(pause_ms)
+        self._trusts_beats_at = Millis(now + WAKE_GRACE_MS)
 
     def _refute(self, endpoint: Endpoint, now: Millis) -> None:
+        if now < self._trusts_beats_at:
+            return
         known = self._fleet.table.get(endpoint)
         if known is not None and known.is_suspected:
             self._fleet.set_suspicion(known, now)
--- a/tests/properties/test_membership_properties.py
+++ b/tests/properties/test_membership_properties.py
@@ -1,10 +1,15 @@
+from contextlib import nullcontext
+
 import pytest
 
+from tests.lib.fleet import Network
+from tests.lib.fleet_events import Event, Step
 from tests.properties.membership_proof import (
     FLEET_PROOF,
     MUTATIONS,
     ORDER_PROOF,
     VECTOR_PROOF,
+    check_fleet,
 )
 from tests.properties.proving import run
 
@@ -22,3 +27,24 @@
 def test_property_turns_red_without_mechanism(mutation):
     with pytest.raises(AssertionError):
         run(mutation.proof, mutation.make, 150, shrink=False)
+
+
+FOUND_HISTORIES = [
+    # A balancer woken from a pause took old heartbeats for signs of life.
+    (
+        0,
+        Network(1, 0, 0.0, 0.0),
+        [
+            Step(Event.DRAIN, 0, 100),
+            Step(Event.DRAIN, 0, 100),
+            Step(Event.FREEZE_BALANCER, 0, 100),
+            Step(Event.CLOSE, 0, 3_000),
+            Step(Event.KILL_AGENT, 1, 12_000),
+        ],
+    ),
+]
+
+
+@pytest.mark.parametrize("history", FOUND_HISTORIES)
+def test_history_that_was_once_found_stays_right(history):
+    check_fleet(nullcontext, history)
