--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import socket
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 
 import pytest
 
@@ -99,6 +99,19 @@
         assert f"DONE o{number} " in ask_patiently(fleet, f"ORDER o{number}")
 
 
+def test_only_flows_of_a_dead_agent_break(fleet):
+    with ExitStack() as stack:
+        feeds = [stack.enter_context(open_feed(fleet, f"f{one}")) for one in range(24)]
+        victim = feeds[0][0][-1]
+        kill_agent(fleet, victim)
+        for first, lines in feeds:
+            if first[-1] == victim:
+                with pytest.raises(ConnectionResetError):
+                    read_numbers(lines)
+            else:
+                assert read_numbers(lines) == list(range(1, LINES + 1))
+
+
 @pytest.mark.parametrize(
     ("service", "request_line", "body", "expected"),
     [
