--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -1,30 +1,11 @@
-"""Driving of QUIC (RFC 9000) without input or output.
-
-The library makes its connection ids at random and grants the peer flow-control
-credit for what has arrived. Here a server's connection id is a flow tag, and
-credit is granted for what has been consumed, so that a slow backend server holds
-its caller back. `_Connection` is the one place that reaches into the library; the
-library's version is pinned, and ``tests/unit/test_quic.py`` fails if it changes.
-"""
+"""Driving of QUIC (RFC 9000) without input or output."""
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 
-from aioquic._buffer import Buffer
 from aioquic.quic import events
 from aioquic.quic.configuration import QuicConfiguration
-from aioquic.quic.connection import (
-    END_STATES,
-    MAX_STREAM_DATA_FRAME_CAPACITY,
-    QuicConnection,
-)
-from aioquic.quic.packet import QuicFrameType
-from aioquic.quic.packet_builder import QuicPacketBuilder
-from aioquic.quic.recovery import QuicPacketSpace
-from aioquic.quic.stream import QuicStream
-from aioquic.tls import Epoch
 
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis, to_seconds
 from papayagw._internal.models.endpoint import Endpoint
@@ -35,7 +16,12 @@
     HandshakeDone,
     StreamEvent,
 )
-from papayagw._internal.wire.recovery import SprayRecovery
+from papayagw._internal.wire.quic_adapter import (
+    STREAM_ID,
+    WINDOW_BYTES,
+    ServerTag,
+    TaggedConnection,
+)
 from papayagw._internal.wire.reset import RESET_TOKEN_BYTES, ResetTokens
 from papayagw._internal.wire.tag import TAG_BYTES
 
@@ -43,12 +29,6 @@
 CALLER_ID_BYTES = 8
 """Length of the connection ids of callers, in bytes."""
 
-STREAM_ID = 0
-"""The one stream of a flow, which carries both directions."""
-
-WINDOW_BYTES = 1 << 20
-"""How much a peer may send that hasn't been consumed, in bytes."""
-
 PREFACE = b"\x01"
 """What a caller's end sends first, so that the agent may answer before a request.
 
@@ -58,8 +38,6 @@
 _UNLIMITED_BYTES = 1 << 60
 _INITIAL_RTT_SECONDS = 0.05
 _CLOSE_COPIES = 2
-_NO_BUFFER = Buffer(capacity=0)
-_EPOCHS: dict[frozenset[Epoch], frozenset[Epoch]] = {}
 _MAX_CLOSE_REPEATS = 3
 
 _CODES = {
@@ -74,141 +52,12 @@
 """Takes a datagram and the peer that it is for."""
 
 
-@dataclass(frozen=True, slots=True)
-class ServerTag:
-    """The connection id that an agent gives to a flow.
-
-    Attributes
-    ----------
-    tag : bytes of shape (TAG_BYTES,)
-        The sealed flow tag.
-    reset_token : bytes
-        Its stateless reset token.
-    """
-
-    tag: bytes
-    reset_token: bytes
-
-
-class _Connection(QuicConnection):
-    """The library's connection with our ids and our flow control."""
-
-    def __init__(
-        self,
-        configuration: QuicConfiguration,
-        original_id: bytes | None = None,
-        server_tag: ServerTag | None = None,
-    ):
-        super().__init__(
-            configuration=configuration, original_destination_connection_id=original_id
-        )
-        self._loss = SprayRecovery(configuration, self._send_probe, self._logger)
-        self._share_epochs()
-        self._local_max_streams_bidi.value = 1
-        self._local_max_streams_bidi.sent = 1
-        self._local_max_streams_uni.value = 0
-        self._local_max_streams_uni.sent = 0
-        if server_tag is not None:
-            first = self._host_cids[0]
-            first.cid = server_tag.tag
-            first.stateless_reset_token = server_tag.reset_token
-            self.host_cid = server_tag.tag
-            self._local_initial_source_connection_id = server_tag.tag
-
-    @property
-    def peer_reset_token(self) -> bytes:
-        """The token with which the peer would reset this connection."""
-        return self._peer_cid.stateless_reset_token
-
-    @property
-    def close_event(self) -> events.ConnectionTerminated | None:
-        """How the connection ends, as soon as that is known."""
-        return self._close_event
-
-    @property
-    def is_ending(self) -> bool:
-        """Whether the connection is closing, draining or over."""
-        return self._state in END_STATES
-
-    @property
-    def has_stream(self) -> bool:
-        """Whether the stream may be written to."""
-        return self._is_client or STREAM_ID in self._streams
-
-    @property
-    def buffered_bytes(self) -> int:
-        """Bytes written to the stream that the peer hasn't acknowledged."""
-        stream = self._streams.get(STREAM_ID)
-        if stream is None:
-            return 0
-        return int(stream.sender._buffer_stop - stream.sender._buffer_start)
-
-    @property
-    def has_open_stream(self) -> bool:
-        """Whether the stream exists and one of its directions hasn't ended."""
-        stream = self._streams.get(STREAM_ID)
-        return stream is not None and not stream.is_finished
-
-    def release_handshake(self) -> None:
-        """Give back what only the handshake needed, for it is complete.
-
-        The library keeps it for as long as a flow lives: three buffers of 16 KB, the
-        peer's certificates and the ephemeral keys. The table of the first packets'
-        keys stays, since such a packet may still come, late or twice.
-        """
-        self._crypto_buffers = dict.fromkeys(self._crypto_buffers, _NO_BUFFER)
-        self.tls._peer_certificate = None
-        self.tls._peer_certificate_chain = []
-        self.tls._ec_private_keys = []
-        self.tls._x25519_private_key = None
-
-    def _share_epochs(self) -> None:
-        """Let all connections share the sets in the table of frame handlers."""
-        handlers = vars(self)["_QuicConnection__frame_handlers"]
-        for frame_type, (handler, epochs) in handlers.items():
-            handlers[frame_type] = (handler, _EPOCHS.setdefault(epochs, epochs))
-
-    def grant(self, consumed: int) -> bool:
-        """Let the peer send up to a window beyond `consumed`; return if it is told.
-
-        Credit is told in steps of half a window, so that it costs few frames.
-        """
-        stream = self._streams.get(STREAM_ID)
-        if stream is None or stream.receiver.is_finished:
-            return False
-        limit = consumed + WINDOW_BYTES
-        if limit - stream.max_stream_data_local < WINDOW_BYTES // 2:
-            return False
-        stream.max_stream_data_local = limit
-        return True
-
-    def _replenish_connection_ids(self) -> None:
-        """Issue no further ids: a flow has one tag for life."""
-
-    def _write_stream_limits(
-        self, builder: QuicPacketBuilder, space: QuicPacketSpace, stream: QuicStream
-    ) -> None:
-        """Tell the peer of credit, without the library's doubling of it."""
-        if stream.max_stream_data_local_sent == stream.max_stream_data_local:
-            return
-        assert stream.stream_id is not None, "only the crypto streams have no id"
-        buffer = builder.start_frame(
-            QuicFrameType.MAX_STREAM_DATA,
-            capacity=MAX_STREAM_DATA_FRAME_CAPACITY,
-            handler=self._on_max_stream_data_delivery,
-            handler_args=(stream,),
-        )
-        buffer.push_uint_var(stream.stream_id)
-        buffer.push_uint_var(stream.max_stream_data_local)
-        stream.max_stream_data_local_sent = stream.max_stream_data_local
-
-
 class FlowConnection:
     """One flow over QUIC: datagrams and deadlines in, events and datagrams out.
 
     Parameters
     ----------
-    connection : _Connection
+    connection : TaggedConnection
         The driven connection.
     local_id : bytes
         The connection id that the peer's packets carry.
@@ -216,7 +65,9 @@
         What the peer sends before its own bytes.
     """
 
-    def __init__(self, connection: _Connection, local_id: bytes, preface: bytes = b""):
+    def __init__(
+        self, connection: TaggedConnection, local_id: bytes, preface: bytes = b""
+    ):
         self._connection = connection
         self._local_id = local_id
         self._preface_left = len(preface)
@@ -417,7 +268,7 @@
     def accept(self, opening_id: bytes, tag: bytes) -> FlowConnection:
         """Return the flow of an opening, whose packets will carry `tag`."""
         server_tag = ServerTag(tag, self._reset_tokens.make_token(tag))
-        connection = _Connection(self._configuration, opening_id, server_tag)
+        connection = TaggedConnection(self._configuration, opening_id, server_tag)
         return FlowConnection(connection, tag, PREFACE)
 
 
@@ -454,7 +305,7 @@
 
     def open(self, now: Millis) -> FlowConnection:
         """Return a new flow, whose opening is ready to be transmitted."""
-        connection = _Connection(self._configuration)
+        connection = TaggedConnection(self._configuration)
         connection.connect(self._entry.sockaddr, to_seconds(now))
         flow = FlowConnection(connection, connection.host_cid)
         flow.write(PREFACE)
--- a/tests/unit/test_quic.py
+++ b/tests/unit/test_quic.py
@@ -5,7 +5,8 @@
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.stream import BytesArrived, FlowEnded, HandshakeDone
 from papayagw._internal.wire.header import is_opening, read_connection_id
-from papayagw._internal.wire.quic import PREFACE, WINDOW_BYTES
+from papayagw._internal.wire.quic import PREFACE
+from papayagw._internal.wire.quic_adapter import WINDOW_BYTES
 from tests.lib.quic import ROUTE, FlowPair
 from tests.lib.samples import CLIENT
 
