--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -95,8 +95,7 @@
     def on_batch(self, service_id: ServiceId, batch: Sequence[Received]) -> None:
         """Hand callers' packets to agents, or drop them.
 
-        They leave together, after the last decision: a receiver that is woken for
-        each packet costs its sender more than all the decisions.
+        They leave together, after the last decision.
         """
         write_raw = self._envelopes.write_raw
         frames: list[Received] = []
