Give the client of the key-value service its own name

Cause: papayagw/platform/ is to hold the translation of the prepared platform alone. The package that speaks the project's own stand-in is now _internal/store. Names only; no behaviour changes.

--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -24,9 +24,9 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.net.configuration_store import ConfigurationStore
 from papayagw._internal.net.submission import submit
-from papayagw._internal.platform.etcd import EtcdStore
 from papayagw._internal.settings.development_keys import make_development_keys
 from papayagw._internal.settings.site import load_site
+from papayagw._internal.store.etcd import EtcdStore
 from tests.lib.processes import running
 from tools.fleet_folder import (
     BASE,
--- a/src/papayagw/_internal/cli/platform_access.py
+++ b/src/papayagw/_internal/cli/platform_access.py
@@ -8,7 +8,7 @@
 from papayagw._internal.exceptions import PlatformError, SettingsError, Step
 from papayagw._internal.models.configuration import Configuration, Site
 from papayagw._internal.net.configuration_store import ConfigurationStore
-from papayagw._internal.platform.etcd import EtcdStore
+from papayagw._internal.store.etcd import EtcdStore
 
 
 @asynccontextmanager
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -27,7 +27,7 @@
     Stored,
     StoreError,
 )
-from papayagw._internal.platform.store import NO_ENTRY
+from papayagw._internal.store.protocol import NO_ENTRY
 
 WATCH_LIMIT_MS = Millis(60_000)
 """A watch that died without notice is noticed after this time."""
--- a/src/papayagw/_internal/net/configuration_setup.py
+++ b/src/papayagw/_internal/net/configuration_setup.py
@@ -16,7 +16,7 @@
 )
 from papayagw._internal.net.configuration_platform import PlatformConfigurationSource
 from papayagw._internal.net.configuration_store import ConfigurationStore
-from papayagw._internal.platform.etcd import EtcdStore
+from papayagw._internal.store.etcd import EtcdStore
 
 
 def make_source(
--- a/src/papayagw/_internal/net/configuration_store.py
+++ b/src/papayagw/_internal/net/configuration_store.py
@@ -8,7 +8,7 @@
 from papayagw._internal.exceptions import DecodeError, PlatformError
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.configuration import Configuration
-from papayagw._internal.platform.store import (
+from papayagw._internal.store.protocol import (
     NO_ENTRY,
     Conflict,
     Entry,
--- a/src/papayagw/_internal/standins/memory_store.py
+++ b/src/papayagw/_internal/standins/memory_store.py
@@ -11,15 +11,15 @@
     Step,
 )
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
-from papayagw._internal.platform.store import (
+from papayagw._internal.standins.faults import CallCounts
+from papayagw._internal.standins.key_values import KeyValue, KeyValues
+from papayagw._internal.store.protocol import (
     Conflict,
     Entry,
     Snapshot,
     SwapAnswer,
     Swapped,
 )
-from papayagw._internal.standins.faults import CallCounts
-from papayagw._internal.standins.key_values import KeyValue, KeyValues
 
 
 class MemoryStore:
--- a/src/papayagw/_internal/standins/platform.py
+++ b/src/papayagw/_internal/standins/platform.py
@@ -17,9 +17,9 @@
 from starlette.routing import Route
 
 from papayagw._internal.models.clock import Clock, to_seconds
-from papayagw._internal.platform.store import MAX_VALUE_BYTES
 from papayagw._internal.standins.faults import CallCounts, Faults
 from papayagw._internal.standins.key_values import Copy, Event, KeyValue, KeyValues
+from papayagw._internal.store.protocol import MAX_VALUE_BYTES
 
 Message = dict[str, Any]
 
--- a/src/papayagw/_internal/platform/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -14,7 +14,7 @@
     Step,
 )
 from papayagw._internal.models.clock import Millis, to_seconds
-from papayagw._internal.platform.etcd_messages import (
+from papayagw._internal.store.etcd_messages import (
     Message,
     read_events,
     read_range,
@@ -24,7 +24,7 @@
     write_swap,
     write_watch,
 )
-from papayagw._internal.platform.store import (
+from papayagw._internal.store.protocol import (
     MAX_VALUE_BYTES,
     Entry,
     Snapshot,
--- a/src/papayagw/_internal/platform/etcd_messages.py
+++ b/src/papayagw/_internal/store/etcd_messages.py
@@ -6,7 +6,7 @@
 from base64 import b64decode, b64encode
 from typing import Any
 
-from papayagw._internal.platform.store import (
+from papayagw._internal.store.protocol import (
     Conflict,
     Entry,
     Snapshot,
--- a/tests/lib/stores.py
+++ b/tests/lib/stores.py
@@ -7,10 +7,10 @@
 import httpx
 
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.platform.etcd import EtcdStore
 from papayagw._internal.standins.http_server import HttpServer
 from papayagw._internal.standins.memory_store import MemoryStore
 from papayagw._internal.standins.platform import PlatformStandin
+from papayagw._internal.store.etcd import EtcdStore
 from tests.lib.samples import ManualClock
 
 
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -3,14 +3,14 @@
 
 from papayagw._internal.exceptions import PlatformError, PlatformUnreachableError
 from papayagw._internal.models.clock import Millis
-from papayagw._internal.platform.store import (
+from papayagw._internal.standins.key_values import KeyValues
+from papayagw._internal.store.protocol import (
     MAX_VALUE_BYTES,
     Conflict,
     Entry,
     Snapshot,
     Swapped,
 )
-from papayagw._internal.standins.key_values import KeyValues
 from tests.lib.samples import ManualClock
 from tests.lib.stores import open_http_store, open_memory_store
 
