--- /dev/null
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -0,0 +1,457 @@
+"""What an agent of the plain front end does with each packet, frame and report.
+
+The agent owns the flows of the backend server beside it. It alone decides whether
+an opening goes there, since only it sees the server's reports without delay.
+"""
+
+from functools import singledispatchmethod
+
+from papayagw._internal.core.plain.backend_state import BackendState
+from papayagw._internal.core.plain.load_meter import LoadMeter
+from papayagw._internal.core.plain.owned_flows import OwnedFlow, OwnedFlows
+from papayagw._internal.core.plain.peers import BalancerPeers
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.action import (
+    Action,
+    Note,
+    ResetClient,
+    RestoreEntry,
+    SendFrame,
+    SendToBackend,
+    SendToClient,
+)
+from papayagw._internal.models.plain.frame import (
+    AskFrame,
+    CarryFrame,
+    ClaimFrame,
+    FlowClaim,
+    FlowQuestion,
+    LoadFrame,
+    MissingFrame,
+    OpenedFrame,
+    OpenFrame,
+    Ownership,
+    ReturnFrame,
+    ReturnReason,
+    ScopeFrame,
+    ToAgent,
+)
+from papayagw._internal.models.plain.instance import (
+    Availability,
+    Departure,
+    LoadWord,
+    StatusReport,
+)
+from papayagw._internal.models.plain.packet import (
+    FlowKey,
+    FlowPacket,
+    PacketKind,
+    show_flow,
+)
+
+BACKEND_PATIENCE_MS = Millis(40)
+"""How long the backend server may take to answer an opening.
+
+Both are on one machine, and the server's part takes under a millisecond.
+"""
+
+FIRST_SILENCE_MS = Millis(300)
+"""How long a silent backend server gets no other opening; doubles each time."""
+
+LONGEST_SILENCE_MS = Millis(2_400)
+"""Limit of the doubling of `FIRST_SILENCE_MS`: two intervals between reports."""
+
+COLD_FACTOR = 1.5
+"""By how much a backend server's time for a request is raised while it is cold."""
+
+SWEEP_INTERVAL_MS = Millis(1_000)
+"""How often old flows are forgotten."""
+
+_CLOSING = (PacketKind.FINISH, PacketKind.ABORT)
+
+
+class PlainAgent:
+    """The decisions of one agent.
+
+    Parameters
+    ----------
+    service : str
+        The service of its backend server.
+    flow_limit_ms : Millis
+        The age after which a flow may be forgotten.
+    now : Millis
+        When the agent started.
+    """
+
+    def __init__(self, service: str, flow_limit_ms: Millis, now: Millis):
+        self._service = service
+        self._flow_limit_ms = flow_limit_ms
+        self._unsure_till: Millis = Millis(now + flow_limit_ms)
+        self._backend = BackendState(service)
+        self._flows = OwnedFlows()
+        self._meter = LoadMeter()
+        self._peers = BalancerPeers()
+        self._scope: ScopeFrame | None = None
+        self._offered: dict[FlowKey, OwnedFlow] = {}
+        self._silent_till = Millis(0)
+        self._silences = 0
+        self._is_leaving = False
+        self._swept_at = now
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the backend server has reported since the agent's start."""
+        return self._backend.is_known
+
+    @property
+    def flow_count(self) -> int:
+        """How many flows are remembered."""
+        return len(self._flows)
+
+    @property
+    def due_at(self) -> Millis | None:
+        """When `on_timer` is to be called next."""
+        offers = (one.offered_at for one in self._offered.values())
+        dues = [at + BACKEND_PATIENCE_MS for at in offers if at is not None]
+        word_due = self._peers.due_at
+        if word_due is not None:
+            dues.append(word_due)
+        return Millis(min(dues)) if dues else None
+
+    def load_word(self, now: Millis) -> LoadWord:
+        """Return what balancers are told."""
+        service_us = self._meter.service_us(now)
+        if self._backend.is_cold(now):
+            service_us = round(service_us * COLD_FACTOR)
+        return LoadWord(
+            availability=self._availability(now),
+            slots=self._meter.slots,
+            busy=self._meter.busy + len(self._offered),
+            flows=len(self._flows),
+            utilization=self._meter.utilization(now),
+            service_us=service_us,
+            site_version=self._scope.site_version if self._scope is not None else 0,
+        )
+
+    # Frames of balancers
+
+    def on_frame(self, frame: ToAgent, source: Endpoint, now: Millis) -> list[Action]:
+        """Return what to do about a frame of a balancer."""
+        self._peers.hear(source, now)
+        if frame.service != self._service:
+            return self._refuse_service(frame, source, now)
+        return self._take_frame(frame, source, now)
+
+    @singledispatchmethod
+    def _take_frame(self, frame: object, source: Endpoint, now: Millis) -> list[Action]:
+        raise TypeError(f"no frame of a balancer: {frame!r}")
+
+    @_take_frame.register
+    def _(self, frame: OpenFrame, source: Endpoint, now: Millis) -> list[Action]:
+        packet = frame.packet
+        owned = self._flows.find(packet.flow)
+        if owned is not None and owned.ended_at is not None:
+            self._forget(packet.flow, owned, now)
+            owned = None
+        if owned is None or owned.accepted_at is None:
+            reason = self._find_objection(frame, now)
+            if reason is not None:
+                return self._return(packet, reason, source, now)
+        if owned is None:
+            owned = self._flows.add(packet.flow, source, now)
+        owned.origin = source
+        owned.seen_at = now
+        if owned.accepted_at is None:
+            owned.offered_at = now
+            owned.held = packet
+            self._offered[packet.flow] = owned
+        return [SendToBackend(packet, self._peers.token_of(source))]
+
+    @_take_frame.register
+    def _(self, frame: CarryFrame, source: Endpoint, now: Millis) -> list[Action]:
+        packet = frame.packet
+        owned = self._flows.find(packet.flow)
+        if owned is not None and not owned.matches(packet.acknowledged):
+            return self._return(packet, ReturnReason.NOT_OWNER, source, now)
+        if owned is not None:
+            owned.origin = source
+            self._note_client(owned, packet, now)
+        # A flow that isn't remembered may be known to the backend server, which
+        # hands back what isn't its own.
+        return [SendToBackend(packet, self._peers.token_of(source))]
+
+    @_take_frame.register
+    def _(self, frame: AskFrame, source: Endpoint, now: Millis) -> list[Action]:
+        claims = tuple(
+            FlowClaim(question.flow, self._find_ownership(question, now))
+            for question in frame.questions
+        )
+        return [SendFrame(source, ClaimFrame(claims, self.load_word(now)))]
+
+    @_take_frame.register
+    def _(self, frame: ScopeFrame, source: Endpoint, now: Millis) -> list[Action]:
+        if self._scope is not None and frame.site_version <= self._scope.site_version:
+            return []
+        self._scope = frame
+        fields = {
+            "version": frame.site_version,
+            "entries": len(frame.entries),
+            "peer": source,
+        }
+        return [Note("scope in force", fields)]
+
+    @_take_frame.register
+    def _(self, frame: MissingFrame, source: Endpoint, now: Millis) -> list[Action]:
+        return [RestoreEntry(), Note("entry missing in the store", {"peer": source})]
+
+    def _find_objection(self, frame: OpenFrame, now: Millis) -> ReturnReason | None:
+        """Return why an opening isn't given to the backend server, or None."""
+        scope = self._scope
+        if (
+            scope is not None
+            and frame.site_version < scope.site_version
+            and frame.packet.entry not in scope.entries
+        ):
+            return ReturnReason.OLD_VERSION
+        availability = self._availability(now)
+        if availability is Availability.READY:
+            return None
+        if now < self._silent_till:
+            return ReturnReason.SILENT
+        if availability is Availability.UNREADY:
+            return ReturnReason.NOT_READY
+        return ReturnReason.DRAINING
+
+    def _availability(self, now: Millis) -> Availability:
+        if self._is_leaving:
+            return Availability.LEAVING
+        if not self._backend.is_known:
+            return Availability.UNREADY
+        if self._backend.is_draining:
+            return Availability.DRAINING
+        if now < self._silent_till:
+            return Availability.UNREADY
+        if self._silences and self._backend.is_overdue(now):
+            return Availability.UNREADY
+        return Availability.READY
+
+    def _find_ownership(self, question: FlowQuestion, now: Millis) -> Ownership:
+        owned = self._flows.find(question.flow)
+        if owned is not None and owned.ended_at is None:
+            is_ours = owned.matches(question.acknowledged)
+            return Ownership.OWNER if is_ours else Ownership.STRANGER
+        if owned is not None:
+            # Its last packets are the backend server's to answer.
+            return Ownership.OWNER
+        return Ownership.UNSURE if now < self._unsure_till else Ownership.STRANGER
+
+    def _refuse_service(
+        self, frame: ToAgent, source: Endpoint, now: Millis
+    ) -> list[Action]:
+        if isinstance(frame, OpenFrame | CarryFrame):
+            reason = ReturnReason.WRONG_SERVICE
+            return self._return(frame.packet, reason, source, now)
+        if isinstance(frame, AskFrame):
+            claims = tuple(
+                FlowClaim(question.flow, Ownership.STRANGER)
+                for question in frame.questions
+            )
+            return [SendFrame(source, ClaimFrame(claims, self.load_word(now)))]
+        return []
+
+    def _return(
+        self, packet: FlowPacket, reason: ReturnReason, peer: Endpoint, now: Millis
+    ) -> list[Action]:
+        fields = {
+            "flow": show_flow(packet.flow),
+            "reason": reason.name.lower(),
+            "peer": peer,
+        }
+        frame = ReturnFrame(reason, packet, self.load_word(now))
+        return [SendFrame(peer, frame), Note("packet returned", fields)]
+
+    # Packets of the backend server
+
+    def on_backend_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
+        """Return what to do with a packet that the backend server sent."""
+        self._silences = 0
+        self._silent_till = Millis(0)
+        if packet.bounced:
+            return self._on_bounced(packet, now)
+        owned = self._flows.find(packet.flow)
+        if packet.kind is PacketKind.ACCEPT:
+            return self._on_accept(packet, owned, now)
+        actions: list[Action] = [SendToClient(packet)]
+        if owned is None:
+            owned = self._flows.add(packet.flow, None, now)
+            for peer in self._peers.list_recent(now):
+                claim = FlowClaim(packet.flow, Ownership.OWNER)
+                frame = ClaimFrame((claim,), self.load_word(now))
+                actions.append(SendFrame(peer, frame))
+            fields = {"flow": show_flow(packet.flow)}
+            actions.append(Note("flow adopted", fields))
+        owned.seen_at = now
+        if packet.payload_bytes:
+            self._end_request(owned, now, answered=True)
+        if packet.kind in _CLOSING:
+            self._end_request(owned, now, answered=False)
+            owned.ended_at = now
+        return actions
+
+    def _on_accept(
+        self, packet: FlowPacket, owned: OwnedFlow | None, now: Millis
+    ) -> list[Action]:
+        if owned is None:
+            owned = self._flows.add(packet.flow, None, now)
+        offered_at, owned.offered_at, owned.held = owned.offered_at, None, None
+        self._offered.pop(packet.flow, None)
+        owned.accepted_at = packet.sequence
+        owned.seen_at = now
+        actions: list[Action] = [SendToClient(packet)]
+        if owned.origin is not None:
+            frame = OpenedFrame(packet.flow, self.load_word(now))
+            actions.append(SendFrame(owned.origin, frame))
+        if offered_at is not None:
+            fields = {"flow": show_flow(packet.flow), "ms": now - offered_at}
+            actions.append(Note("flow accepted", fields))
+        return actions
+
+    def _on_bounced(self, packet: FlowPacket, now: Millis) -> list[Action]:
+        owned = self._flows.find(packet.flow)
+        origin = self._peers.find(packet.token)
+        if packet.kind is PacketKind.OPEN:
+            if owned is not None and owned.accepted_at is None:
+                self._forget(packet.flow, owned, now)
+            if origin is None:
+                return []
+            return self._return(packet, ReturnReason.FULL, origin, now)
+        if owned is not None and owned.accepted_at is not None:
+            # The backend server itself says that it no longer holds the flow.
+            self._forget(packet.flow, owned, now)
+            reset = ResetClient(packet.flow, packet.acknowledged or 0)
+            return [reset, Note("flow lost", {"flow": show_flow(packet.flow)})]
+        if owned is not None:
+            self._forget(packet.flow, owned, now)
+        if origin is None:
+            return []
+        return self._return(packet, ReturnReason.NOT_OWNER, origin, now)
+
+    # Reports of the backend server
+
+    def on_report(self, report: StatusReport, now: Millis) -> list[Action]:
+        """Return what to do about a report, before it is acknowledged."""
+        if self._backend.is_new_run(report):
+            actions = self._end_run(now)
+            self._unsure_till = now
+        else:
+            actions = []
+        before = self._backend.report
+        if not self._backend.take(report, now):
+            fields = {"instance": report.instance, "number": report.number}
+            return [*actions, Note("report not used", fields)]
+        self._meter.slots = report.slots
+        self._silences = 0
+        self._silent_till = Millis(0)
+        if before is None or before.state is not report.state or actions:
+            fields = {
+                "instance": report.instance,
+                "run": report.started_at,
+                "number": report.number,
+                "state": report.state.value,
+                "cold_ms": report.cold_left_ms,
+            }
+            actions += [Note("backend state", fields), *self._tell_all(now)]
+        return actions
+
+    def on_departure(self, departure: Departure, now: Millis) -> list[Action]:
+        """Return what to do about the end of the backend server."""
+        if not self._backend.leave(departure):
+            return []
+        note = Note("backend left", {"instance": departure.instance})
+        return [note, *self._tell_all(now)]
+
+    def leave(self, now: Millis) -> list[Action]:
+        """Return what to do as the agent stops."""
+        self._is_leaving = True
+        return self._tell_all(now)
+
+    def _end_run(self, now: Millis) -> list[Action]:
+        """Tell the clients of the earlier run that their flows are over."""
+        actions: list[Action] = [
+            ResetClient(flow, owned.acknowledged)
+            for flow, owned in self._flows
+            if owned.accepted_at is not None and owned.ended_at is None
+        ]
+        fields = {"flows": len(self._flows), "reset": len(actions)}
+        self._flows.clear()
+        self._offered.clear()
+        self._meter.clear(now)
+        return [*actions, Note("backend restarted", fields)]
+
+    # Timers
+
+    def on_timer(self, now: Millis) -> list[Action]:
+        """Return what is due."""
+        actions: list[Action] = []
+        limit = now - BACKEND_PATIENCE_MS
+        overdue = [
+            (flow, owned)
+            for flow, owned in self._offered.items()
+            if owned.offered_at is not None and owned.offered_at <= limit
+        ]
+        for flow, owned in overdue:
+            actions += self._on_silence(flow, owned, now)
+        if self._peers.take_due(now):
+            word = LoadFrame(self.load_word(now))
+            actions += [SendFrame(peer, word) for peer in self._peers.list_recent(now)]
+        if now - self._swept_at >= SWEEP_INTERVAL_MS:
+            self._sweep(now)
+        return actions
+
+    def _on_silence(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> list[Action]:
+        """Hand an opening on that the backend server left unanswered."""
+        packet, origin = owned.held, owned.origin
+        self._forget(flow, owned, now)
+        wait = min(FIRST_SILENCE_MS << self._silences, LONGEST_SILENCE_MS)
+        if now >= self._silent_till:
+            self._silences = min(self._silences + 1, 8)
+            self._silent_till = Millis(now + wait)
+        if packet is None or origin is None:
+            return []
+        note = Note("backend silent", {"flow": show_flow(flow), "wait_ms": wait})
+        return [note, *self._return(packet, ReturnReason.SILENT, origin, now)]
+
+    def _sweep(self, now: Millis) -> None:
+        self._swept_at = now
+        for owned in self._flows.sweep(now, self._flow_limit_ms):
+            self._end_request(owned, now, answered=False)
+
+    def _tell_all(self, now: Millis) -> list[Action]:
+        word = LoadFrame(self.load_word(now))
+        return [SendFrame(peer, word) for peer in self._peers.list_known()]
+
+    # Requests
+
+    def _note_client(self, owned: OwnedFlow, packet: FlowPacket, now: Millis) -> None:
+        owned.seen_at = now
+        is_new = owned.advance(packet)
+        if is_new and owned.busy_since is None:
+            owned.busy_since = now
+            self._meter.begin(now)
+            self._peers.note_change(now)
+        if packet.kind is PacketKind.ABORT:
+            self._end_request(owned, now, answered=False)
+            owned.ended_at = now
+
+    def _end_request(self, owned: OwnedFlow, now: Millis, *, answered: bool) -> None:
+        if owned.busy_since is None:
+            return
+        owned.busy_since = None
+        self._meter.end(now, answered=answered)
+        self._peers.note_change(now)
+
+    def _forget(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> None:
+        self._end_request(owned, now, answered=False)
+        self._offered.pop(flow, None)
+        self._flows.drop(flow)
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/backend_state.py
@@ -0,0 +1,90 @@
+"""What an agent knows of the backend server beside it, from its reports."""
+
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.instance import (
+    Departure,
+    ReportedState,
+    StatusReport,
+)
+
+REPORT_PATIENCE_MS = Millis(2_600)
+"""Without a report for so long, silence on packets means that the server is gone.
+
+Two of the platform's intervals between reports, 1.2 s, and a little more.
+"""
+
+
+class BackendState:
+    """The latest run of the backend server and what it said last.
+
+    Parameters
+    ----------
+    service : str
+        The service that the agent is there for; a report for another is not used.
+    """
+
+    def __init__(self, service: str):
+        self._service = service
+        self._report: StatusReport | None = None
+        self._reported_at = Millis(0)
+        self._cold_till = Millis(0)
+        self._has_left = False
+
+    @property
+    def report(self) -> StatusReport | None:
+        """The last report that was taken in."""
+        return self._report
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a run of the backend server has reported and not left."""
+        return self._report is not None and not self._has_left
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the backend server wants no new flows."""
+        report = self._report
+        return report is not None and report.state is ReportedState.DRAINING
+
+    def is_cold(self, now: Millis) -> bool:
+        """Whether the backend server is slow after its start."""
+        return now < self._cold_till
+
+    def is_overdue(self, now: Millis) -> bool:
+        """Whether reports have stayed away."""
+        return now - self._reported_at > REPORT_PATIENCE_MS
+
+    def take(self, report: StatusReport, now: Millis) -> bool:
+        """Take in a report; return False for one that is late or not usable."""
+        if report.service != self._service or self._is_older(report):
+            return False
+        self._report = report
+        self._reported_at = now
+        self._cold_till = Millis(now + report.cold_left_ms)
+        self._has_left = False
+        return True
+
+    def is_new_run(self, report: StatusReport) -> bool:
+        """Whether `report` is of a later run than the last one that was taken in."""
+        known = self._report
+        return known is not None and report.started_at > known.started_at
+
+    def leave(self, departure: Departure) -> bool:
+        """Take in a departure; return False for that of an earlier run."""
+        known = self._report
+        if known is None or departure.instance != known.instance:
+            return False
+        started_at = departure.started_at
+        if started_at is not None and started_at < known.started_at:
+            return False
+        self._has_left = True
+        return True
+
+    def _is_older(self, report: StatusReport) -> bool:
+        known = self._report
+        if known is None:
+            return False
+        if report.started_at != known.started_at:
+            return report.started_at < known.started_at
+        # Draining is the last state of a run: a late report can't take it back.
+        return self._has_left or report.number <= known.number
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -0,0 +1,424 @@
+"""What a balancer of the plain front end does with each packet and frame.
+
+The agents own the flows. A balancer remembers owners to save questions, and asks
+for those that it doesn't know; so it may be stopped, started or added at any time.
+"""
+
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+
+from papayagw._internal.core.choice import unit_hash
+from papayagw._internal.core.plain.choice import PlainChooser
+from papayagw._internal.core.plain.flow_cache import FlowCache
+from papayagw._internal.core.plain.openings import Opening, Openings
+from papayagw._internal.core.plain.questions import Question, Questions
+from papayagw._internal.core.plain.roster import AgentView, Roster
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
+from papayagw._internal.models.plain.frame import (
+    AskFrame,
+    CarryFrame,
+    ClaimFrame,
+    FlowQuestion,
+    LoadFrame,
+    MissingFrame,
+    OpenedFrame,
+    OpenFrame,
+    Ownership,
+    ReturnFrame,
+    ReturnReason,
+    ScopeFrame,
+    ToBalancer,
+)
+from papayagw._internal.models.plain.instance import LoadWord
+from papayagw._internal.models.plain.packet import FlowPacket, PacketKind, show_flow
+from papayagw._internal.models.plain.site import Route, SiteVersion
+
+SCOPE_INTERVAL_MS = Millis(200)
+"""The shortest time between two scopes sent to one agent."""
+
+
+class PlainBalancer:
+    """The decisions of one balancer.
+
+    Parameters
+    ----------
+    roster : Roster
+        The agents that it knows.
+    chooser : PlainChooser
+        Picks the agent for an opening.
+    on_newer_version : callable
+        Called when an agent has heard of a newer configuration than is in force.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        chooser: PlainChooser,
+        on_newer_version: Callable[[], None] = lambda: None,
+    ):
+        self._roster = roster
+        self._chooser = chooser
+        self._on_newer_version = on_newer_version
+        self._site: SiteVersion | None = None
+        self._flows = FlowCache()
+        self._openings = Openings()
+        self._questions = Questions()
+        self._scopes_sent: dict[Endpoint, Millis] = {}
+
+    @property
+    def site(self) -> SiteVersion | None:
+        """The configuration in force."""
+        return self._site
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether openings can be routed."""
+        return self._site is not None and len(self._roster) > 0
+
+    @property
+    def flow_count(self) -> int:
+        """How many flows are remembered."""
+        return len(self._flows)
+
+    @property
+    def due_at(self) -> Millis | None:
+        """When `on_timer` is to be called next."""
+        due = (self._openings.due_at, self._questions.due_at)
+        return min((one for one in due if one is not None), default=None)
+
+    def apply_site(self, site: SiteVersion) -> bool:
+        """Put a configuration in force unless a newer one is; return whether it is."""
+        if self._site is not None and site.version <= self._site.version:
+            return False
+        self._site = site
+        return True
+
+    def tell_missing(self) -> list[Action]:
+        """Tell the agents whose entries the store lacks, so that they restore them."""
+        return [
+            SendFrame(view.endpoint, MissingFrame(view.entry.service))
+            for view in self._roster
+            if view.missing_since is not None
+        ]
+
+    def on_client_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
+        """Return what to do with a packet of a client."""
+        if self._site is None or packet.bounced:
+            return []
+        route = self._site.routes.get(packet.entry)
+        if route is None:
+            return self._reset_unrouted(packet)
+        if packet.kind is PacketKind.OPEN:
+            return self._on_opening(packet, route, now)
+        if packet.kind is PacketKind.ACCEPT:
+            return [Note("forged packet dropped", {"flow": show_flow(packet.flow)})]
+        cached = self._flows.find(packet.flow)
+        if cached is None:
+            return self._ask_owner(packet, route, now, excluded=None)
+        cached.seen_at = now
+        return [_carry(cached.agent, packet)]
+
+    def on_frame(
+        self, frame: ToBalancer, source: Endpoint, now: Millis
+    ) -> list[Action]:
+        """Return what to do about a frame of an agent."""
+        view = self._roster.find(source)
+        if view is None:
+            # Its store entry hasn't reached this balancer; the next word may find it.
+            return []
+        view.hear(frame.load, now)
+        return [
+            *self._compare_versions(view, frame.load, now),
+            *self._take_frame(frame, view, now),
+        ]
+
+    def on_timer(self, now: Millis) -> list[Action]:
+        """Return what is due."""
+        actions: list[Action] = []
+        for opening in self._openings.take_overdue(now):
+            actions += self._on_unanswered(opening, now)
+        for question in self._questions.take_due(now):
+            actions += self._end_question(question, now)
+        if self._site is not None:
+            self._flows.sweep(now, self._site.idle_timeout_ms)
+        return actions
+
+    # Openings
+
+    def _on_opening(
+        self, packet: FlowPacket, route: Route, now: Millis
+    ) -> list[Action]:
+        cached = self._flows.find(packet.flow)
+        if cached is not None and cached.is_confirmed:
+            # The backend server's answer was lost: it answers a copy again.
+            cached.seen_at = now
+            return [self._make_offer(cached.agent, packet)]
+        opening = self._openings.begin(packet, now)
+        return self._offer(opening, route, now)
+
+    def _offer(self, opening: Opening, route: Route, now: Millis) -> list[Action]:
+        packet = opening.packet
+        service = _pick_service(route, packet)
+        agent = self._choose(service, opening, now)
+        if agent is None or opening.is_exhausted:
+            return self._refuse(opening, service)
+        opening.offer_to(agent, now)
+        agent.pending += 1
+        self._flows.put(packet.flow, agent, now, is_confirmed=False)
+        note = Note("opening offered", self._describe_offer(opening, agent, route))
+        return [self._make_offer(agent, packet), note]
+
+    def _choose(self, service: str, opening: Opening, now: Millis) -> AgentView | None:
+        untried = [
+            view
+            for view in self._roster.list_service(service)
+            if view.endpoint not in opening.tried and not view.is_gone(now)
+        ]
+        willing = [view for view in untried if view.takes_openings(now)]
+        # A suspect may be sound; a client without any answer certainly isn't served.
+        candidates = willing or [view for view in untried if view.is_suspect(now)]
+        if not candidates:
+            return None
+        return self._chooser.choose(opening.packet.flow, candidates, now)
+
+    def _make_offer(self, agent: AgentView, packet: FlowPacket) -> SendFrame:
+        version = self._site.version if self._site is not None else 0
+        frame = OpenFrame(agent.entry.service, version, packet)
+        return SendFrame(agent.endpoint, frame)
+
+    def _refuse(self, opening: Opening, service: str) -> list[Action]:
+        packet = opening.packet
+        self._openings.end(packet.flow)
+        self._flows.drop(packet.flow)
+        fields = {
+            "flow": show_flow(packet.flow),
+            "service": service,
+            "offers": len(opening.tried),
+            "outcome": "not run",
+        }
+        return [ResetClient(packet.flow, 0), Note("opening refused", fields)]
+
+    def _on_unanswered(self, opening: Opening, now: Millis) -> list[Action]:
+        agent = opening.agent
+        route = self._find_route(opening.packet)
+        if agent is None or route is None:
+            self._openings.end(opening.packet.flow)
+            return []
+        suspected_ms = agent.suspect(now)
+        fields = {
+            "agent": agent.endpoint,
+            "flow": show_flow(opening.packet.flow),
+            "suspected_ms": suspected_ms,
+        }
+        return [
+            Note("opening unanswered", fields),
+            *self._offer(opening, route, now),
+        ]
+
+    def _describe_offer(
+        self, opening: Opening, agent: AgentView, route: Route
+    ) -> dict[str, object]:
+        load = agent.load
+        return {
+            "flow": show_flow(opening.packet.flow),
+            "route": route.name,
+            "version": self._site.version if self._site is not None else 0,
+            "agent": agent.endpoint,
+            "offer": len(opening.tried),
+            "copy": opening.packet.copy,
+            "busy": load.busy if load is not None else None,
+            "pending": agent.pending,
+        }
+
+    # Frames of agents
+
+    @singledispatchmethod
+    def _take_frame(self, frame: object, view: AgentView, now: Millis) -> list[Action]:
+        raise TypeError(f"no frame of an agent: {frame!r}")
+
+    @_take_frame.register
+    def _(self, frame: LoadFrame, view: AgentView, now: Millis) -> list[Action]:
+        return []
+
+    @_take_frame.register
+    def _(self, frame: OpenedFrame, view: AgentView, now: Millis) -> list[Action]:
+        opening = self._openings.end(frame.flow)
+        self._flows.put(frame.flow, view, now, is_confirmed=True)
+        if opening is None:
+            return []
+        fields = {
+            "flow": show_flow(frame.flow),
+            "agent": view.endpoint,
+            "ms": now - opening.started_at,
+            "offers": len(opening.tried),
+        }
+        return [Note("opening accepted", fields)]
+
+    @_take_frame.register
+    def _(self, frame: ReturnFrame, view: AgentView, now: Millis) -> list[Action]:
+        packet = frame.packet
+        route = self._find_route(packet)
+        if route is None:
+            return []
+        if frame.reason in (ReturnReason.SILENT, ReturnReason.WRONG_SERVICE):
+            view.suspect(now)
+        if packet.kind is PacketKind.OPEN:
+            return self._on_returned_opening(frame, view, route, now)
+        cached = self._flows.find(packet.flow)
+        if cached is not None and cached.agent is view:
+            self._flows.drop(packet.flow)
+        elif cached is not None:
+            return [_carry(cached.agent, packet)]
+        return self._ask_owner(packet, route, now, excluded=view)
+
+    def _on_returned_opening(
+        self, frame: ReturnFrame, view: AgentView, route: Route, now: Millis
+    ) -> list[Action]:
+        packet = frame.packet
+        fields = {
+            "flow": show_flow(packet.flow),
+            "agent": view.endpoint,
+            "reason": frame.reason.name.lower(),
+        }
+        note = Note("opening returned", fields)
+        opening = self._openings.find(packet.flow)
+        if opening is None or opening.agent is not view:
+            # Another agent has it, or has answered.
+            return [note]
+        if frame.reason is ReturnReason.OLD_VERSION:
+            self._openings.end(packet.flow)
+            self._flows.drop(packet.flow)
+            return [note]
+        return [note, *self._offer(opening, route, now)]
+
+    @_take_frame.register
+    def _(self, frame: ClaimFrame, view: AgentView, now: Millis) -> list[Action]:
+        actions: list[Action] = []
+        for claim in frame.claims:
+            question = self._questions.find(claim.flow)
+            if claim.ownership is Ownership.OWNER:
+                self._flows.put(claim.flow, view, now, is_confirmed=True)
+                self._openings.end(claim.flow)
+                self._questions.end(claim.flow)
+                if question is not None:
+                    actions += [_carry(view, held) for held in question.packets]
+                    fields = {"flow": show_flow(claim.flow), "agent": view.endpoint}
+                    actions.append(Note("owner found", fields))
+            elif question is not None and not question.is_over:
+                question.take(view.endpoint, claim.ownership)
+                if not question.awaited:
+                    actions += self._end_question(question, now)
+        return actions
+
+    def _compare_versions(
+        self, view: AgentView, load: LoadWord, now: Millis
+    ) -> Iterable[Action]:
+        if self._site is None or load.site_version == self._site.version:
+            return
+        if load.site_version > self._site.version:
+            self._on_newer_version()
+            return
+        sent_at = self._scopes_sent.get(view.endpoint)
+        if sent_at is not None and now - sent_at < SCOPE_INTERVAL_MS:
+            return
+        self._scopes_sent[view.endpoint] = now
+        yield SendFrame(view.endpoint, _make_scope(self._site, view.entry.service))
+
+    # Owners that aren't known
+
+    def _ask_owner(
+        self,
+        packet: FlowPacket,
+        route: Route,
+        now: Millis,
+        *,
+        excluded: AgentView | None,
+    ) -> list[Action]:
+        question = self._questions.find(packet.flow)
+        if question is not None:
+            if not question.is_over:
+                question.hold(packet)
+            return []
+        agents = [
+            view
+            for service in route.services
+            for view in self._roster.list_service(service.name)
+            if view is not excluded
+        ]
+        awaited = {view.endpoint for view in agents}
+        question = self._questions.begin(packet.flow, awaited, now) if agents else None
+        if question is None:
+            return []
+        question.hold(packet)
+        asked = FlowQuestion(packet.flow, packet.acknowledged)
+        return [
+            SendFrame(view.endpoint, AskFrame(view.entry.service, (asked,)))
+            for view in agents
+        ]
+
+    def _end_question(self, question: Question, now: Millis) -> list[Action]:
+        """Hand the packets to those that may own the flow, or drop them."""
+        fields = {
+            "flow": show_flow(question.flow),
+            "unsure": len(question.unsure),
+            "silent": len(question.awaited),
+        }
+        actions: list[Action] = [Note("owner unknown", fields)]
+        if not question.unsure:
+            self._questions.give_up(question, now)
+            return actions
+        views = [self._roster.find(endpoint) for endpoint in question.unsure]
+        actions += [
+            _carry(view, packet)
+            for view in views
+            if view is not None
+            for packet in question.packets
+        ]
+        self._questions.end(question.flow)
+        return actions
+
+    # Routes
+
+    def _find_route(self, packet: FlowPacket) -> Route | None:
+        if self._site is None:
+            return None
+        return self._site.routes.get(packet.entry)
+
+    def _reset_unrouted(self, packet: FlowPacket) -> list[Action]:
+        self._flows.drop(packet.flow)
+        if packet.kind is PacketKind.ABORT:
+            return []
+        fields = {
+            "flow": show_flow(packet.flow),
+            "version": self._site.version if self._site is not None else 0,
+        }
+        reset = ResetClient(packet.flow, packet.acknowledged or 0)
+        return [reset, Note("entry not routed", fields)]
+
+
+def _carry(agent: AgentView, packet: FlowPacket) -> SendFrame:
+    return SendFrame(agent.endpoint, CarryFrame(agent.entry.service, packet))
+
+
+def _pick_service(route: Route, packet: FlowPacket) -> str:
+    """Return the service for a new flow, the same for all copies of its opening."""
+    if len(route.services) == 1:
+        return route.services[0].name
+    total = sum(one.weight for one in route.services)
+    point = unit_hash(packet.flow, b"service") * total
+    for one in route.services:
+        point -= one.weight
+        if point <= 0:
+            return one.name
+    return route.services[-1].name
+
+
+def _make_scope(site: SiteVersion, service: str) -> ScopeFrame:
+    entries = frozenset(
+        entry
+        for entry, route in site.routes.items()
+        if any(one.name == service for one in route.services)
+    )
+    return ScopeFrame(service, site.version, entries)
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -0,0 +1,119 @@
+"""Choice of the agent for an opening of the plain front end."""
+
+from collections.abc import Sequence
+from random import Random
+from typing import Protocol
+
+from papayagw._internal.core.choice import unit_hash
+from papayagw._internal.core.plain.roster import AgentView
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.packet import FlowKey
+
+DEFAULT_SERVICE_US = 20_000
+"""Time of a slot for one request where no agent has told its own, in microseconds."""
+
+OTHER_ZONE_US = 2_000
+"""What a candidate of another zone is put back by, in microseconds.
+
+Two crossings between zones at 0.5 to 1.4 ms; far less than one request in a queue.
+"""
+
+FRESH_MS = Millis(300)
+"""How long the number of requests in progress tells something; see docs/PLATFORM.md."""
+
+IDLE_FLOW_WEIGHT = 0.02
+"""Requests that an open flow without one is counted as."""
+
+
+class PlainChooser(Protocol):
+    """A policy that picks the agent for an opening."""
+
+    def choose(
+        self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
+    ) -> AgentView:
+        """Return one of `candidates`, of which there is at least one."""
+
+
+class LeastWaitChooser:
+    """Picks the agent at which a request would be answered first.
+
+    Parameters
+    ----------
+    zone : str
+        The zone of the balancer, which goes before others where waits are alike.
+    random : Random
+        Breaks ties, so that balancers with the same view don't pick alike.
+    """
+
+    def __init__(self, zone: str, random: Random):
+        self._zone = zone
+        self._random = random
+
+    def choose(
+        self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
+    ) -> AgentView:
+        """Return the candidate with the shortest expected wait."""
+        typical_us = _typical_service_us(candidates)
+        return min(candidates, key=lambda view: self._wait_us(view, typical_us, now))
+
+    def _wait_us(self, view: AgentView, typical_us: float, now: Millis) -> float:
+        jitter = self._random.random()
+        put_back = 0 if view.entry.zone == self._zone else OTHER_ZONE_US
+        load = view.load
+        if load is None:
+            return typical_us * (1 + view.pending + 0.2 * jitter) + put_back
+        service_us = load.service_us or typical_us
+        usual = load.utilization * load.slots
+        # A count of requests is soon out of date; the share of time isn't.
+        busy = load.busy if now - view.heard_at < FRESH_MS else usual
+        ahead = busy + usual + view.pending + load.flows * IDLE_FLOW_WEIGHT
+        queue = (ahead + 0.2 * jitter) / max(load.slots, 1)
+        return service_us * (1 + queue) + put_back
+
+
+class RoundRobinChooser:
+    """Picks each agent in turn."""
+
+    def __init__(self) -> None:
+        self._next = 0
+
+    def choose(
+        self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
+    ) -> AgentView:
+        """Return the next candidate."""
+        self._next += 1
+        return candidates[self._next % len(candidates)]
+
+
+class RandomChooser:
+    """Picks any agent."""
+
+    def __init__(self, random: Random):
+        self._random = random
+
+    def choose(
+        self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
+    ) -> AgentView:
+        """Return one of the candidates."""
+        return self._random.choice(candidates)
+
+
+class HashChooser:
+    """Picks by rendezvous hashing of the flow, alike at all balancers."""
+
+    def choose(
+        self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
+    ) -> AgentView:
+        """Return the candidate with the highest hash."""
+        return max(
+            candidates, key=lambda view: unit_hash(flow, str(view.endpoint).encode())
+        )
+
+
+def _typical_service_us(candidates: Sequence[AgentView]) -> float:
+    known = [
+        view.load.service_us
+        for view in candidates
+        if view.load is not None and view.load.service_us
+    ]
+    return sum(known) / len(known) if known else DEFAULT_SERVICE_US
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/entry_keeper.py
@@ -0,0 +1,124 @@
+"""The life of an agent's entry in the store: stored, renewed, restored, ended."""
+
+from random import Random
+
+from papayagw._internal.core.plain.store_calls import Patience, TimedCall
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.entry_store import (
+    CallFailed,
+    EndLease,
+    GrantLease,
+    Leased,
+    LeaseGone,
+    PutKey,
+    RangeRead,
+    ReadRange,
+    RenewLease,
+    StoreAnswer,
+    StoreCall,
+    Written,
+)
+
+LEASE_MS = Millis(10_000)
+"""How long an entry outlives the last word of its agent."""
+
+RENEW_MS = Millis(2_000)
+"""Time between renewals.
+
+A lapsed lease shows by its next renewal, and the entry is to be back within two
+seconds of the store's return.
+"""
+
+
+class EntryKeeper:
+    """Keeps one key in the store for as long as its owner lives.
+
+    Parameters
+    ----------
+    key : str
+        The key.
+    value : bytes
+        What it holds.
+    random : Random
+        The source of the jitter.
+    """
+
+    def __init__(self, key: str, value: bytes, random: Random):
+        self._key = key
+        self._value = value
+        self._random = random
+        self._patience = Patience(random)
+        self._due_at = Millis(0)
+        self._has_looked = False
+        self._lease: int | None = None
+        self._is_stored = False
+        self._is_ending = False
+
+    @property
+    def due_at(self) -> Millis:
+        """When the next call is due."""
+        return self._due_at
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether the store answered last and holds the entry."""
+        return self._is_stored and not self._patience.failures
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether nothing is left in the store."""
+        return self._is_ending and self._lease is None
+
+    def next_call(self) -> TimedCall | None:
+        """Return the call to make now, or None if there is none."""
+        call = self._pick_call()
+        return None if call is None else TimedCall(call, self._patience.timeout_ms)
+
+    def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
+        """Take in the answer to the last call."""
+        if isinstance(answer, CallFailed):
+            self._due_at = Millis(now + self._patience.fail(answer))
+            return
+        self._patience.succeed()
+        self._due_at = now
+        match answer:
+            case RangeRead(items):
+                self._has_looked = True
+                # A run before this one may have left the entry and its lease.
+                for item in items:
+                    if item.key == self._key and item.value == self._value:
+                        self._lease, self._is_stored = item.lease or None, True
+            case Leased(lease):
+                self._lease = lease
+                if isinstance(call, RenewLease):
+                    self._due_at = Millis(now + self._jitter(RENEW_MS))
+            case Written():
+                self._is_stored = True
+                self._due_at = Millis(now + self._jitter(RENEW_MS))
+            case LeaseGone():
+                self._lease, self._is_stored = None, False
+
+    def restore(self, now: Millis) -> None:
+        """Store the entry again, since it is missing."""
+        if self._has_looked:
+            self._is_stored = False
+            self._due_at = min(self._due_at, now)
+
+    def end(self, now: Millis) -> None:
+        """Remove the entry, since its owner is gone."""
+        self._is_ending = True
+        self._due_at = now
+
+    def _pick_call(self) -> StoreCall | None:
+        if self._is_ending:
+            return None if self._lease is None else EndLease(self._lease)
+        if not self._has_looked:
+            return ReadRange(self._key)
+        if self._lease is None:
+            return GrantLease(LEASE_MS)
+        if not self._is_stored:
+            return PutKey(self._key, self._value, self._lease)
+        return RenewLease(self._lease)
+
+    def _jitter(self, interval_ms: Millis) -> int:
+        return round(interval_ms * self._random.uniform(0.8, 1.0))
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/flow_cache.py
@@ -0,0 +1,62 @@
+"""Which agent owns a flow, as far as a balancer has seen.
+
+A balancer may lose all of it at any time: the owner can be asked for.
+"""
+
+from papayagw._internal.core.plain.roster import AgentView
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.packet import FlowKey
+
+MAX_FLOWS = 50_000
+"""The most flows that are remembered; about 300 bytes each."""
+
+SWEEP_INTERVAL_MS = Millis(5_000)
+"""How often flows that have fallen silent are dropped."""
+
+
+class CachedFlow:
+    """The owner of one flow."""
+
+    __slots__ = ("agent", "is_confirmed", "seen_at")
+
+    def __init__(self, agent: AgentView, now: Millis, is_confirmed: bool):
+        self.agent = agent
+        self.seen_at = now
+        self.is_confirmed = is_confirmed
+
+
+class FlowCache:
+    """The owners of flows, the longest silent ones dropped first."""
+
+    def __init__(self) -> None:
+        self._flows: dict[FlowKey, CachedFlow] = {}
+        self._swept_at = Millis(0)
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def find(self, flow: FlowKey) -> CachedFlow | None:
+        """Return the owner of a flow, or None."""
+        return self._flows.get(flow)
+
+    def put(
+        self, flow: FlowKey, agent: AgentView, now: Millis, *, is_confirmed: bool
+    ) -> None:
+        """Remember the owner of a flow."""
+        if len(self._flows) >= MAX_FLOWS:
+            del self._flows[next(iter(self._flows))]
+        self._flows[flow] = CachedFlow(agent, now, is_confirmed)
+
+    def drop(self, flow: FlowKey) -> None:
+        """Forget a flow."""
+        self._flows.pop(flow, None)
+
+    def sweep(self, now: Millis, idle_ms: Millis) -> None:
+        """Drop the flows that have been silent for `idle_ms`, at intervals."""
+        if now - self._swept_at < SWEEP_INTERVAL_MS:
+            return
+        self._swept_at = now
+        limit = now - idle_ms
+        silent = [key for key, one in self._flows.items() if one.seen_at < limit]
+        for key in silent:
+            del self._flows[key]
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/following.py
@@ -0,0 +1,121 @@
+"""Following of the keys under a prefix of the store: read once, then watched."""
+
+from collections.abc import Callable
+from random import Random
+
+from papayagw._internal.core.plain.store_calls import Patience, TimedCall
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.entry_store import (
+    CallFailed,
+    HistoryGone,
+    RangeRead,
+    ReadRange,
+    StoreAnswer,
+    StoreCall,
+    StoredItem,
+    StoreEvent,
+    Watched,
+    WatchPrefix,
+)
+
+WATCH_MS = Millis(10_000)
+"""How long one watch waits: a quiet node calls the store six times a minute."""
+
+WATCH_MARGIN_MS = Millis(1_000)
+"""How much later than asked a watch may answer before its connection counts as dead."""
+
+OnSnapshot = Callable[[tuple[StoredItem, ...]], None]
+OnEvents = Callable[[tuple[StoreEvent, ...]], None]
+
+
+class Follower:
+    """Keeps up with the keys under one prefix.
+
+    Parameters
+    ----------
+    prefix : str
+        What the keys begin with.
+    on_snapshot : callable
+        Takes all items after a read.
+    on_events : callable
+        Takes the writes of a watch, in order.
+    random : Random
+        The source of the jitter.
+    gap_ms : Millis
+        The shortest time between two watches, in which writes gather.
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        on_snapshot: OnSnapshot,
+        on_events: OnEvents,
+        random: Random,
+        gap_ms: Millis,
+    ):
+        self._prefix = prefix
+        self._on_snapshot = on_snapshot
+        self._on_events = on_events
+        self._gap_ms = gap_ms
+        self._patience = Patience(random)
+        self._due_at = Millis(0)
+        self._revision: int | None = None
+        self._pages: list[StoredItem] = []
+        self._first_revision = 0
+
+    @property
+    def due_at(self) -> Millis:
+        """When the next call is due."""
+        return self._due_at
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether the store answered last, and the keys were read since the start."""
+        return self._revision is not None and not self._patience.failures
+
+    def next_call(self) -> TimedCall:
+        """Return the call to make now."""
+        timeout_ms = self._patience.timeout_ms
+        if self._revision is None:
+            after = self._pages[-1].key if self._pages else ""
+            return TimedCall(ReadRange(self._prefix, after), timeout_ms)
+        wait_ms = Millis(WATCH_MS + WATCH_MARGIN_MS + timeout_ms)
+        return TimedCall(WatchPrefix(self._prefix, self._revision, WATCH_MS), wait_ms)
+
+    def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
+        """Take in the answer to the last call."""
+        match answer:
+            case RangeRead():
+                self._patience.succeed()
+                self._take_page(answer)
+                self._due_at = now
+            case Watched(events, revision):
+                self._patience.succeed()
+                self._revision = max(revision, self._revision or 0)
+                self._due_at = Millis(now + self._gap_ms) if events else now
+                if events:
+                    self._on_events(events)
+            case HistoryGone():
+                self.restart(now)
+            case CallFailed():
+                self._due_at = Millis(now + self._patience.fail(answer))
+            case _:
+                failure = CallFailed(f"unexpected answer {answer!r}")
+                self._due_at = Millis(now + self._patience.fail(failure))
+
+    def restart(self, now: Millis) -> None:
+        """Read all keys anew."""
+        self._revision = None
+        self._pages = []
+        self._due_at = now
+
+    def _take_page(self, page: RangeRead) -> None:
+        if not self._pages:
+            # Later pages may be newer: the watch goes on from the oldest.
+            self._first_revision = page.store_revision
+        self._pages += page.items
+        if page.has_more and page.items:
+            return
+        items, self._pages = tuple(self._pages), []
+        self._revision = self._first_revision
+        self._on_snapshot(items)
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -0,0 +1,89 @@
+"""Openings that a balancer has offered and no agent has answered yet."""
+
+from papayagw._internal.core.plain.roster import AgentView
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
+
+ANSWER_PATIENCE_MS = Millis(60)
+"""How long an agent may take to answer an offer before another gets one.
+
+Well over a round trip between zones and the backend server's handshake, and under
+the 200 ms after which the client sends a copy.
+"""
+
+MAX_OFFERS = 5
+"""The most agents that are offered one opening."""
+
+MAX_OPENINGS = 4_096
+"""The most openings that are held for another offer."""
+
+
+class Opening:
+    """One opening.
+
+    Parameters
+    ----------
+    packet : FlowPacket
+        The client's packet.
+    started_at : Millis
+        When it came.
+    """
+
+    __slots__ = ("agent", "due_at", "packet", "started_at", "tried")
+
+    def __init__(self, packet: FlowPacket, started_at: Millis):
+        self.packet = packet
+        self.started_at = started_at
+        self.tried: set[Endpoint] = set()
+        self.agent: AgentView | None = None
+        self.due_at = started_at
+
+    def offer_to(self, agent: AgentView, now: Millis) -> None:
+        """Note an offer."""
+        self.agent = agent
+        self.tried.add(agent.endpoint)
+        self.due_at = Millis(now + ANSWER_PATIENCE_MS)
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether no other agent is to be tried."""
+        return len(self.tried) >= MAX_OFFERS
+
+
+class Openings:
+    """The openings in progress."""
+
+    def __init__(self) -> None:
+        self._openings: dict[FlowKey, Opening] = {}
+
+    def __len__(self) -> int:
+        return len(self._openings)
+
+    @property
+    def due_at(self) -> Millis | None:
+        """When the next one is overdue."""
+        return min((one.due_at for one in self._openings.values()), default=None)
+
+    def find(self, flow: FlowKey) -> Opening | None:
+        """Return the opening of a flow, or None."""
+        return self._openings.get(flow)
+
+    def begin(self, packet: FlowPacket, now: Millis) -> Opening:
+        """Return the opening of the packet's flow, made if it is new."""
+        opening = self._openings.get(packet.flow)
+        if opening is None:
+            if len(self._openings) >= MAX_OPENINGS:
+                # The oldest one is the first in order of insertion.
+                del self._openings[next(iter(self._openings))]
+            opening = self._openings[packet.flow] = Opening(packet, now)
+        opening.packet = packet
+        return opening
+
+    def end(self, flow: FlowKey) -> Opening | None:
+        """Drop an opening and return it, or None if it wasn't known."""
+        return self._openings.pop(flow, None)
+
+    def take_overdue(self, now: Millis) -> list[Opening]:
+        """Return the openings whose offer went unanswered; they are held on."""
+        return [one for one in self._openings.values() if one.due_at <= now]
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/questions.py
@@ -0,0 +1,92 @@
+"""Flows whose owner a balancer is looking for, with the packets that wait."""
+
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.frame import Ownership
+from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
+
+CLAIM_PATIENCE_MS = Millis(40)
+"""How long agents may take to answer before those that are unsure get the packets.
+
+Several round trips between zones, and under the client's 200 ms.
+"""
+
+SILENCE_MS = Millis(150)
+"""How long a flow without an owner isn't asked for again.
+
+A little less than the client's shortest time between copies of a packet.
+"""
+
+MAX_QUESTIONS = 2_048
+"""The most flows that are asked for at one time."""
+
+MAX_HELD_PACKETS = 16
+"""The most packets that wait for one owner: what a client has in flight at most."""
+
+
+class Question:
+    """The search for the owner of one flow."""
+
+    __slots__ = ("awaited", "due_at", "flow", "is_over", "packets", "unsure")
+
+    def __init__(self, flow: FlowKey, awaited: set[Endpoint], now: Millis):
+        self.flow = flow
+        self.awaited = awaited
+        self.unsure: list[Endpoint] = []
+        self.packets: list[FlowPacket] = []
+        self.due_at = Millis(now + CLAIM_PATIENCE_MS)
+        self.is_over = False
+
+    def hold(self, packet: FlowPacket) -> None:
+        """Keep a packet until the owner is known."""
+        if len(self.packets) < MAX_HELD_PACKETS:
+            self.packets.append(packet)
+
+    def take(self, agent: Endpoint, ownership: Ownership) -> None:
+        """Note the answer of an agent that isn't the owner."""
+        self.awaited.discard(agent)
+        if ownership is Ownership.UNSURE:
+            self.unsure.append(agent)
+
+
+class Questions:
+    """All searches in progress, and flows that were found to have no owner."""
+
+    def __init__(self) -> None:
+        self._questions: dict[FlowKey, Question] = {}
+
+    @property
+    def due_at(self) -> Millis | None:
+        """When the next search is due to end or to be forgotten."""
+        return min((one.due_at for one in self._questions.values()), default=None)
+
+    def find(self, flow: FlowKey) -> Question | None:
+        """Return the search for the owner of a flow, or None."""
+        return self._questions.get(flow)
+
+    def begin(
+        self, flow: FlowKey, awaited: set[Endpoint], now: Millis
+    ) -> Question | None:
+        """Return a new search, or None if there are too many."""
+        if len(self._questions) >= MAX_QUESTIONS:
+            return None
+        question = self._questions[flow] = Question(flow, awaited, now)
+        return question
+
+    def end(self, flow: FlowKey) -> Question | None:
+        """Drop a search and return it, or None if there was none."""
+        return self._questions.pop(flow, None)
+
+    def give_up(self, question: Question, now: Millis) -> None:
+        """Drop what waits, and ask for the flow no more for a while."""
+        question.packets.clear()
+        question.is_over = True
+        question.due_at = Millis(now + SILENCE_MS)
+
+    def take_due(self, now: Millis) -> list[Question]:
+        """Return the searches that are due; those that are over are forgotten."""
+        due = [one for one in self._questions.values() if one.due_at <= now]
+        for one in due:
+            if one.is_over:
+                del self._questions[one.flow]
+        return [one for one in due if not one.is_over]
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -0,0 +1,162 @@
+"""The agents that a balancer knows, and what it believes of each."""
+
+from collections.abc import Iterator
+
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.instance import (
+    AgentEntry,
+    Availability,
+    LoadWord,
+)
+
+MISSING_GRACE_MS = Millis(2_000)
+"""How long an agent may be missing from the store before it is taken as gone.
+
+Source: the users' request; a living agent is back within two seconds.
+"""
+
+FIRST_SUSPICION_MS = Millis(400)
+"""How long an agent that let an opening go unanswered gets no other.
+
+Covers one report of the agent's load in normal operation.
+"""
+
+LONGEST_SUSPICION_MS = Millis(4_000)
+"""Limit of the doubling of `FIRST_SUSPICION_MS`."""
+
+
+class AgentView:
+    """What a balancer believes of one agent.
+
+    Parameters
+    ----------
+    entry : AgentEntry
+        What the agent stored.
+    """
+
+    __slots__ = (
+        "entry",
+        "heard_at",
+        "load",
+        "missing_since",
+        "pending",
+        "strikes",
+        "suspect_till",
+    )
+
+    def __init__(self, entry: AgentEntry):
+        self.entry = entry
+        self.load: LoadWord | None = None
+        self.heard_at = Millis(0)
+        self.missing_since: Millis | None = None
+        self.pending = 0
+        self.strikes = 0
+        self.suspect_till = Millis(0)
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Where the agent takes frames."""
+        return self.entry.endpoint
+
+    def hear(self, load: LoadWord, now: Millis) -> None:
+        """Take in a word of the agent itself, which clears it of suspicion."""
+        self.load = load
+        self.heard_at = now
+        self.pending = 0
+        self.strikes = 0
+        self.suspect_till = Millis(0)
+
+    def suspect(self, now: Millis) -> Millis:
+        """Note an unanswered opening; return how long the agent gets no other."""
+        wait = min(FIRST_SUSPICION_MS << self.strikes, LONGEST_SUSPICION_MS)
+        if wait < LONGEST_SUSPICION_MS:
+            self.strikes += 1
+        self.suspect_till = Millis(now + wait)
+        return Millis(wait)
+
+    def is_gone(self, now: Millis) -> bool:
+        """Whether the store has lacked the agent for longer than the grace."""
+        missing = self.missing_since
+        return missing is not None and now - missing > MISSING_GRACE_MS
+
+    def takes_openings(self, now: Millis) -> bool:
+        """Whether an opening may be offered without a doubt."""
+        return self._is_willing(now) and now >= self.suspect_till
+
+    def is_suspect(self, now: Millis) -> bool:
+        """Whether only a suspicion speaks against an offer."""
+        return self._is_willing(now) and now < self.suspect_till
+
+    def _is_willing(self, now: Millis) -> bool:
+        if self.is_gone(now):
+            return False
+        return self.load is None or self.load.availability is Availability.READY
+
+
+class Roster:
+    """The agents of all services, by the key under which each stored itself."""
+
+    def __init__(self) -> None:
+        self._by_key: dict[str, AgentView] = {}
+        self._by_service: dict[str, dict[Endpoint, AgentView]] = {}
+        self._by_endpoint: dict[Endpoint, AgentView] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def __iter__(self) -> Iterator[AgentView]:
+        return iter(self._by_key.values())
+
+    def find(self, endpoint: Endpoint) -> AgentView | None:
+        """Return the agent at an endpoint, or None."""
+        return self._by_endpoint.get(endpoint)
+
+    def list_service(self, service: str) -> list[AgentView]:
+        """Return the agents of a service, missing ones included."""
+        return list(self._by_service.get(service, {}).values())
+
+    def put(self, key: str, entry: AgentEntry) -> bool:
+        """Take in what the store holds under `key`; return whether it is news."""
+        known = self._by_key.get(key)
+        if known is not None and known.entry == entry:
+            was_missing = known.missing_since is not None
+            known.missing_since = None
+            return was_missing
+        if known is not None:
+            self._forget(key, known)
+        # Another key may hold the endpoint still: the machine was replaced.
+        view = AgentView(entry)
+        self._by_key[key] = view
+        self._by_endpoint[entry.endpoint] = view
+        self._by_service.setdefault(entry.service, {})[entry.endpoint] = view
+        return True
+
+    def miss(self, key: str, now: Millis) -> bool:
+        """Note that the store lacks `key`; return whether it is news."""
+        known = self._by_key.get(key)
+        if known is None or known.missing_since is not None:
+            return False
+        known.missing_since = now
+        return True
+
+    def miss_others(self, present: set[str], now: Millis) -> list[str]:
+        """Note that the store holds just the keys `present`; return the lacking."""
+        return [
+            key for key in self._by_key if key not in present and self.miss(key, now)
+        ]
+
+    def forget_gone(self, now: Millis) -> list[str]:
+        """Drop the agents that are gone; return their keys."""
+        gone = [key for key, view in self._by_key.items() if view.is_gone(now)]
+        for key in gone:
+            self._forget(key, self._by_key[key])
+        return gone
+
+    def _forget(self, key: str, view: AgentView) -> None:
+        del self._by_key[key]
+        if self._by_endpoint.get(view.endpoint) is view:
+            del self._by_endpoint[view.endpoint]
+        members = self._by_service.get(view.entry.service, {})
+        if members.get(view.endpoint) is view:
+            del members[view.endpoint]
--- /dev/null
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -0,0 +1,84 @@
+"""A packet of a flow as the core sees it."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType
+
+FlowKey = NewType("FlowKey", bytes)
+"""What all packets of a flow share: its client's address and port, then the entry."""
+
+EntryKey = NewType("EntryKey", bytes)
+"""Port and address that clients send to: the last part of a `FlowKey`."""
+
+ENTRY_KEY_BYTES = 6
+
+
+class PacketKind(Enum):
+    """What a packet does to its flow."""
+
+    OPEN = "open"
+    ACCEPT = "accept"
+    CARRY = "carry"
+    FINISH = "finish"
+    ABORT = "abort"
+
+
+@dataclass(frozen=True, slots=True)
+class FlowPacket:
+    """One packet, in either direction.
+
+    Attributes
+    ----------
+    flow : FlowKey
+        The flow, the same for both directions.
+    kind : PacketKind
+        What the packet does to its flow.
+    sequence : int
+        Position of the sender's bytes, modulo 2**32.
+    acknowledged : int or None
+        Position up to which the sender has the other end's bytes; None if the
+        packet acknowledges nothing.
+    copy : int
+        For `PacketKind.OPEN`, how many copies the client sent before this one.
+    payload_bytes : int
+        How many bytes of the flow it carries.
+    bounced : bool
+        Whether a backend server handed the packet back.
+    token : int
+        Number that the agent wrote before it handed the packet to its backend
+        server; 0 if none did.
+    raw : bytes
+        The datagram.
+    """
+
+    flow: FlowKey
+    kind: PacketKind
+    sequence: int
+    acknowledged: int | None
+    copy: int
+    payload_bytes: int
+    bounced: bool
+    token: int
+    raw: bytes
+
+    @property
+    def entry(self) -> EntryKey:
+        """The address and port that the client sent to."""
+        return EntryKey(self.flow[-ENTRY_KEY_BYTES:])
+
+
+def entry_of(flow: FlowKey) -> EntryKey:
+    """Return the address and port that the client of `flow` sends to."""
+    return EntryKey(flow[-ENTRY_KEY_BYTES:])
+
+
+def show_flow(flow: FlowKey) -> str:
+    """Return a flow as logs have it: ``client:port>entry:port``."""
+    client, entry = flow[:4], flow[8:]
+    client_port = int.from_bytes(flow[4:6], "big")
+    entry_port = int.from_bytes(flow[6:8], "big")
+    return f"{_show_ip(client)}:{client_port}>{_show_ip(entry)}:{entry_port}"
+
+
+def _show_ip(ip: bytes) -> str:
+    return ".".join(str(part) for part in ip)
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -15,7 +15,8 @@
 )
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import ServiceId
-from papayagw._internal.net.udp import DatagramSocket, Received
+from papayagw._internal.net.datagrams import Received
+from papayagw._internal.net.udp import DatagramSocket
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import ENVELOPE_BYTES, EnvelopeCodec, FrameKind
 from papayagw._internal.wire.header import is_opening, read_connection_id
--- a/src/papayagw/_internal/net/entries.py
+++ b/src/papayagw/_internal/net/entries.py
@@ -9,7 +9,8 @@
 from papayagw._internal.exceptions import BindError
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Service, ServiceId
-from papayagw._internal.net.udp import DatagramSocket, Received
+from papayagw._internal.net.datagrams import Received
+from papayagw._internal.net.udp import DatagramSocket
 
 OnBatch = Callable[[ServiceId, Sequence[Received]], None]
 
--- /dev/null
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -0,0 +1,179 @@
+"""The agent of the plain front end as a process."""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+from random import Random
+
+from papayagw._internal.core.plain.agent import PlainAgent
+from papayagw._internal.core.plain.entry_keeper import EntryKeeper
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.action import (
+    Action,
+    Note,
+    ResetClient,
+    RestoreEntry,
+    SendFrame,
+    SendToBackend,
+    SendToClient,
+)
+from papayagw._internal.models.plain.entry_store import StoreAnswer, StoreCall
+from papayagw._internal.models.plain.frame import Frame, ToAgent
+from papayagw._internal.models.plain.instance import AgentEntry, StatusReport
+from papayagw._internal.models.plain.packet import FlowPacket
+from papayagw._internal.models.plain.settings import PlainAgentSettings
+from papayagw._internal.net.datagrams import BatchSocket
+from papayagw._internal.net.plain.adapter import Platform
+from papayagw._internal.net.plain.http_server import HttpRequest, HttpResponse
+from papayagw._internal.net.plain.loop import Alarm
+from papayagw._internal.net.plain.process import ProcessKit, Reload
+from papayagw._internal.net.plain.store_driver import StoreDriver
+from papayagw._internal.wire.plain_entries import agent_key, encode_entry
+
+LAST_CALL_MS = Millis(800)
+"""How long an agent that ends waits for the store to remove its entry."""
+
+
+class PlainAgentProcess:
+    """Everything that an agent process runs.
+
+    Parameters
+    ----------
+    settings : PlainAgentSettings
+        Its settings.
+    platform : Platform
+        What is particular to the platform.
+    reload : callable
+        Reads the settings again.
+    """
+
+    def __init__(
+        self, settings: PlainAgentSettings, platform: Platform, reload: Reload
+    ):
+        kit = self._kit = ProcessKit("agent", settings, platform, reload)
+        self._settings = settings
+        self._platform = platform
+        self._core = PlainAgent(
+            settings.service, settings.flow_limit_ms, kit.loop.now()
+        )
+        self._outbound = BatchSocket(settings.outbound)
+        entry = AgentEntry(settings.inner, settings.service, settings.zone)
+        self._keeper = EntryKeeper(
+            agent_key(settings.name), encode_entry(entry), Random()
+        )
+        self._driver = StoreDriver(
+            kit.loop, settings.store, platform, self._keeper, self._on_answer
+        )
+        self._alarm = Alarm(kit.loop, self._on_timer)
+        self._is_stopping = False
+
+    def run(self) -> None:
+        """Serve until told to end."""
+        kit = self._kit
+        kit.start()
+        self._outbound.start()
+        kit.loop.watch(self._outbound, self._read_outbound)
+        kit.watch_frames(self._on_frame)
+        kit.serve(self._settings.readiness, self._answer_probe)
+        kit.serve(self._settings.reports, self._answer_report)
+        kit.on_stop(self._stop)
+        kit.metrics.gauge("flows remembered", lambda: self._core.flow_count)
+        self._driver.start()
+        try:
+            kit.loop.run()
+        finally:
+            self._driver.close()
+            self._outbound.close()
+            kit.close()
+
+    # Packets and frames
+
+    def _read_outbound(self) -> None:
+        now = self._kit.loop.now()
+        for raw, _ in self._outbound.receive_batch():
+            packet = self._platform.decode_backend_packet(raw)
+            if packet is None:
+                self._kit.metrics.count("malformed packets")
+                continue
+            self._perform(self._core.on_backend_packet(packet, now))
+
+    def _on_frame(self, frame: Frame, source: Endpoint) -> None:
+        if not isinstance(frame, ToAgent):
+            self._kit.metrics.count("frames of the wrong kind")
+            return
+        self._perform(self._core.on_frame(frame, source, self._kit.loop.now()))
+
+    def _on_timer(self) -> None:
+        self._perform(self._core.on_timer(self._kit.loop.now()))
+
+    def _perform(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendToBackend(packet, token):
+                    self._send_to_backend(packet, token)
+                case SendToClient(packet):
+                    self._send_to_client(packet)
+                case SendFrame(peer, frame):
+                    self._kit.send_frame(peer, frame)
+                case ResetClient():
+                    self._kit.send_reset(action)
+                case RestoreEntry():
+                    self._keeper.restore(self._kit.loop.now())
+                    self._driver.wake()
+                case Note():
+                    self._kit.note(action)
+        self._alarm.set(self._core.due_at)
+
+    def _send_to_backend(self, packet: FlowPacket, token: int) -> None:
+        raw = self._platform.encode_for_backend(packet, token)
+        self._outbound.send(raw, self._settings.backend.sockaddr)
+
+    def _send_to_client(self, packet: FlowPacket) -> None:
+        client = self._platform.client_endpoint(packet.flow, self._settings.client_port)
+        self._outbound.send(packet.raw, client.sockaddr)
+
+    # The store
+
+    def _on_answer(self, call: StoreCall, answer: StoreAnswer, took_ms: int) -> None:
+        self._kit.note_call(call, answer, took_ms)
+        if self._is_stopping and self._keeper.is_ended:
+            self._kit.loop.stop()
+
+    # Reports and readiness
+
+    def _answer_report(self, request: HttpRequest) -> HttpResponse:
+        said = self._platform.decode_report(
+            request.method, request.target, request.body
+        )
+        if said is None:
+            fields = {"method": request.method, "target": request.target[:200]}
+            self._kit.note(Note("report refused", fields))
+            return HttpResponse(HTTPStatus.BAD_REQUEST)
+        now = self._kit.loop.now()
+        if isinstance(said, StatusReport):
+            self._perform(self._core.on_report(said, now))
+        else:
+            self._perform(self._core.on_departure(said, now))
+        return HttpResponse(HTTPStatus.OK, b"{}")
+
+    def _answer_probe(self, request: HttpRequest) -> HttpResponse:
+        is_ready = request.target == self._platform.readiness_path
+        is_ready = is_ready and self._core.is_ready and not self._is_stopping
+        return HttpResponse(
+            HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        )
+
+    def _stop(self) -> None:
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        fields = {"flows": self._core.flow_count, "backend_lives": self._core.is_ready}
+        self._kit.note(Note("stopping", fields))
+        self._perform(self._core.leave(self._kit.loop.now()))
+        if self._core.is_ready:
+            # The backend server stays: the sooner this agent is back, the better.
+            self._kit.loop.stop()
+            return
+        self._keeper.end(self._kit.loop.now())
+        self._driver.restart()
+        self._kit.loop.call_after(LAST_CALL_MS, self._kit.loop.stop)
--- /dev/null
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -0,0 +1,240 @@
+"""The balancer of the plain front end as a process."""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+from random import Random
+
+from papayagw._internal.core.plain.balancer import PlainBalancer
+from papayagw._internal.core.plain.choice import LeastWaitChooser
+from papayagw._internal.core.plain.following import Follower
+from papayagw._internal.core.plain.roster import Roster
+from papayagw._internal.exceptions import DecodeError
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
+from papayagw._internal.models.plain.entry_store import StoredItem, StoreEvent
+from papayagw._internal.models.plain.frame import Frame, ToBalancer
+from papayagw._internal.models.plain.settings import PlainBalancerSettings
+from papayagw._internal.net.datagrams import BatchSocket
+from papayagw._internal.net.plain.adapter import Platform
+from papayagw._internal.net.plain.http_server import HttpRequest, HttpResponse
+from papayagw._internal.net.plain.loop import Alarm
+from papayagw._internal.net.plain.process import ProcessKit, Reload, describe
+from papayagw._internal.net.plain.store_driver import StoreDriver
+from papayagw._internal.wire.plain_entries import AGENT_PREFIX, decode_entry
+
+SITE_GAP_MS = Millis(300)
+"""Time in which changes of the configuration gather; it is to be in force in 3 s."""
+
+AGENTS_GAP_MS = Millis(700)
+"""Time in which changes of agents gather; openings tell more, and sooner."""
+
+QUIET_MS = Millis(400)
+"""Without a packet for so long, the routers have left a balancer that stops."""
+
+MISSES_TO_LEAVE = 2
+"""After how many refused probes the routers leave a balancer."""
+
+STOP_MARGIN_MS = Millis(700)
+"""How long before the end of the grace a balancer ends whatever still comes."""
+
+
+class PlainBalancerProcess:
+    """Everything that a balancer process runs.
+
+    Parameters
+    ----------
+    settings : PlainBalancerSettings
+        Its settings.
+    platform : Platform
+        What is particular to the platform.
+    reload : callable
+        Reads the settings again.
+    """
+
+    def __init__(
+        self, settings: PlainBalancerSettings, platform: Platform, reload: Reload
+    ):
+        self._kit = ProcessKit("balancer", settings, platform, reload)
+        self._settings = settings
+        self._platform = platform
+        random = Random()
+        self._roster = Roster()
+        self._core = PlainBalancer(
+            self._roster,
+            LeastWaitChooser(settings.zone, random),
+            self._on_newer_version,
+        )
+        self._entry = BatchSocket(settings.entry)
+        self._site = Follower(
+            platform.site_key,
+            self._take_site_items,
+            self._take_site_events,
+            random,
+            SITE_GAP_MS,
+        )
+        self._agents = Follower(
+            AGENT_PREFIX,
+            self._take_agents,
+            self._take_agent_events,
+            random,
+            AGENTS_GAP_MS,
+        )
+        self._drivers = tuple(
+            StoreDriver(
+                self._kit.loop, settings.store, platform, follower, self._kit.note_call
+            )
+            for follower in (self._site, self._agents)
+        )
+        self._alarm = Alarm(self._kit.loop, self._on_timer)
+        self._was_ready = False
+        self._is_stopping = False
+        self._refused_probes = 0
+        self._last_packet_at = Millis(0)
+
+    def run(self) -> None:
+        """Serve until told to end."""
+        kit = self._kit
+        kit.start()
+        self._entry.start()
+        kit.loop.watch(self._entry, self._read_packets)
+        kit.watch_frames(self._on_frame)
+        kit.serve(self._settings.readiness, self._answer_probe)
+        kit.on_stop(self._stop)
+        kit.metrics.gauge("flows remembered", lambda: self._core.flow_count)
+        kit.metrics.gauge("agents known", lambda: len(self._roster))
+        for driver in self._drivers:
+            driver.start()
+        try:
+            kit.loop.run()
+        finally:
+            self._entry.close()
+            kit.close()
+
+    # Packets and frames
+
+    def _read_packets(self) -> None:
+        now = self._kit.loop.now()
+        for raw, _ in self._entry.receive_batch():
+            packet = self._platform.decode_client_packet(raw)
+            if packet is None:
+                self._kit.metrics.count("malformed packets")
+                continue
+            self._last_packet_at = now
+            self._perform(self._core.on_client_packet(packet, now))
+
+    def _on_frame(self, frame: Frame, source: Endpoint) -> None:
+        if not isinstance(frame, ToBalancer):
+            self._kit.metrics.count("frames of the wrong kind")
+            return
+        self._perform(self._core.on_frame(frame, source, self._kit.loop.now()))
+
+    def _on_timer(self) -> None:
+        self._perform(self._core.on_timer(self._kit.loop.now()))
+
+    def _perform(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendFrame(peer, frame):
+                    self._kit.send_frame(peer, frame)
+                case ResetClient():
+                    self._kit.send_reset(action)
+                case Note():
+                    self._kit.note(action)
+        self._alarm.set(self._core.due_at)
+
+    # The store
+
+    def _on_newer_version(self) -> None:
+        if self._site.is_in_touch:
+            self._site.restart(self._kit.loop.now())
+            self._drivers[0].restart()
+
+    def _take_site_items(self, items: tuple[StoredItem, ...]) -> None:
+        for item in items:
+            if item.key == self._platform.site_key:
+                self._apply_site(item)
+
+    def _take_site_events(self, events: tuple[StoreEvent, ...]) -> None:
+        self._take_site_items(tuple(e for e in events if isinstance(e, StoredItem)))
+
+    def _apply_site(self, item: StoredItem) -> None:
+        try:
+            site = self._platform.decode_site(item.value)
+        except DecodeError as error:
+            self._kit.note(Note("configuration refused", describe(error)))
+            return
+        fields = {"version": site.version, "revision": item.revision}
+        if self._core.apply_site(site):
+            fields["routes"] = len(site.routes)
+            self._kit.note(Note("configuration in force", fields))
+
+    def _take_agents(self, items: tuple[StoredItem, ...]) -> None:
+        for item in items:
+            self._put_agent(item)
+        now = self._kit.loop.now()
+        for key in self._roster.miss_others({item.key for item in items}, now):
+            self._note_missing(key)
+        self._settle_missing()
+
+    def _take_agent_events(self, events: tuple[StoreEvent, ...]) -> None:
+        now = self._kit.loop.now()
+        for event in events:
+            if isinstance(event, StoredItem):
+                self._put_agent(event)
+            elif self._roster.miss(event.key, now):
+                self._note_missing(event.key)
+        self._settle_missing()
+
+    def _put_agent(self, item: StoredItem) -> None:
+        try:
+            entry = decode_entry(item.key, item.value)
+        except DecodeError as error:
+            self._kit.note(Note("agent entry refused", describe(error)))
+            return
+        if self._roster.put(item.key, entry):
+            fields = {
+                "agent": entry.endpoint,
+                "service": entry.service,
+                "revision": item.revision,
+            }
+            self._kit.note(Note("agent known", fields))
+
+    def _note_missing(self, key: str) -> None:
+        self._kit.note(Note("agent missing", {"key": key}))
+
+    def _settle_missing(self) -> None:
+        self._perform(self._core.tell_missing())
+        now = self._kit.loop.now()
+        for key in self._roster.forget_gone(now):
+            self._kit.note(Note("agent gone", {"key": key}))
+
+    # Readiness and end
+
+    def _answer_probe(self, request: HttpRequest) -> HttpResponse:
+        if request.target != self._platform.readiness_path:
+            return HttpResponse(HTTPStatus.NOT_FOUND)
+        is_ready = self._core.is_ready and not self._is_stopping
+        if is_ready and not self._was_ready:
+            self._was_ready = True
+            self._kit.note(Note("ready", {"agents": len(self._roster)}))
+        if self._is_stopping:
+            self._refused_probes += 1
+        status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return HttpResponse(status)
+
+    def _stop(self) -> None:
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._kit.note(Note("stopping", {"flows": self._core.flow_count}))
+        left_ms = self._kit.settings.grace_ms - STOP_MARGIN_MS
+        self._kit.loop.call_after(Millis(left_ms), self._kit.loop.stop)
+        self._check_left()
+
+    def _check_left(self) -> None:
+        quiet_ms = self._kit.loop.now() - self._last_packet_at
+        if self._refused_probes >= MISSES_TO_LEAVE and quiet_ms > QUIET_MS:
+            self._kit.loop.stop()
+            return
+        self._kit.loop.call_after(Millis(QUIET_MS // 2), self._check_left)
--- /dev/null
+++ b/src/papayagw/_internal/net/plain/http_client.py
@@ -0,0 +1,188 @@
+"""Single calls over HTTP/1.1, each on a connection of its own.
+
+A connection on which an answer was lost may stay silent for good, so none is used
+for a second call.
+"""
+
+import errno
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.net.plain.loop import Loop
+
+MAX_ANSWER_BYTES = 4 << 20
+"""More than a page of the store, 1 MB, in base64 with its fields."""
+
+_READ_BYTES = 65_536
+_KEEPALIVE_S = 2
+"""Seconds of silence after which a waiting connection is probed, and between probes."""
+_KEEPALIVE_PROBES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """What came back.
+
+    Attributes
+    ----------
+    status : int
+        The status; 0 if there was no whole answer.
+    body : bytes
+        The body.
+    failure : str
+        What went wrong; empty where `status` isn't 0.
+    """
+
+    status: int
+    body: bytes = b""
+    failure: str = ""
+
+
+class HttpExchange:
+    """One call.
+
+    Parameters
+    ----------
+    loop : Loop
+        The loop.
+    peer : Endpoint
+        The server.
+    method, target : str
+        What is called.
+    body : bytes
+        What is sent along, as JSON.
+    timeout_ms : Millis
+        How long the whole answer may take.
+    on_answer : callable
+        Takes the answer, once, unless the exchange is closed before.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        peer: Endpoint,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_ms: Millis,
+        on_answer: Callable[[HttpAnswer], None],
+    ):
+        self._loop = loop
+        self._peer = peer
+        self._request = (method, target, body)
+        self._timeout_ms = timeout_ms
+        self._on_answer = on_answer
+        self._http = h11.Connection(h11.CLIENT)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._unsent = b""
+        self._status = 0
+        self._body: list[bytes] = []
+        self._size = 0
+        self._is_closed = False
+
+    def start(self) -> None:
+        """Connect and send."""
+        self._unsent = self._write_request()
+        connection = self._socket
+        connection.setblocking(False)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, _KEEPALIVE_S),
+            (socket.TCP_KEEPINTVL, _KEEPALIVE_S),
+            (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+        ):
+            connection.setsockopt(socket.IPPROTO_TCP, option, value)
+        self._timer = self._loop.call_after(self._timeout_ms, self._on_timeout)
+        code = connection.connect_ex(self._peer.sockaddr)
+        if code not in (0, errno.EINPROGRESS):
+            self._loop.call_after(Millis(0), lambda: self._fail(errno.errorcode[code]))
+            return
+        self._loop.watch(connection, self._on_readable, self._on_writable)
+
+    def close(self) -> None:
+        """Give the connection up; no answer is told any more."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._timer.cancel()
+        self._loop.forget(self._socket)
+        self._socket.close()
+
+    def _write_request(self) -> bytes:
+        method, target, body = self._request
+        headers = [("Host", str(self._peer)), ("Connection", "close")]
+        if body:
+            headers += [
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(body))),
+            ]
+        request = h11.Request(method=method, target=target, headers=headers)
+        parts = [self._http.send(request)]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+    def _on_writable(self) -> None:
+        try:
+            sent = self._socket.send(self._unsent)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(error.strerror or repr(error))
+            return
+        self._unsent = self._unsent[sent:]
+        if not self._unsent:
+            self._loop.watch(self._socket, self._on_readable)
+
+    def _on_readable(self) -> None:
+        if self._is_closed:
+            return
+        try:
+            data = self._socket.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(error.strerror or repr(error))
+            return
+        try:
+            self._http.receive_data(data)
+            self._take_events(is_over=not data)
+        except h11.RemoteProtocolError as error:
+            self._fail(str(error))
+
+    def _take_events(self, *, is_over: bool) -> None:
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Response):
+                self._status = event.status_code
+            elif isinstance(event, h11.Data):
+                self._body.append(bytes(event.data))
+                self._size += len(event.data)
+                if self._size > MAX_ANSWER_BYTES:
+                    self._fail("answer too large")
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish(HttpAnswer(self._status, b"".join(self._body)))
+                return
+            else:
+                break
+        if is_over:
+            self._fail("closed before the answer was whole")
+
+    def _on_timeout(self) -> None:
+        self._fail(f"no answer in {self._timeout_ms} ms")
+
+    def _fail(self, failure: str) -> None:
+        self._finish(HttpAnswer(0, failure=failure))
+
+    def _finish(self, answer: HttpAnswer) -> None:
+        if not self._is_closed:
+            self.close()
+            self._on_answer(answer)
--- /dev/null
+++ b/src/papayagw/_internal/net/plain/http_server.py
@@ -0,0 +1,219 @@
+"""A small HTTP/1.1 server for readiness, reports and metrics."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import h11
+
+from papayagw._internal.exceptions import BindError, Step
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.net.plain.loop import Loop
+
+MAX_CONNECTIONS = 64
+MAX_REQUEST_BYTES = 16_384
+"""A report has a few hundred bytes."""
+
+IDLE_LIMIT_MS = Millis(15_000)
+"""How long a connection may be silent: ten intervals between reports."""
+
+_BACKLOG = 64
+_READ_BYTES = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request as a whole."""
+
+    method: str
+    target: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """What is answered."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+
+
+Handler = Callable[[HttpRequest], HttpResponse]
+
+
+class HttpServer:
+    """Answers requests on one endpoint.
+
+    Parameters
+    ----------
+    loop : Loop
+        The loop.
+    endpoint : Endpoint
+        Where to listen.
+    handler : callable
+        Answers a request at once.
+    """
+
+    def __init__(self, loop: Loop, endpoint: Endpoint, handler: Handler):
+        self._loop = loop
+        self._endpoint = endpoint
+        self._handler = handler
+        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._connections: dict[int, _Connection] = {}
+
+    def start(self) -> None:
+        """Listen.
+
+        Raises
+        ------
+        BindError
+            If the endpoint is taken or isn't of this machine.
+        """
+        listener = self._listener
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        try:
+            listener.bind(self._endpoint.sockaddr)
+            listener.listen(_BACKLOG)
+        except OSError as error:
+            raise BindError(
+                f"can't listen: {error.strerror}",
+                step=Step.BIND,
+                peer=str(self._endpoint),
+                remedy="choose an address of this machine that no process uses",
+            ) from error
+        self._loop.watch(listener, self._accept)
+
+    def close(self) -> None:
+        """Close the listener and all connections."""
+        self._loop.forget(self._listener)
+        self._listener.close()
+        for connection in list(self._connections.values()):
+            connection.close()
+
+    def _accept(self) -> None:
+        try:
+            accepted, _ = self._listener.accept()
+        except OSError:
+            # The peer has gone already, or no descriptor is free: it tries again.
+            return
+        if len(self._connections) >= MAX_CONNECTIONS:
+            # The first one has been there the longest.
+            next(iter(self._connections.values())).close()
+        number = accepted.fileno()
+        self._connections[number] = _Connection(
+            self._loop,
+            accepted,
+            self._handler,
+            lambda: self._connections.pop(number, None),
+        )
+
+
+class _Connection:
+    """One connection of the server."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        accepted: socket.socket,
+        handler: Handler,
+        on_close: Callable[[], object],
+    ):
+        self._loop = loop
+        self._socket = accepted
+        self._handler = handler
+        self._on_close = on_close
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES
+        )
+        self._request: h11.Request | None = None
+        self._body = b""
+        self._unsent = b""
+        accepted.setblocking(False)
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._timer = loop.call_after(IDLE_LIMIT_MS, self.close)
+        loop.watch(accepted, self._on_readable)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._timer.cancel()
+        self._loop.forget(self._socket)
+        self._socket.close()
+        self._on_close()
+
+    def _on_readable(self) -> None:
+        try:
+            data = self._socket.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            # A reset: the peer asks anew.
+            self.close()
+            return
+        self._timer.cancel()
+        self._timer = self._loop.call_after(IDLE_LIMIT_MS, self.close)
+        try:
+            self._http.receive_data(data)
+            is_open = self._take_events()
+        except h11.RemoteProtocolError:
+            is_open = False
+        if not is_open or not data:
+            self.close()
+
+    def _take_events(self) -> bool:
+        """Answer what has come; return whether the connection goes on."""
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                self._request, self._body = event, b""
+            elif isinstance(event, h11.Data):
+                self._body += bytes(event.data)
+                if len(self._body) > MAX_REQUEST_BYTES:
+                    return False
+            elif isinstance(event, h11.EndOfMessage):
+                self._answer()
+                if self._http.our_state is not h11.DONE:
+                    return bool(self._unsent)
+                self._http.start_next_cycle()
+            else:
+                return not isinstance(event, h11.ConnectionClosed)
+
+    def _answer(self) -> None:
+        if self._request is None:
+            return
+        request = HttpRequest(
+            self._request.method.decode(), self._request.target.decode(), self._body
+        )
+        response = self._handler(request)
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+        ]
+        head = h11.Response(
+            status_code=response.status,
+            headers=headers,
+            reason=HTTPStatus(response.status).phrase,
+        )
+        parts = (
+            self._http.send(head),
+            self._http.send(h11.Data(data=response.body)),
+            self._http.send(h11.EndOfMessage()),
+        )
+        self._unsent += b"".join(part for part in parts if part)
+        self._send()
+
+    def _send(self) -> None:
+        try:
+            sent = self._socket.send(self._unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            # The peer has gone; reading tells so next.
+            self._unsent = b""
+            return
+        self._unsent = self._unsent[sent:]
+        on_writable = self._send if self._unsent else None
+        self._loop.watch(self._socket, self._on_readable, on_writable)
--- /dev/null
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -0,0 +1,203 @@
+"""What both roles of the plain front end have in common."""
+
+import signal
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol
+
+from papayagw import __version__
+from papayagw._internal.exceptions import DecodeError, PapayagwError, SettingsError
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.action import Note, ResetClient
+from papayagw._internal.models.plain.entry_store import (
+    CallFailed,
+    StoreAnswer,
+    StoreCall,
+    WatchPrefix,
+)
+from papayagw._internal.models.plain.frame import Frame
+from papayagw._internal.models.plain.settings import PlainSettings
+from papayagw._internal.net.datagrams import BatchSocket
+from papayagw._internal.net.plain.adapter import Platform
+from papayagw._internal.net.plain.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from papayagw._internal.net.plain.loop import Loop
+from papayagw._internal.observe.exposition import CONTENT_TYPE, Exposition
+from papayagw._internal.observe.json_lines import JsonLines
+from papayagw._internal.wire.plain_frames import PlainFrameCodec
+
+SETTINGS_CHECK_MS = Millis(5_000)
+"""How often the settings file is looked at for a change that no signal told of."""
+
+MAX_INTERNED_PEERS = 16_384
+"""The most peers whose endpoints are kept ready."""
+
+
+class Reload(Protocol):
+    """Reads the settings file again."""
+
+    def __call__(self) -> PlainSettings:
+        """Return the settings.
+
+        Raises
+        ------
+        SettingsError
+            If the file can't be used.
+        """
+
+
+class ProcessKit:
+    """Loop, sockets, logs and metrics of one process.
+
+    Parameters
+    ----------
+    role : str
+        The role, for logs.
+    settings : PlainSettings
+        Its settings.
+    platform : Platform
+        What is particular to the platform.
+    reload : callable
+        Reads the settings again.
+    """
+
+    def __init__(
+        self, role: str, settings: PlainSettings, platform: Platform, reload: Reload
+    ):
+        self._role = role
+        self._settings = settings
+        self._platform = platform
+        self._reload = reload
+        self.loop = Loop()
+        self.log = JsonLines(settings.name, self.loop)
+        self.metrics = Exposition()
+        self._inner = BatchSocket(settings.inner)
+        self._frames = PlainFrameCodec(platform)
+        self._servers: list[HttpServer] = []
+        self._peers: dict[tuple[str, int], Endpoint] = {}
+        self._is_store_lost = False
+
+    @property
+    def settings(self) -> PlainSettings:
+        """The settings in force."""
+        return self._settings
+
+    def start(self) -> None:
+        """Take signals, sockets and the metrics endpoint."""
+        self.log.start()
+        self.loop.start()
+        self.loop.on_signal(signal.SIGHUP, lambda: self._load_settings("signal"))
+        self._inner.start()
+        self.serve(self._settings.metrics, self._show_metrics)
+        self.loop.call_after(SETTINGS_CHECK_MS, self._check_settings)
+        fields = {"role": self._role, "version": __version__}
+        self.log.write("started", {**fields, "inner": self._settings.inner})
+
+    def close(self) -> None:
+        """Give everything back."""
+        for server in self._servers:
+            server.close()
+        self._inner.close()
+        self.log.write("stopped", {"role": self._role})
+        self.log.close()
+        self.loop.close()
+
+    def serve(
+        self, endpoint: Endpoint, handler: Callable[[HttpRequest], HttpResponse]
+    ) -> None:
+        """Answer HTTP requests at an endpoint."""
+        server = HttpServer(self.loop, endpoint, handler)
+        server.start()
+        self._servers.append(server)
+
+    def watch_frames(self, on_frame: Callable[[Frame, Endpoint], None]) -> None:
+        """Hand over each frame that comes to the inner socket."""
+
+        def read() -> None:
+            for data, source in self._inner.receive_batch():
+                try:
+                    frame = self._frames.decode(data)
+                except DecodeError as error:
+                    self.note(
+                        Note("frame dropped", {"peer": source, "reason": error.what})
+                    )
+                    continue
+                on_frame(frame, self._intern(source))
+
+        self.loop.watch(self._inner, read)
+
+    def send_frame(self, peer: Endpoint, frame: Frame) -> None:
+        """Send a frame."""
+        self._inner.send(self._frames.encode(frame), peer.sockaddr)
+
+    def send_reset(self, reset: ResetClient) -> None:
+        """Tell a client that its flow is over."""
+        client = self._platform.client_endpoint(reset.flow, self._settings.client_port)
+        raw = self._platform.encode_reset(reset.flow, reset.sequence)
+        self._inner.send(raw, client.sockaddr)
+        self.metrics.count("resets")
+
+    def note(self, note: Note) -> None:
+        """Log and count an event."""
+        self.metrics.count(note.event)
+        took_ms = note.fields.get("ms")
+        if took_ms is not None:
+            self.metrics.time(note.event, took_ms)
+        self.log.write(note.event, note.fields)
+
+    def note_call(self, call: StoreCall, answer: StoreAnswer, took_ms: int) -> None:
+        """Count a call of the store; log where it is lost and regained."""
+        name = type(call).__name__
+        self.metrics.count(f"store {name}")
+        if not isinstance(call, WatchPrefix):
+            self.metrics.time(f"store {name}", took_ms)
+        is_lost = isinstance(answer, CallFailed)
+        if is_lost:
+            self.metrics.count(f"store {name} failed")
+        if is_lost != self._is_store_lost:
+            self._is_store_lost = is_lost
+            event = "store lost" if is_lost else "store regained"
+            reason = {"reason": answer.reason} if isinstance(answer, CallFailed) else {}
+            self.note(Note(event, {"call": name, "took_ms": took_ms, **reason}))
+
+    def on_stop(self, stop: Callable[[], None]) -> None:
+        """Call `stop` when the process is told to end."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.on_signal(number, stop)
+
+    def _intern(self, source: tuple[str, int]) -> Endpoint:
+        peer = self._peers.get(source)
+        if peer is None:
+            if len(self._peers) >= MAX_INTERNED_PEERS:
+                self._peers.clear()
+            peer = self._peers[source] = Endpoint(*source)
+        return peer
+
+    def _show_metrics(self, request: HttpRequest) -> HttpResponse:
+        body = self.metrics.show().encode()
+        return HttpResponse(HTTPStatus.OK, body, CONTENT_TYPE)
+
+    def _check_settings(self) -> None:
+        self._load_settings("file")
+        self.loop.call_after(SETTINGS_CHECK_MS, self._check_settings)
+
+    def _load_settings(self, cause: str) -> None:
+        try:
+            settings = self._reload()
+        except SettingsError as error:
+            self.note(Note("settings refused", {"cause": cause, "reason": error}))
+            return
+        if settings != self._settings:
+            self._settings = settings
+            self.note(Note("settings reloaded", {"cause": cause}))
+        elif cause == "signal":
+            self.note(Note("settings unchanged", {"cause": cause}))
+
+
+def describe(error: PapayagwError) -> dict[str, object]:
+    """Return the fields of an error as logs have them."""
+    return {"step": error.step, "peer": error.peer, "reason": error.what}
--- /dev/null
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -0,0 +1,110 @@
+"""The client of the platform's key-value service: carries out calls of the core."""
+
+from typing import Protocol
+
+from papayagw._internal.core.plain.store_calls import StoreUser
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.entry_store import (
+    CallFailed,
+    StoreAnswer,
+    StoreCall,
+)
+from papayagw._internal.net.plain.adapter import StoreCodec
+from papayagw._internal.net.plain.http_client import HttpAnswer, HttpExchange
+from papayagw._internal.net.plain.loop import Alarm, Loop
+
+
+class CallRecorder(Protocol):
+    """Hears of each call's outcome."""
+
+    def __call__(self, call: StoreCall, answer: StoreAnswer, took_ms: int) -> None:
+        """Take in an answer and how long it took, in milliseconds."""
+
+
+class StoreDriver:
+    """Makes the calls of one user of the store, one at a time.
+
+    Parameters
+    ----------
+    loop : Loop
+        The loop.
+    store : Endpoint
+        The service.
+    codec : StoreCodec
+        How calls look to the service.
+    user : StoreUser
+        Decides on calls.
+    on_answer : callable
+        Hears of each answer.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        store: Endpoint,
+        codec: StoreCodec,
+        user: StoreUser,
+        on_answer: CallRecorder,
+    ):
+        self._loop = loop
+        self._store = store
+        self._codec = codec
+        self._user = user
+        self._on_answer = on_answer
+        self._exchange: HttpExchange | None = None
+        self._alarm = Alarm(loop, self._call)
+
+    def start(self) -> None:
+        """Make the first call."""
+        self._call()
+
+    def close(self) -> None:
+        """Give up the call under way."""
+        self._alarm.set(None)
+        if self._exchange is not None:
+            self._exchange.close()
+            self._exchange = None
+
+    def wake(self) -> None:
+        """Look again when the next call is due; one under way goes on."""
+        if self._exchange is None:
+            self._alarm.set(self._user.due_at)
+
+    def restart(self) -> None:
+        """Give up the call under way and make the next one when it is due."""
+        self.close()
+        self.wake()
+
+    def _call(self) -> None:
+        if self._exchange is not None:
+            return
+        timed = self._user.next_call()
+        if timed is None:
+            return
+        call, started_at = timed.call, self._loop.now()
+        http = self._codec.encode_call(call)
+
+        def take(answer: HttpAnswer) -> None:
+            self._exchange = None
+            self._take(call, answer, self._loop.now() - started_at)
+
+        self._exchange = HttpExchange(
+            self._loop,
+            self._store,
+            http.method,
+            http.target,
+            http.body,
+            timed.timeout_ms,
+            take,
+        )
+        self._exchange.start()
+
+    def _take(self, call: StoreCall, http: HttpAnswer, took_ms: int) -> None:
+        answer: StoreAnswer
+        if http.status:
+            answer = self._codec.decode_answer(call, http.status, http.body)
+        else:
+            answer = CallFailed(http.failure)
+        self._user.on_answer(call, answer, self._loop.now())
+        self._on_answer(call, answer, took_ms)
+        self.wake()
--- /dev/null
+++ b/src/papayagw/_internal/observe/exposition.py
@@ -0,0 +1,78 @@
+"""Counters, gauges and latency histograms, served as text.
+
+The form is the text exposition format that metric collectors read.
+"""
+
+from bisect import bisect_left
+from collections.abc import Callable
+
+LATENCY_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000)
+"""Upper bounds of the buckets of a histogram, in milliseconds."""
+
+CONTENT_TYPE = "text/plain; version=0.0.4"
+
+_PREFIX = "papayagw_"
+
+
+class Histogram:
+    """How often durations fell into each bucket."""
+
+    def __init__(self) -> None:
+        self._counts = [0] * (len(LATENCY_BOUNDS_MS) + 1)
+        self._sum_ms = 0.0
+
+    def add(self, duration_ms: float) -> None:
+        """Note one duration, in milliseconds."""
+        self._counts[bisect_left(LATENCY_BOUNDS_MS, duration_ms)] += 1
+        self._sum_ms += duration_ms
+
+    def show(self, name: str) -> list[str]:
+        """Return the lines of the histogram."""
+        lines = [f"# TYPE {name} histogram"]
+        total = 0
+        bounds = [str(bound) for bound in LATENCY_BOUNDS_MS]
+        for bound, count in zip([*bounds, "+Inf"], self._counts, strict=True):
+            total += count
+            lines.append(f'{name}_bucket{{le="{bound}"}} {total}')
+        return [*lines, f"{name}_sum {self._sum_ms:g}", f"{name}_count {total}"]
+
+
+class Exposition:
+    """The measurements of one process."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, int] = {}
+        self._histograms: dict[str, Histogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def count(self, event: str, value: int = 1) -> None:
+        """Add to the counter of an event."""
+        self._counts[event] = self._counts.get(event, 0) + value
+
+    def time(self, event: str, duration_ms: float) -> None:
+        """Note the duration of an event, in milliseconds."""
+        histogram = self._histograms.get(event)
+        if histogram is None:
+            histogram = self._histograms[event] = Histogram()
+        histogram.add(duration_ms)
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Show what `read` returns whenever the text is asked for."""
+        self._gauges[name] = read
+
+    def show(self) -> str:
+        """Return all measurements as text."""
+        lines: list[str] = []
+        for event, count in sorted(self._counts.items()):
+            name = f"{_PREFIX}{_to_name(event)}_total"
+            lines += [f"# TYPE {name} counter", f"{name} {count}"]
+        for gauge, read in sorted(self._gauges.items()):
+            name = f"{_PREFIX}{_to_name(gauge)}"
+            lines += [f"# TYPE {name} gauge", f"{name} {read():g}"]
+        for event, histogram in sorted(self._histograms.items()):
+            lines += histogram.show(f"{_PREFIX}{_to_name(event)}_ms")
+        return "\n".join(lines) + "\n"
+
+
+def _to_name(event: str) -> str:
+    return event.replace(" ", "_").replace("-", "_")
--- /dev/null
+++ b/src/papayagw/_internal/observe/json_lines.py
@@ -0,0 +1,94 @@
+"""Logs of the plain front end: one JSON object a line, on standard output.
+
+absl's logging takes 0.1 s of processor time to import, most of what a process here
+may take until it serves; the lines have the same fields as `observe.logs` gives them.
+"""
+
+import json
+import os
+import time
+from contextlib import suppress
+from enum import Enum
+from typing import Any
+
+from papayagw._internal.core.log_limiter import LogLimiter
+from papayagw._internal.models.clock import Clock, Millis
+
+MAX_UNSENT_BYTES = 262_144
+"""How much waits for a reader that is slow; what comes then is dropped and counted."""
+
+LINES_PER_WINDOW = 40
+"""How many lines of one event are written in a second."""
+
+_WINDOW_MS = Millis(1_000)
+_STDOUT = 1
+
+
+class JsonLines:
+    """Writes events without ever waiting for their reader.
+
+    Parameters
+    ----------
+    node : str
+        The name of the process.
+    clock : Clock
+        The time, for the limit on lines.
+    descriptor : int
+        Where lines go.
+    """
+
+    def __init__(self, node: str, clock: Clock, descriptor: int = _STDOUT):
+        self._node = node
+        self._clock = clock
+        self._descriptor = descriptor
+        self._limiter = LogLimiter(LINES_PER_WINDOW, _WINDOW_MS)
+        self._unsent = b""
+        self._dropped = 0
+
+    @property
+    def dropped(self) -> int:
+        """How many lines found no room."""
+        return self._dropped
+
+    def start(self) -> None:
+        """Make writing return at once where nobody reads."""
+        os.set_blocking(self._descriptor, False)
+
+    def close(self) -> None:
+        """Write what is left, as far as it is taken."""
+        self._flush()
+
+    def write(self, event: str, fields: dict[str, Any]) -> None:
+        """Write one event, or count it if there are too many of its kind."""
+        suppressed = self._limiter.admit(event, self._clock.now())
+        if suppressed is None:
+            return
+        line: dict[str, Any] = {"time": _format_time(), "node": self._node}
+        line["event"] = event
+        line.update(fields)
+        if suppressed:
+            line["suppressed"] = suppressed
+        if self._dropped:
+            line["dropped_lines"] = self._dropped
+        data = json.dumps(line, default=_to_text, separators=(",", ":")).encode()
+        if len(self._unsent) + len(data) > MAX_UNSENT_BYTES:
+            self._dropped += 1
+            return
+        self._unsent += data + b"\n"
+        self._flush()
+
+    def _flush(self) -> None:
+        with suppress(BlockingIOError):
+            while self._unsent:
+                written = os.write(self._descriptor, self._unsent)
+                self._unsent = self._unsent[written:]
+
+
+def _format_time() -> str:
+    seconds = time.time()
+    whole = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
+    return f"{whole}.{int(seconds * 1_000) % 1_000:03}Z"
+
+
+def _to_text(value: object) -> str:
+    return str(value.value) if isinstance(value, Enum) else str(value)
--- /dev/null
+++ b/src/papayagw/platform/__main__.py
@@ -0,0 +1,57 @@
+"""Run a role on the prepared platform: ``python -m papayagw.platform ROLE``."""
+
+import sys
+from collections.abc import Sequence
+
+from papayagw._internal.exceptions import PapayagwError
+from papayagw.platform.adapter import PreparedPlatform
+from papayagw.platform.settings import (
+    find_settings,
+    load_agent_settings,
+    load_balancer_settings,
+)
+
+EXIT_USAGE = 2
+EXIT_FAILED = 4
+
+
+def run_balancer() -> None:
+    """Run a balancer until it is told to end."""
+    from papayagw._internal.net.plain.balancer_process import PlainBalancerProcess
+
+    path = find_settings()
+    settings = load_balancer_settings(path)
+    PlainBalancerProcess(
+        settings, PreparedPlatform(), lambda: load_balancer_settings(path)
+    ).run()
+
+
+def run_agent() -> None:
+    """Run an agent until it is told to end."""
+    from papayagw._internal.net.plain.agent_process import PlainAgentProcess
+
+    path = find_settings()
+    settings = load_agent_settings(path)
+    PlainAgentProcess(
+        settings, PreparedPlatform(), lambda: load_agent_settings(path)
+    ).run()
+
+
+ROLES = {"balancer": run_balancer, "agent": run_agent}
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run the role that the command line names; return the exit code."""
+    if len(arguments) != 1 or arguments[0] not in ROLES:
+        print(f"usage: python -m papayagw.platform {'|'.join(ROLES)}", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        ROLES[arguments[0]]()
+    except PapayagwError as error:
+        print(f"papayagw: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/papayagw/platform/adapter.py
@@ -0,0 +1,21 @@
+"""The prepared platform as the product's processes use it."""
+
+from papayagw.platform import packet, reports, site, store
+
+
+class PreparedPlatform:
+    """Implements the protocol types of ``papayagw._internal.net.plain.adapter``."""
+
+    site_key = site.SITE_KEY
+    readiness_path = reports.READINESS_PATH
+
+    decode_client_packet = staticmethod(packet.decode_client_packet)
+    decode_backend_packet = staticmethod(packet.decode_backend_packet)
+    encode_for_backend = staticmethod(packet.encode_for_backend)
+    restore = staticmethod(packet.restore)
+    encode_reset = staticmethod(packet.encode_reset)
+    client_endpoint = staticmethod(packet.client_endpoint)
+    decode_report = staticmethod(reports.decode_report)
+    decode_site = staticmethod(site.decode_site)
+    encode_call = staticmethod(store.encode_call)
+    decode_answer = staticmethod(store.decode_answer)
--- /dev/null
+++ b/src/papayagw/platform/packet.py
@@ -0,0 +1,126 @@
+"""The header of clients' and backend servers' packets.
+
+Source: PROTOCOL, section Packets. All numbers are big-endian.
+"""
+
+import struct
+
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.packet import FlowKey, FlowPacket, PacketKind
+
+HEADER_BYTES = 32
+MAX_PACKET_BYTES = HEADER_BYTES + 1_200
+
+_SYN = 1
+_ACK = 8
+_FIN = 16
+_RST = 32
+_BOUNCED = 64
+
+_FIELDS = struct.Struct(">IIIH4xB")
+"""seq, ack, echo, len; the keyed sum is not for us to read; flags."""
+
+_ECHO = struct.Struct(">I")
+_ECHO_AT = 8
+_FLAGS_AT = 18
+_PAD_AT = 19
+_RESET = struct.Struct(">IIIHIBB4sHH4s")
+
+_KINDS = {
+    _SYN: PacketKind.OPEN,
+    _SYN | _ACK: PacketKind.ACCEPT,
+}
+
+
+def decode_client_packet(raw: bytes) -> FlowPacket | None:
+    """Return a packet that a client sent, or None if it has no whole header."""
+    if not _is_whole(raw):
+        return None
+    return _decode(raw, FlowKey(raw[20:32]))
+
+
+def decode_backend_packet(raw: bytes) -> FlowPacket | None:
+    """Return a packet that a backend server sent or handed back, or None."""
+    if not _is_whole(raw):
+        return None
+    if raw[_FLAGS_AT] & _BOUNCED:
+        # It is the client's packet: source and destination are still the client's.
+        return _decode(raw, FlowKey(raw[20:32]))
+    # The order of fields is that of a client's packet: src, sport, dport, dst.
+    flow = raw[28:32] + raw[26:28] + raw[24:26] + raw[20:24]
+    return _decode(raw, FlowKey(flow))
+
+
+def encode_for_backend(packet: FlowPacket, token: int) -> bytes:
+    """Return the datagram with `token` where the backend server leaves it alone."""
+    raw = bytearray(packet.raw)
+    _ECHO.pack_into(raw, _ECHO_AT, token)
+    raw[_FLAGS_AT] &= ~_BOUNCED
+    raw[_PAD_AT] = 0
+    return bytes(raw)
+
+
+def restore(packet: FlowPacket) -> bytes:
+    """Return the datagram as its client sent it, without what an agent wrote."""
+    return encode_for_backend(packet, 0)
+
+
+def encode_reset(flow: FlowKey, sequence: int) -> bytes:
+    """Return a reset from the flow's entry to its client."""
+    client_ip, client_port = flow[:4], int.from_bytes(flow[4:6], "big")
+    entry_port, entry_ip = int.from_bytes(flow[6:8], "big"), flow[8:]
+    return _RESET.pack(
+        sequence, 0, 0, 0, 0, _RST, 0, entry_ip, entry_port, client_port, client_ip
+    )
+
+
+def client_endpoint(flow: FlowKey, port: int) -> Endpoint:
+    """Return where a client takes packets of `flow`.
+
+    Parameters
+    ----------
+    flow : FlowKey
+        The flow.
+    port : int
+        The port at which all clients take packets; that of the flow is only a
+        number in the header.
+    """
+    return Endpoint(".".join(str(part) for part in flow[:4]), port)
+
+
+def encode_entry(address: str, port: int) -> bytes:
+    """Return an entry as it stands at the end of a `FlowKey`."""
+    numbers = bytes(int(part) for part in address.split("."))
+    if len(numbers) != 4:
+        raise ValueError(f"expected an IPv4 number, found {address!r}")
+    return port.to_bytes(2, "big") + numbers
+
+
+def _is_whole(raw: bytes) -> bool:
+    return HEADER_BYTES <= len(raw) <= MAX_PACKET_BYTES
+
+
+def _decode(raw: bytes, flow: FlowKey) -> FlowPacket:
+    sequence, acknowledged, token, length, flags = _FIELDS.unpack_from(raw)
+    kind = _KINDS.get(flags & (_SYN | _ACK | _FIN | _RST))
+    if kind is None:
+        kind = _kind_of_later(flags)
+    is_open = kind is PacketKind.OPEN
+    return FlowPacket(
+        flow,
+        kind,
+        sequence,
+        acknowledged if flags & _ACK else None,
+        # A client counts its copies of an opening in the field for acknowledgements.
+        acknowledged if is_open else 0,
+        length,
+        bool(flags & _BOUNCED),
+        token,
+        raw,
+    )
+
+
+def _kind_of_later(flags: int) -> PacketKind:
+    if flags & _RST:
+        return PacketKind.ABORT
+    return PacketKind.FINISH if flags & _FIN else PacketKind.CARRY
--- /dev/null
+++ b/src/papayagw/platform/reports.py
@@ -0,0 +1,66 @@
+"""Backend servers' reports.
+
+Source: PROTOCOL, section Service discovery.
+"""
+
+import json
+from http import HTTPMethod
+from typing import Any
+
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.instance import (
+    Departure,
+    ReportedState,
+    StatusReport,
+)
+
+_PATH = "/-/instances/"
+_STATES = {"ready": ReportedState.READY, "draining": ReportedState.DRAINING}
+
+READINESS_PATH = "/-/readyz"
+
+
+def decode_report(
+    method: str, path: str, body: bytes
+) -> StatusReport | Departure | None:
+    """Return what a call of a backend server says, or None if it names none to use."""
+    instance = path.removeprefix(_PATH)
+    if not path.startswith(_PATH) or not instance:
+        return None
+    fields = _read_object(body)
+    if method == HTTPMethod.DELETE:
+        return Departure(instance, _whole(fields, "born"))
+    if method != HTTPMethod.PUT:
+        return None
+    state = _STATES.get(fields.get("state", ""))
+    service = fields.get("service")
+    slots = _whole(fields, "slots")
+    started_at = _whole(fields, "born")
+    number = _whole(fields, "seq")
+    cold_left = _whole(fields, "cold_left_ms")
+    if state is None or not isinstance(service, str) or not slots or slots < 0:
+        return None
+    if number is None or started_at is None or cold_left is None:
+        return None
+    return StatusReport(
+        instance=instance,
+        service=service,
+        state=state,
+        slots=slots,
+        cold_left_ms=Millis(cold_left),
+        started_at=started_at,
+        number=number,
+    )
+
+
+def _read_object(body: bytes) -> dict[str, Any]:
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def _whole(fields: dict[str, Any], name: str) -> int | None:
+    value = fields.get(name)
+    return value if type(value) is int else None
--- /dev/null
+++ b/src/papayagw/platform/settings.py
@@ -0,0 +1,153 @@
+"""The settings file that the platform writes from our templates in ``deploy/``.
+
+It is JSON with comments on lines of their own, under the project's names.
+"""
+
+import json
+import os
+from pathlib import Path
+from typing import Any
+
+from papayagw._internal.exceptions import SettingsError, Step
+from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.settings import (
+    PlainAgentSettings,
+    PlainBalancerSettings,
+)
+
+SETTINGS_VARIABLE = "PAPAYAGW_NODE_FILE"
+"""Environment variable with the path of the settings file."""
+
+
+def find_settings() -> Path:
+    """Return the path of the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the environment doesn't name it.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(
+            "the environment names no settings file",
+            step=Step.SETTINGS,
+            peer=SETTINGS_VARIABLE,
+            remedy="set it to the path of the file",
+        )
+    return Path(path)
+
+
+def load_balancer_settings(path: Path) -> PlainBalancerSettings:
+    """Return the settings of a balancer.
+
+    Raises
+    ------
+    SettingsError
+        If a field is missing or has another form.
+    """
+    fields = _Fields(path)
+    entry = fields.endpoint("entry")
+    return PlainBalancerSettings(**fields.common(entry), entry=entry)
+
+
+def load_agent_settings(path: Path) -> PlainAgentSettings:
+    """Return the settings of an agent.
+
+    Raises
+    ------
+    SettingsError
+        If a field is missing or has another form.
+    """
+    fields = _Fields(path)
+    return PlainAgentSettings(
+        **fields.common(fields.endpoint("data")),
+        service=fields.text("service"),
+        backend=fields.endpoint("backend"),
+        outbound=fields.endpoint("outbound"),
+        reports=fields.endpoint("reports"),
+    )
+
+
+class _Fields:
+    """The fields of a settings file, each checked where it is read."""
+
+    def __init__(self, path: Path):
+        self._path = path
+        self._fields = _read(path)
+
+    def common(self, data: Endpoint) -> dict[str, Any]:
+        """Return the arguments that both roles share.
+
+        Parameters
+        ----------
+        data : Endpoint
+            The machine's data address; clients use the same port.
+        """
+        ip = self.text("ip")
+        return {
+            "name": self.text("name"),
+            "zone": self.text("zone"),
+            "inner": Endpoint(ip, self.whole("inner_port")),
+            "client_port": data.port,
+            "readiness": self.endpoint("readiness"),
+            "metrics": Endpoint(ip, self.whole("metrics_port")),
+            "store": self.endpoint("store"),
+            "grace_ms": self.seconds("grace_s"),
+            "flow_limit_ms": self.seconds("flow_limit_s"),
+        }
+
+    def text(self, name: str) -> str:
+        """Return a field that is text."""
+        value = self._fields.get(name)
+        if not isinstance(value, str) or not value:
+            raise self._fault(name, "text")
+        return value
+
+    def whole(self, name: str) -> int:
+        """Return a field that is a whole number."""
+        value = self._fields.get(name)
+        if type(value) is not int:
+            raise self._fault(name, "a whole number")
+        return value
+
+    def seconds(self, name: str) -> Millis:
+        """Return a field in seconds as milliseconds."""
+        value = self._fields.get(name)
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            raise self._fault(name, "a number of seconds")
+        return Millis(round(value * MILLIS_PER_SECOND))
+
+    def endpoint(self, name: str) -> Endpoint:
+        """Return a field that is an address and a port."""
+        try:
+            return Endpoint.parse(self.text(name))
+        except ValueError as error:
+            raise self._fault(name, "ip:port") from error
+
+    def _fault(self, name: str, expected: str) -> SettingsError:
+        found = self._fields.get(name)
+        return SettingsError(
+            f"{name}: expected {expected}, found {found!r}",
+            step=Step.SETTINGS,
+            peer=str(self._path),
+            remedy="correct the template that the file is made from",
+        )
+
+
+def _read(path: Path) -> dict[str, Any]:
+    try:
+        lines = path.read_text(encoding="utf-8").splitlines()
+        kept = (line for line in lines if not line.lstrip().startswith("//"))
+        value = json.loads("\n".join(kept))
+    except (OSError, ValueError) as error:
+        raise SettingsError(
+            f"not readable as JSON with comments: {error}",
+            step=Step.SETTINGS,
+            peer=str(path),
+            remedy="correct the template that the file is made from",
+        ) from error
+    if not isinstance(value, dict):
+        raise SettingsError("expected an object", step=Step.SETTINGS, peer=str(path))
+    return value
--- /dev/null
+++ b/src/papayagw/platform/site.py
@@ -0,0 +1,50 @@
+"""The operators' configuration, as the platform's store holds it.
+
+Source: PROTOCOL, section The operator's API.
+"""
+
+import json
+from typing import Any
+
+from papayagw._internal.exceptions import DecodeError, Step
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.packet import EntryKey
+from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
+from papayagw.platform.packet import encode_entry
+
+SITE_KEY = "op/config"
+
+
+def decode_site(value: bytes) -> SiteVersion:
+    """Return the configuration that the store holds.
+
+    Raises
+    ------
+    DecodeError
+        If it isn't one; the version in force stays.
+    """
+    try:
+        fields = json.loads(value)
+        routes = dict(_decode_route(route) for route in fields["routes"])
+        idle_timeout_ms = Millis(int(fields["limits"]["idle_timeout_ms"]))
+        return SiteVersion(int(fields["version"]), routes, idle_timeout_ms)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise DecodeError(
+            f"not a configuration: {error!r}", step=Step.DECODE, peer=SITE_KEY
+        ) from error
+
+
+def _decode_route(fields: dict[str, Any]) -> tuple[EntryKey, Route]:
+    # Named after HTTP's host and path, they are an address and a port: "/8443/".
+    address, port = fields["hostname"], int(fields["prefix"].strip("/"))
+    route = Route(fields.get("name", ""), _decode_services(fields))
+    return EntryKey(encode_entry(address, port)), route
+
+
+def _decode_services(fields: dict[str, Any]) -> tuple[WeightedService, ...]:
+    shares = fields.get("backends")
+    if not shares:
+        return (WeightedService(fields["service"], 1.0),)
+    return tuple(
+        WeightedService(share["service"], float(share["weight"])) for share in shares
+    )
--- /dev/null
+++ b/src/papayagw/platform/store.py
@@ -0,0 +1,121 @@
+"""Calls of the platform's key-value service.
+
+Source: PROTOCOL, section The platform's metadata store.
+"""
+
+import json
+from base64 import b64decode, b64encode
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import urlencode
+
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.entry_store import (
+    CallFailed,
+    EndLease,
+    GrantLease,
+    HistoryGone,
+    Leased,
+    LeaseGone,
+    PutKey,
+    RangeRead,
+    ReadRange,
+    RemovedItem,
+    RenewLease,
+    StoreAnswer,
+    StoreCall,
+    StoredItem,
+    StoreEvent,
+    Watched,
+    WatchPrefix,
+    Written,
+)
+
+_REFUSALS = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """A call as HTTP carries it."""
+
+    method: str
+    target: str
+    body: bytes = b""
+
+
+def encode_call(call: StoreCall) -> HttpCall:
+    """Return the HTTP form of a call."""
+    match call:
+        case ReadRange(prefix, after):
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            return HttpCall("GET", "/-/kv-range?" + urlencode(query))
+        case WatchPrefix(prefix, after, wait_ms):
+            query = {"prefix": prefix, "after": str(after), "wait_ms": str(wait_ms)}
+            return HttpCall("GET", "/-/kv-watch?" + urlencode(query))
+        case PutKey(key, value, lease):
+            put = {"key": key, "value": b64encode(value).decode(), "lease": lease}
+            return _post("/-/kv-txn", {"expect": [], "puts": [put], "remove": []})
+        case GrantLease(ttl_ms):
+            return _post("/-/kv-lease", {"ttl_ms": ttl_ms})
+        case RenewLease(lease):
+            return _post(f"/-/kv-keep/{lease}", {})
+        case EndLease(lease):
+            return HttpCall("DELETE", f"/-/kv-lease-end/{lease}")
+
+
+def decode_answer(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
+    """Return what the store's answer to `call` says."""
+    if status in _REFUSALS:
+        return CallFailed(f"status {status}", refused=True)
+    try:
+        return _decode(call, status, body)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return CallFailed(f"status {status}, unusable answer: {error!r}")
+
+
+def _decode(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
+    fields = json.loads(body) if body else {}
+    match call, status:
+        case WatchPrefix(), HTTPStatus.GONE:
+            return HistoryGone()
+        case ((PutKey() | RenewLease() | EndLease()), HTTPStatus.NOT_FOUND):
+            return LeaseGone()
+        case _, HTTPStatus.OK:
+            return _decode_ok(call, fields)
+    return CallFailed(f"status {status}")
+
+
+def _decode_ok(call: StoreCall, fields: dict[str, Any]) -> StoreAnswer:
+    match call:
+        case ReadRange():
+            items = tuple(_read_item(one) for one in fields["items"])
+            more = bool(fields["has_more"])
+            return RangeRead(items, more, int(fields["store_revision"]))
+        case WatchPrefix():
+            events = tuple(_read_event(one) for one in fields["events"])
+            return Watched(events, int(fields["store_revision"]))
+        case PutKey():
+            return Written(int(fields["revision"]))
+        case RenewLease(lease):
+            return Leased(lease, Millis(int(fields["ttl_ms"])))
+        case EndLease():
+            return LeaseGone()
+        case GrantLease():
+            return Leased(int(fields["lease"]), Millis(int(fields["ttl_ms"])))
+
+
+def _read_item(fields: dict[str, Any]) -> StoredItem:
+    value = b64decode(fields["value"], validate=True)
+    revision, lease = int(fields["revision"]), int(fields.get("lease", 0))
+    return StoredItem(fields["key"], value, revision, lease)
+
+
+def _read_event(fields: dict[str, Any]) -> StoreEvent:
+    if fields.get("deleted"):
+        return RemovedItem(fields["key"], int(fields["revision"]))
+    return _read_item(fields)
+
+
+def _post(target: str, fields: dict[str, Any]) -> HttpCall:
+    return HttpCall("POST", target, json.dumps(fields).encode())
