--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -11,7 +11,7 @@
 from papayagw._internal.core.plain.choice import PlainChooser
 from papayagw._internal.core.plain.flow_cache import FlowCache
 from papayagw._internal.core.plain.openings import Opening, Openings
-from papayagw._internal.core.plain.questions import Question, Questions
+from papayagw._internal.core.plain.questions import Question, Questions, Stage
 from papayagw._internal.core.plain.roster import AgentView, Roster
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
@@ -140,7 +140,7 @@
         for opening in self._openings.take_overdue(now):
             actions += self._on_unanswered(opening, now)
         for question in self._questions.take_due(now):
-            actions += self._end_question(question, now)
+            actions += self._go_on(question, now)
         if self._site is not None:
             self._flows.sweep(now, self._site.idle_timeout_ms)
         return actions
@@ -306,10 +306,10 @@
                     actions += [_carry(view, held) for held in question.packets]
                     fields = {"flow": show_flow(claim.flow), "agent": view.endpoint}
                     actions.append(Note("owner found", fields))
-            elif question is not None and not question.is_over:
+            elif question is not None and question.stage is Stage.ASKING:
                 question.take(view.endpoint, claim.ownership)
                 if not question.awaited:
-                    actions += self._end_question(question, now)
+                    actions += self._go_on(question, now)
         return actions
 
     def _compare_versions(
@@ -338,9 +338,7 @@
     ) -> list[Action]:
         question = self._questions.find(packet.flow)
         if question is not None:
-            if not question.is_over:
-                question.hold(packet)
-            return []
+            return self._add_to_question(question, packet, excluded)
         agents = [
             view
             for service in route.services
@@ -358,26 +356,39 @@
             for view in agents
         ]
 
-    def _end_question(self, question: Question, now: Millis) -> list[Action]:
-        """Hand the packets to those that may own the flow, or drop them."""
+    def _add_to_question(
+        self, question: Question, packet: FlowPacket, excluded: AgentView | None
+    ) -> list[Action]:
+        if question.stage is Stage.ASKING:
+            question.hold(packet)
+        elif excluded is not None:
+            # It was tried with this agent, and others have had the packet already.
+            question.take(excluded.endpoint, Ownership.STRANGER)
+        else:
+            return self._carry_to_unsure(question, [packet])
+        return []
+
+    def _go_on(self, question: Question, now: Millis) -> list[Action]:
+        """Hand the packets to the agents that may own the flow, if any."""
         fields = {
             "flow": show_flow(question.flow),
             "unsure": len(question.unsure),
             "silent": len(question.awaited),
         }
-        actions: list[Action] = [Note("owner unknown", fields)]
-        if not question.unsure:
-            self._questions.give_up(question, now)
-            return actions
+        packets = question.try_unsure(now)
+        carried = self._carry_to_unsure(question, packets)
+        return [Note("owner unknown", fields), *carried]
+
+    def _carry_to_unsure(
+        self, question: Question, packets: list[FlowPacket]
+    ) -> list[Action]:
         views = [self._roster.find(endpoint) for endpoint in question.unsure]
-        actions += [
+        return [
             _carry(view, packet)
             for view in views
             if view is not None
-            for packet in question.packets
+            for packet in packets
         ]
-        self._questions.end(question.flow)
-        return actions
 
     # Routes
 
--- a/src/papayagw/_internal/core/plain/following.py
+++ b/src/papayagw/_internal/core/plain/following.py
@@ -91,18 +91,30 @@
                 self._due_at = now
             case Watched(events, revision):
                 self._patience.succeed()
-                self._revision = max(revision, self._revision or 0)
-                self._due_at = Millis(now + self._gap_ms) if events else now
+                self._due_at = now
                 if events:
+                    # A watch without events may have missed some: only one that
+                    # told of writes moves the revision on.
+                    self._revision = max(revision, self._revision or 0)
+                    self._due_at = Millis(now + self._gap_ms)
                     self._on_events(events)
             case HistoryGone():
                 self.restart(now)
             case CallFailed():
+                # What was written meanwhile may be missing from the history.
+                self._revision = None
                 self._due_at = Millis(now + self._patience.fail(answer))
             case _:
                 failure = CallFailed(f"unexpected answer {answer!r}")
                 self._due_at = Millis(now + self._patience.fail(failure))
 
+    def refresh(self, now: Millis) -> bool:
+        """Read all keys anew if they are being watched; return whether they are."""
+        if self._revision is None:
+            return False
+        self.restart(now)
+        return True
+
     def restart(self, now: Millis) -> None:
         """Read all keys anew."""
         self._revision = None
--- a/src/papayagw/_internal/core/plain/questions.py
+++ b/src/papayagw/_internal/core/plain/questions.py
@@ -1,5 +1,7 @@
 """Flows whose owner a balancer is looking for, with the packets that wait."""
 
+from enum import Enum
+
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.frame import Ownership
@@ -24,18 +26,27 @@
 """The most packets that wait for one owner: what a client has in flight at most."""
 
 
+class Stage(Enum):
+    """How far a search has come."""
+
+    ASKING = "asking"
+    TRYING = "trying"
+    """Agents that may own the flow get its packets, until one of them says so."""
+    FRUITLESS = "fruitless"
+
+
 class Question:
     """The search for the owner of one flow."""
 
-    __slots__ = ("awaited", "due_at", "flow", "is_over", "packets", "unsure")
+    __slots__ = ("awaited", "due_at", "flow", "packets", "stage", "unsure")
 
     def __init__(self, flow: FlowKey, awaited: set[Endpoint], now: Millis):
         self.flow = flow
         self.awaited = awaited
-        self.unsure: list[Endpoint] = []
+        self.unsure: set[Endpoint] = set()
         self.packets: list[FlowPacket] = []
         self.due_at = Millis(now + CLAIM_PATIENCE_MS)
-        self.is_over = False
+        self.stage = Stage.ASKING
 
     def hold(self, packet: FlowPacket) -> None:
         """Keep a packet until the owner is known."""
@@ -43,10 +54,19 @@
             self.packets.append(packet)
 
     def take(self, agent: Endpoint, ownership: Ownership) -> None:
-        """Note the answer of an agent that isn't the owner."""
+        """Note the answer of an agent that isn't known to be the owner."""
         self.awaited.discard(agent)
         if ownership is Ownership.UNSURE:
-            self.unsure.append(agent)
+            self.unsure.add(agent)
+        else:
+            self.unsure.discard(agent)
+
+    def try_unsure(self, now: Millis) -> list[FlowPacket]:
+        """Go on to agents that may be the owner; return the packets for them."""
+        self.stage = Stage.TRYING if self.unsure else Stage.FRUITLESS
+        self.due_at = Millis(now + SILENCE_MS)
+        held, self.packets = self.packets, []
+        return held
 
 
 class Questions:
@@ -57,7 +77,7 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When the next search is due to end or to be forgotten."""
+        """When the next search is due to go on or to be forgotten."""
         return min((one.due_at for one in self._questions.values()), default=None)
 
     def find(self, flow: FlowKey) -> Question | None:
@@ -77,16 +97,10 @@
         """Drop a search and return it, or None if there was none."""
         return self._questions.pop(flow, None)
 
-    def give_up(self, question: Question, now: Millis) -> None:
-        """Drop what waits, and ask for the flow no more for a while."""
-        question.packets.clear()
-        question.is_over = True
-        question.due_at = Millis(now + SILENCE_MS)
-
     def take_due(self, now: Millis) -> list[Question]:
-        """Return the searches that are due; those that are over are forgotten."""
+        """Return the searches that go on; those that are over are forgotten."""
         due = [one for one in self._questions.values() if one.due_at <= now]
         for one in due:
-            if one.is_over:
+            if one.stage is not Stage.ASKING:
                 del self._questions[one.flow]
-        return [one for one in due if not one.is_over]
+        return [one for one in due if one.stage is Stage.ASKING]
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -29,6 +29,9 @@
 AGENTS_GAP_MS = Millis(700)
 """Time in which changes of agents gather; openings tell more, and sooner."""
 
+REFRESH_INTERVAL_MS = Millis(500)
+"""The shortest time between two reads of the configuration that agents' words cause."""
+
 QUIET_MS = Millis(400)
 """Without a packet for so long, the routers have left a balancer that stops."""
 
@@ -90,6 +93,7 @@
         self._was_ready = False
         self._is_stopping = False
         self._refused_probes = 0
+        self._refreshed_at = Millis(0)
         self._last_packet_at = Millis(0)
 
     def run(self) -> None:
@@ -146,8 +150,11 @@
     # The store
 
     def _on_newer_version(self) -> None:
-        if self._site.is_in_touch:
-            self._site.restart(self._kit.loop.now())
+        now = self._kit.loop.now()
+        if now - self._refreshed_at < REFRESH_INTERVAL_MS:
+            return
+        if self._site.refresh(now):
+            self._refreshed_at = now
             self._drivers[0].restart()
 
     def _take_site_items(self, items: tuple[StoredItem, ...]) -> None:
