--- a/src/papayagw/_internal/net/datagrams.py
+++ b/src/papayagw/_internal/net/datagrams.py
@@ -35,10 +35,19 @@
         Where to bind; None takes a free port.
     keeps_refused : bool
         Whether datagrams that met a closed port are kept for `take_refused`.
+    max_bytes : int
+        The longest datagram that is expected; a longer one is cut.
     """
 
-    def __init__(self, endpoint: Endpoint | None, *, keeps_refused: bool = False):
+    def __init__(
+        self,
+        endpoint: Endpoint | None,
+        *,
+        keeps_refused: bool = False,
+        max_bytes: int = MAX_DATAGRAM_BYTES,
+    ):
         self._endpoint = endpoint
+        self._max_bytes = max_bytes
         self._keeps_refused = keeps_refused
         self._may_have_refused = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -89,7 +98,7 @@
         receive = self._socket.recvfrom
         for _ in range(BATCH_DATAGRAMS):
             try:
-                received.append(receive(MAX_DATAGRAM_BYTES))
+                received.append(receive(self._max_bytes))
             except BlockingIOError:
                 break
             except OSError:
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -28,7 +28,7 @@
 from papayagw._internal.net.plain.loop import Loop
 from papayagw._internal.observe.exposition import CONTENT_TYPE, Exposition
 from papayagw._internal.observe.json_lines import JsonLines
-from papayagw._internal.wire.plain_frames import PlainFrameCodec
+from papayagw._internal.wire.plain_frames import MAX_FRAME_BYTES, PlainFrameCodec
 
 SETTINGS_CHECK_MS = Millis(5_000)
 """How often the settings file is looked at for a change that no signal told of."""
@@ -75,7 +75,7 @@
         self.loop = Loop()
         self.log = JsonLines(settings.name, self.loop)
         self.metrics = Exposition()
-        self._inner = BatchSocket(settings.inner)
+        self._inner = BatchSocket(settings.inner, max_bytes=MAX_FRAME_BYTES)
         self._frames = PlainFrameCodec(platform)
         self._servers: list[HttpServer] = []
         self._peers: dict[tuple[str, int], Endpoint] = {}
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -34,6 +34,9 @@
     FlowPacket,
 )
 
+MAX_FRAME_BYTES = 65_507
+"""The longest payload of a UDP datagram: room for 10,000 entries of one service."""
+
 _MARK = 0x7047
 _HEAD = struct.Struct(">HBI")
 _VERSION = struct.Struct(">Q")
