--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -39,6 +39,9 @@
 """The shortest time between two scopes sent to one agent."""
 
 
+_CLOSING = (PacketKind.FINISH, PacketKind.ABORT)
+
+
 class PlainBalancer:
     """The decisions of one balancer.
 
@@ -50,6 +53,8 @@
         Picks the agent for an opening.
     on_newer_version : callable
         Called when an agent has heard of a newer configuration than is in force.
+    on_doubt : callable
+        Called when all known agents deny a flow, so that their list is read again.
     """
 
     def __init__(
@@ -57,10 +62,12 @@
         roster: Roster,
         chooser: PlainChooser,
         on_newer_version: Callable[[], None] = lambda: None,
+        on_doubt: Callable[[], None] = lambda: None,
     ):
         self._roster = roster
         self._chooser = chooser
         self._on_newer_version = on_newer_version
+        self._on_doubt = on_doubt
         self._site: SiteVersion | None = None
         self._flows = FlowCache()
         self._openings = Openings()
@@ -163,6 +170,8 @@
         service = _pick_service(route, packet)
         agent = self._choose(service, opening, now)
         if agent is None or opening.is_exhausted:
+            if not opening.is_declined and opening.wait(now):
+                return []
             return self._refuse(opening, service)
         opening.offer_to(agent, now)
         agent.pending += 1
@@ -195,7 +204,7 @@
         fields = {
             "flow": show_flow(packet.flow),
             "service": service,
-            "offers": len(opening.tried),
+            "declined": opening.is_declined,
             "outcome": "not run",
         }
         return [ResetClient(packet.flow, 0), Note("opening refused", fields)]
@@ -203,9 +212,11 @@
     def _on_unanswered(self, opening: Opening, now: Millis) -> list[Action]:
         agent = opening.agent
         route = self._find_route(opening.packet)
-        if agent is None or route is None:
+        if route is None:
             self._openings.end(opening.packet.flow)
             return []
+        if agent is None:
+            return self._offer(opening, route, now)
         suspected_ms = agent.suspect(now)
         fields = {
             "agent": agent.endpoint,
@@ -291,6 +302,7 @@
             self._openings.end(packet.flow)
             self._flows.drop(packet.flow)
             return [note]
+        opening.is_declined |= frame.reason is ReturnReason.FULL
         return [note, *self._offer(opening, route, now)]
 
     @_take_frame.register
@@ -338,35 +350,31 @@
     ) -> list[Action]:
         question = self._questions.find(packet.flow)
         if question is not None:
-            return self._add_to_question(question, packet, excluded)
-        agents = [
-            view
-            for service in route.services
-            for view in self._roster.list_service(service.name)
-            if view is not excluded
-        ]
+            return self._add_to_question(question, packet, excluded, now)
+        agents = [view for view in self._list_agents(route) if view is not excluded]
         awaited = {view.endpoint for view in agents}
-        question = self._questions.begin(packet.flow, awaited, now) if agents else None
+        question = self._questions.begin(packet, awaited, now) if agents else None
         if question is None:
             return []
         question.hold(packet)
-        asked = FlowQuestion(packet.flow, packet.acknowledged)
-        return [
-            SendFrame(view.endpoint, AskFrame(view.entry.service, (asked,)))
-            for view in agents
-        ]
+        return [_ask(view, packet) for view in agents]
 
     def _add_to_question(
-        self, question: Question, packet: FlowPacket, excluded: AgentView | None
+        self,
+        question: Question,
+        packet: FlowPacket,
+        excluded: AgentView | None,
+        now: Millis,
     ) -> list[Action]:
         if question.stage is Stage.ASKING:
             question.hold(packet)
-        elif excluded is not None:
-            # It was tried with this agent, and others have had the packet already.
-            question.take(excluded.endpoint, Ownership.STRANGER)
-        else:
+            return []
+        question.last_packet = packet
+        if excluded is None:
             return self._carry_to_unsure(question, [packet])
-        return []
+        # It was tried with this agent, and others have had the packet already.
+        question.take(excluded.endpoint, Ownership.STRANGER)
+        return self._conclude(question, now)
 
     def _go_on(self, question: Question, now: Millis) -> list[Action]:
         """Hand the packets to the agents that may own the flow, if any."""
@@ -377,7 +385,44 @@
         }
         packets = question.try_unsure(now)
         carried = self._carry_to_unsure(question, packets)
-        return [Note("owner unknown", fields), *carried]
+        return [Note("owner unknown", fields), *carried, *self._conclude(question, now)]
+
+    def _conclude(self, question: Question, now: Millis) -> list[Action]:
+        """End a flow that no agent holds, once there can be no other agent."""
+        if not question.is_denied or question.last_packet.kind in _CLOSING:
+            return []
+        if question.stage is not Stage.CONFIRMING:
+            question.confirm(now)
+            self._on_doubt()
+        return []
+
+    def on_agents_listed(self, now: Millis) -> list[Action]:
+        """Return what follows from a complete read of the agents' entries."""
+        actions: list[Action] = []
+        for question in self._questions.list_confirming():
+            route = self._find_route(question.last_packet)
+            agents = self._list_agents(route) if route is not None else []
+            others = [view for view in agents if view.endpoint not in question.asked]
+            if others:
+                question.ask_others({view.endpoint for view in others}, now)
+                actions += [_ask(view, question.last_packet) for view in others]
+            else:
+                actions += self._end_ownerless(question)
+        return actions
+
+    def _end_ownerless(self, question: Question) -> list[Action]:
+        self._questions.end(question.flow)
+        self._flows.drop(question.flow)
+        reset = ResetClient(question.flow, question.last_packet.acknowledged or 0)
+        fields = {"flow": show_flow(question.flow), "asked": len(question.asked)}
+        return [reset, Note("flow has no owner", fields)]
+
+    def _list_agents(self, route: Route) -> list[AgentView]:
+        return [
+            view
+            for service in route.services
+            for view in self._roster.list_service(service.name)
+        ]
 
     def _carry_to_unsure(
         self, question: Question, packets: list[FlowPacket]
@@ -413,6 +458,11 @@
     return SendFrame(agent.endpoint, CarryFrame(agent.entry.service, packet))
 
 
+def _ask(agent: AgentView, packet: FlowPacket) -> SendFrame:
+    question = FlowQuestion(packet.flow, packet.acknowledged)
+    return SendFrame(agent.endpoint, AskFrame(agent.entry.service, (question,)))
+
+
 def _pick_service(route: Route, packet: FlowPacket) -> str:
     """Return the service for a new flow, the same for all copies of its opening."""
     if len(route.services) == 1:
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -12,6 +12,12 @@
 the 200 ms after which the client sends a copy.
 """
 
+WAIT_MS = Millis(80)
+"""How long an opening waits that no agent is ready for, before it is offered again."""
+
+WAIT_LIMIT_MS = Millis(1_300)
+"""How long an opening is offered: a client gives its attempt up after 1.4 s."""
+
 MAX_OFFERS = 5
 """The most agents that are offered one opening."""
 
@@ -30,7 +36,7 @@
         When it came.
     """
 
-    __slots__ = ("agent", "due_at", "packet", "started_at", "tried")
+    __slots__ = ("agent", "due_at", "is_declined", "packet", "started_at", "tried")
 
     def __init__(self, packet: FlowPacket, started_at: Millis):
         self.packet = packet
@@ -38,6 +44,8 @@
         self.tried: set[Endpoint] = set()
         self.agent: AgentView | None = None
         self.due_at = started_at
+        self.is_declined = False
+        """Whether a backend server that could have taken it didn't."""
 
     def offer_to(self, agent: AgentView, now: Millis) -> None:
         """Note an offer."""
@@ -45,6 +53,13 @@
         self.tried.add(agent.endpoint)
         self.due_at = Millis(now + ANSWER_PATIENCE_MS)
 
+    def wait(self, now: Millis) -> bool:
+        """Offer to all agents again after a while; return False if it is too late."""
+        self.agent = None
+        self.tried.clear()
+        self.due_at = Millis(now + WAIT_MS)
+        return self.due_at - self.started_at <= WAIT_LIMIT_MS
+
     @property
     def is_exhausted(self) -> bool:
         """Whether no other agent is to be tried."""
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -15,11 +15,11 @@
 Longer than the sum of the clients' first four times between retransmissions.
 """
 
-SEQUENCE_WINDOW = 1 << 28
+SEQUENCE_WINDOW = 1 << 24
 """How far a client's acknowledgement may be ahead of the accepting packet, in bytes.
 
-More than a flow carries in its life, and a sixteenth of the range of numbers, which
-is drawn at random by each backend server.
+More than a flow carries in its life, and a 256th of the range from which each backend
+server draws its first number at random.
 """
 
 _MODULUS = 1 << 32
--- a/src/papayagw/_internal/core/plain/questions.py
+++ b/src/papayagw/_internal/core/plain/questions.py
@@ -19,6 +19,12 @@
 A little less than the client's shortest time between copies of a packet.
 """
 
+CONFIRM_MS = Millis(700)
+"""How long a read of the agents' entries may take before the search is given up.
+
+One slow answer of the store, which usually takes milliseconds.
+"""
+
 MAX_QUESTIONS = 2_048
 """The most flows that are asked for at one time."""
 
@@ -32,24 +38,57 @@
     ASKING = "asking"
     TRYING = "trying"
     """Agents that may own the flow get its packets, until one of them says so."""
+    CONFIRMING = "confirming"
+    """All agents that are known deny it; whether there are others is being read."""
     FRUITLESS = "fruitless"
 
 
 class Question:
     """The search for the owner of one flow."""
 
-    __slots__ = ("awaited", "due_at", "flow", "packets", "stage", "unsure")
-
-    def __init__(self, flow: FlowKey, awaited: set[Endpoint], now: Millis):
-        self.flow = flow
+    __slots__ = (
+        "asked",
+        "awaited",
+        "due_at",
+        "flow",
+        "last_packet",
+        "packets",
+        "stage",
+        "started_at",
+        "unsure",
+    )
+
+    def __init__(self, packet: FlowPacket, awaited: set[Endpoint], now: Millis):
+        self.flow = packet.flow
+        self.last_packet = packet
+        self.started_at = now
+        self.asked = set(awaited)
         self.awaited = awaited
         self.unsure: set[Endpoint] = set()
         self.packets: list[FlowPacket] = []
         self.due_at = Millis(now + CLAIM_PATIENCE_MS)
         self.stage = Stage.ASKING
 
+    @property
+    def is_denied(self) -> bool:
+        """Whether every agent that was asked isn't the owner."""
+        return not self.awaited and not self.unsure
+
+    def ask_others(self, others: set[Endpoint], now: Millis) -> None:
+        """Ask agents that weren't known before."""
+        self.asked |= others
+        self.awaited = set(others)
+        self.stage = Stage.ASKING
+        self.due_at = Millis(now + CLAIM_PATIENCE_MS)
+
+    def confirm(self, now: Millis) -> None:
+        """Wait until the list of agents has been read."""
+        self.stage = Stage.CONFIRMING
+        self.due_at = Millis(now + CONFIRM_MS)
+
     def hold(self, packet: FlowPacket) -> None:
         """Keep a packet until the owner is known."""
+        self.last_packet = packet
         if len(self.packets) < MAX_HELD_PACKETS:
             self.packets.append(packet)
 
@@ -85,14 +124,20 @@
         return self._questions.get(flow)
 
     def begin(
-        self, flow: FlowKey, awaited: set[Endpoint], now: Millis
+        self, packet: FlowPacket, awaited: set[Endpoint], now: Millis
     ) -> Question | None:
         """Return a new search, or None if there are too many."""
         if len(self._questions) >= MAX_QUESTIONS:
             return None
-        question = self._questions[flow] = Question(flow, awaited, now)
+        question = self._questions[packet.flow] = Question(packet, awaited, now)
         return question
 
+    def list_confirming(self) -> list[Question]:
+        """Return the searches that wait for a read of the agents' entries."""
+        return [
+            one for one in self._questions.values() if one.stage is Stage.CONFIRMING
+        ]
+
     def end(self, flow: FlowKey) -> Question | None:
         """Drop a search and return it, or None if there was none."""
         return self._questions.pop(flow, None)
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -30,7 +30,7 @@
 """Time in which changes of agents gather; openings tell more, and sooner."""
 
 REFRESH_INTERVAL_MS = Millis(500)
-"""The shortest time between two reads of the configuration that agents' words cause."""
+"""The shortest time between two reads of the store that agents' words cause."""
 
 QUIET_MS = Millis(400)
 """Without a packet for so long, the routers have left a balancer that stops."""
@@ -67,6 +67,7 @@
             self._roster,
             LeastWaitChooser(settings.zone, random),
             self._on_newer_version,
+            self._on_doubt,
         )
         self._entry = BatchSocket(settings.entry)
         self._site = Follower(
@@ -83,17 +84,14 @@
             random,
             AGENTS_GAP_MS,
         )
-        self._drivers = tuple(
-            StoreDriver(
-                self._kit.loop, settings.store, platform, follower, self._kit.note_call
-            )
-            for follower in (self._site, self._agents)
-        )
+        self._site_driver = self._make_driver(self._site)
+        self._agents_driver = self._make_driver(self._agents)
         self._alarm = Alarm(self._kit.loop, self._on_timer)
         self._was_ready = False
         self._is_stopping = False
         self._refused_probes = 0
-        self._refreshed_at = Millis(0)
+        self._site_refreshed_at = Millis(0)
+        self._agents_refreshed_at = Millis(0)
         self._last_packet_at = Millis(0)
 
     def run(self) -> None:
@@ -107,14 +105,20 @@
         kit.on_stop(self._stop)
         kit.metrics.gauge("flows remembered", lambda: self._core.flow_count)
         kit.metrics.gauge("agents known", lambda: len(self._roster))
-        for driver in self._drivers:
-            driver.start()
+        self._site_driver.start()
+        self._agents_driver.start()
         try:
             kit.loop.run()
         finally:
             self._entry.close()
             kit.close()
 
+    def _make_driver(self, follower: Follower) -> StoreDriver:
+        kit = self._kit
+        return StoreDriver(
+            kit.loop, self._settings.store, self._platform, follower, kit.note_call
+        )
+
     # Packets and frames
 
     def _read_packets(self) -> None:
@@ -151,11 +155,22 @@
 
     def _on_newer_version(self) -> None:
         now = self._kit.loop.now()
-        if now - self._refreshed_at < REFRESH_INTERVAL_MS:
-            return
-        if self._site.refresh(now):
-            self._refreshed_at = now
-            self._drivers[0].restart()
+        if now - self._site_refreshed_at >= REFRESH_INTERVAL_MS:
+            self._site_refreshed_at = now
+            self._refresh(self._site, self._site_driver)
+
+    def _on_doubt(self) -> None:
+        now = self._kit.loop.now()
+        if now - self._agents_refreshed_at >= REFRESH_INTERVAL_MS:
+            self._agents_refreshed_at = now
+            # After the event at hand: its flow is among those that are confirmed.
+            self._kit.loop.call_at(
+                now, lambda: self._refresh(self._agents, self._agents_driver)
+            )
+
+    def _refresh(self, follower: Follower, driver: StoreDriver) -> None:
+        if follower.refresh(self._kit.loop.now()):
+            driver.restart()
 
     def _take_site_items(self, items: tuple[StoredItem, ...]) -> None:
         for item in items:
@@ -183,6 +198,7 @@
         for key in self._roster.miss_others({item.key for item in items}, now):
             self._note_missing(key)
         self._settle_missing()
+        self._perform(self._core.on_agents_listed(now))
 
     def _take_agent_events(self, events: tuple[StoreEvent, ...]) -> None:
         now = self._kit.loop.now()
