--- /dev/null
+++ b/src/papayagw/_internal/core/plain/admission.py
@@ -0,0 +1,13 @@
+"""How much work a backend server is given before openings wait elsewhere."""
+
+ROUNDS_AHEAD = 3
+"""Requests for each slot, the one in work included, that still meet their objective.
+
+Objectives are five times the mean work of a request and more; a backend server's own
+queue is a few requests long, and what it sheds costs its client one of few retries.
+"""
+
+
+def request_limit(slots: int) -> int:
+    """Return how many requests in progress a backend server takes openings below."""
+    return ROUNDS_AHEAD * max(slots, 1) + 1
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -6,6 +6,7 @@
 
 from functools import singledispatchmethod
 
+from papayagw._internal.core.plain.admission import request_limit
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.load_meter import LoadMeter
 from papayagw._internal.core.plain.owned_flows import OwnedFlow, OwnedFlows
@@ -65,6 +66,9 @@
 COLD_FACTOR = 1.5
 """By how much a backend server's time for a request is raised while it is cold."""
 
+STUCK_MS = Millis(8_000)
+"""After how long a request counts as in progress no more: the longest deadline."""
+
 SWEEP_INTERVAL_MS = Millis(1_000)
 """How often old flows are forgotten."""
 
@@ -216,7 +220,9 @@
             return ReturnReason.OLD_VERSION
         availability = self._availability(now)
         if availability is Availability.READY:
-            return None
+            busy = self._meter.busy + len(self._offered)
+            is_full = busy >= request_limit(self._meter.slots)
+            return ReturnReason.BUSY if is_full else None
         if now < self._silent_till:
             return ReturnReason.SILENT
         if availability is Availability.UNREADY:
@@ -426,6 +432,9 @@
         self._swept_at = now
         for owned in self._flows.sweep(now, self._flow_limit_ms):
             self._end_request(owned, now, answered=False)
+        for _, owned in self._flows:
+            if owned.busy_since is not None and now - owned.busy_since > STUCK_MS:
+                self._end_request(owned, now, answered=False)
 
     def _tell_all(self, now: Millis) -> list[Action]:
         word = LoadFrame(self.load_word(now))
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -144,7 +144,8 @@
     def on_timer(self, now: Millis) -> list[Action]:
         """Return what is due."""
         actions: list[Action] = []
-        for opening in self._openings.take_overdue(now):
+        overdue = self._openings.take_overdue(now)
+        for opening in sorted(overdue, key=self._priority_of):
             actions += self._on_unanswered(opening, now)
         for question in self._questions.take_due(now):
             actions += self._go_on(question, now)
@@ -209,6 +210,10 @@
         }
         return [ResetClient(packet.flow, 0), Note("opening refused", fields)]
 
+    def _priority_of(self, opening: Opening) -> int:
+        route = self._find_route(opening.packet)
+        return route.priority if route is not None else 0
+
     def _on_unanswered(self, opening: Opening, now: Millis) -> list[Action]:
         agent = opening.agent
         route = self._find_route(opening.packet)
--- a/src/papayagw/_internal/core/plain/choice.py
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from papayagw._internal.core.choice import unit_hash
-from papayagw._internal.core.plain.roster import AgentView
+from papayagw._internal.core.plain.roster import FRESH_MS, AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.packet import FlowKey
 
@@ -18,9 +18,6 @@
 Two crossings between zones at 0.5 to 1.4 ms; far less than one request in a queue.
 """
 
-FRESH_MS = Millis(300)
-"""How long the number of requests in progress tells something; see docs/PLATFORM.md."""
-
 IDLE_FLOW_WEIGHT = 0.02
 """Requests that an open flow without one is counted as."""
 
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -12,8 +12,11 @@
 the 200 ms after which the client sends a copy.
 """
 
-WAIT_MS = Millis(80)
-"""How long an opening waits that no agent is ready for, before it is offered again."""
+WAIT_MS = Millis(40)
+"""The shortest wait of an opening that no agent is ready for, between offers."""
+
+WAIT_DIVISOR = 3
+"""Waits are at least this part of an opening's age."""
 
 WAIT_LIMIT_MS = Millis(1_300)
 """How long an opening is offered: a client gives its attempt up after 1.4 s."""
@@ -57,7 +60,9 @@
         """Offer to all agents again after a while; return False if it is too late."""
         self.agent = None
         self.tried.clear()
-        self.due_at = Millis(now + WAIT_MS)
+        # The longer it has waited, the less is gained by its being next.
+        wait = max(WAIT_MS, (now - self.started_at) // WAIT_DIVISOR)
+        self.due_at = Millis(now + wait)
         return self.due_at - self.started_at <= WAIT_LIMIT_MS
 
     @property
@@ -100,5 +105,10 @@
         return self._openings.pop(flow, None)
 
     def take_overdue(self, now: Millis) -> list[Opening]:
-        """Return the openings whose offer went unanswered; they are held on."""
-        return [one for one in self._openings.values() if one.due_at <= now]
+        """Return the openings that are to be offered again; they are held on.
+
+        The newest are first: they can still be answered within their objective.
+        """
+        overdue = [one for one in self._openings.values() if one.due_at <= now]
+        overdue.reverse()
+        return overdue
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from papayagw._internal.core.plain.admission import request_limit
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.instance import (
@@ -10,6 +11,12 @@
     LoadWord,
 )
 
+FRESH_MS = Millis(300)
+"""How long the number of requests in progress tells something.
+
+Three intervals between an agent's load words.
+"""
+
 MISSING_GRACE_MS = Millis(2_000)
 """How long an agent may be missing from the store before it is taken as gone.
 
@@ -82,12 +89,22 @@
 
     def takes_openings(self, now: Millis) -> bool:
         """Whether an opening may be offered without a doubt."""
-        return self._is_willing(now) and now >= self.suspect_till
+        return (
+            self._is_willing(now)
+            and now >= self.suspect_till
+            and not self._is_busy(now)
+        )
 
     def is_suspect(self, now: Millis) -> bool:
         """Whether only a suspicion speaks against an offer."""
         return self._is_willing(now) and now < self.suspect_till
 
+    def _is_busy(self, now: Millis) -> bool:
+        load = self.load
+        if load is None or now - self.heard_at > FRESH_MS:
+            return False
+        return load.busy + self.pending >= request_limit(load.slots)
+
     def _is_willing(self, now: Millis) -> bool:
         if self.is_gone(now):
             return False
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -17,6 +17,7 @@
     WRONG_SERVICE = 5
     OLD_VERSION = 6
     NOT_OWNER = 7
+    BUSY = 8
 
 
 class Ownership(Enum):
--- a/src/papayagw/_internal/models/plain/site.py
+++ b/src/papayagw/_internal/models/plain/site.py
@@ -33,10 +33,13 @@
         The operators' name of the route.
     services : tuple of WeightedService
         At least one.
+    priority : int
+        Whose new flows go first where not all can: 0 before 1.
     """
 
     name: str
     services: tuple[WeightedService, ...]
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/papayagw/platform/site.py
+++ b/src/papayagw/platform/site.py
@@ -37,7 +37,8 @@
 def _decode_route(fields: dict[str, Any]) -> tuple[EntryKey, Route]:
     # Named after HTTP's host and path, they are an address and a port: "/8443/".
     address, port = fields["hostname"], int(fields["prefix"].strip("/"))
-    route = Route(fields.get("name", ""), _decode_services(fields))
+    priority = int(fields.get("priority", 0))
+    route = Route(fields.get("name", ""), _decode_services(fields), priority)
     return EntryKey(encode_entry(address, port)), route
 
 
