--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -66,8 +66,11 @@
 COLD_FACTOR = 1.5
 """By how much a backend server's time for a request is raised while it is cold."""
 
-STUCK_MS = Millis(8_000)
-"""After how long a request counts as in progress no more: the longest deadline."""
+STUCK_MS = Millis(3_000)
+"""After how long a request counts as in progress no more.
+
+Many times what a backend server needs for the requests that it is given.
+"""
 
 SWEEP_INTERVAL_MS = Millis(1_000)
 """How often old flows are forgotten."""
@@ -298,6 +301,7 @@
             fields = {"flow": show_flow(packet.flow)}
             actions.append(Note("flow adopted", fields))
         owned.seen_at = now
+        owned.note_received(packet)
         if packet.payload_bytes:
             self._end_request(owned, now, answered=True)
         if packet.kind in _CLOSING:
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -67,9 +67,17 @@
         """Note a client's packet; return whether it carries bytes not seen before."""
         if packet.acknowledged is not None:
             self.acknowledged = packet.acknowledged
-        if not packet.payload_bytes:
+        if not packet.payload_bytes or self.ended_at is not None:
             return False
         end = (packet.sequence + packet.payload_bytes) % _MODULUS
+        return self._move_client_end(end)
+
+    def note_received(self, packet: FlowPacket) -> None:
+        """Note what the backend server's packet says that it has of the client."""
+        if packet.acknowledged is not None:
+            self._move_client_end(packet.acknowledged)
+
+    def _move_client_end(self, end: int) -> bool:
         known = self.client_end
         if known is not None and not (end != known and is_ahead(end, known)):
             return False
