Balancers hear that an agent is ready again, whatever word is lost

Cause: an agent told its state only to balancers whose packets it had delivered, so one that answered NOT_READY to a balancer's first opening was never offered another by it. Found by the scripted scenario 'openings wait until an agent has heard of its backend server'. Every balancer that sent a frame is told, and a word that openings aren't taken is believed for a second. Scenarios on the real cores, with doubles that turn them red.

--- a/src/papayagw/_internal/core/plain/peers.py
+++ b/src/papayagw/_internal/core/plain/peers.py
@@ -40,6 +40,7 @@
     def hear(self, peer: Endpoint, now: Millis) -> None:
         """Note a frame of a balancer."""
         self._heard[peer] = now
+        self.token_of(peer)
 
     def note_change(self, now: Millis) -> None:
         """Note that the load has changed."""
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -17,6 +17,12 @@
 Three intervals between an agent's load words.
 """
 
+UNWILLING_MS = Millis(1_000)
+"""How long an agent's word that it takes no openings is believed.
+
+The word that it does again may be lost; an offer that is returned costs little.
+"""
+
 MISSING_GRACE_MS = Millis(2_000)
 """How long an agent may be missing from the store before it is taken as gone.
 
@@ -108,7 +114,10 @@
     def _is_willing(self, now: Millis) -> bool:
         if self.is_gone(now):
             return False
-        return self.load is None or self.load.availability is Availability.READY
+        load = self.load
+        if load is None or load.availability is Availability.READY:
+            return True
+        return now - self.heard_at > UNWILLING_MS
 
 
 class Roster:
--- /dev/null
+++ b/tests/lib/plain_scenario.py
@@ -0,0 +1,117 @@
+"""A small language for scenarios of the plain front end; each line is a statement.
+
+    weather loss=0.02 double=0.02 delay=1-15
+    balancer NAME...            agent NAME [SERVICE] [WORK_MS]
+    at MS VERB WORD...          run MS
+    call REQUESTS [PAUSE_MS]    calls COUNT REQUESTS EVERY_MS [PAUSE_MS]
+    expect OUTCOME COUNT        (clients that ended so; COUNT may be "all")
+    expect-note EVENT           expect-no-note EVENT
+    expect-openings AGENT COUNT FROM_MS TO_MS   (openings that its server was given)
+
+Verbs: restart-balancer, restart-agent, stop-balancer, freeze-balancer NAME MS,
+freeze-agent NAME MS, crash, drain, lapse, remove-route, move-route SERVICE.
+`#` begins a comment.
+"""
+
+from papayagw._internal.models.plain.packet import PacketKind
+from tests.lib.plain_world import PlainWorld, Weather, make_site
+
+
+class PlainScenario:
+    """Carries statements out on a world."""
+
+    def __init__(self, seed=0, mechanisms=None):
+        self.world = PlainWorld(seed, mechanisms=mechanisms)
+        self.start = self.world.now
+
+    def execute(self, text):
+        """Carry out each line of `text`."""
+        for line in text.splitlines():
+            words = line.partition("#")[0].split()
+            if words:
+                self.do(*words)
+
+    def do(self, verb, *words):
+        getattr(self, "do_" + verb.replace("-", "_"))(*words)
+
+    def do_weather(self, *words):
+        options = dict(word.split("=") for word in words)
+        low, high = options.get("delay", "1-1").split("-")
+        loss, double = float(options.get("loss", 0)), float(options.get("double", 0))
+        self.world.weather = Weather(loss, double, (int(low), int(high)))
+
+    def do_balancer(self, *names):
+        for name in names:
+            self.world.add_balancer(name)
+
+    def do_agent(self, name, service="order", work_ms=20):
+        self.world.add_agent(name, service, int(work_ms))
+
+    def do_at(self, at, *words):
+        self.world.at(self.start + int(at), lambda: self.do(*words))
+
+    def do_run(self, duration):
+        self.world.run(int(duration))
+
+    def do_call(self, requests, pause_ms=300):
+        self.world.call(int(requests), int(pause_ms))
+
+    def do_calls(self, count, requests, every_ms, pause_ms=300):
+        for number in range(int(count)):
+            self.world.after(
+                number * int(every_ms), lambda: self.do_call(requests, pause_ms)
+            )
+
+    def do_restart_balancer(self, name):
+        self.world.restart_balancer(name)
+
+    def do_stop_balancer(self, name):
+        self.world.balancers[name].is_alive = False
+
+    def do_restart_agent(self, name):
+        self.world.restart_agent(name)
+
+    def do_freeze_balancer(self, name, duration):
+        self.world.freeze(self.world.balancers[name], int(duration))
+
+    def do_freeze_agent(self, name, duration):
+        self.world.freeze(self.world.agents[name], int(duration))
+
+    def do_crash(self, name):
+        self.world.crash_backend(name)
+
+    def do_drain(self, name):
+        self.world.drain(name)
+
+    def do_lapse(self, name):
+        self.world.lapse(name)
+
+    def do_remove_route(self):
+        self.world.apply_site(make_site(self.world.site.version + 1, routes={}))
+
+    def do_move_route(self, service):
+        self.world.apply_site(make_site(self.world.site.version + 1, service))
+
+    def do_expect(self, outcome, count):
+        found = self.world.outcomes()
+        wanted = len(self.world.clients) if count == "all" else int(count)
+        assert found.get(outcome, 0) == wanted, found
+
+    def do_expect_note(self, *words):
+        assert " ".join(words) in self._events(), sorted(self._events())
+
+    def do_expect_no_note(self, *words):
+        assert " ".join(words) not in self._events()
+
+    def do_expect_openings(self, agent, count, after_ms, before_ms):
+        taken = [
+            packet
+            for at, backend, packet in self.world.arrivals
+            if backend.agent_name == agent
+            and packet.kind is PacketKind.OPEN
+            and int(after_ms) <= at - self.start < int(before_ms)
+        ]
+        assert len(taken) == int(count), len(taken)
+
+    def _events(self):
+        return {note.event for _, _, note in self.world.notes}
--- /dev/null
+++ b/tests/lib/plain_world.py
@@ -0,0 +1,548 @@
+"""A world of clients, routers and backend servers round the real plain cores.
+
+Time is simulated. Everything that is drawn comes from one seeded source, so a
+history repeats. `violations` holds what must never happen.
+"""
+
+import heapq
+import itertools
+import random
+import zlib
+from dataclasses import dataclass, replace
+
+from papayagw._internal.core.plain.agent import PlainAgent
+from papayagw._internal.core.plain.balancer import PlainBalancer
+from papayagw._internal.core.plain.choice import LeastWaitChooser
+from papayagw._internal.core.plain.roster import Roster
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.action import (
+    Note,
+    ResetClient,
+    RestoreEntry,
+    SendFrame,
+    SendToBackend,
+    SendToClient,
+)
+from papayagw._internal.models.plain.frame import ToAgent
+from papayagw._internal.models.plain.instance import (
+    AgentEntry,
+    ReportedState,
+    StatusReport,
+)
+from papayagw._internal.models.plain.packet import (
+    FlowKey,
+    FlowPacket,
+    PacketKind,
+    entry_of,
+)
+from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
+
+ENTRY = b"\x01\xbb\xc6\x12\x00\x01"
+FLOW_LIMIT_MS = Millis(60_000)
+REPORT_MS = 1_200
+STORE_MS = 3
+RESTART_MS = 300
+MODULUS = 1 << 32
+
+
+def make_site(version=1, service="order", routes=None):
+    """Return a configuration with one route, or with `routes`."""
+    if routes is None:
+        routes = {ENTRY: Route("r1", (WeightedService(service, 1.0),))}
+    return SiteVersion(version, routes, Millis(15_000))
+
+
+def make_packet(flow, kind, sequence=0, acknowledged=None, payload=0, copy=0):
+    """Return a packet without bytes."""
+    return FlowPacket(flow, kind, sequence, acknowledged, copy, payload, False, 0, b"")
+
+
+@dataclass(frozen=True)
+class Weather:
+    """What the network does to each datagram between two machines."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    delay: tuple[int, int] = (1, 1)
+
+
+class Backend:
+    """A backend server: holds flows, answers requests, hands back what it can't take.
+
+    A request is a payload; its number is the position of its last byte.
+    """
+
+    def __init__(self, world, agent_name, work_ms):
+        self.world = world
+        self.agent_name = agent_name
+        self.work_ms = work_ms
+        self.started_at = world.now
+        self.flows = {}
+        self.seen = {}
+        self.runs = {}
+        self.number = 0
+        self.state = ReportedState.READY
+        self.is_alive = True
+
+    def report(self):
+        """Report to the agent, if it is there, and again after a while."""
+        if not self.is_alive:
+            return
+        self.number += 1
+        agent = self.world.agents.get(self.agent_name)
+        if agent is not None and agent.is_alive:
+            report = StatusReport(
+                self.agent_name,
+                agent.service,
+                self.state,
+                1,
+                Millis(0),
+                self.started_at,
+                self.number,
+            )
+            take = agent.core.on_report
+            agent.hand(lambda: agent.perform(take(report, self.world.now)))
+        self.world.after(REPORT_MS, self.report)
+
+    def take(self, packet, token):
+        """Take a packet from the agent."""
+        if not self.is_alive:
+            return
+        flow = packet.flow
+        self.world.note_arrival(self, packet)
+        if packet.kind is PacketKind.OPEN:
+            start = self.flows.setdefault(flow, self.world.random.getrandbits(32))
+            self.send(flow, PacketKind.ACCEPT, start, packet.sequence + 1)
+        elif flow not in self.flows:
+            bounced = replace(packet, bounced=True, token=token)
+            self.world.to_agent(self.agent_name, bounced)
+        elif not self._is_open(packet):
+            return
+        elif packet.kind is PacketKind.FINISH:
+            self.send(flow, PacketKind.FINISH, self._position(flow), packet.sequence)
+        elif packet.payload_bytes:
+            self._run(packet)
+
+    def _is_open(self, packet):
+        flow = packet.flow
+        ahead = ((packet.acknowledged or 0) - self.flows[flow]) % MODULUS
+        if ahead < 1 << 24:
+            self.world.open_at(flow, self)
+            return True
+        return False
+
+    def _run(self, packet):
+        flow, end = packet.flow, packet.sequence + packet.payload_bytes
+        if end in self.runs.setdefault(flow, set()):
+            self.send(flow, PacketKind.CARRY, self._position(flow), end, payload=100)
+            return
+        self.runs[flow].add(end)
+        self.world.after(
+            self.work_ms,
+            lambda: self.send(
+                flow, PacketKind.CARRY, self._position(flow), end, payload=100
+            ),
+        )
+
+    def _position(self, flow):
+        return self.flows[flow] + 1
+
+    def send(self, flow, kind, sequence, acknowledged, payload=0):
+        """Send a packet by way of the agent."""
+        if self.is_alive:
+            packet = make_packet(flow, kind, sequence, acknowledged, payload)
+            self.world.to_agent(self.agent_name, packet)
+
+
+class Node:
+    """A process with a core; one that is frozen takes its datagrams later."""
+
+    def __init__(self, world, name, endpoint):
+        self.world = world
+        self.name = name
+        self.endpoint = endpoint
+        self.is_alive = True
+        self.thaws_at = 0
+        self.alarm_at = None
+
+    def hand(self, act):
+        """Do something now, or once this process runs again."""
+        if not self.is_alive:
+            return
+        if self.world.now < self.thaws_at:
+            self.world.at(self.thaws_at, lambda: self.hand(act))
+            return
+        act()
+
+    def arm(self):
+        """See to it that the core's timer is served."""
+        due_at = self.core.due_at
+        if due_at is None or (
+            self.alarm_at is not None and self.alarm_at <= due_at and self.alarm_at > 0
+        ):
+            return
+        self.alarm_at = max(due_at, self.world.now)
+        self.world.at(self.alarm_at, self.ring)
+
+    def ring(self):
+        """Serve the timer."""
+        self.alarm_at = None
+        self.hand(lambda: self.perform(self.core.on_timer(self.world.now)))
+
+    def perform(self, actions):
+        """Carry out what the core decided."""
+        for action in actions:
+            match action:
+                case SendFrame(peer, frame):
+                    self.world.send_frame(self, peer, frame)
+                case SendToClient(packet):
+                    self.world.to_client(packet)
+                case SendToBackend(packet, token):
+                    self.world.backends[self.name].take(packet, token)
+                case ResetClient(flow):
+                    self.world.reset(flow, self)
+                case RestoreEntry():
+                    self.world.store_entry(self)
+                case Note():
+                    self.world.notes.append((self.world.now, self.name, action))
+        self.arm()
+
+
+class BalancerNode(Node):
+    """A balancer that follows the world's store."""
+
+    def __init__(self, world, name, endpoint):
+        super().__init__(world, name, endpoint)
+        self.roster = Roster()
+        self.core = world.mechanisms.make_balancer(self)
+        self.is_routed = True
+        world.after(STORE_MS, self.list_agents)
+
+    def list_agents(self):
+        """Read the whole store."""
+        self.hand(self._take_list)
+
+    def _take_list(self):
+        store = self.world.store
+        for key, entry in store.items():
+            self.roster.put(key, entry)
+        self.roster.miss_others(set(store), self.world.now)
+        self.core.apply_site(self.world.site)
+        self.perform(self.core.tell_missing())
+        self.roster.forget_gone(self.world.now)
+        self.perform(self.core.on_agents_listed(self.world.now))
+
+
+class AgentNode(Node):
+    """An agent beside a backend server."""
+
+    def __init__(self, world, name, endpoint, service):
+        super().__init__(world, name, endpoint)
+        self.service = service
+        self.entry = AgentEntry(endpoint, service, "zone-a")
+        self.core = world.mechanisms.make_agent(self)
+
+
+class Client:
+    """Opens one flow and sends its requests one after the other."""
+
+    COPIES = ((200, 1), (600, 2))
+    ATTEMPT_MS = 1_400
+
+    def __init__(self, world, flow, requests, pause_ms):
+        self.world = world
+        self.flow = flow
+        self.left = requests
+        self.pause_ms = pause_ms
+        self.outcome = "opening"
+        self.start = None
+        self.position = 1
+        self.answered = 0
+        world.clients[flow] = self
+        self._open(0)
+        for delay, copy in self.COPIES:
+            world.after(delay, lambda copy=copy: self._open(copy))
+        world.after(self.ATTEMPT_MS, self._give_up_opening)
+
+    def _open(self, copy):
+        if self.outcome == "opening":
+            packet = make_packet(self.flow, PacketKind.OPEN, 0, None, 0, copy)
+            self.world.route(packet)
+
+    def _give_up_opening(self):
+        if self.outcome == "opening":
+            self.outcome = "no answer"
+
+    def take(self, packet):
+        """Take a packet of the flow."""
+        if packet.kind is PacketKind.ACCEPT:
+            if self.outcome == "opening":
+                self.outcome = "open"
+                self.start = packet.sequence
+                self._request(self.position, 200)
+        elif self.outcome == "open" and packet.acknowledged == self.position + 100:
+            self._next()
+
+    def _next(self):
+        self.answered += 1
+        self.position += 100
+        self.left -= 1
+        if not self.left:
+            self.outcome = "served"
+            return
+        position = self.position
+        self.world.after(self.pause_ms, lambda: self._request(position, 200))
+
+    def _request(self, position, wait):
+        if self.outcome != "open" or position != self.position:
+            return
+        if wait > 6_400:
+            self.outcome = "deadline"
+            return
+        acknowledged = (self.start + 1) % MODULUS
+        packet = make_packet(
+            self.flow, PacketKind.CARRY, position, acknowledged, payload=100
+        )
+        self.world.route(packet)
+        self.world.after(wait, lambda: self._request(position, 2 * wait))
+
+    def reset(self):
+        """Take a reset."""
+        if self.outcome in ("opening", "open"):
+            self.outcome = "reset"
+
+
+@dataclass(frozen=True)
+class Mechanisms:
+    """What makes the cores; doubles replace one of them."""
+
+    balancer: type = PlainBalancer
+    agent: type = PlainAgent
+    chooser: type = LeastWaitChooser
+
+    def make_balancer(self, node):
+        """Return the core of a balancer."""
+        chooser = self.chooser("zone-a", node.world.random)
+        return self.balancer(
+            node.roster,
+            chooser,
+            lambda: node.world.after(STORE_MS, node.list_agents),
+            lambda: node.world.after(STORE_MS, node.list_agents),
+        )
+
+    def make_agent(self, node):
+        """Return the core of an agent."""
+        return self.agent(node.service, FLOW_LIMIT_MS, Millis(node.world.now))
+
+
+class PlainWorld:
+    """Machines, network and clock.
+
+    Parameters
+    ----------
+    seed : int
+        Where all that is drawn comes from.
+    weather : Weather
+        What the network does.
+    mechanisms : Mechanisms
+        What makes the cores.
+    """
+
+    def __init__(self, seed=0, weather=None, mechanisms=None):
+        self.random = random.Random(seed)
+        self.weather = weather or Weather()
+        self.mechanisms = mechanisms or Mechanisms()
+        self.now = Millis(1_000)
+        self.site = make_site()
+        self.store = {}
+        self.balancers = {}
+        self.agents = {}
+        self.backends = {}
+        self.clients = {}
+        self.owners = {}
+        self.notes = []
+        self.violations = []
+        self.arrivals = []
+        self._events = []
+        self._order = itertools.count()
+        self._hosts = itertools.count(1)
+
+    # Time
+
+    def at(self, at, act):
+        """Do something at a time."""
+        heapq.heappush(self._events, (max(at, self.now), next(self._order), act))
+
+    def after(self, delay, act):
+        """Do something after a while."""
+        self.at(self.now + delay, act)
+
+    def run(self, duration):
+        """Let time pass."""
+        end = self.now + duration
+        while self._events and self._events[0][0] <= end:
+            at, _, act = heapq.heappop(self._events)
+            self.now = Millis(at)
+            act()
+        self.now = Millis(end)
+
+    # Machines
+
+    def add_balancer(self, name):
+        """Start a balancer on a new machine, or anew on its own."""
+        old = self.balancers.get(name)
+        endpoint = old.endpoint if old else Endpoint("10.0.0.1", next(self._hosts))
+        if old:
+            old.is_alive = False
+        self.balancers[name] = BalancerNode(self, name, endpoint)
+
+    def add_agent(self, name, service="order", work_ms=20):
+        """Add a machine with a backend server and an agent."""
+        endpoint = Endpoint("10.0.0.2", next(self._hosts))
+        self.backends[name] = Backend(self, name, work_ms)
+        self.agents[name] = AgentNode(self, name, endpoint, service)
+        self.store_entry(self.agents[name])
+        self.backends[name].report()
+
+    def store_entry(self, agent):
+        """Put an agent's entry into the store, and tell the balancers later."""
+        self.after(STORE_MS, lambda: self._stored(agent))
+
+    def _stored(self, agent):
+        self.store[agent.name] = agent.entry
+        self.tell_balancers()
+
+    def lapse(self, name):
+        """Take an agent's entry out of the store."""
+        self.store.pop(name, None)
+        self.tell_balancers()
+
+    def tell_balancers(self):
+        """Let each balancer hear of the store after a while."""
+        for balancer in list(self.balancers.values()):
+            self.after(self.random.randint(1, 700), balancer.list_agents)
+
+    def apply_site(self, site):
+        """Accept a configuration."""
+        self.site = site
+        self.tell_balancers()
+
+    def restart_agent(self, name):
+        """Kill an agent; it is back after a while. The backend server lives on."""
+        agent = self.agents[name]
+        agent.is_alive = False
+
+        def start():
+            fresh = AgentNode(self, name, agent.endpoint, agent.service)
+            self.agents[name] = fresh
+
+        self.after(RESTART_MS, start)
+
+    def restart_balancer(self, name):
+        """Kill a balancer; routers notice, and it is back after a while."""
+        self.balancers[name].is_alive = False
+        self.after(RESTART_MS, lambda: self.add_balancer(name))
+
+    def crash_backend(self, name):
+        """Kill a backend server; a new run starts at once and knows nothing."""
+        old = self.backends[name]
+        old.is_alive = False
+        self.backends[name] = Backend(self, name, old.work_ms)
+        self.after(200, self.backends[name].report)
+
+    def drain(self, name):
+        """Let a backend server report that it drains, now."""
+        self.backends[name].state = ReportedState.DRAINING
+        self.backends[name].report()
+
+    def freeze(self, node, duration):
+        """Let a process stand still."""
+        node.thaws_at = self.now + duration
+
+    def call(self, requests=3, pause_ms=300):
+        """Open a flow; return its client."""
+        number = len(self.clients) + 1
+        flow = FlowKey(b"\x64\x40" + number.to_bytes(2, "big") + b"\x9c\x41" + ENTRY)
+        return Client(self, flow, requests, pause_ms)
+
+    # Network
+
+    def _deliver(self, act):
+        weather = self.weather
+        if self.random.random() < weather.loss:
+            return
+        for _ in range(2 if self.random.random() < weather.double else 1):
+            self.after(self.random.randint(*weather.delay), act)
+
+    def route(self, packet):
+        """Carry a client's packet to the balancer that the routers choose."""
+        names = sorted(name for name, one in self.balancers.items() if one.is_alive)
+        if not names:
+            return
+        chosen = max(names, key=lambda name: zlib.crc32(packet.flow + name.encode()))
+        node = self.balancers[chosen]
+
+        def arrive():
+            act = node.core.on_client_packet
+            node.hand(lambda: node.perform(act(packet, self.now)))
+
+        self._deliver(arrive)
+
+    def send_frame(self, sender, peer, frame):
+        """Carry a frame to the process at an endpoint."""
+        nodes = self.agents if isinstance(frame, ToAgent) else self.balancers
+
+        def arrive():
+            node = next((one for one in nodes.values() if one.endpoint == peer), None)
+            if node is not None:
+                act = node.core.on_frame
+                node.hand(lambda: node.perform(act(frame, sender.endpoint, self.now)))
+
+        self._deliver(arrive)
+
+    def to_agent(self, name, packet):
+        """Carry a backend server's packet to its agent, on one machine."""
+        agent = self.agents[name]
+        agent.hand(
+            lambda: agent.perform(agent.core.on_backend_packet(packet, self.now))
+        )
+
+    def to_client(self, packet):
+        """Carry a packet to its client."""
+        self._deliver(lambda: self.clients[packet.flow].take(packet))
+
+    # What must hold
+
+    def open_at(self, flow, backend):
+        """Note that a flow is open at a backend server."""
+        owner = self.owners.setdefault(flow, backend)
+        if owner is not backend and owner.is_alive:
+            self.violations.append(f"{flow.hex()} is open at two backend servers")
+
+    def reset(self, flow, sender):
+        """Carry a reset, and hold it against the flow's owner."""
+        owner = self.owners.get(flow)
+        client = self.clients[flow]
+        is_routed = entry_of(flow) in self.site.routes
+        if (
+            is_routed
+            and owner is not None
+            and owner.is_alive
+            and client.outcome == "open"
+        ):
+            self.violations.append(
+                f"{self.now}: {sender.name} reset {flow.hex()}, which its owner holds"
+            )
+        self._deliver(client.reset)
+
+    def note_arrival(self, backend, packet):
+        """Note what a backend server was handed."""
+        self.arrivals.append((self.now, backend, packet))
+
+    def outcomes(self):
+        """Return how many clients ended in which way."""
+        found = {}
+        for client in self.clients.values():
+            found[client.outcome] = found.get(client.outcome, 0) + 1
+        return found
--- /dev/null
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -0,0 +1,254 @@
+"""Hard cases of the plain front end, on the real cores."""
+
+import pytest
+
+from papayagw._internal.core.plain.agent import PlainAgent
+from papayagw._internal.core.plain.balancer import PlainBalancer
+from tests.lib.plain_scenario import PlainScenario
+from tests.lib.plain_world import Mechanisms
+
+SITE = """
+weather delay=1-5
+balancer b1 b2 b3
+agent a1
+agent a2
+agent a3
+run 2000
+"""
+
+SCENARIOS = {
+    "a balancer that restarts finds the owners of all flows": """
+        at 2000 calls 30 8 20
+        at 3500 restart-balancer b1
+        at 4500 restart-balancer b2
+        at 5500 restart-balancer b3
+        run 20000
+        expect served all
+        expect-note owner found
+    """,
+    "an added balancer finds the owners of the flows that move to it": """
+        at 2000 calls 30 8 20
+        at 3500 balancer b4
+        at 4000 balancer b5
+        run 20000
+        expect served all
+    """,
+    "an agent that restarts under its live backend server keeps the flows": """
+        at 2000 calls 30 8 20
+        at 3500 restart-agent a1
+        at 4200 restart-agent a2
+        at 4900 restart-agent a3
+        run 30000
+        expect served all
+    """,
+    "agents and balancers that restart together keep the flows": """
+        at 2000 calls 30 8 20
+        at 3500 restart-balancer b1
+        at 3500 restart-balancer b2
+        at 3500 restart-balancer b3
+        at 3500 restart-agent a1
+        at 3500 restart-agent a2
+        at 3500 restart-agent a3
+        run 30000
+        expect served all
+        expect-note flow adopted
+    """,
+    "openings go on to other agents while one is frozen": """
+        at 2000 freeze-agent a1 3000
+        at 2000 calls 40 1 20
+        run 20000
+        expect served all
+        expect-note opening unanswered
+    """,
+    "a frozen balancer that wakes resets nothing": """
+        at 2000 calls 30 8 20
+        at 3500 freeze-balancer b1 5000
+        run 40000
+        expect served all
+    """,
+    "a crashed backend server's clients are told as soon as it is back": """
+        at 2000 calls 10 40 20 100
+        at 3500 crash a1
+        run 20000
+        expect-note backend restarted
+        expect deadline 0
+    """,
+    "clients of a backend server that died with its agent are told": """
+        at 2000 calls 10 40 20 100
+        at 3500 restart-agent a1
+        at 3500 crash a1
+        run 20000
+        expect-note flow has no owner
+        expect deadline 0
+    """,
+    "a draining backend server gets no opening from its report on": """
+        at 2000 calls 60 1 50
+        at 3000 drain a1
+        run 20000
+        expect served all
+        expect-openings a1 0 3001 9000
+    """,
+    "a draining backend server keeps its flows": """
+        at 2000 calls 9 20 20
+        at 3000 drain a1
+        run 20000
+        expect served all
+    """,
+    "an opening that comes back goes to another agent at once": """
+        at 2000 drain a1
+        at 2000 drain a2
+        at 2001 calls 20 1 30
+        run 9000
+        expect served all
+    """,
+    "openings wait until an agent has heard of its backend server": """
+        at 2000 restart-agent a1
+        at 2000 restart-agent a2
+        at 2000 restart-agent a3
+        at 2301 calls 5 1 10
+        run 20000
+        expect served all
+        expect-no-note opening refused
+    """,
+    "an entry that lapsed is stored again and is used on": """
+        at 2000 lapse a1
+        at 2000 lapse a2
+        at 2000 lapse a3
+        at 2000 calls 40 3 100
+        run 20000
+        expect served all
+        expect-note entry missing in the store
+    """,
+    "flows of a route that is removed end, others don't open": """
+        at 2000 calls 10 40 20 100
+        at 4000 remove-route
+        at 6000 call 1
+        run 20000
+        expect reset all
+    """,
+    "a route that moves leaves open flows where they are": """
+        agent d1 drawings
+        at 2000 calls 10 20 20
+        at 3000 move-route drawings
+        at 5000 calls 5 1 20
+        run 20000
+        expect served all
+        expect-openings a1 0 4000 9000
+        expect-openings a2 0 4000 9000
+        expect-openings a3 0 4000 9000
+    """,
+    "loss, doubles and disorder lose no flow": """
+        weather loss=0.02 double=0.1 delay=1-40
+        at 2000 calls 60 6 20
+        run 40000
+        expect served all
+    """,
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_scenario(name, seed):
+    scenario = PlainScenario(seed)
+    scenario.execute(SITE + SCENARIOS[name])
+    assert scenario.world.violations == []
+
+
+class NeverAsks(PlainBalancer):
+    """Drops the packets of flows that it doesn't know."""
+
+    def _ask_owner(self, packet, route, now, *, excluded):
+        return []
+
+
+class ResetsUnknown(PlainBalancer):
+    """Resets a flow that no agent claims, without a look at the store."""
+
+    def _conclude(self, question, now):
+        return self._end_ownerless(question)
+
+
+class NeverOffersAgain(PlainBalancer):
+    """Leaves an unanswered opening to its client's copies."""
+
+    def _on_unanswered(self, opening, now):
+        self._openings.end(opening.packet.flow)
+        return []
+
+
+class RefusesAtOnce(PlainBalancer):
+    """Doesn't let openings wait."""
+
+    def _offer(self, opening, route, now):
+        opening.started_at -= 10_000
+        return super()._offer(opening, route, now)
+
+
+class IgnoresDrain(PlainAgent):
+    """Offers openings to a backend server that drains."""
+
+    def on_report(self, report, now):
+        actions = super().on_report(report, now)
+        self._backend = _NeverDraining(self._backend)
+        return actions
+
+
+class _NeverDraining:
+    def __init__(self, real):
+        self._real = real
+
+    is_draining = False
+
+    def __getattr__(self, name):
+        return getattr(self._real, name)
+
+
+class KeepsDeadFlows(PlainAgent):
+    """Tells no client that its backend server was started anew."""
+
+    def _end_run(self, now):
+        super()._end_run(now)
+        return []
+
+
+class IsNeverUnsure(PlainAgent):
+    """Denies flows that it hasn't seen since its start."""
+
+    def __init__(self, service, flow_limit_ms, now):
+        super().__init__(service, 0, now)
+
+
+class TellsNobodyMissing(PlainBalancer):
+    """Doesn't tell agents that the store lacks their entries."""
+
+    def tell_missing(self):
+        return []
+
+
+DOUBLES = [
+    (NeverAsks, "a balancer that restarts finds the owners of all flows"),
+    (NeverOffersAgain, "openings go on to other agents while one is frozen"),
+    (RefusesAtOnce, "openings wait until an agent has heard of its backend server"),
+    (IgnoresDrain, "a draining backend server gets no opening from its report on"),
+    (
+        KeepsDeadFlows,
+        "a crashed backend server's clients are told as soon as it is back",
+    ),
+    (IsNeverUnsure, "agents and balancers that restart together keep the flows"),
+    (ResetsUnknown, "agents and balancers that restart together keep the flows"),
+    (TellsNobodyMissing, "an entry that lapsed is stored again and is used on"),
+]
+
+
+@pytest.mark.parametrize(("double", "name"), DOUBLES)
+def test_scenario_finds_what_is_turned_off(double, name):
+    role = "balancer" if issubclass(double, PlainBalancer) else "agent"
+    found = 0
+    for seed in (1, 2, 3):
+        scenario = PlainScenario(seed, Mechanisms(**{role: double}))
+        try:
+            scenario.execute(SITE + SCENARIOS[name])
+            found += bool(scenario.world.violations)
+        except AssertionError:
+            found += 1
+    assert found, "the scenario passes without the mechanism"
