A test of the second signal waits for the first one's own line

Cause: test_flow_cut_by_second_signal matched the 'draining' line that an earlier run of the agent had logged, sent the second SIGTERM before the first was taken, and the two became one; the agent drained for minutes and the test hung without a timeout. The check is as strict and can't hang.

--- a/tests/processes/test_operating.py
+++ b/tests/processes/test_operating.py
@@ -122,9 +122,13 @@
     return [json.loads(line) for line in lines]
 
 
-def wait_for_line(folder, name, message):
+def count_lines(folder, name, message):
+    return [one["message"] for one in read_log(folder, name)].count(message)
+
+
+def wait_for_line(folder, name, message, before=0):
     deadline = time.monotonic() + 20
-    while message not in [one["message"] for one in read_log(folder, name)]:
+    while count_lines(folder, name, message) <= before:
         assert time.monotonic() < deadline, f"{name} never logged {message!r}"
         time.sleep(0.02)
 
@@ -150,12 +154,16 @@
 def test_flow_cut_by_second_signal_is_logged_at_both_ends(fleet, folder):
     agents = ("agent-order-1", "agent-order-2")
     with socket.create_connection(fleet.targets["order"].sockaddr) as feed:
+        feed.settimeout(20)
         feed.sendall(b"FEED f-1 1000 20\n")
         assert feed.recv(100)
+        # An earlier run of an agent may have drained too; and two signals in a row
+        # are one to a process that hasn't taken the first.
+        drained = {name: count_lines(folder, name, "draining") for name in agents}
         for name in agents:
             os.kill(fleet.pid(name), signal.SIGTERM)
         for name in agents:
-            wait_for_line(folder, name, "draining")
+            wait_for_line(folder, name, "draining", drained[name])
             os.kill(fleet.pid(name), signal.SIGTERM)
         with pytest.raises(ConnectionResetError):
             while feed.recv(1_000):
