--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -49,6 +49,16 @@
     ),
     CommandInfo(("status",), "status", "Show what nodes are doing; record it."),
     CommandInfo(("report", "burn"), "report_burn", "Report on service-level burn."),
+    CommandInfo(
+        ("platform", "balancer"),
+        "platform_balancer",
+        "Hand plain flows to the agents of the prepared platform.",
+    ),
+    CommandInfo(
+        ("platform", "agent"),
+        "platform_agent",
+        "Own plain flows on the prepared platform.",
+    ),
     CommandInfo(
         ("standin", "platform"), "standin_platform", "Hold keys and values in memory."
     ),
--- /dev/null
+++ b/tests/lib/plain_fleet.py
@@ -0,0 +1,194 @@
+"""Real processes of the plain front end on loopback numbers, over stand-ins."""
+
+import json
+import os
+import random
+import subprocess
+import sys
+import time
+import urllib.request
+from dataclasses import dataclass
+
+from tests.lib.plain_standins import BackendServer, FlowClient, KeyValueService
+from tests.lib.processes import ROOT
+
+ENTRY = ("198.18.0.1", 8443)
+SERVICE = "order"
+READY_S = 20
+SITE = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r1",
+            "hostname": ENTRY[0],
+            "prefix": f"/{ENTRY[1]}/",
+            "service": SERVICE,
+            "priority": 1,
+        }
+    ],
+    "limits": {"idle_timeout_ms": 15_000},
+}
+
+
+@dataclass(frozen=True)
+class Ports:
+    """The ports that all machines share."""
+
+    store: int = 18_169
+    data: int = 18_172
+    inner: int = 17_720
+    readiness: int = 18_167
+    metrics: int = 19_102
+    reports: int = 18_166
+    outbound: int = 18_162
+    backend: int = 18_165
+
+
+class PlainFleet:
+    """Balancers, agents, backend servers and the store of one test.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs go.
+    block : int
+        Third part of the loopback numbers, so that runs don't meet.
+    balancers, agents : int
+        How many of each.
+    """
+
+    def __init__(self, folder, block, balancers=2, agents=2):
+        self.folder = folder
+        self.ports = Ports()
+        self._block = block
+        self._clients = 0
+        self._processes = {}
+        self._random = random.Random(block)
+        self.balancers = [f"balancer-{one}" for one in range(1, balancers + 1)]
+        self.agents = [f"agent-{one}" for one in range(1, agents + 1)]
+        self.store = KeyValueService((self._ip(200), self.ports.store))
+        self.store.put("op/config", json.dumps(SITE).encode())
+        self.backends = {
+            name: BackendServer(f"i-{name}", SERVICE, self.ip_of(name), self.ports)
+            for name in self.agents
+        }
+
+    def start(self):
+        """Start all processes and wait until they serve."""
+        for name in (*self.agents, *self.balancers):
+            self.start_one(name)
+        for name in (*self.agents, *self.balancers):
+            self.wait_ready(name)
+
+    def close(self):
+        """End everything that was started."""
+        for name in list(self._processes):
+            self.kill(name)
+        for backend in self.backends.values():
+            backend.close()
+        self.store.close()
+
+    def ip_of(self, name):
+        """Return the loopback number of a machine."""
+        role, _, number = name.partition("-")
+        return self._ip(int(number) + (0 if role == "balancer" else 100))
+
+    def start_one(self, name):
+        """Start a process."""
+        path = self.folder / f"{name}.jsonc"
+        path.write_text(json.dumps(self._settings(name)))
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": str(ROOT / "src"),
+            "PAPAYAGW_NODE_FILE": str(path),
+        }
+        with (
+            (self.folder / f"{name}.out").open("ab") as out,
+            (self.folder / f"{name}.err").open("ab") as err,
+        ):
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "papayagw.platform", name.partition("-")[0]],
+                env=environment,
+                stdout=out,
+                stderr=err,
+            )
+
+    def kill(self, name):
+        """Kill a process."""
+        process = self._processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def signal(self, name, number):
+        """Send a signal."""
+        self._processes[name].send_signal(number)
+
+    def wait_end(self, name, timeout_s):
+        """Return the exit code of a process that ends by itself."""
+        return self._processes.pop(name).wait(timeout_s)
+
+    def is_ready(self, name):
+        """Return whether a process says that it is ready."""
+        url = f"http://{self.ip_of(name)}:{self.ports.readiness}/-/readyz"
+        try:
+            with urllib.request.urlopen(url, timeout=1) as answer:
+                return answer.status == 200
+        except OSError:
+            return False
+
+    def wait_ready(self, name):
+        """Wait until a process is ready."""
+        deadline = time.monotonic() + READY_S
+        while not self.is_ready(name):
+            assert time.monotonic() < deadline, f"{name} isn't ready"
+            time.sleep(0.02)
+
+    def metrics(self, name):
+        """Return the text of a process's measurements."""
+        url = f"http://{self.ip_of(name)}:{self.ports.metrics}/metrics"
+        with urllib.request.urlopen(url, timeout=2) as answer:
+            return answer.read().decode()
+
+    def log(self, name):
+        """Return the events that a process has logged."""
+        lines = (self.folder / f"{name}.out").read_text().splitlines()
+        return [json.loads(line) for line in lines]
+
+    def make_client(self):
+        """Return a client with an address of its own."""
+        self._clients += 1
+        host = f"127.95.{self._block}.{self._clients}"
+        return FlowClient(host, self.ports.data, ENTRY, self._pick_balancer)
+
+    def _pick_balancer(self):
+        alive = [name for name in self.balancers if name in self._processes]
+        if not alive:
+            return None
+        return (self.ip_of(self._random.choice(alive)), self.ports.data)
+
+    def _ip(self, host):
+        return f"127.94.{self._block}.{host}"
+
+    def _settings(self, name):
+        ip, ports = self.ip_of(name), self.ports
+        common = {
+            "name": name,
+            "zone": "zone-a",
+            "ip": ip,
+            "inner_port": ports.inner,
+            "readiness": f"{ip}:{ports.readiness}",
+            "metrics_port": ports.metrics,
+            "store": f"{self._ip(200)}:{ports.store}",
+            "grace_s": 6,
+            "flow_limit_s": 60,
+        }
+        if name.startswith("balancer"):
+            return {**common, "entry": f"{ip}:{ports.data}"}
+        return {
+            **common,
+            "data": f"{ip}:{ports.data}",
+            "service": SERVICE,
+            "backend": f"{ip}:{ports.backend}",
+            "outbound": f"{ip}:{ports.outbound}",
+            "reports": f"{ip}:{ports.reports}",
+        }
--- /dev/null
+++ b/tests/lib/plain_standins.py
@@ -0,0 +1,351 @@
+"""Stand-ins of the prepared platform for tests with real processes.
+
+The key-value service, backend servers and clients, on threads of the test, speak the
+platform's protocol by its page. Each machine has a loopback number of its own.
+"""
+
+import base64
+import json
+import socket
+import struct
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+HEADER = struct.Struct(">IIIHIBB4sHH4s")
+SYN, ACK, FIN, RST, BOUNCED = 1, 8, 16, 32, 64
+REPORT_S = 0.2
+MODULUS = 1 << 32
+
+
+def pack(src, dst, flags, seq=0, ack=0, data=b"", echo=0):
+    """Return a packet between two (number, port) ends."""
+    (src_ip, sport), (dst_ip, dport) = src, dst
+    head = HEADER.pack(
+        seq,
+        ack,
+        echo,
+        len(data),
+        0,
+        flags,
+        0,
+        socket.inet_aton(src_ip),
+        sport,
+        dport,
+        socket.inet_aton(dst_ip),
+    )
+    return head + data
+
+
+def unpack(raw):
+    """Return ends, flags, numbers and data of a packet."""
+    seq, ack, echo, length, _, flags, _, src, sport, dport, dst = HEADER.unpack_from(
+        raw
+    )
+    return {
+        "src": (socket.inet_ntoa(src), sport),
+        "dst": (socket.inet_ntoa(dst), dport),
+        "flags": flags,
+        "seq": seq,
+        "ack": ack,
+        "echo": echo,
+        "data": raw[HEADER.size : HEADER.size + length],
+    }
+
+
+class KeyValueService:
+    """Keys, leases and watches, as the platform's service has them."""
+
+    def __init__(self, address):
+        self.address = address
+        self.is_down = False
+        self._items = {}
+        self._events = []
+        self._leases = {}
+        self._revision = 1
+        self._changed = threading.Condition()
+        service = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def handle_one(self):
+                length = int(self.headers.get("Content-Length", 0))
+                body = json.loads(self.rfile.read(length)) if length else {}
+                url = urlparse(self.path)
+                query = {key: one[0] for key, one in parse_qs(url.query).items()}
+                status, fields = service.answer(self.command, url.path, query, body)
+                data = json.dumps(fields).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            # The names are those that the library calls.
+            do_GET = do_POST = do_DELETE = handle_one  # noqa: N815
+
+            def log_message(self, *args):
+                pass
+
+        self._server = ThreadingHTTPServer(address, Handler)
+        self._server.daemon_threads = True
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+    def answer(self, method, path, query, body):
+        """Return status and fields of one call."""
+        if self.is_down:
+            return 503, {}
+        with self._changed:
+            self._expire()
+            match method, path.removeprefix("/-/"):
+                case "GET", "kv-range":
+                    return 200, self._range(query["prefix"])
+                case "GET", "kv-watch":
+                    return 200, self._watch(query)
+                case "POST", "kv-txn":
+                    return self._write(body)
+                case "POST", "kv-lease":
+                    lease = 70_000 + len(self._leases)
+                    self._leases[lease] = (time.monotonic(), body["ttl_ms"] / 1_000)
+                    return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
+            verb, _, lease = path.removeprefix("/-/").partition("/")
+            return self._keep(verb, int(lease))
+
+    def put(self, key, value, lease=0):
+        """Write a key, as the operator does."""
+        with self._changed:
+            self._put(key, base64.b64encode(value).decode(), lease)
+
+    def remove(self, key):
+        """Take a key away."""
+        with self._changed:
+            self._remove(key)
+
+    def list_keys(self):
+        """Return the keys that exist."""
+        with self._changed:
+            return set(self._items)
+
+    def _range(self, prefix):
+        items = [
+            one for key, one in sorted(self._items.items()) if key.startswith(prefix)
+        ]
+        return {"items": items, "has_more": False, "store_revision": self._revision}
+
+    def _watch(self, query):
+        deadline = time.monotonic() + int(query["wait_ms"]) / 1_000
+        while True:
+            events = [
+                one
+                for one in self._events
+                if one["revision"] > int(query["after"])
+                and one["key"].startswith(query["prefix"])
+            ]
+            left = deadline - time.monotonic()
+            if events or left <= 0 or self.is_down:
+                return {"events": events, "store_revision": self._revision}
+            self._changed.wait(min(left, 0.5))
+
+    def _write(self, body):
+        for put in body["puts"]:
+            if put["lease"] and put["lease"] not in self._leases:
+                return 404, {}
+            self._put(put["key"], put["value"], put["lease"])
+        return 200, {"revision": self._revision}
+
+    def _keep(self, verb, lease):
+        if lease not in self._leases:
+            return 404, {}
+        if verb == "kv-lease-end":
+            self._end(lease)
+            return 200, {}
+        ttl = self._leases[lease][1]
+        self._leases[lease] = (time.monotonic(), ttl)
+        return 200, {"ttl_ms": round(ttl * 1_000)}
+
+    def _put(self, key, value, lease):
+        self._revision += 1
+        created = self._items.get(key, {"created": self._revision})["created"]
+        item = {
+            "key": key,
+            "value": value,
+            "revision": self._revision,
+            "created": created,
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._events.append(item)
+        self._changed.notify_all()
+
+    def _remove(self, key):
+        self._revision += 1
+        del self._items[key]
+        self._events.append({"key": key, "revision": self._revision, "deleted": True})
+        self._changed.notify_all()
+
+    def _end(self, lease):
+        del self._leases[lease]
+        for key in [key for key, one in self._items.items() if one["lease"] == lease]:
+            self._remove(key)
+
+    def _expire(self):
+        now = time.monotonic()
+        for lease, (at, ttl) in list(self._leases.items()):
+            if now - at > ttl:
+                self._end(lease)
+
+
+class BackendServer:
+    """A backend server that answers each packet of data by its own packet."""
+
+    def __init__(self, name, service, ip, ports):
+        self.name = name
+        self.service = service
+        self.flows = {}
+        self.runs = {}
+        self._ip = ip
+        self._ports = ports
+        self._outbound = (ip, ports.outbound)
+        self._number = 0
+        self._started_at = time.time_ns() // 1_000_000
+        self._is_closed = False
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((ip, ports.backend))
+        for work in (self._receive, self._report):
+            threading.Thread(target=work, daemon=True).start()
+
+    def close(self):
+        self._is_closed = True
+        self._socket.close()
+
+    def _receive(self):
+        while True:
+            try:
+                raw, _ = self._socket.recvfrom(4_096)
+            except OSError:
+                return
+            self._take(raw)
+
+    def _take(self, raw):
+        packet = unpack(raw)
+        flow = packet["src"], packet["dst"]
+        if packet["flags"] & SYN:
+            start = self.flows.setdefault(flow, int.from_bytes(raw[24:28]) * 7_919)
+            self._send(flow, SYN | ACK, start, packet["seq"] + 1)
+            return
+        if flow not in self.flows:
+            returned = bytearray(raw)
+            returned[18] |= BOUNCED
+            self._socket.sendto(bytes(returned), self._outbound)
+            return
+        if packet["data"]:
+            end = packet["seq"] + len(packet["data"])
+            self.runs.setdefault((flow, end), 0)
+            self.runs[flow, end] += 1
+            self._send(flow, ACK, self.flows[flow] + 1, end, packet["data"])
+
+    def _send(self, flow, flags, seq, ack, data=b""):
+        client, entry = flow
+        raw = pack(entry, client, flags, seq % MODULUS, ack, data)
+        self._socket.sendto(raw, self._outbound)
+
+    def _report(self):
+        while not self._is_closed:
+            self._number += 1
+            fields = {
+                "service": self.service,
+                "address": f"{self._ip}:{self._ports.backend}",
+                "zone": "zone-a",
+                "version": "v1",
+                "slots": 1,
+                "state": "ready",
+                "cold_left_ms": 0,
+                "seq": self._number,
+                "born": self._started_at,
+            }
+            self._put(json.dumps(fields).encode())
+            time.sleep(REPORT_S)
+
+    def _put(self, body):
+        head = (
+            f"PUT /-/instances/{self.name} HTTP/1.1\r\nHost: a\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        try:
+            peer = (self._ip, self._ports.reports)
+            with socket.create_connection(peer, 1) as connection:
+                connection.sendall(head.encode() + body)
+                connection.recv(1_000)
+        except OSError:
+            # The agent is away: the next report tells it.
+            pass
+
+
+class FlowClient:
+    """A client with one flow; routers hand its packets to any balancer that lives."""
+
+    def __init__(self, ip, client_port, entry, pick_balancer):
+        self._ip = ip
+        self._entry = entry
+        self._pick = pick_balancer
+        self._source = (ip, 40_001)
+        self._start = None
+        self._position = 1
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((ip, client_port))
+
+    def close(self):
+        self._socket.close()
+
+    def open(self, timeout_s=5.0):
+        """Open the flow; return whether it was accepted."""
+        raw = pack(self._source, self._entry, SYN)
+        packet = self._ask(raw, lambda one: one["flags"] & SYN, timeout_s)
+        if packet is None:
+            return False
+        self._start = packet["seq"]
+        return True
+
+    def request(self, data, timeout_s=10.0):
+        """Return whether the answer came, or "reset"."""
+        acknowledged = (self._start + 1) % MODULUS
+        raw = pack(self._source, self._entry, ACK, self._position, acknowledged, data)
+        end = self._position + len(data)
+        packet = self._ask(
+            raw, lambda one: one["data"] == data and one["ack"] == end, timeout_s
+        )
+        if packet is None:
+            return False
+        if packet["flags"] & RST:
+            return "reset"
+        self._position = end
+        return True
+
+    def _ask(self, raw, is_answer, timeout_s):
+        deadline, wait = time.monotonic() + timeout_s, 0.2
+        while time.monotonic() < deadline:
+            balancer = self._pick()
+            if balancer is not None:
+                self._socket.sendto(raw, balancer)
+            packet = self._receive(is_answer, min(wait, deadline - time.monotonic()))
+            if packet is not None:
+                return packet
+            wait = min(2 * wait, 0.4)
+        return None
+
+    def _receive(self, is_answer, wait):
+        end = time.monotonic() + wait
+        while (left := end - time.monotonic()) > 0:
+            self._socket.settimeout(left)
+            try:
+                packet = unpack(self._socket.recv(4_096))
+            except TimeoutError:
+                return None
+            if packet["flags"] & RST or is_answer(packet):
+                return packet
+        return None
--- /dev/null
+++ b/tests/processes/test_plain_processes.py
@@ -0,0 +1,135 @@
+"""The roles of the prepared platform as real processes over stand-ins."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from tests.lib.plain_fleet import PlainFleet
+
+FLOWS = 8
+KILLS = 20
+KILL_EVERY_S = 1.0
+BACK_S = 2.0
+"""How soon an entry is back after the store's return."""
+
+
+@pytest.fixture
+def fleet(tmp_path, block):
+    one = PlainFleet(tmp_path, block)
+    try:
+        one.start()
+        yield one
+    finally:
+        one.close()
+
+
+@pytest.fixture
+def flows(fleet):
+    clients = [fleet.make_client() for _ in range(FLOWS)]
+    assert all(client.open() for client in clients)
+    yield clients
+    for client in clients:
+        client.close()
+
+
+def keep_asking(clients, until, broken):
+    """Send requests on each flow in turn until a time; note those that break."""
+    number = 0
+    while time.monotonic() < until:
+        for index, client in enumerate(clients):
+            number += 1
+            if client.request(b"request %08d" % number) is not True:
+                broken.append(index)
+        time.sleep(0.02)
+
+
+@pytest.mark.parametrize("role", ["balancers", "agents"])
+def test_no_flow_breaks_while_each_program_is_killed_in_turn(fleet, flows, role):
+    names = getattr(fleet, role)
+    broken = []
+    until = time.monotonic() + KILLS * KILL_EVERY_S
+    asking = threading.Thread(target=keep_asking, args=(flows, until, broken))
+    asking.start()
+    for number in range(KILLS):
+        name = names[number % len(names)]
+        fleet.kill(name)
+        fleet.start_one(name)
+        time.sleep(KILL_EVERY_S)
+    asking.join()
+    assert broken == []
+
+
+def test_a_request_runs_once(fleet, flows):
+    for number, client in enumerate(flows):
+        assert client.request(b"once %d" % number) is True
+    runs = [count for one in fleet.backends.values() for count in one.runs.values()]
+    assert len(runs) == FLOWS
+
+
+def test_flows_go_on_while_the_store_is_down(fleet, flows):
+    fleet.store.is_down = True
+    time.sleep(1.5)
+    assert all(client.request(b"down") is True for client in flows)
+    late = fleet.make_client()
+    assert late.open()
+    assert late.request(b"opened while it is down") is True
+    late.close()
+
+
+def test_a_lapsed_entry_is_back_after_the_stores_return(fleet, flows):
+    key = f"papayagw/agents/{fleet.agents[0]}"
+    fleet.store.is_down = True
+    fleet.store.remove(key)
+    time.sleep(1.0)
+    fleet.store.is_down = False
+    deadline = time.monotonic() + BACK_S
+    while key not in fleet.store.list_keys():
+        assert time.monotonic() < deadline, "the entry isn't back"
+        time.sleep(0.02)
+
+
+def test_a_stopping_balancer_turns_unready_and_goes_on_until_it_is_left(fleet, flows):
+    name = fleet.balancers[0]
+    fleet.signal(name, signal.SIGTERM)
+    time.sleep(0.3)
+    assert not fleet.is_ready(name)
+    assert all(client.request(b"stopping") is True for client in flows)
+    while fleet.is_ready(name):
+        time.sleep(0.1)
+    assert fleet.wait_end(name, 6) == 0
+    assert all(client.request(b"stopped") is True for client in flows)
+
+
+@pytest.mark.parametrize("name", ["balancer-1", "agent-1"])
+def test_a_hangup_reads_the_settings_and_ends_nothing(fleet, flows, name):
+    fleet.signal(name, signal.SIGHUP)
+    time.sleep(0.3)
+    assert "settings unchanged" in [one["event"] for one in fleet.log(name)]
+    assert all(client.request(b"after the hangup") is True for client in flows)
+
+
+def test_bytes_from_anywhere_end_nothing(fleet, flows):
+    client = flows[0]
+    for name in (*fleet.balancers, *fleet.agents):
+        ports = fleet.ports
+        for port in (ports.data, ports.inner, ports.outbound):
+            for size in (0, 1, 31, 32, 500, 1_400):
+                client._socket.sendto(b"\xff" * size, (fleet.ip_of(name), port))
+    assert all(client.request(b"after noise") is True for client in flows)
+    events = [one["event"] for name in fleet.agents for one in fleet.log(name)]
+    assert "fault" not in events
+
+
+def test_logs_and_measurements_tell_of_an_opening(fleet, flows):
+    text = "".join(fleet.metrics(name) for name in fleet.balancers)
+    assert 'papayagw_opening_accepted_ms_bucket{le="+Inf"}' in text
+    accepted = [
+        one
+        for name in fleet.balancers
+        for one in fleet.log(name)
+        if one["event"] == "opening accepted"
+    ]
+    assert len(accepted) == FLOWS
+    assert {"time", "node", "flow", "agent", "ms", "offers"} <= set(accepted[0])
