--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -216,19 +216,26 @@
         self._is_closed = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((ip, ports.backend))
-        for work in (self._receive, self._report):
-            threading.Thread(target=work, daemon=True).start()
+        self._socket.settimeout(0.1)
+        self._threads = [
+            threading.Thread(target=work, daemon=True)
+            for work in (self._receive, self._report)
+        ]
+        for thread in self._threads:
+            thread.start()
 
     def close(self):
         self._is_closed = True
+        for thread in self._threads:
+            thread.join()
         self._socket.close()
 
     def _receive(self):
-        while True:
+        while not self._is_closed:
             try:
                 raw, _ = self._socket.recvfrom(4_096)
-            except OSError:
-                return
+            except TimeoutError:
+                continue
             self._take(raw)
 
     def _take(self, raw):
