--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -11,16 +11,13 @@
 from papayagw._internal.core.plain.choice import PlainChooser
 from papayagw._internal.core.plain.flow_cache import FlowCache
 from papayagw._internal.core.plain.openings import Opening, Openings
-from papayagw._internal.core.plain.questions import Question, Questions, Stage
+from papayagw._internal.core.plain.owner_search import OwnerSearch, carry
 from papayagw._internal.core.plain.roster import AgentView, Roster
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
 from papayagw._internal.models.plain.frame import (
-    AskFrame,
-    CarryFrame,
     ClaimFrame,
-    FlowQuestion,
     LoadFrame,
     MissingFrame,
     OpenedFrame,
@@ -39,9 +36,6 @@
 """The shortest time between two scopes sent to one agent."""
 
 
-_CLOSING = (PacketKind.FINISH, PacketKind.ABORT)
-
-
 class PlainBalancer:
     """The decisions of one balancer.
 
@@ -57,6 +51,8 @@
         Called when all known agents deny a flow, so that their list is read again.
     """
 
+    _search_type = OwnerSearch
+
     def __init__(
         self,
         roster: Roster,
@@ -67,11 +63,12 @@
         self._roster = roster
         self._chooser = chooser
         self._on_newer_version = on_newer_version
-        self._on_doubt = on_doubt
         self._site: SiteVersion | None = None
         self._flows = FlowCache()
         self._openings = Openings()
-        self._questions = Questions()
+        self._search = self._search_type(
+            self._list_agents, roster.find, self._flows, on_doubt
+        )
         self._scopes_sent: dict[Endpoint, Millis] = {}
 
     @property
@@ -92,7 +89,7 @@
     @property
     def due_at(self) -> Millis | None:
         """When `on_timer` is to be called next."""
-        due = (self._openings.due_at, self._questions.due_at)
+        due = (self._openings.due_at, self._search.due_at)
         return min((one for one in due if one is not None), default=None)
 
     def apply_site(self, site: SiteVersion) -> bool:
@@ -102,6 +99,10 @@
         self._site = site
         return True
 
+    def on_agents_listed(self, now: Millis) -> list[Action]:
+        """Return what follows from a complete read of the agents' entries."""
+        return self._search.on_agents_listed(now)
+
     def tell_missing(self) -> list[Action]:
         """Tell the agents whose entries the store lacks, so that they restore them."""
         return [
@@ -123,9 +124,9 @@
             return [Note("forged packet dropped", {"flow": show_flow(packet.flow)})]
         cached = self._flows.find(packet.flow)
         if cached is None:
-            return self._ask_owner(packet, route, now, excluded=None)
+            return self._search.ask(packet, now)
         cached.seen_at = now
-        return [_carry(cached.agent, packet)]
+        return [carry(cached.agent, packet)]
 
     def on_frame(
         self, frame: ToBalancer, source: Endpoint, now: Millis
@@ -147,8 +148,7 @@
         overdue = self._openings.take_overdue(now)
         for opening in sorted(overdue, key=self._priority_of):
             actions += self._on_unanswered(opening, now)
-        for question in self._questions.take_due(now):
-            actions += self._go_on(question, now)
+        actions += self._search.on_timer(now)
         if self._site is not None:
             self._flows.sweep(now, self._site.idle_timeout_ms)
         return actions
@@ -286,8 +286,8 @@
         if cached is not None and cached.agent is view:
             self._flows.drop(packet.flow)
         elif cached is not None:
-            return [_carry(cached.agent, packet)]
-        return self._ask_owner(packet, route, now, excluded=view)
+            return [carry(cached.agent, packet)]
+        return self._search.ask(packet, now, excluded=view)
 
     def _on_returned_opening(
         self, frame: ReturnFrame, view: AgentView, route: Route, now: Millis
@@ -314,19 +314,9 @@
     def _(self, frame: ClaimFrame, view: AgentView, now: Millis) -> list[Action]:
         actions: list[Action] = []
         for claim in frame.claims:
-            question = self._questions.find(claim.flow)
             if claim.ownership is Ownership.OWNER:
-                self._flows.put(claim.flow, view, now, is_confirmed=True)
                 self._openings.end(claim.flow)
-                self._questions.end(claim.flow)
-                if question is not None:
-                    actions += [_carry(view, held) for held in question.packets]
-                    fields = {"flow": show_flow(claim.flow), "agent": view.endpoint}
-                    actions.append(Note("owner found", fields))
-            elif question is not None and question.stage is Stage.ASKING:
-                question.take(view.endpoint, claim.ownership)
-                if not question.awaited:
-                    actions += self._go_on(question, now)
+            actions += self._search.hear(claim, view, now)
         return actions
 
     def _compare_versions(
@@ -343,105 +333,17 @@
         self._scopes_sent[view.endpoint] = now
         yield SendFrame(view.endpoint, _make_scope(self._site, view.entry.service))
 
-    # Owners that aren't known
-
-    def _ask_owner(
-        self,
-        packet: FlowPacket,
-        route: Route,
-        now: Millis,
-        *,
-        excluded: AgentView | None,
-    ) -> list[Action]:
-        question = self._questions.find(packet.flow)
-        if question is not None:
-            return self._add_to_question(question, packet, excluded, now)
-        agents = [view for view in self._list_agents(route) if view is not excluded]
-        awaited = {view.endpoint for view in agents}
-        question = self._questions.begin(packet, awaited, now) if agents else None
-        if question is None:
-            return []
-        question.hold(packet)
-        return [_ask(view, packet) for view in agents]
-
-    def _add_to_question(
-        self,
-        question: Question,
-        packet: FlowPacket,
-        excluded: AgentView | None,
-        now: Millis,
-    ) -> list[Action]:
-        if question.stage is Stage.ASKING:
-            question.hold(packet)
-            return []
-        question.last_packet = packet
-        if excluded is None:
-            return self._carry_to_unsure(question, [packet])
-        # It was tried with this agent, and others have had the packet already.
-        question.take(excluded.endpoint, Ownership.STRANGER)
-        return self._conclude(question, now)
-
-    def _go_on(self, question: Question, now: Millis) -> list[Action]:
-        """Hand the packets to the agents that may own the flow, if any."""
-        fields = {
-            "flow": show_flow(question.flow),
-            "unsure": len(question.unsure),
-            "silent": len(question.awaited),
-        }
-        packets = question.try_unsure(now)
-        carried = self._carry_to_unsure(question, packets)
-        return [Note("owner unknown", fields), *carried, *self._conclude(question, now)]
-
-    def _conclude(self, question: Question, now: Millis) -> list[Action]:
-        """End a flow that no agent holds, once there can be no other agent."""
-        if not question.is_denied or question.last_packet.kind in _CLOSING:
-            return []
-        if question.stage is not Stage.CONFIRMING:
-            question.confirm(now)
-            self._on_doubt()
-        return []
-
-    def on_agents_listed(self, now: Millis) -> list[Action]:
-        """Return what follows from a complete read of the agents' entries."""
-        actions: list[Action] = []
-        for question in self._questions.list_confirming():
-            route = self._find_route(question.last_packet)
-            agents = self._list_agents(route) if route is not None else []
-            others = [view for view in agents if view.endpoint not in question.asked]
-            if others:
-                question.ask_others({view.endpoint for view in others}, now)
-                actions += [_ask(view, question.last_packet) for view in others]
-            else:
-                actions += self._end_ownerless(question)
-        return actions
-
-    def _end_ownerless(self, question: Question) -> list[Action]:
-        self._questions.end(question.flow)
-        self._flows.drop(question.flow)
-        reset = ResetClient(question.flow, question.last_packet.acknowledged or 0)
-        fields = {"flow": show_flow(question.flow), "asked": len(question.asked)}
-        return [reset, Note("flow has no owner", fields)]
+    # Routes
 
-    def _list_agents(self, route: Route) -> list[AgentView]:
+    def _list_agents(self, packet: FlowPacket) -> list[AgentView]:
+        """Return the agents that may own the flow of a packet."""
+        route = self._find_route(packet)
         return [
             view
-            for service in route.services
+            for service in (route.services if route is not None else ())
             for view in self._roster.list_service(service.name)
         ]
 
-    def _carry_to_unsure(
-        self, question: Question, packets: list[FlowPacket]
-    ) -> list[Action]:
-        views = [self._roster.find(endpoint) for endpoint in question.unsure]
-        return [
-            _carry(view, packet)
-            for view in views
-            if view is not None
-            for packet in packets
-        ]
-
-    # Routes
-
     def _find_route(self, packet: FlowPacket) -> Route | None:
         if self._site is None:
             return None
@@ -459,15 +361,6 @@
         return [reset, Note("entry not routed", fields)]
 
 
-def _carry(agent: AgentView, packet: FlowPacket) -> SendFrame:
-    return SendFrame(agent.endpoint, CarryFrame(agent.entry.service, packet))
-
-
-def _ask(agent: AgentView, packet: FlowPacket) -> SendFrame:
-    question = FlowQuestion(packet.flow, packet.acknowledged)
-    return SendFrame(agent.endpoint, AskFrame(agent.entry.service, (question,)))
-
-
 def _pick_service(route: Route, packet: FlowPacket) -> str:
     """Return the service for a new flow, the same for all copies of its opening."""
     if len(route.services) == 1:
--- a/src/papayagw/_internal/core/plain/following.py
+++ b/src/papayagw/_internal/core/plain/following.py
@@ -3,7 +3,11 @@
 from collections.abc import Callable
 from random import Random
 
-from papayagw._internal.core.plain.store_calls import Patience, TimedCall
+from papayagw._internal.core.plain.store_calls import (
+    LONGEST_RETRY_MS,
+    Patience,
+    TimedCall,
+)
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
@@ -24,6 +28,9 @@
 WATCH_MARGIN_MS = Millis(1_000)
 """How much later than asked a watch may answer before its connection counts as dead."""
 
+FIRST_READ_RETRY_MS = Millis(300)
+"""Limit of the wait between tries until the first read: nothing is served till then."""
+
 OnSnapshot = Callable[[tuple[StoredItem, ...]], None]
 OnEvents = Callable[[tuple[StoreEvent, ...]], None]
 
@@ -57,7 +64,7 @@
         self._on_snapshot = on_snapshot
         self._on_events = on_events
         self._gap_ms = gap_ms
-        self._patience = Patience(random)
+        self._patience = Patience(random, FIRST_READ_RETRY_MS)
         self._due_at = Millis(0)
         self._revision: int | None = None
         self._pages: list[StoredItem] = []
@@ -87,6 +94,7 @@
         match answer:
             case RangeRead():
                 self._patience.succeed()
+                self._patience.limit(LONGEST_RETRY_MS)
                 self._take_page(answer)
                 self._due_at = now
             case Watched(events, revision):
--- a/src/papayagw/_internal/core/plain/store_calls.py
+++ b/src/papayagw/_internal/core/plain/store_calls.py
@@ -57,10 +57,13 @@
     ----------
     random : Random
         The source of the jitter, so that nodes don't return to the store at once.
+    longest_retry_ms : Millis
+        The longest wait between tries.
     """
 
-    def __init__(self, random: Random):
-        self._backoff = Backoff(random, FIRST_RETRY_MS, LONGEST_RETRY_MS)
+    def __init__(self, random: Random, longest_retry_ms: Millis = LONGEST_RETRY_MS):
+        self._random = random
+        self._backoff = Backoff(random, FIRST_RETRY_MS, longest_retry_ms)
         self._timeout_ms = FIRST_TIMEOUT_MS
         self._failures = 0
 
@@ -74,6 +77,10 @@
         """How many calls failed since the last one that didn't."""
         return self._failures
 
+    def limit(self, longest_retry_ms: Millis) -> None:
+        """Set the longest wait between tries from now on."""
+        self._backoff = Backoff(self._random, FIRST_RETRY_MS, longest_retry_ms)
+
     def succeed(self) -> None:
         """Note a usable answer."""
         self._backoff.succeed()
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -4,6 +4,7 @@
 
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.balancer import PlainBalancer
+from papayagw._internal.core.plain.owner_search import OwnerSearch
 from tests.lib.plain_scenario import PlainScenario
 from tests.lib.plain_world import Mechanisms
 
@@ -154,20 +155,32 @@
     assert scenario.world.violations == []
 
 
-class NeverAsks(PlainBalancer):
+class SilentSearch(OwnerSearch):
     """Drops the packets of flows that it doesn't know."""
 
-    def _ask_owner(self, packet, route, now, *, excluded):
+    def ask(self, packet, now, excluded=None):
         return []
 
 
-class ResetsUnknown(PlainBalancer):
+class HastySearch(OwnerSearch):
     """Resets a flow that no agent claims, without a look at the store."""
 
     def _conclude(self, question, now):
         return self._end_ownerless(question)
 
 
+class NeverAsks(PlainBalancer):
+    """Asks no agent for the owner of a flow."""
+
+    _search_type = SilentSearch
+
+
+class ResetsUnknown(PlainBalancer):
+    """Takes an unknown owner for none."""
+
+    _search_type = HastySearch
+
+
 class NeverOffersAgain(PlainBalancer):
     """Leaves an unanswered opening to its client's copies."""
 
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -9,7 +9,11 @@
     RENEW_MS,
     EntryKeeper,
 )
-from papayagw._internal.core.plain.following import WATCH_MS, Follower
+from papayagw._internal.core.plain.following import (
+    FIRST_READ_RETRY_MS,
+    WATCH_MS,
+    Follower,
+)
 from papayagw._internal.core.plain.store_calls import (
     FIRST_TIMEOUT_MS,
     LONGEST_RETRY_MS,
@@ -123,6 +127,21 @@
     assert keeper.next_call() is None
 
 
+@pytest.mark.parametrize(
+    ("before", "limit_ms"),
+    [([], FIRST_READ_RETRY_MS), ([RangeRead((), False, 5)], LONGEST_RETRY_MS)],
+)
+def test_the_first_read_is_tried_sooner_than_later_ones(before, limit_ms):
+    follower = Follower("p/", lambda _: None, lambda _: None, Random(1), GAP_MS)
+    play(follower, before)
+    longest, now = 0, 0
+    for _ in range(60):
+        follower.on_answer(follower.next_call().call, REFUSED, now)
+        longest = max(longest, follower.due_at - now)
+        now = follower.due_at
+    assert limit_ms / 2 < longest <= limit_ms
+
+
 A, B, C = (StoredItem(name, b"v", 3, 0) for name in ("p/a", "p/b", "p/c"))
 GAP_MS = 300
 READ = ReadRange("p/")
