A closed log pipe doesn't end a process

Cause: a write to a pipe without a reader raised out of the log, also from the place that logs escaped exceptions, and would have ended the loop. Found by reading; the test was red before.

--- a/src/papayagw/_internal/observe/json_lines.py
+++ b/src/papayagw/_internal/observe/json_lines.py
@@ -7,7 +7,6 @@
 import json
 import os
 import time
-from contextlib import suppress
 from enum import Enum
 from typing import Any
 
@@ -78,10 +77,17 @@
         self._flush()
 
     def _flush(self) -> None:
-        with suppress(BlockingIOError):
+        try:
             while self._unsent:
                 written = os.write(self._descriptor, self._unsent)
                 self._unsent = self._unsent[written:]
+        except BlockingIOError:
+            # The reader is slow; the next line tries again.
+            return
+        except OSError:
+            # Nobody reads any more. A process that carries flows goes on without.
+            self._dropped += self._unsent.count(b"\n")
+            self._unsent = b""
 
 
 def _format_time() -> str:
