Remove state that nothing reads, and one of two ways to an entry

Found by the last read: is_in_touch of Follower and EntryKeeper, and Patience.failures, had no reader since cut watches are read anew; FlowPacket.entry stood beside entry_of. Behaviour is the same.

--- a/src/papayagw/_internal/core/plain/entry_keeper.py
+++ b/src/papayagw/_internal/core/plain/entry_keeper.py
@@ -59,11 +59,6 @@
         """When the next call is due."""
         return self._due_at
 
-    @property
-    def is_in_touch(self) -> bool:
-        """Whether the store answered last and holds the entry."""
-        return self._is_stored and not self._patience.failures
-
     @property
     def is_ended(self) -> bool:
         """Whether nothing is left in the store."""
--- a/src/papayagw/_internal/core/plain/following.py
+++ b/src/papayagw/_internal/core/plain/following.py
@@ -75,11 +75,6 @@
         """When the next call is due."""
         return self._due_at
 
-    @property
-    def is_in_touch(self) -> bool:
-        """Whether the store answered last, and the keys were read since the start."""
-        return self._revision is not None and not self._patience.failures
-
     def next_call(self) -> TimedCall:
         """Return the call to make now."""
         timeout_ms = self._patience.timeout_ms
--- a/src/papayagw/_internal/core/plain/store_calls.py
+++ b/src/papayagw/_internal/core/plain/store_calls.py
@@ -72,11 +72,6 @@
         """How long to wait for the next answer."""
         return self._timeout_ms
 
-    @property
-    def failures(self) -> int:
-        """How many calls failed since the last one that didn't."""
-        return self._failures
-
     def limit(self, longest_retry_ms: Millis) -> None:
         """Set the longest wait between tries from now on."""
         self._backoff = Backoff(self._random, FIRST_RETRY_MS, longest_retry_ms)
--- a/src/papayagw/_internal/models/plain/packet.py
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -64,7 +64,7 @@
     @property
     def entry(self) -> EntryKey:
         """The address and port that the client sent to."""
-        return EntryKey(self.flow[-ENTRY_KEY_BYTES:])
+        return entry_of(self.flow)
 
 
 def entry_of(flow: FlowKey) -> EntryKey:
