An entry is restored once for all balancers that miss it, and not after a renewal

Cause: found by reading. Each balancer that misses an entry asks for it, within a second of the others, so that an agent stored it once for each; and an entry found missing while a renewal was under way was stored only when the next renewal was due, up to 2 s later, which is all the time that there is for it to be back.

Change: one restoration a second; a renewal's answer doesn't put off a write.

--- a/src/papayagw/_internal/core/plain/entry_keeper.py
+++ b/src/papayagw/_internal/core/plain/entry_keeper.py
@@ -29,6 +29,12 @@
 seconds of the store's return.
 """
 
+RESTORE_GAP_MS = Millis(1_000)
+"""The shortest time between two restorations that balancers ask for.
+
+All of them follow the store and miss an entry within a second of each other.
+"""
+
 
 class EntryKeeper:
     """Keeps one key in the store for as long as its owner lives.
@@ -52,6 +58,7 @@
         self._has_looked = False
         self._lease: int | None = None
         self._is_stored = False
+        self._restored_at: Millis | None = None
         self._is_ending = False
 
     @property
@@ -85,7 +92,7 @@
                         self._lease, self._is_stored = item.lease or None, True
             case Leased(lease):
                 self._lease = lease
-                if isinstance(call, RenewLease):
+                if isinstance(call, RenewLease) and self._is_stored:
                     self._due_at = Millis(now + self._jitter(RENEW_MS))
             case Written():
                 self._is_stored = True
@@ -95,8 +102,11 @@
 
     def restore(self, now: Millis) -> None:
         """Store the entry again, since it is missing."""
-        if self._has_looked:
+        restored_at = self._restored_at
+        is_under_way = restored_at is not None and now - restored_at < RESTORE_GAP_MS
+        if self._has_looked and not is_under_way:
             self._is_stored = False
+            self._restored_at = now
             self._due_at = min(self._due_at, now)
 
     def end(self, now: Millis) -> None:
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -7,6 +7,7 @@
 from papayagw._internal.core.plain.entry_keeper import (
     LEASE_MS,
     RENEW_MS,
+    RESTORE_GAP_MS,
     EntryKeeper,
 )
 from papayagw._internal.core.plain.following import (
@@ -116,6 +117,38 @@
     assert keeper.due_at <= 50
 
 
+@pytest.mark.parametrize(
+    ("restores", "puts"),
+    [
+        ([50], 1),
+        # Balancers notice at about the same time.
+        ([50, 60, 700], 1),
+        ([50, 50 + RESTORE_GAP_MS], 2),
+    ],
+)
+def test_an_entry_is_restored_once_for_all_who_miss_it(restores, puts):
+    keeper = EntryKeeper(KEY, VALUE, Random(1))
+    play(keeper, [NOTHING, LEASED, Written(8)])
+    calls = []
+    for now in restores:
+        keeper.restore(now)
+        if keeper.due_at <= now:
+            calls.append(keeper.next_call().call)
+            keeper.on_answer(calls[-1], Written(9), now)
+    assert calls == [PUT] * puts
+
+
+def test_an_entry_found_missing_during_a_renewal_is_stored_at_once():
+    keeper = EntryKeeper(KEY, VALUE, Random(1))
+    play(keeper, [NOTHING, LEASED, Written(8)])
+    now = keeper.due_at
+    renewal = keeper.next_call().call
+    keeper.restore(now + 1)
+    keeper.on_answer(renewal, LEASED, now + 2)
+    assert keeper.due_at <= now + 2
+    assert keeper.next_call().call == PUT
+
+
 def test_end_removes_the_entry_once():
     keeper = EntryKeeper(KEY, VALUE, Random(1))
     play(keeper, [NOTHING, LEASED, Written(8)])
