Openings follow room, agents take them before the first report and know young runs

Denied flows also waited up to 0.5 s for a read of the store, or for another flow's doubt.

Change: an agent that turned balancers away tells as many as it has room for, and a balancer offers that agent its newest opening; an opening is as old as its copy says; an agent that starts takes openings until one goes unanswered or two report intervals have passed; it is sure of a run that reports within its first interval (the interval comes with the settings); reads for doubts are 0.2 s apart and are never skipped. core/plain/intake.py holds what speaks for an opening.

Ruled out: the time to start (0.3 s of 1.7 s).

The process test found that a stand-in reporting each 0.2 s isn't the assumed 1.2 s: the interval is a setting now.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -4,9 +4,11 @@
 an opening goes there, since only it sees the server's reports without delay.
 """
 
-from papayagw._internal.core.plain.admission import request_limit
-from papayagw._internal.core.plain.backend_state import BackendState
-from papayagw._internal.core.plain.load_meter import LoadMeter
+from papayagw._internal.core.plain.backend_state import (
+    REPORT_INTERVAL_MS,
+    BackendState,
+)
+from papayagw._internal.core.plain.intake import Intake
 from papayagw._internal.core.plain.owned_flows import OwnedFlow, OwnedFlows
 from papayagw._internal.core.plain.peers import BalancerPeers
 from papayagw._internal.models.clock import Millis
@@ -37,7 +39,6 @@
     ToAgent,
 )
 from papayagw._internal.models.plain.instance import (
-    Availability,
     Departure,
     LoadWord,
     StatusReport,
@@ -55,12 +56,6 @@
 Both are on one machine, and the server's part takes under a millisecond.
 """
 
-FIRST_SILENCE_MS = Millis(300)
-"""How long a silent backend server gets no other opening; doubles each time."""
-
-LONGEST_SILENCE_MS = Millis(2_400)
-"""Limit of the doubling of `FIRST_SILENCE_MS`: two intervals between reports."""
-
 COLD_FACTOR = 1.5
 """By how much a backend server's time for a request is raised while it is cold."""
 
@@ -70,11 +65,9 @@
 Many times what a backend server needs for the requests that it is given.
 """
 
-MOST_EARLY_REPORTS = 8
-"""The most reports of a run that began in the agent's own time.
-
-Reports come 1.2 s apart, and a few more often while no agent answers. Guards against
-a time of day that was set back, by which an old run looks young.
+MOST_EARLY_REPORTS = 16
+"""The most reports of a run that is as young as it seems; while no agent answers they
+come every 70 ms. Guards against a time of day that was set back.
 """
 
 RUN_START_SLACK_MS = Millis(20)
@@ -97,28 +90,32 @@
         The age after which a flow may be forgotten.
     now : Millis
         When the agent started.
+    report_interval_ms : Millis
+        Time between acknowledged reports of the backend server.
     """
 
-    def __init__(self, service: str, flow_limit_ms: Millis, now: Millis):
+    def __init__(
+        self,
+        service: str,
+        flow_limit_ms: Millis,
+        now: Millis,
+        report_interval_ms: Millis = REPORT_INTERVAL_MS,
+    ):
         self._service = service
         self._flow_limit_ms = flow_limit_ms
         self._started_at = now
         self._unsure_till: Millis = Millis(now + flow_limit_ms)
-        self._backend = BackendState(service)
+        self._intake = Intake(BackendState(service, report_interval_ms), now)
         self._flows = OwnedFlows()
-        self._meter = LoadMeter()
         self._peers = BalancerPeers()
         self._scope: ScopeFrame | None = None
         self._offered: dict[FlowKey, OwnedFlow] = {}
-        self._silent_till = Millis(0)
-        self._silences = 0
-        self._is_leaving = False
         self._swept_at = now
 
     @property
     def is_ready(self) -> bool:
         """Whether the backend server has reported since the agent's start."""
-        return self._backend.is_known
+        return self._intake.backend.is_known
 
     @property
     def flow_count(self) -> int:
@@ -137,15 +134,16 @@
 
     def load_word(self, now: Millis) -> LoadWord:
         """Return what balancers are told."""
-        service_us = self._meter.service_us(now)
-        if self._backend.is_cold(now):
+        meter = self._intake.meter
+        service_us = meter.service_us(now)
+        if self._intake.backend.is_cold(now):
             service_us = round(service_us * COLD_FACTOR)
         return LoadWord(
-            availability=self._availability(now),
-            slots=self._meter.slots,
-            busy=self._meter.busy + len(self._offered),
+            availability=self._intake.availability(now),
+            slots=meter.slots,
+            busy=meter.busy + len(self._offered),
             flows=len(self._flows),
-            utilization=self._meter.utilization(now),
+            utilization=meter.utilization(now),
             service_us=service_us,
             site_version=self._scope.site_version if self._scope is not None else 0,
         )
@@ -184,7 +182,7 @@
             self._forget(packet.flow, owned, now)
             owned = None
         if owned is None or owned.accepted_at is None:
-            reason = self._find_objection(frame, now)
+            reason = self._find_objection(frame, source, now)
             if reason is not None:
                 return self._return(packet, reason, source, now)
         if owned is None:
@@ -231,7 +229,9 @@
         }
         return [Note("scope in force", fields)]
 
-    def _find_objection(self, frame: OpenFrame, now: Millis) -> ReturnReason | None:
+    def _find_objection(
+        self, frame: OpenFrame, source: Endpoint, now: Millis
+    ) -> ReturnReason | None:
         """Return why an opening isn't given to the backend server, or None."""
         scope = self._scope
         if (
@@ -240,29 +240,7 @@
             and frame.packet.entry not in scope.entries
         ):
             return ReturnReason.OLD_VERSION
-        availability = self._availability(now)
-        if availability is Availability.READY:
-            busy = self._meter.busy + len(self._offered)
-            is_full = busy >= request_limit(self._meter.slots)
-            return ReturnReason.BUSY if is_full else None
-        if now < self._silent_till:
-            return ReturnReason.SILENT
-        if availability is Availability.UNREADY:
-            return ReturnReason.NOT_READY
-        return ReturnReason.DRAINING
-
-    def _availability(self, now: Millis) -> Availability:
-        if self._is_leaving:
-            return Availability.LEAVING
-        if not self._backend.is_known:
-            return Availability.UNREADY
-        if self._backend.is_draining:
-            return Availability.DRAINING
-        if now < self._silent_till:
-            return Availability.UNREADY
-        if self._silences and self._backend.is_overdue(now):
-            return Availability.UNREADY
-        return Availability.READY
+        return self._intake.find_objection(source, len(self._offered), now)
 
     def _find_ownership(self, question: FlowQuestion, now: Millis) -> Ownership:
         owned = self._flows.find(question.flow)
@@ -303,13 +281,20 @@
 
     def on_backend_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
         """Return what to do with a packet that the backend server sent."""
-        self._silences = 0
-        self._silent_till = Millis(0)
+        self._intake.note_life()
+        return [*self._take_packet(packet, now), *self._invite(now)]
+
+    def _take_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
         if packet.bounced:
             return self._on_bounced(packet, now)
         owned = self._flows.find(packet.flow)
         if packet.kind is PacketKind.ACCEPT:
             return self._on_accept(packet, owned, now)
+        return self._on_answer(packet, owned, now)
+
+    def _on_answer(
+        self, packet: FlowPacket, owned: OwnedFlow | None, now: Millis
+    ) -> list[Action]:
         actions: list[Action] = [SendToClient(packet)]
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
@@ -384,17 +369,15 @@
             The present time.
         """
         actions: list[Action] = []
-        if self._backend.is_new_run(report):
+        backend = self._intake.backend
+        if backend.is_new_run(report):
             actions = self._end_earlier_run(age_ms, now)
-        before = self._backend.report
-        if not self._backend.take(report, now):
+        before = backend.report
+        if not self._intake.take(report, now):
             fields = {"instance": report.instance, "number": report.number}
             return [*actions, Note("report not used", fields)]
         if self._saw_whole_run(report, age_ms, now):
             self._unsure_till = now
-        self._meter.slots = report.slots
-        self._silences = 0
-        self._silent_till = Millis(0)
         if before is None or before.state is not report.state or actions:
             fields = {
                 "instance": report.instance,
@@ -408,21 +391,20 @@
 
     def _saw_whole_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> bool:
         """Whether all flows of the run have passed this agent."""
-        return (
-            0 <= age_ms <= now - self._started_at
-            and report.number <= MOST_EARLY_REPORTS
-        )
+        own_age_ms = now - self._started_at
+        youngest = max(own_age_ms, self._intake.backend.first_report_ms)
+        return 0 <= age_ms <= youngest and report.number <= MOST_EARLY_REPORTS
 
     def on_departure(self, departure: Departure, now: Millis) -> list[Action]:
         """Return what to do about the end of the backend server."""
-        if not self._backend.leave(departure):
+        if not self._intake.backend.leave(departure):
             return []
         note = Note("backend left", {"instance": departure.instance})
         return [note, *self._tell_all(now)]
 
     def leave(self, now: Millis) -> list[Action]:
         """Return what to do as the agent stops."""
-        self._is_leaving = True
+        self._intake.leave()
         return self._tell_all(now)
 
     def _end_earlier_run(self, age_ms: Millis, now: Millis) -> list[Action]:
@@ -460,16 +442,13 @@
             actions += [SendFrame(peer, word) for peer in self._peers.list_recent(now)]
         if now - self._swept_at >= SWEEP_INTERVAL_MS:
             self._sweep(now)
-        return actions
+        return [*actions, *self._invite(now)]
 
     def _on_silence(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> list[Action]:
         """Hand an opening on that the backend server left unanswered."""
         packet, origin = owned.held, owned.origin
         self._forget(flow, owned, now)
-        wait = min(FIRST_SILENCE_MS << self._silences, LONGEST_SILENCE_MS)
-        if now >= self._silent_till:
-            self._silences = min(self._silences + 1, 8)
-            self._silent_till = Millis(now + wait)
+        wait = self._intake.note_silence(now)
         if packet is None or origin is None:
             return []
         note = Note("backend silent", {"flow": show_flow(flow), "wait_ms": wait})
@@ -487,6 +466,14 @@
         word = LoadFrame(self.load_word(now))
         return [SendFrame(peer, word) for peer in self._peers.list_known()]
 
+    def _invite(self, now: Millis) -> list[Action]:
+        """Tell balancers that were turned away of room for an opening."""
+        invited = self._intake.take_invited(len(self._offered), now)
+        if not invited:
+            return []
+        word = LoadFrame(self.load_word(now))
+        return [SendFrame(peer, word) for peer in invited]
+
     # Requests
 
     def _note_client(self, owned: OwnedFlow, packet: FlowPacket, now: Millis) -> None:
@@ -494,7 +481,7 @@
         is_new = owned.advance(packet)
         if is_new and owned.busy_since is None:
             owned.busy_since = now
-            self._meter.begin(now)
+            self._intake.meter.begin(now)
             self._peers.note_change(now)
         if packet.kind is PacketKind.ABORT:
             self._end_request(owned, now, answered=False)
@@ -504,7 +491,7 @@
         if owned.busy_since is None:
             return
         owned.busy_since = None
-        self._meter.end(now, answered=answered)
+        self._intake.meter.end(now, answered=answered)
         self._peers.note_change(now)
 
     def _forget(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> None:
--- a/src/papayagw/_internal/core/plain/backend_state.py
+++ b/src/papayagw/_internal/core/plain/backend_state.py
@@ -7,11 +7,8 @@
     StatusReport,
 )
 
-REPORT_PATIENCE_MS = Millis(2_600)
-"""Without a report for so long, silence on packets means that the server is gone.
-
-Two of the platform's intervals between reports, 1.2 s, and a little more.
-"""
+REPORT_INTERVAL_MS = Millis(1_200)
+"""Time between acknowledged reports where settings don't say otherwise."""
 
 
 class BackendState:
@@ -21,10 +18,13 @@
     ----------
     service : str
         The service that the agent is there for; a report for another is not used.
+    report_interval_ms : Millis
+        Time between acknowledged reports.
     """
 
-    def __init__(self, service: str):
+    def __init__(self, service: str, report_interval_ms: Millis = REPORT_INTERVAL_MS):
         self._service = service
+        self._report_interval_ms = report_interval_ms
         self._report: StatusReport | None = None
         self._reported_at = Millis(0)
         self._cold_till = Millis(0)
@@ -46,13 +46,30 @@
         report = self._report
         return report is not None and report.state is ReportedState.DRAINING
 
+    @property
+    def patience_ms(self) -> Millis:
+        """Without a report for so long, silence on packets means that it is gone.
+
+        Two intervals and a little more.
+        """
+        return Millis(self._report_interval_ms * 13 // 6)
+
+    @property
+    def first_report_ms(self) -> Millis:
+        """The age of a run up to which no report of it was acknowledged before.
+
+        A backend server reports as it starts and, once that is acknowledged, an
+        interval later; a sixth of it is left for jitter.
+        """
+        return Millis(self._report_interval_ms * 5 // 6)
+
     def is_cold(self, now: Millis) -> bool:
         """Whether the backend server is slow after its start."""
         return now < self._cold_till
 
     def is_overdue(self, now: Millis) -> bool:
         """Whether reports have stayed away."""
-        return now - self._reported_at > REPORT_PATIENCE_MS
+        return now - self._reported_at > self.patience_ms
 
     def take(self, report: StatusReport, now: Millis) -> bool:
         """Take in a report; return False for one that is late or not usable."""
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -139,6 +139,7 @@
         return [
             *self._compare_versions(view, frame.load, now),
             *self._take_frame(frame, view, now),
+            *self._offer_waiting(view, now),
         ]
 
     def on_timer(self, now: Millis) -> list[Action]:
@@ -170,15 +171,34 @@
         service = _pick_service(route, packet)
         agent = self._choose(service, opening, now)
         if agent is None or opening.is_exhausted:
-            if not opening.is_declined and self._openings.wait(opening, now):
+            if not opening.is_declined and self._openings.wait(opening, service, now):
                 return []
             return self._refuse(opening, service)
+        return self._offer_to(agent, opening, route, now)
+
+    def _offer_to(
+        self, agent: AgentView, opening: Opening, route: Route, now: Millis
+    ) -> list[Action]:
+        packet = opening.packet
         self._openings.offer(opening, agent, now)
         agent.pending += 1
         self._flows.put(packet.flow, agent, now, is_confirmed=False)
         note = Note("opening offered", self._describe_offer(opening, agent, route))
         return [self._make_offer(agent, packet), note]
 
+    def _offer_waiting(self, agent: AgentView, now: Millis) -> list[Action]:
+        """Offer openings that wait to an agent that has room for them."""
+        waiting = self._openings.list_waiting(agent.entry.service)
+        if not waiting or agent.room <= 0 or not agent.takes_openings(now):
+            return []
+        waiting.sort(key=self._priority_of)
+        actions: list[Action] = []
+        for opening in waiting[: agent.room]:
+            route = self._find_route(opening.packet)
+            if route is not None:
+                actions += self._offer_to(agent, opening, route, now)
+        return actions
+
     def _choose(self, service: str, opening: Opening, now: Millis) -> AgentView | None:
         untried = [
             view
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -0,0 +1,147 @@
+"""Whether the backend server beside an agent is given another opening."""
+
+from papayagw._internal.core.plain.admission import request_limit
+from papayagw._internal.core.plain.backend_state import BackendState
+from papayagw._internal.core.plain.load_meter import LoadMeter
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.frame import ReturnReason
+from papayagw._internal.models.plain.instance import Availability, StatusReport
+
+FIRST_SILENCE_MS = Millis(300)
+"""How long a silent backend server gets no other opening; doubles each time."""
+
+LONGEST_SILENCE_MS = Millis(2_400)
+"""Limit of the doubling of `FIRST_SILENCE_MS`: two intervals between reports."""
+
+MOST_SILENCES = 8
+"""How often silence is counted: enough for `LONGEST_SILENCE_MS`."""
+
+INVITATION_MS = Millis(15)
+"""How long room is kept in mind for a balancer that was told of it.
+
+Two crossings between zones and a turn of the balancer's loop.
+"""
+
+MOST_TURNED_AWAY = 4_096
+"""The most balancers that are remembered as waiting for room."""
+
+
+class Intake:
+    """What speaks for and against another opening.
+
+    Parameters
+    ----------
+    backend : BackendState
+        What the backend server says of itself.
+    now : Millis
+        When the agent started.
+    """
+
+    def __init__(self, backend: BackendState, now: Millis):
+        self._started_at = now
+        self.backend = backend
+        self.meter = LoadMeter()
+        self._silent_till = Millis(0)
+        self._silences = 0
+        self._is_leaving = False
+        self._turned_away: dict[Endpoint, None] = {}
+        self._invited: dict[Endpoint, Millis] = {}
+
+    def availability(self, now: Millis) -> Availability:
+        """Return whether openings are taken, room aside."""
+        if self._is_leaving:
+            return Availability.LEAVING
+        if not self.backend.is_known and not self._is_expected(now):
+            return Availability.UNREADY
+        if self.backend.is_draining:
+            return Availability.DRAINING
+        if now < self._silent_till:
+            return Availability.UNREADY
+        if self._silences and self.backend.is_overdue(now):
+            return Availability.UNREADY
+        return Availability.READY
+
+    def find_objection(
+        self, source: Endpoint, offered: int, now: Millis
+    ) -> ReturnReason | None:
+        """Return why an opening is turned away, or None.
+
+        Parameters
+        ----------
+        source : Endpoint
+            The balancer that hands it over.
+        offered : int
+            Openings that the backend server hasn't answered yet.
+        now : Millis
+            The present time.
+        """
+        self._invited.pop(source, None)
+        availability = self.availability(now)
+        if availability is Availability.READY:
+            if self._room(offered) > 0:
+                return None
+            if len(self._turned_away) < MOST_TURNED_AWAY:
+                self._turned_away[source] = None
+            return ReturnReason.BUSY
+        if now < self._silent_till:
+            return ReturnReason.SILENT
+        if availability is Availability.UNREADY:
+            return ReturnReason.NOT_READY
+        return ReturnReason.DRAINING
+
+    def take_invited(self, offered: int, now: Millis) -> list[Endpoint]:
+        """Return the balancers to tell of room, one for each opening that fits.
+
+        Those that were turned away first are told first.
+        """
+        if not self._turned_away or self._room(offered) <= 0:
+            return []
+        if self.availability(now) is not Availability.READY:
+            return []
+        late = [peer for peer, till in self._invited.items() if till <= now]
+        for peer in late:
+            del self._invited[peer]
+        room = self._room(offered) - len(self._invited)
+        invited = list(self._turned_away)[: max(room, 0)]
+        for peer in invited:
+            del self._turned_away[peer]
+            self._invited[peer] = Millis(now + INVITATION_MS)
+        return invited
+
+    def take(self, report: StatusReport, now: Millis) -> bool:
+        """Take in a report; return False for one that is late or not usable."""
+        if not self.backend.take(report, now):
+            return False
+        self.meter.slots = report.slots
+        self.note_life()
+        return True
+
+    def note_life(self) -> None:
+        """Note that the backend server spoke."""
+        self._silences = 0
+        self._silent_till = Millis(0)
+
+    def note_silence(self, now: Millis) -> Millis:
+        """Note an unanswered opening; return how long there is no other."""
+        wait = Millis(min(FIRST_SILENCE_MS << self._silences, LONGEST_SILENCE_MS))
+        if now >= self._silent_till:
+            self._silences = min(self._silences + 1, MOST_SILENCES)
+            self._silent_till = Millis(now + wait)
+        return wait
+
+    def leave(self) -> None:
+        """Note that the agent stops."""
+        self._is_leaving = True
+
+    def _is_expected(self, now: Millis) -> bool:
+        """Whether the backend server may live although the agent hasn't heard it yet.
+
+        Most agents that start were killed beside a backend server that goes on, and
+        the next report may be an interval away. One opening without an answer ends it.
+        """
+        is_new = now - self._started_at < self.backend.patience_ms
+        return is_new and self.backend.report is None and not self._silences
+
+    def _room(self, offered: int) -> int:
+        return request_limit(self.meter.slots) - self.meter.busy - offered
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -22,6 +22,12 @@
 WAIT_LIMIT_MS = Millis(1_300)
 """How long an opening is offered: a client gives its attempt up after 1.4 s."""
 
+COPY_AGES_MS = (Millis(0), Millis(200), Millis(600))
+"""How old an opening is of which the client sends the first packet, or a copy.
+
+Source: the platform's protocol.
+"""
+
 MAX_OFFERS = 5
 """The most agents that are offered one opening."""
 
@@ -37,7 +43,7 @@
     packet : FlowPacket
         The client's packet.
     started_at : Millis
-        When it came.
+        When the client sent it first.
     """
 
     __slots__ = ("agent", "is_declined", "packet", "started_at", "tried")
@@ -62,6 +68,7 @@
     def __init__(self) -> None:
         self._openings: dict[FlowKey, Opening] = {}
         self._deadlines: DeadlineQueue[FlowKey] = DeadlineQueue()
+        self._waiting: dict[str, dict[FlowKey, Opening]] = {}
 
     def __len__(self) -> int:
         return len(self._openings)
@@ -82,18 +89,22 @@
             if len(self._openings) >= MAX_OPENINGS:
                 # The oldest one is the first in order of insertion.
                 self.end(next(iter(self._openings)))
-            opening = self._openings[packet.flow] = Opening(packet, now)
+            age = COPY_AGES_MS[min(packet.copy, len(COPY_AGES_MS) - 1)]
+            opening = Opening(packet, Millis(now - age))
+            self._openings[packet.flow] = opening
         opening.packet = packet
         return opening
 
     def offer(self, opening: Opening, agent: AgentView, now: Millis) -> None:
         """Note an offer."""
+        self._stop_waiting(opening.packet.flow)
         opening.agent = agent
         opening.tried.add(agent.endpoint)
         self._deadlines.set(opening.packet.flow, Millis(now + ANSWER_PATIENCE_MS))
 
-    def wait(self, opening: Opening, now: Millis) -> bool:
+    def wait(self, opening: Opening, service: str, now: Millis) -> bool:
         """Offer to all agents again after a while; return False if it is too late."""
+        self._waiting.setdefault(service, {})[opening.packet.flow] = opening
         opening.agent = None
         opening.tried.clear()
         age = now - opening.started_at
@@ -102,8 +113,14 @@
         self._deadlines.set(opening.packet.flow, Millis(now + wait))
         return age + wait <= WAIT_LIMIT_MS
 
+    def list_waiting(self, service: str) -> list[Opening]:
+        """Return the openings that no agent of a service had room for, newest first."""
+        waiting = reversed(self._waiting.get(service, {}).values())
+        return sorted(waiting, key=lambda one: one.started_at, reverse=True)
+
     def end(self, flow: FlowKey) -> Opening | None:
         """Drop an opening and return it, or None if it wasn't known."""
+        self._stop_waiting(flow)
         self._deadlines.set(flow, None)
         return self._openings.pop(flow, None)
 
@@ -115,3 +132,7 @@
         overdue = [self._openings[flow] for flow in self._deadlines.pop_due(now)]
         overdue.reverse()
         return sorted(overdue, key=lambda one: one.started_at, reverse=True)
+
+    def _stop_waiting(self, flow: FlowKey) -> None:
+        for openings in self._waiting.values():
+            openings.pop(flow, None)
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -105,11 +105,18 @@
         """Whether only a suspicion speaks against an offer."""
         return self._is_willing(now) and now < self.suspect_till
 
-    def _is_busy(self, now: Millis) -> bool:
+    @property
+    def room(self) -> int:
+        """How many openings it has room for, by its last word."""
         load = self.load
-        if load is None or now - self.heard_at > FRESH_MS:
+        if load is None:
+            return 0
+        return request_limit(load.slots) - load.busy - self.pending
+
+    def _is_busy(self, now: Millis) -> bool:
+        if self.load is None or now - self.heard_at > FRESH_MS:
             return False
-        return load.busy + self.pending >= request_limit(load.slots)
+        return self.room <= 0
 
     def _is_willing(self, now: Millis) -> bool:
         if self.is_gone(now):
--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -70,9 +70,12 @@
         Where the backend server hands its packets over, over UDP.
     reports : Endpoint
         Where the backend server reports, over HTTP.
+    report_interval_ms : Millis
+        Time between its reports.
     """
 
     service: str
     backend: Endpoint
     outbound: Endpoint
     reports: Endpoint
+    report_interval_ms: Millis
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -55,7 +55,10 @@
         self._settings = settings
         self._platform = platform
         self._core = PlainAgent(
-            settings.service, settings.flow_limit_ms, kit.loop.now()
+            settings.service,
+            settings.flow_limit_ms,
+            kit.loop.now(),
+            settings.report_interval_ms,
         )
         self._outbound = BatchSocket(settings.outbound)
         entry = AgentEntry(settings.inner, settings.service, settings.zone)
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -31,7 +31,13 @@
 """Time in which changes of agents gather; openings tell more, and sooner."""
 
 REFRESH_INTERVAL_MS = Millis(500)
-"""The shortest time between two reads of the store that agents' words cause."""
+"""The shortest time between two reads of the configuration that agents' words cause."""
+
+DOUBT_INTERVAL_MS = Millis(200)
+"""The shortest time between two reads of the agents that flows without an owner cause.
+
+Their clients wait for it; after a loss of power most flows are such.
+"""
 
 QUIET_MS = Millis(400)
 """Without a packet for so long, the routers have left a balancer that stops."""
@@ -88,6 +94,7 @@
         self._site_driver = self._make_driver(self._site)
         self._agents_driver = self._make_driver(self._agents)
         self._alarm = Alarm(self._kit.loop, self._on_timer)
+        self._doubt_alarm = Alarm(self._kit.loop, self._refresh_agents)
         self._was_ready = False
         self._is_stopping = False
         self._refused_probes = 0
@@ -163,13 +170,13 @@
             self._refresh(self._site, self._site_driver)
 
     def _on_doubt(self) -> None:
-        now = self._kit.loop.now()
-        if now - self._agents_refreshed_at >= REFRESH_INTERVAL_MS:
-            self._agents_refreshed_at = now
-            # After the event at hand: its flow is among those that are confirmed.
-            self._kit.loop.call_at(
-                now, lambda: self._refresh(self._agents, self._agents_driver)
-            )
+        # After the event at hand: its flow is among those that are confirmed.
+        next_at = self._agents_refreshed_at + DOUBT_INTERVAL_MS
+        self._doubt_alarm.set(Millis(max(self._kit.loop.now(), next_at)))
+
+    def _refresh_agents(self) -> None:
+        self._agents_refreshed_at = self._kit.loop.now()
+        self._refresh(self._agents, self._agents_driver)
 
     def _refresh(self, follower: Follower, driver: StoreDriver) -> None:
         if follower.refresh(self._kit.loop.now()):
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -67,6 +67,7 @@
         backend=fields.endpoint("backend"),
         outbound=fields.endpoint("outbound"),
         reports=fields.endpoint("reports"),
+        report_interval_ms=Millis(fields.whole("report_interval_ms")),
     )
 
 
--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -9,7 +9,12 @@
 import urllib.request
 from dataclasses import dataclass
 
-from tests.lib.plain_standins import BackendServer, FlowClient, KeyValueService
+from tests.lib.plain_standins import (
+    REPORT_S,
+    BackendServer,
+    FlowClient,
+    KeyValueService,
+)
 from tests.lib.processes import ROOT
 
 ENTRY = ("198.18.0.1", 8443)
@@ -185,6 +190,7 @@
             "store": f"{self._ip(200)}:{ports.store}",
             "grace_s": 6,
             "flow_limit_s": 60,
+            "report_interval_ms": round(REPORT_S * 1_000),
         }
         if name.startswith("balancer"):
             return {**common, "entry": f"{ip}:{ports.data}"}
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -22,6 +22,7 @@
         "control": "10.1.0.12:8166",
     },
     "port_range": [7720, 7735],
+    "heartbeat_ms": 1200,
     "bounds": {"grace_s": 6, "max_flow_s": 60.5},
     "app": "10.1.0.12:8165",
     "service": "huvo11a",
@@ -63,6 +64,7 @@
     assert settings.backend == Endpoint("10.1.0.12", 8165)
     assert settings.outbound == Endpoint("10.1.0.12", 8162)
     assert settings.reports == Endpoint("10.1.0.12", 8166)
+    assert settings.report_interval_ms == 1_200
     assert settings.store == Endpoint("10.200.1.7", 8169)
 
 
