A fault soak of real programs; a balancer that has just started ends no flow

tests/soak draws overlapping series of faults from a seed (signals, proxies before the store and before balancers, lapses, drains, restarts, configurations) against real balancers and agents, and checks promises from what callers and backend servers see; four doubles turn mechanisms off.

Change: until the grace for lapsed entries is over, a balancer that has just started resets only if all agents' servers started of late (a loss of power: no flow of before is left); agents tell the age of the run. Found in the soak itself: stand-ins drew the same first number for a flow, and clients took resets of their earlier flow for the present one's.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -146,6 +146,7 @@
             utilization=meter.utilization(now),
             service_us=service_us,
             site_version=self._scope.site_version if self._scope is not None else 0,
+            run_age_ms=self._intake.backend.age_ms(now),
         )
 
     # Frames of balancers
@@ -376,6 +377,7 @@
         if not self._intake.take(report, now):
             fields = {"instance": report.instance, "number": report.number}
             return [*actions, Note("report not used", fields)]
+        backend.note_age(age_ms, now)
         if self._saw_whole_run(report, age_ms, now):
             self._unsure_till = now
         if before is None or before.state is not report.state or actions:
--- a/src/papayagw/_internal/core/plain/backend_state.py
+++ b/src/papayagw/_internal/core/plain/backend_state.py
@@ -28,6 +28,7 @@
         self._report: StatusReport | None = None
         self._reported_at = Millis(0)
         self._cold_till = Millis(0)
+        self._began_at: Millis | None = None
         self._has_left = False
 
     @property
@@ -71,6 +72,14 @@
         """Whether reports have stayed away."""
         return now - self._reported_at > self.patience_ms
 
+    def age_ms(self, now: Millis) -> Millis | None:
+        """Return how long ago the run began, or None if that isn't known."""
+        return None if self._began_at is None else Millis(now - self._began_at)
+
+    def note_age(self, age_ms: Millis, now: Millis) -> None:
+        """Note the age of the run, which is negative where clocks were set back."""
+        self._began_at = Millis(now - age_ms) if age_ms >= 0 else None
+
     def take(self, report: StatusReport, now: Millis) -> bool:
         """Take in a report; return False for one that is late or not usable."""
         if report.service != self._service or self._is_older(report):
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -11,7 +11,11 @@
 from papayagw._internal.core.plain.flow_cache import FlowCache
 from papayagw._internal.core.plain.openings import Opening, Openings
 from papayagw._internal.core.plain.owner_search import OwnerSearch, carry
-from papayagw._internal.core.plain.roster import AgentView, Roster
+from papayagw._internal.core.plain.roster import (
+    MISSING_GRACE_MS,
+    AgentView,
+    Roster,
+)
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
@@ -31,6 +35,9 @@
 from papayagw._internal.models.plain.packet import FlowPacket, PacketKind, show_flow
 from papayagw._internal.models.plain.site import Route, SiteVersion
 
+RESTART_SPREAD_MS = Millis(5_000)
+"""By how much a backend server may start before a balancer in one loss of power."""
+
 SCOPE_INTERVAL_MS = Millis(200)
 """The shortest time between two scopes sent to one agent."""
 
@@ -66,8 +73,9 @@
         self._flows = FlowCache()
         self._openings = Openings()
         self._search = self._search_type(
-            self._list_agents, roster.find, self._flows, on_doubt
+            self._list_agents, roster.find, self._flows, on_doubt, self._may_end
         )
+        self._listed_at: Millis | None = None
         self._scopes_sent: dict[Endpoint, Millis] = {}
 
     @property
@@ -100,6 +108,8 @@
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
         """Return what follows from a complete read of the agents' entries."""
+        if self._listed_at is None:
+            self._listed_at = now
         return self._search.on_agents_listed(now)
 
     def tell_missing(self) -> list[Action]:
@@ -360,6 +370,20 @@
         self._scopes_sent[view.endpoint] = now
         yield SendFrame(view.endpoint, _make_scope(self._site, view.entry.service))
 
+    def _may_end(self, agents: list[AgentView], now: Millis) -> bool:
+        """Whether a flow that these agents deny has no owner.
+
+        At the first read an entry may be missing whose agent lives; it is back within
+        the grace. Where all servers started of late, no flow of before is left.
+        """
+        listed_at = self._listed_at
+        if listed_at is None:
+            return False
+        if now - listed_at > MISSING_GRACE_MS:
+            return True
+        start = Millis(listed_at - RESTART_SPREAD_MS)
+        return all(view.began_after(start) for view in agents)
+
     # Routes
 
     def _list_agents(self, packet: FlowPacket) -> list[AgentView]:
--- a/src/papayagw/_internal/core/plain/entry_keeper.py
+++ b/src/papayagw/_internal/core/plain/entry_keeper.py
@@ -58,7 +58,7 @@
         self._has_looked = False
         self._lease: int | None = None
         self._is_stored = False
-        self._restored_at: Millis | None = None
+        self._restored_at = Millis(-RESTORE_GAP_MS)
         self._is_ending = False
 
     @property
@@ -102,12 +102,11 @@
 
     def restore(self, now: Millis) -> None:
         """Store the entry again, since it is missing."""
-        restored_at = self._restored_at
-        is_under_way = restored_at is not None and now - restored_at < RESTORE_GAP_MS
-        if self._has_looked and not is_under_way:
-            self._is_stored = False
-            self._restored_at = now
-            self._due_at = min(self._due_at, now)
+        if not self._has_looked or not self._is_stored:
+            return
+        self._is_stored = False
+        self._restored_at = Millis(max(now, self._restored_at + RESTORE_GAP_MS))
+        self._due_at = min(self._due_at, self._restored_at)
 
     def end(self, now: Millis) -> None:
         """Remove the entry, since its owner is gone."""
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_search.py
@@ -37,6 +37,8 @@
         Where owners are remembered.
     on_doubt : callable
         Called when all known agents deny a flow, so that their list is read again.
+    may_end : callable
+        Returns whether agents that deny a flow are all that there are.
     """
 
     def __init__(
@@ -45,11 +47,13 @@
         find_agent: Callable[[Endpoint], AgentView | None],
         flows: FlowCache,
         on_doubt: Callable[[], None],
+        may_end: Callable[[list[AgentView], Millis], bool],
     ):
         self._list_agents = list_agents
         self._find_agent = find_agent
         self._flows = flows
         self._on_doubt = on_doubt
+        self._may_end = may_end
         self._questions = Questions()
 
     @property
@@ -109,7 +113,7 @@
                 asked = {view.endpoint for view in others}
                 self._questions.ask_others(question, asked, now)
                 actions += [_ask(view, question.last_packet) for view in others]
-            else:
+            elif self._may_end(agents, now):
                 actions += self._end_ownerless(question)
         return actions
 
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -113,6 +113,13 @@
             return 0
         return request_limit(load.slots) - load.busy - self.pending
 
+    def began_after(self, at: Millis) -> bool:
+        """Whether its backend server surely started after a time."""
+        load = self.load
+        if load is None or load.run_age_ms is None:
+            return False
+        return self.heard_at - load.run_age_ms > at
+
     def _is_busy(self, now: Millis) -> bool:
         if self.load is None or now - self.heard_at > FRESH_MS:
             return False
--- a/src/papayagw/_internal/models/plain/instance.py
+++ b/src/papayagw/_internal/models/plain/instance.py
@@ -110,6 +110,8 @@
         Mean time of a slot for one request, in microseconds; 0 if not known yet.
     site_version : int
         The highest version of the configuration that the agent has heard of.
+    run_age_ms : Millis or None
+        How long ago the backend server started; None if the agent can't tell.
     """
 
     availability: Availability
@@ -119,3 +121,4 @@
     utilization: float
     service_us: int
     site_version: int
+    run_age_ms: Millis | None = None
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from papayagw._internal.exceptions import DecodeError, Step
+from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.frame import (
     AskFrame,
     CarryFrame,
@@ -40,7 +41,8 @@
 _MARK = 0x7047
 _HEAD = struct.Struct(">HBI")
 _VERSION = struct.Struct(">Q")
-_LOAD = struct.Struct(">BHHIHIQ")
+_NO_AGE = 0xFFFFFFFF
+_LOAD = struct.Struct(">BHHIHIQI")
 _QUESTION = struct.Struct(">12sBI")
 _CLAIM = struct.Struct(">12sB")
 _FLOW_BYTES = 12
@@ -171,11 +173,13 @@
         round(load.utilization * _UTILIZATION_SCALE),
         load.service_us,
         load.site_version,
+        _NO_AGE if load.run_age_ms is None else min(load.run_age_ms, _NO_AGE - 1),
     )
 
 
 def _read_load(data: bytes) -> LoadWord:
-    availability, slots, busy, flows, used, service_us, version = _LOAD.unpack(data)
+    fields = _LOAD.unpack(data)
+    availability, slots, busy, flows, used, service_us, version, age_ms = fields
     return LoadWord(
         Availability(availability),
         slots,
@@ -184,6 +188,7 @@
         used / _UTILIZATION_SCALE,
         service_us,
         version,
+        None if age_ms == _NO_AGE else Millis(age_ms),
     )
 
 
--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import signal
 import subprocess
 import sys
 import time
@@ -62,6 +63,8 @@
         How many of each.
     """
 
+    backend_type = BackendServer
+
     def __init__(self, folder, block, balancers=2, agents=2):
         self.folder = folder
         self.ports = Ports()
@@ -74,7 +77,7 @@
         self.store = KeyValueService((self._ip(200), self.ports.store))
         self.store.put("op/config", json.dumps(SITE).encode())
         self.backends = {
-            name: BackendServer(f"i-{name}", SERVICE, self.ip_of(name), self.ports)
+            name: self.backend_type(f"i-{name}", SERVICE, self.ip_of(name), self.ports)
             for name in self.agents
         }
 
@@ -88,6 +91,7 @@
     def close(self):
         """End everything that was started."""
         for name in list(self._processes):
+            self.signal(name, signal.SIGCONT)
             self.kill(name)
         for backend in self.backends.values():
             backend.close()
@@ -104,7 +108,7 @@
         path.write_text(json.dumps(self._settings(name)))
         environment = {
             "PATH": os.environ["PATH"],
-            "PYTHONPATH": str(ROOT / "src"),
+            "PYTHONPATH": os.pathsep.join((str(ROOT / "src"), str(ROOT))),
             "PAPAYAGW_NODE_FILE": str(path),
         }
         with (
@@ -112,12 +116,16 @@
             (self.folder / f"{name}.err").open("ab") as err,
         ):
             self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "papayagw.platform", name.partition("-")[0]],
+                [sys.executable, "-m", *self.command(name.partition("-")[0])],
                 env=environment,
                 stdout=out,
                 stderr=err,
             )
 
+    def command(self, role):
+        """Return the module that a role runs, and its arguments."""
+        return ["papayagw.platform", role]
+
     def kill(self, name):
         """Kill a process."""
         process = self._processes.pop(name)
@@ -178,6 +186,10 @@
     def _ip(self, host):
         return f"127.94.{self._block}.{host}"
 
+    def store_of(self, name):
+        """Return the address at which a machine finds the store."""
+        return f"{self._ip(200)}:{self.ports.store}"
+
     def _settings(self, name):
         ip, ports = self.ip_of(name), self.ports
         common = {
@@ -187,7 +199,7 @@
             "inner_port": ports.inner,
             "readiness": f"{ip}:{ports.readiness}",
             "metrics_port": ports.metrics,
-            "store": f"{self._ip(200)}:{ports.store}",
+            "store": self.store_of(name),
             "grace_s": 6,
             "flow_limit_s": 60,
             "report_interval_ms": round(REPORT_S * 1_000),
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -9,7 +9,7 @@
     expect-openings AGENT COUNT FROM_MS TO_MS   (openings that its server was given)
 
 Verbs: restart-balancer, restart-agent, stop-balancer, freeze-balancer NAME MS,
-freeze-agent NAME MS, crash, drain, lapse, remove-route, move-route SERVICE.
+freeze-agent NAME MS, crash, drain, lapse, restore, remove-route, move-route SERVICE.
 `#` begins a comment.
 """
 
@@ -86,6 +86,9 @@
     def do_lapse(self, name):
         self.world.lapse(name)
 
+    def do_restore(self, name):
+        self.world.store_entry(self.world.agents[name])
+
     def do_remove_route(self):
         self.world.apply_site(make_site(self.world.site.version + 1, routes={}))
 
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import random
 import socket
 import struct
 import threading
@@ -91,7 +92,12 @@
             def log_message(self, *args):
                 pass
 
-        self._server = ThreadingHTTPServer(address, Handler)
+        class Server(ThreadingHTTPServer):
+            def handle_error(self, request, client_address):
+                # Connections are reset by tests and by processes that end.
+                pass
+
+        self._server = Server(address, Handler)
         self._server.daemon_threads = True
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
@@ -214,8 +220,9 @@
         self._ip = ip
         self._ports = ports
         self._outbound = (ip, ports.outbound)
+        self.state = "ready"
+        self.started_at = time.time_ns() // 1_000_000
         self._number = 0
-        self._started_at = time.time_ns() // 1_000_000
         self._is_closed = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((ip, ports.backend))
@@ -233,6 +240,10 @@
             thread.join()
         self._socket.close()
 
+    def holds(self, flow, ack):
+        """Whether this is the backend server whose answer the client took."""
+        return flow in self.flows and ack == (self.flows[flow] + 1) % MODULUS
+
     def _receive(self):
         while not self._is_closed:
             try:
@@ -245,10 +256,10 @@
         packet = unpack(raw)
         flow = packet["src"], packet["dst"]
         if packet["flags"] & SYN:
-            start = self.flows.setdefault(flow, int.from_bytes(raw[24:28]) * 7_919)
+            start = self.flows.setdefault(flow, random.getrandbits(32))
             self._send(flow, SYN | ACK, start, packet["seq"] + 1)
             return
-        if flow not in self.flows:
+        if not self.holds(flow, packet["ack"]):
             returned = bytearray(raw)
             returned[18] |= BOUNCED
             self._socket.sendto(bytes(returned), self._outbound)
@@ -273,14 +284,18 @@
                 "zone": "zone-a",
                 "version": "v1",
                 "slots": 1,
-                "state": "ready",
+                "state": self.state,
                 "cold_left_ms": 0,
                 "seq": self._number,
-                "born": self._started_at,
+                "born": self.started_at,
             }
-            self._put(json.dumps(fields).encode())
+            if self._put(json.dumps(fields).encode()):
+                self.on_acknowledged(fields)
             time.sleep(REPORT_S)
 
+    def on_acknowledged(self, fields):
+        """Hear that a report was taken."""
+
     def _put(self, body):
         head = (
             f"PUT /-/instances/{self.name} HTTP/1.1\r\nHost: a\r\n"
@@ -290,10 +305,10 @@
             peer = (self._ip, self._ports.reports)
             with socket.create_connection(peer, 1) as connection:
                 connection.sendall(head.encode() + body)
-                connection.recv(1_000)
+                return connection.recv(1_000).startswith(b"HTTP/1.1 200")
         except OSError:
             # The agent is away: the next report tells it.
-            pass
+            return False
 
 
 class FlowClient:
@@ -312,6 +327,21 @@
     def close(self):
         self._socket.close()
 
+    @property
+    def flow(self):
+        """The two ends."""
+        return self._source, self._entry
+
+    @property
+    def acknowledged(self):
+        """The number that its packets acknowledge."""
+        return (self._start + 1) % MODULUS
+
+    def renew(self):
+        """Leave the flow; the next one has another port."""
+        self._source = (self._ip, self._source[1] + 1)
+        self._position = 1
+
     def open(self, timeout_s=5.0):
         """Open the flow; return whether it was accepted."""
         raw = pack(self._source, self._entry, SYN)
@@ -323,8 +353,9 @@
 
     def request(self, data, timeout_s=10.0):
         """Return whether the answer came, or "reset"."""
-        acknowledged = (self._start + 1) % MODULUS
-        raw = pack(self._source, self._entry, ACK, self._position, acknowledged, data)
+        raw = pack(
+            self._source, self._entry, ACK, self._position, self.acknowledged, data
+        )
         end = self._position + len(data)
         packet = self._ask(
             raw, lambda one: one["data"] == data and one["ack"] == end, timeout_s
@@ -356,6 +387,7 @@
                 packet = unpack(self._socket.recv(4_096))
             except TimeoutError:
                 return None
-            if packet["flags"] & RST or is_answer(packet):
+            is_ours = packet["dst"] == self._source
+            if is_ours and (packet["flags"] & RST or is_answer(packet)):
                 return packet
         return None
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -67,6 +67,16 @@
         run 40000
         expect served all
     """,
+    "a balancer that starts while an entry is missing resets nothing": """
+        at 9000 calls 30 8 20
+        at 10500 lapse a1
+        at 10500 restart-balancer b1
+        at 10500 restart-balancer b2
+        at 10500 restart-balancer b3
+        at 12000 restore a1
+        run 30000
+        expect served all
+    """,
     "a crashed backend server's clients are told as soon as it is back": """
         at 2000 calls 10 40 20 100
         at 3500 crash a1
@@ -192,6 +202,13 @@
     _search_type = HastySearch
 
 
+class TrustsFirstRead(PlainBalancer):
+    """Takes the agents of its first read for all that there are."""
+
+    def _may_end(self, agents, now):
+        return True
+
+
 class NeverOffersAgain(PlainBalancer):
     """Leaves an unanswered opening to its client's copies."""
 
@@ -269,6 +286,10 @@
     ),
     (IsNeverUnsure, "agents and balancers that restart together keep the flows"),
     (ResetsUnknown, "agents and balancers that restart together keep the flows"),
+    (
+        TrustsFirstRead,
+        "a balancer that starts while an entry is missing resets nothing",
+    ),
     (TellsNobodyMissing, "an entry that lapsed is stored again and is used on"),
 ]
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults on the real programs, with promises checked from outside."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,43 @@
+"""Plays seeds: ``python -m tests.soak --first 1 --count 50``."""
+
+import argparse
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from tests.soak.doubled import DOUBLES
+from tests.soak.soak import Soak
+from tools.fleet import claimed_block
+
+FIRST_BLOCK = 200
+
+
+def main():
+    """Play the seeds; return 1 if one violated a promise."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak")
+    parser.add_argument("--first", type=int, default=int(time.time()))
+    parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("--duration", type=float, default=6.0, help="seconds")
+    parser.add_argument("--size", type=int, default=3, help="balancers, and agents")
+    parser.add_argument("--without", choices=sorted(DOUBLES), help="a mechanism")
+    options = parser.parse_args()
+    failed = []
+    with claimed_block(FIRST_BLOCK) as block:
+        for seed in range(options.first, options.first + options.count):
+            folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+            soak = Soak(
+                seed, folder, block, options.duration, options.size, options.without
+            )
+            violations = soak.run()
+            print(f"seed {seed}: {len(soak.plan)} faults, {violations or 'held'}")
+            if violations:
+                failed.append(seed)
+                print(f"  logs in {folder}")
+            sys.stdout.flush()
+    print(f"{options.count} seeds, {len(failed)} violated: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/doubled.py
@@ -0,0 +1,56 @@
+"""Runs a role with one mechanism turned off, which the soak has to find.
+
+Usage: ``python -m tests.soak.doubled NAME ROLE``.
+"""
+
+import sys
+
+from papayagw._internal.core.plain.agent import PlainAgent
+from papayagw._internal.core.plain.backend_state import BackendState
+from papayagw._internal.core.plain.balancer import PlainBalancer
+from papayagw._internal.core.plain.owner_search import OwnerSearch
+from papayagw._internal.models.plain.frame import Ownership
+from papayagw.platform.__main__ import main
+
+
+def never_unsure():
+    """Agents deny flows that they haven't seen since their start."""
+    real = PlainAgent._find_ownership
+
+    def find(self, question, now):
+        found = real(self, question, now)
+        return Ownership.STRANGER if found is Ownership.UNSURE else found
+
+    PlainAgent._find_ownership = find
+
+
+def never_asks():
+    """Balancers drop the packets of flows that they don't know."""
+    OwnerSearch.ask = lambda *_, **__: []
+
+
+def ignores_drain():
+    """Agents give openings to backend servers that drain."""
+    BackendState.is_draining = property(lambda _: False)
+
+
+def keeps_first_site():
+    """Balancers never put a newer configuration in force."""
+    real = PlainBalancer.apply_site
+
+    def apply_site(self, site):
+        return self._site is None and real(self, site)
+
+    PlainBalancer.apply_site = apply_site
+
+
+DOUBLES = {
+    "never-unsure": never_unsure,
+    "never-asks": never_asks,
+    "ignores-drain": ignores_drain,
+    "keeps-first-site": keeps_first_site,
+}
+
+if __name__ == "__main__":
+    DOUBLES[sys.argv[1]]()
+    sys.exit(main(sys.argv[2:]))
--- /dev/null
+++ b/tests/soak/proxies.py
@@ -0,0 +1,133 @@
+"""Loopback proxies that do harm to what passes them."""
+
+import selectors
+import socket
+import struct
+import threading
+import time
+from contextlib import suppress
+
+CHUNK = 65_536
+DELAY_S = 0.15
+POLL_S = 0.05
+
+
+class Proxy:
+    """A thread that serves sockets until it is closed.
+
+    Attributes
+    ----------
+    mode : str
+        ``pass``, or the harm that it does.
+    """
+
+    def __init__(self):
+        self.mode = "pass"
+        self._selector = selectors.DefaultSelector()
+        self._is_closed = False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        self._thread.start()
+
+    def close(self):
+        self._is_closed = True
+        self._thread.join()
+        for key in list(self._selector.get_map().values()):
+            key.fileobj.close()
+        self._selector.close()
+
+    def _run(self):
+        while not self._is_closed:
+            for key, _ in self._selector.select(POLL_S):
+                key.data(key.fileobj)
+
+
+class ConnectionProxy(Proxy):
+    """Carries connections to one address.
+
+    Modes: ``delayed``, ``reset``, ``answers lost`` (requests pass) and ``silent``.
+    """
+
+    def __init__(self, listen, target):
+        super().__init__()
+        self._target = target
+        self._peers = {}
+        self._listener = socket.create_server(listen)
+        self._selector.register(self._listener, selectors.EVENT_READ, self._accept)
+
+    def reset_all(self):
+        """Reset the connections that are open."""
+        self.mode = "reset"
+
+    def _accept(self, listener):
+        near, _ = listener.accept()
+        if self.mode == "reset":
+            self._reset(near)
+            return
+        try:
+            far = socket.create_connection(self._target, 1)
+        except OSError:
+            self._reset(near)
+            return
+        for one, other, is_answer in ((near, far, False), (far, near, True)):
+            self._peers[one] = other, is_answer
+            self._selector.register(one, selectors.EVENT_READ, self._carry)
+
+    def _carry(self, source):
+        if source not in self._peers:
+            return
+        target, is_answer = self._peers[source]
+        if self.mode == "reset":
+            self._end(source, self._reset)
+            return
+        try:
+            data = source.recv(CHUNK)
+        except OSError:
+            data = b""
+        if not data:
+            self._end(source, socket.socket.close)
+            return
+        if self.mode == "silent" or (self.mode == "answers lost" and is_answer):
+            return
+        if self.mode == "delayed":
+            time.sleep(DELAY_S)
+        with suppress(OSError):
+            target.sendall(data)
+
+    def _end(self, source, end):
+        target, _ = self._peers[source]
+        for one in (source, target):
+            self._selector.unregister(one)
+            del self._peers[one]
+            end(one)
+
+    @staticmethod
+    def _reset(connection):
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.close()
+
+
+class PacketProxy(Proxy):
+    """Carries datagrams one way to one address.
+
+    Modes: ``delayed`` and ``lost`` (every second one).
+    """
+
+    def __init__(self, listen, target):
+        super().__init__()
+        self._target = target
+        self._count = 0
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(listen)
+        self._selector.register(self._socket, selectors.EVENT_READ, self._carry)
+
+    def _carry(self, source):
+        data = source.recv(CHUNK)
+        self._count += 1
+        if self.mode == "lost" and self._count % 2:
+            return
+        if self.mode == "delayed":
+            time.sleep(DELAY_S / 5)
+        source.sendto(data, self._target)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,280 @@
+"""Plays the faults of a seed against a fleet and checks what was promised."""
+
+import signal
+import threading
+import time
+from collections import defaultdict
+
+from tests.soak.plan import draw_plan
+from tests.soak.world import SoakFleet
+
+FLOWS = 12
+PATIENCE_S = 8.0
+"""How long a request on an open flow is sent again: a backend server gives up later."""
+
+DRAIN_S = 3.0
+"""How long after an acknowledged report openings may come; source: the rules."""
+
+IN_TOUCH_S = 4.0
+"""How long a machine that was struck isn't held to bounds; source: the rules."""
+
+RECOVERY_S = 12.0
+"""How long after the last fault everything is served; source: the rules."""
+
+ENTRY_BACK_S = 2.0
+"""How soon after the store's return an entry is back; source: the users' request."""
+
+STORE_MODES = {
+    "store delayed": "delayed",
+    "store reset": "reset",
+    "store answers lost": "answers lost",
+    "store silent": "silent",
+}
+PACKET_MODES = {"packets delayed": "delayed", "packets lost": "lost"}
+SIGNALS = {"kill": signal.SIGKILL, "stop": signal.SIGTERM}
+
+
+class Caller(threading.Thread):
+    """Sends requests on one flow as long as it lasts, then opens another."""
+
+    def __init__(self, soak, client):
+        super().__init__(daemon=True)
+        self._soak = soak
+        self._client = client
+        self.is_closed = False
+
+    def run(self):
+        number = 0
+        while not self.is_closed:
+            if not self._client.open():
+                self._client.renew()
+                continue
+            while not self.is_closed:
+                number += 1
+                outcome = self._client.request(b"request %08d" % number, PATIENCE_S)
+                if outcome is not True:
+                    self._soak.note_broken(self._client, outcome)
+                    break
+                time.sleep(0.03)
+            self._client.renew()
+
+
+class Soak:
+    """One seed.
+
+    Parameters
+    ----------
+    seed : int
+        The source of the faults.
+    folder : Path
+        Where settings and logs go.
+    block : int
+        Third part of the loopback numbers.
+    duration : float
+        The time in which faults begin, in seconds.
+    size : int
+        How many balancers, and how many agents.
+    double : str or None
+        The mechanism that is turned off.
+    """
+
+    def __init__(self, seed, folder, block, duration=6.0, size=3, double=None):
+        self.violations = []
+        self.fleet = SoakFleet(folder, block, size, double)
+        machines = {"balancer": self.fleet.balancers, "agent": self.fleet.agents}
+        self.plan = draw_plan(seed, machines, duration)
+        self._undo = []
+        self._holders = defaultdict(int)
+
+    def run(self):
+        """Play all faults; return what was violated."""
+        fleet = self.fleet
+        callers = []
+        try:
+            fleet.start()
+            callers = [Caller(self, fleet.make_client()) for _ in range(FLOWS)]
+            for caller in callers:
+                caller.start()
+            self._play()
+            self._check_recovery()
+            for caller in callers:
+                caller.is_closed = True
+            for caller in callers:
+                caller.join()
+            self._check_records()
+        finally:
+            for caller in callers:
+                caller.is_closed = True
+            fleet.close()
+        return self.violations
+
+    def note_broken(self, client, outcome):
+        """Note that a request on an open flow got a reset, or no answer."""
+        for name, backend in self.fleet.backends.items():
+            if backend.holds(client.flow, client.acknowledged):
+                what = "reset" if outcome == "reset" else "unanswered"
+                self.violations.append(f"{what}: {client.flow[0]} lives at {name}")
+
+    def _play(self):
+        start = time.monotonic()
+        for fault in self.plan:
+            self._end_due(start + fault.at)
+            time.sleep(max(0.0, start + fault.at - time.monotonic()))
+            self._strike(fault)
+        self._end_due(None)
+
+    def _end_due(self, until):
+        """End the faults that are over before a time."""
+        while self._undo and (until is None or min(self._undo)[0] <= until):
+            ends_at, _, undo = due = min(self._undo, key=lambda one: one[:2])
+            self._undo.remove(due)
+            time.sleep(max(0.0, ends_at - time.monotonic()))
+            undo()
+
+    def _until_end(self, key, fault, begin, end):
+        """Hold a state for as long as a fault lasts; faults of one kind overlap."""
+        self._holders[key] += 1
+        begin()
+
+        def undo():
+            self._holders[key] -= 1
+            if not self._holders[key]:
+                end()
+
+        ends_at = time.monotonic() + fault.for_s
+        self._undo.append((ends_at, len(self._undo) + fault.at, undo))
+
+    def _strike(self, fault):
+        fleet, name = self.fleet, fault.target
+        if fault.kind in SIGNALS:
+            number = SIGNALS[fault.kind]
+            threading.Thread(target=fleet.restart, args=(name, number)).start()
+        elif fault.kind == "pause":
+            self._until_end(
+                (name, "pause"),
+                fault,
+                lambda: self._signal(name, signal.SIGSTOP),
+                lambda: self._signal(name, signal.SIGCONT),
+            )
+        elif fault.kind == "hangup":
+            self._signal(name, signal.SIGHUP)
+        elif fault.kind in STORE_MODES:
+            self._harm(fleet.ways[name], STORE_MODES[fault.kind], fault)
+        elif fault.kind in PACKET_MODES:
+            self._harm(fleet.entries[name], PACKET_MODES[fault.kind], fault)
+        else:
+            self._strike_platform(fault)
+
+    def _strike_platform(self, fault):
+        fleet, name = self.fleet, fault.target
+        match fault.kind:
+            case "backend restarted":
+                fleet.disturb(name)
+                fleet.backends[name].restart()
+            case "backend drains":
+                backend = fleet.backends[name]
+                self._until_end((name, "drain"), fault, backend.drain, backend.resume)
+            case "store down":
+                self._until_end("down", fault, self._store_down, self._store_up)
+            case "entry removed":
+                key = f"papayagw/agents/{name}"
+                if key in fleet.store.list_keys():
+                    fleet.store.remove(key)
+            case "configuration":
+                fleet.change_site()
+            case other:
+                raise ValueError(other)
+
+    def _harm(self, proxy, mode, fault):
+        def begin():
+            proxy.mode = mode
+
+        def end():
+            proxy.mode = "pass"
+
+        self._until_end(id(proxy), fault, begin, end)
+
+    def _signal(self, name, number):
+        with self.fleet.lock:
+            self.fleet.disturb(name)
+            self.fleet.signal(name, number)
+
+    def _store_down(self):
+        self.fleet.store.is_down = True
+
+    def _store_up(self):
+        self.fleet.store.is_down = False
+
+    def _check_recovery(self):
+        """Wait until everything is served again, within the bound."""
+        fleet = self.fleet
+        started_at = time.monotonic()
+        keys = {f"papayagw/agents/{name}" for name in fleet.agents}
+        self._expect("entries", lambda: keys <= fleet.store.list_keys(), RECOVERY_S)
+        names = (*fleet.balancers, *fleet.agents)
+        for name in names:
+            self._expect(f"{name} ready", lambda n=name: fleet.is_ready(n), RECOVERY_S)
+        for name in fleet.balancers:
+            self._expect(
+                f"{name} on version {fleet.version}",
+                lambda n=name: self._last_version(n) == fleet.version,
+                RECOVERY_S,
+            )
+        client = fleet.make_client()
+        left = max(1.0, RECOVERY_S - (time.monotonic() - started_at))
+        if not client.open(left) or client.request(b"at last", left) is not True:
+            self.violations.append("a new flow isn't served")
+        client.close()
+
+    def _expect(self, what, holds, seconds):
+        deadline = time.monotonic() + seconds
+        while not holds():
+            if time.monotonic() > deadline:
+                self.violations.append(f"not within {seconds} s: {what}")
+                return
+            time.sleep(0.05)
+
+    def _last_version(self, name):
+        versions = [
+            one["version"]
+            for one in self.fleet.log(name)
+            if one["event"] == "configuration in force"
+        ]
+        return versions[-1] if versions else None
+
+    def _check_records(self):
+        """Check what backend servers and programs recorded."""
+        fleet = self.fleet
+        fleet.note_ends()
+        self.violations += [f"ended by itself: {one}" for one in fleet.ended_alone]
+        ran_at = defaultdict(set)
+        for name, backend in fleet.backends.items():
+            for request in backend.runs:
+                ran_at[request].add(name)
+            self._check_drain(name, backend)
+        for request, names in ran_at.items():
+            if len(names) > 1:
+                self.violations.append(f"ran at {sorted(names)}: {request}")
+        for name in (*fleet.balancers, *fleet.agents):
+            self._check_log(name)
+
+    def _check_drain(self, name, backend):
+        struck_at = self.fleet.disturbed_at.get(name, 0.0)
+        for at, drained_at in backend.openings:
+            if drained_at is None or at - drained_at <= DRAIN_S:
+                continue
+            if not struck_at <= at <= struck_at + IN_TOUCH_S:
+                late = at - drained_at
+                self.violations.append(f"{name} drains, opening after {late:.1f} s")
+
+    def _check_log(self, name):
+        version = 0
+        for one in self.fleet.log(name):
+            if one["event"] == "fault":
+                self.violations.append(f"{name}: {one['error']}")
+            if one["event"] == "started":
+                version = 0
+            if one["event"] == "configuration in force":
+                if one["version"] < version:
+                    self.violations.append(f"{name} went back to {one['version']}")
+                version = one["version"]
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,145 @@
+"""The fleet of a soak: real programs, proxies, and stand-ins that keep a record."""
+
+import json
+import signal
+import threading
+import time
+
+from tests.lib.plain_fleet import SITE, PlainFleet
+from tests.lib.plain_standins import SYN, BackendServer, unpack
+from tests.soak.proxies import ConnectionProxy, PacketProxy
+
+
+class RecordingBackend(BackendServer):
+    """A backend server that can end, drain, and tells what it took when."""
+
+    def __init__(self, name, service, ip, ports):
+        self.drained_at = None
+        self.openings = []
+        self.ended_flows = set()
+        super().__init__(name, service, ip, ports)
+
+    def restart(self):
+        """End and start anew: nothing of before is known."""
+        self.ended_flows |= set(self.flows)
+        self.flows = {}
+        self.started_at = time.time_ns() // 1_000_000
+        self._number = 0
+        self.resume()
+
+    def drain(self):
+        """Want no new flows from the next report on."""
+        self.state = "draining"
+
+    def resume(self):
+        """Want new flows again; a new run would say so."""
+        self.state, self.drained_at = "ready", None
+
+    def on_acknowledged(self, fields):
+        if fields["state"] == "draining" and self.drained_at is None:
+            self.drained_at = time.monotonic()
+
+    def _take(self, raw):
+        packet = unpack(raw)
+        is_new = (packet["src"], packet["dst"]) not in self.flows
+        if packet["flags"] & SYN and is_new:
+            self.openings.append((time.monotonic(), self.drained_at))
+        super()._take(raw)
+
+
+class SoakFleet(PlainFleet):
+    """A fleet whose every way to the store and to balancers passes a proxy.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs go.
+    block : int
+        Third part of the loopback numbers.
+    size : int
+        How many balancers, and how many agents.
+    double : str or None
+        The mechanism that is turned off.
+    """
+
+    backend_type = RecordingBackend
+
+    def __init__(self, folder, block, size=3, double=None):
+        self._double = double
+        super().__init__(folder, block, size, size)
+        self.lock = threading.RLock()
+        self.ended_alone = []
+        self.disturbed_at = {}
+        self._site = SITE
+        names = (*self.balancers, *self.agents)
+        store = (self._ip(200), self.ports.store)
+        self.ways = {
+            name: ConnectionProxy((self._ip(210 + at), self.ports.store), store)
+            for at, name in enumerate(names)
+        }
+        self.entries = {
+            name: PacketProxy(
+                (self._ip(230 + at), self.ports.data),
+                (self.ip_of(name), self.ports.data),
+            )
+            for at, name in enumerate(self.balancers)
+        }
+        for proxy in (*self.ways.values(), *self.entries.values()):
+            proxy.start()
+
+    def close(self):
+        super().close()
+        for proxy in (*self.ways.values(), *self.entries.values()):
+            proxy.close()
+
+    def command(self, role):
+        if self._double is None:
+            return super().command(role)
+        return ["tests.soak.doubled", self._double, role]
+
+    def store_of(self, name):
+        at = (*self.balancers, *self.agents).index(name)
+        return f"{self._ip(210 + at)}:{self.ports.store}"
+
+    def disturb(self, name):
+        """Note that a process was struck."""
+        self.disturbed_at[name] = time.monotonic()
+
+    def restart(self, name, number):
+        """End a process by a signal and start it again."""
+        with self.lock:
+            process = self._processes.get(name)
+            if process is None:
+                return
+            if process.poll() is not None:
+                self.ended_alone.append((name, process.returncode))
+            self.disturb(name)
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(number)
+            process.wait(10)
+            self.start_one(name)
+            self.disturb(name)
+
+    def note_ends(self):
+        """Note processes that ended by themselves."""
+        for name, process in self._processes.items():
+            if process.poll() is not None:
+                self.ended_alone.append((name, process.returncode))
+
+    def change_site(self):
+        """Accept a newer configuration."""
+        version = self._site["version"] + 3
+        limits = {"idle_timeout_ms": 15_000 + version}
+        self._site = {**self._site, "version": version, "limits": limits}
+        self.store.put("op/config", json.dumps(self._site).encode())
+        return version
+
+    @property
+    def version(self):
+        """The newest version of the configuration."""
+        return self._site["version"]
+
+    def _pick_balancer(self):
+        name = self._random.choice(self.balancers)
+        at = self.balancers.index(name)
+        return (self._ip(230 + at), self.ports.data)
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -324,6 +324,21 @@
     assert driver.core.load_word(driver.now).availability is availability
 
 
+@pytest.mark.parametrize(
+    ("words", "age_ms"),
+    [
+        ([], None),
+        (["ready"], 0),
+        (["ready, early", 500], FIRST_REPORT_MS + 500),
+        (["ready, clock set back"], None),
+        (["ready, older", "restart", 7], 17),
+    ],
+)
+def test_balancers_are_told_the_age_of_the_run(words, age_ms):
+    _, driver = play(words)
+    assert driver.core.load_word(driver.now).run_age_ms == age_ms
+
+
 def test_all_balancers_that_were_heard_are_told_of_a_new_state():
     driver = Driver()
     driver.do(open_frame())
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from papayagw._internal.core.plain.balancer import PlainBalancer
+from papayagw._internal.core.plain.balancer import RESTART_SPREAD_MS, PlainBalancer
 from papayagw._internal.core.plain.choice import (
     HashChooser,
     LeastWaitChooser,
@@ -54,8 +54,15 @@
 START = 10_000
 
 
-def load(availability=Availability.READY, busy=0, version=1, service_us=0, slots=1):
-    return LoadWord(availability, slots, busy, 0, 0.0, service_us, version)
+def load(
+    availability=Availability.READY,
+    busy=0,
+    version=1,
+    service_us=0,
+    slots=1,
+    run_age=None,
+):
+    return LoadWord(availability, slots, busy, 0, 0.0, service_us, version, run_age)
 
 
 class FirstChooser:
@@ -68,7 +75,7 @@
 class Driver:
     """Drives a balancer that knows A and B; returns what the last word made it do."""
 
-    def __init__(self, agents=(A, B), chooser=None):
+    def __init__(self, agents=(A, B), chooser=None, age=MISSING_GRACE_MS + 1):
         self.roster = Roster()
         for endpoint in agents:
             self.add(endpoint)
@@ -77,6 +84,7 @@
             self.roster, chooser or FirstChooser(), self.note_newer, self.note_doubt
         )
         self.core.apply_site(make_site())
+        self.core.on_agents_listed(START - age)
         self.now = START
 
     def add(self, endpoint):
@@ -123,8 +131,8 @@
     return (agent, ReturnFrame(reason, packet, word or load()))
 
 
-def claim(agent, ownership):
-    return (agent, ClaimFrame((FlowClaim(FLOW, ownership),), load()))
+def claim(agent, ownership, **fields):
+    return (agent, ClaimFrame((FlowClaim(FLOW, ownership),), load(**fields)))
 
 
 def sent(actions):
@@ -336,6 +344,28 @@
     assert driver.doubts == doubts
 
 
+@pytest.mark.parametrize(
+    ("age", "runs", "resets"),
+    [
+        # A balancer that has just started may not know an agent whose entry lapsed.
+        (0, (None, None), 0),
+        (0, (60_000, 60_000), 0),
+        (0, (1_000, 60_000), 0),
+        (MISSING_GRACE_MS, (60_000, 60_000), 0),
+        (MISSING_GRACE_MS + 1, (60_000, 60_000), 1),
+        # All started together: no flow of before is left.
+        (0, (1_000, 900), 1),
+        (1_500, (1_500 + RESTART_SPREAD_MS - 1, 900), 1),
+        (1_500, (1_500 + RESTART_SPREAD_MS, 900), 0),
+    ],
+)
+def test_a_balancer_that_has_just_started_ends_no_flow_of_before(age, runs, resets):
+    stranger = Ownership.STRANGER
+    claims = [claim(a, stranger, run_age=b) for a, b in zip((A, B), runs, strict=True)]
+    actions, _ = play([DATA, *claims, "listed"], age=age)
+    assert sum(isinstance(one, ResetClient) for one in actions) == resets
+
+
 @pytest.mark.parametrize("packet", [OPENING, DATA])
 def test_entry_without_a_route_is_reset(packet):
     (reset,), _ = play([make_site(2, routes={}), packet])
--- a/tests/unit/test_plain_frames.py
+++ b/tests/unit/test_plain_frames.py
@@ -28,7 +28,7 @@
 
 FLOW = FlowKey(bytes(range(12)))
 PACKET = decode_client_packet(bytes(HEADER_BYTES) + b"payload")
-LOAD = LoadWord(Availability.READY, 3, 2, 70_000, 0.25, 48_000, 1 << 40)
+LOAD = LoadWord(Availability.READY, 3, 2, 70_000, 0.25, 48_000, 1 << 40, 86_400_000)
 CODEC = PlainFrameCodec(PreparedPlatform())
 FRAMES = [
     OpenFrame("order", 7, PACKET),
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -126,7 +126,7 @@
         ([50, 50 + RESTORE_GAP_MS], 2),
     ],
 )
-def test_an_entry_is_restored_once_for_all_who_miss_it(restores, puts):
+def test_an_entry_is_restored_once_a_second_for_all_who_miss_it(restores, puts):
     keeper = EntryKeeper(KEY, VALUE, Random(1))
     play(keeper, [NOTHING, LEASED, Written(8)])
     calls = []
@@ -138,6 +138,16 @@
     assert calls == [PUT] * puts
 
 
+def test_an_entry_that_is_missing_again_is_restored_a_second_later():
+    keeper = EntryKeeper(KEY, VALUE, Random(1))
+    play(keeper, [NOTHING, LEASED, Written(8)])
+    keeper.restore(50)
+    keeper.on_answer(keeper.next_call().call, Written(9), 52)
+    keeper.restore(60)
+    assert keeper.due_at == 50 + RESTORE_GAP_MS
+    assert keeper.next_call().call == PUT
+
+
 def test_an_entry_found_missing_during_a_renewal_is_stored_at_once():
     keeper = EntryKeeper(KEY, VALUE, Random(1))
     play(keeper, [NOTHING, LEASED, Written(8)])
