Waiting openings follow invitations instead of polls

Change: an agent that returned an opening as busy gets no offer for a second unless it tells of room; a balancer that made use of an invitation queues again; polls are 100 ms apart.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -335,6 +335,8 @@
             "reason": frame.reason.name.lower(),
         }
         note = Note("opening returned", fields)
+        if frame.reason is ReturnReason.BUSY:
+            view.turn_away(now)
         opening = self._openings.find(packet.flow)
         if opening is None or opening.agent is not view:
             # Another agent has it, or has answered.
--- a/src/papayagw/_internal/core/plain/intake.py
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -91,7 +91,9 @@
         now : Millis
             The present time.
         """
-        self._invited.pop(source, None)
+        if self._invited.pop(source, None) is not None:
+            # It may have more that wait; an invitation that it leaves tells otherwise.
+            self._turned_away[source] = None
         availability = self.availability(now)
         if availability is Availability.READY:
             if self._room(offered, now) > 0:
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -13,8 +13,11 @@
 the 200 ms after which the client sends a copy.
 """
 
-WAIT_MS = Millis(40)
-"""The shortest wait of an opening that no agent is ready for, between offers."""
+WAIT_MS = Millis(100)
+"""The shortest wait of an opening that no agent is ready for, between offers.
+
+Agents tell of room at once; this covers lost words and agents that start.
+"""
 
 WAIT_DIVISOR = 3
 """Waits are at least this part of an opening's age."""
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -29,6 +29,12 @@
 Source: the users' request; a living agent is back within two seconds.
 """
 
+TURNED_AWAY_MS = Millis(1_000)
+"""How long an agent that had no room gets no offer unless it tells of room.
+
+It does as soon as it has some; the word may be lost.
+"""
+
 FIRST_SUSPICION_MS = Millis(400)
 """How long an agent that let an opening go unanswered gets no other.
 
@@ -56,6 +62,7 @@
         "pending",
         "strikes",
         "suspect_till",
+        "turned_away_till",
     )
 
     def __init__(self, entry: AgentEntry):
@@ -66,6 +73,7 @@
         self.pending = 0
         self.strikes = 0
         self.suspect_till = Millis(0)
+        self.turned_away_till = Millis(0)
 
     @property
     def endpoint(self) -> Endpoint:
@@ -79,6 +87,12 @@
         self.pending = 0
         self.strikes = 0
         self.suspect_till = Millis(0)
+        if self.room > 0:
+            self.turned_away_till = Millis(0)
+
+    def turn_away(self, now: Millis) -> None:
+        """Note that it had no room for an opening."""
+        self.turned_away_till = Millis(now + TURNED_AWAY_MS)
 
     def suspect(self, now: Millis) -> Millis:
         """Note an unanswered opening; return how long the agent gets no other."""
@@ -98,6 +112,7 @@
         return (
             self._is_willing(now)
             and now >= self.suspect_till
+            and now >= self.turned_away_till
             and not self._is_busy(now)
         )
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -87,6 +87,7 @@
         machines = {"balancer": self.fleet.balancers, "agent": self.fleet.agents}
         self.plan = draw_plan(seed, machines, duration)
         self._undo = []
+        self._restarts = []
         self._holders = defaultdict(int)
 
     def run(self):
@@ -108,6 +109,7 @@
         finally:
             for caller in callers:
                 caller.is_closed = True
+            self._join_restarts()
             fleet.close()
         return self.violations
 
@@ -125,6 +127,11 @@
             time.sleep(max(0.0, start + fault.at - time.monotonic()))
             self._strike(fault)
         self._end_due(None)
+        self._join_restarts()
+
+    def _join_restarts(self):
+        for restart in self._restarts:
+            restart.join()
 
     def _end_due(self, until):
         """End the faults that are over before a time."""
@@ -151,7 +158,9 @@
         fleet, name = self.fleet, fault.target
         if fault.kind in SIGNALS:
             number = SIGNALS[fault.kind]
-            threading.Thread(target=fleet.restart, args=(name, number)).start()
+            restart = threading.Thread(target=fleet.restart, args=(name, number))
+            self._restarts.append(restart)
+            restart.start()
         elif fault.kind == "pause":
             self._until_end(
                 (name, "pause"),
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -213,8 +213,9 @@
     [
         ([*FULL, move(ANSWER, 1)], 0),
         ([*FULL, open_frame(), move(ANSWER, 1)], 1),
-        # One balancer is told once.
+        # One balancer is told once, and again if it made use of it.
         ([*FULL, open_frame(), move(ANSWER, 1), move(ANSWER, 2)], 0),
+        ([*FULL, open_frame(), move(ANSWER, 1), *in_progress(3), move(ANSWER, 2)], 1),
         ([*FULL, open_frame(), "drain", move(ANSWER, 1)], 0),
         # The first request of an accepted flow didn't come.
         ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_MS - 1], 0),
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -14,7 +14,9 @@
 from papayagw._internal.core.plain.openings import ANSWER_PATIENCE_MS, WAIT_LIMIT_MS
 from papayagw._internal.core.plain.questions import CLAIM_PATIENCE_MS
 from papayagw._internal.core.plain.roster import (
+    FRESH_MS,
     MISSING_GRACE_MS,
+    TURNED_AWAY_MS,
     UNWILLING_MS,
     AgentView,
     Roster,
@@ -146,6 +148,12 @@
 
 
 OPENED = (A, OpenedFrame(FLOW, load()))
+OTHER = make_packet(FlowKey(bytes((9,)) + FLOW[1:]), PacketKind.OPEN)
+TURNED_AWAY = [
+    OPENING,
+    returned(A, ReturnReason.BUSY, word=load(busy=2)),
+    (B, OpenedFrame(FLOW, load())),
+]
 DENIED = [DATA, claim(A, Ownership.STRANGER), claim(B, Ownership.STRANGER)]
 NOT_READY = Availability.UNREADY
 
@@ -170,6 +178,10 @@
         ([says(A, Availability.DRAINING), OPENING], [(B, OpenFrame)]),
         ([says(A, Availability.LEAVING), OPENING], [(B, OpenFrame)]),
         ([says(A, NOT_READY), UNWILLING_MS + 1, OPENING], [(A, OpenFrame)]),
+        # An agent that had no room is left alone until it tells of some.
+        ([*TURNED_AWAY, FRESH_MS + 1, OTHER], [(B, OpenFrame)]),
+        ([*TURNED_AWAY, says(A, Availability.READY), OTHER], [(A, OpenFrame)]),
+        ([*TURNED_AWAY, TURNED_AWAY_MS, OTHER], [(A, OpenFrame)]),
         ([says(A, NOT_READY), says(B, NOT_READY), OPENING], []),
         ([says(A, Availability.READY, busy=2), OPENING], [(B, OpenFrame)]),
         ([(A, "missing"), OPENING], [(A, OpenFrame)]),
