An agent looks for its entry after an outage of the store

In the soak the stand-in had given one lease number twice, which a real store doesn't; a store that drops an entry but keeps its lease would do the same.

Change: the first renewal after a failed call is followed by a read of the own entry, which is stored again if it is missing. The stand-in's lease numbers are unique.

One read for each agent and outage.

--- a/src/papayagw/_internal/core/plain/entry_keeper.py
+++ b/src/papayagw/_internal/core/plain/entry_keeper.py
@@ -58,6 +58,7 @@
         self._has_looked = False
         self._lease: int | None = None
         self._is_stored = False
+        self._was_away = False
         self._restored_at = Millis(-RESTORE_GAP_MS)
         self._is_ending = False
 
@@ -80,22 +81,27 @@
         """Take in the answer to the last call."""
         if isinstance(answer, CallFailed):
             self._due_at = Millis(now + self._patience.fail(answer))
+            self._was_away = True
             return
         self._patience.succeed()
         self._due_at = now
         match answer:
             case RangeRead(items):
-                self._has_looked = True
+                self._has_looked, self._was_away = True, False
+                self._is_stored = False
                 # A run before this one may have left the entry and its lease.
                 for item in items:
                     if item.key == self._key and item.value == self._value:
                         self._lease, self._is_stored = item.lease or None, True
             case Leased(lease):
                 self._lease = lease
-                if isinstance(call, RenewLease) and self._is_stored:
+                if isinstance(call, RenewLease) and self._was_away:
+                    # The store may have dropped the entry and kept its lease.
+                    self._has_looked = False
+                elif isinstance(call, RenewLease) and self._is_stored:
                     self._due_at = Millis(now + self._jitter(RENEW_MS))
             case Written():
-                self._is_stored = True
+                self._is_stored, self._was_away = True, False
                 self._due_at = Millis(now + self._jitter(RENEW_MS))
             case LeaseGone():
                 self._lease, self._is_stored = None, False
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import itertools
 import json
 import random
 import socket
@@ -65,6 +66,7 @@
         self._items = {}
         self._events = []
         self._leases = {}
+        self._lease_ids = itertools.count(70_000)
         self._revision = 1
         self._changed = threading.Condition()
         service = self
@@ -119,7 +121,7 @@
                 case "POST", "kv-txn":
                     return self._write(body)
                 case "POST", "kv-lease":
-                    lease = 70_000 + len(self._leases)
+                    lease = next(self._lease_ids)
                     self._leases[lease] = (time.monotonic(), body["ttl_ms"] / 1_000)
                     return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
             verb, _, lease = path.removeprefix("/-/").partition("/")
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -76,7 +76,13 @@
         ([NOTHING, LEASED, LeaseGone(), LEASED], [LOOK, GRANT, PUT, GRANT, PUT]),
         ([LOST, LOST, REFUSED, NOTHING], [LOOK, LOOK, LOOK, LOOK, GRANT]),
         ([NOTHING, LEASED, LOST, Written(8)], [LOOK, GRANT, PUT, PUT, RENEW]),
-        ([OWN, LOST, LOST, LEASED], [LOOK, RENEW, RENEW, RENEW, RENEW]),
+        # After an outage the agent looks whether its entry is still there.
+        ([OWN, LOST, LOST, LEASED, OWN], [LOOK, RENEW, RENEW, RENEW, LOOK, RENEW]),
+        ([OWN, REFUSED, LEASED, NOTHING], [LOOK, RENEW, RENEW, LOOK, PUT]),
+        (
+            [OWN, REFUSED, LeaseGone(), LEASED, Written(8)],
+            [LOOK, RENEW, RENEW, GRANT, PUT, RENEW],
+        ),
     ],
 )
 def test_keeper_calls(answers, calls):
