--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -342,7 +342,7 @@
                 self._forget(packet.flow, owned, now)
             if origin is None:
                 return []
-            return self._return(packet, ReturnReason.FULL, origin, now)
+            return self._return(packet, self._intake.note_declined(), origin, now)
         if owned is not None and owned.is_open:
             # The backend server itself says that it no longer holds the flow.
             self._forget(packet.flow, owned, now)
--- a/src/papayagw/_internal/core/plain/intake.py
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -51,6 +51,7 @@
         self.meter = LoadMeter()
         self._silent_till = Millis(0)
         self._silences = 0
+        self._has_declined = False
         self._is_leaving = False
         self._turned_away: dict[Endpoint, None] = {}
         self._invited: dict[Endpoint, Millis] = {}
@@ -156,6 +157,14 @@
         self._silences = 0
         self._silent_till = Millis(0)
 
+    def note_declined(self) -> ReturnReason:
+        """Note that the backend server handed an opening back; return what that says.
+
+        One that hasn't reported, such as one that is about to end, takes none at all.
+        """
+        self._has_declined = True
+        return ReturnReason.FULL if self.backend.is_known else ReturnReason.NOT_READY
+
     def note_silence(self, now: Millis) -> Millis:
         """Note an unanswered opening; return how long there is no other."""
         wait = Millis(min(FIRST_SILENCE_MS << self._silences, LONGEST_SILENCE_MS))
@@ -172,10 +181,11 @@
         """Whether the backend server may live although the agent hasn't heard it yet.
 
         Most agents that start were killed beside a backend server that goes on, and
-        the next report may be an interval away. One opening without an answer ends it.
+        the next report may be an interval away. An opening that it doesn't take ends it.
         """
         is_new = now - self._started_at < self.backend.patience_ms
-        return is_new and self.backend.report is None and not self._silences
+        has_failed = self._has_declined or self._silences > 0
+        return is_new and self.backend.report is None and not has_failed
 
     def _room(self, offered: int, now: Millis) -> int:
         return request_limit(self.meter.slots) - self.count_busy(offered, now)
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -128,6 +128,9 @@
             [open_frame(), BACKEND_PATIENCE_MS, 300, open_frame()],
             ReturnReason.NOT_READY,
         ),
+        # A backend server that hasn't reported says nothing of others by declining.
+        ([open_frame(), bounced(OPENING)], ReturnReason.NOT_READY),
+        ([open_frame(), bounced(OPENING), open_frame()], ReturnReason.NOT_READY),
         (["ready", "drain", open_frame()], ReturnReason.DRAINING),
         (["ready", "leave", open_frame()], ReturnReason.NOT_READY),
         (["ready", "stop", open_frame()], ReturnReason.DRAINING),
