--- a/src/papayagw/_internal/core/plain/intake.py
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -181,7 +181,7 @@
         """Whether the backend server may live although the agent hasn't heard it yet.
 
         Most agents that start were killed beside a backend server that goes on, and
-        the next report may be an interval away. An opening that it doesn't take ends it.
+        the next report may be an interval away. An opening that it leaves ends that.
         """
         is_new = now - self._started_at < self.backend.patience_ms
         has_failed = self._has_declined or self._silences > 0
