The age of a run is taken from its first report only

Cause, found by reading: each report's age was compared with the agent's own, by the time of day. A clock that is set back by some seconds makes an old run look young, so that an agent which had started under it would become sure of flows that it doesn't know, and balancers could reset them; the age that balancers are told shrank too.

Change: a run's age is taken in once, with the first report of it that is used.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -375,12 +375,12 @@
         if backend.is_new_run(report):
             actions = self._end_earlier_run(age_ms, now)
         before = backend.report
+        is_first = before is None or backend.is_new_run(report)
         if not self._intake.take(report, now):
             fields = {"instance": report.instance, "number": report.number}
             return [*actions, Note("report not used", fields)]
-        backend.note_age(age_ms, now)
-        if self._saw_whole_run(report, age_ms, now):
-            self._unsure_till = now
+        if is_first:
+            self._begin_run(report, age_ms, now)
         if before is None or before.state is not report.state or actions:
             fields = {
                 "instance": report.instance,
@@ -392,6 +392,12 @@
             actions += [Note("backend state", fields), *self._tell_all(now)]
         return actions
 
+    def _begin_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> None:
+        """Take in the age of a run, once: the time of day may be set back later."""
+        self._intake.backend.note_age(age_ms, now)
+        if self._saw_whole_run(report, age_ms, now):
+            self._unsure_till = now
+
     def _saw_whole_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> bool:
         """Whether all flows of the run have passed this agent."""
         own_age_ms = now - self._started_at
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -277,6 +277,8 @@
         # The time of day may have been set back: the run may be older.
         ([700, "ready, clock set back"], None, Ownership.UNSURE),
         ([700, "ready, often"], None, Ownership.UNSURE),
+        # It was set back after the first report.
+        (["ready, older", "again"], None, Ownership.UNSURE),
         (ACCEPTED, ACCEPTED_AT + 1, Ownership.OWNER),
         (ACCEPTED, None, Ownership.OWNER),
         (ACCEPTED, ACCEPTED_AT - 1, Ownership.STRANGER),
@@ -342,6 +344,8 @@
         ([], None),
         (["ready"], 0),
         (["ready, early", 500], FIRST_REPORT_MS + 500),
+        # Later reports of a run don't change it: clocks may have been set back.
+        (["ready, older", 500, "again"], FIRST_REPORT_MS + 501),
         (["ready, clock set back"], None),
         (["ready, older", "restart", 7], 17),
     ],
