--- a/src/papayagw/_internal/core/gossip_news.py
+++ b/src/papayagw/_internal/core/gossip_news.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from papayagw._internal.core.gossip_table import RecordTable
 from papayagw._internal.models.agent import AgentRecord, AgentState
@@ -42,7 +42,7 @@
 _URGENCY_READY = 2
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Rumour:
     """A change and how often it is still to be told."""
 
@@ -114,9 +114,11 @@
     def _count_down(
         self, subject: Endpoint | Bucket, rumour: _Rumour, count: int
     ) -> None:
-        rumour.copies -= count
-        if rumour.copies <= 0:
+        copies = rumour.copies - count
+        if copies <= 0:
             del self._rumours[subject]
+        else:
+            self._rumours[subject] = replace(rumour, copies=copies)
 
 
 def make_news(
--- a/src/papayagw/_internal/core/gossip_probe.py
+++ b/src/papayagw/_internal/core/gossip_probe.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
@@ -24,7 +24,7 @@
 """After so many probes without any answer this node takes itself for cut off."""
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Pending:
     """A probe without an answer."""
 
@@ -113,7 +113,7 @@
             self._misses += 1
             return ProbeStep(suspect=pending.target)
         if age >= INQUIRE_MS and not pending.inquired:
-            pending.inquired = True
+            self._pending = replace(pending, inquired=True)
             return ProbeStep(inquire=pending.target)
         return ProbeStep()
 
--- a/src/papayagw/_internal/core/watch.py
+++ b/src/papayagw/_internal/core/watch.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from papayagw._internal.models.agent import Incarnation
 from papayagw._internal.models.clock import Millis
@@ -27,7 +27,7 @@
 """The interval that is assumed of an agent until it is told one."""
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Watched:
     """What a watcher knows of one agent."""
 
@@ -100,7 +100,7 @@
         """Note the time between heartbeats that an agent was told."""
         watched = self._watched.get(endpoint)
         if watched is not None:
-            watched.interval_ms = interval_ms
+            self._watched[endpoint] = replace(watched, interval_ms=interval_ms)
 
     def remove(self, endpoint: Endpoint) -> None:
         """Watch an agent no longer."""
@@ -114,10 +114,7 @@
         watched = self._watched[endpoint]
         if incarnation != watched.incarnation or beat <= watched.beat:
             return False
-        watched.beat = beat
-        watched.heard_at = now
-        watched.inquired = watched.suspected = watched.excused = False
-        watched.vouched = 0
+        self._watched[endpoint] = _Watched(incarnation, beat, now, watched.interval_ms)
         return True
 
     def note_voucher(
@@ -134,7 +131,9 @@
             endpoint, incarnation, beat.number, beat.heard_at
         ):
             return False
-        watched.vouched = min(vouched + 1, MAX_VOUCHED)
+        self._watched[endpoint] = replace(
+            self._watched[endpoint], vouched=min(vouched + 1, MAX_VOUCHED)
+        )
         return True
 
     def get_beat(
@@ -152,14 +151,14 @@
         """Return the agents that have fallen silent since the last call."""
         inquire: list[Endpoint] = []
         suspect: list[Endpoint] = []
-        for endpoint, watched in self._watched.items():
+        for endpoint, watched in list(self._watched.items()):
             patience_ms = watched.interval_ms << max(0, watched.vouched - 1)
             beats = (now - watched.heard_at) / patience_ms
             if not watched.inquired and beats >= INQUIRE_BEATS:
-                watched.inquired = True
+                self._watched[endpoint] = replace(watched, inquired=True)
                 inquire.append(endpoint)
             elif not watched.suspected and beats >= SUSPECT_BEATS:
-                watched.suspected = True
+                self._watched[endpoint] = replace(watched, suspected=True)
                 suspect.append(endpoint)
         return Silence(tuple(inquire), tuple(suspect))
 
@@ -173,7 +172,7 @@
 
     def excuse(self, pause_ms: Millis) -> None:
         """Forgive all a silence during which this node was itself paused."""
-        for watched in self._watched.values():
-            heard_at = watched.heard_at + pause_ms + WAKE_GRACE_MS
-            watched.heard_at = Millis(heard_at)
-            watched.excused = True
+        for endpoint, watched in list(self._watched.items()):
+            heard_at = Millis(watched.heard_at + pause_ms + WAKE_GRACE_MS)
+            excused = replace(watched, heard_at=heard_at, excused=True)
+            self._watched[endpoint] = excused
