One piece of code where the change had written the same again

- The load is told to balancers in one place (three copies), the frame that claims an adopted flow is made once for all peers, and whether a report is of a new run is asked once.
- Waiting openings are sorted only if the agent has room; one function orders both lists of openings.
- What malformed JSON may raise, the error of an endpoint that can't be bound, closing packets, and times and values in log lines are each said once; the older TCP listener and logs use them too.
- Methods, an attribute and a constant that nothing used are gone.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -71,8 +71,6 @@
 SWEEP_INTERVAL_MS = Millis(1_000)
 """How often old flows are forgotten."""
 
-_CLOSING = (PacketKind.FINISH, PacketKind.ABORT)
-
 
 class PlainAgent:
     """The decisions of one agent.
@@ -283,10 +281,9 @@
         actions: list[Action] = [SendToClient(packet)]
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
-            for peer in self._peers.list_recent(now):
-                claim = FlowClaim(packet.flow, Ownership.OWNER)
-                frame = ClaimFrame((claim,), self.load_word(now))
-                actions.append(SendFrame(peer, frame))
+            claim = FlowClaim(packet.flow, Ownership.OWNER)
+            frame = ClaimFrame((claim,), self.load_word(now))
+            actions += [SendFrame(one, frame) for one in self._peers.list_recent(now)]
             fields = {"flow": show_flow(packet.flow)}
             actions.append(Note("flow adopted", fields))
         owned.seen_at = now
@@ -294,7 +291,7 @@
         owned.note_received(packet)
         if packet.payload_bytes:
             self._end_request(owned, now, answered=True)
-        if packet.kind in _CLOSING:
+        if packet.kind.is_closing:
             self._end_request(owned, now, answered=False)
             owned.ended_at = now
         return actions
@@ -357,14 +354,14 @@
         """
         actions: list[Action] = []
         backend = self._intake.backend
-        if backend.is_new_run(report):
-            actions = self._end_earlier_run(age_ms, now)
         before = backend.report
-        is_first = before is None or backend.is_new_run(report)
+        is_new_run = backend.is_new_run(report)
+        if is_new_run:
+            actions = self._end_earlier_run(age_ms, now)
         if not self._intake.take(report, now):
             fields = {"instance": report.instance, "number": report.number}
             return [*actions, Note("report not used", fields)]
-        if is_first:
+        if before is None or is_new_run:
             self._judge.begin_run(report, age_ms, now)
         if before is None or before.state is not report.state or actions:
             fields = {
@@ -374,7 +371,8 @@
                 "state": report.state.value,
                 "cold_ms": report.cold_left_ms,
             }
-            actions += [Note("backend state", fields), *self._tell_all(now)]
+            actions.append(Note("backend state", fields))
+            actions += self._tell(self._peers.list_known(), now)
         return actions
 
     def on_departure(self, departure: Departure, now: Millis) -> list[Action]:
@@ -382,12 +380,12 @@
         if not self._intake.backend.leave(departure):
             return []
         note = Note("backend left", {"instance": departure.instance})
-        return [note, *self._tell_all(now)]
+        return [note, *self._tell(self._peers.list_known(), now)]
 
     def leave(self, now: Millis) -> list[Action]:
         """Return what to do as the agent stops."""
         self._intake.leave()
-        return self._tell_all(now)
+        return self._tell(self._peers.list_known(), now)
 
     def _end_earlier_run(self, age_ms: Millis, now: Millis) -> list[Action]:
         """Tell the clients of the earlier run that their flows are over.
@@ -420,8 +418,7 @@
         for flow, owned in overdue:
             actions += self._on_silence(flow, owned, now)
         if self._peers.take_due(now):
-            word = LoadFrame(self.load_word(now))
-            actions += [SendFrame(peer, word) for peer in self._peers.list_recent(now)]
+            actions += self._tell(self._peers.list_recent(now), now)
         if now - self._swept_at >= SWEEP_INTERVAL_MS:
             self._sweep(now)
         return [*actions, *self._invite(now)]
@@ -444,17 +441,16 @@
             if owned.busy_since is not None and now - owned.busy_since > STUCK_MS:
                 self._end_request(owned, now, answered=False)
 
-    def _tell_all(self, now: Millis) -> list[Action]:
-        word = LoadFrame(self.load_word(now))
-        return [SendFrame(peer, word) for peer in self._peers.list_known()]
-
     def _invite(self, now: Millis) -> list[Action]:
         """Tell balancers that were turned away of room for an opening."""
-        invited = self._intake.take_invited(len(self._offered), now)
-        if not invited:
+        return self._tell(self._intake.take_invited(len(self._offered), now), now)
+
+    def _tell(self, peers: list[Endpoint], now: Millis) -> list[Action]:
+        """Tell balancers the load."""
+        if not peers:
             return []
         word = LoadFrame(self.load_word(now))
-        return [SendFrame(peer, word) for peer in invited]
+        return [SendFrame(peer, word) for peer in peers]
 
     # Requests
 
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -201,8 +201,10 @@
 
     def _offer_waiting(self, agent: AgentView, now: Millis) -> list[Action]:
         """Offer openings that wait to an agent that has room for them."""
+        if agent.room <= 0:
+            return []
         waiting = self._openings.list_waiting(agent.entry.service)
-        if not waiting or agent.room <= 0 or not agent.takes_openings(now):
+        if not waiting or not agent.takes_openings(now):
             return []
         waiting.sort(key=self._priority_of)
         actions: list[Action] = []
--- a/src/papayagw/_internal/core/plain/load_meter.py
+++ b/src/papayagw/_internal/core/plain/load_meter.py
@@ -50,11 +50,6 @@
         self._busy = max(0, self._busy - 1)
         self._ended += answered
 
-    def clear(self, now: Millis) -> None:
-        """Note that nothing is in progress."""
-        self._advance(now)
-        self._busy = 0
-
     def utilization(self, now: Millis) -> float:
         """Return the share of the slots that was busy of late."""
         self._advance(now)
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -1,5 +1,7 @@
 """Openings that a balancer has offered and no agent has answered yet."""
 
+from collections.abc import Reversible
+
 from papayagw._internal.core.deadlines import DeadlineQueue
 from papayagw._internal.core.plain.roster import AgentView
 from papayagw._internal.models.clock import Millis
@@ -118,8 +120,7 @@
 
     def list_waiting(self, service: str) -> list[Opening]:
         """Return the openings that no agent of a service had room for, newest first."""
-        waiting = reversed(self._waiting.get(service, {}).values())
-        return sorted(waiting, key=lambda one: one.started_at, reverse=True)
+        return _sort_newest_first(self._waiting.get(service, {}).values())
 
     def end(self, flow: FlowKey) -> Opening | None:
         """Drop an opening and return it, or None if it wasn't known."""
@@ -132,10 +133,15 @@
 
         The newest are first: they can still be answered within their objective.
         """
-        overdue = [self._openings[flow] for flow in self._deadlines.pop_due(now)]
-        overdue.reverse()
-        return sorted(overdue, key=lambda one: one.started_at, reverse=True)
+        due = self._deadlines.pop_due(now)
+        return _sort_newest_first([self._openings[flow] for flow in due])
 
     def _stop_waiting(self, flow: FlowKey) -> None:
         for openings in self._waiting.values():
             openings.pop(flow, None)
+
+
+def _sort_newest_first(openings: Reversible[Opening]) -> list[Opening]:
+    """Return openings by age; of equals the later one is first."""
+    latest = reversed(openings)
+    return sorted(latest, key=lambda one: one.started_at, reverse=True)
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -118,10 +118,6 @@
         """Forget a flow."""
         self._flows.pop(flow, None)
 
-    def clear(self) -> None:
-        """Forget all flows."""
-        self._flows.clear()
-
     def sweep(self, now: Millis, idle_ms: Millis) -> list[OwnedFlow]:
         """Forget flows that ended or fell silent, and return them."""
         old = [
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_search.py
@@ -19,9 +19,7 @@
     FlowQuestion,
     Ownership,
 )
-from papayagw._internal.models.plain.packet import FlowPacket, PacketKind, show_flow
-
-_CLOSING = (PacketKind.FINISH, PacketKind.ABORT)
+from papayagw._internal.models.plain.packet import FlowPacket, show_flow
 
 
 class OwnerSearch:
@@ -162,7 +160,7 @@
 
     def _conclude(self, question: Question, now: Millis) -> list[Action]:
         """Prepare to end a flow that every agent denies."""
-        if not question.is_denied or question.last_packet.kind in _CLOSING:
+        if not question.is_denied or question.last_packet.kind.is_closing:
             return []
         if question.stage is not Stage.CONFIRMING:
             self._questions.confirm(question, now)
--- a/src/papayagw/_internal/exceptions.py
+++ b/src/papayagw/_internal/exceptions.py
@@ -6,6 +6,9 @@
 
 from enum import Enum
 
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
+"""What reading the fields of JSON that has another form than expected may raise."""
+
 
 class Step(Enum):
     """The step at which an error arose."""
@@ -62,6 +65,16 @@
 class BindError(PapayagwError):
     """A socket that can't be bound to its endpoint."""
 
+    @classmethod
+    def from_os(cls, action: str, peer: str, error: OSError) -> "BindError":
+        """Return the error for an endpoint at which `action` failed."""
+        return cls(
+            f"can't {action}: {error.strerror}",
+            step=Step.BIND,
+            peer=peer,
+            remedy="choose an address of this machine that no process uses",
+        )
+
 
 class FlowRefusedError(PapayagwError):
     """A flow of which no byte reached a backend server; opening again is safe."""
--- a/src/papayagw/_internal/models/plain/packet.py
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -22,6 +22,11 @@
     FINISH = "finish"
     ABORT = "abort"
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the sender sends nothing after it."""
+        return self is PacketKind.FINISH or self is PacketKind.ABORT
+
 
 @dataclass(frozen=True, slots=True)
 class FlowPacket:
--- a/src/papayagw/_internal/net/datagrams.py
+++ b/src/papayagw/_internal/net/datagrams.py
@@ -5,7 +5,7 @@
 import struct
 from collections.abc import Sequence
 
-from papayagw._internal.exceptions import BindError, Step
+from papayagw._internal.exceptions import BindError
 from papayagw._internal.models.endpoint import Endpoint
 
 MAX_DATAGRAM_BYTES = 2_048
@@ -77,12 +77,7 @@
         try:
             self._socket.bind(address)
         except OSError as error:
-            raise BindError(
-                f"can't bind UDP: {error.strerror}",
-                step=Step.BIND,
-                peer=str(self._endpoint),
-                remedy="choose an address of this machine that no process uses",
-            ) from error
+            raise BindError.from_os("bind UDP", str(self._endpoint), error) from error
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/papayagw/_internal/net/plain/http_server.py
+++ b/src/papayagw/_internal/net/plain/http_server.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from papayagw._internal.exceptions import BindError, Step
+from papayagw._internal.exceptions import BindError
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.net.plain.loop import Loop
@@ -79,12 +79,7 @@
             listener.bind(self._endpoint.sockaddr)
             listener.listen(_BACKLOG)
         except OSError as error:
-            raise BindError(
-                f"can't listen: {error.strerror}",
-                step=Step.BIND,
-                peer=str(self._endpoint),
-                remedy="choose an address of this machine that no process uses",
-            ) from error
+            raise BindError.from_os("listen", str(self._endpoint), error) from error
         self._loop.watch(listener, self._accept)
 
     def close(self) -> None:
--- a/src/papayagw/_internal/net/tcp.py
+++ b/src/papayagw/_internal/net/tcp.py
@@ -125,12 +125,7 @@
         try:
             self._socket.bind(self._endpoint.sockaddr)
         except OSError as error:
-            raise BindError(
-                f"can't bind TCP: {error.strerror}",
-                step=Step.BIND,
-                peer=str(self._endpoint),
-                remedy="choose an address of this machine that no process uses",
-            ) from error
+            raise BindError.from_os("bind TCP", str(self._endpoint), error) from error
         self._socket.listen(_BACKLOG)
 
     def close(self) -> None:
--- a/src/papayagw/_internal/observe/json_lines.py
+++ b/src/papayagw/_internal/observe/json_lines.py
@@ -7,11 +7,11 @@
 import json
 import os
 import time
-from enum import Enum
 from typing import Any
 
 from papayagw._internal.core.log_limiter import LogLimiter
 from papayagw._internal.models.clock import Clock, Millis
+from papayagw._internal.observe.log_text import format_time, to_text
 
 MAX_UNSENT_BYTES = 262_144
 """How much waits for a reader that is slow; what comes then is dropped and counted."""
@@ -62,14 +62,14 @@
         suppressed = self._limiter.admit(event, self._clock.now())
         if suppressed is None:
             return
-        line: dict[str, Any] = {"time": _format_time(), "node": self._node}
+        line: dict[str, Any] = {"time": format_time(time.time()), "node": self._node}
         line["event"] = event
         line.update(fields)
         if suppressed:
             line["suppressed"] = suppressed
         if self._dropped:
             line["dropped_lines"] = self._dropped
-        data = json.dumps(line, default=_to_text, separators=(",", ":")).encode()
+        data = json.dumps(line, default=to_text, separators=(",", ":")).encode()
         if len(self._unsent) + len(data) > MAX_UNSENT_BYTES:
             self._dropped += 1
             return
@@ -88,13 +88,3 @@
             # Nobody reads any more. A process that carries flows goes on without.
             self._dropped += self._unsent.count(b"\n")
             self._unsent = b""
-
-
-def _format_time() -> str:
-    seconds = time.time()
-    whole = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
-    return f"{whole}.{int(seconds * 1_000) % 1_000:03}Z"
-
-
-def _to_text(value: object) -> str:
-    return str(value.value) if isinstance(value, Enum) else str(value)
--- a/src/papayagw/_internal/observe/logs.py
+++ b/src/papayagw/_internal/observe/logs.py
@@ -6,8 +6,6 @@
 
 import json
 import logging as stdlib_logging
-from datetime import UTC, datetime
-from enum import Enum
 from typing import Any
 
 from absl import flags
@@ -16,6 +14,7 @@
 from papayagw._internal.core.log_limiter import LogLimiter
 from papayagw._internal.exceptions import PapayagwError
 from papayagw._internal.models.clock import Clock
+from papayagw._internal.observe.log_text import format_time, to_text
 
 _FIELDS = "papayagw_fields"
 _LEVELS = {
@@ -43,7 +42,7 @@
     def format(self, record: stdlib_logging.LogRecord) -> str:
         """Return the line without its end."""
         line: dict[str, Any] = {
-            "time": _format_time(record.created),
+            "time": format_time(record.created),
             "level": record.levelname.lower(),
             "message": record.getMessage(),
             "node": self._node,
@@ -55,7 +54,7 @@
         line.update({key: one for key, one in fields.items() if key not in line})
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
-        return json.dumps(line, default=_to_text)
+        return json.dumps(line, default=to_text)
 
 
 class Log:
@@ -148,16 +147,3 @@
     stdlib_logging.getLogger().setLevel(stdlib_logging.WARNING)
     absl_logging.get_absl_logger().setLevel(level.upper())
     return Log(clock)
-
-
-def _format_time(seconds: float) -> str:
-    moment = datetime.fromtimestamp(seconds, UTC)
-    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
-
-
-def _to_text(value: object) -> str:
-    if isinstance(value, bytes):
-        return value.hex()
-    if isinstance(value, Enum):
-        return str(value.value)
-    return str(value)
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -10,6 +10,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from papayagw._internal.exceptions import MALFORMED
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
@@ -70,13 +71,7 @@
         return CallFailed(f"status {status}", refused=True)
     try:
         return _decode(call, status, body)
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        RecursionError,
-    ) as error:
+    except MALFORMED as error:
         return CallFailed(f"status {status}, unusable answer: {error!r}")
 
 
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -43,7 +43,6 @@
 REPORT_MS = 1_200
 STORE_MS = 3
 RESTART_MS = 300
-STABLE_MS = 4_000
 MODULUS = 1 << 32
 
 
@@ -536,17 +535,6 @@
             )
         self._deliver(client.reset)
 
-    def _is_unfindable(self, owner):
-        """Whether the store lacks the owner's agent, which doesn't run or just began.
-
-        The rules hold for machines whose processes have run for `STABLE_MS`; a
-        balancer that starts now can't know of such an agent.
-        """
-        if owner is None or owner.agent_name in self.store:
-            return False
-        agent = self.agents[owner.agent_name]
-        return not agent.is_alive or self.now - agent.started_at < STABLE_MS
-
     def note_arrival(self, backend, packet):
         """Note what a backend server was handed."""
         self.arrivals.append((self.now, backend, packet))
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -56,10 +56,6 @@
         self._listener = socket.create_server(listen)
         self._selector.register(self._listener, selectors.EVENT_READ, self._accept)
 
-    def reset_all(self):
-        """Reset the connections that are open."""
-        self.mode = "reset"
-
     def _accept(self, listener):
         near, _ = listener.accept()
         if self.mode == "reset":
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,12 +17,10 @@
     def __init__(self, name, service, ip, ports):
         self.drained_at = None
         self.openings = []
-        self.ended_flows = set()
         super().__init__(name, service, ip, ports)
 
     def restart(self):
         """End and start anew: nothing of before is known."""
-        self.ended_flows |= set(self.flows)
         self.flows = {}
         self.started_at = time.time_ns() // 1_000_000
         self._number = 0
