--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -4,13 +4,13 @@
 an opening goes there, since only it sees the server's reports without delay.
 """
 
+from papayagw._internal.core.plain.admission_control import AdmissionControl
 from papayagw._internal.core.plain.backend_state import (
     REPORT_INTERVAL_MS,
     BackendState,
 )
-from papayagw._internal.core.plain.intake import Intake
 from papayagw._internal.core.plain.owned_flows import OwnedFlow, OwnedFlows
-from papayagw._internal.core.plain.ownership import OwnershipJudge
+from papayagw._internal.core.plain.ownership import OwnershipResolver
 from papayagw._internal.core.plain.peers import BalancerPeers
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
@@ -39,8 +39,8 @@
     ToAgent,
 )
 from papayagw._internal.models.plain.instance import (
+    AgentLoad,
     Departure,
-    LoadWord,
     StatusReport,
 )
 from papayagw._internal.models.plain.packet import (
@@ -50,16 +50,16 @@
     show_flow,
 )
 
-BACKEND_PATIENCE_MS = Millis(40)
+BACKEND_ACCEPT_TIMEOUT_MS = Millis(40)
 """How long the backend server may take to answer an opening.
 
 Both are on one machine, and the server's part takes under a millisecond.
 """
 
-COLD_FACTOR = 1.5
+COLD_START_FACTOR = 1.5
 """By how much a backend server's time for a request is raised while it is cold."""
 
-STUCK_MS = Millis(3_000)
+STALLED_REQUEST_TIMEOUT_MS = Millis(3_000)
 """After how long a request counts as in progress no more.
 
 Many times what a backend server needs for the requests that it is given.
@@ -97,18 +97,18 @@
         self._service = service
         self._flow_limit_ms = flow_limit_ms
         backend = BackendState(service, report_interval_ms)
-        self._intake = Intake(backend, now)
+        self._admission = AdmissionControl(backend, now)
         self._flows = OwnedFlows()
-        self._judge = OwnershipJudge(self._flows, backend, flow_limit_ms, now)
+        self._ownership = OwnershipResolver(self._flows, backend, flow_limit_ms, now)
         self._peers = BalancerPeers()
         self._scope: ScopeFrame | None = None
-        self._offered: dict[FlowKey, OwnedFlow] = {}
+        self._pending_openings: dict[FlowKey, OwnedFlow] = {}
         self._swept_at = now
 
     @property
     def is_ready(self) -> bool:
         """Whether the backend server has reported since the agent's start."""
-        return self._intake.backend.is_known
+        return self._admission.backend.is_known
 
     @property
     def flow_count(self) -> int:
@@ -118,39 +118,39 @@
     @property
     def due_at(self) -> Millis | None:
         """When `on_timer` is to be called next."""
-        offers = (one.offered_at for one in self._offered.values())
-        dues = [at + BACKEND_PATIENCE_MS for at in offers if at is not None]
-        others = (self._peers.due_at, self._intake.due_at)
+        offers = (one.opening_sent_at for one in self._pending_openings.values())
+        dues = [at + BACKEND_ACCEPT_TIMEOUT_MS for at in offers if at is not None]
+        others = (self._peers.due_at, self._admission.due_at)
         dues += [at for at in others if at is not None]
         return Millis(min(dues)) if dues else None
 
-    def load_word(self, now: Millis) -> LoadWord:
+    def current_load(self, now: Millis) -> AgentLoad:
         """Return what balancers are told."""
-        meter = self._intake.meter
+        meter = self._admission.meter
         service_us = meter.service_us(now)
-        if self._intake.backend.is_cold(now):
-            service_us = round(service_us * COLD_FACTOR)
-        return LoadWord(
-            availability=self._intake.availability(now),
+        if self._admission.backend.is_cold(now):
+            service_us = round(service_us * COLD_START_FACTOR)
+        return AgentLoad(
+            availability=self._admission.availability(now),
             slots=meter.slots,
-            busy=self._intake.count_busy(len(self._offered), now),
+            busy=self._admission.count_requests(len(self._pending_openings), now),
             flows=len(self._flows),
             utilization=meter.utilization(now),
             service_us=service_us,
             site_version=self._scope.site_version if self._scope is not None else 0,
-            run_age_ms=self._intake.backend.age_ms(now),
+            run_age_ms=self._admission.backend.age_ms(now),
         )
 
     # Frames of balancers
 
     def on_frame(self, frame: ToAgent, source: Endpoint, now: Millis) -> list[Action]:
         """Return what to do about a frame of a balancer."""
-        self._peers.hear(source, now)
+        self._peers.record_frame(source, now)
         if frame.service != self._service:
-            return self._refuse_service(frame, source, now)
-        return self._take_frame(frame, source, now)
+            return self._reject_wrong_service(frame, source, now)
+        return self._handle_frame(frame, source, now)
 
-    def _take_frame(
+    def _handle_frame(
         self, frame: ToAgent, source: Endpoint, now: Millis
     ) -> list[Action]:
         match frame:
@@ -174,18 +174,18 @@
         if owned is not None and owned.ended_at is not None:
             self._forget(packet.flow, owned, now)
             owned = None
-        if owned is None or owned.accepted_at is None:
-            reason = self._find_objection(frame, source, now)
+        if owned is None or owned.accept_sequence is None:
+            reason = self._find_rejection_reason(frame, source, now)
             if reason is not None:
                 return self._return(packet, reason, source, now)
         if owned is None:
             owned = self._flows.add(packet.flow, source, now)
-        owned.origin = source
+        owned.balancer = source
         owned.seen_at = now
-        if owned.accepted_at is None:
-            owned.offered_at = now
-            owned.held = packet
-            self._offered[packet.flow] = owned
+        if owned.accept_sequence is None:
+            owned.opening_sent_at = now
+            owned.pending_opening = packet
+            self._pending_openings[packet.flow] = owned
         return [SendToBackend(packet, self._peers.token_of(source))]
 
     def _on_carried(
@@ -196,8 +196,8 @@
         if owned is not None and not owned.matches(packet.acknowledged):
             return self._return(packet, ReturnReason.NOT_OWNER, source, now)
         if owned is not None:
-            owned.origin = source
-            self._note_client(owned, packet, now)
+            owned.balancer = source
+            self._record_client_packet(owned, packet, now)
         # A flow that isn't remembered may be known to the backend server, which
         # hands back what isn't its own.
         return [SendToBackend(packet, self._peers.token_of(source))]
@@ -206,10 +206,10 @@
         self, frame: AskFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
         claims = tuple(
-            FlowClaim(question.flow, self._judge.judge(question, now))
+            FlowClaim(question.flow, self._ownership.resolve(question, now))
             for question in frame.questions
         )
-        return [SendFrame(source, ClaimFrame(claims, self.load_word(now)))]
+        return [SendFrame(source, ClaimFrame(claims, self.current_load(now)))]
 
     def _on_scope(self, frame: ScopeFrame, source: Endpoint) -> list[Action]:
         if self._scope is not None and frame.site_version <= self._scope.site_version:
@@ -222,7 +222,7 @@
         }
         return [Note("scope in force", fields)]
 
-    def _find_objection(
+    def _find_rejection_reason(
         self, frame: OpenFrame, source: Endpoint, now: Millis
     ) -> ReturnReason | None:
         """Return why an opening isn't given to the backend server, or None."""
@@ -233,9 +233,11 @@
             and frame.packet.entry not in scope.entries
         ):
             return ReturnReason.OLD_VERSION
-        return self._intake.find_objection(source, len(self._offered), now)
+        return self._admission.find_rejection_reason(
+            source, len(self._pending_openings), now
+        )
 
-    def _refuse_service(
+    def _reject_wrong_service(
         self, frame: ToAgent, source: Endpoint, now: Millis
     ) -> list[Action]:
         if isinstance(frame, OpenFrame | CarryFrame):
@@ -246,7 +248,7 @@
                 FlowClaim(question.flow, Ownership.STRANGER)
                 for question in frame.questions
             )
-            return [SendFrame(source, ClaimFrame(claims, self.load_word(now)))]
+            return [SendFrame(source, ClaimFrame(claims, self.current_load(now)))]
         return []
 
     def _return(
@@ -257,38 +259,41 @@
             "reason": reason.name.lower(),
             "peer": peer,
         }
-        frame = ReturnFrame(reason, packet, self.load_word(now))
+        frame = ReturnFrame(reason, packet, self.current_load(now))
         return [SendFrame(peer, frame), Note("packet returned", fields)]
 
     # Packets of the backend server
 
     def on_backend_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
         """Return what to do with a packet that the backend server sent."""
-        self._intake.note_life()
-        return [*self._take_packet(packet, now), *self._invite(now)]
+        self._admission.record_activity()
+        return [
+            *self._handle_backend_packet(packet, now),
+            *self._notify_of_capacity(now),
+        ]
 
-    def _take_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
+    def _handle_backend_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
         if packet.bounced:
             return self._on_bounced(packet, now)
         owned = self._flows.find(packet.flow)
         if packet.kind is PacketKind.ACCEPT:
             return self._on_accept(packet, owned, now)
-        return self._on_answer(packet, owned, now)
+        return self._on_response(packet, owned, now)
 
-    def _on_answer(
+    def _on_response(
         self, packet: FlowPacket, owned: OwnedFlow | None, now: Millis
     ) -> list[Action]:
         actions: list[Action] = [SendToClient(packet)]
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
             claim = FlowClaim(packet.flow, Ownership.OWNER)
-            frame = ClaimFrame((claim,), self.load_word(now))
-            actions += [SendFrame(one, frame) for one in self._peers.list_recent(now)]
+            frame = ClaimFrame((claim,), self.current_load(now))
+            actions += [SendFrame(one, frame) for one in self._peers.list_active(now)]
             fields = {"flow": show_flow(packet.flow)}
             actions.append(Note("flow adopted", fields))
         owned.seen_at = now
-        owned.is_open = True
-        owned.note_received(packet)
+        owned.is_established = True
+        owned.record_backend_ack(packet)
         if packet.payload_bytes:
             self._end_request(owned, now, answered=True)
         if packet.kind.is_closing:
@@ -301,40 +306,44 @@
     ) -> list[Action]:
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
-        offered_at, owned.offered_at, owned.held = owned.offered_at, None, None
-        self._offered.pop(packet.flow, None)
-        if offered_at is not None:
-            self._intake.expect(packet.flow, now)
-        owned.accepted_at = packet.sequence
+        opening_sent_at, owned.opening_sent_at, owned.pending_opening = (
+            owned.opening_sent_at,
+            None,
+            None,
+        )
+        self._pending_openings.pop(packet.flow, None)
+        if opening_sent_at is not None:
+            self._admission.expect_first_request(packet.flow, now)
+        owned.accept_sequence = packet.sequence
         owned.began_at = owned.seen_at = now
         actions: list[Action] = [SendToClient(packet)]
-        if owned.origin is not None:
-            frame = OpenedFrame(packet.flow, self.load_word(now))
-            actions.append(SendFrame(owned.origin, frame))
-        if offered_at is not None:
-            fields = {"flow": show_flow(packet.flow), "ms": now - offered_at}
+        if owned.balancer is not None:
+            frame = OpenedFrame(packet.flow, self.current_load(now))
+            actions.append(SendFrame(owned.balancer, frame))
+        if opening_sent_at is not None:
+            fields = {"flow": show_flow(packet.flow), "ms": now - opening_sent_at}
             actions.append(Note("flow accepted", fields))
         return actions
 
     def _on_bounced(self, packet: FlowPacket, now: Millis) -> list[Action]:
         owned = self._flows.find(packet.flow)
-        origin = self._peers.find(packet.token)
+        balancer = self._peers.find(packet.token)
         if packet.kind is PacketKind.OPEN:
-            if owned is not None and owned.accepted_at is None:
+            if owned is not None and owned.accept_sequence is None:
                 self._forget(packet.flow, owned, now)
-            if origin is None:
+            if balancer is None:
                 return []
-            return self._return(packet, self._intake.note_declined(), origin, now)
-        if owned is not None and owned.is_open:
+            return self._return(packet, self._admission.record_refusal(), balancer, now)
+        if owned is not None and owned.is_established:
             # The backend server itself says that it no longer holds the flow.
             self._forget(packet.flow, owned, now)
             reset = ResetClient(packet.flow, packet.acknowledged or 0)
             return [reset, Note("flow lost", {"flow": show_flow(packet.flow)})]
         if owned is not None:
             self._forget(packet.flow, owned, now)
-        if origin is None:
+        if balancer is None:
             return []
-        return self._return(packet, ReturnReason.NOT_OWNER, origin, now)
+        return self._return(packet, ReturnReason.NOT_OWNER, balancer, now)
 
     # Reports of the backend server
 
@@ -353,16 +362,16 @@
             The present time.
         """
         actions: list[Action] = []
-        backend = self._intake.backend
+        backend = self._admission.backend
         before = backend.report
         is_new_run = backend.is_new_run(report)
         if is_new_run:
             actions = self._end_earlier_run(age_ms, now)
-        if not self._intake.take(report, now):
+        if not self._admission.record_report(report, now):
             fields = {"instance": report.instance, "number": report.number}
             return [*actions, Note("report not used", fields)]
         if before is None or is_new_run:
-            self._judge.begin_run(report, age_ms, now)
+            self._ownership.begin_run(report, age_ms, now)
         if before is None or before.state is not report.state or actions:
             fields = {
                 "instance": report.instance,
@@ -372,20 +381,20 @@
                 "cold_ms": report.cold_left_ms,
             }
             actions.append(Note("backend state", fields))
-            actions += self._tell(self._peers.list_known(), now)
+            actions += self._send_load(self._peers.list_known(), now)
         return actions
 
     def on_departure(self, departure: Departure, now: Millis) -> list[Action]:
         """Return what to do about the end of the backend server."""
-        if not self._intake.backend.leave(departure):
+        if not self._admission.backend.record_departure(departure):
             return []
         note = Note("backend left", {"instance": departure.instance})
-        return [note, *self._tell(self._peers.list_known(), now)]
+        return [note, *self._send_load(self._peers.list_known(), now)]
 
-    def leave(self, now: Millis) -> list[Action]:
+    def begin_shutdown(self, now: Millis) -> list[Action]:
         """Return what to do as the agent stops."""
-        self._intake.leave()
-        return self._tell(self._peers.list_known(), now)
+        self._admission.begin_shutdown()
+        return self._send_load(self._peers.list_known(), now)
 
     def _end_earlier_run(self, age_ms: Millis, now: Millis) -> list[Action]:
         """Tell the clients of the earlier run that their flows are over.
@@ -399,7 +408,7 @@
         for flow, owned in ended:
             self._forget(flow, owned, now)
             # A flow that was only accepted may be open at another backend server.
-            if owned.is_open and owned.ended_at is None:
+            if owned.is_established and owned.ended_at is None:
                 actions.append(ResetClient(flow, owned.acknowledged))
         fields = {"flows": len(ended), "reset": len(actions), "age_ms": age_ms}
         return [*actions, Note("backend restarted", fields)]
@@ -409,73 +418,82 @@
     def on_timer(self, now: Millis) -> list[Action]:
         """Return what is due."""
         actions: list[Action] = []
-        limit = now - BACKEND_PATIENCE_MS
+        limit = now - BACKEND_ACCEPT_TIMEOUT_MS
         overdue = [
             (flow, owned)
-            for flow, owned in self._offered.items()
-            if owned.offered_at is not None and owned.offered_at <= limit
+            for flow, owned in self._pending_openings.items()
+            if owned.opening_sent_at is not None and owned.opening_sent_at <= limit
         ]
         for flow, owned in overdue:
-            actions += self._on_silence(flow, owned, now)
-        if self._peers.take_due(now):
-            actions += self._tell(self._peers.list_recent(now), now)
+            actions += self._on_accept_timeout(flow, owned, now)
+        if self._peers.start_round_if_due(now):
+            actions += self._send_load(self._peers.list_active(now), now)
         if now - self._swept_at >= SWEEP_INTERVAL_MS:
             self._sweep(now)
-        return [*actions, *self._invite(now)]
+        return [*actions, *self._notify_of_capacity(now)]
 
-    def _on_silence(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> list[Action]:
+    def _on_accept_timeout(
+        self, flow: FlowKey, owned: OwnedFlow, now: Millis
+    ) -> list[Action]:
         """Hand an opening on that the backend server left unanswered."""
-        packet, origin = owned.held, owned.origin
+        packet, balancer = owned.pending_opening, owned.balancer
         self._forget(flow, owned, now)
-        wait = self._intake.note_silence(now)
-        if packet is None or origin is None:
+        wait = self._admission.record_timeout(now)
+        if packet is None or balancer is None:
             return []
         note = Note("backend silent", {"flow": show_flow(flow), "wait_ms": wait})
-        return [note, *self._return(packet, ReturnReason.SILENT, origin, now)]
+        return [note, *self._return(packet, ReturnReason.SILENT, balancer, now)]
 
     def _sweep(self, now: Millis) -> None:
         self._swept_at = now
         for owned in self._flows.sweep(now, self._flow_limit_ms):
             self._end_request(owned, now, answered=False)
         for _, owned in self._flows:
-            if owned.busy_since is not None and now - owned.busy_since > STUCK_MS:
+            if (
+                owned.request_started_at is not None
+                and now - owned.request_started_at > STALLED_REQUEST_TIMEOUT_MS
+            ):
                 self._end_request(owned, now, answered=False)
 
-    def _invite(self, now: Millis) -> list[Action]:
+    def _notify_of_capacity(self, now: Millis) -> list[Action]:
         """Tell balancers that were turned away of room for an opening."""
-        return self._tell(self._intake.take_invited(len(self._offered), now), now)
+        return self._send_load(
+            self._admission.reserve_capacity(len(self._pending_openings), now), now
+        )
 
-    def _tell(self, peers: list[Endpoint], now: Millis) -> list[Action]:
+    def _send_load(self, peers: list[Endpoint], now: Millis) -> list[Action]:
         """Tell balancers the load."""
         if not peers:
             return []
-        word = LoadFrame(self.load_word(now))
-        return [SendFrame(peer, word) for peer in peers]
+        frame = LoadFrame(self.current_load(now))
+        return [SendFrame(peer, frame) for peer in peers]
 
     # Requests
 
-    def _note_client(self, owned: OwnedFlow, packet: FlowPacket, now: Millis) -> None:
+    def _record_client_packet(
+        self, owned: OwnedFlow, packet: FlowPacket, now: Millis
+    ) -> None:
         owned.seen_at = now
-        is_new = owned.advance(packet)
+        is_new = owned.record_client_packet(packet)
         if is_new:
-            self._intake.stop_expecting(packet.flow)
-        if is_new and owned.busy_since is None:
-            owned.busy_since = now
-            self._intake.meter.begin(now)
-            self._peers.note_change(now)
+            self._admission.clear_first_request(packet.flow)
+        if is_new and owned.request_started_at is None:
+            owned.request_started_at = now
+            self._admission.meter.begin(now)
+            self._peers.mark_load_changed(now)
         if packet.kind is PacketKind.ABORT:
             self._end_request(owned, now, answered=False)
             owned.ended_at = now
 
     def _end_request(self, owned: OwnedFlow, now: Millis, *, answered: bool) -> None:
-        if owned.busy_since is None:
+        if owned.request_started_at is None:
             return
-        owned.busy_since = None
-        self._intake.meter.end(now, answered=answered)
-        self._peers.note_change(now)
+        owned.request_started_at = None
+        self._admission.meter.end(now, answered=answered)
+        self._peers.mark_load_changed(now)
 
     def _forget(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> None:
         self._end_request(owned, now, answered=False)
-        self._offered.pop(flow, None)
-        self._intake.stop_expecting(flow)
+        self._pending_openings.pop(flow, None)
+        self._admission.clear_first_request(flow)
         self._flows.drop(flow)
--- a/src/papayagw/_internal/core/plain/backend_state.py
+++ b/src/papayagw/_internal/core/plain/backend_state.py
@@ -27,7 +27,7 @@
         self._report_interval_ms = report_interval_ms
         self._report: StatusReport | None = None
         self._reported_at = Millis(0)
-        self._cold_till = Millis(0)
+        self._cold_until = Millis(0)
         self._began_at: Millis | None = None
         self._has_left = False
 
@@ -48,7 +48,7 @@
         return report is not None and report.state is ReportedState.DRAINING
 
     @property
-    def patience_ms(self) -> Millis:
+    def report_timeout_ms(self) -> Millis:
         """Without a report for so long, silence on packets means that it is gone.
 
         Two intervals and a little more.
@@ -56,7 +56,7 @@
         return Millis(self._report_interval_ms * 13 // 6)
 
     @property
-    def first_report_ms(self) -> Millis:
+    def max_first_report_age_ms(self) -> Millis:
         """The age of a run up to which no report of it was acknowledged before.
 
         A backend server reports as it starts and, once that is acknowledged, an
@@ -66,27 +66,27 @@
 
     def is_cold(self, now: Millis) -> bool:
         """Whether the backend server is slow after its start."""
-        return now < self._cold_till
+        return now < self._cold_until
 
-    def is_overdue(self, now: Millis) -> bool:
+    def is_report_overdue(self, now: Millis) -> bool:
         """Whether reports have stayed away."""
-        return now - self._reported_at > self.patience_ms
+        return now - self._reported_at > self.report_timeout_ms
 
     def age_ms(self, now: Millis) -> Millis | None:
         """Return how long ago the run began, or None if that isn't known."""
         return None if self._began_at is None else Millis(now - self._began_at)
 
-    def note_age(self, age_ms: Millis, now: Millis) -> None:
+    def record_age(self, age_ms: Millis, now: Millis) -> None:
         """Note the age of the run, which is negative where clocks were set back."""
         self._began_at = Millis(now - age_ms) if age_ms >= 0 else None
 
-    def take(self, report: StatusReport, now: Millis) -> bool:
+    def record_report(self, report: StatusReport, now: Millis) -> bool:
         """Take in a report; return False for one that is late or not usable."""
-        if report.service != self._service or self._is_older(report):
+        if report.service != self._service or self._is_stale(report):
             return False
         self._report = report
         self._reported_at = now
-        self._cold_till = Millis(now + report.cold_left_ms)
+        self._cold_until = Millis(now + report.cold_left_ms)
         self._has_left = False
         return True
 
@@ -95,7 +95,7 @@
         known = self._report
         return known is not None and report.started_at > known.started_at
 
-    def leave(self, departure: Departure) -> bool:
+    def record_departure(self, departure: Departure) -> bool:
         """Take in a departure; return False for that of an earlier run."""
         known = self._report
         if known is None or departure.instance != known.instance:
@@ -106,7 +106,7 @@
         self._has_left = True
         return True
 
-    def _is_older(self, report: StatusReport) -> bool:
+    def _is_stale(self, report: StatusReport) -> bool:
         known = self._report
         if known is None:
             return False
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -31,7 +31,7 @@
     ScopeFrame,
     ToBalancer,
 )
-from papayagw._internal.models.plain.instance import LoadWord
+from papayagw._internal.models.plain.instance import AgentLoad
 from papayagw._internal.models.plain.packet import FlowPacket, PacketKind, show_flow
 from papayagw._internal.models.plain.site import Route, SiteVersion
 
@@ -364,7 +364,7 @@
         return actions
 
     def _compare_versions(
-        self, view: AgentView, load: LoadWord, now: Millis
+        self, view: AgentView, load: AgentLoad, now: Millis
     ) -> Iterable[Action]:
         if self._site is None or load.site_version == self._site.version:
             return
--- a/src/papayagw/_internal/core/plain/batching.py
+++ b/src/papayagw/_internal/core/plain/batching.py
@@ -24,15 +24,17 @@
         The other actions in their order, then the questions.
     """
     others: list[Action] = []
-    asked: dict[tuple[Endpoint, str], list[FlowQuestion]] = {}
+    questions_by_agent: dict[tuple[Endpoint, str], list[FlowQuestion]] = {}
     for action in actions:
         if isinstance(action, SendFrame) and isinstance(action.frame, AskFrame):
             key = (action.peer, action.frame.service)
-            asked.setdefault(key, []).extend(action.frame.questions)
+            questions_by_agent.setdefault(key, []).extend(action.frame.questions)
         else:
             others.append(action)
     return others + [
-        SendFrame(peer, AskFrame(service, tuple(questions[at : at + MAX_QUESTIONS])))
-        for (peer, service), questions in asked.items()
-        for at in range(0, len(questions), MAX_QUESTIONS)
+        SendFrame(
+            peer, AskFrame(service, tuple(questions[start : start + MAX_QUESTIONS]))
+        )
+        for (peer, service), questions in questions_by_agent.items()
+        for start in range(0, len(questions), MAX_QUESTIONS)
     ]
--- a/src/papayagw/_internal/core/plain/entry_keeper.py
+++ b/src/papayagw/_internal/core/plain/entry_registrar.py
@@ -2,41 +2,41 @@
 
 from random import Random
 
-from papayagw._internal.core.plain.store_calls import Patience, TimedCall
+from papayagw._internal.core.plain.store_calls import RetrySchedule, TimedCall
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
     EndLease,
     GrantLease,
-    Leased,
-    LeaseGone,
+    LeaseEnded,
+    LeaseResult,
     PutKey,
-    RangeRead,
+    PutResult,
+    RangeResult,
     ReadRange,
     RenewLease,
     StoreAnswer,
     StoreCall,
-    Written,
 )
 
-LEASE_MS = Millis(10_000)
+LEASE_TTL_MS = Millis(10_000)
 """How long an entry outlives the last word of its agent."""
 
-RENEW_MS = Millis(2_000)
+RENEW_INTERVAL_MS = Millis(2_000)
 """Time between renewals.
 
 A lapsed lease shows by its next renewal, and the entry is to be back within two
 seconds of the store's return.
 """
 
-RESTORE_GAP_MS = Millis(1_000)
+MIN_RESTORE_INTERVAL_MS = Millis(1_000)
 """The shortest time between two restorations that balancers ask for.
 
 All of them follow the store and miss an entry within a second of each other.
 """
 
 
-class EntryKeeper:
+class EntryRegistrar:
     """Keeps one key in the store for as long as its owner lives.
 
     Parameters
@@ -53,13 +53,13 @@
         self._key = key
         self._value = value
         self._random = random
-        self._patience = Patience(random)
+        self._retry_schedule = RetrySchedule(random)
         self._due_at = Millis(0)
-        self._has_looked = False
+        self._has_read = False
         self._lease: int | None = None
         self._is_stored = False
-        self._was_away = False
-        self._restored_at = Millis(-RESTORE_GAP_MS)
+        self._had_failure = False
+        self._restored_at = Millis(-MIN_RESTORE_INTERVAL_MS)
         self._is_ending = False
 
     @property
@@ -75,43 +75,47 @@
     def next_call(self) -> TimedCall | None:
         """Return the call to make now, or None if there is none."""
         call = self._pick_call()
-        return None if call is None else TimedCall(call, self._patience.timeout_ms)
+        return (
+            None if call is None else TimedCall(call, self._retry_schedule.timeout_ms)
+        )
 
     def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
         """Take in the answer to the last call."""
         if isinstance(answer, CallFailed):
-            self._due_at = Millis(now + self._patience.fail(answer))
-            self._was_away = True
+            self._due_at = Millis(now + self._retry_schedule.fail(answer))
+            self._had_failure = True
             return
-        self._patience.succeed()
+        self._retry_schedule.succeed()
         self._due_at = now
         match answer:
-            case RangeRead(items):
-                self._has_looked, self._was_away = True, False
+            case RangeResult(items):
+                self._has_read, self._had_failure = True, False
                 self._is_stored = False
                 # A run before this one may have left the entry and its lease.
                 for item in items:
                     if item.key == self._key and item.value == self._value:
                         self._lease, self._is_stored = item.lease or None, True
-            case Leased(lease):
+            case LeaseResult(lease):
                 self._lease = lease
-                if isinstance(call, RenewLease) and self._was_away:
+                if isinstance(call, RenewLease) and self._had_failure:
                     # The store may have dropped the entry and kept its lease.
-                    self._has_looked = False
+                    self._has_read = False
                 elif isinstance(call, RenewLease) and self._is_stored:
-                    self._due_at = Millis(now + self._jitter(RENEW_MS))
-            case Written():
-                self._is_stored, self._was_away = True, False
-                self._due_at = Millis(now + self._jitter(RENEW_MS))
-            case LeaseGone():
+                    self._due_at = Millis(now + self._jitter(RENEW_INTERVAL_MS))
+            case PutResult():
+                self._is_stored, self._had_failure = True, False
+                self._due_at = Millis(now + self._jitter(RENEW_INTERVAL_MS))
+            case LeaseEnded():
                 self._lease, self._is_stored = None, False
 
     def restore(self, now: Millis) -> None:
         """Store the entry again, since it is missing."""
-        if not self._has_looked or not self._is_stored:
+        if not self._has_read or not self._is_stored:
             return
         self._is_stored = False
-        self._restored_at = Millis(max(now, self._restored_at + RESTORE_GAP_MS))
+        self._restored_at = Millis(
+            max(now, self._restored_at + MIN_RESTORE_INTERVAL_MS)
+        )
         self._due_at = min(self._due_at, self._restored_at)
 
     def end(self, now: Millis) -> None:
@@ -122,10 +126,10 @@
     def _pick_call(self) -> StoreCall | None:
         if self._is_ending:
             return None if self._lease is None else EndLease(self._lease)
-        if not self._has_looked:
+        if not self._has_read:
             return ReadRange(self._key)
         if self._lease is None:
-            return GrantLease(LEASE_MS)
+            return GrantLease(LEASE_TTL_MS)
         if not self._is_stored:
             return PutKey(self._key, self._value, self._lease)
         return RenewLease(self._lease)
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -9,7 +9,7 @@
 MAX_FLOWS = 20_000
 """The most flows that are remembered: ten times what a backend server holds."""
 
-ENDED_MS = Millis(5_000)
+ENDED_FLOW_RETENTION_MS = Millis(5_000)
 """How long a flow that has ended is remembered, for packets that come late.
 
 Longer than the sum of the clients' first four times between retransmissions.
@@ -25,7 +25,7 @@
 _MODULUS = 1 << 32
 
 
-def is_ahead(position: int, start: int) -> bool:
+def is_in_window(position: int, start: int) -> bool:
     """Return whether `position` is at or a little after `start`, modulo 2**32."""
     return (position - start) % _MODULUS < SEQUENCE_WINDOW
 
@@ -34,60 +34,60 @@
     """One flow."""
 
     __slots__ = (
-        "accepted_at",
+        "accept_sequence",
         "acknowledged",
         "began_at",
-        "busy_since",
-        "client_end",
+        "request_started_at",
+        "client_sequence_end",
         "ended_at",
-        "held",
-        "is_open",
-        "offered_at",
-        "origin",
+        "pending_opening",
+        "is_established",
+        "opening_sent_at",
+        "balancer",
         "seen_at",
     )
 
-    def __init__(self, origin: Endpoint | None, now: Millis):
-        self.origin = origin
+    def __init__(self, balancer: Endpoint | None, now: Millis):
+        self.balancer = balancer
         self.began_at = now
         """When it was accepted, or first seen where that wasn't seen."""
         self.seen_at = now
-        self.accepted_at: int | None = None
+        self.accept_sequence: int | None = None
         """Sequence number of the accepting packet; None if it wasn't seen."""
-        self.is_open = False
+        self.is_established = False
         """Whether the backend server has spoken on it after it accepted."""
         self.acknowledged = 0
-        self.client_end: int | None = None
-        self.busy_since: Millis | None = None
-        self.offered_at: Millis | None = None
-        self.held: FlowPacket | None = None
+        self.client_sequence_end: int | None = None
+        self.request_started_at: Millis | None = None
+        self.opening_sent_at: Millis | None = None
+        self.pending_opening: FlowPacket | None = None
         self.ended_at: Millis | None = None
 
     def matches(self, acknowledged: int | None) -> bool:
         """Whether a client that acknowledges this talks to this backend server."""
-        if self.accepted_at is None or acknowledged is None:
+        if self.accept_sequence is None or acknowledged is None:
             return True
-        return is_ahead(acknowledged, self.accepted_at)
+        return is_in_window(acknowledged, self.accept_sequence)
 
-    def advance(self, packet: FlowPacket) -> bool:
+    def record_client_packet(self, packet: FlowPacket) -> bool:
         """Note a client's packet; return whether it carries bytes not seen before."""
         if packet.acknowledged is not None:
             self.acknowledged = packet.acknowledged
         if not packet.payload_bytes or self.ended_at is not None:
             return False
         end = (packet.sequence + packet.payload_bytes) % _MODULUS
-        return self._move_client_end(end)
+        return self._advance_client_sequence(end)
 
-    def note_received(self, packet: FlowPacket) -> None:
+    def record_backend_ack(self, packet: FlowPacket) -> None:
         """Note what the backend server's packet says that it has of the client."""
         if packet.acknowledged is not None:
-            self._move_client_end(packet.acknowledged)
+            self._advance_client_sequence(packet.acknowledged)
 
-    def _move_client_end(self, end: int) -> bool:
-        known = self.client_end
-        if known is not None and not (end != known and is_ahead(end, known)):
+    def _advance_client_sequence(self, end: int) -> bool:
+        known = self.client_sequence_end
+        if known is not None and not (end != known and is_in_window(end, known)):
             return False
-        self.client_end = end
+        self.client_sequence_end = end
         return True
 
 
@@ -107,11 +107,11 @@
         """Return a flow, or None."""
         return self._flows.get(flow)
 
-    def add(self, flow: FlowKey, origin: Endpoint | None, now: Millis) -> OwnedFlow:
+    def add(self, flow: FlowKey, balancer: Endpoint | None, now: Millis) -> OwnedFlow:
         """Remember a flow anew."""
         if len(self._flows) >= MAX_FLOWS:
             del self._flows[next(iter(self._flows))]
-        owned = self._flows[flow] = OwnedFlow(origin, now)
+        owned = self._flows[flow] = OwnedFlow(balancer, now)
         return owned
 
     def drop(self, flow: FlowKey) -> None:
@@ -120,12 +120,15 @@
 
     def sweep(self, now: Millis, idle_ms: Millis) -> list[OwnedFlow]:
         """Forget flows that ended or fell silent, and return them."""
-        old = [
+        expired = [
             (key, one)
             for key, one in self._flows.items()
             if now - one.seen_at > idle_ms
-            or (one.ended_at is not None and now - one.ended_at > ENDED_MS)
+            or (
+                one.ended_at is not None
+                and now - one.ended_at > ENDED_FLOW_RETENTION_MS
+            )
         ]
-        for key, _ in old:
+        for key, _ in expired:
             del self._flows[key]
-        return [one for _, one in old]
+        return [one for _, one in expired]
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -6,13 +6,13 @@
 from papayagw._internal.models.plain.frame import FlowQuestion, Ownership
 from papayagw._internal.models.plain.instance import StatusReport
 
-MOST_EARLY_REPORTS = 16
+MAX_EARLY_REPORTS = 16
 """The most reports of a run that is as young as it seems; while no agent answers they
 come every 70 ms. Guards against a time of day that was set back.
 """
 
 
-class OwnershipJudge:
+class OwnershipResolver:
     """Answers balancers that look for the owner of a flow.
 
     Parameters
@@ -37,9 +37,9 @@
         self._flows = flows
         self._backend = backend
         self._started_at = now
-        self._unsure_till = Millis(now + flow_limit_ms)
+        self._unsure_until = Millis(now + flow_limit_ms)
 
-    def judge(self, question: FlowQuestion, now: Millis) -> Ownership:
+    def resolve(self, question: FlowQuestion, now: Millis) -> Ownership:
         """Return whose the flow is, as far as the agent can tell."""
         owned = self._flows.find(question.flow)
         if owned is not None and owned.ended_at is None:
@@ -48,15 +48,17 @@
         if owned is not None:
             # Its last packets are the backend server's to answer.
             return Ownership.OWNER
-        return Ownership.UNSURE if now < self._unsure_till else Ownership.STRANGER
+        return Ownership.UNSURE if now < self._unsure_until else Ownership.STRANGER
 
     def begin_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> None:
         """Take in the age of a run, once: the time of day may be set back later."""
-        self._backend.note_age(age_ms, now)
-        if self._saw_whole_run(report, age_ms, now):
-            self._unsure_till = now
+        self._backend.record_age(age_ms, now)
+        if self._observed_whole_run(report, age_ms, now):
+            self._unsure_until = now
 
-    def _saw_whole_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> bool:
+    def _observed_whole_run(
+        self, report: StatusReport, age_ms: Millis, now: Millis
+    ) -> bool:
         """Whether all flows of the run have passed this agent."""
-        youngest = max(now - self._started_at, self._backend.first_report_ms)
-        return 0 <= age_ms <= youngest and report.number <= MOST_EARLY_REPORTS
+        max_age_ms = max(now - self._started_at, self._backend.max_first_report_age_ms)
+        return 0 <= age_ms <= max_age_ms and report.number <= MAX_EARLY_REPORTS
--- a/src/papayagw/_internal/core/plain/peers.py
+++ b/src/papayagw/_internal/core/plain/peers.py
@@ -3,13 +3,13 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
-RECENT_MS = Millis(3_000)
+ACTIVE_TIMEOUT_MS = Millis(3_000)
 """How long after its last frame a balancer is told the load."""
 
-WORD_INTERVAL_MS = Millis(100)
+MIN_LOAD_INTERVAL_MS = Millis(100)
 """The shortest time between two rounds of load words."""
 
-WORDS_PER_SECOND = 40
+MAX_LOAD_FRAMES_PER_SECOND = 40
 """The most load words that one agent sends.
 
 About 80 bytes each: 3.2 KB/s, under the 4 KB/s that a node may spend on control.
@@ -23,44 +23,51 @@
     """Balancers, the tokens that stand for them, and the timing of load words."""
 
     def __init__(self) -> None:
-        self._heard: dict[Endpoint, Millis] = {}
+        self._last_frame_at: dict[Endpoint, Millis] = {}
         self._tokens: dict[Endpoint, int] = {}
         self._by_token: dict[int, Endpoint] = {}
-        self._told_at = Millis(0)
-        self._has_news = False
+        self._last_sent_at = Millis(0)
+        self._load_changed = False
 
     @property
     def due_at(self) -> Millis | None:
         """When the next load words are due, if there is anything to tell."""
-        if not self._has_news or not self._heard:
+        if not self._load_changed or not self._last_frame_at:
             return None
-        interval = max(WORD_INTERVAL_MS, 1_000 * len(self._heard) // WORDS_PER_SECOND)
-        return Millis(self._told_at + interval)
+        interval = max(
+            MIN_LOAD_INTERVAL_MS,
+            1_000 * len(self._last_frame_at) // MAX_LOAD_FRAMES_PER_SECOND,
+        )
+        return Millis(self._last_sent_at + interval)
 
-    def hear(self, peer: Endpoint, now: Millis) -> None:
+    def record_frame(self, peer: Endpoint, now: Millis) -> None:
         """Note a frame of a balancer."""
-        self._heard[peer] = now
+        self._last_frame_at[peer] = now
         self.token_of(peer)
 
-    def note_change(self, now: Millis) -> None:
+    def mark_load_changed(self, now: Millis) -> None:
         """Note that the load has changed."""
-        self._has_news = True
+        self._load_changed = True
 
-    def take_due(self, now: Millis) -> bool:
+    def start_round_if_due(self, now: Millis) -> bool:
         """Return whether load words are due, and count them as sent."""
         due_at = self.due_at
         if due_at is None or now < due_at:
             return False
-        self._told_at = now
-        self._has_news = False
+        self._last_sent_at = now
+        self._load_changed = False
         return True
 
-    def list_recent(self, now: Millis) -> list[Endpoint]:
+    def list_active(self, now: Millis) -> list[Endpoint]:
         """Return the balancers that were heard of late; forget long silent ones."""
-        silent = [peer for peer, at in self._heard.items() if now - at > RECENT_MS]
-        for peer in silent:
-            del self._heard[peer]
-        return list(self._heard)
+        inactive = [
+            peer
+            for peer, at in self._last_frame_at.items()
+            if now - at > ACTIVE_TIMEOUT_MS
+        ]
+        for peer in inactive:
+            del self._last_frame_at[peer]
+        return list(self._last_frame_at)
 
     def list_known(self) -> list[Endpoint]:
         """Return all balancers that were heard since the start."""
--- a/src/papayagw/_internal/core/plain/following.py
+++ b/src/papayagw/_internal/core/plain/prefix_watcher.py
@@ -4,38 +4,38 @@
 from random import Random
 
 from papayagw._internal.core.plain.store_calls import (
-    LONGEST_RETRY_MS,
-    Patience,
+    MAX_RETRY_DELAY_MS,
+    RetrySchedule,
     TimedCall,
 )
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
-    HistoryGone,
-    RangeRead,
+    HistoryCompacted,
+    RangeResult,
     ReadRange,
     StoreAnswer,
     StoreCall,
     StoredItem,
     StoreEvent,
-    Watched,
     WatchPrefix,
+    WatchResult,
 )
 
-WATCH_MS = Millis(10_000)
+WATCH_TIMEOUT_MS = Millis(10_000)
 """How long one watch waits: a quiet node calls the store six times a minute."""
 
 WATCH_MARGIN_MS = Millis(1_000)
 """How much later than asked a watch may answer before its connection counts as dead."""
 
-FIRST_READ_RETRY_MS = Millis(300)
+MAX_FIRST_READ_RETRY_MS = Millis(300)
 """Limit of the wait between tries until the first read: nothing is served till then."""
 
 OnSnapshot = Callable[[tuple[StoredItem, ...]], None]
 OnEvents = Callable[[tuple[StoreEvent, ...]], None]
 
 
-class Follower:
+class PrefixWatcher:
     """Keeps up with the keys under one prefix.
 
     Parameters
@@ -58,13 +58,13 @@
         on_snapshot: OnSnapshot,
         on_events: OnEvents,
         random: Random,
-        gap_ms: Millis,
+        min_interval_ms: Millis,
     ):
         self._prefix = prefix
         self._on_snapshot = on_snapshot
         self._on_events = on_events
-        self._gap_ms = gap_ms
-        self._patience = Patience(random, FIRST_READ_RETRY_MS)
+        self._min_interval_ms = min_interval_ms
+        self._retry_schedule = RetrySchedule(random, MAX_FIRST_READ_RETRY_MS)
         self._due_at = Millis(0)
         self._revision: int | None = None
         self._pages: list[StoredItem] = []
@@ -77,39 +77,41 @@
 
     def next_call(self) -> TimedCall:
         """Return the call to make now."""
-        timeout_ms = self._patience.timeout_ms
+        timeout_ms = self._retry_schedule.timeout_ms
         if self._revision is None:
             after = self._pages[-1].key if self._pages else ""
             return TimedCall(ReadRange(self._prefix, after), timeout_ms)
-        wait_ms = Millis(WATCH_MS + WATCH_MARGIN_MS + timeout_ms)
-        return TimedCall(WatchPrefix(self._prefix, self._revision, WATCH_MS), wait_ms)
+        wait_ms = Millis(WATCH_TIMEOUT_MS + WATCH_MARGIN_MS + timeout_ms)
+        return TimedCall(
+            WatchPrefix(self._prefix, self._revision, WATCH_TIMEOUT_MS), wait_ms
+        )
 
     def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
         """Take in the answer to the last call."""
         match answer:
-            case RangeRead():
-                self._patience.succeed()
-                self._patience.limit(LONGEST_RETRY_MS)
-                self._take_page(answer)
+            case RangeResult():
+                self._retry_schedule.succeed()
+                self._retry_schedule.set_max_retry_delay(MAX_RETRY_DELAY_MS)
+                self._add_page(answer)
                 self._due_at = now
-            case Watched(events, revision):
-                self._patience.succeed()
+            case WatchResult(events, revision):
+                self._retry_schedule.succeed()
                 self._due_at = now
                 if events:
                     # A watch without events may have missed some: only one that
                     # told of writes moves the revision on.
                     self._revision = max(revision, self._revision or 0)
-                    self._due_at = Millis(now + self._gap_ms)
+                    self._due_at = Millis(now + self._min_interval_ms)
                     self._on_events(events)
-            case HistoryGone():
+            case HistoryCompacted():
                 self.restart(now)
             case CallFailed():
                 # What was written meanwhile may be missing from the history.
                 self._revision = None
-                self._due_at = Millis(now + self._patience.fail(answer))
+                self._due_at = Millis(now + self._retry_schedule.fail(answer))
             case _:
                 failure = CallFailed(f"unexpected answer {answer!r}")
-                self._due_at = Millis(now + self._patience.fail(failure))
+                self._due_at = Millis(now + self._retry_schedule.fail(failure))
 
     def refresh(self, now: Millis) -> bool:
         """Read all keys anew if they are being watched; return whether they are."""
@@ -124,7 +126,7 @@
         self._pages = []
         self._due_at = now
 
-    def _take_page(self, page: RangeRead) -> None:
+    def _add_page(self, page: RangeResult) -> None:
         if not self._pages:
             # Later pages may be newer: the watch goes on from the oldest.
             self._first_revision = page.store_revision
--- a/src/papayagw/_internal/core/plain/admission.py
+++ b/src/papayagw/_internal/core/plain/request_limit.py
@@ -1,6 +1,6 @@
 """How much work a backend server is given before openings wait elsewhere."""
 
-ROUNDS_AHEAD = 2
+REQUESTS_PER_SLOT = 2
 """Requests for each slot, the one in work included, that still meet their objective.
 
 Objectives are five times the mean work of a request and more; a backend server's own
@@ -10,4 +10,4 @@
 
 def request_limit(slots: int) -> int:
     """Return how many requests in progress a backend server takes openings below."""
-    return ROUNDS_AHEAD * max(slots, 1)
+    return REQUESTS_PER_SLOT * max(slots, 1)
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterator
 
-from papayagw._internal.core.plain.admission import request_limit
+from papayagw._internal.core.plain.request_limit import request_limit
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.instance import (
     AgentEntry,
+    AgentLoad,
     Availability,
-    LoadWord,
 )
 
 FRESH_MS = Millis(300)
@@ -67,7 +67,7 @@
 
     def __init__(self, entry: AgentEntry):
         self.entry = entry
-        self.load: LoadWord | None = None
+        self.load: AgentLoad | None = None
         self.heard_at = Millis(0)
         self.missing_since: Millis | None = None
         self.pending = 0
@@ -80,7 +80,7 @@
         """Where the agent takes frames."""
         return self.entry.endpoint
 
-    def hear(self, load: LoadWord, now: Millis) -> None:
+    def hear(self, load: AgentLoad, now: Millis) -> None:
         """Take in a word of the agent itself, which clears it of suspicion."""
         self.load = load
         self.heard_at = now
--- a/src/papayagw/_internal/core/plain/store_calls.py
+++ b/src/papayagw/_internal/core/plain/store_calls.py
@@ -16,14 +16,14 @@
     StoreCall,
 )
 
-FIRST_TIMEOUT_MS = Millis(500)
+INITIAL_TIMEOUT_MS = Millis(500)
 """How long the first try of a call may take: over a hundred usual answers."""
 
-LONGEST_TIMEOUT_MS = Millis(4_000)
+MAX_TIMEOUT_MS = Millis(4_000)
 """Limit of the doubling of `FIRST_TIMEOUT_MS`, for a store that is slow."""
 
-FIRST_RETRY_MS = Millis(100)
-LONGEST_RETRY_MS = Millis(1_000)
+INITIAL_RETRY_DELAY_MS = Millis(100)
+MAX_RETRY_DELAY_MS = Millis(1_000)
 """Limit of the wait between tries: half of the time in which an entry is to be back
 after the store's return."""
 
@@ -36,7 +36,7 @@
     timeout_ms: Millis
 
 
-class StoreUser(Protocol):
+class StoreClient(Protocol):
     """A machine that calls the store."""
 
     @property
@@ -50,7 +50,7 @@
         """Take in the answer to the call that `next_call` returned last."""
 
 
-class Patience:
+class RetrySchedule:
     """How long to wait for answers and between tries of one machine.
 
     Parameters
@@ -61,10 +61,10 @@
         The longest wait between tries.
     """
 
-    def __init__(self, random: Random, longest_retry_ms: Millis = LONGEST_RETRY_MS):
+    def __init__(self, random: Random, max_retry_delay_ms: Millis = MAX_RETRY_DELAY_MS):
         self._random = random
-        self._backoff = Backoff(random, FIRST_RETRY_MS, longest_retry_ms)
-        self._timeout_ms = FIRST_TIMEOUT_MS
+        self._backoff = Backoff(random, INITIAL_RETRY_DELAY_MS, max_retry_delay_ms)
+        self._timeout_ms = INITIAL_TIMEOUT_MS
         self._failures = 0
 
     @property
@@ -72,14 +72,16 @@
         """How long to wait for the next answer."""
         return self._timeout_ms
 
-    def limit(self, longest_retry_ms: Millis) -> None:
+    def set_max_retry_delay(self, max_retry_delay_ms: Millis) -> None:
         """Set the longest wait between tries from now on."""
-        self._backoff = Backoff(self._random, FIRST_RETRY_MS, longest_retry_ms)
+        self._backoff = Backoff(
+            self._random, INITIAL_RETRY_DELAY_MS, max_retry_delay_ms
+        )
 
     def succeed(self) -> None:
         """Note a usable answer."""
         self._backoff.succeed()
-        self._timeout_ms = FIRST_TIMEOUT_MS
+        self._timeout_ms = INITIAL_TIMEOUT_MS
         self._failures = 0
 
     def fail(self, failure: CallFailed) -> Millis:
@@ -88,5 +90,5 @@
         if failure.refused:
             return self._backoff.fail()
         # The store may be slow: the next try is given longer and is made at once.
-        self._timeout_ms = Millis(min(2 * self._timeout_ms, LONGEST_TIMEOUT_MS))
+        self._timeout_ms = Millis(min(2 * self._timeout_ms, MAX_TIMEOUT_MS))
         return self._backoff.fail() if self._failures > 1 else Millis(0)
--- a/src/papayagw/_internal/models/plain/entry_store.py
+++ b/src/papayagw/_internal/models/plain/entry_store.py
@@ -97,7 +97,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RangeRead:
+class RangeResult:
     """Answer to `ReadRange`."""
 
     items: tuple[StoredItem, ...]
@@ -106,7 +106,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Watched:
+class WatchResult:
     """Answer to `WatchPrefix`: the writes up to `store_revision`, in order."""
 
     events: tuple[StoreEvent, ...]
@@ -114,19 +114,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HistoryGone:
+class HistoryCompacted:
     """The store no longer has the writes that were asked for."""
 
 
 @dataclass(frozen=True, slots=True)
-class Written:
+class PutResult:
     """Answer to `PutKey`."""
 
     revision: int
 
 
 @dataclass(frozen=True, slots=True)
-class Leased:
+class LeaseResult:
     """Answer to `GrantLease` and `RenewLease`."""
 
     lease: int
@@ -134,7 +134,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeaseGone:
+class LeaseEnded:
     """The lease has ended, and its keys with it."""
 
 
@@ -155,5 +155,11 @@
 
 
 StoreAnswer = (
-    RangeRead | Watched | HistoryGone | Written | Leased | LeaseGone | CallFailed
+    RangeResult
+    | WatchResult
+    | HistoryCompacted
+    | PutResult
+    | LeaseResult
+    | LeaseEnded
+    | CallFailed
 )
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from papayagw._internal.models.plain.instance import LoadWord
+from papayagw._internal.models.plain.instance import AgentLoad
 from papayagw._internal.models.plain.packet import EntryKey, FlowKey, FlowPacket
 
 
@@ -102,7 +102,7 @@
     """An agent's answers to an `AskFrame`, or its word that it owns flows."""
 
     claims: tuple[FlowClaim, ...]
-    load: LoadWord
+    load: AgentLoad
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +110,7 @@
     """The backend server beside the agent has accepted an opening."""
 
     flow: FlowKey
-    load: LoadWord
+    load: AgentLoad
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,14 +119,14 @@
 
     reason: ReturnReason
     packet: FlowPacket
-    load: LoadWord
+    load: AgentLoad
 
 
 @dataclass(frozen=True, slots=True)
 class LoadFrame:
     """The load of an agent, sent when it has changed."""
 
-    load: LoadWord
+    load: AgentLoad
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/papayagw/_internal/models/plain/instance.py
+++ b/src/papayagw/_internal/models/plain/instance.py
@@ -91,7 +91,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LoadWord:
+class AgentLoad:
     """What an agent tells balancers about its backend server.
 
     Attributes
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from papayagw._internal.core.plain.agent import PlainAgent
-from papayagw._internal.core.plain.entry_keeper import EntryKeeper
+from papayagw._internal.core.plain.entry_registrar import EntryRegistrar
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
@@ -62,7 +62,7 @@
         )
         self._outbound = BatchSocket(settings.outbound)
         entry = AgentEntry(settings.inner, settings.service, settings.zone)
-        self._keeper = EntryKeeper(
+        self._keeper = EntryRegistrar(
             agent_key(settings.name), encode_entry(entry), Random()
         )
         self._driver = StoreDriver(
@@ -175,7 +175,7 @@
         self._is_stopping = True
         fields = {"flows": self._core.flow_count, "backend_lives": self._core.is_ready}
         self._kit.note(Note("stopping", fields))
-        self._perform(self._core.leave(self._kit.loop.now()))
+        self._perform(self._core.begin_shutdown(self._kit.loop.now()))
         if self._core.is_ready:
             # The backend server stays: the sooner this agent is back, the better.
             self._kit.loop.stop()
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -7,7 +7,7 @@
 from papayagw._internal.core.plain.balancer import PlainBalancer
 from papayagw._internal.core.plain.batching import join_questions
 from papayagw._internal.core.plain.choice import LeastWaitChooser
-from papayagw._internal.core.plain.following import Follower
+from papayagw._internal.core.plain.prefix_watcher import PrefixWatcher
 from papayagw._internal.core.plain.roster import Roster
 from papayagw._internal.exceptions import DecodeError
 from papayagw._internal.models.clock import Millis
@@ -77,14 +77,14 @@
             self._on_doubt,
         )
         self._entry = BatchSocket(settings.entry)
-        self._site = Follower(
+        self._site = PrefixWatcher(
             platform.site_key,
             self._take_site_items,
             self._take_site_events,
             random,
             SITE_GAP_MS,
         )
-        self._agents = Follower(
+        self._agents = PrefixWatcher(
             AGENT_PREFIX,
             self._take_agents,
             self._take_agent_events,
@@ -121,7 +121,7 @@
             self._entry.close()
             kit.close()
 
-    def _make_driver(self, follower: Follower) -> StoreDriver:
+    def _make_driver(self, follower: PrefixWatcher) -> StoreDriver:
         kit = self._kit
         return StoreDriver(
             kit.loop, self._settings.store, self._platform, follower, kit.note_call
@@ -178,7 +178,7 @@
         self._agents_refreshed_at = self._kit.loop.now()
         self._refresh(self._agents, self._agents_driver)
 
-    def _refresh(self, follower: Follower, driver: StoreDriver) -> None:
+    def _refresh(self, follower: PrefixWatcher, driver: StoreDriver) -> None:
         if follower.refresh(self._kit.loop.now()):
             driver.restart()
 
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from papayagw._internal.core.plain.store_calls import StoreUser
+from papayagw._internal.core.plain.store_calls import StoreClient
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
@@ -43,7 +43,7 @@
         loop: Loop,
         store: Endpoint,
         codec: StoreCodec,
-        user: StoreUser,
+        user: StoreClient,
         on_answer: CallRecorder,
     ):
         self._loop = loop
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -27,7 +27,7 @@
     ReturnReason,
     ScopeFrame,
 )
-from papayagw._internal.models.plain.instance import Availability, LoadWord
+from papayagw._internal.models.plain.instance import AgentLoad, Availability
 from papayagw._internal.models.plain.packet import (
     ENTRY_KEY_BYTES,
     EntryKey,
@@ -164,7 +164,7 @@
     return data[1:end].decode(), data[end:]
 
 
-def _write_load(load: LoadWord) -> bytes:
+def _write_load(load: AgentLoad) -> bytes:
     return _LOAD.pack(
         load.availability.value,
         min(load.slots, _MOST_SHORT),
@@ -177,10 +177,10 @@
     )
 
 
-def _read_load(data: bytes) -> LoadWord:
+def _read_load(data: bytes) -> AgentLoad:
     fields = _LOAD.unpack(data)
     availability, slots, busy, flows, used, service_us, version, age_ms = fields
-    return LoadWord(
+    return AgentLoad(
         Availability(availability),
         slots,
         busy,
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -16,11 +16,12 @@
     CallFailed,
     EndLease,
     GrantLease,
-    HistoryGone,
-    Leased,
-    LeaseGone,
+    HistoryCompacted,
+    LeaseEnded,
+    LeaseResult,
     PutKey,
-    RangeRead,
+    PutResult,
+    RangeResult,
     ReadRange,
     RemovedItem,
     RenewLease,
@@ -28,9 +29,8 @@
     StoreCall,
     StoredItem,
     StoreEvent,
-    Watched,
     WatchPrefix,
-    Written,
+    WatchResult,
 )
 
 _REFUSALS = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
@@ -79,9 +79,9 @@
     fields = json.loads(body) if body else {}
     match call, status:
         case WatchPrefix(), HTTPStatus.GONE:
-            return HistoryGone()
+            return HistoryCompacted()
         case ((PutKey() | RenewLease() | EndLease()), HTTPStatus.NOT_FOUND):
-            return LeaseGone()
+            return LeaseEnded()
         case _, HTTPStatus.OK:
             return _decode_ok(call, fields)
     return CallFailed(f"status {status}")
@@ -92,18 +92,18 @@
         case ReadRange():
             items = tuple(_read_item(one) for one in fields["items"])
             more = bool(fields["has_more"])
-            return RangeRead(items, more, int(fields["store_revision"]))
+            return RangeResult(items, more, int(fields["store_revision"]))
         case WatchPrefix():
             events = tuple(_read_event(one) for one in fields["events"])
-            return Watched(events, int(fields["store_revision"]))
+            return WatchResult(events, int(fields["store_revision"]))
         case PutKey():
-            return Written(int(fields["revision"]))
+            return PutResult(int(fields["revision"]))
         case RenewLease(lease):
-            return Leased(lease, Millis(int(fields["ttl_ms"])))
+            return LeaseResult(lease, Millis(int(fields["ttl_ms"])))
         case EndLease():
-            return LeaseGone()
+            return LeaseEnded()
         case GrantLease():
-            return Leased(int(fields["lease"]), Millis(int(fields["ttl_ms"])))
+            return LeaseResult(int(fields["lease"]), Millis(int(fields["ttl_ms"])))
 
 
 def _read_item(fields: dict[str, Any]) -> StoredItem:
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -230,7 +230,7 @@
 
     def on_report(self, report, age_ms, now):
         actions = super().on_report(report, age_ms, now)
-        self._intake.backend = _NeverDraining(self._intake.backend)
+        self._admission.backend = _NeverDraining(self._admission.backend)
         return actions
 
 
@@ -249,7 +249,7 @@
 
     def __init__(self, service, flow_limit_ms, now):
         super().__init__(service, flow_limit_ms, now)
-        self._intake._is_expected = lambda _: False
+        self._admission._may_be_running = lambda _: False
 
 
 class KeepsDeadFlows(PlainAgent):
--- a/tests/soak/doubled.py
+++ b/tests/soak/doubled.py
@@ -8,20 +8,20 @@
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.balancer import PlainBalancer
 from papayagw._internal.core.plain.owner_search import OwnerSearch
-from papayagw._internal.core.plain.ownership import OwnershipJudge
+from papayagw._internal.core.plain.ownership import OwnershipResolver
 from papayagw._internal.models.plain.frame import Ownership
 from papayagw.platform.__main__ import main
 
 
 def never_unsure():
     """Agents deny flows that they haven't seen since their start."""
-    real = OwnershipJudge.judge
+    real = OwnershipResolver.resolve
 
-    def judge(self, question, now):
+    def resolve(self, question, now):
         found = real(self, question, now)
         return Ownership.STRANGER if found is Ownership.UNSURE else found
 
-    OwnershipJudge.judge = judge
+    OwnershipResolver.resolve = resolve
 
 
 def never_asks():
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from papayagw._internal.core.plain.admission_control import FIRST_REQUEST_TIMEOUT_MS
 from papayagw._internal.core.plain.agent import (
-    BACKEND_PATIENCE_MS,
+    BACKEND_ACCEPT_TIMEOUT_MS,
     PlainAgent,
 )
-from papayagw._internal.core.plain.intake import FIRST_REQUEST_MS
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
     Note,
@@ -41,16 +41,16 @@
 
 BALANCER = Endpoint("10.0.0.1", 1)
 FLOW = FlowKey(b"\x64\x40\x00\x07\x9c\x41" + ENTRY)
-LIMIT_MS = 60_000
+FLOW_LIMIT_MS = 60_000
 START = 1_000
-FIRST_REPORT_MS, REPORT_PATIENCE_MS = 1_000, 2_600
-ACCEPTED_AT = 500
+MAX_FIRST_REPORT_AGE_MS, REPORT_TIMEOUT_MS = 1_000, 2_600
+ACCEPT_SEQUENCE = 500
 OPENING = make_packet(FLOW, PacketKind.OPEN)
-ACCEPT = make_packet(FLOW, PacketKind.ACCEPT, ACCEPTED_AT, 1)
-DATA = make_packet(FLOW, PacketKind.CARRY, 1, ACCEPTED_AT + 1, payload=10)
-STRANGE = make_packet(FLOW, PacketKind.CARRY, 1, ACCEPTED_AT - 9, payload=10)
-ANSWER = make_packet(FLOW, PacketKind.CARRY, ACCEPTED_AT + 1, 11, payload=10)
-FINISH = make_packet(FLOW, PacketKind.FINISH, ACCEPTED_AT + 11, 11)
+ACCEPT = make_packet(FLOW, PacketKind.ACCEPT, ACCEPT_SEQUENCE, 1)
+DATA = make_packet(FLOW, PacketKind.CARRY, 1, ACCEPT_SEQUENCE + 1, payload=10)
+FOREIGN = make_packet(FLOW, PacketKind.CARRY, 1, ACCEPT_SEQUENCE - 9, payload=10)
+ANSWER = make_packet(FLOW, PacketKind.CARRY, ACCEPT_SEQUENCE + 1, 11, payload=10)
+FINISH = make_packet(FLOW, PacketKind.FINISH, ACCEPT_SEQUENCE + 11, 11)
 
 
 def report(number=1, state=ReportedState.READY, run=1):
@@ -60,8 +60,8 @@
 # A report and the age of its run.
 REPORTS = {
     "ready": (report(), 0),
-    "ready, early": (report(), FIRST_REPORT_MS),
-    "ready, older": (report(), FIRST_REPORT_MS + 1),
+    "ready, early": (report(), MAX_FIRST_REPORT_AGE_MS),
+    "ready, older": (report(), MAX_FIRST_REPORT_AGE_MS + 1),
     "ready, often": (report(50), 0),
     "ready, clock set back": (report(), -1),
     "again": (report(2), 0),
@@ -74,33 +74,33 @@
     """Drives an agent through words; returns what the last one made it do."""
 
     def __init__(self):
-        self.core = PlainAgent("order", LIMIT_MS, START)
+        self.core = PlainAgent("order", FLOW_LIMIT_MS, START)
         self.now = START
 
-    def do(self, word):
+    def run(self, step):
         core, now = self.core, self.now
-        if isinstance(word, str) and word in REPORTS:
-            return core.on_report(*REPORTS[word], now)
-        match word:
+        if isinstance(step, str) and step in REPORTS:
+            return core.on_report(*REPORTS[step], now)
+        match step:
             case "leave":
                 return core.on_departure(Departure("i1", None), now)
             case "stop":
-                return core.leave(now)
+                return core.begin_shutdown(now)
             case int():
-                self.now += word
+                self.now += step
                 return core.on_timer(self.now)
             case str():
-                raise ValueError(word)
-        if isinstance(word, OpenFrame | CarryFrame | AskFrame | ScopeFrame):
-            return core.on_frame(word, BALANCER, now)
-        return core.on_backend_packet(word, now)
+                raise ValueError(step)
+        if isinstance(step, OpenFrame | CarryFrame | AskFrame | ScopeFrame):
+            return core.on_frame(step, BALANCER, now)
+        return core.on_backend_packet(step, now)
 
 
-def play(words):
+def run_steps(steps):
     driver = Driver()
     actions = []
-    for word in words:
-        actions = driver.do(word)
+    for step in steps:
+        actions = driver.run(step)
     return [one for one in actions if not isinstance(one, Note)], driver
 
 
@@ -118,14 +118,14 @@
 
 
 @pytest.mark.parametrize(
-    ("words", "reason"),
+    ("steps", "reason"),
     [
         # A start under a living backend server: it is tried for two report intervals.
-        ([REPORT_PATIENCE_MS, open_frame()], ReturnReason.NOT_READY),
-        ([open_frame(), BACKEND_PATIENCE_MS], ReturnReason.SILENT),
-        ([open_frame(), BACKEND_PATIENCE_MS, open_frame()], ReturnReason.SILENT),
+        ([REPORT_TIMEOUT_MS, open_frame()], ReturnReason.NOT_READY),
+        ([open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], ReturnReason.SILENT),
+        ([open_frame(), BACKEND_ACCEPT_TIMEOUT_MS, open_frame()], ReturnReason.SILENT),
         (
-            [open_frame(), BACKEND_PATIENCE_MS, 300, open_frame()],
+            [open_frame(), BACKEND_ACCEPT_TIMEOUT_MS, 300, open_frame()],
             ReturnReason.NOT_READY,
         ),
         # A backend server that hasn't reported says nothing of others by declining.
@@ -141,54 +141,61 @@
         ),
         (["ready", open_frame(), bounced(OPENING)], ReturnReason.FULL),
         (["ready", CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
-        ([*ACCEPTED, CarryFrame("order", STRANGE)], ReturnReason.NOT_OWNER),
+        ([*ACCEPTED, CarryFrame("order", FOREIGN)], ReturnReason.NOT_OWNER),
         # Accepted here and at another backend server, where the client went.
         ([*ACCEPTED, CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
         (["ready", CarryFrame("drawings", DATA)], ReturnReason.WRONG_SERVICE),
-        (["ready", open_frame(), BACKEND_PATIENCE_MS], ReturnReason.SILENT),
+        (["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], ReturnReason.SILENT),
         (
-            ["ready", open_frame(), BACKEND_PATIENCE_MS, open_frame()],
+            ["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS, open_frame()],
             ReturnReason.SILENT,
         ),
     ],
 )
-def test_returned(words, reason):
-    (action,), _ = play(words)
+def test_returned(steps, reason):
+    (action,), _ = run_steps(steps)
     assert action.peer == BALANCER
     assert isinstance(action.frame, ReturnFrame)
     assert action.frame.reason is reason
 
 
 @pytest.mark.parametrize(
-    "words",
+    "steps",
     [
         [open_frame()],
-        [REPORT_PATIENCE_MS - 1, open_frame()],
+        [REPORT_TIMEOUT_MS - 1, open_frame()],
         ["ready", open_frame()],
         ["ready", open_frame(), open_frame()],
         [*ACCEPTED, "drain", open_frame()],
         ["ready", ScopeFrame("order", 5, frozenset((ENTRY,))), open_frame(4)],
         ["ready", ScopeFrame("order", 5, frozenset()), open_frame(5)],
-        ["ready", open_frame(), BACKEND_PATIENCE_MS, "again", 5_000, open_frame()],
+        [
+            "ready",
+            open_frame(),
+            BACKEND_ACCEPT_TIMEOUT_MS,
+            "again",
+            5_000,
+            open_frame(),
+        ],
         [CARRY],
         OPEN[:-1],
         [*OPEN, "drain", CARRY],
         [*OPEN, "leave", CARRY],
     ],
 )
-def test_delivered(words):
-    (action,), _ = play(words)
+def test_delivered(steps):
+    (action,), _ = run_steps(steps)
     assert isinstance(action, SendToBackend)
     assert action.token == 1
 
 
 def test_busy():
     driver = Driver()
-    driver.do("ready")
+    driver.run("ready")
     for number in range(2):
         flow = FlowKey(bytes((number,)) + FLOW[1:])
-        driver.do(OpenFrame("order", 1, replace(OPENING, flow=flow)))
-    returned = [one for one in driver.do(open_frame()) if isinstance(one, SendFrame)]
+        driver.run(OpenFrame("order", 1, replace(OPENING, flow=flow)))
+    returned = [one for one in driver.run(open_frame()) if isinstance(one, SendFrame)]
     assert returned[0].frame.reason is ReturnReason.BUSY
 
 
@@ -199,44 +206,53 @@
 def in_progress(number):
     """Words after which a request of another flow is being worked on."""
     frames = (OpenFrame("order", 1, OPENING), ACCEPT, CARRY)
-    return [move(one, number) for one in frames]
+    return [change_flow(one, number) for one in frames]
 
 
-def move(word, number):
-    if isinstance(word, OpenFrame | CarryFrame):
-        return replace(word, packet=replace(word.packet, flow=flow(number)))
-    return replace(word, flow=flow(number))
+def change_flow(step, number):
+    if isinstance(step, OpenFrame | CarryFrame):
+        return replace(step, packet=replace(step.packet, flow=flow(number)))
+    return replace(step, flow=flow(number))
 
 
 FULL = ["ready", *in_progress(1), *in_progress(2)]
 
 
 @pytest.mark.parametrize(
-    ("words", "told"),
+    ("steps", "notified"),
     [
-        ([*FULL, move(ANSWER, 1)], 0),
-        ([*FULL, open_frame(), move(ANSWER, 1)], 1),
+        ([*FULL, change_flow(ANSWER, 1)], 0),
+        ([*FULL, open_frame(), change_flow(ANSWER, 1)], 1),
         # One balancer is told once, and again if it made use of it.
-        ([*FULL, open_frame(), move(ANSWER, 1), move(ANSWER, 2)], 0),
-        ([*FULL, open_frame(), move(ANSWER, 1), *in_progress(3), move(ANSWER, 2)], 1),
-        ([*FULL, open_frame(), "drain", move(ANSWER, 1)], 0),
+        ([*FULL, open_frame(), change_flow(ANSWER, 1), change_flow(ANSWER, 2)], 0),
+        (
+            [
+                *FULL,
+                open_frame(),
+                change_flow(ANSWER, 1),
+                *in_progress(3),
+                change_flow(ANSWER, 2),
+            ],
+            1,
+        ),
+        ([*FULL, open_frame(), "drain", change_flow(ANSWER, 1)], 0),
         # The first request of an accepted flow didn't come.
-        ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_MS - 1], 0),
-        ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_MS], 1),
+        ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_TIMEOUT_MS - 1], 0),
+        ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_TIMEOUT_MS], 1),
         # The request was given up, or the backend server turned the flow away.
-        ([*FULL, open_frame(), move(bounced(DATA), 1)], 1),
+        ([*FULL, open_frame(), change_flow(bounced(DATA), 1)], 1),
     ],
 )
-def test_a_balancer_that_was_turned_away_is_told_of_room(words, told):
-    actions, _ = play(words)
+def test_a_balancer_that_was_turned_away_is_told_of_room(steps, notified):
+    actions, _ = run_steps(steps)
     frames = [one for one in actions if isinstance(one, SendFrame)]
-    words = [one for one in frames if isinstance(one.frame, LoadFrame)]
-    assert [one.peer for one in words] == [BALANCER] * told
-    assert all(one.frame.load.busy == 1 for one in words)
+    load_frames = [one for one in frames if isinstance(one.frame, LoadFrame)]
+    assert [one.peer for one in load_frames] == [BALANCER] * notified
+    assert all(one.frame.load.busy == 1 for one in load_frames)
 
 
 @pytest.mark.parametrize(
-    ("words", "kinds"),
+    ("steps", "kinds"),
     [
         (ACCEPTED, [SendToClient, SendFrame]),
         (OPEN, [SendToClient]),
@@ -250,26 +266,26 @@
         ([bounced(DATA)], []),
     ],
 )
-def test_actions(words, kinds):
-    actions, _ = play(words)
+def test_actions(steps, kinds):
+    actions, _ = run_steps(steps)
     assert [type(one) for one in actions] == kinds
 
 
 def test_accepting_tells_the_balancer():
-    actions, _ = play(ACCEPTED)
+    actions, _ = run_steps(ACCEPTED)
     assert isinstance(actions[1].frame, OpenedFrame)
     assert actions[1].frame.flow == FLOW
 
 
 @pytest.mark.parametrize(
-    ("words", "acknowledged", "ownership"),
+    ("steps", "acknowledged", "ownership"),
     [
         ([], None, Ownership.UNSURE),
         (["ready, older"], None, Ownership.UNSURE),
-        (["ready, older", LIMIT_MS + 1], None, Ownership.STRANGER),
+        (["ready, older", FLOW_LIMIT_MS + 1], None, Ownership.STRANGER),
         (["ready, early"], None, Ownership.STRANGER),
-        ([FIRST_REPORT_MS, "ready, older"], None, Ownership.UNSURE),
-        ([FIRST_REPORT_MS + 1, "ready, older"], None, Ownership.STRANGER),
+        ([MAX_FIRST_REPORT_AGE_MS, "ready, older"], None, Ownership.UNSURE),
+        ([MAX_FIRST_REPORT_AGE_MS + 1, "ready, older"], None, Ownership.STRANGER),
         # The run began in the agent's own time: no other agent gave it flows.
         (["ready"], None, Ownership.STRANGER),
         ([700, "ready"], None, Ownership.STRANGER),
@@ -279,30 +295,30 @@
         ([700, "ready, often"], None, Ownership.UNSURE),
         # It was set back after the first report.
         (["ready, older", "again"], None, Ownership.UNSURE),
-        (ACCEPTED, ACCEPTED_AT + 1, Ownership.OWNER),
+        (ACCEPTED, ACCEPT_SEQUENCE + 1, Ownership.OWNER),
         (ACCEPTED, None, Ownership.OWNER),
-        (ACCEPTED, ACCEPTED_AT - 1, Ownership.STRANGER),
-        (ACCEPTED, ACCEPTED_AT + (1 << 23), Ownership.STRANGER),
-        ([*OPEN, FINISH], ACCEPTED_AT + 20, Ownership.OWNER),
+        (ACCEPTED, ACCEPT_SEQUENCE - 1, Ownership.STRANGER),
+        (ACCEPTED, ACCEPT_SEQUENCE + (1 << 23), Ownership.STRANGER),
+        ([*OPEN, FINISH], ACCEPT_SEQUENCE + 20, Ownership.OWNER),
         # Learnt from the backend server's own packets after a restart.
         (["ready", ANSWER], 12_345, Ownership.OWNER),
     ],
 )
-def test_ownership(words, acknowledged, ownership):
+def test_ownership(steps, acknowledged, ownership):
     question = FlowQuestion(FLOW, acknowledged)
-    (action,), _ = play([*words, AskFrame("order", (question,))])
+    (action,), _ = run_steps([*steps, AskFrame("order", (question,))])
     assert isinstance(action.frame, ClaimFrame)
     assert action.frame.claims[0].ownership is ownership
 
 
 @pytest.mark.parametrize(
-    ("words", "busy"),
+    ("steps", "busy"),
     [
         (["ready", open_frame()], 1),
         # The first request is on its way to a flow that was just accepted.
         (ACCEPTED, 1),
-        ([*ACCEPTED, FIRST_REQUEST_MS - 1], 1),
-        ([*ACCEPTED, FIRST_REQUEST_MS], 0),
+        ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS - 1], 1),
+        ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS], 0),
         ([*ACCEPTED, bounced(DATA)], 0),
         ([*ACCEPTED, CARRY], 1),
         (OPEN, 0),
@@ -314,50 +330,53 @@
         ([*ACCEPTED, CARRY, 10_000], 0),
     ],
 )
-def test_requests_in_progress(words, busy):
-    _, driver = play(words)
-    assert driver.core.load_word(driver.now).busy == busy
+def test_requests_in_progress(steps, busy):
+    _, driver = run_steps(steps)
+    assert driver.core.current_load(driver.now).busy == busy
 
 
 @pytest.mark.parametrize(
-    ("words", "availability"),
+    ("steps", "availability"),
     [
         ([], Availability.READY),
-        ([REPORT_PATIENCE_MS], Availability.UNREADY),
-        ([open_frame(), BACKEND_PATIENCE_MS], Availability.UNREADY),
+        ([REPORT_TIMEOUT_MS], Availability.UNREADY),
+        ([open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], Availability.UNREADY),
         (["ready"], Availability.READY),
         (["ready", "drain"], Availability.DRAINING),
         (["ready", "leave"], Availability.UNREADY),
         (["ready", "stop"], Availability.LEAVING),
-        (["ready", open_frame(), BACKEND_PATIENCE_MS], Availability.UNREADY),
-        (["ready", open_frame(), BACKEND_PATIENCE_MS, ACCEPT], Availability.READY),
+        (["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], Availability.UNREADY),
+        (
+            ["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS, ACCEPT],
+            Availability.READY,
+        ),
     ],
 )
-def test_availability(words, availability):
-    _, driver = play(words)
-    assert driver.core.load_word(driver.now).availability is availability
+def test_availability(steps, availability):
+    _, driver = run_steps(steps)
+    assert driver.core.current_load(driver.now).availability is availability
 
 
 @pytest.mark.parametrize(
-    ("words", "age_ms"),
+    ("steps", "age_ms"),
     [
         ([], None),
         (["ready"], 0),
-        (["ready, early", 500], FIRST_REPORT_MS + 500),
+        (["ready, early", 500], MAX_FIRST_REPORT_AGE_MS + 500),
         # Later reports of a run don't change it: clocks may have been set back.
-        (["ready, older", 500, "again"], FIRST_REPORT_MS + 501),
+        (["ready, older", 500, "again"], MAX_FIRST_REPORT_AGE_MS + 501),
         (["ready, clock set back"], None),
         (["ready, older", "restart", 7], 17),
     ],
 )
-def test_balancers_are_told_the_age_of_the_run(words, age_ms):
-    _, driver = play(words)
-    assert driver.core.load_word(driver.now).run_age_ms == age_ms
+def test_balancers_are_told_the_age_of_the_run(steps, age_ms):
+    _, driver = run_steps(steps)
+    assert driver.core.current_load(driver.now).run_age_ms == age_ms
 
 
 def test_all_balancers_that_were_heard_are_told_of_a_new_state():
     driver = Driver()
-    driver.do(open_frame())
-    told = [one for one in driver.do("ready") if isinstance(one, SendFrame)]
-    assert [one.peer for one in told] == [BALANCER]
-    assert told[0].frame.load.availability is Availability.READY
+    driver.run(open_frame())
+    notified = [one for one in driver.run("ready") if isinstance(one, SendFrame)]
+    assert [one.peer for one in notified] == [BALANCER]
+    assert notified[0].frame.load.availability is Availability.READY
--- a/tests/unit/test_plain_backend_state.py
+++ b/tests/unit/test_plain_backend_state.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from papayagw._internal.core.plain.admission import request_limit
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.load_meter import LoadMeter
+from papayagw._internal.core.plain.request_limit import request_limit
 from papayagw._internal.models.plain.instance import (
     Departure,
     ReportedState,
@@ -23,7 +23,7 @@
 
 
 @pytest.mark.parametrize(
-    ("said", "is_known", "is_draining"),
+    ("events", "is_known", "is_draining"),
     [
         ([], False, False),
         ([report(10, 1)], True, False),
@@ -45,13 +45,13 @@
         ([leave(10)], False, False),
     ],
 )
-def test_reports(said, is_known, is_draining):
+def test_reports(events, is_known, is_draining):
     state = BackendState("order")
-    for one in said:
+    for one in events:
         if isinstance(one, Departure):
-            state.leave(one)
+            state.record_departure(one)
         else:
-            state.take(one, 0)
+            state.record_report(one, 0)
     assert (state.is_known, state.is_draining) == (is_known, is_draining)
 
 
@@ -67,7 +67,7 @@
 def test_new_run(known, later, is_new):
     state = BackendState("order")
     if known is not None:
-        state.take(known, 0)
+        state.record_report(known, 0)
     assert state.is_new_run(later) is is_new
 
 
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -40,8 +40,8 @@
 )
 from papayagw._internal.models.plain.instance import (
     AgentEntry,
+    AgentLoad,
     Availability,
-    LoadWord,
 )
 from papayagw._internal.models.plain.packet import FlowKey, PacketKind
 from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
@@ -64,7 +64,7 @@
     slots=1,
     run_age=None,
 ):
-    return LoadWord(availability, slots, busy, 0, 0.0, service_us, version, run_age)
+    return AgentLoad(availability, slots, busy, 0, 0.0, service_us, version, run_age)
 
 
 class FirstChooser:
--- a/tests/unit/test_plain_frames.py
+++ b/tests/unit/test_plain_frames.py
@@ -20,7 +20,7 @@
     ReturnReason,
     ScopeFrame,
 )
-from papayagw._internal.models.plain.instance import Availability, LoadWord
+from papayagw._internal.models.plain.instance import AgentLoad, Availability
 from papayagw._internal.models.plain.packet import EntryKey, FlowKey
 from papayagw._internal.wire.plain_frames import MAX_FRAME_BYTES, PlainFrameCodec
 from papayagw.platform.adapter import PreparedPlatform
@@ -28,7 +28,7 @@
 
 FLOW = FlowKey(bytes(range(12)))
 PACKET = decode_client_packet(bytes(HEADER_BYTES) + b"payload")
-LOAD = LoadWord(Availability.READY, 3, 2, 70_000, 0.25, 48_000, 1 << 40, 86_400_000)
+LOAD = AgentLoad(Availability.READY, 3, 2, 70_000, 0.25, 48_000, 1 << 40, 86_400_000)
 CODEC = PlainFrameCodec(PreparedPlatform())
 FRAMES = [
     OpenFrame("order", 7, PACKET),
