--- a/src/papayagw/_internal/core/plain/__init__.py
+++ b/src/papayagw/_internal/core/plain/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions of the plain UDP front end: who owns a flow, who takes an opening."""
+"""Routing logic of the plain UDP front end: flow ownership and admission."""
--- a/src/papayagw/_internal/core/plain/admission_control.py
+++ b/src/papayagw/_internal/core/plain/admission_control.py
@@ -1,4 +1,4 @@
-"""Whether the backend server beside an agent is given another opening."""
+"""Admission control for openings to the agent's local backend server."""
 
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.load_meter import LoadMeter
@@ -10,39 +10,39 @@
 from papayagw._internal.models.plain.packet import FlowKey
 
 INITIAL_PAUSE_MS = Millis(300)
-"""How long a silent backend server gets no other opening; doubles each time."""
+"""Pause in openings after the first accept timeout; doubles with each further one."""
 
 MAX_PAUSE_MS = Millis(2_400)
-"""Limit of the doubling of `FIRST_SILENCE_MS`: two intervals between reports."""
+"""Upper limit of the pause: two report intervals."""
 
 MAX_TIMEOUT_COUNT = 8
-"""How often silence is counted: enough for `LONGEST_SILENCE_MS`."""
+"""Upper limit of the timeout count: enough to reach `MAX_PAUSE_MS`."""
 
 RESERVATION_MS = Millis(15)
-"""How long room is kept in mind for a balancer that was told of it.
+"""How long capacity stays reserved for a balancer that was notified of it.
 
-Two crossings between zones and a turn of the balancer's loop.
+Covers a round trip between zones and one iteration of the balancer's event loop.
 """
 
 FIRST_REQUEST_TIMEOUT_MS = Millis(40)
-"""How long an accepted flow counts as a request until its first one comes.
+"""How long an accepted flow counts as a request before its first request arrives.
 
-A round trip to the client, 2 to 6 ms, and the client's turn.
+Covers the round trip to the client, 2 to 6 ms, and the client's processing time.
 """
 
 MAX_WAITING_BALANCERS = 4_096
-"""The most balancers that are remembered as waiting for room."""
+"""Maximum number of rejected balancers that wait for capacity."""
 
 
 class AdmissionControl:
-    """What speaks for and against another opening.
+    """Decides whether the backend server can receive another opening.
 
     Parameters
     ----------
     backend : BackendState
-        What the backend server says of itself.
+        Reported state of the backend server.
     now : Millis
-        When the agent started.
+        Time at which the agent started.
     """
 
     def __init__(self, backend: BackendState, now: Millis):
@@ -59,13 +59,16 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When room may be found that no packet tells of, if anybody waits for it."""
+        """Next time at which capacity may become free without a packet.
+
+        None if no balancer is waiting or no first request is outstanding.
+        """
         if not self._waiting:
             return None
         return next(iter(self._awaited_until.values()), None)
 
     def availability(self, now: Millis) -> Availability:
-        """Return whether openings are taken, room aside."""
+        """Return whether openings are admitted, regardless of free capacity."""
         if self._is_leaving:
             return Availability.LEAVING
         if not self.backend.is_known and not self._may_be_running(now):
@@ -81,19 +84,20 @@
     def find_rejection_reason(
         self, source: Endpoint, pending_openings: int, now: Millis
     ) -> ReturnReason | None:
-        """Return why an opening is turned away, or None.
+        """Return why an opening must be rejected, or None if it is admitted.
 
         Parameters
         ----------
         source : Endpoint
-            The balancer that hands it over.
-        offered : int
-            Openings that the backend server hasn't answered yet.
+            Balancer that forwards the opening.
+        pending_openings : int
+            Number of openings that the backend server hasn't answered yet.
         now : Millis
-            The present time.
+            Current time.
         """
         if self._reserved_until.pop(source, None) is not None:
-            # It may have more that wait; an invitation that it leaves tells otherwise.
+            # The balancer may have more queued openings, so it keeps waiting; if it
+            # has none, its next reservation expires unused.
             self._waiting[source] = None
         availability = self.availability(now)
         if availability is Availability.READY:
@@ -109,9 +113,9 @@
         return ReturnReason.DRAINING
 
     def reserve_capacity(self, pending_openings: int, now: Millis) -> list[Endpoint]:
-        """Return the balancers to tell of room, one for each opening that fits.
+        """Reserve free capacity for waiting balancers and return them.
 
-        Those that were turned away first are told first.
+        Each balancer gets capacity for one opening, in the order of rejection.
         """
         if not self._waiting or self._free_capacity(pending_openings, now) <= 0:
             return []
@@ -128,15 +132,15 @@
         return notified
 
     def expect_first_request(self, flow: FlowKey, now: Millis) -> None:
-        """Note that the first request of an accepted flow is on its way."""
+        """Count the first request of an accepted flow before it arrives."""
         self._awaited_until[flow] = Millis(now + FIRST_REQUEST_TIMEOUT_MS)
 
     def clear_first_request(self, flow: FlowKey) -> None:
-        """Note that a flow's first request came, or never will."""
+        """Stop counting a flow's first request: it arrived, or never will."""
         self._awaited_until.pop(flow, None)
 
     def count_requests(self, pending_openings: int, now: Millis) -> int:
-        """Return the requests in progress and those that are about to come."""
+        """Return the number of requests in progress or expected."""
         while self._awaited_until:
             flow, until = next(iter(self._awaited_until.items()))
             if until > now:
@@ -145,7 +149,7 @@
         return self.meter.busy + pending_openings + len(self._awaited_until)
 
     def record_report(self, report: StatusReport, now: Millis) -> bool:
-        """Take in a report; return False for one that is late or not usable."""
+        """Record a report; return False if it is stale or for another service."""
         if not self.backend.record_report(report, now):
             return False
         self.meter.slots = report.slots
@@ -153,20 +157,21 @@
         return True
 
     def record_activity(self) -> None:
-        """Note that the backend server spoke."""
+        """Record a sign of life of the backend server, which ends a pause."""
         self._timeout_count = 0
         self._paused_until = Millis(0)
 
     def record_refusal(self) -> ReturnReason:
-        """Note that the backend server handed an opening back; return what that says.
+        """Record that the backend server returned an opening; return the reason.
 
-        One that hasn't reported, such as one that is about to end, takes none at all.
+        A server that isn't known from a report, such as one that is shutting down,
+        accepts no openings at all, so the reason is then `NOT_READY`.
         """
         self._has_refused = True
         return ReturnReason.FULL if self.backend.is_known else ReturnReason.NOT_READY
 
     def record_timeout(self, now: Millis) -> Millis:
-        """Note an unanswered opening; return how long there is no other."""
+        """Record an unanswered opening; return the pause in openings, in ms."""
         wait = Millis(min(INITIAL_PAUSE_MS << self._timeout_count, MAX_PAUSE_MS))
         if now >= self._paused_until:
             self._timeout_count = min(self._timeout_count + 1, MAX_TIMEOUT_COUNT)
@@ -174,14 +179,15 @@
         return wait
 
     def begin_shutdown(self) -> None:
-        """Note that the agent stops."""
+        """Stop admitting openings because the agent is stopping."""
         self._is_leaving = True
 
     def _may_be_running(self, now: Millis) -> bool:
-        """Whether the backend server may live although the agent hasn't heard it yet.
+        """Whether the backend server may be running although it hasn't reported yet.
 
-        Most agents that start were killed beside a backend server that goes on, and
-        the next report may be an interval away. An opening that it leaves ends that.
+        Most agents start after a crash while their backend server kept running, and
+        the server's next report may be a whole interval away. An opening that the
+        server returns or leaves unanswered ends this assumption.
         """
         is_new = now - self._started_at < self.backend.report_timeout_ms
         has_failed = self._has_refused or self._timeout_count > 0
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -1,7 +1,8 @@
-"""What an agent of the plain front end does with each packet, frame and report.
+"""Agent of the plain front end: handles packets, frames and status reports.
 
-The agent owns the flows of the backend server beside it. It alone decides whether
-an opening goes there, since only it sees the server's reports without delay.
+The agent owns the flows of its local backend server. It alone decides whether the
+server receives an opening, since only the agent sees the server's reports without
+delay.
 """
 
 from papayagw._internal.core.plain.admission_control import AdmissionControl
@@ -51,40 +52,40 @@
 )
 
 BACKEND_ACCEPT_TIMEOUT_MS = Millis(40)
-"""How long the backend server may take to answer an opening.
+"""Time within which the backend server must answer an opening.
 
-Both are on one machine, and the server's part takes under a millisecond.
+Agent and server share a machine, and the server needs less than 1 ms to answer.
 """
 
 COLD_START_FACTOR = 1.5
-"""By how much a backend server's time for a request is raised while it is cold."""
+"""Factor on the reported service time while the backend server is cold."""
 
 STALLED_REQUEST_TIMEOUT_MS = Millis(3_000)
-"""After how long a request counts as in progress no more.
+"""Age after which a request no longer counts as in progress.
 
-Many times what a backend server needs for the requests that it is given.
+Many times longer than a backend server needs for a request.
 """
 
 RUN_START_SLACK_MS = Millis(20)
-"""How much earlier than it says a run may have accepted flows: rounding of clocks."""
+"""How far before its reported start a run may have accepted flows: clock rounding."""
 
 SWEEP_INTERVAL_MS = Millis(1_000)
-"""How often old flows are forgotten."""
+"""Interval between removals of expired flows."""
 
 
 class PlainAgent:
-    """The decisions of one agent.
+    """State machine of one agent; performs no I/O.
 
     Parameters
     ----------
     service : str
-        The service of its backend server.
+        Service of the local backend server.
     flow_limit_ms : Millis
-        The age after which a flow may be forgotten.
+        Idle time after which a flow may be removed.
     now : Millis
-        When the agent started.
+        Time at which the agent started.
     report_interval_ms : Millis
-        Time between acknowledged reports of the backend server.
+        Interval between acknowledged reports of the backend server.
     """
 
     def __init__(
@@ -112,12 +113,12 @@
 
     @property
     def flow_count(self) -> int:
-        """How many flows are remembered."""
+        """Number of tracked flows."""
         return len(self._flows)
 
     @property
     def due_at(self) -> Millis | None:
-        """When `on_timer` is to be called next."""
+        """Time at which `on_timer` must be called next; None if no timer is pending."""
         offers = (one.opening_sent_at for one in self._pending_openings.values())
         dues = [at + BACKEND_ACCEPT_TIMEOUT_MS for at in offers if at is not None]
         others = (self._peers.due_at, self._admission.due_at)
@@ -125,7 +126,7 @@
         return Millis(min(dues)) if dues else None
 
     def current_load(self, now: Millis) -> AgentLoad:
-        """Return what balancers are told."""
+        """Return the current load and availability, as reported to balancers."""
         meter = self._admission.meter
         service_us = meter.service_us(now)
         if self._admission.backend.is_cold(now):
@@ -141,10 +142,10 @@
             run_age_ms=self._admission.backend.age_ms(now),
         )
 
-    # Frames of balancers
+    # Frames from balancers
 
     def on_frame(self, frame: ToAgent, source: Endpoint, now: Millis) -> list[Action]:
-        """Return what to do about a frame of a balancer."""
+        """Handle a frame from a balancer and return the resulting actions."""
         self._peers.record_frame(source, now)
         if frame.service != self._service:
             return self._reject_wrong_service(frame, source, now)
@@ -198,8 +199,8 @@
         if owned is not None:
             owned.balancer = source
             self._record_client_packet(owned, packet, now)
-        # A flow that isn't remembered may be known to the backend server, which
-        # hands back what isn't its own.
+        # The backend server may hold a flow that isn't tracked here; it returns
+        # packets of flows that it doesn't hold.
         return [SendToBackend(packet, self._peers.token_of(source))]
 
     def _on_questions(
@@ -225,7 +226,7 @@
     def _find_rejection_reason(
         self, frame: OpenFrame, source: Endpoint, now: Millis
     ) -> ReturnReason | None:
-        """Return why an opening isn't given to the backend server, or None."""
+        """Return why an opening must be rejected, or None if it is admitted."""
         scope = self._scope
         if (
             scope is not None
@@ -262,10 +263,10 @@
         frame = ReturnFrame(reason, packet, self.current_load(now))
         return [SendFrame(peer, frame), Note("packet returned", fields)]
 
-    # Packets of the backend server
+    # Packets from the backend server
 
     def on_backend_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
-        """Return what to do with a packet that the backend server sent."""
+        """Handle a packet from the backend server and return the resulting actions."""
         self._admission.record_activity()
         return [
             *self._handle_backend_packet(packet, now),
@@ -335,7 +336,7 @@
                 return []
             return self._return(packet, self._admission.record_refusal(), balancer, now)
         if owned is not None and owned.is_established:
-            # The backend server itself says that it no longer holds the flow.
+            # A returned packet means that the backend server no longer holds the flow.
             self._forget(packet.flow, owned, now)
             reset = ResetClient(packet.flow, packet.acknowledged or 0)
             return [reset, Note("flow lost", {"flow": show_flow(packet.flow)})]
@@ -345,21 +346,24 @@
             return []
         return self._return(packet, ReturnReason.NOT_OWNER, balancer, now)
 
-    # Reports of the backend server
+    # Reports from the backend server
 
     def on_report(
         self, report: StatusReport, age_ms: Millis, now: Millis
     ) -> list[Action]:
-        """Return what to do about a report, before it is acknowledged.
+        """Handle a status report and return the resulting actions.
+
+        The actions must be performed before the report is acknowledged.
 
         Parameters
         ----------
         report : StatusReport
             The report.
         age_ms : Millis
-            How long ago the reporting run began, by the machine's time of day.
+            Age of the reporting run by the machine's wall clock; negative if the
+            clock was set back.
         now : Millis
-            The present time.
+            Current time.
         """
         actions: list[Action] = []
         backend = self._admission.backend
@@ -385,29 +389,31 @@
         return actions
 
     def on_departure(self, departure: Departure, now: Millis) -> list[Action]:
-        """Return what to do about the end of the backend server."""
+        """Handle the backend server's shutdown and return the resulting actions."""
         if not self._admission.backend.record_departure(departure):
             return []
         note = Note("backend left", {"instance": departure.instance})
         return [note, *self._send_load(self._peers.list_known(), now)]
 
     def begin_shutdown(self, now: Millis) -> list[Action]:
-        """Return what to do as the agent stops."""
+        """Stop admitting openings and return the notifications to send."""
         self._admission.begin_shutdown()
         return self._send_load(self._peers.list_known(), now)
 
     def _end_earlier_run(self, age_ms: Millis, now: Millis) -> list[Action]:
-        """Tell the clients of the earlier run that their flows are over.
+        """Remove flows of the earlier run and reset those that were established.
 
-        Where the machine's time of day was set back, no flow is surely older than the
-        run; the backend server then hands back what it doesn't know.
+        If the machine's wall clock was set back, no flow is certain to be older than
+        the run. Flows are then kept, and the backend server returns the packets of
+        flows that it doesn't hold.
         """
         start = now - age_ms - RUN_START_SLACK_MS if age_ms >= 0 else 0
         ended = [(flow, owned) for flow, owned in self._flows if owned.began_at < start]
         actions: list[Action] = []
         for flow, owned in ended:
             self._forget(flow, owned, now)
-            # A flow that was only accepted may be open at another backend server.
+            # A flow that was only accepted may be established at another backend
+            # server, so it isn't reset.
             if owned.is_established and owned.ended_at is None:
                 actions.append(ResetClient(flow, owned.acknowledged))
         fields = {"flows": len(ended), "reset": len(actions), "age_ms": age_ms}
@@ -416,7 +422,7 @@
     # Timers
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """Return what is due."""
+        """Handle expired timers and return the resulting actions."""
         actions: list[Action] = []
         limit = now - BACKEND_ACCEPT_TIMEOUT_MS
         overdue = [
@@ -435,7 +441,7 @@
     def _on_accept_timeout(
         self, flow: FlowKey, owned: OwnedFlow, now: Millis
     ) -> list[Action]:
-        """Hand an opening on that the backend server left unanswered."""
+        """Return an opening to its balancer after the accept timeout."""
         packet, balancer = owned.pending_opening, owned.balancer
         self._forget(flow, owned, now)
         wait = self._admission.record_timeout(now)
@@ -456,13 +462,13 @@
                 self._end_request(owned, now, answered=False)
 
     def _notify_of_capacity(self, now: Millis) -> list[Action]:
-        """Tell balancers that were turned away of room for an opening."""
+        """Send the load to rejected balancers for which there is capacity."""
         return self._send_load(
             self._admission.reserve_capacity(len(self._pending_openings), now), now
         )
 
     def _send_load(self, peers: list[Endpoint], now: Millis) -> list[Action]:
-        """Tell balancers the load."""
+        """Return load frames for the given balancers."""
         if not peers:
             return []
         frame = LoadFrame(self.current_load(now))
--- a/src/papayagw/_internal/core/plain/backend_state.py
+++ b/src/papayagw/_internal/core/plain/backend_state.py
@@ -1,4 +1,4 @@
-"""What an agent knows of the backend server beside it, from its reports."""
+"""State of the agent's local backend server, as known from its reports."""
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.instance import (
@@ -8,18 +8,18 @@
 )
 
 REPORT_INTERVAL_MS = Millis(1_200)
-"""Time between acknowledged reports where settings don't say otherwise."""
+"""Default interval between acknowledged reports."""
 
 
 class BackendState:
-    """The latest run of the backend server and what it said last.
+    """Latest run of the backend server and its last report.
 
     Parameters
     ----------
     service : str
-        The service that the agent is there for; a report for another is not used.
+        Service of the agent; reports for other services are ignored.
     report_interval_ms : Millis
-        Time between acknowledged reports.
+        Interval between acknowledged reports.
     """
 
     def __init__(self, service: str, report_interval_ms: Millis = REPORT_INTERVAL_MS):
@@ -33,55 +33,55 @@
 
     @property
     def report(self) -> StatusReport | None:
-        """The last report that was taken in."""
+        """Last recorded report; None if there was none."""
         return self._report
 
     @property
     def is_known(self) -> bool:
-        """Whether a run of the backend server has reported and not left."""
+        """Whether the latest run has reported and hasn't announced its end."""
         return self._report is not None and not self._has_left
 
     @property
     def is_draining(self) -> bool:
-        """Whether the backend server wants no new flows."""
+        """Whether the backend server accepts no new flows."""
         report = self._report
         return report is not None and report.state is ReportedState.DRAINING
 
     @property
     def report_timeout_ms(self) -> Millis:
-        """Without a report for so long, silence on packets means that it is gone.
+        """Time without a report after which an unresponsive server counts as down.
 
-        Two intervals and a little more.
+        Slightly more than two report intervals.
         """
         return Millis(self._report_interval_ms * 13 // 6)
 
     @property
     def max_first_report_age_ms(self) -> Millis:
-        """The age of a run up to which no report of it was acknowledged before.
+        """Maximum age of a run at which none of its reports was acknowledged before.
 
-        A backend server reports as it starts and, once that is acknowledged, an
-        interval later; a sixth of it is left for jitter.
+        A backend server reports at its start and, once that report is acknowledged,
+        one interval later. A sixth of the interval allows for jitter.
         """
         return Millis(self._report_interval_ms * 5 // 6)
 
     def is_cold(self, now: Millis) -> bool:
-        """Whether the backend server is slow after its start."""
+        """Whether the backend server is still slow after its start."""
         return now < self._cold_until
 
     def is_report_overdue(self, now: Millis) -> bool:
-        """Whether reports have stayed away."""
+        """Whether no report arrived within `report_timeout_ms`."""
         return now - self._reported_at > self.report_timeout_ms
 
     def age_ms(self, now: Millis) -> Millis | None:
-        """Return how long ago the run began, or None if that isn't known."""
+        """Return the age of the run in ms, or None if it isn't known."""
         return None if self._began_at is None else Millis(now - self._began_at)
 
     def record_age(self, age_ms: Millis, now: Millis) -> None:
-        """Note the age of the run, which is negative where clocks were set back."""
+        """Record the age of the run; a negative one (clock set back) means unknown."""
         self._began_at = Millis(now - age_ms) if age_ms >= 0 else None
 
     def record_report(self, report: StatusReport, now: Millis) -> bool:
-        """Take in a report; return False for one that is late or not usable."""
+        """Record a report; return False if it is stale or for another service."""
         if report.service != self._service or self._is_stale(report):
             return False
         self._report = report
@@ -91,12 +91,12 @@
         return True
 
     def is_new_run(self, report: StatusReport) -> bool:
-        """Whether `report` is of a later run than the last one that was taken in."""
+        """Whether `report` belongs to a later run than the last recorded report."""
         known = self._report
         return known is not None and report.started_at > known.started_at
 
     def record_departure(self, departure: Departure) -> bool:
-        """Take in a departure; return False for that of an earlier run."""
+        """Record a departure; return False if it isn't for the latest run."""
         known = self._report
         if known is None or departure.instance != known.instance:
             return False
@@ -112,5 +112,5 @@
             return False
         if report.started_at != known.started_at:
             return report.started_at < known.started_at
-        # Draining is the last state of a run: a late report can't take it back.
+        # A run never leaves the draining state, so a late report must not undo it.
         return self._has_left or report.number <= known.number
--- a/src/papayagw/_internal/core/plain/batching.py
+++ b/src/papayagw/_internal/core/plain/batching.py
@@ -1,4 +1,4 @@
-"""Joins questions that one batch of packets raises."""
+"""Batching of ownership questions."""
 
 from collections.abc import Iterable
 
@@ -7,21 +7,21 @@
 from papayagw._internal.models.plain.frame import AskFrame, FlowQuestion
 
 MAX_QUESTIONS = 64
-"""The most questions of one frame: 1,100 bytes, which no link fragments."""
+"""Maximum questions per frame: 1,100 bytes, so that no link fragments it."""
 
 
 def join_questions(actions: Iterable[Action]) -> list[Action]:
-    """Return actions with one question frame for an agent in place of many.
+    """Merge the question frames to each agent.
 
     Parameters
     ----------
     actions : iterable of Action
-        What follows from one batch of packets.
+        Actions that result from one batch of packets.
 
     Returns
     -------
     list of Action
-        The other actions in their order, then the questions.
+        The other actions in their order, then the merged question frames.
     """
     others: list[Action] = []
     questions_by_agent: dict[tuple[Endpoint, str], list[FlowQuestion]] = {}
--- a/src/papayagw/_internal/core/plain/entry_registrar.py
+++ b/src/papayagw/_internal/core/plain/entry_registrar.py
@@ -1,4 +1,4 @@
-"""The life of an agent's entry in the store: stored, renewed, restored, ended."""
+"""Registration of an agent in the store: writes, renews and removes its entry."""
 
 from random import Random
 
@@ -20,33 +20,33 @@
 )
 
 LEASE_TTL_MS = Millis(10_000)
-"""How long an entry outlives the last word of its agent."""
+"""How long an entry remains after the last renewal by its agent."""
 
 RENEW_INTERVAL_MS = Millis(2_000)
-"""Time between renewals.
+"""Interval between lease renewals.
 
-A lapsed lease shows by its next renewal, and the entry is to be back within two
-seconds of the store's return.
+An expired lease is detected by its next renewal, and the entry must be restored
+within two seconds of the store's recovery.
 """
 
 MIN_RESTORE_INTERVAL_MS = Millis(1_000)
-"""The shortest time between two restorations that balancers ask for.
+"""Minimum interval between two restorations requested by balancers.
 
-All of them follow the store and miss an entry within a second of each other.
+All balancers watch the store and notice a missing entry within a second of each other.
 """
 
 
 class EntryRegistrar:
-    """Keeps one key in the store for as long as its owner lives.
+    """Keeps one key in the store under a lease while its owner runs.
 
     Parameters
     ----------
     key : str
-        The key.
+        Key of the entry.
     value : bytes
-        What it holds.
+        Value of the entry.
     random : Random
-        The source of the jitter.
+        Source of the jitter.
     """
 
     def __init__(self, key: str, value: bytes, random: Random):
@@ -64,23 +64,23 @@
 
     @property
     def due_at(self) -> Millis:
-        """When the next call is due."""
+        """Time at which the next call is due."""
         return self._due_at
 
     @property
     def is_ended(self) -> bool:
-        """Whether nothing is left in the store."""
+        """Whether `end` was called and no lease is left in the store."""
         return self._is_ending and self._lease is None
 
     def next_call(self) -> TimedCall | None:
-        """Return the call to make now, or None if there is none."""
+        """Return the next call, or None if there is none."""
         call = self._pick_call()
         return (
             None if call is None else TimedCall(call, self._retry_schedule.timeout_ms)
         )
 
     def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
-        """Take in the answer to the last call."""
+        """Handle the answer to the last call."""
         if isinstance(answer, CallFailed):
             self._due_at = Millis(now + self._retry_schedule.fail(answer))
             self._had_failure = True
@@ -91,14 +91,15 @@
             case RangeResult(items):
                 self._has_read, self._had_failure = True, False
                 self._is_stored = False
-                # A run before this one may have left the entry and its lease.
+                # An earlier run of the agent may have left the entry and its lease.
                 for item in items:
                     if item.key == self._key and item.value == self._value:
                         self._lease, self._is_stored = item.lease or None, True
             case LeaseResult(lease):
                 self._lease = lease
                 if isinstance(call, RenewLease) and self._had_failure:
-                    # The store may have dropped the entry and kept its lease.
+                    # During an outage the store may have lost the entry but not its
+                    # lease.
                     self._has_read = False
                 elif isinstance(call, RenewLease) and self._is_stored:
                     self._due_at = Millis(now + self._jitter(RENEW_INTERVAL_MS))
@@ -109,7 +110,7 @@
                 self._lease, self._is_stored = None, False
 
     def restore(self, now: Millis) -> None:
-        """Store the entry again, since it is missing."""
+        """Write the entry again, since a balancer found it missing."""
         if not self._has_read or not self._is_stored:
             return
         self._is_stored = False
@@ -119,7 +120,7 @@
         self._due_at = min(self._due_at, self._restored_at)
 
     def end(self, now: Millis) -> None:
-        """Remove the entry, since its owner is gone."""
+        """Remove the entry, since its owner is stopping."""
         self._is_ending = True
         self._due_at = now
 
--- a/src/papayagw/_internal/core/plain/load_meter.py
+++ b/src/papayagw/_internal/core/plain/load_meter.py
@@ -1,29 +1,30 @@
-"""How busy a backend server is, from the requests that pass its agent."""
+"""Load of a backend server, measured from the requests that pass its agent."""
 
 import math
 
 from papayagw._internal.models.clock import Millis
 
 DECAY_TIME_MS = 2_500.0
-"""Time constant with which past load is forgotten, in milliseconds.
+"""Time constant of the exponential decay of past load, in milliseconds.
 
-About a hundred requests of a slot, and short against a backend server's cold start.
+Spans about a hundred requests of a slot, and is short compared with a backend
+server's cold start.
 """
 
 MIN_REQUESTS = 2.0
-"""How many remembered requests give a usable mean."""
+"""Minimum (decayed) number of answered requests for a usable mean."""
 
 
 class LoadMeter:
-    """Requests in progress and the time that a slot takes for one.
+    """Measures requests in progress, utilization and mean service time.
 
-    By the utilization law, the mean time of a slot for one request is the time for
-    which slots were busy over the number of requests that ended.
+    By the utilization law, the mean service time is the total busy time of the slots
+    divided by the number of answered requests.
 
     Parameters
     ----------
     slots : int
-        How many requests the backend server works on at once.
+        Number of requests that the backend server processes concurrently.
     """
 
     def __init__(self, slots: int = 1):
@@ -36,29 +37,29 @@
 
     @property
     def busy(self) -> int:
-        """Requests in progress, those that wait for a slot included."""
+        """Number of requests in progress, including those that wait for a slot."""
         return self._busy
 
     def begin(self, now: Millis) -> None:
-        """Note that a request came."""
+        """Record the arrival of a request."""
         self._advance(now)
         self._busy += 1
 
     def end(self, now: Millis, *, answered: bool) -> None:
-        """Note that a request is over, and whether it was answered."""
+        """Record the end of a request and whether it was answered."""
         self._advance(now)
         self._busy = max(0, self._busy - 1)
         self._answered += answered
 
     def utilization(self, now: Millis) -> float:
-        """Return the share of the slots that was busy of late."""
+        """Return the recent share of busy slots, 0 to 1."""
         self._advance(now)
         if not self._elapsed_ms:
             return 0.0
         return min(1.0, self._busy_ms / (self._elapsed_ms * self.slots))
 
     def service_us(self, now: Millis) -> int:
-        """Return the mean time of a slot for one request, or 0 if it isn't known."""
+        """Return the mean service time in microseconds, or 0 if it isn't known."""
         self._advance(now)
         if self._answered < MIN_REQUESTS:
             return 0
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -1,4 +1,4 @@
-"""The flows of the backend server beside an agent."""
+"""Table of the flows of the agent's local backend server."""
 
 from collections.abc import Iterator
 
@@ -7,31 +7,34 @@
 from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
 
 MAX_FLOWS = 20_000
-"""The most flows that are remembered: ten times what a backend server holds."""
+"""Maximum number of tracked flows: ten times what a backend server holds."""
 
 ENDED_FLOW_RETENTION_MS = Millis(5_000)
-"""How long a flow that has ended is remembered, for packets that come late.
+"""How long an ended flow stays in the table, for packets that arrive late.
 
-Longer than the sum of the clients' first four times between retransmissions.
+Longer than the sum of the clients' first four retransmission intervals.
 """
 
 SEQUENCE_WINDOW = 1 << 22
-"""How far a client's acknowledgement may be ahead of the accepting packet, in bytes.
+"""Maximum distance of a client's acknowledgement from the accept packet, in bytes.
 
-More than a flow carries in its life, and a thousandth of the range from which each
-backend server draws its first number at random.
+More than a flow carries in total, and a thousandth of the range from which each
+backend server draws its initial sequence number at random.
 """
 
 _MODULUS = 1 << 32
 
 
 def is_in_window(position: int, start: int) -> bool:
-    """Return whether `position` is at or a little after `start`, modulo 2**32."""
+    """Return whether `position` is in the window that begins at `start`.
+
+    Sequence numbers wrap around at 2**32.
+    """
     return (position - start) % _MODULUS < SEQUENCE_WINDOW
 
 
 class OwnedFlow:
-    """One flow."""
+    """State of one flow."""
 
     __slots__ = (
         "accept_sequence",
@@ -50,12 +53,12 @@
     def __init__(self, balancer: Endpoint | None, now: Millis):
         self.balancer = balancer
         self.began_at = now
-        """When it was accepted, or first seen where that wasn't seen."""
+        """Time of the accept packet, or of the first packet if that wasn't seen."""
         self.seen_at = now
         self.accept_sequence: int | None = None
-        """Sequence number of the accepting packet; None if it wasn't seen."""
+        """Sequence number of the accept packet; None if it wasn't seen."""
         self.is_established = False
-        """Whether the backend server has spoken on it after it accepted."""
+        """Whether the backend server sent a packet after the accept packet."""
         self.acknowledged = 0
         self.client_sequence_end: int | None = None
         self.request_started_at: Millis | None = None
@@ -64,13 +67,16 @@
         self.ended_at: Millis | None = None
 
     def matches(self, acknowledged: int | None) -> bool:
-        """Whether a client that acknowledges this talks to this backend server."""
+        """Whether an acknowledgement fits this backend server's sequence numbers.
+
+        Also True if either number isn't known.
+        """
         if self.accept_sequence is None or acknowledged is None:
             return True
         return is_in_window(acknowledged, self.accept_sequence)
 
     def record_client_packet(self, packet: FlowPacket) -> bool:
-        """Note a client's packet; return whether it carries bytes not seen before."""
+        """Record a client's packet; return whether it carries new bytes."""
         if packet.acknowledged is not None:
             self.acknowledged = packet.acknowledged
         if not packet.payload_bytes or self.ended_at is not None:
@@ -79,7 +85,7 @@
         return self._advance_client_sequence(end)
 
     def record_backend_ack(self, packet: FlowPacket) -> None:
-        """Note what the backend server's packet says that it has of the client."""
+        """Record up to where the backend server has acknowledged the client's bytes."""
         if packet.acknowledged is not None:
             self._advance_client_sequence(packet.acknowledged)
 
@@ -92,7 +98,7 @@
 
 
 class OwnedFlows:
-    """The flows of one backend server, by key."""
+    """Flows of one backend server, by key."""
 
     def __init__(self) -> None:
         self._flows: dict[FlowKey, OwnedFlow] = {}
@@ -104,22 +110,22 @@
         return iter(list(self._flows.items()))
 
     def find(self, flow: FlowKey) -> OwnedFlow | None:
-        """Return a flow, or None."""
+        """Return a flow, or None if it isn't tracked."""
         return self._flows.get(flow)
 
     def add(self, flow: FlowKey, balancer: Endpoint | None, now: Millis) -> OwnedFlow:
-        """Remember a flow anew."""
+        """Add a flow, evicting the oldest entry if the table is full."""
         if len(self._flows) >= MAX_FLOWS:
             del self._flows[next(iter(self._flows))]
         owned = self._flows[flow] = OwnedFlow(balancer, now)
         return owned
 
     def drop(self, flow: FlowKey) -> None:
-        """Forget a flow."""
+        """Remove a flow."""
         self._flows.pop(flow, None)
 
     def sweep(self, now: Millis, idle_ms: Millis) -> list[OwnedFlow]:
-        """Forget flows that ended or fell silent, and return them."""
+        """Remove and return flows that have ended or been idle for `idle_ms`."""
         expired = [
             (key, one)
             for key, one in self._flows.items()
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -1,4 +1,4 @@
-"""Whether a flow is that of the backend server beside an agent."""
+"""Resolution of flow ownership by an agent."""
 
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.owned_flows import OwnedFlows
@@ -7,24 +7,27 @@
 from papayagw._internal.models.plain.instance import StatusReport
 
 MAX_EARLY_REPORTS = 16
-"""The most reports of a run that is as young as it seems; while no agent answers they
-come every 70 ms. Guards against a time of day that was set back.
+"""Maximum report number at which a run's apparent low age is trusted.
+
+Guards against a wall clock that was set back. While no agent answers, reports come
+every 70 ms.
 """
 
 
 class OwnershipResolver:
-    """Answers balancers that look for the owner of a flow.
+    """Answers ownership questions of balancers.
 
     Parameters
     ----------
     flows : OwnedFlows
-        The flows that the agent remembers.
+        Flows that the agent tracks.
     backend : BackendState
-        The run of the backend server.
+        Reported state of the backend server.
     flow_limit_ms : Millis
-        The age after which a flow may be forgotten: from then on an agent knows all.
+        Idle time after which a flow may be removed. An agent that has run for so
+        long has seen all live flows.
     now : Millis
-        When the agent started.
+        Time at which the agent started.
     """
 
     def __init__(
@@ -40,18 +43,21 @@
         self._unsure_until = Millis(now + flow_limit_ms)
 
     def resolve(self, question: FlowQuestion, now: Millis) -> Ownership:
-        """Return whose the flow is, as far as the agent can tell."""
+        """Return whether the backend server owns the flow, as far as is known."""
         owned = self._flows.find(question.flow)
         if owned is not None and owned.ended_at is None:
             is_ours = owned.matches(question.acknowledged)
             return Ownership.OWNER if is_ours else Ownership.STRANGER
         if owned is not None:
-            # Its last packets are the backend server's to answer.
+            # The backend server still answers late packets of an ended flow.
             return Ownership.OWNER
         return Ownership.UNSURE if now < self._unsure_until else Ownership.STRANGER
 
     def begin_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> None:
-        """Take in the age of a run, once: the time of day may be set back later."""
+        """Record the age of a new run.
+
+        Called once per run, since the wall clock may be set back later.
+        """
         self._backend.record_age(age_ms, now)
         if self._observed_whole_run(report, age_ms, now):
             self._unsure_until = now
@@ -59,6 +65,6 @@
     def _observed_whole_run(
         self, report: StatusReport, age_ms: Millis, now: Millis
     ) -> bool:
-        """Whether all flows of the run have passed this agent."""
+        """Whether all flows of the run passed through this agent."""
         max_age_ms = max(now - self._started_at, self._backend.max_first_report_age_ms)
         return 0 <= age_ms <= max_age_ms and report.number <= MAX_EARLY_REPORTS
--- a/src/papayagw/_internal/core/plain/peers.py
+++ b/src/papayagw/_internal/core/plain/peers.py
@@ -1,26 +1,27 @@
-"""The balancers that an agent hears from, and when it tells them its load."""
+"""Balancers known to an agent, and the schedule of load frames to them."""
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
 ACTIVE_TIMEOUT_MS = Millis(3_000)
-"""How long after its last frame a balancer is told the load."""
+"""How long after its last frame a balancer still receives load frames."""
 
 MIN_LOAD_INTERVAL_MS = Millis(100)
-"""The shortest time between two rounds of load words."""
+"""Minimum interval between two rounds of load frames."""
 
 MAX_LOAD_FRAMES_PER_SECOND = 40
-"""The most load words that one agent sends.
+"""Maximum rate of scheduled load frames of one agent.
 
-About 80 bytes each: 3.2 KB/s, under the 4 KB/s that a node may spend on control.
+At about 80 bytes each this is 3.2 KB/s, below the limit of 4 KB/s for the control
+traffic of a node.
 """
 
 MAX_PEERS = 4_096
-"""The most balancers that are told apart."""
+"""Maximum number of balancers with a token."""
 
 
 class BalancerPeers:
-    """Balancers, the tokens that stand for them, and the timing of load words."""
+    """Known balancers, their tokens, and the schedule of load frames."""
 
     def __init__(self) -> None:
         self._last_frame_at: dict[Endpoint, Millis] = {}
@@ -31,7 +32,7 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When the next load words are due, if there is anything to tell."""
+        """Time of the next round of load frames; None if none is pending."""
         if not self._load_changed or not self._last_frame_at:
             return None
         interval = max(
@@ -41,16 +42,16 @@
         return Millis(self._last_sent_at + interval)
 
     def record_frame(self, peer: Endpoint, now: Millis) -> None:
-        """Note a frame of a balancer."""
+        """Record the arrival of a frame from a balancer."""
         self._last_frame_at[peer] = now
         self.token_of(peer)
 
     def mark_load_changed(self, now: Millis) -> None:
-        """Note that the load has changed."""
+        """Schedule a round of load frames, since the load has changed."""
         self._load_changed = True
 
     def start_round_if_due(self, now: Millis) -> bool:
-        """Return whether load words are due, and count them as sent."""
+        """Return whether a round of load frames is due; if so, count it as sent."""
         due_at = self.due_at
         if due_at is None or now < due_at:
             return False
@@ -59,7 +60,7 @@
         return True
 
     def list_active(self, now: Millis) -> list[Endpoint]:
-        """Return the balancers that were heard of late; forget long silent ones."""
+        """Return the recently active balancers and drop inactive ones."""
         inactive = [
             peer
             for peer, at in self._last_frame_at.items()
@@ -70,11 +71,11 @@
         return list(self._last_frame_at)
 
     def list_known(self) -> list[Endpoint]:
-        """Return all balancers that were heard since the start."""
+        """Return all balancers that have a token, active or not."""
         return list(self._tokens)
 
     def token_of(self, peer: Endpoint) -> int:
-        """Return the number that stands for a balancer in packets; never 0."""
+        """Return the number that identifies a balancer in packets; never 0."""
         token = self._tokens.get(peer)
         if token is None:
             if len(self._tokens) >= MAX_PEERS:
@@ -86,5 +87,5 @@
         return token
 
     def find(self, token: int) -> Endpoint | None:
-        """Return the balancer that a number stands for, or None."""
+        """Return the balancer with the given token, or None."""
         return self._by_token.get(token)
--- a/src/papayagw/_internal/core/plain/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/prefix_watcher.py
@@ -1,4 +1,4 @@
-"""Following of the keys under a prefix of the store: read once, then watched."""
+"""Watcher of the store's keys under a prefix: initial read, then watches."""
 
 from collections.abc import Callable
 from random import Random
@@ -23,33 +23,37 @@
 )
 
 WATCH_TIMEOUT_MS = Millis(10_000)
-"""How long one watch waits: a quiet node calls the store six times a minute."""
+"""Duration of one watch; without writes, a node makes six calls a minute."""
 
 WATCH_MARGIN_MS = Millis(1_000)
-"""How much later than asked a watch may answer before its connection counts as dead."""
+"""Grace period after a watch's end before its connection counts as dead."""
 
 MAX_FIRST_READ_RETRY_MS = Millis(300)
-"""Limit of the wait between tries until the first read: nothing is served till then."""
+"""Upper limit of the retry delay until the first read.
+
+Shorter than `MAX_RETRY_DELAY_MS`, since nothing is served before the first read.
+"""
 
 OnSnapshot = Callable[[tuple[StoredItem, ...]], None]
 OnEvents = Callable[[tuple[StoreEvent, ...]], None]
 
 
 class PrefixWatcher:
-    """Keeps up with the keys under one prefix.
+    """Tracks the keys under one prefix.
 
     Parameters
     ----------
     prefix : str
-        What the keys begin with.
+        Prefix of the keys.
     on_snapshot : callable
-        Takes all items after a read.
+        Called with all items after a complete read.
     on_events : callable
-        Takes the writes of a watch, in order.
+        Called with the writes of a watch, in order.
     random : Random
-        The source of the jitter.
-    gap_ms : Millis
-        The shortest time between two watches, in which writes gather.
+        Source of the jitter.
+    min_interval_ms : Millis
+        Minimum interval between a watch that returned writes and the next one, so
+        that writes are batched.
     """
 
     def __init__(
@@ -72,11 +76,11 @@
 
     @property
     def due_at(self) -> Millis:
-        """When the next call is due."""
+        """Time at which the next call is due."""
         return self._due_at
 
     def next_call(self) -> TimedCall:
-        """Return the call to make now."""
+        """Return the next call."""
         timeout_ms = self._retry_schedule.timeout_ms
         if self._revision is None:
             after = self._pages[-1].key if self._pages else ""
@@ -87,7 +91,7 @@
         )
 
     def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
-        """Take in the answer to the last call."""
+        """Handle the answer to the last call."""
         match answer:
             case RangeResult():
                 self._retry_schedule.succeed()
@@ -98,15 +102,15 @@
                 self._retry_schedule.succeed()
                 self._due_at = now
                 if events:
-                    # A watch without events may have missed some: only one that
-                    # told of writes moves the revision on.
+                    # A watch without events may have missed some, so only a watch
+                    # with events advances the revision.
                     self._revision = max(revision, self._revision or 0)
                     self._due_at = Millis(now + self._min_interval_ms)
                     self._on_events(events)
             case HistoryCompacted():
                 self.restart(now)
             case CallFailed():
-                # What was written meanwhile may be missing from the history.
+                # Writes during the failure may be missing from the history.
                 self._revision = None
                 self._due_at = Millis(now + self._retry_schedule.fail(answer))
             case _:
@@ -114,21 +118,22 @@
                 self._due_at = Millis(now + self._retry_schedule.fail(failure))
 
     def refresh(self, now: Millis) -> bool:
-        """Read all keys anew if they are being watched; return whether they are."""
+        """Read all keys again if they are being watched; return whether they are."""
         if self._revision is None:
             return False
         self.restart(now)
         return True
 
     def restart(self, now: Millis) -> None:
-        """Read all keys anew."""
+        """Read all keys again."""
         self._revision = None
         self._pages = []
         self._due_at = now
 
     def _add_page(self, page: RangeResult) -> None:
         if not self._pages:
-            # Later pages may be newer: the watch goes on from the oldest.
+            # Later pages may be newer, so the watch starts at the first page's
+            # revision.
             self._first_revision = page.store_revision
         self._pages += page.items
         if page.has_more and page.items:
--- a/src/papayagw/_internal/core/plain/request_limit.py
+++ b/src/papayagw/_internal/core/plain/request_limit.py
@@ -1,13 +1,14 @@
-"""How much work a backend server is given before openings wait elsewhere."""
+"""Number of concurrent requests up to which a backend server gets openings."""
 
 REQUESTS_PER_SLOT = 2
-"""Requests for each slot, the one in work included, that still meet their objective.
+"""Number of requests per slot, including the active one, that meet their objective.
 
-Objectives are five times the mean work of a request and more; a backend server's own
-queue is a few requests long, and what it sheds costs its client one of few retries.
+Latency objectives are at least five times the mean service time. The backend server's
+own queue holds only a few requests, and each request that it sheds costs its client
+one of few retries.
 """
 
 
 def request_limit(slots: int) -> int:
-    """Return how many requests in progress a backend server takes openings below."""
+    """Return the number of requests at which a backend server gets no more openings."""
     return REQUESTS_PER_SLOT * max(slots, 1)
--- a/src/papayagw/_internal/core/plain/store_calls.py
+++ b/src/papayagw/_internal/core/plain/store_calls.py
@@ -1,7 +1,7 @@
-"""When to call the platform's key-value service, and how long to wait for it.
+"""Timeouts and retries of calls to the platform's key-value service.
 
-One machine holds one call at a time. It is asked for its next call when it has none
-under way, and told the answer.
+Each client has at most one call in flight. Its driver requests the next call when
+none is in flight and passes the answer back.
 """
 
 from dataclasses import dataclass
@@ -17,48 +17,51 @@
 )
 
 INITIAL_TIMEOUT_MS = Millis(500)
-"""How long the first try of a call may take: over a hundred usual answers."""
+"""Timeout of the first attempt: over a hundred times the usual response time."""
 
 MAX_TIMEOUT_MS = Millis(4_000)
-"""Limit of the doubling of `FIRST_TIMEOUT_MS`, for a store that is slow."""
+"""Upper limit of the timeout, which doubles while the store is slow."""
 
 INITIAL_RETRY_DELAY_MS = Millis(100)
 MAX_RETRY_DELAY_MS = Millis(1_000)
-"""Limit of the wait between tries: half of the time in which an entry is to be back
-after the store's return."""
+"""Upper limit of the delay between attempts.
+
+Half of the time within which an entry must be restored after the store's recovery.
+"""
 
 
 @dataclass(frozen=True, slots=True)
 class TimedCall:
-    """A call and how long to wait for its answer."""
+    """Call and the timeout for its answer."""
 
     call: StoreCall
     timeout_ms: Millis
 
 
 class StoreClient(Protocol):
-    """A machine that calls the store."""
+    """State machine that makes calls to the store."""
 
     @property
     def due_at(self) -> Millis:
-        """When the next call is due."""
+        """Time at which the next call is due."""
 
     def next_call(self) -> TimedCall | None:
-        """Return the call to make now, or None if there is none."""
+        """Return the next call, or None if there is none."""
 
     def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
-        """Take in the answer to the call that `next_call` returned last."""
+        """Handle the answer to the call that `next_call` returned last."""
 
 
 class RetrySchedule:
-    """How long to wait for answers and between tries of one machine.
+    """Timeouts and retry delays of one client.
 
     Parameters
     ----------
     random : Random
-        The source of the jitter, so that nodes don't return to the store at once.
-    longest_retry_ms : Millis
-        The longest wait between tries.
+        Source of the jitter, which keeps nodes from returning to the store all at
+        the same time.
+    max_retry_delay_ms : Millis
+        Upper limit of the delay between attempts.
     """
 
     def __init__(self, random: Random, max_retry_delay_ms: Millis = MAX_RETRY_DELAY_MS):
@@ -69,26 +72,26 @@
 
     @property
     def timeout_ms(self) -> Millis:
-        """How long to wait for the next answer."""
+        """Timeout of the next call."""
         return self._timeout_ms
 
     def set_max_retry_delay(self, max_retry_delay_ms: Millis) -> None:
-        """Set the longest wait between tries from now on."""
+        """Set the upper limit of the retry delay and reset the backoff."""
         self._backoff = Backoff(
             self._random, INITIAL_RETRY_DELAY_MS, max_retry_delay_ms
         )
 
     def succeed(self) -> None:
-        """Note a usable answer."""
+        """Record a usable answer, which resets timeout and delays."""
         self._backoff.succeed()
         self._timeout_ms = INITIAL_TIMEOUT_MS
         self._failures = 0
 
     def fail(self, failure: CallFailed) -> Millis:
-        """Note a failure; return how long to wait before the next try."""
+        """Record a failure; return the delay before the next attempt, in ms."""
         self._failures += 1
         if failure.refused:
             return self._backoff.fail()
-        # The store may be slow: the next try is given longer and is made at once.
+        # The store may be slow: the first retry is immediate, with a longer timeout.
         self._timeout_ms = Millis(min(2 * self._timeout_ms, MAX_TIMEOUT_MS))
         return self._backoff.fail() if self._failures > 1 else Millis(0)
--- a/src/papayagw/_internal/models/plain/__init__.py
+++ b/src/papayagw/_internal/models/plain/__init__.py
@@ -1,1 +1,1 @@
-"""Plain data of the plain UDP front end, whose packets carry no flow tag."""
+"""Data types of the plain UDP front end, whose packets carry no flow tag."""
--- a/src/papayagw/_internal/models/plain/entry_store.py
+++ b/src/papayagw/_internal/models/plain/entry_store.py
@@ -7,18 +7,19 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredItem:
-    """A key's value at one revision.
+    """Key and its value at one revision.
 
     Attributes
     ----------
     key : str
-        The key.
+        Key.
     value : bytes
-        The value.
+        Value.
     revision : int
-        The revision of the store at which it was written.
+        Store revision at which the value was written.
     lease : int
-        The lease whose end removes the key; 0 if none does.
+        Id of the lease that the key is attached to; 0 if none. The key is removed
+        when the lease ends.
     """
 
     key: str
@@ -29,14 +30,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RemovedItem:
-    """A key that was removed.
+    """Removal of a key.
 
     Attributes
     ----------
     key : str
-        The key.
+        Key.
     revision : int
-        The revision of the store at which it was removed.
+        Store revision at which the key was removed.
     """
 
     key: str
@@ -48,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadRange:
-    """Read a page of the keys that begin with `prefix`, after the key `after`."""
+    """Request for a page of the keys with a `prefix`, after the key `after`."""
 
     prefix: str
     after: str = ""
@@ -56,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchPrefix:
-    """Wait up to `wait_ms` for writes after revision `after`."""
+    """Request to wait up to `wait_ms` for writes after revision `after`."""
 
     prefix: str
     after: int
@@ -65,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PutKey:
-    """Write a key that lives as long as a lease."""
+    """Request to write a key that is removed when its lease ends."""
 
     key: str
     value: bytes
@@ -74,21 +75,21 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantLease:
-    """Ask for a lease."""
+    """Request for a new lease."""
 
     ttl_ms: Millis
 
 
 @dataclass(frozen=True, slots=True)
 class RenewLease:
-    """Renew a lease."""
+    """Request to renew a lease."""
 
     lease: int
 
 
 @dataclass(frozen=True, slots=True)
 class EndLease:
-    """End a lease, which removes its keys."""
+    """Request to end a lease, which removes its keys."""
 
     lease: int
 
@@ -115,7 +116,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryCompacted:
-    """The store no longer has the writes that were asked for."""
+    """Answer to `WatchPrefix` if the store no longer has the requested revisions."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,19 +136,19 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseEnded:
-    """The lease has ended, and its keys with it."""
+    """Answer that the lease has ended and its keys are removed."""
 
 
 @dataclass(frozen=True, slots=True)
 class CallFailed:
-    """No usable answer; a write may or may not have taken effect.
+    """Failed call; a write may or may not have taken effect.
 
     Attributes
     ----------
     reason : str
-        What was seen.
+        Description of the failure.
     refused : bool
-        Whether the store said that it did nothing.
+        Whether the store answered that it did not execute the call.
     """
 
     reason: str
--- a/src/papayagw/_internal/models/plain/instance.py
+++ b/src/papayagw/_internal/models/plain/instance.py
@@ -1,4 +1,4 @@
-"""Backend servers and the agents beside them."""
+"""Reports of backend servers, and agents' store entries and load."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -8,7 +8,7 @@
 
 
 class ReportedState(Enum):
-    """What a backend server says of itself."""
+    """State that a backend server reports."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -16,25 +16,25 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusReport:
-    """A heartbeat of a backend server.
+    """Heartbeat of a backend server.
 
     Attributes
     ----------
     instance : str
-        The id under which the backend server reports; a restart may reuse it.
+        Id under which the backend server reports; a restart may reuse it.
     service : str
-        The service that it runs.
+        Service that it runs.
     state : ReportedState
-        Whether it wants new flows.
+        Whether it accepts new flows.
     slots : int
-        How many requests it works on at once.
+        Number of requests that it processes concurrently.
     cold_left_ms : Millis
-        How much longer it will be slow after its start.
+        Remaining time during which it is slow after its start.
     started_at : int
-        When this run of it began, in ms since 1970 by its own clock. Orders the
-        runs that share an id or an address.
+        Start of this run, in ms since 1970 by its own clock. Orders the runs that
+        share an id or an address.
     number : int
-        Counts the reports of one run; orders those that arrive late.
+        Sequence number of the report within its run; orders late reports.
     """
 
     instance: str
@@ -48,14 +48,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Departure:
-    """The last word of a backend server that ends in an orderly way.
+    """Announcement that a backend server is shutting down.
 
     Attributes
     ----------
     instance : str
-        The id under which it reported.
+        Id under which it reported.
     started_at : int or None
-        When the run that ends began; None if it didn't say.
+        Start of the run that ends, in ms since 1970; None if it isn't given.
     """
 
     instance: str
@@ -64,16 +64,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentEntry:
-    """What an agent stores so that balancers find it.
+    """Store entry of an agent, by which balancers discover it.
 
     Attributes
     ----------
     endpoint : Endpoint
-        Where it takes frames, over UDP.
+        UDP endpoint at which it receives frames.
     service : str
-        The service of its backend server.
+        Service of its backend server.
     zone : str
-        Its availability zone.
+        Availability zone of the agent.
     """
 
     endpoint: Endpoint
@@ -82,7 +82,7 @@
 
 
 class Availability(Enum):
-    """Whether an agent takes openings."""
+    """Whether an agent admits openings, and if not, why."""
 
     READY = 1
     UNREADY = 2
@@ -92,26 +92,27 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentLoad:
-    """What an agent tells balancers about its backend server.
+    """Load and availability that an agent reports to balancers.
 
     Attributes
     ----------
     availability : Availability
-        Whether it takes openings.
+        Whether the agent admits openings.
     slots : int
-        How many requests the backend server works on at once.
+        Number of requests that the backend server processes concurrently.
     busy : int
-        Requests in progress, those that wait for a slot included.
+        Number of requests in progress or expected, including those that wait for a
+        slot.
     flows : int
-        Open flows.
+        Number of flows that the agent tracks.
     utilization : float
-        Share of the slots that was busy of late, 0 to 1.
+        Recent share of busy slots, 0 to 1.
     service_us : int
-        Mean time of a slot for one request, in microseconds; 0 if not known yet.
+        Mean service time of a request, in microseconds; 0 if not known yet.
     site_version : int
-        The highest version of the configuration that the agent has heard of.
+        Highest configuration version that the agent has received; 0 if none.
     run_age_ms : Millis or None
-        How long ago the backend server started; None if the agent can't tell.
+        Time since the backend server's start; None if it isn't known.
     """
 
     availability: Availability
--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a process of the plain front end."""
+"""Process settings of the plain front end."""
 
 from dataclasses import dataclass
 
@@ -8,28 +8,28 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlainSettings:
-    """What both roles have.
+    """Settings common to balancers and agents.
 
     Attributes
     ----------
     name : str
-        The name of the process in logs and in the store.
+        Name of the process in logs and in the store.
     zone : str
-        Its availability zone.
+        Availability zone of the process.
     inner : Endpoint
-        Where frames of the system's own processes come, over UDP.
+        UDP endpoint for frames between balancers and agents.
     client_port : int
-        The port at which clients take packets, at their own address.
+        Port at which clients receive packets, at their own address.
     readiness : Endpoint
-        Where readiness is asked for, over HTTP.
+        HTTP endpoint of the readiness probe.
     metrics : Endpoint
-        Where counters and histograms are served, over HTTP.
+        HTTP endpoint that serves counters and histograms.
     store : Endpoint
-        The platform's key-value service, over HTTP.
+        HTTP endpoint of the platform's key-value service.
     grace_ms : Millis
-        How long after SIGTERM the process may live.
+        Time after SIGTERM within which the process must exit.
     flow_limit_ms : Millis
-        The age after which a flow may be forgotten.
+        Idle time after which a flow may be removed.
     """
 
     name: str
@@ -50,7 +50,7 @@
     Attributes
     ----------
     entry : Endpoint
-        Where clients' packets come, over UDP.
+        UDP endpoint that receives clients' packets.
     """
 
     entry: Endpoint
@@ -63,15 +63,15 @@
     Attributes
     ----------
     service : str
-        The service of its backend server.
+        Service of the local backend server.
     backend : Endpoint
-        Where the backend server takes packets.
+        UDP endpoint at which the backend server receives packets.
     outbound : Endpoint
-        Where the backend server hands its packets over, over UDP.
+        UDP endpoint that receives the backend server's packets.
     reports : Endpoint
-        Where the backend server reports, over HTTP.
+        HTTP endpoint that receives the backend server's reports.
     report_interval_ms : Millis
-        Time between its reports.
+        Interval between the backend server's reports.
     """
 
     service: str
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -1,4 +1,4 @@
-"""What an agent of the plain front end decides, packet by packet."""
+"""Tests of the plain front end's agent, step by step."""
 
 from dataclasses import replace
 
@@ -57,7 +57,7 @@
     return StatusReport("i1", "order", state, 1, 0, run, number)
 
 
-# A report and the age of its run.
+# Each report with the age of its run.
 REPORTS = {
     "ready": (report(), 0),
     "ready, early": (report(), MAX_FIRST_REPORT_AGE_MS),
@@ -71,7 +71,7 @@
 
 
 class Driver:
-    """Drives an agent through words; returns what the last one made it do."""
+    """Passes steps to an agent; returns the actions that result from each."""
 
     def __init__(self):
         self.core = PlainAgent("order", FLOW_LIMIT_MS, START)
@@ -120,7 +120,8 @@
 @pytest.mark.parametrize(
     ("steps", "reason"),
     [
-        # A start under a living backend server: it is tried for two report intervals.
+        # An agent that starts beside a running backend server sends it openings for
+        # slightly more than two report intervals.
         ([REPORT_TIMEOUT_MS, open_frame()], ReturnReason.NOT_READY),
         ([open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], ReturnReason.SILENT),
         ([open_frame(), BACKEND_ACCEPT_TIMEOUT_MS, open_frame()], ReturnReason.SILENT),
@@ -128,7 +129,8 @@
             [open_frame(), BACKEND_ACCEPT_TIMEOUT_MS, 300, open_frame()],
             ReturnReason.NOT_READY,
         ),
-        # A backend server that hasn't reported says nothing of others by declining.
+        # A refusal by a backend server that hasn't reported doesn't mean that it is
+        # full.
         ([open_frame(), bounced(OPENING)], ReturnReason.NOT_READY),
         ([open_frame(), bounced(OPENING), open_frame()], ReturnReason.NOT_READY),
         (["ready", "drain", open_frame()], ReturnReason.DRAINING),
@@ -142,7 +144,7 @@
         (["ready", open_frame(), bounced(OPENING)], ReturnReason.FULL),
         (["ready", CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
         ([*ACCEPTED, CarryFrame("order", FOREIGN)], ReturnReason.NOT_OWNER),
-        # Accepted here and at another backend server, where the client went.
+        # Accepted here and at another backend server, which the client chose.
         ([*ACCEPTED, CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
         (["ready", CarryFrame("drawings", DATA)], ReturnReason.WRONG_SERVICE),
         (["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], ReturnReason.SILENT),
@@ -204,7 +206,7 @@
 
 
 def in_progress(number):
-    """Words after which a request of another flow is being worked on."""
+    """Return steps after which a request of another flow is in progress."""
     frames = (OpenFrame("order", 1, OPENING), ACCEPT, CARRY)
     return [change_flow(one, number) for one in frames]
 
@@ -223,7 +225,7 @@
     [
         ([*FULL, change_flow(ANSWER, 1)], 0),
         ([*FULL, open_frame(), change_flow(ANSWER, 1)], 1),
-        # One balancer is told once, and again if it made use of it.
+        # A balancer is notified once, and again only if it used the capacity.
         ([*FULL, open_frame(), change_flow(ANSWER, 1), change_flow(ANSWER, 2)], 0),
         (
             [
@@ -236,14 +238,14 @@
             1,
         ),
         ([*FULL, open_frame(), "drain", change_flow(ANSWER, 1)], 0),
-        # The first request of an accepted flow didn't come.
+        # The first request of an accepted flow doesn't arrive.
         ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_TIMEOUT_MS - 1], 0),
         ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_TIMEOUT_MS], 1),
-        # The request was given up, or the backend server turned the flow away.
+        # The backend server returned the flow, which ends its request.
         ([*FULL, open_frame(), change_flow(bounced(DATA), 1)], 1),
     ],
 )
-def test_a_balancer_that_was_turned_away_is_told_of_room(steps, notified):
+def test_rejected_balancer_is_notified_of_capacity(steps, notified):
     actions, _ = run_steps(steps)
     frames = [one for one in actions if isinstance(one, SendFrame)]
     load_frames = [one for one in frames if isinstance(one.frame, LoadFrame)]
@@ -258,7 +260,7 @@
         (OPEN, [SendToClient]),
         ([*OPEN, bounced(DATA)], [ResetClient]),
         ([*OPEN, 100, "restart"], [ResetClient, SendFrame]),
-        # Not surely open here, and younger than the run that reports.
+        # Only accepted, so not certain to be open here; younger than the reporting run.
         ([*ACCEPTED, 100, "restart"], [SendFrame]),
         ([*OPEN, "restart"], [SendFrame]),
         ([*OPEN, FINISH, 100, "restart"], [SendFrame]),
@@ -271,7 +273,7 @@
     assert [type(one) for one in actions] == kinds
 
 
-def test_accepting_tells_the_balancer():
+def test_accept_notifies_the_balancer():
     actions, _ = run_steps(ACCEPTED)
     assert isinstance(actions[1].frame, OpenedFrame)
     assert actions[1].frame.flow == FLOW
@@ -286,21 +288,21 @@
         (["ready, early"], None, Ownership.STRANGER),
         ([MAX_FIRST_REPORT_AGE_MS, "ready, older"], None, Ownership.UNSURE),
         ([MAX_FIRST_REPORT_AGE_MS + 1, "ready, older"], None, Ownership.STRANGER),
-        # The run began in the agent's own time: no other agent gave it flows.
+        # The run began after the agent started: no other agent gave it flows.
         (["ready"], None, Ownership.STRANGER),
         ([700, "ready"], None, Ownership.STRANGER),
         (["ready, older", "restart"], None, Ownership.STRANGER),
-        # The time of day may have been set back: the run may be older.
+        # The wall clock may have been set back, so the run may be older.
         ([700, "ready, clock set back"], None, Ownership.UNSURE),
         ([700, "ready, often"], None, Ownership.UNSURE),
-        # It was set back after the first report.
+        # The wall clock was set back after the first report.
         (["ready, older", "again"], None, Ownership.UNSURE),
         (ACCEPTED, ACCEPT_SEQUENCE + 1, Ownership.OWNER),
         (ACCEPTED, None, Ownership.OWNER),
         (ACCEPTED, ACCEPT_SEQUENCE - 1, Ownership.STRANGER),
         (ACCEPTED, ACCEPT_SEQUENCE + (1 << 23), Ownership.STRANGER),
         ([*OPEN, FINISH], ACCEPT_SEQUENCE + 20, Ownership.OWNER),
-        # Learnt from the backend server's own packets after a restart.
+        # Learnt from the backend server's own packets after the agent's restart.
         (["ready", ANSWER], 12_345, Ownership.OWNER),
     ],
 )
@@ -315,14 +317,14 @@
     ("steps", "busy"),
     [
         (["ready", open_frame()], 1),
-        # The first request is on its way to a flow that was just accepted.
+        # The first request of an accepted flow is expected.
         (ACCEPTED, 1),
         ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS - 1], 1),
         ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS], 0),
         ([*ACCEPTED, bounced(DATA)], 0),
         ([*ACCEPTED, CARRY], 1),
         (OPEN, 0),
-        # A request that is sent again isn't another one.
+        # A retransmitted request isn't counted again.
         ([*OPEN, CARRY], 0),
         (["ready", ANSWER, CARRY], 0),
         ([*ACCEPTED, CARRY, FINISH], 0),
@@ -363,18 +365,19 @@
         ([], None),
         (["ready"], 0),
         (["ready, early", 500], MAX_FIRST_REPORT_AGE_MS + 500),
-        # Later reports of a run don't change it: clocks may have been set back.
+        # Later reports of a run don't change its age: the clock may have been set
+        # back.
         (["ready, older", 500, "again"], MAX_FIRST_REPORT_AGE_MS + 501),
         (["ready, clock set back"], None),
         (["ready, older", "restart", 7], 17),
     ],
 )
-def test_balancers_are_told_the_age_of_the_run(steps, age_ms):
+def test_load_contains_the_age_of_the_run(steps, age_ms):
     _, driver = run_steps(steps)
     assert driver.core.current_load(driver.now).run_age_ms == age_ms
 
 
-def test_all_balancers_that_were_heard_are_told_of_a_new_state():
+def test_known_balancers_are_notified_of_a_new_state():
     driver = Driver()
     driver.run(open_frame())
     notified = [one for one in driver.run("ready") if isinstance(one, SendFrame)]
--- a/tests/unit/test_plain_backend_state.py
+++ b/tests/unit/test_plain_backend_state.py
@@ -1,4 +1,4 @@
-"""The order of a backend server's reports, and its load."""
+"""Tests of backend state, load meter and request limit."""
 
 import pytest
 
@@ -28,17 +28,17 @@
         ([], False, False),
         ([report(10, 1)], True, False),
         ([report(10, 1), report(10, 2, DRAINING)], True, True),
-        # Late reports of the same run and of an earlier one.
+        # Late reports of the same run and of an earlier run.
         ([report(10, 2, DRAINING), report(10, 1)], True, True),
         ([report(20, 1), report(10, 9, DRAINING)], True, False),
-        # A later run begins to count anew.
+        # A later run numbers its reports from 1 again.
         ([report(10, 9, DRAINING), report(20, 1)], True, False),
         ([report(10, 9, DRAINING), report(20, 1, instance="i2")], True, False),
         ([report(10, 1), leave(10)], False, False),
         ([report(10, 1), leave()], False, False),
         ([report(10, 1), leave(), report(10, 2)], False, False),
         ([report(10, 1), leave(10), report(20, 1)], True, False),
-        # A departure of an earlier run, and of another instance.
+        # Departures of an earlier run and of another instance.
         ([report(20, 1), leave(10)], True, False),
         ([report(20, 1), leave(20, "i2")], True, False),
         ([report(10, 1, service="drawings")], False, False),
@@ -74,7 +74,7 @@
 @pytest.mark.parametrize(
     ("slots", "work_ms", "gap_ms"), [(1, 20, 20), (1, 20, 5), (3, 50, 10), (2, 10, 90)]
 )
-def test_meter_finds_the_time_of_a_slot(slots, work_ms, gap_ms):
+def test_meter_measures_service_time(slots, work_ms, gap_ms):
     meter = LoadMeter(slots)
     now = 0
     for _ in range(200):
@@ -88,7 +88,7 @@
     assert meter.busy == 0
 
 
-def test_meter_knows_nothing_at_first():
+def test_meter_without_requests():
     meter = LoadMeter(1)
     assert (meter.service_us(0), meter.utilization(0), meter.busy) == (0, 0.0, 0)
 
--- a/tests/unit/test_plain_batching.py
+++ b/tests/unit/test_plain_batching.py
@@ -1,4 +1,4 @@
-"""Joining of questions that one batch of packets raises."""
+"""Tests of the batching of ownership questions."""
 
 import pytest
 
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -1,4 +1,4 @@
-"""The life of an agent's entry, and how the store's keys are followed."""
+"""Tests of the entry registrar and the prefix watcher."""
 
 from random import Random
 
@@ -54,7 +54,7 @@
 
 
 def run_calls(registrar, answers):
-    """Give each answer to the call that was made; return the calls."""
+    """Answer each call in turn; return the calls, the next one included."""
     calls = []
     now = 0
     for answer in answers:
@@ -82,7 +82,7 @@
             [READ_KEY, READ_KEY, READ_KEY, READ_KEY, GRANT],
         ),
         ([EMPTY, LEASED, TIMED_OUT, PutResult(8)], [READ_KEY, GRANT, PUT, PUT, RENEW]),
-        # After an outage the agent looks whether its entry is still there.
+        # After an outage the agent checks whether its entry still exists.
         (
             [OWN_ENTRY, TIMED_OUT, TIMED_OUT, LEASED, OWN_ENTRY],
             [READ_KEY, RENEW, RENEW, RENEW, READ_KEY, RENEW],
@@ -94,7 +94,7 @@
         ),
     ],
 )
-def test_keeper_calls(answers, calls):
+def test_registrar_calls(answers, calls):
     assert run_calls(EntryRegistrar(KEY, VALUE, Random(1)), answers) == calls
 
 
@@ -105,7 +105,7 @@
 
 
 @pytest.mark.parametrize("failure", [TIMED_OUT, REFUSED])
-def test_an_outage_is_tried_again_within_the_time_to_be_back(failure):
+def test_retry_delay_during_an_outage_is_limited(failure):
     registrar = EntryRegistrar(KEY, VALUE, Random(1))
     run_calls(registrar, [EMPTY, LEASED, PutResult(8)])
     now = registrar.due_at
@@ -136,12 +136,12 @@
     ("restores", "puts"),
     [
         ([50], 1),
-        # Balancers notice at about the same time.
+        # Balancers notice a missing entry at about the same time.
         ([50, 60, 700], 1),
         ([50, 50 + MIN_RESTORE_INTERVAL_MS], 2),
     ],
 )
-def test_an_entry_is_restored_once_a_second_for_all_who_miss_it(restores, puts):
+def test_restorations_are_at_least_a_second_apart(restores, puts):
     registrar = EntryRegistrar(KEY, VALUE, Random(1))
     run_calls(registrar, [EMPTY, LEASED, PutResult(8)])
     calls = []
@@ -189,7 +189,7 @@
     ("before", "limit_ms"),
     [([], MAX_FIRST_READ_RETRY_MS), ([RangeResult((), False, 5)], MAX_RETRY_DELAY_MS)],
 )
-def test_the_first_read_is_tried_sooner_than_later_ones(before, limit_ms):
+def test_first_read_has_a_shorter_retry_limit(before, limit_ms):
     watcher = PrefixWatcher(
         "p/", lambda _: None, lambda _: None, Random(1), MIN_INTERVAL_MS
     )
@@ -239,14 +239,14 @@
             [READ, watch(5), READ, watch(9)],
             [(), (A,)],
         ),
-        # A cut watch may have missed writes that the history has lost since.
+        # A failed watch may have missed writes that the history no longer has.
         (
             [RangeResult((), False, 5), TIMED_OUT, RangeResult((A,), False, 9)],
             [READ, watch(5), READ, watch(9)],
             [(), (A,)],
         ),
         ([TIMED_OUT, REFUSED, TIMED_OUT], [READ, READ, READ, READ], []),
-        # A cut between pages begins anew with what is missing.
+        # After a failure between pages, reading continues after the last page.
         (
             [RangeResult((A,), True, 5), TIMED_OUT, RangeResult((B,), False, 6)],
             [READ, ReadRange("p/", "p/a"), ReadRange("p/", "p/a"), watch(5)],
@@ -254,7 +254,7 @@
         ),
     ],
 )
-def test_follower(answers, calls, delivered):
+def test_watcher_calls(answers, calls, delivered):
     received = []
     watcher = PrefixWatcher(
         "p/", received.append, received.append, Random(1), MIN_INTERVAL_MS
@@ -263,7 +263,7 @@
     assert received == delivered
 
 
-def test_writes_gather_between_two_watches():
+def test_watches_with_writes_are_spaced():
     watcher = PrefixWatcher(
         "p/", lambda _: None, lambda _: None, Random(1), MIN_INTERVAL_MS
     )
@@ -272,7 +272,7 @@
     assert watcher.due_at == 1_000 + MIN_INTERVAL_MS
 
 
-def test_refresh_reads_anew_only_what_is_watched():
+def test_refresh_reads_again_only_while_watching():
     watcher = PrefixWatcher(
         "p/", lambda _: None, lambda _: None, Random(1), MIN_INTERVAL_MS
     )
