--- a/src/papayagw/_internal/core/plain/admission_control.py
+++ b/src/papayagw/_internal/core/plain/admission_control.py
@@ -121,8 +121,8 @@
             return []
         if self.availability(now) is not Availability.READY:
             return []
-        late = [peer for peer, until in self._reserved_until.items() if until <= now]
-        for peer in late:
+        expired = [peer for peer, until in self._reserved_until.items() if until <= now]
+        for peer in expired:
             del self._reserved_until[peer]
         free = self._free_capacity(pending_openings, now) - len(self._reserved_until)
         notified = list(self._waiting)[: max(free, 0)]
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -119,11 +119,11 @@
     @property
     def due_at(self) -> Millis | None:
         """Time at which `on_timer` must be called next; None if no timer is pending."""
-        offers = (one.opening_sent_at for one in self._pending_openings.values())
-        dues = [at + BACKEND_ACCEPT_TIMEOUT_MS for at in offers if at is not None]
-        others = (self._peers.due_at, self._admission.due_at)
-        dues += [at for at in others if at is not None]
-        return Millis(min(dues)) if dues else None
+        sent_at = (owned.opening_sent_at for owned in self._pending_openings.values())
+        due_at = [at + BACKEND_ACCEPT_TIMEOUT_MS for at in sent_at if at is not None]
+        other_due_at = (self._peers.due_at, self._admission.due_at)
+        due_at += [at for at in other_due_at if at is not None]
+        return Millis(min(due_at)) if due_at else None
 
     def current_load(self, now: Millis) -> AgentLoad:
         """Return the current load and availability, as reported to balancers."""
@@ -289,7 +289,7 @@
             owned = self._flows.add(packet.flow, None, now)
             claim = FlowClaim(packet.flow, Ownership.OWNER)
             frame = ClaimFrame((claim,), self.current_load(now))
-            actions += [SendFrame(one, frame) for one in self._peers.list_active(now)]
+            actions += [SendFrame(peer, frame) for peer in self._peers.list_active(now)]
             fields = {"flow": show_flow(packet.flow)}
             actions.append(Note("flow adopted", fields))
         owned.seen_at = now
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -127,14 +127,14 @@
     def sweep(self, now: Millis, idle_ms: Millis) -> list[OwnedFlow]:
         """Remove and return flows that have ended or been idle for `idle_ms`."""
         expired = [
-            (key, one)
-            for key, one in self._flows.items()
-            if now - one.seen_at > idle_ms
+            (key, owned)
+            for key, owned in self._flows.items()
+            if now - owned.seen_at > idle_ms
             or (
-                one.ended_at is not None
-                and now - one.ended_at > ENDED_FLOW_RETENTION_MS
+                owned.ended_at is not None
+                and now - owned.ended_at > ENDED_FLOW_RETENTION_MS
             )
         ]
         for key, _ in expired:
             del self._flows[key]
-        return [one for _, one in expired]
+        return [owned for _, owned in expired]
