--- /dev/null
+++ b/src/papayagw/_internal/core/plain/entry_registrar.py
@@ -0,0 +1,139 @@
+"""Registration of an agent in the store: writes, renews and removes its entry."""
+
+from random import Random
+
+from papayagw._internal.core.plain.store_calls import RetrySchedule, TimedCall
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.entry_store import (
+    CallFailed,
+    EndLease,
+    GrantLease,
+    LeaseEnded,
+    LeaseResult,
+    PutKey,
+    PutResult,
+    RangeResult,
+    ReadRange,
+    RenewLease,
+    StoreAnswer,
+    StoreCall,
+)
+
+LEASE_TTL_MS = Millis(10_000)
+"""How long an entry remains after the last renewal by its agent."""
+
+RENEW_INTERVAL_MS = Millis(2_000)
+"""Interval between lease renewals.
+
+An expired lease is detected by its next renewal, and the entry must be restored
+within two seconds of the store's recovery.
+"""
+
+MIN_RESTORE_INTERVAL_MS = Millis(1_000)
+"""Minimum interval between two restorations requested by balancers.
+
+All balancers watch the store and notice a missing entry within a second of each other.
+"""
+
+
+class EntryRegistrar:
+    """Keeps one key in the store under a lease while its owner runs.
+
+    Parameters
+    ----------
+    key : str
+        Key of the entry.
+    value : bytes
+        Value of the entry.
+    random : Random
+        Source of the jitter.
+    """
+
+    def __init__(self, key: str, value: bytes, random: Random):
+        self._key = key
+        self._value = value
+        self._random = random
+        self._retry_schedule = RetrySchedule(random)
+        self._due_at = Millis(0)
+        self._has_read = False
+        self._lease: int | None = None
+        self._is_stored = False
+        self._had_failure = False
+        self._restored_at = Millis(-MIN_RESTORE_INTERVAL_MS)
+        self._is_ending = False
+
+    @property
+    def due_at(self) -> Millis:
+        """Time at which the next call is due."""
+        return self._due_at
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether `end` was called and no lease is left in the store."""
+        return self._is_ending and self._lease is None
+
+    def next_call(self) -> TimedCall | None:
+        """Return the next call, or None if there is none."""
+        call = self._pick_call()
+        return (
+            None if call is None else TimedCall(call, self._retry_schedule.timeout_ms)
+        )
+
+    def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
+        """Handle the answer to the last call."""
+        if isinstance(answer, CallFailed):
+            self._due_at = Millis(now + self._retry_schedule.fail(answer))
+            self._had_failure = True
+            return
+        self._retry_schedule.succeed()
+        self._due_at = now
+        match answer:
+            case RangeResult(items):
+                self._has_read, self._had_failure = True, False
+                self._is_stored = False
+                # An earlier run of the agent may have left the entry and its lease.
+                for item in items:
+                    if item.key == self._key and item.value == self._value:
+                        self._lease, self._is_stored = item.lease or None, True
+            case LeaseResult(lease):
+                self._lease = lease
+                if isinstance(call, RenewLease) and self._had_failure:
+                    # During an outage the store may have lost the entry but not its
+                    # lease.
+                    self._has_read = False
+                elif isinstance(call, RenewLease) and self._is_stored:
+                    self._due_at = Millis(now + self._jitter(RENEW_INTERVAL_MS))
+            case PutResult():
+                self._is_stored, self._had_failure = True, False
+                self._due_at = Millis(now + self._jitter(RENEW_INTERVAL_MS))
+            case LeaseEnded():
+                self._lease, self._is_stored = None, False
+
+    def restore(self, now: Millis) -> None:
+        """Write the entry again, since a balancer found it missing."""
+        if not self._has_read or not self._is_stored:
+            return
+        self._is_stored = False
+        self._restored_at = Millis(
+            max(now, self._restored_at + MIN_RESTORE_INTERVAL_MS)
+        )
+        self._due_at = min(self._due_at, self._restored_at)
+
+    def end(self, now: Millis) -> None:
+        """Remove the entry, since its owner is stopping."""
+        self._is_ending = True
+        self._due_at = now
+
+    def _pick_call(self) -> StoreCall | None:
+        if self._is_ending:
+            return None if self._lease is None else EndLease(self._lease)
+        if not self._has_read:
+            return ReadRange(self._key)
+        if self._lease is None:
+            return GrantLease(LEASE_TTL_MS)
+        if not self._is_stored:
+            return PutKey(self._key, self._value, self._lease)
+        return RenewLease(self._lease)
+
+    def _jitter(self, interval_ms: Millis) -> int:
+        return round(interval_ms * self._random.uniform(0.8, 1.0))
