--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -24,14 +24,14 @@
     SendToClient,
 )
 from papayagw._internal.models.plain.frame import (
-    AskFrame,
-    CarryFrame,
-    ClaimFrame,
-    FlowClaim,
+    EntryMissingFrame,
+    ForwardFrame,
     LoadFrame,
-    MissingFrame,
     OpenedFrame,
     OpenFrame,
+    OwnerQueryFrame,
+    OwnerReply,
+    OwnerReplyFrame,
     Ownership,
     ReturnFrame,
     ReturnReason,
@@ -156,13 +156,13 @@
         match frame:
             case OpenFrame():
                 return self._on_opening(frame, source, now)
-            case CarryFrame():
+            case ForwardFrame():
                 return self._on_carried(frame, source, now)
-            case AskFrame():
+            case OwnerQueryFrame():
                 return self._on_questions(frame, source, now)
             case ScopeFrame():
                 return self._on_scope(frame, source)
-            case MissingFrame():
+            case EntryMissingFrame():
                 fields = {"peer": source}
                 return [RestoreEntry(), Note("entry missing in the store", fields)]
 
@@ -189,7 +189,7 @@
         return [SendToBackend(packet, self._peers.token_of(source))]
 
     def _on_carried(
-        self, frame: CarryFrame, source: Endpoint, now: Millis
+        self, frame: ForwardFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
         packet = frame.packet
         owned = self._flows.find(packet.flow)
@@ -203,13 +203,13 @@
         return [SendToBackend(packet, self._peers.token_of(source))]
 
     def _on_questions(
-        self, frame: AskFrame, source: Endpoint, now: Millis
+        self, frame: OwnerQueryFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
         claims = tuple(
-            FlowClaim(question.flow, self._judge.judge(question, now))
-            for question in frame.questions
+            OwnerReply(question.flow, self._judge.judge(question, now))
+            for question in frame.queries
         )
-        return [SendFrame(source, ClaimFrame(claims, self.load_word(now)))]
+        return [SendFrame(source, OwnerReplyFrame(claims, self.load_word(now)))]
 
     def _on_scope(self, frame: ScopeFrame, source: Endpoint) -> list[Action]:
         if self._scope is not None and frame.site_version <= self._scope.site_version:
@@ -238,15 +238,15 @@
     def _refuse_service(
         self, frame: ToAgent, source: Endpoint, now: Millis
     ) -> list[Action]:
-        if isinstance(frame, OpenFrame | CarryFrame):
+        if isinstance(frame, OpenFrame | ForwardFrame):
             reason = ReturnReason.WRONG_SERVICE
             return self._return(frame.packet, reason, source, now)
-        if isinstance(frame, AskFrame):
+        if isinstance(frame, OwnerQueryFrame):
             claims = tuple(
-                FlowClaim(question.flow, Ownership.STRANGER)
-                for question in frame.questions
+                OwnerReply(question.flow, Ownership.NOT_OWNER)
+                for question in frame.queries
             )
-            return [SendFrame(source, ClaimFrame(claims, self.load_word(now)))]
+            return [SendFrame(source, OwnerReplyFrame(claims, self.load_word(now)))]
         return []
 
     def _return(
@@ -281,8 +281,8 @@
         actions: list[Action] = [SendToClient(packet)]
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
-            claim = FlowClaim(packet.flow, Ownership.OWNER)
-            frame = ClaimFrame((claim,), self.load_word(now))
+            claim = OwnerReply(packet.flow, Ownership.OWNER)
+            frame = OwnerReplyFrame((claim,), self.load_word(now))
             actions += [SendFrame(one, frame) for one in self._peers.list_recent(now)]
             fields = {"flow": show_flow(packet.flow)}
             actions.append(Note("flow adopted", fields))
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -10,7 +10,7 @@
 from papayagw._internal.core.plain.choice import PlainChooser
 from papayagw._internal.core.plain.flow_cache import FlowCache
 from papayagw._internal.core.plain.openings import Opening, Openings
-from papayagw._internal.core.plain.owner_search import OwnerSearch, carry
+from papayagw._internal.core.plain.owner_lookup import OwnerLookup, make_forward
 from papayagw._internal.core.plain.roster import (
     MISSING_GRACE_MS,
     AgentView,
@@ -20,11 +20,11 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
 from papayagw._internal.models.plain.frame import (
-    ClaimFrame,
+    EntryMissingFrame,
     LoadFrame,
-    MissingFrame,
     OpenedFrame,
     OpenFrame,
+    OwnerReplyFrame,
     Ownership,
     ReturnFrame,
     ReturnReason,
@@ -56,18 +56,18 @@
         Picks the agent for an opening.
     on_newer_version : callable
         Called when an agent has heard of a newer configuration than is in force.
-    on_doubt : callable
+    on_owner_not_found : callable
         Called when all known agents deny a flow, so that their list is read again.
     """
 
-    _search_type = OwnerSearch
+    _lookup_type = OwnerLookup
 
     def __init__(
         self,
         roster: Roster,
         chooser: PlainChooser,
         on_newer_version: Callable[[], None] = lambda: None,
-        on_doubt: Callable[[], None] = lambda: None,
+        on_owner_not_found: Callable[[], None] = lambda: None,
     ):
         self._roster = roster
         self._chooser = chooser
@@ -75,8 +75,12 @@
         self._site: SiteVersion | None = None
         self._flows = FlowCache()
         self._openings = Openings()
-        self._search = self._search_type(
-            self._list_agents, roster.find, self._flows, on_doubt, self._may_end
+        self._lookup = self._lookup_type(
+            self._list_agents,
+            roster.find,
+            self._flows,
+            on_owner_not_found,
+            self._knows_all_agents,
         )
         self._listed_at: Millis | None = None
         self._scopes_sent: dict[Endpoint, Millis] = {}
@@ -99,7 +103,7 @@
     @property
     def due_at(self) -> Millis | None:
         """When `on_timer` is to be called next."""
-        due = (self._openings.due_at, self._search.due_at)
+        due = (self._openings.due_at, self._lookup.due_at)
         return min((one for one in due if one is not None), default=None)
 
     def apply_site(self, site: SiteVersion) -> bool:
@@ -113,12 +117,12 @@
         """Return what follows from a complete read of the agents' entries."""
         if self._listed_at is None:
             self._listed_at = now
-        return self._search.on_agents_listed(now)
+        return self._lookup.on_agents_listed(now)
 
-    def tell_missing(self) -> list[Action]:
+    def notify_missing_agents(self) -> list[Action]:
         """Tell the agents whose entries the store lacks, so that they restore them."""
         return [
-            SendFrame(view.endpoint, MissingFrame(view.entry.service))
+            SendFrame(view.endpoint, EntryMissingFrame(view.entry.service))
             for view in self._roster
             if view.missing_since is not None
         ]
@@ -136,9 +140,9 @@
             return [Note("forged packet dropped", {"flow": show_flow(packet.flow)})]
         cached = self._flows.find(packet.flow)
         if cached is None:
-            return self._search.ask(packet, now)
+            return self._lookup.find_owner(packet, now)
         cached.seen_at = now
-        return [carry(cached.agent, packet)]
+        return [make_forward(cached.agent, packet)]
 
     def on_frame(
         self, frame: ToBalancer, source: Endpoint, now: Millis
@@ -148,20 +152,20 @@
         if view is None:
             # Its store entry hasn't reached this balancer; the next word may find it.
             return []
-        view.hear(frame.load, now)
+        view.record_load(frame.load, now)
         return [
             *self._compare_versions(view, frame.load, now),
-            *self._take_frame(frame, view, now),
+            *self._handle_frame(frame, view, now),
             *self._offer_waiting(view, now),
         ]
 
     def on_timer(self, now: Millis) -> list[Action]:
         """Return what is due."""
         actions: list[Action] = []
-        overdue = self._openings.take_overdue(now)
+        overdue = self._openings.pop_overdue(now)
         for opening in sorted(overdue, key=self._priority_of):
-            actions += self._on_unanswered(opening, now)
-        actions += self._search.on_timer(now)
+            actions += self._on_offer_timeout(opening, now)
+        actions += self._lookup.on_timer(now)
         if self._site is not None:
             self._flows.sweep(now, self._site.idle_timeout_ms)
         return actions
@@ -175,7 +179,7 @@
         if cached is not None and cached.is_confirmed:
             # The backend server's answer was lost: it answers a copy again.
             cached.seen_at = now
-            return [self._make_offer(cached.agent, packet)]
+            return [self._make_open_frame(cached.agent, packet)]
         opening = self._openings.begin(packet, now)
         return self._offer(opening, route, now)
 
@@ -184,7 +188,9 @@
         service = _pick_service(route, packet)
         agent = self._choose(service, opening, now)
         if agent is None or opening.is_exhausted:
-            if not opening.is_declined and self._openings.wait(opening, service, now):
+            if not opening.is_declined and self._openings.schedule_retry(
+                opening, service, now
+            ):
                 return []
             return self._refuse(opening, service)
         return self._offer_to(agent, opening, route, now)
@@ -193,22 +199,22 @@
         self, agent: AgentView, opening: Opening, route: Route, now: Millis
     ) -> list[Action]:
         packet = opening.packet
-        self._openings.offer(opening, agent, now)
+        self._openings.record_offer(opening, agent, now)
         agent.pending += 1
         self._flows.put(packet.flow, agent, now, is_confirmed=False)
         note = Note("opening offered", self._describe_offer(opening, agent, route))
-        return [self._make_offer(agent, packet), note]
+        return [self._make_open_frame(agent, packet), note]
 
     def _offer_waiting(self, agent: AgentView, now: Millis) -> list[Action]:
         """Offer openings that wait to an agent that has room for them."""
-        if agent.room <= 0:
+        if agent.free_capacity <= 0:
             return []
         waiting = self._openings.list_waiting(agent.entry.service)
-        if not waiting or not agent.takes_openings(now):
+        if not waiting or not agent.accepts_openings(now):
             return []
         waiting.sort(key=self._priority_of)
         actions: list[Action] = []
-        for opening in waiting[: agent.room]:
+        for opening in waiting[: agent.free_capacity]:
             route = self._find_route(opening.packet)
             if route is not None:
                 actions += self._offer_to(agent, opening, route, now)
@@ -220,14 +226,14 @@
             for view in self._roster.list_service(service)
             if view.endpoint not in opening.tried and not view.is_gone(now)
         ]
-        willing = [view for view in untried if view.takes_openings(now)]
+        willing = [view for view in untried if view.accepts_openings(now)]
         # A suspect may be sound; a client without any answer certainly isn't served.
         candidates = willing or [view for view in untried if view.is_suspect(now)]
         if not candidates:
             return None
         return self._chooser.choose(opening.packet.flow, candidates, now)
 
-    def _make_offer(self, agent: AgentView, packet: FlowPacket) -> SendFrame:
+    def _make_open_frame(self, agent: AgentView, packet: FlowPacket) -> SendFrame:
         version = self._site.version if self._site is not None else 0
         frame = OpenFrame(agent.entry.service, version, packet)
         return SendFrame(agent.endpoint, frame)
@@ -248,7 +254,7 @@
         route = self._find_route(opening.packet)
         return route.priority if route is not None else 0
 
-    def _on_unanswered(self, opening: Opening, now: Millis) -> list[Action]:
+    def _on_offer_timeout(self, opening: Opening, now: Millis) -> list[Action]:
         agent = opening.agent
         route = self._find_route(opening.packet)
         if route is None:
@@ -256,7 +262,7 @@
             return []
         if agent is None:
             return self._offer(opening, route, now)
-        suspected_ms = agent.suspect(now)
+        suspected_ms = agent.mark_suspect(now)
         fields = {
             "agent": agent.endpoint,
             "flow": show_flow(opening.packet.flow),
@@ -284,7 +290,7 @@
 
     # Frames of agents
 
-    def _take_frame(
+    def _handle_frame(
         self, frame: ToBalancer, view: AgentView, now: Millis
     ) -> list[Action]:
         match frame:
@@ -292,8 +298,8 @@
                 return self._on_opened(frame, view, now)
             case ReturnFrame():
                 return self._on_returned(frame, view, now)
-            case ClaimFrame():
-                return self._on_claims(frame, view, now)
+            case OwnerReplyFrame():
+                return self._on_owner_replies(frame, view, now)
             case LoadFrame():
                 return []
 
@@ -320,15 +326,15 @@
         if route is None:
             return []
         if frame.reason in (ReturnReason.SILENT, ReturnReason.WRONG_SERVICE):
-            view.suspect(now)
+            view.mark_suspect(now)
         if packet.kind is PacketKind.OPEN:
             return self._on_returned_opening(frame, view, route, now)
         cached = self._flows.find(packet.flow)
         if cached is not None and cached.agent is view:
             self._flows.drop(packet.flow)
         elif cached is not None:
-            return [carry(cached.agent, packet)]
-        return self._search.ask(packet, now, excluded=view)
+            return [make_forward(cached.agent, packet)]
+        return self._lookup.find_owner(packet, now, excluded=view)
 
     def _on_returned_opening(
         self, frame: ReturnFrame, view: AgentView, route: Route, now: Millis
@@ -341,7 +347,7 @@
         }
         note = Note("opening returned", fields)
         if frame.reason is ReturnReason.BUSY:
-            view.turn_away(now)
+            view.start_backoff(now)
         opening = self._openings.find(packet.flow)
         if opening is None or opening.agent is not view:
             # Another agent has it, or has answered.
@@ -353,14 +359,14 @@
         opening.is_declined |= frame.reason is ReturnReason.FULL
         return [note, *self._offer(opening, route, now)]
 
-    def _on_claims(
-        self, frame: ClaimFrame, view: AgentView, now: Millis
+    def _on_owner_replies(
+        self, frame: OwnerReplyFrame, view: AgentView, now: Millis
     ) -> list[Action]:
         actions: list[Action] = []
-        for claim in frame.claims:
-            if claim.ownership is Ownership.OWNER:
-                self._openings.end(claim.flow)
-            actions += self._search.hear(claim, view, now)
+        for reply in frame.replies:
+            if reply.ownership is Ownership.OWNER:
+                self._openings.end(reply.flow)
+            actions += self._lookup.on_reply(reply, view, now)
         return actions
 
     def _compare_versions(
@@ -377,7 +383,7 @@
         self._scopes_sent[view.endpoint] = now
         yield SendFrame(view.endpoint, _make_scope(self._site, view.entry.service))
 
-    def _may_end(self, agents: list[AgentView], now: Millis) -> bool:
+    def _knows_all_agents(self, agents: list[AgentView], now: Millis) -> bool:
         """Whether a flow that these agents deny has no owner.
 
         At the first read an entry may be missing whose agent lives; it is back within
@@ -389,7 +395,7 @@
         if now - listed_at > MISSING_GRACE_MS:
             return True
         start = Millis(listed_at - RESTART_SPREAD_MS)
-        return all(view.began_after(start) for view in agents)
+        return all(view.backend_started_after(start) for view in agents)
 
     # Routes
 
--- a/src/papayagw/_internal/core/plain/choice.py
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -5,14 +5,14 @@
 from typing import Protocol
 
 from papayagw._internal.core.choice import unit_hash
-from papayagw._internal.core.plain.roster import FRESH_MS, AgentView
+from papayagw._internal.core.plain.roster import LOAD_FRESH_MS, AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.packet import FlowKey
 
 DEFAULT_SERVICE_US = 20_000
 """Time of a slot for one request where no agent has told its own, in microseconds."""
 
-OTHER_ZONE_US = 2_000
+OTHER_ZONE_PENALTY_US = 2_000
 """What a candidate of another zone is put back by, in microseconds.
 
 Two crossings between zones at 0.5 to 1.4 ms; far less than one request in a queue.
@@ -58,17 +58,21 @@
 
     def _wait_us(self, view: AgentView, typical_us: float, now: Millis) -> float:
         jitter = self._random.random()
-        put_back = 0 if view.entry.zone == self._zone else OTHER_ZONE_US
+        zone_penalty_us = 0 if view.entry.zone == self._zone else OTHER_ZONE_PENALTY_US
         load = view.load
         if load is None:
-            return typical_us * (1 + view.pending + TIE_JITTER * jitter) + put_back
+            return (
+                typical_us * (1 + view.pending + TIE_JITTER * jitter) + zone_penalty_us
+            )
         service_us = load.service_us or typical_us
-        usual = load.utilization * load.slots
+        average_busy = load.utilization * load.slots
         # A count of requests is soon out of date; the share of time isn't.
-        busy = load.busy if now - view.heard_at < FRESH_MS else usual
-        ahead = busy + usual + view.pending + load.flows * IDLE_FLOW_WEIGHT
+        busy = (
+            load.busy if now - view.load_received_at < LOAD_FRESH_MS else average_busy
+        )
+        ahead = busy + average_busy + view.pending + load.flows * IDLE_FLOW_WEIGHT
         queue = (ahead + TIE_JITTER * jitter) / max(load.slots, 1)
-        return service_us * (1 + queue) + put_back
+        return service_us * (1 + queue) + zone_penalty_us
 
 
 class RoundRobinChooser:
@@ -111,9 +115,9 @@
 
 
 def _typical_service_us(candidates: Sequence[AgentView]) -> float:
-    known = [
+    reported = [
         view.load.service_us
         for view in candidates
         if view.load is not None and view.load.service_us
     ]
-    return sum(known) / len(known) if known else DEFAULT_SERVICE_US
+    return sum(reported) / len(reported) if reported else DEFAULT_SERVICE_US
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -8,23 +8,23 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
 
-ANSWER_PATIENCE_MS = Millis(60)
+OFFER_TIMEOUT_MS = Millis(60)
 """How long an agent may take to answer an offer before another gets one.
 
 Well over a round trip between zones and the backend server's handshake, and under
 the 200 ms after which the client sends a copy.
 """
 
-WAIT_MS = Millis(100)
+MIN_RETRY_MS = Millis(100)
 """The shortest wait of an opening that no agent is ready for, between offers.
 
 Agents tell of room at once; this covers lost words and agents that start.
 """
 
-WAIT_DIVISOR = 3
+RETRY_AGE_DIVISOR = 3
 """Waits are at least this part of an opening's age."""
 
-WAIT_LIMIT_MS = Millis(1_300)
+OPENING_TIMEOUT_MS = Millis(1_300)
 """How long an opening is offered: a client gives its attempt up after 1.4 s."""
 
 COPY_AGES_MS = (Millis(0), Millis(200), Millis(600))
@@ -100,23 +100,23 @@
         opening.packet = packet
         return opening
 
-    def offer(self, opening: Opening, agent: AgentView, now: Millis) -> None:
+    def record_offer(self, opening: Opening, agent: AgentView, now: Millis) -> None:
         """Note an offer."""
-        self._stop_waiting(opening.packet.flow)
+        self._remove_waiting(opening.packet.flow)
         opening.agent = agent
         opening.tried.add(agent.endpoint)
-        self._deadlines.set(opening.packet.flow, Millis(now + ANSWER_PATIENCE_MS))
+        self._deadlines.set(opening.packet.flow, Millis(now + OFFER_TIMEOUT_MS))
 
-    def wait(self, opening: Opening, service: str, now: Millis) -> bool:
+    def schedule_retry(self, opening: Opening, service: str, now: Millis) -> bool:
         """Offer to all agents again after a while; return False if it is too late."""
         self._waiting.setdefault(service, {})[opening.packet.flow] = opening
         opening.agent = None
         opening.tried.clear()
         age = now - opening.started_at
         # The longer it has waited, the less is gained by its being next.
-        wait = max(WAIT_MS, age // WAIT_DIVISOR)
+        wait = max(MIN_RETRY_MS, age // RETRY_AGE_DIVISOR)
         self._deadlines.set(opening.packet.flow, Millis(now + wait))
-        return age + wait <= WAIT_LIMIT_MS
+        return age + wait <= OPENING_TIMEOUT_MS
 
     def list_waiting(self, service: str) -> list[Opening]:
         """Return the openings that no agent of a service had room for, newest first."""
@@ -124,11 +124,11 @@
 
     def end(self, flow: FlowKey) -> Opening | None:
         """Drop an opening and return it, or None if it wasn't known."""
-        self._stop_waiting(flow)
+        self._remove_waiting(flow)
         self._deadlines.set(flow, None)
         return self._openings.pop(flow, None)
 
-    def take_overdue(self, now: Millis) -> list[Opening]:
+    def pop_overdue(self, now: Millis) -> list[Opening]:
         """Return the openings that are to be offered again; they are held on.
 
         The newest are first: they can still be answered within their objective.
@@ -136,7 +136,7 @@
         due = self._deadlines.pop_due(now)
         return _sort_newest_first([self._openings[flow] for flow in due])
 
-    def _stop_waiting(self, flow: FlowKey) -> None:
+    def _remove_waiting(self, flow: FlowKey) -> None:
         for openings in self._waiting.values():
             openings.pop(flow, None)
 
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -0,0 +1,208 @@
+"""How a balancer finds the owner of a flow that it doesn't know.
+
+It asks all agents that may own it, hands the packets to the one that claims the flow
+or else to those that are unsure, and ends the flow only once there can be no owner.
+"""
+
+from collections.abc import Callable
+
+from papayagw._internal.core.plain.flow_cache import FlowCache
+from papayagw._internal.core.plain.pending_lookups import (
+    PendingLookup,
+    PendingLookups,
+    Stage,
+)
+from papayagw._internal.core.plain.roster import AgentView
+from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
+from papayagw._internal.models.plain.frame import (
+    ForwardFrame,
+    OwnerQuery,
+    OwnerQueryFrame,
+    OwnerReply,
+    Ownership,
+)
+from papayagw._internal.models.plain.packet import FlowPacket, show_flow
+
+
+class OwnerLookup:
+    """The searches of one balancer.
+
+    Parameters
+    ----------
+    list_agents : callable
+        Returns the agents that may own the flow of a packet.
+    find_agent : callable
+        Returns the agent at an endpoint, or None.
+    flows : FlowCache
+        Where owners are remembered.
+    on_owner_not_found : callable
+        Called when all known agents deny a flow, so that their list is read again.
+    knows_all_agents : callable
+        Returns whether agents that deny a flow are all that there are.
+    """
+
+    def __init__(
+        self,
+        list_agents: Callable[[FlowPacket], list[AgentView]],
+        find_agent: Callable[[Endpoint], AgentView | None],
+        flows: FlowCache,
+        on_owner_not_found: Callable[[], None],
+        knows_all_agents: Callable[[list[AgentView], Millis], bool],
+    ):
+        self._list_agents = list_agents
+        self._find_agent = find_agent
+        self._flows = flows
+        self._on_owner_not_found = on_owner_not_found
+        self._knows_all_agents = knows_all_agents
+        self._lookups = PendingLookups()
+
+    @property
+    def due_at(self) -> Millis | None:
+        """When `on_timer` is to be called next."""
+        return self._lookups.due_at
+
+    def find_owner(
+        self, packet: FlowPacket, now: Millis, excluded: AgentView | None = None
+    ) -> list[Action]:
+        """Seek the owner of a packet's flow, and hold the packet until then.
+
+        Parameters
+        ----------
+        packet : FlowPacket
+            A packet of a client.
+        now : Millis
+            The present time.
+        excluded : AgentView or None
+            The agent that has just handed the packet back.
+        """
+        lookup = self._lookups.find(packet.flow)
+        if lookup is not None:
+            return self._add_packet(lookup, packet, excluded, now)
+        agents = [view for view in self._list_agents(packet) if view is not excluded]
+        pending_agents = {view.endpoint for view in agents}
+        lookup = self._lookups.begin(packet, pending_agents, now) if agents else None
+        if lookup is None:
+            return []
+        lookup.hold(packet)
+        return [_make_query(view, packet) for view in agents]
+
+    def on_reply(self, reply: OwnerReply, view: AgentView, now: Millis) -> list[Action]:
+        """Take in an agent's answer."""
+        if reply.ownership is Ownership.OWNER:
+            return self._on_owner_found(reply, view, now)
+        lookup = self._lookups.find(reply.flow)
+        if lookup is None or lookup.stage is not Stage.ASKING:
+            return []
+        lookup.record_reply(view.endpoint, reply.ownership)
+        return [] if lookup.pending_agents else self._on_replies_done(lookup, now)
+
+    def on_timer(self, now: Millis) -> list[Action]:
+        """Go on where answers are overdue."""
+        actions: list[Action] = []
+        for lookup in self._lookups.pop_due(now):
+            actions += self._on_replies_done(lookup, now)
+        return actions
+
+    def on_agents_listed(self, now: Millis) -> list[Action]:
+        """Return what follows from a complete read of the agents' entries."""
+        actions: list[Action] = []
+        for lookup in self._lookups.list_confirming():
+            agents = self._list_agents(lookup.last_packet)
+            others = [view for view in agents if view.endpoint not in lookup.asked]
+            if others:
+                asked = {view.endpoint for view in others}
+                self._lookups.ask_others(lookup, asked, now)
+                actions += [_make_query(view, lookup.last_packet) for view in others]
+            elif self._knows_all_agents(agents, now):
+                actions += self._reset_ownerless(lookup)
+        return actions
+
+    def _on_owner_found(
+        self, reply: OwnerReply, view: AgentView, now: Millis
+    ) -> list[Action]:
+        self._flows.put(reply.flow, view, now, is_confirmed=True)
+        lookup = self._lookups.end(reply.flow)
+        if lookup is None:
+            return []
+        fields = {"flow": show_flow(reply.flow), "agent": view.endpoint}
+        return [
+            *(
+                make_forward(view, held)
+                for held in lookup.list_for_owner(view.endpoint)
+            ),
+            Note("owner found", fields),
+        ]
+
+    def _add_packet(
+        self,
+        lookup: PendingLookup,
+        packet: FlowPacket,
+        excluded: AgentView | None,
+        now: Millis,
+    ) -> list[Action]:
+        if excluded is None:
+            lookup.hold(packet)
+            return (
+                []
+                if lookup.stage is Stage.ASKING
+                else self._forward_to_candidates(lookup)
+            )
+        if lookup.stage is Stage.ASKING:
+            lookup.hold(packet)
+            return []
+        lookup.last_packet = packet
+        # It was tried with this agent, and others have had the packet already.
+        lookup.record_reply(excluded.endpoint, Ownership.NOT_OWNER)
+        return self._confirm_no_owner(lookup, now)
+
+    def _on_replies_done(self, lookup: PendingLookup, now: Millis) -> list[Action]:
+        """Hand the packets to the agents that may own the flow, if any."""
+        fields = {
+            "flow": show_flow(lookup.flow),
+            "unsure": len(lookup.candidates),
+            "silent": len(lookup.pending_agents),
+        }
+        self._lookups.start_trial(lookup, now)
+        return [
+            Note("owner unknown", fields),
+            *self._forward_to_candidates(lookup),
+            *self._confirm_no_owner(lookup, now),
+        ]
+
+    def _confirm_no_owner(self, lookup: PendingLookup, now: Millis) -> list[Action]:
+        """Prepare to end a flow that every agent denies."""
+        if not lookup.is_denied or lookup.last_packet.kind.is_closing:
+            return []
+        if lookup.stage is not Stage.CONFIRMING:
+            self._lookups.confirm(lookup, now)
+            self._on_owner_not_found()
+        return []
+
+    def _reset_ownerless(self, lookup: PendingLookup) -> list[Action]:
+        self._lookups.end(lookup.flow)
+        self._flows.drop(lookup.flow)
+        reset = ResetClient(lookup.flow, lookup.last_packet.acknowledged or 0)
+        fields = {"flow": show_flow(lookup.flow), "asked": len(lookup.asked)}
+        return [reset, Note("flow has no owner", fields)]
+
+    def _forward_to_candidates(self, lookup: PendingLookup) -> list[Action]:
+        packets = lookup.pop_trial_packets()
+        views = [self._find_agent(endpoint) for endpoint in lookup.candidates]
+        return [
+            make_forward(view, packet)
+            for view in views
+            if view is not None
+            for packet in packets
+        ]
+
+
+def make_forward(agent: AgentView, packet: FlowPacket) -> SendFrame:
+    """Return the frame that hands a later packet of a client to an agent."""
+    return SendFrame(agent.endpoint, ForwardFrame(agent.entry.service, packet))
+
+
+def _make_query(agent: AgentView, packet: FlowPacket) -> SendFrame:
+    query = OwnerQuery(packet.flow, packet.acknowledged)
+    return SendFrame(agent.endpoint, OwnerQueryFrame(agent.entry.service, (query,)))
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -3,7 +3,7 @@
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.owned_flows import OwnedFlows
 from papayagw._internal.models.clock import Millis
-from papayagw._internal.models.plain.frame import FlowQuestion, Ownership
+from papayagw._internal.models.plain.frame import OwnerQuery, Ownership
 from papayagw._internal.models.plain.instance import StatusReport
 
 MOST_EARLY_REPORTS = 16
@@ -39,16 +39,16 @@
         self._started_at = now
         self._unsure_till = Millis(now + flow_limit_ms)
 
-    def judge(self, question: FlowQuestion, now: Millis) -> Ownership:
+    def judge(self, question: OwnerQuery, now: Millis) -> Ownership:
         """Return whose the flow is, as far as the agent can tell."""
         owned = self._flows.find(question.flow)
         if owned is not None and owned.ended_at is None:
             is_ours = owned.matches(question.acknowledged)
-            return Ownership.OWNER if is_ours else Ownership.STRANGER
+            return Ownership.OWNER if is_ours else Ownership.NOT_OWNER
         if owned is not None:
             # Its last packets are the backend server's to answer.
             return Ownership.OWNER
-        return Ownership.UNSURE if now < self._unsure_till else Ownership.STRANGER
+        return Ownership.UNKNOWN if now < self._unsure_till else Ownership.NOT_OWNER
 
     def begin_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> None:
         """Take in the age of a run, once: the time of day may be set back later."""
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -11,13 +11,13 @@
     LoadWord,
 )
 
-FRESH_MS = Millis(300)
+LOAD_FRESH_MS = Millis(300)
 """How long the number of requests in progress tells something.
 
 Three intervals between an agent's load words.
 """
 
-UNWILLING_MS = Millis(1_000)
+UNAVAILABLE_MS = Millis(1_000)
 """How long an agent's word that it takes no openings is believed.
 
 The word that it does again may be lost; an offer that is returned costs little.
@@ -29,7 +29,7 @@
 Source: the users' request; a living agent is back within two seconds.
 """
 
-TURNED_AWAY_MS = Millis(1_000)
+BUSY_BACKOFF_MS = Millis(1_000)
 """How long an agent that had no room gets no offer unless it tells of room.
 
 It does as soon as it has some; the word may be lost.
@@ -56,50 +56,50 @@
 
     __slots__ = (
         "entry",
-        "heard_at",
+        "load_received_at",
         "load",
         "missing_since",
         "pending",
-        "strikes",
-        "suspect_till",
-        "turned_away_till",
+        "unanswered_count",
+        "suspect_until",
+        "backoff_until",
     )
 
     def __init__(self, entry: AgentEntry):
         self.entry = entry
         self.load: LoadWord | None = None
-        self.heard_at = Millis(0)
+        self.load_received_at = Millis(0)
         self.missing_since: Millis | None = None
         self.pending = 0
-        self.strikes = 0
-        self.suspect_till = Millis(0)
-        self.turned_away_till = Millis(0)
+        self.unanswered_count = 0
+        self.suspect_until = Millis(0)
+        self.backoff_until = Millis(0)
 
     @property
     def endpoint(self) -> Endpoint:
         """Where the agent takes frames."""
         return self.entry.endpoint
 
-    def hear(self, load: LoadWord, now: Millis) -> None:
+    def record_load(self, load: LoadWord, now: Millis) -> None:
         """Take in a word of the agent itself, which clears it of suspicion."""
         self.load = load
-        self.heard_at = now
+        self.load_received_at = now
         self.pending = 0
-        self.strikes = 0
-        self.suspect_till = Millis(0)
-        if self.room > 0:
-            self.turned_away_till = Millis(0)
+        self.unanswered_count = 0
+        self.suspect_until = Millis(0)
+        if self.free_capacity > 0:
+            self.backoff_until = Millis(0)
 
-    def turn_away(self, now: Millis) -> None:
+    def start_backoff(self, now: Millis) -> None:
         """Note that it had no room for an opening."""
-        self.turned_away_till = Millis(now + TURNED_AWAY_MS)
+        self.backoff_until = Millis(now + BUSY_BACKOFF_MS)
 
-    def suspect(self, now: Millis) -> Millis:
+    def mark_suspect(self, now: Millis) -> Millis:
         """Note an unanswered opening; return how long the agent gets no other."""
-        wait = min(FIRST_SUSPICION_MS << self.strikes, LONGEST_SUSPICION_MS)
+        wait = min(FIRST_SUSPICION_MS << self.unanswered_count, LONGEST_SUSPICION_MS)
         if wait < LONGEST_SUSPICION_MS:
-            self.strikes += 1
-        self.suspect_till = Millis(now + wait)
+            self.unanswered_count += 1
+        self.suspect_until = Millis(now + wait)
         return Millis(wait)
 
     def is_gone(self, now: Millis) -> bool:
@@ -107,46 +107,46 @@
         missing = self.missing_since
         return missing is not None and now - missing > MISSING_GRACE_MS
 
-    def takes_openings(self, now: Millis) -> bool:
+    def accepts_openings(self, now: Millis) -> bool:
         """Whether an opening may be offered without a doubt."""
         return (
-            self._is_willing(now)
-            and now >= self.suspect_till
-            and now >= self.turned_away_till
+            self._is_available(now)
+            and now >= self.suspect_until
+            and now >= self.backoff_until
             and not self._is_busy(now)
         )
 
     def is_suspect(self, now: Millis) -> bool:
         """Whether only a suspicion speaks against an offer."""
-        return self._is_willing(now) and now < self.suspect_till
+        return self._is_available(now) and now < self.suspect_until
 
     @property
-    def room(self) -> int:
+    def free_capacity(self) -> int:
         """How many openings it has room for, by its last word."""
         load = self.load
         if load is None:
             return 0
         return request_limit(load.slots) - load.busy - self.pending
 
-    def began_after(self, at: Millis) -> bool:
+    def backend_started_after(self, at: Millis) -> bool:
         """Whether its backend server surely started after a time."""
         load = self.load
         if load is None or load.run_age_ms is None:
             return False
-        return self.heard_at - load.run_age_ms > at
+        return self.load_received_at - load.run_age_ms > at
 
     def _is_busy(self, now: Millis) -> bool:
-        if self.load is None or now - self.heard_at > FRESH_MS:
+        if self.load is None or now - self.load_received_at > LOAD_FRESH_MS:
             return False
-        return self.room <= 0
+        return self.free_capacity <= 0
 
-    def _is_willing(self, now: Millis) -> bool:
+    def _is_available(self, now: Millis) -> bool:
         if self.is_gone(now):
             return False
         load = self.load
         if load is None or load.availability is Availability.READY:
             return True
-        return now - self.heard_at > UNWILLING_MS
+        return now - self.load_received_at > UNAVAILABLE_MS
 
 
 class Roster:
@@ -179,7 +179,7 @@
             known.missing_since = None
             return was_missing
         if known is not None:
-            self._forget(key, known)
+            self._remove(key, known)
         # Another key may hold the endpoint still: the machine was replaced.
         view = AgentView(entry)
         self._by_key[key] = view
@@ -187,7 +187,7 @@
         self._by_service.setdefault(entry.service, {})[entry.endpoint] = view
         return True
 
-    def miss(self, key: str, now: Millis) -> bool:
+    def mark_missing(self, key: str, now: Millis) -> bool:
         """Note that the store lacks `key`; return whether it is news."""
         known = self._by_key.get(key)
         if known is None or known.missing_since is not None:
@@ -195,20 +195,22 @@
         known.missing_since = now
         return True
 
-    def miss_others(self, present: set[str], now: Millis) -> list[str]:
+    def mark_others_missing(self, present: set[str], now: Millis) -> list[str]:
         """Note that the store holds just the keys `present`; return the lacking."""
         return [
-            key for key in self._by_key if key not in present and self.miss(key, now)
+            key
+            for key in self._by_key
+            if key not in present and self.mark_missing(key, now)
         ]
 
-    def forget_gone(self, now: Millis) -> list[str]:
+    def remove_gone(self, now: Millis) -> list[str]:
         """Drop the agents that are gone; return their keys."""
         gone = [key for key, view in self._by_key.items() if view.is_gone(now)]
         for key in gone:
-            self._forget(key, self._by_key[key])
+            self._remove(key, self._by_key[key])
         return gone
 
-    def _forget(self, key: str, view: AgentView) -> None:
+    def _remove(self, key: str, view: AgentView) -> None:
         del self._by_key[key]
         if self._by_endpoint.get(view.endpoint) is view:
             del self._by_endpoint[view.endpoint]
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -24,8 +24,8 @@
     """An agent's answer to the question whether a flow is its own."""
 
     OWNER = 1
-    STRANGER = 2
-    UNSURE = 3
+    NOT_OWNER = 2
+    UNKNOWN = 3
     """The agent started after its backend server and may not know all flows."""
 
 
@@ -49,7 +49,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CarryFrame:
+class ForwardFrame:
     """A later packet of a client, for the owner of its flow.
 
     Attributes
@@ -65,7 +65,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FlowQuestion:
+class OwnerQuery:
     """A flow whose owner is sought.
 
     Attributes
@@ -82,26 +82,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskFrame:
+class OwnerQueryFrame:
     """Asks an agent of a service whether flows are its own."""
 
     service: str
-    questions: tuple[FlowQuestion, ...]
+    queries: tuple[OwnerQuery, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class FlowClaim:
-    """The answer to a `FlowQuestion`."""
+class OwnerReply:
+    """The answer to a `OwnerQuery`."""
 
     flow: FlowKey
     ownership: Ownership
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimFrame:
-    """An agent's answers to an `AskFrame`, or its word that it owns flows."""
+class OwnerReplyFrame:
+    """An agent's answers to an `OwnerQueryFrame`, or its word that it owns flows."""
 
-    claims: tuple[FlowClaim, ...]
+    replies: tuple[OwnerReply, ...]
     load: LoadWord
 
 
@@ -139,12 +139,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MissingFrame:
+class EntryMissingFrame:
     """Tells an agent that the store lacks its entry."""
 
     service: str
 
 
-ToAgent = OpenFrame | CarryFrame | AskFrame | ScopeFrame | MissingFrame
-ToBalancer = OpenedFrame | ReturnFrame | ClaimFrame | LoadFrame
+ToAgent = OpenFrame | ForwardFrame | OwnerQueryFrame | ScopeFrame | EntryMissingFrame
+ToBalancer = OpenedFrame | ReturnFrame | OwnerReplyFrame | LoadFrame
 Frame = ToAgent | ToBalancer
--- a/src/papayagw/_internal/models/plain/packet.py
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -18,7 +18,7 @@
 
     OPEN = "open"
     ACCEPT = "accept"
-    CARRY = "carry"
+    DATA = "data"
     FINISH = "finish"
     ABORT = "abort"
 
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -205,7 +205,7 @@
         for item in items:
             self._put_agent(item)
         now = self._kit.loop.now()
-        for key in self._roster.miss_others({item.key for item in items}, now):
+        for key in self._roster.mark_others_missing({item.key for item in items}, now):
             self._note_missing(key)
         self._settle_missing()
         self._perform(self._core.on_agents_listed(now))
@@ -215,7 +215,7 @@
         for event in events:
             if isinstance(event, StoredItem):
                 self._put_agent(event)
-            elif self._roster.miss(event.key, now):
+            elif self._roster.mark_missing(event.key, now):
                 self._note_missing(event.key)
         self._settle_missing()
 
@@ -237,9 +237,9 @@
         self._kit.note(Note("agent missing", {"key": key}))
 
     def _settle_missing(self) -> None:
-        self._perform(self._core.tell_missing())
+        self._perform(self._core.notify_missing_agents())
         now = self._kit.loop.now()
-        for key in self._roster.forget_gone(now):
+        for key in self._roster.remove_gone(now):
             self._kit.note(Note("agent gone", {"key": key}))
 
     # Readiness and end
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -12,16 +12,16 @@
 from papayagw._internal.exceptions import DecodeError, Step
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.frame import (
-    AskFrame,
-    CarryFrame,
-    ClaimFrame,
-    FlowClaim,
-    FlowQuestion,
+    EntryMissingFrame,
+    ForwardFrame,
     Frame,
     LoadFrame,
-    MissingFrame,
     OpenedFrame,
     OpenFrame,
+    OwnerQuery,
+    OwnerQueryFrame,
+    OwnerReply,
+    OwnerReplyFrame,
     Ownership,
     ReturnFrame,
     ReturnReason,
@@ -110,22 +110,22 @@
             case OpenFrame(service, version, packet):
                 head = _VERSION.pack(version) + _write_text(service)
                 return 1, head + packet.raw
-            case CarryFrame(service, packet):
+            case ForwardFrame(service, packet):
                 return 2, _write_text(service) + packet.raw
-            case AskFrame(service, questions):
+            case OwnerQueryFrame(service, questions):
                 body = b"".join(_write_question(one) for one in questions)
                 return 3, _write_text(service) + body
             case ScopeFrame(service, version, entries):
                 body = b"".join(sorted(entries))
                 return 4, _VERSION.pack(version) + _write_text(service) + body
-            case MissingFrame(service):
+            case EntryMissingFrame(service):
                 return 5, _write_text(service)
             case OpenedFrame(flow, load):
                 return 6, flow + _write_load(load)
             case ReturnFrame(reason, packet, load):
                 head = bytes((reason.value,)) + _write_load(load)
                 return 7, head + self._packets.restore(packet)
-            case ClaimFrame(claims, load):
+            case OwnerReplyFrame(claims, load):
                 body = b"".join(
                     _CLAIM.pack(one.flow, one.ownership.value) for one in claims
                 )
@@ -140,7 +140,7 @@
 
     def _read_carry(self, body: bytes) -> Frame:
         service, raw = _read_text(body)
-        return CarryFrame(service, self._read_packet(raw))
+        return ForwardFrame(service, self._read_packet(raw))
 
     def _read_return(self, body: bytes) -> Frame:
         end = 1 + _LOAD.size
@@ -192,7 +192,7 @@
     )
 
 
-def _write_question(question: FlowQuestion) -> bytes:
+def _write_question(question: OwnerQuery) -> bytes:
     known = question.acknowledged is not None
     return _QUESTION.pack(question.flow, known, question.acknowledged or 0)
 
@@ -200,10 +200,10 @@
 def _read_ask(body: bytes) -> Frame:
     service, rest = _read_text(body)
     questions = tuple(
-        FlowQuestion(FlowKey(flow), acknowledged if known else None)
+        OwnerQuery(FlowKey(flow), acknowledged if known else None)
         for flow, known, acknowledged in _QUESTION.iter_unpack(rest)
     )
-    return AskFrame(service, questions)
+    return OwnerQueryFrame(service, questions)
 
 
 def _read_scope(body: bytes) -> Frame:
@@ -218,7 +218,7 @@
 
 def _read_missing(body: bytes) -> Frame:
     service, _ = _read_text(body)
-    return MissingFrame(service)
+    return EntryMissingFrame(service)
 
 
 def _read_opened(body: bytes) -> Frame:
@@ -228,10 +228,10 @@
 def _read_claim(body: bytes) -> Frame:
     load = _read_load(body[: _LOAD.size])
     claims = tuple(
-        FlowClaim(FlowKey(flow), Ownership(ownership))
+        OwnerReply(FlowKey(flow), Ownership(ownership))
         for flow, ownership in _CLAIM.iter_unpack(body[_LOAD.size :])
     )
-    return ClaimFrame(claims, load)
+    return OwnerReplyFrame(claims, load)
 
 
 def _read_load_frame(body: bytes) -> Frame:
--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -123,4 +123,4 @@
 def _kind_of_later(flags: int) -> PacketKind:
     if flags & _RST:
         return PacketKind.ABORT
-    return PacketKind.FINISH if flags & _FIN else PacketKind.CARRY
+    return PacketKind.FINISH if flags & _FIN else PacketKind.DATA
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -1,6 +1,6 @@
 """A small language for scenarios of the plain front end; each line is a statement.
 
-    weather loss=0.02 double=0.02 delay=1-15
+    network loss=0.02 duplication=0.02 delay=1-15
     balancer NAME...            agent NAME [SERVICE] [WORK_MS]
     at MS VERB WORD...          run MS
     call REQUESTS [PAUSE_MS]    calls COUNT REQUESTS EVERY_MS [PAUSE_MS]
@@ -14,7 +14,7 @@
 """
 
 from papayagw._internal.models.plain.packet import PacketKind
-from tests.lib.plain_world import PlainWorld, Weather, make_site
+from tests.lib.plain_world import NetworkConditions, PlainWorld, make_site
 
 
 class PlainScenario:
@@ -34,11 +34,14 @@
     def do(self, verb, *words):
         getattr(self, "do_" + verb.replace("-", "_"))(*words)
 
-    def do_weather(self, *words):
+    def do_network(self, *words):
         options = dict(word.split("=") for word in words)
         low, high = options.get("delay", "1-1").split("-")
-        loss, double = float(options.get("loss", 0)), float(options.get("double", 0))
-        self.world.weather = Weather(loss, double, (int(low), int(high)))
+        loss, duplication = (
+            float(options.get("loss", 0)),
+            float(options.get("duplication", 0)),
+        )
+        self.world.network = NetworkConditions(loss, duplication, (int(low), int(high)))
 
     def do_balancer(self, *names):
         for name in names:
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -59,11 +59,11 @@
 
 
 @dataclass(frozen=True)
-class Weather:
+class NetworkConditions:
     """What the network does to each datagram between two machines."""
 
     loss: float = 0.0
-    double: float = 0.0
+    duplication: float = 0.0
     delay: tuple[int, int] = (1, 1)
 
 
@@ -101,15 +101,15 @@
                 self.started_at,
                 self.number,
             )
-            agent.hand(lambda: agent.take_report(report))
+            agent.run_when_active(lambda: agent.receive_report(report))
         self.world.after(REPORT_MS, self.report)
 
-    def take(self, packet, token):
+    def receive(self, packet, token):
         """Take a packet from the agent."""
         if not self.is_alive:
             return
         flow = packet.flow
-        self.world.note_arrival(self, packet)
+        self.world.record_arrival(self, packet)
         if packet.kind is PacketKind.OPEN:
             start = self.flows.setdefault(flow, self.world.random.getrandbits(32))
             self.send(flow, PacketKind.ACCEPT, start, packet.sequence + 1)
@@ -121,19 +121,19 @@
                 self.agent_name, replace(packet, bounced=True, token=token)
             )
         else:
-            self.world.open_at(flow, self)
+            self.world.record_open(flow, self)
             self._run(packet)
 
     def _run(self, packet):
         flow, end = packet.flow, packet.sequence + packet.payload_bytes
         if end in self.runs.setdefault(flow, set()):
-            self.send(flow, PacketKind.CARRY, self._position(flow), end, payload=100)
+            self.send(flow, PacketKind.DATA, self._position(flow), end, payload=100)
             return
         self.runs[flow].add(end)
         self.world.after(
             self.work_ms,
             lambda: self.send(
-                flow, PacketKind.CARRY, self._position(flow), end, payload=100
+                flow, PacketKind.DATA, self._position(flow), end, payload=100
             ),
         )
 
@@ -155,33 +155,33 @@
         self.name = name
         self.endpoint = endpoint
         self.is_alive = True
-        self.thaws_at = 0
-        self.alarm_at = None
+        self.frozen_until = 0
+        self.timer_at = None
         self.started_at = world.now
 
-    def hand(self, act):
+    def run_when_active(self, act):
         """Do something now, or once this process runs again."""
         if not self.is_alive:
             return
-        if self.world.now < self.thaws_at:
-            self.world.at(self.thaws_at, lambda: self.hand(act))
+        if self.world.now < self.frozen_until:
+            self.world.at(self.frozen_until, lambda: self.run_when_active(act))
             return
         act()
 
-    def arm(self):
+    def schedule_timer(self):
         """See to it that the core's timer is served."""
         due_at = self.core.due_at
         if due_at is None or (
-            self.alarm_at is not None and self.alarm_at <= due_at and self.alarm_at > 0
+            self.timer_at is not None and self.timer_at <= due_at and self.timer_at > 0
         ):
             return
-        self.alarm_at = max(due_at, self.world.now)
-        self.world.at(self.alarm_at, self.ring)
+        self.timer_at = max(due_at, self.world.now)
+        self.world.at(self.timer_at, self.fire_timer)
 
-    def ring(self):
+    def fire_timer(self):
         """Serve the timer."""
-        self.alarm_at = None
-        self.hand(lambda: self.perform(self.core.on_timer(self.world.now)))
+        self.timer_at = None
+        self.run_when_active(lambda: self.perform(self.core.on_timer(self.world.now)))
 
     def perform(self, actions):
         """Carry out what the core decided."""
@@ -192,14 +192,14 @@
                 case SendToClient(packet):
                     self.world.to_client(packet)
                 case SendToBackend(packet, token):
-                    self.world.backends[self.name].take(packet, token)
+                    self.world.backends[self.name].receive(packet, token)
                 case ResetClient(flow):
-                    self.world.reset(flow, self)
+                    self.world.deliver_reset(flow, self)
                 case RestoreEntry():
                     self.world.store_entry(self)
                 case Note():
                     self.world.notes.append((self.world.now, self.name, action))
-        self.arm()
+        self.schedule_timer()
 
 
 class BalancerNode(Node):
@@ -214,16 +214,16 @@
 
     def list_agents(self):
         """Read the whole store."""
-        self.hand(self._take_list)
+        self.run_when_active(self._read_store)
 
-    def _take_list(self):
+    def _read_store(self):
         store = self.world.store
         for key, entry in store.items():
             self.roster.put(key, entry)
-        self.roster.miss_others(set(store), self.world.now)
+        self.roster.mark_others_missing(set(store), self.world.now)
         self.core.apply_site(self.world.site)
-        self.perform(self.core.tell_missing())
-        self.roster.forget_gone(self.world.now)
+        self.perform(self.core.notify_missing_agents())
+        self.roster.remove_gone(self.world.now)
         self.perform(self.core.on_agents_listed(self.world.now))
 
 
@@ -236,7 +236,7 @@
         self.entry = AgentEntry(endpoint, service, "zone-a")
         self.core = world.mechanisms.make_agent(self)
 
-    def take_report(self, report):
+    def receive_report(self, report):
         """Take a report; clocks of a machine agree here."""
         now = self.world.now
         self.perform(self.core.on_report(report, now - report.started_at, now))
@@ -251,7 +251,7 @@
     def __init__(self, world, flow, requests, pause_ms):
         self.world = world
         self.flow = flow
-        self.left = requests
+        self.requests_left = requests
         self.pause_ms = pause_ms
         self.outcome = "opening"
         self.start = None
@@ -272,7 +272,7 @@
         if self.outcome == "opening":
             self.outcome = "no answer"
 
-    def take(self, packet):
+    def receive(self, packet):
         """Take a packet of the flow."""
         if packet.kind is PacketKind.ACCEPT:
             if self.outcome == "opening":
@@ -285,8 +285,8 @@
     def _next(self):
         self.answered += 1
         self.position += 100
-        self.left -= 1
-        if not self.left:
+        self.requests_left -= 1
+        if not self.requests_left:
             self.outcome = "served"
             return
         position = self.position
@@ -300,7 +300,7 @@
             return
         acknowledged = (self.start + 1) % MODULUS
         packet = make_packet(
-            self.flow, PacketKind.CARRY, position, acknowledged, payload=100
+            self.flow, PacketKind.DATA, position, acknowledged, payload=100
         )
         self.world.route(packet)
         self.world.after(wait, lambda: self._request(position, 2 * wait))
@@ -341,15 +341,15 @@
     ----------
     seed : int
         Where all that is drawn comes from.
-    weather : Weather
+    weather : NetworkConditions
         What the network does.
     mechanisms : Mechanisms
         What makes the cores.
     """
 
-    def __init__(self, seed=0, weather=None, mechanisms=None):
+    def __init__(self, seed=0, network=None, mechanisms=None):
         self.random = random.Random(seed)
-        self.weather = weather or Weather()
+        self.network = network or NetworkConditions()
         self.mechanisms = mechanisms or Mechanisms()
         self.now = Millis(1_000)
         self.site = make_site()
@@ -409,14 +409,14 @@
 
     def _stored(self, agent):
         self.store[agent.name] = agent.entry
-        self.tell_balancers()
+        self.notify_balancers()
 
     def lapse(self, name):
         """Take an agent's entry out of the store."""
         self.store.pop(name, None)
-        self.tell_balancers()
+        self.notify_balancers()
 
-    def tell_balancers(self):
+    def notify_balancers(self):
         """Let each balancer hear of the store after a while."""
         for balancer in list(self.balancers.values()):
             self.after(self.random.randint(1, 700), balancer.list_agents)
@@ -424,7 +424,7 @@
     def apply_site(self, site):
         """Accept a configuration."""
         self.site = site
-        self.tell_balancers()
+        self.notify_balancers()
 
     def restart_agent(self, name):
         """Kill an agent; it is back after a while. The backend server lives on."""
@@ -457,7 +457,7 @@
 
     def freeze(self, node, duration):
         """Let a process stand still."""
-        node.thaws_at = self.now + duration
+        node.frozen_until = self.now + duration
 
     def call(self, requests=3, pause_ms=300):
         """Open a flow; return its client."""
@@ -468,11 +468,11 @@
     # Network
 
     def _deliver(self, act):
-        weather = self.weather
-        if self.random.random() < weather.loss:
+        network = self.network
+        if self.random.random() < network.loss:
             return
-        for _ in range(2 if self.random.random() < weather.double else 1):
-            self.after(self.random.randint(*weather.delay), act)
+        for _ in range(2 if self.random.random() < network.duplication else 1):
+            self.after(self.random.randint(*network.delay), act)
 
     def route(self, packet):
         """Carry a client's packet to the balancer that the routers choose."""
@@ -484,7 +484,7 @@
 
         def arrive():
             act = node.core.on_client_packet
-            node.hand(lambda: node.perform(act(packet, self.now)))
+            node.run_when_active(lambda: node.perform(act(packet, self.now)))
 
         self._deliver(arrive)
 
@@ -496,30 +496,32 @@
             node = next((one for one in nodes.values() if one.endpoint == peer), None)
             if node is not None:
                 act = node.core.on_frame
-                node.hand(lambda: node.perform(act(frame, sender.endpoint, self.now)))
+                node.run_when_active(
+                    lambda: node.perform(act(frame, sender.endpoint, self.now))
+                )
 
         self._deliver(arrive)
 
     def to_agent(self, name, packet):
         """Carry a backend server's packet to its agent, on one machine."""
         agent = self.agents[name]
-        agent.hand(
+        agent.run_when_active(
             lambda: agent.perform(agent.core.on_backend_packet(packet, self.now))
         )
 
     def to_client(self, packet):
         """Carry a packet to its client."""
-        self._deliver(lambda: self.clients[packet.flow].take(packet))
+        self._deliver(lambda: self.clients[packet.flow].receive(packet))
 
     # What must hold
 
-    def open_at(self, flow, backend):
+    def record_open(self, flow, backend):
         """Note that a flow is open at a backend server."""
         owner = self.owners.setdefault(flow, backend)
         if owner is not backend and owner.is_alive:
             self.violations.append(f"{flow.hex()} is open at two backend servers")
 
-    def reset(self, flow, sender):
+    def deliver_reset(self, flow, sender):
         """Carry a reset, and hold it against the flow's owner."""
         owner = self.owners.get(flow)
         client = self.clients[flow]
@@ -535,7 +537,7 @@
             )
         self._deliver(client.reset)
 
-    def note_arrival(self, backend, packet):
+    def record_arrival(self, backend, packet):
         """Note what a backend server was handed."""
         self.arrivals.append((self.now, backend, packet))
 
--- a/tests/properties/test_plain_flow_properties.py
+++ b/tests/properties/test_plain_flow_properties.py
@@ -3,7 +3,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from tests.lib.plain_world import PlainWorld, Weather
+from tests.lib.plain_world import NetworkConditions, PlainWorld
 
 BALANCERS = ("b1", "b2", "b3")
 AGENTS = ("a1", "a2", "a3", "a4")
@@ -27,10 +27,10 @@
     st.just(("new_version", "")),
 )
 HISTORIES = st.lists(st.tuples(st.integers(0, HISTORY_MS), EVENTS), max_size=12)
-WEATHER = st.builds(
-    Weather,
+NETWORKS = st.builds(
+    NetworkConditions,
     loss=st.sampled_from([0.0, 0.02, 0.1]),
-    double=st.sampled_from([0.0, 0.1]),
+    duplication=st.sampled_from([0.0, 0.1]),
     delay=st.sampled_from([(1, 1), (1, 10), (1, 60)]),
 )
 FREEZE_MS = 5_000
@@ -55,9 +55,9 @@
             getattr(world, verb)(name)
 
 
-def play(seed, weather, history):
+def play(seed, network, history):
     """Return a world after a history, with 40 flows begun meanwhile."""
-    world = PlainWorld(seed, weather)
+    world = PlainWorld(seed, network)
     for name in BALANCERS:
         world.add_balancer(name)
     for name in AGENTS:
@@ -79,9 +79,9 @@
     deadline=None,
     suppress_health_check=list(HealthCheck),
 )
-@given(st.integers(0, 1 << 32), WEATHER, HISTORIES)
-def test_no_flow_is_reset_or_open_twice_while_its_owner_lives(seed, weather, history):
-    world = play(seed, weather, history)
+@given(st.integers(0, 1 << 32), NETWORKS, HISTORIES)
+def test_no_flow_is_reset_or_open_twice_while_its_owner_lives(seed, network, history):
+    world = play(seed, network, history)
     assert world.violations == []
 
 
@@ -108,7 +108,7 @@
     ),
 )
 def test_flows_live_through_restarts(seed, history):
-    world = play(seed, Weather(delay=(1, 5)), history)
+    world = play(seed, NetworkConditions(delay=(1, 5)), history)
     outcomes = world.outcomes()
     # While all balancers are down at once an opening may find none: it is told so.
     broken = outcomes.get("reset", 0) + outcomes.get("deadline", 0)
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -4,12 +4,12 @@
 
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.owner_search import OwnerSearch
+from papayagw._internal.core.plain.owner_lookup import OwnerLookup
 from tests.lib.plain_scenario import PlainScenario
 from tests.lib.plain_world import Mechanisms
 
 SITE = """
-weather delay=1-5
+network delay=1-5
 balancer b1 b2 b3
 agent a1
 agent a2
@@ -159,8 +159,8 @@
         expect-openings a2 0 4000 9000
         expect-openings a3 0 4000 9000
     """,
-    "loss, doubles and disorder lose no flow": """
-        weather loss=0.02 double=0.1 delay=1-40
+    "loss, duplication and reordering lose no flow": """
+        network loss=0.02 duplication=0.1 delay=1-40
         at 2000 calls 60 6 20
         run 40000
         expect served all
@@ -176,43 +176,43 @@
     assert scenario.world.violations == []
 
 
-class SilentSearch(OwnerSearch):
+class SilentLookup(OwnerLookup):
     """Drops the packets of flows that it doesn't know."""
 
-    def ask(self, packet, now, excluded=None):
+    def find_owner(self, packet, now, excluded=None):
         return []
 
 
-class HastySearch(OwnerSearch):
+class HastyLookup(OwnerLookup):
     """Resets a flow that no agent claims, without a look at the store."""
 
-    def _conclude(self, question, now):
-        return self._end_ownerless(question)
+    def _confirm_no_owner(self, lookup, now):
+        return self._reset_ownerless(lookup)
 
 
 class NeverAsks(PlainBalancer):
     """Asks no agent for the owner of a flow."""
 
-    _search_type = SilentSearch
+    _lookup_type = SilentLookup
 
 
 class ResetsUnknown(PlainBalancer):
     """Takes an unknown owner for none."""
 
-    _search_type = HastySearch
+    _lookup_type = HastyLookup
 
 
 class TrustsFirstRead(PlainBalancer):
     """Takes the agents of its first read for all that there are."""
 
-    def _may_end(self, agents, now):
+    def _knows_all_agents(self, agents, now):
         return True
 
 
 class NeverOffersAgain(PlainBalancer):
     """Leaves an unanswered opening to its client's copies."""
 
-    def _on_unanswered(self, opening, now):
+    def _on_offer_timeout(self, opening, now):
         self._openings.end(opening.packet.flow)
         return []
 
@@ -267,10 +267,10 @@
         super().__init__(service, 0, now)
 
 
-class TellsNobodyMissing(PlainBalancer):
+class NeverNotifiesMissing(PlainBalancer):
     """Doesn't tell agents that the store lacks their entries."""
 
-    def tell_missing(self):
+    def notify_missing_agents(self):
         return []
 
 
@@ -290,7 +290,7 @@
         TrustsFirstRead,
         "a balancer that starts while an entry is missing resets nothing",
     ),
-    (TellsNobodyMissing, "an entry that lapsed is stored again and is used on"),
+    (NeverNotifiesMissing, "an entry that lapsed is stored again and is used on"),
 ]
 
 
--- a/tests/soak/doubled.py
+++ b/tests/soak/doubled.py
@@ -7,7 +7,7 @@
 
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.owner_search import OwnerSearch
+from papayagw._internal.core.plain.owner_lookup import OwnerLookup
 from papayagw._internal.core.plain.ownership import OwnershipJudge
 from papayagw._internal.models.plain.frame import Ownership
 from papayagw.platform.__main__ import main
@@ -19,14 +19,14 @@
 
     def judge(self, question, now):
         found = real(self, question, now)
-        return Ownership.STRANGER if found is Ownership.UNSURE else found
+        return Ownership.NOT_OWNER if found is Ownership.UNKNOWN else found
 
     OwnershipJudge.judge = judge
 
 
 def never_asks():
     """Balancers drop the packets of flows that they don't know."""
-    OwnerSearch.ask = lambda *_, **__: []
+    OwnerLookup.find_owner = lambda *_, **__: []
 
 
 def ignores_drain():
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -18,13 +18,13 @@
     SendToClient,
 )
 from papayagw._internal.models.plain.frame import (
-    AskFrame,
-    CarryFrame,
-    ClaimFrame,
-    FlowQuestion,
+    ForwardFrame,
     LoadFrame,
     OpenedFrame,
     OpenFrame,
+    OwnerQuery,
+    OwnerQueryFrame,
+    OwnerReplyFrame,
     Ownership,
     ReturnFrame,
     ReturnReason,
@@ -47,9 +47,9 @@
 ACCEPTED_AT = 500
 OPENING = make_packet(FLOW, PacketKind.OPEN)
 ACCEPT = make_packet(FLOW, PacketKind.ACCEPT, ACCEPTED_AT, 1)
-DATA = make_packet(FLOW, PacketKind.CARRY, 1, ACCEPTED_AT + 1, payload=10)
-STRANGE = make_packet(FLOW, PacketKind.CARRY, 1, ACCEPTED_AT - 9, payload=10)
-ANSWER = make_packet(FLOW, PacketKind.CARRY, ACCEPTED_AT + 1, 11, payload=10)
+DATA = make_packet(FLOW, PacketKind.DATA, 1, ACCEPTED_AT + 1, payload=10)
+STRANGE = make_packet(FLOW, PacketKind.DATA, 1, ACCEPTED_AT - 9, payload=10)
+ANSWER = make_packet(FLOW, PacketKind.DATA, ACCEPTED_AT + 1, 11, payload=10)
 FINISH = make_packet(FLOW, PacketKind.FINISH, ACCEPTED_AT + 11, 11)
 
 
@@ -91,7 +91,7 @@
                 return core.on_timer(self.now)
             case str():
                 raise ValueError(word)
-        if isinstance(word, OpenFrame | CarryFrame | AskFrame | ScopeFrame):
+        if isinstance(word, OpenFrame | ForwardFrame | OwnerQueryFrame | ScopeFrame):
             return core.on_frame(word, BALANCER, now)
         return core.on_backend_packet(word, now)
 
@@ -112,7 +112,7 @@
     return replace(packet, bounced=True, token=1)
 
 
-CARRY = CarryFrame("order", DATA)
+CARRY = ForwardFrame("order", DATA)
 ACCEPTED = ["ready", open_frame(), ACCEPT]
 OPEN = [*ACCEPTED, CARRY, ANSWER]
 
@@ -141,10 +141,10 @@
         ),
         (["ready", open_frame(), bounced(OPENING)], ReturnReason.FULL),
         (["ready", CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
-        ([*ACCEPTED, CarryFrame("order", STRANGE)], ReturnReason.NOT_OWNER),
+        ([*ACCEPTED, ForwardFrame("order", STRANGE)], ReturnReason.NOT_OWNER),
         # Accepted here and at another backend server, where the client went.
         ([*ACCEPTED, CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
-        (["ready", CarryFrame("drawings", DATA)], ReturnReason.WRONG_SERVICE),
+        (["ready", ForwardFrame("drawings", DATA)], ReturnReason.WRONG_SERVICE),
         (["ready", open_frame(), BACKEND_PATIENCE_MS], ReturnReason.SILENT),
         (
             ["ready", open_frame(), BACKEND_PATIENCE_MS, open_frame()],
@@ -203,7 +203,7 @@
 
 
 def move(word, number):
-    if isinstance(word, OpenFrame | CarryFrame):
+    if isinstance(word, OpenFrame | ForwardFrame):
         return replace(word, packet=replace(word.packet, flow=flow(number)))
     return replace(word, flow=flow(number))
 
@@ -264,35 +264,35 @@
 @pytest.mark.parametrize(
     ("words", "acknowledged", "ownership"),
     [
-        ([], None, Ownership.UNSURE),
-        (["ready, older"], None, Ownership.UNSURE),
-        (["ready, older", LIMIT_MS + 1], None, Ownership.STRANGER),
-        (["ready, early"], None, Ownership.STRANGER),
-        ([FIRST_REPORT_MS, "ready, older"], None, Ownership.UNSURE),
-        ([FIRST_REPORT_MS + 1, "ready, older"], None, Ownership.STRANGER),
+        ([], None, Ownership.UNKNOWN),
+        (["ready, older"], None, Ownership.UNKNOWN),
+        (["ready, older", LIMIT_MS + 1], None, Ownership.NOT_OWNER),
+        (["ready, early"], None, Ownership.NOT_OWNER),
+        ([FIRST_REPORT_MS, "ready, older"], None, Ownership.UNKNOWN),
+        ([FIRST_REPORT_MS + 1, "ready, older"], None, Ownership.NOT_OWNER),
         # The run began in the agent's own time: no other agent gave it flows.
-        (["ready"], None, Ownership.STRANGER),
-        ([700, "ready"], None, Ownership.STRANGER),
-        (["ready, older", "restart"], None, Ownership.STRANGER),
+        (["ready"], None, Ownership.NOT_OWNER),
+        ([700, "ready"], None, Ownership.NOT_OWNER),
+        (["ready, older", "restart"], None, Ownership.NOT_OWNER),
         # The time of day may have been set back: the run may be older.
-        ([700, "ready, clock set back"], None, Ownership.UNSURE),
-        ([700, "ready, often"], None, Ownership.UNSURE),
+        ([700, "ready, clock set back"], None, Ownership.UNKNOWN),
+        ([700, "ready, often"], None, Ownership.UNKNOWN),
         # It was set back after the first report.
-        (["ready, older", "again"], None, Ownership.UNSURE),
+        (["ready, older", "again"], None, Ownership.UNKNOWN),
         (ACCEPTED, ACCEPTED_AT + 1, Ownership.OWNER),
         (ACCEPTED, None, Ownership.OWNER),
-        (ACCEPTED, ACCEPTED_AT - 1, Ownership.STRANGER),
-        (ACCEPTED, ACCEPTED_AT + (1 << 23), Ownership.STRANGER),
+        (ACCEPTED, ACCEPTED_AT - 1, Ownership.NOT_OWNER),
+        (ACCEPTED, ACCEPTED_AT + (1 << 23), Ownership.NOT_OWNER),
         ([*OPEN, FINISH], ACCEPTED_AT + 20, Ownership.OWNER),
         # Learnt from the backend server's own packets after a restart.
         (["ready", ANSWER], 12_345, Ownership.OWNER),
     ],
 )
 def test_ownership(words, acknowledged, ownership):
-    question = FlowQuestion(FLOW, acknowledged)
-    (action,), _ = play([*words, AskFrame("order", (question,))])
-    assert isinstance(action.frame, ClaimFrame)
-    assert action.frame.claims[0].ownership is ownership
+    question = OwnerQuery(FLOW, acknowledged)
+    (action,), _ = play([*words, OwnerQueryFrame("order", (question,))])
+    assert isinstance(action.frame, OwnerReplyFrame)
+    assert action.frame.replies[0].ownership is ownership
 
 
 @pytest.mark.parametrize(
@@ -310,7 +310,7 @@
         ([*OPEN, CARRY], 0),
         (["ready", ANSWER, CARRY], 0),
         ([*ACCEPTED, CARRY, FINISH], 0),
-        ([*OPEN, FINISH, CarryFrame("order", replace(DATA, sequence=50))], 0),
+        ([*OPEN, FINISH, ForwardFrame("order", replace(DATA, sequence=50))], 0),
         ([*ACCEPTED, CARRY, 10_000], 0),
     ],
 )
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -11,13 +11,13 @@
     RandomChooser,
     RoundRobinChooser,
 )
-from papayagw._internal.core.plain.openings import ANSWER_PATIENCE_MS, WAIT_LIMIT_MS
-from papayagw._internal.core.plain.questions import CLAIM_PATIENCE_MS
+from papayagw._internal.core.plain.openings import OFFER_TIMEOUT_MS, OPENING_TIMEOUT_MS
+from papayagw._internal.core.plain.pending_lookups import REPLY_TIMEOUT_MS
 from papayagw._internal.core.plain.roster import (
-    FRESH_MS,
+    BUSY_BACKOFF_MS,
+    LOAD_FRESH_MS,
     MISSING_GRACE_MS,
-    TURNED_AWAY_MS,
-    UNWILLING_MS,
+    UNAVAILABLE_MS,
     AgentView,
     Roster,
 )
@@ -25,14 +25,14 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import Note, ResetClient, SendFrame
 from papayagw._internal.models.plain.frame import (
-    AskFrame,
-    CarryFrame,
-    ClaimFrame,
-    FlowClaim,
+    EntryMissingFrame,
+    ForwardFrame,
     LoadFrame,
-    MissingFrame,
     OpenedFrame,
     OpenFrame,
+    OwnerQueryFrame,
+    OwnerReply,
+    OwnerReplyFrame,
     Ownership,
     ReturnFrame,
     ReturnReason,
@@ -51,7 +51,7 @@
 FLOW = FlowKey(b"\x64\x40\x00\x07\x9c\x41" + ENTRY)
 OPENING = make_packet(FLOW, PacketKind.OPEN)
 COPY = make_packet(FLOW, PacketKind.OPEN, copy=1)
-DATA = make_packet(FLOW, PacketKind.CARRY, 1, 501, payload=10)
+DATA = make_packet(FLOW, PacketKind.DATA, 1, 501, payload=10)
 FINISH = make_packet(FLOW, PacketKind.FINISH, 11, 501)
 START = 10_000
 
@@ -75,15 +75,18 @@
 
 
 class Driver:
-    """Drives a balancer that knows A and B; returns what the last word made it do."""
+    """Drives a balancer that knows A and B; returns what the last step made it do."""
 
     def __init__(self, agents=(A, B), chooser=None, age=MISSING_GRACE_MS + 1):
         self.roster = Roster()
         for endpoint in agents:
             self.add(endpoint)
-        self.doubts = self.newer = 0
+        self.not_found = self.newer = 0
         self.core = PlainBalancer(
-            self.roster, chooser or FirstChooser(), self.note_newer, self.note_doubt
+            self.roster,
+            chooser or FirstChooser(),
+            self.count_newer,
+            self.count_not_found,
         )
         self.core.apply_site(make_site())
         self.core.on_agents_listed(START - age)
@@ -93,48 +96,48 @@
         entry = AgentEntry(endpoint, "order", "zone-a")
         self.roster.put(str(endpoint), entry)
 
-    def note_doubt(self):
-        self.doubts += 1
+    def count_not_found(self):
+        self.not_found += 1
 
-    def note_newer(self):
+    def count_newer(self):
         self.newer += 1
 
-    def do(self, word):
+    def do(self, step):
         core = self.core
-        match word:
+        match step:
             case int():
-                self.now += word
+                self.now += step
                 return core.on_timer(self.now)
             case "listed":
                 return core.on_agents_listed(self.now)
             case SiteVersion():
-                core.apply_site(word)
+                core.apply_site(step)
                 return []
             case (Endpoint() as agent, "missing"):
-                self.roster.miss(str(agent), self.now)
+                self.roster.mark_missing(str(agent), self.now)
                 return []
             case (Endpoint() as agent, "added"):
                 self.add(agent)
                 return []
             case (Endpoint() as agent, frame):
                 return core.on_frame(frame, agent, self.now)
-        return core.on_client_packet(word, self.now)
+        return core.on_client_packet(step, self.now)
 
 
-def play(words, **options):
+def play(steps, **options):
     driver = Driver(**options)
     actions = []
-    for word in words:
-        actions = driver.do(word)
+    for step in steps:
+        actions = driver.do(step)
     return [one for one in actions if not isinstance(one, Note)], driver
 
 
-def returned(agent, reason, packet=OPENING, word=None):
-    return (agent, ReturnFrame(reason, packet, word or load()))
+def returned(agent, reason, packet=OPENING, report=None):
+    return (agent, ReturnFrame(reason, packet, report or load()))
 
 
-def claim(agent, ownership, **fields):
-    return (agent, ClaimFrame((FlowClaim(FLOW, ownership),), load(**fields)))
+def owner_reply(agent, ownership, **fields):
+    return (agent, OwnerReplyFrame((OwnerReply(FLOW, ownership),), load(**fields)))
 
 
 def sent(actions):
@@ -143,81 +146,88 @@
     ]
 
 
-def says(agent, availability, **fields):
+def load_report(agent, availability, **fields):
     return (agent, LoadFrame(load(availability, **fields)))
 
 
 OPENED = (A, OpenedFrame(FLOW, load()))
 OTHER = make_packet(FlowKey(bytes((9,)) + FLOW[1:]), PacketKind.OPEN)
-TURNED_AWAY = [
+BUSY_REJECTION = [
     OPENING,
-    returned(A, ReturnReason.BUSY, word=load(busy=2)),
+    returned(A, ReturnReason.BUSY, report=load(busy=2)),
     (B, OpenedFrame(FLOW, load())),
 ]
-DENIED = [DATA, claim(A, Ownership.STRANGER), claim(B, Ownership.STRANGER)]
+DENIED = [
+    DATA,
+    owner_reply(A, Ownership.NOT_OWNER),
+    owner_reply(B, Ownership.NOT_OWNER),
+]
 NOT_READY = Availability.UNREADY
 
 
 @pytest.mark.parametrize(
-    ("words", "frames"),
+    ("steps", "frames"),
     [
         ([OPENING], [(A, OpenFrame)]),
         # A copy goes to another agent until one has accepted.
         ([OPENING, COPY], [(B, OpenFrame)]),
         ([OPENING, OPENED, COPY], [(A, OpenFrame)]),
-        ([OPENING, ANSWER_PATIENCE_MS], [(B, OpenFrame)]),
-        ([OPENING, OPENED, ANSWER_PATIENCE_MS], []),
-        ([OPENING, ANSWER_PATIENCE_MS, (A, LoadFrame(load()))], []),
+        ([OPENING, OFFER_TIMEOUT_MS], [(B, OpenFrame)]),
+        ([OPENING, OPENED, OFFER_TIMEOUT_MS], []),
+        ([OPENING, OFFER_TIMEOUT_MS, (A, LoadFrame(load()))], []),
         ([OPENING, returned(A, ReturnReason.FULL)], [(B, OpenFrame)]),
         ([OPENING, returned(A, ReturnReason.BUSY)], [(B, OpenFrame)]),
         ([OPENING, returned(A, ReturnReason.DRAINING)], [(B, OpenFrame)]),
         ([OPENING, returned(A, ReturnReason.OLD_VERSION)], []),
         # Word of an agent that the opening isn't at.
         ([OPENING, returned(B, ReturnReason.FULL)], []),
-        ([says(A, NOT_READY), OPENING], [(B, OpenFrame)]),
-        ([says(A, Availability.DRAINING), OPENING], [(B, OpenFrame)]),
-        ([says(A, Availability.LEAVING), OPENING], [(B, OpenFrame)]),
-        ([says(A, NOT_READY), UNWILLING_MS + 1, OPENING], [(A, OpenFrame)]),
+        ([load_report(A, NOT_READY), OPENING], [(B, OpenFrame)]),
+        ([load_report(A, Availability.DRAINING), OPENING], [(B, OpenFrame)]),
+        ([load_report(A, Availability.LEAVING), OPENING], [(B, OpenFrame)]),
+        ([load_report(A, NOT_READY), UNAVAILABLE_MS + 1, OPENING], [(A, OpenFrame)]),
         # An agent that had no room is left alone until it tells of some.
-        ([*TURNED_AWAY, FRESH_MS + 1, OTHER], [(B, OpenFrame)]),
-        ([*TURNED_AWAY, says(A, Availability.READY), OTHER], [(A, OpenFrame)]),
-        ([*TURNED_AWAY, TURNED_AWAY_MS, OTHER], [(A, OpenFrame)]),
-        ([says(A, NOT_READY), says(B, NOT_READY), OPENING], []),
-        ([says(A, Availability.READY, busy=2), OPENING], [(B, OpenFrame)]),
+        ([*BUSY_REJECTION, LOAD_FRESH_MS + 1, OTHER], [(B, OpenFrame)]),
+        (
+            [*BUSY_REJECTION, load_report(A, Availability.READY), OTHER],
+            [(A, OpenFrame)],
+        ),
+        ([*BUSY_REJECTION, BUSY_BACKOFF_MS, OTHER], [(A, OpenFrame)]),
+        ([load_report(A, NOT_READY), load_report(B, NOT_READY), OPENING], []),
+        ([load_report(A, Availability.READY, busy=2), OPENING], [(B, OpenFrame)]),
         ([(A, "missing"), OPENING], [(A, OpenFrame)]),
         ([(A, "missing"), MISSING_GRACE_MS + 1, OPENING], [(B, OpenFrame)]),
         # Both are suspect: an offer is better than none.
         (
-            [OPENING, ANSWER_PATIENCE_MS, ANSWER_PATIENCE_MS, 0],
+            [OPENING, OFFER_TIMEOUT_MS, OFFER_TIMEOUT_MS, 0],
             [],
         ),
     ],
 )
-def test_openings(words, frames):
-    actions, _ = play(words)
+def test_openings(steps, frames):
+    actions, _ = play(steps)
     assert sent(actions) == frames
     assert not any(isinstance(one, ResetClient) for one in actions)
 
 
 def test_an_opening_that_backend_servers_decline_is_refused_at_once():
-    words = [OPENING, returned(A, ReturnReason.FULL), returned(B, ReturnReason.FULL)]
-    (reset,), _ = play(words)
+    steps = [OPENING, returned(A, ReturnReason.FULL), returned(B, ReturnReason.FULL)]
+    (reset,), _ = play(steps)
     assert reset == ResetClient(FLOW, 0)
 
 
 def test_an_opening_that_nobody_is_ready_for_is_offered_until_its_client_gives_up():
     driver = Driver()
-    driver.do(says(A, NOT_READY))
-    driver.do(says(B, NOT_READY))
+    driver.do(load_report(A, NOT_READY))
+    driver.do(load_report(B, NOT_READY))
     driver.do(OPENING)
     resets = []
     while driver.core.due_at is not None and driver.now < START + 3_000:
-        driver.do(says(A, NOT_READY))
-        driver.do(says(B, NOT_READY))
+        driver.do(load_report(A, NOT_READY))
+        driver.do(load_report(B, NOT_READY))
         actions = driver.do(driver.core.due_at - driver.now)
         resets += [driver.now for one in actions if isinstance(one, ResetClient)]
     assert len(resets) == 1
-    assert WAIT_LIMIT_MS // 2 < resets[0] - START <= WAIT_LIMIT_MS
+    assert OPENING_TIMEOUT_MS // 2 < resets[0] - START <= OPENING_TIMEOUT_MS
 
 
 def test_the_newest_waiting_opening_goes_first_and_priority_before_that():
@@ -229,7 +239,7 @@
     }
     driver = Driver(agents=(A,))
     driver.core.apply_site(make_site(2, routes=routes))
-    driver.do(says(A, NOT_READY, version=2))
+    driver.do(load_report(A, NOT_READY, version=2))
     flows = [
         FlowKey(bytes((1,)) + FLOW[1:]),
         FlowKey(bytes((2,)) + FLOW[1:]),
@@ -237,29 +247,29 @@
     ]
     for flow in (flows[2], flows[0], flows[1]):
         driver.do(make_packet(flow, PacketKind.OPEN))
-    actions = driver.do(says(A, Availability.READY, version=2, slots=4))
+    actions = driver.do(load_report(A, Availability.READY, version=2, slots=4))
     offered = [one.frame.packet.flow for one in actions if isinstance(one, SendFrame)]
     assert offered == [flows[2], flows[1], flows[0]]
 
 
 @pytest.mark.parametrize(
-    ("word", "frames"),
+    ("step", "frames"),
     [
-        (says(B, Availability.READY), [(B, OpenFrame)]),
-        (says(B, Availability.READY, busy=1), [(B, OpenFrame)]),
-        (says(B, Availability.READY, busy=2), []),
-        (says(B, Availability.DRAINING), []),
+        (load_report(B, Availability.READY), [(B, OpenFrame)]),
+        (load_report(B, Availability.READY, busy=1), [(B, OpenFrame)]),
+        (load_report(B, Availability.READY, busy=2), []),
+        (load_report(B, Availability.DRAINING), []),
     ],
 )
-def test_an_opening_that_waits_goes_to_the_first_agent_with_room(word, frames):
-    busy = [says(agent, Availability.READY, busy=2) for agent in (A, B)]
-    actions, _ = play([*busy, OPENING, word])
+def test_an_opening_that_waits_goes_to_the_first_agent_with_room(step, frames):
+    busy = [load_report(agent, Availability.READY, busy=2) for agent in (A, B)]
+    actions, _ = play([*busy, OPENING, step])
     assert sent(actions) == frames
 
 
 def test_an_opening_that_waits_is_offered_to_one_agent():
-    busy = [says(agent, Availability.READY, busy=2) for agent in (A, B)]
-    room = [says(agent, Availability.READY) for agent in (A, B)]
+    busy = [load_report(agent, Availability.READY, busy=2) for agent in (A, B)]
+    room = [load_report(agent, Availability.READY) for agent in (A, B)]
     actions, _ = play([*busy, OPENING, *room])
     assert sent(actions) == []
 
@@ -268,92 +278,115 @@
 def test_an_opening_is_as_old_as_its_copy_says(copy, age_ms):
     driver = Driver()
     for agent in (A, B):
-        driver.do(says(agent, NOT_READY))
+        driver.do(load_report(agent, NOT_READY))
     driver.do(make_packet(FLOW, PacketKind.OPEN, copy=copy))
     refused_at = None
     while refused_at is None:
         for agent in (A, B):
-            driver.do(says(agent, NOT_READY))
+            driver.do(load_report(agent, NOT_READY))
         actions = driver.do(driver.core.due_at - driver.now)
         if any(isinstance(one, ResetClient) for one in actions):
             refused_at = driver.now
-    assert WAIT_LIMIT_MS // 2 < refused_at - START + age_ms <= WAIT_LIMIT_MS
+    assert OPENING_TIMEOUT_MS // 2 < refused_at - START + age_ms <= OPENING_TIMEOUT_MS
 
 
 @pytest.mark.parametrize(
-    ("words", "frames"),
+    ("steps", "frames"),
     [
-        ([OPENING, DATA], [(A, CarryFrame)]),
-        ([OPENING, OPENED, DATA], [(A, CarryFrame)]),
-        ([DATA], [(A, AskFrame), (B, AskFrame)]),
+        ([OPENING, DATA], [(A, ForwardFrame)]),
+        ([OPENING, OPENED, DATA], [(A, ForwardFrame)]),
+        ([DATA], [(A, OwnerQueryFrame), (B, OwnerQueryFrame)]),
         ([DATA, DATA], []),
-        ([DATA, claim(B, Ownership.OWNER)], [(B, CarryFrame)]),
-        ([DATA, DATA, claim(B, Ownership.OWNER)], [(B, CarryFrame), (B, CarryFrame)]),
-        ([DATA, claim(B, Ownership.OWNER), DATA], [(B, CarryFrame)]),
-        ([DATA, claim(A, Ownership.UNSURE)], []),
+        ([DATA, owner_reply(B, Ownership.OWNER)], [(B, ForwardFrame)]),
+        (
+            [DATA, DATA, owner_reply(B, Ownership.OWNER)],
+            [(B, ForwardFrame), (B, ForwardFrame)],
+        ),
+        ([DATA, owner_reply(B, Ownership.OWNER), DATA], [(B, ForwardFrame)]),
+        ([DATA, owner_reply(A, Ownership.UNKNOWN)], []),
+        (
+            [
+                DATA,
+                owner_reply(A, Ownership.UNKNOWN),
+                owner_reply(B, Ownership.NOT_OWNER),
+            ],
+            [(A, ForwardFrame)],
+        ),
         (
-            [DATA, claim(A, Ownership.UNSURE), claim(B, Ownership.STRANGER)],
-            [(A, CarryFrame)],
+            [DATA, owner_reply(A, Ownership.UNKNOWN), REPLY_TIMEOUT_MS],
+            [(A, ForwardFrame)],
         ),
-        ([DATA, claim(A, Ownership.UNSURE), CLAIM_PATIENCE_MS], [(A, CarryFrame)]),
         # Agents that may not own the flow get two packets of it, the owner all.
         (
-            [*[DATA] * 4, claim(A, Ownership.UNSURE), claim(B, Ownership.STRANGER)],
-            [(A, CarryFrame)] * 2,
+            [
+                *[DATA] * 4,
+                owner_reply(A, Ownership.UNKNOWN),
+                owner_reply(B, Ownership.NOT_OWNER),
+            ],
+            [(A, ForwardFrame)] * 2,
         ),
         (
             [
                 *[DATA] * 4,
-                claim(A, Ownership.UNSURE),
-                claim(B, Ownership.STRANGER),
-                claim(A, Ownership.OWNER),
+                owner_reply(A, Ownership.UNKNOWN),
+                owner_reply(B, Ownership.NOT_OWNER),
+                owner_reply(A, Ownership.OWNER),
             ],
-            [(A, CarryFrame)] * 2,
+            [(A, ForwardFrame)] * 2,
         ),
-        ([DATA, CLAIM_PATIENCE_MS], []),
+        ([DATA, REPLY_TIMEOUT_MS], []),
         # Handed back by the agent that was thought to own it.
-        ([OPENING, OPENED, returned(A, ReturnReason.NOT_OWNER, DATA)], [(B, AskFrame)]),
+        (
+            [OPENING, OPENED, returned(A, ReturnReason.NOT_OWNER, DATA)],
+            [(B, OwnerQueryFrame)],
+        ),
         # An unsure agent hands it back: it isn't asked again.
         (
             [
                 DATA,
-                claim(A, Ownership.UNSURE),
-                claim(B, Ownership.STRANGER),
+                owner_reply(A, Ownership.UNKNOWN),
+                owner_reply(B, Ownership.NOT_OWNER),
                 returned(A, ReturnReason.NOT_OWNER, DATA),
             ],
             [],
         ),
     ],
 )
-def test_later_packets(words, frames):
-    actions, _ = play(words)
+def test_later_packets(steps, frames):
+    actions, _ = play(steps)
     assert sent(actions) == frames
 
 
 @pytest.mark.parametrize(
-    ("words", "resets", "doubts"),
+    ("steps", "resets", "not_found"),
     [
         (DENIED, 0, 1),
         ([*DENIED, "listed"], 1, 1),
-        ([DATA, claim(A, Ownership.STRANGER), "listed"], 0, 0),
-        ([DATA, CLAIM_PATIENCE_MS, "listed"], 0, 0),
+        ([DATA, owner_reply(A, Ownership.NOT_OWNER), "listed"], 0, 0),
+        ([DATA, REPLY_TIMEOUT_MS, "listed"], 0, 0),
         ([FINISH, *DENIED[1:], "listed"], 0, 0),
         # The store knows an agent that wasn't asked.
         ([*DENIED, (C, "added"), "listed"], 0, 1),
-        ([*DENIED, (C, "added"), "listed", claim(C, Ownership.OWNER)], 0, 1),
+        ([*DENIED, (C, "added"), "listed", owner_reply(C, Ownership.OWNER)], 0, 1),
         (
-            [*DENIED, (C, "added"), "listed", claim(C, Ownership.STRANGER), "listed"],
+            [
+                *DENIED,
+                (C, "added"),
+                "listed",
+                owner_reply(C, Ownership.NOT_OWNER),
+                "listed",
+            ],
             1,
             2,
         ),
         # Missing agents are asked too.
-        ([(B, "missing"), DATA, claim(A, Ownership.STRANGER), "listed"], 0, 0),
+        ([(B, "missing"), DATA, owner_reply(A, Ownership.NOT_OWNER), "listed"], 0, 0),
     ],
 )
-def test_flows_that_nobody_owns(words, resets, doubts):
-    actions, driver = play(words)
+def test_flows_that_nobody_owns(steps, resets, not_found):
+    actions, driver = play(steps)
     assert sum(isinstance(one, ResetClient) for one in actions) == resets
-    assert driver.doubts == doubts
+    assert driver.not_found == not_found
 
 
 @pytest.mark.parametrize(
@@ -371,10 +404,12 @@
         (1_500, (1_500 + RESTART_SPREAD_MS, 900), 0),
     ],
 )
-def test_a_balancer_that_has_just_started_ends_no_flow_of_before(age, runs, resets):
-    stranger = Ownership.STRANGER
-    claims = [claim(a, stranger, run_age=b) for a, b in zip((A, B), runs, strict=True)]
-    actions, _ = play([DATA, *claims, "listed"], age=age)
+def test_a_balancer_that_has_just_started_resets_no_earlier_flow(age, runs, resets):
+    not_owner = Ownership.NOT_OWNER
+    replies = [
+        owner_reply(a, not_owner, run_age=b) for a, b in zip((A, B), runs, strict=True)
+    ]
+    actions, _ = play([DATA, *replies, "listed"], age=age)
     assert sum(isinstance(one, ResetClient) for one in actions) == resets
 
 
@@ -384,7 +419,7 @@
     assert reset == ResetClient(FLOW, packet.acknowledged or 0)
 
 
-def test_a_forged_acceptance_goes_nowhere():
+def test_a_forged_acceptance_is_dropped():
     actions, _ = play([make_packet(FLOW, PacketKind.ACCEPT, 5, 1)])
     assert actions == []
 
@@ -393,19 +428,19 @@
     ("version", "frames", "newer"),
     [(1, [], 0), (0, [(A, ScopeFrame)], 0), (7, [], 1)],
 )
-def test_versions_are_compared_with_every_word(version, frames, newer):
+def test_versions_are_compared_with_every_load_report(version, frames, newer):
     actions, driver = play([(A, LoadFrame(load(version=version)))])
     assert (sent(actions), driver.newer) == (frames, newer)
 
 
-def test_a_version_never_falls():
+def test_an_older_version_is_not_applied():
     _, driver = play([make_site(7), make_site(3)])
     assert driver.core.site.version == 7
 
 
-def test_missing_agents_are_told():
+def test_missing_agents_are_notified():
     _, driver = play([(A, "missing")])
-    assert sent(driver.core.tell_missing()) == [(A, MissingFrame)]
+    assert sent(driver.core.notify_missing_agents()) == [(A, EntryMissingFrame)]
 
 
 @pytest.mark.parametrize("weights", [(90, 10), (50, 50), (0, 1)])
@@ -428,15 +463,15 @@
     assert found[A] / count == pytest.approx(weights[0] / sum(weights), abs=0.04)
 
 
-def make_view(port, word, now, zone="zone-a"):
+def make_view(port, report, now, zone="zone-a"):
     view = AgentView(AgentEntry(Endpoint("10.0.0.2", port), "order", zone))
-    if word is not None:
-        view.hear(word, now)
+    if report is not None:
+        view.record_load(report, now)
     return view
 
 
 @pytest.mark.parametrize(
-    ("words", "zones", "chosen"),
+    ("reports", "zones", "chosen"),
     [
         ([load(busy=1), load()], "aa", 1),
         ([load(service_us=50_000), load(service_us=20_000)], "aa", 1),
@@ -447,11 +482,11 @@
         ([None, load(busy=1)], "aa", 0),
     ],
 )
-def test_least_wait(words, zones, chosen):
+def test_least_wait(reports, zones, chosen):
     chooser = LeastWaitChooser("zone-a", Random(1))
     views = [
-        make_view(port, word, START, f"zone-{zone}")
-        for port, (word, zone) in enumerate(zip(words, zones, strict=True), start=1)
+        make_view(port, report, START, f"zone-{zone}")
+        for port, (report, zone) in enumerate(zip(reports, zones, strict=True), start=1)
     ]
     assert chooser.choose(FLOW, views, Millis(START)) is views[chosen]
 
--- a/tests/unit/test_plain_batching.py
+++ b/tests/unit/test_plain_batching.py
@@ -5,7 +5,11 @@
 from papayagw._internal.core.plain.batching import MAX_QUESTIONS, join_questions
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import Note, SendFrame
-from papayagw._internal.models.plain.frame import AskFrame, CarryFrame, FlowQuestion
+from papayagw._internal.models.plain.frame import (
+    ForwardFrame,
+    OwnerQuery,
+    OwnerQueryFrame,
+)
 from papayagw._internal.models.plain.packet import FlowKey, PacketKind
 from tests.lib.plain_world import ENTRY, make_packet
 
@@ -13,15 +17,17 @@
 
 
 def question(number):
-    return FlowQuestion(FlowKey(number.to_bytes(6, "big") + ENTRY), number)
+    return OwnerQuery(FlowKey(number.to_bytes(6, "big") + ENTRY), number)
 
 
 def ask(agent, *numbers, service="order"):
-    return SendFrame(agent, AskFrame(service, tuple(question(n) for n in numbers)))
+    return SendFrame(
+        agent, OwnerQueryFrame(service, tuple(question(n) for n in numbers))
+    )
 
 
 FLOW = question(1).flow
-CARRY = SendFrame(A, CarryFrame("order", make_packet(FLOW, PacketKind.CARRY, 1, 2)))
+CARRY = SendFrame(A, ForwardFrame("order", make_packet(FLOW, PacketKind.DATA, 1, 2)))
 NOTE = Note("owner unknown", {})
 
 
--- a/tests/unit/test_plain_frames.py
+++ b/tests/unit/test_plain_frames.py
@@ -6,15 +6,15 @@
 
 from papayagw._internal.exceptions import DecodeError
 from papayagw._internal.models.plain.frame import (
-    AskFrame,
-    CarryFrame,
-    ClaimFrame,
-    FlowClaim,
-    FlowQuestion,
+    EntryMissingFrame,
+    ForwardFrame,
     LoadFrame,
-    MissingFrame,
     OpenedFrame,
     OpenFrame,
+    OwnerQuery,
+    OwnerQueryFrame,
+    OwnerReply,
+    OwnerReplyFrame,
     Ownership,
     ReturnFrame,
     ReturnReason,
@@ -32,15 +32,15 @@
 CODEC = PlainFrameCodec(PreparedPlatform())
 FRAMES = [
     OpenFrame("order", 7, PACKET),
-    CarryFrame("order", PACKET),
-    AskFrame("order", (FlowQuestion(FLOW, None), FlowQuestion(FLOW, (1 << 32) - 1))),
+    ForwardFrame("order", PACKET),
+    OwnerQueryFrame("order", (OwnerQuery(FLOW, None), OwnerQuery(FLOW, (1 << 32) - 1))),
     ScopeFrame("order", 7, frozenset()),
     ScopeFrame("order", 7, frozenset((EntryKey(b"abcdef"), EntryKey(b"ghijkl")))),
-    MissingFrame("order"),
+    EntryMissingFrame("order"),
     OpenedFrame(FLOW, LOAD),
     ReturnFrame(ReturnReason.BUSY, PACKET, LOAD),
-    ClaimFrame((FlowClaim(FLOW, Ownership.UNSURE),), LOAD),
-    ClaimFrame((), LOAD),
+    OwnerReplyFrame((OwnerReply(FLOW, Ownership.UNKNOWN),), LOAD),
+    OwnerReplyFrame((), LOAD),
     LoadFrame(LOAD),
 ]
 
--- a/tests/unit/test_platform_packet.py
+++ b/tests/unit/test_platform_packet.py
@@ -59,8 +59,8 @@
     [
         (1, PacketKind.OPEN, None, 2),
         (9, PacketKind.ACCEPT, 2, 0),
-        (8, PacketKind.CARRY, 2, 0),
-        (0, PacketKind.CARRY, None, 0),
+        (8, PacketKind.DATA, 2, 0),
+        (0, PacketKind.DATA, None, 0),
         (24, PacketKind.FINISH, 2, 0),
         (16, PacketKind.FINISH, None, 0),
         (32, PacketKind.ABORT, None, 0),
