Reword the balancer's side of the plain front end

Comments, docstrings and constants of core/plain (balancer, openings, choice, roster, owner_lookup, pending_lookups, flow_cache), of models/plain (frame, action, packet, site) and of their unit tests, in plain terms of the field. No code changes.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -1,7 +1,7 @@
-"""What a balancer of the plain front end does with each packet and frame.
+"""Routing decisions of a balancer of the plain front end, per packet and frame.
 
-The agents own the flows. A balancer remembers owners to save questions, and asks
-for those that it doesn't know; so it may be stopped, started or added at any time.
+Agents own the flows. A balancer only caches the owners, and queries the agents about
+flows that it doesn't know. It can therefore be stopped, started or added at any time.
 """
 
 from collections.abc import Callable, Iterable
@@ -36,28 +36,31 @@
 from papayagw._internal.models.plain.site import Route, SiteVersion
 
 RESTART_SPREAD_MS = Millis(1_500)
-"""By how much a backend server may start before a balancer's first read after one loss
-of power: the start of the slowest balancer, 0.9 s, and one try at the store. A fleet
-that is a little older may have lost an entry without having lost power.
+"""How long before a balancer's first read of the store a backend server may have
+started if both restarted after the same power loss: 0.9 s for the slowest balancer to
+start, and one attempt to read the store. In a fleet that started slightly earlier, a
+store entry may be missing without a power loss, so the value must not be larger.
 """
 
 SCOPE_INTERVAL_MS = Millis(200)
-"""The shortest time between two scopes sent to one agent."""
+"""Minimum time between two scope frames sent to one agent."""
 
 
 class PlainBalancer:
-    """The decisions of one balancer.
+    """Decide what a balancer does, without performing any input or output.
 
     Parameters
     ----------
     roster : Roster
-        The agents that it knows.
+        The known agents.
     chooser : PlainChooser
-        Picks the agent for an opening.
+        Selects the agent for an opening.
     on_newer_version : callable
-        Called when an agent has heard of a newer configuration than is in force.
+        Called when an agent reports a newer configuration version than the one in
+        force here.
     on_owner_not_found : callable
-        Called when all known agents deny a flow, so that their list is read again.
+        Called when all known agents have denied owning a flow, so that the list of
+        agents is read again.
     """
 
     _lookup_type = OwnerLookup
@@ -92,12 +95,12 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether openings can be routed."""
+        """Whether a configuration is in force and at least one agent is known."""
         return self._site is not None and len(self._roster) > 0
 
     @property
     def flow_count(self) -> int:
-        """How many flows are remembered."""
+        """Number of flows whose owner is cached."""
         return len(self._flows)
 
     @property
@@ -107,20 +110,20 @@
         return min((one for one in due if one is not None), default=None)
 
     def apply_site(self, site: SiteVersion) -> bool:
-        """Put a configuration in force unless a newer one is; return whether it is."""
+        """Apply a configuration if it is newer; return whether it was applied."""
         if self._site is not None and site.version <= self._site.version:
             return False
         self._site = site
         return True
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
-        """Return what follows from a complete read of the agents' entries."""
+        """Handle the completion of a full read of the agents' store entries."""
         if self._listed_at is None:
             self._listed_at = now
         return self._lookup.on_agents_listed(now)
 
     def notify_missing_agents(self) -> list[Action]:
-        """Tell the agents whose entries the store lacks, so that they restore them."""
+        """Notify agents whose store entries are missing, so that they restore them."""
         return [
             SendFrame(view.endpoint, EntryMissingFrame(view.entry.service))
             for view in self._roster
@@ -128,7 +131,7 @@
         ]
 
     def on_client_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
-        """Return what to do with a packet of a client."""
+        """Handle a packet from a client."""
         if self._site is None or packet.bounced:
             return []
         route = self._site.routes.get(packet.entry)
@@ -147,10 +150,11 @@
     def on_frame(
         self, frame: ToBalancer, source: Endpoint, now: Millis
     ) -> list[Action]:
-        """Return what to do about a frame of an agent."""
+        """Handle a frame from an agent."""
         view = self._roster.find(source)
         if view is None:
-            # Its store entry hasn't reached this balancer; the next word may find it.
+            # The agent's store entry hasn't reached this balancer yet; a later frame
+            # will be accepted once it has.
             return []
         view.record_load(frame.load, now)
         return [
@@ -160,7 +164,7 @@
         ]
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """Return what is due."""
+        """Handle offer and lookup timeouts, and expire idle cached flows."""
         actions: list[Action] = []
         overdue = self._openings.pop_overdue(now)
         for opening in sorted(overdue, key=self._priority_of):
@@ -177,7 +181,8 @@
     ) -> list[Action]:
         cached = self._flows.find(packet.flow)
         if cached is not None and cached.is_confirmed:
-            # The backend server's answer was lost: it answers a copy again.
+            # The acceptance was lost on the way to the client. The backend server
+            # answers the retransmitted opening again.
             cached.seen_at = now
             return [self._make_open_frame(cached.agent, packet)]
         opening = self._openings.begin(packet, now)
@@ -206,7 +211,7 @@
         return [self._make_open_frame(agent, packet), note]
 
     def _offer_waiting(self, agent: AgentView, now: Millis) -> list[Action]:
-        """Offer openings that wait to an agent that has room for them."""
+        """Offer waiting openings to an agent that has free capacity."""
         if agent.free_capacity <= 0:
             return []
         waiting = self._openings.list_waiting(agent.entry.service)
@@ -226,9 +231,10 @@
             for view in self._roster.list_service(service)
             if view.endpoint not in opening.tried and not view.is_gone(now)
         ]
-        willing = [view for view in untried if view.accepts_openings(now)]
-        # A suspect may be sound; a client without any answer certainly isn't served.
-        candidates = willing or [view for view in untried if view.is_suspect(now)]
+        available = [view for view in untried if view.accepts_openings(now)]
+        # A suspect agent may still answer, whereas an opening that isn't offered to
+        # any agent certainly fails.
+        candidates = available or [view for view in untried if view.is_suspect(now)]
         if not candidates:
             return None
         return self._chooser.choose(opening.packet.flow, candidates, now)
@@ -288,7 +294,7 @@
             "pending": agent.pending,
         }
 
-    # Frames of agents
+    # Frames from agents
 
     def _handle_frame(
         self, frame: ToBalancer, view: AgentView, now: Millis
@@ -350,7 +356,7 @@
             view.start_backoff(now)
         opening = self._openings.find(packet.flow)
         if opening is None or opening.agent is not view:
-            # Another agent has it, or has answered.
+            # The opening has been offered to another agent since, or is finished.
             return [note]
         if frame.reason is ReturnReason.OLD_VERSION:
             self._openings.end(packet.flow)
@@ -384,10 +390,11 @@
         yield SendFrame(view.endpoint, _make_scope(self._site, view.entry.service))
 
     def _knows_all_agents(self, agents: list[AgentView], now: Millis) -> bool:
-        """Whether a flow that these agents deny has no owner.
+        """Return whether the known agents are all agents, so none owns a denied flow.
 
-        At the first read an entry may be missing whose agent lives; it is back within
-        the grace. Where all servers started of late, no flow of before is left.
+        At the first read of the store, the entry of a running agent may be missing; it
+        is restored within `MISSING_GRACE_MS`. If all backend servers have started
+        recently, no earlier flow can exist and there is no need to wait.
         """
         listed_at = self._listed_at
         if listed_at is None:
@@ -400,7 +407,7 @@
     # Routes
 
     def _list_agents(self, packet: FlowPacket) -> list[AgentView]:
-        """Return the agents that may own the flow of a packet."""
+        """Return the agents of all services that the packet's entry is routed to."""
         route = self._find_route(packet)
         return [
             view
@@ -426,7 +433,11 @@
 
 
 def _pick_service(route: Route, packet: FlowPacket) -> str:
-    """Return the service for a new flow, the same for all copies of its opening."""
+    """Return the service for a new flow.
+
+    The choice is a hash of the flow, so that all copies of an opening, at any balancer,
+    get the same service.
+    """
     if len(route.services) == 1:
         return route.services[0].name
     total = sum(one.weight for one in route.services)
--- a/src/papayagw/_internal/core/plain/choice.py
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -1,4 +1,4 @@
-"""Choice of the agent for an opening of the plain front end."""
+"""Policies that select the agent for an opening of the plain front end."""
 
 from collections.abc import Sequence
 from random import Random
@@ -10,39 +10,41 @@
 from papayagw._internal.models.plain.packet import FlowKey
 
 DEFAULT_SERVICE_US = 20_000
-"""Time of a slot for one request where no agent has told its own, in microseconds."""
+"""Time for one request in a slot if no agent has reported its own, in microseconds."""
 
 OTHER_ZONE_PENALTY_US = 2_000
-"""What a candidate of another zone is put back by, in microseconds.
+"""Penalty for a candidate in another zone, in microseconds.
 
-Two crossings between zones at 0.5 to 1.4 ms; far less than one request in a queue.
+Covers two crossings between zones of 0.5 to 1.4 ms each. It is far below the time of
+one queued request, so load takes precedence over zone.
 """
 
 TIE_JITTER = 0.05
-"""Share of a request by which waits are blurred, so that equals take turns."""
+"""Maximum random addition to the queue, in requests, to break ties."""
 
 IDLE_FLOW_WEIGHT = 0.02
-"""Requests that an open flow without one is counted as."""
+"""Load of an open flow that has no request in progress, in requests."""
 
 
 class PlainChooser(Protocol):
-    """A policy that picks the agent for an opening."""
+    """A policy that selects the agent for an opening."""
 
     def choose(
         self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
     ) -> AgentView:
-        """Return one of `candidates`, of which there is at least one."""
+        """Return one of `candidates`, which must not be empty."""
 
 
 class LeastWaitChooser:
-    """Picks the agent at which a request would be answered first.
+    """Select the agent with the shortest expected wait.
 
     Parameters
     ----------
     zone : str
-        The zone of the balancer, which goes before others where waits are alike.
+        The zone of the balancer, preferred when expected waits are similar.
     random : Random
-        Breaks ties, so that balancers with the same view don't pick alike.
+        Breaks ties, so that balancers with the same load reports don't all select the
+        same agent.
     """
 
     def __init__(self, zone: str, random: Random):
@@ -66,7 +68,8 @@
             )
         service_us = load.service_us or typical_us
         average_busy = load.utilization * load.slots
-        # A count of requests is soon out of date; the share of time isn't.
+        # The number of requests in progress is outdated quickly; average utilization
+        # stays valid for longer.
         busy = (
             load.busy if now - view.load_received_at < LOAD_FRESH_MS else average_busy
         )
@@ -76,7 +79,7 @@
 
 
 class RoundRobinChooser:
-    """Picks each agent in turn."""
+    """Select each agent in turn."""
 
     def __init__(self) -> None:
         self._next = 0
@@ -90,7 +93,7 @@
 
 
 class RandomChooser:
-    """Picks any agent."""
+    """Select an agent at random."""
 
     def __init__(self, random: Random):
         self._random = random
@@ -98,12 +101,12 @@
     def choose(
         self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
     ) -> AgentView:
-        """Return one of the candidates."""
+        """Return a random candidate."""
         return self._random.choice(candidates)
 
 
 class HashChooser:
-    """Picks by rendezvous hashing of the flow, alike at all balancers."""
+    """Select by rendezvous hashing of the flow, identically at all balancers."""
 
     def choose(
         self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
--- a/src/papayagw/_internal/core/plain/flow_cache.py
+++ b/src/papayagw/_internal/core/plain/flow_cache.py
@@ -1,6 +1,6 @@
-"""Which agent owns a flow, as far as a balancer has seen.
+"""Cache of the agents that own flows.
 
-A balancer may lose all of it at any time: the owner can be asked for.
+A balancer may lose the cache at any time, because agents can be queried for the owner.
 """
 
 from papayagw._internal.core.plain.roster import AgentView
@@ -8,14 +8,24 @@
 from papayagw._internal.models.plain.packet import FlowKey
 
 MAX_FLOWS = 50_000
-"""The most flows that are remembered; about 300 bytes each."""
+"""Maximum number of cached flows, of about 300 bytes each."""
 
 SWEEP_INTERVAL_MS = Millis(5_000)
-"""How often flows that have fallen silent are dropped."""
+"""Interval between removals of idle flows."""
 
 
 class CachedFlow:
-    """The owner of one flow."""
+    """The owner of one flow.
+
+    Parameters
+    ----------
+    agent : AgentView
+        The owner, or the agent that was offered the opening.
+    now : Millis
+        When the flow was last seen.
+    is_confirmed : bool
+        Whether the agent has confirmed that it owns the flow.
+    """
 
     __slots__ = ("agent", "is_confirmed", "seen_at")
 
@@ -26,7 +36,7 @@
 
 
 class FlowCache:
-    """The owners of flows, the longest silent ones dropped first."""
+    """The owners of flows; at capacity, the flow cached first is evicted."""
 
     def __init__(self) -> None:
         self._flows: dict[FlowKey, CachedFlow] = {}
@@ -42,17 +52,17 @@
     def put(
         self, flow: FlowKey, agent: AgentView, now: Millis, *, is_confirmed: bool
     ) -> None:
-        """Remember the owner of a flow."""
+        """Store the owner of a flow."""
         if len(self._flows) >= MAX_FLOWS:
             del self._flows[next(iter(self._flows))]
         self._flows[flow] = CachedFlow(agent, now, is_confirmed)
 
     def drop(self, flow: FlowKey) -> None:
-        """Forget a flow."""
+        """Remove a flow."""
         self._flows.pop(flow, None)
 
     def sweep(self, now: Millis, idle_ms: Millis) -> None:
-        """Drop the flows that have been silent for `idle_ms`, at intervals."""
+        """Remove flows idle for `idle_ms`, at most every `SWEEP_INTERVAL_MS`."""
         if now - self._swept_at < SWEEP_INTERVAL_MS:
             return
         self._swept_at = now
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -1,4 +1,4 @@
-"""Openings that a balancer has offered and no agent has answered yet."""
+"""Openings that no agent has accepted yet."""
 
 from collections.abc import Reversible
 
@@ -9,46 +9,47 @@
 from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
 
 OFFER_TIMEOUT_MS = Millis(60)
-"""How long an agent may take to answer an offer before another gets one.
+"""How long to wait for the answer to an offer before offering to another agent.
 
-Well over a round trip between zones and the backend server's handshake, and under
-the 200 ms after which the client sends a copy.
+Well above a round trip between zones plus the backend server's handshake, and below
+the 200 ms after which the client retransmits.
 """
 
 MIN_RETRY_MS = Millis(100)
-"""The shortest wait of an opening that no agent is ready for, between offers.
+"""Minimum time until an opening that no agent could accept is offered again.
 
-Agents tell of room at once; this covers lost words and agents that start.
+Agents report free capacity immediately. The retry covers lost load reports and agents
+that have just started.
 """
 
 RETRY_AGE_DIVISOR = 3
-"""Waits are at least this part of an opening's age."""
+"""The retry interval is at least the age of the opening divided by this."""
 
 OPENING_TIMEOUT_MS = Millis(1_300)
-"""How long an opening is offered: a client gives its attempt up after 1.4 s."""
+"""Age up to which an opening is offered; the client gives up after 1.4 s."""
 
 COPY_AGES_MS = (Millis(0), Millis(200), Millis(600))
-"""How old an opening is of which the client sends the first packet, or a copy.
+"""Age of an opening when the client sends its first packet and each retransmission.
 
-Source: the platform's protocol.
+Defined by the platform's protocol.
 """
 
 MAX_OFFERS = 5
-"""The most agents that are offered one opening."""
+"""Maximum number of agents that one opening is offered to."""
 
 MAX_OPENINGS = 4_096
-"""The most openings that are held for another offer."""
+"""Maximum number of openings in progress; beyond it the oldest is dropped."""
 
 
 class Opening:
-    """One opening.
+    """The state of one opening.
 
     Parameters
     ----------
     packet : FlowPacket
-        The client's packet.
+        The latest copy of the client's packet.
     started_at : Millis
-        When the client sent it first.
+        When the client sent the first copy.
     """
 
     __slots__ = ("agent", "is_declined", "packet", "started_at", "tried")
@@ -59,11 +60,11 @@
         self.tried: set[Endpoint] = set()
         self.agent: AgentView | None = None
         self.is_declined = False
-        """Whether a backend server that could have taken it didn't."""
+        """Whether a backend server that accepts openings has rejected this one."""
 
     @property
     def is_exhausted(self) -> bool:
-        """Whether no other agent is to be tried."""
+        """Whether the opening has been offered to `MAX_OFFERS` agents."""
         return len(self.tried) >= MAX_OFFERS
 
 
@@ -80,7 +81,7 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When the next one is overdue."""
+        """When the next offer times out or the next retry is due."""
         return self._deadlines.next_at
 
     def find(self, flow: FlowKey) -> Opening | None:
@@ -88,11 +89,11 @@
         return self._openings.get(flow)
 
     def begin(self, packet: FlowPacket, now: Millis) -> Opening:
-        """Return the opening of the packet's flow, made if it is new."""
+        """Return the opening of the packet's flow, creating it if it is new."""
         opening = self._openings.get(packet.flow)
         if opening is None:
             if len(self._openings) >= MAX_OPENINGS:
-                # The oldest one is the first in order of insertion.
+                # Dictionaries keep insertion order, so the first key is the oldest.
                 self.end(next(iter(self._openings)))
             age = COPY_AGES_MS[min(packet.copy, len(COPY_AGES_MS) - 1)]
             opening = Opening(packet, Millis(now - age))
@@ -101,37 +102,43 @@
         return opening
 
     def record_offer(self, opening: Opening, agent: AgentView, now: Millis) -> None:
-        """Note an offer."""
+        """Record that an opening was offered to an agent, and start the timeout."""
         self._remove_waiting(opening.packet.flow)
         opening.agent = agent
         opening.tried.add(agent.endpoint)
         self._deadlines.set(opening.packet.flow, Millis(now + OFFER_TIMEOUT_MS))
 
     def schedule_retry(self, opening: Opening, service: str, now: Millis) -> bool:
-        """Offer to all agents again after a while; return False if it is too late."""
+        """Schedule another round of offers to all agents.
+
+        Returns
+        -------
+        bool
+            False if the opening would be too old by then.
+        """
         self._waiting.setdefault(service, {})[opening.packet.flow] = opening
         opening.agent = None
         opening.tried.clear()
         age = now - opening.started_at
-        # The longer it has waited, the less is gained by its being next.
+        # Back off with age: the older an opening is, the less an early retry gains.
         wait = max(MIN_RETRY_MS, age // RETRY_AGE_DIVISOR)
         self._deadlines.set(opening.packet.flow, Millis(now + wait))
         return age + wait <= OPENING_TIMEOUT_MS
 
     def list_waiting(self, service: str) -> list[Opening]:
-        """Return the openings that no agent of a service had room for, newest first."""
+        """Return the openings waiting for an agent of a service, newest first."""
         return _sort_newest_first(self._waiting.get(service, {}).values())
 
     def end(self, flow: FlowKey) -> Opening | None:
-        """Drop an opening and return it, or None if it wasn't known."""
+        """Remove and return an opening, or return None if it isn't known."""
         self._remove_waiting(flow)
         self._deadlines.set(flow, None)
         return self._openings.pop(flow, None)
 
     def pop_overdue(self, now: Millis) -> list[Opening]:
-        """Return the openings that are to be offered again; they are held on.
+        """Return the openings to offer again, without removing them.
 
-        The newest are first: they can still be answered within their objective.
+        The newest come first, because they can still meet the latency objective.
         """
         due = self._deadlines.pop_due(now)
         return _sort_newest_first([self._openings[flow] for flow in due])
@@ -142,6 +149,6 @@
 
 
 def _sort_newest_first(openings: Reversible[Opening]) -> list[Opening]:
-    """Return openings by age; of equals the later one is first."""
+    """Return openings by age; of equally old ones, the last added comes first."""
     latest = reversed(openings)
     return sorted(latest, key=lambda one: one.started_at, reverse=True)
--- a/src/papayagw/_internal/core/plain/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -1,7 +1,8 @@
-"""How a balancer finds the owner of a flow that it doesn't know.
+"""Lookup of the agent that owns a flow that a balancer doesn't know.
 
-It asks all agents that may own it, hands the packets to the one that claims the flow
-or else to those that are unsure, and ends the flow only once there can be no owner.
+The balancer queries all agents that may own the flow and forwards the client's packets
+to the owner or, if no agent confirms, to the agents that can't rule ownership out. It
+resets the flow only once it is certain that no agent owns it.
 """
 
 from collections.abc import Callable
@@ -27,7 +28,7 @@
 
 
 class OwnerLookup:
-    """The searches of one balancer.
+    """Find the owners of unknown flows for one balancer.
 
     Parameters
     ----------
@@ -36,11 +37,12 @@
     find_agent : callable
         Returns the agent at an endpoint, or None.
     flows : FlowCache
-        Where owners are remembered.
+        Cache of the owners that were found.
     on_owner_not_found : callable
-        Called when all known agents deny a flow, so that their list is read again.
+        Called when all known agents have denied owning a flow, so that the list of
+        agents is read again.
     knows_all_agents : callable
-        Returns whether agents that deny a flow are all that there are.
+        Returns whether the given agents are all agents that may own a flow.
     """
 
     def __init__(
@@ -66,16 +68,16 @@
     def find_owner(
         self, packet: FlowPacket, now: Millis, excluded: AgentView | None = None
     ) -> list[Action]:
-        """Seek the owner of a packet's flow, and hold the packet until then.
+        """Look up the owner of a packet's flow, holding the packet meanwhile.
 
         Parameters
         ----------
         packet : FlowPacket
-            A packet of a client.
+            A packet from a client.
         now : Millis
-            The present time.
+            The current time.
         excluded : AgentView or None
-            The agent that has just handed the packet back.
+            The agent that has just returned the packet, and isn't queried.
         """
         lookup = self._lookups.find(packet.flow)
         if lookup is not None:
@@ -89,7 +91,7 @@
         return [_make_query(view, packet) for view in agents]
 
     def on_reply(self, reply: OwnerReply, view: AgentView, now: Millis) -> list[Action]:
-        """Take in an agent's answer."""
+        """Handle an agent's reply to an owner query, or its claim to own a flow."""
         if reply.ownership is Ownership.OWNER:
             return self._on_owner_found(reply, view, now)
         lookup = self._lookups.find(reply.flow)
@@ -99,14 +101,14 @@
         return [] if lookup.pending_agents else self._on_replies_done(lookup, now)
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """Go on where answers are overdue."""
+        """Continue the lookups whose replies are overdue."""
         actions: list[Action] = []
         for lookup in self._lookups.pop_due(now):
             actions += self._on_replies_done(lookup, now)
         return actions
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
-        """Return what follows from a complete read of the agents' entries."""
+        """Continue the lookups that wait for a full read of the agents' entries."""
         actions: list[Action] = []
         for lookup in self._lookups.list_confirming():
             agents = self._list_agents(lookup.last_packet)
@@ -153,12 +155,13 @@
             lookup.hold(packet)
             return []
         lookup.last_packet = packet
-        # It was tried with this agent, and others have had the packet already.
+        # The agent was a candidate and isn't the owner. The other candidates already
+        # have the packet.
         lookup.record_reply(excluded.endpoint, Ownership.NOT_OWNER)
         return self._confirm_no_owner(lookup, now)
 
     def _on_replies_done(self, lookup: PendingLookup, now: Millis) -> list[Action]:
-        """Hand the packets to the agents that may own the flow, if any."""
+        """Forward the held packets to the agents that may own the flow, if any."""
         fields = {
             "flow": show_flow(lookup.flow),
             "unsure": len(lookup.candidates),
@@ -172,7 +175,7 @@
         ]
 
     def _confirm_no_owner(self, lookup: PendingLookup, now: Millis) -> list[Action]:
-        """Prepare to end a flow that every agent denies."""
+        """Have the list of agents read again if every queried agent denies the flow."""
         if not lookup.is_denied or lookup.last_packet.kind.is_closing:
             return []
         if lookup.stage is not Stage.CONFIRMING:
@@ -199,7 +202,7 @@
 
 
 def make_forward(agent: AgentView, packet: FlowPacket) -> SendFrame:
-    """Return the frame that hands a later packet of a client to an agent."""
+    """Return the action that forwards a client's packet to an agent."""
     return SendFrame(agent.endpoint, ForwardFrame(agent.entry.service, packet))
 
 
--- a/src/papayagw/_internal/core/plain/pending_lookups.py
+++ b/src/papayagw/_internal/core/plain/pending_lookups.py
@@ -1,4 +1,4 @@
-"""Flows whose owner a balancer is looking for, with the packets that wait."""
+"""Owner lookups in progress, with the packets held for the owner."""
 
 from enum import Enum
 
@@ -9,49 +9,53 @@
 from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
 
 REPLY_TIMEOUT_MS = Millis(40)
-"""How long agents may take to answer before those that are unsure get the packets.
+"""How long to wait for replies before forwarding packets to possible owners.
 
-Several round trips between zones, and under the client's 200 ms.
+Several round trips between zones, and below the client's retransmission timeout of
+200 ms.
 """
 
 LOOKUP_RETRY_MS = Millis(150)
-"""How long a flow without an owner isn't asked for again.
+"""How long to wait before looking up a flow again when no owner was found.
 
-A little less than the client's shortest time between copies of a packet.
+Slightly below the client's shortest retransmission interval.
 """
 
 CONFIRM_TIMEOUT_MS = Millis(700)
-"""How long a read of the agents' entries may take before the search is given up.
+"""How long to wait for a read of the agents' entries before ending the lookup.
 
-One slow answer of the store, which usually takes milliseconds.
+Allows for one slow response of the store, which usually responds within milliseconds.
 """
 
 MAX_LOOKUPS = 2_048
-"""The most flows that are asked for at one time."""
+"""Maximum number of lookups in progress."""
 
 MAX_HELD_PACKETS = 16
-"""The most packets that wait for one owner: what a client has in flight at most."""
+"""Maximum number of packets held per lookup: a client's packets in flight."""
 
 MAX_TRIAL_PACKETS = 2
-"""The most packets of a flow that agents get which may not own it.
+"""Maximum number of packets of a flow forwarded to agents that may not own it.
 
-Both ends of a flow acknowledge every second packet, which tells the owner.
+Both ends of a flow acknowledge every second packet, and the acknowledgement reveals the
+owner.
 """
 
 
 class Stage(Enum):
-    """How far a search has come."""
+    """Stage of an owner lookup."""
 
     ASKING = "asking"
+    """Waiting for the agents' replies."""
     TRYING = "trying"
-    """Agents that may own the flow get its packets, until one of them says so."""
+    """Forwarding packets to possible owners until one confirms ownership."""
     CONFIRMING = "confirming"
-    """All agents that are known deny it; whether there are others is being read."""
+    """All known agents deny the flow; the list of agents is being read again."""
     FAILED = "failed"
+    """No possible owner was found before the timeout."""
 
 
 class PendingLookup:
-    """The search for the owner of one flow."""
+    """The lookup of the owner of one flow."""
 
     __slots__ = (
         "_trial_count",
@@ -76,17 +80,17 @@
 
     @property
     def is_denied(self) -> bool:
-        """Whether every agent that was asked isn't the owner."""
+        """Whether every queried agent has denied owning the flow."""
         return not self.pending_agents and not self.candidates
 
     def hold(self, packet: FlowPacket) -> None:
-        """Keep a packet until the owner is known."""
+        """Hold a packet until the owner is known; drop it if there are too many."""
         self.last_packet = packet
         if len(self.packets) < MAX_HELD_PACKETS:
             self.packets.append(packet)
 
     def pop_trial_packets(self) -> list[FlowPacket]:
-        """Return the packets that unsure agents are to get next."""
+        """Return the held packets to forward to the possible owners next."""
         start, self._trial_count = (
             self._trial_count,
             min(len(self.packets), MAX_TRIAL_PACKETS),
@@ -94,11 +98,11 @@
         return self.packets[start : self._trial_count]
 
     def list_for_owner(self, owner: Endpoint) -> list[FlowPacket]:
-        """Return the packets that the owner hasn't been given."""
+        """Return the held packets that the owner hasn't received."""
         return self.packets[self._trial_count if owner in self.candidates else 0 :]
 
     def record_reply(self, agent: Endpoint, ownership: Ownership) -> None:
-        """Note the answer of an agent that isn't known to be the owner."""
+        """Record the reply of an agent that didn't confirm ownership."""
         self.pending_agents.discard(agent)
         if ownership is Ownership.UNKNOWN:
             self.candidates.add(agent)
@@ -107,7 +111,7 @@
 
 
 class PendingLookups:
-    """All searches in progress, and flows that were found to have no owner."""
+    """The lookups in progress, and recent ones that found no owner."""
 
     def __init__(self) -> None:
         self._lookups: dict[FlowKey, PendingLookup] = {}
@@ -115,17 +119,17 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When the next search is due to go on or to be forgotten."""
+        """When the next lookup times out or is to be removed."""
         return self._deadlines.next_at
 
     def find(self, flow: FlowKey) -> PendingLookup | None:
-        """Return the search for the owner of a flow, or None."""
+        """Return the lookup of a flow's owner, or None."""
         return self._lookups.get(flow)
 
     def begin(
         self, packet: FlowPacket, pending_agents: set[Endpoint], now: Millis
     ) -> PendingLookup | None:
-        """Return a new search, or None if there are too many."""
+        """Start and return a lookup, or return None if there are too many."""
         if len(self._lookups) >= MAX_LOOKUPS:
             return None
         lookup = self._lookups[packet.flow] = PendingLookup(packet, pending_agents)
@@ -135,31 +139,31 @@
     def ask_others(
         self, lookup: PendingLookup, others: set[Endpoint], now: Millis
     ) -> None:
-        """Ask agents that weren't known before."""
+        """Restart a lookup with agents that weren't known before."""
         lookup.asked |= others
         lookup.pending_agents = set(others)
         self._set_stage(lookup, Stage.ASKING, REPLY_TIMEOUT_MS, now)
 
     def start_trial(self, lookup: PendingLookup, now: Millis) -> None:
-        """Go on to agents that may be the owner."""
+        """End the wait for replies: try the possible owners if any, else fail."""
         stage = Stage.TRYING if lookup.candidates else Stage.FAILED
         self._set_stage(lookup, stage, LOOKUP_RETRY_MS, now)
 
     def confirm(self, lookup: PendingLookup, now: Millis) -> None:
-        """Wait until the list of agents has been read."""
+        """Wait until the list of agents has been read again."""
         self._set_stage(lookup, Stage.CONFIRMING, CONFIRM_TIMEOUT_MS, now)
 
     def list_confirming(self) -> list[PendingLookup]:
-        """Return the searches that wait for a read of the agents' entries."""
+        """Return the lookups that wait for a read of the agents' entries."""
         return [one for one in self._lookups.values() if one.stage is Stage.CONFIRMING]
 
     def end(self, flow: FlowKey) -> PendingLookup | None:
-        """Drop a search and return it, or None if there was none."""
+        """Remove and return a lookup, or return None if there is none."""
         self._deadlines.set(flow, None)
         return self._lookups.pop(flow, None)
 
     def pop_due(self, now: Millis) -> list[PendingLookup]:
-        """Return the searches that go on; those that are over are forgotten."""
+        """Return the lookups with overdue replies; remove those in a later stage."""
         due = [self._lookups[flow] for flow in self._deadlines.pop_due(now)]
         for one in due:
             if one.stage is not Stage.ASKING:
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -1,4 +1,4 @@
-"""The agents that a balancer knows, and what it believes of each."""
+"""The agents known to a balancer, with the load and health of each."""
 
 from collections.abc import Iterator
 
@@ -12,46 +12,47 @@
 )
 
 LOAD_FRESH_MS = Millis(300)
-"""How long the number of requests in progress tells something.
+"""Age up to which the reported number of requests in progress is used.
 
-Three intervals between an agent's load words.
+Three times the interval between an agent's load reports.
 """
 
 UNAVAILABLE_MS = Millis(1_000)
-"""How long an agent's word that it takes no openings is believed.
+"""How long a report that an agent accepts no openings stays valid.
 
-The word that it does again may be lost; an offer that is returned costs little.
+The report that it accepts them again may be lost, and an offer that is returned costs
+little.
 """
 
 MISSING_GRACE_MS = Millis(2_000)
-"""How long an agent may be missing from the store before it is taken as gone.
+"""How long an agent may be missing from the store before it is considered gone.
 
-Source: the users' request; a living agent is back within two seconds.
+Required by the users: a running agent restores its entry within two seconds.
 """
 
 BUSY_BACKOFF_MS = Millis(1_000)
-"""How long an agent that had no room gets no offer unless it tells of room.
+"""How long an agent that was busy gets no offers unless it reports free capacity.
 
-It does as soon as it has some; the word may be lost.
+It reports free capacity immediately, but the report may be lost.
 """
 
 FIRST_SUSPICION_MS = Millis(400)
-"""How long an agent that let an opening go unanswered gets no other.
+"""How long an agent gets no offers after its first unanswered offer.
 
-Covers one report of the agent's load in normal operation.
+Long enough to receive a load report from the agent in normal operation.
 """
 
 LONGEST_SUSPICION_MS = Millis(4_000)
-"""Limit of the doubling of `FIRST_SUSPICION_MS`."""
+"""Upper limit of the suspicion time, which doubles from `FIRST_SUSPICION_MS`."""
 
 
 class AgentView:
-    """What a balancer believes of one agent.
+    """A balancer's view of one agent.
 
     Parameters
     ----------
     entry : AgentEntry
-        What the agent stored.
+        The agent's store entry.
     """
 
     __slots__ = (
@@ -77,11 +78,11 @@
 
     @property
     def endpoint(self) -> Endpoint:
-        """Where the agent takes frames."""
+        """Where the agent receives frames."""
         return self.entry.endpoint
 
     def record_load(self, load: LoadWord, now: Millis) -> None:
-        """Take in a word of the agent itself, which clears it of suspicion."""
+        """Record a load report, which also ends any suspicion."""
         self.load = load
         self.load_received_at = now
         self.pending = 0
@@ -91,11 +92,11 @@
             self.backoff_until = Millis(0)
 
     def start_backoff(self, now: Millis) -> None:
-        """Note that it had no room for an opening."""
+        """Stop offers for `BUSY_BACKOFF_MS` after the agent rejected one as busy."""
         self.backoff_until = Millis(now + BUSY_BACKOFF_MS)
 
     def mark_suspect(self, now: Millis) -> Millis:
-        """Note an unanswered opening; return how long the agent gets no other."""
+        """Suspect the agent of being down; return for how long it gets no offers."""
         wait = min(FIRST_SUSPICION_MS << self.unanswered_count, LONGEST_SUSPICION_MS)
         if wait < LONGEST_SUSPICION_MS:
             self.unanswered_count += 1
@@ -103,12 +104,12 @@
         return Millis(wait)
 
     def is_gone(self, now: Millis) -> bool:
-        """Whether the store has lacked the agent for longer than the grace."""
+        """Return whether the store entry is missing for over `MISSING_GRACE_MS`."""
         missing = self.missing_since
         return missing is not None and now - missing > MISSING_GRACE_MS
 
     def accepts_openings(self, now: Millis) -> bool:
-        """Whether an opening may be offered without a doubt."""
+        """Return whether the agent is available, not suspect and not busy."""
         return (
             self._is_available(now)
             and now >= self.suspect_until
@@ -117,19 +118,19 @@
         )
 
     def is_suspect(self, now: Millis) -> bool:
-        """Whether only a suspicion speaks against an offer."""
+        """Return whether the agent is available but has let an offer go unanswered."""
         return self._is_available(now) and now < self.suspect_until
 
     @property
     def free_capacity(self) -> int:
-        """How many openings it has room for, by its last word."""
+        """Number of openings that the agent can accept, by its last load report."""
         load = self.load
         if load is None:
             return 0
         return request_limit(load.slots) - load.busy - self.pending
 
     def backend_started_after(self, at: Millis) -> bool:
-        """Whether its backend server surely started after a time."""
+        """Return whether the backend server is known to have started after `at`."""
         load = self.load
         if load is None or load.run_age_ms is None:
             return False
@@ -150,7 +151,7 @@
 
 
 class Roster:
-    """The agents of all services, by the key under which each stored itself."""
+    """The agents of all services, by store key, service and endpoint."""
 
     def __init__(self) -> None:
         self._by_key: dict[str, AgentView] = {}
@@ -168,11 +169,11 @@
         return self._by_endpoint.get(endpoint)
 
     def list_service(self, service: str) -> list[AgentView]:
-        """Return the agents of a service, missing ones included."""
+        """Return the agents of a service, including those missing from the store."""
         return list(self._by_service.get(service, {}).values())
 
     def put(self, key: str, entry: AgentEntry) -> bool:
-        """Take in what the store holds under `key`; return whether it is news."""
+        """Record the store entry under `key`; return whether anything changed."""
         known = self._by_key.get(key)
         if known is not None and known.entry == entry:
             was_missing = known.missing_since is not None
@@ -180,7 +181,7 @@
             return was_missing
         if known is not None:
             self._remove(key, known)
-        # Another key may hold the endpoint still: the machine was replaced.
+        # Another key may still hold the endpoint if the machine was replaced.
         view = AgentView(entry)
         self._by_key[key] = view
         self._by_endpoint[entry.endpoint] = view
@@ -188,7 +189,7 @@
         return True
 
     def mark_missing(self, key: str, now: Millis) -> bool:
-        """Note that the store lacks `key`; return whether it is news."""
+        """Record that the store lacks `key`; return whether anything changed."""
         known = self._by_key.get(key)
         if known is None or known.missing_since is not None:
             return False
@@ -196,7 +197,7 @@
         return True
 
     def mark_others_missing(self, present: set[str], now: Millis) -> list[str]:
-        """Note that the store holds just the keys `present`; return the lacking."""
+        """Mark all keys not in `present` as missing; return the newly missing ones."""
         return [
             key
             for key in self._by_key
@@ -204,7 +205,7 @@
         ]
 
     def remove_gone(self, now: Millis) -> list[str]:
-        """Drop the agents that are gone; return their keys."""
+        """Remove the agents that are gone; return their keys."""
         gone = [key for key, view in self._by_key.items() if view.is_gone(now)]
         for key in gone:
             self._remove(key, self._by_key[key])
--- a/src/papayagw/_internal/models/plain/action.py
+++ b/src/papayagw/_internal/models/plain/action.py
@@ -1,4 +1,4 @@
-"""What the core asks its surroundings to do."""
+"""Actions that the core requests from the process around it."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -25,14 +25,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SendToBackend:
-    """Hand a client's packet to the backend server beside the agent.
+    """Deliver a client's packet to the agent's backend server.
 
     Attributes
     ----------
     packet : FlowPacket
         The packet.
     token : int
-        Comes back with the packet if the backend server doesn't take it.
+        Number that the backend server sends back with the packet if it rejects it.
     """
 
     packet: FlowPacket
@@ -41,14 +41,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ResetClient:
-    """Tell a client that its flow is over.
+    """Reset a client's flow.
 
     Attributes
     ----------
     flow : FlowKey
         The flow.
     sequence : int
-        A position that the client accepts a reset for.
+        Sequence number for which the client accepts a reset.
     """
 
     flow: FlowKey
@@ -57,14 +57,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Note:
-    """A decision or a change of belief, for the log.
+    """Log a decision or a change of state.
 
     Attributes
     ----------
     event : str
-        What was decided, the same for all events of its kind.
+        The kind of event, a fixed text.
     fields : dict
-        What it was decided from, and the outcome.
+        The input of the decision, and the outcome.
     """
 
     event: str
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RestoreEntry:
-    """Store the agent's entry again."""
+    """Write the agent's entry to the store again."""
 
 
 Action = SendFrame | SendToClient | SendToBackend | ResetClient | RestoreEntry | Note
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -1,4 +1,4 @@
-"""Messages between balancers and agents of the plain front end."""
+"""Frames exchanged by balancers and agents of the plain front end."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -8,7 +8,7 @@
 
 
 class ReturnReason(Enum):
-    """Why an agent hands a packet back."""
+    """Why an agent returns a packet to the balancer."""
 
     NOT_READY = 1
     DRAINING = 2
@@ -21,24 +21,24 @@
 
 
 class Ownership(Enum):
-    """An agent's answer to the question whether a flow is its own."""
+    """An agent's reply to the query whether it owns a flow."""
 
     OWNER = 1
     NOT_OWNER = 2
     UNKNOWN = 3
-    """The agent started after its backend server and may not know all flows."""
+    """The agent started after its backend server and may not know all of its flows."""
 
 
 @dataclass(frozen=True, slots=True)
 class OpenFrame:
-    """A client's opening for the agent to take.
+    """Offers a client's opening to an agent.
 
     Attributes
     ----------
     service : str
-        The service that the sender takes the agent for.
+        The service that the sender expects the agent to serve.
     site_version : int
-        The version of the configuration by which the opening was routed.
+        The configuration version that the opening was routed with.
     packet : FlowPacket
         The opening.
     """
@@ -50,12 +50,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardFrame:
-    """A later packet of a client, for the owner of its flow.
+    """Forwards a client's packet of an open flow to the agent that owns the flow.
 
     Attributes
     ----------
     service : str
-        The service that the sender takes the agent for.
+        The service that the sender expects the agent to serve.
     packet : FlowPacket
         The packet.
     """
@@ -66,15 +66,16 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerQuery:
-    """A flow whose owner is sought.
+    """Asks whether an agent owns a flow.
 
     Attributes
     ----------
     flow : FlowKey
         The flow.
     acknowledged : int or None
-        What the client has of its backend server's bytes, which tells the backend
-        server that accepted the flow from another that was offered it.
+        The client's acknowledgement number, or None if the packet has none. It
+        distinguishes the backend server that accepted the flow from another one that
+        the flow was offered to.
     """
 
     flow: FlowKey
@@ -83,7 +84,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerQueryFrame:
-    """Asks an agent of a service whether flows are its own."""
+    """Asks an agent of a service which flows it owns."""
 
     service: str
     queries: tuple[OwnerQuery, ...]
@@ -91,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerReply:
-    """The answer to a `OwnerQuery`."""
+    """The reply to an `OwnerQuery`."""
 
     flow: FlowKey
     ownership: Ownership
@@ -99,7 +100,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerReplyFrame:
-    """An agent's answers to an `OwnerQueryFrame`, or its word that it owns flows."""
+    """An agent's replies to an `OwnerQueryFrame`, or its unsolicited claims of flows."""
 
     replies: tuple[OwnerReply, ...]
     load: LoadWord
@@ -107,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenedFrame:
-    """The backend server beside the agent has accepted an opening."""
+    """Reports that the agent's backend server has accepted an opening."""
 
     flow: FlowKey
     load: LoadWord
@@ -115,7 +116,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReturnFrame:
-    """A packet that the agent can't deliver."""
+    """Returns a packet that the agent can't deliver."""
 
     reason: ReturnReason
     packet: FlowPacket
@@ -124,14 +125,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadFrame:
-    """The load of an agent, sent when it has changed."""
+    """Reports the load of an agent after it has changed."""
 
     load: LoadWord
 
 
 @dataclass(frozen=True, slots=True)
 class ScopeFrame:
-    """The entries that a version of the configuration routes to a service."""
+    """Lists the entries that a configuration version routes to a service."""
 
     service: str
     site_version: int
@@ -140,7 +141,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryMissingFrame:
-    """Tells an agent that the store lacks its entry."""
+    """Notifies an agent that its entry is missing from the store."""
 
     service: str
 
--- a/src/papayagw/_internal/models/plain/packet.py
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -5,16 +5,16 @@
 from typing import NewType
 
 FlowKey = NewType("FlowKey", bytes)
-"""What all packets of a flow share: its client's address and port, then the entry."""
+"""Identifies a flow: the client's address and port, then the `EntryKey`."""
 
 EntryKey = NewType("EntryKey", bytes)
-"""Port and address that clients send to: the last part of a `FlowKey`."""
+"""Port and address that clients send to; the last bytes of a `FlowKey`."""
 
 ENTRY_KEY_BYTES = 6
 
 
 class PacketKind(Enum):
-    """What a packet does to its flow."""
+    """The effect of a packet on its flow."""
 
     OPEN = "open"
     ACCEPT = "accept"
@@ -24,7 +24,7 @@
 
     @property
     def is_closing(self) -> bool:
-        """Whether the sender sends nothing after it."""
+        """Whether it is the sender's last packet."""
         return self is PacketKind.FINISH or self is PacketKind.ABORT
 
 
@@ -37,21 +37,21 @@
     flow : FlowKey
         The flow, the same for both directions.
     kind : PacketKind
-        What the packet does to its flow.
+        The effect of the packet on its flow.
     sequence : int
-        Position of the sender's bytes, modulo 2**32.
+        Sequence number: position in the sender's bytes, modulo 2**32.
     acknowledged : int or None
-        Position up to which the sender has the other end's bytes; None if the
-        packet acknowledges nothing.
+        Acknowledgement number: position up to which the sender has received the
+        other end's bytes. None if the packet acknowledges nothing.
     copy : int
-        For `PacketKind.OPEN`, how many copies the client sent before this one.
+        For `PacketKind.OPEN`, the number of copies sent before this one.
     payload_bytes : int
-        How many bytes of the flow it carries.
+        Length of the payload.
     bounced : bool
-        Whether a backend server handed the packet back.
+        Whether a backend server has returned the packet.
     token : int
-        Number that the agent wrote before it handed the packet to its backend
-        server; 0 if none did.
+        Number that an agent set when it passed the packet to its backend server, or
+        0 if none did.
     raw : bytes
         The datagram.
     """
@@ -78,7 +78,7 @@
 
 
 def show_flow(flow: FlowKey) -> str:
-    """Return a flow as logs have it: ``client:port>entry:port``."""
+    """Format a flow for logs, as ``client:port>entry:port``."""
     client, entry = flow[:4], flow[8:]
     client_port = int.from_bytes(flow[4:6], "big")
     entry_port = int.from_bytes(flow[6:8], "big")
--- a/src/papayagw/_internal/models/plain/site.py
+++ b/src/papayagw/_internal/models/plain/site.py
@@ -1,4 +1,4 @@
-"""What the operators configure, as the plain front end uses it."""
+"""The operators' configuration, as used by the plain front end."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -9,14 +9,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightedService:
-    """A service that takes part of a route's new flows.
+    """A service that receives a share of a route's new flows.
 
     Attributes
     ----------
     name : str
         The service.
     weight : float
-        Its share is `weight` over the sum of the route's weights.
+        Its share is `weight` divided by the sum of the route's weights.
     """
 
     name: str
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Where new flows of one entry go.
+    """The services that new flows of one entry are routed to.
 
     Attributes
     ----------
@@ -34,7 +34,7 @@
     services : tuple of WeightedService
         At least one.
     priority : int
-        Whose new flows go first where not all can: 0 before 1.
+        Order in which new flows are served under overload: 0 before 1.
     """
 
     name: str
@@ -49,11 +49,11 @@
     Attributes
     ----------
     version : int
-        Rises with each accepted change.
+        Increases with each accepted change.
     routes : mapping of EntryKey to Route
-        The entries that are served.
+        The route of each served entry.
     idle_timeout_ms : Millis
-        How long a silent flow is kept.
+        How long an idle flow is kept.
     """
 
     version: int
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -1,4 +1,4 @@
-"""What a balancer of the plain front end decides, packet by packet."""
+"""Tests of the routing decisions of a balancer of the plain front end."""
 
 from random import Random
 
@@ -68,7 +68,7 @@
 
 
 class FirstChooser:
-    """Picks the first candidate, so that tables can name it."""
+    """Select the first candidate, so that the tables are deterministic."""
 
     def choose(self, flow, candidates, now):
         return candidates[0]
@@ -169,7 +169,7 @@
     ("steps", "frames"),
     [
         ([OPENING], [(A, OpenFrame)]),
-        # A copy goes to another agent until one has accepted.
+        # Until an agent accepts, each copy is offered to another agent.
         ([OPENING, COPY], [(B, OpenFrame)]),
         ([OPENING, OPENED, COPY], [(A, OpenFrame)]),
         ([OPENING, OFFER_TIMEOUT_MS], [(B, OpenFrame)]),
@@ -179,13 +179,13 @@
         ([OPENING, returned(A, ReturnReason.BUSY)], [(B, OpenFrame)]),
         ([OPENING, returned(A, ReturnReason.DRAINING)], [(B, OpenFrame)]),
         ([OPENING, returned(A, ReturnReason.OLD_VERSION)], []),
-        # Word of an agent that the opening isn't at.
+        # A return from an agent that the opening isn't offered to is ignored.
         ([OPENING, returned(B, ReturnReason.FULL)], []),
         ([load_report(A, NOT_READY), OPENING], [(B, OpenFrame)]),
         ([load_report(A, Availability.DRAINING), OPENING], [(B, OpenFrame)]),
         ([load_report(A, Availability.LEAVING), OPENING], [(B, OpenFrame)]),
         ([load_report(A, NOT_READY), UNAVAILABLE_MS + 1, OPENING], [(A, OpenFrame)]),
-        # An agent that had no room is left alone until it tells of some.
+        # A busy agent gets no offers until it reports free capacity or time passes.
         ([*BUSY_REJECTION, LOAD_FRESH_MS + 1, OTHER], [(B, OpenFrame)]),
         (
             [*BUSY_REJECTION, load_report(A, Availability.READY), OTHER],
@@ -196,7 +196,7 @@
         ([load_report(A, Availability.READY, busy=2), OPENING], [(B, OpenFrame)]),
         ([(A, "missing"), OPENING], [(A, OpenFrame)]),
         ([(A, "missing"), MISSING_GRACE_MS + 1, OPENING], [(B, OpenFrame)]),
-        # Both are suspect: an offer is better than none.
+        # Both agents are suspect; the opening isn't refused for that.
         (
             [OPENING, OFFER_TIMEOUT_MS, OFFER_TIMEOUT_MS, 0],
             [],
@@ -316,7 +316,7 @@
             [DATA, owner_reply(A, Ownership.UNKNOWN), REPLY_TIMEOUT_MS],
             [(A, ForwardFrame)],
         ),
-        # Agents that may not own the flow get two packets of it, the owner all.
+        # Possible owners get only two packets of a flow, the confirmed owner all.
         (
             [
                 *[DATA] * 4,
@@ -335,12 +335,12 @@
             [(A, ForwardFrame)] * 2,
         ),
         ([DATA, REPLY_TIMEOUT_MS], []),
-        # Handed back by the agent that was thought to own it.
+        # Returned by the cached owner: the other agent is queried.
         (
             [OPENING, OPENED, returned(A, ReturnReason.NOT_OWNER, DATA)],
             [(B, OwnerQueryFrame)],
         ),
-        # An unsure agent hands it back: it isn't asked again.
+        # Returned by a possible owner, which isn't queried again.
         (
             [
                 DATA,
@@ -365,7 +365,7 @@
         ([DATA, owner_reply(A, Ownership.NOT_OWNER), "listed"], 0, 0),
         ([DATA, REPLY_TIMEOUT_MS, "listed"], 0, 0),
         ([FINISH, *DENIED[1:], "listed"], 0, 0),
-        # The store knows an agent that wasn't asked.
+        # The store holds an agent that hasn't been queried.
         ([*DENIED, (C, "added"), "listed"], 0, 1),
         ([*DENIED, (C, "added"), "listed", owner_reply(C, Ownership.OWNER)], 0, 1),
         (
@@ -379,7 +379,7 @@
             1,
             2,
         ),
-        # Missing agents are asked too.
+        # Agents missing from the store are queried too.
         ([(B, "missing"), DATA, owner_reply(A, Ownership.NOT_OWNER), "listed"], 0, 0),
     ],
 )
@@ -392,13 +392,13 @@
 @pytest.mark.parametrize(
     ("age", "runs", "resets"),
     [
-        # A balancer that has just started may not know an agent whose entry lapsed.
+        # A balancer that has just started may not know an agent whose entry expired.
         (0, (None, None), 0),
         (0, (60_000, 60_000), 0),
         (0, (1_000, 60_000), 0),
         (MISSING_GRACE_MS, (60_000, 60_000), 0),
         (MISSING_GRACE_MS + 1, (60_000, 60_000), 1),
-        # All started together: no flow of before is left.
+        # All backend servers have just started, so no earlier flow exists.
         (0, (1_000, 900), 1),
         (1_500, (1_500 + RESTART_SPREAD_MS - 1, 900), 1),
         (1_500, (1_500 + RESTART_SPREAD_MS, 900), 0),
@@ -477,7 +477,7 @@
         ([load(service_us=50_000), load(service_us=20_000)], "aa", 1),
         ([load(busy=1, slots=3), load(busy=1)], "aa", 0),
         ([load(service_us=20_000), load(service_us=20_000)], "ba", 1),
-        # Load goes before the zone.
+        # Load takes precedence over the zone.
         ([load(service_us=20_000), load(busy=1, service_us=20_000)], "ba", 0),
         ([None, load(busy=1)], "aa", 0),
     ],
