--- a/src/papayagw/_internal/core/plain/choice.py
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -36,7 +36,7 @@
 
 
 class LeastWaitChooser:
-    """Select the agent with the shortest expected wait.
+    """Select the agent that is expected to answer a request first.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -100,7 +100,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerReplyFrame:
-    """An agent's replies to an `OwnerQueryFrame`, or its unsolicited claims of flows."""
+    """An agent's replies to an `OwnerQueryFrame`, or unsolicited claims of flows."""
 
     replies: tuple[OwnerReply, ...]
     load: LoadWord
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -1,16 +1,16 @@
-"""A small language for scenarios of the plain front end; each line is a statement.
+"""Scenario language of the plain front end, with one statement on each line.
 
     network loss=0.02 duplication=0.02 delay=1-15
     balancer NAME...            agent NAME [SERVICE] [WORK_MS]
     at MS VERB WORD...          run MS
     call REQUESTS [PAUSE_MS]    calls COUNT REQUESTS EVERY_MS [PAUSE_MS]
-    expect OUTCOME COUNT        (clients that ended so; COUNT may be "all")
+    expect OUTCOME COUNT        (clients with this outcome; COUNT may be "all")
     expect-note EVENT           expect-no-note EVENT
-    expect-openings AGENT COUNT FROM_MS TO_MS   (openings that its server was given)
+    expect-openings AGENT COUNT FROM_MS TO_MS   (openings its backend server received)
 
 Verbs: restart-balancer, restart-agent, stop-balancer, freeze-balancer NAME MS,
 freeze-agent NAME MS, crash, drain, lapse, restore, remove-route, move-route SERVICE.
-`#` begins a comment.
+`#` starts a comment.
 """
 
 from papayagw._internal.models.plain.packet import PacketKind
@@ -18,14 +18,14 @@
 
 
 class PlainScenario:
-    """Carries statements out on a world."""
+    """Execute statements on a simulated world."""
 
     def __init__(self, seed=0, mechanisms=None):
         self.world = PlainWorld(seed, mechanisms=mechanisms)
         self.start = self.world.now
 
     def execute(self, text):
-        """Carry out each line of `text`."""
+        """Execute each line of `text`."""
         for line in text.splitlines():
             words = line.partition("#")[0].split()
             if words:
@@ -110,14 +110,14 @@
         assert " ".join(words) not in self._events()
 
     def do_expect_openings(self, agent, count, after_ms, before_ms):
-        taken = [
+        received = [
             packet
             for at, backend, packet in self.world.arrivals
             if backend.agent_name == agent
             and packet.kind is PacketKind.OPEN
             and int(after_ms) <= at - self.start < int(before_ms)
         ]
-        assert len(taken) == int(count), len(taken)
+        assert len(received) == int(count), len(received)
 
     def _events(self):
         return {note.event for _, _, note in self.world.notes}
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -1,7 +1,7 @@
-"""A world of clients, routers and backend servers round the real plain cores.
+"""Simulation of clients, routers and backend servers around the real plain cores.
 
-Time is simulated. Everything that is drawn comes from one seeded source, so a
-history repeats. `violations` holds what must never happen.
+Time is simulated, and all random numbers come from one seeded generator, so that a run
+is reproducible. `PlainWorld.violations` lists the broken invariants.
 """
 
 import heapq
@@ -54,13 +54,13 @@
 
 
 def make_packet(flow, kind, sequence=0, acknowledged=None, payload=0, copy=0):
-    """Return a packet without bytes."""
+    """Return a packet whose `raw` datagram is empty."""
     return FlowPacket(flow, kind, sequence, acknowledged, copy, payload, False, 0, b"")
 
 
 @dataclass(frozen=True)
 class NetworkConditions:
-    """What the network does to each datagram between two machines."""
+    """Loss, duplication and delay in ms of datagrams between two machines."""
 
     loss: float = 0.0
     duplication: float = 0.0
@@ -68,9 +68,9 @@
 
 
 class Backend:
-    """A backend server: holds flows, answers requests, hands back what it can't take.
+    """A backend server: holds flows, answers requests, returns unknown packets.
 
-    A request is a payload; its number is the position of its last byte.
+    A request is one payload, identified by the position of its last byte.
     """
 
     def __init__(self, world, agent_name, work_ms):
@@ -86,7 +86,7 @@
         self.is_alive = True
 
     def report(self):
-        """Report to the agent, if it is there, and again after a while."""
+        """Report to the agent if it is running, and again every `REPORT_MS`."""
         if not self.is_alive:
             return
         self.number += 1
@@ -105,7 +105,7 @@
         self.world.after(REPORT_MS, self.report)
 
     def receive(self, packet, token):
-        """Take a packet from the agent."""
+        """Handle a packet from the agent."""
         if not self.is_alive:
             return
         flow = packet.flow
@@ -141,14 +141,14 @@
         return self.flows[flow] + 1
 
     def send(self, flow, kind, sequence, acknowledged, payload=0):
-        """Send a packet by way of the agent."""
+        """Send a packet through the agent."""
         if self.is_alive:
             packet = make_packet(flow, kind, sequence, acknowledged, payload)
             self.world.to_agent(self.agent_name, packet)
 
 
 class Node:
-    """A process with a core; one that is frozen takes its datagrams later."""
+    """A process with a core; while frozen, it queues its input."""
 
     def __init__(self, world, name, endpoint):
         self.world = world
@@ -160,7 +160,7 @@
         self.started_at = world.now
 
     def run_when_active(self, act):
-        """Do something now, or once this process runs again."""
+        """Call `act` now, or once the process is no longer frozen."""
         if not self.is_alive:
             return
         if self.world.now < self.frozen_until:
@@ -169,7 +169,7 @@
         act()
 
     def schedule_timer(self):
-        """See to it that the core's timer is served."""
+        """Schedule the core's next timer, unless an earlier one is scheduled."""
         due_at = self.core.due_at
         if due_at is None or (
             self.timer_at is not None and self.timer_at <= due_at and self.timer_at > 0
@@ -179,12 +179,12 @@
         self.world.at(self.timer_at, self.fire_timer)
 
     def fire_timer(self):
-        """Serve the timer."""
+        """Run the core's timer handler."""
         self.timer_at = None
         self.run_when_active(lambda: self.perform(self.core.on_timer(self.world.now)))
 
     def perform(self, actions):
-        """Carry out what the core decided."""
+        """Execute the actions that the core returned."""
         for action in actions:
             match action:
                 case SendFrame(peer, frame):
@@ -203,7 +203,7 @@
 
 
 class BalancerNode(Node):
-    """A balancer that follows the world's store."""
+    """A balancer that reads the world's store."""
 
     def __init__(self, world, name, endpoint):
         super().__init__(world, name, endpoint)
@@ -237,13 +237,13 @@
         self.core = world.mechanisms.make_agent(self)
 
     def receive_report(self, report):
-        """Take a report; clocks of a machine agree here."""
+        """Handle a report; the processes of a machine share a clock here."""
         now = self.world.now
         self.perform(self.core.on_report(report, now - report.started_at, now))
 
 
 class Client:
-    """Opens one flow and sends its requests one after the other."""
+    """Open one flow and send its requests one after the other."""
 
     COPIES = ((200, 1), (600, 2))
     ATTEMPT_MS = 1_400
@@ -273,7 +273,7 @@
             self.outcome = "no answer"
 
     def receive(self, packet):
-        """Take a packet of the flow."""
+        """Handle a packet of the flow."""
         if packet.kind is PacketKind.ACCEPT:
             if self.outcome == "opening":
                 self.outcome = "open"
@@ -306,14 +306,14 @@
         self.world.after(wait, lambda: self._request(position, 2 * wait))
 
     def reset(self):
-        """Take a reset."""
+        """Handle a reset."""
         if self.outcome in ("opening", "open"):
             self.outcome = "reset"
 
 
 @dataclass(frozen=True)
 class Mechanisms:
-    """What makes the cores; doubles replace one of them."""
+    """Classes of the cores; tests replace one to disable a mechanism."""
 
     balancer: type = PlainBalancer
     agent: type = PlainAgent
@@ -335,16 +335,16 @@
 
 
 class PlainWorld:
-    """Machines, network and clock.
+    """Simulated machines, network and clock.
 
     Parameters
     ----------
     seed : int
-        Where all that is drawn comes from.
-    weather : NetworkConditions
-        What the network does.
+        Seed of the random generator.
+    network : NetworkConditions
+        Faults and delays of the network.
     mechanisms : Mechanisms
-        What makes the cores.
+        Classes of the cores.
     """
 
     def __init__(self, seed=0, network=None, mechanisms=None):
@@ -369,15 +369,15 @@
     # Time
 
     def at(self, at, act):
-        """Do something at a time."""
+        """Call `act` at a time in ms."""
         heapq.heappush(self._events, (max(at, self.now), next(self._order), act))
 
     def after(self, delay, act):
-        """Do something after a while."""
+        """Call `act` after `delay` ms."""
         self.at(self.now + delay, act)
 
     def run(self, duration):
-        """Let time pass."""
+        """Advance the clock by `duration` ms, running all events due."""
         end = self.now + duration
         while self._events and self._events[0][0] <= end:
             at, _, act = heapq.heappop(self._events)
@@ -388,7 +388,7 @@
     # Machines
 
     def add_balancer(self, name):
-        """Start a balancer on a new machine, or anew on its own."""
+        """Start a balancer on a new machine, or restart it on its own."""
         old = self.balancers.get(name)
         endpoint = old.endpoint if old else Endpoint("10.0.0.1", next(self._hosts))
         if old:
@@ -404,7 +404,7 @@
         self.backends[name].report()
 
     def store_entry(self, agent):
-        """Put an agent's entry into the store, and tell the balancers later."""
+        """Store an agent's entry after `STORE_MS`, and notify the balancers."""
         self.after(STORE_MS, lambda: self._stored(agent))
 
     def _stored(self, agent):
@@ -412,22 +412,22 @@
         self.notify_balancers()
 
     def lapse(self, name):
-        """Take an agent's entry out of the store."""
+        """Remove an agent's entry from the store, as if it had expired."""
         self.store.pop(name, None)
         self.notify_balancers()
 
     def notify_balancers(self):
-        """Let each balancer hear of the store after a while."""
+        """Have each balancer read the store after a random delay."""
         for balancer in list(self.balancers.values()):
             self.after(self.random.randint(1, 700), balancer.list_agents)
 
     def apply_site(self, site):
-        """Accept a configuration."""
+        """Put a configuration in force, and notify the balancers."""
         self.site = site
         self.notify_balancers()
 
     def restart_agent(self, name):
-        """Kill an agent; it is back after a while. The backend server lives on."""
+        """Kill an agent, not its backend server, and start it after `RESTART_MS`."""
         agent = self.agents[name]
         agent.is_alive = False
 
@@ -439,24 +439,27 @@
         self.after(RESTART_MS, start)
 
     def restart_balancer(self, name):
-        """Kill a balancer; routers notice, and it is back after a while."""
+        """Kill a balancer and start it after `RESTART_MS`.
+
+        Routers send it no packets meanwhile.
+        """
         self.balancers[name].is_alive = False
         self.after(RESTART_MS, lambda: self.add_balancer(name))
 
     def crash_backend(self, name):
-        """Kill a backend server; a new run starts at once and knows nothing."""
+        """Kill a backend server and start a new run at once, without any flows."""
         old = self.backends[name]
         old.is_alive = False
         self.backends[name] = Backend(self, name, old.work_ms)
         self.after(200, self.backends[name].report)
 
     def drain(self, name):
-        """Let a backend server report that it drains, now."""
+        """Have a backend server report immediately that it is draining."""
         self.backends[name].state = ReportedState.DRAINING
         self.backends[name].report()
 
     def freeze(self, node, duration):
-        """Let a process stand still."""
+        """Suspend a process for `duration` ms."""
         node.frozen_until = self.now + duration
 
     def call(self, requests=3, pause_ms=300):
@@ -475,7 +478,7 @@
             self.after(self.random.randint(*network.delay), act)
 
     def route(self, packet):
-        """Carry a client's packet to the balancer that the routers choose."""
+        """Deliver a client's packet to the balancer that the routers choose."""
         names = sorted(name for name, one in self.balancers.items() if one.is_alive)
         if not names:
             return
@@ -489,7 +492,7 @@
         self._deliver(arrive)
 
     def send_frame(self, sender, peer, frame):
-        """Carry a frame to the process at an endpoint."""
+        """Deliver a frame to the process at an endpoint."""
         nodes = self.agents if isinstance(frame, ToAgent) else self.balancers
 
         def arrive():
@@ -503,26 +506,26 @@
         self._deliver(arrive)
 
     def to_agent(self, name, packet):
-        """Carry a backend server's packet to its agent, on one machine."""
+        """Deliver a backend server's packet to the agent on the same machine."""
         agent = self.agents[name]
         agent.run_when_active(
             lambda: agent.perform(agent.core.on_backend_packet(packet, self.now))
         )
 
     def to_client(self, packet):
-        """Carry a packet to its client."""
+        """Deliver a packet to its client."""
         self._deliver(lambda: self.clients[packet.flow].receive(packet))
 
-    # What must hold
+    # Invariants and records
 
     def record_open(self, flow, backend):
-        """Note that a flow is open at a backend server."""
+        """Record the owner of a flow; two live owners are a violation."""
         owner = self.owners.setdefault(flow, backend)
         if owner is not backend and owner.is_alive:
             self.violations.append(f"{flow.hex()} is open at two backend servers")
 
     def deliver_reset(self, flow, sender):
-        """Carry a reset, and hold it against the flow's owner."""
+        """Deliver a reset; resetting an open flow of a live owner is a violation."""
         owner = self.owners.get(flow)
         client = self.clients[flow]
         is_routed = entry_of(flow) in self.site.routes
@@ -538,11 +541,11 @@
         self._deliver(client.reset)
 
     def record_arrival(self, backend, packet):
-        """Note what a backend server was handed."""
+        """Record a packet that a backend server received."""
         self.arrivals.append((self.now, backend, packet))
 
     def outcomes(self):
-        """Return how many clients ended in which way."""
+        """Return the number of clients by outcome."""
         found = {}
         for client in self.clients.values():
             found[client.outcome] = found.get(client.outcome, 0) + 1
--- a/tests/properties/test_plain_flow_properties.py
+++ b/tests/properties/test_plain_flow_properties.py
@@ -1,4 +1,4 @@
-"""Flows of the plain front end under drawn histories of faults."""
+"""Invariants of flows of the plain front end under generated sequences of faults."""
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -56,7 +56,7 @@
 
 
 def play(seed, network, history):
-    """Return a world after a history, with 40 flows begun meanwhile."""
+    """Return a world after a sequence of faults, with 40 flows opened meanwhile."""
     world = PlainWorld(seed, network)
     for name in BALANCERS:
         world.add_balancer(name)
@@ -110,7 +110,8 @@
 def test_flows_live_through_restarts(seed, history):
     world = play(seed, NetworkConditions(delay=(1, 5)), history)
     outcomes = world.outcomes()
-    # While all balancers are down at once an opening may find none: it is told so.
+    # Openings sent while all balancers are down may end without an answer, which the
+    # client notices. Only broken flows count.
     broken = outcomes.get("reset", 0) + outcomes.get("deadline", 0)
     assert world.violations == []
     assert broken == 0, outcomes
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -1,4 +1,4 @@
-"""Hard cases of the plain front end, on the real cores."""
+"""Fault scenarios of the plain front end, on the real cores."""
 
 import pytest
 
@@ -177,40 +177,40 @@
 
 
 class SilentLookup(OwnerLookup):
-    """Drops the packets of flows that it doesn't know."""
+    """Drop the packets of unknown flows."""
 
     def find_owner(self, packet, now, excluded=None):
         return []
 
 
 class HastyLookup(OwnerLookup):
-    """Resets a flow that no agent claims, without a look at the store."""
+    """Reset a flow that no agent claims, without reading the store again."""
 
     def _confirm_no_owner(self, lookup, now):
         return self._reset_ownerless(lookup)
 
 
 class NeverAsks(PlainBalancer):
-    """Asks no agent for the owner of a flow."""
+    """Query no agent for the owner of a flow."""
 
     _lookup_type = SilentLookup
 
 
 class ResetsUnknown(PlainBalancer):
-    """Takes an unknown owner for none."""
+    """Treat an unknown owner as none."""
 
     _lookup_type = HastyLookup
 
 
 class TrustsFirstRead(PlainBalancer):
-    """Takes the agents of its first read for all that there are."""
+    """Treat the agents of the first read of the store as complete."""
 
     def _knows_all_agents(self, agents, now):
         return True
 
 
 class NeverOffersAgain(PlainBalancer):
-    """Leaves an unanswered opening to its client's copies."""
+    """Rely on the client's retransmission for an unanswered opening."""
 
     def _on_offer_timeout(self, opening, now):
         self._openings.end(opening.packet.flow)
@@ -218,7 +218,7 @@
 
 
 class RefusesAtOnce(PlainBalancer):
-    """Doesn't let openings wait."""
+    """Refuse openings instead of letting them wait."""
 
     def _offer(self, opening, route, now):
         opening.started_at -= 10_000
@@ -226,7 +226,7 @@
 
 
 class IgnoresDrain(PlainAgent):
-    """Offers openings to a backend server that drains."""
+    """Offer openings to a backend server that is draining."""
 
     def on_report(self, report, age_ms, now):
         actions = super().on_report(report, age_ms, now)
@@ -244,8 +244,8 @@
         return getattr(self._real, name)
 
 
-class IsReadyOnceTold(PlainAgent):
-    """Takes no opening before its backend server has reported."""
+class IsReadyOnceReported(PlainAgent):
+    """Accept no opening before the backend server has reported."""
 
     def __init__(self, service, flow_limit_ms, now):
         super().__init__(service, flow_limit_ms, now)
@@ -253,22 +253,22 @@
 
 
 class KeepsDeadFlows(PlainAgent):
-    """Tells no client that its backend server was started anew."""
+    """Send no resets to clients after their backend server was restarted."""
 
     def _end_earlier_run(self, age_ms, now):
         super()._end_earlier_run(age_ms, now)
         return []
 
 
-class IsNeverUnsure(PlainAgent):
-    """Denies flows that it hasn't seen since its start."""
+class NeverRepliesUnknown(PlainAgent):
+    """Deny flows that the agent hasn't seen since its start."""
 
     def __init__(self, service, flow_limit_ms, now):
         super().__init__(service, 0, now)
 
 
 class NeverNotifiesMissing(PlainBalancer):
-    """Doesn't tell agents that the store lacks their entries."""
+    """Don't notify agents whose store entries are missing."""
 
     def notify_missing_agents(self):
         return []
@@ -278,13 +278,16 @@
     (NeverAsks, "a balancer that restarts finds the owners of all flows"),
     (NeverOffersAgain, "openings go on to other agents while one is frozen"),
     (RefusesAtOnce, "openings wait until a backend server takes some again"),
-    (IsReadyOnceTold, "an agent that restarts takes openings before the next report"),
+    (
+        IsReadyOnceReported,
+        "an agent that restarts takes openings before the next report",
+    ),
     (IgnoresDrain, "a draining backend server gets no opening from its report on"),
     (
         KeepsDeadFlows,
         "a crashed backend server's clients are told as soon as it is back",
     ),
-    (IsNeverUnsure, "agents and balancers that restart together keep the flows"),
+    (NeverRepliesUnknown, "agents and balancers that restart together keep the flows"),
     (ResetsUnknown, "agents and balancers that restart together keep the flows"),
     (
         TrustsFirstRead,
@@ -295,7 +298,7 @@
 
 
 @pytest.mark.parametrize(("double", "name"), DOUBLES)
-def test_scenario_finds_what_is_turned_off(double, name):
+def test_scenario_detects_a_disabled_mechanism(double, name):
     role = "balancer" if issubclass(double, PlainBalancer) else "agent"
     found = 0
     for seed in (1, 2, 3):
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -75,7 +75,12 @@
 
 
 class Driver:
-    """Drives a balancer that knows A and B; returns what the last step made it do."""
+    """Run the steps of a table on a balancer that knows agents A and B.
+
+    A step is a packet from a client, an agent with its frame or a change of its store
+    entry, a configuration, "listed" for a full read of the agents' entries, or a number
+    of milliseconds to pass.
+    """
 
     def __init__(self, agents=(A, B), chooser=None, age=MISSING_GRACE_MS + 1):
         self.roster = Roster()
@@ -196,7 +201,8 @@
         ([load_report(A, Availability.READY, busy=2), OPENING], [(B, OpenFrame)]),
         ([(A, "missing"), OPENING], [(A, OpenFrame)]),
         ([(A, "missing"), MISSING_GRACE_MS + 1, OPENING], [(B, OpenFrame)]),
-        # Both agents are suspect; the opening isn't refused for that.
+        # Both agents are suspect: the opening waits for another round of offers, as an
+        # offer to a suspect agent is better than none.
         (
             [OPENING, OFFER_TIMEOUT_MS, OFFER_TIMEOUT_MS, 0],
             [],
