--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -4,7 +4,7 @@
 
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.owner_lookup import OwnerLookup
+from papayagw._internal.core.plain.owner_search import OwnerLookup
 from tests.lib.plain_scenario import PlainScenario
 from tests.lib.plain_world import Mechanisms
 
@@ -77,14 +77,14 @@
         run 30000
         expect served all
     """,
-    "a crashed backend server's clients are told as soon as it is back": """
+    "a crashed backend server's clients are reset as soon as it is back": """
         at 2000 calls 10 40 20 100
         at 3500 crash a1
         run 20000
         expect-note backend restarted
         expect deadline 0
     """,
-    "clients of a backend server that died with its agent are told": """
+    "clients of a backend server that died with its agent are reset": """
         at 2000 calls 10 40 20 100
         at 3500 restart-agent a1
         at 3500 crash a1
@@ -285,7 +285,7 @@
     (IgnoresDrain, "a draining backend server gets no opening from its report on"),
     (
         KeepsDeadFlows,
-        "a crashed backend server's clients are told as soon as it is back",
+        "a crashed backend server's clients are reset as soon as it is back",
     ),
     (NeverRepliesUnknown, "agents and balancers that restart together keep the flows"),
     (ResetsUnknown, "agents and balancers that restart together keep the flows"),
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -12,7 +12,7 @@
     RoundRobinChooser,
 )
 from papayagw._internal.core.plain.openings import OFFER_TIMEOUT_MS, OPENING_TIMEOUT_MS
-from papayagw._internal.core.plain.pending_lookups import REPLY_TIMEOUT_MS
+from papayagw._internal.core.plain.questions import REPLY_TIMEOUT_MS
 from papayagw._internal.core.plain.roster import (
     BUSY_BACKOFF_MS,
     LOAD_FRESH_MS,
@@ -275,8 +275,8 @@
 
 def test_an_opening_that_waits_is_offered_to_one_agent():
     busy = [load_report(agent, Availability.READY, busy=2) for agent in (A, B)]
-    room = [load_report(agent, Availability.READY) for agent in (A, B)]
-    actions, _ = play([*busy, OPENING, *room])
+    free = [load_report(agent, Availability.READY) for agent in (A, B)]
+    actions, _ = play([*busy, OPENING, *free])
     assert sent(actions) == []
 
 
