--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -1,7 +1,7 @@
-"""What a balancer of the plain front end does with each packet and frame.
+"""Routing decisions of a balancer of the plain front end, per packet and frame.
 
-The agents own the flows. A balancer remembers owners to save questions, and asks
-for those that it doesn't know; so it may be stopped, started or added at any time.
+Agents own the flows. A balancer only caches the owners, and queries the agents about
+flows that it doesn't know. It can therefore be stopped, started or added at any time.
 """
 
 from collections.abc import Callable, Iterable
@@ -10,7 +10,7 @@
 from papayagw._internal.core.plain.choice import PlainChooser
 from papayagw._internal.core.plain.flow_cache import FlowCache
 from papayagw._internal.core.plain.openings import Opening, Openings
-from papayagw._internal.core.plain.owner_search import OwnerSearch, carry
+from papayagw._internal.core.plain.owner_search import OwnerLookup, make_forward
 from papayagw._internal.core.plain.roster import (
     MISSING_GRACE_MS,
     AgentView,
@@ -20,11 +20,11 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
 from papayagw._internal.models.plain.frame import (
-    ClaimFrame,
+    EntryMissingFrame,
     LoadFrame,
-    MissingFrame,
     OpenedFrame,
     OpenFrame,
+    OwnerReplyFrame,
     Ownership,
     ReturnFrame,
     ReturnReason,
@@ -36,38 +36,41 @@
 from papayagw._internal.models.plain.site import Route, SiteVersion
 
 RESTART_SPREAD_MS = Millis(1_500)
-"""By how much a backend server may start before a balancer's first read after one loss
-of power: the start of the slowest balancer, 0.9 s, and one try at the store. A fleet
-that is a little older may have lost an entry without having lost power.
+"""How long before a balancer's first read of the store a backend server may have
+started if both restarted after the same power loss: 0.9 s for the slowest balancer to
+start, and one attempt to read the store. In a fleet that started slightly earlier, a
+store entry may be missing without a power loss, so the value must not be larger.
 """
 
 SCOPE_INTERVAL_MS = Millis(200)
-"""The shortest time between two scopes sent to one agent."""
+"""Minimum time between two scope frames sent to one agent."""
 
 
 class PlainBalancer:
-    """The decisions of one balancer.
+    """Decide what a balancer does, without performing any input or output.
 
     Parameters
     ----------
     roster : Roster
-        The agents that it knows.
+        The known agents.
     chooser : PlainChooser
-        Picks the agent for an opening.
+        Selects the agent for an opening.
     on_newer_version : callable
-        Called when an agent has heard of a newer configuration than is in force.
-    on_doubt : callable
-        Called when all known agents deny a flow, so that their list is read again.
+        Called when an agent reports a newer configuration version than the one in
+        force here.
+    on_owner_not_found : callable
+        Called when all known agents have denied owning a flow, so that the list of
+        agents is read again.
     """
 
-    _search_type = OwnerSearch
+    _lookup_type = OwnerLookup
 
     def __init__(
         self,
         roster: Roster,
         chooser: PlainChooser,
         on_newer_version: Callable[[], None] = lambda: None,
-        on_doubt: Callable[[], None] = lambda: None,
+        on_owner_not_found: Callable[[], None] = lambda: None,
     ):
         self._roster = roster
         self._chooser = chooser
@@ -75,8 +78,12 @@
         self._site: SiteVersion | None = None
         self._flows = FlowCache()
         self._openings = Openings()
-        self._search = self._search_type(
-            self._list_agents, roster.find, self._flows, on_doubt, self._may_end
+        self._lookup = self._lookup_type(
+            self._list_agents,
+            roster.find,
+            self._flows,
+            on_owner_not_found,
+            self._knows_all_agents,
         )
         self._listed_at: Millis | None = None
         self._scopes_sent: dict[Endpoint, Millis] = {}
@@ -88,43 +95,43 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether openings can be routed."""
+        """Whether a configuration is in force and at least one agent is known."""
         return self._site is not None and len(self._roster) > 0
 
     @property
     def flow_count(self) -> int:
-        """How many flows are remembered."""
+        """Number of flows whose owner is cached."""
         return len(self._flows)
 
     @property
     def due_at(self) -> Millis | None:
         """When `on_timer` is to be called next."""
-        due = (self._openings.due_at, self._search.due_at)
+        due = (self._openings.due_at, self._lookup.due_at)
         return min((one for one in due if one is not None), default=None)
 
     def apply_site(self, site: SiteVersion) -> bool:
-        """Put a configuration in force unless a newer one is; return whether it is."""
+        """Apply a configuration if it is newer; return whether it was applied."""
         if self._site is not None and site.version <= self._site.version:
             return False
         self._site = site
         return True
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
-        """Return what follows from a complete read of the agents' entries."""
+        """Handle the completion of a full read of the agents' store entries."""
         if self._listed_at is None:
             self._listed_at = now
-        return self._search.on_agents_listed(now)
+        return self._lookup.on_agents_listed(now)
 
-    def tell_missing(self) -> list[Action]:
-        """Tell the agents whose entries the store lacks, so that they restore them."""
+    def notify_missing_agents(self) -> list[Action]:
+        """Notify agents whose store entries are missing, so that they restore them."""
         return [
-            SendFrame(view.endpoint, MissingFrame(view.entry.service))
+            SendFrame(view.endpoint, EntryMissingFrame(view.entry.service))
             for view in self._roster
             if view.missing_since is not None
         ]
 
     def on_client_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
-        """Return what to do with a packet of a client."""
+        """Handle a packet from a client."""
         if self._site is None or packet.bounced:
             return []
         route = self._site.routes.get(packet.entry)
@@ -136,32 +143,33 @@
             return [Note("forged packet dropped", {"flow": show_flow(packet.flow)})]
         cached = self._flows.find(packet.flow)
         if cached is None:
-            return self._search.ask(packet, now)
+            return self._lookup.find_owner(packet, now)
         cached.seen_at = now
-        return [carry(cached.agent, packet)]
+        return [make_forward(cached.agent, packet)]
 
     def on_frame(
         self, frame: ToBalancer, source: Endpoint, now: Millis
     ) -> list[Action]:
-        """Return what to do about a frame of an agent."""
+        """Handle a frame from an agent."""
         view = self._roster.find(source)
         if view is None:
-            # Its store entry hasn't reached this balancer; the next word may find it.
+            # The agent's store entry hasn't reached this balancer yet; a later frame
+            # will be accepted once it has.
             return []
-        view.hear(frame.load, now)
+        view.record_load(frame.load, now)
         return [
             *self._compare_versions(view, frame.load, now),
-            *self._take_frame(frame, view, now),
+            *self._handle_frame(frame, view, now),
             *self._offer_waiting(view, now),
         ]
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """Return what is due."""
+        """Handle offer and lookup timeouts, and expire idle cached flows."""
         actions: list[Action] = []
-        overdue = self._openings.take_overdue(now)
+        overdue = self._openings.pop_overdue(now)
         for opening in sorted(overdue, key=self._priority_of):
-            actions += self._on_unanswered(opening, now)
-        actions += self._search.on_timer(now)
+            actions += self._on_offer_timeout(opening, now)
+        actions += self._lookup.on_timer(now)
         if self._site is not None:
             self._flows.sweep(now, self._site.idle_timeout_ms)
         return actions
@@ -173,9 +181,10 @@
     ) -> list[Action]:
         cached = self._flows.find(packet.flow)
         if cached is not None and cached.is_confirmed:
-            # The backend server's answer was lost: it answers a copy again.
+            # The acceptance was lost on the way to the client. The backend server
+            # answers the retransmitted opening again.
             cached.seen_at = now
-            return [self._make_offer(cached.agent, packet)]
+            return [self._make_open_frame(cached.agent, packet)]
         opening = self._openings.begin(packet, now)
         return self._offer(opening, route, now)
 
@@ -184,7 +193,9 @@
         service = _pick_service(route, packet)
         agent = self._choose(service, opening, now)
         if agent is None or opening.is_exhausted:
-            if not opening.is_declined and self._openings.wait(opening, service, now):
+            if not opening.is_declined and self._openings.schedule_retry(
+                opening, service, now
+            ):
                 return []
             return self._refuse(opening, service)
         return self._offer_to(agent, opening, route, now)
@@ -193,22 +204,22 @@
         self, agent: AgentView, opening: Opening, route: Route, now: Millis
     ) -> list[Action]:
         packet = opening.packet
-        self._openings.offer(opening, agent, now)
+        self._openings.record_offer(opening, agent, now)
         agent.pending += 1
         self._flows.put(packet.flow, agent, now, is_confirmed=False)
         note = Note("opening offered", self._describe_offer(opening, agent, route))
-        return [self._make_offer(agent, packet), note]
+        return [self._make_open_frame(agent, packet), note]
 
     def _offer_waiting(self, agent: AgentView, now: Millis) -> list[Action]:
-        """Offer openings that wait to an agent that has room for them."""
-        if agent.room <= 0:
+        """Offer waiting openings to an agent that has free capacity."""
+        if agent.free_capacity <= 0:
             return []
         waiting = self._openings.list_waiting(agent.entry.service)
-        if not waiting or not agent.takes_openings(now):
+        if not waiting or not agent.accepts_openings(now):
             return []
         waiting.sort(key=self._priority_of)
         actions: list[Action] = []
-        for opening in waiting[: agent.room]:
+        for opening in waiting[: agent.free_capacity]:
             route = self._find_route(opening.packet)
             if route is not None:
                 actions += self._offer_to(agent, opening, route, now)
@@ -220,14 +231,15 @@
             for view in self._roster.list_service(service)
             if view.endpoint not in opening.tried and not view.is_gone(now)
         ]
-        willing = [view for view in untried if view.takes_openings(now)]
-        # A suspect may be sound; a client without any answer certainly isn't served.
-        candidates = willing or [view for view in untried if view.is_suspect(now)]
+        available = [view for view in untried if view.accepts_openings(now)]
+        # A suspect agent may still answer, whereas an opening that isn't offered to
+        # any agent certainly fails.
+        candidates = available or [view for view in untried if view.is_suspect(now)]
         if not candidates:
             return None
         return self._chooser.choose(opening.packet.flow, candidates, now)
 
-    def _make_offer(self, agent: AgentView, packet: FlowPacket) -> SendFrame:
+    def _make_open_frame(self, agent: AgentView, packet: FlowPacket) -> SendFrame:
         version = self._site.version if self._site is not None else 0
         frame = OpenFrame(agent.entry.service, version, packet)
         return SendFrame(agent.endpoint, frame)
@@ -248,7 +260,7 @@
         route = self._find_route(opening.packet)
         return route.priority if route is not None else 0
 
-    def _on_unanswered(self, opening: Opening, now: Millis) -> list[Action]:
+    def _on_offer_timeout(self, opening: Opening, now: Millis) -> list[Action]:
         agent = opening.agent
         route = self._find_route(opening.packet)
         if route is None:
@@ -256,7 +268,7 @@
             return []
         if agent is None:
             return self._offer(opening, route, now)
-        suspected_ms = agent.suspect(now)
+        suspected_ms = agent.mark_suspect(now)
         fields = {
             "agent": agent.endpoint,
             "flow": show_flow(opening.packet.flow),
@@ -282,9 +294,9 @@
             "pending": agent.pending,
         }
 
-    # Frames of agents
+    # Frames from agents
 
-    def _take_frame(
+    def _handle_frame(
         self, frame: ToBalancer, view: AgentView, now: Millis
     ) -> list[Action]:
         match frame:
@@ -292,8 +304,8 @@
                 return self._on_opened(frame, view, now)
             case ReturnFrame():
                 return self._on_returned(frame, view, now)
-            case ClaimFrame():
-                return self._on_claims(frame, view, now)
+            case OwnerReplyFrame():
+                return self._on_owner_replies(frame, view, now)
             case LoadFrame():
                 return []
 
@@ -320,15 +332,15 @@
         if route is None:
             return []
         if frame.reason in (ReturnReason.SILENT, ReturnReason.WRONG_SERVICE):
-            view.suspect(now)
+            view.mark_suspect(now)
         if packet.kind is PacketKind.OPEN:
             return self._on_returned_opening(frame, view, route, now)
         cached = self._flows.find(packet.flow)
         if cached is not None and cached.agent is view:
             self._flows.drop(packet.flow)
         elif cached is not None:
-            return [carry(cached.agent, packet)]
-        return self._search.ask(packet, now, excluded=view)
+            return [make_forward(cached.agent, packet)]
+        return self._lookup.find_owner(packet, now, excluded=view)
 
     def _on_returned_opening(
         self, frame: ReturnFrame, view: AgentView, route: Route, now: Millis
@@ -341,10 +353,10 @@
         }
         note = Note("opening returned", fields)
         if frame.reason is ReturnReason.BUSY:
-            view.turn_away(now)
+            view.start_backoff(now)
         opening = self._openings.find(packet.flow)
         if opening is None or opening.agent is not view:
-            # Another agent has it, or has answered.
+            # The opening has been offered to another agent since, or is finished.
             return [note]
         if frame.reason is ReturnReason.OLD_VERSION:
             self._openings.end(packet.flow)
@@ -353,14 +365,14 @@
         opening.is_declined |= frame.reason is ReturnReason.FULL
         return [note, *self._offer(opening, route, now)]
 
-    def _on_claims(
-        self, frame: ClaimFrame, view: AgentView, now: Millis
+    def _on_owner_replies(
+        self, frame: OwnerReplyFrame, view: AgentView, now: Millis
     ) -> list[Action]:
         actions: list[Action] = []
-        for claim in frame.claims:
-            if claim.ownership is Ownership.OWNER:
-                self._openings.end(claim.flow)
-            actions += self._search.hear(claim, view, now)
+        for reply in frame.replies:
+            if reply.ownership is Ownership.OWNER:
+                self._openings.end(reply.flow)
+            actions += self._lookup.on_reply(reply, view, now)
         return actions
 
     def _compare_versions(
@@ -377,11 +389,12 @@
         self._scopes_sent[view.endpoint] = now
         yield SendFrame(view.endpoint, _make_scope(self._site, view.entry.service))
 
-    def _may_end(self, agents: list[AgentView], now: Millis) -> bool:
-        """Whether a flow that these agents deny has no owner.
+    def _knows_all_agents(self, agents: list[AgentView], now: Millis) -> bool:
+        """Return whether the known agents are all agents, so none owns a denied flow.
 
-        At the first read an entry may be missing whose agent lives; it is back within
-        the grace. Where all servers started of late, no flow of before is left.
+        At the first read of the store, the entry of a running agent may be missing; it
+        is restored within `MISSING_GRACE_MS`. If all backend servers have started
+        recently, no earlier flow can exist and there is no need to wait.
         """
         listed_at = self._listed_at
         if listed_at is None:
@@ -389,12 +402,12 @@
         if now - listed_at > MISSING_GRACE_MS:
             return True
         start = Millis(listed_at - RESTART_SPREAD_MS)
-        return all(view.began_after(start) for view in agents)
+        return all(view.backend_started_after(start) for view in agents)
 
     # Routes
 
     def _list_agents(self, packet: FlowPacket) -> list[AgentView]:
-        """Return the agents that may own the flow of a packet."""
+        """Return the agents of all services that the packet's entry is routed to."""
         route = self._find_route(packet)
         return [
             view
@@ -420,7 +433,11 @@
 
 
 def _pick_service(route: Route, packet: FlowPacket) -> str:
-    """Return the service for a new flow, the same for all copies of its opening."""
+    """Return the service for a new flow.
+
+    The choice is a hash of the flow, so that all copies of an opening, at any balancer,
+    get the same service.
+    """
     if len(route.services) == 1:
         return route.services[0].name
     total = sum(one.weight for one in route.services)
--- a/src/papayagw/_internal/core/plain/choice.py
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -1,48 +1,50 @@
-"""Choice of the agent for an opening of the plain front end."""
+"""Policies that select the agent for an opening of the plain front end."""
 
 from collections.abc import Sequence
 from random import Random
 from typing import Protocol
 
 from papayagw._internal.core.choice import unit_hash
-from papayagw._internal.core.plain.roster import FRESH_MS, AgentView
+from papayagw._internal.core.plain.roster import LOAD_FRESH_MS, AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.packet import FlowKey
 
 DEFAULT_SERVICE_US = 20_000
-"""Time of a slot for one request where no agent has told its own, in microseconds."""
+"""Time for one request in a slot if no agent has reported its own, in microseconds."""
 
-OTHER_ZONE_US = 2_000
-"""What a candidate of another zone is put back by, in microseconds.
+OTHER_ZONE_PENALTY_US = 2_000
+"""Penalty for a candidate in another zone, in microseconds.
 
-Two crossings between zones at 0.5 to 1.4 ms; far less than one request in a queue.
+Covers two crossings between zones of 0.5 to 1.4 ms each. It is far below the time of
+one queued request, so load takes precedence over zone.
 """
 
 TIE_JITTER = 0.05
-"""Share of a request by which waits are blurred, so that equals take turns."""
+"""Maximum random addition to the queue, in requests, to break ties."""
 
 IDLE_FLOW_WEIGHT = 0.02
-"""Requests that an open flow without one is counted as."""
+"""Load of an open flow that has no request in progress, in requests."""
 
 
 class PlainChooser(Protocol):
-    """A policy that picks the agent for an opening."""
+    """A policy that selects the agent for an opening."""
 
     def choose(
         self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
     ) -> AgentView:
-        """Return one of `candidates`, of which there is at least one."""
+        """Return one of `candidates`, which must not be empty."""
 
 
 class LeastWaitChooser:
-    """Picks the agent at which a request would be answered first.
+    """Select the agent that is expected to answer a request first.
 
     Parameters
     ----------
     zone : str
-        The zone of the balancer, which goes before others where waits are alike.
+        The zone of the balancer, preferred when expected waits are similar.
     random : Random
-        Breaks ties, so that balancers with the same view don't pick alike.
+        Breaks ties, so that balancers with the same load reports don't all select the
+        same agent.
     """
 
     def __init__(self, zone: str, random: Random):
@@ -58,21 +60,26 @@
 
     def _wait_us(self, view: AgentView, typical_us: float, now: Millis) -> float:
         jitter = self._random.random()
-        put_back = 0 if view.entry.zone == self._zone else OTHER_ZONE_US
+        zone_penalty_us = 0 if view.entry.zone == self._zone else OTHER_ZONE_PENALTY_US
         load = view.load
         if load is None:
-            return typical_us * (1 + view.pending + TIE_JITTER * jitter) + put_back
+            return (
+                typical_us * (1 + view.pending + TIE_JITTER * jitter) + zone_penalty_us
+            )
         service_us = load.service_us or typical_us
-        usual = load.utilization * load.slots
-        # A count of requests is soon out of date; the share of time isn't.
-        busy = load.busy if now - view.heard_at < FRESH_MS else usual
-        ahead = busy + usual + view.pending + load.flows * IDLE_FLOW_WEIGHT
+        average_busy = load.utilization * load.slots
+        # The number of requests in progress is outdated quickly; average utilization
+        # stays valid for longer.
+        busy = (
+            load.busy if now - view.load_received_at < LOAD_FRESH_MS else average_busy
+        )
+        ahead = busy + average_busy + view.pending + load.flows * IDLE_FLOW_WEIGHT
         queue = (ahead + TIE_JITTER * jitter) / max(load.slots, 1)
-        return service_us * (1 + queue) + put_back
+        return service_us * (1 + queue) + zone_penalty_us
 
 
 class RoundRobinChooser:
-    """Picks each agent in turn."""
+    """Select each agent in turn."""
 
     def __init__(self) -> None:
         self._next = 0
@@ -86,7 +93,7 @@
 
 
 class RandomChooser:
-    """Picks any agent."""
+    """Select an agent at random."""
 
     def __init__(self, random: Random):
         self._random = random
@@ -94,12 +101,12 @@
     def choose(
         self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
     ) -> AgentView:
-        """Return one of the candidates."""
+        """Return a random candidate."""
         return self._random.choice(candidates)
 
 
 class HashChooser:
-    """Picks by rendezvous hashing of the flow, alike at all balancers."""
+    """Select by rendezvous hashing of the flow, identically at all balancers."""
 
     def choose(
         self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
@@ -111,9 +118,9 @@
 
 
 def _typical_service_us(candidates: Sequence[AgentView]) -> float:
-    known = [
+    reported = [
         view.load.service_us
         for view in candidates
         if view.load is not None and view.load.service_us
     ]
-    return sum(known) / len(known) if known else DEFAULT_SERVICE_US
+    return sum(reported) / len(reported) if reported else DEFAULT_SERVICE_US
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_search.py
@@ -1,29 +1,34 @@
-"""How a balancer finds the owner of a flow that it doesn't know.
+"""Lookup of the agent that owns a flow that a balancer doesn't know.
 
-It asks all agents that may own it, hands the packets to the one that claims the flow
-or else to those that are unsure, and ends the flow only once there can be no owner.
+The balancer queries all agents that may own the flow and forwards the client's packets
+to the owner or, if no agent confirms, to the agents that can't rule ownership out. It
+resets the flow only once it is certain that no agent owns it.
 """
 
 from collections.abc import Callable
 
 from papayagw._internal.core.plain.flow_cache import FlowCache
-from papayagw._internal.core.plain.questions import Question, Questions, Stage
+from papayagw._internal.core.plain.questions import (
+    PendingLookup,
+    PendingLookups,
+    Stage,
+)
 from papayagw._internal.core.plain.roster import AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
 from papayagw._internal.models.plain.frame import (
-    AskFrame,
-    CarryFrame,
-    FlowClaim,
-    FlowQuestion,
+    ForwardFrame,
+    OwnerQuery,
+    OwnerQueryFrame,
+    OwnerReply,
     Ownership,
 )
 from papayagw._internal.models.plain.packet import FlowPacket, show_flow
 
 
-class OwnerSearch:
-    """The searches of one balancer.
+class OwnerLookup:
+    """Find the owners of unknown flows for one balancer.
 
     Parameters
     ----------
@@ -32,11 +37,12 @@
     find_agent : callable
         Returns the agent at an endpoint, or None.
     flows : FlowCache
-        Where owners are remembered.
-    on_doubt : callable
-        Called when all known agents deny a flow, so that their list is read again.
-    may_end : callable
-        Returns whether agents that deny a flow are all that there are.
+        Cache of the owners that were found.
+    on_owner_not_found : callable
+        Called when all known agents have denied owning a flow, so that the list of
+        agents is read again.
+    knows_all_agents : callable
+        Returns whether the given agents are all agents that may own a flow.
     """
 
     def __init__(
@@ -44,152 +50,162 @@
         list_agents: Callable[[FlowPacket], list[AgentView]],
         find_agent: Callable[[Endpoint], AgentView | None],
         flows: FlowCache,
-        on_doubt: Callable[[], None],
-        may_end: Callable[[list[AgentView], Millis], bool],
+        on_owner_not_found: Callable[[], None],
+        knows_all_agents: Callable[[list[AgentView], Millis], bool],
     ):
         self._list_agents = list_agents
         self._find_agent = find_agent
         self._flows = flows
-        self._on_doubt = on_doubt
-        self._may_end = may_end
-        self._questions = Questions()
+        self._on_owner_not_found = on_owner_not_found
+        self._knows_all_agents = knows_all_agents
+        self._lookups = PendingLookups()
 
     @property
     def due_at(self) -> Millis | None:
         """When `on_timer` is to be called next."""
-        return self._questions.due_at
+        return self._lookups.due_at
 
-    def ask(
+    def find_owner(
         self, packet: FlowPacket, now: Millis, excluded: AgentView | None = None
     ) -> list[Action]:
-        """Seek the owner of a packet's flow, and hold the packet until then.
+        """Look up the owner of a packet's flow, holding the packet meanwhile.
 
         Parameters
         ----------
         packet : FlowPacket
-            A packet of a client.
+            A packet from a client.
         now : Millis
-            The present time.
+            The current time.
         excluded : AgentView or None
-            The agent that has just handed the packet back.
+            The agent that has just returned the packet, and isn't queried.
         """
-        question = self._questions.find(packet.flow)
-        if question is not None:
-            return self._add(question, packet, excluded, now)
+        lookup = self._lookups.find(packet.flow)
+        if lookup is not None:
+            return self._add_packet(lookup, packet, excluded, now)
         agents = [view for view in self._list_agents(packet) if view is not excluded]
-        awaited = {view.endpoint for view in agents}
-        question = self._questions.begin(packet, awaited, now) if agents else None
-        if question is None:
+        pending_agents = {view.endpoint for view in agents}
+        lookup = self._lookups.begin(packet, pending_agents, now) if agents else None
+        if lookup is None:
             return []
-        question.hold(packet)
-        return [_ask(view, packet) for view in agents]
-
-    def hear(self, claim: FlowClaim, view: AgentView, now: Millis) -> list[Action]:
-        """Take in an agent's answer."""
-        if claim.ownership is Ownership.OWNER:
-            return self._settle(claim, view, now)
-        question = self._questions.find(claim.flow)
-        if question is None or question.stage is not Stage.ASKING:
+        lookup.hold(packet)
+        return [_make_query(view, packet) for view in agents]
+
+    def on_reply(self, reply: OwnerReply, view: AgentView, now: Millis) -> list[Action]:
+        """Handle an agent's reply to an owner query, or its claim to own a flow."""
+        if reply.ownership is Ownership.OWNER:
+            return self._on_owner_found(reply, view, now)
+        lookup = self._lookups.find(reply.flow)
+        if lookup is None or lookup.stage is not Stage.ASKING:
             return []
-        question.take(view.endpoint, claim.ownership)
-        return [] if question.awaited else self._go_on(question, now)
+        lookup.record_reply(view.endpoint, reply.ownership)
+        return [] if lookup.pending_agents else self._on_replies_done(lookup, now)
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """Go on where answers are overdue."""
+        """Continue the lookups whose replies are overdue."""
         actions: list[Action] = []
-        for question in self._questions.take_due(now):
-            actions += self._go_on(question, now)
+        for lookup in self._lookups.pop_due(now):
+            actions += self._on_replies_done(lookup, now)
         return actions
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
-        """Return what follows from a complete read of the agents' entries."""
+        """Continue the lookups that wait for a full read of the agents' entries."""
         actions: list[Action] = []
-        for question in self._questions.list_confirming():
-            agents = self._list_agents(question.last_packet)
-            others = [view for view in agents if view.endpoint not in question.asked]
+        for lookup in self._lookups.list_confirming():
+            agents = self._list_agents(lookup.last_packet)
+            others = [view for view in agents if view.endpoint not in lookup.asked]
             if others:
                 asked = {view.endpoint for view in others}
-                self._questions.ask_others(question, asked, now)
-                actions += [_ask(view, question.last_packet) for view in others]
-            elif self._may_end(agents, now):
-                actions += self._end_ownerless(question)
+                self._lookups.ask_others(lookup, asked, now)
+                actions += [_make_query(view, lookup.last_packet) for view in others]
+            elif self._knows_all_agents(agents, now):
+                actions += self._reset_ownerless(lookup)
         return actions
 
-    def _settle(self, claim: FlowClaim, view: AgentView, now: Millis) -> list[Action]:
-        self._flows.put(claim.flow, view, now, is_confirmed=True)
-        question = self._questions.end(claim.flow)
-        if question is None:
+    def _on_owner_found(
+        self, reply: OwnerReply, view: AgentView, now: Millis
+    ) -> list[Action]:
+        self._flows.put(reply.flow, view, now, is_confirmed=True)
+        lookup = self._lookups.end(reply.flow)
+        if lookup is None:
             return []
-        fields = {"flow": show_flow(claim.flow), "agent": view.endpoint}
+        fields = {"flow": show_flow(reply.flow), "agent": view.endpoint}
         return [
-            *(carry(view, held) for held in question.list_for_owner(view.endpoint)),
+            *(
+                make_forward(view, held)
+                for held in lookup.list_for_owner(view.endpoint)
+            ),
             Note("owner found", fields),
         ]
 
-    def _add(
+    def _add_packet(
         self,
-        question: Question,
+        lookup: PendingLookup,
         packet: FlowPacket,
         excluded: AgentView | None,
         now: Millis,
     ) -> list[Action]:
         if excluded is None:
-            question.hold(packet)
-            return [] if question.stage is Stage.ASKING else self._try_unsure(question)
-        if question.stage is Stage.ASKING:
-            question.hold(packet)
+            lookup.hold(packet)
+            return (
+                []
+                if lookup.stage is Stage.ASKING
+                else self._forward_to_candidates(lookup)
+            )
+        if lookup.stage is Stage.ASKING:
+            lookup.hold(packet)
             return []
-        question.last_packet = packet
-        # It was tried with this agent, and others have had the packet already.
-        question.take(excluded.endpoint, Ownership.STRANGER)
-        return self._conclude(question, now)
-
-    def _go_on(self, question: Question, now: Millis) -> list[Action]:
-        """Hand the packets to the agents that may own the flow, if any."""
+        lookup.last_packet = packet
+        # The agent was a candidate and isn't the owner. The other candidates already
+        # have the packet.
+        lookup.record_reply(excluded.endpoint, Ownership.NOT_OWNER)
+        return self._confirm_no_owner(lookup, now)
+
+    def _on_replies_done(self, lookup: PendingLookup, now: Millis) -> list[Action]:
+        """Forward the held packets to the agents that may own the flow, if any."""
         fields = {
-            "flow": show_flow(question.flow),
-            "unsure": len(question.unsure),
-            "silent": len(question.awaited),
+            "flow": show_flow(lookup.flow),
+            "unsure": len(lookup.candidates),
+            "silent": len(lookup.pending_agents),
         }
-        self._questions.try_unsure(question, now)
+        self._lookups.start_trial(lookup, now)
         return [
             Note("owner unknown", fields),
-            *self._try_unsure(question),
-            *self._conclude(question, now),
+            *self._forward_to_candidates(lookup),
+            *self._confirm_no_owner(lookup, now),
         ]
 
-    def _conclude(self, question: Question, now: Millis) -> list[Action]:
-        """Prepare to end a flow that every agent denies."""
-        if not question.is_denied or question.last_packet.kind.is_closing:
+    def _confirm_no_owner(self, lookup: PendingLookup, now: Millis) -> list[Action]:
+        """Have the list of agents read again if every queried agent denies the flow."""
+        if not lookup.is_denied or lookup.last_packet.kind.is_closing:
             return []
-        if question.stage is not Stage.CONFIRMING:
-            self._questions.confirm(question, now)
-            self._on_doubt()
+        if lookup.stage is not Stage.CONFIRMING:
+            self._lookups.confirm(lookup, now)
+            self._on_owner_not_found()
         return []
 
-    def _end_ownerless(self, question: Question) -> list[Action]:
-        self._questions.end(question.flow)
-        self._flows.drop(question.flow)
-        reset = ResetClient(question.flow, question.last_packet.acknowledged or 0)
-        fields = {"flow": show_flow(question.flow), "asked": len(question.asked)}
+    def _reset_ownerless(self, lookup: PendingLookup) -> list[Action]:
+        self._lookups.end(lookup.flow)
+        self._flows.drop(lookup.flow)
+        reset = ResetClient(lookup.flow, lookup.last_packet.acknowledged or 0)
+        fields = {"flow": show_flow(lookup.flow), "asked": len(lookup.asked)}
         return [reset, Note("flow has no owner", fields)]
 
-    def _try_unsure(self, question: Question) -> list[Action]:
-        packets = question.take_for_unsure()
-        views = [self._find_agent(endpoint) for endpoint in question.unsure]
+    def _forward_to_candidates(self, lookup: PendingLookup) -> list[Action]:
+        packets = lookup.pop_trial_packets()
+        views = [self._find_agent(endpoint) for endpoint in lookup.candidates]
         return [
-            carry(view, packet)
+            make_forward(view, packet)
             for view in views
             if view is not None
             for packet in packets
         ]
 
 
-def carry(agent: AgentView, packet: FlowPacket) -> SendFrame:
-    """Return the frame that hands a later packet of a client to an agent."""
-    return SendFrame(agent.endpoint, CarryFrame(agent.entry.service, packet))
+def make_forward(agent: AgentView, packet: FlowPacket) -> SendFrame:
+    """Return the action that forwards a client's packet to an agent."""
+    return SendFrame(agent.endpoint, ForwardFrame(agent.entry.service, packet))
 
 
-def _ask(agent: AgentView, packet: FlowPacket) -> SendFrame:
-    question = FlowQuestion(packet.flow, packet.acknowledged)
-    return SendFrame(agent.endpoint, AskFrame(agent.entry.service, (question,)))
+def _make_query(agent: AgentView, packet: FlowPacket) -> SendFrame:
+    query = OwnerQuery(packet.flow, packet.acknowledged)
+    return SendFrame(agent.endpoint, OwnerQueryFrame(agent.entry.service, (query,)))
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -3,7 +3,7 @@
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.owned_flows import OwnedFlows
 from papayagw._internal.models.clock import Millis
-from papayagw._internal.models.plain.frame import FlowQuestion, Ownership
+from papayagw._internal.models.plain.frame import OwnerQuery, Ownership
 from papayagw._internal.models.plain.instance import StatusReport
 
 MAX_EARLY_REPORTS = 16
@@ -42,16 +42,16 @@
         self._started_at = now
         self._unsure_until = Millis(now + flow_limit_ms)
 
-    def resolve(self, question: FlowQuestion, now: Millis) -> Ownership:
+    def resolve(self, question: OwnerQuery, now: Millis) -> Ownership:
         """Return whether the backend server owns the flow, as far as is known."""
         owned = self._flows.find(question.flow)
         if owned is not None and owned.ended_at is None:
             is_ours = owned.matches(question.acknowledged)
-            return Ownership.OWNER if is_ours else Ownership.STRANGER
+            return Ownership.OWNER if is_ours else Ownership.NOT_OWNER
         if owned is not None:
             # The backend server still answers late packets of an ended flow.
             return Ownership.OWNER
-        return Ownership.UNSURE if now < self._unsure_until else Ownership.STRANGER
+        return Ownership.UNKNOWN if now < self._unsure_until else Ownership.NOT_OWNER
 
     def begin_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> None:
         """Record the age of a new run.
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -1,4 +1,4 @@
-"""Messages between balancers and agents of the plain front end."""
+"""Frames exchanged by balancers and agents of the plain front end."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -8,7 +8,7 @@
 
 
 class ReturnReason(Enum):
-    """Why an agent hands a packet back."""
+    """Why an agent returns a packet to the balancer."""
 
     NOT_READY = 1
     DRAINING = 2
@@ -21,24 +21,24 @@
 
 
 class Ownership(Enum):
-    """An agent's answer to the question whether a flow is its own."""
+    """An agent's reply to the query whether it owns a flow."""
 
     OWNER = 1
-    STRANGER = 2
-    UNSURE = 3
-    """The agent started after its backend server and may not know all flows."""
+    NOT_OWNER = 2
+    UNKNOWN = 3
+    """The agent started after its backend server and may not know all of its flows."""
 
 
 @dataclass(frozen=True, slots=True)
 class OpenFrame:
-    """A client's opening for the agent to take.
+    """Offers a client's opening to an agent.
 
     Attributes
     ----------
     service : str
-        The service that the sender takes the agent for.
+        The service that the sender expects the agent to serve.
     site_version : int
-        The version of the configuration by which the opening was routed.
+        The configuration version that the opening was routed with.
     packet : FlowPacket
         The opening.
     """
@@ -49,13 +49,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CarryFrame:
-    """A later packet of a client, for the owner of its flow.
+class ForwardFrame:
+    """Forwards a client's packet of an open flow to the agent that owns the flow.
 
     Attributes
     ----------
     service : str
-        The service that the sender takes the agent for.
+        The service that the sender expects the agent to serve.
     packet : FlowPacket
         The packet.
     """
@@ -65,16 +65,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FlowQuestion:
-    """A flow whose owner is sought.
+class OwnerQuery:
+    """Asks whether an agent owns a flow.
 
     Attributes
     ----------
     flow : FlowKey
         The flow.
     acknowledged : int or None
-        What the client has of its backend server's bytes, which tells the backend
-        server that accepted the flow from another that was offered it.
+        The client's acknowledgement number, or None if the packet has none. It
+        distinguishes the backend server that accepted the flow from another one that
+        the flow was offered to.
     """
 
     flow: FlowKey
@@ -82,32 +83,32 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskFrame:
-    """Asks an agent of a service whether flows are its own."""
+class OwnerQueryFrame:
+    """Asks an agent of a service which flows it owns."""
 
     service: str
-    questions: tuple[FlowQuestion, ...]
+    queries: tuple[OwnerQuery, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class FlowClaim:
-    """The answer to a `FlowQuestion`."""
+class OwnerReply:
+    """The reply to an `OwnerQuery`."""
 
     flow: FlowKey
     ownership: Ownership
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimFrame:
-    """An agent's answers to an `AskFrame`, or its word that it owns flows."""
+class OwnerReplyFrame:
+    """An agent's replies to an `OwnerQueryFrame`, or unsolicited claims of flows."""
 
-    claims: tuple[FlowClaim, ...]
+    replies: tuple[OwnerReply, ...]
     load: AgentLoad
 
 
 @dataclass(frozen=True, slots=True)
 class OpenedFrame:
-    """The backend server beside the agent has accepted an opening."""
+    """Reports that the agent's backend server has accepted an opening."""
 
     flow: FlowKey
     load: AgentLoad
@@ -115,7 +116,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReturnFrame:
-    """A packet that the agent can't deliver."""
+    """Returns a packet that the agent can't deliver."""
 
     reason: ReturnReason
     packet: FlowPacket
@@ -124,14 +125,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadFrame:
-    """The load of an agent, sent when it has changed."""
+    """Reports the load of an agent after it has changed."""
 
     load: AgentLoad
 
 
 @dataclass(frozen=True, slots=True)
 class ScopeFrame:
-    """The entries that a version of the configuration routes to a service."""
+    """Lists the entries that a configuration version routes to a service."""
 
     service: str
     site_version: int
@@ -139,12 +140,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MissingFrame:
-    """Tells an agent that the store lacks its entry."""
+class EntryMissingFrame:
+    """Notifies an agent that its entry is missing from the store."""
 
     service: str
 
 
-ToAgent = OpenFrame | CarryFrame | AskFrame | ScopeFrame | MissingFrame
-ToBalancer = OpenedFrame | ReturnFrame | ClaimFrame | LoadFrame
+ToAgent = OpenFrame | ForwardFrame | OwnerQueryFrame | ScopeFrame | EntryMissingFrame
+ToBalancer = OpenedFrame | ReturnFrame | OwnerReplyFrame | LoadFrame
 Frame = ToAgent | ToBalancer
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -1,7 +1,7 @@
-"""A world of clients, routers and backend servers round the real plain cores.
+"""Simulation of clients, routers and backend servers around the real plain cores.
 
-Time is simulated. Everything that is drawn comes from one seeded source, so a
-history repeats. `violations` holds what must never happen.
+Time is simulated, and all random numbers come from one seeded generator, so that a run
+is reproducible. `PlainWorld.violations` lists the broken invariants.
 """
 
 import heapq
@@ -54,23 +54,23 @@
 
 
 def make_packet(flow, kind, sequence=0, acknowledged=None, payload=0, copy=0):
-    """Return a packet without bytes."""
+    """Return a packet whose `raw` datagram is empty."""
     return FlowPacket(flow, kind, sequence, acknowledged, copy, payload, False, 0, b"")
 
 
 @dataclass(frozen=True)
-class Weather:
-    """What the network does to each datagram between two machines."""
+class NetworkConditions:
+    """Loss, duplication and delay in ms of datagrams between two machines."""
 
     loss: float = 0.0
-    double: float = 0.0
+    duplication: float = 0.0
     delay: tuple[int, int] = (1, 1)
 
 
 class Backend:
-    """A backend server: holds flows, answers requests, hands back what it can't take.
+    """A backend server: holds flows, answers requests, returns unknown packets.
 
-    A request is a payload; its number is the position of its last byte.
+    A request is one payload, identified by the position of its last byte.
     """
 
     def __init__(self, world, agent_name, work_ms):
@@ -86,7 +86,7 @@
         self.is_alive = True
 
     def report(self):
-        """Report to the agent, if it is there, and again after a while."""
+        """Report to the agent if it is running, and again every `REPORT_MS`."""
         if not self.is_alive:
             return
         self.number += 1
@@ -101,15 +101,15 @@
                 self.started_at,
                 self.number,
             )
-            agent.hand(lambda: agent.take_report(report))
+            agent.run_when_active(lambda: agent.receive_report(report))
         self.world.after(REPORT_MS, self.report)
 
-    def take(self, packet, token):
-        """Take a packet from the agent."""
+    def receive(self, packet, token):
+        """Handle a packet from the agent."""
         if not self.is_alive:
             return
         flow = packet.flow
-        self.world.note_arrival(self, packet)
+        self.world.record_arrival(self, packet)
         if packet.kind is PacketKind.OPEN:
             start = self.flows.setdefault(flow, self.world.random.getrandbits(32))
             self.send(flow, PacketKind.ACCEPT, start, packet.sequence + 1)
@@ -121,19 +121,19 @@
                 self.agent_name, replace(packet, bounced=True, token=token)
             )
         else:
-            self.world.open_at(flow, self)
+            self.world.record_open(flow, self)
             self._run(packet)
 
     def _run(self, packet):
         flow, end = packet.flow, packet.sequence + packet.payload_bytes
         if end in self.runs.setdefault(flow, set()):
-            self.send(flow, PacketKind.CARRY, self._position(flow), end, payload=100)
+            self.send(flow, PacketKind.DATA, self._position(flow), end, payload=100)
             return
         self.runs[flow].add(end)
         self.world.after(
             self.work_ms,
             lambda: self.send(
-                flow, PacketKind.CARRY, self._position(flow), end, payload=100
+                flow, PacketKind.DATA, self._position(flow), end, payload=100
             ),
         )
 
@@ -141,50 +141,50 @@
         return self.flows[flow] + 1
 
     def send(self, flow, kind, sequence, acknowledged, payload=0):
-        """Send a packet by way of the agent."""
+        """Send a packet through the agent."""
         if self.is_alive:
             packet = make_packet(flow, kind, sequence, acknowledged, payload)
             self.world.to_agent(self.agent_name, packet)
 
 
 class Node:
-    """A process with a core; one that is frozen takes its datagrams later."""
+    """A process with a core; while frozen, it queues its input."""
 
     def __init__(self, world, name, endpoint):
         self.world = world
         self.name = name
         self.endpoint = endpoint
         self.is_alive = True
-        self.thaws_at = 0
-        self.alarm_at = None
+        self.frozen_until = 0
+        self.timer_at = None
         self.started_at = world.now
 
-    def hand(self, act):
-        """Do something now, or once this process runs again."""
+    def run_when_active(self, act):
+        """Call `act` now, or once the process is no longer frozen."""
         if not self.is_alive:
             return
-        if self.world.now < self.thaws_at:
-            self.world.at(self.thaws_at, lambda: self.hand(act))
+        if self.world.now < self.frozen_until:
+            self.world.at(self.frozen_until, lambda: self.run_when_active(act))
             return
         act()
 
-    def arm(self):
-        """See to it that the core's timer is served."""
+    def schedule_timer(self):
+        """Schedule the core's next timer, unless an earlier one is scheduled."""
         due_at = self.core.due_at
         if due_at is None or (
-            self.alarm_at is not None and self.alarm_at <= due_at and self.alarm_at > 0
+            self.timer_at is not None and self.timer_at <= due_at and self.timer_at > 0
         ):
             return
-        self.alarm_at = max(due_at, self.world.now)
-        self.world.at(self.alarm_at, self.ring)
+        self.timer_at = max(due_at, self.world.now)
+        self.world.at(self.timer_at, self.fire_timer)
 
-    def ring(self):
-        """Serve the timer."""
-        self.alarm_at = None
-        self.hand(lambda: self.perform(self.core.on_timer(self.world.now)))
+    def fire_timer(self):
+        """Run the core's timer handler."""
+        self.timer_at = None
+        self.run_when_active(lambda: self.perform(self.core.on_timer(self.world.now)))
 
     def perform(self, actions):
-        """Carry out what the core decided."""
+        """Execute the actions that the core returned."""
         for action in actions:
             match action:
                 case SendFrame(peer, frame):
@@ -192,18 +192,18 @@
                 case SendToClient(packet):
                     self.world.to_client(packet)
                 case SendToBackend(packet, token):
-                    self.world.backends[self.name].take(packet, token)
+                    self.world.backends[self.name].receive(packet, token)
                 case ResetClient(flow):
-                    self.world.reset(flow, self)
+                    self.world.deliver_reset(flow, self)
                 case RestoreEntry():
                     self.world.store_entry(self)
                 case Note():
                     self.world.notes.append((self.world.now, self.name, action))
-        self.arm()
+        self.schedule_timer()
 
 
 class BalancerNode(Node):
-    """A balancer that follows the world's store."""
+    """A balancer that reads the world's store."""
 
     def __init__(self, world, name, endpoint):
         super().__init__(world, name, endpoint)
@@ -214,16 +214,16 @@
 
     def list_agents(self):
         """Read the whole store."""
-        self.hand(self._take_list)
+        self.run_when_active(self._read_store)
 
-    def _take_list(self):
+    def _read_store(self):
         store = self.world.store
         for key, entry in store.items():
             self.roster.put(key, entry)
-        self.roster.miss_others(set(store), self.world.now)
+        self.roster.mark_others_missing(set(store), self.world.now)
         self.core.apply_site(self.world.site)
-        self.perform(self.core.tell_missing())
-        self.roster.forget_gone(self.world.now)
+        self.perform(self.core.notify_missing_agents())
+        self.roster.remove_gone(self.world.now)
         self.perform(self.core.on_agents_listed(self.world.now))
 
 
@@ -236,14 +236,14 @@
         self.entry = AgentEntry(endpoint, service, "zone-a")
         self.core = world.mechanisms.make_agent(self)
 
-    def take_report(self, report):
-        """Take a report; clocks of a machine agree here."""
+    def receive_report(self, report):
+        """Handle a report; the processes of a machine share a clock here."""
         now = self.world.now
         self.perform(self.core.on_report(report, now - report.started_at, now))
 
 
 class Client:
-    """Opens one flow and sends its requests one after the other."""
+    """Open one flow and send its requests one after the other."""
 
     COPIES = ((200, 1), (600, 2))
     ATTEMPT_MS = 1_400
@@ -251,7 +251,7 @@
     def __init__(self, world, flow, requests, pause_ms):
         self.world = world
         self.flow = flow
-        self.left = requests
+        self.requests_left = requests
         self.pause_ms = pause_ms
         self.outcome = "opening"
         self.start = None
@@ -272,8 +272,8 @@
         if self.outcome == "opening":
             self.outcome = "no answer"
 
-    def take(self, packet):
-        """Take a packet of the flow."""
+    def receive(self, packet):
+        """Handle a packet of the flow."""
         if packet.kind is PacketKind.ACCEPT:
             if self.outcome == "opening":
                 self.outcome = "open"
@@ -285,8 +285,8 @@
     def _next(self):
         self.answered += 1
         self.position += 100
-        self.left -= 1
-        if not self.left:
+        self.requests_left -= 1
+        if not self.requests_left:
             self.outcome = "served"
             return
         position = self.position
@@ -300,20 +300,20 @@
             return
         acknowledged = (self.start + 1) % MODULUS
         packet = make_packet(
-            self.flow, PacketKind.CARRY, position, acknowledged, payload=100
+            self.flow, PacketKind.DATA, position, acknowledged, payload=100
         )
         self.world.route(packet)
         self.world.after(wait, lambda: self._request(position, 2 * wait))
 
     def reset(self):
-        """Take a reset."""
+        """Handle a reset."""
         if self.outcome in ("opening", "open"):
             self.outcome = "reset"
 
 
 @dataclass(frozen=True)
 class Mechanisms:
-    """What makes the cores; doubles replace one of them."""
+    """Classes of the cores; tests replace one to disable a mechanism."""
 
     balancer: type = PlainBalancer
     agent: type = PlainAgent
@@ -335,21 +335,21 @@
 
 
 class PlainWorld:
-    """Machines, network and clock.
+    """Simulated machines, network and clock.
 
     Parameters
     ----------
     seed : int
-        Where all that is drawn comes from.
-    weather : Weather
-        What the network does.
+        Seed of the random generator.
+    network : NetworkConditions
+        Faults and delays of the network.
     mechanisms : Mechanisms
-        What makes the cores.
+        Classes of the cores.
     """
 
-    def __init__(self, seed=0, weather=None, mechanisms=None):
+    def __init__(self, seed=0, network=None, mechanisms=None):
         self.random = random.Random(seed)
-        self.weather = weather or Weather()
+        self.network = network or NetworkConditions()
         self.mechanisms = mechanisms or Mechanisms()
         self.now = Millis(1_000)
         self.site = make_site()
@@ -369,15 +369,15 @@
     # Time
 
     def at(self, at, act):
-        """Do something at a time."""
+        """Call `act` at a time in ms."""
         heapq.heappush(self._events, (max(at, self.now), next(self._order), act))
 
     def after(self, delay, act):
-        """Do something after a while."""
+        """Call `act` after `delay` ms."""
         self.at(self.now + delay, act)
 
     def run(self, duration):
-        """Let time pass."""
+        """Advance the clock by `duration` ms, running all events due."""
         end = self.now + duration
         while self._events and self._events[0][0] <= end:
             at, _, act = heapq.heappop(self._events)
@@ -388,7 +388,7 @@
     # Machines
 
     def add_balancer(self, name):
-        """Start a balancer on a new machine, or anew on its own."""
+        """Start a balancer on a new machine, or restart it on its own."""
         old = self.balancers.get(name)
         endpoint = old.endpoint if old else Endpoint("10.0.0.1", next(self._hosts))
         if old:
@@ -404,30 +404,30 @@
         self.backends[name].report()
 
     def store_entry(self, agent):
-        """Put an agent's entry into the store, and tell the balancers later."""
+        """Store an agent's entry after `STORE_MS`, and notify the balancers."""
         self.after(STORE_MS, lambda: self._stored(agent))
 
     def _stored(self, agent):
         self.store[agent.name] = agent.entry
-        self.tell_balancers()
+        self.notify_balancers()
 
     def lapse(self, name):
-        """Take an agent's entry out of the store."""
+        """Remove an agent's entry from the store, as if it had expired."""
         self.store.pop(name, None)
-        self.tell_balancers()
+        self.notify_balancers()
 
-    def tell_balancers(self):
-        """Let each balancer hear of the store after a while."""
+    def notify_balancers(self):
+        """Have each balancer read the store after a random delay."""
         for balancer in list(self.balancers.values()):
             self.after(self.random.randint(1, 700), balancer.list_agents)
 
     def apply_site(self, site):
-        """Accept a configuration."""
+        """Put a configuration in force, and notify the balancers."""
         self.site = site
-        self.tell_balancers()
+        self.notify_balancers()
 
     def restart_agent(self, name):
-        """Kill an agent; it is back after a while. The backend server lives on."""
+        """Kill an agent, not its backend server, and start it after `RESTART_MS`."""
         agent = self.agents[name]
         agent.is_alive = False
 
@@ -439,25 +439,28 @@
         self.after(RESTART_MS, start)
 
     def restart_balancer(self, name):
-        """Kill a balancer; routers notice, and it is back after a while."""
+        """Kill a balancer and start it after `RESTART_MS`.
+
+        Routers send it no packets meanwhile.
+        """
         self.balancers[name].is_alive = False
         self.after(RESTART_MS, lambda: self.add_balancer(name))
 
     def crash_backend(self, name):
-        """Kill a backend server; a new run starts at once and knows nothing."""
+        """Kill a backend server and start a new run at once, without any flows."""
         old = self.backends[name]
         old.is_alive = False
         self.backends[name] = Backend(self, name, old.work_ms)
         self.after(200, self.backends[name].report)
 
     def drain(self, name):
-        """Let a backend server report that it drains, now."""
+        """Have a backend server report immediately that it is draining."""
         self.backends[name].state = ReportedState.DRAINING
         self.backends[name].report()
 
     def freeze(self, node, duration):
-        """Let a process stand still."""
-        node.thaws_at = self.now + duration
+        """Suspend a process for `duration` ms."""
+        node.frozen_until = self.now + duration
 
     def call(self, requests=3, pause_ms=300):
         """Open a flow; return its client."""
@@ -468,14 +471,14 @@
     # Network
 
     def _deliver(self, act):
-        weather = self.weather
-        if self.random.random() < weather.loss:
+        network = self.network
+        if self.random.random() < network.loss:
             return
-        for _ in range(2 if self.random.random() < weather.double else 1):
-            self.after(self.random.randint(*weather.delay), act)
+        for _ in range(2 if self.random.random() < network.duplication else 1):
+            self.after(self.random.randint(*network.delay), act)
 
     def route(self, packet):
-        """Carry a client's packet to the balancer that the routers choose."""
+        """Deliver a client's packet to the balancer that the routers choose."""
         names = sorted(name for name, one in self.balancers.items() if one.is_alive)
         if not names:
             return
@@ -484,43 +487,45 @@
 
         def arrive():
             act = node.core.on_client_packet
-            node.hand(lambda: node.perform(act(packet, self.now)))
+            node.run_when_active(lambda: node.perform(act(packet, self.now)))
 
         self._deliver(arrive)
 
     def send_frame(self, sender, peer, frame):
-        """Carry a frame to the process at an endpoint."""
+        """Deliver a frame to the process at an endpoint."""
         nodes = self.agents if isinstance(frame, ToAgent) else self.balancers
 
         def arrive():
             node = next((one for one in nodes.values() if one.endpoint == peer), None)
             if node is not None:
                 act = node.core.on_frame
-                node.hand(lambda: node.perform(act(frame, sender.endpoint, self.now)))
+                node.run_when_active(
+                    lambda: node.perform(act(frame, sender.endpoint, self.now))
+                )
 
         self._deliver(arrive)
 
     def to_agent(self, name, packet):
-        """Carry a backend server's packet to its agent, on one machine."""
+        """Deliver a backend server's packet to the agent on the same machine."""
         agent = self.agents[name]
-        agent.hand(
+        agent.run_when_active(
             lambda: agent.perform(agent.core.on_backend_packet(packet, self.now))
         )
 
     def to_client(self, packet):
-        """Carry a packet to its client."""
-        self._deliver(lambda: self.clients[packet.flow].take(packet))
+        """Deliver a packet to its client."""
+        self._deliver(lambda: self.clients[packet.flow].receive(packet))
 
-    # What must hold
+    # Invariants and records
 
-    def open_at(self, flow, backend):
-        """Note that a flow is open at a backend server."""
+    def record_open(self, flow, backend):
+        """Record the owner of a flow; two live owners are a violation."""
         owner = self.owners.setdefault(flow, backend)
         if owner is not backend and owner.is_alive:
             self.violations.append(f"{flow.hex()} is open at two backend servers")
 
-    def reset(self, flow, sender):
-        """Carry a reset, and hold it against the flow's owner."""
+    def deliver_reset(self, flow, sender):
+        """Deliver a reset; resetting an open flow of a live owner is a violation."""
         owner = self.owners.get(flow)
         client = self.clients[flow]
         is_routed = entry_of(flow) in self.site.routes
@@ -535,12 +540,12 @@
             )
         self._deliver(client.reset)
 
-    def note_arrival(self, backend, packet):
-        """Note what a backend server was handed."""
+    def record_arrival(self, backend, packet):
+        """Record a packet that a backend server received."""
         self.arrivals.append((self.now, backend, packet))
 
     def outcomes(self):
-        """Return how many clients ended in which way."""
+        """Return the number of clients by outcome."""
         found = {}
         for client in self.clients.values():
             found[client.outcome] = found.get(client.outcome, 0) + 1
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -1,15 +1,15 @@
-"""Hard cases of the plain front end, on the real cores."""
+"""Fault scenarios of the plain front end, on the real cores."""
 
 import pytest
 
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.owner_search import OwnerSearch
+from papayagw._internal.core.plain.owner_search import OwnerLookup
 from tests.lib.plain_scenario import PlainScenario
 from tests.lib.plain_world import Mechanisms
 
 SITE = """
-weather delay=1-5
+network delay=1-5
 balancer b1 b2 b3
 agent a1
 agent a2
@@ -77,14 +77,14 @@
         run 30000
         expect served all
     """,
-    "a crashed backend server's clients are told as soon as it is back": """
+    "a crashed backend server's clients are reset as soon as it is back": """
         at 2000 calls 10 40 20 100
         at 3500 crash a1
         run 20000
         expect-note backend restarted
         expect deadline 0
     """,
-    "clients of a backend server that died with its agent are told": """
+    "clients of a backend server that died with its agent are reset": """
         at 2000 calls 10 40 20 100
         at 3500 restart-agent a1
         at 3500 crash a1
@@ -159,8 +159,8 @@
         expect-openings a2 0 4000 9000
         expect-openings a3 0 4000 9000
     """,
-    "loss, doubles and disorder lose no flow": """
-        weather loss=0.02 double=0.1 delay=1-40
+    "loss, duplication and reordering lose no flow": """
+        network loss=0.02 duplication=0.1 delay=1-40
         at 2000 calls 60 6 20
         run 40000
         expect served all
@@ -176,49 +176,49 @@
     assert scenario.world.violations == []
 
 
-class SilentSearch(OwnerSearch):
-    """Drops the packets of flows that it doesn't know."""
+class SilentLookup(OwnerLookup):
+    """Drop the packets of unknown flows."""
 
-    def ask(self, packet, now, excluded=None):
+    def find_owner(self, packet, now, excluded=None):
         return []
 
 
-class HastySearch(OwnerSearch):
-    """Resets a flow that no agent claims, without a look at the store."""
+class HastyLookup(OwnerLookup):
+    """Reset a flow that no agent claims, without reading the store again."""
 
-    def _conclude(self, question, now):
-        return self._end_ownerless(question)
+    def _confirm_no_owner(self, lookup, now):
+        return self._reset_ownerless(lookup)
 
 
 class NeverAsks(PlainBalancer):
-    """Asks no agent for the owner of a flow."""
+    """Query no agent for the owner of a flow."""
 
-    _search_type = SilentSearch
+    _lookup_type = SilentLookup
 
 
 class ResetsUnknown(PlainBalancer):
-    """Takes an unknown owner for none."""
+    """Treat an unknown owner as none."""
 
-    _search_type = HastySearch
+    _lookup_type = HastyLookup
 
 
 class TrustsFirstRead(PlainBalancer):
-    """Takes the agents of its first read for all that there are."""
+    """Treat the agents of the first read of the store as complete."""
 
-    def _may_end(self, agents, now):
+    def _knows_all_agents(self, agents, now):
         return True
 
 
 class NeverOffersAgain(PlainBalancer):
-    """Leaves an unanswered opening to its client's copies."""
+    """Rely on the client's retransmission for an unanswered opening."""
 
-    def _on_unanswered(self, opening, now):
+    def _on_offer_timeout(self, opening, now):
         self._openings.end(opening.packet.flow)
         return []
 
 
 class RefusesAtOnce(PlainBalancer):
-    """Doesn't let openings wait."""
+    """Refuse openings instead of letting them wait."""
 
     def _offer(self, opening, route, now):
         opening.started_at -= 10_000
@@ -226,7 +226,7 @@
 
 
 class IgnoresDrain(PlainAgent):
-    """Offers openings to a backend server that drains."""
+    """Offer openings to a backend server that is draining."""
 
     def on_report(self, report, age_ms, now):
         actions = super().on_report(report, age_ms, now)
@@ -244,8 +244,8 @@
         return getattr(self._real, name)
 
 
-class IsReadyOnceTold(PlainAgent):
-    """Takes no opening before its backend server has reported."""
+class IsReadyOnceReported(PlainAgent):
+    """Accept no opening before the backend server has reported."""
 
     def __init__(self, service, flow_limit_ms, now):
         super().__init__(service, flow_limit_ms, now)
@@ -253,24 +253,24 @@
 
 
 class KeepsDeadFlows(PlainAgent):
-    """Tells no client that its backend server was started anew."""
+    """Send no resets to clients after their backend server was restarted."""
 
     def _end_earlier_run(self, age_ms, now):
         super()._end_earlier_run(age_ms, now)
         return []
 
 
-class IsNeverUnsure(PlainAgent):
-    """Denies flows that it hasn't seen since its start."""
+class NeverRepliesUnknown(PlainAgent):
+    """Deny flows that the agent hasn't seen since its start."""
 
     def __init__(self, service, flow_limit_ms, now):
         super().__init__(service, 0, now)
 
 
-class TellsNobodyMissing(PlainBalancer):
-    """Doesn't tell agents that the store lacks their entries."""
+class NeverNotifiesMissing(PlainBalancer):
+    """Don't notify agents whose store entries are missing."""
 
-    def tell_missing(self):
+    def notify_missing_agents(self):
         return []
 
 
@@ -278,24 +278,27 @@
     (NeverAsks, "a balancer that restarts finds the owners of all flows"),
     (NeverOffersAgain, "openings go on to other agents while one is frozen"),
     (RefusesAtOnce, "openings wait until a backend server takes some again"),
-    (IsReadyOnceTold, "an agent that restarts takes openings before the next report"),
+    (
+        IsReadyOnceReported,
+        "an agent that restarts takes openings before the next report",
+    ),
     (IgnoresDrain, "a draining backend server gets no opening from its report on"),
     (
         KeepsDeadFlows,
-        "a crashed backend server's clients are told as soon as it is back",
+        "a crashed backend server's clients are reset as soon as it is back",
     ),
-    (IsNeverUnsure, "agents and balancers that restart together keep the flows"),
+    (NeverRepliesUnknown, "agents and balancers that restart together keep the flows"),
     (ResetsUnknown, "agents and balancers that restart together keep the flows"),
     (
         TrustsFirstRead,
         "a balancer that starts while an entry is missing resets nothing",
     ),
-    (TellsNobodyMissing, "an entry that lapsed is stored again and is used on"),
+    (NeverNotifiesMissing, "an entry that lapsed is stored again and is used on"),
 ]
 
 
 @pytest.mark.parametrize(("double", "name"), DOUBLES)
-def test_scenario_finds_what_is_turned_off(double, name):
+def test_scenario_detects_a_disabled_mechanism(double, name):
     role = "balancer" if issubclass(double, PlainBalancer) else "agent"
     found = 0
     for seed in (1, 2, 3):
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -18,13 +18,13 @@
     SendToClient,
 )
 from papayagw._internal.models.plain.frame import (
-    AskFrame,
-    CarryFrame,
-    ClaimFrame,
-    FlowQuestion,
+    ForwardFrame,
     LoadFrame,
     OpenedFrame,
     OpenFrame,
+    OwnerQuery,
+    OwnerQueryFrame,
+    OwnerReplyFrame,
     Ownership,
     ReturnFrame,
     ReturnReason,
@@ -47,9 +47,9 @@
 ACCEPT_SEQUENCE = 500
 OPENING = make_packet(FLOW, PacketKind.OPEN)
 ACCEPT = make_packet(FLOW, PacketKind.ACCEPT, ACCEPT_SEQUENCE, 1)
-DATA = make_packet(FLOW, PacketKind.CARRY, 1, ACCEPT_SEQUENCE + 1, payload=10)
-FOREIGN = make_packet(FLOW, PacketKind.CARRY, 1, ACCEPT_SEQUENCE - 9, payload=10)
-ANSWER = make_packet(FLOW, PacketKind.CARRY, ACCEPT_SEQUENCE + 1, 11, payload=10)
+DATA = make_packet(FLOW, PacketKind.DATA, 1, ACCEPT_SEQUENCE + 1, payload=10)
+FOREIGN = make_packet(FLOW, PacketKind.DATA, 1, ACCEPT_SEQUENCE - 9, payload=10)
+ANSWER = make_packet(FLOW, PacketKind.DATA, ACCEPT_SEQUENCE + 1, 11, payload=10)
 FINISH = make_packet(FLOW, PacketKind.FINISH, ACCEPT_SEQUENCE + 11, 11)
 
 
@@ -91,7 +91,7 @@
                 return core.on_timer(self.now)
             case str():
                 raise ValueError(step)
-        if isinstance(step, OpenFrame | CarryFrame | AskFrame | ScopeFrame):
+        if isinstance(step, OpenFrame | ForwardFrame | OwnerQueryFrame | ScopeFrame):
             return core.on_frame(step, BALANCER, now)
         return core.on_backend_packet(step, now)
 
@@ -112,7 +112,7 @@
     return replace(packet, bounced=True, token=1)
 
 
-CARRY = CarryFrame("order", DATA)
+CARRY = ForwardFrame("order", DATA)
 ACCEPTED = ["ready", open_frame(), ACCEPT]
 OPEN = [*ACCEPTED, CARRY, ANSWER]
 
@@ -143,10 +143,10 @@
         ),
         (["ready", open_frame(), bounced(OPENING)], ReturnReason.FULL),
         (["ready", CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
-        ([*ACCEPTED, CarryFrame("order", FOREIGN)], ReturnReason.NOT_OWNER),
+        ([*ACCEPTED, ForwardFrame("order", FOREIGN)], ReturnReason.NOT_OWNER),
         # Accepted here and at another backend server, which the client chose.
         ([*ACCEPTED, CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
-        (["ready", CarryFrame("drawings", DATA)], ReturnReason.WRONG_SERVICE),
+        (["ready", ForwardFrame("drawings", DATA)], ReturnReason.WRONG_SERVICE),
         (["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], ReturnReason.SILENT),
         (
             ["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS, open_frame()],
@@ -212,7 +212,7 @@
 
 
 def change_flow(step, number):
-    if isinstance(step, OpenFrame | CarryFrame):
+    if isinstance(step, OpenFrame | ForwardFrame):
         return replace(step, packet=replace(step.packet, flow=flow(number)))
     return replace(step, flow=flow(number))
 
@@ -282,35 +282,35 @@
 @pytest.mark.parametrize(
     ("steps", "acknowledged", "ownership"),
     [
-        ([], None, Ownership.UNSURE),
-        (["ready, older"], None, Ownership.UNSURE),
-        (["ready, older", FLOW_LIMIT_MS + 1], None, Ownership.STRANGER),
-        (["ready, early"], None, Ownership.STRANGER),
-        ([MAX_FIRST_REPORT_AGE_MS, "ready, older"], None, Ownership.UNSURE),
-        ([MAX_FIRST_REPORT_AGE_MS + 1, "ready, older"], None, Ownership.STRANGER),
+        ([], None, Ownership.UNKNOWN),
+        (["ready, older"], None, Ownership.UNKNOWN),
+        (["ready, older", FLOW_LIMIT_MS + 1], None, Ownership.NOT_OWNER),
+        (["ready, early"], None, Ownership.NOT_OWNER),
+        ([MAX_FIRST_REPORT_AGE_MS, "ready, older"], None, Ownership.UNKNOWN),
+        ([MAX_FIRST_REPORT_AGE_MS + 1, "ready, older"], None, Ownership.NOT_OWNER),
         # The run began after the agent started: no other agent gave it flows.
-        (["ready"], None, Ownership.STRANGER),
-        ([700, "ready"], None, Ownership.STRANGER),
-        (["ready, older", "restart"], None, Ownership.STRANGER),
+        (["ready"], None, Ownership.NOT_OWNER),
+        ([700, "ready"], None, Ownership.NOT_OWNER),
+        (["ready, older", "restart"], None, Ownership.NOT_OWNER),
         # The wall clock may have been set back, so the run may be older.
-        ([700, "ready, clock set back"], None, Ownership.UNSURE),
-        ([700, "ready, often"], None, Ownership.UNSURE),
+        ([700, "ready, clock set back"], None, Ownership.UNKNOWN),
+        ([700, "ready, often"], None, Ownership.UNKNOWN),
         # The wall clock was set back after the first report.
-        (["ready, older", "again"], None, Ownership.UNSURE),
+        (["ready, older", "again"], None, Ownership.UNKNOWN),
         (ACCEPTED, ACCEPT_SEQUENCE + 1, Ownership.OWNER),
         (ACCEPTED, None, Ownership.OWNER),
-        (ACCEPTED, ACCEPT_SEQUENCE - 1, Ownership.STRANGER),
-        (ACCEPTED, ACCEPT_SEQUENCE + (1 << 23), Ownership.STRANGER),
+        (ACCEPTED, ACCEPT_SEQUENCE - 1, Ownership.NOT_OWNER),
+        (ACCEPTED, ACCEPT_SEQUENCE + (1 << 23), Ownership.NOT_OWNER),
         ([*OPEN, FINISH], ACCEPT_SEQUENCE + 20, Ownership.OWNER),
         # Learnt from the backend server's own packets after the agent's restart.
         (["ready", ANSWER], 12_345, Ownership.OWNER),
     ],
 )
 def test_ownership(steps, acknowledged, ownership):
-    question = FlowQuestion(FLOW, acknowledged)
-    (action,), _ = run_steps([*steps, AskFrame("order", (question,))])
-    assert isinstance(action.frame, ClaimFrame)
-    assert action.frame.claims[0].ownership is ownership
+    question = OwnerQuery(FLOW, acknowledged)
+    (action,), _ = run_steps([*steps, OwnerQueryFrame("order", (question,))])
+    assert isinstance(action.frame, OwnerReplyFrame)
+    assert action.frame.replies[0].ownership is ownership
 
 
 @pytest.mark.parametrize(
@@ -328,7 +328,7 @@
         ([*OPEN, CARRY], 0),
         (["ready", ANSWER, CARRY], 0),
         ([*ACCEPTED, CARRY, FINISH], 0),
-        ([*OPEN, FINISH, CarryFrame("order", replace(DATA, sequence=50))], 0),
+        ([*OPEN, FINISH, ForwardFrame("order", replace(DATA, sequence=50))], 0),
         ([*ACCEPTED, CARRY, 10_000], 0),
     ],
 )
