--- a/src/papayagw/_internal/core/plain/batching.py
+++ b/src/papayagw/_internal/core/plain/batching.py
@@ -33,7 +33,8 @@
             others.append(action)
     return others + [
         SendFrame(
-            peer, OwnerQueryFrame(service, tuple(questions[start : start + MAX_QUESTIONS]))
+            peer,
+            OwnerQueryFrame(service, tuple(questions[start : start + MAX_QUESTIONS])),
         )
         for (peer, service), questions in questions_by_agent.items()
         for start in range(0, len(questions), MAX_QUESTIONS)
