--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -26,7 +26,7 @@
     Configuration,
     FleetKey,
     Site,
-    SubmissionMark,
+    SubmissionEntry,
 )
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Service, ServiceId
@@ -137,7 +137,7 @@
         services=tuple(make_service(number) for number in range(1, services + 1)),
         keys=(FleetKey(1, bytes(KEY_BYTES)),),
     )
-    return Configuration(1, site, (SubmissionMark(1, "first", "operator"),))
+    return Configuration(1, site, (SubmissionEntry(1, "first", "operator"),))
 
 
 def make_service(number: int, max_flows: int = 2_000) -> Service:
@@ -165,7 +165,7 @@
     before = make_configuration(services)
     first = make_service(1, max_flows=1_000)
     site = replace(before.site, services=(first, *before.site.services[1:]))
-    marks = (SubmissionMark(2, "second", "operator"), *before.history)
+    marks = (SubmissionEntry(2, "second", "operator"), *before.history)
     giver, taker = ConfigurationLog(), ConfigurationLog()
     giver.offer(before)
     taker.offer(before)
--- a/bench/membership_bytes.py
+++ b/bench/membership_bytes.py
@@ -22,7 +22,12 @@
 from papayagw._internal.core.membership import BalancerMembership
 from papayagw._internal.models.agent import AgentRecord, Incarnation
 from papayagw._internal.models.clock import Millis
-from papayagw._internal.models.control import BalancerRecord, News, Records, Send
+from papayagw._internal.models.control import (
+    BalancerRecord,
+    MembershipUpdate,
+    RecordResponse,
+    Send,
+)
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.wire.control import ControlCodec
 from tests.lib.fleet import CONTROL_ADDRESS, FleetDriver, restart
@@ -138,7 +143,7 @@
     for number in range(balancers):
         add_balancer(fleet, number)
     owns = tuple(node.own for node in fleet.balancers.values())
-    everything = Records(News(tuple(records), owns))
+    everything = RecordResponse(MembershipUpdate(tuple(records), owns))
     for node in fleet.balancers.values():
         node.on_message(everything, CONTROL_ADDRESS, fleet.now)
     for record in records:
@@ -301,7 +306,9 @@
     owns = tuple(one.own for one in fleet.balancers.values())
     for endpoint in tuple(fleet.balancers)[1:]:
         del fleet.balancers[endpoint]
-    node.on_message(Records(News(records, owns)), CONTROL_ADDRESS, Millis(1_000))
+    node.on_message(
+        RecordResponse(MembershipUpdate(records, owns)), CONTROL_ADDRESS, Millis(1_000)
+    )
     del records, owns
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
--- a/src/papayagw/_internal/core/admission.py
+++ b/src/papayagw/_internal/core/admission.py
@@ -23,7 +23,7 @@
     AdmissionRequest,
     AdmissionResults,
     FlowNumber,
-    WorkEnd,
+    ReleaseReason,
 )
 from papayagw._internal.models.clock import Millis
 
@@ -38,7 +38,7 @@
     def offer(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
         """Decide about an accepted flow."""
 
-    def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
+    def note_end(self, flow: FlowNumber, end: ReleaseReason, now: Millis) -> None:
         """Note that a flow's work is over, while the flow may stay open."""
 
     def note_start(self, flow: FlowNumber, now: Millis) -> None:
@@ -118,15 +118,15 @@
             self._pushed_out.append(pushed_out)
         return AdmissionDecision.QUEUE
 
-    def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
+    def note_end(self, flow: FlowNumber, end: ReleaseReason, now: Millis) -> None:
         """Note that a flow's work is over, while the flow may stay open."""
         work = self._work.get(flow)
         if work is None:
             return
-        if end is WorkEnd.ANSWERED:
+        if end is ReleaseReason.ANSWERED:
             latency = Millis(now - work.admitted_at)
             self._limit.note_answer(latency, self.in_progress, now)
-        elif end is WorkEnd.FAILED:
+        elif end is ReleaseReason.FAILED:
             self._limit.note_failure(now)
         self._finish(flow)
 
@@ -210,7 +210,7 @@
         """Let the flow through."""
         return AdmissionDecision.ADMIT
 
-    def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
+    def note_end(self, flow: FlowNumber, end: ReleaseReason, now: Millis) -> None:
         """Ignore the end."""
 
     def note_start(self, flow: FlowNumber, now: Millis) -> None:
--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -11,7 +11,7 @@
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.models.agent import (
     MAX_WEIGHT,
-    WEIGHT_ONE,
+    UNIT_WEIGHT,
     AgentRecord,
     AgentState,
 )
@@ -130,7 +130,7 @@
     def set_weight(self, weight: int, now: Millis) -> tuple[Send, ...]:
         """Tell a change of strength, if it is large enough and not too soon."""
         weight = max(0, min(MAX_WEIGHT, weight))
-        step = WEIGHT_STEP * max(self._own.weight, WEIGHT_ONE * WEIGHT_STEP)
+        step = WEIGHT_STEP * max(self._own.weight, UNIT_WEIGHT * WEIGHT_STEP)
         if abs(weight - self._own.weight) < step:
             return ()
         wait = WEIGHT_INTERVALS * self._interval
--- a/src/papayagw/_internal/core/change.py
+++ b/src/papayagw/_internal/core/change.py
@@ -27,7 +27,7 @@
     return ConfigurationChange(
         base=before.version,
         base_submission_id=before.submission_id,
-        marks=tuple(marks),
+        submissions=tuple(marks),
         name=after.site.name,
         control_address=after.site.control_address,
         zones=after.site.zones,
@@ -46,7 +46,7 @@
         before.submission_id,
     ):
         return None
-    if not change.marks:
+    if not change.submissions:
         return None
     services = {service.service_id: service for service in before.site.services}
     for service_id in change.removed:
@@ -60,8 +60,8 @@
         services=tuple(ordered),
         keys=change.keys,
     )
-    history = (*change.marks, *before.history)[:HISTORY_LENGTH]
-    return Configuration(change.marks[0].version, site, history)
+    history = (*change.submissions, *before.history)[:HISTORY_LENGTH]
+    return Configuration(change.submissions[0].version, site, history)
 
 
 def share_services(before: Configuration, after: Configuration) -> Configuration:
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -3,7 +3,11 @@
 from enum import Enum
 
 from papayagw._internal.core.change import ChangeLog, apply_change, share_services
-from papayagw._internal.models.change import Answer, Nothing, Question
+from papayagw._internal.models.change import (
+    ConfigurationQuery,
+    ConfigurationReply,
+    NotModified,
+)
 from papayagw._internal.models.configuration import Configuration
 
 
@@ -41,10 +45,10 @@
         return self._refused
 
     @property
-    def question(self) -> Question:
+    def question(self) -> ConfigurationQuery:
         """What this node asks a peer that may have a newer version."""
         submission_id = self._current.submission_id if self._current else ""
-        return Question(self.version, submission_id)
+        return ConfigurationQuery(self.version, submission_id)
 
     def offer(self, configuration: Configuration) -> Offer:
         """Put a configuration in force if it is newer."""
@@ -58,17 +62,17 @@
             self._refused += 1
         return offer
 
-    def answer(self, question: Question) -> Answer:
+    def answer(self, question: ConfigurationQuery) -> ConfigurationReply:
         """Return what a peer needs to get from its version to this node's."""
         current = self._current
         if current is None or question.version >= current.version:
-            return Nothing()
+            return NotModified()
         change = self._changes.find_since(question.version, question.submission_id)
         return current if change is None else change
 
-    def resolve(self, answer: Answer) -> Configuration | None:
+    def resolve(self, answer: ConfigurationReply) -> Configuration | None:
         """Return the configuration that a peer's answer leads to, or None."""
-        if isinstance(answer, Nothing):
+        if isinstance(answer, NotModified):
             return None
         if isinstance(answer, Configuration):
             return answer
--- a/src/papayagw/_internal/core/gossip_news.py
+++ b/src/papayagw/_internal/core/gossip_news.py
@@ -14,7 +14,7 @@
 from papayagw._internal.models.control import (
     BalancerRecord,
     Bucket,
-    News,
+    MembershipUpdate,
     Record,
     SuspicionVector,
 )
@@ -84,7 +84,7 @@
         if rumour is not None:
             self._count_down(subject, rumour, HEARD_COPIES)
 
-    def take(self, room_bytes: float) -> News:
+    def take(self, room_bytes: float) -> MembershipUpdate:
         """Return what fits into `room_bytes`, counted as told once."""
         records: list[Record] = []
         vectors: list[SuspicionVector] = []
@@ -123,9 +123,9 @@
 
 def make_news(
     records: list[Record], vectors: list[SuspicionVector] | None = None
-) -> News:
+) -> MembershipUpdate:
     """Return news of whole records and suspicion vectors."""
-    return News(
+    return MembershipUpdate(
         tuple(record for record in records if isinstance(record, AgentRecord)),
         tuple(record for record in records if isinstance(record, BalancerRecord)),
         tuple(vectors or ()),
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -16,12 +16,12 @@
 from papayagw._internal.models.control import (
     BUCKETS_PER_ZONE,
     Bucket,
-    Digests,
+    BucketDigests,
+    BucketSummary,
     Record,
     RecordRequest,
-    Records,
+    RecordResponse,
     Send,
-    Summary,
 )
 from papayagw._internal.models.endpoint import Endpoint
 
@@ -116,7 +116,7 @@
         yield Send(source, message)
 
     def on_digests(
-        self, message: Digests, source: Endpoint, now: Millis
+        self, message: BucketDigests, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Answer a peer's digests with what this node holds of a few buckets."""
         differing = self._find_differing(message)
@@ -133,7 +133,7 @@
                 yield self._summarise(bucket, source, now)
 
     def on_summary(
-        self, message: Summary, source: Endpoint, now: Millis
+        self, message: BucketSummary, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Send what the peer misses of a bucket, and ask for what is missing here."""
         theirs = set(message.fingerprints)
@@ -162,7 +162,7 @@
             yield self._summarise(bucket, destination, now)
 
     def _divide(
-        self, differing: Sequence[Bucket], message: Digests
+        self, differing: Sequence[Bucket], message: BucketDigests
     ) -> tuple[list[Record], list[Bucket]]:
         """Return records to send at once, and buckets that are worth a comparison."""
         empty = set(_list_empty(message))
@@ -182,7 +182,7 @@
     def _summarise(self, bucket: Bucket, destination: Endpoint, now: Millis) -> Send:
         fingerprints = self._table.list_fingerprints(bucket)
         self._spend(len(fingerprints) * FINGERPRINT_BYTES, now)
-        return Send(destination, Summary(bucket, fingerprints))
+        return Send(destination, BucketSummary(bucket, fingerprints))
 
     def _send_records(
         self, records: Sequence[Record], destination: Endpoint, now: Millis
@@ -190,18 +190,18 @@
         for start in range(0, len(records), RECORDS_PER_DATAGRAM):
             chunk = list(records[start : start + RECORDS_PER_DATAGRAM])
             self._spend(len(chunk) * RECORD_BYTES, now)
-            yield Send(destination, Records(make_news(chunk)))
+            yield Send(destination, RecordResponse(make_news(chunk)))
 
-    def _make_digests(self) -> Digests:
+    def _make_digests(self) -> BucketDigests:
         zones = self._table.zones
         complete = self._caught_up or len(zones) <= 1 or self._asked % len(zones) == 0
         if not complete:
             zones = (zones[self._asked % len(zones)],)
         self._asked += 1
         digests = tuple(self._table.get_digest(one) for one in _list_buckets(zones))
-        return Digests(zones, digests, complete)
+        return BucketDigests(zones, digests, complete)
 
-    def _find_differing(self, message: Digests) -> list[Bucket]:
+    def _find_differing(self, message: BucketDigests) -> list[Bucket]:
         theirs = dict(zip(_list_buckets(message.zones), message.digests, strict=False))
         ours = set(self._table.buckets) if message.complete else set()
         buckets = sorted(set(theirs) | ours)
@@ -221,6 +221,6 @@
     ]
 
 
-def _list_empty(message: Digests) -> Iterator[Bucket]:
+def _list_empty(message: BucketDigests) -> Iterator[Bucket]:
     pairs = zip(_list_buckets(message.zones), message.digests, strict=False)
     return (bucket for bucket, digest in pairs if digest == 0)
--- a/src/papayagw/_internal/core/gossip_table.py
+++ b/src/papayagw/_internal/core/gossip_table.py
@@ -15,7 +15,7 @@
 from papayagw._internal.models.control import (
     AGENT_BUCKETS,
     BALANCER_BUCKET,
-    COUNTER_SPAN,
+    SUSPICION_MODULUS,
     BalancerRecord,
     Bucket,
     Fingerprint,
@@ -180,7 +180,7 @@
         if state is None:
             return SuspicionVector(bucket, 0, ())
         counters = tuple(
-            self._records[endpoint].suspicion % COUNTER_SPAN
+            self._records[endpoint].suspicion % SUSPICION_MODULUS
             for endpoint in state.list_sorted()
         )
         return SuspicionVector(bucket, state.index_digest, counters)
@@ -197,8 +197,8 @@
         behind = False
         for endpoint, counter in zip(members, vector.counters, strict=True):
             record = self._records[endpoint]
-            steps = (counter - record.suspicion) % COUNTER_SPAN
-            if steps >= COUNTER_SPAN // 2:
+            steps = (counter - record.suspicion) % SUSPICION_MODULUS
+            if steps >= SUSPICION_MODULUS // 2:
                 behind = True
             elif steps:
                 ahead.append(replace(record, suspicion=record.suspicion + steps))
--- a/src/papayagw/_internal/core/lifecycle.py
+++ b/src/papayagw/_internal/core/lifecycle.py
@@ -15,38 +15,38 @@
     AdmissionRefused,
     Admitted,
     AnswerAcknowledged,
-    BackendBroke,
     BackendClosed,
     BackendConnected,
     BackendConnectFailed,
+    BackendConnectionLost,
     BackendSent,
     BackendWrote,
     CallerCancelled,
     CallerFinished,
     CallerSent,
     CancelBackend,
+    CloseFlow,
     ConnectBackend,
     DeadlineReached,
     DeliverToBackend,
-    FinishToBackend,
-    FinishToCaller,
+    DrainStarted,
+    FinishAnswer,
+    FinishRequest,
     FlowActions,
     FlowEvent,
     FlowState,
     HandshakeCompleted,
     IdleTimedOut,
     SendToCaller,
-    StopAsked,
     StopLimitReached,
-    TellCaller,
 )
 
 MAX_CONNECTS = 2
 """How often an agent tries to reach its backend server for one flow."""
 
 NOTHING: FlowActions = ()
-FINISH_TO_BACKEND = FinishToBackend()
-FINISH_TO_CALLER = FinishToCaller()
+FINISH_TO_BACKEND = FinishRequest()
+FINISH_TO_CALLER = FinishAnswer()
 CANCEL_BACKEND = CancelBackend()
 
 _FINAL_STATES = {
@@ -241,7 +241,7 @@
         self._state = FlowState.FINISHING
         return (FINISH_TO_CALLER,)
 
-    def _on_backend_broke(self, event: BackendBroke) -> FlowActions:
+    def _on_backend_broke(self, event: BackendConnectionLost) -> FlowActions:
         if self._state not in _CONNECTED_STATES or self._is_stale(event.attempt):
             return self._ignore()
         if self._state is FlowState.DELIVERING:
@@ -255,7 +255,7 @@
     def _on_time_over(self, event: DeadlineReached | IdleTimedOut) -> FlowActions:
         return self._fail()
 
-    def _on_stop_asked(self, event: StopAsked) -> FlowActions:
+    def _on_stop_asked(self, event: DrainStarted) -> FlowActions:
         # A flow that is connected is established: it may end in its own time. One
         # that is opening can't be told yet: its caller may hold the handshake for
         # complete, and a word in the middle of it doesn't carry an outcome.
@@ -287,7 +287,7 @@
         self._outcome = outcome
         self._state = _FINAL_STATES[outcome]
         self._held = 0
-        tell = TellCaller(outcome)
+        tell = CloseFlow(outcome)
         return (CANCEL_BACKEND, tell) if cancels else (tell,)
 
     @property
@@ -312,9 +312,9 @@
     BackendWrote: FlowLifecycle._on_backend_wrote,
     BackendSent: FlowLifecycle._on_backend_sent,
     BackendClosed: FlowLifecycle._on_backend_closed,
-    BackendBroke: FlowLifecycle._on_backend_broke,
+    BackendConnectionLost: FlowLifecycle._on_backend_broke,
     DeadlineReached: FlowLifecycle._on_time_over,
     IdleTimedOut: FlowLifecycle._on_time_over,
-    StopAsked: FlowLifecycle._on_stop_asked,
+    DrainStarted: FlowLifecycle._on_stop_asked,
     StopLimitReached: FlowLifecycle._on_stop_limit,
 }
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -25,23 +25,23 @@
 from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.control import (
-    NO_NEWS,
+    EMPTY_UPDATE,
     Announcement,
     BalancerRecord,
+    BucketDigests,
+    BucketSummary,
     ControlMessage,
-    Digests,
     Gossip,
     GossipKind,
     Heartbeat,
-    Inquiry,
     Join,
-    News,
+    LivenessRequest,
+    LivenessResponse,
+    MembershipUpdate,
     Record,
     RecordRequest,
-    Records,
+    RecordResponse,
     Send,
-    Summary,
-    Voucher,
 )
 from papayagw._internal.models.endpoint import Endpoint
 
@@ -134,7 +134,7 @@
         self._repair_budget = TokenBucket(MIN_NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
         self._repairer = Repairer(self._fleet.table, self._repair_budget, random_source)
         self._suspects: dict[Endpoint, Millis] = {}
-        self._inquirers: dict[int, tuple[Endpoint, Inquiry]] = {}
+        self._inquirers: dict[int, tuple[Endpoint, LivenessRequest]] = {}
         self._inquiry_number = _FIRST_INQUIRY
         self._ticked_at: Millis | None = None
         self._join_at = Millis(0)
@@ -149,12 +149,12 @@
             Heartbeat: self._on_heartbeat,
             Join: self._on_join,
             Gossip: self._on_gossip,
-            Digests: self._repairer.on_digests,
-            Summary: self._repairer.on_summary,
+            BucketDigests: self._repairer.on_digests,
+            BucketSummary: self._repairer.on_summary,
             RecordRequest: self._repairer.on_request,
-            Records: self._on_records,
-            Inquiry: self._on_inquiry,
-            Voucher: self._on_voucher,
+            RecordResponse: self._on_records,
+            LivenessRequest: self._on_inquiry,
+            LivenessResponse: self._on_voucher,
         }
 
     @property
@@ -261,7 +261,7 @@
         news = make_news([self._fleet.own])
         targets = self._sample_peers(2 * FANOUT)
         return tuple(
-            self._gossip(GossipKind.NEWS, target, 0, news) for target in targets
+            self._gossip(GossipKind.UPDATE, target, 0, news) for target in targets
         )
 
     def _is_cut_off(self, now: Millis) -> bool:
@@ -307,7 +307,7 @@
             return
         for peer in self._sample_peers(INQUIRED_PEERS):
             if peer != silent:
-                yield Send(peer, Inquiry(silent, record.incarnation))
+                yield Send(peer, LivenessRequest(silent, record.incarnation))
 
     def _suspect(self, silent: Endpoint, now: Millis) -> None:
         record = self._fleet.table.get(silent)
@@ -341,10 +341,10 @@
             if not self._may_send_news(now) and not self._version_copies:
                 return
             news = self._take_news(now)
-            if news == NO_NEWS and not self._version_copies:
+            if news == EMPTY_UPDATE and not self._version_copies:
                 return
             self._budget.spend(DATAGRAM_BYTES, now)
-            yield self._gossip(GossipKind.NEWS, peer, 0, news)
+            yield self._gossip(GossipKind.UPDATE, peer, 0, news)
 
     def _may_send_news(self, now: Millis) -> bool:
         """Return whether the budget lets a datagram be well filled."""
@@ -359,7 +359,7 @@
         self._repair_budget.set_rate(int(share * rate), now)
         self._budget.set_rate(int((1 - share) * rate), now)
 
-    def _take_news(self, now: Millis) -> News:
+    def _take_news(self, now: Millis) -> MembershipUpdate:
         room = min(MAX_NEWS_BYTES, self._budget.get_level(now))
         news = self._fleet.news.take(room)
         self._budget.spend(_estimate_bytes(news), now)
@@ -370,7 +370,11 @@
         return self._random.sample(peers, min(count, len(peers)))
 
     def _gossip(
-        self, kind: GossipKind, destination: Endpoint, number: int, news: News
+        self,
+        kind: GossipKind,
+        destination: Endpoint,
+        number: int,
+        news: MembershipUpdate,
     ) -> Send:
         digest = self._fleet.table.digest if self.caught_up else NO_DIGEST
         return Send(destination, Gossip(kind, number, digest, self._version, news))
@@ -397,7 +401,7 @@
         elif (known := self._fleet.table.get(joiner)) != message.record and known:
             records.append(known)
         self._budget.spend(RECORD_BYTES * len(records), now)
-        yield self._gossip(GossipKind.NEWS, joiner, 0, make_news(records))
+        yield self._gossip(GossipKind.UPDATE, joiner, 0, make_news(records))
 
     def _introduce(self, joiner: Endpoint) -> list[Record]:
         others = [one for one in self.balancers if one.endpoint != joiner]
@@ -411,8 +415,8 @@
     def _on_gossip(
         self, message: Gossip, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        self._budget.spend(_estimate_bytes(message.news), now)
-        yield from self._take_in(message.news, source, now)
+        self._budget.spend(_estimate_bytes(message.update), now)
+        yield from self._take_in(message.update, source, now)
         self._note_version(message.configuration_version, source)
         yield from self._answer(message, source, now)
         known = self._fleet.table.get(source)
@@ -425,13 +429,13 @@
     def _answer(self, message: Gossip, source: Endpoint, now: Millis) -> Iterator[Send]:
         if message.kind is GossipKind.PROBE:
             news = self._take_news(now)
-            yield self._gossip(GossipKind.ANSWER, source, message.number, news)
-        elif message.kind is GossipKind.ANSWER:
+            yield self._gossip(GossipKind.REPLY, source, message.number, news)
+        elif message.kind is GossipKind.REPLY:
             self._prober.note_answer(message.number)
             waiting = self._inquirers.pop(message.number, None)
             if waiting is not None:
                 inquirer, inquiry = waiting
-                voucher = Voucher(inquiry.endpoint, inquiry.incarnation, 0)
+                voucher = LivenessResponse(inquiry.endpoint, inquiry.incarnation, 0)
                 yield Send(inquirer, voucher)
 
     def _meet(
@@ -442,10 +446,12 @@
             return
         self._meet_at = Millis(now + MEET_MS)
         if known is not None:
-            yield self._gossip(GossipKind.NEWS, source, 0, make_news([known]))
+            yield self._gossip(GossipKind.UPDATE, source, 0, make_news([known]))
         yield Send(source, Join(self._fleet.own))
 
-    def _take_in(self, news: News, source: Endpoint, now: Millis) -> Iterator[Send]:
+    def _take_in(
+        self, news: MembershipUpdate, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
         for record in news.records:
             self._fleet.merge(record, now)
         for vector in news.vectors:
@@ -453,9 +459,9 @@
                 yield from self._repairer.send_bucket(vector.bucket, source, now)
 
     def _on_records(
-        self, message: Records, source: Endpoint, now: Millis
+        self, message: RecordResponse, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        news = message.news
+        news = message.update
         self._repair_budget.spend(DATAGRAM_BYTES + _estimate_bytes(news), now)
         newer: list[Record] = []
         for record in news.records:
@@ -464,10 +470,10 @@
             if outcome is MergeOutcome.STALE and known is not None:
                 newer.append(known)
         if newer:
-            yield Send(source, Records(make_news(newer)))
+            yield Send(source, RecordResponse(make_news(newer)))
 
     def _on_inquiry(
-        self, message: Inquiry, source: Endpoint, now: Millis
+        self, message: LivenessRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         record = self._fleet.table.get(message.endpoint)
         if isinstance(record, AgentRecord):
@@ -478,11 +484,11 @@
                 self._inquirers.clear()
             self._inquirers[self._inquiry_number] = (source, message)
             yield self._gossip(
-                GossipKind.PROBE, message.endpoint, self._inquiry_number, NO_NEWS
+                GossipKind.PROBE, message.endpoint, self._inquiry_number, EMPTY_UPDATE
             )
 
     def _on_voucher(
-        self, message: Voucher, _source: Endpoint, now: Millis
+        self, message: LivenessResponse, _source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         self._watcher.on_voucher(message, now)
         self._prober.note_alive(message.endpoint)
@@ -493,5 +499,5 @@
             self._heard = (version, source)
 
 
-def _estimate_bytes(news: News) -> int:
+def _estimate_bytes(news: MembershipUpdate) -> int:
     return int(sum(estimate_bytes(one) for one in (*news.records, *news.vectors)))
--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -13,9 +13,9 @@
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.opening import (
     AttemptEnded,
-    GiveUp,
     OpeningAction,
     Reopen,
+    ReportOutcome,
     RetryPolicy,
 )
 
@@ -193,6 +193,6 @@
         )
         return Millis(round(longest * self._draw()))
 
-    def _give_up(self, outcome: FlowOutcome) -> GiveUp:
+    def _give_up(self, outcome: FlowOutcome) -> ReportOutcome:
         self._outcome = outcome
-        return GiveUp(outcome)
+        return ReportOutcome(outcome)
--- a/src/papayagw/_internal/core/submission.py
+++ b/src/papayagw/_internal/core/submission.py
@@ -14,7 +14,7 @@
     HISTORY_LENGTH,
     Configuration,
     Site,
-    SubmissionMark,
+    SubmissionEntry,
 )
 
 
@@ -155,7 +155,9 @@
 
     def on_conflict(self, current: Configuration | None) -> None:
         """Take in that the write took no effect, and what the store holds."""
-        mark = current.find_mark(self._proposal.submission_id) if current else None
+        mark = (
+            current.find_submission(self._proposal.submission_id) if current else None
+        )
         if mark is not None:
             self._finish(Accepted(mark.version))
         elif current is None or current.version < self._written.version:
@@ -215,7 +217,7 @@
         version = current.version + 1 if current else 1
         earlier = current.history if current else ()
         proposal = self._proposal
-        mark = SubmissionMark(version, proposal.submission_id, proposal.operator)
+        mark = SubmissionEntry(version, proposal.submission_id, proposal.operator)
         history = (mark, *earlier)[:HISTORY_LENGTH]
         return Configuration(version, proposal.site, history)
 
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -20,9 +20,9 @@
     Acknowledgement,
     Announcement,
     Heartbeat,
-    Inquiry,
+    LivenessRequest,
+    LivenessResponse,
     Send,
-    Voucher,
 )
 from papayagw._internal.models.endpoint import Endpoint
 
@@ -121,15 +121,15 @@
             yield self._acknowledge(message.endpoint, message.siblings_digest, now)
             return
         if not self._watch.note_beat(
-            message.endpoint, message.incarnation, message.beat, now
+            message.endpoint, message.incarnation, message.heartbeat_number, now
         ):
             return
         self._refute(message.endpoint, now)
-        if (message.beat + self._ack_offset) % ACK_BEATS == 0:
+        if (message.heartbeat_number + self._ack_offset) % ACK_BEATS == 0:
             yield self._acknowledge(message.endpoint, message.siblings_digest, now)
 
     def on_inquiry(
-        self, message: Inquiry, source: Endpoint, now: Millis
+        self, message: LivenessRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Vouch for an agent that was heard lately."""
         since = Millis(now - int(SUSPECT_BEATS * self.compute_interval()))
@@ -138,12 +138,14 @@
             age_ms = Millis(now - beat.heard_at)
             yield Send(
                 source,
-                Voucher(message.endpoint, message.incarnation, beat.number, age_ms),
+                LivenessResponse(
+                    message.endpoint, message.incarnation, beat.number, age_ms
+                ),
             )
 
-    def on_voucher(self, message: Voucher, now: Millis) -> None:
+    def on_voucher(self, message: LivenessResponse, now: Millis) -> None:
         """Take another watcher's word for a heartbeat."""
-        beat = Beat(message.beat, Millis(now - message.age_ms))
+        beat = Beat(message.heartbeat_number, Millis(now - message.age_ms))
         if self._watch.note_voucher(message.endpoint, message.incarnation, beat):
             self._refute(message.endpoint, now)
 
@@ -226,7 +228,7 @@
         others = [watcher for watcher in watchers if watcher in reachable]
         if others:
             asked = self._random.choice(others)
-            yield Send(asked, Inquiry(endpoint, known.incarnation))
+            yield Send(asked, LivenessRequest(endpoint, known.incarnation))
 
     def _suspect(self, endpoint: Endpoint, cut_off: bool, now: Millis) -> None:
         known = self._fleet.table.get(endpoint)
--- a/src/papayagw/_internal/exceptions.py
+++ b/src/papayagw/_internal/exceptions.py
@@ -6,7 +6,13 @@
 
 from enum import Enum
 
-MALFORMED = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
+MALFORMED_JSON_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+)
 """What reading the fields of JSON that has another form than expected may raise."""
 
 
--- a/src/papayagw/_internal/models/admission.py
+++ b/src/papayagw/_internal/models/admission.py
@@ -68,7 +68,7 @@
     REFUSE = "refuse"
 
 
-class WorkEnd(Enum):
+class ReleaseReason(Enum):
     """Why a flow no longer counts against the concurrency limit."""
 
     ANSWERED = "answered"
--- a/src/papayagw/_internal/models/agent.py
+++ b/src/papayagw/_internal/models/agent.py
@@ -10,7 +10,7 @@
 Incarnation = NewType("Incarnation", int)
 """One run of an agent: its start in ms since 1970; a later run is higher."""
 
-WEIGHT_ONE = 64
+UNIT_WEIGHT = 64
 """The quantised weight of an instance of ordinary strength; 0 takes no openings."""
 
 MAX_WEIGHT = 255
@@ -55,7 +55,7 @@
     service_id: ServiceId
     zone: str
     state: AgentState = AgentState.READY
-    weight: int = WEIGHT_ONE
+    weight: int = UNIT_WEIGHT
     suspicion: int = 0
 
     @property
--- a/src/papayagw/_internal/models/change.py
+++ b/src/papayagw/_internal/models/change.py
@@ -5,7 +5,7 @@
 from papayagw._internal.models.configuration import (
     Configuration,
     FleetKey,
-    SubmissionMark,
+    SubmissionEntry,
 )
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Service, ServiceId
@@ -21,7 +21,7 @@
         The version that it applies to.
     base_submission_id : str
         The submission of that version.
-    marks : tuple of SubmissionMark
+    submissions : tuple of SubmissionEntry
         The submissions since, the last one first.
     name : str
         The name of the site.
@@ -39,7 +39,7 @@
 
     base: int
     base_submission_id: str
-    marks: tuple[SubmissionMark, ...]
+    submissions: tuple[SubmissionEntry, ...]
     name: str
     control_address: Endpoint
     zones: tuple[str, ...]
@@ -49,7 +49,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Question:
+class ConfigurationQuery:
     """The version that a node has, told to a peer that may have a newer one.
 
     Attributes
@@ -65,8 +65,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Nothing:
+class NotModified:
     """The answering node has nothing newer."""
 
 
-Answer = Nothing | Configuration | ConfigurationChange
+ConfigurationReply = NotModified | Configuration | ConfigurationChange
--- a/src/papayagw/_internal/models/configuration.py
+++ b/src/papayagw/_internal/models/configuration.py
@@ -65,7 +65,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SubmissionMark:
+class SubmissionEntry:
     """Whose submission a version is.
 
     Attributes
@@ -94,20 +94,20 @@
         never submitted.
     site : Site
         What is in force.
-    history : tuple of SubmissionMark
+    history : tuple of SubmissionEntry
         The last submissions, this one first, at most `HISTORY_LENGTH`.
     """
 
     version: int
     site: Site
-    history: tuple[SubmissionMark, ...] = ()
+    history: tuple[SubmissionEntry, ...] = ()
 
     @property
     def submission_id(self) -> str:
         """The id of the submission that became this version; empty for a file."""
         return self.history[0].submission_id if self.history else ""
 
-    def find_mark(self, submission_id: str) -> SubmissionMark | None:
+    def find_submission(self, submission_id: str) -> SubmissionEntry | None:
         """Return the mark of a submission, or None if it isn't remembered."""
         found = (mark for mark in self.history if mark.submission_id == submission_id)
         return next(found, None)
--- a/src/papayagw/_internal/models/control.py
+++ b/src/papayagw/_internal/models/control.py
@@ -78,7 +78,7 @@
         Its run.
     sequence : int
         The sequence of its last change.
-    beat : int
+    heartbeat_number : int
         Rises with each heartbeat, so that a late or replayed one counts for
         nothing.
     siblings_digest : int
@@ -88,7 +88,7 @@
     endpoint: Endpoint
     incarnation: Incarnation
     sequence: int
-    beat: int
+    heartbeat_number: int
     siblings_digest: int = 0
 
 
@@ -146,9 +146,9 @@
 class GossipKind(IntEnum):
     """What a gossip message is besides a carrier of news."""
 
-    NEWS = 0
+    UPDATE = 0
     PROBE = 1
-    ANSWER = 2
+    REPLY = 2
 
 
 AGENT_BUCKETS = 16
@@ -177,7 +177,7 @@
     number: int
 
 
-COUNTER_SPAN = 16
+SUSPICION_MODULUS = 16
 """Suspicion counters travel modulo this number."""
 
 
@@ -193,7 +193,7 @@
         Over endpoint, incarnation and sequence of its records: the vector is of
         use only to a node that holds the same ones.
     counters : tuple of int
-        The suspicion of each record modulo `COUNTER_SPAN`, by rising endpoint.
+        The suspicion of each record modulo `SUSPICION_MODULUS`, by rising endpoint.
     """
 
     bucket: Bucket
@@ -202,7 +202,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class News:
+class MembershipUpdate:
     """Changes of the membership, at most as many as fit a datagram.
 
     Attributes
@@ -225,7 +225,7 @@
         return (*self.balancers, *self.agents)
 
 
-NO_NEWS = News()
+EMPTY_UPDATE = MembershipUpdate()
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,7 +243,7 @@
         and asks for what it needs by itself.
     configuration_version : int
         The version that the sender holds.
-    news : News
+    update : MembershipUpdate
         Changes that the sender has heard of lately.
     """
 
@@ -251,11 +251,11 @@
     number: int
     digest: int
     configuration_version: int
-    news: News = NO_NEWS
+    update: MembershipUpdate = EMPTY_UPDATE
 
 
 @dataclass(frozen=True, slots=True)
-class Digests:
+class BucketDigests:
     """The digest of each bucket of the sender's records.
 
     Attributes
@@ -274,7 +274,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Summary:
+class BucketSummary:
     """The records that the sender holds in one bucket.
 
     Attributes
@@ -304,20 +304,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Records:
+class RecordResponse:
     """Whole records that the receiver misses; they aren't spread further.
 
     Attributes
     ----------
-    news : News
+    update : MembershipUpdate
         The records.
     """
 
-    news: News
+    update: MembershipUpdate
 
 
 @dataclass(frozen=True, slots=True)
-class Inquiry:
+class LivenessRequest:
     """Asks whether a silent node is alive.
 
     Attributes
@@ -333,7 +333,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Voucher:
+class LivenessResponse:
     """Answers an inquiry: the node was heard.
 
     Attributes
@@ -342,7 +342,7 @@
         The node.
     incarnation : Incarnation
         Its run.
-    beat : int
+    heartbeat_number : int
         The last heartbeat that was heard; 0 for a balancer.
     age_ms : Millis
         How long ago that was.
@@ -350,7 +350,7 @@
 
     endpoint: Endpoint
     incarnation: Incarnation
-    beat: int
+    heartbeat_number: int
     age_ms: Millis = Millis(0)
 
 
@@ -360,12 +360,12 @@
     | Acknowledgement
     | Join
     | Gossip
-    | Digests
-    | Summary
+    | BucketDigests
+    | BucketSummary
     | RecordRequest
-    | Records
-    | Inquiry
-    | Voucher
+    | RecordResponse
+    | LivenessRequest
+    | LivenessResponse
 )
 
 
--- a/src/papayagw/_internal/models/lifecycle.py
+++ b/src/papayagw/_internal/models/lifecycle.py
@@ -138,7 +138,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BackendBroke:
+class BackendConnectionLost:
     """The connection to the backend server was reset or timed out.
 
     Attributes
@@ -161,7 +161,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StopAsked:
+class DrainStarted:
     """The agent drains: a flow without a backend connection goes elsewhere."""
 
 
@@ -197,7 +197,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FinishToBackend:
+class FinishRequest:
     """Shut down the sending side of the backend server's socket."""
 
 
@@ -220,12 +220,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FinishToCaller:
+class FinishAnswer:
     """Send the end of the answer to the caller."""
 
 
 @dataclass(frozen=True, slots=True)
-class TellCaller:
+class CloseFlow:
     """Close the flow with its outcome; the last action, after it comes release.
 
     Attributes
@@ -250,19 +250,19 @@
     | BackendWrote
     | BackendSent
     | BackendClosed
-    | BackendBroke
+    | BackendConnectionLost
     | DeadlineReached
     | IdleTimedOut
-    | StopAsked
+    | DrainStarted
     | StopLimitReached
 )
 FlowAction = (
     ConnectBackend
     | DeliverToBackend
-    | FinishToBackend
+    | FinishRequest
     | CancelBackend
     | SendToCaller
-    | FinishToCaller
-    | TellCaller
+    | FinishAnswer
+    | CloseFlow
 )
 FlowActions = tuple[FlowAction, ...]
--- a/src/papayagw/_internal/models/opening.py
+++ b/src/papayagw/_internal/models/opening.py
@@ -77,7 +77,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GiveUp:
+class ReportOutcome:
     """Tell the caller how its flow ended.
 
     Attributes
@@ -89,4 +89,4 @@
     outcome: FlowOutcome
 
 
-OpeningAction = Reopen | GiveUp
+OpeningAction = Reopen | ReportOutcome
--- a/src/papayagw/_internal/net/admission_gate.py
+++ b/src/papayagw/_internal/net/admission_gate.py
@@ -9,7 +9,7 @@
     AdmissionDecision,
     AdmissionRequest,
     FlowNumber,
-    WorkEnd,
+    ReleaseReason,
 )
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.net.agent_flow import AgentFlow
@@ -55,7 +55,7 @@
         if number is not None:
             self._admission.note_start(number, self._clock.now())
 
-    def note_end(self, flow: AgentFlow, end: WorkEnd) -> None:
+    def note_end(self, flow: AgentFlow, end: ReleaseReason) -> None:
         """Note that a flow's work is over, while the flow may stay open."""
         number = self._number_of.get(flow)
         if number is not None:
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -16,7 +16,7 @@
 from papayagw._internal.core.return_path import ReturnPath
 from papayagw._internal.core.service_meter import ServiceMeter
 from papayagw._internal.exceptions import SettingsError, Step
-from papayagw._internal.models.admission import WorkEnd
+from papayagw._internal.models.admission import ReleaseReason
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import Accept, DropReason, Forward
@@ -233,11 +233,11 @@
 
     def on_answer(self, flow: AgentFlow) -> None:
         """Note the first bytes of the backend server."""
-        self._gate.note_end(flow, WorkEnd.ANSWERED)
+        self._gate.note_end(flow, ReleaseReason.ANSWERED)
 
     def on_idle(self, flow: AgentFlow) -> None:
         """Note that a connected flow has asked for nothing yet."""
-        self._gate.note_end(flow, WorkEnd.IDLE)
+        self._gate.note_end(flow, ReleaseReason.IDLE)
 
     def on_stream_done(self, flow: AgentFlow) -> None:
         """Note that both directions have ended, and only the caller's word lacks."""
@@ -247,7 +247,7 @@
         """Note how a flow ended."""
         self._count(outcome.value)
         if flow.backend_failed:
-            self._gate.note_end(flow, WorkEnd.FAILED)
+            self._gate.note_end(flow, ReleaseReason.FAILED)
         self._half_open.set(flow, None)
         self._unsettled.set(flow, None)
         self._gate.close(flow)
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -14,25 +14,25 @@
     AdmissionRefused,
     Admitted,
     AnswerAcknowledged,
-    BackendBroke,
     BackendClosed,
     BackendConnected,
     BackendConnectFailed,
+    BackendConnectionLost,
     BackendSent,
     BackendWrote,
     CallerCancelled,
     CallerFinished,
     CallerSent,
+    CloseFlow,
     ConnectBackend,
     DeliverToBackend,
-    FinishToCaller,
+    DrainStarted,
+    FinishAnswer,
     FlowAction,
     FlowEvent,
     HandshakeCompleted,
     IdleTimedOut,
-    StopAsked,
     StopLimitReached,
-    TellCaller,
 )
 from papayagw._internal.models.stream import (
     BytesArrived,
@@ -170,7 +170,7 @@
 
     def drain(self) -> None:
         """End the flow if it isn't established yet."""
-        self._apply(StopAsked(), "the agent is leaving")
+        self._apply(DrainStarted(), "the agent is leaving")
 
     def give_up(self) -> None:
         """End the flow, whose handshake wasn't completed in time."""
@@ -266,11 +266,11 @@
                 self._owner.spawn(self._run)
             case DeliverToBackend():
                 self._begin_work()
-            case FinishToCaller():
+            case FinishAnswer():
                 self._connection.finish()
                 self._owner.touch(self)
                 self._end_direction()
-            case TellCaller(outcome):
+            case CloseFlow(outcome):
                 self._end(outcome, reason)
 
     def _end_direction(self) -> None:
@@ -332,7 +332,7 @@
         except* StreamBrokenError as errors:
             self._backend_failed = True
             self._backend_gone = True
-            self._apply(BackendBroke(attempt), str(errors.exceptions[0]))
+            self._apply(BackendConnectionLost(attempt), str(errors.exceptions[0]))
         finally:
             if is_whole or self._lifecycle.outcome is FlowOutcome.ANSWERED:
                 stream.close()
--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -11,7 +11,7 @@
     PapayagwError,
     Step,
 )
-from papayagw._internal.models.change import Answer
+from papayagw._internal.models.change import ConfigurationReply
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration, FleetKey
 from papayagw._internal.models.endpoint import Endpoint
@@ -85,7 +85,9 @@
             return Failure(_fail(peer, "an answer that isn't authentic"))
         return Success(self._log.resolve(answer))
 
-    async def _ask(self, peer: Endpoint, codec: ExchangeCodec) -> Answer | None:
+    async def _ask(
+        self, peer: Endpoint, codec: ExchangeCodec
+    ) -> ConfigurationReply | None:
         question, nonce = codec.seal_question(self._log.question)
         stream = await TcpStream.connect(peer, self._timeout_ms)
         try:
--- a/src/papayagw/_internal/wire/configuration.py
+++ b/src/papayagw/_internal/wire/configuration.py
@@ -19,7 +19,7 @@
     Configuration,
     FleetKey,
     Site,
-    SubmissionMark,
+    SubmissionEntry,
 )
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Objectives, Service, ServiceId
@@ -100,12 +100,12 @@
     return {"keyId": key.key_id, "secret": key.secret}
 
 
-def read_mark(message: Any) -> SubmissionMark:
+def read_mark(message: Any) -> SubmissionEntry:
     """Return the submission's mark of a message."""
-    return SubmissionMark(message.version, message.submissionId, message.operator)
+    return SubmissionEntry(message.version, message.submissionId, message.operator)
 
 
-def write_mark(mark: SubmissionMark) -> dict[str, Any]:
+def write_mark(mark: SubmissionEntry) -> dict[str, Any]:
     """Return the fields of a submission's mark."""
     return {
         "version": mark.version,
--- a/src/papayagw/_internal/wire/configuration_exchange.py
+++ b/src/papayagw/_internal/wire/configuration_exchange.py
@@ -17,10 +17,10 @@
 from cryptography.hazmat.primitives.ciphers.aead import AESGCM
 
 from papayagw._internal.models.change import (
-    Answer,
     ConfigurationChange,
-    Nothing,
-    Question,
+    ConfigurationQuery,
+    ConfigurationReply,
+    NotModified,
 )
 from papayagw._internal.models.configuration import Configuration, FleetKey
 from papayagw._internal.models.service import ServiceId
@@ -59,7 +59,7 @@
         What the answer is bound to.
     """
 
-    question: Question
+    question: ConfigurationQuery
     key_id: int
     nonce: bytes
 
@@ -80,7 +80,7 @@
             for key in keys
         }
 
-    def seal_question(self, question: Question) -> tuple[bytes, bytes]:
+    def seal_question(self, question: ConfigurationQuery) -> tuple[bytes, bytes]:
         """Return the frame of a question and the nonce that its answer needs."""
         message = SCHEMA.Question.new_message(
             version=question.version, submissionId=question.submission_id
@@ -96,18 +96,18 @@
             return None
         try:
             message = SCHEMA.Question.from_bytes_packed(plain)
-            question = Question(message.version, message.submissionId)
+            question = ConfigurationQuery(message.version, message.submissionId)
         except (capnp.KjException, ValueError):
             return None
         return Asked(question, frame[0], frame[1 : 1 + NONCE_BYTES])
 
-    def seal_answer(self, answer: Answer, asked: Asked) -> bytes:
+    def seal_answer(self, answer: ConfigurationReply, asked: Asked) -> bytes:
         """Return the frame of an answer."""
         plain = _write_answer(answer)
         nonce = os.urandom(NONCE_BYTES)
         return self._seal(asked.key_id, nonce, plain, _ANSWER + asked.nonce)
 
-    def open_answer(self, frame: bytes, nonce: bytes) -> Answer | None:
+    def open_answer(self, frame: bytes, nonce: bytes) -> ConfigurationReply | None:
         """Return the answer to the question with `nonce`, or None if it isn't it."""
         plain = self._open(frame, _ANSWER + nonce)
         if plain is None:
@@ -132,34 +132,34 @@
             return None
 
 
-def _write_answer(answer: Answer) -> bytes:
+def _write_answer(answer: ConfigurationReply) -> bytes:
     message = SCHEMA.Answer.new_message()
     match answer:
         case Configuration():
             message.init("whole").from_dict(make_fields(answer))
         case ConfigurationChange():
             message.init("change").from_dict(_make_change_fields(answer))
-        case Nothing():
+        case NotModified():
             message.nothing = None
     written: bytes = message.to_bytes_packed()
     return written
 
 
-def _read_answer(plain: bytes) -> Answer:
+def _read_answer(plain: bytes) -> ConfigurationReply:
     message = SCHEMA.Answer.from_bytes_packed(plain)
     kind = message.which()
     if kind == "whole":
         return read_message(message.whole)
     if kind == "change":
         return _read_change(message.change)
-    return Nothing()
+    return NotModified()
 
 
 def _make_change_fields(change: ConfigurationChange) -> dict[str, object]:
     return {
         "base": change.base,
         "baseSubmissionId": change.base_submission_id,
-        "marks": [write_mark(one) for one in change.marks],
+        "marks": [write_mark(one) for one in change.submissions],
         "name": change.name,
         "controlAddress": write_endpoint(change.control_address),
         "zones": list(change.zones),
@@ -173,7 +173,7 @@
     return ConfigurationChange(
         base=message.base,
         base_submission_id=message.baseSubmissionId,
-        marks=tuple(read_mark(one) for one in message.marks),
+        submissions=tuple(read_mark(one) for one in message.marks),
         name=message.name,
         control_address=read_endpoint(message.controlAddress),
         zones=tuple(message.zones),
--- a/src/papayagw/_internal/wire/control.py
+++ b/src/papayagw/_internal/wire/control.py
@@ -20,19 +20,19 @@
     Announcement,
     BalancerRecord,
     Bucket,
+    BucketDigests,
+    BucketSummary,
     ControlMessage,
-    Digests,
     Gossip,
     GossipKind,
     Heartbeat,
-    Inquiry,
     Join,
-    News,
+    LivenessRequest,
+    LivenessResponse,
+    MembershipUpdate,
     RecordRequest,
-    Records,
-    Summary,
+    RecordResponse,
     SuspicionVector,
-    Voucher,
 )
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import ServiceId
@@ -168,7 +168,7 @@
     )
 
 
-def _write_news(root: Any, news: News) -> None:
+def _write_news(root: Any, news: MembershipUpdate) -> None:
     zones = _write_zones(root, news)
     if news.agents:
         agents = root.init("agents", len(news.agents))
@@ -184,7 +184,7 @@
             _write_vector(target, vector, zones[vector.bucket.zone])
 
 
-def _write_zones(root: Any, news: News) -> dict[str, int]:
+def _write_zones(root: Any, news: MembershipUpdate) -> dict[str, int]:
     zones = {record.zone for record in news.records}
     zones.update(vector.bucket.zone for vector in news.vectors)
     names = sorted(zones)
@@ -193,9 +193,9 @@
     return {name: index for index, name in enumerate(names)}
 
 
-def _read_news(root: Any) -> News:
+def _read_news(root: Any) -> MembershipUpdate:
     zones = tuple(root.zones)
-    return News(
+    return MembershipUpdate(
         tuple(_read_agent(agent, zones) for agent in root.agents),
         tuple(_read_balancer(balancer, zones) for balancer in root.balancers),
         tuple(_read_vector(vector, zones) for vector in root.vectors),
@@ -235,7 +235,7 @@
 
 def _write_announcement(root: Any, message: Announcement) -> None:
     root.announcement = None
-    _write_news(root, News(agents=(message.record,)))
+    _write_news(root, MembershipUpdate(agents=(message.record,)))
 
 
 def _read_announcement(root: Any) -> Announcement:
@@ -247,7 +247,7 @@
     _write_endpoint(target, message.endpoint)
     target.incarnation = message.incarnation
     target.sequence = message.sequence
-    target.beat = message.beat
+    target.beat = message.heartbeat_number
     target.siblingsDigest = message.siblings_digest
 
 
@@ -271,7 +271,7 @@
     target.configurationVersion = message.configuration_version
     target.state = int(message.state)
     target.watchers = [_endpoint_to_int(one) for one in message.watchers]
-    _write_news(root, News(agents=message.siblings))
+    _write_news(root, MembershipUpdate(agents=message.siblings))
 
 
 def _read_acknowledgement(root: Any) -> Acknowledgement:
@@ -298,7 +298,7 @@
 
 def _write_join(root: Any, message: Join) -> None:
     root.join = None
-    _write_news(root, News(balancers=(message.record,)))
+    _write_news(root, MembershipUpdate(balancers=(message.record,)))
 
 
 def _read_join(root: Any) -> Join:
@@ -311,7 +311,7 @@
     target.number = message.number
     target.digest = message.digest
     target.configurationVersion = message.configuration_version
-    _write_news(root, message.news)
+    _write_news(root, message.update)
 
 
 def _read_gossip(root: Any) -> Gossip:
@@ -325,26 +325,26 @@
     )
 
 
-def _write_digests(root: Any, message: Digests) -> None:
+def _write_digests(root: Any, message: BucketDigests) -> None:
     root.digests = message.digests
     root.complete = message.complete
     root.zones = message.zones
 
 
-def _read_digests(root: Any) -> Digests:
-    return Digests(tuple(root.zones), tuple(root.digests), root.complete)
+def _read_digests(root: Any) -> BucketDigests:
+    return BucketDigests(tuple(root.zones), tuple(root.digests), root.complete)
 
 
-def _write_summary(root: Any, message: Summary) -> None:
+def _write_summary(root: Any, message: BucketSummary) -> None:
     target = root.init("summary")
     target.number = message.bucket.number
     root.zones = (message.bucket.zone,)
     target.fingerprints = message.fingerprints
 
 
-def _read_summary(root: Any) -> Summary:
+def _read_summary(root: Any) -> BucketSummary:
     bucket = Bucket(root.zones[0], root.summary.number)
-    return Summary(bucket, tuple(root.summary.fingerprints))
+    return BucketSummary(bucket, tuple(root.summary.fingerprints))
 
 
 def _write_request(root: Any, message: RecordRequest) -> None:
@@ -355,39 +355,39 @@
     return RecordRequest(tuple(root.recordRequest))
 
 
-def _write_records(root: Any, message: Records) -> None:
+def _write_records(root: Any, message: RecordResponse) -> None:
     root.records = None
-    _write_news(root, message.news)
+    _write_news(root, message.update)
 
 
-def _read_records(root: Any) -> Records:
-    return Records(_read_news(root))
+def _read_records(root: Any) -> RecordResponse:
+    return RecordResponse(_read_news(root))
 
 
-def _write_inquiry(root: Any, message: Inquiry) -> None:
+def _write_inquiry(root: Any, message: LivenessRequest) -> None:
     target = root.init("inquiry")
     _write_endpoint(target, message.endpoint)
     target.incarnation = message.incarnation
 
 
-def _read_inquiry(root: Any) -> Inquiry:
+def _read_inquiry(root: Any) -> LivenessRequest:
     source = root.inquiry
-    return Inquiry(_read_endpoint(source), Incarnation(source.incarnation))
+    return LivenessRequest(_read_endpoint(source), Incarnation(source.incarnation))
 
 
-def _write_voucher(root: Any, message: Voucher) -> None:
+def _write_voucher(root: Any, message: LivenessResponse) -> None:
     target = root.init("voucher")
     _write_endpoint(target, message.endpoint)
     target.incarnation = message.incarnation
-    target.beat = message.beat
+    target.beat = message.heartbeat_number
     target.ageMs = message.age_ms
 
 
-def _read_voucher(root: Any) -> Voucher:
+def _read_voucher(root: Any) -> LivenessResponse:
     source = root.voucher
     incarnation = Incarnation(source.incarnation)
     age_ms = Millis(source.ageMs)
-    return Voucher(_read_endpoint(source), incarnation, source.beat, age_ms)
+    return LivenessResponse(_read_endpoint(source), incarnation, source.beat, age_ms)
 
 
 _WRITERS: dict[type, Callable[[Any, Any], None]] = {
@@ -396,12 +396,12 @@
     Acknowledgement: _write_acknowledgement,
     Join: _write_join,
     Gossip: _write_gossip,
-    Digests: _write_digests,
-    Summary: _write_summary,
+    BucketDigests: _write_digests,
+    BucketSummary: _write_summary,
     RecordRequest: _write_request,
-    Records: _write_records,
-    Inquiry: _write_inquiry,
-    Voucher: _write_voucher,
+    RecordResponse: _write_records,
+    LivenessRequest: _write_inquiry,
+    LivenessResponse: _write_voucher,
 }
 
 _READERS: dict[str, Callable[[Any], ControlMessage]] = {
--- a/src/papayagw/_internal/wire/plain_entries.py
+++ b/src/papayagw/_internal/wire/plain_entries.py
@@ -2,7 +2,7 @@
 
 import json
 
-from papayagw._internal.exceptions import MALFORMED, DecodeError, Step
+from papayagw._internal.exceptions import MALFORMED_JSON_ERRORS, DecodeError, Step
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.instance import AgentEntry
 
@@ -37,7 +37,7 @@
         fields = json.loads(value)
         endpoint = Endpoint.parse(fields["endpoint"])
         return AgentEntry(endpoint, str(fields["service"]), str(fields["zone"]))
-    except MALFORMED as error:
+    except MALFORMED_JSON_ERRORS as error:
         raise DecodeError(
             f"not an agent's entry: {error!r}", step=Step.DECODE, peer=key
         ) from error
--- a/src/papayagw/platform/__main__.py
+++ b/src/papayagw/platform/__main__.py
@@ -12,9 +12,9 @@
     """Run a balancer until it is told to end."""
     from papayagw._internal.net.plain.balancer_process import PlainBalancerProcess
     from papayagw.platform.adapter import PreparedPlatform
-    from papayagw.platform.settings import find_settings, load_balancer_settings
+    from papayagw.platform.settings import find_settings_file, load_balancer_settings
 
-    path = find_settings()
+    path = find_settings_file()
     settings = load_balancer_settings(path)
     PlainBalancerProcess(
         settings, PreparedPlatform(), lambda: load_balancer_settings(path)
@@ -25,9 +25,9 @@
     """Run an agent until it is told to end."""
     from papayagw._internal.net.plain.agent_process import PlainAgentProcess
     from papayagw.platform.adapter import PreparedPlatform
-    from papayagw.platform.settings import find_settings, load_agent_settings
+    from papayagw.platform.settings import find_settings_file, load_agent_settings
 
-    path = find_settings()
+    path = find_settings_file()
     settings = load_agent_settings(path)
     PlainAgentProcess(
         settings, PreparedPlatform(), lambda: load_agent_settings(path)
--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -21,9 +21,9 @@
 """seq, ack, echo, len; the keyed sum is not for us to read; flags."""
 
 _ECHO = struct.Struct(">I")
-_ECHO_AT = 8
-_FLAGS_AT = 18
-_PAD_AT = 19
+_ECHO_OFFSET = 8
+_FLAGS_OFFSET = 18
+_PAD_OFFSET = 19
 _RESET = struct.Struct(">IIIHIBB4sHH4s")
 
 _KINDS = {
@@ -34,16 +34,16 @@
 
 def decode_client_packet(raw: bytes) -> FlowPacket | None:
     """Return a packet that a client sent, or None if it has no whole header."""
-    if not _is_whole(raw):
+    if not _has_valid_length(raw):
         return None
     return _decode(raw, FlowKey(raw[20:32]))
 
 
 def decode_backend_packet(raw: bytes) -> FlowPacket | None:
     """Return a packet that a backend server sent or handed back, or None."""
-    if not _is_whole(raw):
+    if not _has_valid_length(raw):
         return None
-    if raw[_FLAGS_AT] & _BOUNCED:
+    if raw[_FLAGS_OFFSET] & _BOUNCED:
         # It is the client's packet: source and destination are still the client's.
         return _decode(raw, FlowKey(raw[20:32]))
     # The order of fields is that of a client's packet: src, sport, dport, dst.
@@ -54,9 +54,9 @@
 def encode_for_backend(packet: FlowPacket, token: int) -> bytes:
     """Return the datagram with `token` where the backend server leaves it alone."""
     raw = bytearray(packet.raw)
-    _ECHO.pack_into(raw, _ECHO_AT, token)
-    raw[_FLAGS_AT] &= ~_BOUNCED
-    raw[_PAD_AT] = 0
+    _ECHO.pack_into(raw, _ECHO_OFFSET, token)
+    raw[_FLAGS_OFFSET] &= ~_BOUNCED
+    raw[_PAD_OFFSET] = 0
     return bytes(raw)
 
 
@@ -96,7 +96,7 @@
     return port.to_bytes(2, "big") + numbers
 
 
-def _is_whole(raw: bytes) -> bool:
+def _has_valid_length(raw: bytes) -> bool:
     return HEADER_BYTES <= len(raw) <= MAX_PACKET_BYTES
 
 
@@ -104,7 +104,7 @@
     sequence, acknowledged, token, length, flags = _FIELDS.unpack_from(raw)
     kind = _KINDS.get(flags & (_SYN | _ACK | _FIN | _RST))
     if kind is None:
-        kind = _kind_of_later(flags)
+        kind = _classify_non_opening(flags)
     is_open = kind is PacketKind.OPEN
     return FlowPacket(
         flow,
@@ -120,7 +120,7 @@
     )
 
 
-def _kind_of_later(flags: int) -> PacketKind:
+def _classify_non_opening(flags: int) -> PacketKind:
     if flags & _RST:
         return PacketKind.ABORT
     return PacketKind.FINISH if flags & _FIN else PacketKind.CARRY
--- a/src/papayagw/platform/reports.py
+++ b/src/papayagw/platform/reports.py
@@ -29,15 +29,15 @@
         return None
     fields = _read_object(body)
     if method == HTTPMethod.DELETE:
-        return Departure(instance, _whole(fields, "born"))
+        return Departure(instance, _read_integer(fields, "born"))
     if method != HTTPMethod.PUT:
         return None
-    state = _STATES.get(_text(fields, "state"))
-    service = _text(fields, "service")
-    slots = _whole(fields, "slots")
-    started_at = _whole(fields, "born")
-    number = _whole(fields, "seq")
-    cold_left = _whole(fields, "cold_left_ms")
+    state = _STATES.get(_read_string(fields, "state"))
+    service = _read_string(fields, "service")
+    slots = _read_integer(fields, "slots")
+    started_at = _read_integer(fields, "born")
+    number = _read_integer(fields, "seq")
+    cold_left = _read_integer(fields, "cold_left_ms")
     if state is None or not service or not slots or slots < 0:
         return None
     if number is None or started_at is None or cold_left is None:
@@ -62,11 +62,11 @@
     return value if isinstance(value, dict) else {}
 
 
-def _text(fields: dict[str, Any], name: str) -> str:
+def _read_string(fields: dict[str, Any], name: str) -> str:
     value = fields.get(name)
     return value if isinstance(value, str) else ""
 
 
-def _whole(fields: dict[str, Any], name: str) -> int | None:
+def _read_integer(fields: dict[str, Any], name: str) -> int | None:
     value = fields.get(name)
     return value if type(value) is int else None
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -20,7 +20,7 @@
 """Environment variable with the path of the settings file."""
 
 
-def find_settings() -> Path:
+def find_settings_file() -> Path:
     """Return the path of the settings file.
 
     Raises
@@ -49,7 +49,7 @@
     """
     fields = _Fields(path)
     entry = fields.endpoint("entry")
-    return PlainBalancerSettings(**fields.common(entry), entry=entry)
+    return PlainBalancerSettings(**fields.common_arguments(entry), entry=entry)
 
 
 def load_agent_settings(path: Path) -> PlainAgentSettings:
@@ -62,12 +62,12 @@
     """
     fields = _Fields(path)
     return PlainAgentSettings(
-        **fields.common(fields.endpoint("data")),
+        **fields.common_arguments(fields.endpoint("data")),
         service=fields.text("service"),
         backend=fields.endpoint("backend"),
         outbound=fields.endpoint("outbound"),
         reports=fields.endpoint("reports"),
-        report_interval_ms=Millis(fields.whole("report_interval_ms")),
+        report_interval_ms=Millis(fields.integer("report_interval_ms")),
     )
 
 
@@ -78,7 +78,7 @@
         self._path = path
         self._fields = _read(path)
 
-    def common(self, data: Endpoint) -> dict[str, Any]:
+    def common_arguments(self, data: Endpoint) -> dict[str, Any]:
         """Return the arguments that both roles share.
 
         Parameters
@@ -90,10 +90,10 @@
         return {
             "name": self.text("name"),
             "zone": self.text("zone"),
-            "inner": Endpoint(ip, self.whole("inner_port")),
+            "inner": Endpoint(ip, self.integer("inner_port")),
             "client_port": data.port,
             "readiness": self.endpoint("readiness"),
-            "metrics": Endpoint(ip, self.whole("metrics_port")),
+            "metrics": Endpoint(ip, self.integer("metrics_port")),
             "store": self.endpoint("store"),
             "grace_ms": self.seconds("grace_s"),
             "flow_limit_ms": self.seconds("flow_limit_s"),
@@ -103,21 +103,21 @@
         """Return a field that is text."""
         value = self._fields.get(name)
         if not isinstance(value, str) or not value:
-            raise self._fault(name, "text")
+            raise self._invalid_field(name, "text")
         return value
 
-    def whole(self, name: str) -> int:
+    def integer(self, name: str) -> int:
         """Return a field that is a whole number."""
         value = self._fields.get(name)
         if type(value) is not int:
-            raise self._fault(name, "a whole number")
+            raise self._invalid_field(name, "a whole number")
         return value
 
     def seconds(self, name: str) -> Millis:
         """Return a field in seconds as milliseconds."""
         value = self._fields.get(name)
         if not isinstance(value, int | float) or isinstance(value, bool):
-            raise self._fault(name, "a number of seconds")
+            raise self._invalid_field(name, "a number of seconds")
         return Millis(round(value * MILLIS_PER_SECOND))
 
     def endpoint(self, name: str) -> Endpoint:
@@ -125,9 +125,9 @@
         try:
             return Endpoint.parse(self.text(name))
         except ValueError as error:
-            raise self._fault(name, "ip:port") from error
+            raise self._invalid_field(name, "ip:port") from error
 
-    def _fault(self, name: str, expected: str) -> SettingsError:
+    def _invalid_field(self, name: str, expected: str) -> SettingsError:
         found = self._fields.get(name)
         return SettingsError(
             f"{name}: expected {expected}, found {found!r}",
--- a/src/papayagw/platform/site.py
+++ b/src/papayagw/platform/site.py
@@ -6,7 +6,7 @@
 import json
 from typing import Any
 
-from papayagw._internal.exceptions import MALFORMED, DecodeError, Step
+from papayagw._internal.exceptions import MALFORMED_JSON_ERRORS, DecodeError, Step
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.packet import EntryKey
 from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
@@ -28,7 +28,7 @@
         routes = dict(_decode_route(route) for route in fields["routes"])
         idle_timeout_ms = Millis(int(fields["limits"]["idle_timeout_ms"]))
         return SiteVersion(int(fields["version"]), routes, idle_timeout_ms)
-    except MALFORMED as error:
+    except MALFORMED_JSON_ERRORS as error:
         raise DecodeError(
             f"not a configuration: {error!r}", step=Step.DECODE, peer=SITE_KEY
         ) from error
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -10,7 +10,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from papayagw._internal.exceptions import MALFORMED
+from papayagw._internal.exceptions import MALFORMED_JSON_ERRORS
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
@@ -33,7 +33,7 @@
     Written,
 )
 
-_REFUSALS = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+_REFUSED_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,11 +67,11 @@
 
 def decode_answer(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
     """Return what the store's answer to `call` says."""
-    if status in _REFUSALS:
+    if status in _REFUSED_STATUSES:
         return CallFailed(f"status {status}", refused=True)
     try:
         return _decode(call, status, body)
-    except MALFORMED as error:
+    except MALFORMED_JSON_ERRORS as error:
         return CallFailed(f"status {status}, unusable answer: {error!r}")
 
 
--- a/tests/lib/configurations.py
+++ b/tests/lib/configurations.py
@@ -14,7 +14,7 @@
 from papayagw._internal.models.configuration import (
     HISTORY_LENGTH,
     Configuration,
-    SubmissionMark,
+    SubmissionEntry,
 )
 from papayagw._internal.standins.key_values import KeyValues
 from papayagw._internal.wire.configuration import (
@@ -34,7 +34,7 @@
 
 def make_configuration(version, submission_id="", site=SITE):
     """Return a configuration with the marks of all its versions."""
-    marks = [SubmissionMark(one, f"id-{one}", "anna") for one in range(version, 0, -1)]
+    marks = [SubmissionEntry(one, f"id-{one}", "anna") for one in range(version, 0, -1)]
     if submission_id:
         marks[0] = replace(marks[0], submission_id=submission_id)
     return Configuration(version, site, tuple(marks[:HISTORY_LENGTH]))
--- a/tests/lib/reports.py
+++ b/tests/lib/reports.py
@@ -17,7 +17,7 @@
 )
 
 
-def answered(fast: int, slow: int = 0) -> tuple[int, ...]:
+def make_latency_buckets(fast: int, slow: int = 0) -> tuple[int, ...]:
     """Return buckets with `fast` answers within 1 ms and `slow` beyond all bounds."""
     return (fast, *(0 for _ in range(LATENCY_BUCKETS - 2)), slow)
 
@@ -45,7 +45,9 @@
 
 def make_totals(opened: int = 100, *, broken: int = 0, flows_open: int = 12):
     """Return the totals of an agent of the order service."""
-    counts = FlowCounts(opened=opened, broken=broken, answered=answered(opened))
+    counts = FlowCounts(
+        opened=opened, broken=broken, answered=make_latency_buckets(opened)
+    )
     return ServiceTotals("order", counts, flows_open, 10 * opened, 64.0)
 
 
@@ -63,7 +65,10 @@
     **flows,
 ) -> ServiceRecord:
     """Return a record of 10 s in which every opening was answered in time."""
-    flows = {"opened": 100, "answered": answered(flows.get("opened", 100))} | flows
+    flows = {
+        "opened": 100,
+        "answered": make_latency_buckets(flows.get("opened", 100)),
+    } | flows
     return ServiceRecord(
         start_ms=end - 10_000 if start is None else start,
         end_ms=end,
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -9,7 +9,7 @@
     AdmissionDecision,
     AdmissionPolicy,
     AdmissionRequest,
-    WorkEnd,
+    ReleaseReason,
 )
 from papayagw._internal.models.agent import AgentRecord, Incarnation
 from papayagw._internal.models.decision import Accept, DropReason, Forward
@@ -116,7 +116,7 @@
         self.core.drain()
         self.announce()
         for flow in list(self.flows.values()):
-            flow.apply(on.StopAsked())
+            flow.apply(on.DrainStarted())
 
     def die(self):
         self.alive = False
@@ -127,7 +127,7 @@
         """Kill the backend server: its connections break and none is taken."""
         self.backend = "refuse"
         for flow in list(self.flows.values()):
-            flow.apply(on.BackendBroke(flow.attempt))
+            flow.apply(on.BackendConnectionLost(flow.attempt))
 
     def on_frame(self, service_id, connection_id, payload, hops):
         flow = self.flows.get(connection_id) or self.openings.get(connection_id)
@@ -244,10 +244,10 @@
                 end = self.handed + size
                 self.on_delivery(self.request[self.handed : end])
                 self.handed = end
-            case on.SendToCaller() | on.FinishToCaller():
-                self.answer_end = isinstance(action, on.FinishToCaller)
+            case on.SendToCaller() | on.FinishAnswer():
+                self.answer_end = isinstance(action, on.FinishAnswer)
                 self.send_answer()
-            case on.TellCaller(outcome):
+            case on.CloseFlow(outcome):
                 self.told = outcome
                 self.agent.admission.close(self.number)
                 self.send(Close(self.tag, outcome))
@@ -278,7 +278,9 @@
         if line > lines:
             self.apply(on.BackendClosed(self.attempt))
             return
-        self.agent.admission.note_end(self.number, WorkEnd.ANSWERED, self.world.now())
+        self.agent.admission.note_end(
+            self.number, ReleaseReason.ANSWERED, self.world.now()
+        )
         text = self.caller.expect_line(line)
         self.answer += text
         self.apply(on.BackendSent(self.attempt, len(text)))
--- a/tests/properties/admission_proof.py
+++ b/tests/properties/admission_proof.py
@@ -11,7 +11,7 @@
     AdmissionDecision,
     AdmissionPolicy,
     AdmissionRequest,
-    WorkEnd,
+    ReleaseReason,
 )
 from papayagw._internal.models.clock import Millis
 from tests.properties.proving import Mutation, Property
@@ -40,7 +40,7 @@
     """The work of some open flow ends; the flow may stay open."""
 
     which: int
-    end: WorkEnd
+    end: ReleaseReason
     closes: bool
 
 
@@ -54,7 +54,7 @@
 OFFERS = st.builds(
     Offer, st.sampled_from("aaabc"), st.one_of(st.none(), st.integers(0, 80))
 )
-ENDS = st.builds(End, st.integers(0, 20), st.sampled_from(WorkEnd), st.booleans())
+ENDS = st.builds(End, st.integers(0, 20), st.sampled_from(ReleaseReason), st.booleans())
 WAITS = st.builds(Wait, st.integers(1, 60))
 HISTORIES = st.lists(st.one_of(OFFERS, OFFERS, OFFERS, ENDS, WAITS), max_size=60)
 
--- a/tests/properties/lifecycle_proof.py
+++ b/tests/properties/lifecycle_proof.py
@@ -49,8 +49,8 @@
     st.builds(on.BackendWrote, ATTEMPTS, COUNTS),
     st.builds(on.BackendSent, ATTEMPTS, COUNTS),
     st.builds(on.BackendClosed, ATTEMPTS),
-    st.builds(on.BackendBroke, ATTEMPTS),
-    st.just(on.StopAsked()),
+    st.builds(on.BackendConnectionLost, ATTEMPTS),
+    st.just(on.DrainStarted()),
     st.sampled_from([kind() for kind in (*ENDINGS, on.AdmissionRefused)]),
 )
 NEXT = st.none()
@@ -104,7 +104,7 @@
                 self.connecting = False
             case on.BackendConnectFailed(attempt) if attempt == self.attempt:
                 self.connecting = False
-            case on.BackendBroke(attempt) if attempt == self.attempt:
+            case on.BackendConnectionLost(attempt) if attempt == self.attempt:
                 self.connected = False
 
     def check(self, event, action):
@@ -160,10 +160,10 @@
 _CHECKS = {
     on.ConnectBackend: Observer._check_connect,
     on.DeliverToBackend: Observer._check_deliver,
-    on.FinishToBackend: Observer._check_finish_backend,
+    on.FinishRequest: Observer._check_finish_backend,
     on.SendToCaller: Observer._check_send,
-    on.FinishToCaller: Observer._check_finish_caller,
-    on.TellCaller: Observer._check_tell,
+    on.FinishAnswer: Observer._check_finish_caller,
+    on.CloseFlow: Observer._check_tell,
 }
 
 
@@ -229,7 +229,11 @@
     __slots__ = ()
 
     def handle(self, event):
-        if isinstance(event, on.BackendBroke) and self.handed and self.outcome is None:
+        if (
+            isinstance(event, on.BackendConnectionLost)
+            and self.handed
+            and self.outcome is None
+        ):
             return self._connect()
         return super().handle(event)
 
@@ -262,7 +266,7 @@
 
     def handle(self, event):
         actions = super().handle(event)
-        if isinstance(event, on.BackendClosed) and on.FinishToCaller() in actions:
+        if isinstance(event, on.BackendClosed) and on.FinishAnswer() in actions:
             actions = (*actions, *self._end(FlowOutcome.ANSWERED))
         return actions
 
--- a/tests/properties/retry_proof.py
+++ b/tests/properties/retry_proof.py
@@ -14,8 +14,8 @@
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.opening import (
     AttemptEnded,
-    GiveUp,
     Reopen,
+    ReportOutcome,
     RetryPolicy,
 )
 from tests.properties.proving import Mutation, Property
@@ -121,7 +121,7 @@
             assert flow.deadline is None or now <= action.at < flow.deadline
             attempt = action.attempt
         else:
-            assert isinstance(action, GiveUp)
+            assert isinstance(action, ReportOutcome)
             told = action.outcome
             assert told is not FlowOutcome.REFUSED or not delivered, "untrue refusal"
     return now, attempt - 1
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -6,7 +6,7 @@
     AdmissionDecision,
     AdmissionPolicy,
     AdmissionRequest,
-    WorkEnd,
+    ReleaseReason,
 )
 from papayagw._internal.models.clock import Millis
 
@@ -46,7 +46,7 @@
     assert offer_all(Unlimited(), "a" * 99) == [ADMIT] * 99
 
 
-@pytest.mark.parametrize("end", list(WorkEnd))
+@pytest.mark.parametrize("end", list(ReleaseReason))
 def test_feed_whose_work_ended_counts_as_flow_only(end):
     admission = make_admission(limit=1)
     assert offer_all(admission, "ab") == [ADMIT, QUEUE]
@@ -58,7 +58,7 @@
 def test_idle_flow_that_asks_for_work_counts_again():
     admission = make_admission(limit=1)
     offer_all(admission, "a")
-    admission.note_end(0, WorkEnd.IDLE, NOW)
+    admission.note_end(0, ReleaseReason.IDLE, NOW)
     admission.note_start(0, NOW)
     assert admission.in_progress == 1
     admission.close(0)
--- a/tests/unit/test_burn.py
+++ b/tests/unit/test_burn.py
@@ -5,7 +5,7 @@
 from papayagw._internal.models.burn import Objective, Risk
 from papayagw._internal.models.report import FlowCounts, Side
 from papayagw._internal.models.service import Objectives
-from tests.lib.reports import answered, make_record
+from tests.lib.reports import make_latency_buckets, make_record
 
 MINUTE = 60_000
 HOUR = 60 * MINUTE
@@ -41,10 +41,10 @@
         ({"opened": 0, "lost": 5}, Objective.AVAILABILITY, 1_000),
         ({"refused": 50}, Objective.AVAILABILITY, 0),
         ({}, Objective.LATENCY, 0),
-        ({"answered": answered(99, 1)}, Objective.LATENCY, 1),
-        ({"answered": answered(98, 2)}, Objective.LATENCY, 2),
-        ({"answered": answered(50), "refused": 50}, Objective.LATENCY, 50),
-        ({"opened": 0, "answered": answered(0)}, Objective.LATENCY, 0),
+        ({"answered": make_latency_buckets(99, 1)}, Objective.LATENCY, 1),
+        ({"answered": make_latency_buckets(98, 2)}, Objective.LATENCY, 2),
+        ({"answered": make_latency_buckets(50), "refused": 50}, Objective.LATENCY, 50),
+        ({"opened": 0, "answered": make_latency_buckets(0)}, Objective.LATENCY, 0),
     ],
 )
 def test_burn_is_bad_share_over_allowed_share(flows, objective, burn):
@@ -147,7 +147,7 @@
     [(1, 1), (2, 0), (4, 0), (10_000, 0), (60_000, 0)],
 )
 def test_bucket_that_limit_falls_into_counts_as_late(limit, late):
-    buckets = (0, 1, *answered(0)[2:])
+    buckets = (0, 1, *make_latency_buckets(0)[2:])
     assert count_late(FlowCounts(answered=buckets), limit) == late
 
 
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -6,7 +6,7 @@
 from papayagw._internal.core.comparison import compare_sites
 from papayagw._internal.core.configuration import ConfigurationLog, Offer
 from papayagw._internal.core.transition import find_objections
-from papayagw._internal.models.change import Nothing, Question
+from papayagw._internal.models.change import ConfigurationQuery, NotModified
 from papayagw._internal.models.configuration import FleetKey
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Service, ServiceId
@@ -70,11 +70,11 @@
 @pytest.mark.parametrize(
     ("question", "kind"),
     [
-        (Question(-1), "Configuration"),
-        (Question(1, "id-1"), "ConfigurationChange"),
-        (Question(1, "another"), "Configuration"),
-        (Question(2, "id-2"), "Nothing"),
-        (Question(3, "id-3"), "Nothing"),
+        (ConfigurationQuery(-1), "Configuration"),
+        (ConfigurationQuery(1, "id-1"), "ConfigurationChange"),
+        (ConfigurationQuery(1, "another"), "Configuration"),
+        (ConfigurationQuery(2, "id-2"), "NotModified"),
+        (ConfigurationQuery(3, "id-3"), "NotModified"),
     ],
 )
 def test_peer_is_told_what_it_lacks(question, kind):
@@ -157,12 +157,12 @@
 CHANGE = find_change(make_configuration(2), make_configuration(3, site=make_site(7)))
 
 
-@pytest.mark.parametrize("answer", [Nothing(), make_configuration(2), CHANGE])
+@pytest.mark.parametrize("answer", [NotModified(), make_configuration(2), CHANGE])
 def test_exchange_reads_back(answer):
     asking, answering = ExchangeCodec([KEY]), ExchangeCodec([OLD_KEY, KEY])
-    frame, nonce = asking.seal_question(Question(4, "id-4"))
+    frame, nonce = asking.seal_question(ConfigurationQuery(4, "id-4"))
     asked = answering.open_question(frame)
-    assert asked.question == Question(4, "id-4")
+    assert asked.question == ConfigurationQuery(4, "id-4")
     assert asking.open_answer(answering.seal_answer(answer, asked), nonce) == answer
 
 
@@ -178,7 +178,7 @@
 )
 def test_forged_or_replayed_answer_is_refused(keys, change_frame, change_nonce):
     codec = ExchangeCodec([KEY])
-    frame, nonce = codec.seal_question(Question(4))
+    frame, nonce = codec.seal_question(ConfigurationQuery(4))
     answer = codec.seal_answer(make_configuration(5), codec.open_question(frame))
     opened = ExchangeCodec(keys).open_answer(change_frame(answer), change_nonce(nonce))
     assert opened is None
--- a/tests/unit/test_control_codec.py
+++ b/tests/unit/test_control_codec.py
@@ -7,18 +7,18 @@
     Announcement,
     BalancerRecord,
     Bucket,
-    Digests,
+    BucketDigests,
+    BucketSummary,
     Gossip,
     GossipKind,
     Heartbeat,
-    Inquiry,
     Join,
-    News,
+    LivenessRequest,
+    LivenessResponse,
+    MembershipUpdate,
     RecordRequest,
-    Records,
-    Summary,
+    RecordResponse,
     SuspicionVector,
-    Voucher,
 )
 from papayagw._internal.wire.control import MAX_FRAME_BYTES, ControlCodec
 from tests.lib.samples import BALANCERS, KEY, OLD_KEY, make_record
@@ -34,7 +34,7 @@
     SuspicionVector(Bucket("b", 2), 8, (0, 3)),
     SuspicionVector(Bucket("b", 3), 8, (7,)),
 )
-NEWS = News((AGENT, make_record(4)), (BALANCER,), VECTORS)
+NEWS = MembershipUpdate((AGENT, make_record(4)), (BALANCER,), VECTORS)
 HEARTBEAT = Heartbeat(AGENT.endpoint, RUN, 3, 900, 77)
 MESSAGES = [
     Announcement(AGENT),
@@ -42,13 +42,13 @@
     Acknowledgement(RUN, 3, AgentState.READY, BALANCERS, Millis(1000), (AGENT,), 5, 8),
     Join(BALANCER),
     Gossip(GossipKind.PROBE, 12, 2**32 - 1, 1500),
-    Gossip(GossipKind.NEWS, 0, 9, 1500, NEWS),
-    Digests(("a", "b"), tuple(range(2**32 - 32, 2**32))),
-    Summary(BUCKET, (1, 2, 3)),
+    Gossip(GossipKind.UPDATE, 0, 9, 1500, NEWS),
+    BucketDigests(("a", "b"), tuple(range(2**32 - 32, 2**32))),
+    BucketSummary(BUCKET, (1, 2, 3)),
     RecordRequest((4, 5)),
-    Records(NEWS),
-    Inquiry(AGENT.endpoint, RUN),
-    Voucher(AGENT.endpoint, RUN, 12, Millis(700)),
+    RecordResponse(NEWS),
+    LivenessRequest(AGENT.endpoint, RUN),
+    LivenessResponse(AGENT.endpoint, RUN, 12, Millis(700)),
 ]
 
 
--- a/tests/unit/test_lifecycle.py
+++ b/tests/unit/test_lifecycle.py
@@ -10,10 +10,10 @@
 ANSWERING = [*DELIVERED, on.BackendSent(1, 4)]
 FINISHING = [*ANSWERING, on.BackendClosed(1)]
 
-REFUSED = on.TellCaller(FlowOutcome.REFUSED)
-UNKNOWN = on.TellCaller(FlowOutcome.UNKNOWN)
-CANCELLED = on.TellCaller(FlowOutcome.CANCELLED)
-ANSWERED = on.TellCaller(FlowOutcome.ANSWERED)
+REFUSED = on.CloseFlow(FlowOutcome.REFUSED)
+UNKNOWN = on.CloseFlow(FlowOutcome.UNKNOWN)
+CANCELLED = on.CloseFlow(FlowOutcome.CANCELLED)
+ANSWERED = on.CloseFlow(FlowOutcome.ANSWERED)
 
 
 def replay(events):
@@ -40,18 +40,18 @@
         ),
         (
             [on.CallerSent(2), on.CallerFinished(), *CONNECTED],
-            (on.DeliverToBackend(2), on.FinishToBackend()),
+            (on.DeliverToBackend(2), on.FinishRequest()),
         ),
         (DELIVERED, (on.DeliverToBackend(9),)),
-        ([*DELIVERED, on.CallerFinished()], (on.FinishToBackend(),)),
+        ([*DELIVERED, on.CallerFinished()], (on.FinishRequest(),)),
         (ANSWERING, (on.SendToCaller(4),)),
-        (FINISHING, (on.FinishToCaller(),)),
+        (FINISHING, (on.FinishAnswer(),)),
         ([*FINISHING, on.CallerSent(3)], (on.DeliverToBackend(3),)),
-        ([*FINISHING, on.BackendBroke(1), on.CallerSent(3)], ()),
+        ([*FINISHING, on.BackendConnectionLost(1), on.CallerSent(3)], ()),
         ([*FINISHING, on.AnswerAcknowledged()], (ANSWERED,)),
-        ([*CONNECTED, on.StopAsked()], ()),
-        ([on.CallerSent(9), on.StopAsked()], ()),
-        ([*ANSWERING, on.StopAsked()], ()),
+        ([*CONNECTED, on.DrainStarted()], ()),
+        ([on.CallerSent(9), on.DrainStarted()], ()),
+        ([*ANSWERING, on.DrainStarted()], ()),
     ],
 )
 def test_action(events, actions):
@@ -64,9 +64,9 @@
         ([on.AdmissionRefused()], (REFUSED,)),
         ([on.HandshakeCompleted(), on.AdmissionRefused()], (REFUSED,)),
         ([on.CallerSent(9), on.DeadlineReached()], (REFUSED,)),
-        ([*ACCEPTED, on.StopAsked()], (on.CancelBackend(), REFUSED)),
-        ([on.HandshakeCompleted(), on.StopAsked()], (REFUSED,)),
-        ([on.StopAsked(), on.HandshakeCompleted()], (REFUSED,)),
+        ([*ACCEPTED, on.DrainStarted()], (on.CancelBackend(), REFUSED)),
+        ([on.HandshakeCompleted(), on.DrainStarted()], (REFUSED,)),
+        ([on.DrainStarted(), on.HandshakeCompleted()], (REFUSED,)),
         (
             [
                 *ACCEPTED,
@@ -75,19 +75,19 @@
             ],
             (REFUSED,),
         ),
-        ([*CONNECTED, on.BackendBroke(1)], (on.CancelBackend(), REFUSED)),
+        ([*CONNECTED, on.BackendConnectionLost(1)], (on.CancelBackend(), REFUSED)),
         ([*CONNECTED, on.BackendClosed(1)], (on.CancelBackend(), REFUSED)),
         (
-            [*CONNECTED, on.StopAsked(), on.StopLimitReached()],
+            [*CONNECTED, on.DrainStarted(), on.StopLimitReached()],
             (on.CancelBackend(), REFUSED),
         ),
-        ([*DELIVERED, on.BackendBroke(1)], (on.CancelBackend(), UNKNOWN)),
+        ([*DELIVERED, on.BackendConnectionLost(1)], (on.CancelBackend(), UNKNOWN)),
         ([*DELIVERED, on.DeadlineReached()], (on.CancelBackend(), UNKNOWN)),
         ([*DELIVERED, on.IdleTimedOut()], (on.CancelBackend(), UNKNOWN)),
         ([*ANSWERING, on.StopLimitReached()], (on.CancelBackend(), UNKNOWN)),
         ([*ANSWERING, on.CallerCancelled()], (on.CancelBackend(), CANCELLED)),
         ([*ACCEPTED, on.CallerCancelled()], (on.CancelBackend(), CANCELLED)),
-        ([*FINISHING, on.BackendBroke(1), on.IdleTimedOut()], (UNKNOWN,)),
+        ([*FINISHING, on.BackendConnectionLost(1), on.IdleTimedOut()], (UNKNOWN,)),
     ],
 )
 def test_outcome(events, actions):
--- a/tests/unit/test_platform_packet.py
+++ b/tests/unit/test_platform_packet.py
@@ -29,7 +29,7 @@
     "c6 12 00 01 01 bb 9c 41 64 40 00 07"
 )
 FLOW = FlowKey(OPENING[20:])
-FLAGS_AT, ECHO_AT = 18, 8
+FLAGS_OFFSET, ECHO_OFFSET = 18, 8
 TO_CLIENT = RESET[20:]
 
 
@@ -68,22 +68,22 @@
         (48, PacketKind.ABORT, None, 0),
     ],
 )
-def test_kinds(flags, kind, acknowledged, copy):
+def test_packet_kinds(flags, kind, acknowledged, copy):
     packet = decode_client_packet(make_header(flags))
     assert (packet.kind, packet.acknowledged, packet.copy) == (kind, acknowledged, copy)
     assert packet.payload_bytes == 3
 
 
-def test_both_directions_have_one_flow():
+def test_both_directions_have_the_same_flow():
     packet = decode_backend_packet(make_header(9, ends=TO_CLIENT))
     assert packet.flow == FLOW
     assert packet.kind is PacketKind.ACCEPT
 
 
-def test_a_packet_that_comes_back_is_its_clients():
+def test_bounced_packet_keeps_the_clients_flow():
     sent = encode_for_backend(decode_client_packet(OPENING), 77)
     returned = bytearray(sent)
-    returned[FLAGS_AT] |= 64
+    returned[FLAGS_OFFSET] |= 64
     packet = decode_backend_packet(bytes(returned))
     assert (packet.flow, packet.bounced, packet.token) == (FLOW, True, 77)
     assert restore(packet) == OPENING
@@ -98,28 +98,28 @@
     ],
     ids=["empty", "cut off", "too long"],
 )
-def test_not_a_packet(raw):
+def test_invalid_length(raw):
     assert decode_client_packet(raw) is None
     assert decode_backend_packet(raw) is None
 
 
 @given(st.binary(max_size=MAX_PACKET_BYTES + 10), st.integers(0, (1 << 32) - 1))
-def test_any_bytes(raw, token):
+def test_arbitrary_bytes(raw, token):
     for decode in (decode_client_packet, decode_backend_packet):
         packet = decode(raw)
         if packet is not None:
-            handed = encode_for_backend(packet, token)
-            again = decode_client_packet(handed)
-            assert again.token == token
-            assert not again.bounced
+            encoded = encode_for_backend(packet, token)
+            decoded = decode_client_packet(encoded)
+            assert decoded.token == token
+            assert not decoded.bounced
             # Nothing is changed but the fields that the key doesn't cover.
-            assert handed[:ECHO_AT] == raw[:ECHO_AT]
-            assert handed[12:FLAGS_AT] == raw[12:FLAGS_AT]
-            assert handed[20:] == raw[20:]
-            assert replace(again, raw=b"", token=0).flow == FlowKey(raw[20:32])
+            assert encoded[:ECHO_OFFSET] == raw[:ECHO_OFFSET]
+            assert encoded[12:FLAGS_OFFSET] == raw[12:FLAGS_OFFSET]
+            assert encoded[20:] == raw[20:]
+            assert replace(decoded, raw=b"", token=0).flow == FlowKey(raw[20:32])
 
 
 @pytest.mark.parametrize("address", ["1.2.3", "1.2.3.4.5", "a.b.c.d", "256.1.1.1", ""])
-def test_not_an_entry(address):
+def test_invalid_entry_address(address):
     with pytest.raises(ValueError, match=r"."):
         encode_entry(address, 443)
--- a/tests/unit/test_platform_reports.py
+++ b/tests/unit/test_platform_reports.py
@@ -16,7 +16,7 @@
 from papayagw.platform.reports import decode_report
 from papayagw.platform.site import decode_site
 
-BEAT = {
+REPORT_FIELDS = {
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
     "zone": "se-mid-a",
@@ -34,7 +34,7 @@
 
 
 def test_report():
-    assert decode_report("PUT", PATH, json.dumps(BEAT).encode()) == REPORT
+    assert decode_report("PUT", PATH, json.dumps(REPORT_FIELDS).encode()) == REPORT
 
 
 @pytest.mark.parametrize(
@@ -64,10 +64,10 @@
         ("cold_left_ms", None),
     ],
 )
-def test_report_that_names_nothing_to_use(field, value):
-    body = json.dumps({**BEAT, field: value}).encode()
+def test_report_with_an_invalid_field(field, value):
+    body = json.dumps({**REPORT_FIELDS, field: value}).encode()
     assert decode_report("PUT", PATH, body) is None
-    without = {name: one for name, one in BEAT.items() if name != field}
+    without = {name: one for name, one in REPORT_FIELDS.items() if name != field}
     assert decode_report("PUT", PATH, json.dumps(without).encode()) is None
 
 
@@ -78,13 +78,13 @@
         ("PUT", PATH, b"[]"),
         ("PUT", PATH, b"null"),
         ("PUT", PATH, b"[" * 16_000),
-        ("PUT", "/-/instances/", json.dumps(BEAT).encode()),
-        ("PUT", "/other", json.dumps(BEAT).encode()),
-        ("POST", PATH, json.dumps(BEAT).encode()),
+        ("PUT", "/-/instances/", json.dumps(REPORT_FIELDS).encode()),
+        ("PUT", "/other", json.dumps(REPORT_FIELDS).encode()),
+        ("POST", PATH, json.dumps(REPORT_FIELDS).encode()),
         ("GET", PATH, b""),
     ],
 )
-def test_call_that_is_no_report(method, path, body):
+def test_request_that_is_not_a_report(method, path, body):
     assert decode_report(method, path, body) is None
 
 
@@ -134,6 +134,6 @@
         ).encode(),
     ],
 )
-def test_not_a_site(value):
+def test_invalid_site(value):
     with pytest.raises(DecodeError):
         decode_site(value)
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -11,7 +11,7 @@
 from papayagw.platform.settings import load_agent_settings, load_balancer_settings
 
 DEPLOY = Path(__file__).resolve().parents[2] / "deploy"
-MACHINE = {
+TEMPLATE_VALUES = {
     "node_name": "side-a-1",
     "zone": "a",
     "ip": "10.1.0.12",
@@ -30,7 +30,7 @@
 }
 
 
-def render(name, machine=MACHINE):
+def render(name, machine=TEMPLATE_VALUES):
     """Fill in a template as the platform does."""
 
     def fill(match):
@@ -43,14 +43,16 @@
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill, text)
 
 
-def write(tmp_path, text):
+def write_settings(tmp_path, text):
     path = tmp_path / "settings.jsonc"
     path.write_text(text, encoding="utf-8")
     return path
 
 
 def test_balancer(tmp_path):
-    settings = load_balancer_settings(write(tmp_path, render("balancer.jsonc")))
+    settings = load_balancer_settings(
+        write_settings(tmp_path, render("balancer.jsonc"))
+    )
     assert settings.name == "side-a-1"
     assert settings.entry == Endpoint("10.1.0.12", 8172)
     assert settings.inner == Endpoint("10.1.0.12", 7720)
@@ -59,7 +61,7 @@
 
 
 def test_agent(tmp_path):
-    settings = load_agent_settings(write(tmp_path, render("agent.jsonc")))
+    settings = load_agent_settings(write_settings(tmp_path, render("agent.jsonc")))
     assert settings.service == "huvo11a"
     assert settings.backend == Endpoint("10.1.0.12", 8165)
     assert settings.outbound == Endpoint("10.1.0.12", 8162)
@@ -78,20 +80,20 @@
         ("name", '""', "name: expected text"),
     ],
 )
-def test_faults_name_the_field(tmp_path, field, value, found):
+def test_errors_name_the_field(tmp_path, field, value, found):
     text = re.sub(
         rf'"{field}": .*?(,?)\n', rf'"{field}": {value}\1\n', render("balancer.jsonc")
     )
     with pytest.raises(SettingsError, match=found):
-        load_balancer_settings(write(tmp_path, text))
+        load_balancer_settings(write_settings(tmp_path, text))
 
 
 @pytest.mark.parametrize("text", ["", "[]", "{", "node_name: x"])
-def test_not_a_settings_file(tmp_path, text):
+def test_invalid_settings_file(tmp_path, text):
     with pytest.raises(SettingsError):
-        load_balancer_settings(write(tmp_path, text))
+        load_balancer_settings(write_settings(tmp_path, text))
 
 
-def test_no_settings_file(tmp_path):
+def test_missing_settings_file(tmp_path):
     with pytest.raises(SettingsError, match="No such file"):
         load_agent_settings(tmp_path / "absent.jsonc")
--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -60,10 +60,10 @@
         (EndLease(5), "DELETE", "/-/kv-lease-end/5", None),
     ],
 )
-def test_calls(call, method, target, body):
-    http = encode_call(call)
-    assert (http.method, http.target) == (method, target)
-    assert (json.loads(http.body) if http.body else None) == body
+def test_encode_call(call, method, target, body):
+    request = encode_call(call)
+    assert (request.method, request.target) == (method, target)
+    assert (json.loads(request.body) if request.body else None) == body
 
 
 RANGE = ReadRange("k")
@@ -103,7 +103,7 @@
         (RANGE, 500, {}, CallFailed("status 500")),
     ],
 )
-def test_answers(call, status, fields, answer):
+def test_decode_answer(call, status, fields, answer):
     assert decode_answer(call, status, json.dumps(fields).encode()) == answer
 
 
@@ -112,5 +112,5 @@
     [b"", b"[", b"[]", b"{}", b'{"items":[{"key":"k","value":"*"}]}', b'{"items":7}'],
 )
 @pytest.mark.parametrize("call", [RANGE, WATCH, PUT, GrantLease(1), RenewLease(5)])
-def test_unusable_answers(call, body):
+def test_malformed_answers(call, body):
     assert isinstance(decode_answer(call, 200, body), CallFailed)
--- a/tests/unit/test_retry.py
+++ b/tests/unit/test_retry.py
@@ -5,8 +5,8 @@
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.opening import (
     AttemptEnded,
-    GiveUp,
     Reopen,
+    ReportOutcome,
     RetryPolicy,
 )
 
@@ -31,22 +31,34 @@
     [
         (False, AttemptEnded(1, REFUSED, True), Reopen(2, Millis(1_025))),
         (False, AttemptEnded(1, None, False), Reopen(2, Millis(1_025))),
-        (False, AttemptEnded(1, UNKNOWN, True), GiveUp(UNKNOWN)),
-        (False, AttemptEnded(1, None, True), GiveUp(UNKNOWN)),
+        (False, AttemptEnded(1, UNKNOWN, True), ReportOutcome(UNKNOWN)),
+        (False, AttemptEnded(1, None, True), ReportOutcome(UNKNOWN)),
         (True, AttemptEnded(1, UNKNOWN, True), Reopen(2, Millis(1_025))),
         (True, AttemptEnded(1, None, True), Reopen(2, Millis(1_025))),
-        (True, AttemptEnded(1, UNKNOWN, True, answer_started=True), GiveUp(UNKNOWN)),
-        (True, AttemptEnded(1, UNKNOWN, True, replayable=False), GiveUp(UNKNOWN)),
-        (False, AttemptEnded(1, REFUSED, True, replayable=False), GiveUp(REFUSED)),
+        (
+            True,
+            AttemptEnded(1, UNKNOWN, True, answer_started=True),
+            ReportOutcome(UNKNOWN),
+        ),
+        (
+            True,
+            AttemptEnded(1, UNKNOWN, True, replayable=False),
+            ReportOutcome(UNKNOWN),
+        ),
+        (
+            False,
+            AttemptEnded(1, REFUSED, True, replayable=False),
+            ReportOutcome(REFUSED),
+        ),
         (
             False,
             AttemptEnded(1, FlowOutcome.ANSWERED, True),
-            GiveUp(FlowOutcome.ANSWERED),
+            ReportOutcome(FlowOutcome.ANSWERED),
         ),
         (
             True,
             AttemptEnded(1, FlowOutcome.CANCELLED, True),
-            GiveUp(FlowOutcome.CANCELLED),
+            ReportOutcome(FlowOutcome.CANCELLED),
         ),
         (False, AttemptEnded(2, REFUSED, True), None),
     ],
@@ -58,7 +70,9 @@
 @pytest.mark.parametrize("deadline", [1_000, 1_025])
 def test_no_attempt_at_or_after_deadline(deadline):
     retry = make_retry(deadline=Millis(deadline))
-    assert retry.handle_end(AttemptEnded(1, REFUSED, True), NOW) == GiveUp(REFUSED)
+    assert retry.handle_end(AttemptEnded(1, REFUSED, True), NOW) == ReportOutcome(
+        REFUSED
+    )
 
 
 @pytest.mark.parametrize(
@@ -68,7 +82,7 @@
 def test_told_outcome_covers_all_attempts(first, last, told):
     retry = make_retry(idempotent=True, policy=RetryPolicy(max_attempts=2))
     retry.handle_end(AttemptEnded(1, first, True), NOW)
-    assert retry.handle_end(AttemptEnded(2, last, True), NOW) == GiveUp(told)
+    assert retry.handle_end(AttemptEnded(2, last, True), NOW) == ReportOutcome(told)
     assert retry.cancel() is None
     assert retry.ignored == 1
 
