--- a/src/papayagw/_internal/exceptions.py
+++ b/src/papayagw/_internal/exceptions.py
@@ -1,7 +1,7 @@
-"""Every error that papayagw raises or returns.
+"""All exceptions that papayagw raises or returns.
 
-An error carries the step at which it arose, the peer that the step was dealing
-with, and the remedy: what the reader should do next.
+An exception carries the step that failed, the peer involved in that step, and a remedy
+for the user.
 """
 
 from enum import Enum
@@ -13,11 +13,11 @@
     AttributeError,
     RecursionError,
 )
-"""What reading the fields of JSON that has another form than expected may raise."""
+"""Exceptions that parsing JSON with an unexpected structure may raise."""
 
 
 class Step(Enum):
-    """The step at which an error arose."""
+    """The step that failed."""
 
     SETTINGS = "settings"
     START = "start"
@@ -36,19 +36,19 @@
 
 
 class PapayagwError(Exception):
-    """Base class of all errors of papayagw.
+    """Base class of all papayagw exceptions.
 
     Parameters
     ----------
     what : str
-        What went wrong, as one clause.
+        A description of the problem, as one clause.
     step : Step
-        The step at which it arose.
+        The step that failed.
     peer : str
-        The peer of that step: an endpoint, a file or a service. Empty when there
-        is none.
+        The peer of that step: an endpoint, a file or a service. Empty if there is
+        none.
     remedy : str
-        What to do next.
+        What the user should do next.
     """
 
     def __init__(self, what: str, *, step: Step, peer: str = "", remedy: str = ""):
@@ -65,46 +65,46 @@
 
 
 class SettingsError(PapayagwError):
-    """A settings file that can't be used."""
+    """A settings file is missing or invalid."""
 
 
 class BindError(PapayagwError):
-    """A socket that can't be bound to its endpoint."""
+    """A socket can't be bound to its endpoint."""
 
     @classmethod
     def from_os(cls, action: str, peer: str, error: OSError) -> "BindError":
-        """Return the error for an endpoint at which `action` failed."""
+        """Create the exception for an `action` that failed at the endpoint `peer`."""
         return cls(
             f"can't {action}: {error.strerror}",
             step=Step.BIND,
             peer=peer,
-            remedy="choose an address of this machine that no process uses",
+            remedy="choose an address of this machine that is not in use",
         )
 
 
 class FlowRefusedError(PapayagwError):
-    """A flow of which no byte reached a backend server; opening again is safe."""
+    """The flow failed before any byte reached a backend server; a retry is safe."""
 
 
 class FlowUnknownError(PapayagwError):
-    """A flow that broke after bytes may have reached a backend server."""
+    """The flow broke after bytes may have reached a backend server."""
 
 
 class DecodeError(PapayagwError):
-    """Bytes from a peer that aren't a valid message."""
+    """A peer sent bytes that aren't a valid message."""
 
 
 class PlatformError(PapayagwError):
-    """The platform's service refused a call or gave no usable answer."""
+    """The platform's service refused a request or sent an invalid response."""
 
 
 class PlatformUnreachableError(PlatformError):
-    """The platform's service gave no answer; a write may have taken effect."""
+    """The platform's service sent no response; a write may have taken effect."""
 
 
 class StatusError(PapayagwError):
-    """A node that gave no usable account of itself."""
+    """A node sent no valid status report."""
 
 
 class ReportError(PapayagwError):
-    """Records from which no report can be made."""
+    """No report can be created from the given records."""
--- a/src/papayagw/_internal/models/__init__.py
+++ b/src/papayagw/_internal/models/__init__.py
@@ -1,1 +1,1 @@
-"""Plain data: frozen data classes and the protocol types of time."""
+"""Data models: frozen data classes, and the protocol of the clock."""
--- a/src/papayagw/_internal/models/admission.py
+++ b/src/papayagw/_internal/models/admission.py
@@ -1,4 +1,4 @@
-"""What admission control at an agent takes in and decides."""
+"""Input and results of admission control at an agent."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -7,29 +7,30 @@
 from papayagw._internal.models.clock import Millis
 
 FlowNumber = NewType("FlowNumber", int)
-"""The number that an agent gives to a flow; never reused within one run."""
+"""The number that an agent assigns to a flow; never reused within an incarnation."""
 
 
 @dataclass(frozen=True, slots=True)
 class AdmissionPolicy:
-    """Bounds of the work that an agent lets through.
+    """Limits on the flows that an agent admits.
 
     Attributes
     ----------
     initial_limit : int
-        The concurrency limit at the start, low so that a cold start is eased in.
+        The concurrency limit at startup; low, so that load rises gradually after a
+        cold start.
     min_limit : int
         The lowest concurrency limit.
     max_limit : int
         The highest concurrency limit.
     max_flows : int
-        The most flows held at once, feeds included.
+        The maximum number of open flows, including long-lived feeds.
     max_client_share : float
-        The share of the limit that one client may use, 0 to 1.
+        The share of the concurrency limit that one client may use, 0 to 1.
     queue_limit : int
-        The most openings that wait.
+        The maximum number of queued openings.
     queue_timeout_ms : Millis
-        The longest that an opening waits.
+        The longest time in ms that an opening is queued.
     """
 
     initial_limit: int = 64
@@ -43,16 +44,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionRequest:
-    """An accepted flow that asks to be let through.
+    """A request to admit an accepted flow.
 
     Attributes
     ----------
     flow : FlowNumber
         The flow.
     client : str
-        Whose flow it is; fairness is between clients.
+        The client that opened the flow; admission is fair between clients.
     deadline : Millis or None
-        After this time nobody waits for the answer.
+        The time after which the client no longer waits for the answer.
     """
 
     flow: FlowNumber
@@ -61,7 +62,7 @@
 
 
 class AdmissionDecision(Enum):
-    """What is done with an admission request at once."""
+    """The immediate decision on an admission request."""
 
     ADMIT = "admit"
     QUEUE = "queue"
@@ -79,14 +80,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionResults:
-    """What became of openings that were waiting.
+    """Decisions on queued openings.
 
     Attributes
     ----------
     admitted : tuple of FlowNumber
-        Let through now.
+        The flows that are admitted.
     refused : tuple of FlowNumber
-        Turned away now.
+        The flows that are refused.
     """
 
     admitted: tuple[FlowNumber, ...] = ()
--- a/src/papayagw/_internal/models/agent.py
+++ b/src/papayagw/_internal/models/agent.py
@@ -1,4 +1,4 @@
-"""What the balancers and sibling agents know of an agent."""
+"""Membership records of agents."""
 
 from dataclasses import dataclass
 from enum import IntEnum
@@ -8,16 +8,16 @@
 from papayagw._internal.models.service import ServiceId
 
 Incarnation = NewType("Incarnation", int)
-"""One run of an agent: its start in ms since 1970; a later run is higher."""
+"""The start of a process in ms since the Unix epoch; higher after each restart."""
 
 UNIT_WEIGHT = 64
-"""The quantised weight of an instance of ordinary strength; 0 takes no openings."""
+"""The quantised weight of an instance of nominal capacity; 0 receives no openings."""
 
 MAX_WEIGHT = 255
 
 
 class AgentState(IntEnum):
-    """Whether an agent takes openings; a later state outranks an earlier one."""
+    """Whether an agent accepts openings; a higher state takes precedence."""
 
     READY = 0
     DRAINING = 1
@@ -26,27 +26,29 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentRecord:
-    """An announcement of an agent, which speaks for one backend server.
+    """Membership record of an agent, which represents one backend server.
 
     Attributes
     ----------
     endpoint : Endpoint
-        Where the agent takes envelopes; its identity together with `incarnation`.
+        The endpoint that receives envelopes; identifies the agent together with
+        `incarnation`.
     incarnation : Incarnation
-        The run of the agent.
+        The incarnation of the agent's process.
     sequence : int
-        Rises with each change that one incarnation announces.
+        Incremented with each change that the same incarnation announces.
     service_id : ServiceId
-        The service that its backend server runs.
+        The service that the backend server runs.
     zone : str
-        Its availability zone.
+        The availability zone of the agent.
     state : AgentState
-        Whether it takes openings.
+        Whether the agent accepts openings.
     weight : int
-        Its strength, quantised, 0 to `MAX_WEIGHT`.
+        The quantised capacity of the instance, 0 to `MAX_WEIGHT`.
     suspicion : int
-        How often its watchers suspected it dead and took that back since its last
-        change: odd while it is under suspicion.
+        Incremented when the balancers that watch the agent suspect that it has
+        failed and again when they withdraw that, counted since the last change.
+        Odd while the agent is suspected.
     """
 
     endpoint: Endpoint
@@ -60,10 +62,10 @@
 
     @property
     def precedence(self) -> tuple[int, int, int, int]:
-        """What decides which of two records of one endpoint is the newer."""
+        """Sort key by which the newer of two records of one endpoint is found."""
         return (self.incarnation, self.sequence, self.state, self.suspicion)
 
     @property
     def is_suspected(self) -> bool:
-        """Whether its watchers miss its heartbeats."""
+        """Whether the agent is suspected because its heartbeats are missing."""
         return self.suspicion % 2 == 1
--- a/src/papayagw/_internal/models/burn.py
+++ b/src/papayagw/_internal/models/burn.py
@@ -1,4 +1,4 @@
-"""The report on service-level burn, as data."""
+"""Data of the burn report, which tracks the use of error budgets."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -9,7 +9,7 @@
 
 
 class Objective(Enum):
-    """What a service is held against."""
+    """A kind of service-level objective."""
 
     AVAILABILITY = "availability"
     LATENCY = "latency"
@@ -17,19 +17,19 @@
 
 
 class Risk(Enum):
-    """How urgent an objective is; a later one outranks an earlier one."""
+    """The urgency of an objective, in ascending order."""
 
     NONE = "none"
     TICKET = "ticket"
-    """The budget won't last: look at it within days."""
+    """The budget will run out early: investigate within days."""
     PAGE = "page"
-    """The budget goes fast: look at it now."""
+    """The budget is being used up quickly: investigate now."""
     SPENT = "spent"
-    """The budget is spent."""
+    """The budget is used up."""
 
     @property
     def rank(self) -> int:
-        """Its place in the order of urgency."""
+        """The position in the order of urgency."""
         return tuple(Risk).index(self)
 
     @classmethod
@@ -40,14 +40,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Window:
-    """A stretch of time that ends with the newest record.
+    """A time window that ends with the newest record.
 
     Attributes
     ----------
     name : str
-        Its length in words.
+        The length as text.
     length_ms : Millis
-        Its length.
+        The length in ms.
     """
 
     name: str
@@ -56,18 +56,18 @@
 
 @dataclass(frozen=True, slots=True)
 class WindowBurn:
-    """How fast a budget went in one window.
+    """The burn rate of an error budget in one window.
 
     Attributes
     ----------
     window : str
         The name of the window.
     burn : float
-        1 uses up exactly the budget; 0 where nothing can be said.
+        The burn rate: at 1 exactly the budget is used up; 0 if there is no data.
     value : float
-        The share of bad flows or openings; for imbalance the ratio.
+        The share of bad flows or openings, or the ratio for imbalance.
     flows : int
-        The flows or openings of the window.
+        The number of flows or openings in the window.
     """
 
     window: str
@@ -78,18 +78,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ObjectiveBurn:
-    """How one objective of a service stands.
+    """The burn rates and risk of one objective of a service.
 
     Attributes
     ----------
     objective : Objective
-        Which one.
+        The kind of objective.
     target : float
-        What the settings ask for.
+        The configured target.
     windows : tuple of WindowBurn
         From the shortest window to the longest, which is the budget's period.
     risk : Risk
-        How urgent it is.
+        The urgency.
     """
 
     objective: Objective
@@ -99,7 +99,7 @@
 
     @property
     def spent(self) -> float:
-        """The share of the recorded period's budget that is used up."""
+        """The share of the budget used up in the recorded period."""
         return self.windows[-1].burn
 
 
@@ -110,13 +110,13 @@
     Attributes
     ----------
     name : str
-        The instance or zone.
+        The name of the instance or zone.
     load : float
-        Work over capacity: work in ms a second for each unit of weight.
+        Work divided by capacity, in ms of work per second and unit of weight.
     opened : int
-        Flows that it accepted.
+        The number of flows that it accepted.
     cut : int
-        Flows that broke there.
+        The number of flows that broke there.
     """
 
     name: str
@@ -127,14 +127,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Balance:
-    """How evenly work is spread.
+    """The distribution of load over instances or zones.
 
     Attributes
     ----------
     groups : tuple of GroupLoad
-        In order of their names.
+        The groups, sorted by name.
     ratio : float
-        The highest load over the mean; 1 is even, 0 where there was no work.
+        The highest load divided by the mean: 1 if the load is even, 0 if there was
+        no work.
     """
 
     groups: tuple[GroupLoad, ...]
@@ -143,14 +144,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SideCounts:
-    """What one end of the flows counted.
+    """The flow counts of one end of the flows.
 
     Attributes
     ----------
     side : Side
-        Which end.
+        The end of the flows.
     counts : FlowCounts
-        The flows.
+        The flow counts.
     """
 
     side: Side
@@ -159,20 +160,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceBurn:
-    """How one service stands.
+    """The objectives, flow counts and load distribution of one service.
 
     Attributes
     ----------
     service : str
         The name of the service.
     objectives : tuple of ObjectiveBurn
-        One for each objective.
+        The burn of each objective.
     sides : tuple of SideCounts
-        The flows of the whole period.
+        The flow counts of the whole period.
     by_backend : Balance
-        Spread over backend servers, over the whole period.
+        The load distribution over backend servers in the whole period.
     by_zone : Balance
-        Spread over availability zones, over the whole period.
+        The load distribution over availability zones in the whole period.
     """
 
     service: str
@@ -183,24 +184,24 @@
 
     @property
     def risk(self) -> Risk:
-        """The risk of the objective that is worst off."""
+        """The highest risk of all objectives."""
         return Risk.find_worst(one.risk for one in self.objectives)
 
 
 @dataclass(frozen=True, slots=True)
 class BurnReport:
-    """How all services stand.
+    """The burn of all services.
 
     Attributes
     ----------
     start_ms : Millis
-        Where the records start, in ms since 1970.
+        The start of the records, in ms since the Unix epoch.
     end_ms : Millis
-        Where they end.
+        The end of the records, in ms since the Unix epoch.
     services : tuple of ServiceBurn
-        In order of their names.
+        The services, sorted by name.
     notes : tuple of str
-        What the reader has to know about the records.
+        Caveats about the records.
     """
 
     start_ms: Millis
@@ -210,5 +211,5 @@
 
     @property
     def risk(self) -> Risk:
-        """The risk of the service that is worst off."""
+        """The highest risk of all services."""
         return Risk.find_worst(one.risk for one in self.services)
--- a/src/papayagw/_internal/models/change.py
+++ b/src/papayagw/_internal/models/change.py
@@ -1,4 +1,4 @@
-"""What one version of a configuration changes in another, and who asks for it."""
+"""Exchange of configuration versions between peers: queries, replies, deltas."""
 
 from dataclasses import dataclass
 
@@ -13,28 +13,28 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationChange:
-    """The way from one version to a later one.
+    """The difference between a configuration version and a later one.
 
     Attributes
     ----------
     base : int
-        The version that it applies to.
+        The version to which the change applies.
     base_submission_id : str
-        The submission of that version.
+        The id of the submission that created that version.
     submissions : tuple of SubmissionEntry
-        The submissions since, the last one first.
+        The submissions since then, newest first.
     name : str
         The name of the site.
     control_address : Endpoint
-        The control address, changed or not.
+        The control address, included even if unchanged.
     zones : tuple of str
-        The zones, changed or not.
+        The availability zones, included even if unchanged.
     keys : tuple of FleetKey
-        The keys, changed or not.
+        The fleet keys, included even if unchanged.
     services : tuple of Service
-        The services that are new or changed.
+        The services that were added or changed.
     removed : tuple of ServiceId
-        The services that are gone.
+        The ids of the services that were removed.
     """
 
     base: int
@@ -50,14 +50,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationQuery:
-    """The version that a node has, told to a peer that may have a newer one.
+    """Asks a peer for a version newer than the node's own.
 
     Attributes
     ----------
     version : int
-        The version; -1 for none.
+        The version that the node holds; -1 if it holds none.
     submission_id : str
-        The submission of that version.
+        The id of the submission that created that version.
     """
 
     version: int
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotModified:
-    """The answering node has nothing newer."""
+    """The peer holds no newer version."""
 
 
 ConfigurationReply = NotModified | Configuration | ConfigurationChange
--- a/src/papayagw/_internal/models/clock.py
+++ b/src/papayagw/_internal/models/clock.py
@@ -1,9 +1,9 @@
-"""Time: one type, in whole milliseconds."""
+"""The type of all times and durations, and the clock protocol."""
 
 from typing import NewType, Protocol
 
 Millis = NewType("Millis", int)
-"""A point in time or a duration, in milliseconds."""
+"""A point in time or a duration in whole milliseconds."""
 
 MILLIS_PER_SECOND = 1000
 
@@ -16,5 +16,5 @@
 
 
 def to_seconds(duration: Millis) -> float:
-    """Return `duration` in seconds, for libraries that count in them."""
+    """Convert `duration` to seconds, for libraries that expect them."""
     return duration / MILLIS_PER_SECOND
--- a/src/papayagw/_internal/models/configuration.py
+++ b/src/papayagw/_internal/models/configuration.py
@@ -1,4 +1,4 @@
-"""The configuration of a site, as every node holds it."""
+"""The configuration of a site, held by every node."""
 
 from dataclasses import dataclass, field
 
@@ -9,7 +9,7 @@
 """Length of a fleet key's secret, in bytes."""
 
 HISTORY_LENGTH = 64
-"""How many submissions a configuration remembers, its own included."""
+"""Number of submissions in the history of a configuration, including its own."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,7 +19,7 @@
     Attributes
     ----------
     key_id : int
-        The number that tags and envelopes carry, 0 to 255.
+        The id that tags and envelopes carry, 0 to 255.
     secret : bytes of shape (KEY_BYTES,)
         The secret from which the keys of tags and envelopes are derived.
     """
@@ -37,14 +37,14 @@
     name : str
         The name of the site, such as ``ee-north``.
     control_address : Endpoint
-        The entry address for announcements, which the fabric hands to some
-        balancer.
+        The entry address for announcements; the network fabric delivers packets to
+        it to any one of the balancers.
     zones : tuple of str
         The names of the availability zones.
     services : tuple of Service
-        In order of their numbers.
+        The services, sorted by their ids.
     keys : tuple of FleetKey
-        The first one seals; all of them open.
+        The fleet keys. The first one encrypts; all of them decrypt.
     """
 
     name: str
@@ -54,28 +54,28 @@
     keys: tuple[FleetKey, ...]
 
     def find_service(self, name: str) -> Service | None:
-        """Return the service called `name`, or None."""
+        """Return the service named `name`, or None."""
         found = (service for service in self.services if service.name == name)
         return next(found, None)
 
     def find_service_by_id(self, service_id: ServiceId) -> Service | None:
-        """Return the service with the number `service_id`, or None."""
+        """Return the service with the id `service_id`, or None."""
         found = (one for one in self.services if one.service_id == service_id)
         return next(found, None)
 
 
 @dataclass(frozen=True, slots=True)
 class SubmissionEntry:
-    """Whose submission a version is.
+    """The submission that created a configuration version.
 
     Attributes
     ----------
     version : int
-        The version that it became.
+        The version that the submission created.
     submission_id : str
-        A random id, the same in each retry of one submission.
+        A random id, which stays the same when the submission is retried.
     operator : str
-        Who submitted it.
+        The operator who submitted it.
     """
 
     version: int
@@ -90,12 +90,13 @@
     Attributes
     ----------
     version : int
-        Rises by one with each accepted submission; 0 stands for a file that was
-        never submitted.
+        Incremented by one with each accepted submission; 0 for a configuration
+        that was loaded from a file and never submitted.
     site : Site
-        What is in force.
+        The site configuration of this version.
     history : tuple of SubmissionEntry
-        The last submissions, this one first, at most `HISTORY_LENGTH`.
+        The last submissions, newest first, at most `HISTORY_LENGTH`. The first one
+        created this version.
     """
 
     version: int
@@ -104,10 +105,10 @@
 
     @property
     def submission_id(self) -> str:
-        """The id of the submission that became this version; empty for a file."""
+        """The id of the submission that created this version; empty for a file."""
         return self.history[0].submission_id if self.history else ""
 
     def find_submission(self, submission_id: str) -> SubmissionEntry | None:
-        """Return the mark of a submission, or None if it isn't remembered."""
+        """Return the history entry of a submission, or None if there is none."""
         found = (mark for mark in self.history if mark.submission_id == submission_id)
         return next(found, None)
--- a/src/papayagw/_internal/models/control.py
+++ b/src/papayagw/_internal/models/control.py
@@ -1,4 +1,4 @@
-"""The control messages between balancers and agents, and who sends them where."""
+"""Control messages that balancers and agents exchange, and their destinations."""
 
 from dataclasses import dataclass
 from enum import IntEnum
@@ -8,28 +8,28 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 Fingerprint = int
-"""The 32-bit hash of a whole record."""
+"""A 32-bit hash of a complete record."""
 
 
 @dataclass(frozen=True, slots=True)
 class BalancerRecord:
-    """What the balancers know of one another.
+    """Membership record of a balancer.
 
     Attributes
     ----------
     endpoint : Endpoint
-        The inner endpoint, where control messages arrive.
+        The inner endpoint, which receives control messages.
     incarnation : Incarnation
-        The run of the balancer.
+        The incarnation of the balancer's process.
     zone : str
-        Its availability zone.
+        The availability zone of the balancer.
     sequence : int
-        Rises when this incarnation takes back that it is gone.
+        Incremented when this incarnation refutes a record that says it is gone.
     state : AgentState
         READY or GONE.
     suspicion : int
-        How often it was suspected dead and refuted that; odd while it is under
-        suspicion.
+        Incremented when the balancer is suspected to have failed and again when it
+        refutes that, so it is odd while the balancer is suspected.
     """
 
     endpoint: Endpoint
@@ -41,12 +41,12 @@
 
     @property
     def precedence(self) -> tuple[int, int, int, int]:
-        """What decides which of two records of one endpoint is the newer."""
+        """Sort key by which the newer of two records of one endpoint is found."""
         return (self.incarnation, self.sequence, self.state, self.suspicion)
 
     @property
     def is_suspected(self) -> bool:
-        """Whether it left probes unanswered."""
+        """Whether the balancer is suspected because it did not answer probes."""
         return self.suspicion % 2 == 1
 
 
@@ -55,12 +55,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """An agent tells its record; each one is acknowledged.
+    """Announces the record of an agent; each announcement is acknowledged.
 
     Attributes
     ----------
     record : AgentRecord
-        The agent's own record.
+        The record of the sending agent.
     """
 
     record: AgentRecord
@@ -68,21 +68,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """A sign of life of an agent to one of its watchers.
+    """A heartbeat from an agent to one of the balancers that watch it.
 
     Attributes
     ----------
     endpoint : Endpoint
-        The agent.
+        The endpoint of the agent.
     incarnation : Incarnation
-        Its run.
+        The incarnation of the agent.
     sequence : int
-        The sequence of its last change.
+        The sequence number of the agent's latest record.
     heartbeat_number : int
-        Rises with each heartbeat, so that a late or replayed one counts for
-        nothing.
+        Incremented with each heartbeat, so that delayed or replayed heartbeats are
+        ignored.
     siblings_digest : int
-        What the last acknowledgement with siblings said.
+        The `siblings_digest` of the last acknowledgement that listed siblings.
     """
 
     endpoint: Endpoint
@@ -93,31 +93,32 @@
 
 
 KEEP_INTERVAL_MS = Millis(0)
-"""Told by a balancer that doesn't know the fleet yet: the interval stays."""
+"""Interval sent by a balancer that doesn't know the fleet yet: keep the current one."""
 
 
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
-    """A balancer's answer to an announcement or a heartbeat.
+    """A balancer's reply to an announcement or a heartbeat.
 
     Attributes
     ----------
     incarnation : Incarnation
-        The run of the agent that the balancer knows; 0 for an unknown agent.
+        The agent's incarnation in the balancer's record; 0 for an unknown agent.
     sequence : int
-        The last change that the balancer knows.
+        The sequence number of the balancer's record of the agent.
     state : AgentState
-        What the balancer believes of the agent.
+        The state of the agent in the balancer's record.
     watchers : tuple of Endpoint
-        The balancers to which the agent sends its heartbeats.
+        The balancers to which the agent must send heartbeats.
     interval_ms : Millis
-        The time between two heartbeats, or `KEEP_INTERVAL_MS`.
+        The interval between heartbeats, or `KEEP_INTERVAL_MS`.
     siblings : tuple of AgentRecord
-        Other agents of the service, at most a few; empty when unchanged.
+        A few other agents of the service; empty if unchanged since the last
+        acknowledgement.
     siblings_digest : int
-        Stands for `siblings` in the heartbeats that follow.
+        Digest of `siblings`, which the agent's later heartbeats echo.
     configuration_version : int
-        The version that the balancer holds.
+        The configuration version of the balancer.
     """
 
     incarnation: Incarnation
@@ -132,19 +133,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Join:
-    """A balancer makes itself known; the answer is a gossip message.
+    """A balancer's request to join the membership; the reply is a gossip message.
 
     Attributes
     ----------
     record : BalancerRecord
-        The balancer's own record.
+        The record of the sending balancer.
     """
 
     record: BalancerRecord
 
 
 class GossipKind(IntEnum):
-    """What a gossip message is besides a carrier of news."""
+    """The role of a gossip message, which carries membership updates in any case."""
 
     UPDATE = 0
     PROBE = 1
@@ -152,25 +153,28 @@
 
 
 AGENT_BUCKETS = 16
-"""Into how many buckets the agents of a zone are divided."""
+"""Number of buckets into which the agents of a zone are divided."""
 
 BALANCER_BUCKET = AGENT_BUCKETS
-"""The number of the bucket of a zone's balancers, so that their coming and going
-doesn't change the buckets of agents."""
+"""Number of the bucket with the balancers of a zone.
+
+They have their own bucket so that balancers joining or leaving don't change the
+buckets of agents.
+"""
 
 BUCKETS_PER_ZONE = AGENT_BUCKETS + 1
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Bucket:
-    """A share of the records of one zone, by a hash of their endpoints.
+    """A subset of the records of one zone, selected by a hash of the endpoint.
 
     Attributes
     ----------
     zone : str
-        The zone.
+        The availability zone.
     number : int
-        0 to `BUCKETS_PER_ZONE` - 1.
+        The number of the bucket, 0 to `BUCKETS_PER_ZONE` - 1.
     """
 
     zone: str
@@ -178,22 +182,23 @@
 
 
 SUSPICION_MODULUS = 16
-"""Suspicion counters travel modulo this number."""
+"""Suspicion counters are sent modulo this number."""
 
 
 @dataclass(frozen=True, slots=True)
 class SuspicionVector:
-    """Who of a bucket is under suspicion, in half a byte for each record.
+    """The suspicion counters of a bucket, with 4 bits for each record.
 
     Attributes
     ----------
     bucket : Bucket
         The bucket.
     index_digest : int
-        Over endpoint, incarnation and sequence of its records: the vector is of
-        use only to a node that holds the same ones.
+        Digest of the endpoint, incarnation and sequence number of each record. The
+        vector can only be applied by a node that holds the same records.
     counters : tuple of int
-        The suspicion of each record modulo `SUSPICION_MODULUS`, by rising endpoint.
+        The suspicion of each record modulo `SUSPICION_MODULUS`, in ascending order
+        of the endpoints.
     """
 
     bucket: Bucket
@@ -203,16 +208,16 @@
 
 @dataclass(frozen=True, slots=True)
 class MembershipUpdate:
-    """Changes of the membership, at most as many as fit a datagram.
+    """Membership changes, limited to what fits into one datagram.
 
     Attributes
     ----------
     agents : tuple of AgentRecord
-        Whole records of agents.
+        Complete records of agents.
     balancers : tuple of BalancerRecord
-        Whole records of balancers.
+        Complete records of balancers.
     vectors : tuple of SuspicionVector
-        Suspicions and refutations.
+        Changes of suspicion counters.
     """
 
     agents: tuple[AgentRecord, ...] = ()
@@ -221,7 +226,7 @@
 
     @property
     def records(self) -> tuple[Record, ...]:
-        """The whole records of both kinds."""
+        """The complete records of balancers and agents."""
         return (*self.balancers, *self.agents)
 
 
@@ -230,21 +235,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """What balancers exchange all the time.
+    """The message that balancers exchange periodically to spread changes.
 
     Attributes
     ----------
     kind : GossipKind
-        Whether it probes the receiver, answers a probe, or neither.
+        Whether the message probes the receiver, replies to a probe, or neither.
     number : int
-        Binds an answer to its probe.
+        Matches a reply to its probe.
     digest : int
-        Over all records that the sender holds; 0 from a node that is catching up
-        and asks for what it needs by itself.
+        Digest of all records that the sender holds; 0 from a node that is still
+        synchronising and requests missing records itself.
     configuration_version : int
-        The version that the sender holds.
+        The configuration version of the sender.
     update : MembershipUpdate
-        Changes that the sender has heard of lately.
+        Changes that the sender received recently.
     """
 
     kind: GossipKind
@@ -256,16 +261,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BucketDigests:
-    """The digest of each bucket of the sender's records.
+    """The digests of the sender's buckets.
 
     Attributes
     ----------
     zones : tuple of str
         The zones of the buckets.
     digests : tuple of int
-        `BUCKETS_PER_ZONE` for each zone, in the order of `zones`.
+        `BUCKETS_PER_ZONE` digests for each zone, in the order of `zones`.
     complete : bool
-        Whether the sender holds nothing of other zones.
+        Whether the sender holds no records of zones other than `zones`.
     """
 
     zones: tuple[str, ...]
@@ -275,15 +280,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BucketSummary:
-    """The records that the sender holds in one bucket.
+    """The fingerprints of the records that the sender holds in one bucket.
 
     Attributes
     ----------
     bucket : Bucket
         The bucket.
     fingerprints : tuple of Fingerprint
-        One for each record; the receiver sends what is missing here, and asks
-        for what it misses itself.
+        One for each record. The receiver sends the records that are not listed and
+        requests the listed ones that it doesn't hold.
     """
 
     bucket: Bucket
@@ -292,12 +297,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordRequest:
-    """Asks for whole records.
+    """Requests complete records.
 
     Attributes
     ----------
     fingerprints : tuple of Fingerprint
-        Records of which the receiver told.
+        Fingerprints from a `BucketSummary` of the receiver.
     """
 
     fingerprints: tuple[Fingerprint, ...]
@@ -305,7 +310,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordResponse:
-    """Whole records that the receiver misses; they aren't spread further.
+    """Complete records that the receiver lacks; they aren't gossiped further.
 
     Attributes
     ----------
@@ -318,14 +323,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LivenessRequest:
-    """Asks whether a silent node is alive.
+    """Asks a balancer whether it has heard from an unresponsive node.
 
     Attributes
     ----------
     endpoint : Endpoint
-        The silent node.
+        The endpoint of the unresponsive node.
     incarnation : Incarnation
-        Its run.
+        The incarnation of the node.
     """
 
     endpoint: Endpoint
@@ -334,18 +339,18 @@
 
 @dataclass(frozen=True, slots=True)
 class LivenessResponse:
-    """Answers an inquiry: the node was heard.
+    """Replies to a liveness request when the node was heard from.
 
     Attributes
     ----------
     endpoint : Endpoint
-        The node.
+        The endpoint of the node.
     incarnation : Incarnation
-        Its run.
+        The incarnation of the node.
     heartbeat_number : int
-        The last heartbeat that was heard; 0 for a balancer.
+        The number of the last heartbeat received; 0 for a balancer.
     age_ms : Millis
-        How long ago that was.
+        The time since the node was last heard from.
     """
 
     endpoint: Endpoint
@@ -371,14 +376,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """A control message for the socket to send.
+    """A control message to send.
 
     Attributes
     ----------
     destination : Endpoint
-        Where it goes.
+        The receiver.
     message : ControlMessage
-        What it says.
+        The message.
     """
 
     destination: Endpoint
--- a/src/papayagw/_internal/models/decision.py
+++ b/src/papayagw/_internal/models/decision.py
@@ -1,4 +1,4 @@
-"""What the core decides about a packet."""
+"""Decisions of the core about a packet."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -7,7 +7,7 @@
 
 
 class DropReason(Enum):
-    """Why a packet goes no further; each reason is counted."""
+    """Why a packet is dropped; drops are counted by reason."""
 
     MALFORMED = "malformed"
     BAD_TAG = "bad-tag"
@@ -27,7 +27,7 @@
     Attributes
     ----------
     agent : Endpoint
-        The agent that takes it.
+        The endpoint of the agent.
     """
 
     agent: Endpoint
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Accept:
-    """Take the opening here."""
+    """Accept the opening at this agent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +45,7 @@
     Attributes
     ----------
     reason : DropReason
-        Why.
+        Why the packet is dropped.
     """
 
     reason: DropReason
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reset:
-    """Tell the caller that its flow is over, since its agent is gone."""
+    """Send the caller a reset, since the agent of its flow is gone."""
 
 
 BalancerDecision = Forward | Drop | Reset
--- a/src/papayagw/_internal/models/flow.py
+++ b/src/papayagw/_internal/models/flow.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowKey:
-    """What a balancer sees of a flow without reading its tag.
+    """The identity of a flow as a balancer sees it without reading its tag.
 
     Attributes
     ----------
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowRoute:
-    """The part of a flow tag that is the same for all flows of an agent's run.
+    """The part of a flow tag that all flows of an agent's incarnation share.
 
     Attributes
     ----------
@@ -46,7 +46,7 @@
     def of(
         cls, service_id: ServiceId, agent: Endpoint, incarnation: Incarnation
     ) -> "FlowRoute":
-        """Return the route of an agent's run."""
+        """Return the route of an agent's incarnation."""
         return cls(service_id, agent, incarnation & INCARNATION_MASK)
 
 
@@ -56,16 +56,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowTag:
-    """What the agent that accepted a flow puts into each packet of it.
+    """The tag that the accepting agent puts into each packet of a flow.
 
     Attributes
     ----------
     key_id : int
-        The fleet key that seals the tag.
+        The id of the fleet key that encrypts the tag.
     route : FlowRoute
-        Where packets of the flow go.
+        The service and agent to which packets of the flow are routed.
     nonce : bytes of shape (3,)
-        Tells flows of one route apart.
+        Distinguishes flows of one route.
     """
 
     key_id: int
@@ -74,9 +74,9 @@
 
 
 class FlowOutcome(Enum):
-    """How a flow ended, as its caller is told.
+    """The outcome of a flow, as reported to its caller.
 
-    REFUSED is told only where no byte reached a backend server.
+    REFUSED is only reported if no byte reached a backend server.
     """
 
     ANSWERED = "answered"
--- a/src/papayagw/_internal/models/lifecycle.py
+++ b/src/papayagw/_internal/models/lifecycle.py
@@ -1,6 +1,6 @@
-"""What happens to a flow at the agent that owns it, and what the agent does.
+"""Events and actions of the state machine of a flow at the agent that owns it.
 
-The bytes stay with the shell: events and actions carry counts.
+The payload bytes stay in the I/O layer: events and actions only carry byte counts.
 """
 
 from dataclasses import dataclass
@@ -10,7 +10,7 @@
 
 
 class FlowState(Enum):
-    """Where a flow stands; the last four are final."""
+    """The state of a flow; the last four are final."""
 
     OPENING = "opening"
     ACCEPTED = "accepted"
@@ -25,27 +25,27 @@
 
 @dataclass(frozen=True, slots=True)
 class HandshakeCompleted:
-    """The caller completed the handshake with this agent and no other."""
+    """The caller completed the handshake, and did so with this agent only."""
 
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
-    """Admission control let the flow through."""
+    """Admission control admitted the flow."""
 
 
 @dataclass(frozen=True, slots=True)
 class AdmissionRefused:
-    """Admission control turned the flow away."""
+    """Admission control refused the flow."""
 
 
 @dataclass(frozen=True, slots=True)
 class CallerSent:
-    """Bytes came from the caller, in order.
+    """Bytes arrived from the caller, in order.
 
     Attributes
     ----------
     count : int
-        How many.
+        The number of bytes.
     """
 
     count: int
@@ -53,27 +53,27 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerFinished:
-    """The caller will send no more."""
+    """The caller finished its request and sends no more bytes."""
 
 
 @dataclass(frozen=True, slots=True)
 class CallerCancelled:
-    """The caller reset its stream or closed the flow before its answer's end."""
+    """The caller reset its stream or closed the flow before the end of the answer."""
 
 
 @dataclass(frozen=True, slots=True)
 class AnswerAcknowledged:
-    """The caller has the whole answer, its end included."""
+    """The caller acknowledged the complete answer, including its end."""
 
 
 @dataclass(frozen=True, slots=True)
 class BackendConnected:
-    """The connection to the backend server stands.
+    """The connection to the backend server was established.
 
     Attributes
     ----------
     attempt : int
-        The attempt that it belongs to.
+        The number of the connection attempt.
     """
 
     attempt: int
@@ -81,12 +81,12 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendConnectFailed:
-    """The connection to the backend server wasn't made.
+    """The connection to the backend server could not be established.
 
     Attributes
     ----------
     attempt : int
-        The attempt that failed.
+        The number of the failed connection attempt.
     """
 
     attempt: int
@@ -94,14 +94,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendWrote:
-    """The socket of the backend server took bytes that were handed to it.
+    """The backend server's socket accepted bytes that were written to it.
 
     Attributes
     ----------
     attempt : int
-        The attempt that made the connection.
+        The number of the connection attempt that established the connection.
     count : int
-        How many.
+        The number of bytes.
     """
 
     attempt: int
@@ -110,14 +110,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendSent:
-    """Bytes came from the backend server.
+    """Bytes arrived from the backend server.
 
     Attributes
     ----------
     attempt : int
-        The attempt that made the connection.
+        The number of the connection attempt that established the connection.
     count : int
-        How many.
+        The number of bytes.
     """
 
     attempt: int
@@ -126,12 +126,12 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendClosed:
-    """The backend server will send no more.
+    """The backend server closed its sending side.
 
     Attributes
     ----------
     attempt : int
-        The attempt that made the connection.
+        The number of the connection attempt that established the connection.
     """
 
     attempt: int
@@ -144,7 +144,7 @@
     Attributes
     ----------
     attempt : int
-        The attempt that made the connection.
+        The number of the connection attempt that established the connection.
     """
 
     attempt: int
@@ -152,22 +152,25 @@
 
 @dataclass(frozen=True, slots=True)
 class DeadlineReached:
-    """The caller's deadline has passed."""
+    """The caller's deadline expired."""
 
 
 @dataclass(frozen=True, slots=True)
 class IdleTimedOut:
-    """Nothing was heard from the caller for the idle timeout."""
+    """No packet arrived from the caller within the idle timeout."""
 
 
 @dataclass(frozen=True, slots=True)
 class DrainStarted:
-    """The agent drains: a flow without a backend connection goes elsewhere."""
+    """The agent started draining.
+
+    A flow without a backend connection is refused, so that another agent serves it.
+    """
 
 
 @dataclass(frozen=True, slots=True)
 class StopLimitReached:
-    """The agent stops now, finished or not."""
+    """The time for a graceful stop is over: open flows are cut."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,7 +180,7 @@
     Attributes
     ----------
     attempt : int
-        The number that events of this connection carry.
+        The number of the attempt, which events of the connection carry.
     """
 
     attempt: int
@@ -185,12 +188,12 @@
 
 @dataclass(frozen=True, slots=True)
 class DeliverToBackend:
-    """Hand the next bytes of the caller to the backend server's socket.
+    """Write the next bytes of the caller to the backend server's socket.
 
     Attributes
     ----------
     count : int
-        How many.
+        The number of bytes.
     """
 
     count: int
@@ -203,7 +206,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelBackend:
-    """Reset the backend server's connection, so that it stops its work."""
+    """Reset the connection to the backend server, so that it stops processing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,7 +216,7 @@
     Attributes
     ----------
     count : int
-        How many.
+        The number of bytes.
     """
 
     count: int
@@ -226,7 +229,9 @@
 
 @dataclass(frozen=True, slots=True)
 class CloseFlow:
-    """Close the flow with its outcome; the last action, after it comes release.
+    """Close the flow and send its outcome to the caller.
+
+    This is the last action of a flow; its resources are released afterwards.
 
     Attributes
     ----------
--- a/src/papayagw/_internal/models/node.py
+++ b/src/papayagw/_internal/models/node.py
@@ -1,7 +1,7 @@
-"""A process's own settings.
+"""Settings of a single process.
 
-Files are named by their absolute paths as plain strings: the models do no input or
-output, so they hold no path objects.
+Files are given as absolute paths in plain strings: the models do no input or output,
+so they hold no `Path` objects.
 """
 
 from dataclasses import dataclass
@@ -13,18 +13,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProcessSettings:
-    """What every process has.
+    """Settings that all processes share.
 
     Attributes
     ----------
     admin : Endpoint or None
-        Where the process serves its status, over HTTP; None serves none.
+        The endpoint of the HTTP status server; None disables it.
     statsd : Endpoint or None
-        Where its metrics go; None sends none.
+        The StatsD endpoint that receives metrics; None disables them.
     log_level : str
-        The lowest level that is logged.
+        The lowest log level that is written.
     stop_limit_ms : Millis
-        How long a graceful stop may take before the rest is cut.
+        The longest time in ms that a graceful stop may take; flows that are still
+        open after it are cut.
     """
 
     admin: Endpoint | None = None
@@ -35,31 +36,30 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NodeSettings(ProcessSettings):
-    """What a balancer and an agent have in common.
+    """Settings that balancers and agents share.
 
     Attributes
     ----------
     name : str
         The name of the process in logs, metrics and status.
     zone : str
-        Its availability zone.
+        The availability zone of the process.
     inner : Endpoint
-        Where envelopes and control frames of the system's own processes come, over
-        UDP, and where peers fetch the configuration, over TCP.
+        The endpoint that receives envelopes and control frames of other papayagw
+        processes over UDP and serves the configuration to peers over TCP.
     site : str or None
-        The name of the site whose configuration the platform holds.
+        The name of the site whose configuration is read from the platform.
     platform : tuple of str
-        Base URLs of the platform's service, tried in turn. Empty when `base` is
-        given.
+        Base URLs of the platform's service, tried in order. Empty if `base` is set.
     base : str or None
-        A base file to use in place of the platform.
+        The path of a base file to use instead of the platform.
     overlay : str or None
-        The overlay to `base`.
+        The path of the overlay that is merged into `base`.
     peers : tuple of Endpoint
-        Inner endpoints of balancers and agents that are asked for the configuration
-        at the start, besides the platform.
+        Inner endpoints of balancers and agents that are queried for the
+        configuration at startup, in addition to the platform.
     keys : tuple of FleetKey
-        The keys that seal what is asked of `peers` before a configuration is held.
+        The keys that encrypt queries to `peers` until a configuration is loaded.
     """
 
     name: str
@@ -75,15 +75,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BalancerSettings:
-    """The settings of a balancer.
+    """Settings of a balancer.
 
     Attributes
     ----------
     node : NodeSettings
-        What it has in common with an agent.
+        The settings shared with agents.
     bind_ip : str or None
-        The IP number on which the services' ports are bound; None binds each
-        service's own address.
+        The IP address on which the ports of all services are bound; None binds each
+        service to its own address.
     """
 
     node: NodeSettings
@@ -92,20 +92,20 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentSettings:
-    """The settings of an agent.
+    """Settings of an agent.
 
     Attributes
     ----------
     node : NodeSettings
-        What it has in common with a balancer.
+        The settings shared with balancers.
     service : str
-        The name of the service that its backend server runs.
+        The name of the service that the backend server runs.
     backend : Endpoint
-        The backend server, over TCP.
+        The TCP endpoint of the backend server.
     certificate : str
-        The file of the certificate that it shows to callers.
+        The path of the certificate that the agent presents to callers.
     private_key : str
-        The file of the key of `certificate`.
+        The path of the private key of `certificate`.
     """
 
     node: NodeSettings
@@ -117,23 +117,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Listener:
-    """One service as a caller's machine offers it to its TCP clients.
+    """A service that a caller's machine offers to its local TCP clients.
 
     Attributes
     ----------
     service : str
-        The name of the service, which the agent's certificate must carry.
+        The name of the service, which the agent's certificate must contain.
     listen : Endpoint
-        Where TCP clients connect.
+        The endpoint to which TCP clients connect.
     entry : Endpoint
         The entry address of the service.
     idempotent : bool
-        Whether the service's requests may be run more than once, so that a flow
-        that broke before its answer may be opened again.
+        Whether requests may be executed more than once, so that a flow that broke
+        before its answer may be opened again.
     probe_interval_ms : Millis
-        How long a flow may be silent before its agent is probed.
+        The time in ms without packets after which the agent of a flow is probed.
     idle_timeout_ms : Millis
-        How long a flow may be silent before it is given up.
+        The time in ms without packets after which a flow is closed.
     """
 
     service: str
@@ -146,14 +146,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConnectSettings(ProcessSettings):
-    """The settings of a caller's machine, which has no platform and no fleet keys.
+    """Settings of a caller's machine, which uses neither the platform nor fleet keys.
 
     Attributes
     ----------
     listeners : tuple of Listener
-        The services that it offers.
+        The services offered to local clients.
     authority : str
-        The file of the certificate that agents' certificates are checked against.
+        The path of the CA certificate that verifies agents' certificates.
     """
 
     listeners: tuple[Listener, ...]
--- a/src/papayagw/_internal/models/opening.py
+++ b/src/papayagw/_internal/models/opening.py
@@ -1,4 +1,4 @@
-"""What `connect` knows of the attempts to open a flow and what it does next."""
+"""Retry policy of `connect`, with the events and actions of opening a flow."""
 
 from dataclasses import dataclass
 
@@ -8,22 +8,23 @@
 
 @dataclass(frozen=True, slots=True)
 class RetryPolicy:
-    """How often and when openings are tried again.
+    """Limits and delays of opening retries.
 
     Attributes
     ----------
     ratio : float
-        Further tries allowed for each first try.
+        Retries allowed for each first attempt.
     floor_per_second : float
-        Further tries allowed each second however few first tries there are.
+        Retries allowed per second regardless of the number of first attempts.
     burst : float
-        The most further tries that may be saved up.
+        The maximum number of unused retries that may accumulate.
     max_attempts : int
-        The most attempts for one flow, the first one included.
+        The maximum number of attempts for a flow, including the first one.
     base_backoff_ms : Millis
-        The longest wait before the second attempt; it doubles with each attempt.
+        The upper bound in ms of the delay before the second attempt; it doubles
+        with each further attempt.
     max_backoff_ms : Millis
-        The longest wait before any attempt.
+        The upper bound in ms of the delay before any attempt.
     """
 
     ratio: float = 0.1
@@ -36,21 +37,22 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt is over and answers nothing any more.
+    """An attempt ended; no more data arrives from it.
 
     Attributes
     ----------
     attempt : int
-        Its number, from 1.
+        The number of the attempt, starting at 1.
     outcome : FlowOutcome or None
-        What the agent told, or None if the attempt was abandoned without a word.
+        The outcome sent by the agent, or None if the attempt was abandoned without
+        one.
     handshake_completed : bool
-        Whether this end completed the handshake; until then no agent can have
-        delivered anything.
+        Whether the handshake was completed on the caller's side; before that no
+        agent can have delivered bytes.
     answer_started : bool
-        Whether bytes of the answer went on to the caller.
+        Whether bytes of the answer were passed on to the caller.
     replayable : bool
-        Whether every byte that the caller sent is still at hand.
+        Whether all bytes that the caller sent are still buffered.
     """
 
     attempt: int
@@ -69,7 +71,7 @@
     attempt : int
         The number of the attempt.
     at : Millis
-        When to open it.
+        The time at which to start it.
     """
 
     attempt: int
@@ -78,12 +80,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportOutcome:
-    """Tell the caller how its flow ended.
+    """Report the final outcome of a flow to the caller.
 
     Attributes
     ----------
     outcome : FlowOutcome
-        The truth over all attempts.
+        The outcome over all attempts.
     """
 
     outcome: FlowOutcome
--- a/src/papayagw/_internal/models/packet.py
+++ b/src/papayagw/_internal/models/packet.py
@@ -1,11 +1,11 @@
-"""A packet as the core sees it: what its header says, never its bytes."""
+"""The parsed packet header that the core works with instead of raw bytes."""
 
 from dataclasses import dataclass
 from enum import Enum
 
 
 class PacketKind(Enum):
-    """What the header of a caller's packet shows."""
+    """The kind of a caller's packet according to its header."""
 
     OPENING = "opening"
     TAGGED = "tagged"
@@ -21,7 +21,7 @@
     kind : PacketKind
         Whether the packet may open a flow, carries a tag, or neither.
     connection_id : bytes
-        The destination connection id: a flow tag, or the random id of an opening.
+        The destination connection id: a flow tag, or a random id in an opening.
     """
 
     kind: PacketKind
--- a/src/papayagw/_internal/models/report.py
+++ b/src/papayagw/_internal/models/report.py
@@ -1,4 +1,4 @@
-"""Service-level records: what became of the flows of one instance in a while."""
+"""Service-level records: flow counts of one instance over an interval."""
 
 from dataclasses import dataclass, field
 from enum import Enum
@@ -9,13 +9,13 @@
     *(1, 2, 3, 5, 7, 10, 15, 20, 30, 50, 70, 100, 150, 200, 250, 300, 400, 500),
     *(700, 1_000, 1_500, 2_000, 3_000, 5_000, 10_000),
 )
-"""The highest latency that each bucket counts, in ms; one more counts the rest."""
+"""Inclusive upper bounds of the latency buckets in ms; one more bucket has no bound."""
 
 LATENCY_BUCKETS = len(LATENCY_BOUNDS_MS) + 1
 
 
 class Side(Enum):
-    """Which end of the flows counted them."""
+    """The end of the flows at which they were counted."""
 
     AGENT = "agent"
     CALLER = "caller"
@@ -23,23 +23,24 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowCounts:
-    """Flows by what became of them.
+    """Flow counts by outcome.
 
     Attributes
     ----------
     opened : int
-        Flows for which the backend server was reached.
+        Flows with a connection to the backend server.
     refused : int
         Openings that were refused: no byte reached a backend server.
     unknown : int
-        Flows that were cut before any answer: whether the request ran is unknown.
+        Flows that were cut before any answer, so that it is unknown whether the
+        request was executed.
     broken : int
-        Flows that were cut in the middle of their answer.
+        Flows that were cut during their answer.
     lost : int
-        Flows that were open when an agent was last seen, before its next run
-        started.
+        Flows that were open in the last report of an agent before it restarted
+        without draining.
     answered : tuple of int of length LATENCY_BUCKETS
-        Openings answered, by latency.
+        Answered openings per latency bucket.
     """
 
     opened: int = 0
@@ -51,15 +52,15 @@
 
     @property
     def cut(self) -> int:
-        """Flows that broke, in whatever way."""
+        """All flows that broke: unknown, broken and lost."""
         return self.unknown + self.broken + self.lost
 
     def plus(self, other: "FlowCounts") -> "FlowCounts":
-        """Return the sum of both."""
+        """Return the sum of both counts."""
         return self._combine(other, 1)
 
     def minus(self, earlier: "FlowCounts") -> "FlowCounts":
-        """Return what was added since `earlier`."""
+        """Return the difference to `earlier`."""
         return self._combine(earlier, -1)
 
     def _combine(self, other: "FlowCounts", sign: int) -> "FlowCounts":
@@ -76,22 +77,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceTotals:
-    """What one node has counted for one service since the node started.
+    """Totals of one service at one node since the node started.
 
     Attributes
     ----------
     service : str
         The name of the service.
     counts : FlowCounts
-        The flows.
+        The flow counts.
     flows_open : int
-        Flows open now.
+        The number of flows that are open now.
     work_ms : Millis
-        The work done for the flows: the time for which requests were in progress
-        at the backend server, added up.
+        The sum of the times in ms for which requests were in progress at the
+        backend server.
     capacity : float
-        The strength of the backend server, in the unit of announced weights.
-        0 where there is none, as at the callers' side.
+        The capacity of the backend server in units of announced weights; 0 where
+        there is none, as on the callers' side.
     """
 
     service: str
@@ -103,28 +104,28 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceRecord:
-    """What one instance did for one service in one interval.
+    """Flow counts and work of one service at one instance in one interval.
 
     Attributes
     ----------
     start_ms : Millis
-        Start of the interval, in ms since 1970.
+        Start of the interval, in ms since the Unix epoch.
     end_ms : Millis
-        End of the interval, in ms since 1970.
+        End of the interval, in ms since the Unix epoch.
     service : str
         The name of the service.
     instance : str
-        The node that counted.
+        The name of the node that counted.
     zone : str
-        Its availability zone.
+        The availability zone of the instance.
     side : Side
-        Which end of the flows it is.
+        The end of the flows at which they were counted.
     counts : FlowCounts
-        The flows of the interval.
+        The flow counts of the interval.
     work_ms : Millis
-        The work done in the interval.
+        The work in ms done in the interval, as in `ServiceTotals`.
     capacity : float
-        The strength of the backend server, in the unit of announced weights.
+        The capacity of the backend server in units of announced weights.
     """
 
     start_ms: Millis
@@ -139,5 +140,5 @@
 
     @property
     def duration_ms(self) -> Millis:
-        """The length of the interval."""
+        """The length of the interval in ms."""
         return Millis(self.end_ms - self.start_ms)
--- a/src/papayagw/_internal/models/service.py
+++ b/src/papayagw/_internal/models/service.py
@@ -1,4 +1,4 @@
-"""A service: what callers address and what backend servers run."""
+"""Services, which callers address and backend servers provide."""
 
 from dataclasses import dataclass, field
 from typing import NewType
@@ -7,7 +7,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 ServiceId = NewType("ServiceId", int)
-"""The number of a service, 1 to 65,535; it never changes and is never reused."""
+"""The id of a service, 1 to 65,535; it never changes and is never reused."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,12 +19,12 @@
     availability : float
         The share of flows that must not break, 0 to 1.
     latency_ms : Millis
-        The time in which an opening must be answered.
+        The time in ms within which an opening must be answered.
     latency_share : float
-        The share of openings that must meet `latency_ms`, 0 to 1.
+        The share of openings that must be answered within `latency_ms`, 0 to 1.
     imbalance : float
-        The highest allowed ratio of the busiest instance's work over capacity to
-        the mean.
+        The highest allowed ratio of the busiest instance's load (work divided by
+        capacity) to the mean load.
     """
 
     availability: float = 0.999
@@ -40,23 +40,23 @@
     Attributes
     ----------
     name : str
-        The name that operators use.
+        The name of the service in settings, logs and reports.
     service_id : ServiceId
-        The number that flow tags carry.
+        The id that flow tags carry.
     address : Endpoint
-        The entry address that callers send to.
+        The entry address to which callers send packets.
     idempotent : bool
-        Whether its requests may be run more than once.
+        Whether requests may be executed more than once.
     max_flows : int
-        The most flows that one instance of it holds.
+        The maximum number of open flows per instance.
     idle_timeout_ms : Millis
-        How long a flow may be silent before it is given up.
+        The time in ms without packets after which a flow is closed.
     probe_interval_ms : Millis
-        How often a silent flow is probed by its caller's side.
+        The interval in ms at which the caller's side probes a flow without packets.
     drain_limit_ms : Millis
-        How long a leaving agent keeps its established flows.
+        The longest time in ms that a draining agent keeps its established flows.
     objectives : Objectives
-        What the burn report holds it against.
+        The objectives that the burn report checks.
     """
 
     name: str
--- a/src/papayagw/_internal/models/status.py
+++ b/src/papayagw/_internal/models/status.py
@@ -1,4 +1,4 @@
-"""What a node tells operators about itself."""
+"""Status reports of nodes, for operators."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -7,11 +7,11 @@
 from papayagw._internal.models.report import ServiceTotals
 
 MAX_LISTED_AGENTS = 256
-"""The most agents that one report lists, so that making it never holds up packets."""
+"""Maximum number of agents in a report, so that creating it never delays packets."""
 
 
 class Role(Enum):
-    """Which program a node runs."""
+    """The program that a node runs."""
 
     BALANCER = "balancer"
     AGENT = "agent"
@@ -19,7 +19,7 @@
 
 
 class NodeState(Enum):
-    """What a node is doing."""
+    """The lifecycle state of a node."""
 
     STARTING = "starting"
     READY = "ready"
@@ -28,19 +28,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerStatus:
-    """A process that the node talks with.
+    """A process with which the node communicates.
 
     Attributes
     ----------
     endpoint : str
-        Its address, as ``ip:port``.
+        The address, as ``ip:port``.
     role : str
-        What it is to the node, such as ``balancer``, ``backend server`` or
+        The role of the peer, such as ``balancer``, ``backend server`` or
         ``platform``.
     state : str
-        One word on it, such as ``up`` or ``silent``.
+        The state of the peer, such as ``up`` or ``silent``.
     silent_ms : Millis or None
-        How long ago it was last heard, where the node knows.
+        The time in ms since the peer was last heard from, if known.
     """
 
     endpoint: str
@@ -51,23 +51,23 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentStatus:
-    """An agent, as the node knows it.
+    """An agent in the node's view of the membership.
 
     Attributes
     ----------
     endpoint : str
-        Its address, as ``ip:port``.
+        The address, as ``ip:port``.
     service : str
-        The name of its service.
+        The name of the agent's service.
     zone : str
-        Its availability zone.
+        The availability zone of the agent.
     state : str
-        Whether it takes openings: ``ready``, ``suspected``, ``draining`` or
+        Whether the agent accepts openings: ``ready``, ``suspected``, ``draining`` or
         ``gone``.
     weight : int
-        Its announced strength.
+        The announced weight, which is the quantised capacity of the instance.
     flows : int or None
-        The flows that it holds, where the node knows.
+        The number of open flows, if known.
     """
 
     endpoint: str
@@ -80,14 +80,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Counter:
-    """A count since the node started.
+    """A counter, which starts at 0 with the node.
 
     Attributes
     ----------
     name : str
-        The name of the metric, without the prefix.
+        The name of the metric, without its prefix.
     value : int
-        The count.
+        The value of the counter.
     """
 
     name: str
@@ -96,39 +96,39 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusReport:
-    """A node's own account.
+    """The status of a node.
 
     Attributes
     ----------
     node : str
         The name of the node.
     role : Role
-        The program that it runs.
+        The program that the node runs.
     zone : str
-        Its availability zone.
+        The availability zone of the node.
     version : str
         The version of papayagw.
     state : NodeState
-        What it is doing.
+        The lifecycle state of the node.
     run : int
-        The run of the node: its start in ms since 1970.
+        The incarnation of the node: its start in ms since the Unix epoch.
     uptime_ms : Millis
-        How long it has run.
+        The time in ms since the start.
     configuration_version : int
-        The version of the configuration in force; 0 for one from a file.
+        The version of the active configuration; 0 if it was loaded from a file.
     flows_open : int
-        Flows that it holds now; always 0 at a balancer, which holds none.
+        The number of open flows; always 0 at a balancer, which keeps no flow state.
     agents_known : int
-        How many agents it knows, of which `agents` lists at most
+        The number of known agents, of which `agents` lists at most
         `MAX_LISTED_AGENTS`.
     peers : tuple of PeerStatus
-        The processes that it talks with.
+        The processes with which the node communicates.
     agents : tuple of AgentStatus
-        Agents that it knows.
+        Known agents.
     services : tuple of ServiceTotals
-        What it counted for each service.
+        The totals of each service.
     counters : tuple of Counter
-        All its counts.
+        All counters of the node.
     """
 
     node: str
--- a/src/papayagw/_internal/models/stream.py
+++ b/src/papayagw/_internal/models/stream.py
@@ -1,4 +1,4 @@
-"""What happens on the caller's side of a flow, in terms of no protocol."""
+"""Protocol-independent events of the stream between a caller and an agent."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HandshakeDone:
-    """Both ends hold the flow's keys; bytes may be delivered from now on."""
+    """The handshake is complete on both sides; bytes may be delivered from now on."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,7 +19,7 @@
     data : bytes
         The bytes; may be empty.
     finished : bool
-        Whether the peer sends no more.
+        Whether the peer has finished sending.
     """
 
     data: bytes
@@ -28,14 +28,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowEnded:
-    """The flow is over.
+    """The flow ended.
 
     Attributes
     ----------
     outcome : FlowOutcome
-        What the peer told, or UNKNOWN if it told nothing.
+        The outcome sent by the peer, or UNKNOWN if it sent none.
     reason : str
-        A word for the logs.
+        The reason, for logs.
     """
 
     outcome: FlowOutcome
--- a/tests/unit/test_operator_commands.py
+++ b/tests/unit/test_operator_commands.py
@@ -35,7 +35,7 @@
     ("words", "code", "told"),
     [
         (["status"], 2, "no node is named; give the admin endpoint"),
-        (["status", "localhost:1"], 2, "expected an IPv4 number, found 'localhost'"),
+        (["status", "localhost:1"], 2, "expected an IPv4 address, found 'localhost'"),
         (["status", NOBODY], 1, f"(peer {NOBODY}); check that the node runs"),
         (["status", NOBODY, "--json"], 1, '"no_answer": [{"peer": "127.0.0.1:1"'),
         (["status", NOBODY, "--every=0"], 2, "give --every a number above 0"),
