Reword platform/ and its tests in plain technical English

Error texts of settings files, of the operators' configuration and of store responses are reworded; test_platform_settings expects the new text of one of them and is as strict as before.

--- a/src/papayagw/_internal/models/agent.py
+++ b/src/papayagw/_internal/models/agent.py
@@ -8,7 +8,10 @@
 from papayagw._internal.models.service import ServiceId
 
 Incarnation = NewType("Incarnation", int)
-"""The start of a process in ms since the Unix epoch; higher after each restart."""
+"""Identifies one run of an agent by its start in ms since the Unix epoch.
+
+A later run has a higher incarnation.
+"""
 
 UNIT_WEIGHT = 64
 """The quantised weight of an instance of nominal capacity; 0 receives no openings."""
--- a/src/papayagw/_internal/models/burn.py
+++ b/src/papayagw/_internal/models/burn.py
@@ -63,7 +63,7 @@
     window : str
         The name of the window.
     burn : float
-        The burn rate: at 1 exactly the budget is used up; 0 if there is no data.
+        The burn rate: at 1 exactly the budget is used up; 0 if it can't be determined.
     value : float
         The share of bad flows or openings, or the ratio for imbalance.
     flows : int
--- a/src/papayagw/_internal/models/configuration.py
+++ b/src/papayagw/_internal/models/configuration.py
@@ -37,14 +37,15 @@
     name : str
         The name of the site, such as ``ee-north``.
     control_address : Endpoint
-        The entry address for announcements; the network fabric delivers packets to
-        it to any one of the balancers.
+        The entry address for announcements, which the network fabric delivers to
+        any one of the balancers.
     zones : tuple of str
         The names of the availability zones.
     services : tuple of Service
         The services, sorted by their ids.
     keys : tuple of FleetKey
-        The fleet keys. The first one encrypts; all of them decrypt.
+        The fleet keys. The first one encrypts and signs; all of them decrypt and
+        verify.
     """
 
     name: str
--- a/src/papayagw/_internal/models/control.py
+++ b/src/papayagw/_internal/models/control.py
@@ -24,7 +24,8 @@
     zone : str
         The availability zone of the balancer.
     sequence : int
-        Incremented when this incarnation refutes a record that says it is gone.
+        Incremented when this incarnation leaves, or refutes a record that says it
+        is gone.
     state : AgentState
         READY or GONE.
     suspicion : int
@@ -245,7 +246,7 @@
         Matches a reply to its probe.
     digest : int
         Digest of all records that the sender holds; 0 from a node that is still
-        synchronising and requests missing records itself.
+        synchronising and requests the records that it needs itself.
     configuration_version : int
         The configuration version of the sender.
     update : MembershipUpdate
--- a/src/papayagw/_internal/models/lifecycle.py
+++ b/src/papayagw/_internal/models/lifecycle.py
@@ -162,9 +162,9 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainStarted:
-    """The agent started draining.
+    """The agent started to drain.
 
-    A flow without a backend connection is refused, so that another agent serves it.
+    A flow without a backend connection is refused, so that it moves to another agent.
     """
 
 
--- a/src/papayagw/_internal/models/status.py
+++ b/src/papayagw/_internal/models/status.py
@@ -117,7 +117,7 @@
     configuration_version : int
         The version of the active configuration; 0 if it was loaded from a file.
     flows_open : int
-        The number of open flows; always 0 at a balancer, which keeps no flow state.
+        The number of open flows; always 0 at a balancer, which holds no flows.
     agents_known : int
         The number of known agents, of which `agents` lists at most
         `MAX_LISTED_AGENTS`.
--- a/src/papayagw/platform/__init__.py
+++ b/src/papayagw/platform/__init__.py
@@ -1,5 +1,5 @@
 """Translation between papayagw and the prepared platform.
 
-The platform's names for fields, paths and headers are known here and nowhere else.
-Nothing here decides, keeps state or tries again.
+The platform's names of fields, paths and headers are only used in this package. The
+package makes no decisions, keeps no state and retries nothing.
 """
--- a/src/papayagw/platform/__main__.py
+++ b/src/papayagw/platform/__main__.py
@@ -9,7 +9,7 @@
 
 
 def run_balancer() -> None:
-    """Run a balancer until it is told to end."""
+    """Run a balancer until it is stopped."""
     from papayagw._internal.net.plain.balancer_process import PlainBalancerProcess
     from papayagw.platform.adapter import PreparedPlatform
     from papayagw.platform.settings import find_settings_file, load_balancer_settings
@@ -22,7 +22,7 @@
 
 
 def run_agent() -> None:
-    """Run an agent until it is told to end."""
+    """Run an agent until it is stopped."""
     from papayagw._internal.net.plain.agent_process import PlainAgentProcess
     from papayagw.platform.adapter import PreparedPlatform
     from papayagw.platform.settings import find_settings_file, load_agent_settings
@@ -38,11 +38,12 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run the role that the command line names; return the exit code."""
+    """Run the role given on the command line and return the exit code."""
     if len(arguments) != 1 or arguments[0] not in ROLES:
         print(f"usage: python -m papayagw.platform {'|'.join(ROLES)}", file=sys.stderr)
         return EXIT_USAGE
-    # The settings are read below; until there is a handler, a hangup would end us.
+    # Without a handler, SIGHUP would end the process. The role installs its handler
+    # only after it has read the settings.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from papayagw._internal.exceptions import PapayagwError
 
--- a/src/papayagw/platform/adapter.py
+++ b/src/papayagw/platform/adapter.py
@@ -1,4 +1,4 @@
-"""The prepared platform as the product's processes use it."""
+"""Adapter through which the processes use the prepared platform."""
 
 from papayagw.platform import packet, reports, site, store
 
--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -1,4 +1,4 @@
-"""The header of clients' and backend servers' packets.
+"""Codec of the packet header of clients and backend servers.
 
 Source: PROTOCOL, section Packets. All numbers are big-endian.
 """
@@ -18,7 +18,7 @@
 _BOUNCED = 64
 
 _FIELDS = struct.Struct(">IIIH4xB")
-"""seq, ack, echo, len; the keyed sum is not for us to read; flags."""
+"""seq, ack, echo, len, flags; the keyed checksum before flags is skipped."""
 
 _ECHO = struct.Struct(">I")
 _ECHO_OFFSET = 8
@@ -33,26 +33,29 @@
 
 
 def decode_client_packet(raw: bytes) -> FlowPacket | None:
-    """Return a packet that a client sent, or None if it has no whole header."""
+    """Decode a packet from a client; return None if its length is invalid."""
     if not _has_valid_length(raw):
         return None
     return _decode(raw, FlowKey(raw[20:32]))
 
 
 def decode_backend_packet(raw: bytes) -> FlowPacket | None:
-    """Return a packet that a backend server sent or handed back, or None."""
+    """Decode a packet that a backend server sent or bounced.
+
+    Returns None if its length is invalid.
+    """
     if not _has_valid_length(raw):
         return None
     if raw[_FLAGS_OFFSET] & _BOUNCED:
-        # It is the client's packet: source and destination are still the client's.
+        # A bounced packet is the client's, with unchanged source and destination.
         return _decode(raw, FlowKey(raw[20:32]))
-    # The order of fields is that of a client's packet: src, sport, dport, dst.
+    # Swap the ends to get the order of a client's packet: src, sport, dport, dst.
     flow = raw[28:32] + raw[26:28] + raw[24:26] + raw[20:24]
     return _decode(raw, FlowKey(flow))
 
 
 def encode_for_backend(packet: FlowPacket, token: int) -> bytes:
-    """Return the datagram with `token` where the backend server leaves it alone."""
+    """Return the datagram with `token` in the field that the backend server echoes."""
     raw = bytearray(packet.raw)
     _ECHO.pack_into(raw, _ECHO_OFFSET, token)
     raw[_FLAGS_OFFSET] &= ~_BOUNCED
@@ -61,12 +64,12 @@
 
 
 def restore(packet: FlowPacket) -> bytes:
-    """Return the datagram as its client sent it, without what an agent wrote."""
+    """Return the datagram as its client sent it, without an agent's changes."""
     return encode_for_backend(packet, 0)
 
 
 def encode_reset(flow: FlowKey, sequence: int) -> bytes:
-    """Return a reset from the flow's entry to its client."""
+    """Encode a reset from the entry of a flow to its client."""
     client_ip, client_port = flow[:4], int.from_bytes(flow[4:6], "big")
     entry_port, entry_ip = int.from_bytes(flow[6:8], "big"), flow[8:]
     return _RESET.pack(
@@ -75,24 +78,24 @@
 
 
 def client_endpoint(flow: FlowKey, port: int) -> Endpoint:
-    """Return where a client takes packets of `flow`.
+    """Return the endpoint at which a client receives packets of `flow`.
 
     Parameters
     ----------
     flow : FlowKey
         The flow.
     port : int
-        The port at which all clients take packets; that of the flow is only a
-        number in the header.
+        The UDP port at which all clients receive packets. The client port in the
+        flow is only a number in the header.
     """
     return Endpoint(".".join(str(part) for part in flow[:4]), port)
 
 
 def encode_entry(address: str, port: int) -> bytes:
-    """Return an entry as it stands at the end of a `FlowKey`."""
+    """Encode an entry address as in the last bytes of a `FlowKey`."""
     numbers = bytes(int(part) for part in address.split("."))
     if len(numbers) != 4:
-        raise ValueError(f"expected an IPv4 number, found {address!r}")
+        raise ValueError(f"expected an IPv4 address, found {address!r}")
     return port.to_bytes(2, "big") + numbers
 
 
@@ -111,7 +114,7 @@
         kind,
         sequence,
         acknowledged if flags & _ACK else None,
-        # A client counts its copies of an opening in the field for acknowledgements.
+        # In an opening the client numbers its retransmitted copies in the ack field.
         acknowledged if is_open else 0,
         length,
         bool(flags & _BOUNCED),
--- a/src/papayagw/platform/reports.py
+++ b/src/papayagw/platform/reports.py
@@ -1,4 +1,4 @@
-"""Backend servers' reports.
+"""Decoding of status reports from backend servers.
 
 Source: PROTOCOL, section Service discovery.
 """
@@ -23,7 +23,7 @@
 def decode_report(
     method: str, path: str, body: bytes
 ) -> StatusReport | Departure | None:
-    """Return what a call of a backend server says, or None if it names none to use."""
+    """Decode a request of a backend server; return None if it is invalid."""
     instance = path.removeprefix(_PATH)
     if not path.startswith(_PATH) or not instance:
         return None
@@ -57,7 +57,7 @@
     try:
         value = json.loads(body)
     except (ValueError, RecursionError):
-        # Bytes of another writer: the caller logs that nothing is used.
+        # Invalid input from outside; the caller logs that the report is not used.
         return {}
     return value if isinstance(value, dict) else {}
 
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -1,6 +1,6 @@
-"""The settings file that the platform writes from our templates in ``deploy/``.
+"""Settings files that the platform generates from the templates in ``deploy/``.
 
-It is JSON with comments on lines of their own, under the project's names.
+They are JSON with comments on separate lines and use the names of papayagw.
 """
 
 import json
@@ -17,7 +17,7 @@
 )
 
 SETTINGS_VARIABLE = "PAPAYAGW_NODE_FILE"
-"""Environment variable with the path of the settings file."""
+"""Environment variable that holds the path of the settings file."""
 
 
 def find_settings_file() -> Path:
@@ -26,26 +26,26 @@
     Raises
     ------
     SettingsError
-        If the environment doesn't name it.
+        If the environment variable isn't set.
     """
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
         raise SettingsError(
-            "the environment names no settings file",
+            "the environment variable is not set",
             step=Step.SETTINGS,
             peer=SETTINGS_VARIABLE,
-            remedy="set it to the path of the file",
+            remedy="set it to the path of the settings file",
         )
     return Path(path)
 
 
 def load_balancer_settings(path: Path) -> PlainBalancerSettings:
-    """Return the settings of a balancer.
+    """Load the settings of a balancer.
 
     Raises
     ------
     SettingsError
-        If a field is missing or has another form.
+        If the file isn't readable or a field is missing or invalid.
     """
     fields = _Fields(path)
     entry = fields.endpoint("entry")
@@ -53,12 +53,12 @@
 
 
 def load_agent_settings(path: Path) -> PlainAgentSettings:
-    """Return the settings of an agent.
+    """Load the settings of an agent.
 
     Raises
     ------
     SettingsError
-        If a field is missing or has another form.
+        If the file isn't readable or a field is missing or invalid.
     """
     fields = _Fields(path)
     return PlainAgentSettings(
@@ -72,19 +72,20 @@
 
 
 class _Fields:
-    """The fields of a settings file, each checked where it is read."""
+    """The fields of a settings file, validated on access."""
 
     def __init__(self, path: Path):
         self._path = path
         self._fields = _read(path)
 
     def common_arguments(self, data: Endpoint) -> dict[str, Any]:
-        """Return the arguments that both roles share.
+        """Return the settings that both roles share, as keyword arguments.
 
         Parameters
         ----------
         data : Endpoint
-            The machine's data address; clients use the same port.
+            The endpoint at which the machine receives packets; clients use the same
+            port.
         """
         ip = self.text("ip")
         return {
@@ -100,28 +101,28 @@
         }
 
     def text(self, name: str) -> str:
-        """Return a field that is text."""
+        """Return a field that is a non-empty string."""
         value = self._fields.get(name)
         if not isinstance(value, str) or not value:
-            raise self._invalid_field(name, "text")
+            raise self._invalid_field(name, "a non-empty string")
         return value
 
     def integer(self, name: str) -> int:
-        """Return a field that is a whole number."""
+        """Return a field that is an integer."""
         value = self._fields.get(name)
         if type(value) is not int:
             raise self._invalid_field(name, "a whole number")
         return value
 
     def seconds(self, name: str) -> Millis:
-        """Return a field in seconds as milliseconds."""
+        """Return a field that is given in seconds, converted to milliseconds."""
         value = self._fields.get(name)
         if not isinstance(value, int | float) or isinstance(value, bool):
             raise self._invalid_field(name, "a number of seconds")
         return Millis(round(value * MILLIS_PER_SECOND))
 
     def endpoint(self, name: str) -> Endpoint:
-        """Return a field that is an address and a port."""
+        """Return a field that is an endpoint, as ``ip:port``."""
         try:
             return Endpoint.parse(self.text(name))
         except ValueError as error:
@@ -133,7 +134,7 @@
             f"{name}: expected {expected}, found {found!r}",
             step=Step.SETTINGS,
             peer=str(self._path),
-            remedy="correct the template that the file is made from",
+            remedy="correct the template from which the file is generated",
         )
 
 
@@ -144,11 +145,13 @@
         value = json.loads("\n".join(kept))
     except (OSError, ValueError) as error:
         raise SettingsError(
-            f"not readable as JSON with comments: {error}",
+            f"can't read the file as JSON with comments: {error}",
             step=Step.SETTINGS,
             peer=str(path),
-            remedy="correct the template that the file is made from",
+            remedy="correct the template from which the file is generated",
         ) from error
     if not isinstance(value, dict):
-        raise SettingsError("expected an object", step=Step.SETTINGS, peer=str(path))
+        raise SettingsError(
+            "expected a JSON object", step=Step.SETTINGS, peer=str(path)
+        )
     return value
--- a/src/papayagw/platform/site.py
+++ b/src/papayagw/platform/site.py
@@ -1,4 +1,4 @@
-"""The operators' configuration, as the platform's store holds it.
+"""Decoding of the operators' configuration in the platform's store.
 
 Source: PROTOCOL, section The operator's API.
 """
@@ -16,12 +16,12 @@
 
 
 def decode_site(value: bytes) -> SiteVersion:
-    """Return the configuration that the store holds.
+    """Decode the configuration that the store holds.
 
     Raises
     ------
     DecodeError
-        If it isn't one; the version in force stays.
+        If `value` isn't a valid configuration; the active version stays.
     """
     try:
         fields = json.loads(value)
@@ -30,12 +30,13 @@
         return SiteVersion(int(fields["version"]), routes, idle_timeout_ms)
     except MALFORMED_JSON_ERRORS as error:
         raise DecodeError(
-            f"not a configuration: {error!r}", step=Step.DECODE, peer=SITE_KEY
+            f"invalid configuration: {error!r}", step=Step.DECODE, peer=SITE_KEY
         ) from error
 
 
 def _decode_route(fields: dict[str, Any]) -> tuple[EntryKey, Route]:
-    # Named after HTTP's host and path, they are an address and a port: "/8443/".
+    # Despite their names, from HTTP's host and path, `hostname` holds an IPv4 address
+    # and `prefix` a port, such as "/8443/".
     address, port = fields["hostname"], int(fields["prefix"].strip("/"))
     priority = int(fields.get("priority", 0))
     route = Route(fields.get("name", ""), _decode_services(fields), priority)
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -1,4 +1,4 @@
-"""Calls of the platform's key-value service.
+"""HTTP encoding of calls to the platform's key-value service.
 
 Source: PROTOCOL, section The platform's metadata store.
 """
@@ -38,7 +38,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpCall:
-    """A call as HTTP carries it."""
+    """An HTTP request.
+
+    Attributes
+    ----------
+    method : str
+        The method.
+    target : str
+        The request target: path and query.
+    body : bytes
+        The body; may be empty.
+    """
 
     method: str
     target: str
@@ -46,7 +56,7 @@
 
 
 def encode_call(call: StoreCall) -> HttpCall:
-    """Return the HTTP form of a call."""
+    """Encode a call as an HTTP request."""
     match call:
         case ReadRange(prefix, after):
             query = {"prefix": prefix} | ({"after": after} if after else {})
@@ -66,13 +76,13 @@
 
 
 def decode_answer(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
-    """Return what the store's answer to `call` says."""
+    """Decode the store's response to `call`."""
     if status in _REFUSED_STATUSES:
         return CallFailed(f"status {status}", refused=True)
     try:
         return _decode(call, status, body)
     except MALFORMED_JSON_ERRORS as error:
-        return CallFailed(f"status {status}, unusable answer: {error!r}")
+        return CallFailed(f"status {status}, malformed response: {error!r}")
 
 
 def _decode(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
--- a/tests/lib/reports.py
+++ b/tests/lib/reports.py
@@ -18,12 +18,12 @@
 
 
 def make_latency_buckets(fast: int, slow: int = 0) -> tuple[int, ...]:
-    """Return buckets with `fast` answers within 1 ms and `slow` beyond all bounds."""
+    """Return latency buckets: `fast` answers within 1 ms, `slow` above all bounds."""
     return (fast, *(0 for _ in range(LATENCY_BUCKETS - 2)), slow)
 
 
 def make_status(**changes) -> StatusReport:
-    """Return the report of an agent of the order service."""
+    """Return the status report of an agent of the order service."""
     values = {
         "node": "order-1",
         "role": Role.AGENT,
@@ -64,7 +64,7 @@
     capacity: float = 64.0,
     **flows,
 ) -> ServiceRecord:
-    """Return a record of 10 s in which every opening was answered in time."""
+    """Return a record of 10 s in which all openings were answered within 1 ms."""
     flows = {
         "opened": 100,
         "answered": make_latency_buckets(flows.get("opened", 100)),
--- a/tests/lib/samples.py
+++ b/tests/lib/samples.py
@@ -1,4 +1,4 @@
-"""Sample values that many tests share."""
+"""Sample values that tests share."""
 
 from dataclasses import dataclass
 
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True)
 class StubPeers:
-    """The other balancers, as a test says."""
+    """Stub of the set of other balancers, with values that a test chooses."""
 
     caught_up: bool = True
     peers: tuple[Endpoint, ...] = ()
@@ -28,7 +28,7 @@
 
 
 class ManualClock:
-    """A clock that a test moves."""
+    """A clock that only advances when a test calls `advance`."""
 
     def __init__(self, now: int = 1_000):
         self.time = Millis(now)
--- a/tests/unit/test_platform_packet.py
+++ b/tests/unit/test_platform_packet.py
@@ -1,4 +1,4 @@
-"""The header of packets on the prepared platform."""
+"""Tests of the packet header codec of the prepared platform."""
 
 from dataclasses import replace
 
@@ -19,7 +19,7 @@
     restore,
 )
 
-# The example of the platform's page.
+# The example from the platform's documentation.
 OPENING = bytes.fromhex(
     "11 22 33 44 00 00 00 00 00 00 00 00 00 00 a1 b2 c3 d5 01 00"
     "64 40 00 07 9c 41 01 bb c6 12 00 01"
@@ -112,7 +112,7 @@
             decoded = decode_client_packet(encoded)
             assert decoded.token == token
             assert not decoded.bounced
-            # Nothing is changed but the fields that the key doesn't cover.
+            # Only fields that the keyed checksum doesn't cover are changed.
             assert encoded[:ECHO_OFFSET] == raw[:ECHO_OFFSET]
             assert encoded[12:FLAGS_OFFSET] == raw[12:FLAGS_OFFSET]
             assert encoded[20:] == raw[20:]
--- a/tests/unit/test_platform_reports.py
+++ b/tests/unit/test_platform_reports.py
@@ -1,4 +1,4 @@
-"""Backend servers' reports and the operators' configuration on the wire."""
+"""Tests of decoding backend servers' reports and the operators' configuration."""
 
 import json
 
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -1,4 +1,4 @@
-"""The templates in deploy/ and the settings that they make."""
+"""Tests of the templates in deploy/ and of loading the generated settings."""
 
 import json
 import re
@@ -74,10 +74,10 @@
     ("field", "value", "found"),
     [
         ("entry", '"10.1.0.12"', "entry: expected ip:port"),
-        ("entry", "7", "entry: expected text"),
+        ("entry", "7", "entry: expected a non-empty string"),
         ("inner_port", '"7720"', "inner_port: expected a whole number"),
         ("grace_s", "true", "grace_s: expected a number of seconds"),
-        ("name", '""', "name: expected text"),
+        ("name", '""', "name: expected a non-empty string"),
     ],
 )
 def test_errors_name_the_field(tmp_path, field, value, found):
--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -1,4 +1,4 @@
-"""Calls of the prepared platform's key-value service on the wire."""
+"""Tests of the HTTP encoding of calls to the platform's key-value service."""
 
 import json
 from base64 import b64encode
