--- a/bench/membership_bytes.py
+++ b/bench/membership_bytes.py
@@ -25,7 +25,7 @@
 from papayagw._internal.models.control import (
     BalancerRecord,
     MembershipUpdate,
-    RecordResponse,
+    MissingRecords,
     Send,
 )
 from papayagw._internal.models.endpoint import Endpoint
@@ -143,7 +143,7 @@
     for number in range(balancers):
         add_balancer(fleet, number)
     owns = tuple(node.own for node in fleet.balancers.values())
-    everything = RecordResponse(MembershipUpdate(tuple(records), owns))
+    everything = MissingRecords(MembershipUpdate(tuple(records), owns))
     for node in fleet.balancers.values():
         node.on_message(everything, CONTROL_ADDRESS, fleet.now)
     for record in records:
@@ -307,7 +307,7 @@
     for endpoint in tuple(fleet.balancers)[1:]:
         del fleet.balancers[endpoint]
     node.on_message(
-        RecordResponse(MembershipUpdate(records, owns)), CONTROL_ADDRESS, Millis(1_000)
+        MissingRecords(MembershipUpdate(records, owns)), CONTROL_ADDRESS, Millis(1_000)
     )
     del records, owns
     size = tracemalloc.get_traced_memory()[0]
--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -18,8 +18,8 @@
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.flow import FlowRoute
-from papayagw._internal.models.node import AgentSettings
 from papayagw._internal.models.service import Service
+from papayagw._internal.models.settings import AgentSettings
 from papayagw._internal.models.status import Role
 from papayagw._internal.net.agent_account import AgentAccount
 from papayagw._internal.net.agent_process import AgentProcess
--- a/src/papayagw/_internal/cli/loading.py
+++ b/src/papayagw/_internal/cli/loading.py
@@ -8,7 +8,7 @@
 
 from papayagw._internal.exceptions import Step
 from papayagw._internal.models.configuration import Configuration
-from papayagw._internal.models.node import NodeSettings
+from papayagw._internal.models.settings import NodeSettings
 from papayagw._internal.net.configuration import ConfigurationSource
 from papayagw._internal.net.configuration_setup import make_source
 from papayagw._internal.observe.logs import Log
--- a/src/papayagw/_internal/cli/running.py
+++ b/src/papayagw/_internal/cli/running.py
@@ -4,7 +4,7 @@
 
 from papayagw._internal.cli.base import ExitCode
 from papayagw._internal.exceptions import BindError
-from papayagw._internal.models.node import ProcessSettings
+from papayagw._internal.models.settings import ProcessSettings
 from papayagw._internal.models.status import Role
 from papayagw._internal.net.account import Account, NodeIdentity
 from papayagw._internal.net.clock import MonotonicClock, make_incarnation
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -18,9 +18,9 @@
     Bucket,
     BucketDigests,
     BucketSummary,
+    MissingRecords,
     Record,
     RecordRequest,
-    RecordResponse,
     Send,
 )
 from papayagw._internal.models.endpoint import Endpoint
@@ -190,7 +190,7 @@
         for start in range(0, len(records), RECORDS_PER_DATAGRAM):
             chunk = list(records[start : start + RECORDS_PER_DATAGRAM])
             self._spend(len(chunk) * RECORD_BYTES, now)
-            yield Send(destination, RecordResponse(make_news(chunk)))
+            yield Send(destination, MissingRecords(make_news(chunk)))
 
     def _make_digests(self) -> BucketDigests:
         zones = self._table.zones
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -38,9 +38,9 @@
     LivenessRequest,
     LivenessResponse,
     MembershipUpdate,
+    MissingRecords,
     Record,
     RecordRequest,
-    RecordResponse,
     Send,
 )
 from papayagw._internal.models.endpoint import Endpoint
@@ -152,7 +152,7 @@
             BucketDigests: self._repairer.on_digests,
             BucketSummary: self._repairer.on_summary,
             RecordRequest: self._repairer.on_request,
-            RecordResponse: self._on_records,
+            MissingRecords: self._on_records,
             LivenessRequest: self._on_inquiry,
             LivenessResponse: self._on_voucher,
         }
@@ -459,7 +459,7 @@
                 yield from self._repairer.send_bucket(vector.bucket, source, now)
 
     def _on_records(
-        self, message: RecordResponse, source: Endpoint, now: Millis
+        self, message: MissingRecords, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         news = message.update
         self._repair_budget.spend(DATAGRAM_BYTES + _estimate_bytes(news), now)
@@ -470,7 +470,7 @@
             if outcome is MergeOutcome.STALE and known is not None:
                 newer.append(known)
         if newer:
-            yield Send(source, RecordResponse(make_news(newer)))
+            yield Send(source, MissingRecords(make_news(newer)))
 
     def _on_inquiry(
         self, message: LivenessRequest, source: Endpoint, now: Millis
--- a/src/papayagw/_internal/models/control.py
+++ b/src/papayagw/_internal/models/control.py
@@ -310,7 +310,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RecordResponse:
+class MissingRecords:
     """Complete records that the receiver lacks; they aren't gossiped further.
 
     Attributes
@@ -369,7 +369,7 @@
     | BucketDigests
     | BucketSummary
     | RecordRequest
-    | RecordResponse
+    | MissingRecords
     | LivenessRequest
     | LivenessResponse
 )
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -22,9 +22,9 @@
 from papayagw._internal.models.decision import Accept, DropReason, Forward
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.flow import FlowOutcome
-from papayagw._internal.models.node import AgentSettings
 from papayagw._internal.models.report import Side
 from papayagw._internal.models.service import Service
+from papayagw._internal.models.settings import AgentSettings
 from papayagw._internal.net.admission_gate import AdmissionGate
 from papayagw._internal.net.agent_flow import AgentFlow
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
--- a/src/papayagw/_internal/net/agent_account.py
+++ b/src/papayagw/_internal/net/agent_account.py
@@ -5,7 +5,7 @@
 
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.configuration import Configuration
-from papayagw._internal.models.node import AgentSettings
+from papayagw._internal.models.settings import AgentSettings
 from papayagw._internal.models.status import (
     MAX_LISTED_AGENTS,
     NodeState,
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -8,7 +8,7 @@
 from papayagw._internal.exceptions import SettingsError
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
-from papayagw._internal.models.node import AgentSettings
+from papayagw._internal.models.settings import AgentSettings
 from papayagw._internal.net.agent import AgentPackets
 from papayagw._internal.net.configuration import ConfigurationSource, follow
 from papayagw._internal.net.control import ControlLoop
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -8,7 +8,7 @@
 from papayagw._internal.core.membership import BalancerMembership
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
-from papayagw._internal.models.node import BalancerSettings
+from papayagw._internal.models.settings import BalancerSettings
 from papayagw._internal.net.balancer import BalancerPackets
 from papayagw._internal.net.configuration import ConfigurationSource, follow
 from papayagw._internal.net.control import ControlLoop
--- a/src/papayagw/_internal/net/configuration_setup.py
+++ b/src/papayagw/_internal/net/configuration_setup.py
@@ -5,7 +5,7 @@
 
 from papayagw._internal.core.configuration import ConfigurationLog
 from papayagw._internal.exceptions import PapayagwError
-from papayagw._internal.models.node import NodeSettings
+from papayagw._internal.models.settings import NodeSettings
 from papayagw._internal.net.configuration import (
     ConfigurationSource,
     FileConfigurationSource,
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -9,8 +9,8 @@
 from papayagw._internal.exceptions import Step
 from papayagw._internal.models.clock import Clock
 from papayagw._internal.models.flow import FlowOutcome
-from papayagw._internal.models.node import Listener
 from papayagw._internal.models.report import Side
+from papayagw._internal.models.settings import Listener
 from papayagw._internal.net.caller_flow import CallerFlow
 from papayagw._internal.net.flow_port import FlowPort
 from papayagw._internal.net.tcp import TcpListener, TcpStream
--- a/src/papayagw/_internal/net/connect_account.py
+++ b/src/papayagw/_internal/net/connect_account.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from papayagw._internal.models.clock import Clock
-from papayagw._internal.models.node import ConnectSettings, Listener
+from papayagw._internal.models.settings import ConnectSettings, Listener
 from papayagw._internal.models.status import NodeState, PeerStatus, StatusReport
 from papayagw._internal.net.account import NodeIdentity, start_report
 from papayagw._internal.net.connect import ServiceConnector
--- a/src/papayagw/_internal/net/connect_process.py
+++ b/src/papayagw/_internal/net/connect_process.py
@@ -5,7 +5,7 @@
 import anyio
 
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
-from papayagw._internal.models.node import ConnectSettings, Listener
+from papayagw._internal.models.settings import ConnectSettings, Listener
 from papayagw._internal.net.connect import ServiceConnector
 from papayagw._internal.net.retries import make_retries
 from papayagw._internal.observe.logs import Log
--- a/src/papayagw/_internal/net/observed.py
+++ b/src/papayagw/_internal/net/observed.py
@@ -5,7 +5,7 @@
 import anyio
 
 from papayagw._internal.models.clock import to_seconds
-from papayagw._internal.models.node import ProcessSettings
+from papayagw._internal.models.settings import ProcessSettings
 from papayagw._internal.models.status import NodeState, StatusReport
 from papayagw._internal.net.account import Account
 from papayagw._internal.net.admin import AdminServer
--- a/src/papayagw/_internal/settings/node.py
+++ b/src/papayagw/_internal/settings/node.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.node import (
+from papayagw._internal.models.settings import (
     AgentSettings,
     BalancerSettings,
     ConnectSettings,
--- a/src/papayagw/_internal/wire/control.py
+++ b/src/papayagw/_internal/wire/control.py
@@ -30,8 +30,8 @@
     LivenessRequest,
     LivenessResponse,
     MembershipUpdate,
+    MissingRecords,
     RecordRequest,
-    RecordResponse,
     SuspicionVector,
 )
 from papayagw._internal.models.endpoint import Endpoint
@@ -355,13 +355,13 @@
     return RecordRequest(tuple(root.recordRequest))
 
 
-def _write_records(root: Any, message: RecordResponse) -> None:
+def _write_records(root: Any, message: MissingRecords) -> None:
     root.records = None
     _write_news(root, message.update)
 
 
-def _read_records(root: Any) -> RecordResponse:
-    return RecordResponse(_read_news(root))
+def _read_records(root: Any) -> MissingRecords:
+    return MissingRecords(_read_news(root))
 
 
 def _write_inquiry(root: Any, message: LivenessRequest) -> None:
@@ -399,7 +399,7 @@
     BucketDigests: _write_digests,
     BucketSummary: _write_summary,
     RecordRequest: _write_request,
-    RecordResponse: _write_records,
+    MissingRecords: _write_records,
     LivenessRequest: _write_inquiry,
     LivenessResponse: _write_voucher,
 }
--- a/tests/unit/test_control_codec.py
+++ b/tests/unit/test_control_codec.py
@@ -16,8 +16,8 @@
     LivenessRequest,
     LivenessResponse,
     MembershipUpdate,
+    MissingRecords,
     RecordRequest,
-    RecordResponse,
     SuspicionVector,
 )
 from papayagw._internal.wire.control import MAX_FRAME_BYTES, ControlCodec
@@ -46,7 +46,7 @@
     BucketDigests(("a", "b"), tuple(range(2**32 - 32, 2**32))),
     BucketSummary(BUCKET, (1, 2, 3)),
     RecordRequest((4, 5)),
-    RecordResponse(NEWS),
+    MissingRecords(NEWS),
     LivenessRequest(AGENT.endpoint, RUN),
     LivenessResponse(AGENT.endpoint, RUN, 12, Millis(700)),
 ]
--- a/tools/fleet_folder.py
+++ b/tools/fleet_folder.py
@@ -11,7 +11,7 @@
 
 from papayagw._internal.models.configuration import Site
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.node import (
+from papayagw._internal.models.settings import (
     AgentSettings,
     BalancerSettings,
     ConnectSettings,
