--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -55,7 +55,10 @@
 
 
 def encode_for_backend(packet: FlowPacket, token: int) -> bytes:
-    """Return the datagram with `token` in the field that the backend server echoes."""
+    """Return the datagram with `token` in the echo field.
+
+    The backend server leaves that field unchanged.
+    """
     raw = bytearray(packet.raw)
     _ECHO.pack_into(raw, _ECHO_OFFSET, token)
     raw[_FLAGS_OFFSET] &= ~_BOUNCED
