--- a/src/papayagw/_internal/models/change.py
+++ b/src/papayagw/_internal/models/change.py
@@ -1,11 +1,11 @@
-"""What one version of a configuration changes in another, and who asks for it."""
+"""Exchange of configuration versions between peers: queries, replies, deltas."""
 
 from dataclasses import dataclass
 
 from papayagw._internal.models.configuration import (
     Configuration,
     FleetKey,
-    SubmissionMark,
+    SubmissionEntry,
 )
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Service, ServiceId
@@ -13,33 +13,33 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationChange:
-    """The way from one version to a later one.
+    """The difference between a configuration version and a later one.
 
     Attributes
     ----------
     base : int
-        The version that it applies to.
+        The version to which the change applies.
     base_submission_id : str
-        The submission of that version.
-    marks : tuple of SubmissionMark
-        The submissions since, the last one first.
+        The id of the submission that created that version.
+    submissions : tuple of SubmissionEntry
+        The submissions since then, newest first.
     name : str
         The name of the site.
     control_address : Endpoint
-        The control address, changed or not.
+        The control address, included even if unchanged.
     zones : tuple of str
-        The zones, changed or not.
+        The availability zones, included even if unchanged.
     keys : tuple of FleetKey
-        The keys, changed or not.
+        The fleet keys, included even if unchanged.
     services : tuple of Service
-        The services that are new or changed.
+        The services that were added or changed.
     removed : tuple of ServiceId
-        The services that are gone.
+        The ids of the services that were removed.
     """
 
     base: int
     base_submission_id: str
-    marks: tuple[SubmissionMark, ...]
+    submissions: tuple[SubmissionEntry, ...]
     name: str
     control_address: Endpoint
     zones: tuple[str, ...]
@@ -49,15 +49,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Question:
-    """The version that a node has, told to a peer that may have a newer one.
+class ConfigurationQuery:
+    """Asks a peer for a version newer than the node's own.
 
     Attributes
     ----------
     version : int
-        The version; -1 for none.
+        The version that the node holds; -1 if it holds none.
     submission_id : str
-        The submission of that version.
+        The id of the submission that created that version.
     """
 
     version: int
@@ -65,8 +65,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Nothing:
-    """The answering node has nothing newer."""
+class NotModified:
+    """The peer holds no newer version."""
 
 
-Answer = Nothing | Configuration | ConfigurationChange
+ConfigurationReply = NotModified | Configuration | ConfigurationChange
--- a/src/papayagw/_internal/models/control.py
+++ b/src/papayagw/_internal/models/control.py
@@ -1,4 +1,4 @@
-"""The control messages between balancers and agents, and who sends them where."""
+"""Control messages that balancers and agents exchange, and their destinations."""
 
 from dataclasses import dataclass
 from enum import IntEnum
@@ -8,28 +8,29 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 Fingerprint = int
-"""The 32-bit hash of a whole record."""
+"""A 32-bit hash of a complete record."""
 
 
 @dataclass(frozen=True, slots=True)
 class BalancerRecord:
-    """What the balancers know of one another.
+    """Membership record of a balancer.
 
     Attributes
     ----------
     endpoint : Endpoint
-        The inner endpoint, where control messages arrive.
+        The inner endpoint, which receives control messages.
     incarnation : Incarnation
-        The run of the balancer.
+        The incarnation of the balancer's process.
     zone : str
-        Its availability zone.
+        The availability zone of the balancer.
     sequence : int
-        Rises when this incarnation takes back that it is gone.
+        Incremented when this incarnation leaves, or refutes a record that says it
+        is gone.
     state : AgentState
         READY or GONE.
     suspicion : int
-        How often it was suspected dead and refuted that; odd while it is under
-        suspicion.
+        Incremented when the balancer is suspected to have failed and again when it
+        refutes that, so it is odd while the balancer is suspected.
     """
 
     endpoint: Endpoint
@@ -41,12 +42,12 @@
 
     @property
     def precedence(self) -> tuple[int, int, int, int]:
-        """What decides which of two records of one endpoint is the newer."""
+        """Sort key by which the newer of two records of one endpoint is found."""
         return (self.incarnation, self.sequence, self.state, self.suspicion)
 
     @property
     def is_suspected(self) -> bool:
-        """Whether it left probes unanswered."""
+        """Whether the balancer is suspected because it did not answer probes."""
         return self.suspicion % 2 == 1
 
 
@@ -55,12 +56,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """An agent tells its record; each one is acknowledged.
+    """Announces the record of an agent; each announcement is acknowledged.
 
     Attributes
     ----------
     record : AgentRecord
-        The agent's own record.
+        The record of the sending agent.
     """
 
     record: AgentRecord
@@ -68,56 +69,57 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """A sign of life of an agent to one of its watchers.
+    """A heartbeat from an agent to one of the balancers that watch it.
 
     Attributes
     ----------
     endpoint : Endpoint
-        The agent.
+        The endpoint of the agent.
     incarnation : Incarnation
-        Its run.
+        The incarnation of the agent.
     sequence : int
-        The sequence of its last change.
-    beat : int
-        Rises with each heartbeat, so that a late or replayed one counts for
-        nothing.
+        The sequence number of the agent's latest record.
+    heartbeat_number : int
+        Incremented with each heartbeat, so that delayed or replayed heartbeats are
+        ignored.
     siblings_digest : int
-        What the last acknowledgement with siblings said.
+        The `siblings_digest` of the last acknowledgement that listed siblings.
     """
 
     endpoint: Endpoint
     incarnation: Incarnation
     sequence: int
-    beat: int
+    heartbeat_number: int
     siblings_digest: int = 0
 
 
 KEEP_INTERVAL_MS = Millis(0)
-"""Told by a balancer that doesn't know the fleet yet: the interval stays."""
+"""Interval sent by a balancer that doesn't know the fleet yet: keep the current one."""
 
 
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
-    """A balancer's answer to an announcement or a heartbeat.
+    """A balancer's reply to an announcement or a heartbeat.
 
     Attributes
     ----------
     incarnation : Incarnation
-        The run of the agent that the balancer knows; 0 for an unknown agent.
+        The agent's incarnation in the balancer's record; 0 for an unknown agent.
     sequence : int
-        The last change that the balancer knows.
+        The sequence number of the balancer's record of the agent.
     state : AgentState
-        What the balancer believes of the agent.
+        The state of the agent in the balancer's record.
     watchers : tuple of Endpoint
-        The balancers to which the agent sends its heartbeats.
+        The balancers to which the agent must send heartbeats.
     interval_ms : Millis
-        The time between two heartbeats, or `KEEP_INTERVAL_MS`.
+        The interval between heartbeats, or `KEEP_INTERVAL_MS`.
     siblings : tuple of AgentRecord
-        Other agents of the service, at most a few; empty when unchanged.
+        A few other agents of the service; empty if unchanged since the last
+        acknowledgement.
     siblings_digest : int
-        Stands for `siblings` in the heartbeats that follow.
+        Digest of `siblings`, which the agent's later heartbeats echo.
     configuration_version : int
-        The version that the balancer holds.
+        The configuration version of the balancer.
     """
 
     incarnation: Incarnation
@@ -132,68 +134,72 @@
 
 @dataclass(frozen=True, slots=True)
 class Join:
-    """A balancer makes itself known; the answer is a gossip message.
+    """A balancer's request to join the membership; the reply is a gossip message.
 
     Attributes
     ----------
     record : BalancerRecord
-        The balancer's own record.
+        The record of the sending balancer.
     """
 
     record: BalancerRecord
 
 
 class GossipKind(IntEnum):
-    """What a gossip message is besides a carrier of news."""
+    """The role of a gossip message, which carries membership updates in any case."""
 
-    NEWS = 0
+    UPDATE = 0
     PROBE = 1
-    ANSWER = 2
+    REPLY = 2
 
 
 AGENT_BUCKETS = 16
-"""Into how many buckets the agents of a zone are divided."""
+"""Number of buckets into which the agents of a zone are divided."""
 
 BALANCER_BUCKET = AGENT_BUCKETS
-"""The number of the bucket of a zone's balancers, so that their coming and going
-doesn't change the buckets of agents."""
+"""Number of the bucket with the balancers of a zone.
+
+They have their own bucket so that balancers joining or leaving don't change the
+buckets of agents.
+"""
 
 BUCKETS_PER_ZONE = AGENT_BUCKETS + 1
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Bucket:
-    """A share of the records of one zone, by a hash of their endpoints.
+    """A subset of the records of one zone, selected by a hash of the endpoint.
 
     Attributes
     ----------
     zone : str
-        The zone.
+        The availability zone.
     number : int
-        0 to `BUCKETS_PER_ZONE` - 1.
+        The number of the bucket, 0 to `BUCKETS_PER_ZONE` - 1.
     """
 
     zone: str
     number: int
 
 
-COUNTER_SPAN = 16
-"""Suspicion counters travel modulo this number."""
+SUSPICION_MODULUS = 16
+"""Suspicion counters are sent modulo this number."""
 
 
 @dataclass(frozen=True, slots=True)
 class SuspicionVector:
-    """Who of a bucket is under suspicion, in half a byte for each record.
+    """The suspicion counters of a bucket, with 4 bits for each record.
 
     Attributes
     ----------
     bucket : Bucket
         The bucket.
     index_digest : int
-        Over endpoint, incarnation and sequence of its records: the vector is of
-        use only to a node that holds the same ones.
+        Digest of the endpoint, incarnation and sequence number of each record. The
+        vector can only be applied by a node that holds the same records.
     counters : tuple of int
-        The suspicion of each record modulo `COUNTER_SPAN`, by rising endpoint.
+        The suspicion of each record modulo `SUSPICION_MODULUS`, in ascending order
+        of the endpoints.
     """
 
     bucket: Bucket
@@ -202,17 +208,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class News:
-    """Changes of the membership, at most as many as fit a datagram.
+class MembershipUpdate:
+    """Membership changes, limited to what fits into one datagram.
 
     Attributes
     ----------
     agents : tuple of AgentRecord
-        Whole records of agents.
+        Complete records of agents.
     balancers : tuple of BalancerRecord
-        Whole records of balancers.
+        Complete records of balancers.
     vectors : tuple of SuspicionVector
-        Suspicions and refutations.
+        Changes of suspicion counters.
     """
 
     agents: tuple[AgentRecord, ...] = ()
@@ -221,51 +227,51 @@
 
     @property
     def records(self) -> tuple[Record, ...]:
-        """The whole records of both kinds."""
+        """The complete records of balancers and agents."""
         return (*self.balancers, *self.agents)
 
 
-NO_NEWS = News()
+EMPTY_UPDATE = MembershipUpdate()
 
 
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """What balancers exchange all the time.
+    """The message that balancers exchange periodically to spread changes.
 
     Attributes
     ----------
     kind : GossipKind
-        Whether it probes the receiver, answers a probe, or neither.
+        Whether the message probes the receiver, replies to a probe, or neither.
     number : int
-        Binds an answer to its probe.
+        Matches a reply to its probe.
     digest : int
-        Over all records that the sender holds; 0 from a node that is catching up
-        and asks for what it needs by itself.
+        Digest of all records that the sender holds; 0 from a node that is still
+        synchronising and requests the records that it needs itself.
     configuration_version : int
-        The version that the sender holds.
-    news : News
-        Changes that the sender has heard of lately.
+        The configuration version of the sender.
+    update : MembershipUpdate
+        Changes that the sender received recently.
     """
 
     kind: GossipKind
     number: int
     digest: int
     configuration_version: int
-    news: News = NO_NEWS
+    update: MembershipUpdate = EMPTY_UPDATE
 
 
 @dataclass(frozen=True, slots=True)
-class Digests:
-    """The digest of each bucket of the sender's records.
+class BucketDigests:
+    """The digests of the sender's buckets.
 
     Attributes
     ----------
     zones : tuple of str
         The zones of the buckets.
     digests : tuple of int
-        `BUCKETS_PER_ZONE` for each zone, in the order of `zones`.
+        `BUCKETS_PER_ZONE` digests for each zone, in the order of `zones`.
     complete : bool
-        Whether the sender holds nothing of other zones.
+        Whether the sender holds no records of zones other than `zones`.
     """
 
     zones: tuple[str, ...]
@@ -274,16 +280,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Summary:
-    """The records that the sender holds in one bucket.
+class BucketSummary:
+    """The fingerprints of the records that the sender holds in one bucket.
 
     Attributes
     ----------
     bucket : Bucket
         The bucket.
     fingerprints : tuple of Fingerprint
-        One for each record; the receiver sends what is missing here, and asks
-        for what it misses itself.
+        One for each record. The receiver sends the records that are not listed and
+        requests the listed ones that it doesn't hold.
     """
 
     bucket: Bucket
@@ -292,40 +298,40 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordRequest:
-    """Asks for whole records.
+    """Requests complete records.
 
     Attributes
     ----------
     fingerprints : tuple of Fingerprint
-        Records of which the receiver told.
+        Fingerprints from a `BucketSummary` of the receiver.
     """
 
     fingerprints: tuple[Fingerprint, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Records:
-    """Whole records that the receiver misses; they aren't spread further.
+class MissingRecords:
+    """Complete records that the receiver lacks; they aren't gossiped further.
 
     Attributes
     ----------
-    news : News
+    update : MembershipUpdate
         The records.
     """
 
-    news: News
+    update: MembershipUpdate
 
 
 @dataclass(frozen=True, slots=True)
-class Inquiry:
-    """Asks whether a silent node is alive.
+class LivenessRequest:
+    """Asks a balancer whether it has heard from an unresponsive node.
 
     Attributes
     ----------
     endpoint : Endpoint
-        The silent node.
+        The endpoint of the unresponsive node.
     incarnation : Incarnation
-        Its run.
+        The incarnation of the node.
     """
 
     endpoint: Endpoint
@@ -333,24 +339,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Voucher:
-    """Answers an inquiry: the node was heard.
+class LivenessResponse:
+    """Replies to a liveness request when the node was heard from.
 
     Attributes
     ----------
     endpoint : Endpoint
-        The node.
+        The endpoint of the node.
     incarnation : Incarnation
-        Its run.
-    beat : int
-        The last heartbeat that was heard; 0 for a balancer.
+        The incarnation of the node.
+    heartbeat_number : int
+        The number of the last heartbeat received; 0 for a balancer.
     age_ms : Millis
-        How long ago that was.
+        The time since the node was last heard from.
     """
 
     endpoint: Endpoint
     incarnation: Incarnation
-    beat: int
+    heartbeat_number: int
     age_ms: Millis = Millis(0)
 
 
@@ -360,25 +366,25 @@
     | Acknowledgement
     | Join
     | Gossip
-    | Digests
-    | Summary
+    | BucketDigests
+    | BucketSummary
     | RecordRequest
-    | Records
-    | Inquiry
-    | Voucher
+    | MissingRecords
+    | LivenessRequest
+    | LivenessResponse
 )
 
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """A control message for the socket to send.
+    """A control message to send.
 
     Attributes
     ----------
     destination : Endpoint
-        Where it goes.
+        The receiver.
     message : ControlMessage
-        What it says.
+        The message.
     """
 
     destination: Endpoint
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -16,15 +16,15 @@
 from papayagw._internal.core.return_path import ReturnPath
 from papayagw._internal.core.service_meter import ServiceMeter
 from papayagw._internal.exceptions import SettingsError, Step
-from papayagw._internal.models.admission import WorkEnd
+from papayagw._internal.models.admission import ReleaseReason
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.decision import Accept, DropReason, Forward
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.flow import FlowOutcome
-from papayagw._internal.models.node import AgentSettings
 from papayagw._internal.models.report import Side
 from papayagw._internal.models.service import Service
+from papayagw._internal.models.settings import AgentSettings
 from papayagw._internal.net.admission_gate import AdmissionGate
 from papayagw._internal.net.agent_flow import AgentFlow
 from papayagw._internal.net.flow_table import FlowHandler, FlowTable
@@ -233,11 +233,11 @@
 
     def on_answer(self, flow: AgentFlow) -> None:
         """Note the first bytes of the backend server."""
-        self._gate.note_end(flow, WorkEnd.ANSWERED)
+        self._gate.note_end(flow, ReleaseReason.ANSWERED)
 
     def on_idle(self, flow: AgentFlow) -> None:
         """Note that a connected flow has asked for nothing yet."""
-        self._gate.note_end(flow, WorkEnd.IDLE)
+        self._gate.note_end(flow, ReleaseReason.IDLE)
 
     def on_stream_done(self, flow: AgentFlow) -> None:
         """Note that both directions have ended, and only the caller's word lacks."""
@@ -247,7 +247,7 @@
         """Note how a flow ended."""
         self._count(outcome.value)
         if flow.backend_failed:
-            self._gate.note_end(flow, WorkEnd.FAILED)
+            self._gate.note_end(flow, ReleaseReason.FAILED)
         self._half_open.set(flow, None)
         self._unsettled.set(flow, None)
         self._gate.close(flow)
--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -1,4 +1,4 @@
-"""The header of clients' and backend servers' packets.
+"""Codec of the packet header of clients and backend servers.
 
 Source: PROTOCOL, section Packets. All numbers are big-endian.
 """
@@ -18,12 +18,12 @@
 _BOUNCED = 64
 
 _FIELDS = struct.Struct(">IIIH4xB")
-"""seq, ack, echo, len; the keyed sum is not for us to read; flags."""
+"""seq, ack, echo, len, flags; the keyed checksum before flags is skipped."""
 
 _ECHO = struct.Struct(">I")
-_ECHO_AT = 8
-_FLAGS_AT = 18
-_PAD_AT = 19
+_ECHO_OFFSET = 8
+_FLAGS_OFFSET = 18
+_PAD_OFFSET = 19
 _RESET = struct.Struct(">IIIHIBB4sHH4s")
 
 _KINDS = {
@@ -33,40 +33,46 @@
 
 
 def decode_client_packet(raw: bytes) -> FlowPacket | None:
-    """Return a packet that a client sent, or None if it has no whole header."""
-    if not _is_whole(raw):
+    """Decode a packet from a client; return None if its length is invalid."""
+    if not _has_valid_length(raw):
         return None
     return _decode(raw, FlowKey(raw[20:32]))
 
 
 def decode_backend_packet(raw: bytes) -> FlowPacket | None:
-    """Return a packet that a backend server sent or handed back, or None."""
-    if not _is_whole(raw):
+    """Decode a packet that a backend server sent or bounced.
+
+    Returns None if its length is invalid.
+    """
+    if not _has_valid_length(raw):
         return None
-    if raw[_FLAGS_AT] & _BOUNCED:
-        # It is the client's packet: source and destination are still the client's.
+    if raw[_FLAGS_OFFSET] & _BOUNCED:
+        # A bounced packet is the client's, with unchanged source and destination.
         return _decode(raw, FlowKey(raw[20:32]))
-    # The order of fields is that of a client's packet: src, sport, dport, dst.
+    # Swap the ends to get the order of a client's packet: src, sport, dport, dst.
     flow = raw[28:32] + raw[26:28] + raw[24:26] + raw[20:24]
     return _decode(raw, FlowKey(flow))
 
 
 def encode_for_backend(packet: FlowPacket, token: int) -> bytes:
-    """Return the datagram with `token` where the backend server leaves it alone."""
+    """Return the datagram with `token` in the echo field.
+
+    The backend server leaves that field unchanged.
+    """
     raw = bytearray(packet.raw)
-    _ECHO.pack_into(raw, _ECHO_AT, token)
-    raw[_FLAGS_AT] &= ~_BOUNCED
-    raw[_PAD_AT] = 0
+    _ECHO.pack_into(raw, _ECHO_OFFSET, token)
+    raw[_FLAGS_OFFSET] &= ~_BOUNCED
+    raw[_PAD_OFFSET] = 0
     return bytes(raw)
 
 
 def restore(packet: FlowPacket) -> bytes:
-    """Return the datagram as its client sent it, without what an agent wrote."""
+    """Return the datagram as its client sent it, without an agent's changes."""
     return encode_for_backend(packet, 0)
 
 
 def encode_reset(flow: FlowKey, sequence: int) -> bytes:
-    """Return a reset from the flow's entry to its client."""
+    """Encode a reset from the entry of a flow to its client."""
     client_ip, client_port = flow[:4], int.from_bytes(flow[4:6], "big")
     entry_port, entry_ip = int.from_bytes(flow[6:8], "big"), flow[8:]
     return _RESET.pack(
@@ -75,28 +81,28 @@
 
 
 def client_endpoint(flow: FlowKey, port: int) -> Endpoint:
-    """Return where a client takes packets of `flow`.
+    """Return the endpoint at which a client receives packets of `flow`.
 
     Parameters
     ----------
     flow : FlowKey
         The flow.
     port : int
-        The port at which all clients take packets; that of the flow is only a
-        number in the header.
+        The UDP port at which all clients receive packets. The client port in the
+        flow is only a number in the header.
     """
     return Endpoint(".".join(str(part) for part in flow[:4]), port)
 
 
 def encode_entry(address: str, port: int) -> bytes:
-    """Return an entry as it stands at the end of a `FlowKey`."""
+    """Encode an entry address as in the last bytes of a `FlowKey`."""
     numbers = bytes(int(part) for part in address.split("."))
     if len(numbers) != 4:
-        raise ValueError(f"expected an IPv4 number, found {address!r}")
+        raise ValueError(f"expected an IPv4 address, found {address!r}")
     return port.to_bytes(2, "big") + numbers
 
 
-def _is_whole(raw: bytes) -> bool:
+def _has_valid_length(raw: bytes) -> bool:
     return HEADER_BYTES <= len(raw) <= MAX_PACKET_BYTES
 
 
@@ -104,14 +110,14 @@
     sequence, acknowledged, token, length, flags = _FIELDS.unpack_from(raw)
     kind = _KINDS.get(flags & (_SYN | _ACK | _FIN | _RST))
     if kind is None:
-        kind = _kind_of_later(flags)
+        kind = _classify_non_opening(flags)
     is_open = kind is PacketKind.OPEN
     return FlowPacket(
         flow,
         kind,
         sequence,
         acknowledged if flags & _ACK else None,
-        # A client counts its copies of an opening in the field for acknowledgements.
+        # In an opening the client numbers its retransmitted copies in the ack field.
         acknowledged if is_open else 0,
         length,
         bool(flags & _BOUNCED),
@@ -120,7 +126,7 @@
     )
 
 
-def _kind_of_later(flags: int) -> PacketKind:
+def _classify_non_opening(flags: int) -> PacketKind:
     if flags & _RST:
         return PacketKind.ABORT
     return PacketKind.FINISH if flags & _FIN else PacketKind.DATA
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -1,6 +1,6 @@
-"""The settings file that the platform writes from our templates in ``deploy/``.
+"""Settings files that the platform generates from the templates in ``deploy/``.
 
-It is JSON with comments on lines of their own, under the project's names.
+They are JSON with comments on separate lines and use the names of papayagw.
 """
 
 import json
@@ -17,123 +17,124 @@
 )
 
 SETTINGS_VARIABLE = "PAPAYAGW_NODE_FILE"
-"""Environment variable with the path of the settings file."""
+"""Environment variable that holds the path of the settings file."""
 
 
-def find_settings() -> Path:
+def find_settings_file() -> Path:
     """Return the path of the settings file.
 
     Raises
     ------
     SettingsError
-        If the environment doesn't name it.
+        If the environment variable isn't set.
     """
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
         raise SettingsError(
-            "the environment names no settings file",
+            "the environment variable is not set",
             step=Step.SETTINGS,
             peer=SETTINGS_VARIABLE,
-            remedy="set it to the path of the file",
+            remedy="set it to the path of the settings file",
         )
     return Path(path)
 
 
 def load_balancer_settings(path: Path) -> PlainBalancerSettings:
-    """Return the settings of a balancer.
+    """Load the settings of a balancer.
 
     Raises
     ------
     SettingsError
-        If a field is missing or has another form.
+        If the file isn't readable or a field is missing or invalid.
     """
     fields = _Fields(path)
     entry = fields.endpoint("entry")
-    return PlainBalancerSettings(**fields.common(entry), entry=entry)
+    return PlainBalancerSettings(**fields.common_arguments(entry), entry=entry)
 
 
 def load_agent_settings(path: Path) -> PlainAgentSettings:
-    """Return the settings of an agent.
+    """Load the settings of an agent.
 
     Raises
     ------
     SettingsError
-        If a field is missing or has another form.
+        If the file isn't readable or a field is missing or invalid.
     """
     fields = _Fields(path)
     return PlainAgentSettings(
-        **fields.common(fields.endpoint("data")),
+        **fields.common_arguments(fields.endpoint("data")),
         service=fields.text("service"),
         backend=fields.endpoint("backend"),
         outbound=fields.endpoint("outbound"),
         reports=fields.endpoint("reports"),
-        report_interval_ms=Millis(fields.whole("report_interval_ms")),
+        report_interval_ms=Millis(fields.integer("report_interval_ms")),
     )
 
 
 class _Fields:
-    """The fields of a settings file, each checked where it is read."""
+    """The fields of a settings file, validated on access."""
 
     def __init__(self, path: Path):
         self._path = path
         self._fields = _read(path)
 
-    def common(self, data: Endpoint) -> dict[str, Any]:
-        """Return the arguments that both roles share.
+    def common_arguments(self, data: Endpoint) -> dict[str, Any]:
+        """Return the settings that both roles share, as keyword arguments.
 
         Parameters
         ----------
         data : Endpoint
-            The machine's data address; clients use the same port.
+            The endpoint at which the machine receives packets; clients use the same
+            port.
         """
         ip = self.text("ip")
         return {
             "name": self.text("name"),
             "zone": self.text("zone"),
-            "inner": Endpoint(ip, self.whole("inner_port")),
+            "inner": Endpoint(ip, self.integer("inner_port")),
             "client_port": data.port,
             "readiness": self.endpoint("readiness"),
-            "metrics": Endpoint(ip, self.whole("metrics_port")),
+            "metrics": Endpoint(ip, self.integer("metrics_port")),
             "store": self.endpoint("store"),
             "grace_ms": self.seconds("grace_s"),
             "flow_limit_ms": self.seconds("flow_limit_s"),
         }
 
     def text(self, name: str) -> str:
-        """Return a field that is text."""
+        """Return a field that is a non-empty string."""
         value = self._fields.get(name)
         if not isinstance(value, str) or not value:
-            raise self._fault(name, "text")
+            raise self._invalid_field(name, "a non-empty string")
         return value
 
-    def whole(self, name: str) -> int:
-        """Return a field that is a whole number."""
+    def integer(self, name: str) -> int:
+        """Return a field that is an integer."""
         value = self._fields.get(name)
         if type(value) is not int:
-            raise self._fault(name, "a whole number")
+            raise self._invalid_field(name, "a whole number")
         return value
 
     def seconds(self, name: str) -> Millis:
-        """Return a field in seconds as milliseconds."""
+        """Return a field that is given in seconds, converted to milliseconds."""
         value = self._fields.get(name)
         if not isinstance(value, int | float) or isinstance(value, bool):
-            raise self._fault(name, "a number of seconds")
+            raise self._invalid_field(name, "a number of seconds")
         return Millis(round(value * MILLIS_PER_SECOND))
 
     def endpoint(self, name: str) -> Endpoint:
-        """Return a field that is an address and a port."""
+        """Return a field that is an endpoint, as ``ip:port``."""
         try:
             return Endpoint.parse(self.text(name))
         except ValueError as error:
-            raise self._fault(name, "ip:port") from error
+            raise self._invalid_field(name, "ip:port") from error
 
-    def _fault(self, name: str, expected: str) -> SettingsError:
+    def _invalid_field(self, name: str, expected: str) -> SettingsError:
         found = self._fields.get(name)
         return SettingsError(
             f"{name}: expected {expected}, found {found!r}",
             step=Step.SETTINGS,
             peer=str(self._path),
-            remedy="correct the template that the file is made from",
+            remedy="correct the template from which the file is generated",
         )
 
 
@@ -144,11 +145,13 @@
         value = json.loads("\n".join(kept))
     except (OSError, ValueError) as error:
         raise SettingsError(
-            f"not readable as JSON with comments: {error}",
+            f"can't read the file as JSON with comments: {error}",
             step=Step.SETTINGS,
             peer=str(path),
-            remedy="correct the template that the file is made from",
+            remedy="correct the template from which the file is generated",
         ) from error
     if not isinstance(value, dict):
-        raise SettingsError("expected an object", step=Step.SETTINGS, peer=str(path))
+        raise SettingsError(
+            "expected a JSON object", step=Step.SETTINGS, peer=str(path)
+        )
     return value
