--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -26,29 +26,29 @@
 )
 from papayagw._internal.models.endpoint import Endpoint
 
-REPEATS = 3
+CHANGE_RETRANSMISSIONS = 3
 """How many more times a change is told, since datagrams get lost."""
 
-FIRST_ANNOUNCE_MS = Millis(200)
-MAX_ANNOUNCE_MS = Millis(2_000)
+INITIAL_ANNOUNCE_INTERVAL_MS = Millis(200)
+MAX_ANNOUNCE_INTERVAL_MS = Millis(2_000)
 
-SILENT_BEATS = 12
+MAX_UNACKNOWLEDGED_HEARTBEATS = 12
 """A watcher that acknowledged none of so many heartbeats counts as dead."""
 
-FIRST_INTERVAL_MS = Millis(1_000)
+INITIAL_INTERVAL_MS = Millis(1_000)
 """The time between heartbeats until a balancer tells one."""
 
-BEAT_JITTER = 0.1
+HEARTBEAT_JITTER_SHARE = 0.1
 """The share of the interval by which heartbeats vary, so that agents fall out of
 step."""
 
 TICK_MS = Millis(100)
 """The time between two ticks."""
 
-WEIGHT_STEP = 0.25
+MIN_WEIGHT_CHANGE_SHARE = 0.25
 """A change of weight smaller than this share isn't told."""
 
-WEIGHT_INTERVALS = 300
+WEIGHT_CHANGE_INTERVALS = 300
 """A change of weight is told at most once in so many heartbeat intervals."""
 
 
@@ -80,15 +80,15 @@
         self._random = random_source
         self._siblings_digest = 0
         self._watchers: dict[Endpoint, int] = {}
-        self._interval = FIRST_INTERVAL_MS
-        self._beat = 0
-        self._beat_at = Millis(0)
+        self._interval = INITIAL_INTERVAL_MS
+        self._heartbeat_number = 0
+        self._heartbeat_at = Millis(0)
         self._announce_at = Millis(0)
-        self._announce_wait = FIRST_ANNOUNCE_MS
-        self._repeats = 0
-        self._weight_at: Millis | None = None
+        self._announce_interval = INITIAL_ANNOUNCE_INTERVAL_MS
+        self._retransmissions = 0
+        self._weight_changed_at: Millis | None = None
         self._superseded = False
-        self._heard_configuration: tuple[int, Endpoint] | None = None
+        self._advertised_configuration: tuple[int, Endpoint] | None = None
 
     @property
     def own(self) -> AgentRecord:
@@ -111,9 +111,9 @@
         return self._superseded
 
     @property
-    def heard_configuration(self) -> tuple[int, Endpoint] | None:
+    def advertised_configuration(self) -> tuple[int, Endpoint] | None:
         """The highest version of the configuration heard of, and who has it."""
-        return self._heard_configuration
+        return self._advertised_configuration
 
     def drain(self, now: Millis) -> tuple[Send, ...]:
         """Say that this agent takes no more openings."""
@@ -130,13 +130,15 @@
     def set_weight(self, weight: int, now: Millis) -> tuple[Send, ...]:
         """Tell a change of strength, if it is large enough and not too soon."""
         weight = max(0, min(MAX_WEIGHT, weight))
-        step = WEIGHT_STEP * max(self._own.weight, WEIGHT_ONE * WEIGHT_STEP)
+        step = MIN_WEIGHT_CHANGE_SHARE * max(
+            self._own.weight, WEIGHT_ONE * MIN_WEIGHT_CHANGE_SHARE
+        )
         if abs(weight - self._own.weight) < step:
             return ()
-        wait = WEIGHT_INTERVALS * self._interval
-        if self._weight_at is not None and now - self._weight_at < wait:
+        wait = WEIGHT_CHANGE_INTERVALS * self._interval
+        if self._weight_changed_at is not None and now - self._weight_changed_at < wait:
             return ()
-        self._weight_at = now
+        self._weight_changed_at = now
         return self._change(replace(self._own, weight=weight), now)
 
     def on_message(
@@ -148,28 +150,28 @@
         if message.incarnation > self._own.incarnation:
             self._superseded = True
             return ()
-        self._note_watchers(message, source, now)
-        self._note_siblings(message)
-        self._note_version(message.configuration_version, source)
-        return self._correct(message, source, now)
+        self._update_watchers(message, source, now)
+        self._update_siblings(message)
+        self._record_version(message.configuration_version, source)
+        return self._correct_balancer(message, source, now)
 
     def on_tick(self, now: Millis) -> tuple[Send, ...]:
         """Return what is due; to be called about every 100 ms."""
         if self._superseded:
             return ()
-        if self._repeats > 0:
-            self._repeats -= 1
+        if self._retransmissions > 0:
+            self._retransmissions -= 1
             return self._announce_everywhere()
         if self._own.state is AgentState.GONE:
             return ()
         self._drop_silent_watchers()
         if not self._watchers:
             return self._announce(now)
-        return self._beat_once(now)
+        return self._send_heartbeat(now)
 
     def _change(self, record: AgentRecord, now: Millis) -> tuple[Send, ...]:
         self._own = replace(record, sequence=self._own.sequence + 1)
-        self._repeats = REPEATS
+        self._retransmissions = CHANGE_RETRANSMISSIONS
         return () if self._superseded else self._announce_everywhere()
 
     def _announce_everywhere(self) -> tuple[Send, ...]:
@@ -180,78 +182,81 @@
     def _announce(self, now: Millis) -> tuple[Send, ...]:
         if now < self._announce_at:
             return ()
-        wait = self._announce_wait
+        wait = self._announce_interval
         self._announce_at = Millis(now + wait // 2 + self._random.randrange(wait))
-        self._announce_wait = Millis(min(2 * wait, MAX_ANNOUNCE_MS))
+        self._announce_interval = Millis(min(2 * wait, MAX_ANNOUNCE_INTERVAL_MS))
         return (Send(self._control_address, Announcement(self._own)),)
 
-    def _beat_once(self, now: Millis) -> tuple[Send, ...]:
-        if now < self._beat_at:
+    def _send_heartbeat(self, now: Millis) -> tuple[Send, ...]:
+        if now < self._heartbeat_at:
             return ()
-        spread = int(BEAT_JITTER * self._interval)
+        spread = int(HEARTBEAT_JITTER_SHARE * self._interval)
         jitter = self._random.randint(-spread, spread)
-        late = min(now - self._beat_at, TICK_MS)
-        self._beat_at = Millis(now + self._interval + jitter - late)
-        self._beat += 1
+        delay_ms = min(now - self._heartbeat_at, TICK_MS)
+        self._heartbeat_at = Millis(now + self._interval + jitter - delay_ms)
+        self._heartbeat_number += 1
         message = Heartbeat(
             self._own.endpoint,
             self._own.incarnation,
             self._own.sequence,
-            self._beat,
+            self._heartbeat_number,
             self._siblings_digest,
         )
         return tuple(Send(watcher, message) for watcher in self._watchers)
 
     def _drop_silent_watchers(self) -> None:
-        for watcher, acked_beat in tuple(self._watchers.items()):
-            if self._beat - acked_beat > SILENT_BEATS:
+        for watcher, acknowledged_number in tuple(self._watchers.items()):
+            if (
+                self._heartbeat_number - acknowledged_number
+                > MAX_UNACKNOWLEDGED_HEARTBEATS
+            ):
                 del self._watchers[watcher]
         if not self._watchers:
             return
-        self._announce_wait = FIRST_ANNOUNCE_MS
+        self._announce_interval = INITIAL_ANNOUNCE_INTERVAL_MS
 
-    def _note_watchers(
+    def _update_watchers(
         self, message: Acknowledgement, source: Endpoint, now: Millis
     ) -> None:
         if message.interval_ms != KEEP_INTERVAL_MS:
             self._interval = message.interval_ms
         if not self._watchers:
             wait = self._random.randrange(1 + self._interval)
-            self._beat_at = Millis(now + wait)
+            self._heartbeat_at = Millis(now + wait)
         self._watchers = {
-            watcher: self._watchers.get(watcher, self._beat)
+            watcher: self._watchers.get(watcher, self._heartbeat_number)
             for watcher in message.watchers
         }
         if source in self._watchers:
-            self._watchers[source] = self._beat
+            self._watchers[source] = self._heartbeat_number
 
-    def _note_siblings(self, message: Acknowledgement) -> None:
+    def _update_siblings(self, message: Acknowledgement) -> None:
         if message.siblings_digest == self._siblings_digest or not message.incarnation:
             return
         self._siblings_digest = message.siblings_digest
-        told = {record.endpoint for record in message.siblings}
+        listed = {record.endpoint for record in message.siblings}
         for record in self._siblings.records:
-            if record.endpoint not in told:
+            if record.endpoint not in listed:
                 self._siblings.forget(record)
         for record in message.siblings:
             self._siblings.merge(record)
 
-    def _note_version(self, version: int, source: Endpoint) -> None:
-        heard = self._heard_configuration
-        if version > (heard[0] if heard else 0):
-            self._heard_configuration = (version, source)
+    def _record_version(self, version: int, source: Endpoint) -> None:
+        advertised = self._advertised_configuration
+        if version > (advertised[0] if advertised else 0):
+            self._advertised_configuration = (version, source)
 
-    def _correct(
+    def _correct_balancer(
         self, message: Acknowledgement, source: Endpoint, now: Millis
     ) -> tuple[Send, ...]:
         """Put right what the balancer believes of this agent."""
         own = self._own
-        believed = (message.incarnation, message.sequence)
-        if believed < (own.incarnation, own.sequence):
+        reported = (message.incarnation, message.sequence)
+        if reported < (own.incarnation, own.sequence):
             return (Send(source, Announcement(own)),)
         if own.state is AgentState.GONE:
             return ()
-        if believed > (own.incarnation, own.sequence) or message.state != own.state:
+        if reported > (own.incarnation, own.sequence) or message.state != own.state:
             # Given up while paused: the same run says that it still lives.
             return self._change(replace(own, sequence=message.sequence), now)
         return ()
--- a/src/papayagw/_internal/core/directory.py
+++ b/src/papayagw/_internal/core/directory.py
@@ -75,7 +75,7 @@
         """Return whether the agent's run that a flow tag names is known to be over."""
         return self._gone.get(route.agent.sockaddr) == route.incarnation
 
-    def find_willing(self, service_id: ServiceId) -> Sequence[AgentRecord]:
+    def find_reported_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
         """Return the agents of a service that say they are ready, suspected or not."""
         records = self._by_service.get(service_id, {}).values()
         return [record for record in records if record.state is AgentState.READY]
@@ -86,19 +86,21 @@
         self._refresh(record.service_id)
 
     def _refresh(self, service_id: ServiceId) -> None:
-        willing = self.find_willing(service_id)
-        excluded = select_excluded(willing)
+        reported_ready = self.find_reported_ready(service_id)
+        excluded = select_excluded(reported_ready)
         self._ready[service_id] = tuple(
-            record for record in willing if record.endpoint.sockaddr not in excluded
+            record
+            for record in reported_ready
+            if record.endpoint.sockaddr not in excluded
         )
 
 
-def select_excluded(willing: Sequence[AgentRecord]) -> set[tuple[str, int]]:
+def select_excluded(reported_ready: Sequence[AgentRecord]) -> set[tuple[str, int]]:
     """Return the socket addresses of those whom suspicion keeps from openings.
 
     Nodes that hold the same records exclude the same agents.
     """
     suspected = sorted(
-        record.endpoint.sockaddr for record in willing if record.is_suspected
+        record.endpoint.sockaddr for record in reported_ready if record.is_suspected
     )
-    return set(suspected[: int(len(willing) * MAX_SUSPECTED_SHARE)])
+    return set(suspected[: int(len(reported_ready) * MAX_SUSPECTED_SHARE)])
--- a/src/papayagw/_internal/core/fleet.py
+++ b/src/papayagw/_internal/core/fleet.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from papayagw._internal.core.directory import AgentDirectory
-from papayagw._internal.core.gossip_news import NewsQueue
+from papayagw._internal.core.gossip_queue import UpdateQueue
 from papayagw._internal.core.gossip_table import (
     MergeOutcome,
     RecordTable,
@@ -15,7 +15,7 @@
 from papayagw._internal.models.control import BalancerRecord, Record, SuspicionVector
 from papayagw._internal.models.endpoint import Endpoint
 
-WATCHERS = 3
+WATCHERS_PER_AGENT = 3
 """How many balancers watch an agent."""
 
 
@@ -34,7 +34,7 @@
         self._own = own
         self._table = RecordTable(directory)
         self._table.merge(own, Millis(0))
-        self._news = NewsQueue(self._table)
+        self._updates = UpdateQueue(self._table)
         self._superseded = False
         self._version = -1
         self._peers: tuple[Endpoint, ...] = ()
@@ -53,9 +53,9 @@
         return self._table
 
     @property
-    def news(self) -> NewsQueue:
+    def updates(self) -> UpdateQueue:
         """What is still to be told."""
-        return self._news
+        return self._updates
 
     @property
     def superseded(self) -> bool:
@@ -88,7 +88,7 @@
     def list_watchers(self, agent: Endpoint) -> tuple[Endpoint, ...]:
         """Return the balancers that watch an agent."""
         self._refresh()
-        return self._rendezvous.choose(str(agent), WATCHERS)
+        return self._rendezvous.choose(str(agent), WATCHERS_PER_AGENT)
 
     def is_watcher(self, agent: Endpoint) -> bool:
         """Return whether this balancer watches an agent."""
@@ -96,17 +96,17 @@
 
     def merge(self, record: Record, now: Millis) -> MergeOutcome:
         """Take in a record and tell others if it is news."""
-        outcome = self.merge_quietly(record, now)
-        if outcome is MergeOutcome.NEWS:
-            self._news.add_record(record, self.size)
+        outcome = self.merge_without_gossip(record, now)
+        if outcome is MergeOutcome.NEWER:
+            self._updates.add_record(record, self.size)
         elif outcome is MergeOutcome.KNOWN:
-            self._news.note_heard(record.endpoint)
+            self._updates.record_duplicate(record.endpoint)
         return outcome
 
-    def merge_quietly(self, record: Record, now: Millis) -> MergeOutcome:
+    def merge_without_gossip(self, record: Record, now: Millis) -> MergeOutcome:
         """Take in a record that needs no telling; refute what is false of us."""
         if record.endpoint == self._own.endpoint:
-            return self._hear_of_self(record, now)
+            return self._merge_own(record, now)
         return self._table.merge(record, now)
 
     def merge_vector(self, vector: SuspicionVector, now: Millis) -> bool:
@@ -115,18 +115,18 @@
         if compared is None:
             return False
         for record in compared.ahead:
-            self.merge_quietly(record, now)
+            self.merge_without_gossip(record, now)
         if compared.ahead:
-            self._news.add_suspicion(vector.bucket, self.size)
+            self._updates.add_suspicion(vector.bucket, self.size)
         elif not compared.behind:
-            self._news.note_heard(vector.bucket)
+            self._updates.record_duplicate(vector.bucket)
         return True
 
-    def set_suspicion(self, record: Record, now: Millis) -> None:
+    def toggle_suspicion(self, record: Record, now: Millis) -> None:
         """Suspect a node, or take the suspicion of it back, and tell others."""
         changed = replace(record, suspicion=record.suspicion + 1)
-        if self.merge_quietly(changed, now) is MergeOutcome.NEWS:
-            self._news.add_suspicion(find_bucket(record), self.size)
+        if self.merge_without_gossip(changed, now) is MergeOutcome.NEWER:
+            self._updates.add_suspicion(find_bucket(record), self.size)
 
     def mark_gone(self, record: Record, now: Millis) -> None:
         """Give a node up and tell others."""
@@ -138,9 +138,9 @@
             self._own, sequence=self._own.sequence + 1, state=AgentState.GONE
         )
         self._table.merge(self._own, now)
-        self._news.add_record(self._own, self.size)
+        self._updates.add_record(self._own, self.size)
 
-    def _hear_of_self(self, record: Record, now: Millis) -> MergeOutcome:
+    def _merge_own(self, record: Record, now: Millis) -> MergeOutcome:
         if isinstance(record, AgentRecord) or record.incarnation > (
             self._own.incarnation
         ):
@@ -153,13 +153,13 @@
         self._refute(record, now)
         return MergeOutcome.KNOWN
 
-    def _refute(self, heard: BalancerRecord, now: Millis) -> None:
-        if heard.sequence > self._own.sequence or heard.state is AgentState.GONE:
-            self._own = replace(self._own, sequence=heard.sequence + 1, suspicion=0)
-            self._news.add_record(self._own, self.size)
+    def _refute(self, received: BalancerRecord, now: Millis) -> None:
+        if received.sequence > self._own.sequence or received.state is AgentState.GONE:
+            self._own = replace(self._own, sequence=received.sequence + 1, suspicion=0)
+            self._updates.add_record(self._own, self.size)
         else:
-            self._own = replace(self._own, suspicion=heard.suspicion + 1)
-            self._news.add_suspicion(find_bucket(heard), self.size)
+            self._own = replace(self._own, suspicion=received.suspicion + 1)
+            self._updates.add_suspicion(find_bucket(received), self.size)
         self._table.merge(self._own, now)
 
     def _refresh(self) -> None:
--- a/src/papayagw/_internal/core/gossip_probe.py
+++ b/src/papayagw/_internal/core/gossip_probe.py
@@ -14,10 +14,10 @@
 PROBE_INTERVAL_MS = Millis(1_000)
 """The time between two probes."""
 
-INQUIRE_MS = Millis(300)
+INQUIRE_TIMEOUT_MS = Millis(300)
 """After this time without an answer others are asked."""
 
-SUSPECT_MS = Millis(900)
+SUSPECT_TIMEOUT_MS = Millis(900)
 """After this time without an answer the probed balancer is suspected."""
 
 ISOLATED_MISSES = 2
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Pending:
+class _PendingProbe:
     """A probe without an answer."""
 
     target: Endpoint
@@ -68,7 +68,7 @@
     def __init__(self, random_source: random.Random):
         self._random = random_source
         self._queue: list[Endpoint] = []
-        self._pending: _Pending | None = None
+        self._pending: _PendingProbe | None = None
         self._number = 0
         self._next_at = Millis(0)
         self._misses = 0
@@ -87,16 +87,16 @@
         target = self._pick(peers)
         self._number += 1
         self._next_at = Millis(now + PROBE_INTERVAL_MS)
-        self._pending = _Pending(target, self._number, now)
+        self._pending = _PendingProbe(target, self._number, now)
         return ProbeStep(probe=target, number=self._number)
 
-    def note_answer(self, number: int) -> None:
+    def record_answer(self, number: int) -> None:
         """Note the answer to a probe."""
         self._misses = 0
         if self._pending is not None and self._pending.number == number:
             self._pending = None
 
-    def note_alive(self, endpoint: Endpoint) -> None:
+    def record_alive(self, endpoint: Endpoint) -> None:
         """Note somebody's word that `endpoint` is alive."""
         self._misses = 0
         if self._pending is not None and self._pending.target == endpoint:
@@ -106,13 +106,13 @@
         """Forget the probe under way, after a pause of this node."""
         self._pending = None
 
-    def _check_pending(self, pending: _Pending, now: Millis) -> ProbeStep:
+    def _check_pending(self, pending: _PendingProbe, now: Millis) -> ProbeStep:
         age = now - pending.sent_at
-        if age >= SUSPECT_MS:
+        if age >= SUSPECT_TIMEOUT_MS:
             self._pending = None
             self._misses += 1
             return ProbeStep(suspect=pending.target)
-        if age >= INQUIRE_MS and not pending.inquired:
+        if age >= INQUIRE_TIMEOUT_MS and not pending.inquired:
             self._pending = replace(pending, inquired=True)
             return ProbeStep(inquire=pending.target)
         return ProbeStep()
--- a/src/papayagw/_internal/core/gossip_news.py
+++ b/src/papayagw/_internal/core/gossip_queue.py
@@ -29,28 +29,28 @@
 VECTOR_MEMBER_BYTES = 0.6
 """What one record adds to a suspicion vector, in bytes."""
 
-COPIES_FACTOR = 1.0
+TRANSMISSIONS_FACTOR = 1.0
 """How many times the logarithm of the fleet's size a change is told."""
 
-MIN_COPIES = 2
+MIN_TRANSMISSIONS = 2
 
-HEARD_COPIES = 2
+TRANSMISSIONS_PER_DUPLICATE = 2
 """How much hearing a change again counts against telling it once more."""
 
-_URGENCY_LEAVING = 0
-_URGENCY_SUSPICION = 1
-_URGENCY_READY = 2
+_PRIORITY_LEAVING = 0
+_PRIORITY_SUSPICION = 1
+_PRIORITY_READY = 2
 
 
 @dataclass(frozen=True, slots=True)
-class _Rumour:
+class _QueuedUpdate:
     """A change and how often it is still to be told."""
 
-    urgency: int
-    copies: int
+    priority: int
+    transmissions: int
 
 
-class NewsQueue:
+class UpdateQueue:
     """Changes to tell, the most urgent and least told ones first.
 
     Parameters
@@ -61,49 +61,54 @@
 
     def __init__(self, table: RecordTable):
         self._table = table
-        self._rumours: dict[Endpoint | Bucket, _Rumour] = {}
+        self._queued: dict[Endpoint | Bucket, _QueuedUpdate] = {}
 
     def __len__(self) -> int:
-        return len(self._rumours)
+        return len(self._queued)
 
     def add_record(self, record: Record, nodes: int) -> None:
         """Tell of a whole record in a fleet of `nodes` balancers."""
         leaving = record.state is not AgentState.READY
-        urgency = _URGENCY_LEAVING if leaving else _URGENCY_READY
-        self._rumours.pop(record.endpoint, None)
-        self._rumours[record.endpoint] = _Rumour(urgency, compute_copies(nodes))
+        priority = _PRIORITY_LEAVING if leaving else _PRIORITY_READY
+        self._queued.pop(record.endpoint, None)
+        self._queued[record.endpoint] = _QueuedUpdate(
+            priority, compute_transmissions(nodes)
+        )
 
     def add_suspicion(self, bucket: Bucket, nodes: int) -> None:
         """Tell of a suspicion or a refutation in `bucket`."""
-        self._rumours.pop(bucket, None)
-        self._rumours[bucket] = _Rumour(_URGENCY_SUSPICION, compute_copies(nodes))
+        self._queued.pop(bucket, None)
+        self._queued[bucket] = _QueuedUpdate(
+            _PRIORITY_SUSPICION, compute_transmissions(nodes)
+        )
 
-    def note_heard(self, subject: Endpoint | Bucket) -> None:
+    def record_duplicate(self, subject: Endpoint | Bucket) -> None:
         """Note that somebody told what this node knows already."""
-        rumour = self._rumours.get(subject)
-        if rumour is not None:
-            self._count_down(subject, rumour, HEARD_COPIES)
+        queued = self._queued.get(subject)
+        if queued is not None:
+            self._count_down(subject, queued, TRANSMISSIONS_PER_DUPLICATE)
 
     def take(self, room_bytes: float) -> News:
         """Return what fits into `room_bytes`, counted as told once."""
         records: list[Record] = []
         vectors: list[SuspicionVector] = []
-        for subject, rumour in self._sort():
-            told = self._read(subject)
-            size_bytes = 0 if told is None else estimate_bytes(told)
+        for subject, queued in self._sort():
+            update = self._read(subject)
+            size_bytes = 0 if update is None else estimate_bytes(update)
             if size_bytes > room_bytes:
                 break
             room_bytes -= size_bytes
-            self._count_down(subject, rumour, 1)
-            if isinstance(told, SuspicionVector):
-                vectors.append(told)
-            elif told is not None:
-                records.append(told)
-        return make_news(records, vectors)
-
-    def _sort(self) -> list[tuple[Endpoint | Bucket, _Rumour]]:
+            self._count_down(subject, queued, 1)
+            if isinstance(update, SuspicionVector):
+                vectors.append(update)
+            elif update is not None:
+                records.append(update)
+        return make_updates(records, vectors)
+
+    def _sort(self) -> list[tuple[Endpoint | Bucket, _QueuedUpdate]]:
         return sorted(
-            self._rumours.items(), key=lambda item: (item[1].urgency, -item[1].copies)
+            self._queued.items(),
+            key=lambda item: (item[1].priority, -item[1].transmissions),
         )
 
     def _read(self, subject: Endpoint | Bucket) -> Record | SuspicionVector | None:
@@ -112,16 +117,16 @@
         return self._table.get(subject)
 
     def _count_down(
-        self, subject: Endpoint | Bucket, rumour: _Rumour, count: int
+        self, subject: Endpoint | Bucket, queued: _QueuedUpdate, count: int
     ) -> None:
-        copies = rumour.copies - count
-        if copies <= 0:
-            del self._rumours[subject]
+        transmissions = queued.transmissions - count
+        if transmissions <= 0:
+            del self._queued[subject]
         else:
-            self._rumours[subject] = replace(rumour, copies=copies)
+            self._queued[subject] = replace(queued, transmissions=transmissions)
 
 
-def make_news(
+def make_updates(
     records: list[Record], vectors: list[SuspicionVector] | None = None
 ) -> News:
     """Return news of whole records and suspicion vectors."""
@@ -132,15 +137,15 @@
     )
 
 
-def estimate_bytes(told: Record | SuspicionVector) -> float:
+def estimate_bytes(update: Record | SuspicionVector) -> float:
     """Return what a record or a vector costs in a datagram, in bytes."""
-    if not isinstance(told, SuspicionVector):
+    if not isinstance(update, SuspicionVector):
         return RECORD_BYTES
-    if len(set(told.counters)) <= 1:
+    if len(set(update.counters)) <= 1:
         return VECTOR_BYTES
-    return VECTOR_BYTES + VECTOR_MEMBER_BYTES * len(told.counters)
+    return VECTOR_BYTES + VECTOR_MEMBER_BYTES * len(update.counters)
 
 
-def compute_copies(nodes: int) -> int:
+def compute_transmissions(nodes: int) -> int:
     """Return how often a change is told in a fleet of `nodes` balancers."""
-    return MIN_COPIES + math.ceil(COPIES_FACTOR * math.log(nodes + 1))
+    return MIN_TRANSMISSIONS + math.ceil(TRANSMISSIONS_FACTOR * math.log(nodes + 1))
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator, Sequence
 
 from papayagw._internal.core.gossip_budget import TokenBucket
-from papayagw._internal.core.gossip_news import RECORD_BYTES, make_news
+from papayagw._internal.core.gossip_queue import RECORD_BYTES, make_updates
 from papayagw._internal.core.gossip_table import RecordTable
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.control import (
@@ -38,7 +38,7 @@
 NO_DIGEST = 0
 """Sent by a node that is catching up: no comparison is wanted."""
 
-UNSETTLED_MS = Millis(6_000)
+GOSSIP_GRACE_MS = Millis(6_000)
 """How long a difference is left to gossip while there is news."""
 
 CATCH_UP_INTERVAL_MS = Millis(300)
@@ -47,10 +47,10 @@
 BUCKET_INTERVAL_MS = Millis(1_000)
 """The least time between two single buckets that are sent."""
 
-BUCKETS_AT_ONCE = 4
+MAX_COMPARED_BUCKETS = 4
 """How many buckets one comparison compares record by record."""
 
-SMALL_BUCKET = 6
+SMALL_BUCKET_RECORDS = 6
 """A bucket of so many records is sent whole: asking for them costs more."""
 
 CAUGHT_UP_SHARE = 0.05
@@ -77,7 +77,7 @@
         self._budget = budget
         self._random = random_source
         self._next_at = Millis(0)
-        self._asked = 0
+        self._digests_sent = 0
         self._next_bucket_at = Millis(0)
         self._caught_up = False
         self._differs_since: Millis | None = None
@@ -88,7 +88,7 @@
         return self._caught_up
 
     def on_digest(
-        self, digest: int, source: Endpoint, settled: bool, now: Millis
+        self, digest: int, source: Endpoint, gossip_idle: bool, now: Millis
     ) -> Iterator[Send]:
         """Compare the digest of all records with a peer's.
 
@@ -105,8 +105,8 @@
             self._differs_since = now
         if now < self._next_at or self._budget.get_level(now) <= 0:
             return
-        patient = self._caught_up and not settled
-        if patient and now - self._differs_since < UNSETTLED_MS:
+        defers = self._caught_up and not gossip_idle
+        if defers and now - self._differs_since < GOSSIP_GRACE_MS:
             return
         wait = REPAIR_INTERVAL_MS if self._caught_up else CATCH_UP_INTERVAL_MS
         self._next_at = Millis(now + wait + self._random.randrange(wait))
@@ -120,15 +120,15 @@
     ) -> Iterator[Send]:
         """Answer a peer's digests with what this node holds of a few buckets."""
         differing = self._find_differing(message)
-        few = CAUGHT_UP_SHARE * len(self._table.buckets)
-        if message.complete and len(differing) <= few:
+        max_differing = CAUGHT_UP_SHARE * len(self._table.buckets)
+        if message.complete and len(differing) <= max_differing:
             self._caught_up = True
         if self._budget.get_level(now) <= 0:
             return
         self._random.shuffle(differing)
-        whole, compared = self._divide(differing, message)
+        whole, compared = self._partition(differing, message)
         yield from self._send_records(whole, source, now)
-        for bucket in compared[:BUCKETS_AT_ONCE]:
+        for bucket in compared[:MAX_COMPARED_BUCKETS]:
             if self._budget.get_level(now) > 0:
                 yield self._summarise(bucket, source, now)
 
@@ -161,7 +161,7 @@
             self._next_bucket_at = Millis(now + BUCKET_INTERVAL_MS)
             yield self._summarise(bucket, destination, now)
 
-    def _divide(
+    def _partition(
         self, differing: Sequence[Bucket], message: Digests
     ) -> tuple[list[Record], list[Bucket]]:
         """Return records to send at once, and buckets that are worth a comparison."""
@@ -171,7 +171,7 @@
         for bucket in differing:
             members = self._table.list_members(bucket)
             missing = bucket in empty or bucket.zone not in message.zones
-            small = len(members) <= SMALL_BUCKET
+            small = len(members) <= SMALL_BUCKET_RECORDS
             if not missing:
                 # The sender may hold records that are gone here, too.
                 compared.append(bucket)
@@ -190,14 +190,16 @@
         for start in range(0, len(records), RECORDS_PER_DATAGRAM):
             chunk = list(records[start : start + RECORDS_PER_DATAGRAM])
             self._spend(len(chunk) * RECORD_BYTES, now)
-            yield Send(destination, Records(make_news(chunk)))
+            yield Send(destination, Records(make_updates(chunk)))
 
     def _make_digests(self) -> Digests:
         zones = self._table.zones
-        complete = self._caught_up or len(zones) <= 1 or self._asked % len(zones) == 0
+        complete = (
+            self._caught_up or len(zones) <= 1 or self._digests_sent % len(zones) == 0
+        )
         if not complete:
-            zones = (zones[self._asked % len(zones)],)
-        self._asked += 1
+            zones = (zones[self._digests_sent % len(zones)],)
+        self._digests_sent += 1
         digests = tuple(self._table.get_digest(one) for one in _list_buckets(zones))
         return Digests(zones, digests, complete)
 
--- a/src/papayagw/_internal/core/gossip_table.py
+++ b/src/papayagw/_internal/core/gossip_table.py
@@ -24,10 +24,10 @@
 )
 from papayagw._internal.models.endpoint import Endpoint
 
-GONE_KEPT_MS = Millis(24 * 3_600_000)
+GONE_RETENTION_MS = Millis(24 * 3_600_000)
 """How long the record of a node that is gone is kept."""
 
-MAX_GONE = 20_000
+MAX_GONE_RECORDS = 20_000
 """The most records of nodes that are gone."""
 
 _HASH_BYTES = 4
@@ -36,7 +36,7 @@
 class MergeOutcome(Enum):
     """What a record that arrived was."""
 
-    NEWS = "news"
+    NEWER = "newer"
     KNOWN = "known"
     STALE = "stale"
 
@@ -137,13 +137,16 @@
             self._add(record)
         if isinstance(record, AgentRecord):
             self._directory.merge(record)
-        return MergeOutcome.NEWS
+        return MergeOutcome.NEWER
 
     def forget_gone(self, now: Millis) -> None:
         """Drop the oldest records of nodes that are gone."""
         while self._gone_at:
             endpoint, gone_at = next(iter(self._gone_at.items()))
-            if now - gone_at < GONE_KEPT_MS and len(self._gone_at) <= MAX_GONE:
+            if (
+                now - gone_at < GONE_RETENTION_MS
+                and len(self._gone_at) <= MAX_GONE_RECORDS
+            ):
                 return
             del self._gone_at[endpoint]
             record = self._records.pop(endpoint)
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -12,12 +12,12 @@
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.core.fleet import Fleet
 from papayagw._internal.core.gossip_budget import TokenBucket
-from papayagw._internal.core.gossip_news import (
+from papayagw._internal.core.gossip_probe import Prober
+from papayagw._internal.core.gossip_queue import (
     RECORD_BYTES,
     estimate_bytes,
-    make_news,
+    make_updates,
 )
-from papayagw._internal.core.gossip_probe import Prober
 from papayagw._internal.core.gossip_repair import DATAGRAM_BYTES, NO_DIGEST, Repairer
 from papayagw._internal.core.gossip_table import MergeOutcome
 from papayagw._internal.core.rendezvous import Rendezvous
@@ -51,7 +51,7 @@
 PROBE_BYTES_PER_SECOND = 400
 """What probes and their answers cost without news."""
 
-MIN_NEWS_BYTES_PER_SECOND = 800
+MIN_GOSSIP_BYTES_PER_SECOND = 800
 """What is left for gossip and repair at the least."""
 
 REPAIR_SHARE = 0.4
@@ -60,9 +60,9 @@
 CATCH_UP_SHARE = 0.8
 """The same while a new balancer is catching up."""
 
-NEWS_BURST_BYTES = 400
+GOSSIP_BURST_BYTES = 400
 
-MAX_NEWS_BYTES = 1_050
+MAX_UPDATE_BYTES = 1_050
 """The most that news take of one datagram, in bytes."""
 
 FANOUT = 3
@@ -73,34 +73,34 @@
 INQUIRED_PEERS = 2
 """How many peers are asked about a silent balancer."""
 
-SUSPECT_KEPT_MS = Millis(10_000)
+SUSPICION_TIMEOUT_MS = Millis(10_000)
 """A balancer that doesn't refute a suspicion in this time is given up."""
 
-PAUSE_MS = Millis(700)
+PAUSE_THRESHOLD_MS = Millis(700)
 """A gap between ticks that counts as a pause of this process."""
 
-FIRST_JOIN_MS = Millis(200)
-MAX_FIRST_JOIN_MS = Millis(2_000)
-JOIN_MS = Millis(5_000)
+INITIAL_JOIN_INTERVAL_MS = Millis(200)
+MAX_INITIAL_JOIN_INTERVAL_MS = Millis(2_000)
+JOIN_INTERVAL_MS = Millis(5_000)
 """The time between two joins of a node that knows peers, in a small fleet."""
 
-JOIN_PEERS = 50
+PEERS_PER_JOIN_INTERVAL = 50
 """The number of peers that doubles `JOIN_MS`."""
 
-MEET_MS = Millis(20)
+INTRODUCTION_INTERVAL_MS = Millis(20)
 """The least time between two answers to nodes that are unknown or taken for gone."""
 
-JOIN_RECORDS = 30
+MAX_JOIN_RECORDS = 30
 """How many records the answer to a join carries."""
 
 RELAYS_PER_ZONE = 3
 """How many balancers of a zone watch the platform's store."""
 
-VERSION_COPIES = 8
+VERSION_TRANSMISSIONS = 8
 """In so many ticks a new version of the configuration is told."""
 
-_FIRST_INQUIRY = 1 << 30
-_MAX_INQUIRERS = 64
+_FIRST_INQUIRY_NUMBER = 1 << 30
+_MAX_PENDING_INQUIRIES = 64
 
 
 class BalancerMembership:
@@ -128,22 +128,24 @@
         self._control_address = control_address
         self._random = random_source
         self._fleet = Fleet(own, directory)
-        self._budget = TokenBucket(MIN_NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
+        self._budget = TokenBucket(MIN_GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES)
         self._watcher = Watcher(self._fleet, random_source)
         self._prober = Prober(random_source)
-        self._repair_budget = TokenBucket(MIN_NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
+        self._repair_budget = TokenBucket(
+            MIN_GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES
+        )
         self._repairer = Repairer(self._fleet.table, self._repair_budget, random_source)
         self._suspects: dict[Endpoint, Millis] = {}
-        self._inquirers: dict[int, tuple[Endpoint, Inquiry]] = {}
-        self._inquiry_number = _FIRST_INQUIRY
+        self._pending_inquiries: dict[int, tuple[Endpoint, Inquiry]] = {}
+        self._inquiry_number = _FIRST_INQUIRY_NUMBER
         self._ticked_at: Millis | None = None
         self._join_at = Millis(0)
-        self._join_wait = FIRST_JOIN_MS
+        self._join_interval = INITIAL_JOIN_INTERVAL_MS
         self._fanout_at = Millis(0)
-        self._meet_at = Millis(0)
+        self._introduction_at = Millis(0)
         self._version = 0
-        self._version_copies = 0
-        self._heard: tuple[int, Endpoint] | None = None
+        self._version_transmissions = 0
+        self._advertised: tuple[int, Endpoint] | None = None
         self._handlers: dict[type, Callable[..., Iterator[Send]]] = {
             Announcement: self._on_announcement,
             Heartbeat: self._on_heartbeat,
@@ -198,28 +200,28 @@
         return self._version
 
     @property
-    def heard_configuration(self) -> tuple[int, Endpoint] | None:
+    def advertised_configuration(self) -> tuple[int, Endpoint] | None:
         """The highest version heard of and a peer that has it; None if not higher."""
-        if self._heard is None or self._heard[0] <= self._version:
+        if self._advertised is None or self._advertised[0] <= self._version:
             return None
-        return self._heard
+        return self._advertised
 
     def set_configuration_version(self, version: int) -> None:
         """Tell others of the version that this node now holds."""
         if version <= self._version:
             return
         self._version = version
-        self._version_copies = VERSION_COPIES
+        self._version_transmissions = VERSION_TRANSMISSIONS
         self._watcher.set_configuration_version(version)
 
     def is_relay(self, zone: str) -> bool:
         """Return whether this balancer is to watch the store for `zone`."""
-        of_zone = [
+        zone_balancers = [
             one
             for one in self._fleet.table.balancers
             if one.zone == zone and not one.is_suspected
         ]
-        relays = Rendezvous(of_zone).choose(f"relay {zone}", RELAYS_PER_ZONE)
+        relays = Rendezvous(zone_balancers).choose(f"relay {zone}", RELAYS_PER_ZONE)
         return self._fleet.own.endpoint in relays
 
     def on_message(
@@ -236,42 +238,42 @@
         now : Millis
             The time.
         """
-        self._excuse_pause(now)
+        self._compensate_pause(now)
         handler = self._handlers.get(type(message))
         return () if handler is None else tuple(handler(message, source, now))
 
     def on_tick(self, now: Millis) -> tuple[Send, ...]:
         """Return what is due; to be called about every 100 ms."""
-        self._excuse_pause(now)
+        self._compensate_pause(now)
         if self._fleet.superseded:
             return ()
-        cut_off = self._is_cut_off(now)
-        self._give_up_suspects(cut_off, now)
+        isolated = self._is_isolated(now)
+        self._remove_expired_suspects(isolated, now)
         self._watcher.set_caught_up(self.caught_up)
         return (
             *self._join(now),
             *self._probe(now),
-            *self._watcher.on_tick(cut_off, now),
-            *self._spread(now),
+            *self._watcher.on_tick(isolated, now),
+            *self._disseminate(now),
         )
 
     def leave(self, now: Millis) -> tuple[Send, ...]:
         """Say good-bye to some peers; nothing else is to be sent afterwards."""
         self._fleet.leave(now)
-        news = make_news([self._fleet.own])
+        updates = make_updates([self._fleet.own])
         targets = self._sample_peers(2 * FANOUT)
         return tuple(
-            self._gossip(GossipKind.NEWS, target, 0, news) for target in targets
+            self._gossip(GossipKind.NEWS, target, 0, updates) for target in targets
         )
 
-    def _is_cut_off(self, now: Millis) -> bool:
+    def _is_isolated(self, now: Millis) -> bool:
         """Return whether nobody at all is heard, so that silence tells nothing."""
-        return self._prober.is_isolated and not self._watcher.hears_agents(now)
+        return self._prober.is_isolated and not self._watcher.receives_heartbeats(now)
 
-    def _excuse_pause(self, now: Millis) -> None:
-        if self._ticked_at is not None and now - self._ticked_at > PAUSE_MS:
+    def _compensate_pause(self, now: Millis) -> None:
+        if self._ticked_at is not None and now - self._ticked_at > PAUSE_THRESHOLD_MS:
             pause_ms = Millis(now - self._ticked_at)
-            self._watcher.excuse(pause_ms, now)
+            self._watcher.compensate_pause(pause_ms, now)
             self._prober.drop_pending()
             self._suspects = {
                 endpoint: Millis(since + pause_ms)
@@ -284,18 +286,18 @@
             return
         peers = len(self._fleet.peers)
         if peers:
-            wait = JOIN_MS * (1 + peers // JOIN_PEERS)
+            wait = JOIN_INTERVAL_MS * (1 + peers // PEERS_PER_JOIN_INTERVAL)
         else:
-            wait = self._join_wait
-            self._join_wait = Millis(min(2 * wait, MAX_FIRST_JOIN_MS))
+            wait = self._join_interval
+            self._join_interval = Millis(min(2 * wait, MAX_INITIAL_JOIN_INTERVAL_MS))
         self._join_at = Millis(now + wait // 2 + self._random.randrange(wait))
         yield Send(self._control_address, Join(self._fleet.own))
 
     def _probe(self, now: Millis) -> Iterator[Send]:
         step = self._prober.on_tick(self._fleet.peers, now)
         if step.probe is not None:
-            news = self._take_news(now)
-            yield self._gossip(GossipKind.PROBE, step.probe, step.number, news)
+            updates = self._take_updates(now)
+            yield self._gossip(GossipKind.PROBE, step.probe, step.number, updates)
         if step.inquire is not None:
             yield from self._inquire(step.inquire)
         if step.suspect is not None:
@@ -313,67 +315,67 @@
         record = self._fleet.table.get(silent)
         if not isinstance(record, BalancerRecord) or record.is_suspected:
             return
-        if record.state is not AgentState.GONE and not self._is_cut_off(now):
-            self._fleet.set_suspicion(record, now)
+        if record.state is not AgentState.GONE and not self._is_isolated(now):
+            self._fleet.toggle_suspicion(record, now)
 
-    def _give_up_suspects(self, cut_off: bool, now: Millis) -> None:
+    def _remove_expired_suspects(self, isolated: bool, now: Millis) -> None:
         suspected = self._fleet.suspected
         self._suspects = {
             one.endpoint: self._suspects.get(one.endpoint, now) for one in suspected
         }
         for record in suspected:
             since = self._suspects[record.endpoint]
-            if now - since >= SUSPECT_KEPT_MS and not cut_off:
+            if now - since >= SUSPICION_TIMEOUT_MS and not isolated:
                 # All nodes come to this by themselves: it needs no telling.
                 gone = replace(record, state=AgentState.GONE)
-                self._fleet.merge_quietly(gone, now)
+                self._fleet.merge_without_gossip(gone, now)
 
-    def _spread(self, now: Millis) -> Iterator[Send]:
+    def _disseminate(self, now: Millis) -> Iterator[Send]:
         if now < self._fanout_at:
             return
         self._fanout_at = Millis(now + FANOUT_INTERVAL_MS)
         self._fleet.table.forget_gone(now)
-        self._set_news_rate(now)
-        if not self._fleet.news and not self._version_copies:
+        self._update_gossip_rates(now)
+        if not self._fleet.updates and not self._version_transmissions:
             return
-        self._version_copies = max(0, self._version_copies - 1)
+        self._version_transmissions = max(0, self._version_transmissions - 1)
         for peer in self._sample_peers(FANOUT):
-            if not self._may_send_news(now) and not self._version_copies:
+            if not self._has_gossip_budget(now) and not self._version_transmissions:
                 return
-            news = self._take_news(now)
-            if news == NO_NEWS and not self._version_copies:
+            updates = self._take_updates(now)
+            if updates == NO_NEWS and not self._version_transmissions:
                 return
             self._budget.spend(DATAGRAM_BYTES, now)
-            yield self._gossip(GossipKind.NEWS, peer, 0, news)
+            yield self._gossip(GossipKind.NEWS, peer, 0, updates)
 
-    def _may_send_news(self, now: Millis) -> bool:
+    def _has_gossip_budget(self, now: Millis) -> bool:
         """Return whether the budget lets a datagram be well filled."""
-        wanted = DATAGRAM_BYTES + RECORD_BYTES * len(self._fleet.news)
-        return self._budget.get_level(now) >= min(wanted, NEWS_BURST_BYTES)
+        wanted = DATAGRAM_BYTES + RECORD_BYTES * len(self._fleet.updates)
+        return self._budget.get_level(now) >= min(wanted, GOSSIP_BURST_BYTES)
 
-    def _set_news_rate(self, now: Millis) -> None:
+    def _update_gossip_rates(self, now: Millis) -> None:
         watching = self._watcher.estimate_bytes_per_second()
         left = CONTROL_BYTES_PER_SECOND - PROBE_BYTES_PER_SECOND - watching
-        rate = max(MIN_NEWS_BYTES_PER_SECOND, left)
+        rate = max(MIN_GOSSIP_BYTES_PER_SECOND, left)
         share = REPAIR_SHARE if self.caught_up else CATCH_UP_SHARE
         self._repair_budget.set_rate(int(share * rate), now)
         self._budget.set_rate(int((1 - share) * rate), now)
 
-    def _take_news(self, now: Millis) -> News:
-        room = min(MAX_NEWS_BYTES, self._budget.get_level(now))
-        news = self._fleet.news.take(room)
-        self._budget.spend(_estimate_bytes(news), now)
-        return news
+    def _take_updates(self, now: Millis) -> News:
+        room = min(MAX_UPDATE_BYTES, self._budget.get_level(now))
+        updates = self._fleet.updates.take(room)
+        self._budget.spend(_estimate_bytes(updates), now)
+        return updates
 
     def _sample_peers(self, count: int) -> list[Endpoint]:
         peers = self._fleet.reachable
         return self._random.sample(peers, min(count, len(peers)))
 
     def _gossip(
-        self, kind: GossipKind, destination: Endpoint, number: int, news: News
+        self, kind: GossipKind, destination: Endpoint, number: int, updates: News
     ) -> Send:
         digest = self._fleet.table.digest if self.caught_up else NO_DIGEST
-        return Send(destination, Gossip(kind, number, digest, self._version, news))
+        return Send(destination, Gossip(kind, number, digest, self._version, updates))
 
     def _on_announcement(
         self, message: Announcement, _source: Endpoint, now: Millis
@@ -392,79 +394,81 @@
             return
         outcome = self._fleet.merge(message.record, now)
         records: list[Record] = [self._fleet.own]
-        if outcome is MergeOutcome.NEWS:
-            records += self._introduce(joiner)
+        if outcome is MergeOutcome.NEWER:
+            records += self._select_join_records(joiner)
         elif (known := self._fleet.table.get(joiner)) != message.record and known:
             records.append(known)
         self._budget.spend(RECORD_BYTES * len(records), now)
-        yield self._gossip(GossipKind.NEWS, joiner, 0, make_news(records))
+        yield self._gossip(GossipKind.NEWS, joiner, 0, make_updates(records))
 
-    def _introduce(self, joiner: Endpoint) -> list[Record]:
+    def _select_join_records(self, joiner: Endpoint) -> list[Record]:
         others = [one for one in self.balancers if one.endpoint != joiner]
-        balancers = self._random.sample(others, min(len(others), JOIN_RECORDS))
+        balancers = self._random.sample(others, min(len(others), MAX_JOIN_RECORDS))
         agents = [
             one for one in self.directory.records if one.state is not AgentState.GONE
         ]
-        fits = len(balancers) + len(agents) <= JOIN_RECORDS
+        fits = len(balancers) + len(agents) <= MAX_JOIN_RECORDS
         return [*balancers, *agents] if fits else [*balancers]
 
     def _on_gossip(
         self, message: Gossip, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         self._budget.spend(_estimate_bytes(message.news), now)
-        yield from self._take_in(message.news, source, now)
-        self._note_version(message.configuration_version, source)
+        yield from self._merge_updates(message.news, source, now)
+        self._record_version(message.configuration_version, source)
         yield from self._answer(message, source, now)
         known = self._fleet.table.get(source)
         if known is None or known.state is AgentState.GONE:
-            yield from self._meet(known, source, now)
+            yield from self._send_introduction(known, source, now)
             return
-        settled = not self._fleet.news
-        yield from self._repairer.on_digest(message.digest, source, settled, now)
+        gossip_idle = not self._fleet.updates
+        yield from self._repairer.on_digest(message.digest, source, gossip_idle, now)
 
     def _answer(self, message: Gossip, source: Endpoint, now: Millis) -> Iterator[Send]:
         if message.kind is GossipKind.PROBE:
-            news = self._take_news(now)
-            yield self._gossip(GossipKind.ANSWER, source, message.number, news)
+            updates = self._take_updates(now)
+            yield self._gossip(GossipKind.ANSWER, source, message.number, updates)
         elif message.kind is GossipKind.ANSWER:
-            self._prober.note_answer(message.number)
-            waiting = self._inquirers.pop(message.number, None)
+            self._prober.record_answer(message.number)
+            waiting = self._pending_inquiries.pop(message.number, None)
             if waiting is not None:
                 inquirer, inquiry = waiting
                 voucher = Voucher(inquiry.endpoint, inquiry.incarnation, 0)
                 yield Send(inquirer, voucher)
 
-    def _meet(
+    def _send_introduction(
         self, known: Record | None, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Make a node known that speaks though it is unknown, or taken for gone."""
-        if now < self._meet_at:
+        if now < self._introduction_at:
             return
-        self._meet_at = Millis(now + MEET_MS)
+        self._introduction_at = Millis(now + INTRODUCTION_INTERVAL_MS)
         if known is not None:
-            yield self._gossip(GossipKind.NEWS, source, 0, make_news([known]))
+            yield self._gossip(GossipKind.NEWS, source, 0, make_updates([known]))
         yield Send(source, Join(self._fleet.own))
 
-    def _take_in(self, news: News, source: Endpoint, now: Millis) -> Iterator[Send]:
-        for record in news.records:
+    def _merge_updates(
+        self, updates: News, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
+        for record in updates.records:
             self._fleet.merge(record, now)
-        for vector in news.vectors:
+        for vector in updates.vectors:
             if not self._fleet.merge_vector(vector, now):
                 yield from self._repairer.send_bucket(vector.bucket, source, now)
 
     def _on_records(
         self, message: Records, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        news = message.news
-        self._repair_budget.spend(DATAGRAM_BYTES + _estimate_bytes(news), now)
+        updates = message.news
+        self._repair_budget.spend(DATAGRAM_BYTES + _estimate_bytes(updates), now)
         newer: list[Record] = []
-        for record in news.records:
-            outcome = self._fleet.merge_quietly(record, now)
+        for record in updates.records:
+            outcome = self._fleet.merge_without_gossip(record, now)
             known = self._fleet.table.get(record.endpoint)
             if outcome is MergeOutcome.STALE and known is not None:
                 newer.append(known)
         if newer:
-            yield Send(source, Records(make_news(newer)))
+            yield Send(source, Records(make_updates(newer)))
 
     def _on_inquiry(
         self, message: Inquiry, source: Endpoint, now: Millis
@@ -474,9 +478,9 @@
             yield from self._watcher.on_inquiry(message, source, now)
         elif isinstance(record, BalancerRecord):
             self._inquiry_number += 1
-            if len(self._inquirers) >= _MAX_INQUIRERS:
-                self._inquirers.clear()
-            self._inquirers[self._inquiry_number] = (source, message)
+            if len(self._pending_inquiries) >= _MAX_PENDING_INQUIRIES:
+                self._pending_inquiries.clear()
+            self._pending_inquiries[self._inquiry_number] = (source, message)
             yield self._gossip(
                 GossipKind.PROBE, message.endpoint, self._inquiry_number, NO_NEWS
             )
@@ -485,13 +489,13 @@
         self, message: Voucher, _source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         self._watcher.on_voucher(message, now)
-        self._prober.note_alive(message.endpoint)
+        self._prober.record_alive(message.endpoint)
         yield from ()
 
-    def _note_version(self, version: int, source: Endpoint) -> None:
-        if version > max(self._version, self._heard[0] if self._heard else 0):
-            self._heard = (version, source)
+    def _record_version(self, version: int, source: Endpoint) -> None:
+        if version > max(self._version, self._advertised[0] if self._advertised else 0):
+            self._advertised = (version, source)
 
 
-def _estimate_bytes(news: News) -> int:
-    return int(sum(estimate_bytes(one) for one in (*news.records, *news.vectors)))
+def _estimate_bytes(updates: News) -> int:
+    return int(sum(estimate_bytes(one) for one in (*updates.records, *updates.vectors)))
--- a/src/papayagw/_internal/core/rendezvous.py
+++ b/src/papayagw/_internal/core/rendezvous.py
@@ -39,14 +39,16 @@
     def choose(self, key: str, count: int) -> tuple[Endpoint, ...]:
         """Return up to `count` balancers for `key`, the best first."""
         scores = self._score(key)
-        left = np.ones(len(scores), dtype=bool)
-        fresh = left.copy()
+        remaining = np.ones(len(scores), dtype=bool)
+        in_unused_zone = remaining.copy()
         chosen: list[int] = []
-        while len(chosen) < count and left.any():
-            best = _find_best(scores, fresh if fresh.any() else left)
+        while len(chosen) < count and remaining.any():
+            best = _find_best(
+                scores, in_unused_zone if in_unused_zone.any() else remaining
+            )
             chosen.append(best)
-            left[best] = False
-            fresh &= self._zones != self._zones[best]
+            remaining[best] = False
+            in_unused_zone &= self._zones != self._zones[best]
         return tuple(self._endpoints[index] for index in chosen)
 
     def _score(self, key: str) -> npt.NDArray[np.uint64]:
--- a/src/papayagw/_internal/core/watch.py
+++ b/src/papayagw/_internal/core/watch_list.py
@@ -11,19 +11,19 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
-INQUIRE_BEATS = 2.3
+INQUIRE_AFTER_INTERVALS = 2.3
 """After how many silent intervals a watcher asks the others."""
 
-SUSPECT_BEATS = 3.0
+SUSPECT_AFTER_INTERVALS = 3.0
 """After how many silent intervals a watcher suspects."""
 
-MAX_VOUCHED = 3
+MAX_VOUCHERS = 3
 """How often another watcher's word doubles the patience with an agent."""
 
-WAKE_GRACE_MS = Millis(4_000)
+RESUME_GRACE_MS = Millis(4_000)
 """The time after a pause in which agents that gave this node up find it again."""
 
-FIRST_INTERVAL_MS = Millis(2_000)
+INITIAL_INTERVAL_MS = Millis(2_000)
 """The interval that is assumed of an agent until it is told one."""
 
 
@@ -33,16 +33,16 @@
 
     incarnation: Incarnation
     beat: int
-    heard_at: Millis
+    received_at: Millis
     interval_ms: Millis
     inquired: bool = False
     suspected: bool = False
-    excused: bool = False
-    vouched: int = 0
+    pause_compensated: bool = False
+    voucher_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Beat:
+class ReceivedHeartbeat:
     """A heartbeat that was heard.
 
     Attributes
@@ -54,11 +54,11 @@
     """
 
     number: int
-    heard_at: Millis
+    received_at: Millis
 
 
 @dataclass(frozen=True, slots=True)
-class Silence:
+class OverdueAgents:
     """Agents that have fallen silent.
 
     Attributes
@@ -83,9 +83,9 @@
         return len(self._watched)
 
     @property
-    def heard_count(self) -> int:
+    def direct_count(self) -> int:
         """How many of the agents this node hears itself."""
-        return sum(not watched.vouched for watched in self._watched.values())
+        return sum(not watched.voucher_count for watched in self._watched.values())
 
     def __contains__(self, endpoint: Endpoint) -> bool:
         return endpoint in self._watched
@@ -94,9 +94,9 @@
         """Watch an agent from now on."""
         known = self._watched.get(endpoint)
         if known is None or known.incarnation < incarnation:
-            self._watched[endpoint] = _Watched(incarnation, 0, now, FIRST_INTERVAL_MS)
+            self._watched[endpoint] = _Watched(incarnation, 0, now, INITIAL_INTERVAL_MS)
 
-    def note_interval(self, endpoint: Endpoint, interval_ms: Millis) -> None:
+    def set_interval(self, endpoint: Endpoint, interval_ms: Millis) -> None:
         """Note the time between heartbeats that an agent was told."""
         watched = self._watched.get(endpoint)
         if watched is not None:
@@ -106,7 +106,7 @@
         """Watch an agent no longer."""
         self._watched.pop(endpoint, None)
 
-    def note_beat(
+    def record_heartbeat(
         self, endpoint: Endpoint, incarnation: Incarnation, beat: int, now: Millis
     ) -> bool:
         """Note a heartbeat; return False for a late one, which counts for nothing."""
@@ -117,8 +117,8 @@
         self._watched[endpoint] = _Watched(incarnation, beat, now, watched.interval_ms)
         return True
 
-    def note_voucher(
-        self, endpoint: Endpoint, incarnation: Incarnation, beat: Beat
+    def record_voucher(
+        self, endpoint: Endpoint, incarnation: Incarnation, beat: ReceivedHeartbeat
     ) -> bool:
         """Note another watcher's word, which counts as a heartbeat.
 
@@ -126,41 +126,41 @@
         in its own view, so this node asks about it less and less often.
         """
         watched = self._watched.get(endpoint)
-        vouched = 0 if watched is None else watched.vouched
-        if watched is None or not self.note_beat(
-            endpoint, incarnation, beat.number, beat.heard_at
+        voucher_count = 0 if watched is None else watched.voucher_count
+        if watched is None or not self.record_heartbeat(
+            endpoint, incarnation, beat.number, beat.received_at
         ):
             return False
         self._watched[endpoint] = replace(
-            self._watched[endpoint], vouched=min(vouched + 1, MAX_VOUCHED)
+            self._watched[endpoint], voucher_count=min(voucher_count + 1, MAX_VOUCHERS)
         )
         return True
 
-    def get_beat(
+    def get_heartbeat(
         self, endpoint: Endpoint, incarnation: Incarnation, since: Millis
-    ) -> Beat | None:
+    ) -> ReceivedHeartbeat | None:
         """Return the last beat of an agent that was heard after `since`, or None."""
         watched = self._watched.get(endpoint)
         if watched is None or watched.incarnation != incarnation:
             return None
-        if watched.heard_at < since or not watched.beat or watched.excused:
+        if watched.received_at < since or not watched.beat or watched.pause_compensated:
             return None
-        return Beat(watched.beat, watched.heard_at)
+        return ReceivedHeartbeat(watched.beat, watched.received_at)
 
-    def find_silent(self, now: Millis) -> Silence:
+    def find_overdue(self, now: Millis) -> OverdueAgents:
         """Return the agents that have fallen silent since the last call."""
         inquire: list[Endpoint] = []
         suspect: list[Endpoint] = []
         for endpoint, watched in list(self._watched.items()):
-            patience_ms = watched.interval_ms << max(0, watched.vouched - 1)
-            beats = (now - watched.heard_at) / patience_ms
-            if not watched.inquired and beats >= INQUIRE_BEATS:
+            timeout_ms = watched.interval_ms << max(0, watched.voucher_count - 1)
+            intervals = (now - watched.received_at) / timeout_ms
+            if not watched.inquired and intervals >= INQUIRE_AFTER_INTERVALS:
                 self._watched[endpoint] = replace(watched, inquired=True)
                 inquire.append(endpoint)
-            elif not watched.suspected and beats >= SUSPECT_BEATS:
+            elif not watched.suspected and intervals >= SUSPECT_AFTER_INTERVALS:
                 self._watched[endpoint] = replace(watched, suspected=True)
                 suspect.append(endpoint)
-        return Silence(tuple(inquire), tuple(suspect))
+        return OverdueAgents(tuple(inquire), tuple(suspect))
 
     def list_watched(self) -> Iterator[tuple[Endpoint, bool]]:
         """Return each agent and whether its silence is long enough to suspect it."""
@@ -168,11 +168,13 @@
 
     def list_silent_since(self, since: Millis) -> Sequence[Endpoint]:
         """Return the agents that weren't heard after `since`."""
-        return [one for one, at in self._watched.items() if at.heard_at < since]
+        return [one for one, at in self._watched.items() if at.received_at < since]
 
-    def excuse(self, pause_ms: Millis) -> None:
+    def compensate_pause(self, pause_ms: Millis) -> None:
         """Forgive all a silence during which this node was itself paused."""
         for endpoint, watched in list(self._watched.items()):
-            heard_at = Millis(watched.heard_at + pause_ms + WAKE_GRACE_MS)
-            excused = replace(watched, heard_at=heard_at, excused=True)
-            self._watched[endpoint] = excused
+            received_at = Millis(watched.received_at + pause_ms + RESUME_GRACE_MS)
+            compensated = replace(
+                watched, received_at=received_at, pause_compensated=True
+            )
+            self._watched[endpoint] = compensated
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -9,9 +9,14 @@
 from collections.abc import Iterator, Sequence
 
 from papayagw._internal.core.choice import unit_hash
-from papayagw._internal.core.fleet import WATCHERS, Fleet
+from papayagw._internal.core.fleet import WATCHERS_PER_AGENT, Fleet
 from papayagw._internal.core.gossip_table import compute_fingerprint
-from papayagw._internal.core.watch import SUSPECT_BEATS, WAKE_GRACE_MS, Beat, WatchList
+from papayagw._internal.core.watch_list import (
+    RESUME_GRACE_MS,
+    SUSPECT_AFTER_INTERVALS,
+    ReceivedHeartbeat,
+    WatchList,
+)
 from papayagw._internal.core.zone_loss import ZoneLossDetector
 from papayagw._internal.models.agent import AgentRecord, AgentState, Incarnation
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
@@ -38,19 +43,19 @@
 MIN_INTERVAL_MS = Millis(400)
 MAX_INTERVAL_MS = Millis(3_000)
 
-ACK_BEATS = 5
+HEARTBEATS_PER_ACK = 5
 """One heartbeat in so many is acknowledged."""
 
 MAX_SIBLINGS = 8
 """The most siblings that an agent is told of."""
 
-ABANDON_MS = Millis(600_000)
+REMOVAL_TIMEOUT_MS = Millis(600_000)
 """After this silence an agent is given up."""
 
 MIN_READY_SHARE = 0.5
 """No agent is given up while fewer of its service are ready and heard."""
 
-ABANDON_CHECK_MS = Millis(5_000)
+REMOVAL_CHECK_INTERVAL_MS = Millis(5_000)
 AUDIT_TICKS = 600
 """In so many ticks all records are checked for agents that nobody watches."""
 
@@ -70,14 +75,14 @@
     def __init__(self, fleet: Fleet, random_source: random.Random):
         self._fleet = fleet
         self._random = random_source
-        self._ack_offset = random_source.randrange(ACK_BEATS)
+        self._ack_offset = random_source.randrange(HEARTBEATS_PER_ACK)
         self._watch = WatchList()
         self._zone_loss = ZoneLossDetector(fleet, self._watch)
         self._configuration_version = 0
         self._caught_up = False
-        self._next_abandon_at = Millis(0)
+        self._next_removal_check_at = Millis(0)
         self._audit_queue: list[AgentRecord] = []
-        self._trusts_beats_at = Millis(0)
+        self._accepts_refutations_at = Millis(0)
 
     @property
     def watched_count(self) -> int:
@@ -95,15 +100,15 @@
     def compute_interval(self) -> Millis:
         """Return the time between heartbeats that keeps them within their budget."""
         size = self._fleet.size
-        watched = self._fleet.table.agent_count * min(WATCHERS, size) / size
+        watched = self._fleet.table.agent_count * min(WATCHERS_PER_AGENT, size) / size
         seconds = watched * HEARTBEAT_BYTES / HEARTBEAT_BYTES_PER_SECOND
         interval = int(seconds * MILLIS_PER_SECOND)
         return Millis(max(MIN_INTERVAL_MS, min(MAX_INTERVAL_MS, interval)))
 
     def estimate_bytes_per_second(self) -> int:
         """Return what heartbeats and their acknowledgements cost."""
-        each = HEARTBEAT_BYTES + ACKNOWLEDGEMENT_BYTES // ACK_BEATS
-        per_interval = self._watch.heard_count * each
+        each = HEARTBEAT_BYTES + ACKNOWLEDGEMENT_BYTES // HEARTBEATS_PER_ACK
+        per_interval = self._watch.direct_count * each
         return per_interval * MILLIS_PER_SECOND // self.compute_interval()
 
     def on_announcement(self, message: Announcement, now: Millis) -> Iterator[Send]:
@@ -120,67 +125,71 @@
         if not _is_current(known, message):
             yield self._acknowledge(message.endpoint, message.siblings_digest, now)
             return
-        if not self._watch.note_beat(
+        if not self._watch.record_heartbeat(
             message.endpoint, message.incarnation, message.beat, now
         ):
             return
         self._refute(message.endpoint, now)
-        if (message.beat + self._ack_offset) % ACK_BEATS == 0:
+        if (message.beat + self._ack_offset) % HEARTBEATS_PER_ACK == 0:
             yield self._acknowledge(message.endpoint, message.siblings_digest, now)
 
     def on_inquiry(
         self, message: Inquiry, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Vouch for an agent that was heard lately."""
-        since = Millis(now - int(SUSPECT_BEATS * self.compute_interval()))
-        beat = self._watch.get_beat(message.endpoint, message.incarnation, since)
-        if beat is not None:
-            age_ms = Millis(now - beat.heard_at)
+        since = Millis(now - int(SUSPECT_AFTER_INTERVALS * self.compute_interval()))
+        heartbeat = self._watch.get_heartbeat(
+            message.endpoint, message.incarnation, since
+        )
+        if heartbeat is not None:
+            age_ms = Millis(now - heartbeat.received_at)
             yield Send(
                 source,
-                Voucher(message.endpoint, message.incarnation, beat.number, age_ms),
+                Voucher(
+                    message.endpoint, message.incarnation, heartbeat.number, age_ms
+                ),
             )
 
     def on_voucher(self, message: Voucher, now: Millis) -> None:
         """Take another watcher's word for a heartbeat."""
-        beat = Beat(message.beat, Millis(now - message.age_ms))
-        if self._watch.note_voucher(message.endpoint, message.incarnation, beat):
+        heartbeat = ReceivedHeartbeat(message.beat, Millis(now - message.age_ms))
+        if self._watch.record_voucher(message.endpoint, message.incarnation, heartbeat):
             self._refute(message.endpoint, now)
 
-    def on_tick(self, cut_off: bool, now: Millis) -> Iterator[Send]:
+    def on_tick(self, isolated: bool, now: Millis) -> Iterator[Send]:
         """Ask about silent agents, suspect them, give them up."""
-        silence = self._watch.find_silent(now)
-        for endpoint in silence.inquire:
+        overdue = self._watch.find_overdue(now)
+        for endpoint in overdue.inquire:
             yield from self._inquire(endpoint)
-        for endpoint in silence.suspect:
-            self._suspect(endpoint, cut_off, now)
-        if not cut_off:
+        for endpoint in overdue.suspect:
+            self._suspect(endpoint, isolated, now)
+        if not isolated:
             self._zone_loss.on_tick(now)
         self._audit(now)
-        if now >= self._next_abandon_at:
-            self._next_abandon_at = Millis(now + ABANDON_CHECK_MS)
-            self._abandon(now)
+        if now >= self._next_removal_check_at:
+            self._next_removal_check_at = Millis(now + REMOVAL_CHECK_INTERVAL_MS)
+            self._remove_expired(now)
 
-    def hears_agents(self, now: Millis) -> bool:
+    def receives_heartbeats(self, now: Millis) -> bool:
         """Return whether any watched agent was heard lately."""
-        since = Millis(now - int(SUSPECT_BEATS * self.compute_interval()))
+        since = Millis(now - int(SUSPECT_AFTER_INTERVALS * self.compute_interval()))
         return len(self._watch.list_silent_since(since)) < len(self._watch)
 
-    def excuse(self, pause_ms: Millis, now: Millis) -> None:
+    def compensate_pause(self, pause_ms: Millis, now: Millis) -> None:
         """Forgive all a silence during which this node was itself paused.
 
         What it finds in its socket on waking may be as old as the pause, so for a
         while it clears nobody of a suspicion.
         """
-        self._watch.excuse(pause_ms)
-        self._trusts_beats_at = Millis(now + WAKE_GRACE_MS)
+        self._watch.compensate_pause(pause_ms)
+        self._accepts_refutations_at = Millis(now + RESUME_GRACE_MS)
 
     def _refute(self, endpoint: Endpoint, now: Millis) -> None:
-        if now < self._trusts_beats_at:
+        if now < self._accepts_refutations_at:
             return
         known = self._fleet.table.get(endpoint)
         if known is not None and known.is_suspected:
-            self._fleet.set_suspicion(known, now)
+            self._fleet.toggle_suspicion(known, now)
 
     def _acknowledge(self, agent: Endpoint, digest: int, now: Millis) -> Send:
         known = self._fleet.table.get(agent)
@@ -192,7 +201,7 @@
             )
             return Send(agent, unknown)
         if interval != KEEP_INTERVAL_MS:
-            self._watch.note_interval(agent, interval)
+            self._watch.set_interval(agent, interval)
         siblings = self._list_siblings(known)
         own_digest = _compute_digest(siblings)
         return Send(
@@ -228,13 +237,13 @@
             asked = self._random.choice(others)
             yield Send(asked, Inquiry(endpoint, known.incarnation))
 
-    def _suspect(self, endpoint: Endpoint, cut_off: bool, now: Millis) -> None:
+    def _suspect(self, endpoint: Endpoint, isolated: bool, now: Millis) -> None:
         known = self._fleet.table.get(endpoint)
         gone = known is None or known.state is AgentState.GONE
         if known is None or gone or not self._fleet.is_watcher(endpoint):
             self._watch.remove(endpoint)
-        elif not known.is_suspected and not cut_off:
-            self._fleet.set_suspicion(known, now)
+        elif not known.is_suspected and not isolated:
+            self._fleet.toggle_suspicion(known, now)
 
     def _audit(self, now: Millis) -> None:
         if not self._audit_queue:
@@ -253,20 +262,24 @@
             and self._fleet.is_watcher(record.endpoint)
         )
 
-    def _abandon(self, now: Millis) -> None:
-        since = Millis(now - ABANDON_MS)
+    def _remove_expired(self, now: Millis) -> None:
+        since = Millis(now - REMOVAL_TIMEOUT_MS)
         for endpoint in self._watch.list_silent_since(since):
             known = self._fleet.table.get(endpoint)
-            if isinstance(known, AgentRecord) and self._may_abandon(known):
+            if isinstance(known, AgentRecord) and self._may_remove(known):
                 self._fleet.mark_gone(known, now)
                 self._watch.remove(endpoint)
 
-    def _may_abandon(self, record: AgentRecord) -> bool:
+    def _may_remove(self, record: AgentRecord) -> bool:
         if record.state is AgentState.DRAINING:
             return record.is_suspected
-        willing = self._fleet.table.directory.find_willing(record.service_id)
-        heard = [one for one in willing if not one.is_suspected]
-        return record.is_suspected and len(heard) >= MIN_READY_SHARE * len(willing)
+        reported_ready = self._fleet.table.directory.find_reported_ready(
+            record.service_id
+        )
+        unsuspected = [one for one in reported_ready if not one.is_suspected]
+        return record.is_suspected and len(unsuspected) >= MIN_READY_SHARE * len(
+            reported_ready
+        )
 
 
 def _is_current(known: object, heartbeat: Heartbeat) -> bool:
--- a/src/papayagw/_internal/core/zone_loss.py
+++ b/src/papayagw/_internal/core/zone_loss.py
@@ -11,18 +11,18 @@
 from collections.abc import Iterator
 
 from papayagw._internal.core.fleet import Fleet
-from papayagw._internal.core.watch import WatchList
+from papayagw._internal.core.watch_list import WatchList
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.control import BUCKETS_PER_ZONE, Bucket, Record
 
-MIN_SILENT = 3
+MIN_SILENT_AGENTS = 3
 """How many agents of the zone this balancer must miss itself."""
 
 MIN_SUSPECTED_SHARE = 0.1
 """The share of the zone's nodes that must be under suspicion."""
 
 
-CHECK_MS = Millis(500)
+CHECK_INTERVAL_MS = Millis(500)
 """The time between two checks."""
 
 
@@ -47,7 +47,7 @@
         """Check the signs."""
         if now < self._next_at:
             return
-        self._next_at = Millis(now + CHECK_MS)
+        self._next_at = Millis(now + CHECK_INTERVAL_MS)
         silent = self._find_silent_zones()
         self._lost &= silent
         for zone in sorted(silent - self._lost):
@@ -56,7 +56,7 @@
 
     def _find_silent_zones(self) -> frozenset[str]:
         silent: Counter[str] = Counter()
-        heard: set[str] = set()
+        responsive: set[str] = set()
         for endpoint, is_silent in self._watch.list_watched():
             record = self._fleet.table.get(endpoint)
             if record is None:
@@ -64,9 +64,11 @@
             if is_silent:
                 silent[record.zone] += 1
             else:
-                heard.add(record.zone)
-        enough = {zone for zone, count in silent.items() if count >= MIN_SILENT}
-        return frozenset(enough - heard)
+                responsive.add(record.zone)
+        silent_zones = {
+            zone for zone, count in silent.items() if count >= MIN_SILENT_AGENTS
+        }
+        return frozenset(silent_zones - responsive)
 
     def _suspect_zone(self, zone: str, now: Millis) -> bool:
         records = list(self._list_nodes(zone))
@@ -75,7 +77,7 @@
             return False
         for record in records:
             if not record.is_suspected and record.endpoint != self._fleet.own.endpoint:
-                self._fleet.set_suspicion(record, now)
+                self._fleet.toggle_suspicion(record, now)
         return True
 
     def _list_nodes(self, zone: str) -> Iterator[Record]:
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -137,6 +137,6 @@
             core.set_max_flows(service.max_flows)
 
     def _pass_on_versions(self) -> None:
-        heard = self._announcer.heard_configuration
+        heard = self._announcer.advertised_configuration
         if heard is not None:
             self._source.hear_version(*heard)
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -119,6 +119,6 @@
 
     def _after_tick(self) -> None:
         self._core.forget_refused(self._clock.now())
-        heard = self._membership.heard_configuration
+        heard = self._membership.advertised_configuration
         if heard is not None:
             self._source.hear_version(*heard)
--- a/tests/lib/scenario.py
+++ b/tests/lib/scenario.py
@@ -66,7 +66,7 @@
         self.world.agents[name] = Agent(self.world, name, service, number)
 
     def do_at(self, at, *words):
-        self.world.at(int(at) - self.world.now(), lambda: self.do(*words))
+        self.world.call_later(int(at) - self.world.now(), lambda: self.do(*words))
 
     def do_run(self, duration):
         self.world.run(int(duration))
@@ -77,7 +77,9 @@
     def do_calls(self, prefix, count, service, lines, every):
         for number in range(int(count)):
             words = ("call", f"{prefix}{number}", service, lines)
-            self.world.at(number * int(every), lambda words=words: self.do(*words))
+            self.world.call_later(
+                number * int(every), lambda words=words: self.do(*words)
+            )
 
     def do_kill(self, name):
         node = self.find(name)
@@ -97,13 +99,13 @@
         self.find(name).thaw()
 
     def do_cut(self, source, target):
-        self.world.cut.add((source, target))
+        self.world.blocked_links.add((source, target))
 
     def do_split(self, one, other):
-        self.world.cut |= {(one, other), (other, one)}
+        self.world.blocked_links |= {(one, other), (other, one)}
 
     def do_heal(self):
-        self.world.cut.clear()
+        self.world.blocked_links.clear()
 
     def do_backend(self, name, mode):
         if mode == "break":
@@ -115,12 +117,14 @@
         calls = [c for c in self.world.calls.values() if fnmatch(c.name, pattern)]
         assert calls, f"no call is named {pattern}"
         for call in calls:
-            told = "open" if call.told is None else call.told.value
+            told = (
+                "open" if call.reported_outcome is None else call.reported_outcome.value
+            )
             assert told in outcomes, f"{call.name} was told {told}"
 
     def do_expect_runs(self, name, count):
-        assert self.world.book.count_runs(name) == int(count)
+        assert self.world.ground_truth.count_runs(name) == int(count)
 
     def do_expect_idle(self, name, after):
-        late = [run for run in self.world.book.runs if run[1] == name]
+        late = [run for run in self.world.ground_truth.runs if run[1] == name]
         assert all(at <= int(after) for _, _, at in late), f"{name} got work late"
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True)
-class Up:
+class RequestFrame:
     """What a caller's side has sent so far, and what it has received."""
 
     tag: bytes
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True)
-class Down:
+class ResponseFrame:
     """What an agent has answered so far; the end is one more than its length."""
 
     tag: bytes
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True)
-class Shake:
+class HandshakeReply:
     """An agent's answer to an opening."""
 
     opening: bytes
@@ -75,7 +75,7 @@
 
 
 @dataclass
-class Book:
+class GroundTruth:
     """What truly happened, for the checks at the end."""
 
     runs: list[tuple[str, str, int]] = field(default_factory=list)
@@ -84,7 +84,7 @@
     def count_runs(self, call: str) -> int:
         return sum(one == call for one, _, _ in self.runs)
 
-    def is_touched(self, call: str) -> bool:
+    def has_delivery(self, call: str) -> bool:
         return any(one == call for one, _, _ in self.deliveries)
 
 
@@ -99,24 +99,24 @@
         Returns one of a sequence, as the fabric does.
     """
 
-    def __init__(self, fate, pick, mechanisms=None):
+    def __init__(self, draw_delays, choose, mechanisms=None):
         self.clock = ManualClock(0)
-        self.fate = fate
-        self.pick = pick
+        self.draw_delays = draw_delays
+        self.choose = choose
         self.mechanisms = mechanisms or Mechanisms()
-        self.book = Book()
+        self.ground_truth = GroundTruth()
         self.balancers: dict[str, Any] = {}
         self.agents: dict[str, Any] = {}
         self.calls: dict[str, Any] = {}
-        self.bound: dict[Endpoint, Any] = {}
-        self.cut: set[tuple[str, str]] = set()
+        self.agents_by_endpoint: dict[Endpoint, Any] = {}
+        self.blocked_links: set[tuple[str, str]] = set()
         self.numbers = count(1)
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
 
     def now(self):
         return self.clock.now()
 
-    def at(self, delay, action):
+    def call_later(self, delay, action):
         """Run `action` after `delay` milliseconds."""
         heapq.heappush(self._queue, (self.now() + delay, next(self.numbers), action))
 
@@ -127,22 +127,24 @@
             if node.alive:
                 if not node.frozen:
                     action()
-                self.at(TICK_MS, tick)
+                self.call_later(TICK_MS, tick)
 
-        self.at(TICK_MS, tick)
+        self.call_later(TICK_MS, tick)
 
     def send(self, source, target, receive, *message):
         """Bring a message to `target`, if the network and both ends let it."""
-        if target is None or (source.name, target.name) in self.cut:
+        if target is None or (source.name, target.name) in self.blocked_links:
             return
-        for delay in self.fate():
-            self.at(delay, lambda: target.take(lambda: receive(target, *message)))
+        for delay in self.draw_delays():
+            self.call_later(
+                delay, lambda: target.deliver(lambda: receive(target, *message))
+            )
 
-    def enter(self, caller, service_id, connection_id, payload):
+    def send_to_any_balancer(self, caller, service_id, connection_id, payload):
         """Hand a caller's packet to some balancer, as the fabric does."""
         live = [one for one in self.balancers.values() if one.alive]
         if live:
-            balancer = self.pick(live)
+            balancer = self.choose(live)
             receive = type(balancer).on_packet
             self.send(caller, balancer, receive, service_id, connection_id, payload)
 
@@ -157,10 +159,10 @@
 
     def check(self):
         """Raise AssertionError if a promise to a caller or a service is broken."""
-        for call, agent, service_id in self.book.deliveries:
+        for call, agent, service_id in self.ground_truth.deliveries:
             assert self.calls[call].service_id == service_id, f"{call} crossed: {agent}"
         for call in self.calls.values():
-            call.check(self.book)
+            call.check(self.ground_truth)
 
 
 class Node:
@@ -173,7 +175,7 @@
         self.frozen = False
         self._inbox: list[Callable[[], None]] = []
 
-    def take(self, action):
+    def deliver(self, action):
         """Act on a message, now or when thawed."""
         if self.frozen:
             self._inbox.append(action)
@@ -184,4 +186,4 @@
         self.frozen = False
         inbox, self._inbox = self._inbox, []
         for action in inbox:
-            self.take(action)
+            self.deliver(action)
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -18,14 +18,22 @@
 from papayagw._internal.models.opening import AttemptEnded, Reopen, RetryPolicy
 from papayagw._internal.wire.tag import NONCE_BYTES, TAG_BYTES, TagCodec
 from tests.lib.samples import KEY, NO_PEERS
-from tests.lib.world import IDEMPOTENT, SERVICES, Close, Down, Node, Shake, Up
-
-SILENCE_MS = 3_000
-HALF_OPEN_MS = 2_000
-OPENING_MS = 1_500
-PROBE_MS = 500
-ANNOUNCE_MS = 500
-SERVICE_MS = 30
+from tests.lib.world import (
+    IDEMPOTENT,
+    SERVICES,
+    Close,
+    HandshakeReply,
+    Node,
+    RequestFrame,
+    ResponseFrame,
+)
+
+IDLE_TIMEOUT_MS = 3_000
+HANDSHAKE_TIMEOUT_MS = 2_000
+OPENING_TIMEOUT_MS = 1_500
+PROBE_INTERVAL_MS = 500
+ANNOUNCE_INTERVAL_MS = 500
+SERVICE_TIME_MS = 30
 CODEC = TagCodec([KEY])
 
 
@@ -35,19 +43,19 @@
     def __init__(self, world, name):
         super().__init__(world, name)
         self.directory = AgentDirectory()
-        self.heard = {}
+        self.received_records = {}
         core = world.mechanisms.balancer
         self.core = core(self.directory, RendezvousChooser(), NO_PEERS)
         world.every_tick(self, self.expire)
 
     def on_record(self, record):
         if self.directory.merge(record):
-            self.heard[record.endpoint] = (self.world.now(), record)
+            self.received_records[record.endpoint] = (self.world.now(), record)
 
     def expire(self):
-        for endpoint, (at, record) in list(self.heard.items()):
-            if self.world.now() - at > 4 * ANNOUNCE_MS:
-                del self.heard[endpoint]
+        for endpoint, (at, record) in list(self.received_records.items()):
+            if self.world.now() - at > 4 * ANNOUNCE_INTERVAL_MS:
+                del self.received_records[endpoint]
                 self.directory.forget(record)
 
     def on_packet(self, service_id, connection_id, payload):
@@ -57,7 +65,7 @@
         else:
             decision = self.core.route_opening(service_id, connection_id)
         if isinstance(decision, Forward):
-            agent = self.world.bound.get(decision.agent)
+            agent = self.world.agents_by_endpoint.get(decision.agent)
             message = (service_id, connection_id, payload, 0)
             self.world.send(self, agent, Agent.on_frame, *message)
 
@@ -80,7 +88,7 @@
         self.health = world.mechanisms.health()
         self.openings = {}
         self.flows = {}
-        world.bound[self.endpoint] = self
+        world.agents_by_endpoint[self.endpoint] = self
         world.every_tick(self, self.tick)
         self.announce()
 
@@ -96,7 +104,7 @@
             self.world.send(self, agent, lambda one, r: one.siblings.merge(r), record)
 
     def tick(self):
-        if self.world.now() % ANNOUNCE_MS < 100:
+        if self.world.now() % ANNOUNCE_INTERVAL_MS < 100:
             self.announce()
         for flow in list(self.flows.values()):
             flow.tick()
@@ -105,11 +113,11 @@
     def poll(self):
         results = self.admission.poll(self.world.now())
         for number in results.admitted:
-            self.flow_of(number).apply(on.Admitted())
+            self.find_flow(number).apply(on.Admitted())
         for number in results.refused:
-            self.flow_of(number).apply(on.AdmissionRefused())
+            self.find_flow(number).apply(on.AdmissionRefused())
 
-    def flow_of(self, number):
+    def find_flow(self, number):
         return next(flow for flow in self.flows.values() if flow.number == number)
 
     def drain(self):
@@ -120,8 +128,8 @@
 
     def die(self):
         self.alive = False
-        if self.world.bound.get(self.endpoint) is self:
-            del self.world.bound[self.endpoint]
+        if self.world.agents_by_endpoint.get(self.endpoint) is self:
+            del self.world.agents_by_endpoint[self.endpoint]
 
     def break_backend(self):
         """Kill the backend server: its connections break and none is taken."""
@@ -156,7 +164,7 @@
                 self.openings[opening] = self.flows[flow.tag] = flow
                 flow.on_payload(payload)
             case Forward(sibling):
-                target = self.world.bound.get(sibling)
+                target = self.world.agents_by_endpoint.get(sibling)
                 message = (service_id, opening, payload, hops + 1)
                 self.world.send(self, target, Agent.on_frame, *message)
 
@@ -173,30 +181,30 @@
         nonce = self.number.to_bytes(NONCE_BYTES, "big")
         self.tag = CODEC.seal(FlowTag(KEY.key_id, agent.route, nonce))
         self.lifecycle = self.world.mechanisms.lifecycle()
-        self.heard_at = self.world.now()
-        self.shaken = False
+        self.last_received_at = self.world.now()
+        self.handshake_done = False
         self.request, self.finished, self.handed = b"", False, 0
         self.answer, self.answer_end = b"", False
         self.attempt = 0
         self.ran = False
-        self.told = None
+        self.reported_outcome = None
 
     def send(self, message):
         self.world.send(self.agent, self.caller, Caller.on_message, message)
 
     def on_payload(self, payload):
         _, up = payload
-        self.heard_at = self.world.now()
-        if self.told is not None:
-            self.send(Close(self.tag, self.told))
+        self.last_received_at = self.world.now()
+        if self.reported_outcome is not None:
+            self.send(Close(self.tag, self.reported_outcome))
         elif up is None:
-            self.send(Shake(self.opening, self.tag))
+            self.send(HandshakeReply(self.opening, self.tag))
         else:
-            self.on_up(up)
+            self.on_request_frame(up)
 
-    def on_up(self, up):
-        if not self.shaken:
-            self.shaken = True
+    def on_request_frame(self, up):
+        if not self.handshake_done:
+            self.handshake_done = True
             self.apply(on.HandshakeCompleted())
             self.ask_admission()
         fresh = up.data[len(self.request) :]
@@ -220,12 +228,12 @@
                 self.apply(on.AdmissionRefused())
 
     def send_answer(self):
-        self.send(Down(self.tag, self.answer, self.answer_end))
+        self.send(ResponseFrame(self.tag, self.answer, self.answer_end))
 
     def tick(self):
         now = self.world.now()
-        patience = SILENCE_MS if self.shaken else HALF_OPEN_MS
-        if self.told is None and now - self.heard_at > patience:
+        timeout_ms = IDLE_TIMEOUT_MS if self.handshake_done else HANDSHAKE_TIMEOUT_MS
+        if self.reported_outcome is None and now - self.last_received_at > timeout_ms:
             self.apply(on.IdleTimedOut())
 
     def apply(self, event):
@@ -239,7 +247,7 @@
         match action:
             case on.ConnectBackend(attempt):
                 self.attempt = attempt
-                self.world.at(1, lambda: self.agent.take(self.on_connect))
+                self.world.call_later(1, lambda: self.agent.deliver(self.on_connect))
             case on.DeliverToBackend(size):
                 end = self.handed + size
                 self.on_delivery(self.request[self.handed : end])
@@ -248,7 +256,7 @@
                 self.answer_end = isinstance(action, on.FinishToCaller)
                 self.send_answer()
             case on.TellCaller(outcome):
-                self.told = outcome
+                self.reported_outcome = outcome
                 self.agent.admission.close(self.number)
                 self.send(Close(self.tag, outcome))
 
@@ -261,19 +269,19 @@
     def on_delivery(self, data):
         """Be the backend server, which runs a request when its line is whole."""
         name = self.caller.name
-        book = self.world.book
-        book.deliveries.append((name, self.agent.name, self.agent.service_id))
+        ground_truth = self.world.ground_truth
+        ground_truth.deliveries.append((name, self.agent.name, self.agent.service_id))
         line = self.request[: self.handed + len(data)]
         if line.endswith(b"\n") and not self.ran:
             self.ran = True
-            book.runs.append((name, self.agent.name, self.world.now()))
+            ground_truth.runs.append((name, self.agent.name, self.world.now()))
             if self.agent.backend != "stall":
-                self.world.at(SERVICE_MS, lambda: self.write(1))
+                self.world.call_later(SERVICE_TIME_MS, lambda: self.write(1))
 
     def write(self, line):
         """Be the backend server, which answers line by line and then closes."""
         lines = self.caller.lines
-        if self.told is not None or not self.agent.alive:
+        if self.reported_outcome is not None or not self.agent.alive:
             return
         if line > lines:
             self.apply(on.BackendClosed(self.attempt))
@@ -282,7 +290,9 @@
         text = self.caller.expect_line(line)
         self.answer += text
         self.apply(on.BackendSent(self.attempt, len(text)))
-        self.world.at(100, lambda: self.agent.take(lambda: self.write(line + 1)))
+        self.world.call_later(
+            100, lambda: self.agent.deliver(lambda: self.write(line + 1))
+        )
 
 
 class Caller(Node):
@@ -303,8 +313,8 @@
         )
         self.request = f"run {name}\n".encode()
         self.received = b""
-        self.told = None
-        self.crossed = 0
+        self.reported_outcome = None
+        self.stray_messages = 0
         self.open()
         world.every_tick(self, self.tick)
 
@@ -316,56 +326,58 @@
         self.tags = []
         self.sent = 0
         self.has_end = False
-        self.heard_at = self.sent_at = self.world.now()
+        self.last_received_at = self.sent_at = self.world.now()
         self.send()
 
     def send(self):
         self.sent_at = self.world.now()
         if not self.tags:
-            self.world.enter(self, self.service_id, self.opening, (self, None))
+            self.world.send_to_any_balancer(
+                self, self.service_id, self.opening, (self, None)
+            )
         for tag in self.tags:
             data = self.request[: self.sent]
             finished = self.sent == len(self.request)
-            up = Up(tag, data, finished, len(self.received), self.has_end)
-            self.world.enter(self, self.service_id, tag, (self, up))
+            up = RequestFrame(tag, data, finished, len(self.received), self.has_end)
+            self.world.send_to_any_balancer(self, self.service_id, tag, (self, up))
 
     def tick(self):
         now = self.world.now()
-        if self.told is not None or not self.opening:
+        if self.reported_outcome is not None or not self.opening:
             return
-        patience = SILENCE_MS if self.tags else OPENING_MS
-        if now - self.heard_at > patience:
+        timeout_ms = IDLE_TIMEOUT_MS if self.tags else OPENING_TIMEOUT_MS
+        if now - self.last_received_at > timeout_ms:
             self.end(None)
-        elif self.sent < len(self.request) or now - self.sent_at >= PROBE_MS:
+        elif self.sent < len(self.request) or now - self.sent_at >= PROBE_INTERVAL_MS:
             self.sent = min(len(self.request), self.sent + 4)
             self.send()
         elif not self.tags:
             self.send()
 
     def on_message(self, message):
-        if self.told is not None:
-            self.crossed += 1
-        elif isinstance(message, Shake):
-            self.on_shake(message)
+        if self.reported_outcome is not None:
+            self.stray_messages += 1
+        elif isinstance(message, HandshakeReply):
+            self.on_handshake_reply(message)
         elif message.tag not in self.tags:
-            self.crossed += 1
+            self.stray_messages += 1
         elif isinstance(message, Close):
             self.end(message.outcome)
         else:
             self.on_answer(message)
 
-    def on_shake(self, shake):
+    def on_handshake_reply(self, reply):
         keeps = not (self.tags and self.world.mechanisms.keeps_first_answer)
-        if shake.opening == self.opening and keeps and shake.tag not in self.tags:
-            self.tags.append(shake.tag)
-            self.heard_at = self.world.now()
+        if reply.opening == self.opening and keeps and reply.tag not in self.tags:
+            self.tags.append(reply.tag)
+            self.last_received_at = self.world.now()
             self.sent = min(4, len(self.request))
             self.send()
         else:
-            self.crossed += 1
+            self.stray_messages += 1
 
     def on_answer(self, down):
-        self.heard_at = self.world.now()
+        self.last_received_at = self.world.now()
         self.received = max(self.received, down.data, key=len)
         self.has_end = down.finished
         self.sent = len(self.request)
@@ -381,19 +393,21 @@
         self.tags, self.opening = [], b""
         if isinstance(action, Reopen):
             delay = action.at - self.world.now()
-            self.heard_at = self.world.now() + delay
-            self.world.at(delay, self.open)
+            self.last_received_at = self.world.now() + delay
+            self.world.call_later(delay, self.open)
         else:
-            self.told = action.outcome
+            self.reported_outcome = action.outcome
 
-    def check(self, book):
+    def check(self, ground_truth):
         """Raise AssertionError if this call's promises are broken."""
-        runs = book.count_runs(self.name)
+        runs = ground_truth.count_runs(self.name)
         whole = b"".join(self.expect_line(line + 1) for line in range(self.lines))
         idempotent = self.service_id in IDEMPOTENT
         assert runs <= 1 or idempotent, f"{self.name} ran {runs} times"
         assert whole.startswith(self.received), f"{self.name} got a crossed answer"
-        if self.told is FlowOutcome.REFUSED:
-            assert not book.is_touched(self.name), f"{self.name} refused but delivered"
-        if self.told is FlowOutcome.ANSWERED:
+        if self.reported_outcome is FlowOutcome.REFUSED:
+            assert not ground_truth.has_delivery(self.name), (
+                f"{self.name} refused but delivered"
+            )
+        if self.reported_outcome is FlowOutcome.ANSWERED:
             assert self.received == whole, f"{self.name} got half an answer"
--- a/tests/properties/isolation_proof.py
+++ b/tests/properties/isolation_proof.py
@@ -22,31 +22,38 @@
 from tests.properties.proving import Mutation, Property
 from tests.properties.world_proof import RoutesByTagOnly, TakesAnyService
 
-PLACES = tuple(Endpoint("127.0.7.1", 4_000 + number) for number in range(3))
-WRAP = 1 << 16
+ADDRESSES = tuple(Endpoint("127.0.7.1", 4_000 + number) for number in range(3))
+INCARNATION_WRAP_MS = 1 << 16
 """After so many milliseconds the incarnation in a tag is the same again."""
 
 SERVICES = st.sampled_from([ORDER, DRAWINGS])
 BALANCERS = st.integers(0, 1)
-ANY = st.integers(0, 30)
+INDICES = st.integers(0, 30)
 STEPS = st.one_of(
     st.tuples(
-        st.just("restart"), st.integers(0, 2), SERVICES, st.sampled_from([1, WRAP])
+        st.just("restart"),
+        st.integers(0, 2),
+        SERVICES,
+        st.sampled_from([1, INCARNATION_WRAP_MS]),
     ),
-    st.tuples(st.just("hear"), BALANCERS, ANY),
-    st.tuples(st.just("open"), SERVICES, BALANCERS, ANY),
-    st.tuples(st.just("send"), ANY, BALANCERS, SERVICES),
+    st.tuples(st.just("receive_record"), BALANCERS, INDICES),
+    st.tuples(st.just("open"), SERVICES, BALANCERS, INDICES),
+    st.tuples(st.just("send"), INDICES, BALANCERS, SERVICES),
     st.tuples(st.just("forge"), st.integers(0, 2), BALANCERS),
-    st.tuples(st.just("arrive"), ANY),
+    st.tuples(st.just("arrive"), INDICES),
+)
+INITIAL_STEPS = [("restart", address, ORDER, 1) for address in range(2)]
+INITIAL_STEPS += [("restart", 2, DRAWINGS, 1)]
+INITIAL_STEPS += [
+    ("receive_record", balancer, number) for balancer in (0, 1) for number in range(3)
+]
+HISTORIES = st.lists(STEPS, min_size=10, max_size=60).map(
+    lambda own: INITIAL_STEPS + own
 )
-BEGINNING = [("restart", place, ORDER, 1) for place in range(2)]
-BEGINNING += [("restart", 2, DRAWINGS, 1)]
-BEGINNING += [("hear", balancer, number) for balancer in (0, 1) for number in range(3)]
-HISTORIES = st.lists(STEPS, min_size=10, max_size=60).map(lambda own: BEGINNING + own)
 
 
 @dataclass(frozen=True)
-class Parts:
+class Implementations:
     """The mechanisms under test."""
 
     balancer: type = BalancerCore
@@ -56,10 +63,10 @@
 
 
 @dataclass(frozen=True)
-class Sent:
+class InFlightPacket:
     """A packet on its way to an agent's address."""
 
-    place: Endpoint
+    address: Endpoint
     service_id: int
     connection_id: bytes
 
@@ -67,12 +74,13 @@
 class Site:
     """Two balancers, three addresses and the packets on their way."""
 
-    def __init__(self, parts):
-        self.parts = parts
-        self.codec = parts.codec([KEY])
+    def __init__(self, implementations):
+        self.implementations = implementations
+        self.codec = implementations.codec([KEY])
         self.views = [AgentDirectory(), AgentDirectory()]
         self.balancers = [
-            parts.balancer(view, RendezvousChooser(), NO_PEERS) for view in self.views
+            implementations.balancer(view, RendezvousChooser(), NO_PEERS)
+            for view in self.views
         ]
         self.now = 0
         self.records = []
@@ -80,25 +88,25 @@
         self.flows = []
         self.network = []
 
-    def restart(self, place, service_id, gap):
+    def restart(self, address, service_id, gap):
         self.now += gap
-        endpoint, run = PLACES[place], Incarnation(self.now)
+        endpoint, run = ADDRESSES[address], Incarnation(self.now)
         record = AgentRecord(endpoint, run, 1, service_id, "a")
         self.records.append(record)
         siblings = AgentDirectory()
         for one in self.records:
             siblings.merge(one)
         route = FlowRoute.of(service_id, endpoint, run)
-        core = self.parts.agent(route, siblings, RendezvousChooser(), 100)
+        core = self.implementations.agent(route, siblings, RendezvousChooser(), 100)
         self.agents[endpoint] = (core, {})
 
-    def hear(self, balancer, which):
+    def receive_record(self, balancer, which):
         self.views[balancer].merge(self.records[which % len(self.records)])
 
     def open(self, service_id, balancer, key):
         opening = b"opening" + bytes((key,))
         decision = self.balancers[balancer].route_opening(service_id, opening)
-        self.note(decision, service_id, opening)
+        self.forward(decision, service_id, opening)
 
     def send(self, which, balancer, service_id):
         """Send a packet of an open flow, now and then to the wrong address."""
@@ -106,32 +114,34 @@
             tag, own = self.flows[which % len(self.flows)]
             self.send_tagged(balancer, service_id if which % 5 == 0 else own, tag)
 
-    def forge(self, place, balancer):
+    def forge(self, address, balancer):
         """Send a packet whose tag a stranger made up, with all but the key."""
-        core, _ = self.agents[PLACES[place]]
+        core, _ = self.agents[ADDRESSES[address]]
         tag = PlainTags([KEY]).seal(FlowTag(KEY.key_id, core.route, b"xyz"))
         self.send_tagged(balancer, core.route.service_id, tag)
 
     def send_tagged(self, balancer, service_id, tag):
         route = self.codec.open_route(tag)
         decision = self.balancers[balancer].route_tagged(service_id, route)
-        self.note(decision, service_id, tag)
+        self.forward(decision, service_id, tag)
 
-    def note(self, decision, service_id, connection_id):
+    def forward(self, decision, service_id, connection_id):
         if isinstance(decision, Forward):
-            self.network.append(Sent(decision.agent, service_id, connection_id))
+            self.network.append(
+                InFlightPacket(decision.agent, service_id, connection_id)
+            )
 
     def arrive(self, which):
         if not self.network:
             return
         packet = self.network[which % len(self.network)]
-        if packet.place not in self.agents:
+        if packet.address not in self.agents:
             return
-        core, flows = self.agents[packet.place]
+        core, flows = self.agents[packet.address]
         tag = packet.connection_id
         if len(tag) != TAG_BYTES:
             self.arrive_opening(core, flows, packet)
-        elif (found := flows.get(tag[: self.parts.id_end])) is not None:
+        elif (found := flows.get(tag[: self.implementations.id_end])) is not None:
             assert found == tag, "a packet of another flow was taken in"
             assert core.route.service_id == packet.service_id, "wrong service"
         elif core.check_tagged(packet.service_id, self.codec.open_route(tag)) is None:
@@ -145,17 +155,17 @@
             assert core.route.service_id == packet.service_id, "opened across services"
             nonce = bytes((0, 0, len(flows) % 3))
             tag = self.codec.seal(FlowTag(KEY.key_id, core.route, nonce))
-            flows.setdefault(tag[: self.parts.id_end], tag)
+            flows.setdefault(tag[: self.implementations.id_end], tag)
             self.flows.append((tag, packet.service_id))
         elif isinstance(decision, Forward):
-            self.note(decision, packet.service_id, packet.connection_id)
+            self.forward(decision, packet.service_id, packet.connection_id)
 
 
-def check(parts, history):
+def check(implementations, history):
     """Carry out the steps; the site checks each arrival."""
-    site = Site(parts)
-    for verb, *words in history:
-        getattr(site, verb)(*words)
+    site = Site(implementations)
+    for operation, *arguments in history:
+        getattr(site, operation)(*arguments)
 
 
 class SkipsChecks(AgentCore):
@@ -181,13 +191,13 @@
         self._decryptors = {KEY.key_id: NoCipher()}
 
 
-PROOF = Property("isolation", HISTORIES, check, Parts())
+PROOF = Property("isolation", HISTORIES, check, Implementations())
 MUTATIONS = [
-    Mutation(name, PROOF, parts)
-    for name, parts in {
-        "TakesAnyService": Parts(agent=TakesAnyService),
-        "SkipsChecks": Parts(agent=SkipsChecks, balancer=RoutesByTagOnly),
-        "PlainTags": Parts(codec=PlainTags),
-        "FlowsByNonce": Parts(id_end=4, balancer=RoutesByTagOnly),
+    Mutation(name, PROOF, implementations)
+    for name, implementations in {
+        "TakesAnyService": Implementations(agent=TakesAnyService),
+        "SkipsChecks": Implementations(agent=SkipsChecks, balancer=RoutesByTagOnly),
+        "PlainTags": Implementations(codec=PlainTags),
+        "FlowsByNonce": Implementations(id_end=4, balancer=RoutesByTagOnly),
     }.items()
 ]
--- a/tests/properties/membership_proof.py
+++ b/tests/properties/membership_proof.py
@@ -15,7 +15,7 @@
 from papayagw._internal.core.fleet import Fleet
 from papayagw._internal.core.gossip_repair import Repairer
 from papayagw._internal.core.gossip_table import RecordTable, find_bucket
-from papayagw._internal.core.watch import Silence, WatchList
+from papayagw._internal.core.watch_list import OverdueAgents, WatchList
 from papayagw._internal.core.watcher import Watcher
 from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.clock import Millis
@@ -124,8 +124,8 @@
 PROOFS = (ORDER_PROOF, VECTOR_PROOF, FLEET_PROOF)
 
 
-def never_silent(_self, _now) -> Silence:
-    return Silence((), ())
+def find_none_overdue(_self, _now) -> OverdueAgents:
+    return OverdueAgents((), ())
 
 
 def send_nothing(*_arguments) -> Iterator:
@@ -171,7 +171,7 @@
     Mutation(
         "no-suspicion",
         FLEET_PROOF,
-        make_patch(WatchList, "find_silent", never_silent),
+        make_patch(WatchList, "find_overdue", find_none_overdue),
     ),
     Mutation(
         "no-refutation-of-agents",
--- a/tests/properties/world_proof.py
+++ b/tests/properties/world_proof.py
@@ -71,9 +71,11 @@
         agent.break_backend()
     world.run(SETTLING_MS)
     world.check()
-    assert all(call.told for call in world.calls.values()), "a caller was told nothing"
+    assert all(call.reported_outcome for call in world.calls.values()), (
+        "a caller was told nothing"
+    )
     flows = [f for a in world.agents.values() if a.alive for f in a.flows.values()]
-    assert all(flow.told for flow in flows), "a flow was left behind"
+    assert all(flow.reported_outcome for flow in flows), "a flow was left behind"
 
 
 class TakesAnyService(AgentCore):
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -37,9 +37,9 @@
 def test_change_of_an_agent_is_known_within_the_limit(event, network, seed):
     fleet = make_fleet(network, seed=seed)
     changed = make_record(3).endpoint
-    left = set(fleet.agents) - {changed}
+    expected = set(fleet.agents) - {changed}
     if event == "join":
-        left = {*fleet.agents, fleet.add_agent(make_record(50))}
+        expected = {*fleet.agents, fleet.add_agent(make_record(50))}
     elif event == "drain":
         fleet.send_all(changed, fleet.agents[changed].drain(fleet.now))
     elif event == "close":
@@ -49,11 +49,11 @@
     fleet.run(LIMIT_MS)
     # Under loss another agent may be under a suspicion that it is about to refute.
     for ready in fleet.find_ready():
-        assert (changed in ready) == (changed in left)
+        assert (changed in ready) == (changed in expected)
         assert (make_record(50).endpoint in ready) == (event == "join")
     fleet.network = Network()
     fleet.run(5_000)
-    assert_ready(fleet, left)
+    assert_ready(fleet, expected)
 
 
 @pytest.mark.parametrize("network", NETWORKS)
--- a/tests/unit/test_membership_faults.py
+++ b/tests/unit/test_membership_faults.py
@@ -10,7 +10,7 @@
 from papayagw._internal.core.fleet import Fleet
 from papayagw._internal.core.gossip_table import RecordTable
 from papayagw._internal.core.membership import BalancerMembership
-from papayagw._internal.core.watch import WatchList
+from papayagw._internal.core.watch_list import WatchList
 from papayagw._internal.core.watcher import Watcher
 from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.control import Announcement, Send
@@ -104,8 +104,8 @@
 
 def test_agent_that_one_watcher_cannot_hear_stays_ready():
     fleet = make_fleet(balancers=3)
-    deaf = sorted(fleet.balancers)[0]
-    fleet.cut_off(fleet.agents, [deaf])
+    unreachable = sorted(fleet.balancers)[0]
+    fleet.cut_off(fleet.agents, [unreachable])
     for _ in range(200):
         fleet.run(100)
         assert fleet.find_ready() == [set(fleet.agents)] * 3
@@ -142,9 +142,9 @@
     for _ in range(40):
         fleet.run(100)
         for balancer in fleet.balancers.values():
-            heard = balancer.heard_configuration
-            if heard is not None:
-                balancer.set_configuration_version(heard[0])
+            advertised = balancer.advertised_configuration
+            if advertised is not None:
+                balancer.set_configuration_version(advertised[0])
     assert {one.configuration_version for one in fleet.balancers.values()} == {7}
 
 
@@ -188,14 +188,14 @@
         (
             directory_module,
             "select_excluded",
-            lambda willing: {
-                one.endpoint.sockaddr for one in willing if one.is_suspected
+            lambda reported_ready: {
+                one.endpoint.sockaddr for one in reported_ready if one.is_suspected
             },
             lambda: test_suspicion_never_empties_a_service(7, 7, 3),
         ),
         (
             WatchList,
-            "excuse",
+            "compensate_pause",
             lambda *_: None,
             lambda: test_balancer_that_wakes_suspects_nobody(1, 5_000),
         ),
@@ -219,7 +219,7 @@
         ),
         (
             BalancerMembership,
-            "_note_version",
+            "_record_version",
             lambda *_: None,
             test_version_of_the_configuration_is_heard_within_four_seconds,
         ),
