--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -1,8 +1,8 @@
-"""How an agent makes itself known and stays known.
+"""Registration and heartbeats of an agent.
 
-An agent knows no list of balancers. Its first announcement goes to the control
-address, which hands it to some balancer; the acknowledgement names the watchers to
-which its heartbeats go from then on.
+An agent has no list of balancers. It sends its first announcement to the control
+address, which forwards it to any one of the balancers; the acknowledgement lists the
+watchers that receive the agent's heartbeats from then on.
 """
 
 import random
@@ -27,44 +27,43 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 CHANGE_RETRANSMISSIONS = 3
-"""How many more times a change is told, since datagrams get lost."""
+"""Number of times that a change is sent again, because datagrams may be lost."""
 
 INITIAL_ANNOUNCE_INTERVAL_MS = Millis(200)
 MAX_ANNOUNCE_INTERVAL_MS = Millis(2_000)
 
 MAX_UNACKNOWLEDGED_HEARTBEATS = 12
-"""A watcher that acknowledged none of so many heartbeats counts as dead."""
+"""Number of heartbeats without an acknowledgement after which a watcher is dropped."""
 
 INITIAL_INTERVAL_MS = Millis(1_000)
-"""The time between heartbeats until a balancer tells one."""
+"""Heartbeat interval until a balancer assigns one."""
 
 HEARTBEAT_JITTER_SHARE = 0.1
-"""The share of the interval by which heartbeats vary, so that agents fall out of
-step."""
+"""Jitter as a share of the interval, which keeps agents from synchronising."""
 
 TICK_MS = Millis(100)
-"""The time between two ticks."""
+"""Time between two ticks."""
 
 MIN_WEIGHT_CHANGE_SHARE = 0.25
-"""A change of weight smaller than this share isn't told."""
+"""Minimum relative change of the weight that is announced."""
 
 WEIGHT_CHANGE_INTERVALS = 300
-"""A change of weight is told at most once in so many heartbeat intervals."""
+"""Minimum number of heartbeat intervals between announced changes of the weight."""
 
 
 class AgentAnnouncer:
-    """An agent's part in the membership.
+    """Membership state machine of an agent.
 
     Parameters
     ----------
     own : AgentRecord
-        This agent's record.
+        The record of this agent.
     control_address : Endpoint
-        Where a datagram reaches some balancer.
+        The address at which a datagram reaches any one of the balancers.
     siblings : AgentDirectory
-        Filled with other agents of the service.
+        The directory that is updated with other agents of the service.
     random_source : random.Random
-        For jitter.
+        The source for jitter.
     """
 
     def __init__(
@@ -97,7 +96,7 @@
 
     @property
     def siblings(self) -> AgentDirectory:
-        """Other agents of the service that take openings."""
+        """Other agents of the service that accept openings."""
         return self._siblings
 
     @property
@@ -112,23 +111,23 @@
 
     @property
     def advertised_configuration(self) -> tuple[int, Endpoint] | None:
-        """The highest version of the configuration heard of, and who has it."""
+        """The highest advertised version of the configuration, and a peer with it."""
         return self._advertised_configuration
 
     def drain(self, now: Millis) -> tuple[Send, ...]:
-        """Say that this agent takes no more openings."""
+        """Announce that this agent accepts no more openings."""
         if self._own.state is not AgentState.READY:
             return ()
         return self._change(replace(self._own, state=AgentState.DRAINING), now)
 
     def close(self, now: Millis) -> tuple[Send, ...]:
-        """Say that this agent is gone; the next ticks repeat it."""
+        """Announce that this agent is gone; the next ticks send it again."""
         if self._own.state is AgentState.GONE:
             return ()
         return self._change(replace(self._own, state=AgentState.GONE), now)
 
     def set_weight(self, weight: int, now: Millis) -> tuple[Send, ...]:
-        """Tell a change of strength, if it is large enough and not too soon."""
+        """Announce a new weight if it differs enough and the last one is old enough."""
         weight = max(0, min(MAX_WEIGHT, weight))
         step = MIN_WEIGHT_CHANGE_SHARE * max(
             self._own.weight, WEIGHT_ONE * MIN_WEIGHT_CHANGE_SHARE
@@ -144,7 +143,7 @@
     def on_message(
         self, message: ControlMessage, source: Endpoint, now: Millis
     ) -> tuple[Send, ...]:
-        """Take in a message; only acknowledgements concern an agent."""
+        """Handle a control message; all but acknowledgements are ignored."""
         if not isinstance(message, Acknowledgement):
             return ()
         if message.incarnation > self._own.incarnation:
@@ -156,7 +155,7 @@
         return self._correct_balancer(message, source, now)
 
     def on_tick(self, now: Millis) -> tuple[Send, ...]:
-        """Return what is due; to be called about every 100 ms."""
+        """Return the messages that are due; to be called about every 100 ms."""
         if self._superseded:
             return ()
         if self._retransmissions > 0:
@@ -249,7 +248,7 @@
     def _correct_balancer(
         self, message: Acknowledgement, source: Endpoint, now: Millis
     ) -> tuple[Send, ...]:
-        """Put right what the balancer believes of this agent."""
+        """Announce this agent again if the balancer's record of it is wrong."""
         own = self._own
         reported = (message.incarnation, message.sequence)
         if reported < (own.incarnation, own.sequence):
@@ -257,6 +256,6 @@
         if own.state is AgentState.GONE:
             return ()
         if reported > (own.incarnation, own.sequence) or message.state != own.state:
-            # Given up while paused: the same run says that it still lives.
+            # Marked as gone during a pause: the same run announces that it is alive.
             return self._change(replace(own, sequence=message.sequence), now)
         return ()
--- a/src/papayagw/_internal/core/directory.py
+++ b/src/papayagw/_internal/core/directory.py
@@ -1,11 +1,11 @@
-"""The agents that a node knows of.
+"""Directory of the agents that a node knows.
 
-The newest record of an endpoint wins, by incarnation, sequence, state and
-suspicion, so that records may arrive in any order, late and twice.
+The newest record of an endpoint takes precedence, by incarnation, sequence, state and
+suspicion, so that records may arrive in any order, late or more than once.
 
-An agent under suspicion gets no openings. But a bad signal must not empty a
-service: suspicion keeps at most `MAX_SUSPECTED_SHARE` of the agents that say they
-are ready from taking openings; beyond it, suspected ones count as ready.
+An agent under suspicion gets no openings. But false suspicions must not leave a service
+without agents: suspicion excludes at most `MAX_SUSPECTED_SHARE` of the agents that
+report that they are ready; beyond that share, suspected agents count as ready.
 """
 
 from collections.abc import Sequence
@@ -16,17 +16,17 @@
 from papayagw._internal.models.service import ServiceId
 
 MAX_SUSPECTED_SHARE = 0.5
-"""The largest share of a service's ready agents that suspicion may exclude."""
+"""Maximum share of a service's ready agents that suspicion may exclude."""
 
 
 class Directory(Protocol):
-    """Where a balancer looks for the agents of a service."""
+    """Lookup of the agents of a service."""
 
     def find_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
-        """Return the agents of a service that take openings."""
+        """Return the agents of a service that accept openings."""
 
     def is_gone(self, route: FlowRoute) -> bool:
-        """Return whether the agent's run that a flow tag names is known to be over."""
+        """Return whether the agent run of a flow's route is known to be gone."""
 
 
 class AgentDirectory:
@@ -40,11 +40,11 @@
 
     @property
     def records(self) -> tuple[AgentRecord, ...]:
-        """All records, whatever their state."""
+        """All records in any state."""
         return tuple(self._records.values())
 
     def merge(self, record: AgentRecord) -> bool:
-        """Take in a record; return whether it was news."""
+        """Store a record if it takes precedence; return whether it did."""
         key = record.endpoint.sockaddr
         known = self._records.get(key)
         if known is not None and known.precedence >= record.precedence:
@@ -61,22 +61,22 @@
         return True
 
     def forget(self, record: AgentRecord) -> None:
-        """Drop a record that is no longer worth keeping."""
+        """Drop the record of an endpoint."""
         known = self._records.pop(record.endpoint.sockaddr, None)
         self._gone.pop(record.endpoint.sockaddr, None)
         if known is not None:
             self._remove(known)
 
     def find_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
-        """Return the agents of a service that take openings."""
+        """Return the agents of a service that accept openings."""
         return self._ready.get(service_id, ())
 
     def is_gone(self, route: FlowRoute) -> bool:
-        """Return whether the agent's run that a flow tag names is known to be over."""
+        """Return whether the agent run of a flow's route is known to be gone."""
         return self._gone.get(route.agent.sockaddr) == route.incarnation
 
     def find_reported_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
-        """Return the agents of a service that say they are ready, suspected or not."""
+        """Return the agents of a service that report ready, suspected or not."""
         records = self._by_service.get(service_id, {}).values()
         return [record for record in records if record.state is AgentState.READY]
 
@@ -96,7 +96,7 @@
 
 
 def select_excluded(reported_ready: Sequence[AgentRecord]) -> set[tuple[str, int]]:
-    """Return the socket addresses of those whom suspicion keeps from openings.
+    """Return the socket addresses of the agents that suspicion excludes from openings.
 
     Nodes that hold the same records exclude the same agents.
     """
--- a/src/papayagw/_internal/core/fleet.py
+++ b/src/papayagw/_internal/core/fleet.py
@@ -1,4 +1,4 @@
-"""One balancer's view of the fleet, and how a change of it becomes news."""
+"""A balancer's view of the fleet, and the updates that follow from its changes."""
 
 from dataclasses import replace
 
@@ -16,18 +16,18 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 WATCHERS_PER_AGENT = 3
-"""How many balancers watch an agent."""
+"""Number of balancers that watch an agent."""
 
 
 class Fleet:
-    """The records of all nodes, and what is still to be told of them.
+    """The records of all nodes, and the updates still to be sent by gossip.
 
     Parameters
     ----------
     own : BalancerRecord
-        This balancer's record.
+        The record of this balancer.
     directory : AgentDirectory
-        Kept equal to the agents.
+        The directory that is updated with the known agents.
     """
 
     def __init__(self, own: BalancerRecord, directory: AgentDirectory):
@@ -49,12 +49,12 @@
 
     @property
     def table(self) -> RecordTable:
-        """All records."""
+        """The table of all records."""
         return self._table
 
     @property
     def updates(self) -> UpdateQueue:
-        """What is still to be told."""
+        """The updates still to be sent by gossip."""
         return self._updates
 
     @property
@@ -64,25 +64,25 @@
 
     @property
     def peers(self) -> tuple[Endpoint, ...]:
-        """The other balancers that aren't gone, suspected ones among them."""
+        """The other balancers that aren't gone, including suspected ones."""
         self._refresh()
         return self._peers
 
     @property
     def reachable(self) -> tuple[Endpoint, ...]:
-        """The other balancers that aren't suspected either."""
+        """The other balancers that are neither gone nor suspected."""
         self._refresh()
         return self._reachable
 
     @property
     def suspected(self) -> tuple[BalancerRecord, ...]:
-        """The balancers under suspicion."""
+        """The other balancers under suspicion."""
         self._refresh()
         return self._suspected
 
     @property
     def size(self) -> int:
-        """How many balancers there are, this one among them."""
+        """The number of balancers that aren't gone, including this one."""
         return len(self.peers) + 1
 
     def list_watchers(self, agent: Endpoint) -> tuple[Endpoint, ...]:
@@ -95,7 +95,7 @@
         return self._own.endpoint in self.list_watchers(agent)
 
     def merge(self, record: Record, now: Millis) -> MergeOutcome:
-        """Take in a record and tell others if it is news."""
+        """Merge a record and queue it for gossip if it is newer."""
         outcome = self.merge_without_gossip(record, now)
         if outcome is MergeOutcome.NEWER:
             self._updates.add_record(record, self.size)
@@ -104,13 +104,13 @@
         return outcome
 
     def merge_without_gossip(self, record: Record, now: Millis) -> MergeOutcome:
-        """Take in a record that needs no telling; refute what is false of us."""
+        """Merge a record without gossip; refute a wrong record of this balancer."""
         if record.endpoint == self._own.endpoint:
             return self._merge_own(record, now)
         return self._table.merge(record, now)
 
     def merge_vector(self, vector: SuspicionVector, now: Millis) -> bool:
-        """Take in a suspicion vector; return False if it can't be compared."""
+        """Merge a suspicion vector; return False if it can't be compared."""
         compared = self._table.compare(vector)
         if compared is None:
             return False
@@ -123,17 +123,17 @@
         return True
 
     def toggle_suspicion(self, record: Record, now: Millis) -> None:
-        """Suspect a node, or take the suspicion of it back, and tell others."""
+        """Suspect a node, or clear the suspicion, and queue the change for gossip."""
         changed = replace(record, suspicion=record.suspicion + 1)
         if self.merge_without_gossip(changed, now) is MergeOutcome.NEWER:
             self._updates.add_suspicion(find_bucket(record), self.size)
 
     def mark_gone(self, record: Record, now: Millis) -> None:
-        """Give a node up and tell others."""
+        """Mark a node as gone and queue the change for gossip."""
         self.merge(replace(record, state=AgentState.GONE), now)
 
     def leave(self, now: Millis) -> None:
-        """Tell that this balancer stops."""
+        """Mark this balancer as gone and queue the change for gossip."""
         self._own = replace(
             self._own, sequence=self._own.sequence + 1, state=AgentState.GONE
         )
--- a/src/papayagw/_internal/core/gossip_budget.py
+++ b/src/papayagw/_internal/core/gossip_budget.py
@@ -1,4 +1,4 @@
-"""The cap on what membership news may cost."""
+"""Rate limit of the membership traffic."""
 
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
 
@@ -9,9 +9,9 @@
     Parameters
     ----------
     bytes_per_second : int
-        The rate at which it fills.
+        The refill rate.
     burst_bytes : int
-        The most that it holds, and the most that it owes; it begins full.
+        The capacity, and the maximum debt; the bucket is full at the start.
     """
 
     def __init__(self, bytes_per_second: int, burst_bytes: int):
@@ -21,7 +21,7 @@
         self._filled_at: Millis | None = None
 
     def set_rate(self, bytes_per_second: int, now: Millis) -> None:
-        """Fill at another rate from now on."""
+        """Set the refill rate from now on."""
         self.get_level(now)
         self._bytes_per_second = bytes_per_second
 
@@ -34,5 +34,5 @@
         return self._level
 
     def spend(self, size_bytes: int, now: Millis) -> None:
-        """Take `size_bytes` out; the bucket may go into debt."""
+        """Remove `size_bytes` from the bucket, which may go into debt."""
         self._level = max(-self._burst_bytes, self.get_level(now) - size_bytes)
--- a/src/papayagw/_internal/core/gossip_probe.py
+++ b/src/papayagw/_internal/core/gossip_probe.py
@@ -1,7 +1,7 @@
-"""Probing of the other balancers, one after the other (as in SWIM, 2002).
+"""Failure detector that probes the other balancers in turn (as in SWIM, 2002).
 
-A probe without an answer makes a few others ask the silent balancer; only when
-none of them has a word from it does it come under suspicion.
+If a probe isn't answered, a few peers are asked to probe the balancer; it is suspected
+only if none of them receives an answer either.
 """
 
 import random
@@ -12,21 +12,21 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 PROBE_INTERVAL_MS = Millis(1_000)
-"""The time between two probes."""
+"""Minimum interval between two probes."""
 
 INQUIRE_TIMEOUT_MS = Millis(300)
-"""After this time without an answer others are asked."""
+"""Time without an answer after which peers are asked to probe the balancer."""
 
 SUSPECT_TIMEOUT_MS = Millis(900)
-"""After this time without an answer the probed balancer is suspected."""
+"""Time without an answer after which the probed balancer is suspected."""
 
 ISOLATED_MISSES = 2
-"""After so many probes without any answer this node takes itself for cut off."""
+"""Number of successive unanswered probes after which this node counts as isolated."""
 
 
 @dataclass(frozen=True, slots=True)
 class _PendingProbe:
-    """A probe without an answer."""
+    """A probe that has not been answered yet."""
 
     target: Endpoint
     number: int
@@ -36,18 +36,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeStep:
-    """What a tick asks for.
+    """The actions that are due after a tick.
 
     Attributes
     ----------
     probe : Endpoint or None
-        Send it a probe with the number `number`.
+        The balancer to which a probe with the number `number` has to be sent.
     number : int
-        Binds the answer to the probe.
+        The number that matches the answer to the probe.
     inquire : Endpoint or None
-        Ask others about it.
+        The balancer about which peers have to be asked.
     suspect : Endpoint or None
-        Suspect it.
+        The balancer that has to be suspected.
     """
 
     probe: Endpoint | None = None
@@ -57,12 +57,12 @@
 
 
 class Prober:
-    """Which balancer is probed when.
+    """Schedule and time-outs of the probes.
 
     Parameters
     ----------
     random_source : random.Random
-        Shuffles the order.
+        The source for the order of the probes.
     """
 
     def __init__(self, random_source: random.Random):
@@ -75,11 +75,11 @@
 
     @property
     def is_isolated(self) -> bool:
-        """Whether the last probes all went without an answer."""
+        """Whether the last `ISOLATED_MISSES` probes were all unanswered."""
         return self._misses >= ISOLATED_MISSES
 
     def on_tick(self, peers: Sequence[Endpoint], now: Millis) -> ProbeStep:
-        """Return what is due."""
+        """Return the actions that are due."""
         if self._pending is not None:
             return self._check_pending(self._pending, now)
         if now < self._next_at or not peers:
@@ -91,19 +91,19 @@
         return ProbeStep(probe=target, number=self._number)
 
     def record_answer(self, number: int) -> None:
-        """Note the answer to a probe."""
+        """Record the answer to a probe."""
         self._misses = 0
         if self._pending is not None and self._pending.number == number:
             self._pending = None
 
     def record_alive(self, endpoint: Endpoint) -> None:
-        """Note somebody's word that `endpoint` is alive."""
+        """Record the report of a peer that `endpoint` is alive."""
         self._misses = 0
         if self._pending is not None and self._pending.target == endpoint:
             self._pending = None
 
     def drop_pending(self) -> None:
-        """Forget the probe under way, after a pause of this node."""
+        """Drop the pending probe after a pause of this process."""
         self._pending = None
 
     def _check_pending(self, pending: _PendingProbe, now: Millis) -> ProbeStep:
--- a/src/papayagw/_internal/core/gossip_queue.py
+++ b/src/papayagw/_internal/core/gossip_queue.py
@@ -1,9 +1,9 @@
-"""The changes that a balancer still has to tell others about.
+"""Queue of the updates that a balancer still has to send by gossip.
 
-Each change is told a number of times that grows with the logarithm of the fleet;
-hearing it from somebody else counts as one of them (rumour mongering with feedback
-and counter, Demers et al. 1987). What hasn't reached a node then is repaired by
-comparing digests.
+The number of transmissions of an update grows with the logarithm of the fleet's size;
+receiving the update from a peer reduces it (rumour mongering with feedback and
+counter, Demers et al. 1987). Nodes that an update hasn't reached by then are repaired
+by comparing digests.
 """
 
 import math
@@ -21,21 +21,21 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 RECORD_BYTES = 26
-"""What a whole record costs in a datagram, in bytes."""
+"""Size of a whole record in a datagram, in bytes."""
 
 VECTOR_BYTES = 22
-"""What an empty suspicion vector costs in a datagram, in bytes."""
+"""Size of an empty suspicion vector in a datagram, in bytes."""
 
 VECTOR_MEMBER_BYTES = 0.6
-"""What one record adds to a suspicion vector, in bytes."""
+"""Size of one record's counter in a suspicion vector, in bytes."""
 
 TRANSMISSIONS_FACTOR = 1.0
-"""How many times the logarithm of the fleet's size a change is told."""
+"""Transmissions of an update, as a multiple of the logarithm of the fleet's size."""
 
 MIN_TRANSMISSIONS = 2
 
 TRANSMISSIONS_PER_DUPLICATE = 2
-"""How much hearing a change again counts against telling it once more."""
+"""Number of transmissions that are dropped for each duplicate received from a peer."""
 
 _PRIORITY_LEAVING = 0
 _PRIORITY_SUSPICION = 1
@@ -44,19 +44,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _QueuedUpdate:
-    """A change and how often it is still to be told."""
+    """The priority and the remaining transmissions of an update."""
 
     priority: int
     transmissions: int
 
 
 class UpdateQueue:
-    """Changes to tell, the most urgent and least told ones first.
+    """Updates to send, ordered by priority and then by most remaining transmissions.
 
     Parameters
     ----------
     table : RecordTable
-        Where the changes are read from when they are told.
+        The table from which the content of an update is read when it is sent.
     """
 
     def __init__(self, table: RecordTable):
@@ -67,7 +67,7 @@
         return len(self._queued)
 
     def add_record(self, record: Record, nodes: int) -> None:
-        """Tell of a whole record in a fleet of `nodes` balancers."""
+        """Queue a whole record in a fleet of `nodes` balancers."""
         leaving = record.state is not AgentState.READY
         priority = _PRIORITY_LEAVING if leaving else _PRIORITY_READY
         self._queued.pop(record.endpoint, None)
@@ -76,20 +76,20 @@
         )
 
     def add_suspicion(self, bucket: Bucket, nodes: int) -> None:
-        """Tell of a suspicion or a refutation in `bucket`."""
+        """Queue a suspicion or a refutation in `bucket`."""
         self._queued.pop(bucket, None)
         self._queued[bucket] = _QueuedUpdate(
             _PRIORITY_SUSPICION, compute_transmissions(nodes)
         )
 
     def record_duplicate(self, subject: Endpoint | Bucket) -> None:
-        """Note that somebody told what this node knows already."""
+        """Count an update that was received although it was already known."""
         queued = self._queued.get(subject)
         if queued is not None:
             self._count_down(subject, queued, TRANSMISSIONS_PER_DUPLICATE)
 
     def take(self, room_bytes: float) -> News:
-        """Return what fits into `room_bytes`, counted as told once."""
+        """Return the updates that fit into `room_bytes`, counted as sent once."""
         records: list[Record] = []
         vectors: list[SuspicionVector] = []
         for subject, queued in self._sort():
@@ -129,7 +129,7 @@
 def make_updates(
     records: list[Record], vectors: list[SuspicionVector] | None = None
 ) -> News:
-    """Return news of whole records and suspicion vectors."""
+    """Return a gossip payload of whole records and suspicion vectors."""
     return News(
         tuple(record for record in records if isinstance(record, AgentRecord)),
         tuple(record for record in records if isinstance(record, BalancerRecord)),
@@ -138,7 +138,7 @@
 
 
 def estimate_bytes(update: Record | SuspicionVector) -> float:
-    """Return what a record or a vector costs in a datagram, in bytes."""
+    """Return the size of a record or a vector in a datagram, in bytes."""
     if not isinstance(update, SuspicionVector):
         return RECORD_BYTES
     if len(set(update.counters)) <= 1:
@@ -147,5 +147,5 @@
 
 
 def compute_transmissions(nodes: int) -> int:
-    """Return how often a change is told in a fleet of `nodes` balancers."""
+    """Return the number of transmissions in a fleet of `nodes` balancers."""
     return MIN_TRANSMISSIONS + math.ceil(TRANSMISSIONS_FACTOR * math.log(nodes + 1))
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -1,9 +1,9 @@
-"""Comparison of records between two balancers, which repairs what gossip missed.
+"""Anti-entropy between two balancers, which repairs what gossip has missed.
 
-A node that sees another digest sends its digests by bucket; the other sends what
-it holds of a few buckets that differ; from there each side sends and asks for what
-the other or it itself misses. A new node's buckets are empty, so it is sent whole
-buckets at once.
+A node that receives a digest other than its own sends its digests by bucket. The peer
+answers with the fingerprints of a few differing buckets; then each side sends the
+records that the other lacks and requests those that it lacks itself. The buckets of a
+new node are empty, so it receives whole buckets at once.
 """
 
 import random
@@ -26,48 +26,48 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 DATAGRAM_BYTES = 60
-"""What a control datagram costs without its lists, in bytes."""
+"""Size of a control datagram without its lists, in bytes."""
 
 RECORDS_PER_DATAGRAM = 40
 FINGERPRINT_BYTES = 4.5
 DIGEST_BYTES = 4.5
 
 REPAIR_INTERVAL_MS = Millis(2_000)
-"""The least time between two comparisons that a caught-up node begins."""
+"""Minimum interval between comparisons that a node starts after it has caught up."""
 
 NO_DIGEST = 0
-"""Sent by a node that is catching up: no comparison is wanted."""
+"""Digest sent by a node that is catching up: the peer must not start a comparison."""
 
 GOSSIP_GRACE_MS = Millis(6_000)
-"""How long a difference is left to gossip while there is news."""
+"""Time that gossip has to resolve a difference while updates are still queued."""
 
 CATCH_UP_INTERVAL_MS = Millis(300)
-"""The same while a new node is catching up."""
+"""Value of `REPAIR_INTERVAL_MS` while a new node is catching up."""
 
 BUCKET_INTERVAL_MS = Millis(1_000)
-"""The least time between two single buckets that are sent."""
+"""Minimum interval between summaries of single buckets."""
 
 MAX_COMPARED_BUCKETS = 4
-"""How many buckets one comparison compares record by record."""
+"""Maximum number of buckets in a comparison that are compared record by record."""
 
 SMALL_BUCKET_RECORDS = 6
-"""A bucket of so many records is sent whole: asking for them costs more."""
+"""Maximum size of a bucket that is sent whole, because requests would cost more."""
 
 CAUGHT_UP_SHARE = 0.05
-"""A node has caught up when no more than this share of the buckets differ."""
+"""Maximum share of differing buckets at which a node counts as caught up."""
 
 
 class Repairer:
-    """Finds and sends what two nodes hold differently.
+    """Finds and resolves differences between the records of two nodes.
 
     Parameters
     ----------
     table : RecordTable
         The records of this node.
     budget : TokenBucket
-        Pays for what is sent.
+        The budget for the messages that are sent.
     random_source : random.Random
-        Chooses among differing buckets.
+        The source for jitter and the selection of differing buckets.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
 
     @property
     def caught_up(self) -> bool:
-        """Whether this node ever held nearly all that another one held."""
+        """Whether this node has at some time held nearly all records of a peer."""
         return self._caught_up
 
     def on_digest(
@@ -92,8 +92,8 @@
     ) -> Iterator[Send]:
         """Compare the digest of all records with a peer's.
 
-        While this node has news to tell, it isn't `settled`: gossip will mend most
-        differences for less.
+        While updates are queued (`gossip_idle` is False) the comparison is deferred,
+        because gossip resolves most differences at a lower cost.
         """
         if digest == NO_DIGEST and self._caught_up:
             return
@@ -118,7 +118,7 @@
     def on_digests(
         self, message: Digests, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Answer a peer's digests with what this node holds of a few buckets."""
+        """Answer a peer's digests with records and summaries of differing buckets."""
         differing = self._find_differing(message)
         max_differing = CAUGHT_UP_SHARE * len(self._table.buckets)
         if message.complete and len(differing) <= max_differing:
@@ -135,7 +135,7 @@
     def on_summary(
         self, message: Summary, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Send what the peer misses of a bucket, and ask for what is missing here."""
+        """Send the records of a bucket that the peer lacks and request missing ones."""
         theirs = set(message.fingerprints)
         ours = set(self._table.list_fingerprints(message.bucket))
         here_only = [self._table.find(one) for one in sorted(ours - theirs)]
@@ -148,7 +148,7 @@
     def on_request(
         self, message: RecordRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Send the records that a peer asked for."""
+        """Send the records that a peer has requested."""
         found = [self._table.find(one) for one in message.fingerprints]
         records = [record for record in found if record is not None]
         yield from self._send_records(records, source, now)
@@ -156,7 +156,7 @@
     def send_bucket(
         self, bucket: Bucket, destination: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Tell a peer what this node holds of a bucket, now and then."""
+        """Send a summary of a bucket, at most once per `BUCKET_INTERVAL_MS`."""
         if now >= self._next_bucket_at and self._budget.get_level(now) > 0:
             self._next_bucket_at = Millis(now + BUCKET_INTERVAL_MS)
             yield self._summarise(bucket, destination, now)
@@ -164,7 +164,7 @@
     def _partition(
         self, differing: Sequence[Bucket], message: Digests
     ) -> tuple[list[Record], list[Bucket]]:
-        """Return records to send at once, and buckets that are worth a comparison."""
+        """Split differing buckets into records to send and buckets to compare."""
         empty = set(_list_empty(message))
         whole: list[Record] = []
         compared: list[Bucket] = []
@@ -173,7 +173,7 @@
             missing = bucket in empty or bucket.zone not in message.zones
             small = len(members) <= SMALL_BUCKET_RECORDS
             if not missing:
-                # The sender may hold records that are gone here, too.
+                # The sender may also hold records of nodes that are gone here.
                 compared.append(bucket)
             if (missing or small) and len(whole) < RECORDS_PER_DATAGRAM:
                 whole += members
--- a/src/papayagw/_internal/core/gossip_table.py
+++ b/src/papayagw/_internal/core/gossip_table.py
@@ -1,8 +1,9 @@
-"""All records that a balancer holds, with digests by which two nodes compare them.
+"""Table of all records that a balancer holds, with digests for their comparison.
 
-Each zone has `BUCKETS_PER_ZONE` buckets. Records of nodes that are gone stay, so
-that an older message can't bring them back, but they are in no digest: a node that
-has forgotten one and a node that hasn't yet are equal.
+Each zone has `BUCKETS_PER_ZONE` buckets. Records of nodes that are gone are kept as
+tombstones, so that an outdated message can't revive the node. They are excluded from
+the digests, so that a node that has dropped a tombstone and a node that still holds it
+have equal digests.
 """
 
 import hashlib
@@ -25,16 +26,16 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 GONE_RETENTION_MS = Millis(24 * 3_600_000)
-"""How long the record of a node that is gone is kept."""
+"""Retention period of the record of a node that is gone."""
 
 MAX_GONE_RECORDS = 20_000
-"""The most records of nodes that are gone."""
+"""Maximum number of records of nodes that are gone."""
 
 _HASH_BYTES = 4
 
 
 class MergeOutcome(Enum):
-    """What a record that arrived was."""
+    """Result of merging a record."""
 
     NEWER = "newer"
     KNOWN = "known"
@@ -43,14 +44,14 @@
 
 @dataclass(frozen=True, slots=True)
 class VectorComparison:
-    """What a suspicion vector says against the records of this node.
+    """Result of comparing a suspicion vector with the local records.
 
     Attributes
     ----------
     ahead : tuple of Record
-        Records as the vector has them, where it is ahead.
+        The local records for which the vector is newer, with the vector's suspicion.
     behind : bool
-        Whether it is behind for any record.
+        Whether the vector is older for any record.
     """
 
     ahead: tuple[Record, ...]
@@ -63,7 +64,7 @@
     Parameters
     ----------
     directory : AgentDirectory
-        Kept equal to the agents of the table.
+        The directory that is updated with the agents of the table.
     """
 
     def __init__(self, directory: AgentDirectory):
@@ -85,7 +86,7 @@
 
     @property
     def digest(self) -> int:
-        """Over all records of nodes that aren't gone."""
+        """The digest over all records of nodes that aren't gone."""
         return self._digest
 
     @property
@@ -95,17 +96,17 @@
 
     @property
     def balancers_version(self) -> int:
-        """Rises with each change of `balancers`."""
+        """A counter that is incremented with each change of `balancers`."""
         return self._balancers_version
 
     @property
     def agent_count(self) -> int:
-        """How many agents aren't gone."""
+        """The number of agents that aren't gone."""
         return self._agents
 
     @property
     def buckets(self) -> tuple[Bucket, ...]:
-        """The buckets that ever held a record."""
+        """The buckets that have ever held a record."""
         return tuple(self._buckets)
 
     @property
@@ -122,7 +123,7 @@
         return self._by_fingerprint.get(fingerprint)
 
     def merge(self, record: Record, now: Millis) -> MergeOutcome:
-        """Take in a record."""
+        """Store a record if it takes precedence over the known one."""
         known = self._records.get(record.endpoint)
         if known is not None and known.precedence >= record.precedence:
             same = known.precedence == record.precedence
@@ -159,7 +160,7 @@
         return 0 if state is None else state.digest
 
     def get_size(self, bucket: Bucket) -> int:
-        """Return how many records a bucket holds."""
+        """Return the number of records in a bucket."""
         state = self._buckets.get(bucket)
         return 0 if state is None else len(state.members)
 
@@ -178,7 +179,7 @@
         return tuple(self._fingerprints[endpoint] for endpoint in state.members)
 
     def make_vector(self, bucket: Bucket) -> SuspicionVector:
-        """Return who of a bucket is under suspicion."""
+        """Return the suspicion counters of the members of a bucket."""
         state = self._buckets.get(bucket)
         if state is None:
             return SuspicionVector(bucket, 0, ())
@@ -189,7 +190,10 @@
         return SuspicionVector(bucket, state.index_digest, counters)
 
     def compare(self, vector: SuspicionVector) -> VectorComparison | None:
-        """Compare a vector with the records here, or return None if it can't be."""
+        """Compare a vector with the local records.
+
+        Return None if the local bucket has other members, incarnations or sequences.
+        """
         state = self._buckets.get(vector.bucket)
         if state is None or state.index_digest != vector.index_digest:
             return None
@@ -243,17 +247,17 @@
         self._sorted: list[Endpoint] | None = None
 
     def add(self, record: Record, fingerprint: Fingerprint) -> None:
-        """Take in a record."""
+        """Add a record to the members and digests."""
         self.members.add(record.endpoint)
         self._change(record, fingerprint)
 
     def remove(self, record: Record, fingerprint: Fingerprint) -> None:
-        """Take out a record."""
+        """Remove a record from the members and digests."""
         self.members.discard(record.endpoint)
         self._change(record, fingerprint)
 
     def list_sorted(self) -> list[Endpoint]:
-        """Return the members by rising endpoint."""
+        """Return the members sorted by endpoint."""
         if self._sorted is None:
             self._sorted = sorted(self.members)
         return self._sorted
@@ -273,7 +277,7 @@
 
 
 def compute_fingerprint(record: Record) -> Fingerprint:
-    """Return the hash of a whole record."""
+    """Return a hash of the endpoint and precedence of a record."""
     return _hash(f"{record.endpoint} {record.precedence}")
 
 
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -1,8 +1,9 @@
-"""What a balancer tells the other nodes and learns from them.
+"""Membership protocol of a balancer: gossip, probing and anti-entropy repair.
 
-Each agent sends heartbeats to a few balancers only. Changes spread by gossip, each
-told a bounded number of times; digests repair what was missed. Nothing here reads
-a clock or a socket: messages and ticks come in, messages to send come out.
+Each agent sends heartbeats to only a few balancers. Changes are disseminated by
+gossip, with a bounded number of transmissions per change; updates that were missed
+are repaired by comparing digests. This module reads no clock and no socket: it takes
+messages and ticks, and returns the messages to send.
 """
 
 import random
@@ -46,76 +47,77 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 CONTROL_BYTES_PER_SECOND = 3_400
-"""What all control traffic may cost a balancer, sent and received together."""
+"""Budget of a balancer for all control traffic, sent and received together."""
 
 PROBE_BYTES_PER_SECOND = 400
-"""What probes and their answers cost without news."""
+"""Cost of probes and their answers without piggybacked updates."""
 
 MIN_GOSSIP_BYTES_PER_SECOND = 800
-"""What is left for gossip and repair at the least."""
+"""Minimum rate that is reserved for gossip and repair."""
 
 REPAIR_SHARE = 0.4
-"""The share of that which is kept for repair."""
+"""Share of the gossip and repair rate that is reserved for repair."""
 
 CATCH_UP_SHARE = 0.8
-"""The same while a new balancer is catching up."""
+"""Value of `REPAIR_SHARE` while a new balancer is catching up."""
 
 GOSSIP_BURST_BYTES = 400
 
 MAX_UPDATE_BYTES = 1_050
-"""The most that news take of one datagram, in bytes."""
+"""Maximum size of the updates in one datagram, in bytes."""
 
 FANOUT = 3
-"""To how many peers news go at once."""
+"""Number of peers to which updates are sent in each gossip round."""
 
 FANOUT_INTERVAL_MS = Millis(100)
 
 INQUIRED_PEERS = 2
-"""How many peers are asked about a silent balancer."""
+"""Number of peers that receive an inquiry about an unresponsive balancer."""
 
 SUSPICION_TIMEOUT_MS = Millis(10_000)
-"""A balancer that doesn't refute a suspicion in this time is given up."""
+"""Time after which a balancer that has not refuted a suspicion is marked as gone."""
 
 PAUSE_THRESHOLD_MS = Millis(700)
-"""A gap between ticks that counts as a pause of this process."""
+"""Minimum gap between ticks that is treated as a pause of this process."""
 
 INITIAL_JOIN_INTERVAL_MS = Millis(200)
 MAX_INITIAL_JOIN_INTERVAL_MS = Millis(2_000)
 JOIN_INTERVAL_MS = Millis(5_000)
-"""The time between two joins of a node that knows peers, in a small fleet."""
+"""Mean interval between joins of a node that knows peers, in a small fleet."""
 
 PEERS_PER_JOIN_INTERVAL = 50
-"""The number of peers that doubles `JOIN_MS`."""
+"""Number of peers for which `JOIN_INTERVAL_MS` is added once more to the interval."""
 
 INTRODUCTION_INTERVAL_MS = Millis(20)
-"""The least time between two answers to nodes that are unknown or taken for gone."""
+"""Minimum interval between introductions to nodes that are unknown or marked as gone.
+"""
 
 MAX_JOIN_RECORDS = 30
-"""How many records the answer to a join carries."""
+"""Maximum number of records in the answer to a join."""
 
 RELAYS_PER_ZONE = 3
-"""How many balancers of a zone watch the platform's store."""
+"""Number of balancers of a zone that watch the platform's store."""
 
 VERSION_TRANSMISSIONS = 8
-"""In so many ticks a new version of the configuration is told."""
+"""Number of gossip rounds that advertise a new version of the configuration."""
 
 _FIRST_INQUIRY_NUMBER = 1 << 30
 _MAX_PENDING_INQUIRIES = 64
 
 
 class BalancerMembership:
-    """A balancer's part in the membership.
+    """Membership state machine of a balancer.
 
     Parameters
     ----------
     own : BalancerRecord
-        This balancer.
+        The record of this balancer.
     control_address : Endpoint
-        Where a datagram reaches some balancer.
+        The address at which a datagram reaches any one of the balancers.
     directory : AgentDirectory
-        Kept equal to what is known of agents.
+        The directory that is updated with the known agents.
     random_source : random.Random
-        For jitter and the choice of peers.
+        The source for jitter and the selection of peers.
     """
 
     def __init__(
@@ -166,7 +168,7 @@
 
     @property
     def directory(self) -> AgentDirectory:
-        """The agents."""
+        """The directory of known agents."""
         return self._fleet.table.directory
 
     @property
@@ -176,12 +178,12 @@
 
     @property
     def balancers(self) -> tuple[BalancerRecord, ...]:
-        """The balancers that aren't gone, this one among them."""
+        """The balancers that aren't gone, including this one."""
         return self._fleet.table.balancers
 
     @property
     def caught_up(self) -> bool:
-        """Whether this node knows nearly all agents, or has nobody to learn from."""
+        """Whether this node knows nearly all agents, or has no peers to sync from."""
         return self._repairer.caught_up or not self._fleet.peers
 
     @property
@@ -191,7 +193,7 @@
 
     @property
     def watched_count(self) -> int:
-        """How many agents this balancer watches."""
+        """The number of agents that this balancer watches."""
         return self._watcher.watched_count
 
     @property
@@ -201,13 +203,13 @@
 
     @property
     def advertised_configuration(self) -> tuple[int, Endpoint] | None:
-        """The highest version heard of and a peer that has it; None if not higher."""
+        """The highest advertised version and a peer that has it; None if not newer."""
         if self._advertised is None or self._advertised[0] <= self._version:
             return None
         return self._advertised
 
     def set_configuration_version(self, version: int) -> None:
-        """Tell others of the version that this node now holds."""
+        """Set the version that this node holds and advertise it to the peers."""
         if version <= self._version:
             return
         self._version = version
@@ -215,7 +217,7 @@
         self._watcher.set_configuration_version(version)
 
     def is_relay(self, zone: str) -> bool:
-        """Return whether this balancer is to watch the store for `zone`."""
+        """Return whether this balancer has to watch the store for `zone`."""
         zone_balancers = [
             one
             for one in self._fleet.table.balancers
@@ -227,23 +229,23 @@
     def on_message(
         self, message: ControlMessage, source: Endpoint, now: Millis
     ) -> tuple[Send, ...]:
-        """Take in a message.
+        """Handle a control message and return the messages to send.
 
         Parameters
         ----------
         message : ControlMessage
-            What arrived.
+            The received message.
         source : Endpoint
-            The endpoint that it came from.
+            The endpoint of the sender.
         now : Millis
-            The time.
+            The current time.
         """
         self._compensate_pause(now)
         handler = self._handlers.get(type(message))
         return () if handler is None else tuple(handler(message, source, now))
 
     def on_tick(self, now: Millis) -> tuple[Send, ...]:
-        """Return what is due; to be called about every 100 ms."""
+        """Return the messages that are due; to be called about every 100 ms."""
         self._compensate_pause(now)
         if self._fleet.superseded:
             return ()
@@ -258,7 +260,7 @@
         )
 
     def leave(self, now: Millis) -> tuple[Send, ...]:
-        """Say good-bye to some peers; nothing else is to be sent afterwards."""
+        """Announce to some peers that this balancer leaves; send nothing afterwards."""
         self._fleet.leave(now)
         updates = make_updates([self._fleet.own])
         targets = self._sample_peers(2 * FANOUT)
@@ -267,7 +269,10 @@
         )
 
     def _is_isolated(self, now: Millis) -> bool:
-        """Return whether nobody at all is heard, so that silence tells nothing."""
+        """Return whether this node receives no answers from peers and no heartbeats.
+
+        Missing messages are then no evidence that another node has failed.
+        """
         return self._prober.is_isolated and not self._watcher.receives_heartbeats(now)
 
     def _compensate_pause(self, now: Millis) -> None:
@@ -326,7 +331,7 @@
         for record in suspected:
             since = self._suspects[record.endpoint]
             if now - since >= SUSPICION_TIMEOUT_MS and not isolated:
-                # All nodes come to this by themselves: it needs no telling.
+                # Every node times the suspicion out itself, so no gossip is needed.
                 gone = replace(record, state=AgentState.GONE)
                 self._fleet.merge_without_gossip(gone, now)
 
@@ -349,7 +354,7 @@
             yield self._gossip(GossipKind.NEWS, peer, 0, updates)
 
     def _has_gossip_budget(self, now: Millis) -> bool:
-        """Return whether the budget lets a datagram be well filled."""
+        """Return whether the budget suffices for a datagram with enough updates."""
         wanted = DATAGRAM_BYTES + RECORD_BYTES * len(self._fleet.updates)
         return self._budget.get_level(now) >= min(wanted, GOSSIP_BURST_BYTES)
 
@@ -439,7 +444,10 @@
     def _send_introduction(
         self, known: Record | None, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Make a node known that speaks though it is unknown, or taken for gone."""
+        """Answer a sender that is unknown or marked as gone, so that it can rejoin.
+
+        A sender that is marked as gone receives that record, which it can refute.
+        """
         if now < self._introduction_at:
             return
         self._introduction_at = Millis(now + INTRODUCTION_INTERVAL_MS)
--- a/src/papayagw/_internal/core/rendezvous.py
+++ b/src/papayagw/_internal/core/rendezvous.py
@@ -1,9 +1,9 @@
-"""Choice of a few balancers for a key, by rendezvous hashing.
+"""Selection of a few balancers for a key by rendezvous hashing.
 
-Nodes that know the same balancers choose alike without a word between them. The
-chosen ones stand in different zones as far as there are any, so that the loss of
-one zone leaves somebody who notices it. With hundreds of balancers the scores of
-all are worked out at once in an array.
+Nodes that know the same balancers make the same selection without communication. The
+selected balancers are in different zones as far as possible, so that after the loss of
+one zone a balancer remains that detects it. The scores are computed in one array
+operation, because there may be hundreds of balancers.
 """
 
 import hashlib
@@ -26,7 +26,7 @@
     Parameters
     ----------
     balancers : sequence of BalancerRecord
-        Those to choose from.
+        The balancers to select from.
     """
 
     def __init__(self, balancers: Sequence[BalancerRecord]):
--- a/src/papayagw/_internal/core/watch_list.py
+++ b/src/papayagw/_internal/core/watch_list.py
@@ -1,7 +1,7 @@
-"""The agents that one balancer watches.
+"""Heartbeat bookkeeping for the agents that one balancer watches.
 
-Silence alone isn't suspicion: before it suspects an agent, a watcher asks the
-agent's other watchers, and their word counts as a heartbeat.
+Missing heartbeats alone don't lead to a suspicion: a watcher first sends an inquiry to
+another watcher of the agent, whose voucher counts as a heartbeat.
 """
 
 from collections.abc import Iterator, Sequence
@@ -12,24 +12,25 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 INQUIRE_AFTER_INTERVALS = 2.3
-"""After how many silent intervals a watcher asks the others."""
+"""Number of intervals without a heartbeat after which a watcher sends an inquiry."""
 
 SUSPECT_AFTER_INTERVALS = 3.0
-"""After how many silent intervals a watcher suspects."""
+"""Number of intervals without a heartbeat after which a watcher suspects an agent."""
 
 MAX_VOUCHERS = 3
-"""How often another watcher's word doubles the patience with an agent."""
+"""Maximum number of successive vouchers that count; each after the first doubles the
+timeout."""
 
 RESUME_GRACE_MS = Millis(4_000)
-"""The time after a pause in which agents that gave this node up find it again."""
+"""Time after a pause in which agents that dropped this watcher reconnect to it."""
 
 INITIAL_INTERVAL_MS = Millis(2_000)
-"""The interval that is assumed of an agent until it is told one."""
+"""Heartbeat interval that is assumed until one is assigned to the agent."""
 
 
 @dataclass(frozen=True, slots=True)
 class _Watched:
-    """What a watcher knows of one agent."""
+    """The state of one watched agent."""
 
     incarnation: Incarnation
     beat: int
@@ -43,14 +44,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReceivedHeartbeat:
-    """A heartbeat that was heard.
+    """A heartbeat that was received.
 
     Attributes
     ----------
     number : int
-        Its number.
-    heard_at : Millis
-        When it was heard.
+        The number of the heartbeat.
+    received_at : Millis
+        The time at which it was received.
     """
 
     number: int
@@ -59,14 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OverdueAgents:
-    """Agents that have fallen silent.
+    """Agents whose heartbeats are overdue.
 
     Attributes
     ----------
     inquire : tuple of Endpoint
-        Ask their other watchers.
+        Agents about which another watcher has to be asked.
     suspect : tuple of Endpoint
-        Suspect them.
+        Agents that have to be suspected.
     """
 
     inquire: tuple[Endpoint, ...]
@@ -74,7 +75,7 @@
 
 
 class WatchList:
-    """When each watched agent was heard."""
+    """The last heartbeat of each watched agent."""
 
     def __init__(self) -> None:
         self._watched: dict[Endpoint, _Watched] = {}
@@ -84,32 +85,32 @@
 
     @property
     def direct_count(self) -> int:
-        """How many of the agents this node hears itself."""
+        """The number of agents whose last sign of life wasn't a voucher."""
         return sum(not watched.voucher_count for watched in self._watched.values())
 
     def __contains__(self, endpoint: Endpoint) -> bool:
         return endpoint in self._watched
 
     def add(self, endpoint: Endpoint, incarnation: Incarnation, now: Millis) -> None:
-        """Watch an agent from now on."""
+        """Start to watch an agent, or restart for a newer incarnation."""
         known = self._watched.get(endpoint)
         if known is None or known.incarnation < incarnation:
             self._watched[endpoint] = _Watched(incarnation, 0, now, INITIAL_INTERVAL_MS)
 
     def set_interval(self, endpoint: Endpoint, interval_ms: Millis) -> None:
-        """Note the time between heartbeats that an agent was told."""
+        """Set the heartbeat interval that was assigned to an agent."""
         watched = self._watched.get(endpoint)
         if watched is not None:
             self._watched[endpoint] = replace(watched, interval_ms=interval_ms)
 
     def remove(self, endpoint: Endpoint) -> None:
-        """Watch an agent no longer."""
+        """Stop watching an agent."""
         self._watched.pop(endpoint, None)
 
     def record_heartbeat(
         self, endpoint: Endpoint, incarnation: Incarnation, beat: int, now: Millis
     ) -> bool:
-        """Note a heartbeat; return False for a late one, which counts for nothing."""
+        """Record a heartbeat; return False for an outdated one, which is ignored."""
         self.add(endpoint, incarnation, now)
         watched = self._watched[endpoint]
         if incarnation != watched.incarnation or beat <= watched.beat:
@@ -120,10 +121,10 @@
     def record_voucher(
         self, endpoint: Endpoint, incarnation: Incarnation, beat: ReceivedHeartbeat
     ) -> bool:
-        """Note another watcher's word, which counts as a heartbeat.
+        """Record a voucher of another watcher, which counts as a heartbeat.
 
-        An agent that others hear and this node doesn't probably has other watchers
-        in its own view, so this node asks about it less and less often.
+        An agent that reaches other watchers but not this node probably has a
+        different list of watchers, so the interval between inquiries is increased.
         """
         watched = self._watched.get(endpoint)
         voucher_count = 0 if watched is None else watched.voucher_count
@@ -139,7 +140,10 @@
     def get_heartbeat(
         self, endpoint: Endpoint, incarnation: Incarnation, since: Millis
     ) -> ReceivedHeartbeat | None:
-        """Return the last beat of an agent that was heard after `since`, or None."""
+        """Return an agent's last heartbeat if not received before `since`, else None.
+
+        The result is also None while the time of receipt has been shifted by a pause.
+        """
         watched = self._watched.get(endpoint)
         if watched is None or watched.incarnation != incarnation:
             return None
@@ -148,7 +152,7 @@
         return ReceivedHeartbeat(watched.beat, watched.received_at)
 
     def find_overdue(self, now: Millis) -> OverdueAgents:
-        """Return the agents that have fallen silent since the last call."""
+        """Return the agents that have become overdue since the last call."""
         inquire: list[Endpoint] = []
         suspect: list[Endpoint] = []
         for endpoint, watched in list(self._watched.items()):
@@ -163,15 +167,15 @@
         return OverdueAgents(tuple(inquire), tuple(suspect))
 
     def list_watched(self) -> Iterator[tuple[Endpoint, bool]]:
-        """Return each agent and whether its silence is long enough to suspect it."""
+        """Return each agent and whether it is overdue for long enough to suspect it."""
         return ((one, at.suspected) for one, at in self._watched.items())
 
     def list_silent_since(self, since: Millis) -> Sequence[Endpoint]:
-        """Return the agents that weren't heard after `since`."""
+        """Return the agents whose last heartbeat was received before `since`."""
         return [one for one, at in self._watched.items() if at.received_at < since]
 
     def compensate_pause(self, pause_ms: Millis) -> None:
-        """Forgive all a silence during which this node was itself paused."""
+        """Exclude a pause of this process from the silence of all agents."""
         for endpoint, watched in list(self._watched.items()):
             received_at = Millis(watched.received_at + pause_ms + RESUME_GRACE_MS)
             compensated = replace(
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -1,8 +1,9 @@
-"""A balancer's part in watching agents.
+"""Failure detection of agents by a balancer.
 
-An agent that falls silent is suspected, not dead: its next heartbeat at any watcher
-takes the suspicion back. It is given up only after `ABANDON_MS`, and only while
-enough agents of its service stay that say they are ready.
+An agent whose heartbeats stop is suspected, not marked as gone: its next heartbeat at
+any watcher refutes the suspicion. It is marked as gone only after
+`REMOVAL_TIMEOUT_MS`, and only while enough agents of its service report that they are
+ready.
 """
 
 import random
@@ -32,44 +33,45 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 HEARTBEAT_BYTES = 72
-"""What a heartbeat costs on the wire, in bytes."""
+"""Size of a heartbeat on the wire, in bytes."""
 
 ACKNOWLEDGEMENT_BYTES = 100
-"""What an acknowledgement without siblings costs on the wire, in bytes."""
+"""Size of an acknowledgement without siblings on the wire, in bytes."""
 
 HEARTBEAT_BYTES_PER_SECOND = 1_500
-"""What the heartbeats that one balancer receives may cost."""
+"""Budget for the heartbeats that one balancer receives."""
 
 MIN_INTERVAL_MS = Millis(400)
 MAX_INTERVAL_MS = Millis(3_000)
 
 HEARTBEATS_PER_ACK = 5
-"""One heartbeat in so many is acknowledged."""
+"""Number of heartbeats for each acknowledgement."""
 
 MAX_SIBLINGS = 8
-"""The most siblings that an agent is told of."""
+"""Maximum number of siblings in an acknowledgement."""
 
 REMOVAL_TIMEOUT_MS = Millis(600_000)
-"""After this silence an agent is given up."""
+"""Time without heartbeats after which an agent is marked as gone."""
 
 MIN_READY_SHARE = 0.5
-"""No agent is given up while fewer of its service are ready and heard."""
+"""Minimum share of a service's ready agents that must be unsuspected for a removal."""
 
 REMOVAL_CHECK_INTERVAL_MS = Millis(5_000)
 AUDIT_TICKS = 600
-"""In so many ticks all records are checked for agents that nobody watches."""
+"""Number of ticks in which all records are checked for agents that this balancer should
+watch but doesn't."""
 
 
 class Watcher:
-    """Answers agents, and notices those that fall silent.
+    """Acknowledges agents and suspects those whose heartbeats stop.
 
     Parameters
     ----------
     fleet : Fleet
-        What this balancer knows.
+        The fleet state of this balancer.
     random_source : random.Random
-        Chooses which watcher is asked, and which heartbeats are acknowledged, so
-        that the watchers of an agent take turns.
+        Selects the watcher that receives an inquiry, and which heartbeats are
+        acknowledged, so that the acknowledgements of an agent's watchers alternate.
     """
 
     def __init__(self, fleet: Fleet, random_source: random.Random):
@@ -86,19 +88,19 @@
 
     @property
     def watched_count(self) -> int:
-        """How many agents this balancer watches."""
+        """The number of agents that this balancer watches."""
         return len(self._watch)
 
     def set_configuration_version(self, version: int) -> None:
-        """Set the version that acknowledgements carry."""
+        """Set the configuration version that acknowledgements carry."""
         self._configuration_version = version
 
     def set_caught_up(self, caught_up: bool) -> None:
-        """Set whether this balancer knows enough to tell agents their interval."""
+        """Set whether this balancer knows enough agents to assign an interval."""
         self._caught_up = caught_up
 
     def compute_interval(self) -> Millis:
-        """Return the time between heartbeats that keeps them within their budget."""
+        """Return the heartbeat interval that keeps heartbeats within their budget."""
         size = self._fleet.size
         watched = self._fleet.table.agent_count * min(WATCHERS_PER_AGENT, size) / size
         seconds = watched * HEARTBEAT_BYTES / HEARTBEAT_BYTES_PER_SECOND
@@ -106,13 +108,13 @@
         return Millis(max(MIN_INTERVAL_MS, min(MAX_INTERVAL_MS, interval)))
 
     def estimate_bytes_per_second(self) -> int:
-        """Return what heartbeats and their acknowledgements cost."""
+        """Return the heartbeat and acknowledgement traffic, in bytes per second."""
         each = HEARTBEAT_BYTES + ACKNOWLEDGEMENT_BYTES // HEARTBEATS_PER_ACK
         per_interval = self._watch.direct_count * each
         return per_interval * MILLIS_PER_SECOND // self.compute_interval()
 
     def on_announcement(self, message: Announcement, now: Millis) -> Iterator[Send]:
-        """Take in an agent's record and acknowledge it."""
+        """Merge an agent's record and acknowledge it."""
         self._fleet.merge(message.record, now)
         known = self._fleet.table.get(message.record.endpoint)
         if isinstance(known, AgentRecord) and _is_alive(known, message.record):
@@ -120,7 +122,11 @@
         yield self._acknowledge(message.record.endpoint, 0, now)
 
     def on_heartbeat(self, message: Heartbeat, now: Millis) -> Iterator[Send]:
-        """Note a heartbeat; acknowledge some of them."""
+        """Record a heartbeat, and acknowledge one in `HEARTBEATS_PER_ACK`.
+
+        A heartbeat that doesn't match the known record is acknowledged at once, so
+        that the agent announces itself.
+        """
         known = self._fleet.table.get(message.endpoint)
         if not _is_current(known, message):
             yield self._acknowledge(message.endpoint, message.siblings_digest, now)
@@ -136,7 +142,7 @@
     def on_inquiry(
         self, message: Inquiry, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Vouch for an agent that was heard lately."""
+        """Answer with a voucher if the agent sent a heartbeat recently."""
         since = Millis(now - int(SUSPECT_AFTER_INTERVALS * self.compute_interval()))
         heartbeat = self._watch.get_heartbeat(
             message.endpoint, message.incarnation, since
@@ -151,13 +157,13 @@
             )
 
     def on_voucher(self, message: Voucher, now: Millis) -> None:
-        """Take another watcher's word for a heartbeat."""
+        """Record a heartbeat that another watcher has received."""
         heartbeat = ReceivedHeartbeat(message.beat, Millis(now - message.age_ms))
         if self._watch.record_voucher(message.endpoint, message.incarnation, heartbeat):
             self._refute(message.endpoint, now)
 
     def on_tick(self, isolated: bool, now: Millis) -> Iterator[Send]:
-        """Ask about silent agents, suspect them, give them up."""
+        """Inquire about overdue agents, suspect them, and mark them as gone."""
         overdue = self._watch.find_overdue(now)
         for endpoint in overdue.inquire:
             yield from self._inquire(endpoint)
@@ -171,15 +177,15 @@
             self._remove_expired(now)
 
     def receives_heartbeats(self, now: Millis) -> bool:
-        """Return whether any watched agent was heard lately."""
+        """Return whether any watched agent sent a heartbeat recently."""
         since = Millis(now - int(SUSPECT_AFTER_INTERVALS * self.compute_interval()))
         return len(self._watch.list_silent_since(since)) < len(self._watch)
 
     def compensate_pause(self, pause_ms: Millis, now: Millis) -> None:
-        """Forgive all a silence during which this node was itself paused.
+        """Exclude a pause of this process from the silence of all agents.
 
-        What it finds in its socket on waking may be as old as the pause, so for a
-        while it clears nobody of a suspicion.
+        Datagrams that waited in the socket may be as old as the pause, so for
+        `RESUME_GRACE_MS` no heartbeat refutes a suspicion.
         """
         self._watch.compensate_pause(pause_ms)
         self._accepts_refutations_at = Millis(now + RESUME_GRACE_MS)
@@ -292,7 +298,7 @@
 
 
 def _is_alive(known: AgentRecord, announced: AgentRecord) -> bool:
-    """Return whether an announcement takes back a suspicion."""
+    """Return whether an announcement refutes a suspicion."""
     return (
         known.is_suspected
         and known.incarnation == announced.incarnation
--- a/src/papayagw/_internal/core/zone_loss.py
+++ b/src/papayagw/_internal/core/zone_loss.py
@@ -1,10 +1,10 @@
-"""Inference that a whole zone is lost.
+"""Detection of the loss of a whole zone.
 
-The loss of a zone silences more than a thousand agents at once; told one by one,
-the suspicions would take long to spread. A balancer that misses every agent of a
-zone that it watches, though the agents' other watchers were asked, and that has
-heard the same of a part of the zone's nodes, suspects all the rest of it too. An
-agent that is alive refutes that with its next heartbeat.
+The loss of a zone stops the heartbeats of more than a thousand agents at once, and
+single suspicions would take long to disseminate. A balancer suspects all nodes of a
+zone if every agent of the zone that it watches is overdue after an inquiry to another
+watcher, and if at least `MIN_SUSPECTED_SHARE` of the zone's nodes are suspected. An
+agent that is alive refutes the suspicion with its next heartbeat.
 """
 
 from collections import Counter
@@ -16,25 +16,25 @@
 from papayagw._internal.models.control import BUCKETS_PER_ZONE, Bucket, Record
 
 MIN_SILENT_AGENTS = 3
-"""How many agents of the zone this balancer must miss itself."""
+"""Minimum number of overdue agents of the zone that this balancer watches."""
 
 MIN_SUSPECTED_SHARE = 0.1
-"""The share of the zone's nodes that must be under suspicion."""
+"""Minimum share of the zone's nodes that must be under suspicion."""
 
 
 CHECK_INTERVAL_MS = Millis(500)
-"""The time between two checks."""
+"""Interval between two checks."""
 
 
 class ZoneLossDetector:
-    """Suspects the nodes of zones that fell silent as a whole.
+    """Suspects all nodes of a zone whose agents are all overdue.
 
     Parameters
     ----------
     fleet : Fleet
-        What this balancer knows.
+        The fleet state of this balancer.
     watch : WatchList
-        The agents that it watches.
+        The agents that this balancer watches.
     """
 
     def __init__(self, fleet: Fleet, watch: WatchList):
@@ -44,7 +44,7 @@
         self._lost: frozenset[str] = frozenset()
 
     def on_tick(self, now: Millis) -> None:
-        """Check the signs."""
+        """Check for lost zones and suspect their nodes."""
         if now < self._next_at:
             return
         self._next_at = Millis(now + CHECK_INTERVAL_MS)
