--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -308,16 +308,16 @@
         if step.suspect is not None:
             self._suspect(step.suspect, now)
 
-    def _inquire(self, silent: Endpoint) -> Iterator[Send]:
-        record = self._fleet.table.get(silent)
+    def _inquire(self, unresponsive: Endpoint) -> Iterator[Send]:
+        record = self._fleet.table.get(unresponsive)
         if record is None:
             return
         for peer in self._sample_peers(INQUIRED_PEERS):
-            if peer != silent:
-                yield Send(peer, Inquiry(silent, record.incarnation))
+            if peer != unresponsive:
+                yield Send(peer, Inquiry(unresponsive, record.incarnation))
 
-    def _suspect(self, silent: Endpoint, now: Millis) -> None:
-        record = self._fleet.table.get(silent)
+    def _suspect(self, unresponsive: Endpoint, now: Millis) -> None:
+        record = self._fleet.table.get(unresponsive)
         if not isinstance(record, BalancerRecord) or record.is_suspected:
             return
         if record.state is not AgentState.GONE and not self._is_isolated(now):
@@ -359,9 +359,9 @@
         return self._budget.get_level(now) >= min(wanted, GOSSIP_BURST_BYTES)
 
     def _update_gossip_rates(self, now: Millis) -> None:
-        watching = self._watcher.estimate_bytes_per_second()
-        left = CONTROL_BYTES_PER_SECOND - PROBE_BYTES_PER_SECOND - watching
-        rate = max(MIN_GOSSIP_BYTES_PER_SECOND, left)
+        heartbeat_rate = self._watcher.estimate_bytes_per_second()
+        remaining = CONTROL_BYTES_PER_SECOND - PROBE_BYTES_PER_SECOND - heartbeat_rate
+        rate = max(MIN_GOSSIP_BYTES_PER_SECOND, remaining)
         share = REPAIR_SHARE if self.caught_up else CATCH_UP_SHARE
         self._repair_budget.set_rate(int(share * rate), now)
         self._budget.set_rate(int((1 - share) * rate), now)
--- a/src/papayagw/_internal/core/watch_list.py
+++ b/src/papayagw/_internal/core/watch_list.py
@@ -33,7 +33,7 @@
     """The state of one watched agent."""
 
     incarnation: Incarnation
-    beat: int
+    heartbeat_number: int
     received_at: Millis
     interval_ms: Millis
     inquired: bool = False
@@ -108,18 +108,27 @@
         self._watched.pop(endpoint, None)
 
     def record_heartbeat(
-        self, endpoint: Endpoint, incarnation: Incarnation, beat: int, now: Millis
+        self,
+        endpoint: Endpoint,
+        incarnation: Incarnation,
+        heartbeat_number: int,
+        now: Millis,
     ) -> bool:
         """Record a heartbeat; return False for an outdated one, which is ignored."""
         self.add(endpoint, incarnation, now)
         watched = self._watched[endpoint]
-        if incarnation != watched.incarnation or beat <= watched.beat:
+        if (
+            incarnation != watched.incarnation
+            or heartbeat_number <= watched.heartbeat_number
+        ):
             return False
-        self._watched[endpoint] = _Watched(incarnation, beat, now, watched.interval_ms)
+        self._watched[endpoint] = _Watched(
+            incarnation, heartbeat_number, now, watched.interval_ms
+        )
         return True
 
     def record_voucher(
-        self, endpoint: Endpoint, incarnation: Incarnation, beat: ReceivedHeartbeat
+        self, endpoint: Endpoint, incarnation: Incarnation, heartbeat: ReceivedHeartbeat
     ) -> bool:
         """Record a voucher of another watcher, which counts as a heartbeat.
 
@@ -129,7 +138,7 @@
         watched = self._watched.get(endpoint)
         voucher_count = 0 if watched is None else watched.voucher_count
         if watched is None or not self.record_heartbeat(
-            endpoint, incarnation, beat.number, beat.received_at
+            endpoint, incarnation, heartbeat.number, heartbeat.received_at
         ):
             return False
         self._watched[endpoint] = replace(
@@ -147,9 +156,13 @@
         watched = self._watched.get(endpoint)
         if watched is None or watched.incarnation != incarnation:
             return None
-        if watched.received_at < since or not watched.beat or watched.pause_compensated:
+        if (
+            watched.received_at < since
+            or not watched.heartbeat_number
+            or watched.pause_compensated
+        ):
             return None
-        return ReceivedHeartbeat(watched.beat, watched.received_at)
+        return ReceivedHeartbeat(watched.heartbeat_number, watched.received_at)
 
     def find_overdue(self, now: Millis) -> OverdueAgents:
         """Return the agents that have become overdue since the last call."""
@@ -168,14 +181,20 @@
 
     def list_watched(self) -> Iterator[tuple[Endpoint, bool]]:
         """Return each agent and whether it is overdue for long enough to suspect it."""
-        return ((one, at.suspected) for one, at in self._watched.items())
+        return (
+            (endpoint, watched.suspected) for endpoint, watched in self._watched.items()
+        )
 
     def list_silent_since(self, since: Millis) -> Sequence[Endpoint]:
         """Return the agents whose last heartbeat was received before `since`."""
-        return [one for one, at in self._watched.items() if at.received_at < since]
+        return [
+            endpoint
+            for endpoint, watched in self._watched.items()
+            if watched.received_at < since
+        ]
 
     def compensate_pause(self, pause_ms: Millis) -> None:
-        """Exclude a pause of this process from the silence of all agents."""
+        """Extend the timeouts of all agents by a pause of this process."""
         for endpoint, watched in list(self._watched.items()):
             received_at = Millis(watched.received_at + pause_ms + RESUME_GRACE_MS)
             compensated = replace(
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -182,7 +182,7 @@
         return len(self._watch.list_silent_since(since)) < len(self._watch)
 
     def compensate_pause(self, pause_ms: Millis, now: Millis) -> None:
-        """Exclude a pause of this process from the silence of all agents.
+        """Extend the timeouts of all agents by a pause of this process.
 
         Datagrams that waited in the socket may be as old as the pause, so for
         `RESUME_GRACE_MS` no heartbeat refutes a suspicion.
--- a/src/papayagw/_internal/core/zone_loss.py
+++ b/src/papayagw/_internal/core/zone_loss.py
@@ -41,7 +41,7 @@
         self._fleet = fleet
         self._watch = watch
         self._next_at = Millis(0)
-        self._lost: frozenset[str] = frozenset()
+        self._lost_zones: frozenset[str] = frozenset()
 
     def on_tick(self, now: Millis) -> None:
         """Check for lost zones and suspect their nodes."""
@@ -49,10 +49,10 @@
             return
         self._next_at = Millis(now + CHECK_INTERVAL_MS)
         silent = self._find_silent_zones()
-        self._lost &= silent
-        for zone in sorted(silent - self._lost):
+        self._lost_zones &= silent
+        for zone in sorted(silent - self._lost_zones):
             if self._suspect_zone(zone, now):
-                self._lost |= {zone}
+                self._lost_zones |= {zone}
 
     def _find_silent_zones(self) -> frozenset[str]:
         silent: Counter[str] = Counter()
--- a/tests/properties/isolation_proof.py
+++ b/tests/properties/isolation_proof.py
@@ -42,7 +42,7 @@
     st.tuples(st.just("forge"), st.integers(0, 2), BALANCERS),
     st.tuples(st.just("arrive"), INDICES),
 )
-INITIAL_STEPS = [("restart", address, ORDER, 1) for address in range(2)]
+INITIAL_STEPS = [("restart", index, ORDER, 1) for index in range(2)]
 INITIAL_STEPS += [("restart", 2, DRAWINGS, 1)]
 INITIAL_STEPS += [
     ("receive_record", balancer, number) for balancer in (0, 1) for number in range(3)
@@ -88,9 +88,9 @@
         self.flows = []
         self.network = []
 
-    def restart(self, address, service_id, gap):
+    def restart(self, index, service_id, gap):
         self.now += gap
-        endpoint, run = ADDRESSES[address], Incarnation(self.now)
+        endpoint, run = ADDRESSES[index], Incarnation(self.now)
         record = AgentRecord(endpoint, run, 1, service_id, "a")
         self.records.append(record)
         siblings = AgentDirectory()
@@ -114,9 +114,9 @@
             tag, own = self.flows[which % len(self.flows)]
             self.send_tagged(balancer, service_id if which % 5 == 0 else own, tag)
 
-    def forge(self, address, balancer):
+    def forge(self, index, balancer):
         """Send a packet whose tag a stranger made up, with all but the key."""
-        core, _ = self.agents[ADDRESSES[address]]
+        core, _ = self.agents[ADDRESSES[index]]
         tag = PlainTags([KEY]).seal(FlowTag(KEY.key_id, core.route, b"xyz"))
         self.send_tagged(balancer, core.route.service_id, tag)
 
