--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -1,8 +1,8 @@
-"""Balancers, agents, callers and backend servers on a manual clock.
+"""Simulation of balancers, agents, callers and backend servers on a manual clock.
 
-The decisions are those of the product. Round them stands the least that lets them
-meet: messages that are late, lost, doubled and reordered, and, in place of QUIC's
-loss recovery, streams that send all they have until it is acknowledged.
+The decisions are made by the production code. The simulation adds only what connects
+them: messages that are delayed, lost, duplicated and reordered, and, in place of QUIC's
+loss recovery, streams that resend all their data until it is acknowledged.
 """
 
 import heapq
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True)
 class RequestFrame:
-    """What a caller's side has sent so far, and what it has received."""
+    """The data that a caller has sent so far, and how much it has received."""
 
     tag: bytes
     data: bytes
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True)
 class ResponseFrame:
-    """What an agent has answered so far; the end is one more than its length."""
+    """The answer that an agent has sent so far."""
 
     tag: bytes
     data: bytes
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True)
 class Close:
-    """How a flow ended, as its agent tells."""
+    """The outcome of a flow as reported by its agent."""
 
     tag: bytes
     outcome: FlowOutcome
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True)
 class Mechanisms:
-    """The decisions under test; a mutation puts a double in one's place."""
+    """The implementations under test; a mutation replaces one with a double."""
 
     lifecycle: Callable[[], Any] = FlowLifecycle
     rule: Callable[[], Any] = UndeliveredOnly
@@ -76,7 +76,7 @@
 
 @dataclass
 class GroundTruth:
-    """What truly happened, for the checks at the end."""
+    """The deliveries and runs that took place, for the checks at the end."""
 
     runs: list[tuple[str, str, int]] = field(default_factory=list)
     deliveries: list[tuple[str, str, ServiceId]] = field(default_factory=list)
@@ -93,10 +93,10 @@
 
     Parameters
     ----------
-    fate : callable
-        Returns the delays of the copies of the next message; none is a loss.
-    pick : callable
-        Returns one of a sequence, as the fabric does.
+    draw_delays : callable
+        Returns the delay of each copy of the next message; no delay means a loss.
+    choose : callable
+        Returns one element of a sequence, as the fabric does.
     """
 
     def __init__(self, draw_delays, choose, mechanisms=None):
@@ -121,7 +121,7 @@
         heapq.heappush(self._queue, (self.now() + delay, next(self.numbers), action))
 
     def every_tick(self, node, action):
-        """Run `action` each tick while `node` lives; a frozen one misses it."""
+        """Run `action` each tick while `node` is alive; a frozen node skips ticks."""
 
         def tick():
             if node.alive:
@@ -132,7 +132,7 @@
         self.call_later(TICK_MS, tick)
 
     def send(self, source, target, receive, *message):
-        """Bring a message to `target`, if the network and both ends let it."""
+        """Deliver a message to `target` unless the link is blocked or it gets lost."""
         if target is None or (source.name, target.name) in self.blocked_links:
             return
         for delay in self.draw_delays():
@@ -141,7 +141,7 @@
             )
 
     def send_to_any_balancer(self, caller, service_id, connection_id, payload):
-        """Hand a caller's packet to some balancer, as the fabric does."""
+        """Send a caller's packet to any live balancer, as the fabric does."""
         live = [one for one in self.balancers.values() if one.alive]
         if live:
             balancer = self.choose(live)
@@ -149,7 +149,7 @@
             self.send(caller, balancer, receive, service_id, connection_id, payload)
 
     def run(self, duration):
-        """Let `duration` milliseconds pass."""
+        """Advance the clock by `duration` milliseconds and run the actions due."""
         end = self.now() + duration
         while self._queue and self._queue[0][0] <= end:
             at, _, action = heapq.heappop(self._queue)
@@ -158,15 +158,17 @@
         self.clock.advance(end - self.now())
 
     def check(self):
-        """Raise AssertionError if a promise to a caller or a service is broken."""
+        """Raise AssertionError if a guarantee to a caller or a service is violated."""
         for call, agent, service_id in self.ground_truth.deliveries:
-            assert self.calls[call].service_id == service_id, f"{call} crossed: {agent}"
+            assert self.calls[call].service_id == service_id, (
+                f"{call} reached {agent} of another service"
+            )
         for call in self.calls.values():
             call.check(self.ground_truth)
 
 
 class Node:
-    """Something with a name that may die or freeze."""
+    """A named node that may die or freeze."""
 
     def __init__(self, world, name):
         self.world = world
@@ -176,7 +178,7 @@
         self._inbox: list[Callable[[], None]] = []
 
     def deliver(self, action):
-        """Act on a message, now or when thawed."""
+        """Process a message, either now or after the node is thawed."""
         if self.frozen:
             self._inbox.append(action)
         elif self.alive:
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -1,4 +1,4 @@
-"""The nodes of `World`: each a thin shell round the product's decisions."""
+"""The nodes of `World`: each is a thin shell around the production decisions."""
 
 from papayagw._internal.core.admission import make_adaptive
 from papayagw._internal.core.choice import RendezvousChooser
@@ -38,7 +38,7 @@
 
 
 class Balancer(Node):
-    """Routes packets by the core; holds nothing of a flow."""
+    """Routes packets by the core; holds no state of a flow."""
 
     def __init__(self, world, name):
         super().__init__(world, name)
@@ -71,7 +71,7 @@
 
 
 class Agent(Node):
-    """Owns flows; its backend server is a part of it that may fail apart."""
+    """Owns flows; includes its backend server, which may fail separately."""
 
     def __init__(self, world, name, service, number):
         super().__init__(world, name)
@@ -93,7 +93,7 @@
         self.announce()
 
     def announce(self):
-        """Tell all balancers and agents what this agent is."""
+        """Send the record of this agent to all balancers and agents."""
         self.sequence += 1
         state = self.core.state
         run = (self.incarnation, self.sequence, self.service_id)
@@ -132,7 +132,7 @@
             del self.world.agents_by_endpoint[self.endpoint]
 
     def break_backend(self):
-        """Kill the backend server: its connections break and none is taken."""
+        """Kill the backend server: connections break and new ones are refused."""
         self.backend = "refuse"
         for flow in list(self.flows.values()):
             flow.apply(on.BackendBroke(flow.attempt))
@@ -170,7 +170,7 @@
 
 
 class AgentFlow:
-    """One flow at its agent: acts on what the lifecycle says."""
+    """One flow at its agent, which executes the actions of the lifecycle."""
 
     def __init__(self, agent, opening, caller):
         self.agent = agent
@@ -183,8 +183,8 @@
         self.lifecycle = self.world.mechanisms.lifecycle()
         self.last_received_at = self.world.now()
         self.handshake_done = False
-        self.request, self.finished, self.handed = b"", False, 0
-        self.answer, self.answer_end = b"", False
+        self.request, self.finished, self.delivered_bytes = b"", False, 0
+        self.answer, self.answer_finished = b"", False
         self.attempt = 0
         self.ran = False
         self.reported_outcome = None
@@ -193,33 +193,33 @@
         self.world.send(self.agent, self.caller, Caller.on_message, message)
 
     def on_payload(self, payload):
-        _, up = payload
+        _, frame = payload
         self.last_received_at = self.world.now()
         if self.reported_outcome is not None:
             self.send(Close(self.tag, self.reported_outcome))
-        elif up is None:
+        elif frame is None:
             self.send(HandshakeReply(self.opening, self.tag))
         else:
-            self.on_request_frame(up)
+            self.on_request_frame(frame)
 
-    def on_request_frame(self, up):
+    def on_request_frame(self, frame):
         if not self.handshake_done:
             self.handshake_done = True
             self.apply(on.HandshakeCompleted())
-            self.ask_admission()
-        fresh = up.data[len(self.request) :]
-        if fresh:
-            self.request += fresh
-            self.apply(on.CallerSent(len(fresh)))
-        if up.finished and not self.finished:
+            self.request_admission()
+        new_data = frame.data[len(self.request) :]
+        if new_data:
+            self.request += new_data
+            self.apply(on.CallerSent(len(new_data)))
+        if frame.finished and not self.finished:
             self.finished = True
             self.apply(on.CallerFinished())
-        if self.answer_end and up.has_end:
+        if self.answer_finished and frame.has_end:
             self.apply(on.AnswerAcknowledged())
-        elif up.received < len(self.answer) or self.answer_end:
+        elif frame.received < len(self.answer) or self.answer_finished:
             self.send_answer()
 
-    def ask_admission(self):
+    def request_admission(self):
         request = AdmissionRequest(self.number, self.caller.name)
         match self.agent.admission.offer(request, self.world.now()):
             case AdmissionDecision.ADMIT:
@@ -228,7 +228,7 @@
                 self.apply(on.AdmissionRefused())
 
     def send_answer(self):
-        self.send(ResponseFrame(self.tag, self.answer, self.answer_end))
+        self.send(ResponseFrame(self.tag, self.answer, self.answer_finished))
 
     def tick(self):
         now = self.world.now()
@@ -237,7 +237,7 @@
             self.apply(on.IdleTimedOut())
 
     def apply(self, event):
-        """Let the lifecycle decide and act on it."""
+        """Pass an event to the lifecycle and execute the resulting actions."""
         if not self.agent.alive:
             return
         for action in self.lifecycle.handle(event):
@@ -249,11 +249,11 @@
                 self.attempt = attempt
                 self.world.call_later(1, lambda: self.agent.deliver(self.on_connect))
             case on.DeliverToBackend(size):
-                end = self.handed + size
-                self.on_delivery(self.request[self.handed : end])
-                self.handed = end
+                end = self.delivered_bytes + size
+                self.on_delivery(self.request[self.delivered_bytes : end])
+                self.delivered_bytes = end
             case on.SendToCaller() | on.FinishToCaller():
-                self.answer_end = isinstance(action, on.FinishToCaller)
+                self.answer_finished = isinstance(action, on.FinishToCaller)
                 self.send_answer()
             case on.TellCaller(outcome):
                 self.reported_outcome = outcome
@@ -261,17 +261,17 @@
                 self.send(Close(self.tag, outcome))
 
     def on_connect(self):
-        up = self.agent.backend != "refuse"
-        self.agent.health.note_connect(up, self.world.now())
-        kind = on.BackendConnected if up else on.BackendConnectFailed
+        connected = self.agent.backend != "refuse"
+        self.agent.health.note_connect(connected, self.world.now())
+        kind = on.BackendConnected if connected else on.BackendConnectFailed
         self.apply(kind(self.attempt))
 
     def on_delivery(self, data):
-        """Be the backend server, which runs a request when its line is whole."""
+        """Simulate the backend server: run a request once its line is complete."""
         name = self.caller.name
         ground_truth = self.world.ground_truth
         ground_truth.deliveries.append((name, self.agent.name, self.agent.service_id))
-        line = self.request[: self.handed + len(data)]
+        line = self.request[: self.delivered_bytes + len(data)]
         if line.endswith(b"\n") and not self.ran:
             self.ran = True
             ground_truth.runs.append((name, self.agent.name, self.world.now()))
@@ -279,7 +279,7 @@
                 self.world.call_later(SERVICE_TIME_MS, lambda: self.write(1))
 
     def write(self, line):
-        """Be the backend server, which answers line by line and then closes."""
+        """Simulate the backend server, which answers line by line and then closes."""
         lines = self.caller.lines
         if self.reported_outcome is not None or not self.agent.alive:
             return
@@ -296,7 +296,7 @@
 
 
 class Caller(Node):
-    """One call: opens a flow, sends a request, wants so many lines of answer."""
+    """One call: opens a flow, sends a request and expects `lines` lines of answer."""
 
     def __init__(self, world, name, service, lines=1, deadline=None):
         super().__init__(world, name)
@@ -338,8 +338,8 @@
         for tag in self.tags:
             data = self.request[: self.sent]
             finished = self.sent == len(self.request)
-            up = RequestFrame(tag, data, finished, len(self.received), self.has_end)
-            self.world.send_to_any_balancer(self, self.service_id, tag, (self, up))
+            frame = RequestFrame(tag, data, finished, len(self.received), self.has_end)
+            self.world.send_to_any_balancer(self, self.service_id, tag, (self, frame))
 
     def tick(self):
         now = self.world.now()
@@ -386,7 +386,7 @@
             self.end(FlowOutcome.ANSWERED)
 
     def end(self, outcome):
-        """Let the retry decide after an attempt's end."""
+        """Pass the end of an attempt to the retry policy and execute its decision."""
         started = bool(self.received)
         ended = AttemptEnded(self.retry.attempt, outcome, bool(self.tags), started)
         action = self.retry.handle_end(ended, self.world.now())
@@ -399,15 +399,17 @@
             self.reported_outcome = action.outcome
 
     def check(self, ground_truth):
-        """Raise AssertionError if this call's promises are broken."""
+        """Raise AssertionError if a guarantee to this call is violated."""
         runs = ground_truth.count_runs(self.name)
         whole = b"".join(self.expect_line(line + 1) for line in range(self.lines))
         idempotent = self.service_id in IDEMPOTENT
         assert runs <= 1 or idempotent, f"{self.name} ran {runs} times"
-        assert whole.startswith(self.received), f"{self.name} got a crossed answer"
+        assert whole.startswith(self.received), (
+            f"{self.name} got the answer of another call"
+        )
         if self.reported_outcome is FlowOutcome.REFUSED:
             assert not ground_truth.has_delivery(self.name), (
                 f"{self.name} refused but delivered"
             )
         if self.reported_outcome is FlowOutcome.ANSWERED:
-            assert self.received == whole, f"{self.name} got half an answer"
+            assert self.received == whole, f"{self.name} got an incomplete answer"
--- a/tests/properties/isolation_proof.py
+++ b/tests/properties/isolation_proof.py
@@ -1,8 +1,8 @@
-"""No packet of one service reaches another, whatever restarts and whatever is late.
+"""Property: no packet of one service reaches another despite restarts and delays.
 
-Three addresses are taken by agents of two services in turn. Balancers hold any
-records that they ever heard; packets wait in the network and meet whoever has the
-address by then.
+Agents of two services use three addresses in turn. Balancers may hold any record that
+they have ever received; packets are delayed in the network and arrive at the agent
+that has the address by then.
 """
 
 from dataclasses import dataclass
@@ -24,7 +24,7 @@
 
 ADDRESSES = tuple(Endpoint("127.0.7.1", 4_000 + number) for number in range(3))
 INCARNATION_WRAP_MS = 1 << 16
-"""After so many milliseconds the incarnation in a tag is the same again."""
+"""Time after which the incarnation in a tag repeats, in milliseconds."""
 
 SERVICES = st.sampled_from([ORDER, DRAWINGS])
 BALANCERS = st.integers(0, 1)
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True)
 class InFlightPacket:
-    """A packet on its way to an agent's address."""
+    """A packet in flight to an agent's address."""
 
     address: Endpoint
     service_id: int
@@ -72,7 +72,7 @@
 
 
 class Site:
-    """Two balancers, three addresses and the packets on their way."""
+    """Two balancers, three addresses and the packets in flight."""
 
     def __init__(self, implementations):
         self.implementations = implementations
@@ -109,13 +109,13 @@
         self.forward(decision, service_id, opening)
 
     def send(self, which, balancer, service_id):
-        """Send a packet of an open flow, now and then to the wrong address."""
+        """Send a packet of an open flow, sometimes to another service's address."""
         if self.flows:
             tag, own = self.flows[which % len(self.flows)]
             self.send_tagged(balancer, service_id if which % 5 == 0 else own, tag)
 
     def forge(self, index, balancer):
-        """Send a packet whose tag a stranger made up, with all but the key."""
+        """Send a packet whose tag was forged by a party that knows all but the key."""
         core, _ = self.agents[ADDRESSES[index]]
         tag = PlainTags([KEY]).seal(FlowTag(KEY.key_id, core.route, b"xyz"))
         self.send_tagged(balancer, core.route.service_id, tag)
@@ -142,17 +142,21 @@
         if len(tag) != TAG_BYTES:
             self.arrive_opening(core, flows, packet)
         elif (found := flows.get(tag[: self.implementations.id_end])) is not None:
-            assert found == tag, "a packet of another flow was taken in"
+            assert found == tag, "a packet of another flow was accepted"
             assert core.route.service_id == packet.service_id, "wrong service"
         elif core.check_tagged(packet.service_id, self.codec.open_route(tag)) is None:
             assert core.route.service_id == packet.service_id, "wrong service"
             owners = {own for one, own in self.flows if one == tag}
-            assert owners == {packet.service_id}, "forged, or of another service"
+            assert owners == {packet.service_id}, (
+                "accepted a forged tag or a tag of another service"
+            )
 
     def arrive_opening(self, core, flows, packet):
         decision = core.decide_opening(packet.service_id, packet.connection_id, 0, 0)
         if isinstance(decision, Accept):
-            assert core.route.service_id == packet.service_id, "opened across services"
+            assert core.route.service_id == packet.service_id, (
+                "accepted an opening of another service"
+            )
             nonce = bytes((0, 0, len(flows) % 3))
             tag = self.codec.seal(FlowTag(KEY.key_id, core.route, nonce))
             flows.setdefault(tag[: self.implementations.id_end], tag)
@@ -162,28 +166,28 @@
 
 
 def check(implementations, history):
-    """Carry out the steps; the site checks each arrival."""
+    """Execute the steps; the site checks each arrival."""
     site = Site(implementations)
     for operation, *arguments in history:
         getattr(site, operation)(*arguments)
 
 
 class SkipsChecks(AgentCore):
-    """Takes each tagged packet for its own."""
+    """Accepts each tagged packet as its own."""
 
     def check_tagged(self, service_id, route):
         return None
 
 
 class NoCipher:
-    """Leaves blocks as they are."""
+    """Returns blocks unencrypted."""
 
     def update(self, block):
         return block
 
 
 class PlainTags(TagCodec):
-    """Writes and reads tags in the clear."""
+    """Encodes and decodes tags without encryption."""
 
     def __init__(self, keys):
         super().__init__(keys)
--- a/tests/properties/membership_proof.py
+++ b/tests/properties/membership_proof.py
@@ -1,7 +1,7 @@
-"""Views of the membership never revert, and agree once faults have ended.
+"""Properties: membership views never revert, and converge once faults have ended.
 
-The mechanisms of the real cores are turned off by patching: a factory returns the
-context in which a history is played.
+Mutations disable mechanisms of the real cores by patching: a factory returns the
+context manager under which a history is run.
 """
 
 from collections.abc import Iterator
@@ -73,14 +73,14 @@
     with make():
         here, there = fill(records), fill(shuffled)
         ready = [set(table.directory.find_ready(ORDER)) for table in (here, there)]
-    assert here.digest == there.digest, "the order decided"
-    assert ready[0] == ready[1], "the order decided who takes openings"
+    assert here.digest == there.digest, "the digest depends on the order of the records"
+    assert ready[0] == ready[1], "the ready agents depend on the order of the records"
     for endpoint in {record.endpoint for record in records}:
         of_endpoint = [one for one in records if one.endpoint == endpoint]
         newest = max(one.incarnation for one in of_endpoint)
         known = here.get(endpoint)
-        assert known is not None, "a run was forgotten"
-        assert known.incarnation == newest, "a stale run won"
+        assert known is not None, "the record of a run was dropped"
+        assert known.incarnation == newest, "the record of a stale run took precedence"
 
 
 def check_vectors(make, counters) -> None:
@@ -93,10 +93,10 @@
             bucket = find_bucket(make_record(number))
             for record in here.compare(there.make_vector(bucket)).ahead:
                 here.merge(record, NOW)
-    assert here.digest == there.digest, "a suspicion got lost"
+    assert here.digest == there.digest, "the digests differ after merging suspicions"
     for number, counter in counters.items():
         known = here.get(make_record(number).endpoint)
-        assert known.suspicion == counter, "a suspicion got lost"
+        assert known.suspicion == counter, "a suspicion counter was not merged"
 
 
 def check_fleet(make, history) -> None:
@@ -115,7 +115,7 @@
         assert len(ready - alive) <= fleet.count_capped(), "a dead agent is ready"
     for balancer in fleet.balancers.values():
         known = len(balancer.peers) + 1
-        assert known == len(fleet.balancers), "a view of the balancers is wrong"
+        assert known == len(fleet.balancers), "a balancer's view of its peers is wrong"
 
 
 ORDER_PROOF = Property("membership-orders", ORDERS, check_orders, nullcontext)
--- a/tests/properties/test_membership_properties.py
+++ b/tests/properties/test_membership_properties.py
@@ -24,13 +24,14 @@
 
 
 @pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda one: one.name)
-def test_property_turns_red_without_mechanism(mutation):
+def test_property_fails_without_mechanism(mutation):
     with pytest.raises(AssertionError):
         run(mutation.proof, mutation.make, 150, shrink=False)
 
 
-FOUND_HISTORIES = [
-    # A balancer woken from a pause took old heartbeats for signs of life.
+REGRESSION_HISTORIES = [
+    # After a pause, a balancer accepted heartbeats that were as old as the pause as
+    # refutations of suspicions.
     (
         0,
         Network(1, 0, 0.0, 0.0),
@@ -45,6 +46,6 @@
 ]
 
 
-@pytest.mark.parametrize("history", FOUND_HISTORIES)
-def test_history_that_was_once_found_stays_right(history):
+@pytest.mark.parametrize("history", REGRESSION_HISTORIES)
+def test_property_holds_for_regression_history(history):
     check_fleet(nullcontext, history)
--- a/tests/properties/world_proof.py
+++ b/tests/properties/world_proof.py
@@ -1,8 +1,8 @@
-"""What callers and services are promised, under drawn faults of a whole small site.
+"""Properties: guarantees to callers and services under random faults of a small site.
 
-Every joint of the decisions is in it: balancers with different views, two services
-whose agents swap addresses, openings that are doubled, lost and late, callers that
-open again.
+The site covers the interaction of all decisions: balancers with different views, two
+services whose agents swap addresses, openings that are duplicated, lost and delayed,
+and callers that open again.
 """
 
 from hypothesis import strategies as st
@@ -58,7 +58,7 @@
 
 
 def check(mechanisms, history):
-    """Run the site under the faults, end all of them and let it settle."""
+    """Run the site under the faults, end all of them and wait until it settles."""
     network, faults = history
     scenario = Scenario(mechanisms)
     scenario.execute(network + SITE)
@@ -72,10 +72,10 @@
     world.run(SETTLING_MS)
     world.check()
     assert all(call.reported_outcome for call in world.calls.values()), (
-        "a caller was told nothing"
+        "a caller received no outcome"
     )
     flows = [f for a in world.agents.values() if a.alive for f in a.flows.values()]
-    assert all(flow.reported_outcome for flow in flows), "a flow was left behind"
+    assert all(flow.reported_outcome for flow in flows), "a flow was never closed"
 
 
 class TakesAnyService(AgentCore):
@@ -86,7 +86,7 @@
 
 
 class RoutesByTagOnly(BalancerCore):
-    """Takes no notice of the address that a tagged packet was sent to."""
+    """Ignores the address to which a tagged packet was sent."""
 
     def route_tagged(self, service_id, route):
         own = service_id if route is None else route.service_id
@@ -94,7 +94,7 @@
 
 
 class RefusesUntilAnswer(FlowLifecycle):
-    """Tells REFUSED whenever no answer has begun."""
+    """Reports REFUSED whenever no answer has started."""
 
     __slots__ = ()
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -47,7 +47,7 @@
     else:
         fleet.kill(changed)
     fleet.run(LIMIT_MS)
-    # Under loss another agent may be under a suspicion that it is about to refute.
+    # With packet loss, another agent may be suspected until it refutes the suspicion.
     for ready in fleet.find_ready():
         assert (changed in ready) == (changed in expected)
         assert (make_record(50).endpoint in ready) == (event == "join")
--- a/tests/unit/test_membership_faults.py
+++ b/tests/unit/test_membership_faults.py
@@ -1,4 +1,4 @@
-"""Scenarios of failure as tables of steps, on the real cores."""
+"""Failure scenarios as tables of steps, run on the real membership cores."""
 
 from dataclasses import replace
 from unittest.mock import patch
@@ -23,7 +23,7 @@
 
 
 def merge_always(table, record, now):
-    """Take a record for the newest whatever its sequence says."""
+    """Merge a record as the newest one, whatever its sequence is."""
     known = table.get(record.endpoint)
     if known is not None and known.sequence > record.sequence:
         record = replace(record, sequence=known.sequence + 1)
@@ -64,7 +64,7 @@
         assert len(balancer.peers) == len(fleet.balancers) - 1
 
 
-def test_paused_run_that_wakes_gets_no_work_and_deletes_nothing():
+def test_resumed_stale_run_gets_no_openings_and_removes_no_record():
     fleet = make_fleet()
     endpoint = sorted(fleet.agents)[1]
     fleet.apply(Step(Event.FREEZE_AGENT, 1, 5_000))
@@ -80,7 +80,7 @@
 
 @pytest.mark.parametrize("balancers", [1, 3])
 @pytest.mark.parametrize("pause_ms", [1_500, 5_000, 60_000])
-def test_balancer_that_wakes_suspects_nobody(balancers, pause_ms):
+def test_resumed_balancer_suspects_no_agent(balancers, pause_ms):
     fleet = make_fleet(balancers)
     fleet.frozen_loses = True
     fleet.frozen.add(sorted(fleet.balancers)[0])
@@ -102,7 +102,7 @@
         assert len(ready) == agents - most_excluded
 
 
-def test_agent_that_one_watcher_cannot_hear_stays_ready():
+def test_agent_unreachable_for_one_watcher_stays_ready():
     fleet = make_fleet(balancers=3)
     unreachable = sorted(fleet.balancers)[0]
     fleet.cut_off(fleet.agents, [unreachable])
@@ -111,7 +111,7 @@
         assert fleet.find_ready() == [set(fleet.agents)] * 3
 
 
-def test_agent_that_dies_with_its_watchers_is_noticed():
+def test_agent_that_dies_with_its_watchers_is_detected():
     fleet = make_fleet(balancers=6)
     endpoint = sorted(fleet.agents)[1]
     for watcher in fleet.agents[endpoint].watchers:
@@ -133,7 +133,7 @@
     assert all(endpoint not in ready for ready in fleet.find_ready())
 
 
-def test_version_of_the_configuration_is_heard_within_four_seconds():
+def test_configuration_version_reaches_all_balancers_within_four_seconds():
     fleet = FleetDriver()
     fleet.add_fleet(40, 0)
     fleet.run(20_000)
@@ -183,7 +183,7 @@
             Watcher,
             "on_inquiry",
             lambda *_: iter(()),
-            test_agent_that_one_watcher_cannot_hear_stays_ready,
+            test_agent_unreachable_for_one_watcher_stays_ready,
         ),
         (
             directory_module,
@@ -197,19 +197,19 @@
             WatchList,
             "compensate_pause",
             lambda *_: None,
-            lambda: test_balancer_that_wakes_suspects_nobody(1, 5_000),
+            lambda: test_resumed_balancer_suspects_no_agent(1, 5_000),
         ),
         (
             Watcher,
             "_audit",
             lambda *_: None,
-            test_agent_that_dies_with_its_watchers_is_noticed,
+            test_agent_that_dies_with_its_watchers_is_detected,
         ),
         (
             AgentRecord,
             "precedence",
             property(lambda one: (one.sequence, one.incarnation, one.state, 0)),
-            test_paused_run_that_wakes_gets_no_work_and_deletes_nothing,
+            test_resumed_stale_run_gets_no_openings_and_removes_no_record,
         ),
         (
             RecordTable,
@@ -221,7 +221,7 @@
             BalancerMembership,
             "_record_version",
             lambda *_: None,
-            test_version_of_the_configuration_is_heard_within_four_seconds,
+            test_configuration_version_reaches_all_balancers_within_four_seconds,
         ),
         (
             Fleet,
@@ -233,6 +233,6 @@
         ),
     ],
 )
-def test_scenario_turns_red_without_mechanism(target, name, double, scenario):
+def test_scenario_fails_without_mechanism(target, name, double, scenario):
     with patch.object(target, name, double), pytest.raises(AssertionError):
         scenario()
--- a/tests/unit/test_watch_list.py
+++ b/tests/unit/test_watch_list.py
@@ -30,14 +30,14 @@
         (INQUIRE_AFTER_INTERVALS, OverdueAgents((AGENT,), ())),
     ],
 )
-def test_silence_leads_to_an_inquiry_first(intervals, overdue):
+def test_overdue_agent_leads_to_an_inquiry_first(intervals, overdue):
     watch = make_watch()
     now = Millis(NOW + int(intervals * INITIAL_INTERVAL_MS))
     assert watch.find_overdue(now) == overdue
     assert watch.find_overdue(now) == OverdueAgents((), ())
 
 
-def test_silence_after_the_inquiry_leads_to_suspicion():
+def test_overdue_agent_is_suspected_after_the_inquiry():
     watch = make_watch()
     now = Millis(NOW + int(SUSPECT_AFTER_INTERVALS * INITIAL_INTERVAL_MS))
     watch.find_overdue(now)
@@ -48,7 +48,7 @@
     ("incarnation", "beat", "counts"),
     [(RUN, 8, True), (RUN, 7, False), (RUN, 6, False), (4, 9, False), (6, 1, True)],
 )
-def test_late_or_stale_heartbeat_counts_for_nothing(incarnation, beat, counts):
+def test_late_or_stale_heartbeat_is_ignored(incarnation, beat, counts):
     later = Millis(NOW + 1)
     assert make_watch().record_heartbeat(AGENT, incarnation, beat, later) is counts
 
@@ -57,11 +57,11 @@
     ("incarnation", "since", "beat"),
     [(RUN, NOW, ReceivedHeartbeat(7, NOW)), (RUN, NOW + 1, None), (6, NOW, None)],
 )
-def test_watcher_vouches_for_what_it_heard(incarnation, since, beat):
+def test_watcher_vouches_for_received_heartbeat(incarnation, since, beat):
     assert make_watch().get_heartbeat(AGENT, incarnation, since) == beat
 
 
-def test_watcher_that_was_paused_vouches_for_nobody():
+def test_paused_watcher_sends_no_voucher():
     watch = make_watch()
     watch.compensate_pause(Millis(5_000))
     assert watch.get_heartbeat(AGENT, RUN, NOW) is None
