--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -118,13 +118,13 @@
         """Announce that this agent accepts no more openings."""
         if self._own.state is not AgentState.READY:
             return ()
-        return self._change(replace(self._own, state=AgentState.DRAINING), now)
+        return self._announce_change(replace(self._own, state=AgentState.DRAINING), now)
 
     def close(self, now: Millis) -> tuple[Send, ...]:
         """Announce that this agent is gone; the next ticks send it again."""
         if self._own.state is AgentState.GONE:
             return ()
-        return self._change(replace(self._own, state=AgentState.GONE), now)
+        return self._announce_change(replace(self._own, state=AgentState.GONE), now)
 
     def set_weight(self, weight: int, now: Millis) -> tuple[Send, ...]:
         """Announce a new weight if it differs enough and the last one is old enough."""
@@ -138,7 +138,7 @@
         if self._weight_changed_at is not None and now - self._weight_changed_at < wait:
             return ()
         self._weight_changed_at = now
-        return self._change(replace(self._own, weight=weight), now)
+        return self._announce_change(replace(self._own, weight=weight), now)
 
     def on_message(
         self, message: ControlMessage, source: Endpoint, now: Millis
@@ -168,7 +168,7 @@
             return self._announce(now)
         return self._send_heartbeat(now)
 
-    def _change(self, record: AgentRecord, now: Millis) -> tuple[Send, ...]:
+    def _announce_change(self, record: AgentRecord, now: Millis) -> tuple[Send, ...]:
         self._own = replace(record, sequence=self._own.sequence + 1)
         self._retransmissions = CHANGE_RETRANSMISSIONS
         return () if self._superseded else self._announce_everywhere()
@@ -257,5 +257,5 @@
             return ()
         if reported > (own.incarnation, own.sequence) or message.state != own.state:
             # Marked as gone during a pause: the same run announces that it is alive.
-            return self._change(replace(own, sequence=message.sequence), now)
+            return self._announce_change(replace(own, sequence=message.sequence), now)
         return ()
--- a/src/papayagw/_internal/core/directory.py
+++ b/src/papayagw/_internal/core/directory.py
@@ -26,7 +26,7 @@
         """Return the agents of a service that accept openings."""
 
     def is_gone(self, route: FlowRoute) -> bool:
-        """Return whether the agent run of a flow's route is known to be gone."""
+        """Return whether the agent run named by a flow tag is known to be gone."""
 
 
 class AgentDirectory:
@@ -72,7 +72,7 @@
         return self._ready.get(service_id, ())
 
     def is_gone(self, route: FlowRoute) -> bool:
-        """Return whether the agent run of a flow's route is known to be gone."""
+        """Return whether the agent run named by a flow tag is known to be gone."""
         return self._gone.get(route.agent.sockaddr) == route.incarnation
 
     def find_reported_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
--- a/src/papayagw/_internal/core/gossip_table.py
+++ b/src/papayagw/_internal/core/gossip_table.py
@@ -249,12 +249,12 @@
     def add(self, record: Record, fingerprint: Fingerprint) -> None:
         """Add a record to the members and digests."""
         self.members.add(record.endpoint)
-        self._change(record, fingerprint)
+        self._update_digests(record, fingerprint)
 
     def remove(self, record: Record, fingerprint: Fingerprint) -> None:
         """Remove a record from the members and digests."""
         self.members.discard(record.endpoint)
-        self._change(record, fingerprint)
+        self._update_digests(record, fingerprint)
 
     def list_sorted(self) -> list[Endpoint]:
         """Return the members sorted by endpoint."""
@@ -262,7 +262,7 @@
             self._sorted = sorted(self.members)
         return self._sorted
 
-    def _change(self, record: Record, fingerprint: Fingerprint) -> None:
+    def _update_digests(self, record: Record, fingerprint: Fingerprint) -> None:
         self.digest ^= fingerprint
         self.index_digest ^= _compute_identity(record)
         self._sorted = None
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -93,7 +93,7 @@
 """
 
 MAX_JOIN_RECORDS = 30
-"""Maximum number of records in the answer to a join."""
+"""Maximum number of records of other nodes in the answer to a join."""
 
 RELAYS_PER_ZONE = 3
 """Number of balancers of a zone that watch the platform's store."""
