--- a/src/papayagw/_internal/core/fleet.py
+++ b/src/papayagw/_internal/core/fleet.py
@@ -1,9 +1,9 @@
-"""One balancer's view of the fleet, and how a change of it becomes news."""
+"""A balancer's view of the fleet, and the updates that follow from its changes."""
 
 from dataclasses import replace
 
 from papayagw._internal.core.directory import AgentDirectory
-from papayagw._internal.core.gossip_news import NewsQueue
+from papayagw._internal.core.gossip_queue import UpdateQueue
 from papayagw._internal.core.gossip_table import (
     MergeOutcome,
     RecordTable,
@@ -15,26 +15,26 @@
 from papayagw._internal.models.control import BalancerRecord, Record, SuspicionVector
 from papayagw._internal.models.endpoint import Endpoint
 
-WATCHERS = 3
-"""How many balancers watch an agent."""
+WATCHERS_PER_AGENT = 3
+"""Number of balancers that watch an agent."""
 
 
 class Fleet:
-    """The records of all nodes, and what is still to be told of them.
+    """The records of all nodes, and the updates still to be sent by gossip.
 
     Parameters
     ----------
     own : BalancerRecord
-        This balancer's record.
+        The record of this balancer.
     directory : AgentDirectory
-        Kept equal to the agents.
+        The directory that is updated with the known agents.
     """
 
     def __init__(self, own: BalancerRecord, directory: AgentDirectory):
         self._own = own
         self._table = RecordTable(directory)
         self._table.merge(own, Millis(0))
-        self._news = NewsQueue(self._table)
+        self._updates = UpdateQueue(self._table)
         self._superseded = False
         self._version = -1
         self._peers: tuple[Endpoint, ...] = ()
@@ -49,13 +49,13 @@
 
     @property
     def table(self) -> RecordTable:
-        """All records."""
+        """The table of all records."""
         return self._table
 
     @property
-    def news(self) -> NewsQueue:
-        """What is still to be told."""
-        return self._news
+    def updates(self) -> UpdateQueue:
+        """The updates still to be sent by gossip."""
+        return self._updates
 
     @property
     def superseded(self) -> bool:
@@ -64,83 +64,83 @@
 
     @property
     def peers(self) -> tuple[Endpoint, ...]:
-        """The other balancers that aren't gone, suspected ones among them."""
+        """The other balancers that aren't gone, including suspected ones."""
         self._refresh()
         return self._peers
 
     @property
     def reachable(self) -> tuple[Endpoint, ...]:
-        """The other balancers that aren't suspected either."""
+        """The other balancers that are neither gone nor suspected."""
         self._refresh()
         return self._reachable
 
     @property
     def suspected(self) -> tuple[BalancerRecord, ...]:
-        """The balancers under suspicion."""
+        """The other balancers under suspicion."""
         self._refresh()
         return self._suspected
 
     @property
     def size(self) -> int:
-        """How many balancers there are, this one among them."""
+        """The number of balancers that aren't gone, including this one."""
         return len(self.peers) + 1
 
     def list_watchers(self, agent: Endpoint) -> tuple[Endpoint, ...]:
         """Return the balancers that watch an agent."""
         self._refresh()
-        return self._rendezvous.choose(str(agent), WATCHERS)
+        return self._rendezvous.choose(str(agent), WATCHERS_PER_AGENT)
 
     def is_watcher(self, agent: Endpoint) -> bool:
         """Return whether this balancer watches an agent."""
         return self._own.endpoint in self.list_watchers(agent)
 
     def merge(self, record: Record, now: Millis) -> MergeOutcome:
-        """Take in a record and tell others if it is news."""
-        outcome = self.merge_quietly(record, now)
-        if outcome is MergeOutcome.NEWS:
-            self._news.add_record(record, self.size)
+        """Merge a record and queue it for gossip if it is newer."""
+        outcome = self.merge_without_gossip(record, now)
+        if outcome is MergeOutcome.NEWER:
+            self._updates.add_record(record, self.size)
         elif outcome is MergeOutcome.KNOWN:
-            self._news.note_heard(record.endpoint)
+            self._updates.record_duplicate(record.endpoint)
         return outcome
 
-    def merge_quietly(self, record: Record, now: Millis) -> MergeOutcome:
-        """Take in a record that needs no telling; refute what is false of us."""
+    def merge_without_gossip(self, record: Record, now: Millis) -> MergeOutcome:
+        """Merge a record without gossip; refute a wrong record of this balancer."""
         if record.endpoint == self._own.endpoint:
-            return self._hear_of_self(record, now)
+            return self._merge_own(record, now)
         return self._table.merge(record, now)
 
     def merge_vector(self, vector: SuspicionVector, now: Millis) -> bool:
-        """Take in a suspicion vector; return False if it can't be compared."""
+        """Merge a suspicion vector; return False if it can't be compared."""
         compared = self._table.compare(vector)
         if compared is None:
             return False
         for record in compared.ahead:
-            self.merge_quietly(record, now)
+            self.merge_without_gossip(record, now)
         if compared.ahead:
-            self._news.add_suspicion(vector.bucket, self.size)
+            self._updates.add_suspicion(vector.bucket, self.size)
         elif not compared.behind:
-            self._news.note_heard(vector.bucket)
+            self._updates.record_duplicate(vector.bucket)
         return True
 
-    def set_suspicion(self, record: Record, now: Millis) -> None:
-        """Suspect a node, or take the suspicion of it back, and tell others."""
+    def toggle_suspicion(self, record: Record, now: Millis) -> None:
+        """Suspect a node, or clear the suspicion, and queue the change for gossip."""
         changed = replace(record, suspicion=record.suspicion + 1)
-        if self.merge_quietly(changed, now) is MergeOutcome.NEWS:
-            self._news.add_suspicion(find_bucket(record), self.size)
+        if self.merge_without_gossip(changed, now) is MergeOutcome.NEWER:
+            self._updates.add_suspicion(find_bucket(record), self.size)
 
     def mark_gone(self, record: Record, now: Millis) -> None:
-        """Give a node up and tell others."""
+        """Mark a node as gone and queue the change for gossip."""
         self.merge(replace(record, state=AgentState.GONE), now)
 
     def leave(self, now: Millis) -> None:
-        """Tell that this balancer stops."""
+        """Mark this balancer as gone and queue the change for gossip."""
         self._own = replace(
             self._own, sequence=self._own.sequence + 1, state=AgentState.GONE
         )
         self._table.merge(self._own, now)
-        self._news.add_record(self._own, self.size)
+        self._updates.add_record(self._own, self.size)
 
-    def _hear_of_self(self, record: Record, now: Millis) -> MergeOutcome:
+    def _merge_own(self, record: Record, now: Millis) -> MergeOutcome:
         if isinstance(record, AgentRecord) or record.incarnation > (
             self._own.incarnation
         ):
@@ -153,13 +153,13 @@
         self._refute(record, now)
         return MergeOutcome.KNOWN
 
-    def _refute(self, heard: BalancerRecord, now: Millis) -> None:
-        if heard.sequence > self._own.sequence or heard.state is AgentState.GONE:
-            self._own = replace(self._own, sequence=heard.sequence + 1, suspicion=0)
-            self._news.add_record(self._own, self.size)
+    def _refute(self, received: BalancerRecord, now: Millis) -> None:
+        if received.sequence > self._own.sequence or received.state is AgentState.GONE:
+            self._own = replace(self._own, sequence=received.sequence + 1, suspicion=0)
+            self._updates.add_record(self._own, self.size)
         else:
-            self._own = replace(self._own, suspicion=heard.suspicion + 1)
-            self._news.add_suspicion(find_bucket(heard), self.size)
+            self._own = replace(self._own, suspicion=received.suspicion + 1)
+            self._updates.add_suspicion(find_bucket(received), self.size)
         self._table.merge(self._own, now)
 
     def _refresh(self) -> None:
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -1,8 +1,9 @@
-"""What a balancer tells the other nodes and learns from them.
+"""Membership protocol of a balancer: gossip, probing and anti-entropy repair.
 
-Each agent sends heartbeats to a few balancers only. Changes spread by gossip, each
-told a bounded number of times; digests repair what was missed. Nothing here reads
-a clock or a socket: messages and ticks come in, messages to send come out.
+Each agent sends heartbeats to only a few balancers. Changes are disseminated by
+gossip, with a bounded number of transmissions per change; updates that were missed
+are repaired by comparing digests. This module reads no clock and no socket: it takes
+messages and ticks, and returns the messages to send.
 """
 
 import random
@@ -12,12 +13,12 @@
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.core.fleet import Fleet
 from papayagw._internal.core.gossip_budget import TokenBucket
-from papayagw._internal.core.gossip_news import (
+from papayagw._internal.core.gossip_probe import Prober
+from papayagw._internal.core.gossip_queue import (
     RECORD_BYTES,
     estimate_bytes,
-    make_news,
+    make_updates,
 )
-from papayagw._internal.core.gossip_probe import Prober
 from papayagw._internal.core.gossip_repair import DATAGRAM_BYTES, NO_DIGEST, Repairer
 from papayagw._internal.core.gossip_table import MergeOutcome
 from papayagw._internal.core.rendezvous import Rendezvous
@@ -46,76 +47,77 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 CONTROL_BYTES_PER_SECOND = 3_400
-"""What all control traffic may cost a balancer, sent and received together."""
+"""Budget of a balancer for all control traffic, sent and received together."""
 
 PROBE_BYTES_PER_SECOND = 400
-"""What probes and their answers cost without news."""
+"""Cost of probes and their answers without piggybacked updates."""
 
-MIN_NEWS_BYTES_PER_SECOND = 800
-"""What is left for gossip and repair at the least."""
+MIN_GOSSIP_BYTES_PER_SECOND = 800
+"""Minimum rate that is reserved for gossip and repair."""
 
 REPAIR_SHARE = 0.4
-"""The share of that which is kept for repair."""
+"""Share of the gossip and repair rate that is reserved for repair."""
 
 CATCH_UP_SHARE = 0.8
-"""The same while a new balancer is catching up."""
+"""Value of `REPAIR_SHARE` while a new balancer is catching up."""
 
-NEWS_BURST_BYTES = 400
+GOSSIP_BURST_BYTES = 400
 
-MAX_NEWS_BYTES = 1_050
-"""The most that news take of one datagram, in bytes."""
+MAX_UPDATE_BYTES = 1_050
+"""Maximum size of the updates in one datagram, in bytes."""
 
 FANOUT = 3
-"""To how many peers news go at once."""
+"""Number of peers to which updates are sent in each gossip round."""
 
 FANOUT_INTERVAL_MS = Millis(100)
 
 INQUIRED_PEERS = 2
-"""How many peers are asked about a silent balancer."""
+"""Number of peers that receive an inquiry about an unresponsive balancer."""
 
-SUSPECT_KEPT_MS = Millis(10_000)
-"""A balancer that doesn't refute a suspicion in this time is given up."""
+SUSPICION_TIMEOUT_MS = Millis(10_000)
+"""Time after which a balancer that has not refuted a suspicion is marked as gone."""
 
-PAUSE_MS = Millis(700)
-"""A gap between ticks that counts as a pause of this process."""
+PAUSE_THRESHOLD_MS = Millis(700)
+"""Minimum gap between ticks that is treated as a pause of this process."""
 
-FIRST_JOIN_MS = Millis(200)
-MAX_FIRST_JOIN_MS = Millis(2_000)
-JOIN_MS = Millis(5_000)
-"""The time between two joins of a node that knows peers, in a small fleet."""
+INITIAL_JOIN_INTERVAL_MS = Millis(200)
+MAX_INITIAL_JOIN_INTERVAL_MS = Millis(2_000)
+JOIN_INTERVAL_MS = Millis(5_000)
+"""Mean interval between joins of a node that knows peers, in a small fleet."""
 
-JOIN_PEERS = 50
-"""The number of peers that doubles `JOIN_MS`."""
+PEERS_PER_JOIN_INTERVAL = 50
+"""Number of peers for which `JOIN_INTERVAL_MS` is added once more to the interval."""
 
-MEET_MS = Millis(20)
-"""The least time between two answers to nodes that are unknown or taken for gone."""
+INTRODUCTION_INTERVAL_MS = Millis(20)
+"""Minimum interval between introductions to nodes that are unknown or marked as gone.
+"""
 
-JOIN_RECORDS = 30
-"""How many records the answer to a join carries."""
+MAX_JOIN_RECORDS = 30
+"""Maximum number of records of other nodes in the answer to a join."""
 
 RELAYS_PER_ZONE = 3
-"""How many balancers of a zone watch the platform's store."""
+"""Number of balancers of a zone that watch the platform's store."""
 
-VERSION_COPIES = 8
-"""In so many ticks a new version of the configuration is told."""
+VERSION_TRANSMISSIONS = 8
+"""Number of gossip rounds that advertise a new version of the configuration."""
 
-_FIRST_INQUIRY = 1 << 30
-_MAX_INQUIRERS = 64
+_FIRST_INQUIRY_NUMBER = 1 << 30
+_MAX_PENDING_INQUIRIES = 64
 
 
 class BalancerMembership:
-    """A balancer's part in the membership.
+    """Membership state machine of a balancer.
 
     Parameters
     ----------
     own : BalancerRecord
-        This balancer.
+        The record of this balancer.
     control_address : Endpoint
-        Where a datagram reaches some balancer.
+        The address at which a datagram reaches any one of the balancers.
     directory : AgentDirectory
-        Kept equal to what is known of agents.
+        The directory that is updated with the known agents.
     random_source : random.Random
-        For jitter and the choice of peers.
+        The source for jitter and the selection of peers.
     """
 
     def __init__(
@@ -128,22 +130,24 @@
         self._control_address = control_address
         self._random = random_source
         self._fleet = Fleet(own, directory)
-        self._budget = TokenBucket(MIN_NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
+        self._budget = TokenBucket(MIN_GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES)
         self._watcher = Watcher(self._fleet, random_source)
         self._prober = Prober(random_source)
-        self._repair_budget = TokenBucket(MIN_NEWS_BYTES_PER_SECOND, NEWS_BURST_BYTES)
+        self._repair_budget = TokenBucket(
+            MIN_GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES
+        )
         self._repairer = Repairer(self._fleet.table, self._repair_budget, random_source)
         self._suspects: dict[Endpoint, Millis] = {}
-        self._inquirers: dict[int, tuple[Endpoint, LivenessRequest]] = {}
-        self._inquiry_number = _FIRST_INQUIRY
+        self._pending_inquiries: dict[int, tuple[Endpoint, LivenessRequest]] = {}
+        self._inquiry_number = _FIRST_INQUIRY_NUMBER
         self._ticked_at: Millis | None = None
         self._join_at = Millis(0)
-        self._join_wait = FIRST_JOIN_MS
+        self._join_interval = INITIAL_JOIN_INTERVAL_MS
         self._fanout_at = Millis(0)
-        self._meet_at = Millis(0)
+        self._introduction_at = Millis(0)
         self._version = 0
-        self._version_copies = 0
-        self._heard: tuple[int, Endpoint] | None = None
+        self._version_transmissions = 0
+        self._advertised: tuple[int, Endpoint] | None = None
         self._handlers: dict[type, Callable[..., Iterator[Send]]] = {
             Announcement: self._on_announcement,
             Heartbeat: self._on_heartbeat,
@@ -164,7 +168,7 @@
 
     @property
     def directory(self) -> AgentDirectory:
-        """The agents."""
+        """The directory of known agents."""
         return self._fleet.table.directory
 
     @property
@@ -174,12 +178,12 @@
 
     @property
     def balancers(self) -> tuple[BalancerRecord, ...]:
-        """The balancers that aren't gone, this one among them."""
+        """The balancers that aren't gone, including this one."""
         return self._fleet.table.balancers
 
     @property
     def caught_up(self) -> bool:
-        """Whether this node knows nearly all agents, or has nobody to learn from."""
+        """Whether this node knows nearly all agents, or has no peers to sync from."""
         return self._repairer.caught_up or not self._fleet.peers
 
     @property
@@ -189,7 +193,7 @@
 
     @property
     def watched_count(self) -> int:
-        """How many agents this balancer watches."""
+        """The number of agents that this balancer watches."""
         return self._watcher.watched_count
 
     @property
@@ -198,80 +202,83 @@
         return self._version
 
     @property
-    def heard_configuration(self) -> tuple[int, Endpoint] | None:
-        """The highest version heard of and a peer that has it; None if not higher."""
-        if self._heard is None or self._heard[0] <= self._version:
+    def advertised_configuration(self) -> tuple[int, Endpoint] | None:
+        """The highest advertised version and a peer that has it; None if not newer."""
+        if self._advertised is None or self._advertised[0] <= self._version:
             return None
-        return self._heard
+        return self._advertised
 
     def set_configuration_version(self, version: int) -> None:
-        """Tell others of the version that this node now holds."""
+        """Set the version that this node holds and advertise it to the peers."""
         if version <= self._version:
             return
         self._version = version
-        self._version_copies = VERSION_COPIES
+        self._version_transmissions = VERSION_TRANSMISSIONS
         self._watcher.set_configuration_version(version)
 
     def is_relay(self, zone: str) -> bool:
-        """Return whether this balancer is to watch the store for `zone`."""
-        of_zone = [
+        """Return whether this balancer has to watch the store for `zone`."""
+        zone_balancers = [
             one
             for one in self._fleet.table.balancers
             if one.zone == zone and not one.is_suspected
         ]
-        relays = Rendezvous(of_zone).choose(f"relay {zone}", RELAYS_PER_ZONE)
+        relays = Rendezvous(zone_balancers).choose(f"relay {zone}", RELAYS_PER_ZONE)
         return self._fleet.own.endpoint in relays
 
     def on_message(
         self, message: ControlMessage, source: Endpoint, now: Millis
     ) -> tuple[Send, ...]:
-        """Take in a message.
+        """Handle a control message and return the messages to send.
 
         Parameters
         ----------
         message : ControlMessage
-            What arrived.
+            The received message.
         source : Endpoint
-            The endpoint that it came from.
+            The endpoint of the sender.
         now : Millis
-            The time.
+            The current time.
         """
-        self._excuse_pause(now)
+        self._compensate_pause(now)
         handler = self._handlers.get(type(message))
         return () if handler is None else tuple(handler(message, source, now))
 
     def on_tick(self, now: Millis) -> tuple[Send, ...]:
-        """Return what is due; to be called about every 100 ms."""
-        self._excuse_pause(now)
+        """Return the messages that are due; to be called about every 100 ms."""
+        self._compensate_pause(now)
         if self._fleet.superseded:
             return ()
-        cut_off = self._is_cut_off(now)
-        self._give_up_suspects(cut_off, now)
+        isolated = self._is_isolated(now)
+        self._remove_expired_suspects(isolated, now)
         self._watcher.set_caught_up(self.caught_up)
         return (
             *self._join(now),
             *self._probe(now),
-            *self._watcher.on_tick(cut_off, now),
-            *self._spread(now),
+            *self._watcher.on_tick(isolated, now),
+            *self._disseminate(now),
         )
 
     def leave(self, now: Millis) -> tuple[Send, ...]:
-        """Say good-bye to some peers; nothing else is to be sent afterwards."""
+        """Announce to some peers that this balancer leaves; send nothing afterwards."""
         self._fleet.leave(now)
-        news = make_news([self._fleet.own])
+        updates = make_updates([self._fleet.own])
         targets = self._sample_peers(2 * FANOUT)
         return tuple(
-            self._gossip(GossipKind.UPDATE, target, 0, news) for target in targets
+            self._gossip(GossipKind.UPDATE, target, 0, updates) for target in targets
         )
 
-    def _is_cut_off(self, now: Millis) -> bool:
-        """Return whether nobody at all is heard, so that silence tells nothing."""
-        return self._prober.is_isolated and not self._watcher.hears_agents(now)
+    def _is_isolated(self, now: Millis) -> bool:
+        """Return whether this node receives no answers from peers and no heartbeats.
 
-    def _excuse_pause(self, now: Millis) -> None:
-        if self._ticked_at is not None and now - self._ticked_at > PAUSE_MS:
+        Missing messages are then no evidence that another node has failed.
+        """
+        return self._prober.is_isolated and not self._watcher.receives_heartbeats(now)
+
+    def _compensate_pause(self, now: Millis) -> None:
+        if self._ticked_at is not None and now - self._ticked_at > PAUSE_THRESHOLD_MS:
             pause_ms = Millis(now - self._ticked_at)
-            self._watcher.excuse(pause_ms, now)
+            self._watcher.compensate_pause(pause_ms, now)
             self._prober.drop_pending()
             self._suspects = {
                 endpoint: Millis(since + pause_ms)
@@ -284,86 +291,86 @@
             return
         peers = len(self._fleet.peers)
         if peers:
-            wait = JOIN_MS * (1 + peers // JOIN_PEERS)
+            wait = JOIN_INTERVAL_MS * (1 + peers // PEERS_PER_JOIN_INTERVAL)
         else:
-            wait = self._join_wait
-            self._join_wait = Millis(min(2 * wait, MAX_FIRST_JOIN_MS))
+            wait = self._join_interval
+            self._join_interval = Millis(min(2 * wait, MAX_INITIAL_JOIN_INTERVAL_MS))
         self._join_at = Millis(now + wait // 2 + self._random.randrange(wait))
         yield Send(self._control_address, Join(self._fleet.own))
 
     def _probe(self, now: Millis) -> Iterator[Send]:
         step = self._prober.on_tick(self._fleet.peers, now)
         if step.probe is not None:
-            news = self._take_news(now)
-            yield self._gossip(GossipKind.PROBE, step.probe, step.number, news)
+            updates = self._take_updates(now)
+            yield self._gossip(GossipKind.PROBE, step.probe, step.number, updates)
         if step.inquire is not None:
             yield from self._inquire(step.inquire)
         if step.suspect is not None:
             self._suspect(step.suspect, now)
 
-    def _inquire(self, silent: Endpoint) -> Iterator[Send]:
-        record = self._fleet.table.get(silent)
+    def _inquire(self, unresponsive: Endpoint) -> Iterator[Send]:
+        record = self._fleet.table.get(unresponsive)
         if record is None:
             return
         for peer in self._sample_peers(INQUIRED_PEERS):
-            if peer != silent:
-                yield Send(peer, LivenessRequest(silent, record.incarnation))
+            if peer != unresponsive:
+                yield Send(peer, LivenessRequest(unresponsive, record.incarnation))
 
-    def _suspect(self, silent: Endpoint, now: Millis) -> None:
-        record = self._fleet.table.get(silent)
+    def _suspect(self, unresponsive: Endpoint, now: Millis) -> None:
+        record = self._fleet.table.get(unresponsive)
         if not isinstance(record, BalancerRecord) or record.is_suspected:
             return
-        if record.state is not AgentState.GONE and not self._is_cut_off(now):
-            self._fleet.set_suspicion(record, now)
+        if record.state is not AgentState.GONE and not self._is_isolated(now):
+            self._fleet.toggle_suspicion(record, now)
 
-    def _give_up_suspects(self, cut_off: bool, now: Millis) -> None:
+    def _remove_expired_suspects(self, isolated: bool, now: Millis) -> None:
         suspected = self._fleet.suspected
         self._suspects = {
             one.endpoint: self._suspects.get(one.endpoint, now) for one in suspected
         }
         for record in suspected:
             since = self._suspects[record.endpoint]
-            if now - since >= SUSPECT_KEPT_MS and not cut_off:
-                # All nodes come to this by themselves: it needs no telling.
+            if now - since >= SUSPICION_TIMEOUT_MS and not isolated:
+                # Every node times the suspicion out itself, so no gossip is needed.
                 gone = replace(record, state=AgentState.GONE)
-                self._fleet.merge_quietly(gone, now)
+                self._fleet.merge_without_gossip(gone, now)
 
-    def _spread(self, now: Millis) -> Iterator[Send]:
+    def _disseminate(self, now: Millis) -> Iterator[Send]:
         if now < self._fanout_at:
             return
         self._fanout_at = Millis(now + FANOUT_INTERVAL_MS)
         self._fleet.table.forget_gone(now)
-        self._set_news_rate(now)
-        if not self._fleet.news and not self._version_copies:
+        self._update_gossip_rates(now)
+        if not self._fleet.updates and not self._version_transmissions:
             return
-        self._version_copies = max(0, self._version_copies - 1)
+        self._version_transmissions = max(0, self._version_transmissions - 1)
         for peer in self._sample_peers(FANOUT):
-            if not self._may_send_news(now) and not self._version_copies:
+            if not self._has_gossip_budget(now) and not self._version_transmissions:
                 return
-            news = self._take_news(now)
-            if news == EMPTY_UPDATE and not self._version_copies:
+            updates = self._take_updates(now)
+            if updates == EMPTY_UPDATE and not self._version_transmissions:
                 return
             self._budget.spend(DATAGRAM_BYTES, now)
-            yield self._gossip(GossipKind.UPDATE, peer, 0, news)
+            yield self._gossip(GossipKind.UPDATE, peer, 0, updates)
 
-    def _may_send_news(self, now: Millis) -> bool:
-        """Return whether the budget lets a datagram be well filled."""
-        wanted = DATAGRAM_BYTES + RECORD_BYTES * len(self._fleet.news)
-        return self._budget.get_level(now) >= min(wanted, NEWS_BURST_BYTES)
+    def _has_gossip_budget(self, now: Millis) -> bool:
+        """Return whether the budget suffices for a datagram with enough updates."""
+        wanted = DATAGRAM_BYTES + RECORD_BYTES * len(self._fleet.updates)
+        return self._budget.get_level(now) >= min(wanted, GOSSIP_BURST_BYTES)
 
-    def _set_news_rate(self, now: Millis) -> None:
-        watching = self._watcher.estimate_bytes_per_second()
-        left = CONTROL_BYTES_PER_SECOND - PROBE_BYTES_PER_SECOND - watching
-        rate = max(MIN_NEWS_BYTES_PER_SECOND, left)
+    def _update_gossip_rates(self, now: Millis) -> None:
+        heartbeat_rate = self._watcher.estimate_bytes_per_second()
+        remaining = CONTROL_BYTES_PER_SECOND - PROBE_BYTES_PER_SECOND - heartbeat_rate
+        rate = max(MIN_GOSSIP_BYTES_PER_SECOND, remaining)
         share = REPAIR_SHARE if self.caught_up else CATCH_UP_SHARE
         self._repair_budget.set_rate(int(share * rate), now)
         self._budget.set_rate(int((1 - share) * rate), now)
 
-    def _take_news(self, now: Millis) -> MembershipUpdate:
-        room = min(MAX_NEWS_BYTES, self._budget.get_level(now))
-        news = self._fleet.news.take(room)
-        self._budget.spend(_estimate_bytes(news), now)
-        return news
+    def _take_updates(self, now: Millis) -> MembershipUpdate:
+        room = min(MAX_UPDATE_BYTES, self._budget.get_level(now))
+        updates = self._fleet.updates.take(room)
+        self._budget.spend(_estimate_bytes(updates), now)
+        return updates
 
     def _sample_peers(self, count: int) -> list[Endpoint]:
         peers = self._fleet.reachable
@@ -374,10 +381,10 @@
         kind: GossipKind,
         destination: Endpoint,
         number: int,
-        news: MembershipUpdate,
+        updates: MembershipUpdate,
     ) -> Send:
         digest = self._fleet.table.digest if self.caught_up else NO_DIGEST
-        return Send(destination, Gossip(kind, number, digest, self._version, news))
+        return Send(destination, Gossip(kind, number, digest, self._version, updates))
 
     def _on_announcement(
         self, message: Announcement, _source: Endpoint, now: Millis
@@ -396,81 +403,84 @@
             return
         outcome = self._fleet.merge(message.record, now)
         records: list[Record] = [self._fleet.own]
-        if outcome is MergeOutcome.NEWS:
-            records += self._introduce(joiner)
+        if outcome is MergeOutcome.NEWER:
+            records += self._select_join_records(joiner)
         elif (known := self._fleet.table.get(joiner)) != message.record and known:
             records.append(known)
         self._budget.spend(RECORD_BYTES * len(records), now)
-        yield self._gossip(GossipKind.UPDATE, joiner, 0, make_news(records))
+        yield self._gossip(GossipKind.UPDATE, joiner, 0, make_updates(records))
 
-    def _introduce(self, joiner: Endpoint) -> list[Record]:
+    def _select_join_records(self, joiner: Endpoint) -> list[Record]:
         others = [one for one in self.balancers if one.endpoint != joiner]
-        balancers = self._random.sample(others, min(len(others), JOIN_RECORDS))
+        balancers = self._random.sample(others, min(len(others), MAX_JOIN_RECORDS))
         agents = [
             one for one in self.directory.records if one.state is not AgentState.GONE
         ]
-        fits = len(balancers) + len(agents) <= JOIN_RECORDS
+        fits = len(balancers) + len(agents) <= MAX_JOIN_RECORDS
         return [*balancers, *agents] if fits else [*balancers]
 
     def _on_gossip(
         self, message: Gossip, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         self._budget.spend(_estimate_bytes(message.update), now)
-        yield from self._take_in(message.update, source, now)
-        self._note_version(message.configuration_version, source)
+        yield from self._merge_updates(message.update, source, now)
+        self._record_version(message.configuration_version, source)
         yield from self._answer(message, source, now)
         known = self._fleet.table.get(source)
         if known is None or known.state is AgentState.GONE:
-            yield from self._meet(known, source, now)
+            yield from self._send_introduction(known, source, now)
             return
-        settled = not self._fleet.news
-        yield from self._repairer.on_digest(message.digest, source, settled, now)
+        gossip_idle = not self._fleet.updates
+        yield from self._repairer.on_digest(message.digest, source, gossip_idle, now)
 
     def _answer(self, message: Gossip, source: Endpoint, now: Millis) -> Iterator[Send]:
         if message.kind is GossipKind.PROBE:
-            news = self._take_news(now)
-            yield self._gossip(GossipKind.REPLY, source, message.number, news)
+            updates = self._take_updates(now)
+            yield self._gossip(GossipKind.REPLY, source, message.number, updates)
         elif message.kind is GossipKind.REPLY:
-            self._prober.note_answer(message.number)
-            waiting = self._inquirers.pop(message.number, None)
+            self._prober.record_answer(message.number)
+            waiting = self._pending_inquiries.pop(message.number, None)
             if waiting is not None:
                 inquirer, inquiry = waiting
                 voucher = LivenessResponse(inquiry.endpoint, inquiry.incarnation, 0)
                 yield Send(inquirer, voucher)
 
-    def _meet(
+    def _send_introduction(
         self, known: Record | None, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Make a node known that speaks though it is unknown, or taken for gone."""
-        if now < self._meet_at:
+        """Answer a sender that is unknown or marked as gone, so that it can rejoin.
+
+        A sender that is marked as gone receives that record, which it can refute.
+        """
+        if now < self._introduction_at:
             return
-        self._meet_at = Millis(now + MEET_MS)
+        self._introduction_at = Millis(now + INTRODUCTION_INTERVAL_MS)
         if known is not None:
-            yield self._gossip(GossipKind.UPDATE, source, 0, make_news([known]))
+            yield self._gossip(GossipKind.UPDATE, source, 0, make_updates([known]))
         yield Send(source, Join(self._fleet.own))
 
-    def _take_in(
-        self, news: MembershipUpdate, source: Endpoint, now: Millis
+    def _merge_updates(
+        self, updates: MembershipUpdate, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        for record in news.records:
+        for record in updates.records:
             self._fleet.merge(record, now)
-        for vector in news.vectors:
+        for vector in updates.vectors:
             if not self._fleet.merge_vector(vector, now):
                 yield from self._repairer.send_bucket(vector.bucket, source, now)
 
     def _on_records(
         self, message: MissingRecords, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        news = message.update
-        self._repair_budget.spend(DATAGRAM_BYTES + _estimate_bytes(news), now)
+        updates = message.update
+        self._repair_budget.spend(DATAGRAM_BYTES + _estimate_bytes(updates), now)
         newer: list[Record] = []
-        for record in news.records:
-            outcome = self._fleet.merge_quietly(record, now)
+        for record in updates.records:
+            outcome = self._fleet.merge_without_gossip(record, now)
             known = self._fleet.table.get(record.endpoint)
             if outcome is MergeOutcome.STALE and known is not None:
                 newer.append(known)
         if newer:
-            yield Send(source, MissingRecords(make_news(newer)))
+            yield Send(source, MissingRecords(make_updates(newer)))
 
     def _on_inquiry(
         self, message: LivenessRequest, source: Endpoint, now: Millis
@@ -480,9 +490,9 @@
             yield from self._watcher.on_inquiry(message, source, now)
         elif isinstance(record, BalancerRecord):
             self._inquiry_number += 1
-            if len(self._inquirers) >= _MAX_INQUIRERS:
-                self._inquirers.clear()
-            self._inquirers[self._inquiry_number] = (source, message)
+            if len(self._pending_inquiries) >= _MAX_PENDING_INQUIRIES:
+                self._pending_inquiries.clear()
+            self._pending_inquiries[self._inquiry_number] = (source, message)
             yield self._gossip(
                 GossipKind.PROBE, message.endpoint, self._inquiry_number, EMPTY_UPDATE
             )
@@ -491,13 +501,13 @@
         self, message: LivenessResponse, _source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         self._watcher.on_voucher(message, now)
-        self._prober.note_alive(message.endpoint)
+        self._prober.record_alive(message.endpoint)
         yield from ()
 
-    def _note_version(self, version: int, source: Endpoint) -> None:
-        if version > max(self._version, self._heard[0] if self._heard else 0):
-            self._heard = (version, source)
+    def _record_version(self, version: int, source: Endpoint) -> None:
+        if version > max(self._version, self._advertised[0] if self._advertised else 0):
+            self._advertised = (version, source)
 
 
-def _estimate_bytes(news: MembershipUpdate) -> int:
-    return int(sum(estimate_bytes(one) for one in (*news.records, *news.vectors)))
+def _estimate_bytes(updates: MembershipUpdate) -> int:
+    return int(sum(estimate_bytes(one) for one in (*updates.records, *updates.vectors)))
--- a/src/papayagw/_internal/core/rendezvous.py
+++ b/src/papayagw/_internal/core/rendezvous.py
@@ -1,9 +1,9 @@
-"""Choice of a few balancers for a key, by rendezvous hashing.
+"""Selection of a few balancers for a key by rendezvous hashing.
 
-Nodes that know the same balancers choose alike without a word between them. The
-chosen ones stand in different zones as far as there are any, so that the loss of
-one zone leaves somebody who notices it. With hundreds of balancers the scores of
-all are worked out at once in an array.
+Nodes that know the same balancers make the same selection without communication. The
+selected balancers are in different zones as far as possible, so that after the loss of
+one zone a balancer remains that detects it. The scores are computed in one array
+operation, because there may be hundreds of balancers.
 """
 
 import hashlib
@@ -26,7 +26,7 @@
     Parameters
     ----------
     balancers : sequence of BalancerRecord
-        Those to choose from.
+        The balancers to select from.
     """
 
     def __init__(self, balancers: Sequence[BalancerRecord]):
@@ -39,14 +39,16 @@
     def choose(self, key: str, count: int) -> tuple[Endpoint, ...]:
         """Return up to `count` balancers for `key`, the best first."""
         scores = self._score(key)
-        left = np.ones(len(scores), dtype=bool)
-        fresh = left.copy()
+        remaining = np.ones(len(scores), dtype=bool)
+        in_unused_zone = remaining.copy()
         chosen: list[int] = []
-        while len(chosen) < count and left.any():
-            best = _find_best(scores, fresh if fresh.any() else left)
+        while len(chosen) < count and remaining.any():
+            best = _find_best(
+                scores, in_unused_zone if in_unused_zone.any() else remaining
+            )
             chosen.append(best)
-            left[best] = False
-            fresh &= self._zones != self._zones[best]
+            remaining[best] = False
+            in_unused_zone &= self._zones != self._zones[best]
         return tuple(self._endpoints[index] for index in chosen)
 
     def _score(self, key: str) -> npt.NDArray[np.uint64]:
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -1,8 +1,8 @@
-"""Balancers, agents, callers and backend servers on a manual clock.
+"""Simulation of balancers, agents, callers and backend servers on a manual clock.
 
-The decisions are those of the product. Round them stands the least that lets them
-meet: messages that are late, lost, doubled and reordered, and, in place of QUIC's
-loss recovery, streams that send all they have until it is acknowledged.
+The decisions are made by the production code. The simulation adds only what connects
+them: messages that are delayed, lost, duplicated and reordered, and, in place of QUIC's
+loss recovery, streams that resend all their data until it is acknowledged.
 """
 
 import heapq
@@ -27,8 +27,8 @@
 
 
 @dataclass(frozen=True)
-class Up:
-    """What a caller's side has sent so far, and what it has received."""
+class RequestFrame:
+    """The data that a caller has sent so far, and how much it has received."""
 
     tag: bytes
     data: bytes
@@ -38,8 +38,8 @@
 
 
 @dataclass(frozen=True)
-class Down:
-    """What an agent has answered so far; the end is one more than its length."""
+class ResponseFrame:
+    """The answer that an agent has sent so far."""
 
     tag: bytes
     data: bytes
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True)
-class Shake:
+class HandshakeReply:
     """An agent's answer to an opening."""
 
     opening: bytes
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True)
 class Close:
-    """How a flow ended, as its agent tells."""
+    """The outcome of a flow as reported by its agent."""
 
     tag: bytes
     outcome: FlowOutcome
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True)
 class Mechanisms:
-    """The decisions under test; a mutation puts a double in one's place."""
+    """The implementations under test; a mutation replaces one with a double."""
 
     lifecycle: Callable[[], Any] = FlowLifecycle
     rule: Callable[[], Any] = UndeliveredOnly
@@ -75,8 +75,8 @@
 
 
 @dataclass
-class Book:
-    """What truly happened, for the checks at the end."""
+class GroundTruth:
+    """The deliveries and runs that took place, for the checks at the end."""
 
     runs: list[tuple[str, str, int]] = field(default_factory=list)
     deliveries: list[tuple[str, str, ServiceId]] = field(default_factory=list)
@@ -84,7 +84,7 @@
     def count_runs(self, call: str) -> int:
         return sum(one == call for one, _, _ in self.runs)
 
-    def is_touched(self, call: str) -> bool:
+    def has_delivery(self, call: str) -> bool:
         return any(one == call for one, _, _ in self.deliveries)
 
 
@@ -93,61 +93,63 @@
 
     Parameters
     ----------
-    fate : callable
-        Returns the delays of the copies of the next message; none is a loss.
-    pick : callable
-        Returns one of a sequence, as the fabric does.
+    draw_delays : callable
+        Returns the delay of each copy of the next message; no delay means a loss.
+    choose : callable
+        Returns one element of a sequence, as the fabric does.
     """
 
-    def __init__(self, fate, pick, mechanisms=None):
+    def __init__(self, draw_delays, choose, mechanisms=None):
         self.clock = ManualClock(0)
-        self.fate = fate
-        self.pick = pick
+        self.draw_delays = draw_delays
+        self.choose = choose
         self.mechanisms = mechanisms or Mechanisms()
-        self.book = Book()
+        self.ground_truth = GroundTruth()
         self.balancers: dict[str, Any] = {}
         self.agents: dict[str, Any] = {}
         self.calls: dict[str, Any] = {}
-        self.bound: dict[Endpoint, Any] = {}
-        self.cut: set[tuple[str, str]] = set()
+        self.agents_by_endpoint: dict[Endpoint, Any] = {}
+        self.blocked_links: set[tuple[str, str]] = set()
         self.numbers = count(1)
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
 
     def now(self):
         return self.clock.now()
 
-    def at(self, delay, action):
+    def call_later(self, delay, action):
         """Run `action` after `delay` milliseconds."""
         heapq.heappush(self._queue, (self.now() + delay, next(self.numbers), action))
 
     def every_tick(self, node, action):
-        """Run `action` each tick while `node` lives; a frozen one misses it."""
+        """Run `action` each tick while `node` is alive; a frozen node skips ticks."""
 
         def tick():
             if node.alive:
                 if not node.frozen:
                     action()
-                self.at(TICK_MS, tick)
+                self.call_later(TICK_MS, tick)
 
-        self.at(TICK_MS, tick)
+        self.call_later(TICK_MS, tick)
 
     def send(self, source, target, receive, *message):
-        """Bring a message to `target`, if the network and both ends let it."""
-        if target is None or (source.name, target.name) in self.cut:
+        """Deliver a message to `target` unless the link is blocked or it gets lost."""
+        if target is None or (source.name, target.name) in self.blocked_links:
             return
-        for delay in self.fate():
-            self.at(delay, lambda: target.take(lambda: receive(target, *message)))
+        for delay in self.draw_delays():
+            self.call_later(
+                delay, lambda: target.deliver(lambda: receive(target, *message))
+            )
 
-    def enter(self, caller, service_id, connection_id, payload):
-        """Hand a caller's packet to some balancer, as the fabric does."""
+    def send_to_any_balancer(self, caller, service_id, connection_id, payload):
+        """Send a caller's packet to any live balancer, as the fabric does."""
         live = [one for one in self.balancers.values() if one.alive]
         if live:
-            balancer = self.pick(live)
+            balancer = self.choose(live)
             receive = type(balancer).on_packet
             self.send(caller, balancer, receive, service_id, connection_id, payload)
 
     def run(self, duration):
-        """Let `duration` milliseconds pass."""
+        """Advance the clock by `duration` milliseconds and run the actions due."""
         end = self.now() + duration
         while self._queue and self._queue[0][0] <= end:
             at, _, action = heapq.heappop(self._queue)
@@ -156,15 +158,17 @@
         self.clock.advance(end - self.now())
 
     def check(self):
-        """Raise AssertionError if a promise to a caller or a service is broken."""
-        for call, agent, service_id in self.book.deliveries:
-            assert self.calls[call].service_id == service_id, f"{call} crossed: {agent}"
+        """Raise AssertionError if a guarantee to a caller or a service is violated."""
+        for call, agent, service_id in self.ground_truth.deliveries:
+            assert self.calls[call].service_id == service_id, (
+                f"{call} reached {agent} of another service"
+            )
         for call in self.calls.values():
-            call.check(self.book)
+            call.check(self.ground_truth)
 
 
 class Node:
-    """Something with a name that may die or freeze."""
+    """A named node that may die or freeze."""
 
     def __init__(self, world, name):
         self.world = world
@@ -173,8 +177,8 @@
         self.frozen = False
         self._inbox: list[Callable[[], None]] = []
 
-    def take(self, action):
-        """Act on a message, now or when thawed."""
+    def deliver(self, action):
+        """Process a message, either now or after the node is thawed."""
         if self.frozen:
             self._inbox.append(action)
         elif self.alive:
@@ -184,4 +188,4 @@
         self.frozen = False
         inbox, self._inbox = self._inbox, []
         for action in inbox:
-            self.take(action)
+            self.deliver(action)
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -1,4 +1,4 @@
-"""The nodes of `World`: each a thin shell round the product's decisions."""
+"""The nodes of `World`: each is a thin shell around the production decisions."""
 
 from papayagw._internal.core.admission import make_adaptive
 from papayagw._internal.core.choice import RendezvousChooser
@@ -18,36 +18,44 @@
 from papayagw._internal.models.opening import AttemptEnded, Reopen, RetryPolicy
 from papayagw._internal.wire.tag import NONCE_BYTES, TAG_BYTES, TagCodec
 from tests.lib.samples import KEY, NO_PEERS
-from tests.lib.world import IDEMPOTENT, SERVICES, Close, Down, Node, Shake, Up
-
-SILENCE_MS = 3_000
-HALF_OPEN_MS = 2_000
-OPENING_MS = 1_500
-PROBE_MS = 500
-ANNOUNCE_MS = 500
-SERVICE_MS = 30
+from tests.lib.world import (
+    IDEMPOTENT,
+    SERVICES,
+    Close,
+    HandshakeReply,
+    Node,
+    RequestFrame,
+    ResponseFrame,
+)
+
+IDLE_TIMEOUT_MS = 3_000
+HANDSHAKE_TIMEOUT_MS = 2_000
+OPENING_TIMEOUT_MS = 1_500
+PROBE_INTERVAL_MS = 500
+ANNOUNCE_INTERVAL_MS = 500
+SERVICE_TIME_MS = 30
 CODEC = TagCodec([KEY])
 
 
 class Balancer(Node):
-    """Routes packets by the core; holds nothing of a flow."""
+    """Routes packets by the core; holds no state of a flow."""
 
     def __init__(self, world, name):
         super().__init__(world, name)
         self.directory = AgentDirectory()
-        self.heard = {}
+        self.received_records = {}
         core = world.mechanisms.balancer
         self.core = core(self.directory, RendezvousChooser(), NO_PEERS)
         world.every_tick(self, self.expire)
 
     def on_record(self, record):
         if self.directory.merge(record):
-            self.heard[record.endpoint] = (self.world.now(), record)
+            self.received_records[record.endpoint] = (self.world.now(), record)
 
     def expire(self):
-        for endpoint, (at, record) in list(self.heard.items()):
-            if self.world.now() - at > 4 * ANNOUNCE_MS:
-                del self.heard[endpoint]
+        for endpoint, (at, record) in list(self.received_records.items()):
+            if self.world.now() - at > 4 * ANNOUNCE_INTERVAL_MS:
+                del self.received_records[endpoint]
                 self.directory.forget(record)
 
     def on_packet(self, service_id, connection_id, payload):
@@ -57,13 +65,13 @@
         else:
             decision = self.core.route_opening(service_id, connection_id)
         if isinstance(decision, Forward):
-            agent = self.world.bound.get(decision.agent)
+            agent = self.world.agents_by_endpoint.get(decision.agent)
             message = (service_id, connection_id, payload, 0)
             self.world.send(self, agent, Agent.on_frame, *message)
 
 
 class Agent(Node):
-    """Owns flows; its backend server is a part of it that may fail apart."""
+    """Owns flows; includes its backend server, which may fail separately."""
 
     def __init__(self, world, name, service, number):
         super().__init__(world, name)
@@ -80,12 +88,12 @@
         self.health = world.mechanisms.health()
         self.openings = {}
         self.flows = {}
-        world.bound[self.endpoint] = self
+        world.agents_by_endpoint[self.endpoint] = self
         world.every_tick(self, self.tick)
         self.announce()
 
     def announce(self):
-        """Tell all balancers and agents what this agent is."""
+        """Send the record of this agent to all balancers and agents."""
         self.sequence += 1
         state = self.core.state
         run = (self.incarnation, self.sequence, self.service_id)
@@ -96,7 +104,7 @@
             self.world.send(self, agent, lambda one, r: one.siblings.merge(r), record)
 
     def tick(self):
-        if self.world.now() % ANNOUNCE_MS < 100:
+        if self.world.now() % ANNOUNCE_INTERVAL_MS < 100:
             self.announce()
         for flow in list(self.flows.values()):
             flow.tick()
@@ -105,11 +113,11 @@
     def poll(self):
         results = self.admission.poll(self.world.now())
         for number in results.admitted:
-            self.flow_of(number).apply(on.Admitted())
+            self.find_flow(number).apply(on.Admitted())
         for number in results.refused:
-            self.flow_of(number).apply(on.AdmissionRefused())
+            self.find_flow(number).apply(on.AdmissionRefused())
 
-    def flow_of(self, number):
+    def find_flow(self, number):
         return next(flow for flow in self.flows.values() if flow.number == number)
 
     def drain(self):
@@ -120,11 +128,11 @@
 
     def die(self):
         self.alive = False
-        if self.world.bound.get(self.endpoint) is self:
-            del self.world.bound[self.endpoint]
+        if self.world.agents_by_endpoint.get(self.endpoint) is self:
+            del self.world.agents_by_endpoint[self.endpoint]
 
     def break_backend(self):
-        """Kill the backend server: its connections break and none is taken."""
+        """Kill the backend server: connections break and new ones are refused."""
         self.backend = "refuse"
         for flow in list(self.flows.values()):
             flow.apply(on.BackendConnectionLost(flow.attempt))
@@ -156,13 +164,13 @@
                 self.openings[opening] = self.flows[flow.tag] = flow
                 flow.on_payload(payload)
             case Forward(sibling):
-                target = self.world.bound.get(sibling)
+                target = self.world.agents_by_endpoint.get(sibling)
                 message = (service_id, opening, payload, hops + 1)
                 self.world.send(self, target, Agent.on_frame, *message)
 
 
 class AgentFlow:
-    """One flow at its agent: acts on what the lifecycle says."""
+    """One flow at its agent, which executes the actions of the lifecycle."""
 
     def __init__(self, agent, opening, caller):
         self.agent = agent
@@ -173,45 +181,45 @@
         nonce = self.number.to_bytes(NONCE_BYTES, "big")
         self.tag = CODEC.seal(FlowTag(KEY.key_id, agent.route, nonce))
         self.lifecycle = self.world.mechanisms.lifecycle()
-        self.heard_at = self.world.now()
-        self.shaken = False
-        self.request, self.finished, self.handed = b"", False, 0
-        self.answer, self.answer_end = b"", False
+        self.last_received_at = self.world.now()
+        self.handshake_done = False
+        self.request, self.finished, self.delivered_bytes = b"", False, 0
+        self.answer, self.answer_finished = b"", False
         self.attempt = 0
         self.ran = False
-        self.told = None
+        self.reported_outcome = None
 
     def send(self, message):
         self.world.send(self.agent, self.caller, Caller.on_message, message)
 
     def on_payload(self, payload):
-        _, up = payload
-        self.heard_at = self.world.now()
-        if self.told is not None:
-            self.send(Close(self.tag, self.told))
-        elif up is None:
-            self.send(Shake(self.opening, self.tag))
+        _, frame = payload
+        self.last_received_at = self.world.now()
+        if self.reported_outcome is not None:
+            self.send(Close(self.tag, self.reported_outcome))
+        elif frame is None:
+            self.send(HandshakeReply(self.opening, self.tag))
         else:
-            self.on_up(up)
+            self.on_request_frame(frame)
 
-    def on_up(self, up):
-        if not self.shaken:
-            self.shaken = True
+    def on_request_frame(self, frame):
+        if not self.handshake_done:
+            self.handshake_done = True
             self.apply(on.HandshakeCompleted())
-            self.ask_admission()
-        fresh = up.data[len(self.request) :]
-        if fresh:
-            self.request += fresh
-            self.apply(on.CallerSent(len(fresh)))
-        if up.finished and not self.finished:
+            self.request_admission()
+        new_data = frame.data[len(self.request) :]
+        if new_data:
+            self.request += new_data
+            self.apply(on.CallerSent(len(new_data)))
+        if frame.finished and not self.finished:
             self.finished = True
             self.apply(on.CallerFinished())
-        if self.answer_end and up.has_end:
+        if self.answer_finished and frame.has_end:
             self.apply(on.AnswerAcknowledged())
-        elif up.received < len(self.answer) or self.answer_end:
+        elif frame.received < len(self.answer) or self.answer_finished:
             self.send_answer()
 
-    def ask_admission(self):
+    def request_admission(self):
         request = AdmissionRequest(self.number, self.caller.name)
         match self.agent.admission.offer(request, self.world.now()):
             case AdmissionDecision.ADMIT:
@@ -220,16 +228,16 @@
                 self.apply(on.AdmissionRefused())
 
     def send_answer(self):
-        self.send(Down(self.tag, self.answer, self.answer_end))
+        self.send(ResponseFrame(self.tag, self.answer, self.answer_finished))
 
     def tick(self):
         now = self.world.now()
-        patience = SILENCE_MS if self.shaken else HALF_OPEN_MS
-        if self.told is None and now - self.heard_at > patience:
+        timeout_ms = IDLE_TIMEOUT_MS if self.handshake_done else HANDSHAKE_TIMEOUT_MS
+        if self.reported_outcome is None and now - self.last_received_at > timeout_ms:
             self.apply(on.IdleTimedOut())
 
     def apply(self, event):
-        """Let the lifecycle decide and act on it."""
+        """Pass an event to the lifecycle and execute the resulting actions."""
         if not self.agent.alive:
             return
         for action in self.lifecycle.handle(event):
@@ -239,41 +247,41 @@
         match action:
             case on.ConnectBackend(attempt):
                 self.attempt = attempt
-                self.world.at(1, lambda: self.agent.take(self.on_connect))
+                self.world.call_later(1, lambda: self.agent.deliver(self.on_connect))
             case on.DeliverToBackend(size):
-                end = self.handed + size
-                self.on_delivery(self.request[self.handed : end])
-                self.handed = end
+                end = self.delivered_bytes + size
+                self.on_delivery(self.request[self.delivered_bytes : end])
+                self.delivered_bytes = end
             case on.SendToCaller() | on.FinishAnswer():
-                self.answer_end = isinstance(action, on.FinishAnswer)
+                self.answer_finished = isinstance(action, on.FinishAnswer)
                 self.send_answer()
             case on.CloseFlow(outcome):
-                self.told = outcome
+                self.reported_outcome = outcome
                 self.agent.admission.close(self.number)
                 self.send(Close(self.tag, outcome))
 
     def on_connect(self):
-        up = self.agent.backend != "refuse"
-        self.agent.health.note_connect(up, self.world.now())
-        kind = on.BackendConnected if up else on.BackendConnectFailed
+        connected = self.agent.backend != "refuse"
+        self.agent.health.note_connect(connected, self.world.now())
+        kind = on.BackendConnected if connected else on.BackendConnectFailed
         self.apply(kind(self.attempt))
 
     def on_delivery(self, data):
-        """Be the backend server, which runs a request when its line is whole."""
+        """Simulate the backend server: run a request once its line is complete."""
         name = self.caller.name
-        book = self.world.book
-        book.deliveries.append((name, self.agent.name, self.agent.service_id))
-        line = self.request[: self.handed + len(data)]
+        ground_truth = self.world.ground_truth
+        ground_truth.deliveries.append((name, self.agent.name, self.agent.service_id))
+        line = self.request[: self.delivered_bytes + len(data)]
         if line.endswith(b"\n") and not self.ran:
             self.ran = True
-            book.runs.append((name, self.agent.name, self.world.now()))
+            ground_truth.runs.append((name, self.agent.name, self.world.now()))
             if self.agent.backend != "stall":
-                self.world.at(SERVICE_MS, lambda: self.write(1))
+                self.world.call_later(SERVICE_TIME_MS, lambda: self.write(1))
 
     def write(self, line):
-        """Be the backend server, which answers line by line and then closes."""
+        """Simulate the backend server, which answers line by line and then closes."""
         lines = self.caller.lines
-        if self.told is not None or not self.agent.alive:
+        if self.reported_outcome is not None or not self.agent.alive:
             return
         if line > lines:
             self.apply(on.BackendClosed(self.attempt))
@@ -284,11 +292,13 @@
         text = self.caller.expect_line(line)
         self.answer += text
         self.apply(on.BackendSent(self.attempt, len(text)))
-        self.world.at(100, lambda: self.agent.take(lambda: self.write(line + 1)))
+        self.world.call_later(
+            100, lambda: self.agent.deliver(lambda: self.write(line + 1))
+        )
 
 
 class Caller(Node):
-    """One call: opens a flow, sends a request, wants so many lines of answer."""
+    """One call: opens a flow, sends a request and expects `lines` lines of answer."""
 
     def __init__(self, world, name, service, lines=1, deadline=None):
         super().__init__(world, name)
@@ -305,8 +315,8 @@
         )
         self.request = f"run {name}\n".encode()
         self.received = b""
-        self.told = None
-        self.crossed = 0
+        self.reported_outcome = None
+        self.stray_messages = 0
         self.open()
         world.every_tick(self, self.tick)
 
@@ -318,56 +328,58 @@
         self.tags = []
         self.sent = 0
         self.has_end = False
-        self.heard_at = self.sent_at = self.world.now()
+        self.last_received_at = self.sent_at = self.world.now()
         self.send()
 
     def send(self):
         self.sent_at = self.world.now()
         if not self.tags:
-            self.world.enter(self, self.service_id, self.opening, (self, None))
+            self.world.send_to_any_balancer(
+                self, self.service_id, self.opening, (self, None)
+            )
         for tag in self.tags:
             data = self.request[: self.sent]
             finished = self.sent == len(self.request)
-            up = Up(tag, data, finished, len(self.received), self.has_end)
-            self.world.enter(self, self.service_id, tag, (self, up))
+            frame = RequestFrame(tag, data, finished, len(self.received), self.has_end)
+            self.world.send_to_any_balancer(self, self.service_id, tag, (self, frame))
 
     def tick(self):
         now = self.world.now()
-        if self.told is not None or not self.opening:
+        if self.reported_outcome is not None or not self.opening:
             return
-        patience = SILENCE_MS if self.tags else OPENING_MS
-        if now - self.heard_at > patience:
+        timeout_ms = IDLE_TIMEOUT_MS if self.tags else OPENING_TIMEOUT_MS
+        if now - self.last_received_at > timeout_ms:
             self.end(None)
-        elif self.sent < len(self.request) or now - self.sent_at >= PROBE_MS:
+        elif self.sent < len(self.request) or now - self.sent_at >= PROBE_INTERVAL_MS:
             self.sent = min(len(self.request), self.sent + 4)
             self.send()
         elif not self.tags:
             self.send()
 
     def on_message(self, message):
-        if self.told is not None:
-            self.crossed += 1
-        elif isinstance(message, Shake):
-            self.on_shake(message)
+        if self.reported_outcome is not None:
+            self.stray_messages += 1
+        elif isinstance(message, HandshakeReply):
+            self.on_handshake_reply(message)
         elif message.tag not in self.tags:
-            self.crossed += 1
+            self.stray_messages += 1
         elif isinstance(message, Close):
             self.end(message.outcome)
         else:
             self.on_answer(message)
 
-    def on_shake(self, shake):
+    def on_handshake_reply(self, reply):
         keeps = not (self.tags and self.world.mechanisms.keeps_first_answer)
-        if shake.opening == self.opening and keeps and shake.tag not in self.tags:
-            self.tags.append(shake.tag)
-            self.heard_at = self.world.now()
+        if reply.opening == self.opening and keeps and reply.tag not in self.tags:
+            self.tags.append(reply.tag)
+            self.last_received_at = self.world.now()
             self.sent = min(4, len(self.request))
             self.send()
         else:
-            self.crossed += 1
+            self.stray_messages += 1
 
     def on_answer(self, down):
-        self.heard_at = self.world.now()
+        self.last_received_at = self.world.now()
         self.received = max(self.received, down.data, key=len)
         self.has_end = down.finished
         self.sent = len(self.request)
@@ -376,26 +388,30 @@
             self.end(FlowOutcome.ANSWERED)
 
     def end(self, outcome):
-        """Let the retry decide after an attempt's end."""
+        """Pass the end of an attempt to the retry policy and execute its decision."""
         started = bool(self.received)
         ended = AttemptEnded(self.retry.attempt, outcome, bool(self.tags), started)
         action = self.retry.handle_end(ended, self.world.now())
         self.tags, self.opening = [], b""
         if isinstance(action, Reopen):
             delay = action.at - self.world.now()
-            self.heard_at = self.world.now() + delay
-            self.world.at(delay, self.open)
+            self.last_received_at = self.world.now() + delay
+            self.world.call_later(delay, self.open)
         else:
-            self.told = action.outcome
+            self.reported_outcome = action.outcome
 
-    def check(self, book):
-        """Raise AssertionError if this call's promises are broken."""
-        runs = book.count_runs(self.name)
+    def check(self, ground_truth):
+        """Raise AssertionError if a guarantee to this call is violated."""
+        runs = ground_truth.count_runs(self.name)
         whole = b"".join(self.expect_line(line + 1) for line in range(self.lines))
         idempotent = self.service_id in IDEMPOTENT
         assert runs <= 1 or idempotent, f"{self.name} ran {runs} times"
-        assert whole.startswith(self.received), f"{self.name} got a crossed answer"
-        if self.told is FlowOutcome.REFUSED:
-            assert not book.is_touched(self.name), f"{self.name} refused but delivered"
-        if self.told is FlowOutcome.ANSWERED:
-            assert self.received == whole, f"{self.name} got half an answer"
+        assert whole.startswith(self.received), (
+            f"{self.name} got the answer of another call"
+        )
+        if self.reported_outcome is FlowOutcome.REFUSED:
+            assert not ground_truth.has_delivery(self.name), (
+                f"{self.name} refused but delivered"
+            )
+        if self.reported_outcome is FlowOutcome.ANSWERED:
+            assert self.received == whole, f"{self.name} got an incomplete answer"
