--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -156,7 +156,7 @@
     body = write_configuration(make_configuration(services))
     log = ConfigurationLog()
     started = time.process_time()
-    log.offer(read_configuration(body).unwrap())
+    log.apply_if_newer(read_configuration(body).unwrap())
     return (time.process_time() - started) * 1_000
 
 
@@ -167,14 +167,14 @@
     site = replace(before.site, services=(first, *before.site.services[1:]))
     marks = (SubmissionMark(2, "second", "operator"), *before.history)
     giver, taker = ConfigurationLog(), ConfigurationLog()
-    giver.offer(before)
-    taker.offer(before)
-    giver.offer(Configuration(2, site, marks))
+    giver.apply_if_newer(before)
+    taker.apply_if_newer(before)
+    giver.apply_if_newer(Configuration(2, site, marks))
     started = time.process_time()
     taken = taker.resolve(giver.answer(taker.question))
     if taken is None:
         raise SystemExit("the change didn't apply")
-    taker.offer(taken)
+    taker.apply_if_newer(taken)
     return (time.process_time() - started) * 1_000
 
 
--- a/src/papayagw/_internal/cli/commands/config_diff.py
+++ b/src/papayagw/_internal/cli/commands/config_diff.py
@@ -8,7 +8,7 @@
 from papayagw._internal.cli.platform_access import read_site_in_force
 from papayagw._internal.cli.site_files import read_site
 from papayagw._internal.cli.values import FlagList, split_list
-from papayagw._internal.core.comparison import compare_sites
+from papayagw._internal.core.site_comparison import compare_sites
 from papayagw._internal.exceptions import SettingsError, Step
 from papayagw._internal.models.configuration import Site
 
--- a/src/papayagw/_internal/core/admission.py
+++ b/src/papayagw/_internal/core/admission.py
@@ -4,7 +4,7 @@
 open feed that was answered, or a flow that has asked for nothing yet, counts only
 against the number of flows held. So long-lived flows don't use up the limit, and
 an overloaded backend server that answers late keeps its work counted. The shell
-polls after each `note_end` and `close`, and at `next_at`.
+polls after each `finish_work` and `close`, and at `next_at`.
 """
 
 import math
@@ -35,13 +35,13 @@
     def next_at(self) -> Millis | None:
         """When `poll` is due without another event, or None."""
 
-    def offer(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
+    def submit(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
         """Decide about an accepted flow."""
 
-    def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
+    def finish_work(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
         """Note that a flow's work is over, while the flow may stay open."""
 
-    def note_start(self, flow: FlowNumber, now: Millis) -> None:
+    def start_work(self, flow: FlowNumber, now: Millis) -> None:
         """Note that a flow that was idle since its admission asks for work."""
 
     def close(self, flow: FlowNumber) -> None:
@@ -75,7 +75,7 @@
         self._work: dict[FlowNumber, _Work] = {}
         self._open: dict[FlowNumber, str] = {}
         self._in_progress_of: dict[str, int] = {}
-        self._pushed_out: list[FlowNumber] = []
+        self._evicted: list[FlowNumber] = []
 
     @property
     def limit(self) -> int:
@@ -102,35 +102,37 @@
         """When `poll` is due without another event, or None."""
         return self._queue.next_expiry
 
-    def offer(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
+    def submit(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
         """Decide about an accepted flow."""
-        until = self._wait_limit(request, now)
-        if self.flows >= self._policy.max_flows or until <= now:
+        expires_at = self._compute_expiry(request, now)
+        if self.flows >= self._policy.max_flows or expires_at <= now:
             return AdmissionDecision.REFUSE
         # Whoever waits is blocked by a share of its own, or `poll` is due.
-        if not self._queue.holds(request.client) and self._may_start(request.client):
+        if not self._queue.has_client(request.client) and self._may_start(
+            request.client
+        ):
             self._start(request.flow, request.client, now)
             return AdmissionDecision.ADMIT
-        pushed_out = self._queue.push(request, until)
-        if pushed_out == request.flow:
+        evicted = self._queue.push(request, expires_at)
+        if evicted == request.flow:
             return AdmissionDecision.REFUSE
-        if pushed_out is not None:
-            self._pushed_out.append(pushed_out)
+        if evicted is not None:
+            self._evicted.append(evicted)
         return AdmissionDecision.QUEUE
 
-    def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
+    def finish_work(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
         """Note that a flow's work is over, while the flow may stay open."""
         work = self._work.get(flow)
         if work is None:
             return
         if end is WorkEnd.ANSWERED:
             latency = Millis(now - work.admitted_at)
-            self._limit.note_answer(latency, self.in_progress, now)
+            self._limit.record_answer(latency, self.in_progress, now)
         elif end is WorkEnd.FAILED:
-            self._limit.note_failure(now)
+            self._limit.record_failure(now)
         self._finish(flow)
 
-    def note_start(self, flow: FlowNumber, now: Millis) -> None:
+    def start_work(self, flow: FlowNumber, now: Millis) -> None:
         """Note that a flow that was idle since its admission asks for work."""
         client = self._open.get(flow)
         if client is not None and flow not in self._work:
@@ -139,15 +141,15 @@
     def close(self, flow: FlowNumber) -> None:
         """Note that a flow is gone, whether it waited, worked or idled."""
         self._queue.remove(flow)
-        if flow in self._pushed_out:
-            self._pushed_out.remove(flow)
+        if flow in self._evicted:
+            self._evicted.remove(flow)
         self._finish(flow)
         self._open.pop(flow, None)
 
     def poll(self, now: Millis) -> AdmissionResults:
         """Return which waiting flows are let through or turned away."""
-        refused = (*self._pushed_out, *self._queue.expire(now))
-        self._pushed_out.clear()
+        refused = (*self._evicted, *self._queue.expire(now))
+        self._evicted.clear()
         admitted: list[FlowNumber] = []
         while self.flows < self._policy.max_flows:
             request = self._queue.pop(self._rank)
@@ -157,9 +159,13 @@
             admitted.append(request.flow)
         return AdmissionResults(tuple(admitted), refused)
 
-    def _wait_limit(self, request: AdmissionRequest, now: Millis) -> Millis:
-        until = Millis(now + self._policy.queue_timeout_ms)
-        return until if request.deadline is None else min(until, request.deadline)
+    def _compute_expiry(self, request: AdmissionRequest, now: Millis) -> Millis:
+        expires_at = Millis(now + self._policy.queue_timeout_ms)
+        return (
+            expires_at
+            if request.deadline is None
+            else min(expires_at, request.deadline)
+        )
 
     def _may_start(self, client: str) -> bool:
         share = math.ceil(self.limit * self._policy.max_client_share)
@@ -180,9 +186,9 @@
         work = self._work.pop(flow, None)
         if work is None:
             return
-        left = self._in_progress_of[work.client] - 1
-        if left:
-            self._in_progress_of[work.client] = left
+        remaining = self._in_progress_of[work.client] - 1
+        if remaining:
+            self._in_progress_of[work.client] = remaining
         else:
             del self._in_progress_of[work.client]
 
@@ -206,14 +212,14 @@
         """None: nothing ever waits."""
         return None
 
-    def offer(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
+    def submit(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
         """Let the flow through."""
         return AdmissionDecision.ADMIT
 
-    def note_end(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
+    def finish_work(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
         """Ignore the end."""
 
-    def note_start(self, flow: FlowNumber, now: Millis) -> None:
+    def start_work(self, flow: FlowNumber, now: Millis) -> None:
         """Ignore the start."""
 
     def close(self, flow: FlowNumber) -> None:
--- a/src/papayagw/_internal/core/agent.py
+++ b/src/papayagw/_internal/core/agent.py
@@ -21,7 +21,7 @@
 
 
 class AgentCore:
-    """Which openings an agent takes and which packets are its own.
+    """Which openings an agent can_accept and which packets are its is_own_service.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
 
     @property
     def state(self) -> AgentState:
-        """Whether this agent takes openings."""
+        """Whether this agent can_accept openings."""
         return self._state
 
     @property
@@ -86,18 +86,24 @@
             Whether the backend server can be reached, as far as is known; if not,
             the opening is taken only where no sibling can take it.
         """
-        own = service_id == self._route.service_id
-        takes = own and self._state is AgentState.READY and flows < self._max_flows
-        if takes and (reachable or hops >= MAX_HOPS):
+        is_own_service = service_id == self._route.service_id
+        can_accept = (
+            is_own_service
+            and self._state is AgentState.READY
+            and flows < self._max_flows
+        )
+        if can_accept and (reachable or hops >= MAX_HOPS):
             return ACCEPT
         if hops >= MAX_HOPS:
             return Drop(DropReason.TOO_MANY_HOPS)
         sibling = self._pick_sibling(service_id, connection_id)
         if sibling is not None:
             return Forward(sibling)
-        if takes:
+        if can_accept:
             return ACCEPT
-        return Drop(DropReason.OVERLOADED if own else DropReason.WRONG_SERVICE)
+        return Drop(
+            DropReason.OVERLOADED if is_own_service else DropReason.WRONG_SERVICE
+        )
 
     def check_tagged(
         self, service_id: ServiceId, route: FlowRoute | None
--- a/src/papayagw/_internal/core/backend_health.py
+++ b/src/papayagw/_internal/core/backend_health.py
@@ -18,7 +18,7 @@
     def is_reachable(self, now: Millis) -> bool:
         """Return whether an opening may be tried here before its siblings."""
 
-    def note_connect(self, reached: bool, now: Millis) -> None:
+    def record_connect(self, reached: bool, now: Millis) -> None:
         """Note whether a connection to the backend server was made."""
 
 
@@ -27,13 +27,13 @@
 
     def __init__(self) -> None:
         self._pause = Millis(0)
-        self._until = Millis(0)
+        self._paused_until = Millis(0)
 
     def is_reachable(self, now: Millis) -> bool:
         """Return whether an opening may be tried here before its siblings."""
-        return not self._pause or now >= self._until
+        return not self._pause or now >= self._paused_until
 
-    def note_connect(self, reached: bool, now: Millis) -> None:
+    def record_connect(self, reached: bool, now: Millis) -> None:
         """Note whether a connection to the backend server was made."""
         if reached:
             self._pause = Millis(0)
@@ -41,4 +41,4 @@
             # Connects that were under way together count as one failure.
             doubled = min(2 * self._pause, MAX_PAUSE_MS)
             self._pause = max(FIRST_PAUSE_MS, Millis(doubled))
-            self._until = Millis(now + self._pause)
+            self._paused_until = Millis(now + self._pause)
--- a/src/papayagw/_internal/core/backoff.py
+++ b/src/papayagw/_internal/core/backoff.py
@@ -5,7 +5,7 @@
 from papayagw._internal.models.clock import Millis
 
 FIRST_WAIT_MS = Millis(200)
-LONGEST_WAIT_MS = Millis(10_000)
+MAX_WAIT_MS = Millis(10_000)
 
 
 class Backoff:
@@ -25,18 +25,18 @@
         self,
         random: Random,
         first_ms: Millis = FIRST_WAIT_MS,
-        longest_ms: Millis = LONGEST_WAIT_MS,
+        longest_ms: Millis = MAX_WAIT_MS,
     ):
         self._random = random
         self._first_ms = first_ms
         self._longest_ms = longest_ms
         self._ceiling_ms = first_ms
 
-    def succeed(self) -> None:
+    def reset(self) -> None:
         """Begin with short waits again."""
         self._ceiling_ms = self._first_ms
 
-    def fail(self) -> Millis:
+    def next_wait(self) -> Millis:
         """Return how long to wait before the next try."""
         ceiling = self._ceiling_ms
         self._ceiling_ms = Millis(min(2 * ceiling, self._longest_ms))
--- a/src/papayagw/_internal/core/balance.py
+++ b/src/papayagw/_internal/core/balance.py
@@ -48,10 +48,12 @@
 
 def _measure_group(name: str, records: list[ServiceRecord]) -> GroupLoad:
     work = sum(record.work_ms for record in records)
-    room = sum(record.capacity * to_seconds(record.duration_ms) for record in records)
+    capacity_seconds = sum(
+        record.capacity * to_seconds(record.duration_ms) for record in records
+    )
     return GroupLoad(
         name=name,
-        load=work / room,
+        load=work / capacity_seconds,
         opened=sum(record.counts.opened for record in records),
         cut=sum(record.counts.cut for record in records),
     )
--- a/src/papayagw/_internal/core/balancer.py
+++ b/src/papayagw/_internal/core/balancer.py
@@ -31,7 +31,7 @@
 DROP_MALFORMED = Drop(DropReason.MALFORMED)
 
 
-REFUSED_KEPT_MS = Millis(2_000)
+UNREACHABLE_HOLD_OFF_MS = Millis(2_000)
 """How long an agent with a closed port gets no openings."""
 
 
@@ -64,7 +64,7 @@
         self._directory = directory
         self._chooser = chooser
         self._peers = peers
-        self._refused: dict[Endpoint, Millis] = {}
+        self._unreachable: dict[Endpoint, Millis] = {}
 
     def route_tagged(
         self, service_id: ServiceId, route: FlowRoute | None
@@ -100,7 +100,7 @@
         hops : int
             How many balancers have passed it on: one at most.
         """
-        candidates = self._find_open(service_id)
+        candidates = self._find_candidates(service_id)
         is_last = hops > 0 or not self._peers.peers
         if not is_last and not (candidates and self._peers.caught_up):
             return Forward(self._pick_peer(connection_id))
@@ -109,21 +109,21 @@
             return DROP_NO_AGENT
         return Forward(record.endpoint)
 
-    def note_refused(self, agent: Endpoint, now: Millis) -> None:
+    def mark_unreachable(self, agent: Endpoint, now: Millis) -> None:
         """Note that an agent's host said that no process holds its port."""
-        self._refused[agent] = now
+        self._unreachable[agent] = now
 
-    def forget_refused(self, now: Millis) -> None:
+    def expire_unreachable(self, now: Millis) -> None:
         """Choose agents again whose port was closed a while ago."""
-        for agent, refused_at in tuple(self._refused.items()):
-            if now - refused_at >= REFUSED_KEPT_MS:
-                del self._refused[agent]
+        for agent, marked_at in tuple(self._unreachable.items()):
+            if now - marked_at >= UNREACHABLE_HOLD_OFF_MS:
+                del self._unreachable[agent]
 
-    def _find_open(self, service_id: ServiceId) -> Sequence[AgentRecord]:
+    def _find_candidates(self, service_id: ServiceId) -> Sequence[AgentRecord]:
         ready = self._directory.find_ready(service_id)
-        if not self._refused:
+        if not self._unreachable:
             return ready
-        return [one for one in ready if one.endpoint not in self._refused]
+        return [one for one in ready if one.endpoint not in self._unreachable]
 
     def _pick_peer(self, connection_id: bytes) -> Endpoint:
         # By the connection id, so that a retransmission meets the same peer.
--- a/src/papayagw/_internal/core/burn.py
+++ b/src/papayagw/_internal/core/burn.py
@@ -73,7 +73,7 @@
     risk: Risk
 
 
-RULES = (
+BURN_RULES = (
     BurnRule("1 h", "5 min", 14.4, Risk.PAGE),
     BurnRule("6 h", "30 min", 6.0, Risk.PAGE),
     BurnRule("3 d", "6 h", 1.0, Risk.TICKET),
@@ -123,14 +123,14 @@
     end : Millis
         Where all windows end, in ms since 1970.
     """
-    measured = tuple(_take_window(records, window, end) for window in WINDOWS)
-    period = measured[-1]
+    window_records = tuple(_select_window(records, window, end) for window in WINDOWS)
+    period = window_records[-1]
     return ServiceBurn(
         service=records[0].service,
         objectives=(
-            _judge_availability(measured, objectives),
-            _judge_latency(measured, objectives),
-            _judge_imbalance(measured, objectives),
+            _evaluate_availability(window_records, objectives),
+            _evaluate_latency(window_records, objectives),
+            _evaluate_imbalance(window_records, objectives),
         ),
         sides=period.sides,
         by_backend=measure_balance(period.records, by_backend),
@@ -160,7 +160,7 @@
     return sum(counts.answered[within:]) + counts.refused
 
 
-def divide_burn(bad: float, allowed: float) -> float:
+def compute_burn(bad: float, allowed: float) -> float:
     """Return how many times over `bad` uses up what is `allowed`."""
     if bad <= 0:
         return 0.0
@@ -179,7 +179,7 @@
     sides: tuple[SideCounts, ...]
 
 
-def _take_window(
+def _select_window(
     records: Iterable[ServiceRecord], window: Window, end: Millis
 ) -> _WindowRecords:
     start = Millis(end - window.length_ms)
@@ -193,41 +193,45 @@
     return _WindowRecords(window.name, inside, sides)
 
 
-def _judge_availability(
-    measured: Sequence[_WindowRecords], objectives: Objectives
+def _evaluate_availability(
+    window_records: Sequence[_WindowRecords], objectives: Objectives
 ) -> ObjectiveBurn:
     allowed = 1 - objectives.availability
     windows = tuple(
         _pick_worst(
-            one.name, allowed, [(side.counts.cut, _flows(side)) for side in one.sides]
+            one.name,
+            allowed,
+            [(side.counts.cut, _count_flows(side)) for side in one.sides],
         )
-        for one in measured
+        for one in window_records
+    )
+    return _evaluate(
+        Objective.AVAILABILITY, objectives.availability, windows, BURN_RULES
     )
-    return _judge(Objective.AVAILABILITY, objectives.availability, windows, RULES)
 
 
-def _judge_latency(
-    measured: Sequence[_WindowRecords], objectives: Objectives
+def _evaluate_latency(
+    window_records: Sequence[_WindowRecords], objectives: Objectives
 ) -> ObjectiveBurn:
     allowed = 1 - objectives.latency_share
     windows = tuple(
         _pick_worst(
             one.name, allowed, [_count_openings(side, objectives) for side in one.sides]
         )
-        for one in measured
+        for one in window_records
     )
-    return _judge(Objective.LATENCY, objectives.latency_share, windows, RULES)
+    return _evaluate(Objective.LATENCY, objectives.latency_share, windows, BURN_RULES)
 
 
-def _judge_imbalance(
-    measured: Sequence[_WindowRecords], objectives: Objectives
+def _evaluate_imbalance(
+    window_records: Sequence[_WindowRecords], objectives: Objectives
 ) -> ObjectiveBurn:
-    windows = tuple(_measure_imbalance(one, objectives) for one in measured)
+    windows = tuple(_measure_imbalance(one, objectives) for one in window_records)
     target = objectives.imbalance
-    return _judge(Objective.IMBALANCE, target, windows, IMBALANCE_RULES)
+    return _evaluate(Objective.IMBALANCE, target, windows, IMBALANCE_RULES)
 
 
-def _flows(side: SideCounts) -> int:
+def _count_flows(side: SideCounts) -> int:
     # A lost flow may have been opened before the first record.
     return max(side.counts.opened, side.counts.cut)
 
@@ -247,7 +251,7 @@
     """
     shares = [(bad / flows, flows) for bad, flows in sides if flows]
     share, flows = max(shares, default=(0.0, 0))
-    return WindowBurn(window, divide_burn(share, allowed), share, flows)
+    return WindowBurn(window, compute_burn(share, allowed), share, flows)
 
 
 def _measure_imbalance(one: _WindowRecords, objectives: Objectives) -> WindowBurn:
@@ -255,11 +259,11 @@
     flows = sum(group.opened for group in balance.groups)
     burn = 0.0
     if flows >= MIN_FLOWS_PER_INSTANCE * len(balance.groups):
-        burn = divide_burn(balance.ratio - 1, objectives.imbalance - 1)
+        burn = compute_burn(balance.ratio - 1, objectives.imbalance - 1)
     return WindowBurn(one.name, burn, balance.ratio, flows)
 
 
-def _judge(
+def _evaluate(
     objective: Objective,
     target: float,
     windows: tuple[WindowBurn, ...],
--- a/src/papayagw/_internal/core/concurrency_limit.py
+++ b/src/papayagw/_internal/core/concurrency_limit.py
@@ -12,17 +12,17 @@
 
 from papayagw._internal.models.clock import Millis
 
-DECREASE = 0.9
-TOLERANCE = 2.0
+DECREASE_FACTOR = 0.9
+LATENCY_TOLERANCE = 2.0
 """The ratio of the mean latency to the baseline that still counts as its pace."""
-SLACK_MS = Millis(5)
-ADJUST_MS = Millis(100)
+LATENCY_SLACK_MS = Millis(5)
+ADJUST_INTERVAL_MS = Millis(100)
 """How often the limit moves."""
 MIN_SAMPLES = 5
 """How many answers a mean is made of, at least."""
-BASELINE_MS = Millis(30_000)
+BASELINE_WINDOW_MS = Millis(30_000)
 """Length of a baseline window."""
-_USED_SHARE = 0.5
+_MIN_UTILIZATION = 0.5
 """The share of the limit that has to be used for it to rise."""
 
 
@@ -33,10 +33,10 @@
     def limit(self) -> int:
         """The limit in force."""
 
-    def note_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
+    def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
         """Note how long a backend server took to begin its answer."""
 
-    def note_failure(self, now: Millis) -> None:
+    def record_failure(self, now: Millis) -> None:
         """Note that a backend server failed a flow."""
 
 
@@ -57,10 +57,10 @@
         """The limit in force."""
         return self._limit
 
-    def note_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
+    def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
         """Ignore the answer."""
 
-    def note_failure(self, now: Millis) -> None:
+    def record_failure(self, now: Millis) -> None:
         """Ignore the failure."""
 
 
@@ -69,26 +69,26 @@
 
     Parameters
     ----------
-    initial : int
+    initial_limit : int
         The limit at the start.
-    lowest : int
+    min_limit : int
         It never falls below.
-    highest : int
+    max_limit : int
         It never rises above.
     """
 
-    def __init__(self, initial: int, lowest: int, highest: int):
-        self._limit = float(initial)
-        self._lowest = lowest
-        self._highest = highest
+    def __init__(self, initial_limit: int, min_limit: int, max_limit: int):
+        self._limit = float(initial_limit)
+        self._min_limit = min_limit
+        self._max_limit = max_limit
         self._latency_sum = 0
         self._samples = 0
-        self._most_in_progress = 0
+        self._peak_in_progress = 0
         self._adjusted_at: Millis | None = None
         self._failed_at: Millis | None = None
-        self._baseline_since: Millis | None = None
-        self._best = math.inf
-        self._earlier_best = math.inf
+        self._baseline_started_at: Millis | None = None
+        self._lowest_mean = math.inf
+        self._previous_lowest_mean = math.inf
 
     @property
     def limit(self) -> int:
@@ -98,41 +98,47 @@
     @property
     def baseline_ms(self) -> float:
         """The mean latency that counts as normal; infinite before any is known."""
-        return min(self._best, self._earlier_best)
+        return min(self._lowest_mean, self._previous_lowest_mean)
 
-    def note_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
+    def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
         """Note how long a backend server took to begin its answer."""
         if self._adjusted_at is None:
-            self._adjusted_at = self._baseline_since = now
+            self._adjusted_at = self._baseline_started_at = now
         self._latency_sum += latency
         self._samples += 1
-        self._most_in_progress = max(self._most_in_progress, in_progress)
-        if now - self._adjusted_at >= ADJUST_MS and self._samples >= MIN_SAMPLES:
+        self._peak_in_progress = max(self._peak_in_progress, in_progress)
+        if (
+            now - self._adjusted_at >= ADJUST_INTERVAL_MS
+            and self._samples >= MIN_SAMPLES
+        ):
             self._adjust(now)
 
-    def note_failure(self, now: Millis) -> None:
+    def record_failure(self, now: Millis) -> None:
         """Note that a backend server failed a flow."""
-        if self._failed_at is None or now - self._failed_at >= ADJUST_MS:
+        if self._failed_at is None or now - self._failed_at >= ADJUST_INTERVAL_MS:
             self._failed_at = now
-            self._set(self._limit * DECREASE)
+            self._set_limit(self._limit * DECREASE_FACTOR)
 
     def _adjust(self, now: Millis) -> None:
         mean = self._latency_sum / self._samples
-        self._best = min(self._best, mean)
-        if mean > self.baseline_ms * TOLERANCE + SLACK_MS:
-            self._set(self._limit * DECREASE)
-        elif self._most_in_progress >= self._limit * _USED_SHARE:
-            self._set(self._limit + math.sqrt(self._limit))
-        self._latency_sum = self._samples = self._most_in_progress = 0
+        self._lowest_mean = min(self._lowest_mean, mean)
+        if mean > self.baseline_ms * LATENCY_TOLERANCE + LATENCY_SLACK_MS:
+            self._set_limit(self._limit * DECREASE_FACTOR)
+        elif self._peak_in_progress >= self._limit * _MIN_UTILIZATION:
+            self._set_limit(self._limit + math.sqrt(self._limit))
+        self._latency_sum = self._samples = self._peak_in_progress = 0
         self._adjusted_at = now
-        self._turn_baseline(now)
+        self._rotate_baseline(now)
 
-    def _turn_baseline(self, now: Millis) -> None:
-        if self._baseline_since is None or now - self._baseline_since < BASELINE_MS:
+    def _rotate_baseline(self, now: Millis) -> None:
+        if (
+            self._baseline_started_at is None
+            or now - self._baseline_started_at < BASELINE_WINDOW_MS
+        ):
             return
-        self._baseline_since = now
-        self._earlier_best, self._best = self._best, math.inf
-        self._set(self._limit / 2)
+        self._baseline_started_at = now
+        self._previous_lowest_mean, self._lowest_mean = self._lowest_mean, math.inf
+        self._set_limit(self._limit / 2)
 
-    def _set(self, limit: float) -> None:
-        self._limit = min(max(limit, self._lowest), self._highest)
+    def _set_limit(self, limit: float) -> None:
+        self._limit = min(max(limit, self._min_limit), self._max_limit)
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -2,12 +2,16 @@
 
 from enum import Enum
 
-from papayagw._internal.core.change import ChangeLog, apply_change, share_services
+from papayagw._internal.core.configuration_change import (
+    ChangeLog,
+    apply_change,
+    reuse_equal_services,
+)
 from papayagw._internal.models.change import Answer, Nothing, Question
 from papayagw._internal.models.configuration import Configuration
 
 
-class Offer(Enum):
+class VersionOrder(Enum):
     """What a node makes of a configuration that it is offered."""
 
     NEWER = "newer"
@@ -46,17 +50,17 @@
         submission_id = self._current.submission_id if self._current else ""
         return Question(self.version, submission_id)
 
-    def offer(self, configuration: Configuration) -> Offer:
+    def apply_if_newer(self, configuration: Configuration) -> VersionOrder:
         """Put a configuration in force if it is newer."""
-        offer = self._judge(configuration)
-        if offer is Offer.NEWER:
+        order = self._compare_version(configuration)
+        if order is VersionOrder.NEWER:
             if self._current is not None:
-                configuration = share_services(self._current, configuration)
+                configuration = reuse_equal_services(self._current, configuration)
             self._current = configuration
             self._changes.add(configuration)
-        elif offer is not Offer.SAME:
+        elif order is not VersionOrder.SAME:
             self._refused += 1
-        return offer
+        return order
 
     def answer(self, question: Question) -> Answer:
         """Return what a peer needs to get from its version to this node's."""
@@ -74,11 +78,11 @@
             return answer
         return apply_change(self._current, answer) if self._current else None
 
-    def _judge(self, configuration: Configuration) -> Offer:
+    def _compare_version(self, configuration: Configuration) -> VersionOrder:
         if self._current is None or configuration.version > self._current.version:
-            return Offer.NEWER
+            return VersionOrder.NEWER
         if configuration.version < self._current.version:
-            return Offer.OLDER
+            return VersionOrder.OLDER
         if configuration.submission_id != self._current.submission_id:
-            return Offer.FORKED
-        return Offer.SAME
+            return VersionOrder.FORKED
+        return VersionOrder.SAME
--- a/src/papayagw/_internal/core/change.py
+++ b/src/papayagw/_internal/core/configuration_change.py
@@ -14,7 +14,7 @@
     Site,
 )
 
-REMEMBERED_VERSIONS = 16
+MAX_KEPT_VERSIONS = 16
 """How many earlier versions a node can tell the changes from."""
 
 
@@ -64,7 +64,7 @@
     return Configuration(change.marks[0].version, site, history)
 
 
-def share_services(before: Configuration, after: Configuration) -> Configuration:
+def reuse_equal_services(before: Configuration, after: Configuration) -> Configuration:
     """Return `after` with the objects of `before` for the services that are equal.
 
     So a version that is remembered costs what changed in it and one reference for
@@ -87,7 +87,7 @@
     def add(self, configuration: Configuration) -> None:
         """Remember the version that is in force now."""
         self._versions[configuration.version] = configuration
-        while len(self._versions) > REMEMBERED_VERSIONS:
+        while len(self._versions) > MAX_KEPT_VERSIONS:
             self._versions.popitem(last=False)
 
     def find_since(
--- a/src/papayagw/_internal/core/deadlines.py
+++ b/src/papayagw/_internal/core/deadlines.py
@@ -18,7 +18,7 @@
     def __init__(self) -> None:
         self._heap: list[tuple[Millis, int, K]] = []
         self._deadlines: dict[K, Millis] = {}
-        self._count = 0
+        self._last_sequence = 0
 
     @property
     def next_at(self) -> Millis | None:
@@ -36,8 +36,8 @@
             self._deadlines.pop(key, None)
         elif self._deadlines.get(key) != at:
             self._deadlines[key] = at
-            self._count += 1
-            heapq.heappush(self._heap, (at, self._count, key))
+            self._last_sequence += 1
+            heapq.heappush(self._heap, (at, self._last_sequence, key))
 
     def pop_due(self, now: Millis) -> list[K]:
         """Remove and return the keys whose deadline has come."""
--- a/src/papayagw/_internal/core/fair_queue.py
+++ b/src/papayagw/_internal/core/fair_queue.py
@@ -1,7 +1,7 @@
 """A bounded queue of admission requests, fair between clients.
 
-A full queue takes a newcomer in place of the newest request of the client with
-the longest line, so that a burst of one client pushes out only its own.
+A full queue takes a newcomer in client_rank of the newest request of the client with
+the longest_client client_queue, so that a burst of one client pushes out only its own.
 """
 
 from collections import deque
@@ -13,13 +13,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Waiting:
+class _QueuedRequest:
     request: AdmissionRequest
-    until: Millis
+    expires_at: Millis
 
 
 class FairQueue:
-    """Admission requests that wait, a line for each client.
+    """Admission requests that wait, a client_queue for each client.
 
     Parameters
     ----------
@@ -29,39 +29,41 @@
 
     def __init__(self, capacity: int):
         self._capacity = capacity
-        self._lines: dict[str, deque[_Waiting]] = {}
-        self._clients: dict[FlowNumber, str] = {}
+        self._requests: dict[str, deque[_QueuedRequest]] = {}
+        self._client_of: dict[FlowNumber, str] = {}
 
     def __len__(self) -> int:
-        return len(self._clients)
+        return len(self._client_of)
 
     @property
     def next_expiry(self) -> Millis | None:
         """When the first request's wait is over, or None if nobody waits."""
-        return min((waiting.until for waiting in self._each()), default=None)
+        return min(
+            (waiting.expires_at for waiting in self._iter_queued()), default=None
+        )
 
-    def holds(self, client: str) -> bool:
+    def has_client(self, client: str) -> bool:
         """Return whether a request of `client` waits."""
-        return client in self._lines
+        return client in self._requests
 
-    def push(self, request: AdmissionRequest, until: Millis) -> FlowNumber | None:
-        """Let a request wait; return the flow that has no place, if any.
+    def push(self, request: AdmissionRequest, expires_at: Millis) -> FlowNumber | None:
+        """Let a request wait; return the flow that has no client_rank, if any.
 
         That may be the request's own flow.
         """
-        pushed_out = None
+        evicted = None
         if len(self) >= self._capacity:
-            longest = max(
-                self._lines, key=lambda one: len(self._lines[one]), default=""
+            longest_client = max(
+                self._requests, key=lambda one: len(self._requests[one]), default=""
             )
-            if self._length(request.client) >= self._length(longest):
+            if self._count_of(request.client) >= self._count_of(longest_client):
                 return request.flow
-            pushed_out = self._lines[longest][-1].request.flow
-            self.remove(pushed_out)
-        line = self._lines.setdefault(request.client, deque())
-        line.append(_Waiting(request, until))
-        self._clients[request.flow] = request.client
-        return pushed_out
+            evicted = self._requests[longest_client][-1].request.flow
+            self.remove(evicted)
+        client_queue = self._requests.setdefault(request.client, deque())
+        client_queue.append(_QueuedRequest(request, expires_at))
+        self._client_of[request.flow] = request.client
+        return evicted
 
     def pop(self, rank: Callable[[str], float | None]) -> AdmissionRequest | None:
         """Take the oldest request of the client with the lowest rank.
@@ -72,43 +74,51 @@
             Returns a client's rank, or None if it may have no turn now.
         """
         ranked = [
-            (place, client)
-            for client in self._lines
-            if (place := rank(client)) is not None
+            (client_rank, client)
+            for client in self._requests
+            if (client_rank := rank(client)) is not None
         ]
         if not ranked:
             return None
         _, client = min(ranked, key=lambda item: item[0])
-        request = self._lines[client][0].request
+        request = self._requests[client][0].request
         # The client goes behind its equals.
-        self._lines[client] = self._lines.pop(client)
+        self._requests[client] = self._requests.pop(client)
         self.remove(request.flow)
         return request
 
     def remove(self, flow: FlowNumber) -> bool:
         """Take a flow out; return whether it waited."""
-        client = self._clients.pop(flow, None)
+        client = self._client_of.pop(flow, None)
         if client is None:
             return False
-        line = self._lines[client]
-        kept = deque(waiting for waiting in line if waiting.request.flow != flow)
+        client_queue = self._requests[client]
+        kept = deque(
+            waiting for waiting in client_queue if waiting.request.flow != flow
+        )
         if kept:
-            self._lines[client] = kept
+            self._requests[client] = kept
         else:
-            del self._lines[client]
+            del self._requests[client]
         return True
 
     def expire(self, now: Millis) -> tuple[FlowNumber, ...]:
         """Take out the flows whose wait is over and return them."""
-        late = tuple(
-            waiting.request.flow for waiting in self._each() if waiting.until <= now
+        expired = tuple(
+            waiting.request.flow
+            for waiting in self._iter_queued()
+            if waiting.expires_at <= now
         )
-        for flow in late:
+        for flow in expired:
             self.remove(flow)
-        return late
+        return expired
 
-    def _each(self) -> Iterator[_Waiting]:
-        return (waiting for line in self._lines.values() for waiting in line)
+    def _iter_queued(self) -> Iterator[_QueuedRequest]:
+        return (
+            waiting
+            for client_queue in self._requests.values()
+            for waiting in client_queue
+        )
 
-    def _length(self, client: str) -> int:
-        return len(self._lines.get(client, ()))
+    def _count_of(self, client: str) -> int:
+        return len(self._requests.get(client, ()))
--- a/src/papayagw/_internal/core/lifecycle.py
+++ b/src/papayagw/_internal/core/lifecycle.py
@@ -44,7 +44,7 @@
 MAX_CONNECTS = 2
 """How often an agent tries to reach its backend server for one flow."""
 
-NOTHING: FlowActions = ()
+NO_ACTIONS: FlowActions = ()
 FINISH_TO_BACKEND = FinishToBackend()
 FINISH_TO_CALLER = FinishToCaller()
 CANCEL_BACKEND = CancelBackend()
@@ -83,14 +83,14 @@
         "_answer_bytes",
         "_attempt",
         "_caller_finished",
-        "_handed",
-        "_held",
+        "_delivered",
+        "_buffered",
         "_ignored",
         "_max_connects",
         "_outcome",
         "_state",
         "_stopping",
-        "_undelivered",
+        "_unwritten",
         "_writable",
     )
 
@@ -99,9 +99,9 @@
         self._state = FlowState.OPENING
         self._outcome: FlowOutcome | None = None
         self._attempt = 0
-        self._held = 0
-        self._handed = 0
-        self._undelivered = 0
+        self._buffered = 0
+        self._delivered = 0
+        self._unwritten = 0
         self._answer_bytes = 0
         self._ignored = 0
         self._caller_finished = False
@@ -119,19 +119,19 @@
         return self._outcome
 
     @property
-    def held(self) -> int:
+    def buffered(self) -> int:
         """Bytes of the caller that wait for the backend server's connection."""
-        return self._held
+        return self._buffered
 
     @property
-    def handed(self) -> int:
+    def delivered(self) -> int:
         """Bytes that may have reached the backend server."""
-        return self._handed
+        return self._delivered
 
     @property
-    def undelivered(self) -> int:
+    def unwritten(self) -> int:
         """Bytes handed to the backend server's socket that it hasn't taken yet."""
-        return self._undelivered
+        return self._unwritten
 
     @property
     def answer_bytes(self) -> int:
@@ -151,13 +151,13 @@
 
     def _ignore(self) -> FlowActions:
         self._ignored += 1
-        return NOTHING
+        return NO_ACTIONS
 
     def _on_handshake(self, event: HandshakeCompleted) -> FlowActions:
         if self._state is not FlowState.OPENING:
             return self._ignore()
         self._state = FlowState.ACCEPTED
-        return self._fail() if self._stopping else NOTHING
+        return self._fail() if self._stopping else NO_ACTIONS
 
     def _on_admitted(self, event: Admitted) -> FlowActions:
         if self._state is not FlowState.ACCEPTED:
@@ -178,13 +178,13 @@
         if self._caller_finished or not self._writable:
             return self._ignore()
         if self._state not in _CONNECTED_STATES:
-            self._held += event.count
-            return NOTHING
-        return (self._hand_over(event.count),)
+            self._buffered += event.count
+            return NO_ACTIONS
+        return (self._deliver(event.count),)
 
-    def _hand_over(self, count: int) -> DeliverToBackend:
-        self._handed += count
-        self._undelivered += count
+    def _deliver(self, count: int) -> DeliverToBackend:
+        self._delivered += count
+        self._unwritten += count
         return DeliverToBackend(count)
 
     def _on_caller_finished(self, event: CallerFinished) -> FlowActions:
@@ -193,7 +193,7 @@
         self._caller_finished = True
         if self._state in _CONNECTED_STATES and self._writable:
             return (FINISH_TO_BACKEND,)
-        return NOTHING
+        return NO_ACTIONS
 
     def _on_caller_cancelled(self, event: CallerCancelled) -> FlowActions:
         return self._end(FlowOutcome.CANCELLED)
@@ -203,17 +203,17 @@
             return self._ignore()
         return self._end(FlowOutcome.ANSWERED)
 
-    def _on_connected(self, event: BackendConnected) -> FlowActions:
+    def _on_backend_connected(self, event: BackendConnected) -> FlowActions:
         if self._state is not FlowState.CONNECTING or self._is_stale(event.attempt):
             return self._ignore()
         self._state = FlowState.DELIVERING
-        first: FlowActions = NOTHING
-        if self._held:
-            first = (self._hand_over(self._held),)
-            self._held = 0
+        first: FlowActions = NO_ACTIONS
+        if self._buffered:
+            first = (self._deliver(self._buffered),)
+            self._buffered = 0
         return (*first, FINISH_TO_BACKEND) if self._caller_finished else first
 
-    def _on_connect_failed(self, event: BackendConnectFailed) -> FlowActions:
+    def _on_backend_connect_failed(self, event: BackendConnectFailed) -> FlowActions:
         if self._state is not FlowState.CONNECTING or self._is_stale(event.attempt):
             return self._ignore()
         if self._attempt < self._max_connects:
@@ -222,10 +222,10 @@
         return self._fail()
 
     def _on_backend_wrote(self, event: BackendWrote) -> FlowActions:
-        if self._is_stale(event.attempt) or event.count > self._undelivered:
+        if self._is_stale(event.attempt) or event.count > self._unwritten:
             return self._ignore()
-        self._undelivered -= event.count
-        return NOTHING
+        self._unwritten -= event.count
+        return NO_ACTIONS
 
     def _on_backend_sent(self, event: BackendSent) -> FlowActions:
         if self._state is not FlowState.DELIVERING or self._is_stale(event.attempt):
@@ -236,7 +236,7 @@
     def _on_backend_closed(self, event: BackendClosed) -> FlowActions:
         if self._state is not FlowState.DELIVERING or self._is_stale(event.attempt):
             return self._ignore()
-        if not (self._is_begun or self._caller_finished):
+        if not (self._has_exchanged_data or self._caller_finished):
             return self._fail()
         self._state = FlowState.FINISHING
         return (FINISH_TO_CALLER,)
@@ -250,9 +250,9 @@
         if not self._writable:
             return self._ignore()
         self._writable = False
-        return NOTHING
+        return NO_ACTIONS
 
-    def _on_time_over(self, event: DeadlineReached | IdleTimedOut) -> FlowActions:
+    def _on_timeout(self, event: DeadlineReached | IdleTimedOut) -> FlowActions:
         return self._fail()
 
     def _on_stop_asked(self, event: StopAsked) -> FlowActions:
@@ -260,35 +260,33 @@
         # that is opening can't be told yet: its caller may hold the handshake for
         # complete, and a word in the middle of it doesn't carry an outcome.
         if self._state in _CONNECTED_STATES:
-            return NOTHING
+            return NO_ACTIONS
         if self._state is FlowState.OPENING:
             self._stopping = True
-            return NOTHING
+            return NO_ACTIONS
         return self._fail()
 
     def _on_stop_limit(self, event: StopLimitReached) -> FlowActions:
         return self._fail()
 
     @property
-    def _is_begun(self) -> bool:
-        return self._handed > 0 or self._answer_bytes > 0
+    def _has_exchanged_data(self) -> bool:
+        return self._delivered > 0 or self._answer_bytes > 0
 
     def _is_stale(self, attempt: int) -> bool:
         return attempt != self._attempt
 
     def _fail(self) -> FlowActions:
-        nothing_delivered = self._handed == 0
-        return self._end(
-            FlowOutcome.REFUSED if nothing_delivered else FlowOutcome.UNKNOWN
-        )
+        is_undelivered = self._delivered == 0
+        return self._end(FlowOutcome.REFUSED if is_undelivered else FlowOutcome.UNKNOWN)
 
     def _end(self, outcome: FlowOutcome) -> FlowActions:
-        cancels = outcome is not FlowOutcome.ANSWERED and self._has_connection
+        cancels_backend = outcome is not FlowOutcome.ANSWERED and self._has_connection
         self._outcome = outcome
         self._state = _FINAL_STATES[outcome]
-        self._held = 0
-        tell = TellCaller(outcome)
-        return (CANCEL_BACKEND, tell) if cancels else (tell,)
+        self._buffered = 0
+        notification = TellCaller(outcome)
+        return (CANCEL_BACKEND, notification) if cancels_backend else (notification,)
 
     @property
     def _has_connection(self) -> bool:
@@ -307,14 +305,14 @@
     CallerFinished: FlowLifecycle._on_caller_finished,
     CallerCancelled: FlowLifecycle._on_caller_cancelled,
     AnswerAcknowledged: FlowLifecycle._on_answer_acknowledged,
-    BackendConnected: FlowLifecycle._on_connected,
-    BackendConnectFailed: FlowLifecycle._on_connect_failed,
+    BackendConnected: FlowLifecycle._on_backend_connected,
+    BackendConnectFailed: FlowLifecycle._on_backend_connect_failed,
     BackendWrote: FlowLifecycle._on_backend_wrote,
     BackendSent: FlowLifecycle._on_backend_sent,
     BackendClosed: FlowLifecycle._on_backend_closed,
     BackendBroke: FlowLifecycle._on_backend_broke,
-    DeadlineReached: FlowLifecycle._on_time_over,
-    IdleTimedOut: FlowLifecycle._on_time_over,
+    DeadlineReached: FlowLifecycle._on_timeout,
+    IdleTimedOut: FlowLifecycle._on_timeout,
     StopAsked: FlowLifecycle._on_stop_asked,
     StopLimitReached: FlowLifecycle._on_stop_limit,
 }
--- a/src/papayagw/_internal/core/log_limiter.py
+++ b/src/papayagw/_internal/core/log_limiter.py
@@ -42,7 +42,7 @@
         now : Millis
             The present time.
         """
-        state = self._find(kind, now)
+        state = self._get_window(kind, now)
         if now - state.start >= self._window:
             state.start = now
             state.admitted = 0
@@ -53,24 +53,24 @@
         suppressed, state.suppressed = state.suppressed, 0
         return suppressed
 
-    def take_suppressed(self, now: Millis) -> dict[str, int]:
-        """Return the kinds whose window is over, with how many were held back.
+    def pop_suppressed(self, now: Millis) -> dict[str, int]:
+        """Return the kinds whose window is expired, with how many were held back.
 
         Parameters
         ----------
         now : Millis
             The present time.
         """
-        over = {
+        expired = {
             kind: state.suppressed
             for kind, state in self._kinds.items()
             if state.suppressed and now - state.start >= self._window
         }
-        for kind in over:
+        for kind in expired:
             self._kinds[kind].suppressed = 0
-        return over
+        return expired
 
-    def _find(self, kind: str, now: Millis) -> "_KindWindow":
+    def _get_window(self, kind: str, now: Millis) -> "_KindWindow":
         if kind not in self._kinds and len(self._kinds) >= MAX_KINDS - 1:
             kind = _OTHER_KIND
         return self._kinds.setdefault(kind, _KindWindow(now))
--- a/src/papayagw/_internal/core/plain/store_calls.py
+++ b/src/papayagw/_internal/core/plain/store_calls.py
@@ -78,7 +78,7 @@
 
     def succeed(self) -> None:
         """Note a usable answer."""
-        self._backoff.succeed()
+        self._backoff.reset()
         self._timeout_ms = FIRST_TIMEOUT_MS
         self._failures = 0
 
@@ -86,7 +86,7 @@
         """Note a failure; return how long to wait before the next try."""
         self._failures += 1
         if failure.refused:
-            return self._backoff.fail()
+            return self._backoff.next_wait()
         # The store may be slow: the next try is given longer and is made at once.
         self._timeout_ms = Millis(min(2 * self._timeout_ms, LONGEST_TIMEOUT_MS))
-        return self._backoff.fail() if self._failures > 1 else Millis(0)
+        return self._backoff.next_wait() if self._failures > 1 else Millis(0)
--- a/src/papayagw/_internal/core/record_maker.py
+++ b/src/papayagw/_internal/core/record_maker.py
@@ -1,7 +1,7 @@
 """Service-level records from the totals that nodes report.
 
 Nodes keep nothing and count from their start, so a record is the difference
-between two reports of one run. Flows that were open when a run was last seen
+between two reports of one run. Flows that were open when a run was last previous
 and whose run then made way for another without draining count as lost.
 """
 
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Seen:
+class _LastReport:
     """The last report of a node, and when it came."""
 
     report: StatusReport
@@ -28,9 +28,11 @@
     """Turns successive status reports into records."""
 
     def __init__(self) -> None:
-        self._seen: dict[str, _Seen] = {}
+        self._last_reports: dict[str, _LastReport] = {}
 
-    def take(self, report: StatusReport, now: Millis) -> tuple[ServiceRecord, ...]:
+    def add_report(
+        self, report: StatusReport, now: Millis
+    ) -> tuple[ServiceRecord, ...]:
         """Return the records of the interval since the node's last report.
 
         Nothing comes of a node's first report: there is nothing to compare with.
@@ -42,33 +44,35 @@
         now : Millis
             When it said so, in ms since 1970.
         """
-        seen = self._seen.get(report.node)
-        if seen is not None and (now <= seen.at or report.run < seen.report.run):
+        previous = self._last_reports.get(report.node)
+        if previous is not None and (
+            now <= previous.at or report.run < previous.report.run
+        ):
             return ()
-        self._seen[report.node] = _Seen(report, now)
-        if seen is None:
+        self._last_reports[report.node] = _LastReport(report, now)
+        if previous is None:
             return ()
         return tuple(
-            _make_record(report, totals, seen, now) for totals in report.services
+            _make_record(report, totals, previous, now) for totals in report.services
         )
 
 
 def _make_record(
-    report: StatusReport, totals: ServiceTotals, seen: _Seen, now: Millis
+    report: StatusReport, totals: ServiceTotals, previous: _LastReport, now: Millis
 ) -> ServiceRecord:
     earlier = next(
-        (one for one in seen.report.services if one.service == totals.service),
+        (one for one in previous.report.services if one.service == totals.service),
         ServiceTotals(totals.service),
     )
-    same_run = report.run == seen.report.run
+    same_run = report.run == previous.report.run
     counts, work_ms = totals.counts, totals.work_ms
     if same_run:
         counts = counts.minus(earlier.counts)
         work_ms = Millis(work_ms - earlier.work_ms)
-    elif seen.report.state is not NodeState.DRAINING:
+    elif previous.report.state is not NodeState.DRAINING:
         counts = replace(counts, lost=earlier.flows_open)
     return ServiceRecord(
-        start_ms=seen.at,
+        start_ms=previous.at,
         end_ms=now,
         service=totals.service,
         instance=report.node,
--- a/src/papayagw/_internal/core/record_selection.py
+++ b/src/papayagw/_internal/core/record_selection.py
@@ -13,10 +13,10 @@
 PERIOD_MS = Millis(30 * 24 * 3600 * MILLIS_PER_SECOND)
 """The period of a budget."""
 
-SKEW_MS = Millis(60_000)
+MAX_CLOCK_SKEW_MS = Millis(60_000)
 """How far ahead a recorder's clock may be."""
 
-LONG_INTERVAL_MS = Millis(300_000)
+MAX_EXACT_INTERVAL_MS = Millis(300_000)
 """A record longer than this overstates the shortest window."""
 
 
@@ -47,13 +47,13 @@
     @property
     def notes(self) -> tuple[str, ...]:
         """What the reader of a report has to know."""
-        told = (
+        notices = (
             ("passed over, from the future (a clock is wrong)", self.ahead),
             ("passed over, of a time that others cover", self.overlapping),
             ("passed over, older than 30 d", self.old),
             ("of more than 5 min, which overstate short windows", self.long),
         )
-        return tuple(f"records {what}: {count}" for what, count in told if count)
+        return tuple(f"records {notice}: {count}" for notice, count in notices if count)
 
 
 def select_records(records: Iterable[ServiceRecord], now: Millis) -> Selection:
@@ -67,7 +67,7 @@
         The present time, in ms since 1970.
     """
     ordered = sorted(records, key=lambda record: (record.start_ms, record.end_ms))
-    past = [record for record in ordered if record.end_ms <= now + SKEW_MS]
+    past = [record for record in ordered if record.end_ms <= now + MAX_CLOCK_SKEW_MS]
     recent = [record for record in past if record.end_ms > now - PERIOD_MS]
     kept = _drop_overlapping(recent)
     return Selection(
@@ -75,7 +75,7 @@
         ahead=len(ordered) - len(past),
         overlapping=len(recent) - len(kept),
         old=len(past) - len(recent),
-        long=sum(one.duration_ms > LONG_INTERVAL_MS for one in kept),
+        long=sum(one.duration_ms > MAX_EXACT_INTERVAL_MS for one in kept),
     )
 
 
--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -19,17 +19,17 @@
     RetryPolicy,
 )
 
-MILLITOKENS = 1000
+MILLITOKENS_PER_TOKEN = 1000
 """Thousandths of a token in one, so that the sums are exact."""
 
 
 class RetryBudget(Protocol):
     """Bounds the further attempts of all flows to one service together."""
 
-    def note_first_try(self) -> None:
+    def record_first_attempt(self) -> None:
         """Note a flow's first attempt."""
 
-    def take(self, now: Millis) -> bool:
+    def try_acquire(self, now: Millis) -> bool:
         """Return whether one further attempt may be made, and count it."""
 
 
@@ -53,33 +53,33 @@
     """
 
     def __init__(self, policy: RetryPolicy):
-        self._most = _to_millitokens(policy.burst)
-        self._per_first_try = _to_millitokens(policy.ratio)
+        self._capacity = _to_millitokens(policy.burst)
+        self._millitokens_per_first_attempt = _to_millitokens(policy.ratio)
         self._floor_per_second = policy.floor_per_second
-        self._millitokens = self._most
-        self._filled_at: Millis | None = None
+        self._millitokens = self._capacity
+        self._refilled_at: Millis | None = None
 
-    def note_first_try(self) -> None:
+    def record_first_attempt(self) -> None:
         """Note a flow's first attempt."""
-        self._add(self._per_first_try)
+        self._add(self._millitokens_per_first_attempt)
 
-    def take(self, now: Millis) -> bool:
+    def try_acquire(self, now: Millis) -> bool:
         """Return whether one further attempt may be made, and count it."""
-        if self._filled_at is not None and now > self._filled_at:
+        if self._refilled_at is not None and now > self._refilled_at:
             # So many tokens a second are as many thousandths a millisecond.
-            self._add(round(self._floor_per_second * (now - self._filled_at)))
-        self._filled_at = now
-        if self._millitokens < MILLITOKENS:
+            self._add(round(self._floor_per_second * (now - self._refilled_at)))
+        self._refilled_at = now
+        if self._millitokens < MILLITOKENS_PER_TOKEN:
             return False
-        self._millitokens -= MILLITOKENS
+        self._millitokens -= MILLITOKENS_PER_TOKEN
         return True
 
     def _add(self, millitokens: int) -> None:
-        self._millitokens = min(self._most, self._millitokens + millitokens)
+        self._millitokens = min(self._capacity, self._millitokens + millitokens)
 
 
 def _to_millitokens(tokens: float) -> int:
-    return round(tokens * MILLITOKENS)
+    return round(tokens * MILLITOKENS_PER_TOKEN)
 
 
 class UndeliveredOnly:
@@ -135,7 +135,7 @@
         self._may_have_run = False
         self._outcome: FlowOutcome | None = None
         self._ignored = 0
-        budget.note_first_try()
+        budget.record_first_attempt()
 
     @property
     def attempt(self) -> int:
@@ -152,47 +152,49 @@
         """Events that came late or twice and changed nothing."""
         return self._ignored
 
-    def handle_end(self, ended: AttemptEnded, now: Millis) -> OpeningAction | None:
+    def handle_attempt_ended(
+        self, ended: AttemptEnded, now: Millis
+    ) -> OpeningAction | None:
         """Return what to do after an attempt, or None if it isn't the current one."""
         if self._outcome is not None or ended.attempt != self._attempt:
             self._ignored += 1
             return None
         if ended.outcome in (FlowOutcome.ANSWERED, FlowOutcome.CANCELLED):
-            return self._give_up(ended.outcome)
+            return self._make_give_up(ended.outcome)
         self._may_have_run |= self._rule.may_have_run(ended)
-        return self._try_again(ended, now) or self._give_up(self._failure)
+        return self._make_reopen(ended, now) or self._make_give_up(self._failure)
 
     def cancel(self) -> OpeningAction | None:
         """Return what to do when the caller goes away."""
         if self._outcome is not None:
             self._ignored += 1
             return None
-        return self._give_up(FlowOutcome.CANCELLED)
+        return self._make_give_up(FlowOutcome.CANCELLED)
 
     @property
     def _failure(self) -> FlowOutcome:
         return FlowOutcome.UNKNOWN if self._may_have_run else FlowOutcome.REFUSED
 
-    def _try_again(self, ended: AttemptEnded, now: Millis) -> Reopen | None:
+    def _make_reopen(self, ended: AttemptEnded, now: Millis) -> Reopen | None:
         if self._attempt >= self._policy.max_attempts:
             return None
         if not self._rule.is_safe(ended, self._idempotent):
             return None
-        at = Millis(now + self._back_off())
+        at = Millis(now + self._draw_backoff())
         if self._deadline is not None and at >= self._deadline:
             return None
-        if not self._budget.take(now):
+        if not self._budget.try_acquire(now):
             return None
         self._attempt += 1
         return Reopen(self._attempt, at)
 
-    def _back_off(self) -> Millis:
-        longest = min(
+    def _draw_backoff(self) -> Millis:
+        ceiling_ms = min(
             self._policy.max_backoff_ms,
             self._policy.base_backoff_ms << (self._attempt - 1),
         )
-        return Millis(round(longest * self._draw()))
+        return Millis(round(ceiling_ms * self._draw()))
 
-    def _give_up(self, outcome: FlowOutcome) -> GiveUp:
+    def _make_give_up(self, outcome: FlowOutcome) -> GiveUp:
         self._outcome = outcome
         return GiveUp(outcome)
--- a/src/papayagw/_internal/core/return_path.py
+++ b/src/papayagw/_internal/core/return_path.py
@@ -10,13 +10,13 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
-FRESH_MS = Millis(500)
+ALIVE_TIMEOUT_MS = Millis(500)
 """How long a balancer counts as alive after its last packet."""
 
-KEPT = 4
+MAX_STALE_BALANCERS = 4
 """How many of the last heard balancers are used when none is fresh."""
 
-FORGET_MS = Millis(60_000)
+RETENTION_MS = Millis(60_000)
 """After this silence a balancer is forgotten."""
 
 
@@ -31,35 +31,37 @@
 
     def __init__(self, pick_index: Callable[[int], int]):
         self._pick_index = pick_index
-        self._heard: dict[Endpoint, Millis] = {}
-        self._choices: tuple[Endpoint, ...] = ()
-        self._chosen_at = Millis(0)
+        self._last_seen: dict[Endpoint, Millis] = {}
+        self._candidates: tuple[Endpoint, ...] = ()
+        self._refreshed_at = Millis(0)
 
-    def note_heard(self, balancer: Endpoint, now: Millis) -> None:
+    def record_packet(self, balancer: Endpoint, now: Millis) -> None:
         """Note a packet from a balancer."""
-        if balancer not in self._heard:
-            self._choices = (*self._choices, balancer)
-        self._heard[balancer] = now
+        if balancer not in self._last_seen:
+            self._candidates = (*self._candidates, balancer)
+        self._last_seen[balancer] = now
 
-    def note_unreachable(self, balancer: Endpoint) -> None:
+    def remove_unreachable(self, balancer: Endpoint) -> None:
         """Note that a balancer's host refused a packet."""
-        if self._heard.pop(balancer, None) is not None:
-            self._choices = tuple(one for one in self._choices if one != balancer)
+        if self._last_seen.pop(balancer, None) is not None:
+            self._candidates = tuple(one for one in self._candidates if one != balancer)
 
     def pick(self, now: Millis) -> Endpoint | None:
         """Return the balancer for the next answer, or None if none was heard."""
-        if now - self._chosen_at >= FRESH_MS // 4 or not self._choices:
+        if now - self._refreshed_at >= ALIVE_TIMEOUT_MS // 4 or not self._candidates:
             self._refresh(now)
-        if not self._choices:
+        if not self._candidates:
             return None
-        return self._choices[self._pick_index(len(self._choices))]
+        return self._candidates[self._pick_index(len(self._candidates))]
 
     def _refresh(self, now: Millis) -> None:
-        self._chosen_at = now
-        newest = sorted(self._heard.items(), key=lambda item: -item[1])
+        self._refreshed_at = now
+        newest = sorted(self._last_seen.items(), key=lambda item: -item[1])
         for balancer, at in newest:
-            if now - at > FORGET_MS:
-                del self._heard[balancer]
-        fresh = tuple(one for one, at in newest if now - at <= FRESH_MS)
-        last = tuple(one for one, at in newest[:KEPT] if one in self._heard)
-        self._choices = fresh or last
+            if now - at > RETENTION_MS:
+                del self._last_seen[balancer]
+        fresh = tuple(one for one, at in newest if now - at <= ALIVE_TIMEOUT_MS)
+        last = tuple(
+            one for one, at in newest[:MAX_STALE_BALANCERS] if one in self._last_seen
+        )
+        self._candidates = fresh or last
--- a/src/papayagw/_internal/core/service_meter.py
+++ b/src/papayagw/_internal/core/service_meter.py
@@ -48,30 +48,30 @@
         """Return the meter of a flow whose opening came now."""
         return FlowMeter(self, now)
 
-    def note_opened(self, latency: Millis) -> None:
+    def record_opened(self, latency: Millis) -> None:
         """Note that a flow reached its backend server, `latency` after it came."""
         self._opened += 1
         self._latencies.append(latency)
         self._answered[bisect_left(LATENCY_BOUNDS_MS, latency)] += 1
 
-    def take_latencies(self) -> tuple[Millis, ...]:
+    def pop_latencies(self) -> tuple[Millis, ...]:
         """Return the newest latencies of openings, each of them once."""
-        taken = tuple(self._latencies)
+        latencies = tuple(self._latencies)
         self._latencies.clear()
-        return taken
+        return latencies
 
-    def note_refused(self) -> None:
+    def record_refused(self) -> None:
         """Note that an opening was refused."""
         self._refused += 1
 
-    def note_cut(self, answer_started: bool) -> None:
+    def record_cut(self, answer_started: bool) -> None:
         """Note that a flow was cut, and whether an answer had begun."""
         if answer_started:
             self._broken += 1
         else:
             self._unknown += 1
 
-    def note_work(self, duration: Millis) -> None:
+    def record_work(self, duration: Millis) -> None:
         """Note that a request was in progress at the backend server for a while."""
         self._work_ms += duration
 
@@ -110,43 +110,49 @@
         When the opening came.
     """
 
-    __slots__ = ("_answered", "_asked_at", "_opened", "_opened_at", "_service")
+    __slots__ = (
+        "_answered",
+        "_request_started_at",
+        "_opened",
+        "_opened_at",
+        "_service",
+    )
 
     def __init__(self, service: ServiceMeter, opened_at: Millis):
         self._service = service
         self._opened_at = opened_at
         self._opened = False
         self._answered = False
-        self._asked_at: Millis | None = None
+        self._request_started_at: Millis | None = None
 
-    def note_opened(self, now: Millis) -> None:
+    def record_opened(self, now: Millis) -> None:
         """Note that the backend server was reached."""
         self._opened = True
-        self._service.note_opened(Millis(now - self._opened_at))
+        self._service.record_opened(Millis(now - self._opened_at))
 
-    def note_request(self, now: Millis) -> None:
+    def record_request(self, now: Millis) -> None:
         """Note that bytes go to the backend server."""
-        if self._asked_at is None:
-            self._asked_at = now
+        if self._request_started_at is None:
+            self._request_started_at = now
 
-    def note_answer(self, now: Millis) -> None:
+    def record_answer(self, now: Millis) -> None:
         """Note that bytes come from the backend server."""
         self._answered = True
         self._end_request(now)
 
-    def note_ended(self, outcome: FlowOutcome, now: Millis) -> None:
+    def record_ended(self, outcome: FlowOutcome, now: Millis) -> None:
         """Note how the flow ended."""
         self._end_request(now)
         if outcome is FlowOutcome.REFUSED:
-            self._service.note_refused()
-        elif outcome is FlowOutcome.UNKNOWN and self._is_real():
-            self._service.note_cut(self._answered)
+            self._service.record_refused()
+        elif outcome is FlowOutcome.UNKNOWN and self._owns_flow():
+            self._service.record_cut(self._answered)
 
-    def _is_real(self) -> bool:
-        # An agent also holds copies of openings that another agent has taken.
+    def _owns_flow(self) -> bool:
+        # An agent also holds copies of openings that another agent has latencies.
         return self._opened or self._service.side is Side.CALLER
 
     def _end_request(self, now: Millis) -> None:
-        if self._asked_at is not None:
-            self._service.note_work(Millis(now - self._asked_at))
-        self._asked_at = None
+        if self._request_started_at is not None:
+            self._service.record_work(Millis(now - self._request_started_at))
+        self._request_started_at = None
--- a/src/papayagw/_internal/core/comparison.py
+++ b/src/papayagw/_internal/core/site_comparison.py
@@ -48,12 +48,12 @@
     yield "control_address", str(site.control_address)
     yield "zones", ", ".join(site.zones)
     for position, key in enumerate(site.keys):
-        yield f"keys.{key.key_id}", _describe_key(position, key)
+        yield f"keys.{key.key_id}", _format_key(position, key)
     for service in site.services:
         yield from _flatten(f"services.{service.name}", service)
 
 
-def _describe_key(position: int, key: FleetKey) -> str:
+def _format_key(position: int, key: FleetKey) -> str:
     # Enough of the secret to tell two apart, too little to be of use.
     role = "seals" if position == 0 else "opens"
     digest = hashlib.blake2s(key.secret, digest_size=_SHOWN_DIGEST_BYTES)
--- a/src/papayagw/_internal/core/submission.py
+++ b/src/papayagw/_internal/core/submission.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from papayagw._internal.core.transition import find_objections
+from papayagw._internal.core.site_compatibility import find_incompatibilities
 from papayagw._internal.models.configuration import (
     HISTORY_LENGTH,
     Configuration,
@@ -143,7 +143,7 @@
 
     def on_read(self, current: Configuration | None, revision: int) -> None:
         """Take in what the store holds, and its key's revision."""
-        reason = self._find_reason(current)
+        reason = self._find_rejection(current)
         if reason:
             self._finish(Refused(reason))
             return
@@ -151,19 +151,23 @@
 
     def on_written(self) -> None:
         """Take in that the write took effect."""
-        self._finish(Accepted(self._written.version))
+        self._finish(Accepted(self._submitted.version))
 
     def on_conflict(self, current: Configuration | None) -> None:
         """Take in that the write took no effect, and what the store holds."""
         mark = current.find_mark(self._proposal.submission_id) if current else None
         if mark is not None:
             self._finish(Accepted(mark.version))
-        elif current is None or current.version < self._written.version:
-            self._settle("the store was restored from an older copy")
-        elif current.version - self._written.version >= len(current.history):
-            self._settle(f"version {current.version} no longer remembers this far")
+        elif current is None or current.version < self._submitted.version:
+            self._finish_without_proof("the store was restored from an older copy")
+        elif current.version - self._submitted.version >= len(current.history):
+            self._finish_without_proof(
+                f"version {current.version} no longer remembers this far"
+            )
         else:
-            self._finish(Refused(_describe_winner(current, self._written.version)))
+            self._finish(
+                Refused(_describe_competing_change(current, self._submitted.version))
+            )
 
     def on_no_answer(self) -> None:
         """Take in that the last read or write got no answer; it is done again."""
@@ -172,20 +176,20 @@
 
     def on_refusal(self, reason: str) -> None:
         """Take in that the store refused the call, or holds what can't be read."""
-        self._settle(reason)
+        self._finish_without_proof(reason)
 
     def on_deadline(self) -> None:
         """Take in that the time is up, with a call possibly under way."""
         if isinstance(self._action, Write):
             self._has_pending_write = True
-        self._settle("the platform's service gave no answer in time")
+        self._finish_without_proof("the platform's service gave no answer in time")
 
     @property
-    def _written(self) -> Configuration:
+    def _submitted(self) -> Configuration:
         assert isinstance(self._action, Write)
         return self._action.configuration
 
-    def _settle(self, reason: str) -> None:
+    def _finish_without_proof(self, reason: str) -> None:
         """Finish: refused if no write of ours can have taken effect."""
         if isinstance(self._action, Finish):
             return
@@ -194,7 +198,7 @@
     def _finish(self, outcome: Outcome) -> None:
         self._action = Finish(outcome)
 
-    def _find_reason(self, current: Configuration | None) -> str:
+    def _find_rejection(self, current: Configuration | None) -> str:
         """Return why the proposal can't follow what is in force, or nothing."""
         version = current.version if current else 0
         expected = self._proposal.expected_version
@@ -204,12 +208,12 @@
             return ""
         if current.site == self._proposal.site:
             return f"nothing differs from version {version}"
-        objections = [
+        incompatibilities = [
             str(one)
-            for one in find_objections(current.site, self._proposal.site)
-            if one.is_final or not self._proposal.allows_breaking
+            for one in find_incompatibilities(current.site, self._proposal.site)
+            if one.is_blocking or not self._proposal.allows_breaking
         ]
-        return "; ".join(objections)
+        return "; ".join(incompatibilities)
 
     def _make_configuration(self, current: Configuration | None) -> Configuration:
         version = current.version + 1 if current else 1
@@ -220,7 +224,7 @@
         return Configuration(version, proposal.site, history)
 
 
-def _describe_winner(current: Configuration, version: int) -> str:
+def _describe_competing_change(current: Configuration, version: int) -> str:
     marks = [mark for mark in current.history if mark.version == version]
     by = f" by {marks[0].operator}" if marks else ""
     return f"another change{by} became version {version} first"
--- a/src/papayagw/_internal/net/admission_gate.py
+++ b/src/papayagw/_internal/net/admission_gate.py
@@ -40,7 +40,7 @@
         self._flows[number] = flow
         self._number_of[flow] = number
         request = AdmissionRequest(number, flow.client.ip)
-        match self._admission.offer(request, self._clock.now()):
+        match self._admission.submit(request, self._clock.now()):
             case AdmissionDecision.ADMIT:
                 flow.admit()
             case AdmissionDecision.REFUSE:
@@ -53,13 +53,13 @@
         """Note that a flow asks for work."""
         number = self._number_of.get(flow)
         if number is not None:
-            self._admission.note_start(number, self._clock.now())
+            self._admission.start_work(number, self._clock.now())
 
     def note_end(self, flow: AgentFlow, end: WorkEnd) -> None:
         """Note that a flow's work is over, while the flow may stay open."""
         number = self._number_of.get(flow)
         if number is not None:
-            self._admission.note_end(number, end, self._clock.now())
+            self._admission.finish_work(number, end, self._clock.now())
             self._wake.set()
 
     def close(self, flow: AgentFlow) -> None:
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -159,7 +159,7 @@
             self._count_drop(DropReason.UNAUTHENTICATED, Endpoint(*source))
             return
         balancer = envelope.balancer or Endpoint(*source)
-        self._returns.note_heard(balancer, self._clock.now())
+        self._returns.record_packet(balancer, self._clock.now())
         datagram = frame[ENVELOPE_BYTES:]
         connection_id = read_connection_id(datagram)
         if connection_id is None:
@@ -175,7 +175,7 @@
 
     def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
         """Answer no longer through a balancer whose port is closed."""
-        self._returns.note_unreachable(peer)
+        self._returns.remove_unreachable(peer)
 
     def flush(self) -> None:
         """Send what the last envelopes have made due."""
@@ -225,7 +225,7 @@
 
     def on_connect(self, reached: bool) -> None:
         """Note whether a connection to the backend server was made."""
-        self._health.note_connect(reached, self._clock.now())
+        self._health.record_connect(reached, self._clock.now())
 
     def on_work(self, flow: AgentFlow) -> None:
         """Note the first bytes that are handed to the backend server."""
@@ -304,7 +304,7 @@
                 self._count("passed")
                 self._pass_on(envelope, balancer, datagram, sibling)
             case _:
-                self._meter.note_refused()
+                self._meter.record_refused()
                 self._count_drop(decision.reason, envelope.client)
 
     def _accept(
--- a/src/papayagw/_internal/net/agent_account.py
+++ b/src/papayagw/_internal/net/agent_account.py
@@ -77,7 +77,7 @@
 
     def take_timings(self) -> Mapping[str, Sequence[float]]:
         """Return durations in ms since the last call, by the names of their metrics."""
-        return {"agent.opening": self._process.packets.meter.take_latencies()}
+        return {"agent.opening": self._process.packets.meter.pop_latencies()}
 
     def report(self, state: NodeState) -> StatusReport:
         """Return the whole account."""
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -198,7 +198,7 @@
     def write(self, data: bytes) -> None:
         """Send bytes of the backend server to the caller."""
         if self._lifecycle.handle(BackendSent(self._attempt, len(data))):
-            self._meter.note_answer(self._clock.now())
+            self._meter.record_answer(self._clock.now())
             self._begin_answer()
             self._connection.write(data)
             self._owner.touch(self)
@@ -210,7 +210,7 @@
     def consume(self, count: int) -> None:
         """Note that the backend server's socket took bytes."""
         self._lifecycle.handle(BackendWrote(self._attempt, count))
-        self._meter.note_request(self._clock.now())
+        self._meter.record_request(self._clock.now())
         if self._connection.consume(count):
             self._owner.touch(self)
 
@@ -302,7 +302,7 @@
         if not self._connection.is_ending:
             self._connection.close(outcome, reason)
         self._owner.touch(self)
-        self._meter.note_ended(outcome, self._clock.now())
+        self._meter.record_ended(outcome, self._clock.now())
         self._owner.on_outcome(self, outcome, reason)
 
     async def _run(self) -> None:
@@ -318,7 +318,7 @@
                 self._apply(BackendConnectFailed(attempt), str(error))
                 return
             self._owner.on_connect(True)
-            self._meter.note_opened(self._clock.now())
+            self._meter.record_opened(self._clock.now())
             self._apply(BackendConnected(attempt))
             if not self._has_work:
                 self._owner.on_idle(self)
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -153,7 +153,7 @@
         envelope = self._envelopes.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
             return
-        self._core.note_refused(peer, now)
+        self._core.mark_unreachable(peer, now)
         datagram = frame[ENVELOPE_BYTES:]
         tag = read_connection_id(datagram)
         if tag is not None and self._tags.open_route(tag) is not None:
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -118,7 +118,7 @@
         return self._membership.is_relay(self._settings.node.zone)
 
     def _after_tick(self) -> None:
-        self._core.forget_refused(self._clock.now())
+        self._core.expire_unreachable(self._clock.now())
         heard = self._membership.heard_configuration
         if heard is not None:
             self._source.hear_version(*heard)
--- a/src/papayagw/_internal/net/caller_flow.py
+++ b/src/papayagw/_internal/net/caller_flow.py
@@ -146,7 +146,7 @@
 
     def consume(self, count: int) -> None:
         """Note that bytes have been handed to the TCP connection."""
-        self._meter.note_answer(self._clock.now())
+        self._meter.record_answer(self._clock.now())
         if self._attempt.connection.consume(count):
             self._port.touch(self._attempt)
 
@@ -182,7 +182,7 @@
         finally:
             # Also when this process stops: a cut flow must not look whole.
             outcome = self._outcome or FlowOutcome.UNKNOWN
-            self._meter.note_ended(outcome, self._clock.now())
+            self._meter.record_ended(outcome, self._clock.now())
             self._on_end(outcome, self._reason)
             if outcome is FlowOutcome.ANSWERED:
                 self._stream.close()
@@ -206,7 +206,7 @@
     def _on_bytes(self, data: bytes, finished: bool) -> None:
         if self._kept is not None and data:
             self._kept = None
-            self._meter.note_opened(self._clock.now())
+            self._meter.record_opened(self._clock.now())
             self._progress.set()
             self._attempt.connection.consume(len(ACCEPTED))
             data = data[len(ACCEPTED) :]
@@ -228,7 +228,7 @@
         """Open again after each attempt that ends, as long as that is safe."""
         while True:
             ended = await self._wait_for_end()
-            action = self._retry.handle_end(ended, self._clock.now())
+            action = self._retry.handle_attempt_ended(ended, self._clock.now())
             if not isinstance(action, Reopen):
                 self._outcome = action.outcome if action else FlowOutcome.UNKNOWN
                 self._scope.cancel()
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from papayagw._internal.core.backoff import Backoff
-from papayagw._internal.core.configuration import ConfigurationLog, Offer
+from papayagw._internal.core.configuration import ConfigurationLog, VersionOrder
 from papayagw._internal.exceptions import PapayagwError, PlatformError, Step
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.configuration import Configuration
@@ -114,7 +114,7 @@
             # A silent seed matters only where nothing else answers.
             for failure in failures:
                 self._report_peer(failure)
-            await anyio.sleep(to_seconds(backoff.fail()))
+            await anyio.sleep(to_seconds(backoff.next_wait()))
 
     async def run(self, on_change: OnChange, is_relay: IsRelay) -> None:
         """Call `on_change` with each later configuration, until cancelled."""
@@ -145,9 +145,9 @@
                 await anyio.sleep(self._random.random() * to_seconds(RELAY_CHECK_MS))
             elif await self._watch(self._jitter(limit_ms)):
                 limit_ms = WATCH_LIMIT_MS
-                backoff.succeed()
+                backoff.reset()
             else:
-                await anyio.sleep(to_seconds(backoff.fail()))
+                await anyio.sleep(to_seconds(backoff.next_wait()))
 
     def _jitter(self, limit_ms: Millis) -> Millis:
         spread = self._random.uniform(-WATCH_JITTER, WATCH_JITTER)
@@ -200,9 +200,9 @@
             if rumour is None or rumour[0] <= self._log.version:
                 continue
             if await self._fetch(rumour[1], self._report_peer):
-                backoff.succeed()
+                backoff.reset()
             else:
-                await anyio.sleep(to_seconds(backoff.fail()))
+                await anyio.sleep(to_seconds(backoff.next_wait()))
 
     async def _fetch(
         self, peer: Endpoint, on_failure: Callable[[PapayagwError], None]
@@ -235,18 +235,18 @@
             self._take(configuration, _PLATFORM)
 
     def _take(self, configuration: Configuration, peer: str) -> None:
-        offer = self._log.offer(configuration)
-        if offer is Offer.NEWER:
+        offer = self._log.apply_if_newer(configuration)
+        if offer is VersionOrder.NEWER:
             assert self._log.current is not None
             self._on_change(self._log.current)
-        elif offer in (Offer.OLDER, Offer.FORKED):
+        elif offer in (VersionOrder.OLDER, VersionOrder.FORKED):
             self._on_failure(_refuse(configuration, self._log.version, offer, peer))
 
 
 def _refuse(
-    configuration: Configuration, version: int, offer: Offer, peer: str
+    configuration: Configuration, version: int, offer: VersionOrder, peer: str
 ) -> PlatformError:
-    if offer is Offer.FORKED:
+    if offer is VersionOrder.FORKED:
         what = f"version {version} of another submission than the one in force"
         remedy = "look at config status and submit the change that is missing again"
     else:
--- a/src/papayagw/_internal/net/connect_account.py
+++ b/src/papayagw/_internal/net/connect_account.py
@@ -71,7 +71,7 @@
     def take_timings(self) -> Mapping[str, Sequence[float]]:
         """Return durations in ms since the last call, by the names of their metrics."""
         return {
-            f"connect.{listener.service}.opening": connector.meter.take_latencies()
+            f"connect.{listener.service}.opening": connector.meter.pop_latencies()
             for listener, connector in self._pairs
         }
 
--- a/src/papayagw/_internal/net/polling.py
+++ b/src/papayagw/_internal/net/polling.py
@@ -89,7 +89,9 @@
         """Append the records that one round gives and return their number."""
         now = self._clock.now()
         records = [
-            record for report in reports for record in self._maker.take(report, now)
+            record
+            for report in reports
+            for record in self._maker.add_report(report, now)
         ]
         self._writer.write(records)
         return len(records)
--- a/src/papayagw/_internal/net/submission.py
+++ b/src/papayagw/_internal/net/submission.py
@@ -45,7 +45,7 @@
         while not isinstance(submission.action, Finish):
             answered = await _take_step(submission, store)
             if not answered:
-                await anyio.sleep(to_seconds(backoff.fail()))
+                await anyio.sleep(to_seconds(backoff.next_wait()))
     submission.on_deadline()
     assert isinstance(submission.action, Finish)
     return submission.action.outcome
--- a/src/papayagw/_internal/observe/logs.py
+++ b/src/papayagw/_internal/observe/logs.py
@@ -115,7 +115,7 @@
 
     def flush_suppressed(self) -> None:
         """Log how many messages were held back in floods that are over."""
-        suppressed = self._limiter.take_suppressed(self._clock.now())
+        suppressed = self._limiter.pop_suppressed(self._clock.now())
         for message, count in suppressed.items():
             self._write("warning", message, {"suppressed": count})
 
--- a/tests/lib/configurations.py
+++ b/tests/lib/configurations.py
@@ -134,7 +134,7 @@
         index = number % len(self.nodes)
         _, current = self._read()
         if current is not None:
-            self.nodes[index].offer(current)
+            self.nodes[index].apply_if_newer(current)
             held = self.nodes[index].current
             self.seen[index].append((held.version, held.submission_id))
 
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -213,7 +213,7 @@
 
     def ask_admission(self):
         request = AdmissionRequest(self.number, self.caller.name)
-        match self.agent.admission.offer(request, self.world.now()):
+        match self.agent.admission.submit(request, self.world.now()):
             case AdmissionDecision.ADMIT:
                 self.apply(on.Admitted())
             case AdmissionDecision.REFUSE:
@@ -254,7 +254,7 @@
 
     def on_connect(self):
         up = self.agent.backend != "refuse"
-        self.agent.health.note_connect(up, self.world.now())
+        self.agent.health.record_connect(up, self.world.now())
         kind = on.BackendConnected if up else on.BackendConnectFailed
         self.apply(kind(self.attempt))
 
@@ -278,7 +278,9 @@
         if line > lines:
             self.apply(on.BackendClosed(self.attempt))
             return
-        self.agent.admission.note_end(self.number, WorkEnd.ANSWERED, self.world.now())
+        self.agent.admission.finish_work(
+            self.number, WorkEnd.ANSWERED, self.world.now()
+        )
         text = self.caller.expect_line(line)
         self.answer += text
         self.apply(on.BackendSent(self.attempt, len(text)))
@@ -377,7 +379,7 @@
         """Let the retry decide after an attempt's end."""
         started = bool(self.received)
         ended = AttemptEnded(self.retry.attempt, outcome, bool(self.tags), started)
-        action = self.retry.handle_end(ended, self.world.now())
+        action = self.retry.handle_attempt_ended(ended, self.world.now())
         self.tags, self.opening = [], b""
         if isinstance(action, Reopen):
             delay = action.at - self.world.now()
--- a/tests/properties/admission_proof.py
+++ b/tests/properties/admission_proof.py
@@ -1,4 +1,4 @@
-"""What must hold of admission, whatever clients offer and however work ends."""
+"""What must hold of admission, whatever clients arrive and however work ends."""
 
 from dataclasses import dataclass
 
@@ -28,11 +28,11 @@
 
 
 @dataclass(frozen=True)
-class Offer:
+class Arrive:
     """A client's flow arrives."""
 
     client: str
-    patience: int | None
+    deadline_after: int | None
 
 
 @dataclass(frozen=True)
@@ -51,37 +51,41 @@
     duration: int
 
 
-OFFERS = st.builds(
-    Offer, st.sampled_from("aaabc"), st.one_of(st.none(), st.integers(0, 80))
+ARRIVALS = st.builds(
+    Arrive, st.sampled_from("aaabc"), st.one_of(st.none(), st.integers(0, 80))
 )
 ENDS = st.builds(End, st.integers(0, 20), st.sampled_from(WorkEnd), st.booleans())
 WAITS = st.builds(Wait, st.integers(1, 60))
-HISTORIES = st.lists(st.one_of(OFFERS, OFFERS, OFFERS, ENDS, WAITS), max_size=60)
+HISTORIES = st.lists(st.one_of(ARRIVALS, ARRIVALS, ARRIVALS, ENDS, WAITS), max_size=60)
 
 
-class Ledger:
+class FlowTracker:
     """Every flow's story, kept apart from the mechanism."""
 
     def __init__(self, admission):
         self.admission = admission
         self.now = Millis(0)
-        self.offered = 0
+        self.arrived = 0
         self.waiting = {}
         self.open = []
         self.working = {}
 
-    def offer(self, step):
-        flow, self.offered = self.offered, self.offered + 1
-        deadline = None if step.patience is None else Millis(self.now + step.patience)
-        decision = self.admission.offer(
+    def arrive(self, step):
+        flow, self.arrived = self.arrived, self.arrived + 1
+        deadline = (
+            None
+            if step.deadline_after is None
+            else Millis(self.now + step.deadline_after)
+        )
+        decision = self.admission.submit(
             AdmissionRequest(flow, step.client, deadline), self.now
         )
         if decision is AdmissionDecision.ADMIT:
             self.start(flow, step.client)
         elif decision is AdmissionDecision.QUEUE:
             last = self.now + POLICY.queue_timeout_ms
-            until = last if deadline is None else min(last, deadline)
-            self.waiting[flow] = (step.client, until)
+            expires_at = last if deadline is None else min(last, deadline)
+            self.waiting[flow] = (step.client, expires_at)
 
     def start(self, flow, client):
         own = sum(one == client for one in self.working.values())
@@ -99,7 +103,7 @@
         if not self.open:
             return
         flow = self.open[step.which % len(self.open)]
-        self.admission.note_end(flow, step.end, self.now)
+        self.admission.finish_work(flow, step.end, self.now)
         self.working.pop(flow, None)
         if step.closes:
             self.admission.close(flow)
@@ -110,14 +114,14 @@
         for flow in results.refused:
             del self.waiting[flow]
         for flow in results.admitted:
-            client, until = self.waiting.pop(flow)
-            assert until > self.now, "let through after its deadline"
+            client, expires_at = self.waiting.pop(flow)
+            assert expires_at > self.now, "let through after its deadline"
             self.start(flow, client)
         assert len(self.waiting) <= POLICY.queue_limit, "queue over its bound"
-        assert all(until > self.now for _, until in self.waiting.values())
-        self.check_idle_capacity()
+        assert all(expires_at > self.now for _, expires_at in self.waiting.values())
+        self.check_no_idle_capacity()
 
-    def check_idle_capacity(self):
+    def check_no_idle_capacity(self):
         """Check that nobody waits while the backend server has nothing to do."""
         blocked = self.working or len(self.open) >= POLICY.max_flows
         assert blocked or not self.waiting, "waits for nothing"
@@ -125,21 +129,21 @@
 
 def check(make, history):
     """Run a history and then let all that wait run out."""
-    ledger = Ledger(make())
+    tracker = FlowTracker(make())
     for step in history:
         match step:
-            case Offer():
-                ledger.offer(step)
+            case Arrive():
+                tracker.arrive(step)
             case End():
-                ledger.end(step)
+                tracker.end(step)
             case Wait(duration):
-                ledger.now = Millis(ledger.now + duration)
-        ledger.poll()
-    while ledger.waiting:
-        due = ledger.admission.next_at
-        assert due is not None and due > ledger.now, "a flow was forgotten"
-        ledger.now = due
-        ledger.poll()
+                tracker.now = Millis(tracker.now + duration)
+        tracker.poll()
+    while tracker.waiting:
+        due = tracker.admission.next_at
+        assert due is not None and due > tracker.now, "a flow was forgotten"
+        tracker.now = due
+        tracker.poll()
 
 
 class NeverExpires(FairQueue):
@@ -152,20 +156,20 @@
 class Unbounded(FairQueue):
     """Takes any number of flows."""
 
-    def push(self, request, until):
+    def push(self, request, expires_at):
         self._capacity = len(self) + 1
-        return super().push(request, until)
+        return super().push(request, expires_at)
 
 
-class ForgetsPushedOut(FairAdmission):
+class ForgetsEvicted(FairAdmission):
     """Never tells the flows that a newcomer pushed out."""
 
     def poll(self, now):
-        self._pushed_out.clear()
+        self._evicted.clear()
         return super().poll(now)
 
 
-class SharesNothing(FairAdmission):
+class IgnoresClientShare(FairAdmission):
     """Lets one client take the whole limit."""
 
     def _may_start(self, client):
@@ -193,7 +197,7 @@
         "HighFixedLimit": lambda: FairAdmission(POLICY, FixedLimit(99)),
         "NeverExpires": make_product(queue=NeverExpires),
         "UnboundedQueue": make_product(queue=Unbounded),
-        "ForgetsPushedOut": make_product(ForgetsPushedOut),
-        "SharesNothing": make_product(SharesNothing),
+        "ForgetsEvicted": make_product(ForgetsEvicted),
+        "IgnoresClientShare": make_product(IgnoresClientShare),
     }.items()
 ]
--- a/tests/properties/lifecycle_proof.py
+++ b/tests/properties/lifecycle_proof.py
@@ -1,6 +1,6 @@
 """What must hold of a flow's lifecycle, whatever the order of its events.
 
-A history is mostly the plain course of a flow, with any other event put between:
+A history is mostly the regular sequence of a flow, with any other event put between:
 late, twice, crossed, of an earlier connection.
 """
 
@@ -13,7 +13,7 @@
 
 ATTEMPTS = st.integers(1, 3)
 COUNTS = st.integers(1, 3)
-PLAIN_COURSES = (
+REGULAR_SEQUENCES = (
     (
         on.HandshakeCompleted(),
         on.Admitted(),
@@ -40,9 +40,14 @@
         on.AnswerAcknowledged(),
     ),
 )
-ENDINGS = (on.CallerCancelled, on.DeadlineReached, on.IdleTimedOut, on.StopLimitReached)
-NOISE = st.one_of(
-    st.sampled_from([e for course in PLAIN_COURSES for e in course]),
+FINAL_EVENTS = (
+    on.CallerCancelled,
+    on.DeadlineReached,
+    on.IdleTimedOut,
+    on.StopLimitReached,
+)
+UNORDERED_EVENTS = st.one_of(
+    st.sampled_from([e for sequence in REGULAR_SEQUENCES for e in sequence]),
     st.builds(on.CallerSent, COUNTS),
     st.builds(on.BackendConnected, ATTEMPTS),
     st.builds(on.BackendConnectFailed, ATTEMPTS),
@@ -51,22 +56,25 @@
     st.builds(on.BackendClosed, ATTEMPTS),
     st.builds(on.BackendBroke, ATTEMPTS),
     st.just(on.StopAsked()),
-    st.sampled_from([kind() for kind in (*ENDINGS, on.AdmissionRefused)]),
+    st.sampled_from([kind() for kind in (*FINAL_EVENTS, on.AdmissionRefused)]),
 )
 NEXT = st.none()
 HISTORIES = st.tuples(
-    st.sampled_from(PLAIN_COURSES),
+    st.sampled_from(REGULAR_SEQUENCES),
     st.integers(0, 10),
-    st.lists(st.one_of(NEXT, NOISE, NOISE), max_size=30),
+    st.lists(st.one_of(NEXT, UNORDERED_EVENTS, UNORDERED_EVENTS), max_size=30),
 )
 
 
 def expand(history):
-    """Return the events: a plain beginning, then a mixture."""
-    course, begun, steps = history
-    plain = iter(course[begun:])
-    events = (next(plain, None) if step is None else step for step in steps)
-    return [*course[:begun], *(event for event in events if event is not None)]
+    """Return the events: a regular beginning, then a mixture."""
+    sequence, prefix_length, steps = history
+    regular = iter(sequence[prefix_length:])
+    events = (next(regular, None) if step is None else step for step in steps)
+    return [
+        *sequence[:prefix_length],
+        *(event for event in events if event is not None),
+    ]
 
 
 class Observer:
@@ -78,15 +86,15 @@
         self.acknowledged = False
         self.caller_finished = False
         self.received = 0
-        self.handed = 0
+        self.delivered = 0
         self.attempt = 0
         self.connecting = False
         self.connected = False
         self.backend_finished = False
         self.answer_finished = False
-        self.told = None
+        self.outcome = None
 
-    def note(self, event):
+    def observe(self, event):
         """Take in what an event proves, before the lifecycle answers it."""
         match event:
             case on.HandshakeCompleted():
@@ -109,7 +117,7 @@
 
     def check(self, event, action):
         """Raise AssertionError if `action` may not follow `event`."""
-        assert self.told is None, "acted after the end"
+        assert self.outcome is None, "acted after the end"
         _CHECKS.get(type(action), Observer._check_nothing)(self, event, action)
 
     def _check_nothing(self, event, action):
@@ -118,20 +126,20 @@
     def _check_connect(self, event, action):
         assert self.handshake, "connected before the handshake"
         assert not (self.connecting or self.connected), "two connections"
-        assert self.handed == 0, "connected again after delivery"
+        assert self.delivered == 0, "connected again after delivery"
         assert action.attempt == self.attempt + 1
         self.attempt = action.attempt
         self.connecting = True
 
     def _check_deliver(self, event, action):
         assert self.connected, "delivered without a connection"
-        self.handed += action.count
-        assert self.handed <= self.received, "delivered what never came"
+        self.delivered += action.count
+        assert self.delivered <= self.received, "delivered what never came"
         assert not self.backend_finished, "delivered after the end"
 
     def _check_finish_backend(self, event, action):
         assert self.caller_finished and not self.backend_finished
-        assert self.handed == self.received, "finished before all was delivered"
+        assert self.delivered == self.received, "finished before all was delivered"
         self.backend_finished = True
 
     def _check_send(self, event, action):
@@ -144,17 +152,17 @@
         assert not self.answer_finished, "two ends"
         self.answer_finished = True
 
-    def _check_tell(self, event, action):
-        self.told = action.outcome
+    def _check_outcome(self, event, action):
+        self.outcome = action.outcome
         match action.outcome:
             case FlowOutcome.ANSWERED:
                 assert self.acknowledged, "answered without the whole answer"
             case FlowOutcome.REFUSED:
-                assert self.handed == 0, "refused after delivery"
+                assert self.delivered == 0, "refused after delivery"
             case FlowOutcome.CANCELLED:
                 assert self.cancelled
             case FlowOutcome.UNKNOWN:
-                assert self.handed > 0, "unknown though nothing was delivered"
+                assert self.delivered > 0, "unknown though nothing was delivered"
 
 
 _CHECKS = {
@@ -163,7 +171,7 @@
     on.FinishToBackend: Observer._check_finish_backend,
     on.SendToCaller: Observer._check_send,
     on.FinishToCaller: Observer._check_finish_caller,
-    on.TellCaller: Observer._check_tell,
+    on.TellCaller: Observer._check_outcome,
 }
 
 
@@ -171,24 +179,24 @@
     """Check each action, and that no byte is lost and each ending ends."""
     lifecycle, observer = make(), Observer()
     for event in expand(history):
-        observer.note(event)
+        observer.observe(event)
         for action in lifecycle.handle(event):
             observer.check(event, action)
-        assert lifecycle.outcome is observer.told
-        if observer.told is None:
-            assert not isinstance(event, ENDINGS), f"lived on after {event}"
+        assert lifecycle.outcome is observer.outcome
+        if observer.outcome is None:
+            assert not isinstance(event, FINAL_EVENTS), f"lived on after {event}"
             if observer.connected:
-                assert observer.handed == observer.received, "lost bytes"
+                assert observer.delivered == observer.received, "lost bytes"
 
 
-class HandsOverEarly(FlowLifecycle):
+class DeliversEarly(FlowLifecycle):
     """Hands bytes over before the connection, so before the handshake too."""
 
     __slots__ = ()
 
     def handle(self, event):
         if isinstance(event, on.CallerSent) and self.outcome is None:
-            return (self._hand_over(event.count),)
+            return (self._deliver(event.count),)
         return super().handle(event)
 
 
@@ -199,7 +207,7 @@
 
     def handle(self, event):
         if isinstance(event, on.CallerSent) and not self._attempt:
-            self._held += event.count
+            self._buffered += event.count
             return self._connect()
         return super().handle(event)
 
@@ -210,7 +218,7 @@
     __slots__ = ()
 
     def _fail(self):
-        self._handed -= self._undelivered
+        self._delivered -= self._unwritten
         return super()._fail()
 
 
@@ -229,13 +237,17 @@
     __slots__ = ()
 
     def handle(self, event):
-        if isinstance(event, on.BackendBroke) and self.handed and self.outcome is None:
+        if (
+            isinstance(event, on.BackendBroke)
+            and self.delivered
+            and self.outcome is None
+        ):
             return self._connect()
         return super().handle(event)
 
 
 class LivesAfterEnd(FlowLifecycle):
-    """Goes on after its outcome was told."""
+    """Goes on after its outcome was outcome."""
 
     __slots__ = ()
 
@@ -244,14 +256,14 @@
         return super().handle(event)
 
 
-class LosesHeldBytes(FlowLifecycle):
+class LosesBufferedBytes(FlowLifecycle):
     """Forgets what came before the connection."""
 
     __slots__ = ()
 
     def handle(self, event):
         if isinstance(event, on.BackendConnected):
-            self._held = 0
+            self._buffered = 0
         return super().handle(event)
 
 
@@ -271,13 +283,13 @@
 MUTATIONS = [
     Mutation(double.__name__, PROOF, double)
     for double in (
-        HandsOverEarly,
+        DeliversEarly,
         ConnectsEarly,
         CountsWritesOnly,
         ForgetsAttempts,
         ReconnectsAfterDelivery,
         LivesAfterEnd,
-        LosesHeldBytes,
+        LosesBufferedBytes,
         AnswersEarly,
     )
 ]
--- a/tests/properties/retry_proof.py
+++ b/tests/properties/retry_proof.py
@@ -1,7 +1,7 @@
 """What must hold of the attempts of several flows that share a retry budget.
 
 A history says of each attempt what truly happened; what the caller's side hears
-of it is the truth or less: an agent that delivered a byte never says REFUSED, and
+of it is the actual or less: an agent that delivered a byte never says REFUSED, and
 without a completed handshake nothing was delivered.
 """
 
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True)
-class Truth:
+class AttemptHistory:
     """What happened to one attempt."""
 
     delivered: bool
@@ -32,18 +32,18 @@
 
 
 @st.composite
-def truths(draw):
+def attempt_histories(draw):
     """Draw what happened to an attempt and what was heard of it."""
     handshake = draw(st.booleans())
     delivered = handshake and draw(st.booleans())
-    told = [None, FlowOutcome.UNKNOWN]
-    told += [FlowOutcome.ANSWERED] if delivered else [FlowOutcome.REFUSED]
-    outcome = draw(st.sampled_from(told)) if handshake else None
+    reported = [None, FlowOutcome.UNKNOWN]
+    reported += [FlowOutcome.ANSWERED] if delivered else [FlowOutcome.REFUSED]
+    outcome = draw(st.sampled_from(reported)) if handshake else None
     answer_started = delivered and draw(st.booleans())
     number = draw(st.sampled_from([0, 0, 0, 0, -1, 1]))
     replayable = draw(st.sampled_from([True, True, True, False]))
     ended = AttemptEnded(number, outcome, handshake, answer_started, replayable)
-    return Truth(delivered, ended)
+    return AttemptHistory(delivered, ended)
 
 
 @dataclass(frozen=True)
@@ -60,7 +60,7 @@
     Flow,
     st.booleans(),
     st.one_of(st.none(), st.integers(0, 3_000).map(Millis)),
-    st.lists(truths(), min_size=1, max_size=6),
+    st.lists(attempt_histories(), min_size=1, max_size=6),
     st.lists(st.integers(0, 600), min_size=6, max_size=6),
 )
 HISTORIES = st.lists(FLOWS, min_size=1, max_size=8)
@@ -96,11 +96,11 @@
 
 def run_flow(retry, flow, now):
     """Return the time at the flow's end and how often it was opened again."""
-    delivered, attempt, told = 0, 1, None
-    for truth, wait in zip(flow.attempts, flow.waits, strict=False):
+    delivered, attempt, reported = 0, 1, None
+    for actual, wait in zip(flow.attempts, flow.waits, strict=False):
         now += wait
-        ended = truth.ended
-        is_current = ended.attempt == 0 and told is None
+        ended = actual.ended
+        is_current = ended.attempt == 0 and reported is None
         number = attempt + ended.attempt
         event = AttemptEnded(
             number,
@@ -109,11 +109,11 @@
             ended.answer_started,
             ended.replayable,
         )
-        action = retry.handle_end(event, Millis(now))
+        action = retry.handle_attempt_ended(event, Millis(now))
         if not is_current:
             assert action is None, "acted on a late or crossed event"
             continue
-        delivered += truth.delivered
+        delivered += actual.delivered
         if isinstance(action, Reopen):
             assert action.attempt == attempt + 1 <= POLICY.max_attempts
             assert ended.replayable and not ended.answer_started
@@ -122,8 +122,10 @@
             attempt = action.attempt
         else:
             assert isinstance(action, GiveUp)
-            told = action.outcome
-            assert told is not FlowOutcome.REFUSED or not delivered, "untrue refusal"
+            reported = action.outcome
+            assert reported is not FlowOutcome.REFUSED or not delivered, (
+                "untrue refusal"
+            )
     return now, attempt - 1
 
 
@@ -151,23 +153,23 @@
 class ForgetsEarlierAttempts(OpeningRetry):
     """Tells the outcome of the last attempt only."""
 
-    def handle_end(self, ended, now):
+    def handle_attempt_ended(self, ended, now):
         self._may_have_run = False
-        return super().handle_end(ended, now)
+        return super().handle_attempt_ended(ended, now)
 
 
-class TakesLateEnds(OpeningRetry):
+class AcceptsLateEnds(OpeningRetry):
     """Takes the end of an abandoned attempt for the present one's."""
 
-    def handle_end(self, ended, now):
+    def handle_attempt_ended(self, ended, now):
         current = AttemptEnded(self.attempt, ended.outcome, ended.handshake_completed)
-        return super().handle_end(current, now)
+        return super().handle_attempt_ended(current, now)
 
 
 class EndlessBudget(TokenBudget):
     """Grants every further try."""
 
-    def take(self, now):
+    def try_acquire(self, now):
         return True
 
 
@@ -179,7 +181,7 @@
         "RetriesAlways": Makers(rule=RetriesAlways),
         "RetriesStartedAnswers": Makers(rule=RetriesStartedAnswers),
         "ForgetsEarlierAttempts": Makers(retry=ForgetsEarlierAttempts),
-        "TakesLateEnds": Makers(retry=TakesLateEnds),
+        "AcceptsLateEnds": Makers(retry=AcceptsLateEnds),
         "EndlessBudget": Makers(budget=EndlessBudget),
     }.items()
 ]
--- a/tests/properties/test_racing_operators.py
+++ b/tests/properties/test_racing_operators.py
@@ -2,13 +2,13 @@
 from hypothesis import Phase, find, given, settings
 from hypothesis import strategies as st
 
-from papayagw._internal.core.configuration import ConfigurationLog, Offer
+from papayagw._internal.core.configuration import ConfigurationLog, VersionOrder
 from papayagw._internal.core.submission import Read, Refused, Submission
 from tests.lib.configurations import World
 
-CALM = ("submit", "call", "send", "serve", "answer", "observe")
-FAULTS = ("lose_answer", "delay", "give_up")
-RESTORES = ("restore", "observe_all")
+REGULAR_STEPS = ("submit", "call", "send", "serve", "answer", "observe")
+FAULT_STEPS = ("lose_answer", "delay", "give_up")
+RESTORE_STEPS = ("restore", "observe_all")
 
 
 def schedules(names):
@@ -23,7 +23,7 @@
         self._finish(Refused("conflict"))
 
 
-class TrustsSilence(Submission):
+class AssumesRefusedOnDeadline(Submission):
     """Takes a write without an answer for a refusal."""
 
     def on_deadline(self):
@@ -31,7 +31,7 @@
         self._finish(Refused("no answer"))
 
 
-class StartsAgain(Submission):
+class ResubmitsAfterNoAnswer(Submission):
     """Reads anew and submits on top after a write without an answer."""
 
     def on_no_answer(self):
@@ -39,12 +39,12 @@
         self._action = Read()
 
 
-class TakesAny(ConfigurationLog):
+class AppliesAnyVersion(ConfigurationLog):
     """Puts in force whatever it is offered."""
 
-    def offer(self, configuration):
+    def apply_if_newer(self, configuration):
         self._current = configuration
-        return Offer.NEWER
+        return VersionOrder.NEWER
 
 
 def check(operators, schedule, make_submission=Submission):
@@ -59,7 +59,7 @@
 
 @pytest.mark.parametrize("operators", [2, 10])
 @settings(max_examples=300, derandomize=True, deadline=None)
-@given(schedule=schedules(CALM + FAULTS))
+@given(schedule=schedules(REGULAR_STEPS + FAULT_STEPS))
 def test_one_wins_each_version_and_each_is_told_the_truth(operators, schedule):
     check(operators, schedule)
 
@@ -75,7 +75,7 @@
 
 @pytest.mark.parametrize("operators", [2, 10])
 @settings(max_examples=300, derandomize=True, deadline=None)
-@given(schedule=schedules(CALM + FAULTS + RESTORES))
+@given(schedule=schedules(REGULAR_STEPS + FAULT_STEPS + RESTORE_STEPS))
 def test_versions_never_fall_when_the_store_is_restored(operators, schedule):
     check_nodes(operators, schedule)
 
@@ -83,10 +83,10 @@
 @pytest.mark.parametrize(
     ("check_it", "names", "mutant"),
     [
-        (check, CALM + FAULTS, DoesNotReadBack),
-        (check, CALM + FAULTS, TrustsSilence),
-        (check, CALM + FAULTS, StartsAgain),
-        (check_nodes, CALM + FAULTS + RESTORES, TakesAny),
+        (check, REGULAR_STEPS + FAULT_STEPS, DoesNotReadBack),
+        (check, REGULAR_STEPS + FAULT_STEPS, AssumesRefusedOnDeadline),
+        (check, REGULAR_STEPS + FAULT_STEPS, ResubmitsAfterNoAnswer),
+        (check_nodes, REGULAR_STEPS + FAULT_STEPS + RESTORE_STEPS, AppliesAnyVersion),
     ],
 )
 def test_property_is_red_without_the_mechanism(check_it, names, mutant):
--- a/tests/properties/world_proof.py
+++ b/tests/properties/world_proof.py
@@ -97,7 +97,7 @@
     __slots__ = ()
 
     def _fail(self):
-        self._handed = self._handed if self._answer_bytes else 0
+        self._delivered = self._delivered if self._answer_bytes else 0
         return super()._fail()
 
 
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -23,7 +23,7 @@
     def is_reachable(self, now):
         return True
 
-    def note_connect(self, reached, now):
+    def record_connect(self, reached, now):
         pass
 
 
@@ -48,7 +48,7 @@
         ("agent_freezes", Mechanisms(rule=retry_proof.RetriesAlways)),
         ("lost_answers", Mechanisms(rule=retry_proof.RetriesAlways)),
         ("backend_breaks", Mechanisms(lifecycle=lifecycle_proof.CountsWritesOnly)),
-        ("backend_refuses", Mechanisms(lifecycle=lifecycle_proof.HandsOverEarly)),
+        ("backend_refuses", Mechanisms(lifecycle=lifecycle_proof.DeliversEarly)),
         ("backend_refuses", Mechanisms(health=NoHealth)),
         ("views_differ", Mechanisms(keeps_first_answer=False)),
         (
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -19,9 +19,9 @@
     return FairAdmission(policy, FixedLimit(limit))
 
 
-def offer_all(admission, clients, now=NOW):
+def submit_all(admission, clients, now=NOW):
     return [
-        admission.offer(AdmissionRequest(number, client), now)
+        admission.submit(AdmissionRequest(number, client), now)
         for number, client in enumerate(clients)
     ]
 
@@ -39,36 +39,36 @@
     ],
 )
 def test_offer(bounds, clients, decisions):
-    assert offer_all(make_admission(**bounds), clients) == decisions
+    assert submit_all(make_admission(**bounds), clients) == decisions
 
 
 def test_baseline_without_limit_admits_everything():
-    assert offer_all(Unlimited(), "a" * 99) == [ADMIT] * 99
+    assert submit_all(Unlimited(), "a" * 99) == [ADMIT] * 99
 
 
 @pytest.mark.parametrize("end", list(WorkEnd))
 def test_feed_whose_work_ended_counts_as_flow_only(end):
     admission = make_admission(limit=1)
-    assert offer_all(admission, "ab") == [ADMIT, QUEUE]
-    admission.note_end(0, end, Millis(5))
+    assert submit_all(admission, "ab") == [ADMIT, QUEUE]
+    admission.finish_work(0, end, Millis(5))
     assert admission.poll(Millis(5)).admitted == (1,)
     assert (admission.in_progress, admission.flows) == (1, 2)
 
 
 def test_idle_flow_that_asks_for_work_counts_again():
     admission = make_admission(limit=1)
-    offer_all(admission, "a")
-    admission.note_end(0, WorkEnd.IDLE, NOW)
-    admission.note_start(0, NOW)
+    submit_all(admission, "a")
+    admission.finish_work(0, WorkEnd.IDLE, NOW)
+    admission.start_work(0, NOW)
     assert admission.in_progress == 1
     admission.close(0)
-    admission.note_start(0, NOW)
+    admission.start_work(0, NOW)
     assert admission.in_progress == 0
 
 
 def test_turn_goes_to_client_with_least_in_progress():
     admission = make_admission(limit=3)
-    offer_all(admission, "aaaaab")
+    submit_all(admission, "aaaaab")
     admission.close(0)
     assert admission.poll(NOW).admitted == (5,)
 
@@ -76,7 +76,7 @@
 @pytest.mark.parametrize(("closed", "refused"), [(3, (4,)), (4, ())])
 def test_full_queue_pushes_out_newest_of_longest_line(closed, refused):
     admission = make_admission(limit=1)
-    offer_all(admission, "aaaaab")
+    submit_all(admission, "aaaaab")
     admission.close(closed)
     assert admission.poll(NOW).refused == refused
 
@@ -84,8 +84,8 @@
 @pytest.mark.parametrize(("deadline", "due"), [(None, 500), (90, 90), (900, 500)])
 def test_waiting_ends_at_timeout_or_deadline(deadline, due):
     admission = make_admission(limit=1, queue_timeout_ms=Millis(500))
-    offer_all(admission, "a")
-    admission.offer(AdmissionRequest(7, "a", deadline), NOW)
+    submit_all(admission, "a")
+    admission.submit(AdmissionRequest(7, "a", deadline), NOW)
     assert admission.next_at == due
     assert admission.poll(Millis(due - 1)).refused == ()
     assert admission.poll(Millis(due)).refused == (7,)
@@ -93,7 +93,7 @@
 
 def run_limit(limit, latency_of, duration):
     for now in range(0, duration, 10):
-        limit.note_answer(Millis(latency_of(now)), limit.limit, Millis(now))
+        limit.record_answer(Millis(latency_of(now)), limit.limit, Millis(now))
     return limit.limit
 
 
@@ -121,5 +121,5 @@
 def test_failures_lower_limit_once_an_interval():
     limit = AdaptiveLimit(100, 4, 200)
     for now in (0, 1, 2, 100):
-        limit.note_failure(Millis(now))
+        limit.record_failure(Millis(now))
     assert limit.limit == 81
--- a/tests/unit/test_backend_health.py
+++ b/tests/unit/test_backend_health.py
@@ -22,5 +22,5 @@
 def test_pause_after_failed_connects(connects, now, reachable):
     health = ConnectHealth()
     for at, reached in connects:
-        health.note_connect(reached, Millis(at))
+        health.record_connect(reached, Millis(at))
     assert health.is_reachable(Millis(now)) is reachable
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -1,6 +1,6 @@
 import pytest
 
-from papayagw._internal.core.balancer import REFUSED_KEPT_MS, BalancerCore
+from papayagw._internal.core.balancer import UNREACHABLE_HOLD_OFF_MS, BalancerCore
 from papayagw._internal.core.choice import RendezvousChooser
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.models.agent import AgentState
@@ -124,16 +124,16 @@
     [
         ([], 0, {AGENT.endpoint, OTHER.endpoint}),
         ([AGENT], 0, {OTHER.endpoint}),
-        ([AGENT], REFUSED_KEPT_MS - 1, {OTHER.endpoint}),
-        ([AGENT], REFUSED_KEPT_MS, {AGENT.endpoint, OTHER.endpoint}),
+        ([AGENT], UNREACHABLE_HOLD_OFF_MS - 1, {OTHER.endpoint}),
+        ([AGENT], UNREACHABLE_HOLD_OFF_MS, {AGENT.endpoint, OTHER.endpoint}),
         ([AGENT, OTHER], 0, set()),
     ],
 )
 def test_agent_with_closed_port_gets_no_openings_for_a_while(refused, now, chosen):
     core = make_core([AGENT, OTHER])
     for record in refused:
-        core.note_refused(record.endpoint, 0)
-    core.forget_refused(now)
+        core.mark_unreachable(record.endpoint, 0)
+    core.expire_unreachable(now)
     decisions = [core.route_opening(ORDER, bytes([one] * 8)) for one in range(64)]
     forwards = [one for one in decisions if isinstance(one, Forward)]
     assert {one.agent for one in forwards} == chosen
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from papayagw._internal.core.change import apply_change, find_change
-from papayagw._internal.core.comparison import compare_sites
-from papayagw._internal.core.configuration import ConfigurationLog, Offer
-from papayagw._internal.core.transition import find_objections
+from papayagw._internal.core.configuration import ConfigurationLog, VersionOrder
+from papayagw._internal.core.configuration_change import apply_change, find_change
+from papayagw._internal.core.site_comparison import compare_sites
+from papayagw._internal.core.site_compatibility import find_incompatibilities
 from papayagw._internal.models.change import Nothing, Question
 from papayagw._internal.models.configuration import FleetKey
 from papayagw._internal.models.endpoint import Endpoint
@@ -41,21 +41,21 @@
 
 
 @pytest.mark.parametrize(
-    ("offered", "offer", "version"),
+    ("offered", "order", "version"),
     [
-        (make_configuration(3), Offer.NEWER, 3),
-        (make_configuration(9), Offer.NEWER, 9),
-        (make_configuration(2), Offer.SAME, 2),
-        (make_configuration(2, "another"), Offer.FORKED, 2),
-        (make_configuration(1), Offer.OLDER, 2),
+        (make_configuration(3), VersionOrder.NEWER, 3),
+        (make_configuration(9), VersionOrder.NEWER, 9),
+        (make_configuration(2), VersionOrder.SAME, 2),
+        (make_configuration(2, "another"), VersionOrder.FORKED, 2),
+        (make_configuration(1), VersionOrder.OLDER, 2),
     ],
 )
-def test_node_moves_only_to_a_higher_version(offered, offer, version):
+def test_node_moves_only_to_a_higher_version(offered, order, version):
     log = ConfigurationLog()
-    log.offer(make_configuration(2))
-    assert log.offer(offered) is offer
+    log.apply_if_newer(make_configuration(2))
+    assert log.apply_if_newer(offered) is order
     assert log.version == version
-    assert log.refused == (offer in (Offer.OLDER, Offer.FORKED))
+    assert log.refused == (order in (VersionOrder.OLDER, VersionOrder.FORKED))
 
 
 @pytest.mark.parametrize("site", CHANGED_SITES)
@@ -79,22 +79,22 @@
 )
 def test_peer_is_told_what_it_lacks(question, kind):
     log = ConfigurationLog()
-    log.offer(make_configuration(1))
-    log.offer(make_configuration(2, site=make_site(7)))
+    log.apply_if_newer(make_configuration(1))
+    log.apply_if_newer(make_configuration(2, site=make_site(7)))
     assert type(log.answer(question)).__name__ == kind
 
 
 def test_versions_share_the_services_that_are_equal():
     log = ConfigurationLog()
-    log.offer(make_configuration(1))
+    log.apply_if_newer(make_configuration(1))
     encoded = write_configuration(make_configuration(2, site=make_site(7)))
-    log.offer(read_configuration(encoded).unwrap())
+    log.apply_if_newer(read_configuration(encoded).unwrap())
     assert log.current.site.services[1] is DRAWINGS_SERVICE
     assert log.current.site == make_site(7)
 
 
 @pytest.mark.parametrize(
-    ("after", "path", "is_final"),
+    ("after", "path", "is_blocking"),
     [
         (make_site(7), None, None),
         (with_services(*SITE.services, RATES), None, None),
@@ -125,10 +125,12 @@
         ),
     ],
 )
-def test_objections_to_a_change(after, path, is_final):
-    objections = {one.path: one.is_final for one in find_objections(SITE, after)}
-    assert objections.get(path) is is_final
-    assert bool(objections) is (path is not None)
+def test_objections_to_a_change(after, path, is_blocking):
+    incompatibilities = {
+        one.path: one.is_blocking for one in find_incompatibilities(SITE, after)
+    }
+    assert incompatibilities.get(path) is is_blocking
+    assert bool(incompatibilities) is (path is not None)
 
 
 @pytest.mark.parametrize("site", CHANGED_SITES)
--- a/tests/unit/test_lifecycle.py
+++ b/tests/unit/test_lifecycle.py
@@ -126,5 +126,5 @@
 
 def test_bytes_are_counted_from_hand_over_to_write():
     lifecycle, _ = replay([*DELIVERED, on.BackendWrote(1, 5)])
-    assert (lifecycle.handed, lifecycle.undelivered) == (9, 4)
+    assert (lifecycle.delivered, lifecycle.unwritten) == (9, 4)
     assert lifecycle.state is on.FlowState.DELIVERING
--- a/tests/unit/test_log_limiter.py
+++ b/tests/unit/test_log_limiter.py
@@ -26,9 +26,9 @@
     limiter = LogLimiter(burst=1, window=1_000)
     for _ in range(5):
         limiter.admit("bad tag", 0)
-    assert limiter.take_suppressed(999) == {}
-    assert limiter.take_suppressed(1_000) == {"bad tag": 4}
-    assert limiter.take_suppressed(1_000) == {}
+    assert limiter.pop_suppressed(999) == {}
+    assert limiter.pop_suppressed(1_000) == {"bad tag": 4}
+    assert limiter.pop_suppressed(1_000) == {}
 
 
 def test_kinds_made_up_by_peer_are_bounded():
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -29,8 +29,8 @@
 )
 def test_record_is_what_was_added(first, second, opened, lost):
     maker = RecordMaker()
-    assert maker.take(make_status(**first), 10_000) == ()
-    (record,) = maker.take(make_status(**second), 20_000)
+    assert maker.add_report(make_status(**first), 10_000) == ()
+    (record,) = maker.add_report(make_status(**second), 20_000)
     assert (record.start_ms, record.end_ms) == (10_000, 20_000)
     assert (record.counts.opened, record.counts.lost) == (opened, lost)
     assert record.work_ms == 10 * opened
@@ -42,14 +42,14 @@
 )
 def test_clock_set_back_or_earlier_run_gives_no_record(second, now):
     maker = RecordMaker()
-    maker.take(make_status(), 10_000)
-    assert maker.take(make_status(**second), now) == ()
+    maker.add_report(make_status(), 10_000)
+    assert maker.add_report(make_status(**second), now) == ()
 
 
 def test_connect_counts_at_callers_side():
     maker = RecordMaker()
-    maker.take(make_status(role=Role.CONNECT), 10_000)
-    (record,) = maker.take(make_status(role=Role.CONNECT), 20_000)
+    maker.add_report(make_status(role=Role.CONNECT), 10_000)
+    (record,) = maker.add_report(make_status(role=Role.CONNECT), 20_000)
     assert record.side is Side.CALLER
 
 
--- a/tests/unit/test_retry.py
+++ b/tests/unit/test_retry.py
@@ -52,23 +52,27 @@
     ],
 )
 def test_first_attempt_ended(idempotent, ended, action):
-    assert make_retry(idempotent).handle_end(ended, NOW) == action
+    assert make_retry(idempotent).handle_attempt_ended(ended, NOW) == action
 
 
 @pytest.mark.parametrize("deadline", [1_000, 1_025])
 def test_no_attempt_at_or_after_deadline(deadline):
     retry = make_retry(deadline=Millis(deadline))
-    assert retry.handle_end(AttemptEnded(1, REFUSED, True), NOW) == GiveUp(REFUSED)
+    assert retry.handle_attempt_ended(AttemptEnded(1, REFUSED, True), NOW) == GiveUp(
+        REFUSED
+    )
 
 
 @pytest.mark.parametrize(
-    ("first", "last", "told"),
+    ("first", "last", "reported"),
     [(REFUSED, REFUSED, REFUSED), (UNKNOWN, REFUSED, UNKNOWN)],
 )
-def test_told_outcome_covers_all_attempts(first, last, told):
+def test_told_outcome_covers_all_attempts(first, last, reported):
     retry = make_retry(idempotent=True, policy=RetryPolicy(max_attempts=2))
-    retry.handle_end(AttemptEnded(1, first, True), NOW)
-    assert retry.handle_end(AttemptEnded(2, last, True), NOW) == GiveUp(told)
+    retry.handle_attempt_ended(AttemptEnded(1, first, True), NOW)
+    assert retry.handle_attempt_ended(AttemptEnded(2, last, True), NOW) == GiveUp(
+        reported
+    )
     assert retry.cancel() is None
     assert retry.ignored == 1
 
@@ -77,7 +81,7 @@
     retry = make_retry(policy=RetryPolicy(max_attempts=9, burst=99))
     waits = []
     for attempt in range(1, 9):
-        action = retry.handle_end(AttemptEnded(attempt, REFUSED, True), NOW)
+        action = retry.handle_attempt_ended(AttemptEnded(attempt, REFUSED, True), NOW)
         waits.append(action.at - NOW)
     assert waits == [25, 50, 100, 200, 400, 800, 1000, 1000]
 
@@ -90,10 +94,10 @@
     first_tries, elapsed, granted
 ):
     budget = TokenBudget(RetryPolicy(burst=2))
-    taken = [budget.take(NOW), budget.take(NOW)] if elapsed else []
+    taken = [budget.try_acquire(NOW), budget.try_acquire(NOW)] if elapsed else []
     for _ in range(first_tries):
-        budget.note_first_try()
-    taken += [budget.take(Millis(NOW + elapsed)) for _ in range(9)]
+        budget.record_first_attempt()
+    taken += [budget.try_acquire(Millis(NOW + elapsed)) for _ in range(9)]
     assert sum(taken) == granted
 
 
@@ -101,9 +105,9 @@
     policy = RetryPolicy(burst=1, ratio=0.1)
     budget = TokenBudget(policy)
     actions = [
-        OpeningRetry(policy, budget, idempotent=False, draw=lambda: 0.0).handle_end(
-            AttemptEnded(1, REFUSED, True), NOW
-        )
+        OpeningRetry(
+            policy, budget, idempotent=False, draw=lambda: 0.0
+        ).handle_attempt_ended(AttemptEnded(1, REFUSED, True), NOW)
         for _ in range(21)
     ]
     assert sum(isinstance(action, Reopen) for action in actions) == 3
--- a/tests/unit/test_service_meter.py
+++ b/tests/unit/test_service_meter.py
@@ -4,13 +4,13 @@
 from papayagw._internal.models.flow import FlowOutcome
 from papayagw._internal.models.report import LATENCY_BOUNDS_MS, LATENCY_BUCKETS, Side
 
-OPENED = ("note_opened", 20)
-REQUEST = ("note_request", 30)
-ANSWER = ("note_answer", 70)
+OPENED = ("record_opened", 20)
+REQUEST = ("record_request", 30)
+ANSWER = ("record_answer", 70)
 
 
 def ended(outcome, at=100):
-    return ("note_ended", outcome, at)
+    return ("record_ended", outcome, at)
 
 
 def meter_flow(side, *steps):
@@ -54,7 +54,7 @@
 @pytest.mark.parametrize("latency", [0, 1, 2, 3, 250, 251, 10_000, 10_001, 10**9])
 def test_latency_is_in_bucket_whose_bound_it_meets(latency):
     meter = ServiceMeter("order", Side.AGENT)
-    meter.note_opened(latency)
+    meter.record_opened(latency)
     bucket = meter.report(0).counts.answered.index(1)
     below = -1 if bucket == 0 else LATENCY_BOUNDS_MS[bucket - 1]
     above = (*LATENCY_BOUNDS_MS, latency)[bucket]
@@ -65,6 +65,6 @@
 def test_latencies_are_taken_once_and_bounded():
     meter = ServiceMeter("order", Side.AGENT)
     for latency in range(MAX_LATENCIES + 5):
-        meter.note_opened(latency)
-    assert meter.take_latencies() == tuple(range(5, MAX_LATENCIES + 5))
-    assert meter.take_latencies() == ()
+        meter.record_opened(latency)
+    assert meter.pop_latencies() == tuple(range(5, MAX_LATENCIES + 5))
+    assert meter.pop_latencies() == ()
--- a/tests/unit/test_submission.py
+++ b/tests/unit/test_submission.py
@@ -17,7 +17,7 @@
 THEIRS = make_configuration(4, "id-of-eve")
 
 READ = ("on_read", OLD, 30)
-SILENCE = ("on_no_answer",)
+NO_ANSWER = ("on_no_answer",)
 DEADLINE = ("on_deadline",)
 REFUSAL = ("on_refusal", "too large")
 
@@ -27,18 +27,18 @@
     [
         ([READ, ("on_written",)], Accepted),
         ([READ, ("on_conflict", THEIRS)], Refused),
-        ([READ, SILENCE, ("on_conflict", OURS)], Accepted),
-        ([READ, SILENCE, ("on_conflict", THEIRS)], Refused),
-        ([READ, SILENCE, ("on_written",)], Accepted),
-        ([READ, SILENCE, ("on_conflict", make_configuration(80, "x"))], Unknown),
+        ([READ, NO_ANSWER, ("on_conflict", OURS)], Accepted),
+        ([READ, NO_ANSWER, ("on_conflict", THEIRS)], Refused),
+        ([READ, NO_ANSWER, ("on_written",)], Accepted),
+        ([READ, NO_ANSWER, ("on_conflict", make_configuration(80, "x"))], Unknown),
         ([READ, ("on_conflict", make_configuration(2))], Refused),
-        ([READ, SILENCE, ("on_conflict", make_configuration(2))], Unknown),
-        ([READ, SILENCE, ("on_conflict", None)], Unknown),
+        ([READ, NO_ANSWER, ("on_conflict", make_configuration(2))], Unknown),
+        ([READ, NO_ANSWER, ("on_conflict", None)], Unknown),
         ([READ, DEADLINE], Unknown),
         ([READ, REFUSAL], Refused),
-        ([READ, SILENCE, REFUSAL], Unknown),
+        ([READ, NO_ANSWER, REFUSAL], Unknown),
         ([DEADLINE], Refused),
-        ([SILENCE, DEADLINE], Refused),
+        ([NO_ANSWER, DEADLINE], Refused),
         ([("on_read", make_configuration(2), 20)], Refused),
         ([("on_read", None, 0)], Refused),
         ([("on_read", make_configuration(3, site=make_site(7)), 30)], Refused),
