--- a/src/papayagw/_internal/core/__init__.py
+++ b/src/papayagw/_internal/core/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions, without input, output, clocks or codecs."""
+"""Decision logic, free of input, output, clocks and codecs."""
--- a/src/papayagw/_internal/core/admission.py
+++ b/src/papayagw/_internal/core/admission.py
@@ -1,10 +1,11 @@
-"""Which accepted flows an agent lets through to its backend server.
-
-A flow is work in progress from its admission to the first byte of its answer. An
-open feed that was answered, or a flow that has asked for nothing yet, counts only
-against the number of flows held. So long-lived flows don't use up the limit, and
-an overloaded backend server that answers late keeps its work counted. The shell
-polls after each `finish_work` and `close`, and at `next_at`.
+"""Admission control of an agent for its backend server.
+
+A flow counts as work in progress from its admission to the first byte of its
+answer. An open feed that has been answered, or a flow without a request yet,
+counts only against the maximum number of flows. Long-lived flows therefore don't
+use up the concurrency limit, and the work of an overloaded backend server stays
+counted until it answers. The caller must call `poll` after each `finish_work` and
+`close`, and at `next_at`.
 """
 
 import math
@@ -29,26 +30,26 @@
 
 
 class Admission(Protocol):
-    """Decides which accepted flows go on to the backend server, and when."""
+    """Policy that admits accepted flows to the backend server."""
 
     @property
     def next_at(self) -> Millis | None:
-        """When `poll` is due without another event, or None."""
+        """Time at which `poll` is due if no event comes before, or None."""
 
     def submit(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
-        """Decide about an accepted flow."""
+        """Admit, queue or refuse an accepted flow."""
 
     def finish_work(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
-        """Note that a flow's work is over, while the flow may stay open."""
+        """Record that a flow's work has ended; the flow itself may stay open."""
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
-        """Note that a flow that was idle since its admission asks for work."""
+        """Record that an admitted flow without work in progress sends a request."""
 
     def close(self, flow: FlowNumber) -> None:
-        """Note that a flow is gone, whether it waited, worked or idled."""
+        """Remove a flow, whether it is queued, in progress or idle."""
 
     def poll(self, now: Millis) -> AdmissionResults:
-        """Return which waiting flows are let through or turned away."""
+        """Return the queued flows that are now admitted or refused."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,14 +59,14 @@
 
 
 class FairAdmission:
-    """Admission under a concurrency limit, fair between clients.
+    """Admission under a concurrency limit with fair sharing between clients.
 
     Parameters
     ----------
     policy : AdmissionPolicy
-        The bounds.
+        Limits on flows, client shares and queueing.
     limit : ConcurrencyLimit
-        How much work is let through at once.
+        Limit on the work in progress.
     """
 
     def __init__(self, policy: AdmissionPolicy, limit: ConcurrencyLimit):
@@ -79,35 +80,35 @@
 
     @property
     def limit(self) -> int:
-        """The concurrency limit in force."""
+        """Current concurrency limit."""
         return self._limit.limit
 
     @property
     def in_progress(self) -> int:
-        """Flows that wait for the first byte of their answer."""
+        """Number of flows that await the first byte of their answer."""
         return len(self._work)
 
     @property
     def flows(self) -> int:
-        """Flows that were let through and are open."""
+        """Number of admitted flows that are open."""
         return len(self._open)
 
     @property
     def waiting(self) -> int:
-        """Flows in the queue."""
+        """Number of queued flows."""
         return len(self._queue)
 
     @property
     def next_at(self) -> Millis | None:
-        """When `poll` is due without another event, or None."""
+        """Time at which `poll` is due if no event comes before, or None."""
         return self._queue.next_expiry
 
     def submit(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
-        """Decide about an accepted flow."""
+        """Admit, queue or refuse an accepted flow."""
         expires_at = self._compute_expiry(request, now)
         if self.flows >= self._policy.max_flows or expires_at <= now:
             return AdmissionDecision.REFUSE
-        # Whoever waits is blocked by a share of its own, or `poll` is due.
+        # A client with queued requests has used up its share, or `poll` is due.
         if not self._queue.has_client(request.client) and self._may_start(
             request.client
         ):
@@ -121,7 +122,7 @@
         return AdmissionDecision.QUEUE
 
     def finish_work(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
-        """Note that a flow's work is over, while the flow may stay open."""
+        """Record that a flow's work has ended; the flow itself may stay open."""
         work = self._work.get(flow)
         if work is None:
             return
@@ -133,13 +134,13 @@
         self._finish(flow)
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
-        """Note that a flow that was idle since its admission asks for work."""
+        """Record that an admitted flow without work in progress sends a request."""
         client = self._open.get(flow)
         if client is not None and flow not in self._work:
             self._start(flow, client, now)
 
     def close(self, flow: FlowNumber) -> None:
-        """Note that a flow is gone, whether it waited, worked or idled."""
+        """Remove a flow, whether it is queued, in progress or idle."""
         self._queue.remove(flow)
         if flow in self._evicted:
             self._evicted.remove(flow)
@@ -147,7 +148,7 @@
         self._open.pop(flow, None)
 
     def poll(self, now: Millis) -> AdmissionResults:
-        """Return which waiting flows are let through or turned away."""
+        """Return the queued flows that are now admitted or refused."""
         refused = (*self._evicted, *self._queue.expire(now))
         self._evicted.clear()
         admitted: list[FlowNumber] = []
@@ -194,37 +195,37 @@
 
 
 def make_adaptive(policy: AdmissionPolicy) -> FairAdmission:
-    """Return the product's admission control."""
+    """Return admission control with an adaptive limit, as used in production."""
     limit = AdaptiveLimit(policy.initial_limit, policy.min_limit, policy.max_limit)
     return FairAdmission(policy, limit)
 
 
 def make_fixed(policy: AdmissionPolicy) -> FairAdmission:
-    """Return a baseline with the highest limit, which never moves."""
+    """Return a baseline with a fixed limit of `policy.max_limit`."""
     return FairAdmission(policy, FixedLimit(policy.max_limit))
 
 
 class Unlimited:
-    """A baseline that lets every flow through at once."""
+    """Baseline that admits every flow immediately."""
 
     @property
     def next_at(self) -> Millis | None:
-        """None: nothing ever waits."""
+        """None, as no flow is ever queued."""
         return None
 
     def submit(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
-        """Let the flow through."""
+        """Admit the flow."""
         return AdmissionDecision.ADMIT
 
     def finish_work(self, flow: FlowNumber, end: WorkEnd, now: Millis) -> None:
-        """Ignore the end."""
+        """Ignore the event."""
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
-        """Ignore the start."""
+        """Ignore the event."""
 
     def close(self, flow: FlowNumber) -> None:
-        """Ignore the end."""
+        """Ignore the event."""
 
     def poll(self, now: Millis) -> AdmissionResults:
-        """Return that nothing waits."""
+        """Return empty results, as no flow is ever queued."""
         return AdmissionResults()
--- a/src/papayagw/_internal/core/agent.py
+++ b/src/papayagw/_internal/core/agent.py
@@ -1,4 +1,4 @@
-"""What an agent decides about a packet that a balancer handed to it."""
+"""Decisions of an agent on packets forwarded by a balancer."""
 
 from papayagw._internal.core.choice import Chooser
 from papayagw._internal.core.directory import Directory
@@ -15,24 +15,24 @@
 from papayagw._internal.models.service import ServiceId
 
 MAX_HOPS = 2
-"""How many siblings may pass one opening on."""
+"""Maximum number of times that agents forward one opening."""
 
 ACCEPT = Accept()
 
 
 class AgentCore:
-    """Which openings an agent can_accept and which packets are its is_own_service.
+    """Decides which openings an agent accepts and which packets belong to it.
 
     Parameters
     ----------
     route : FlowRoute
-        The service, endpoint and run of this agent.
+        Service, endpoint and incarnation of this agent.
     siblings : Directory
-        The other agents that this one has heard of.
+        Other agents known to this one.
     chooser : Chooser
-        The policy by which a sibling is picked.
+        Policy that selects the sibling for a forwarded opening.
     max_flows : int
-        The most flows that this agent holds.
+        Maximum number of open flows.
     """
 
     def __init__(
@@ -46,20 +46,20 @@
 
     @property
     def state(self) -> AgentState:
-        """Whether this agent can_accept openings."""
+        """Whether this agent accepts openings."""
         return self._state
 
     @property
     def route(self) -> FlowRoute:
-        """The service, endpoint and run of this agent."""
+        """Service, endpoint and incarnation of this agent."""
         return self._route
 
     def set_max_flows(self, max_flows: int) -> None:
-        """Change the most flows that this agent holds."""
+        """Set the maximum number of open flows."""
         self._max_flows = max_flows
 
     def drain(self) -> None:
-        """Take no more openings."""
+        """Stop accepting openings."""
         self._state = AgentState.DRAINING
 
     def decide_opening(
@@ -70,21 +70,21 @@
         hops: int,
         reachable: bool = True,
     ) -> AgentDecision:
-        """Decide about an opening.
+        """Accept, forward or drop an opening.
 
         Parameters
         ----------
         service_id : ServiceId
-            The service that the caller addressed.
+            Service that the caller addressed.
         connection_id : bytes
-            The caller's random connection id.
+            Random connection id chosen by the caller.
         flows : int
-            The flows that this agent holds now.
+            Number of open flows of this agent.
         hops : int
-            How many agents have passed the opening on already.
+            Number of agents that have already forwarded the opening.
         reachable : bool
-            Whether the backend server can be reached, as far as is known; if not,
-            the opening is taken only where no sibling can take it.
+            Whether the backend server is believed to be reachable. If not, the
+            opening is accepted only if no sibling can accept it.
         """
         is_own_service = service_id == self._route.service_id
         can_accept = (
@@ -108,7 +108,7 @@
     def check_tagged(
         self, service_id: ServiceId, route: FlowRoute | None
     ) -> DropReason | None:
-        """Return why a tagged packet isn't this agent's, or None if it is."""
+        """Return why a tagged packet isn't for this agent, or None if it is."""
         if route is None:
             return DropReason.BAD_TAG
         if route.service_id != service_id or service_id != self._route.service_id:
--- a/src/papayagw/_internal/core/arrivals.py
+++ b/src/papayagw/_internal/core/arrivals.py
@@ -1,8 +1,9 @@
-"""Open-loop arrivals: when requests start, whatever became of earlier ones.
+"""Open-loop request schedule of the load generator.
 
-A closed loop sends the next request when an answer has come, and so sends less
-while the system is slow, just when it ought to measure (coordinated omission).
-Here the times are fixed beforehand and latency counts from them.
+A closed-loop generator sends the next request after the previous answer, so it
+sends fewer requests while the system is slow, which hides the slow period from the
+measurement (coordinated omission). Here the start times are fixed in advance and
+latency is measured from them, independent of earlier requests.
 """
 
 from collections.abc import Iterator, Sequence
@@ -17,14 +18,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Share(Generic[Kind]):
-    """One kind of request and how often it comes.
+    """Kind of request with its share of all arrivals.
 
     Attributes
     ----------
     kind : Kind
-        What is asked for.
+        Kind of request.
     weight : float
-        Its part of all arrivals, relative to the other weights.
+        Share of all arrivals, relative to the other weights.
     """
 
     kind: Kind
@@ -33,16 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival(Generic[Kind]):
-    """A request that is due.
+    """Scheduled request.
 
     Attributes
     ----------
     number : int
-        Counts the arrivals of a run from 0.
+        Sequence number within the run, starting at 0.
     due : Millis
-        When it starts, from the start of the run.
+        Start time in ms from the start of the run.
     kind : Kind
-        What is asked for.
+        Kind of request.
     """
 
     number: int
@@ -53,18 +54,18 @@
 def plan_arrivals(
     shares: Sequence[Share[Kind]], rate: float, duration: Millis, seed: int
 ) -> Iterator[Arrival[Kind]]:
-    """Yield the arrivals of a Poisson process in the order of their times.
+    """Yield the arrivals of a Poisson process in chronological order.
 
     Parameters
     ----------
     shares : sequence of Share
-        The kinds of requests.
+        Kinds of requests with their weights.
     rate : float
-        Arrivals a second, all kinds together.
+        Arrivals per second over all kinds.
     duration : Millis
-        The length of the run.
+        Length of the run in ms.
     seed : int
-        The same seed gives the same arrivals.
+        Seed of the random generator; equal seeds give equal arrivals.
     """
     random = Random(seed)
     kinds = [share.kind for share in shares]
--- a/src/papayagw/_internal/core/backoff.py
+++ b/src/papayagw/_internal/core/backoff.py
@@ -1,4 +1,4 @@
-"""Waiting between tries: exponential, with full jitter and a limit."""
+"""Exponential back-off with full jitter and an upper limit."""
 
 from random import Random
 
@@ -9,16 +9,16 @@
 
 
 class Backoff:
-    """The waits between the tries of one thing.
+    """Back-off state of one retried operation.
 
     Parameters
     ----------
     random : Random
-        The source of the jitter.
+        Source of the jitter.
     first_ms : Millis
-        The longest wait after the first failure; it doubles with each further one.
+        Maximum wait after the first failure; doubles with each further failure.
     longest_ms : Millis
-        The limit of the doubling.
+        Upper limit of the wait.
     """
 
     def __init__(
@@ -33,11 +33,11 @@
         self._ceiling_ms = first_ms
 
     def reset(self) -> None:
-        """Begin with short waits again."""
+        """Return to the initial wait, after a success."""
         self._ceiling_ms = self._first_ms
 
     def next_wait(self) -> Millis:
-        """Return how long to wait before the next try."""
+        """Record a failure and return the wait before the next attempt."""
         ceiling = self._ceiling_ms
         self._ceiling_ms = Millis(min(2 * ceiling, self._longest_ms))
         return Millis(self._random.randint(1, ceiling))
--- a/src/papayagw/_internal/core/balancer.py
+++ b/src/papayagw/_internal/core/balancer.py
@@ -1,8 +1,9 @@
-"""What a balancer decides about a caller's packet.
+"""Routing decisions of a balancer on packets from callers.
 
-A tagged packet goes where its tag says, whatever the balancer knows of the
-fleet. Only an opening is a choice, and a wrong choice is harmless: nothing
-reaches a backend server before the handshake is complete.
+A tagged packet is forwarded to the agent in its tag, regardless of what the
+balancer knows about the fleet. The balancer selects an agent only for an opening,
+where a wrong selection does no harm: nothing reaches a backend server before the
+handshake is complete.
 """
 
 from collections.abc import Sequence
@@ -23,7 +24,7 @@
 from papayagw._internal.models.flow import FlowRoute
 from papayagw._internal.models.service import ServiceId
 
-# One object each: the packet path makes none.
+# Preallocated: the packet path creates no decision objects for these cases.
 DROP_BAD_TAG = Drop(DropReason.BAD_TAG)
 DROP_WRONG_SERVICE = Drop(DropReason.WRONG_SERVICE)
 DROP_NO_AGENT = Drop(DropReason.NO_AGENT)
@@ -32,32 +33,32 @@
 
 
 UNREACHABLE_HOLD_OFF_MS = Millis(2_000)
-"""How long an agent with a closed port gets no openings."""
+"""Time for which an agent with a closed port receives no openings."""
 
 
 class Peers(Protocol):
-    """The other balancers, as far as this one needs them for openings."""
+    """View of the other balancers used to route openings."""
 
     @property
     def caught_up(self) -> bool:
-        """Whether this balancer knows nearly all agents that its peers know."""
+        """Whether this balancer knows nearly all agents known to its peers."""
 
     @property
     def peers(self) -> tuple[Endpoint, ...]:
-        """The inner endpoints of the other balancers."""
+        """Inner endpoints of the other balancers."""
 
 
 class BalancerCore:
-    """Routing of callers' packets.
+    """Router for packets from callers.
 
     Parameters
     ----------
     directory : Directory
-        The agents that the balancer knows of.
+        Agents known to the balancer.
     chooser : Chooser
-        The policy for openings.
+        Policy that selects the agent for an opening.
     peers : Peers
-        The other balancers, which know agents that this one hasn't heard of yet.
+        Other balancers, which may know agents that are still unknown here.
     """
 
     def __init__(self, directory: Directory, chooser: Chooser, peers: Peers):
@@ -69,14 +70,14 @@
     def route_tagged(
         self, service_id: ServiceId, route: FlowRoute | None
     ) -> BalancerDecision:
-        """Decide about a packet that isn't an opening.
+        """Return the decision on a packet that isn't an opening.
 
         Parameters
         ----------
         service_id : ServiceId
-            The service whose address the packet was sent to.
+            Service whose address the packet was sent to.
         route : FlowRoute or None
-            What its tag says, or None if the tag failed its check.
+            Route in the tag, or None if the tag is invalid.
         """
         if route is None:
             return DROP_BAD_TAG
@@ -89,16 +90,17 @@
     def route_opening(
         self, service_id: ServiceId, connection_id: bytes, hops: int = 0
     ) -> BalancerDecision:
-        """Choose an agent for an opening, or a peer that knows more agents.
+        """Select an agent for an opening, or a peer that knows more agents.
 
         Parameters
         ----------
         service_id : ServiceId
-            The service whose address the packet was sent to.
+            Service whose address the packet was sent to.
         connection_id : bytes
-            The caller's random connection id, the same in each copy.
+            Random connection id chosen by the caller, the same in each
+            retransmission.
         hops : int
-            How many balancers have passed it on: one at most.
+            Number of balancers that have forwarded the opening, at most 1.
         """
         candidates = self._find_candidates(service_id)
         is_last = hops > 0 or not self._peers.peers
@@ -110,11 +112,11 @@
         return Forward(record.endpoint)
 
     def mark_unreachable(self, agent: Endpoint, now: Millis) -> None:
-        """Note that an agent's host said that no process holds its port."""
+        """Record that the port of an agent is closed (ICMP port unreachable)."""
         self._unreachable[agent] = now
 
     def expire_unreachable(self, now: Millis) -> None:
-        """Choose agents again whose port was closed a while ago."""
+        """Make agents eligible again after `UNREACHABLE_HOLD_OFF_MS`."""
         for agent, marked_at in tuple(self._unreachable.items()):
             if now - marked_at >= UNREACHABLE_HOLD_OFF_MS:
                 del self._unreachable[agent]
@@ -126,6 +128,6 @@
         return [one for one in ready if one.endpoint not in self._unreachable]
 
     def _pick_peer(self, connection_id: bytes) -> Endpoint:
-        # By the connection id, so that a retransmission meets the same peer.
+        # Keyed by the connection id, so that retransmissions reach the same peer.
         peers = self._peers.peers
         return peers[int.from_bytes(connection_id[:4], "big") % len(peers)]
--- a/src/papayagw/_internal/core/choice.py
+++ b/src/papayagw/_internal/core/choice.py
@@ -1,9 +1,9 @@
-"""Choice of an agent for an opening, by weighted rendezvous hashing.
+"""Selection of an agent for an opening by weighted rendezvous hashing.
 
-Balancers that hold the same records choose the same agent for the same opening
-without a word between them, and a record that comes or goes moves only the
-openings that it wins or had won. The weighted form is that of Schindelhauer and
-Schomaker (2005): the score of an agent is ``-weight / ln(hash)``.
+Balancers with the same records select the same agent for the same opening without
+communicating. Adding or removing a record changes only the selections that this
+record wins or had won. The weighted form is that of Schindelhauer and Schomaker
+(2005): the score of an agent is ``-weight / ln(hash)``.
 """
 
 import hashlib
@@ -18,24 +18,24 @@
 
 
 class Chooser(Protocol):
-    """A policy that picks the agent for an opening."""
+    """Policy that selects the agent for an opening."""
 
     def choose(
         self, key: bytes, candidates: Sequence[AgentRecord]
     ) -> AgentRecord | None:
-        """Return one of `candidates` for the opening `key`, or None.
+        """Return the candidate selected for `key`, or None if there is none.
 
         Parameters
         ----------
         key : bytes
-            What all copies of one opening share.
+            Identifier shared by all retransmissions of an opening.
         candidates : sequence of AgentRecord
-            The agents of the service that take openings.
+            Agents of the service that accept openings.
         """
 
 
 def unit_hash(key: bytes, name: bytes) -> float:
-    """Return a number in (0, 1) that depends on `key` and `name` alone."""
+    """Hash `key` and `name` to a number in (0, 1)."""
     digest = hashlib.blake2s(name, key=key[:32], digest_size=_HASH_BYTES).digest()
     return (int.from_bytes(digest, "big") + 0.5) / _HASH_SPAN
 
@@ -46,7 +46,7 @@
     def choose(
         self, key: bytes, candidates: Sequence[AgentRecord]
     ) -> AgentRecord | None:
-        """Return the candidate with the highest score, or None without any."""
+        """Return the candidate with the highest score, or None if there is none."""
         weighted = [record for record in candidates if record.weight > 0]
         if not weighted:
             return None
--- a/src/papayagw/_internal/core/concurrency_limit.py
+++ b/src/papayagw/_internal/core/concurrency_limit.py
@@ -1,10 +1,10 @@
-"""How much work an agent lets its backend server have at once.
+"""Limits on the number of concurrent requests to a backend server.
 
-`AdaptiveLimit` rises by the square root of itself while the answers keep their
-pace and falls by a tenth when they slow down (additive increase, multiplicative
-decrease). The pace is compared with the best mean of the last one or two
-baseline windows. At each turn of such a window the limit is halved once, so that
-a long overload can't pass for the normal pace.
+`AdaptiveLimit` grows by its square root while the latency of the answers stays
+near the baseline and shrinks by a tenth when the latency rises (additive increase,
+multiplicative decrease). The baseline is the lowest mean latency of the last one or
+two baseline windows. The limit is halved once at the end of each window, so that a
+long overload can't become the baseline.
 """
 
 import math
@@ -14,39 +14,38 @@
 
 DECREASE_FACTOR = 0.9
 LATENCY_TOLERANCE = 2.0
-"""The ratio of the mean latency to the baseline that still counts as its pace."""
+"""Highest ratio of the mean latency to the baseline that counts as normal."""
 LATENCY_SLACK_MS = Millis(5)
 ADJUST_INTERVAL_MS = Millis(100)
-"""How often the limit moves."""
+"""Minimum interval between adjustments of the limit."""
 MIN_SAMPLES = 5
-"""How many answers a mean is made of, at least."""
+"""Minimum number of answers for a mean latency."""
 BASELINE_WINDOW_MS = Millis(30_000)
-"""Length of a baseline window."""
 _MIN_UTILIZATION = 0.5
-"""The share of the limit that has to be used for it to rise."""
+"""Minimum share of the limit that must be in use for it to grow."""
 
 
 class ConcurrencyLimit(Protocol):
-    """How many flows may wait for their backend server at once."""
+    """Limit on the number of flows that await an answer concurrently."""
 
     @property
     def limit(self) -> int:
-        """The limit in force."""
+        """Current limit."""
 
     def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
-        """Note how long a backend server took to begin its answer."""
+        """Record the latency of the first byte of an answer."""
 
     def record_failure(self, now: Millis) -> None:
-        """Note that a backend server failed a flow."""
+        """Record that a flow failed at the backend server."""
 
 
 class FixedLimit:
-    """A limit that never moves; a large one stands for none.
+    """Constant limit; a large value amounts to no limit.
 
     Parameters
     ----------
     limit : int
-        The limit.
+        Maximum number of concurrent flows.
     """
 
     def __init__(self, limit: int):
@@ -54,7 +53,7 @@
 
     @property
     def limit(self) -> int:
-        """The limit in force."""
+        """Current limit."""
         return self._limit
 
     def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
@@ -65,16 +64,16 @@
 
 
 class AdaptiveLimit:
-    """A limit that follows the latency of the answers.
+    """Limit that adapts to the latency of the answers.
 
     Parameters
     ----------
     initial_limit : int
-        The limit at the start.
+        Limit at the start.
     min_limit : int
-        It never falls below.
+        Lower bound of the limit.
     max_limit : int
-        It never rises above.
+        Upper bound of the limit.
     """
 
     def __init__(self, initial_limit: int, min_limit: int, max_limit: int):
@@ -92,16 +91,16 @@
 
     @property
     def limit(self) -> int:
-        """The limit in force."""
+        """Current limit."""
         return int(self._limit)
 
     @property
     def baseline_ms(self) -> float:
-        """The mean latency that counts as normal; infinite before any is known."""
+        """Baseline latency, or infinity before the first adjustment."""
         return min(self._lowest_mean, self._previous_lowest_mean)
 
     def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
-        """Note how long a backend server took to begin its answer."""
+        """Record the latency of the first byte of an answer."""
         if self._adjusted_at is None:
             self._adjusted_at = self._baseline_started_at = now
         self._latency_sum += latency
@@ -114,7 +113,7 @@
             self._adjust(now)
 
     def record_failure(self, now: Millis) -> None:
-        """Note that a backend server failed a flow."""
+        """Record that a flow failed at the backend server."""
         if self._failed_at is None or now - self._failed_at >= ADJUST_INTERVAL_MS:
             self._failed_at = now
             self._set_limit(self._limit * DECREASE_FACTOR)
--- a/src/papayagw/_internal/core/deadlines.py
+++ b/src/papayagw/_internal/core/deadlines.py
@@ -1,4 +1,4 @@
-"""A queue of deadlines, one for each key."""
+"""Priority queue of deadlines, one per key."""
 
 import heapq
 from typing import Generic, TypeVar
@@ -9,10 +9,10 @@
 
 
 class DeadlineQueue(Generic[K]):
-    """Deadlines of many keys, of which the earliest is found quickly.
+    """Heap of deadlines by key.
 
-    A moved deadline leaves its old entry in the heap, which is skipped when it
-    comes up.
+    When a deadline is changed or removed, its old entry stays in the heap and is
+    skipped once it reaches the top.
     """
 
     def __init__(self) -> None:
@@ -22,7 +22,7 @@
 
     @property
     def next_at(self) -> Millis | None:
-        """The earliest deadline, or None if there is none."""
+        """Earliest deadline, or None if there is none."""
         while self._heap:
             at, _, key = self._heap[0]
             if self._deadlines.get(key) == at:
@@ -31,7 +31,7 @@
         return None
 
     def set(self, key: K, at: Millis | None) -> None:
-        """Set, move or (with None) remove the deadline of `key`."""
+        """Set the deadline of `key`, or remove it if `at` is None."""
         if at is None:
             self._deadlines.pop(key, None)
         elif self._deadlines.get(key) != at:
@@ -40,7 +40,7 @@
             heapq.heappush(self._heap, (at, self._last_sequence, key))
 
     def pop_due(self, now: Millis) -> list[K]:
-        """Remove and return the keys whose deadline has come."""
+        """Remove and return the keys whose deadline has been reached."""
         due = []
         next_at = self.next_at
         while next_at is not None and next_at <= now:
--- a/src/papayagw/_internal/core/fair_queue.py
+++ b/src/papayagw/_internal/core/fair_queue.py
@@ -1,7 +1,7 @@
-"""A bounded queue of admission requests, fair between clients.
+"""Bounded queue of admission requests with fair sharing between clients.
 
-A full queue takes a newcomer in client_rank of the newest request of the client with
-the longest_client client_queue, so that a burst of one client pushes out only its own.
+When the queue is full, a new request evicts the newest request of the client with
+the most queued requests, so that a burst of one client evicts only its own.
 """
 
 from collections import deque
@@ -19,12 +19,12 @@
 
 
 class FairQueue:
-    """Admission requests that wait, a client_queue for each client.
+    """Queued admission requests, with a separate queue per client.
 
     Parameters
     ----------
     capacity : int
-        The most requests that wait.
+        Maximum number of queued requests.
     """
 
     def __init__(self, capacity: int):
@@ -37,19 +37,20 @@
 
     @property
     def next_expiry(self) -> Millis | None:
-        """When the first request's wait is over, or None if nobody waits."""
+        """Earliest expiry of a queued request, or None if the queue is empty."""
         return min(
             (waiting.expires_at for waiting in self._iter_queued()), default=None
         )
 
     def has_client(self, client: str) -> bool:
-        """Return whether a request of `client` waits."""
+        """Return whether a request of `client` is queued."""
         return client in self._requests
 
     def push(self, request: AdmissionRequest, expires_at: Millis) -> FlowNumber | None:
-        """Let a request wait; return the flow that has no client_rank, if any.
+        """Queue a request and return the flow evicted for it, if any.
 
-        That may be the request's own flow.
+        If the client of `request` already has the most queued requests, the
+        request isn't queued and its own flow is returned.
         """
         evicted = None
         if len(self) >= self._capacity:
@@ -66,12 +67,12 @@
         return evicted
 
     def pop(self, rank: Callable[[str], float | None]) -> AdmissionRequest | None:
-        """Take the oldest request of the client with the lowest rank.
+        """Remove and return the oldest request of the client with the lowest rank.
 
         Parameters
         ----------
         rank : callable
-            Returns a client's rank, or None if it may have no turn now.
+            Returns the rank of a client, or None to skip the client.
         """
         ranked = [
             (client_rank, client)
@@ -82,13 +83,13 @@
             return None
         _, client = min(ranked, key=lambda item: item[0])
         request = self._requests[client][0].request
-        # The client goes behind its equals.
+        # Move the client behind others of equal rank (round robin).
         self._requests[client] = self._requests.pop(client)
         self.remove(request.flow)
         return request
 
     def remove(self, flow: FlowNumber) -> bool:
-        """Take a flow out; return whether it waited."""
+        """Remove a flow and return whether it was queued."""
         client = self._client_of.pop(flow, None)
         if client is None:
             return False
@@ -103,7 +104,7 @@
         return True
 
     def expire(self, now: Millis) -> tuple[FlowNumber, ...]:
-        """Take out the flows whose wait is over and return them."""
+        """Remove and return the flows whose requests have expired."""
         expired = tuple(
             waiting.request.flow
             for waiting in self._iter_queued()
--- a/src/papayagw/_internal/core/lifecycle.py
+++ b/src/papayagw/_internal/core/lifecycle.py
@@ -1,10 +1,10 @@
-"""The life of one flow at the agent that owns it.
+"""State machine of one flow at the agent that owns it.
 
-One rule decides what the caller may be told: a byte counts as delivered from the
-moment at which it is handed to the backend server's socket. Before that moment
-any failure ends in REFUSED, and opening again is safe; after it a failure ends in
-UNKNOWN. An event that comes late, twice or from an earlier connection changes
-nothing and is counted.
+The outcome reported to the caller follows from one rule: a byte counts as
+delivered as soon as it is passed to the backend server's socket. A failure before
+the first delivered byte ends the flow as REFUSED, and opening it again is safe. A
+failure afterwards ends it as UNKNOWN. Late events, duplicates and events of an
+earlier connection are ignored and counted.
 """
 
 from collections.abc import Callable
@@ -42,7 +42,7 @@
 )
 
 MAX_CONNECTS = 2
-"""How often an agent tries to reach its backend server for one flow."""
+"""Maximum connection attempts to the backend server per flow."""
 
 NO_ACTIONS: FlowActions = ()
 FINISH_TO_BACKEND = FinishToBackend()
@@ -59,24 +59,24 @@
 
 
 class Lifecycle(Protocol):
-    """Decides about one flow at the agent that owns it."""
+    """State machine of one flow at the agent that owns it."""
 
     @property
     def outcome(self) -> FlowOutcome | None:
-        """How the flow ended, or None while it lives."""
+        """Outcome of the flow, or None while it is open."""
 
     def handle(self, event: FlowEvent) -> FlowActions:
-        """Return what to do about `event`, in order."""
+        """Process `event` and return the resulting actions, in order."""
 
 
 class FlowLifecycle:
-    """The state machine of one flow.
+    """Default state machine of a flow.
 
     Parameters
     ----------
     max_connects : int
-        How often to try to reach the backend server; a further try is made only
-        while no byte was handed over.
+        Maximum connection attempts to the backend server. A further attempt is
+        made only while no byte has been delivered.
     """
 
     __slots__ = (
@@ -110,41 +110,41 @@
 
     @property
     def state(self) -> FlowState:
-        """Where the flow stands."""
+        """Current state of the flow."""
         return self._state
 
     @property
     def outcome(self) -> FlowOutcome | None:
-        """How the flow ended, or None while it lives."""
+        """Outcome of the flow, or None while it is open."""
         return self._outcome
 
     @property
     def buffered(self) -> int:
-        """Bytes of the caller that wait for the backend server's connection."""
+        """Bytes from the caller buffered until the backend server is connected."""
         return self._buffered
 
     @property
     def delivered(self) -> int:
-        """Bytes that may have reached the backend server."""
+        """Bytes passed to the backend socket, which may have reached the server."""
         return self._delivered
 
     @property
     def unwritten(self) -> int:
-        """Bytes handed to the backend server's socket that it hasn't taken yet."""
+        """Bytes passed to the backend socket that it has not written yet."""
         return self._unwritten
 
     @property
     def answer_bytes(self) -> int:
-        """Bytes of the answer that were passed on."""
+        """Bytes of the answer forwarded to the caller."""
         return self._answer_bytes
 
     @property
     def ignored(self) -> int:
-        """Events that came late, twice or crossed and changed nothing."""
+        """Number of late, duplicate or out-of-order events, which had no effect."""
         return self._ignored
 
     def handle(self, event: FlowEvent) -> FlowActions:
-        """Return what to do about `event`, in order."""
+        """Process `event` and return the resulting actions, in order."""
         if self._outcome is not None:
             return self._ignore()
         return _HANDLERS[type(event)](self, event)
@@ -246,7 +246,7 @@
             return self._ignore()
         if self._state is FlowState.DELIVERING:
             return self._fail()
-        # The answer is whole; what the caller still sends has no reader.
+        # The answer is complete; further data from the caller is discarded.
         if not self._writable:
             return self._ignore()
         self._writable = False
@@ -256,9 +256,9 @@
         return self._fail()
 
     def _on_stop_asked(self, event: StopAsked) -> FlowActions:
-        # A flow that is connected is established: it may end in its own time. One
-        # that is opening can't be told yet: its caller may hold the handshake for
-        # complete, and a word in the middle of it doesn't carry an outcome.
+        # An established flow may run to its end. A flow that is still opening
+        # can't be closed yet: its caller may already consider the handshake
+        # complete, and a close during the handshake doesn't carry an outcome.
         if self._state in _CONNECTED_STATES:
             return NO_ACTIONS
         if self._state is FlowState.OPENING:
--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -1,9 +1,9 @@
-"""What a caller's side does when an attempt to open a flow has ended.
+"""Retry policy of the caller's side for opening a flow.
 
-A further attempt is made only where it can't run the request twice: after a
-refusal, after an attempt whose handshake never completed, or for an idempotent
-service. What the caller is told covers all attempts, so one that may have run
-rules out REFUSED for good.
+An attempt is retried only if this can't execute the request twice: after a
+refusal, after an incomplete handshake, or if the service is idempotent. The outcome
+reported to the caller covers all attempts: once an attempt may have been executed,
+the flow can no longer end as REFUSED.
 """
 
 from collections.abc import Callable
@@ -20,36 +20,36 @@
 )
 
 MILLITOKENS_PER_TOKEN = 1000
-"""Thousandths of a token in one, so that the sums are exact."""
+"""Budgets are counted in integer millitokens to keep the sums exact."""
 
 
 class RetryBudget(Protocol):
-    """Bounds the further attempts of all flows to one service together."""
+    """Limit on the retries of all flows to one service."""
 
     def record_first_attempt(self) -> None:
-        """Note a flow's first attempt."""
+        """Record the first attempt of a flow."""
 
     def try_acquire(self, now: Millis) -> bool:
-        """Return whether one further attempt may be made, and count it."""
+        """Return whether a retry is allowed, and consume budget if so."""
 
 
 class RetryRule(Protocol):
-    """Decides whether a further attempt could run a request twice."""
+    """Policy that decides whether a retry could execute a request twice."""
 
     def may_have_run(self, ended: AttemptEnded) -> bool:
-        """Return whether a byte may have reached a backend server."""
+        """Return whether the request may have reached a backend server."""
 
     def is_safe(self, ended: AttemptEnded, idempotent: bool) -> bool:
-        """Return whether opening again is safe."""
+        """Return whether a retry can't execute a request twice."""
 
 
 class TokenBudget:
-    """A token bucket that first tries fill, with a floor that time fills.
+    """Token bucket refilled by first attempts and at a minimum rate over time.
 
     Parameters
     ----------
     policy : RetryPolicy
-        How many tokens a first try and a second are worth.
+        Bucket size, tokens per first attempt and tokens per second.
     """
 
     def __init__(self, policy: RetryPolicy):
@@ -60,13 +60,13 @@
         self._refilled_at: Millis | None = None
 
     def record_first_attempt(self) -> None:
-        """Note a flow's first attempt."""
+        """Record the first attempt of a flow."""
         self._add(self._millitokens_per_first_attempt)
 
     def try_acquire(self, now: Millis) -> bool:
-        """Return whether one further attempt may be made, and count it."""
+        """Return whether a retry is allowed, and consume budget if so."""
         if self._refilled_at is not None and now > self._refilled_at:
-            # So many tokens a second are as many thousandths a millisecond.
+            # Tokens per second equal millitokens per millisecond.
             self._add(round(self._floor_per_second * (now - self._refilled_at)))
         self._refilled_at = now
         if self._millitokens < MILLITOKENS_PER_TOKEN:
@@ -83,36 +83,36 @@
 
 
 class UndeliveredOnly:
-    """Allow a further attempt only where nothing was delivered."""
+    """Allow a retry only if no byte was delivered or the service is idempotent."""
 
     def may_have_run(self, ended: AttemptEnded) -> bool:
-        """Return whether a byte may have reached a backend server."""
+        """Return whether the request may have reached a backend server."""
         return ended.handshake_completed and ended.outcome is not FlowOutcome.REFUSED
 
     def is_safe(self, ended: AttemptEnded, idempotent: bool) -> bool:
-        """Return whether opening again is safe."""
+        """Return whether a retry can't execute a request twice."""
         if ended.answer_started or not ended.replayable:
             return False
         return idempotent or not self.may_have_run(ended)
 
 
 class OpeningRetry:
-    """The attempts to open one flow.
+    """Attempts to open one flow.
 
     Parameters
     ----------
     policy : RetryPolicy
-        How often and when to try again.
+        Number of attempts and back-off.
     budget : RetryBudget
-        Shared by all flows to the service.
+        Retry budget shared by all flows to the service.
     idempotent : bool
-        Whether the service's requests may run more than once.
+        Whether requests to the service may be executed more than once.
     draw : callable
-        Returns a random number from 0 to 1, for the back-off.
+        Returns a random number from 0 to 1, used as back-off jitter.
     deadline : Millis or None
-        After this time no attempt is made.
+        Time from which on no attempt is made.
     rule : RetryRule
-        When a further attempt is safe.
+        Decides whether a retry is safe; `UndeliveredOnly` by default.
     """
 
     def __init__(
@@ -139,23 +139,23 @@
 
     @property
     def attempt(self) -> int:
-        """The number of the current attempt."""
+        """Number of the current attempt, starting at 1."""
         return self._attempt
 
     @property
     def outcome(self) -> FlowOutcome | None:
-        """What the caller was told, or None while the flow lives."""
+        """Outcome reported to the caller, or None while the flow is open."""
         return self._outcome
 
     @property
     def ignored(self) -> int:
-        """Events that came late or twice and changed nothing."""
+        """Events that came late or twice and had no effect."""
         return self._ignored
 
     def handle_attempt_ended(
         self, ended: AttemptEnded, now: Millis
     ) -> OpeningAction | None:
-        """Return what to do after an attempt, or None if it isn't the current one."""
+        """Return the action after an attempt, or None if it isn't the current one."""
         if self._outcome is not None or ended.attempt != self._attempt:
             self._ignored += 1
             return None
@@ -165,7 +165,7 @@
         return self._make_reopen(ended, now) or self._make_give_up(self._failure)
 
     def cancel(self) -> OpeningAction | None:
-        """Return what to do when the caller goes away."""
+        """Return the action after the caller has cancelled, or None if it has ended."""
         if self._outcome is not None:
             self._ignored += 1
             return None
--- a/src/papayagw/_internal/core/return_path.py
+++ b/src/papayagw/_internal/core/return_path.py
@@ -1,8 +1,9 @@
-"""Choice of the balancer through which an agent answers.
+"""Selection of the balancer through which an agent sends its answers.
 
-Balancers die without notice, so an agent spreads its answers over all balancers
-that it heard from lately; a dead one falls out of the choice, and what it took
-with it is sent again by the flow's loss recovery.
+Balancers may fail without notice. An agent therefore spreads its answers over all
+balancers that have sent packets recently. A failed balancer drops out of the
+selection, and the packets lost with it are retransmitted by the flow's loss
+recovery.
 """
 
 from collections.abc import Callable
@@ -11,22 +12,22 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 ALIVE_TIMEOUT_MS = Millis(500)
-"""How long a balancer counts as alive after its last packet."""
+"""Time after its last packet for which a balancer counts as alive."""
 
 MAX_STALE_BALANCERS = 4
-"""How many of the last heard balancers are used when none is fresh."""
+"""Number of most recently seen balancers to use if none counts as alive."""
 
 RETENTION_MS = Millis(60_000)
-"""After this silence a balancer is forgotten."""
+"""Time after its last packet at which a balancer is removed."""
 
 
 class ReturnPath:
-    """The balancers that an agent heard from.
+    """Balancers that have sent packets to an agent.
 
     Parameters
     ----------
     pick_index : callable
-        Returns a random number from 0 to its argument, less one.
+        Returns a random index below its argument.
     """
 
     def __init__(self, pick_index: Callable[[int], int]):
@@ -36,18 +37,18 @@
         self._refreshed_at = Millis(0)
 
     def record_packet(self, balancer: Endpoint, now: Millis) -> None:
-        """Note a packet from a balancer."""
+        """Record a packet from a balancer."""
         if balancer not in self._last_seen:
             self._candidates = (*self._candidates, balancer)
         self._last_seen[balancer] = now
 
     def remove_unreachable(self, balancer: Endpoint) -> None:
-        """Note that a balancer's host refused a packet."""
+        """Remove a balancer whose host rejected a packet."""
         if self._last_seen.pop(balancer, None) is not None:
             self._candidates = tuple(one for one in self._candidates if one != balancer)
 
     def pick(self, now: Millis) -> Endpoint | None:
-        """Return the balancer for the next answer, or None if none was heard."""
+        """Return the balancer for the next answer, or None if none is known."""
         if now - self._refreshed_at >= ALIVE_TIMEOUT_MS // 4 or not self._candidates:
             self._refresh(now)
         if not self._candidates:
--- a/src/papayagw/_internal/core/service_meter.py
+++ b/src/papayagw/_internal/core/service_meter.py
@@ -1,4 +1,4 @@
-"""Counting of what becomes of the flows of one service at one node."""
+"""Counters of the flows of one service at one node."""
 
 from bisect import bisect_left
 from collections import deque
@@ -14,18 +14,18 @@
 )
 
 MAX_LATENCIES = 1_000
-"""The most latencies that are kept for the next timer."""
+"""Maximum number of latencies kept until `pop_latencies` is called."""
 
 
 class ServiceMeter:
-    """Totals of one service since the node started.
+    """Totals of one service since the start of the node.
 
     Parameters
     ----------
     service : str
-        The name of the service.
+        Name of the service.
     side : Side
-        Which end of the flows counts.
+        End of the flows at which they are counted.
     """
 
     def __init__(self, service: str, side: Side):
@@ -41,49 +41,49 @@
 
     @property
     def side(self) -> Side:
-        """Which end of the flows counts."""
+        """End of the flows at which they are counted."""
         return self._side
 
     def start_flow(self, now: Millis) -> "FlowMeter":
-        """Return the meter of a flow whose opening came now."""
+        """Return the meter of a flow whose opening arrived at `now`."""
         return FlowMeter(self, now)
 
     def record_opened(self, latency: Millis) -> None:
-        """Note that a flow reached its backend server, `latency` after it came."""
+        """Record a flow that reached its backend server after `latency` ms."""
         self._opened += 1
         self._latencies.append(latency)
         self._answered[bisect_left(LATENCY_BOUNDS_MS, latency)] += 1
 
     def pop_latencies(self) -> tuple[Millis, ...]:
-        """Return the newest latencies of openings, each of them once."""
+        """Remove and return the latest latencies of openings, in ms."""
         latencies = tuple(self._latencies)
         self._latencies.clear()
         return latencies
 
     def record_refused(self) -> None:
-        """Note that an opening was refused."""
+        """Record that an opening was refused."""
         self._refused += 1
 
     def record_cut(self, answer_started: bool) -> None:
-        """Note that a flow was cut, and whether an answer had begun."""
+        """Record an interrupted flow as broken if its answer had started, else unknown."""
         if answer_started:
             self._broken += 1
         else:
             self._unknown += 1
 
     def record_work(self, duration: Millis) -> None:
-        """Note that a request was in progress at the backend server for a while."""
+        """Record the time for which a request was in progress at the backend server."""
         self._work_ms += duration
 
     def report(self, flows_open: int, capacity: float = 0.0) -> ServiceTotals:
-        """Return the totals.
+        """Return the totals of the service.
 
         Parameters
         ----------
         flows_open : int
-            Flows open now.
+            Number of currently open flows.
         capacity : float
-            The strength of the backend server; 0 where there is none.
+            Capacity of the backend server, or 0 if there is none.
         """
         counts = FlowCounts(
             opened=self._opened,
@@ -97,17 +97,17 @@
 
 
 class FlowMeter:
-    """What one flow adds to the totals of its service.
+    """Recorder of one flow for the totals of its service.
 
-    A request counts as in progress from the bytes that go to the backend server
-    to those that come back; a feed that is merely held open is no work.
+    A request is in progress from the first bytes sent to the backend server until
+    bytes are received from it. An idle open feed doesn't count as work.
 
     Parameters
     ----------
     service : ServiceMeter
-        The totals.
+        Totals to which the flow is added.
     opened_at : Millis
-        When the opening came.
+        Time at which the opening arrived.
     """
 
     __slots__ = (
@@ -126,22 +126,22 @@
         self._request_started_at: Millis | None = None
 
     def record_opened(self, now: Millis) -> None:
-        """Note that the backend server was reached."""
+        """Record that the backend server was reached."""
         self._opened = True
         self._service.record_opened(Millis(now - self._opened_at))
 
     def record_request(self, now: Millis) -> None:
-        """Note that bytes go to the backend server."""
+        """Record that bytes were sent to the backend server."""
         if self._request_started_at is None:
             self._request_started_at = now
 
     def record_answer(self, now: Millis) -> None:
-        """Note that bytes come from the backend server."""
+        """Record that bytes were received from the backend server."""
         self._answered = True
         self._end_request(now)
 
     def record_ended(self, outcome: FlowOutcome, now: Millis) -> None:
-        """Note how the flow ended."""
+        """Record the outcome of the flow."""
         self._end_request(now)
         if outcome is FlowOutcome.REFUSED:
             self._service.record_refused()
@@ -149,7 +149,7 @@
             self._service.record_cut(self._answered)
 
     def _owns_flow(self) -> bool:
-        # An agent also holds copies of openings that another agent has latencies.
+        # An agent may also hold a duplicate of an opening accepted by another agent.
         return self._opened or self._service.side is Side.CALLER
 
     def _end_request(self, now: Millis) -> None:
