--- a/src/papayagw/_internal/core/balance.py
+++ b/src/papayagw/_internal/core/balance.py
@@ -1,4 +1,4 @@
-"""How evenly work is spread over backend servers and availability zones."""
+"""Balance of work across backend servers and availability zones."""
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
@@ -9,30 +9,30 @@
 
 
 def by_backend(record: ServiceRecord) -> str:
-    """Group records by backend server."""
+    """Return the backend server of a record as its group."""
     return record.instance
 
 
 def by_zone(record: ServiceRecord) -> str:
-    """Group records by availability zone."""
+    """Return the availability zone of a record as its group."""
     return record.zone
 
 
 def measure_balance(
     records: Iterable[ServiceRecord], group: Callable[[ServiceRecord], str]
 ) -> Balance:
-    """Return the load of each group and how far the highest is above the mean.
+    """Return the load of each group and the ratio of the highest to the mean.
 
-    The load is work over capacity for the time that an instance was there, so
-    that one that came late isn't taken for an idle one. A backend server without
-    capacity, such as one that drains, isn't compared.
+    The load is work divided by capacity over the recorded time of an instance, so
+    that an instance that joined late doesn't appear idle. A backend server without
+    capacity, such as a draining one, is left out.
 
     Parameters
     ----------
     records : iterable of ServiceRecord
         Records of one service.
     group : callable
-        Returns the group of a record.
+        Returns the name of the group of a record.
     """
     grouped: dict[str, list[ServiceRecord]] = defaultdict(list)
     for record in records:
--- a/src/papayagw/_internal/core/burn.py
+++ b/src/papayagw/_internal/core/burn.py
@@ -1,9 +1,9 @@
-"""Burn of service-level budgets over several windows.
+"""Burn rates of service-level error budgets over several windows.
 
-The windows and factors are those of the SRE workbook's alerts on several windows
-and burn rates (Beyer et al. 2018, chapter 5): a long window shows that it
-matters, a short one that it still goes on. A budget is a share of the flows that
-were recorded in 30 days.
+The windows and factors are those of the multi-window, multi-burn-rate alerts of the
+SRE workbook (Beyer et al. 2018, chapter 5): a long window shows that the burn is
+significant, a short one that it is still going on. An error budget is a share of
+the flows recorded in 30 days.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -42,29 +42,29 @@
     Window("3 d", Millis(72 * _HOUR_MS)),
     Window("30 d", PERIOD_MS),
 )
-"""The last one is the period of the budget."""
+"""Windows in ascending order; the last one is the budget period."""
 
 MAX_BURN = 1_000_000.0
-"""The burn of a budget of nothing."""
+"""Burn rate reported for an empty error budget."""
 
 _BURN_DIGITS = 9
 
 MIN_FLOWS_PER_INSTANCE = 20
-"""With fewer flows on average, imbalance is chance and isn't judged."""
+"""With fewer flows on average, imbalance is random and isn't evaluated."""
 
 
 @dataclass(frozen=True, slots=True)
 class BurnRule:
-    """A burn that makes an objective urgent.
+    """Alert rule on the burn rate of an objective.
 
     Attributes
     ----------
     long_window, short_window : str
-        The windows that must both burn.
+        Windows in which the burn rate must reach the factor.
     factor : float
-        The burn that both must reach.
+        Minimum burn rate in both windows.
     risk : Risk
-        How urgent it is then.
+        Risk reported if the rule matches.
     """
 
     long_window: str
@@ -84,15 +84,14 @@
 def make_report(
     selection: Selection, objectives: Mapping[str, Objectives]
 ) -> BurnReport:
-    """Return how all services stand at the end of the newest record.
+    """Return the burn report of all services at the end of the latest record.
 
     Parameters
     ----------
     selection : Selection
-        The records; at least one.
+        Selected records, at least one.
     objectives : mapping of str to Objectives
-        The objectives of services by name; one that is missing is held against
-        the defaults.
+        Objectives by service name; services without an entry use the defaults.
     """
     records = selection.records
     end = records[-1].end_ms
@@ -112,16 +111,16 @@
 def measure_service(
     records: Sequence[ServiceRecord], objectives: Objectives, end: Millis
 ) -> ServiceBurn:
-    """Return how one service stands at `end`.
+    """Return the burn report of one service at `end`.
 
     Parameters
     ----------
     records : sequence of ServiceRecord
-        The records of the service; at least one.
+        Records of the service, at least one.
     objectives : Objectives
-        What it is held against.
+        Objectives of the service.
     end : Millis
-        Where all windows end, in ms since 1970.
+        End of all windows, in ms since 1970.
     """
     window_records = tuple(_select_window(records, window, end) for window in WINDOWS)
     period = window_records[-1]
@@ -141,7 +140,7 @@
 def sum_counts(
     records: Iterable[ServiceRecord], start: Millis, end: Millis, side: Side
 ) -> FlowCounts:
-    """Return what one side counted in the records that end in (`start`, `end`]."""
+    """Return the sum of one side's records that end in (`start`, `end`]."""
     counts = (
         record.counts
         for record in records
@@ -151,28 +150,28 @@
 
 
 def count_late(counts: FlowCounts, latency: Millis) -> int:
-    """Return the openings that were refused or not surely answered in `latency`.
+    """Return the openings refused or not certainly answered within `latency` ms.
 
-    A bucket that the limit falls into counts as late: it may be a little
-    overstated, but never understated.
+    The bucket that contains the limit counts as late, so the result may be slightly
+    too high but never too low.
     """
     within = sum(bound <= latency for bound in LATENCY_BOUNDS_MS)
     return sum(counts.answered[within:]) + counts.refused
 
 
 def compute_burn(bad: float, allowed: float) -> float:
-    """Return how many times over `bad` uses up what is `allowed`."""
+    """Return the ratio of `bad` to `allowed`, at most `MAX_BURN`."""
     if bad <= 0:
         return 0.0
     if allowed <= 0:
         return MAX_BURN
-    # 1 - 0.999 isn't exactly 0.001: a budget that is just spent has a burn of 1.
+    # 1 - 0.999 isn't exactly 0.001; rounding makes an exactly spent budget burn 1.
     return min(round(bad / allowed, _BURN_DIGITS), MAX_BURN)
 
 
 @dataclass(frozen=True, slots=True)
 class _WindowRecords:
-    """The records of one window and what each side counted in it."""
+    """Records of one window with the counts of each side."""
 
     name: str
     records: tuple[ServiceRecord, ...]
@@ -245,9 +244,9 @@
 def _pick_worst(
     window: str, allowed: float, sides: Iterable[tuple[int, int]]
 ) -> WindowBurn:
-    """Return the burn of the side that saw the larger share of bad ones.
+    """Return the burn of the side with the larger share of bad flows.
 
-    Both sides count the same flows, so that their counts can't be added up.
+    Both sides count the same flows, so their counts must not be added.
     """
     shares = [(bad / flows, flows) for bad, flows in sides if flows]
     share, flows = max(shares, default=(0.0, 0))
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -1,4 +1,4 @@
-"""Which configuration a node has in force."""
+"""Configuration in force at a node."""
 
 from enum import Enum
 
@@ -12,17 +12,17 @@
 
 
 class VersionOrder(Enum):
-    """What a node makes of a configuration that it is offered."""
+    """Order of a received configuration relative to the one in force."""
 
     NEWER = "newer"
     SAME = "same"
     OLDER = "older"
     FORKED = "forked"
-    """The version in force under another submission: the store lost one of them."""
+    """Same version as in force but another submission: the store lost one of them."""
 
 
 class ConfigurationLog:
-    """A node's configuration, which only ever moves to a higher version."""
+    """Configuration of a node, which is only replaced by a higher version."""
 
     def __init__(self) -> None:
         self._current: Configuration | None = None
@@ -31,27 +31,27 @@
 
     @property
     def current(self) -> Configuration | None:
-        """The configuration in force, or None before the first."""
+        """Configuration in force, or None before the first."""
         return self._current
 
     @property
     def version(self) -> int:
-        """The version in force, or -1 before the first."""
+        """Version in force, or -1 before the first."""
         return -1 if self._current is None else self._current.version
 
     @property
     def refused(self) -> int:
-        """How many older or forked versions were refused."""
+        """Number of older or forked versions that were refused."""
         return self._refused
 
     @property
     def question(self) -> Question:
-        """What this node asks a peer that may have a newer version."""
+        """Query to a peer that may have a newer version."""
         submission_id = self._current.submission_id if self._current else ""
         return Question(self.version, submission_id)
 
     def apply_if_newer(self, configuration: Configuration) -> VersionOrder:
-        """Put a configuration in force if it is newer."""
+        """Put `configuration` in force if it is newer; return how it compares."""
         order = self._compare_version(configuration)
         if order is VersionOrder.NEWER:
             if self._current is not None:
@@ -63,7 +63,7 @@
         return order
 
     def answer(self, question: Question) -> Answer:
-        """Return what a peer needs to get from its version to this node's."""
+        """Return the answer that updates a peer to the version in force here."""
         current = self._current
         if current is None or question.version >= current.version:
             return Nothing()
@@ -71,7 +71,7 @@
         return current if change is None else change
 
     def resolve(self, answer: Answer) -> Configuration | None:
-        """Return the configuration that a peer's answer leads to, or None."""
+        """Return the configuration that results from a peer's answer, or None."""
         if isinstance(answer, Nothing):
             return None
         if isinstance(answer, Configuration):
--- a/src/papayagw/_internal/core/configuration_change.py
+++ b/src/papayagw/_internal/core/configuration_change.py
@@ -1,7 +1,7 @@
-"""Finding and applying changes between versions of a configuration.
+"""Computation and application of changes between configuration versions.
 
-A node fetches changes, not whole configurations: one service of a change is a few
-hundred bytes where the whole is up to a megabyte.
+Nodes fetch changes instead of whole configurations: a changed service takes a few
+hundred bytes, a whole configuration up to a megabyte.
 """
 
 from collections import OrderedDict
@@ -15,11 +15,11 @@
 )
 
 MAX_KEPT_VERSIONS = 16
-"""How many earlier versions a node can tell the changes from."""
+"""Number of versions that a node keeps to compute changes from."""
 
 
 def find_change(before: Configuration, after: Configuration) -> ConfigurationChange:
-    """Return the change from one version to a later one."""
+    """Return the change from version `before` to the later version `after`."""
     known = {service.service_id: service for service in before.site.services}
     kept = {service.service_id for service in after.site.services}
     changed = [one for one in after.site.services if known.get(one.service_id) != one]
@@ -40,7 +40,7 @@
 def apply_change(
     before: Configuration, change: ConfigurationChange
 ) -> Configuration | None:
-    """Return the later version, or None if the change isn't one of `before`."""
+    """Return the later version, or None if the change isn't based on `before`."""
     if (change.base, change.base_submission_id) != (
         before.version,
         before.submission_id,
@@ -65,10 +65,10 @@
 
 
 def reuse_equal_services(before: Configuration, after: Configuration) -> Configuration:
-    """Return `after` with the objects of `before` for the services that are equal.
+    """Return `after` with equal services replaced by the objects of `before`.
 
-    So a version that is remembered costs what changed in it and one reference for
-    each service.
+    A kept version then needs memory only for its changes and one reference per
+    service.
     """
     known = {service.service_id: service for service in before.site.services}
     services = []
@@ -79,13 +79,13 @@
 
 
 class ChangeLog:
-    """The last versions of a node, from which it finds changes."""
+    """Most recent versions of a node, from which changes are computed."""
 
     def __init__(self) -> None:
         self._versions: OrderedDict[int, Configuration] = OrderedDict()
 
     def add(self, configuration: Configuration) -> None:
-        """Remember the version that is in force now."""
+        """Add the version that is now in force."""
         self._versions[configuration.version] = configuration
         while len(self._versions) > MAX_KEPT_VERSIONS:
             self._versions.popitem(last=False)
@@ -93,7 +93,7 @@
     def find_since(
         self, version: int, submission_id: str
     ) -> ConfigurationChange | None:
-        """Return the change from a version to the last, if it is remembered."""
+        """Return the change from a kept version to the latest, or None."""
         before = self._versions.get(version)
         if before is None or before.submission_id != submission_id:
             return None
--- a/src/papayagw/_internal/core/log_limiter.py
+++ b/src/papayagw/_internal/core/log_limiter.py
@@ -1,30 +1,30 @@
-"""A limit on how often one kind of message is logged.
+"""Rate limit for log messages of the same kind.
 
-A flood of bad packets must not become a flood of lines: of each kind only a few
-get through in each window, and the next that does says how many didn't.
+A flood of bad packets must not flood the log: only a few messages of each kind are
+logged per window, and the next one logged reports how many were suppressed.
 """
 
 from papayagw._internal.models.clock import Millis
 
 MAX_KINDS = 1_024
-"""The most kinds that are told apart; the rest share one limit."""
+"""Maximum number of kinds with a limit of their own; the rest share one."""
 
 WINDOW_MS = Millis(1_000)
 BURST = 3
-"""How many messages of one kind are admitted in a window."""
+"""Maximum number of messages of one kind per window."""
 
 _OTHER_KIND = "other"
 
 
 class LogLimiter:
-    """Admits a few messages of each kind in a window of time.
+    """Limits the number of messages of each kind per time window.
 
     Parameters
     ----------
     burst : int
-        How many messages of one kind are admitted in a window.
+        Maximum number of messages of one kind per window.
     window : Millis
-        The length of a window.
+        Length of a window in ms.
     """
 
     def __init__(self, burst: int = BURST, window: Millis = WINDOW_MS):
@@ -33,14 +33,14 @@
         self._kinds: dict[str, _KindWindow] = {}
 
     def admit(self, kind: str, now: Millis) -> int | None:
-        """Return how many were held back before this one, or None to hold it back.
+        """Return the number suppressed before this message, or None to suppress it.
 
         Parameters
         ----------
         kind : str
-            What the message has in common with its like.
+            Kind of the message; messages of one kind share a limit.
         now : Millis
-            The present time.
+            Current time.
         """
         state = self._get_window(kind, now)
         if now - state.start >= self._window:
@@ -54,12 +54,12 @@
         return suppressed
 
     def pop_suppressed(self, now: Millis) -> dict[str, int]:
-        """Return the kinds whose window is expired, with how many were held back.
+        """Remove and return the suppressed counts by kind of windows that have ended.
 
         Parameters
         ----------
         now : Millis
-            The present time.
+            Current time.
         """
         expired = {
             kind: state.suppressed
@@ -77,7 +77,7 @@
 
 
 class _KindWindow:
-    """The present window of one kind of message."""
+    """Current window of one kind of message."""
 
     __slots__ = ("admitted", "start", "suppressed")
 
--- a/src/papayagw/_internal/core/record_maker.py
+++ b/src/papayagw/_internal/core/record_maker.py
@@ -1,8 +1,8 @@
-"""Service-level records from the totals that nodes report.
+"""Creation of service-level records from the totals reported by nodes.
 
-Nodes keep nothing and count from their start, so a record is the difference
-between two reports of one run. Flows that were open when a run was last previous
-and whose run then made way for another without draining count as lost.
+Nodes persist nothing and count from their start, so a record is the difference
+between two reports of the same run. If a new run replaces one that wasn't draining,
+the flows that were open in the last report of the old run count as lost.
 """
 
 from dataclasses import dataclass, replace
@@ -18,14 +18,14 @@
 
 @dataclass(frozen=True, slots=True)
 class _LastReport:
-    """The last report of a node, and when it came."""
+    """Last report of a node and the time of its receipt."""
 
     report: StatusReport
     at: Millis
 
 
 class RecordMaker:
-    """Turns successive status reports into records."""
+    """Creates records from successive status reports."""
 
     def __init__(self) -> None:
         self._last_reports: dict[str, _LastReport] = {}
@@ -35,14 +35,14 @@
     ) -> tuple[ServiceRecord, ...]:
         """Return the records of the interval since the node's last report.
 
-        Nothing comes of a node's first report: there is nothing to compare with.
+        The first report of a node gives no records, as there is nothing to compare.
 
         Parameters
         ----------
         report : StatusReport
-            What the node said.
+            Status report of the node.
         now : Millis
-            When it said so, in ms since 1970.
+            Time of the report, in ms since 1970.
         """
         previous = self._last_reports.get(report.node)
         if previous is not None and (
--- a/src/papayagw/_internal/core/record_selection.py
+++ b/src/papayagw/_internal/core/record_selection.py
@@ -1,7 +1,7 @@
-"""Which service-level records a report can rely on.
+"""Selection of the service-level records that are valid for a report.
 
-Records may come from several files, in any order, twice, and from machines whose
-clocks are wrong.
+Records may come from several files, in any order, more than once, and from machines
+with wrong clocks.
 """
 
 from collections.abc import Iterable
@@ -11,31 +11,31 @@
 from papayagw._internal.models.report import ServiceRecord, Side
 
 PERIOD_MS = Millis(30 * 24 * 3600 * MILLIS_PER_SECOND)
-"""The period of a budget."""
+"""Period of an error budget."""
 
 MAX_CLOCK_SKEW_MS = Millis(60_000)
-"""How far ahead a recorder's clock may be."""
+"""Maximum time by which a recorder's clock may be ahead."""
 
 MAX_EXACT_INTERVAL_MS = Millis(300_000)
-"""A record longer than this overstates the shortest window."""
+"""A longer record overstates the counts of the shortest window."""
 
 
 @dataclass(frozen=True, slots=True)
 class Selection:
-    """Records to rely on, and how many were passed over.
+    """Selected records and the number of skipped ones.
 
     Attributes
     ----------
     records : tuple of ServiceRecord
-        In order of their end; none overlaps another of its instance and service.
+        Sorted by end; records of one instance and service don't overlap.
     ahead : int
-        Records from the future.
+        Number of skipped records that end in the future.
     overlapping : int
-        Records of a time that another one covers already.
+        Number of skipped records that overlap an earlier record.
     old : int
-        Records from before the period.
+        Number of skipped records from before the period.
     long : int
-        Records of intervals longer than the shortest window; they are kept.
+        Number of selected records that are longer than the shortest window.
     """
 
     records: tuple[ServiceRecord, ...]
@@ -46,25 +46,25 @@
 
     @property
     def notes(self) -> tuple[str, ...]:
-        """What the reader of a report has to know."""
+        """Remarks on skipped and long records, for the reader of a report."""
         notices = (
-            ("passed over, from the future (a clock is wrong)", self.ahead),
-            ("passed over, of a time that others cover", self.overlapping),
-            ("passed over, older than 30 d", self.old),
-            ("of more than 5 min, which overstate short windows", self.long),
+            ("skipped, end in the future (check the clocks)", self.ahead),
+            ("skipped, overlap other records", self.overlapping),
+            ("skipped, older than 30 d", self.old),
+            ("longer than 5 min, which overstate short windows", self.long),
         )
         return tuple(f"records {notice}: {count}" for notice, count in notices if count)
 
 
 def select_records(records: Iterable[ServiceRecord], now: Millis) -> Selection:
-    """Return the records of the period before `now` that don't overlap.
+    """Return the non-overlapping records of the period before `now`.
 
     Parameters
     ----------
     records : iterable of ServiceRecord
-        In any order.
+        Records in any order.
     now : Millis
-        The present time, in ms since 1970.
+        Current time, in ms since 1970.
     """
     ordered = sorted(records, key=lambda record: (record.start_ms, record.end_ms))
     past = [record for record in ordered if record.end_ms <= now + MAX_CLOCK_SKEW_MS]
--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -149,7 +149,7 @@
 
     @property
     def ignored(self) -> int:
-        """Events that came late or twice and had no effect."""
+        """Number of late or duplicate events, which had no effect."""
         return self._ignored
 
     def handle_attempt_ended(
--- a/src/papayagw/_internal/core/service_meter.py
+++ b/src/papayagw/_internal/core/service_meter.py
@@ -65,7 +65,7 @@
         self._refused += 1
 
     def record_cut(self, answer_started: bool) -> None:
-        """Record an interrupted flow as broken if its answer had started, else unknown."""
+        """Record an interrupted flow: broken if an answer had started, else unknown."""
         if answer_started:
             self._broken += 1
         else:
--- a/src/papayagw/_internal/core/site_comparison.py
+++ b/src/papayagw/_internal/core/site_comparison.py
@@ -1,4 +1,4 @@
-"""What differs between two sites."""
+"""Comparison of the configurations of two sites."""
 
 import hashlib
 from collections.abc import Iterator
@@ -14,14 +14,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Difference:
-    """One value that differs.
+    """Configuration value that differs between two sites.
 
     Attributes
     ----------
     path : str
-        The value's key, such as ``services.order.max_flows``.
+        Configuration key, such as ``services.order.max_flows``.
     before, after : str
-        The value in the one site and in the other; `ABSENT` if it isn't there.
+        Value in each of the two sites, or `ABSENT` if there is none.
     """
 
     path: str
@@ -33,7 +33,7 @@
 
 
 def compare_sites(before: Site, after: Site) -> tuple[Difference, ...]:
-    """Return what differs, in order of the keys; secrets aren't shown."""
+    """Return the differences in key order, with secrets replaced by digests."""
     old, new = dict(_flatten_site(before)), dict(_flatten_site(after))
     paths = [*old, *(path for path in new if path not in old)]
     return tuple(
@@ -54,7 +54,7 @@
 
 
 def _format_key(position: int, key: FleetKey) -> str:
-    # Enough of the secret to tell two apart, too little to be of use.
+    # A short digest distinguishes two secrets without disclosing them.
     role = "seals" if position == 0 else "opens"
     digest = hashlib.blake2s(key.secret, digest_size=_SHOWN_DIGEST_BYTES)
     return f"{role}, digest {digest.hexdigest()}"
--- a/src/papayagw/_internal/core/site_compatibility.py
+++ b/src/papayagw/_internal/core/site_compatibility.py
@@ -1,8 +1,7 @@
-"""Whether one version of a site may follow another.
+"""Compatibility of a new version of a site with the version in force.
 
-For some seconds both are in force, at different nodes. So what one node seals
-must open at every other, or the fleet falls apart in two, and a number must never mean
-two services.
+For a few seconds both versions are in force at different nodes. Every node must
+therefore be able to open what any other node seals, or the fleet splits in two. A service id must never refer to two services.
 """
 
 from collections.abc import Iterator
@@ -13,16 +12,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Incompatibility:
-    """Why a version may not follow another.
+    """Reason why a version may not replace another.
 
     Attributes
     ----------
     path : str
-        The key that is at fault.
+        Configuration key that is incompatible.
     reason : str
-        What is wrong with it.
+        Description of the problem.
     is_blocking : bool
-        Whether the operator can't overrule it.
+        Whether the change is rejected even if breaking changes are allowed.
     """
 
     path: str
@@ -34,7 +33,7 @@
 
 
 def find_incompatibilities(before: Site, after: Site) -> tuple[Incompatibility, ...]:
-    """Return why `after` may not follow `before`."""
+    """Return the reasons why `after` may not replace `before`."""
     return (
         *_check_site_name(before, after),
         *_check_service_ids(before, after),
@@ -45,7 +44,7 @@
 
 def _check_site_name(before: Site, after: Site) -> Iterator[Incompatibility]:
     if before.name != after.name:
-        reason = f"the files are of the site {after.name}, not {before.name}"
+        reason = f"the files belong to site {after.name}, not {before.name}"
         yield Incompatibility("name", reason, is_blocking=True)
 
 
@@ -54,11 +53,13 @@
         path = f"services.{service.name}.id"
         known = before.find_service(service.name)
         if known is not None and known.service_id != service.service_id:
-            reason = f"it is {known.service_id}, and a service's number never changes"
+            reason = (
+                f"the id is {known.service_id}, and the id of a service never changes"
+            )
             yield Incompatibility(path, reason, is_blocking=True)
         owner = before.find_service_by_id(service.service_id)
         if owner is not None and owner.name != service.name:
-            reason = f"{service.service_id} is the number of {owner.name}"
+            reason = f"{service.service_id} is already the id of service {owner.name}"
             yield Incompatibility(path, reason, is_blocking=True)
 
 
@@ -66,17 +67,17 @@
     known = {key.key_id: key.secret for key in before.keys}
     for key in after.keys:
         if known.get(key.key_id, key.secret) != key.secret:
-            reason = "another secret under a known id: give it a new id"
+            reason = "the secret of a known key id has changed: use a new id"
             yield Incompatibility(f"keys.{key.key_id}", reason, is_blocking=True)
     if after.keys[0].key_id not in known:
         reason = (
-            "it would seal before every node can open: submit it behind the old key "
-            "first, in front of it next"
+            "nodes would seal with it before every node can open: submit it after "
+            "the old key first, then in front of it"
         )
         yield Incompatibility(f"keys.{after.keys[0].key_id}", reason, is_blocking=True)
     sealing = before.keys[0].key_id
     if all(key.key_id != sealing for key in after.keys):
-        reason = "it seals now: keep it behind the new key until its flows have ended"
+        reason = "it seals now: keep it after the new key until its flows have ended"
         yield Incompatibility(f"keys.{sealing}", reason, is_blocking=True)
 
 
--- a/src/papayagw/_internal/core/submission.py
+++ b/src/papayagw/_internal/core/submission.py
@@ -1,10 +1,10 @@
-"""The submission of a change, as a state machine without input or output.
+"""State machine for submitting a configuration change, without input or output.
 
-A submission is one compare-and-swap against the version that the operator saw. Its
-id stays the same in each retry and is kept in the versions that follow, so an answer
-that was lost is settled by reading back: the retry is refused, and the id is either
-in the history or it isn't. A write that expects an old revision can't take effect
-any more once the revision has moved on.
+A submission is one compare-and-swap against the version that the operator has seen.
+Its id stays the same in each retry and is recorded in the history of later versions.
+After a lost answer the outcome is therefore determined by a retry: it fails with a
+conflict, and the history then shows whether the id was accepted. A write that
+expects an old revision can't take effect once the revision has changed.
 """
 
 from dataclasses import dataclass
@@ -20,20 +20,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Proposal:
-    """What an operator submits.
+    """Change submitted by an operator.
 
     Attributes
     ----------
     site : Site
-        The checked and merged files.
+        Validated and merged configuration files.
     submission_id : str
-        A random id.
+        Random id of the submission.
     operator : str
-        Who submits.
+        Name of the operator.
     expected_version : int or None
-        The version that the operator saw; None takes the one that is read now.
+        Version that the operator has seen; None uses the version read first.
     allows_breaking : bool
-        Whether established flows may break.
+        Whether the change may break established flows.
     """
 
     site: Site
@@ -45,12 +45,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The submission became a version.
+    """The submission was accepted as a new version.
 
     Attributes
     ----------
     version : int
-        The version.
+        Number of the new version.
     """
 
     version: int
@@ -58,12 +58,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """The submission isn't a version and won't become one.
+    """The submission was rejected and can't take effect any more.
 
     Attributes
     ----------
     reason : str
-        Why.
+        Reason for the rejection.
     """
 
     reason: str
@@ -71,12 +71,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """The submission may be a version now, or become one.
+    """The submission may have taken effect, or may still do so.
 
     Attributes
     ----------
     reason : str
-        Why nothing more can be said.
+        Why the outcome could not be determined.
     """
 
     reason: str
@@ -92,14 +92,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Write:
-    """Swap the configuration in the store.
+    """Write the configuration to the store by compare-and-swap.
 
     Attributes
     ----------
     configuration : Configuration
-        What to write.
+        Configuration to write.
     expected : int
-        The revision that the key must have.
+        Revision that the key must have for the write to take effect.
     """
 
     configuration: Configuration
@@ -108,12 +108,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Finish:
-    """Tell the operator.
+    """Report the outcome to the operator.
 
     Attributes
     ----------
     outcome : Accepted, Refused or Unknown
-        What to tell.
+        Outcome of the submission.
     """
 
     outcome: Outcome
@@ -123,12 +123,12 @@
 
 
 class Submission:
-    """One submission from its first read to what the operator is told.
+    """State of one submission from the first read to the reported outcome.
 
     Parameters
     ----------
     proposal : Proposal
-        What is submitted.
+        Change to submit.
     """
 
     def __init__(self, proposal: Proposal):
@@ -138,11 +138,11 @@
 
     @property
     def action(self) -> Action:
-        """What to do next."""
+        """Next action to perform."""
         return self._action
 
     def on_read(self, current: Configuration | None, revision: int) -> None:
-        """Take in what the store holds, and its key's revision."""
+        """Process the configuration read from the store and its key's revision."""
         reason = self._find_rejection(current)
         if reason:
             self._finish(Refused(reason))
@@ -150,11 +150,11 @@
         self._action = Write(self._make_configuration(current), revision)
 
     def on_written(self) -> None:
-        """Take in that the write took effect."""
+        """Process a successful write."""
         self._finish(Accepted(self._submitted.version))
 
     def on_conflict(self, current: Configuration | None) -> None:
-        """Take in that the write took no effect, and what the store holds."""
+        """Process a failed compare-and-swap and the configuration in the store."""
         mark = current.find_mark(self._proposal.submission_id) if current else None
         if mark is not None:
             self._finish(Accepted(mark.version))
@@ -162,7 +162,7 @@
             self._finish_without_proof("the store was restored from an older copy")
         elif current.version - self._submitted.version >= len(current.history):
             self._finish_without_proof(
-                f"version {current.version} no longer remembers this far"
+                f"history of version {current.version} doesn't reach back far enough"
             )
         else:
             self._finish(
@@ -170,16 +170,16 @@
             )
 
     def on_no_answer(self) -> None:
-        """Take in that the last read or write got no answer; it is done again."""
+        """Process a missing answer; the caller repeats the read or write."""
         if isinstance(self._action, Write):
             self._has_pending_write = True
 
     def on_refusal(self, reason: str) -> None:
-        """Take in that the store refused the call, or holds what can't be read."""
+        """Process a call rejected by the store, or unreadable data in the store."""
         self._finish_without_proof(reason)
 
     def on_deadline(self) -> None:
-        """Take in that the time is up, with a call possibly under way."""
+        """Process the deadline, which may come while a call is in progress."""
         if isinstance(self._action, Write):
             self._has_pending_write = True
         self._finish_without_proof("the platform's service gave no answer in time")
@@ -190,7 +190,7 @@
         return self._action.configuration
 
     def _finish_without_proof(self, reason: str) -> None:
-        """Finish: refused if no write of ours can have taken effect."""
+        """Finish as refused, or as unknown if a write may have taken effect."""
         if isinstance(self._action, Finish):
             return
         self._finish(Unknown(reason) if self._has_pending_write else Refused(reason))
@@ -199,7 +199,7 @@
         self._action = Finish(outcome)
 
     def _find_rejection(self, current: Configuration | None) -> str:
-        """Return why the proposal can't follow what is in force, or nothing."""
+        """Return why the proposal is rejected, or an empty string if it isn't."""
         version = current.version if current else 0
         expected = self._proposal.expected_version
         if expected is not None and expected != version:
