--- a/tests/properties/admission_proof.py
+++ b/tests/properties/admission_proof.py
@@ -1,4 +1,4 @@
-"""What must hold of admission, whatever clients arrive and however work ends."""
+"""Properties of admission control under any order of arrivals and work ends."""
 
 from dataclasses import dataclass
 
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True)
 class Arrive:
-    """A client's flow arrives."""
+    """Arrival of a flow of `client`, with a deadline in ms from now or None."""
 
     client: str
     deadline_after: int | None
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True)
 class End:
-    """The work of some open flow ends; the flow may stay open."""
+    """End of the work of an open flow, which may stay open."""
 
     which: int
     end: WorkEnd
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True)
 class Wait:
-    """Time passes."""
+    """Passage of `duration` ms."""
 
     duration: int
 
@@ -60,7 +60,7 @@
 
 
 class FlowTracker:
-    """Every flow's story, kept apart from the mechanism."""
+    """Model of all flows, independent of the implementation under test."""
 
     def __init__(self, admission):
         self.admission = admission
@@ -89,11 +89,11 @@
 
     def start(self, flow, client):
         own = sum(one == client for one in self.working.values())
-        assert len(self.working) < POLICY.max_limit, "over the limit"
-        assert own < POLICY.max_limit * POLICY.max_client_share, "over the share"
+        assert len(self.working) < POLICY.max_limit, "concurrency limit exceeded"
+        assert own < POLICY.max_limit * POLICY.max_client_share, "client share exceeded"
         self.working[flow] = client
         self.open.append(flow)
-        assert len(self.open) <= POLICY.max_flows, "too many flows"
+        assert len(self.open) <= POLICY.max_flows, "maximum number of flows exceeded"
 
     def end(self, step):
         if step.which % 3 == 0 and self.waiting:
@@ -115,20 +115,22 @@
             del self.waiting[flow]
         for flow in results.admitted:
             client, expires_at = self.waiting.pop(flow)
-            assert expires_at > self.now, "let through after its deadline"
+            assert expires_at > self.now, "admitted after its deadline"
             self.start(flow, client)
-        assert len(self.waiting) <= POLICY.queue_limit, "queue over its bound"
+        assert len(self.waiting) <= POLICY.queue_limit, "queue limit exceeded"
         assert all(expires_at > self.now for _, expires_at in self.waiting.values())
         self.check_no_idle_capacity()
 
     def check_no_idle_capacity(self):
-        """Check that nobody waits while the backend server has nothing to do."""
+        """Check that no flow is queued while the backend server is idle."""
         blocked = self.working or len(self.open) >= POLICY.max_flows
-        assert blocked or not self.waiting, "waits for nothing"
+        assert blocked or not self.waiting, (
+            "flow queued although the backend server is idle"
+        )
 
 
 def check(make, history):
-    """Run a history and then let all that wait run out."""
+    """Run a history, then advance time until all queued flows have expired."""
     tracker = FlowTracker(make())
     for step in history:
         match step:
@@ -141,20 +143,20 @@
         tracker.poll()
     while tracker.waiting:
         due = tracker.admission.next_at
-        assert due is not None and due > tracker.now, "a flow was forgotten"
+        assert due is not None and due > tracker.now, "queued flow without a due time"
         tracker.now = due
         tracker.poll()
 
 
 class NeverExpires(FairQueue):
-    """Lets flows wait beyond their time."""
+    """Keeps flows queued after they have expired."""
 
     def expire(self, now):
         return ()
 
 
 class Unbounded(FairQueue):
-    """Takes any number of flows."""
+    """Queues any number of flows."""
 
     def push(self, request, expires_at):
         self._capacity = len(self) + 1
@@ -162,7 +164,7 @@
 
 
 class ForgetsEvicted(FairAdmission):
-    """Never tells the flows that a newcomer pushed out."""
+    """Never reports evicted flows as refused."""
 
     def poll(self, now):
         self._evicted.clear()
@@ -170,14 +172,14 @@
 
 
 class IgnoresClientShare(FairAdmission):
-    """Lets one client take the whole limit."""
+    """Lets one client use the whole concurrency limit."""
 
     def _may_start(self, client):
         return self.in_progress < self.limit
 
 
-def make_product(kind=FairAdmission, queue=None):
-    """Return a factory of admission control, or of a double of it."""
+def make_factory(kind=FairAdmission, queue=None):
+    """Return a factory of admission control or of a mutant."""
 
     def make():
         limit = AdaptiveLimit(POLICY.initial_limit, POLICY.min_limit, POLICY.max_limit)
@@ -189,15 +191,15 @@
     return make
 
 
-PROOF = Property("admission", HISTORIES, check, make_product())
+PROOF = Property("admission", HISTORIES, check, make_factory())
 MUTATIONS = [
     Mutation(name, PROOF, make)
     for name, make in {
         "NoLimit": Unlimited,
         "HighFixedLimit": lambda: FairAdmission(POLICY, FixedLimit(99)),
-        "NeverExpires": make_product(queue=NeverExpires),
-        "UnboundedQueue": make_product(queue=Unbounded),
-        "ForgetsEvicted": make_product(ForgetsEvicted),
-        "IgnoresClientShare": make_product(IgnoresClientShare),
+        "NeverExpires": make_factory(queue=NeverExpires),
+        "UnboundedQueue": make_factory(queue=Unbounded),
+        "ForgetsEvicted": make_factory(ForgetsEvicted),
+        "IgnoresClientShare": make_factory(IgnoresClientShare),
     }.items()
 ]
--- a/tests/properties/lifecycle_proof.py
+++ b/tests/properties/lifecycle_proof.py
@@ -1,7 +1,7 @@
-"""What must hold of a flow's lifecycle, whatever the order of its events.
+"""Properties of the flow lifecycle under any order of events.
 
-A history is mostly the regular sequence of a flow, with any other event put between:
-late, twice, crossed, of an earlier connection.
+A history follows the regular event sequence of a flow, with arbitrary events
+inserted: late, duplicate, out of order or of an earlier connection.
 """
 
 from hypothesis import strategies as st
@@ -67,7 +67,7 @@
 
 
 def expand(history):
-    """Return the events: a regular beginning, then a mixture."""
+    """Return the events: a regular prefix, then a mix with arbitrary events."""
     sequence, prefix_length, steps = history
     regular = iter(sequence[prefix_length:])
     events = (next(regular, None) if step is None else step for step in steps)
@@ -78,7 +78,7 @@
 
 
 class Observer:
-    """What an outsider knows of a flow, from its events and actions alone."""
+    """Model of a flow, derived only from its events and actions."""
 
     def __init__(self):
         self.handshake = False
@@ -95,7 +95,7 @@
         self.outcome = None
 
     def observe(self, event):
-        """Take in what an event proves, before the lifecycle answers it."""
+        """Update the model from an event, before the lifecycle handles it."""
         match event:
             case on.HandshakeCompleted():
                 self.handshake = True
@@ -116,8 +116,8 @@
                 self.connected = False
 
     def check(self, event, action):
-        """Raise AssertionError if `action` may not follow `event`."""
-        assert self.outcome is None, "acted after the end"
+        """Raise AssertionError if `action` isn't allowed after `event`."""
+        assert self.outcome is None, "action after the end of the flow"
         _CHECKS.get(type(action), Observer._check_nothing)(self, event, action)
 
     def _check_nothing(self, event, action):
@@ -125,7 +125,9 @@
 
     def _check_connect(self, event, action):
         assert self.handshake, "connected before the handshake"
-        assert not (self.connecting or self.connected), "two connections"
+        assert not (self.connecting or self.connected), (
+            "second connection while one is open"
+        )
         assert self.delivered == 0, "connected again after delivery"
         assert action.attempt == self.attempt + 1
         self.attempt = action.attempt
@@ -134,8 +136,8 @@
     def _check_deliver(self, event, action):
         assert self.connected, "delivered without a connection"
         self.delivered += action.count
-        assert self.delivered <= self.received, "delivered what never came"
-        assert not self.backend_finished, "delivered after the end"
+        assert self.delivered <= self.received, "delivered more bytes than received"
+        assert not self.backend_finished, "delivered after the end of the request"
 
     def _check_finish_backend(self, event, action):
         assert self.caller_finished and not self.backend_finished
@@ -144,12 +146,14 @@
 
     def _check_send(self, event, action):
         assert isinstance(event, on.BackendSent) and event.count == action.count
-        assert event.attempt == self.attempt and self.connected, "crossed answer"
+        assert event.attempt == self.attempt and self.connected, (
+            "answer of an earlier connection"
+        )
         assert not self.answer_finished, "sent after the answer's end"
 
     def _check_finish_caller(self, event, action):
         assert isinstance(event, on.BackendClosed) and event.attempt == self.attempt
-        assert not self.answer_finished, "two ends"
+        assert not self.answer_finished, "answer finished twice"
         self.answer_finished = True
 
     def _check_outcome(self, event, action):
@@ -176,7 +180,7 @@
 
 
 def check(make, history):
-    """Check each action, and that no byte is lost and each ending ends."""
+    """Check each action, that no byte is lost and that final events end the flow."""
     lifecycle, observer = make(), Observer()
     for event in expand(history):
         observer.observe(event)
@@ -184,13 +188,13 @@
             observer.check(event, action)
         assert lifecycle.outcome is observer.outcome
         if observer.outcome is None:
-            assert not isinstance(event, FINAL_EVENTS), f"lived on after {event}"
+            assert not isinstance(event, FINAL_EVENTS), f"flow still open after {event}"
             if observer.connected:
                 assert observer.delivered == observer.received, "lost bytes"
 
 
 class DeliversEarly(FlowLifecycle):
-    """Hands bytes over before the connection, so before the handshake too."""
+    """Delivers bytes before the connection, and so before the handshake."""
 
     __slots__ = ()
 
@@ -213,7 +217,7 @@
 
 
 class CountsWritesOnly(FlowLifecycle):
-    """Takes bytes for undelivered until the socket took them."""
+    """Counts bytes as delivered only once the socket has written them."""
 
     __slots__ = ()
 
@@ -223,7 +227,7 @@
 
 
 class ForgetsAttempts(FlowLifecycle):
-    """Takes events of an earlier connection for those of the present one."""
+    """Accepts events of an earlier connection as those of the current one."""
 
     __slots__ = ()
 
@@ -232,7 +236,7 @@
 
 
 class ReconnectsAfterDelivery(FlowLifecycle):
-    """Opens a second connection after a break, whatever was delivered."""
+    """Reconnects after a connection failure even if bytes were delivered."""
 
     __slots__ = ()
 
@@ -247,7 +251,7 @@
 
 
 class LivesAfterEnd(FlowLifecycle):
-    """Goes on after its outcome was outcome."""
+    """Handles events after the outcome was reported."""
 
     __slots__ = ()
 
@@ -257,7 +261,7 @@
 
 
 class LosesBufferedBytes(FlowLifecycle):
-    """Forgets what came before the connection."""
+    """Discards the bytes received before the connection."""
 
     __slots__ = ()
 
@@ -268,7 +272,7 @@
 
 
 class AnswersEarly(FlowLifecycle):
-    """Tells ANSWERED before the caller has the whole answer."""
+    """Reports ANSWERED before the caller has the whole answer."""
 
     __slots__ = ()
 
@@ -281,8 +285,8 @@
 
 PROOF = Property("lifecycle", HISTORIES, check, FlowLifecycle)
 MUTATIONS = [
-    Mutation(double.__name__, PROOF, double)
-    for double in (
+    Mutation(mutant.__name__, PROOF, mutant)
+    for mutant in (
         DeliversEarly,
         ConnectsEarly,
         CountsWritesOnly,
--- a/tests/properties/proving.py
+++ b/tests/properties/proving.py
@@ -1,4 +1,4 @@
-"""Properties as data: run one on the real mechanism or on a double of it."""
+"""Property tests as data, to be run on the implementation or on mutants of it."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,18 +12,19 @@
 
 @dataclass(frozen=True)
 class Property:
-    """What must hold of a mechanism for every drawn history.
+    """Property that an implementation must satisfy for every generated history.
 
     Attributes
     ----------
     name : str
-        The name that commands take.
+        Name of the property, as accepted by commands.
     histories : SearchStrategy
-        Where the histories come from.
+        Strategy that generates the histories.
     check : callable
-        Takes a factory of the mechanism and a history; raises AssertionError.
+        Takes a factory of the implementation and a history; raises AssertionError
+        if the property is violated.
     make : callable
-        The factory of the real mechanism.
+        Factory of the implementation.
     """
 
     name: str
@@ -34,7 +35,7 @@
 
 @dataclass(frozen=True)
 class Mutation:
-    """A double with one mechanism turned off, which its property must find."""
+    """Mutant with one mechanism disabled, for which the property must fail."""
 
     name: str
     proof: Property
@@ -42,7 +43,7 @@
 
 
 def run(proof, make, examples, seed_number=None, shrink=True):
-    """Check a property; derandomised unless a seed is given."""
+    """Check a property on `make`; derandomised unless a seed is given."""
 
     def body(history):
         proof.check(make, history)
--- a/tests/properties/retry_proof.py
+++ b/tests/properties/retry_proof.py
@@ -1,8 +1,8 @@
-"""What must hold of the attempts of several flows that share a retry budget.
+"""Properties of the attempts of several flows that share a retry budget.
 
-A history says of each attempt what truly happened; what the caller's side hears
-of it is the actual or less: an agent that delivered a byte never says REFUSED, and
-without a completed handshake nothing was delivered.
+A history gives the actual course of each attempt and what the caller's side observes
+of it, which may be incomplete but never wrong: an agent that delivered a byte never
+reports REFUSED, and without a completed handshake nothing was delivered.
 """
 
 from dataclasses import dataclass
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True)
 class AttemptHistory:
-    """What happened to one attempt."""
+    """Actual course of one attempt and its end as observed by the caller."""
 
     delivered: bool
     ended: AttemptEnded
@@ -33,7 +33,7 @@
 
 @st.composite
 def attempt_histories(draw):
-    """Draw what happened to an attempt and what was heard of it."""
+    """Draw the actual course of an attempt and its observed end."""
     handshake = draw(st.booleans())
     delivered = handshake and draw(st.booleans())
     reported = [None, FlowOutcome.UNKNOWN]
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True)
 class Flow:
-    """One flow: its settings and its attempts, in order."""
+    """Settings of a flow, and its attempts in order."""
 
     idempotent: bool
     deadline: Millis | None
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True)
 class Makers:
-    """Factories of the mechanisms under test."""
+    """Factories of the components under test."""
 
     rule: type = UndeliveredOnly
     budget: type = TokenBudget
@@ -76,7 +76,7 @@
 
 
 def check(make, flows):
-    """Run the flows one after the other over a shared budget."""
+    """Run the flows one after the other with a shared retry budget."""
     budget = make.budget(POLICY)
     now, reopened = 0, 0
     for flow in flows:
@@ -91,11 +91,13 @@
         now, count = run_flow(retry, flow, now)
         reopened += count
     allowed = POLICY.burst + POLICY.ratio * len(flows)
-    assert reopened <= allowed + POLICY.floor_per_second * now / 1_000, "over budget"
+    assert reopened <= allowed + POLICY.floor_per_second * now / 1_000, (
+        "retry budget exceeded"
+    )
 
 
 def run_flow(retry, flow, now):
-    """Return the time at the flow's end and how often it was opened again."""
+    """Return the time at the end of the flow and its number of retries."""
     delivered, attempt, reported = 0, 1, None
     for actual, wait in zip(flow.attempts, flow.waits, strict=False):
         now += wait
@@ -111,47 +113,47 @@
         )
         action = retry.handle_attempt_ended(event, Millis(now))
         if not is_current:
-            assert action is None, "acted on a late or crossed event"
+            assert action is None, "action on a late or out-of-order event"
             continue
         delivered += actual.delivered
         if isinstance(action, Reopen):
             assert action.attempt == attempt + 1 <= POLICY.max_attempts
             assert ended.replayable and not ended.answer_started
-            assert flow.idempotent or not delivered, "may run twice"
+            assert flow.idempotent or not delivered, "request may be executed twice"
             assert flow.deadline is None or now <= action.at < flow.deadline
             attempt = action.attempt
         else:
             assert isinstance(action, GiveUp)
             reported = action.outcome
             assert reported is not FlowOutcome.REFUSED or not delivered, (
-                "untrue refusal"
+                "REFUSED reported after delivery"
             )
     return now, attempt - 1
 
 
 class RetriesSilence(UndeliveredOnly):
-    """Takes an established flow that fell silent for undelivered."""
+    """Treats an established flow without an outcome as undelivered."""
 
     def may_have_run(self, ended):
         return ended.outcome is FlowOutcome.UNKNOWN
 
 
 class RetriesAlways(UndeliveredOnly):
-    """Opens again whatever was delivered."""
+    """Retries even after delivery."""
 
     def is_safe(self, ended, idempotent):
         return ended.replayable and not ended.answer_started
 
 
 class RetriesStartedAnswers(UndeliveredOnly):
-    """Opens again though the caller has bytes of an answer."""
+    """Retries although the caller has received part of an answer."""
 
     def is_safe(self, ended, idempotent):
         return idempotent or not self.may_have_run(ended)
 
 
 class ForgetsEarlierAttempts(OpeningRetry):
-    """Tells the outcome of the last attempt only."""
+    """Reports only the outcome of the last attempt."""
 
     def handle_attempt_ended(self, ended, now):
         self._may_have_run = False
@@ -159,7 +161,7 @@
 
 
 class AcceptsLateEnds(OpeningRetry):
-    """Takes the end of an abandoned attempt for the present one's."""
+    """Treats the end of an earlier attempt as that of the current one."""
 
     def handle_attempt_ended(self, ended, now):
         current = AttemptEnded(self.attempt, ended.outcome, ended.handshake_completed)
@@ -167,7 +169,7 @@
 
 
 class EndlessBudget(TokenBudget):
-    """Grants every further try."""
+    """Allows every retry."""
 
     def try_acquire(self, now):
         return True
--- a/tests/properties/table.py
+++ b/tests/properties/table.py
@@ -1,4 +1,4 @@
-"""All properties and all mutations, for the tests and the bench commands."""
+"""Registry of all properties and mutations, for tests and bench commands."""
 
 from tests.properties import (
     admission_proof,
--- a/tests/properties/test_burn_properties.py
+++ b/tests/properties/test_burn_properties.py
@@ -45,30 +45,30 @@
 )
 
 
-def burns(history, held_against, objective):
-    service = measure_service(history, held_against, SPAN)
+def burns(history, targets, objective):
+    service = measure_service(history, targets, SPAN)
     found = next(one for one in service.objectives if one.objective is objective)
     return [window.burn for window in found.windows]
 
 
 @FIXED
 @given(histories, objectives, st.data(), st.integers(1, 50))
-def test_burn_is_monotone_in_broken_flows(history, held_against, data, more):
+def test_burn_is_monotone_in_broken_flows(history, targets, data, more):
     index = data.draw(st.integers(0, len(history) - 1))
     record = history[index]
     worse = list(history)
     broken = replace(record.counts, broken=record.counts.broken + more)
     worse[index] = replace(record, counts=broken)
-    before = burns(history, held_against, Objective.AVAILABILITY)
-    after = burns(worse, held_against, Objective.AVAILABILITY)
+    before = burns(history, targets, Objective.AVAILABILITY)
+    after = burns(worse, targets, Objective.AVAILABILITY)
     assert all(now >= then for then, now in zip(before, after, strict=True))
 
 
 @FIXED
 @given(histories, objectives)
-def test_burn_is_never_below_zero(history, held_against):
+def test_burn_is_never_below_zero(history, targets):
     for objective in Objective:
-        assert min(burns(history, held_against, objective)) >= 0
+        assert min(burns(history, targets, objective)) >= 0
 
 
 @FIXED
--- a/tests/properties/test_properties.py
+++ b/tests/properties/test_properties.py
@@ -13,6 +13,6 @@
 
 
 @pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda mutation: mutation.name)
-def test_property_turns_red_without_mechanism(mutation):
+def test_property_fails_for_mutation(mutation):
     with pytest.raises(AssertionError):
         run(mutation.proof, mutation.make, MUTATION_EXAMPLES, shrink=False)
--- a/tests/properties/test_racing_operators.py
+++ b/tests/properties/test_racing_operators.py
@@ -17,14 +17,14 @@
 
 
 class DoesNotReadBack(Submission):
-    """Takes any conflict for a refusal."""
+    """Treats every conflict as a refusal, without reading the history."""
 
     def on_conflict(self, current):
         self._finish(Refused("conflict"))
 
 
 class AssumesRefusedOnDeadline(Submission):
-    """Takes a write without an answer for a refusal."""
+    """Treats a write without an answer as refused."""
 
     def on_deadline(self):
         self._has_pending_write = False
@@ -32,7 +32,7 @@
 
 
 class ResubmitsAfterNoAnswer(Submission):
-    """Reads anew and submits on top after a write without an answer."""
+    """Reads again and resubmits on top of it after a write without an answer."""
 
     def on_no_answer(self):
         super().on_no_answer()
@@ -40,7 +40,7 @@
 
 
 class AppliesAnyVersion(ConfigurationLog):
-    """Puts in force whatever it is offered."""
+    """Puts every received version in force."""
 
     def apply_if_newer(self, configuration):
         self._current = configuration
@@ -60,7 +60,7 @@
 @pytest.mark.parametrize("operators", [2, 10])
 @settings(max_examples=300, derandomize=True, deadline=None)
 @given(schedule=schedules(REGULAR_STEPS + FAULT_STEPS))
-def test_one_wins_each_version_and_each_is_told_the_truth(operators, schedule):
+def test_one_operator_wins_each_version_and_reports_are_correct(operators, schedule):
     check(operators, schedule)
 
 
@@ -76,7 +76,7 @@
 @pytest.mark.parametrize("operators", [2, 10])
 @settings(max_examples=300, derandomize=True, deadline=None)
 @given(schedule=schedules(REGULAR_STEPS + FAULT_STEPS + RESTORE_STEPS))
-def test_versions_never_fall_when_the_store_is_restored(operators, schedule):
+def test_versions_never_decrease_after_restore_of_the_store(operators, schedule):
     check_nodes(operators, schedule)
 
 
@@ -89,7 +89,7 @@
         (check_nodes, REGULAR_STEPS + FAULT_STEPS + RESTORE_STEPS, AppliesAnyVersion),
     ],
 )
-def test_property_is_red_without_the_mechanism(check_it, names, mutant):
+def test_property_fails_for_mutant(check_it, names, mutant):
     def is_violated(schedule):
         try:
             check_it(4, schedule, mutant)
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -11,14 +11,14 @@
 
 
 class NeverDrains(AgentCore):
-    """Goes on taking openings."""
+    """Keeps accepting openings while draining."""
 
     def drain(self):
         pass
 
 
 class NoHealth:
-    """Takes each backend server for reachable."""
+    """Treats every backend server as reachable."""
 
     def is_reachable(self, now):
         return True
@@ -27,7 +27,7 @@
         pass
 
 
-def play(stem, mechanisms=None):
+def run_scenario(stem, mechanisms=None):
     path = Path(__file__).parent / f"{stem}.txt"
     scenario = Scenario(mechanisms)
     scenario.execute(path.read_text(encoding="utf-8"))
@@ -36,7 +36,7 @@
 
 @pytest.mark.parametrize("stem", [path.stem for path in FILES])
 def test_scenario(stem):
-    play(stem)
+    run_scenario(stem)
 
 
 @pytest.mark.parametrize(
@@ -59,6 +59,6 @@
         ),
     ],
 )
-def test_scenario_turns_red_without_mechanism(stem, mechanisms):
+def test_scenario_fails_for_mutant(stem, mechanisms):
     with pytest.raises(AssertionError):
-        play(stem, mechanisms)
+        run_scenario(stem, mechanisms)
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -38,7 +38,7 @@
         ({"queue_timeout_ms": Millis(0)}, "a", [REFUSE]),
     ],
 )
-def test_offer(bounds, clients, decisions):
+def test_submit(bounds, clients, decisions):
     assert submit_all(make_admission(**bounds), clients) == decisions
 
 
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.parametrize("end", list(WorkEnd))
-def test_feed_whose_work_ended_counts_as_flow_only(end):
+def test_flow_after_end_of_work_counts_only_as_open(end):
     admission = make_admission(limit=1)
     assert submit_all(admission, "ab") == [ADMIT, QUEUE]
     admission.finish_work(0, end, Millis(5))
@@ -55,7 +55,7 @@
     assert (admission.in_progress, admission.flows) == (1, 2)
 
 
-def test_idle_flow_that_asks_for_work_counts_again():
+def test_idle_flow_counts_as_in_progress_after_new_request():
     admission = make_admission(limit=1)
     submit_all(admission, "a")
     admission.finish_work(0, WorkEnd.IDLE, NOW)
@@ -66,7 +66,7 @@
     assert admission.in_progress == 0
 
 
-def test_turn_goes_to_client_with_least_in_progress():
+def test_client_with_least_work_in_progress_is_admitted_first():
     admission = make_admission(limit=3)
     submit_all(admission, "aaaaab")
     admission.close(0)
@@ -74,7 +74,7 @@
 
 
 @pytest.mark.parametrize(("closed", "refused"), [(3, (4,)), (4, ())])
-def test_full_queue_pushes_out_newest_of_longest_line(closed, refused):
+def test_full_queue_evicts_newest_request_of_client_with_most(closed, refused):
     admission = make_admission(limit=1)
     submit_all(admission, "aaaaab")
     admission.close(closed)
@@ -82,7 +82,7 @@
 
 
 @pytest.mark.parametrize(("deadline", "due"), [(None, 500), (90, 90), (900, 500)])
-def test_waiting_ends_at_timeout_or_deadline(deadline, due):
+def test_queued_flow_expires_at_timeout_or_deadline(deadline, due):
     admission = make_admission(limit=1, queue_timeout_ms=Millis(500))
     submit_all(admission, "a")
     admission.submit(AdmissionRequest(7, "a", deadline), NOW)
@@ -111,14 +111,14 @@
     assert run_limit(AdaptiveLimit(16, 4, 200), latency_of, duration) <= highest
 
 
-def test_long_overload_never_passes_for_normal_pace():
+def test_long_overload_never_becomes_baseline():
     limit = AdaptiveLimit(16, 4, 1_000)
-    # Latency grows with the limit beyond 30 flows at once: a queue behind it.
+    # Beyond 30 concurrent flows the latency grows with the limit, as with a queue.
     run_limit(limit, lambda now: 20 * max(1, limit.limit / 30), 300_000)
     assert limit.limit < 120
 
 
-def test_failures_lower_limit_once_an_interval():
+def test_failures_lower_limit_once_per_interval():
     limit = AdaptiveLimit(100, 4, 200)
     for now in (0, 1, 2, 100):
         limit.record_failure(Millis(now))
--- a/tests/unit/test_agent_core.py
+++ b/tests/unit/test_agent_core.py
@@ -8,17 +8,17 @@
 from tests.lib.samples import DRAWINGS, ORDER, make_record
 
 OWN, SIBLING = make_record(1), make_record(2)
-PASSED = Forward(SIBLING.endpoint)
+FORWARDED = Forward(SIBLING.endpoint)
 
 
 @pytest.mark.parametrize(
     ("service_id", "siblings", "flows", "hops", "reachable", "decision"),
     [
         (ORDER, [SIBLING], 0, 0, True, Accept()),
-        (ORDER, [SIBLING], 5, 0, True, PASSED),
+        (ORDER, [SIBLING], 5, 0, True, FORWARDED),
         (ORDER, [], 5, 0, True, Drop(DropReason.OVERLOADED)),
         (ORDER, [SIBLING], 5, MAX_HOPS, True, Drop(DropReason.TOO_MANY_HOPS)),
-        (ORDER, [SIBLING], 0, 0, False, PASSED),
+        (ORDER, [SIBLING], 0, 0, False, FORWARDED),
         (ORDER, [SIBLING], 0, MAX_HOPS, False, Accept()),
         (ORDER, [], 0, 0, False, Accept()),
         (DRAWINGS, [SIBLING], 0, 0, True, Drop(DropReason.WRONG_SERVICE)),
--- a/tests/unit/test_arrivals.py
+++ b/tests/unit/test_arrivals.py
@@ -23,6 +23,6 @@
 
 
 @pytest.mark.parametrize(("left", "right", "same"), [(7, 7, True), (7, 8, False)])
-def test_seed_fixes_arrivals(left, right, same):
+def test_seed_determines_arrivals(left, right, same):
     plans = [list(plan_arrivals(SHARES, 50.0, DURATION, one)) for one in (left, right)]
     assert (plans[0] == plans[1]) is same
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -51,7 +51,9 @@
         ),
     ],
 )
-def test_tagged_packet_goes_where_its_tag_says(records, service_id, route, decision):
+def test_tagged_packet_is_forwarded_to_agent_in_tag(
+    records, service_id, route, decision
+):
     assert make_core(records).route_tagged(service_id, route) == decision
 
 
@@ -84,7 +86,7 @@
     assert make_core(records).route_opening(ORDER, b"opening1") == decision
 
 
-def test_balancers_with_same_view_choose_alike():
+def test_balancers_with_same_records_select_same_agents():
     records = [make_record(number) for number in range(7)]
     here, there = make_core(records), make_core(reversed(records))
     for number in range(200):
@@ -109,7 +111,7 @@
         ([], False, (), 0, Drop(DropReason.NO_AGENT)),
     ],
 )
-def test_opening_goes_to_a_peer_once_where_the_balancer_knows_too_little(
+def test_opening_is_forwarded_once_to_peer_if_agents_may_be_unknown(
     records, caught_up, peers, hops, decision
 ):
     core = make_core(records, StubPeers(caught_up, peers))
@@ -129,7 +131,7 @@
         ([AGENT, OTHER], 0, set()),
     ],
 )
-def test_agent_with_closed_port_gets_no_openings_for_a_while(refused, now, chosen):
+def test_agent_with_closed_port_gets_no_openings_during_hold_off(refused, now, chosen):
     core = make_core([AGENT, OTHER])
     for record in refused:
         core.mark_unreachable(record.endpoint, 0)
--- a/tests/unit/test_burn.py
+++ b/tests/unit/test_burn.py
@@ -25,7 +25,7 @@
 
 
 def make_history(span, **last):
-    """Return good records every 10 s for `span`, and a last one with `last`."""
+    """Return good records every 10 s for `span` ms, the last one with `last`."""
     good = [make_record(end) for end in range(STEP, span, STEP)]
     return [*good, make_record(span, **last)]
 
@@ -70,7 +70,7 @@
     ("ago", "risk"),
     [(0, Risk.PAGE), (4 * MINUTE, Risk.PAGE), (10 * MINUTE, Risk.NONE)],
 )
-def test_burst_that_is_over_pages_no_more(ago, risk):
+def test_no_page_after_end_of_burst(ago, risk):
     records = make_history(80 * HOUR)
     bad = 80 * HOUR - ago
     records[bad // STEP - 1] = make_record(bad, broken=600, opened=600)
@@ -107,7 +107,7 @@
     assert report.risk is risk
 
 
-def test_few_flows_do_not_judge_imbalance():
+def test_imbalance_is_not_evaluated_with_few_flows():
     records = [
         make_record(instance="order-1", opened=1, work=1),
         make_record(instance="order-2", opened=30, work=1_000),
@@ -115,7 +115,7 @@
     assert find_objective(report_on(records), Objective.IMBALANCE).spent == 0
 
 
-def test_instance_that_came_late_is_not_idle():
+def test_instance_that_joined_late_is_not_idle():
     whole = make_record(20_000, start=0, instance="order-1", work=2_000)
     late = make_record(20_000, instance="order-2")
     assert report_on([whole, late]).services[0].by_backend.ratio == 1.0
@@ -137,7 +137,7 @@
         (Objectives(availability=0.0), {"broken": 100}, 1),
     ],
 )
-def test_budget_of_nothing_is_spent_by_one_flow(objectives, flows, burn):
+def test_empty_budget_is_spent_by_one_flow(objectives, flows, burn):
     report = report_on([make_record(**flows)], objectives)
     assert find_objective(report, Objective.AVAILABILITY).spent == burn
 
@@ -146,7 +146,7 @@
     ("limit", "late"),
     [(1, 1), (2, 0), (4, 0), (10_000, 0), (60_000, 0)],
 )
-def test_bucket_that_limit_falls_into_counts_as_late(limit, late):
+def test_bucket_containing_limit_counts_as_late(limit, late):
     buckets = (0, 1, *answered(0)[2:])
     assert count_late(FlowCounts(answered=buckets), limit) == late
 
@@ -174,7 +174,7 @@
     ],
 )
 @pytest.mark.parametrize("order", [1, -1])
-def test_selection_says_what_it_passes_over(others, kept, note, order):
+def test_selection_reports_skipped_records(others, kept, note, order):
     selection = select_records([GOOD, *others][::order], NOW)
     assert len(selection.records) == kept
     assert [one.end_ms for one in selection.records] == sorted(
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -50,7 +50,7 @@
         (make_configuration(1), VersionOrder.OLDER, 2),
     ],
 )
-def test_node_moves_only_to_a_higher_version(offered, order, version):
+def test_node_applies_only_higher_versions(offered, order, version):
     log = ConfigurationLog()
     log.apply_if_newer(make_configuration(2))
     assert log.apply_if_newer(offered) is order
@@ -59,7 +59,7 @@
 
 
 @pytest.mark.parametrize("site", CHANGED_SITES)
-def test_change_leads_from_one_version_to_the_other(site):
+def test_applied_change_gives_later_version(site):
     before, after = make_configuration(2), make_configuration(5, site=site)
     change = find_change(before, after)
     assert apply_change(before, change) == after
@@ -77,14 +77,14 @@
         (Question(3, "id-3"), "Nothing"),
     ],
 )
-def test_peer_is_told_what_it_lacks(question, kind):
+def test_answer_depends_on_version_of_peer(question, kind):
     log = ConfigurationLog()
     log.apply_if_newer(make_configuration(1))
     log.apply_if_newer(make_configuration(2, site=make_site(7)))
     assert type(log.answer(question)).__name__ == kind
 
 
-def test_versions_share_the_services_that_are_equal():
+def test_versions_share_equal_services():
     log = ConfigurationLog()
     log.apply_if_newer(make_configuration(1))
     encoded = write_configuration(make_configuration(2, site=make_site(7)))
@@ -125,7 +125,7 @@
         ),
     ],
 )
-def test_objections_to_a_change(after, path, is_blocking):
+def test_incompatibilities_of_a_change(after, path, is_blocking):
     incompatibilities = {
         one.path: one.is_blocking for one in find_incompatibilities(SITE, after)
     }
@@ -134,7 +134,7 @@
 
 
 @pytest.mark.parametrize("site", CHANGED_SITES)
-def test_comparison_names_what_differs_and_no_secret(site):
+def test_comparison_lists_differences_without_secrets(site):
     assert compare_sites(SITE, SITE) == ()
     differences = compare_sites(SITE, site)
     assert differences
@@ -142,7 +142,7 @@
 
 
 @pytest.mark.parametrize("site", [SITE, *CHANGED_SITES])
-def test_stored_configuration_reads_back(site):
+def test_stored_configuration_round_trip(site):
     configuration = make_configuration(70, site=site)
     assert read_configuration(write_configuration(configuration)).unwrap() == (
         configuration
@@ -150,7 +150,7 @@
 
 
 @pytest.mark.parametrize("data", [b"", b"\x00" * 40, b"\xff" * 40, b"{}", None])
-def test_other_bytes_are_no_configuration(data):
+def test_invalid_bytes_are_rejected(data):
     if data is None:
         data = write_configuration(make_configuration(1))[:-30]
     assert "not a configuration" in read_configuration(data).failure().what
@@ -160,7 +160,7 @@
 
 
 @pytest.mark.parametrize("answer", [Nothing(), make_configuration(2), CHANGE])
-def test_exchange_reads_back(answer):
+def test_exchange_round_trip(answer):
     asking, answering = ExchangeCodec([KEY]), ExchangeCodec([OLD_KEY, KEY])
     frame, nonce = asking.seal_question(Question(4, "id-4"))
     asked = answering.open_question(frame)
--- a/tests/unit/test_deadlines.py
+++ b/tests/unit/test_deadlines.py
@@ -16,7 +16,7 @@
         ([("a", 5), ("a", 8), ("a", 5)], 5, ["a"], None),
     ],
 )
-def test_due_keys_come_once_and_in_order(settings, now, due, next_at):
+def test_due_keys_are_returned_once_and_in_order(settings, now, due, next_at):
     queue = DeadlineQueue()
     for key, at in settings:
         queue.set(key, at)
--- a/tests/unit/test_lifecycle.py
+++ b/tests/unit/test_lifecycle.py
@@ -17,7 +17,7 @@
 
 
 def replay(events):
-    """Return a lifecycle after `events` and what it did about the last one."""
+    """Return the lifecycle after `events` and the actions for the last one."""
     lifecycle = FlowLifecycle()
     actions = ()
     for event in events:
@@ -116,7 +116,7 @@
         [*FINISHING, on.AnswerAcknowledged(), on.CallerCancelled()],
     ],
 )
-def test_late_or_crossed_event_is_counted_and_changes_nothing(events):
+def test_late_or_out_of_order_event_is_ignored_and_counted(events):
     before, _ = replay(events[:-1])
     lifecycle, actions = replay(events)
     assert actions == ()
@@ -124,7 +124,7 @@
     assert lifecycle.ignored == before.ignored + 1
 
 
-def test_bytes_are_counted_from_hand_over_to_write():
+def test_bytes_are_unwritten_from_delivery_to_write():
     lifecycle, _ = replay([*DELIVERED, on.BackendWrote(1, 5)])
     assert (lifecycle.delivered, lifecycle.unwritten) == (9, 4)
     assert lifecycle.state is on.FlowState.DELIVERING
--- a/tests/unit/test_log_limiter.py
+++ b/tests/unit/test_log_limiter.py
@@ -17,12 +17,12 @@
     assert [limiter.admit("bad tag", at) for at in times] == admitted
 
 
-def test_kinds_do_not_hold_each_other_back():
+def test_kinds_have_separate_limits():
     limiter = LogLimiter(burst=1, window=1_000)
     assert [limiter.admit(kind, 0) for kind in "abab"] == [0, 0, None, None]
 
 
-def test_suppressed_are_told_once_when_flood_is_over():
+def test_suppressed_counts_are_returned_once_after_window():
     limiter = LogLimiter(burst=1, window=1_000)
     for _ in range(5):
         limiter.admit("bad tag", 0)
@@ -31,7 +31,7 @@
     assert limiter.pop_suppressed(1_000) == {}
 
 
-def test_kinds_made_up_by_peer_are_bounded():
+def test_number_of_kinds_is_bounded():
     limiter = LogLimiter(burst=1, window=1_000)
     admitted = [limiter.admit(f"kind {number}", 0) for number in range(2 * MAX_KINDS)]
     assert admitted.count(0) == MAX_KINDS
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -27,7 +27,7 @@
         ({"state": NodeState.DRAINING}, LATER_RUN, 5, 0),
     ],
 )
-def test_record_is_what_was_added(first, second, opened, lost):
+def test_record_is_difference_between_reports(first, second, opened, lost):
     maker = RecordMaker()
     assert maker.add_report(make_status(**first), 10_000) == ()
     (record,) = maker.add_report(make_status(**second), 20_000)
@@ -46,7 +46,7 @@
     assert maker.add_report(make_status(**second), now) == ()
 
 
-def test_connect_counts_at_callers_side():
+def test_connect_role_counts_on_caller_side():
     maker = RecordMaker()
     maker.add_report(make_status(role=Role.CONNECT), 10_000)
     (record,) = maker.add_report(make_status(role=Role.CONNECT), 20_000)
@@ -76,7 +76,9 @@
         (b"\xff\xfe\n", 2, ["not JSON"]),
     ],
 )
-def test_written_records_are_read_past_bad_lines(tmp_path, before, records, faults):
+def test_invalid_lines_are_skipped_when_reading_records(
+    tmp_path, before, records, faults
+):
     path = tmp_path / "records"
     path.write_bytes(before)
     writer = RecordWriter(path)
@@ -90,7 +92,7 @@
         assert fault.what.startswith(expected)
 
 
-def test_last_line_cut_off_is_named(tmp_path):
+def test_truncated_last_line_is_reported(tmp_path):
     path = tmp_path / "records"
     path.write_bytes(LINE + LINE[:-9])
     read = read_records([path]).unwrap()
@@ -120,5 +122,5 @@
         ),
     ],
 )
-def test_status_of_wrong_form_is_named(text, what):
+def test_malformed_status_is_reported(text, what):
     assert str(read_status(text).failure()).startswith(what)
--- a/tests/unit/test_retry.py
+++ b/tests/unit/test_retry.py
@@ -67,7 +67,7 @@
     ("first", "last", "reported"),
     [(REFUSED, REFUSED, REFUSED), (UNKNOWN, REFUSED, UNKNOWN)],
 )
-def test_told_outcome_covers_all_attempts(first, last, reported):
+def test_reported_outcome_covers_all_attempts(first, last, reported):
     retry = make_retry(idempotent=True, policy=RetryPolicy(max_attempts=2))
     retry.handle_attempt_ended(AttemptEnded(1, first, True), NOW)
     assert retry.handle_attempt_ended(AttemptEnded(2, last, True), NOW) == GiveUp(
@@ -87,21 +87,21 @@
 
 
 @pytest.mark.parametrize(
-    ("first_tries", "elapsed", "granted"),
+    ("first_attempts", "elapsed", "granted"),
     [(0, 0, 2), (10, 0, 2), (0, 1_000, 3), (0, 9_000, 4)],
 )
-def test_budget_is_a_fraction_of_first_tries_with_a_floor(
-    first_tries, elapsed, granted
+def test_budget_is_a_fraction_of_first_attempts_with_a_minimum_rate(
+    first_attempts, elapsed, granted
 ):
     budget = TokenBudget(RetryPolicy(burst=2))
     taken = [budget.try_acquire(NOW), budget.try_acquire(NOW)] if elapsed else []
-    for _ in range(first_tries):
+    for _ in range(first_attempts):
         budget.record_first_attempt()
     taken += [budget.try_acquire(Millis(NOW + elapsed)) for _ in range(9)]
     assert sum(taken) == granted
 
 
-def test_spent_budget_gives_up():
+def test_gives_up_when_budget_is_exhausted():
     policy = RetryPolicy(burst=1, ratio=0.1)
     budget = TokenBudget(policy)
     actions = [
--- a/tests/unit/test_service_meter.py
+++ b/tests/unit/test_service_meter.py
@@ -14,7 +14,7 @@
 
 
 def meter_flow(side, *steps):
-    """Return the totals after one flow that came at 10 and took `steps`."""
+    """Return the totals after a flow opened at 10 ms with the recorded `steps`."""
     meter = ServiceMeter("order", side)
     flow = meter.start_flow(10)
     for name, *arguments in steps:
@@ -47,12 +47,12 @@
 
 
 @pytest.mark.parametrize(("side", "unknown"), [(Side.AGENT, 0), (Side.CALLER, 1)])
-def test_opening_that_never_arrived_is_unknown_to_caller_alone(side, unknown):
+def test_opening_that_never_arrived_is_unknown_only_at_caller(side, unknown):
     assert meter_flow(side, ended(FlowOutcome.UNKNOWN)).counts.unknown == unknown
 
 
 @pytest.mark.parametrize("latency", [0, 1, 2, 3, 250, 251, 10_000, 10_001, 10**9])
-def test_latency_is_in_bucket_whose_bound_it_meets(latency):
+def test_latency_is_counted_in_bucket_with_its_bounds(latency):
     meter = ServiceMeter("order", Side.AGENT)
     meter.record_opened(latency)
     bucket = meter.report(0).counts.answered.index(1)
@@ -62,7 +62,7 @@
     assert len(meter.report(0).counts.answered) == LATENCY_BUCKETS
 
 
-def test_latencies_are_taken_once_and_bounded():
+def test_latencies_are_returned_once_and_bounded():
     meter = ServiceMeter("order", Side.AGENT)
     for latency in range(MAX_LATENCIES + 5):
         meter.record_opened(latency)
--- a/tests/unit/test_submission.py
+++ b/tests/unit/test_submission.py
@@ -44,7 +44,7 @@
         ([("on_read", make_configuration(3, site=make_site(7)), 30)], Refused),
     ],
 )
-def test_operator_is_told(events, outcome):
+def test_outcome_reported_to_operator(events, outcome):
     proposal = Proposal(make_site(7), SUBMISSION_ID, "bo", expected_version=3)
     submission = Submission(proposal)
     for name, *values in events:
@@ -56,7 +56,7 @@
 @pytest.mark.parametrize(
     ("current", "revision", "version"), [(None, 0, 1), (OLD, 30, 4)]
 )
-def test_write_expects_what_was_read_in_each_try(current, revision, version):
+def test_each_attempt_writes_with_revision_that_was_read(current, revision, version):
     submission = Submission(Proposal(make_site(7), SUBMISSION_ID, "bo"))
     submission.on_read(current, revision)
     write = submission.action
