--- a/src/papayagw/_internal/core/submission.py
+++ b/src/papayagw/_internal/core/submission.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from papayagw._internal.core.site_compatibility import find_incompatibilities
+from papayagw._internal.core.transition import find_incompatibilities
 from papayagw._internal.models.configuration import (
     HISTORY_LENGTH,
     Configuration,
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -5,7 +5,7 @@
 from papayagw._internal.core.configuration import ConfigurationLog, VersionOrder
 from papayagw._internal.core.configuration_change import apply_change, find_change
 from papayagw._internal.core.site_comparison import compare_sites
-from papayagw._internal.core.site_compatibility import find_incompatibilities
+from papayagw._internal.core.transition import find_incompatibilities
 from papayagw._internal.models.change import Nothing, Question
 from papayagw._internal.models.configuration import FleetKey
 from papayagw._internal.models.endpoint import Endpoint
