--- a/src/papayagw/_internal/core/fair_queue.py
+++ b/src/papayagw/_internal/core/fair_queue.py
@@ -38,9 +38,7 @@
     @property
     def next_expiry(self) -> Millis | None:
         """Earliest expiry of a queued request, or None if the queue is empty."""
-        return min(
-            (waiting.expires_at for waiting in self._iter_queued()), default=None
-        )
+        return min((queued.expires_at for queued in self._iter_queued()), default=None)
 
     def has_client(self, client: str) -> bool:
         """Return whether a request of `client` is queued."""
@@ -54,12 +52,12 @@
         """
         evicted = None
         if len(self) >= self._capacity:
-            longest_client = max(
+            busiest_client = max(
                 self._requests, key=lambda one: len(self._requests[one]), default=""
             )
-            if self._count_of(request.client) >= self._count_of(longest_client):
+            if self._count_of(request.client) >= self._count_of(busiest_client):
                 return request.flow
-            evicted = self._requests[longest_client][-1].request.flow
+            evicted = self._requests[busiest_client][-1].request.flow
             self.remove(evicted)
         client_queue = self._requests.setdefault(request.client, deque())
         client_queue.append(_QueuedRequest(request, expires_at))
@@ -94,9 +92,7 @@
         if client is None:
             return False
         client_queue = self._requests[client]
-        kept = deque(
-            waiting for waiting in client_queue if waiting.request.flow != flow
-        )
+        kept = deque(queued for queued in client_queue if queued.request.flow != flow)
         if kept:
             self._requests[client] = kept
         else:
@@ -106,9 +102,9 @@
     def expire(self, now: Millis) -> tuple[FlowNumber, ...]:
         """Remove and return the flows whose requests have expired."""
         expired = tuple(
-            waiting.request.flow
-            for waiting in self._iter_queued()
-            if waiting.expires_at <= now
+            queued.request.flow
+            for queued in self._iter_queued()
+            if queued.expires_at <= now
         )
         for flow in expired:
             self.remove(flow)
@@ -116,9 +112,9 @@
 
     def _iter_queued(self) -> Iterator[_QueuedRequest]:
         return (
-            waiting
+            queued
             for client_queue in self._requests.values()
-            for waiting in client_queue
+            for queued in client_queue
         )
 
     def _count_of(self, client: str) -> int:
--- a/src/papayagw/_internal/core/service_meter.py
+++ b/src/papayagw/_internal/core/service_meter.py
@@ -14,7 +14,7 @@
 )
 
 MAX_LATENCIES = 1_000
-"""Maximum number of latencies kept until `pop_latencies` is called."""
+"""Maximum number of latest latencies kept until `pop_latencies` is called."""
 
 
 class ServiceMeter:
--- a/src/papayagw/_internal/core/submission.py
+++ b/src/papayagw/_internal/core/submission.py
@@ -2,9 +2,9 @@
 
 A submission is one compare-and-swap against the version that the operator has seen.
 Its id stays the same in each retry and is recorded in the history of later versions.
-After a lost answer the outcome is therefore determined by a retry: it fails with a
-conflict, and the history then shows whether the id was accepted. A write that
-expects an old revision can't take effect once the revision has changed.
+After a lost answer the outcome is therefore determined by a retry: if an earlier
+write took effect, the retry fails with a conflict and its id is in the history. A
+write that expects an old revision can't take effect once the revision has changed.
 """
 
 from dataclasses import dataclass
@@ -159,9 +159,9 @@
         if mark is not None:
             self._finish(Accepted(mark.version))
         elif current is None or current.version < self._submitted.version:
-            self._finish_without_proof("the store was restored from an older copy")
+            self._finish_unconfirmed("the store was restored from an older copy")
         elif current.version - self._submitted.version >= len(current.history):
-            self._finish_without_proof(
+            self._finish_unconfirmed(
                 f"history of version {current.version} doesn't reach back far enough"
             )
         else:
@@ -176,20 +176,20 @@
 
     def on_refusal(self, reason: str) -> None:
         """Process a call rejected by the store, or unreadable data in the store."""
-        self._finish_without_proof(reason)
+        self._finish_unconfirmed(reason)
 
     def on_deadline(self) -> None:
         """Process the deadline, which may come while a call is in progress."""
         if isinstance(self._action, Write):
             self._has_pending_write = True
-        self._finish_without_proof("the platform's service gave no answer in time")
+        self._finish_unconfirmed("the platform's service gave no answer in time")
 
     @property
     def _submitted(self) -> Configuration:
         assert isinstance(self._action, Write)
         return self._action.configuration
 
-    def _finish_without_proof(self, reason: str) -> None:
+    def _finish_unconfirmed(self, reason: str) -> None:
         """Finish as refused, or as unknown if a write may have taken effect."""
         if isinstance(self._action, Finish):
             return
--- a/tests/properties/admission_proof.py
+++ b/tests/properties/admission_proof.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True)
-class Arrive:
+class Arrival:
     """Arrival of a flow of `client`, with a deadline in ms from now or None."""
 
     client: str
@@ -52,7 +52,7 @@
 
 
 ARRIVALS = st.builds(
-    Arrive, st.sampled_from("aaabc"), st.one_of(st.none(), st.integers(0, 80))
+    Arrival, st.sampled_from("aaabc"), st.one_of(st.none(), st.integers(0, 80))
 )
 ENDS = st.builds(End, st.integers(0, 20), st.sampled_from(WorkEnd), st.booleans())
 WAITS = st.builds(Wait, st.integers(1, 60))
@@ -134,7 +134,7 @@
     tracker = FlowTracker(make())
     for step in history:
         match step:
-            case Arrive():
+            case Arrival():
                 tracker.arrive(step)
             case End():
                 tracker.end(step)
