--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -34,13 +34,13 @@
 
 
 class RetryRule(Protocol):
-    """Policy that decides whether a retry could execute a request twice."""
+    """Policy that decides whether a retry could wrongly execute a request twice."""
 
     def may_have_run(self, ended: AttemptEnded) -> bool:
-        """Return whether the request may have reached a backend server."""
+        """Return whether a byte of the request may have reached a backend server."""
 
     def is_safe(self, ended: AttemptEnded, idempotent: bool) -> bool:
-        """Return whether a retry can't execute a request twice."""
+        """Return whether opening the flow again is safe."""
 
 
 class TokenBudget:
@@ -86,11 +86,11 @@
     """Allow a retry only if no byte was delivered or the service is idempotent."""
 
     def may_have_run(self, ended: AttemptEnded) -> bool:
-        """Return whether the request may have reached a backend server."""
+        """Return whether a byte of the request may have reached a backend server."""
         return ended.handshake_completed and ended.outcome is not FlowOutcome.REFUSED
 
     def is_safe(self, ended: AttemptEnded, idempotent: bool) -> bool:
-        """Return whether a retry can't execute a request twice."""
+        """Return whether opening the flow again is safe."""
         if ended.answer_started or not ended.replayable:
             return False
         return idempotent or not self.may_have_run(ended)
