--- a/src/papayagw/_internal/core/burn.py
+++ b/src/papayagw/_internal/core/burn.py
@@ -1,9 +1,9 @@
-"""Burn of service-level budgets over several windows.
+"""Burn rates of service-level error budgets over several windows.
 
-The windows and factors are those of the SRE workbook's alerts on several windows
-and burn rates (Beyer et al. 2018, chapter 5): a long window shows that it
-matters, a short one that it still goes on. A budget is a share of the flows that
-were recorded in 30 days.
+The windows and factors are those of the multi-window, multi-burn-rate alerts of the
+SRE workbook (Beyer et al. 2018, chapter 5): a long window shows that the burn is
+significant, a short one that it is still going on. An error budget is a share of
+the flows recorded in 30 days.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -42,29 +42,29 @@
     Window("3 d", Millis(72 * _HOUR_MS)),
     Window("30 d", PERIOD_MS),
 )
-"""The last one is the period of the budget."""
+"""Windows in ascending order; the last one is the budget period."""
 
 MAX_BURN = 1_000_000.0
-"""The burn of a budget of nothing."""
+"""Burn rate reported for an empty error budget."""
 
 _BURN_DIGITS = 9
 
 MIN_FLOWS_PER_INSTANCE = 20
-"""With fewer flows on average, imbalance is chance and isn't judged."""
+"""With fewer flows on average, imbalance is random and isn't evaluated."""
 
 
 @dataclass(frozen=True, slots=True)
 class BurnRule:
-    """A burn that makes an objective urgent.
+    """Alert rule on the burn rate of an objective.
 
     Attributes
     ----------
     long_window, short_window : str
-        The windows that must both burn.
+        Windows in which the burn rate must reach the factor.
     factor : float
-        The burn that both must reach.
+        Minimum burn rate in both windows.
     risk : Risk
-        How urgent it is then.
+        Risk reported if the rule matches.
     """
 
     long_window: str
@@ -73,7 +73,7 @@
     risk: Risk
 
 
-RULES = (
+BURN_RULES = (
     BurnRule("1 h", "5 min", 14.4, Risk.PAGE),
     BurnRule("6 h", "30 min", 6.0, Risk.PAGE),
     BurnRule("3 d", "6 h", 1.0, Risk.TICKET),
@@ -84,15 +84,14 @@
 def make_report(
     selection: Selection, objectives: Mapping[str, Objectives]
 ) -> BurnReport:
-    """Return how all services stand at the end of the newest record.
+    """Return the burn report of all services at the end of the latest record.
 
     Parameters
     ----------
     selection : Selection
-        The records; at least one.
+        Selected records, at least one.
     objectives : mapping of str to Objectives
-        The objectives of services by name; one that is missing is held against
-        the defaults.
+        Objectives by service name; services without an entry use the defaults.
     """
     records = selection.records
     end = records[-1].end_ms
@@ -112,25 +111,25 @@
 def measure_service(
     records: Sequence[ServiceRecord], objectives: Objectives, end: Millis
 ) -> ServiceBurn:
-    """Return how one service stands at `end`.
+    """Return the burn report of one service at `end`.
 
     Parameters
     ----------
     records : sequence of ServiceRecord
-        The records of the service; at least one.
+        Records of the service, at least one.
     objectives : Objectives
-        What it is held against.
+        Objectives of the service.
     end : Millis
-        Where all windows end, in ms since 1970.
+        End of all windows, in ms since 1970.
     """
-    measured = tuple(_take_window(records, window, end) for window in WINDOWS)
-    period = measured[-1]
+    window_records = tuple(_select_window(records, window, end) for window in WINDOWS)
+    period = window_records[-1]
     return ServiceBurn(
         service=records[0].service,
         objectives=(
-            _judge_availability(measured, objectives),
-            _judge_latency(measured, objectives),
-            _judge_imbalance(measured, objectives),
+            _evaluate_availability(window_records, objectives),
+            _evaluate_latency(window_records, objectives),
+            _evaluate_imbalance(window_records, objectives),
         ),
         sides=period.sides,
         by_backend=measure_balance(period.records, by_backend),
@@ -141,7 +140,7 @@
 def sum_counts(
     records: Iterable[ServiceRecord], start: Millis, end: Millis, side: Side
 ) -> FlowCounts:
-    """Return what one side counted in the records that end in (`start`, `end`]."""
+    """Return the sum of one side's records that end in (`start`, `end`]."""
     counts = (
         record.counts
         for record in records
@@ -151,35 +150,35 @@
 
 
 def count_late(counts: FlowCounts, latency: Millis) -> int:
-    """Return the openings that were refused or not surely answered in `latency`.
+    """Return the openings refused or not certainly answered within `latency` ms.
 
-    A bucket that the limit falls into counts as late: it may be a little
-    overstated, but never understated.
+    The bucket that contains the limit counts as late, so the result may be slightly
+    too high but never too low.
     """
     within = sum(bound <= latency for bound in LATENCY_BOUNDS_MS)
     return sum(counts.answered[within:]) + counts.refused
 
 
-def divide_burn(bad: float, allowed: float) -> float:
-    """Return how many times over `bad` uses up what is `allowed`."""
+def compute_burn(bad: float, allowed: float) -> float:
+    """Return the ratio of `bad` to `allowed`, at most `MAX_BURN`."""
     if bad <= 0:
         return 0.0
     if allowed <= 0:
         return MAX_BURN
-    # 1 - 0.999 isn't exactly 0.001: a budget that is just spent has a burn of 1.
+    # 1 - 0.999 isn't exactly 0.001; rounding makes an exactly spent budget burn 1.
     return min(round(bad / allowed, _BURN_DIGITS), MAX_BURN)
 
 
 @dataclass(frozen=True, slots=True)
 class _WindowRecords:
-    """The records of one window and what each side counted in it."""
+    """Records of one window with the counts of each side."""
 
     name: str
     records: tuple[ServiceRecord, ...]
     sides: tuple[SideCounts, ...]
 
 
-def _take_window(
+def _select_window(
     records: Iterable[ServiceRecord], window: Window, end: Millis
 ) -> _WindowRecords:
     start = Millis(end - window.length_ms)
@@ -193,41 +192,45 @@
     return _WindowRecords(window.name, inside, sides)
 
 
-def _judge_availability(
-    measured: Sequence[_WindowRecords], objectives: Objectives
+def _evaluate_availability(
+    window_records: Sequence[_WindowRecords], objectives: Objectives
 ) -> ObjectiveBurn:
     allowed = 1 - objectives.availability
     windows = tuple(
         _pick_worst(
-            one.name, allowed, [(side.counts.cut, _flows(side)) for side in one.sides]
+            one.name,
+            allowed,
+            [(side.counts.cut, _count_flows(side)) for side in one.sides],
         )
-        for one in measured
+        for one in window_records
+    )
+    return _evaluate(
+        Objective.AVAILABILITY, objectives.availability, windows, BURN_RULES
     )
-    return _judge(Objective.AVAILABILITY, objectives.availability, windows, RULES)
 
 
-def _judge_latency(
-    measured: Sequence[_WindowRecords], objectives: Objectives
+def _evaluate_latency(
+    window_records: Sequence[_WindowRecords], objectives: Objectives
 ) -> ObjectiveBurn:
     allowed = 1 - objectives.latency_share
     windows = tuple(
         _pick_worst(
             one.name, allowed, [_count_openings(side, objectives) for side in one.sides]
         )
-        for one in measured
+        for one in window_records
     )
-    return _judge(Objective.LATENCY, objectives.latency_share, windows, RULES)
+    return _evaluate(Objective.LATENCY, objectives.latency_share, windows, BURN_RULES)
 
 
-def _judge_imbalance(
-    measured: Sequence[_WindowRecords], objectives: Objectives
+def _evaluate_imbalance(
+    window_records: Sequence[_WindowRecords], objectives: Objectives
 ) -> ObjectiveBurn:
-    windows = tuple(_measure_imbalance(one, objectives) for one in measured)
+    windows = tuple(_measure_imbalance(one, objectives) for one in window_records)
     target = objectives.imbalance
-    return _judge(Objective.IMBALANCE, target, windows, IMBALANCE_RULES)
+    return _evaluate(Objective.IMBALANCE, target, windows, IMBALANCE_RULES)
 
 
-def _flows(side: SideCounts) -> int:
+def _count_flows(side: SideCounts) -> int:
     # A lost flow may have been opened before the first record.
     return max(side.counts.opened, side.counts.cut)
 
@@ -241,13 +244,13 @@
 def _pick_worst(
     window: str, allowed: float, sides: Iterable[tuple[int, int]]
 ) -> WindowBurn:
-    """Return the burn of the side that saw the larger share of bad ones.
+    """Return the burn of the side with the larger share of bad flows.
 
-    Both sides count the same flows, so that their counts can't be added up.
+    Both sides count the same flows, so their counts must not be added.
     """
     shares = [(bad / flows, flows) for bad, flows in sides if flows]
     share, flows = max(shares, default=(0.0, 0))
-    return WindowBurn(window, divide_burn(share, allowed), share, flows)
+    return WindowBurn(window, compute_burn(share, allowed), share, flows)
 
 
 def _measure_imbalance(one: _WindowRecords, objectives: Objectives) -> WindowBurn:
@@ -255,11 +258,11 @@
     flows = sum(group.opened for group in balance.groups)
     burn = 0.0
     if flows >= MIN_FLOWS_PER_INSTANCE * len(balance.groups):
-        burn = divide_burn(balance.ratio - 1, objectives.imbalance - 1)
+        burn = compute_burn(balance.ratio - 1, objectives.imbalance - 1)
     return WindowBurn(one.name, burn, balance.ratio, flows)
 
 
-def _judge(
+def _evaluate(
     objective: Objective,
     target: float,
     windows: tuple[WindowBurn, ...],
--- a/src/papayagw/_internal/core/concurrency_limit.py
+++ b/src/papayagw/_internal/core/concurrency_limit.py
@@ -1,10 +1,10 @@
-"""How much work an agent lets its backend server have at once.
+"""Limits on the number of concurrent requests to a backend server.
 
-`AdaptiveLimit` rises by the square root of itself while the answers keep their
-pace and falls by a tenth when they slow down (additive increase, multiplicative
-decrease). The pace is compared with the best mean of the last one or two
-baseline windows. At each turn of such a window the limit is halved once, so that
-a long overload can't pass for the normal pace.
+`AdaptiveLimit` grows by its square root while the latency of the answers stays
+near the baseline and shrinks by a tenth when the latency rises (additive increase,
+multiplicative decrease). The baseline is the lowest mean latency of the last one or
+two baseline windows. The limit is halved once at the end of each window, so that a
+long overload can't become the baseline.
 """
 
 import math
@@ -12,41 +12,40 @@
 
 from papayagw._internal.models.clock import Millis
 
-DECREASE = 0.9
-TOLERANCE = 2.0
-"""The ratio of the mean latency to the baseline that still counts as its pace."""
-SLACK_MS = Millis(5)
-ADJUST_MS = Millis(100)
-"""How often the limit moves."""
+DECREASE_FACTOR = 0.9
+LATENCY_TOLERANCE = 2.0
+"""Highest ratio of the mean latency to the baseline that counts as normal."""
+LATENCY_SLACK_MS = Millis(5)
+ADJUST_INTERVAL_MS = Millis(100)
+"""Minimum interval between adjustments of the limit."""
 MIN_SAMPLES = 5
-"""How many answers a mean is made of, at least."""
-BASELINE_MS = Millis(30_000)
-"""Length of a baseline window."""
-_USED_SHARE = 0.5
-"""The share of the limit that has to be used for it to rise."""
+"""Minimum number of answers for a mean latency."""
+BASELINE_WINDOW_MS = Millis(30_000)
+_MIN_UTILIZATION = 0.5
+"""Minimum share of the limit that must be in use for it to grow."""
 
 
 class ConcurrencyLimit(Protocol):
-    """How many flows may wait for their backend server at once."""
+    """Limit on the number of flows that await an answer concurrently."""
 
     @property
     def limit(self) -> int:
-        """The limit in force."""
+        """Current limit."""
 
-    def note_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
-        """Note how long a backend server took to begin its answer."""
+    def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
+        """Record the latency of the first byte of an answer."""
 
-    def note_failure(self, now: Millis) -> None:
-        """Note that a backend server failed a flow."""
+    def record_failure(self, now: Millis) -> None:
+        """Record that a flow failed at the backend server."""
 
 
 class FixedLimit:
-    """A limit that never moves; a large one stands for none.
+    """Constant limit; a large value amounts to no limit.
 
     Parameters
     ----------
     limit : int
-        The limit.
+        Maximum number of concurrent flows.
     """
 
     def __init__(self, limit: int):
@@ -54,85 +53,91 @@
 
     @property
     def limit(self) -> int:
-        """The limit in force."""
+        """Current limit."""
         return self._limit
 
-    def note_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
+    def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
         """Ignore the answer."""
 
-    def note_failure(self, now: Millis) -> None:
+    def record_failure(self, now: Millis) -> None:
         """Ignore the failure."""
 
 
 class AdaptiveLimit:
-    """A limit that follows the latency of the answers.
+    """Limit that adapts to the latency of the answers.
 
     Parameters
     ----------
-    initial : int
-        The limit at the start.
-    lowest : int
-        It never falls below.
-    highest : int
-        It never rises above.
+    initial_limit : int
+        Limit at the start.
+    min_limit : int
+        Lower bound of the limit.
+    max_limit : int
+        Upper bound of the limit.
     """
 
-    def __init__(self, initial: int, lowest: int, highest: int):
-        self._limit = float(initial)
-        self._lowest = lowest
-        self._highest = highest
+    def __init__(self, initial_limit: int, min_limit: int, max_limit: int):
+        self._limit = float(initial_limit)
+        self._min_limit = min_limit
+        self._max_limit = max_limit
         self._latency_sum = 0
         self._samples = 0
-        self._most_in_progress = 0
+        self._peak_in_progress = 0
         self._adjusted_at: Millis | None = None
         self._failed_at: Millis | None = None
-        self._baseline_since: Millis | None = None
-        self._best = math.inf
-        self._earlier_best = math.inf
+        self._baseline_started_at: Millis | None = None
+        self._lowest_mean = math.inf
+        self._previous_lowest_mean = math.inf
 
     @property
     def limit(self) -> int:
-        """The limit in force."""
+        """Current limit."""
         return int(self._limit)
 
     @property
     def baseline_ms(self) -> float:
-        """The mean latency that counts as normal; infinite before any is known."""
-        return min(self._best, self._earlier_best)
+        """Baseline latency, or infinity before the first adjustment."""
+        return min(self._lowest_mean, self._previous_lowest_mean)
 
-    def note_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
-        """Note how long a backend server took to begin its answer."""
+    def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
+        """Record the latency of the first byte of an answer."""
         if self._adjusted_at is None:
-            self._adjusted_at = self._baseline_since = now
+            self._adjusted_at = self._baseline_started_at = now
         self._latency_sum += latency
         self._samples += 1
-        self._most_in_progress = max(self._most_in_progress, in_progress)
-        if now - self._adjusted_at >= ADJUST_MS and self._samples >= MIN_SAMPLES:
+        self._peak_in_progress = max(self._peak_in_progress, in_progress)
+        if (
+            now - self._adjusted_at >= ADJUST_INTERVAL_MS
+            and self._samples >= MIN_SAMPLES
+        ):
             self._adjust(now)
 
-    def note_failure(self, now: Millis) -> None:
-        """Note that a backend server failed a flow."""
-        if self._failed_at is None or now - self._failed_at >= ADJUST_MS:
+    def record_failure(self, now: Millis) -> None:
+        """Record that a flow failed at the backend server."""
+        if self._failed_at is None or now - self._failed_at >= ADJUST_INTERVAL_MS:
             self._failed_at = now
-            self._set(self._limit * DECREASE)
+            self._set_limit(self._limit * DECREASE_FACTOR)
 
     def _adjust(self, now: Millis) -> None:
         mean = self._latency_sum / self._samples
-        self._best = min(self._best, mean)
-        if mean > self.baseline_ms * TOLERANCE + SLACK_MS:
-            self._set(self._limit * DECREASE)
-        elif self._most_in_progress >= self._limit * _USED_SHARE:
-            self._set(self._limit + math.sqrt(self._limit))
-        self._latency_sum = self._samples = self._most_in_progress = 0
+        self._lowest_mean = min(self._lowest_mean, mean)
+        if mean > self.baseline_ms * LATENCY_TOLERANCE + LATENCY_SLACK_MS:
+            self._set_limit(self._limit * DECREASE_FACTOR)
+        elif self._peak_in_progress >= self._limit * _MIN_UTILIZATION:
+            self._set_limit(self._limit + math.sqrt(self._limit))
+        self._latency_sum = self._samples = self._peak_in_progress = 0
         self._adjusted_at = now
-        self._turn_baseline(now)
+        self._rotate_baseline(now)
 
-    def _turn_baseline(self, now: Millis) -> None:
-        if self._baseline_since is None or now - self._baseline_since < BASELINE_MS:
+    def _rotate_baseline(self, now: Millis) -> None:
+        if (
+            self._baseline_started_at is None
+            or now - self._baseline_started_at < BASELINE_WINDOW_MS
+        ):
             return
-        self._baseline_since = now
-        self._earlier_best, self._best = self._best, math.inf
-        self._set(self._limit / 2)
+        self._baseline_started_at = now
+        self._previous_lowest_mean, self._lowest_mean = self._lowest_mean, math.inf
+        self._set_limit(self._limit / 2)
 
-    def _set(self, limit: float) -> None:
-        self._limit = min(max(limit, self._lowest), self._highest)
+    def _set_limit(self, limit: float) -> None:
+        self._limit = min(max(limit, self._min_limit), self._max_limit)
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -1,8 +1,12 @@
-"""Which configuration a node has in force."""
+"""Configuration in force at a node."""
 
 from enum import Enum
 
-from papayagw._internal.core.change import ChangeLog, apply_change, share_services
+from papayagw._internal.core.configuration_change import (
+    ChangeLog,
+    apply_change,
+    reuse_equal_services,
+)
 from papayagw._internal.models.change import (
     ConfigurationQuery,
     ConfigurationReply,
@@ -11,18 +15,18 @@
 from papayagw._internal.models.configuration import Configuration
 
 
-class Offer(Enum):
-    """What a node makes of a configuration that it is offered."""
+class VersionOrder(Enum):
+    """Order of a received configuration relative to the one in force."""
 
     NEWER = "newer"
     SAME = "same"
     OLDER = "older"
     FORKED = "forked"
-    """The version in force under another submission: the store lost one of them."""
+    """Same version as in force but another submission: the store lost one of them."""
 
 
 class ConfigurationLog:
-    """A node's configuration, which only ever moves to a higher version."""
+    """Configuration of a node, which is only replaced by a higher version."""
 
     def __init__(self) -> None:
         self._current: Configuration | None = None
@@ -31,39 +35,39 @@
 
     @property
     def current(self) -> Configuration | None:
-        """The configuration in force, or None before the first."""
+        """Configuration in force, or None before the first."""
         return self._current
 
     @property
     def version(self) -> int:
-        """The version in force, or -1 before the first."""
+        """Version in force, or -1 before the first."""
         return -1 if self._current is None else self._current.version
 
     @property
     def refused(self) -> int:
-        """How many older or forked versions were refused."""
+        """Number of older or forked versions that were refused."""
         return self._refused
 
     @property
     def question(self) -> ConfigurationQuery:
-        """What this node asks a peer that may have a newer version."""
+        """Query to a peer that may have a newer version."""
         submission_id = self._current.submission_id if self._current else ""
         return ConfigurationQuery(self.version, submission_id)
 
-    def offer(self, configuration: Configuration) -> Offer:
-        """Put a configuration in force if it is newer."""
-        offer = self._judge(configuration)
-        if offer is Offer.NEWER:
+    def apply_if_newer(self, configuration: Configuration) -> VersionOrder:
+        """Put `configuration` in force if it is newer; return how it compares."""
+        order = self._compare_version(configuration)
+        if order is VersionOrder.NEWER:
             if self._current is not None:
-                configuration = share_services(self._current, configuration)
+                configuration = reuse_equal_services(self._current, configuration)
             self._current = configuration
             self._changes.add(configuration)
-        elif offer is not Offer.SAME:
+        elif order is not VersionOrder.SAME:
             self._refused += 1
-        return offer
+        return order
 
     def answer(self, question: ConfigurationQuery) -> ConfigurationReply:
-        """Return what a peer needs to get from its version to this node's."""
+        """Return the answer that updates a peer to the version in force here."""
         current = self._current
         if current is None or question.version >= current.version:
             return NotModified()
@@ -71,18 +75,18 @@
         return current if change is None else change
 
     def resolve(self, answer: ConfigurationReply) -> Configuration | None:
-        """Return the configuration that a peer's answer leads to, or None."""
+        """Return the configuration that results from a peer's answer, or None."""
         if isinstance(answer, NotModified):
             return None
         if isinstance(answer, Configuration):
             return answer
         return apply_change(self._current, answer) if self._current else None
 
-    def _judge(self, configuration: Configuration) -> Offer:
+    def _compare_version(self, configuration: Configuration) -> VersionOrder:
         if self._current is None or configuration.version > self._current.version:
-            return Offer.NEWER
+            return VersionOrder.NEWER
         if configuration.version < self._current.version:
-            return Offer.OLDER
+            return VersionOrder.OLDER
         if configuration.submission_id != self._current.submission_id:
-            return Offer.FORKED
-        return Offer.SAME
+            return VersionOrder.FORKED
+        return VersionOrder.SAME
--- a/src/papayagw/_internal/core/plain/store_calls.py
+++ b/src/papayagw/_internal/core/plain/store_calls.py
@@ -83,7 +83,7 @@
 
     def succeed(self) -> None:
         """Record a usable answer, which resets timeout and delays."""
-        self._backoff.succeed()
+        self._backoff.reset()
         self._timeout_ms = INITIAL_TIMEOUT_MS
         self._failures = 0
 
@@ -91,7 +91,7 @@
         """Record a failure; return the delay before the next attempt, in ms."""
         self._failures += 1
         if failure.refused:
-            return self._backoff.fail()
+            return self._backoff.next_wait()
         # The store may be slow: the first retry is immediate, with a longer timeout.
         self._timeout_ms = Millis(min(2 * self._timeout_ms, MAX_TIMEOUT_MS))
-        return self._backoff.fail() if self._failures > 1 else Millis(0)
+        return self._backoff.next_wait() if self._failures > 1 else Millis(0)
--- a/src/papayagw/_internal/core/return_path.py
+++ b/src/papayagw/_internal/core/return_path.py
@@ -1,8 +1,9 @@
-"""Choice of the balancer through which an agent answers.
+"""Selection of the balancer through which an agent sends its answers.
 
-Balancers die without notice, so an agent spreads its answers over all balancers
-that it heard from lately; a dead one falls out of the choice, and what it took
-with it is sent again by the flow's loss recovery.
+Balancers may fail without notice. An agent therefore spreads its answers over all
+balancers that have sent packets recently. A failed balancer drops out of the
+selection, and the packets lost with it are retransmitted by the flow's loss
+recovery.
 """
 
 from collections.abc import Callable
@@ -10,56 +11,58 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
-FRESH_MS = Millis(500)
-"""How long a balancer counts as alive after its last packet."""
+ALIVE_TIMEOUT_MS = Millis(500)
+"""Time after its last packet for which a balancer counts as alive."""
 
-KEPT = 4
-"""How many of the last heard balancers are used when none is fresh."""
+MAX_STALE_BALANCERS = 4
+"""Number of most recently seen balancers to use if none counts as alive."""
 
-FORGET_MS = Millis(60_000)
-"""After this silence a balancer is forgotten."""
+RETENTION_MS = Millis(60_000)
+"""Time after its last packet at which a balancer is removed."""
 
 
 class ReturnPath:
-    """The balancers that an agent heard from.
+    """Balancers that have sent packets to an agent.
 
     Parameters
     ----------
     pick_index : callable
-        Returns a random number from 0 to its argument, less one.
+        Returns a random index below its argument.
     """
 
     def __init__(self, pick_index: Callable[[int], int]):
         self._pick_index = pick_index
-        self._heard: dict[Endpoint, Millis] = {}
-        self._choices: tuple[Endpoint, ...] = ()
-        self._chosen_at = Millis(0)
+        self._last_seen: dict[Endpoint, Millis] = {}
+        self._candidates: tuple[Endpoint, ...] = ()
+        self._refreshed_at = Millis(0)
 
-    def note_heard(self, balancer: Endpoint, now: Millis) -> None:
-        """Note a packet from a balancer."""
-        if balancer not in self._heard:
-            self._choices = (*self._choices, balancer)
-        self._heard[balancer] = now
+    def record_packet(self, balancer: Endpoint, now: Millis) -> None:
+        """Record a packet from a balancer."""
+        if balancer not in self._last_seen:
+            self._candidates = (*self._candidates, balancer)
+        self._last_seen[balancer] = now
 
-    def note_unreachable(self, balancer: Endpoint) -> None:
-        """Note that a balancer's host refused a packet."""
-        if self._heard.pop(balancer, None) is not None:
-            self._choices = tuple(one for one in self._choices if one != balancer)
+    def remove_unreachable(self, balancer: Endpoint) -> None:
+        """Remove a balancer whose host rejected a packet."""
+        if self._last_seen.pop(balancer, None) is not None:
+            self._candidates = tuple(one for one in self._candidates if one != balancer)
 
     def pick(self, now: Millis) -> Endpoint | None:
-        """Return the balancer for the next answer, or None if none was heard."""
-        if now - self._chosen_at >= FRESH_MS // 4 or not self._choices:
+        """Return the balancer for the next answer, or None if none is known."""
+        if now - self._refreshed_at >= ALIVE_TIMEOUT_MS // 4 or not self._candidates:
             self._refresh(now)
-        if not self._choices:
+        if not self._candidates:
             return None
-        return self._choices[self._pick_index(len(self._choices))]
+        return self._candidates[self._pick_index(len(self._candidates))]
 
     def _refresh(self, now: Millis) -> None:
-        self._chosen_at = now
-        newest = sorted(self._heard.items(), key=lambda item: -item[1])
+        self._refreshed_at = now
+        newest = sorted(self._last_seen.items(), key=lambda item: -item[1])
         for balancer, at in newest:
-            if now - at > FORGET_MS:
-                del self._heard[balancer]
-        fresh = tuple(one for one, at in newest if now - at <= FRESH_MS)
-        last = tuple(one for one, at in newest[:KEPT] if one in self._heard)
-        self._choices = fresh or last
+            if now - at > RETENTION_MS:
+                del self._last_seen[balancer]
+        fresh = tuple(one for one, at in newest if now - at <= ALIVE_TIMEOUT_MS)
+        last = tuple(
+            one for one, at in newest[:MAX_STALE_BALANCERS] if one in self._last_seen
+        )
+        self._candidates = fresh or last
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -221,7 +221,7 @@
 
     def request_admission(self):
         request = AdmissionRequest(self.number, self.caller.name)
-        match self.agent.admission.offer(request, self.world.now()):
+        match self.agent.admission.submit(request, self.world.now()):
             case AdmissionDecision.ADMIT:
                 self.apply(on.Admitted())
             case AdmissionDecision.REFUSE:
@@ -262,7 +262,7 @@
 
     def on_connect(self):
         connected = self.agent.backend != "refuse"
-        self.agent.health.note_connect(connected, self.world.now())
+        self.agent.health.record_connect(connected, self.world.now())
         kind = on.BackendConnected if connected else on.BackendConnectFailed
         self.apply(kind(self.attempt))
 
@@ -286,7 +286,7 @@
         if line > lines:
             self.apply(on.BackendClosed(self.attempt))
             return
-        self.agent.admission.note_end(
+        self.agent.admission.finish_work(
             self.number, ReleaseReason.ANSWERED, self.world.now()
         )
         text = self.caller.expect_line(line)
@@ -391,7 +391,7 @@
         """Pass the end of an attempt to the retry policy and execute its decision."""
         started = bool(self.received)
         ended = AttemptEnded(self.retry.attempt, outcome, bool(self.tags), started)
-        action = self.retry.handle_end(ended, self.world.now())
+        action = self.retry.handle_attempt_ended(ended, self.world.now())
         self.tags, self.opening = [], b""
         if isinstance(action, Reopen):
             delay = action.at - self.world.now()
--- a/tests/properties/admission_proof.py
+++ b/tests/properties/admission_proof.py
@@ -1,4 +1,4 @@
-"""What must hold of admission, whatever clients offer and however work ends."""
+"""Properties of admission control under any order of arrivals and work ends."""
 
 from dataclasses import dataclass
 
@@ -28,16 +28,16 @@
 
 
 @dataclass(frozen=True)
-class Offer:
-    """A client's flow arrives."""
+class Arrival:
+    """Arrival of a flow of `client`, with a deadline in ms from now or None."""
 
     client: str
-    patience: int | None
+    deadline_after: int | None
 
 
 @dataclass(frozen=True)
 class End:
-    """The work of some open flow ends; the flow may stay open."""
+    """End of the work of an open flow, which may stay open."""
 
     which: int
     end: ReleaseReason
@@ -46,50 +46,54 @@
 
 @dataclass(frozen=True)
 class Wait:
-    """Time passes."""
+    """Passage of `duration` ms."""
 
     duration: int
 
 
-OFFERS = st.builds(
-    Offer, st.sampled_from("aaabc"), st.one_of(st.none(), st.integers(0, 80))
+ARRIVALS = st.builds(
+    Arrival, st.sampled_from("aaabc"), st.one_of(st.none(), st.integers(0, 80))
 )
 ENDS = st.builds(End, st.integers(0, 20), st.sampled_from(ReleaseReason), st.booleans())
 WAITS = st.builds(Wait, st.integers(1, 60))
-HISTORIES = st.lists(st.one_of(OFFERS, OFFERS, OFFERS, ENDS, WAITS), max_size=60)
+HISTORIES = st.lists(st.one_of(ARRIVALS, ARRIVALS, ARRIVALS, ENDS, WAITS), max_size=60)
 
 
-class Ledger:
-    """Every flow's story, kept apart from the mechanism."""
+class FlowTracker:
+    """Model of all flows, independent of the implementation under test."""
 
     def __init__(self, admission):
         self.admission = admission
         self.now = Millis(0)
-        self.offered = 0
+        self.arrived = 0
         self.waiting = {}
         self.open = []
         self.working = {}
 
-    def offer(self, step):
-        flow, self.offered = self.offered, self.offered + 1
-        deadline = None if step.patience is None else Millis(self.now + step.patience)
-        decision = self.admission.offer(
+    def arrive(self, step):
+        flow, self.arrived = self.arrived, self.arrived + 1
+        deadline = (
+            None
+            if step.deadline_after is None
+            else Millis(self.now + step.deadline_after)
+        )
+        decision = self.admission.submit(
             AdmissionRequest(flow, step.client, deadline), self.now
         )
         if decision is AdmissionDecision.ADMIT:
             self.start(flow, step.client)
         elif decision is AdmissionDecision.QUEUE:
             last = self.now + POLICY.queue_timeout_ms
-            until = last if deadline is None else min(last, deadline)
-            self.waiting[flow] = (step.client, until)
+            expires_at = last if deadline is None else min(last, deadline)
+            self.waiting[flow] = (step.client, expires_at)
 
     def start(self, flow, client):
         own = sum(one == client for one in self.working.values())
-        assert len(self.working) < POLICY.max_limit, "over the limit"
-        assert own < POLICY.max_limit * POLICY.max_client_share, "over the share"
+        assert len(self.working) < POLICY.max_limit, "concurrency limit exceeded"
+        assert own < POLICY.max_limit * POLICY.max_client_share, "client share exceeded"
         self.working[flow] = client
         self.open.append(flow)
-        assert len(self.open) <= POLICY.max_flows, "too many flows"
+        assert len(self.open) <= POLICY.max_flows, "maximum number of flows exceeded"
 
     def end(self, step):
         if step.which % 3 == 0 and self.waiting:
@@ -99,7 +103,7 @@
         if not self.open:
             return
         flow = self.open[step.which % len(self.open)]
-        self.admission.note_end(flow, step.end, self.now)
+        self.admission.finish_work(flow, step.end, self.now)
         self.working.pop(flow, None)
         if step.closes:
             self.admission.close(flow)
@@ -110,70 +114,72 @@
         for flow in results.refused:
             del self.waiting[flow]
         for flow in results.admitted:
-            client, until = self.waiting.pop(flow)
-            assert until > self.now, "let through after its deadline"
+            client, expires_at = self.waiting.pop(flow)
+            assert expires_at > self.now, "admitted after its deadline"
             self.start(flow, client)
-        assert len(self.waiting) <= POLICY.queue_limit, "queue over its bound"
-        assert all(until > self.now for _, until in self.waiting.values())
-        self.check_idle_capacity()
+        assert len(self.waiting) <= POLICY.queue_limit, "queue limit exceeded"
+        assert all(expires_at > self.now for _, expires_at in self.waiting.values())
+        self.check_no_idle_capacity()
 
-    def check_idle_capacity(self):
-        """Check that nobody waits while the backend server has nothing to do."""
+    def check_no_idle_capacity(self):
+        """Check that no flow is queued while the backend server is idle."""
         blocked = self.working or len(self.open) >= POLICY.max_flows
-        assert blocked or not self.waiting, "waits for nothing"
+        assert blocked or not self.waiting, (
+            "flow queued although the backend server is idle"
+        )
 
 
 def check(make, history):
-    """Run a history and then let all that wait run out."""
-    ledger = Ledger(make())
+    """Run a history, then advance time until all queued flows have expired."""
+    tracker = FlowTracker(make())
     for step in history:
         match step:
-            case Offer():
-                ledger.offer(step)
+            case Arrival():
+                tracker.arrive(step)
             case End():
-                ledger.end(step)
+                tracker.end(step)
             case Wait(duration):
-                ledger.now = Millis(ledger.now + duration)
-        ledger.poll()
-    while ledger.waiting:
-        due = ledger.admission.next_at
-        assert due is not None and due > ledger.now, "a flow was forgotten"
-        ledger.now = due
-        ledger.poll()
+                tracker.now = Millis(tracker.now + duration)
+        tracker.poll()
+    while tracker.waiting:
+        due = tracker.admission.next_at
+        assert due is not None and due > tracker.now, "queued flow without a due time"
+        tracker.now = due
+        tracker.poll()
 
 
 class NeverExpires(FairQueue):
-    """Lets flows wait beyond their time."""
+    """Keeps flows queued after they have expired."""
 
     def expire(self, now):
         return ()
 
 
 class Unbounded(FairQueue):
-    """Takes any number of flows."""
+    """Queues any number of flows."""
 
-    def push(self, request, until):
+    def push(self, request, expires_at):
         self._capacity = len(self) + 1
-        return super().push(request, until)
+        return super().push(request, expires_at)
 
 
-class ForgetsPushedOut(FairAdmission):
-    """Never tells the flows that a newcomer pushed out."""
+class ForgetsEvicted(FairAdmission):
+    """Never reports evicted flows as refused."""
 
     def poll(self, now):
-        self._pushed_out.clear()
+        self._evicted.clear()
         return super().poll(now)
 
 
-class SharesNothing(FairAdmission):
-    """Lets one client take the whole limit."""
+class IgnoresClientShare(FairAdmission):
+    """Lets one client use the whole concurrency limit."""
 
     def _may_start(self, client):
         return self.in_progress < self.limit
 
 
-def make_product(kind=FairAdmission, queue=None):
-    """Return a factory of admission control, or of a double of it."""
+def make_factory(kind=FairAdmission, queue=None):
+    """Return a factory of admission control or of a mutant."""
 
     def make():
         limit = AdaptiveLimit(POLICY.initial_limit, POLICY.min_limit, POLICY.max_limit)
@@ -185,15 +191,15 @@
     return make
 
 
-PROOF = Property("admission", HISTORIES, check, make_product())
+PROOF = Property("admission", HISTORIES, check, make_factory())
 MUTATIONS = [
     Mutation(name, PROOF, make)
     for name, make in {
         "NoLimit": Unlimited,
         "HighFixedLimit": lambda: FairAdmission(POLICY, FixedLimit(99)),
-        "NeverExpires": make_product(queue=NeverExpires),
-        "UnboundedQueue": make_product(queue=Unbounded),
-        "ForgetsPushedOut": make_product(ForgetsPushedOut),
-        "SharesNothing": make_product(SharesNothing),
+        "NeverExpires": make_factory(queue=NeverExpires),
+        "UnboundedQueue": make_factory(queue=Unbounded),
+        "ForgetsEvicted": make_factory(ForgetsEvicted),
+        "IgnoresClientShare": make_factory(IgnoresClientShare),
     }.items()
 ]
--- a/tests/properties/lifecycle_proof.py
+++ b/tests/properties/lifecycle_proof.py
@@ -1,7 +1,7 @@
-"""What must hold of a flow's lifecycle, whatever the order of its events.
+"""Properties of the flow lifecycle under any order of events.
 
-A history is mostly the plain course of a flow, with any other event put between:
-late, twice, crossed, of an earlier connection.
+A history follows the regular event sequence of a flow, with arbitrary events
+inserted: late, duplicate, out of order or of an earlier connection.
 """
 
 from hypothesis import strategies as st
@@ -13,7 +13,7 @@
 
 ATTEMPTS = st.integers(1, 3)
 COUNTS = st.integers(1, 3)
-PLAIN_COURSES = (
+REGULAR_SEQUENCES = (
     (
         on.HandshakeCompleted(),
         on.Admitted(),
@@ -40,9 +40,14 @@
         on.AnswerAcknowledged(),
     ),
 )
-ENDINGS = (on.CallerCancelled, on.DeadlineReached, on.IdleTimedOut, on.StopLimitReached)
-NOISE = st.one_of(
-    st.sampled_from([e for course in PLAIN_COURSES for e in course]),
+FINAL_EVENTS = (
+    on.CallerCancelled,
+    on.DeadlineReached,
+    on.IdleTimedOut,
+    on.StopLimitReached,
+)
+UNORDERED_EVENTS = st.one_of(
+    st.sampled_from([e for sequence in REGULAR_SEQUENCES for e in sequence]),
     st.builds(on.CallerSent, COUNTS),
     st.builds(on.BackendConnected, ATTEMPTS),
     st.builds(on.BackendConnectFailed, ATTEMPTS),
@@ -51,26 +56,29 @@
     st.builds(on.BackendClosed, ATTEMPTS),
     st.builds(on.BackendConnectionLost, ATTEMPTS),
     st.just(on.DrainStarted()),
-    st.sampled_from([kind() for kind in (*ENDINGS, on.AdmissionRefused)]),
+    st.sampled_from([kind() for kind in (*FINAL_EVENTS, on.AdmissionRefused)]),
 )
 NEXT = st.none()
 HISTORIES = st.tuples(
-    st.sampled_from(PLAIN_COURSES),
+    st.sampled_from(REGULAR_SEQUENCES),
     st.integers(0, 10),
-    st.lists(st.one_of(NEXT, NOISE, NOISE), max_size=30),
+    st.lists(st.one_of(NEXT, UNORDERED_EVENTS, UNORDERED_EVENTS), max_size=30),
 )
 
 
 def expand(history):
-    """Return the events: a plain beginning, then a mixture."""
-    course, begun, steps = history
-    plain = iter(course[begun:])
-    events = (next(plain, None) if step is None else step for step in steps)
-    return [*course[:begun], *(event for event in events if event is not None)]
+    """Return the events: a regular prefix, then a mix with arbitrary events."""
+    sequence, prefix_length, steps = history
+    regular = iter(sequence[prefix_length:])
+    events = (next(regular, None) if step is None else step for step in steps)
+    return [
+        *sequence[:prefix_length],
+        *(event for event in events if event is not None),
+    ]
 
 
 class Observer:
-    """What an outsider knows of a flow, from its events and actions alone."""
+    """Model of a flow, derived only from its events and actions."""
 
     def __init__(self):
         self.handshake = False
@@ -78,16 +86,16 @@
         self.acknowledged = False
         self.caller_finished = False
         self.received = 0
-        self.handed = 0
+        self.delivered = 0
         self.attempt = 0
         self.connecting = False
         self.connected = False
         self.backend_finished = False
         self.answer_finished = False
-        self.told = None
+        self.outcome = None
 
-    def note(self, event):
-        """Take in what an event proves, before the lifecycle answers it."""
+    def observe(self, event):
+        """Update the model from an event, before the lifecycle handles it."""
         match event:
             case on.HandshakeCompleted():
                 self.handshake = True
@@ -108,8 +116,8 @@
                 self.connected = False
 
     def check(self, event, action):
-        """Raise AssertionError if `action` may not follow `event`."""
-        assert self.told is None, "acted after the end"
+        """Raise AssertionError if `action` isn't allowed after `event`."""
+        assert self.outcome is None, "action after the end of the flow"
         _CHECKS.get(type(action), Observer._check_nothing)(self, event, action)
 
     def _check_nothing(self, event, action):
@@ -117,44 +125,48 @@
 
     def _check_connect(self, event, action):
         assert self.handshake, "connected before the handshake"
-        assert not (self.connecting or self.connected), "two connections"
-        assert self.handed == 0, "connected again after delivery"
+        assert not (self.connecting or self.connected), (
+            "second connection while one is open"
+        )
+        assert self.delivered == 0, "connected again after delivery"
         assert action.attempt == self.attempt + 1
         self.attempt = action.attempt
         self.connecting = True
 
     def _check_deliver(self, event, action):
         assert self.connected, "delivered without a connection"
-        self.handed += action.count
-        assert self.handed <= self.received, "delivered what never came"
-        assert not self.backend_finished, "delivered after the end"
+        self.delivered += action.count
+        assert self.delivered <= self.received, "delivered more bytes than received"
+        assert not self.backend_finished, "delivered after the end of the request"
 
     def _check_finish_backend(self, event, action):
         assert self.caller_finished and not self.backend_finished
-        assert self.handed == self.received, "finished before all was delivered"
+        assert self.delivered == self.received, "finished before all was delivered"
         self.backend_finished = True
 
     def _check_send(self, event, action):
         assert isinstance(event, on.BackendSent) and event.count == action.count
-        assert event.attempt == self.attempt and self.connected, "crossed answer"
+        assert event.attempt == self.attempt and self.connected, (
+            "answer of an earlier connection"
+        )
         assert not self.answer_finished, "sent after the answer's end"
 
     def _check_finish_caller(self, event, action):
         assert isinstance(event, on.BackendClosed) and event.attempt == self.attempt
-        assert not self.answer_finished, "two ends"
+        assert not self.answer_finished, "answer finished twice"
         self.answer_finished = True
 
-    def _check_tell(self, event, action):
-        self.told = action.outcome
+    def _check_outcome(self, event, action):
+        self.outcome = action.outcome
         match action.outcome:
             case FlowOutcome.ANSWERED:
                 assert self.acknowledged, "answered without the whole answer"
             case FlowOutcome.REFUSED:
-                assert self.handed == 0, "refused after delivery"
+                assert self.delivered == 0, "refused after delivery"
             case FlowOutcome.CANCELLED:
                 assert self.cancelled
             case FlowOutcome.UNKNOWN:
-                assert self.handed > 0, "unknown though nothing was delivered"
+                assert self.delivered > 0, "unknown though nothing was delivered"
 
 
 _CHECKS = {
@@ -163,32 +175,32 @@
     on.FinishRequest: Observer._check_finish_backend,
     on.SendToCaller: Observer._check_send,
     on.FinishAnswer: Observer._check_finish_caller,
-    on.CloseFlow: Observer._check_tell,
+    on.CloseFlow: Observer._check_outcome,
 }
 
 
 def check(make, history):
-    """Check each action, and that no byte is lost and each ending ends."""
+    """Check each action, that no byte is lost and that final events end the flow."""
     lifecycle, observer = make(), Observer()
     for event in expand(history):
-        observer.note(event)
+        observer.observe(event)
         for action in lifecycle.handle(event):
             observer.check(event, action)
-        assert lifecycle.outcome is observer.told
-        if observer.told is None:
-            assert not isinstance(event, ENDINGS), f"lived on after {event}"
+        assert lifecycle.outcome is observer.outcome
+        if observer.outcome is None:
+            assert not isinstance(event, FINAL_EVENTS), f"flow still open after {event}"
             if observer.connected:
-                assert observer.handed == observer.received, "lost bytes"
+                assert observer.delivered == observer.received, "lost bytes"
 
 
-class HandsOverEarly(FlowLifecycle):
-    """Hands bytes over before the connection, so before the handshake too."""
+class DeliversEarly(FlowLifecycle):
+    """Delivers bytes before the connection, and so before the handshake."""
 
     __slots__ = ()
 
     def handle(self, event):
         if isinstance(event, on.CallerSent) and self.outcome is None:
-            return (self._hand_over(event.count),)
+            return (self._deliver(event.count),)
         return super().handle(event)
 
 
@@ -199,23 +211,23 @@
 
     def handle(self, event):
         if isinstance(event, on.CallerSent) and not self._attempt:
-            self._held += event.count
+            self._buffered += event.count
             return self._connect()
         return super().handle(event)
 
 
 class CountsWritesOnly(FlowLifecycle):
-    """Takes bytes for undelivered until the socket took them."""
+    """Counts bytes as delivered only once the socket has written them."""
 
     __slots__ = ()
 
     def _fail(self):
-        self._handed -= self._undelivered
+        self._delivered -= self._unwritten
         return super()._fail()
 
 
 class ForgetsAttempts(FlowLifecycle):
-    """Takes events of an earlier connection for those of the present one."""
+    """Accepts events of an earlier connection as those of the current one."""
 
     __slots__ = ()
 
@@ -224,14 +236,14 @@
 
 
 class ReconnectsAfterDelivery(FlowLifecycle):
-    """Opens a second connection after a break, whatever was delivered."""
+    """Reconnects after a connection failure even if bytes were delivered."""
 
     __slots__ = ()
 
     def handle(self, event):
         if (
             isinstance(event, on.BackendConnectionLost)
-            and self.handed
+            and self.delivered
             and self.outcome is None
         ):
             return self._connect()
@@ -239,7 +251,7 @@
 
 
 class LivesAfterEnd(FlowLifecycle):
-    """Goes on after its outcome was told."""
+    """Handles events after the outcome was reported."""
 
     __slots__ = ()
 
@@ -248,19 +260,19 @@
         return super().handle(event)
 
 
-class LosesHeldBytes(FlowLifecycle):
-    """Forgets what came before the connection."""
+class LosesBufferedBytes(FlowLifecycle):
+    """Discards the bytes received before the connection."""
 
     __slots__ = ()
 
     def handle(self, event):
         if isinstance(event, on.BackendConnected):
-            self._held = 0
+            self._buffered = 0
         return super().handle(event)
 
 
 class AnswersEarly(FlowLifecycle):
-    """Tells ANSWERED before the caller has the whole answer."""
+    """Reports ANSWERED before the caller has the whole answer."""
 
     __slots__ = ()
 
@@ -273,15 +285,15 @@
 
 PROOF = Property("lifecycle", HISTORIES, check, FlowLifecycle)
 MUTATIONS = [
-    Mutation(double.__name__, PROOF, double)
-    for double in (
-        HandsOverEarly,
+    Mutation(mutant.__name__, PROOF, mutant)
+    for mutant in (
+        DeliversEarly,
         ConnectsEarly,
         CountsWritesOnly,
         ForgetsAttempts,
         ReconnectsAfterDelivery,
         LivesAfterEnd,
-        LosesHeldBytes,
+        LosesBufferedBytes,
         AnswersEarly,
     )
 ]
--- a/tests/properties/retry_proof.py
+++ b/tests/properties/retry_proof.py
@@ -1,8 +1,8 @@
-"""What must hold of the attempts of several flows that share a retry budget.
+"""Properties of the attempts of several flows that share a retry budget.
 
-A history says of each attempt what truly happened; what the caller's side hears
-of it is the truth or less: an agent that delivered a byte never says REFUSED, and
-without a completed handshake nothing was delivered.
+A history gives the actual course of each attempt and what the caller's side observes
+of it, which may be incomplete but never wrong: an agent that delivered a byte never
+reports REFUSED, and without a completed handshake nothing was delivered.
 """
 
 from dataclasses import dataclass
@@ -24,31 +24,31 @@
 
 
 @dataclass(frozen=True)
-class Truth:
-    """What happened to one attempt."""
+class AttemptHistory:
+    """Actual course of one attempt and its end as observed by the caller."""
 
     delivered: bool
     ended: AttemptEnded
 
 
 @st.composite
-def truths(draw):
-    """Draw what happened to an attempt and what was heard of it."""
+def attempt_histories(draw):
+    """Draw the actual course of an attempt and its observed end."""
     handshake = draw(st.booleans())
     delivered = handshake and draw(st.booleans())
-    told = [None, FlowOutcome.UNKNOWN]
-    told += [FlowOutcome.ANSWERED] if delivered else [FlowOutcome.REFUSED]
-    outcome = draw(st.sampled_from(told)) if handshake else None
+    reported = [None, FlowOutcome.UNKNOWN]
+    reported += [FlowOutcome.ANSWERED] if delivered else [FlowOutcome.REFUSED]
+    outcome = draw(st.sampled_from(reported)) if handshake else None
     answer_started = delivered and draw(st.booleans())
     number = draw(st.sampled_from([0, 0, 0, 0, -1, 1]))
     replayable = draw(st.sampled_from([True, True, True, False]))
     ended = AttemptEnded(number, outcome, handshake, answer_started, replayable)
-    return Truth(delivered, ended)
+    return AttemptHistory(delivered, ended)
 
 
 @dataclass(frozen=True)
 class Flow:
-    """One flow: its settings and its attempts, in order."""
+    """Settings of a flow, and its attempts in order."""
 
     idempotent: bool
     deadline: Millis | None
@@ -60,7 +60,7 @@
     Flow,
     st.booleans(),
     st.one_of(st.none(), st.integers(0, 3_000).map(Millis)),
-    st.lists(truths(), min_size=1, max_size=6),
+    st.lists(attempt_histories(), min_size=1, max_size=6),
     st.lists(st.integers(0, 600), min_size=6, max_size=6),
 )
 HISTORIES = st.lists(FLOWS, min_size=1, max_size=8)
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True)
 class Makers:
-    """Factories of the mechanisms under test."""
+    """Factories of the components under test."""
 
     rule: type = UndeliveredOnly
     budget: type = TokenBudget
@@ -76,7 +76,7 @@
 
 
 def check(make, flows):
-    """Run the flows one after the other over a shared budget."""
+    """Run the flows one after the other with a shared retry budget."""
     budget = make.budget(POLICY)
     now, reopened = 0, 0
     for flow in flows:
@@ -91,16 +91,18 @@
         now, count = run_flow(retry, flow, now)
         reopened += count
     allowed = POLICY.burst + POLICY.ratio * len(flows)
-    assert reopened <= allowed + POLICY.floor_per_second * now / 1_000, "over budget"
+    assert reopened <= allowed + POLICY.floor_per_second * now / 1_000, (
+        "retry budget exceeded"
+    )
 
 
 def run_flow(retry, flow, now):
-    """Return the time at the flow's end and how often it was opened again."""
-    delivered, attempt, told = 0, 1, None
-    for truth, wait in zip(flow.attempts, flow.waits, strict=False):
+    """Return the time at the end of the flow and its number of retries."""
+    delivered, attempt, reported = 0, 1, None
+    for actual, wait in zip(flow.attempts, flow.waits, strict=False):
         now += wait
-        ended = truth.ended
-        is_current = ended.attempt == 0 and told is None
+        ended = actual.ended
+        is_current = ended.attempt == 0 and reported is None
         number = attempt + ended.attempt
         event = AttemptEnded(
             number,
@@ -109,65 +111,67 @@
             ended.answer_started,
             ended.replayable,
         )
-        action = retry.handle_end(event, Millis(now))
+        action = retry.handle_attempt_ended(event, Millis(now))
         if not is_current:
-            assert action is None, "acted on a late or crossed event"
+            assert action is None, "action on a late or out-of-order event"
             continue
-        delivered += truth.delivered
+        delivered += actual.delivered
         if isinstance(action, Reopen):
             assert action.attempt == attempt + 1 <= POLICY.max_attempts
             assert ended.replayable and not ended.answer_started
-            assert flow.idempotent or not delivered, "may run twice"
+            assert flow.idempotent or not delivered, "request may be executed twice"
             assert flow.deadline is None or now <= action.at < flow.deadline
             attempt = action.attempt
         else:
             assert isinstance(action, ReportOutcome)
-            told = action.outcome
-            assert told is not FlowOutcome.REFUSED or not delivered, "untrue refusal"
+            reported = action.outcome
+            assert reported is not FlowOutcome.REFUSED or not delivered, (
+                "REFUSED reported after delivery"
+            )
     return now, attempt - 1
 
 
 class RetriesSilence(UndeliveredOnly):
-    """Takes an established flow that fell silent for undelivered."""
+    """Treats an established flow without an outcome as undelivered."""
 
     def may_have_run(self, ended):
         return ended.outcome is FlowOutcome.UNKNOWN
 
 
 class RetriesAlways(UndeliveredOnly):
-    """Opens again whatever was delivered."""
+    """Retries even after delivery."""
 
     def is_safe(self, ended, idempotent):
         return ended.replayable and not ended.answer_started
 
 
 class RetriesStartedAnswers(UndeliveredOnly):
-    """Opens again though the caller has bytes of an answer."""
+    """Retries although the caller has received part of an answer."""
 
     def is_safe(self, ended, idempotent):
         return idempotent or not self.may_have_run(ended)
 
 
 class ForgetsEarlierAttempts(OpeningRetry):
-    """Tells the outcome of the last attempt only."""
+    """Reports only the outcome of the last attempt."""
 
-    def handle_end(self, ended, now):
+    def handle_attempt_ended(self, ended, now):
         self._may_have_run = False
-        return super().handle_end(ended, now)
+        return super().handle_attempt_ended(ended, now)
 
 
-class TakesLateEnds(OpeningRetry):
-    """Takes the end of an abandoned attempt for the present one's."""
+class AcceptsLateEnds(OpeningRetry):
+    """Treats the end of an earlier attempt as that of the current one."""
 
-    def handle_end(self, ended, now):
+    def handle_attempt_ended(self, ended, now):
         current = AttemptEnded(self.attempt, ended.outcome, ended.handshake_completed)
-        return super().handle_end(current, now)
+        return super().handle_attempt_ended(current, now)
 
 
 class EndlessBudget(TokenBudget):
-    """Grants every further try."""
+    """Allows every retry."""
 
-    def take(self, now):
+    def try_acquire(self, now):
         return True
 
 
@@ -179,7 +183,7 @@
         "RetriesAlways": Makers(rule=RetriesAlways),
         "RetriesStartedAnswers": Makers(rule=RetriesStartedAnswers),
         "ForgetsEarlierAttempts": Makers(retry=ForgetsEarlierAttempts),
-        "TakesLateEnds": Makers(retry=TakesLateEnds),
+        "AcceptsLateEnds": Makers(retry=AcceptsLateEnds),
         "EndlessBudget": Makers(budget=EndlessBudget),
     }.items()
 ]
--- a/tests/properties/test_racing_operators.py
+++ b/tests/properties/test_racing_operators.py
@@ -2,13 +2,13 @@
 from hypothesis import Phase, find, given, settings
 from hypothesis import strategies as st
 
-from papayagw._internal.core.configuration import ConfigurationLog, Offer
+from papayagw._internal.core.configuration import ConfigurationLog, VersionOrder
 from papayagw._internal.core.submission import Read, Refused, Submission
 from tests.lib.configurations import World
 
-CALM = ("submit", "call", "send", "serve", "answer", "observe")
-FAULTS = ("lose_answer", "delay", "give_up")
-RESTORES = ("restore", "observe_all")
+REGULAR_STEPS = ("submit", "call", "send", "serve", "answer", "observe")
+FAULT_STEPS = ("lose_answer", "delay", "give_up")
+RESTORE_STEPS = ("restore", "observe_all")
 
 
 def schedules(names):
@@ -17,34 +17,34 @@
 
 
 class DoesNotReadBack(Submission):
-    """Takes any conflict for a refusal."""
+    """Treats every conflict as a refusal, without reading the history."""
 
     def on_conflict(self, current):
         self._finish(Refused("conflict"))
 
 
-class TrustsSilence(Submission):
-    """Takes a write without an answer for a refusal."""
+class AssumesRefusedOnDeadline(Submission):
+    """Treats a write without an answer as refused."""
 
     def on_deadline(self):
         self._has_pending_write = False
         self._finish(Refused("no answer"))
 
 
-class StartsAgain(Submission):
-    """Reads anew and submits on top after a write without an answer."""
+class ResubmitsAfterNoAnswer(Submission):
+    """Reads again and resubmits on top of it after a write without an answer."""
 
     def on_no_answer(self):
         super().on_no_answer()
         self._action = Read()
 
 
-class TakesAny(ConfigurationLog):
-    """Puts in force whatever it is offered."""
+class AppliesAnyVersion(ConfigurationLog):
+    """Puts every received version in force."""
 
-    def offer(self, configuration):
+    def apply_if_newer(self, configuration):
         self._current = configuration
-        return Offer.NEWER
+        return VersionOrder.NEWER
 
 
 def check(operators, schedule, make_submission=Submission):
@@ -59,8 +59,8 @@
 
 @pytest.mark.parametrize("operators", [2, 10])
 @settings(max_examples=300, derandomize=True, deadline=None)
-@given(schedule=schedules(CALM + FAULTS))
-def test_one_wins_each_version_and_each_is_told_the_truth(operators, schedule):
+@given(schedule=schedules(REGULAR_STEPS + FAULT_STEPS))
+def test_one_operator_wins_each_version_and_reports_are_correct(operators, schedule):
     check(operators, schedule)
 
 
@@ -75,21 +75,21 @@
 
 @pytest.mark.parametrize("operators", [2, 10])
 @settings(max_examples=300, derandomize=True, deadline=None)
-@given(schedule=schedules(CALM + FAULTS + RESTORES))
-def test_versions_never_fall_when_the_store_is_restored(operators, schedule):
+@given(schedule=schedules(REGULAR_STEPS + FAULT_STEPS + RESTORE_STEPS))
+def test_versions_never_decrease_after_restore_of_the_store(operators, schedule):
     check_nodes(operators, schedule)
 
 
 @pytest.mark.parametrize(
     ("check_it", "names", "mutant"),
     [
-        (check, CALM + FAULTS, DoesNotReadBack),
-        (check, CALM + FAULTS, TrustsSilence),
-        (check, CALM + FAULTS, StartsAgain),
-        (check_nodes, CALM + FAULTS + RESTORES, TakesAny),
+        (check, REGULAR_STEPS + FAULT_STEPS, DoesNotReadBack),
+        (check, REGULAR_STEPS + FAULT_STEPS, AssumesRefusedOnDeadline),
+        (check, REGULAR_STEPS + FAULT_STEPS, ResubmitsAfterNoAnswer),
+        (check_nodes, REGULAR_STEPS + FAULT_STEPS + RESTORE_STEPS, AppliesAnyVersion),
     ],
 )
-def test_property_is_red_without_the_mechanism(check_it, names, mutant):
+def test_property_fails_for_mutant(check_it, names, mutant):
     def is_violated(schedule):
         try:
             check_it(4, schedule, mutant)
