Rename figurative names in the sockets and timers of the plain front end

net/plain: ProcessKit -> ProcessRuntime, _kit and kit -> _runtime and runtime Reload -> SettingsLoader, reload -> load_settings, _reload -> _load_settings_file, _load_settings -> _reload_settings note -> record_event, note_call -> record_store_call, _note_fault -> _record_fault on_stop -> add_stop_handler, on_signal -> add_signal_handler, forget -> unwatch _answer_probe -> _handle_probe, _answer_report -> _handle_report, _show_metrics -> _handle_metrics_request describe -> error_fields, _intern -> _intern_endpoint SETTINGS_CHECK_MS -> SETTINGS_CHECK_INTERVAL_MS, MAX_INTERNED_PEERS -> MAX_INTERNED_ENDPOINTS EncodedCall -> HttpCall, PacketCodec.restore -> encode_client_packet LAST_CALL_MS -> ENTRY_REMOVAL_TIMEOUT_MS, _keeper -> _registrar, said -> report, _on_answer -> _on_store_answer (agent process) SITE_GAP_MS -> MIN_SITE_WATCH_INTERVAL_MS, AGENTS_GAP_MS -> MIN_AGENTS_WATCH_INTERVAL_MS, REFRESH_INTERVAL_MS -> MIN_SITE_REFRESH_INTERVAL_MS, DOUBT_INTERVAL_MS -> MIN_AGENTS_REFRESH_INTERVAL_MS, QUIET_MS -> UNROUTED_IDLE_MS, MISSES_TO_LEAVE -> UNROUTED_REFUSED_PROBES _on_doubt -> _schedule_agents_refresh, _doubt_alarm -> _agents_refresh_alarm _take_site_items -> _on_site_items, _take_site_events -> _on_site_events, _take_agents -> _on_agent_items, _take_agent_events -> _on_agent_events _note_missing -> _record_missing_agent, _settle_missing -> _process_missing_agents _site -> _site_watcher, _agents -> _agents_watcher, follower -> watcher _check_left -> _check_unrouted, left_ms -> remaining_ms, quiet_ms -> idle_ms StoreDriver: wake -> reschedule, user -> client, timed -> timed_call, _call -> _start_call, _take -> _on_http_result, take -> on_result HttpAnswer -> HttpResult, HttpExchange's on_answer -> on_result, MAX_ANSWER_BYTES -> MAX_RESPONSE_BYTES, _take_events -> _process_events, is_over -> is_eof, IDLE_LIMIT_MS -> IDLE_TIMEOUT_MS Loop: call -> callback, _guard -> _run_callback, _take_signals -> _handle_signals, _COMPACT_TIMERS -> _COMPACTION_THRESHOLD

--- a/src/papayagw/_internal/net/plain/adapter.py
+++ b/src/papayagw/_internal/net/plain/adapter.py
@@ -21,7 +21,7 @@
     def encode_for_backend(self, packet: FlowPacket, token: int) -> bytes:
         """Return a client's packet with the agent's number in it."""
 
-    def restore(self, packet: FlowPacket) -> bytes:
+    def encode_client_packet(self, packet: FlowPacket) -> bytes:
         """Return a client's packet as the client sent it."""
 
     def encode_reset(self, flow: FlowKey, sequence: int) -> bytes:
@@ -31,7 +31,7 @@
         """Return where the flow's client takes packets."""
 
 
-class EncodedCall(Protocol):
+class HttpCall(Protocol):
     """A call as HTTP carries it."""
 
     @property
@@ -50,7 +50,7 @@
 class StoreCodec(Protocol):
     """The calls of the key-value service."""
 
-    def encode_call(self, call: StoreCall) -> EncodedCall:
+    def encode_call(self, call: StoreCall) -> HttpCall:
         """Return the HTTP form of a call."""
 
     def decode_answer(self, call: StoreCall, status: int, body: bytes) -> StoreAnswer:
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -27,11 +27,11 @@
 from papayagw._internal.net.plain.adapter import Platform
 from papayagw._internal.net.plain.http_server import HttpRequest, HttpResponse
 from papayagw._internal.net.plain.loop import Alarm
-from papayagw._internal.net.plain.process import ProcessKit, Reload
+from papayagw._internal.net.plain.process import ProcessRuntime, SettingsLoader
 from papayagw._internal.net.plain.store_driver import StoreDriver
 from papayagw._internal.wire.plain_entries import agent_key, encode_entry
 
-LAST_CALL_MS = Millis(800)
+ENTRY_REMOVAL_TIMEOUT_MS = Millis(800)
 """How long an agent that ends waits for the store to remove its entry."""
 
 
@@ -44,72 +44,81 @@
         Its settings.
     platform : Platform
         What is particular to the platform.
-    reload : callable
+    load_settings : callable
         Reads the settings again.
     """
 
     def __init__(
-        self, settings: PlainAgentSettings, platform: Platform, reload: Reload
+        self,
+        settings: PlainAgentSettings,
+        platform: Platform,
+        load_settings: SettingsLoader,
     ):
-        kit = self._kit = ProcessKit("agent", settings, platform, reload)
+        runtime = self._runtime = ProcessRuntime(
+            "agent", settings, platform, load_settings
+        )
         self._settings = settings
         self._platform = platform
         self._core = PlainAgent(
             settings.service,
             settings.flow_limit_ms,
-            kit.loop.now(),
+            runtime.loop.now(),
             settings.report_interval_ms,
         )
         self._outbound = BatchSocket(settings.outbound)
         entry = AgentEntry(settings.inner, settings.service, settings.zone)
-        self._keeper = EntryRegistrar(
+        self._registrar = EntryRegistrar(
             agent_key(settings.name), encode_entry(entry), Random()
         )
         self._driver = StoreDriver(
-            kit.loop, settings.store, platform, self._keeper, self._on_answer
+            runtime.loop,
+            settings.store,
+            platform,
+            self._registrar,
+            self._on_store_answer,
         )
-        self._alarm = Alarm(kit.loop, self._on_timer)
+        self._alarm = Alarm(runtime.loop, self._on_timer)
         self._wall_clock = WallClock()
         self._is_stopping = False
 
     def run(self) -> None:
         """Serve until told to end."""
-        kit = self._kit
-        kit.start()
+        runtime = self._runtime
+        runtime.start()
         self._outbound.start()
-        kit.loop.watch(self._outbound, self._read_outbound)
-        kit.watch_frames(self._on_frame)
-        kit.serve(self._settings.readiness, self._answer_probe)
-        kit.serve(self._settings.reports, self._answer_report)
-        kit.on_stop(self._stop)
-        kit.metrics.gauge("flows remembered", lambda: self._core.flow_count)
+        runtime.loop.watch(self._outbound, self._read_outbound)
+        runtime.watch_frames(self._on_frame)
+        runtime.serve(self._settings.readiness, self._handle_probe)
+        runtime.serve(self._settings.reports, self._handle_report)
+        runtime.add_stop_handler(self._stop)
+        runtime.metrics.gauge("flows remembered", lambda: self._core.flow_count)
         self._driver.start()
         try:
-            kit.loop.run()
+            runtime.loop.run()
         finally:
             self._driver.close()
             self._outbound.close()
-            kit.close()
+            runtime.close()
 
     # Packets and frames
 
     def _read_outbound(self) -> None:
-        now = self._kit.loop.now()
+        now = self._runtime.loop.now()
         for raw, _ in self._outbound.receive_batch():
             packet = self._platform.decode_backend_packet(raw)
             if packet is None:
-                self._kit.metrics.count("malformed packets")
+                self._runtime.metrics.count("malformed packets")
                 continue
             self._perform(self._core.on_backend_packet(packet, now))
 
     def _on_frame(self, frame: Frame, source: Endpoint) -> None:
         if not isinstance(frame, ToAgent):
-            self._kit.metrics.count("frames of the wrong kind")
+            self._runtime.metrics.count("frames of the wrong kind")
             return
-        self._perform(self._core.on_frame(frame, source, self._kit.loop.now()))
+        self._perform(self._core.on_frame(frame, source, self._runtime.loop.now()))
 
     def _on_timer(self) -> None:
-        self._perform(self._core.on_timer(self._kit.loop.now()))
+        self._perform(self._core.on_timer(self._runtime.loop.now()))
 
     def _perform(self, actions: Sequence[Action]) -> None:
         for action in actions:
@@ -119,14 +128,14 @@
                 case SendToClient(packet):
                     self._send_to_client(packet)
                 case SendFrame(peer, frame):
-                    self._kit.send_frame(peer, frame)
+                    self._runtime.send_frame(peer, frame)
                 case ResetClient():
-                    self._kit.send_reset(action)
+                    self._runtime.send_reset(action)
                 case RestoreEntry():
-                    self._keeper.restore(self._kit.loop.now())
-                    self._driver.wake()
+                    self._registrar.restore(self._runtime.loop.now())
+                    self._driver.reschedule()
                 case Note():
-                    self._kit.note(action)
+                    self._runtime.record_event(action)
         self._alarm.set(self._core.due_at)
 
     def _send_to_backend(self, packet: FlowPacket, token: int) -> None:
@@ -139,30 +148,32 @@
 
     # The store
 
-    def _on_answer(self, call: StoreCall, answer: StoreAnswer, took_ms: int) -> None:
-        self._kit.note_call(call, answer, took_ms)
-        if self._is_stopping and self._keeper.is_ended:
-            self._kit.loop.stop()
+    def _on_store_answer(
+        self, call: StoreCall, answer: StoreAnswer, took_ms: int
+    ) -> None:
+        self._runtime.record_store_call(call, answer, took_ms)
+        if self._is_stopping and self._registrar.is_ended:
+            self._runtime.loop.stop()
 
     # Reports and readiness
 
-    def _answer_report(self, request: HttpRequest) -> HttpResponse:
-        said = self._platform.decode_report(
+    def _handle_report(self, request: HttpRequest) -> HttpResponse:
+        report = self._platform.decode_report(
             request.method, request.target, request.body
         )
-        if said is None:
+        if report is None:
             fields = {"method": request.method, "target": request.target[:200]}
-            self._kit.note(Note("report refused", fields))
+            self._runtime.record_event(Note("report refused", fields))
             return HttpResponse(HTTPStatus.BAD_REQUEST)
-        now = self._kit.loop.now()
-        if isinstance(said, StatusReport):
-            age_ms = Millis(self._wall_clock.now() - said.started_at)
-            self._perform(self._core.on_report(said, age_ms, now))
+        now = self._runtime.loop.now()
+        if isinstance(report, StatusReport):
+            age_ms = Millis(self._wall_clock.now() - report.started_at)
+            self._perform(self._core.on_report(report, age_ms, now))
         else:
-            self._perform(self._core.on_departure(said, now))
+            self._perform(self._core.on_departure(report, now))
         return HttpResponse(HTTPStatus.OK, b"{}")
 
-    def _answer_probe(self, request: HttpRequest) -> HttpResponse:
+    def _handle_probe(self, request: HttpRequest) -> HttpResponse:
         is_ready = request.target == self._platform.readiness_path
         is_ready = is_ready and self._core.is_ready and not self._is_stopping
         return HttpResponse(
@@ -174,12 +185,12 @@
             return
         self._is_stopping = True
         fields = {"flows": self._core.flow_count, "backend_lives": self._core.is_ready}
-        self._kit.note(Note("stopping", fields))
-        self._perform(self._core.begin_shutdown(self._kit.loop.now()))
+        self._runtime.record_event(Note("stopping", fields))
+        self._perform(self._core.begin_shutdown(self._runtime.loop.now()))
         if self._core.is_ready:
             # The backend server stays: the sooner this agent is back, the better.
-            self._kit.loop.stop()
+            self._runtime.loop.stop()
             return
-        self._keeper.end(self._kit.loop.now())
+        self._registrar.end(self._runtime.loop.now())
         self._driver.restart()
-        self._kit.loop.call_after(LAST_CALL_MS, self._kit.loop.stop)
+        self._runtime.loop.call_after(ENTRY_REMOVAL_TIMEOUT_MS, self._runtime.loop.stop)
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -20,29 +20,33 @@
 from papayagw._internal.net.plain.adapter import Platform
 from papayagw._internal.net.plain.http_server import HttpRequest, HttpResponse
 from papayagw._internal.net.plain.loop import Alarm
-from papayagw._internal.net.plain.process import ProcessKit, Reload, describe
+from papayagw._internal.net.plain.process import (
+    ProcessRuntime,
+    SettingsLoader,
+    error_fields,
+)
 from papayagw._internal.net.plain.store_driver import StoreDriver
 from papayagw._internal.wire.plain_entries import AGENT_PREFIX, decode_entry
 
-SITE_GAP_MS = Millis(300)
+MIN_SITE_WATCH_INTERVAL_MS = Millis(300)
 """Time in which changes of the configuration gather; it is to be in force in 3 s."""
 
-AGENTS_GAP_MS = Millis(700)
+MIN_AGENTS_WATCH_INTERVAL_MS = Millis(700)
 """Time in which changes of agents gather; openings tell more, and sooner."""
 
-REFRESH_INTERVAL_MS = Millis(500)
+MIN_SITE_REFRESH_INTERVAL_MS = Millis(500)
 """The shortest time between two reads of the configuration that agents' words cause."""
 
-DOUBT_INTERVAL_MS = Millis(200)
+MIN_AGENTS_REFRESH_INTERVAL_MS = Millis(200)
 """The shortest time between two reads of the agents that flows without an owner cause.
 
 Their clients wait for it; after a loss of power most flows are such.
 """
 
-QUIET_MS = Millis(400)
+UNROUTED_IDLE_MS = Millis(400)
 """Without a packet for so long, the routers have left a balancer that stops."""
 
-MISSES_TO_LEAVE = 2
+UNROUTED_REFUSED_PROBES = 2
 """After how many refused probes the routers leave a balancer."""
 
 STOP_MARGIN_MS = Millis(700)
@@ -58,14 +62,17 @@
         Its settings.
     platform : Platform
         What is particular to the platform.
-    reload : callable
+    load_settings : callable
         Reads the settings again.
     """
 
     def __init__(
-        self, settings: PlainBalancerSettings, platform: Platform, reload: Reload
+        self,
+        settings: PlainBalancerSettings,
+        platform: Platform,
+        load_settings: SettingsLoader,
     ):
-        self._kit = ProcessKit("balancer", settings, platform, reload)
+        self._runtime = ProcessRuntime("balancer", settings, platform, load_settings)
         self._settings = settings
         self._platform = platform
         random = Random()
@@ -74,27 +81,27 @@
             self._roster,
             LeastWaitChooser(settings.zone, random),
             self._on_newer_version,
-            self._on_doubt,
+            self._schedule_agents_refresh,
         )
         self._entry = BatchSocket(settings.entry)
-        self._site = PrefixWatcher(
+        self._site_watcher = PrefixWatcher(
             platform.site_key,
-            self._take_site_items,
-            self._take_site_events,
+            self._on_site_items,
+            self._on_site_events,
             random,
-            SITE_GAP_MS,
+            MIN_SITE_WATCH_INTERVAL_MS,
         )
-        self._agents = PrefixWatcher(
+        self._agents_watcher = PrefixWatcher(
             AGENT_PREFIX,
-            self._take_agents,
-            self._take_agent_events,
+            self._on_agent_items,
+            self._on_agent_events,
             random,
-            AGENTS_GAP_MS,
+            MIN_AGENTS_WATCH_INTERVAL_MS,
         )
-        self._site_driver = self._make_driver(self._site)
-        self._agents_driver = self._make_driver(self._agents)
-        self._alarm = Alarm(self._kit.loop, self._on_timer)
-        self._doubt_alarm = Alarm(self._kit.loop, self._refresh_agents)
+        self._site_driver = self._make_driver(self._site_watcher)
+        self._agents_driver = self._make_driver(self._agents_watcher)
+        self._alarm = Alarm(self._runtime.loop, self._on_timer)
+        self._agents_refresh_alarm = Alarm(self._runtime.loop, self._refresh_agents)
         self._was_ready = False
         self._is_stopping = False
         self._refused_probes = 0
@@ -104,38 +111,42 @@
 
     def run(self) -> None:
         """Serve until told to end."""
-        kit = self._kit
-        kit.start()
+        runtime = self._runtime
+        runtime.start()
         self._entry.start()
-        kit.loop.watch(self._entry, self._read_packets)
-        kit.watch_frames(self._on_frame)
-        kit.serve(self._settings.readiness, self._answer_probe)
-        kit.on_stop(self._stop)
-        kit.metrics.gauge("flows remembered", lambda: self._core.flow_count)
-        kit.metrics.gauge("agents known", lambda: len(self._roster))
+        runtime.loop.watch(self._entry, self._read_packets)
+        runtime.watch_frames(self._on_frame)
+        runtime.serve(self._settings.readiness, self._handle_probe)
+        runtime.add_stop_handler(self._stop)
+        runtime.metrics.gauge("flows remembered", lambda: self._core.flow_count)
+        runtime.metrics.gauge("agents known", lambda: len(self._roster))
         self._site_driver.start()
         self._agents_driver.start()
         try:
-            kit.loop.run()
+            runtime.loop.run()
         finally:
             self._entry.close()
-            kit.close()
+            runtime.close()
 
-    def _make_driver(self, follower: PrefixWatcher) -> StoreDriver:
-        kit = self._kit
+    def _make_driver(self, watcher: PrefixWatcher) -> StoreDriver:
+        runtime = self._runtime
         return StoreDriver(
-            kit.loop, self._settings.store, self._platform, follower, kit.note_call
+            runtime.loop,
+            self._settings.store,
+            self._platform,
+            watcher,
+            runtime.record_store_call,
         )
 
     # Packets and frames
 
     def _read_packets(self) -> None:
-        now = self._kit.loop.now()
+        now = self._runtime.loop.now()
         actions: list[Action] = []
         for raw, _ in self._entry.receive_batch():
             packet = self._platform.decode_client_packet(raw)
             if packet is None:
-                self._kit.metrics.count("malformed packets")
+                self._runtime.metrics.count("malformed packets")
                 continue
             self._last_packet_at = now
             actions += self._core.on_client_packet(packet, now)
@@ -143,87 +154,89 @@
 
     def _on_frame(self, frame: Frame, source: Endpoint) -> None:
         if not isinstance(frame, ToBalancer):
-            self._kit.metrics.count("frames of the wrong kind")
+            self._runtime.metrics.count("frames of the wrong kind")
             return
-        self._perform(self._core.on_frame(frame, source, self._kit.loop.now()))
+        self._perform(self._core.on_frame(frame, source, self._runtime.loop.now()))
 
     def _on_timer(self) -> None:
-        self._perform(self._core.on_timer(self._kit.loop.now()))
+        self._perform(self._core.on_timer(self._runtime.loop.now()))
 
     def _perform(self, actions: Sequence[Action]) -> None:
         for action in actions:
             match action:
                 case SendFrame(peer, frame):
-                    self._kit.send_frame(peer, frame)
+                    self._runtime.send_frame(peer, frame)
                 case ResetClient():
-                    self._kit.send_reset(action)
+                    self._runtime.send_reset(action)
                 case Note():
-                    self._kit.note(action)
+                    self._runtime.record_event(action)
         self._alarm.set(self._core.due_at)
 
     # The store
 
     def _on_newer_version(self) -> None:
-        now = self._kit.loop.now()
-        if now - self._site_refreshed_at >= REFRESH_INTERVAL_MS:
+        now = self._runtime.loop.now()
+        if now - self._site_refreshed_at >= MIN_SITE_REFRESH_INTERVAL_MS:
             self._site_refreshed_at = now
-            self._refresh(self._site, self._site_driver)
+            self._refresh(self._site_watcher, self._site_driver)
 
-    def _on_doubt(self) -> None:
+    def _schedule_agents_refresh(self) -> None:
         # After the event at hand: its flow is among those that are confirmed.
-        next_at = self._agents_refreshed_at + DOUBT_INTERVAL_MS
-        self._doubt_alarm.set(Millis(max(self._kit.loop.now(), next_at)))
+        next_at = self._agents_refreshed_at + MIN_AGENTS_REFRESH_INTERVAL_MS
+        self._agents_refresh_alarm.set(Millis(max(self._runtime.loop.now(), next_at)))
 
     def _refresh_agents(self) -> None:
-        self._agents_refreshed_at = self._kit.loop.now()
-        self._refresh(self._agents, self._agents_driver)
+        self._agents_refreshed_at = self._runtime.loop.now()
+        self._refresh(self._agents_watcher, self._agents_driver)
 
-    def _refresh(self, follower: PrefixWatcher, driver: StoreDriver) -> None:
-        if follower.refresh(self._kit.loop.now()):
+    def _refresh(self, watcher: PrefixWatcher, driver: StoreDriver) -> None:
+        if watcher.refresh(self._runtime.loop.now()):
             driver.restart()
 
-    def _take_site_items(self, items: tuple[StoredItem, ...]) -> None:
+    def _on_site_items(self, items: tuple[StoredItem, ...]) -> None:
         for item in items:
             if item.key == self._platform.site_key:
                 self._apply_site(item)
 
-    def _take_site_events(self, events: tuple[StoreEvent, ...]) -> None:
-        self._take_site_items(tuple(e for e in events if isinstance(e, StoredItem)))
+    def _on_site_events(self, events: tuple[StoreEvent, ...]) -> None:
+        self._on_site_items(tuple(e for e in events if isinstance(e, StoredItem)))
 
     def _apply_site(self, item: StoredItem) -> None:
         try:
             site = self._platform.decode_site(item.value)
         except DecodeError as error:
-            self._kit.note(Note("configuration refused", describe(error)))
+            self._runtime.record_event(
+                Note("configuration refused", error_fields(error))
+            )
             return
         fields = {"version": site.version, "revision": item.revision}
         if self._core.apply_site(site):
             fields["routes"] = len(site.routes)
-            self._kit.note(Note("configuration in force", fields))
+            self._runtime.record_event(Note("configuration in force", fields))
 
-    def _take_agents(self, items: tuple[StoredItem, ...]) -> None:
+    def _on_agent_items(self, items: tuple[StoredItem, ...]) -> None:
         for item in items:
             self._put_agent(item)
-        now = self._kit.loop.now()
+        now = self._runtime.loop.now()
         for key in self._roster.miss_others({item.key for item in items}, now):
-            self._note_missing(key)
-        self._settle_missing()
+            self._record_missing_agent(key)
+        self._process_missing_agents()
         self._perform(self._core.on_agents_listed(now))
 
-    def _take_agent_events(self, events: tuple[StoreEvent, ...]) -> None:
-        now = self._kit.loop.now()
+    def _on_agent_events(self, events: tuple[StoreEvent, ...]) -> None:
+        now = self._runtime.loop.now()
         for event in events:
             if isinstance(event, StoredItem):
                 self._put_agent(event)
             elif self._roster.miss(event.key, now):
-                self._note_missing(event.key)
-        self._settle_missing()
+                self._record_missing_agent(event.key)
+        self._process_missing_agents()
 
     def _put_agent(self, item: StoredItem) -> None:
         try:
             entry = decode_entry(item.key, item.value)
         except DecodeError as error:
-            self._kit.note(Note("agent entry refused", describe(error)))
+            self._runtime.record_event(Note("agent entry refused", error_fields(error)))
             return
         if self._roster.put(item.key, entry):
             fields = {
@@ -231,26 +244,26 @@
                 "service": entry.service,
                 "revision": item.revision,
             }
-            self._kit.note(Note("agent known", fields))
+            self._runtime.record_event(Note("agent known", fields))
 
-    def _note_missing(self, key: str) -> None:
-        self._kit.note(Note("agent missing", {"key": key}))
+    def _record_missing_agent(self, key: str) -> None:
+        self._runtime.record_event(Note("agent missing", {"key": key}))
 
-    def _settle_missing(self) -> None:
+    def _process_missing_agents(self) -> None:
         self._perform(self._core.tell_missing())
-        now = self._kit.loop.now()
+        now = self._runtime.loop.now()
         for key in self._roster.forget_gone(now):
-            self._kit.note(Note("agent gone", {"key": key}))
+            self._runtime.record_event(Note("agent gone", {"key": key}))
 
     # Readiness and end
 
-    def _answer_probe(self, request: HttpRequest) -> HttpResponse:
+    def _handle_probe(self, request: HttpRequest) -> HttpResponse:
         if request.target != self._platform.readiness_path:
             return HttpResponse(HTTPStatus.NOT_FOUND)
         is_ready = self._core.is_ready and not self._is_stopping
         if is_ready and not self._was_ready:
             self._was_ready = True
-            self._kit.note(Note("ready", {"agents": len(self._roster)}))
+            self._runtime.record_event(Note("ready", {"agents": len(self._roster)}))
         if self._is_stopping:
             self._refused_probes += 1
         status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
@@ -260,14 +273,19 @@
         if self._is_stopping:
             return
         self._is_stopping = True
-        self._kit.note(Note("stopping", {"flows": self._core.flow_count}))
-        left_ms = self._kit.settings.grace_ms - STOP_MARGIN_MS
-        self._kit.loop.call_after(Millis(left_ms), self._kit.loop.stop)
-        self._check_left()
-
-    def _check_left(self) -> None:
-        quiet_ms = self._kit.loop.now() - self._last_packet_at
-        if self._refused_probes >= MISSES_TO_LEAVE and quiet_ms > QUIET_MS:
-            self._kit.loop.stop()
+        self._runtime.record_event(Note("stopping", {"flows": self._core.flow_count}))
+        remaining_ms = self._runtime.settings.grace_ms - STOP_MARGIN_MS
+        self._runtime.loop.call_after(Millis(remaining_ms), self._runtime.loop.stop)
+        self._check_unrouted()
+
+    def _check_unrouted(self) -> None:
+        idle_ms = self._runtime.loop.now() - self._last_packet_at
+        if (
+            self._refused_probes >= UNROUTED_REFUSED_PROBES
+            and idle_ms > UNROUTED_IDLE_MS
+        ):
+            self._runtime.loop.stop()
             return
-        self._kit.loop.call_after(Millis(QUIET_MS // 2), self._check_left)
+        self._runtime.loop.call_after(
+            Millis(UNROUTED_IDLE_MS // 2), self._check_unrouted
+        )
--- a/src/papayagw/_internal/net/plain/http_client.py
+++ b/src/papayagw/_internal/net/plain/http_client.py
@@ -15,7 +15,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.net.plain.loop import Loop
 
-MAX_ANSWER_BYTES = 4 << 20
+MAX_RESPONSE_BYTES = 4 << 20
 """More than a page of the store, 1 MB, in base64 with its fields."""
 
 _READ_BYTES = 65_536
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HttpAnswer:
+class HttpResult:
     """What came back.
 
     Attributes
@@ -58,7 +58,7 @@
         What is sent along, as JSON.
     timeout_ms : Millis
         How long the whole answer may take.
-    on_answer : callable
+    on_result : callable
         Takes the answer, once, unless the exchange is closed before.
     """
 
@@ -70,13 +70,13 @@
         target: str,
         body: bytes,
         timeout_ms: Millis,
-        on_answer: Callable[[HttpAnswer], None],
+        on_result: Callable[[HttpResult], None],
     ):
         self._loop = loop
         self._peer = peer
         self._request = (method, target, body)
         self._timeout_ms = timeout_ms
-        self._on_answer = on_answer
+        self._on_result = on_result
         self._http = h11.Connection(h11.CLIENT)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._unsent = b""
@@ -111,7 +111,7 @@
             return
         self._is_closed = True
         self._timer.cancel()
-        self._loop.forget(self._socket)
+        self._loop.unwatch(self._socket)
         self._socket.close()
 
     def _write_request(self) -> bytes:
@@ -153,11 +153,11 @@
             return
         try:
             self._http.receive_data(data)
-            self._take_events(is_over=not data)
+            self._process_events(is_eof=not data)
         except h11.RemoteProtocolError as error:
             self._fail(str(error))
 
-    def _take_events(self, *, is_over: bool) -> None:
+    def _process_events(self, *, is_eof: bool) -> None:
         while True:
             event = self._http.next_event()
             if isinstance(event, h11.Response):
@@ -165,24 +165,24 @@
             elif isinstance(event, h11.Data):
                 self._body.append(bytes(event.data))
                 self._size += len(event.data)
-                if self._size > MAX_ANSWER_BYTES:
+                if self._size > MAX_RESPONSE_BYTES:
                     self._fail("answer too large")
                     return
             elif isinstance(event, h11.EndOfMessage):
-                self._finish(HttpAnswer(self._status, b"".join(self._body)))
+                self._finish(HttpResult(self._status, b"".join(self._body)))
                 return
             else:
                 break
-        if is_over:
+        if is_eof:
             self._fail("closed before the answer was whole")
 
     def _on_timeout(self) -> None:
         self._fail(f"no answer in {self._timeout_ms} ms")
 
     def _fail(self, failure: str) -> None:
-        self._finish(HttpAnswer(0, failure=failure))
+        self._finish(HttpResult(0, failure=failure))
 
-    def _finish(self, answer: HttpAnswer) -> None:
+    def _finish(self, result: HttpResult) -> None:
         if not self._is_closed:
             self.close()
-            self._on_answer(answer)
+            self._on_result(result)
--- a/src/papayagw/_internal/net/plain/http_server.py
+++ b/src/papayagw/_internal/net/plain/http_server.py
@@ -16,7 +16,7 @@
 MAX_REQUEST_BYTES = 16_384
 """A report has a few hundred bytes."""
 
-IDLE_LIMIT_MS = Millis(15_000)
+IDLE_TIMEOUT_MS = Millis(15_000)
 """How long a connection may be silent: ten intervals between reports."""
 
 _BACKLOG = 64
@@ -84,7 +84,7 @@
 
     def close(self) -> None:
         """Close the listener and all connections."""
-        self._loop.forget(self._listener)
+        self._loop.unwatch(self._listener)
         self._listener.close()
         for connection in list(self._connections.values()):
             connection.close()
@@ -129,13 +129,13 @@
         self._unsent = b""
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._timer = loop.call_after(IDLE_LIMIT_MS, self.close)
+        self._timer = loop.call_after(IDLE_TIMEOUT_MS, self.close)
         loop.watch(accepted, self._on_readable)
 
     def close(self) -> None:
         """Close the connection."""
         self._timer.cancel()
-        self._loop.forget(self._socket)
+        self._loop.unwatch(self._socket)
         self._socket.close()
         self._on_close()
 
@@ -149,16 +149,16 @@
             self.close()
             return
         self._timer.cancel()
-        self._timer = self._loop.call_after(IDLE_LIMIT_MS, self.close)
+        self._timer = self._loop.call_after(IDLE_TIMEOUT_MS, self.close)
         try:
             self._http.receive_data(data)
-            is_open = self._take_events()
+            is_open = self._process_events()
         except h11.RemoteProtocolError:
             is_open = False
         if not is_open or not data:
             self.close()
 
-    def _take_events(self) -> bool:
+    def _process_events(self) -> bool:
         """Answer what has come; return whether the connection goes on."""
         while True:
             event = self._http.next_event()
--- a/src/papayagw/_internal/net/plain/loop.py
+++ b/src/papayagw/_internal/net/plain/loop.py
@@ -13,7 +13,7 @@
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
 
 _NANOS_PER_MILLI = 1_000_000
-_COMPACT_TIMERS = 256
+_COMPACTION_THRESHOLD = 256
 """From how many timers on cancelled ones are cleared away."""
 
 
@@ -25,17 +25,17 @@
 
 
 class Timer:
-    """A call at a later time; `cancel` takes it back."""
+    """A callback at a later time; `cancel` takes it back."""
 
-    __slots__ = ("at", "call")
+    __slots__ = ("at", "callback")
 
-    def __init__(self, at: Millis, call: Callable[[], None]):
+    def __init__(self, at: Millis, callback: Callable[[], None]):
         self.at = at
-        self.call: Callable[[], None] | None = call
+        self.callback: Callable[[], None] | None = callback
 
     def cancel(self) -> None:
-        """Take the call back."""
-        self.call = None
+        """Take the callback back."""
+        self.callback = None
 
 
 class Loop:
@@ -44,7 +44,7 @@
     Parameters
     ----------
     on_fault : callable
-        Takes an exception that escaped from a call. The loop goes on: one message
+        Takes an exception that escaped from a callback. The loop goes on: one message
         must not end a process that carries the flows of others.
     """
 
@@ -66,7 +66,7 @@
         for end in (self._wake_reader, self._wake_writer):
             end.setblocking(False)
         signal.set_wakeup_fd(self._wake_writer.fileno())
-        self.watch(self._wake_reader, self._take_signals)
+        self.watch(self._wake_reader, self._handle_signals)
 
     def close(self) -> None:
         """Give the descriptors back."""
@@ -75,9 +75,9 @@
         self._wake_reader.close()
         self._wake_writer.close()
 
-    def on_signal(self, number: int, call: Callable[[], None]) -> None:
-        """Call `call` in the loop whenever the signal comes."""
-        self._signals[number] = call
+    def add_signal_handler(self, number: int, callback: Callable[[], None]) -> None:
+        """Call `callback` in the loop whenever the signal comes."""
+        self._signals[number] = callback
         # The number reaches the loop through the descriptor of `start`.
         signal.signal(number, lambda *_: None)
 
@@ -96,20 +96,20 @@
         else:
             self._selector.register(source, events, calls)
 
-    def forget(self, source: HasFileno) -> None:
+    def unwatch(self, source: HasFileno) -> None:
         """Wait for `source` no more."""
         with suppress(KeyError, ValueError):
             self._selector.unregister(source)
 
-    def call_at(self, at: Millis, call: Callable[[], None]) -> Timer:
-        """Call `call` once at a time."""
-        timer = Timer(at, call)
+    def call_at(self, at: Millis, callback: Callable[[], None]) -> Timer:
+        """Call `callback` once at a time."""
+        timer = Timer(at, callback)
         heapq.heappush(self._timers, (at, next(self._order), timer))
         return timer
 
-    def call_after(self, delay: Millis, call: Callable[[], None]) -> Timer:
-        """Call `call` once after a while."""
-        return self.call_at(Millis(self.now() + delay), call)
+    def call_after(self, delay: Millis, callback: Callable[[], None]) -> Timer:
+        """Call `callback` once after a while."""
+        return self.call_at(Millis(self.now() + delay), callback)
 
     def stop(self) -> None:
         """Make `run` return."""
@@ -121,19 +121,19 @@
             for key, mask in self._selector.select(self._wait_seconds()):
                 on_readable, on_writable = key.data
                 if mask & selectors.EVENT_READ and on_readable is not None:
-                    self._guard(on_readable)
+                    self._run_callback(on_readable)
                 if mask & selectors.EVENT_WRITE and on_writable is not None:
-                    self._guard(on_writable)
+                    self._run_callback(on_writable)
             self._run_timers()
 
-    def _guard(self, call: Callable[[], None]) -> None:
+    def _run_callback(self, callback: Callable[[], None]) -> None:
         try:
-            call()
+            callback()
         except Exception as error:
             self._on_fault(error)
 
     def _wait_seconds(self) -> float | None:
-        while self._timers and self._timers[0][2].call is None:
+        while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
         if not self._timers:
             return None
@@ -143,19 +143,19 @@
         now = self.now()
         while self._timers and self._timers[0][0] <= now:
             _, _, timer = heapq.heappop(self._timers)
-            call, timer.call = timer.call, None
-            if call is not None:
-                self._guard(call)
-        if len(self._timers) > _COMPACT_TIMERS:
-            self._timers = [one for one in self._timers if one[2].call is not None]
+            callback, timer.callback = timer.callback, None
+            if callback is not None:
+                self._run_callback(callback)
+        if len(self._timers) > _COMPACTION_THRESHOLD:
+            self._timers = [one for one in self._timers if one[2].callback is not None]
             heapq.heapify(self._timers)
 
-    def _take_signals(self) -> None:
+    def _handle_signals(self) -> None:
         with suppress(BlockingIOError):
             for number in self._wake_reader.recv(64):
-                call = self._signals.get(number)
-                if call is not None:
-                    call()
+                callback = self._signals.get(number)
+                if callback is not None:
+                    callback()
 
 
 class Alarm:
@@ -165,20 +165,20 @@
     ----------
     loop : Loop
         The loop.
-    call : callable
+    callback : callable
         What is called when the time has come.
     """
 
-    def __init__(self, loop: Loop, call: Callable[[], None]):
+    def __init__(self, loop: Loop, callback: Callable[[], None]):
         self._loop = loop
-        self._call = call
+        self._callback = callback
         self._timer: Timer | None = None
 
     def set(self, at: Millis | None) -> None:
         """Call at `at` and not at the time set before; None calls never."""
         timer = self._timer
-        if timer is not None and timer.call is not None:
+        if timer is not None and timer.callback is not None:
             if timer.at == at:
                 return
             timer.cancel()
-        self._timer = None if at is None else self._loop.call_at(at, self._call)
+        self._timer = None if at is None else self._loop.call_at(at, self._callback)
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -31,14 +31,14 @@
 from papayagw._internal.observe.json_lines import JsonLines
 from papayagw._internal.wire.plain_frames import MAX_FRAME_BYTES, PlainFrameCodec
 
-SETTINGS_CHECK_MS = Millis(5_000)
+SETTINGS_CHECK_INTERVAL_MS = Millis(5_000)
 """How often the settings file is looked at for a change that no signal told of."""
 
-MAX_INTERNED_PEERS = 16_384
+MAX_INTERNED_ENDPOINTS = 16_384
 """The most peers whose endpoints are kept ready."""
 
 
-class Reload(Protocol):
+class SettingsLoader(Protocol):
     """Reads the settings file again."""
 
     def __call__(self) -> PlainSettings:
@@ -51,7 +51,7 @@
         """
 
 
-class ProcessKit:
+class ProcessRuntime:
     """Loop, sockets, logs and metrics of one process.
 
     Parameters
@@ -62,18 +62,22 @@
         Its settings.
     platform : Platform
         What is particular to the platform.
-    reload : callable
+    load_settings : callable
         Reads the settings again.
     """
 
     def __init__(
-        self, role: str, settings: PlainSettings, platform: Platform, reload: Reload
+        self,
+        role: str,
+        settings: PlainSettings,
+        platform: Platform,
+        load_settings: SettingsLoader,
     ):
         self._role = role
         self._settings = settings
         self._platform = platform
-        self._reload = reload
-        self.loop = Loop(self._note_fault)
+        self._load_settings_file = load_settings
+        self.loop = Loop(self._record_fault)
         self.log = JsonLines(settings.name, self.loop)
         self.metrics = Exposition()
         self._inner = BatchSocket(settings.inner, max_bytes=MAX_FRAME_BYTES)
@@ -91,10 +95,12 @@
         """Take signals, sockets and the metrics endpoint."""
         self.log.start()
         self.loop.start()
-        self.loop.on_signal(signal.SIGHUP, lambda: self._load_settings("signal"))
+        self.loop.add_signal_handler(
+            signal.SIGHUP, lambda: self._reload_settings("signal")
+        )
         self._inner.start()
-        self.serve(self._settings.metrics, self._show_metrics)
-        self.loop.call_after(SETTINGS_CHECK_MS, self._check_settings)
+        self.serve(self._settings.metrics, self._handle_metrics_request)
+        self.loop.call_after(SETTINGS_CHECK_INTERVAL_MS, self._check_settings)
         fields = {"role": self._role, "version": __version__}
         self.log.write("started", {**fields, "inner": self._settings.inner})
 
@@ -123,11 +129,11 @@
                 try:
                     frame = self._frames.decode(data)
                 except DecodeError as error:
-                    self.note(
+                    self.record_event(
                         Note("frame dropped", {"peer": source, "reason": error.what})
                     )
                     continue
-                on_frame(frame, self._intern(source))
+                on_frame(frame, self._intern_endpoint(source))
 
         self.loop.watch(self._inner, read)
 
@@ -142,7 +148,7 @@
         self._inner.send(raw, client.sockaddr)
         self.metrics.count("resets")
 
-    def note(self, note: Note) -> None:
+    def record_event(self, note: Note) -> None:
         """Log and count an event."""
         self.metrics.count(note.event)
         took_ms = note.fields.get("ms")
@@ -150,7 +156,9 @@
             self.metrics.time(note.event, took_ms)
         self.log.write(note.event, note.fields)
 
-    def note_call(self, call: StoreCall, answer: StoreAnswer, took_ms: int) -> None:
+    def record_store_call(
+        self, call: StoreCall, answer: StoreAnswer, took_ms: int
+    ) -> None:
         """Count a call of the store; log where it is lost and regained."""
         name = type(call).__name__
         self.metrics.count(f"store {name}")
@@ -163,47 +171,49 @@
             self._is_store_lost = is_lost
             event = "store lost" if is_lost else "store regained"
             reason = {"reason": answer.reason} if isinstance(answer, CallFailed) else {}
-            self.note(Note(event, {"call": name, "took_ms": took_ms, **reason}))
+            self.record_event(Note(event, {"call": name, "took_ms": took_ms, **reason}))
 
-    def on_stop(self, stop: Callable[[], None]) -> None:
+    def add_stop_handler(self, stop: Callable[[], None]) -> None:
         """Call `stop` when the process is told to end."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.on_signal(number, stop)
+            self.loop.add_signal_handler(number, stop)
 
-    def _note_fault(self, error: Exception) -> None:
+    def _record_fault(self, error: Exception) -> None:
         frames = traceback.format_tb(error.__traceback__)
         fields = {"error": repr(error), "traceback": "".join(frames[-3:])}
-        self.note(Note("fault", fields))
+        self.record_event(Note("fault", fields))
 
-    def _intern(self, source: tuple[str, int]) -> Endpoint:
+    def _intern_endpoint(self, source: tuple[str, int]) -> Endpoint:
         peer = self._peers.get(source)
         if peer is None:
-            if len(self._peers) >= MAX_INTERNED_PEERS:
+            if len(self._peers) >= MAX_INTERNED_ENDPOINTS:
                 self._peers.clear()
             peer = self._peers[source] = Endpoint(*source)
         return peer
 
-    def _show_metrics(self, request: HttpRequest) -> HttpResponse:
+    def _handle_metrics_request(self, request: HttpRequest) -> HttpResponse:
         body = self.metrics.show().encode()
         return HttpResponse(HTTPStatus.OK, body, CONTENT_TYPE)
 
     def _check_settings(self) -> None:
-        self._load_settings("file")
-        self.loop.call_after(SETTINGS_CHECK_MS, self._check_settings)
+        self._reload_settings("file")
+        self.loop.call_after(SETTINGS_CHECK_INTERVAL_MS, self._check_settings)
 
-    def _load_settings(self, cause: str) -> None:
+    def _reload_settings(self, cause: str) -> None:
         try:
-            settings = self._reload()
+            settings = self._load_settings_file()
         except SettingsError as error:
-            self.note(Note("settings refused", {"cause": cause, "reason": error}))
+            self.record_event(
+                Note("settings refused", {"cause": cause, "reason": error})
+            )
             return
         if settings != self._settings:
             self._settings = settings
-            self.note(Note("settings reloaded", {"cause": cause}))
+            self.record_event(Note("settings reloaded", {"cause": cause}))
         elif cause == "signal":
-            self.note(Note("settings unchanged", {"cause": cause}))
+            self.record_event(Note("settings unchanged", {"cause": cause}))
 
 
-def describe(error: PapayagwError) -> dict[str, object]:
+def error_fields(error: PapayagwError) -> dict[str, object]:
     """Return the fields of an error as logs have them."""
     return {"step": error.step, "peer": error.peer, "reason": error.what}
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -10,7 +10,7 @@
     StoreCall,
 )
 from papayagw._internal.net.plain.adapter import StoreCodec
-from papayagw._internal.net.plain.http_client import HttpAnswer, HttpExchange
+from papayagw._internal.net.plain.http_client import HttpExchange, HttpResult
 from papayagw._internal.net.plain.loop import Alarm, Loop
 
 
@@ -32,7 +32,7 @@
         The service.
     codec : StoreCodec
         How calls look to the service.
-    user : StoreUser
+    client : StoreClient
         Decides on calls.
     on_answer : callable
         Hears of each answer.
@@ -43,20 +43,20 @@
         loop: Loop,
         store: Endpoint,
         codec: StoreCodec,
-        user: StoreClient,
+        client: StoreClient,
         on_answer: CallRecorder,
     ):
         self._loop = loop
         self._store = store
         self._codec = codec
-        self._user = user
+        self._client = client
         self._on_answer = on_answer
         self._exchange: HttpExchange | None = None
-        self._alarm = Alarm(loop, self._call)
+        self._alarm = Alarm(loop, self._start_call)
 
     def start(self) -> None:
         """Make the first call."""
-        self._call()
+        self._start_call()
 
     def close(self) -> None:
         """Give up the call under way."""
@@ -65,28 +65,28 @@
             self._exchange.close()
             self._exchange = None
 
-    def wake(self) -> None:
+    def reschedule(self) -> None:
         """Look again when the next call is due; one under way goes on."""
         if self._exchange is None:
-            self._alarm.set(self._user.due_at)
+            self._alarm.set(self._client.due_at)
 
     def restart(self) -> None:
         """Give up the call under way and make the next one when it is due."""
         self.close()
-        self.wake()
+        self.reschedule()
 
-    def _call(self) -> None:
+    def _start_call(self) -> None:
         if self._exchange is not None:
             return
-        timed = self._user.next_call()
-        if timed is None:
+        timed_call = self._client.next_call()
+        if timed_call is None:
             return
-        call, started_at = timed.call, self._loop.now()
+        call, started_at = timed_call.call, self._loop.now()
         http = self._codec.encode_call(call)
 
-        def take(answer: HttpAnswer) -> None:
+        def on_result(result: HttpResult) -> None:
             self._exchange = None
-            self._take(call, answer, self._loop.now() - started_at)
+            self._on_http_result(call, result, self._loop.now() - started_at)
 
         self._exchange = HttpExchange(
             self._loop,
@@ -94,17 +94,19 @@
             http.method,
             http.target,
             http.body,
-            timed.timeout_ms,
-            take,
+            timed_call.timeout_ms,
+            on_result,
         )
         self._exchange.start()
 
-    def _take(self, call: StoreCall, http: HttpAnswer, took_ms: int) -> None:
+    def _on_http_result(
+        self, call: StoreCall, result: HttpResult, took_ms: int
+    ) -> None:
         answer: StoreAnswer
-        if http.status:
-            answer = self._codec.decode_answer(call, http.status, http.body)
+        if result.status:
+            answer = self._codec.decode_answer(call, result.status, result.body)
         else:
-            answer = CallFailed(http.failure)
-        self._user.on_answer(call, answer, self._loop.now())
+            answer = CallFailed(result.failure)
+        self._client.on_answer(call, answer, self._loop.now())
         self._on_answer(call, answer, took_ms)
-        self.wake()
+        self.reschedule()
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -10,8 +10,8 @@
 
 FLOWS = 8
 KILLS = 20
-KILL_EVERY_S = 1.0
-BACK_S = 2.0
+KILL_INTERVAL_S = 1.0
+ENTRY_RESTORE_TIMEOUT_S = 2.0
 """How soon an entry is back after the store's return."""
 
 
@@ -34,63 +34,65 @@
         client.close()
 
 
-def keep_asking(clients, until, broken):
+def send_requests_until(clients, deadline, failed):
     """Send requests on each flow in turn until a time; note those that break."""
     number = 0
-    while time.monotonic() < until:
+    while time.monotonic() < deadline:
         for index, client in enumerate(clients):
             number += 1
             if client.request(b"request %08d" % number) is not True:
-                broken.append(index)
+                failed.append(index)
         time.sleep(0.02)
 
 
 @pytest.mark.parametrize("role", ["balancers", "agents"])
-def test_no_flow_breaks_while_each_program_is_killed_in_turn(fleet, flows, role):
+def test_flows_survive_kills_of_each_process_in_turn(fleet, flows, role):
     names = getattr(fleet, role)
-    broken = []
-    until = time.monotonic() + KILLS * KILL_EVERY_S
-    asking = threading.Thread(target=keep_asking, args=(flows, until, broken))
-    asking.start()
+    failed = []
+    deadline = time.monotonic() + KILLS * KILL_INTERVAL_S
+    sender = threading.Thread(
+        target=send_requests_until, args=(flows, deadline, failed)
+    )
+    sender.start()
     for number in range(KILLS):
         name = names[number % len(names)]
         fleet.kill(name)
         fleet.start_one(name)
-        time.sleep(KILL_EVERY_S)
-    asking.join()
-    assert broken == []
+        time.sleep(KILL_INTERVAL_S)
+    sender.join()
+    assert failed == []
 
 
-def test_a_request_runs_once(fleet, flows):
+def test_each_request_runs_once(fleet, flows):
     for number, client in enumerate(flows):
         assert client.request(b"once %d" % number) is True
     runs = [count for one in fleet.backends.values() for count in one.runs.values()]
     assert len(runs) == FLOWS
 
 
-def test_flows_go_on_while_the_store_is_down(fleet, flows):
+def test_flows_are_served_during_a_store_outage(fleet, flows):
     fleet.store.is_down = True
     time.sleep(1.5)
     assert all(client.request(b"down") is True for client in flows)
-    late = fleet.make_client()
-    assert late.open()
-    assert late.request(b"opened while it is down") is True
-    late.close()
+    late_client = fleet.make_client()
+    assert late_client.open()
+    assert late_client.request(b"opened while it is down") is True
+    late_client.close()
 
 
-def test_a_lapsed_entry_is_back_after_the_stores_return(fleet, flows):
+def test_an_expired_entry_is_restored_after_a_store_outage(fleet, flows):
     key = f"papayagw/agents/{fleet.agents[0]}"
     fleet.store.is_down = True
     fleet.store.remove(key)
     time.sleep(1.0)
     fleet.store.is_down = False
-    deadline = time.monotonic() + BACK_S
+    deadline = time.monotonic() + ENTRY_RESTORE_TIMEOUT_S
     while key not in fleet.store.list_keys():
         assert time.monotonic() < deadline, "the entry isn't back"
         time.sleep(0.02)
 
 
-def test_a_stopping_balancer_turns_unready_and_goes_on_until_it_is_left(fleet, flows):
+def test_a_stopping_balancer_serves_until_it_is_out_of_rotation(fleet, flows):
     name = fleet.balancers[0]
     fleet.signal(name, signal.SIGTERM)
     time.sleep(0.3)
@@ -103,14 +105,14 @@
 
 
 @pytest.mark.parametrize("name", ["balancer-1", "agent-1"])
-def test_a_hangup_reads_the_settings_and_ends_nothing(fleet, flows, name):
+def test_sighup_reloads_the_settings_without_interrupting_flows(fleet, flows, name):
     fleet.signal(name, signal.SIGHUP)
     time.sleep(0.3)
     assert "settings unchanged" in [one["event"] for one in fleet.log(name)]
     assert all(client.request(b"after the hangup") is True for client in flows)
 
 
-def test_bytes_from_anywhere_end_nothing(fleet, flows):
+def test_malformed_datagrams_cause_no_faults(fleet, flows):
     client = flows[0]
     for name in (*fleet.balancers, *fleet.agents):
         ports = fleet.ports
@@ -122,7 +124,7 @@
     assert "fault" not in events
 
 
-def test_logs_and_measurements_tell_of_an_opening(fleet, flows):
+def test_logs_and_metrics_record_an_accepted_opening(fleet, flows):
     text = "".join(fleet.metrics(name) for name in fleet.balancers)
     assert 'papayagw_opening_accepted_ms_bucket{le="+Inf"}' in text
     accepted = [
@@ -132,6 +134,6 @@
         if one["event"] == "opening accepted"
     ]
     # A client's copy may be accepted too, elsewhere.
-    shown = {one["flow"].partition(":")[0] for one in accepted}
-    assert shown == {client.flow[0][0] for client in flows}
+    logged = {one["flow"].partition(":")[0] for one in accepted}
+    assert logged == {client.flow[0][0] for client in flows}
     assert {"time", "node", "flow", "agent", "ms", "offers"} <= set(accepted[0])
--- a/tests/unit/test_plain_frames.py
+++ b/tests/unit/test_plain_frames.py
@@ -51,7 +51,7 @@
 
 
 @pytest.mark.parametrize("frame", FRAMES, ids=lambda frame: type(frame).__name__)
-def test_a_changed_bit_is_noticed(frame):
+def test_a_flipped_bit_is_rejected(frame):
     data = CODEC.encode(frame)
     for position in range(len(data)):
         changed = bytearray(data)
@@ -61,7 +61,7 @@
 
 
 @given(st.binary(max_size=200))
-def test_foreign_bytes_are_refused(data):
+def test_arbitrary_bytes_are_rejected(data):
     with pytest.raises(DecodeError):
         CODEC.decode(data)
 
--- a/tests/unit/test_plain_imports.py
+++ b/tests/unit/test_plain_imports.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-HEAVY = {
+FORBIDDEN_MODULES = {
     "absl",
     "aioquic",
     "anyio",
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize("role", ["balancer", "agent"])
-def test_a_role_loads_only_what_it_uses(role):
+def test_a_role_imports_no_unused_heavy_modules(role):
     code = (
         "import sys\n"
         f"import papayagw._internal.net.plain.{role}_process\n"
@@ -50,5 +50,5 @@
         check=True,
     )
     memory, modules = found.stdout.splitlines()
-    assert not HEAVY & set(modules.split())
+    assert not FORBIDDEN_MODULES & set(modules.split())
     assert int(memory) < MEMORY_LIMIT_KB
