--- a/src/papayagw/_internal/net/plain/__init__.py
+++ b/src/papayagw/_internal/net/plain/__init__.py
@@ -1,6 +1,6 @@
-"""Sockets and timers round the core of the plain UDP front end.
+"""Sockets and timers around the core of the plain UDP front end.
 
-These processes run on a loop of their own: to import anyio with its backend takes
-0.15 s of processor time and 21 MB, as much as a whole process here may take until
-it serves. See docs/PLATFORM.md.
+The processes use their own event loop, because importing anyio and its backend takes
+0.15 s of processor time and 21 MB. That is the whole start-up budget of a process
+here. See docs/PLATFORM.md.
 """
--- a/src/papayagw/_internal/net/plain/adapter.py
+++ b/src/papayagw/_internal/net/plain/adapter.py
@@ -1,4 +1,4 @@
-"""What the processes need of the platform that they run on, as protocol types."""
+"""Protocol types of the interface between the processes and their platform."""
 
 from typing import Protocol
 
@@ -10,74 +10,74 @@
 
 
 class PacketCodec(Protocol):
-    """The packets of clients and backend servers."""
+    """Encodes and decodes the packets of clients and backend servers."""
 
     def decode_client_packet(self, raw: bytes) -> FlowPacket | None:
-        """Return a client's packet, or None if it isn't one."""
+        """Decode a client's packet; return None if `raw` is malformed."""
 
     def decode_backend_packet(self, raw: bytes) -> FlowPacket | None:
-        """Return a backend server's packet, or None if it isn't one."""
+        """Decode a backend server's packet; return None if `raw` is malformed."""
 
     def encode_for_backend(self, packet: FlowPacket, token: int) -> bytes:
-        """Return a client's packet with the agent's number in it."""
+        """Encode a client's packet with the agent's token in its header."""
 
     def encode_client_packet(self, packet: FlowPacket) -> bytes:
-        """Return a client's packet as the client sent it."""
+        """Encode a packet as its client sent it, without the agent's token."""
 
     def encode_reset(self, flow: FlowKey, sequence: int) -> bytes:
-        """Return a reset from the flow's entry to its client."""
+        """Encode a reset from the flow's entry to its client."""
 
     def client_endpoint(self, flow: FlowKey, port: int) -> Endpoint:
-        """Return where the flow's client takes packets."""
+        """Return the endpoint at which the flow's client receives packets."""
 
 
 class HttpCall(Protocol):
-    """A call as HTTP carries it."""
+    """The HTTP request of a store call."""
 
     @property
     def method(self) -> str:
-        """The method."""
+        """HTTP method."""
 
     @property
     def target(self) -> str:
-        """Path and query."""
+        """Request target: path and query."""
 
     @property
     def body(self) -> bytes:
-        """The body; empty if there is none."""
+        """Request body; empty if there is none."""
 
 
 class StoreCodec(Protocol):
-    """The calls of the key-value service."""
+    """Encodes and decodes the calls of the key-value service."""
 
     def encode_call(self, call: StoreCall) -> HttpCall:
-        """Return the HTTP form of a call."""
+        """Encode a call as an HTTP request."""
 
     def decode_answer(self, call: StoreCall, status: int, body: bytes) -> StoreAnswer:
-        """Return what an answer says."""
+        """Decode the HTTP response to a call."""
 
 
 class Platform(PacketCodec, StoreCodec, Protocol):
-    """All that is particular to a platform."""
+    """Everything that is specific to a platform."""
 
     @property
     def site_key(self) -> str:
-        """The key of the operators' configuration."""
+        """Key of the operators' configuration in the store."""
 
     @property
     def readiness_path(self) -> str:
-        """The path at which readiness is asked for."""
+        """Path of the readiness probe."""
 
     def decode_site(self, value: bytes) -> SiteVersion:
-        """Return the operators' configuration.
+        """Decode the operators' configuration.
 
         Raises
         ------
         DecodeError
-            If the bytes aren't one.
+            If `value` isn't a valid configuration.
         """
 
     def decode_report(
         self, method: str, path: str, body: bytes
     ) -> StatusReport | Departure | None:
-        """Return what a backend server reports, or None if it is of no use."""
+        """Decode a backend server's report; return None if the request is invalid."""
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -1,4 +1,4 @@
-"""The agent of the plain front end as a process."""
+"""Process of the plain front end's agent: sockets, HTTP servers and store client."""
 
 from collections.abc import Sequence
 from http import HTTPStatus
@@ -32,20 +32,20 @@
 from papayagw._internal.wire.plain_entries import agent_key, encode_entry
 
 ENTRY_REMOVAL_TIMEOUT_MS = Millis(800)
-"""How long an agent that ends waits for the store to remove its entry."""
+"""How long a stopping agent waits for the store to remove its entry."""
 
 
 class PlainAgentProcess:
-    """Everything that an agent process runs.
+    """Runs the agent core with its sockets, HTTP servers and store client.
 
     Parameters
     ----------
     settings : PlainAgentSettings
-        Its settings.
+        Settings of the process.
     platform : Platform
-        What is particular to the platform.
+        Packet formats, store protocol and reports of the platform.
     load_settings : callable
-        Reads the settings again.
+        Reads the settings file again.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         self._is_stopping = False
 
     def run(self) -> None:
-        """Serve until told to end."""
+        """Serve until SIGTERM or SIGINT."""
         runtime = self._runtime
         runtime.start()
         self._outbound.start()
@@ -155,7 +155,7 @@
         if self._is_stopping and self._registrar.is_ended:
             self._runtime.loop.stop()
 
-    # Reports and readiness
+    # Reports, readiness and shutdown
 
     def _handle_report(self, request: HttpRequest) -> HttpResponse:
         report = self._platform.decode_report(
@@ -188,7 +188,8 @@
         self._runtime.record_event(Note("stopping", fields))
         self._perform(self._core.begin_shutdown(self._runtime.loop.now()))
         if self._core.is_ready:
-            # The backend server stays: the sooner this agent is back, the better.
+            # The backend server keeps running. The agent keeps its entry and exits at
+            # once, so that it can be restarted as soon as possible.
             self._runtime.loop.stop()
             return
         self._registrar.end(self._runtime.loop.now())
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -1,4 +1,4 @@
-"""The balancer of the plain front end as a process."""
+"""Process of the plain front end's balancer: sockets, probes and store watches."""
 
 from collections.abc import Sequence
 from http import HTTPStatus
@@ -29,41 +29,51 @@
 from papayagw._internal.wire.plain_entries import AGENT_PREFIX, decode_entry
 
 MIN_SITE_WATCH_INTERVAL_MS = Millis(300)
-"""Time in which changes of the configuration gather; it is to be in force in 3 s."""
+"""Shortest time between watches of the configuration; batches its changes.
+
+A change must be in force within 3 s.
+"""
 
 MIN_AGENTS_WATCH_INTERVAL_MS = Millis(700)
-"""Time in which changes of agents gather; openings tell more, and sooner."""
+"""Shortest time between watches of the agents' entries; batches their changes.
+
+The agents' replies to openings show their state earlier and in more detail.
+"""
 
 MIN_SITE_REFRESH_INTERVAL_MS = Millis(500)
-"""The shortest time between two reads of the configuration that agents' words cause."""
+"""Shortest time between two reads of the configuration requested by agents.
+
+An agent requests one by reporting a version newer than the one in force.
+"""
 
 MIN_AGENTS_REFRESH_INTERVAL_MS = Millis(200)
-"""The shortest time between two reads of the agents that flows without an owner cause.
+"""Shortest time between two reads of the agents for flows without a known owner.
 
-Their clients wait for it; after a loss of power most flows are such.
+It is short because the clients of these flows wait for the read. After a power
+failure most flows are of this kind.
 """
 
 UNROUTED_IDLE_MS = Millis(400)
-"""Without a packet for so long, the routers have left a balancer that stops."""
+"""Time without a client packet before a stopping balancer counts as unrouted."""
 
 UNROUTED_REFUSED_PROBES = 2
-"""After how many refused probes the routers leave a balancer."""
+"""Refused readiness probes after which routers stop sending to a balancer."""
 
 STOP_MARGIN_MS = Millis(700)
-"""How long before the end of the grace a balancer ends whatever still comes."""
+"""How long before the end of the grace period a balancer exits in any case."""
 
 
 class PlainBalancerProcess:
-    """Everything that a balancer process runs.
+    """Runs the balancer core with its sockets, readiness endpoint and store watches.
 
     Parameters
     ----------
     settings : PlainBalancerSettings
-        Its settings.
+        Settings of the process.
     platform : Platform
-        What is particular to the platform.
+        Packet formats, store protocol and reports of the platform.
     load_settings : callable
-        Reads the settings again.
+        Reads the settings file again.
     """
 
     def __init__(
@@ -110,7 +120,7 @@
         self._last_packet_at = Millis(0)
 
     def run(self) -> None:
-        """Serve until told to end."""
+        """Serve until SIGTERM or SIGINT and the shutdown that follows it."""
         runtime = self._runtime
         runtime.start()
         self._entry.start()
@@ -181,7 +191,8 @@
             self._refresh(self._site_watcher, self._site_driver)
 
     def _schedule_agents_refresh(self) -> None:
-        # After the event at hand: its flow is among those that are confirmed.
+        # The timer runs the read after the current event has been handled, so that
+        # the read also covers the flow of this event.
         next_at = self._agents_refreshed_at + MIN_AGENTS_REFRESH_INTERVAL_MS
         self._agents_refresh_alarm.set(Millis(max(self._runtime.loop.now(), next_at)))
 
@@ -255,7 +266,7 @@
         for key in self._roster.forget_gone(now):
             self._runtime.record_event(Note("agent gone", {"key": key}))
 
-    # Readiness and end
+    # Readiness and shutdown
 
     def _handle_probe(self, request: HttpRequest) -> HttpResponse:
         if request.target != self._platform.readiness_path:
--- a/src/papayagw/_internal/net/plain/http_client.py
+++ b/src/papayagw/_internal/net/plain/http_client.py
@@ -1,7 +1,7 @@
-"""Single calls over HTTP/1.1, each on a connection of its own.
+"""HTTP/1.1 client that uses a new connection for each request.
 
-A connection on which an answer was lost may stay silent for good, so none is used
-for a second call.
+Connections aren't reused, because one on which a response was lost may stay silent
+indefinitely.
 """
 
 import errno
@@ -16,26 +16,26 @@
 from papayagw._internal.net.plain.loop import Loop
 
 MAX_RESPONSE_BYTES = 4 << 20
-"""More than a page of the store, 1 MB, in base64 with its fields."""
+"""Exceeds a 1 MB page of the store, encoded in base64 with its other fields."""
 
 _READ_BYTES = 65_536
 _KEEPALIVE_S = 2
-"""Seconds of silence after which a waiting connection is probed, and between probes."""
+"""Idle time before the first TCP keepalive probe, and interval between probes."""
 _KEEPALIVE_PROBES = 2
 
 
 @dataclass(frozen=True, slots=True)
 class HttpResult:
-    """What came back.
+    """Result of an HTTP request.
 
     Attributes
     ----------
     status : int
-        The status; 0 if there was no whole answer.
+        HTTP status code; 0 if there was no complete response.
     body : bytes
-        The body.
+        Response body.
     failure : str
-        What went wrong; empty where `status` isn't 0.
+        Cause of the failure; empty unless `status` is 0.
     """
 
     status: int
@@ -44,22 +44,22 @@
 
 
 class HttpExchange:
-    """One call.
+    """One HTTP request and its response.
 
     Parameters
     ----------
     loop : Loop
-        The loop.
+        Event loop.
     peer : Endpoint
-        The server.
+        HTTP server.
     method, target : str
-        What is called.
+        Method and target of the request.
     body : bytes
-        What is sent along, as JSON.
+        JSON body of the request; empty for none.
     timeout_ms : Millis
-        How long the whole answer may take.
+        Limit on the time until the response is complete.
     on_result : callable
-        Takes the answer, once, unless the exchange is closed before.
+        Called once with the result, unless the exchange is closed before.
     """
 
     def __init__(
@@ -86,7 +86,7 @@
         self._is_closed = False
 
     def start(self) -> None:
-        """Connect and send."""
+        """Connect and send the request."""
         self._unsent = self._write_request()
         connection = self._socket
         connection.setblocking(False)
@@ -106,7 +106,7 @@
         self._loop.watch(connection, self._on_readable, self._on_writable)
 
     def close(self) -> None:
-        """Give the connection up; no answer is told any more."""
+        """Close the connection without calling `on_result`."""
         if self._is_closed:
             return
         self._is_closed = True
@@ -166,7 +166,7 @@
                 self._body.append(bytes(event.data))
                 self._size += len(event.data)
                 if self._size > MAX_RESPONSE_BYTES:
-                    self._fail("answer too large")
+                    self._fail(f"response larger than {MAX_RESPONSE_BYTES} bytes")
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._finish(HttpResult(self._status, b"".join(self._body)))
@@ -174,10 +174,10 @@
             else:
                 break
         if is_eof:
-            self._fail("closed before the answer was whole")
+            self._fail("connection closed before the response was complete")
 
     def _on_timeout(self) -> None:
-        self._fail(f"no answer in {self._timeout_ms} ms")
+        self._fail(f"no complete response within {self._timeout_ms} ms")
 
     def _fail(self, failure: str) -> None:
         self._finish(HttpResult(0, failure=failure))
--- a/src/papayagw/_internal/net/plain/http_server.py
+++ b/src/papayagw/_internal/net/plain/http_server.py
@@ -1,4 +1,4 @@
-"""A small HTTP/1.1 server for readiness, reports and metrics."""
+"""Minimal HTTP/1.1 server for readiness probes, reports and metrics."""
 
 import socket
 from collections.abc import Callable
@@ -14,10 +14,10 @@
 
 MAX_CONNECTIONS = 64
 MAX_REQUEST_BYTES = 16_384
-"""A report has a few hundred bytes."""
+"""Limit on a request; a report has a few hundred bytes."""
 
 IDLE_TIMEOUT_MS = Millis(15_000)
-"""How long a connection may be silent: ten intervals between reports."""
+"""Time after which an idle connection is closed: ten report intervals."""
 
 _BACKLOG = 64
 _READ_BYTES = 16_384
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A request as a whole."""
+    """A complete HTTP request."""
 
     method: str
     target: str
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """What is answered."""
+    """An HTTP response."""
 
     status: int
     body: bytes = b""
@@ -45,16 +45,16 @@
 
 
 class HttpServer:
-    """Answers requests on one endpoint.
+    """Serves HTTP requests on one endpoint.
 
     Parameters
     ----------
     loop : Loop
-        The loop.
+        Event loop.
     endpoint : Endpoint
-        Where to listen.
+        Endpoint to listen on.
     handler : callable
-        Answers a request at once.
+        Returns the response to a request without blocking.
     """
 
     def __init__(self, loop: Loop, endpoint: Endpoint, handler: Handler):
@@ -65,12 +65,12 @@
         self._connections: dict[int, _Connection] = {}
 
     def start(self) -> None:
-        """Listen.
+        """Start to listen.
 
         Raises
         ------
         BindError
-            If the endpoint is taken or isn't of this machine.
+            If the endpoint is in use or its address isn't on this machine.
         """
         listener = self._listener
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -93,10 +93,11 @@
         try:
             accepted, _ = self._listener.accept()
         except OSError:
-            # The peer has gone already, or no descriptor is free: it tries again.
+            # The peer has disconnected already, or no file descriptor is free, in
+            # which case the peer retries.
             return
         if len(self._connections) >= MAX_CONNECTIONS:
-            # The first one has been there the longest.
+            # Dictionaries keep insertion order: the first connection is the oldest.
             next(iter(self._connections.values())).close()
         number = accepted.fileno()
         self._connections[number] = _Connection(
@@ -108,7 +109,7 @@
 
 
 class _Connection:
-    """One connection of the server."""
+    """One accepted connection of the server."""
 
     def __init__(
         self,
@@ -145,7 +146,7 @@
         except BlockingIOError:
             return
         except OSError:
-            # A reset: the peer asks anew.
+            # Connection reset: the peer retries on a new connection.
             self.close()
             return
         self._timer.cancel()
@@ -159,7 +160,7 @@
             self.close()
 
     def _process_events(self) -> bool:
-        """Answer what has come; return whether the connection goes on."""
+        """Answer the requests received; return whether the connection stays open."""
         while True:
             event = self._http.next_event()
             if isinstance(event, h11.Request):
@@ -206,7 +207,7 @@
         except BlockingIOError:
             sent = 0
         except OSError:
-            # The peer has gone; reading tells so next.
+            # The peer has disconnected; the next read reports it.
             self._unsent = b""
             return
         self._unsent = self._unsent[sent:]
--- a/src/papayagw/_internal/net/plain/loop.py
+++ b/src/papayagw/_internal/net/plain/loop.py
@@ -1,4 +1,4 @@
-"""One loop on one thread: sockets, timers and signals."""
+"""Single-threaded event loop for sockets, timers and signals."""
 
 import heapq
 import itertools
@@ -14,18 +14,18 @@
 
 _NANOS_PER_MILLI = 1_000_000
 _COMPACTION_THRESHOLD = 256
-"""From how many timers on cancelled ones are cleared away."""
+"""Heap size above which cancelled timers are removed."""
 
 
 class HasFileno(Protocol):
-    """Something that can be waited for."""
+    """An object with a file descriptor that a selector can monitor."""
 
     def fileno(self) -> int:
-        """Return the descriptor."""
+        """Return the file descriptor."""
 
 
 class Timer:
-    """A callback at a later time; `cancel` takes it back."""
+    """A scheduled callback, which `cancel` revokes."""
 
     __slots__ = ("at", "callback")
 
@@ -34,18 +34,18 @@
         self.callback: Callable[[], None] | None = callback
 
     def cancel(self) -> None:
-        """Take the callback back."""
+        """Cancel the callback; it has no effect after the call."""
         self.callback = None
 
 
 class Loop:
-    """Waits for sockets and timers and calls whom they concern.
+    """Runs callbacks for socket events, timers and signals.
 
     Parameters
     ----------
     on_fault : callable
-        Takes an exception that escaped from a callback. The loop goes on: one message
-        must not end a process that carries the flows of others.
+        Called with an exception that a callback didn't handle. The loop continues,
+        since one message must not end a process that serves other flows.
     """
 
     def __init__(self, on_fault: Callable[[Exception], None]):
@@ -62,23 +62,24 @@
         return Millis(time.monotonic_ns() // _NANOS_PER_MILLI)
 
     def start(self) -> None:
-        """Take signals."""
+        """Receive signals through the wake-up descriptor."""
         for end in (self._wake_reader, self._wake_writer):
             end.setblocking(False)
         signal.set_wakeup_fd(self._wake_writer.fileno())
         self.watch(self._wake_reader, self._handle_signals)
 
     def close(self) -> None:
-        """Give the descriptors back."""
+        """Close the descriptors."""
         signal.set_wakeup_fd(-1)
         self._selector.close()
         self._wake_reader.close()
         self._wake_writer.close()
 
     def add_signal_handler(self, number: int, callback: Callable[[], None]) -> None:
-        """Call `callback` in the loop whenever the signal comes."""
+        """Call `callback` from the loop on each signal `number`."""
         self._signals[number] = callback
-        # The number reaches the loop through the descriptor of `start`.
+        # The signal number reaches the loop through the wake-up descriptor that
+        # `start` sets.
         signal.signal(number, lambda *_: None)
 
     def watch(
@@ -87,7 +88,7 @@
         on_readable: Callable[[], None] | None,
         on_writable: Callable[[], None] | None = None,
     ) -> None:
-        """Call when `source` is readable or writable, in place of earlier wishes."""
+        """Set the callbacks of `source`, replacing those set before."""
         events = selectors.EVENT_READ if on_readable is not None else 0
         events |= selectors.EVENT_WRITE if on_writable is not None else 0
         calls = (on_readable, on_writable)
@@ -97,18 +98,18 @@
             self._selector.register(source, events, calls)
 
     def unwatch(self, source: HasFileno) -> None:
-        """Wait for `source` no more."""
+        """Stop monitoring `source`."""
         with suppress(KeyError, ValueError):
             self._selector.unregister(source)
 
     def call_at(self, at: Millis, callback: Callable[[], None]) -> Timer:
-        """Call `callback` once at a time."""
+        """Call `callback` once at the loop time `at`, in milliseconds."""
         timer = Timer(at, callback)
         heapq.heappush(self._timers, (at, next(self._order), timer))
         return timer
 
     def call_after(self, delay: Millis, callback: Callable[[], None]) -> Timer:
-        """Call `callback` once after a while."""
+        """Call `callback` once after `delay` milliseconds."""
         return self.call_at(Millis(self.now() + delay), callback)
 
     def stop(self) -> None:
@@ -116,7 +117,7 @@
         self._is_stopped = True
 
     def run(self) -> None:
-        """Serve until `stop`."""
+        """Run callbacks until `stop` is called."""
         while not self._is_stopped:
             for key, mask in self._selector.select(self._wait_seconds()):
                 on_readable, on_writable = key.data
@@ -159,14 +160,14 @@
 
 
 class Alarm:
-    """A single timer that is set anew as what it waits for changes.
+    """A timer that can be rescheduled.
 
     Parameters
     ----------
     loop : Loop
-        The loop.
+        Event loop.
     callback : callable
-        What is called when the time has come.
+        Called when the timer expires.
     """
 
     def __init__(self, loop: Loop, callback: Callable[[], None]):
@@ -175,7 +176,7 @@
         self._timer: Timer | None = None
 
     def set(self, at: Millis | None) -> None:
-        """Call at `at` and not at the time set before; None calls never."""
+        """Reschedule the timer to `at`; None cancels it."""
         timer = self._timer
         if timer is not None and timer.callback is not None:
             if timer.at == at:
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -1,4 +1,4 @@
-"""What both roles of the plain front end have in common."""
+"""Runtime shared by the balancer and agent processes of the plain front end."""
 
 import signal
 import traceback
@@ -32,38 +32,38 @@
 from papayagw._internal.wire.plain_frames import MAX_FRAME_BYTES, PlainFrameCodec
 
 SETTINGS_CHECK_INTERVAL_MS = Millis(5_000)
-"""How often the settings file is looked at for a change that no signal told of."""
+"""How often the settings file is checked for changes made without a SIGHUP."""
 
 MAX_INTERNED_ENDPOINTS = 16_384
-"""The most peers whose endpoints are kept ready."""
+"""Size at which the cache of peer endpoints is cleared."""
 
 
 class SettingsLoader(Protocol):
-    """Reads the settings file again."""
+    """Loads the settings file again."""
 
     def __call__(self) -> PlainSettings:
-        """Return the settings.
+        """Load and return the settings.
 
         Raises
         ------
         SettingsError
-            If the file can't be used.
+            If the file can't be read or is invalid.
         """
 
 
 class ProcessRuntime:
-    """Loop, sockets, logs and metrics of one process.
+    """Event loop, frame socket, HTTP servers, log and metrics of one process.
 
     Parameters
     ----------
     role : str
-        The role, for logs.
+        Role of the process, for logs.
     settings : PlainSettings
-        Its settings.
+        Settings of the process.
     platform : Platform
-        What is particular to the platform.
+        Packet formats of the platform.
     load_settings : callable
-        Reads the settings again.
+        Reads the settings file again.
     """
 
     def __init__(
@@ -88,11 +88,11 @@
 
     @property
     def settings(self) -> PlainSettings:
-        """The settings in force."""
+        """Settings in force."""
         return self._settings
 
     def start(self) -> None:
-        """Take signals, sockets and the metrics endpoint."""
+        """Install the signal handlers, bind the sockets and serve metrics."""
         self.log.start()
         self.loop.start()
         self.loop.add_signal_handler(
@@ -105,7 +105,7 @@
         self.log.write("started", {**fields, "inner": self._settings.inner})
 
     def close(self) -> None:
-        """Give everything back."""
+        """Close the servers, sockets, log and loop."""
         for server in self._servers:
             server.close()
         self._inner.close()
@@ -116,13 +116,13 @@
     def serve(
         self, endpoint: Endpoint, handler: Callable[[HttpRequest], HttpResponse]
     ) -> None:
-        """Answer HTTP requests at an endpoint."""
+        """Serve HTTP requests at an endpoint with `handler`."""
         server = HttpServer(self.loop, endpoint, handler)
         server.start()
         self._servers.append(server)
 
     def watch_frames(self, on_frame: Callable[[Frame, Endpoint], None]) -> None:
-        """Hand over each frame that comes to the inner socket."""
+        """Call `on_frame` with each frame received on the inner socket."""
 
         def read() -> None:
             for data, source in self._inner.receive_batch():
@@ -138,11 +138,11 @@
         self.loop.watch(self._inner, read)
 
     def send_frame(self, peer: Endpoint, frame: Frame) -> None:
-        """Send a frame."""
+        """Send a frame to a peer."""
         self._inner.send(self._frames.encode(frame), peer.sockaddr)
 
     def send_reset(self, reset: ResetClient) -> None:
-        """Tell a client that its flow is over."""
+        """Send a reset to a flow's client."""
         client = self._platform.client_endpoint(reset.flow, self._settings.client_port)
         raw = self._platform.encode_reset(reset.flow, reset.sequence)
         self._inner.send(raw, client.sockaddr)
@@ -159,7 +159,7 @@
     def record_store_call(
         self, call: StoreCall, answer: StoreAnswer, took_ms: int
     ) -> None:
-        """Count a call of the store; log where it is lost and regained."""
+        """Count and time a store call; log when the store is lost or regained."""
         name = type(call).__name__
         self.metrics.count(f"store {name}")
         if not isinstance(call, WatchPrefix):
@@ -174,7 +174,7 @@
             self.record_event(Note(event, {"call": name, "took_ms": took_ms, **reason}))
 
     def add_stop_handler(self, stop: Callable[[], None]) -> None:
-        """Call `stop` when the process is told to end."""
+        """Call `stop` on SIGTERM and SIGINT."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, stop)
 
@@ -215,5 +215,5 @@
 
 
 def error_fields(error: PapayagwError) -> dict[str, object]:
-    """Return the fields of an error as logs have them."""
+    """Return the log fields of an error."""
     return {"step": error.step, "peer": error.peer, "reason": error.what}
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -1,4 +1,4 @@
-"""The client of the platform's key-value service: carries out calls of the core."""
+"""Sends the core's store calls to the platform's key-value service over HTTP."""
 
 from typing import Protocol
 
@@ -15,27 +15,27 @@
 
 
 class CallRecorder(Protocol):
-    """Hears of each call's outcome."""
+    """Records the outcome of each store call."""
 
     def __call__(self, call: StoreCall, answer: StoreAnswer, took_ms: int) -> None:
-        """Take in an answer and how long it took, in milliseconds."""
+        """Record the answer to a call and its duration in milliseconds."""
 
 
 class StoreDriver:
-    """Makes the calls of one user of the store, one at a time.
+    """Sends the calls of one store client, one at a time.
 
     Parameters
     ----------
     loop : Loop
-        The loop.
+        Event loop.
     store : Endpoint
-        The service.
+        Endpoint of the key-value service.
     codec : StoreCodec
-        How calls look to the service.
+        Encodes calls and decodes answers.
     client : StoreClient
-        Decides on calls.
+        Decides which call is next and when it is due.
     on_answer : callable
-        Hears of each answer.
+        Called with each answer.
     """
 
     def __init__(
@@ -55,23 +55,23 @@
         self._alarm = Alarm(loop, self._start_call)
 
     def start(self) -> None:
-        """Make the first call."""
+        """Send the first call."""
         self._start_call()
 
     def close(self) -> None:
-        """Give up the call under way."""
+        """Cancel the call in progress and the timer of the next one."""
         self._alarm.set(None)
         if self._exchange is not None:
             self._exchange.close()
             self._exchange = None
 
     def reschedule(self) -> None:
-        """Look again when the next call is due; one under way goes on."""
+        """Set the timer to the next due time, unless a call is in progress."""
         if self._exchange is None:
             self._alarm.set(self._client.due_at)
 
     def restart(self) -> None:
-        """Give up the call under way and make the next one when it is due."""
+        """Cancel the call in progress and send the next one when it is due."""
         self.close()
         self.reschedule()
 
--- a/src/papayagw/_internal/wire/plain_entries.py
+++ b/src/papayagw/_internal/wire/plain_entries.py
@@ -1,4 +1,4 @@
-"""Encoding of agents' entries in the store."""
+"""Encoding of the agents' entries in the store."""
 
 import json
 
@@ -7,16 +7,16 @@
 from papayagw._internal.models.plain.instance import AgentEntry
 
 AGENT_PREFIX = "papayagw/agents/"
-"""What the keys of agents' entries begin with; the name of the node follows."""
+"""Prefix of the keys of agents' entries; the node's name follows."""
 
 
 def agent_key(node: str) -> str:
-    """Return the key of an agent's entry."""
+    """Return the store key of the agent on `node`."""
     return AGENT_PREFIX + node
 
 
 def encode_entry(entry: AgentEntry) -> bytes:
-    """Return the value of an agent's entry."""
+    """Encode an agent's entry as JSON."""
     fields = {
         "endpoint": str(entry.endpoint),
         "service": entry.service,
@@ -26,12 +26,12 @@
 
 
 def decode_entry(key: str, value: bytes) -> AgentEntry:
-    """Return an agent's entry.
+    """Decode an agent's entry.
 
     Raises
     ------
     DecodeError
-        If the value isn't one.
+        If `value` isn't a valid entry.
     """
     try:
         fields = json.loads(value)
@@ -39,5 +39,5 @@
         return AgentEntry(endpoint, str(fields["service"]), str(fields["zone"]))
     except MALFORMED as error:
         raise DecodeError(
-            f"not an agent's entry: {error!r}", step=Step.DECODE, peer=key
+            f"malformed agent entry: {error!r}", step=Step.DECODE, peer=key
         ) from error
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -1,7 +1,8 @@
 """Encoding of the frames between balancers and agents of the plain front end.
 
-A frame is a header (magic, kind, checksum of kind and body) and a body. Numbers are
-big-endian. A packet stands at the end of its frame as the client sent it.
+A frame consists of a header (magic number, kind, CRC-32 of kind and body) and a body.
+Numbers are big-endian. A client's packet, if any, is the last field of the body and
+has the bytes that the client sent.
 """
 
 import struct
@@ -36,7 +37,7 @@
 )
 
 MAX_FRAME_BYTES = 65_507
-"""The longest payload of a UDP datagram: room for 10,000 entries of one service."""
+"""Maximum payload of a UDP datagram; 10,000 entries of one service fit."""
 
 _MAGIC = 0x7047
 _HEADER = struct.Struct(">HBI")
@@ -51,22 +52,22 @@
 
 
 class ClientPacketCodec(Protocol):
-    """Knows the packets that frames carry."""
+    """Decodes and encodes the client packets that frames carry."""
 
     def decode_client_packet(self, raw: bytes) -> FlowPacket | None:
-        """Return a client's packet, or None if it isn't one."""
+        """Decode a client's packet; return None if `raw` is malformed."""
 
     def encode_client_packet(self, packet: FlowPacket) -> bytes:
-        """Return the datagram as the client sent it."""
+        """Encode a packet as its client sent it."""
 
 
 class PlainFrameCodec:
-    """Writes and reads frames.
+    """Encodes and decodes frames.
 
     Parameters
     ----------
     packets : ClientPacketCodec
-        Reads the packets in frames.
+        Codec of the client packets in frames.
     """
 
     def __init__(self, packets: ClientPacketCodec):
@@ -84,26 +85,28 @@
         }
 
     def encode(self, frame: Frame) -> bytes:
-        """Return a frame's bytes."""
+        """Encode a frame with its header."""
         kind, body = self._encode_body(frame)
         return _HEADER.pack(_MAGIC, kind, zlib.crc32(body, kind)) + body
 
     def decode(self, data: bytes) -> Frame:
-        """Return the frame.
+        """Decode a frame.
 
         Raises
         ------
         DecodeError
-            If the bytes aren't a whole frame.
+            If `data` isn't a complete, valid frame.
         """
         try:
             magic, kind, checksum = _HEADER.unpack_from(data)
             body = data[_HEADER.size :]
             if magic != _MAGIC or zlib.crc32(body, kind) != checksum:
-                raise ValueError("magic or checksum doesn't match")
+                raise ValueError("magic number or checksum mismatch")
             return self._decoders[kind](body)
         except (struct.error, ValueError, KeyError, IndexError) as error:
-            raise DecodeError(f"not a frame: {error!r}", step=Step.DECODE) from error
+            raise DecodeError(
+                f"malformed frame: {error!r}", step=Step.DECODE
+            ) from error
 
     def _encode_body(self, frame: Frame) -> tuple[int, bytes]:
         match frame:
@@ -150,7 +153,7 @@
     def _decode_packet(self, raw: bytes) -> FlowPacket:
         packet = self._packets.decode_client_packet(raw)
         if packet is None:
-            raise ValueError("no whole packet")
+            raise ValueError("incomplete client packet")
         return packet
 
 
@@ -212,7 +215,9 @@
     (version,) = _VERSION.unpack_from(body)
     service, rest = _decode_text(body[_VERSION.size :])
     if len(rest) % ENTRY_KEY_BYTES:
-        raise ValueError("entries are cut off")
+        raise ValueError(
+            f"entries truncated: {len(rest)} bytes not a multiple of {ENTRY_KEY_BYTES}"
+        )
     starts = range(0, len(rest), ENTRY_KEY_BYTES)
     entries = frozenset(EntryKey(rest[at : at + ENTRY_KEY_BYTES]) for at in starts)
     return ScopeFrame(service, version, entries)
