--- a/src/papayagw/_internal/net/plain/http_client.py
+++ b/src/papayagw/_internal/net/plain/http_client.py
@@ -166,7 +166,7 @@
                 self._body.append(bytes(event.data))
                 self._size += len(event.data)
                 if self._size > MAX_RESPONSE_BYTES:
-                    self._fail(f"response larger than {MAX_RESPONSE_BYTES} bytes")
+                    self._fail("answer too large")
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._finish(HttpResult(self._status, b"".join(self._body)))
@@ -174,10 +174,10 @@
             else:
                 break
         if is_eof:
-            self._fail("connection closed before the response was complete")
+            self._fail("closed before the answer was whole")
 
     def _on_timeout(self) -> None:
-        self._fail(f"no complete response within {self._timeout_ms} ms")
+        self._fail(f"no answer in {self._timeout_ms} ms")
 
     def _fail(self, failure: str) -> None:
         self._finish(HttpResult(0, failure=failure))
