--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from tests.lib.plain_standins import (
-    REPORT_S,
+    REPORT_INTERVAL_S,
     BackendServer,
     FlowClient,
     KeyValueService,
@@ -20,7 +20,7 @@
 
 ENTRY = ("198.18.0.1", 8443)
 SERVICE = "order"
-READY_S = 20
+READY_TIMEOUT_S = 20
 SITE = {
     "version": 3,
     "routes": [
@@ -69,7 +69,7 @@
         self.folder = folder
         self.ports = Ports()
         self._block = block
-        self._clients = 0
+        self._client_count = 0
         self._processes = {}
         self._random = random.Random(block)
         self.balancers = [f"balancer-{one}" for one in range(1, balancers + 1)]
@@ -140,7 +140,7 @@
         """Send a signal."""
         self._processes[name].send_signal(number)
 
-    def wait_end(self, name, timeout_s):
+    def wait_exit(self, name, timeout_s):
         """Return the exit code of a process that ends by itself."""
         return self._processes.pop(name).wait(timeout_s)
 
@@ -155,7 +155,7 @@
 
     def wait_ready(self, name):
         """Wait until a process is ready."""
-        deadline = time.monotonic() + READY_S
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while not self.is_ready(name):
             assert time.monotonic() < deadline, f"{name} isn't ready"
             time.sleep(0.02)
@@ -173,8 +173,8 @@
 
     def make_client(self):
         """Return a client with an address of its own."""
-        self._clients += 1
-        host = f"127.95.{self._block}.{self._clients}"
+        self._client_count += 1
+        host = f"127.95.{self._block}.{self._client_count}"
         return FlowClient(host, self.ports.data, ENTRY, self._pick_balancer)
 
     def _pick_balancer(self):
@@ -186,7 +186,7 @@
     def _ip(self, host):
         return f"127.94.{self._block}.{host}"
 
-    def store_of(self, name):
+    def store_address(self, name):
         """Return the address at which a machine finds the store."""
         return f"{self._ip(200)}:{self.ports.store}"
 
@@ -199,10 +199,10 @@
             "inner_port": ports.inner,
             "readiness": f"{ip}:{ports.readiness}",
             "metrics_port": ports.metrics,
-            "store": self.store_of(name),
+            "store": self.store_address(name),
             "grace_s": 6,
             "flow_limit_s": 60,
-            "report_interval_ms": round(REPORT_S * 1_000),
+            "report_interval_ms": round(REPORT_INTERVAL_S * 1_000),
         }
         if name.startswith("balancer"):
             return {**common, "entry": f"{ip}:{ports.data}"}
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -18,7 +18,7 @@
 
 HEADER = struct.Struct(">IIIHIBB4sHH4s")
 SYN, ACK, FIN, RST, BOUNCED = 1, 8, 16, 32, 64
-REPORT_S = 0.2
+REPORT_INTERVAL_S = 0.2
 MODULUS = 1 << 32
 
 
@@ -79,7 +79,9 @@
                 body = json.loads(self.rfile.read(length)) if length else {}
                 url = urlparse(self.path)
                 query = {key: one[0] for key, one in parse_qs(url.query).items()}
-                status, fields = service.answer(self.command, url.path, query, body)
+                status, fields = service.handle_request(
+                    self.command, url.path, query, body
+                )
                 data = json.dumps(fields).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
@@ -107,12 +109,12 @@
         self._server.shutdown()
         self._server.server_close()
 
-    def answer(self, method, path, query, body):
+    def handle_request(self, method, path, query, body):
         """Return status and fields of one call."""
         if self.is_down:
             return 503, {}
         with self._changed:
-            self._expire()
+            self._expire_leases()
             match method, path.removeprefix("/-/"):
                 case "GET", "kv-range":
                     return 200, self._range(query["prefix"])
@@ -125,7 +127,7 @@
                     self._leases[lease] = (time.monotonic(), body["ttl_ms"] / 1_000)
                     return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
             verb, _, lease = path.removeprefix("/-/").partition("/")
-            return self._keep(verb, int(lease))
+            return self._renew_or_end_lease(verb, int(lease))
 
     def put(self, key, value, lease=0):
         """Write a key, as the operator does."""
@@ -169,11 +171,11 @@
             self._put(put["key"], put["value"], put["lease"])
         return 200, {"revision": self._revision}
 
-    def _keep(self, verb, lease):
+    def _renew_or_end_lease(self, verb, lease):
         if lease not in self._leases:
             return 404, {}
         if verb == "kv-lease-end":
-            self._end(lease)
+            self._end_lease(lease)
             return 200, {}
         ttl = self._leases[lease][1]
         self._leases[lease] = (time.monotonic(), ttl)
@@ -199,16 +201,16 @@
         self._events.append({"key": key, "revision": self._revision, "deleted": True})
         self._changed.notify_all()
 
-    def _end(self, lease):
+    def _end_lease(self, lease):
         del self._leases[lease]
         for key in [key for key, one in self._items.items() if one["lease"] == lease]:
             self._remove(key)
 
-    def _expire(self):
+    def _expire_leases(self):
         now = time.monotonic()
         for lease, (at, ttl) in list(self._leases.items()):
             if now - at > ttl:
-                self._end(lease)
+                self._end_lease(lease)
 
 
 class BackendServer:
@@ -231,7 +233,7 @@
         self._socket.settimeout(0.1)
         self._threads = [
             threading.Thread(target=work, daemon=True)
-            for work in (self._receive, self._report)
+            for work in (self._receive, self._report_periodically)
         ]
         for thread in self._threads:
             thread.start()
@@ -242,7 +244,7 @@
             thread.join()
         self._socket.close()
 
-    def holds(self, flow, ack):
+    def owns(self, flow, ack):
         """Whether this is the backend server whose answer the client took."""
         return flow in self.flows and ack == (self.flows[flow] + 1) % MODULUS
 
@@ -252,16 +254,16 @@
                 raw, _ = self._socket.recvfrom(4_096)
             except TimeoutError:
                 continue
-            self._take(raw)
+            self._handle_packet(raw)
 
-    def _take(self, raw):
+    def _handle_packet(self, raw):
         packet = unpack(raw)
         flow = packet["src"], packet["dst"]
         if packet["flags"] & SYN:
             start = self.flows.setdefault(flow, random.getrandbits(32))
             self._send(flow, SYN | ACK, start, packet["seq"] + 1)
             return
-        if not self.holds(flow, packet["ack"]):
+        if not self.owns(flow, packet["ack"]):
             returned = bytearray(raw)
             returned[18] |= BOUNCED
             self._socket.sendto(bytes(returned), self._outbound)
@@ -277,7 +279,7 @@
         raw = pack(entry, client, flags, seq % MODULUS, ack, data)
         self._socket.sendto(raw, self._outbound)
 
-    def _report(self):
+    def _report_periodically(self):
         while not self._is_closed:
             self._number += 1
             fields = {
@@ -291,14 +293,14 @@
                 "seq": self._number,
                 "born": self.started_at,
             }
-            if self._put(json.dumps(fields).encode()):
-                self.on_acknowledged(fields)
-            time.sleep(REPORT_S)
+            if self._send_report(json.dumps(fields).encode()):
+                self.on_report_accepted(fields)
+            time.sleep(REPORT_INTERVAL_S)
 
-    def on_acknowledged(self, fields):
+    def on_report_accepted(self, fields):
         """Hear that a report was taken."""
 
-    def _put(self, body):
+    def _send_report(self, body):
         head = (
             f"PUT /-/instances/{self.name} HTTP/1.1\r\nHost: a\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
@@ -319,7 +321,7 @@
     def __init__(self, ip, client_port, entry, pick_balancer):
         self._ip = ip
         self._entry = entry
-        self._pick = pick_balancer
+        self._pick_balancer = pick_balancer
         self._source = (ip, 40_001)
         self._start = None
         self._position = 1
@@ -339,7 +341,7 @@
         """The number that its packets acknowledge."""
         return (self._start + 1) % MODULUS
 
-    def renew(self):
+    def start_new_flow(self):
         """Leave the flow; the next one has another port."""
         self._source = (self._ip, self._source[1] + 1)
         self._position = 1
@@ -347,7 +349,9 @@
     def open(self, timeout_s=5.0):
         """Open the flow; return whether it was accepted."""
         raw = pack(self._source, self._entry, SYN)
-        packet = self._ask(raw, lambda one: one["flags"] & SYN, timeout_s)
+        packet = self._send_until_answered(
+            raw, lambda one: one["flags"] & SYN, timeout_s
+        )
         if packet is None:
             return False
         self._start = packet["seq"]
@@ -359,7 +363,7 @@
             self._source, self._entry, ACK, self._position, self.acknowledged, data
         )
         end = self._position + len(data)
-        packet = self._ask(
+        packet = self._send_until_answered(
             raw, lambda one: one["data"] == data and one["ack"] == end, timeout_s
         )
         if packet is None:
@@ -369,10 +373,10 @@
         self._position = end
         return True
 
-    def _ask(self, raw, is_answer, timeout_s):
+    def _send_until_answered(self, raw, is_answer, timeout_s):
         deadline, wait = time.monotonic() + timeout_s, 0.2
         while time.monotonic() < deadline:
-            balancer = self._pick()
+            balancer = self._pick_balancer()
             if balancer is not None:
                 self._socket.sendto(raw, balancer)
             packet = self._receive(is_answer, min(wait, deadline - time.monotonic()))
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -100,7 +100,7 @@
     assert all(client.request(b"stopping") is True for client in flows)
     while fleet.is_ready(name):
         time.sleep(0.1)
-    assert fleet.wait_end(name, 6) == 0
+    assert fleet.wait_exit(name, 6) == 0
     assert all(client.request(b"stopped") is True for client in flows)
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -50,7 +50,7 @@
         number = 0
         while not self.is_closed:
             if not self._client.open():
-                self._client.renew()
+                self._client.start_new_flow()
                 continue
             while not self.is_closed:
                 number += 1
@@ -59,7 +59,7 @@
                     self._soak.note_broken(self._client, outcome)
                     break
                 time.sleep(0.03)
-            self._client.renew()
+            self._client.start_new_flow()
 
 
 class Soak:
@@ -116,7 +116,7 @@
     def note_broken(self, client, outcome):
         """Note that a request on an open flow got a reset, or no answer."""
         for name, backend in self.fleet.backends.items():
-            if backend.holds(client.flow, client.acknowledged):
+            if backend.owns(client.flow, client.acknowledged):
                 what = "reset" if outcome == "reset" else "unanswered"
                 self.violations.append(f"{what}: {client.flow[0]} lives at {name}")
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -34,16 +34,16 @@
         """Want new flows again; a new run would say so."""
         self.state, self.drained_at = "ready", None
 
-    def on_acknowledged(self, fields):
+    def on_report_accepted(self, fields):
         if fields["state"] == "draining" and self.drained_at is None:
             self.drained_at = time.monotonic()
 
-    def _take(self, raw):
+    def _handle_packet(self, raw):
         packet = unpack(raw)
         is_new = (packet["src"], packet["dst"]) not in self.flows
         if packet["flags"] & SYN and is_new:
             self.openings.append((time.monotonic(), self.drained_at))
-        super()._take(raw)
+        super()._handle_packet(raw)
 
 
 class SoakFleet(PlainFleet):
@@ -97,7 +97,7 @@
             return super().command(role)
         return ["tests.soak.doubled", self._double, role]
 
-    def store_of(self, name):
+    def store_address(self, name):
         at = (*self.balancers, *self.agents).index(name)
         return f"{self._ip(210 + at)}:{self.ports.store}"
 
