--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -1,4 +1,4 @@
-"""Real processes of the plain front end on loopback numbers, over stand-ins."""
+"""Fleet of real plain front end processes on loopback addresses, with stand-ins."""
 
 import json
 import os
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True)
 class Ports:
-    """The ports that all machines share."""
+    """Ports, which are the same on every machine."""
 
     store: int = 18_169
     data: int = 18_172
@@ -56,11 +56,11 @@
     Parameters
     ----------
     folder : Path
-        Where settings and logs go.
+        Folder of the settings files and logs.
     block : int
-        Third part of the loopback numbers, so that runs don't meet.
+        Third octet of the loopback addresses, which separates concurrent runs.
     balancers, agents : int
-        How many of each.
+        Number of each.
     """
 
     backend_type = BackendServer
@@ -82,14 +82,14 @@
         }
 
     def start(self):
-        """Start all processes and wait until they serve."""
+        """Start all processes and wait until they are ready."""
         for name in (*self.agents, *self.balancers):
             self.start_one(name)
         for name in (*self.agents, *self.balancers):
             self.wait_ready(name)
 
     def close(self):
-        """End everything that was started."""
+        """Stop all processes and stand-ins."""
         for name in list(self._processes):
             self.signal(name, signal.SIGCONT)
             self.kill(name)
@@ -98,7 +98,7 @@
         self.store.close()
 
     def ip_of(self, name):
-        """Return the loopback number of a machine."""
+        """Return the loopback address of a machine."""
         role, _, number = name.partition("-")
         return self._ip(int(number) + (0 if role == "balancer" else 100))
 
@@ -123,7 +123,7 @@
             )
 
     def command(self, role):
-        """Return the module that a role runs, and its arguments."""
+        """Return the module that runs a role, and its arguments."""
         return ["papayagw.platform", role]
 
     def kill(self, name):
@@ -133,19 +133,19 @@
         process.wait()
 
     def pid(self, name):
-        """Return the id of a process."""
+        """Return the process id."""
         return self._processes[name].pid
 
     def signal(self, name, number):
-        """Send a signal."""
+        """Send a signal to a process."""
         self._processes[name].send_signal(number)
 
     def wait_exit(self, name, timeout_s):
-        """Return the exit code of a process that ends by itself."""
+        """Wait until a process exits by itself; return its exit code."""
         return self._processes.pop(name).wait(timeout_s)
 
     def is_ready(self, name):
-        """Return whether a process says that it is ready."""
+        """Return whether the readiness probe of a process succeeds."""
         url = f"http://{self.ip_of(name)}:{self.ports.readiness}/-/readyz"
         try:
             with urllib.request.urlopen(url, timeout=1) as answer:
@@ -161,18 +161,18 @@
             time.sleep(0.02)
 
     def metrics(self, name):
-        """Return the text of a process's measurements."""
+        """Return the metrics of a process in their text format."""
         url = f"http://{self.ip_of(name)}:{self.ports.metrics}/metrics"
         with urllib.request.urlopen(url, timeout=2) as answer:
             return answer.read().decode()
 
     def log(self, name):
-        """Return the events that a process has logged."""
+        """Return the log events of a process."""
         lines = (self.folder / f"{name}.out").read_text().splitlines()
         return [json.loads(line) for line in lines]
 
     def make_client(self):
-        """Return a client with an address of its own."""
+        """Return a new client with its own address."""
         self._client_count += 1
         host = f"127.95.{self._block}.{self._client_count}"
         return FlowClient(host, self.ports.data, ENTRY, self._pick_balancer)
@@ -187,7 +187,7 @@
         return f"127.94.{self._block}.{host}"
 
     def store_address(self, name):
-        """Return the address at which a machine finds the store."""
+        """Return the store's address in the settings of a machine."""
         return f"{self._ip(200)}:{self.ports.store}"
 
     def _settings(self, name):
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -1,7 +1,8 @@
 """Stand-ins of the prepared platform for tests with real processes.
 
-The key-value service, backend servers and clients, on threads of the test, speak the
-platform's protocol by its page. Each machine has a loopback number of its own.
+The key-value service, backend servers and clients run on threads of the test and
+implement the platform's documented protocol. Each machine has its own loopback
+address.
 """
 
 import base64
@@ -23,7 +24,7 @@
 
 
 def pack(src, dst, flags, seq=0, ack=0, data=b"", echo=0):
-    """Return a packet between two (number, port) ends."""
+    """Encode a packet between two (address, port) pairs."""
     (src_ip, sport), (dst_ip, dport) = src, dst
     head = HEADER.pack(
         seq,
@@ -42,7 +43,7 @@
 
 
 def unpack(raw):
-    """Return ends, flags, numbers and data of a packet."""
+    """Decode the addresses, flags, sequence numbers and data of a packet."""
     seq, ack, echo, length, _, flags, _, src, sport, dport, dst = HEADER.unpack_from(
         raw
     )
@@ -58,7 +59,7 @@
 
 
 class KeyValueService:
-    """Keys, leases and watches, as the platform's service has them."""
+    """Key-value service with the keys, leases and watches of the platform's service."""
 
     def __init__(self, address):
         self.address = address
@@ -86,11 +87,11 @@
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
                 self.end_headers()
-                # A process that was killed reads no answer.
+                # A killed process has closed its connection.
                 with suppress(ConnectionError):
                     self.wfile.write(data)
 
-            # The names are those that the library calls.
+            # http.server calls handlers by these names.
             do_GET = do_POST = do_DELETE = handle_one  # noqa: N815
 
             def log_message(self, *args):
@@ -98,7 +99,7 @@
 
         class Server(ThreadingHTTPServer):
             def handle_error(self, request, client_address):
-                # Connections are reset by tests and by processes that end.
+                # Tests and exiting processes reset connections.
                 pass
 
         self._server = Server(address, Handler)
@@ -110,7 +111,7 @@
         self._server.server_close()
 
     def handle_request(self, method, path, query, body):
-        """Return status and fields of one call."""
+        """Return the status and the JSON fields of the response."""
         if self.is_down:
             return 503, {}
         with self._changed:
@@ -130,12 +131,12 @@
             return self._renew_or_end_lease(verb, int(lease))
 
     def put(self, key, value, lease=0):
-        """Write a key, as the operator does."""
+        """Write a key, like an operator."""
         with self._changed:
             self._put(key, base64.b64encode(value).decode(), lease)
 
     def remove(self, key):
-        """Take a key away."""
+        """Remove a key."""
         with self._changed:
             self._remove(key)
 
@@ -214,7 +215,7 @@
 
 
 class BackendServer:
-    """A backend server that answers each packet of data by its own packet."""
+    """A backend server that echoes the data of each packet."""
 
     def __init__(self, name, service, ip, ports):
         self.name = name
@@ -245,7 +246,7 @@
         self._socket.close()
 
     def owns(self, flow, ack):
-        """Whether this is the backend server whose answer the client took."""
+        """Whether the client acknowledges this backend server's acceptance of the flow."""
         return flow in self.flows and ack == (self.flows[flow] + 1) % MODULUS
 
     def _receive(self):
@@ -298,7 +299,7 @@
             time.sleep(REPORT_INTERVAL_S)
 
     def on_report_accepted(self, fields):
-        """Hear that a report was taken."""
+        """Handle the acceptance of a report by the agent; subclasses override it."""
 
     def _send_report(self, body):
         head = (
@@ -311,12 +312,12 @@
                 connection.sendall(head.encode() + body)
                 return connection.recv(1_000).startswith(b"HTTP/1.1 200")
         except OSError:
-            # The agent is away: the next report tells it.
+            # The agent isn't running; the next report carries the same state.
             return False
 
 
 class FlowClient:
-    """A client with one flow; routers hand its packets to any balancer that lives."""
+    """A client with one flow, whose packets go to any running balancer."""
 
     def __init__(self, ip, client_port, entry, pick_balancer):
         self._ip = ip
@@ -333,16 +334,16 @@
 
     @property
     def flow(self):
-        """The two ends."""
+        """Addresses of the client and of the entry."""
         return self._source, self._entry
 
     @property
     def acknowledged(self):
-        """The number that its packets acknowledge."""
+        """Acknowledgement number of the client's packets."""
         return (self._start + 1) % MODULUS
 
     def start_new_flow(self):
-        """Leave the flow; the next one has another port."""
+        """Abandon the flow; the next one uses another source port."""
         self._source = (self._ip, self._source[1] + 1)
         self._position = 1
 
@@ -358,7 +359,7 @@
         return True
 
     def request(self, data, timeout_s=10.0):
-        """Return whether the answer came, or "reset"."""
+        """Send a request; return whether it was answered, or "reset"."""
         raw = pack(
             self._source, self._entry, ACK, self._position, self.acknowledged, data
         )
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -1,4 +1,4 @@
-"""The roles of the prepared platform as real processes over stand-ins."""
+"""Tests of the roles as real processes, with stand-ins for the platform."""
 
 import signal
 import threading
@@ -12,7 +12,7 @@
 KILLS = 20
 KILL_INTERVAL_S = 1.0
 ENTRY_RESTORE_TIMEOUT_S = 2.0
-"""How soon an entry is back after the store's return."""
+"""Longest time until an entry is restored after a store outage."""
 
 
 @pytest.fixture
@@ -35,7 +35,7 @@
 
 
 def send_requests_until(clients, deadline, failed):
-    """Send requests on each flow in turn until a time; note those that break."""
+    """Send requests on each flow in turn; append the indexes of failures to `failed`."""
     number = 0
     while time.monotonic() < deadline:
         for index, client in enumerate(clients):
@@ -88,7 +88,7 @@
     fleet.store.is_down = False
     deadline = time.monotonic() + ENTRY_RESTORE_TIMEOUT_S
     while key not in fleet.store.list_keys():
-        assert time.monotonic() < deadline, "the entry isn't back"
+        assert time.monotonic() < deadline, "the entry wasn't restored"
         time.sleep(0.02)
 
 
@@ -133,7 +133,7 @@
         for one in fleet.log(name)
         if one["event"] == "opening accepted"
     ]
-    # A client's copy may be accepted too, elsewhere.
+    # A retransmitted opening may also be accepted by another backend server.
     logged = {one["flow"].partition(":")[0] for one in accepted}
     assert logged == {client.flow[0][0] for client in flows}
     assert {"time", "node", "flow", "agent", "ms", "offers"} <= set(accepted[0])
--- a/tests/unit/test_plain_frames.py
+++ b/tests/unit/test_plain_frames.py
@@ -1,4 +1,4 @@
-"""Frames between balancers and agents."""
+"""Tests of the codec of frames between balancers and agents."""
 
 import pytest
 from hypothesis import given
--- a/tests/unit/test_plain_imports.py
+++ b/tests/unit/test_plain_imports.py
@@ -1,4 +1,7 @@
-"""What the roles of the prepared platform load, since their start is dark time."""
+"""Tests of the modules that each role imports.
+
+A process serves nothing while it starts, so imports must stay few.
+"""
 
 import subprocess
 import sys
@@ -24,7 +27,7 @@
     "uvicorn",
 }
 MEMORY_LIMIT_KB = 25 * 1024
-"""The target of a process until it serves."""
+"""Limit on the peak resident memory of a process until it serves."""
 
 
 @pytest.mark.parametrize("role", ["balancer", "agent"])
@@ -37,7 +40,7 @@
         "print(*[one.split()[1] for one in status if one.startswith('VmHWM')])\n"
         "print(*{name.partition('.')[0] for name in sys.modules})\n"
     )
-    # -S leaves out what the environment's own start-up files load.
+    # -S skips the modules that the environment's site start-up files import.
     found = subprocess.run(
         [
             sys.executable,
