--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -246,7 +246,7 @@
         self._socket.close()
 
     def owns(self, flow, ack):
-        """Whether the client acknowledges this backend server's acceptance of the flow."""
+        """Return whether the client acknowledged this server's acceptance."""
         return flow in self.flows and ack == (self.flows[flow] + 1) % MODULUS
 
     def _receive(self):
@@ -312,7 +312,7 @@
                 connection.sendall(head.encode() + body)
                 return connection.recv(1_000).startswith(b"HTTP/1.1 200")
         except OSError:
-            # The agent isn't running; the next report carries the same state.
+            # The agent isn't running; the next report reaches it.
             return False
 
 
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -35,7 +35,7 @@
 
 
 def send_requests_until(clients, deadline, failed):
-    """Send requests on each flow in turn; append the indexes of failures to `failed`."""
+    """Send requests on each flow in turn; append the index of each failed flow."""
     number = 0
     while time.monotonic() < deadline:
         for index, client in enumerate(clients):
