--- a/src/papayagw/_internal/net/plain/loop.py
+++ b/src/papayagw/_internal/net/plain/loop.py
@@ -1,4 +1,4 @@
-"""One loop on one thread: sockets, timers and signals."""
+"""Single-threaded event loop for sockets, timers and signals."""
 
 import heapq
 import itertools
@@ -13,39 +13,39 @@
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
 
 _NANOS_PER_MILLI = 1_000_000
-_COMPACT_TIMERS = 256
-"""From how many timers on cancelled ones are cleared away."""
+_COMPACTION_THRESHOLD = 256
+"""Heap size above which cancelled timers are removed."""
 
 
 class HasFileno(Protocol):
-    """Something that can be waited for."""
+    """An object with a file descriptor that a selector can monitor."""
 
     def fileno(self) -> int:
-        """Return the descriptor."""
+        """Return the file descriptor."""
 
 
 class Timer:
-    """A call at a later time; `cancel` takes it back."""
+    """A scheduled callback, which `cancel` revokes."""
 
-    __slots__ = ("at", "call")
+    __slots__ = ("at", "callback")
 
-    def __init__(self, at: Millis, call: Callable[[], None]):
+    def __init__(self, at: Millis, callback: Callable[[], None]):
         self.at = at
-        self.call: Callable[[], None] | None = call
+        self.callback: Callable[[], None] | None = callback
 
     def cancel(self) -> None:
-        """Take the call back."""
-        self.call = None
+        """Cancel the callback; it has no effect after the call."""
+        self.callback = None
 
 
 class Loop:
-    """Waits for sockets and timers and calls whom they concern.
+    """Runs callbacks for socket events, timers and signals.
 
     Parameters
     ----------
     on_fault : callable
-        Takes an exception that escaped from a call. The loop goes on: one message
-        must not end a process that carries the flows of others.
+        Called with an exception that a callback didn't handle. The loop continues,
+        since one message must not end a process that serves other flows.
     """
 
     def __init__(self, on_fault: Callable[[Exception], None]):
@@ -62,23 +62,24 @@
         return Millis(time.monotonic_ns() // _NANOS_PER_MILLI)
 
     def start(self) -> None:
-        """Take signals."""
+        """Receive signals through the wake-up descriptor."""
         for end in (self._wake_reader, self._wake_writer):
             end.setblocking(False)
         signal.set_wakeup_fd(self._wake_writer.fileno())
-        self.watch(self._wake_reader, self._take_signals)
+        self.watch(self._wake_reader, self._handle_signals)
 
     def close(self) -> None:
-        """Give the descriptors back."""
+        """Close the descriptors."""
         signal.set_wakeup_fd(-1)
         self._selector.close()
         self._wake_reader.close()
         self._wake_writer.close()
 
-    def on_signal(self, number: int, call: Callable[[], None]) -> None:
-        """Call `call` in the loop whenever the signal comes."""
-        self._signals[number] = call
-        # The number reaches the loop through the descriptor of `start`.
+    def add_signal_handler(self, number: int, callback: Callable[[], None]) -> None:
+        """Call `callback` from the loop on each signal `number`."""
+        self._signals[number] = callback
+        # The signal number reaches the loop through the wake-up descriptor that
+        # `start` sets.
         signal.signal(number, lambda *_: None)
 
     def watch(
@@ -87,7 +88,7 @@
         on_readable: Callable[[], None] | None,
         on_writable: Callable[[], None] | None = None,
     ) -> None:
-        """Call when `source` is readable or writable, in place of earlier wishes."""
+        """Set the callbacks of `source`, replacing those set before."""
         events = selectors.EVENT_READ if on_readable is not None else 0
         events |= selectors.EVENT_WRITE if on_writable is not None else 0
         calls = (on_readable, on_writable)
@@ -96,44 +97,44 @@
         else:
             self._selector.register(source, events, calls)
 
-    def forget(self, source: HasFileno) -> None:
-        """Wait for `source` no more."""
+    def unwatch(self, source: HasFileno) -> None:
+        """Stop monitoring `source`."""
         with suppress(KeyError, ValueError):
             self._selector.unregister(source)
 
-    def call_at(self, at: Millis, call: Callable[[], None]) -> Timer:
-        """Call `call` once at a time."""
-        timer = Timer(at, call)
+    def call_at(self, at: Millis, callback: Callable[[], None]) -> Timer:
+        """Call `callback` once at the loop time `at`, in milliseconds."""
+        timer = Timer(at, callback)
         heapq.heappush(self._timers, (at, next(self._order), timer))
         return timer
 
-    def call_after(self, delay: Millis, call: Callable[[], None]) -> Timer:
-        """Call `call` once after a while."""
-        return self.call_at(Millis(self.now() + delay), call)
+    def call_after(self, delay: Millis, callback: Callable[[], None]) -> Timer:
+        """Call `callback` once after `delay` milliseconds."""
+        return self.call_at(Millis(self.now() + delay), callback)
 
     def stop(self) -> None:
         """Make `run` return."""
         self._is_stopped = True
 
     def run(self) -> None:
-        """Serve until `stop`."""
+        """Run callbacks until `stop` is called."""
         while not self._is_stopped:
             for key, mask in self._selector.select(self._wait_seconds()):
                 on_readable, on_writable = key.data
                 if mask & selectors.EVENT_READ and on_readable is not None:
-                    self._guard(on_readable)
+                    self._run_callback(on_readable)
                 if mask & selectors.EVENT_WRITE and on_writable is not None:
-                    self._guard(on_writable)
+                    self._run_callback(on_writable)
             self._run_timers()
 
-    def _guard(self, call: Callable[[], None]) -> None:
+    def _run_callback(self, callback: Callable[[], None]) -> None:
         try:
-            call()
+            callback()
         except Exception as error:
             self._on_fault(error)
 
     def _wait_seconds(self) -> float | None:
-        while self._timers and self._timers[0][2].call is None:
+        while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
         if not self._timers:
             return None
@@ -143,42 +144,42 @@
         now = self.now()
         while self._timers and self._timers[0][0] <= now:
             _, _, timer = heapq.heappop(self._timers)
-            call, timer.call = timer.call, None
-            if call is not None:
-                self._guard(call)
-        if len(self._timers) > _COMPACT_TIMERS:
-            self._timers = [one for one in self._timers if one[2].call is not None]
+            callback, timer.callback = timer.callback, None
+            if callback is not None:
+                self._run_callback(callback)
+        if len(self._timers) > _COMPACTION_THRESHOLD:
+            self._timers = [one for one in self._timers if one[2].callback is not None]
             heapq.heapify(self._timers)
 
-    def _take_signals(self) -> None:
+    def _handle_signals(self) -> None:
         with suppress(BlockingIOError):
             for number in self._wake_reader.recv(64):
-                call = self._signals.get(number)
-                if call is not None:
-                    call()
+                callback = self._signals.get(number)
+                if callback is not None:
+                    callback()
 
 
 class Alarm:
-    """A single timer that is set anew as what it waits for changes.
+    """A timer that can be rescheduled.
 
     Parameters
     ----------
     loop : Loop
-        The loop.
-    call : callable
-        What is called when the time has come.
+        Event loop.
+    callback : callable
+        Called when the timer expires.
     """
 
-    def __init__(self, loop: Loop, call: Callable[[], None]):
+    def __init__(self, loop: Loop, callback: Callable[[], None]):
         self._loop = loop
-        self._call = call
+        self._callback = callback
         self._timer: Timer | None = None
 
     def set(self, at: Millis | None) -> None:
-        """Call at `at` and not at the time set before; None calls never."""
+        """Reschedule the timer to `at`; None cancels it."""
         timer = self._timer
-        if timer is not None and timer.call is not None:
+        if timer is not None and timer.callback is not None:
             if timer.at == at:
                 return
             timer.cancel()
-        self._timer = None if at is None else self._loop.call_at(at, self._call)
+        self._timer = None if at is None else self._loop.call_at(at, self._callback)
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -1,4 +1,4 @@
-"""What both roles of the plain front end have in common."""
+"""Runtime shared by the balancer and agent processes of the plain front end."""
 
 import signal
 import traceback
@@ -31,49 +31,53 @@
 from papayagw._internal.observe.json_lines import JsonLines
 from papayagw._internal.wire.plain_frames import MAX_FRAME_BYTES, PlainFrameCodec
 
-SETTINGS_CHECK_MS = Millis(5_000)
-"""How often the settings file is looked at for a change that no signal told of."""
+SETTINGS_CHECK_INTERVAL_MS = Millis(5_000)
+"""How often the settings file is checked for changes made without a SIGHUP."""
 
-MAX_INTERNED_PEERS = 16_384
-"""The most peers whose endpoints are kept ready."""
+MAX_INTERNED_ENDPOINTS = 16_384
+"""Size at which the cache of peer endpoints is cleared."""
 
 
-class Reload(Protocol):
-    """Reads the settings file again."""
+class SettingsLoader(Protocol):
+    """Loads the settings file again."""
 
     def __call__(self) -> PlainSettings:
-        """Return the settings.
+        """Load and return the settings.
 
         Raises
         ------
         SettingsError
-            If the file can't be used.
+            If the file can't be read or is invalid.
         """
 
 
-class ProcessKit:
-    """Loop, sockets, logs and metrics of one process.
+class ProcessRuntime:
+    """Event loop, frame socket, HTTP servers, log and metrics of one process.
 
     Parameters
     ----------
     role : str
-        The role, for logs.
+        Role of the process, for logs.
     settings : PlainSettings
-        Its settings.
+        Settings of the process.
     platform : Platform
-        What is particular to the platform.
-    reload : callable
-        Reads the settings again.
+        Packet formats of the platform.
+    load_settings : callable
+        Reads the settings file again.
     """
 
     def __init__(
-        self, role: str, settings: PlainSettings, platform: Platform, reload: Reload
+        self,
+        role: str,
+        settings: PlainSettings,
+        platform: Platform,
+        load_settings: SettingsLoader,
     ):
         self._role = role
         self._settings = settings
         self._platform = platform
-        self._reload = reload
-        self.loop = Loop(self._note_fault)
+        self._load_settings_file = load_settings
+        self.loop = Loop(self._record_fault)
         self.log = JsonLines(settings.name, self.loop)
         self.metrics = Exposition()
         self._inner = BatchSocket(settings.inner, max_bytes=MAX_FRAME_BYTES)
@@ -84,22 +88,24 @@
 
     @property
     def settings(self) -> PlainSettings:
-        """The settings in force."""
+        """Settings in force."""
         return self._settings
 
     def start(self) -> None:
-        """Take signals, sockets and the metrics endpoint."""
+        """Install the signal handlers, bind the sockets and serve metrics."""
         self.log.start()
         self.loop.start()
-        self.loop.on_signal(signal.SIGHUP, lambda: self._load_settings("signal"))
+        self.loop.add_signal_handler(
+            signal.SIGHUP, lambda: self._reload_settings("signal")
+        )
         self._inner.start()
-        self.serve(self._settings.metrics, self._show_metrics)
-        self.loop.call_after(SETTINGS_CHECK_MS, self._check_settings)
+        self.serve(self._settings.metrics, self._handle_metrics_request)
+        self.loop.call_after(SETTINGS_CHECK_INTERVAL_MS, self._check_settings)
         fields = {"role": self._role, "version": __version__}
         self.log.write("started", {**fields, "inner": self._settings.inner})
 
     def close(self) -> None:
-        """Give everything back."""
+        """Close the servers, sockets, log and loop."""
         for server in self._servers:
             server.close()
         self._inner.close()
@@ -110,39 +116,39 @@
     def serve(
         self, endpoint: Endpoint, handler: Callable[[HttpRequest], HttpResponse]
     ) -> None:
-        """Answer HTTP requests at an endpoint."""
+        """Serve HTTP requests at an endpoint with `handler`."""
         server = HttpServer(self.loop, endpoint, handler)
         server.start()
         self._servers.append(server)
 
     def watch_frames(self, on_frame: Callable[[Frame, Endpoint], None]) -> None:
-        """Hand over each frame that comes to the inner socket."""
+        """Call `on_frame` with each frame received on the inner socket."""
 
         def read() -> None:
             for data, source in self._inner.receive_batch():
                 try:
                     frame = self._frames.decode(data)
                 except DecodeError as error:
-                    self.note(
+                    self.record_event(
                         Note("frame dropped", {"peer": source, "reason": error.what})
                     )
                     continue
-                on_frame(frame, self._intern(source))
+                on_frame(frame, self._intern_endpoint(source))
 
         self.loop.watch(self._inner, read)
 
     def send_frame(self, peer: Endpoint, frame: Frame) -> None:
-        """Send a frame."""
+        """Send a frame to a peer."""
         self._inner.send(self._frames.encode(frame), peer.sockaddr)
 
     def send_reset(self, reset: ResetClient) -> None:
-        """Tell a client that its flow is over."""
+        """Send a reset to a flow's client."""
         client = self._platform.client_endpoint(reset.flow, self._settings.client_port)
         raw = self._platform.encode_reset(reset.flow, reset.sequence)
         self._inner.send(raw, client.sockaddr)
         self.metrics.count("resets")
 
-    def note(self, note: Note) -> None:
+    def record_event(self, note: Note) -> None:
         """Log and count an event."""
         self.metrics.count(note.event)
         took_ms = note.fields.get("ms")
@@ -150,8 +156,10 @@
             self.metrics.time(note.event, took_ms)
         self.log.write(note.event, note.fields)
 
-    def note_call(self, call: StoreCall, answer: StoreAnswer, took_ms: int) -> None:
-        """Count a call of the store; log where it is lost and regained."""
+    def record_store_call(
+        self, call: StoreCall, answer: StoreAnswer, took_ms: int
+    ) -> None:
+        """Count and time a store call; log when the store is lost or regained."""
         name = type(call).__name__
         self.metrics.count(f"store {name}")
         if not isinstance(call, WatchPrefix):
@@ -163,47 +171,49 @@
             self._is_store_lost = is_lost
             event = "store lost" if is_lost else "store regained"
             reason = {"reason": answer.reason} if isinstance(answer, CallFailed) else {}
-            self.note(Note(event, {"call": name, "took_ms": took_ms, **reason}))
+            self.record_event(Note(event, {"call": name, "took_ms": took_ms, **reason}))
 
-    def on_stop(self, stop: Callable[[], None]) -> None:
-        """Call `stop` when the process is told to end."""
+    def add_stop_handler(self, stop: Callable[[], None]) -> None:
+        """Call `stop` on SIGTERM and SIGINT."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.on_signal(number, stop)
+            self.loop.add_signal_handler(number, stop)
 
-    def _note_fault(self, error: Exception) -> None:
+    def _record_fault(self, error: Exception) -> None:
         frames = traceback.format_tb(error.__traceback__)
         fields = {"error": repr(error), "traceback": "".join(frames[-3:])}
-        self.note(Note("fault", fields))
+        self.record_event(Note("fault", fields))
 
-    def _intern(self, source: tuple[str, int]) -> Endpoint:
+    def _intern_endpoint(self, source: tuple[str, int]) -> Endpoint:
         peer = self._peers.get(source)
         if peer is None:
-            if len(self._peers) >= MAX_INTERNED_PEERS:
+            if len(self._peers) >= MAX_INTERNED_ENDPOINTS:
                 self._peers.clear()
             peer = self._peers[source] = Endpoint(*source)
         return peer
 
-    def _show_metrics(self, request: HttpRequest) -> HttpResponse:
+    def _handle_metrics_request(self, request: HttpRequest) -> HttpResponse:
         body = self.metrics.show().encode()
         return HttpResponse(HTTPStatus.OK, body, CONTENT_TYPE)
 
     def _check_settings(self) -> None:
-        self._load_settings("file")
-        self.loop.call_after(SETTINGS_CHECK_MS, self._check_settings)
+        self._reload_settings("file")
+        self.loop.call_after(SETTINGS_CHECK_INTERVAL_MS, self._check_settings)
 
-    def _load_settings(self, cause: str) -> None:
+    def _reload_settings(self, cause: str) -> None:
         try:
-            settings = self._reload()
+            settings = self._load_settings_file()
         except SettingsError as error:
-            self.note(Note("settings refused", {"cause": cause, "reason": error}))
+            self.record_event(
+                Note("settings refused", {"cause": cause, "reason": error})
+            )
             return
         if settings != self._settings:
             self._settings = settings
-            self.note(Note("settings reloaded", {"cause": cause}))
+            self.record_event(Note("settings reloaded", {"cause": cause}))
         elif cause == "signal":
-            self.note(Note("settings unchanged", {"cause": cause}))
+            self.record_event(Note("settings unchanged", {"cause": cause}))
 
 
-def describe(error: PapayagwError) -> dict[str, object]:
-    """Return the fields of an error as logs have them."""
+def error_fields(error: PapayagwError) -> dict[str, object]:
+    """Return the log fields of an error."""
     return {"step": error.step, "peer": error.peer, "reason": error.what}
--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -1,4 +1,4 @@
-"""Real processes of the plain front end on loopback numbers, over stand-ins."""
+"""Fleet of real plain front end processes on loopback addresses, with stand-ins."""
 
 import json
 import os
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from tests.lib.plain_standins import (
-    REPORT_S,
+    REPORT_INTERVAL_S,
     BackendServer,
     FlowClient,
     KeyValueService,
@@ -20,7 +20,7 @@
 
 ENTRY = ("198.18.0.1", 8443)
 SERVICE = "order"
-READY_S = 20
+READY_TIMEOUT_S = 20
 SITE = {
     "version": 3,
     "routes": [
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True)
 class Ports:
-    """The ports that all machines share."""
+    """Ports, which are the same on every machine."""
 
     store: int = 18_169
     data: int = 18_172
@@ -56,11 +56,11 @@
     Parameters
     ----------
     folder : Path
-        Where settings and logs go.
+        Folder of the settings files and logs.
     block : int
-        Third part of the loopback numbers, so that runs don't meet.
+        Third octet of the loopback addresses, which separates concurrent runs.
     balancers, agents : int
-        How many of each.
+        Number of each.
     """
 
     backend_type = BackendServer
@@ -69,7 +69,7 @@
         self.folder = folder
         self.ports = Ports()
         self._block = block
-        self._clients = 0
+        self._client_count = 0
         self._processes = {}
         self._random = random.Random(block)
         self.balancers = [f"balancer-{one}" for one in range(1, balancers + 1)]
@@ -82,14 +82,14 @@
         }
 
     def start(self):
-        """Start all processes and wait until they serve."""
+        """Start all processes and wait until they are ready."""
         for name in (*self.agents, *self.balancers):
             self.start_one(name)
         for name in (*self.agents, *self.balancers):
             self.wait_ready(name)
 
     def close(self):
-        """End everything that was started."""
+        """Stop all processes and stand-ins."""
         for name in list(self._processes):
             self.signal(name, signal.SIGCONT)
             self.kill(name)
@@ -98,7 +98,7 @@
         self.store.close()
 
     def ip_of(self, name):
-        """Return the loopback number of a machine."""
+        """Return the loopback address of a machine."""
         role, _, number = name.partition("-")
         return self._ip(int(number) + (0 if role == "balancer" else 100))
 
@@ -123,7 +123,7 @@
             )
 
     def command(self, role):
-        """Return the module that a role runs, and its arguments."""
+        """Return the module that runs a role, and its arguments."""
         return ["papayagw.platform", role]
 
     def kill(self, name):
@@ -133,19 +133,19 @@
         process.wait()
 
     def pid(self, name):
-        """Return the id of a process."""
+        """Return the process id."""
         return self._processes[name].pid
 
     def signal(self, name, number):
-        """Send a signal."""
+        """Send a signal to a process."""
         self._processes[name].send_signal(number)
 
-    def wait_end(self, name, timeout_s):
-        """Return the exit code of a process that ends by itself."""
+    def wait_exit(self, name, timeout_s):
+        """Wait until a process exits by itself; return its exit code."""
         return self._processes.pop(name).wait(timeout_s)
 
     def is_ready(self, name):
-        """Return whether a process says that it is ready."""
+        """Return whether the readiness probe of a process succeeds."""
         url = f"http://{self.ip_of(name)}:{self.ports.readiness}/-/readyz"
         try:
             with urllib.request.urlopen(url, timeout=1) as answer:
@@ -155,26 +155,26 @@
 
     def wait_ready(self, name):
         """Wait until a process is ready."""
-        deadline = time.monotonic() + READY_S
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while not self.is_ready(name):
             assert time.monotonic() < deadline, f"{name} isn't ready"
             time.sleep(0.02)
 
     def metrics(self, name):
-        """Return the text of a process's measurements."""
+        """Return the metrics of a process in their text format."""
         url = f"http://{self.ip_of(name)}:{self.ports.metrics}/metrics"
         with urllib.request.urlopen(url, timeout=2) as answer:
             return answer.read().decode()
 
     def log(self, name):
-        """Return the events that a process has logged."""
+        """Return the log events of a process."""
         lines = (self.folder / f"{name}.out").read_text().splitlines()
         return [json.loads(line) for line in lines]
 
     def make_client(self):
-        """Return a client with an address of its own."""
-        self._clients += 1
-        host = f"127.95.{self._block}.{self._clients}"
+        """Return a new client with its own address."""
+        self._client_count += 1
+        host = f"127.95.{self._block}.{self._client_count}"
         return FlowClient(host, self.ports.data, ENTRY, self._pick_balancer)
 
     def _pick_balancer(self):
@@ -186,8 +186,8 @@
     def _ip(self, host):
         return f"127.94.{self._block}.{host}"
 
-    def store_of(self, name):
-        """Return the address at which a machine finds the store."""
+    def store_address(self, name):
+        """Return the store's address in the settings of a machine."""
         return f"{self._ip(200)}:{self.ports.store}"
 
     def _settings(self, name):
@@ -199,10 +199,10 @@
             "inner_port": ports.inner,
             "readiness": f"{ip}:{ports.readiness}",
             "metrics_port": ports.metrics,
-            "store": self.store_of(name),
+            "store": self.store_address(name),
             "grace_s": 6,
             "flow_limit_s": 60,
-            "report_interval_ms": round(REPORT_S * 1_000),
+            "report_interval_ms": round(REPORT_INTERVAL_S * 1_000),
         }
         if name.startswith("balancer"):
             return {**common, "entry": f"{ip}:{ports.data}"}
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -1,7 +1,8 @@
 """Stand-ins of the prepared platform for tests with real processes.
 
-The key-value service, backend servers and clients, on threads of the test, speak the
-platform's protocol by its page. Each machine has a loopback number of its own.
+The key-value service, backend servers and clients run on threads of the test and
+implement the platform's documented protocol. Each machine has its own loopback
+address.
 """
 
 import base64
@@ -18,12 +19,12 @@
 
 HEADER = struct.Struct(">IIIHIBB4sHH4s")
 SYN, ACK, FIN, RST, BOUNCED = 1, 8, 16, 32, 64
-REPORT_S = 0.2
+REPORT_INTERVAL_S = 0.2
 MODULUS = 1 << 32
 
 
 def pack(src, dst, flags, seq=0, ack=0, data=b"", echo=0):
-    """Return a packet between two (number, port) ends."""
+    """Encode a packet between two (address, port) pairs."""
     (src_ip, sport), (dst_ip, dport) = src, dst
     head = HEADER.pack(
         seq,
@@ -42,7 +43,7 @@
 
 
 def unpack(raw):
-    """Return ends, flags, numbers and data of a packet."""
+    """Decode the addresses, flags, sequence numbers and data of a packet."""
     seq, ack, echo, length, _, flags, _, src, sport, dport, dst = HEADER.unpack_from(
         raw
     )
@@ -58,7 +59,7 @@
 
 
 class KeyValueService:
-    """Keys, leases and watches, as the platform's service has them."""
+    """Key-value service with the keys, leases and watches of the platform's service."""
 
     def __init__(self, address):
         self.address = address
@@ -79,16 +80,18 @@
                 body = json.loads(self.rfile.read(length)) if length else {}
                 url = urlparse(self.path)
                 query = {key: one[0] for key, one in parse_qs(url.query).items()}
-                status, fields = service.answer(self.command, url.path, query, body)
+                status, fields = service.handle_request(
+                    self.command, url.path, query, body
+                )
                 data = json.dumps(fields).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
                 self.end_headers()
-                # A process that was killed reads no answer.
+                # A killed process has closed its connection.
                 with suppress(ConnectionError):
                     self.wfile.write(data)
 
-            # The names are those that the library calls.
+            # http.server calls handlers by these names.
             do_GET = do_POST = do_DELETE = handle_one  # noqa: N815
 
             def log_message(self, *args):
@@ -96,7 +99,7 @@
 
         class Server(ThreadingHTTPServer):
             def handle_error(self, request, client_address):
-                # Connections are reset by tests and by processes that end.
+                # Tests and exiting processes reset connections.
                 pass
 
         self._server = Server(address, Handler)
@@ -107,12 +110,12 @@
         self._server.shutdown()
         self._server.server_close()
 
-    def answer(self, method, path, query, body):
-        """Return status and fields of one call."""
+    def handle_request(self, method, path, query, body):
+        """Return the status and the JSON fields of the response."""
         if self.is_down:
             return 503, {}
         with self._changed:
-            self._expire()
+            self._expire_leases()
             match method, path.removeprefix("/-/"):
                 case "GET", "kv-range":
                     return 200, self._range(query["prefix"])
@@ -125,15 +128,15 @@
                     self._leases[lease] = (time.monotonic(), body["ttl_ms"] / 1_000)
                     return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
             verb, _, lease = path.removeprefix("/-/").partition("/")
-            return self._keep(verb, int(lease))
+            return self._renew_or_end_lease(verb, int(lease))
 
     def put(self, key, value, lease=0):
-        """Write a key, as the operator does."""
+        """Write a key, like an operator."""
         with self._changed:
             self._put(key, base64.b64encode(value).decode(), lease)
 
     def remove(self, key):
-        """Take a key away."""
+        """Remove a key."""
         with self._changed:
             self._remove(key)
 
@@ -169,11 +172,11 @@
             self._put(put["key"], put["value"], put["lease"])
         return 200, {"revision": self._revision}
 
-    def _keep(self, verb, lease):
+    def _renew_or_end_lease(self, verb, lease):
         if lease not in self._leases:
             return 404, {}
         if verb == "kv-lease-end":
-            self._end(lease)
+            self._end_lease(lease)
             return 200, {}
         ttl = self._leases[lease][1]
         self._leases[lease] = (time.monotonic(), ttl)
@@ -199,20 +202,20 @@
         self._events.append({"key": key, "revision": self._revision, "deleted": True})
         self._changed.notify_all()
 
-    def _end(self, lease):
+    def _end_lease(self, lease):
         del self._leases[lease]
         for key in [key for key, one in self._items.items() if one["lease"] == lease]:
             self._remove(key)
 
-    def _expire(self):
+    def _expire_leases(self):
         now = time.monotonic()
         for lease, (at, ttl) in list(self._leases.items()):
             if now - at > ttl:
-                self._end(lease)
+                self._end_lease(lease)
 
 
 class BackendServer:
-    """A backend server that answers each packet of data by its own packet."""
+    """A backend server that echoes the data of each packet."""
 
     def __init__(self, name, service, ip, ports):
         self.name = name
@@ -231,7 +234,7 @@
         self._socket.settimeout(0.1)
         self._threads = [
             threading.Thread(target=work, daemon=True)
-            for work in (self._receive, self._report)
+            for work in (self._receive, self._report_periodically)
         ]
         for thread in self._threads:
             thread.start()
@@ -242,8 +245,8 @@
             thread.join()
         self._socket.close()
 
-    def holds(self, flow, ack):
-        """Whether this is the backend server whose answer the client took."""
+    def owns(self, flow, ack):
+        """Return whether the client acknowledged this server's acceptance."""
         return flow in self.flows and ack == (self.flows[flow] + 1) % MODULUS
 
     def _receive(self):
@@ -252,16 +255,16 @@
                 raw, _ = self._socket.recvfrom(4_096)
             except TimeoutError:
                 continue
-            self._take(raw)
+            self._handle_packet(raw)
 
-    def _take(self, raw):
+    def _handle_packet(self, raw):
         packet = unpack(raw)
         flow = packet["src"], packet["dst"]
         if packet["flags"] & SYN:
             start = self.flows.setdefault(flow, random.getrandbits(32))
             self._send(flow, SYN | ACK, start, packet["seq"] + 1)
             return
-        if not self.holds(flow, packet["ack"]):
+        if not self.owns(flow, packet["ack"]):
             returned = bytearray(raw)
             returned[18] |= BOUNCED
             self._socket.sendto(bytes(returned), self._outbound)
@@ -277,7 +280,7 @@
         raw = pack(entry, client, flags, seq % MODULUS, ack, data)
         self._socket.sendto(raw, self._outbound)
 
-    def _report(self):
+    def _report_periodically(self):
         while not self._is_closed:
             self._number += 1
             fields = {
@@ -291,14 +294,14 @@
                 "seq": self._number,
                 "born": self.started_at,
             }
-            if self._put(json.dumps(fields).encode()):
-                self.on_acknowledged(fields)
-            time.sleep(REPORT_S)
+            if self._send_report(json.dumps(fields).encode()):
+                self.on_report_accepted(fields)
+            time.sleep(REPORT_INTERVAL_S)
 
-    def on_acknowledged(self, fields):
-        """Hear that a report was taken."""
+    def on_report_accepted(self, fields):
+        """Handle the acceptance of a report by the agent; subclasses override it."""
 
-    def _put(self, body):
+    def _send_report(self, body):
         head = (
             f"PUT /-/instances/{self.name} HTTP/1.1\r\nHost: a\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
@@ -309,17 +312,17 @@
                 connection.sendall(head.encode() + body)
                 return connection.recv(1_000).startswith(b"HTTP/1.1 200")
         except OSError:
-            # The agent is away: the next report tells it.
+            # The agent isn't running; the next report reaches it.
             return False
 
 
 class FlowClient:
-    """A client with one flow; routers hand its packets to any balancer that lives."""
+    """A client with one flow, whose packets go to any running balancer."""
 
     def __init__(self, ip, client_port, entry, pick_balancer):
         self._ip = ip
         self._entry = entry
-        self._pick = pick_balancer
+        self._pick_balancer = pick_balancer
         self._source = (ip, 40_001)
         self._start = None
         self._position = 1
@@ -331,35 +334,37 @@
 
     @property
     def flow(self):
-        """The two ends."""
+        """Addresses of the client and of the entry."""
         return self._source, self._entry
 
     @property
     def acknowledged(self):
-        """The number that its packets acknowledge."""
+        """Acknowledgement number of the client's packets."""
         return (self._start + 1) % MODULUS
 
-    def renew(self):
-        """Leave the flow; the next one has another port."""
+    def start_new_flow(self):
+        """Abandon the flow; the next one uses another source port."""
         self._source = (self._ip, self._source[1] + 1)
         self._position = 1
 
     def open(self, timeout_s=5.0):
         """Open the flow; return whether it was accepted."""
         raw = pack(self._source, self._entry, SYN)
-        packet = self._ask(raw, lambda one: one["flags"] & SYN, timeout_s)
+        packet = self._send_until_answered(
+            raw, lambda one: one["flags"] & SYN, timeout_s
+        )
         if packet is None:
             return False
         self._start = packet["seq"]
         return True
 
     def request(self, data, timeout_s=10.0):
-        """Return whether the answer came, or "reset"."""
+        """Send a request; return whether it was answered, or "reset"."""
         raw = pack(
             self._source, self._entry, ACK, self._position, self.acknowledged, data
         )
         end = self._position + len(data)
-        packet = self._ask(
+        packet = self._send_until_answered(
             raw, lambda one: one["data"] == data and one["ack"] == end, timeout_s
         )
         if packet is None:
@@ -369,10 +374,10 @@
         self._position = end
         return True
 
-    def _ask(self, raw, is_answer, timeout_s):
+    def _send_until_answered(self, raw, is_answer, timeout_s):
         deadline, wait = time.monotonic() + timeout_s, 0.2
         while time.monotonic() < deadline:
-            balancer = self._pick()
+            balancer = self._pick_balancer()
             if balancer is not None:
                 self._socket.sendto(raw, balancer)
             packet = self._receive(is_answer, min(wait, deadline - time.monotonic()))
--- a/tests/unit/test_plain_imports.py
+++ b/tests/unit/test_plain_imports.py
@@ -1,11 +1,14 @@
-"""What the roles of the prepared platform load, since their start is dark time."""
+"""Tests of the modules that each role imports.
+
+A process serves nothing while it starts, so imports must stay few.
+"""
 
 import subprocess
 import sys
 
 import pytest
 
-HEAVY = {
+FORBIDDEN_MODULES = {
     "absl",
     "aioquic",
     "anyio",
@@ -24,11 +27,11 @@
     "uvicorn",
 }
 MEMORY_LIMIT_KB = 25 * 1024
-"""The target of a process until it serves."""
+"""Limit on the peak resident memory of a process until it serves."""
 
 
 @pytest.mark.parametrize("role", ["balancer", "agent"])
-def test_a_role_loads_only_what_it_uses(role):
+def test_a_role_imports_no_unused_heavy_modules(role):
     code = (
         "import sys\n"
         f"import papayagw._internal.net.plain.{role}_process\n"
@@ -37,7 +40,7 @@
         "print(*[one.split()[1] for one in status if one.startswith('VmHWM')])\n"
         "print(*{name.partition('.')[0] for name in sys.modules})\n"
     )
-    # -S leaves out what the environment's own start-up files load.
+    # -S skips the modules that the environment's site start-up files import.
     found = subprocess.run(
         [
             sys.executable,
@@ -50,5 +53,5 @@
         check=True,
     )
     memory, modules = found.stdout.splitlines()
-    assert not HEAVY & set(modules.split())
+    assert not FORBIDDEN_MODULES & set(modules.split())
     assert int(memory) < MEMORY_LIMIT_KB
