--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -158,9 +158,9 @@
             case OpenFrame():
                 return self._on_opening(frame, source, now)
             case ForwardFrame():
-                return self._on_carried(frame, source, now)
+                return self._on_forwarded(frame, source, now)
             case OwnerQueryFrame():
-                return self._on_questions(frame, source, now)
+                return self._on_owner_queries(frame, source, now)
             case ScopeFrame():
                 return self._on_scope(frame, source)
             case EntryMissingFrame():
@@ -173,7 +173,7 @@
         packet = frame.packet
         owned = self._flows.find(packet.flow)
         if owned is not None and owned.ended_at is not None:
-            self._forget(packet.flow, owned, now)
+            self._remove_flow(packet.flow, owned, now)
             owned = None
         if owned is None or owned.accept_sequence is None:
             reason = self._find_rejection_reason(frame, source, now)
@@ -189,7 +189,7 @@
             self._pending_openings[packet.flow] = owned
         return [SendToBackend(packet, self._peers.token_of(source))]
 
-    def _on_carried(
+    def _on_forwarded(
         self, frame: ForwardFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
         packet = frame.packet
@@ -203,14 +203,14 @@
         # packets of flows that it doesn't hold.
         return [SendToBackend(packet, self._peers.token_of(source))]
 
-    def _on_questions(
+    def _on_owner_queries(
         self, frame: OwnerQueryFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
-        claims = tuple(
-            OwnerReply(question.flow, self._ownership.resolve(question, now))
-            for question in frame.queries
+        replies = tuple(
+            OwnerReply(query.flow, self._ownership.resolve(query, now))
+            for query in frame.queries
         )
-        return [SendFrame(source, OwnerReplyFrame(claims, self.current_load(now)))]
+        return [SendFrame(source, OwnerReplyFrame(replies, self.current_load(now)))]
 
     def _on_scope(self, frame: ScopeFrame, source: Endpoint) -> list[Action]:
         if self._scope is not None and frame.site_version <= self._scope.site_version:
@@ -245,11 +245,10 @@
             reason = ReturnReason.WRONG_SERVICE
             return self._return(frame.packet, reason, source, now)
         if isinstance(frame, OwnerQueryFrame):
-            claims = tuple(
-                OwnerReply(question.flow, Ownership.NOT_OWNER)
-                for question in frame.queries
+            replies = tuple(
+                OwnerReply(query.flow, Ownership.NOT_OWNER) for query in frame.queries
             )
-            return [SendFrame(source, OwnerReplyFrame(claims, self.current_load(now)))]
+            return [SendFrame(source, OwnerReplyFrame(replies, self.current_load(now)))]
         return []
 
     def _return(
@@ -287,8 +286,8 @@
         actions: list[Action] = [SendToClient(packet)]
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
-            claim = OwnerReply(packet.flow, Ownership.OWNER)
-            frame = OwnerReplyFrame((claim,), self.current_load(now))
+            reply = OwnerReply(packet.flow, Ownership.OWNER)
+            frame = OwnerReplyFrame((reply,), self.current_load(now))
             actions += [SendFrame(peer, frame) for peer in self._peers.list_active(now)]
             fields = {"flow": show_flow(packet.flow)}
             actions.append(Note("flow adopted", fields))
@@ -331,17 +330,17 @@
         balancer = self._peers.find(packet.token)
         if packet.kind is PacketKind.OPEN:
             if owned is not None and owned.accept_sequence is None:
-                self._forget(packet.flow, owned, now)
+                self._remove_flow(packet.flow, owned, now)
             if balancer is None:
                 return []
             return self._return(packet, self._admission.record_refusal(), balancer, now)
         if owned is not None and owned.is_established:
             # A returned packet means that the backend server no longer holds the flow.
-            self._forget(packet.flow, owned, now)
+            self._remove_flow(packet.flow, owned, now)
             reset = ResetClient(packet.flow, packet.acknowledged or 0)
             return [reset, Note("flow lost", {"flow": show_flow(packet.flow)})]
         if owned is not None:
-            self._forget(packet.flow, owned, now)
+            self._remove_flow(packet.flow, owned, now)
         if balancer is None:
             return []
         return self._return(packet, ReturnReason.NOT_OWNER, balancer, now)
@@ -389,7 +388,7 @@
         return actions
 
     def on_departure(self, departure: Departure, now: Millis) -> list[Action]:
-        """Handle the backend server's shutdown and return the resulting actions."""
+        """Handle the backend server's departure and return the resulting actions."""
         if not self._admission.backend.record_departure(departure):
             return []
         note = Note("backend left", {"instance": departure.instance})
@@ -411,7 +410,7 @@
         ended = [(flow, owned) for flow, owned in self._flows if owned.began_at < start]
         actions: list[Action] = []
         for flow, owned in ended:
-            self._forget(flow, owned, now)
+            self._remove_flow(flow, owned, now)
             # A flow that was only accepted may be established at another backend
             # server, so it isn't reset.
             if owned.is_established and owned.ended_at is None:
@@ -443,7 +442,7 @@
     ) -> list[Action]:
         """Return an opening to its balancer after the accept timeout."""
         packet, balancer = owned.pending_opening, owned.balancer
-        self._forget(flow, owned, now)
+        self._remove_flow(flow, owned, now)
         wait = self._admission.record_timeout(now)
         if packet is None or balancer is None:
             return []
@@ -498,7 +497,7 @@
         self._admission.meter.end(now, answered=answered)
         self._peers.mark_load_changed(now)
 
-    def _forget(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> None:
+    def _remove_flow(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> None:
         self._end_request(owned, now, answered=False)
         self._pending_openings.pop(flow, None)
         self._admission.clear_first_request(flow)
--- a/src/papayagw/_internal/core/plain/backend_state.py
+++ b/src/papayagw/_internal/core/plain/backend_state.py
@@ -112,5 +112,6 @@
             return False
         if report.started_at != known.started_at:
             return report.started_at < known.started_at
-        # A run never leaves the draining state, so a late report must not undo it.
+        # Reports may arrive late. A run never leaves the draining state and never
+        # resumes after its departure, so a late report must not undo either.
         return self._has_left or report.number <= known.number
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -47,7 +47,7 @@
 
 
 class PlainBalancer:
-    """Decide what a balancer does, without performing any input or output.
+    """State machine of one balancer; performs no I/O.
 
     Parameters
     ----------
@@ -387,7 +387,9 @@
         if sent_at is not None and now - sent_at < SCOPE_INTERVAL_MS:
             return
         self._scopes_sent[view.endpoint] = now
-        yield SendFrame(view.endpoint, _make_scope(self._site, view.entry.service))
+        yield SendFrame(
+            view.endpoint, _make_scope_frame(self._site, view.entry.service)
+        )
 
     def _knows_all_agents(self, agents: list[AgentView], now: Millis) -> bool:
         """Return whether the known agents are all agents, so none owns a denied flow.
@@ -449,7 +451,7 @@
     return route.services[-1].name
 
 
-def _make_scope(site: SiteVersion, service: str) -> ScopeFrame:
+def _make_scope_frame(site: SiteVersion, service: str) -> ScopeFrame:
     entries = frozenset(
         entry
         for entry, route in site.routes.items()
--- a/src/papayagw/_internal/core/plain/batching.py
+++ b/src/papayagw/_internal/core/plain/batching.py
@@ -1,4 +1,4 @@
-"""Batching of ownership questions."""
+"""Batching of owner queries."""
 
 from collections.abc import Iterable
 
@@ -7,11 +7,11 @@
 from papayagw._internal.models.plain.frame import OwnerQuery, OwnerQueryFrame
 
 MAX_QUESTIONS = 64
-"""Maximum questions per frame: 1,100 bytes, so that no link fragments it."""
+"""Maximum queries per frame, which then has 1,100 bytes: no link fragments it."""
 
 
 def join_questions(actions: Iterable[Action]) -> list[Action]:
-    """Merge the question frames to each agent.
+    """Merge the owner queries to each agent into as few frames as possible.
 
     Parameters
     ----------
@@ -21,21 +21,21 @@
     Returns
     -------
     list of Action
-        The other actions in their order, then the merged question frames.
+        The other actions in their order, then the merged query frames.
     """
     others: list[Action] = []
-    questions_by_agent: dict[tuple[Endpoint, str], list[OwnerQuery]] = {}
+    queries_by_agent: dict[tuple[Endpoint, str], list[OwnerQuery]] = {}
     for action in actions:
         if isinstance(action, SendFrame) and isinstance(action.frame, OwnerQueryFrame):
             key = (action.peer, action.frame.service)
-            questions_by_agent.setdefault(key, []).extend(action.frame.queries)
+            queries_by_agent.setdefault(key, []).extend(action.frame.queries)
         else:
             others.append(action)
     return others + [
         SendFrame(
             peer,
-            OwnerQueryFrame(service, tuple(questions[start : start + MAX_QUESTIONS])),
+            OwnerQueryFrame(service, tuple(queries[start : start + MAX_QUESTIONS])),
         )
-        for (peer, service), questions in questions_by_agent.items()
-        for start in range(0, len(questions), MAX_QUESTIONS)
+        for (peer, service), queries in queries_by_agent.items()
+        for start in range(0, len(queries), MAX_QUESTIONS)
     ]
--- a/src/papayagw/_internal/core/plain/choice.py
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -36,12 +36,12 @@
 
 
 class LeastWaitChooser:
-    """Select the agent that is expected to answer a request first.
+    """Selects the agent that is expected to answer a request first.
 
     Parameters
     ----------
     zone : str
-        The zone of the balancer, preferred when expected waits are similar.
+        The zone of the balancer, preferred when expected response times are similar.
     random : Random
         Breaks ties, so that balancers with the same load reports don't all select the
         same agent.
@@ -54,11 +54,12 @@
     def choose(
         self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
     ) -> AgentView:
-        """Return the candidate with the shortest expected wait."""
+        """Return the candidate with the shortest expected response time."""
         typical_us = _typical_service_us(candidates)
         return min(candidates, key=lambda view: self._wait_us(view, typical_us, now))
 
     def _wait_us(self, view: AgentView, typical_us: float, now: Millis) -> float:
+        """Return the expected response time, plus the zone penalty and jitter."""
         jitter = self._random.random()
         zone_penalty_us = 0 if view.entry.zone == self._zone else OTHER_ZONE_PENALTY_US
         load = view.load
@@ -79,7 +80,7 @@
 
 
 class RoundRobinChooser:
-    """Select each agent in turn."""
+    """Selects each agent in turn."""
 
     def __init__(self) -> None:
         self._next = 0
@@ -93,7 +94,7 @@
 
 
 class RandomChooser:
-    """Select an agent at random."""
+    """Selects an agent at random."""
 
     def __init__(self, random: Random):
         self._random = random
@@ -106,7 +107,7 @@
 
 
 class HashChooser:
-    """Select by rendezvous hashing of the flow, identically at all balancers."""
+    """Selects by rendezvous hashing of the flow, identically at all balancers."""
 
     def choose(
         self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
--- a/src/papayagw/_internal/core/plain/intake.py
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -149,7 +149,13 @@
         return self.meter.busy + pending_openings + len(self._awaited_until)
 
     def record_report(self, report: StatusReport, now: Millis) -> bool:
-        """Record a report; return False if it is stale or for another service."""
+        """Record a report and its number of slots, and end a pause in openings.
+
+        Returns
+        -------
+        bool
+            False if the report is stale or for another service, and was ignored.
+        """
         if not self.backend.record_report(report, now):
             return False
         self.meter.slots = report.slots
@@ -157,7 +163,7 @@
         return True
 
     def record_activity(self) -> None:
-        """Record a sign of life of the backend server, which ends a pause."""
+        """Record that the backend server sent something, which ends a pause."""
         self._timeout_count = 0
         self._paused_until = Millis(0)
 
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -149,6 +149,6 @@
 
 
 def _sort_newest_first(openings: Reversible[Opening]) -> list[Opening]:
-    """Return openings by age; of equally old ones, the last added comes first."""
+    """Return openings, newest first; of equally old ones, the last added first."""
     latest = reversed(openings)
     return sorted(latest, key=lambda one: one.started_at, reverse=True)
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -16,7 +16,7 @@
 """
 
 SEQUENCE_WINDOW = 1 << 22
-"""Maximum distance of a client's acknowledgement from the accept packet, in bytes.
+"""How far a client's acknowledgement may be ahead of the accept packet, in bytes.
 
 More than a flow carries in total, and a thousandth of the range from which each
 backend server draws its initial sequence number at random.
@@ -125,7 +125,10 @@
         self._flows.pop(flow, None)
 
     def sweep(self, now: Millis, idle_ms: Millis) -> list[OwnedFlow]:
-        """Remove and return flows that have ended or been idle for `idle_ms`."""
+        """Remove and return flows that have been idle for `idle_ms` or ended.
+
+        Ended flows are kept for `ENDED_FLOW_RETENTION_MS`.
+        """
         expired = [
             (key, owned)
             for key, owned in self._flows.items()
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_search.py
@@ -28,7 +28,7 @@
 
 
 class OwnerLookup:
-    """Find the owners of unknown flows for one balancer.
+    """Finds the owners of unknown flows for one balancer.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -15,7 +15,7 @@
 
 
 class OwnershipResolver:
-    """Answers ownership questions of balancers.
+    """Answers owner queries of balancers.
 
     Parameters
     ----------
@@ -42,11 +42,11 @@
         self._started_at = now
         self._unsure_until = Millis(now + flow_limit_ms)
 
-    def resolve(self, question: OwnerQuery, now: Millis) -> Ownership:
+    def resolve(self, query: OwnerQuery, now: Millis) -> Ownership:
         """Return whether the backend server owns the flow, as far as is known."""
-        owned = self._flows.find(question.flow)
+        owned = self._flows.find(query.flow)
         if owned is not None and owned.ended_at is None:
-            is_ours = owned.matches(question.acknowledged)
+            is_ours = owned.matches(query.acknowledged)
             return Ownership.OWNER if is_ours else Ownership.NOT_OWNER
         if owned is not None:
             # The backend server still answers late packets of an ended flow.
--- a/src/papayagw/_internal/core/plain/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/prefix_watcher.py
@@ -118,14 +118,14 @@
                 self._due_at = Millis(now + self._retry_schedule.fail(failure))
 
     def refresh(self, now: Millis) -> bool:
-        """Read all keys again if they are being watched; return whether they are."""
+        """Schedule a new read of all keys; return False if one is already pending."""
         if self._revision is None:
             return False
         self.restart(now)
         return True
 
     def restart(self, now: Millis) -> None:
-        """Read all keys again."""
+        """Discard a partial read and schedule a new read of all keys."""
         self._revision = None
         self._pages = []
         self._due_at = now
--- a/src/papayagw/_internal/core/plain/questions.py
+++ b/src/papayagw/_internal/core/plain/questions.py
@@ -31,7 +31,7 @@
 """Maximum number of lookups in progress."""
 
 MAX_HELD_PACKETS = 16
-"""Maximum number of packets held per lookup: a client's packets in flight."""
+"""Maximum number of packets held per lookup: the most a client has in flight."""
 
 MAX_TRIAL_PACKETS = 2
 """Maximum number of packets of a flow forwarded to agents that may not own it.
@@ -163,7 +163,10 @@
         return self._lookups.pop(flow, None)
 
     def pop_due(self, now: Millis) -> list[PendingLookup]:
-        """Return the lookups with overdue replies; remove those in a later stage."""
+        """Return the lookups with overdue replies.
+
+        Lookups whose time ran out in a later stage are removed.
+        """
         due = [self._lookups[flow] for flow in self._deadlines.pop_due(now)]
         for one in due:
             if one.stage is not Stage.ASKING:
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -37,13 +37,16 @@
 """
 
 FIRST_SUSPICION_MS = Millis(400)
-"""How long an agent gets no offers after its first unanswered offer.
+"""How long an agent is suspect the first time.
 
-Long enough to receive a load report from the agent in normal operation.
+An agent is suspect if it left an offer unanswered, or returned a packet as `SILENT` or
+`WRONG_SERVICE`. It then gets offers only if no other agent accepts openings.
+
+The time suffices to receive a load report from the agent in normal operation.
 """
 
 LONGEST_SUSPICION_MS = Millis(4_000)
-"""Upper limit of the suspicion time, which doubles from `FIRST_SUSPICION_MS`."""
+"""Upper limit of the time as suspect, which doubles from `FIRST_SUSPICION_MS`."""
 
 
 class AgentView:
@@ -82,7 +85,10 @@
         return self.entry.endpoint
 
     def record_load(self, load: AgentLoad, now: Millis) -> None:
-        """Record a load report, which also ends any suspicion."""
+        """Record a load report, after which the agent is no longer suspect.
+
+        Earlier offers no longer count as pending. Free capacity also ends the backoff.
+        """
         self.load = load
         self.load_received_at = now
         self.pending = 0
@@ -96,7 +102,7 @@
         self.backoff_until = Millis(now + BUSY_BACKOFF_MS)
 
     def mark_suspect(self, now: Millis) -> Millis:
-        """Suspect the agent of being down; return for how long it gets no offers."""
+        """Mark the agent as suspect; return for how long."""
         wait = min(FIRST_SUSPICION_MS << self.unanswered_count, LONGEST_SUSPICION_MS)
         if wait < LONGEST_SUSPICION_MS:
             self.unanswered_count += 1
@@ -118,7 +124,7 @@
         )
 
     def is_suspect(self, now: Millis) -> bool:
-        """Return whether the agent is available but has let an offer go unanswered."""
+        """Return whether the agent is available but currently suspect."""
         return self._is_available(now) and now < self.suspect_until
 
     @property
@@ -137,11 +143,16 @@
         return self.load_received_at - load.run_age_ms > at
 
     def _is_busy(self, now: Millis) -> bool:
+        """Return whether a recent load report leaves no free capacity."""
         if self.load is None or now - self.load_received_at > LOAD_FRESH_MS:
             return False
         return self.free_capacity <= 0
 
     def _is_available(self, now: Millis) -> bool:
+        """Return whether no recent load report says that the agent is unavailable.
+
+        An agent that is gone isn't available.
+        """
         if self.is_gone(now):
             return False
         load = self.load
--- a/src/papayagw/_internal/models/plain/action.py
+++ b/src/papayagw/_internal/models/plain/action.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendFrame:
-    """Send a frame to another process of the system."""
+    """Send a frame to a balancer or an agent."""
 
     peer: Endpoint
     frame: Frame
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -13,11 +13,14 @@
     NOT_READY = 1
     DRAINING = 2
     FULL = 3
+    """The backend server rejected the opening."""
     SILENT = 4
+    """The backend server left this or a recent opening unanswered."""
     WRONG_SERVICE = 5
     OLD_VERSION = 6
     NOT_OWNER = 7
     BUSY = 8
+    """No free capacity; the agent notifies the balancer when there is some."""
 
 
 class Ownership(Enum):
--- a/src/papayagw/_internal/models/plain/instance.py
+++ b/src/papayagw/_internal/models/plain/instance.py
@@ -86,8 +86,11 @@
 
     READY = 1
     UNREADY = 2
+    """The backend server hasn't reported, has left or doesn't respond."""
     DRAINING = 3
+    """The backend server accepts no new flows."""
     LEAVING = 4
+    """The agent is stopping."""
 
 
 @dataclass(frozen=True, slots=True)
