--- a/src/papayagw/_internal/core/admission.py
+++ b/src/papayagw/_internal/core/admission.py
@@ -49,7 +49,7 @@
         """Remove a flow, whether it is queued, in progress or idle."""
 
     def poll(self, now: Millis) -> AdmissionResults:
-        """Return the queued flows that are now admitted or refused."""
+        """Admit or refuse the queued flows that are due, and return both."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +112,7 @@
         if not self._queue.has_client(request.client) and self._may_start(
             request.client
         ):
-            self._start(request.flow, request.client, now)
+            self._add_work(request.flow, request.client, now)
             return AdmissionDecision.ADMIT
         evicted = self._queue.push(request, expires_at)
         if evicted == request.flow:
@@ -131,24 +131,24 @@
             self._limit.record_answer(latency, self.in_progress, now)
         elif end is ReleaseReason.FAILED:
             self._limit.record_failure(now)
-        self._finish(flow)
+        self._remove_work(flow)
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
         """Record that an admitted flow without work in progress sends a request."""
         client = self._open.get(flow)
         if client is not None and flow not in self._work:
-            self._start(flow, client, now)
+            self._add_work(flow, client, now)
 
     def close(self, flow: FlowNumber) -> None:
         """Remove a flow, whether it is queued, in progress or idle."""
         self._queue.remove(flow)
         if flow in self._evicted:
             self._evicted.remove(flow)
-        self._finish(flow)
+        self._remove_work(flow)
         self._open.pop(flow, None)
 
     def poll(self, now: Millis) -> AdmissionResults:
-        """Return the queued flows that are now admitted or refused."""
+        """Admit or refuse the queued flows that are due, and return both."""
         refused = (*self._evicted, *self._queue.expire(now))
         self._evicted.clear()
         admitted: list[FlowNumber] = []
@@ -156,7 +156,7 @@
             request = self._queue.pop(self._rank)
             if request is None:
                 break
-            self._start(request.flow, request.client, now)
+            self._add_work(request.flow, request.client, now)
             admitted.append(request.flow)
         return AdmissionResults(tuple(admitted), refused)
 
@@ -178,12 +178,12 @@
             return None
         return self._in_progress_of.get(client, 0)
 
-    def _start(self, flow: FlowNumber, client: str, now: Millis) -> None:
+    def _add_work(self, flow: FlowNumber, client: str, now: Millis) -> None:
         self._open[flow] = client
         self._work[flow] = _Work(client, now)
         self._in_progress_of[client] = self._in_progress_of.get(client, 0) + 1
 
-    def _finish(self, flow: FlowNumber) -> None:
+    def _remove_work(self, flow: FlowNumber) -> None:
         work = self._work.pop(flow, None)
         if work is None:
             return
--- a/src/papayagw/_internal/core/configuration_change.py
+++ b/src/papayagw/_internal/core/configuration_change.py
@@ -23,11 +23,11 @@
     known = {service.service_id: service for service in before.site.services}
     kept = {service.service_id for service in after.site.services}
     changed = [one for one in after.site.services if known.get(one.service_id) != one]
-    marks = [mark for mark in after.history if mark.version > before.version]
+    entries = [entry for entry in after.history if entry.version > before.version]
     return ConfigurationChange(
         base=before.version,
         base_submission_id=before.submission_id,
-        submissions=tuple(marks),
+        submissions=tuple(entries),
         name=after.site.name,
         control_address=after.site.control_address,
         zones=after.site.zones,
@@ -79,7 +79,7 @@
 
 
 class ChangeLog:
-    """Most recent versions of a node, from which changes are computed."""
+    """Most recent configuration versions of a node, to compute changes from."""
 
     def __init__(self) -> None:
         self._versions: OrderedDict[int, Configuration] = OrderedDict()
--- a/src/papayagw/_internal/core/gossip_probe.py
+++ b/src/papayagw/_internal/core/gossip_probe.py
@@ -31,7 +31,7 @@
     target: Endpoint
     number: int
     sent_at: Millis
-    inquired: bool = False
+    request_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +45,7 @@
     number : int
         The number that matches the answer to the probe.
     inquire : Endpoint or None
-        The balancer about which peers have to be asked.
+        The balancer about which peers have to be sent a liveness request.
     suspect : Endpoint or None
         The balancer that has to be suspected.
     """
@@ -112,8 +112,8 @@
             self._pending = None
             self._misses += 1
             return ProbeStep(suspect=pending.target)
-        if age >= INQUIRE_TIMEOUT_MS and not pending.inquired:
-            self._pending = replace(pending, inquired=True)
+        if age >= INQUIRE_TIMEOUT_MS and not pending.request_sent:
+            self._pending = replace(pending, request_sent=True)
             return ProbeStep(inquire=pending.target)
         return ProbeStep()
 
--- a/src/papayagw/_internal/core/gossip_queue.py
+++ b/src/papayagw/_internal/core/gossip_queue.py
@@ -138,7 +138,7 @@
 
 
 def estimate_bytes(update: Record | SuspicionVector) -> float:
-    """Return the size of a record or a vector in a datagram, in bytes."""
+    """Return the estimated size of a record or a vector in a datagram, in bytes."""
     if not isinstance(update, SuspicionVector):
         return RECORD_BYTES
     if len(set(update.counters)) <= 1:
@@ -147,5 +147,5 @@
 
 
 def compute_transmissions(nodes: int) -> int:
-    """Return the number of transmissions in a fleet of `nodes` balancers."""
+    """Return the transmissions of an update in a fleet of `nodes` balancers."""
     return MIN_TRANSMISSIONS + math.ceil(TRANSMISSIONS_FACTOR * math.log(nodes + 1))
--- a/src/papayagw/_internal/core/gossip_table.py
+++ b/src/papayagw/_internal/core/gossip_table.py
@@ -129,13 +129,13 @@
             same = known.precedence == record.precedence
             return MergeOutcome.KNOWN if same else MergeOutcome.STALE
         if known is not None and known.state is not AgentState.GONE:
-            self._remove(known)
+            self._unindex(known)
         self._records[record.endpoint] = record
         if record.state is AgentState.GONE:
             self._gone_at[record.endpoint] = now
         else:
             self._gone_at.pop(record.endpoint, None)
-            self._add(record)
+            self._index(record)
         if isinstance(record, AgentRecord):
             self._directory.merge(record)
         return MergeOutcome.NEWER
@@ -211,7 +211,7 @@
                 ahead.append(replace(record, suspicion=record.suspicion + steps))
         return VectorComparison(tuple(ahead), behind)
 
-    def _add(self, record: Record) -> None:
+    def _index(self, record: Record) -> None:
         fingerprint = compute_fingerprint(record)
         self._fingerprints[record.endpoint] = fingerprint
         self._by_fingerprint[fingerprint] = record
@@ -225,7 +225,7 @@
         else:
             self._agents += 1
 
-    def _remove(self, record: Record) -> None:
+    def _unindex(self, record: Record) -> None:
         fingerprint = self._fingerprints.pop(record.endpoint)
         self._by_fingerprint.pop(fingerprint, None)
         self._digest ^= fingerprint
@@ -263,6 +263,7 @@
         return self._sorted
 
     def _update_digests(self, record: Record, fingerprint: Fingerprint) -> None:
+        # XOR is its own inverse: the same step adds or removes a record.
         self.digest ^= fingerprint
         self.index_digest ^= _compute_identity(record)
         self._sorted = None
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -50,7 +50,7 @@
 """Budget of a balancer for all control traffic, sent and received together."""
 
 PROBE_BYTES_PER_SECOND = 400
-"""Cost of probes and their answers without piggybacked updates."""
+"""Traffic of probes and their answers, without piggybacked updates."""
 
 MIN_GOSSIP_BYTES_PER_SECOND = 800
 """Minimum rate that is reserved for gossip and repair."""
@@ -72,7 +72,7 @@
 FANOUT_INTERVAL_MS = Millis(100)
 
 INQUIRED_PEERS = 2
-"""Number of peers that receive an inquiry about an unresponsive balancer."""
+"""Number of peers that receive a liveness request about an unresponsive balancer."""
 
 SUSPICION_TIMEOUT_MS = Millis(10_000)
 """Time after which a balancer that has not refuted a suspicion is marked as gone."""
@@ -93,7 +93,8 @@
 """
 
 MAX_JOIN_RECORDS = 30
-"""Maximum number of records of other nodes in the answer to a join."""
+"""Maximum number of records that the answer to a join carries besides the first,
+which is the record of the answering balancer."""
 
 RELAYS_PER_ZONE = 3
 """Number of balancers of a zone that watch the platform's store."""
@@ -101,8 +102,8 @@
 VERSION_TRANSMISSIONS = 8
 """Number of gossip rounds that advertise a new version of the configuration."""
 
-_FIRST_INQUIRY_NUMBER = 1 << 30
-_MAX_PENDING_INQUIRIES = 64
+_FIRST_REQUEST_NUMBER = 1 << 30
+_MAX_PENDING_REQUESTS = 64
 
 
 class BalancerMembership:
@@ -138,8 +139,8 @@
         )
         self._repairer = Repairer(self._fleet.table, self._repair_budget, random_source)
         self._suspects: dict[Endpoint, Millis] = {}
-        self._pending_inquiries: dict[int, tuple[Endpoint, LivenessRequest]] = {}
-        self._inquiry_number = _FIRST_INQUIRY_NUMBER
+        self._pending_requests: dict[int, tuple[Endpoint, LivenessRequest]] = {}
+        self._request_number = _FIRST_REQUEST_NUMBER
         self._ticked_at: Millis | None = None
         self._join_at = Millis(0)
         self._join_interval = INITIAL_JOIN_INTERVAL_MS
@@ -157,8 +158,8 @@
             BucketSummary: self._repairer.on_summary,
             RecordRequest: self._repairer.on_request,
             MissingRecords: self._on_records,
-            LivenessRequest: self._on_inquiry,
-            LivenessResponse: self._on_voucher,
+            LivenessRequest: self._on_liveness_request,
+            LivenessResponse: self._on_liveness_response,
         }
 
     @property
@@ -260,7 +261,10 @@
         )
 
     def leave(self, now: Millis) -> tuple[Send, ...]:
-        """Announce to some peers that this balancer leaves; send nothing afterwards."""
+        """Return the messages that announce to some peers that this balancer leaves.
+
+        The caller must send nothing afterwards.
+        """
         self._fleet.leave(now)
         updates = make_updates([self._fleet.own])
         targets = self._sample_peers(2 * FANOUT)
@@ -304,11 +308,11 @@
             updates = self._take_updates(now)
             yield self._gossip(GossipKind.PROBE, step.probe, step.number, updates)
         if step.inquire is not None:
-            yield from self._inquire(step.inquire)
+            yield from self._request_liveness(step.inquire)
         if step.suspect is not None:
             self._suspect(step.suspect, now)
 
-    def _inquire(self, unresponsive: Endpoint) -> Iterator[Send]:
+    def _request_liveness(self, unresponsive: Endpoint) -> Iterator[Send]:
         record = self._fleet.table.get(unresponsive)
         if record is None:
             return
@@ -439,11 +443,11 @@
             yield self._gossip(GossipKind.REPLY, source, message.number, updates)
         elif message.kind is GossipKind.REPLY:
             self._prober.record_answer(message.number)
-            waiting = self._pending_inquiries.pop(message.number, None)
+            waiting = self._pending_requests.pop(message.number, None)
             if waiting is not None:
-                inquirer, inquiry = waiting
-                voucher = LivenessResponse(inquiry.endpoint, inquiry.incarnation, 0)
-                yield Send(inquirer, voucher)
+                requester, request = waiting
+                response = LivenessResponse(request.endpoint, request.incarnation, 0)
+                yield Send(requester, response)
 
     def _send_introduction(
         self, known: Record | None, source: Endpoint, now: Millis
@@ -482,22 +486,22 @@
         if newer:
             yield Send(source, MissingRecords(make_updates(newer)))
 
-    def _on_inquiry(
+    def _on_liveness_request(
         self, message: LivenessRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         record = self._fleet.table.get(message.endpoint)
         if isinstance(record, AgentRecord):
             yield from self._watcher.on_inquiry(message, source, now)
         elif isinstance(record, BalancerRecord):
-            self._inquiry_number += 1
-            if len(self._pending_inquiries) >= _MAX_PENDING_INQUIRIES:
-                self._pending_inquiries.clear()
-            self._pending_inquiries[self._inquiry_number] = (source, message)
+            self._request_number += 1
+            if len(self._pending_requests) >= _MAX_PENDING_REQUESTS:
+                self._pending_requests.clear()
+            self._pending_requests[self._request_number] = (source, message)
             yield self._gossip(
-                GossipKind.PROBE, message.endpoint, self._inquiry_number, EMPTY_UPDATE
+                GossipKind.PROBE, message.endpoint, self._request_number, EMPTY_UPDATE
             )
 
-    def _on_voucher(
+    def _on_liveness_response(
         self, message: LivenessResponse, _source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         self._watcher.on_voucher(message, now)
--- a/src/papayagw/_internal/core/submission.py
+++ b/src/papayagw/_internal/core/submission.py
@@ -155,11 +155,11 @@
 
     def on_conflict(self, current: Configuration | None) -> None:
         """Process a failed compare-and-swap and the configuration in the store."""
-        mark = (
+        entry = (
             current.find_submission(self._proposal.submission_id) if current else None
         )
-        if mark is not None:
-            self._finish(Accepted(mark.version))
+        if entry is not None:
+            self._finish(Accepted(entry.version))
         elif current is None or current.version < self._submitted.version:
             self._finish_unconfirmed("the store was restored from an older copy")
         elif current.version - self._submitted.version >= len(current.history):
@@ -221,12 +221,12 @@
         version = current.version + 1 if current else 1
         earlier = current.history if current else ()
         proposal = self._proposal
-        mark = SubmissionEntry(version, proposal.submission_id, proposal.operator)
-        history = (mark, *earlier)[:HISTORY_LENGTH]
+        entry = SubmissionEntry(version, proposal.submission_id, proposal.operator)
+        history = (entry, *earlier)[:HISTORY_LENGTH]
         return Configuration(version, proposal.site, history)
 
 
 def _describe_competing_change(current: Configuration, version: int) -> str:
-    marks = [mark for mark in current.history if mark.version == version]
-    by = f" by {marks[0].operator}" if marks else ""
+    entries = [entry for entry in current.history if entry.version == version]
+    by = f" by {entries[0].operator}" if entries else ""
     return f"another change{by} became version {version} first"
--- a/src/papayagw/_internal/core/watch_list.py
+++ b/src/papayagw/_internal/core/watch_list.py
@@ -1,7 +1,7 @@
 """Heartbeat bookkeeping for the agents that one balancer watches.
 
-Missing heartbeats alone don't lead to a suspicion: a watcher first sends an inquiry to
-another watcher of the agent, whose voucher counts as a heartbeat.
+Missing heartbeats alone don't lead to a suspicion: a watcher first sends a liveness
+request to another watcher of the agent, whose response counts as a heartbeat.
 """
 
 from collections.abc import Iterator, Sequence
@@ -12,14 +12,14 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 INQUIRE_AFTER_INTERVALS = 2.3
-"""Number of intervals without a heartbeat after which a watcher sends an inquiry."""
+"""Number of intervals without a heartbeat after which a liveness request is sent."""
 
 SUSPECT_AFTER_INTERVALS = 3.0
 """Number of intervals without a heartbeat after which a watcher suspects an agent."""
 
 MAX_VOUCHERS = 3
-"""Maximum number of successive vouchers that count; each after the first doubles the
-timeout."""
+"""Maximum number of successive liveness responses that count; each after the first
+doubles the timeout."""
 
 RESUME_GRACE_MS = Millis(4_000)
 """Time after a pause in which agents that dropped this watcher reconnect to it."""
@@ -36,10 +36,10 @@
     heartbeat_number: int
     received_at: Millis
     interval_ms: Millis
-    inquired: bool = False
+    request_sent: bool = False
     suspected: bool = False
     pause_compensated: bool = False
-    voucher_count: int = 0
+    response_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +65,7 @@
     Attributes
     ----------
     inquire : tuple of Endpoint
-        Agents about which another watcher has to be asked.
+        Agents about which another watcher has to be sent a liveness request.
     suspect : tuple of Endpoint
         Agents that have to be suspected.
     """
@@ -85,8 +85,8 @@
 
     @property
     def direct_count(self) -> int:
-        """The number of agents whose last sign of life wasn't a voucher."""
-        return sum(not watched.voucher_count for watched in self._watched.values())
+        """The number of agents whose last heartbeat wasn't reported by another node."""
+        return sum(not watched.response_count for watched in self._watched.values())
 
     def __contains__(self, endpoint: Endpoint) -> bool:
         return endpoint in self._watched
@@ -130,19 +130,20 @@
     def record_voucher(
         self, endpoint: Endpoint, incarnation: Incarnation, heartbeat: ReceivedHeartbeat
     ) -> bool:
-        """Record a voucher of another watcher, which counts as a heartbeat.
+        """Record a liveness response, which counts as a heartbeat.
 
         An agent that reaches other watchers but not this node probably has a
-        different list of watchers, so the interval between inquiries is increased.
+        different list of watchers, so the interval between requests is increased.
         """
         watched = self._watched.get(endpoint)
-        voucher_count = 0 if watched is None else watched.voucher_count
+        response_count = 0 if watched is None else watched.response_count
         if watched is None or not self.record_heartbeat(
             endpoint, incarnation, heartbeat.number, heartbeat.received_at
         ):
             return False
         self._watched[endpoint] = replace(
-            self._watched[endpoint], voucher_count=min(voucher_count + 1, MAX_VOUCHERS)
+            self._watched[endpoint],
+            response_count=min(response_count + 1, MAX_VOUCHERS),
         )
         return True
 
@@ -169,10 +170,10 @@
         inquire: list[Endpoint] = []
         suspect: list[Endpoint] = []
         for endpoint, watched in list(self._watched.items()):
-            timeout_ms = watched.interval_ms << max(0, watched.voucher_count - 1)
+            timeout_ms = watched.interval_ms << max(0, watched.response_count - 1)
             intervals = (now - watched.received_at) / timeout_ms
-            if not watched.inquired and intervals >= INQUIRE_AFTER_INTERVALS:
-                self._watched[endpoint] = replace(watched, inquired=True)
+            if not watched.request_sent and intervals >= INQUIRE_AFTER_INTERVALS:
+                self._watched[endpoint] = replace(watched, request_sent=True)
                 inquire.append(endpoint)
             elif not watched.suspected and intervals >= SUSPECT_AFTER_INTERVALS:
                 self._watched[endpoint] = replace(watched, suspected=True)
@@ -180,7 +181,7 @@
         return OverdueAgents(tuple(inquire), tuple(suspect))
 
     def list_watched(self) -> Iterator[tuple[Endpoint, bool]]:
-        """Return each agent and whether it is overdue for long enough to suspect it."""
+        """Return each agent and whether it is overdue long enough to be suspected."""
         return (
             (endpoint, watched.suspected) for endpoint, watched in self._watched.items()
         )
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -70,7 +70,7 @@
     fleet : Fleet
         The fleet state of this balancer.
     random_source : random.Random
-        Selects the watcher that receives an inquiry, and which heartbeats are
+        Selects the watcher that receives a liveness request, and which heartbeats are
         acknowledged, so that the acknowledgements of an agent's watchers alternate.
     """
 
@@ -142,7 +142,7 @@
     def on_inquiry(
         self, message: LivenessRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Answer with a voucher if the agent sent a heartbeat recently."""
+        """Answer a liveness request if the agent sent a heartbeat recently."""
         since = Millis(now - int(SUSPECT_AFTER_INTERVALS * self.compute_interval()))
         heartbeat = self._watch.get_heartbeat(
             message.endpoint, message.incarnation, since
@@ -165,10 +165,10 @@
             self._refute(message.endpoint, now)
 
     def on_tick(self, isolated: bool, now: Millis) -> Iterator[Send]:
-        """Inquire about overdue agents, suspect them, and mark them as gone."""
+        """Send liveness requests, suspect overdue agents and mark agents as gone."""
         overdue = self._watch.find_overdue(now)
         for endpoint in overdue.inquire:
-            yield from self._inquire(endpoint)
+            yield from self._request_liveness(endpoint)
         for endpoint in overdue.suspect:
             self._suspect(endpoint, isolated, now)
         if not isolated:
@@ -199,7 +199,7 @@
         if known is not None and known.is_suspected:
             self._fleet.toggle_suspicion(known, now)
 
-    def _acknowledge(self, agent: Endpoint, digest: int, now: Millis) -> Send:
+    def _acknowledge(self, agent: Endpoint, siblings_digest: int, now: Millis) -> Send:
         known = self._fleet.table.get(agent)
         interval = self.compute_interval() if self._caught_up else KEEP_INTERVAL_MS
         watchers = self._fleet.list_watchers(agent)
@@ -220,7 +220,7 @@
                 known.state,
                 watchers,
                 interval,
-                () if own_digest == digest else siblings,
+                () if own_digest == siblings_digest else siblings,
                 own_digest,
                 self._configuration_version,
             ),
@@ -234,7 +234,7 @@
             others.sort(key=lambda one: unit_hash(key, str(one.endpoint).encode()))
         return tuple(others[:MAX_SIBLINGS])
 
-    def _inquire(self, endpoint: Endpoint) -> Iterator[Send]:
+    def _request_liveness(self, endpoint: Endpoint) -> Iterator[Send]:
         known = self._fleet.table.get(endpoint)
         if known is None:
             return
@@ -242,8 +242,8 @@
         watchers = self._fleet.list_watchers(endpoint)
         others = [watcher for watcher in watchers if watcher in reachable]
         if others:
-            asked = self._random.choice(others)
-            yield Send(asked, LivenessRequest(endpoint, known.incarnation))
+            other = self._random.choice(others)
+            yield Send(other, LivenessRequest(endpoint, known.incarnation))
 
     def _suspect(self, endpoint: Endpoint, isolated: bool, now: Millis) -> None:
         known = self._fleet.table.get(endpoint)
--- a/src/papayagw/_internal/core/zone_loss.py
+++ b/src/papayagw/_internal/core/zone_loss.py
@@ -1,10 +1,10 @@
 """Detection of the loss of a whole zone.
 
 The loss of a zone stops the heartbeats of more than a thousand agents at once, and
-single suspicions would take long to disseminate. A balancer suspects all nodes of a
-zone if every agent of the zone that it watches is overdue after an inquiry to another
-watcher, and if at least `MIN_SUSPECTED_SHARE` of the zone's nodes are suspected. An
-agent that is alive refutes the suspicion with its next heartbeat.
+suspicions sent one by one would take long to disseminate. A balancer suspects all nodes
+of a zone if every agent of the zone that it watches is overdue after a liveness request
+to another watcher, and if at least `MIN_SUSPECTED_SHARE` of the zone's nodes are
+suspected. An agent that is alive refutes the suspicion with its next heartbeat.
 """
 
 from collections import Counter
--- a/src/papayagw/_internal/models/configuration.py
+++ b/src/papayagw/_internal/models/configuration.py
@@ -106,10 +106,12 @@
 
     @property
     def submission_id(self) -> str:
-        """The id of the submission that created this version; empty for a file."""
+        """The id of the submission that created this version; empty if none did."""
         return self.history[0].submission_id if self.history else ""
 
     def find_submission(self, submission_id: str) -> SubmissionEntry | None:
         """Return the history entry of a submission, or None if there is none."""
-        found = (mark for mark in self.history if mark.submission_id == submission_id)
+        found = (
+            entry for entry in self.history if entry.submission_id == submission_id
+        )
         return next(found, None)
--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -55,9 +55,9 @@
 
 
 def encode_for_backend(packet: FlowPacket, token: int) -> bytes:
-    """Return the datagram with `token` in the echo field.
+    """Return the datagram with `token` in the echo field and without the bounced flag.
 
-    The backend server leaves that field unchanged.
+    The backend server leaves the echo field unchanged.
     """
     raw = bytearray(packet.raw)
     _ECHO.pack_into(raw, _ECHO_OFFSET, token)
--- a/src/papayagw/platform/reports.py
+++ b/src/papayagw/platform/reports.py
@@ -14,7 +14,7 @@
     StatusReport,
 )
 
-_PATH = "/-/instances/"
+_INSTANCES_PATH = "/-/instances/"
 _STATES = {"ready": ReportedState.READY, "draining": ReportedState.DRAINING}
 
 READINESS_PATH = "/-/readyz"
@@ -24,8 +24,8 @@
     method: str, path: str, body: bytes
 ) -> StatusReport | Departure | None:
     """Decode a request of a backend server; return None if it is invalid."""
-    instance = path.removeprefix(_PATH)
-    if not path.startswith(_PATH) or not instance:
+    instance = path.removeprefix(_INSTANCES_PATH)
+    if not path.startswith(_INSTANCES_PATH) or not instance:
         return None
     fields = _read_object(body)
     if method == HTTPMethod.DELETE:
