--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -25,7 +25,7 @@
 from papayagw._internal.net.agent_process import AgentProcess
 from papayagw._internal.net.clock import MonotonicClock, make_incarnation
 from papayagw._internal.net.configuration import ConfigurationSource
-from papayagw._internal.observe.logs import Log, start_logs
+from papayagw._internal.observe.logs import Log, configure_logging
 from papayagw._internal.settings.node import load_agent
 
 
@@ -53,7 +53,7 @@
     """
     read = unwrap(load_agent(Path(settings)))
     clock = MonotonicClock()
-    log = start_logs(read.node.name, clock, read.node.log_level)
+    log = configure_logging(read.node.name, clock, read.node.log_level)
     source, configuration = start_source(read.node, log)
     process = _make_process(read, configuration, source, clock, log)
     identity = make_identity(read.node.name, Role.AGENT, read.node.zone)
--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -13,7 +13,7 @@
 from papayagw._internal.net.balancer_account import BalancerAccount
 from papayagw._internal.net.balancer_process import BalancerProcess
 from papayagw._internal.net.clock import MonotonicClock, make_incarnation
-from papayagw._internal.observe.logs import start_logs
+from papayagw._internal.observe.logs import configure_logging
 from papayagw._internal.settings.node import load_balancer
 
 
@@ -41,7 +41,7 @@
     read = unwrap(load_balancer(Path(settings)))
     node = read.node
     clock = MonotonicClock()
-    log = start_logs(node.name, clock, node.log_level)
+    log = configure_logging(node.name, clock, node.log_level)
     source, configuration = start_source(node, log)
     directory = AgentDirectory()
     membership = BalancerMembership(
--- a/src/papayagw/_internal/cli/commands/connect.py
+++ b/src/papayagw/_internal/cli/commands/connect.py
@@ -9,7 +9,7 @@
 from papayagw._internal.net.clock import MonotonicClock
 from papayagw._internal.net.connect_account import ConnectAccount
 from papayagw._internal.net.connect_process import ConnectProcess
-from papayagw._internal.observe.logs import start_logs
+from papayagw._internal.observe.logs import configure_logging
 from papayagw._internal.settings.node import load_connect
 
 
@@ -36,7 +36,7 @@
     read = unwrap(load_connect(Path(settings)))
     clock = MonotonicClock()
     name = f"connect-{read.admin or read.listeners[0].listen}"
-    log = start_logs(name, clock, read.log_level)
+    log = configure_logging(name, clock, read.log_level)
     process = ConnectProcess(read, clock, log)
     identity = make_identity(name, Role.CONNECT, zone="")
     account = ConnectAccount(identity, read, process, clock)
--- a/src/papayagw/_internal/cli/commands/report_burn.py
+++ b/src/papayagw/_internal/cli/commands/report_burn.py
@@ -15,8 +15,8 @@
 from papayagw._internal.models.service import Objectives
 from papayagw._internal.net.clock import WallClock
 from papayagw._internal.observe.burn_text import format_burn
-from papayagw._internal.observe.plain import to_plain
-from papayagw._internal.observe.records import LineFault, read_records
+from papayagw._internal.observe.json_values import to_json_value
+from papayagw._internal.observe.records import InvalidLine, read_records
 
 _SHOWN_FAULTS = 3
 _MAKE_RECORDS = "make records with papayagw status NODE... --record FILE"
@@ -90,15 +90,17 @@
     read = result.unwrap()
     selection = select_records(read.records, WallClock().now())
     if not selection.records:
-        what = "; ".join(("no usable records", *selection.notes, *_tell(read.faults)))
+        what = "; ".join(
+            ("no usable records", *selection.notes, *_tell(read.invalid_lines))
+        )
         peer = ", ".join(names)
         raise ReportError(what, step=Step.REPORT, peer=peer, remedy=_MAKE_RECORDS)
     report = make_report(selection, objectives)
-    notes = (*report.notes, *_tell(read.faults))
+    notes = (*report.notes, *_tell(read.invalid_lines))
     return BurnReport(report.start_ms, report.end_ms, report.services, notes)
 
 
-def _tell(faults: Sequence[LineFault]) -> list[str]:
+def _tell(faults: Sequence[InvalidLine]) -> list[str]:
     told = [f"passed over {fault}" for fault in faults[:_SHOWN_FAULTS]]
     if len(faults) > _SHOWN_FAULTS:
         told.append(f"passed over {len(faults) - _SHOWN_FAULTS} more lines")
@@ -106,14 +108,14 @@
 
 
 def _format_json(report: BurnReport) -> str:
-    return json.dumps(to_plain(report))
+    return json.dumps(to_json_value(report))
 
 
 def _draw(report: BurnReport, path: Path) -> None:
     # The plotting library takes a second to load and is seldom wanted.
-    from papayagw._internal.observe.burn_picture import draw_burn
+    from papayagw._internal.observe.burn_picture import draw_burn_chart
 
-    draw_burn(report, path)
+    draw_burn_chart(report, path)
 
 
 COMMAND = ReportBurnCommand()
--- a/src/papayagw/_internal/cli/commands/status.py
+++ b/src/papayagw/_internal/cli/commands/status.py
@@ -16,8 +16,8 @@
 from papayagw._internal.models.status import StatusReport
 from papayagw._internal.net.clock import WallClock
 from papayagw._internal.net.polling import Poller, PollHandler, Recorder
-from papayagw._internal.observe.durations import format_moment
-from papayagw._internal.observe.plain import to_plain
+from papayagw._internal.observe.durations import format_timestamp
+from papayagw._internal.observe.json_values import to_json_value
 from papayagw._internal.observe.records import RecordWriter
 from papayagw._internal.observe.status_text import format_status
 
@@ -108,7 +108,7 @@
             reports: Sequence[StatusReport], errors: Sequence[StatusError]
         ) -> None:
             count = recorder.take(reports)
-            moment = format_moment(WallClock().now())
+            moment = format_timestamp(WallClock().now())
             print(f"{moment} nodes {len(reports)}, records {count}", flush=True)
             for error in errors:
                 print(f"{moment} no answer: {error}", flush=True)
@@ -163,7 +163,7 @@
     silent = [
         {"peer": one.peer, "what": one.what, "remedy": one.remedy} for one in errors
     ]
-    line = {"nodes": to_plain(tuple(reports)), "no_answer": silent}
+    line = {"nodes": to_json_value(tuple(reports)), "no_answer": silent}
     print(json.dumps(line), flush=True)
 
 
--- a/src/papayagw/_internal/net/admin.py
+++ b/src/papayagw/_internal/net/admin.py
@@ -18,7 +18,7 @@
 from papayagw._internal.net.byte_stream import StreamBrokenError
 from papayagw._internal.net.tcp import TcpListener, TcpStream
 from papayagw._internal.observe.logs import Log
-from papayagw._internal.observe.status_json import write_status
+from papayagw._internal.observe.status_json import encode_status
 
 STATUS_PATH = b"/status"
 MAX_REQUEST_BYTES = 8_192
@@ -105,7 +105,7 @@
         if request.method != b"GET":
             return HTTPStatus.METHOD_NOT_ALLOWED, EMPTY_BODY
         try:
-            return HTTPStatus.OK, write_status(self._report())
+            return HTTPStatus.OK, encode_status(self._report())
         except Exception:
             # A fault in the account must not stop the node that it is about.
             self._log.exception("status report failed", step=Step.STATUS)
--- a/src/papayagw/_internal/net/admin_client.py
+++ b/src/papayagw/_internal/net/admin_client.py
@@ -10,7 +10,7 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.status import StatusReport
-from papayagw._internal.observe.status_json import read_status
+from papayagw._internal.observe.status_json import decode_status
 
 ASK_TIMEOUT_MS = Millis(3_000)
 MAX_CONCURRENT = 32
@@ -71,7 +71,7 @@
             return _fail(f"not reached: {error}", node, _UNREACHABLE)
         if response.status_code != httpx.codes.OK:
             return _fail(f"HTTP {response.status_code}", node, _UNREADABLE)
-        match read_status(response.content):
+        match decode_status(response.content):
             case Success(report):
                 return Success(report)
             case Failure(error):
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -252,7 +252,7 @@
         self._unsettled.set(flow, None)
         self._gate.close(flow)
         if outcome is not FlowOutcome.ANSWERED:
-            self._log.limited(
+            self._log.rate_limited_warning(
                 f"flow {outcome.value}",
                 step=Step.DELIVER,
                 peer=flow.client,
@@ -358,7 +358,7 @@
 
     def _count_drop(self, reason: DropReason, peer: Endpoint) -> None:
         self._count(f"drop.{reason.value}")
-        self._log.limited(
+        self._log.rate_limited_warning(
             f"packet dropped: {reason.value}", step=Step.DELIVER, peer=peer
         )
 
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -189,7 +189,7 @@
     def _drop(self, reason: DropReason, source: tuple[str, int]) -> None:
         self._drops[reason] += 1
         peer = f"{source[0]}:{source[1]}"
-        self._log.limited(
+        self._log.rate_limited_warning(
             f"packet dropped: {reason.value}", step=Step.FORWARD, peer=peer
         )
 
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -27,7 +27,7 @@
     Stored,
     StoreError,
 )
-from papayagw._internal.store.protocol import NO_ENTRY
+from papayagw._internal.store.protocol import ABSENT_REVISION
 
 WATCH_LIMIT_MS = Millis(60_000)
 """A watch that died without notice is noticed after this time."""
@@ -185,7 +185,7 @@
         held = stored.configuration
         if current is None or (held is not None and held.version >= current.version):
             return True
-        expected = stored.key_revision if held is not None else NO_ENTRY
+        expected = stored.key_revision if held is not None else ABSENT_REVISION
         answer = await self._store.swap(current, expected)
         if isinstance(answer, Failure):
             self._report(answer.failure())
--- a/src/papayagw/_internal/net/configuration_store.py
+++ b/src/papayagw/_internal/net/configuration_store.py
@@ -9,7 +9,7 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.store.protocol import (
-    NO_ENTRY,
+    ABSENT_REVISION,
     Conflict,
     Entry,
     Store,
@@ -83,7 +83,7 @@
         if isinstance(answer, Failure):
             return Failure(answer.failure())
         snapshot = answer.unwrap()
-        revision = snapshot.entry.revision if snapshot.entry else NO_ENTRY
+        revision = snapshot.entry.revision if snapshot.entry else ABSENT_REVISION
         return _decode(snapshot.entry).map(
             lambda found: Stored(found, revision, snapshot.revision)
         )
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -103,7 +103,7 @@
         self._outcomes[outcome] += 1
         if outcome is FlowOutcome.ANSWERED:
             return
-        self._log.limited(
+        self._log.rate_limited_warning(
             f"flow {outcome.value}",
             step=Step.OPEN_FLOW if outcome is FlowOutcome.REFUSED else Step.DELIVER,
             peer=self._entry,
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -27,8 +27,8 @@
     HttpServer,
 )
 from papayagw._internal.net.plain.loop import Loop
-from papayagw._internal.observe.exposition import CONTENT_TYPE, Exposition
-from papayagw._internal.observe.json_lines import JsonLines
+from papayagw._internal.observe.exposition import CONTENT_TYPE, MetricsRegistry
+from papayagw._internal.observe.json_lines import JsonLinesLog
 from papayagw._internal.wire.plain_frames import MAX_FRAME_BYTES, PlainFrameCodec
 
 SETTINGS_CHECK_MS = Millis(5_000)
@@ -74,8 +74,8 @@
         self._platform = platform
         self._reload = reload
         self.loop = Loop(self._note_fault)
-        self.log = JsonLines(settings.name, self.loop)
-        self.metrics = Exposition()
+        self.log = JsonLinesLog(settings.name, self.loop)
+        self.metrics = MetricsRegistry()
         self._inner = BatchSocket(settings.inner, max_bytes=MAX_FRAME_BYTES)
         self._frames = PlainFrameCodec(platform)
         self._servers: list[HttpServer] = []
@@ -147,7 +147,7 @@
         self.metrics.count(note.event)
         took_ms = note.fields.get("ms")
         if took_ms is not None:
-            self.metrics.time(note.event, took_ms)
+            self.metrics.observe(note.event, took_ms)
         self.log.write(note.event, note.fields)
 
     def note_call(self, call: StoreCall, answer: StoreAnswer, took_ms: int) -> None:
@@ -155,7 +155,7 @@
         name = type(call).__name__
         self.metrics.count(f"store {name}")
         if not isinstance(call, WatchPrefix):
-            self.metrics.time(f"store {name}", took_ms)
+            self.metrics.observe(f"store {name}", took_ms)
         is_lost = isinstance(answer, CallFailed)
         if is_lost:
             self.metrics.count(f"store {name} failed")
@@ -184,7 +184,7 @@
         return peer
 
     def _show_metrics(self, request: HttpRequest) -> HttpResponse:
-        body = self.metrics.show().encode()
+        body = self.metrics.render().encode()
         return HttpResponse(HTTPStatus.OK, body, CONTENT_TYPE)
 
     def _check_settings(self) -> None:
--- a/src/papayagw/_internal/observe/burn_picture.py
+++ b/src/papayagw/_internal/observe/burn_picture.py
@@ -14,21 +14,21 @@
     Risk,
     ServiceBurn,
 )
-from papayagw._internal.observe.burn_text import RISK_WORDS
-from papayagw._internal.observe.durations import format_moment
+from papayagw._internal.observe.burn_text import RISK_LABELS
+from papayagw._internal.observe.durations import format_timestamp
 
 _WIDTH_INCHES = 14.0
 _ROW_INCHES = 3.4
 _DPI = 100
-_BAR_SHARE = 0.8
-_SPENT_BURN = 1.0
-_SMALLEST_BURN = 0.01
-_SMALL_FONT = 8
-_TITLE_FONT = 10
+_BAR_GROUP_WIDTH = 0.8
+_FULL_BUDGET_BURN = 1.0
+_MIN_BURN = 0.01
+_SMALL_FONT_SIZE = 8
+_TITLE_FONT_SIZE = 10
 _MAX_LABELS = 24
 
 
-def draw_burn(report: BurnReport, path: Path) -> None:
+def draw_burn_chart(report: BurnReport, path: Path) -> None:
     """Write the report as a PNG file: burn, and load by backend server and zone.
 
     Raises
@@ -47,7 +47,7 @@
         _draw_balance(zones, "zone", service.by_zone)
     figure.suptitle(
         "service-level burn, "
-        f"{format_moment(report.start_ms)} to {format_moment(report.end_ms)}"
+        f"{format_timestamp(report.start_ms)} to {format_timestamp(report.end_ms)}"
     )
     try:
         figure.savefig(path, format="png")
@@ -61,34 +61,40 @@
 
 
 def _draw_objectives(axes: Axes, service: ServiceBurn) -> None:
-    width = _BAR_SHARE / len(service.objectives)
-    for index, one in enumerate(service.objectives):
-        places = [at + index * width for at in range(len(one.windows))]
-        burns = [max(window.burn, _SMALLEST_BURN) for window in one.windows]
-        axes.bar(places, burns, width, label=_label(one))
-    axes.axhline(_SPENT_BURN, color="black", linewidth=1, linestyle="--")
+    width = _BAR_GROUP_WIDTH / len(service.objectives)
+    for index, objective in enumerate(service.objectives):
+        positions = [
+            position + index * width for position in range(len(objective.windows))
+        ]
+        burns = [max(window.burn, _MIN_BURN) for window in objective.windows]
+        axes.bar(positions, burns, width, label=_format_legend_label(objective))
+    axes.axhline(_FULL_BUDGET_BURN, color="black", linewidth=1, linestyle="--")
     axes.set_yscale("log")
-    axes.set_ylim(bottom=_SMALLEST_BURN)
+    axes.set_ylim(bottom=_MIN_BURN)
     windows = [window.window for window in service.objectives[0].windows]
     centre = width * (len(service.objectives) - 1) / 2
-    axes.set_xticks([at + centre for at in range(len(windows))], windows)
+    axes.set_xticks([position + centre for position in range(len(windows))], windows)
     axes.set_ylabel("burn (1: exactly the budget)")
     axes.set_title(
-        f"{service.service}: {RISK_WORDS[service.risk]}", fontsize=_TITLE_FONT
+        f"{service.service}: {RISK_LABELS[service.risk]}", fontsize=_TITLE_FONT_SIZE
     )
     axes.yaxis.set_major_formatter(FormatStrFormatter("%g"))
     # Below the axes, where it hides no bars.
     axes.legend(
         loc="upper left",
         bbox_to_anchor=(0, -0.1),
-        fontsize=_SMALL_FONT,
+        fontsize=_SMALL_FONT_SIZE,
         frameon=False,
     )
 
 
-def _label(one: ObjectiveBurn) -> str:
-    name = f"{one.objective.value} {one.target:g}"
-    return name if one.risk is Risk.NONE else f"{name}: {RISK_WORDS[one.risk]}"
+def _format_legend_label(objective: ObjectiveBurn) -> str:
+    name = f"{objective.objective.value} {objective.target:g}"
+    return (
+        name
+        if objective.risk is Risk.NONE
+        else f"{name}: {RISK_LABELS[objective.risk]}"
+    )
 
 
 def _draw_balance(axes: Axes, name: str, balance: Balance) -> None:
@@ -98,10 +104,12 @@
     if loads:
         mean = sum(loads) / len(loads)
         axes.axhline(mean, color="black", linewidth=1, linestyle="--", label="mean")
-        axes.legend(fontsize=_SMALL_FONT, loc="lower right")
+        axes.legend(fontsize=_SMALL_FONT_SIZE, loc="lower right")
     step = len(names) // _MAX_LABELS + 1
-    places = range(0, len(names), step)
-    axes.set_xticks(places, names[::step], rotation=45, ha="right")
-    axes.tick_params(axis="x", labelsize=_SMALL_FONT)
+    positions = range(0, len(names), step)
+    axes.set_xticks(positions, names[::step], rotation=45, ha="right")
+    axes.tick_params(axis="x", labelsize=_SMALL_FONT_SIZE)
     axes.set_ylabel("work over capacity")
-    axes.set_title(f"by {name}, max to mean {balance.ratio:.2f}", fontsize=_TITLE_FONT)
+    axes.set_title(
+        f"by {name}, max to mean {balance.ratio:.2f}", fontsize=_TITLE_FONT_SIZE
+    )
--- a/src/papayagw/_internal/observe/burn_text.py
+++ b/src/papayagw/_internal/observe/burn_text.py
@@ -14,56 +14,56 @@
 )
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.report import Side
-from papayagw._internal.observe.durations import format_duration, format_moment
+from papayagw._internal.observe.durations import format_duration, format_timestamp
 from papayagw._internal.observe.table import format_table
 
-RISK_WORDS = {
+RISK_LABELS = {
     Risk.NONE: "ok",
     Risk.TICKET: "at risk",
     Risk.PAGE: "at risk now",
     Risk.SPENT: "BUDGET SPENT",
 }
-_SIDE_WORDS = {Side.AGENT: "agents", Side.CALLER: "callers"}
+_SIDE_LABELS = {Side.AGENT: "agents", Side.CALLER: "callers"}
 _MAX_ROWS = 24
-_FLOW_HEAD = ("COUNTED BY", "OPENED", "REFUSED", "UNKNOWN", "BROKEN", "LOST")
+_FLOW_HEADER = ("COUNTED BY", "OPENED", "REFUSED", "UNKNOWN", "BROKEN", "LOST")
 
 
 def format_burn(report: BurnReport) -> str:
     """Return the report as an operator reads it."""
     span = Millis(report.end_ms - report.start_ms)
-    head = (
-        f"service-level burn, from {format_moment(report.start_ms)} "
-        f"to {format_moment(report.end_ms)} ({format_duration(span)} recorded)"
+    header = (
+        f"service-level burn, from {format_timestamp(report.start_ms)} "
+        f"to {format_timestamp(report.end_ms)} ({format_duration(span)} recorded)"
     )
-    lines = [head, *(f"note: {note}" for note in report.notes)]
+    lines = [header, *(f"note: {note}" for note in report.notes)]
     for service in report.services:
         lines += ["", *_format_service(service)]
-    return "\n".join((*lines, "", *_format_verdict(report)))
+    return "\n".join((*lines, "", *_format_summary(report)))
 
 
 def _format_service(service: ServiceBurn) -> list[str]:
     windows = [one.window for one in service.objectives[0].windows]
-    head = ("OBJECTIVE", "TARGET", *windows, "STATE")
+    header = ("OBJECTIVE", "TARGET", *windows, "STATE")
     flows = [
         (
-            *(_SIDE_WORDS[one.side], one.counts.opened, one.counts.refused),
+            *(_SIDE_LABELS[one.side], one.counts.opened, one.counts.refused),
             *(one.counts.unknown, one.counts.broken, one.counts.lost),
         )
         for one in service.sides
     ]
     return [
         f"service {service.service}: burn of each objective in each window",
-        *format_table(head, [_describe(one) for one in service.objectives]),
-        *format_table(_FLOW_HEAD, flows),
+        *format_table(header, [_format_objective(one) for one in service.objectives]),
+        *format_table(_FLOW_HEADER, flows),
         *_format_balance("backend server", service.by_backend),
         *_format_balance("zone", service.by_zone),
     ]
 
 
-def _describe(one: ObjectiveBurn) -> tuple[str, ...]:
+def _format_objective(one: ObjectiveBurn) -> tuple[str, ...]:
     cells = (_format_window(window) for window in one.windows)
     name = one.objective.value
-    return (name, f"{one.target:g}", *cells, RISK_WORDS[one.risk])
+    return (name, f"{one.target:g}", *cells, RISK_LABELS[one.risk])
 
 
 def _format_window(window: WindowBurn) -> str:
@@ -74,7 +74,7 @@
     if not balance.groups:
         return []
     mean = sum(group.load for group in balance.groups) / len(balance.groups)
-    shown = _pick_groups(balance)
+    shown = _select_groups(balance)
     rows = [
         (
             *(group.name, group.opened, group.cut, f"{group.load:.2f}"),
@@ -83,13 +83,13 @@
         for group in shown
     ]
     title = f"imbalance by {name}, max to mean: {balance.ratio:.2f}"
-    head = (name.upper(), "OPENED", "CUT", "WORK/CAPACITY", "TO MEAN")
-    left_out = len(balance.groups) - len(shown)
-    rest = [f"and {left_out} more, with fewer cut flows or less load"]
-    return [title, *format_table(head, rows), *(rest if left_out else ())]
+    header = (name.upper(), "OPENED", "CUT", "WORK/CAPACITY", "TO MEAN")
+    omitted = len(balance.groups) - len(shown)
+    rest = [f"and {omitted} more, with fewer cut flows or less load"]
+    return [title, *format_table(header, rows), *(rest if omitted else ())]
 
 
-def _pick_groups(balance: Balance) -> Sequence[GroupLoad]:
+def _select_groups(balance: Balance) -> Sequence[GroupLoad]:
     """Return all groups, or of many those with cut flows and the highest loads."""
     if len(balance.groups) <= _MAX_ROWS:
         return balance.groups
@@ -97,21 +97,21 @@
     return worst[:_MAX_ROWS]
 
 
-def _format_verdict(report: BurnReport) -> Iterable[str]:
-    urgent = [
+def _format_summary(report: BurnReport) -> Iterable[str]:
+    at_risk = [
         (one.risk, service, one)
         for service in report.services
         for one in service.objectives
         if one.risk is not Risk.NONE
     ]
-    if not urgent:
+    if not at_risk:
         return ["all objectives are met"]
-    urgent.sort(key=lambda item: -item[0].rank)
-    return [_format_urgent(service, one) for _, service, one in urgent]
+    at_risk.sort(key=lambda item: -item[0].rank)
+    return [_format_at_risk(service, one) for _, service, one in at_risk]
 
 
-def _format_urgent(service: ServiceBurn, one: ObjectiveBurn) -> str:
-    state = RISK_WORDS[one.risk]
+def _format_at_risk(service: ServiceBurn, one: ObjectiveBurn) -> str:
+    state = RISK_LABELS[one.risk]
     period = one.windows[-1]
     if one.objective is Objective.IMBALANCE:
         found = f"max to mean is {period.value:.2f}, {one.target:g} is allowed"
--- a/src/papayagw/_internal/observe/durations.py
+++ b/src/papayagw/_internal/observe/durations.py
@@ -9,16 +9,16 @@
 
 def format_duration(duration: Millis) -> str:
     """Return a duration in its two largest units, such as ``2 h 5 min``."""
-    left = max(duration, 0) // MILLIS_PER_SECOND
+    remaining = max(duration, 0) // MILLIS_PER_SECOND
     parts = []
     for unit, seconds in _UNITS:
-        count, left = divmod(left, seconds)
+        count, remaining = divmod(remaining, seconds)
         if count:
             parts.append(f"{count} {unit}")
     return " ".join(parts[:2]) or f"{duration} ms"
 
 
-def format_moment(moment: Millis) -> str:
+def format_timestamp(timestamp: Millis) -> str:
     """Return a time in ms since 1970 as RFC 3339 has it, to the second."""
-    at = datetime.fromtimestamp(to_seconds(moment), UTC)
-    return at.strftime("%Y-%m-%dT%H:%M:%SZ")
+    utc_time = datetime.fromtimestamp(to_seconds(timestamp), UTC)
+    return utc_time.strftime("%Y-%m-%dT%H:%M:%SZ")
--- a/src/papayagw/_internal/observe/exposition.py
+++ b/src/papayagw/_internal/observe/exposition.py
@@ -21,12 +21,12 @@
         self._counts = [0] * (len(LATENCY_BOUNDS_MS) + 1)
         self._sum_ms = 0.0
 
-    def add(self, duration_ms: float) -> None:
+    def observe(self, duration_ms: float) -> None:
         """Note one duration, in milliseconds."""
         self._counts[bisect_left(LATENCY_BOUNDS_MS, duration_ms)] += 1
         self._sum_ms += duration_ms
 
-    def show(self, name: str) -> list[str]:
+    def render(self, name: str) -> list[str]:
         """Return the lines of the histogram."""
         lines = [f"# TYPE {name} histogram"]
         total = 0
@@ -37,7 +37,7 @@
         return [*lines, f"{name}_sum {self._sum_ms:g}", f"{name}_count {total}"]
 
 
-class Exposition:
+class MetricsRegistry:
     """The measurements of one process."""
 
     def __init__(self) -> None:
@@ -49,30 +49,30 @@
         """Add to the counter of an event."""
         self._counts[event] = self._counts.get(event, 0) + value
 
-    def time(self, event: str, duration_ms: float) -> None:
+    def observe(self, event: str, duration_ms: float) -> None:
         """Note the duration of an event, in milliseconds."""
         histogram = self._histograms.get(event)
         if histogram is None:
             histogram = self._histograms[event] = Histogram()
-        histogram.add(duration_ms)
+        histogram.observe(duration_ms)
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
         """Show what `read` returns whenever the text is asked for."""
         self._gauges[name] = read
 
-    def show(self) -> str:
+    def render(self) -> str:
         """Return all measurements as text."""
         lines: list[str] = []
         for event, count in sorted(self._counts.items()):
-            name = f"{_PREFIX}{_to_name(event)}_total"
+            name = f"{_PREFIX}{_to_metric_name(event)}_total"
             lines += [f"# TYPE {name} counter", f"{name} {count}"]
         for gauge, read in sorted(self._gauges.items()):
-            name = f"{_PREFIX}{_to_name(gauge)}"
+            name = f"{_PREFIX}{_to_metric_name(gauge)}"
             lines += [f"# TYPE {name} gauge", f"{name} {read():g}"]
         for event, histogram in sorted(self._histograms.items()):
-            lines += histogram.show(f"{_PREFIX}{_to_name(event)}_ms")
+            lines += histogram.render(f"{_PREFIX}{_to_metric_name(event)}_ms")
         return "\n".join(lines) + "\n"
 
 
-def _to_name(event: str) -> str:
+def _to_metric_name(event: str) -> str:
     return event.replace(" ", "_").replace("-", "_")
--- a/src/papayagw/_internal/observe/json_lines.py
+++ b/src/papayagw/_internal/observe/json_lines.py
@@ -11,7 +11,7 @@
 
 from papayagw._internal.core.log_limiter import LogLimiter
 from papayagw._internal.models.clock import Clock, Millis
-from papayagw._internal.observe.log_text import format_time, to_text
+from papayagw._internal.observe.log_text import format_time, format_value
 
 MAX_UNSENT_BYTES = 262_144
 """How much waits for a reader that is slow; what comes then is dropped and counted."""
@@ -23,7 +23,7 @@
 _STDOUT = 1
 
 
-class JsonLines:
+class JsonLinesLog:
     """Writes events without ever waiting for their reader.
 
     Parameters
@@ -55,7 +55,7 @@
 
     def close(self) -> None:
         """Write what is left, as far as it is taken."""
-        self._flush()
+        self._send_buffered()
 
     def write(self, event: str, fields: dict[str, Any]) -> None:
         """Write one event, or count it if there are too many of its kind."""
@@ -69,14 +69,14 @@
             line["suppressed"] = suppressed
         if self._dropped:
             line["dropped_lines"] = self._dropped
-        data = json.dumps(line, default=to_text, separators=(",", ":")).encode()
+        data = json.dumps(line, default=format_value, separators=(",", ":")).encode()
         if len(self._unsent) + len(data) > MAX_UNSENT_BYTES:
             self._dropped += 1
             return
         self._unsent += data + b"\n"
-        self._flush()
+        self._send_buffered()
 
-    def _flush(self) -> None:
+    def _send_buffered(self) -> None:
         try:
             while self._unsent:
                 written = os.write(self._descriptor, self._unsent)
--- a/src/papayagw/_internal/observe/log_text.py
+++ b/src/papayagw/_internal/observe/log_text.py
@@ -16,7 +16,7 @@
     return f"{whole}.{int(seconds * 1_000) % 1_000:03}Z"
 
 
-def to_text(value: object) -> str:
+def format_value(value: object) -> str:
     """Return a value that JSON doesn't know as text."""
     if isinstance(value, bytes):
         return value.hex()
--- a/src/papayagw/_internal/observe/logs.py
+++ b/src/papayagw/_internal/observe/logs.py
@@ -14,9 +14,9 @@
 from papayagw._internal.core.log_limiter import LogLimiter
 from papayagw._internal.exceptions import PapayagwError
 from papayagw._internal.models.clock import Clock
-from papayagw._internal.observe.log_text import format_time, to_text
+from papayagw._internal.observe.log_text import format_time, format_value
 
-_FIELDS = "papayagw_fields"
+_FIELDS_ATTRIBUTE = "papayagw_fields"
 _LEVELS = {
     "debug": absl_logging.DEBUG,
     "info": absl_logging.INFO,
@@ -49,12 +49,12 @@
         }
         if record.name != "absl":
             line["library"] = record.name
-        fields = getattr(record, _FIELDS, {})
+        fields = getattr(record, _FIELDS_ATTRIBUTE, {})
         # The caller's fields never hide those that every line has.
         line.update({key: one for key, one in fields.items() if key not in line})
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
-        return json.dumps(line, default=to_text)
+        return json.dumps(line, default=format_value)
 
 
 class Log:
@@ -94,9 +94,11 @@
 
     def exception(self, message: str, **fields: object) -> None:
         """Log a fault of the program with its traceback."""
-        absl_logging.error("%s", message, extra={_FIELDS: fields}, exc_info=True)
+        absl_logging.error(
+            "%s", message, extra={_FIELDS_ATTRIBUTE: fields}, exc_info=True
+        )
 
-    def limited(self, message: str, **fields: object) -> None:
+    def rate_limited_warning(self, message: str, **fields: object) -> None:
         """Log a warning that may be one of a flood; `message` is its kind.
 
         Parameters
@@ -120,10 +122,12 @@
             self._write("warning", message, {"suppressed": count})
 
     def _write(self, level: str, message: str, fields: dict[str, Any]) -> None:
-        absl_logging.log(_LEVELS[level], "%s", message, extra={_FIELDS: fields})
+        absl_logging.log(
+            _LEVELS[level], "%s", message, extra={_FIELDS_ATTRIBUTE: fields}
+        )
 
 
-def start_logs(node: str, clock: Clock, level: str = "info") -> Log:
+def configure_logging(node: str, clock: Clock, level: str = "info") -> Log:
     """Send all logs of this process to standard error as JSON lines.
 
     Those of other libraries get through from ``warning`` up.
--- a/src/papayagw/_internal/observe/records.py
+++ b/src/papayagw/_internal/observe/records.py
@@ -15,11 +15,11 @@
 
 from papayagw._internal.exceptions import ReportError, Step
 from papayagw._internal.models.report import LATENCY_BUCKETS, ServiceRecord
-from papayagw._internal.observe.plain import from_plain, to_plain
+from papayagw._internal.observe.json_values import from_json_value, to_json_value
 
 
 @dataclass(frozen=True, slots=True)
-class LineFault:
+class InvalidLine:
     """A line that isn't a record.
 
     Attributes
@@ -28,32 +28,32 @@
         The file.
     line : int
         The number of the line, from 1.
-    what : str
+    reason : str
         What is wrong with it.
     """
 
     file: str
     line: int
-    what: str
+    reason: str
 
     def __str__(self) -> str:
-        return f"{self.file}:{self.line}: {self.what}"
+        return f"{self.file}:{self.line}: {self.reason}"
 
 
 @dataclass(frozen=True, slots=True)
-class RecordsRead:
+class ParsedRecords:
     """What files of records hold.
 
     Attributes
     ----------
     records : tuple of ServiceRecord
         The records, in order of the files.
-    faults : tuple of LineFault
+    invalid_lines : tuple of InvalidLine
         The lines that were passed over.
     """
 
     records: tuple[ServiceRecord, ...]
-    faults: tuple[LineFault, ...]
+    invalid_lines: tuple[InvalidLine, ...]
 
 
 class RecordWriter:
@@ -97,7 +97,7 @@
             return
         try:
             for record in records:
-                self._file.write(write_record(record))
+                self._file.write(encode_record(record))
             self._file.flush()
         except OSError as error:
             raise _make_file_error(self._path, error, "written to") from error
@@ -111,45 +111,45 @@
         self._file = None
 
 
-def write_record(record: ServiceRecord) -> bytes:
+def encode_record(record: ServiceRecord) -> bytes:
     """Return the line of `record`."""
-    return json.dumps(to_plain(record), separators=(",", ":")).encode() + b"\n"
+    return json.dumps(to_json_value(record), separators=(",", ":")).encode() + b"\n"
 
 
-def read_records(paths: Sequence[Path]) -> Result[RecordsRead, ReportError]:
+def read_records(paths: Sequence[Path]) -> Result[ParsedRecords, ReportError]:
     """Return what is in the files, or why one of them can't be read."""
     records: list[ServiceRecord] = []
-    faults: list[LineFault] = []
+    invalid_lines: list[InvalidLine] = []
     for path in paths:
         try:
             lines = path.read_bytes().splitlines(keepends=True)
         except OSError as error:
             return Failure(_make_file_error(path, error, "read"))
         for number, line in enumerate(lines, start=1):
-            match _read_line(line):
+            match _parse_line(line):
                 case Success(record):
                     records.append(record)
-                case Failure(what):
-                    faults.append(LineFault(str(path), number, what))
-    return Success(RecordsRead(tuple(records), tuple(faults)))
+                case Failure(reason):
+                    invalid_lines.append(InvalidLine(str(path), number, reason))
+    return Success(ParsedRecords(tuple(records), tuple(invalid_lines)))
 
 
-def _read_line(line: bytes) -> Result[ServiceRecord, str]:
+def _parse_line(line: bytes) -> Result[ServiceRecord, str]:
     try:
         value = json.loads(line)
     except (ValueError, RecursionError):
-        cut_off = not line.endswith(b"\n")
-        return Failure("cut off before its end" if cut_off else "not JSON")
-    match from_plain(ServiceRecord, value):
+        truncated = not line.endswith(b"\n")
+        return Failure("cut off before its end" if truncated else "not JSON")
+    match from_json_value(ServiceRecord, value):
         case Success(record):
-            what = _find_fault(record)
-            return Failure(what) if what else Success(record)
+            reason = _find_invalid_value(record)
+            return Failure(reason) if reason else Success(record)
         case Failure(error):
             return Failure(str(error))
     raise AssertionError("a result is a success or a failure")
 
 
-def _find_fault(record: ServiceRecord) -> str:
+def _find_invalid_value(record: ServiceRecord) -> str:
     counts = record.counts
     numbers = (counts.opened, counts.refused, counts.cut, *counts.answered)
     if record.end_ms <= record.start_ms:
--- a/src/papayagw/_internal/observe/status_text.py
+++ b/src/papayagw/_internal/observe/status_text.py
@@ -8,13 +8,13 @@
 from papayagw._internal.observe.durations import format_duration
 from papayagw._internal.observe.table import format_table
 
-_NODE_HEAD = ("NODE", "ROLE", "ZONE", "STATE", "UP", "CONFIG", "FLOWS", "VERSION")
-_SERVICE_HEAD = (
+_NODE_HEADER = ("NODE", "ROLE", "ZONE", "STATE", "UP", "CONFIG", "FLOWS", "VERSION")
+_SERVICE_HEADER = (
     *("NODE", "SERVICE", "OPEN", "OPENED", "REFUSED", "UNKNOWN", "BROKEN"),
     *("WORK-S", "CAPACITY"),
 )
-_PEER_HEAD = ("NODE", "PEER", "ROLE", "STATE", "SILENT-MS")
-_AGENT_HEAD = ("NODE", "AGENT", "SERVICE", "ZONE", "STATE", "WEIGHT", "FLOWS")
+_PEER_HEADER = ("NODE", "PEER", "ROLE", "STATE", "SILENT-MS")
+_AGENT_HEADER = ("NODE", "AGENT", "SERVICE", "ZONE", "STATE", "WEIGHT", "FLOWS")
 
 
 def format_status(
@@ -53,19 +53,19 @@
         )
         for one in reports
     ]
-    return format_table(_NODE_HEAD, rows) if rows else []
+    return format_table(_NODE_HEADER, rows) if rows else []
 
 
 def _format_services(reports: Iterable[StatusReport]) -> list[str]:
     rows = [
-        (report.node, *_describe_totals(totals))
+        (report.node, *_format_totals(totals))
         for report in reports
         for totals in report.services
     ]
-    return format_table(_SERVICE_HEAD, rows) if rows else []
+    return format_table(_SERVICE_HEADER, rows) if rows else []
 
 
-def _describe_totals(totals: ServiceTotals) -> tuple[object, ...]:
+def _format_totals(totals: ServiceTotals) -> tuple[object, ...]:
     counts = totals.counts
     return (
         *(totals.service, totals.flows_open, counts.opened, counts.refused),
@@ -76,26 +76,32 @@
 
 def _format_peers(reports: Iterable[StatusReport]) -> list[str]:
     rows = [
-        (report.node, peer.endpoint, peer.role, peer.state, _or_dash(peer.silent_ms))
+        (
+            report.node,
+            peer.endpoint,
+            peer.role,
+            peer.state,
+            _format_optional(peer.silent_ms),
+        )
         for report in reports
         for peer in report.peers
     ]
-    return format_table(_PEER_HEAD, rows) if rows else []
+    return format_table(_PEER_HEADER, rows) if rows else []
 
 
 def _format_agents(reports: Iterable[StatusReport]) -> list[str]:
     rows = [
         (
             *(report.node, agent.endpoint, agent.service, agent.zone, agent.state),
-            *(agent.weight, _or_dash(agent.flows)),
+            *(agent.weight, _format_optional(agent.flows)),
         )
         for report in reports
         for agent in report.agents
     ]
-    return format_table(_AGENT_HEAD, rows) if rows else []
+    return format_table(_AGENT_HEADER, rows) if rows else []
 
 
-def _or_dash(value: int | None) -> object:
+def _format_optional(value: int | None) -> object:
     return "-" if value is None else value
 
 
--- a/src/papayagw/_internal/observe/table.py
+++ b/src/papayagw/_internal/observe/table.py
@@ -3,18 +3,18 @@
 from collections.abc import Sequence
 
 
-def format_table(head: Sequence[str], rows: Sequence[Sequence[object]]) -> list[str]:
+def format_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> list[str]:
     """Return the lines of a table; columns of numbers are flush right.
 
     Parameters
     ----------
-    head : sequence of str
+    header : sequence of str
         The names of the columns.
     rows : sequence of sequence of object
         What stands in them.
     """
-    texts = [[str(one) for one in row] for row in rows]
-    columns = list(zip(head, *texts, strict=True))
+    texts = [[str(cell) for cell in row] for row in rows]
+    columns = list(zip(header, *texts, strict=True))
     widths = [max(len(cell) for cell in column) for column in columns]
     numeric = [all(map(_is_number, column[1:])) for column in columns]
     return [
@@ -22,7 +22,7 @@
             cell.rjust(width) if right else cell.ljust(width)
             for cell, width, right in zip(row, widths, numeric, strict=True)
         ).rstrip()
-        for row in (list(head), *texts)
+        for row in (list(header), *texts)
     ]
 
 
--- a/src/papayagw/_internal/standins/memory_store.py
+++ b/src/papayagw/_internal/standins/memory_store.py
@@ -17,8 +17,8 @@
     Conflict,
     Entry,
     Snapshot,
-    SwapAnswer,
     Swapped,
+    SwapResult,
 )
 
 
@@ -68,7 +68,7 @@
 
     async def swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
-    ) -> Result[SwapAnswer, PlatformError]:
+    ) -> Result[SwapResult, PlatformError]:
         """Write `value` if `key` still has the revision `expected`."""
         self._counts.add("swap")
         await anyio.lowlevel.checkpoint()
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -16,22 +16,22 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.store.etcd_messages import (
     Message,
-    read_events,
-    read_range,
-    read_revision,
-    read_swap,
-    write_range,
-    write_swap,
-    write_watch,
+    build_range_request,
+    build_swap_request,
+    build_watch_request,
+    parse_range_response,
+    parse_revision,
+    parse_swap_response,
+    parse_watch_events,
 )
 from papayagw._internal.store.protocol import (
     MAX_VALUE_BYTES,
     Entry,
     Snapshot,
-    SwapAnswer,
+    SwapResult,
 )
 
-AnswerT = TypeVar("AnswerT")
+ResponseT = TypeVar("ResponseT")
 
 _CONNECT_TIMEOUT_S = 2.0
 _FIRST_SERVER_ERROR = 500
@@ -56,18 +56,20 @@
         self, key: str, timeout_ms: Millis
     ) -> Result[Snapshot, PlatformError]:
         """Return what `key` holds."""
-        return await self._call(
-            "/v3/kv/range", write_range(key), timeout_ms, read_range
+        return await self._call_with_timeout(
+            "/v3/kv/range", build_range_request(key), timeout_ms, parse_range_response
         )
 
     async def swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
-    ) -> Result[SwapAnswer, PlatformError]:
+    ) -> Result[SwapResult, PlatformError]:
         """Write `value` if `key` still has the revision `expected`."""
         if len(value) > MAX_VALUE_BYTES:
             return Failure(_too_large(key, len(value)))
-        request = write_swap(key, value, expected)
-        return await self._call("/v3/kv/txn", request, timeout_ms, read_swap)
+        request = build_swap_request(key, value, expected)
+        return await self._call_with_timeout(
+            "/v3/kv/txn", request, timeout_ms, parse_swap_response
+        )
 
     async def watch(
         self,
@@ -77,16 +79,16 @@
         timeout_ms: Millis,
     ) -> Result[int, PlatformError]:
         """Hear of each write of `key` until `timeout_ms` has passed."""
-        heard = _Heard(after, on_entry)
-        request = write_watch(key, after)
+        progress = _WatchProgress(after, on_entry)
+        request = build_watch_request(key, after)
         with anyio.move_on_after(to_seconds(timeout_ms)) as scope:
             failure = await self._try_urls(
-                lambda url: self._stream(url, request, heard)
+                lambda url: self._stream(url, request, progress)
             )
             if isinstance(failure, Failure):
                 return failure
-        if scope.cancelled_caught or heard.is_over:
-            return Success(heard.revision)
+        if scope.cancelled_caught or progress.is_finished:
+            return Success(progress.revision)
         return Failure(_unreachable(self._urls[0], "the watch was cut"))
 
     async def close(self) -> None:
@@ -100,13 +102,13 @@
             self._client = httpx.AsyncClient(trust_env=False)
         return self._client
 
-    async def _call(
+    async def _call_with_timeout(
         self,
         path: str,
         request: Message,
         timeout_ms: Millis,
-        read: Callable[[Message], AnswerT],
-    ) -> Result[AnswerT, PlatformError]:
+        read: Callable[[Message], ResponseT],
+    ) -> Result[ResponseT, PlatformError]:
         with anyio.move_on_after(to_seconds(timeout_ms)):
             return await self._try_urls(
                 lambda url: self._post(url, path, request, read)
@@ -114,8 +116,8 @@
         return Failure(_unreachable(self._urls[0], f"no answer in {timeout_ms} ms"))
 
     async def _try_urls(
-        self, call: Callable[[str], Awaitable[Result[AnswerT, PlatformError]]]
-    ) -> Result[AnswerT, PlatformError]:
+        self, call: Callable[[str], Awaitable[Result[ResponseT, PlatformError]]]
+    ) -> Result[ResponseT, PlatformError]:
         """Return the first answer; only an unmade connection tries the next URL."""
         for url in self._urls:
             try:
@@ -131,8 +133,8 @@
         url: str,
         path: str,
         request: Message,
-        read: Callable[[Message], AnswerT],
-    ) -> Result[AnswerT, PlatformError]:
+        read: Callable[[Message], ResponseT],
+    ) -> Result[ResponseT, PlatformError]:
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
         response = await self._open_client().post(
             url + path, json=request, timeout=timeout
@@ -147,7 +149,7 @@
             return Failure(_unreachable(url, f"no usable answer: {error!r}"))
 
     async def _stream(
-        self, url: str, request: Message, heard: "_Heard"
+        self, url: str, request: Message, progress: "_WatchProgress"
     ) -> Result[int, PlatformError]:
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
         target = url + "/v3/watch"
@@ -158,15 +160,15 @@
                 return Failure(_unreachable(url, f"status {response.status_code}"))
             async for line in response.aiter_lines():
                 try:
-                    heard.take(json.loads(line)["result"])
+                    progress.handle_message(json.loads(line)["result"])
                 except (ValueError, KeyError, TypeError, AttributeError) as error:
                     return Failure(_unreachable(url, f"no usable answer: {error!r}"))
-                if heard.is_over:
+                if progress.is_finished:
                     break
-        return Success(heard.revision)
+        return Success(progress.revision)
 
 
-class _Heard:
+class _WatchProgress:
     """What a watch has told so far."""
 
     def __init__(self, after: int, on_entry: Callable[[Entry], None]):
@@ -181,30 +183,30 @@
         return self._revision
 
     @property
-    def is_over(self) -> bool:
+    def is_finished(self) -> bool:
         """Whether nothing more can come: the store is older or cancelled it."""
         return self._cancelled or self._revision < self._after
 
-    def take(self, message: Message) -> None:
+    def handle_message(self, message: Message) -> None:
         """Take in one message of the stream."""
-        self._revision = read_revision(message)
+        self._revision = parse_revision(message)
         self._cancelled = bool(message.get("canceled", False))
-        for entry in read_events(message):
+        for entry in parse_watch_events(message):
             self._on_entry(entry)
 
 
-def _unreachable(url: str, what: str) -> PlatformUnreachableError:
+def _unreachable(url: str, reason: str) -> PlatformUnreachableError:
     return PlatformUnreachableError(
-        f"the platform's service gave no answer: {what}",
+        f"the platform's service gave no answer: {reason}",
         step=Step.PLATFORM,
         peer=url,
         remedy="see whether the service runs at this URL",
     )
 
 
-def _refused(url: str, what: str) -> PlatformError:
+def _refused(url: str, reason: str) -> PlatformError:
     return PlatformError(
-        f"the platform's service refused the call: {what}",
+        f"the platform's service refused the call: {reason}",
         step=Step.PLATFORM,
         peer=url,
     )
--- a/src/papayagw/_internal/store/etcd_messages.py
+++ b/src/papayagw/_internal/store/etcd_messages.py
@@ -10,75 +10,77 @@
     Conflict,
     Entry,
     Snapshot,
-    SwapAnswer,
     Swapped,
+    SwapResult,
 )
 
 Message = dict[str, Any]
 
 
-def encode_text(data: bytes) -> str:
+def encode_base64(data: bytes) -> str:
     """Return bytes in base64."""
     return b64encode(data).decode("ascii")
 
 
-def write_range(key: str) -> Message:
+def build_range_request(key: str) -> Message:
     """Return the request that reads one key."""
-    return {"key": encode_text(key.encode())}
+    return {"key": encode_base64(key.encode())}
 
 
-def write_swap(key: str, value: bytes, expected: int) -> Message:
+def build_swap_request(key: str, value: bytes, expected: int) -> Message:
     """Return the transaction that writes `key` if its revision is `expected`."""
-    name = encode_text(key.encode())
+    encoded_key = encode_base64(key.encode())
     return {
         "compare": [
             {
-                "key": name,
+                "key": encoded_key,
                 "target": "MOD",
                 "result": "EQUAL",
                 "mod_revision": str(expected),
             }
         ],
-        "success": [{"request_put": {"key": name, "value": encode_text(value)}}],
-        "failure": [{"request_range": {"key": name}}],
+        "success": [
+            {"request_put": {"key": encoded_key, "value": encode_base64(value)}}
+        ],
+        "failure": [{"request_range": {"key": encoded_key}}],
     }
 
 
-def write_watch(key: str, after: int) -> Message:
+def build_watch_request(key: str, after: int) -> Message:
     """Return the request that watches `key` from the revision past `after`."""
-    name = encode_text(key.encode())
-    return {"create_request": {"key": name, "start_revision": str(after + 1)}}
+    encoded_key = encode_base64(key.encode())
+    return {"create_request": {"key": encoded_key, "start_revision": str(after + 1)}}
 
 
-def read_revision(message: Message) -> int:
+def parse_revision(message: Message) -> int:
     """Return the revision of the store in a message's header."""
     return int(message["header"]["revision"])
 
 
-def read_entry(key_value: Message) -> Entry:
+def parse_entry(key_value: Message) -> Entry:
     """Return the value and revision of a key."""
     value = b64decode(key_value.get("value", ""), validate=True)
     return Entry(value, int(key_value["mod_revision"]))
 
 
-def read_range(message: Message) -> Snapshot:
+def parse_range_response(message: Message) -> Snapshot:
     """Return what a read found."""
-    found = message.get("kvs", [])
-    entry = read_entry(found[0]) if found else None
-    return Snapshot(entry, read_revision(message))
+    key_values = message.get("kvs", [])
+    entry = parse_entry(key_values[0]) if key_values else None
+    return Snapshot(entry, parse_revision(message))
 
 
-def read_swap(message: Message) -> SwapAnswer:
+def parse_swap_response(message: Message) -> SwapResult:
     """Return how a compare-and-swap went."""
     if message.get("succeeded", False):
-        return Swapped(read_revision(message))
-    found = message["responses"][0]["response_range"].get("kvs", [])
-    return Conflict(read_entry(found[0]) if found else None)
+        return Swapped(parse_revision(message))
+    key_values = message["responses"][0]["response_range"].get("kvs", [])
+    return Conflict(parse_entry(key_values[0]) if key_values else None)
 
 
-def read_events(message: Message) -> tuple[Entry, ...]:
+def parse_watch_events(message: Message) -> tuple[Entry, ...]:
     """Return the writes that one message of a watch tells."""
     events = message.get("events", [])
     return tuple(
-        read_entry(event["kv"]) for event in events if event.get("type") != "DELETE"
+        parse_entry(event["kv"]) for event in events if event.get("type") != "DELETE"
     )
--- a/src/papayagw/_internal/store/protocol.py
+++ b/src/papayagw/_internal/store/protocol.py
@@ -17,7 +17,7 @@
 MAX_VALUE_BYTES = 1_000_000
 """The largest value that the service holds, in bytes."""
 
-NO_ENTRY = 0
+ABSENT_REVISION = 0
 """The revision of a key that isn't there."""
 
 
@@ -79,7 +79,7 @@
     entry: Entry | None
 
 
-SwapAnswer = Swapped | Conflict
+SwapResult = Swapped | Conflict
 
 
 class Store(Protocol):
@@ -92,7 +92,7 @@
 
     async def swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
-    ) -> Result[SwapAnswer, PlatformError]:
+    ) -> Result[SwapResult, PlatformError]:
         """Write `value` if `key` still has the revision `expected`.
 
         Parameters
@@ -102,7 +102,7 @@
         value : bytes
             At most `MAX_VALUE_BYTES`.
         expected : int
-            The revision that the caller saw; `NO_ENTRY` if it saw none.
+            The revision that the caller saw; `ABSENT_REVISION` if it saw none.
         timeout_ms : Millis
             How long to wait for the answer.
         """
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -9,7 +9,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.net.admin import MAX_REQUEST_BYTES, AdminServer
 from papayagw._internal.observe.logs import Log
-from papayagw._internal.observe.status_json import read_status
+from papayagw._internal.observe.status_json import decode_status
 from tests.lib.reports import make_status
 from tests.lib.samples import ManualClock
 
@@ -82,7 +82,7 @@
 def test_report_comes_back_whole():
     (answer,) = ask_all(GET_STATUS)
     body = answer.partition(b"\r\n\r\n")[2]
-    assert read_status(body).unwrap() == make_status()
+    assert decode_status(body).unwrap() == make_status()
 
 
 def test_fault_in_report_leaves_server_running():
--- a/tests/unit/test_json_lines.py
+++ b/tests/unit/test_json_lines.py
@@ -6,11 +6,11 @@
 import pytest
 
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.observe.exposition import Exposition
+from papayagw._internal.observe.exposition import MetricsRegistry
 from papayagw._internal.observe.json_lines import (
     LINES_PER_WINDOW,
     MAX_UNSENT_BYTES,
-    JsonLines,
+    JsonLinesLog,
 )
 
 
@@ -30,7 +30,7 @@
 
 
 def start(writer, clock=None):
-    lines = JsonLines("node-1", clock or FixedClock(), writer.fileno())
+    lines = JsonLinesLog("node-1", clock or FixedClock(), writer.fileno())
     lines.start()
     return lines
 
@@ -82,13 +82,13 @@
 
 
 def test_measurements_as_text():
-    measurements = Exposition()
+    measurements = MetricsRegistry()
     measurements.count("opening accepted")
     measurements.count("opening accepted", 2)
-    measurements.time("opening accepted", 1.5)
-    measurements.time("opening accepted", 9_000)
+    measurements.observe("opening accepted", 1.5)
+    measurements.observe("opening accepted", 9_000)
     measurements.gauge("flows remembered", lambda: 7)
-    text = measurements.show().splitlines()
+    text = measurements.render().splitlines()
     assert "papayagw_opening_accepted_total 3" in text
     assert "papayagw_flows_remembered 7" in text
     assert 'papayagw_opening_accepted_ms_bucket{le="1"} 0' in text
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -5,7 +5,7 @@
 import pytest
 
 from papayagw._internal.exceptions import BindError, Step
-from papayagw._internal.observe.logs import start_logs
+from papayagw._internal.observe.logs import configure_logging
 from tests.lib.samples import ManualClock
 
 
@@ -16,7 +16,7 @@
 
 @pytest.fixture
 def log(clock):
-    return start_logs("balancer-1", clock)
+    return configure_logging("balancer-1", clock)
 
 
 def read_lines(capsys):
@@ -86,7 +86,7 @@
 
 def test_flood_logs_few_lines_and_a_count(log, clock, capsys):
     for _ in range(1_000):
-        log.limited("bad tag", peer="p")
+        log.rate_limited_warning("bad tag", peer="p")
     log.flush_suppressed()
     clock.advance(1_000)
     log.flush_suppressed()
--- a/tests/unit/test_operator_commands.py
+++ b/tests/unit/test_operator_commands.py
@@ -6,7 +6,7 @@
 from papayagw._internal.cli.main import main
 from papayagw._internal.cli.registry import COMMANDS
 from papayagw._internal.exceptions import StatusError, Step
-from papayagw._internal.observe.records import write_record
+from papayagw._internal.observe.records import encode_record
 from papayagw._internal.observe.status_text import format_status
 from tests.lib.reports import make_record, make_status
 
@@ -25,7 +25,7 @@
     """Write records whose times are in ms from now."""
     now = int(time.time() * 1_000)
     lines = [
-        write_record(make_record(now + end, **changes)) for end, changes in records
+        encode_record(make_record(now + end, **changes)) for end, changes in records
     ]
     path.write_bytes(b"".join(lines))
     return path
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -6,15 +6,15 @@
 from papayagw._internal.models.status import NodeState, Role
 from papayagw._internal.observe.records import (
     RecordWriter,
+    encode_record,
     read_records,
-    write_record,
 )
-from papayagw._internal.observe.status_json import read_status, write_status
+from papayagw._internal.observe.status_json import decode_status, encode_status
 from tests.lib.reports import make_record, make_status, make_totals
 
 LATER_RUN = {"run": 2_000, "services": (make_totals(5),)}
 RECORD = make_record()
-LINE = write_record(RECORD)
+LINE = encode_record(RECORD)
 
 
 @pytest.mark.parametrize(
@@ -85,9 +85,9 @@
     writer.close()
     read = read_records([path]).unwrap()
     assert read.records == (RECORD,) * records
-    assert len(read.faults) == len(faults)
-    for fault, expected in zip(read.faults, faults, strict=True):
-        assert fault.what.startswith(expected)
+    assert len(read.invalid_lines) == len(faults)
+    for fault, expected in zip(read.invalid_lines, faults, strict=True):
+        assert fault.reason.startswith(expected)
 
 
 def test_last_line_cut_off_is_named(tmp_path):
@@ -95,7 +95,9 @@
     path.write_bytes(LINE + LINE[:-9])
     read = read_records([path]).unwrap()
     assert read.records == (RECORD,)
-    assert [str(one) for one in read.faults] == [f"{path}:2: cut off before its end"]
+    assert [str(one) for one in read.invalid_lines] == [
+        f"{path}:2: cut off before its end"
+    ]
 
 
 def test_missing_file_is_a_failure(tmp_path):
@@ -111,14 +113,14 @@
         (b"[" * 100_000, "not JSON"),
         (b"{}", "StatusReport.node is missing"),
         (
-            write_status(make_status()).replace(b'"role":"agent"', b'"role":"king"'),
+            encode_status(make_status()).replace(b'"role":"agent"', b'"role":"king"'),
             "StatusReport.role: 'king'",
         ),
         (
-            write_status(make_status()).replace(b'"weight":64', b'"weight":"64"'),
+            encode_status(make_status()).replace(b'"weight":64', b'"weight":"64"'),
             "StatusReport.agents[0].weight: expected int, found '64'",
         ),
     ],
 )
 def test_status_of_wrong_form_is_named(text, what):
-    assert str(read_status(text).failure()).startswith(what)
+    assert str(decode_status(text).failure()).startswith(what)
