Reword comments and docstrings of the store client and of the observe package

Says in the usual terms of the field what the code does and why. Four reasons within store errors, the value-size error and the names of tests are reworded too; no test or tool matches those messages.

--- a/src/papayagw/_internal/observe/__init__.py
+++ b/src/papayagw/_internal/observe/__init__.py
@@ -1,1 +1,1 @@
-"""Logs as JSON lines, metrics and reports."""
+"""Structured logs, metrics, and status and burn reports."""
--- a/src/papayagw/_internal/observe/burn_picture.py
+++ b/src/papayagw/_internal/observe/burn_picture.py
@@ -1,4 +1,4 @@
-"""The burn report as a picture."""
+"""Charts of the burn report, drawn with Matplotlib."""
 
 from pathlib import Path
 
@@ -29,16 +29,17 @@
 
 
 def draw_burn_chart(report: BurnReport, path: Path) -> None:
-    """Write the report as a PNG file: burn, and load by backend server and zone.
+    """Write charts of burn and of load by backend server and zone to a PNG file.
 
     Raises
     ------
     ReportError
-        If the file can't be written.
+        If the file cannot be written.
     """
     rows = len(report.services)
     size = (_WIDTH_INCHES, _ROW_INCHES * rows + 1)
-    # A figure of its own draws with Agg: no display and no global state.
+    # A Figure created without pyplot renders with Agg: it needs no display and has
+    # no global state.
     figure = Figure(figsize=size, dpi=_DPI, layout="constrained")
     axes = figure.subplots(rows, 3, squeeze=False, width_ratios=(4, 4, 3))
     for (burn, backends, zones), service in zip(axes, report.services, strict=True):
@@ -79,7 +80,7 @@
         f"{service.service}: {RISK_LABELS[service.risk]}", fontsize=_TITLE_FONT_SIZE
     )
     axes.yaxis.set_major_formatter(FormatStrFormatter("%g"))
-    # Below the axes, where it hides no bars.
+    # The legend is below the axes so that it does not cover any bars.
     axes.legend(
         loc="upper left",
         bbox_to_anchor=(0, -0.1),
--- a/src/papayagw/_internal/observe/burn_text.py
+++ b/src/papayagw/_internal/observe/burn_text.py
@@ -1,4 +1,4 @@
-"""The burn report as text."""
+"""Text format of the burn report."""
 
 from collections.abc import Iterable, Sequence
 
@@ -29,7 +29,7 @@
 
 
 def format_burn(report: BurnReport) -> str:
-    """Return the report as an operator reads it."""
+    """Return the report as text for operators."""
     span = Millis(report.end_ms - report.start_ms)
     header = (
         f"service-level burn, from {format_timestamp(report.start_ms)} "
@@ -90,7 +90,7 @@
 
 
 def _select_groups(balance: Balance) -> Sequence[GroupLoad]:
-    """Return all groups, or of many those with cut flows and the highest loads."""
+    """Return all groups if few; otherwise those with most cut flows, then load."""
     if len(balance.groups) <= _MAX_ROWS:
         return balance.groups
     worst = sorted(balance.groups, key=lambda group: (-group.cut, -group.load))
--- a/src/papayagw/_internal/observe/durations.py
+++ b/src/papayagw/_internal/observe/durations.py
@@ -1,4 +1,4 @@
-"""Times and durations as operators read them."""
+"""Human-readable formats of timestamps and durations."""
 
 from datetime import UTC, datetime
 
@@ -19,6 +19,6 @@
 
 
 def format_timestamp(timestamp: Millis) -> str:
-    """Return a time in ms since 1970 as RFC 3339 has it, to the second."""
+    """Return a Unix time in milliseconds as an RFC 3339 time, to the second."""
     utc_time = datetime.fromtimestamp(to_seconds(timestamp), UTC)
     return utc_time.strftime("%Y-%m-%dT%H:%M:%SZ")
--- a/src/papayagw/_internal/observe/exposition.py
+++ b/src/papayagw/_internal/observe/exposition.py
@@ -1,13 +1,10 @@
-"""Counters, gauges and latency histograms, served as text.
-
-The form is the text exposition format that metric collectors read.
-"""
+"""Counters, gauges and latency histograms in the Prometheus text format."""
 
 from bisect import bisect_left
 from collections.abc import Callable
 
 LATENCY_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000)
-"""Upper bounds of the buckets of a histogram, in milliseconds."""
+"""Upper bounds of the histogram buckets, in milliseconds."""
 
 CONTENT_TYPE = "text/plain; version=0.0.4"
 
@@ -15,19 +12,19 @@
 
 
 class Histogram:
-    """How often durations fell into each bucket."""
+    """Histogram of durations in buckets of `LATENCY_BOUNDS_MS`."""
 
     def __init__(self) -> None:
         self._counts = [0] * (len(LATENCY_BOUNDS_MS) + 1)
         self._sum_ms = 0.0
 
     def observe(self, duration_ms: float) -> None:
-        """Note one duration, in milliseconds."""
+        """Record one duration, in milliseconds."""
         self._counts[bisect_left(LATENCY_BOUNDS_MS, duration_ms)] += 1
         self._sum_ms += duration_ms
 
     def render(self, name: str) -> list[str]:
-        """Return the lines of the histogram."""
+        """Return the lines of the histogram in the text format."""
         lines = [f"# TYPE {name} histogram"]
         total = 0
         bounds = [str(bound) for bound in LATENCY_BOUNDS_MS]
@@ -38,7 +35,7 @@
 
 
 class MetricsRegistry:
-    """The measurements of one process."""
+    """Registry of the metrics of one process."""
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
@@ -46,22 +43,22 @@
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def count(self, event: str, value: int = 1) -> None:
-        """Add to the counter of an event."""
+        """Add `value` to the counter of an event."""
         self._counts[event] = self._counts.get(event, 0) + value
 
     def observe(self, event: str, duration_ms: float) -> None:
-        """Note the duration of an event, in milliseconds."""
+        """Record the duration of an event, in milliseconds."""
         histogram = self._histograms.get(event)
         if histogram is None:
             histogram = self._histograms[event] = Histogram()
         histogram.observe(duration_ms)
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
-        """Show what `read` returns whenever the text is asked for."""
+        """Register a gauge; `read` is called at each `render`."""
         self._gauges[name] = read
 
     def render(self) -> str:
-        """Return all measurements as text."""
+        """Return all metrics in the text format."""
         lines: list[str] = []
         for event, count in sorted(self._counts.items()):
             name = f"{_PREFIX}{_to_metric_name(event)}_total"
--- a/src/papayagw/_internal/observe/json_lines.py
+++ b/src/papayagw/_internal/observe/json_lines.py
@@ -1,7 +1,8 @@
-"""Logs of the plain front end: one JSON object a line, on standard output.
+"""Log of the plain front end: one JSON object per line, on standard output.
 
-absl's logging takes 0.1 s of processor time to import, most of what a process here
-may take until it serves; the lines have the same fields as `observe.logs` gives them.
+absl's logging isn't used here: importing it takes 0.1 s of CPU time, most of the
+start-up budget of these processes. The lines have the same fields as those of
+`observe.logs`.
 """
 
 import json
@@ -14,26 +15,26 @@
 from papayagw._internal.observe.log_text import format_time, format_value
 
 MAX_UNSENT_BYTES = 262_144
-"""How much waits for a reader that is slow; what comes then is dropped and counted."""
+"""Buffer limit for a slow reader; further lines are dropped and counted."""
 
 LINES_PER_WINDOW = 40
-"""How many lines of one event are written in a second."""
+"""Maximum number of lines per event and rate-limit window of one second."""
 
 _WINDOW_MS = Millis(1_000)
 _STDOUT = 1
 
 
 class JsonLinesLog:
-    """Writes events without ever waiting for their reader.
+    """Writes events as JSON lines without blocking on a slow reader.
 
     Parameters
     ----------
     node : str
-        The name of the process.
+        The name of the node, written on every line.
     clock : Clock
-        The time, for the limit on lines.
+        The clock of the rate limit.
     descriptor : int
-        Where lines go.
+        The file descriptor to write to.
     """
 
     def __init__(self, node: str, clock: Clock, descriptor: int = _STDOUT):
@@ -46,19 +47,19 @@
 
     @property
     def dropped(self) -> int:
-        """How many lines found no room."""
+        """Number of lines lost because the buffer was full or the reader closed."""
         return self._dropped
 
     def start(self) -> None:
-        """Make writing return at once where nobody reads."""
+        """Make the descriptor non-blocking, so that a slow reader delays no write."""
         os.set_blocking(self._descriptor, False)
 
     def close(self) -> None:
-        """Write what is left, as far as it is taken."""
+        """Write as much of the buffer as the reader accepts without blocking."""
         self._send_buffered()
 
     def write(self, event: str, fields: dict[str, Any]) -> None:
-        """Write one event, or count it if there are too many of its kind."""
+        """Write one event, or count it as suppressed if its rate limit is reached."""
         suppressed = self._limiter.admit(event, self._clock.now())
         if suppressed is None:
             return
@@ -82,9 +83,10 @@
                 written = os.write(self._descriptor, self._unsent)
                 self._unsent = self._unsent[written:]
         except BlockingIOError:
-            # The reader is slow; the next line tries again.
+            # The reader is slow; the rest is sent with the next line.
             return
         except OSError:
-            # Nobody reads any more. A process that carries flows goes on without.
+            # The reader has closed the pipe. A process that carries flows must keep
+            # running without its log.
             self._dropped += self._unsent.count(b"\n")
             self._unsent = b""
--- a/src/papayagw/_internal/observe/json_values.py
+++ b/src/papayagw/_internal/observe/json_values.py
@@ -1,4 +1,4 @@
-"""Frozen data classes to and from the plain values that JSON has."""
+"""Conversion of frozen data classes to and from JSON-compatible values."""
 
 from collections.abc import Callable
 from dataclasses import MISSING, fields, is_dataclass
@@ -13,7 +13,7 @@
 
 
 def to_json_value(value: object) -> Any:
-    """Return `value` with data classes as dictionaries and tuples as lists."""
+    """Return `value` with data classes as dicts, tuples as lists, enums by value."""
     if is_dataclass(value):
         return {
             one.name: to_json_value(getattr(value, one.name)) for one in fields(value)
@@ -27,10 +27,11 @@
 
 @safe(exceptions=(ValueError,))
 def from_json_value(kind: type[ValueT], value: object) -> ValueT:
-    """Return the object of data class `kind` that `value` describes.
+    """Build an instance of data class `kind` from a JSON-compatible value.
 
-    Unknown keys are passed over, so that a newer node can be read; a missing key
-    without a default, or a value of another type, is a failure that says where.
+    Unknown keys are ignored, so that the output of newer nodes can be read. A missing
+    key without a default, or a value of the wrong type, is a failure whose message
+    gives the path of the field.
     """
     converted: ValueT = _convert(kind, value, kind.__name__)
     return converted
--- a/src/papayagw/_internal/observe/logs.py
+++ b/src/papayagw/_internal/observe/logs.py
@@ -1,7 +1,7 @@
-"""Logs: one JSON object a line, on standard error, through absl.
+"""Structured logging through absl: one JSON object per line, on standard error.
 
-Every line has ``time``, ``level``, ``message`` and ``node``. Further fields are
-those of the call: ``step``, ``peer`` and ``flow`` where there are any.
+Every line has ``time``, ``level``, ``message`` and ``node``, followed by the fields
+of the call, such as ``step``, ``peer`` and ``flow``.
 """
 
 import json
@@ -40,7 +40,7 @@
         self._node = node
 
     def format(self, record: stdlib_logging.LogRecord) -> str:
-        """Return the line without its end."""
+        """Return the JSON object, without a newline."""
         line: dict[str, Any] = {
             "time": format_time(record.created),
             "level": record.levelname.lower(),
@@ -50,7 +50,7 @@
         if record.name != "absl":
             line["library"] = record.name
         fields = getattr(record, _FIELDS_ATTRIBUTE, {})
-        # The caller's fields never hide those that every line has.
+        # Fields of the call must not overwrite the standard fields.
         line.update({key: one for key, one in fields.items() if key not in line})
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
@@ -63,7 +63,7 @@
     Parameters
     ----------
     clock : Clock
-        The time, for the limit on messages that packets from outside may cause.
+        The clock of the rate limit on messages that packets from outside may cause.
     """
 
     def __init__(self, clock: Clock):
@@ -71,7 +71,7 @@
         self._limiter = LogLimiter()
 
     def debug(self, message: str, **fields: object) -> None:
-        """Log what only a developer wants to see."""
+        """Log a message that is of interest to developers only."""
         self._write("debug", message, fields)
 
     def info(self, message: str, **fields: object) -> None:
@@ -79,32 +79,35 @@
         self._write("info", message, fields)
 
     def warning(self, message: str, **fields: object) -> None:
-        """Log what an operator should look at some day."""
+        """Log a problem that an operator should look into, but not urgently."""
         self._write("warning", message, fields)
 
     def error(self, message: str, **fields: object) -> None:
-        """Log what an operator should look at now."""
+        """Log a problem that an operator should look into at once."""
         self._write("error", message, fields)
 
     def failure(self, error: PapayagwError, **fields: object) -> None:
-        """Log an error with its step, its peer and its remedy."""
+        """Log an error with its step, peer and remedy, where it has them."""
         known = {"step": error.step, "peer": error.peer, "remedy": error.remedy}
         present = {key: value for key, value in known.items() if value}
         self._write("error", error.what, {**present, **fields})
 
     def exception(self, message: str, **fields: object) -> None:
-        """Log a fault of the program with its traceback."""
+        """Log the exception being handled, a bug in papayagw, with its traceback."""
         absl_logging.error(
             "%s", message, extra={_FIELDS_ATTRIBUTE: fields}, exc_info=True
         )
 
     def rate_limited_warning(self, message: str, **fields: object) -> None:
-        """Log a warning that may be one of a flood; `message` is its kind.
+        """Log a warning, at a rate limited per `message`.
+
+        Use it for messages that packets from outside can cause in large numbers.
 
         Parameters
         ----------
         message : str
-            The same for all messages of its kind: what differs goes in `fields`.
+            The key of the rate limit. It must be constant; variable parts go in
+            `fields`.
         **fields : object
             Further fields of the line.
         """
@@ -116,7 +119,7 @@
         self._write("warning", message, fields)
 
     def flush_suppressed(self) -> None:
-        """Log how many messages were held back in floods that are over."""
+        """Log how many messages were suppressed in rate-limit windows that ended."""
         suppressed = self._limiter.take_suppressed(self._clock.now())
         for message, count in suppressed.items():
             self._write("warning", message, {"suppressed": count})
@@ -130,16 +133,17 @@
 def configure_logging(node: str, clock: Clock, level: str = "info") -> Log:
     """Send all logs of this process to standard error as JSON lines.
 
-    Those of other libraries get through from ``warning`` up.
+    Messages of other libraries are written from level ``warning`` up.
 
     Parameters
     ----------
     node : str
         The name of the node.
     clock : Clock
-        The time.
+        The clock of the rate limit; see `Log`.
     level : str
-        The lowest level that is written; one of `LEVEL_NAMES`.
+        The lowest level of papayagw's own messages that is written; one of
+        `LEVEL_NAMES`.
     """
     if not flags.FLAGS.is_parsed():
         flags.FLAGS.mark_as_parsed()
@@ -147,7 +151,8 @@
     absl_logging.use_absl_handler()
     absl_logging.get_absl_handler().setFormatter(JsonLinesFormatter(node))
     absl_logging.set_verbosity(_LEVELS[level])
-    # absl sets the level of the root logger, which is that of other libraries.
+    # absl sets the level of the root logger, which the loggers of other libraries
+    # inherit.
     stdlib_logging.getLogger().setLevel(stdlib_logging.WARNING)
     absl_logging.get_absl_logger().setLevel(level.upper())
     return Log(clock)
--- a/src/papayagw/_internal/observe/metrics.py
+++ b/src/papayagw/_internal/observe/metrics.py
@@ -1,7 +1,7 @@
-"""Metrics: counts, gauges and timings, by statsd.
+"""Counters, gauges and timings, sent to statsd.
 
-Names are words with points between them, such as ``balancer.drop.bad-tag``; the
-prefix ``papayagw`` is put before them.
+Metric names are dotted, such as ``balancer.drop.bad-tag``; the prefix ``papayagw``
+is added when they are sent.
 """
 
 from collections.abc import Callable, Mapping, Sequence
@@ -16,7 +16,7 @@
 
 
 class Metrics(Protocol):
-    """Where measurements go. No method blocks or raises."""
+    """Receiver of measurements. No method blocks or raises."""
 
     def count(self, name: str, value: int = 1) -> None:
         """Add `value` to a counter."""
@@ -25,11 +25,11 @@
         """Set a gauge."""
 
     def timing(self, name: str, duration: float) -> None:
-        """Note one duration, in milliseconds."""
+        """Record one duration, in milliseconds."""
 
 
 class MemoryMetrics:
-    """Keeps measurements, for the status report and for tests."""
+    """Keeps measurements in memory, for the status report and for tests."""
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
@@ -48,7 +48,7 @@
 
     @property
     def timings(self) -> dict[str, tuple[float, ...]]:
-        """The durations noted, in milliseconds."""
+        """The recorded durations, in milliseconds."""
         return {name: tuple(values) for name, values in self._timings.items()}
 
     def count(self, name: str, value: int = 1) -> None:
@@ -60,20 +60,20 @@
         self._gauges[name] = value
 
     def timing(self, name: str, duration: float) -> None:
-        """Note one duration, in milliseconds."""
+        """Record one duration, in milliseconds."""
         self._timings.setdefault(name, []).append(duration)
 
 
 class StatsdMetrics:
     """Sends measurements to a statsd daemon over UDP.
 
-    Measurements are packed together until `flush`. When there is no daemon, or
-    the socket's buffer is full, they are lost.
+    Measurements are collected until `flush` and sent in one packet. They are lost if
+    there is no daemon or the socket's send buffer is full.
 
     Parameters
     ----------
     daemon : Endpoint
-        Where the daemon listens.
+        The address that the daemon listens on.
     """
 
     def __init__(self, daemon: Endpoint):
@@ -88,14 +88,14 @@
         self._pipeline = client.pipeline()
 
     def close(self) -> None:
-        """Send what is left and close the socket."""
+        """Send the remaining measurements and close the socket."""
         if self._client is not None:
             self.flush()
             self._client.close()
         self._client = self._pipeline = None
 
     def flush(self) -> None:
-        """Send what was noted since the last flush."""
+        """Send the measurements collected since the last flush."""
         if self._pipeline is not None:
             self._pipeline.send()
 
@@ -110,18 +110,18 @@
             self._pipeline.gauge(name, value)
 
     def timing(self, name: str, duration: float) -> None:
-        """Note one duration, in milliseconds."""
+        """Record one duration, in milliseconds."""
         if self._pipeline is not None:
             self._pipeline.timing(name, duration)
 
 
 class FanOutMetrics:
-    """Hands each measurement to several others.
+    """Forwards each measurement to several targets.
 
     Parameters
     ----------
     targets : sequence of Metrics
-        Where each measurement goes.
+        The receivers of each measurement.
     """
 
     def __init__(self, targets: Sequence[Metrics]):
@@ -138,21 +138,21 @@
             target.gauge(name, value)
 
     def timing(self, name: str, duration: float) -> None:
-        """Note one duration, in milliseconds."""
+        """Record one duration, in milliseconds."""
         for target in self._targets:
             target.timing(name, duration)
 
 
 class CountFlusher:
-    """Hands on what was added to plain counters since the last time.
+    """Reports the increase of in-memory counters since the last flush.
 
-    The packet path adds to a dictionary, which costs an update of it and neither a
-    string nor a system call; a timer hands the difference on.
+    The packet path only increments a counter in a dictionary, which needs neither
+    string formatting nor a system call; a timer reports the difference.
 
     Parameters
     ----------
     read : callable
-        Returns the counts since the start, by name.
+        Returns the total counts since start-up, by name.
     """
 
     def __init__(self, read: Callable[[], Mapping[str, int]]):
@@ -160,7 +160,7 @@
         self._flushed: Mapping[str, int] = {}
 
     def flush(self, metrics: Metrics) -> None:
-        """Hand on what was added since the last flush."""
+        """Report the increase of each counter since the last flush."""
         counts = dict(self._read())
         for name, value in counts.items():
             added = value - self._flushed.get(name, 0)
@@ -170,9 +170,9 @@
 
 
 class _NonBlockingClient(StatsClient):  # type: ignore[misc]
-    """A statsd client that loses a packet sooner than it waits."""
+    """Statsd client that drops a packet when sending would block."""
 
     def __init__(self, host: str, port: int, prefix: str):
         super().__init__(host, port, prefix)
-        # The library drops a packet on any error of the socket.
+        # On any socket error, BlockingIOError included, the library drops the packet.
         self._sock.setblocking(False)
--- a/src/papayagw/_internal/observe/records.py
+++ b/src/papayagw/_internal/observe/records.py
@@ -1,7 +1,7 @@
-"""Files of service-level records: JSON lines, one record each.
+"""Files of service-level records: JSON lines, one record per line.
 
-They are kept where the operators run ``papayagw status --record``, never on the
-nodes, which have no disks.
+The files are on the machine where an operator runs ``papayagw status --record``,
+never on the nodes, which have no disks.
 """
 
 import json
@@ -20,16 +20,16 @@
 
 @dataclass(frozen=True, slots=True)
 class InvalidLine:
-    """A line that isn't a record.
+    """Line of a file that is not a valid record.
 
     Attributes
     ----------
     file : str
-        The file.
+        The path of the file.
     line : int
-        The number of the line, from 1.
+        The line number, starting at 1.
     reason : str
-        What is wrong with it.
+        Why the line is not a valid record.
     """
 
     file: str
@@ -42,14 +42,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ParsedRecords:
-    """What files of records hold.
+    """Content of one or more record files.
 
     Attributes
     ----------
     records : tuple of ServiceRecord
-        The records, in order of the files.
+        The valid records, in the order of the files and their lines.
     invalid_lines : tuple of InvalidLine
-        The lines that were passed over.
+        The lines that were skipped.
     """
 
     records: tuple[ServiceRecord, ...]
@@ -62,7 +62,7 @@
     Parameters
     ----------
     path : Path
-        The file; it is made if it isn't there.
+        The file; it is created if it does not exist.
     """
 
     def __init__(self, path: Path):
@@ -75,23 +75,24 @@
         Raises
         ------
         ReportError
-            If it can't be opened for writing.
+            If the file cannot be opened for writing.
         """
         try:
             self._file = self._path.open("ab")
         except OSError as error:
             raise _make_file_error(self._path, error, "written to") from error
         if self._file.tell() and not _ends_with_newline(self._path):
-            # An earlier recorder was cut off: its last line must not spoil ours.
+            # An earlier process was interrupted while writing. Without a newline
+            # its incomplete last line would make the first new record invalid.
             self._file.write(b"\n")
 
     def write(self, records: Iterable[ServiceRecord]) -> None:
-        """Append records and hand them to the operating system.
+        """Append records and flush them to the operating system.
 
         Raises
         ------
         ReportError
-            If there is no room for them.
+            If writing fails, for instance because the disk is full.
         """
         if self._file is None:
             return
@@ -105,19 +106,20 @@
     def close(self) -> None:
         """Close the file."""
         if self._file is not None:
-            # What a full disk didn't take was told when it was written.
+            # A failure to write buffered data, such as on a full disk, was already
+            # raised by `write`.
             with suppress(OSError):
                 self._file.close()
         self._file = None
 
 
 def encode_record(record: ServiceRecord) -> bytes:
-    """Return the line of `record`."""
+    """Return `record` as a JSON line."""
     return json.dumps(to_json_value(record), separators=(",", ":")).encode() + b"\n"
 
 
 def read_records(paths: Sequence[Path]) -> Result[ParsedRecords, ReportError]:
-    """Return what is in the files, or why one of them can't be read."""
+    """Return the content of the files, or the error of the first unreadable one."""
     records: list[ServiceRecord] = []
     invalid_lines: list[InvalidLine] = []
     for path in paths:
--- a/src/papayagw/_internal/observe/status_json.py
+++ b/src/papayagw/_internal/observe/status_json.py
@@ -1,4 +1,4 @@
-"""Encoding of status reports as JSON."""
+"""JSON encoding of status reports."""
 
 import json
 
@@ -14,7 +14,7 @@
 
 
 def decode_status(text: bytes) -> Result[StatusReport, Exception]:
-    """Return the report in `text`, or what is wrong with it."""
+    """Return the report encoded in `text`, or the reason why it is invalid."""
     try:
         value = json.loads(text)
     except (ValueError, RecursionError) as error:
--- a/src/papayagw/_internal/observe/status_text.py
+++ b/src/papayagw/_internal/observe/status_text.py
@@ -1,4 +1,4 @@
-"""Status reports as tables."""
+"""Text tables of status reports."""
 
 from collections.abc import Iterable, Sequence
 
@@ -22,16 +22,16 @@
     errors: Sequence[StatusError],
     full: bool = False,
 ) -> str:
-    """Return the accounts of several nodes, and what is wrong with the others.
+    """Return the status reports as tables, followed by the errors of other nodes.
 
     Parameters
     ----------
     reports : sequence of StatusReport
-        The accounts.
+        The reports of the nodes that answered.
     errors : sequence of StatusError
-        The nodes that gave none.
+        The errors of the nodes that did not answer.
     full : bool
-        Whether peers, agents and counters are shown too.
+        Whether to include peers, agents and counters.
     """
     details = (_format_peers, _format_agents, _format_counters) if full else ()
     sections = (
--- a/src/papayagw/_internal/observe/table.py
+++ b/src/papayagw/_internal/observe/table.py
@@ -1,17 +1,17 @@
-"""Plain text tables."""
+"""Plain-text tables."""
 
 from collections.abc import Sequence
 
 
 def format_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> list[str]:
-    """Return the lines of a table; columns of numbers are flush right.
+    """Return the lines of a table; numeric columns are right-aligned.
 
     Parameters
     ----------
     header : sequence of str
-        The names of the columns.
+        The column names.
     rows : sequence of sequence of object
-        What stands in them.
+        The cells of each row, one for each column.
     """
     texts = [[str(cell) for cell in row] for row in rows]
     columns = list(zip(header, *texts, strict=True))
--- a/src/papayagw/_internal/store/__init__.py
+++ b/src/papayagw/_internal/store/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's key-value service behind a protocol type."""
+"""Client of the platform's key-value service, behind the `Store` protocol."""
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -1,4 +1,4 @@
-"""A client of the platform's service over the JSON gateway of etcd v3."""
+"""Client of the platform's key-value service over the etcd v3 JSON gateway."""
 
 import json
 from collections.abc import Awaitable, Callable, Sequence
@@ -38,14 +38,15 @@
 
 
 class EtcdStore:
-    """The platform's service behind one or more base URLs.
+    """Client of the platform's key-value service at one or more base URLs.
 
-    Connections open with the first call, also after a `close`.
+    The HTTP client is created by the first call, and by the first call after `close`.
 
     Parameters
     ----------
     urls : sequence of str
-        Base URLs of one service, tried in turn until one takes the connection.
+        Base URLs of the same service. They are tried in order until a connection
+        succeeds.
     """
 
     def __init__(self, urls: Sequence[str]):
@@ -55,7 +56,7 @@
     async def get(
         self, key: str, timeout_ms: Millis
     ) -> Result[Snapshot, PlatformError]:
-        """Return what `key` holds."""
+        """Read the value of `key` and the revision of the store."""
         return await self._call_with_timeout(
             "/v3/kv/range", build_range_request(key), timeout_ms, parse_range_response
         )
@@ -63,7 +64,7 @@
     async def swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
     ) -> Result[SwapResult, PlatformError]:
-        """Write `value` if `key` still has the revision `expected`."""
+        """Write `value` if the revision of `key` is still `expected`."""
         if len(value) > MAX_VALUE_BYTES:
             return Failure(_too_large(key, len(value)))
         request = build_swap_request(key, value, expected)
@@ -78,7 +79,7 @@
         on_entry: Callable[[Entry], None],
         timeout_ms: Millis,
     ) -> Result[int, PlatformError]:
-        """Hear of each write of `key` until `timeout_ms` has passed."""
+        """Report each write to `key` to `on_entry` until `timeout_ms` has passed."""
         progress = _WatchProgress(after, on_entry)
         request = build_watch_request(key, after)
         with anyio.move_on_after(to_seconds(timeout_ms)) as scope:
@@ -89,10 +90,10 @@
                 return failure
         if scope.cancelled_caught or progress.is_finished:
             return Success(progress.revision)
-        return Failure(_unreachable(self._urls[0], "the watch was cut"))
+        return Failure(_unreachable(self._urls[0], "the watch stream was closed early"))
 
     async def close(self) -> None:
-        """Close the connections."""
+        """Close all connections."""
         if self._client is not None:
             await self._client.aclose()
         self._client = None
@@ -118,7 +119,7 @@
     async def _try_urls(
         self, call: Callable[[str], Awaitable[Result[ResponseT, PlatformError]]]
     ) -> Result[ResponseT, PlatformError]:
-        """Return the first answer; only an unmade connection tries the next URL."""
+        """Return the first result; try the next URL only if connecting fails."""
         for url in self._urls:
             try:
                 return await call(url)
@@ -126,7 +127,7 @@
                 continue
             except httpx.HTTPError as error:
                 return Failure(_unreachable(url, str(error) or type(error).__name__))
-        return Failure(_unreachable(", ".join(self._urls), "no connection"))
+        return Failure(_unreachable(", ".join(self._urls), "cannot connect to any URL"))
 
     async def _post(
         self,
@@ -140,13 +141,13 @@
             url + path, json=request, timeout=timeout
         )
         if response.status_code >= _FIRST_SERVER_ERROR:
-            return Failure(_unreachable(url, f"status {response.status_code}"))
+            return Failure(_unreachable(url, f"HTTP status {response.status_code}"))
         if response.is_error:
             return Failure(_refused(url, response.text))
         try:
             return Success(read(response.json()))
         except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
-            return Failure(_unreachable(url, f"no usable answer: {error!r}"))
+            return Failure(_unreachable(url, f"invalid response: {error!r}"))
 
     async def _stream(
         self, url: str, request: Message, progress: "_WatchProgress"
@@ -157,19 +158,19 @@
             "POST", target, json=request, timeout=timeout
         ) as response:
             if response.is_error:
-                return Failure(_unreachable(url, f"status {response.status_code}"))
+                return Failure(_unreachable(url, f"HTTP status {response.status_code}"))
             async for line in response.aiter_lines():
                 try:
                     progress.handle_message(json.loads(line)["result"])
                 except (ValueError, KeyError, TypeError, AttributeError) as error:
-                    return Failure(_unreachable(url, f"no usable answer: {error!r}"))
+                    return Failure(_unreachable(url, f"invalid response: {error!r}"))
                 if progress.is_finished:
                     break
         return Success(progress.revision)
 
 
 class _WatchProgress:
-    """What a watch has told so far."""
+    """Progress of a watch: the last revision received and whether it has ended."""
 
     def __init__(self, after: int, on_entry: Callable[[Entry], None]):
         self._after = after
@@ -179,16 +180,20 @@
 
     @property
     def revision(self) -> int:
-        """The last revision of the store that was heard of."""
+        """The store revision in the header of the last message received."""
         return self._revision
 
     @property
     def is_finished(self) -> bool:
-        """Whether nothing more can come: the store is older or cancelled it."""
+        """Whether no further events will arrive.
+
+        Either the store cancelled the watch, or its revision is lower than the one
+        that the watch started after.
+        """
         return self._cancelled or self._revision < self._after
 
     def handle_message(self, message: Message) -> None:
-        """Take in one message of the stream."""
+        """Record the revision of a stream message and report its writes."""
         self._revision = parse_revision(message)
         self._cancelled = bool(message.get("canceled", False))
         for entry in parse_watch_events(message):
@@ -214,7 +219,7 @@
 
 def _too_large(key: str, size: int) -> PlatformError:
     return PlatformError(
-        f"the value of {key} has {size} bytes, the service holds {MAX_VALUE_BYTES}",
+        f"the value of {key} has {size} bytes, the limit is {MAX_VALUE_BYTES}",
         step=Step.PLATFORM,
         remedy="describe fewer services in one site",
     )
--- a/src/papayagw/_internal/store/etcd_messages.py
+++ b/src/papayagw/_internal/store/etcd_messages.py
@@ -1,6 +1,6 @@
-"""Encoding of the JSON gateway of etcd v3.
+"""Request and response encoding of the etcd v3 JSON gateway.
 
-Keys and values are base64, 64-bit numbers are decimal strings.
+Keys and values are base64-encoded; 64-bit integers are decimal strings.
 """
 
 from base64 import b64decode, b64encode
@@ -18,7 +18,7 @@
 
 
 def encode_base64(data: bytes) -> str:
-    """Return bytes in base64."""
+    """Return `data` as base64 text."""
     return b64encode(data).decode("ascii")
 
 
@@ -28,7 +28,10 @@
 
 
 def build_swap_request(key: str, value: bytes, expected: int) -> Message:
-    """Return the transaction that writes `key` if its revision is `expected`."""
+    """Return the transaction that writes `key` if its revision is `expected`.
+
+    If the revision differs, the transaction reads the key instead.
+    """
     encoded_key = encode_base64(key.encode())
     return {
         "compare": [
@@ -47,31 +50,31 @@
 
 
 def build_watch_request(key: str, after: int) -> Message:
-    """Return the request that watches `key` from the revision past `after`."""
+    """Return the request that watches `key` from revision ``after + 1`` on."""
     encoded_key = encode_base64(key.encode())
     return {"create_request": {"key": encoded_key, "start_revision": str(after + 1)}}
 
 
 def parse_revision(message: Message) -> int:
-    """Return the revision of the store in a message's header."""
+    """Return the store revision from the header of a message."""
     return int(message["header"]["revision"])
 
 
 def parse_entry(key_value: Message) -> Entry:
-    """Return the value and revision of a key."""
+    """Return the value of a key and the revision of its last write."""
     value = b64decode(key_value.get("value", ""), validate=True)
     return Entry(value, int(key_value["mod_revision"]))
 
 
 def parse_range_response(message: Message) -> Snapshot:
-    """Return what a read found."""
+    """Return the result of a read."""
     key_values = message.get("kvs", [])
     entry = parse_entry(key_values[0]) if key_values else None
     return Snapshot(entry, parse_revision(message))
 
 
 def parse_swap_response(message: Message) -> SwapResult:
-    """Return how a compare-and-swap went."""
+    """Return the result of a compare-and-swap."""
     if message.get("succeeded", False):
         return Swapped(parse_revision(message))
     key_values = message["responses"][0]["response_range"].get("kvs", [])
@@ -79,7 +82,7 @@
 
 
 def parse_watch_events(message: Message) -> tuple[Entry, ...]:
-    """Return the writes that one message of a watch tells."""
+    """Return the writes in a watch message; deletions are skipped."""
     events = message.get("events", [])
     return tuple(
         parse_entry(event["kv"]) for event in events if event.get("type") != "DELETE"
--- a/src/papayagw/_internal/store/protocol.py
+++ b/src/papayagw/_internal/store/protocol.py
@@ -1,8 +1,8 @@
-"""The platform's key-value service, as the rest of papayagw sees it.
+"""Interface of the platform's key-value service.
 
-Every call has a deadline and returns its failure. After a
-`PlatformUnreachableError` a write may or may not have taken effect, at once or
-later.
+Every call has a timeout and returns errors as a `Result`. After a
+`PlatformUnreachableError` a write may or may not have taken effect, or may still
+take effect later.
 """
 
 from collections.abc import Callable
@@ -15,22 +15,22 @@
 from papayagw._internal.models.clock import Millis
 
 MAX_VALUE_BYTES = 1_000_000
-"""The largest value that the service holds, in bytes."""
+"""Maximum size of a value that the service accepts."""
 
 ABSENT_REVISION = 0
-"""The revision of a key that isn't there."""
+"""Revision of a key that does not exist."""
 
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """A key's value at one revision.
+    """Value of a key at one revision.
 
     Attributes
     ----------
     value : bytes
         The value.
     revision : int
-        The revision of the store at which it was written.
+        The store revision at which the value was written.
     """
 
     value: bytes
@@ -39,14 +39,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """What a read found.
+    """Result of a read.
 
     Attributes
     ----------
     entry : Entry or None
-        The key's value, or None if it has none.
+        The value of the key, or None if the key does not exist.
     revision : int
-        The revision of the whole store at the read.
+        The revision of the whole store at the time of the read.
     """
 
     entry: Entry | None
@@ -55,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Swapped:
-    """The write took effect.
+    """Result of a compare-and-swap that wrote the value.
 
     Attributes
     ----------
@@ -68,12 +68,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
-    """The write took no effect, since the key had another revision.
+    """Result of a compare-and-swap that wrote nothing: the revision differed.
 
     Attributes
     ----------
     entry : Entry or None
-        What the key holds.
+        The current value of the key, or None if the key does not exist.
     """
 
     entry: Entry | None
@@ -83,28 +83,29 @@
 
 
 class Store(Protocol):
-    """A key-value service with compare-and-swap and watches."""
+    """Key-value store with compare-and-swap and watches."""
 
     async def get(
         self, key: str, timeout_ms: Millis
     ) -> Result[Snapshot, PlatformError]:
-        """Return what `key` holds."""
+        """Read the value of `key` and the revision of the store."""
 
     async def swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
     ) -> Result[SwapResult, PlatformError]:
-        """Write `value` if `key` still has the revision `expected`.
+        """Write `value` if the revision of `key` is still `expected`.
 
         Parameters
         ----------
         key : str
             The key.
         value : bytes
-            At most `MAX_VALUE_BYTES`.
+            The new value, at most `MAX_VALUE_BYTES` long.
         expected : int
-            The revision that the caller saw; `ABSENT_REVISION` if it saw none.
+            The revision that the caller last read; `ABSENT_REVISION` if the key
+            did not exist.
         timeout_ms : Millis
-            How long to wait for the answer.
+            How long to wait for the response.
         """
 
     async def watch(
@@ -114,27 +115,27 @@
         on_entry: Callable[[Entry], None],
         timeout_ms: Millis,
     ) -> Result[int, PlatformError]:
-        """Hear of each write of `key` until `timeout_ms` has passed.
+        """Report each write to `key` to `on_entry` until `timeout_ms` has passed.
 
         Parameters
         ----------
         key : str
             The key.
         after : int
-            The revision of the store after which writes are told.
+            The store revision after which writes are reported.
         on_entry : callable
-            Takes each new value.
+            Called with each new value.
         timeout_ms : Millis
-            How long to watch. A watch that ends and is opened anew misses nothing,
-            and one that has died without notice lasts no longer.
+            How long to watch. A watch reopened at the returned revision misses no
+            write; the limit also bounds how long a connection that was lost without
+            an error goes unnoticed.
 
         Returns
         -------
         Result of int or PlatformError
-            The last revision of the store that was heard of. It is lower than
-            `after` where the store was restored from an older copy; the watch then
-            ends at once.
+            The last store revision received. It is lower than `after` if the store
+            was restored from an older copy; the watch then ends at once.
         """
 
     async def close(self) -> None:
-        """Close the connections."""
+        """Close all connections."""
--- a/tests/unit/test_json_lines.py
+++ b/tests/unit/test_json_lines.py
@@ -1,4 +1,4 @@
-"""Logs and measurements of the plain front end."""
+"""JSON log lines and metrics exposition of the plain front end."""
 
 import json
 import os
@@ -51,7 +51,7 @@
     }
 
 
-def test_lines_of_one_event_are_bounded_and_the_rest_is_told(pipe):
+def test_lines_of_one_event_are_rate_limited_and_the_rest_is_counted(pipe):
     clock = FixedClock()
     lines = start(pipe[1], clock)
     for _ in range(LINES_PER_WINDOW + 5):
@@ -62,7 +62,7 @@
     assert read_lines(pipe[0])[0]["suppressed"] == 5
 
 
-def test_a_slow_reader_is_never_waited_for(pipe):
+def test_slow_reader_never_blocks_writing(pipe):
     clock = FixedClock()
     lines = start(pipe[1], clock)
     text = "x" * 10_000
@@ -73,7 +73,7 @@
     assert len(lines._unsent) <= MAX_UNSENT_BYTES
 
 
-def test_a_reader_that_has_gone_ends_nothing(pipe):
+def test_closed_reader_raises_no_error(pipe):
     lines = start(pipe[1])
     pipe[0].close()
     lines.write("nobody", {})
@@ -81,14 +81,14 @@
     assert lines.dropped == 2
 
 
-def test_measurements_as_text():
-    measurements = MetricsRegistry()
-    measurements.count("opening accepted")
-    measurements.count("opening accepted", 2)
-    measurements.observe("opening accepted", 1.5)
-    measurements.observe("opening accepted", 9_000)
-    measurements.gauge("flows remembered", lambda: 7)
-    text = measurements.render().splitlines()
+def test_metrics_in_text_exposition_format():
+    metrics = MetricsRegistry()
+    metrics.count("opening accepted")
+    metrics.count("opening accepted", 2)
+    metrics.observe("opening accepted", 1.5)
+    metrics.observe("opening accepted", 9_000)
+    metrics.gauge("flows remembered", lambda: 7)
+    text = metrics.render().splitlines()
     assert "papayagw_opening_accepted_total 3" in text
     assert "papayagw_flows_remembered 7" in text
     assert 'papayagw_opening_accepted_ms_bucket{le="1"} 0' in text
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -74,7 +74,7 @@
     assert read_lines(capsys) == []
 
 
-def test_fault_has_traceback_on_same_line(log, capsys):
+def test_exception_has_traceback_on_same_line(log, capsys):
     try:
         raise KeyError("x")
     except KeyError:
@@ -84,7 +84,7 @@
     assert "KeyError" in line["traceback"]
 
 
-def test_flood_logs_few_lines_and_a_count(log, clock, capsys):
+def test_rate_limited_warning_logs_few_lines_and_a_count(log, clock, capsys):
     for _ in range(1_000):
         log.rate_limited_warning("bad tag", peer="p")
     log.flush_suppressed()
--- a/tests/unit/test_metrics.py
+++ b/tests/unit/test_metrics.py
@@ -25,7 +25,7 @@
     metrics.timing("open", 1.5)
 
 
-def test_memory_keeps_what_it_is_told():
+def test_memory_metrics_keep_measurements():
     first, second = MemoryMetrics(), MemoryMetrics()
     write_all(FanOutMetrics([first, second]))
     write_all(first)
@@ -34,7 +34,7 @@
     assert first.timings == {"open": (1.5, 1.5)}
 
 
-def test_statsd_gets_one_packet_a_flush(daemon):
+def test_statsd_receives_one_packet_per_flush(daemon):
     metrics = StatsdMetrics(Endpoint(*daemon.getsockname()))
     metrics.start()
     write_all(metrics)
@@ -49,8 +49,8 @@
 def test_statsd_without_daemon_neither_blocks_nor_raises():
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.bind(("127.0.0.1", 0))
-        nobody = Endpoint(*sock.getsockname())
-    metrics = StatsdMetrics(nobody)
+        unused = Endpoint(*sock.getsockname())
+    metrics = StatsdMetrics(unused)
     write_all(metrics)
     metrics.start()
     for _ in range(2_000):
@@ -60,7 +60,7 @@
     write_all(metrics)
 
 
-def test_counts_flush_what_was_added():
+def test_count_flusher_reports_increase_since_last_flush():
     counts = {"balancer.forwarded": 2, "balancer.drop.bad-tag": 0}
     flusher, metrics = CountFlusher(lambda: counts), MemoryMetrics()
     flusher.flush(metrics)
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -18,7 +18,7 @@
 SHORT = Millis(50)
 KEY = "papayagw/test"
 
-over_both = pytest.mark.parametrize(
+over_both_stores = pytest.mark.parametrize(
     "open_store", [open_memory_store, open_http_store], ids=["memory", "http"]
 )
 
@@ -31,7 +31,7 @@
     anyio.run(main)
 
 
-@over_both
+@over_both_stores
 def test_swap_takes_effect_only_at_the_expected_revision(open_store):
     async def body(store, control):
         found = (await store.get(KEY, LONG)).unwrap()
@@ -48,7 +48,7 @@
     run(open_store, body)
 
 
-@over_both
+@over_both_stores
 def test_lost_answer_is_unreachable_though_the_write_took_effect(open_store):
     async def body(store, control):
         await control.set_faults(lost_answers=1)
@@ -59,7 +59,7 @@
     run(open_store, body)
 
 
-@over_both
+@over_both_stores
 def test_outage_fails_every_call(open_store):
     async def body(store, control):
         await control.set_faults(outage=True)
@@ -73,45 +73,45 @@
     run(open_store, body)
 
 
-@over_both
-def test_watch_tells_earlier_and_later_writes_in_order(open_store):
+@over_both_stores
+def test_watch_reports_earlier_and_later_writes_in_order(open_store):
     async def body(store, control):
         start = (await store.get(KEY, LONG)).unwrap().revision
         first = (await store.swap(KEY, b"one", 0, LONG)).unwrap()
-        heard = []
-        two = anyio.Event()
+        received = []
+        two_received = anyio.Event()
 
         def on_entry(entry):
-            heard.append(entry.value)
-            if len(heard) == 2:
-                two.set()
+            received.append(entry.value)
+            if len(received) == 2:
+                two_received.set()
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(store.watch, KEY, start, on_entry, LONG)
             await store.swap(KEY, b"two", first.revision, LONG)
-            await two.wait()
+            await two_received.wait()
             tasks.cancel_scope.cancel()
-        assert heard == [b"one", b"two"]
+        assert received == [b"one", b"two"]
 
     run(open_store, body)
 
 
-@over_both
-def test_watch_of_a_restored_store_tells_a_lower_revision(open_store):
+@over_both_stores
+def test_watch_of_a_restored_store_returns_a_lower_revision(open_store):
     async def body(store, control):
         await control.keep_copy()
         written = (await store.swap(KEY, b"one", 0, LONG)).unwrap()
         await control.restore()
-        heard = await store.watch(KEY, written.revision, lambda _: None, LONG)
-        assert heard.unwrap() < written.revision
+        revision = await store.watch(KEY, written.revision, lambda _: None, LONG)
+        assert revision.unwrap() < written.revision
 
     run(open_store, body)
 
 
-def test_watch_ends_at_its_limit():
+def test_watch_ends_at_its_timeout():
     async def body(store, control):
-        heard = await store.watch(KEY, 1, lambda _: None, SHORT)
-        assert heard.unwrap() == 1
+        revision = await store.watch(KEY, 1, lambda _: None, SHORT)
+        assert revision.unwrap() == 1
 
     run(open_http_store, body)
 
@@ -137,7 +137,7 @@
 
 
 @pytest.mark.parametrize(("waited", "is_there"), [(9_999, True), (10_000, False)])
-def test_lapsed_lease_deletes_its_keys(waited, is_there):
+def test_expired_lease_deletes_its_keys(waited, is_there):
     clock = ManualClock()
     values = KeyValues(clock)
     lease = values.grant_lease(10)
