--- a/src/papayagw/_internal/observe/burn_text.py
+++ b/src/papayagw/_internal/observe/burn_text.py
@@ -90,7 +90,7 @@
 
 
 def _select_groups(balance: Balance) -> Sequence[GroupLoad]:
-    """Return all groups if few; otherwise those with most cut flows, then load."""
+    """Return all groups or, if there are many, those with most cut flows or load."""
     if len(balance.groups) <= _MAX_ROWS:
         return balance.groups
     worst = sorted(balance.groups, key=lambda group: (-group.cut, -group.load))
--- a/src/papayagw/_internal/observe/log_text.py
+++ b/src/papayagw/_internal/observe/log_text.py
@@ -17,7 +17,7 @@
 
 
 def format_value(value: object) -> str:
-    """Return a value that JSON cannot represent as text."""
+    """Convert a value that JSON cannot represent to text."""
     if isinstance(value, bytes):
         return value.hex()
     if isinstance(value, Enum):
--- a/src/papayagw/_internal/observe/metrics.py
+++ b/src/papayagw/_internal/observe/metrics.py
@@ -67,8 +67,8 @@
 class StatsdMetrics:
     """Sends measurements to a statsd daemon over UDP.
 
-    Measurements are collected until `flush` and sent in one packet. They are lost if
-    there is no daemon or the socket's send buffer is full.
+    Measurements are batched until `flush`. They are lost if there is no daemon or
+    the socket's send buffer is full.
 
     Parameters
     ----------
@@ -174,5 +174,5 @@
 
     def __init__(self, host: str, port: int, prefix: str):
         super().__init__(host, port, prefix)
-        # On any socket error, BlockingIOError included, the library drops the packet.
+        # The library drops the packet on any socket error.
         self._sock.setblocking(False)
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -108,11 +108,11 @@
         path: str,
         request: Message,
         timeout_ms: Millis,
-        read: Callable[[Message], ResponseT],
+        parse: Callable[[Message], ResponseT],
     ) -> Result[ResponseT, PlatformError]:
         with anyio.move_on_after(to_seconds(timeout_ms)):
             return await self._try_urls(
-                lambda url: self._post(url, path, request, read)
+                lambda url: self._post(url, path, request, parse)
             )
         return Failure(_unreachable(self._urls[0], f"no answer in {timeout_ms} ms"))
 
@@ -134,7 +134,7 @@
         url: str,
         path: str,
         request: Message,
-        read: Callable[[Message], ResponseT],
+        parse: Callable[[Message], ResponseT],
     ) -> Result[ResponseT, PlatformError]:
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
         response = await self._open_client().post(
@@ -145,7 +145,7 @@
         if response.is_error:
             return Failure(_refused(url, response.text))
         try:
-            return Success(read(response.json()))
+            return Success(parse(response.json()))
         except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
             return Failure(_unreachable(url, f"invalid response: {error!r}"))
 
