--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -27,8 +27,8 @@
     HttpServer,
 )
 from papayagw._internal.net.plain.loop import Loop
-from papayagw._internal.observe.exposition import CONTENT_TYPE, Exposition
-from papayagw._internal.observe.json_lines import JsonLines
+from papayagw._internal.observe.exposition import CONTENT_TYPE, MetricsRegistry
+from papayagw._internal.observe.json_lines import JsonLinesLog
 from papayagw._internal.wire.plain_frames import MAX_FRAME_BYTES, PlainFrameCodec
 
 SETTINGS_CHECK_INTERVAL_MS = Millis(5_000)
@@ -78,8 +78,8 @@
         self._platform = platform
         self._load_settings_file = load_settings
         self.loop = Loop(self._record_fault)
-        self.log = JsonLines(settings.name, self.loop)
-        self.metrics = Exposition()
+        self.log = JsonLinesLog(settings.name, self.loop)
+        self.metrics = MetricsRegistry()
         self._inner = BatchSocket(settings.inner, max_bytes=MAX_FRAME_BYTES)
         self._frames = PlainFrameCodec(platform)
         self._servers: list[HttpServer] = []
@@ -153,7 +153,7 @@
         self.metrics.count(note.event)
         took_ms = note.fields.get("ms")
         if took_ms is not None:
-            self.metrics.time(note.event, took_ms)
+            self.metrics.observe(note.event, took_ms)
         self.log.write(note.event, note.fields)
 
     def record_store_call(
@@ -163,7 +163,7 @@
         name = type(call).__name__
         self.metrics.count(f"store {name}")
         if not isinstance(call, WatchPrefix):
-            self.metrics.time(f"store {name}", took_ms)
+            self.metrics.observe(f"store {name}", took_ms)
         is_lost = isinstance(answer, CallFailed)
         if is_lost:
             self.metrics.count(f"store {name} failed")
@@ -192,7 +192,7 @@
         return peer
 
     def _handle_metrics_request(self, request: HttpRequest) -> HttpResponse:
-        body = self.metrics.show().encode()
+        body = self.metrics.render().encode()
         return HttpResponse(HTTPStatus.OK, body, CONTENT_TYPE)
 
     def _check_settings(self) -> None:
--- a/src/papayagw/_internal/observe/records.py
+++ b/src/papayagw/_internal/observe/records.py
@@ -1,7 +1,7 @@
-"""Files of service-level records: JSON lines, one record each.
+"""Files of service-level records: JSON lines, one record per line.
 
-They are kept where the operators run ``papayagw status --record``, never on the
-nodes, which have no disks.
+The files are on the machine where an operator runs ``papayagw status --record``,
+never on the nodes, which have no disks.
 """
 
 import json
@@ -15,45 +15,45 @@
 
 from papayagw._internal.exceptions import ReportError, Step
 from papayagw._internal.models.report import LATENCY_BUCKETS, ServiceRecord
-from papayagw._internal.observe.plain import from_plain, to_plain
+from papayagw._internal.observe.json_values import from_json_value, to_json_value
 
 
 @dataclass(frozen=True, slots=True)
-class LineFault:
-    """A line that isn't a record.
+class InvalidLine:
+    """Line of a file that is not a valid record.
 
     Attributes
     ----------
     file : str
-        The file.
+        The path of the file.
     line : int
-        The number of the line, from 1.
-    what : str
-        What is wrong with it.
+        The line number, starting at 1.
+    reason : str
+        Why the line is not a valid record.
     """
 
     file: str
     line: int
-    what: str
+    reason: str
 
     def __str__(self) -> str:
-        return f"{self.file}:{self.line}: {self.what}"
+        return f"{self.file}:{self.line}: {self.reason}"
 
 
 @dataclass(frozen=True, slots=True)
-class RecordsRead:
-    """What files of records hold.
+class ParsedRecords:
+    """Content of one or more record files.
 
     Attributes
     ----------
     records : tuple of ServiceRecord
-        The records, in order of the files.
-    faults : tuple of LineFault
-        The lines that were passed over.
+        The valid records, in the order of the files and their lines.
+    invalid_lines : tuple of InvalidLine
+        The lines that were skipped.
     """
 
     records: tuple[ServiceRecord, ...]
-    faults: tuple[LineFault, ...]
+    invalid_lines: tuple[InvalidLine, ...]
 
 
 class RecordWriter:
@@ -62,7 +62,7 @@
     Parameters
     ----------
     path : Path
-        The file; it is made if it isn't there.
+        The file; it is created if it does not exist.
     """
 
     def __init__(self, path: Path):
@@ -75,29 +75,30 @@
         Raises
         ------
         ReportError
-            If it can't be opened for writing.
+            If the file cannot be opened for writing.
         """
         try:
             self._file = self._path.open("ab")
         except OSError as error:
             raise _make_file_error(self._path, error, "written to") from error
         if self._file.tell() and not _ends_with_newline(self._path):
-            # An earlier recorder was cut off: its last line must not spoil ours.
+            # An earlier process was interrupted while writing. Without a newline
+            # its incomplete last line would make the first new record invalid.
             self._file.write(b"\n")
 
     def write(self, records: Iterable[ServiceRecord]) -> None:
-        """Append records and hand them to the operating system.
+        """Append records and flush them to the operating system.
 
         Raises
         ------
         ReportError
-            If there is no room for them.
+            If writing fails, for instance because the disk is full.
         """
         if self._file is None:
             return
         try:
             for record in records:
-                self._file.write(write_record(record))
+                self._file.write(encode_record(record))
             self._file.flush()
         except OSError as error:
             raise _make_file_error(self._path, error, "written to") from error
@@ -105,51 +106,52 @@
     def close(self) -> None:
         """Close the file."""
         if self._file is not None:
-            # What a full disk didn't take was told when it was written.
+            # A failure to write buffered data, such as on a full disk, was already
+            # raised by `write`.
             with suppress(OSError):
                 self._file.close()
         self._file = None
 
 
-def write_record(record: ServiceRecord) -> bytes:
-    """Return the line of `record`."""
-    return json.dumps(to_plain(record), separators=(",", ":")).encode() + b"\n"
+def encode_record(record: ServiceRecord) -> bytes:
+    """Return `record` as a JSON line."""
+    return json.dumps(to_json_value(record), separators=(",", ":")).encode() + b"\n"
 
 
-def read_records(paths: Sequence[Path]) -> Result[RecordsRead, ReportError]:
-    """Return what is in the files, or why one of them can't be read."""
+def read_records(paths: Sequence[Path]) -> Result[ParsedRecords, ReportError]:
+    """Return the content of the files, or the error of the first unreadable one."""
     records: list[ServiceRecord] = []
-    faults: list[LineFault] = []
+    invalid_lines: list[InvalidLine] = []
     for path in paths:
         try:
             lines = path.read_bytes().splitlines(keepends=True)
         except OSError as error:
             return Failure(_make_file_error(path, error, "read"))
         for number, line in enumerate(lines, start=1):
-            match _read_line(line):
+            match _parse_line(line):
                 case Success(record):
                     records.append(record)
-                case Failure(what):
-                    faults.append(LineFault(str(path), number, what))
-    return Success(RecordsRead(tuple(records), tuple(faults)))
+                case Failure(reason):
+                    invalid_lines.append(InvalidLine(str(path), number, reason))
+    return Success(ParsedRecords(tuple(records), tuple(invalid_lines)))
 
 
-def _read_line(line: bytes) -> Result[ServiceRecord, str]:
+def _parse_line(line: bytes) -> Result[ServiceRecord, str]:
     try:
         value = json.loads(line)
     except (ValueError, RecursionError):
-        cut_off = not line.endswith(b"\n")
-        return Failure("cut off before its end" if cut_off else "not JSON")
-    match from_plain(ServiceRecord, value):
+        truncated = not line.endswith(b"\n")
+        return Failure("cut off before its end" if truncated else "not JSON")
+    match from_json_value(ServiceRecord, value):
         case Success(record):
-            what = _find_fault(record)
-            return Failure(what) if what else Success(record)
+            reason = _find_invalid_value(record)
+            return Failure(reason) if reason else Success(record)
         case Failure(error):
             return Failure(str(error))
     raise AssertionError("a result is a success or a failure")
 
 
-def _find_fault(record: ServiceRecord) -> str:
+def _find_invalid_value(record: ServiceRecord) -> str:
     counts = record.counts
     numbers = (counts.opened, counts.refused, counts.cut, *counts.answered)
     if record.end_ms <= record.start_ms:
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -1,4 +1,4 @@
-"""A client of the platform's service over the JSON gateway of etcd v3."""
+"""Client of the platform's key-value service over the etcd v3 JSON gateway."""
 
 import json
 from collections.abc import Awaitable, Callable, Sequence
@@ -16,36 +16,37 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.store.etcd_messages import (
     Message,
-    read_events,
-    read_range,
-    read_revision,
-    read_swap,
-    write_range,
-    write_swap,
-    write_watch,
+    build_range_request,
+    build_swap_request,
+    build_watch_request,
+    parse_range_response,
+    parse_revision,
+    parse_swap_response,
+    parse_watch_events,
 )
 from papayagw._internal.store.protocol import (
     MAX_VALUE_BYTES,
     Entry,
     Snapshot,
-    SwapAnswer,
+    SwapResult,
 )
 
-AnswerT = TypeVar("AnswerT")
+ResponseT = TypeVar("ResponseT")
 
 _CONNECT_TIMEOUT_S = 2.0
 _FIRST_SERVER_ERROR = 500
 
 
 class EtcdStore:
-    """The platform's service behind one or more base URLs.
+    """Client of the platform's key-value service at one or more base URLs.
 
-    Connections open with the first call, also after a `close`.
+    The HTTP client is created by the first call, and by the first call after `close`.
 
     Parameters
     ----------
     urls : sequence of str
-        Base URLs of one service, tried in turn until one takes the connection.
+        Base URLs of the same service. They are tried in order until a connection
+        succeeds.
     """
 
     def __init__(self, urls: Sequence[str]):
@@ -55,19 +56,21 @@
     async def get(
         self, key: str, timeout_ms: Millis
     ) -> Result[Snapshot, PlatformError]:
-        """Return what `key` holds."""
-        return await self._call(
-            "/v3/kv/range", write_range(key), timeout_ms, read_range
+        """Read the value of `key` and the revision of the store."""
+        return await self._call_with_timeout(
+            "/v3/kv/range", build_range_request(key), timeout_ms, parse_range_response
         )
 
     async def swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
-    ) -> Result[SwapAnswer, PlatformError]:
-        """Write `value` if `key` still has the revision `expected`."""
+    ) -> Result[SwapResult, PlatformError]:
+        """Write `value` if the revision of `key` is still `expected`."""
         if len(value) > MAX_VALUE_BYTES:
             return Failure(_too_large(key, len(value)))
-        request = write_swap(key, value, expected)
-        return await self._call("/v3/kv/txn", request, timeout_ms, read_swap)
+        request = build_swap_request(key, value, expected)
+        return await self._call_with_timeout(
+            "/v3/kv/txn", request, timeout_ms, parse_swap_response
+        )
 
     async def watch(
         self,
@@ -76,21 +79,21 @@
         on_entry: Callable[[Entry], None],
         timeout_ms: Millis,
     ) -> Result[int, PlatformError]:
-        """Hear of each write of `key` until `timeout_ms` has passed."""
-        heard = _Heard(after, on_entry)
-        request = write_watch(key, after)
+        """Report each write to `key` to `on_entry` until `timeout_ms` has passed."""
+        progress = _WatchProgress(after, on_entry)
+        request = build_watch_request(key, after)
         with anyio.move_on_after(to_seconds(timeout_ms)) as scope:
             failure = await self._try_urls(
-                lambda url: self._stream(url, request, heard)
+                lambda url: self._stream(url, request, progress)
             )
             if isinstance(failure, Failure):
                 return failure
-        if scope.cancelled_caught or heard.is_over:
-            return Success(heard.revision)
-        return Failure(_unreachable(self._urls[0], "the watch was cut"))
+        if scope.cancelled_caught or progress.is_finished:
+            return Success(progress.revision)
+        return Failure(_unreachable(self._urls[0], "the watch stream was closed early"))
 
     async def close(self) -> None:
-        """Close the connections."""
+        """Close all connections."""
         if self._client is not None:
             await self._client.aclose()
         self._client = None
@@ -100,23 +103,23 @@
             self._client = httpx.AsyncClient(trust_env=False)
         return self._client
 
-    async def _call(
+    async def _call_with_timeout(
         self,
         path: str,
         request: Message,
         timeout_ms: Millis,
-        read: Callable[[Message], AnswerT],
-    ) -> Result[AnswerT, PlatformError]:
+        parse: Callable[[Message], ResponseT],
+    ) -> Result[ResponseT, PlatformError]:
         with anyio.move_on_after(to_seconds(timeout_ms)):
             return await self._try_urls(
-                lambda url: self._post(url, path, request, read)
+                lambda url: self._post(url, path, request, parse)
             )
         return Failure(_unreachable(self._urls[0], f"no answer in {timeout_ms} ms"))
 
     async def _try_urls(
-        self, call: Callable[[str], Awaitable[Result[AnswerT, PlatformError]]]
-    ) -> Result[AnswerT, PlatformError]:
-        """Return the first answer; only an unmade connection tries the next URL."""
+        self, call: Callable[[str], Awaitable[Result[ResponseT, PlatformError]]]
+    ) -> Result[ResponseT, PlatformError]:
+        """Return the first result; try the next URL only if connecting fails."""
         for url in self._urls:
             try:
                 return await call(url)
@@ -124,30 +127,30 @@
                 continue
             except httpx.HTTPError as error:
                 return Failure(_unreachable(url, str(error) or type(error).__name__))
-        return Failure(_unreachable(", ".join(self._urls), "no connection"))
+        return Failure(_unreachable(", ".join(self._urls), "cannot connect to any URL"))
 
     async def _post(
         self,
         url: str,
         path: str,
         request: Message,
-        read: Callable[[Message], AnswerT],
-    ) -> Result[AnswerT, PlatformError]:
+        parse: Callable[[Message], ResponseT],
+    ) -> Result[ResponseT, PlatformError]:
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
         response = await self._open_client().post(
             url + path, json=request, timeout=timeout
         )
         if response.status_code >= _FIRST_SERVER_ERROR:
-            return Failure(_unreachable(url, f"status {response.status_code}"))
+            return Failure(_unreachable(url, f"HTTP status {response.status_code}"))
         if response.is_error:
             return Failure(_refused(url, response.text))
         try:
-            return Success(read(response.json()))
+            return Success(parse(response.json()))
         except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
-            return Failure(_unreachable(url, f"no usable answer: {error!r}"))
+            return Failure(_unreachable(url, f"invalid response: {error!r}"))
 
     async def _stream(
-        self, url: str, request: Message, heard: "_Heard"
+        self, url: str, request: Message, progress: "_WatchProgress"
     ) -> Result[int, PlatformError]:
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
         target = url + "/v3/watch"
@@ -155,19 +158,19 @@
             "POST", target, json=request, timeout=timeout
         ) as response:
             if response.is_error:
-                return Failure(_unreachable(url, f"status {response.status_code}"))
+                return Failure(_unreachable(url, f"HTTP status {response.status_code}"))
             async for line in response.aiter_lines():
                 try:
-                    heard.take(json.loads(line)["result"])
+                    progress.handle_message(json.loads(line)["result"])
                 except (ValueError, KeyError, TypeError, AttributeError) as error:
-                    return Failure(_unreachable(url, f"no usable answer: {error!r}"))
-                if heard.is_over:
+                    return Failure(_unreachable(url, f"invalid response: {error!r}"))
+                if progress.is_finished:
                     break
-        return Success(heard.revision)
+        return Success(progress.revision)
 
 
-class _Heard:
-    """What a watch has told so far."""
+class _WatchProgress:
+    """Progress of a watch: the last revision received and whether it has ended."""
 
     def __init__(self, after: int, on_entry: Callable[[Entry], None]):
         self._after = after
@@ -177,34 +180,38 @@
 
     @property
     def revision(self) -> int:
-        """The last revision of the store that was heard of."""
+        """The store revision in the header of the last message received."""
         return self._revision
 
     @property
-    def is_over(self) -> bool:
-        """Whether nothing more can come: the store is older or cancelled it."""
+    def is_finished(self) -> bool:
+        """Whether no further events will arrive.
+
+        Either the store cancelled the watch, or its revision is lower than the one
+        that the watch started after.
+        """
         return self._cancelled or self._revision < self._after
 
-    def take(self, message: Message) -> None:
-        """Take in one message of the stream."""
-        self._revision = read_revision(message)
+    def handle_message(self, message: Message) -> None:
+        """Record the revision of a stream message and report its writes."""
+        self._revision = parse_revision(message)
         self._cancelled = bool(message.get("canceled", False))
-        for entry in read_events(message):
+        for entry in parse_watch_events(message):
             self._on_entry(entry)
 
 
-def _unreachable(url: str, what: str) -> PlatformUnreachableError:
+def _unreachable(url: str, reason: str) -> PlatformUnreachableError:
     return PlatformUnreachableError(
-        f"the platform's service gave no answer: {what}",
+        f"the platform's service gave no answer: {reason}",
         step=Step.PLATFORM,
         peer=url,
         remedy="see whether the service runs at this URL",
     )
 
 
-def _refused(url: str, what: str) -> PlatformError:
+def _refused(url: str, reason: str) -> PlatformError:
     return PlatformError(
-        f"the platform's service refused the call: {what}",
+        f"the platform's service refused the call: {reason}",
         step=Step.PLATFORM,
         peer=url,
     )
@@ -212,7 +219,7 @@
 
 def _too_large(key: str, size: int) -> PlatformError:
     return PlatformError(
-        f"the value of {key} has {size} bytes, the service holds {MAX_VALUE_BYTES}",
+        f"the value of {key} has {size} bytes, the limit is {MAX_VALUE_BYTES}",
         step=Step.PLATFORM,
         remedy="describe fewer services in one site",
     )
