Rename identifiers of wire/ and its tests to the terms of the field

wire/configuration.py: read_mark -> read_submission_entry write_mark -> write_submission_entry make_fields -> make_configuration_fields read_message -> read_configuration_message _bad -> _make_decode_error what -> cause, mark -> entry (parameters) wire/configuration_exchange.py: Asked -> OpenedQuery, Asked.question -> OpenedQuery.query seal_question -> seal_query, open_question -> open_query seal_answer -> seal_reply, open_answer -> open_reply _write_answer -> _write_reply, _read_answer -> _read_reply _QUESTION -> _QUERY_LABEL, _ANSWER -> _REPLY_LABEL (values unchanged) question -> query, answer -> reply, asked -> opened_query (variables) wire/control.py: _write_news -> _write_update, _read_news -> _read_update, news -> update _write_inquiry -> _write_liveness_request _read_inquiry -> _read_liveness_request _write_voucher -> _write_liveness_response _read_voucher -> _read_liveness_response _PAIR -> _COUNTERS_PER_BYTE wire/envelope.py: _ips -> _packed_ips, _texts -> _ip_texts wire/recovery.py: VARIANCES -> RTT_DEVIATION_FACTOR, spread -> margin wire/quic.py: CALLER_ID_BYTES -> CALLER_CONNECTION_ID_BYTES FlowConnection.take_events -> pop_events, heard_at -> last_received_at _held -> _pending_writes, _consumed -> _consumed_bytes _resets -> _is_stateless_reset, _take_end -> _pop_end_event _end_taken -> _is_end_reported, is_told -> is_application_close taken -> popped, held -> pending (variables) wire/quic_adapter.py: TaggedConnection.grant -> grant_credit release_handshake -> release_handshake_state _share_epochs -> _share_epoch_sets _EPOCHS -> _SHARED_EPOCH_SETS, _NO_BUFFER -> _EMPTY_BUFFER Tests: functions named for what they check; bodies unchanged.

--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -186,7 +186,7 @@
         """
         if self._connection.is_stream_done:
             self._apply(AnswerAcknowledged(), "the caller's close was lost")
-        elif self._clock.now() - self._connection.heard_at >= silence_ms:
+        elif self._clock.now() - self._connection.last_received_at >= silence_ms:
             self._apply(IdleTimedOut(), "the caller fell silent at the end")
         else:
             self._owner.on_stream_done(self)
--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -88,7 +88,7 @@
     async def _ask(
         self, peer: Endpoint, codec: ExchangeCodec
     ) -> ConfigurationReply | None:
-        question, nonce = codec.seal_question(self._log.question)
+        question, nonce = codec.seal_query(self._log.question)
         stream = await TcpStream.connect(peer, self._timeout_ms)
         try:
             await send_frame(stream, question)
@@ -96,7 +96,7 @@
         finally:
             stream.close()
         self._received_bytes += len(frame)
-        return codec.open_answer(frame, nonce)
+        return codec.open_reply(frame, nonce)
 
 
 class ConfigurationServer:
@@ -159,12 +159,12 @@
         if current is None:
             return
         codec = ExchangeCodec(current.site.keys)
-        asked = codec.open_question(frame)
+        asked = codec.open_query(frame)
         if asked is None:
             self._refused += 1
             return
-        answer = self._log.answer(asked.question)
-        await send_frame(stream, codec.seal_answer(answer, asked))
+        answer = self._log.answer(asked.query)
+        await send_frame(stream, codec.seal_reply(answer, asked))
 
 
 def _fail(peer: Endpoint, what: str) -> PapayagwError:
--- a/src/papayagw/_internal/net/flow_port.py
+++ b/src/papayagw/_internal/net/flow_port.py
@@ -9,7 +9,7 @@
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.header import read_connection_id
 from papayagw._internal.wire.quic import (
-    CALLER_ID_BYTES,
+    CALLER_CONNECTION_ID_BYTES,
     FlowConnection,
     FlowOpener,
 )
@@ -92,7 +92,7 @@
             self._table.flush()
 
     def _find(self, datagram: bytes) -> FlowHandler | None:
-        connection_id = read_connection_id(datagram, CALLER_ID_BYTES)
+        connection_id = read_connection_id(datagram, CALLER_CONNECTION_ID_BYTES)
         handler = self._table.find(connection_id or b"")
         if handler is None:
             handler = self._table.find(datagram[-RESET_TOKEN_BYTES:])
--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -130,7 +130,7 @@
         if handler not in self._ids:
             return
         connection = handler.connection
-        events = connection.take_events()
+        events = connection.pop_events()
         if events:
             handler.on_events(events)
         handler.on_writable()
--- a/src/papayagw/_internal/wire/configuration.py
+++ b/src/papayagw/_internal/wire/configuration.py
@@ -30,17 +30,19 @@
 
 def write_configuration(configuration: Configuration) -> bytes:
     """Return the bytes of a configuration."""
-    message = SCHEMA.Configuration.new_message(**make_fields(configuration))
+    message = SCHEMA.Configuration.new_message(
+        **make_configuration_fields(configuration)
+    )
     written: bytes = message.to_bytes_packed()
     return written
 
 
-def make_fields(configuration: Configuration) -> dict[str, Any]:
+def make_configuration_fields(configuration: Configuration) -> dict[str, Any]:
     """Return the fields of the message of a configuration."""
     site = configuration.site
     return {
         "version": configuration.version,
-        "history": [write_mark(one) for one in configuration.history],
+        "history": [write_submission_entry(one) for one in configuration.history],
         "name": site.name,
         "controlAddress": write_endpoint(site.control_address),
         "zones": list(site.zones),
@@ -53,20 +55,20 @@
     """Return the configuration that bytes hold, or why they hold none."""
     try:
         message = SCHEMA.Configuration.from_bytes_packed(data)
-        return Success(read_message(message))
+        return Success(read_configuration_message(message))
     except (capnp.KjException, ValueError) as error:
-        return Failure(_bad(str(error).splitlines()[0]))
+        return Failure(_make_decode_error(str(error).splitlines()[0]))
 
 
-def _bad(what: str) -> DecodeError:
+def _make_decode_error(cause: str) -> DecodeError:
     return DecodeError(
-        f"not a configuration: {what}",
+        f"not a configuration: {cause}",
         step=Step.DECODE,
         remedy="submit the site again with this release",
     )
 
 
-def read_message(message: Any) -> Configuration:
+def read_configuration_message(message: Any) -> Configuration:
     """Return the configuration of a message.
 
     Raises
@@ -83,7 +85,7 @@
     )
     if not (site.services and site.keys):
         raise ValueError("no services or no keys")
-    history = tuple(read_mark(one) for one in message.history)
+    history = tuple(read_submission_entry(one) for one in message.history)
     return Configuration(message.version, site, history)
 
 
@@ -100,17 +102,17 @@
     return {"keyId": key.key_id, "secret": key.secret}
 
 
-def read_mark(message: Any) -> SubmissionEntry:
-    """Return the submission's mark of a message."""
+def read_submission_entry(message: Any) -> SubmissionEntry:
+    """Return the submission's entry of a message."""
     return SubmissionEntry(message.version, message.submissionId, message.operator)
 
 
-def write_mark(mark: SubmissionEntry) -> dict[str, Any]:
-    """Return the fields of a submission's mark."""
+def write_submission_entry(entry: SubmissionEntry) -> dict[str, Any]:
+    """Return the fields of a submission's entry."""
     return {
-        "version": mark.version,
-        "submissionId": mark.submission_id,
-        "operator": mark.operator,
+        "version": entry.version,
+        "submissionId": entry.submission_id,
+        "operator": entry.operator,
     }
 
 
--- a/src/papayagw/_internal/wire/configuration_exchange.py
+++ b/src/papayagw/_internal/wire/configuration_exchange.py
@@ -1,8 +1,8 @@
 """Sealing of what peers ask and answer about the configuration.
 
 A configuration holds the fleet keys, so both directions are enciphered and
-authenticated (AES-GCM) under a key that is derived from a fleet key. An answer is
-bound to the nonce of its question: an earlier answer can't be played back.
+authenticated (AES-GCM) under a key that is derived from a fleet key. A reply is
+bound to the nonce of its query: an earlier reply can't be played back.
 
 A frame is a byte with the key id, a nonce of 12 bytes and the enciphered message.
 """
@@ -26,40 +26,40 @@
 from papayagw._internal.models.service import ServiceId
 from papayagw._internal.wire.configuration import (
     SCHEMA,
-    make_fields,
+    make_configuration_fields,
+    read_configuration_message,
     read_endpoint,
     read_key,
-    read_mark,
-    read_message,
     read_service,
+    read_submission_entry,
     write_endpoint,
     write_key,
-    write_mark,
     write_service,
+    write_submission_entry,
 )
 from papayagw._internal.wire.keys import derive_key
 
 NONCE_BYTES = 12
 _KEY_BYTES = 32
-_QUESTION = b"question"
-_ANSWER = b"answer"
+_QUERY_LABEL = b"question"
+_REPLY_LABEL = b"answer"
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
-    """A question that was opened.
+class OpenedQuery:
+    """A query that was opened.
 
     Attributes
     ----------
-    question : Question
+    query : ConfigurationQuery
         What is asked.
     key_id : int
-        The key that sealed it, which seals the answer.
+        The key that sealed it, which seals the reply.
     nonce : bytes of shape (NONCE_BYTES,)
-        What the answer is bound to.
+        What the reply is bound to.
     """
 
-    question: ConfigurationQuery
+    query: ConfigurationQuery
     key_id: int
     nonce: bytes
 
@@ -80,40 +80,42 @@
             for key in keys
         }
 
-    def seal_question(self, question: ConfigurationQuery) -> tuple[bytes, bytes]:
-        """Return the frame of a question and the nonce that its answer needs."""
+    def seal_query(self, query: ConfigurationQuery) -> tuple[bytes, bytes]:
+        """Return the frame of a query and the nonce that its reply needs."""
         message = SCHEMA.Question.new_message(
-            version=question.version, submissionId=question.submission_id
+            version=query.version, submissionId=query.submission_id
         )
         nonce = os.urandom(NONCE_BYTES)
         plain = message.to_bytes_packed()
-        return self._seal(self._seal_id, nonce, plain, _QUESTION), nonce
+        return self._seal(self._seal_id, nonce, plain, _QUERY_LABEL), nonce
 
-    def open_question(self, frame: bytes) -> Asked | None:
-        """Return the question of a frame, or None if it isn't authentic."""
-        plain = self._open(frame, _QUESTION)
+    def open_query(self, frame: bytes) -> OpenedQuery | None:
+        """Return the query of a frame, or None if it isn't authentic."""
+        plain = self._open(frame, _QUERY_LABEL)
         if plain is None:
             return None
         try:
             message = SCHEMA.Question.from_bytes_packed(plain)
-            question = ConfigurationQuery(message.version, message.submissionId)
+            query = ConfigurationQuery(message.version, message.submissionId)
         except (capnp.KjException, ValueError):
             return None
-        return Asked(question, frame[0], frame[1 : 1 + NONCE_BYTES])
+        return OpenedQuery(query, frame[0], frame[1 : 1 + NONCE_BYTES])
 
-    def seal_answer(self, answer: ConfigurationReply, asked: Asked) -> bytes:
-        """Return the frame of an answer."""
-        plain = _write_answer(answer)
+    def seal_reply(self, reply: ConfigurationReply, opened_query: OpenedQuery) -> bytes:
+        """Return the frame of a reply."""
+        plain = _write_reply(reply)
         nonce = os.urandom(NONCE_BYTES)
-        return self._seal(asked.key_id, nonce, plain, _ANSWER + asked.nonce)
+        return self._seal(
+            opened_query.key_id, nonce, plain, _REPLY_LABEL + opened_query.nonce
+        )
 
-    def open_answer(self, frame: bytes, nonce: bytes) -> ConfigurationReply | None:
-        """Return the answer to the question with `nonce`, or None if it isn't it."""
-        plain = self._open(frame, _ANSWER + nonce)
+    def open_reply(self, frame: bytes, nonce: bytes) -> ConfigurationReply | None:
+        """Return the reply to the query with `nonce`, or None if it isn't it."""
+        plain = self._open(frame, _REPLY_LABEL + nonce)
         if plain is None:
             return None
         try:
-            return _read_answer(plain)
+            return _read_reply(plain)
         except (capnp.KjException, ValueError):
             return None
 
@@ -132,24 +134,24 @@
             return None
 
 
-def _write_answer(answer: ConfigurationReply) -> bytes:
+def _write_reply(reply: ConfigurationReply) -> bytes:
     message = SCHEMA.Answer.new_message()
-    match answer:
+    match reply:
         case Configuration():
-            message.init("whole").from_dict(make_fields(answer))
+            message.init("whole").from_dict(make_configuration_fields(reply))
         case ConfigurationChange():
-            message.init("change").from_dict(_make_change_fields(answer))
+            message.init("change").from_dict(_make_change_fields(reply))
         case NotModified():
             message.nothing = None
     written: bytes = message.to_bytes_packed()
     return written
 
 
-def _read_answer(plain: bytes) -> ConfigurationReply:
+def _read_reply(plain: bytes) -> ConfigurationReply:
     message = SCHEMA.Answer.from_bytes_packed(plain)
     kind = message.which()
     if kind == "whole":
-        return read_message(message.whole)
+        return read_configuration_message(message.whole)
     if kind == "change":
         return _read_change(message.change)
     return NotModified()
@@ -159,7 +161,7 @@
     return {
         "base": change.base,
         "baseSubmissionId": change.base_submission_id,
-        "marks": [write_mark(one) for one in change.submissions],
+        "marks": [write_submission_entry(one) for one in change.submissions],
         "name": change.name,
         "controlAddress": write_endpoint(change.control_address),
         "zones": list(change.zones),
@@ -173,7 +175,7 @@
     return ConfigurationChange(
         base=message.base,
         base_submission_id=message.baseSubmissionId,
-        submissions=tuple(read_mark(one) for one in message.marks),
+        submissions=tuple(read_submission_entry(one) for one in message.marks),
         name=message.name,
         control_address=read_endpoint(message.controlAddress),
         zones=tuple(message.zones),
--- a/src/papayagw/_internal/wire/control.py
+++ b/src/papayagw/_internal/wire/control.py
@@ -51,7 +51,7 @@
 _PORT_MASK = 0xFFFF
 _COUNTER_BITS = 4
 _COUNTER_MASK = 0x0F
-_PAIR = 2
+_COUNTERS_PER_BYTE = 2
 
 _schema = capnp.load(str(Path(__file__).with_name("control.capnp")))
 
@@ -168,32 +168,32 @@
     )
 
 
-def _write_news(root: Any, news: MembershipUpdate) -> None:
-    zones = _write_zones(root, news)
-    if news.agents:
-        agents = root.init("agents", len(news.agents))
-        for target, agent in zip(agents, news.agents, strict=True):
+def _write_update(root: Any, update: MembershipUpdate) -> None:
+    zones = _write_zones(root, update)
+    if update.agents:
+        agents = root.init("agents", len(update.agents))
+        for target, agent in zip(agents, update.agents, strict=True):
             _write_agent(target, agent, zones[agent.zone])
-    if news.balancers:
-        balancers = root.init("balancers", len(news.balancers))
-        for target, balancer in zip(balancers, news.balancers, strict=True):
+    if update.balancers:
+        balancers = root.init("balancers", len(update.balancers))
+        for target, balancer in zip(balancers, update.balancers, strict=True):
             _write_balancer(target, balancer, zones[balancer.zone])
-    if news.vectors:
-        vectors = root.init("vectors", len(news.vectors))
-        for target, vector in zip(vectors, news.vectors, strict=True):
+    if update.vectors:
+        vectors = root.init("vectors", len(update.vectors))
+        for target, vector in zip(vectors, update.vectors, strict=True):
             _write_vector(target, vector, zones[vector.bucket.zone])
 
 
-def _write_zones(root: Any, news: MembershipUpdate) -> dict[str, int]:
-    zones = {record.zone for record in news.records}
-    zones.update(vector.bucket.zone for vector in news.vectors)
+def _write_zones(root: Any, update: MembershipUpdate) -> dict[str, int]:
+    zones = {record.zone for record in update.records}
+    zones.update(vector.bucket.zone for vector in update.vectors)
     names = sorted(zones)
     if names:
         root.zones = names
     return {name: index for index, name in enumerate(names)}
 
 
-def _read_news(root: Any) -> MembershipUpdate:
+def _read_update(root: Any) -> MembershipUpdate:
     zones = tuple(root.zones)
     return MembershipUpdate(
         tuple(_read_agent(agent, zones) for agent in root.agents),
@@ -217,7 +217,7 @@
 
 
 def _pack_counters(counters: Sequence[int]) -> bytes:
-    if len(counters) > _PAIR and len(set(counters)) == 1:
+    if len(counters) > _COUNTERS_PER_BYTE and len(set(counters)) == 1:
         return bytes((counters[0],))
     padded = (*counters, 0)
     pairs = zip(padded[::2], padded[1::2], strict=False)
@@ -225,7 +225,7 @@
 
 
 def _unpack_counters(packed: bytes, length: int) -> tuple[int, ...]:
-    if len(packed) == 1 and length > _PAIR:
+    if len(packed) == 1 and length > _COUNTERS_PER_BYTE:
         return (packed[0] & _COUNTER_MASK,) * length
     counters: list[int] = []
     for pair in packed:
@@ -235,11 +235,11 @@
 
 def _write_announcement(root: Any, message: Announcement) -> None:
     root.announcement = None
-    _write_news(root, MembershipUpdate(agents=(message.record,)))
+    _write_update(root, MembershipUpdate(agents=(message.record,)))
 
 
 def _read_announcement(root: Any) -> Announcement:
-    return Announcement(_read_news(root).agents[0])
+    return Announcement(_read_update(root).agents[0])
 
 
 def _write_heartbeat(root: Any, message: Heartbeat) -> None:
@@ -271,7 +271,7 @@
     target.configurationVersion = message.configuration_version
     target.state = int(message.state)
     target.watchers = [_endpoint_to_int(one) for one in message.watchers]
-    _write_news(root, MembershipUpdate(agents=message.siblings))
+    _write_update(root, MembershipUpdate(agents=message.siblings))
 
 
 def _read_acknowledgement(root: Any) -> Acknowledgement:
@@ -282,7 +282,7 @@
         AgentState(source.state),
         tuple(_int_to_endpoint(number) for number in source.watchers),
         Millis(source.intervalMs),
-        _read_news(root).agents,
+        _read_update(root).agents,
         source.siblingsDigest,
         source.configurationVersion,
     )
@@ -298,11 +298,11 @@
 
 def _write_join(root: Any, message: Join) -> None:
     root.join = None
-    _write_news(root, MembershipUpdate(balancers=(message.record,)))
+    _write_update(root, MembershipUpdate(balancers=(message.record,)))
 
 
 def _read_join(root: Any) -> Join:
-    return Join(_read_news(root).balancers[0])
+    return Join(_read_update(root).balancers[0])
 
 
 def _write_gossip(root: Any, message: Gossip) -> None:
@@ -311,7 +311,7 @@
     target.number = message.number
     target.digest = message.digest
     target.configurationVersion = message.configuration_version
-    _write_news(root, message.update)
+    _write_update(root, message.update)
 
 
 def _read_gossip(root: Any) -> Gossip:
@@ -321,7 +321,7 @@
         source.number,
         source.digest,
         source.configurationVersion,
-        _read_news(root),
+        _read_update(root),
     )
 
 
@@ -357,25 +357,25 @@
 
 def _write_records(root: Any, message: MissingRecords) -> None:
     root.records = None
-    _write_news(root, message.update)
+    _write_update(root, message.update)
 
 
 def _read_records(root: Any) -> MissingRecords:
-    return MissingRecords(_read_news(root))
+    return MissingRecords(_read_update(root))
 
 
-def _write_inquiry(root: Any, message: LivenessRequest) -> None:
+def _write_liveness_request(root: Any, message: LivenessRequest) -> None:
     target = root.init("inquiry")
     _write_endpoint(target, message.endpoint)
     target.incarnation = message.incarnation
 
 
-def _read_inquiry(root: Any) -> LivenessRequest:
+def _read_liveness_request(root: Any) -> LivenessRequest:
     source = root.inquiry
     return LivenessRequest(_read_endpoint(source), Incarnation(source.incarnation))
 
 
-def _write_voucher(root: Any, message: LivenessResponse) -> None:
+def _write_liveness_response(root: Any, message: LivenessResponse) -> None:
     target = root.init("voucher")
     _write_endpoint(target, message.endpoint)
     target.incarnation = message.incarnation
@@ -383,7 +383,7 @@
     target.ageMs = message.age_ms
 
 
-def _read_voucher(root: Any) -> LivenessResponse:
+def _read_liveness_response(root: Any) -> LivenessResponse:
     source = root.voucher
     incarnation = Incarnation(source.incarnation)
     age_ms = Millis(source.ageMs)
@@ -400,8 +400,8 @@
     BucketSummary: _write_summary,
     RecordRequest: _write_request,
     MissingRecords: _write_records,
-    LivenessRequest: _write_inquiry,
-    LivenessResponse: _write_voucher,
+    LivenessRequest: _write_liveness_request,
+    LivenessResponse: _write_liveness_response,
 }
 
 _READERS: dict[str, Callable[[Any], ControlMessage]] = {
@@ -414,6 +414,6 @@
     "summary": _read_summary,
     "recordRequest": _read_request,
     "records": _read_records,
-    "inquiry": _read_inquiry,
-    "voucher": _read_voucher,
+    "inquiry": _read_liveness_request,
+    "voucher": _read_liveness_response,
 }
--- a/src/papayagw/_internal/wire/envelope.py
+++ b/src/papayagw/_internal/wire/envelope.py
@@ -144,28 +144,28 @@
         return hmac.compare_digest(mac.digest(), code)
 
 
-_ips: dict[str, bytes] = {}
-_texts: dict[bytes, str] = {}
+_packed_ips: dict[str, bytes] = {}
+_ip_texts: dict[bytes, str] = {}
 _MAX_CACHED_IPS = 65_536
 
 
 def pack_ip(ip: str) -> bytes:
     """Return the 4 bytes of a dotted IPv4 number."""
-    packed = _ips.get(ip)
+    packed = _packed_ips.get(ip)
     if packed is None:
-        if len(_ips) >= _MAX_CACHED_IPS:
-            _ips.clear()
-        packed = _ips[ip] = IPv4Address(ip).packed
+        if len(_packed_ips) >= _MAX_CACHED_IPS:
+            _packed_ips.clear()
+        packed = _packed_ips[ip] = IPv4Address(ip).packed
     return packed
 
 
 def unpack_ip(packed: bytes) -> str:
     """Return the dotted form of the 4 bytes of an IPv4 number."""
-    text = _texts.get(packed)
+    text = _ip_texts.get(packed)
     if text is None:
-        if len(_texts) >= _MAX_CACHED_IPS:
-            _texts.clear()
-        text = _texts[packed] = str(IPv4Address(packed))
+        if len(_ip_texts) >= _MAX_CACHED_IPS:
+            _ip_texts.clear()
+        text = _ip_texts[packed] = str(IPv4Address(packed))
     return text
 
 
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -26,7 +26,7 @@
 from papayagw._internal.wire.tag import TAG_BYTES
 
 ALPN = "papayagw/1"
-CALLER_ID_BYTES = 8
+CALLER_CONNECTION_ID_BYTES = 8
 """Length of the connection ids of callers, in bytes."""
 
 PREFACE = b"\x01"
@@ -71,14 +71,14 @@
         self._connection = connection
         self._local_id = local_id
         self._preface_left = len(preface)
-        self._held: list[tuple[bytes, bool]] = []
-        self._consumed = len(preface)
+        self._pending_writes: list[tuple[bytes, bool]] = []
+        self._consumed_bytes = len(preface)
         self._close_datagrams: list[tuple[bytes, tuple[str, int]]] = []
         self._close_repeats = 0
         self._is_reset = False
-        self._end_taken = False
+        self._is_end_reported = False
         self._has_stream = False
-        self._heard_at = Millis(0)
+        self._last_received_at = Millis(0)
         self._pings = 0
 
     @property
@@ -97,9 +97,9 @@
         return self._has_stream and not self._connection.has_open_stream
 
     @property
-    def heard_at(self) -> Millis:
+    def last_received_at(self) -> Millis:
         """When the peer's last datagram came."""
-        return self._heard_at
+        return self._last_received_at
 
     @property
     def peer_reset_token(self) -> bytes:
@@ -122,17 +122,17 @@
     def receive(self, datagram: bytes, peer: tuple[str, int], now: Millis) -> None:
         """Take in a datagram of the flow."""
         connection = self._connection
-        self._heard_at = now
+        self._last_received_at = now
         if connection.is_ending:
             self._close_repeats += 1
             return
-        if self._resets(datagram):
+        if self._is_stateless_reset(datagram):
             self._is_reset = True
             return
         connection.receive_datagram(datagram, peer, to_seconds(now))
-        if self._held and connection.has_stream:
-            held, self._held = self._held, []
-            for data, finished in held:
+        if self._pending_writes and connection.has_stream:
+            pending, self._pending_writes = self._pending_writes, []
+            for data, finished in pending:
                 self._send(data, finished)
 
     def on_deadline(self, now: Millis) -> None:
@@ -156,22 +156,22 @@
                 for datagram, peer in datagrams:
                     sink(datagram, peer)
 
-    def take_events(self) -> list[StreamEvent]:
+    def pop_events(self) -> list[StreamEvent]:
         """Return what has happened since the last call."""
-        taken: list[StreamEvent] = []
+        popped: list[StreamEvent] = []
         event = self._connection.next_event()
         while event is not None:
             if isinstance(event, events.HandshakeCompleted):
-                self._connection.release_handshake()
-                taken.append(HandshakeDone())
+                self._connection.release_handshake_state()
+                popped.append(HandshakeDone())
             elif isinstance(event, events.StreamDataReceived):
                 self._has_stream = True
-                taken.append(self._strip_preface(event))
+                popped.append(self._strip_preface(event))
             event = self._connection.next_event()
-        end = self._take_end()
+        end = self._pop_end_event()
         if end is not None:
-            taken.append(end)
-        return taken
+            popped.append(end)
+        return popped
 
     def write(self, data: bytes) -> None:
         """Send bytes to the peer."""
@@ -183,8 +183,10 @@
 
     def consume(self, count: int) -> bool:
         """Note that `count` bytes left this process; return if credit is granted."""
-        self._consumed += count
-        return not self.is_ending and self._connection.grant(self._consumed)
+        self._consumed_bytes += count
+        return not self.is_ending and self._connection.grant_credit(
+            self._consumed_bytes
+        )
 
     def probe(self) -> None:
         """Ask the peer for a sign of life."""
@@ -200,7 +202,7 @@
         if self.is_ending:
             return
         if not self._connection.has_stream:
-            self._held.append((data, finished))
+            self._pending_writes.append((data, finished))
             return
         self._connection.send_stream_data(STREAM_ID, data, finished)
 
@@ -209,7 +211,7 @@
         self._preface_left -= len(event.data) - len(data)
         return BytesArrived(data, event.end_stream)
 
-    def _resets(self, datagram: bytes) -> bool:
+    def _is_stateless_reset(self, datagram: bytes) -> bool:
         token = self._connection.peer_reset_token
         return bool(token) and datagram[-RESET_TOKEN_BYTES:] == token
 
@@ -218,18 +220,18 @@
             for datagram, peer in self._close_datagrams:
                 sink(datagram, peer)
 
-    def _take_end(self) -> FlowEnded | None:
-        if self._end_taken:
+    def _pop_end_event(self) -> FlowEnded | None:
+        if self._is_end_reported:
             return None
         if self._is_reset:
-            self._end_taken = True
+            self._is_end_reported = True
             return FlowEnded(FlowOutcome.UNKNOWN, "the agent has forgotten the flow")
         event = self._connection.close_event
         if event is None:
             return None
-        self._end_taken = True
-        is_told = event.frame_type is None
-        outcome = _OUTCOMES.get(event.error_code) if is_told else None
+        self._is_end_reported = True
+        is_application_close = event.frame_type is None
+        outcome = _OUTCOMES.get(event.error_code) if is_application_close else None
         return FlowEnded(outcome or FlowOutcome.UNKNOWN, event.reason_phrase)
 
 
@@ -294,7 +296,7 @@
         self._configuration = QuicConfiguration(
             is_client=True,
             alpn_protocols=[ALPN],
-            connection_id_length=CALLER_ID_BYTES,
+            connection_id_length=CALLER_CONNECTION_ID_BYTES,
             idle_timeout=to_seconds(idle_timeout_ms),
             max_data=_UNLIMITED_BYTES,
             max_stream_data=WINDOW_BYTES,
--- a/src/papayagw/_internal/wire/quic_adapter.py
+++ b/src/papayagw/_internal/wire/quic_adapter.py
@@ -31,8 +31,8 @@
 WINDOW_BYTES = 1 << 20
 """How much a peer may send that hasn't been consumed, in bytes."""
 
-_NO_BUFFER = Buffer(capacity=0)
-_EPOCHS: dict[frozenset[Epoch], frozenset[Epoch]] = {}
+_EMPTY_BUFFER = Buffer(capacity=0)
+_SHARED_EPOCH_SETS: dict[frozenset[Epoch], frozenset[Epoch]] = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +64,7 @@
             configuration=configuration, original_destination_connection_id=original_id
         )
         self._loss = SprayRecovery(configuration, self._send_probe, self._logger)
-        self._share_epochs()
+        self._share_epoch_sets()
         self._local_max_streams_bidi.value = 1
         self._local_max_streams_bidi.sent = 1
         self._local_max_streams_uni.value = 0
@@ -110,26 +110,29 @@
         stream = self._streams.get(STREAM_ID)
         return stream is not None and not stream.is_finished
 
-    def release_handshake(self) -> None:
+    def release_handshake_state(self) -> None:
         """Give back what only the handshake needed, for it is complete.
 
         The library keeps it for as long as a flow lives: three buffers of 16 KB, the
         peer's certificates and the ephemeral keys. The table of the first packets'
         keys stays, since such a packet may still come, late or twice.
         """
-        self._crypto_buffers = dict.fromkeys(self._crypto_buffers, _NO_BUFFER)
+        self._crypto_buffers = dict.fromkeys(self._crypto_buffers, _EMPTY_BUFFER)
         self.tls._peer_certificate = None
         self.tls._peer_certificate_chain = []
         self.tls._ec_private_keys = []
         self.tls._x25519_private_key = None
 
-    def _share_epochs(self) -> None:
+    def _share_epoch_sets(self) -> None:
         """Let all connections share the sets in the table of frame handlers."""
         handlers = vars(self)["_QuicConnection__frame_handlers"]
         for frame_type, (handler, epochs) in handlers.items():
-            handlers[frame_type] = (handler, _EPOCHS.setdefault(epochs, epochs))
+            handlers[frame_type] = (
+                handler,
+                _SHARED_EPOCH_SETS.setdefault(epochs, epochs),
+            )
 
-    def grant(self, consumed: int) -> bool:
+    def grant_credit(self, consumed: int) -> bool:
         """Let the peer send up to a window beyond `consumed`; return if it is told.
 
         Credit is told in steps of half a window, so that it costs few frames.
--- a/src/papayagw/_internal/wire/recovery.py
+++ b/src/papayagw/_internal/wire/recovery.py
@@ -21,7 +21,7 @@
 MIN_LOSS_DELAY_SECONDS = 0.010
 """How long a packet may be overtaken before it counts as lost."""
 
-VARIANCES = 4
+RTT_DEVIATION_FACTOR = 4
 """How many mean deviations of the round trip a packet may be late."""
 
 TICK_SECONDS = 0.001
@@ -90,5 +90,5 @@
         if not self._rtt_initialized:
             return K_TIME_THRESHOLD * self._rtt_initial
         rtt = max(self._rtt_latest, self._rtt_smoothed)
-        spread = VARIANCES * self._rtt_variance
-        return max(rtt + spread, MIN_LOSS_DELAY_SECONDS)
+        margin = RTT_DEVIATION_FACTOR * self._rtt_variance
+        return max(rtt + margin, MIN_LOSS_DELAY_SECONDS)
--- a/tests/lib/quic.py
+++ b/tests/lib/quic.py
@@ -46,13 +46,13 @@
             self._act_on_deadlines(now)
             for datagram in self._collect(self.caller, now):
                 self.to_agent.append(datagram)
-                self._hand_to_agent(datagram, now)
+                self._deliver_to_agent(datagram, now)
             if self.agent is not None:
                 for datagram in self._collect(self.agent, now):
                     self.to_caller.append(datagram)
                     self.caller.receive(datagram, ENTRY.sockaddr, now)
-                self.agent_events += self.agent.take_events()
-            self.caller_events += self.caller.take_events()
+                self.agent_events += self.agent.pop_events()
+            self.caller_events += self.caller.pop_events()
             self.clock.advance(STEP_MS)
 
     def _act_on_deadlines(self, now):
@@ -71,7 +71,7 @@
                 kept.append(datagram)
         return kept
 
-    def _hand_to_agent(self, datagram, now):
+    def _deliver_to_agent(self, datagram, now):
         if self.agent is None:
             opening_id = read_connection_id(datagram)
             self.agent = self.acceptor.accept(opening_id, self.tag)
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -160,10 +160,10 @@
 @pytest.mark.parametrize("answer", [NotModified(), make_configuration(2), CHANGE])
 def test_exchange_reads_back(answer):
     asking, answering = ExchangeCodec([KEY]), ExchangeCodec([OLD_KEY, KEY])
-    frame, nonce = asking.seal_question(ConfigurationQuery(4, "id-4"))
-    asked = answering.open_question(frame)
-    assert asked.question == ConfigurationQuery(4, "id-4")
-    assert asking.open_answer(answering.seal_answer(answer, asked), nonce) == answer
+    frame, nonce = asking.seal_query(ConfigurationQuery(4, "id-4"))
+    asked = answering.open_query(frame)
+    assert asked.query == ConfigurationQuery(4, "id-4")
+    assert asking.open_reply(answering.seal_reply(answer, asked), nonce) == answer
 
 
 @pytest.mark.parametrize(
@@ -178,8 +178,8 @@
 )
 def test_forged_or_replayed_answer_is_refused(keys, change_frame, change_nonce):
     codec = ExchangeCodec([KEY])
-    frame, nonce = codec.seal_question(ConfigurationQuery(4))
-    answer = codec.seal_answer(make_configuration(5), codec.open_question(frame))
-    opened = ExchangeCodec(keys).open_answer(change_frame(answer), change_nonce(nonce))
+    frame, nonce = codec.seal_query(ConfigurationQuery(4))
+    answer = codec.seal_reply(make_configuration(5), codec.open_query(frame))
+    opened = ExchangeCodec(keys).open_reply(change_frame(answer), change_nonce(nonce))
     assert opened is None
-    assert codec.open_question(answer) is None
+    assert codec.open_query(answer) is None
--- a/tests/unit/test_control_codec.py
+++ b/tests/unit/test_control_codec.py
@@ -34,7 +34,7 @@
     SuspicionVector(Bucket("b", 2), 8, (0, 3)),
     SuspicionVector(Bucket("b", 3), 8, (7,)),
 )
-NEWS = MembershipUpdate((AGENT, make_record(4)), (BALANCER,), VECTORS)
+UPDATE = MembershipUpdate((AGENT, make_record(4)), (BALANCER,), VECTORS)
 HEARTBEAT = Heartbeat(AGENT.endpoint, RUN, 3, 900, 77)
 MESSAGES = [
     Announcement(AGENT),
@@ -42,25 +42,25 @@
     Acknowledgement(RUN, 3, AgentState.READY, BALANCERS, Millis(1000), (AGENT,), 5, 8),
     Join(BALANCER),
     Gossip(GossipKind.PROBE, 12, 2**32 - 1, 1500),
-    Gossip(GossipKind.UPDATE, 0, 9, 1500, NEWS),
+    Gossip(GossipKind.UPDATE, 0, 9, 1500, UPDATE),
     BucketDigests(("a", "b"), tuple(range(2**32 - 32, 2**32))),
     BucketSummary(BUCKET, (1, 2, 3)),
     RecordRequest((4, 5)),
-    MissingRecords(NEWS),
+    MissingRecords(UPDATE),
     LivenessRequest(AGENT.endpoint, RUN),
     LivenessResponse(AGENT.endpoint, RUN, 12, Millis(700)),
 ]
 
 
 @pytest.mark.parametrize("message", MESSAGES)
-def test_message_reads_back(message):
+def test_message_round_trips(message):
     frame = ControlCodec([KEY]).write(message)
     assert ControlCodec([OLD_KEY, KEY]).read(frame) == message
     assert len(frame) <= MAX_FRAME_BYTES
 
 
 @pytest.mark.parametrize("message", MESSAGES)
-def test_changed_or_cut_frame_is_refused(message):
+def test_altered_or_truncated_frame_is_rejected(message):
     codec = ControlCodec([KEY, OLD_KEY])
     frame = codec.write(message)
     for position in range(len(frame)):
@@ -70,5 +70,5 @@
         assert codec.read(frame[:position]) is None
 
 
-def test_frame_of_unknown_key_is_refused():
+def test_frame_of_unknown_key_is_rejected():
     assert ControlCodec([OLD_KEY]).read(ControlCodec([KEY]).write(HEARTBEAT)) is None
--- a/tests/unit/test_envelope.py
+++ b/tests/unit/test_envelope.py
@@ -17,7 +17,7 @@
         Envelope(FrameKind.ANSWER, ORDER, CLIENT),
     ],
 )
-def test_envelope_reads_back(envelope):
+def test_envelope_round_trips(envelope):
     codec = EnvelopeCodec([KEY])
     frame = codec.write(envelope) + b"datagram"
     assert codec.read(frame) == envelope
@@ -25,7 +25,7 @@
 
 
 @pytest.mark.parametrize("position", range(ENVELOPE_BYTES))
-def test_changed_envelope_is_refused(position):
+def test_altered_envelope_is_rejected(position):
     codec = EnvelopeCodec([KEY, OLD_KEY])
     frame = bytearray(codec.write(Envelope(FrameKind.FORWARD, ORDER, CLIENT)))
     frame[position] ^= 0x01
@@ -33,7 +33,7 @@
 
 
 @pytest.mark.parametrize("length", [0, 1, ENVELOPE_BYTES - 1])
-def test_short_envelope_is_refused(length):
+def test_truncated_envelope_is_rejected(length):
     codec = EnvelopeCodec([KEY])
     frame = codec.write(Envelope(FrameKind.FORWARD, ORDER, CLIENT))
     assert codec.read(frame[:length]) is None
--- a/tests/unit/test_quic.py
+++ b/tests/unit/test_quic.py
@@ -25,7 +25,7 @@
 
 @pytest.mark.parametrize("lose", [lose_none, lose_every_fifth])
 @pytest.mark.parametrize("size", [1, 100_000])
-def test_bytes_arrive_whole_in_both_directions(tmp_path, lose, size):
+def test_bytes_arrive_complete_in_both_directions(tmp_path, lose, size):
     pair = FlowPair(tmp_path, lose)
     request, answer = b"r" * size, b"a" * size
     pair.caller.write(request)
@@ -44,7 +44,7 @@
 
 
 @pytest.mark.parametrize("lose", [lose_none, lose_third_to_fifth])
-def test_agent_may_speak_first(tmp_path, lose):
+def test_agent_may_send_first(tmp_path, lose):
     pair = FlowPair(tmp_path, lose)
     pair.exchange(2)
     pair.agent.write(b"welcome")
@@ -53,7 +53,7 @@
     assert received(pair.caller_events) == b"welcome"
 
 
-def test_every_packet_after_the_first_answer_carries_the_tag(tmp_path):
+def test_packets_after_the_first_response_carry_the_tag(tmp_path):
     pair = FlowPair(tmp_path)
     pair.caller.write(b"request")
     pair.exchange()
@@ -84,7 +84,7 @@
     assert not pair.agent.is_ending
 
 
-def test_sender_waits_for_a_receiver_that_consumes_nothing(tmp_path):
+def test_sender_blocks_until_receiver_grants_credit(tmp_path):
     pair = FlowPair(tmp_path)
     pair.caller.write(bytes(3 * WINDOW_BYTES))
     pair.exchange(2_000)
@@ -96,7 +96,7 @@
 
 @pytest.mark.parametrize("outcome", FlowOutcome)
 @pytest.mark.parametrize("lost", [lose_none, lose_every_fifth])
-def test_close_tells_the_outcome(tmp_path, outcome, lost):
+def test_close_carries_the_outcome(tmp_path, outcome, lost):
     pair = FlowPair(tmp_path, lost)
     pair.exchange(100)
     pair.agent.close(outcome, "why")
@@ -114,12 +114,12 @@
     pair.caller.receive(
         pair.resets.make_datagram(tag), ("127.0.1.1", 4401), pair.clock.now()
     )
-    ends = [one for one in pair.caller.take_events() if isinstance(one, FlowEnded)]
+    ends = [one for one in pair.caller.pop_events() if isinstance(one, FlowEnded)]
     assert [one.outcome for one in ends] == [FlowOutcome.UNKNOWN] * is_ended
     assert pair.caller.is_ending is is_ended
 
 
-def test_late_copies_of_the_first_packets_change_nothing(tmp_path):
+def test_late_duplicates_of_first_packets_are_ignored(tmp_path):
     pair = FlowPair(tmp_path)
     pair.exchange()
     pair.agent.write(b"answer")
@@ -132,7 +132,7 @@
     assert received(pair.caller_events) == b"answer"
 
 
-def test_ends_of_a_flow_keep_nothing_of_the_handshake(tmp_path):
+def test_handshake_state_is_released_after_completion(tmp_path):
     pair = FlowPair(tmp_path)
     pair.exchange()
     for end in (pair.caller, pair.agent):
--- a/tests/unit/test_tag.py
+++ b/tests/unit/test_tag.py
@@ -23,7 +23,7 @@
 
 
 @pytest.mark.parametrize("position", range(TAG_BYTES))
-def test_changed_tag_is_refused(position):
+def test_altered_tag_is_rejected(position):
     codec = TagCodec([KEY])
     sealed = bytearray(codec.seal(codec.make(ROUTE)))
     sealed[position] ^= 0x01
@@ -46,5 +46,5 @@
 
 
 @pytest.mark.parametrize("length", [0, 1, 8, 19, 21])
-def test_tag_of_wrong_length_is_refused(length):
+def test_tag_of_wrong_length_is_rejected(length):
     assert TagCodec([KEY]).open_route(bytes(length)) is None
