--- a/src/papayagw/_internal/wire/__init__.py
+++ b/src/papayagw/_internal/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Encoding of messages, and the driving of QUIC without input or output."""
+"""Encoding of messages, and QUIC connections without input or output."""
--- a/src/papayagw/_internal/wire/configuration.capnp
+++ b/src/papayagw/_internal/wire/configuration.capnp
@@ -1,5 +1,5 @@
 @0xd3f1a0c45e7b2916;
-# A configuration, as the platform's service holds it and as peers hand it on.
+# A configuration, as the platform's service stores it and as peers exchange it.
 
 struct Configuration {
   version @0 :UInt64;
@@ -42,7 +42,7 @@
   secret @1 :Data;
 }
 
-# What changes from one version to a later one.
+# The difference between a version and a later one.
 struct Change {
   base @0 :UInt64;
   baseSubmissionId @1 :Text;
@@ -55,7 +55,7 @@
   removed @8 :List(UInt16);
 }
 
-# What a node asks a peer: the version that it has.
+# The query of a node to a peer, with the version that the node holds.
 struct Question {
   version @0 :Int64;
   submissionId @1 :Text;
--- a/src/papayagw/_internal/wire/configuration.py
+++ b/src/papayagw/_internal/wire/configuration.py
@@ -1,8 +1,8 @@
 """Encoding of configurations as packed Cap'n Proto messages.
 
-The platform's service holds the same bytes that peers hand each other, so a node can
-put back what it holds, byte for byte. The commands show operators what the bytes
-say, so the stored value needn't be text.
+The platform's service stores the same bytes that peers exchange, so a node can write
+its own copy back byte for byte. The stored value needn't be text, since the commands
+decode it for operators.
 """
 
 from ipaddress import IPv4Address
@@ -29,7 +29,7 @@
 
 
 def write_configuration(configuration: Configuration) -> bytes:
-    """Return the bytes of a configuration."""
+    """Encode a configuration."""
     message = SCHEMA.Configuration.new_message(
         **make_configuration_fields(configuration)
     )
@@ -38,7 +38,7 @@
 
 
 def make_configuration_fields(configuration: Configuration) -> dict[str, Any]:
-    """Return the fields of the message of a configuration."""
+    """Return the message fields of a configuration."""
     site = configuration.site
     return {
         "version": configuration.version,
@@ -52,7 +52,7 @@
 
 
 def read_configuration(data: bytes) -> Result[Configuration, DecodeError]:
-    """Return the configuration that bytes hold, or why they hold none."""
+    """Decode a configuration, or return an error that says why `data` is invalid."""
     try:
         message = SCHEMA.Configuration.from_bytes_packed(data)
         return Success(read_configuration_message(message))
@@ -69,12 +69,12 @@
 
 
 def read_configuration_message(message: Any) -> Configuration:
-    """Return the configuration of a message.
+    """Decode the configuration in a message.
 
     Raises
     ------
     ValueError
-        If a field doesn't hold what it must.
+        If a field holds an invalid value.
     """
     site = Site(
         name=message.name,
@@ -84,31 +84,31 @@
         keys=tuple(read_key(one) for one in message.keys),
     )
     if not (site.services and site.keys):
-        raise ValueError("no services or no keys")
+        raise ValueError("site has no services or no fleet keys")
     history = tuple(read_submission_entry(one) for one in message.history)
     return Configuration(message.version, site, history)
 
 
 def read_key(message: Any) -> FleetKey:
-    """Return the fleet key of a message."""
+    """Decode the fleet key in a message."""
     secret = bytes(message.secret)
     if len(secret) != KEY_BYTES:
-        raise ValueError("a key of the wrong length")
+        raise ValueError("secret of a fleet key has the wrong length")
     return FleetKey(message.keyId, secret)
 
 
 def write_key(key: FleetKey) -> dict[str, Any]:
-    """Return the fields of a fleet key."""
+    """Return the message fields of a fleet key."""
     return {"keyId": key.key_id, "secret": key.secret}
 
 
 def read_submission_entry(message: Any) -> SubmissionEntry:
-    """Return the submission's entry of a message."""
+    """Decode the submission entry in a message."""
     return SubmissionEntry(message.version, message.submissionId, message.operator)
 
 
 def write_submission_entry(entry: SubmissionEntry) -> dict[str, Any]:
-    """Return the fields of a submission's entry."""
+    """Return the message fields of a submission entry."""
     return {
         "version": entry.version,
         "submissionId": entry.submission_id,
@@ -117,19 +117,19 @@
 
 
 def write_endpoint(endpoint: Endpoint) -> dict[str, int]:
-    """Return the fields of an endpoint."""
+    """Return the message fields of an endpoint."""
     return {"ip": int(IPv4Address(endpoint.ip)), "port": endpoint.port}
 
 
 def read_endpoint(message: Any) -> Endpoint:
-    """Return the endpoint of a message."""
+    """Decode the endpoint in a message."""
     if not message.port:
-        raise ValueError("an address without a port")
+        raise ValueError("endpoint has no port")
     return Endpoint(str(IPv4Address(message.ip)), message.port)
 
 
 def write_service(service: Service) -> dict[str, Any]:
-    """Return the fields of a service."""
+    """Return the message fields of a service."""
     return {
         "name": service.name,
         "serviceId": service.service_id,
@@ -147,7 +147,7 @@
 
 
 def read_service(message: Any) -> Service:
-    """Return the service of a message."""
+    """Decode the service in a message."""
     objectives = Objectives(
         availability=message.availability,
         latency_ms=Millis(message.latencyMs),
--- a/src/papayagw/_internal/wire/configuration_exchange.py
+++ b/src/papayagw/_internal/wire/configuration_exchange.py
@@ -1,10 +1,11 @@
-"""Sealing of what peers ask and answer about the configuration.
+"""Encoding and encryption of the configuration queries and replies of peers.
 
-A configuration holds the fleet keys, so both directions are enciphered and
+A configuration holds the fleet keys, so both directions are encrypted and
 authenticated (AES-GCM) under a key that is derived from a fleet key. A reply is
-bound to the nonce of its query: an earlier reply can't be played back.
+bound to the nonce of its query, so that an earlier reply can't be replayed.
 
-A frame is a byte with the key id, a nonce of 12 bytes and the enciphered message.
+A frame consists of a byte with the key id, a nonce of 12 bytes and the encrypted
+message.
 """
 
 import os
@@ -47,16 +48,16 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenedQuery:
-    """A query that was opened.
+    """A query that was decrypted and verified.
 
     Attributes
     ----------
     query : ConfigurationQuery
-        What is asked.
+        The decoded query.
     key_id : int
-        The key that sealed it, which seals the reply.
+        Id of the key that sealed the query, which also seals the reply.
     nonce : bytes of shape (NONCE_BYTES,)
-        What the reply is bound to.
+        The nonce of the query, to which the reply is bound.
     """
 
     query: ConfigurationQuery
@@ -65,12 +66,12 @@
 
 
 class ExchangeCodec:
-    """Seals and opens questions and answers.
+    """Codec for queries and replies: seals (encrypts) and opens (decrypts) frames.
 
     Parameters
     ----------
     keys : sequence of FleetKey
-        The first one seals questions; all of them open.
+        The first one seals queries; any of them opens a frame.
     """
 
     def __init__(self, keys: Sequence[FleetKey]):
@@ -81,7 +82,7 @@
         }
 
     def seal_query(self, query: ConfigurationQuery) -> tuple[bytes, bytes]:
-        """Return the frame of a query and the nonce that its reply needs."""
+        """Return the frame of a query and the nonce that opens its reply."""
         message = SCHEMA.Question.new_message(
             version=query.version, submissionId=query.submission_id
         )
@@ -90,7 +91,7 @@
         return self._seal(self._seal_id, nonce, plain, _QUERY_LABEL), nonce
 
     def open_query(self, frame: bytes) -> OpenedQuery | None:
-        """Return the query of a frame, or None if it isn't authentic."""
+        """Decode a query; return None if it isn't authentic or is malformed."""
         plain = self._open(frame, _QUERY_LABEL)
         if plain is None:
             return None
@@ -102,7 +103,7 @@
         return OpenedQuery(query, frame[0], frame[1 : 1 + NONCE_BYTES])
 
     def seal_reply(self, reply: ConfigurationReply, opened_query: OpenedQuery) -> bytes:
-        """Return the frame of a reply."""
+        """Return the frame of the reply to `opened_query`."""
         plain = _write_reply(reply)
         nonce = os.urandom(NONCE_BYTES)
         return self._seal(
@@ -110,7 +111,10 @@
         )
 
     def open_reply(self, frame: bytes, nonce: bytes) -> ConfigurationReply | None:
-        """Return the reply to the query with `nonce`, or None if it isn't it."""
+        """Decode the reply to the query with `nonce`.
+
+        Returns None if the frame is malformed or isn't an authentic reply to this query.
+        """
         plain = self._open(frame, _REPLY_LABEL + nonce)
         if plain is None:
             return None
--- a/src/papayagw/_internal/wire/control.capnp
+++ b/src/papayagw/_internal/wire/control.capnp
@@ -1,7 +1,7 @@
 @0xb3f1a7c25d9e4806;
 
-# Endpoints stand flat in their structs: a pointer to a struct of their own would
-# cost more bytes than they hold.
+# Endpoints are inlined as the fields ip and port: a pointer to a nested struct would
+# take more bytes than the fields themselves.
 
 struct Agent {
   ip @0 :UInt32;
@@ -30,7 +30,7 @@
   number @1 :UInt8;
   zone @2 :UInt8;    # index into the zones of the message
   length @3 :UInt16;
-  counters @4 :Data; # two to a byte, the lower half first; one if all are equal
+  counters @4 :Data; # 2 per byte, low nibble first; 1 byte if over 2 and all equal
 }
 
 struct Heartbeat {
--- a/src/papayagw/_internal/wire/control.py
+++ b/src/papayagw/_internal/wire/control.py
@@ -1,7 +1,7 @@
-"""Encoding of control messages: one authenticated datagram each.
+"""Encoding of control messages, each as one authenticated datagram.
 
-A frame is the kind byte, the id of the fleet key, an authentication code over
-all the rest, and a packed capnp message.
+A frame consists of the kind byte, the id of the fleet key, an authentication code
+over all other bytes, and a packed capnp message.
 """
 
 import hashlib
@@ -40,7 +40,7 @@
 from papayagw._internal.wire.keys import derive_key
 
 MAX_FRAME_BYTES = 1200
-"""The most bytes of a control frame, so that it is never fragmented."""
+"""Maximum size of a control frame, so that it is never fragmented."""
 
 _MAC_BYTES = 8
 _MAC_KEY_BYTES = 32
@@ -57,12 +57,12 @@
 
 
 class ControlCodec:
-    """Writes and reads the frames of control messages.
+    """Codec for the frames of control messages.
 
     Parameters
     ----------
     keys : sequence of FleetKey
-        The first one signs; all of them verify.
+        The first one signs frames; any of them verifies.
     """
 
     def __init__(self, keys: Sequence[FleetKey]):
@@ -70,7 +70,7 @@
         self._macs = {key.key_id: _make_mac(key) for key in keys}
 
     def write(self, message: ControlMessage) -> bytes:
-        """Return the frame of `message`."""
+        """Encode and sign `message`."""
         root = _schema.Control.new_message()
         _WRITERS[type(message)](root, message)
         payload: bytes = root.to_bytes_packed()
@@ -81,7 +81,7 @@
         return head + mac.digest() + payload
 
     def read(self, frame: bytes) -> ControlMessage | None:
-        """Return the message of `frame`, or None if it isn't authentic and whole."""
+        """Decode `frame`; return None if it isn't authentic or is malformed."""
         if not self._is_authentic(frame):
             return None
         try:
--- a/src/papayagw/_internal/wire/envelope.py
+++ b/src/papayagw/_internal/wire/envelope.py
@@ -1,9 +1,9 @@
-"""Encoding of what balancers and agents hand each other on the packet path.
+"""Encoding of the envelopes that balancers and agents exchange on the packet path.
 
-An envelope is a header of fixed layout, an authentication code over that header
-and the caller's datagram, untouched. The datagram itself isn't covered: QUIC
-protects it from end to end. The layout is a plain struct, since writing and
-reading a capnp message costs more than all the rest of the packet path.
+An envelope consists of a header of fixed layout, an authentication code over that
+header and the caller's unmodified datagram. The code doesn't cover the datagram,
+since QUIC protects it from end to end. The layout is a plain struct, since writing
+and reading a capnp message costs more than all the rest of the packet path.
 """
 
 import hashlib
@@ -27,7 +27,7 @@
 
 
 class FrameKind(IntEnum):
-    """The first byte of each datagram between the system's own processes."""
+    """First byte of each datagram between processes of papayagw."""
 
     FORWARD = 1
     ANSWER = 2
@@ -47,9 +47,9 @@
     client : Endpoint
         The caller.
     balancer : Endpoint or None
-        The balancer that took the packet in, where an agent passed it on.
+        The balancer that received the packet, if an agent has forwarded it.
     hops : int
-        How many agents have passed it on.
+        Number of agents that have forwarded it.
     """
 
     kind: FrameKind
@@ -60,12 +60,12 @@
 
 
 class EnvelopeCodec:
-    """Writes and reads envelopes.
+    """Codec for envelopes.
 
     Parameters
     ----------
     keys : sequence of FleetKey
-        The first one signs; all of them verify.
+        The first one signs envelopes; any of them verifies.
     """
 
     def __init__(self, keys: Sequence[FleetKey]):
@@ -73,7 +73,7 @@
         self._macs = {key.key_id: _make_mac(key) for key in keys}
 
     def write(self, envelope: Envelope) -> bytes:
-        """Return the header and its code; the datagram follows them."""
+        """Return the header and its authentication code, which precede the datagram."""
         return self.write_raw(
             envelope.kind,
             envelope.service_id,
@@ -90,7 +90,7 @@
         balancer: tuple[str, int] | None = None,
         hops: int = 0,
     ) -> bytes:
-        """Return the same as `write` from plain values, for the packet path."""
+        """Do the same as `write` from plain values, for the packet path."""
         balancer_ip, balancer_port = _NO_ENDPOINT
         if balancer is not None:
             balancer_ip, balancer_port = pack_ip(balancer[0]), balancer[1]
@@ -109,7 +109,7 @@
         return header + mac.digest()
 
     def read(self, frame: bytes) -> Envelope | None:
-        """Return the envelope at the start of `frame`, or None if it isn't valid."""
+        """Decode the envelope at the start of `frame`, or return None if it is invalid."""
         if not self.is_authentic(frame):
             return None
         kind, _, service_id, port, ip, balancer_port, balancer_ip, hops = (
@@ -124,7 +124,7 @@
     def read_answer(self, frame: bytes) -> tuple[int, tuple[str, int]] | None:
         """Return the service number and the caller of an answer, or None.
 
-        For the packet path: no objects but these are made.
+        For the packet path: creates no objects besides the returned ones.
         """
         if not self.is_authentic(frame):
             return None
@@ -132,7 +132,7 @@
         return fields[2], (unpack_ip(fields[4]), fields[3])
 
     def is_authentic(self, frame: bytes) -> bool:
-        """Return whether the header of `frame` carries a code of our keys."""
+        """Return whether the code of `frame` is valid under a known key."""
         if len(frame) < ENVELOPE_BYTES:
             return False
         mac = self._macs.get(frame[1])
@@ -150,7 +150,7 @@
 
 
 def pack_ip(ip: str) -> bytes:
-    """Return the 4 bytes of a dotted IPv4 number."""
+    """Return the 4 bytes of an IPv4 address in dotted form."""
     packed = _packed_ips.get(ip)
     if packed is None:
         if len(_packed_ips) >= _MAX_CACHED_IPS:
@@ -160,7 +160,7 @@
 
 
 def unpack_ip(packed: bytes) -> str:
-    """Return the dotted form of the 4 bytes of an IPv4 number."""
+    """Return the dotted form of the 4 bytes of an IPv4 address."""
     text = _ip_texts.get(packed)
     if text is None:
         if len(_ip_texts) >= _MAX_CACHED_IPS:
--- a/src/papayagw/_internal/wire/header.py
+++ b/src/papayagw/_internal/wire/header.py
@@ -10,7 +10,7 @@
 _MAX_ID_BYTES = 20
 _MIN_OPENING_ID_BYTES = 8
 MIN_OPENING_BYTES = 1200
-"""An opening is padded to at least this size, in bytes (RFC 9000, 14.1)."""
+"""Size in bytes to which an opening is at least padded (RFC 9000, 14.1)."""
 
 
 def read_connection_id(datagram: bytes, length: int = TAG_BYTES) -> bytes | None:
@@ -19,9 +19,9 @@
     Parameters
     ----------
     datagram : bytes
-        A datagram of a caller, or of an agent to a caller.
+        A datagram from a caller, or from an agent to a caller.
     length : int
-        The length of the receiver's ids, which short headers don't tell, in bytes.
+        Length of the receiver's ids in bytes, which short headers don't carry.
     """
     if not datagram:
         return None
@@ -47,7 +47,7 @@
 
 
 def read_packet(datagram: bytes) -> Packet:
-    """Return the header of a caller's datagram in the core's terms."""
+    """Read the connection id of a caller's datagram and classify the datagram."""
     connection_id = read_connection_id(datagram)
     if connection_id is None:
         return Packet(PacketKind.MALFORMED, b"")
--- a/src/papayagw/_internal/wire/keys.py
+++ b/src/papayagw/_internal/wire/keys.py
@@ -1,7 +1,7 @@
 """Keys derived from the fleet keys of a configuration.
 
-Each use has a key of its own, derived with HKDF (RFC 5869), so that a tag, an
-envelope and a control message can never be taken for one another.
+Each purpose has its own key, derived with HKDF (RFC 5869), so that a tag, an envelope
+and a control message are never accepted in place of one another.
 """
 
 from cryptography.hazmat.primitives.hashes import SHA256
@@ -11,14 +11,14 @@
 
 
 def derive_key(fleet_key: FleetKey, purpose: str, length: int) -> bytes:
-    """Return a key of `length` bytes for one purpose.
+    """Derive a key of `length` bytes for one purpose.
 
     Parameters
     ----------
     fleet_key : FleetKey
         The secret to derive from.
     purpose : str
-        What the key is for; two purposes never share a key.
+        Label of the purpose; two purposes never share a key.
     length : int
         The length of the key, in bytes.
     """
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -1,4 +1,4 @@
-"""Driving of QUIC (RFC 9000) without input or output."""
+"""Flows over QUIC (RFC 9000) without input or output."""
 
 import math
 from collections.abc import Callable
@@ -30,7 +30,7 @@
 """Length of the connection ids of callers, in bytes."""
 
 PREFACE = b"\x01"
-"""What a caller's end sends first, so that the agent may answer before a request.
+"""First bytes from the caller's end, so that the agent may send before a request.
 
 A server can't send on a stream that its client hasn't opened.
 """
@@ -49,7 +49,7 @@
 _OUTCOMES = {code: outcome for outcome, code in _CODES.items()}
 
 DatagramSink = Callable[[bytes, tuple[str, int]], None]
-"""Takes a datagram and the peer that it is for."""
+"""Called with a datagram and the address of the peer to send it to."""
 
 
 class FlowConnection:
@@ -58,11 +58,11 @@
     Parameters
     ----------
     connection : TaggedConnection
-        The driven connection.
+        The QUIC connection of the flow.
     local_id : bytes
         The connection id that the peer's packets carry.
     preface : bytes
-        What the peer sends before its own bytes.
+        Bytes that the peer sends ahead of its data.
     """
 
     def __init__(
@@ -98,12 +98,12 @@
 
     @property
     def last_received_at(self) -> Millis:
-        """When the peer's last datagram came."""
+        """When the last datagram of the peer was received."""
         return self._last_received_at
 
     @property
     def peer_reset_token(self) -> bytes:
-        """What the last bytes of a stateless reset by the peer would be."""
+        """The token at the end of a stateless reset from the peer."""
         return self._connection.peer_reset_token
 
     @property
@@ -120,7 +120,7 @@
         return None if at is None else Millis(math.ceil(at * MILLIS_PER_SECOND))
 
     def receive(self, datagram: bytes, peer: tuple[str, int], now: Millis) -> None:
-        """Take in a datagram of the flow."""
+        """Process a received datagram of the flow."""
         connection = self._connection
         self._last_received_at = now
         if connection.is_ending:
@@ -136,12 +136,12 @@
                 self._send(data, finished)
 
     def on_deadline(self, now: Millis) -> None:
-        """Act on `next_deadline`, which has come."""
+        """Handle the expiry of `next_deadline`."""
         if not self._is_reset:
             self._connection.handle_timer(to_seconds(now))
 
     def transmit(self, now: Millis, sink: DatagramSink) -> None:
-        """Hand all datagrams that are due to `sink`."""
+        """Pass all datagrams that are due to `sink`."""
         connection = self._connection
         was_ending = connection.is_ending
         if was_ending:
@@ -157,7 +157,7 @@
                     sink(datagram, peer)
 
     def pop_events(self) -> list[StreamEvent]:
-        """Return what has happened since the last call."""
+        """Return the events since the last call."""
         popped: list[StreamEvent] = []
         event = self._connection.next_event()
         while event is not None:
@@ -178,24 +178,24 @@
         self._send(data, finished=False)
 
     def finish(self) -> None:
-        """Send no more bytes to the peer."""
+        """End the sending direction of the stream."""
         self._send(b"", finished=True)
 
     def consume(self, count: int) -> bool:
-        """Note that `count` bytes left this process; return if credit is granted."""
+        """Record that `count` bytes left the process; return if credit is granted."""
         self._consumed_bytes += count
         return not self.is_ending and self._connection.grant_credit(
             self._consumed_bytes
         )
 
     def probe(self) -> None:
-        """Ask the peer for a sign of life."""
+        """Send a PING frame, which the peer has to acknowledge."""
         if not self.is_ending:
             self._pings += 1
             self._connection.send_ping(self._pings)
 
     def close(self, outcome: FlowOutcome, reason: str) -> None:
-        """End the flow and tell the peer how."""
+        """Close the flow and send its outcome and the reason to the peer."""
         self._connection.close(error_code=_CODES[outcome], reason_phrase=reason)
 
     def _send(self, data: bytes, finished: bool) -> None:
@@ -236,16 +236,16 @@
 
 
 class FlowAcceptor:
-    """Makes the agent's ends of flows.
+    """Creates the agent's ends of flows.
 
     Parameters
     ----------
     certificate, private_key : Path
-        PEM files of the certificate that is shown to callers.
+        PEM files of the certificate that is presented to callers and of its key.
     idle_timeout_ms : Millis
-        How long a flow may be silent.
+        How long a flow may be idle.
     reset_tokens : ResetTokens
-        Where the flows' stateless reset tokens come from.
+        Source of the flows' stateless reset tokens.
     """
 
     def __init__(
@@ -268,25 +268,25 @@
         self._reset_tokens = reset_tokens
 
     def accept(self, opening_id: bytes, tag: bytes) -> FlowConnection:
-        """Return the flow of an opening, whose packets will carry `tag`."""
+        """Return the flow of an opening; its later packets carry `tag`."""
         server_tag = ServerTag(tag, self._reset_tokens.make_token(tag))
         connection = TaggedConnection(self._configuration, opening_id, server_tag)
         return FlowConnection(connection, tag, PREFACE)
 
 
 class FlowOpener:
-    """Makes the callers' ends of flows.
+    """Creates the callers' ends of flows.
 
     Parameters
     ----------
     service : str
-        The service, which the certificate must name.
+        Name of the service, which the certificate must contain.
     entry : Endpoint
         The entry address of the service.
     authority : Path
-        PEM file of the authority that signs the agents' certificates.
+        PEM file of the certificate authority that signs the agents' certificates.
     idle_timeout_ms : Millis
-        How long a flow may be silent.
+        How long a flow may be idle.
     """
 
     def __init__(
@@ -306,7 +306,7 @@
         self._configuration.load_verify_locations(cafile=str(authority))
 
     def open(self, now: Millis) -> FlowConnection:
-        """Return a new flow, whose opening is ready to be transmitted."""
+        """Return a new flow whose opening is ready to be transmitted."""
         connection = TaggedConnection(self._configuration)
         connection.connect(self._entry.sockaddr, to_seconds(now))
         flow = FlowConnection(connection, connection.host_cid)
--- a/src/papayagw/_internal/wire/quic_adapter.py
+++ b/src/papayagw/_internal/wire/quic_adapter.py
@@ -1,10 +1,11 @@
-"""The QUIC library's connection, with flow tags and flow control of our own.
-
-The library makes its connection ids at random and grants the peer flow-control
-credit for what has arrived. Here a server's connection id is a flow tag, and
-credit is granted for what has been consumed, so that a slow backend server holds
-its caller back. This module is the one place that reaches into the library; the
-library's version is pinned, and ``tests/unit/test_quic.py`` fails if it changes.
+"""The QUIC library's connection, extended by flow tags and different flow control.
+
+The library generates random connection ids and grants the peer flow-control credit
+for received bytes. Here a server's connection id is a flow tag, and credit is granted
+for consumed bytes, so that a slow backend server throttles its caller. Among the
+modules of the package, only this one and ``recovery.py`` use private attributes of
+the library. The library's version is pinned, and ``tests/unit/test_quic.py`` fails if
+these attributes change.
 """
 
 from dataclasses import dataclass
@@ -26,10 +27,10 @@
 from papayagw._internal.wire.recovery import SprayRecovery
 
 STREAM_ID = 0
-"""The one stream of a flow, which carries both directions."""
+"""The only stream of a flow, which carries both directions."""
 
 WINDOW_BYTES = 1 << 20
-"""How much a peer may send that hasn't been consumed, in bytes."""
+"""How many bytes a peer may send beyond those consumed."""
 
 _EMPTY_BUFFER = Buffer(capacity=0)
 _SHARED_EPOCH_SETS: dict[frozenset[Epoch], frozenset[Epoch]] = {}
@@ -37,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerTag:
-    """The connection id that an agent gives to a flow.
+    """The connection id that an agent assigns to a flow.
 
     Attributes
     ----------
@@ -52,7 +53,7 @@
 
 
 class TaggedConnection(QuicConnection):
-    """The library's connection with our ids and our flow control."""
+    """QUIC connection with a flow tag as server id and credit for consumed bytes."""
 
     def __init__(
         self,
@@ -78,12 +79,12 @@
 
     @property
     def peer_reset_token(self) -> bytes:
-        """The token with which the peer would reset this connection."""
+        """The token of a stateless reset of this connection by the peer."""
         return self._peer_cid.stateless_reset_token
 
     @property
     def close_event(self) -> events.ConnectionTerminated | None:
-        """How the connection ends, as soon as that is known."""
+        """The event that ends the connection, or None before it is known."""
         return self._close_event
 
     @property
@@ -111,11 +112,11 @@
         return stream is not None and not stream.is_finished
 
     def release_handshake_state(self) -> None:
-        """Give back what only the handshake needed, for it is complete.
+        """Release the state that only the handshake needs, after its completion.
 
-        The library keeps it for as long as a flow lives: three buffers of 16 KB, the
+        The library keeps it for the lifetime of a flow: three buffers of 16 KB, the
         peer's certificates and the ephemeral keys. The table of the first packets'
-        keys stays, since such a packet may still come, late or twice.
+        keys is kept, since such a packet may still arrive late or duplicated.
         """
         self._crypto_buffers = dict.fromkeys(self._crypto_buffers, _EMPTY_BUFFER)
         self.tls._peer_certificate = None
@@ -124,7 +125,7 @@
         self.tls._x25519_private_key = None
 
     def _share_epoch_sets(self) -> None:
-        """Let all connections share the sets in the table of frame handlers."""
+        """Share the epoch sets of the frame handler tables among all connections."""
         handlers = vars(self)["_QuicConnection__frame_handlers"]
         for frame_type, (handler, epochs) in handlers.items():
             handlers[frame_type] = (
@@ -133,9 +134,10 @@
             )
 
     def grant_credit(self, consumed: int) -> bool:
-        """Let the peer send up to a window beyond `consumed`; return if it is told.
+        """Allow the peer a window beyond `consumed`; return whether its limit rose.
 
-        Credit is told in steps of half a window, so that it costs few frames.
+        The limit is raised by at least half a window at a time, so that few frames
+        are sent for it.
         """
         stream = self._streams.get(STREAM_ID)
         if stream is None or stream.receiver.is_finished:
@@ -147,12 +149,12 @@
         return True
 
     def _replenish_connection_ids(self) -> None:
-        """Issue no further ids: a flow has one tag for life."""
+        """Issue no further connection ids: a flow keeps one tag for its lifetime."""
 
     def _write_stream_limits(
         self, builder: QuicPacketBuilder, space: QuicPacketSpace, stream: QuicStream
     ) -> None:
-        """Tell the peer of credit, without the library's doubling of it."""
+        """Send the peer its new limit, without doubling it as the library does."""
         if stream.max_stream_data_local_sent == stream.max_stream_data_local:
             return
         assert stream.stream_id is not None, "only the crypto streams have no id"
--- a/src/papayagw/_internal/wire/recovery.py
+++ b/src/papayagw/_internal/wire/recovery.py
@@ -1,10 +1,10 @@
 """Loss recovery and pacing for flows whose packets take many paths.
 
-The fabric hands each packet of a flow to any balancer, so that packets overtake
-each other all the time. RFC 9002 (6.1.1) takes a packet for lost as soon as three
-later ones are acknowledged, which would hold the congestion window at its least.
-Here only time tells a loss, as it allows for such paths. Time comes in whole
-milliseconds: delays and bursts are never finer than that.
+The fabric sends each packet of a flow to any balancer, so that packets are reordered
+all the time. RFC 9002 (6.1.1) declares a packet lost as soon as three later ones are
+acknowledged, which would keep the congestion window at its minimum. Here only the
+time threshold declares a loss, which the RFC allows for such paths. The clock counts
+whole milliseconds, so delays and bursts are never shorter than that.
 """
 
 import logging
@@ -19,35 +19,35 @@
 )
 
 MIN_LOSS_DELAY_SECONDS = 0.010
-"""How long a packet may be overtaken before it counts as lost."""
+"""Minimum delay before a reordered packet is declared lost."""
 
 RTT_DEVIATION_FACTOR = 4
-"""How many mean deviations of the round trip a packet may be late."""
+"""How many mean deviations of the round-trip time a packet may be late."""
 
 TICK_SECONDS = 0.001
-"""The finest step of the clock."""
+"""Resolution of the clock."""
 
 
 class TickPacer(QuicPacketPacer):
-    """A pacer that may send, at each tick of the clock, what the tick allows."""
+    """Pacer that, at each tick of the clock, may send what the rate allows per tick."""
 
     def update_rate(self, congestion_window: int, smoothed_rtt: float) -> None:
-        """Set the rate of sending, and let a burst last for a tick."""
+        """Set the sending rate, with bursts of at least one tick."""
         super().update_rate(congestion_window, max(smoothed_rtt, TICK_SECONDS))
         self.bucket_max = max(self.bucket_max, TICK_SECONDS)
 
 
 class SprayRecovery(QuicPacketRecovery):
-    """Loss recovery that bears packets being overtaken.
+    """Loss recovery that tolerates reordered packets.
 
     Parameters
     ----------
     configuration : QuicConfiguration
         The configuration of the connection.
     send_probe : callable
-        Makes the connection send a probe.
+        Called to make the connection send a probe.
     logger : LoggerAdapter
-        The connection's log.
+        The connection's logger.
     """
 
     def __init__(
@@ -67,7 +67,7 @@
         self._pacer = TickPacer(max_datagram_size=configuration.max_datagram_size)
 
     def _detect_loss(self, *, now: float, space: QuicPacketSpace) -> None:
-        """Take for lost what has been overtaken for too long."""
+        """Declare unacknowledged packets lost by the time threshold alone."""
         loss_delay = self._loss_delay()
         lost = []
         space.loss_time = None
--- a/src/papayagw/_internal/wire/reset.py
+++ b/src/papayagw/_internal/wire/reset.py
@@ -1,4 +1,4 @@
-"""Stateless resets (RFC 9000, 10.3) of flows that nobody owns any more."""
+"""Stateless resets (RFC 9000, 10.3) of flows that no agent owns any more."""
 
 import hashlib
 from collections.abc import Sequence
@@ -16,7 +16,7 @@
     """Stateless reset tokens of flow tags.
 
     A token is derived from the tag and the fleet key that sealed it, so that any
-    process that holds the key can end a flow whose agent is gone.
+    process that holds the key can reset a flow whose agent is gone.
 
     Parameters
     ----------
@@ -30,13 +30,13 @@
         }
 
     def make_token(self, tag: bytes) -> bytes:
-        """Return the token of a tag, which only its flow's caller is told."""
+        """Return the reset token of a tag, which is sent only to the flow's caller."""
         key = self._keys.get(tag[0], b"")
         hashed = hashlib.blake2s(tag, key=key, digest_size=RESET_TOKEN_BYTES)
         return hashed.digest()
 
     def make_datagram(self, tag: bytes) -> bytes:
-        """Return the datagram that ends the flow of a tag."""
+        """Return the stateless reset for the flow of a tag."""
         noise = hashlib.blake2s(tag, digest_size=32).digest()
         padding = _RESET_BYTES - RESET_TOKEN_BYTES - 1
         return bytes((_FIRST_BYTE,)) + noise[:padding] + self.make_token(tag)
--- a/src/papayagw/_internal/wire/tag.py
+++ b/src/papayagw/_internal/wire/tag.py
@@ -1,9 +1,9 @@
 """Encoding of flow tags as QUIC connection ids of 20 bytes.
 
-A tag is a byte with the key id, a nonce of 3 bytes and one enciphered AES block
-that holds the route, the nonce once more and 3 zero bytes. A block that wasn't
-sealed under the key deciphers to noise, which meets these 48 bits of redundancy
-once in 2**48 tries (encode-then-encipher, Bellare and Rogaway 2000).
+A tag consists of a byte with the key id, a nonce of 3 bytes and one encrypted AES
+block that holds the route, the same nonce and 3 zero bytes. A block that wasn't
+sealed under the key decrypts to random bytes, which match these 48 bits of redundancy
+once in 2**48 attempts (encode-then-encipher, Bellare and Rogaway 2000).
 """
 
 import os
@@ -30,12 +30,12 @@
 
 
 class TagCodec:
-    """Seals and opens flow tags.
+    """Codec for flow tags: seals (encrypts) and opens (decrypts and verifies) them.
 
     Parameters
     ----------
     keys : sequence of FleetKey
-        The first one seals; all of them open.
+        The first one seals tags; any of them opens a tag.
     """
 
     def __init__(self, keys: Sequence[FleetKey]):
@@ -49,7 +49,7 @@
 
     @property
     def seal_id(self) -> int:
-        """The id of the key that seals."""
+        """The id of the key that seals tags."""
         return self._seal_id
 
     def make(self, route: FlowRoute) -> FlowTag:
@@ -57,7 +57,7 @@
         return FlowTag(self._seal_id, route, os.urandom(NONCE_BYTES))
 
     def seal(self, tag: FlowTag) -> bytes:
-        """Return the connection id of `tag`, which this codec's first key seals."""
+        """Return the connection id of `tag`, sealed under the first key."""
         route = tag.route
         packed = IPv4Address(route.agent.ip).packed
         plain = _ROUTE.pack(
@@ -69,8 +69,8 @@
     def open_route(self, connection_id: bytes) -> FlowRoute | None:
         """Return the route of a tag, or None if the tag fails its check.
 
-        The routes of one agent's run are one object, so that the packet path makes
-        none.
+        All tags of one route share a cached route object, so that the packet path
+        creates none.
         """
         if len(connection_id) != TAG_BYTES:
             return None
@@ -85,7 +85,7 @@
         return route if route is not None else self._cache_route(packed)
 
     def open(self, connection_id: bytes) -> FlowTag | None:
-        """Return a whole tag, or None if it fails its check."""
+        """Return the tag with its key id and nonce, or None if it fails its check."""
         route = self.open_route(connection_id)
         if route is None:
             return None
@@ -102,5 +102,5 @@
 
 
 def _make_cipher(key: FleetKey) -> Cipher[ECB]:
-    # One block of unique content each: ECB is plain AES here.
+    # A tag is a single block of unique content, so ECB is plain AES here.
     return Cipher(AES(derive_key(key, "flow tag", _BLOCK_BYTES)), ECB())
--- a/tests/lib/quic.py
+++ b/tests/lib/quic.py
@@ -1,4 +1,4 @@
-"""Two ends of a flow joined without sockets."""
+"""Two ends of a flow, connected without sockets."""
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
@@ -18,7 +18,7 @@
 
 
 class FlowPair:
-    """A caller's and an agent's end, and the datagrams between them."""
+    """The caller's and the agent's end of a flow, and the datagrams between them."""
 
     def __init__(self, folder, lose=lambda number: False):
         files = make_development_keys(folder, ("order",))
--- a/tests/unit/test_quic.py
+++ b/tests/unit/test_quic.py
@@ -1,4 +1,4 @@
-"""What papayagw needs of the QUIC library, which reaches into its private parts."""
+"""Behaviour and private attributes of the QUIC library that papayagw relies on."""
 
 import pytest
 
--- a/tests/unit/test_recovery.py
+++ b/tests/unit/test_recovery.py
@@ -10,7 +10,7 @@
 
 
 class SprayedPair(FlowPair):
-    """A pair whose datagrams take paths of different lengths."""
+    """A pair whose datagrams take paths of different delays."""
 
     def __init__(self, folder, seed):
         super().__init__(folder)
