--- a/src/papayagw/_internal/wire/configuration_exchange.py
+++ b/src/papayagw/_internal/wire/configuration_exchange.py
@@ -82,7 +82,7 @@
         }
 
     def seal_query(self, query: ConfigurationQuery) -> tuple[bytes, bytes]:
-        """Return the frame of a query and the nonce that opens its reply."""
+        """Return the frame of a query and the nonce needed to open its reply."""
         message = SCHEMA.Question.new_message(
             version=query.version, submissionId=query.submission_id
         )
@@ -113,7 +113,7 @@
     def open_reply(self, frame: bytes, nonce: bytes) -> ConfigurationReply | None:
         """Decode the reply to the query with `nonce`.
 
-        Returns None if the frame is malformed or isn't an authentic reply to this query.
+        Returns None if the frame is malformed or no authentic reply to this query.
         """
         plain = self._open(frame, _REPLY_LABEL + nonce)
         if plain is None:
--- a/src/papayagw/_internal/wire/envelope.py
+++ b/src/papayagw/_internal/wire/envelope.py
@@ -109,7 +109,7 @@
         return header + mac.digest()
 
     def read(self, frame: bytes) -> Envelope | None:
-        """Decode the envelope at the start of `frame`, or return None if it is invalid."""
+        """Decode the envelope at the start of `frame`; return None if it is invalid."""
         if not self.is_authentic(frame):
             return None
         kind, _, service_id, port, ip, balancer_port, balancer_ip, hops = (
@@ -132,7 +132,7 @@
         return fields[2], (unpack_ip(fields[4]), fields[3])
 
     def is_authentic(self, frame: bytes) -> bool:
-        """Return whether the code of `frame` is valid under a known key."""
+        """Return whether a known key verifies the authentication code of `frame`."""
         if len(frame) < ENVELOPE_BYTES:
             return False
         mac = self._macs.get(frame[1])
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -182,7 +182,10 @@
         self._send(b"", finished=True)
 
     def consume(self, count: int) -> bool:
-        """Record that `count` bytes left the process; return if credit is granted."""
+        """Record that `count` bytes left this process.
+
+        Returns whether flow-control credit is granted to the peer.
+        """
         self._consumed_bytes += count
         return not self.is_ending and self._connection.grant_credit(
             self._consumed_bytes
