--- a/src/papayagw/_internal/wire/configuration.py
+++ b/src/papayagw/_internal/wire/configuration.py
@@ -1,8 +1,8 @@
 """Encoding of configurations as packed Cap'n Proto messages.
 
-The platform's service holds the same bytes that peers hand each other, so a node can
-put back what it holds, byte for byte. The commands show operators what the bytes
-say, so the stored value needn't be text.
+The platform's service stores the same bytes that peers exchange, so a node can write
+its own copy back byte for byte. The stored value needn't be text, since the commands
+decode it for operators.
 """
 
 from ipaddress import IPv4Address
@@ -29,18 +29,20 @@
 
 
 def write_configuration(configuration: Configuration) -> bytes:
-    """Return the bytes of a configuration."""
-    message = SCHEMA.Configuration.new_message(**make_fields(configuration))
+    """Encode a configuration."""
+    message = SCHEMA.Configuration.new_message(
+        **make_configuration_fields(configuration)
+    )
     written: bytes = message.to_bytes_packed()
     return written
 
 
-def make_fields(configuration: Configuration) -> dict[str, Any]:
-    """Return the fields of the message of a configuration."""
+def make_configuration_fields(configuration: Configuration) -> dict[str, Any]:
+    """Return the message fields of a configuration."""
     site = configuration.site
     return {
         "version": configuration.version,
-        "history": [write_mark(one) for one in configuration.history],
+        "history": [write_submission_entry(one) for one in configuration.history],
         "name": site.name,
         "controlAddress": write_endpoint(site.control_address),
         "zones": list(site.zones),
@@ -50,29 +52,29 @@
 
 
 def read_configuration(data: bytes) -> Result[Configuration, DecodeError]:
-    """Return the configuration that bytes hold, or why they hold none."""
+    """Decode a configuration, or return an error that says why `data` is invalid."""
     try:
         message = SCHEMA.Configuration.from_bytes_packed(data)
-        return Success(read_message(message))
+        return Success(read_configuration_message(message))
     except (capnp.KjException, ValueError) as error:
-        return Failure(_bad(str(error).splitlines()[0]))
+        return Failure(_make_decode_error(str(error).splitlines()[0]))
 
 
-def _bad(what: str) -> DecodeError:
+def _make_decode_error(cause: str) -> DecodeError:
     return DecodeError(
-        f"not a configuration: {what}",
+        f"not a configuration: {cause}",
         step=Step.DECODE,
         remedy="submit the site again with this release",
     )
 
 
-def read_message(message: Any) -> Configuration:
-    """Return the configuration of a message.
+def read_configuration_message(message: Any) -> Configuration:
+    """Decode the configuration in a message.
 
     Raises
     ------
     ValueError
-        If a field doesn't hold what it must.
+        If a field holds an invalid value.
     """
     site = Site(
         name=message.name,
@@ -82,52 +84,52 @@
         keys=tuple(read_key(one) for one in message.keys),
     )
     if not (site.services and site.keys):
-        raise ValueError("no services or no keys")
-    history = tuple(read_mark(one) for one in message.history)
+        raise ValueError("site has no services or no fleet keys")
+    history = tuple(read_submission_entry(one) for one in message.history)
     return Configuration(message.version, site, history)
 
 
 def read_key(message: Any) -> FleetKey:
-    """Return the fleet key of a message."""
+    """Decode the fleet key in a message."""
     secret = bytes(message.secret)
     if len(secret) != KEY_BYTES:
-        raise ValueError("a key of the wrong length")
+        raise ValueError("secret of a fleet key has the wrong length")
     return FleetKey(message.keyId, secret)
 
 
 def write_key(key: FleetKey) -> dict[str, Any]:
-    """Return the fields of a fleet key."""
+    """Return the message fields of a fleet key."""
     return {"keyId": key.key_id, "secret": key.secret}
 
 
-def read_mark(message: Any) -> SubmissionEntry:
-    """Return the submission's mark of a message."""
+def read_submission_entry(message: Any) -> SubmissionEntry:
+    """Decode the submission entry in a message."""
     return SubmissionEntry(message.version, message.submissionId, message.operator)
 
 
-def write_mark(mark: SubmissionEntry) -> dict[str, Any]:
-    """Return the fields of a submission's mark."""
+def write_submission_entry(entry: SubmissionEntry) -> dict[str, Any]:
+    """Return the message fields of a submission entry."""
     return {
-        "version": mark.version,
-        "submissionId": mark.submission_id,
-        "operator": mark.operator,
+        "version": entry.version,
+        "submissionId": entry.submission_id,
+        "operator": entry.operator,
     }
 
 
 def write_endpoint(endpoint: Endpoint) -> dict[str, int]:
-    """Return the fields of an endpoint."""
+    """Return the message fields of an endpoint."""
     return {"ip": int(IPv4Address(endpoint.ip)), "port": endpoint.port}
 
 
 def read_endpoint(message: Any) -> Endpoint:
-    """Return the endpoint of a message."""
+    """Decode the endpoint in a message."""
     if not message.port:
-        raise ValueError("an address without a port")
+        raise ValueError("endpoint has no port")
     return Endpoint(str(IPv4Address(message.ip)), message.port)
 
 
 def write_service(service: Service) -> dict[str, Any]:
-    """Return the fields of a service."""
+    """Return the message fields of a service."""
     return {
         "name": service.name,
         "serviceId": service.service_id,
@@ -145,7 +147,7 @@
 
 
 def read_service(message: Any) -> Service:
-    """Return the service of a message."""
+    """Decode the service in a message."""
     objectives = Objectives(
         availability=message.availability,
         latency_ms=Millis(message.latencyMs),
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -1,4 +1,4 @@
-"""Driving of QUIC (RFC 9000) without input or output."""
+"""Flows over QUIC (RFC 9000) without input or output."""
 
 import math
 from collections.abc import Callable
@@ -26,11 +26,11 @@
 from papayagw._internal.wire.tag import TAG_BYTES
 
 ALPN = "papayagw/1"
-CALLER_ID_BYTES = 8
+CALLER_CONNECTION_ID_BYTES = 8
 """Length of the connection ids of callers, in bytes."""
 
 PREFACE = b"\x01"
-"""What a caller's end sends first, so that the agent may answer before a request.
+"""First bytes from the caller's end, so that the agent may send before a request.
 
 A server can't send on a stream that its client hasn't opened.
 """
@@ -49,7 +49,7 @@
 _OUTCOMES = {code: outcome for outcome, code in _CODES.items()}
 
 DatagramSink = Callable[[bytes, tuple[str, int]], None]
-"""Takes a datagram and the peer that it is for."""
+"""Called with a datagram and the address of the peer to send it to."""
 
 
 class FlowConnection:
@@ -58,11 +58,11 @@
     Parameters
     ----------
     connection : TaggedConnection
-        The driven connection.
+        The QUIC connection of the flow.
     local_id : bytes
         The connection id that the peer's packets carry.
     preface : bytes
-        What the peer sends before its own bytes.
+        Bytes that the peer sends ahead of its data.
     """
 
     def __init__(
@@ -71,14 +71,14 @@
         self._connection = connection
         self._local_id = local_id
         self._preface_left = len(preface)
-        self._held: list[tuple[bytes, bool]] = []
-        self._consumed = len(preface)
+        self._pending_writes: list[tuple[bytes, bool]] = []
+        self._consumed_bytes = len(preface)
         self._close_datagrams: list[tuple[bytes, tuple[str, int]]] = []
         self._close_repeats = 0
         self._is_reset = False
-        self._end_taken = False
+        self._is_end_reported = False
         self._has_stream = False
-        self._heard_at = Millis(0)
+        self._last_received_at = Millis(0)
         self._pings = 0
 
     @property
@@ -97,13 +97,13 @@
         return self._has_stream and not self._connection.has_open_stream
 
     @property
-    def heard_at(self) -> Millis:
-        """When the peer's last datagram came."""
-        return self._heard_at
+    def last_received_at(self) -> Millis:
+        """When the last datagram of the peer was received."""
+        return self._last_received_at
 
     @property
     def peer_reset_token(self) -> bytes:
-        """What the last bytes of a stateless reset by the peer would be."""
+        """The token at the end of a stateless reset from the peer."""
         return self._connection.peer_reset_token
 
     @property
@@ -120,28 +120,28 @@
         return None if at is None else Millis(math.ceil(at * MILLIS_PER_SECOND))
 
     def receive(self, datagram: bytes, peer: tuple[str, int], now: Millis) -> None:
-        """Take in a datagram of the flow."""
+        """Process a received datagram of the flow."""
         connection = self._connection
-        self._heard_at = now
+        self._last_received_at = now
         if connection.is_ending:
             self._close_repeats += 1
             return
-        if self._resets(datagram):
+        if self._is_stateless_reset(datagram):
             self._is_reset = True
             return
         connection.receive_datagram(datagram, peer, to_seconds(now))
-        if self._held and connection.has_stream:
-            held, self._held = self._held, []
-            for data, finished in held:
+        if self._pending_writes and connection.has_stream:
+            pending, self._pending_writes = self._pending_writes, []
+            for data, finished in pending:
                 self._send(data, finished)
 
     def on_deadline(self, now: Millis) -> None:
-        """Act on `next_deadline`, which has come."""
+        """Handle the expiry of `next_deadline`."""
         if not self._is_reset:
             self._connection.handle_timer(to_seconds(now))
 
     def transmit(self, now: Millis, sink: DatagramSink) -> None:
-        """Hand all datagrams that are due to `sink`."""
+        """Pass all datagrams that are due to `sink`."""
         connection = self._connection
         was_ending = connection.is_ending
         if was_ending:
@@ -156,51 +156,56 @@
                 for datagram, peer in datagrams:
                     sink(datagram, peer)
 
-    def take_events(self) -> list[StreamEvent]:
-        """Return what has happened since the last call."""
-        taken: list[StreamEvent] = []
+    def pop_events(self) -> list[StreamEvent]:
+        """Return the events since the last call."""
+        popped: list[StreamEvent] = []
         event = self._connection.next_event()
         while event is not None:
             if isinstance(event, events.HandshakeCompleted):
-                self._connection.release_handshake()
-                taken.append(HandshakeDone())
+                self._connection.release_handshake_state()
+                popped.append(HandshakeDone())
             elif isinstance(event, events.StreamDataReceived):
                 self._has_stream = True
-                taken.append(self._strip_preface(event))
+                popped.append(self._strip_preface(event))
             event = self._connection.next_event()
-        end = self._take_end()
+        end = self._pop_end_event()
         if end is not None:
-            taken.append(end)
-        return taken
+            popped.append(end)
+        return popped
 
     def write(self, data: bytes) -> None:
         """Send bytes to the peer."""
         self._send(data, finished=False)
 
     def finish(self) -> None:
-        """Send no more bytes to the peer."""
+        """End the sending direction of the stream."""
         self._send(b"", finished=True)
 
     def consume(self, count: int) -> bool:
-        """Note that `count` bytes left this process; return if credit is granted."""
-        self._consumed += count
-        return not self.is_ending and self._connection.grant(self._consumed)
+        """Record that `count` bytes left this process.
+
+        Returns whether flow-control credit is granted to the peer.
+        """
+        self._consumed_bytes += count
+        return not self.is_ending and self._connection.grant_credit(
+            self._consumed_bytes
+        )
 
     def probe(self) -> None:
-        """Ask the peer for a sign of life."""
+        """Send a PING frame, which the peer has to acknowledge."""
         if not self.is_ending:
             self._pings += 1
             self._connection.send_ping(self._pings)
 
     def close(self, outcome: FlowOutcome, reason: str) -> None:
-        """End the flow and tell the peer how."""
+        """Close the flow and send its outcome and the reason to the peer."""
         self._connection.close(error_code=_CODES[outcome], reason_phrase=reason)
 
     def _send(self, data: bytes, finished: bool) -> None:
         if self.is_ending:
             return
         if not self._connection.has_stream:
-            self._held.append((data, finished))
+            self._pending_writes.append((data, finished))
             return
         self._connection.send_stream_data(STREAM_ID, data, finished)
 
@@ -209,7 +214,7 @@
         self._preface_left -= len(event.data) - len(data)
         return BytesArrived(data, event.end_stream)
 
-    def _resets(self, datagram: bytes) -> bool:
+    def _is_stateless_reset(self, datagram: bytes) -> bool:
         token = self._connection.peer_reset_token
         return bool(token) and datagram[-RESET_TOKEN_BYTES:] == token
 
@@ -218,32 +223,32 @@
             for datagram, peer in self._close_datagrams:
                 sink(datagram, peer)
 
-    def _take_end(self) -> FlowEnded | None:
-        if self._end_taken:
+    def _pop_end_event(self) -> FlowEnded | None:
+        if self._is_end_reported:
             return None
         if self._is_reset:
-            self._end_taken = True
+            self._is_end_reported = True
             return FlowEnded(FlowOutcome.UNKNOWN, "the agent has forgotten the flow")
         event = self._connection.close_event
         if event is None:
             return None
-        self._end_taken = True
-        is_told = event.frame_type is None
-        outcome = _OUTCOMES.get(event.error_code) if is_told else None
+        self._is_end_reported = True
+        is_application_close = event.frame_type is None
+        outcome = _OUTCOMES.get(event.error_code) if is_application_close else None
         return FlowEnded(outcome or FlowOutcome.UNKNOWN, event.reason_phrase)
 
 
 class FlowAcceptor:
-    """Makes the agent's ends of flows.
+    """Creates the agent's ends of flows.
 
     Parameters
     ----------
     certificate, private_key : Path
-        PEM files of the certificate that is shown to callers.
+        PEM files of the certificate that is presented to callers and of its key.
     idle_timeout_ms : Millis
-        How long a flow may be silent.
+        How long a flow may be idle.
     reset_tokens : ResetTokens
-        Where the flows' stateless reset tokens come from.
+        Source of the flows' stateless reset tokens.
     """
 
     def __init__(
@@ -266,25 +271,25 @@
         self._reset_tokens = reset_tokens
 
     def accept(self, opening_id: bytes, tag: bytes) -> FlowConnection:
-        """Return the flow of an opening, whose packets will carry `tag`."""
+        """Return the flow of an opening; its later packets carry `tag`."""
         server_tag = ServerTag(tag, self._reset_tokens.make_token(tag))
         connection = TaggedConnection(self._configuration, opening_id, server_tag)
         return FlowConnection(connection, tag, PREFACE)
 
 
 class FlowOpener:
-    """Makes the callers' ends of flows.
+    """Creates the callers' ends of flows.
 
     Parameters
     ----------
     service : str
-        The service, which the certificate must name.
+        Name of the service, which the certificate must contain.
     entry : Endpoint
         The entry address of the service.
     authority : Path
-        PEM file of the authority that signs the agents' certificates.
+        PEM file of the certificate authority that signs the agents' certificates.
     idle_timeout_ms : Millis
-        How long a flow may be silent.
+        How long a flow may be idle.
     """
 
     def __init__(
@@ -294,7 +299,7 @@
         self._configuration = QuicConfiguration(
             is_client=True,
             alpn_protocols=[ALPN],
-            connection_id_length=CALLER_ID_BYTES,
+            connection_id_length=CALLER_CONNECTION_ID_BYTES,
             idle_timeout=to_seconds(idle_timeout_ms),
             max_data=_UNLIMITED_BYTES,
             max_stream_data=WINDOW_BYTES,
@@ -304,7 +309,7 @@
         self._configuration.load_verify_locations(cafile=str(authority))
 
     def open(self, now: Millis) -> FlowConnection:
-        """Return a new flow, whose opening is ready to be transmitted."""
+        """Return a new flow whose opening is ready to be transmitted."""
         connection = TaggedConnection(self._configuration)
         connection.connect(self._entry.sockaddr, to_seconds(now))
         flow = FlowConnection(connection, connection.host_cid)
