--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -118,7 +118,10 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """Time at which `on_timer` must be called next; None if no timer is pending."""
+        """Time at which `on_timer` must be called next; None if no timer is pending.
+
+        Excludes the removal of expired flows, which any later call makes up for.
+        """
         sent_at = (owned.opening_sent_at for owned in self._pending_openings.values())
         due_at = [at + BACKEND_ACCEPT_TIMEOUT_MS for at in sent_at if at is not None]
         other_due_at = (self._peers.due_at, self._admission.due_at)
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -36,8 +36,9 @@
 from papayagw._internal.models.plain.site import Route, SiteVersion
 
 RESTART_SPREAD_MS = Millis(1_500)
-"""How long before a balancer's first read of the store a backend server may have
-started if both restarted after the same power loss: 0.9 s for the slowest balancer to
+"""Maximum time from a backend server's start to a balancer's first read of the store.
+
+Applies if both restarted after the same power loss: 0.9 s for the slowest balancer to
 start, and one attempt to read the store. In a fleet that started slightly earlier, a
 store entry may be missing without a power loss, so the value must not be larger.
 """
@@ -158,17 +159,17 @@
             return []
         view.record_load(frame.load, now)
         return [
-            *self._compare_versions(view, frame.load, now),
+            *self._handle_version_mismatch(view, frame.load, now),
             *self._handle_frame(frame, view, now),
             *self._offer_waiting(view, now),
         ]
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """Handle offer and lookup timeouts, and expire idle cached flows."""
+        """Handle timeouts and due retries, and remove idle flows from the cache."""
         actions: list[Action] = []
         overdue = self._openings.pop_overdue(now)
         for opening in sorted(overdue, key=self._priority_of):
-            actions += self._on_offer_timeout(opening, now)
+            actions += self._on_offer_due(opening, now)
         actions += self._lookup.on_timer(now)
         if self._site is not None:
             self._flows.sweep(now, self._site.idle_timeout_ms)
@@ -260,7 +261,11 @@
         route = self._find_route(opening.packet)
         return route.priority if route is not None else 0
 
-    def _on_offer_timeout(self, opening: Opening, now: Millis) -> list[Action]:
+    def _on_offer_due(self, opening: Opening, now: Millis) -> list[Action]:
+        """Offer an opening again after an offer timeout or a retry delay.
+
+        An agent that left its offer unanswered becomes suspect.
+        """
         agent = opening.agent
         route = self._find_route(opening.packet)
         if route is None:
@@ -375,9 +380,14 @@
             actions += self._lookup.on_reply(reply, view, now)
         return actions
 
-    def _compare_versions(
+    def _handle_version_mismatch(
         self, view: AgentView, load: AgentLoad, now: Millis
     ) -> Iterable[Action]:
+        """Bring the side with the older configuration version up to date.
+
+        Calls `on_newer_version` if the agent's version is newer. Yields a scope frame
+        for the agent if its version is older, at most every `SCOPE_INTERVAL_MS`.
+        """
         if self._site is None or load.site_version == self._site.version:
             return
         if load.site_version > self._site.version:
--- a/src/papayagw/_internal/core/plain/intake.py
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -16,7 +16,10 @@
 """Upper limit of the pause: two report intervals."""
 
 MAX_TIMEOUT_COUNT = 8
-"""Upper limit of the timeout count: enough to reach `MAX_PAUSE_MS`."""
+"""Upper limit of the count of consecutive accept timeouts.
+
+The pause reaches `MAX_PAUSE_MS` at a count of 3.
+"""
 
 RESERVATION_MS = Millis(15)
 """How long capacity stays reserved for a balancer that was notified of it.
--- a/src/papayagw/_internal/core/plain/questions.py
+++ b/src/papayagw/_internal/core/plain/questions.py
@@ -16,7 +16,7 @@
 """
 
 LOOKUP_RETRY_MS = Millis(150)
-"""How long to wait before looking up a flow again when no owner was found.
+"""How long possible owners are tried, or a failed lookup is kept, before a new lookup.
 
 Slightly below the client's shortest retransmission interval.
 """
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -110,7 +110,7 @@
         return Millis(wait)
 
     def is_gone(self, now: Millis) -> bool:
-        """Return whether the store entry is missing for over `MISSING_GRACE_MS`."""
+        """Whether the store entry has been missing for over `MISSING_GRACE_MS`."""
         missing = self.missing_since
         return missing is not None and now - missing > MISSING_GRACE_MS
 
--- a/src/papayagw/_internal/models/plain/entry_store.py
+++ b/src/papayagw/_internal/models/plain/entry_store.py
@@ -136,7 +136,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseEnded:
-    """Answer that the lease has ended and its keys are removed."""
+    """Answer to `PutKey`, `RenewLease` and `EndLease` if the lease has ended.
+
+    The keys of the lease are removed.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -128,7 +128,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadFrame:
-    """Reports the load of an agent after it has changed."""
+    """Reports an agent's load and availability after a change."""
 
     load: AgentLoad
 
--- a/src/papayagw/_internal/models/plain/packet.py
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -1,4 +1,8 @@
-"""A packet of a flow as the core sees it."""
+"""A packet of a flow as the core sees it.
+
+An opening is the first packet of a client's flow (`PacketKind.OPEN`) and, by extension,
+the attempt to place the flow on an agent.
+"""
 
 from dataclasses import dataclass
 from enum import Enum
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -212,7 +212,7 @@
 class NeverOffersAgain(PlainBalancer):
     """Rely on the client's retransmission for an unanswered opening."""
 
-    def _on_offer_timeout(self, opening, now):
+    def _on_offer_due(self, opening, now):
         self._openings.end(opening.packet.flow)
         return []
 
