--- a/src/papayagw/_internal/net/account.py
+++ b/src/papayagw/_internal/net/account.py
@@ -51,7 +51,7 @@
     def read_gauges(self) -> Mapping[str, float]:
         """Return the gauges of the moment, by the names of their metrics."""
 
-    def take_timings(self) -> Mapping[str, Sequence[float]]:
+    def pop_timings(self) -> Mapping[str, Sequence[float]]:
         """Return durations in ms since the last call, by the names of their metrics."""
 
     def report(self, state: NodeState) -> StatusReport:
--- a/src/papayagw/_internal/net/admission_gate.py
+++ b/src/papayagw/_internal/net/admission_gate.py
@@ -29,44 +29,44 @@
     def __init__(self, admission: Admission, clock: Clock):
         self._admission = admission
         self._clock = clock
-        self._numbers = count(1)
-        self._flows: dict[FlowNumber, AgentFlow] = {}
-        self._number_of: dict[AgentFlow, FlowNumber] = {}
+        self._number_counter = count(1)
+        self._flows_by_number: dict[FlowNumber, AgentFlow] = {}
+        self._numbers_by_flow: dict[AgentFlow, FlowNumber] = {}
         self._wake = anyio.Event()
 
-    def ask(self, flow: AgentFlow) -> None:
+    def submit(self, flow: AgentFlow) -> None:
         """Let a flow through, turn it away, or do either later."""
-        number = FlowNumber(next(self._numbers))
-        self._flows[number] = flow
-        self._number_of[flow] = number
+        number = FlowNumber(next(self._number_counter))
+        self._flows_by_number[number] = flow
+        self._numbers_by_flow[flow] = number
         request = AdmissionRequest(number, flow.client.ip)
         match self._admission.submit(request, self._clock.now()):
             case AdmissionDecision.ADMIT:
                 flow.admit()
             case AdmissionDecision.REFUSE:
-                flow.turn_away()
+                flow.refuse()
             case AdmissionDecision.QUEUE:
                 # A waiting flow may have been pushed out, and the timer may move.
                 self._wake.set()
 
-    def note_start(self, flow: AgentFlow) -> None:
+    def start_work(self, flow: AgentFlow) -> None:
         """Note that a flow asks for work."""
-        number = self._number_of.get(flow)
+        number = self._numbers_by_flow.get(flow)
         if number is not None:
             self._admission.start_work(number, self._clock.now())
 
-    def note_end(self, flow: AgentFlow, end: ReleaseReason) -> None:
+    def finish_work(self, flow: AgentFlow, reason: ReleaseReason) -> None:
         """Note that a flow's work is over, while the flow may stay open."""
-        number = self._number_of.get(flow)
+        number = self._numbers_by_flow.get(flow)
         if number is not None:
-            self._admission.finish_work(number, end, self._clock.now())
+            self._admission.finish_work(number, reason, self._clock.now())
             self._wake.set()
 
     def close(self, flow: AgentFlow) -> None:
         """Note that a flow is gone."""
-        number = self._number_of.pop(flow, None)
+        number = self._numbers_by_flow.pop(flow, None)
         if number is not None:
-            del self._flows[number]
+            del self._flows_by_number[number]
             self._admission.close(number)
             self._wake.set()
 
@@ -79,9 +79,9 @@
     def _poll(self) -> None:
         results = self._admission.poll(self._clock.now())
         for number in results.admitted:
-            self._flows[number].admit()
+            self._flows_by_number[number].admit()
         for number in results.refused:
-            self._flows[number].turn_away()
+            self._flows_by_number[number].refuse()
 
     async def _wait(self) -> None:
         next_at = self._admission.next_at
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -41,16 +41,16 @@
 from papayagw._internal.wire.reset import ResetTokens
 from papayagw._internal.wire.tag import TagCodec
 
-BACKEND_CONNECTS = 1
+MAX_BACKEND_CONNECTS = 1
 """Connections tried for one flow: an opening at a sibling is the better second."""
 
-HALF_OPEN_MS = Millis(3_000)
+HANDSHAKE_TIMEOUT_MS = Millis(3_000)
 """How long a handshake may take; a copy of an opening never completes its own."""
 
-SETTLE_MS = Millis(3_000)
+CLOSE_TIMEOUT_MS = Millis(3_000)
 """How long the caller of an answered flow may be silent without closing it."""
 
-_SWEEP_MS = Millis(500)
+_SWEEP_INTERVAL_MS = Millis(500)
 
 
 class AgentPackets:
@@ -90,12 +90,12 @@
         self._clock = clock
         self._log = log
         self._core = core
-        self._returns = ReturnPath(random.SystemRandom().randrange)
+        self._return_path = ReturnPath(random.SystemRandom().randrange)
         self._table = FlowTable(clock, self._on_removed, log)
         self._gate = AdmissionGate(admission, clock)
-        self._health = ConnectHealth()
-        self._half_open: DeadlineQueue[AgentFlow] = DeadlineQueue()
-        self._unsettled: DeadlineQueue[AgentFlow] = DeadlineQueue()
+        self._backend_health = ConnectHealth()
+        self._handshake_deadlines: DeadlineQueue[AgentFlow] = DeadlineQueue()
+        self._close_deadlines: DeadlineQueue[AgentFlow] = DeadlineQueue()
         self._meter = ServiceMeter(settings.service, Side.AGENT)
         self._counts: dict[str, int] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -125,9 +125,9 @@
         """Use the keys of a configuration for whatever comes from now on."""
         keys = configuration.site.keys
         service = configuration.site.find_service_by_id(self._service_id)
-        self._tags = TagCodec(keys)
-        self._envelopes = EnvelopeCodec(keys)
-        self._resets = ResetTokens(keys)
+        self._tag_codec = TagCodec(keys)
+        self._envelope_codec = EnvelopeCodec(keys)
+        self._reset_tokens = ResetTokens(keys)
         if service is not None:
             self._acceptor = self._make_acceptor(service)
 
@@ -135,7 +135,9 @@
         certificate = Path(self._settings.certificate)
         key = Path(self._settings.private_key)
         try:
-            return FlowAcceptor(certificate, key, service.idle_timeout_ms, self._resets)
+            return FlowAcceptor(
+                certificate, key, service.idle_timeout_ms, self._reset_tokens
+            )
         except (OSError, ValueError, LookupError) as error:
             raise SettingsError(
                 f"can't use the certificate: {error}",
@@ -154,12 +156,12 @@
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
         """Take in an envelope; `flush` must follow."""
-        envelope = self._envelopes.read(frame)
+        envelope = self._envelope_codec.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
             self._count_drop(DropReason.UNAUTHENTICATED, Endpoint(*source))
             return
         balancer = envelope.balancer or Endpoint(*source)
-        self._returns.record_packet(balancer, self._clock.now())
+        self._return_path.record_packet(balancer, self._clock.now())
         datagram = frame[ENVELOPE_BYTES:]
         connection_id = read_connection_id(datagram)
         if connection_id is None:
@@ -167,7 +169,7 @@
             return
         handler = self._table.find(connection_id)
         if handler is None:
-            self._on_stray(envelope, balancer, connection_id, datagram)
+            self._on_unknown_connection(envelope, balancer, connection_id, datagram)
         elif envelope.service_id != self._service_id:
             self._count_drop(DropReason.WRONG_SERVICE, envelope.client)
         else:
@@ -175,7 +177,7 @@
 
     def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
         """Answer no longer through a balancer whose port is closed."""
-        self._returns.remove_unreachable(peer)
+        self._return_path.remove_unreachable(peer)
 
     def flush(self) -> None:
         """Send what the last envelopes have made due."""
@@ -194,16 +196,16 @@
             flow.stop(reason)
         self._table.flush()
 
-    def touch(self, flow: AgentFlow) -> None:
+    def mark_pending(self, flow: AgentFlow) -> None:
         """Note that a flow has something to send."""
-        self._table.touch(flow)
+        self._table.mark_pending(flow)
 
     def spawn(self, task: Callable[..., Any]) -> None:
         """Start a coroutine function as a task."""
         assert self._tasks is not None, "run() comes first"
-        self._tasks.start_soon(self._run_contained, task)
+        self._tasks.start_soon(self._run_isolated, task)
 
-    async def _run_contained(self, task: Callable[..., Any]) -> None:
+    async def _run_isolated(self, task: Callable[..., Any]) -> None:
         try:
             await task()
         except Exception:
@@ -212,44 +214,46 @@
 
     def send(self, datagram: bytes, client: tuple[str, int]) -> None:
         """Send a datagram to a caller, through some balancer."""
-        balancer = self._returns.pick(self._clock.now())
+        balancer = self._return_path.pick(self._clock.now())
         if balancer is None:
             return
-        header = self._envelopes.write_raw(FrameKind.ANSWER, self._service_id, client)
+        header = self._envelope_codec.write_raw(
+            FrameKind.ANSWER, self._service_id, client
+        )
         self._socket.send(header + datagram, balancer.sockaddr)
 
     def on_accepted(self, flow: AgentFlow) -> None:
         """Ask for the admission of a flow whose handshake is complete."""
-        self._half_open.set(flow, None)
-        self._gate.ask(flow)
+        self._handshake_deadlines.set(flow, None)
+        self._gate.submit(flow)
 
-    def on_connect(self, reached: bool) -> None:
+    def on_connect_finished(self, succeeded: bool) -> None:
         """Note whether a connection to the backend server was made."""
-        self._health.record_connect(reached, self._clock.now())
+        self._backend_health.record_connect(succeeded, self._clock.now())
 
-    def on_work(self, flow: AgentFlow) -> None:
+    def on_request_started(self, flow: AgentFlow) -> None:
         """Note the first bytes that are handed to the backend server."""
-        self._gate.note_start(flow)
+        self._gate.start_work(flow)
 
-    def on_answer(self, flow: AgentFlow) -> None:
+    def on_answer_started(self, flow: AgentFlow) -> None:
         """Note the first bytes of the backend server."""
-        self._gate.note_end(flow, ReleaseReason.ANSWERED)
+        self._gate.finish_work(flow, ReleaseReason.ANSWERED)
 
     def on_idle(self, flow: AgentFlow) -> None:
         """Note that a connected flow has asked for nothing yet."""
-        self._gate.note_end(flow, ReleaseReason.IDLE)
+        self._gate.finish_work(flow, ReleaseReason.IDLE)
 
-    def on_stream_done(self, flow: AgentFlow) -> None:
+    def on_directions_ended(self, flow: AgentFlow) -> None:
         """Note that both directions have ended, and only the caller's word lacks."""
-        self._unsettled.set(flow, Millis(self._clock.now() + SETTLE_MS))
+        self._close_deadlines.set(flow, Millis(self._clock.now() + CLOSE_TIMEOUT_MS))
 
     def on_outcome(self, flow: AgentFlow, outcome: FlowOutcome, reason: str) -> None:
         """Note how a flow ended."""
         self._count(outcome.value)
         if flow.backend_failed:
-            self._gate.note_end(flow, ReleaseReason.FAILED)
-        self._half_open.set(flow, None)
-        self._unsettled.set(flow, None)
+            self._gate.finish_work(flow, ReleaseReason.FAILED)
+        self._handshake_deadlines.set(flow, None)
+        self._close_deadlines.set(flow, None)
         self._gate.close(flow)
         if outcome is not FlowOutcome.ANSWERED:
             self._log.rate_limited_warning(
@@ -265,14 +269,14 @@
     def _agent_flows(self) -> list[AgentFlow]:
         return [flow for flow in self._table.handlers if isinstance(flow, AgentFlow)]
 
-    def _on_stray(
+    def _on_unknown_connection(
         self,
         envelope: Envelope,
         balancer: Endpoint,
         connection_id: bytes,
         datagram: bytes,
     ) -> None:
-        route = self._tags.open_route(connection_id)
+        route = self._tag_codec.open_route(connection_id)
         if route is None and is_opening(datagram, connection_id):
             self._on_opening(envelope, balancer, connection_id, datagram)
             return
@@ -280,7 +284,7 @@
         self._count_drop(reason or DropReason.UNKNOWN_FLOW, envelope.client)
         if reason in (None, DropReason.STALE_INCARNATION):
             # The flow is gone for good: its caller has to know.
-            reset = self._resets.make_datagram(connection_id)
+            reset = self._reset_tokens.make_datagram(connection_id)
             self.send(reset, envelope.client.sockaddr)
 
     def _on_opening(
@@ -295,14 +299,14 @@
             connection_id,
             len(self._table),
             envelope.hops,
-            self._health.is_reachable(self._clock.now()),
+            self._backend_health.is_reachable(self._clock.now()),
         )
         match decision:
             case Accept():
                 self._accept(envelope, connection_id, datagram)
             case Forward(sibling):
                 self._count("passed")
-                self._pass_on(envelope, balancer, datagram, sibling)
+                self._forward_to_sibling(envelope, balancer, datagram, sibling)
             case _:
                 self._meter.record_refused()
                 self._count_drop(decision.reason, envelope.client)
@@ -313,7 +317,7 @@
         tag = self._make_tag()
         flow = AgentFlow(
             self._acceptor.accept(connection_id, tag),
-            FlowLifecycle(BACKEND_CONNECTS),
+            FlowLifecycle(MAX_BACKEND_CONNECTS),
             envelope.client,
             self._settings.backend,
             self,
@@ -321,37 +325,41 @@
             self._clock,
         )
         self._count("opened")
-        self._half_open.set(flow, Millis(self._clock.now() + HALF_OPEN_MS))
+        self._handshake_deadlines.set(
+            flow, Millis(self._clock.now() + HANDSHAKE_TIMEOUT_MS)
+        )
         self._table.add(flow, connection_id, tag)
         self._table.receive(flow, datagram, envelope.client.sockaddr)
 
     async def _sweep(self) -> None:
         while True:
-            await anyio.sleep(to_seconds(_SWEEP_MS))
+            await anyio.sleep(to_seconds(_SWEEP_INTERVAL_MS))
             now = self._clock.now()
-            for flow in self._half_open.pop_due(now):
-                flow.give_up()
-            for flow in self._unsettled.pop_due(now):
-                flow.settle(SETTLE_MS)
+            for flow in self._handshake_deadlines.pop_due(now):
+                flow.time_out_handshake()
+            for flow in self._close_deadlines.pop_due(now):
+                flow.try_close(CLOSE_TIMEOUT_MS)
             self._table.flush()
 
     def _make_tag(self) -> bytes:
         while True:
-            tag = self._tags.seal(self._tags.make(self._core.route))
+            tag = self._tag_codec.seal(self._tag_codec.make(self._core.route))
             if self._table.find(tag) is None:
                 return tag
 
-    def _pass_on(
+    def _forward_to_sibling(
         self, envelope: Envelope, balancer: Endpoint, datagram: bytes, sibling: Endpoint
     ) -> None:
-        passed = Envelope(
+        forwarded = Envelope(
             FrameKind.FORWARD,
             envelope.service_id,
             envelope.client,
             balancer,
             envelope.hops + 1,
         )
-        self._socket.send(self._envelopes.write(passed) + datagram, sibling.sockaddr)
+        self._socket.send(
+            self._envelope_codec.write(forwarded) + datagram, sibling.sockaddr
+        )
 
     def _on_removed(self, handler: FlowHandler) -> None:
         self._count("removed")
--- a/src/papayagw/_internal/net/agent_account.py
+++ b/src/papayagw/_internal/net/agent_account.py
@@ -75,7 +75,7 @@
             "agent.configuration-version": self.configuration_version,
         }
 
-    def take_timings(self) -> Mapping[str, Sequence[float]]:
+    def pop_timings(self) -> Mapping[str, Sequence[float]]:
         """Return durations in ms since the last call, by the names of their metrics."""
         return {"agent.opening": self._process.packets.meter.pop_latencies()}
 
@@ -101,8 +101,8 @@
 
     def _describe_peers(self) -> tuple[PeerStatus, ...]:
         watchers = (
-            PeerStatus(str(one), "watching balancer", "up")
-            for one in self._announcer.watchers
+            PeerStatus(str(balancer), "watching balancer", "up")
+            for balancer in self._announcer.watchers
         )
         backend = str(self._settings.backend)
         return (PeerStatus(backend, "backend server", "configured"), *watchers)
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -45,12 +45,12 @@
 from papayagw._internal.net.tcp import TcpStream
 from papayagw._internal.wire.quic import FlowConnection
 
-ACCEPTED = b"\x01"
+ACCEPTED_PREFIX = b"\x01"
 """The first byte of each answer: a refusal can't be made good any more."""
 
 CONNECT_TIMEOUT_MS = Millis(1_000)
 
-_ENDINGS: dict[FlowOutcome, FlowEvent] = {
+_EVENTS_BY_OUTCOME: dict[FlowOutcome, FlowEvent] = {
     FlowOutcome.ANSWERED: AnswerAcknowledged(),
     FlowOutcome.REFUSED: CallerCancelled(),
     FlowOutcome.CANCELLED: CallerCancelled(),
@@ -61,7 +61,7 @@
 class FlowOwner(Protocol):
     """The agent, as its flows need it."""
 
-    def touch(self, flow: "AgentFlow") -> None:
+    def mark_pending(self, flow: "AgentFlow") -> None:
         """Note that a flow has something to send."""
 
     def spawn(self, task: Callable[..., Any]) -> None:
@@ -73,19 +73,19 @@
     def on_accepted(self, flow: "AgentFlow") -> None:
         """Ask for the admission of a flow whose handshake is complete."""
 
-    def on_connect(self, reached: bool) -> None:
+    def on_connect_finished(self, succeeded: bool) -> None:
         """Note whether a connection to the backend server was made."""
 
-    def on_work(self, flow: "AgentFlow") -> None:
+    def on_request_started(self, flow: "AgentFlow") -> None:
         """Note the first bytes that are handed to the backend server."""
 
-    def on_answer(self, flow: "AgentFlow") -> None:
+    def on_answer_started(self, flow: "AgentFlow") -> None:
         """Note the first bytes of the backend server."""
 
     def on_idle(self, flow: "AgentFlow") -> None:
         """Note that a connected flow has asked for nothing yet."""
 
-    def on_stream_done(self, flow: "AgentFlow") -> None:
+    def on_directions_ended(self, flow: "AgentFlow") -> None:
         """Note that both directions have ended, and only the caller's word lacks."""
 
     def on_outcome(self, flow: "AgentFlow", outcome: FlowOutcome, reason: str) -> None:
@@ -133,12 +133,12 @@
         self._bridge = FlowBridge(self)
         self._scope = anyio.CancelScope()
         self._attempt = 0
-        self._is_accepted = False
+        self._acceptance_sent = False
         self._open_directions = 2
-        self._has_work = False
-        self._has_answer = False
+        self._request_started = False
+        self._answer_started = False
         self._backend_failed = False
-        self._backend_gone = False
+        self._backend_connection_lost = False
 
     @property
     def connection(self) -> FlowConnection:
@@ -152,7 +152,7 @@
 
     @property
     def backend_failed(self) -> bool:
-        """Whether the backend server couldn't be reached or broke off."""
+        """Whether the backend server couldn't be reached or broke the connection."""
         return self._backend_failed
 
     @property
@@ -164,7 +164,7 @@
         """Go on to the backend server."""
         self._apply(Admitted())
 
-    def turn_away(self) -> None:
+    def refuse(self) -> None:
         """End the flow before anything was delivered."""
         self._apply(AdmissionRefused(), "the agent has too much work")
 
@@ -172,24 +172,26 @@
         """End the flow if it isn't established yet."""
         self._apply(DrainStarted(), "the agent is leaving")
 
-    def give_up(self) -> None:
+    def time_out_handshake(self) -> None:
         """End the flow, whose handshake wasn't completed in time."""
         self._apply(IdleTimedOut(), "the handshake took too long")
 
-    def settle(self, silence_ms: Millis) -> None:
+    def try_close(self, silence_timeout_ms: Millis) -> None:
         """End the flow if its caller has the whole answer, or has gone silent.
 
         Parameters
         ----------
-        silence_ms : Millis
+        silence_timeout_ms : Millis
             The silence after which the caller is taken for gone.
         """
         if self._connection.is_stream_done:
             self._apply(AnswerAcknowledged(), "the caller's close was lost")
-        elif self._clock.now() - self._connection.last_received_at >= silence_ms:
+        elif (
+            self._clock.now() - self._connection.last_received_at >= silence_timeout_ms
+        ):
             self._apply(IdleTimedOut(), "the caller fell silent at the end")
         else:
-            self._owner.on_stream_done(self)
+            self._owner.on_directions_ended(self)
 
     def stop(self, reason: str) -> None:
         """End the flow now."""
@@ -199,9 +201,9 @@
         """Send bytes of the backend server to the caller."""
         if self._lifecycle.handle(BackendSent(self._attempt, len(data))):
             self._meter.record_answer(self._clock.now())
-            self._begin_answer()
+            self._start_answer()
             self._connection.write(data)
-            self._owner.touch(self)
+            self._owner.mark_pending(self)
 
     def finish(self) -> None:
         """Take the end of the backend server's bytes."""
@@ -212,7 +214,7 @@
         self._lifecycle.handle(BackendWrote(self._attempt, count))
         self._meter.record_request(self._clock.now())
         if self._connection.consume(count):
-            self._owner.touch(self)
+            self._owner.mark_pending(self)
 
     def on_events(self, events: list[StreamEvent]) -> None:
         """Act on what has happened at the caller's side."""
@@ -239,7 +241,7 @@
             self._owner.on_accepted(self)
 
     def _on_bytes(self, data: bytes, finished: bool) -> None:
-        if self._backend_gone:
+        if self._backend_connection_lost:
             # Nobody reads them, and the caller has to get on to its end.
             self._connection.consume(len(data))
         else:
@@ -251,61 +253,61 @@
             self._end_direction()
 
     def _on_flow_ended(self, outcome: FlowOutcome, reason: str) -> None:
-        self._apply(_ENDINGS[outcome], reason)
+        self._apply(_EVENTS_BY_OUTCOME[outcome], reason)
         # An answer that is acknowledged before its end is one that was given up.
         self._apply(CallerCancelled(), reason)
 
     def _apply(self, event: FlowEvent, reason: str = "") -> None:
         for action in self._lifecycle.handle(event):
-            self._act(action, reason)
+            self._perform(action, reason)
 
-    def _act(self, action: FlowAction, reason: str) -> None:
+    def _perform(self, action: FlowAction, reason: str) -> None:
         match action:
             case ConnectBackend(attempt):
                 self._attempt = attempt
-                self._owner.spawn(self._run)
+                self._owner.spawn(self._run_backend)
             case DeliverToBackend():
-                self._begin_work()
+                self._start_request()
             case FinishAnswer():
                 self._connection.finish()
-                self._owner.touch(self)
+                self._owner.mark_pending(self)
                 self._end_direction()
             case CloseFlow(outcome):
-                self._end(outcome, reason)
+                self._close(outcome, reason)
 
     def _end_direction(self) -> None:
         self._open_directions -= 1
         if not self._open_directions and self._lifecycle.outcome is None:
-            self._owner.on_stream_done(self)
+            self._owner.on_directions_ended(self)
 
-    def _begin_work(self) -> None:
+    def _start_request(self) -> None:
         # The bridge holds the bytes and hands them over.
-        if not self._has_work:
-            self._has_work = True
-            self._owner.on_work(self)
-        self._accept()
-
-    def _begin_answer(self) -> None:
-        if not self._has_answer:
-            self._accept()
-            self._has_answer = True
-            self._owner.on_answer(self)
-
-    def _accept(self) -> None:
-        if not self._is_accepted:
-            self._is_accepted = True
-            self._connection.write(ACCEPTED)
-            self._owner.touch(self)
-
-    def _end(self, outcome: FlowOutcome, reason: str) -> None:
+        if not self._request_started:
+            self._request_started = True
+            self._owner.on_request_started(self)
+        self._send_acceptance()
+
+    def _start_answer(self) -> None:
+        if not self._answer_started:
+            self._send_acceptance()
+            self._answer_started = True
+            self._owner.on_answer_started(self)
+
+    def _send_acceptance(self) -> None:
+        if not self._acceptance_sent:
+            self._acceptance_sent = True
+            self._connection.write(ACCEPTED_PREFIX)
+            self._owner.mark_pending(self)
+
+    def _close(self, outcome: FlowOutcome, reason: str) -> None:
         self._scope.cancel()
         if not self._connection.is_ending:
             self._connection.close(outcome, reason)
-        self._owner.touch(self)
+        self._owner.mark_pending(self)
         self._meter.record_ended(outcome, self._clock.now())
         self._owner.on_outcome(self, outcome, reason)
 
-    async def _run(self) -> None:
+    async def _run_backend(self) -> None:
         if self._lifecycle.outcome is not None:
             return
         attempt = self._attempt
@@ -314,27 +316,27 @@
                 stream = await TcpStream.connect(self._backend, CONNECT_TIMEOUT_MS)
             except StreamBrokenError as error:
                 self._backend_failed = True
-                self._owner.on_connect(False)
+                self._owner.on_connect_finished(False)
                 self._apply(BackendConnectFailed(attempt), str(error))
                 return
-            self._owner.on_connect(True)
+            self._owner.on_connect_finished(True)
             self._meter.record_opened(self._clock.now())
             self._apply(BackendConnected(attempt))
-            if not self._has_work:
+            if not self._request_started:
                 self._owner.on_idle(self)
-            await self._carry(stream, attempt)
+            await self._transfer(stream, attempt)
 
-    async def _carry(self, stream: TcpStream, attempt: int) -> None:
-        is_whole = False
+    async def _transfer(self, stream: TcpStream, attempt: int) -> None:
+        is_complete = False
         try:
             await self._bridge.run(stream)
-            is_whole = True
+            is_complete = True
         except* StreamBrokenError as errors:
             self._backend_failed = True
-            self._backend_gone = True
+            self._backend_connection_lost = True
             self._apply(BackendConnectionLost(attempt), str(errors.exceptions[0]))
         finally:
-            if is_whole or self._lifecycle.outcome is FlowOutcome.ANSWERED:
+            if is_complete or self._lifecycle.outcome is FlowOutcome.ANSWERED:
                 stream.close()
             else:
                 stream.abort()
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -16,10 +16,10 @@
 from papayagw._internal.net.udp import DatagramSocket
 from papayagw._internal.observe.logs import Log
 
-LEAVE_MS = Millis(500)
+LEAVE_NOTICE_MS = Millis(500)
 """How long a closed agent repeats that it is gone, and ends stray flows."""
 
-_DRAIN_CHECK_MS = Millis(50)
+_DRAIN_POLL_INTERVAL_MS = Millis(50)
 
 
 class AgentProcess:
@@ -101,7 +101,7 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._packets.run)
-            tasks.start_soon(self._control.run, self._pass_on_versions)
+            tasks.start_soon(self._control.run, self._report_advertised_version)
             tasks.start_soon(follow, self._source, self._apply, lambda: False)
             tasks.start_soon(
                 serve_inner, self._inner, self._control, self._packets, self._clock
@@ -111,10 +111,10 @@
         """Take no more openings, and return when the last flow has ended."""
         self._refuse_openings()
         while self._packets.flows:
-            await anyio.sleep(to_seconds(_DRAIN_CHECK_MS))
+            await anyio.sleep(to_seconds(_DRAIN_POLL_INTERVAL_MS))
         self._control.send(self._announcer.close(self._clock.now()))
         # The ticks of this time repeat the word, since a datagram may be lost.
-        await anyio.sleep(to_seconds(LEAVE_MS))
+        await anyio.sleep(to_seconds(LEAVE_NOTICE_MS))
 
     def _refuse_openings(self) -> None:
         self._packets.drain()
@@ -136,7 +136,7 @@
         else:
             core.set_max_flows(service.max_flows)
 
-    def _pass_on_versions(self) -> None:
-        heard = self._announcer.advertised_configuration
-        if heard is not None:
-            self._source.hear_version(*heard)
+    def _report_advertised_version(self) -> None:
+        advertised = self._announcer.advertised_configuration
+        if advertised is not None:
+            self._source.hear_version(*advertised)
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -15,7 +15,7 @@
 )
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import ServiceId
-from papayagw._internal.net.datagrams import Received
+from papayagw._internal.net.datagrams import AddressedDatagram
 from papayagw._internal.net.udp import DatagramSocket
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.envelope import ENVELOPE_BYTES, EnvelopeCodec, FrameKind
@@ -93,13 +93,15 @@
         self._envelopes = EnvelopeCodec(keys)
         self._resets = ResetTokens(keys)
 
-    def on_batch(self, service_id: ServiceId, batch: Sequence[Received]) -> None:
+    def on_batch(
+        self, service_id: ServiceId, batch: Sequence[AddressedDatagram]
+    ) -> None:
         """Hand callers' packets to agents, or drop them.
 
         They leave together, after the last decision.
         """
         write_raw = self._envelopes.write_raw
-        frames: list[Received] = []
+        frames: list[AddressedDatagram] = []
         for datagram, client in batch:
             decision = self._decide(service_id, datagram)
             if isinstance(decision, Forward):
--- a/src/papayagw/_internal/net/balancer_account.py
+++ b/src/papayagw/_internal/net/balancer_account.py
@@ -84,7 +84,7 @@
             "balancer.configuration-version": self.configuration_version,
         }
 
-    def take_timings(self) -> Mapping[str, Sequence[float]]:
+    def pop_timings(self) -> Mapping[str, Sequence[float]]:
         """Return nothing: a balancer sees no end of what it hands on."""
         return {}
 
--- a/src/papayagw/_internal/net/bridge.py
+++ b/src/papayagw/_internal/net/bridge.py
@@ -11,7 +11,7 @@
 """Above this many unacknowledged bytes, no more are read from TCP."""
 
 
-class FlowSide(Protocol):
+class BridgedFlow(Protocol):
     """The flow, as a bridge needs it."""
 
     @property
@@ -33,28 +33,31 @@
 
     Parameters
     ----------
-    flow : FlowSide
+    flow : BridgedFlow
         The flow.
     """
 
-    def __init__(self, flow: FlowSide):
+    def __init__(self, flow: BridgedFlow):
         self._flow = flow
-        self._arrived: deque[bytes] = deque()
+        self._received: deque[bytes] = deque()
         self._finished = False
-        self._arrival = anyio.Event()
-        self._room = anyio.Event()
+        self._received_event = anyio.Event()
+        self._writable_event = anyio.Event()
 
     def on_bytes(self, data: bytes, finished: bool) -> None:
         """Take in bytes of the peer."""
         if data:
-            self._arrived.append(data)
+            self._received.append(data)
         self._finished = self._finished or finished
-        self._arrival.set()
+        self._received_event.set()
 
     def on_writable(self) -> None:
         """Note that the peer may have acknowledged bytes."""
-        if not self._room.is_set() and self._flow.buffered_bytes < HIGH_WATER_BYTES:
-            self._room.set()
+        if (
+            not self._writable_event.is_set()
+            and self._flow.buffered_bytes < HIGH_WATER_BYTES
+        ):
+            self._writable_event.set()
 
     async def run(self, stream: ByteStream) -> None:
         """Carry bytes until both directions have ended in order.
@@ -65,26 +68,26 @@
             If the TCP connection is reset.
         """
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._deliver, stream)
-            tasks.start_soon(self._collect, stream)
+            tasks.start_soon(self._send_to_stream, stream)
+            tasks.start_soon(self._receive_from_stream, stream)
 
-    async def _deliver(self, stream: ByteStream) -> None:
+    async def _send_to_stream(self, stream: ByteStream) -> None:
         while True:
-            while self._arrived:
-                data = self._arrived.popleft()
+            while self._received:
+                data = self._received.popleft()
                 await stream.send(data)
                 self._flow.consume(len(data))
             if self._finished:
                 stream.send_eof()
                 return
-            self._arrival = anyio.Event()
-            await self._arrival.wait()
+            self._received_event = anyio.Event()
+            await self._received_event.wait()
 
-    async def _collect(self, stream: ByteStream) -> None:
+    async def _receive_from_stream(self, stream: ByteStream) -> None:
         while True:
             if self._flow.buffered_bytes >= HIGH_WATER_BYTES:
-                self._room = anyio.Event()
-                await self._room.wait()
+                self._writable_event = anyio.Event()
+                await self._writable_event.wait()
             data = await stream.receive()
             if not data:
                 self._flow.finish()
--- a/src/papayagw/_internal/net/byte_stream.py
+++ b/src/papayagw/_internal/net/byte_stream.py
@@ -7,7 +7,7 @@
 
 from papayagw._internal.exceptions import PapayagwError, Step
 
-_CHUNKS = 16
+_MAX_QUEUED_CHUNKS = 16
 """How many pieces one end may send before the other has to receive."""
 
 
@@ -58,8 +58,12 @@
     @classmethod
     def make_pair(cls) -> tuple["MemoryStream", "MemoryStream"]:
         """Return the two ends of a new stream."""
-        to_second, from_first = anyio.create_memory_object_stream[bytes](_CHUNKS)
-        to_first, from_second = anyio.create_memory_object_stream[bytes](_CHUNKS)
+        to_second, from_first = anyio.create_memory_object_stream[bytes](
+            _MAX_QUEUED_CHUNKS
+        )
+        to_first, from_second = anyio.create_memory_object_stream[bytes](
+            _MAX_QUEUED_CHUNKS
+        )
         first, second = cls(to_second, from_second), cls(to_first, from_first)
         first._peer, second._peer = second, first
         return first, second
@@ -70,7 +74,7 @@
             return await self._incoming.receive()
         except (anyio.EndOfStream, anyio.ClosedResourceError):
             if self._is_reset:
-                raise self._broken() from None
+                raise self._make_reset_error() from None
             return b""
 
     async def send(self, data: bytes) -> None:
@@ -80,7 +84,7 @@
         try:
             await self._outgoing.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            raise self._broken() from None
+            raise self._make_reset_error() from None
 
     def send_eof(self) -> None:
         """Tell the peer that no more bytes come."""
@@ -97,5 +101,5 @@
             self._peer._is_reset = True
         self.close()
 
-    def _broken(self) -> StreamBrokenError:
+    def _make_reset_error(self) -> StreamBrokenError:
         return StreamBrokenError("the stream was reset", step=Step.DELIVER)
--- a/src/papayagw/_internal/net/caller.py
+++ b/src/papayagw/_internal/net/caller.py
@@ -27,8 +27,8 @@
 from papayagw._internal.net.byte_stream import MemoryStream, StreamBrokenError
 from papayagw._internal.net.caller_flow import CallerFlow
 from papayagw._internal.net.clock import MonotonicClock
-from papayagw._internal.net.flow_port import FlowPort
-from papayagw._internal.net.retries import make_retries
+from papayagw._internal.net.flow_transport import FlowTransport
+from papayagw._internal.net.retries import make_retry_factory
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.quic import FlowOpener
 
@@ -94,7 +94,7 @@
         """End the flow; what it asked for is cancelled if it hasn't been answered."""
         self._stream.abort()
 
-    def note_end(self, outcome: FlowOutcome, reason: str) -> None:
+    def record_outcome(self, outcome: FlowOutcome, reason: str) -> None:
         """Note how the flow ended."""
         self._outcome = outcome
         self._reason = reason
@@ -149,8 +149,10 @@
         opener = FlowOpener(
             service, Endpoint.parse(entry), Path(authority), idle_timeout_ms
         )
-        self._port = FlowPort(opener, self._clock, Log(self._clock), probe_interval_ms)
-        self._make_retry = make_retries(idempotent=idempotent)
+        self._transport = FlowTransport(
+            opener, self._clock, Log(self._clock), probe_interval_ms
+        )
+        self._make_retry = make_retry_factory(idempotent=idempotent)
         self._meter = ServiceMeter(service, Side.CALLER)
         self._flows: anyio.abc.TaskGroup | None = None
 
@@ -166,24 +168,29 @@
     def open(self) -> Flow:
         """Return a new flow, whose opening is on its way."""
         assert self._flows is not None, "start() comes first"
-        own, other = MemoryStream.make_pair()
-        flow = Flow(own, self._service)
-        self._flows.start_soon(self._carry, other, flow)
+        program_stream, flow_stream = MemoryStream.make_pair()
+        flow = Flow(program_stream, self._service)
+        self._flows.start_soon(self._run_flow, flow_stream, flow)
         return flow
 
     async def _run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
-        self._port.start()
+        self._transport.start()
         try:
             async with anyio.create_task_group() as flows:
                 self._flows = flows
                 task_status.started()
-                await self._port.run()
+                await self._transport.run()
         finally:
-            self._port.close()
+            self._transport.close()
 
-    async def _carry(self, stream: MemoryStream, flow: Flow) -> None:
+    async def _run_flow(self, stream: MemoryStream, flow: Flow) -> None:
         meter = self._meter.start_flow(self._clock.now())
-        carried = CallerFlow(
-            stream, self._port, self._make_retry(), self._clock, meter, flow.note_end
+        caller_flow = CallerFlow(
+            stream,
+            self._transport,
+            self._make_retry(),
+            self._clock,
+            meter,
+            flow.record_outcome,
         )
-        await carried.run()
+        await caller_flow.run()
--- a/src/papayagw/_internal/net/caller_flow.py
+++ b/src/papayagw/_internal/net/caller_flow.py
@@ -16,7 +16,7 @@
     HandshakeDone,
     StreamEvent,
 )
-from papayagw._internal.net.agent_flow import ACCEPTED
+from papayagw._internal.net.agent_flow import ACCEPTED_PREFIX
 from papayagw._internal.net.bridge import FlowBridge
 from papayagw._internal.net.byte_stream import ByteStream, StreamBrokenError
 from papayagw._internal.wire.quic import FlowConnection
@@ -25,7 +25,7 @@
 """How long an opening may go unanswered before another one is tried."""
 
 
-class OpeningPort(Protocol):
+class OpeningTransport(Protocol):
     """Where a caller's flow opens its connections."""
 
     def open(self) -> FlowConnection:
@@ -37,7 +37,7 @@
     def on_handshake(self, attempt: "OpeningAttempt") -> None:
         """Note that an attempt's handshake is complete."""
 
-    def touch(self, attempt: "OpeningAttempt") -> None:
+    def mark_pending(self, attempt: "OpeningAttempt") -> None:
         """Note that an attempt has something to send."""
 
     def send(self, datagram: bytes, peer: tuple[str, int]) -> None:
@@ -47,11 +47,11 @@
 class OpeningAttempt:
     """One opening of a flow; its events count only while it is the last one."""
 
-    def __init__(self, flow: "CallerFlow", port: OpeningPort):
+    def __init__(self, flow: "CallerFlow", transport: OpeningTransport):
         self._flow = flow
-        self._port = port
-        self._connection = port.open()
-        port.add(self)
+        self._transport = transport
+        self._connection = transport.open()
+        transport.add(self)
 
     @property
     def connection(self) -> FlowConnection:
@@ -69,7 +69,7 @@
 
     def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram of the opening."""
-        self._port.send(datagram, peer)
+        self._transport.send(datagram, peer)
 
 
 class CallerFlow:
@@ -83,7 +83,7 @@
     ----------
     stream : ByteStream
         The caller's TCP connection, or another stream of its bytes.
-    port : OpeningPort
+    transport : OpeningTransport
         Where openings are made.
     retry : OpeningRetry
         Whether and when an opening is made again.
@@ -98,7 +98,7 @@
     def __init__(
         self,
         stream: ByteStream,
-        port: OpeningPort,
+        transport: OpeningTransport,
         retry: OpeningRetry,
         clock: Clock,
         meter: FlowMeter,
@@ -106,49 +106,49 @@
     ):
         self._stream = stream
         self._on_end = on_end
-        self._port = port
+        self._transport = transport
         self._retry = retry
         self._clock = clock
         self._meter = meter
-        self._kept: list[bytes] | None = []
-        self._kept_bytes = 0
-        self._finished = False
-        self._has_handshake = False
-        self._has_answer = False
+        self._replay_data: list[bytes] | None = []
+        self._replay_bytes = 0
+        self._request_finished = False
+        self._handshake_completed = False
+        self._answer_complete = False
         self._bridge = FlowBridge(self)
         self._scope = anyio.CancelScope()
         self._outcome: FlowOutcome | None = None
         self._reason = ""
         self._attempt_ended: AttemptEnded | None = None
         self._progress = anyio.Event()
-        self._attempt = OpeningAttempt(self, port)
+        self._attempt = OpeningAttempt(self, transport)
 
     @property
     def buffered_bytes(self) -> int:
         """Bytes written that the agent hasn't acknowledged, or that are kept."""
-        if self._kept is not None:
-            return self._kept_bytes
+        if self._replay_data is not None:
+            return self._replay_bytes
         return self._attempt.connection.buffered_bytes
 
     def write(self, data: bytes) -> None:
         """Send bytes to the agent."""
-        if self._kept is not None:
-            self._kept.append(data)
-            self._kept_bytes += len(data)
+        if self._replay_data is not None:
+            self._replay_data.append(data)
+            self._replay_bytes += len(data)
         self._attempt.connection.write(data)
-        self._port.touch(self._attempt)
+        self._transport.mark_pending(self._attempt)
 
     def finish(self) -> None:
         """Send no more bytes."""
-        self._finished = True
+        self._request_finished = True
         self._attempt.connection.finish()
-        self._port.touch(self._attempt)
+        self._transport.mark_pending(self._attempt)
 
     def consume(self, count: int) -> None:
         """Note that bytes have been handed to the TCP connection."""
         self._meter.record_answer(self._clock.now())
         if self._attempt.connection.consume(count):
-            self._port.touch(self._attempt)
+            self._transport.mark_pending(self._attempt)
 
     def on_event(self, attempt: OpeningAttempt, event: StreamEvent) -> None:
         """Act on an event of an attempt."""
@@ -156,11 +156,11 @@
             return
         match event:
             case HandshakeDone():
-                self._has_handshake = True
-                self._port.on_handshake(attempt)
+                self._handshake_completed = True
+                self._transport.on_handshake(attempt)
             case BytesArrived(data, finished):
                 self._on_bytes(data, finished)
-            case FlowEnded(FlowOutcome.ANSWERED) if self._has_answer:
+            case FlowEnded(FlowOutcome.ANSWERED) if self._answer_complete:
                 # The agent needs no word any more; the bridge finishes by itself.
                 pass
             case FlowEnded(outcome, reason):
@@ -176,8 +176,8 @@
         try:
             with self._scope:
                 async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self._supervise)
-                    await self._carry()
+                    tasks.start_soon(self._retry_openings)
+                    await self._transfer()
                     tasks.cancel_scope.cancel()
         finally:
             # Also when this process stops: a cut flow must not look whole.
@@ -189,7 +189,7 @@
             else:
                 self._stream.abort()
 
-    async def _carry(self) -> None:
+    async def _transfer(self) -> None:
         try:
             await self._bridge.run(self._stream)
             self._close(FlowOutcome.ANSWERED, "")
@@ -201,16 +201,16 @@
             self._outcome = outcome
             self._reason = reason
             self._attempt.connection.close(outcome, reason)
-            self._port.touch(self._attempt)
+            self._transport.mark_pending(self._attempt)
 
     def _on_bytes(self, data: bytes, finished: bool) -> None:
-        if self._kept is not None and data:
-            self._kept = None
+        if self._replay_data is not None and data:
+            self._replay_data = None
             self._meter.record_opened(self._clock.now())
             self._progress.set()
-            self._attempt.connection.consume(len(ACCEPTED))
-            data = data[len(ACCEPTED) :]
-        self._has_answer = self._has_answer or finished
+            self._attempt.connection.consume(len(ACCEPTED_PREFIX))
+            data = data[len(ACCEPTED_PREFIX) :]
+        self._answer_complete = self._answer_complete or finished
         self._bridge.on_bytes(data, finished)
 
     def _end_attempt(self, outcome: FlowOutcome | None, reason: str) -> None:
@@ -218,16 +218,16 @@
         self._attempt_ended = AttemptEnded(
             self._retry.attempt,
             outcome,
-            handshake_completed=self._has_handshake,
-            answer_started=self._kept is None,
-            replayable=self._kept is not None,
+            handshake_completed=self._handshake_completed,
+            answer_started=self._replay_data is None,
+            replayable=self._replay_data is not None,
         )
         self._progress.set()
 
-    async def _supervise(self) -> None:
+    async def _retry_openings(self) -> None:
         """Open again after each attempt that ends, as long as that is safe."""
         while True:
-            ended = await self._wait_for_end()
+            ended = await self._wait_for_attempt_end()
             action = self._retry.handle_attempt_ended(ended, self._clock.now())
             if not isinstance(action, Reopen):
                 self._outcome = action.outcome if action else FlowOutcome.UNKNOWN
@@ -235,27 +235,27 @@
                 return
             delay = Millis(max(0, action.at - self._clock.now()))
             await anyio.sleep(to_seconds(delay))
-            self._open_again()
+            self._reopen()
 
-    async def _wait_for_end(self) -> AttemptEnded:
+    async def _wait_for_attempt_end(self) -> AttemptEnded:
         with anyio.move_on_after(to_seconds(OPENING_TIMEOUT_MS)):
             await self._progress.wait()
-        if not (self._has_handshake or self._attempt_ended):
+        if not (self._handshake_completed or self._attempt_ended):
             self._attempt.connection.close(FlowOutcome.CANCELLED, "opening timed out")
-            self._port.touch(self._attempt)
+            self._transport.mark_pending(self._attempt)
             self._end_attempt(None, "no agent answered the opening")
         while self._attempt_ended is None:
             self._progress = anyio.Event()
             await self._progress.wait()
         return self._attempt_ended
 
-    def _open_again(self) -> None:
-        self._has_handshake = False
+    def _reopen(self) -> None:
+        self._handshake_completed = False
         self._attempt_ended = None
         self._progress = anyio.Event()
-        self._attempt = OpeningAttempt(self, self._port)
-        for data in self._kept or ():
+        self._attempt = OpeningAttempt(self, self._transport)
+        for data in self._replay_data or ():
             self._attempt.connection.write(data)
-        if self._finished:
+        if self._request_finished:
             self._attempt.connection.finish()
-        self._port.touch(self._attempt)
+        self._transport.mark_pending(self._attempt)
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -12,7 +12,7 @@
 from papayagw._internal.models.report import Side
 from papayagw._internal.models.settings import Listener
 from papayagw._internal.net.caller_flow import CallerFlow
-from papayagw._internal.net.flow_port import FlowPort
+from papayagw._internal.net.flow_transport import FlowTransport
 from papayagw._internal.net.tcp import TcpListener, TcpStream
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.quic import FlowOpener
@@ -46,7 +46,7 @@
         self._service = listener.service
         self._listener = TcpListener(listener.listen)
         self._entry = listener.entry
-        self._port = FlowPort(opener, clock, log, listener.probe_interval_ms)
+        self._transport = FlowTransport(opener, clock, log, listener.probe_interval_ms)
         self._make_retry = make_retry
         self._clock = clock
         self._log = log
@@ -71,13 +71,13 @@
 
     def start(self) -> None:
         """Take the addresses."""
-        self._port.start()
+        self._transport.start()
         self._listener.start()
 
     def close(self) -> None:
         """Give the addresses back."""
         self._listener.close()
-        self._port.close()
+        self._transport.close()
 
     def stop_listening(self) -> None:
         """Take no new TCP connections."""
@@ -86,20 +86,22 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._port.run)
-            await self._listener.serve(self._carry, tasks)
+            tasks.start_soon(self._transport.run)
+            await self._listener.serve(self._serve_connection, tasks)
 
-    async def _carry(self, stream: TcpStream) -> None:
+    async def _serve_connection(self, stream: TcpStream) -> None:
         retry = self._make_retry()
         meter = self._meter.start_flow(self._clock.now())
-        flow = CallerFlow(stream, self._port, retry, self._clock, meter, self._note_end)
+        flow = CallerFlow(
+            stream, self._transport, retry, self._clock, meter, self._record_outcome
+        )
         self._open_streams += 1
         try:
             await flow.run()
         finally:
             self._open_streams -= 1
 
-    def _note_end(self, outcome: FlowOutcome, reason: str) -> None:
+    def _record_outcome(self, outcome: FlowOutcome, reason: str) -> None:
         self._outcomes[outcome] += 1
         if outcome is FlowOutcome.ANSWERED:
             return
--- a/src/papayagw/_internal/net/connect_account.py
+++ b/src/papayagw/_internal/net/connect_account.py
@@ -49,7 +49,7 @@
         return 0
 
     @property
-    def _pairs(self) -> tuple[tuple[Listener, ServiceConnector], ...]:
+    def _listener_connectors(self) -> tuple[tuple[Listener, ServiceConnector], ...]:
         connectors = self._process.connectors
         return tuple(zip(self._settings.listeners, connectors, strict=True))
 
@@ -57,7 +57,7 @@
         """Return the counts since the start, by the names of their metrics."""
         return {
             f"connect.{listener.service}.{outcome.value}": count
-            for listener, connector in self._pairs
+            for listener, connector in self._listener_connectors
             for outcome, count in connector.outcomes.items()
         }
 
@@ -65,14 +65,14 @@
         """Return the gauges of the moment, by the names of their metrics."""
         return {
             f"connect.{listener.service}.flows": connector.flows
-            for listener, connector in self._pairs
+            for listener, connector in self._listener_connectors
         }
 
-    def take_timings(self) -> Mapping[str, Sequence[float]]:
+    def pop_timings(self) -> Mapping[str, Sequence[float]]:
         """Return durations in ms since the last call, by the names of their metrics."""
         return {
             f"connect.{listener.service}.opening": connector.meter.pop_latencies()
-            for listener, connector in self._pairs
+            for listener, connector in self._listener_connectors
         }
 
     def report(self, state: NodeState) -> StatusReport:
@@ -81,10 +81,14 @@
         shared = start_report(self._identity, state, self._clock, self.read_counts())
         return replace(
             shared,
-            flows_open=sum(one.flows for one in connectors),
-            services=tuple(one.meter.report(one.flows) for one in connectors),
+            flows_open=sum(connector.flows for connector in connectors),
+            services=tuple(
+                connector.meter.report(connector.flows) for connector in connectors
+            ),
             peers=tuple(
-                PeerStatus(str(one.entry), f"entry of {one.service}", "configured")
-                for one in self._settings.listeners
+                PeerStatus(
+                    str(listener.entry), f"entry of {listener.service}", "configured"
+                )
+                for listener in self._settings.listeners
             ),
         )
--- a/src/papayagw/_internal/net/connect_process.py
+++ b/src/papayagw/_internal/net/connect_process.py
@@ -7,11 +7,11 @@
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.settings import ConnectSettings, Listener
 from papayagw._internal.net.connect import ServiceConnector
-from papayagw._internal.net.retries import make_retries
+from papayagw._internal.net.retries import make_retry_factory
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.quic import FlowOpener
 
-_DRAIN_CHECK_MS = Millis(50)
+_DRAIN_POLL_INTERVAL_MS = Millis(50)
 
 
 class ConnectProcess:
@@ -60,7 +60,7 @@
         for connector in self._connectors:
             connector.stop_listening()
         while any(connector.flows for connector in self._connectors):
-            await anyio.sleep(to_seconds(_DRAIN_CHECK_MS))
+            await anyio.sleep(to_seconds(_DRAIN_POLL_INTERVAL_MS))
 
 
 def _make_connector(
@@ -69,5 +69,5 @@
     opener = FlowOpener(
         listener.service, listener.entry, authority, listener.idle_timeout_ms
     )
-    retries = make_retries(idempotent=listener.idempotent)
-    return ServiceConnector(listener, opener, retries, clock, log)
+    make_retry = make_retry_factory(idempotent=listener.idempotent)
+    return ServiceConnector(listener, opener, make_retry, clock, log)
--- a/src/papayagw/_internal/net/datagrams.py
+++ b/src/papayagw/_internal/net/datagrams.py
@@ -20,7 +20,7 @@
 _EXTENDED_ERROR = struct.Struct("=IBBBBII")
 _ORIGIN_ICMP = 2
 
-Received = tuple[bytes, tuple[str, int]]
+AddressedDatagram = tuple[bytes, tuple[str, int]]
 
 
 class BatchSocket:
@@ -34,7 +34,7 @@
     endpoint : Endpoint or None
         Where to bind; None takes a free port.
     keeps_refused : bool
-        Whether datagrams that met a closed port are kept for `take_refused`.
+        Whether datagrams that met a closed port are kept for `receive_refused`.
     max_bytes : int
         The longest datagram that is expected; a longer one is cut.
     """
@@ -87,9 +87,9 @@
         """Return the descriptor, for a loop that waits on it."""
         return self._socket.fileno()
 
-    def receive_batch(self) -> list[Received]:
+    def receive_batch(self) -> list[AddressedDatagram]:
         """Return the datagrams that are there, up to a batch."""
-        received: list[Received] = []
+        received: list[AddressedDatagram] = []
         receive = self._socket.recvfrom
         for _ in range(BATCH_DATAGRAMS):
             try:
@@ -104,13 +104,13 @@
         self._may_have_refused |= not received
         return received
 
-    def take_refused(self) -> list[Received]:
+    def receive_refused(self) -> list[AddressedDatagram]:
         """Return datagrams that met a closed port, and where each one was sent.
 
         The host of the peer lives and says that no process holds the port. The
         network may have cut a datagram to its first 500 bytes or so.
         """
-        refused: list[Received] = []
+        refused: list[AddressedDatagram] = []
         if not (self._keeps_refused and self._may_have_refused):
             return refused
         for _ in range(BATCH_DATAGRAMS):
@@ -132,17 +132,17 @@
         except ConnectionRefusedError:
             # That was the error of an earlier datagram: this one wasn't sent yet.
             self._may_have_refused = True
-            self._send_again(data, peer)
+            self._resend(data, peer)
         except OSError:
             # Datagrams may be lost anywhere: the flow's loss recovery resends.
             self._send_failures += 1
 
-    def send_all(self, datagrams: Sequence[Received]) -> None:
+    def send_all(self, datagrams: Sequence[AddressedDatagram]) -> None:
         """Send datagrams, each to its peer, one right after the other."""
         for data, peer in datagrams:
             self.send(data, peer)
 
-    def _send_again(self, data: bytes, peer: tuple[str, int]) -> None:
+    def _resend(self, data: bytes, peer: tuple[str, int]) -> None:
         try:
             self._sendto(data, peer)
         except OSError:
--- a/src/papayagw/_internal/net/entries.py
+++ b/src/papayagw/_internal/net/entries.py
@@ -9,10 +9,10 @@
 from papayagw._internal.exceptions import BindError
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.service import Service, ServiceId
-from papayagw._internal.net.datagrams import Received
+from papayagw._internal.net.datagrams import AddressedDatagram
 from papayagw._internal.net.udp import DatagramSocket
 
-OnBatch = Callable[[ServiceId, Sequence[Received]], None]
+OnBatch = Callable[[ServiceId, Sequence[AddressedDatagram]], None]
 
 
 class EntrySockets:
@@ -102,7 +102,7 @@
 
     def _close(self, service_id: ServiceId) -> None:
         del self._endpoints[service_id]
-        self._sockets.pop(service_id).abandon()
+        self._sockets.pop(service_id).close_and_notify()
 
     async def _receive(self, service_id: ServiceId) -> None:
         entry = self._sockets.get(service_id)
--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -51,18 +51,18 @@
         self._on_removed = on_removed
         self._log = log
         self._handlers: dict[bytes, FlowHandler] = {}
-        self._ids: dict[FlowHandler, tuple[bytes, ...]] = {}
-        self._touched: dict[FlowHandler, None] = {}
+        self._connection_ids: dict[FlowHandler, tuple[bytes, ...]] = {}
+        self._pending: dict[FlowHandler, None] = {}
         self._deadlines: DeadlineQueue[FlowHandler] = DeadlineQueue()
         self._wake = anyio.Event()
 
     def __len__(self) -> int:
-        return len(self._ids)
+        return len(self._connection_ids)
 
     @property
     def handlers(self) -> tuple[FlowHandler, ...]:
         """The handlers of all flows."""
-        return tuple(self._ids)
+        return tuple(self._connection_ids)
 
     def find(self, connection_id: bytes) -> FlowHandler | None:
         """Return the handler of the flow with a connection id, or None."""
@@ -70,53 +70,53 @@
 
     def add(self, handler: FlowHandler, *connection_ids: bytes) -> None:
         """Take in a flow, whose packets carry any of `connection_ids`."""
-        self._ids[handler] = connection_ids
+        self._connection_ids[handler] = connection_ids
         for connection_id in connection_ids:
             self._handlers[connection_id] = handler
-        self.touch(handler)
+        self.mark_pending(handler)
 
     def add_id(self, handler: FlowHandler, connection_id: bytes) -> None:
         """Let packets with one more id find a flow."""
-        self._ids[handler] = (*self._ids[handler], connection_id)
+        self._connection_ids[handler] = (*self._connection_ids[handler], connection_id)
         self._handlers[connection_id] = handler
 
     def receive(
         self, handler: FlowHandler, datagram: bytes, peer: tuple[str, int]
     ) -> None:
         """Hand a datagram to its flow; `flush` must follow."""
-        with self._contained(handler):
+        with self._isolated(handler):
             handler.connection.receive(datagram, peer, self._clock.now())
-            self._touched[handler] = None
+            self._pending[handler] = None
 
-    def touch(self, handler: FlowHandler) -> None:
+    def mark_pending(self, handler: FlowHandler) -> None:
         """Note that a flow has something to do, and wake the loop."""
-        if handler in self._ids:
-            self._touched[handler] = None
+        if handler in self._connection_ids:
+            self._pending[handler] = None
             self._wake.set()
 
     def flush(self) -> None:
-        """Act on the events of the touched flows and send what is due."""
-        while self._touched:
-            touched = list(self._touched)
-            self._touched.clear()
-            for handler in touched:
-                with self._contained(handler):
-                    self._serve(handler)
+        """Act on the events of the pending flows and send what is due."""
+        while self._pending:
+            pending = list(self._pending)
+            self._pending.clear()
+            for handler in pending:
+                with self._isolated(handler):
+                    self._process(handler)
 
     async def run(self) -> None:
-        """Serve deadlines and touched flows until cancelled."""
+        """Serve deadlines and pending flows until cancelled."""
         while True:
             await self._wait()
             now = self._clock.now()
             for handler in self._deadlines.pop_due(now):
-                with self._contained(handler):
+                with self._isolated(handler):
                     handler.connection.on_deadline(now)
-                    self._touched[handler] = None
+                    self._pending[handler] = None
             self.flush()
 
     async def _wait(self) -> None:
         next_at = self._deadlines.next_at
-        if self._touched:
+        if self._pending:
             await anyio.lowlevel.checkpoint()
         elif next_at is None:
             await self._wake.wait()
@@ -126,8 +126,8 @@
                 await self._wake.wait()
         self._wake = anyio.Event()
 
-    def _serve(self, handler: FlowHandler) -> None:
-        if handler not in self._ids:
+    def _process(self, handler: FlowHandler) -> None:
+        if handler not in self._connection_ids:
             return
         connection = handler.connection
         events = connection.pop_events()
@@ -141,18 +141,18 @@
             self._remove(handler)
 
     @contextmanager
-    def _contained(self, handler: FlowHandler) -> Iterator[None]:
+    def _isolated(self, handler: FlowHandler) -> Iterator[None]:
         """Let a fault in one flow end that flow and no other."""
         try:
             yield
         except Exception:
             self._log.exception("a fault ended a flow", step=Step.DELIVER)
-            if handler in self._ids:
+            if handler in self._connection_ids:
                 self._remove(handler)
 
     def _remove(self, handler: FlowHandler) -> None:
-        for connection_id in self._ids.pop(handler):
+        for connection_id in self._connection_ids.pop(handler):
             self._handlers.pop(connection_id, None)
         self._deadlines.set(handler, None)
-        self._touched.pop(handler, None)
+        self._pending.pop(handler, None)
         self._on_removed(handler)
--- a/src/papayagw/_internal/net/flow_port.py
+++ b/src/papayagw/_internal/net/flow_transport.py
@@ -16,7 +16,7 @@
 from papayagw._internal.wire.reset import RESET_TOKEN_BYTES
 
 
-class FlowPort:
+class FlowTransport:
     """Opens flows to one service and moves their packets.
 
     Parameters
@@ -34,12 +34,12 @@
     def __init__(
         self, opener: FlowOpener, clock: Clock, log: Log, probe_interval_ms: Millis
     ):
-        self._probe_interval = probe_interval_ms
+        self._probe_interval_ms = probe_interval_ms
         self._opener = opener
         self._clock = clock
         self._socket = DatagramSocket(None)
         self._table = FlowTable(clock, self._on_removed, log)
-        self._heard: dict[FlowHandler, Millis] = {}
+        self._last_received: dict[FlowHandler, Millis] = {}
 
     def start(self) -> None:
         """Take a UDP port."""
@@ -55,7 +55,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive)
             tasks.start_soon(self._table.run)
-            tasks.start_soon(self._probe)
+            tasks.start_soon(self._probe_silent_flows)
 
     def open(self) -> FlowConnection:
         """Return a new connection."""
@@ -64,7 +64,7 @@
     def add(self, attempt: OpeningAttempt) -> None:
         """Send the packets of an attempt's connection to it from now on."""
         self._table.add(attempt, attempt.connection.local_id)
-        self._heard[attempt] = self._clock.now()
+        self._last_received[attempt] = self._clock.now()
 
     def on_handshake(self, attempt: OpeningAttempt) -> None:
         """Let a stateless reset by the agent find the attempt."""
@@ -72,9 +72,9 @@
         if token:
             self._table.add_id(attempt, token)
 
-    def touch(self, attempt: OpeningAttempt) -> None:
+    def mark_pending(self, attempt: OpeningAttempt) -> None:
         """Note that an attempt has something to send."""
-        self._table.touch(attempt)
+        self._table.mark_pending(attempt)
 
     def send(self, datagram: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram to the entry address."""
@@ -85,27 +85,27 @@
             await self._socket.wait_readable()
             now = self._clock.now()
             for datagram, peer in self._socket.receive_batch():
-                handler = self._find(datagram)
+                handler = self._find_handler(datagram)
                 if handler is not None:
-                    self._heard[handler] = now
+                    self._last_received[handler] = now
                     self._table.receive(handler, datagram, peer)
             self._table.flush()
 
-    def _find(self, datagram: bytes) -> FlowHandler | None:
+    def _find_handler(self, datagram: bytes) -> FlowHandler | None:
         connection_id = read_connection_id(datagram, CALLER_CONNECTION_ID_BYTES)
         handler = self._table.find(connection_id or b"")
         if handler is None:
             handler = self._table.find(datagram[-RESET_TOKEN_BYTES:])
         return handler
 
-    async def _probe(self) -> None:
+    async def _probe_silent_flows(self) -> None:
         while True:
-            await anyio.sleep(to_seconds(self._probe_interval) / 2)
+            await anyio.sleep(to_seconds(self._probe_interval_ms) / 2)
             now = self._clock.now()
-            for handler, heard_at in self._heard.items():
-                if now - heard_at >= self._probe_interval:
+            for handler, received_at in self._last_received.items():
+                if now - received_at >= self._probe_interval_ms:
                     handler.connection.probe()
-                    self._table.touch(handler)
+                    self._table.mark_pending(handler)
 
     def _on_removed(self, handler: FlowHandler) -> None:
-        self._heard.pop(handler, None)
+        self._last_received.pop(handler, None)
--- a/src/papayagw/_internal/net/inner_loop.py
+++ b/src/papayagw/_internal/net/inner_loop.py
@@ -8,7 +8,7 @@
 from papayagw._internal.net.udp import DatagramSocket
 from papayagw._internal.wire.envelope import FrameKind
 
-_CONTROL = bytes((FrameKind.CONTROL,))
+_CONTROL_PREFIX = bytes((FrameKind.CONTROL,))
 
 
 class InnerPackets(Protocol):
@@ -31,10 +31,10 @@
     while True:
         await socket.wait_readable()
         for frame, source in socket.receive_batch():
-            if frame[:1] == _CONTROL:
+            if frame[:1] == _CONTROL_PREFIX:
                 control.on_frame(frame, source)
             else:
                 packets.on_frame(frame, source)
-        for frame, peer in socket.take_refused():
+        for frame, peer in socket.receive_refused():
             packets.on_refused(frame, Endpoint(*peer), clock.now())
         packets.flush()
--- a/src/papayagw/_internal/net/metrics_timer.py
+++ b/src/papayagw/_internal/net/metrics_timer.py
@@ -51,7 +51,7 @@
         self._flusher.flush(self._metrics)
         for name, value in self._account.read_gauges().items():
             self._metrics.gauge(name, value)
-        for name, durations in self._account.take_timings().items():
+        for name, durations in self._account.pop_timings().items():
             for duration in durations:
                 self._metrics.timing(name, duration)
         self._metrics.flush()
--- a/src/papayagw/_internal/net/observed.py
+++ b/src/papayagw/_internal/net/observed.py
@@ -37,39 +37,39 @@
         self._account = account
         self._log = log
         self._state = NodeState.STARTING
-        self._helpers = tuple(self._make_helpers(settings))
+        self._observers = tuple(self._make_observers(settings))
 
     def start(self) -> None:
         """Take the addresses; an error here ends the process at once."""
         self._daemon.start()
-        for helper in self._helpers:
-            helper.start()
+        for observer in self._observers:
+            observer.start()
         self._state = NodeState.READY
-        self._log.info("started", **self._describe())
+        self._log.info("started", **self._make_log_fields())
 
     def close(self) -> None:
         """Give the addresses back."""
         self._daemon.close()
-        for helper in self._helpers:
-            helper.close()
-        self._log.info("stopped", **self._describe())
+        for observer in self._observers:
+            observer.close()
+        self._log.info("stopped", **self._make_log_fields())
 
     async def run(self) -> None:
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
-            for helper in self._helpers:
-                tasks.start_soon(helper.run)
-            tasks.start_soon(self._keep_logs)
+            for observer in self._observers:
+                tasks.start_soon(observer.run)
+            tasks.start_soon(self._log_periodically)
             await self._daemon.run()
 
     async def drain(self) -> None:
         """Return when a graceful stop has nothing left to wait for."""
         self._state = NodeState.DRAINING
-        self._log.info("draining", **self._describe())
+        self._log.info("draining", **self._make_log_fields())
         await self._daemon.drain()
-        self._log.info("drained", **self._describe())
+        self._log.info("drained", **self._make_log_fields())
 
-    async def _keep_logs(self) -> None:
+    async def _log_periodically(self) -> None:
         version = self._account.configuration_version
         while True:
             await anyio.sleep(to_seconds(FLUSH_INTERVAL_MS))
@@ -78,7 +78,7 @@
                 version = self._account.configuration_version
                 self._log.info("configuration in force", configuration_version=version)
 
-    def _make_helpers(
+    def _make_observers(
         self, settings: ProcessSettings
     ) -> Iterator[AdminServer | MetricsTimer]:
         if settings.admin is not None:
@@ -89,7 +89,7 @@
     def _report(self) -> StatusReport:
         return self._account.report(self._state)
 
-    def _describe(self) -> dict[str, object]:
+    def _make_log_fields(self) -> dict[str, object]:
         report = self._report()
         return {
             "role": report.role,
--- a/src/papayagw/_internal/net/retries.py
+++ b/src/papayagw/_internal/net/retries.py
@@ -7,7 +7,7 @@
 from papayagw._internal.models.opening import RetryPolicy
 
 
-def make_retries(*, idempotent: bool) -> Callable[[], OpeningRetry]:
+def make_retry_factory(*, idempotent: bool) -> Callable[[], OpeningRetry]:
     """Return a maker of the decisions of one flow, which all share a budget."""
     policy = RetryPolicy()
     budget = TokenBudget(policy)
--- a/src/papayagw/_internal/net/tcp.py
+++ b/src/papayagw/_internal/net/tcp.py
@@ -19,7 +19,7 @@
 from papayagw._internal.net.byte_stream import StreamBrokenError
 
 READ_BYTES = 1 << 16
-_BACKLOG = 1024
+_BACKLOG_CONNECTIONS = 1024
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
@@ -72,7 +72,7 @@
             except BlockingIOError:
                 await anyio.wait_readable(self._socket)
             except OSError as error:
-                raise self._broken(error) from error
+                raise self._make_error(error) from error
 
     async def send(self, data: bytes) -> None:
         """Hand all of `data` to the machine."""
@@ -83,14 +83,14 @@
             except BlockingIOError:
                 await anyio.wait_writable(self._socket)
             except OSError as error:
-                raise self._broken(error) from error
+                raise self._make_error(error) from error
 
     def send_eof(self) -> None:
         """Tell the peer that no more bytes come."""
         try:
             self._socket.shutdown(socket.SHUT_WR)
         except OSError as error:
-            raise self._broken(error) from error
+            raise self._make_error(error) from error
 
     def close(self) -> None:
         """End the connection in order."""
@@ -101,7 +101,7 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         self._socket.close()
 
-    def _broken(self, error: OSError) -> StreamBrokenError:
+    def _make_error(self, error: OSError) -> StreamBrokenError:
         return StreamBrokenError(f"connection lost: {error}", step=Step.DELIVER)
 
 
@@ -126,7 +126,7 @@
             self._socket.bind(self._endpoint.sockaddr)
         except OSError as error:
             raise BindError.from_os("bind TCP", str(self._endpoint), error) from error
-        self._socket.listen(_BACKLOG)
+        self._socket.listen(_BACKLOG_CONNECTIONS)
 
     def close(self) -> None:
         """Listen no more."""
--- a/src/papayagw/_internal/net/udp.py
+++ b/src/papayagw/_internal/net/udp.py
@@ -9,7 +9,7 @@
 class DatagramSocket(BatchSocket):
     """A bound UDP socket that tasks wait for."""
 
-    def abandon(self) -> None:
+    def close_and_notify(self) -> None:
         """Close the socket while a task may wait for it, which is told so."""
         anyio.notify_closing(self._socket)
         self._socket.close()
--- a/tests/unit/test_udp.py
+++ b/tests/unit/test_udp.py
@@ -22,7 +22,7 @@
             await heard.wait_readable()
             received += [data for data, _ in heard.receive_batch()]
     source.receive_batch()
-    returned = [data for data, port in source.take_refused() if port == gone]
+    returned = [data for data, port in source.receive_refused() if port == gone]
     source.close()
     heard.close()
     return returned, received
