--- a/src/papayagw/_internal/net/account.py
+++ b/src/papayagw/_internal/net/account.py
@@ -1,4 +1,4 @@
-"""What a process says about itself, to operators and to statsd."""
+"""What a process reports: status for operators and metrics for statsd."""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -11,20 +11,20 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeIdentity:
-    """What stays the same for the whole run of a process.
+    """Properties of a process that don't change while it runs.
 
     Attributes
     ----------
     name : str
-        The name of the process, which no other one has.
+        Unique name of the process.
     role : Role
-        The program.
+        Program that the process runs.
     zone : str
-        Its availability zone; empty where there is none.
+        Availability zone; empty if there is none.
     run : int
-        Its start in ms since 1970.
+        Start of the process, in ms since 1970.
     started_at : Millis
-        Its start by the monotonic clock.
+        Start of the process by the monotonic clock, in ms.
     """
 
     name: str
@@ -35,33 +35,33 @@
 
 
 class Account(Protocol):
-    """The figures of one process."""
+    """Source of the status report and metrics of one process."""
 
     @property
     def identity(self) -> NodeIdentity:
-        """Who it is."""
+        """Name, role and start of the process."""
 
     @property
     def configuration_version(self) -> int:
-        """The version of the configuration in force."""
+        """Version of the configuration in force."""
 
     def read_counts(self) -> Mapping[str, int]:
-        """Return the counts since the start, by the names of their metrics."""
+        """Return the counts since the start, by metric name."""
 
     def read_gauges(self) -> Mapping[str, float]:
-        """Return the gauges of the moment, by the names of their metrics."""
+        """Return the current gauges, by metric name."""
 
     def pop_timings(self) -> Mapping[str, Sequence[float]]:
-        """Return durations in ms since the last call, by the names of their metrics."""
+        """Return the durations in ms since the last call, by metric name."""
 
     def report(self, state: NodeState) -> StatusReport:
-        """Return the whole account."""
+        """Return the complete status report."""
 
 
 def start_report(
     identity: NodeIdentity, state: NodeState, clock: Clock, counts: Mapping[str, int]
 ) -> StatusReport:
-    """Return the part of a report that all processes have in common."""
+    """Return a report with the fields that all roles share; the others are empty."""
     return StatusReport(
         node=identity.name,
         role=identity.role,
--- a/src/papayagw/_internal/net/admission_gate.py
+++ b/src/papayagw/_internal/net/admission_gate.py
@@ -1,4 +1,4 @@
-"""Admission of an agent's flows: timers round `Admission`, which decides."""
+"""Admission of an agent's flows: drives `Admission` with flow events and timers."""
 
 from itertools import count
 
@@ -16,14 +16,14 @@
 
 
 class AdmissionGate:
-    """Lets flows through to the backend server, at once, later or never.
+    """Admits or refuses flows, at once or after a time in the queue.
 
     Parameters
     ----------
     admission : Admission
-        The decisions.
+        Policy that decides on each flow.
     clock : Clock
-        The time.
+        Source of the current time.
     """
 
     def __init__(self, admission: Admission, clock: Clock):
@@ -35,7 +35,7 @@
         self._wake = anyio.Event()
 
     def submit(self, flow: AgentFlow) -> None:
-        """Let a flow through, turn it away, or do either later."""
+        """Admit, refuse or queue an accepted flow."""
         number = FlowNumber(next(self._number_counter))
         self._flows_by_number[number] = flow
         self._numbers_by_flow[flow] = number
@@ -46,24 +46,24 @@
             case AdmissionDecision.REFUSE:
                 flow.refuse()
             case AdmissionDecision.QUEUE:
-                # A waiting flow may have been pushed out, and the timer may move.
+                # Queueing may evict another flow and move the next expiry.
                 self._wake.set()
 
     def start_work(self, flow: AgentFlow) -> None:
-        """Note that a flow asks for work."""
+        """Record that a flow sends a request."""
         number = self._numbers_by_flow.get(flow)
         if number is not None:
             self._admission.start_work(number, self._clock.now())
 
     def finish_work(self, flow: AgentFlow, reason: ReleaseReason) -> None:
-        """Note that a flow's work is over, while the flow may stay open."""
+        """Record that a flow's work has ended; the flow itself may stay open."""
         number = self._numbers_by_flow.get(flow)
         if number is not None:
             self._admission.finish_work(number, reason, self._clock.now())
             self._wake.set()
 
     def close(self, flow: AgentFlow) -> None:
-        """Note that a flow is gone."""
+        """Remove a flow that has ended."""
         number = self._numbers_by_flow.pop(flow, None)
         if number is not None:
             del self._flows_by_number[number]
@@ -71,7 +71,7 @@
             self._wake.set()
 
     async def run(self) -> None:
-        """Let waiting flows through or turn them away, until cancelled."""
+        """Admit or refuse queued flows as they become due, until cancelled."""
         while True:
             await self._wait()
             self._poll()
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -1,4 +1,4 @@
-"""The agent: the process beside each backend server that owns its flows."""
+"""Packet path of the agent: it runs beside a backend server and owns its flows."""
 
 import random
 from collections.abc import Callable
@@ -42,36 +42,37 @@
 from papayagw._internal.wire.tag import TagCodec
 
 MAX_BACKEND_CONNECTS = 1
-"""Connections tried for one flow: an opening at a sibling is the better second."""
+"""Connection attempts per flow; an opening at a sibling is the better second try."""
 
 HANDSHAKE_TIMEOUT_MS = Millis(3_000)
-"""How long a handshake may take; a copy of an opening never completes its own."""
+"""Limit on a handshake; the one of a duplicated opening never completes."""
 
 CLOSE_TIMEOUT_MS = Millis(3_000)
-"""How long the caller of an answered flow may be silent without closing it."""
+"""Time for which the caller of an answered flow may be silent without closing it."""
 
 _SWEEP_INTERVAL_MS = Millis(500)
 
 
 class AgentPackets:
-    """The agent's packet path: envelopes in, answers out.
+    """The agent's packet path: receives envelopes and sends answers to callers.
 
     Parameters
     ----------
     settings : AgentSettings
-        Where this agent and its backend server are.
+        Endpoints of the agent and its backend server, and certificate files.
     configuration : Configuration
-        What is in force.
+        Initial configuration.
     core : AgentCore
-        The decisions about packets.
+        Decides what happens to each packet.
     admission : Admission
-        The decisions about accepted flows.
+        Decides when accepted flows may use the backend server.
     socket : DatagramSocket
-        The socket that envelopes come to.
+        Socket for envelopes to and from balancers and siblings.
     clock : Clock
-        The time.
+        Source of the current time.
     log : Log
-        Where flows that don't end well are logged.
+        Log for dropped packets and for flows that end without a complete
+        answer.
     """
 
     def __init__(
@@ -103,26 +104,32 @@
 
     @property
     def core(self) -> AgentCore:
-        """The decisions of this agent."""
+        """Packet decisions of this agent."""
         return self._core
 
     @property
     def flows(self) -> int:
-        """How many flows are open."""
+        """Number of open flows."""
         return len(self._table)
 
     @property
     def meter(self) -> ServiceMeter:
-        """What became of the flows."""
+        """Totals of the flows by outcome, and opening latencies."""
         return self._meter
 
     @property
     def counts(self) -> dict[str, int]:
-        """How often each thing has happened."""
+        """Number of occurrences of each event, by metric name without the prefix."""
         return self._counts
 
     def apply(self, configuration: Configuration) -> None:
-        """Use the keys of a configuration for whatever comes from now on."""
+        """Use the keys and idle timeout of a configuration, and reload the certificate.
+
+        Raises
+        ------
+        SettingsError
+            If the certificate or its private key can't be loaded.
+        """
         keys = configuration.site.keys
         service = configuration.site.find_service_by_id(self._service_id)
         self._tag_codec = TagCodec(keys)
@@ -140,14 +147,14 @@
             )
         except (OSError, ValueError, LookupError) as error:
             raise SettingsError(
-                f"can't use the certificate: {error}",
+                f"can't load the certificate or its private key: {error}",
                 step=Step.SETTINGS,
                 peer=str(certificate),
-                remedy="put a PEM certificate and its private key there",
+                remedy="provide a PEM certificate and its private key",
             ) from error
 
     async def run(self) -> None:
-        """Serve the flows until cancelled."""
+        """Run the timers and the admission of the flows until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._gate.run)
@@ -155,7 +162,7 @@
             await self._table.run()
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
-        """Take in an envelope; `flush` must follow."""
+        """Process a received envelope; the caller must call `flush` afterwards."""
         envelope = self._envelope_codec.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
             self._count_drop(DropReason.UNAUTHENTICATED, Endpoint(*source))
@@ -176,44 +183,44 @@
             self._table.receive(handler, datagram, envelope.client.sockaddr)
 
     def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
-        """Answer no longer through a balancer whose port is closed."""
+        """Stop sending answers through a balancer whose port is closed."""
         self._return_path.remove_unreachable(peer)
 
     def flush(self) -> None:
-        """Send what the last envelopes have made due."""
+        """Send the datagrams that the last envelopes caused."""
         self._table.flush()
 
     def drain(self) -> None:
-        """Take no more openings, and give up flows that aren't established yet."""
+        """Refuse new openings and end the flows that aren't established yet."""
         self._core.drain()
         for flow in self._agent_flows:
             flow.drain()
         self._table.flush()
 
     def close_flows(self, reason: str) -> None:
-        """End all flows."""
+        """End all flows for `reason`."""
         for flow in self._agent_flows:
             flow.stop(reason)
         self._table.flush()
 
     def mark_pending(self, flow: AgentFlow) -> None:
-        """Note that a flow has something to send."""
+        """Schedule a flow that has something to send."""
         self._table.mark_pending(flow)
 
     def spawn(self, task: Callable[..., Any]) -> None:
         """Start a coroutine function as a task."""
-        assert self._tasks is not None, "run() comes first"
+        assert self._tasks is not None, "run() must be called first"
         self._tasks.start_soon(self._run_isolated, task)
 
     async def _run_isolated(self, task: Callable[..., Any]) -> None:
         try:
             await task()
         except Exception:
-            # One flow's fault must not end the others; its own times out.
+            # An exception in one flow must not end the others; that flow times out.
             self._log.exception("a fault ended a flow's task", step=Step.DELIVER)
 
     def send(self, datagram: bytes, client: tuple[str, int]) -> None:
-        """Send a datagram to a caller, through some balancer."""
+        """Send a datagram to a caller through a recently active balancer, if any."""
         balancer = self._return_path.pick(self._clock.now())
         if balancer is None:
             return
@@ -223,32 +230,32 @@
         self._socket.send(header + datagram, balancer.sockaddr)
 
     def on_accepted(self, flow: AgentFlow) -> None:
-        """Ask for the admission of a flow whose handshake is complete."""
+        """Request the admission of a flow whose handshake is complete."""
         self._handshake_deadlines.set(flow, None)
         self._gate.submit(flow)
 
     def on_connect_finished(self, succeeded: bool) -> None:
-        """Note whether a connection to the backend server was made."""
+        """Record whether a connection attempt to the backend server succeeded."""
         self._backend_health.record_connect(succeeded, self._clock.now())
 
     def on_request_started(self, flow: AgentFlow) -> None:
-        """Note the first bytes that are handed to the backend server."""
+        """Record that the first bytes are delivered to the backend server."""
         self._gate.start_work(flow)
 
     def on_answer_started(self, flow: AgentFlow) -> None:
-        """Note the first bytes of the backend server."""
+        """Record that the first bytes came from the backend server."""
         self._gate.finish_work(flow, ReleaseReason.ANSWERED)
 
     def on_idle(self, flow: AgentFlow) -> None:
-        """Note that a connected flow has asked for nothing yet."""
+        """Record that a connected flow hasn't sent a request yet."""
         self._gate.finish_work(flow, ReleaseReason.IDLE)
 
     def on_directions_ended(self, flow: AgentFlow) -> None:
-        """Note that both directions have ended, and only the caller's word lacks."""
+        """Limit the wait for the caller's close once both directions have ended."""
         self._close_deadlines.set(flow, Millis(self._clock.now() + CLOSE_TIMEOUT_MS))
 
     def on_outcome(self, flow: AgentFlow, outcome: FlowOutcome, reason: str) -> None:
-        """Note how a flow ended."""
+        """Count and log the outcome of a flow, and release its resources."""
         self._count(outcome.value)
         if flow.backend_failed:
             self._gate.finish_work(flow, ReleaseReason.FAILED)
@@ -283,7 +290,7 @@
         reason = self._core.check_tagged(envelope.service_id, route)
         self._count_drop(reason or DropReason.UNKNOWN_FLOW, envelope.client)
         if reason in (None, DropReason.STALE_INCARNATION):
-            # The flow is gone for good: its caller has to know.
+            # The flow no longer exists anywhere; the reset tells its caller so.
             reset = self._reset_tokens.make_datagram(connection_id)
             self.send(reset, envelope.client.sockaddr)
 
--- a/src/papayagw/_internal/net/agent_account.py
+++ b/src/papayagw/_internal/net/agent_account.py
@@ -1,4 +1,4 @@
-"""An agent's account of itself."""
+"""Status report and metrics of an agent."""
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
@@ -18,20 +18,20 @@
 
 
 class AgentAccount:
-    """The figures of an agent.
+    """Status and metrics of an agent.
 
     Parameters
     ----------
     identity : NodeIdentity
-        Who it is.
+        Name, role and start of the process.
     settings : AgentSettings
-        Its own settings.
+        Settings of the agent.
     process : AgentProcess
-        Its socket, its flows and what it knows of others.
+        The agent, with its flows and its membership state.
     read_configuration : callable
         Returns the configuration in force.
     clock : Clock
-        The time.
+        Source of the current time.
     """
 
     def __init__(
@@ -51,22 +51,22 @@
 
     @property
     def identity(self) -> NodeIdentity:
-        """Who it is."""
+        """Name, role and start of the process."""
         return self._identity
 
     @property
     def configuration_version(self) -> int:
-        """The version of the configuration in force."""
+        """Version of the configuration in force."""
         return self._read_configuration().version
 
     def read_counts(self) -> Mapping[str, int]:
-        """Return the counts since the start, by the names of their metrics."""
+        """Return the counts since the start, by metric name."""
         counts = self._process.packets.counts
         refused = {"agent.drop.control": self._process.refused_control}
         return {f"agent.{name}": count for name, count in counts.items()} | refused
 
     def read_gauges(self) -> Mapping[str, float]:
-        """Return the gauges of the moment, by the names of their metrics."""
+        """Return the current gauges, by metric name."""
         return {
             "agent.flows": self._process.packets.flows,
             "agent.weight": self._announcer.own.weight,
@@ -76,11 +76,11 @@
         }
 
     def pop_timings(self) -> Mapping[str, Sequence[float]]:
-        """Return durations in ms since the last call, by the names of their metrics."""
+        """Return the durations in ms since the last call, by metric name."""
         return {"agent.opening": self._process.packets.meter.pop_latencies()}
 
     def report(self, state: NodeState) -> StatusReport:
-        """Return the whole account."""
+        """Return the complete status report."""
         packets = self._process.packets
         configuration = self._read_configuration()
         siblings = self._announcer.siblings.records
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -1,4 +1,4 @@
-"""A flow at its agent: sockets round `FlowLifecycle`, which decides."""
+"""A flow at its agent: connects `FlowLifecycle`, the state machine, to sockets."""
 
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -46,7 +46,7 @@
 from papayagw._internal.wire.quic import FlowConnection
 
 ACCEPTED_PREFIX = b"\x01"
-"""The first byte of each answer: a refusal can't be made good any more."""
+"""First byte of each answer: from here on, the caller can't safely open again."""
 
 CONNECT_TIMEOUT_MS = Millis(1_000)
 
@@ -59,10 +59,10 @@
 
 
 class FlowOwner(Protocol):
-    """The agent, as its flows need it."""
+    """What a flow needs of its agent."""
 
     def mark_pending(self, flow: "AgentFlow") -> None:
-        """Note that a flow has something to send."""
+        """Schedule a flow that has something to send."""
 
     def spawn(self, task: Callable[..., Any]) -> None:
         """Start a coroutine function as a task."""
@@ -71,46 +71,46 @@
         """Send a datagram to a caller."""
 
     def on_accepted(self, flow: "AgentFlow") -> None:
-        """Ask for the admission of a flow whose handshake is complete."""
+        """Request the admission of a flow whose handshake is complete."""
 
     def on_connect_finished(self, succeeded: bool) -> None:
-        """Note whether a connection to the backend server was made."""
+        """Record whether a connection attempt to the backend server succeeded."""
 
     def on_request_started(self, flow: "AgentFlow") -> None:
-        """Note the first bytes that are handed to the backend server."""
+        """Record that the first bytes are delivered to the backend server."""
 
     def on_answer_started(self, flow: "AgentFlow") -> None:
-        """Note the first bytes of the backend server."""
+        """Record that the first bytes came from the backend server."""
 
     def on_idle(self, flow: "AgentFlow") -> None:
-        """Note that a connected flow has asked for nothing yet."""
+        """Record that a connected flow hasn't sent a request yet."""
 
     def on_directions_ended(self, flow: "AgentFlow") -> None:
-        """Note that both directions have ended, and only the caller's word lacks."""
+        """Limit the wait for the caller's close once both directions have ended."""
 
     def on_outcome(self, flow: "AgentFlow", outcome: FlowOutcome, reason: str) -> None:
-        """Note how a flow ended."""
+        """Count and log the outcome of a flow, and release its resources."""
 
 
 class AgentFlow:
-    """Ends a caller's flow and carries it to the backend server.
+    """Terminates a caller's flow and relays its bytes to the backend server.
 
     Parameters
     ----------
     connection : FlowConnection
-        The agent's end of the flow.
+        Connection to the caller.
     lifecycle : Lifecycle
-        The decisions about it.
+        State machine that decides on each event.
     client : Endpoint
-        The caller.
+        Endpoint of the caller.
     backend : Endpoint
-        The backend server.
+        Endpoint of the backend server.
     owner : FlowOwner
-        The agent.
+        The agent that the flow belongs to.
     meter : FlowMeter
-        Counts what becomes of the flow.
+        Records the flow for the totals of its service.
     clock : Clock
-        The time.
+        Source of the current time.
     """
 
     def __init__(
@@ -142,30 +142,30 @@
 
     @property
     def connection(self) -> FlowConnection:
-        """The agent's end of the flow."""
+        """Connection to the caller."""
         return self._connection
 
     @property
     def client(self) -> Endpoint:
-        """The caller."""
+        """Endpoint of the caller."""
         return self._client
 
     @property
     def backend_failed(self) -> bool:
-        """Whether the backend server couldn't be reached or broke the connection."""
+        """Whether the connection to the backend server failed or was lost."""
         return self._backend_failed
 
     @property
     def buffered_bytes(self) -> int:
-        """Bytes written that the caller hasn't acknowledged."""
+        """Bytes written to the caller that it hasn't acknowledged."""
         return self._connection.buffered_bytes
 
     def admit(self) -> None:
-        """Go on to the backend server."""
+        """Admit the flow, which then connects to the backend server."""
         self._apply(Admitted())
 
     def refuse(self) -> None:
-        """End the flow before anything was delivered."""
+        """End a flow that isn't admitted, before any byte is delivered."""
         self._apply(AdmissionRefused(), "the agent has too much work")
 
     def drain(self) -> None:
@@ -173,16 +173,18 @@
         self._apply(DrainStarted(), "the agent is leaving")
 
     def time_out_handshake(self) -> None:
-        """End the flow, whose handshake wasn't completed in time."""
+        """End the flow because its handshake wasn't completed in time."""
         self._apply(IdleTimedOut(), "the handshake took too long")
 
     def try_close(self, silence_timeout_ms: Millis) -> None:
-        """End the flow if its caller has the whole answer, or has gone silent.
+        """End the flow if its caller has the complete answer or is silent.
+
+        Otherwise wait for the caller's close again.
 
         Parameters
         ----------
         silence_timeout_ms : Millis
-            The silence after which the caller is taken for gone.
+            Time without a datagram after which the caller counts as gone.
         """
         if self._connection.is_stream_done:
             self._apply(AnswerAcknowledged(), "the caller's close was lost")
@@ -194,7 +196,7 @@
             self._owner.on_directions_ended(self)
 
     def stop(self, reason: str) -> None:
-        """End the flow now."""
+        """End the flow immediately for `reason`."""
         self._apply(StopLimitReached(), reason)
 
     def write(self, data: bytes) -> None:
@@ -206,18 +208,18 @@
             self._owner.mark_pending(self)
 
     def finish(self) -> None:
-        """Take the end of the backend server's bytes."""
+        """Process the end of the backend server's bytes."""
         self._apply(BackendClosed(self._attempt), "the backend server closed")
 
     def consume(self, count: int) -> None:
-        """Note that the backend server's socket took bytes."""
+        """Record that `count` bytes were written to the backend server's socket."""
         self._lifecycle.handle(BackendWrote(self._attempt, count))
         self._meter.record_request(self._clock.now())
         if self._connection.consume(count):
             self._owner.mark_pending(self)
 
     def on_events(self, events: list[StreamEvent]) -> None:
-        """Act on what has happened at the caller's side."""
+        """Process events of the connection to the caller."""
         for event in events:
             match event:
                 case HandshakeDone():
@@ -228,11 +230,11 @@
                     self._on_flow_ended(outcome, reason)
 
     def on_writable(self) -> None:
-        """Read on from the backend server if there is room."""
+        """Resume reading from the backend server if the buffer has room."""
         self._bridge.on_writable()
 
     def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
-        """Send a datagram of the flow."""
+        """Send a datagram of the flow to its caller."""
         self._owner.send(datagram, peer)
 
     def _on_handshake(self) -> None:
@@ -242,7 +244,7 @@
 
     def _on_bytes(self, data: bytes, finished: bool) -> None:
         if self._backend_connection_lost:
-            # Nobody reads them, and the caller has to get on to its end.
+            # The bytes are discarded; consuming them lets the caller finish sending.
             self._connection.consume(len(data))
         else:
             self._bridge.on_bytes(data, finished)
@@ -254,7 +256,8 @@
 
     def _on_flow_ended(self, outcome: FlowOutcome, reason: str) -> None:
         self._apply(_EVENTS_BY_OUTCOME[outcome], reason)
-        # An answer that is acknowledged before its end is one that was given up.
+        # An acknowledgement has no effect before the answer is complete: then the
+        # caller has cancelled the flow.
         self._apply(CallerCancelled(), reason)
 
     def _apply(self, event: FlowEvent, reason: str = "") -> None:
@@ -281,7 +284,7 @@
             self._owner.on_directions_ended(self)
 
     def _start_request(self) -> None:
-        # The bridge holds the bytes and hands them over.
+        # The bridge holds the bytes and writes them to the backend server.
         if not self._request_started:
             self._request_started = True
             self._owner.on_request_started(self)
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -1,4 +1,4 @@
-"""The agent as a process: its socket and loops."""
+"""The agent as a process: its socket and its tasks."""
 
 import anyio
 
@@ -17,32 +17,32 @@
 from papayagw._internal.observe.logs import Log
 
 LEAVE_NOTICE_MS = Millis(500)
-"""How long a closed agent repeats that it is gone, and ends stray flows."""
+"""Time for which a drained agent repeats its departure and resets unknown flows."""
 
 _DRAIN_POLL_INTERVAL_MS = Millis(50)
 
 
 class AgentProcess:
-    """Everything that an agent process runs.
+    """Socket, packet path, control messages and configuration of an agent process.
 
     Parameters
     ----------
     settings : AgentSettings
-        Its own settings.
+        Settings of the agent.
     configuration : Configuration
-        What is in force at the start.
+        Initial configuration.
     core : AgentCore
-        Its decisions about packets.
+        Decides what happens to each packet.
     admission : Admission
-        Its decisions about accepted flows.
+        Decides when accepted flows may use the backend server.
     announcer : AgentAnnouncer
-        Its part in the membership.
+        Announces the agent to balancers and siblings.
     clock : Clock
-        The time.
+        Source of the current time.
     source : ConfigurationSource
-        Where later configurations come from; it has been started.
+        Source of later configurations; it must be started.
     log : Log
-        Where flows that don't end well are logged.
+        Log for dropped packets, flows without an answer and certificate errors.
     """
 
     def __init__(
@@ -70,22 +70,22 @@
 
     @property
     def configuration(self) -> Configuration:
-        """What is in force."""
+        """Configuration in force."""
         return self._configuration
 
     @property
     def packets(self) -> AgentPackets:
-        """The packet path."""
+        """Packet path of the agent."""
         return self._packets
 
     @property
     def announcer(self) -> AgentAnnouncer:
-        """Its part in the membership."""
+        """Announcer of the agent to balancers and siblings."""
         return self._announcer
 
     @property
     def refused_control(self) -> int:
-        """How many control frames weren't authentic messages."""
+        """Number of control frames refused as not authentic."""
         return self._control.refused
 
     def start(self) -> None:
@@ -93,7 +93,7 @@
         self._inner.start()
 
     def close(self) -> None:
-        """End the flows that are left, and close the socket."""
+        """End the remaining flows and close the socket."""
         self._packets.close_flows("the agent stopped")
         self._inner.close()
 
@@ -108,12 +108,12 @@
             )
 
     async def drain(self) -> None:
-        """Take no more openings, and return when the last flow has ended."""
+        """Refuse new openings, wait for the last flow, then announce the departure."""
         self._refuse_openings()
         while self._packets.flows:
             await anyio.sleep(to_seconds(_DRAIN_POLL_INTERVAL_MS))
         self._control.send(self._announcer.close(self._clock.now()))
-        # The ticks of this time repeat the word, since a datagram may be lost.
+        # The control loop repeats the announcement, since a datagram may be lost.
         await anyio.sleep(to_seconds(LEAVE_NOTICE_MS))
 
     def _refuse_openings(self) -> None:
@@ -126,12 +126,12 @@
         try:
             self._packets.apply(configuration)
         except SettingsError as error:
-            # The files of the certificate have gone: the one in use stays.
+            # The certificate files can't be loaded; keep the certificate in use.
             self._log.failure(error)
         core = self._packets.core
         service = configuration.site.find_service_by_id(core.route.service_id)
         if service is None:
-            # The service was taken out: what is open goes on, nothing new comes.
+            # The service was removed: open flows continue, new ones are refused.
             self._refuse_openings()
         else:
             core.set_max_flows(service.max_flows)
--- a/src/papayagw/_internal/net/bridge.py
+++ b/src/papayagw/_internal/net/bridge.py
@@ -1,4 +1,4 @@
-"""Carrying of bytes between a flow and a TCP connection, in both directions."""
+"""Relay of bytes between a flow and a TCP connection, in both directions."""
 
 from collections import deque
 from typing import Protocol
@@ -8,33 +8,33 @@
 from papayagw._internal.net.byte_stream import ByteStream
 
 HIGH_WATER_BYTES = 512 << 10
-"""Above this many unacknowledged bytes, no more are read from TCP."""
+"""Number of unacknowledged bytes from which on reading from TCP pauses."""
 
 
 class BridgedFlow(Protocol):
-    """The flow, as a bridge needs it."""
+    """What a bridge needs of its flow."""
 
     @property
     def buffered_bytes(self) -> int:
-        """Bytes written that the peer hasn't acknowledged."""
+        """Bytes written to the peer that it hasn't acknowledged."""
 
     def write(self, data: bytes) -> None:
         """Send bytes to the peer."""
 
     def finish(self) -> None:
-        """Send no more bytes."""
+        """End the sending direction."""
 
     def consume(self, count: int) -> None:
-        """Note that bytes of the peer have been handed to TCP."""
+        """Record that `count` bytes from the peer were written to TCP."""
 
 
 class FlowBridge:
-    """Both directions of one flow.
+    """Relays both directions of one flow.
 
     Parameters
     ----------
     flow : BridgedFlow
-        The flow.
+        Flow whose bytes are relayed.
     """
 
     def __init__(self, flow: BridgedFlow):
@@ -45,14 +45,14 @@
         self._writable_event = anyio.Event()
 
     def on_bytes(self, data: bytes, finished: bool) -> None:
-        """Take in bytes of the peer."""
+        """Queue bytes from the peer; `finished` tells that they are the last ones."""
         if data:
             self._received.append(data)
         self._finished = self._finished or finished
         self._received_event.set()
 
     def on_writable(self) -> None:
-        """Note that the peer may have acknowledged bytes."""
+        """Resume reading from TCP if the peer has acknowledged enough bytes."""
         if (
             not self._writable_event.is_set()
             and self._flow.buffered_bytes < HIGH_WATER_BYTES
@@ -60,7 +60,7 @@
             self._writable_event.set()
 
     async def run(self, stream: ByteStream) -> None:
-        """Carry bytes until both directions have ended in order.
+        """Relay bytes until both directions have ended in order.
 
         Raises
         ------
--- a/src/papayagw/_internal/net/byte_stream.py
+++ b/src/papayagw/_internal/net/byte_stream.py
@@ -1,4 +1,4 @@
-"""Streams of bytes with an orderly end and a reset, and a pair of them in memory."""
+"""Byte streams with an orderly end and a reset, and an in-memory implementation."""
 
 from typing import Protocol
 
@@ -8,27 +8,27 @@
 from papayagw._internal.exceptions import PapayagwError, Step
 
 _MAX_QUEUED_CHUNKS = 16
-"""How many pieces one end may send before the other has to receive."""
+"""Number of chunks that one end may send before the other must receive."""
 
 
 class StreamBrokenError(PapayagwError):
-    """A stream that was reset or can't be made."""
+    """A stream was reset or couldn't be connected."""
 
 
 class ByteStream(Protocol):
-    """A stream of bytes in both directions."""
+    """Bidirectional stream of bytes."""
 
     async def receive(self) -> bytes:
-        """Return bytes from the peer, or none at its orderly end."""
+        """Return bytes from the peer, or empty bytes after its orderly end."""
 
     async def send(self, data: bytes) -> None:
-        """Hand over all of `data`."""
+        """Send all of `data`, waiting while the peer doesn't keep up."""
 
     def send_eof(self) -> None:
-        """Tell the peer that no more bytes come."""
+        """End the sending direction in order."""
 
     def close(self) -> None:
-        """End the stream in order."""
+        """Close the stream in order."""
 
     def abort(self) -> None:
         """Reset the stream."""
@@ -40,9 +40,9 @@
     Parameters
     ----------
     outgoing : MemoryObjectSendStream
-        Where this end's bytes go.
+        Queue of the bytes to the peer.
     incoming : MemoryObjectReceiveStream
-        Where the peer's bytes come from; none of them is empty.
+        Queue of the bytes from the peer; it must contain no empty chunk.
     """
 
     def __init__(
@@ -57,7 +57,7 @@
 
     @classmethod
     def make_pair(cls) -> tuple["MemoryStream", "MemoryStream"]:
-        """Return the two ends of a new stream."""
+        """Return both ends of a new stream."""
         to_second, from_first = anyio.create_memory_object_stream[bytes](
             _MAX_QUEUED_CHUNKS
         )
@@ -69,7 +69,7 @@
         return first, second
 
     async def receive(self) -> bytes:
-        """Return bytes from the peer, or none at its orderly end."""
+        """Return bytes from the peer, or empty bytes after its orderly end."""
         try:
             return await self._incoming.receive()
         except (anyio.EndOfStream, anyio.ClosedResourceError):
@@ -78,7 +78,7 @@
             return b""
 
     async def send(self, data: bytes) -> None:
-        """Hand over all of `data`."""
+        """Send all of `data`, waiting while the peer doesn't keep up."""
         if not data:
             return
         try:
@@ -87,11 +87,11 @@
             raise self._make_reset_error() from None
 
     def send_eof(self) -> None:
-        """Tell the peer that no more bytes come."""
+        """End the sending direction in order."""
         self._outgoing.close()
 
     def close(self) -> None:
-        """End the stream in order."""
+        """Close the stream in order."""
         self._outgoing.close()
         self._incoming.close()
 
--- a/src/papayagw/_internal/net/caller.py
+++ b/src/papayagw/_internal/net/caller.py
@@ -1,4 +1,4 @@
-r"""The caller library: flows to one service from within a program.
+r"""Caller library: opens flows to one service from within a program.
 
 >>> async def place_order(tasks):
 ...     caller = Caller("order", "127.0.1.1:4401", "keys/ca.pem")
@@ -37,14 +37,14 @@
 
 
 class Flow:
-    """One flow, as a stream of bytes in both directions.
+    """One flow, as a bidirectional stream of bytes.
 
     Parameters
     ----------
     stream : MemoryStream
-        The program's end of the flow's bytes.
+        The program's end of the stream that the flow relays.
     service : str
-        The service, for errors.
+        Name of the service, for error messages.
     """
 
     def __init__(self, stream: MemoryStream, service: str):
@@ -55,7 +55,7 @@
 
     @property
     def outcome(self) -> FlowOutcome | None:
-        """How the flow ended, or None while it lives."""
+        """Outcome of the flow, or None while it is open."""
         return self._outcome
 
     async def send(self, data: bytes) -> None:
@@ -64,9 +64,9 @@
         Raises
         ------
         FlowRefusedError
-            If no byte reached a backend server: opening again is safe.
+            If no byte reached a backend server: opening another flow is safe.
         FlowUnknownError
-            If bytes may have reached one.
+            If bytes may have reached a backend server.
         """
         try:
             await self._stream.send(data)
@@ -74,16 +74,16 @@
             raise self._make_error() from error
 
     def send_eof(self) -> None:
-        """Send no more bytes."""
+        """End the sending direction."""
         self._stream.send_eof()
 
     async def receive(self) -> bytes:
-        """Return bytes of the backend server, or none at the end of its answer.
+        """Return bytes from the backend server, or empty bytes after its answer.
 
         Raises
         ------
         FlowRefusedError, FlowUnknownError
-            As `send` does.
+            For the same reasons as `send`.
         """
         try:
             return await self._stream.receive()
@@ -91,27 +91,27 @@
             raise self._make_error() from error
 
     def close(self) -> None:
-        """End the flow; what it asked for is cancelled if it hasn't been answered."""
+        """Close the flow, which cancels its request unless the answer is complete."""
         self._stream.abort()
 
     def record_outcome(self, outcome: FlowOutcome, reason: str) -> None:
-        """Note how the flow ended."""
+        """Store the outcome of the flow and its reason."""
         self._outcome = outcome
         self._reason = reason
 
     def _make_error(self) -> PapayagwError:
         if self._outcome is FlowOutcome.REFUSED:
             return FlowRefusedError(
-                self._reason or "no agent took the flow",
+                self._reason or "no agent accepted the flow",
                 step=Step.OPEN_FLOW,
                 peer=self._service,
-                remedy="it was not run: open another flow when you like",
+                remedy="the request was not executed; it is safe to open another flow",
             )
         return FlowUnknownError(
-            self._reason or "the flow broke",
+            self._reason or "the flow was interrupted",
             step=Step.DELIVER,
             peer=self._service,
-            remedy="it may have run: ask the service before you send it again",
+            remedy="the request may have been executed; ask the service before a retry",
         )
 
 
@@ -121,17 +121,18 @@
     Parameters
     ----------
     service : str
-        The service, which the agents' certificate names.
+        Name of the service, which the agents' certificates must contain.
     entry : str
-        The entry address of the service, as ``ip:port``.
+        Entry address of the service, as ``ip:port``.
     authority : str or Path
-        PEM file of the authority that signs the agents' certificates.
+        PEM file with the certificate of the authority that signs the agents'
+        certificates.
     idempotent : bool
-        Whether the service's requests may be run more than once.
+        Whether requests to the service may be executed more than once.
     probe_interval_ms : Millis
-        How long a flow may be silent before its agent is probed.
+        Time without a datagram after which the agent of a flow is probed.
     idle_timeout_ms : Millis
-        How long a flow may be silent before it is given up.
+        Time without a datagram after which a flow is closed.
     """
 
     def __init__(
@@ -157,17 +158,17 @@
         self._flows: anyio.abc.TaskGroup | None = None
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Take a UDP port and serve flows in `tasks` until `close`."""
+        """Bind a UDP port, and serve flows as a task of `tasks` until `close`."""
         await tasks.start(self._run)
 
     def close(self) -> None:
-        """Cut the flows that are open, and give the port back."""
+        """Interrupt the open flows, and release the UDP port."""
         if self._flows is not None:
             self._flows.cancel_scope.cancel()
 
     def open(self) -> Flow:
-        """Return a new flow, whose opening is on its way."""
-        assert self._flows is not None, "start() comes first"
+        """Return a new flow, which opens in the background."""
+        assert self._flows is not None, "start() must be called first"
         program_stream, flow_stream = MemoryStream.make_pair()
         flow = Flow(program_stream, self._service)
         self._flows.start_soon(self._run_flow, flow_stream, flow)
--- a/src/papayagw/_internal/net/caller_flow.py
+++ b/src/papayagw/_internal/net/caller_flow.py
@@ -1,4 +1,4 @@
-"""A flow at its caller: one TCP connection, carried over as many openings as safe."""
+"""A flow at its caller: relays one byte stream, and retries openings while safe."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -22,30 +22,30 @@
 from papayagw._internal.wire.quic import FlowConnection
 
 OPENING_TIMEOUT_MS = Millis(1_500)
-"""How long an opening may go unanswered before another one is tried."""
+"""Time without a completed handshake after which the flow is opened again."""
 
 
 class OpeningTransport(Protocol):
-    """Where a caller's flow opens its connections."""
+    """Transport on which a caller's flow opens its connections."""
 
     def open(self) -> FlowConnection:
-        """Return a new connection."""
+        """Return a new connection, whose opening is ready to be transmitted."""
 
     def add(self, attempt: "OpeningAttempt") -> None:
-        """Send the packets of an attempt's connection to it from now on."""
+        """Register an attempt, so that it receives the packets of its connection."""
 
     def on_handshake(self, attempt: "OpeningAttempt") -> None:
-        """Note that an attempt's handshake is complete."""
+        """Process the completed handshake of an attempt."""
 
     def mark_pending(self, attempt: "OpeningAttempt") -> None:
-        """Note that an attempt has something to send."""
+        """Schedule an attempt that has something to send."""
 
     def send(self, datagram: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram to the entry address."""
 
 
 class OpeningAttempt:
-    """One opening of a flow; its events count only while it is the last one."""
+    """One opening of a flow; only events of the latest attempt have an effect."""
 
     def __init__(self, flow: "CallerFlow", transport: OpeningTransport):
         self._flow = flow
@@ -55,16 +55,16 @@
 
     @property
     def connection(self) -> FlowConnection:
-        """The caller's end of the opening."""
+        """Connection to the agent."""
         return self._connection
 
     def on_events(self, events: list[StreamEvent]) -> None:
-        """Hand the events on to the flow."""
+        """Pass the events to the flow."""
         for event in events:
             self._flow.on_event(self, event)
 
     def on_writable(self) -> None:
-        """Hand the sign on to the flow."""
+        """Tell the flow that the agent may have acknowledged bytes."""
         self._flow.on_writable(self)
 
     def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
@@ -73,26 +73,26 @@
 
 
 class CallerFlow:
-    """Carries a TCP connection as a flow.
+    """Relays the bytes of a TCP connection over a flow.
 
-    Bytes are kept until the agent says that it reached the backend server. Until
-    then a refused opening is made again, with another random connection id and so,
-    most likely, at another agent.
+    Request bytes are buffered for replay until the agent signals that it reached the
+    backend server. Until then a refused opening is retried with another random
+    connection id, and therefore most likely at another agent.
 
     Parameters
     ----------
     stream : ByteStream
-        The caller's TCP connection, or another stream of its bytes.
+        The caller's TCP connection, or another byte stream.
     transport : OpeningTransport
-        Where openings are made.
+        Transport for the connections of the flow.
     retry : OpeningRetry
-        Whether and when an opening is made again.
+        Decides whether and when the flow is opened again.
     clock : Clock
-        The time.
+        Source of the current time.
     meter : FlowMeter
-        Counts what becomes of the flow.
+        Records the flow for the totals of its service.
     on_end : callable
-        Told how the flow ended and why, before its stream ends.
+        Called with the outcome of the flow and its reason before the stream closes.
     """
 
     def __init__(
@@ -125,7 +125,7 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Bytes written that the agent hasn't acknowledged, or that are kept."""
+        """Bytes that are buffered for replay or that the agent hasn't acknowledged."""
         if self._replay_data is not None:
             return self._replay_bytes
         return self._attempt.connection.buffered_bytes
@@ -139,19 +139,19 @@
         self._transport.mark_pending(self._attempt)
 
     def finish(self) -> None:
-        """Send no more bytes."""
+        """End the sending direction."""
         self._request_finished = True
         self._attempt.connection.finish()
         self._transport.mark_pending(self._attempt)
 
     def consume(self, count: int) -> None:
-        """Note that bytes have been handed to the TCP connection."""
+        """Record that `count` bytes were written to the TCP connection."""
         self._meter.record_answer(self._clock.now())
         if self._attempt.connection.consume(count):
             self._transport.mark_pending(self._attempt)
 
     def on_event(self, attempt: OpeningAttempt, event: StreamEvent) -> None:
-        """Act on an event of an attempt."""
+        """Process an event of an attempt; stale attempts are ignored."""
         if attempt is not self._attempt or self._attempt_ended is not None:
             return
         match event:
@@ -161,18 +161,18 @@
             case BytesArrived(data, finished):
                 self._on_bytes(data, finished)
             case FlowEnded(FlowOutcome.ANSWERED) if self._answer_complete:
-                # The agent needs no word any more; the bridge finishes by itself.
+                # The agent needs no close any more; the bridge finishes by itself.
                 pass
             case FlowEnded(outcome, reason):
                 self._end_attempt(outcome, reason)
 
     def on_writable(self, attempt: OpeningAttempt) -> None:
-        """Read on from the TCP connection if there is room."""
+        """Resume reading from the TCP connection if the buffer has room."""
         if attempt is self._attempt:
             self._bridge.on_writable()
 
     async def run(self) -> None:
-        """Carry the flow to its end."""
+        """Relay bytes until the flow ends, then close or reset the stream."""
         try:
             with self._scope:
                 async with anyio.create_task_group() as tasks:
@@ -180,7 +180,7 @@
                     await self._transfer()
                     tasks.cancel_scope.cancel()
         finally:
-            # Also when this process stops: a cut flow must not look whole.
+            # Also on cancellation, so that an interrupted flow never looks complete.
             outcome = self._outcome or FlowOutcome.UNKNOWN
             self._meter.record_ended(outcome, self._clock.now())
             self._on_end(outcome, self._reason)
@@ -225,7 +225,7 @@
         self._progress.set()
 
     async def _retry_openings(self) -> None:
-        """Open again after each attempt that ends, as long as that is safe."""
+        """Open the flow again after each failed attempt while that is safe."""
         while True:
             ended = await self._wait_for_attempt_end()
             action = self._retry.handle_attempt_ended(ended, self._clock.now())
--- a/src/papayagw/_internal/net/clock.py
+++ b/src/papayagw/_internal/net/clock.py
@@ -1,4 +1,4 @@
-"""The clock of running processes."""
+"""Clocks of the machine."""
 
 import time
 
@@ -9,7 +9,7 @@
 
 
 class MonotonicClock:
-    """The machine's monotonic clock."""
+    """Monotonic clock of the machine."""
 
     def now(self) -> Millis:
         """Return the milliseconds since an arbitrary fixed point."""
@@ -17,7 +17,7 @@
 
 
 class WallClock:
-    """The time of day, for records that people and other machines read."""
+    """Wall clock, for records that people and other machines read."""
 
     def now(self) -> Millis:
         """Return the milliseconds since 1970."""
@@ -25,5 +25,5 @@
 
 
 def make_incarnation() -> Incarnation:
-    """Return the number of the run that starts now, from the machine's date."""
+    """Return the incarnation of a process that starts now: ms since 1970."""
     return Incarnation(time.time_ns() // _NANOS_PER_MILLI)
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -1,4 +1,4 @@
-"""The caller's side: TCP connections in, flows over the entry address out."""
+"""The callers' side: relays TCP connections as flows to an entry address."""
 
 from collections.abc import Callable
 
@@ -19,20 +19,20 @@
 
 
 class ServiceConnector:
-    """Carries the TCP connections of one listener to one service.
+    """Relays the TCP connections of one listener as flows to its service.
 
     Parameters
     ----------
     listener : Listener
-        Where callers connect, and the service behind.
+        Address on which callers connect, and the service it leads to.
     opener : FlowOpener
-        Makes the callers' ends of flows.
+        Creates the connections of the flows.
     make_retry : callable
-        Returns what decides about further attempts of one flow.
+        Returns a new retry policy for one flow.
     clock : Clock
-        The time.
+        Source of the current time.
     log : Log
-        Where flows that don't end well are logged.
+        Log for flows that end without a complete answer.
     """
 
     def __init__(
@@ -56,35 +56,35 @@
 
     @property
     def outcomes(self) -> dict[FlowOutcome, int]:
-        """How many flows ended in each way."""
+        """Number of ended flows by outcome."""
         return self._outcomes
 
     @property
     def meter(self) -> ServiceMeter:
-        """What became of the flows."""
+        """Totals of the flows by outcome, and opening latencies."""
         return self._meter
 
     @property
     def flows(self) -> int:
-        """How many TCP connections are open."""
+        """Number of open TCP connections, each of which is one flow."""
         return self._open_streams
 
     def start(self) -> None:
-        """Take the addresses."""
+        """Bind the UDP socket and listen for TCP connections."""
         self._transport.start()
         self._listener.start()
 
     def close(self) -> None:
-        """Give the addresses back."""
+        """Close the listening socket and the UDP socket."""
         self._listener.close()
         self._transport.close()
 
     def stop_listening(self) -> None:
-        """Take no new TCP connections."""
+        """Stop accepting TCP connections."""
         self._listener.close()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Accept TCP connections and relay them until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._transport.run)
             await self._listener.serve(self._serve_connection, tasks)
--- a/src/papayagw/_internal/net/connect_account.py
+++ b/src/papayagw/_internal/net/connect_account.py
@@ -1,4 +1,4 @@
-"""The callers' side's account of itself."""
+"""Status report and metrics of a connect process, on the callers' side."""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
@@ -12,18 +12,18 @@
 
 
 class ConnectAccount:
-    """The figures of a connect process.
+    """Status and metrics of a connect process.
 
     Parameters
     ----------
     identity : NodeIdentity
-        Who it is.
+        Name, role and start of the process.
     settings : ConnectSettings
-        Its own settings.
+        Settings of the connect process.
     process : ConnectProcess
-        Its listeners and flows.
+        The process, with its listeners and flows.
     clock : Clock
-        The time.
+        Source of the current time.
     """
 
     def __init__(
@@ -40,12 +40,12 @@
 
     @property
     def identity(self) -> NodeIdentity:
-        """Who it is."""
+        """Name, role and start of the process."""
         return self._identity
 
     @property
     def configuration_version(self) -> int:
-        """A caller's machine has no configuration but its own settings."""
+        """Always 0, as a connect process has settings but no site configuration."""
         return 0
 
     @property
@@ -54,7 +54,7 @@
         return tuple(zip(self._settings.listeners, connectors, strict=True))
 
     def read_counts(self) -> Mapping[str, int]:
-        """Return the counts since the start, by the names of their metrics."""
+        """Return the counts since the start, by metric name."""
         return {
             f"connect.{listener.service}.{outcome.value}": count
             for listener, connector in self._listener_connectors
@@ -62,21 +62,21 @@
         }
 
     def read_gauges(self) -> Mapping[str, float]:
-        """Return the gauges of the moment, by the names of their metrics."""
+        """Return the current gauges, by metric name."""
         return {
             f"connect.{listener.service}.flows": connector.flows
             for listener, connector in self._listener_connectors
         }
 
     def pop_timings(self) -> Mapping[str, Sequence[float]]:
-        """Return durations in ms since the last call, by the names of their metrics."""
+        """Return the durations in ms since the last call, by metric name."""
         return {
             f"connect.{listener.service}.opening": connector.meter.pop_latencies()
             for listener, connector in self._listener_connectors
         }
 
     def report(self, state: NodeState) -> StatusReport:
-        """Return the whole account."""
+        """Return the complete status report."""
         connectors = self._process.connectors
         shared = start_report(self._identity, state, self._clock, self.read_counts())
         return replace(
--- a/src/papayagw/_internal/net/connect_process.py
+++ b/src/papayagw/_internal/net/connect_process.py
@@ -1,4 +1,4 @@
-"""The caller's side as a process: one connector for each listener."""
+"""The callers' side as a process: one connector per listener."""
 
 from pathlib import Path
 
@@ -15,16 +15,16 @@
 
 
 class ConnectProcess:
-    """Everything that a connect process runs.
+    """Connectors of a connect process.
 
     Parameters
     ----------
     settings : ConnectSettings
-        Its own settings.
+        Settings of the connect process.
     clock : Clock
-        The time.
+        Source of the current time.
     log : Log
-        Where flows that don't end well are logged.
+        Log for flows that end without a complete answer.
     """
 
     def __init__(self, settings: ConnectSettings, clock: Clock, log: Log):
@@ -36,27 +36,27 @@
 
     @property
     def connectors(self) -> tuple[ServiceConnector, ...]:
-        """The connectors, in the order of the listeners."""
+        """Connectors, in the order of the listeners."""
         return self._connectors
 
     def start(self) -> None:
-        """Take the addresses."""
+        """Bind the sockets of all connectors."""
         for connector in self._connectors:
             connector.start()
 
     def close(self) -> None:
-        """Give the addresses back."""
+        """Close the sockets of all connectors."""
         for connector in self._connectors:
             connector.close()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Run all connectors until cancelled."""
         async with anyio.create_task_group() as tasks:
             for connector in self._connectors:
                 tasks.start_soon(connector.run)
 
     async def drain(self) -> None:
-        """Take no more connections, and return when the last one has ended."""
+        """Stop accepting connections, and return when the last one has ended."""
         for connector in self._connectors:
             connector.stop_listening()
         while any(connector.flows for connector in self._connectors):
--- a/src/papayagw/_internal/net/datagrams.py
+++ b/src/papayagw/_internal/net/datagrams.py
@@ -1,4 +1,4 @@
-"""UDP sockets that are drained in batches, for any way of waiting."""
+"""UDP sockets that are read in batches, independent of the event loop."""
 
 import errno
 import socket
@@ -9,14 +9,14 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 MAX_DATAGRAM_BYTES = 2_048
-"""No process of the system sends more; a longer datagram is cut and fails its check."""
+"""No process of the system sends more; longer datagrams are cut and fail to verify."""
 BATCH_DATAGRAMS = 64
-"""How many datagrams are read before other tasks get a turn."""
+"""Maximum number of datagrams to read before other tasks run."""
 
 _BUFFER_BYTES = 4 << 20
 _ANCILLARY_BYTES = 512
 _IP_RECVERR = 11
-"""The option of Linux's ip(7) that keeps errors with what they are about."""
+"""Linux socket option, see ip(7): queue errors with the datagrams that caused them."""
 _EXTENDED_ERROR = struct.Struct("=IBBBBII")
 _ORIGIN_ICMP = 2
 
@@ -24,19 +24,19 @@
 
 
 class BatchSocket:
-    """A bound UDP socket.
+    """Bound UDP socket.
 
-    Waiting costs a turn of the loop, so each readiness is used to read up to
-    `BATCH_DATAGRAMS`.
+    Each wait costs an iteration of the event loop, so up to `BATCH_DATAGRAMS` are read
+    whenever the socket is readable.
 
     Parameters
     ----------
     endpoint : Endpoint or None
-        Where to bind; None takes a free port.
+        Endpoint to bind; None binds a free port on all addresses.
     keeps_refused : bool
-        Whether datagrams that met a closed port are kept for `receive_refused`.
+        Whether `receive_refused` returns datagrams that were sent to a closed port.
     max_bytes : int
-        The longest datagram that is expected; a longer one is cut.
+        Maximum length of a received datagram; longer ones are cut.
     """
 
     def __init__(
@@ -57,17 +57,23 @@
 
     @property
     def local(self) -> Endpoint:
-        """Where the socket is bound."""
+        """Endpoint to which the socket is bound."""
         ip, port = self._socket.getsockname()
         return Endpoint(ip, port)
 
     @property
     def send_failures(self) -> int:
-        """How many datagrams the machine didn't take."""
+        """Number of datagrams that the operating system rejected."""
         return self._send_failures
 
     def start(self) -> None:
-        """Bind the socket."""
+        """Bind the socket.
+
+        Raises
+        ------
+        BindError
+            If the endpoint can't be bound.
+        """
         self._socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self._socket.setsockopt(socket.SOL_SOCKET, option, _BUFFER_BYTES)
@@ -84,11 +90,11 @@
         self._socket.close()
 
     def fileno(self) -> int:
-        """Return the descriptor, for a loop that waits on it."""
+        """Return the file descriptor, for an event loop that waits on it."""
         return self._socket.fileno()
 
     def receive_batch(self) -> list[AddressedDatagram]:
-        """Return the datagrams that are there, up to a batch."""
+        """Return the datagrams that are available, at most one batch."""
         received: list[AddressedDatagram] = []
         receive = self._socket.recvfrom
         for _ in range(BATCH_DATAGRAMS):
@@ -97,18 +103,19 @@
             except BlockingIOError:
                 break
             except OSError:
-                # An earlier datagram met a closed port; the next one may be fine.
+                # The error belongs to a datagram sent earlier to a closed port.
+                # Further datagrams may be available.
                 continue
         self._is_full_batch = len(received) == BATCH_DATAGRAMS
-        # Readiness without a datagram tells of an error.
+        # A readable socket without a datagram has an error queued.
         self._may_have_refused |= not received
         return received
 
     def receive_refused(self) -> list[AddressedDatagram]:
-        """Return datagrams that met a closed port, and where each one was sent.
+        """Return datagrams that were sent to a closed port, each with its destination.
 
-        The host of the peer lives and says that no process holds the port. The
-        network may have cut a datagram to its first 500 bytes or so.
+        The peer's host is alive and reports that no process has bound the port. The
+        network may have cut a datagram to about its first 500 bytes.
         """
         refused: list[AddressedDatagram] = []
         if not (self._keeps_refused and self._may_have_refused):
@@ -126,19 +133,19 @@
         return refused
 
     def send(self, data: bytes, peer: tuple[str, int]) -> None:
-        """Send a datagram, or count it if the machine doesn't take it."""
+        """Send a datagram, or count it if the operating system rejects it."""
         try:
             self._sendto(data, peer)
         except ConnectionRefusedError:
-            # That was the error of an earlier datagram: this one wasn't sent yet.
+            # The error belongs to an earlier datagram; this one wasn't sent yet.
             self._may_have_refused = True
             self._resend(data, peer)
         except OSError:
-            # Datagrams may be lost anywhere: the flow's loss recovery resends.
+            # Like a datagram lost in the network; the flow's loss recovery resends it.
             self._send_failures += 1
 
     def send_all(self, datagrams: Sequence[AddressedDatagram]) -> None:
-        """Send datagrams, each to its peer, one right after the other."""
+        """Send each datagram to its peer, in order and without yielding in between."""
         for data, peer in datagrams:
             self.send(data, peer)
 
@@ -150,7 +157,7 @@
 
 
 def _is_closed_port(error: bytes) -> bool:
-    """Return whether an error of the queue is 'port unreachable', and no other."""
+    """Return whether a queued error is ICMP 'port unreachable'."""
     if len(error) < _EXTENDED_ERROR.size:
         return False
     code, origin, *_ = _EXTENDED_ERROR.unpack_from(error)
--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -1,4 +1,4 @@
-"""The flows of one process: their packets, deadlines and transmissions."""
+"""Event loop of the flows of one process: packets, deadlines and transmissions."""
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -15,33 +15,33 @@
 
 
 class FlowHandler(Protocol):
-    """What a process does with the events of one flow."""
+    """Handler of the events of one flow."""
 
     @property
     def connection(self) -> FlowConnection:
-        """The flow's connection."""
+        """Connection of the flow."""
 
     def on_events(self, events: list[StreamEvent]) -> None:
-        """Act on what has happened, without waiting."""
+        """Process events without blocking."""
 
     def on_writable(self) -> None:
-        """Act on the peer having acknowledged bytes."""
+        """React to the peer possibly having acknowledged bytes."""
 
     def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
-        """Send a datagram of the flow."""
+        """Send a datagram of the flow to `peer`."""
 
 
 class FlowTable:
-    """Drives the connections of many flows from one loop.
+    """Drives the connections of many flows from one event loop.
 
     Parameters
     ----------
     clock : Clock
-        The time.
+        Source of the current time.
     on_removed : callable
-        Told of each handler whose flow is over.
+        Called with the handler of each flow that is removed.
     log : Log
-        Where faults that end a flow are logged.
+        Log for exceptions that end a flow.
     """
 
     def __init__(
@@ -61,7 +61,7 @@
 
     @property
     def handlers(self) -> tuple[FlowHandler, ...]:
-        """The handlers of all flows."""
+        """Handlers of all flows."""
         return tuple(self._connection_ids)
 
     def find(self, connection_id: bytes) -> FlowHandler | None:
@@ -69,33 +69,33 @@
         return self._handlers.get(connection_id)
 
     def add(self, handler: FlowHandler, *connection_ids: bytes) -> None:
-        """Take in a flow, whose packets carry any of `connection_ids`."""
+        """Add a flow whose packets carry any of `connection_ids`."""
         self._connection_ids[handler] = connection_ids
         for connection_id in connection_ids:
             self._handlers[connection_id] = handler
         self.mark_pending(handler)
 
     def add_id(self, handler: FlowHandler, connection_id: bytes) -> None:
-        """Let packets with one more id find a flow."""
+        """Register another id by which `find` returns a flow."""
         self._connection_ids[handler] = (*self._connection_ids[handler], connection_id)
         self._handlers[connection_id] = handler
 
     def receive(
         self, handler: FlowHandler, datagram: bytes, peer: tuple[str, int]
     ) -> None:
-        """Hand a datagram to its flow; `flush` must follow."""
+        """Pass a datagram to its flow; the caller must call `flush` afterwards."""
         with self._isolated(handler):
             handler.connection.receive(datagram, peer, self._clock.now())
             self._pending[handler] = None
 
     def mark_pending(self, handler: FlowHandler) -> None:
-        """Note that a flow has something to do, and wake the loop."""
+        """Mark a flow as having work to do, and wake the loop."""
         if handler in self._connection_ids:
             self._pending[handler] = None
             self._wake.set()
 
     def flush(self) -> None:
-        """Act on the events of the pending flows and send what is due."""
+        """Process the events of the pending flows and send their due datagrams."""
         while self._pending:
             pending = list(self._pending)
             self._pending.clear()
@@ -142,7 +142,7 @@
 
     @contextmanager
     def _isolated(self, handler: FlowHandler) -> Iterator[None]:
-        """Let a fault in one flow end that flow and no other."""
+        """Log an exception in one flow and remove only that flow."""
         try:
             yield
         except Exception:
--- a/src/papayagw/_internal/net/flow_transport.py
+++ b/src/papayagw/_internal/net/flow_transport.py
@@ -1,4 +1,4 @@
-"""The callers' end of the network: flows over one UDP socket to an entry address."""
+"""Transport of a caller's flows: one UDP socket to an entry address."""
 
 import anyio
 
@@ -17,18 +17,18 @@
 
 
 class FlowTransport:
-    """Opens flows to one service and moves their packets.
+    """Opens the flows to one service, and sends and receives their packets.
 
     Parameters
     ----------
     opener : FlowOpener
-        Makes the callers' ends of flows.
+        Creates the connections of the flows.
     clock : Clock
-        The time.
+        Source of the current time.
     log : Log
-        Where faults are logged.
+        Log for exceptions that end a flow.
     probe_interval_ms : Millis
-        How long a flow may be silent before its agent is probed.
+        Time without a datagram after which the agent of a flow is probed.
     """
 
     def __init__(
@@ -42,38 +42,38 @@
         self._last_received: dict[FlowHandler, Millis] = {}
 
     def start(self) -> None:
-        """Take a UDP port."""
+        """Bind the socket to a free UDP port."""
         self._socket.start()
 
     def close(self) -> None:
-        """Send what is due, and give the port back."""
+        """Send the datagrams that are due, and close the socket."""
         self._table.flush()
         self._socket.close()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Receive packets, serve timers and probe silent flows until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive)
             tasks.start_soon(self._table.run)
             tasks.start_soon(self._probe_silent_flows)
 
     def open(self) -> FlowConnection:
-        """Return a new connection."""
+        """Return a new connection, whose opening is ready to be transmitted."""
         return self._opener.open(self._clock.now())
 
     def add(self, attempt: OpeningAttempt) -> None:
-        """Send the packets of an attempt's connection to it from now on."""
+        """Register an attempt, so that it receives the packets of its connection."""
         self._table.add(attempt, attempt.connection.local_id)
         self._last_received[attempt] = self._clock.now()
 
     def on_handshake(self, attempt: OpeningAttempt) -> None:
-        """Let a stateless reset by the agent find the attempt."""
+        """Register the agent's reset token, which marks its stateless resets."""
         token = attempt.connection.peer_reset_token
         if token:
             self._table.add_id(attempt, token)
 
     def mark_pending(self, attempt: OpeningAttempt) -> None:
-        """Note that an attempt has something to send."""
+        """Schedule an attempt that has something to send."""
         self._table.mark_pending(attempt)
 
     def send(self, datagram: bytes, peer: tuple[str, int]) -> None:
--- a/src/papayagw/_internal/net/inner_loop.py
+++ b/src/papayagw/_internal/net/inner_loop.py
@@ -1,4 +1,4 @@
-"""The loop round the socket between the system's own processes."""
+"""Receive loop of the inner socket, which connects balancers and agents."""
 
 from typing import Protocol
 
@@ -12,22 +12,22 @@
 
 
 class InnerPackets(Protocol):
-    """What a process does with the envelopes that come to its inner socket."""
+    """Handler of the envelopes that arrive at the inner socket of a process."""
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
-        """Take in an envelope; `flush` follows."""
+        """Process a received envelope; `flush` follows."""
 
     def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
-        """Act on an envelope of this process that met a closed port."""
+        """Process an envelope that this process sent to a closed port of `peer`."""
 
     def flush(self) -> None:
-        """Send what the last envelopes have made due."""
+        """Send the datagrams that the last envelopes caused."""
 
 
 async def serve_inner(
     socket: DatagramSocket, control: ControlLoop, packets: InnerPackets, clock: Clock
 ) -> None:
-    """Hand each frame to whom it concerns, until cancelled."""
+    """Dispatch each frame to `control` or `packets` by its kind, until cancelled."""
     while True:
         await socket.wait_readable()
         for frame, source in socket.receive_batch():
--- a/src/papayagw/_internal/net/observed.py
+++ b/src/papayagw/_internal/net/observed.py
@@ -1,4 +1,4 @@
-"""A daemon that operators can see: logs, metrics and status round a process."""
+"""Daemon with an admin endpoint, metrics and lifecycle logs."""
 
 from collections.abc import Iterator
 
@@ -16,18 +16,18 @@
 
 
 class ObservedDaemon:
-    """Runs a daemon with its admin endpoint and its metrics.
+    """Runs a daemon with its admin endpoint, its metrics and its lifecycle logs.
 
     Parameters
     ----------
     daemon : Daemon
-        What to run.
+        Daemon to run.
     account : Account
-        Its figures.
+        Source of its status report and metrics.
     settings : ProcessSettings
-        Where they go.
+        Addresses of the admin endpoint and of statsd; both are optional.
     log : Log
-        Where its starts and stops are logged.
+        Log for the start, the stop and configuration changes.
     """
 
     def __init__(
@@ -40,7 +40,7 @@
         self._observers = tuple(self._make_observers(settings))
 
     def start(self) -> None:
-        """Take the addresses; an error here ends the process at once."""
+        """Bind the sockets; an error here ends the process at once."""
         self._daemon.start()
         for observer in self._observers:
             observer.start()
@@ -48,7 +48,7 @@
         self._log.info("started", **self._make_log_fields())
 
     def close(self) -> None:
-        """Give the addresses back."""
+        """Close the sockets."""
         self._daemon.close()
         for observer in self._observers:
             observer.close()
@@ -63,7 +63,7 @@
             await self._daemon.run()
 
     async def drain(self) -> None:
-        """Return when a graceful stop has nothing left to wait for."""
+        """Drain the daemon for a graceful shutdown, and return when it is done."""
         self._state = NodeState.DRAINING
         self._log.info("draining", **self._make_log_fields())
         await self._daemon.drain()
--- a/src/papayagw/_internal/net/retries.py
+++ b/src/papayagw/_internal/net/retries.py
@@ -1,4 +1,4 @@
-"""What decides about further openings of the flows to one service."""
+"""Retry policy of the flows to one service."""
 
 import random
 from collections.abc import Callable
@@ -8,7 +8,7 @@
 
 
 def make_retry_factory(*, idempotent: bool) -> Callable[[], OpeningRetry]:
-    """Return a maker of the decisions of one flow, which all share a budget."""
+    """Return a factory of `OpeningRetry` objects that share one retry budget."""
     policy = RetryPolicy()
     budget = TokenBudget(policy)
     draw = random.SystemRandom().random
--- a/src/papayagw/_internal/net/tcp.py
+++ b/src/papayagw/_internal/net/tcp.py
@@ -1,7 +1,7 @@
 """TCP streams over plain sockets.
 
-A broken flow has to reach the other side as a reset, never as an orderly end, so
-these streams close in the way that they are told to.
+A broken flow must reach the other side as a reset, never as an orderly end. The
+streams therefore offer both an orderly `close` and an `abort` that resets.
 """
 
 import os
@@ -24,12 +24,12 @@
 
 
 class TcpStream:
-    """One TCP connection.
+    """Byte stream over one TCP connection.
 
     Parameters
     ----------
     connection : socket.socket
-        A connected socket.
+        Connected socket, which the stream owns from then on.
     """
 
     def __init__(self, connection: socket.socket):
@@ -44,7 +44,7 @@
         Raises
         ------
         StreamBrokenError
-            If it refuses or doesn't answer in `timeout_ms`.
+            If the connection fails or isn't established within `timeout_ms`.
         """
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         connection.setblocking(False)
@@ -55,17 +55,17 @@
         except (OSError, TimeoutError) as error:
             connection.close()
             raise StreamBrokenError(
-                f"can't connect: {error or 'no answer'}",
+                f"connection failed: {error or 'timed out'}",
                 step=Step.CONNECT_BACKEND,
                 peer=str(endpoint),
-                remedy="see whether the backend server runs",
+                remedy="check that the backend server is running",
             ) from error
         except BaseException:
             connection.close()
             raise
 
     async def receive(self) -> bytes:
-        """Return bytes from the peer, or none at its orderly end."""
+        """Return bytes from the peer, or empty bytes after its orderly end."""
         while True:
             try:
                 return self._socket.recv(READ_BYTES)
@@ -75,7 +75,7 @@
                 raise self._make_error(error) from error
 
     async def send(self, data: bytes) -> None:
-        """Hand all of `data` to the machine."""
+        """Write all of `data` to the socket."""
         view = memoryview(data)
         while view:
             try:
@@ -86,14 +86,14 @@
                 raise self._make_error(error) from error
 
     def send_eof(self) -> None:
-        """Tell the peer that no more bytes come."""
+        """End the sending direction in order."""
         try:
             self._socket.shutdown(socket.SHUT_WR)
         except OSError as error:
             raise self._make_error(error) from error
 
     def close(self) -> None:
-        """End the connection in order."""
+        """Close the connection in order."""
         self._socket.close()
 
     def abort(self) -> None:
@@ -106,12 +106,12 @@
 
 
 class TcpListener:
-    """A listening TCP socket.
+    """Listening TCP socket.
 
     Parameters
     ----------
     endpoint : Endpoint
-        Where to listen.
+        Address and port to listen on.
     """
 
     def __init__(self, endpoint: Endpoint):
@@ -119,7 +119,13 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
 
     def start(self) -> None:
-        """Bind and listen."""
+        """Bind the socket and listen.
+
+        Raises
+        ------
+        BindError
+            If the endpoint can't be bound.
+        """
         self._socket.setblocking(False)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -129,7 +135,7 @@
         self._socket.listen(_BACKLOG_CONNECTIONS)
 
     def close(self) -> None:
-        """Listen no more."""
+        """Stop listening."""
         self._socket.close()
 
     async def serve(
@@ -137,14 +143,14 @@
         handle: Callable[[TcpStream], Coroutine[Any, Any, None]],
         tasks: anyio.abc.TaskGroup,
     ) -> None:
-        """Start a task of `tasks` for each connection, until cancelled."""
+        """Run `handle` as a task of `tasks` for each connection, until cancelled."""
         while True:
             try:
                 connection, _ = self._socket.accept()
             except BlockingIOError:
                 await anyio.wait_readable(self._socket)
             except OSError:
-                # Out of file descriptors, or the peer has gone already.
+                # Out of file descriptors, or the peer has closed already.
                 await anyio.sleep(0.01)
             else:
                 tasks.start_soon(handle, TcpStream(connection))
--- a/src/papayagw/_internal/net/udp.py
+++ b/src/papayagw/_internal/net/udp.py
@@ -1,4 +1,4 @@
-"""UDP sockets for tasks of anyio."""
+"""UDP sockets for anyio tasks."""
 
 import anyio
 import anyio.lowlevel
@@ -7,17 +7,17 @@
 
 
 class DatagramSocket(BatchSocket):
-    """A bound UDP socket that tasks wait for."""
+    """Bound UDP socket on which anyio tasks wait."""
 
     def close_and_notify(self) -> None:
-        """Close the socket while a task may wait for it, which is told so."""
+        """Close the socket and wake a task that waits on it with an error."""
         anyio.notify_closing(self._socket)
         self._socket.close()
 
     async def wait_readable(self) -> None:
-        """Wait until a datagram is there, and let other tasks have a turn."""
+        """Wait until the socket is readable, and yield to other tasks at least once."""
         if self._is_full_batch:
-            # More are there, most likely: asking the machine costs more than to try.
+            # More datagrams are likely: a system call to poll costs more than a read.
             await anyio.lowlevel.checkpoint()
         else:
             await anyio.wait_readable(self._socket)
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -7,6 +7,6 @@
 
 @pytest.fixture(scope="session")
 def block():
-    """Return a block of IP numbers that no other run of the tests uses."""
+    """Return the number of a block of loopback addresses not used by another run."""
     with claimed_block(FIRST_BLOCK) as number:
         yield number
--- a/tests/processes/test_caller.py
+++ b/tests/processes/test_caller.py
@@ -9,7 +9,7 @@
 
 PLAN = FleetPlan(hosts=(Hosts("order", 1),), block=70)
 AUTHORITY = "keys/ca.pem"
-LIMIT_S = 60
+TIMEOUT_S = 60
 
 
 @pytest.fixture(scope="module")
@@ -18,11 +18,11 @@
         yield fleet
 
 
-async def use(fleet, act):
-    """Run `act` with a caller of the order service."""
+async def run_with_caller(fleet, act):
+    """Return the result of `act`, run with a caller of the order service."""
     entry = fleet.settings.site.find_service("order").address
     caller = papayagw.Caller("order", str(entry), fleet.folder / AUTHORITY)
-    with anyio.fail_after(LIMIT_S):
+    with anyio.fail_after(TIMEOUT_S):
         async with anyio.create_task_group() as tasks:
             await caller.start(tasks)
             result = await act(fleet, caller)
@@ -30,18 +30,18 @@
     return result
 
 
-async def receive_whole(flow):
-    pieces = []
-    while piece := await flow.receive():
-        pieces.append(piece)
-    return b"".join(pieces)
+async def receive_all(flow):
+    chunks = []
+    while chunk := await flow.receive():
+        chunks.append(chunk)
+    return b"".join(chunks)
 
 
 async def place_order(fleet, caller):
     flow = caller.open()
     await flow.send(b"ORDER library-1\n")
     flow.send_eof()
-    return await receive_whole(flow)
+    return await receive_all(flow)
 
 
 async def follow_feed_of_dying_agent(fleet, caller):
@@ -50,7 +50,7 @@
     await flow.receive()
     fleet.kill("agent-order-1")
     try:
-        await receive_whole(flow)
+        await receive_all(flow)
     finally:
         fleet.start_one("agent-order-1")
 
@@ -60,13 +60,13 @@
     try:
         flow = caller.open()
         await flow.send(b"ORDER library-3\n")
-        await receive_whole(flow)
+        await receive_all(flow)
     finally:
         fleet.start_one("agent-order-1")
 
 
 def test_order_is_answered(fleet):
-    answer = anyio.run(use, fleet, place_order)
+    answer = anyio.run(run_with_caller, fleet, place_order)
     assert answer == b"DONE library-1 order-1\n"
 
 
@@ -79,5 +79,5 @@
 )
 def test_error_tells_whether_it_may_have_run(fleet, act, error):
     with pytest.raises(BaseExceptionGroup) as raised:
-        anyio.run(use, fleet, act)
+        anyio.run(run_with_caller, fleet, act)
     assert raised.group_contains(error)
--- a/tests/processes/test_operating.py
+++ b/tests/processes/test_operating.py
@@ -18,17 +18,17 @@
 LOG_FIELDS = {"time", "level", "message", "node"}
 
 
-def run_command(*words):
-    """Run a command to its end and return its exit code and output."""
-    done = subprocess.run(
-        [sys.executable, "-m", "papayagw", *map(str, words)],
+def run_command(*arguments):
+    """Run a command; return its exit code, standard output and standard error."""
+    completed = subprocess.run(
+        [sys.executable, "-m", "papayagw", *map(str, arguments)],
         env=environment(),
         cwd=ROOT,
         capture_output=True,
         text=True,
     )
-    assert "Traceback" not in done.stderr
-    return done.returncode, done.stdout, done.stderr
+    assert "Traceback" not in completed.stderr
+    return completed.returncode, completed.stdout, completed.stderr
 
 
 @pytest.fixture(scope="module")
@@ -42,21 +42,21 @@
     for path in folder.glob("agent-*.jsonc"):
         settings = json.loads(path.read_text()) | {"stop_limit_ms": STOP_LIMIT_MS}
         path.write_text(json.dumps(settings))
-    one = Fleet(folder, folder)
+    fleet = Fleet(folder, folder)
     try:
-        one.start()
+        fleet.start()
         for number in range(40):
-            assert ask(one.targets["order"], f"ORDER o-{number}").startswith("DONE")
-        yield one
+            assert ask(fleet.targets["order"], f"ORDER o-{number}").startswith("DONE")
+        yield fleet
     finally:
-        one.close()
+        fleet.close()
 
 
 @pytest.fixture(scope="module")
 def admins(fleet):
     settings = fleet.settings
     nodes = (*settings.balancers.values(), *settings.agents.values())
-    return [str(one.node.admin) for one in nodes] + [str(settings.connect.admin)]
+    return [str(node.node.admin) for node in nodes] + [str(settings.connect.admin)]
 
 
 def read_status(admins):
@@ -68,14 +68,16 @@
 def test_status_names_every_node_and_counts_flows(admins):
     nodes = read_status(admins)
     deadline = time.monotonic() + 20
-    while min(one["agents_known"] for one in nodes[:2]) < 2:
-        assert time.monotonic() < deadline, "a balancer hasn't heard of an agent"
+    while min(node["agents_known"] for node in nodes[:2]) < 2:
+        assert time.monotonic() < deadline, (
+            "a balancer knows fewer than 2 agents after 20 s"
+        )
         nodes = read_status(admins)
     opened = {"agent": 0, "connect": 0}
     for node in nodes:
         for totals in node["services"]:
             opened[node["role"]] += totals["counts"]["opened"]
-    roles = [one["role"] for one in nodes]
+    roles = [node["role"] for node in nodes]
     assert roles == ["balancer", "balancer", "agent", "agent", "connect"]
     assert opened["agent"] == opened["connect"] >= 40
 
@@ -90,7 +92,7 @@
 
 def test_operating_page_names_every_counter(admins):
     page = (ROOT / "docs" / "OPERATING.md").read_text()
-    reasons = [one.value for one in DropReason]
+    reasons = [reason.value for reason in DropReason]
     documented = page.replace("SERVICE", "order").replace("`, `.", "`, `connect.order.")
     for node in read_status(admins):
         for counter in node["counters"]:
@@ -110,8 +112,8 @@
     assert out.splitlines()[-1].endswith("nodes 5, records 3")
     code, out, _ = run_command("report", "burn", records, "--json")
     (service,) = json.loads(out)["services"]
-    assert [one["side"] for one in service["sides"]] == ["agent", "caller"]
-    assert {one["name"] for one in service["by_backend"]["groups"]} == {
+    assert [side["side"] for side in service["sides"]] == ["agent", "caller"]
+    assert {group["name"] for group in service["by_backend"]["groups"]} == {
         "agent-order-1",
         "agent-order-2",
     }
@@ -123,13 +125,15 @@
 
 
 def count_lines(folder, name, message):
-    return [one["message"] for one in read_log(folder, name)].count(message)
+    return [line["message"] for line in read_log(folder, name)].count(message)
 
 
 def wait_for_line(folder, name, message, before=0):
     deadline = time.monotonic() + 20
     while count_lines(folder, name, message) <= before:
-        assert time.monotonic() < deadline, f"{name} never logged {message!r}"
+        assert time.monotonic() < deadline, (
+            f"{name} did not log {message!r} within 20 s"
+        )
         time.sleep(0.02)
 
 
@@ -146,7 +150,7 @@
     assert rest[-1].startswith(b"END f-2")
     deadline = time.monotonic() + 20
     while fleet.is_running(name):
-        assert time.monotonic() < deadline, f"{name} hasn't stopped"
+        assert time.monotonic() < deadline, f"{name} did not stop within 20 s"
         time.sleep(0.02)
     fleet.start_one(name)
 
@@ -157,8 +161,8 @@
         feed.settimeout(20)
         feed.sendall(b"FEED f-1 1000 20\n")
         assert feed.recv(100)
-        # An earlier run of an agent may have drained too; and two signals in a row
-        # are one to a process that hasn't taken the first.
+        # An earlier run of an agent may have logged "draining" too. The second signal
+        # is sent only after the first was handled, as pending signals are merged.
         drained = {name: count_lines(folder, name, "draining") for name in agents}
         for name in agents:
             os.kill(fleet.pid(name), signal.SIGTERM)
@@ -169,31 +173,31 @@
             while feed.recv(1_000):
                 pass
         wait_for_line(folder, "connect", "flow unknown")
-    lines = [one for name in (*agents, "connect") for one in read_log(folder, name)]
-    cut = [one for one in lines if one["message"] == "flow unknown"]
-    assert all(set(one) >= LOG_FIELDS for one in lines)
-    assert {one["node"].partition("-")[0] for one in cut} == {"agent", "connect"}
-    assert all(one["step"] == "deliver" and one["peer"] for one in cut)
-    assert any(len(one.get("flow", "")) == 40 for one in cut)
+    lines = [line for name in (*agents, "connect") for line in read_log(folder, name)]
+    cut = [line for line in lines if line["message"] == "flow unknown"]
+    assert all(set(line) >= LOG_FIELDS for line in lines)
+    assert {line["node"].partition("-")[0] for line in cut} == {"agent", "connect"}
+    assert all(line["step"] == "deliver" and line["peer"] for line in cut)
+    assert any(len(line.get("flow", "")) == 40 for line in cut)
 
 
 @pytest.fixture
 def balancer(tmp_path):
-    """A balancer's settings file, whose statsd is a socket of the test."""
+    """Yield a balancer's settings file and the socket that receives its metrics."""
     plan = FleetPlan((Hosts("order", 1),), balancers=1, block=94)
     write_folder(plan, tmp_path)
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as daemon:
-        daemon.bind(("127.0.0.1", 0))
-        daemon.settimeout(20)
-        ip, port = daemon.getsockname()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as statsd:
+        statsd.bind(("127.0.0.1", 0))
+        statsd.settimeout(20)
+        ip, port = statsd.getsockname()
         settings = make_balancer(plan, 1) | {"statsd": f"{ip}:{port}"}
         path = tmp_path / "balancer-1.jsonc"
         path.write_text(json.dumps(settings))
-        yield path, daemon
+        yield path, statsd
 
 
 def test_flood_of_bad_packets_is_counted_and_logs_few_lines(balancer, capfd):
-    path, daemon = balancer
+    path, statsd = balancer
     with running("balancer", path) as process:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             for _ in range(500):
@@ -201,19 +205,21 @@
                 time.sleep(0)
         dropped = 0
         while not dropped:
-            for line in daemon.recv(65_535).decode().split("\n"):
+            for line in statsd.recv(65_535).decode().split("\n"):
                 name, _, value = line.partition(":")
                 if name == "papayagw.balancer.drop.malformed":
                     dropped += int(value.partition("|")[0])
         process.send_signal(signal.SIGTERM)
         assert process.wait(20) == 0
     lines = [json.loads(line) for line in capfd.readouterr().err.splitlines()]
-    messages = [one["message"] for one in lines]
+    messages = [line["message"] for line in lines]
     page = (ROOT / "docs" / "OPERATING.md").read_text()
-    assert all(f"`{field}`" in page for one in lines for field in one)
-    # A count of held-back lines may come at any time, also while it drains.
-    life = [one for one in messages if not one.startswith("packet dropped")]
-    assert life == [
+    assert all(f"`{field}`" in page for line in lines for field in line)
+    # A count of suppressed lines may be logged at any time, even while draining.
+    lifecycle = [
+        message for message in messages if not message.startswith("packet dropped")
+    ]
+    assert lifecycle == [
         "waiting for a configuration",
         "started",
         "draining",
@@ -225,9 +231,9 @@
 
 def test_taken_admin_address_is_one_line_and_exit_code_4(balancer):
     path, _ = balancer
-    with socket.socket() as taken:
-        taken.bind(("127.94.0.11", 4390))
-        taken.listen()
+    with socket.socket() as holder:
+        holder.bind(("127.94.0.11", 4390))
+        holder.listen()
         code, out, err = run_command("balancer", path)
     line = json.loads(err.splitlines()[-1])
     assert (code, out) == (4, "")
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -1,4 +1,4 @@
-"""The whole path as separate processes, while single ones of them end."""
+"""Flows through a fleet of real processes, some of which are stopped or killed."""
 
 import hashlib
 import socket
@@ -12,7 +12,7 @@
 PLAN = FleetPlan(
     hosts=(Hosts("order", 3), Hosts("drawings", 1)), block=60, has_platform=True
 )
-LIMIT_S = 60
+TIMEOUT_S = 60
 LINES = 20
 INTERVAL_MS = 100
 BLOB = bytes(range(256)) * 4_096
@@ -27,23 +27,23 @@
 
 @contextmanager
 def open_feed(fleet, name):
-    """Open an order feed and yield its lines, once the first one is there."""
+    """Open an order feed; yield the fields of its first line and the other lines."""
     target = fleet.targets["order"].sockaddr
-    with socket.create_connection(target, LIMIT_S) as connection:
+    with socket.create_connection(target, TIMEOUT_S) as connection:
         connection.sendall(f"FEED {name} {LINES} {INTERVAL_MS}\n".encode())
         with connection.makefile("rb") as lines:
             yield lines.readline().decode().split(), lines
 
 
 def read_numbers(lines):
-    """Return the numbers of the lines that are left of a feed."""
+    """Return the numbers of the next `LINES` lines of a feed."""
     return [int(lines.readline().split()[2]) for _ in range(LINES)]
 
 
-def ask_patiently(fleet, line):
-    """Return the answer of an order, which may need further openings."""
+def request_order(fleet, line):
+    """Return the answer to a request line; the flow may need several openings."""
     target = fleet.targets["order"].sockaddr
-    with socket.create_connection(target, LIMIT_S) as connection:
+    with socket.create_connection(target, TIMEOUT_S) as connection:
         connection.sendall(f"{line}\n".encode())
         with connection.makefile("rb") as answers:
             return answers.readline().decode()
@@ -96,12 +96,14 @@
         with pytest.raises(ConnectionResetError):
             read_numbers(lines)
     for number in range(6):
-        assert f"DONE o{number} " in ask_patiently(fleet, f"ORDER o{number}")
+        assert f"DONE o{number} " in request_order(fleet, f"ORDER o{number}")
 
 
 def test_only_flows_of_a_dead_agent_break(fleet):
     with ExitStack() as stack:
-        feeds = [stack.enter_context(open_feed(fleet, f"f{one}")) for one in range(24)]
+        feeds = [
+            stack.enter_context(open_feed(fleet, f"f{number}")) for number in range(24)
+        ]
         victim = feeds[0][0][-1]
         kill_agent(fleet, victim)
         for first, lines in feeds:
@@ -126,7 +128,7 @@
 )
 def test_whole_answer_comes_back(fleet, service, request_line, body, expected):
     target = fleet.targets[service].sockaddr
-    with socket.create_connection(target, LIMIT_S) as connection:
+    with socket.create_connection(target, TIMEOUT_S) as connection:
         connection.sendall(f"{request_line}\n".encode() + body)
         with connection.makefile("rb") as answers:
             assert expected in answers.readline().decode()
--- a/tests/unit/test_arrivals.py
+++ b/tests/unit/test_arrivals.py
@@ -15,14 +15,16 @@
     arrivals = list(plan_arrivals(SHARES, rate, DURATION, seed))
     expected = rate * DURATION / 1_000
     assert abs(len(arrivals) - expected) < 4 * expected**0.5
-    assert [one.number for one in arrivals] == list(range(len(arrivals)))
-    assert sorted(arrivals, key=lambda one: one.due) == arrivals
+    assert [arrival.number for arrival in arrivals] == list(range(len(arrivals)))
+    assert sorted(arrivals, key=lambda arrival: arrival.due) == arrivals
     assert arrivals[-1].due < DURATION
-    feeds = Counter(one.kind for one in arrivals)["feed"]
+    feeds = Counter(arrival.kind for arrival in arrivals)["feed"]
     assert feeds / len(arrivals) == pytest.approx(0.2, abs=0.05)
 
 
 @pytest.mark.parametrize(("left", "right", "same"), [(7, 7, True), (7, 8, False)])
 def test_seed_determines_arrivals(left, right, same):
-    plans = [list(plan_arrivals(SHARES, 50.0, DURATION, one)) for one in (left, right)]
+    plans = [
+        list(plan_arrivals(SHARES, 50.0, DURATION, seed)) for seed in (left, right)
+    ]
     assert (plans[0] == plans[1]) is same
--- a/tests/unit/test_udp.py
+++ b/tests/unit/test_udp.py
@@ -4,32 +4,34 @@
 from papayagw._internal.net.udp import DatagramSocket
 
 
-async def exchange(returns, sent):
-    """Send to a closed port and to an open one; return what came of it."""
-    source, closed, heard = (
-        DatagramSocket(None, keeps_refused=returns) for _ in range(3)
+async def exchange(keeps_refused, sent):
+    """Send to a closed and an open port; return the rejected and the received data."""
+    source, closed, receiver = (
+        DatagramSocket(None, keeps_refused=keeps_refused) for _ in range(3)
     )
-    for one in (source, closed, heard):
-        one.start()
-    gone = ("127.0.0.1", closed.local.port)
+    for sock in (source, closed, receiver):
+        sock.start()
+    closed_address = ("127.0.0.1", closed.local.port)
     closed.close()
     for data in sent:
-        source.send(data, gone)
-        source.send(data, ("127.0.0.1", heard.local.port))
+        source.send(data, closed_address)
+        source.send(data, ("127.0.0.1", receiver.local.port))
     with anyio.fail_after(10):
         received = []
         while len(received) < len(sent):
-            await heard.wait_readable()
-            received += [data for data, _ in heard.receive_batch()]
+            await receiver.wait_readable()
+            received += [data for data, _ in receiver.receive_batch()]
     source.receive_batch()
-    returned = [data for data, port in source.receive_refused() if port == gone]
+    returned = [
+        data for data, peer in source.receive_refused() if peer == closed_address
+    ]
     source.close()
-    heard.close()
+    receiver.close()
     return returned, received
 
 
 @pytest.mark.parametrize(
-    ("returns", "sent", "returned"),
+    ("keeps_refused", "sent", "returned"),
     [
         (True, [b"one"], [b"one"]),
         (True, [b"one", b"two", b"six"], [b"one", b"two", b"six"]),
@@ -37,5 +39,7 @@
         (False, [b"one"], []),
     ],
 )
-def test_datagram_to_closed_port_comes_back_and_loses_no_other(returns, sent, returned):
-    assert anyio.run(exchange, returns, sent) == (returned, sent)
+def test_datagram_to_closed_port_comes_back_and_loses_no_other(
+    keeps_refused, sent, returned
+):
+    assert anyio.run(exchange, keeps_refused, sent) == (returned, sent)
