--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -45,7 +45,7 @@
 """Connection attempts per flow; an opening at a sibling is the better second try."""
 
 HANDSHAKE_TIMEOUT_MS = Millis(3_000)
-"""Limit on a handshake; the one of a duplicated opening never completes."""
+"""Time limit of a handshake; a duplicated opening starts one that never completes."""
 
 CLOSE_TIMEOUT_MS = Millis(3_000)
 """Time for which the caller of an answered flow may be silent without closing it."""
--- a/src/papayagw/_internal/net/caller_flow.py
+++ b/src/papayagw/_internal/net/caller_flow.py
@@ -1,4 +1,4 @@
-"""A flow at its caller: relays one byte stream, and retries openings while safe."""
+"""A flow at its caller: relays one byte stream and retries its opening while safe."""
 
 from collections.abc import Callable
 from typing import Protocol
--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -1,4 +1,4 @@
-"""Event loop of the flows of one process: packets, deadlines and transmissions."""
+"""The flows of one process: packet dispatch, deadlines and transmissions."""
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
