--- a/src/papayagw/_internal/net/admission_gate.py
+++ b/src/papayagw/_internal/net/admission_gate.py
@@ -1,4 +1,4 @@
-"""Admission of an agent's flows: timers round `Admission`, which decides."""
+"""Admission of an agent's flows: drives `Admission` with flow events and timers."""
 
 from itertools import count
 
@@ -16,62 +16,62 @@
 
 
 class AdmissionGate:
-    """Lets flows through to the backend server, at once, later or never.
+    """Admits or refuses flows, at once or after a time in the queue.
 
     Parameters
     ----------
     admission : Admission
-        The decisions.
+        Policy that decides on each flow.
     clock : Clock
-        The time.
+        Source of the current time.
     """
 
     def __init__(self, admission: Admission, clock: Clock):
         self._admission = admission
         self._clock = clock
-        self._numbers = count(1)
-        self._flows: dict[FlowNumber, AgentFlow] = {}
-        self._number_of: dict[AgentFlow, FlowNumber] = {}
+        self._number_counter = count(1)
+        self._flows_by_number: dict[FlowNumber, AgentFlow] = {}
+        self._numbers_by_flow: dict[AgentFlow, FlowNumber] = {}
         self._wake = anyio.Event()
 
-    def ask(self, flow: AgentFlow) -> None:
-        """Let a flow through, turn it away, or do either later."""
-        number = FlowNumber(next(self._numbers))
-        self._flows[number] = flow
-        self._number_of[flow] = number
+    def submit(self, flow: AgentFlow) -> None:
+        """Admit, refuse or queue an accepted flow."""
+        number = FlowNumber(next(self._number_counter))
+        self._flows_by_number[number] = flow
+        self._numbers_by_flow[flow] = number
         request = AdmissionRequest(number, flow.client.ip)
         match self._admission.submit(request, self._clock.now()):
             case AdmissionDecision.ADMIT:
                 flow.admit()
             case AdmissionDecision.REFUSE:
-                flow.turn_away()
+                flow.refuse()
             case AdmissionDecision.QUEUE:
-                # A waiting flow may have been pushed out, and the timer may move.
+                # Queueing may evict another flow and move the next expiry.
                 self._wake.set()
 
-    def note_start(self, flow: AgentFlow) -> None:
-        """Note that a flow asks for work."""
-        number = self._number_of.get(flow)
+    def start_work(self, flow: AgentFlow) -> None:
+        """Record that a flow sends a request."""
+        number = self._numbers_by_flow.get(flow)
         if number is not None:
             self._admission.start_work(number, self._clock.now())
 
-    def note_end(self, flow: AgentFlow, end: ReleaseReason) -> None:
-        """Note that a flow's work is over, while the flow may stay open."""
-        number = self._number_of.get(flow)
+    def finish_work(self, flow: AgentFlow, reason: ReleaseReason) -> None:
+        """Record that a flow's work has ended; the flow itself may stay open."""
+        number = self._numbers_by_flow.get(flow)
         if number is not None:
-            self._admission.finish_work(number, end, self._clock.now())
+            self._admission.finish_work(number, reason, self._clock.now())
             self._wake.set()
 
     def close(self, flow: AgentFlow) -> None:
-        """Note that a flow is gone."""
-        number = self._number_of.pop(flow, None)
+        """Remove a flow that has ended."""
+        number = self._numbers_by_flow.pop(flow, None)
         if number is not None:
-            del self._flows[number]
+            del self._flows_by_number[number]
             self._admission.close(number)
             self._wake.set()
 
     async def run(self) -> None:
-        """Let waiting flows through or turn them away, until cancelled."""
+        """Admit or refuse queued flows as they become due, until cancelled."""
         while True:
             await self._wait()
             self._poll()
@@ -79,9 +79,9 @@
     def _poll(self) -> None:
         results = self._admission.poll(self._clock.now())
         for number in results.admitted:
-            self._flows[number].admit()
+            self._flows_by_number[number].admit()
         for number in results.refused:
-            self._flows[number].turn_away()
+            self._flows_by_number[number].refuse()
 
     async def _wait(self) -> None:
         next_at = self._admission.next_at
--- a/src/papayagw/_internal/net/connect.py
+++ b/src/papayagw/_internal/net/connect.py
@@ -1,4 +1,4 @@
-"""The caller's side: TCP connections in, flows over the entry address out."""
+"""The callers' side: relays TCP connections as flows to an entry address."""
 
 from collections.abc import Callable
 
@@ -12,27 +12,27 @@
 from papayagw._internal.models.report import Side
 from papayagw._internal.models.settings import Listener
 from papayagw._internal.net.caller_flow import CallerFlow
-from papayagw._internal.net.flow_port import FlowPort
+from papayagw._internal.net.flow_transport import FlowTransport
 from papayagw._internal.net.tcp import TcpListener, TcpStream
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.quic import FlowOpener
 
 
 class ServiceConnector:
-    """Carries the TCP connections of one listener to one service.
+    """Relays the TCP connections of one listener as flows to its service.
 
     Parameters
     ----------
     listener : Listener
-        Where callers connect, and the service behind.
+        Address on which callers connect, and the service it leads to.
     opener : FlowOpener
-        Makes the callers' ends of flows.
+        Creates the connections of the flows.
     make_retry : callable
-        Returns what decides about further attempts of one flow.
+        Returns a new retry policy for one flow.
     clock : Clock
-        The time.
+        Source of the current time.
     log : Log
-        Where flows that don't end well are logged.
+        Log for flows that end without a complete answer.
     """
 
     def __init__(
@@ -46,7 +46,7 @@
         self._service = listener.service
         self._listener = TcpListener(listener.listen)
         self._entry = listener.entry
-        self._port = FlowPort(opener, clock, log, listener.probe_interval_ms)
+        self._transport = FlowTransport(opener, clock, log, listener.probe_interval_ms)
         self._make_retry = make_retry
         self._clock = clock
         self._log = log
@@ -56,50 +56,52 @@
 
     @property
     def outcomes(self) -> dict[FlowOutcome, int]:
-        """How many flows ended in each way."""
+        """Number of ended flows by outcome."""
         return self._outcomes
 
     @property
     def meter(self) -> ServiceMeter:
-        """What became of the flows."""
+        """Totals of the flows by outcome, and opening latencies."""
         return self._meter
 
     @property
     def flows(self) -> int:
-        """How many TCP connections are open."""
+        """Number of open TCP connections, each of which is one flow."""
         return self._open_streams
 
     def start(self) -> None:
-        """Take the addresses."""
-        self._port.start()
+        """Bind the UDP socket and listen for TCP connections."""
+        self._transport.start()
         self._listener.start()
 
     def close(self) -> None:
-        """Give the addresses back."""
+        """Close the listening socket and the UDP socket."""
         self._listener.close()
-        self._port.close()
+        self._transport.close()
 
     def stop_listening(self) -> None:
-        """Take no new TCP connections."""
+        """Stop accepting TCP connections."""
         self._listener.close()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Accept TCP connections and relay them until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._port.run)
-            await self._listener.serve(self._carry, tasks)
+            tasks.start_soon(self._transport.run)
+            await self._listener.serve(self._serve_connection, tasks)
 
-    async def _carry(self, stream: TcpStream) -> None:
+    async def _serve_connection(self, stream: TcpStream) -> None:
         retry = self._make_retry()
         meter = self._meter.start_flow(self._clock.now())
-        flow = CallerFlow(stream, self._port, retry, self._clock, meter, self._note_end)
+        flow = CallerFlow(
+            stream, self._transport, retry, self._clock, meter, self._record_outcome
+        )
         self._open_streams += 1
         try:
             await flow.run()
         finally:
             self._open_streams -= 1
 
-    def _note_end(self, outcome: FlowOutcome, reason: str) -> None:
+    def _record_outcome(self, outcome: FlowOutcome, reason: str) -> None:
         self._outcomes[outcome] += 1
         if outcome is FlowOutcome.ANSWERED:
             return
--- a/src/papayagw/_internal/net/connect_process.py
+++ b/src/papayagw/_internal/net/connect_process.py
@@ -1,4 +1,4 @@
-"""The caller's side as a process: one connector for each listener."""
+"""The callers' side as a process: one connector per listener."""
 
 from pathlib import Path
 
@@ -7,24 +7,24 @@
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.settings import ConnectSettings, Listener
 from papayagw._internal.net.connect import ServiceConnector
-from papayagw._internal.net.retries import make_retries
+from papayagw._internal.net.retries import make_retry_factory
 from papayagw._internal.observe.logs import Log
 from papayagw._internal.wire.quic import FlowOpener
 
-_DRAIN_CHECK_MS = Millis(50)
+_DRAIN_POLL_INTERVAL_MS = Millis(50)
 
 
 class ConnectProcess:
-    """Everything that a connect process runs.
+    """Connectors of a connect process.
 
     Parameters
     ----------
     settings : ConnectSettings
-        Its own settings.
+        Settings of the connect process.
     clock : Clock
-        The time.
+        Source of the current time.
     log : Log
-        Where flows that don't end well are logged.
+        Log for flows that end without a complete answer.
     """
 
     def __init__(self, settings: ConnectSettings, clock: Clock, log: Log):
@@ -36,31 +36,31 @@
 
     @property
     def connectors(self) -> tuple[ServiceConnector, ...]:
-        """The connectors, in the order of the listeners."""
+        """Connectors, in the order of the listeners."""
         return self._connectors
 
     def start(self) -> None:
-        """Take the addresses."""
+        """Bind the sockets of all connectors."""
         for connector in self._connectors:
             connector.start()
 
     def close(self) -> None:
-        """Give the addresses back."""
+        """Close the sockets of all connectors."""
         for connector in self._connectors:
             connector.close()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Run all connectors until cancelled."""
         async with anyio.create_task_group() as tasks:
             for connector in self._connectors:
                 tasks.start_soon(connector.run)
 
     async def drain(self) -> None:
-        """Take no more connections, and return when the last one has ended."""
+        """Stop accepting connections, and return when the last one has ended."""
         for connector in self._connectors:
             connector.stop_listening()
         while any(connector.flows for connector in self._connectors):
-            await anyio.sleep(to_seconds(_DRAIN_CHECK_MS))
+            await anyio.sleep(to_seconds(_DRAIN_POLL_INTERVAL_MS))
 
 
 def _make_connector(
@@ -69,5 +69,5 @@
     opener = FlowOpener(
         listener.service, listener.entry, authority, listener.idle_timeout_ms
     )
-    retries = make_retries(idempotent=listener.idempotent)
-    return ServiceConnector(listener, opener, retries, clock, log)
+    make_retry = make_retry_factory(idempotent=listener.idempotent)
+    return ServiceConnector(listener, opener, make_retry, clock, log)
