Rename identifiers of the balancer and control side of net

Query/reply terms in the configuration exchange, response terms in the admin server and client, advertised versions instead of rumours; uses follow.

--- a/bench/config_store_calls.py
+++ b/bench/config_store_calls.py
@@ -125,7 +125,9 @@
             for number in numbers:
                 for peer in self._random.sample(numbers, GOSSIP_PEERS):
                     version = self.logs[peer].version
-                    self.sources[number].hear_version(version, self._endpoints[peer])
+                    self.sources[number].on_advertised_version(
+                        version, self._endpoints[peer]
+                    )
 
 
 def make_site(services, change):
--- a/src/papayagw/_internal/cli/commands/status.py
+++ b/src/papayagw/_internal/cli/commands/status.py
@@ -107,7 +107,7 @@
         def record(
             reports: Sequence[StatusReport], errors: Sequence[StatusError]
         ) -> None:
-            count = recorder.take(reports)
+            count = recorder.add_reports(reports)
             moment = format_timestamp(WallClock().now())
             print(f"{moment} nodes {len(reports)}, records {count}", flush=True)
             for error in errors:
--- a/src/papayagw/_internal/net/admin.py
+++ b/src/papayagw/_internal/net/admin.py
@@ -65,27 +65,27 @@
     async def run(self) -> None:
         """Answer until cancelled."""
         async with anyio.create_task_group() as tasks:
-            await self._listener.serve(self._handle, tasks)
+            await self._listener.serve(self._handle_connection, tasks)
 
-    async def _handle(self, stream: TcpStream) -> None:
+    async def _handle_connection(self, stream: TcpStream) -> None:
         try:
             if self._connections < MAX_CONNECTIONS:
-                await self._answer_in_time(stream)
+                await self._serve_with_timeout(stream)
         except StreamBrokenError:
             # The operator's side went away; nothing is left to answer.
             pass
         finally:
             stream.close()
 
-    async def _answer_in_time(self, stream: TcpStream) -> None:
+    async def _serve_with_timeout(self, stream: TcpStream) -> None:
         self._connections += 1
         try:
             with anyio.move_on_after(to_seconds(REQUEST_TIMEOUT_MS)):
-                await self._converse(stream)
+                await self._serve_request(stream)
         finally:
             self._connections -= 1
 
-    async def _converse(self, stream: TcpStream) -> None:
+    async def _serve_request(self, stream: TcpStream) -> None:
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES
         )
@@ -96,10 +96,10 @@
         else:
             if request is None:
                 return
-            status, body = self._answer(request)
-        await stream.send(_write_response(connection, status, body))
+            status, body = self._make_response(request)
+        await stream.send(_encode_response(connection, status, body))
 
-    def _answer(self, request: h11.Request) -> tuple[HTTPStatus, bytes]:
+    def _make_response(self, request: h11.Request) -> tuple[HTTPStatus, bytes]:
         if request.target.partition(b"?")[0] != STATUS_PATH:
             return HTTPStatus.NOT_FOUND, EMPTY_BODY
         if request.method != b"GET":
@@ -125,7 +125,7 @@
         connection.receive_data(await stream.receive())
 
 
-def _write_response(
+def _encode_response(
     connection: h11.Connection, status: HTTPStatus, body: bytes
 ) -> bytes:
     headers = [
--- a/src/papayagw/_internal/net/admin_client.py
+++ b/src/papayagw/_internal/net/admin_client.py
@@ -12,11 +12,11 @@
 from papayagw._internal.models.status import StatusReport
 from papayagw._internal.observe.status_json import decode_status
 
-ASK_TIMEOUT_MS = Millis(3_000)
+QUERY_TIMEOUT_MS = Millis(3_000)
 MAX_CONCURRENT = 32
 
-_UNREACHABLE = "check that the node runs and that this is its admin address"
-_UNREADABLE = "check that this is an admin address and that versions match"
+_UNREACHABLE_REMEDY = "check that the node runs and that this is its admin address"
+_INVALID_RESPONSE_REMEDY = "check that this is an admin address and that versions match"
 
 StatusResult = Result[StatusReport, StatusError]
 
@@ -30,10 +30,10 @@
         How long one node may take.
     """
 
-    def __init__(self, timeout: Millis = ASK_TIMEOUT_MS):
+    def __init__(self, timeout: Millis = QUERY_TIMEOUT_MS):
         self._timeout = timeout
         self._client: httpx.AsyncClient | None = None
-        self._slots = anyio.Semaphore(MAX_CONCURRENT)
+        self._semaphore = anyio.Semaphore(MAX_CONCURRENT)
 
     async def start(self) -> None:
         """Get ready to ask."""
@@ -45,40 +45,46 @@
             await self._client.aclose()
         self._client = None
 
-    async def ask_all(self, nodes: Sequence[Endpoint]) -> tuple[StatusResult, ...]:
+    async def query_all(self, nodes: Sequence[Endpoint]) -> tuple[StatusResult, ...]:
         """Return the answer of each node, in their order."""
-        answers: dict[Endpoint, StatusResult] = {}
+        results: dict[Endpoint, StatusResult] = {}
 
-        async def ask_and_keep(node: Endpoint) -> None:
-            async with self._slots:
-                answers[node] = await self.ask(node)
+        async def query_and_store(node: Endpoint) -> None:
+            async with self._semaphore:
+                results[node] = await self.query(node)
 
         async with anyio.create_task_group() as tasks:
             for node in dict.fromkeys(nodes):
-                tasks.start_soon(ask_and_keep, node)
-        return tuple(answers[node] for node in nodes)
+                tasks.start_soon(query_and_store, node)
+        return tuple(results[node] for node in nodes)
 
-    async def ask(self, node: Endpoint) -> StatusResult:
+    async def query(self, node: Endpoint) -> StatusResult:
         """Return a node's account of itself, or why there is none."""
         if self._client is None:
-            return _fail("the client is closed", node, "start it")
+            return _make_failure("the client is closed", node, "start it")
         try:
             with anyio.fail_after(to_seconds(self._timeout)):
                 response = await self._client.get(f"http://{node}/status")
         except TimeoutError:
-            return _fail(f"silent for {self._timeout} ms", node, _UNREACHABLE)
+            return _make_failure(
+                f"silent for {self._timeout} ms", node, _UNREACHABLE_REMEDY
+            )
         except httpx.HTTPError as error:
-            return _fail(f"not reached: {error}", node, _UNREACHABLE)
+            return _make_failure(f"not reached: {error}", node, _UNREACHABLE_REMEDY)
         if response.status_code != httpx.codes.OK:
-            return _fail(f"HTTP {response.status_code}", node, _UNREADABLE)
+            return _make_failure(
+                f"HTTP {response.status_code}", node, _INVALID_RESPONSE_REMEDY
+            )
         match decode_status(response.content):
             case Success(report):
                 return Success(report)
             case Failure(error):
-                return _fail(f"answer not understood: {error}", node, _UNREADABLE)
+                return _make_failure(
+                    f"answer not understood: {error}", node, _INVALID_RESPONSE_REMEDY
+                )
         raise AssertionError("a result is a success or a failure")
 
 
-def _fail(what: str, node: Endpoint, remedy: str) -> StatusResult:
+def _make_failure(what: str, node: Endpoint, remedy: str) -> StatusResult:
     error = StatusError(what, step=Step.STATUS, peer=str(node), remedy=remedy)
     return Failure(error)
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -10,7 +10,7 @@
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.settings import AgentSettings
 from papayagw._internal.net.agent import AgentPackets
-from papayagw._internal.net.configuration import ConfigurationSource, follow
+from papayagw._internal.net.configuration import ConfigurationSource, run_source
 from papayagw._internal.net.control import ControlLoop
 from papayagw._internal.net.inner_loop import serve_inner
 from papayagw._internal.net.udp import DatagramSocket
@@ -102,7 +102,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._packets.run)
             tasks.start_soon(self._control.run, self._pass_on_versions)
-            tasks.start_soon(follow, self._source, self._apply, lambda: False)
+            tasks.start_soon(run_source, self._source, self._apply, lambda: False)
             tasks.start_soon(
                 serve_inner, self._inner, self._control, self._packets, self._clock
             )
@@ -139,4 +139,4 @@
     def _pass_on_versions(self) -> None:
         heard = self._announcer.advertised_configuration
         if heard is not None:
-            self._source.hear_version(*heard)
+            self._source.on_advertised_version(*heard)
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -53,10 +53,10 @@
         self._inner = inner
         self._entries = entries
         self._log = log
-        self._answers: list[tuple[DatagramSocket, bytes, tuple[str, int]]] = []
+        self._outgoing: list[tuple[DatagramSocket, bytes, tuple[str, int]]] = []
         self._forwarded = 0
         self._answered = 0
-        self._passed = 0
+        self._peer_openings = 0
         self._reset_count = 0
         self._drops: dict[DropReason, int] = dict.fromkeys(DropReason, 0)
         self.apply(configuration)
@@ -72,9 +72,9 @@
         return self._answered
 
     @property
-    def passed(self) -> int:
+    def peer_openings(self) -> int:
         """How many openings of peers went to agents."""
-        return self._passed
+        return self._peer_openings
 
     @property
     def resets(self) -> int:
@@ -89,16 +89,16 @@
     def apply(self, configuration: Configuration) -> None:
         """Use the keys of a configuration for whatever comes from now on."""
         keys = configuration.site.keys
-        self._tags = TagCodec(keys)
-        self._envelopes = EnvelopeCodec(keys)
-        self._resets = ResetTokens(keys)
+        self._tag_codec = TagCodec(keys)
+        self._envelope_codec = EnvelopeCodec(keys)
+        self._reset_tokens = ResetTokens(keys)
 
     def on_batch(self, service_id: ServiceId, batch: Sequence[Received]) -> None:
         """Hand callers' packets to agents, or drop them.
 
         They leave together, after the last decision.
         """
-        write_raw = self._envelopes.write_raw
+        write_raw = self._envelope_codec.write_raw
         frames: list[Received] = []
         for datagram, client in batch:
             decision = self._decide(service_id, datagram)
@@ -106,7 +106,7 @@
                 header = write_raw(_FORWARD, service_id, client)
                 frames.append((header + datagram, decision.agent.sockaddr))
             elif isinstance(decision, Reset):
-                self._reset(service_id, datagram, client)
+                self._send_reset(service_id, datagram, client)
             else:
                 self._drop(decision.reason, client)
         self._forwarded += len(frames)
@@ -115,25 +115,25 @@
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
         """Hand an agent's answer to its caller, or a peer's opening to an agent."""
         if frame[:1] == _FORWARD_BYTE:
-            self._on_passed(frame, source)
+            self._on_peer_opening(frame, source)
             return
-        answer = self._envelopes.read_answer(frame)
-        if answer is None:
+        destination = self._envelope_codec.read_answer(frame)
+        if destination is None:
             self._drop(DropReason.UNAUTHENTICATED, source)
             return
-        service_id, client = answer
+        service_id, client = destination
         entry = self._entries.get(ServiceId(service_id))
         if entry is None:
             self._drop(DropReason.WRONG_SERVICE, source)
             return
-        self._answers.append((entry, frame[ENVELOPE_BYTES:], client))
+        self._outgoing.append((entry, frame[ENVELOPE_BYTES:], client))
 
     def flush(self) -> None:
         """Send the answers of the last batch of frames, one right after the other."""
-        self._answered += len(self._answers)
-        for entry, datagram, client in self._answers:
+        self._answered += len(self._outgoing)
+        for entry, datagram, client in self._outgoing:
             entry.send(datagram, client)
-        self._answers.clear()
+        self._outgoing.clear()
 
     def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
         """Act on a packet that met a closed port, which no agent holds.
@@ -150,17 +150,17 @@
         now : Millis
             The present time.
         """
-        envelope = self._envelopes.read(frame)
+        envelope = self._envelope_codec.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
             return
         self._core.mark_unreachable(peer, now)
         datagram = frame[ENVELOPE_BYTES:]
         tag = read_connection_id(datagram)
-        if tag is not None and self._tags.open_route(tag) is not None:
-            self._reset(envelope.service_id, datagram, envelope.client.sockaddr)
+        if tag is not None and self._tag_codec.open_route(tag) is not None:
+            self._send_reset(envelope.service_id, datagram, envelope.client.sockaddr)
 
-    def _on_passed(self, frame: bytes, source: tuple[str, int]) -> None:
-        envelope = self._envelopes.read(frame)
+    def _on_peer_opening(self, frame: bytes, source: tuple[str, int]) -> None:
+        envelope = self._envelope_codec.read(frame)
         if envelope is None:
             self._drop(DropReason.UNAUTHENTICATED, source)
             return
@@ -173,18 +173,20 @@
         if not isinstance(decision, Forward):
             self._drop(DropReason.NO_AGENT, source)
             return
-        self._passed += 1
-        passed = replace(envelope, balancer=Endpoint(*source))
-        header = self._envelopes.write(passed)
+        self._peer_openings += 1
+        readdressed = replace(envelope, balancer=Endpoint(*source))
+        header = self._envelope_codec.write(readdressed)
         self._inner.send(header + datagram, decision.agent.sockaddr)
 
-    def _reset(
+    def _send_reset(
         self, service_id: ServiceId, datagram: bytes, client: tuple[str, int]
     ) -> None:
         tag = read_connection_id(datagram)
         if tag is not None:
             self._reset_count += 1
-            self._entries[service_id].send(self._resets.make_datagram(tag), client)
+            self._entries[service_id].send(
+                self._reset_tokens.make_datagram(tag), client
+            )
 
     def _drop(self, reason: DropReason, source: tuple[str, int]) -> None:
         self._drops[reason] += 1
@@ -197,7 +199,7 @@
         connection_id = read_connection_id(datagram)
         if connection_id is None:
             return DROP_MALFORMED
-        route = self._tags.open_route(connection_id)
+        route = self._tag_codec.open_route(connection_id)
         if route is None and is_opening(datagram, connection_id):
             return self._core.route_opening(service_id, connection_id)
         return self._core.route_tagged(service_id, route)
--- a/src/papayagw/_internal/net/balancer_account.py
+++ b/src/papayagw/_internal/net/balancer_account.py
@@ -69,7 +69,7 @@
         return {
             "balancer.forwarded": packets.forwarded,
             "balancer.answered": packets.answered,
-            "balancer.passed": packets.passed,
+            "balancer.passed": packets.peer_openings,
             "balancer.reset": packets.resets,
             "balancer.drop.control": self._process.refused_control,
             **drops,
@@ -106,12 +106,12 @@
         own = self._membership.own.endpoint
         return tuple(
             PeerStatus(
-                endpoint=str(one.endpoint),
+                endpoint=str(peer.endpoint),
                 role="balancer",
-                state="suspected" if one.is_suspected else "up",
+                state="suspected" if peer.is_suspected else "up",
             )
-            for one in self._membership.balancers[:MAX_LISTED_AGENTS]
-            if one.endpoint != own
+            for peer in self._membership.balancers[:MAX_LISTED_AGENTS]
+            if peer.endpoint != own
         )
 
 
@@ -119,7 +119,9 @@
     records: Sequence[AgentRecord], configuration: Configuration
 ) -> tuple[AgentStatus, ...]:
     """Return agents as a report lists them."""
-    names = {one.service_id: one.name for one in configuration.site.services}
+    names = {
+        service.service_id: service.name for service in configuration.site.services
+    }
     return tuple(
         AgentStatus(
             endpoint=str(record.endpoint),
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -10,7 +10,7 @@
 from papayagw._internal.models.configuration import Configuration
 from papayagw._internal.models.settings import BalancerSettings
 from papayagw._internal.net.balancer import BalancerPackets
-from papayagw._internal.net.configuration import ConfigurationSource, follow
+from papayagw._internal.net.configuration import ConfigurationSource, run_source
 from papayagw._internal.net.control import ControlLoop
 from papayagw._internal.net.entries import EntrySockets
 from papayagw._internal.net.inner_loop import serve_inner
@@ -100,7 +100,7 @@
             )
             tasks.start_soon(self._control.run, self._after_tick)
             tasks.start_soon(self._entries.run, self._packets.on_batch)
-            tasks.start_soon(follow, self._source, self._apply, self._is_relay)
+            tasks.start_soon(run_source, self._source, self._apply, self._is_relay)
 
     async def drain(self) -> None:
         """Hand on what still comes while the others learn of the leave."""
@@ -119,6 +119,6 @@
 
     def _after_tick(self) -> None:
         self._core.expire_unreachable(self._clock.now())
-        heard = self._membership.advertised_configuration
-        if heard is not None:
-            self._source.hear_version(*heard)
+        advertised = self._membership.advertised_configuration
+        if advertised is not None:
+            self._source.on_advertised_version(*advertised)
--- a/src/papayagw/_internal/net/configuration.py
+++ b/src/papayagw/_internal/net/configuration.py
@@ -39,7 +39,7 @@
             Returns whether this node watches the platform's service now.
         """
 
-    def hear_version(self, version: int, peer: Endpoint) -> None:
+    def on_advertised_version(self, version: int, peer: Endpoint) -> None:
         """Take in that `peer` has `version` in force, as its messages say."""
 
     async def close(self) -> None:
@@ -78,14 +78,14 @@
         """Wait: files aren't read again."""
         await anyio.sleep_forever()
 
-    def hear_version(self, version: int, peer: Endpoint) -> None:
+    def on_advertised_version(self, version: int, peer: Endpoint) -> None:
         """Do nothing: what is in the files stays in force."""
 
     async def close(self) -> None:
         """Do nothing: no connection is open."""
 
 
-async def follow(
+async def run_source(
     source: ConfigurationSource, on_change: OnChange, is_relay: IsRelay
 ) -> None:
     """Run a source until cancelled, and close it then."""
--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -21,8 +21,8 @@
 from papayagw._internal.wire.configuration_exchange import ExchangeCodec
 
 EXCHANGE_TIMEOUT_MS = Millis(3_000)
-MAX_QUESTION_BYTES = 512
-MAX_ANSWER_BYTES = 2_000_000
+MAX_QUERY_BYTES = 512
+MAX_REPLY_BYTES = 2_000_000
 MAX_CONNECTIONS = 32
 
 
@@ -62,37 +62,37 @@
         current = self._log.current
         keys = self._keys if current is None else current.site.keys
         result: Result[Configuration | None, PapayagwError] = Failure(
-            _fail(peer, "no key to ask with")
+            _make_error(peer, "no key to ask with")
         )
         # A peer may know only one of the keys, so each is tried.
         for key in keys:
-            result = await self._fetch(peer, ExchangeCodec([key]))
+            result = await self._fetch_with(peer, ExchangeCodec([key]))
             if isinstance(result, Success):
                 return result
         return result
 
-    async def _fetch(
+    async def _fetch_with(
         self, peer: Endpoint, codec: ExchangeCodec
     ) -> Result[Configuration | None, PapayagwError]:
         try:
             with anyio.fail_after(to_seconds(self._timeout_ms)):
-                answer = await self._ask(peer, codec)
+                reply = await self._exchange(peer, codec)
         except TimeoutError:
-            return Failure(_fail(peer, f"no answer in {self._timeout_ms} ms"))
+            return Failure(_make_error(peer, f"no answer in {self._timeout_ms} ms"))
         except (StreamBrokenError, DecodeError) as error:
-            return Failure(_fail(peer, f"no answer: {error.what}"))
-        if answer is None:
-            return Failure(_fail(peer, "an answer that isn't authentic"))
-        return Success(self._log.resolve(answer))
+            return Failure(_make_error(peer, f"no answer: {error.what}"))
+        if reply is None:
+            return Failure(_make_error(peer, "an answer that isn't authentic"))
+        return Success(self._log.resolve(reply))
 
-    async def _ask(
+    async def _exchange(
         self, peer: Endpoint, codec: ExchangeCodec
     ) -> ConfigurationReply | None:
-        question, nonce = codec.seal_query(self._log.question)
+        query_frame, nonce = codec.seal_query(self._log.question)
         stream = await TcpStream.connect(peer, self._timeout_ms)
         try:
-            await send_frame(stream, question)
-            frame = await receive_frame(stream, MAX_ANSWER_BYTES)
+            await send_frame(stream, query_frame)
+            frame = await receive_frame(stream, MAX_REPLY_BYTES)
         finally:
             stream.close()
         self._received_bytes += len(frame)
@@ -134,18 +134,18 @@
     async def run(self) -> None:
         """Answer until cancelled."""
         async with anyio.create_task_group() as tasks:
-            await self._listener.serve(self._handle, tasks)
+            await self._listener.serve(self._handle_connection, tasks)
 
     def close(self) -> None:
         """Listen no more."""
         self._listener.close()
 
-    async def _handle(self, stream: TcpStream) -> None:
+    async def _handle_connection(self, stream: TcpStream) -> None:
         self._connections += 1
         try:
             if self._connections <= MAX_CONNECTIONS:
                 with anyio.move_on_after(to_seconds(EXCHANGE_TIMEOUT_MS)):
-                    await self._answer(stream)
+                    await self._send_reply(stream)
         except (StreamBrokenError, DecodeError):
             # The peer went away or isn't one; it asks again if it is.
             self._refused += 1
@@ -153,21 +153,21 @@
             self._connections -= 1
             stream.close()
 
-    async def _answer(self, stream: TcpStream) -> None:
-        frame = await receive_frame(stream, MAX_QUESTION_BYTES)
+    async def _send_reply(self, stream: TcpStream) -> None:
+        frame = await receive_frame(stream, MAX_QUERY_BYTES)
         current = self._log.current
         if current is None:
             return
         codec = ExchangeCodec(current.site.keys)
-        asked = codec.open_query(frame)
-        if asked is None:
+        opened_query = codec.open_query(frame)
+        if opened_query is None:
             self._refused += 1
             return
-        answer = self._log.answer(asked.query)
-        await send_frame(stream, codec.seal_reply(answer, asked))
+        reply = self._log.answer(opened_query.query)
+        await send_frame(stream, codec.seal_reply(reply, opened_query))
 
 
-def _fail(peer: Endpoint, what: str) -> PapayagwError:
+def _make_error(peer: Endpoint, what: str) -> PapayagwError:
     return PapayagwError(
         f"can't fetch the configuration: {what}",
         step=Step.PLATFORM,
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -24,7 +24,7 @@
 )
 from papayagw._internal.net.configuration_store import (
     ConfigurationStore,
-    Stored,
+    StoredConfiguration,
     StoreError,
 )
 from papayagw._internal.store.protocol import ABSENT_REVISION
@@ -35,11 +35,11 @@
 FIRST_WATCH_LIMIT_MS = Millis(5_000)
 """A node that has just started may not know yet that others are relays."""
 
-WATCH_JITTER = 0.2
+WATCH_JITTER_SHARE = 0.2
 """By which share a watch may be longer or shorter."""
 
 RELAY_CHECK_MS = Millis(1_000)
-LONGEST_FETCH_WAIT_MS = Millis(1_000)
+MAX_FETCH_BACKOFF_MS = Millis(1_000)
 
 _PLATFORM = "platform"
 
@@ -84,9 +84,9 @@
         self._on_failure = on_failure
         self._random = random or Random()
         self._on_change: OnChange = lambda _: None
-        self._silent: set[str] = set()
-        self._rumour: tuple[int, Endpoint] | None = None
-        self._rumoured = anyio.Event()
+        self._failing_sources: set[str] = set()
+        self._advertised: tuple[int, Endpoint] | None = None
+        self._advertised_event = anyio.Event()
 
     @property
     def log(self) -> ConfigurationLog:
@@ -104,16 +104,16 @@
         while True:
             failures: list[PapayagwError] = []
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._read)
+                tasks.start_soon(self._read_store)
                 for seed in self._seeds:
-                    tasks.start_soon(self._fetch, seed, failures.append)
+                    tasks.start_soon(self._fetch_from, seed, failures.append)
             if self._log.current is not None:
                 await self._store.close()
                 self._server.start()
                 return self._log.current
             # A silent seed matters only where nothing else answers.
             for failure in failures:
-                self._report_peer(failure)
+                self._report_peer_failure(failure)
             await anyio.sleep(to_seconds(backoff.next_wait()))
 
     async def run(self, on_change: OnChange, is_relay: IsRelay) -> None:
@@ -121,132 +121,139 @@
         self._on_change = on_change
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._server.run)
-            tasks.start_soon(self._follow_store, is_relay)
-            tasks.start_soon(self._follow_rumours)
+            tasks.start_soon(self._watch_store, is_relay)
+            tasks.start_soon(self._fetch_advertised_versions)
 
     async def close(self) -> None:
         """Close the connections."""
         self._server.close()
         await self._store.close()
 
-    def hear_version(self, version: int, peer: Endpoint) -> None:
+    def on_advertised_version(self, version: int, peer: Endpoint) -> None:
         """Take in that `peer` has `version` in force, as its messages say."""
         if version <= self._log.version:
             return
-        if self._rumour is None or version > self._rumour[0]:
-            self._rumour = (version, peer)
-            self._rumoured.set()
+        if self._advertised is None or version > self._advertised[0]:
+            self._advertised = (version, peer)
+            self._advertised_event.set()
 
-    async def _follow_store(self, is_relay: IsRelay) -> None:
+    async def _watch_store(self, is_relay: IsRelay) -> None:
         backoff = Backoff(self._random)
         limit_ms = FIRST_WATCH_LIMIT_MS
         while True:
             if not is_relay():
                 await anyio.sleep(self._random.random() * to_seconds(RELAY_CHECK_MS))
-            elif await self._watch(self._jitter(limit_ms)):
+            elif await self._watch_once(self._add_jitter(limit_ms)):
                 limit_ms = WATCH_LIMIT_MS
                 backoff.reset()
             else:
                 await anyio.sleep(to_seconds(backoff.next_wait()))
 
-    def _jitter(self, limit_ms: Millis) -> Millis:
-        spread = self._random.uniform(-WATCH_JITTER, WATCH_JITTER)
+    def _add_jitter(self, limit_ms: Millis) -> Millis:
+        spread = self._random.uniform(-WATCH_JITTER_SHARE, WATCH_JITTER_SHARE)
         return Millis(round(limit_ms * (1 + spread)))
 
-    async def _watch(self, limit_ms: Millis) -> bool:
+    async def _watch_once(self, limit_ms: Millis) -> bool:
         """Read the store, then watch it for a while; return whether it answered."""
-        stored = await self._read()
-        if stored is None or not await self._mend(stored):
+        stored = await self._read_store()
+        if stored is None or not await self._restore_lost_version(stored):
             return False
-        heard = await self._store.watch(
-            stored.store_revision, self._take_answer, limit_ms
+        watched = await self._store.watch(
+            stored.store_revision, self._handle_stored, limit_ms
         )
-        if isinstance(heard, Failure):
-            self._report(heard.failure())
+        if isinstance(watched, Failure):
+            self._report_failure(watched.failure())
             return False
         return True
 
-    async def _read(self) -> Stored | None:
-        answer = await self._store.read()
-        if isinstance(answer, Failure):
-            self._report(answer.failure())
+    async def _read_store(self) -> StoredConfiguration | None:
+        result = await self._store.read()
+        if isinstance(result, Failure):
+            self._report_failure(result.failure())
             return None
-        self._silent.discard(_PLATFORM)
-        stored = answer.unwrap()
-        self._take_answer(Success(stored.configuration))
+        self._failing_sources.discard(_PLATFORM)
+        stored = result.unwrap()
+        self._handle_stored(Success(stored.configuration))
         return stored
 
-    async def _mend(self, stored: Stored) -> bool:
+    async def _restore_lost_version(self, stored: StoredConfiguration) -> bool:
         """Put back what is in force if the store has lost it.
 
         Returns False where the store has to be read again.
         """
         current = self._log.current
-        held = stored.configuration
-        if current is None or (held is not None and held.version >= current.version):
+        stored_configuration = stored.configuration
+        if current is None or (
+            stored_configuration is not None
+            and stored_configuration.version >= current.version
+        ):
             return True
-        expected = stored.key_revision if held is not None else ABSENT_REVISION
-        answer = await self._store.swap(current, expected)
-        if isinstance(answer, Failure):
-            self._report(answer.failure())
+        expected_revision = (
+            stored.key_revision if stored_configuration is not None else ABSENT_REVISION
+        )
+        result = await self._store.swap(current, expected_revision)
+        if isinstance(result, Failure):
+            self._report_failure(result.failure())
         return False
 
-    async def _follow_rumours(self) -> None:
-        backoff = Backoff(self._random, longest_ms=LONGEST_FETCH_WAIT_MS)
+    async def _fetch_advertised_versions(self) -> None:
+        backoff = Backoff(self._random, longest_ms=MAX_FETCH_BACKOFF_MS)
         while True:
-            await self._rumoured.wait()
-            self._rumoured = anyio.Event()
-            rumour, self._rumour = self._rumour, None
-            if rumour is None or rumour[0] <= self._log.version:
+            await self._advertised_event.wait()
+            self._advertised_event = anyio.Event()
+            advertised, self._advertised = self._advertised, None
+            if advertised is None or advertised[0] <= self._log.version:
                 continue
-            if await self._fetch(rumour[1], self._report_peer):
+            if await self._fetch_from(advertised[1], self._report_peer_failure):
                 backoff.reset()
             else:
                 await anyio.sleep(to_seconds(backoff.next_wait()))
 
-    async def _fetch(
+    async def _fetch_from(
         self, peer: Endpoint, on_failure: Callable[[PapayagwError], None]
     ) -> bool:
-        answer = await self._peers.fetch(peer)
-        if isinstance(answer, Failure):
-            on_failure(answer.failure())
+        result = await self._peers.fetch(peer)
+        if isinstance(result, Failure):
+            on_failure(result.failure())
             return False
-        self._silent.discard(str(peer))
-        configuration = answer.unwrap()
+        self._failing_sources.discard(str(peer))
+        configuration = result.unwrap()
         if configuration is not None:
-            self._take(configuration, str(peer))
+            self._apply(configuration, str(peer))
         return True
 
-    def _report_peer(self, error: PapayagwError) -> None:
-        self._report(error, error.peer)
+    def _report_peer_failure(self, error: PapayagwError) -> None:
+        self._report_failure(error, error.peer)
 
-    def _report(self, error: PapayagwError, peer: str = _PLATFORM) -> None:
+    def _report_failure(self, error: PapayagwError, peer: str = _PLATFORM) -> None:
         """Report the first failure of each row, not those of the tries after it."""
-        if peer not in self._silent:
-            self._silent.add(peer)
+        if peer not in self._failing_sources:
+            self._failing_sources.add(peer)
             self._on_failure(error)
 
-    def _take_answer(self, answer: Result[Configuration | None, StoreError]) -> None:
-        if isinstance(answer, Failure):
-            self._on_failure(answer.failure())
+    def _handle_stored(self, result: Result[Configuration | None, StoreError]) -> None:
+        if isinstance(result, Failure):
+            self._on_failure(result.failure())
             return
-        configuration = answer.unwrap()
+        configuration = result.unwrap()
         if configuration is not None:
-            self._take(configuration, _PLATFORM)
+            self._apply(configuration, _PLATFORM)
 
-    def _take(self, configuration: Configuration, peer: str) -> None:
-        offer = self._log.apply_if_newer(configuration)
-        if offer is VersionOrder.NEWER:
+    def _apply(self, configuration: Configuration, peer: str) -> None:
+        order = self._log.apply_if_newer(configuration)
+        if order is VersionOrder.NEWER:
             assert self._log.current is not None
             self._on_change(self._log.current)
-        elif offer in (VersionOrder.OLDER, VersionOrder.FORKED):
-            self._on_failure(_refuse(configuration, self._log.version, offer, peer))
+        elif order in (VersionOrder.OLDER, VersionOrder.FORKED):
+            self._on_failure(
+                _make_refusal(configuration, self._log.version, order, peer)
+            )
 
 
-def _refuse(
-    configuration: Configuration, version: int, offer: VersionOrder, peer: str
+def _make_refusal(
+    configuration: Configuration, version: int, order: VersionOrder, peer: str
 ) -> PlatformError:
-    if offer is VersionOrder.FORKED:
+    if order is VersionOrder.FORKED:
         what = f"version {version} of another submission than the one in force"
         remedy = "look at config status and submit the change that is missing again"
     else:
--- a/src/papayagw/_internal/net/configuration_store.py
+++ b/src/papayagw/_internal/net/configuration_store.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Stored:
+class StoredConfiguration:
     """What the service holds.
 
     Attributes
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rejected:
+class SwapConflict:
     """The write took no effect.
 
     Attributes
@@ -77,35 +77,37 @@
         self._key = f"papayagw/sites/{site}/configuration"
         self._call_timeout_ms = call_timeout_ms
 
-    async def read(self) -> Result[Stored, StoreError]:
+    async def read(self) -> Result[StoredConfiguration, StoreError]:
         """Return what the service holds."""
-        answer = await self._store.get(self._key, self._call_timeout_ms)
-        if isinstance(answer, Failure):
-            return Failure(answer.failure())
-        snapshot = answer.unwrap()
+        result = await self._store.get(self._key, self._call_timeout_ms)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        snapshot = result.unwrap()
         revision = snapshot.entry.revision if snapshot.entry else ABSENT_REVISION
         return _decode(snapshot.entry).map(
-            lambda found: Stored(found, revision, snapshot.revision)
+            lambda configuration: StoredConfiguration(
+                configuration, revision, snapshot.revision
+            )
         )
 
     async def swap(
-        self, configuration: Configuration, expected: int
-    ) -> Result[Swapped | Rejected, StoreError]:
-        """Write a configuration if its key still has the revision `expected`."""
+        self, configuration: Configuration, expected_revision: int
+    ) -> Result[Swapped | SwapConflict, StoreError]:
+        """Write a configuration if its key still has the expected revision."""
         value = write_configuration(configuration)
-        answer = await self._store.swap(
-            self._key, value, expected, self._call_timeout_ms
+        result = await self._store.swap(
+            self._key, value, expected_revision, self._call_timeout_ms
         )
-        if isinstance(answer, Failure):
-            return Failure(answer.failure())
-        outcome = answer.unwrap()
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        outcome = result.unwrap()
         if isinstance(outcome, Conflict):
-            return _decode(outcome.entry).map(Rejected)
+            return _decode(outcome.entry).map(SwapConflict)
         return Success(outcome)
 
     async def watch(
         self,
-        after: int,
+        after_revision: int,
         on_change: Callable[[Result[Configuration | None, StoreError]], None],
         limit_ms: Millis,
     ) -> Result[int, PlatformError]:
@@ -114,7 +116,7 @@
         def on_entry(entry: Entry) -> None:
             on_change(_decode(entry))
 
-        return await self._store.watch(self._key, after, on_entry, limit_ms)
+        return await self._store.watch(self._key, after_revision, on_entry, limit_ms)
 
     async def close(self) -> None:
         """Close the connections."""
--- a/src/papayagw/_internal/net/control.py
+++ b/src/papayagw/_internal/net/control.py
@@ -75,9 +75,9 @@
 
     def send(self, sends: Sequence[Send]) -> None:
         """Send control messages."""
-        for one in sends:
-            frame = self._codec.write(one.message)
-            self._socket.send(frame, one.destination.sockaddr)
+        for outgoing in sends:
+            frame = self._codec.write(outgoing.message)
+            self._socket.send(frame, outgoing.destination.sockaddr)
 
     async def run(self, after_tick: Callable[[], None] | None = None) -> None:
         """Tick until cancelled."""
--- a/src/papayagw/_internal/net/polling.py
+++ b/src/papayagw/_internal/net/polling.py
@@ -55,9 +55,9 @@
 
     async def poll(self) -> None:
         """Ask all nodes once."""
-        answers = await self._client.ask_all(self._nodes)
-        reports = [one.unwrap() for one in answers if one.value_or(None)]
-        errors = [one.failure() for one in answers if not one.value_or(None)]
+        results = await self._client.query_all(self._nodes)
+        reports = [result.unwrap() for result in results if result.value_or(None)]
+        errors = [result.failure() for result in results if not result.value_or(None)]
         self._handle(reports, errors)
 
 
@@ -85,7 +85,7 @@
         """Close the file."""
         self._writer.close()
 
-    def take(self, reports: Sequence[StatusReport]) -> int:
+    def add_reports(self, reports: Sequence[StatusReport]) -> int:
         """Append the records that one round gives and return their number."""
         now = self._clock.now()
         records = [
--- a/src/papayagw/_internal/net/submission.py
+++ b/src/papayagw/_internal/net/submission.py
@@ -18,8 +18,8 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.net.configuration_store import (
     ConfigurationStore,
-    Rejected,
     StoreError,
+    SwapConflict,
 )
 
 
@@ -43,7 +43,7 @@
     backoff = Backoff(random)
     with anyio.move_on_after(to_seconds(limit_ms)):
         while not isinstance(submission.action, Finish):
-            answered = await _take_step(submission, store)
+            answered = await _run_action(submission, store)
             if not answered:
                 await anyio.sleep(to_seconds(backoff.next_wait()))
     submission.on_deadline()
@@ -51,7 +51,7 @@
     return submission.action.outcome
 
 
-async def _take_step(submission: Submission, store: ConfigurationStore) -> bool:
+async def _run_action(submission: Submission, store: ConfigurationStore) -> bool:
     """Do the next call; return whether it was answered."""
     match submission.action:
         case Read():
@@ -63,10 +63,10 @@
 
 
 async def _read(submission: Submission, store: ConfigurationStore) -> bool:
-    answer = await store.read()
-    if isinstance(answer, Failure):
-        return _fail(submission, answer.failure())
-    stored = answer.unwrap()
+    result = await store.read()
+    if isinstance(result, Failure):
+        return _handle_failure(submission, result.failure())
+    stored = result.unwrap()
     submission.on_read(stored.configuration, stored.key_revision)
     return True
 
@@ -74,18 +74,18 @@
 async def _write(
     submission: Submission, store: ConfigurationStore, write: Write
 ) -> bool:
-    answer = await store.swap(write.configuration, write.expected)
-    if isinstance(answer, Failure):
-        return _fail(submission, answer.failure())
-    outcome = answer.unwrap()
-    if isinstance(outcome, Rejected):
+    result = await store.swap(write.configuration, write.expected)
+    if isinstance(result, Failure):
+        return _handle_failure(submission, result.failure())
+    outcome = result.unwrap()
+    if isinstance(outcome, SwapConflict):
         submission.on_conflict(outcome.current)
     else:
         submission.on_written()
     return True
 
 
-def _fail(submission: Submission, error: StoreError) -> bool:
+def _handle_failure(submission: Submission, error: StoreError) -> bool:
     if isinstance(error, PlatformUnreachableError):
         submission.on_no_answer()
         return False
--- a/tests/processes/test_configuration_in_force.py
+++ b/tests/processes/test_configuration_in_force.py
@@ -32,15 +32,15 @@
 
     def __init__(self, target):
         self._connection = socket.create_connection(target.sockaddr, 30)
-        self._answers = self._connection.makefile("rb")
+        self._responses = self._connection.makefile("rb")
         self._connection.sendall(b"ECHO flow 1000\n")
 
-    def ask(self, line):
+    def send_line(self, line):
         self._connection.sendall(f"{line}\n".encode())
-        return self._answers.readline().decode().split()
+        return self._responses.readline().decode().split()
 
     def close(self):
-        self._answers.close()
+        self._responses.close()
         self._connection.close()
 
 
@@ -55,17 +55,17 @@
     target = bench.start_path("order")
     old, new = (1, "keys/fleet.key"), (2, bench.make_fleet_key("new"))
     edits = [None, rotate(old, new), rotate(new, old), None]
-    held = Caller(target)
-    assert held.ask("hello") == ["ECHO", "flow", "hello", "order-1"]
+    established = Caller(target)
+    assert established.send_line("hello") == ["ECHO", "flow", "hello", "order-1"]
     for number, edit in enumerate(edits, 100):
         bench.wait_in_force(bench.submit(number, edit))
-        for caller in (held, Caller(target)):
+        for caller in (established, Caller(target)):
             line = f"line-{number}"
-            assert caller.ask(line) == ["ECHO", "flow", line, "order-1"]
-            if caller is not held:
+            assert caller.send_line(line) == ["ECHO", "flow", line, "order-1"]
+            if caller is not established:
                 caller.close()
     bench.control("faults", outage=True)
-    assert held.ask("outage") == ["ECHO", "flow", "outage", "order-1"]
+    assert established.send_line("outage") == ["ECHO", "flow", "outage", "order-1"]
     bench.control("faults")
     assert bench.read_held() == max(bench.read_versions().values())
     bench.control("faults", outage=True)
@@ -73,6 +73,6 @@
     for number in range(1, BALANCERS + 1):
         bench.start_balancer(number)
     assert len(set(bench.read_versions().values())) == 1
-    assert held.ask("again") == ["ECHO", "flow", "again", "order-1"]
+    assert established.send_line("again") == ["ECHO", "flow", "again", "order-1"]
     bench.control("faults")
-    held.close()
+    established.close()
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -22,36 +22,36 @@
         return Endpoint(*sock.getsockname())
 
 
-async def ask_in_turn(requests, report=make_status):
+async def send_in_turn(requests, report=make_status):
     """Return the answer to each request, all to one server."""
     endpoint = find_free_endpoint()
     server = AdminServer(endpoint, report, Log(ManualClock()))
-    answers = []
+    responses = []
     async with anyio.create_task_group() as tasks:
         server.start()
         tasks.start_soon(server.run)
         for request in requests:
-            answers.append(await ask(endpoint, request))
+            responses.append(await send_request(endpoint, request))
         tasks.cancel_scope.cancel()
     server.close()
-    return answers
+    return responses
 
 
-async def ask(endpoint, request):
-    answer = b""
+async def send_request(endpoint, request):
+    response = b""
     async with await anyio.connect_tcp(*endpoint.sockaddr) as stream:
         try:
             await stream.send(request)
             await stream.send_eof()
             async for part in stream:
-                answer += part
+                response += part
         except (OSError, anyio.BrokenResourceError):
             pass
-    return answer
+    return response
 
 
-def ask_all(*requests, **options):
-    return anyio.run(lambda: ask_in_turn(requests, **options))
+def send_all(*requests, **options):
+    return anyio.run(lambda: send_in_turn(requests, **options))
 
 
 @pytest.mark.parametrize(
@@ -74,26 +74,26 @@
     ],
 )
 def test_answers_what_it_knows_and_refuses_the_rest(request_bytes, status):
-    first, after = ask_all(request_bytes, GET_STATUS)
+    first, after = send_all(request_bytes, GET_STATUS)
     assert first[9:12] == status
     assert after[9:12] == b"200"
 
 
 def test_report_comes_back_whole():
-    (answer,) = ask_all(GET_STATUS)
-    body = answer.partition(b"\r\n\r\n")[2]
+    (response,) = send_all(GET_STATUS)
+    body = response.partition(b"\r\n\r\n")[2]
     assert decode_status(body).unwrap() == make_status()
 
 
 def test_fault_in_report_leaves_server_running():
-    answers = ask_all(GET_STATUS, GET_STATUS, report=lambda: {}["missing"])
-    assert [answer[9:12] for answer in answers] == [b"500", b"500"]
+    responses = send_all(GET_STATUS, GET_STATUS, report=lambda: {}["missing"])
+    assert [response[9:12] for response in responses] == [b"500", b"500"]
 
 
 @settings(max_examples=30, derandomize=True, deadline=None)
 @given(st.lists(st.binary(max_size=200), min_size=1, max_size=10))
 def test_garbage_never_stops_server(requests):
-    *_, last = ask_all(*requests, GET_STATUS)
+    *_, last = send_all(*requests, GET_STATUS)
     assert last[9:12] == b"200"
 
 
--- a/tests/unit/test_configuration_source.py
+++ b/tests/unit/test_configuration_source.py
@@ -42,17 +42,17 @@
             random=Random(1),
         )
         self.relay = relay
-        self._moved = anyio.Event()
+        self._changed = anyio.Event()
 
     async def start(self, tasks):
         await self.source.start()
         tasks.start_soon(self._run)
 
-    async def reach(self, version):
+    async def wait_for_version(self, version):
         while self.log.version < version:
-            await self._moved.wait()
+            await self._changed.wait()
 
-    async def fail(self, text):
+    async def wait_for_failure(self, text):
         while not any(text in str(one) for one in self.failures):
             await anyio.sleep(0.01)
 
@@ -64,12 +64,12 @@
                 await self.source.close()
 
     def _on_change(self, configuration):
-        moved, self._moved = self._moved, anyio.Event()
-        moved.set()
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
 
 
 @asynccontextmanager
-async def running():
+async def running_tasks():
     with anyio.fail_after(60):
         async with anyio.create_task_group() as tasks:
             yield tasks
@@ -86,13 +86,13 @@
     async def main():
         store = MemoryStore(ManualClock())
         assert await put(store, 1) == Accepted(1)
-        async with running() as tasks:
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             assert node.log.version == 1
             for version in (2, 3):
                 assert await put(store, version) == Accepted(version)
-                await node.reach(version)
+                await node.wait_for_version(version)
         assert node.log.current.site == make_site(3)
 
     anyio.run(main)
@@ -102,15 +102,15 @@
     async def main():
         store = MemoryStore(ManualClock())
         await put(store, 1)
-        async with running() as tasks:
+        async with running_tasks() as tasks:
             relay, other = Node(store), Node(store, relay=False)
             await relay.start(tasks)
             await other.start(tasks)
             await put(store, 2)
-            await relay.reach(2)
+            await relay.wait_for_version(2)
             store.set_down(True)
-            other.source.hear_version(2, relay.endpoint)
-            await other.reach(2)
+            other.source.on_advertised_version(2, relay.endpoint)
+            await other.wait_for_version(2)
         assert other.log.current == relay.log.current
         assert store.counts.by_kind["watch"] == 1
 
@@ -122,7 +122,7 @@
     async def main():
         store = MemoryStore(ManualClock())
         await put(store, 1)
-        async with running() as tasks:
+        async with running_tasks() as tasks:
             old = Node(store)
             await old.start(tasks)
             store.set_down(True)
@@ -131,7 +131,7 @@
             assert new.log.current == old.log.current
             store.set_down(False)
             await put(store, 2)
-            await new.reach(2)
+            await new.wait_for_version(2)
 
     anyio.run(main)
 
@@ -140,13 +140,13 @@
     async def main():
         store = MemoryStore(ManualClock())
         await put(store, 1)
-        async with running() as tasks:
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             log = ConfigurationLog()
             stranger = PeerConfigurationSource(log, [FleetKey(1, bytes(32))])
-            answer = await stranger.fetch(node.endpoint)
-        assert "no answer" in answer.failure().what
+            result = await stranger.fetch(node.endpoint)
+        assert "no answer" in result.failure().what
         assert node.server.refused == 1
 
     anyio.run(main)
@@ -167,7 +167,7 @@
     async def main():
         store = MemoryStore(ManualClock())
         await put(store, 1)
-        async with running() as tasks:
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             for _ in range(MAX_CONNECTIONS + 8):
@@ -176,10 +176,10 @@
                     await stream.send_eof()
                     with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
                         await stream.receive()
-            answer = await PeerConfigurationSource(ConfigurationLog(), [KEY]).fetch(
+            result = await PeerConfigurationSource(ConfigurationLog(), [KEY]).fetch(
                 node.endpoint
             )
-        assert answer.unwrap().version == 1
+        assert result.unwrap().version == 1
         assert node.server.refused == MAX_CONNECTIONS + 8
 
     anyio.run(main)
@@ -190,22 +190,22 @@
         store = MemoryStore(ManualClock())
         await put(store, 1)
         copy = store.values.copy()
-        async with running() as tasks:
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             await put(store, 2)
-            await node.reach(2)
+            await node.wait_for_version(2)
             store.values.restore(copy)
-            await node.fail("older than 2 in force")
+            await node.wait_for_failure("older than 2 in force")
             fresh = Node(store, seeds=(node.endpoint,))
             await fresh.start(tasks)
             assert fresh.log.version == 2
-            held = await ConfigurationStore(store, SITE.name).read()
-            while held.unwrap().configuration.version < 2:
+            stored = await ConfigurationStore(store, SITE.name).read()
+            while stored.unwrap().configuration.version < 2:
                 await anyio.sleep(0.01)
-                held = await ConfigurationStore(store, SITE.name).read()
+                stored = await ConfigurationStore(store, SITE.name).read()
             assert await put(store, 3) == Accepted(3)
-            await node.reach(3)
+            await node.wait_for_version(3)
 
     anyio.run(main)
 
@@ -214,15 +214,15 @@
     async def main():
         store = MemoryStore(ManualClock())
         await put(store, 1)
-        async with running() as tasks:
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             store.set_down(True)
-            await node.fail("outage")
+            await node.wait_for_failure("outage")
             assert node.log.version == 1
             store.set_down(False)
             await put(store, 2)
-            await node.reach(2)
+            await node.wait_for_version(2)
 
     anyio.run(main)
 
@@ -266,11 +266,11 @@
     async def main():
         store = MemoryStore(ManualClock())
         store.lose_answers(4)
-        async with running(), anyio.create_task_group() as operators:
+        async with running_tasks(), anyio.create_task_group() as operators:
             for number in range(10):
                 operators.start_soon(race, store, number)
-        held = await ConfigurationStore(store, SITE.name).read()
-        return held.unwrap().configuration
+        stored = await ConfigurationStore(store, SITE.name).read()
+        return stored.unwrap().configuration
 
     last = anyio.run(main)
     accepted = {
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -12,10 +12,10 @@
 ORDER, DRAWINGS = SITE.services
 
 
-async def send_until_heard(endpoint, heard):
+async def send_until_received(endpoint, received):
     sender = DatagramSocket(None)
     sender.start()
-    while not heard:
+    while not received:
         sender.send(b"packet", endpoint.sockaddr)
         await anyio.sleep(0.01)
     sender.close()
@@ -31,7 +31,7 @@
 def test_sockets_follow_the_configuration(bind_ip, is_moved):
     order, moved, drawings = (place(one, bind_ip) for one in (ORDER, ORDER, DRAWINGS))
     after = [moved if is_moved else order, drawings]
-    failures, heard = [], []
+    failures, received = [], []
 
     async def main():
         entries = EntrySockets(bind_ip, failures.append)
@@ -40,14 +40,14 @@
         with anyio.fail_after(30):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(
-                    entries.run, lambda service_id, *_: heard.append(service_id)
+                    entries.run, lambda service_id, *_: received.append(service_id)
                 )
-                await send_until_heard(order.address, heard)
+                await send_until_received(order.address, received)
                 entries.apply(after)
                 for service in after:
-                    heard.clear()
-                    await send_until_heard(service.address, heard)
-                    assert set(heard) == {service.service_id}
+                    received.clear()
+                    await send_until_received(service.address, received)
+                    assert set(received) == {service.service_id}
                 is_kept = entries.sockets[order.service_id] is before
                 entries.apply([drawings])
                 await anyio.sleep(0)
--- a/tests/unit/test_polling.py
+++ b/tests/unit/test_polling.py
@@ -45,7 +45,7 @@
 
     def handle(reports, errors):
         seen.append([error.peer for error in errors])
-        recorder.take(reports)
+        recorder.add_reports(reports)
 
     poller = Poller([endpoint, silent], handle, 1)
     async with anyio.create_task_group() as tasks:
@@ -68,8 +68,8 @@
     seen, silent = anyio.run(poll_growing_node, path, 4)
     records = read_records([path]).unwrap().records
     assert seen == [[silent]] * 4
-    assert [one.counts.opened for one in records] == [10, 10, 10]
-    assert [one.duration_ms for one in records] == [10_000] * 3
+    assert [record.counts.opened for record in records] == [10, 10, 10]
+    assert [record.duration_ms for record in records] == [10_000] * 3
 
 
 async def poll_until_disk_is_full():
@@ -83,15 +83,15 @@
     with pytest.raises(SystemExit) as raised:
         main(["status"])
     assert raised.value.code == 4
-    told = "the file can't be written to: No space left on device (peer /dev/full)"
-    assert told in capsys.readouterr().err
+    message = "the file can't be written to: No space left on device (peer /dev/full)"
+    assert message in capsys.readouterr().err
 
 
-async def ask_server_that_says(answer):
+async def query_server_that_sends(response):
     async def handle(stream):
         async with stream:
             await stream.receive()
-            await stream.send(answer)
+            await stream.send(response)
 
     endpoint = find_free_endpoint()
     client = AdminClient()
@@ -101,14 +101,14 @@
     async with listener, anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, handle)
         await client.start()
-        result = await client.ask(endpoint)
+        result = await client.query(endpoint)
         await client.close()
         tasks.cancel_scope.cancel()
     return result
 
 
 @pytest.mark.parametrize(
-    ("answer", "what"),
+    ("response", "what"),
     [
         (b"SSH-2.0-OpenSSH_9.2\r\n", "not reached"),
         (b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n", "HTTP 404"),
@@ -116,23 +116,23 @@
         (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}", "not reached"),
     ],
 )
-def test_strange_answer_is_an_error_with_remedy(answer, what):
-    error = anyio.run(ask_server_that_says, answer).failure()
+def test_strange_answer_is_an_error_with_remedy(response, what):
+    error = anyio.run(query_server_that_sends, response).failure()
     assert error.what.startswith(what)
     assert error.peer.startswith("127.0.0.1:")
     assert error.remedy.startswith("check that")
 
 
 def test_silent_server_times_out():
-    async def ask(endpoint):
+    async def query(endpoint):
         client = AdminClient(timeout=50)
         await client.start()
-        result = await client.ask(endpoint)
+        result = await client.query(endpoint)
         await client.close()
         return result
 
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         sock.listen()
-        error = anyio.run(ask, Endpoint(*sock.getsockname())).failure()
+        error = anyio.run(query, Endpoint(*sock.getsockname())).failure()
     assert error.what == "silent for 50 ms"
