Reword texts of the balancer and control side of net

Docstrings, comments and error messages in plain terms; the tests of the admin client and the peer exchange match the new messages as strictly as before.

--- a/src/papayagw/_internal/net/admin.py
+++ b/src/papayagw/_internal/net/admin.py
@@ -1,7 +1,7 @@
-"""The admin endpoint of a node: ``GET /status`` over HTTP/1.1.
+"""Admin endpoint of a node: ``GET /status`` over HTTP/1.1.
 
-It is for operators on the management network: it only tells, and takes no
-command. Each connection gets one answer, within limits of time and size.
+It is meant for operators on the management network. It is read-only and accepts no
+commands. Each connection serves one request, with limits on time and size.
 """
 
 from collections.abc import Callable
@@ -28,16 +28,16 @@
 
 
 class AdminServer:
-    """Answers operators' questions about a node.
+    """HTTP server for the status of a node.
 
     Parameters
     ----------
     endpoint : Endpoint
-        Where to listen.
+        The endpoint to listen on.
     report : callable
-        Returns the node's account of itself.
+        Returns the status report of the node.
     log : Log
-        Where a fault in `report` is logged.
+        Receives exceptions raised by `report`.
     """
 
     def __init__(
@@ -49,21 +49,21 @@
         self._connections = 0
 
     def start(self) -> None:
-        """Listen.
+        """Start to listen.
 
         Raises
         ------
         BindError
-            If the endpoint is taken or isn't of this machine.
+            If the endpoint is in use or isn't an address of this machine.
         """
         self._listener.start()
 
     def close(self) -> None:
-        """Listen no more."""
+        """Stop listening."""
         self._listener.close()
 
     async def run(self) -> None:
-        """Answer until cancelled."""
+        """Serve connections until cancelled."""
         async with anyio.create_task_group() as tasks:
             await self._listener.serve(self._handle_connection, tasks)
 
@@ -72,7 +72,7 @@
             if self._connections < MAX_CONNECTIONS:
                 await self._serve_with_timeout(stream)
         except StreamBrokenError:
-            # The operator's side went away; nothing is left to answer.
+            # The client closed the connection; there is nobody to respond to.
             pass
         finally:
             stream.close()
@@ -107,7 +107,7 @@
         try:
             return HTTPStatus.OK, encode_status(self._report())
         except Exception:
-            # A fault in the account must not stop the node that it is about.
+            # A bug in the status report must not stop the node.
             self._log.exception("status report failed", step=Step.STATUS)
             return HTTPStatus.INTERNAL_SERVER_ERROR, EMPTY_BODY
 
@@ -115,7 +115,7 @@
 async def _read_request(
     stream: TcpStream, connection: h11.Connection
 ) -> h11.Request | None:
-    """Return the request, or None if the peer went away before its end."""
+    """Return the request, or None if the client disconnects before its end."""
     while True:
         event = connection.next_event()
         if isinstance(event, h11.Request):
--- a/src/papayagw/_internal/net/admin_client.py
+++ b/src/papayagw/_internal/net/admin_client.py
@@ -1,4 +1,4 @@
-"""Questions to the admin endpoints of nodes."""
+"""Client for the admin endpoints of nodes."""
 
 from collections.abc import Sequence
 
@@ -22,12 +22,12 @@
 
 
 class AdminClient:
-    """Asks nodes for their status.
+    """Queries nodes for their status.
 
     Parameters
     ----------
     timeout : Millis
-        How long one node may take.
+        Timeout of the request to one node, in milliseconds.
     """
 
     def __init__(self, timeout: Millis = QUERY_TIMEOUT_MS):
@@ -36,7 +36,7 @@
         self._semaphore = anyio.Semaphore(MAX_CONCURRENT)
 
     async def start(self) -> None:
-        """Get ready to ask."""
+        """Open the HTTP client."""
         self._client = httpx.AsyncClient(timeout=None, trust_env=False)
 
     async def close(self) -> None:
@@ -46,7 +46,7 @@
         self._client = None
 
     async def query_all(self, nodes: Sequence[Endpoint]) -> tuple[StatusResult, ...]:
-        """Return the answer of each node, in their order."""
+        """Return the result of each node, in the order of `nodes`."""
         results: dict[Endpoint, StatusResult] = {}
 
         async def query_and_store(node: Endpoint) -> None:
@@ -59,18 +59,20 @@
         return tuple(results[node] for node in nodes)
 
     async def query(self, node: Endpoint) -> StatusResult:
-        """Return a node's account of itself, or why there is none."""
+        """Return the status report of a node, or the error if there is none."""
         if self._client is None:
-            return _make_failure("the client is closed", node, "start it")
+            return _make_failure(
+                "the admin client isn't started", node, "call start() first"
+            )
         try:
             with anyio.fail_after(to_seconds(self._timeout)):
                 response = await self._client.get(f"http://{node}/status")
         except TimeoutError:
             return _make_failure(
-                f"silent for {self._timeout} ms", node, _UNREACHABLE_REMEDY
+                f"no response within {self._timeout} ms", node, _UNREACHABLE_REMEDY
             )
         except httpx.HTTPError as error:
-            return _make_failure(f"not reached: {error}", node, _UNREACHABLE_REMEDY)
+            return _make_failure(f"request failed: {error}", node, _UNREACHABLE_REMEDY)
         if response.status_code != httpx.codes.OK:
             return _make_failure(
                 f"HTTP {response.status_code}", node, _INVALID_RESPONSE_REMEDY
@@ -80,7 +82,7 @@
                 return Success(report)
             case Failure(error):
                 return _make_failure(
-                    f"answer not understood: {error}", node, _INVALID_RESPONSE_REMEDY
+                    f"invalid status report: {error}", node, _INVALID_RESPONSE_REMEDY
                 )
         raise AssertionError("a result is a success or a failure")
 
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -1,4 +1,4 @@
-"""The balancer: a thin process that hands each packet on."""
+"""Packet path of a balancer: forwards packets between callers and agents."""
 
 from collections.abc import Sequence
 from dataclasses import replace
@@ -25,20 +25,20 @@
 
 
 class BalancerPackets:
-    """The balancer's packet path, in both directions.
+    """Packet path of a balancer, in both directions.
 
     Parameters
     ----------
     core : BalancerCore
-        The decisions.
+        Routes each packet.
     configuration : Configuration
-        What is in force.
+        Configuration in force, which gives the fleet keys.
     inner : DatagramSocket
-        The socket towards the agents.
+        Socket for packets to and from agents and other balancers.
     entries : dict of ServiceId to DatagramSocket
-        The sockets that callers' packets come to.
+        Sockets that receive packets from callers, by service.
     log : Log
-        Where dropped packets are logged, a few of each kind.
+        Receives a rate-limited warning for each kind of dropped packet.
     """
 
     def __init__(
@@ -63,40 +63,40 @@
 
     @property
     def forwarded(self) -> int:
-        """How many packets went to agents."""
+        """Number of callers' packets forwarded to agents or other balancers."""
         return self._forwarded
 
     @property
     def answered(self) -> int:
-        """How many packets went to callers."""
+        """Number of packets sent to callers, apart from resets."""
         return self._answered
 
     @property
     def peer_openings(self) -> int:
-        """How many openings of peers went to agents."""
+        """Number of openings received from other balancers and forwarded to agents."""
         return self._peer_openings
 
     @property
     def resets(self) -> int:
-        """How many flows were ended because their agent is gone."""
+        """Number of stateless resets sent because the agent of the flow is gone."""
         return self._reset_count
 
     @property
     def drops(self) -> dict[DropReason, int]:
-        """How many packets were dropped, by reason."""
+        """Number of dropped packets by reason."""
         return self._drops
 
     def apply(self, configuration: Configuration) -> None:
-        """Use the keys of a configuration for whatever comes from now on."""
+        """Use the keys of `configuration` for all later packets."""
         keys = configuration.site.keys
         self._tag_codec = TagCodec(keys)
         self._envelope_codec = EnvelopeCodec(keys)
         self._reset_tokens = ResetTokens(keys)
 
     def on_batch(self, service_id: ServiceId, batch: Sequence[Received]) -> None:
-        """Hand callers' packets to agents, or drop them.
+        """Forward packets from callers to agents, answer with a reset, or drop them.
 
-        They leave together, after the last decision.
+        The forwarded packets are sent together, after the whole batch is routed.
         """
         write_raw = self._envelope_codec.write_raw
         frames: list[Received] = []
@@ -113,7 +113,7 @@
         self._inner.send_all(frames)
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
-        """Hand an agent's answer to its caller, or a peer's opening to an agent."""
+        """Queue an agent's packet for its caller, or forward a peer's opening."""
         if frame[:1] == _FORWARD_BYTE:
             self._on_peer_opening(frame, source)
             return
@@ -129,26 +129,27 @@
         self._outgoing.append((entry, frame[ENVELOPE_BYTES:], client))
 
     def flush(self) -> None:
-        """Send the answers of the last batch of frames, one right after the other."""
+        """Send the packets to callers that the last batch of frames queued."""
         self._answered += len(self._outgoing)
         for entry, datagram, client in self._outgoing:
             entry.send(datagram, client)
         self._outgoing.clear()
 
     def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
-        """Act on a packet that met a closed port, which no agent holds.
+        """Handle the refusal of a forwarded packet: the port of its agent is closed.
 
-        A flow of that agent is over, which its caller is told. An opening is sent
-        again by its caller soon, and then goes to another agent.
+        If the packet belongs to an established flow, the flow is lost and its caller
+        receives a reset. An opening needs no action: the caller retransmits it soon,
+        and it is then routed to another agent.
 
         Parameters
         ----------
         frame : bytes
-            What this balancer sent, as the agent's host returned it.
+            The frame that this balancer sent, as returned by the agent's host.
         peer : Endpoint
-            Where it was sent: an agent.
+            The agent to which it was sent.
         now : Millis
-            The present time.
+            The current time.
         """
         envelope = self._envelope_codec.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
--- a/src/papayagw/_internal/net/balancer_account.py
+++ b/src/papayagw/_internal/net/balancer_account.py
@@ -1,4 +1,4 @@
-"""A balancer's account of itself."""
+"""Metrics and status report of a balancer."""
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
@@ -19,20 +19,20 @@
 
 
 class BalancerAccount:
-    """The figures of a balancer.
+    """Source of a balancer's metrics and status report.
 
     Parameters
     ----------
     identity : NodeIdentity
-        Who it is.
+        Name, role, zone and start time of the process.
     process : BalancerProcess
-        Its sockets and packet path.
+        Supplies the packet counts.
     membership : BalancerMembership
-        What it knows of others.
+        Supplies the known agents and balancers.
     read_configuration : callable
         Returns the configuration in force.
     clock : Clock
-        The time.
+        Clock for the uptime.
     """
 
     def __init__(
@@ -51,16 +51,16 @@
 
     @property
     def identity(self) -> NodeIdentity:
-        """Who it is."""
+        """Name, role, zone and start time of the process."""
         return self._identity
 
     @property
     def configuration_version(self) -> int:
-        """The version of the configuration in force."""
+        """Version of the configuration in force."""
         return self._read_configuration().version
 
     def read_counts(self) -> Mapping[str, int]:
-        """Return the counts since the start, by the names of their metrics."""
+        """Return the counts since the start by metric name."""
         packets = self._process.packets
         drops = {
             f"balancer.drop.{reason.value}": count
@@ -76,7 +76,7 @@
         }
 
     def read_gauges(self) -> Mapping[str, float]:
-        """Return the gauges of the moment, by the names of their metrics."""
+        """Return the current gauges by metric name."""
         return {
             "balancer.agents": len(self._membership.directory.records),
             "balancer.peers": len(self._membership.peers),
@@ -85,11 +85,11 @@
         }
 
     def take_timings(self) -> Mapping[str, Sequence[float]]:
-        """Return nothing: a balancer sees no end of what it hands on."""
+        """Return no timings: a balancer doesn't see when a flow ends."""
         return {}
 
     def report(self, state: NodeState) -> StatusReport:
-        """Return the whole account."""
+        """Return the status report, with `state` as the state of the node."""
         configuration = self._read_configuration()
         agents = self._membership.directory.records
         listed = describe_agents(agents[:MAX_LISTED_AGENTS], configuration)
@@ -118,7 +118,7 @@
 def describe_agents(
     records: Sequence[AgentRecord], configuration: Configuration
 ) -> tuple[AgentStatus, ...]:
-    """Return agents as a report lists them."""
+    """Return the status entries of `records`, with services given by name."""
     names = {
         service.service_id: service.name for service in configuration.site.services
     }
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -1,4 +1,4 @@
-"""The balancer as a process: its sockets and loops."""
+"""Sockets and event loop tasks of a balancer process."""
 
 import anyio
 
@@ -18,28 +18,28 @@
 from papayagw._internal.observe.logs import Log
 
 LEAVE_MS = Millis(1_000)
-"""How long a leaving balancer still hands packets on, so that none meets a void."""
+"""Time for which a leaving balancer still forwards packets, so that none is lost."""
 
 
 class BalancerProcess:
-    """Everything that a balancer process runs.
+    """All sockets and tasks of a balancer process.
 
     Parameters
     ----------
     settings : BalancerSettings
-        Its own settings.
+        Settings of this process.
     configuration : Configuration
-        What is in force at the start.
+        Configuration in force at the start.
     directory : AgentDirectory
-        The agents that it knows of, which `membership` keeps.
+        Known agents, updated by `membership`.
     membership : BalancerMembership
-        Its part in the membership.
+        Membership protocol of this balancer.
     clock : Clock
-        The time.
+        Clock for timers and messages.
     source : ConfigurationSource
-        Where later configurations come from; it has been started.
+        Source of later configurations, already started.
     log : Log
-        Where dropped packets are logged.
+        Receives warnings of dropped packets and errors of service sockets.
     """
 
     def __init__(
@@ -68,21 +68,21 @@
 
     @property
     def configuration(self) -> Configuration:
-        """What is in force."""
+        """Configuration in force."""
         return self._configuration
 
     @property
     def packets(self) -> BalancerPackets:
-        """The packet path."""
+        """Packet path, with the packet counts."""
         return self._packets
 
     @property
     def refused_control(self) -> int:
-        """How many control frames weren't authentic messages."""
+        """Number of control frames that weren't authentic messages."""
         return self._control.refused
 
     def start(self) -> None:
-        """Bind the sockets."""
+        """Bind the inner socket and the sockets of all services."""
         self._inner.start()
         self._entries.start(self._configuration.site.services)
 
@@ -92,7 +92,7 @@
         self._entries.close()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Forward packets and exchange control messages until cancelled."""
         self._membership.set_configuration_version(self._configuration.version)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
@@ -103,7 +103,7 @@
             tasks.start_soon(run_source, self._source, self._apply, self._is_relay)
 
     async def drain(self) -> None:
-        """Hand on what still comes while the others learn of the leave."""
+        """Announce the shutdown and keep forwarding while the peers learn of it."""
         self._control.send(self._membership.leave(self._clock.now()))
         await anyio.sleep(to_seconds(LEAVE_MS))
 
--- a/src/papayagw/_internal/net/configuration.py
+++ b/src/papayagw/_internal/net/configuration.py
@@ -1,4 +1,4 @@
-"""Where a node gets its configuration from."""
+"""Interface of configuration sources, and the source that reads files."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -13,48 +13,49 @@
 from papayagw._internal.settings.site import load_site
 
 OnChange = Callable[[Configuration], None]
-"""Takes a configuration that is in force from now on."""
+"""Called with a configuration that is in force from now on."""
 
 IsRelay = Callable[[], bool]
-"""Returns whether this node watches the platform's service now."""
+"""Returns whether this node is currently a relay, which watches the platform."""
 
 FILE_VERSION = 0
-"""The version of a configuration that was never submitted."""
+"""Version of a configuration read from files, which was never submitted."""
 
 
 class ConfigurationSource(Protocol):
-    """A source of configurations, each of a higher version than the one before."""
+    """Source of configurations, each with a higher version than the previous one."""
 
     async def start(self) -> Configuration:
-        """Return the first configuration, however long it takes."""
+        """Return the first configuration; wait until one is available."""
 
     async def run(self, on_change: OnChange, is_relay: IsRelay) -> None:
-        """Call `on_change` with each later one, until cancelled.
+        """Call `on_change` with each later configuration, until cancelled.
 
         Parameters
         ----------
         on_change : callable
-            Takes each configuration from the moment that it is in force.
+            Called with each configuration as soon as it is in force.
         is_relay : callable
-            Returns whether this node watches the platform's service now.
+            Returns whether this node is currently a relay, which watches the
+            platform's service.
         """
 
     def on_advertised_version(self, version: int, peer: Endpoint) -> None:
-        """Take in that `peer` has `version` in force, as its messages say."""
+        """Handle a message in which `peer` advertises `version` as in force."""
 
     async def close(self) -> None:
-        """Close the connections."""
+        """Close all connections."""
 
 
 class FileConfigurationSource:
-    """A base file with an overlay, read once, in place of the platform.
+    """Configuration from a base file and an overlay, read once at the start.
 
     Parameters
     ----------
     base : Path
-        The base file.
+        Path of the base file.
     overlay : Path or None
-        The overlay of the site.
+        Path of the site's overlay, if there is one.
     """
 
     def __init__(self, base: Path, overlay: Path | None = None):
@@ -67,7 +68,7 @@
         Raises
         ------
         SettingsError
-            If there is any problem in them.
+            If a file is missing or invalid.
         """
         loaded = load_site(self._base, self._overlay)
         if isinstance(loaded, Failure):
@@ -75,20 +76,20 @@
         return Configuration(FILE_VERSION, loaded.unwrap())
 
     async def run(self, on_change: OnChange, is_relay: IsRelay) -> None:
-        """Wait: files aren't read again."""
+        """Wait until cancelled: the files aren't read again."""
         await anyio.sleep_forever()
 
     def on_advertised_version(self, version: int, peer: Endpoint) -> None:
-        """Do nothing: what is in the files stays in force."""
+        """Do nothing: the configuration from the files stays in force."""
 
     async def close(self) -> None:
-        """Do nothing: no connection is open."""
+        """Do nothing: there are no connections."""
 
 
 async def run_source(
     source: ConfigurationSource, on_change: OnChange, is_relay: IsRelay
 ) -> None:
-    """Run a source until cancelled, and close it then."""
+    """Run `source` until cancelled, then close it."""
     try:
         await source.run(on_change, is_relay)
     finally:
--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -1,4 +1,4 @@
-"""Handing the configuration from node to node, over TCP on the inner endpoint."""
+"""Exchange of configurations between nodes, over TCP on the inner endpoint."""
 
 from collections.abc import Sequence
 
@@ -27,16 +27,16 @@
 
 
 class PeerConfigurationSource:
-    """Asks peers for what they have in force.
+    """Client that fetches newer configurations from peers.
 
     Parameters
     ----------
     log : ConfigurationLog
-        What this node has in force.
+        Configuration in force at this node.
     keys : sequence of FleetKey
-        The keys that seal questions before a configuration is held.
+        Keys that encrypt queries until this node has a configuration.
     timeout_ms : Millis
-        How long one peer may take.
+        Timeout of one exchange, including the connection setup.
     """
 
     def __init__(
@@ -52,19 +52,19 @@
 
     @property
     def received_bytes(self) -> int:
-        """How many bytes of answers came so far."""
+        """Number of bytes received in replies, without their length prefixes."""
         return self._received_bytes
 
     async def fetch(
         self, peer: Endpoint
     ) -> Result[Configuration | None, PapayagwError]:
-        """Return a newer configuration of `peer`, or None if it has none."""
+        """Return the configuration of `peer` if it is newer, otherwise None."""
         current = self._log.current
         keys = self._keys if current is None else current.site.keys
         result: Result[Configuration | None, PapayagwError] = Failure(
-            _make_error(peer, "no key to ask with")
+            _make_error(peer, "no fleet key to encrypt the query with")
         )
-        # A peer may know only one of the keys, so each is tried.
+        # A peer may know only one of the keys (during a rotation), so each is tried.
         for key in keys:
             result = await self._fetch_with(peer, ExchangeCodec([key]))
             if isinstance(result, Success):
@@ -78,11 +78,11 @@
             with anyio.fail_after(to_seconds(self._timeout_ms)):
                 reply = await self._exchange(peer, codec)
         except TimeoutError:
-            return Failure(_make_error(peer, f"no answer in {self._timeout_ms} ms"))
+            return Failure(_make_error(peer, f"no reply within {self._timeout_ms} ms"))
         except (StreamBrokenError, DecodeError) as error:
-            return Failure(_make_error(peer, f"no answer: {error.what}"))
+            return Failure(_make_error(peer, f"no reply: {error.what}"))
         if reply is None:
-            return Failure(_make_error(peer, "an answer that isn't authentic"))
+            return Failure(_make_error(peer, "the reply isn't authentic"))
         return Success(self._log.resolve(reply))
 
     async def _exchange(
@@ -100,14 +100,14 @@
 
 
 class ConfigurationServer:
-    """Answers peers.
+    """Server that replies to configuration queries of peers.
 
     Parameters
     ----------
     endpoint : Endpoint
-        Where to listen.
+        The endpoint to listen on.
     log : ConfigurationLog
-        What this node has in force, whose keys open questions.
+        Configuration in force at this node; its keys decrypt the queries.
     """
 
     def __init__(self, endpoint: Endpoint, log: ConfigurationLog):
@@ -118,26 +118,26 @@
 
     @property
     def refused(self) -> int:
-        """How many connections brought no authentic question."""
+        """Number of connections on which no authentic query was received."""
         return self._refused
 
     def start(self) -> None:
-        """Listen.
+        """Start to listen.
 
         Raises
         ------
         BindError
-            If the endpoint is taken or isn't of this host.
+            If the endpoint is in use or isn't an address of this host.
         """
         self._listener.start()
 
     async def run(self) -> None:
-        """Answer until cancelled."""
+        """Serve connections until cancelled."""
         async with anyio.create_task_group() as tasks:
             await self._listener.serve(self._handle_connection, tasks)
 
     def close(self) -> None:
-        """Listen no more."""
+        """Stop listening."""
         self._listener.close()
 
     async def _handle_connection(self, stream: TcpStream) -> None:
@@ -147,7 +147,7 @@
                 with anyio.move_on_after(to_seconds(EXCHANGE_TIMEOUT_MS)):
                     await self._send_reply(stream)
         except (StreamBrokenError, DecodeError):
-            # The peer went away or isn't one; it asks again if it is.
+            # The connection was lost or isn't from a peer; a real peer retries.
             self._refused += 1
         finally:
             self._connections -= 1
@@ -172,5 +172,5 @@
         f"can't fetch the configuration: {what}",
         step=Step.PLATFORM,
         peer=str(peer),
-        remedy="see whether the peer runs and shares a fleet key",
+        remedy="check that the peer runs and shares a fleet key with this node",
     )
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -1,8 +1,9 @@
-"""The configuration from the platform's service and from peers.
+"""Configuration source that uses the platform's service and peers.
 
-A few relays of each zone watch the service; every other node hears of a version on
-the messages that nodes exchange anyway and fetches what changed from the node that
-told it. While the service is down, nodes go on with what they hold.
+A few relays in each zone watch the service. All other nodes learn of a new version
+from the control messages that nodes exchange anyway, and fetch the changes from the
+node that advertised it. While the service is down, nodes keep the configuration in
+force.
 """
 
 from collections.abc import Callable, Sequence
@@ -30,13 +31,16 @@
 from papayagw._internal.store.protocol import ABSENT_REVISION
 
 WATCH_LIMIT_MS = Millis(60_000)
-"""A watch that died without notice is noticed after this time."""
+"""Longest duration of a watch; bounds how long a silently lost one goes unnoticed."""
 
 FIRST_WATCH_LIMIT_MS = Millis(5_000)
-"""A node that has just started may not know yet that others are relays."""
+"""Limit of the first watch, which is short.
+
+A node that has just started may not know yet that other nodes are the relays.
+"""
 
 WATCH_JITTER_SHARE = 0.2
-"""By which share a watch may be longer or shorter."""
+"""Share of its duration by which a watch may be longer or shorter."""
 
 RELAY_CHECK_MS = Millis(1_000)
 MAX_FETCH_BACKOFF_MS = Millis(1_000)
@@ -45,24 +49,24 @@
 
 
 class PlatformConfigurationSource:
-    """The platform's service, and peers beside it.
+    """Configuration from the platform's service and from peers.
 
     Parameters
     ----------
     store : ConfigurationStore
-        The site's configuration in the service.
+        The site's configuration in the platform's service.
     log : ConfigurationLog
-        What this node has in force, shared with the server for peers.
+        Configuration in force at this node, shared with `server`.
     peers : PeerConfigurationSource
-        How peers are asked.
+        Client that fetches configurations from peers.
     server : ConfigurationServer
-        Answers peers while this source runs.
+        Replies to queries of peers while this source runs.
     seeds : sequence of Endpoint
-        Peers that are asked at the start.
+        Peers that are queried at the start.
     on_failure : callable
-        Takes each error, for the log.
+        Called with each error that is to be logged.
     random : Random
-        The source of the jitter.
+        Random generator for the jitter.
     """
 
     def __init__(
@@ -90,15 +94,15 @@
 
     @property
     def log(self) -> ConfigurationLog:
-        """What this node has in force."""
+        """Configuration in force at this node."""
         return self._log
 
     async def start(self) -> Configuration:
         """Return the newest configuration of the service and the seeds.
 
-        The seeds are asked even if the service answers: it may have been restored
-        from an older copy. The connections of the start aren't kept, so that `run`
-        may be on a later loop.
+        Retry until there is one. The seeds are queried even if the service responds,
+        because the service may have been restored from an older copy. The connections
+        are closed afterwards, so that `run` may use another event loop.
         """
         backoff = Backoff(self._random)
         while True:
@@ -111,7 +115,7 @@
                 await self._store.close()
                 self._server.start()
                 return self._log.current
-            # A silent seed matters only where nothing else answers.
+            # An unresponsive seed matters only if no other source has a configuration.
             for failure in failures:
                 self._report_peer_failure(failure)
             await anyio.sleep(to_seconds(backoff.next_wait()))
@@ -125,12 +129,12 @@
             tasks.start_soon(self._fetch_advertised_versions)
 
     async def close(self) -> None:
-        """Close the connections."""
+        """Stop the server and close all connections."""
         self._server.close()
         await self._store.close()
 
     def on_advertised_version(self, version: int, peer: Endpoint) -> None:
-        """Take in that `peer` has `version` in force, as its messages say."""
+        """Schedule a fetch from `peer` if the `version` that it advertises is newer."""
         if version <= self._log.version:
             return
         if self._advertised is None or version > self._advertised[0]:
@@ -154,7 +158,7 @@
         return Millis(round(limit_ms * (1 + spread)))
 
     async def _watch_once(self, limit_ms: Millis) -> bool:
-        """Read the store, then watch it for a while; return whether it answered."""
+        """Read and watch the store for `limit_ms`; return whether that succeeded."""
         stored = await self._read_store()
         if stored is None or not await self._restore_lost_version(stored):
             return False
@@ -177,9 +181,10 @@
         return stored
 
     async def _restore_lost_version(self, stored: StoredConfiguration) -> bool:
-        """Put back what is in force if the store has lost it.
+        """Write the configuration in force back if the store has lost it.
 
-        Returns False where the store has to be read again.
+        That is the case if the store holds an older one or none. Return False if the
+        store has to be read again.
         """
         current = self._log.current
         stored_configuration = stored.configuration
@@ -226,7 +231,7 @@
         self._report_failure(error, error.peer)
 
     def _report_failure(self, error: PapayagwError, peer: str = _PLATFORM) -> None:
-        """Report the first failure of each row, not those of the tries after it."""
+        """Report only the first of consecutive failures of `peer`."""
         if peer not in self._failing_sources:
             self._failing_sources.add(peer)
             self._on_failure(error)
@@ -255,10 +260,12 @@
 ) -> PlatformError:
     if order is VersionOrder.FORKED:
         what = f"version {version} of another submission than the one in force"
-        remedy = "look at config status and submit the change that is missing again"
+        remedy = "see config status and submit the missing change again"
     else:
         what = f"version {configuration.version}, older than {version} in force"
-        remedy = "it is put back; see why the service was restored"
+        remedy = (
+            "the newer version is written back; find out why the service was restored"
+        )
     return PlatformError(
         f"refused {what}", step=Step.PLATFORM, peer=peer, remedy=remedy
     )
--- a/src/papayagw/_internal/net/configuration_setup.py
+++ b/src/papayagw/_internal/net/configuration_setup.py
@@ -1,4 +1,4 @@
-"""Making of the configuration source that a node's settings name."""
+"""Creation of the configuration source that a node's settings specify."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -22,14 +22,16 @@
 def make_source(
     node: NodeSettings, on_failure: Callable[[PapayagwError], None]
 ) -> ConfigurationSource:
-    """Return the source that a node's settings name.
+    """Create the configuration source that the settings of a node specify.
+
+    This is the platform if both it and the site are set, otherwise files.
 
     Parameters
     ----------
     node : NodeSettings
-        The settings.
+        Settings of the node.
     on_failure : callable
-        Takes each error, for the log.
+        Called with each error that is to be logged.
     """
     if not node.platform or node.site is None:
         overlay = None if node.overlay is None else Path(node.overlay)
--- a/src/papayagw/_internal/net/configuration_store.py
+++ b/src/papayagw/_internal/net/configuration_store.py
@@ -1,4 +1,4 @@
-"""A site's configuration in the platform's service."""
+"""Access to a site's configuration in the platform's service."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -27,14 +27,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredConfiguration:
-    """What the service holds.
+    """State of the service as returned by a read.
 
     Attributes
     ----------
     configuration : Configuration or None
         The configuration, or None before the first submission.
     key_revision : int
-        The revision of its key.
+        The revision of the configuration's key.
     store_revision : int
         The revision of the whole store.
     """
@@ -46,19 +46,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SwapConflict:
-    """The write took no effect.
+    """A write had no effect because the key has another revision than expected.
 
     Attributes
     ----------
     current : Configuration or None
-        What the service holds.
+        The configuration that the service holds, if any.
     """
 
     current: Configuration | None
 
 
 class ConfigurationStore:
-    """Reads, writes and watches one site's configuration.
+    """Reads, writes and watches the configuration of one site.
 
     Parameters
     ----------
@@ -67,7 +67,7 @@
     site : str
         The name of the site.
     call_timeout_ms : Millis
-        How long to wait for an answer.
+        Timeout of one call, in milliseconds.
     """
 
     def __init__(
@@ -78,7 +78,7 @@
         self._call_timeout_ms = call_timeout_ms
 
     async def read(self) -> Result[StoredConfiguration, StoreError]:
-        """Return what the service holds."""
+        """Return the configuration that the service holds, with the revisions."""
         result = await self._store.get(self._key, self._call_timeout_ms)
         if isinstance(result, Failure):
             return Failure(result.failure())
@@ -111,7 +111,10 @@
         on_change: Callable[[Result[Configuration | None, StoreError]], None],
         limit_ms: Millis,
     ) -> Result[int, PlatformError]:
-        """Hear of each new configuration for `limit_ms`; see `Store.watch`."""
+        """Report each new configuration to `on_change` for `limit_ms`.
+
+        See `Store.watch` for `after_revision` and the returned revision.
+        """
 
         def on_entry(entry: Entry) -> None:
             on_change(_decode(entry))
@@ -119,7 +122,7 @@
         return await self._store.watch(self._key, after_revision, on_entry, limit_ms)
 
     async def close(self) -> None:
-        """Close the connections."""
+        """Close all connections."""
         await self._store.close()
 
 
--- a/src/papayagw/_internal/net/control.py
+++ b/src/papayagw/_internal/net/control.py
@@ -1,4 +1,4 @@
-"""Exchange of control messages: datagrams and ticks round a core."""
+"""Exchange of control messages: datagrams and timer ticks around a core."""
 
 from collections.abc import Callable, Sequence
 from typing import Protocol
@@ -16,30 +16,30 @@
 
 
 class ControlNode(Protocol):
-    """The decisions of a process about control messages."""
+    """Logic of a process that handles control messages, without input or output."""
 
     def on_message(
         self, message: ControlMessage, source: Endpoint, now: Millis
     ) -> tuple[Send, ...]:
-        """Take in a message and return what to send."""
+        """Process a received message and return the messages to send."""
 
     def on_tick(self, now: Millis) -> tuple[Send, ...]:
-        """Return what has become due."""
+        """Return the messages that are due."""
 
 
 class ControlLoop:
-    """Drives a control node.
+    """Passes received messages and timer ticks to a control node.
 
     Parameters
     ----------
     node : ControlNode
-        The decisions.
+        Handles messages and ticks.
     keys : sequence of FleetKey
-        The keys that authenticate control messages.
+        Keys that authenticate control messages.
     socket : DatagramSocket
-        The socket between the system's own processes.
+        Inner socket, for traffic between balancers and agents.
     clock : Clock
-        The time.
+        Clock for ticks and message times.
     """
 
     def __init__(
@@ -57,15 +57,15 @@
 
     @property
     def refused(self) -> int:
-        """How many frames weren't authentic messages."""
+        """Number of frames that weren't authentic messages."""
         return self._refused
 
     def apply(self, keys: Sequence[FleetKey]) -> None:
-        """Use other keys from now on."""
+        """Use `keys` for all later messages."""
         self._codec = ControlCodec(keys)
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
-        """Take in a control frame and send what follows from it."""
+        """Process a received control frame and send the resulting messages."""
         message = self._codec.read(frame)
         if message is None:
             self._refused += 1
@@ -74,13 +74,13 @@
         self.send(self._node.on_message(message, Endpoint(*source), now))
 
     def send(self, sends: Sequence[Send]) -> None:
-        """Send control messages."""
+        """Encode and send control messages."""
         for outgoing in sends:
             frame = self._codec.write(outgoing.message)
             self._socket.send(frame, outgoing.destination.sockaddr)
 
     async def run(self, after_tick: Callable[[], None] | None = None) -> None:
-        """Tick until cancelled."""
+        """Tick every `TICK_MS` until cancelled; call `after_tick` after each tick."""
         while True:
             self.send(self._node.on_tick(self._clock.now()))
             if after_tick is not None:
--- a/src/papayagw/_internal/net/daemon.py
+++ b/src/papayagw/_internal/net/daemon.py
@@ -1,4 +1,4 @@
-"""How a process runs: until a signal says to stop, gracefully at first."""
+"""Life cycle of a process: it runs until a signal requests a graceful shutdown."""
 
 import signal
 from typing import Protocol
@@ -11,32 +11,32 @@
 
 
 class Daemon(Protocol):
-    """A process of the system, without its signals."""
+    """A long-running process, apart from its signal handling."""
 
     def start(self) -> None:
-        """Take the addresses; an error here ends the process at once."""
+        """Bind the sockets; an error here ends the process at once."""
 
     async def run(self) -> None:
         """Serve until cancelled."""
 
     async def drain(self) -> None:
-        """Return when a graceful stop has nothing left to wait for."""
+        """Prepare for a graceful shutdown; return when nothing is left to wait for."""
 
     def close(self) -> None:
-        """Give the addresses back."""
+        """Close the sockets."""
 
 
 async def run_daemon(daemon: Daemon, name: str, stop_limit_ms: Millis) -> None:
-    """Run a daemon until a signal; a second signal stops it at once.
+    """Run a daemon until a signal drains it; a second signal stops it at once.
 
     Parameters
     ----------
     daemon : Daemon
-        What to run.
+        The daemon to run.
     name : str
-        What is printed, after ``ready``, when it serves.
+        Printed after ``ready`` once the daemon is started.
     stop_limit_ms : Millis
-        How long a graceful stop may take before the rest is cut.
+        Timeout of the graceful shutdown; then the process stops without waiting.
     """
     with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
         daemon.start()
--- a/src/papayagw/_internal/net/entries.py
+++ b/src/papayagw/_internal/net/entries.py
@@ -1,4 +1,4 @@
-"""The sockets that callers' packets come to, as the configuration names them."""
+"""Sockets that receive packets from callers, as listed in the configuration."""
 
 from collections.abc import Callable, Sequence
 from contextlib import suppress
@@ -16,15 +16,16 @@
 
 
 class EntrySockets:
-    """One socket for each service.
+    """Set of UDP sockets, one for each service.
 
     Parameters
     ----------
     bind_ip : str or None
-        The IP number to bind the services' ports on; None binds their addresses.
+        IP address to bind the services' ports on; None binds the services' own
+        addresses.
     on_failure : callable
-        Takes the error of an address that a later configuration names and that
-        can't be bound; the other services go on.
+        Called with the error if an address from a later configuration can't be bound;
+        the other services aren't affected.
     """
 
     def __init__(self, bind_ip: str | None, on_failure: Callable[[BindError], None]):
@@ -37,22 +38,22 @@
 
     @property
     def sockets(self) -> dict[ServiceId, DatagramSocket]:
-        """The sockets by service; it follows each configuration."""
+        """Sockets by service; the same dict is updated by each configuration."""
         return self._sockets
 
     def start(self, services: Sequence[Service]) -> None:
-        """Bind all services' sockets.
+        """Bind the sockets of all services.
 
         Raises
         ------
         BindError
-            If one is taken or isn't of this host.
+            If an address is in use or isn't an address of this host.
         """
         for service in services:
             self._open(service)
 
     def apply(self, services: Sequence[Service]) -> None:
-        """Close the sockets that no service has any more, and bind new ones."""
+        """Close the sockets of removed or moved services and bind the new ones."""
         wanted = {one.service_id: self._find_endpoint(one) for one in services}
         for service_id, endpoint in tuple(self._endpoints.items()):
             if wanted.get(service_id) != endpoint:
@@ -62,7 +63,7 @@
                 self._try_to_open(service)
 
     async def run(self, on_batch: OnBatch) -> None:
-        """Hand each batch of datagrams to `on_batch`, until cancelled."""
+        """Call `on_batch` with each received batch of datagrams, until cancelled."""
         self._on_batch = on_batch
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
--- a/src/papayagw/_internal/net/frames.py
+++ b/src/papayagw/_internal/net/frames.py
@@ -1,4 +1,4 @@
-"""Frames on a TCP connection: a length of 4 bytes, then as many bytes."""
+"""Frames on a TCP connection: a 4-byte length prefix, then the payload."""
 
 import struct
 
@@ -14,19 +14,20 @@
 
 
 async def receive_frame(stream: TcpStream, limit: int) -> bytes:
-    """Return the first frame of a connection.
+    """Return the payload of the first frame on a connection.
 
     Parameters
     ----------
     stream : TcpStream
         The connection.
     limit : int
-        The longest frame that is taken, in bytes.
+        Maximum length of the payload, in bytes.
 
     Raises
     ------
     DecodeError
-        If the frame is longer than `limit`, or the connection ends within it.
+        If the payload is longer than `limit`, or the connection ends before the end
+        of the frame.
     StreamBrokenError
         If the connection is lost.
     """
@@ -35,11 +36,17 @@
     while len(data) < end:
         chunk = await stream.receive()
         if not chunk:
-            raise DecodeError("the peer hung up", step=Step.DECODE)
+            raise DecodeError(
+                "the peer closed the connection before the end of the frame",
+                step=Step.DECODE,
+            )
         data += chunk
         if len(data) >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(data)
             end = _LENGTH.size + length
         if end > _LENGTH.size + limit:
-            raise DecodeError(f"a frame of {length} bytes", step=Step.DECODE)
+            raise DecodeError(
+                f"frame of {length} bytes exceeds the limit of {limit} bytes",
+                step=Step.DECODE,
+            )
     return bytes(data[_LENGTH.size : end])
--- a/src/papayagw/_internal/net/metrics_timer.py
+++ b/src/papayagw/_internal/net/metrics_timer.py
@@ -1,4 +1,4 @@
-"""The timer that hands a node's figures on to statsd once a second."""
+"""Timer that sends a node's metrics to statsd once a second."""
 
 import anyio
 
@@ -12,15 +12,15 @@
 class MetricsTimer:
     """Flushes counts, gauges and timings to statsd.
 
-    It also measures how late the loop runs it: with one loop on one thread that
-    is how long a packet may have to wait for other work.
+    It also measures the lag of the event loop, that is how late the timer runs. With
+    one loop on one thread, a packet may have to wait that long for other work.
 
     Parameters
     ----------
     metrics : StatsdMetrics
-        Where they go; started and closed with the timer.
+        Statsd client; started and closed with the timer.
     account : Account
-        The figures.
+        Source of the metrics.
     """
 
     def __init__(self, metrics: StatsdMetrics, account: Account):
@@ -30,16 +30,16 @@
         self._lag_name = f"{account.identity.role.value}.loop-lag"
 
     def start(self) -> None:
-        """Open the socket."""
+        """Open the statsd socket."""
         self._metrics.start()
 
     def close(self) -> None:
-        """Flush for the last time and close the socket."""
+        """Flush once more and close the socket."""
         self._flush()
         self._metrics.close()
 
     async def run(self) -> None:
-        """Flush until cancelled."""
+        """Flush periodically until cancelled."""
         while True:
             due = anyio.current_time() + to_seconds(FLUSH_INTERVAL_MS)
             await anyio.sleep_until(due)
--- a/src/papayagw/_internal/net/polling.py
+++ b/src/papayagw/_internal/net/polling.py
@@ -1,4 +1,4 @@
-"""Polling of nodes, for records and for tables that renew themselves."""
+"""Periodic status queries to nodes, for records and for refreshed tables."""
 
 from collections.abc import Callable, Sequence
 
@@ -16,16 +16,17 @@
 
 
 class Poller:
-    """Asks nodes for their status again and again.
+    """Queries nodes for their status periodically.
 
     Parameters
     ----------
     nodes : sequence of Endpoint
-        Their admin endpoints.
+        Admin endpoints of the nodes.
     handle : callable
-        Takes the reports and the errors of one round.
+        Called with the reports and the errors of each round.
     interval : Millis
-        The time from the start of one round to that of the next.
+        Time from the start of one round to the start of the next. A round that takes
+        longer delays the next one.
     """
 
     def __init__(
@@ -37,7 +38,7 @@
         self._client = AdminClient()
 
     async def start(self) -> None:
-        """Get ready to ask."""
+        """Start the HTTP client."""
         await self._client.start()
 
     async def close(self) -> None:
@@ -45,7 +46,7 @@
         await self._client.close()
 
     async def run(self, rounds: int | None = None) -> None:
-        """Ask until cancelled, or for a number of rounds."""
+        """Poll until cancelled, or for the given number of rounds."""
         due = anyio.current_time()
         while rounds is None or rounds > 0:
             await anyio.sleep_until(due)
@@ -54,7 +55,7 @@
             due = max(due + to_seconds(self._interval), anyio.current_time())
 
     async def poll(self) -> None:
-        """Ask all nodes once."""
+        """Query all nodes once and pass the results to the handler."""
         results = await self._client.query_all(self._nodes)
         reports = [result.unwrap() for result in results if result.value_or(None)]
         errors = [result.failure() for result in results if not result.value_or(None)]
@@ -62,14 +63,14 @@
 
 
 class Recorder:
-    """Appends what nodes did between two rounds to a file of records.
+    """Appends the changes in nodes' counts between two rounds to a file of records.
 
     Parameters
     ----------
     writer : RecordWriter
-        The file; started and closed with the recorder.
+        Writer of the file; started and closed with the recorder.
     clock : Clock
-        The time since 1970.
+        Wall clock, in milliseconds since 1970.
     """
 
     def __init__(self, writer: RecordWriter, clock: Clock):
@@ -86,7 +87,7 @@
         self._writer.close()
 
     def add_reports(self, reports: Sequence[StatusReport]) -> int:
-        """Append the records that one round gives and return their number."""
+        """Append the records derived from one round of reports; return their number."""
         now = self._clock.now()
         records = [
             record
--- a/src/papayagw/_internal/net/submission.py
+++ b/src/papayagw/_internal/net/submission.py
@@ -1,4 +1,4 @@
-"""Carrying a submission to the platform's service."""
+"""Submission of a configuration change to the platform's service."""
 
 from random import Random
 
@@ -26,18 +26,18 @@
 async def submit(
     store: ConfigurationStore, proposal: Proposal, limit_ms: Millis, random: Random
 ) -> Outcome:
-    """Submit a change and return what the operator is to be told.
+    """Submit a change and return its outcome.
 
     Parameters
     ----------
     store : ConfigurationStore
-        Where the site's configuration is.
+        The site's configuration in the platform's service.
     proposal : Proposal
-        What is submitted.
+        The change to submit.
     limit_ms : Millis
-        How long to go on where answers don't come.
+        How long to retry while the service doesn't respond.
     random : Random
-        The source of the jitter between tries.
+        Random generator for the jitter between retries.
     """
     submission = Submission(proposal)
     backoff = Backoff(random)
@@ -52,7 +52,7 @@
 
 
 async def _run_action(submission: Submission, store: ConfigurationStore) -> bool:
-    """Do the next call; return whether it was answered."""
+    """Run the next action; return False if the service did not respond."""
     match submission.action:
         case Read():
             return await _read(submission, store)
--- a/tests/processes/test_configuration_in_force.py
+++ b/tests/processes/test_configuration_in_force.py
@@ -12,7 +12,7 @@
 
 BALANCERS = 4
 BLOCK = 100 + os.getpid() % 100
-"""Runs of these tests side by side take different IP numbers."""
+"""Block of loopback addresses, which differs between concurrent runs of the tests."""
 
 
 @pytest.fixture(scope="module")
@@ -28,7 +28,7 @@
 
 
 class Caller:
-    """A flow that stays open: each line comes back."""
+    """Client with a flow that stays open; the backend server echoes each line."""
 
     def __init__(self, target):
         self._connection = socket.create_connection(target.sockaddr, 30)
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -23,7 +23,7 @@
 
 
 async def send_in_turn(requests, report=make_status):
-    """Return the answer to each request, all to one server."""
+    """Send the requests to one server, one after the other; return the responses."""
     endpoint = find_free_endpoint()
     server = AdminServer(endpoint, report, Log(ManualClock()))
     responses = []
--- a/tests/unit/test_configuration_source.py
+++ b/tests/unit/test_configuration_source.py
@@ -25,7 +25,7 @@
 
 
 class Node:
-    """A node's configuration, with a server for its peers."""
+    """Configuration source of a node, with a server for its peers."""
 
     def __init__(self, store, *, seeds=(), keys=(KEY,), relay=True):
         self.endpoint = find_free_endpoint()
@@ -76,7 +76,7 @@
             tasks.cancel_scope.cancel()
 
 
-async def put(store, max_flows):
+async def submit_max_flows(store, max_flows):
     proposal = Proposal(make_site(max_flows), f"id-of-{max_flows}", "anna")
     target = ConfigurationStore(store, SITE.name)
     return await submit(target, proposal, Millis(10_000), Random(1))
@@ -85,13 +85,13 @@
 def test_relay_hears_each_version_from_the_store():
     async def main():
         store = MemoryStore(ManualClock())
-        assert await put(store, 1) == Accepted(1)
+        assert await submit_max_flows(store, 1) == Accepted(1)
         async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             assert node.log.version == 1
             for version in (2, 3):
-                assert await put(store, version) == Accepted(version)
+                assert await submit_max_flows(store, version) == Accepted(version)
                 await node.wait_for_version(version)
         assert node.log.current.site == make_site(3)
 
@@ -101,12 +101,12 @@
 def test_other_node_hears_from_its_peer_and_never_watches():
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
+        await submit_max_flows(store, 1)
         async with running_tasks() as tasks:
             relay, other = Node(store), Node(store, relay=False)
             await relay.start(tasks)
             await other.start(tasks)
-            await put(store, 2)
+            await submit_max_flows(store, 2)
             await relay.wait_for_version(2)
             store.set_down(True)
             other.source.on_advertised_version(2, relay.endpoint)
@@ -121,7 +121,7 @@
 def test_new_node_starts_from_a_peer_while_the_store_is_down(keys):
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
+        await submit_max_flows(store, 1)
         async with running_tasks() as tasks:
             old = Node(store)
             await old.start(tasks)
@@ -130,7 +130,7 @@
             await new.start(tasks)
             assert new.log.current == old.log.current
             store.set_down(False)
-            await put(store, 2)
+            await submit_max_flows(store, 2)
             await new.wait_for_version(2)
 
     anyio.run(main)
@@ -139,14 +139,14 @@
 def test_stranger_gets_nothing_from_a_peer():
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
+        await submit_max_flows(store, 1)
         async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             log = ConfigurationLog()
             stranger = PeerConfigurationSource(log, [FleetKey(1, bytes(32))])
             result = await stranger.fetch(node.endpoint)
-        assert "no answer" in result.failure().what
+        assert "no reply" in result.failure().what
         assert node.server.refused == 1
 
     anyio.run(main)
@@ -166,7 +166,7 @@
 def test_bad_input_is_counted_and_leaves_the_server_alone(payload):
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
+        await submit_max_flows(store, 1)
         async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
@@ -188,12 +188,12 @@
 def test_restored_store_is_refused_reported_and_put_right():
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
+        await submit_max_flows(store, 1)
         copy = store.values.copy()
         async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
-            await put(store, 2)
+            await submit_max_flows(store, 2)
             await node.wait_for_version(2)
             store.values.restore(copy)
             await node.wait_for_failure("older than 2 in force")
@@ -204,7 +204,7 @@
             while stored.unwrap().configuration.version < 2:
                 await anyio.sleep(0.01)
                 stored = await ConfigurationStore(store, SITE.name).read()
-            assert await put(store, 3) == Accepted(3)
+            assert await submit_max_flows(store, 3) == Accepted(3)
             await node.wait_for_version(3)
 
     anyio.run(main)
@@ -213,7 +213,7 @@
 def test_node_keeps_what_is_in_force_through_an_outage():
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
+        await submit_max_flows(store, 1)
         async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
@@ -221,7 +221,7 @@
             await node.wait_for_failure("outage")
             assert node.log.version == 1
             store.set_down(False)
-            await put(store, 2)
+            await submit_max_flows(store, 2)
             await node.wait_for_version(2)
 
     anyio.run(main)
@@ -261,7 +261,7 @@
     outcomes = {}
 
     async def race(store, number):
-        outcomes[number] = await put(store, number + 1)
+        outcomes[number] = await submit_max_flows(store, number + 1)
 
     async def main():
         store = MemoryStore(ManualClock())
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -21,7 +21,7 @@
     sender.close()
 
 
-def place(service, bind_ip):
+def assign_free_address(service, bind_ip):
     endpoint = find_free_endpoint()
     return replace(service, address=Endpoint(bind_ip or "127.0.0.1", endpoint.port))
 
@@ -29,7 +29,9 @@
 @pytest.mark.parametrize("bind_ip", [None, "127.0.0.1"])
 @pytest.mark.parametrize("is_moved", [False, True])
 def test_sockets_follow_the_configuration(bind_ip, is_moved):
-    order, moved, drawings = (place(one, bind_ip) for one in (ORDER, ORDER, DRAWINGS))
+    order, moved, drawings = (
+        assign_free_address(one, bind_ip) for one in (ORDER, ORDER, DRAWINGS)
+    )
     after = [moved if is_moved else order, drawings]
     failures, received = [], []
 
@@ -61,7 +63,7 @@
 
 
 def test_address_that_is_taken_leaves_the_others_alone():
-    order, drawings = (place(one, None) for one in (ORDER, DRAWINGS))
+    order, drawings = (assign_free_address(one, None) for one in (ORDER, DRAWINGS))
     failures = []
 
     async def main():
--- a/tests/unit/test_polling.py
+++ b/tests/unit/test_polling.py
@@ -30,7 +30,7 @@
 
 
 async def poll_growing_node(path, rounds):
-    """Record a node that opens 10 flows between two questions."""
+    """Record a node that opens 10 flows between two status queries."""
     clock = ManualClock()
     opened = iter(range(100, 1_000, 10))
 
@@ -110,10 +110,10 @@
 @pytest.mark.parametrize(
     ("response", "what"),
     [
-        (b"SSH-2.0-OpenSSH_9.2\r\n", "not reached"),
+        (b"SSH-2.0-OpenSSH_9.2\r\n", "request failed"),
         (b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n", "HTTP 404"),
-        (b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", "answer not understood"),
-        (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}", "not reached"),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", "invalid status report"),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}", "request failed"),
     ],
 )
 def test_strange_answer_is_an_error_with_remedy(response, what):
@@ -135,4 +135,4 @@
         sock.bind(("127.0.0.1", 0))
         sock.listen()
         error = anyio.run(query, Endpoint(*sock.getsockname())).failure()
-    assert error.what == "silent for 50 ms"
+    assert error.what == "no response within 50 ms"
