--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -64,7 +64,7 @@
         result: Result[Configuration | None, PapayagwError] = Failure(
             _make_error(peer, "no fleet key to encrypt the query with")
         )
-        # A peer may know only one of the keys (during a rotation), so each is tried.
+        # A peer may know only one of the keys, so each is tried.
         for key in keys:
             result = await self._fetch_with(peer, ExchangeCodec([key]))
             if isinstance(result, Success):
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -31,7 +31,7 @@
 from papayagw._internal.store.protocol import ABSENT_REVISION
 
 WATCH_LIMIT_MS = Millis(60_000)
-"""Longest duration of a watch; bounds how long a silently lost one goes unnoticed."""
+"""Duration of a watch; a watch that was lost without an error ends after this time."""
 
 FIRST_WATCH_LIMIT_MS = Millis(5_000)
 """Limit of the first watch, which is short.
