--- a/src/papayagw/_internal/net/admin_client.py
+++ b/src/papayagw/_internal/net/admin_client.py
@@ -1,4 +1,4 @@
-"""Questions to the admin endpoints of nodes."""
+"""Client for the admin endpoints of nodes."""
 
 from collections.abc import Sequence
 
@@ -12,31 +12,31 @@
 from papayagw._internal.models.status import StatusReport
 from papayagw._internal.observe.status_json import decode_status
 
-ASK_TIMEOUT_MS = Millis(3_000)
+QUERY_TIMEOUT_MS = Millis(3_000)
 MAX_CONCURRENT = 32
 
-_UNREACHABLE = "check that the node runs and that this is its admin address"
-_UNREADABLE = "check that this is an admin address and that versions match"
+_UNREACHABLE_REMEDY = "check that the node runs and that this is its admin address"
+_INVALID_RESPONSE_REMEDY = "check that this is an admin address and that versions match"
 
 StatusResult = Result[StatusReport, StatusError]
 
 
 class AdminClient:
-    """Asks nodes for their status.
+    """Queries nodes for their status.
 
     Parameters
     ----------
     timeout : Millis
-        How long one node may take.
+        Timeout of the request to one node, in milliseconds.
     """
 
-    def __init__(self, timeout: Millis = ASK_TIMEOUT_MS):
+    def __init__(self, timeout: Millis = QUERY_TIMEOUT_MS):
         self._timeout = timeout
         self._client: httpx.AsyncClient | None = None
-        self._slots = anyio.Semaphore(MAX_CONCURRENT)
+        self._semaphore = anyio.Semaphore(MAX_CONCURRENT)
 
     async def start(self) -> None:
-        """Get ready to ask."""
+        """Open the HTTP client."""
         self._client = httpx.AsyncClient(timeout=None, trust_env=False)
 
     async def close(self) -> None:
@@ -45,40 +45,48 @@
             await self._client.aclose()
         self._client = None
 
-    async def ask_all(self, nodes: Sequence[Endpoint]) -> tuple[StatusResult, ...]:
-        """Return the answer of each node, in their order."""
-        answers: dict[Endpoint, StatusResult] = {}
+    async def query_all(self, nodes: Sequence[Endpoint]) -> tuple[StatusResult, ...]:
+        """Return the result of each node, in the order of `nodes`."""
+        results: dict[Endpoint, StatusResult] = {}
 
-        async def ask_and_keep(node: Endpoint) -> None:
-            async with self._slots:
-                answers[node] = await self.ask(node)
+        async def query_and_store(node: Endpoint) -> None:
+            async with self._semaphore:
+                results[node] = await self.query(node)
 
         async with anyio.create_task_group() as tasks:
             for node in dict.fromkeys(nodes):
-                tasks.start_soon(ask_and_keep, node)
-        return tuple(answers[node] for node in nodes)
+                tasks.start_soon(query_and_store, node)
+        return tuple(results[node] for node in nodes)
 
-    async def ask(self, node: Endpoint) -> StatusResult:
-        """Return a node's account of itself, or why there is none."""
+    async def query(self, node: Endpoint) -> StatusResult:
+        """Return the status report of a node, or the error if there is none."""
         if self._client is None:
-            return _fail("the client is closed", node, "start it")
+            return _make_failure(
+                "the admin client isn't started", node, "call start() first"
+            )
         try:
             with anyio.fail_after(to_seconds(self._timeout)):
                 response = await self._client.get(f"http://{node}/status")
         except TimeoutError:
-            return _fail(f"silent for {self._timeout} ms", node, _UNREACHABLE)
+            return _make_failure(
+                f"no response within {self._timeout} ms", node, _UNREACHABLE_REMEDY
+            )
         except httpx.HTTPError as error:
-            return _fail(f"not reached: {error}", node, _UNREACHABLE)
+            return _make_failure(f"request failed: {error}", node, _UNREACHABLE_REMEDY)
         if response.status_code != httpx.codes.OK:
-            return _fail(f"HTTP {response.status_code}", node, _UNREADABLE)
+            return _make_failure(
+                f"HTTP {response.status_code}", node, _INVALID_RESPONSE_REMEDY
+            )
         match decode_status(response.content):
             case Success(report):
                 return Success(report)
             case Failure(error):
-                return _fail(f"answer not understood: {error}", node, _UNREADABLE)
+                return _make_failure(
+                    f"invalid status report: {error}", node, _INVALID_RESPONSE_REMEDY
+                )
         raise AssertionError("a result is a success or a failure")
 
 
-def _fail(what: str, node: Endpoint, remedy: str) -> StatusResult:
+def _make_failure(what: str, node: Endpoint, remedy: str) -> StatusResult:
     error = StatusError(what, step=Step.STATUS, peer=str(node), remedy=remedy)
     return Failure(error)
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -1,4 +1,4 @@
-"""The balancer: a thin process that hands each packet on."""
+"""Packet path of a balancer: forwards packets between callers and agents."""
 
 from collections.abc import Sequence
 from dataclasses import replace
@@ -25,20 +25,20 @@
 
 
 class BalancerPackets:
-    """The balancer's packet path, in both directions.
+    """Packet path of a balancer, in both directions.
 
     Parameters
     ----------
     core : BalancerCore
-        The decisions.
+        Routes each packet.
     configuration : Configuration
-        What is in force.
+        Configuration in force, which gives the fleet keys.
     inner : DatagramSocket
-        The socket towards the agents.
+        Socket for packets to and from agents and other balancers.
     entries : dict of ServiceId to DatagramSocket
-        The sockets that callers' packets come to.
+        Sockets that receive packets from callers, by service.
     log : Log
-        Where dropped packets are logged, a few of each kind.
+        Receives a rate-limited warning for each kind of dropped packet.
     """
 
     def __init__(
@@ -53,54 +53,54 @@
         self._inner = inner
         self._entries = entries
         self._log = log
-        self._answers: list[tuple[DatagramSocket, bytes, tuple[str, int]]] = []
+        self._outgoing: list[tuple[DatagramSocket, bytes, tuple[str, int]]] = []
         self._forwarded = 0
         self._answered = 0
-        self._passed = 0
+        self._peer_openings = 0
         self._reset_count = 0
         self._drops: dict[DropReason, int] = dict.fromkeys(DropReason, 0)
         self.apply(configuration)
 
     @property
     def forwarded(self) -> int:
-        """How many packets went to agents."""
+        """Number of callers' packets forwarded to agents or other balancers."""
         return self._forwarded
 
     @property
     def answered(self) -> int:
-        """How many packets went to callers."""
+        """Number of packets sent to callers, apart from resets."""
         return self._answered
 
     @property
-    def passed(self) -> int:
-        """How many openings of peers went to agents."""
-        return self._passed
+    def peer_openings(self) -> int:
+        """Number of openings received from other balancers and forwarded to agents."""
+        return self._peer_openings
 
     @property
     def resets(self) -> int:
-        """How many flows were ended because their agent is gone."""
+        """Number of stateless resets sent because the agent of the flow is gone."""
         return self._reset_count
 
     @property
     def drops(self) -> dict[DropReason, int]:
-        """How many packets were dropped, by reason."""
+        """Number of dropped packets by reason."""
         return self._drops
 
     def apply(self, configuration: Configuration) -> None:
-        """Use the keys of a configuration for whatever comes from now on."""
+        """Use the keys of `configuration` for all later packets."""
         keys = configuration.site.keys
-        self._tags = TagCodec(keys)
-        self._envelopes = EnvelopeCodec(keys)
-        self._resets = ResetTokens(keys)
+        self._tag_codec = TagCodec(keys)
+        self._envelope_codec = EnvelopeCodec(keys)
+        self._reset_tokens = ResetTokens(keys)
 
     def on_batch(
         self, service_id: ServiceId, batch: Sequence[AddressedDatagram]
     ) -> None:
-        """Hand callers' packets to agents, or drop them.
+        """Forward packets from callers to agents, answer with a reset, or drop them.
 
-        They leave together, after the last decision.
+        The forwarded packets are sent together, after the whole batch is routed.
         """
-        write_raw = self._envelopes.write_raw
+        write_raw = self._envelope_codec.write_raw
         frames: list[AddressedDatagram] = []
         for datagram, client in batch:
             decision = self._decide(service_id, datagram)
@@ -108,61 +108,62 @@
                 header = write_raw(_FORWARD, service_id, client)
                 frames.append((header + datagram, decision.agent.sockaddr))
             elif isinstance(decision, Reset):
-                self._reset(service_id, datagram, client)
+                self._send_reset(service_id, datagram, client)
             else:
                 self._drop(decision.reason, client)
         self._forwarded += len(frames)
         self._inner.send_all(frames)
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
-        """Hand an agent's answer to its caller, or a peer's opening to an agent."""
+        """Queue an agent's packet for its caller, or forward a peer's opening."""
         if frame[:1] == _FORWARD_BYTE:
-            self._on_passed(frame, source)
+            self._on_peer_opening(frame, source)
             return
-        answer = self._envelopes.read_answer(frame)
-        if answer is None:
+        destination = self._envelope_codec.read_answer(frame)
+        if destination is None:
             self._drop(DropReason.UNAUTHENTICATED, source)
             return
-        service_id, client = answer
+        service_id, client = destination
         entry = self._entries.get(ServiceId(service_id))
         if entry is None:
             self._drop(DropReason.WRONG_SERVICE, source)
             return
-        self._answers.append((entry, frame[ENVELOPE_BYTES:], client))
+        self._outgoing.append((entry, frame[ENVELOPE_BYTES:], client))
 
     def flush(self) -> None:
-        """Send the answers of the last batch of frames, one right after the other."""
-        self._answered += len(self._answers)
-        for entry, datagram, client in self._answers:
+        """Send the packets to callers that the last batch of frames queued."""
+        self._answered += len(self._outgoing)
+        for entry, datagram, client in self._outgoing:
             entry.send(datagram, client)
-        self._answers.clear()
+        self._outgoing.clear()
 
     def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
-        """Act on a packet that met a closed port, which no agent holds.
+        """Handle the refusal of a forwarded packet: the port of its agent is closed.
 
-        A flow of that agent is over, which its caller is told. An opening is sent
-        again by its caller soon, and then goes to another agent.
+        If the packet belongs to an established flow, the flow is lost and its caller
+        receives a reset. An opening needs no action: the caller retransmits it soon,
+        and it is then routed to another agent.
 
         Parameters
         ----------
         frame : bytes
-            What this balancer sent, as the agent's host returned it.
+            The frame that this balancer sent, as returned by the agent's host.
         peer : Endpoint
-            Where it was sent: an agent.
+            The agent to which it was sent.
         now : Millis
-            The present time.
+            The current time.
         """
-        envelope = self._envelopes.read(frame)
+        envelope = self._envelope_codec.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
             return
         self._core.mark_unreachable(peer, now)
         datagram = frame[ENVELOPE_BYTES:]
         tag = read_connection_id(datagram)
-        if tag is not None and self._tags.open_route(tag) is not None:
-            self._reset(envelope.service_id, datagram, envelope.client.sockaddr)
+        if tag is not None and self._tag_codec.open_route(tag) is not None:
+            self._send_reset(envelope.service_id, datagram, envelope.client.sockaddr)
 
-    def _on_passed(self, frame: bytes, source: tuple[str, int]) -> None:
-        envelope = self._envelopes.read(frame)
+    def _on_peer_opening(self, frame: bytes, source: tuple[str, int]) -> None:
+        envelope = self._envelope_codec.read(frame)
         if envelope is None:
             self._drop(DropReason.UNAUTHENTICATED, source)
             return
@@ -175,18 +176,20 @@
         if not isinstance(decision, Forward):
             self._drop(DropReason.NO_AGENT, source)
             return
-        self._passed += 1
-        passed = replace(envelope, balancer=Endpoint(*source))
-        header = self._envelopes.write(passed)
+        self._peer_openings += 1
+        readdressed = replace(envelope, balancer=Endpoint(*source))
+        header = self._envelope_codec.write(readdressed)
         self._inner.send(header + datagram, decision.agent.sockaddr)
 
-    def _reset(
+    def _send_reset(
         self, service_id: ServiceId, datagram: bytes, client: tuple[str, int]
     ) -> None:
         tag = read_connection_id(datagram)
         if tag is not None:
             self._reset_count += 1
-            self._entries[service_id].send(self._resets.make_datagram(tag), client)
+            self._entries[service_id].send(
+                self._reset_tokens.make_datagram(tag), client
+            )
 
     def _drop(self, reason: DropReason, source: tuple[str, int]) -> None:
         self._drops[reason] += 1
@@ -199,7 +202,7 @@
         connection_id = read_connection_id(datagram)
         if connection_id is None:
             return DROP_MALFORMED
-        route = self._tags.open_route(connection_id)
+        route = self._tag_codec.open_route(connection_id)
         if route is None and is_opening(datagram, connection_id):
             return self._core.route_opening(service_id, connection_id)
         return self._core.route_tagged(service_id, route)
--- a/src/papayagw/_internal/net/configuration_store.py
+++ b/src/papayagw/_internal/net/configuration_store.py
@@ -1,4 +1,4 @@
-"""A site's configuration in the platform's service."""
+"""Access to a site's configuration in the platform's service."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -26,15 +26,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Stored:
-    """What the service holds.
+class StoredConfiguration:
+    """State of the service as returned by a read.
 
     Attributes
     ----------
     configuration : Configuration or None
         The configuration, or None before the first submission.
     key_revision : int
-        The revision of its key.
+        The revision of the configuration's key.
     store_revision : int
         The revision of the whole store.
     """
@@ -45,20 +45,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rejected:
-    """The write took no effect.
+class SwapConflict:
+    """A write had no effect because the key has another revision than expected.
 
     Attributes
     ----------
     current : Configuration or None
-        What the service holds.
+        The configuration that the service holds, if any.
     """
 
     current: Configuration | None
 
 
 class ConfigurationStore:
-    """Reads, writes and watches one site's configuration.
+    """Reads, writes and watches the configuration of one site.
 
     Parameters
     ----------
@@ -67,7 +67,7 @@
     site : str
         The name of the site.
     call_timeout_ms : Millis
-        How long to wait for an answer.
+        Timeout of one call, in milliseconds.
     """
 
     def __init__(
@@ -77,47 +77,52 @@
         self._key = f"papayagw/sites/{site}/configuration"
         self._call_timeout_ms = call_timeout_ms
 
-    async def read(self) -> Result[Stored, StoreError]:
-        """Return what the service holds."""
-        answer = await self._store.get(self._key, self._call_timeout_ms)
-        if isinstance(answer, Failure):
-            return Failure(answer.failure())
-        snapshot = answer.unwrap()
+    async def read(self) -> Result[StoredConfiguration, StoreError]:
+        """Return the configuration that the service holds, with the revisions."""
+        result = await self._store.get(self._key, self._call_timeout_ms)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        snapshot = result.unwrap()
         revision = snapshot.entry.revision if snapshot.entry else ABSENT_REVISION
         return _decode(snapshot.entry).map(
-            lambda found: Stored(found, revision, snapshot.revision)
+            lambda configuration: StoredConfiguration(
+                configuration, revision, snapshot.revision
+            )
         )
 
     async def swap(
-        self, configuration: Configuration, expected: int
-    ) -> Result[Swapped | Rejected, StoreError]:
-        """Write a configuration if its key still has the revision `expected`."""
+        self, configuration: Configuration, expected_revision: int
+    ) -> Result[Swapped | SwapConflict, StoreError]:
+        """Write a configuration if its key still has the expected revision."""
         value = write_configuration(configuration)
-        answer = await self._store.swap(
-            self._key, value, expected, self._call_timeout_ms
+        result = await self._store.swap(
+            self._key, value, expected_revision, self._call_timeout_ms
         )
-        if isinstance(answer, Failure):
-            return Failure(answer.failure())
-        outcome = answer.unwrap()
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        outcome = result.unwrap()
         if isinstance(outcome, Conflict):
-            return _decode(outcome.entry).map(Rejected)
+            return _decode(outcome.entry).map(SwapConflict)
         return Success(outcome)
 
     async def watch(
         self,
-        after: int,
+        after_revision: int,
         on_change: Callable[[Result[Configuration | None, StoreError]], None],
         limit_ms: Millis,
     ) -> Result[int, PlatformError]:
-        """Hear of each new configuration for `limit_ms`; see `Store.watch`."""
+        """Report each new configuration to `on_change` for `limit_ms`.
+
+        See `Store.watch` for `after_revision` and the returned revision.
+        """
 
         def on_entry(entry: Entry) -> None:
             on_change(_decode(entry))
 
-        return await self._store.watch(self._key, after, on_entry, limit_ms)
+        return await self._store.watch(self._key, after_revision, on_entry, limit_ms)
 
     async def close(self) -> None:
-        """Close the connections."""
+        """Close all connections."""
         await self._store.close()
 
 
--- a/src/papayagw/_internal/net/submission.py
+++ b/src/papayagw/_internal/net/submission.py
@@ -1,4 +1,4 @@
-"""Carrying a submission to the platform's service."""
+"""Submission of a configuration change to the platform's service."""
 
 from random import Random
 
@@ -18,32 +18,32 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.net.configuration_store import (
     ConfigurationStore,
-    Rejected,
     StoreError,
+    SwapConflict,
 )
 
 
 async def submit(
     store: ConfigurationStore, proposal: Proposal, limit_ms: Millis, random: Random
 ) -> Outcome:
-    """Submit a change and return what the operator is to be told.
+    """Submit a change and return its outcome.
 
     Parameters
     ----------
     store : ConfigurationStore
-        Where the site's configuration is.
+        The site's configuration in the platform's service.
     proposal : Proposal
-        What is submitted.
+        The change to submit.
     limit_ms : Millis
-        How long to go on where answers don't come.
+        How long to retry while the service doesn't respond.
     random : Random
-        The source of the jitter between tries.
+        Random generator for the jitter between retries.
     """
     submission = Submission(proposal)
     backoff = Backoff(random)
     with anyio.move_on_after(to_seconds(limit_ms)):
         while not isinstance(submission.action, Finish):
-            answered = await _take_step(submission, store)
+            answered = await _run_action(submission, store)
             if not answered:
                 await anyio.sleep(to_seconds(backoff.next_wait()))
     submission.on_deadline()
@@ -51,8 +51,8 @@
     return submission.action.outcome
 
 
-async def _take_step(submission: Submission, store: ConfigurationStore) -> bool:
-    """Do the next call; return whether it was answered."""
+async def _run_action(submission: Submission, store: ConfigurationStore) -> bool:
+    """Run the next action; return False if the service did not respond."""
     match submission.action:
         case Read():
             return await _read(submission, store)
@@ -63,10 +63,10 @@
 
 
 async def _read(submission: Submission, store: ConfigurationStore) -> bool:
-    answer = await store.read()
-    if isinstance(answer, Failure):
-        return _fail(submission, answer.failure())
-    stored = answer.unwrap()
+    result = await store.read()
+    if isinstance(result, Failure):
+        return _handle_failure(submission, result.failure())
+    stored = result.unwrap()
     submission.on_read(stored.configuration, stored.key_revision)
     return True
 
@@ -74,18 +74,18 @@
 async def _write(
     submission: Submission, store: ConfigurationStore, write: Write
 ) -> bool:
-    answer = await store.swap(write.configuration, write.expected)
-    if isinstance(answer, Failure):
-        return _fail(submission, answer.failure())
-    outcome = answer.unwrap()
-    if isinstance(outcome, Rejected):
+    result = await store.swap(write.configuration, write.expected)
+    if isinstance(result, Failure):
+        return _handle_failure(submission, result.failure())
+    outcome = result.unwrap()
+    if isinstance(outcome, SwapConflict):
         submission.on_conflict(outcome.current)
     else:
         submission.on_written()
     return True
 
 
-def _fail(submission: Submission, error: StoreError) -> bool:
+def _handle_failure(submission: Submission, error: StoreError) -> bool:
     if isinstance(error, PlatformUnreachableError):
         submission.on_no_answer()
         return False
--- a/tests/unit/test_configuration_source.py
+++ b/tests/unit/test_configuration_source.py
@@ -25,7 +25,7 @@
 
 
 class Node:
-    """A node's configuration, with a server for its peers."""
+    """Configuration source of a node, with a server for its peers."""
 
     def __init__(self, store, *, seeds=(), keys=(KEY,), relay=True):
         self.endpoint = find_free_endpoint()
@@ -42,17 +42,17 @@
             random=Random(1),
         )
         self.relay = relay
-        self._moved = anyio.Event()
+        self._changed = anyio.Event()
 
     async def start(self, tasks):
         await self.source.start()
         tasks.start_soon(self._run)
 
-    async def reach(self, version):
+    async def wait_for_version(self, version):
         while self.log.version < version:
-            await self._moved.wait()
+            await self._changed.wait()
 
-    async def fail(self, text):
+    async def wait_for_failure(self, text):
         while not any(text in str(one) for one in self.failures):
             await anyio.sleep(0.01)
 
@@ -64,19 +64,19 @@
                 await self.source.close()
 
     def _on_change(self, configuration):
-        moved, self._moved = self._moved, anyio.Event()
-        moved.set()
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
 
 
 @asynccontextmanager
-async def running():
+async def running_tasks():
     with anyio.fail_after(60):
         async with anyio.create_task_group() as tasks:
             yield tasks
             tasks.cancel_scope.cancel()
 
 
-async def put(store, max_flows):
+async def submit_max_flows(store, max_flows):
     proposal = Proposal(make_site(max_flows), f"id-of-{max_flows}", "anna")
     target = ConfigurationStore(store, SITE.name)
     return await submit(target, proposal, Millis(10_000), Random(1))
@@ -85,14 +85,14 @@
 def test_relay_hears_each_version_from_the_store():
     async def main():
         store = MemoryStore(ManualClock())
-        assert await put(store, 1) == Accepted(1)
-        async with running() as tasks:
+        assert await submit_max_flows(store, 1) == Accepted(1)
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             assert node.log.version == 1
             for version in (2, 3):
-                assert await put(store, version) == Accepted(version)
-                await node.reach(version)
+                assert await submit_max_flows(store, version) == Accepted(version)
+                await node.wait_for_version(version)
         assert node.log.current.site == make_site(3)
 
     anyio.run(main)
@@ -101,16 +101,16 @@
 def test_other_node_hears_from_its_peer_and_never_watches():
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
-        async with running() as tasks:
+        await submit_max_flows(store, 1)
+        async with running_tasks() as tasks:
             relay, other = Node(store), Node(store, relay=False)
             await relay.start(tasks)
             await other.start(tasks)
-            await put(store, 2)
-            await relay.reach(2)
+            await submit_max_flows(store, 2)
+            await relay.wait_for_version(2)
             store.set_down(True)
-            other.source.hear_version(2, relay.endpoint)
-            await other.reach(2)
+            other.source.on_advertised_version(2, relay.endpoint)
+            await other.wait_for_version(2)
         assert other.log.current == relay.log.current
         assert store.counts.by_kind["watch"] == 1
 
@@ -121,8 +121,8 @@
 def test_new_node_starts_from_a_peer_while_the_store_is_down(keys):
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
-        async with running() as tasks:
+        await submit_max_flows(store, 1)
+        async with running_tasks() as tasks:
             old = Node(store)
             await old.start(tasks)
             store.set_down(True)
@@ -130,8 +130,8 @@
             await new.start(tasks)
             assert new.log.current == old.log.current
             store.set_down(False)
-            await put(store, 2)
-            await new.reach(2)
+            await submit_max_flows(store, 2)
+            await new.wait_for_version(2)
 
     anyio.run(main)
 
@@ -139,14 +139,14 @@
 def test_stranger_gets_nothing_from_a_peer():
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
-        async with running() as tasks:
+        await submit_max_flows(store, 1)
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             log = ConfigurationLog()
             stranger = PeerConfigurationSource(log, [FleetKey(1, bytes(32))])
-            answer = await stranger.fetch(node.endpoint)
-        assert "no answer" in answer.failure().what
+            result = await stranger.fetch(node.endpoint)
+        assert "no reply" in result.failure().what
         assert node.server.refused == 1
 
     anyio.run(main)
@@ -166,8 +166,8 @@
 def test_bad_input_is_counted_and_leaves_the_server_alone(payload):
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
-        async with running() as tasks:
+        await submit_max_flows(store, 1)
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             for _ in range(MAX_CONNECTIONS + 8):
@@ -176,10 +176,10 @@
                     await stream.send_eof()
                     with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
                         await stream.receive()
-            answer = await PeerConfigurationSource(ConfigurationLog(), [KEY]).fetch(
+            result = await PeerConfigurationSource(ConfigurationLog(), [KEY]).fetch(
                 node.endpoint
             )
-        assert answer.unwrap().version == 1
+        assert result.unwrap().version == 1
         assert node.server.refused == MAX_CONNECTIONS + 8
 
     anyio.run(main)
@@ -188,24 +188,24 @@
 def test_restored_store_is_refused_reported_and_put_right():
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
+        await submit_max_flows(store, 1)
         copy = store.values.copy()
-        async with running() as tasks:
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
-            await put(store, 2)
-            await node.reach(2)
+            await submit_max_flows(store, 2)
+            await node.wait_for_version(2)
             store.values.restore(copy)
-            await node.fail("older than 2 in force")
+            await node.wait_for_failure("older than 2 in force")
             fresh = Node(store, seeds=(node.endpoint,))
             await fresh.start(tasks)
             assert fresh.log.version == 2
-            held = await ConfigurationStore(store, SITE.name).read()
-            while held.unwrap().configuration.version < 2:
+            stored = await ConfigurationStore(store, SITE.name).read()
+            while stored.unwrap().configuration.version < 2:
                 await anyio.sleep(0.01)
-                held = await ConfigurationStore(store, SITE.name).read()
-            assert await put(store, 3) == Accepted(3)
-            await node.reach(3)
+                stored = await ConfigurationStore(store, SITE.name).read()
+            assert await submit_max_flows(store, 3) == Accepted(3)
+            await node.wait_for_version(3)
 
     anyio.run(main)
 
@@ -213,16 +213,16 @@
 def test_node_keeps_what_is_in_force_through_an_outage():
     async def main():
         store = MemoryStore(ManualClock())
-        await put(store, 1)
-        async with running() as tasks:
+        await submit_max_flows(store, 1)
+        async with running_tasks() as tasks:
             node = Node(store)
             await node.start(tasks)
             store.set_down(True)
-            await node.fail("outage")
+            await node.wait_for_failure("outage")
             assert node.log.version == 1
             store.set_down(False)
-            await put(store, 2)
-            await node.reach(2)
+            await submit_max_flows(store, 2)
+            await node.wait_for_version(2)
 
     anyio.run(main)
 
@@ -261,16 +261,16 @@
     outcomes = {}
 
     async def race(store, number):
-        outcomes[number] = await put(store, number + 1)
+        outcomes[number] = await submit_max_flows(store, number + 1)
 
     async def main():
         store = MemoryStore(ManualClock())
         store.lose_answers(4)
-        async with running(), anyio.create_task_group() as operators:
+        async with running_tasks(), anyio.create_task_group() as operators:
             for number in range(10):
                 operators.start_soon(race, store, number)
-        held = await ConfigurationStore(store, SITE.name).read()
-        return held.unwrap().configuration
+        stored = await ConfigurationStore(store, SITE.name).read()
+        return stored.unwrap().configuration
 
     last = anyio.run(main)
     accepted = {
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -12,16 +12,16 @@
 ORDER, DRAWINGS = SITE.services
 
 
-async def send_until_heard(endpoint, heard):
+async def send_until_received(endpoint, received):
     sender = DatagramSocket(None)
     sender.start()
-    while not heard:
+    while not received:
         sender.send(b"packet", endpoint.sockaddr)
         await anyio.sleep(0.01)
     sender.close()
 
 
-def place(service, bind_ip):
+def assign_free_address(service, bind_ip):
     endpoint = find_free_endpoint()
     return replace(service, address=Endpoint(bind_ip or "127.0.0.1", endpoint.port))
 
@@ -29,9 +29,11 @@
 @pytest.mark.parametrize("bind_ip", [None, "127.0.0.1"])
 @pytest.mark.parametrize("is_moved", [False, True])
 def test_sockets_follow_the_configuration(bind_ip, is_moved):
-    order, moved, drawings = (place(one, bind_ip) for one in (ORDER, ORDER, DRAWINGS))
+    order, moved, drawings = (
+        assign_free_address(one, bind_ip) for one in (ORDER, ORDER, DRAWINGS)
+    )
     after = [moved if is_moved else order, drawings]
-    failures, heard = [], []
+    failures, received = [], []
 
     async def main():
         entries = EntrySockets(bind_ip, failures.append)
@@ -40,14 +42,14 @@
         with anyio.fail_after(30):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(
-                    entries.run, lambda service_id, *_: heard.append(service_id)
+                    entries.run, lambda service_id, *_: received.append(service_id)
                 )
-                await send_until_heard(order.address, heard)
+                await send_until_received(order.address, received)
                 entries.apply(after)
                 for service in after:
-                    heard.clear()
-                    await send_until_heard(service.address, heard)
-                    assert set(heard) == {service.service_id}
+                    received.clear()
+                    await send_until_received(service.address, received)
+                    assert set(received) == {service.service_id}
                 is_kept = entries.sockets[order.service_id] is before
                 entries.apply([drawings])
                 await anyio.sleep(0)
@@ -61,7 +63,7 @@
 
 
 def test_address_that_is_taken_leaves_the_others_alone():
-    order, drawings = (place(one, None) for one in (ORDER, DRAWINGS))
+    order, drawings = (assign_free_address(one, None) for one in (ORDER, DRAWINGS))
     failures = []
 
     async def main():
