--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from pathlib import Path
 
-from papayagw._internal.cli.loading import start_source, unwrap
+from papayagw._internal.cli.loading import start_configuration_source, unwrap_settings
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.core.admission import make_adaptive
 from papayagw._internal.core.agent import AgentCore
@@ -51,19 +51,19 @@
     settings : str
         The settings file of this process.
     """
-    read = unwrap(load_agent(Path(settings)))
+    loaded = unwrap_settings(load_agent(Path(settings)))
     clock = MonotonicClock()
-    log = configure_logging(read.node.name, clock, read.node.log_level)
-    source, configuration = start_source(read.node, log)
-    process = _make_process(read, configuration, source, clock, log)
-    identity = make_identity(read.node.name, Role.AGENT, read.node.zone)
+    log = configure_logging(loaded.node.name, clock, loaded.node.log_level)
+    source, configuration = start_configuration_source(loaded.node, log)
+    process = _make_process(loaded, configuration, source, clock, log)
+    identity = make_identity(loaded.node.name, Role.AGENT, loaded.node.zone)
     account = AgentAccount(
-        identity, read, process, lambda: process.configuration, clock
+        identity, loaded, process, lambda: process.configuration, clock
     )
     # A process with long flows may stay longer than others.
-    drain_limit = _find_service(read, configuration).drain_limit_ms
-    stop_limit = max(read.node.stop_limit_ms, drain_limit)
-    node = replace(read.node, stop_limit_ms=stop_limit)
+    drain_limit = _find_service(loaded, configuration).drain_limit_ms
+    stop_limit = max(loaded.node.stop_limit_ms, drain_limit)
+    node = replace(loaded.node, stop_limit_ms=stop_limit)
     return run_observed(process, account, node, log)
 
 
@@ -93,7 +93,7 @@
 def _find_service(settings: AgentSettings, configuration: Configuration) -> Service:
     service = configuration.site.find_service(settings.service)
     if service is None:
-        names = ", ".join(one.name for one in configuration.site.services)
+        names = ", ".join(service.name for service in configuration.site.services)
         raise SettingsError(
             f"service: found {settings.service!r}, expected one of {names}",
             step=Step.SETTINGS,
--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from papayagw._internal.cli.loading import start_source, unwrap
+from papayagw._internal.cli.loading import start_configuration_source, unwrap_settings
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.core.membership import BalancerMembership
@@ -38,11 +38,11 @@
     settings : str
         The settings file of this process.
     """
-    read = unwrap(load_balancer(Path(settings)))
-    node = read.node
+    loaded = unwrap_settings(load_balancer(Path(settings)))
+    node = loaded.node
     clock = MonotonicClock()
     log = configure_logging(node.name, clock, node.log_level)
-    source, configuration = start_source(node, log)
+    source, configuration = start_configuration_source(node, log)
     directory = AgentDirectory()
     membership = BalancerMembership(
         BalancerRecord(node.inner, make_incarnation(), node.zone),
@@ -51,7 +51,7 @@
         random.Random(),
     )
     process = BalancerProcess(
-        read, configuration, directory, membership, clock, source, log
+        loaded, configuration, directory, membership, clock, source, log
     )
     identity = make_identity(node.name, Role.BALANCER, node.zone)
     account = BalancerAccount(
--- a/src/papayagw/_internal/cli/commands/config_status.py
+++ b/src/papayagw/_internal/cli/commands/config_status.py
@@ -67,19 +67,19 @@
     site: str, urls: tuple[str, ...], nodes: tuple[str, ...], as_json: bool
 ) -> int:
     configuration = await read_in_force(urls, site)
-    versions = await _ask_nodes(nodes)
+    versions = await _query_nodes(nodes)
     print(_format(configuration, versions, as_json))
-    agree = all(one.version == configuration.version for one in versions)
-    return ExitCode.OK if agree else ExitCode.REFUSED
+    all_agree = all(node.version == configuration.version for node in versions)
+    return ExitCode.OK if all_agree else ExitCode.REFUSED
 
 
-async def _ask_nodes(nodes: tuple[str, ...]) -> list[NodeVersion]:
+async def _query_nodes(nodes: tuple[str, ...]) -> list[NodeVersion]:
     versions: dict[str, int | None] = {}
 
-    async def ask(client: httpx.AsyncClient, node: str) -> None:
+    async def query(client: httpx.AsyncClient, node: str) -> None:
         try:
-            answer = (await client.get(f"http://{node}/status")).json()
-            versions[node] = int(answer["configuration_version"])
+            status = (await client.get(f"http://{node}/status")).json()
+            versions[node] = int(status["configuration_version"])
         except (httpx.HTTPError, ValueError, KeyError, TypeError):
             versions[node] = None
 
@@ -88,7 +88,7 @@
         anyio.create_task_group() as tasks,
     ):
         for node in nodes:
-            tasks.start_soon(ask, client, node)
+            tasks.start_soon(query, client, node)
     return [NodeVersion(node, versions[node]) for node in nodes]
 
 
@@ -100,16 +100,16 @@
         content = {
             "site": configuration.site.name,
             "version": configuration.version,
-            "history": [asdict(mark) for mark in shown],
-            "nodes": [asdict(one) for one in versions],
+            "history": [asdict(item) for item in shown],
+            "nodes": [asdict(node) for node in versions],
         }
         return json.dumps(content)
     lines = [f"{configuration.site.name}: version {configuration.version}"]
     lines += [
-        f"  version {mark.version} by {mark.operator}, submission {mark.submission_id}"
-        for mark in shown
+        f"  version {item.version} by {item.operator}, submission {item.submission_id}"
+        for item in shown
     ]
-    lines += [f"  {one.node:24} {_format_version(one.version)}" for one in versions]
+    lines += [f"  {node.node:24} {_format_version(node.version)}" for node in versions]
     return "\n".join(lines)
 
 
--- a/src/papayagw/_internal/cli/commands/config_submit.py
+++ b/src/papayagw/_internal/cli/commands/config_submit.py
@@ -10,7 +10,7 @@
 from papayagw._internal.cli.base import ExitCode
 from papayagw._internal.cli.platform_access import open_store
 from papayagw._internal.cli.site_files import read_site
-from papayagw._internal.cli.values import FlagList, read_whole, split_list
+from papayagw._internal.cli.values import FlagList, read_integer, split_list
 from papayagw._internal.core.submission import (
     Accepted,
     Outcome,
@@ -73,7 +73,7 @@
         expected_version=_read_version(expect_version),
         allows_breaking=allow_breaking is True,
     )
-    limit = Millis(read_whole(limit_ms, "limit_ms"))
+    limit = Millis(read_integer(limit_ms, "limit_ms"))
     outcome = anyio.run(_submit, split_list(platform), proposal, limit)
     print(_describe(outcome, proposal))
     return _EXIT_CODES[type(outcome)]
@@ -87,7 +87,7 @@
 
 
 def _read_version(value: int | None) -> int | None:
-    return None if value is None else read_whole(value, "expect_version")
+    return None if value is None else read_integer(value, "expect_version")
 
 
 async def _submit(
--- a/src/papayagw/_internal/cli/commands/connect.py
+++ b/src/papayagw/_internal/cli/commands/connect.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from papayagw._internal.cli.loading import unwrap
+from papayagw._internal.cli.loading import unwrap_settings
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.models.status import Role
 from papayagw._internal.net.clock import MonotonicClock
@@ -33,14 +33,14 @@
     settings : str
         The settings file of this process.
     """
-    read = unwrap(load_connect(Path(settings)))
+    loaded = unwrap_settings(load_connect(Path(settings)))
     clock = MonotonicClock()
-    name = f"connect-{read.admin or read.listeners[0].listen}"
-    log = configure_logging(name, clock, read.log_level)
-    process = ConnectProcess(read, clock, log)
+    name = f"connect-{loaded.admin or loaded.listeners[0].listen}"
+    log = configure_logging(name, clock, loaded.log_level)
+    process = ConnectProcess(loaded, clock, log)
     identity = make_identity(name, Role.CONNECT, zone="")
-    account = ConnectAccount(identity, read, process, clock)
-    return run_observed(process, account, read, log)
+    account = ConnectAccount(identity, loaded, process, clock)
+    return run_observed(process, account, loaded, log)
 
 
 COMMAND = ConnectCommand()
--- a/src/papayagw/_internal/cli/commands/load.py
+++ b/src/papayagw/_internal/cli/commands/load.py
@@ -80,7 +80,7 @@
         max_open=max_open,
         seed=seed,
         run_id=str(run_id),
-        backends=tuple(_read_endpoint(one) for one in split_list(backends)),
+        backends=tuple(_read_endpoint(backend) for backend in split_list(backends)),
     )
     check_targets(plan)
     report = anyio.run(LoadRun(plan).run)
@@ -95,7 +95,7 @@
         try:
             kind = BackendKind(service)
         except ValueError:
-            names = ", ".join(one.value for one in BackendKind)
+            names = ", ".join(kind.value for kind in BackendKind)
             raise _usage_error(f"no service {service!r}", f"one of {names}") from None
         targets[kind] = _read_endpoint(endpoint)
     return targets
--- a/src/papayagw/_internal/cli/commands/report_burn.py
+++ b/src/papayagw/_internal/cli/commands/report_burn.py
@@ -18,8 +18,8 @@
 from papayagw._internal.observe.json_values import to_json_value
 from papayagw._internal.observe.records import InvalidLine, read_records
 
-_SHOWN_FAULTS = 3
-_MAKE_RECORDS = "make records with papayagw status NODE... --record FILE"
+_MAX_SHOWN_INVALID_LINES = 3
+_RECORDS_REMEDY = "make records with papayagw status NODE... --record FILE"
 
 
 class ReportBurnCommand:
@@ -63,7 +63,7 @@
         Also draw the report, into this PNG file.
     """
     objectives = _read_objectives(settings, overlay)
-    report = _read_report([str(one) for one in records], objectives)
+    report = _read_report([str(record) for record in records], objectives)
     print(_format_json(report) if json else format_burn(report))
     if picture is not None:
         _draw(report, Path(str(picture)))
@@ -82,29 +82,35 @@
 ) -> BurnReport:
     if not names:
         raise SettingsError(
-            "no file of records is named", step=Step.SETTINGS, remedy=_MAKE_RECORDS
+            "no file of records is named", step=Step.SETTINGS, remedy=_RECORDS_REMEDY
         )
     result = read_records([Path(name) for name in names])
     if isinstance(result, Failure):
         raise result.failure()
-    read = result.unwrap()
-    selection = select_records(read.records, WallClock().now())
+    loaded = result.unwrap()
+    selection = select_records(loaded.records, WallClock().now())
     if not selection.records:
         what = "; ".join(
-            ("no usable records", *selection.notes, *_tell(read.invalid_lines))
+            (
+                "no usable records",
+                *selection.notes,
+                *_format_invalid_lines(loaded.invalid_lines),
+            )
         )
         peer = ", ".join(names)
-        raise ReportError(what, step=Step.REPORT, peer=peer, remedy=_MAKE_RECORDS)
+        raise ReportError(what, step=Step.REPORT, peer=peer, remedy=_RECORDS_REMEDY)
     report = make_report(selection, objectives)
-    notes = (*report.notes, *_tell(read.invalid_lines))
+    notes = (*report.notes, *_format_invalid_lines(loaded.invalid_lines))
     return BurnReport(report.start_ms, report.end_ms, report.services, notes)
 
 
-def _tell(faults: Sequence[InvalidLine]) -> list[str]:
-    told = [f"passed over {fault}" for fault in faults[:_SHOWN_FAULTS]]
-    if len(faults) > _SHOWN_FAULTS:
-        told.append(f"passed over {len(faults) - _SHOWN_FAULTS} more lines")
-    return told
+def _format_invalid_lines(invalid_lines: Sequence[InvalidLine]) -> list[str]:
+    notes = [f"passed over {line}" for line in invalid_lines[:_MAX_SHOWN_INVALID_LINES]]
+    if len(invalid_lines) > _MAX_SHOWN_INVALID_LINES:
+        notes.append(
+            f"passed over {len(invalid_lines) - _MAX_SHOWN_INVALID_LINES} more lines"
+        )
+    return notes
 
 
 def _format_json(report: BurnReport) -> str:
--- a/src/papayagw/_internal/cli/commands/standin_backend.py
+++ b/src/papayagw/_internal/cli/commands/standin_backend.py
@@ -68,22 +68,22 @@
     """
     plan = BackendPlan(
         name=str(name),
-        kind=_read(lambda: BackendKind(kind)),
+        kind=_parse_flag(lambda: BackendKind(kind)),
         speed=float(speed),
         slots=slots,
         max_connections=max_connections,
         service_ms=Millis(service_ms),
     )
-    server = BackendServer(_read(lambda: Endpoint.parse(listen)), plan)
+    server = BackendServer(_parse_flag(lambda: Endpoint.parse(listen)), plan)
     anyio.run(_serve, server, plan.name)
     if runs_file:
         Path(runs_file).write_text(server.journal.format_lines(), encoding="utf-8")
     return ExitCode.OK
 
 
-def _read(read: Callable[[], _Value]) -> _Value:
+def _parse_flag(parse: Callable[[], _Value]) -> _Value:
     try:
-        return read()
+        return parse()
     except ValueError as error:
         raise SettingsError(
             str(error), step=Step.SETTINGS, remedy="see --help"
--- a/src/papayagw/_internal/cli/commands/standin_fabric.py
+++ b/src/papayagw/_internal/cli/commands/standin_fabric.py
@@ -15,7 +15,7 @@
 from papayagw._internal.standins.lifetime import announce_ready, cancelled_by_stop
 from papayagw._internal.standins.spray import Impairments, Route, parse_route
 
-FEW_CALLERS = 1_000
+LOW_CALLER_LIMIT = 1_000
 
 
 class StandinFabricCommand:
@@ -54,13 +54,13 @@
         Leave out for a second a target whose host refuses a packet.
     """
     fabric = Fabric(
-        tuple(_read_route(str(one)) for one in routes),
+        tuple(_read_route(str(route)) for route in routes),
         Impairments(float(loss), float(duplicate)),
         seed,
         health,
         MonotonicClock(),
     )
-    if max_callers() < FEW_CALLERS:
+    if max_callers() < LOW_CALLER_LIMIT:
         print(
             f"the limit of open files allows only {max_callers()} callers;"
             " raise it (ulimit -n) before starting the fabric",
--- a/src/papayagw/_internal/cli/commands/standin_platform.py
+++ b/src/papayagw/_internal/cli/commands/standin_platform.py
@@ -41,13 +41,13 @@
         Where to listen, as ip:port.
     """
     standin = PlatformStandin(MonotonicClock())
-    _leave_signals_to_the_server()
+    _install_noop_signal_handlers()
     anyio.run(_serve, standin, read_endpoint(listen, "listen"))
     print(json.dumps(standin.counts.by_kind), flush=True)
     return ExitCode.OK
 
 
-def _leave_signals_to_the_server() -> None:
+def _install_noop_signal_handlers() -> None:
     # The server hands its signals on to these handlers when it has stopped.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: None)
--- a/src/papayagw/_internal/cli/commands/status.py
+++ b/src/papayagw/_internal/cli/commands/status.py
@@ -70,13 +70,13 @@
     interval = read_seconds(every, "every") if every is not None else None
     printer = _Printer(_print_json if json else partial(_print_tables, full))
     if record is None:
-        anyio.run(_watch, endpoints, printer.show, interval, rounds)
+        anyio.run(_poll, endpoints, printer.show, interval, rounds)
     else:
         recorder = Recorder(RecordWriter(Path(record)), WallClock())
         recorder.start()
         try:
-            handle = printer.record_with(recorder)
-            anyio.run(_watch, endpoints, handle, interval, rounds)
+            handle = printer.make_recording_handler(recorder)
+            anyio.run(_poll, endpoints, handle, interval, rounds)
         finally:
             recorder.close()
     return printer.exit_code
@@ -101,17 +101,17 @@
         self._write(reports, errors)
         self._exit_code = ExitCode.REFUSED if errors else ExitCode.OK
 
-    def record_with(self, recorder: Recorder) -> PollHandler:
+    def make_recording_handler(self, recorder: Recorder) -> PollHandler:
         """Return what records a round and prints a line about it."""
 
         def record(
             reports: Sequence[StatusReport], errors: Sequence[StatusError]
         ) -> None:
             count = recorder.take(reports)
-            moment = format_timestamp(WallClock().now())
-            print(f"{moment} nodes {len(reports)}, records {count}", flush=True)
+            timestamp = format_timestamp(WallClock().now())
+            print(f"{timestamp} nodes {len(reports)}, records {count}", flush=True)
             for error in errors:
-                print(f"{moment} no answer: {error}", flush=True)
+                print(f"{timestamp} no answer: {error}", flush=True)
             self._exit_code = ExitCode.REFUSED if errors else ExitCode.OK
 
         return record
@@ -132,7 +132,7 @@
     return SettingsError(what, step=Step.SETTINGS, remedy=remedy)
 
 
-async def _watch(
+async def _poll(
     nodes: Sequence[Endpoint],
     handle: PollHandler,
     interval: Millis | None,
@@ -160,10 +160,11 @@
 
 
 def _print_json(reports: Sequence[StatusReport], errors: Sequence[StatusError]) -> None:
-    silent = [
-        {"peer": one.peer, "what": one.what, "remedy": one.remedy} for one in errors
+    unreachable = [
+        {"peer": error.peer, "what": error.what, "remedy": error.remedy}
+        for error in errors
     ]
-    line = {"nodes": to_json_value(tuple(reports)), "no_answer": silent}
+    line = {"nodes": to_json_value(tuple(reports)), "no_answer": unreachable}
     print(json.dumps(line), flush=True)
 
 
--- a/src/papayagw/_internal/cli/loading.py
+++ b/src/papayagw/_internal/cli/loading.py
@@ -17,7 +17,7 @@
 T = TypeVar("T")
 
 
-def unwrap(result: Result[T, Problems]) -> T:
+def unwrap_settings(result: Result[T, Problems]) -> T:
     """Return settings that were read.
 
     Raises
@@ -30,7 +30,7 @@
     raise make_error(result.failure())
 
 
-def start_source(
+def start_configuration_source(
     node: NodeSettings, log: Log
 ) -> tuple[ConfigurationSource, Configuration]:
     """Return the configuration source of a node, started, and what is in force.
--- a/src/papayagw/_internal/cli/main.py
+++ b/src/papayagw/_internal/cli/main.py
@@ -27,21 +27,21 @@
         sys.exit(ExitCode.OK)
     info = find_command(words)
     if info is None:
-        sys.exit(_explain(words))
+        sys.exit(_handle_unknown_command(words))
     rest = list(words[len(info.words) :])
     run = info.load().run
     if _HELP_FLAG in rest:
         print(format_help(info, run))
         sys.exit(ExitCode.OK)
-    command = _Deferred(run)
-    fire.Fire(command.keep, command=rest, name=_join(info.words))
+    command = _DeferredCall(run)
+    fire.Fire(command.capture, command=rest, name=_join(info.words))
     sys.exit(_run(command.call))
 
 
 def format_overview(commands: Sequence[CommandInfo]) -> str:
     """Return a list of commands."""
     width = max(len(" ".join(info.words)) for info in commands)
-    lines = [f"  {' '.join(one.words):{width}}  {one.summary}" for one in commands]
+    lines = [f"  {' '.join(info.words):{width}}  {info.summary}" for info in commands]
     head = "usage: papayagw COMMAND [--help] [flags]\n\ncommands:\n"
     return head + "\n".join(lines)
 
@@ -58,7 +58,7 @@
     return " ".join(("papayagw", *words))
 
 
-def _explain(words: Sequence[str]) -> ExitCode:
+def _handle_unknown_command(words: Sequence[str]) -> ExitCode:
     """Say which commands there are, where the command line names none."""
     group = [info for info in COMMANDS if info.words[0] == words[0]]
     if group and words[1:2] in ((), (_HELP_FLAG,)):
@@ -70,7 +70,7 @@
     return ExitCode.USAGE
 
 
-class _Deferred:
+class _DeferredCall:
     """Keeps the call that the command line makes until all of it is understood.
 
     The library calls a command before it looks at what is left of the line, so
@@ -82,14 +82,14 @@
         self._call: Callable[[], int] = lambda: ExitCode.USAGE
 
     @property
-    def keep(self) -> Callable[..., None]:
+    def capture(self) -> Callable[..., None]:
         """Take the arguments; it has the help page and the flags of the command."""
 
         @wraps(self._run)
-        def keep(*args: object, **flags: object) -> None:
+        def capture(*args: object, **flags: object) -> None:
             self._call = partial(self._run, *args, **flags)
 
-        return keep
+        return capture
 
     def call(self) -> int:
         """Run the command with the arguments that were taken."""
@@ -100,18 +100,18 @@
     try:
         return call()
     except PapayagwError as error:
-        return _tell(error)
+        return _print_error(error)
     except BaseExceptionGroup as group:
         # The tasks of a daemon end in a group; one error of ours is told plainly.
-        ours, others = group.split(PapayagwError)
-        if ours is None or others is not None:
+        expected, unexpected = group.split(PapayagwError)
+        if expected is None or unexpected is not None:
             raise
-        return max(_tell(error) for error in _find_leaves(ours))
+        return max(_print_error(error) for error in _find_leaves(expected))
     except KeyboardInterrupt:
         return ExitCode.FAILED
 
 
-def _tell(error: PapayagwError) -> ExitCode:
+def _print_error(error: PapayagwError) -> ExitCode:
     print(f"papayagw: {error}", file=sys.stderr)
     if isinstance(error, SettingsError):
         return ExitCode.USAGE
@@ -119,8 +119,8 @@
 
 
 def _find_leaves(group: BaseExceptionGroup[PapayagwError]) -> Iterator[PapayagwError]:
-    for one in group.exceptions:
-        if isinstance(one, BaseExceptionGroup):
-            yield from _find_leaves(one)
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _find_leaves(error)
         else:
-            yield one
+            yield error
--- a/src/papayagw/_internal/cli/platform_access.py
+++ b/src/papayagw/_internal/cli/platform_access.py
@@ -42,10 +42,10 @@
         If there is none, or no answer.
     """
     async with open_store(urls, site) as store:
-        answer = await store.read()
-    if isinstance(answer, Failure):
-        raise answer.failure()
-    configuration = answer.unwrap().configuration
+        result = await store.read()
+    if isinstance(result, Failure):
+        raise result.failure()
+    configuration = result.unwrap().configuration
     if configuration is None:
         raise PlatformError(
             f"no configuration of {site} was ever submitted",
--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -70,5 +70,5 @@
 
 def find_command(words: tuple[str, ...]) -> CommandInfo | None:
     """Return the command at the start of a command line, or None."""
-    matches = (one for one in COMMANDS if words[: len(one.words)] == one.words)
+    matches = (info for info in COMMANDS if words[: len(info.words)] == info.words)
     return next(matches, None)
--- a/src/papayagw/_internal/cli/site_files.py
+++ b/src/papayagw/_internal/cli/site_files.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from papayagw._internal.cli.loading import unwrap
+from papayagw._internal.cli.loading import unwrap_settings
 from papayagw._internal.models.configuration import Site
 from papayagw._internal.settings.site import load_site
 
@@ -15,4 +15,4 @@
     SettingsError
         If there is any problem; it names every one.
     """
-    return unwrap(load_site(Path(base), Path(overlay) if overlay else None))
+    return unwrap_settings(load_site(Path(base), Path(overlay) if overlay else None))
--- a/src/papayagw/_internal/cli/values.py
+++ b/src/papayagw/_internal/cli/values.py
@@ -11,7 +11,7 @@
 def split_list(value: FlagList) -> tuple[str, ...]:
     """Return the words of a flag that holds a list with commas."""
     if isinstance(value, (tuple, list)):
-        return tuple(str(one) for one in value)
+        return tuple(str(item) for item in value)
     return tuple(word for word in str(value).split(",") if word)
 
 
@@ -48,7 +48,7 @@
         ) from error
 
 
-def read_whole(value: object, flag: str) -> int:
+def read_integer(value: object, flag: str) -> int:
     """Return the whole number that a flag holds.
 
     Raises
--- a/src/papayagw/_internal/core/record_selection.py
+++ b/src/papayagw/_internal/core/record_selection.py
@@ -75,7 +75,7 @@
         ahead=len(ordered) - len(past),
         overlapping=len(recent) - len(kept),
         old=len(past) - len(recent),
-        long=sum(one.duration_ms > MAX_EXACT_INTERVAL_MS for one in kept),
+        long=sum(record.duration_ms > MAX_EXACT_INTERVAL_MS for record in kept),
     )
 
 
--- a/src/papayagw/_internal/settings/development_keys.py
+++ b/src/papayagw/_internal/settings/development_keys.py
@@ -45,14 +45,16 @@
     server_key = ec.generate_private_key(ec.SECP256R1())
     issuer = _make_name("papayagw development authority")
     authority = (
-        _start_certificate(issuer, issuer, authority_key.public_key())
+        _make_certificate_builder(issuer, issuer, authority_key.public_key())
         .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
         .sign(authority_key, hashes.SHA256())
     )
-    alternatives = x509.SubjectAlternativeName([x509.DNSName(one) for one in names])
+    alternative_names = x509.SubjectAlternativeName(
+        [x509.DNSName(name) for name in names]
+    )
     certificate = (
-        _start_certificate(_make_name(names[0]), issuer, server_key.public_key())
-        .add_extension(alternatives, critical=False)
+        _make_certificate_builder(_make_name(names[0]), issuer, server_key.public_key())
+        .add_extension(alternative_names, critical=False)
         .sign(authority_key, hashes.SHA256())
     )
     files = KeyFiles(
@@ -82,7 +84,7 @@
     return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
 
 
-def _start_certificate(
+def _make_certificate_builder(
     subject: x509.Name, issuer: x509.Name, key: ec.EllipticCurvePublicKey
 ) -> x509.CertificateBuilder:
     now = datetime.now(UTC)
--- a/src/papayagw/_internal/settings/kinds.py
+++ b/src/papayagw/_internal/settings/kinds.py
@@ -13,7 +13,7 @@
 from urllib.parse import urlsplit
 
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.settings.place import Place, show
+from papayagw._internal.settings.location import Location, format_value
 
 _NAME = re.compile(r"[a-z][a-z0-9-]{0,62}")
 
@@ -25,7 +25,7 @@
     def expected(self) -> str:
         """What a value of this kind looks like, for messages and the docs."""
 
-    def read(self, value: object, place: Place) -> Any | None:
+    def read(self, value: object, location: Location) -> Any | None:
         """Return the value in the models' terms, or report a problem."""
 
 
@@ -38,11 +38,11 @@
         """What a value of this kind looks like."""
         return "a name of up to 63 small letters, digits and hyphens"
 
-    def read(self, value: object, place: Place) -> str | None:
+    def read(self, value: object, location: Location) -> str | None:
         """Return the name, or report a problem."""
         if isinstance(value, str) and _NAME.fullmatch(value):
             return value
-        place.report(show(value), self.expected, "begin it with a letter")
+        location.report(format_value(value), self.expected, "begin it with a letter")
         return None
 
 
@@ -56,23 +56,23 @@
         The words.
     """
 
-    words: tuple[str, ...]
+    options: tuple[str, ...]
 
     @property
     def expected(self) -> str:
         """What a value of this kind looks like."""
-        return "one of " + ", ".join(self.words)
+        return "one of " + ", ".join(self.options)
 
-    def read(self, value: object, place: Place) -> str | None:
+    def read(self, value: object, location: Location) -> str | None:
         """Return the word, or report a problem."""
-        if isinstance(value, str) and value in self.words:
+        if isinstance(value, str) and value in self.options:
             return value
-        place.report(show(value), self.expected)
+        location.report(format_value(value), self.expected)
         return None
 
 
 @dataclass(frozen=True, slots=True)
-class Flag:
+class Boolean:
     """True or false."""
 
     @property
@@ -80,16 +80,16 @@
         """What a value of this kind looks like."""
         return "true or false"
 
-    def read(self, value: object, place: Place) -> bool | None:
+    def read(self, value: object, location: Location) -> bool | None:
         """Return the flag, or report a problem."""
         if isinstance(value, bool):
             return value
-        place.report(show(value), self.expected, "write it without quotes")
+        location.report(format_value(value), self.expected, "write it without quotes")
         return None
 
 
 @dataclass(frozen=True, slots=True)
-class Whole:
+class Integer:
     """A whole number in a range.
 
     Attributes
@@ -100,23 +100,23 @@
         What is counted.
     """
 
-    least: int
-    most: int
+    minimum: int
+    maximum: int
     unit: str = ""
 
     @property
     def expected(self) -> str:
         """What a value of this kind looks like."""
         unit = f" of {self.unit}" if self.unit else ""
-        return f"a whole number{unit} from {self.least} to {self.most}"
+        return f"a whole number{unit} from {self.minimum} to {self.maximum}"
 
-    def read(self, value: object, place: Place) -> int | None:
+    def read(self, value: object, location: Location) -> int | None:
         """Return the number, or report a problem."""
         if isinstance(value, bool) or not isinstance(value, int):
-            place.report(show(value), self.expected, self._remedy())
+            location.report(format_value(value), self.expected, self._remedy())
             return None
-        if not self.least <= value <= self.most:
-            place.report(show(value), self.expected)
+        if not self.minimum <= value <= self.maximum:
+            location.report(format_value(value), self.expected)
             return None
         return value
 
@@ -139,25 +139,25 @@
         The ends of the range, which belong to it.
     """
 
-    least: float
-    most: float
+    minimum: float
+    maximum: float
 
     @property
     def expected(self) -> str:
         """What a value of this kind looks like."""
-        return f"a number from {self.least:g} to {self.most:g}"
+        return f"a number from {self.minimum:g} to {self.maximum:g}"
 
-    def read(self, value: object, place: Place) -> float | None:
+    def read(self, value: object, location: Location) -> float | None:
         """Return the number, or report a problem."""
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-        if is_number and self.least <= float(value) <= self.most:  # type: ignore[arg-type]
+        if is_number and self.minimum <= float(value) <= self.maximum:  # type: ignore[arg-type]
             return float(value)  # type: ignore[arg-type]
-        place.report(show(value), self.expected)
+        location.report(format_value(value), self.expected)
         return None
 
 
 @dataclass(frozen=True, slots=True)
-class Address:
+class SocketAddress:
     """An IPv4 number and a port."""
 
     @property
@@ -165,17 +165,19 @@
         """What a value of this kind looks like."""
         return 'an IPv4 number and a port, such as "127.0.1.1:4401"'
 
-    def read(self, value: object, place: Place) -> Endpoint | None:
+    def read(self, value: object, location: Location) -> Endpoint | None:
         """Return the endpoint, or report a problem."""
         try:
             return Endpoint.parse(value if isinstance(value, str) else "")
         except ValueError:
-            place.report(show(value), self.expected, "names aren't looked up")
+            location.report(
+                format_value(value), self.expected, "names aren't looked up"
+            )
             return None
 
 
 @dataclass(frozen=True, slots=True)
-class IpNumber:
+class IpAddress:
     """An IPv4 number."""
 
     @property
@@ -183,12 +185,12 @@
         """What a value of this kind looks like."""
         return 'an IPv4 number, such as "127.0.0.11"'
 
-    def read(self, value: object, place: Place) -> str | None:
+    def read(self, value: object, location: Location) -> str | None:
         """Return the number, or report a problem."""
         try:
             return str(IPv4Address(value if isinstance(value, str) else ""))
         except AddressValueError:
-            place.report(show(value), self.expected)
+            location.report(format_value(value), self.expected)
             return None
 
 
@@ -201,13 +203,13 @@
         """What a value of this kind looks like."""
         return 'a base URL, such as "http://127.0.0.1:2379"'
 
-    def read(self, value: object, place: Place) -> str | None:
+    def read(self, value: object, location: Location) -> str | None:
         """Return the URL without a slash at its end, or report a problem."""
         if isinstance(value, str):
             parts = urlsplit(value)
             if parts.scheme in ("http", "https") and parts.netloc:
                 return value.rstrip("/")
-        place.report(show(value), self.expected)
+        location.report(format_value(value), self.expected)
         return None
 
 
@@ -220,13 +222,15 @@
         """What a value of this kind looks like."""
         return "the path of a readable file, relative to the settings file"
 
-    def read(self, value: object, place: Place) -> str | None:
+    def read(self, value: object, location: Location) -> str | None:
         """Return the absolute path, or report a problem."""
         if not isinstance(value, str) or not value:
-            place.report(show(value), self.expected)
+            location.report(format_value(value), self.expected)
             return None
-        path = (place.file.parent / Path(value)).resolve()
+        path = (location.file.parent / Path(value)).resolve()
         if not path.is_file() or not os.access(path, os.R_OK):
-            place.report(show(value), self.expected, f"there is none at {path}")
+            location.report(
+                format_value(value), self.expected, f"there is none at {path}"
+            )
             return None
         return str(path)
--- a/src/papayagw/_internal/settings/place.py
+++ b/src/papayagw/_internal/settings/location.py
@@ -11,7 +11,7 @@
 _MAX_SHOWN_CHARACTERS = 60
 
 
-class Place:
+class Location:
     """A value's place; all places of one file share their list of problems.
 
     Parameters
@@ -49,10 +49,10 @@
         """The file from which the value came."""
         return self._find_file(self._path)
 
-    def enter(self, key: str | int) -> "Place":
+    def child(self, key: str | int) -> "Location":
         """Return the place of a member."""
         path = (*self._path, str(key))
-        return Place(self._find_file, path, self._problems)
+        return Location(self._find_file, path, self._problems)
 
     def report(self, found: str, expected: str, remedy: str = "") -> None:
         """Note a problem of the value here."""
@@ -61,7 +61,7 @@
         self._problems.append(problem)
 
 
-def show(value: object) -> str:
+def format_value(value: object) -> str:
     """Return a value as a message shows it."""
     text = json.dumps(value, default=str)
     if len(text) > _MAX_SHOWN_CHARACTERS:
--- a/src/papayagw/_internal/settings/node.py
+++ b/src/papayagw/_internal/settings/node.py
@@ -17,22 +17,22 @@
 from papayagw._internal.settings.document import read_document
 from papayagw._internal.settings.kinds import (
     MILLIS,
-    Address,
+    Boolean,
     Choice,
-    Flag,
-    IpNumber,
+    Integer,
+    IpAddress,
     Kind,
     Name,
     ReadableFile,
+    SocketAddress,
     Url,
-    Whole,
 )
+from papayagw._internal.settings.location import Location
 from papayagw._internal.settings.pem_files import (
     CertificateFile,
     PrivateKeyFile,
     is_pair,
 )
-from papayagw._internal.settings.place import Place
 from papayagw._internal.settings.problem import Problems
 from papayagw._internal.settings.site import FLEET_KEY
 from papayagw._internal.settings.structure import ListOf, ObjectOf, make_keys
@@ -41,86 +41,92 @@
 _MAX_STOP_LIMIT_MS = 86_400_000
 
 _PROCESS_KINDS: dict[str, Kind] = {
-    "admin": Address(),
-    "statsd": Address(),
+    "admin": SocketAddress(),
+    "statsd": SocketAddress(),
     "log_level": Choice(LOG_LEVELS),
-    "stop_limit_ms": Whole(0, _MAX_STOP_LIMIT_MS, MILLIS),
+    "stop_limit_ms": Integer(0, _MAX_STOP_LIMIT_MS, MILLIS),
 }
 _NODE_KINDS: dict[str, Kind] = {
     "name": Name(),
     "zone": Name(),
-    "inner": Address(),
+    "inner": SocketAddress(),
     "site": Name(),
     "platform": ListOf(Url()),
     "base": ReadableFile(),
     "overlay": ReadableFile(),
-    "peers": ListOf(Address()),
+    "peers": ListOf(SocketAddress()),
     "keys": ListOf(FLEET_KEY),
 }
-_NODE_ATTRIBUTES = {one.name for one in fields(NodeSettings)}
+_NODE_ATTRIBUTES = {attribute.name for attribute in fields(NodeSettings)}
 
 
-def _split_node(values: dict[str, Any], place: Place) -> dict[str, Any]:
-    own = {name: one for name, one in values.items() if name not in _NODE_ATTRIBUTES}
-    shared = {name: one for name, one in values.items() if name in _NODE_ATTRIBUTES}
-    node = NodeSettings(**shared)
-    _check_source(node, place)
-    _check_overlap(place, inner=node.inner, admin=node.admin)
-    return {"node": node, **own}
+def _extract_node(values: dict[str, Any], location: Location) -> dict[str, Any]:
+    role_values = {
+        name: value for name, value in values.items() if name not in _NODE_ATTRIBUTES
+    }
+    node_values = {
+        name: value for name, value in values.items() if name in _NODE_ATTRIBUTES
+    }
+    node = NodeSettings(**node_values)
+    _check_configuration_source(node, location)
+    _check_endpoints_differ(location, inner=node.inner, admin=node.admin)
+    return {"node": node, **role_values}
 
 
-def _build_balancer(values: dict[str, Any], place: Place) -> BalancerSettings:
-    return BalancerSettings(**_split_node(values, place))
+def _build_balancer(values: dict[str, Any], location: Location) -> BalancerSettings:
+    return BalancerSettings(**_extract_node(values, location))
 
 
-def _build_agent(values: dict[str, Any], place: Place) -> AgentSettings:
-    settings = AgentSettings(**_split_node(values, place))
+def _build_agent(values: dict[str, Any], location: Location) -> AgentSettings:
+    settings = AgentSettings(**_extract_node(values, location))
     node = settings.node
-    _check_overlap(place, inner=node.inner, backend=settings.backend)
-    _check_overlap(place, admin=node.admin, backend=settings.backend)
+    _check_endpoints_differ(location, inner=node.inner, backend=settings.backend)
+    _check_endpoints_differ(location, admin=node.admin, backend=settings.backend)
     if not is_pair(settings.certificate, settings.private_key):
-        place.enter("private_key").report(
+        location.child("private_key").report(
             "the key of another certificate", f"the key of {settings.certificate}"
         )
     return settings
 
 
-def _build_listener(values: dict[str, Any], _place: Place) -> Listener:
+def _build_listener(values: dict[str, Any], _location: Location) -> Listener:
     return Listener(**values)
 
 
-def _build_connect(values: dict[str, Any], place: Place) -> ConnectSettings:
+def _build_connect(values: dict[str, Any], location: Location) -> ConnectSettings:
     settings = ConnectSettings(**values)
     owners: dict[Endpoint, int] = {}
     for index, listener in enumerate(settings.listeners):
         owner = owners.setdefault(listener.listen, index)
         if owner != index:
-            place.enter("listeners").enter(index).enter("listen").report(
+            location.child("listeners").child(index).child("listen").report(
                 f"{listener.listen}, which overlaps with listeners.{owner}",
                 "an address of its own",
             )
     return settings
 
 
-def _check_source(node: NodeSettings, place: Place) -> None:
+def _check_configuration_source(node: NodeSettings, location: Location) -> None:
     if bool(node.platform) == (node.base is not None):
-        place.enter("platform").report(
+        location.child("platform").report(
             "platform and base" if node.platform else "neither platform nor base",
             "exactly one of them",
             "name the platform's URLs, or a base file for trials without it",
         )
     if node.platform and node.site is None:
-        place.enter("site").report("nothing", "the name of the site", "add it")
+        location.child("site").report("nothing", "the name of the site", "add it")
     if node.peers and not node.keys:
-        place.enter("keys").report("nothing", "the keys shared with peers", "add them")
+        location.child("keys").report(
+            "nothing", "the keys shared with peers", "add them"
+        )
     if node.overlay is not None and node.base is None:
-        place.enter("overlay").report("an overlay without base", "base with it")
+        location.child("overlay").report("an overlay without base", "base with it")
 
 
-def _check_overlap(place: Place, **endpoints: Endpoint | None) -> None:
-    (first, one), (second, other) = endpoints.items()
-    if one is not None and one == other:
-        place.enter(second).report(
+def _check_endpoints_differ(location: Location, **endpoints: Endpoint | None) -> None:
+    (first, endpoint), (second, other) = endpoints.items()
+    if endpoint is not None and endpoint == other:
+        location.child(second).report(
             f"{other}, which overlaps with {first}", "an address of its own"
         )
 
@@ -129,20 +135,20 @@
     Listener,
     {
         "service": Name(),
-        "listen": Address(),
-        "entry": Address(),
-        "idempotent": Flag(),
-        "probe_interval_ms": Whole(100, 60_000, MILLIS),
-        "idle_timeout_ms": Whole(1_000, 86_400_000, MILLIS),
+        "listen": SocketAddress(),
+        "entry": SocketAddress(),
+        "idempotent": Boolean(),
+        "probe_interval_ms": Integer(100, 60_000, MILLIS),
+        "idle_timeout_ms": Integer(1_000, 86_400_000, MILLIS),
     },
 )
 NODE_KEYS = make_keys(NodeSettings, {**_NODE_KINDS, **_PROCESS_KINDS})
-BALANCER_KEYS = make_keys(BalancerSettings, {"bind_ip": IpNumber()})
+BALANCER_KEYS = make_keys(BalancerSettings, {"bind_ip": IpAddress()})
 AGENT_KEYS = make_keys(
     AgentSettings,
     {
         "service": Name(),
-        "backend": Address(),
+        "backend": SocketAddress(),
         "certificate": CertificateFile(),
         "private_key": PrivateKeyFile(),
     },
@@ -176,8 +182,8 @@
     document = read_document(path)
     if not isinstance(document, Success):
         return document
-    place = Place(lambda _: path)
-    settings = kind.read(document.unwrap(), place)
-    if settings is None or place.problems:
-        return Failure(place.problems)
+    location = Location(lambda _: path)
+    settings = kind.read(document.unwrap(), location)
+    if settings is None or location.problems:
+        return Failure(location.problems)
     return Success(settings)
--- a/src/papayagw/_internal/settings/overlay.py
+++ b/src/papayagw/_internal/settings/overlay.py
@@ -8,12 +8,12 @@
 from typing import Any
 
 from papayagw._internal.settings.document import Document
-from papayagw._internal.settings.place import Place
+from papayagw._internal.settings.location import Location
 
-_NAMED_MEMBERS = "services"
+_SERVICES_KEY = "services"
 
 
-def merge_overlay(base: Document, overlay: Document, place: Place) -> Document:
+def merge_overlay(base: Document, overlay: Document, location: Location) -> Document:
     """Return the merged document and report what the base doesn't name.
 
     Parameters
@@ -23,28 +23,30 @@
     place : Place
         The place of the merged document.
     """
-    _report_unnamed(base, overlay, place.enter(_NAMED_MEMBERS))
+    _report_unknown_services(base, overlay, location.child(_SERVICES_KEY))
     return _merge(base, overlay)
 
 
-def _report_unnamed(base: Document, overlay: Document, place: Place) -> None:
-    known = base.get(_NAMED_MEMBERS)
-    named = overlay.get(_NAMED_MEMBERS)
-    if not isinstance(known, dict) or not isinstance(named, dict):
+def _report_unknown_services(
+    base: Document, overlay: Document, location: Location
+) -> None:
+    known = base.get(_SERVICES_KEY)
+    overlaid = overlay.get(_SERVICES_KEY)
+    if not isinstance(known, dict) or not isinstance(overlaid, dict):
         return
-    for name in named.keys() - known.keys():
-        near = difflib.get_close_matches(name, known, n=1)
-        remedy = f"did you mean {near[0]}?" if near else "add it to the base file"
+    for name in overlaid.keys() - known.keys():
+        matches = difflib.get_close_matches(name, known, n=1)
+        remedy = f"did you mean {matches[0]}?" if matches else "add it to the base file"
         found = "a name that the base file doesn't have"
-        place.enter(name).report(found, "one of " + ", ".join(known), remedy)
+        location.child(name).report(found, "one of " + ", ".join(known), remedy)
 
 
 def _merge(base: Document, overlay: Document) -> Document:
     merged: dict[str, Any] = dict(base)
     for name, value in overlay.items():
-        earlier = merged.get(name)
-        if isinstance(earlier, dict) and isinstance(value, dict):
-            merged[name] = _merge(earlier, value)
+        base_value = merged.get(name)
+        if isinstance(base_value, dict) and isinstance(value, dict):
+            merged[name] = _merge(base_value, value)
         else:
             merged[name] = value
     return merged
--- a/src/papayagw/_internal/settings/pem_files.py
+++ b/src/papayagw/_internal/settings/pem_files.py
@@ -6,9 +6,9 @@
 from cryptography.hazmat.primitives.serialization import load_pem_private_key
 
 from papayagw._internal.settings.kinds import ReadableFile
-from papayagw._internal.settings.place import Place
+from papayagw._internal.settings.location import Location
 
-_MAKE_KEYS = "papayagw keys make writes one for trials"
+_KEYS_REMEDY = "papayagw keys make writes one for trials"
 
 
 class CertificateFile:
@@ -21,15 +21,15 @@
             "the path of a PEM file with a certificate, relative to the settings file"
         )
 
-    def read(self, value: object, place: Place) -> str | None:
+    def read(self, value: object, location: Location) -> str | None:
         """Return the absolute path, or report a problem."""
-        path = ReadableFile().read(value, place)
+        path = ReadableFile().read(value, location)
         if path is None:
             return None
         try:
             x509.load_pem_x509_certificates(Path(path).read_bytes())
         except (OSError, ValueError):
-            place.report(f"no certificate in {path}", self.expected, _MAKE_KEYS)
+            location.report(f"no certificate in {path}", self.expected, _KEYS_REMEDY)
             return None
         return path
 
@@ -44,21 +44,21 @@
             "the path of a PEM file with a private key, relative to the settings file"
         )
 
-    def read(self, value: object, place: Place) -> str | None:
+    def read(self, value: object, location: Location) -> str | None:
         """Return the absolute path, or report a problem."""
-        path = ReadableFile().read(value, place)
+        path = ReadableFile().read(value, location)
         if path is None:
             return None
         try:
             load_pem_private_key(Path(path).read_bytes(), password=None)
         except (OSError, ValueError, TypeError):
-            place.report(f"no private key in {path}", self.expected, _MAKE_KEYS)
+            location.report(f"no private key in {path}", self.expected, _KEYS_REMEDY)
             return None
         return path
 
 
 def is_pair(certificate: str, private_key: str) -> bool:
     """Return whether a private key is that of a certificate; both were read."""
-    shown = x509.load_pem_x509_certificates(Path(certificate).read_bytes())[0]
+    leaf = x509.load_pem_x509_certificates(Path(certificate).read_bytes())[0]
     key = load_pem_private_key(Path(private_key).read_bytes(), password=None)
-    return shown.public_key() == key.public_key()
+    return leaf.public_key() == key.public_key()
--- a/src/papayagw/_internal/settings/site.py
+++ b/src/papayagw/_internal/settings/site.py
@@ -12,15 +12,15 @@
 from papayagw._internal.settings.document import Document, read_document
 from papayagw._internal.settings.kinds import (
     MILLIS,
-    Address,
-    Flag,
+    Boolean,
+    Integer,
     Name,
     Number,
     ReadableFile,
-    Whole,
+    SocketAddress,
 )
+from papayagw._internal.settings.location import KeyPath, Location
 from papayagw._internal.settings.overlay import merge_overlay
-from papayagw._internal.settings.place import KeyPath, Place
 from papayagw._internal.settings.problem import Problems
 from papayagw._internal.settings.structure import ListOf, MapOf, ObjectOf, make_keys
 
@@ -29,14 +29,14 @@
 _DAY_MS = 86_400_000
 
 
-def _build_objectives(values: dict[str, Any], _place: Place) -> Objectives:
+def _build_objectives(values: dict[str, Any], _location: Location) -> Objectives:
     return Objectives(**values)
 
 
-def _build_service(values: dict[str, Any], place: Place) -> Service | None:
-    service = Service(name=place.name, **values)
+def _build_service(values: dict[str, Any], location: Location) -> Service | None:
+    service = Service(name=location.name, **values)
     if service.probe_interval_ms * 2 > service.idle_timeout_ms:
-        place.enter("probe_interval_ms").report(
+        location.child("probe_interval_ms").report(
             str(service.probe_interval_ms),
             f"at most half of idle_timeout_ms, which is {service.idle_timeout_ms}",
         )
@@ -44,14 +44,14 @@
     return service
 
 
-def _build_key(values: dict[str, Any], place: Place) -> FleetKey | None:
+def _build_key(values: dict[str, Any], location: Location) -> FleetKey | None:
     path = Path(values["secret"])
     try:
         secret = bytes.fromhex(path.read_text(encoding="ascii").strip())
     except (OSError, ValueError):
         secret = b""
     if len(secret) != KEY_BYTES:
-        place.enter("file").report(
+        location.child("file").report(
             f"no key in {path}",
             f"{KEY_BYTES} bytes in hexadecimal digits",
             "papayagw keys make writes one",
@@ -60,11 +60,11 @@
     return FleetKey(values["key_id"], secret)
 
 
-def _build_site(values: dict[str, Any], place: Place) -> Site:
-    _check_ids(values["services"], place.enter("services"))
-    _check_addresses(values["services"], values["control_address"], place)
-    _check_distinct((key.key_id for key in values["keys"]), place.enter("keys"))
-    _check_distinct(values["zones"], place.enter("zones"))
+def _build_site(values: dict[str, Any], location: Location) -> Site:
+    _check_ids(values["services"], location.child("services"))
+    _check_addresses(values["services"], values["control_address"], location)
+    _check_distinct((key.key_id for key in values["keys"]), location.child("keys"))
+    _check_distinct(values["zones"], location.child("zones"))
     values["services"] = tuple(sorted(values["services"], key=lambda s: s.service_id))
     return Site(**values)
 
@@ -73,7 +73,7 @@
     Objectives,
     {
         "availability": Number(0, 1),
-        "latency_ms": Whole(1, 60_000, MILLIS),
+        "latency_ms": Integer(1, 60_000, MILLIS),
         "latency_share": Number(0, 1),
         "imbalance": Number(1, 100),
     },
@@ -81,20 +81,20 @@
 SERVICE_KEYS = make_keys(
     Service,
     {
-        "id": Whole(1, MAX_SERVICE_ID),
-        "address": Address(),
-        "idempotent": Flag(),
-        "max_flows": Whole(1, 1_000_000, "flows"),
-        "idle_timeout_ms": Whole(1_000, _DAY_MS, MILLIS),
-        "probe_interval_ms": Whole(100, 60_000, MILLIS),
-        "drain_limit_ms": Whole(0, _DAY_MS, MILLIS),
+        "id": Integer(1, MAX_SERVICE_ID),
+        "address": SocketAddress(),
+        "idempotent": Boolean(),
+        "max_flows": Integer(1, 1_000_000, "flows"),
+        "idle_timeout_ms": Integer(1_000, _DAY_MS, MILLIS),
+        "probe_interval_ms": Integer(100, 60_000, MILLIS),
+        "drain_limit_ms": Integer(0, _DAY_MS, MILLIS),
         "objectives": ObjectOf(OBJECTIVES_KEYS, _build_objectives),
     },
     renamed={"id": "service_id"},
 )
 FLEET_KEY_KEYS = make_keys(
     FleetKey,
-    {"id": Whole(0, MAX_KEY_ID), "file": ReadableFile()},
+    {"id": Integer(0, MAX_KEY_ID), "file": ReadableFile()},
     renamed={"id": "key_id", "file": "secret"},
 )
 FLEET_KEY = ObjectOf(FLEET_KEY_KEYS, _build_key)
@@ -102,7 +102,7 @@
     Site,
     {
         "name": Name(),
-        "control_address": Address(),
+        "control_address": SocketAddress(),
         "zones": ListOf(Name()),
         "services": MapOf(Name(), ObjectOf(SERVICE_KEYS, _build_service)),
         "keys": ListOf(FLEET_KEY),
@@ -122,12 +122,14 @@
         The overlay of one site; None takes the base file alone.
     """
     documents = [read_document(path) for path in (base, overlay) if path]
-    unread = [problem for one in documents for problem in one.swap().value_or(())]
-    if unread:
-        return Failure(tuple(unread))
-    base_document, *overlays = (one.unwrap() for one in documents)
+    problems = [
+        problem for document in documents for problem in document.swap().value_or(())
+    ]
+    if problems:
+        return Failure(tuple(problems))
+    base_document, *overlays = (document.unwrap() for document in documents)
     if overlay is None:
-        return _read_site(base_document, Place(lambda _: base))
+        return _read_site(base_document, Location(lambda _: base))
     return _read_merged(base_document, overlays[0], base, overlay)
 
 
@@ -137,15 +139,15 @@
     def find_file(path: KeyPath) -> Path:
         return overlay if _has_path(overlay_document, path) else base
 
-    place = Place(find_file)
-    merged = merge_overlay(base_document, overlay_document, place)
-    return _read_site(merged, place)
+    location = Location(find_file)
+    merged = merge_overlay(base_document, overlay_document, location)
+    return _read_site(merged, location)
 
 
-def _read_site(document: Document, place: Place) -> Result[Site, Problems]:
-    site = SITE.read(document, place)
-    if site is None or place.problems:
-        return Failure(place.problems)
+def _read_site(document: Document, location: Location) -> Result[Site, Problems]:
+    site = SITE.read(document, location)
+    if site is None or location.problems:
+        return Failure(location.problems)
     return Success(site)
 
 
@@ -159,12 +161,12 @@
     return True
 
 
-def _check_ids(services: Iterable[Service], place: Place) -> None:
+def _check_ids(services: Iterable[Service], location: Location) -> None:
     owners: dict[int, str] = {}
     for service in services:
         owner = owners.setdefault(service.service_id, service.name)
         if owner != service.name:
-            place.enter(service.name).enter("id").report(
+            location.child(service.name).child("id").report(
                 f"{service.service_id}, which {owner} has",
                 "a number of its own",
                 "numbers are never reused: take a new one",
@@ -172,25 +174,25 @@
 
 
 def _check_addresses(
-    services: Iterable[Service], control: Endpoint, place: Place
+    services: Iterable[Service], control: Endpoint, location: Location
 ) -> None:
     owners = {control.port: ("control_address", control)}
     for service in services:
-        own = ("services." + service.name, service.address)
-        owner, taken = owners.setdefault(service.address.port, own)
-        if owner == own[0]:
+        candidate = ("services." + service.name, service.address)
+        owner, owner_address = owners.setdefault(service.address.port, candidate)
+        if owner == candidate[0]:
             continue
-        found = f"{service.address}, which overlaps with {owner} at {taken}"
-        place.enter("services").enter(service.name).enter("address").report(
+        found = f"{service.address}, which overlaps with {owner} at {owner_address}"
+        location.child("services").child(service.name).child("address").report(
             found,
             "an address with a port of its own",
             "a balancer that binds one IP number tells services apart by port",
         )
 
 
-def _check_distinct(members: Iterable[int | str], place: Place) -> None:
+def _check_distinct(members: Iterable[int | str], location: Location) -> None:
     seen: set[int | str] = set()
     for index, member in enumerate(members):
         if member in seen:
-            place.enter(index).report(f"{member} twice", "each once", "take one out")
+            location.child(index).report(f"{member} twice", "each once", "take one out")
         seen.add(member)
--- a/src/papayagw/_internal/settings/structure.py
+++ b/src/papayagw/_internal/settings/structure.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from papayagw._internal.settings.kinds import Kind
-from papayagw._internal.settings.place import Place, show
+from papayagw._internal.settings.location import Location, format_value
 
 _UNITS = ("ms", "s", "sec", "seconds", "millis", "minutes", "min")
 
@@ -52,7 +52,7 @@
     renamed : dict of str to str or None
         The attributes of keys that aren't called as their attributes are.
     """
-    attributes = {one.name: one for one in fields(data_class)}
+    attributes = {attribute.name: attribute for attribute in fields(data_class)}
     keys = []
     for name, kind in kinds.items():
         attribute = attributes[(renamed or {}).get(name, name)]
@@ -63,7 +63,7 @@
     return tuple(keys)
 
 
-Build = Callable[[dict[str, Any], Place], Any]
+Build = Callable[[dict[str, Any], Location], Any]
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,30 +91,30 @@
         """What a value of this kind looks like."""
         return "an object with keys " + ", ".join(self._by_name)
 
-    def read(self, value: object, place: Place) -> Any | None:
+    def read(self, value: object, location: Location) -> Any | None:
         """Return the object, or report every problem in it."""
         if not isinstance(value, dict):
-            place.report(show(value), self.expected)
+            location.report(format_value(value), self.expected)
             return None
-        known = self._report_unknown(value, place)
+        all_known = self._report_unknown(value, location)
         values: dict[str, Any] = {}
-        whole = known
+        is_valid = all_known
         for key in self.keys:
             if key.name in value:
                 values[key.attribute] = key.kind.read(
-                    value[key.name], place.enter(key.name)
+                    value[key.name], location.child(key.name)
                 )
-                whole = whole and values[key.attribute] is not None
+                is_valid = is_valid and values[key.attribute] is not None
             elif key.is_required:
-                place.enter(key.name).report("nothing", key.kind.expected, "add it")
-                whole = False
-        return self.build(values, place) if whole else None
+                location.child(key.name).report("nothing", key.kind.expected, "add it")
+                is_valid = False
+        return self.build(values, location) if is_valid else None
 
-    def _report_unknown(self, value: dict[str, Any], place: Place) -> bool:
+    def _report_unknown(self, value: dict[str, Any], location: Location) -> bool:
         unknown = [name for name in value if name not in self._by_name]
         for name in unknown:
-            inside = place.enter(name)
-            inside.report("an unknown key", "a known one", self._suggest(name))
+            member_location = location.child(name)
+            member_location.report("an unknown key", "a known one", self._suggest(name))
         return not unknown
 
     def _suggest(self, name: str) -> str:
@@ -122,9 +122,9 @@
         for candidate in (f"{name}_ms", f"{stem}_ms" if unit in _UNITS else ""):
             if candidate in self._by_name:
                 return f"durations are in ms: write {candidate}"
-        near = difflib.get_close_matches(name, self._by_name, n=1)
-        if near:
-            return f"did you mean {near[0]}?"
+        matches = difflib.get_close_matches(name, self._by_name, n=1)
+        if matches:
+            return f"did you mean {matches[0]}?"
         return "known are " + ", ".join(self._by_name)
 
 
@@ -141,20 +141,21 @@
     """
 
     member: Kind
-    least: int = 1
+    min_length: int = 1
 
     @property
     def expected(self) -> str:
         """What a value of this kind looks like."""
-        return f"a list of at least {self.least}, each {self.member.expected}"
+        return f"a list of at least {self.min_length}, each {self.member.expected}"
 
-    def read(self, value: object, place: Place) -> tuple[Any, ...] | None:
+    def read(self, value: object, location: Location) -> tuple[Any, ...] | None:
         """Return the members, or report every problem in them."""
-        if not isinstance(value, list) or len(value) < self.least:
-            place.report(show(value), self.expected)
+        if not isinstance(value, list) or len(value) < self.min_length:
+            location.report(format_value(value), self.expected)
             return None
         members = [
-            self.member.read(one, place.enter(index)) for index, one in enumerate(value)
+            self.member.read(item, location.child(index))
+            for index, item in enumerate(value)
         ]
         return None if None in members else tuple(members)
 
@@ -179,15 +180,15 @@
         """What a value of this kind looks like."""
         return f"an object with at least one name, each with {self.member.expected}"
 
-    def read(self, value: object, place: Place) -> tuple[Any, ...] | None:
+    def read(self, value: object, location: Location) -> tuple[Any, ...] | None:
         """Return the members in their order, or report every problem in them."""
         if not isinstance(value, dict) or not value:
-            place.report(show(value), self.expected)
+            location.report(format_value(value), self.expected)
             return None
         members = []
-        for name, one in value.items():
-            inside = place.enter(name)
-            named = self.name.read(name, inside)
-            member = self.member.read(one, inside)
-            members.append(None if named is None else member)
+        for name, item in value.items():
+            member_location = location.child(name)
+            member_name = self.name.read(name, member_location)
+            member = self.member.read(item, member_location)
+            members.append(None if member_name is None else member)
         return None if None in members else tuple(members)
--- a/tests/lib/configurations.py
+++ b/tests/lib/configurations.py
@@ -34,10 +34,13 @@
 
 def make_configuration(version, submission_id="", site=SITE):
     """Return a configuration with the marks of all its versions."""
-    marks = [SubmissionEntry(one, f"id-{one}", "anna") for one in range(version, 0, -1)]
+    entries = [
+        SubmissionEntry(number, f"id-{number}", "anna")
+        for number in range(version, 0, -1)
+    ]
     if submission_id:
-        marks[0] = replace(marks[0], submission_id=submission_id)
-    return Configuration(version, site, tuple(marks[:HISTORY_LENGTH]))
+        entries[0] = replace(entries[0], submission_id=submission_id)
+    return Configuration(version, site, tuple(entries[:HISTORY_LENGTH]))
 
 
 @dataclass
@@ -53,14 +56,14 @@
         return action.outcome if isinstance(action, Finish) else None
 
 
-class World:
+class SubmissionSimulation:
     """Operators, a store and a network that delays, reorders and loses."""
 
     def __init__(
         self, operators, make_submission=Submission, make_log=ConfigurationLog
     ):
         self.store = KeyValues(ManualClock())
-        self.copies = [self.store.copy()]
+        self.snapshots = [self.store.copy()]
         self.requests = {}
         self.responses = {}
         self.calls = 0
@@ -87,9 +90,9 @@
         if self.requests:
             self._serve_call(sorted(self.requests)[number % len(self.requests)])
 
-    def answer(self, number):
+    def respond(self, number):
         if self.responses:
-            self._answer_call(sorted(self.responses)[number % len(self.responses)])
+            self._deliver_response(sorted(self.responses)[number % len(self.responses)])
 
     def call(self, number):
         """One call of an operator from end to end."""
@@ -98,33 +101,33 @@
         if operator.call in self.requests:
             self._serve_call(operator.call)
         if operator.call in self.responses:
-            self._answer_call(operator.call)
+            self._deliver_response(operator.call)
 
     def submit(self, number):
         """A read and a write without a fault between them."""
         self.call(number)
         self.call(number)
 
-    def lose_answer(self, number):
+    def lose_response(self, number):
         """One call that takes effect, and whose answer comes late or never."""
         operator = self.operators[number % len(self.operators)]
         self.send(number)
         if operator.call in self.requests:
             self._serve_call(operator.call)
-        self.give_up_call(number)
+        self.time_out_call(number)
 
     def delay(self, number):
         """One call that takes effect late, after its operator has given it up."""
         self.send(number)
-        self.give_up_call(number)
+        self.time_out_call(number)
 
-    def give_up_call(self, number):
+    def time_out_call(self, number):
         operator = self.operators[number % len(self.operators)]
         if operator.call is not None:
             operator.call = None
             operator.submission.on_no_answer()
 
-    def give_up(self, number):
+    def reach_deadline(self, number):
         operator = self.operators[number % len(self.operators)]
         if operator.outcome is None:
             operator.call = None
@@ -143,36 +146,38 @@
             self.observe(index)
 
     def restore(self, number):
-        self.store.restore(self.copies[number % len(self.copies)])
+        self.store.restore(self.snapshots[number % len(self.snapshots)])
 
     def finish(self):
         """Deliver everything, late writes too, until every operator is told."""
-        while self.requests or any(one.outcome is None for one in self.operators):
+        while self.requests or any(
+            operator.outcome is None for operator in self.operators
+        ):
             for number in range(len(self.operators)):
                 self.send(number)
             while self.requests:
                 self.serve(0)
             while self.responses:
-                self.answer(0)
+                self.respond(0)
 
-    def find_lies(self):
+    def find_wrong_outcomes(self):
         """Return the operators that were told what isn't so."""
-        owners = {one.submission_id: one.version for one in self.written}
-        lies = []
+        owners = {written.submission_id: written.version for written in self.written}
+        wrong = []
         for number, operator in enumerate(self.operators):
             version = owners.get(f"op-{number}")
-            told = operator.outcome
-            if isinstance(told, Accepted) and told.version != version:
-                lies.append((number, told, version))
-            if type(told).__name__ == "Refused" and version is not None:
-                lies.append((number, told, version))
-        return lies
+            outcome = operator.outcome
+            if isinstance(outcome, Accepted) and outcome.version != version:
+                wrong.append((number, outcome, version))
+            if type(outcome).__name__ == "Refused" and version is not None:
+                wrong.append((number, outcome, version))
+        return wrong
 
     def _serve_call(self, call):
         operator, action = self.requests.pop(call)
         self.responses[call] = (operator, self._apply(action))
 
-    def _answer_call(self, call):
+    def _deliver_response(self, call):
         operator, response = self.responses.pop(call)
         if operator.call == call:
             operator.call = None
@@ -186,7 +191,7 @@
         value = write_configuration(action.configuration)
         if self.store.swap(KEY, value, action.expected):
             self.written.append(action.configuration)
-            self.copies.append(self.store.copy())
+            self.snapshots.append(self.store.copy())
             return ("on_written",)
         return ("on_conflict", current)
 
--- a/tests/properties/test_racing_operators.py
+++ b/tests/properties/test_racing_operators.py
@@ -4,10 +4,10 @@
 
 from papayagw._internal.core.configuration import ConfigurationLog, VersionOrder
 from papayagw._internal.core.submission import Read, Refused, Submission
-from tests.lib.configurations import World
+from tests.lib.configurations import SubmissionSimulation
 
-REGULAR_STEPS = ("submit", "call", "send", "serve", "answer", "observe")
-FAULT_STEPS = ("lose_answer", "delay", "give_up")
+REGULAR_STEPS = ("submit", "call", "send", "serve", "respond", "observe")
+FAULT_STEPS = ("lose_response", "delay", "reach_deadline")
 RESTORE_STEPS = ("restore", "observe_all")
 
 
@@ -48,13 +48,15 @@
 
 
 def check(operators, schedule, make_submission=Submission):
-    world = World(operators, make_submission)
-    world.run(schedule)
-    world.finish()
-    versions = [one.version for one in world.written]
+    simulation = SubmissionSimulation(operators, make_submission)
+    simulation.run(schedule)
+    simulation.finish()
+    versions = [configuration.version for configuration in simulation.written]
     assert versions == list(range(1, len(versions) + 1))
-    assert len({one.submission_id for one in world.written}) == len(world.written)
-    assert world.find_lies() == []
+    assert len(
+        {configuration.submission_id for configuration in simulation.written}
+    ) == len(simulation.written)
+    assert simulation.find_wrong_outcomes() == []
 
 
 @pytest.mark.parametrize("operators", [2, 10])
@@ -65,9 +67,9 @@
 
 
 def check_nodes(operators, schedule, make_log=ConfigurationLog):
-    world = World(operators, make_log=make_log)
-    world.run(schedule)
-    for seen in world.seen:
+    simulation = SubmissionSimulation(operators, make_log=make_log)
+    simulation.run(schedule)
+    for seen in simulation.seen:
         versions = [version for version, _ in seen]
         assert versions == sorted(versions)
         assert len(set(seen)) == len(set(versions))
--- a/tests/unit/test_burn.py
+++ b/tests/unit/test_burn.py
@@ -14,13 +14,13 @@
 
 
 def report_on(records, objectives=ORDER, now=None):
-    now = max(one.end_ms for one in records) if now is None else now
+    now = max(record.end_ms for record in records) if now is None else now
     return make_report(select_records(records, now), {"order": objectives})
 
 
 def find_objective(report, objective):
     return next(
-        one for one in report.services[0].objectives if one.objective is objective
+        found for found in report.services[0].objectives if found.objective is objective
     )
 
 
@@ -49,7 +49,7 @@
 )
 def test_burn_is_bad_share_over_allowed_share(flows, objective, burn):
     found = find_objective(report_on([make_record(**flows)]), objective)
-    assert [one.burn for one in found.windows] == [burn] * 6
+    assert [window.burn for window in found.windows] == [burn] * 6
 
 
 @pytest.mark.parametrize(
@@ -126,7 +126,7 @@
     callers = make_record(side=Side.CALLER, unknown=4)
     report = report_on([agents, callers])
     assert find_objective(report, Objective.AVAILABILITY).spent == 40
-    assert [one.counts.cut for one in report.services[0].sides] == [1, 4]
+    assert [side.counts.cut for side in report.services[0].sides] == [1, 4]
 
 
 @pytest.mark.parametrize(
@@ -177,8 +177,8 @@
 def test_selection_reports_skipped_records(others, kept, note, order):
     selection = select_records([GOOD, *others][::order], NOW)
     assert len(selection.records) == kept
-    assert [one.end_ms for one in selection.records] == sorted(
-        one.end_ms for one in selection.records
+    assert [record.end_ms for record in selection.records] == sorted(
+        record.end_ms for record in selection.records
     )
     assert len(selection.notes) == bool(note)
     assert "".join(selection.notes).startswith(note)
--- a/tests/unit/test_operator_commands.py
+++ b/tests/unit/test_operator_commands.py
@@ -10,7 +10,7 @@
 from papayagw._internal.observe.status_text import format_status
 from tests.lib.reports import make_record, make_status
 
-NOBODY = "127.0.0.1:1"
+UNREACHABLE = "127.0.0.1:1"
 
 
 def run(capsys, *words):
@@ -32,17 +32,21 @@
 
 
 @pytest.mark.parametrize(
-    ("words", "code", "told"),
+    ("words", "code", "message"),
     [
         (["status"], 2, "no node is named; give the admin endpoint"),
         (["status", "localhost:1"], 2, "expected an IPv4 address, found 'localhost'"),
-        (["status", NOBODY], 1, f"(peer {NOBODY}); check that the node runs"),
-        (["status", NOBODY, "--json"], 1, '"no_answer": [{"peer": "127.0.0.1:1"'),
-        (["status", NOBODY, "--every=0"], 2, "give --every a number above 0"),
-        (["status", NOBODY, "--every=x"], 2, "expected seconds, found 'x'"),
-        (["status", NOBODY, "--every=0.01", "--rounds=2"], 1, "check that the node"),
-        (["status", NOBODY, "--colour"], 2, "Could not consume arg: --colour"),
-        (["status", NOBODY, "--record=/", "--rounds=1"], 4, "can't be written to"),
+        (["status", UNREACHABLE], 1, f"(peer {UNREACHABLE}); check that the node runs"),
+        (["status", UNREACHABLE, "--json"], 1, '"no_answer": [{"peer": "127.0.0.1:1"'),
+        (["status", UNREACHABLE, "--every=0"], 2, "give --every a number above 0"),
+        (["status", UNREACHABLE, "--every=x"], 2, "expected seconds, found 'x'"),
+        (
+            ["status", UNREACHABLE, "--every=0.01", "--rounds=2"],
+            1,
+            "check that the node",
+        ),
+        (["status", UNREACHABLE, "--colour"], 2, "Could not consume arg: --colour"),
+        (["status", UNREACHABLE, "--record=/", "--rounds=1"], 4, "can't be written to"),
         (["report", "burn"], 2, "no file of records is named"),
         (["report", "burn", "/none"], 4, "can't be read: No such file"),
         (["report", "burn", "/"], 4, "can't be read: Is a directory"),
@@ -50,15 +54,15 @@
         (["report", "burn", "/dev/null", "--settings=/none"], 2, "/none"),
     ],
 )
-def test_command_line_that_fails_says_why(capsys, words, code, told):
+def test_command_line_that_fails_says_why(capsys, words, code, message):
     found, out, err = run(capsys, *words)
     assert found == code
-    assert told in out + err
+    assert message in out + err
     assert "Traceback" not in err
 
 
 @pytest.mark.parametrize(
-    ("words", "code", "told"),
+    ("words", "code", "message"),
     [
         ([], 0, "  report burn  "),
         (["--help"], 0, "  report burn  "),
@@ -73,14 +77,14 @@
         ),
     ],
 )
-def test_help_names_every_command(capsys, words, code, told):
+def test_help_names_every_command(capsys, words, code, message):
     found, out, err = run(capsys, *words)
     assert (found, bool(out), bool(err)) == (code, code == 0, code != 0)
-    assert told in out + err
+    assert message in out + err
 
 
 @pytest.mark.parametrize(
-    ("records", "code", "told"),
+    ("records", "code", "message"),
     [
         ([(0, {})], 0, "all objectives are met"),
         ([(0, {"broken": 1})], 1, "order, availability: 1 of 100 flows broken, 1000%"),
@@ -90,23 +94,23 @@
         ([(0, {}), (600_000, {"broken": 1})], 0, "from the future (a clock is wrong)"),
     ],
 )
-def test_burn_report_judges_records(capsys, tmp_path, records, code, told):
+def test_burn_report_judges_records(capsys, tmp_path, records, code, message):
     path = write_records(tmp_path / "records", *records)
     found, out, _ = run(capsys, "report", "burn", path)
-    assert (found, told in out) == (code, True)
+    assert (found, message in out) == (code, True)
 
 
 @pytest.mark.parametrize(
-    ("records", "told"),
+    ("records", "message"),
     [
         ([(600_000, {})], "from the future"),
         ([(-40 * 86_400_000, {})], "older than 30 d"),
     ],
 )
-def test_no_usable_records_says_why(capsys, tmp_path, records, told):
+def test_no_usable_records_says_why(capsys, tmp_path, records, message):
     path = write_records(tmp_path / "records", *records)
     found, _, err = run(capsys, "report", "burn", path)
-    assert (found, told in err) == (4, True)
+    assert (found, message in err) == (4, True)
 
 
 def test_cut_off_record_is_noted(capsys, tmp_path):
@@ -139,7 +143,7 @@
     path = write_records(tmp_path / "records", *records)
     _, out, _ = run(capsys, "report", "burn", path)
     lines = out.splitlines()
-    head = next(at for at, one in enumerate(lines) if one.startswith("BACKEND"))
+    head = next(index for index, line in enumerate(lines) if line.startswith("BACKEND"))
     assert lines[head + 1].split()[0] == first
     assert ("and " in out, rest in out) == (bool(rest), True)
 
@@ -152,7 +156,7 @@
 
 def test_status_tables_show_every_part():
     other = make_status(node="order-2", configuration_version=8, services=())
-    error = StatusError("silent", step=Step.STATUS, peer=NOBODY, remedy="start it")
+    error = StatusError("silent", step=Step.STATUS, peer=UNREACHABLE, remedy="start it")
     lines = format_status([make_status(), other], [error], full=True).splitlines()
     squeezed = [" ".join(line.split()) for line in lines]
     for line in (
@@ -162,7 +166,7 @@
         "order-1 127.0.0.10:4300 balancer up 40",
         "order-2 127.0.1.2:4310 order a ready 64 12",
         "order-1 agent.drop.bad-tag 2",
-        f"no answer: status: silent (peer {NOBODY}); start it",
+        f"no answer: status: silent (peer {UNREACHABLE}); start it",
         "configuration versions differ: 7, 8; see docs/OPERATING.md",
     ):
         assert line in squeezed
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -97,7 +97,7 @@
     path.write_bytes(LINE + LINE[:-9])
     read = read_records([path]).unwrap()
     assert read.records == (RECORD,)
-    assert [str(one) for one in read.invalid_lines] == [
+    assert [str(line) for line in read.invalid_lines] == [
         f"{path}:2: cut off before its end"
     ]
 
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -37,7 +37,10 @@
 def describe(result):
     """Return what an operator looks at first: file, key and what was found."""
     assert not isinstance(result, Success)
-    return [(Path(one.file).name, one.path, str(one)) for one in result.failure()]
+    return [
+        (Path(problem.file).name, problem.path, str(problem))
+        for problem in result.failure()
+    ]
 
 
 def test_overlay_changes_only_what_differs(settings_folder):
@@ -85,8 +88,8 @@
     found = describe(read_site(settings_folder, change(base, path, value), None))
     files, paths, texts = zip(*found, strict=True)
     assert set(files) == {"base.jsonc"}
-    assert any(one.startswith(path) for one in paths)
-    assert any(text in one for one in texts)
+    assert any(found_path.startswith(path) for found_path in paths)
+    assert any(text in found_text for found_text in texts)
 
 
 @pytest.mark.parametrize(
@@ -101,13 +104,13 @@
 )
 def test_problem_names_the_file_that_holds_it(settings_folder, overlay, file, path):
     found = describe(read_site(settings_folder, overlay=overlay))
-    assert any(one[0] == file and one[1].endswith(path) for one in found)
+    assert any(row[0] == file and row[1].endswith(path) for row in found)
 
 
 def test_every_problem_is_reported(settings_folder):
     base = change(change(BASE, "zones", "a"), "services.drawings.id", 0)
     overlay = change(OVERLAY, "services.order.address", "x")
-    paths = {one[1] for one in describe(read_site(settings_folder, base, overlay))}
+    paths = {row[1] for row in describe(read_site(settings_folder, base, overlay))}
     assert paths == {"zones", "services.drawings.id", "services.order.address"}
 
 
@@ -122,12 +125,12 @@
 )
 def test_bad_document_is_refused(settings_folder, text, expected):
     found = describe(read_site(settings_folder, text, None))
-    assert any(expected in one[2] for one in found)
+    assert any(expected in row[2] for row in found)
 
 
 def test_missing_files_are_each_reported(tmp_path):
     found = describe(load_site(tmp_path / "base.jsonc", tmp_path / "over.jsonc"))
-    assert [one[0] for one in found] == ["base.jsonc", "over.jsonc"]
+    assert [row[0] for row in found] == ["base.jsonc", "over.jsonc"]
 
 
 @pytest.mark.parametrize(
@@ -154,7 +157,7 @@
     settings_folder, load, document, path, value, problem
 ):
     file = settings_folder.write("node.jsonc", change(document, path, value))
-    assert [one[1].endswith(problem) for one in describe(load(file))] == [True]
+    assert [row[1].endswith(problem) for row in describe(load(file))] == [True]
 
 
 @pytest.mark.parametrize(
