--- a/src/papayagw/_internal/settings/__init__.py
+++ b/src/papayagw/_internal/settings/__init__.py
@@ -1,1 +1,1 @@
-"""JSON with comments, checked and made into frozen data classes."""
+"""Loading of settings: JSON with comments, validated into frozen data classes."""
--- a/src/papayagw/_internal/settings/development_keys.py
+++ b/src/papayagw/_internal/settings/development_keys.py
@@ -1,4 +1,4 @@
-"""Making of certificates for trials (X.509, RFC 5280) and of fleet keys."""
+"""Generation of development certificates (X.509, RFC 5280) and of fleet keys."""
 
 import secrets
 from dataclasses import dataclass
@@ -18,18 +18,18 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyFiles:
-    """Where the files of a development pair are.
+    """Paths of the generated certificates and keys.
 
     Attributes
     ----------
     authority : Path
-        The certificate that callers trust.
+        Certificate of the authority, which callers trust.
     certificate : Path
-        The certificate that agents show.
+        Certificate that agents present in the TLS handshake.
     private_key : Path
-        The key of `certificate`.
+        Private key that belongs to `certificate`.
     fleet_key : Path
-        The secret that the site's own processes share.
+        Secret shared by all processes of the site.
     """
 
     authority: Path
@@ -39,7 +39,15 @@
 
 
 def make_development_keys(folder: Path, names: tuple[str, ...]) -> KeyFiles:
-    """Make an authority, a certificate for `names` and a fleet key in `folder`."""
+    """Generate an authority, a certificate for `names` and a fleet key in `folder`.
+
+    Parameters
+    ----------
+    folder : Path
+        Created if it doesn't exist.
+    names : tuple of str
+        DNS names of the certificate; the first one is also its common name.
+    """
     folder.mkdir(parents=True, exist_ok=True)
     authority_key = ec.generate_private_key(ec.SECP256R1())
     server_key = ec.generate_private_key(ec.SECP256R1())
--- a/src/papayagw/_internal/settings/document.py
+++ b/src/papayagw/_internal/settings/document.py
@@ -1,4 +1,4 @@
-"""Reading of JSON with comments."""
+"""Parsing of JSON with comments."""
 
 from collections.abc import Iterable
 from pathlib import Path
@@ -14,7 +14,7 @@
 
 
 class _JsonObject(dict[str, Any]):
-    """An object that remembers which of its keys stood in the file twice."""
+    """A JSON object that records its duplicate keys."""
 
     def __init__(self, pairs: list[tuple[str, Any]]):
         super().__init__(pairs)
@@ -27,12 +27,12 @@
 
 
 def read_document(path: Path) -> Result[Document, Problems]:
-    """Return the object that a file holds.
+    """Return the JSON object in a file, or every problem that prevents reading it.
 
     Parameters
     ----------
     path : Path
-        A file of JSON with comments.
+        A UTF-8 file of JSON with comments.
     """
     try:
         text = path.read_text(encoding="utf-8")
@@ -62,7 +62,9 @@
 def _report_duplicates(value: object, location: Location) -> None:
     if isinstance(value, _JsonObject):
         for name in value.duplicates:
-            location.child(name).report("the key twice", "it once", "take one out")
+            location.child(name).report(
+                "a duplicate key", "each key once", "remove one"
+            )
         for name, member in value.items():
             _report_duplicates(member, location.child(name))
     elif isinstance(value, list):
--- a/src/papayagw/_internal/settings/kinds.py
+++ b/src/papayagw/_internal/settings/kinds.py
@@ -1,7 +1,8 @@
-"""The kinds of values that a settings file holds.
+"""Kinds of scalar values in a settings file.
 
-A kind reads a JSON value into a value of the models, or reports why it can't and
-returns None. JSON's null is no valid value of any kind.
+A kind validates a JSON value and converts it to a value of the models. If the value
+is invalid, it reports a problem and returns None. JSON's null is invalid for every
+kind.
 """
 
 import os
@@ -19,27 +20,35 @@
 
 
 class Kind(Protocol):
-    """A kind of value."""
+    """Validator and converter for one kind of JSON value."""
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like, for messages and the docs."""
+        """Description of a valid value, for error messages and the documentation."""
 
     def read(self, value: object, location: Location) -> Any | None:
-        """Return the value in the models' terms, or report a problem."""
+        """Return the converted value, or report a problem and return None.
+
+        Parameters
+        ----------
+        value : object
+            Parsed JSON value.
+        location : Location
+            Location of the value; receives the problem.
+        """
 
 
 @dataclass(frozen=True, slots=True)
 class Name:
-    """A name of letters, digits and hyphens, as in a host name."""
+    """A name of lowercase letters, digits and hyphens, like a host name label."""
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return "a name of up to 63 small letters, digits and hyphens"
 
     def read(self, value: object, location: Location) -> str | None:
-        """Return the name, or report a problem."""
+        """Return `value` if it is a valid name, or report a problem."""
         if isinstance(value, str) and _NAME.fullmatch(value):
             return value
         location.report(format_value(value), self.expected, "begin it with a letter")
@@ -48,23 +57,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """One of a few words.
+    """One of a fixed set of strings.
 
     Attributes
     ----------
     words : tuple of str
-        The words.
+        Allowed values.
     """
 
     options: tuple[str, ...]
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return "one of " + ", ".join(self.options)
 
     def read(self, value: object, location: Location) -> str | None:
-        """Return the word, or report a problem."""
+        """Return `value` if it is one of the options, or report a problem."""
         if isinstance(value, str) and value in self.options:
             return value
         location.report(format_value(value), self.expected)
@@ -77,11 +86,11 @@
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return "true or false"
 
     def read(self, value: object, location: Location) -> bool | None:
-        """Return the flag, or report a problem."""
+        """Return `value` if it is a Boolean, or report a problem."""
         if isinstance(value, bool):
             return value
         location.report(format_value(value), self.expected, "write it without quotes")
@@ -90,14 +99,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Integer:
-    """A whole number in a range.
+    """An integer in a range.
 
     Attributes
     ----------
     least, most : int
-        The ends of the range, which belong to it.
+        Bounds of the range, both inclusive.
     unit : str
-        What is counted.
+        Unit of the value, for error messages; empty if it has none.
     """
 
     minimum: int
@@ -106,12 +115,12 @@
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         unit = f" of {self.unit}" if self.unit else ""
         return f"a whole number{unit} from {self.minimum} to {self.maximum}"
 
     def read(self, value: object, location: Location) -> int | None:
-        """Return the number, or report a problem."""
+        """Return `value` if it is an integer in the range, or report a problem."""
         if isinstance(value, bool) or not isinstance(value, int):
             location.report(format_value(value), self.expected, self._remedy())
             return None
@@ -131,12 +140,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Number:
-    """A number in a range.
+    """An integer or a fraction in a range.
 
     Attributes
     ----------
     least, most : float
-        The ends of the range, which belong to it.
+        Bounds of the range, both inclusive.
     """
 
     minimum: float
@@ -144,11 +153,11 @@
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return f"a number from {self.minimum:g} to {self.maximum:g}"
 
     def read(self, value: object, location: Location) -> float | None:
-        """Return the number, or report a problem."""
+        """Return `value` as a float if it is in the range, or report a problem."""
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
         if is_number and self.minimum <= float(value) <= self.maximum:  # type: ignore[arg-type]
             return float(value)  # type: ignore[arg-type]
@@ -158,35 +167,35 @@
 
 @dataclass(frozen=True, slots=True)
 class SocketAddress:
-    """An IPv4 number and a port."""
+    """An IPv4 address and a port."""
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return 'an IPv4 number and a port, such as "127.0.1.1:4401"'
 
     def read(self, value: object, location: Location) -> Endpoint | None:
-        """Return the endpoint, or report a problem."""
+        """Return the parsed endpoint, or report a problem."""
         try:
             return Endpoint.parse(value if isinstance(value, str) else "")
         except ValueError:
             location.report(
-                format_value(value), self.expected, "names aren't looked up"
+                format_value(value), self.expected, "host names aren't resolved"
             )
             return None
 
 
 @dataclass(frozen=True, slots=True)
 class IpAddress:
-    """An IPv4 number."""
+    """An IPv4 address without a port."""
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return 'an IPv4 number, such as "127.0.0.11"'
 
     def read(self, value: object, location: Location) -> str | None:
-        """Return the number, or report a problem."""
+        """Return the IPv4 address as text, or report a problem."""
         try:
             return str(IPv4Address(value if isinstance(value, str) else ""))
         except AddressValueError:
@@ -200,11 +209,11 @@
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return 'a base URL, such as "http://127.0.0.1:2379"'
 
     def read(self, value: object, location: Location) -> str | None:
-        """Return the URL without a slash at its end, or report a problem."""
+        """Return the URL without a trailing slash, or report a problem."""
         if isinstance(value, str):
             parts = urlsplit(value)
             if parts.scheme in ("http", "https") and parts.netloc:
@@ -215,22 +224,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadableFile:
-    """A file that this process may read, relative to the settings file."""
+    """Path of a readable file, relative to the settings file."""
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return "the path of a readable file, relative to the settings file"
 
     def read(self, value: object, location: Location) -> str | None:
-        """Return the absolute path, or report a problem."""
+        """Return the absolute path of the file, or report a problem."""
         if not isinstance(value, str) or not value:
             location.report(format_value(value), self.expected)
             return None
         path = (location.file.parent / Path(value)).resolve()
         if not path.is_file() or not os.access(path, os.R_OK):
             location.report(
-                format_value(value), self.expected, f"there is none at {path}"
+                format_value(value), self.expected, f"no readable file at {path}"
             )
             return None
         return str(path)
--- a/src/papayagw/_internal/settings/location.py
+++ b/src/papayagw/_internal/settings/location.py
@@ -1,4 +1,4 @@
-"""Where in a settings file a value stands, and the problems found so far."""
+"""Location of a value in the settings files, with the problems found so far."""
 
 import json
 from collections.abc import Callable
@@ -12,16 +12,18 @@
 
 
 class Location:
-    """A value's place; all places of one file share their list of problems.
+    """Location of a value: its file and its key path.
+
+    All locations created from one root share one list of problems.
 
     Parameters
     ----------
     find_file : callable
-        Returns the file from which the value at a path came.
+        Function that returns the file that sets the value at a key path.
     path : tuple of str
-        The keys that lead to the value.
+        Keys from the root of the document to the value.
     problems : list of SettingsProblem or None
-        Where problems are collected; None starts a list.
+        List to which problems are added; None starts a new one.
     """
 
     def __init__(
@@ -36,33 +38,41 @@
 
     @property
     def problems(self) -> Problems:
-        """All problems of the file so far."""
+        """All problems reported so far, at any location of the document."""
         return tuple(self._problems)
 
     @property
     def name(self) -> str:
-        """The last key of the path."""
+        """Last key of the path, empty at the root."""
         return self._path[-1] if self._path else ""
 
     @property
     def file(self) -> Path:
-        """The file from which the value came."""
+        """The file that sets the value."""
         return self._find_file(self._path)
 
     def child(self, key: str | int) -> "Location":
-        """Return the place of a member."""
+        """Return the location of the member `key`."""
         path = (*self._path, str(key))
         return Location(self._find_file, path, self._problems)
 
     def report(self, found: str, expected: str, remedy: str = "") -> None:
-        """Note a problem of the value here."""
+        """Add a problem with the value at this location.
+
+        Parameters
+        ----------
+        found, expected : str
+            What the file has, and what it should have.
+        remedy : str
+            What the operator should do; empty if `expected` already says it.
+        """
         path = ".".join(self._path)
         problem = SettingsProblem(str(self.file), path, found, expected, remedy)
         self._problems.append(problem)
 
 
 def format_value(value: object) -> str:
-    """Return a value as a message shows it."""
+    """Return a value as JSON for an error message, cut to 60 characters."""
     text = json.dumps(value, default=str)
     if len(text) > _MAX_SHOWN_CHARACTERS:
         text = text[: _MAX_SHOWN_CHARACTERS - 3] + "..."
--- a/src/papayagw/_internal/settings/node.py
+++ b/src/papayagw/_internal/settings/node.py
@@ -1,4 +1,4 @@
-"""The settings files of processes."""
+"""Settings files of balancers, agents and connect processes."""
 
 from dataclasses import fields
 from pathlib import Path
@@ -100,8 +100,8 @@
         owner = owners.setdefault(listener.listen, index)
         if owner != index:
             location.child("listeners").child(index).child("listen").report(
-                f"{listener.listen}, which overlaps with listeners.{owner}",
-                "an address of its own",
+                f"{listener.listen}, which listeners.{owner} already has",
+                "a different address",
             )
     return settings
 
@@ -111,7 +111,7 @@
         location.child("platform").report(
             "platform and base" if node.platform else "neither platform nor base",
             "exactly one of them",
-            "name the platform's URLs, or a base file for trials without it",
+            "give the platform's URLs, or a base file for trials without a platform",
         )
     if node.platform and node.site is None:
         location.child("site").report("nothing", "the name of the site", "add it")
@@ -120,14 +120,16 @@
             "nothing", "the keys shared with peers", "add them"
         )
     if node.overlay is not None and node.base is None:
-        location.child("overlay").report("an overlay without base", "base with it")
+        location.child("overlay").report(
+            "overlay without base", "base and overlay together"
+        )
 
 
 def _check_endpoints_differ(location: Location, **endpoints: Endpoint | None) -> None:
     (first, endpoint), (second, other) = endpoints.items()
     if endpoint is not None and endpoint == other:
         location.child(second).report(
-            f"{other}, which overlaps with {first}", "an address of its own"
+            f"{other}, which is also the address of {first}", "a different address"
         )
 
 
@@ -164,17 +166,17 @@
 
 
 def load_balancer(path: Path) -> Result[BalancerSettings, Problems]:
-    """Return a balancer's settings, or every problem of its file."""
+    """Return the settings of a balancer, or every problem in its file."""
     return _load(path, ObjectOf(NODE_KEYS + BALANCER_KEYS, _build_balancer))
 
 
 def load_agent(path: Path) -> Result[AgentSettings, Problems]:
-    """Return an agent's settings, or every problem of its file."""
+    """Return the settings of an agent, or every problem in its file."""
     return _load(path, ObjectOf(NODE_KEYS + AGENT_KEYS, _build_agent))
 
 
 def load_connect(path: Path) -> Result[ConnectSettings, Problems]:
-    """Return the settings of a caller's machine, or every problem of its file."""
+    """Return the settings of a connect process, or every problem in its file."""
     return _load(path, ObjectOf(CONNECT_KEYS, _build_connect))
 
 
--- a/src/papayagw/_internal/settings/overlay.py
+++ b/src/papayagw/_internal/settings/overlay.py
@@ -1,7 +1,7 @@
-"""Merging of an overlay into its base file.
+"""Merging of an overlay into a base file.
 
-Objects are merged key by key; any other value of the overlay takes the place of the
-base's. An overlay changes what the base describes and adds no service.
+Objects are merged recursively, key by key; any other value of the overlay replaces
+that of the base. An overlay can change the services of the base but can't add one.
 """
 
 import difflib
@@ -14,14 +14,14 @@
 
 
 def merge_overlay(base: Document, overlay: Document, location: Location) -> Document:
-    """Return the merged document and report what the base doesn't name.
+    """Return the merged document and report services that the base doesn't have.
 
     Parameters
     ----------
     base, overlay : dict
-        The documents.
+        Parsed base file and overlay.
     place : Place
-        The place of the merged document.
+        Root location of the merged document.
     """
     _report_unknown_services(base, overlay, location.child(_SERVICES_KEY))
     return _merge(base, overlay)
@@ -37,7 +37,7 @@
     for name in overlaid.keys() - known.keys():
         matches = difflib.get_close_matches(name, known, n=1)
         remedy = f"did you mean {matches[0]}?" if matches else "add it to the base file"
-        found = "a name that the base file doesn't have"
+        found = "a service that the base file doesn't have"
         location.child(name).report(found, "one of " + ", ".join(known), remedy)
 
 
--- a/src/papayagw/_internal/settings/pem_files.py
+++ b/src/papayagw/_internal/settings/pem_files.py
@@ -1,4 +1,4 @@
-"""Kinds of files that hold certificates and keys (PEM, RFC 7468)."""
+"""Kinds of values that name PEM files of certificates and keys (RFC 7468)."""
 
 from pathlib import Path
 
@@ -8,21 +8,21 @@
 from papayagw._internal.settings.kinds import ReadableFile
 from papayagw._internal.settings.location import Location
 
-_KEYS_REMEDY = "papayagw keys make writes one for trials"
+_KEYS_REMEDY = "for trials, create one with papayagw keys make"
 
 
 class CertificateFile:
-    """A file with a certificate, and perhaps those of its issuers after it."""
+    """Path of a PEM file with a certificate, optionally followed by its issuers'."""
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return (
             "the path of a PEM file with a certificate, relative to the settings file"
         )
 
     def read(self, value: object, location: Location) -> str | None:
-        """Return the absolute path, or report a problem."""
+        """Return the absolute path of the file, or report a problem."""
         path = ReadableFile().read(value, location)
         if path is None:
             return None
@@ -35,17 +35,17 @@
 
 
 class PrivateKeyFile:
-    """A file with a private key that needs no password."""
+    """Path of a PEM file with an unencrypted private key."""
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return (
             "the path of a PEM file with a private key, relative to the settings file"
         )
 
     def read(self, value: object, location: Location) -> str | None:
-        """Return the absolute path, or report a problem."""
+        """Return the absolute path of the file, or report a problem."""
         path = ReadableFile().read(value, location)
         if path is None:
             return None
@@ -58,7 +58,10 @@
 
 
 def is_pair(certificate: str, private_key: str) -> bool:
-    """Return whether a private key is that of a certificate; both were read."""
+    """Return whether a private key belongs to a certificate.
+
+    Both paths must name valid PEM files; a chain's first certificate is compared.
+    """
     leaf = x509.load_pem_x509_certificates(Path(certificate).read_bytes())[0]
     key = load_pem_private_key(Path(private_key).read_bytes(), password=None)
     return leaf.public_key() == key.public_key()
--- a/src/papayagw/_internal/settings/problem.py
+++ b/src/papayagw/_internal/settings/problem.py
@@ -1,4 +1,4 @@
-"""One fault of a settings file, as an operator reads it."""
+"""Problems in settings files, formatted for the operator."""
 
 from dataclasses import dataclass
 
@@ -7,20 +7,20 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingsProblem:
-    """One fault of a settings file.
+    """A problem in a settings file.
 
     Attributes
     ----------
     file : str
-        The file to correct.
+        Path of the file to correct.
     path : str
-        The key, such as ``services.order.address``; empty for the whole file.
+        Key path, such as ``services.order.address``; empty for the whole file.
     found : str
-        What is there.
+        What the file has.
     expected : str
-        What belongs there.
+        What the file should have.
     remedy : str
-        What to do.
+        What the operator should do; empty if `expected` already says it.
     """
 
     file: str
@@ -39,12 +39,12 @@
 
 
 def make_error(problems: Problems) -> SettingsError:
-    """Return the error of a process that can't start with its settings."""
+    """Return an exception that lists `problems`, of which there is at least one."""
     listed = "".join(f"\n  {problem}" for problem in problems)
     count = "1 problem" if len(problems) == 1 else f"{len(problems)} problems"
     return SettingsError(
         count,
         step=Step.SETTINGS,
         peer=problems[0].file,
-        remedy=f"correct what is listed here:{listed}",
+        remedy=f"correct the following:{listed}",
     )
--- a/src/papayagw/_internal/settings/site.py
+++ b/src/papayagw/_internal/settings/site.py
@@ -1,4 +1,4 @@
-"""Base file and overlay into the site that they describe."""
+"""Loading of a site from a base file and an overlay."""
 
 from collections.abc import Iterable
 from pathlib import Path
@@ -52,9 +52,9 @@
         secret = b""
     if len(secret) != KEY_BYTES:
         location.child("file").report(
-            f"no key in {path}",
+            f"no valid key in {path}",
             f"{KEY_BYTES} bytes in hexadecimal digits",
-            "papayagw keys make writes one",
+            "create one with papayagw keys make",
         )
         return None
     return FleetKey(values["key_id"], secret)
@@ -112,14 +112,14 @@
 
 
 def load_site(base: Path, overlay: Path | None = None) -> Result[Site, Problems]:
-    """Return the site that a base file and an overlay describe, or every problem.
+    """Return the site described by a base file and an overlay, or every problem.
 
     Parameters
     ----------
     base : Path
-        The base file.
+        Base file.
     overlay : Path or None
-        The overlay of one site; None takes the base file alone.
+        Overlay of one site; None loads the base file alone.
     """
     documents = [read_document(path) for path in (base, overlay) if path]
     problems = [
@@ -167,9 +167,9 @@
         owner = owners.setdefault(service.service_id, service.name)
         if owner != service.name:
             location.child(service.name).child("id").report(
-                f"{service.service_id}, which {owner} has",
-                "a number of its own",
-                "numbers are never reused: take a new one",
+                f"{service.service_id}, which service {owner} already has",
+                "a unique id",
+                "ids are never reused: choose a new one",
             )
 
 
@@ -182,11 +182,11 @@
         owner, owner_address = owners.setdefault(service.address.port, candidate)
         if owner == candidate[0]:
             continue
-        found = f"{service.address}, which overlaps with {owner} at {owner_address}"
+        found = f"{service.address}, with the same port as {owner} at {owner_address}"
         location.child("services").child(service.name).child("address").report(
             found,
-            "an address with a port of its own",
-            "a balancer that binds one IP number tells services apart by port",
+            "an address with a unique port",
+            "a balancer that binds a single IP address tells services apart by port",
         )
 
 
@@ -194,5 +194,7 @@
     seen: set[int | str] = set()
     for index, member in enumerate(members):
         if member in seen:
-            location.child(index).report(f"{member} twice", "each once", "take one out")
+            location.child(index).report(
+                f"{member} more than once", "distinct values", "remove one"
+            )
         seen.add(member)
--- a/src/papayagw/_internal/settings/structure.py
+++ b/src/papayagw/_internal/settings/structure.py
@@ -1,4 +1,4 @@
-"""Kinds that hold other kinds: lists, maps and objects with known keys."""
+"""Kinds of composite values: lists, maps and objects with known keys."""
 
 import difflib
 from collections.abc import Callable
@@ -13,18 +13,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """One key of an object.
+    """A key of an object and the attribute that it sets.
 
     Attributes
     ----------
     name : str
-        The key in the file.
+        Key in the settings file.
     attribute : str
-        The attribute of the data class that takes the value.
+        Attribute of the data class that receives the value.
     kind : Kind
-        The kind of its value.
+        Kind of the value.
     default : object
-        The value where the file has none; `MISSING` if it must have one.
+        Value if the file doesn't have the key; `MISSING` if the key is required.
     """
 
     name: str
@@ -34,23 +34,23 @@
 
     @property
     def is_required(self) -> bool:
-        """Whether the file must have this key."""
+        """Whether the key has no default."""
         return self.default is MISSING
 
 
 def make_keys(
     data_class: type, kinds: dict[str, Kind], renamed: dict[str, str] | None = None
 ) -> tuple[Key, ...]:
-    """Return the keys that fill a data class, with its defaults.
+    """Return keys for the attributes of a data class, with its defaults.
 
     Parameters
     ----------
     data_class : type
-        The data class.
+        Data class that is created from the values.
     kinds : dict of str to Kind
-        The kind of each key.
+        Kind of the value of each key.
     renamed : dict of str to str or None
-        The attributes of keys that aren't called as their attributes are.
+        Attribute names of the keys whose names differ from them.
     """
     attributes = {attribute.name: attribute for attribute in fields(data_class)}
     keys = []
@@ -73,9 +73,10 @@
     Attributes
     ----------
     keys : tuple of Key
-        The known keys.
+        All allowed keys.
     build : callable
-        Makes the value from the attributes; returns None where it reports a problem.
+        Function of the attribute values and the location. Returns the value, or
+        reports a problem; it may then return None.
     """
 
     keys: tuple[Key, ...]
@@ -88,11 +89,11 @@
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return "an object with keys " + ", ".join(self._by_name)
 
     def read(self, value: object, location: Location) -> Any | None:
-        """Return the object, or report every problem in it."""
+        """Return the result of `build`, or report every problem in the object."""
         if not isinstance(value, dict):
             location.report(format_value(value), self.expected)
             return None
@@ -114,7 +115,7 @@
         unknown = [name for name in value if name not in self._by_name]
         for name in unknown:
             member_location = location.child(name)
-            member_location.report("an unknown key", "a known one", self._suggest(name))
+            member_location.report("an unknown key", "a known key", self._suggest(name))
         return not unknown
 
     def _suggest(self, name: str) -> str:
@@ -125,19 +126,19 @@
         matches = difflib.get_close_matches(name, self._by_name, n=1)
         if matches:
             return f"did you mean {matches[0]}?"
-        return "known are " + ", ".join(self._by_name)
+        return "known keys: " + ", ".join(self._by_name)
 
 
 @dataclass(frozen=True, slots=True)
 class ListOf:
-    """A list of one kind.
+    """A list whose members are all of one kind.
 
     Attributes
     ----------
     member : Kind
-        The kind of its members.
+        Kind of the members.
     least : int
-        The fewest members.
+        Minimum number of members.
     """
 
     member: Kind
@@ -145,11 +146,11 @@
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return f"a list of at least {self.min_length}, each {self.member.expected}"
 
     def read(self, value: object, location: Location) -> tuple[Any, ...] | None:
-        """Return the members, or report every problem in them."""
+        """Return the converted members, or report every problem in them."""
         if not isinstance(value, list) or len(value) < self.min_length:
             location.report(format_value(value), self.expected)
             return None
@@ -162,14 +163,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MapOf:
-    """An object whose keys are names that the operators choose.
+    """An object whose keys are chosen by the operator, such as service names.
 
     Attributes
     ----------
     name : Kind
-        The kind of its keys.
+        Kind of the keys.
     member : Kind
-        The kind of its values.
+        Kind of the values.
     """
 
     name: Kind
@@ -177,11 +178,11 @@
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return f"an object with at least one name, each with {self.member.expected}"
 
     def read(self, value: object, location: Location) -> tuple[Any, ...] | None:
-        """Return the members in their order, or report every problem in them."""
+        """Return the values in file order, or report every problem in them."""
         if not isinstance(value, dict) or not value:
             location.report(format_value(value), self.expected)
             return None
--- a/tests/lib/settings.py
+++ b/tests/lib/settings.py
@@ -1,4 +1,4 @@
-"""Settings files for tests."""
+"""Settings documents and files for tests."""
 
 import json
 
@@ -44,14 +44,14 @@
 
 
 class SettingsFolder:
-    """A folder of settings files with a development pair of keys."""
+    """A folder for settings files, with development certificates and keys."""
 
     def __init__(self, path):
         self.path = path
         make_development_keys(path / "keys", ("order", "drawings"))
 
     def write(self, name, content):
-        """Write a document, or text as it is, and return the file."""
+        """Write a document as JSON, or a string verbatim, and return the path."""
         text = content if isinstance(content, str) else json.dumps(content)
         file = self.path / name
         file.write_text(text)
@@ -59,7 +59,10 @@
 
 
 def change(document, path, value):
-    """Return `document` with the value at a dotted path set, or None to drop it."""
+    """Return a copy of `document` with the value at a dotted path set.
+
+    None removes the key or list member.
+    """
     copy = json.loads(json.dumps(document))
     *parents, last = path.split(".")
     holder = copy
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -35,7 +35,7 @@
 
 
 def describe(result):
-    """Return what an operator looks at first: file, key and what was found."""
+    """Return the file name, the key path and the message of each problem."""
     assert not isinstance(result, Success)
     return [
         (Path(problem.file).name, problem.path, str(problem))
@@ -65,19 +65,19 @@
         ("services.order.probe_interval_ms", 50_000, "half of idle_timeout_ms"),
         ("services.order.idempotent", "yes", "true or false"),
         ("services.order.max_flows", True, "whole number"),
-        ("services.order.address", "order.example:4401", "names aren't looked up"),
+        ("services.order.address", "order.example:4401", "host names aren't resolved"),
         ("services.order.address", "127.0.1.1:65536", "IPv4 number and a port"),
-        ("services.drawings.address", "127.0.1.1:4401", "overlaps with"),
-        ("services.drawings.address", "127.0.1.9:4400", "overlaps with control_add"),
-        ("services.drawings.id", 1, "which order has"),
+        ("services.drawings.address", "127.0.1.1:4401", "same port as services.order"),
+        ("services.drawings.address", "127.0.1.9:4400", "same port as control_add"),
+        ("services.drawings.id", 1, "which service order already has"),
         ("services.drawings.id", 65_536, "from 1 to 65535"),
         ("services.order.objectives", {"availability": 1.2}, "from 0 to 1"),
         ("services.Order", {"id": 3, "address": "127.0.1.3:4403"}, "small letters"),
         ("services", [], "at least one name"),
         ("services", {}, "at least one name"),
         ("zones", [], "a list of at least 1"),
-        ("zones", ["a", "a"], "a twice"),
-        ("keys", [{"id": 1, "file": "nowhere.key"}], "there is none at"),
+        ("zones", ["a", "a"], "a more than once"),
+        ("keys", [{"id": 1, "file": "nowhere.key"}], "no readable file at"),
         ("keys", [{"id": 1, "file": "keys/ca.pem"}], "32 bytes in hexadecimal"),
         ("control_address", None, "found nothing"),
     ],
@@ -118,7 +118,7 @@
     ("text", "expected"),
     [
         ('{"name": "a",\n "zones": }', "line 2"),
-        ('{"name": "a", "name": "b"}', "the key twice"),
+        ('{"name": "a", "name": "b"}', "a duplicate key"),
         ("[]", "expected an object"),
         ("", "JSON with comments"),
     ],
