--- a/src/papayagw/_internal/cli/__init__.py
+++ b/src/papayagw/_internal/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The command line."""
+"""Command-line interface."""
--- a/src/papayagw/_internal/cli/base.py
+++ b/src/papayagw/_internal/cli/base.py
@@ -1,4 +1,4 @@
-"""The contract of a command and the exit codes that all commands share."""
+"""Command protocol, and the exit codes of all commands."""
 
 from collections.abc import Callable
 from enum import IntEnum
@@ -6,26 +6,26 @@
 
 
 class ExitCode(IntEnum):
-    """What a command's exit code says."""
+    """Exit code of a command."""
 
     OK = 0
     REFUSED = 1
-    """The request was understood and refused, or a check found a fault."""
+    """The request was valid but refused, or a check found a problem."""
     USAGE = 2
-    """The command line or a settings file can't be used."""
+    """The command line or a settings file is invalid."""
     UNKNOWN = 3
-    """No answer tells whether the request took effect."""
+    """No response confirms whether the request took effect."""
     FAILED = 4
-    """An error arose while the command ran."""
+    """The command failed with an error."""
 
 
 class Command(Protocol):
-    """One command of ``papayagw``, in a module of its own under ``commands``.
+    """A command of ``papayagw``, in a module of its own under ``commands``.
 
-    A module holds one object of this type in ``COMMAND``. The parameters of `run`
-    are the flags, and its docstring is the help page.
+    The module assigns an instance to ``COMMAND``. The parameters of `run` become the
+    flags, and its docstring becomes the help page.
     """
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out and return an exit code."""
+        """Function that executes the command and returns an exit code."""
--- a/src/papayagw/_internal/cli/commands/__init__.py
+++ b/src/papayagw/_internal/cli/commands/__init__.py
@@ -1,1 +1,1 @@
-"""One module for each command."""
+"""Commands of ``papayagw``, one module each."""
--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -1,4 +1,4 @@
-"""``papayagw agent``: the process beside each backend server."""
+"""``papayagw agent``: the process in front of each backend server."""
 
 import random
 from collections.abc import Callable
@@ -34,22 +34,22 @@
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_agent
 
 
 def run_agent(settings: str) -> int:
-    """Accept flows, carry them to the backend server and announce it.
+    """Accept flows, forward them to the backend server and announce the agent.
 
-    SIGTERM drains: no new flow is taken, those that are open go on up to the
-    service's drain_limit_ms, or stop_limit_ms where that is longer. A second
-    SIGTERM stops at once, and the callers of open flows are told that their
+    SIGTERM drains the agent: it accepts no new flows, and open flows may continue
+    for the service's drain_limit_ms or for stop_limit_ms, whichever is longer. A
+    second SIGTERM stops at once; callers of open flows are notified that the
     outcome is unknown.
 
     Parameters
     ----------
     settings : str
-        The settings file of this process.
+        Settings file of this process.
     """
     loaded = unwrap_settings(load_agent(Path(settings)))
     clock = MonotonicClock()
@@ -60,7 +60,7 @@
     account = AgentAccount(
         identity, loaded, process, lambda: process.configuration, clock
     )
-    # A process with long flows may stay longer than others.
+    # The drain limit of a service may exceed the stop limit of the process.
     drain_limit = _find_service(loaded, configuration).drain_limit_ms
     stop_limit = max(loaded.node.stop_limit_ms, drain_limit)
     node = replace(loaded.node, stop_limit_ms=stop_limit)
@@ -98,7 +98,7 @@
             f"service: found {settings.service!r}, expected one of {names}",
             step=Step.SETTINGS,
             peer=settings.node.name,
-            remedy="name a service of the configuration in the settings file",
+            remedy="set service to one of the configured services in the settings file",
         )
     return service
 
--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -1,4 +1,4 @@
-"""``papayagw balancer``: the thin entry instance."""
+"""``papayagw balancer``: the process that receives callers' packets."""
 
 import random
 from collections.abc import Callable
@@ -18,25 +18,25 @@
 
 
 class BalancerCommand:
-    """Hand callers' packets to the agents."""
+    """Forward callers' packets to the agents."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_balancer
 
 
 def run_balancer(settings: str) -> int:
-    """Hand each packet to the agent that its tag names, or that is chosen for it.
+    """Forward each packet to the agent in its tag, or to an agent chosen for it.
 
-    A balancer holds no state of a flow: it may be stopped and started at any
-    time. SIGTERM hands on what still comes for a second and exits; a second
+    A balancer keeps no flow state, so it can be stopped and started at any time.
+    After SIGTERM it forwards packets for one more second and exits; a second
     SIGTERM exits at once.
 
     Parameters
     ----------
     settings : str
-        The settings file of this process.
+        Settings file of this process.
     """
     loaded = unwrap_settings(load_balancer(Path(settings)))
     node = loaded.node
--- a/src/papayagw/_internal/cli/commands/config_check.py
+++ b/src/papayagw/_internal/cli/commands/config_check.py
@@ -1,4 +1,4 @@
-"""``papayagw config check``: whether a site's files can be submitted."""
+"""``papayagw config check``: validate the files of a site."""
 
 from collections.abc import Callable
 
@@ -7,25 +7,25 @@
 
 
 class ConfigCheckCommand:
-    """Check a base file and an overlay."""
+    """Validate a base file and an overlay."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return check_config
 
 
 def check_config(base: str, overlay: str | None = None) -> int:
-    """Check a base file and an overlay, and print every problem.
+    """Validate a base file and an overlay, and print every problem.
 
-    Exit codes: 0 the files can be submitted, 2 they can't.
+    Exit codes: 0 the files are valid and can be submitted, 2 they are invalid.
 
     Parameters
     ----------
     base : str
-        The base file.
+        Base file of the site.
     overlay : str
-        The overlay of one site.
+        Overlay of the site.
     """
     site = read_site(base, overlay)
     names = ", ".join(service.name for service in site.services)
--- a/src/papayagw/_internal/cli/commands/config_diff.py
+++ b/src/papayagw/_internal/cli/commands/config_diff.py
@@ -1,4 +1,4 @@
-"""``papayagw config diff``: what a change would change."""
+"""``papayagw config diff``: differences between configurations of a site."""
 
 from collections.abc import Callable
 
@@ -14,11 +14,11 @@
 
 
 class ConfigDiffCommand:
-    """Compare a site's files with other files or with what is in force."""
+    """Compare a site's files with other files or with the version in force."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return diff_config
 
 
@@ -29,23 +29,24 @@
     against_base: str | None = None,
     against_overlay: str | None = None,
 ) -> int:
-    """Print what differs between files and the version in force, or other files.
+    """Print the differences of a site's files from the version in force or other files.
 
-    Exit codes: 0 nothing differs, 1 something does, 2 a file can't be used, 4 the
-    platform gave no answer.
+    Exit codes: 0 no difference, 1 there are differences, 2 a file or the command
+    line is invalid, 4 the platform doesn't respond or has no version.
 
     Parameters
     ----------
     base : str
-        The base file.
+        Base file of the site.
     overlay : str
-        The overlay of one site.
+        Overlay of the site.
     platform : list of str
-        URLs of the platform's service: compare with the version in force.
+        Compare with the version in force at these URLs of the platform, tried in
+        turn.
     against_base : str
         Compare with this base file.
     against_overlay : str
-        The overlay to `against_base`.
+        Overlay of `against_base`.
     """
     after = read_site(base, overlay)
     before = _read_before(
@@ -62,7 +63,7 @@
 ) -> Site:
     if bool(platform) == bool(base):
         raise SettingsError(
-            "nothing to compare with",
+            "both or neither of --platform and --against-base given",
             step=Step.SETTINGS,
             remedy="give exactly one of --platform and --against-base",
         )
--- a/src/papayagw/_internal/cli/commands/config_status.py
+++ b/src/papayagw/_internal/cli/commands/config_status.py
@@ -1,4 +1,4 @@
-"""``papayagw config status``: the version in force at the platform and balancers."""
+"""``papayagw config status``: the version in force at the platform and at nodes."""
 
 import json
 from collections.abc import Callable
@@ -18,14 +18,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeVersion:
-    """The version in force at one process.
+    """Configuration version in force at a node.
 
     Attributes
     ----------
     node : str
-        Where the process serves its status.
+        Admin address of the node.
     version : int or None
-        The version, or None if the process gave no answer.
+        The version, or None if the node didn't respond.
     """
 
     node: str
@@ -33,32 +33,32 @@
 
 
 class ConfigStatusCommand:
-    """Show the version in force."""
+    """Show the version in force at the platform and at nodes."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return show_status
 
 
 def show_status(
     site: str, platform: FlagList = (), nodes: FlagList = (), json: bool = False
 ) -> int:
-    """Show the version that the platform holds and the one at each process.
+    """Show the version in force at the platform and at each node.
 
-    Exit codes: 0 all hold the same version, 1 one differs or gave no answer, 4 the
-    platform gave no answer.
+    Exit codes: 0 all versions are the same, 1 a node has another version or doesn't
+    respond, 4 the platform doesn't respond or has no version.
 
     Parameters
     ----------
     site : str
-        The name of the site.
+        Name of the site.
     platform : list of str
-        URLs of the platform's service, tried in turn.
+        URLs of the platform, tried in turn.
     nodes : list of str
-        Admin addresses of processes, as ip:port with commas between them.
+        Admin addresses of nodes, as ip:port, separated by commas.
     json : bool
-        Print JSON in place of a table.
+        Print JSON instead of a table.
     """
     return anyio.run(_show, site, split_list(platform), split_list(nodes), json)
 
--- a/src/papayagw/_internal/cli/commands/config_submit.py
+++ b/src/papayagw/_internal/cli/commands/config_submit.py
@@ -1,4 +1,4 @@
-"""``papayagw config submit``: make a site's files the next version."""
+"""``papayagw config submit``: submit a site's files as the next version."""
 
 import getpass
 import secrets
@@ -26,11 +26,11 @@
 
 
 class ConfigSubmitCommand:
-    """Submit a base file and an overlay."""
+    """Submit a base file and an overlay as the next version."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return submit_config
 
 
@@ -43,28 +43,29 @@
     operator: str = "",
     limit_ms: int = DEFAULT_LIMIT_MS,
 ) -> int:
-    """Check the files and make them the next version, or say why not.
+    """Validate the files and submit them as the next version.
 
-    Exit codes: 0 accepted, 1 refused, 2 a file can't be used, 3 unknown: the change
-    may be in force now or later, so look at `papayagw config status`.
+    Exit codes: 0 accepted, 1 refused, 2 a file or the command line is invalid, 3
+    unknown: the change may take effect now or later, so check with `papayagw config
+    status`.
 
     Parameters
     ----------
     base : str
-        The base file.
+        Base file of the site.
     overlay : str
-        The overlay of one site.
+        Overlay of the site.
     platform : list of str
-        URLs of the platform's service, tried in turn.
+        URLs of the platform, tried in turn.
     expect_version : int
-        The version that you saw; another one in force is refused. Without it the
-        change goes on top of whatever is in force.
+        Refuse the change unless this version is in force. Without it, the change is
+        applied to whichever version is in force.
     allow_breaking : bool
-        Accept a change that breaks established flows.
+        Allow a change that breaks established flows.
     operator : str
-        Who submits; your login name without it.
+        Name recorded with the submission; defaults to your login name.
     limit_ms : int
-        How long to go on where the platform gives no answer.
+        Time limit for retries while the platform doesn't respond, in milliseconds.
     """
     proposal = Proposal(
         site=read_site(base, overlay),
--- a/src/papayagw/_internal/cli/commands/connect.py
+++ b/src/papayagw/_internal/cli/commands/connect.py
@@ -1,4 +1,4 @@
-"""``papayagw connect``: the callers' side."""
+"""``papayagw connect``: the process on a caller's machine."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -14,24 +14,24 @@
 
 
 class ConnectCommand:
-    """Carry ordinary TCP connections as flows."""
+    """Forward TCP connections as flows."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_connect
 
 
 def run_connect(settings: str) -> int:
-    """Listen on TCP and carry each connection to its service as one flow.
+    """Listen on TCP and forward each connection to its service as one flow.
 
-    SIGTERM takes no more connections and waits for those that are open, up to
+    After SIGTERM, accept no new connections and wait for open ones to end, up to
     the setting stop_limit_ms; a second SIGTERM stops at once.
 
     Parameters
     ----------
     settings : str
-        The settings file of this process.
+        Settings file of this process.
     """
     loaded = unwrap_settings(load_connect(Path(settings)))
     clock = MonotonicClock()
--- a/src/papayagw/_internal/cli/commands/keys_make.py
+++ b/src/papayagw/_internal/cli/commands/keys_make.py
@@ -1,4 +1,4 @@
-"""``papayagw keys make``: a development certificate and a fleet key."""
+"""``papayagw keys make``: create a development certificate and a fleet key."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -9,26 +9,26 @@
 
 
 class KeysMakeCommand:
-    """Make a certificate authority, a server certificate and a fleet key."""
+    """Create a certificate authority, a server certificate and a fleet key."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return make_keys
 
 
 def make_keys(folder: str, names: FlagList = "order,drawings,ledger,intake") -> int:
-    """Make a development certificate and a fleet key and print where they are.
+    """Create a development certificate and a fleet key, and print their paths.
 
-    Production certificates come from your own authority. The files made here are
-    for trials: the authority's key isn't kept.
+    These files are for trials only: the private key of the authority isn't saved.
+    In production, use certificates of your own authority.
 
     Parameters
     ----------
     folder : str
-        Where the files go. It is made if it isn't there.
+        Folder for the files; it is created if it doesn't exist.
     names : list of str
-        The services that the certificate is for, with commas between them.
+        Services for which the certificate is valid, separated by commas.
     """
     keys = make_development_keys(Path(folder), split_list(names))
     print(f"authority:   {keys.authority}")
--- a/src/papayagw/_internal/cli/commands/load.py
+++ b/src/papayagw/_internal/cli/commands/load.py
@@ -1,4 +1,4 @@
-"""``papayagw load``: the load tool."""
+"""``papayagw load``: the load generator."""
 
 from collections.abc import Callable, Mapping
 
@@ -17,11 +17,11 @@
 
 
 class LoadCommand:
-    """Put load on a site."""
+    """Generate load on a site."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_load
 
 
@@ -38,39 +38,41 @@
     run_id: str = "load",
     as_json: bool = False,
 ) -> int:
-    """Start requests at fixed random times, and report how they ended.
+    """Start requests at random times fixed by the seed, and report their outcomes.
 
-    Latency counts from the time at which a request was due, so that a slow
-    system can't hide its delays. The exit code is 1 if any request was broken,
-    crossed, doubled or came back with wrong bytes.
+    Latency is measured from the scheduled start of a request, so that the delays of
+    a slow system are included. The exit code is 1 if any request was broken,
+    crossed, doubled or answered with wrong bytes.
 
     Parameters
     ----------
     profile : str
-        The workload: valukoja or norrbo.
+        Workload: valukoja or norrbo.
     targets : list of str
-        Where each service's requests go: order=127.0.4.1:7001,drawings=...
+        Target endpoint of each service: order=127.0.4.1:7001,drawings=...
     rate : float
-        Requests a second, all kinds together.
+        Requests per second, summed over all kinds.
     seconds : float
-        How long requests are started.
+        Time during which requests are started.
     seed : int
-        The same seed gives the same arrivals.
+        Seed of the arrival times; the same seed gives the same arrivals.
     timeout_ms : int
-        How long a caller waits for an answer, in milliseconds.
+        Time limit for the response to a request, in milliseconds.
     max_open : int
-        Requests beyond these aren't sent, and are counted.
+        Maximum number of open requests; further ones are counted but not sent.
     feed_lines : int
-        How many lines a feed or stream has; there is one each 200 ms.
+        Number of lines of a feed or stream; one is sent every 200 ms.
     backends : list of str
-        Backend servers whose journals are read at the end, as ip:port.
+        Backend servers whose journals are read after the run, as ip:port.
     run_id : str
-        The start of each request's id; use a new one for each run.
+        Prefix of the request ids; use a new one for each run.
     as_json : bool
-        Print JSON in place of the table.
+        Print JSON instead of a table.
     """
     if profile not in PROFILES:
-        raise _usage_error(f"no profile {profile!r}", f"one of {', '.join(PROFILES)}")
+        raise _usage_error(
+            f"unknown profile {profile!r}", f"one of {', '.join(PROFILES)}"
+        )
     plan = LoadPlan(
         workload=PROFILES[profile](feed_lines),
         targets=_read_targets(split_list(targets)),
@@ -96,7 +98,9 @@
             kind = BackendKind(service)
         except ValueError:
             names = ", ".join(kind.value for kind in BackendKind)
-            raise _usage_error(f"no service {service!r}", f"one of {names}") from None
+            raise _usage_error(
+                f"unknown service {service!r}", f"one of {names}"
+            ) from None
         targets[kind] = _read_endpoint(endpoint)
     return targets
 
--- a/src/papayagw/_internal/cli/commands/platform_agent.py
+++ b/src/papayagw/_internal/cli/commands/platform_agent.py
@@ -11,15 +11,16 @@
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run
 
 
 def run() -> int:
     """Own the flows of the backend server on this machine.
 
-    The settings file is named by the environment variable PAPAYAGW_NODE_FILE. The
-    platform itself runs ``python -m papayagw.platform agent``, which starts sooner.
+    The environment variable PAPAYAGW_NODE_FILE contains the path of the settings
+    file. The platform itself runs ``python -m papayagw.platform agent``, which
+    starts faster.
     """
     run_agent()
     return ExitCode.OK
--- a/src/papayagw/_internal/cli/commands/platform_balancer.py
+++ b/src/papayagw/_internal/cli/commands/platform_balancer.py
@@ -7,19 +7,20 @@
 
 
 class PlatformBalancerCommand:
-    """Hand plain flows to the agents of the prepared platform."""
+    """Forward plain flows to the agents of the prepared platform."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run
 
 
 def run() -> int:
-    """Hand packets of plain flows to the agents that own them.
+    """Forward packets of plain flows to the agents that own them.
 
-    The settings file is named by the environment variable PAPAYAGW_NODE_FILE. The
-    platform itself runs ``python -m papayagw.platform balancer``, which starts sooner.
+    The environment variable PAPAYAGW_NODE_FILE contains the path of the settings
+    file. The platform itself runs ``python -m papayagw.platform balancer``,
+    which starts faster.
     """
     run_balancer()
     return ExitCode.OK
--- a/src/papayagw/_internal/cli/commands/report_burn.py
+++ b/src/papayagw/_internal/cli/commands/report_burn.py
@@ -1,4 +1,4 @@
-"""``papayagw report burn``: how fast service-level budgets go."""
+"""``papayagw report burn``: burn rates of error budgets."""
 
 import json
 from collections.abc import Callable, Mapping, Sequence
@@ -19,15 +19,15 @@
 from papayagw._internal.observe.records import InvalidLine, read_records
 
 _MAX_SHOWN_INVALID_LINES = 3
-_RECORDS_REMEDY = "make records with papayagw status NODE... --record FILE"
+_RECORDS_REMEDY = "create records with papayagw status NODE... --record FILE"
 
 
 class ReportBurnCommand:
-    """Report how fast service-level budgets go."""
+    """Report the burn rates of error budgets."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return report_burn
 
 
@@ -38,29 +38,29 @@
     json: bool = False,
     picture: str | None = None,
 ) -> int:
-    """Report how fast each service uses up the budgets of its objectives.
+    """Report how fast each service consumes the error budgets of its objectives.
 
-    The windows end with the newest record. A burn of 1 uses up exactly the
-    budget; the last window, 30 d, is the budget itself, taken from what was
-    recorded of it.
+    All windows end with the newest record. A burn of 1 consumes exactly the budget.
+    The last window, 30 d, is the period of the budget, computed from the records
+    that exist of it.
 
-    Exit code 0: no budget is spent. 1: one is. 2: the command line or a settings
-    file can't be used. 4: there are no records to report on, or a file can't be
-    used.
+    Exit codes: 0 no budget is spent, 1 at least one is, 2 the command line or a
+    settings file is invalid, 4 there are no usable records or a file can't be read
+    or written.
 
     Parameters
     ----------
     records : str
-        Files that ``papayagw status --record`` wrote.
+        Files written by ``papayagw status --record``.
     settings : str
-        The base file, which holds the objectives. Without it each service is
-        held against the defaults.
+        Base file, which contains the objectives. Without it, the default objectives
+        apply to each service.
     overlay : str
-        The site's overlay of the base file.
+        Overlay of the site.
     json : bool
-        Print JSON in place of tables.
+        Print JSON instead of tables.
     picture : str
-        Also draw the report, into this PNG file.
+        Also draw the report as a chart in this PNG file.
     """
     objectives = _read_objectives(settings, overlay)
     report = _read_report([str(record) for record in records], objectives)
@@ -82,7 +82,7 @@
 ) -> BurnReport:
     if not names:
         raise SettingsError(
-            "no file of records is named", step=Step.SETTINGS, remedy=_RECORDS_REMEDY
+            "no record file is given", step=Step.SETTINGS, remedy=_RECORDS_REMEDY
         )
     result = read_records([Path(name) for name in names])
     if isinstance(result, Failure):
@@ -105,10 +105,10 @@
 
 
 def _format_invalid_lines(invalid_lines: Sequence[InvalidLine]) -> list[str]:
-    notes = [f"passed over {line}" for line in invalid_lines[:_MAX_SHOWN_INVALID_LINES]]
+    notes = [f"skipped {line}" for line in invalid_lines[:_MAX_SHOWN_INVALID_LINES]]
     if len(invalid_lines) > _MAX_SHOWN_INVALID_LINES:
         notes.append(
-            f"passed over {len(invalid_lines) - _MAX_SHOWN_INVALID_LINES} more lines"
+            f"skipped {len(invalid_lines) - _MAX_SHOWN_INVALID_LINES} more lines"
         )
     return notes
 
@@ -118,7 +118,8 @@
 
 
 def _draw(report: BurnReport, path: Path) -> None:
-    # The plotting library takes a second to load and is seldom wanted.
+    # Imported on demand: the plotting library takes a second to load and is seldom
+    # needed.
     from papayagw._internal.observe.burn_picture import draw_burn_chart
 
     draw_burn_chart(report, path)
--- a/src/papayagw/_internal/cli/commands/standin_backend.py
+++ b/src/papayagw/_internal/cli/commands/standin_backend.py
@@ -1,4 +1,4 @@
-"""``papayagw standin backend``: a stand-in of a backend server."""
+"""``papayagw standin backend``: a stand-in for a backend server."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -23,11 +23,11 @@
 
 
 class StandinBackendCommand:
-    """Run a stand-in of a backend server."""
+    """Run a stand-in for a backend server."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_backend
 
 
@@ -41,30 +41,31 @@
     service_ms: int = DEFAULT_SERVICE_MS,
     runs_file: str = "",
 ) -> int:
-    """Serve requests over TCP until SIGTERM; SIGUSR1 sheds new requests.
+    """Serve requests over TCP until SIGTERM; SIGUSR1 makes it shed new requests.
 
     Requests are lines: ORDER id, CHECK id, FEED id count interval_ms, and
-    UPLOAD id bytes followed by the bytes. RUNS lists what was run, HEALTH tells
-    state and load; DRAIN, STALL ms, SHED 0|1 and LIE load change its behaviour.
+    UPLOAD id bytes followed by the bytes. RUNS lists the requests that were run,
+    HEALTH reports state and load; DRAIN, STALL ms, SHED 0|1 and LIE load change its
+    behaviour.
 
     Parameters
     ----------
     listen : str
-        Where to listen, as ip:port.
+        Endpoint to listen on, as ip:port.
     kind : str
-        The service: order, drawings, ledger or intake.
+        Service: order, drawings, ledger or intake.
     name : str
-        What it signs its answers with.
+        Name of the server, which its responses contain.
     speed : float
-        1 is ordinary; a server of 0.25 takes four times the service time.
+        Relative speed; at 0.25, a request takes four times the service time.
     slots : int
-        How many requests it works on at once; the others queue.
+        Number of requests processed concurrently; further ones are queued.
     max_connections : int
-        Connections beyond these are closed at once.
+        Maximum number of connections; further ones are closed at once.
     service_ms : int
-        The service time of one request at speed 1, in milliseconds.
+        Service time of a request at speed 1, in milliseconds.
     runs_file : str
-        Where the list of requests that were run goes when the server stops.
+        File to which the requests that were run are written on shutdown.
     """
     plan = BackendPlan(
         name=str(name),
--- a/src/papayagw/_internal/cli/commands/standin_fabric.py
+++ b/src/papayagw/_internal/cli/commands/standin_fabric.py
@@ -1,4 +1,4 @@
-"""``papayagw standin fabric``: a stand-in of the platform's fabric."""
+"""``papayagw standin fabric``: a stand-in for the platform's network fabric."""
 
 import json
 import sys
@@ -19,11 +19,11 @@
 
 
 class StandinFabricCommand:
-    """Run a stand-in of the platform's fabric."""
+    """Run a stand-in for the platform's network fabric."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_fabric
 
 
@@ -34,24 +34,24 @@
     seed: int = 1,
     health: bool = False,
 ) -> int:
-    """Hand each packet to any balancer, until SIGTERM; then print the counts.
+    """Forward packets to random balancers until SIGTERM, then print packet counts.
 
     A route is ENTRY=TARGET,TARGET, such as
     127.0.1.1:4401=127.0.0.11:4401,127.0.0.12:4401. Each packet to the entry
-    address goes to a random target, dead or alive.
+    address goes to a random target, whether it is running or not.
 
     Parameters
     ----------
     routes : list of str
         One route for each entry address.
     loss : float
-        The share of packets that are lost, 0 to 1.
+        Fraction of packets that are lost, 0 to 1.
     duplicate : float
-        The share of packets that are sent twice, 0 to 1.
+        Fraction of packets that are sent twice, 0 to 1.
     seed : int
         Seed of the random choices.
     health : bool
-        Leave out for a second a target whose host refuses a packet.
+        Exclude a target for one second after its host refuses a packet.
     """
     fabric = Fabric(
         tuple(_read_route(str(route)) for route in routes),
@@ -62,7 +62,7 @@
     )
     if max_callers() < LOW_CALLER_LIMIT:
         print(
-            f"the limit of open files allows only {max_callers()} callers;"
+            f"the open file limit allows only {max_callers()} callers;"
             " raise it (ulimit -n) before starting the fabric",
             file=sys.stderr,
         )
--- a/src/papayagw/_internal/cli/commands/standin_platform.py
+++ b/src/papayagw/_internal/cli/commands/standin_platform.py
@@ -1,4 +1,4 @@
-"""``papayagw standin platform``: a stand-in of the platform's service."""
+"""``papayagw standin platform``: a stand-in for the platform's key-value store."""
 
 import json
 import signal
@@ -19,26 +19,26 @@
 
 
 class StandinPlatformCommand:
-    """Run a stand-in of the platform's key-value service."""
+    """Run a stand-in for the platform's key-value store."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_platform
 
 
 def run_platform(listen: str = DEFAULT_LISTEN) -> int:
-    """Hold keys and values in memory until SIGTERM; then print the calls' counts.
+    """Serve an in-memory key-value store until SIGTERM, then print call counts.
 
-    It speaks the JSON gateway of etcd v3. POST /standin/faults takes a JSON object
-    with outage, delay_ms, answer_delay_ms and lost_answers; POST
-    /standin/copies/NAME keeps a copy, POST /standin/restore/NAME goes back to it;
-    GET /standin/calls counts the calls.
+    It implements the JSON gateway of etcd v3. POST /standin/faults sets faults from a
+    JSON object with outage, delay_ms, answer_delay_ms and lost_answers; POST
+    /standin/copies/NAME saves a snapshot and POST /standin/restore/NAME restores it;
+    GET /standin/calls returns the call counts.
 
     Parameters
     ----------
     listen : str
-        Where to listen, as ip:port.
+        Endpoint to listen on, as ip:port.
     """
     standin = PlatformStandin(MonotonicClock())
     _install_noop_signal_handlers()
@@ -48,7 +48,8 @@
 
 
 def _install_noop_signal_handlers() -> None:
-    # The server hands its signals on to these handlers when it has stopped.
+    # After it has stopped, the server re-raises the signals that it caught. Without
+    # these handlers they would end the process before the counts are printed.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: None)
 
--- a/src/papayagw/_internal/cli/commands/status.py
+++ b/src/papayagw/_internal/cli/commands/status.py
@@ -1,4 +1,4 @@
-"""``papayagw status``: what nodes say about themselves."""
+"""``papayagw status``: status reports of nodes."""
 
 import json
 import signal
@@ -25,11 +25,11 @@
 
 
 class StatusCommand:
-    """Ask nodes for their status."""
+    """Query the status of nodes."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return show_status
 
 
@@ -41,28 +41,27 @@
     rounds: int | None = None,
     record: str | None = None,
 ) -> int:
-    """Ask nodes what they are doing and print it as tables.
+    """Query the status of nodes and print it as tables.
 
-    Exit code 0: all nodes answered. 1: some didn't; they are named with the
-    remedy. 2: the command line can't be used. 4: the file of records can't be
-    written.
+    Exit codes: 0 all nodes responded, 1 some didn't and are listed with a remedy, 2
+    the command line is invalid, 4 the record file can't be written.
 
     Parameters
     ----------
     nodes : str
-        The admin endpoints of the nodes, each as ip:port.
+        Admin endpoints of the nodes, each as ip:port.
     full : bool
-        Show also the peers and agents that each node knows, and its counters.
+        Also show the peers and agents known to each node, and its counters.
     json : bool
-        Print JSON in place of tables: one object a round, with everything.
+        Print JSON instead of tables: one object per round, with all details.
     every : float
-        Ask again after so many seconds, until stopped by ctrl-C or SIGTERM. The
-        exit code is then that of the last round.
+        Interval between rounds in seconds; repeat until ctrl-C or SIGTERM. The exit
+        code is that of the last round.
     rounds : int
-        Stop after so many rounds.
+        Stop after this number of rounds.
     record : str
-        Append what was counted between two rounds to this file, for
-        ``papayagw report burn``. Without --every, every 10 seconds.
+        Append the differences of the counts between rounds to this file, for
+        ``papayagw report burn``. Without --every, the interval is 10 seconds.
     """
     endpoints = _read_nodes(nodes)
     if record is not None and every is None:
@@ -83,7 +82,7 @@
 
 
 class _Printer:
-    """Prints rounds and remembers how the last one went."""
+    """Prints or records rounds and keeps the exit code of the last one."""
 
     def __init__(self, write: PollHandler):
         self._write = write
@@ -91,18 +90,18 @@
 
     @property
     def exit_code(self) -> ExitCode:
-        """The exit code after the last round."""
+        """REFUSED if a node didn't respond in the last round, else OK."""
         return self._exit_code
 
     def show(
         self, reports: Sequence[StatusReport], errors: Sequence[StatusError]
     ) -> None:
-        """Print one round."""
+        """Print the reports and errors of one round."""
         self._write(reports, errors)
         self._exit_code = ExitCode.REFUSED if errors else ExitCode.OK
 
     def make_recording_handler(self, recorder: Recorder) -> PollHandler:
-        """Return what records a round and prints a line about it."""
+        """Return a handler that records a round and prints a summary line."""
 
         def record(
             reports: Sequence[StatusReport], errors: Sequence[StatusError]
@@ -123,7 +122,7 @@
     except ValueError as error:
         raise _make_usage_error(str(error)) from error
     if not endpoints:
-        raise _make_usage_error("no node is named")
+        raise _make_usage_error("no node is given")
     return endpoints
 
 
--- a/src/papayagw/_internal/cli/loading.py
+++ b/src/papayagw/_internal/cli/loading.py
@@ -1,4 +1,4 @@
-"""Reading of a process's settings for the commands that run one."""
+"""Loading of settings and configuration by commands that run a process."""
 
 from typing import TypeVar
 
@@ -18,12 +18,12 @@
 
 
 def unwrap_settings(result: Result[T, Problems]) -> T:
-    """Return settings that were read.
+    """Return the settings in a result of loading them.
 
     Raises
     ------
     SettingsError
-        If there are problems; it lists them all.
+        If the settings are invalid; it lists every problem.
     """
     if is_successful(result):
         return result.unwrap()
@@ -33,14 +33,21 @@
 def start_configuration_source(
     node: NodeSettings, log: Log
 ) -> tuple[ConfigurationSource, Configuration]:
-    """Return the configuration source of a node, started, and what is in force.
+    """Start the configuration source of a node.
 
     Parameters
     ----------
     node : NodeSettings
-        The node's settings.
+        Settings of the node.
     log : Log
-        Where trouble with the platform is logged.
+        Log for errors of the platform.
+
+    Returns
+    -------
+    source : ConfigurationSource
+        The started source.
+    configuration : Configuration
+        The configuration in force; the call waits until there is one.
     """
     source = make_source(node, log.failure)
     log.info("waiting for a configuration", step=Step.START)
--- a/src/papayagw/_internal/cli/main.py
+++ b/src/papayagw/_internal/cli/main.py
@@ -1,4 +1,4 @@
-"""Entry of the command line."""
+"""Entry point of the command line."""
 
 import sys
 from collections.abc import Callable, Iterator, Sequence
@@ -17,7 +17,7 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
-    """Run the command that the command line names, and exit with its code."""
+    """Run the command given by `arguments` or `sys.argv`, and exit with its code."""
     words = tuple(sys.argv[1:] if arguments is None else arguments)
     if words[:1] == ("--version",):
         print(f"papayagw {__version__}")
@@ -39,7 +39,7 @@
 
 
 def format_overview(commands: Sequence[CommandInfo]) -> str:
-    """Return a list of commands."""
+    """Return the usage line and a table of commands with their summaries."""
     width = max(len(" ".join(info.words)) for info in commands)
     lines = [f"  {' '.join(info.words):{width}}  {info.summary}" for info in commands]
     head = "usage: papayagw COMMAND [--help] [flags]\n\ncommands:\n"
@@ -50,7 +50,7 @@
     """Return the help page of a command."""
     name = _join(info.words)
     page: str = HelpText(run, FireTrace(run, name=name))
-    # The library quotes a name of several words as one word of a shell.
+    # fire quotes a name of several words as if it were a single shell word.
     return page.replace(f"'{name}'", name)
 
 
@@ -59,22 +59,22 @@
 
 
 def _handle_unknown_command(words: Sequence[str]) -> ExitCode:
-    """Say which commands there are, where the command line names none."""
+    """Print the available commands if the command line doesn't name a command."""
     group = [info for info in COMMANDS if info.words[0] == words[0]]
     if group and words[1:2] in ((), (_HELP_FLAG,)):
         print(format_overview(group))
         return ExitCode.OK
     typed = " ".join(words[:2])
     overview = format_overview(group or COMMANDS)
-    print(f"papayagw: no command {typed!r}\n\n{overview}", file=sys.stderr)
+    print(f"papayagw: unknown command {typed!r}\n\n{overview}", file=sys.stderr)
     return ExitCode.USAGE
 
 
 class _DeferredCall:
-    """Keeps the call that the command line makes until all of it is understood.
+    """Defers a command until the whole command line has been parsed.
 
-    The library calls a command before it looks at what is left of the line, so
-    that a flag that doesn't exist would be told only after the command has run.
+    fire calls a command before it checks the remaining arguments, so it would
+    report an unknown flag only after the command has run.
     """
 
     def __init__(self, run: Callable[..., int]):
@@ -83,7 +83,7 @@
 
     @property
     def capture(self) -> Callable[..., None]:
-        """Take the arguments; it has the help page and the flags of the command."""
+        """Function with the signature of the command that stores its arguments."""
 
         @wraps(self._run)
         def capture(*args: object, **flags: object) -> None:
@@ -92,7 +92,7 @@
         return capture
 
     def call(self) -> int:
-        """Run the command with the arguments that were taken."""
+        """Run the command with the stored arguments and return its exit code."""
         return self._call()
 
 
@@ -102,7 +102,8 @@
     except PapayagwError as error:
         return _print_error(error)
     except BaseExceptionGroup as group:
-        # The tasks of a daemon end in a group; one error of ours is told plainly.
+        # Task groups of a daemon wrap exceptions in a group. A group that holds only
+        # papayagw errors is printed as messages, without a traceback.
         expected, unexpected = group.split(PapayagwError)
         if expected is None or unexpected is not None:
             raise
--- a/src/papayagw/_internal/cli/platform_access.py
+++ b/src/papayagw/_internal/cli/platform_access.py
@@ -1,4 +1,4 @@
-"""The platform's service as the commands use it."""
+"""Access of commands to the configuration store of the platform."""
 
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
@@ -15,16 +15,18 @@
 async def open_store(
     urls: Sequence[str], site: str
 ) -> AsyncIterator[ConfigurationStore]:
-    """Open the store of a site, and close it afterwards.
+    """Open the configuration store of a site, and close it on exit.
 
     Raises
     ------
     SettingsError
-        If no URL is given.
+        If `urls` is empty.
     """
     if not urls:
         raise SettingsError(
-            "no platform", step=Step.SETTINGS, remedy="give --platform URL,URL"
+            "no URL of the platform is given",
+            step=Step.SETTINGS,
+            remedy="give --platform URL,URL",
         )
     store = ConfigurationStore(EtcdStore([url.rstrip("/") for url in urls]), site)
     try:
@@ -34,12 +36,12 @@
 
 
 async def read_in_force(urls: Sequence[str], site: str) -> Configuration:
-    """Return the configuration that the platform holds for a site.
+    """Return the configuration of a site that is in force at the platform.
 
     Raises
     ------
     PapayagwError
-        If there is none, or no answer.
+        If no configuration was ever submitted, or the platform doesn't respond.
     """
     async with open_store(urls, site) as store:
         result = await store.read()
@@ -51,11 +53,11 @@
             f"no configuration of {site} was ever submitted",
             step=Step.STATUS,
             peer=", ".join(urls),
-            remedy="papayagw config submit makes the first version",
+            remedy="submit the first version with papayagw config submit",
         )
     return configuration
 
 
 async def read_site_in_force(urls: Sequence[str], site: str) -> Site:
-    """Return the site that the platform holds."""
+    """Return the site of the configuration in force; raises as `read_in_force`."""
     return (await read_in_force(urls, site)).site
--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -1,7 +1,7 @@
-"""The names of all commands, and where each one's module is.
+"""Registry of all commands and their modules.
 
-Modules are imported when they are needed, so that a daemon doesn't hold the
-libraries of every other command in memory.
+Modules are imported on demand, so that a daemon doesn't load the libraries of the
+other commands into memory.
 """
 
 from dataclasses import dataclass
@@ -14,16 +14,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CommandInfo:
-    """A command as the list of commands shows it.
+    """Entry of a command in the registry.
 
     Attributes
     ----------
     words : tuple of str
-        What the operator types, such as ``("config", "check")``.
+        Words of the command line that select it, such as ``("config", "check")``.
     module : str
-        The module under ``commands``.
+        Name of the module under ``commands``.
     summary : str
-        One line of help.
+        One-line description for the list of commands.
     """
 
     words: tuple[str, ...]
@@ -31,28 +31,34 @@
     summary: str
 
     def load(self) -> Command:
-        """Import the command."""
+        """Import the module of the command and return its ``COMMAND``."""
         command: Command = import_module(f"{_COMMANDS}.{self.module}").COMMAND
         return command
 
 
 COMMANDS = (
-    CommandInfo(("balancer",), "balancer", "Hand packets to the agents."),
+    CommandInfo(("balancer",), "balancer", "Forward packets to the agents."),
     CommandInfo(("agent",), "agent", "Own the flows of a backend server."),
-    CommandInfo(("connect",), "connect", "Carry TCP connections as flows."),
-    CommandInfo(("config", "check"), "config_check", "Check a site's files."),
-    CommandInfo(("config", "diff"), "config_diff", "Show what a change changes."),
-    CommandInfo(("config", "submit"), "config_submit", "Make files the next version."),
+    CommandInfo(("connect",), "connect", "Forward TCP connections as flows."),
+    CommandInfo(("config", "check"), "config_check", "Validate a site's files."),
+    CommandInfo(
+        ("config", "diff"),
+        "config_diff",
+        "Show the differences between configurations.",
+    ),
+    CommandInfo(
+        ("config", "submit"), "config_submit", "Submit files as the next version."
+    ),
     CommandInfo(("config", "status"), "config_status", "Show the version in force."),
     CommandInfo(
-        ("keys", "make"), "keys_make", "Make a development certificate and fleet key."
+        ("keys", "make"), "keys_make", "Create a development certificate and fleet key."
     ),
-    CommandInfo(("status",), "status", "Show what nodes are doing; record it."),
+    CommandInfo(("status",), "status", "Show or record the status of nodes."),
     CommandInfo(("report", "burn"), "report_burn", "Report on service-level burn."),
     CommandInfo(
         ("platform", "balancer"),
         "platform_balancer",
-        "Hand plain flows to the agents of the prepared platform.",
+        "Forward plain flows to the agents of the prepared platform.",
     ),
     CommandInfo(
         ("platform", "agent"),
@@ -60,15 +66,19 @@
         "Own plain flows on the prepared platform.",
     ),
     CommandInfo(
-        ("standin", "platform"), "standin_platform", "Hold keys and values in memory."
+        ("standin", "platform"), "standin_platform", "Run an in-memory key-value store."
+    ),
+    CommandInfo(("load",), "load", "Generate load on a site and report the results."),
+    CommandInfo(
+        ("standin", "fabric"), "standin_fabric", "Forward packets to random balancers."
+    ),
+    CommandInfo(
+        ("standin", "backend"), "standin_backend", "Run a test backend server."
     ),
-    CommandInfo(("load",), "load", "Put load on a site and report."),
-    CommandInfo(("standin", "fabric"), "standin_fabric", "Spray packets at random."),
-    CommandInfo(("standin", "backend"), "standin_backend", "Serve as a backend."),
 )
 
 
 def find_command(words: tuple[str, ...]) -> CommandInfo | None:
-    """Return the command at the start of a command line, or None."""
+    """Return the command that `words` begin with, or None."""
     matches = (info for info in COMMANDS if words[: len(info.words)] == info.words)
     return next(matches, None)
--- a/src/papayagw/_internal/cli/running.py
+++ b/src/papayagw/_internal/cli/running.py
@@ -1,4 +1,4 @@
-"""Running of a daemon by its command."""
+"""Running of daemons by their commands."""
 
 import anyio
 
@@ -14,7 +14,7 @@
 
 
 def make_identity(name: str, role: Role, zone: str) -> NodeIdentity:
-    """Return the identity of the run that starts now."""
+    """Create the identity of a run of a node that starts now."""
     started_at = MonotonicClock().now()
     return NodeIdentity(name, role, zone, make_incarnation(), started_at)
 
--- a/src/papayagw/_internal/cli/site_files.py
+++ b/src/papayagw/_internal/cli/site_files.py
@@ -1,4 +1,4 @@
-"""Reading of a site's files for the commands."""
+"""Loading of a site's files by commands."""
 
 from pathlib import Path
 
@@ -8,11 +8,11 @@
 
 
 def read_site(base: str, overlay: str | None) -> Site:
-    """Return the site that a base file and an overlay describe.
+    """Return the site described by a base file and an optional overlay.
 
     Raises
     ------
     SettingsError
-        If there is any problem; it names every one.
+        If the files are invalid; it lists every problem.
     """
     return unwrap_settings(load_site(Path(base), Path(overlay) if overlay else None))
--- a/src/papayagw/_internal/cli/values.py
+++ b/src/papayagw/_internal/cli/values.py
@@ -1,27 +1,27 @@
-"""Reading of flag values, which the command-line library has already parsed."""
+"""Validation and conversion of flag values that fire has already parsed."""
 
 from papayagw._internal.exceptions import SettingsError, Step
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
 from papayagw._internal.models.endpoint import Endpoint
 
 FlagList = str | int | tuple[object, ...] | list[object]
-"""A flag with commas: the library makes a tuple of it when it has any."""
+"""Value of a comma-separated flag; fire parses it to a tuple if it has a comma."""
 
 
 def split_list(value: FlagList) -> tuple[str, ...]:
-    """Return the words of a flag that holds a list with commas."""
+    """Return the items of a comma-separated flag as strings."""
     if isinstance(value, (tuple, list)):
         return tuple(str(item) for item in value)
     return tuple(word for word in str(value).split(",") if word)
 
 
 def read_seconds(value: object, flag: str) -> Millis:
-    """Return the duration that a flag gives in seconds.
+    """Return the duration of a flag in seconds, converted to ms.
 
     Raises
     ------
     SettingsError
-        If it isn't a number above 0.
+        If `value` isn't a number above 0.
     """
     if isinstance(value, bool) or not isinstance(value, (int, float)) or value <= 0:
         raise SettingsError(
@@ -33,12 +33,12 @@
 
 
 def read_endpoint(value: object, flag: str) -> Endpoint:
-    """Return the endpoint that a flag holds.
+    """Return the endpoint given by a flag.
 
     Raises
     ------
     SettingsError
-        If it isn't an IPv4 number, a colon and a port.
+        If `value` isn't an IPv4 address, a colon and a port.
     """
     try:
         return Endpoint.parse(str(value))
@@ -49,16 +49,16 @@
 
 
 def read_integer(value: object, flag: str) -> int:
-    """Return the whole number that a flag holds.
+    """Return the nonnegative integer given by a flag.
 
     Raises
     ------
     SettingsError
-        If it isn't one, or below 0.
+        If `value` isn't an integer, or is negative.
     """
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise SettingsError(
-            f"expected a whole number, found {value!r}",
+            f"expected a whole number from 0, found {value!r}",
             step=Step.SETTINGS,
             remedy=f"give --{flag} as digits",
         )
--- a/src/papayagw/_internal/core/record_selection.py
+++ b/src/papayagw/_internal/core/record_selection.py
@@ -48,10 +48,10 @@
     def notes(self) -> tuple[str, ...]:
         """Remarks on skipped and long records, for the reader of a report."""
         notices = (
-            ("passed over, from the future (a clock is wrong)", self.ahead),
-            ("passed over, of a time that others cover", self.overlapping),
-            ("passed over, older than 30 d", self.old),
-            ("of more than 5 min, which overstate short windows", self.long),
+            ("skipped (ending in the future, a clock is wrong)", self.ahead),
+            ("skipped (overlapping earlier records)", self.overlapping),
+            ("skipped (older than 30 d)", self.old),
+            ("longer than 5 min, which overstate short windows", self.long),
         )
         return tuple(f"records {notice}: {count}" for notice, count in notices if count)
 
--- a/tests/lib/configurations.py
+++ b/tests/lib/configurations.py
@@ -1,4 +1,4 @@
-"""Configurations and a world of racing operators for tests."""
+"""Configurations, and a simulation of concurrent submissions, for tests."""
 
 from dataclasses import dataclass, replace
 
@@ -27,13 +27,13 @@
 
 
 def make_site(max_flows=2000, site=SITE):
-    """Return a site that differs from others in one service."""
+    """Return a copy of `site` with another flow limit of its first service."""
     first, *others = site.services
     return replace(site, services=(replace(first, max_flows=max_flows), *others))
 
 
 def make_configuration(version, submission_id="", site=SITE):
-    """Return a configuration with the marks of all its versions."""
+    """Return a configuration whose history has an entry for each version."""
     entries = [
         SubmissionEntry(number, f"id-{number}", "anna")
         for number in range(version, 0, -1)
@@ -45,7 +45,7 @@
 
 @dataclass
 class Operator:
-    """An operator at work: one call is outstanding at a time."""
+    """An operator who submits a configuration, with at most one pending call."""
 
     submission: Submission
     call: int | None = None
@@ -57,7 +57,11 @@
 
 
 class SubmissionSimulation:
-    """Operators, a store and a network that delays, reorders and loses."""
+    """Simulation of operators, a store and a network that fails.
+
+    The network delays and reorders calls and loses responses. A schedule names the
+    methods to call, each with a number that selects the operator, call or node.
+    """
 
     def __init__(
         self, operators, make_submission=Submission, make_log=ConfigurationLog
@@ -95,7 +99,7 @@
             self._deliver_response(sorted(self.responses)[number % len(self.responses)])
 
     def call(self, number):
-        """One call of an operator from end to end."""
+        """Complete one call of an operator, from the request to the response."""
         operator = self.operators[number % len(self.operators)]
         self.send(number)
         if operator.call in self.requests:
@@ -104,12 +108,12 @@
             self._deliver_response(operator.call)
 
     def submit(self, number):
-        """A read and a write without a fault between them."""
+        """Complete a read and a write of an operator without a fault between them."""
         self.call(number)
         self.call(number)
 
     def lose_response(self, number):
-        """One call that takes effect, and whose answer comes late or never."""
+        """Make a call that takes effect but whose response is late or lost."""
         operator = self.operators[number % len(self.operators)]
         self.send(number)
         if operator.call in self.requests:
@@ -117,7 +121,7 @@
         self.time_out_call(number)
 
     def delay(self, number):
-        """One call that takes effect late, after its operator has given it up."""
+        """Make a call that takes effect only after its operator has timed out."""
         self.send(number)
         self.time_out_call(number)
 
@@ -149,7 +153,7 @@
         self.store.restore(self.snapshots[number % len(self.snapshots)])
 
     def finish(self):
-        """Deliver everything, late writes too, until every operator is told."""
+        """Deliver all calls, also late writes, until every operator has an outcome."""
         while self.requests or any(
             operator.outcome is None for operator in self.operators
         ):
@@ -161,7 +165,11 @@
                 self.respond(0)
 
     def find_wrong_outcomes(self):
-        """Return the operators that were told what isn't so."""
+        """Return operators with a wrong outcome, each with that outcome and its version.
+
+        Accepted must name the version that the store has of the submission; Refused is
+        wrong if the store has any.
+        """
         owners = {written.submission_id: written.version for written in self.written}
         wrong = []
         for number, operator in enumerate(self.operators):
--- a/tests/unit/test_burn.py
+++ b/tests/unit/test_burn.py
@@ -159,17 +159,21 @@
     ("others", "kept", "note"),
     [
         ([make_record(NOW - STEP)], 2, ""),
-        ([GOOD], 1, "records passed over, of a time that others cover: 1"),
-        ([make_record(NOW - 3_000)], 1, "records passed over, of a time"),
+        ([GOOD], 1, "records skipped (overlapping earlier records): 1"),
+        ([make_record(NOW - 3_000)], 1, "records skipped (overlapping"),
         ([make_record(NOW, instance="order-2")], 2, ""),
         ([make_record(NOW, service="drawings")], 2, ""),
-        ([make_record(NOW + 2 * MINUTE)], 1, "records passed over, from the future"),
+        (
+            [make_record(NOW + 2 * MINUTE)],
+            1,
+            "records skipped (ending in the future",
+        ),
         ([make_record(NOW + MINUTE)], 2, ""),
-        ([make_record(NOW - PERIOD_MS)], 1, "records passed over, older than 30 d: 1"),
+        ([make_record(NOW - PERIOD_MS)], 1, "records skipped (older than 30 d): 1"),
         (
             [make_record(NOW - HOUR, start=NOW - 2 * HOUR)],
             2,
-            "records of more than 5 min",
+            "records longer than 5 min",
         ),
     ],
 )
--- a/tests/unit/test_operator_commands.py
+++ b/tests/unit/test_operator_commands.py
@@ -14,7 +14,7 @@
 
 
 def run(capsys, *words):
-    """Return the exit code and what was printed."""
+    """Return the exit code, stdout and stderr of a command."""
     with pytest.raises(SystemExit) as raised:
         main([str(word) for word in words])
     printed = capsys.readouterr()
@@ -22,7 +22,7 @@
 
 
 def write_records(path, *records):
-    """Write records whose times are in ms from now."""
+    """Write records, given as pairs of end (ms from now) and other fields."""
     now = int(time.time() * 1_000)
     lines = [
         encode_record(make_record(now + end, **changes)) for end, changes in records
@@ -34,7 +34,7 @@
 @pytest.mark.parametrize(
     ("words", "code", "message"),
     [
-        (["status"], 2, "no node is named; give the admin endpoint"),
+        (["status"], 2, "no node is given; give the admin endpoint"),
         (["status", "localhost:1"], 2, "expected an IPv4 address, found 'localhost'"),
         (["status", UNREACHABLE], 1, f"(peer {UNREACHABLE}); check that the node runs"),
         (["status", UNREACHABLE, "--json"], 1, '"no_answer": [{"peer": "127.0.0.1:1"'),
@@ -47,7 +47,7 @@
         ),
         (["status", UNREACHABLE, "--colour"], 2, "Could not consume arg: --colour"),
         (["status", UNREACHABLE, "--record=/", "--rounds=1"], 4, "can't be written to"),
-        (["report", "burn"], 2, "no file of records is named"),
+        (["report", "burn"], 2, "no record file is given"),
         (["report", "burn", "/none"], 4, "can't be read: No such file"),
         (["report", "burn", "/"], 4, "can't be read: Is a directory"),
         (["report", "burn", "/dev/null"], 4, "no usable records (peer /dev/null)"),
@@ -69,8 +69,8 @@
         (["--version"], 0, "papayagw 0."),
         (["config"], 0, "  config submit  "),
         (["config", "--help"], 0, "  config submit  "),
-        (["config", "sumbit"], 2, "no command 'config sumbit'"),
-        (["sing"], 2, "no command 'sing'"),
+        (["config", "sumbit"], 2, "unknown command 'config sumbit'"),
+        (["sing"], 2, "unknown command 'sing'"),
         *(
             ([*info.words, "--help"], 0, f"papayagw {' '.join(info.words)} - ")
             for info in COMMANDS
@@ -90,8 +90,12 @@
         ([(0, {"broken": 1})], 1, "order, availability: 1 of 100 flows broken, 1000%"),
         ([(10_000, {}), (0, {})], 0, "all objectives are met"),
         ([(0, {}), (-60_000, {"broken": 1})], 1, "BUDGET SPENT"),
-        ([(0, {}), (0, {})], 0, "of a time that others cover: 1"),
-        ([(0, {}), (600_000, {"broken": 1})], 0, "from the future (a clock is wrong)"),
+        ([(0, {}), (0, {})], 0, "(overlapping earlier records): 1"),
+        (
+            [(0, {}), (600_000, {"broken": 1})],
+            0,
+            "ending in the future, a clock is wrong",
+        ),
     ],
 )
 def test_burn_report_judges_records(capsys, tmp_path, records, code, message):
@@ -103,7 +107,7 @@
 @pytest.mark.parametrize(
     ("records", "message"),
     [
-        ([(600_000, {})], "from the future"),
+        ([(600_000, {})], "ending in the future"),
         ([(-40 * 86_400_000, {})], "older than 30 d"),
     ],
 )
@@ -118,7 +122,7 @@
     path.write_bytes(path.read_bytes()[:-20])
     found, out, _ = run(capsys, "report", "burn", path)
     assert found == 0
-    assert f"passed over {path}:2: cut off before its end" in out
+    assert f"skipped {path}:2: cut off before its end" in out
 
 
 def test_burn_report_as_json_and_picture(capsys, tmp_path):
