--- a/src/papayagw/__init__.py
+++ b/src/papayagw/__init__.py
@@ -23,11 +23,11 @@
     "__version__",
 ]
 
-_LAZY = ("Caller", "Flow")
+_LAZY_NAMES = ("Caller", "Flow")
 
 
 def __getattr__(name: str) -> object:
-    # Loaded when asked for: a balancer needn't hold the caller library in memory.
-    if name in _LAZY:
+    # Imported on demand, so that a balancer doesn't load the caller library.
+    if name in _LAZY_NAMES:
         return getattr(import_module("papayagw._internal.net.caller"), name)
     raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/src/papayagw/__main__.py
+++ b/src/papayagw/__main__.py
@@ -1,4 +1,4 @@
-"""Run the command line as ``python -m papayagw``."""
+"""Entry point of ``python -m papayagw``."""
 
 from papayagw._internal.cli.main import main
 
--- a/src/papayagw/_internal/cli/commands/config_status.py
+++ b/src/papayagw/_internal/cli/commands/config_status.py
@@ -13,7 +13,7 @@
 from papayagw._internal.models.configuration import Configuration
 
 _TIMEOUT_S = 2.0
-_SHOWN_SUBMISSIONS = 5
+_MAX_SHOWN_SUBMISSIONS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +95,7 @@
 def _format(
     configuration: Configuration, versions: list[NodeVersion], as_json: bool
 ) -> str:
-    shown = configuration.history[:_SHOWN_SUBMISSIONS]
+    shown = configuration.history[:_MAX_SHOWN_SUBMISSIONS]
     if as_json:
         content = {
             "site": configuration.site.name,
--- a/src/papayagw/_internal/cli/commands/config_submit.py
+++ b/src/papayagw/_internal/cli/commands/config_submit.py
@@ -65,7 +65,8 @@
     operator : str
         Name recorded with the submission; defaults to your login name.
     limit_ms : int
-        Time limit for retries while the platform doesn't respond, in milliseconds.
+        Time limit of the submission in milliseconds, including retries while the
+        platform doesn't respond.
     """
     proposal = Proposal(
         site=read_site(base, overlay),
--- a/src/papayagw/_internal/cli/commands/report_burn.py
+++ b/src/papayagw/_internal/cli/commands/report_burn.py
@@ -41,8 +41,8 @@
     """Report how fast each service consumes the error budgets of its objectives.
 
     All windows end with the newest record. A burn of 1 consumes exactly the budget.
-    The last window, 30 d, is the period of the budget, computed from the records
-    that exist of it.
+    The last window, 30 d, is the period of the budget itself; it is computed from
+    the records that cover part of it.
 
     Exit codes: 0 no budget is spent, 1 at least one is, 2 the command line or a
     settings file is invalid, 4 there are no usable records or a file can't be read
--- a/src/papayagw/_internal/cli/main.py
+++ b/src/papayagw/_internal/cli/main.py
@@ -104,10 +104,10 @@
     except BaseExceptionGroup as group:
         # Task groups of a daemon wrap exceptions in a group. A group that holds only
         # papayagw errors is printed as messages, without a traceback.
-        expected, unexpected = group.split(PapayagwError)
-        if expected is None or unexpected is not None:
+        papayagw_errors, other_errors = group.split(PapayagwError)
+        if papayagw_errors is None or other_errors is not None:
             raise
-        return max(_print_error(error) for error in _find_leaves(expected))
+        return max(_print_error(error) for error in _find_leaves(papayagw_errors))
     except KeyboardInterrupt:
         return ExitCode.FAILED
 
--- a/src/papayagw/_internal/settings/kinds.py
+++ b/src/papayagw/_internal/settings/kinds.py
@@ -61,7 +61,7 @@
 
     Attributes
     ----------
-    words : tuple of str
+    options : tuple of str
         Allowed values.
     """
 
@@ -103,7 +103,7 @@
 
     Attributes
     ----------
-    least, most : int
+    minimum, maximum : int
         Bounds of the range, both inclusive.
     unit : str
         Unit of the value, for error messages; empty if it has none.
@@ -144,7 +144,7 @@
 
     Attributes
     ----------
-    least, most : float
+    minimum, maximum : float
         Bounds of the range, both inclusive.
     """
 
--- a/src/papayagw/_internal/settings/structure.py
+++ b/src/papayagw/_internal/settings/structure.py
@@ -50,7 +50,7 @@
     kinds : dict of str to Kind
         Kind of the value of each key.
     renamed : dict of str to str or None
-        Attribute names of the keys whose names differ from them.
+        Attribute name of each key whose own name differs from it.
     """
     attributes = {attribute.name: attribute for attribute in fields(data_class)}
     keys = []
@@ -137,7 +137,7 @@
     ----------
     member : Kind
         Kind of the members.
-    least : int
+    min_length : int
         Minimum number of members.
     """
 
--- a/tests/lib/configurations.py
+++ b/tests/lib/configurations.py
@@ -165,10 +165,10 @@
                 self.respond(0)
 
     def find_wrong_outcomes(self):
-        """Return operators with a wrong outcome, each with that outcome and its version.
+        """Return each operator with a wrong outcome, with the outcome and the version.
 
-        Accepted must name the version that the store has of the submission; Refused is
-        wrong if the store has any.
+        Accepted must name the version that was written for the submission; Refused is
+        wrong if one was written.
         """
         owners = {written.submission_id: written.version for written in self.written}
         wrong = []
