--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -1,11 +1,11 @@
-"""``papayagw agent``: the process beside each backend server."""
+"""``papayagw agent``: the process in front of each backend server."""
 
 import random
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 
-from papayagw._internal.cli.loading import start_source, unwrap
+from papayagw._internal.cli.loading import start_configuration_source, unwrap_settings
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.core.admission import make_adaptive
 from papayagw._internal.core.agent import AgentCore
@@ -34,36 +34,36 @@
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_agent
 
 
 def run_agent(settings: str) -> int:
-    """Accept flows, carry them to the backend server and announce it.
+    """Accept flows, forward them to the backend server and announce the agent.
 
-    SIGTERM drains: no new flow is taken, those that are open go on up to the
-    service's drain_limit_ms, or stop_limit_ms where that is longer. A second
-    SIGTERM stops at once, and the callers of open flows are told that their
+    SIGTERM drains the agent: it accepts no new flows, and open flows may continue
+    for the service's drain_limit_ms or for stop_limit_ms, whichever is longer. A
+    second SIGTERM stops at once; callers of open flows are notified that the
     outcome is unknown.
 
     Parameters
     ----------
     settings : str
-        The settings file of this process.
+        Settings file of this process.
     """
-    read = unwrap(load_agent(Path(settings)))
+    loaded = unwrap_settings(load_agent(Path(settings)))
     clock = MonotonicClock()
-    log = configure_logging(read.node.name, clock, read.node.log_level)
-    source, configuration = start_source(read.node, log)
-    process = _make_process(read, configuration, source, clock, log)
-    identity = make_identity(read.node.name, Role.AGENT, read.node.zone)
+    log = configure_logging(loaded.node.name, clock, loaded.node.log_level)
+    source, configuration = start_configuration_source(loaded.node, log)
+    process = _make_process(loaded, configuration, source, clock, log)
+    identity = make_identity(loaded.node.name, Role.AGENT, loaded.node.zone)
     account = AgentAccount(
-        identity, read, process, lambda: process.configuration, clock
+        identity, loaded, process, lambda: process.configuration, clock
     )
-    # A process with long flows may stay longer than others.
-    drain_limit = _find_service(read, configuration).drain_limit_ms
-    stop_limit = max(read.node.stop_limit_ms, drain_limit)
-    node = replace(read.node, stop_limit_ms=stop_limit)
+    # The drain limit of a service may exceed the stop limit of the process.
+    drain_limit = _find_service(loaded, configuration).drain_limit_ms
+    stop_limit = max(loaded.node.stop_limit_ms, drain_limit)
+    node = replace(loaded.node, stop_limit_ms=stop_limit)
     return run_observed(process, account, node, log)
 
 
@@ -93,12 +93,12 @@
 def _find_service(settings: AgentSettings, configuration: Configuration) -> Service:
     service = configuration.site.find_service(settings.service)
     if service is None:
-        names = ", ".join(one.name for one in configuration.site.services)
+        names = ", ".join(service.name for service in configuration.site.services)
         raise SettingsError(
             f"service: found {settings.service!r}, expected one of {names}",
             step=Step.SETTINGS,
             peer=settings.node.name,
-            remedy="name a service of the configuration in the settings file",
+            remedy="set service to one of the configured services in the settings file",
         )
     return service
 
--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -1,10 +1,10 @@
-"""``papayagw balancer``: the thin entry instance."""
+"""``papayagw balancer``: the process that receives callers' packets."""
 
 import random
 from collections.abc import Callable
 from pathlib import Path
 
-from papayagw._internal.cli.loading import start_source, unwrap
+from papayagw._internal.cli.loading import start_configuration_source, unwrap_settings
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.core.membership import BalancerMembership
@@ -18,31 +18,31 @@
 
 
 class BalancerCommand:
-    """Hand callers' packets to the agents."""
+    """Forward callers' packets to the agents."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_balancer
 
 
 def run_balancer(settings: str) -> int:
-    """Hand each packet to the agent that its tag names, or that is chosen for it.
+    """Forward each packet to the agent in its tag, or to an agent chosen for it.
 
-    A balancer holds no state of a flow: it may be stopped and started at any
-    time. SIGTERM hands on what still comes for a second and exits; a second
+    A balancer keeps no flow state, so it can be stopped and started at any time.
+    After SIGTERM it forwards packets for one more second and exits; a second
     SIGTERM exits at once.
 
     Parameters
     ----------
     settings : str
-        The settings file of this process.
+        Settings file of this process.
     """
-    read = unwrap(load_balancer(Path(settings)))
-    node = read.node
+    loaded = unwrap_settings(load_balancer(Path(settings)))
+    node = loaded.node
     clock = MonotonicClock()
     log = configure_logging(node.name, clock, node.log_level)
-    source, configuration = start_source(node, log)
+    source, configuration = start_configuration_source(node, log)
     directory = AgentDirectory()
     membership = BalancerMembership(
         BalancerRecord(node.inner, make_incarnation(), node.zone),
@@ -51,7 +51,7 @@
         random.Random(),
     )
     process = BalancerProcess(
-        read, configuration, directory, membership, clock, source, log
+        loaded, configuration, directory, membership, clock, source, log
     )
     identity = make_identity(node.name, Role.BALANCER, node.zone)
     account = BalancerAccount(
--- a/src/papayagw/_internal/cli/commands/config_status.py
+++ b/src/papayagw/_internal/cli/commands/config_status.py
@@ -1,4 +1,4 @@
-"""``papayagw config status``: the version in force at the platform and balancers."""
+"""``papayagw config status``: the version in force at the platform and at nodes."""
 
 import json
 from collections.abc import Callable
@@ -13,19 +13,19 @@
 from papayagw._internal.models.configuration import Configuration
 
 _TIMEOUT_S = 2.0
-_SHOWN_SUBMISSIONS = 5
+_MAX_SHOWN_SUBMISSIONS = 5
 
 
 @dataclass(frozen=True, slots=True)
 class NodeVersion:
-    """The version in force at one process.
+    """Configuration version in force at a node.
 
     Attributes
     ----------
     node : str
-        Where the process serves its status.
+        Admin address of the node.
     version : int or None
-        The version, or None if the process gave no answer.
+        The version, or None if the node didn't respond.
     """
 
     node: str
@@ -33,32 +33,32 @@
 
 
 class ConfigStatusCommand:
-    """Show the version in force."""
+    """Show the version in force at the platform and at nodes."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return show_status
 
 
 def show_status(
     site: str, platform: FlagList = (), nodes: FlagList = (), json: bool = False
 ) -> int:
-    """Show the version that the platform holds and the one at each process.
+    """Show the version in force at the platform and at each node.
 
-    Exit codes: 0 all hold the same version, 1 one differs or gave no answer, 4 the
-    platform gave no answer.
+    Exit codes: 0 all versions are the same, 1 a node has another version or doesn't
+    respond, 4 the platform doesn't respond or has no version.
 
     Parameters
     ----------
     site : str
-        The name of the site.
+        Name of the site.
     platform : list of str
-        URLs of the platform's service, tried in turn.
+        URLs of the platform, tried in turn.
     nodes : list of str
-        Admin addresses of processes, as ip:port with commas between them.
+        Admin addresses of nodes, as ip:port, separated by commas.
     json : bool
-        Print JSON in place of a table.
+        Print JSON instead of a table.
     """
     return anyio.run(_show, site, split_list(platform), split_list(nodes), json)
 
@@ -67,19 +67,19 @@
     site: str, urls: tuple[str, ...], nodes: tuple[str, ...], as_json: bool
 ) -> int:
     configuration = await read_in_force(urls, site)
-    versions = await _ask_nodes(nodes)
+    versions = await _query_nodes(nodes)
     print(_format(configuration, versions, as_json))
-    agree = all(one.version == configuration.version for one in versions)
-    return ExitCode.OK if agree else ExitCode.REFUSED
+    all_agree = all(node.version == configuration.version for node in versions)
+    return ExitCode.OK if all_agree else ExitCode.REFUSED
 
 
-async def _ask_nodes(nodes: tuple[str, ...]) -> list[NodeVersion]:
+async def _query_nodes(nodes: tuple[str, ...]) -> list[NodeVersion]:
     versions: dict[str, int | None] = {}
 
-    async def ask(client: httpx.AsyncClient, node: str) -> None:
+    async def query(client: httpx.AsyncClient, node: str) -> None:
         try:
-            answer = (await client.get(f"http://{node}/status")).json()
-            versions[node] = int(answer["configuration_version"])
+            status = (await client.get(f"http://{node}/status")).json()
+            versions[node] = int(status["configuration_version"])
         except (httpx.HTTPError, ValueError, KeyError, TypeError):
             versions[node] = None
 
@@ -88,28 +88,28 @@
         anyio.create_task_group() as tasks,
     ):
         for node in nodes:
-            tasks.start_soon(ask, client, node)
+            tasks.start_soon(query, client, node)
     return [NodeVersion(node, versions[node]) for node in nodes]
 
 
 def _format(
     configuration: Configuration, versions: list[NodeVersion], as_json: bool
 ) -> str:
-    shown = configuration.history[:_SHOWN_SUBMISSIONS]
+    shown = configuration.history[:_MAX_SHOWN_SUBMISSIONS]
     if as_json:
         content = {
             "site": configuration.site.name,
             "version": configuration.version,
-            "history": [asdict(mark) for mark in shown],
-            "nodes": [asdict(one) for one in versions],
+            "history": [asdict(item) for item in shown],
+            "nodes": [asdict(node) for node in versions],
         }
         return json.dumps(content)
     lines = [f"{configuration.site.name}: version {configuration.version}"]
     lines += [
-        f"  version {mark.version} by {mark.operator}, submission {mark.submission_id}"
-        for mark in shown
+        f"  version {item.version} by {item.operator}, submission {item.submission_id}"
+        for item in shown
     ]
-    lines += [f"  {one.node:24} {_format_version(one.version)}" for one in versions]
+    lines += [f"  {node.node:24} {_format_version(node.version)}" for node in versions]
     return "\n".join(lines)
 
 
--- a/src/papayagw/_internal/cli/commands/connect.py
+++ b/src/papayagw/_internal/cli/commands/connect.py
@@ -1,9 +1,9 @@
-"""``papayagw connect``: the callers' side."""
+"""``papayagw connect``: the process on a caller's machine."""
 
 from collections.abc import Callable
 from pathlib import Path
 
-from papayagw._internal.cli.loading import unwrap
+from papayagw._internal.cli.loading import unwrap_settings
 from papayagw._internal.cli.running import make_identity, run_observed
 from papayagw._internal.models.status import Role
 from papayagw._internal.net.clock import MonotonicClock
@@ -14,33 +14,33 @@
 
 
 class ConnectCommand:
-    """Carry ordinary TCP connections as flows."""
+    """Forward TCP connections as flows."""
 
     @property
     def run(self) -> Callable[..., int]:
-        """Carry the command out."""
+        """Function that executes the command."""
         return run_connect
 
 
 def run_connect(settings: str) -> int:
-    """Listen on TCP and carry each connection to its service as one flow.
+    """Listen on TCP and forward each connection to its service as one flow.
 
-    SIGTERM takes no more connections and waits for those that are open, up to
+    After SIGTERM, accept no new connections and wait for open ones to end, up to
     the setting stop_limit_ms; a second SIGTERM stops at once.
 
     Parameters
     ----------
     settings : str
-        The settings file of this process.
+        Settings file of this process.
     """
-    read = unwrap(load_connect(Path(settings)))
+    loaded = unwrap_settings(load_connect(Path(settings)))
     clock = MonotonicClock()
-    name = f"connect-{read.admin or read.listeners[0].listen}"
-    log = configure_logging(name, clock, read.log_level)
-    process = ConnectProcess(read, clock, log)
+    name = f"connect-{loaded.admin or loaded.listeners[0].listen}"
+    log = configure_logging(name, clock, loaded.log_level)
+    process = ConnectProcess(loaded, clock, log)
     identity = make_identity(name, Role.CONNECT, zone="")
-    account = ConnectAccount(identity, read, process, clock)
-    return run_observed(process, account, read, log)
+    account = ConnectAccount(identity, loaded, process, clock)
+    return run_observed(process, account, loaded, log)
 
 
 COMMAND = ConnectCommand()
--- a/src/papayagw/_internal/cli/main.py
+++ b/src/papayagw/_internal/cli/main.py
@@ -1,4 +1,4 @@
-"""Entry of the command line."""
+"""Entry point of the command line."""
 
 import sys
 from collections.abc import Callable, Iterator, Sequence
@@ -17,7 +17,7 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
-    """Run the command that the command line names, and exit with its code."""
+    """Run the command given by `arguments` or `sys.argv`, and exit with its code."""
     words = tuple(sys.argv[1:] if arguments is None else arguments)
     if words[:1] == ("--version",):
         print(f"papayagw {__version__}")
@@ -27,21 +27,21 @@
         sys.exit(ExitCode.OK)
     info = find_command(words)
     if info is None:
-        sys.exit(_explain(words))
+        sys.exit(_handle_unknown_command(words))
     rest = list(words[len(info.words) :])
     run = info.load().run
     if _HELP_FLAG in rest:
         print(format_help(info, run))
         sys.exit(ExitCode.OK)
-    command = _Deferred(run)
-    fire.Fire(command.keep, command=rest, name=_join(info.words))
+    command = _DeferredCall(run)
+    fire.Fire(command.capture, command=rest, name=_join(info.words))
     sys.exit(_run(command.call))
 
 
 def format_overview(commands: Sequence[CommandInfo]) -> str:
-    """Return a list of commands."""
+    """Return the usage line and a table of commands with their summaries."""
     width = max(len(" ".join(info.words)) for info in commands)
-    lines = [f"  {' '.join(one.words):{width}}  {one.summary}" for one in commands]
+    lines = [f"  {' '.join(info.words):{width}}  {info.summary}" for info in commands]
     head = "usage: papayagw COMMAND [--help] [flags]\n\ncommands:\n"
     return head + "\n".join(lines)
 
@@ -50,7 +50,7 @@
     """Return the help page of a command."""
     name = _join(info.words)
     page: str = HelpText(run, FireTrace(run, name=name))
-    # The library quotes a name of several words as one word of a shell.
+    # fire quotes a name of several words as if it were a single shell word.
     return page.replace(f"'{name}'", name)
 
 
@@ -58,23 +58,23 @@
     return " ".join(("papayagw", *words))
 
 
-def _explain(words: Sequence[str]) -> ExitCode:
-    """Say which commands there are, where the command line names none."""
+def _handle_unknown_command(words: Sequence[str]) -> ExitCode:
+    """Print the available commands if the command line doesn't name a command."""
     group = [info for info in COMMANDS if info.words[0] == words[0]]
     if group and words[1:2] in ((), (_HELP_FLAG,)):
         print(format_overview(group))
         return ExitCode.OK
     typed = " ".join(words[:2])
     overview = format_overview(group or COMMANDS)
-    print(f"papayagw: no command {typed!r}\n\n{overview}", file=sys.stderr)
+    print(f"papayagw: unknown command {typed!r}\n\n{overview}", file=sys.stderr)
     return ExitCode.USAGE
 
 
-class _Deferred:
-    """Keeps the call that the command line makes until all of it is understood.
+class _DeferredCall:
+    """Defers a command until the whole command line has been parsed.
 
-    The library calls a command before it looks at what is left of the line, so
-    that a flag that doesn't exist would be told only after the command has run.
+    fire calls a command before it checks the remaining arguments, so it would
+    report an unknown flag only after the command has run.
     """
 
     def __init__(self, run: Callable[..., int]):
@@ -82,17 +82,17 @@
         self._call: Callable[[], int] = lambda: ExitCode.USAGE
 
     @property
-    def keep(self) -> Callable[..., None]:
-        """Take the arguments; it has the help page and the flags of the command."""
+    def capture(self) -> Callable[..., None]:
+        """Function with the signature of the command that stores its arguments."""
 
         @wraps(self._run)
-        def keep(*args: object, **flags: object) -> None:
+        def capture(*args: object, **flags: object) -> None:
             self._call = partial(self._run, *args, **flags)
 
-        return keep
+        return capture
 
     def call(self) -> int:
-        """Run the command with the arguments that were taken."""
+        """Run the command with the stored arguments and return its exit code."""
         return self._call()
 
 
@@ -100,18 +100,19 @@
     try:
         return call()
     except PapayagwError as error:
-        return _tell(error)
+        return _print_error(error)
     except BaseExceptionGroup as group:
-        # The tasks of a daemon end in a group; one error of ours is told plainly.
-        ours, others = group.split(PapayagwError)
-        if ours is None or others is not None:
+        # Task groups of a daemon wrap exceptions in a group. A group that holds only
+        # papayagw errors is printed as messages, without a traceback.
+        papayagw_errors, other_errors = group.split(PapayagwError)
+        if papayagw_errors is None or other_errors is not None:
             raise
-        return max(_tell(error) for error in _find_leaves(ours))
+        return max(_print_error(error) for error in _find_leaves(papayagw_errors))
     except KeyboardInterrupt:
         return ExitCode.FAILED
 
 
-def _tell(error: PapayagwError) -> ExitCode:
+def _print_error(error: PapayagwError) -> ExitCode:
     print(f"papayagw: {error}", file=sys.stderr)
     if isinstance(error, SettingsError):
         return ExitCode.USAGE
@@ -119,8 +120,8 @@
 
 
 def _find_leaves(group: BaseExceptionGroup[PapayagwError]) -> Iterator[PapayagwError]:
-    for one in group.exceptions:
-        if isinstance(one, BaseExceptionGroup):
-            yield from _find_leaves(one)
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _find_leaves(error)
         else:
-            yield one
+            yield error
--- a/src/papayagw/_internal/settings/development_keys.py
+++ b/src/papayagw/_internal/settings/development_keys.py
@@ -1,4 +1,4 @@
-"""Making of certificates for trials (X.509, RFC 5280) and of fleet keys."""
+"""Generation of development certificates (X.509, RFC 5280) and of fleet keys."""
 
 import secrets
 from dataclasses import dataclass
@@ -18,18 +18,18 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyFiles:
-    """Where the files of a development pair are.
+    """Paths of the generated certificates and keys.
 
     Attributes
     ----------
     authority : Path
-        The certificate that callers trust.
+        Certificate of the authority, which callers trust.
     certificate : Path
-        The certificate that agents show.
+        Certificate that agents present in the TLS handshake.
     private_key : Path
-        The key of `certificate`.
+        Private key that belongs to `certificate`.
     fleet_key : Path
-        The secret that the site's own processes share.
+        Secret shared by all processes of the site.
     """
 
     authority: Path
@@ -39,20 +39,30 @@
 
 
 def make_development_keys(folder: Path, names: tuple[str, ...]) -> KeyFiles:
-    """Make an authority, a certificate for `names` and a fleet key in `folder`."""
+    """Generate an authority, a certificate for `names` and a fleet key in `folder`.
+
+    Parameters
+    ----------
+    folder : Path
+        Created if it doesn't exist.
+    names : tuple of str
+        DNS names of the certificate; the first one is also its common name.
+    """
     folder.mkdir(parents=True, exist_ok=True)
     authority_key = ec.generate_private_key(ec.SECP256R1())
     server_key = ec.generate_private_key(ec.SECP256R1())
     issuer = _make_name("papayagw development authority")
     authority = (
-        _start_certificate(issuer, issuer, authority_key.public_key())
+        _make_certificate_builder(issuer, issuer, authority_key.public_key())
         .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
         .sign(authority_key, hashes.SHA256())
     )
-    alternatives = x509.SubjectAlternativeName([x509.DNSName(one) for one in names])
+    alternative_names = x509.SubjectAlternativeName(
+        [x509.DNSName(name) for name in names]
+    )
     certificate = (
-        _start_certificate(_make_name(names[0]), issuer, server_key.public_key())
-        .add_extension(alternatives, critical=False)
+        _make_certificate_builder(_make_name(names[0]), issuer, server_key.public_key())
+        .add_extension(alternative_names, critical=False)
         .sign(authority_key, hashes.SHA256())
     )
     files = KeyFiles(
@@ -82,7 +92,7 @@
     return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
 
 
-def _start_certificate(
+def _make_certificate_builder(
     subject: x509.Name, issuer: x509.Name, key: ec.EllipticCurvePublicKey
 ) -> x509.CertificateBuilder:
     now = datetime.now(UTC)
--- a/src/papayagw/_internal/settings/structure.py
+++ b/src/papayagw/_internal/settings/structure.py
@@ -1,4 +1,4 @@
-"""Kinds that hold other kinds: lists, maps and objects with known keys."""
+"""Kinds of composite values: lists, maps and objects with known keys."""
 
 import difflib
 from collections.abc import Callable
@@ -6,25 +6,25 @@
 from typing import Any
 
 from papayagw._internal.settings.kinds import Kind
-from papayagw._internal.settings.place import Place, show
+from papayagw._internal.settings.location import Location, format_value
 
 _UNITS = ("ms", "s", "sec", "seconds", "millis", "minutes", "min")
 
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """One key of an object.
+    """A key of an object and the attribute that it sets.
 
     Attributes
     ----------
     name : str
-        The key in the file.
+        Key in the settings file.
     attribute : str
-        The attribute of the data class that takes the value.
+        Attribute of the data class that receives the value.
     kind : Kind
-        The kind of its value.
+        Kind of the value.
     default : object
-        The value where the file has none; `MISSING` if it must have one.
+        Value if the file doesn't have the key; `MISSING` if the key is required.
     """
 
     name: str
@@ -34,25 +34,25 @@
 
     @property
     def is_required(self) -> bool:
-        """Whether the file must have this key."""
+        """Whether the key has no default."""
         return self.default is MISSING
 
 
 def make_keys(
     data_class: type, kinds: dict[str, Kind], renamed: dict[str, str] | None = None
 ) -> tuple[Key, ...]:
-    """Return the keys that fill a data class, with its defaults.
+    """Return keys for the attributes of a data class, with its defaults.
 
     Parameters
     ----------
     data_class : type
-        The data class.
+        Data class that is created from the values.
     kinds : dict of str to Kind
-        The kind of each key.
+        Kind of the value of each key.
     renamed : dict of str to str or None
-        The attributes of keys that aren't called as their attributes are.
+        Attribute name of each key whose own name differs from it.
     """
-    attributes = {one.name: one for one in fields(data_class)}
+    attributes = {attribute.name: attribute for attribute in fields(data_class)}
     keys = []
     for name, kind in kinds.items():
         attribute = attributes[(renamed or {}).get(name, name)]
@@ -63,7 +63,7 @@
     return tuple(keys)
 
 
-Build = Callable[[dict[str, Any], Place], Any]
+Build = Callable[[dict[str, Any], Location], Any]
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,9 +73,10 @@
     Attributes
     ----------
     keys : tuple of Key
-        The known keys.
+        All allowed keys.
     build : callable
-        Makes the value from the attributes; returns None where it reports a problem.
+        Function of the attribute values and the location. Returns the value, or
+        reports a problem; it may then return None.
     """
 
     keys: tuple[Key, ...]
@@ -88,33 +89,33 @@
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return "an object with keys " + ", ".join(self._by_name)
 
-    def read(self, value: object, place: Place) -> Any | None:
-        """Return the object, or report every problem in it."""
+    def read(self, value: object, location: Location) -> Any | None:
+        """Return the result of `build`, or report every problem in the object."""
         if not isinstance(value, dict):
-            place.report(show(value), self.expected)
+            location.report(format_value(value), self.expected)
             return None
-        known = self._report_unknown(value, place)
+        all_known = self._report_unknown(value, location)
         values: dict[str, Any] = {}
-        whole = known
+        is_valid = all_known
         for key in self.keys:
             if key.name in value:
                 values[key.attribute] = key.kind.read(
-                    value[key.name], place.enter(key.name)
+                    value[key.name], location.child(key.name)
                 )
-                whole = whole and values[key.attribute] is not None
+                is_valid = is_valid and values[key.attribute] is not None
             elif key.is_required:
-                place.enter(key.name).report("nothing", key.kind.expected, "add it")
-                whole = False
-        return self.build(values, place) if whole else None
+                location.child(key.name).report("nothing", key.kind.expected, "add it")
+                is_valid = False
+        return self.build(values, location) if is_valid else None
 
-    def _report_unknown(self, value: dict[str, Any], place: Place) -> bool:
+    def _report_unknown(self, value: dict[str, Any], location: Location) -> bool:
         unknown = [name for name in value if name not in self._by_name]
         for name in unknown:
-            inside = place.enter(name)
-            inside.report("an unknown key", "a known one", self._suggest(name))
+            member_location = location.child(name)
+            member_location.report("an unknown key", "a known key", self._suggest(name))
         return not unknown
 
     def _suggest(self, name: str) -> str:
@@ -122,53 +123,54 @@
         for candidate in (f"{name}_ms", f"{stem}_ms" if unit in _UNITS else ""):
             if candidate in self._by_name:
                 return f"durations are in ms: write {candidate}"
-        near = difflib.get_close_matches(name, self._by_name, n=1)
-        if near:
-            return f"did you mean {near[0]}?"
-        return "known are " + ", ".join(self._by_name)
+        matches = difflib.get_close_matches(name, self._by_name, n=1)
+        if matches:
+            return f"did you mean {matches[0]}?"
+        return "known keys: " + ", ".join(self._by_name)
 
 
 @dataclass(frozen=True, slots=True)
 class ListOf:
-    """A list of one kind.
+    """A list whose members are all of one kind.
 
     Attributes
     ----------
     member : Kind
-        The kind of its members.
-    least : int
-        The fewest members.
+        Kind of the members.
+    min_length : int
+        Minimum number of members.
     """
 
     member: Kind
-    least: int = 1
+    min_length: int = 1
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
-        return f"a list of at least {self.least}, each {self.member.expected}"
+        """Description of a valid value."""
+        return f"a list of at least {self.min_length}, each {self.member.expected}"
 
-    def read(self, value: object, place: Place) -> tuple[Any, ...] | None:
-        """Return the members, or report every problem in them."""
-        if not isinstance(value, list) or len(value) < self.least:
-            place.report(show(value), self.expected)
+    def read(self, value: object, location: Location) -> tuple[Any, ...] | None:
+        """Return the converted members, or report every problem in them."""
+        if not isinstance(value, list) or len(value) < self.min_length:
+            location.report(format_value(value), self.expected)
             return None
         members = [
-            self.member.read(one, place.enter(index)) for index, one in enumerate(value)
+            self.member.read(item, location.child(index))
+            for index, item in enumerate(value)
         ]
         return None if None in members else tuple(members)
 
 
 @dataclass(frozen=True, slots=True)
 class MapOf:
-    """An object whose keys are names that the operators choose.
+    """An object whose keys are chosen by the operator, such as service names.
 
     Attributes
     ----------
     name : Kind
-        The kind of its keys.
+        Kind of the keys.
     member : Kind
-        The kind of its values.
+        Kind of the values.
     """
 
     name: Kind
@@ -176,18 +178,18 @@
 
     @property
     def expected(self) -> str:
-        """What a value of this kind looks like."""
+        """Description of a valid value."""
         return f"an object with at least one name, each with {self.member.expected}"
 
-    def read(self, value: object, place: Place) -> tuple[Any, ...] | None:
-        """Return the members in their order, or report every problem in them."""
+    def read(self, value: object, location: Location) -> tuple[Any, ...] | None:
+        """Return the values in file order, or report every problem in them."""
         if not isinstance(value, dict) or not value:
-            place.report(show(value), self.expected)
+            location.report(format_value(value), self.expected)
             return None
         members = []
-        for name, one in value.items():
-            inside = place.enter(name)
-            named = self.name.read(name, inside)
-            member = self.member.read(one, inside)
-            members.append(None if named is None else member)
+        for name, item in value.items():
+            member_location = location.child(name)
+            member_name = self.name.read(name, member_location)
+            member = self.member.read(item, member_location)
+            members.append(None if member_name is None else member)
         return None if None in members else tuple(members)
