--- a/src/papayagw/_internal/core/plain/admission.py
+++ b/src/papayagw/_internal/core/plain/admission.py
@@ -9,6 +9,6 @@
 """
 
 
-def request_limit(slots: int) -> int:
+def max_concurrent_requests(slots: int) -> int:
     """Return the number of requests at which a backend server gets no more openings."""
     return REQUESTS_PER_SLOT * max(slots, 1)
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -17,7 +17,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
     Action,
-    Note,
+    LogEvent,
     ResetClient,
     RestoreEntry,
     SendFrame,
@@ -48,7 +48,7 @@
     FlowKey,
     FlowPacket,
     PacketKind,
-    show_flow,
+    format_flow,
 )
 
 BACKEND_ACCEPT_TIMEOUT_MS = Millis(40)
@@ -104,7 +104,7 @@
         self._peers = BalancerPeers()
         self._scope: ScopeFrame | None = None
         self._pending_openings: dict[FlowKey, OwnedFlow] = {}
-        self._swept_at = now
+        self._last_sweep_at = now
 
     @property
     def is_ready(self) -> bool:
@@ -168,7 +168,7 @@
                 return self._on_scope(frame, source)
             case EntryMissingFrame():
                 fields = {"peer": source}
-                return [RestoreEntry(), Note("entry missing in the store", fields)]
+                return [RestoreEntry(), LogEvent("entry missing in the store", fields)]
 
     def _on_opening(
         self, frame: OpenFrame, source: Endpoint, now: Millis
@@ -224,7 +224,7 @@
             "entries": len(frame.entries),
             "peer": source,
         }
-        return [Note("scope in force", fields)]
+        return [LogEvent("scope in force", fields)]
 
     def _find_rejection_reason(
         self, frame: OpenFrame, source: Endpoint, now: Millis
@@ -258,12 +258,12 @@
         self, packet: FlowPacket, reason: ReturnReason, peer: Endpoint, now: Millis
     ) -> list[Action]:
         fields = {
-            "flow": show_flow(packet.flow),
+            "flow": format_flow(packet.flow),
             "reason": reason.name.lower(),
             "peer": peer,
         }
         frame = ReturnFrame(reason, packet, self.current_load(now))
-        return [SendFrame(peer, frame), Note("packet returned", fields)]
+        return [SendFrame(peer, frame), LogEvent("packet returned", fields)]
 
     # Packets from the backend server
 
@@ -276,8 +276,8 @@
         ]
 
     def _handle_backend_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
-        if packet.bounced:
-            return self._on_bounced(packet, now)
+        if packet.rejected_by_backend:
+            return self._on_backend_rejection(packet, now)
         owned = self._flows.find(packet.flow)
         if packet.kind is PacketKind.ACCEPT:
             return self._on_accept(packet, owned, now)
@@ -292,8 +292,8 @@
             reply = OwnerReply(packet.flow, Ownership.OWNER)
             frame = OwnerReplyFrame((reply,), self.current_load(now))
             actions += [SendFrame(peer, frame) for peer in self._peers.list_active(now)]
-            fields = {"flow": show_flow(packet.flow)}
-            actions.append(Note("flow adopted", fields))
+            fields = {"flow": format_flow(packet.flow)}
+            actions.append(LogEvent("flow adopted", fields))
         owned.seen_at = now
         owned.is_established = True
         owned.record_backend_ack(packet)
@@ -324,11 +324,11 @@
             frame = OpenedFrame(packet.flow, self.current_load(now))
             actions.append(SendFrame(owned.balancer, frame))
         if opening_sent_at is not None:
-            fields = {"flow": show_flow(packet.flow), "ms": now - opening_sent_at}
-            actions.append(Note("flow accepted", fields))
+            fields = {"flow": format_flow(packet.flow), "ms": now - opening_sent_at}
+            actions.append(LogEvent("flow accepted", fields))
         return actions
 
-    def _on_bounced(self, packet: FlowPacket, now: Millis) -> list[Action]:
+    def _on_backend_rejection(self, packet: FlowPacket, now: Millis) -> list[Action]:
         owned = self._flows.find(packet.flow)
         balancer = self._peers.find(packet.token)
         if packet.kind is PacketKind.OPEN:
@@ -341,7 +341,7 @@
             # A returned packet means that the backend server no longer holds the flow.
             self._remove_flow(packet.flow, owned, now)
             reset = ResetClient(packet.flow, packet.acknowledged or 0)
-            return [reset, Note("flow lost", {"flow": show_flow(packet.flow)})]
+            return [reset, LogEvent("flow lost", {"flow": format_flow(packet.flow)})]
         if owned is not None:
             self._remove_flow(packet.flow, owned, now)
         if balancer is None:
@@ -375,7 +375,7 @@
             actions = self._end_earlier_run(age_ms, now)
         if not self._admission.record_report(report, now):
             fields = {"instance": report.instance, "number": report.number}
-            return [*actions, Note("report not used", fields)]
+            return [*actions, LogEvent("report not used", fields)]
         if before is None or is_new_run:
             self._ownership.begin_run(report, age_ms, now)
         if before is None or before.state is not report.state or actions:
@@ -386,7 +386,7 @@
                 "state": report.state.value,
                 "cold_ms": report.cold_left_ms,
             }
-            actions.append(Note("backend state", fields))
+            actions.append(LogEvent("backend state", fields))
             actions += self._send_load(self._peers.list_known(), now)
         return actions
 
@@ -394,8 +394,8 @@
         """Handle the backend server's departure and return the resulting actions."""
         if not self._admission.backend.record_departure(departure):
             return []
-        note = Note("backend left", {"instance": departure.instance})
-        return [note, *self._send_load(self._peers.list_known(), now)]
+        log_event = LogEvent("backend left", {"instance": departure.instance})
+        return [log_event, *self._send_load(self._peers.list_known(), now)]
 
     def begin_shutdown(self, now: Millis) -> list[Action]:
         """Stop admitting openings and return the notifications to send."""
@@ -419,7 +419,7 @@
             if owned.is_established and owned.ended_at is None:
                 actions.append(ResetClient(flow, owned.acknowledged))
         fields = {"flows": len(ended), "reset": len(actions), "age_ms": age_ms}
-        return [*actions, Note("backend restarted", fields)]
+        return [*actions, LogEvent("backend restarted", fields)]
 
     # Timers
 
@@ -436,8 +436,8 @@
             actions += self._on_accept_timeout(flow, owned, now)
         if self._peers.start_round_if_due(now):
             actions += self._send_load(self._peers.list_active(now), now)
-        if now - self._swept_at >= SWEEP_INTERVAL_MS:
-            self._sweep(now)
+        if now - self._last_sweep_at >= SWEEP_INTERVAL_MS:
+            self._remove_expired_flows(now)
         return [*actions, *self._notify_of_capacity(now)]
 
     def _on_accept_timeout(
@@ -446,14 +446,16 @@
         """Return an opening to its balancer after the accept timeout."""
         packet, balancer = owned.pending_opening, owned.balancer
         self._remove_flow(flow, owned, now)
-        wait = self._admission.record_timeout(now)
+        wait = self._admission.record_accept_timeout(now)
         if packet is None or balancer is None:
             return []
-        note = Note("backend silent", {"flow": show_flow(flow), "wait_ms": wait})
-        return [note, *self._return(packet, ReturnReason.SILENT, balancer, now)]
+        log_event = LogEvent(
+            "backend silent", {"flow": format_flow(flow), "wait_ms": wait}
+        )
+        return [log_event, *self._return(packet, ReturnReason.SILENT, balancer, now)]
 
-    def _sweep(self, now: Millis) -> None:
-        self._swept_at = now
+    def _remove_expired_flows(self, now: Millis) -> None:
+        self._last_sweep_at = now
         for owned in self._flows.sweep(now, self._flow_limit_ms):
             self._end_request(owned, now, answered=False)
         for _, owned in self._flows:
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -18,7 +18,12 @@
 )
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
+from papayagw._internal.models.plain.action import (
+    Action,
+    LogEvent,
+    ResetClient,
+    SendFrame,
+)
 from papayagw._internal.models.plain.frame import (
     EntryMissingFrame,
     LoadFrame,
@@ -32,7 +37,7 @@
     ToBalancer,
 )
 from papayagw._internal.models.plain.instance import AgentLoad
-from papayagw._internal.models.plain.packet import FlowPacket, PacketKind, show_flow
+from papayagw._internal.models.plain.packet import FlowPacket, PacketKind, format_flow
 from papayagw._internal.models.plain.site import Route, SiteVersion
 
 RESTART_SPREAD_MS = Millis(1_500)
@@ -133,7 +138,7 @@
 
     def on_client_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
         """Handle a packet from a client."""
-        if self._site is None or packet.bounced:
+        if self._site is None or packet.rejected_by_backend:
             return []
         route = self._site.routes.get(packet.entry)
         if route is None:
@@ -141,7 +146,9 @@
         if packet.kind is PacketKind.OPEN:
             return self._on_opening(packet, route, now)
         if packet.kind is PacketKind.ACCEPT:
-            return [Note("forged packet dropped", {"flow": show_flow(packet.flow)})]
+            return [
+                LogEvent("forged packet dropped", {"flow": format_flow(packet.flow)})
+            ]
         cached = self._flows.find(packet.flow)
         if cached is None:
             return self._lookup.find_owner(packet, now)
@@ -208,8 +215,10 @@
         self._openings.record_offer(opening, agent, now)
         agent.pending += 1
         self._flows.put(packet.flow, agent, now, is_confirmed=False)
-        note = Note("opening offered", self._describe_offer(opening, agent, route))
-        return [self._make_open_frame(agent, packet), note]
+        log_event = LogEvent(
+            "opening offered", self._describe_offer(opening, agent, route)
+        )
+        return [self._make_open_frame(agent, packet), log_event]
 
     def _offer_waiting(self, agent: AgentView, now: Millis) -> list[Action]:
         """Offer waiting openings to an agent that has free capacity."""
@@ -250,12 +259,12 @@
         self._openings.end(packet.flow)
         self._flows.drop(packet.flow)
         fields = {
-            "flow": show_flow(packet.flow),
+            "flow": format_flow(packet.flow),
             "service": service,
             "declined": opening.is_declined,
             "outcome": "not run",
         }
-        return [ResetClient(packet.flow, 0), Note("opening refused", fields)]
+        return [ResetClient(packet.flow, 0), LogEvent("opening refused", fields)]
 
     def _priority_of(self, opening: Opening) -> int:
         route = self._find_route(opening.packet)
@@ -276,11 +285,11 @@
         suspected_ms = agent.mark_suspect(now)
         fields = {
             "agent": agent.endpoint,
-            "flow": show_flow(opening.packet.flow),
+            "flow": format_flow(opening.packet.flow),
             "suspected_ms": suspected_ms,
         }
         return [
-            Note("opening unanswered", fields),
+            LogEvent("opening unanswered", fields),
             *self._offer(opening, route, now),
         ]
 
@@ -289,7 +298,7 @@
     ) -> dict[str, object]:
         load = agent.load
         return {
-            "flow": show_flow(opening.packet.flow),
+            "flow": format_flow(opening.packet.flow),
             "route": route.name,
             "version": self._site.version if self._site is not None else 0,
             "agent": agent.endpoint,
@@ -322,12 +331,12 @@
         if opening is None:
             return []
         fields = {
-            "flow": show_flow(frame.flow),
+            "flow": format_flow(frame.flow),
             "agent": view.endpoint,
             "ms": now - opening.started_at,
             "offers": len(opening.tried),
         }
-        return [Note("opening accepted", fields)]
+        return [LogEvent("opening accepted", fields)]
 
     def _on_returned(
         self, frame: ReturnFrame, view: AgentView, now: Millis
@@ -352,23 +361,23 @@
     ) -> list[Action]:
         packet = frame.packet
         fields = {
-            "flow": show_flow(packet.flow),
+            "flow": format_flow(packet.flow),
             "agent": view.endpoint,
             "reason": frame.reason.name.lower(),
         }
-        note = Note("opening returned", fields)
+        log_event = LogEvent("opening returned", fields)
         if frame.reason is ReturnReason.BUSY:
             view.start_backoff(now)
         opening = self._openings.find(packet.flow)
         if opening is None or opening.agent is not view:
             # The opening has been offered to another agent since, or is finished.
-            return [note]
+            return [log_event]
         if frame.reason is ReturnReason.OLD_VERSION:
             self._openings.end(packet.flow)
             self._flows.drop(packet.flow)
-            return [note]
+            return [log_event]
         opening.is_declined |= frame.reason is ReturnReason.FULL
-        return [note, *self._offer(opening, route, now)]
+        return [log_event, *self._offer(opening, route, now)]
 
     def _on_owner_replies(
         self, frame: OwnerReplyFrame, view: AgentView, now: Millis
@@ -437,11 +446,11 @@
         if packet.kind is PacketKind.ABORT:
             return []
         fields = {
-            "flow": show_flow(packet.flow),
+            "flow": format_flow(packet.flow),
             "version": self._site.version if self._site is not None else 0,
         }
         reset = ResetClient(packet.flow, packet.acknowledged or 0)
-        return [reset, Note("entry not routed", fields)]
+        return [reset, LogEvent("entry not routed", fields)]
 
 
 def _pick_service(route: Route, packet: FlowPacket) -> str:
--- a/src/papayagw/_internal/core/plain/batching.py
+++ b/src/papayagw/_internal/core/plain/batching.py
@@ -6,11 +6,11 @@
 from papayagw._internal.models.plain.action import Action, SendFrame
 from papayagw._internal.models.plain.frame import OwnerQuery, OwnerQueryFrame
 
-MAX_QUESTIONS = 64
+MAX_QUERIES_PER_FRAME = 64
 """Maximum queries per frame, which then has 1,100 bytes: no link fragments it."""
 
 
-def join_questions(actions: Iterable[Action]) -> list[Action]:
+def merge_owner_queries(actions: Iterable[Action]) -> list[Action]:
     """Merge the owner queries to each agent into as few frames as possible.
 
     Parameters
@@ -34,8 +34,10 @@
     return others + [
         SendFrame(
             peer,
-            OwnerQueryFrame(service, tuple(queries[start : start + MAX_QUESTIONS])),
+            OwnerQueryFrame(
+                service, tuple(queries[start : start + MAX_QUERIES_PER_FRAME])
+            ),
         )
         for (peer, service), queries in queries_by_agent.items()
-        for start in range(0, len(queries), MAX_QUESTIONS)
+        for start in range(0, len(queries), MAX_QUERIES_PER_FRAME)
     ]
--- a/src/papayagw/_internal/core/plain/choice.py
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -5,11 +5,11 @@
 from typing import Protocol
 
 from papayagw._internal.core.choice import unit_hash
-from papayagw._internal.core.plain.roster import LOAD_FRESH_MS, AgentView
+from papayagw._internal.core.plain.roster import MAX_LOAD_AGE_MS, AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.packet import FlowKey
 
-DEFAULT_SERVICE_US = 20_000
+FALLBACK_SERVICE_US = 20_000
 """Time for one request in a slot if no agent has reported its own, in microseconds."""
 
 OTHER_ZONE_PENALTY_US = 2_000
@@ -55,24 +55,30 @@
         self, flow: FlowKey, candidates: Sequence[AgentView], now: Millis
     ) -> AgentView:
         """Return the candidate with the shortest expected response time."""
-        typical_us = _typical_service_us(candidates)
-        return min(candidates, key=lambda view: self._wait_us(view, typical_us, now))
+        default_service_us = _mean_service_us(candidates)
+        return min(
+            candidates,
+            key=lambda view: self._expected_wait_us(view, default_service_us, now),
+        )
 
-    def _wait_us(self, view: AgentView, typical_us: float, now: Millis) -> float:
+    def _expected_wait_us(
+        self, view: AgentView, default_service_us: float, now: Millis
+    ) -> float:
         """Return the expected response time, plus the zone penalty and jitter."""
         jitter = self._random.random()
         zone_penalty_us = 0 if view.entry.zone == self._zone else OTHER_ZONE_PENALTY_US
         load = view.load
         if load is None:
             return (
-                typical_us * (1 + view.pending + TIE_JITTER * jitter) + zone_penalty_us
+                default_service_us * (1 + view.pending + TIE_JITTER * jitter)
+                + zone_penalty_us
             )
-        service_us = load.service_us or typical_us
+        service_us = load.service_us or default_service_us
         average_busy = load.utilization * load.slots
         # The number of requests in progress is outdated quickly; average utilization
         # stays valid for longer.
         busy = (
-            load.busy if now - view.load_received_at < LOAD_FRESH_MS else average_busy
+            load.busy if now - view.load_received_at < MAX_LOAD_AGE_MS else average_busy
         )
         ahead = busy + average_busy + view.pending + load.flows * IDLE_FLOW_WEIGHT
         queue = (ahead + TIE_JITTER * jitter) / max(load.slots, 1)
@@ -118,10 +124,10 @@
         )
 
 
-def _typical_service_us(candidates: Sequence[AgentView]) -> float:
+def _mean_service_us(candidates: Sequence[AgentView]) -> float:
     reported = [
         view.load.service_us
         for view in candidates
         if view.load is not None and view.load.service_us
     ]
-    return sum(reported) / len(reported) if reported else DEFAULT_SERVICE_US
+    return sum(reported) / len(reported) if reported else FALLBACK_SERVICE_US
--- a/src/papayagw/_internal/core/plain/flow_cache.py
+++ b/src/papayagw/_internal/core/plain/flow_cache.py
@@ -40,7 +40,7 @@
 
     def __init__(self) -> None:
         self._flows: dict[FlowKey, CachedFlow] = {}
-        self._swept_at = Millis(0)
+        self._last_sweep_at = Millis(0)
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -63,9 +63,9 @@
 
     def sweep(self, now: Millis, idle_ms: Millis) -> None:
         """Remove flows idle for `idle_ms`, at most every `SWEEP_INTERVAL_MS`."""
-        if now - self._swept_at < SWEEP_INTERVAL_MS:
+        if now - self._last_sweep_at < SWEEP_INTERVAL_MS:
             return
-        self._swept_at = now
+        self._last_sweep_at = now
         limit = now - idle_ms
         silent = [key for key, one in self._flows.items() if one.seen_at < limit]
         for key in silent:
--- a/src/papayagw/_internal/core/plain/intake.py
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -1,6 +1,6 @@
 """Admission control for openings to the agent's local backend server."""
 
-from papayagw._internal.core.plain.admission import request_limit
+from papayagw._internal.core.plain.admission import max_concurrent_requests
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.load_meter import LoadMeter
 from papayagw._internal.models.clock import Millis
@@ -179,7 +179,7 @@
         self._has_refused = True
         return ReturnReason.FULL if self.backend.is_known else ReturnReason.NOT_READY
 
-    def record_timeout(self, now: Millis) -> Millis:
+    def record_accept_timeout(self, now: Millis) -> Millis:
         """Record an unanswered opening; return the pause in openings, in ms."""
         wait = Millis(min(INITIAL_PAUSE_MS << self._timeout_count, MAX_PAUSE_MS))
         if now >= self._paused_until:
@@ -203,6 +203,6 @@
         return is_new and self.backend.report is None and not has_failed
 
     def _free_capacity(self, pending_openings: int, now: Millis) -> int:
-        return request_limit(self.meter.slots) - self.count_requests(
+        return max_concurrent_requests(self.meter.slots) - self.count_requests(
             pending_openings, now
         )
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_search.py
@@ -16,7 +16,12 @@
 from papayagw._internal.core.plain.roster import AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
+from papayagw._internal.models.plain.action import (
+    Action,
+    LogEvent,
+    ResetClient,
+    SendFrame,
+)
 from papayagw._internal.models.plain.frame import (
     ForwardFrame,
     OwnerQuery,
@@ -24,7 +29,7 @@
     OwnerReply,
     Ownership,
 )
-from papayagw._internal.models.plain.packet import FlowPacket, show_flow
+from papayagw._internal.models.plain.packet import FlowPacket, format_flow
 
 
 class OwnerLookup:
@@ -95,7 +100,7 @@
         if reply.ownership is Ownership.OWNER:
             return self._on_owner_found(reply, view, now)
         lookup = self._lookups.find(reply.flow)
-        if lookup is None or lookup.stage is not Stage.ASKING:
+        if lookup is None or lookup.stage is not Stage.QUERYING:
             return []
         lookup.record_reply(view.endpoint, reply.ownership)
         return [] if lookup.pending_agents else self._on_replies_done(lookup, now)
@@ -112,10 +117,12 @@
         actions: list[Action] = []
         for lookup in self._lookups.list_confirming():
             agents = self._list_agents(lookup.last_packet)
-            others = [view for view in agents if view.endpoint not in lookup.asked]
+            others = [
+                view for view in agents if view.endpoint not in lookup.queried_agents
+            ]
             if others:
-                asked = {view.endpoint for view in others}
-                self._lookups.ask_others(lookup, asked, now)
+                endpoints = {view.endpoint for view in others}
+                self._lookups.query_others(lookup, endpoints, now)
                 actions += [_make_query(view, lookup.last_packet) for view in others]
             elif self._knows_all_agents(agents, now):
                 actions += self._reset_ownerless(lookup)
@@ -128,13 +135,13 @@
         lookup = self._lookups.end(reply.flow)
         if lookup is None:
             return []
-        fields = {"flow": show_flow(reply.flow), "agent": view.endpoint}
+        fields = {"flow": format_flow(reply.flow), "agent": view.endpoint}
         return [
             *(
                 make_forward(view, held)
-                for held in lookup.list_for_owner(view.endpoint)
+                for held in lookup.list_packets_for_owner(view.endpoint)
             ),
-            Note("owner found", fields),
+            LogEvent("owner found", fields),
         ]
 
     def _add_packet(
@@ -148,10 +155,10 @@
             lookup.hold(packet)
             return (
                 []
-                if lookup.stage is Stage.ASKING
+                if lookup.stage is Stage.QUERYING
                 else self._forward_to_candidates(lookup)
             )
-        if lookup.stage is Stage.ASKING:
+        if lookup.stage is Stage.QUERYING:
             lookup.hold(packet)
             return []
         lookup.last_packet = packet
@@ -163,13 +170,13 @@
     def _on_replies_done(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Forward the held packets to the agents that may own the flow, if any."""
         fields = {
-            "flow": show_flow(lookup.flow),
+            "flow": format_flow(lookup.flow),
             "unsure": len(lookup.candidates),
             "silent": len(lookup.pending_agents),
         }
-        self._lookups.start_trial(lookup, now)
+        self._lookups.finish_querying(lookup, now)
         return [
-            Note("owner unknown", fields),
+            LogEvent("owner unknown", fields),
             *self._forward_to_candidates(lookup),
             *self._confirm_no_owner(lookup, now),
         ]
@@ -179,7 +186,7 @@
         if not lookup.is_denied or lookup.last_packet.kind.is_closing:
             return []
         if lookup.stage is not Stage.CONFIRMING:
-            self._lookups.confirm(lookup, now)
+            self._lookups.start_confirming(lookup, now)
             self._on_owner_not_found()
         return []
 
@@ -187,11 +194,11 @@
         self._lookups.end(lookup.flow)
         self._flows.drop(lookup.flow)
         reset = ResetClient(lookup.flow, lookup.last_packet.acknowledged or 0)
-        fields = {"flow": show_flow(lookup.flow), "asked": len(lookup.asked)}
-        return [reset, Note("flow has no owner", fields)]
+        fields = {"flow": format_flow(lookup.flow), "asked": len(lookup.queried_agents)}
+        return [reset, LogEvent("flow has no owner", fields)]
 
     def _forward_to_candidates(self, lookup: PendingLookup) -> list[Action]:
-        packets = lookup.pop_trial_packets()
+        packets = lookup.next_trial_packets()
         views = [self._find_agent(endpoint) for endpoint in lookup.candidates]
         return [
             make_forward(view, packet)
--- a/src/papayagw/_internal/core/plain/questions.py
+++ b/src/papayagw/_internal/core/plain/questions.py
@@ -44,7 +44,7 @@
 class Stage(Enum):
     """Stage of an owner lookup."""
 
-    ASKING = "asking"
+    QUERYING = "querying"
     """Waiting for the agents' replies."""
     TRYING = "trying"
     """Forwarding packets to possible owners until one confirms ownership."""
@@ -58,12 +58,12 @@
     """The lookup of the owner of one flow."""
 
     __slots__ = (
-        "_trial_count",
-        "asked",
+        "_trial_packet_count",
+        "queried_agents",
         "pending_agents",
         "flow",
         "last_packet",
-        "packets",
+        "held_packets",
         "stage",
         "candidates",
     )
@@ -71,12 +71,12 @@
     def __init__(self, packet: FlowPacket, pending_agents: set[Endpoint]):
         self.flow = packet.flow
         self.last_packet = packet
-        self.asked = set(pending_agents)
+        self.queried_agents = set(pending_agents)
         self.pending_agents = pending_agents
         self.candidates: set[Endpoint] = set()
-        self.packets: list[FlowPacket] = []
-        self.stage = Stage.ASKING
-        self._trial_count = 0
+        self.held_packets: list[FlowPacket] = []
+        self.stage = Stage.QUERYING
+        self._trial_packet_count = 0
 
     @property
     def is_denied(self) -> bool:
@@ -86,20 +86,22 @@
     def hold(self, packet: FlowPacket) -> None:
         """Hold a packet until the owner is known; drop it if there are too many."""
         self.last_packet = packet
-        if len(self.packets) < MAX_HELD_PACKETS:
-            self.packets.append(packet)
+        if len(self.held_packets) < MAX_HELD_PACKETS:
+            self.held_packets.append(packet)
 
-    def pop_trial_packets(self) -> list[FlowPacket]:
+    def next_trial_packets(self) -> list[FlowPacket]:
         """Return the held packets to forward to the possible owners next."""
-        start, self._trial_count = (
-            self._trial_count,
-            min(len(self.packets), MAX_TRIAL_PACKETS),
+        start, self._trial_packet_count = (
+            self._trial_packet_count,
+            min(len(self.held_packets), MAX_TRIAL_PACKETS),
         )
-        return self.packets[start : self._trial_count]
+        return self.held_packets[start : self._trial_packet_count]
 
-    def list_for_owner(self, owner: Endpoint) -> list[FlowPacket]:
+    def list_packets_for_owner(self, owner: Endpoint) -> list[FlowPacket]:
         """Return the held packets that the owner hasn't received."""
-        return self.packets[self._trial_count if owner in self.candidates else 0 :]
+        return self.held_packets[
+            self._trial_packet_count if owner in self.candidates else 0 :
+        ]
 
     def record_reply(self, agent: Endpoint, ownership: Ownership) -> None:
         """Record the reply of an agent that didn't confirm ownership."""
@@ -133,23 +135,23 @@
         if len(self._lookups) >= MAX_LOOKUPS:
             return None
         lookup = self._lookups[packet.flow] = PendingLookup(packet, pending_agents)
-        self._set_stage(lookup, Stage.ASKING, REPLY_TIMEOUT_MS, now)
+        self._set_stage(lookup, Stage.QUERYING, REPLY_TIMEOUT_MS, now)
         return lookup
 
-    def ask_others(
+    def query_others(
         self, lookup: PendingLookup, others: set[Endpoint], now: Millis
     ) -> None:
         """Restart a lookup with agents that weren't known before."""
-        lookup.asked |= others
+        lookup.queried_agents |= others
         lookup.pending_agents = set(others)
-        self._set_stage(lookup, Stage.ASKING, REPLY_TIMEOUT_MS, now)
+        self._set_stage(lookup, Stage.QUERYING, REPLY_TIMEOUT_MS, now)
 
-    def start_trial(self, lookup: PendingLookup, now: Millis) -> None:
+    def finish_querying(self, lookup: PendingLookup, now: Millis) -> None:
         """End the wait for replies: try the possible owners if any, else fail."""
         stage = Stage.TRYING if lookup.candidates else Stage.FAILED
         self._set_stage(lookup, stage, LOOKUP_RETRY_MS, now)
 
-    def confirm(self, lookup: PendingLookup, now: Millis) -> None:
+    def start_confirming(self, lookup: PendingLookup, now: Millis) -> None:
         """Wait until the list of agents has been read again."""
         self._set_stage(lookup, Stage.CONFIRMING, CONFIRM_TIMEOUT_MS, now)
 
@@ -169,9 +171,9 @@
         """
         due = [self._lookups[flow] for flow in self._deadlines.pop_due(now)]
         for one in due:
-            if one.stage is not Stage.ASKING:
+            if one.stage is not Stage.QUERYING:
                 del self._lookups[one.flow]
-        return [one for one in due if one.stage is Stage.ASKING]
+        return [one for one in due if one.stage is Stage.QUERYING]
 
     def _set_stage(
         self, lookup: PendingLookup, stage: Stage, timeout: Millis, now: Millis
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from papayagw._internal.core.plain.admission import request_limit
+from papayagw._internal.core.plain.admission import max_concurrent_requests
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.instance import (
@@ -11,13 +11,13 @@
     Availability,
 )
 
-LOAD_FRESH_MS = Millis(300)
+MAX_LOAD_AGE_MS = Millis(300)
 """Age up to which the reported number of requests in progress is used.
 
 Three times the interval between an agent's load reports.
 """
 
-UNAVAILABLE_MS = Millis(1_000)
+UNAVAILABLE_VALIDITY_MS = Millis(1_000)
 """How long a report that an agent accepts no openings stays valid.
 
 The report that it accepts them again may be lost, and an offer that is returned costs
@@ -36,7 +36,7 @@
 It reports free capacity immediately, but the report may be lost.
 """
 
-FIRST_SUSPICION_MS = Millis(400)
+INITIAL_SUSPICION_MS = Millis(400)
 """How long an agent is suspect the first time.
 
 An agent is suspect if it left an offer unanswered, or returned a packet as `SILENT` or
@@ -45,8 +45,8 @@
 The time suffices to receive a load report from the agent in normal operation.
 """
 
-LONGEST_SUSPICION_MS = Millis(4_000)
-"""Upper limit of the time as suspect, which doubles from `FIRST_SUSPICION_MS`."""
+MAX_SUSPICION_MS = Millis(4_000)
+"""Upper limit of the time as suspect, which doubles from `INITIAL_SUSPICION_MS`."""
 
 
 class AgentView:
@@ -103,8 +103,8 @@
 
     def mark_suspect(self, now: Millis) -> Millis:
         """Mark the agent as suspect; return for how long."""
-        wait = min(FIRST_SUSPICION_MS << self.unanswered_count, LONGEST_SUSPICION_MS)
-        if wait < LONGEST_SUSPICION_MS:
+        wait = min(INITIAL_SUSPICION_MS << self.unanswered_count, MAX_SUSPICION_MS)
+        if wait < MAX_SUSPICION_MS:
             self.unanswered_count += 1
         self.suspect_until = Millis(now + wait)
         return Millis(wait)
@@ -133,7 +133,7 @@
         load = self.load
         if load is None:
             return 0
-        return request_limit(load.slots) - load.busy - self.pending
+        return max_concurrent_requests(load.slots) - load.busy - self.pending
 
     def backend_started_after(self, at: Millis) -> bool:
         """Return whether the backend server is known to have started after `at`."""
@@ -144,7 +144,7 @@
 
     def _is_busy(self, now: Millis) -> bool:
         """Return whether a recent load report leaves no free capacity."""
-        if self.load is None or now - self.load_received_at > LOAD_FRESH_MS:
+        if self.load is None or now - self.load_received_at > MAX_LOAD_AGE_MS:
             return False
         return self.free_capacity <= 0
 
@@ -158,7 +158,7 @@
         load = self.load
         if load is None or load.availability is Availability.READY:
             return True
-        return now - self.load_received_at > UNAVAILABLE_MS
+        return now - self.load_received_at > UNAVAILABLE_VALIDITY_MS
 
 
 class Roster:
--- a/src/papayagw/_internal/models/plain/action.py
+++ b/src/papayagw/_internal/models/plain/action.py
@@ -56,7 +56,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Note:
+class LogEvent:
     """Log a decision or a change of state.
 
     Attributes
@@ -76,4 +76,6 @@
     """Write the agent's entry to the store again."""
 
 
-Action = SendFrame | SendToClient | SendToBackend | ResetClient | RestoreEntry | Note
+Action = (
+    SendFrame | SendToClient | SendToBackend | ResetClient | RestoreEntry | LogEvent
+)
--- a/src/papayagw/_internal/models/plain/packet.py
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -51,7 +51,7 @@
         For `PacketKind.OPEN`, the number of copies sent before this one.
     payload_bytes : int
         Length of the payload.
-    bounced : bool
+    rejected_by_backend : bool
         Whether a backend server has returned the packet.
     token : int
         Number that an agent set when it passed the packet to its backend server, or
@@ -66,7 +66,7 @@
     acknowledged: int | None
     copy: int
     payload_bytes: int
-    bounced: bool
+    rejected_by_backend: bool
     token: int
     raw: bytes
 
@@ -81,13 +81,13 @@
     return EntryKey(flow[-ENTRY_KEY_BYTES:])
 
 
-def show_flow(flow: FlowKey) -> str:
+def format_flow(flow: FlowKey) -> str:
     """Format a flow for logs, as ``client:port>entry:port``."""
     client, entry = flow[:4], flow[8:]
     client_port = int.from_bytes(flow[4:6], "big")
     entry_port = int.from_bytes(flow[6:8], "big")
-    return f"{_show_ip(client)}:{client_port}>{_show_ip(entry)}:{entry_port}"
+    return f"{_format_ip(client)}:{client_port}>{_format_ip(entry)}:{entry_port}"
 
 
-def _show_ip(ip: bytes) -> str:
+def _format_ip(ip: bytes) -> str:
     return ".".join(str(part) for part in ip)
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -10,7 +10,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
     Action,
-    Note,
+    LogEvent,
     ResetClient,
     RestoreEntry,
     SendFrame,
@@ -86,7 +86,7 @@
         runtime = self._runtime
         runtime.start()
         self._outbound.start()
-        runtime.loop.watch(self._outbound, self._read_outbound)
+        runtime.loop.watch(self._outbound, self._receive_backend_packets)
         runtime.watch_frames(self._on_frame)
         runtime.serve(self._settings.readiness, self._handle_probe)
         runtime.serve(self._settings.reports, self._handle_report)
@@ -102,7 +102,7 @@
 
     # Packets and frames
 
-    def _read_outbound(self) -> None:
+    def _receive_backend_packets(self) -> None:
         now = self._runtime.loop.now()
         for raw, _ in self._outbound.receive_batch():
             packet = self._platform.decode_backend_packet(raw)
@@ -134,7 +134,7 @@
                 case RestoreEntry():
                     self._registrar.restore(self._runtime.loop.now())
                     self._driver.reschedule()
-                case Note():
+                case LogEvent():
                     self._runtime.record_event(action)
         self._alarm.set(self._core.due_at)
 
@@ -163,7 +163,7 @@
         )
         if report is None:
             fields = {"method": request.method, "target": request.target[:200]}
-            self._runtime.record_event(Note("report refused", fields))
+            self._runtime.record_event(LogEvent("report refused", fields))
             return HttpResponse(HTTPStatus.BAD_REQUEST)
         now = self._runtime.loop.now()
         if isinstance(report, StatusReport):
@@ -185,7 +185,7 @@
             return
         self._is_stopping = True
         fields = {"flows": self._core.flow_count, "backend_lives": self._core.is_ready}
-        self._runtime.record_event(Note("stopping", fields))
+        self._runtime.record_event(LogEvent("stopping", fields))
         self._perform(self._core.begin_shutdown(self._runtime.loop.now()))
         if self._core.is_ready:
             # The backend server keeps running. The agent keeps its entry and exits at
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -5,14 +5,19 @@
 from random import Random
 
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.batching import join_questions
+from papayagw._internal.core.plain.batching import merge_owner_queries
 from papayagw._internal.core.plain.choice import LeastWaitChooser
 from papayagw._internal.core.plain.prefix_watcher import PrefixWatcher
 from papayagw._internal.core.plain.roster import Roster
 from papayagw._internal.exceptions import DecodeError
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
+from papayagw._internal.models.plain.action import (
+    Action,
+    LogEvent,
+    ResetClient,
+    SendFrame,
+)
 from papayagw._internal.models.plain.entry_store import StoredItem, StoreEvent
 from papayagw._internal.models.plain.frame import Frame, ToBalancer
 from papayagw._internal.models.plain.settings import PlainBalancerSettings
@@ -124,7 +129,7 @@
         runtime = self._runtime
         runtime.start()
         self._entry.start()
-        runtime.loop.watch(self._entry, self._read_packets)
+        runtime.loop.watch(self._entry, self._receive_client_packets)
         runtime.watch_frames(self._on_frame)
         runtime.serve(self._settings.readiness, self._handle_probe)
         runtime.add_stop_handler(self._stop)
@@ -150,7 +155,7 @@
 
     # Packets and frames
 
-    def _read_packets(self) -> None:
+    def _receive_client_packets(self) -> None:
         now = self._runtime.loop.now()
         actions: list[Action] = []
         for raw, _ in self._entry.receive_batch():
@@ -160,7 +165,7 @@
                 continue
             self._last_packet_at = now
             actions += self._core.on_client_packet(packet, now)
-        self._perform(join_questions(actions))
+        self._perform(merge_owner_queries(actions))
 
     def _on_frame(self, frame: Frame, source: Endpoint) -> None:
         if not isinstance(frame, ToBalancer):
@@ -178,7 +183,7 @@
                     self._runtime.send_frame(peer, frame)
                 case ResetClient():
                     self._runtime.send_reset(action)
-                case Note():
+                case LogEvent():
                     self._runtime.record_event(action)
         self._alarm.set(self._core.due_at)
 
@@ -217,13 +222,13 @@
             site = self._platform.decode_site(item.value)
         except DecodeError as error:
             self._runtime.record_event(
-                Note("configuration refused", error_fields(error))
+                LogEvent("configuration refused", error_fields(error))
             )
             return
         fields = {"version": site.version, "revision": item.revision}
         if self._core.apply_site(site):
             fields["routes"] = len(site.routes)
-            self._runtime.record_event(Note("configuration in force", fields))
+            self._runtime.record_event(LogEvent("configuration in force", fields))
 
     def _on_agent_items(self, items: tuple[StoredItem, ...]) -> None:
         for item in items:
@@ -247,7 +252,9 @@
         try:
             entry = decode_entry(item.key, item.value)
         except DecodeError as error:
-            self._runtime.record_event(Note("agent entry refused", error_fields(error)))
+            self._runtime.record_event(
+                LogEvent("agent entry refused", error_fields(error))
+            )
             return
         if self._roster.put(item.key, entry):
             fields = {
@@ -255,16 +262,16 @@
                 "service": entry.service,
                 "revision": item.revision,
             }
-            self._runtime.record_event(Note("agent known", fields))
+            self._runtime.record_event(LogEvent("agent known", fields))
 
     def _record_missing_agent(self, key: str) -> None:
-        self._runtime.record_event(Note("agent missing", {"key": key}))
+        self._runtime.record_event(LogEvent("agent missing", {"key": key}))
 
     def _process_missing_agents(self) -> None:
         self._perform(self._core.notify_missing_agents())
         now = self._runtime.loop.now()
         for key in self._roster.remove_gone(now):
-            self._runtime.record_event(Note("agent gone", {"key": key}))
+            self._runtime.record_event(LogEvent("agent gone", {"key": key}))
 
     # Readiness and shutdown
 
@@ -274,7 +281,7 @@
         is_ready = self._core.is_ready and not self._is_stopping
         if is_ready and not self._was_ready:
             self._was_ready = True
-            self._runtime.record_event(Note("ready", {"agents": len(self._roster)}))
+            self._runtime.record_event(LogEvent("ready", {"agents": len(self._roster)}))
         if self._is_stopping:
             self._refused_probes += 1
         status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
@@ -284,7 +291,9 @@
         if self._is_stopping:
             return
         self._is_stopping = True
-        self._runtime.record_event(Note("stopping", {"flows": self._core.flow_count}))
+        self._runtime.record_event(
+            LogEvent("stopping", {"flows": self._core.flow_count})
+        )
         remaining_ms = self._runtime.settings.grace_ms - STOP_MARGIN_MS
         self._runtime.loop.call_after(Millis(remaining_ms), self._runtime.loop.stop)
         self._check_unrouted()
--- a/src/papayagw/_internal/net/plain/http_server.py
+++ b/src/papayagw/_internal/net/plain/http_server.py
@@ -99,12 +99,12 @@
         if len(self._connections) >= MAX_CONNECTIONS:
             # Dictionaries keep insertion order: the first connection is the oldest.
             next(iter(self._connections.values())).close()
-        number = accepted.fileno()
-        self._connections[number] = _Connection(
+        descriptor = accepted.fileno()
+        self._connections[descriptor] = _Connection(
             self._loop,
             accepted,
             self._handler,
-            lambda: self._connections.pop(number, None),
+            lambda: self._connections.pop(descriptor, None),
         )
 
 
@@ -170,14 +170,14 @@
                 if len(self._body) > MAX_REQUEST_BYTES:
                     return False
             elif isinstance(event, h11.EndOfMessage):
-                self._answer()
+                self._respond()
                 if self._http.our_state is not h11.DONE:
                     return bool(self._unsent)
                 self._http.start_next_cycle()
             else:
                 return not isinstance(event, h11.ConnectionClosed)
 
-    def _answer(self) -> None:
+    def _respond(self) -> None:
         if self._request is None:
             return
         request = HttpRequest(
--- a/src/papayagw/_internal/net/plain/loop.py
+++ b/src/papayagw/_internal/net/plain/loop.py
@@ -119,7 +119,7 @@
     def run(self) -> None:
         """Run callbacks until `stop` is called."""
         while not self._is_stopped:
-            for key, mask in self._selector.select(self._wait_seconds()):
+            for key, mask in self._selector.select(self._select_timeout_s()):
                 on_readable, on_writable = key.data
                 if mask & selectors.EVENT_READ and on_readable is not None:
                     self._run_callback(on_readable)
@@ -133,7 +133,7 @@
         except Exception as error:
             self._on_fault(error)
 
-    def _wait_seconds(self) -> float | None:
+    def _select_timeout_s(self) -> float | None:
         while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
         if not self._timers:
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -10,7 +10,7 @@
 from papayagw._internal.exceptions import DecodeError, PapayagwError, SettingsError
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.action import Note, ResetClient
+from papayagw._internal.models.plain.action import LogEvent, ResetClient
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
     StoreAnswer,
@@ -130,7 +130,9 @@
                     frame = self._frames.decode(data)
                 except DecodeError as error:
                     self.record_event(
-                        Note("frame dropped", {"peer": source, "reason": error.what})
+                        LogEvent(
+                            "frame dropped", {"peer": source, "reason": error.what}
+                        )
                     )
                     continue
                 on_frame(frame, self._intern_endpoint(source))
@@ -148,13 +150,13 @@
         self._inner.send(raw, client.sockaddr)
         self.metrics.count("resets")
 
-    def record_event(self, note: Note) -> None:
+    def record_event(self, log_event: LogEvent) -> None:
         """Log and count an event."""
-        self.metrics.count(note.event)
-        took_ms = note.fields.get("ms")
+        self.metrics.count(log_event.event)
+        took_ms = log_event.fields.get("ms")
         if took_ms is not None:
-            self.metrics.observe(note.event, took_ms)
-        self.log.write(note.event, note.fields)
+            self.metrics.observe(log_event.event, took_ms)
+        self.log.write(log_event.event, log_event.fields)
 
     def record_store_call(
         self, call: StoreCall, answer: StoreAnswer, took_ms: int
@@ -171,7 +173,9 @@
             self._is_store_lost = is_lost
             event = "store lost" if is_lost else "store regained"
             reason = {"reason": answer.reason} if isinstance(answer, CallFailed) else {}
-            self.record_event(Note(event, {"call": name, "took_ms": took_ms, **reason}))
+            self.record_event(
+                LogEvent(event, {"call": name, "took_ms": took_ms, **reason})
+            )
 
     def add_stop_handler(self, stop: Callable[[], None]) -> None:
         """Call `stop` on SIGTERM and SIGINT."""
@@ -181,7 +185,7 @@
     def _record_fault(self, error: Exception) -> None:
         frames = traceback.format_tb(error.__traceback__)
         fields = {"error": repr(error), "traceback": "".join(frames[-3:])}
-        self.record_event(Note("fault", fields))
+        self.record_event(LogEvent("fault", fields))
 
     def _intern_endpoint(self, source: tuple[str, int]) -> Endpoint:
         peer = self._peers.get(source)
@@ -204,14 +208,14 @@
             settings = self._load_settings_file()
         except SettingsError as error:
             self.record_event(
-                Note("settings refused", {"cause": cause, "reason": error})
+                LogEvent("settings refused", {"cause": cause, "reason": error})
             )
             return
         if settings != self._settings:
             self._settings = settings
-            self.record_event(Note("settings reloaded", {"cause": cause}))
+            self.record_event(LogEvent("settings reloaded", {"cause": cause}))
         elif cause == "signal":
-            self.record_event(Note("settings unchanged", {"cause": cause}))
+            self.record_event(LogEvent("settings unchanged", {"cause": cause}))
 
 
 def error_fields(error: PapayagwError) -> dict[str, object]:
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -41,11 +41,11 @@
 
 _MAGIC = 0x7047
 _HEADER = struct.Struct(">HBI")
-_VERSION = struct.Struct(">Q")
-_UNKNOWN_AGE_MS = 0xFFFFFFFF
+_SITE_VERSION = struct.Struct(">Q")
+_UNKNOWN_RUN_AGE_MS = 0xFFFFFFFF
 _LOAD = struct.Struct(">BHHIHIQI")
-_QUESTION = struct.Struct(">12sBI")
-_CLAIM = struct.Struct(">12sB")
+_OWNER_QUERY = struct.Struct(">12sBI")
+_OWNER_REPLY = struct.Struct(">12sB")
 _FLOW_KEY_BYTES = 12
 _UTILIZATION_SCALE = 10_000
 _MAX_UINT16 = 0xFFFF
@@ -74,13 +74,13 @@
         self._packets = packets
         self._decoders: dict[int, Callable[[bytes], Frame]] = {
             1: self._decode_open,
-            2: self._decode_carry,
-            3: _decode_ask,
+            2: self._decode_forward,
+            3: _decode_owner_queries,
             4: _decode_scope,
-            5: _decode_missing,
+            5: _decode_entry_missing,
             6: _decode_opened,
             7: self._decode_return,
-            8: _decode_claim,
+            8: _decode_owner_replies,
             9: _decode_load_frame,
         }
 
@@ -111,16 +111,16 @@
     def _encode_body(self, frame: Frame) -> tuple[int, bytes]:
         match frame:
             case OpenFrame(service, version, packet):
-                header = _VERSION.pack(version) + _encode_text(service)
+                header = _SITE_VERSION.pack(version) + _encode_text(service)
                 return 1, header + packet.raw
             case ForwardFrame(service, packet):
                 return 2, _encode_text(service) + packet.raw
-            case OwnerQueryFrame(service, questions):
-                body = b"".join(_encode_question(one) for one in questions)
+            case OwnerQueryFrame(service, queries):
+                body = b"".join(_encode_owner_query(one) for one in queries)
                 return 3, _encode_text(service) + body
             case ScopeFrame(service, version, entries):
                 body = b"".join(sorted(entries))
-                return 4, _VERSION.pack(version) + _encode_text(service) + body
+                return 4, _SITE_VERSION.pack(version) + _encode_text(service) + body
             case EntryMissingFrame(service):
                 return 5, _encode_text(service)
             case OpenedFrame(flow, load):
@@ -128,20 +128,20 @@
             case ReturnFrame(reason, packet, load):
                 header = bytes((reason.value,)) + _encode_load(load)
                 return 7, header + self._packets.encode_client_packet(packet)
-            case OwnerReplyFrame(claims, load):
+            case OwnerReplyFrame(replies, load):
                 body = b"".join(
-                    _CLAIM.pack(one.flow, one.ownership.value) for one in claims
+                    _OWNER_REPLY.pack(one.flow, one.ownership.value) for one in replies
                 )
                 return 8, _encode_load(load) + body
             case LoadFrame(load):
                 return 9, _encode_load(load)
 
     def _decode_open(self, body: bytes) -> Frame:
-        (version,) = _VERSION.unpack_from(body)
-        service, raw = _decode_text(body[_VERSION.size :])
+        (version,) = _SITE_VERSION.unpack_from(body)
+        service, raw = _decode_text(body[_SITE_VERSION.size :])
         return OpenFrame(service, version, self._decode_packet(raw))
 
-    def _decode_carry(self, body: bytes) -> Frame:
+    def _decode_forward(self, body: bytes) -> Frame:
         service, raw = _decode_text(body)
         return ForwardFrame(service, self._decode_packet(raw))
 
@@ -176,9 +176,9 @@
         round(load.utilization * _UTILIZATION_SCALE),
         load.service_us,
         load.site_version,
-        _UNKNOWN_AGE_MS
+        _UNKNOWN_RUN_AGE_MS
         if load.run_age_ms is None
-        else min(load.run_age_ms, _UNKNOWN_AGE_MS - 1),
+        else min(load.run_age_ms, _UNKNOWN_RUN_AGE_MS - 1),
     )
 
 
@@ -193,27 +193,27 @@
         utilization / _UTILIZATION_SCALE,
         service_us,
         version,
-        None if age_ms == _UNKNOWN_AGE_MS else Millis(age_ms),
+        None if age_ms == _UNKNOWN_RUN_AGE_MS else Millis(age_ms),
     )
 
 
-def _encode_question(question: OwnerQuery) -> bytes:
-    known = question.acknowledged is not None
-    return _QUESTION.pack(question.flow, known, question.acknowledged or 0)
+def _encode_owner_query(query: OwnerQuery) -> bytes:
+    known = query.acknowledged is not None
+    return _OWNER_QUERY.pack(query.flow, known, query.acknowledged or 0)
 
 
-def _decode_ask(body: bytes) -> Frame:
+def _decode_owner_queries(body: bytes) -> Frame:
     service, rest = _decode_text(body)
-    questions = tuple(
+    queries = tuple(
         OwnerQuery(FlowKey(flow), acknowledged if known else None)
-        for flow, known, acknowledged in _QUESTION.iter_unpack(rest)
+        for flow, known, acknowledged in _OWNER_QUERY.iter_unpack(rest)
     )
-    return OwnerQueryFrame(service, questions)
+    return OwnerQueryFrame(service, queries)
 
 
 def _decode_scope(body: bytes) -> Frame:
-    (version,) = _VERSION.unpack_from(body)
-    service, rest = _decode_text(body[_VERSION.size :])
+    (version,) = _SITE_VERSION.unpack_from(body)
+    service, rest = _decode_text(body[_SITE_VERSION.size :])
     if len(rest) % ENTRY_KEY_BYTES:
         raise ValueError(
             f"entries truncated: {len(rest)} bytes not a multiple of {ENTRY_KEY_BYTES}"
@@ -223,7 +223,7 @@
     return ScopeFrame(service, version, entries)
 
 
-def _decode_missing(body: bytes) -> Frame:
+def _decode_entry_missing(body: bytes) -> Frame:
     service, _ = _decode_text(body)
     return EntryMissingFrame(service)
 
@@ -234,13 +234,13 @@
     )
 
 
-def _decode_claim(body: bytes) -> Frame:
+def _decode_owner_replies(body: bytes) -> Frame:
     load = _decode_load(body[: _LOAD.size])
-    claims = tuple(
+    replies = tuple(
         OwnerReply(FlowKey(flow), Ownership(ownership))
-        for flow, ownership in _CLAIM.iter_unpack(body[_LOAD.size :])
+        for flow, ownership in _OWNER_REPLY.iter_unpack(body[_LOAD.size :])
     )
-    return OwnerReplyFrame(claims, load)
+    return OwnerReplyFrame(replies, load)
 
 
 def _decode_load_frame(body: bytes) -> Frame:
--- a/src/papayagw/platform/adapter.py
+++ b/src/papayagw/platform/adapter.py
@@ -12,7 +12,7 @@
     decode_client_packet = staticmethod(packet.decode_client_packet)
     decode_backend_packet = staticmethod(packet.decode_backend_packet)
     encode_for_backend = staticmethod(packet.encode_for_backend)
-    encode_client_packet = staticmethod(packet.restore)
+    encode_client_packet = staticmethod(packet.encode_client_packet)
     encode_reset = staticmethod(packet.encode_reset)
     client_endpoint = staticmethod(packet.client_endpoint)
     decode_report = staticmethod(reports.decode_report)
--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -15,7 +15,7 @@
 _ACK = 8
 _FIN = 16
 _RST = 32
-_BOUNCED = 64
+_REJECTED = 64
 
 _FIELDS = struct.Struct(">IIIH4xB")
 """seq, ack, echo, len, flags; the keyed checksum before flags is skipped."""
@@ -40,14 +40,14 @@
 
 
 def decode_backend_packet(raw: bytes) -> FlowPacket | None:
-    """Decode a packet that a backend server sent or bounced.
+    """Decode a packet that a backend server sent or rejected.
 
     Returns None if its length is invalid.
     """
     if not _has_valid_length(raw):
         return None
-    if raw[_FLAGS_OFFSET] & _BOUNCED:
-        # A bounced packet is the client's, with unchanged source and destination.
+    if raw[_FLAGS_OFFSET] & _REJECTED:
+        # A rejected packet is the client's, with unchanged source and destination.
         return _decode(raw, FlowKey(raw[20:32]))
     # Swap the ends to get the order of a client's packet: src, sport, dport, dst.
     flow = raw[28:32] + raw[26:28] + raw[24:26] + raw[20:24]
@@ -55,18 +55,18 @@
 
 
 def encode_for_backend(packet: FlowPacket, token: int) -> bytes:
-    """Return the datagram with `token` in the echo field and without the bounced flag.
+    """Return the datagram with `token` in the echo field and no rejected flag.
 
     The backend server leaves the echo field unchanged.
     """
     raw = bytearray(packet.raw)
     _ECHO.pack_into(raw, _ECHO_OFFSET, token)
-    raw[_FLAGS_OFFSET] &= ~_BOUNCED
+    raw[_FLAGS_OFFSET] &= ~_REJECTED
     raw[_PAD_OFFSET] = 0
     return bytes(raw)
 
 
-def restore(packet: FlowPacket) -> bytes:
+def encode_client_packet(packet: FlowPacket) -> bytes:
     """Return the datagram as its client sent it, without an agent's changes."""
     return encode_for_backend(packet, 0)
 
@@ -120,7 +120,7 @@
         # In an opening the client numbers its retransmitted copies in the ack field.
         acknowledged if is_open else 0,
         length,
-        bool(flags & _BOUNCED),
+        bool(flags & _REJECTED),
         token,
         raw,
     )
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -5,7 +5,7 @@
     at MS VERB WORD...          run MS
     call REQUESTS [PAUSE_MS]    calls COUNT REQUESTS EVERY_MS [PAUSE_MS]
     expect OUTCOME COUNT        (clients with this outcome; COUNT may be "all")
-    expect-note EVENT           expect-no-note EVENT
+    expect-event EVENT           expect-no-event EVENT
     expect-openings AGENT COUNT FROM_MS TO_MS   (openings its backend server received)
 
 Verbs: restart-balancer, restart-agent, stop-balancer, freeze-balancer NAME MS,
@@ -103,10 +103,10 @@
         wanted = len(self.world.clients) if count == "all" else int(count)
         assert found.get(outcome, 0) == wanted, found
 
-    def do_expect_note(self, *words):
+    def do_expect_event(self, *words):
         assert " ".join(words) in self._events(), sorted(self._events())
 
-    def do_expect_no_note(self, *words):
+    def do_expect_no_event(self, *words):
         assert " ".join(words) not in self._events()
 
     def do_expect_openings(self, agent, count, after_ms, before_ms):
@@ -120,4 +120,4 @@
         assert len(received) == int(count), len(received)
 
     def _events(self):
-        return {note.event for _, _, note in self.world.notes}
+        return {log_event.event for _, _, log_event in self.world.log_events}
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -18,7 +18,7 @@
 from urllib.parse import parse_qs, urlparse
 
 HEADER = struct.Struct(">IIIHIBB4sHH4s")
-SYN, ACK, FIN, RST, BOUNCED = 1, 8, 16, 32, 64
+SYN, ACK, FIN, RST, REJECTED = 1, 8, 16, 32, 64
 REPORT_INTERVAL_S = 0.2
 MODULUS = 1 << 32
 
@@ -266,7 +266,7 @@
             return
         if not self.owns(flow, packet["ack"]):
             returned = bytearray(raw)
-            returned[18] |= BOUNCED
+            returned[18] |= REJECTED
             self._socket.sendto(bytes(returned), self._outbound)
             return
         if packet["data"]:
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -17,7 +17,7 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
-    Note,
+    LogEvent,
     ResetClient,
     RestoreEntry,
     SendFrame,
@@ -114,11 +114,11 @@
             start = self.flows.setdefault(flow, self.world.random.getrandbits(32))
             self.send(flow, PacketKind.ACCEPT, start, packet.sequence + 1)
         elif flow not in self.flows:
-            bounced = replace(packet, bounced=True, token=token)
-            self.world.to_agent(self.agent_name, bounced)
+            rejected = replace(packet, rejected_by_backend=True, token=token)
+            self.world.to_agent(self.agent_name, rejected)
         elif packet.acknowledged != (self.flows[flow] + 1) % MODULUS:
             self.world.to_agent(
-                self.agent_name, replace(packet, bounced=True, token=token)
+                self.agent_name, replace(packet, rejected_by_backend=True, token=token)
             )
         else:
             self.world.record_open(flow, self)
@@ -197,8 +197,8 @@
                     self.world.deliver_reset(flow, self)
                 case RestoreEntry():
                     self.world.store_entry(self)
-                case Note():
-                    self.world.notes.append((self.world.now, self.name, action))
+                case LogEvent():
+                    self.world.log_events.append((self.world.now, self.name, action))
         self.schedule_timer()
 
 
@@ -359,7 +359,7 @@
         self.backends = {}
         self.clients = {}
         self.owners = {}
-        self.notes = []
+        self.log_events = []
         self.violations = []
         self.arrivals = []
         self._events = []
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -25,7 +25,7 @@
         at 5500 restart-balancer b3
         run 20000
         expect served all
-        expect-note owner found
+        expect-event owner found
     """,
     "an added balancer finds the owners of the flows that move to it": """
         at 2000 calls 30 8 20
@@ -52,14 +52,14 @@
         at 3500 restart-agent a3
         run 30000
         expect served all
-        expect-note flow adopted
+        expect-event flow adopted
     """,
     "openings go on to other agents while one is frozen": """
         at 2000 freeze-agent a1 3000
         at 2000 calls 40 1 20
         run 20000
         expect served all
-        expect-note opening unanswered
+        expect-event opening unanswered
     """,
     "a frozen balancer that wakes resets nothing": """
         at 2000 calls 30 8 20
@@ -81,7 +81,7 @@
         at 2000 calls 10 40 20 100
         at 3500 crash a1
         run 20000
-        expect-note backend restarted
+        expect-event backend restarted
         expect deadline 0
     """,
     "clients of a backend server that died with its agent are reset": """
@@ -89,7 +89,7 @@
         at 3500 restart-agent a1
         at 3500 crash a1
         run 20000
-        expect-note flow has no owner
+        expect-event flow has no owner
         expect deadline 0
     """,
     "a draining backend server gets no opening from its report on": """
@@ -119,8 +119,8 @@
         at 2301 calls 2 1 10
         run 20000
         expect served all
-        expect-no-note opening refused
-        expect-no-note opening returned
+        expect-no-event opening refused
+        expect-no-event opening returned
     """,
     "openings wait until a backend server takes some again": """
         at 2000 drain a1
@@ -130,7 +130,7 @@
         at 2301 calls 5 1 10
         run 20000
         expect served all
-        expect-no-note opening refused
+        expect-no-event opening refused
     """,
     "an entry that lapsed is stored again and is used on": """
         at 2000 lapse a1
@@ -139,7 +139,7 @@
         at 2000 calls 40 3 100
         run 20000
         expect served all
-        expect-note entry missing in the store
+        expect-event entry missing in the store
     """,
     "flows of a route that is removed end, others don't open": """
         at 2000 calls 10 40 20 100
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -11,7 +11,7 @@
 from papayagw._internal.core.plain.intake import FIRST_REQUEST_TIMEOUT_MS
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
-    Note,
+    LogEvent,
     ResetClient,
     SendFrame,
     SendToBackend,
@@ -101,15 +101,15 @@
     actions = []
     for step in steps:
         actions = driver.run(step)
-    return [one for one in actions if not isinstance(one, Note)], driver
+    return [one for one in actions if not isinstance(one, LogEvent)], driver
 
 
 def open_frame(version=1, service="order"):
     return OpenFrame(service, version, OPENING)
 
 
-def bounced(packet):
-    return replace(packet, bounced=True, token=1)
+def rejected(packet):
+    return replace(packet, rejected_by_backend=True, token=1)
 
 
 CARRY = ForwardFrame("order", DATA)
@@ -131,8 +131,11 @@
         ),
         # A refusal by a backend server that hasn't reported doesn't mean that it is
         # full.
-        ([open_frame(), bounced(OPENING)], ReturnReason.NOT_READY),
-        ([open_frame(), bounced(OPENING), open_frame()], ReturnReason.NOT_READY),
+        ([open_frame(), rejected(OPENING)], ReturnReason.NOT_READY),
+        (
+            [open_frame(), rejected(OPENING), open_frame()],
+            ReturnReason.NOT_READY,
+        ),
         (["ready", "drain", open_frame()], ReturnReason.DRAINING),
         (["ready", "leave", open_frame()], ReturnReason.NOT_READY),
         (["ready", "stop", open_frame()], ReturnReason.DRAINING),
@@ -141,11 +144,11 @@
             ["ready", ScopeFrame("order", 5, frozenset()), open_frame(4)],
             ReturnReason.OLD_VERSION,
         ),
-        (["ready", open_frame(), bounced(OPENING)], ReturnReason.FULL),
-        (["ready", CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
+        (["ready", open_frame(), rejected(OPENING)], ReturnReason.FULL),
+        (["ready", CARRY, rejected(DATA)], ReturnReason.NOT_OWNER),
         ([*ACCEPTED, ForwardFrame("order", FOREIGN)], ReturnReason.NOT_OWNER),
         # Accepted here and at another backend server, which the client chose.
-        ([*ACCEPTED, CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
+        ([*ACCEPTED, CARRY, rejected(DATA)], ReturnReason.NOT_OWNER),
         (["ready", ForwardFrame("drawings", DATA)], ReturnReason.WRONG_SERVICE),
         (["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], ReturnReason.SILENT),
         (
@@ -242,7 +245,7 @@
         ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_TIMEOUT_MS - 1], 0),
         ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_TIMEOUT_MS], 1),
         # The backend server returned the flow, which ends its request.
-        ([*FULL, open_frame(), change_flow(bounced(DATA), 1)], 1),
+        ([*FULL, open_frame(), change_flow(rejected(DATA), 1)], 1),
     ],
 )
 def test_rejected_balancer_is_notified_of_capacity(steps, notified):
@@ -258,14 +261,14 @@
     [
         (ACCEPTED, [SendToClient, SendFrame]),
         (OPEN, [SendToClient]),
-        ([*OPEN, bounced(DATA)], [ResetClient]),
+        ([*OPEN, rejected(DATA)], [ResetClient]),
         ([*OPEN, 100, "restart"], [ResetClient, SendFrame]),
         # Only accepted, so not certain to be open here; younger than the reporting run.
         ([*ACCEPTED, 100, "restart"], [SendFrame]),
         ([*OPEN, "restart"], [SendFrame]),
         ([*OPEN, FINISH, 100, "restart"], [SendFrame]),
-        ([bounced(OPENING)], []),
-        ([bounced(DATA)], []),
+        ([rejected(OPENING)], []),
+        ([rejected(DATA)], []),
     ],
 )
 def test_actions(steps, kinds):
@@ -321,7 +324,7 @@
         (ACCEPTED, 1),
         ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS - 1], 1),
         ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS], 0),
-        ([*ACCEPTED, bounced(DATA)], 0),
+        ([*ACCEPTED, rejected(DATA)], 0),
         ([*ACCEPTED, CARRY], 1),
         (OPEN, 0),
         # A retransmitted request isn't counted again.
--- a/tests/unit/test_plain_backend_state.py
+++ b/tests/unit/test_plain_backend_state.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayagw._internal.core.plain.admission import request_limit
+from papayagw._internal.core.plain.admission import max_concurrent_requests
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.load_meter import LoadMeter
 from papayagw._internal.models.plain.instance import (
@@ -95,4 +95,4 @@
 
 @pytest.mark.parametrize(("slots", "limit"), [(0, 2), (1, 2), (3, 6)])
 def test_request_limit(slots, limit):
-    assert request_limit(slots) == limit
+    assert max_concurrent_requests(slots) == limit
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -15,15 +15,15 @@
 from papayagw._internal.core.plain.questions import REPLY_TIMEOUT_MS
 from papayagw._internal.core.plain.roster import (
     BUSY_BACKOFF_MS,
-    LOAD_FRESH_MS,
+    MAX_LOAD_AGE_MS,
     MISSING_GRACE_MS,
-    UNAVAILABLE_MS,
+    UNAVAILABLE_VALIDITY_MS,
     AgentView,
     Roster,
 )
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.action import Note, ResetClient, SendFrame
+from papayagw._internal.models.plain.action import LogEvent, ResetClient, SendFrame
 from papayagw._internal.models.plain.frame import (
     EntryMissingFrame,
     ForwardFrame,
@@ -134,7 +134,7 @@
     actions = []
     for step in steps:
         actions = driver.do(step)
-    return [one for one in actions if not isinstance(one, Note)], driver
+    return [one for one in actions if not isinstance(one, LogEvent)], driver
 
 
 def returned(agent, reason, packet=OPENING, report=None):
@@ -189,9 +189,12 @@
         ([load_report(A, NOT_READY), OPENING], [(B, OpenFrame)]),
         ([load_report(A, Availability.DRAINING), OPENING], [(B, OpenFrame)]),
         ([load_report(A, Availability.LEAVING), OPENING], [(B, OpenFrame)]),
-        ([load_report(A, NOT_READY), UNAVAILABLE_MS + 1, OPENING], [(A, OpenFrame)]),
+        (
+            [load_report(A, NOT_READY), UNAVAILABLE_VALIDITY_MS + 1, OPENING],
+            [(A, OpenFrame)],
+        ),
         # A busy agent gets no offers until it reports free capacity or time passes.
-        ([*BUSY_REJECTION, LOAD_FRESH_MS + 1, OTHER], [(B, OpenFrame)]),
+        ([*BUSY_REJECTION, MAX_LOAD_AGE_MS + 1, OTHER], [(B, OpenFrame)]),
         (
             [*BUSY_REJECTION, load_report(A, Availability.READY), OTHER],
             [(A, OpenFrame)],
--- a/tests/unit/test_plain_batching.py
+++ b/tests/unit/test_plain_batching.py
@@ -2,9 +2,12 @@
 
 import pytest
 
-from papayagw._internal.core.plain.batching import MAX_QUESTIONS, join_questions
+from papayagw._internal.core.plain.batching import (
+    MAX_QUERIES_PER_FRAME,
+    merge_owner_queries,
+)
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.action import Note, SendFrame
+from papayagw._internal.models.plain.action import LogEvent, SendFrame
 from papayagw._internal.models.plain.frame import (
     ForwardFrame,
     OwnerQuery,
@@ -28,14 +31,14 @@
 
 FLOW = question(1).flow
 CARRY = SendFrame(A, ForwardFrame("order", make_packet(FLOW, PacketKind.DATA, 1, 2)))
-NOTE = Note("owner unknown", {})
+LOG_EVENT = LogEvent("owner unknown", {})
 
 
 @pytest.mark.parametrize(
     ("actions", "joined"),
     [
         ([], []),
-        ([NOTE, CARRY], [NOTE, CARRY]),
+        ([LOG_EVENT, CARRY], [LOG_EVENT, CARRY]),
         ([ask(A, 1)], [ask(A, 1)]),
         ([ask(A, 1), ask(A, 2)], [ask(A, 1, 2)]),
         ([ask(A, 1), ask(B, 1), ask(A, 2), ask(B, 2)], [ask(A, 1, 2), ask(B, 1, 2)]),
@@ -45,10 +48,10 @@
             [ask(A, 1), ask(A, 2, service="drawings")],
         ),
         (
-            [ask(A, number) for number in range(MAX_QUESTIONS + 1)],
-            [ask(A, *range(MAX_QUESTIONS)), ask(A, MAX_QUESTIONS)],
+            [ask(A, number) for number in range(MAX_QUERIES_PER_FRAME + 1)],
+            [ask(A, *range(MAX_QUERIES_PER_FRAME)), ask(A, MAX_QUERIES_PER_FRAME)],
         ),
     ],
 )
 def test_questions_to_one_agent_are_joined(actions, joined):
-    assert join_questions(actions) == joined
+    assert merge_owner_queries(actions) == joined
--- a/tests/unit/test_platform_packet.py
+++ b/tests/unit/test_platform_packet.py
@@ -6,17 +6,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from papayagw._internal.models.plain.packet import FlowKey, PacketKind, show_flow
+from papayagw._internal.models.plain.packet import FlowKey, PacketKind, format_flow
 from papayagw.platform.packet import (
     HEADER_BYTES,
     MAX_PACKET_BYTES,
     client_endpoint,
     decode_backend_packet,
     decode_client_packet,
+    encode_client_packet,
     encode_entry,
     encode_for_backend,
     encode_reset,
-    restore,
 )
 
 # The example from the platform's documentation.
@@ -45,7 +45,7 @@
     assert packet.kind is PacketKind.OPEN
     assert packet.sequence == 0x11223344
     assert packet.acknowledged is None
-    assert show_flow(packet.flow) == "100.64.0.7:40001>198.18.0.1:443"
+    assert format_flow(packet.flow) == "100.64.0.7:40001>198.18.0.1:443"
     assert packet.entry == encode_entry("198.18.0.1", 443)
     assert str(client_endpoint(packet.flow, 8172)) == "100.64.0.7:8172"
 
@@ -85,8 +85,8 @@
     returned = bytearray(sent)
     returned[FLAGS_OFFSET] |= 64
     packet = decode_backend_packet(bytes(returned))
-    assert (packet.flow, packet.bounced, packet.token) == (FLOW, True, 77)
-    assert restore(packet) == OPENING
+    assert (packet.flow, packet.rejected_by_backend, packet.token) == (FLOW, True, 77)
+    assert encode_client_packet(packet) == OPENING
 
 
 @pytest.mark.parametrize(
@@ -111,7 +111,7 @@
             encoded = encode_for_backend(packet, token)
             decoded = decode_client_packet(encoded)
             assert decoded.token == token
-            assert not decoded.bounced
+            assert not decoded.rejected_by_backend
             # Only fields that the keyed checksum doesn't cover are changed.
             assert encoded[:ECHO_OFFSET] == raw[:ECHO_OFFSET]
             assert encoded[12:FLAGS_OFFSET] == raw[12:FLAGS_OFFSET]
