--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -161,7 +161,7 @@
             case OpenFrame():
                 return self._on_opening(frame, source, now)
             case ForwardFrame():
-                return self._on_forwarded(frame, source, now)
+                return self._on_forwarded_packet(frame, source, now)
             case OwnerQueryFrame():
                 return self._on_owner_queries(frame, source, now)
             case ScopeFrame():
@@ -181,7 +181,7 @@
         if owned is None or owned.accept_sequence is None:
             reason = self._find_rejection_reason(frame, source, now)
             if reason is not None:
-                return self._return(packet, reason, source, now)
+                return self._return_packet(packet, reason, source, now)
         if owned is None:
             owned = self._flows.add(packet.flow, source, now)
         owned.balancer = source
@@ -192,13 +192,13 @@
             self._pending_openings[packet.flow] = owned
         return [SendToBackend(packet, self._peers.token_of(source))]
 
-    def _on_forwarded(
+    def _on_forwarded_packet(
         self, frame: ForwardFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
         packet = frame.packet
         owned = self._flows.find(packet.flow)
         if owned is not None and not owned.matches(packet.acknowledged):
-            return self._return(packet, ReturnReason.NOT_OWNER, source, now)
+            return self._return_packet(packet, ReturnReason.NOT_OWNER, source, now)
         if owned is not None:
             owned.balancer = source
             self._record_client_packet(owned, packet, now)
@@ -246,7 +246,7 @@
     ) -> list[Action]:
         if isinstance(frame, OpenFrame | ForwardFrame):
             reason = ReturnReason.WRONG_SERVICE
-            return self._return(frame.packet, reason, source, now)
+            return self._return_packet(frame.packet, reason, source, now)
         if isinstance(frame, OwnerQueryFrame):
             replies = tuple(
                 OwnerReply(query.flow, Ownership.NOT_OWNER) for query in frame.queries
@@ -254,7 +254,7 @@
             return [SendFrame(source, OwnerReplyFrame(replies, self.current_load(now)))]
         return []
 
-    def _return(
+    def _return_packet(
         self, packet: FlowPacket, reason: ReturnReason, peer: Endpoint, now: Millis
     ) -> list[Action]:
         fields = {
@@ -281,9 +281,9 @@
         owned = self._flows.find(packet.flow)
         if packet.kind is PacketKind.ACCEPT:
             return self._on_accept(packet, owned, now)
-        return self._on_response(packet, owned, now)
+        return self._on_flow_packet(packet, owned, now)
 
-    def _on_response(
+    def _on_flow_packet(
         self, packet: FlowPacket, owned: OwnedFlow | None, now: Millis
     ) -> list[Action]:
         actions: list[Action] = [SendToClient(packet)]
@@ -336,7 +336,9 @@
                 self._remove_flow(packet.flow, owned, now)
             if balancer is None:
                 return []
-            return self._return(packet, self._admission.record_refusal(), balancer, now)
+            return self._return_packet(
+                packet, self._admission.record_rejection(), balancer, now
+            )
         if owned is not None and owned.is_established:
             # A returned packet means that the backend server no longer holds the flow.
             self._remove_flow(packet.flow, owned, now)
@@ -346,7 +348,7 @@
             self._remove_flow(packet.flow, owned, now)
         if balancer is None:
             return []
-        return self._return(packet, ReturnReason.NOT_OWNER, balancer, now)
+        return self._return_packet(packet, ReturnReason.NOT_OWNER, balancer, now)
 
     # Reports from the backend server
 
@@ -452,7 +454,10 @@
         log_event = LogEvent(
             "backend silent", {"flow": format_flow(flow), "wait_ms": wait}
         )
-        return [log_event, *self._return(packet, ReturnReason.SILENT, balancer, now)]
+        return [
+            log_event,
+            *self._return_packet(packet, ReturnReason.SILENT, balancer, now),
+        ]
 
     def _remove_expired_flows(self, now: Millis) -> None:
         self._last_sweep_at = now
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -85,14 +85,14 @@
         self._flows = FlowCache()
         self._openings = Openings()
         self._lookup = self._lookup_type(
-            self._list_agents,
+            self._list_routed_agents,
             roster.find,
             self._flows,
             on_owner_not_found,
             self._knows_all_agents,
         )
-        self._listed_at: Millis | None = None
-        self._scopes_sent: dict[Endpoint, Millis] = {}
+        self._first_listed_at: Millis | None = None
+        self._scope_sent_at: dict[Endpoint, Millis] = {}
 
     @property
     def site(self) -> SiteVersion | None:
@@ -113,7 +113,7 @@
     def due_at(self) -> Millis | None:
         """When `on_timer` is to be called next."""
         due = (self._openings.due_at, self._lookup.due_at)
-        return min((one for one in due if one is not None), default=None)
+        return min((at for at in due if at is not None), default=None)
 
     def apply_site(self, site: SiteVersion) -> bool:
         """Apply a configuration if it is newer; return whether it was applied."""
@@ -124,8 +124,8 @@
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
         """Handle the completion of a full read of the agents' store entries."""
-        if self._listed_at is None:
-            self._listed_at = now
+        if self._first_listed_at is None:
+            self._first_listed_at = now
         return self._lookup.on_agents_listed(now)
 
     def notify_missing_agents(self) -> list[Action]:
@@ -168,7 +168,7 @@
         return [
             *self._handle_version_mismatch(view, frame.load, now),
             *self._handle_frame(frame, view, now),
-            *self._offer_waiting(view, now),
+            *self._offer_waiting_openings(view, now),
         ]
 
     def on_timer(self, now: Millis) -> list[Action]:
@@ -199,13 +199,13 @@
     def _offer(self, opening: Opening, route: Route, now: Millis) -> list[Action]:
         packet = opening.packet
         service = _pick_service(route, packet)
-        agent = self._choose(service, opening, now)
+        agent = self._choose_agent(service, opening, now)
         if agent is None or opening.is_exhausted:
             if not opening.is_declined and self._openings.schedule_retry(
                 opening, service, now
             ):
                 return []
-            return self._refuse(opening, service)
+            return self._refuse_opening(opening, service)
         return self._offer_to(agent, opening, route, now)
 
     def _offer_to(
@@ -213,14 +213,14 @@
     ) -> list[Action]:
         packet = opening.packet
         self._openings.record_offer(opening, agent, now)
-        agent.pending += 1
+        agent.pending_offers += 1
         self._flows.put(packet.flow, agent, now, is_confirmed=False)
         log_event = LogEvent(
             "opening offered", self._describe_offer(opening, agent, route)
         )
         return [self._make_open_frame(agent, packet), log_event]
 
-    def _offer_waiting(self, agent: AgentView, now: Millis) -> list[Action]:
+    def _offer_waiting_openings(self, agent: AgentView, now: Millis) -> list[Action]:
         """Offer waiting openings to an agent that has free capacity."""
         if agent.free_capacity <= 0:
             return []
@@ -235,11 +235,13 @@
                 actions += self._offer_to(agent, opening, route, now)
         return actions
 
-    def _choose(self, service: str, opening: Opening, now: Millis) -> AgentView | None:
+    def _choose_agent(
+        self, service: str, opening: Opening, now: Millis
+    ) -> AgentView | None:
         untried = [
             view
             for view in self._roster.list_service(service)
-            if view.endpoint not in opening.tried and not view.is_gone(now)
+            if view.endpoint not in opening.tried_agents and not view.is_gone(now)
         ]
         available = [view for view in untried if view.accepts_openings(now)]
         # A suspect agent may still answer, whereas an opening that isn't offered to
@@ -254,7 +256,7 @@
         frame = OpenFrame(agent.entry.service, version, packet)
         return SendFrame(agent.endpoint, frame)
 
-    def _refuse(self, opening: Opening, service: str) -> list[Action]:
+    def _refuse_opening(self, opening: Opening, service: str) -> list[Action]:
         packet = opening.packet
         self._openings.end(packet.flow)
         self._flows.drop(packet.flow)
@@ -302,10 +304,10 @@
             "route": route.name,
             "version": self._site.version if self._site is not None else 0,
             "agent": agent.endpoint,
-            "offer": len(opening.tried),
+            "offer": len(opening.tried_agents),
             "copy": opening.packet.copy,
             "busy": load.busy if load is not None else None,
-            "pending": agent.pending,
+            "pending": agent.pending_offers,
         }
 
     # Frames from agents
@@ -334,7 +336,7 @@
             "flow": format_flow(frame.flow),
             "agent": view.endpoint,
             "ms": now - opening.started_at,
-            "offers": len(opening.tried),
+            "offers": len(opening.tried_agents),
         }
         return [LogEvent("opening accepted", fields)]
 
@@ -402,10 +404,10 @@
         if load.site_version > self._site.version:
             self._on_newer_version()
             return
-        sent_at = self._scopes_sent.get(view.endpoint)
+        sent_at = self._scope_sent_at.get(view.endpoint)
         if sent_at is not None and now - sent_at < SCOPE_INTERVAL_MS:
             return
-        self._scopes_sent[view.endpoint] = now
+        self._scope_sent_at[view.endpoint] = now
         yield SendFrame(
             view.endpoint, _make_scope_frame(self._site, view.entry.service)
         )
@@ -417,17 +419,17 @@
         is restored within `MISSING_GRACE_MS`. If all backend servers have started
         recently, no earlier flow can exist and there is no need to wait.
         """
-        listed_at = self._listed_at
-        if listed_at is None:
+        first_listed_at = self._first_listed_at
+        if first_listed_at is None:
             return False
-        if now - listed_at > MISSING_GRACE_MS:
+        if now - first_listed_at > MISSING_GRACE_MS:
             return True
-        start = Millis(listed_at - RESTART_SPREAD_MS)
+        start = Millis(first_listed_at - RESTART_SPREAD_MS)
         return all(view.backend_started_after(start) for view in agents)
 
     # Routes
 
-    def _list_agents(self, packet: FlowPacket) -> list[AgentView]:
+    def _list_routed_agents(self, packet: FlowPacket) -> list[AgentView]:
         """Return the agents of all services that the packet's entry is routed to."""
         route = self._find_route(packet)
         return [
@@ -461,12 +463,12 @@
     """
     if len(route.services) == 1:
         return route.services[0].name
-    total = sum(one.weight for one in route.services)
+    total = sum(service.weight for service in route.services)
     point = unit_hash(packet.flow, b"service") * total
-    for one in route.services:
-        point -= one.weight
+    for service in route.services:
+        point -= service.weight
         if point <= 0:
-            return one.name
+            return service.name
     return route.services[-1].name
 
 
@@ -474,6 +476,6 @@
     entries = frozenset(
         entry
         for entry, route in site.routes.items()
-        if any(one.name == service for one in route.services)
+        if any(candidate.name == service for candidate in route.services)
     )
     return ScopeFrame(service, site.version, entries)
--- a/src/papayagw/_internal/core/plain/choice.py
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -70,7 +70,7 @@
         load = view.load
         if load is None:
             return (
-                default_service_us * (1 + view.pending + TIE_JITTER * jitter)
+                default_service_us * (1 + view.pending_offers + TIE_JITTER * jitter)
                 + zone_penalty_us
             )
         service_us = load.service_us or default_service_us
@@ -80,7 +80,9 @@
         busy = (
             load.busy if now - view.load_received_at < MAX_LOAD_AGE_MS else average_busy
         )
-        ahead = busy + average_busy + view.pending + load.flows * IDLE_FLOW_WEIGHT
+        ahead = (
+            busy + average_busy + view.pending_offers + load.flows * IDLE_FLOW_WEIGHT
+        )
         queue = (ahead + TIE_JITTER * jitter) / max(load.slots, 1)
         return service_us * (1 + queue) + zone_penalty_us
 
--- a/src/papayagw/_internal/core/plain/entry_registrar.py
+++ b/src/papayagw/_internal/core/plain/entry_registrar.py
@@ -82,10 +82,10 @@
     def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
         """Handle the answer to the last call."""
         if isinstance(answer, CallFailed):
-            self._due_at = Millis(now + self._retry_schedule.fail(answer))
+            self._due_at = Millis(now + self._retry_schedule.record_failure(answer))
             self._had_failure = True
             return
-        self._retry_schedule.succeed()
+        self._retry_schedule.record_success()
         self._due_at = now
         match answer:
             case RangeResult(items):
--- a/src/papayagw/_internal/core/plain/flow_cache.py
+++ b/src/papayagw/_internal/core/plain/flow_cache.py
@@ -67,6 +67,6 @@
             return
         self._last_sweep_at = now
         limit = now - idle_ms
-        silent = [key for key, one in self._flows.items() if one.seen_at < limit]
-        for key in silent:
+        idle = [key for key, cached in self._flows.items() if cached.seen_at < limit]
+        for key in idle:
             del self._flows[key]
--- a/src/papayagw/_internal/core/plain/intake.py
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -15,7 +15,7 @@
 MAX_PAUSE_MS = Millis(2_400)
 """Upper limit of the pause: two report intervals."""
 
-MAX_TIMEOUT_COUNT = 8
+MAX_ACCEPT_TIMEOUT_COUNT = 8
 """Upper limit of the count of consecutive accept timeouts.
 
 The pause reaches `MAX_PAUSE_MS` at a count of 3.
@@ -53,12 +53,12 @@
         self.backend = backend
         self.meter = LoadMeter()
         self._paused_until = Millis(0)
-        self._timeout_count = 0
-        self._has_refused = False
+        self._accept_timeout_count = 0
+        self._has_rejected = False
         self._is_leaving = False
-        self._waiting: dict[Endpoint, None] = {}
+        self._waiting_balancers: dict[Endpoint, None] = {}
         self._reserved_until: dict[Endpoint, Millis] = {}
-        self._awaited_until: dict[FlowKey, Millis] = {}
+        self._first_request_deadlines: dict[FlowKey, Millis] = {}
 
     @property
     def due_at(self) -> Millis | None:
@@ -66,9 +66,9 @@
 
         None if no balancer is waiting or no first request is outstanding.
         """
-        if not self._waiting:
+        if not self._waiting_balancers:
             return None
-        return next(iter(self._awaited_until.values()), None)
+        return next(iter(self._first_request_deadlines.values()), None)
 
     def availability(self, now: Millis) -> Availability:
         """Return whether openings are admitted, regardless of free capacity."""
@@ -80,7 +80,7 @@
             return Availability.DRAINING
         if now < self._paused_until:
             return Availability.UNREADY
-        if self._timeout_count and self.backend.is_report_overdue(now):
+        if self._accept_timeout_count and self.backend.is_report_overdue(now):
             return Availability.UNREADY
         return Availability.READY
 
@@ -101,13 +101,13 @@
         if self._reserved_until.pop(source, None) is not None:
             # The balancer may have more queued openings, so it keeps waiting; if it
             # has none, its next reservation expires unused.
-            self._waiting[source] = None
+            self._waiting_balancers[source] = None
         availability = self.availability(now)
         if availability is Availability.READY:
             if self._free_capacity(pending_openings, now) > 0:
                 return None
-            if len(self._waiting) < MAX_WAITING_BALANCERS:
-                self._waiting[source] = None
+            if len(self._waiting_balancers) < MAX_WAITING_BALANCERS:
+                self._waiting_balancers[source] = None
             return ReturnReason.BUSY
         if now < self._paused_until:
             return ReturnReason.SILENT
@@ -120,7 +120,10 @@
 
         Each balancer gets capacity for one opening, in the order of rejection.
         """
-        if not self._waiting or self._free_capacity(pending_openings, now) <= 0:
+        if (
+            not self._waiting_balancers
+            or self._free_capacity(pending_openings, now) <= 0
+        ):
             return []
         if self.availability(now) is not Availability.READY:
             return []
@@ -128,28 +131,28 @@
         for peer in expired:
             del self._reserved_until[peer]
         free = self._free_capacity(pending_openings, now) - len(self._reserved_until)
-        notified = list(self._waiting)[: max(free, 0)]
+        notified = list(self._waiting_balancers)[: max(free, 0)]
         for peer in notified:
-            del self._waiting[peer]
+            del self._waiting_balancers[peer]
             self._reserved_until[peer] = Millis(now + RESERVATION_MS)
         return notified
 
     def expect_first_request(self, flow: FlowKey, now: Millis) -> None:
         """Count the first request of an accepted flow before it arrives."""
-        self._awaited_until[flow] = Millis(now + FIRST_REQUEST_TIMEOUT_MS)
+        self._first_request_deadlines[flow] = Millis(now + FIRST_REQUEST_TIMEOUT_MS)
 
     def clear_first_request(self, flow: FlowKey) -> None:
         """Stop counting a flow's first request: it arrived, or never will."""
-        self._awaited_until.pop(flow, None)
+        self._first_request_deadlines.pop(flow, None)
 
     def count_requests(self, pending_openings: int, now: Millis) -> int:
         """Return the number of requests in progress or expected."""
-        while self._awaited_until:
-            flow, until = next(iter(self._awaited_until.items()))
+        while self._first_request_deadlines:
+            flow, until = next(iter(self._first_request_deadlines.items()))
             if until > now:
                 break
-            del self._awaited_until[flow]
-        return self.meter.busy + pending_openings + len(self._awaited_until)
+            del self._first_request_deadlines[flow]
+        return self.meter.busy + pending_openings + len(self._first_request_deadlines)
 
     def record_report(self, report: StatusReport, now: Millis) -> bool:
         """Record a report and its number of slots, and end a pause in openings.
@@ -167,23 +170,25 @@
 
     def record_activity(self) -> None:
         """Record that the backend server sent something, which ends a pause."""
-        self._timeout_count = 0
+        self._accept_timeout_count = 0
         self._paused_until = Millis(0)
 
-    def record_refusal(self) -> ReturnReason:
+    def record_rejection(self) -> ReturnReason:
         """Record that the backend server returned an opening; return the reason.
 
         A server that isn't known from a report, such as one that is shutting down,
         accepts no openings at all, so the reason is then `NOT_READY`.
         """
-        self._has_refused = True
+        self._has_rejected = True
         return ReturnReason.FULL if self.backend.is_known else ReturnReason.NOT_READY
 
     def record_accept_timeout(self, now: Millis) -> Millis:
         """Record an unanswered opening; return the pause in openings, in ms."""
-        wait = Millis(min(INITIAL_PAUSE_MS << self._timeout_count, MAX_PAUSE_MS))
+        wait = Millis(min(INITIAL_PAUSE_MS << self._accept_timeout_count, MAX_PAUSE_MS))
         if now >= self._paused_until:
-            self._timeout_count = min(self._timeout_count + 1, MAX_TIMEOUT_COUNT)
+            self._accept_timeout_count = min(
+                self._accept_timeout_count + 1, MAX_ACCEPT_TIMEOUT_COUNT
+            )
             self._paused_until = Millis(now + wait)
         return wait
 
@@ -199,7 +204,7 @@
         server returns or leaves unanswered ends this assumption.
         """
         is_new = now - self._started_at < self.backend.report_timeout_ms
-        has_failed = self._has_refused or self._timeout_count > 0
+        has_failed = self._has_rejected or self._accept_timeout_count > 0
         return is_new and self.backend.report is None and not has_failed
 
     def _free_capacity(self, pending_openings: int, now: Millis) -> int:
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -52,12 +52,12 @@
         When the client sent the first copy.
     """
 
-    __slots__ = ("agent", "is_declined", "packet", "started_at", "tried")
+    __slots__ = ("agent", "is_declined", "packet", "started_at", "tried_agents")
 
     def __init__(self, packet: FlowPacket, started_at: Millis):
         self.packet = packet
         self.started_at = started_at
-        self.tried: set[Endpoint] = set()
+        self.tried_agents: set[Endpoint] = set()
         self.agent: AgentView | None = None
         self.is_declined = False
         """Whether a backend server that accepts openings has rejected this one."""
@@ -65,7 +65,7 @@
     @property
     def is_exhausted(self) -> bool:
         """Whether the opening has been offered to `MAX_OFFERS` agents."""
-        return len(self.tried) >= MAX_OFFERS
+        return len(self.tried_agents) >= MAX_OFFERS
 
 
 class Openings:
@@ -74,7 +74,7 @@
     def __init__(self) -> None:
         self._openings: dict[FlowKey, Opening] = {}
         self._deadlines: DeadlineQueue[FlowKey] = DeadlineQueue()
-        self._waiting: dict[str, dict[FlowKey, Opening]] = {}
+        self._waiting_by_service: dict[str, dict[FlowKey, Opening]] = {}
 
     def __len__(self) -> int:
         return len(self._openings)
@@ -105,7 +105,7 @@
         """Record that an opening was offered to an agent, and start the timeout."""
         self._remove_waiting(opening.packet.flow)
         opening.agent = agent
-        opening.tried.add(agent.endpoint)
+        opening.tried_agents.add(agent.endpoint)
         self._deadlines.set(opening.packet.flow, Millis(now + OFFER_TIMEOUT_MS))
 
     def schedule_retry(self, opening: Opening, service: str, now: Millis) -> bool:
@@ -116,9 +116,9 @@
         bool
             False if the opening would be too old by then.
         """
-        self._waiting.setdefault(service, {})[opening.packet.flow] = opening
+        self._waiting_by_service.setdefault(service, {})[opening.packet.flow] = opening
         opening.agent = None
-        opening.tried.clear()
+        opening.tried_agents.clear()
         age = now - opening.started_at
         # Back off with age: the older an opening is, the less an early retry gains.
         wait = max(MIN_RETRY_MS, age // RETRY_AGE_DIVISOR)
@@ -127,7 +127,7 @@
 
     def list_waiting(self, service: str) -> list[Opening]:
         """Return the openings waiting for an agent of a service, newest first."""
-        return _sort_newest_first(self._waiting.get(service, {}).values())
+        return _sort_newest_first(self._waiting_by_service.get(service, {}).values())
 
     def end(self, flow: FlowKey) -> Opening | None:
         """Remove and return an opening, or return None if it isn't known."""
@@ -144,11 +144,11 @@
         return _sort_newest_first([self._openings[flow] for flow in due])
 
     def _remove_waiting(self, flow: FlowKey) -> None:
-        for openings in self._waiting.values():
+        for openings in self._waiting_by_service.values():
             openings.pop(flow, None)
 
 
 def _sort_newest_first(openings: Reversible[Opening]) -> list[Opening]:
     """Return openings, newest first; of equally old ones, the last added first."""
     latest = reversed(openings)
-    return sorted(latest, key=lambda one: one.started_at, reverse=True)
+    return sorted(latest, key=lambda opening: opening.started_at, reverse=True)
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_search.py
@@ -103,13 +103,13 @@
         if lookup is None or lookup.stage is not Stage.QUERYING:
             return []
         lookup.record_reply(view.endpoint, reply.ownership)
-        return [] if lookup.pending_agents else self._on_replies_done(lookup, now)
+        return [] if lookup.pending_agents else self._end_querying(lookup, now)
 
     def on_timer(self, now: Millis) -> list[Action]:
         """Continue the lookups whose replies are overdue."""
         actions: list[Action] = []
         for lookup in self._lookups.pop_due(now):
-            actions += self._on_replies_done(lookup, now)
+            actions += self._end_querying(lookup, now)
         return actions
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
@@ -138,8 +138,8 @@
         fields = {"flow": format_flow(reply.flow), "agent": view.endpoint}
         return [
             *(
-                make_forward(view, held)
-                for held in lookup.list_packets_for_owner(view.endpoint)
+                make_forward(view, packet)
+                for packet in lookup.list_packets_for_owner(view.endpoint)
             ),
             LogEvent("owner found", fields),
         ]
@@ -167,7 +167,7 @@
         lookup.record_reply(excluded.endpoint, Ownership.NOT_OWNER)
         return self._confirm_no_owner(lookup, now)
 
-    def _on_replies_done(self, lookup: PendingLookup, now: Millis) -> list[Action]:
+    def _end_querying(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Forward the held packets to the agents that may own the flow, if any."""
         fields = {
             "flow": format_flow(lookup.flow),
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -40,7 +40,7 @@
         self._flows = flows
         self._backend = backend
         self._started_at = now
-        self._unsure_until = Millis(now + flow_limit_ms)
+        self._knows_all_flows_from = Millis(now + flow_limit_ms)
 
     def resolve(self, query: OwnerQuery, now: Millis) -> Ownership:
         """Return whether the backend server owns the flow, as far as is known."""
@@ -51,7 +51,11 @@
         if owned is not None:
             # The backend server still answers late packets of an ended flow.
             return Ownership.OWNER
-        return Ownership.UNKNOWN if now < self._unsure_until else Ownership.NOT_OWNER
+        return (
+            Ownership.UNKNOWN
+            if now < self._knows_all_flows_from
+            else Ownership.NOT_OWNER
+        )
 
     def begin_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> None:
         """Record the age of a new run.
@@ -60,7 +64,7 @@
         """
         self._backend.record_age(age_ms, now)
         if self._observed_whole_run(report, age_ms, now):
-            self._unsure_until = now
+            self._knows_all_flows_from = now
 
     def _observed_whole_run(
         self, report: StatusReport, age_ms: Millis, now: Millis
--- a/src/papayagw/_internal/core/plain/peers.py
+++ b/src/papayagw/_internal/core/plain/peers.py
@@ -27,7 +27,7 @@
         self._last_frame_at: dict[Endpoint, Millis] = {}
         self._tokens: dict[Endpoint, int] = {}
         self._by_token: dict[int, Endpoint] = {}
-        self._last_sent_at = Millis(0)
+        self._last_round_at = Millis(0)
         self._load_changed = False
 
     @property
@@ -39,7 +39,7 @@
             MIN_LOAD_INTERVAL_MS,
             1_000 * len(self._last_frame_at) // MAX_LOAD_FRAMES_PER_SECOND,
         )
-        return Millis(self._last_sent_at + interval)
+        return Millis(self._last_round_at + interval)
 
     def record_frame(self, peer: Endpoint, now: Millis) -> None:
         """Record the arrival of a frame from a balancer."""
@@ -55,7 +55,7 @@
         due_at = self.due_at
         if due_at is None or now < due_at:
             return False
-        self._last_sent_at = now
+        self._last_round_at = now
         self._load_changed = False
         return True
 
--- a/src/papayagw/_internal/core/plain/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/prefix_watcher.py
@@ -94,12 +94,12 @@
         """Handle the answer to the last call."""
         match answer:
             case RangeResult():
-                self._retry_schedule.succeed()
+                self._retry_schedule.record_success()
                 self._retry_schedule.set_max_retry_delay(MAX_RETRY_DELAY_MS)
                 self._add_page(answer)
                 self._due_at = now
             case WatchResult(events, revision):
-                self._retry_schedule.succeed()
+                self._retry_schedule.record_success()
                 self._due_at = now
                 if events:
                     # A watch without events may have missed some, so only a watch
@@ -112,10 +112,12 @@
             case CallFailed():
                 # Writes during the failure may be missing from the history.
                 self._revision = None
-                self._due_at = Millis(now + self._retry_schedule.fail(answer))
+                self._due_at = Millis(now + self._retry_schedule.record_failure(answer))
             case _:
                 failure = CallFailed(f"unexpected answer {answer!r}")
-                self._due_at = Millis(now + self._retry_schedule.fail(failure))
+                self._due_at = Millis(
+                    now + self._retry_schedule.record_failure(failure)
+                )
 
     def refresh(self, now: Millis) -> bool:
         """Schedule a new read of all keys; return False if one is already pending."""
--- a/src/papayagw/_internal/core/plain/questions.py
+++ b/src/papayagw/_internal/core/plain/questions.py
@@ -157,7 +157,11 @@
 
     def list_confirming(self) -> list[PendingLookup]:
         """Return the lookups that wait for a read of the agents' entries."""
-        return [one for one in self._lookups.values() if one.stage is Stage.CONFIRMING]
+        return [
+            lookup
+            for lookup in self._lookups.values()
+            if lookup.stage is Stage.CONFIRMING
+        ]
 
     def end(self, flow: FlowKey) -> PendingLookup | None:
         """Remove and return a lookup, or return None if there is none."""
@@ -170,10 +174,10 @@
         Lookups whose time ran out in a later stage are removed.
         """
         due = [self._lookups[flow] for flow in self._deadlines.pop_due(now)]
-        for one in due:
-            if one.stage is not Stage.QUERYING:
-                del self._lookups[one.flow]
-        return [one for one in due if one.stage is Stage.QUERYING]
+        for lookup in due:
+            if lookup.stage is not Stage.QUERYING:
+                del self._lookups[lookup.flow]
+        return [lookup for lookup in due if lookup.stage is Stage.QUERYING]
 
     def _set_stage(
         self, lookup: PendingLookup, stage: Stage, timeout: Millis, now: Millis
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -63,8 +63,8 @@
         "load_received_at",
         "load",
         "missing_since",
-        "pending",
-        "unanswered_count",
+        "pending_offers",
+        "suspicion_count",
         "suspect_until",
         "backoff_until",
     )
@@ -74,8 +74,8 @@
         self.load: AgentLoad | None = None
         self.load_received_at = Millis(0)
         self.missing_since: Millis | None = None
-        self.pending = 0
-        self.unanswered_count = 0
+        self.pending_offers = 0
+        self.suspicion_count = 0
         self.suspect_until = Millis(0)
         self.backoff_until = Millis(0)
 
@@ -91,8 +91,8 @@
         """
         self.load = load
         self.load_received_at = now
-        self.pending = 0
-        self.unanswered_count = 0
+        self.pending_offers = 0
+        self.suspicion_count = 0
         self.suspect_until = Millis(0)
         if self.free_capacity > 0:
             self.backoff_until = Millis(0)
@@ -103,9 +103,9 @@
 
     def mark_suspect(self, now: Millis) -> Millis:
         """Mark the agent as suspect; return for how long."""
-        wait = min(INITIAL_SUSPICION_MS << self.unanswered_count, MAX_SUSPICION_MS)
+        wait = min(INITIAL_SUSPICION_MS << self.suspicion_count, MAX_SUSPICION_MS)
         if wait < MAX_SUSPICION_MS:
-            self.unanswered_count += 1
+            self.suspicion_count += 1
         self.suspect_until = Millis(now + wait)
         return Millis(wait)
 
@@ -133,7 +133,7 @@
         load = self.load
         if load is None:
             return 0
-        return max_concurrent_requests(load.slots) - load.busy - self.pending
+        return max_concurrent_requests(load.slots) - load.busy - self.pending_offers
 
     def backend_started_after(self, at: Millis) -> bool:
         """Return whether the backend server is known to have started after `at`."""
--- a/src/papayagw/_internal/core/plain/store_calls.py
+++ b/src/papayagw/_internal/core/plain/store_calls.py
@@ -81,13 +81,13 @@
             self._random, INITIAL_RETRY_DELAY_MS, max_retry_delay_ms
         )
 
-    def succeed(self) -> None:
+    def record_success(self) -> None:
         """Record a usable answer, which resets timeout and delays."""
         self._backoff.reset()
         self._timeout_ms = INITIAL_TIMEOUT_MS
         self._failures = 0
 
-    def fail(self, failure: CallFailed) -> Millis:
+    def record_failure(self, failure: CallFailed) -> Millis:
         """Record a failure; return the delay before the next attempt, in ms."""
         self._failures += 1
         if failure.refused:
--- a/src/papayagw/_internal/net/plain/http_client.py
+++ b/src/papayagw/_internal/net/plain/http_client.py
@@ -19,7 +19,7 @@
 """Exceeds a 1 MB page of the store, encoded in base64 with its other fields."""
 
 _READ_BYTES = 65_536
-_KEEPALIVE_S = 2
+_KEEPALIVE_INTERVAL_S = 2
 """Idle time before the first TCP keepalive probe, and interval between probes."""
 _KEEPALIVE_PROBES = 2
 
@@ -82,7 +82,7 @@
         self._unsent = b""
         self._status = 0
         self._body: list[bytes] = []
-        self._size = 0
+        self._body_bytes = 0
         self._is_closed = False
 
     def start(self) -> None:
@@ -93,8 +93,8 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         for option, value in (
-            (socket.TCP_KEEPIDLE, _KEEPALIVE_S),
-            (socket.TCP_KEEPINTVL, _KEEPALIVE_S),
+            (socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_S),
+            (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
             (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
         ):
             connection.setsockopt(socket.IPPROTO_TCP, option, value)
@@ -164,8 +164,8 @@
                 self._status = event.status_code
             elif isinstance(event, h11.Data):
                 self._body.append(bytes(event.data))
-                self._size += len(event.data)
-                if self._size > MAX_RESPONSE_BYTES:
+                self._body_bytes += len(event.data)
+                if self._body_bytes > MAX_RESPONSE_BYTES:
                     self._fail("answer too large")
                     return
             elif isinstance(event, h11.EndOfMessage):
--- a/src/papayagw/_internal/net/plain/http_server.py
+++ b/src/papayagw/_internal/net/plain/http_server.py
@@ -19,7 +19,7 @@
 IDLE_TIMEOUT_MS = Millis(15_000)
 """Time after which an idle connection is closed: ten report intervals."""
 
-_BACKLOG = 64
+_LISTEN_BACKLOG = 64
 _READ_BYTES = 16_384
 
 
@@ -77,7 +77,7 @@
         listener.setblocking(False)
         try:
             listener.bind(self._endpoint.sockaddr)
-            listener.listen(_BACKLOG)
+            listener.listen(_LISTEN_BACKLOG)
         except OSError as error:
             raise BindError.from_os("listen", str(self._endpoint), error) from error
         self._loop.watch(listener, self._accept)
--- a/src/papayagw/_internal/net/plain/loop.py
+++ b/src/papayagw/_internal/net/plain/loop.py
@@ -52,7 +52,7 @@
         self._on_fault = on_fault
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[Millis, int, Timer]] = []
-        self._order = itertools.count()
+        self._sequence = itertools.count()
         self._is_stopped = False
         self._signals: dict[int, Callable[[], None]] = {}
         self._wake_reader, self._wake_writer = socket.socketpair()
@@ -63,8 +63,8 @@
 
     def start(self) -> None:
         """Receive signals through the wake-up descriptor."""
-        for end in (self._wake_reader, self._wake_writer):
-            end.setblocking(False)
+        for wake_socket in (self._wake_reader, self._wake_writer):
+            wake_socket.setblocking(False)
         signal.set_wakeup_fd(self._wake_writer.fileno())
         self.watch(self._wake_reader, self._handle_signals)
 
@@ -105,7 +105,7 @@
     def call_at(self, at: Millis, callback: Callable[[], None]) -> Timer:
         """Call `callback` once at the loop time `at`, in milliseconds."""
         timer = Timer(at, callback)
-        heapq.heappush(self._timers, (at, next(self._order), timer))
+        heapq.heappush(self._timers, (at, next(self._sequence), timer))
         return timer
 
     def call_after(self, delay: Millis, callback: Callable[[], None]) -> Timer:
@@ -148,7 +148,9 @@
             if callback is not None:
                 self._run_callback(callback)
         if len(self._timers) > _COMPACTION_THRESHOLD:
-            self._timers = [one for one in self._timers if one[2].callback is not None]
+            self._timers = [
+                entry for entry in self._timers if entry[2].callback is not None
+            ]
             heapq.heapify(self._timers)
 
     def _handle_signals(self) -> None:
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -116,7 +116,7 @@
             case ForwardFrame(service, packet):
                 return 2, _encode_text(service) + packet.raw
             case OwnerQueryFrame(service, queries):
-                body = b"".join(_encode_owner_query(one) for one in queries)
+                body = b"".join(_encode_owner_query(query) for query in queries)
                 return 3, _encode_text(service) + body
             case ScopeFrame(service, version, entries):
                 body = b"".join(sorted(entries))
@@ -130,7 +130,8 @@
                 return 7, header + self._packets.encode_client_packet(packet)
             case OwnerReplyFrame(replies, load):
                 body = b"".join(
-                    _OWNER_REPLY.pack(one.flow, one.ownership.value) for one in replies
+                    _OWNER_REPLY.pack(reply.flow, reply.ownership.value)
+                    for reply in replies
                 )
                 return 8, _encode_load(load) + body
             case LoadFrame(load):
--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -24,9 +24,9 @@
 _ECHO_OFFSET = 8
 _FLAGS_OFFSET = 18
 _PAD_OFFSET = 19
-_RESET = struct.Struct(">IIIHIBB4sHH4s")
+_RESET_HEADER = struct.Struct(">IIIHIBB4sHH4s")
 
-_KINDS = {
+_KIND_BY_FLAGS = {
     _SYN: PacketKind.OPEN,
     _SYN | _ACK: PacketKind.ACCEPT,
 }
@@ -75,7 +75,7 @@
     """Encode a reset from the entry of a flow to its client."""
     client_ip, client_port = flow[:4], int.from_bytes(flow[4:6], "big")
     entry_port, entry_ip = int.from_bytes(flow[6:8], "big"), flow[8:]
-    return _RESET.pack(
+    return _RESET_HEADER.pack(
         sequence, 0, 0, 0, 0, _RST, 0, entry_ip, entry_port, client_port, client_ip
     )
 
@@ -108,7 +108,7 @@
 
 def _decode(raw: bytes, flow: FlowKey) -> FlowPacket:
     sequence, acknowledged, token, length, flags = _FIELDS.unpack_from(raw)
-    kind = _KINDS.get(flags & (_SYN | _ACK | _FIN | _RST))
+    kind = _KIND_BY_FLAGS.get(flags & (_SYN | _ACK | _FIN | _RST))
     if kind is None:
         kind = _classify_non_opening(flags)
     is_open = kind is PacketKind.OPEN
--- a/src/papayagw/platform/reports.py
+++ b/src/papayagw/platform/reports.py
@@ -15,7 +15,7 @@
 )
 
 _INSTANCES_PATH = "/-/instances/"
-_STATES = {"ready": ReportedState.READY, "draining": ReportedState.DRAINING}
+_STATE_BY_NAME = {"ready": ReportedState.READY, "draining": ReportedState.DRAINING}
 
 READINESS_PATH = "/-/readyz"
 
@@ -32,7 +32,7 @@
         return Departure(instance, _read_integer(fields, "born"))
     if method != HTTPMethod.PUT:
         return None
-    state = _STATES.get(_read_string(fields, "state"))
+    state = _STATE_BY_NAME.get(_read_string(fields, "state"))
     service = _read_string(fields, "service")
     slots = _read_integer(fields, "slots")
     started_at = _read_integer(fields, "born")
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -76,7 +76,7 @@
 
     def __init__(self, path: Path):
         self._path = path
-        self._fields = _read(path)
+        self._fields = _read_json_object(path)
 
     def common_arguments(self, data: Endpoint) -> dict[str, Any]:
         """Return the settings that both roles share, as keyword arguments.
@@ -138,7 +138,7 @@
         )
 
 
-def _read(path: Path) -> dict[str, Any]:
+def _read_json_object(path: Path) -> dict[str, Any]:
     try:
         lines = path.read_text(encoding="utf-8").splitlines()
         kept = (line for line in lines if not line.lstrip().startswith("//"))
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -80,12 +80,12 @@
     if status in _REFUSED_STATUSES:
         return CallFailed(f"status {status}", refused=True)
     try:
-        return _decode(call, status, body)
+        return _decode_response(call, status, body)
     except MALFORMED_JSON_ERRORS as error:
         return CallFailed(f"status {status}, malformed response: {error!r}")
 
 
-def _decode(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
+def _decode_response(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
     fields = json.loads(body) if body else {}
     match call, status:
         case WatchPrefix(), HTTPStatus.GONE:
@@ -93,18 +93,18 @@
         case ((PutKey() | RenewLease() | EndLease()), HTTPStatus.NOT_FOUND):
             return LeaseEnded()
         case _, HTTPStatus.OK:
-            return _decode_ok(call, fields)
+            return _decode_success(call, fields)
     return CallFailed(f"status {status}")
 
 
-def _decode_ok(call: StoreCall, fields: dict[str, Any]) -> StoreAnswer:
+def _decode_success(call: StoreCall, fields: dict[str, Any]) -> StoreAnswer:
     match call:
         case ReadRange():
-            items = tuple(_read_item(one) for one in fields["items"])
+            items = tuple(_read_item(item) for item in fields["items"])
             more = bool(fields["has_more"])
             return RangeResult(items, more, int(fields["store_revision"]))
         case WatchPrefix():
-            events = tuple(_read_event(one) for one in fields["events"])
+            events = tuple(_read_event(event) for event in fields["events"])
             return WatchResult(events, int(fields["store_revision"]))
         case PutKey():
             return PutResult(int(fields["revision"]))
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -9,7 +9,8 @@
     expect-openings AGENT COUNT FROM_MS TO_MS   (openings its backend server received)
 
 Verbs: restart-balancer, restart-agent, stop-balancer, freeze-balancer NAME MS,
-freeze-agent NAME MS, crash, drain, lapse, restore, remove-route, move-route SERVICE.
+freeze-agent NAME MS, crash, drain, expire-entry, restore, remove-route,
+move-route SERVICE.
 `#` starts a comment.
 """
 
@@ -29,9 +30,9 @@
         for line in text.splitlines():
             words = line.partition("#")[0].split()
             if words:
-                self.do(*words)
+                self.run_statement(*words)
 
-    def do(self, verb, *words):
+    def run_statement(self, verb, *words):
         getattr(self, "do_" + verb.replace("-", "_"))(*words)
 
     def do_network(self, *words):
@@ -51,7 +52,7 @@
         self.world.add_agent(name, service, int(work_ms))
 
     def do_at(self, at, *words):
-        self.world.at(self.start + int(at), lambda: self.do(*words))
+        self.world.at(self.start + int(at), lambda: self.run_statement(*words))
 
     def do_run(self, duration):
         self.world.run(int(duration))
@@ -86,8 +87,8 @@
     def do_drain(self, name):
         self.world.drain(name)
 
-    def do_lapse(self, name):
-        self.world.lapse(name)
+    def do_expire_entry(self, name):
+        self.world.expire_entry(name)
 
     def do_restore(self, name):
         self.world.store_entry(self.world.agents[name])
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -23,7 +23,7 @@
 MODULUS = 1 << 32
 
 
-def pack(src, dst, flags, seq=0, ack=0, data=b"", echo=0):
+def encode_packet(src, dst, flags, seq=0, ack=0, data=b"", echo=0):
     """Encode a packet between two (address, port) pairs."""
     (src_ip, sport), (dst_ip, dport) = src, dst
     head = HEADER.pack(
@@ -42,7 +42,7 @@
     return head + data
 
 
-def unpack(raw):
+def decode_packet(raw):
     """Decode the addresses, flags, sequence numbers and data of a packet."""
     seq, ack, echo, length, _, flags, _, src, sport, dport, dst = HEADER.unpack_from(
         raw
@@ -75,7 +75,7 @@
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
-            def handle_one(self):
+            def handle_any(self):
                 length = int(self.headers.get("Content-Length", 0))
                 body = json.loads(self.rfile.read(length)) if length else {}
                 url = urlparse(self.path)
@@ -92,7 +92,7 @@
                     self.wfile.write(data)
 
             # http.server calls handlers by these names.
-            do_GET = do_POST = do_DELETE = handle_one  # noqa: N815
+            do_GET = do_POST = do_DELETE = handle_any  # noqa: N815
 
             def log_message(self, *args):
                 pass
@@ -258,7 +258,7 @@
             self._handle_packet(raw)
 
     def _handle_packet(self, raw):
-        packet = unpack(raw)
+        packet = decode_packet(raw)
         flow = packet["src"], packet["dst"]
         if packet["flags"] & SYN:
             start = self.flows.setdefault(flow, random.getrandbits(32))
@@ -277,7 +277,7 @@
 
     def _send(self, flow, flags, seq, ack, data=b""):
         client, entry = flow
-        raw = pack(entry, client, flags, seq % MODULUS, ack, data)
+        raw = encode_packet(entry, client, flags, seq % MODULUS, ack, data)
         self._socket.sendto(raw, self._outbound)
 
     def _report_periodically(self):
@@ -324,7 +324,7 @@
         self._entry = entry
         self._pick_balancer = pick_balancer
         self._source = (ip, 40_001)
-        self._start = None
+        self._server_sequence = None
         self._position = 1
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((ip, client_port))
@@ -340,7 +340,7 @@
     @property
     def acknowledged(self):
         """Acknowledgement number of the client's packets."""
-        return (self._start + 1) % MODULUS
+        return (self._server_sequence + 1) % MODULUS
 
     def start_new_flow(self):
         """Abandon the flow; the next one uses another source port."""
@@ -349,18 +349,18 @@
 
     def open(self, timeout_s=5.0):
         """Open the flow; return whether it was accepted."""
-        raw = pack(self._source, self._entry, SYN)
+        raw = encode_packet(self._source, self._entry, SYN)
         packet = self._send_until_answered(
             raw, lambda one: one["flags"] & SYN, timeout_s
         )
         if packet is None:
             return False
-        self._start = packet["seq"]
+        self._server_sequence = packet["seq"]
         return True
 
     def request(self, data, timeout_s=10.0):
         """Send a request; return whether it was answered, or "reset"."""
-        raw = pack(
+        raw = encode_packet(
             self._source, self._entry, ACK, self._position, self.acknowledged, data
         )
         end = self._position + len(data)
@@ -391,7 +391,7 @@
         while (left := end - time.monotonic()) > 0:
             self._socket.settimeout(left)
             try:
-                packet = unpack(self._socket.recv(4_096))
+                packet = decode_packet(self._socket.recv(4_096))
             except TimeoutError:
                 return None
             is_ours = packet["dst"] == self._source
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -115,9 +115,9 @@
             self.send(flow, PacketKind.ACCEPT, start, packet.sequence + 1)
         elif flow not in self.flows:
             rejected = replace(packet, rejected_by_backend=True, token=token)
-            self.world.to_agent(self.agent_name, rejected)
+            self.world.send_to_agent(self.agent_name, rejected)
         elif packet.acknowledged != (self.flows[flow] + 1) % MODULUS:
-            self.world.to_agent(
+            self.world.send_to_agent(
                 self.agent_name, replace(packet, rejected_by_backend=True, token=token)
             )
         else:
@@ -144,7 +144,7 @@
         """Send a packet through the agent."""
         if self.is_alive:
             packet = make_packet(flow, kind, sequence, acknowledged, payload)
-            self.world.to_agent(self.agent_name, packet)
+            self.world.send_to_agent(self.agent_name, packet)
 
 
 class Node:
@@ -159,14 +159,14 @@
         self.timer_at = None
         self.started_at = world.now
 
-    def run_when_active(self, act):
-        """Call `act` now, or once the process is no longer frozen."""
+    def run_when_active(self, callback):
+        """Call `callback` now, or once the process is no longer frozen."""
         if not self.is_alive:
             return
         if self.world.now < self.frozen_until:
-            self.world.at(self.frozen_until, lambda: self.run_when_active(act))
+            self.world.at(self.frozen_until, lambda: self.run_when_active(callback))
             return
-        act()
+        callback()
 
     def schedule_timer(self):
         """Schedule the core's next timer, unless an earlier one is scheduled."""
@@ -190,7 +190,7 @@
                 case SendFrame(peer, frame):
                     self.world.send_frame(self, peer, frame)
                 case SendToClient(packet):
-                    self.world.to_client(packet)
+                    self.world.send_to_client(packet)
                 case SendToBackend(packet, token):
                     self.world.backends[self.name].receive(packet, token)
                 case ResetClient(flow):
@@ -245,7 +245,7 @@
 class Client:
     """Open one flow and send its requests one after the other."""
 
-    COPIES = ((200, 1), (600, 2))
+    RETRANSMISSIONS = ((200, 1), (600, 2))
     ATTEMPT_MS = 1_400
 
     def __init__(self, world, flow, requests, pause_ms):
@@ -259,7 +259,7 @@
         self.answered = 0
         world.clients[flow] = self
         self._open(0)
-        for delay, copy in self.COPIES:
+        for delay, copy in self.RETRANSMISSIONS:
             world.after(delay, lambda copy=copy: self._open(copy))
         world.after(self.ATTEMPT_MS, self._give_up_opening)
 
@@ -368,21 +368,21 @@
 
     # Time
 
-    def at(self, at, act):
-        """Call `act` at a time in ms."""
-        heapq.heappush(self._events, (max(at, self.now), next(self._order), act))
+    def at(self, at, callback):
+        """Call `callback` at a time in ms."""
+        heapq.heappush(self._events, (max(at, self.now), next(self._order), callback))
 
-    def after(self, delay, act):
-        """Call `act` after `delay` ms."""
-        self.at(self.now + delay, act)
+    def after(self, delay, callback):
+        """Call `callback` after `delay` ms."""
+        self.at(self.now + delay, callback)
 
     def run(self, duration):
         """Advance the clock by `duration` ms, running all events due."""
         end = self.now + duration
         while self._events and self._events[0][0] <= end:
-            at, _, act = heapq.heappop(self._events)
+            at, _, callback = heapq.heappop(self._events)
             self.now = Millis(at)
-            act()
+            callback()
         self.now = Millis(end)
 
     # Machines
@@ -405,13 +405,13 @@
 
     def store_entry(self, agent):
         """Store an agent's entry after `STORE_MS`, and notify the balancers."""
-        self.after(STORE_MS, lambda: self._stored(agent))
+        self.after(STORE_MS, lambda: self._put_entry(agent))
 
-    def _stored(self, agent):
+    def _put_entry(self, agent):
         self.store[agent.name] = agent.entry
         self.notify_balancers()
 
-    def lapse(self, name):
+    def expire_entry(self, name):
         """Remove an agent's entry from the store, as if it had expired."""
         self.store.pop(name, None)
         self.notify_balancers()
@@ -470,12 +470,12 @@
 
     # Network
 
-    def _deliver(self, act):
+    def _deliver(self, callback):
         network = self.network
         if self.random.random() < network.loss:
             return
         for _ in range(2 if self.random.random() < network.duplication else 1):
-            self.after(self.random.randint(*network.delay), act)
+            self.after(self.random.randint(*network.delay), callback)
 
     def route(self, packet):
         """Deliver a client's packet to the balancer that the routers choose."""
@@ -486,8 +486,8 @@
         node = self.balancers[chosen]
 
         def arrive():
-            act = node.core.on_client_packet
-            node.run_when_active(lambda: node.perform(act(packet, self.now)))
+            callback = node.core.on_client_packet
+            node.run_when_active(lambda: node.perform(callback(packet, self.now)))
 
         self._deliver(arrive)
 
@@ -498,21 +498,21 @@
         def arrive():
             node = next((one for one in nodes.values() if one.endpoint == peer), None)
             if node is not None:
-                act = node.core.on_frame
+                callback = node.core.on_frame
                 node.run_when_active(
-                    lambda: node.perform(act(frame, sender.endpoint, self.now))
+                    lambda: node.perform(callback(frame, sender.endpoint, self.now))
                 )
 
         self._deliver(arrive)
 
-    def to_agent(self, name, packet):
+    def send_to_agent(self, name, packet):
         """Deliver a backend server's packet to the agent on the same machine."""
         agent = self.agents[name]
         agent.run_when_active(
             lambda: agent.perform(agent.core.on_backend_packet(packet, self.now))
         )
 
-    def to_client(self, packet):
+    def send_to_client(self, packet):
         """Deliver a packet to its client."""
         self._deliver(lambda: self.clients[packet.flow].receive(packet))
 
--- a/tests/properties/test_plain_flow_properties.py
+++ b/tests/properties/test_plain_flow_properties.py
@@ -21,7 +21,7 @@
     _named("restart_agent", AGENTS),
     _named("freeze_balancer", BALANCERS),
     _named("freeze_agent", AGENTS),
-    _named("lapse", AGENTS),
+    _named("expire_entry", AGENTS),
     _named("drain", AGENTS),
     _named("crash_backend", AGENTS),
     st.just(("new_version", "")),
@@ -100,7 +100,7 @@
             st.one_of(
                 _named("restart_balancer", BALANCERS),
                 _named("restart_agent", AGENTS),
-                _named("lapse", AGENTS),
+                _named("expire_entry", AGENTS),
                 st.just(("new_version", "")),
             ),
         ),
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -69,7 +69,7 @@
     """,
     "a balancer that starts while an entry is missing resets nothing": """
         at 9000 calls 30 8 20
-        at 10500 lapse a1
+        at 10500 expire-entry a1
         at 10500 restart-balancer b1
         at 10500 restart-balancer b2
         at 10500 restart-balancer b3
@@ -133,9 +133,9 @@
         expect-no-event opening refused
     """,
     "an entry that lapsed is stored again and is used on": """
-        at 2000 lapse a1
-        at 2000 lapse a2
-        at 2000 lapse a3
+        at 2000 expire-entry a1
+        at 2000 expire-entry a2
+        at 2000 expire-entry a3
         at 2000 calls 40 3 100
         run 20000
         expect served all
@@ -176,14 +176,14 @@
     assert scenario.world.violations == []
 
 
-class SilentLookup(OwnerLookup):
+class DroppingLookup(OwnerLookup):
     """Drop the packets of unknown flows."""
 
     def find_owner(self, packet, now, excluded=None):
         return []
 
 
-class HastyLookup(OwnerLookup):
+class ImmediateResetLookup(OwnerLookup):
     """Reset a flow that no agent claims, without reading the store again."""
 
     def _confirm_no_owner(self, lookup, now):
@@ -193,13 +193,13 @@
 class NeverAsks(PlainBalancer):
     """Query no agent for the owner of a flow."""
 
-    _lookup_type = SilentLookup
+    _lookup_type = DroppingLookup
 
 
 class ResetsUnknown(PlainBalancer):
     """Treat an unknown owner as none."""
 
-    _lookup_type = HastyLookup
+    _lookup_type = ImmediateResetLookup
 
 
 class TrustsFirstRead(PlainBalancer):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 from tests.lib.plain_fleet import SITE, PlainFleet
-from tests.lib.plain_standins import SYN, BackendServer, unpack
+from tests.lib.plain_standins import SYN, BackendServer, decode_packet
 from tests.soak.proxies import ConnectionProxy, PacketProxy
 
 
@@ -39,7 +39,7 @@
             self.drained_at = time.monotonic()
 
     def _handle_packet(self, raw):
-        packet = unpack(raw)
+        packet = decode_packet(raw)
         is_new = (packet["src"], packet["dst"]) not in self.flows
         if packet["flags"] & SYN and is_new:
             self.openings.append((time.monotonic(), self.drained_at))
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -48,7 +48,9 @@
 OPENING = make_packet(FLOW, PacketKind.OPEN)
 ACCEPT = make_packet(FLOW, PacketKind.ACCEPT, ACCEPT_SEQUENCE, 1)
 DATA = make_packet(FLOW, PacketKind.DATA, 1, ACCEPT_SEQUENCE + 1, payload=10)
-FOREIGN = make_packet(FLOW, PacketKind.DATA, 1, ACCEPT_SEQUENCE - 9, payload=10)
+DATA_FOR_OTHER_SERVER = make_packet(
+    FLOW, PacketKind.DATA, 1, ACCEPT_SEQUENCE - 9, payload=10
+)
 ANSWER = make_packet(FLOW, PacketKind.DATA, ACCEPT_SEQUENCE + 1, 11, payload=10)
 FINISH = make_packet(FLOW, PacketKind.FINISH, ACCEPT_SEQUENCE + 11, 11)
 
@@ -112,9 +114,9 @@
     return replace(packet, rejected_by_backend=True, token=1)
 
 
-CARRY = ForwardFrame("order", DATA)
+FORWARD = ForwardFrame("order", DATA)
 ACCEPTED = ["ready", open_frame(), ACCEPT]
-OPEN = [*ACCEPTED, CARRY, ANSWER]
+OPEN = [*ACCEPTED, FORWARD, ANSWER]
 
 
 @pytest.mark.parametrize(
@@ -145,10 +147,13 @@
             ReturnReason.OLD_VERSION,
         ),
         (["ready", open_frame(), rejected(OPENING)], ReturnReason.FULL),
-        (["ready", CARRY, rejected(DATA)], ReturnReason.NOT_OWNER),
-        ([*ACCEPTED, ForwardFrame("order", FOREIGN)], ReturnReason.NOT_OWNER),
+        (["ready", FORWARD, rejected(DATA)], ReturnReason.NOT_OWNER),
+        (
+            [*ACCEPTED, ForwardFrame("order", DATA_FOR_OTHER_SERVER)],
+            ReturnReason.NOT_OWNER,
+        ),
         # Accepted here and at another backend server, which the client chose.
-        ([*ACCEPTED, CARRY, rejected(DATA)], ReturnReason.NOT_OWNER),
+        ([*ACCEPTED, FORWARD, rejected(DATA)], ReturnReason.NOT_OWNER),
         (["ready", ForwardFrame("drawings", DATA)], ReturnReason.WRONG_SERVICE),
         (["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], ReturnReason.SILENT),
         (
@@ -182,10 +187,10 @@
             5_000,
             open_frame(),
         ],
-        [CARRY],
+        [FORWARD],
         OPEN[:-1],
-        [*OPEN, "drain", CARRY],
-        [*OPEN, "leave", CARRY],
+        [*OPEN, "drain", FORWARD],
+        [*OPEN, "leave", FORWARD],
     ],
 )
 def test_delivered(steps):
@@ -210,7 +215,7 @@
 
 def in_progress(number):
     """Return steps after which a request of another flow is in progress."""
-    frames = (OpenFrame("order", 1, OPENING), ACCEPT, CARRY)
+    frames = (OpenFrame("order", 1, OPENING), ACCEPT, FORWARD)
     return [change_flow(one, number) for one in frames]
 
 
@@ -310,8 +315,8 @@
     ],
 )
 def test_ownership(steps, acknowledged, ownership):
-    question = OwnerQuery(FLOW, acknowledged)
-    (action,), _ = run_steps([*steps, OwnerQueryFrame("order", (question,))])
+    query = OwnerQuery(FLOW, acknowledged)
+    (action,), _ = run_steps([*steps, OwnerQueryFrame("order", (query,))])
     assert isinstance(action.frame, OwnerReplyFrame)
     assert action.frame.replies[0].ownership is ownership
 
@@ -325,14 +330,14 @@
         ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS - 1], 1),
         ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS], 0),
         ([*ACCEPTED, rejected(DATA)], 0),
-        ([*ACCEPTED, CARRY], 1),
+        ([*ACCEPTED, FORWARD], 1),
         (OPEN, 0),
         # A retransmitted request isn't counted again.
-        ([*OPEN, CARRY], 0),
-        (["ready", ANSWER, CARRY], 0),
-        ([*ACCEPTED, CARRY, FINISH], 0),
+        ([*OPEN, FORWARD], 0),
+        (["ready", ANSWER, FORWARD], 0),
+        ([*ACCEPTED, FORWARD, FINISH], 0),
         ([*OPEN, FINISH, ForwardFrame("order", replace(DATA, sequence=50))], 0),
-        ([*ACCEPTED, CARRY, 10_000], 0),
+        ([*ACCEPTED, FORWARD, 10_000], 0),
     ],
 )
 def test_requests_in_progress(steps, busy):
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -107,7 +107,7 @@
     def count_newer(self):
         self.newer += 1
 
-    def do(self, step):
+    def run_step(self, step):
         core = self.core
         match step:
             case int():
@@ -129,11 +129,11 @@
         return core.on_client_packet(step, self.now)
 
 
-def play(steps, **options):
+def run_steps(steps, **options):
     driver = Driver(**options)
     actions = []
     for step in steps:
-        actions = driver.do(step)
+        actions = driver.run_step(step)
     return [one for one in actions if not isinstance(one, LogEvent)], driver
 
 
@@ -213,27 +213,27 @@
     ],
 )
 def test_openings(steps, frames):
-    actions, _ = play(steps)
+    actions, _ = run_steps(steps)
     assert sent(actions) == frames
     assert not any(isinstance(one, ResetClient) for one in actions)
 
 
 def test_an_opening_that_backend_servers_decline_is_refused_at_once():
     steps = [OPENING, returned(A, ReturnReason.FULL), returned(B, ReturnReason.FULL)]
-    (reset,), _ = play(steps)
+    (reset,), _ = run_steps(steps)
     assert reset == ResetClient(FLOW, 0)
 
 
 def test_an_opening_that_nobody_is_ready_for_is_offered_until_its_client_gives_up():
     driver = Driver()
-    driver.do(load_report(A, NOT_READY))
-    driver.do(load_report(B, NOT_READY))
-    driver.do(OPENING)
+    driver.run_step(load_report(A, NOT_READY))
+    driver.run_step(load_report(B, NOT_READY))
+    driver.run_step(OPENING)
     resets = []
     while driver.core.due_at is not None and driver.now < START + 3_000:
-        driver.do(load_report(A, NOT_READY))
-        driver.do(load_report(B, NOT_READY))
-        actions = driver.do(driver.core.due_at - driver.now)
+        driver.run_step(load_report(A, NOT_READY))
+        driver.run_step(load_report(B, NOT_READY))
+        actions = driver.run_step(driver.core.due_at - driver.now)
         resets += [driver.now for one in actions if isinstance(one, ResetClient)]
     assert len(resets) == 1
     assert OPENING_TIMEOUT_MS // 2 < resets[0] - START <= OPENING_TIMEOUT_MS
@@ -248,15 +248,15 @@
     }
     driver = Driver(agents=(A,))
     driver.core.apply_site(make_site(2, routes=routes))
-    driver.do(load_report(A, NOT_READY, version=2))
+    driver.run_step(load_report(A, NOT_READY, version=2))
     flows = [
         FlowKey(bytes((1,)) + FLOW[1:]),
         FlowKey(bytes((2,)) + FLOW[1:]),
         FlowKey(FLOW[:6] + b"\x00\x50" + ENTRY[2:]),
     ]
     for flow in (flows[2], flows[0], flows[1]):
-        driver.do(make_packet(flow, PacketKind.OPEN))
-    actions = driver.do(load_report(A, Availability.READY, version=2, slots=4))
+        driver.run_step(make_packet(flow, PacketKind.OPEN))
+    actions = driver.run_step(load_report(A, Availability.READY, version=2, slots=4))
     offered = [one.frame.packet.flow for one in actions if isinstance(one, SendFrame)]
     assert offered == [flows[2], flows[1], flows[0]]
 
@@ -272,14 +272,14 @@
 )
 def test_an_opening_that_waits_goes_to_the_first_agent_with_room(step, frames):
     busy = [load_report(agent, Availability.READY, busy=2) for agent in (A, B)]
-    actions, _ = play([*busy, OPENING, step])
+    actions, _ = run_steps([*busy, OPENING, step])
     assert sent(actions) == frames
 
 
 def test_an_opening_that_waits_is_offered_to_one_agent():
     busy = [load_report(agent, Availability.READY, busy=2) for agent in (A, B)]
     free = [load_report(agent, Availability.READY) for agent in (A, B)]
-    actions, _ = play([*busy, OPENING, *free])
+    actions, _ = run_steps([*busy, OPENING, *free])
     assert sent(actions) == []
 
 
@@ -287,13 +287,13 @@
 def test_an_opening_is_as_old_as_its_copy_says(copy, age_ms):
     driver = Driver()
     for agent in (A, B):
-        driver.do(load_report(agent, NOT_READY))
-    driver.do(make_packet(FLOW, PacketKind.OPEN, copy=copy))
+        driver.run_step(load_report(agent, NOT_READY))
+    driver.run_step(make_packet(FLOW, PacketKind.OPEN, copy=copy))
     refused_at = None
     while refused_at is None:
         for agent in (A, B):
-            driver.do(load_report(agent, NOT_READY))
-        actions = driver.do(driver.core.due_at - driver.now)
+            driver.run_step(load_report(agent, NOT_READY))
+        actions = driver.run_step(driver.core.due_at - driver.now)
         if any(isinstance(one, ResetClient) for one in actions):
             refused_at = driver.now
     assert OPENING_TIMEOUT_MS // 2 < refused_at - START + age_ms <= OPENING_TIMEOUT_MS
@@ -362,7 +362,7 @@
     ],
 )
 def test_later_packets(steps, frames):
-    actions, _ = play(steps)
+    actions, _ = run_steps(steps)
     assert sent(actions) == frames
 
 
@@ -393,7 +393,7 @@
     ],
 )
 def test_flows_that_nobody_owns(steps, resets, not_found):
-    actions, driver = play(steps)
+    actions, driver = run_steps(steps)
     assert sum(isinstance(one, ResetClient) for one in actions) == resets
     assert driver.not_found == not_found
 
@@ -418,18 +418,18 @@
     replies = [
         owner_reply(a, not_owner, run_age=b) for a, b in zip((A, B), runs, strict=True)
     ]
-    actions, _ = play([DATA, *replies, "listed"], age=age)
+    actions, _ = run_steps([DATA, *replies, "listed"], age=age)
     assert sum(isinstance(one, ResetClient) for one in actions) == resets
 
 
 @pytest.mark.parametrize("packet", [OPENING, DATA])
 def test_entry_without_a_route_is_reset(packet):
-    (reset,), _ = play([make_site(2, routes={}), packet])
+    (reset,), _ = run_steps([make_site(2, routes={}), packet])
     assert reset == ResetClient(FLOW, packet.acknowledged or 0)
 
 
 def test_a_forged_acceptance_is_dropped():
-    actions, _ = play([make_packet(FLOW, PacketKind.ACCEPT, 5, 1)])
+    actions, _ = run_steps([make_packet(FLOW, PacketKind.ACCEPT, 5, 1)])
     assert actions == []
 
 
@@ -438,17 +438,17 @@
     [(1, [], 0), (0, [(A, ScopeFrame)], 0), (7, [], 1)],
 )
 def test_versions_are_compared_with_every_load_report(version, frames, newer):
-    actions, driver = play([(A, LoadFrame(load(version=version)))])
+    actions, driver = run_steps([(A, LoadFrame(load(version=version)))])
     assert (sent(actions), driver.newer) == (frames, newer)
 
 
 def test_an_older_version_is_not_applied():
-    _, driver = play([make_site(7), make_site(3)])
+    _, driver = run_steps([make_site(7), make_site(3)])
     assert driver.core.site.version == 7
 
 
 def test_missing_agents_are_notified():
-    _, driver = play([(A, "missing")])
+    _, driver = run_steps([(A, "missing")])
     assert sent(driver.core.notify_missing_agents()) == [(A, EntryMissingFrame)]
 
 
@@ -466,7 +466,9 @@
     for number in range(count):
         flow = FlowKey(number.to_bytes(4, "big") + FLOW[4:])
         opening = make_packet(flow, PacketKind.OPEN)
-        peers = [one.peer for one in driver.do(opening) if isinstance(one, SendFrame)]
+        peers = [
+            one.peer for one in driver.run_step(opening) if isinstance(one, SendFrame)
+        ]
         driver.core.on_frame(OpenedFrame(flow, load(version=2)), peers[0], driver.now)
         found[peers[0]] += 1
     assert found[A] / count == pytest.approx(weights[0] / sum(weights), abs=0.04)
--- a/tests/unit/test_plain_batching.py
+++ b/tests/unit/test_plain_batching.py
@@ -19,18 +19,18 @@
 A, B = Endpoint("10.0.0.2", 1), Endpoint("10.0.0.2", 2)
 
 
-def question(number):
+def owner_query(number):
     return OwnerQuery(FlowKey(number.to_bytes(6, "big") + ENTRY), number)
 
 
-def ask(agent, *numbers, service="order"):
+def query_frame(agent, *numbers, service="order"):
     return SendFrame(
-        agent, OwnerQueryFrame(service, tuple(question(n) for n in numbers))
+        agent, OwnerQueryFrame(service, tuple(owner_query(n) for n in numbers))
     )
 
 
-FLOW = question(1).flow
-CARRY = SendFrame(A, ForwardFrame("order", make_packet(FLOW, PacketKind.DATA, 1, 2)))
+FLOW = owner_query(1).flow
+FORWARD = SendFrame(A, ForwardFrame("order", make_packet(FLOW, PacketKind.DATA, 1, 2)))
 LOG_EVENT = LogEvent("owner unknown", {})
 
 
@@ -38,18 +38,32 @@
     ("actions", "joined"),
     [
         ([], []),
-        ([LOG_EVENT, CARRY], [LOG_EVENT, CARRY]),
-        ([ask(A, 1)], [ask(A, 1)]),
-        ([ask(A, 1), ask(A, 2)], [ask(A, 1, 2)]),
-        ([ask(A, 1), ask(B, 1), ask(A, 2), ask(B, 2)], [ask(A, 1, 2), ask(B, 1, 2)]),
-        ([ask(A, 1), CARRY, ask(A, 2)], [CARRY, ask(A, 1, 2)]),
+        ([LOG_EVENT, FORWARD], [LOG_EVENT, FORWARD]),
+        ([query_frame(A, 1)], [query_frame(A, 1)]),
+        ([query_frame(A, 1), query_frame(A, 2)], [query_frame(A, 1, 2)]),
         (
-            [ask(A, 1), ask(A, 2, service="drawings")],
-            [ask(A, 1), ask(A, 2, service="drawings")],
+            [
+                query_frame(A, 1),
+                query_frame(B, 1),
+                query_frame(A, 2),
+                query_frame(B, 2),
+            ],
+            [query_frame(A, 1, 2), query_frame(B, 1, 2)],
         ),
         (
-            [ask(A, number) for number in range(MAX_QUERIES_PER_FRAME + 1)],
-            [ask(A, *range(MAX_QUERIES_PER_FRAME)), ask(A, MAX_QUERIES_PER_FRAME)],
+            [query_frame(A, 1), FORWARD, query_frame(A, 2)],
+            [FORWARD, query_frame(A, 1, 2)],
+        ),
+        (
+            [query_frame(A, 1), query_frame(A, 2, service="drawings")],
+            [query_frame(A, 1), query_frame(A, 2, service="drawings")],
+        ),
+        (
+            [query_frame(A, number) for number in range(MAX_QUERIES_PER_FRAME + 1)],
+            [
+                query_frame(A, *range(MAX_QUERIES_PER_FRAME)),
+                query_frame(A, MAX_QUERIES_PER_FRAME),
+            ],
         ),
     ],
 )
