--- a/src/papayagw/_internal/core/plain/admission.py
+++ b/src/papayagw/_internal/core/plain/admission.py
@@ -1,7 +1,9 @@
-"""Number of concurrent requests up to which a backend server gets openings."""
+"""Limit on the concurrent requests of a backend server."""
 
 REQUESTS_PER_SLOT = 2
-"""Number of requests per slot, including the active one, that meet their objective.
+"""Number of requests per slot, active or queued, that still meet their objective.
+
+A slot is the capacity of a backend server to process one request at a time.
 
 Latency objectives are at least five times the mean service time. The backend server's
 own queue holds only a few requests, and each request that it sheds costs its client
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -52,13 +52,16 @@
 )
 
 BACKEND_ACCEPT_TIMEOUT_MS = Millis(40)
-"""Time within which the backend server must answer an opening.
+"""Time within which the backend server must accept or reject an opening.
 
 Agent and server share a machine, and the server needs less than 1 ms to answer.
 """
 
 COLD_START_FACTOR = 1.5
-"""Factor on the reported service time while the backend server is cold."""
+"""Factor by which reported service times are raised while the backend server is cold.
+
+A backend server is cold, which means slow, for some time after its start.
+"""
 
 STALLED_REQUEST_TIMEOUT_MS = Millis(3_000)
 """Age after which a request no longer counts as in progress.
@@ -67,7 +70,10 @@
 """
 
 RUN_START_SLACK_MS = Millis(20)
-"""How far before its reported start a run may have accepted flows: clock rounding."""
+"""How far a flow's start may lie before the reported start of its run.
+
+Allows for clock rounding.
+"""
 
 SWEEP_INTERVAL_MS = Millis(1_000)
 """Interval between removals of expired flows."""
@@ -108,7 +114,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the backend server has reported since the agent's start."""
+        """Whether the backend server has reported and hasn't announced its end."""
         return self._admission.backend.is_known
 
     @property
@@ -157,6 +163,7 @@
     def _handle_frame(
         self, frame: ToAgent, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Handle a frame for this agent's service."""
         match frame:
             case OpenFrame():
                 return self._on_opening(frame, source, now)
@@ -173,6 +180,7 @@
     def _on_opening(
         self, frame: OpenFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Pass an opening to the backend server, or return it to the balancer."""
         packet = frame.packet
         owned = self._flows.find(packet.flow)
         if owned is not None and owned.ended_at is not None:
@@ -195,6 +203,11 @@
     def _on_forwarded_packet(
         self, frame: ForwardFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Pass a client's packet to the backend server.
+
+        The packet is returned to the balancer if it acknowledges bytes that another
+        backend server sent, since that server then owns the flow.
+        """
         packet = frame.packet
         owned = self._flows.find(packet.flow)
         if owned is not None and not owned.matches(packet.acknowledged):
@@ -209,6 +222,7 @@
     def _on_owner_queries(
         self, frame: OwnerQueryFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Reply to a balancer's owner queries."""
         replies = tuple(
             OwnerReply(query.flow, self._ownership.resolve(query, now))
             for query in frame.queries
@@ -216,6 +230,7 @@
         return [SendFrame(source, OwnerReplyFrame(replies, self.current_load(now)))]
 
     def _on_scope(self, frame: ScopeFrame, source: Endpoint) -> list[Action]:
+        """Record the entries routed to the service, unless a newer list is known."""
         if self._scope is not None and frame.site_version <= self._scope.site_version:
             return []
         self._scope = frame
@@ -244,6 +259,7 @@
     def _reject_wrong_service(
         self, frame: ToAgent, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Reject a frame that is for another service than this agent's."""
         if isinstance(frame, OpenFrame | ForwardFrame):
             reason = ReturnReason.WRONG_SERVICE
             return self._return_packet(frame.packet, reason, source, now)
@@ -257,6 +273,7 @@
     def _return_packet(
         self, packet: FlowPacket, reason: ReturnReason, peer: Endpoint, now: Millis
     ) -> list[Action]:
+        """Return the actions that send a packet back to a balancer and log it."""
         fields = {
             "flow": format_flow(packet.flow),
             "reason": reason.name.lower(),
@@ -276,6 +293,7 @@
         ]
 
     def _handle_backend_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
+        """Handle a packet from the backend server according to its kind."""
         if packet.rejected_by_backend:
             return self._on_backend_rejection(packet, now)
         owned = self._flows.find(packet.flow)
@@ -286,6 +304,11 @@
     def _on_flow_packet(
         self, packet: FlowPacket, owned: OwnedFlow | None, now: Millis
     ) -> list[Action]:
+        """Pass a packet of an accepted flow to the client and update the flow's state.
+
+        If the flow isn't tracked, as after a restart of the agent, it is added, and the
+        active balancers are notified that this agent owns it.
+        """
         actions: list[Action] = [SendToClient(packet)]
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
@@ -307,6 +330,7 @@
     def _on_accept(
         self, packet: FlowPacket, owned: OwnedFlow | None, now: Millis
     ) -> list[Action]:
+        """Pass an accept packet to the client and notify the flow's balancer."""
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
         opening_sent_at, owned.opening_sent_at, owned.pending_opening = (
@@ -329,6 +353,11 @@
         return actions
 
     def _on_backend_rejection(self, packet: FlowPacket, now: Millis) -> list[Action]:
+        """Handle a client's packet that the backend server sent back.
+
+        An established flow is reset. The packet of any other flow is returned to its
+        balancer.
+        """
         owned = self._flows.find(packet.flow)
         balancer = self._peers.find(packet.token)
         if packet.kind is PacketKind.OPEN:
@@ -460,6 +489,7 @@
         ]
 
     def _remove_expired_flows(self, now: Millis) -> None:
+        """Remove expired flows, and stop counting stalled requests."""
         self._last_sweep_at = now
         for owned in self._flows.sweep(now, self._flow_limit_ms):
             self._end_request(owned, now, answered=False)
@@ -488,6 +518,7 @@
     def _record_client_packet(
         self, owned: OwnedFlow, packet: FlowPacket, now: Millis
     ) -> None:
+        """Update a flow from a client's packet, which may begin a request."""
         owned.seen_at = now
         is_new = owned.record_client_packet(packet)
         if is_new:
@@ -501,6 +532,7 @@
             owned.ended_at = now
 
     def _end_request(self, owned: OwnedFlow, now: Millis, *, answered: bool) -> None:
+        """End the flow's request in progress, if there is one."""
         if owned.request_started_at is None:
             return
         owned.request_started_at = None
@@ -508,6 +540,7 @@
         self._peers.mark_load_changed(now)
 
     def _remove_flow(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> None:
+        """Stop tracking a flow and end its request."""
         self._end_request(owned, now, answered=False)
         self._pending_openings.pop(flow, None)
         self._admission.clear_first_request(flow)
--- a/src/papayagw/_internal/core/plain/backend_state.py
+++ b/src/papayagw/_internal/core/plain/backend_state.py
@@ -12,7 +12,9 @@
 
 
 class BackendState:
-    """Latest run of the backend server and its last report.
+    """State of the backend server's latest run, as last reported.
+
+    A run is one life of the server's process, from its start to its end.
 
     Parameters
     ----------
@@ -43,7 +45,7 @@
 
     @property
     def is_draining(self) -> bool:
-        """Whether the backend server accepts no new flows."""
+        """Whether the backend server reported that it accepts no new flows."""
         report = self._report
         return report is not None and report.state is ReportedState.DRAINING
 
@@ -65,7 +67,7 @@
         return Millis(self._report_interval_ms * 5 // 6)
 
     def is_cold(self, now: Millis) -> bool:
-        """Whether the backend server is still slow after its start."""
+        """Whether the backend server is still slow after its start, as it reported."""
         return now < self._cold_until
 
     def is_report_overdue(self, now: Millis) -> bool:
@@ -73,7 +75,7 @@
         return now - self._reported_at > self.report_timeout_ms
 
     def age_ms(self, now: Millis) -> Millis | None:
-        """Return the age of the run in ms, or None if it isn't known."""
+        """Return the time since the start of the run, or None if it isn't known."""
         return None if self._began_at is None else Millis(now - self._began_at)
 
     def record_age(self, age_ms: Millis, now: Millis) -> None:
@@ -107,6 +109,7 @@
         return True
 
     def _is_stale(self, report: StatusReport) -> bool:
+        """Whether a report is older than the last one, or its run has ended."""
         known = self._report
         if known is None:
             return False
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -43,7 +43,7 @@
 RESTART_SPREAD_MS = Millis(1_500)
 """Maximum time from a backend server's start to a balancer's first read of the store.
 
-Applies if both restarted after the same power loss: 0.9 s for the slowest balancer to
+Holds if both restarted after the same power loss: 0.9 s for the slowest balancer to
 start, and one attempt to read the store. In a fleet that started slightly earlier, a
 store entry may be missing without a power loss, so the value must not be larger.
 """
@@ -65,8 +65,8 @@
         Called when an agent reports a newer configuration version than the one in
         force here.
     on_owner_not_found : callable
-        Called when all known agents have denied owning a flow, so that the list of
-        agents is read again.
+        Called when all known agents have replied that they don't own a flow. The
+        caller then reads the list of agents again.
     """
 
     _lookup_type = OwnerLookup
@@ -111,7 +111,7 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When `on_timer` is to be called next."""
+        """Time at which `on_timer` must be called next; None if no timer is pending."""
         due = (self._openings.due_at, self._lookup.due_at)
         return min((at for at in due if at is not None), default=None)
 
@@ -123,13 +123,16 @@
         return True
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
-        """Handle the completion of a full read of the agents' store entries."""
+        """Handle the completion of a full read of the agents' store entries.
+
+        Continues the owner lookups that waited for it.
+        """
         if self._first_listed_at is None:
             self._first_listed_at = now
         return self._lookup.on_agents_listed(now)
 
     def notify_missing_agents(self) -> list[Action]:
-        """Notify agents whose store entries are missing, so that they restore them."""
+        """Return frames that ask agents to restore missing store entries."""
         return [
             SendFrame(view.endpoint, EntryMissingFrame(view.entry.service))
             for view in self._roster
@@ -137,7 +140,7 @@
         ]
 
     def on_client_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
-        """Handle a packet from a client."""
+        """Handle a packet from a client and return the resulting actions."""
         if self._site is None or packet.rejected_by_backend:
             return []
         route = self._site.routes.get(packet.entry)
@@ -158,7 +161,7 @@
     def on_frame(
         self, frame: ToBalancer, source: Endpoint, now: Millis
     ) -> list[Action]:
-        """Handle a frame from an agent."""
+        """Handle a frame from an agent and return the resulting actions."""
         view = self._roster.find(source)
         if view is None:
             # The agent's store entry hasn't reached this balancer yet; a later frame
@@ -187,6 +190,7 @@
     def _on_opening(
         self, packet: FlowPacket, route: Route, now: Millis
     ) -> list[Action]:
+        """Offer an opening to an agent, or resend it to the agent that accepted it."""
         cached = self._flows.find(packet.flow)
         if cached is not None and cached.is_confirmed:
             # The acceptance was lost on the way to the client. The backend server
@@ -197,6 +201,11 @@
         return self._offer(opening, route, now)
 
     def _offer(self, opening: Opening, route: Route, now: Millis) -> list[Action]:
+        """Offer an opening to an agent that hasn't been tried yet.
+
+        If there is none, another round of offers is scheduled. The opening is refused
+        if it would be too old by then, or if a backend server has rejected it.
+        """
         packet = opening.packet
         service = _pick_service(route, packet)
         agent = self._choose_agent(service, opening, now)
@@ -211,6 +220,7 @@
     def _offer_to(
         self, agent: AgentView, opening: Opening, route: Route, now: Millis
     ) -> list[Action]:
+        """Offer an opening to `agent` and record the offer."""
         packet = opening.packet
         self._openings.record_offer(opening, agent, now)
         agent.pending_offers += 1
@@ -238,6 +248,7 @@
     def _choose_agent(
         self, service: str, opening: Opening, now: Millis
     ) -> AgentView | None:
+        """Return the agent that gets an opening next, or None if there is none."""
         untried = [
             view
             for view in self._roster.list_service(service)
@@ -252,11 +263,13 @@
         return self._chooser.choose(opening.packet.flow, candidates, now)
 
     def _make_open_frame(self, agent: AgentView, packet: FlowPacket) -> SendFrame:
+        """Return the action that sends an opening to an agent."""
         version = self._site.version if self._site is not None else 0
         frame = OpenFrame(agent.entry.service, version, packet)
         return SendFrame(agent.endpoint, frame)
 
     def _refuse_opening(self, opening: Opening, service: str) -> list[Action]:
+        """Discard an opening and reset its client."""
         packet = opening.packet
         self._openings.end(packet.flow)
         self._flows.drop(packet.flow)
@@ -269,6 +282,7 @@
         return [ResetClient(packet.flow, 0), LogEvent("opening refused", fields)]
 
     def _priority_of(self, opening: Opening) -> int:
+        """Return the priority of an opening's route; 0 is served first."""
         route = self._find_route(opening.packet)
         return route.priority if route is not None else 0
 
@@ -298,6 +312,7 @@
     def _describe_offer(
         self, opening: Opening, agent: AgentView, route: Route
     ) -> dict[str, object]:
+        """Return the log fields of an offer."""
         load = agent.load
         return {
             "flow": format_flow(opening.packet.flow),
@@ -315,6 +330,7 @@
     def _handle_frame(
         self, frame: ToBalancer, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Handle a frame whose load report has been recorded."""
         match frame:
             case OpenedFrame():
                 return self._on_opened(frame, view, now)
@@ -328,6 +344,7 @@
     def _on_opened(
         self, frame: OpenedFrame, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Record that an agent's backend server has accepted an opening."""
         opening = self._openings.end(frame.flow)
         self._flows.put(frame.flow, view, now, is_confirmed=True)
         if opening is None:
@@ -343,6 +360,7 @@
     def _on_returned(
         self, frame: ReturnFrame, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Find another agent for a packet that an agent sent back."""
         packet = frame.packet
         route = self._find_route(packet)
         if route is None:
@@ -361,6 +379,7 @@
     def _on_returned_opening(
         self, frame: ReturnFrame, view: AgentView, route: Route, now: Millis
     ) -> list[Action]:
+        """Offer a returned opening to another agent, unless it is outdated."""
         packet = frame.packet
         fields = {
             "flow": format_flow(packet.flow),
@@ -384,6 +403,7 @@
     def _on_owner_replies(
         self, frame: OwnerReplyFrame, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Pass an agent's replies to the owner lookups that wait for them."""
         actions: list[Action] = []
         for reply in frame.replies:
             if reply.ownership is Ownership.OWNER:
@@ -413,7 +433,7 @@
         )
 
     def _knows_all_agents(self, agents: list[AgentView], now: Millis) -> bool:
-        """Return whether the known agents are all agents, so none owns a denied flow.
+        """Return whether `agents` includes every agent that may own a flow.
 
         At the first read of the store, the entry of a running agent may be missing; it
         is restored within `MISSING_GRACE_MS`. If all backend servers have started
@@ -439,11 +459,13 @@
         ]
 
     def _find_route(self, packet: FlowPacket) -> Route | None:
+        """Return the route of the entry that a packet was sent to, or None."""
         if self._site is None:
             return None
         return self._site.routes.get(packet.entry)
 
     def _reset_unrouted(self, packet: FlowPacket) -> list[Action]:
+        """Reset the flow of a packet whose entry has no route."""
         self._flows.drop(packet.flow)
         if packet.kind is PacketKind.ABORT:
             return []
@@ -473,6 +495,7 @@
 
 
 def _make_scope_frame(site: SiteVersion, service: str) -> ScopeFrame:
+    """Return a frame that lists the entries routed to a service."""
     entries = frozenset(
         entry
         for entry, route in site.routes.items()
--- a/src/papayagw/_internal/core/plain/batching.py
+++ b/src/papayagw/_internal/core/plain/batching.py
@@ -1,4 +1,4 @@
-"""Batching of owner queries."""
+"""Batching of the owner queries that a balancer sends to agents."""
 
 from collections.abc import Iterable
 
@@ -7,7 +7,10 @@
 from papayagw._internal.models.plain.frame import OwnerQuery, OwnerQueryFrame
 
 MAX_QUERIES_PER_FRAME = 64
-"""Maximum queries per frame, which then has 1,100 bytes: no link fragments it."""
+"""Maximum number of owner queries in a frame.
+
+A frame of 64 queries has 1,100 bytes, which no link fragments.
+"""
 
 
 def merge_owner_queries(actions: Iterable[Action]) -> list[Action]:
--- a/src/papayagw/_internal/core/plain/choice.py
+++ b/src/papayagw/_internal/core/plain/choice.py
@@ -10,7 +10,7 @@
 from papayagw._internal.models.plain.packet import FlowKey
 
 FALLBACK_SERVICE_US = 20_000
-"""Time for one request in a slot if no agent has reported its own, in microseconds."""
+"""Service time that is assumed if no candidate has reported one, in microseconds."""
 
 OTHER_ZONE_PENALTY_US = 2_000
 """Penalty for a candidate in another zone, in microseconds.
@@ -20,10 +20,10 @@
 """
 
 TIE_JITTER = 0.05
-"""Maximum random addition to the queue, in requests, to break ties."""
+"""Maximum random addition to a candidate's queue length, in requests, to break ties."""
 
 IDLE_FLOW_WEIGHT = 0.02
-"""Load of an open flow that has no request in progress, in requests."""
+"""Load that an open flow adds without a request in progress, in requests."""
 
 
 class PlainChooser(Protocol):
@@ -64,7 +64,7 @@
     def _expected_wait_us(
         self, view: AgentView, default_service_us: float, now: Millis
     ) -> float:
-        """Return the expected response time, plus the zone penalty and jitter."""
+        """Return the expected response time plus the zone penalty and jitter."""
         jitter = self._random.random()
         zone_penalty_us = 0 if view.entry.zone == self._zone else OTHER_ZONE_PENALTY_US
         load = view.load
@@ -88,7 +88,7 @@
 
 
 class RoundRobinChooser:
-    """Selects each agent in turn."""
+    """Selects the candidates in rotation, regardless of their load."""
 
     def __init__(self) -> None:
         self._next = 0
@@ -102,7 +102,13 @@
 
 
 class RandomChooser:
-    """Selects an agent at random."""
+    """Selects a random candidate, regardless of its load.
+
+    Parameters
+    ----------
+    random : Random
+        Source of the choice.
+    """
 
     def __init__(self, random: Random):
         self._random = random
@@ -127,6 +133,7 @@
 
 
 def _mean_service_us(candidates: Sequence[AgentView]) -> float:
+    """Return the mean of the reported service times, or the fallback if none."""
     reported = [
         view.load.service_us
         for view in candidates
--- a/src/papayagw/_internal/core/plain/entry_registrar.py
+++ b/src/papayagw/_internal/core/plain/entry_registrar.py
@@ -20,7 +20,7 @@
 )
 
 LEASE_TTL_MS = Millis(10_000)
-"""How long an entry remains after the last renewal by its agent."""
+"""Time after its last renewal at which a lease expires and its entry is removed."""
 
 RENEW_INTERVAL_MS = Millis(2_000)
 """Interval between lease renewals.
@@ -37,7 +37,7 @@
 
 
 class EntryRegistrar:
-    """Keeps one key in the store under a lease while its owner runs.
+    """Keeps an agent's entry in the store, under a lease, while the agent runs.
 
     Parameters
     ----------
@@ -73,14 +73,14 @@
         return self._is_ending and self._lease is None
 
     def next_call(self) -> TimedCall | None:
-        """Return the next call, or None if there is none."""
+        """Return the store call to make next, or None once the entry is removed."""
         call = self._pick_call()
         return (
             None if call is None else TimedCall(call, self._retry_schedule.timeout_ms)
         )
 
     def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
-        """Handle the answer to the last call."""
+        """Handle the store's answer to the last call and schedule the next one."""
         if isinstance(answer, CallFailed):
             self._due_at = Millis(now + self._retry_schedule.record_failure(answer))
             self._had_failure = True
@@ -110,7 +110,7 @@
                 self._lease, self._is_stored = None, False
 
     def restore(self, now: Millis) -> None:
-        """Write the entry again, since a balancer found it missing."""
+        """Schedule a new write of the entry, which a balancer found missing."""
         if not self._has_read or not self._is_stored:
             return
         self._is_stored = False
@@ -120,11 +120,12 @@
         self._due_at = min(self._due_at, self._restored_at)
 
     def end(self, now: Millis) -> None:
-        """Remove the entry, since its owner is stopping."""
+        """Schedule the removal of the entry, since its owner is stopping."""
         self._is_ending = True
         self._due_at = now
 
     def _pick_call(self) -> StoreCall | None:
+        """Return the call that brings the store closer to the wanted state."""
         if self._is_ending:
             return None if self._lease is None else EndLease(self._lease)
         if not self._has_read:
@@ -136,4 +137,5 @@
         return RenewLease(self._lease)
 
     def _jitter(self, interval_ms: Millis) -> int:
+        """Return 80 to 100 % of an interval, at random."""
         return round(interval_ms * self._random.uniform(0.8, 1.0))
--- a/src/papayagw/_internal/core/plain/flow_cache.py
+++ b/src/papayagw/_internal/core/plain/flow_cache.py
@@ -1,4 +1,4 @@
-"""Cache of the agents that own flows.
+"""A balancer's cache of which agent owns which flow.
 
 A balancer may lose the cache at any time, because agents can be queried for the owner.
 """
@@ -15,7 +15,7 @@
 
 
 class CachedFlow:
-    """The owner of one flow.
+    """The cached owner of one flow.
 
     Parameters
     ----------
@@ -36,7 +36,7 @@
 
 
 class FlowCache:
-    """The owners of flows; at capacity, the flow cached first is evicted."""
+    """Owners by flow. If the cache is full, the flow added first is evicted."""
 
     def __init__(self) -> None:
         self._flows: dict[FlowKey, CachedFlow] = {}
@@ -46,19 +46,19 @@
         return len(self._flows)
 
     def find(self, flow: FlowKey) -> CachedFlow | None:
-        """Return the owner of a flow, or None."""
+        """Return the cached owner of a flow, or None if there is none."""
         return self._flows.get(flow)
 
     def put(
         self, flow: FlowKey, agent: AgentView, now: Millis, *, is_confirmed: bool
     ) -> None:
-        """Store the owner of a flow."""
+        """Store the owner of a flow, replacing an earlier one."""
         if len(self._flows) >= MAX_FLOWS:
             del self._flows[next(iter(self._flows))]
         self._flows[flow] = CachedFlow(agent, now, is_confirmed)
 
     def drop(self, flow: FlowKey) -> None:
-        """Remove a flow."""
+        """Remove the owner of a flow, if cached."""
         self._flows.pop(flow, None)
 
     def sweep(self, now: Millis, idle_ms: Millis) -> None:
--- a/src/papayagw/_internal/core/plain/intake.py
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -10,10 +10,13 @@
 from papayagw._internal.models.plain.packet import FlowKey
 
 INITIAL_PAUSE_MS = Millis(300)
-"""Pause in openings after the first accept timeout; doubles with each further one."""
+"""Pause in openings after the first accept timeout; doubles with each further one.
+
+An accept timeout means that the backend server left an opening unanswered.
+"""
 
 MAX_PAUSE_MS = Millis(2_400)
-"""Upper limit of the pause: two report intervals."""
+"""Upper limit of the pause in openings: two report intervals."""
 
 MAX_ACCEPT_TIMEOUT_COUNT = 8
 """Upper limit of the count of consecutive accept timeouts.
@@ -34,7 +37,7 @@
 """
 
 MAX_WAITING_BALANCERS = 4_096
-"""Maximum number of rejected balancers that wait for capacity."""
+"""Maximum number of balancers that are remembered to be notified of free capacity."""
 
 
 class AdmissionControl:
@@ -71,7 +74,10 @@
         return next(iter(self._first_request_deadlines.values()), None)
 
     def availability(self, now: Millis) -> Availability:
-        """Return whether openings are admitted, regardless of free capacity."""
+        """Return whether openings are admitted in general, and if not, why.
+
+        Free capacity isn't considered.
+        """
         if self._is_leaving:
             return Availability.LEAVING
         if not self.backend.is_known and not self._may_be_running(now):
@@ -138,15 +144,25 @@
         return notified
 
     def expect_first_request(self, flow: FlowKey, now: Millis) -> None:
-        """Count the first request of an accepted flow before it arrives."""
+        """Count the first request of an accepted flow from now on.
+
+        It counts until it arrives, or for `FIRST_REQUEST_TIMEOUT_MS`.
+        """
         self._first_request_deadlines[flow] = Millis(now + FIRST_REQUEST_TIMEOUT_MS)
 
     def clear_first_request(self, flow: FlowKey) -> None:
-        """Stop counting a flow's first request: it arrived, or never will."""
+        """Stop counting the expected first request of a flow.
+
+        The request has arrived or the flow has been removed.
+        """
         self._first_request_deadlines.pop(flow, None)
 
     def count_requests(self, pending_openings: int, now: Millis) -> int:
-        """Return the number of requests in progress or expected."""
+        """Return the number of requests in progress or expected.
+
+        Each pending opening counts as one, and so does each accepted flow whose first
+        request is expected.
+        """
         while self._first_request_deadlines:
             flow, until = next(iter(self._first_request_deadlines.items()))
             if until > now:
@@ -169,12 +185,12 @@
         return True
 
     def record_activity(self) -> None:
-        """Record that the backend server sent something, which ends a pause."""
+        """Record that the backend server responds, which ends a pause in openings."""
         self._accept_timeout_count = 0
         self._paused_until = Millis(0)
 
     def record_rejection(self) -> ReturnReason:
-        """Record that the backend server returned an opening; return the reason.
+        """Record that the backend server sent an opening back; return the reason.
 
         A server that isn't known from a report, such as one that is shutting down,
         accepts no openings at all, so the reason is then `NOT_READY`.
@@ -208,6 +224,7 @@
         return is_new and self.backend.report is None and not has_failed
 
     def _free_capacity(self, pending_openings: int, now: Millis) -> int:
+        """Return the number of openings that fit; negative if over the limit."""
         return max_concurrent_requests(self.meter.slots) - self.count_requests(
             pending_openings, now
         )
--- a/src/papayagw/_internal/core/plain/load_meter.py
+++ b/src/papayagw/_internal/core/plain/load_meter.py
@@ -41,12 +41,12 @@
         return self._busy
 
     def begin(self, now: Millis) -> None:
-        """Record the arrival of a request."""
+        """Record that a request begins."""
         self._advance(now)
         self._busy += 1
 
     def end(self, now: Millis, *, answered: bool) -> None:
-        """Record the end of a request and whether it was answered."""
+        """Record that a request ends, and whether the backend server answered it."""
         self._advance(now)
         self._busy = max(0, self._busy - 1)
         self._answered += answered
@@ -66,6 +66,7 @@
         return round(1_000 * self._busy_ms / self._answered)
 
     def _advance(self, now: Millis) -> None:
+        """Decay the past load and add the load since the last call."""
         elapsed_ms = now - self._updated_at if self._updated_at is not None else 0
         self._updated_at = now
         if elapsed_ms <= 0:
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -1,4 +1,4 @@
-"""Openings that no agent has accepted yet."""
+"""A balancer's openings that no agent has accepted yet."""
 
 from collections.abc import Reversible
 
@@ -26,7 +26,7 @@
 """The retry interval is at least the age of the opening divided by this."""
 
 OPENING_TIMEOUT_MS = Millis(1_300)
-"""Age up to which an opening is offered; the client gives up after 1.4 s."""
+"""Age of an opening after which it isn't offered; the client gives up after 1.4 s."""
 
 COPY_AGES_MS = (Millis(0), Millis(200), Millis(600))
 """Age of an opening when the client sends its first packet and each retransmission.
@@ -35,7 +35,7 @@
 """
 
 MAX_OFFERS = 5
-"""Maximum number of agents that one opening is offered to."""
+"""Maximum number of agents that one opening is offered to before a retry delay."""
 
 MAX_OPENINGS = 4_096
 """Maximum number of openings in progress; beyond it the oldest is dropped."""
@@ -50,6 +50,13 @@
         The latest copy of the client's packet.
     started_at : Millis
         When the client sent the first copy.
+
+    Attributes
+    ----------
+    tried_agents : set of Endpoint
+        Agents that the opening was offered to in this round.
+    agent : AgentView or None
+        The agent with the unanswered offer; None while the opening waits for a retry.
     """
 
     __slots__ = ("agent", "is_declined", "packet", "started_at", "tried_agents")
@@ -69,7 +76,7 @@
 
 
 class Openings:
-    """The openings in progress."""
+    """The openings in progress, with their timeouts and retries."""
 
     def __init__(self) -> None:
         self._openings: dict[FlowKey, Opening] = {}
@@ -81,11 +88,11 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When the next offer times out or the next retry is due."""
+        """Time of the next offer timeout or retry; None if there is none."""
         return self._deadlines.next_at
 
     def find(self, flow: FlowKey) -> Opening | None:
-        """Return the opening of a flow, or None."""
+        """Return the opening in progress of a flow, or None."""
         return self._openings.get(flow)
 
     def begin(self, packet: FlowPacket, now: Millis) -> Opening:
@@ -144,6 +151,7 @@
         return _sort_newest_first([self._openings[flow] for flow in due])
 
     def _remove_waiting(self, flow: FlowKey) -> None:
+        """Remove an opening from those that wait for an agent."""
         for openings in self._waiting_by_service.values():
             openings.pop(flow, None)
 
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -16,13 +16,14 @@
 """
 
 SEQUENCE_WINDOW = 1 << 22
-"""How far a client's acknowledgement may be ahead of the accept packet, in bytes.
+"""How far a sequence number may be ahead of an earlier one of the same flow, in bytes.
 
 More than a flow carries in total, and a thousandth of the range from which each
 backend server draws its initial sequence number at random.
 """
 
 _MODULUS = 1 << 32
+"""Sequence numbers wrap around at this value."""
 
 
 def is_in_window(position: int, start: int) -> bool:
@@ -34,7 +35,27 @@
 
 
 class OwnedFlow:
-    """State of one flow."""
+    """State of one flow of the local backend server.
+
+    Attributes
+    ----------
+    balancer : Endpoint or None
+        Balancer that sent the flow's latest packet; None if it isn't known.
+    seen_at : Millis
+        When the latest packet of either direction passed.
+    acknowledged : int
+        Latest acknowledgement number of the client, at which it accepts a reset.
+    client_sequence_end : int or None
+        Sequence number after the last known byte of the client.
+    request_started_at : Millis or None
+        Start of the request in progress; None if there is none.
+    opening_sent_at : Millis or None
+        When the opening was passed to the backend server; None once it is accepted.
+    pending_opening : FlowPacket or None
+        The opening that the backend server hasn't answered yet.
+    ended_at : Millis or None
+        When the flow was closed; None while it is open.
+    """
 
     __slots__ = (
         "accept_sequence",
@@ -90,6 +111,7 @@
             self._advance_client_sequence(packet.acknowledged)
 
     def _advance_client_sequence(self, end: int) -> bool:
+        """Set `client_sequence_end` to `end`; return False if not ahead."""
         known = self.client_sequence_end
         if known is not None and not (end != known and is_in_window(end, known)):
             return False
@@ -98,7 +120,7 @@
 
 
 class OwnedFlows:
-    """Flows of one backend server, by key."""
+    """Table of the flows of the local backend server, by flow key."""
 
     def __init__(self) -> None:
         self._flows: dict[FlowKey, OwnedFlow] = {}
@@ -121,7 +143,7 @@
         return owned
 
     def drop(self, flow: FlowKey) -> None:
-        """Remove a flow."""
+        """Remove a flow from the table, if present."""
         self._flows.pop(flow, None)
 
     def sweep(self, now: Millis, idle_ms: Millis) -> list[OwnedFlow]:
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_search.py
@@ -44,8 +44,8 @@
     flows : FlowCache
         Cache of the owners that were found.
     on_owner_not_found : callable
-        Called when all known agents have denied owning a flow, so that the list of
-        agents is read again.
+        Called when all known agents have replied that they don't own a flow. The
+        caller then reads the list of agents again.
     knows_all_agents : callable
         Returns whether the given agents are all agents that may own a flow.
     """
@@ -67,7 +67,7 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When `on_timer` is to be called next."""
+        """Time at which `on_timer` must be called next; None if no timer is pending."""
         return self._lookups.due_at
 
     def find_owner(
@@ -82,7 +82,7 @@
         now : Millis
             The current time.
         excluded : AgentView or None
-            The agent that has just returned the packet, and isn't queried.
+            An agent that has just returned the packet and therefore isn't queried.
         """
         lookup = self._lookups.find(packet.flow)
         if lookup is not None:
@@ -106,7 +106,7 @@
         return [] if lookup.pending_agents else self._end_querying(lookup, now)
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """Continue the lookups whose replies are overdue."""
+        """End the wait for overdue replies and return the resulting actions."""
         actions: list[Action] = []
         for lookup in self._lookups.pop_due(now):
             actions += self._end_querying(lookup, now)
@@ -131,6 +131,7 @@
     def _on_owner_found(
         self, reply: OwnerReply, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Cache the owner and forward the held packets to it."""
         self._flows.put(reply.flow, view, now, is_confirmed=True)
         lookup = self._lookups.end(reply.flow)
         if lookup is None:
@@ -151,6 +152,7 @@
         excluded: AgentView | None,
         now: Millis,
     ) -> list[Action]:
+        """Add another packet of the flow to a lookup in progress."""
         if excluded is None:
             lookup.hold(packet)
             return (
@@ -168,7 +170,10 @@
         return self._confirm_no_owner(lookup, now)
 
     def _end_querying(self, lookup: PendingLookup, now: Millis) -> list[Action]:
-        """Forward the held packets to the agents that may own the flow, if any."""
+        """Stop waiting for replies to the owner queries.
+
+        The first held packets are forwarded to the agents that may own the flow.
+        """
         fields = {
             "flow": format_flow(lookup.flow),
             "unsure": len(lookup.candidates),
@@ -182,7 +187,7 @@
         ]
 
     def _confirm_no_owner(self, lookup: PendingLookup, now: Millis) -> list[Action]:
-        """Have the list of agents read again if every queried agent denies the flow."""
+        """Request a new list of agents if every queried agent denies the flow."""
         if not lookup.is_denied or lookup.last_packet.kind.is_closing:
             return []
         if lookup.stage is not Stage.CONFIRMING:
@@ -191,6 +196,7 @@
         return []
 
     def _reset_ownerless(self, lookup: PendingLookup) -> list[Action]:
+        """Reset the client of a flow that no agent owns."""
         self._lookups.end(lookup.flow)
         self._flows.drop(lookup.flow)
         reset = ResetClient(lookup.flow, lookup.last_packet.acknowledged or 0)
@@ -198,6 +204,7 @@
         return [reset, LogEvent("flow has no owner", fields)]
 
     def _forward_to_candidates(self, lookup: PendingLookup) -> list[Action]:
+        """Forward the next trial packets to the agents that may own the flow."""
         packets = lookup.next_trial_packets()
         views = [self._find_agent(endpoint) for endpoint in lookup.candidates]
         return [
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -1,4 +1,4 @@
-"""Resolution of flow ownership by an agent."""
+"""An agent's replies to the query whether it owns a flow."""
 
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.owned_flows import OwnedFlows
@@ -58,7 +58,7 @@
         )
 
     def begin_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> None:
-        """Record the age of a new run.
+        """Record the age of a new run of the backend server.
 
         Called once per run, since the wall clock may be set back later.
         """
@@ -69,6 +69,6 @@
     def _observed_whole_run(
         self, report: StatusReport, age_ms: Millis, now: Millis
     ) -> bool:
-        """Whether all flows of the run passed through this agent."""
+        """Whether all flows of the run have passed through this agent."""
         max_age_ms = max(now - self._started_at, self._backend.max_first_report_age_ms)
         return 0 <= age_ms <= max_age_ms and report.number <= MAX_EARLY_REPORTS
--- a/src/papayagw/_internal/core/plain/peers.py
+++ b/src/papayagw/_internal/core/plain/peers.py
@@ -17,11 +17,15 @@
 """
 
 MAX_PEERS = 4_096
-"""Maximum number of balancers with a token."""
+"""Maximum number of balancers that have a token; beyond it the oldest loses its own."""
 
 
 class BalancerPeers:
-    """Known balancers, their tokens, and the schedule of load frames."""
+    """The balancers known to an agent, and the schedule of load frames to them.
+
+    Each balancer has a token, a number by which the agent recognises it in packets
+    that the backend server sends back.
+    """
 
     def __init__(self) -> None:
         self._last_frame_at: dict[Endpoint, Millis] = {}
@@ -47,7 +51,7 @@
         self.token_of(peer)
 
     def mark_load_changed(self, now: Millis) -> None:
-        """Schedule a round of load frames, since the load has changed."""
+        """Schedule a round of load frames because the load has changed."""
         self._load_changed = True
 
     def start_round_if_due(self, now: Millis) -> bool:
@@ -75,7 +79,7 @@
         return list(self._tokens)
 
     def token_of(self, peer: Endpoint) -> int:
-        """Return the number that identifies a balancer in packets; never 0."""
+        """Return the token of a balancer, assigning one if needed; never 0."""
         token = self._tokens.get(peer)
         if token is None:
             if len(self._tokens) >= MAX_PEERS:
--- a/src/papayagw/_internal/core/plain/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/prefix_watcher.py
@@ -23,10 +23,16 @@
 )
 
 WATCH_TIMEOUT_MS = Millis(10_000)
-"""Duration of one watch; without writes, a node makes six calls a minute."""
+"""How long the store waits for a write before it answers a watch.
+
+Without writes, a node makes six calls a minute.
+"""
 
 WATCH_MARGIN_MS = Millis(1_000)
-"""Grace period after a watch's end before its connection counts as dead."""
+"""Time after the end of a watch at which its connection counts as dead.
+
+The timeout of a usual call is added to it.
+"""
 
 MAX_FIRST_READ_RETRY_MS = Millis(300)
 """Upper limit of the retry delay until the first read.
@@ -35,7 +41,10 @@
 """
 
 OnSnapshot = Callable[[tuple[StoredItem, ...]], None]
+"""Called with all items under a prefix."""
+
 OnEvents = Callable[[tuple[StoreEvent, ...]], None]
+"""Called with writes and removals under a prefix, in order."""
 
 
 class PrefixWatcher:
@@ -80,7 +89,7 @@
         return self._due_at
 
     def next_call(self) -> TimedCall:
-        """Return the next call."""
+        """Return the next call: a page of the read, or a watch after the read."""
         timeout_ms = self._retry_schedule.timeout_ms
         if self._revision is None:
             after = self._pages[-1].key if self._pages else ""
@@ -91,7 +100,7 @@
         )
 
     def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
-        """Handle the answer to the last call."""
+        """Handle the store's answer to the last call and schedule the next one."""
         match answer:
             case RangeResult():
                 self._retry_schedule.record_success()
@@ -133,6 +142,7 @@
         self._due_at = now
 
     def _add_page(self, page: RangeResult) -> None:
+        """Add a page of a read; call `on_snapshot` after the last one."""
         if not self._pages:
             # Later pages may be newer, so the watch starts at the first page's
             # revision.
--- a/src/papayagw/_internal/core/plain/questions.py
+++ b/src/papayagw/_internal/core/plain/questions.py
@@ -9,14 +9,18 @@
 from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
 
 REPLY_TIMEOUT_MS = Millis(40)
-"""How long to wait for replies before forwarding packets to possible owners.
+"""How long to wait for replies to owner queries.
+
+Packets are then forwarded to possible owners.
 
 Several round trips between zones, and below the client's retransmission timeout of
 200 ms.
 """
 
 LOOKUP_RETRY_MS = Millis(150)
-"""How long possible owners are tried, or a failed lookup is kept, before a new lookup.
+"""How long a lookup is kept after its queries if no owner is confirmed.
+
+The next packet of the flow then starts a new lookup.
 
 Slightly below the client's shortest retransmission interval.
 """
@@ -34,7 +38,7 @@
 """Maximum number of packets held per lookup: the most a client has in flight."""
 
 MAX_TRIAL_PACKETS = 2
-"""Maximum number of packets of a flow forwarded to agents that may not own it.
+"""Maximum number of packets of a flow forwarded before its owner is confirmed.
 
 Both ends of a flow acknowledge every second packet, and the acknowledgement reveals the
 owner.
@@ -55,7 +59,26 @@
 
 
 class PendingLookup:
-    """The lookup of the owner of one flow."""
+    """The lookup of the owner of one flow.
+
+    Parameters
+    ----------
+    packet : FlowPacket
+        The client's packet that started the lookup.
+    pending_agents : set of Endpoint
+        Agents that were queried and haven't replied yet.
+
+    Attributes
+    ----------
+    queried_agents : set of Endpoint
+        All agents queried so far.
+    candidates : set of Endpoint
+        Agents that replied that they may own the flow.
+    held_packets : list of FlowPacket
+        Packets of the flow, held until the owner is known.
+    last_packet : FlowPacket
+        The flow's latest packet.
+    """
 
     __slots__ = (
         "_trial_packet_count",
@@ -80,7 +103,7 @@
 
     @property
     def is_denied(self) -> bool:
-        """Whether every queried agent has denied owning the flow."""
+        """Whether every queried agent has replied that it doesn't own the flow."""
         return not self.pending_agents and not self.candidates
 
     def hold(self, packet: FlowPacket) -> None:
@@ -90,7 +113,10 @@
             self.held_packets.append(packet)
 
     def next_trial_packets(self) -> list[FlowPacket]:
-        """Return the held packets to forward to the possible owners next."""
+        """Return the held packets that possible owners haven't received yet.
+
+        Possible owners receive at most `MAX_TRIAL_PACKETS` in all.
+        """
         start, self._trial_packet_count = (
             self._trial_packet_count,
             min(len(self.held_packets), MAX_TRIAL_PACKETS),
@@ -98,13 +124,13 @@
         return self.held_packets[start : self._trial_packet_count]
 
     def list_packets_for_owner(self, owner: Endpoint) -> list[FlowPacket]:
-        """Return the held packets that the owner hasn't received."""
+        """Return the held packets that `owner` hasn't received yet."""
         return self.held_packets[
             self._trial_packet_count if owner in self.candidates else 0 :
         ]
 
     def record_reply(self, agent: Endpoint, ownership: Ownership) -> None:
-        """Record the reply of an agent that didn't confirm ownership."""
+        """Record that an agent denies owning the flow, or doesn't know."""
         self.pending_agents.discard(agent)
         if ownership is Ownership.UNKNOWN:
             self.candidates.add(agent)
@@ -121,7 +147,7 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When the next lookup times out or is to be removed."""
+        """Time of the next timeout of a lookup; None if there is none."""
         return self._deadlines.next_at
 
     def find(self, flow: FlowKey) -> PendingLookup | None:
@@ -141,13 +167,13 @@
     def query_others(
         self, lookup: PendingLookup, others: set[Endpoint], now: Millis
     ) -> None:
-        """Restart a lookup with agents that weren't known before."""
+        """Restart the wait for replies, with agents that weren't queried before."""
         lookup.queried_agents |= others
         lookup.pending_agents = set(others)
         self._set_stage(lookup, Stage.QUERYING, REPLY_TIMEOUT_MS, now)
 
     def finish_querying(self, lookup: PendingLookup, now: Millis) -> None:
-        """End the wait for replies: try the possible owners if any, else fail."""
+        """Try the possible owners if there are any, else mark the lookup as failed."""
         stage = Stage.TRYING if lookup.candidates else Stage.FAILED
         self._set_stage(lookup, stage, LOOKUP_RETRY_MS, now)
 
@@ -156,7 +182,7 @@
         self._set_stage(lookup, Stage.CONFIRMING, CONFIRM_TIMEOUT_MS, now)
 
     def list_confirming(self) -> list[PendingLookup]:
-        """Return the lookups that wait for a read of the agents' entries."""
+        """Return the lookups that wait for a new list of agents."""
         return [
             lookup
             for lookup in self._lookups.values()
@@ -182,5 +208,6 @@
     def _set_stage(
         self, lookup: PendingLookup, stage: Stage, timeout: Millis, now: Millis
     ) -> None:
+        """Enter a stage and restart the lookup's timeout."""
         lookup.stage = stage
         self._deadlines.set(lookup.flow, Millis(now + timeout))
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -12,7 +12,7 @@
 )
 
 MAX_LOAD_AGE_MS = Millis(300)
-"""Age up to which the reported number of requests in progress is used.
+"""Age up to which a reported number of requests in progress is relied on.
 
 Three times the interval between an agent's load reports.
 """
@@ -31,13 +31,14 @@
 """
 
 BUSY_BACKOFF_MS = Millis(1_000)
-"""How long an agent that was busy gets no offers unless it reports free capacity.
+"""How long an agent that returned an opening as busy gets no offers.
 
-It reports free capacity immediately, but the report may be lost.
+It reports free capacity immediately, which ends the backoff, but the report may be
+lost.
 """
 
 INITIAL_SUSPICION_MS = Millis(400)
-"""How long an agent is suspect the first time.
+"""How long an agent is suspect the first time since its last load report.
 
 An agent is suspect if it left an offer unanswered, or returned a packet as `SILENT` or
 `WRONG_SERVICE`. It then gets offers only if no other agent accepts openings.
@@ -56,6 +57,23 @@
     ----------
     entry : AgentEntry
         The agent's store entry.
+
+    Attributes
+    ----------
+    load : AgentLoad or None
+        The last load report; None if there was none.
+    load_received_at : Millis
+        When the last load report arrived.
+    missing_since : Millis or None
+        When the store entry was found missing; None while it exists.
+    pending_offers : int
+        Number of openings offered since the last load report.
+    suspicion_count : int
+        Number of suspicions since the last load report, which lengthen the next one.
+    suspect_until : Millis
+        End of the time as suspect.
+    backoff_until : Millis
+        End of the time without offers after a rejection as busy.
     """
 
     __slots__ = (
@@ -81,7 +99,7 @@
 
     @property
     def endpoint(self) -> Endpoint:
-        """Where the agent receives frames."""
+        """UDP endpoint at which the agent receives frames."""
         return self.entry.endpoint
 
     def record_load(self, load: AgentLoad, now: Millis) -> None:
@@ -200,7 +218,7 @@
         return True
 
     def mark_missing(self, key: str, now: Millis) -> bool:
-        """Record that the store lacks `key`; return whether anything changed."""
+        """Record that the store lacks `key`; return False if that was known."""
         known = self._by_key.get(key)
         if known is None or known.missing_since is not None:
             return False
@@ -223,6 +241,7 @@
         return gone
 
     def _remove(self, key: str, view: AgentView) -> None:
+        """Remove an agent from all indexes."""
         del self._by_key[key]
         if self._by_endpoint.get(view.endpoint) is view:
             del self._by_endpoint[view.endpoint]
--- a/src/papayagw/_internal/core/plain/store_calls.py
+++ b/src/papayagw/_internal/core/plain/store_calls.py
@@ -1,7 +1,7 @@
-"""Timeouts and retries of calls to the platform's key-value service.
+"""Timeouts and retries of calls to the platform's key-value service, the store.
 
-Each client has at most one call in flight. Its driver requests the next call when
-none is in flight and passes the answer back.
+Each client of the store has at most one call in flight. Its driver requests the next
+call when none is in flight and passes the answer back.
 """
 
 from dataclasses import dataclass
@@ -23,8 +23,10 @@
 """Upper limit of the timeout, which doubles while the store is slow."""
 
 INITIAL_RETRY_DELAY_MS = Millis(100)
+"""Initial delay between attempts, which grows with each failure."""
+
 MAX_RETRY_DELAY_MS = Millis(1_000)
-"""Upper limit of the delay between attempts.
+"""Default upper limit of the delay between attempts.
 
 Half of the time within which an entry must be restored after the store's recovery.
 """
@@ -32,14 +34,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TimedCall:
-    """Call and the timeout for its answer."""
+    """A store call with its timeout."""
 
     call: StoreCall
     timeout_ms: Millis
 
 
 class StoreClient(Protocol):
-    """State machine that makes calls to the store."""
+    """A state machine that decides which store call is made next, and when."""
 
     @property
     def due_at(self) -> Millis:
@@ -53,7 +55,7 @@
 
 
 class RetrySchedule:
-    """Timeouts and retry delays of one client.
+    """Timeouts and retry delays of one client of the store.
 
     Parameters
     ----------
@@ -82,7 +84,7 @@
         )
 
     def record_success(self) -> None:
-        """Record a usable answer, which resets timeout and delays."""
+        """Record a usable answer, which resets the timeout and the retry delay."""
         self._backoff.reset()
         self._timeout_ms = INITIAL_TIMEOUT_MS
         self._failures = 0
--- a/src/papayagw/_internal/models/plain/action.py
+++ b/src/papayagw/_internal/models/plain/action.py
@@ -1,4 +1,4 @@
-"""Actions that the core requests from the process around it."""
+"""Actions that the core returns and the process around it performs."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendToBackend:
-    """Deliver a client's packet to the agent's backend server.
+    """Send a client's packet to the agent's backend server.
 
     Attributes
     ----------
@@ -57,14 +57,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LogEvent:
-    """Log a decision or a change of state.
+    """Log a decision or a change of state, and count it in the metrics.
 
     Attributes
     ----------
     event : str
         The kind of event, a fixed text.
     fields : dict
-        The input of the decision, and the outcome.
+        Details of the event: the input of a decision, and the outcome.
     """
 
     event: str
@@ -73,9 +73,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RestoreEntry:
-    """Write the agent's entry to the store again."""
+    """Write the agent's entry to the store again, because it is missing there."""
 
 
 Action = (
     SendFrame | SendToClient | SendToBackend | ResetClient | RestoreEntry | LogEvent
 )
+"""An action that the process performs for the core."""
--- a/src/papayagw/_internal/models/plain/entry_store.py
+++ b/src/papayagw/_internal/models/plain/entry_store.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredItem:
-    """Key and its value at one revision.
+    """A key of the store with its value at one revision.
 
     Attributes
     ----------
@@ -45,6 +45,7 @@
 
 
 StoreEvent = StoredItem | RemovedItem
+"""A write or a removal of a key, as a watch returns it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PutKey:
-    """Request to write a key that is removed when its lease ends."""
+    """Request to write a key that is removed when the lease `lease` ends."""
 
     key: str
     value: bytes
@@ -75,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantLease:
-    """Request for a new lease."""
+    """Request for a new lease that ends `ttl_ms` after its last renewal."""
 
     ttl_ms: Millis
 
@@ -95,11 +96,12 @@
 
 
 StoreCall = ReadRange | WatchPrefix | PutKey | GrantLease | RenewLease | EndLease
+"""A request to the key-value service."""
 
 
 @dataclass(frozen=True, slots=True)
 class RangeResult:
-    """Answer to `ReadRange`."""
+    """Answer to `ReadRange`: a page of items, and whether more follow it."""
 
     items: tuple[StoredItem, ...]
     has_more: bool
@@ -121,14 +123,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PutResult:
-    """Answer to `PutKey`."""
+    """Answer to `PutKey`: the store revision of the write."""
 
     revision: int
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseResult:
-    """Answer to `GrantLease` and `RenewLease`."""
+    """Answer to `GrantLease` and `RenewLease`: the lease and its remaining time."""
 
     lease: int
     ttl_ms: Millis
@@ -167,3 +169,4 @@
     | LeaseEnded
     | CallFailed
 )
+"""The answer to a call, or its failure."""
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -11,20 +11,25 @@
     """Why an agent returns a packet to the balancer."""
 
     NOT_READY = 1
+    """The backend server hasn't reported, has left or doesn't respond."""
     DRAINING = 2
+    """The backend server accepts no new flows, or the agent is stopping."""
     FULL = 3
     """The backend server rejected the opening."""
     SILENT = 4
     """The backend server left this or a recent opening unanswered."""
     WRONG_SERVICE = 5
+    """The agent serves another service than the balancer expects."""
     OLD_VERSION = 6
+    """The opening's route doesn't exist in the newer configuration of the agent."""
     NOT_OWNER = 7
+    """The flow belongs to another backend server."""
     BUSY = 8
     """No free capacity; the agent notifies the balancer when there is some."""
 
 
 class Ownership(Enum):
-    """An agent's reply to the query whether it owns a flow."""
+    """An agent's reply to the query whether its backend server owns a flow."""
 
     OWNER = 1
     NOT_OWNER = 2
@@ -69,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerQuery:
-    """Asks whether an agent owns a flow.
+    """Asks whether an agent's backend server owns a flow.
 
     Attributes
     ----------
@@ -87,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerQueryFrame:
-    """Asks an agent of a service which flows it owns."""
+    """Asks an agent of a service for which of several flows it is the owner."""
 
     service: str
     queries: tuple[OwnerQuery, ...]
@@ -95,7 +100,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerReply:
-    """The reply to an `OwnerQuery`."""
+    """An agent's reply to an `OwnerQuery`: whether it owns the flow."""
 
     flow: FlowKey
     ownership: Ownership
@@ -103,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerReplyFrame:
-    """An agent's replies to an `OwnerQueryFrame`, or unsolicited claims of flows."""
+    """An agent's replies to owner queries, or a claim of flows that wasn't queried."""
 
     replies: tuple[OwnerReply, ...]
     load: AgentLoad
@@ -119,7 +124,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReturnFrame:
-    """Returns a packet that the agent can't deliver."""
+    """Returns a packet to the balancer that sent it, as the agent can't deliver it."""
 
     reason: ReturnReason
     packet: FlowPacket
@@ -135,7 +140,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ScopeFrame:
-    """Lists the entries that a configuration version routes to a service."""
+    """Lists all entries that a configuration version routes to the agent's service."""
 
     service: str
     site_version: int
@@ -150,5 +155,9 @@
 
 
 ToAgent = OpenFrame | ForwardFrame | OwnerQueryFrame | ScopeFrame | EntryMissingFrame
+"""A frame that a balancer sends to an agent."""
+
 ToBalancer = OpenedFrame | ReturnFrame | OwnerReplyFrame | LoadFrame
+"""A frame that an agent sends to a balancer."""
+
 Frame = ToAgent | ToBalancer
--- a/src/papayagw/_internal/models/plain/instance.py
+++ b/src/papayagw/_internal/models/plain/instance.py
@@ -8,7 +8,7 @@
 
 
 class ReportedState(Enum):
-    """State that a backend server reports."""
+    """Whether a backend server accepts new flows, as it reports."""
 
     READY = "ready"
     DRAINING = "draining"
--- a/src/papayagw/_internal/models/plain/packet.py
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -1,4 +1,4 @@
-"""A packet of a flow as the core sees it.
+"""Packets and flows, independent of the platform's packet format.
 
 An opening is the first packet of a client's flow (`PacketKind.OPEN`) and, by extension,
 the attempt to place the flow on an agent.
@@ -15,20 +15,26 @@
 """Port and address that clients send to; the last bytes of a `FlowKey`."""
 
 ENTRY_KEY_BYTES = 6
+"""Length of an `EntryKey`: 2 bytes of the port and 4 of the IPv4 address."""
 
 
 class PacketKind(Enum):
-    """The effect of a packet on its flow."""
+    """The meaning of a packet for its flow."""
 
     OPEN = "open"
+    """A client's opening of a flow."""
     ACCEPT = "accept"
+    """A backend server's acceptance of an opening."""
     DATA = "data"
+    """Payload or an acknowledgement within a flow."""
     FINISH = "finish"
+    """End of the sender's bytes."""
     ABORT = "abort"
+    """Reset of the flow."""
 
     @property
     def is_closing(self) -> bool:
-        """Whether it is the sender's last packet."""
+        """Whether the sender sends nothing more in the flow."""
         return self is PacketKind.FINISH or self is PacketKind.ABORT
 
 
@@ -41,7 +47,7 @@
     flow : FlowKey
         The flow, the same for both directions.
     kind : PacketKind
-        The effect of the packet on its flow.
+        The meaning of the packet for its flow.
     sequence : int
         Sequence number: position in the sender's bytes, modulo 2**32.
     acknowledged : int or None
@@ -52,7 +58,8 @@
     payload_bytes : int
         Length of the payload.
     rejected_by_backend : bool
-        Whether a backend server has returned the packet.
+        Whether a backend server has sent the client's packet back, because it refuses
+        the opening or doesn't hold the flow.
     token : int
         Number that an agent set when it passed the packet to its backend server, or
         0 if none did.
--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -1,4 +1,4 @@
-"""Process settings of the plain front end."""
+"""Settings of the processes of the plain front end."""
 
 from dataclasses import dataclass
 
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlainSettings:
-    """Settings common to balancers and agents.
+    """Settings that balancer and agent processes have in common.
 
     Attributes
     ----------
@@ -19,7 +19,7 @@
     inner : Endpoint
         UDP endpoint for frames between balancers and agents.
     client_port : int
-        Port at which clients receive packets, at their own address.
+        UDP port at which clients receive packets, each at its own address.
     readiness : Endpoint
         HTTP endpoint of the readiness probe.
     metrics : Endpoint
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlainBalancerSettings(PlainSettings):
-    """Settings of a balancer.
+    """Settings of a balancer process.
 
     Attributes
     ----------
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlainAgentSettings(PlainSettings):
-    """Settings of an agent.
+    """Settings of an agent process.
 
     Attributes
     ----------
--- a/src/papayagw/_internal/models/plain/site.py
+++ b/src/papayagw/_internal/models/plain/site.py
@@ -14,7 +14,7 @@
     Attributes
     ----------
     name : str
-        The service.
+        Name of the service.
     weight : float
         Its share is `weight` divided by the sum of the route's weights.
     """
@@ -32,7 +32,7 @@
     name : str
         The operators' name of the route.
     services : tuple of WeightedService
-        At least one.
+        One or more services that share the new flows by weight.
     priority : int
         Order in which new flows are served under overload: 0 before 1.
     """
--- a/src/papayagw/_internal/net/plain/adapter.py
+++ b/src/papayagw/_internal/net/plain/adapter.py
@@ -1,4 +1,4 @@
-"""Protocol types of the interface between the processes and their platform."""
+"""Protocol types that a platform implements for the processes."""
 
 from typing import Protocol
 
@@ -19,20 +19,20 @@
         """Decode a backend server's packet; return None if `raw` is malformed."""
 
     def encode_for_backend(self, packet: FlowPacket, token: int) -> bytes:
-        """Encode a client's packet with the agent's token in its header."""
+        """Encode a client's packet for the backend server, with the agent's token."""
 
     def encode_client_packet(self, packet: FlowPacket) -> bytes:
         """Encode a packet as its client sent it, without the agent's token."""
 
     def encode_reset(self, flow: FlowKey, sequence: int) -> bytes:
-        """Encode a reset from the flow's entry to its client."""
+        """Encode a reset from the flow's entry to its client, at `sequence`."""
 
     def client_endpoint(self, flow: FlowKey, port: int) -> Endpoint:
-        """Return the endpoint at which the flow's client receives packets."""
+        """Return where the flow's client receives packets, with UDP port `port`."""
 
 
 class HttpCall(Protocol):
-    """The HTTP request of a store call."""
+    """The HTTP request that carries a store call."""
 
     @property
     def method(self) -> str:
@@ -48,7 +48,7 @@
 
 
 class StoreCodec(Protocol):
-    """Encodes and decodes the calls of the key-value service."""
+    """Encodes calls to the key-value service and decodes its answers."""
 
     def encode_call(self, call: StoreCall) -> HttpCall:
         """Encode a call as an HTTP request."""
@@ -58,7 +58,7 @@
 
 
 class Platform(PacketCodec, StoreCodec, Protocol):
-    """Everything that is specific to a platform."""
+    """Packet formats, store protocol, configuration and reports of a platform."""
 
     @property
     def site_key(self) -> str:
@@ -66,7 +66,7 @@
 
     @property
     def readiness_path(self) -> str:
-        """Path of the readiness probe."""
+        """HTTP path of the readiness probe."""
 
     def decode_site(self, value: bytes) -> SiteVersion:
         """Decode the operators' configuration.
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -36,7 +36,7 @@
 
 
 class PlainAgentProcess:
-    """Runs the agent core with its sockets, HTTP servers and store client.
+    """Process of one agent: the core with its sockets, HTTP servers and store client.
 
     Parameters
     ----------
@@ -103,6 +103,7 @@
     # Packets and frames
 
     def _receive_backend_packets(self) -> None:
+        """Handle the packets that the backend server has sent."""
         now = self._runtime.loop.now()
         for raw, _ in self._outbound.receive_batch():
             packet = self._platform.decode_backend_packet(raw)
@@ -112,15 +113,18 @@
             self._perform(self._core.on_backend_packet(packet, now))
 
     def _on_frame(self, frame: Frame, source: Endpoint) -> None:
+        """Pass a balancer's frame to the core."""
         if not isinstance(frame, ToAgent):
             self._runtime.metrics.count("frames of the wrong kind")
             return
         self._perform(self._core.on_frame(frame, source, self._runtime.loop.now()))
 
     def _on_timer(self) -> None:
+        """Run the core's expired timers."""
         self._perform(self._core.on_timer(self._runtime.loop.now()))
 
     def _perform(self, actions: Sequence[Action]) -> None:
+        """Perform the core's actions and set the timer for its next deadline."""
         for action in actions:
             match action:
                 case SendToBackend(packet, token):
@@ -151,6 +155,7 @@
     def _on_store_answer(
         self, call: StoreCall, answer: StoreAnswer, took_ms: int
     ) -> None:
+        """Record the answer, and stop once a stopping agent's entry is removed."""
         self._runtime.record_store_call(call, answer, took_ms)
         if self._is_stopping and self._registrar.is_ended:
             self._runtime.loop.stop()
@@ -158,6 +163,7 @@
     # Reports, readiness and shutdown
 
     def _handle_report(self, request: HttpRequest) -> HttpResponse:
+        """Answer a backend server's report or announcement of its end."""
         report = self._platform.decode_report(
             request.method, request.target, request.body
         )
@@ -174,6 +180,7 @@
         return HttpResponse(HTTPStatus.OK, b"{}")
 
     def _handle_probe(self, request: HttpRequest) -> HttpResponse:
+        """Answer the readiness probe."""
         is_ready = request.target == self._platform.readiness_path
         is_ready = is_ready and self._core.is_ready and not self._is_stopping
         return HttpResponse(
@@ -181,6 +188,10 @@
         )
 
     def _stop(self) -> None:
+        """Stop the process.
+
+        The store entry is removed first, unless the backend server keeps running.
+        """
         if self._is_stopping:
             return
         self._is_stopping = True
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -34,42 +34,45 @@
 from papayagw._internal.wire.plain_entries import AGENT_PREFIX, decode_entry
 
 MIN_SITE_WATCH_INTERVAL_MS = Millis(300)
-"""Shortest time between watches of the configuration; batches its changes.
+"""Minimum time between watches of the configuration, so that changes are batched.
 
 A change must be in force within 3 s.
 """
 
 MIN_AGENTS_WATCH_INTERVAL_MS = Millis(700)
-"""Shortest time between watches of the agents' entries; batches their changes.
+"""Minimum time between watches of the agents' entries, so that changes are batched.
 
 The agents' replies to openings show their state earlier and in more detail.
 """
 
 MIN_SITE_REFRESH_INTERVAL_MS = Millis(500)
-"""Shortest time between two reads of the configuration requested by agents.
+"""Minimum time between two reads of the configuration requested by agents.
 
 An agent requests one by reporting a version newer than the one in force.
 """
 
 MIN_AGENTS_REFRESH_INTERVAL_MS = Millis(200)
-"""Shortest time between two reads of the agents for flows without a known owner.
+"""Minimum time between two reads of the agents' entries for flows without an owner.
 
 It is short because the clients of these flows wait for the read. After a power
 failure most flows are of this kind.
 """
 
 UNROUTED_IDLE_MS = Millis(400)
-"""Time without a client packet before a stopping balancer counts as unrouted."""
+"""Time without a client packet after which a stopping balancer counts as unrouted.
+
+Routers then no longer send it packets, so that it can exit without losing any.
+"""
 
 UNROUTED_REFUSED_PROBES = 2
-"""Refused readiness probes after which routers stop sending to a balancer."""
+"""Number of refused readiness probes after which routers stop sending packets."""
 
 STOP_MARGIN_MS = Millis(700)
-"""How long before the end of the grace period a balancer exits in any case."""
+"""How long before the end of the grace period a stopping balancer exits in any case."""
 
 
 class PlainBalancerProcess:
-    """Runs the balancer core with its sockets, readiness endpoint and store watches.
+    """Process of one balancer: the core with its sockets, HTTP servers and watches.
 
     Parameters
     ----------
@@ -144,6 +147,7 @@
             runtime.close()
 
     def _make_driver(self, watcher: PrefixWatcher) -> StoreDriver:
+        """Return the driver that makes the store calls of a watcher."""
         runtime = self._runtime
         return StoreDriver(
             runtime.loop,
@@ -156,6 +160,7 @@
     # Packets and frames
 
     def _receive_client_packets(self) -> None:
+        """Handle the packets that clients have sent."""
         now = self._runtime.loop.now()
         actions: list[Action] = []
         for raw, _ in self._entry.receive_batch():
@@ -168,15 +173,18 @@
         self._perform(merge_owner_queries(actions))
 
     def _on_frame(self, frame: Frame, source: Endpoint) -> None:
+        """Pass an agent's frame to the core."""
         if not isinstance(frame, ToBalancer):
             self._runtime.metrics.count("frames of the wrong kind")
             return
         self._perform(self._core.on_frame(frame, source, self._runtime.loop.now()))
 
     def _on_timer(self) -> None:
+        """Run the core's expired timers."""
         self._perform(self._core.on_timer(self._runtime.loop.now()))
 
     def _perform(self, actions: Sequence[Action]) -> None:
+        """Perform the core's actions and set the timer for its next deadline."""
         for action in actions:
             match action:
                 case SendFrame(peer, frame):
@@ -190,34 +198,41 @@
     # The store
 
     def _on_newer_version(self) -> None:
+        """Read the configuration again, as an agent knows a newer version."""
         now = self._runtime.loop.now()
         if now - self._site_refreshed_at >= MIN_SITE_REFRESH_INTERVAL_MS:
             self._site_refreshed_at = now
             self._refresh(self._site_watcher, self._site_driver)
 
     def _schedule_agents_refresh(self) -> None:
+        """Schedule a full read of the agents' entries."""
         # The timer runs the read after the current event has been handled, so that
         # the read also covers the flow of this event.
         next_at = self._agents_refreshed_at + MIN_AGENTS_REFRESH_INTERVAL_MS
         self._agents_refresh_alarm.set(Millis(max(self._runtime.loop.now(), next_at)))
 
     def _refresh_agents(self) -> None:
+        """Start a full read of the agents' entries."""
         self._agents_refreshed_at = self._runtime.loop.now()
         self._refresh(self._agents_watcher, self._agents_driver)
 
     def _refresh(self, watcher: PrefixWatcher, driver: StoreDriver) -> None:
+        """Start a full read of a watcher's keys unless one is in progress."""
         if watcher.refresh(self._runtime.loop.now()):
             driver.restart()
 
     def _on_site_items(self, items: tuple[StoredItem, ...]) -> None:
+        """Apply the configuration from a full read of its key."""
         for item in items:
             if item.key == self._platform.site_key:
                 self._apply_site(item)
 
     def _on_site_events(self, events: tuple[StoreEvent, ...]) -> None:
+        """Apply the configuration from writes of its key."""
         self._on_site_items(tuple(e for e in events if isinstance(e, StoredItem)))
 
     def _apply_site(self, item: StoredItem) -> None:
+        """Decode a stored configuration and apply it if it is newer."""
         try:
             site = self._platform.decode_site(item.value)
         except DecodeError as error:
@@ -231,6 +246,7 @@
             self._runtime.record_event(LogEvent("configuration in force", fields))
 
     def _on_agent_items(self, items: tuple[StoredItem, ...]) -> None:
+        """Update the roster from a full read of the agents' entries."""
         for item in items:
             self._put_agent(item)
         now = self._runtime.loop.now()
@@ -240,6 +256,7 @@
         self._perform(self._core.on_agents_listed(now))
 
     def _on_agent_events(self, events: tuple[StoreEvent, ...]) -> None:
+        """Update the roster from writes and removals of agents' entries."""
         now = self._runtime.loop.now()
         for event in events:
             if isinstance(event, StoredItem):
@@ -249,6 +266,7 @@
         self._process_missing_agents()
 
     def _put_agent(self, item: StoredItem) -> None:
+        """Add an agent's store entry to the roster, or log that it is invalid."""
         try:
             entry = decode_entry(item.key, item.value)
         except DecodeError as error:
@@ -265,9 +283,11 @@
             self._runtime.record_event(LogEvent("agent known", fields))
 
     def _record_missing_agent(self, key: str) -> None:
+        """Log that an agent's store entry is missing."""
         self._runtime.record_event(LogEvent("agent missing", {"key": key}))
 
     def _process_missing_agents(self) -> None:
+        """Notify agents without a store entry, and remove those that are gone."""
         self._perform(self._core.notify_missing_agents())
         now = self._runtime.loop.now()
         for key in self._roster.remove_gone(now):
@@ -276,6 +296,7 @@
     # Readiness and shutdown
 
     def _handle_probe(self, request: HttpRequest) -> HttpResponse:
+        """Answer the readiness probe; a stopping balancer isn't ready."""
         if request.target != self._platform.readiness_path:
             return HttpResponse(HTTPStatus.NOT_FOUND)
         is_ready = self._core.is_ready and not self._is_stopping
@@ -288,6 +309,7 @@
         return HttpResponse(status)
 
     def _stop(self) -> None:
+        """Refuse readiness probes, and exit once no more client packets arrive."""
         if self._is_stopping:
             return
         self._is_stopping = True
@@ -299,6 +321,7 @@
         self._check_unrouted()
 
     def _check_unrouted(self) -> None:
+        """Exit if the balancer counts as unrouted, or else check again later."""
         idle_ms = self._runtime.loop.now() - self._last_packet_at
         if (
             self._refused_probes >= UNROUTED_REFUSED_PROBES
--- a/src/papayagw/_internal/net/plain/http_client.py
+++ b/src/papayagw/_internal/net/plain/http_client.py
@@ -16,12 +16,19 @@
 from papayagw._internal.net.plain.loop import Loop
 
 MAX_RESPONSE_BYTES = 4 << 20
-"""Exceeds a 1 MB page of the store, encoded in base64 with its other fields."""
+"""Maximum size of a response body.
+
+Exceeds a 1 MB page of the store, encoded in base64 with its other fields.
+"""
 
 _READ_BYTES = 65_536
+"""Maximum number of bytes read from the socket at once."""
+
 _KEEPALIVE_INTERVAL_S = 2
 """Idle time before the first TCP keepalive probe, and interval between probes."""
+
 _KEEPALIVE_PROBES = 2
+"""Number of unanswered keepalive probes after which the connection is closed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +113,7 @@
         self._loop.watch(connection, self._on_readable, self._on_writable)
 
     def close(self) -> None:
-        """Close the connection without calling `on_result`."""
+        """Close the connection; `on_result` isn't called any more."""
         if self._is_closed:
             return
         self._is_closed = True
@@ -115,6 +122,7 @@
         self._socket.close()
 
     def _write_request(self) -> bytes:
+        """Return the encoded request."""
         method, target, body = self._request
         headers = [("Host", str(self._peer)), ("Connection", "close")]
         if body:
@@ -130,6 +138,7 @@
         return b"".join(part for part in parts if part)
 
     def _on_writable(self) -> None:
+        """Send the rest of the request."""
         try:
             sent = self._socket.send(self._unsent)
         except BlockingIOError:
@@ -142,6 +151,7 @@
             self._loop.watch(self._socket, self._on_readable)
 
     def _on_readable(self) -> None:
+        """Receive a part of the response."""
         if self._is_closed:
             return
         try:
@@ -158,6 +168,7 @@
             self._fail(str(error))
 
     def _process_events(self, *, is_eof: bool) -> None:
+        """Process the received parts of the response; finish once it is complete."""
         while True:
             event = self._http.next_event()
             if isinstance(event, h11.Response):
@@ -166,7 +177,7 @@
                 self._body.append(bytes(event.data))
                 self._body_bytes += len(event.data)
                 if self._body_bytes > MAX_RESPONSE_BYTES:
-                    self._fail("answer too large")
+                    self._fail("response body too large")
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._finish(HttpResult(self._status, b"".join(self._body)))
@@ -174,15 +185,18 @@
             else:
                 break
         if is_eof:
-            self._fail("closed before the answer was whole")
+            self._fail("connection closed before the response was complete")
 
     def _on_timeout(self) -> None:
-        self._fail(f"no answer in {self._timeout_ms} ms")
+        """Fail because the response wasn't complete in time."""
+        self._fail(f"no response within {self._timeout_ms} ms")
 
     def _fail(self, failure: str) -> None:
+        """Finish without a response, with the cause."""
         self._finish(HttpResult(0, failure=failure))
 
     def _finish(self, result: HttpResult) -> None:
+        """Close the connection and pass on the result, unless closed already."""
         if not self._is_closed:
             self.close()
             self._on_result(result)
--- a/src/papayagw/_internal/net/plain/http_server.py
+++ b/src/papayagw/_internal/net/plain/http_server.py
@@ -13,14 +13,22 @@
 from papayagw._internal.net.plain.loop import Loop
 
 MAX_CONNECTIONS = 64
+"""Maximum number of open connections; beyond it the oldest is closed."""
+
 MAX_REQUEST_BYTES = 16_384
-"""Limit on a request; a report has a few hundred bytes."""
+"""Maximum size of a request's headers, and of its body.
+
+A report has a few hundred bytes.
+"""
 
 IDLE_TIMEOUT_MS = Millis(15_000)
 """Time after which an idle connection is closed: ten report intervals."""
 
 _LISTEN_BACKLOG = 64
+"""Maximum number of connections that wait to be accepted."""
+
 _READ_BYTES = 16_384
+"""Maximum number of bytes read from a socket at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +50,7 @@
 
 
 Handler = Callable[[HttpRequest], HttpResponse]
+"""Returns the response to a request."""
 
 
 class HttpServer:
@@ -65,7 +74,7 @@
         self._connections: dict[int, _Connection] = {}
 
     def start(self) -> None:
-        """Start to listen.
+        """Listen on the endpoint and serve the requests that arrive there.
 
         Raises
         ------
@@ -83,13 +92,14 @@
         self._loop.watch(listener, self._accept)
 
     def close(self) -> None:
-        """Close the listener and all connections."""
+        """Stop listening and close all connections."""
         self._loop.unwatch(self._listener)
         self._listener.close()
         for connection in list(self._connections.values()):
             connection.close()
 
     def _accept(self) -> None:
+        """Accept a connection."""
         try:
             accepted, _ = self._listener.accept()
         except OSError:
@@ -109,7 +119,7 @@
 
 
 class _Connection:
-    """One accepted connection of the server."""
+    """A connection that the server has accepted."""
 
     def __init__(
         self,
@@ -134,13 +144,14 @@
         loop.watch(accepted, self._on_readable)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection and remove it from the server."""
         self._timer.cancel()
         self._loop.unwatch(self._socket)
         self._socket.close()
         self._on_close()
 
     def _on_readable(self) -> None:
+        """Receive and answer requests; close the connection if it ends or fails."""
         try:
             data = self._socket.recv(_READ_BYTES)
         except BlockingIOError:
@@ -178,6 +189,7 @@
                 return not isinstance(event, h11.ConnectionClosed)
 
     def _respond(self) -> None:
+        """Send the handler's response to the request received last."""
         if self._request is None:
             return
         request = HttpRequest(
@@ -202,6 +214,7 @@
         self._send()
 
     def _send(self) -> None:
+        """Send what the socket accepts; the rest follows when it is writable."""
         try:
             sent = self._socket.send(self._unsent)
         except BlockingIOError:
--- a/src/papayagw/_internal/net/plain/loop.py
+++ b/src/papayagw/_internal/net/plain/loop.py
@@ -14,11 +14,11 @@
 
 _NANOS_PER_MILLI = 1_000_000
 _COMPACTION_THRESHOLD = 256
-"""Heap size above which cancelled timers are removed."""
+"""Size of the heap of timers above which cancelled ones are removed from it."""
 
 
 class HasFileno(Protocol):
-    """An object with a file descriptor that a selector can monitor."""
+    """An object with a file descriptor, such as a socket."""
 
     def fileno(self) -> int:
         """Return the file descriptor."""
@@ -34,7 +34,7 @@
         self.callback: Callable[[], None] | None = callback
 
     def cancel(self) -> None:
-        """Cancel the callback; it has no effect after the call."""
+        """Make sure that the callback isn't called; has no effect after the call."""
         self.callback = None
 
 
@@ -58,25 +58,25 @@
         self._wake_reader, self._wake_writer = socket.socketpair()
 
     def now(self) -> Millis:
-        """Return the milliseconds since an arbitrary fixed point."""
+        """Return the monotonic time in milliseconds, from an arbitrary origin."""
         return Millis(time.monotonic_ns() // _NANOS_PER_MILLI)
 
     def start(self) -> None:
-        """Receive signals through the wake-up descriptor."""
+        """Start receiving signals, which the loop handles like socket events."""
         for wake_socket in (self._wake_reader, self._wake_writer):
             wake_socket.setblocking(False)
         signal.set_wakeup_fd(self._wake_writer.fileno())
         self.watch(self._wake_reader, self._handle_signals)
 
     def close(self) -> None:
-        """Close the descriptors."""
+        """Stop receiving signals and close the selector and wake-up sockets."""
         signal.set_wakeup_fd(-1)
         self._selector.close()
         self._wake_reader.close()
         self._wake_writer.close()
 
     def add_signal_handler(self, number: int, callback: Callable[[], None]) -> None:
-        """Call `callback` from the loop on each signal `number`."""
+        """Have the loop call `callback` on each signal `number`."""
         self._signals[number] = callback
         # The signal number reaches the loop through the wake-up descriptor that
         # `start` sets.
@@ -88,7 +88,10 @@
         on_readable: Callable[[], None] | None,
         on_writable: Callable[[], None] | None = None,
     ) -> None:
-        """Set the callbacks of `source`, replacing those set before."""
+        """Call the callbacks when `source` is readable or writable.
+
+        Replaces the callbacks set before.
+        """
         events = selectors.EVENT_READ if on_readable is not None else 0
         events |= selectors.EVENT_WRITE if on_writable is not None else 0
         calls = (on_readable, on_writable)
@@ -98,26 +101,26 @@
             self._selector.register(source, events, calls)
 
     def unwatch(self, source: HasFileno) -> None:
-        """Stop monitoring `source`."""
+        """Remove the callbacks of `source`."""
         with suppress(KeyError, ValueError):
             self._selector.unregister(source)
 
     def call_at(self, at: Millis, callback: Callable[[], None]) -> Timer:
-        """Call `callback` once at the loop time `at`, in milliseconds."""
+        """Schedule one call of `callback` at time `at`, on the clock of `now`."""
         timer = Timer(at, callback)
         heapq.heappush(self._timers, (at, next(self._sequence), timer))
         return timer
 
     def call_after(self, delay: Millis, callback: Callable[[], None]) -> Timer:
-        """Call `callback` once after `delay` milliseconds."""
+        """Schedule one call of `callback` after `delay` milliseconds."""
         return self.call_at(Millis(self.now() + delay), callback)
 
     def stop(self) -> None:
-        """Make `run` return."""
+        """Make `run` return after the current round of callbacks."""
         self._is_stopped = True
 
     def run(self) -> None:
-        """Run callbacks until `stop` is called."""
+        """Wait for events and run their callbacks until `stop` is called."""
         while not self._is_stopped:
             for key, mask in self._selector.select(self._select_timeout_s()):
                 on_readable, on_writable = key.data
@@ -128,12 +131,14 @@
             self._run_timers()
 
     def _run_callback(self, callback: Callable[[], None]) -> None:
+        """Call a callback and report an exception that it raises."""
         try:
             callback()
         except Exception as error:
             self._on_fault(error)
 
     def _select_timeout_s(self) -> float | None:
+        """Return the time until the next timer in seconds; None if there is none."""
         while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
         if not self._timers:
@@ -141,6 +146,7 @@
         return max(0, self._timers[0][0] - self.now()) / MILLIS_PER_SECOND
 
     def _run_timers(self) -> None:
+        """Run the callbacks of the expired timers."""
         now = self.now()
         while self._timers and self._timers[0][0] <= now:
             _, _, timer = heapq.heappop(self._timers)
@@ -154,6 +160,7 @@
             heapq.heapify(self._timers)
 
     def _handle_signals(self) -> None:
+        """Run the handlers of the received signals."""
         with suppress(BlockingIOError):
             for number in self._wake_reader.recv(64):
                 callback = self._signals.get(number)
@@ -162,7 +169,7 @@
 
 
 class Alarm:
-    """A timer that can be rescheduled.
+    """A timer with a fixed callback, which can be rescheduled.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -32,10 +32,10 @@
 from papayagw._internal.wire.plain_frames import MAX_FRAME_BYTES, PlainFrameCodec
 
 SETTINGS_CHECK_INTERVAL_MS = Millis(5_000)
-"""How often the settings file is checked for changes made without a SIGHUP."""
+"""Interval at which the settings file is checked for changes made without a SIGHUP."""
 
 MAX_INTERNED_ENDPOINTS = 16_384
-"""Size at which the cache of peer endpoints is cleared."""
+"""Size at which the cache of `Endpoint` objects, by address and port, is cleared."""
 
 
 class SettingsLoader(Protocol):
@@ -92,7 +92,7 @@
         return self._settings
 
     def start(self) -> None:
-        """Install the signal handlers, bind the sockets and serve metrics."""
+        """Install the signal handlers, bind the frame socket and serve metrics."""
         self.log.start()
         self.loop.start()
         self.loop.add_signal_handler(
@@ -125,6 +125,7 @@
         """Call `on_frame` with each frame received on the inner socket."""
 
         def read() -> None:
+            """Decode the received frames and pass them on."""
             for data, source in self._inner.receive_batch():
                 try:
                     frame = self._frames.decode(data)
@@ -140,7 +141,7 @@
         self.loop.watch(self._inner, read)
 
     def send_frame(self, peer: Endpoint, frame: Frame) -> None:
-        """Send a frame to a peer."""
+        """Encode a frame and send it to a peer."""
         self._inner.send(self._frames.encode(frame), peer.sockaddr)
 
     def send_reset(self, reset: ResetClient) -> None:
@@ -151,7 +152,10 @@
         self.metrics.count("resets")
 
     def record_event(self, log_event: LogEvent) -> None:
-        """Log and count an event."""
+        """Log an event and count it in the metrics.
+
+        A field `ms` is recorded as the event's duration.
+        """
         self.metrics.count(log_event.event)
         took_ms = log_event.fields.get("ms")
         if took_ms is not None:
@@ -161,7 +165,10 @@
     def record_store_call(
         self, call: StoreCall, answer: StoreAnswer, took_ms: int
     ) -> None:
-        """Count and time a store call; log when the store is lost or regained."""
+        """Count a store call and record its duration in the metrics.
+
+        Logs when the store becomes unreachable or reachable again.
+        """
         name = type(call).__name__
         self.metrics.count(f"store {name}")
         if not isinstance(call, WatchPrefix):
@@ -183,11 +190,13 @@
             self.loop.add_signal_handler(number, stop)
 
     def _record_fault(self, error: Exception) -> None:
+        """Log an exception that a callback didn't handle."""
         frames = traceback.format_tb(error.__traceback__)
         fields = {"error": repr(error), "traceback": "".join(frames[-3:])}
         self.record_event(LogEvent("fault", fields))
 
     def _intern_endpoint(self, source: tuple[str, int]) -> Endpoint:
+        """Return the `Endpoint` of an address and port, from the cache if present."""
         peer = self._peers.get(source)
         if peer is None:
             if len(self._peers) >= MAX_INTERNED_ENDPOINTS:
@@ -196,14 +205,17 @@
         return peer
 
     def _handle_metrics_request(self, request: HttpRequest) -> HttpResponse:
+        """Return the metrics in text form."""
         body = self.metrics.render().encode()
         return HttpResponse(HTTPStatus.OK, body, CONTENT_TYPE)
 
     def _check_settings(self) -> None:
+        """Reload the settings and schedule the next check."""
         self._reload_settings("file")
         self.loop.call_after(SETTINGS_CHECK_INTERVAL_MS, self._check_settings)
 
     def _reload_settings(self, cause: str) -> None:
+        """Load the settings file and put changed settings in force."""
         try:
             settings = self._load_settings_file()
         except SettingsError as error:
@@ -219,5 +231,5 @@
 
 
 def error_fields(error: PapayagwError) -> dict[str, object]:
-    """Return the log fields of an error."""
+    """Return the fields that describe an error in a log line."""
     return {"step": error.step, "peer": error.peer, "reason": error.what}
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -1,4 +1,4 @@
-"""Sends the core's store calls to the platform's key-value service over HTTP."""
+"""Driver that makes the core's store calls over HTTP."""
 
 from typing import Protocol
 
@@ -15,14 +15,14 @@
 
 
 class CallRecorder(Protocol):
-    """Records the outcome of each store call."""
+    """Called with the outcome of each store call."""
 
     def __call__(self, call: StoreCall, answer: StoreAnswer, took_ms: int) -> None:
         """Record the answer to a call and its duration in milliseconds."""
 
 
 class StoreDriver:
-    """Sends the calls of one store client, one at a time.
+    """Makes the store calls of one client over HTTP, one at a time.
 
     Parameters
     ----------
@@ -55,7 +55,7 @@
         self._alarm = Alarm(loop, self._start_call)
 
     def start(self) -> None:
-        """Send the first call."""
+        """Make the client's first call."""
         self._start_call()
 
     def close(self) -> None:
@@ -76,6 +76,7 @@
         self.reschedule()
 
     def _start_call(self) -> None:
+        """Make the client's next call, unless one is in progress."""
         if self._exchange is not None:
             return
         timed_call = self._client.next_call()
@@ -85,6 +86,7 @@
         http = self._codec.encode_call(call)
 
         def on_result(result: HttpResult) -> None:
+            """Handle the HTTP response of this call."""
             self._exchange = None
             self._on_http_result(call, result, self._loop.now() - started_at)
 
@@ -102,6 +104,7 @@
     def _on_http_result(
         self, call: StoreCall, result: HttpResult, took_ms: int
     ) -> None:
+        """Pass the answer to the client and schedule its next call."""
         answer: StoreAnswer
         if result.status:
             answer = self._codec.decode_answer(call, result.status, result.body)
--- a/src/papayagw/_internal/wire/plain_entries.py
+++ b/src/papayagw/_internal/wire/plain_entries.py
@@ -7,7 +7,7 @@
 from papayagw._internal.models.plain.instance import AgentEntry
 
 AGENT_PREFIX = "papayagw/agents/"
-"""Prefix of the keys of agents' entries; the node's name follows."""
+"""Prefix of the store keys of agents' entries; the name of the agent's node follows."""
 
 
 def agent_key(node: str) -> str:
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -37,18 +37,38 @@
 )
 
 MAX_FRAME_BYTES = 65_507
-"""Maximum payload of a UDP datagram; 10,000 entries of one service fit."""
+"""Maximum payload of a UDP datagram.
+
+A scope frame with 10,000 entries of one service fits.
+"""
 
 _MAGIC = 0x7047
+"""First two bytes of each frame."""
+
 _HEADER = struct.Struct(">HBI")
+"""Magic number, kind, checksum."""
+
 _SITE_VERSION = struct.Struct(">Q")
+"""Configuration version."""
+
 _UNKNOWN_RUN_AGE_MS = 0xFFFFFFFF
+"""Value of the run's age in `_LOAD` if it isn't known."""
+
 _LOAD = struct.Struct(">BHHIHIQI")
+"""Fields of `AgentLoad`, in their order."""
+
 _OWNER_QUERY = struct.Struct(">12sBI")
+"""Flow, whether there is an acknowledgement number, acknowledgement number."""
+
 _OWNER_REPLY = struct.Struct(">12sB")
+"""Flow, ownership."""
+
 _FLOW_KEY_BYTES = 12
 _UTILIZATION_SCALE = 10_000
+"""A utilization of 0 to 1 is encoded as an integer from 0 to this."""
+
 _MAX_UINT16 = 0xFFFF
+"""Maximum of a 16-bit field; larger values are encoded as this."""
 
 
 class ClientPacketCodec(Protocol):
@@ -109,6 +129,7 @@
             ) from error
 
     def _encode_body(self, frame: Frame) -> tuple[int, bytes]:
+        """Return the kind and the encoded body of a frame."""
         match frame:
             case OpenFrame(service, version, packet):
                 header = _SITE_VERSION.pack(version) + _encode_text(service)
@@ -152,6 +173,13 @@
         return ReturnFrame(ReturnReason(body[0]), packet, _decode_load(body[1:end]))
 
     def _decode_packet(self, raw: bytes) -> FlowPacket:
+        """Decode the client's packet in a frame.
+
+        Raises
+        ------
+        ValueError
+            If the packet is malformed.
+        """
         packet = self._packets.decode_client_packet(raw)
         if packet is None:
             raise ValueError("incomplete client packet")
@@ -159,16 +187,19 @@
 
 
 def _encode_text(text: str) -> bytes:
+    """Encode a text of at most 255 bytes, preceded by its length."""
     data = text.encode()
     return bytes((len(data),)) + data
 
 
 def _decode_text(data: bytes) -> tuple[str, bytes]:
+    """Return the text at the start of `data`, and the bytes after it."""
     end = 1 + data[0]
     return data[1:end].decode(), data[end:]
 
 
 def _encode_load(load: AgentLoad) -> bytes:
+    """Encode an agent's load; large values of `slots` and `busy` are capped."""
     return _LOAD.pack(
         load.availability.value,
         min(load.slots, _MAX_UINT16),
--- a/src/papayagw/platform/__main__.py
+++ b/src/papayagw/platform/__main__.py
@@ -5,11 +5,14 @@
 from collections.abc import Sequence
 
 EXIT_USAGE = 2
+"""Exit code for an invalid command line."""
+
 EXIT_FAILED = 4
+"""Exit code if the role can't run, as with invalid settings or an address in use."""
 
 
 def run_balancer() -> None:
-    """Run a balancer until it is stopped."""
+    """Load the settings and run a balancer until it is stopped by a signal."""
     from papayagw._internal.net.plain.balancer_process import PlainBalancerProcess
     from papayagw.platform.adapter import PreparedPlatform
     from papayagw.platform.settings import find_settings_file, load_balancer_settings
@@ -22,7 +25,7 @@
 
 
 def run_agent() -> None:
-    """Run an agent until it is stopped."""
+    """Load the settings and run an agent until it is stopped by a signal."""
     from papayagw._internal.net.plain.agent_process import PlainAgentProcess
     from papayagw.platform.adapter import PreparedPlatform
     from papayagw.platform.settings import find_settings_file, load_agent_settings
@@ -35,6 +38,7 @@
 
 
 ROLES = {"balancer": run_balancer, "agent": run_agent}
+"""Function that runs each role, by its name on the command line."""
 
 
 def main(arguments: Sequence[str]) -> int:
--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -9,8 +9,13 @@
 from papayagw._internal.models.plain.packet import FlowKey, FlowPacket, PacketKind
 
 HEADER_BYTES = 32
+"""Length of the header that precedes the payload."""
+
 MAX_PACKET_BYTES = HEADER_BYTES + 1_200
+"""Maximum length of a packet, header included."""
 
+# Bits of the flags field. A backend server sets `_REJECTED` in a packet that it sends
+# back.
 _SYN = 1
 _ACK = 8
 _FIN = 16
@@ -21,15 +26,19 @@
 """seq, ack, echo, len, flags; the keyed checksum before flags is skipped."""
 
 _ECHO = struct.Struct(">I")
+"""The echo field, which carries an agent's token."""
+
 _ECHO_OFFSET = 8
 _FLAGS_OFFSET = 18
 _PAD_OFFSET = 19
 _RESET_HEADER = struct.Struct(">IIIHIBB4sHH4s")
+"""seq, ack, echo, len, checksum, flags, padding, src, sport, dport, dst."""
 
 _KIND_BY_FLAGS = {
     _SYN: PacketKind.OPEN,
     _SYN | _ACK: PacketKind.ACCEPT,
 }
+"""Kinds of the packets that open a flow, by flags."""
 
 
 def decode_client_packet(raw: bytes) -> FlowPacket | None:
@@ -40,7 +49,7 @@
 
 
 def decode_backend_packet(raw: bytes) -> FlowPacket | None:
-    """Decode a packet that a backend server sent or rejected.
+    """Decode a backend server's packet, or a client's packet that it rejected.
 
     Returns None if its length is invalid.
     """
@@ -55,9 +64,9 @@
 
 
 def encode_for_backend(packet: FlowPacket, token: int) -> bytes:
-    """Return the datagram with `token` in the echo field and no rejected flag.
+    """Return the client's datagram with `token` in the echo field.
 
-    The backend server leaves the echo field unchanged.
+    The rejected flag is cleared. The backend server leaves the echo field unchanged.
     """
     raw = bytearray(packet.raw)
     _ECHO.pack_into(raw, _ECHO_OFFSET, token)
@@ -67,7 +76,7 @@
 
 
 def encode_client_packet(packet: FlowPacket) -> bytes:
-    """Return the datagram as its client sent it, without an agent's changes."""
+    """Return the datagram as its client sent it, without token or rejected flag."""
     return encode_for_backend(packet, 0)
 
 
@@ -95,7 +104,13 @@
 
 
 def encode_entry(address: str, port: int) -> bytes:
-    """Encode an entry address as in the last bytes of a `FlowKey`."""
+    """Encode an entry's address and port as the last bytes of a `FlowKey`.
+
+    Raises
+    ------
+    ValueError
+        If `address` isn't an IPv4 address.
+    """
     numbers = bytes(int(part) for part in address.split("."))
     if len(numbers) != 4:
         raise ValueError(f"expected an IPv4 address, found {address!r}")
@@ -103,10 +118,12 @@
 
 
 def _has_valid_length(raw: bytes) -> bool:
+    """Whether a datagram is as long as a packet may be."""
     return HEADER_BYTES <= len(raw) <= MAX_PACKET_BYTES
 
 
 def _decode(raw: bytes, flow: FlowKey) -> FlowPacket:
+    """Decode the header of a packet that belongs to `flow`."""
     sequence, acknowledged, token, length, flags = _FIELDS.unpack_from(raw)
     kind = _KIND_BY_FLAGS.get(flags & (_SYN | _ACK | _FIN | _RST))
     if kind is None:
@@ -127,6 +144,7 @@
 
 
 def _classify_non_opening(flags: int) -> PacketKind:
+    """Return the kind of a packet that neither opens nor accepts a flow."""
     if flags & _RST:
         return PacketKind.ABORT
     return PacketKind.FINISH if flags & _FIN else PacketKind.DATA
--- a/src/papayagw/platform/reports.py
+++ b/src/papayagw/platform/reports.py
@@ -15,15 +15,21 @@
 )
 
 _INSTANCES_PATH = "/-/instances/"
+"""Path of reports; the id of the backend server follows."""
+
 _STATE_BY_NAME = {"ready": ReportedState.READY, "draining": ReportedState.DRAINING}
 
 READINESS_PATH = "/-/readyz"
+"""Path of the platform's readiness probe."""
 
 
 def decode_report(
     method: str, path: str, body: bytes
 ) -> StatusReport | Departure | None:
-    """Decode a request of a backend server; return None if it is invalid."""
+    """Decode a backend server's HTTP request: a report, or the announcement of its end.
+
+    Returns None if the request is neither.
+    """
     instance = path.removeprefix(_INSTANCES_PATH)
     if not path.startswith(_INSTANCES_PATH) or not instance:
         return None
@@ -54,6 +60,7 @@
 
 
 def _read_object(body: bytes) -> dict[str, Any]:
+    """Return the fields of a JSON object; none if `body` isn't one."""
     try:
         value = json.loads(body)
     except (ValueError, RecursionError):
@@ -63,10 +70,12 @@
 
 
 def _read_string(fields: dict[str, Any], name: str) -> str:
+    """Return a string field, or an empty string if it is missing or of another type."""
     value = fields.get(name)
     return value if isinstance(value, str) else ""
 
 
 def _read_integer(fields: dict[str, Any], name: str) -> int | None:
+    """Return an integer field, or None if it is missing or of another type."""
     value = fields.get(name)
     return value if type(value) is int else None
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -21,7 +21,7 @@
 
 
 def find_settings_file() -> Path:
-    """Return the path of the settings file.
+    """Return the path that the environment variable `SETTINGS_VARIABLE` holds.
 
     Raises
     ------
@@ -84,8 +84,8 @@
         Parameters
         ----------
         data : Endpoint
-            The endpoint at which the machine receives packets; clients use the same
-            port.
+            The endpoint at which the machine receives clients' packets. Clients receive
+            packets at the same port.
         """
         ip = self.text("ip")
         return {
@@ -129,6 +129,7 @@
             raise self._invalid_field(name, "ip:port") from error
 
     def _invalid_field(self, name: str, expected: str) -> SettingsError:
+        """Return the error that a field is missing or isn't as expected."""
         found = self._fields.get(name)
         return SettingsError(
             f"{name}: expected {expected}, found {found!r}",
@@ -139,6 +140,13 @@
 
 
 def _read_json_object(path: Path) -> dict[str, Any]:
+    """Return the fields of a JSON file, in which lines may be ``//`` comments.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or doesn't hold a JSON object.
+    """
     try:
         lines = path.read_text(encoding="utf-8").splitlines()
         kept = (line for line in lines if not line.lstrip().startswith("//"))
--- a/src/papayagw/platform/site.py
+++ b/src/papayagw/platform/site.py
@@ -13,10 +13,11 @@
 from papayagw.platform.packet import encode_entry
 
 SITE_KEY = "op/config"
+"""Key of the configuration in the store."""
 
 
 def decode_site(value: bytes) -> SiteVersion:
-    """Decode the configuration that the store holds.
+    """Decode a configuration that an operator wrote to the store.
 
     Raises
     ------
@@ -35,6 +36,7 @@
 
 
 def _decode_route(fields: dict[str, Any]) -> tuple[EntryKey, Route]:
+    """Decode a route, with the entry that it applies to."""
     # Despite their names, from HTTP's host and path, `hostname` holds an IPv4 address
     # and `prefix` a port, such as "/8443/".
     address, port = fields["hostname"], int(fields["prefix"].strip("/"))
@@ -44,6 +46,7 @@
 
 
 def _decode_services(fields: dict[str, Any]) -> tuple[WeightedService, ...]:
+    """Decode a route's services and weights; a single service has the weight 1."""
     shares = fields.get("backends")
     if not shares:
         return (WeightedService(fields["service"], 1.0),)
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -34,11 +34,12 @@
 )
 
 _REFUSED_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+"""HTTP statuses by which the store states that it did not execute the call."""
 
 
 @dataclass(frozen=True, slots=True)
 class HttpCall:
-    """An HTTP request.
+    """The HTTP request that carries a store call.
 
     Attributes
     ----------
@@ -56,7 +57,7 @@
 
 
 def encode_call(call: StoreCall) -> HttpCall:
-    """Encode a call as an HTTP request."""
+    """Encode a store call as an HTTP request."""
     match call:
         case ReadRange(prefix, after):
             query = {"prefix": prefix} | ({"after": after} if after else {})
@@ -76,7 +77,7 @@
 
 
 def decode_answer(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
-    """Decode the store's response to `call`."""
+    """Decode the HTTP response to a store call; an invalid one is a `CallFailed`."""
     if status in _REFUSED_STATUSES:
         return CallFailed(f"status {status}", refused=True)
     try:
@@ -86,6 +87,7 @@
 
 
 def _decode_response(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
+    """Decode a response whose status isn't that of a refusal."""
     fields = json.loads(body) if body else {}
     match call, status:
         case WatchPrefix(), HTTPStatus.GONE:
@@ -98,6 +100,7 @@
 
 
 def _decode_success(call: StoreCall, fields: dict[str, Any]) -> StoreAnswer:
+    """Decode the fields of a response with status 200."""
     match call:
         case ReadRange():
             items = tuple(_read_item(item) for item in fields["items"])
@@ -117,16 +120,19 @@
 
 
 def _read_item(fields: dict[str, Any]) -> StoredItem:
+    """Decode a key and its value."""
     value = b64decode(fields["value"], validate=True)
     revision, lease = int(fields["revision"]), int(fields.get("lease", 0))
     return StoredItem(fields["key"], value, revision, lease)
 
 
 def _read_event(fields: dict[str, Any]) -> StoreEvent:
+    """Decode a write or a removal."""
     if fields.get("deleted"):
         return RemovedItem(fields["key"], int(fields["revision"]))
     return _read_item(fields)
 
 
 def _post(target: str, fields: dict[str, Any]) -> HttpCall:
+    """Return a POST request with a JSON body."""
     return HttpCall("POST", target, json.dumps(fields).encode())
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -1,4 +1,4 @@
-"""Scenario language of the plain front end, with one statement on each line.
+"""Language for fault scenarios of the plain front end, one statement on each line.
 
     network loss=0.02 duplication=0.02 delay=1-15
     balancer NAME...            agent NAME [SERVICE] [WORK_MS]
@@ -19,7 +19,10 @@
 
 
 class PlainScenario:
-    """Execute statements on a simulated world."""
+    """Executes scenario statements on a simulated world.
+
+    Each method ``do_NAME`` executes the statements that begin with NAME.
+    """
 
     def __init__(self, seed=0, mechanisms=None):
         self.world = PlainWorld(seed, mechanisms=mechanisms)
@@ -33,6 +36,7 @@
                 self.run_statement(*words)
 
     def run_statement(self, verb, *words):
+        """Execute one statement."""
         getattr(self, "do_" + verb.replace("-", "_"))(*words)
 
     def do_network(self, *words):
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -59,7 +59,7 @@
 
 
 class KeyValueService:
-    """Key-value service with the keys, leases and watches of the platform's service."""
+    """Stand-in of the platform's key-value service, with leases and watches."""
 
     def __init__(self, address):
         self.address = address
@@ -146,12 +146,14 @@
             return set(self._items)
 
     def _range(self, prefix):
+        """Return the response to a read of the keys with a prefix."""
         items = [
             one for key, one in sorted(self._items.items()) if key.startswith(prefix)
         ]
         return {"items": items, "has_more": False, "store_revision": self._revision}
 
     def _watch(self, query):
+        """Return the response to a watch, once there are events or its time is over."""
         deadline = time.monotonic() + int(query["wait_ms"]) / 1_000
         while True:
             events = [
@@ -215,7 +217,10 @@
 
 
 class BackendServer:
-    """A backend server that echoes the data of each packet."""
+    """Stand-in of a backend server, which echoes the data of each packet.
+
+    Reports to its agent every `REPORT_INTERVAL_S`.
+    """
 
     def __init__(self, name, service, ip, ports):
         self.name = name
@@ -258,6 +263,7 @@
             self._handle_packet(raw)
 
     def _handle_packet(self, raw):
+        """Accept an opening, echo data, and reject packets of unknown flows."""
         packet = decode_packet(raw)
         flow = packet["src"], packet["dst"]
         if packet["flags"] & SYN:
@@ -317,7 +323,7 @@
 
 
 class FlowClient:
-    """A client with one flow, whose packets go to any running balancer."""
+    """A client with one flow, which sends each packet to any running balancer."""
 
     def __init__(self, ip, client_port, entry, pick_balancer):
         self._ip = ip
@@ -375,6 +381,7 @@
         return True
 
     def _send_until_answered(self, raw, is_answer, timeout_s):
+        """Send a packet to balancers, with retransmissions, until it is answered."""
         deadline, wait = time.monotonic() + timeout_s, 0.2
         while time.monotonic() < deadline:
             balancer = self._pick_balancer()
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -39,10 +39,18 @@
 from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
 
 ENTRY = b"\x01\xbb\xc6\x12\x00\x01"
+"""Entry key of 198.18.0.1, port 443."""
+
 FLOW_LIMIT_MS = Millis(60_000)
 REPORT_MS = 1_200
+"""Interval between the reports of a backend server."""
+
 STORE_MS = 3
+"""Time for a read or write of the store."""
+
 RESTART_MS = 300
+"""Time from the end of a process to its restart."""
+
 MODULUS = 1 << 32
 
 
@@ -68,9 +76,11 @@
 
 
 class Backend:
-    """A backend server: holds flows, answers requests, returns unknown packets.
+    """Simulated backend server.
 
-    A request is one payload, identified by the position of its last byte.
+    It accepts every opening, answers requests, and sends back the packets of flows that
+    it doesn't hold. A request is one payload, identified by the position of its last
+    byte.
     """
 
     def __init__(self, world, agent_name, work_ms):
@@ -125,6 +135,7 @@
             self._run(packet)
 
     def _run(self, packet):
+        """Process a request, or answer it again at once if it was processed before."""
         flow, end = packet.flow, packet.sequence + packet.payload_bytes
         if end in self.runs.setdefault(flow, set()):
             self.send(flow, PacketKind.DATA, self._position(flow), end, payload=100)
@@ -138,6 +149,7 @@
         )
 
     def _position(self, flow):
+        """Return the sequence number of the server's packets in a flow."""
         return self.flows[flow] + 1
 
     def send(self, flow, kind, sequence, acknowledged, payload=0):
@@ -148,7 +160,7 @@
 
 
 class Node:
-    """A process with a core; while frozen, it queues its input."""
+    """Simulated process around a core; while it is frozen, its input is delayed."""
 
     def __init__(self, world, name, endpoint):
         self.world = world
@@ -243,7 +255,7 @@
 
 
 class Client:
-    """Open one flow and send its requests one after the other."""
+    """Simulated client, which opens one flow and sends its requests one by one."""
 
     RETRANSMISSIONS = ((200, 1), (600, 2))
     ATTEMPT_MS = 1_400
@@ -283,6 +295,7 @@
             self._next()
 
     def _next(self):
+        """Record an answer and schedule the next request."""
         self.answered += 1
         self.position += 100
         self.requests_left -= 1
@@ -293,6 +306,7 @@
         self.world.after(self.pause_ms, lambda: self._request(position, 200))
 
     def _request(self, position, wait):
+        """Send a request, and again after doubling waits until it is answered."""
         if self.outcome != "open" or position != self.position:
             return
         if wait > 6_400:
@@ -369,11 +383,11 @@
     # Time
 
     def at(self, at, callback):
-        """Call `callback` at a time in ms."""
+        """Schedule a call of `callback` at the time `at` in ms."""
         heapq.heappush(self._events, (max(at, self.now), next(self._order), callback))
 
     def after(self, delay, callback):
-        """Call `callback` after `delay` ms."""
+        """Schedule a call of `callback` after `delay` ms."""
         self.at(self.now + delay, callback)
 
     def run(self, duration):
@@ -412,7 +426,7 @@
         self.notify_balancers()
 
     def expire_entry(self, name):
-        """Remove an agent's entry from the store, as if it had expired."""
+        """Remove an agent's entry from the store, as at the expiry of its lease."""
         self.store.pop(name, None)
         self.notify_balancers()
 
@@ -463,7 +477,7 @@
         node.frozen_until = self.now + duration
 
     def call(self, requests=3, pause_ms=300):
-        """Open a flow; return its client."""
+        """Open a flow with a number of requests; return its client."""
         number = len(self.clients) + 1
         flow = FlowKey(b"\x64\x40" + number.to_bytes(2, "big") + b"\x9c\x41" + ENTRY)
         return Client(self, flow, requests, pause_ms)
@@ -471,6 +485,7 @@
     # Network
 
     def _deliver(self, callback):
+        """Call `callback` after a network delay; it may be lost or duplicated."""
         network = self.network
         if self.random.random() < network.loss:
             return
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -184,20 +184,20 @@
 
 
 class ImmediateResetLookup(OwnerLookup):
-    """Reset a flow that no agent claims, without reading the store again."""
+    """Reset a flow as soon as its queries end, even if an agent may own it."""
 
     def _confirm_no_owner(self, lookup, now):
         return self._reset_ownerless(lookup)
 
 
 class NeverAsks(PlainBalancer):
-    """Query no agent for the owner of a flow."""
+    """Drop the packets of unknown flows instead of querying agents for the owner."""
 
     _lookup_type = DroppingLookup
 
 
 class ResetsUnknown(PlainBalancer):
-    """Treat an unknown owner as none."""
+    """Reset unknown flows without waiting for the list of agents to be read again."""
 
     _lookup_type = ImmediateResetLookup
 
@@ -226,7 +226,7 @@
 
 
 class IgnoresDrain(PlainAgent):
-    """Offer openings to a backend server that is draining."""
+    """Ignore the backend server's report that it is draining."""
 
     def on_report(self, report, age_ms, now):
         actions = super().on_report(report, age_ms, now)
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -1,4 +1,4 @@
-"""Tests of the plain front end's agent, step by step."""
+"""Tests of the core of the plain front end's agent, driven by tables of steps."""
 
 from dataclasses import replace
 
@@ -59,7 +59,7 @@
     return StatusReport("i1", "order", state, 1, 0, run, number)
 
 
-# Each report with the age of its run.
+# Reports by name of the step, each with the age of its run in ms.
 REPORTS = {
     "ready": (report(), 0),
     "ready, early": (report(), MAX_FIRST_REPORT_AGE_MS),
@@ -73,7 +73,12 @@
 
 
 class Driver:
-    """Passes steps to an agent; returns the actions that result from each."""
+    """Passes steps to an agent.
+
+    A step is a name of `REPORTS`, "leave" for the backend server's departure, "stop"
+    for the agent's shutdown, a number of milliseconds to pass, a frame of a balancer or
+    a packet of the backend server.
+    """
 
     def __init__(self):
         self.core = PlainAgent("order", FLOW_LIMIT_MS, START)
@@ -99,6 +104,7 @@
 
 
 def run_steps(steps):
+    """Return the actions of the last step without log events, and the driver."""
     driver = Driver()
     actions = []
     for step in steps:
@@ -111,6 +117,7 @@
 
 
 def rejected(packet):
+    """Return a client's packet as the backend server sends it back."""
     return replace(packet, rejected_by_backend=True, token=1)
 
 
@@ -210,16 +217,18 @@
 
 
 def flow(number):
+    """Return the key of another flow than `FLOW`."""
     return FlowKey(bytes((number,)) + FLOW[1:])
 
 
 def in_progress(number):
-    """Return steps after which a request of another flow is in progress."""
+    """Return the steps that leave a request of the flow `flow(number)` in progress."""
     frames = (OpenFrame("order", 1, OPENING), ACCEPT, FORWARD)
     return [change_flow(one, number) for one in frames]
 
 
 def change_flow(step, number):
+    """Return the step with the flow `flow(number)` instead of `FLOW`."""
     if isinstance(step, OpenFrame | ForwardFrame):
         return replace(step, packet=replace(step.packet, flow=flow(number)))
     return replace(step, flow=flow(number))
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -130,6 +130,7 @@
 
 
 def run_steps(steps, **options):
+    """Return the actions of the last step without log events, and the driver."""
     driver = Driver(**options)
     actions = []
     for step in steps:
@@ -138,20 +139,24 @@
 
 
 def returned(agent, reason, packet=OPENING, report=None):
+    """Return the step in which an agent returns a packet."""
     return (agent, ReturnFrame(reason, packet, report or load()))
 
 
 def owner_reply(agent, ownership, **fields):
+    """Return the step in which an agent replies to an owner query."""
     return (agent, OwnerReplyFrame((OwnerReply(FLOW, ownership),), load(**fields)))
 
 
 def sent(actions):
+    """Return the receiver and type of each frame sent."""
     return [
         (one.peer, type(one.frame)) for one in actions if isinstance(one, SendFrame)
     ]
 
 
 def load_report(agent, availability, **fields):
+    """Return the step in which an agent reports its load."""
     return (agent, LoadFrame(load(availability, **fields)))
 
 
@@ -475,6 +480,7 @@
 
 
 def make_view(port, report, now, zone="zone-a"):
+    """Return a view of an agent that has sent `report`, if not None."""
     view = AgentView(AgentEntry(Endpoint("10.0.0.2", port), "order", zone))
     if report is not None:
         view.record_load(report, now)
--- a/tests/unit/test_plain_batching.py
+++ b/tests/unit/test_plain_batching.py
@@ -1,4 +1,4 @@
-"""Tests of the batching of ownership questions."""
+"""Tests of the merging of owner queries into frames."""
 
 import pytest
 
@@ -24,6 +24,7 @@
 
 
 def query_frame(agent, *numbers, service="order"):
+    """Return an action that sends the owner queries of the given numbers."""
     return SendFrame(
         agent, OwnerQueryFrame(service, tuple(owner_query(n) for n in numbers))
     )
