--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -525,7 +525,7 @@
             self._admission.clear_first_request(packet.flow)
         if is_new and owned.request_started_at is None:
             owned.request_started_at = now
-            self._admission.meter.begin(now)
+            self._admission.meter.begin_request(now)
             self._peers.mark_load_changed(now)
         if packet.kind is PacketKind.ABORT:
             self._end_request(owned, now, answered=False)
@@ -536,7 +536,7 @@
         if owned.request_started_at is None:
             return
         owned.request_started_at = None
-        self._admission.meter.end(now, answered=answered)
+        self._admission.meter.end_request(now, answered=answered)
         self._peers.mark_load_changed(now)
 
     def _remove_flow(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> None:
--- a/src/papayagw/_internal/core/plain/backend_state.py
+++ b/src/papayagw/_internal/core/plain/backend_state.py
@@ -59,7 +59,7 @@
 
     @property
     def max_first_report_age_ms(self) -> Millis:
-        """Maximum age of a run at which none of its reports was acknowledged before.
+        """Age of a run up to which its report is certainly the first acknowledged one.
 
         A backend server reports at its start and, once that report is acknowledged,
         one interval later. A sixth of the interval allows for jitter.
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -177,7 +177,7 @@
     def on_timer(self, now: Millis) -> list[Action]:
         """Handle timeouts and due retries, and remove idle flows from the cache."""
         actions: list[Action] = []
-        overdue = self._openings.pop_overdue(now)
+        overdue = self._openings.take_due(now)
         for opening in sorted(overdue, key=self._priority_of):
             actions += self._on_offer_due(opening, now)
         actions += self._lookup.on_timer(now)
--- a/src/papayagw/_internal/core/plain/entry_registrar.py
+++ b/src/papayagw/_internal/core/plain/entry_registrar.py
@@ -125,7 +125,7 @@
         self._due_at = now
 
     def _pick_call(self) -> StoreCall | None:
-        """Return the call that brings the store closer to the wanted state."""
+        """Return the call for the next step: read, grant, put or renew, or else end."""
         if self._is_ending:
             return None if self._lease is None else EndLease(self._lease)
         if not self._has_read:
--- a/src/papayagw/_internal/core/plain/intake.py
+++ b/src/papayagw/_internal/core/plain/intake.py
@@ -122,7 +122,7 @@
         return ReturnReason.DRAINING
 
     def reserve_capacity(self, pending_openings: int, now: Millis) -> list[Endpoint]:
-        """Reserve free capacity for waiting balancers and return them.
+        """Reserve free capacity for waiting balancers; return the balancers to notify.
 
         Each balancer gets capacity for one opening, in the order of rejection.
         """
--- a/src/papayagw/_internal/core/plain/load_meter.py
+++ b/src/papayagw/_internal/core/plain/load_meter.py
@@ -40,32 +40,32 @@
         """Number of requests in progress, including those that wait for a slot."""
         return self._busy
 
-    def begin(self, now: Millis) -> None:
+    def begin_request(self, now: Millis) -> None:
         """Record that a request begins."""
-        self._advance(now)
+        self._update(now)
         self._busy += 1
 
-    def end(self, now: Millis, *, answered: bool) -> None:
+    def end_request(self, now: Millis, *, answered: bool) -> None:
         """Record that a request ends, and whether the backend server answered it."""
-        self._advance(now)
+        self._update(now)
         self._busy = max(0, self._busy - 1)
         self._answered += answered
 
     def utilization(self, now: Millis) -> float:
         """Return the recent share of busy slots, 0 to 1."""
-        self._advance(now)
+        self._update(now)
         if not self._elapsed_ms:
             return 0.0
         return min(1.0, self._busy_ms / (self._elapsed_ms * self.slots))
 
     def service_us(self, now: Millis) -> int:
         """Return the mean service time in microseconds, or 0 if it isn't known."""
-        self._advance(now)
+        self._update(now)
         if self._answered < MIN_REQUESTS:
             return 0
         return round(1_000 * self._busy_ms / self._answered)
 
-    def _advance(self, now: Millis) -> None:
+    def _update(self, now: Millis) -> None:
         """Decay the past load and add the load since the last call."""
         elapsed_ms = now - self._updated_at if self._updated_at is not None else 0
         self._updated_at = now
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -142,10 +142,11 @@
         self._deadlines.set(flow, None)
         return self._openings.pop(flow, None)
 
-    def pop_overdue(self, now: Millis) -> list[Opening]:
-        """Return the openings to offer again, without removing them.
+    def take_due(self, now: Millis) -> list[Opening]:
+        """Return the openings whose offer has timed out or whose retry is due.
 
-        The newest come first, because they can still meet the latency objective.
+        They stay in progress, but without a deadline. The newest come first, because
+        they can still meet the latency objective.
         """
         due = self._deadlines.pop_due(now)
         return _sort_newest_first([self._openings[flow] for flow in due])
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_search.py
@@ -92,7 +92,7 @@
         lookup = self._lookups.begin(packet, pending_agents, now) if agents else None
         if lookup is None:
             return []
-        lookup.hold(packet)
+        lookup.hold_packet(packet)
         return [_make_query(view, packet) for view in agents]
 
     def on_reply(self, reply: OwnerReply, view: AgentView, now: Millis) -> list[Action]:
@@ -154,14 +154,14 @@
     ) -> list[Action]:
         """Add another packet of the flow to a lookup in progress."""
         if excluded is None:
-            lookup.hold(packet)
+            lookup.hold_packet(packet)
             return (
                 []
                 if lookup.stage is Stage.QUERYING
                 else self._forward_to_candidates(lookup)
             )
         if lookup.stage is Stage.QUERYING:
-            lookup.hold(packet)
+            lookup.hold_packet(packet)
             return []
         lookup.last_packet = packet
         # The agent was a candidate and isn't the owner. The other candidates already
--- a/src/papayagw/_internal/core/plain/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/prefix_watcher.py
@@ -48,7 +48,7 @@
 
 
 class PrefixWatcher:
-    """Tracks the keys under one prefix.
+    """Reports the items under a prefix of the store, and later writes to them.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/core/plain/questions.py
+++ b/src/papayagw/_internal/core/plain/questions.py
@@ -106,7 +106,7 @@
         """Whether every queried agent has replied that it doesn't own the flow."""
         return not self.pending_agents and not self.candidates
 
-    def hold(self, packet: FlowPacket) -> None:
+    def hold_packet(self, packet: FlowPacket) -> None:
         """Hold a packet until the owner is known; drop it if there are too many."""
         self.last_packet = packet
         if len(self.held_packets) < MAX_HELD_PACKETS:
--- a/src/papayagw/_internal/models/plain/instance.py
+++ b/src/papayagw/_internal/models/plain/instance.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusReport:
-    """Heartbeat of a backend server.
+    """Status that a backend server reports to its agent at regular intervals.
 
     Attributes
     ----------
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -188,9 +188,9 @@
         )
 
     def _stop(self) -> None:
-        """Stop the process.
+        """Stop the process, after removing the store entry.
 
-        The store entry is removed first, unless the backend server keeps running.
+        If the backend server keeps running, the entry is kept.
         """
         if self._is_stopping:
             return
--- a/src/papayagw/_internal/net/plain/http_server.py
+++ b/src/papayagw/_internal/net/plain/http_server.py
@@ -99,7 +99,7 @@
             connection.close()
 
     def _accept(self) -> None:
-        """Accept a connection."""
+        """Accept a connection, closing the oldest one if there are too many."""
         try:
             accepted, _ = self._listener.accept()
         except OSError:
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -5,12 +5,13 @@
     at MS VERB WORD...          run MS
     call REQUESTS [PAUSE_MS]    calls COUNT REQUESTS EVERY_MS [PAUSE_MS]
     expect OUTCOME COUNT        (clients with this outcome; COUNT may be "all")
-    expect-event EVENT           expect-no-event EVENT
+    expect-event EVENT          expect-no-event EVENT      (events in the logs)
     expect-openings AGENT COUNT FROM_MS TO_MS   (openings its backend server received)
 
-Verbs: restart-balancer, restart-agent, stop-balancer, freeze-balancer NAME MS,
-freeze-agent NAME MS, crash, drain, expire-entry, restore, remove-route,
-move-route SERVICE.
+Verbs with the NAME of a process: restart-balancer, restart-agent, stop-balancer,
+freeze-balancer NAME MS, freeze-agent NAME MS. Verbs with the NAME of an agent: crash
+and drain act on its backend server, expire-entry and restore on its store entry. Verbs
+without a name: remove-route, and move-route SERVICE.
 `#` starts a comment.
 """
 
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -170,6 +170,7 @@
     ],
 )
 def test_returned(steps, reason):
+    """The last step makes the agent return a packet to its balancer."""
     (action,), _ = run_steps(steps)
     assert action.peer == BALANCER
     assert isinstance(action.frame, ReturnFrame)
@@ -201,12 +202,14 @@
     ],
 )
 def test_delivered(steps):
+    """The last step makes the agent pass a packet to its backend server."""
     (action,), _ = run_steps(steps)
     assert isinstance(action, SendToBackend)
     assert action.token == 1
 
 
 def test_busy():
+    """A backend server with one slot gets no third opening."""
     driver = Driver()
     driver.run("ready")
     for number in range(2):
@@ -286,6 +289,7 @@
     ],
 )
 def test_actions(steps, kinds):
+    """The last step results in actions of the given types."""
     actions, _ = run_steps(steps)
     assert [type(one) for one in actions] == kinds
 
--- a/tests/unit/test_plain_backend_state.py
+++ b/tests/unit/test_plain_backend_state.py
@@ -78,9 +78,9 @@
     meter = LoadMeter(slots)
     now = 0
     for _ in range(200):
-        meter.begin(now)
+        meter.begin_request(now)
         now += work_ms
-        meter.end(now, answered=True)
+        meter.end_request(now, answered=True)
         now += gap_ms
     assert meter.service_us(now) == pytest.approx(work_ms * 1_000, rel=0.05)
     share = work_ms / (work_ms + gap_ms) / slots
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -218,6 +218,7 @@
     ],
 )
 def test_openings(steps, frames):
+    """The last step results in the given frames, and in no reset."""
     actions, _ = run_steps(steps)
     assert sent(actions) == frames
     assert not any(isinstance(one, ResetClient) for one in actions)
@@ -367,6 +368,7 @@
     ],
 )
 def test_later_packets(steps, frames):
+    """A packet of an accepted flow results in the given frames."""
     actions, _ = run_steps(steps)
     assert sent(actions) == frames
 
@@ -398,6 +400,7 @@
     ],
 )
 def test_flows_that_nobody_owns(steps, resets, not_found):
+    """Flows are reset once all agents deny them and the store was read again."""
     actions, driver = run_steps(steps)
     assert sum(isinstance(one, ResetClient) for one in actions) == resets
     assert driver.not_found == not_found
--- a/tests/unit/test_plain_batching.py
+++ b/tests/unit/test_plain_batching.py
@@ -68,5 +68,5 @@
         ),
     ],
 )
-def test_questions_to_one_agent_are_joined(actions, joined):
+def test_queries_to_one_agent_are_merged(actions, joined):
     assert merge_owner_queries(actions) == joined
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -125,6 +125,7 @@
     ],
 )
 def test_restore(before, calls):
+    """Restoring writes the entry again, unless it hasn't been read yet."""
     registrar = EntryRegistrar(KEY, VALUE, Random(1))
     run_calls(registrar, before)
     registrar.restore(50)
--- a/tests/unit/test_platform_packet.py
+++ b/tests/unit/test_platform_packet.py
@@ -80,7 +80,7 @@
     assert packet.kind is PacketKind.ACCEPT
 
 
-def test_bounced_packet_keeps_the_clients_flow():
+def test_rejected_packet_keeps_the_clients_flow():
     sent = encode_for_backend(decode_client_packet(OPENING), 77)
     returned = bytearray(sent)
     returned[FLAGS_OFFSET] |= 64
