Rename modules after what they hold

core/plain: intake -> admission_control, questions -> pending_lookups, owner_search -> owner_lookup; models: opening -> retry. Moves and imports only.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -5,11 +5,11 @@
 delay.
 """
 
+from papayagw._internal.core.plain.admission_control import AdmissionControl
 from papayagw._internal.core.plain.backend_state import (
     REPORT_INTERVAL_MS,
     BackendState,
 )
-from papayagw._internal.core.plain.intake import AdmissionControl
 from papayagw._internal.core.plain.owned_flows import OwnedFlow, OwnedFlows
 from papayagw._internal.core.plain.ownership import OwnershipResolver
 from papayagw._internal.core.plain.peers import BalancerPeers
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -10,7 +10,7 @@
 from papayagw._internal.core.plain.choice import PlainChooser
 from papayagw._internal.core.plain.flow_cache import FlowCache
 from papayagw._internal.core.plain.openings import Opening, Openings
-from papayagw._internal.core.plain.owner_search import OwnerLookup, make_forward
+from papayagw._internal.core.plain.owner_lookup import OwnerLookup, make_forward
 from papayagw._internal.core.plain.roster import (
     MISSING_GRACE_MS,
     AgentView,
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from papayagw._internal.core.plain.flow_cache import FlowCache
-from papayagw._internal.core.plain.questions import (
+from papayagw._internal.core.plain.pending_lookups import (
     PendingLookup,
     PendingLookups,
     Stage,
--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -11,7 +11,7 @@
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.flow import FlowOutcome
-from papayagw._internal.models.opening import (
+from papayagw._internal.models.retry import (
     AttemptEnded,
     OpeningAction,
     Reopen,
--- a/src/papayagw/_internal/net/caller_flow.py
+++ b/src/papayagw/_internal/net/caller_flow.py
@@ -9,7 +9,7 @@
 from papayagw._internal.core.service_meter import FlowMeter
 from papayagw._internal.models.clock import Clock, Millis, to_seconds
 from papayagw._internal.models.flow import FlowOutcome
-from papayagw._internal.models.opening import AttemptEnded, Reopen
+from papayagw._internal.models.retry import AttemptEnded, Reopen
 from papayagw._internal.models.stream import (
     BytesArrived,
     FlowEnded,
--- a/src/papayagw/_internal/net/retries.py
+++ b/src/papayagw/_internal/net/retries.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from papayagw._internal.core.retry import OpeningRetry, TokenBudget
-from papayagw._internal.models.opening import RetryPolicy
+from papayagw._internal.models.retry import RetryPolicy
 
 
 def make_retries(*, idempotent: bool) -> Callable[[], OpeningRetry]:
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -15,7 +15,7 @@
 from papayagw._internal.models.decision import Accept, DropReason, Forward
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.flow import FlowOutcome, FlowRoute, FlowTag
-from papayagw._internal.models.opening import AttemptEnded, Reopen, RetryPolicy
+from papayagw._internal.models.retry import AttemptEnded, Reopen, RetryPolicy
 from papayagw._internal.wire.tag import NONCE_BYTES, TAG_BYTES, TagCodec
 from tests.lib.samples import KEY, NO_PEERS
 from tests.lib.world import (
--- a/tests/properties/retry_proof.py
+++ b/tests/properties/retry_proof.py
@@ -12,7 +12,7 @@
 from papayagw._internal.core.retry import OpeningRetry, TokenBudget, UndeliveredOnly
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.flow import FlowOutcome
-from papayagw._internal.models.opening import (
+from papayagw._internal.models.retry import (
     AttemptEnded,
     Reopen,
     ReportOutcome,
--- a/tests/soak/doubled.py
+++ b/tests/soak/doubled.py
@@ -7,7 +7,7 @@
 
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.owner_search import OwnerLookup
+from papayagw._internal.core.plain.owner_lookup import OwnerLookup
 from papayagw._internal.core.plain.ownership import OwnershipResolver
 from papayagw._internal.models.plain.frame import Ownership
 from papayagw.platform.__main__ import main
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from papayagw._internal.core.plain.admission_control import FIRST_REQUEST_TIMEOUT_MS
 from papayagw._internal.core.plain.agent import (
     BACKEND_ACCEPT_TIMEOUT_MS,
     PlainAgent,
 )
-from papayagw._internal.core.plain.intake import FIRST_REQUEST_TIMEOUT_MS
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
     LogEvent,
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -12,7 +12,7 @@
     RoundRobinChooser,
 )
 from papayagw._internal.core.plain.openings import OFFER_TIMEOUT_MS, OPENING_TIMEOUT_MS
-from papayagw._internal.core.plain.questions import REPLY_TIMEOUT_MS
+from papayagw._internal.core.plain.pending_lookups import REPLY_TIMEOUT_MS
 from papayagw._internal.core.plain.roster import (
     BUSY_BACKOFF_MS,
     MAX_LOAD_AGE_MS,
--- a/tests/unit/test_retry.py
+++ b/tests/unit/test_retry.py
@@ -3,7 +3,7 @@
 from papayagw._internal.core.retry import OpeningRetry, TokenBudget
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.flow import FlowOutcome
-from papayagw._internal.models.opening import (
+from papayagw._internal.models.retry import (
     AttemptEnded,
     Reopen,
     ReportOutcome,
