--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -360,7 +360,7 @@
     def _on_returned(
         self, frame: ReturnFrame, view: AgentView, now: Millis
     ) -> list[Action]:
-        """Find another agent for a packet that an agent sent back."""
+        """Find the right agent for a packet that an agent sent back."""
         packet = frame.packet
         route = self._find_route(packet)
         if route is None:
@@ -403,7 +403,7 @@
     def _on_owner_replies(
         self, frame: OwnerReplyFrame, view: AgentView, now: Millis
     ) -> list[Action]:
-        """Pass an agent's replies to the owner lookups that wait for them."""
+        """Handle replies to owner queries; an owner's reply also ends its opening."""
         actions: list[Action] = []
         for reply in frame.replies:
             if reply.ownership is Ownership.OWNER:
--- a/src/papayagw/_internal/core/plain/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -221,5 +221,6 @@
 
 
 def _make_query(agent: AgentView, packet: FlowPacket) -> SendFrame:
+    """Return the action that queries an agent for the owner of a packet's flow."""
     query = OwnerQuery(packet.flow, packet.acknowledged)
     return SendFrame(agent.endpoint, OwnerQueryFrame(agent.entry.service, (query,)))
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -218,7 +218,7 @@
         return True
 
     def mark_missing(self, key: str, now: Millis) -> bool:
-        """Record that the store lacks `key`; return False if that was known."""
+        """Record that the store lacks `key`; return whether anything changed."""
         known = self._by_key.get(key)
         if known is None or known.missing_since is not None:
             return False
--- a/src/papayagw/_internal/net/plain/adapter.py
+++ b/src/papayagw/_internal/net/plain/adapter.py
@@ -51,10 +51,10 @@
     """Encodes calls to the key-value service and decodes its answers."""
 
     def encode_call(self, call: StoreCall) -> HttpCall:
-        """Encode a call as an HTTP request."""
+        """Encode a store call as an HTTP request."""
 
     def decode_answer(self, call: StoreCall, status: int, body: bytes) -> StoreAnswer:
-        """Decode the HTTP response to a call."""
+        """Decode the HTTP response to a store call."""
 
 
 class Platform(PacketCodec, StoreCodec, Protocol):
