--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -5,11 +5,11 @@
 delay.
 """
 
+from papayagw._internal.core.plain.admission_control import AdmissionControl
 from papayagw._internal.core.plain.backend_state import (
     REPORT_INTERVAL_MS,
     BackendState,
 )
-from papayagw._internal.core.plain.intake import AdmissionControl
 from papayagw._internal.core.plain.owned_flows import OwnedFlow, OwnedFlows
 from papayagw._internal.core.plain.ownership import OwnershipResolver
 from papayagw._internal.core.plain.peers import BalancerPeers
@@ -17,7 +17,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
     Action,
-    Note,
+    LogEvent,
     ResetClient,
     RestoreEntry,
     SendFrame,
@@ -48,17 +48,20 @@
     FlowKey,
     FlowPacket,
     PacketKind,
-    show_flow,
+    format_flow,
 )
 
 BACKEND_ACCEPT_TIMEOUT_MS = Millis(40)
-"""Time within which the backend server must answer an opening.
+"""Time within which the backend server must accept or reject an opening.
 
 Agent and server share a machine, and the server needs less than 1 ms to answer.
 """
 
 COLD_START_FACTOR = 1.5
-"""Factor on the reported service time while the backend server is cold."""
+"""Factor by which reported service times are raised while the backend server is cold.
+
+A backend server is cold, which means slow, for some time after its start.
+"""
 
 STALLED_REQUEST_TIMEOUT_MS = Millis(3_000)
 """Age after which a request no longer counts as in progress.
@@ -67,7 +70,10 @@
 """
 
 RUN_START_SLACK_MS = Millis(20)
-"""How far before its reported start a run may have accepted flows: clock rounding."""
+"""How far a flow's start may lie before the reported start of its run.
+
+Allows for clock rounding.
+"""
 
 SWEEP_INTERVAL_MS = Millis(1_000)
 """Interval between removals of expired flows."""
@@ -104,11 +110,11 @@
         self._peers = BalancerPeers()
         self._scope: ScopeFrame | None = None
         self._pending_openings: dict[FlowKey, OwnedFlow] = {}
-        self._swept_at = now
+        self._last_sweep_at = now
 
     @property
     def is_ready(self) -> bool:
-        """Whether the backend server has reported since the agent's start."""
+        """Whether the backend server has reported and hasn't announced its end."""
         return self._admission.backend.is_known
 
     @property
@@ -157,22 +163,24 @@
     def _handle_frame(
         self, frame: ToAgent, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Handle a frame for this agent's service."""
         match frame:
             case OpenFrame():
                 return self._on_opening(frame, source, now)
             case ForwardFrame():
-                return self._on_forwarded(frame, source, now)
+                return self._on_forwarded_packet(frame, source, now)
             case OwnerQueryFrame():
                 return self._on_owner_queries(frame, source, now)
             case ScopeFrame():
                 return self._on_scope(frame, source)
             case EntryMissingFrame():
                 fields = {"peer": source}
-                return [RestoreEntry(), Note("entry missing in the store", fields)]
+                return [RestoreEntry(), LogEvent("entry missing in the store", fields)]
 
     def _on_opening(
         self, frame: OpenFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Pass an opening to the backend server, or return it to the balancer."""
         packet = frame.packet
         owned = self._flows.find(packet.flow)
         if owned is not None and owned.ended_at is not None:
@@ -181,7 +189,7 @@
         if owned is None or owned.accept_sequence is None:
             reason = self._find_rejection_reason(frame, source, now)
             if reason is not None:
-                return self._return(packet, reason, source, now)
+                return self._return_packet(packet, reason, source, now)
         if owned is None:
             owned = self._flows.add(packet.flow, source, now)
         owned.balancer = source
@@ -192,13 +200,18 @@
             self._pending_openings[packet.flow] = owned
         return [SendToBackend(packet, self._peers.token_of(source))]
 
-    def _on_forwarded(
+    def _on_forwarded_packet(
         self, frame: ForwardFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Pass a client's packet to the backend server.
+
+        The packet is returned to the balancer if it acknowledges bytes that another
+        backend server sent, since that server then owns the flow.
+        """
         packet = frame.packet
         owned = self._flows.find(packet.flow)
         if owned is not None and not owned.matches(packet.acknowledged):
-            return self._return(packet, ReturnReason.NOT_OWNER, source, now)
+            return self._return_packet(packet, ReturnReason.NOT_OWNER, source, now)
         if owned is not None:
             owned.balancer = source
             self._record_client_packet(owned, packet, now)
@@ -209,6 +222,7 @@
     def _on_owner_queries(
         self, frame: OwnerQueryFrame, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Reply to a balancer's owner queries."""
         replies = tuple(
             OwnerReply(query.flow, self._ownership.resolve(query, now))
             for query in frame.queries
@@ -216,6 +230,7 @@
         return [SendFrame(source, OwnerReplyFrame(replies, self.current_load(now)))]
 
     def _on_scope(self, frame: ScopeFrame, source: Endpoint) -> list[Action]:
+        """Record the entries routed to the service, unless a newer list is known."""
         if self._scope is not None and frame.site_version <= self._scope.site_version:
             return []
         self._scope = frame
@@ -224,7 +239,7 @@
             "entries": len(frame.entries),
             "peer": source,
         }
-        return [Note("scope in force", fields)]
+        return [LogEvent("scope in force", fields)]
 
     def _find_rejection_reason(
         self, frame: OpenFrame, source: Endpoint, now: Millis
@@ -244,9 +259,10 @@
     def _reject_wrong_service(
         self, frame: ToAgent, source: Endpoint, now: Millis
     ) -> list[Action]:
+        """Reject a frame that is for another service than this agent's."""
         if isinstance(frame, OpenFrame | ForwardFrame):
             reason = ReturnReason.WRONG_SERVICE
-            return self._return(frame.packet, reason, source, now)
+            return self._return_packet(frame.packet, reason, source, now)
         if isinstance(frame, OwnerQueryFrame):
             replies = tuple(
                 OwnerReply(query.flow, Ownership.NOT_OWNER) for query in frame.queries
@@ -254,16 +270,17 @@
             return [SendFrame(source, OwnerReplyFrame(replies, self.current_load(now)))]
         return []
 
-    def _return(
+    def _return_packet(
         self, packet: FlowPacket, reason: ReturnReason, peer: Endpoint, now: Millis
     ) -> list[Action]:
+        """Return the actions that send a packet back to a balancer and log it."""
         fields = {
-            "flow": show_flow(packet.flow),
+            "flow": format_flow(packet.flow),
             "reason": reason.name.lower(),
             "peer": peer,
         }
         frame = ReturnFrame(reason, packet, self.current_load(now))
-        return [SendFrame(peer, frame), Note("packet returned", fields)]
+        return [SendFrame(peer, frame), LogEvent("packet returned", fields)]
 
     # Packets from the backend server
 
@@ -276,24 +293,30 @@
         ]
 
     def _handle_backend_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
-        if packet.bounced:
-            return self._on_bounced(packet, now)
+        """Handle a packet from the backend server according to its kind."""
+        if packet.rejected_by_backend:
+            return self._on_backend_rejection(packet, now)
         owned = self._flows.find(packet.flow)
         if packet.kind is PacketKind.ACCEPT:
             return self._on_accept(packet, owned, now)
-        return self._on_response(packet, owned, now)
+        return self._on_flow_packet(packet, owned, now)
 
-    def _on_response(
+    def _on_flow_packet(
         self, packet: FlowPacket, owned: OwnedFlow | None, now: Millis
     ) -> list[Action]:
+        """Pass a packet of an accepted flow to the client and update the flow's state.
+
+        If the flow isn't tracked, as after a restart of the agent, it is added, and the
+        active balancers are notified that this agent owns it.
+        """
         actions: list[Action] = [SendToClient(packet)]
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
             reply = OwnerReply(packet.flow, Ownership.OWNER)
             frame = OwnerReplyFrame((reply,), self.current_load(now))
             actions += [SendFrame(peer, frame) for peer in self._peers.list_active(now)]
-            fields = {"flow": show_flow(packet.flow)}
-            actions.append(Note("flow adopted", fields))
+            fields = {"flow": format_flow(packet.flow)}
+            actions.append(LogEvent("flow adopted", fields))
         owned.seen_at = now
         owned.is_established = True
         owned.record_backend_ack(packet)
@@ -307,6 +330,7 @@
     def _on_accept(
         self, packet: FlowPacket, owned: OwnedFlow | None, now: Millis
     ) -> list[Action]:
+        """Pass an accept packet to the client and notify the flow's balancer."""
         if owned is None:
             owned = self._flows.add(packet.flow, None, now)
         opening_sent_at, owned.opening_sent_at, owned.pending_opening = (
@@ -324,11 +348,16 @@
             frame = OpenedFrame(packet.flow, self.current_load(now))
             actions.append(SendFrame(owned.balancer, frame))
         if opening_sent_at is not None:
-            fields = {"flow": show_flow(packet.flow), "ms": now - opening_sent_at}
-            actions.append(Note("flow accepted", fields))
+            fields = {"flow": format_flow(packet.flow), "ms": now - opening_sent_at}
+            actions.append(LogEvent("flow accepted", fields))
         return actions
 
-    def _on_bounced(self, packet: FlowPacket, now: Millis) -> list[Action]:
+    def _on_backend_rejection(self, packet: FlowPacket, now: Millis) -> list[Action]:
+        """Handle a client's packet that the backend server sent back.
+
+        An established flow is reset. The packet of any other flow is returned to its
+        balancer.
+        """
         owned = self._flows.find(packet.flow)
         balancer = self._peers.find(packet.token)
         if packet.kind is PacketKind.OPEN:
@@ -336,17 +365,19 @@
                 self._remove_flow(packet.flow, owned, now)
             if balancer is None:
                 return []
-            return self._return(packet, self._admission.record_refusal(), balancer, now)
+            return self._return_packet(
+                packet, self._admission.record_rejection(), balancer, now
+            )
         if owned is not None and owned.is_established:
             # A returned packet means that the backend server no longer holds the flow.
             self._remove_flow(packet.flow, owned, now)
             reset = ResetClient(packet.flow, packet.acknowledged or 0)
-            return [reset, Note("flow lost", {"flow": show_flow(packet.flow)})]
+            return [reset, LogEvent("flow lost", {"flow": format_flow(packet.flow)})]
         if owned is not None:
             self._remove_flow(packet.flow, owned, now)
         if balancer is None:
             return []
-        return self._return(packet, ReturnReason.NOT_OWNER, balancer, now)
+        return self._return_packet(packet, ReturnReason.NOT_OWNER, balancer, now)
 
     # Reports from the backend server
 
@@ -375,7 +406,7 @@
             actions = self._end_earlier_run(age_ms, now)
         if not self._admission.record_report(report, now):
             fields = {"instance": report.instance, "number": report.number}
-            return [*actions, Note("report not used", fields)]
+            return [*actions, LogEvent("report not used", fields)]
         if before is None or is_new_run:
             self._ownership.begin_run(report, age_ms, now)
         if before is None or before.state is not report.state or actions:
@@ -386,7 +417,7 @@
                 "state": report.state.value,
                 "cold_ms": report.cold_left_ms,
             }
-            actions.append(Note("backend state", fields))
+            actions.append(LogEvent("backend state", fields))
             actions += self._send_load(self._peers.list_known(), now)
         return actions
 
@@ -394,8 +425,8 @@
         """Handle the backend server's departure and return the resulting actions."""
         if not self._admission.backend.record_departure(departure):
             return []
-        note = Note("backend left", {"instance": departure.instance})
-        return [note, *self._send_load(self._peers.list_known(), now)]
+        log_event = LogEvent("backend left", {"instance": departure.instance})
+        return [log_event, *self._send_load(self._peers.list_known(), now)]
 
     def begin_shutdown(self, now: Millis) -> list[Action]:
         """Stop admitting openings and return the notifications to send."""
@@ -419,7 +450,7 @@
             if owned.is_established and owned.ended_at is None:
                 actions.append(ResetClient(flow, owned.acknowledged))
         fields = {"flows": len(ended), "reset": len(actions), "age_ms": age_ms}
-        return [*actions, Note("backend restarted", fields)]
+        return [*actions, LogEvent("backend restarted", fields)]
 
     # Timers
 
@@ -436,8 +467,8 @@
             actions += self._on_accept_timeout(flow, owned, now)
         if self._peers.start_round_if_due(now):
             actions += self._send_load(self._peers.list_active(now), now)
-        if now - self._swept_at >= SWEEP_INTERVAL_MS:
-            self._sweep(now)
+        if now - self._last_sweep_at >= SWEEP_INTERVAL_MS:
+            self._remove_expired_flows(now)
         return [*actions, *self._notify_of_capacity(now)]
 
     def _on_accept_timeout(
@@ -446,14 +477,20 @@
         """Return an opening to its balancer after the accept timeout."""
         packet, balancer = owned.pending_opening, owned.balancer
         self._remove_flow(flow, owned, now)
-        wait = self._admission.record_timeout(now)
+        wait = self._admission.record_accept_timeout(now)
         if packet is None or balancer is None:
             return []
-        note = Note("backend silent", {"flow": show_flow(flow), "wait_ms": wait})
-        return [note, *self._return(packet, ReturnReason.SILENT, balancer, now)]
+        log_event = LogEvent(
+            "backend silent", {"flow": format_flow(flow), "wait_ms": wait}
+        )
+        return [
+            log_event,
+            *self._return_packet(packet, ReturnReason.SILENT, balancer, now),
+        ]
 
-    def _sweep(self, now: Millis) -> None:
-        self._swept_at = now
+    def _remove_expired_flows(self, now: Millis) -> None:
+        """Remove expired flows, and stop counting stalled requests."""
+        self._last_sweep_at = now
         for owned in self._flows.sweep(now, self._flow_limit_ms):
             self._end_request(owned, now, answered=False)
         for _, owned in self._flows:
@@ -481,26 +518,29 @@
     def _record_client_packet(
         self, owned: OwnedFlow, packet: FlowPacket, now: Millis
     ) -> None:
+        """Update a flow from a client's packet, which may begin a request."""
         owned.seen_at = now
         is_new = owned.record_client_packet(packet)
         if is_new:
             self._admission.clear_first_request(packet.flow)
         if is_new and owned.request_started_at is None:
             owned.request_started_at = now
-            self._admission.meter.begin(now)
+            self._admission.meter.begin_request(now)
             self._peers.mark_load_changed(now)
         if packet.kind is PacketKind.ABORT:
             self._end_request(owned, now, answered=False)
             owned.ended_at = now
 
     def _end_request(self, owned: OwnedFlow, now: Millis, *, answered: bool) -> None:
+        """End the flow's request in progress, if there is one."""
         if owned.request_started_at is None:
             return
         owned.request_started_at = None
-        self._admission.meter.end(now, answered=answered)
+        self._admission.meter.end_request(now, answered=answered)
         self._peers.mark_load_changed(now)
 
     def _remove_flow(self, flow: FlowKey, owned: OwnedFlow, now: Millis) -> None:
+        """Stop tracking a flow and end its request."""
         self._end_request(owned, now, answered=False)
         self._pending_openings.pop(flow, None)
         self._admission.clear_first_request(flow)
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -10,7 +10,7 @@
 from papayagw._internal.core.plain.choice import PlainChooser
 from papayagw._internal.core.plain.flow_cache import FlowCache
 from papayagw._internal.core.plain.openings import Opening, Openings
-from papayagw._internal.core.plain.owner_search import OwnerLookup, make_forward
+from papayagw._internal.core.plain.owner_lookup import OwnerLookup, make_forward
 from papayagw._internal.core.plain.roster import (
     MISSING_GRACE_MS,
     AgentView,
@@ -18,7 +18,12 @@
 )
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
+from papayagw._internal.models.plain.action import (
+    Action,
+    LogEvent,
+    ResetClient,
+    SendFrame,
+)
 from papayagw._internal.models.plain.frame import (
     EntryMissingFrame,
     LoadFrame,
@@ -32,13 +37,13 @@
     ToBalancer,
 )
 from papayagw._internal.models.plain.instance import AgentLoad
-from papayagw._internal.models.plain.packet import FlowPacket, PacketKind, show_flow
+from papayagw._internal.models.plain.packet import FlowPacket, PacketKind, format_flow
 from papayagw._internal.models.plain.site import Route, SiteVersion
 
 RESTART_SPREAD_MS = Millis(1_500)
 """Maximum time from a backend server's start to a balancer's first read of the store.
 
-Applies if both restarted after the same power loss: 0.9 s for the slowest balancer to
+Holds if both restarted after the same power loss: 0.9 s for the slowest balancer to
 start, and one attempt to read the store. In a fleet that started slightly earlier, a
 store entry may be missing without a power loss, so the value must not be larger.
 """
@@ -60,8 +65,8 @@
         Called when an agent reports a newer configuration version than the one in
         force here.
     on_owner_not_found : callable
-        Called when all known agents have denied owning a flow, so that the list of
-        agents is read again.
+        Called when all known agents have replied that they don't own a flow. The
+        caller then reads the list of agents again.
     """
 
     _lookup_type = OwnerLookup
@@ -80,14 +85,14 @@
         self._flows = FlowCache()
         self._openings = Openings()
         self._lookup = self._lookup_type(
-            self._list_agents,
+            self._list_routed_agents,
             roster.find,
             self._flows,
             on_owner_not_found,
             self._knows_all_agents,
         )
-        self._listed_at: Millis | None = None
-        self._scopes_sent: dict[Endpoint, Millis] = {}
+        self._first_listed_at: Millis | None = None
+        self._scope_sent_at: dict[Endpoint, Millis] = {}
 
     @property
     def site(self) -> SiteVersion | None:
@@ -106,9 +111,9 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When `on_timer` is to be called next."""
+        """Time at which `on_timer` must be called next; None if no timer is pending."""
         due = (self._openings.due_at, self._lookup.due_at)
-        return min((one for one in due if one is not None), default=None)
+        return min((at for at in due if at is not None), default=None)
 
     def apply_site(self, site: SiteVersion) -> bool:
         """Apply a configuration if it is newer; return whether it was applied."""
@@ -118,13 +123,16 @@
         return True
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
-        """Handle the completion of a full read of the agents' store entries."""
-        if self._listed_at is None:
-            self._listed_at = now
+        """Handle the completion of a full read of the agents' store entries.
+
+        Continues the owner lookups that waited for it.
+        """
+        if self._first_listed_at is None:
+            self._first_listed_at = now
         return self._lookup.on_agents_listed(now)
 
     def notify_missing_agents(self) -> list[Action]:
-        """Notify agents whose store entries are missing, so that they restore them."""
+        """Return frames that ask agents to restore missing store entries."""
         return [
             SendFrame(view.endpoint, EntryMissingFrame(view.entry.service))
             for view in self._roster
@@ -132,8 +140,8 @@
         ]
 
     def on_client_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
-        """Handle a packet from a client."""
-        if self._site is None or packet.bounced:
+        """Handle a packet from a client and return the resulting actions."""
+        if self._site is None or packet.rejected_by_backend:
             return []
         route = self._site.routes.get(packet.entry)
         if route is None:
@@ -141,7 +149,9 @@
         if packet.kind is PacketKind.OPEN:
             return self._on_opening(packet, route, now)
         if packet.kind is PacketKind.ACCEPT:
-            return [Note("forged packet dropped", {"flow": show_flow(packet.flow)})]
+            return [
+                LogEvent("forged packet dropped", {"flow": format_flow(packet.flow)})
+            ]
         cached = self._flows.find(packet.flow)
         if cached is None:
             return self._lookup.find_owner(packet, now)
@@ -151,7 +161,7 @@
     def on_frame(
         self, frame: ToBalancer, source: Endpoint, now: Millis
     ) -> list[Action]:
-        """Handle a frame from an agent."""
+        """Handle a frame from an agent and return the resulting actions."""
         view = self._roster.find(source)
         if view is None:
             # The agent's store entry hasn't reached this balancer yet; a later frame
@@ -161,13 +171,13 @@
         return [
             *self._handle_version_mismatch(view, frame.load, now),
             *self._handle_frame(frame, view, now),
-            *self._offer_waiting(view, now),
+            *self._offer_waiting_openings(view, now),
         ]
 
     def on_timer(self, now: Millis) -> list[Action]:
         """Handle timeouts and due retries, and remove idle flows from the cache."""
         actions: list[Action] = []
-        overdue = self._openings.pop_overdue(now)
+        overdue = self._openings.take_due(now)
         for opening in sorted(overdue, key=self._priority_of):
             actions += self._on_offer_due(opening, now)
         actions += self._lookup.on_timer(now)
@@ -180,6 +190,7 @@
     def _on_opening(
         self, packet: FlowPacket, route: Route, now: Millis
     ) -> list[Action]:
+        """Offer an opening to an agent, or resend it to the agent that accepted it."""
         cached = self._flows.find(packet.flow)
         if cached is not None and cached.is_confirmed:
             # The acceptance was lost on the way to the client. The backend server
@@ -190,28 +201,36 @@
         return self._offer(opening, route, now)
 
     def _offer(self, opening: Opening, route: Route, now: Millis) -> list[Action]:
+        """Offer an opening to an agent that hasn't been tried yet.
+
+        If there is none, another round of offers is scheduled. The opening is refused
+        if it would be too old by then, or if a backend server has rejected it.
+        """
         packet = opening.packet
         service = _pick_service(route, packet)
-        agent = self._choose(service, opening, now)
+        agent = self._choose_agent(service, opening, now)
         if agent is None or opening.is_exhausted:
             if not opening.is_declined and self._openings.schedule_retry(
                 opening, service, now
             ):
                 return []
-            return self._refuse(opening, service)
+            return self._refuse_opening(opening, service)
         return self._offer_to(agent, opening, route, now)
 
     def _offer_to(
         self, agent: AgentView, opening: Opening, route: Route, now: Millis
     ) -> list[Action]:
+        """Offer an opening to `agent` and record the offer."""
         packet = opening.packet
         self._openings.record_offer(opening, agent, now)
-        agent.pending += 1
+        agent.pending_offers += 1
         self._flows.put(packet.flow, agent, now, is_confirmed=False)
-        note = Note("opening offered", self._describe_offer(opening, agent, route))
-        return [self._make_open_frame(agent, packet), note]
+        log_event = LogEvent(
+            "opening offered", self._describe_offer(opening, agent, route)
+        )
+        return [self._make_open_frame(agent, packet), log_event]
 
-    def _offer_waiting(self, agent: AgentView, now: Millis) -> list[Action]:
+    def _offer_waiting_openings(self, agent: AgentView, now: Millis) -> list[Action]:
         """Offer waiting openings to an agent that has free capacity."""
         if agent.free_capacity <= 0:
             return []
@@ -226,11 +245,14 @@
                 actions += self._offer_to(agent, opening, route, now)
         return actions
 
-    def _choose(self, service: str, opening: Opening, now: Millis) -> AgentView | None:
+    def _choose_agent(
+        self, service: str, opening: Opening, now: Millis
+    ) -> AgentView | None:
+        """Return the agent that gets an opening next, or None if there is none."""
         untried = [
             view
             for view in self._roster.list_service(service)
-            if view.endpoint not in opening.tried and not view.is_gone(now)
+            if view.endpoint not in opening.tried_agents and not view.is_gone(now)
         ]
         available = [view for view in untried if view.accepts_openings(now)]
         # A suspect agent may still answer, whereas an opening that isn't offered to
@@ -241,23 +263,26 @@
         return self._chooser.choose(opening.packet.flow, candidates, now)
 
     def _make_open_frame(self, agent: AgentView, packet: FlowPacket) -> SendFrame:
+        """Return the action that sends an opening to an agent."""
         version = self._site.version if self._site is not None else 0
         frame = OpenFrame(agent.entry.service, version, packet)
         return SendFrame(agent.endpoint, frame)
 
-    def _refuse(self, opening: Opening, service: str) -> list[Action]:
+    def _refuse_opening(self, opening: Opening, service: str) -> list[Action]:
+        """Discard an opening and reset its client."""
         packet = opening.packet
         self._openings.end(packet.flow)
         self._flows.drop(packet.flow)
         fields = {
-            "flow": show_flow(packet.flow),
+            "flow": format_flow(packet.flow),
             "service": service,
             "declined": opening.is_declined,
             "outcome": "not run",
         }
-        return [ResetClient(packet.flow, 0), Note("opening refused", fields)]
+        return [ResetClient(packet.flow, 0), LogEvent("opening refused", fields)]
 
     def _priority_of(self, opening: Opening) -> int:
+        """Return the priority of an opening's route; 0 is served first."""
         route = self._find_route(opening.packet)
         return route.priority if route is not None else 0
 
@@ -276,27 +301,28 @@
         suspected_ms = agent.mark_suspect(now)
         fields = {
             "agent": agent.endpoint,
-            "flow": show_flow(opening.packet.flow),
+            "flow": format_flow(opening.packet.flow),
             "suspected_ms": suspected_ms,
         }
         return [
-            Note("opening unanswered", fields),
+            LogEvent("opening unanswered", fields),
             *self._offer(opening, route, now),
         ]
 
     def _describe_offer(
         self, opening: Opening, agent: AgentView, route: Route
     ) -> dict[str, object]:
+        """Return the log fields of an offer."""
         load = agent.load
         return {
-            "flow": show_flow(opening.packet.flow),
+            "flow": format_flow(opening.packet.flow),
             "route": route.name,
             "version": self._site.version if self._site is not None else 0,
             "agent": agent.endpoint,
-            "offer": len(opening.tried),
+            "offer": len(opening.tried_agents),
             "copy": opening.packet.copy,
             "busy": load.busy if load is not None else None,
-            "pending": agent.pending,
+            "pending": agent.pending_offers,
         }
 
     # Frames from agents
@@ -304,6 +330,7 @@
     def _handle_frame(
         self, frame: ToBalancer, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Handle a frame whose load report has been recorded."""
         match frame:
             case OpenedFrame():
                 return self._on_opened(frame, view, now)
@@ -317,21 +344,23 @@
     def _on_opened(
         self, frame: OpenedFrame, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Record that an agent's backend server has accepted an opening."""
         opening = self._openings.end(frame.flow)
         self._flows.put(frame.flow, view, now, is_confirmed=True)
         if opening is None:
             return []
         fields = {
-            "flow": show_flow(frame.flow),
+            "flow": format_flow(frame.flow),
             "agent": view.endpoint,
             "ms": now - opening.started_at,
-            "offers": len(opening.tried),
+            "offers": len(opening.tried_agents),
         }
-        return [Note("opening accepted", fields)]
+        return [LogEvent("opening accepted", fields)]
 
     def _on_returned(
         self, frame: ReturnFrame, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Find the right agent for a packet that an agent sent back."""
         packet = frame.packet
         route = self._find_route(packet)
         if route is None:
@@ -350,29 +379,31 @@
     def _on_returned_opening(
         self, frame: ReturnFrame, view: AgentView, route: Route, now: Millis
     ) -> list[Action]:
+        """Offer a returned opening to another agent, unless it is outdated."""
         packet = frame.packet
         fields = {
-            "flow": show_flow(packet.flow),
+            "flow": format_flow(packet.flow),
             "agent": view.endpoint,
             "reason": frame.reason.name.lower(),
         }
-        note = Note("opening returned", fields)
+        log_event = LogEvent("opening returned", fields)
         if frame.reason is ReturnReason.BUSY:
             view.start_backoff(now)
         opening = self._openings.find(packet.flow)
         if opening is None or opening.agent is not view:
             # The opening has been offered to another agent since, or is finished.
-            return [note]
+            return [log_event]
         if frame.reason is ReturnReason.OLD_VERSION:
             self._openings.end(packet.flow)
             self._flows.drop(packet.flow)
-            return [note]
+            return [log_event]
         opening.is_declined |= frame.reason is ReturnReason.FULL
-        return [note, *self._offer(opening, route, now)]
+        return [log_event, *self._offer(opening, route, now)]
 
     def _on_owner_replies(
         self, frame: OwnerReplyFrame, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Handle replies to owner queries; an owner's reply also ends its opening."""
         actions: list[Action] = []
         for reply in frame.replies:
             if reply.ownership is Ownership.OWNER:
@@ -393,32 +424,32 @@
         if load.site_version > self._site.version:
             self._on_newer_version()
             return
-        sent_at = self._scopes_sent.get(view.endpoint)
+        sent_at = self._scope_sent_at.get(view.endpoint)
         if sent_at is not None and now - sent_at < SCOPE_INTERVAL_MS:
             return
-        self._scopes_sent[view.endpoint] = now
+        self._scope_sent_at[view.endpoint] = now
         yield SendFrame(
             view.endpoint, _make_scope_frame(self._site, view.entry.service)
         )
 
     def _knows_all_agents(self, agents: list[AgentView], now: Millis) -> bool:
-        """Return whether the known agents are all agents, so none owns a denied flow.
+        """Return whether `agents` includes every agent that may own a flow.
 
         At the first read of the store, the entry of a running agent may be missing; it
         is restored within `MISSING_GRACE_MS`. If all backend servers have started
         recently, no earlier flow can exist and there is no need to wait.
         """
-        listed_at = self._listed_at
-        if listed_at is None:
+        first_listed_at = self._first_listed_at
+        if first_listed_at is None:
             return False
-        if now - listed_at > MISSING_GRACE_MS:
+        if now - first_listed_at > MISSING_GRACE_MS:
             return True
-        start = Millis(listed_at - RESTART_SPREAD_MS)
+        start = Millis(first_listed_at - RESTART_SPREAD_MS)
         return all(view.backend_started_after(start) for view in agents)
 
     # Routes
 
-    def _list_agents(self, packet: FlowPacket) -> list[AgentView]:
+    def _list_routed_agents(self, packet: FlowPacket) -> list[AgentView]:
         """Return the agents of all services that the packet's entry is routed to."""
         route = self._find_route(packet)
         return [
@@ -428,20 +459,22 @@
         ]
 
     def _find_route(self, packet: FlowPacket) -> Route | None:
+        """Return the route of the entry that a packet was sent to, or None."""
         if self._site is None:
             return None
         return self._site.routes.get(packet.entry)
 
     def _reset_unrouted(self, packet: FlowPacket) -> list[Action]:
+        """Reset the flow of a packet whose entry has no route."""
         self._flows.drop(packet.flow)
         if packet.kind is PacketKind.ABORT:
             return []
         fields = {
-            "flow": show_flow(packet.flow),
+            "flow": format_flow(packet.flow),
             "version": self._site.version if self._site is not None else 0,
         }
         reset = ResetClient(packet.flow, packet.acknowledged or 0)
-        return [reset, Note("entry not routed", fields)]
+        return [reset, LogEvent("entry not routed", fields)]
 
 
 def _pick_service(route: Route, packet: FlowPacket) -> str:
@@ -452,19 +485,20 @@
     """
     if len(route.services) == 1:
         return route.services[0].name
-    total = sum(one.weight for one in route.services)
+    total = sum(service.weight for service in route.services)
     point = unit_hash(packet.flow, b"service") * total
-    for one in route.services:
-        point -= one.weight
+    for service in route.services:
+        point -= service.weight
         if point <= 0:
-            return one.name
+            return service.name
     return route.services[-1].name
 
 
 def _make_scope_frame(site: SiteVersion, service: str) -> ScopeFrame:
+    """Return a frame that lists the entries routed to a service."""
     entries = frozenset(
         entry
         for entry, route in site.routes.items()
-        if any(one.name == service for one in route.services)
+        if any(candidate.name == service for candidate in route.services)
     )
     return ScopeFrame(service, site.version, entries)
--- a/src/papayagw/_internal/core/plain/flow_cache.py
+++ b/src/papayagw/_internal/core/plain/flow_cache.py
@@ -1,4 +1,4 @@
-"""Cache of the agents that own flows.
+"""A balancer's cache of which agent owns which flow.
 
 A balancer may lose the cache at any time, because agents can be queried for the owner.
 """
@@ -15,7 +15,7 @@
 
 
 class CachedFlow:
-    """The owner of one flow.
+    """The cached owner of one flow.
 
     Parameters
     ----------
@@ -36,37 +36,37 @@
 
 
 class FlowCache:
-    """The owners of flows; at capacity, the flow cached first is evicted."""
+    """Owners by flow. If the cache is full, the flow added first is evicted."""
 
     def __init__(self) -> None:
         self._flows: dict[FlowKey, CachedFlow] = {}
-        self._swept_at = Millis(0)
+        self._last_sweep_at = Millis(0)
 
     def __len__(self) -> int:
         return len(self._flows)
 
     def find(self, flow: FlowKey) -> CachedFlow | None:
-        """Return the owner of a flow, or None."""
+        """Return the cached owner of a flow, or None if there is none."""
         return self._flows.get(flow)
 
     def put(
         self, flow: FlowKey, agent: AgentView, now: Millis, *, is_confirmed: bool
     ) -> None:
-        """Store the owner of a flow."""
+        """Store the owner of a flow, replacing an earlier one."""
         if len(self._flows) >= MAX_FLOWS:
             del self._flows[next(iter(self._flows))]
         self._flows[flow] = CachedFlow(agent, now, is_confirmed)
 
     def drop(self, flow: FlowKey) -> None:
-        """Remove a flow."""
+        """Remove the owner of a flow, if cached."""
         self._flows.pop(flow, None)
 
     def sweep(self, now: Millis, idle_ms: Millis) -> None:
         """Remove flows idle for `idle_ms`, at most every `SWEEP_INTERVAL_MS`."""
-        if now - self._swept_at < SWEEP_INTERVAL_MS:
+        if now - self._last_sweep_at < SWEEP_INTERVAL_MS:
             return
-        self._swept_at = now
+        self._last_sweep_at = now
         limit = now - idle_ms
-        silent = [key for key, one in self._flows.items() if one.seen_at < limit]
-        for key in silent:
+        idle = [key for key, cached in self._flows.items() if cached.seen_at < limit]
+        for key in idle:
             del self._flows[key]
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -1,4 +1,4 @@
-"""Openings that no agent has accepted yet."""
+"""A balancer's openings that no agent has accepted yet."""
 
 from collections.abc import Reversible
 
@@ -26,7 +26,7 @@
 """The retry interval is at least the age of the opening divided by this."""
 
 OPENING_TIMEOUT_MS = Millis(1_300)
-"""Age up to which an opening is offered; the client gives up after 1.4 s."""
+"""Age of an opening after which it isn't offered; the client gives up after 1.4 s."""
 
 COPY_AGES_MS = (Millis(0), Millis(200), Millis(600))
 """Age of an opening when the client sends its first packet and each retransmission.
@@ -35,7 +35,7 @@
 """
 
 MAX_OFFERS = 5
-"""Maximum number of agents that one opening is offered to."""
+"""Maximum number of agents that one opening is offered to before a retry delay."""
 
 MAX_OPENINGS = 4_096
 """Maximum number of openings in progress; beyond it the oldest is dropped."""
@@ -50,14 +50,21 @@
         The latest copy of the client's packet.
     started_at : Millis
         When the client sent the first copy.
+
+    Attributes
+    ----------
+    tried_agents : set of Endpoint
+        Agents that the opening was offered to in this round.
+    agent : AgentView or None
+        The agent with the unanswered offer; None while the opening waits for a retry.
     """
 
-    __slots__ = ("agent", "is_declined", "packet", "started_at", "tried")
+    __slots__ = ("agent", "is_declined", "packet", "started_at", "tried_agents")
 
     def __init__(self, packet: FlowPacket, started_at: Millis):
         self.packet = packet
         self.started_at = started_at
-        self.tried: set[Endpoint] = set()
+        self.tried_agents: set[Endpoint] = set()
         self.agent: AgentView | None = None
         self.is_declined = False
         """Whether a backend server that accepts openings has rejected this one."""
@@ -65,27 +72,27 @@
     @property
     def is_exhausted(self) -> bool:
         """Whether the opening has been offered to `MAX_OFFERS` agents."""
-        return len(self.tried) >= MAX_OFFERS
+        return len(self.tried_agents) >= MAX_OFFERS
 
 
 class Openings:
-    """The openings in progress."""
+    """The openings in progress, with their timeouts and retries."""
 
     def __init__(self) -> None:
         self._openings: dict[FlowKey, Opening] = {}
         self._deadlines: DeadlineQueue[FlowKey] = DeadlineQueue()
-        self._waiting: dict[str, dict[FlowKey, Opening]] = {}
+        self._waiting_by_service: dict[str, dict[FlowKey, Opening]] = {}
 
     def __len__(self) -> int:
         return len(self._openings)
 
     @property
     def due_at(self) -> Millis | None:
-        """When the next offer times out or the next retry is due."""
+        """Time of the next offer timeout or retry; None if there is none."""
         return self._deadlines.next_at
 
     def find(self, flow: FlowKey) -> Opening | None:
-        """Return the opening of a flow, or None."""
+        """Return the opening in progress of a flow, or None."""
         return self._openings.get(flow)
 
     def begin(self, packet: FlowPacket, now: Millis) -> Opening:
@@ -105,7 +112,7 @@
         """Record that an opening was offered to an agent, and start the timeout."""
         self._remove_waiting(opening.packet.flow)
         opening.agent = agent
-        opening.tried.add(agent.endpoint)
+        opening.tried_agents.add(agent.endpoint)
         self._deadlines.set(opening.packet.flow, Millis(now + OFFER_TIMEOUT_MS))
 
     def schedule_retry(self, opening: Opening, service: str, now: Millis) -> bool:
@@ -116,9 +123,9 @@
         bool
             False if the opening would be too old by then.
         """
-        self._waiting.setdefault(service, {})[opening.packet.flow] = opening
+        self._waiting_by_service.setdefault(service, {})[opening.packet.flow] = opening
         opening.agent = None
-        opening.tried.clear()
+        opening.tried_agents.clear()
         age = now - opening.started_at
         # Back off with age: the older an opening is, the less an early retry gains.
         wait = max(MIN_RETRY_MS, age // RETRY_AGE_DIVISOR)
@@ -127,7 +134,7 @@
 
     def list_waiting(self, service: str) -> list[Opening]:
         """Return the openings waiting for an agent of a service, newest first."""
-        return _sort_newest_first(self._waiting.get(service, {}).values())
+        return _sort_newest_first(self._waiting_by_service.get(service, {}).values())
 
     def end(self, flow: FlowKey) -> Opening | None:
         """Remove and return an opening, or return None if it isn't known."""
@@ -135,20 +142,22 @@
         self._deadlines.set(flow, None)
         return self._openings.pop(flow, None)
 
-    def pop_overdue(self, now: Millis) -> list[Opening]:
-        """Return the openings to offer again, without removing them.
+    def take_due(self, now: Millis) -> list[Opening]:
+        """Return the openings whose offer has timed out or whose retry is due.
 
-        The newest come first, because they can still meet the latency objective.
+        They stay in progress, but without a deadline. The newest come first, because
+        they can still meet the latency objective.
         """
         due = self._deadlines.pop_due(now)
         return _sort_newest_first([self._openings[flow] for flow in due])
 
     def _remove_waiting(self, flow: FlowKey) -> None:
-        for openings in self._waiting.values():
+        """Remove an opening from those that wait for an agent."""
+        for openings in self._waiting_by_service.values():
             openings.pop(flow, None)
 
 
 def _sort_newest_first(openings: Reversible[Opening]) -> list[Opening]:
     """Return openings, newest first; of equally old ones, the last added first."""
     latest = reversed(openings)
-    return sorted(latest, key=lambda one: one.started_at, reverse=True)
+    return sorted(latest, key=lambda opening: opening.started_at, reverse=True)
--- a/src/papayagw/_internal/core/plain/owner_search.py
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from papayagw._internal.core.plain.flow_cache import FlowCache
-from papayagw._internal.core.plain.questions import (
+from papayagw._internal.core.plain.pending_lookups import (
     PendingLookup,
     PendingLookups,
     Stage,
@@ -16,7 +16,12 @@
 from papayagw._internal.core.plain.roster import AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.action import Action, Note, ResetClient, SendFrame
+from papayagw._internal.models.plain.action import (
+    Action,
+    LogEvent,
+    ResetClient,
+    SendFrame,
+)
 from papayagw._internal.models.plain.frame import (
     ForwardFrame,
     OwnerQuery,
@@ -24,7 +29,7 @@
     OwnerReply,
     Ownership,
 )
-from papayagw._internal.models.plain.packet import FlowPacket, show_flow
+from papayagw._internal.models.plain.packet import FlowPacket, format_flow
 
 
 class OwnerLookup:
@@ -39,8 +44,8 @@
     flows : FlowCache
         Cache of the owners that were found.
     on_owner_not_found : callable
-        Called when all known agents have denied owning a flow, so that the list of
-        agents is read again.
+        Called when all known agents have replied that they don't own a flow. The
+        caller then reads the list of agents again.
     knows_all_agents : callable
         Returns whether the given agents are all agents that may own a flow.
     """
@@ -62,7 +67,7 @@
 
     @property
     def due_at(self) -> Millis | None:
-        """When `on_timer` is to be called next."""
+        """Time at which `on_timer` must be called next; None if no timer is pending."""
         return self._lookups.due_at
 
     def find_owner(
@@ -77,7 +82,7 @@
         now : Millis
             The current time.
         excluded : AgentView or None
-            The agent that has just returned the packet, and isn't queried.
+            An agent that has just returned the packet and therefore isn't queried.
         """
         lookup = self._lookups.find(packet.flow)
         if lookup is not None:
@@ -87,7 +92,7 @@
         lookup = self._lookups.begin(packet, pending_agents, now) if agents else None
         if lookup is None:
             return []
-        lookup.hold(packet)
+        lookup.hold_packet(packet)
         return [_make_query(view, packet) for view in agents]
 
     def on_reply(self, reply: OwnerReply, view: AgentView, now: Millis) -> list[Action]:
@@ -95,16 +100,16 @@
         if reply.ownership is Ownership.OWNER:
             return self._on_owner_found(reply, view, now)
         lookup = self._lookups.find(reply.flow)
-        if lookup is None or lookup.stage is not Stage.ASKING:
+        if lookup is None or lookup.stage is not Stage.QUERYING:
             return []
         lookup.record_reply(view.endpoint, reply.ownership)
-        return [] if lookup.pending_agents else self._on_replies_done(lookup, now)
+        return [] if lookup.pending_agents else self._end_querying(lookup, now)
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """Continue the lookups whose replies are overdue."""
+        """End the wait for overdue replies and return the resulting actions."""
         actions: list[Action] = []
         for lookup in self._lookups.pop_due(now):
-            actions += self._on_replies_done(lookup, now)
+            actions += self._end_querying(lookup, now)
         return actions
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
@@ -112,10 +117,12 @@
         actions: list[Action] = []
         for lookup in self._lookups.list_confirming():
             agents = self._list_agents(lookup.last_packet)
-            others = [view for view in agents if view.endpoint not in lookup.asked]
+            others = [
+                view for view in agents if view.endpoint not in lookup.queried_agents
+            ]
             if others:
-                asked = {view.endpoint for view in others}
-                self._lookups.ask_others(lookup, asked, now)
+                endpoints = {view.endpoint for view in others}
+                self._lookups.query_others(lookup, endpoints, now)
                 actions += [_make_query(view, lookup.last_packet) for view in others]
             elif self._knows_all_agents(agents, now):
                 actions += self._reset_ownerless(lookup)
@@ -124,17 +131,18 @@
     def _on_owner_found(
         self, reply: OwnerReply, view: AgentView, now: Millis
     ) -> list[Action]:
+        """Cache the owner and forward the held packets to it."""
         self._flows.put(reply.flow, view, now, is_confirmed=True)
         lookup = self._lookups.end(reply.flow)
         if lookup is None:
             return []
-        fields = {"flow": show_flow(reply.flow), "agent": view.endpoint}
+        fields = {"flow": format_flow(reply.flow), "agent": view.endpoint}
         return [
             *(
-                make_forward(view, held)
-                for held in lookup.list_for_owner(view.endpoint)
+                make_forward(view, packet)
+                for packet in lookup.list_packets_for_owner(view.endpoint)
             ),
-            Note("owner found", fields),
+            LogEvent("owner found", fields),
         ]
 
     def _add_packet(
@@ -144,15 +152,16 @@
         excluded: AgentView | None,
         now: Millis,
     ) -> list[Action]:
+        """Add another packet of the flow to a lookup in progress."""
         if excluded is None:
-            lookup.hold(packet)
+            lookup.hold_packet(packet)
             return (
                 []
-                if lookup.stage is Stage.ASKING
+                if lookup.stage is Stage.QUERYING
                 else self._forward_to_candidates(lookup)
             )
-        if lookup.stage is Stage.ASKING:
-            lookup.hold(packet)
+        if lookup.stage is Stage.QUERYING:
+            lookup.hold_packet(packet)
             return []
         lookup.last_packet = packet
         # The agent was a candidate and isn't the owner. The other candidates already
@@ -160,38 +169,43 @@
         lookup.record_reply(excluded.endpoint, Ownership.NOT_OWNER)
         return self._confirm_no_owner(lookup, now)
 
-    def _on_replies_done(self, lookup: PendingLookup, now: Millis) -> list[Action]:
-        """Forward the held packets to the agents that may own the flow, if any."""
+    def _end_querying(self, lookup: PendingLookup, now: Millis) -> list[Action]:
+        """Stop waiting for replies to the owner queries.
+
+        The first held packets are forwarded to the agents that may own the flow.
+        """
         fields = {
-            "flow": show_flow(lookup.flow),
+            "flow": format_flow(lookup.flow),
             "unsure": len(lookup.candidates),
             "silent": len(lookup.pending_agents),
         }
-        self._lookups.start_trial(lookup, now)
+        self._lookups.finish_querying(lookup, now)
         return [
-            Note("owner unknown", fields),
+            LogEvent("owner unknown", fields),
             *self._forward_to_candidates(lookup),
             *self._confirm_no_owner(lookup, now),
         ]
 
     def _confirm_no_owner(self, lookup: PendingLookup, now: Millis) -> list[Action]:
-        """Have the list of agents read again if every queried agent denies the flow."""
+        """Request a new list of agents if every queried agent denies the flow."""
         if not lookup.is_denied or lookup.last_packet.kind.is_closing:
             return []
         if lookup.stage is not Stage.CONFIRMING:
-            self._lookups.confirm(lookup, now)
+            self._lookups.start_confirming(lookup, now)
             self._on_owner_not_found()
         return []
 
     def _reset_ownerless(self, lookup: PendingLookup) -> list[Action]:
+        """Reset the client of a flow that no agent owns."""
         self._lookups.end(lookup.flow)
         self._flows.drop(lookup.flow)
         reset = ResetClient(lookup.flow, lookup.last_packet.acknowledged or 0)
-        fields = {"flow": show_flow(lookup.flow), "asked": len(lookup.asked)}
-        return [reset, Note("flow has no owner", fields)]
+        fields = {"flow": format_flow(lookup.flow), "asked": len(lookup.queried_agents)}
+        return [reset, LogEvent("flow has no owner", fields)]
 
     def _forward_to_candidates(self, lookup: PendingLookup) -> list[Action]:
-        packets = lookup.pop_trial_packets()
+        """Forward the next trial packets to the agents that may own the flow."""
+        packets = lookup.next_trial_packets()
         views = [self._find_agent(endpoint) for endpoint in lookup.candidates]
         return [
             make_forward(view, packet)
@@ -207,5 +221,6 @@
 
 
 def _make_query(agent: AgentView, packet: FlowPacket) -> SendFrame:
+    """Return the action that queries an agent for the owner of a packet's flow."""
     query = OwnerQuery(packet.flow, packet.acknowledged)
     return SendFrame(agent.endpoint, OwnerQueryFrame(agent.entry.service, (query,)))
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -1,4 +1,4 @@
-"""Resolution of flow ownership by an agent."""
+"""An agent's replies to the query whether it owns a flow."""
 
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.owned_flows import OwnedFlows
@@ -40,7 +40,7 @@
         self._flows = flows
         self._backend = backend
         self._started_at = now
-        self._unsure_until = Millis(now + flow_limit_ms)
+        self._knows_all_flows_from = Millis(now + flow_limit_ms)
 
     def resolve(self, query: OwnerQuery, now: Millis) -> Ownership:
         """Return whether the backend server owns the flow, as far as is known."""
@@ -51,20 +51,24 @@
         if owned is not None:
             # The backend server still answers late packets of an ended flow.
             return Ownership.OWNER
-        return Ownership.UNKNOWN if now < self._unsure_until else Ownership.NOT_OWNER
+        return (
+            Ownership.UNKNOWN
+            if now < self._knows_all_flows_from
+            else Ownership.NOT_OWNER
+        )
 
     def begin_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> None:
-        """Record the age of a new run.
+        """Record the age of a new run of the backend server.
 
         Called once per run, since the wall clock may be set back later.
         """
         self._backend.record_age(age_ms, now)
         if self._observed_whole_run(report, age_ms, now):
-            self._unsure_until = now
+            self._knows_all_flows_from = now
 
     def _observed_whole_run(
         self, report: StatusReport, age_ms: Millis, now: Millis
     ) -> bool:
-        """Whether all flows of the run passed through this agent."""
+        """Whether all flows of the run have passed through this agent."""
         max_age_ms = max(now - self._started_at, self._backend.max_first_report_age_ms)
         return 0 <= age_ms <= max_age_ms and report.number <= MAX_EARLY_REPORTS
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from papayagw._internal.core.plain.admission import request_limit
+from papayagw._internal.core.plain.admission import max_concurrent_requests
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.instance import (
@@ -11,13 +11,13 @@
     Availability,
 )
 
-LOAD_FRESH_MS = Millis(300)
-"""Age up to which the reported number of requests in progress is used.
+MAX_LOAD_AGE_MS = Millis(300)
+"""Age up to which a reported number of requests in progress is relied on.
 
 Three times the interval between an agent's load reports.
 """
 
-UNAVAILABLE_MS = Millis(1_000)
+UNAVAILABLE_VALIDITY_MS = Millis(1_000)
 """How long a report that an agent accepts no openings stays valid.
 
 The report that it accepts them again may be lost, and an offer that is returned costs
@@ -31,13 +31,14 @@
 """
 
 BUSY_BACKOFF_MS = Millis(1_000)
-"""How long an agent that was busy gets no offers unless it reports free capacity.
+"""How long an agent that returned an opening as busy gets no offers.
 
-It reports free capacity immediately, but the report may be lost.
+It reports free capacity immediately, which ends the backoff, but the report may be
+lost.
 """
 
-FIRST_SUSPICION_MS = Millis(400)
-"""How long an agent is suspect the first time.
+INITIAL_SUSPICION_MS = Millis(400)
+"""How long an agent is suspect the first time since its last load report.
 
 An agent is suspect if it left an offer unanswered, or returned a packet as `SILENT` or
 `WRONG_SERVICE`. It then gets offers only if no other agent accepts openings.
@@ -45,8 +46,8 @@
 The time suffices to receive a load report from the agent in normal operation.
 """
 
-LONGEST_SUSPICION_MS = Millis(4_000)
-"""Upper limit of the time as suspect, which doubles from `FIRST_SUSPICION_MS`."""
+MAX_SUSPICION_MS = Millis(4_000)
+"""Upper limit of the time as suspect, which doubles from `INITIAL_SUSPICION_MS`."""
 
 
 class AgentView:
@@ -56,6 +57,23 @@
     ----------
     entry : AgentEntry
         The agent's store entry.
+
+    Attributes
+    ----------
+    load : AgentLoad or None
+        The last load report; None if there was none.
+    load_received_at : Millis
+        When the last load report arrived.
+    missing_since : Millis or None
+        When the store entry was found missing; None while it exists.
+    pending_offers : int
+        Number of openings offered since the last load report.
+    suspicion_count : int
+        Number of suspicions since the last load report, which lengthen the next one.
+    suspect_until : Millis
+        End of the time as suspect.
+    backoff_until : Millis
+        End of the time without offers after a rejection as busy.
     """
 
     __slots__ = (
@@ -63,8 +81,8 @@
         "load_received_at",
         "load",
         "missing_since",
-        "pending",
-        "unanswered_count",
+        "pending_offers",
+        "suspicion_count",
         "suspect_until",
         "backoff_until",
     )
@@ -74,14 +92,14 @@
         self.load: AgentLoad | None = None
         self.load_received_at = Millis(0)
         self.missing_since: Millis | None = None
-        self.pending = 0
-        self.unanswered_count = 0
+        self.pending_offers = 0
+        self.suspicion_count = 0
         self.suspect_until = Millis(0)
         self.backoff_until = Millis(0)
 
     @property
     def endpoint(self) -> Endpoint:
-        """Where the agent receives frames."""
+        """UDP endpoint at which the agent receives frames."""
         return self.entry.endpoint
 
     def record_load(self, load: AgentLoad, now: Millis) -> None:
@@ -91,8 +109,8 @@
         """
         self.load = load
         self.load_received_at = now
-        self.pending = 0
-        self.unanswered_count = 0
+        self.pending_offers = 0
+        self.suspicion_count = 0
         self.suspect_until = Millis(0)
         if self.free_capacity > 0:
             self.backoff_until = Millis(0)
@@ -103,9 +121,9 @@
 
     def mark_suspect(self, now: Millis) -> Millis:
         """Mark the agent as suspect; return for how long."""
-        wait = min(FIRST_SUSPICION_MS << self.unanswered_count, LONGEST_SUSPICION_MS)
-        if wait < LONGEST_SUSPICION_MS:
-            self.unanswered_count += 1
+        wait = min(INITIAL_SUSPICION_MS << self.suspicion_count, MAX_SUSPICION_MS)
+        if wait < MAX_SUSPICION_MS:
+            self.suspicion_count += 1
         self.suspect_until = Millis(now + wait)
         return Millis(wait)
 
@@ -133,7 +151,7 @@
         load = self.load
         if load is None:
             return 0
-        return request_limit(load.slots) - load.busy - self.pending
+        return max_concurrent_requests(load.slots) - load.busy - self.pending_offers
 
     def backend_started_after(self, at: Millis) -> bool:
         """Return whether the backend server is known to have started after `at`."""
@@ -144,7 +162,7 @@
 
     def _is_busy(self, now: Millis) -> bool:
         """Return whether a recent load report leaves no free capacity."""
-        if self.load is None or now - self.load_received_at > LOAD_FRESH_MS:
+        if self.load is None or now - self.load_received_at > MAX_LOAD_AGE_MS:
             return False
         return self.free_capacity <= 0
 
@@ -158,7 +176,7 @@
         load = self.load
         if load is None or load.availability is Availability.READY:
             return True
-        return now - self.load_received_at > UNAVAILABLE_MS
+        return now - self.load_received_at > UNAVAILABLE_VALIDITY_MS
 
 
 class Roster:
@@ -223,6 +241,7 @@
         return gone
 
     def _remove(self, key: str, view: AgentView) -> None:
+        """Remove an agent from all indexes."""
         del self._by_key[key]
         if self._by_endpoint.get(view.endpoint) is view:
             del self._by_endpoint[view.endpoint]
--- a/src/papayagw/_internal/models/plain/instance.py
+++ b/src/papayagw/_internal/models/plain/instance.py
@@ -8,7 +8,7 @@
 
 
 class ReportedState(Enum):
-    """State that a backend server reports."""
+    """Whether a backend server accepts new flows, as it reports."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusReport:
-    """Heartbeat of a backend server.
+    """Status that a backend server reports to its agent at regular intervals.
 
     Attributes
     ----------
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -10,7 +10,7 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
     Action,
-    Note,
+    LogEvent,
     ResetClient,
     RestoreEntry,
     SendFrame,
@@ -36,7 +36,7 @@
 
 
 class PlainAgentProcess:
-    """Runs the agent core with its sockets, HTTP servers and store client.
+    """Process of one agent: the core with its sockets, HTTP servers and store client.
 
     Parameters
     ----------
@@ -86,7 +86,7 @@
         runtime = self._runtime
         runtime.start()
         self._outbound.start()
-        runtime.loop.watch(self._outbound, self._read_outbound)
+        runtime.loop.watch(self._outbound, self._receive_backend_packets)
         runtime.watch_frames(self._on_frame)
         runtime.serve(self._settings.readiness, self._handle_probe)
         runtime.serve(self._settings.reports, self._handle_report)
@@ -102,7 +102,8 @@
 
     # Packets and frames
 
-    def _read_outbound(self) -> None:
+    def _receive_backend_packets(self) -> None:
+        """Handle the packets that the backend server has sent."""
         now = self._runtime.loop.now()
         for raw, _ in self._outbound.receive_batch():
             packet = self._platform.decode_backend_packet(raw)
@@ -112,15 +113,18 @@
             self._perform(self._core.on_backend_packet(packet, now))
 
     def _on_frame(self, frame: Frame, source: Endpoint) -> None:
+        """Pass a balancer's frame to the core."""
         if not isinstance(frame, ToAgent):
             self._runtime.metrics.count("frames of the wrong kind")
             return
         self._perform(self._core.on_frame(frame, source, self._runtime.loop.now()))
 
     def _on_timer(self) -> None:
+        """Run the core's expired timers."""
         self._perform(self._core.on_timer(self._runtime.loop.now()))
 
     def _perform(self, actions: Sequence[Action]) -> None:
+        """Perform the core's actions and set the timer for its next deadline."""
         for action in actions:
             match action:
                 case SendToBackend(packet, token):
@@ -134,7 +138,7 @@
                 case RestoreEntry():
                     self._registrar.restore(self._runtime.loop.now())
                     self._driver.reschedule()
-                case Note():
+                case LogEvent():
                     self._runtime.record_event(action)
         self._alarm.set(self._core.due_at)
 
@@ -151,6 +155,7 @@
     def _on_store_answer(
         self, call: StoreCall, answer: StoreAnswer, took_ms: int
     ) -> None:
+        """Record the answer, and stop once a stopping agent's entry is removed."""
         self._runtime.record_store_call(call, answer, took_ms)
         if self._is_stopping and self._registrar.is_ended:
             self._runtime.loop.stop()
@@ -158,12 +163,13 @@
     # Reports, readiness and shutdown
 
     def _handle_report(self, request: HttpRequest) -> HttpResponse:
+        """Answer a backend server's report or announcement of its end."""
         report = self._platform.decode_report(
             request.method, request.target, request.body
         )
         if report is None:
             fields = {"method": request.method, "target": request.target[:200]}
-            self._runtime.record_event(Note("report refused", fields))
+            self._runtime.record_event(LogEvent("report refused", fields))
             return HttpResponse(HTTPStatus.BAD_REQUEST)
         now = self._runtime.loop.now()
         if isinstance(report, StatusReport):
@@ -174,6 +180,7 @@
         return HttpResponse(HTTPStatus.OK, b"{}")
 
     def _handle_probe(self, request: HttpRequest) -> HttpResponse:
+        """Answer the readiness probe."""
         is_ready = request.target == self._platform.readiness_path
         is_ready = is_ready and self._core.is_ready and not self._is_stopping
         return HttpResponse(
@@ -181,11 +188,15 @@
         )
 
     def _stop(self) -> None:
+        """Stop the process, after removing the store entry.
+
+        If the backend server keeps running, the entry is kept.
+        """
         if self._is_stopping:
             return
         self._is_stopping = True
         fields = {"flows": self._core.flow_count, "backend_lives": self._core.is_ready}
-        self._runtime.record_event(Note("stopping", fields))
+        self._runtime.record_event(LogEvent("stopping", fields))
         self._perform(self._core.begin_shutdown(self._runtime.loop.now()))
         if self._core.is_ready:
             # The backend server keeps running. The agent keeps its entry and exits at
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -10,7 +10,7 @@
 from papayagw._internal.exceptions import DecodeError, PapayagwError, SettingsError
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.action import Note, ResetClient
+from papayagw._internal.models.plain.action import LogEvent, ResetClient
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
     StoreAnswer,
@@ -32,10 +32,10 @@
 from papayagw._internal.wire.plain_frames import MAX_FRAME_BYTES, PlainFrameCodec
 
 SETTINGS_CHECK_INTERVAL_MS = Millis(5_000)
-"""How often the settings file is checked for changes made without a SIGHUP."""
+"""Interval at which the settings file is checked for changes made without a SIGHUP."""
 
 MAX_INTERNED_ENDPOINTS = 16_384
-"""Size at which the cache of peer endpoints is cleared."""
+"""Size at which the cache of `Endpoint` objects, by address and port, is cleared."""
 
 
 class SettingsLoader(Protocol):
@@ -92,7 +92,7 @@
         return self._settings
 
     def start(self) -> None:
-        """Install the signal handlers, bind the sockets and serve metrics."""
+        """Install the signal handlers, bind the frame socket and serve metrics."""
         self.log.start()
         self.loop.start()
         self.loop.add_signal_handler(
@@ -125,12 +125,15 @@
         """Call `on_frame` with each frame received on the inner socket."""
 
         def read() -> None:
+            """Decode the received frames and pass them on."""
             for data, source in self._inner.receive_batch():
                 try:
                     frame = self._frames.decode(data)
                 except DecodeError as error:
                     self.record_event(
-                        Note("frame dropped", {"peer": source, "reason": error.what})
+                        LogEvent(
+                            "frame dropped", {"peer": source, "reason": error.what}
+                        )
                     )
                     continue
                 on_frame(frame, self._intern_endpoint(source))
@@ -138,7 +141,7 @@
         self.loop.watch(self._inner, read)
 
     def send_frame(self, peer: Endpoint, frame: Frame) -> None:
-        """Send a frame to a peer."""
+        """Encode a frame and send it to a peer."""
         self._inner.send(self._frames.encode(frame), peer.sockaddr)
 
     def send_reset(self, reset: ResetClient) -> None:
@@ -148,18 +151,24 @@
         self._inner.send(raw, client.sockaddr)
         self.metrics.count("resets")
 
-    def record_event(self, note: Note) -> None:
-        """Log and count an event."""
-        self.metrics.count(note.event)
-        took_ms = note.fields.get("ms")
+    def record_event(self, log_event: LogEvent) -> None:
+        """Log an event and count it in the metrics.
+
+        A field `ms` is recorded as the event's duration.
+        """
+        self.metrics.count(log_event.event)
+        took_ms = log_event.fields.get("ms")
         if took_ms is not None:
-            self.metrics.observe(note.event, took_ms)
-        self.log.write(note.event, note.fields)
+            self.metrics.observe(log_event.event, took_ms)
+        self.log.write(log_event.event, log_event.fields)
 
     def record_store_call(
         self, call: StoreCall, answer: StoreAnswer, took_ms: int
     ) -> None:
-        """Count and time a store call; log when the store is lost or regained."""
+        """Count a store call and record its duration in the metrics.
+
+        Logs when the store becomes unreachable or reachable again.
+        """
         name = type(call).__name__
         self.metrics.count(f"store {name}")
         if not isinstance(call, WatchPrefix):
@@ -171,7 +180,9 @@
             self._is_store_lost = is_lost
             event = "store lost" if is_lost else "store regained"
             reason = {"reason": answer.reason} if isinstance(answer, CallFailed) else {}
-            self.record_event(Note(event, {"call": name, "took_ms": took_ms, **reason}))
+            self.record_event(
+                LogEvent(event, {"call": name, "took_ms": took_ms, **reason})
+            )
 
     def add_stop_handler(self, stop: Callable[[], None]) -> None:
         """Call `stop` on SIGTERM and SIGINT."""
@@ -179,11 +190,13 @@
             self.loop.add_signal_handler(number, stop)
 
     def _record_fault(self, error: Exception) -> None:
+        """Log an exception that a callback didn't handle."""
         frames = traceback.format_tb(error.__traceback__)
         fields = {"error": repr(error), "traceback": "".join(frames[-3:])}
-        self.record_event(Note("fault", fields))
+        self.record_event(LogEvent("fault", fields))
 
     def _intern_endpoint(self, source: tuple[str, int]) -> Endpoint:
+        """Return the `Endpoint` of an address and port, from the cache if present."""
         peer = self._peers.get(source)
         if peer is None:
             if len(self._peers) >= MAX_INTERNED_ENDPOINTS:
@@ -192,28 +205,31 @@
         return peer
 
     def _handle_metrics_request(self, request: HttpRequest) -> HttpResponse:
+        """Return the metrics in text form."""
         body = self.metrics.render().encode()
         return HttpResponse(HTTPStatus.OK, body, CONTENT_TYPE)
 
     def _check_settings(self) -> None:
+        """Reload the settings and schedule the next check."""
         self._reload_settings("file")
         self.loop.call_after(SETTINGS_CHECK_INTERVAL_MS, self._check_settings)
 
     def _reload_settings(self, cause: str) -> None:
+        """Load the settings file and put changed settings in force."""
         try:
             settings = self._load_settings_file()
         except SettingsError as error:
             self.record_event(
-                Note("settings refused", {"cause": cause, "reason": error})
+                LogEvent("settings refused", {"cause": cause, "reason": error})
             )
             return
         if settings != self._settings:
             self._settings = settings
-            self.record_event(Note("settings reloaded", {"cause": cause}))
+            self.record_event(LogEvent("settings reloaded", {"cause": cause}))
         elif cause == "signal":
-            self.record_event(Note("settings unchanged", {"cause": cause}))
+            self.record_event(LogEvent("settings unchanged", {"cause": cause}))
 
 
 def error_fields(error: PapayagwError) -> dict[str, object]:
-    """Return the log fields of an error."""
+    """Return the fields that describe an error in a log line."""
     return {"step": error.step, "peer": error.peer, "reason": error.what}
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -37,18 +37,38 @@
 )
 
 MAX_FRAME_BYTES = 65_507
-"""Maximum payload of a UDP datagram; 10,000 entries of one service fit."""
+"""Maximum payload of a UDP datagram.
+
+A scope frame with 10,000 entries of one service fits.
+"""
 
 _MAGIC = 0x7047
+"""First two bytes of each frame."""
+
 _HEADER = struct.Struct(">HBI")
-_VERSION = struct.Struct(">Q")
-_UNKNOWN_AGE_MS = 0xFFFFFFFF
+"""Magic number, kind, checksum."""
+
+_SITE_VERSION = struct.Struct(">Q")
+"""Configuration version."""
+
+_UNKNOWN_RUN_AGE_MS = 0xFFFFFFFF
+"""Value of the run's age in `_LOAD` if it isn't known."""
+
 _LOAD = struct.Struct(">BHHIHIQI")
-_QUESTION = struct.Struct(">12sBI")
-_CLAIM = struct.Struct(">12sB")
+"""Fields of `AgentLoad`, in their order."""
+
+_OWNER_QUERY = struct.Struct(">12sBI")
+"""Flow, whether there is an acknowledgement number, acknowledgement number."""
+
+_OWNER_REPLY = struct.Struct(">12sB")
+"""Flow, ownership."""
+
 _FLOW_KEY_BYTES = 12
 _UTILIZATION_SCALE = 10_000
+"""A utilization of 0 to 1 is encoded as an integer from 0 to this."""
+
 _MAX_UINT16 = 0xFFFF
+"""Maximum of a 16-bit field; larger values are encoded as this."""
 
 
 class ClientPacketCodec(Protocol):
@@ -74,13 +94,13 @@
         self._packets = packets
         self._decoders: dict[int, Callable[[bytes], Frame]] = {
             1: self._decode_open,
-            2: self._decode_carry,
-            3: _decode_ask,
+            2: self._decode_forward,
+            3: _decode_owner_queries,
             4: _decode_scope,
-            5: _decode_missing,
+            5: _decode_entry_missing,
             6: _decode_opened,
             7: self._decode_return,
-            8: _decode_claim,
+            8: _decode_owner_replies,
             9: _decode_load_frame,
         }
 
@@ -109,18 +129,19 @@
             ) from error
 
     def _encode_body(self, frame: Frame) -> tuple[int, bytes]:
+        """Return the kind and the encoded body of a frame."""
         match frame:
             case OpenFrame(service, version, packet):
-                header = _VERSION.pack(version) + _encode_text(service)
+                header = _SITE_VERSION.pack(version) + _encode_text(service)
                 return 1, header + packet.raw
             case ForwardFrame(service, packet):
                 return 2, _encode_text(service) + packet.raw
-            case OwnerQueryFrame(service, questions):
-                body = b"".join(_encode_question(one) for one in questions)
+            case OwnerQueryFrame(service, queries):
+                body = b"".join(_encode_owner_query(query) for query in queries)
                 return 3, _encode_text(service) + body
             case ScopeFrame(service, version, entries):
                 body = b"".join(sorted(entries))
-                return 4, _VERSION.pack(version) + _encode_text(service) + body
+                return 4, _SITE_VERSION.pack(version) + _encode_text(service) + body
             case EntryMissingFrame(service):
                 return 5, _encode_text(service)
             case OpenedFrame(flow, load):
@@ -128,20 +149,21 @@
             case ReturnFrame(reason, packet, load):
                 header = bytes((reason.value,)) + _encode_load(load)
                 return 7, header + self._packets.encode_client_packet(packet)
-            case OwnerReplyFrame(claims, load):
+            case OwnerReplyFrame(replies, load):
                 body = b"".join(
-                    _CLAIM.pack(one.flow, one.ownership.value) for one in claims
+                    _OWNER_REPLY.pack(reply.flow, reply.ownership.value)
+                    for reply in replies
                 )
                 return 8, _encode_load(load) + body
             case LoadFrame(load):
                 return 9, _encode_load(load)
 
     def _decode_open(self, body: bytes) -> Frame:
-        (version,) = _VERSION.unpack_from(body)
-        service, raw = _decode_text(body[_VERSION.size :])
+        (version,) = _SITE_VERSION.unpack_from(body)
+        service, raw = _decode_text(body[_SITE_VERSION.size :])
         return OpenFrame(service, version, self._decode_packet(raw))
 
-    def _decode_carry(self, body: bytes) -> Frame:
+    def _decode_forward(self, body: bytes) -> Frame:
         service, raw = _decode_text(body)
         return ForwardFrame(service, self._decode_packet(raw))
 
@@ -151,6 +173,13 @@
         return ReturnFrame(ReturnReason(body[0]), packet, _decode_load(body[1:end]))
 
     def _decode_packet(self, raw: bytes) -> FlowPacket:
+        """Decode the client's packet in a frame.
+
+        Raises
+        ------
+        ValueError
+            If the packet is malformed.
+        """
         packet = self._packets.decode_client_packet(raw)
         if packet is None:
             raise ValueError("incomplete client packet")
@@ -158,16 +187,19 @@
 
 
 def _encode_text(text: str) -> bytes:
+    """Encode a text of at most 255 bytes, preceded by its length."""
     data = text.encode()
     return bytes((len(data),)) + data
 
 
 def _decode_text(data: bytes) -> tuple[str, bytes]:
+    """Return the text at the start of `data`, and the bytes after it."""
     end = 1 + data[0]
     return data[1:end].decode(), data[end:]
 
 
 def _encode_load(load: AgentLoad) -> bytes:
+    """Encode an agent's load; large values of `slots` and `busy` are capped."""
     return _LOAD.pack(
         load.availability.value,
         min(load.slots, _MAX_UINT16),
@@ -176,9 +208,9 @@
         round(load.utilization * _UTILIZATION_SCALE),
         load.service_us,
         load.site_version,
-        _UNKNOWN_AGE_MS
+        _UNKNOWN_RUN_AGE_MS
         if load.run_age_ms is None
-        else min(load.run_age_ms, _UNKNOWN_AGE_MS - 1),
+        else min(load.run_age_ms, _UNKNOWN_RUN_AGE_MS - 1),
     )
 
 
@@ -193,27 +225,27 @@
         utilization / _UTILIZATION_SCALE,
         service_us,
         version,
-        None if age_ms == _UNKNOWN_AGE_MS else Millis(age_ms),
+        None if age_ms == _UNKNOWN_RUN_AGE_MS else Millis(age_ms),
     )
 
 
-def _encode_question(question: OwnerQuery) -> bytes:
-    known = question.acknowledged is not None
-    return _QUESTION.pack(question.flow, known, question.acknowledged or 0)
+def _encode_owner_query(query: OwnerQuery) -> bytes:
+    known = query.acknowledged is not None
+    return _OWNER_QUERY.pack(query.flow, known, query.acknowledged or 0)
 
 
-def _decode_ask(body: bytes) -> Frame:
+def _decode_owner_queries(body: bytes) -> Frame:
     service, rest = _decode_text(body)
-    questions = tuple(
+    queries = tuple(
         OwnerQuery(FlowKey(flow), acknowledged if known else None)
-        for flow, known, acknowledged in _QUESTION.iter_unpack(rest)
+        for flow, known, acknowledged in _OWNER_QUERY.iter_unpack(rest)
     )
-    return OwnerQueryFrame(service, questions)
+    return OwnerQueryFrame(service, queries)
 
 
 def _decode_scope(body: bytes) -> Frame:
-    (version,) = _VERSION.unpack_from(body)
-    service, rest = _decode_text(body[_VERSION.size :])
+    (version,) = _SITE_VERSION.unpack_from(body)
+    service, rest = _decode_text(body[_SITE_VERSION.size :])
     if len(rest) % ENTRY_KEY_BYTES:
         raise ValueError(
             f"entries truncated: {len(rest)} bytes not a multiple of {ENTRY_KEY_BYTES}"
@@ -223,7 +255,7 @@
     return ScopeFrame(service, version, entries)
 
 
-def _decode_missing(body: bytes) -> Frame:
+def _decode_entry_missing(body: bytes) -> Frame:
     service, _ = _decode_text(body)
     return EntryMissingFrame(service)
 
@@ -234,13 +266,13 @@
     )
 
 
-def _decode_claim(body: bytes) -> Frame:
+def _decode_owner_replies(body: bytes) -> Frame:
     load = _decode_load(body[: _LOAD.size])
-    claims = tuple(
+    replies = tuple(
         OwnerReply(FlowKey(flow), Ownership(ownership))
-        for flow, ownership in _CLAIM.iter_unpack(body[_LOAD.size :])
+        for flow, ownership in _OWNER_REPLY.iter_unpack(body[_LOAD.size :])
     )
-    return OwnerReplyFrame(claims, load)
+    return OwnerReplyFrame(replies, load)
 
 
 def _decode_load_frame(body: bytes) -> Frame:
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -34,11 +34,12 @@
 )
 
 _REFUSED_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+"""HTTP statuses by which the store states that it did not execute the call."""
 
 
 @dataclass(frozen=True, slots=True)
 class HttpCall:
-    """An HTTP request.
+    """The HTTP request that carries a store call.
 
     Attributes
     ----------
@@ -56,7 +57,7 @@
 
 
 def encode_call(call: StoreCall) -> HttpCall:
-    """Encode a call as an HTTP request."""
+    """Encode a store call as an HTTP request."""
     match call:
         case ReadRange(prefix, after):
             query = {"prefix": prefix} | ({"after": after} if after else {})
@@ -76,16 +77,17 @@
 
 
 def decode_answer(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
-    """Decode the store's response to `call`."""
+    """Decode the HTTP response to a store call; an invalid one is a `CallFailed`."""
     if status in _REFUSED_STATUSES:
         return CallFailed(f"status {status}", refused=True)
     try:
-        return _decode(call, status, body)
+        return _decode_response(call, status, body)
     except MALFORMED_JSON_ERRORS as error:
         return CallFailed(f"status {status}, malformed response: {error!r}")
 
 
-def _decode(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
+def _decode_response(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
+    """Decode a response whose status isn't that of a refusal."""
     fields = json.loads(body) if body else {}
     match call, status:
         case WatchPrefix(), HTTPStatus.GONE:
@@ -93,18 +95,19 @@
         case ((PutKey() | RenewLease() | EndLease()), HTTPStatus.NOT_FOUND):
             return LeaseEnded()
         case _, HTTPStatus.OK:
-            return _decode_ok(call, fields)
+            return _decode_success(call, fields)
     return CallFailed(f"status {status}")
 
 
-def _decode_ok(call: StoreCall, fields: dict[str, Any]) -> StoreAnswer:
+def _decode_success(call: StoreCall, fields: dict[str, Any]) -> StoreAnswer:
+    """Decode the fields of a response with status 200."""
     match call:
         case ReadRange():
-            items = tuple(_read_item(one) for one in fields["items"])
+            items = tuple(_read_item(item) for item in fields["items"])
             more = bool(fields["has_more"])
             return RangeResult(items, more, int(fields["store_revision"]))
         case WatchPrefix():
-            events = tuple(_read_event(one) for one in fields["events"])
+            events = tuple(_read_event(event) for event in fields["events"])
             return WatchResult(events, int(fields["store_revision"]))
         case PutKey():
             return PutResult(int(fields["revision"]))
@@ -117,16 +120,19 @@
 
 
 def _read_item(fields: dict[str, Any]) -> StoredItem:
+    """Decode a key and its value."""
     value = b64decode(fields["value"], validate=True)
     revision, lease = int(fields["revision"]), int(fields.get("lease", 0))
     return StoredItem(fields["key"], value, revision, lease)
 
 
 def _read_event(fields: dict[str, Any]) -> StoreEvent:
+    """Decode a write or a removal."""
     if fields.get("deleted"):
         return RemovedItem(fields["key"], int(fields["revision"]))
     return _read_item(fields)
 
 
 def _post(target: str, fields: dict[str, Any]) -> HttpCall:
+    """Return a POST request with a JSON body."""
     return HttpCall("POST", target, json.dumps(fields).encode())
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -1,15 +1,17 @@
-"""Scenario language of the plain front end, with one statement on each line.
+"""Language for fault scenarios of the plain front end, one statement on each line.
 
     network loss=0.02 duplication=0.02 delay=1-15
     balancer NAME...            agent NAME [SERVICE] [WORK_MS]
     at MS VERB WORD...          run MS
     call REQUESTS [PAUSE_MS]    calls COUNT REQUESTS EVERY_MS [PAUSE_MS]
     expect OUTCOME COUNT        (clients with this outcome; COUNT may be "all")
-    expect-note EVENT           expect-no-note EVENT
+    expect-event EVENT          expect-no-event EVENT      (events in the logs)
     expect-openings AGENT COUNT FROM_MS TO_MS   (openings its backend server received)
 
-Verbs: restart-balancer, restart-agent, stop-balancer, freeze-balancer NAME MS,
-freeze-agent NAME MS, crash, drain, lapse, restore, remove-route, move-route SERVICE.
+Verbs with the NAME of a process: restart-balancer, restart-agent, stop-balancer,
+freeze-balancer NAME MS, freeze-agent NAME MS. Verbs with the NAME of an agent: crash
+and drain act on its backend server, expire-entry and restore on its store entry. Verbs
+without a name: remove-route, and move-route SERVICE.
 `#` starts a comment.
 """
 
@@ -18,7 +20,10 @@
 
 
 class PlainScenario:
-    """Execute statements on a simulated world."""
+    """Executes scenario statements on a simulated world.
+
+    Each method ``do_NAME`` executes the statements that begin with NAME.
+    """
 
     def __init__(self, seed=0, mechanisms=None):
         self.world = PlainWorld(seed, mechanisms=mechanisms)
@@ -29,9 +34,10 @@
         for line in text.splitlines():
             words = line.partition("#")[0].split()
             if words:
-                self.do(*words)
+                self.run_statement(*words)
 
-    def do(self, verb, *words):
+    def run_statement(self, verb, *words):
+        """Execute one statement."""
         getattr(self, "do_" + verb.replace("-", "_"))(*words)
 
     def do_network(self, *words):
@@ -51,7 +57,7 @@
         self.world.add_agent(name, service, int(work_ms))
 
     def do_at(self, at, *words):
-        self.world.at(self.start + int(at), lambda: self.do(*words))
+        self.world.at(self.start + int(at), lambda: self.run_statement(*words))
 
     def do_run(self, duration):
         self.world.run(int(duration))
@@ -86,8 +92,8 @@
     def do_drain(self, name):
         self.world.drain(name)
 
-    def do_lapse(self, name):
-        self.world.lapse(name)
+    def do_expire_entry(self, name):
+        self.world.expire_entry(name)
 
     def do_restore(self, name):
         self.world.store_entry(self.world.agents[name])
@@ -103,10 +109,10 @@
         wanted = len(self.world.clients) if count == "all" else int(count)
         assert found.get(outcome, 0) == wanted, found
 
-    def do_expect_note(self, *words):
+    def do_expect_event(self, *words):
         assert " ".join(words) in self._events(), sorted(self._events())
 
-    def do_expect_no_note(self, *words):
+    def do_expect_no_event(self, *words):
         assert " ".join(words) not in self._events()
 
     def do_expect_openings(self, agent, count, after_ms, before_ms):
@@ -120,4 +126,4 @@
         assert len(received) == int(count), len(received)
 
     def _events(self):
-        return {note.event for _, _, note in self.world.notes}
+        return {log_event.event for _, _, log_event in self.world.log_events}
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -18,12 +18,12 @@
 from urllib.parse import parse_qs, urlparse
 
 HEADER = struct.Struct(">IIIHIBB4sHH4s")
-SYN, ACK, FIN, RST, BOUNCED = 1, 8, 16, 32, 64
+SYN, ACK, FIN, RST, REJECTED = 1, 8, 16, 32, 64
 REPORT_INTERVAL_S = 0.2
 MODULUS = 1 << 32
 
 
-def pack(src, dst, flags, seq=0, ack=0, data=b"", echo=0):
+def encode_packet(src, dst, flags, seq=0, ack=0, data=b"", echo=0):
     """Encode a packet between two (address, port) pairs."""
     (src_ip, sport), (dst_ip, dport) = src, dst
     head = HEADER.pack(
@@ -42,7 +42,7 @@
     return head + data
 
 
-def unpack(raw):
+def decode_packet(raw):
     """Decode the addresses, flags, sequence numbers and data of a packet."""
     seq, ack, echo, length, _, flags, _, src, sport, dport, dst = HEADER.unpack_from(
         raw
@@ -59,7 +59,7 @@
 
 
 class KeyValueService:
-    """Key-value service with the keys, leases and watches of the platform's service."""
+    """Stand-in of the platform's key-value service, with leases and watches."""
 
     def __init__(self, address):
         self.address = address
@@ -75,7 +75,7 @@
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
-            def handle_one(self):
+            def handle_any(self):
                 length = int(self.headers.get("Content-Length", 0))
                 body = json.loads(self.rfile.read(length)) if length else {}
                 url = urlparse(self.path)
@@ -92,7 +92,7 @@
                     self.wfile.write(data)
 
             # http.server calls handlers by these names.
-            do_GET = do_POST = do_DELETE = handle_one  # noqa: N815
+            do_GET = do_POST = do_DELETE = handle_any  # noqa: N815
 
             def log_message(self, *args):
                 pass
@@ -146,12 +146,14 @@
             return set(self._items)
 
     def _range(self, prefix):
+        """Return the response to a read of the keys with a prefix."""
         items = [
             one for key, one in sorted(self._items.items()) if key.startswith(prefix)
         ]
         return {"items": items, "has_more": False, "store_revision": self._revision}
 
     def _watch(self, query):
+        """Return the response to a watch, once there are events or its time is over."""
         deadline = time.monotonic() + int(query["wait_ms"]) / 1_000
         while True:
             events = [
@@ -215,7 +217,10 @@
 
 
 class BackendServer:
-    """A backend server that echoes the data of each packet."""
+    """Stand-in of a backend server, which echoes the data of each packet.
+
+    Reports to its agent every `REPORT_INTERVAL_S`.
+    """
 
     def __init__(self, name, service, ip, ports):
         self.name = name
@@ -258,7 +263,8 @@
             self._handle_packet(raw)
 
     def _handle_packet(self, raw):
-        packet = unpack(raw)
+        """Accept an opening, echo data, and reject packets of unknown flows."""
+        packet = decode_packet(raw)
         flow = packet["src"], packet["dst"]
         if packet["flags"] & SYN:
             start = self.flows.setdefault(flow, random.getrandbits(32))
@@ -266,7 +272,7 @@
             return
         if not self.owns(flow, packet["ack"]):
             returned = bytearray(raw)
-            returned[18] |= BOUNCED
+            returned[18] |= REJECTED
             self._socket.sendto(bytes(returned), self._outbound)
             return
         if packet["data"]:
@@ -277,7 +283,7 @@
 
     def _send(self, flow, flags, seq, ack, data=b""):
         client, entry = flow
-        raw = pack(entry, client, flags, seq % MODULUS, ack, data)
+        raw = encode_packet(entry, client, flags, seq % MODULUS, ack, data)
         self._socket.sendto(raw, self._outbound)
 
     def _report_periodically(self):
@@ -317,14 +323,14 @@
 
 
 class FlowClient:
-    """A client with one flow, whose packets go to any running balancer."""
+    """A client with one flow, which sends each packet to any running balancer."""
 
     def __init__(self, ip, client_port, entry, pick_balancer):
         self._ip = ip
         self._entry = entry
         self._pick_balancer = pick_balancer
         self._source = (ip, 40_001)
-        self._start = None
+        self._server_sequence = None
         self._position = 1
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((ip, client_port))
@@ -340,7 +346,7 @@
     @property
     def acknowledged(self):
         """Acknowledgement number of the client's packets."""
-        return (self._start + 1) % MODULUS
+        return (self._server_sequence + 1) % MODULUS
 
     def start_new_flow(self):
         """Abandon the flow; the next one uses another source port."""
@@ -349,18 +355,18 @@
 
     def open(self, timeout_s=5.0):
         """Open the flow; return whether it was accepted."""
-        raw = pack(self._source, self._entry, SYN)
+        raw = encode_packet(self._source, self._entry, SYN)
         packet = self._send_until_answered(
             raw, lambda one: one["flags"] & SYN, timeout_s
         )
         if packet is None:
             return False
-        self._start = packet["seq"]
+        self._server_sequence = packet["seq"]
         return True
 
     def request(self, data, timeout_s=10.0):
         """Send a request; return whether it was answered, or "reset"."""
-        raw = pack(
+        raw = encode_packet(
             self._source, self._entry, ACK, self._position, self.acknowledged, data
         )
         end = self._position + len(data)
@@ -375,6 +381,7 @@
         return True
 
     def _send_until_answered(self, raw, is_answer, timeout_s):
+        """Send a packet to balancers, with retransmissions, until it is answered."""
         deadline, wait = time.monotonic() + timeout_s, 0.2
         while time.monotonic() < deadline:
             balancer = self._pick_balancer()
@@ -391,7 +398,7 @@
         while (left := end - time.monotonic()) > 0:
             self._socket.settimeout(left)
             try:
-                packet = unpack(self._socket.recv(4_096))
+                packet = decode_packet(self._socket.recv(4_096))
             except TimeoutError:
                 return None
             is_ours = packet["dst"] == self._source
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -17,7 +17,7 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
-    Note,
+    LogEvent,
     ResetClient,
     RestoreEntry,
     SendFrame,
@@ -39,10 +39,18 @@
 from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
 
 ENTRY = b"\x01\xbb\xc6\x12\x00\x01"
+"""Entry key of 198.18.0.1, port 443."""
+
 FLOW_LIMIT_MS = Millis(60_000)
 REPORT_MS = 1_200
+"""Interval between the reports of a backend server."""
+
 STORE_MS = 3
+"""Time for a read or write of the store."""
+
 RESTART_MS = 300
+"""Time from the end of a process to its restart."""
+
 MODULUS = 1 << 32
 
 
@@ -68,9 +76,11 @@
 
 
 class Backend:
-    """A backend server: holds flows, answers requests, returns unknown packets.
+    """Simulated backend server.
 
-    A request is one payload, identified by the position of its last byte.
+    It accepts every opening, answers requests, and sends back the packets of flows that
+    it doesn't hold. A request is one payload, identified by the position of its last
+    byte.
     """
 
     def __init__(self, world, agent_name, work_ms):
@@ -114,17 +124,18 @@
             start = self.flows.setdefault(flow, self.world.random.getrandbits(32))
             self.send(flow, PacketKind.ACCEPT, start, packet.sequence + 1)
         elif flow not in self.flows:
-            bounced = replace(packet, bounced=True, token=token)
-            self.world.to_agent(self.agent_name, bounced)
+            rejected = replace(packet, rejected_by_backend=True, token=token)
+            self.world.send_to_agent(self.agent_name, rejected)
         elif packet.acknowledged != (self.flows[flow] + 1) % MODULUS:
-            self.world.to_agent(
-                self.agent_name, replace(packet, bounced=True, token=token)
+            self.world.send_to_agent(
+                self.agent_name, replace(packet, rejected_by_backend=True, token=token)
             )
         else:
             self.world.record_open(flow, self)
             self._run(packet)
 
     def _run(self, packet):
+        """Process a request, or answer it again at once if it was processed before."""
         flow, end = packet.flow, packet.sequence + packet.payload_bytes
         if end in self.runs.setdefault(flow, set()):
             self.send(flow, PacketKind.DATA, self._position(flow), end, payload=100)
@@ -138,17 +149,18 @@
         )
 
     def _position(self, flow):
+        """Return the sequence number of the server's packets in a flow."""
         return self.flows[flow] + 1
 
     def send(self, flow, kind, sequence, acknowledged, payload=0):
         """Send a packet through the agent."""
         if self.is_alive:
             packet = make_packet(flow, kind, sequence, acknowledged, payload)
-            self.world.to_agent(self.agent_name, packet)
+            self.world.send_to_agent(self.agent_name, packet)
 
 
 class Node:
-    """A process with a core; while frozen, it queues its input."""
+    """Simulated process around a core; while it is frozen, its input is delayed."""
 
     def __init__(self, world, name, endpoint):
         self.world = world
@@ -159,14 +171,14 @@
         self.timer_at = None
         self.started_at = world.now
 
-    def run_when_active(self, act):
-        """Call `act` now, or once the process is no longer frozen."""
+    def run_when_active(self, callback):
+        """Call `callback` now, or once the process is no longer frozen."""
         if not self.is_alive:
             return
         if self.world.now < self.frozen_until:
-            self.world.at(self.frozen_until, lambda: self.run_when_active(act))
+            self.world.at(self.frozen_until, lambda: self.run_when_active(callback))
             return
-        act()
+        callback()
 
     def schedule_timer(self):
         """Schedule the core's next timer, unless an earlier one is scheduled."""
@@ -190,15 +202,15 @@
                 case SendFrame(peer, frame):
                     self.world.send_frame(self, peer, frame)
                 case SendToClient(packet):
-                    self.world.to_client(packet)
+                    self.world.send_to_client(packet)
                 case SendToBackend(packet, token):
                     self.world.backends[self.name].receive(packet, token)
                 case ResetClient(flow):
                     self.world.deliver_reset(flow, self)
                 case RestoreEntry():
                     self.world.store_entry(self)
-                case Note():
-                    self.world.notes.append((self.world.now, self.name, action))
+                case LogEvent():
+                    self.world.log_events.append((self.world.now, self.name, action))
         self.schedule_timer()
 
 
@@ -243,9 +255,9 @@
 
 
 class Client:
-    """Open one flow and send its requests one after the other."""
+    """Simulated client, which opens one flow and sends its requests one by one."""
 
-    COPIES = ((200, 1), (600, 2))
+    RETRANSMISSIONS = ((200, 1), (600, 2))
     ATTEMPT_MS = 1_400
 
     def __init__(self, world, flow, requests, pause_ms):
@@ -259,7 +271,7 @@
         self.answered = 0
         world.clients[flow] = self
         self._open(0)
-        for delay, copy in self.COPIES:
+        for delay, copy in self.RETRANSMISSIONS:
             world.after(delay, lambda copy=copy: self._open(copy))
         world.after(self.ATTEMPT_MS, self._give_up_opening)
 
@@ -283,6 +295,7 @@
             self._next()
 
     def _next(self):
+        """Record an answer and schedule the next request."""
         self.answered += 1
         self.position += 100
         self.requests_left -= 1
@@ -293,6 +306,7 @@
         self.world.after(self.pause_ms, lambda: self._request(position, 200))
 
     def _request(self, position, wait):
+        """Send a request, and again after doubling waits until it is answered."""
         if self.outcome != "open" or position != self.position:
             return
         if wait > 6_400:
@@ -359,7 +373,7 @@
         self.backends = {}
         self.clients = {}
         self.owners = {}
-        self.notes = []
+        self.log_events = []
         self.violations = []
         self.arrivals = []
         self._events = []
@@ -368,21 +382,21 @@
 
     # Time
 
-    def at(self, at, act):
-        """Call `act` at a time in ms."""
-        heapq.heappush(self._events, (max(at, self.now), next(self._order), act))
+    def at(self, at, callback):
+        """Schedule a call of `callback` at the time `at` in ms."""
+        heapq.heappush(self._events, (max(at, self.now), next(self._order), callback))
 
-    def after(self, delay, act):
-        """Call `act` after `delay` ms."""
-        self.at(self.now + delay, act)
+    def after(self, delay, callback):
+        """Schedule a call of `callback` after `delay` ms."""
+        self.at(self.now + delay, callback)
 
     def run(self, duration):
         """Advance the clock by `duration` ms, running all events due."""
         end = self.now + duration
         while self._events and self._events[0][0] <= end:
-            at, _, act = heapq.heappop(self._events)
+            at, _, callback = heapq.heappop(self._events)
             self.now = Millis(at)
-            act()
+            callback()
         self.now = Millis(end)
 
     # Machines
@@ -405,14 +419,14 @@
 
     def store_entry(self, agent):
         """Store an agent's entry after `STORE_MS`, and notify the balancers."""
-        self.after(STORE_MS, lambda: self._stored(agent))
+        self.after(STORE_MS, lambda: self._put_entry(agent))
 
-    def _stored(self, agent):
+    def _put_entry(self, agent):
         self.store[agent.name] = agent.entry
         self.notify_balancers()
 
-    def lapse(self, name):
-        """Remove an agent's entry from the store, as if it had expired."""
+    def expire_entry(self, name):
+        """Remove an agent's entry from the store, as at the expiry of its lease."""
         self.store.pop(name, None)
         self.notify_balancers()
 
@@ -463,19 +477,20 @@
         node.frozen_until = self.now + duration
 
     def call(self, requests=3, pause_ms=300):
-        """Open a flow; return its client."""
+        """Open a flow with a number of requests; return its client."""
         number = len(self.clients) + 1
         flow = FlowKey(b"\x64\x40" + number.to_bytes(2, "big") + b"\x9c\x41" + ENTRY)
         return Client(self, flow, requests, pause_ms)
 
     # Network
 
-    def _deliver(self, act):
+    def _deliver(self, callback):
+        """Call `callback` after a network delay; it may be lost or duplicated."""
         network = self.network
         if self.random.random() < network.loss:
             return
         for _ in range(2 if self.random.random() < network.duplication else 1):
-            self.after(self.random.randint(*network.delay), act)
+            self.after(self.random.randint(*network.delay), callback)
 
     def route(self, packet):
         """Deliver a client's packet to the balancer that the routers choose."""
@@ -486,8 +501,8 @@
         node = self.balancers[chosen]
 
         def arrive():
-            act = node.core.on_client_packet
-            node.run_when_active(lambda: node.perform(act(packet, self.now)))
+            callback = node.core.on_client_packet
+            node.run_when_active(lambda: node.perform(callback(packet, self.now)))
 
         self._deliver(arrive)
 
@@ -498,21 +513,21 @@
         def arrive():
             node = next((one for one in nodes.values() if one.endpoint == peer), None)
             if node is not None:
-                act = node.core.on_frame
+                callback = node.core.on_frame
                 node.run_when_active(
-                    lambda: node.perform(act(frame, sender.endpoint, self.now))
+                    lambda: node.perform(callback(frame, sender.endpoint, self.now))
                 )
 
         self._deliver(arrive)
 
-    def to_agent(self, name, packet):
+    def send_to_agent(self, name, packet):
         """Deliver a backend server's packet to the agent on the same machine."""
         agent = self.agents[name]
         agent.run_when_active(
             lambda: agent.perform(agent.core.on_backend_packet(packet, self.now))
         )
 
-    def to_client(self, packet):
+    def send_to_client(self, packet):
         """Deliver a packet to its client."""
         self._deliver(lambda: self.clients[packet.flow].receive(packet))
 
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -4,7 +4,7 @@
 
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.owner_search import OwnerLookup
+from papayagw._internal.core.plain.owner_lookup import OwnerLookup
 from tests.lib.plain_scenario import PlainScenario
 from tests.lib.plain_world import Mechanisms
 
@@ -25,7 +25,7 @@
         at 5500 restart-balancer b3
         run 20000
         expect served all
-        expect-note owner found
+        expect-event owner found
     """,
     "an added balancer finds the owners of the flows that move to it": """
         at 2000 calls 30 8 20
@@ -52,14 +52,14 @@
         at 3500 restart-agent a3
         run 30000
         expect served all
-        expect-note flow adopted
+        expect-event flow adopted
     """,
     "openings go on to other agents while one is frozen": """
         at 2000 freeze-agent a1 3000
         at 2000 calls 40 1 20
         run 20000
         expect served all
-        expect-note opening unanswered
+        expect-event opening unanswered
     """,
     "a frozen balancer that wakes resets nothing": """
         at 2000 calls 30 8 20
@@ -69,7 +69,7 @@
     """,
     "a balancer that starts while an entry is missing resets nothing": """
         at 9000 calls 30 8 20
-        at 10500 lapse a1
+        at 10500 expire-entry a1
         at 10500 restart-balancer b1
         at 10500 restart-balancer b2
         at 10500 restart-balancer b3
@@ -81,7 +81,7 @@
         at 2000 calls 10 40 20 100
         at 3500 crash a1
         run 20000
-        expect-note backend restarted
+        expect-event backend restarted
         expect deadline 0
     """,
     "clients of a backend server that died with its agent are reset": """
@@ -89,7 +89,7 @@
         at 3500 restart-agent a1
         at 3500 crash a1
         run 20000
-        expect-note flow has no owner
+        expect-event flow has no owner
         expect deadline 0
     """,
     "a draining backend server gets no opening from its report on": """
@@ -119,8 +119,8 @@
         at 2301 calls 2 1 10
         run 20000
         expect served all
-        expect-no-note opening refused
-        expect-no-note opening returned
+        expect-no-event opening refused
+        expect-no-event opening returned
     """,
     "openings wait until a backend server takes some again": """
         at 2000 drain a1
@@ -130,16 +130,16 @@
         at 2301 calls 5 1 10
         run 20000
         expect served all
-        expect-no-note opening refused
+        expect-no-event opening refused
     """,
     "an entry that lapsed is stored again and is used on": """
-        at 2000 lapse a1
-        at 2000 lapse a2
-        at 2000 lapse a3
+        at 2000 expire-entry a1
+        at 2000 expire-entry a2
+        at 2000 expire-entry a3
         at 2000 calls 40 3 100
         run 20000
         expect served all
-        expect-note entry missing in the store
+        expect-event entry missing in the store
     """,
     "flows of a route that is removed end, others don't open": """
         at 2000 calls 10 40 20 100
@@ -176,30 +176,30 @@
     assert scenario.world.violations == []
 
 
-class SilentLookup(OwnerLookup):
+class DroppingLookup(OwnerLookup):
     """Drop the packets of unknown flows."""
 
     def find_owner(self, packet, now, excluded=None):
         return []
 
 
-class HastyLookup(OwnerLookup):
-    """Reset a flow that no agent claims, without reading the store again."""
+class ImmediateResetLookup(OwnerLookup):
+    """Reset a flow as soon as its queries end, even if an agent may own it."""
 
     def _confirm_no_owner(self, lookup, now):
         return self._reset_ownerless(lookup)
 
 
 class NeverAsks(PlainBalancer):
-    """Query no agent for the owner of a flow."""
+    """Drop the packets of unknown flows instead of querying agents for the owner."""
 
-    _lookup_type = SilentLookup
+    _lookup_type = DroppingLookup
 
 
 class ResetsUnknown(PlainBalancer):
-    """Treat an unknown owner as none."""
+    """Reset unknown flows without waiting for the list of agents to be read again."""
 
-    _lookup_type = HastyLookup
+    _lookup_type = ImmediateResetLookup
 
 
 class TrustsFirstRead(PlainBalancer):
@@ -226,7 +226,7 @@
 
 
 class IgnoresDrain(PlainAgent):
-    """Offer openings to a backend server that is draining."""
+    """Ignore the backend server's report that it is draining."""
 
     def on_report(self, report, age_ms, now):
         actions = super().on_report(report, age_ms, now)
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -1,17 +1,17 @@
-"""Tests of the plain front end's agent, step by step."""
+"""Tests of the core of the plain front end's agent, driven by tables of steps."""
 
 from dataclasses import replace
 
 import pytest
 
+from papayagw._internal.core.plain.admission_control import FIRST_REQUEST_TIMEOUT_MS
 from papayagw._internal.core.plain.agent import (
     BACKEND_ACCEPT_TIMEOUT_MS,
     PlainAgent,
 )
-from papayagw._internal.core.plain.intake import FIRST_REQUEST_TIMEOUT_MS
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
-    Note,
+    LogEvent,
     ResetClient,
     SendFrame,
     SendToBackend,
@@ -48,7 +48,9 @@
 OPENING = make_packet(FLOW, PacketKind.OPEN)
 ACCEPT = make_packet(FLOW, PacketKind.ACCEPT, ACCEPT_SEQUENCE, 1)
 DATA = make_packet(FLOW, PacketKind.DATA, 1, ACCEPT_SEQUENCE + 1, payload=10)
-FOREIGN = make_packet(FLOW, PacketKind.DATA, 1, ACCEPT_SEQUENCE - 9, payload=10)
+DATA_FOR_OTHER_SERVER = make_packet(
+    FLOW, PacketKind.DATA, 1, ACCEPT_SEQUENCE - 9, payload=10
+)
 ANSWER = make_packet(FLOW, PacketKind.DATA, ACCEPT_SEQUENCE + 1, 11, payload=10)
 FINISH = make_packet(FLOW, PacketKind.FINISH, ACCEPT_SEQUENCE + 11, 11)
 
@@ -57,7 +59,7 @@
     return StatusReport("i1", "order", state, 1, 0, run, number)
 
 
-# Each report with the age of its run.
+# Reports by name of the step, each with the age of its run in ms.
 REPORTS = {
     "ready": (report(), 0),
     "ready, early": (report(), MAX_FIRST_REPORT_AGE_MS),
@@ -71,7 +73,12 @@
 
 
 class Driver:
-    """Passes steps to an agent; returns the actions that result from each."""
+    """Passes steps to an agent.
+
+    A step is a name of `REPORTS`, "leave" for the backend server's departure, "stop"
+    for the agent's shutdown, a number of milliseconds to pass, a frame of a balancer or
+    a packet of the backend server.
+    """
 
     def __init__(self):
         self.core = PlainAgent("order", FLOW_LIMIT_MS, START)
@@ -97,24 +104,26 @@
 
 
 def run_steps(steps):
+    """Return the actions of the last step without log events, and the driver."""
     driver = Driver()
     actions = []
     for step in steps:
         actions = driver.run(step)
-    return [one for one in actions if not isinstance(one, Note)], driver
+    return [one for one in actions if not isinstance(one, LogEvent)], driver
 
 
 def open_frame(version=1, service="order"):
     return OpenFrame(service, version, OPENING)
 
 
-def bounced(packet):
-    return replace(packet, bounced=True, token=1)
+def rejected(packet):
+    """Return a client's packet as the backend server sends it back."""
+    return replace(packet, rejected_by_backend=True, token=1)
 
 
-CARRY = ForwardFrame("order", DATA)
+FORWARD = ForwardFrame("order", DATA)
 ACCEPTED = ["ready", open_frame(), ACCEPT]
-OPEN = [*ACCEPTED, CARRY, ANSWER]
+OPEN = [*ACCEPTED, FORWARD, ANSWER]
 
 
 @pytest.mark.parametrize(
@@ -131,8 +140,11 @@
         ),
         # A refusal by a backend server that hasn't reported doesn't mean that it is
         # full.
-        ([open_frame(), bounced(OPENING)], ReturnReason.NOT_READY),
-        ([open_frame(), bounced(OPENING), open_frame()], ReturnReason.NOT_READY),
+        ([open_frame(), rejected(OPENING)], ReturnReason.NOT_READY),
+        (
+            [open_frame(), rejected(OPENING), open_frame()],
+            ReturnReason.NOT_READY,
+        ),
         (["ready", "drain", open_frame()], ReturnReason.DRAINING),
         (["ready", "leave", open_frame()], ReturnReason.NOT_READY),
         (["ready", "stop", open_frame()], ReturnReason.DRAINING),
@@ -141,11 +153,14 @@
             ["ready", ScopeFrame("order", 5, frozenset()), open_frame(4)],
             ReturnReason.OLD_VERSION,
         ),
-        (["ready", open_frame(), bounced(OPENING)], ReturnReason.FULL),
-        (["ready", CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
-        ([*ACCEPTED, ForwardFrame("order", FOREIGN)], ReturnReason.NOT_OWNER),
+        (["ready", open_frame(), rejected(OPENING)], ReturnReason.FULL),
+        (["ready", FORWARD, rejected(DATA)], ReturnReason.NOT_OWNER),
+        (
+            [*ACCEPTED, ForwardFrame("order", DATA_FOR_OTHER_SERVER)],
+            ReturnReason.NOT_OWNER,
+        ),
         # Accepted here and at another backend server, which the client chose.
-        ([*ACCEPTED, CARRY, bounced(DATA)], ReturnReason.NOT_OWNER),
+        ([*ACCEPTED, FORWARD, rejected(DATA)], ReturnReason.NOT_OWNER),
         (["ready", ForwardFrame("drawings", DATA)], ReturnReason.WRONG_SERVICE),
         (["ready", open_frame(), BACKEND_ACCEPT_TIMEOUT_MS], ReturnReason.SILENT),
         (
@@ -155,6 +170,7 @@
     ],
 )
 def test_returned(steps, reason):
+    """The last step makes the agent return a packet to its balancer."""
     (action,), _ = run_steps(steps)
     assert action.peer == BALANCER
     assert isinstance(action.frame, ReturnFrame)
@@ -179,19 +195,21 @@
             5_000,
             open_frame(),
         ],
-        [CARRY],
+        [FORWARD],
         OPEN[:-1],
-        [*OPEN, "drain", CARRY],
-        [*OPEN, "leave", CARRY],
+        [*OPEN, "drain", FORWARD],
+        [*OPEN, "leave", FORWARD],
     ],
 )
 def test_delivered(steps):
+    """The last step makes the agent pass a packet to its backend server."""
     (action,), _ = run_steps(steps)
     assert isinstance(action, SendToBackend)
     assert action.token == 1
 
 
 def test_busy():
+    """A backend server with one slot gets no third opening."""
     driver = Driver()
     driver.run("ready")
     for number in range(2):
@@ -202,16 +220,18 @@
 
 
 def flow(number):
+    """Return the key of another flow than `FLOW`."""
     return FlowKey(bytes((number,)) + FLOW[1:])
 
 
 def in_progress(number):
-    """Return steps after which a request of another flow is in progress."""
-    frames = (OpenFrame("order", 1, OPENING), ACCEPT, CARRY)
+    """Return the steps that leave a request of the flow `flow(number)` in progress."""
+    frames = (OpenFrame("order", 1, OPENING), ACCEPT, FORWARD)
     return [change_flow(one, number) for one in frames]
 
 
 def change_flow(step, number):
+    """Return the step with the flow `flow(number)` instead of `FLOW`."""
     if isinstance(step, OpenFrame | ForwardFrame):
         return replace(step, packet=replace(step.packet, flow=flow(number)))
     return replace(step, flow=flow(number))
@@ -242,7 +262,7 @@
         ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_TIMEOUT_MS - 1], 0),
         ([*FULL[:6], open_frame(), 0, FIRST_REQUEST_TIMEOUT_MS], 1),
         # The backend server returned the flow, which ends its request.
-        ([*FULL, open_frame(), change_flow(bounced(DATA), 1)], 1),
+        ([*FULL, open_frame(), change_flow(rejected(DATA), 1)], 1),
     ],
 )
 def test_rejected_balancer_is_notified_of_capacity(steps, notified):
@@ -258,17 +278,18 @@
     [
         (ACCEPTED, [SendToClient, SendFrame]),
         (OPEN, [SendToClient]),
-        ([*OPEN, bounced(DATA)], [ResetClient]),
+        ([*OPEN, rejected(DATA)], [ResetClient]),
         ([*OPEN, 100, "restart"], [ResetClient, SendFrame]),
         # Only accepted, so not certain to be open here; younger than the reporting run.
         ([*ACCEPTED, 100, "restart"], [SendFrame]),
         ([*OPEN, "restart"], [SendFrame]),
         ([*OPEN, FINISH, 100, "restart"], [SendFrame]),
-        ([bounced(OPENING)], []),
-        ([bounced(DATA)], []),
+        ([rejected(OPENING)], []),
+        ([rejected(DATA)], []),
     ],
 )
 def test_actions(steps, kinds):
+    """The last step results in actions of the given types."""
     actions, _ = run_steps(steps)
     assert [type(one) for one in actions] == kinds
 
@@ -307,8 +328,8 @@
     ],
 )
 def test_ownership(steps, acknowledged, ownership):
-    question = OwnerQuery(FLOW, acknowledged)
-    (action,), _ = run_steps([*steps, OwnerQueryFrame("order", (question,))])
+    query = OwnerQuery(FLOW, acknowledged)
+    (action,), _ = run_steps([*steps, OwnerQueryFrame("order", (query,))])
     assert isinstance(action.frame, OwnerReplyFrame)
     assert action.frame.replies[0].ownership is ownership
 
@@ -321,15 +342,15 @@
         (ACCEPTED, 1),
         ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS - 1], 1),
         ([*ACCEPTED, FIRST_REQUEST_TIMEOUT_MS], 0),
-        ([*ACCEPTED, bounced(DATA)], 0),
-        ([*ACCEPTED, CARRY], 1),
+        ([*ACCEPTED, rejected(DATA)], 0),
+        ([*ACCEPTED, FORWARD], 1),
         (OPEN, 0),
         # A retransmitted request isn't counted again.
-        ([*OPEN, CARRY], 0),
-        (["ready", ANSWER, CARRY], 0),
-        ([*ACCEPTED, CARRY, FINISH], 0),
+        ([*OPEN, FORWARD], 0),
+        (["ready", ANSWER, FORWARD], 0),
+        ([*ACCEPTED, FORWARD, FINISH], 0),
         ([*OPEN, FINISH, ForwardFrame("order", replace(DATA, sequence=50))], 0),
-        ([*ACCEPTED, CARRY, 10_000], 0),
+        ([*ACCEPTED, FORWARD, 10_000], 0),
     ],
 )
 def test_requests_in_progress(steps, busy):
--- a/tests/unit/test_plain_backend_state.py
+++ b/tests/unit/test_plain_backend_state.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayagw._internal.core.plain.admission import request_limit
+from papayagw._internal.core.plain.admission import max_concurrent_requests
 from papayagw._internal.core.plain.backend_state import BackendState
 from papayagw._internal.core.plain.load_meter import LoadMeter
 from papayagw._internal.models.plain.instance import (
@@ -78,9 +78,9 @@
     meter = LoadMeter(slots)
     now = 0
     for _ in range(200):
-        meter.begin(now)
+        meter.begin_request(now)
         now += work_ms
-        meter.end(now, answered=True)
+        meter.end_request(now, answered=True)
         now += gap_ms
     assert meter.service_us(now) == pytest.approx(work_ms * 1_000, rel=0.05)
     share = work_ms / (work_ms + gap_ms) / slots
@@ -95,4 +95,4 @@
 
 @pytest.mark.parametrize(("slots", "limit"), [(0, 2), (1, 2), (3, 6)])
 def test_request_limit(slots, limit):
-    assert request_limit(slots) == limit
+    assert max_concurrent_requests(slots) == limit
