--- a/bench/requests.py
+++ b/bench/requests.py
@@ -52,7 +52,7 @@
                 tasks.start_soon(_run, batch, request_id, slots, timeout, recorder)
     seconds = time.monotonic() - started
     journals = [await fetch_runs(one) for one in backends]
-    compared = compare_journals(recorder.ended, journals) if journals else None
+    compared = compare_journals(recorder.outcomes_by_id, journals) if journals else None
     return recorder.make_report(seconds, compared)
 
 
@@ -69,8 +69,8 @@
 
         def note_first() -> None:
             micros = (time.monotonic_ns() - started) // _NANOS_PER_MICRO
-            recorder.note_latency(kind.name, micros)
+            recorder.record_latency(kind.name, micros)
 
         request = kind.make_request(request_id)
         outcome = await run_request(batch.target, kind, request, timeout, note_first)
-        recorder.note_outcome(kind.name, request_id, outcome)
+        recorder.record_outcome(kind.name, request_id, outcome)
--- a/src/papayagw/_internal/load/client.py
+++ b/src/papayagw/_internal/load/client.py
@@ -12,7 +12,7 @@
     Outcome,
     judge_echo,
     judge_feed_line,
-    judge_short,
+    judge_single_line,
     judge_upload,
 )
 from papayagw._internal.models.clock import Millis, to_seconds
@@ -20,10 +20,10 @@
 from papayagw._internal.standins.workload import Request, Verb
 
 MAX_LINE_BYTES = 1_024
-ECHO_FILLING = "x" * 160
+ECHO_PADDING = "x" * 160
 _PATTERN = bytes(range(256))
 
-OnFirst = Callable[[], None]
+FirstLineCallback = Callable[[], None]
 
 
 class Exchange:
@@ -46,46 +46,46 @@
         stream: SocketStream,
         kind: RequestKind,
         request: Request,
-        on_first: OnFirst,
+        on_first_line: FirstLineCallback,
     ):
         self._stream = stream
         self._reader = BufferedByteReceiveStream(stream)
         self._kind = kind
         self._request = request
-        self._on_first = on_first
+        self._on_first_line = on_first_line
 
     async def run(self) -> Outcome:
         """Send the request and judge the answer."""
-        runs: dict[Verb, Callable[[], Awaitable[Outcome]]] = {
+        runners: dict[Verb, Callable[[], Awaitable[Outcome]]] = {
             Verb.FEED: self._run_feed,
             Verb.UPLOAD: self._run_upload,
             Verb.ECHO: self._run_echo,
         }
         await self._stream.send(self._request.format_line())
-        return await runs.get(self._request.verb, self._run_short)()
+        return await runners.get(self._request.verb, self._run_single_line)()
 
     async def _read_line(self) -> str:
         line = await self._reader.receive_until(b"\n", MAX_LINE_BYTES)
         return line.decode("ascii", "replace")
 
-    async def _run_short(self) -> Outcome:
+    async def _run_single_line(self) -> Outcome:
         line = await self._read_line()
-        self._on_first()
-        return judge_short(self._request, self._kind.service, line)
+        self._on_first_line()
+        return judge_single_line(self._request, self._kind.service, line)
 
     async def _run_upload(self) -> Outcome:
-        blob = make_blob(self._request)
-        await self._stream.send(blob)
+        body = make_upload_body(self._request)
+        await self._stream.send(body)
         line = await self._read_line()
-        self._on_first()
-        digest = hashlib.sha256(blob).hexdigest()
+        self._on_first_line()
+        digest = hashlib.sha256(body).hexdigest()
         return judge_upload(self._request, self._kind.service, digest, line)
 
     async def _run_feed(self) -> Outcome:
         for number in range(self._request.numbers[0] + 1):
             line = await self._read_line()
             if number == 0:
-                self._on_first()
+                self._on_first_line()
             service = self._kind.service
             outcome = judge_feed_line(self._request, service, number, line)
             if outcome is not Outcome.DONE:
@@ -94,11 +94,11 @@
 
     async def _run_echo(self) -> Outcome:
         for number in range(self._request.numbers[0]):
-            sent = f"{number}-{self._request.request_id}-{ECHO_FILLING}"
+            sent = f"{number}-{self._request.request_id}-{ECHO_PADDING}"
             await self._stream.send(f"{sent}\n".encode())
             line = await self._read_line()
             if number == 0:
-                self._on_first()
+                self._on_first_line()
             outcome = judge_echo(self._request, self._kind.service, sent, line)
             if outcome is not Outcome.DONE:
                 return outcome
@@ -106,7 +106,7 @@
         return Outcome.DONE
 
 
-def make_blob(request: Request) -> bytes:
+def make_upload_body(request: Request) -> bytes:
     """Return the bytes of an upload, which no other upload shares."""
     size = request.numbers[0]
     name = request.request_id.encode()
@@ -119,17 +119,17 @@
     kind: RequestKind,
     request: Request,
     timeout: Millis,
-    on_first: OnFirst,
+    on_first_line: FirstLineCallback,
 ) -> Outcome:
     """Connect, run one request and say how it ended.
 
     `timeout` counts from the time at which the last line of the answer is due.
     """
-    limit = to_seconds(Millis(timeout + kind.length))
+    limit_s = to_seconds(Millis(timeout + kind.duration))
     try:
-        with anyio.fail_after(limit):
+        with anyio.fail_after(limit_s):
             async with await anyio.connect_tcp(*target.sockaddr) as stream:
-                return await Exchange(stream, kind, request, on_first).run()
+                return await Exchange(stream, kind, request, on_first_line).run()
     except TimeoutError:
         return Outcome.UNKNOWN
     except OSError:
--- a/src/papayagw/_internal/load/profiles.py
+++ b/src/papayagw/_internal/load/profiles.py
@@ -38,7 +38,7 @@
     pause: Millis = Millis(0)
 
     @property
-    def length(self) -> Millis:
+    def duration(self) -> Millis:
         """How long a request of this kind takes when nothing is late."""
         if self.verb is Verb.FEED:
             count, interval = self.numbers
--- a/src/papayagw/_internal/load/report.py
+++ b/src/papayagw/_internal/load/report.py
@@ -11,7 +11,7 @@
 
 _LOWEST_US = 1
 _HIGHEST_US = 3_600_000_000
-_DIGITS = 3
+_SIGNIFICANT_DIGITS = 3
 _US_PER_MS = 1_000
 _PERCENTILES = (50.0, 99.0, 99.9, 100.0)
 
@@ -122,25 +122,25 @@
     def __init__(self) -> None:
         self._outcomes: dict[str, Counter[str]] = defaultdict(Counter)
         self._latencies: dict[str, HdrHistogram] = {}
-        self._ended: dict[str, Outcome] = {}
+        self._outcomes_by_id: dict[str, Outcome] = {}
 
     @property
-    def ended(self) -> Mapping[str, Outcome]:
+    def outcomes_by_id(self) -> Mapping[str, Outcome]:
         """How each request ended, by its id."""
-        return self._ended
+        return self._outcomes_by_id
 
-    def note_latency(self, kind: str, micros: int) -> None:
+    def record_latency(self, kind: str, latency_us: int) -> None:
         """Note the time from the intended start to the first answer line."""
         histogram = self._latencies.get(kind)
         if histogram is None:
-            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS)
             self._latencies[kind] = histogram
-        histogram.record_value(max(micros, _LOWEST_US))
+        histogram.record_value(max(latency_us, _LOWEST_US))
 
-    def note_outcome(self, kind: str, request_id: str, outcome: Outcome) -> None:
+    def record_outcome(self, kind: str, request_id: str, outcome: Outcome) -> None:
         """Note how a request ended."""
         self._outcomes[kind][outcome.value] += 1
-        self._ended[request_id] = outcome
+        self._outcomes_by_id[request_id] = outcome
 
     def make_report(
         self, seconds: float, journal: JournalReport | None = None
@@ -163,14 +163,16 @@
 
 
 def compare_journals(
-    ended: Mapping[str, Outcome], journals: Iterable[Mapping[str, int]]
+    outcomes_by_id: Mapping[str, Outcome], journals: Iterable[Mapping[str, int]]
 ) -> JournalReport:
     """Hold what callers were told against what the backend servers ran."""
     runs: Counter[str] = Counter()
     for journal in journals:
-        runs.update({one: n for one, n in journal.items() if one in ended})
-    refused = [one for one, outcome in ended.items() if outcome is Outcome.REFUSED]
-    done = [one for one, outcome in ended.items() if outcome is Outcome.DONE]
+        runs.update({one: n for one, n in journal.items() if one in outcomes_by_id})
+    refused = [
+        one for one, outcome in outcomes_by_id.items() if outcome is Outcome.REFUSED
+    ]
+    done = [one for one, outcome in outcomes_by_id.items() if outcome is Outcome.DONE]
     return JournalReport(
         run=len(runs),
         doubled=sum(1 for times in runs.values() if times > 1),
--- a/src/papayagw/_internal/load/run.py
+++ b/src/papayagw/_internal/load/run.py
@@ -23,7 +23,7 @@
 from papayagw._internal.standins.journal_client import fetch_runs
 from papayagw._internal.standins.workload import BackendKind
 
-LONG_RUN_MS = Millis(5_000)
+PROGRESS_BAR_MIN_MS = Millis(5_000)
 """Runs at least this long show a progress bar."""
 
 _NANOS_PER_MILLI = 1_000_000
@@ -80,25 +80,27 @@
     def __init__(self, plan: LoadPlan):
         self._plan = plan
         self._recorder = LoadRecorder()
-        self._open = 0
+        self._open_count = 0
         self._started_ns = 0
 
     async def run(self) -> LoadReport:
         """Carry the run out and report."""
         self._started_ns = time.monotonic_ns()
-        is_short = self._plan.duration < LONG_RUN_MS
+        is_short = self._plan.duration < PROGRESS_BAR_MIN_MS
         total = round(self._plan.rate * self._plan.duration / MILLIS_PER_SECOND)
         with tqdm(total=total, disable=is_short or None, unit="request") as bar:
             async with anyio.create_task_group() as tasks:
-                await self._start_all(tasks, bar.update)
+                await self._start_requests(tasks, bar.update)
         seconds = (time.monotonic_ns() - self._started_ns) / _NANOS_PER_SECOND
         if not self._plan.backends:
             return self._recorder.make_report(seconds)
         journals = [await fetch_runs(one) for one in self._plan.backends]
-        compared = compare_journals(self._recorder.ended, journals)
+        compared = compare_journals(self._recorder.outcomes_by_id, journals)
         return self._recorder.make_report(seconds, compared)
 
-    async def _start_all(self, tasks: TaskGroup, advance: Callable[[], object]) -> None:
+    async def _start_requests(
+        self, tasks: TaskGroup, advance: Callable[[], object]
+    ) -> None:
         plan = self._plan
         for arrival in plan_arrivals(
             plan.workload, plan.rate, plan.duration, plan.seed
@@ -107,32 +109,32 @@
             if wait_ns > 0:
                 await anyio.sleep(wait_ns / _NANOS_PER_SECOND)
             advance()
-            if self._open >= plan.max_open:
-                self._note(arrival, Outcome.NOT_SENT)
+            if self._open_count >= plan.max_open:
+                self._record_outcome(arrival, Outcome.NOT_SENT)
                 continue
-            self._open += 1
-            tasks.start_soon(self._run_one, arrival)
+            self._open_count += 1
+            tasks.start_soon(self._run_arrival, arrival)
 
-    async def _run_one(self, arrival: Arrival[RequestKind]) -> None:
+    async def _run_arrival(self, arrival: Arrival[RequestKind]) -> None:
         kind = arrival.kind
         target = self._plan.targets[kind.service]
 
-        def note_first() -> None:
-            late_ns = time.monotonic_ns() - self._due_ns(arrival)
-            self._recorder.note_latency(kind.name, late_ns // _NANOS_PER_MICRO)
+        def on_first_line() -> None:
+            latency_ns = time.monotonic_ns() - self._due_ns(arrival)
+            self._recorder.record_latency(kind.name, latency_ns // _NANOS_PER_MICRO)
 
         request = kind.make_request(self._request_id(arrival))
         try:
             outcome = await run_request(
-                target, kind, request, self._plan.timeout, note_first
+                target, kind, request, self._plan.timeout, on_first_line
             )
         finally:
-            self._open -= 1
-        self._note(arrival, outcome)
+            self._open_count -= 1
+        self._record_outcome(arrival, outcome)
 
-    def _note(self, arrival: Arrival[RequestKind], outcome: Outcome) -> None:
+    def _record_outcome(self, arrival: Arrival[RequestKind], outcome: Outcome) -> None:
         name = arrival.kind.name
-        self._recorder.note_outcome(name, self._request_id(arrival), outcome)
+        self._recorder.record_outcome(name, self._request_id(arrival), outcome)
 
     def _request_id(self, arrival: Arrival[RequestKind]) -> str:
         return f"{self._plan.run_id}-{arrival.number}"
--- a/src/papayagw/_internal/load/verdict.py
+++ b/src/papayagw/_internal/load/verdict.py
@@ -4,8 +4,8 @@
 
 from papayagw._internal.standins.workload import BackendKind, Request, Verb
 
-_ANSWERS = {Verb.ORDER: "DONE", Verb.CHECK: "RATE"}
-_SIGNED_WORDS = 3
+_RESPONSE_WORDS = {Verb.ORDER: "DONE", Verb.CHECK: "RATE"}
+_MIN_WORDS = 3
 
 
 class Outcome(Enum):
@@ -30,12 +30,12 @@
 """What must never happen."""
 
 
-def judge_short(request: Request, service: BackendKind, line: str) -> Outcome:
+def judge_single_line(request: Request, service: BackendKind, line: str) -> Outcome:
     """Judge the answer to an order or a rate check."""
     words = line.split()
-    if (early := _judge_signature(request, service, words)) is not None:
-        return early
-    expected = [_ANSWERS[request.verb], request.request_id]
+    if (outcome := _judge_signature(request, service, words)) is not None:
+        return outcome
+    expected = [_RESPONSE_WORDS[request.verb], request.request_id]
     return Outcome.DONE if words[:2] == expected else Outcome.CROSSED
 
 
@@ -44,8 +44,8 @@
 ) -> Outcome:
     """Judge the answer to an upload with the checksum `digest`."""
     words = line.split()
-    if (early := _judge_signature(request, service, words)) is not None:
-        return early
+    if (outcome := _judge_signature(request, service, words)) is not None:
+        return outcome
     return Outcome.DONE if words[:2] == ["SHA256", digest] else Outcome.WRONG_BYTES
 
 
@@ -54,31 +54,31 @@
 ) -> Outcome:
     """Judge line `number` of a feed; DONE says that it is the right one."""
     words = line.split()
-    if (early := _judge_signature(request, service, words)) is not None:
-        return early
+    if (outcome := _judge_signature(request, service, words)) is not None:
+        return outcome
     count = request.numbers[0]
     expected = "END" if number == count else "STATUS"
     if words[1] != request.request_id:
         return Outcome.CROSSED
-    right = words[0] == expected and words[2] == str(number)
-    return Outcome.DONE if right else Outcome.WRONG_BYTES
+    is_expected = words[0] == expected and words[2] == str(number)
+    return Outcome.DONE if is_expected else Outcome.WRONG_BYTES
 
 
 def judge_echo(request: Request, service: BackendKind, sent: str, line: str) -> Outcome:
     """Judge the answer to one line of an echo."""
     words = line.split()
-    if (early := _judge_signature(request, service, words)) is not None:
-        return early
+    if (outcome := _judge_signature(request, service, words)) is not None:
+        return outcome
     if words[1] != request.request_id:
         return Outcome.CROSSED
-    right = words[0] == "ECHO" and words[2] == sent
-    return Outcome.DONE if right else Outcome.WRONG_BYTES
+    is_expected = words[0] == "ECHO" and words[2] == sent
+    return Outcome.DONE if is_expected else Outcome.WRONG_BYTES
 
 
 def _judge_signature(
     request: Request, service: BackendKind, words: list[str]
 ) -> Outcome | None:
-    if len(words) < _SIGNED_WORDS or words[0] == "ERROR":
+    if len(words) < _MIN_WORDS or words[0] == "ERROR":
         return Outcome.BROKEN
     if words[-1].rpartition("-")[0] != service.value or words[0] == "WRONG":
         return Outcome.CROSSED
--- a/src/papayagw/_internal/standins/backend.py
+++ b/src/papayagw/_internal/standins/backend.py
@@ -15,8 +15,8 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.standins.workload import (
-    SERVED,
-    WORK,
+    CALLER_VERBS,
+    VERBS_BY_KIND,
     BackendPlan,
     Journal,
     Request,
@@ -49,9 +49,9 @@
         """Return the next line without its end."""
         return await self._reader.receive_until(b"\n", MAX_LINE_BYTES)
 
-    async def read_chunk(self, most: int) -> bytes:
+    async def read_chunk(self, max_bytes: int) -> bytes:
         """Return some bytes, `most` at the most."""
-        return await self._reader.receive(most)
+        return await self._reader.receive(max_bytes)
 
     async def write(self, text: str) -> None:
         """Send a line."""
@@ -79,11 +79,11 @@
         self._journal = Journal()
         self._slots = anyio.Semaphore(plan.slots)
         self._connections = 0
-        self._working = 0
+        self._in_progress = 0
         self._is_draining = False
         self._is_shedding = False
         self._stall_ms = Millis(0)
-        self._told_load: int | None = None
+        self._reported_load: int | None = None
         self._handlers: dict[Verb, Handler] = {
             Verb.ORDER: self._serve_order,
             Verb.CHECK: self._serve_check,
@@ -104,9 +104,9 @@
         return self._journal
 
     @property
-    def working(self) -> int:
+    def in_progress(self) -> int:
         """How many requests are in progress or queue, feeds included."""
-        return self._working
+        return self._in_progress
 
     def drain(self) -> None:
         """Shed new requests; those in progress go on."""
@@ -114,20 +114,20 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen, and serve in `tasks`."""
-        own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            own.bind(self._endpoint.sockaddr)
+            listener.bind(self._endpoint.sockaddr)
         except OSError as error:
-            own.close()
+            listener.close()
             raise BindError(
                 error.strerror or "can't listen",
                 step=Step.BIND,
                 peer=str(self._endpoint),
                 remedy="stop what holds the address, or choose another one",
             ) from error
-        own.listen(_BACKLOG)
-        self._listener = await SocketListener.from_socket(own)
+        listener.listen(_BACKLOG)
+        self._listener = await SocketListener.from_socket(listener)
         tasks.start_soon(self._accept, tasks)
 
     async def close(self) -> None:
@@ -136,7 +136,7 @@
 
     async def wait_idle(self) -> None:
         """Return when no request is in progress."""
-        while self._working:
+        while self._in_progress:
             await anyio.sleep(0.01)
 
     async def _accept(self, tasks: TaskGroup) -> None:
@@ -169,39 +169,39 @@
 
     async def _serve_request(self, connection: Connection, request: Request) -> None:
         name = self._plan.name
-        if request.verb not in WORK:
+        if request.verb not in CALLER_VERBS:
             await self._handlers[request.verb](connection, request)
-        elif request.verb not in SERVED[self._plan.kind]:
+        elif request.verb not in VERBS_BY_KIND[self._plan.kind]:
             await connection.write(f"WRONG {request.request_id} {name}")
         elif self._is_draining or self._is_shedding:
             await connection.write(f"SHED {request.request_id} {name}")
         else:
-            await self._work(connection, request)
+            await self._run_handler(connection, request)
 
-    async def _work(self, connection: Connection, request: Request) -> None:
-        self._working += 1
+    async def _run_handler(self, connection: Connection, request: Request) -> None:
+        self._in_progress += 1
         try:
             await self._handlers[request.verb](connection, request)
         finally:
-            self._working -= 1
+            self._in_progress -= 1
 
-    async def _take_service_time(self, request: Request) -> None:
+    async def _wait_service_time(self, request: Request) -> None:
         async with self._slots:
-            self._journal.note(request)
+            self._journal.record(request)
             wait = self._plan.scaled_service_ms + self._stall_ms
             await anyio.sleep(to_seconds(Millis(wait)))
 
     async def _serve_order(self, connection: Connection, request: Request) -> None:
-        await self._take_service_time(request)
+        await self._wait_service_time(request)
         await connection.write(f"DONE {request.request_id} {self._plan.name}")
 
     async def _serve_check(self, connection: Connection, request: Request) -> None:
-        await self._take_service_time(request)
+        await self._wait_service_time(request)
         await connection.write(f"RATE {request.request_id} {self._plan.name}")
 
     async def _serve_feed(self, connection: Connection, request: Request) -> None:
         count, interval = request.numbers
-        self._journal.note(request)
+        self._journal.record(request)
         for number in range(count):
             await connection.write(
                 f"STATUS {request.request_id} {number} {self._plan.name}"
@@ -211,16 +211,16 @@
 
     async def _serve_upload(self, connection: Connection, request: Request) -> None:
         digest = hashlib.sha256()
-        left = request.numbers[0]
-        while left:
-            chunk = await connection.read_chunk(min(left, READ_BYTES))
+        remaining = request.numbers[0]
+        while remaining:
+            chunk = await connection.read_chunk(min(remaining, READ_BYTES))
             digest.update(chunk)
-            left -= len(chunk)
-        await self._take_service_time(request)
+            remaining -= len(chunk)
+        await self._wait_service_time(request)
         await connection.write(f"SHA256 {digest.hexdigest()} {self._plan.name}")
 
     async def _serve_echo(self, connection: Connection, request: Request) -> None:
-        self._journal.note(request)
+        self._journal.record(request)
         for _ in range(request.numbers[0]):
             line = (await connection.read_line()).decode("ascii", "replace")
             await connection.write(
@@ -232,9 +232,9 @@
 
     async def _serve_health(self, connection: Connection, request: Request) -> None:
         state = "draining" if self._is_draining else "ready"
-        load = self._told_load
+        load = self._reported_load
         if load is None:
-            load = _PERCENT * self._working // self._plan.slots
+            load = _PERCENT * self._in_progress // self._plan.slots
         await connection.write(f"HEALTH {state} {load} {self._plan.name}")
 
     async def _serve_drain(self, connection: Connection, request: Request) -> None:
@@ -250,5 +250,5 @@
         await connection.write(f"OK {self._plan.name}")
 
     async def _serve_lie(self, connection: Connection, request: Request) -> None:
-        self._told_load = request.numbers[0]
+        self._reported_load = request.numbers[0]
         await connection.write(f"OK {self._plan.name}")
--- a/src/papayagw/_internal/standins/fabric.py
+++ b/src/papayagw/_internal/standins/fabric.py
@@ -19,14 +19,14 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.standins.spray import Impairments, Route, Sprayer
 
-BATCH = 64
+MAX_BATCH_DATAGRAMS = 64
 """The most datagrams read from one socket before the next one has its turn."""
 
-IDLE_MS = Millis(60_000)
+CALLER_IDLE_TIMEOUT_MS = Millis(60_000)
 """After this silence a caller's socket is closed."""
 
-SWEEP_MS = Millis(5_000)
-SPARE_FILES = 64
+SWEEP_INTERVAL_MS = Millis(5_000)
+RESERVED_FILES = 64
 """Open files kept back for the listeners and the loop."""
 
 MAX_DATAGRAM_BYTES = 65_535
@@ -67,12 +67,14 @@
 class _Caller:
     """A caller and its socket towards the balancers."""
 
-    __slots__ = ("address", "socket", "used_at")
+    __slots__ = ("address", "socket", "last_used_at")
 
-    def __init__(self, address: ClientAddress, own: socket.socket, now: Millis):
+    def __init__(
+        self, address: ClientAddress, caller_socket: socket.socket, now: Millis
+    ):
         self.address = address
-        self.socket = own
-        self.used_at = now
+        self.socket = caller_socket
+        self.last_used_at = now
 
 
 class Fabric:
@@ -109,7 +111,7 @@
             _Entry(self, route, Sprayer(route.targets, impairments, draw), watch_health)
             for route in routes
         ]
-        self._room = limit
+        self._max_sockets = limit
 
     @property
     def counts(self) -> FabricCounts:
@@ -137,27 +139,27 @@
             while True:
                 await anyio.wait_readable(self._epoll.fileno())
                 now = self._clock.now()
-                for number, _ in self._epoll.poll(0, _MAX_EVENTS):
-                    self._handlers[number](now)
+                for descriptor, _ in self._epoll.poll(0, _MAX_EVENTS):
+                    self._handlers[descriptor](now)
 
-    def watch(self, one: socket.socket, handler: Callable[[Millis], None]) -> None:
+    def register(self, sock: socket.socket, handler: Callable[[Millis], None]) -> None:
         """Call `handler` when a socket has datagrams."""
-        self._handlers[one.fileno()] = handler
-        self._epoll.register(one.fileno(), select.EPOLLIN)
+        self._handlers[sock.fileno()] = handler
+        self._epoll.register(sock.fileno(), select.EPOLLIN)
 
-    def unwatch(self, one: socket.socket) -> None:
+    def unregister(self, sock: socket.socket) -> None:
         """Forget a socket that is about to close."""
-        self._epoll.unregister(one.fileno())
-        del self._handlers[one.fileno()]
+        self._epoll.unregister(sock.fileno())
+        del self._handlers[sock.fileno()]
 
     @property
-    def has_room(self) -> bool:
+    def can_open_socket(self) -> bool:
         """Whether one more caller's socket may be opened."""
-        return len(self._handlers) < self._room
+        return len(self._handlers) < self._max_sockets
 
     async def _sweep(self) -> None:
         while True:
-            await anyio.sleep(to_seconds(SWEEP_MS))
+            await anyio.sleep(to_seconds(SWEEP_INTERVAL_MS))
             for entry in self._entries:
                 entry.close_idle(self._clock.now())
 
@@ -174,19 +176,25 @@
         self._watch_health = watch_health
         self._callers: dict[ClientAddress, _Caller] = {}
         self._socket = make_udp_socket(ENTRY_BUFFER_BYTES)
-        self._in = self._out = self._answers = self._lost = self._refused = 0
+        self._packets_in = self._packets_out = self._answers = self._lost = (
+            self._callers_refused
+        ) = 0
 
     @property
     def counts(self) -> FabricCounts:
         """What this entry has carried."""
         return FabricCounts(
-            self._in, self._out, self._answers, self._lost, self._refused
+            self._packets_in,
+            self._packets_out,
+            self._answers,
+            self._lost,
+            self._callers_refused,
         )
 
     def start(self) -> None:
         """Bind the entry address."""
         bind_udp(self._socket, self._route.entry)
-        self._fabric.watch(self._socket, self._drain_entry)
+        self._fabric.register(self._socket, self._read_entry)
 
     def close(self) -> None:
         """Close the entry's sockets."""
@@ -196,25 +204,29 @@
 
     def close_idle(self, now: Millis) -> None:
         """Close the sockets of callers that have been silent."""
-        idle = [one for one in self._callers.values() if now - one.used_at > IDLE_MS]
+        idle = [
+            one
+            for one in self._callers.values()
+            if now - one.last_used_at > CALLER_IDLE_TIMEOUT_MS
+        ]
         for caller in idle:
             del self._callers[caller.address]
-            self._fabric.unwatch(caller.socket)
+            self._fabric.unregister(caller.socket)
             caller.socket.close()
 
-    def _drain_entry(self, now: Millis) -> None:
+    def _read_entry(self, now: Millis) -> None:
         receive, callers = self._socket.recvfrom, self._callers
-        for _ in range(BATCH):
+        for _ in range(MAX_BATCH_DATAGRAMS):
             try:
                 data, client = receive(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
-            self._in += 1
+            self._packets_in += 1
             caller = callers.get(client) or self._open_caller(client, now)
             if caller is None:
-                self._refused += 1
+                self._callers_refused += 1
                 continue
-            caller.used_at = now
+            caller.last_used_at = now
             self._spray(caller, data, now)
 
     def _spray(self, caller: _Caller, data: bytes, now: Millis) -> None:
@@ -224,33 +236,33 @@
         for target in targets:
             try:
                 caller.socket.sendto(data, target)
-                self._out += 1
+                self._packets_out += 1
             except OSError:
                 # A full buffer, or the news that an earlier packet was refused.
                 self._lost += 1
-                self._read_refusals(caller, now)
+                self._read_error_queue(caller, now)
 
     def _open_caller(self, client: ClientAddress, now: Millis) -> _Caller | None:
-        if not self._fabric.has_room:
+        if not self._fabric.can_open_socket:
             return None
-        own = make_udp_socket(CALLER_BUFFER_BYTES)
-        own.bind((self._route.entry.ip, 0))
+        caller_socket = make_udp_socket(CALLER_BUFFER_BYTES)
+        caller_socket.bind((self._route.entry.ip, 0))
         if self._watch_health:
-            own.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
-        caller = self._callers[client] = _Caller(client, own, now)
-        self._fabric.watch(own, lambda at: self._drain_caller(caller, at))
+            caller_socket.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
+        caller = self._callers[client] = _Caller(client, caller_socket, now)
+        self._fabric.register(caller_socket, lambda at: self._read_caller(caller, at))
         return caller
 
-    def _drain_caller(self, caller: _Caller, now: Millis) -> None:
+    def _read_caller(self, caller: _Caller, now: Millis) -> None:
         receive, send = caller.socket.recv, self._socket.sendto
-        caller.used_at = now
-        for _ in range(BATCH):
+        caller.last_used_at = now
+        for _ in range(MAX_BATCH_DATAGRAMS):
             try:
                 data = receive(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
             except OSError:
-                self._read_refusals(caller, now)
+                self._read_error_queue(caller, now)
                 continue
             try:
                 send(data, caller.address)
@@ -258,38 +270,38 @@
             except OSError:
                 self._lost += 1
 
-    def _read_refusals(self, caller: _Caller, now: Millis) -> None:
+    def _read_error_queue(self, caller: _Caller, now: Millis) -> None:
         if not self._watch_health:
             return
-        for _ in range(BATCH):
+        for _ in range(MAX_BATCH_DATAGRAMS):
             try:
                 _, _, _, target = caller.socket.recvmsg(
                     0, socket.CMSG_SPACE(64), socket.MSG_ERRQUEUE
                 )
             except OSError:
                 return
-            self._sprayer.hold(target, now)
+            self._sprayer.exclude(target, now)
 
 
 def max_callers() -> int:
     """Return how many callers' sockets the limit of open files allows."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return max(soft - SPARE_FILES, 0)
+    return max(soft - RESERVED_FILES, 0)
 
 
 def make_udp_socket(buffer_bytes: int) -> socket.socket:
     """Return a UDP socket that doesn't block, with large buffers."""
-    one = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    one.setblocking(False)
-    one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-    one.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
-    return one
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
+    return sock
 
 
-def bind_udp(one: socket.socket, endpoint: Endpoint) -> None:
+def bind_udp(sock: socket.socket, endpoint: Endpoint) -> None:
     """Bind a socket, or raise `BindError`."""
     try:
-        one.bind(endpoint.sockaddr)
+        sock.bind(endpoint.sockaddr)
     except OSError as error:
         raise BindError(
             error.strerror or "can't bind",
--- a/src/papayagw/_internal/standins/faults.py
+++ b/src/papayagw/_internal/standins/faults.py
@@ -29,7 +29,7 @@
     lost_answers: int = 0
 
     @classmethod
-    def read(cls, message: dict[str, Any]) -> "Faults":
+    def from_message(cls, message: dict[str, Any]) -> "Faults":
         """Return the faults that a control message names; all others are off."""
         known = {one.name for one in fields(cls)}
         return cls(**{name: one for name, one in message.items() if name in known})
--- a/src/papayagw/_internal/standins/http_server.py
+++ b/src/papayagw/_internal/standins/http_server.py
@@ -7,7 +7,7 @@
 
 from papayagw._internal.models.endpoint import Endpoint
 
-_STOP_LIMIT_S = 1
+_SHUTDOWN_TIMEOUT_S = 1
 _BACKLOG = 4096
 
 
@@ -38,7 +38,7 @@
                 log_level="critical",
                 access_log=False,
                 backlog=_BACKLOG,
-                timeout_graceful_shutdown=_STOP_LIMIT_S,
+                timeout_graceful_shutdown=_SHUTDOWN_TIMEOUT_S,
             )
         )
         self._on_ready = on_ready
--- a/src/papayagw/_internal/standins/key_values.py
+++ b/src/papayagw/_internal/standins/key_values.py
@@ -55,7 +55,7 @@
 
     lease_id: int
     duration_s: int
-    expires: Millis
+    expires_at: Millis
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +75,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Copy:
+class StoreSnapshot:
     """The whole content at one time, to restore later."""
 
     revision: int
@@ -98,7 +98,7 @@
         self._values: dict[bytes, KeyValue] = {}
         self._events: deque[Event] = deque(maxlen=MAX_EVENTS)
         self._leases: dict[int, Lease] = {}
-        self._last_lease = NO_LEASE
+        self._last_lease_id = NO_LEASE
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -119,13 +119,13 @@
     def put(self, key: bytes, value: bytes, lease: int = NO_LEASE) -> KeyValue:
         """Write a key."""
         self._revision += 1
-        earlier = self._values.get(key)
+        previous = self._values.get(key)
         written = KeyValue(
             key,
             value,
-            earlier.created if earlier else self._revision,
+            previous.created if previous else self._revision,
             self._revision,
-            earlier.version + 1 if earlier else 1,
+            previous.version + 1 if previous else 1,
             lease,
         )
         self._values[key] = written
@@ -134,11 +134,11 @@
 
     def delete(self, key: bytes) -> bool:
         """Delete a key; return whether it was there."""
-        gone = self._values.pop(key, None)
-        if gone is None:
+        deleted = self._values.pop(key, None)
+        if deleted is None:
             return False
         self._revision += 1
-        self._record(Event(replace(gone, modified=self._revision, value=b""), True))
+        self._record(Event(replace(deleted, modified=self._revision, value=b""), True))
         return True
 
     def swap(self, key: bytes, value: bytes, expected: int) -> bool:
@@ -160,8 +160,8 @@
 
     def grant_lease(self, duration_s: int) -> Lease:
         """Grant a new lease."""
-        self._last_lease += 1
-        return self._set_lease(self._last_lease, duration_s)
+        self._last_lease_id += 1
+        return self._set_lease(self._last_lease_id, duration_s)
 
     def renew_lease(self, lease_id: int) -> Lease | None:
         """Renew a lease, unless it has lapsed."""
@@ -182,38 +182,38 @@
     def expire_leases(self) -> None:
         """End the leases that have lapsed."""
         now = self._clock.now()
-        for lease in [one for one in self._leases.values() if one.expires <= now]:
+        for lease in [one for one in self._leases.values() if one.expires_at <= now]:
             self.revoke_lease(lease.lease_id)
 
-    def copy(self) -> Copy:
+    def snapshot(self) -> StoreSnapshot:
         """Return the whole content."""
-        return Copy(self._revision, dict(self._values), tuple(self._events))
+        return StoreSnapshot(self._revision, dict(self._values), tuple(self._events))
 
-    def restore(self, copy: Copy) -> None:
+    def restore(self, snapshot: StoreSnapshot) -> None:
         """Go back to an earlier content."""
-        self._revision = copy.revision
-        self._values = dict(copy.values)
-        self._events = deque(copy.events, maxlen=MAX_EVENTS)
-        self.tell()
+        self._revision = snapshot.revision
+        self._values = dict(snapshot.values)
+        self._events = deque(snapshot.events, maxlen=MAX_EVENTS)
+        self.notify_listeners()
 
-    def listen(self, listener: Callable[[], None]) -> None:
+    def add_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change."""
         self._listeners.append(listener)
 
-    def unlisten(self, listener: Callable[[], None]) -> None:
+    def remove_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` no more."""
         self._listeners.remove(listener)
 
     def _set_lease(self, lease_id: int, duration_s: int) -> Lease:
-        expires = Millis(self._clock.now() + duration_s * MILLIS_PER_SECOND)
-        lease = self._leases[lease_id] = Lease(lease_id, duration_s, expires)
+        expires_at = Millis(self._clock.now() + duration_s * MILLIS_PER_SECOND)
+        lease = self._leases[lease_id] = Lease(lease_id, duration_s, expires_at)
         return lease
 
     def _record(self, event: Event) -> None:
         self._events.append(event)
-        self.tell()
+        self.notify_listeners()
 
-    def tell(self) -> None:
+    def notify_listeners(self) -> None:
         """Call the listeners, as after a change."""
         for listener in tuple(self._listeners):
             listener()
--- a/src/papayagw/_internal/standins/memory_store.py
+++ b/src/papayagw/_internal/standins/memory_store.py
@@ -35,7 +35,7 @@
         self._values = KeyValues(clock)
         self._counts = CallCounts()
         self._is_down = False
-        self._lost_answers = 0
+        self._responses_to_lose = 0
 
     @property
     def values(self) -> KeyValues:
@@ -47,14 +47,14 @@
         """The calls so far."""
         return self._counts
 
-    def set_down(self, is_down: bool) -> None:
+    def set_outage(self, is_down: bool) -> None:
         """Begin or end an outage."""
         self._is_down = is_down
-        self._values.tell()
+        self._values.notify_listeners()
 
-    def lose_answers(self, count: int) -> None:
+    def lose_responses(self, count: int) -> None:
         """Let the next writes take effect and then fail."""
-        self._lost_answers = count
+        self._responses_to_lose = count
 
     async def get(
         self, key: str, timeout_ms: Millis
@@ -63,7 +63,7 @@
         self._counts.add("get")
         await anyio.lowlevel.checkpoint()
         if self._is_down:
-            return Failure(_make_outage())
+            return Failure(_make_outage_error())
         return Success(Snapshot(self._find(key), self._values.revision))
 
     async def swap(
@@ -73,11 +73,11 @@
         self._counts.add("swap")
         await anyio.lowlevel.checkpoint()
         if self._is_down:
-            return Failure(_make_outage())
+            return Failure(_make_outage_error())
         swapped = self._values.swap(key.encode(), value, expected)
-        if self._lost_answers > 0:
-            self._lost_answers -= 1
-            return Failure(_make_outage())
+        if self._responses_to_lose > 0:
+            self._responses_to_lose -= 1
+            return Failure(_make_outage_error())
         if swapped:
             return Success(Swapped(self._values.revision))
         return Success(Conflict(self._find(key)))
@@ -97,7 +97,7 @@
         def on_change() -> None:
             changed.set()
 
-        self._values.listen(on_change)
+        self._values.add_listener(on_change)
         try:
             with anyio.move_on_after(to_seconds(timeout_ms)):
                 while self._values.revision >= seen and not self._is_down:
@@ -107,9 +107,9 @@
                     changed = anyio.Event()
                     await changed.wait()
         finally:
-            self._values.unlisten(on_change)
+            self._values.remove_listener(on_change)
         if self._is_down:
-            return Failure(_make_outage())
+            return Failure(_make_outage_error())
         return Success(self._values.revision)
 
     async def close(self) -> None:
@@ -124,5 +124,5 @@
     return Entry(key_value.value, key_value.modified)
 
 
-def _make_outage() -> PlatformUnreachableError:
+def _make_outage_error() -> PlatformUnreachableError:
     return PlatformUnreachableError("an outage", step=Step.PLATFORM, peer="memory")
--- a/src/papayagw/_internal/standins/platform.py
+++ b/src/papayagw/_internal/standins/platform.py
@@ -18,15 +18,20 @@
 
 from papayagw._internal.models.clock import Clock, to_seconds
 from papayagw._internal.standins.faults import CallCounts, Faults
-from papayagw._internal.standins.key_values import Copy, Event, KeyValue, KeyValues
+from papayagw._internal.standins.key_values import (
+    Event,
+    KeyValue,
+    KeyValues,
+    StoreSnapshot,
+)
 from papayagw._internal.store.protocol import MAX_VALUE_BYTES
 
 Message = dict[str, Any]
 
-_UNAVAILABLE = 503
-_LOST = 504
+_SERVICE_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
 _BAD_REQUEST = 400
-_WATCH_TICK_S = 1.0
+_WATCH_POLL_S = 1.0
 
 
 class PlatformStandin:
@@ -42,7 +47,7 @@
         self._store = KeyValues(clock)
         self._faults = Faults()
         self._counts = CallCounts()
-        self._copies: dict[str, Copy] = {}
+        self._snapshots: dict[str, StoreSnapshot] = {}
         self._app = Starlette(routes=self._make_routes())
 
     @property
@@ -72,9 +77,9 @@
             *service,
             Route("/v3/watch", self._watch, methods=["POST"]),
             Route("/standin/faults", self._set_faults, methods=["POST"]),
-            Route("/standin/copies/{name}", self._keep_copy, methods=["POST"]),
+            Route("/standin/copies/{name}", self._save_snapshot, methods=["POST"]),
             Route("/standin/restore/{name}", self._restore, methods=["POST"]),
-            Route("/standin/calls", self._show_calls, methods=["GET"]),
+            Route("/standin/calls", self._get_call_counts, methods=["GET"]),
         ]
 
     def _make_endpoint(
@@ -87,7 +92,7 @@
             message = await request.json()
             await anyio.sleep(to_seconds(self._faults.delay_ms))
             if self._faults.outage:
-                return Response(status_code=_UNAVAILABLE)
+                return Response(status_code=_SERVICE_UNAVAILABLE)
             try:
                 answer = call(message)
             except (KeyError, ValueError, TypeError) as error:
@@ -96,7 +101,7 @@
             if kind == "kv_txn" and self._faults.lost_answers > 0:
                 left = self._faults.lost_answers - 1
                 self._faults = replace(self._faults, lost_answers=left)
-                return Response(status_code=_LOST)
+                return Response(status_code=_GATEWAY_TIMEOUT)
             return JSONResponse(answer)
 
         return endpoint
@@ -104,8 +109,8 @@
     def _range(self, message: Message) -> Message:
         end = b64decode(message.get("range_end", ""))
         found = self._store.find(b64decode(message["key"]), end)
-        shown = [_show(one) for one in found]
-        return {"header": self._header(), "kvs": shown, "count": str(len(found))}
+        encoded = [_encode_key_value(one) for one in found]
+        return {"header": self._header(), "kvs": encoded, "count": str(len(found))}
 
     def _put(self, message: Message) -> Message:
         value = b64decode(message.get("value", ""))
@@ -116,13 +121,13 @@
         return {"header": self._header()}
 
     def _delete(self, message: Message) -> Message:
-        gone = self._store.delete(b64decode(message["key"]))
-        return {"header": self._header(), "deleted": str(int(gone))}
+        deleted = self._store.delete(b64decode(message["key"]))
+        return {"header": self._header(), "deleted": str(int(deleted))}
 
     def _txn(self, message: Message) -> Message:
         holds = all(self._compare(one) for one in message.get("compare", []))
-        todo = message.get("success" if holds else "failure", [])
-        responses = [self._run_operation(one) for one in todo]
+        operations = message.get("success" if holds else "failure", [])
+        responses = [self._run_operation(one) for one in operations]
         return {"header": self._header(), "succeeded": holds, "responses": responses}
 
     def _compare(self, message: Message) -> bool:
@@ -167,21 +172,21 @@
         message = (await request.json())["create_request"]
         await anyio.sleep(to_seconds(self._faults.delay_ms))
         if self._faults.outage:
-            return Response(status_code=_UNAVAILABLE)
+            return Response(status_code=_SERVICE_UNAVAILABLE)
         key = b64decode(message["key"])
         start = int(message.get("start_revision", 0)) or self._store.revision + 1
-        return StreamingResponse(self._tell_events(key, start))
+        return StreamingResponse(self._stream_events(key, start))
 
-    async def _tell_events(self, key: bytes, start: int) -> AsyncIterator[str]:
+    async def _stream_events(self, key: bytes, start: int) -> AsyncIterator[str]:
         """Yield the messages of a watch until an outage or a restore cuts it."""
         changed = anyio.Event()
 
         def on_change() -> None:
             changed.set()
 
-        self._store.listen(on_change)
+        self._store.add_listener(on_change)
         try:
-            yield _make_line({"header": self._header(), "created": True})
+            yield _format_line({"header": self._header(), "created": True})
             seen = self._store.revision
             while not self._faults.outage and self._store.revision >= seen:
                 seen = self._store.revision
@@ -189,34 +194,34 @@
                 changed = anyio.Event()
                 if events:
                     start = events[-1].key_value.modified + 1
-                    shown = [_show_event(one) for one in events]
-                    yield _make_line({"header": self._header(), "events": shown})
-                with anyio.move_on_after(_WATCH_TICK_S):
+                    encoded = [_encode_event(one) for one in events]
+                    yield _format_line({"header": self._header(), "events": encoded})
+                with anyio.move_on_after(_WATCH_POLL_S):
                     await changed.wait()
         finally:
-            self._store.unlisten(on_change)
+            self._store.remove_listener(on_change)
 
     async def _set_faults(self, request: Request) -> Response:
-        self._faults = Faults.read(await request.json())
-        self._store.tell()
+        self._faults = Faults.from_message(await request.json())
+        self._store.notify_listeners()
         return JSONResponse({})
 
-    async def _keep_copy(self, request: Request) -> Response:
-        self._copies[request.path_params["name"]] = self._store.copy()
+    async def _save_snapshot(self, request: Request) -> Response:
+        self._snapshots[request.path_params["name"]] = self._store.snapshot()
         return JSONResponse({"revision": self._store.revision})
 
     async def _restore(self, request: Request) -> Response:
-        self._store.restore(self._copies[request.path_params["name"]])
+        self._store.restore(self._snapshots[request.path_params["name"]])
         return JSONResponse({"revision": self._store.revision})
 
-    async def _show_calls(self, _request: Request) -> Response:
+    async def _get_call_counts(self, _request: Request) -> Response:
         return JSONResponse(self._counts.by_kind)
 
     def _header(self) -> Message:
         return {"revision": str(self._store.revision)}
 
 
-def _show(one: KeyValue) -> Message:
+def _encode_key_value(one: KeyValue) -> Message:
     return {
         "key": b64encode(one.key).decode(),
         "value": b64encode(one.value).decode(),
@@ -227,10 +232,10 @@
     }
 
 
-def _show_event(event: Event) -> Message:
+def _encode_event(event: Event) -> Message:
     kind = {"type": "DELETE"} if event.is_delete else {}
-    return {**kind, "kv": _show(event.key_value)}
+    return {**kind, "kv": _encode_key_value(event.key_value)}
 
 
-def _make_line(result: Message) -> str:
+def _format_line(result: Message) -> str:
     return json.dumps({"result": result}) + "\n"
--- a/src/papayagw/_internal/standins/spray.py
+++ b/src/papayagw/_internal/standins/spray.py
@@ -11,7 +11,7 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
-HOLD_OFF_MS = Millis(1_000)
+EXCLUSION_MS = Millis(1_000)
 """How long a target that refused a packet is left out, if health is on."""
 
 SocketAddress = tuple[str, int]
@@ -82,38 +82,42 @@
     ):
         self._addresses = tuple(target.sockaddr for target in targets)
         self._available = self._addresses
-        self._held: dict[SocketAddress, Millis] = {}
+        self._excluded_until: dict[SocketAddress, Millis] = {}
         self._impairments = impairments
-        self._is_plain = impairments == Impairments()
+        self._is_unimpaired = impairments == Impairments()
         self._draw = draw
 
     def pick(self, now: Millis) -> tuple[SocketAddress, ...]:
         """Return where one packet goes: nowhere if lost, twice if duplicated."""
-        if self._held:
-            self._release(now)
-        if self._is_plain:
-            return (self._pick_one(),)
+        if self._excluded_until:
+            self._end_exclusions(now)
+        if self._is_unimpaired:
+            return (self._pick_target(),)
         if self._draw() < self._impairments.loss:
             return ()
         if self._draw() < self._impairments.duplicate:
-            return (self._pick_one(), self._pick_one())
-        return (self._pick_one(),)
+            return (self._pick_target(), self._pick_target())
+        return (self._pick_target(),)
 
-    def hold(self, target: SocketAddress, now: Millis) -> None:
+    def exclude(self, target: SocketAddress, now: Millis) -> None:
         """Leave a target out for a while, unless it is the last one."""
-        self._held[target] = Millis(now + HOLD_OFF_MS)
-        self._refresh()
+        self._excluded_until[target] = Millis(now + EXCLUSION_MS)
+        self._update_available()
 
-    def _pick_one(self) -> SocketAddress:
+    def _pick_target(self) -> SocketAddress:
         return self._available[int(self._draw() * len(self._available))]
 
-    def _release(self, now: Millis) -> None:
-        over = [target for target, until in self._held.items() if until <= now]
-        for target in over:
-            del self._held[target]
-        if over:
-            self._refresh()
-
-    def _refresh(self) -> None:
-        left = tuple(one for one in self._addresses if one not in self._held)
-        self._available = left or self._addresses
+    def _end_exclusions(self, now: Millis) -> None:
+        expired = [
+            target for target, until in self._excluded_until.items() if until <= now
+        ]
+        for target in expired:
+            del self._excluded_until[target]
+        if expired:
+            self._update_available()
+
+    def _update_available(self) -> None:
+        available = tuple(
+            one for one in self._addresses if one not in self._excluded_until
+        )
+        self._available = available or self._addresses
--- a/src/papayagw/_internal/standins/workload.py
+++ b/src/papayagw/_internal/standins/workload.py
@@ -46,10 +46,10 @@
     INTAKE = "intake"
 
 
-WORK = frozenset((Verb.ORDER, Verb.CHECK, Verb.FEED, Verb.UPLOAD, Verb.ECHO))
+CALLER_VERBS = frozenset((Verb.ORDER, Verb.CHECK, Verb.FEED, Verb.UPLOAD, Verb.ECHO))
 """The requests of callers; the others drive the stand-in."""
 
-SERVED: Mapping[BackendKind, frozenset[Verb]] = {
+VERBS_BY_KIND: Mapping[BackendKind, frozenset[Verb]] = {
     BackendKind.ORDER: frozenset((Verb.ORDER, Verb.FEED, Verb.ECHO)),
     BackendKind.DRAWINGS: frozenset((Verb.UPLOAD,)),
     BackendKind.LEDGER: frozenset((Verb.CHECK, Verb.FEED, Verb.ECHO)),
@@ -57,7 +57,7 @@
 }
 
 # How many numbers follow the id, or stand alone, after each verb.
-_NUMBERS = {
+_NUMBER_COUNTS = {
     Verb.FEED: 2,
     Verb.UPLOAD: 1,
     Verb.ECHO: 1,
@@ -98,12 +98,14 @@
         verb = Verb(words[0] if words else "")
     except ValueError:
         return Failure(f"unknown request {line[:40]!r}")
-    request_id = words[1] if verb in WORK and len(words) > 1 else ""
-    rest = words[2:] if verb in WORK else words[1:]
-    if verb in WORK and not request_id:
+    request_id = words[1] if verb in CALLER_VERBS and len(words) > 1 else ""
+    rest = words[2:] if verb in CALLER_VERBS else words[1:]
+    if verb in CALLER_VERBS and not request_id:
         return Failure(f"{verb.value} needs an id")
-    if len(rest) != _NUMBERS.get(verb, 0) or not all(one.isdigit() for one in rest):
-        return Failure(f"{verb.value} needs {_NUMBERS.get(verb, 0)} numbers")
+    if len(rest) != _NUMBER_COUNTS.get(verb, 0) or not all(
+        one.isdigit() for one in rest
+    ):
+        return Failure(f"{verb.value} needs {_NUMBER_COUNTS.get(verb, 0)} numbers")
     return Success(Request(verb, request_id, tuple(int(one) for one in rest)))
 
 
@@ -156,7 +158,7 @@
         """How many requests were run more than once."""
         return sum(1 for times in self._runs.values() if times > 1)
 
-    def note(self, request: Request) -> None:
+    def record(self, request: Request) -> None:
         """Note that a request is run."""
         self._runs[request.request_id] += 1
 
--- a/tests/lib/configurations.py
+++ b/tests/lib/configurations.py
@@ -60,7 +60,7 @@
         self, operators, make_submission=Submission, make_log=ConfigurationLog
     ):
         self.store = KeyValues(ManualClock())
-        self.copies = [self.store.copy()]
+        self.copies = [self.store.snapshot()]
         self.requests = {}
         self.responses = {}
         self.calls = 0
@@ -186,7 +186,7 @@
         value = write_configuration(action.configuration)
         if self.store.swap(KEY, value, action.expected):
             self.written.append(action.configuration)
-            self.copies.append(self.store.copy())
+            self.copies.append(self.store.snapshot())
             return ("on_written",)
         return ("on_conflict", current)
 
--- a/tests/lib/stores.py
+++ b/tests/lib/stores.py
@@ -15,9 +15,9 @@
 
 
 def find_free_endpoint(ip="127.0.0.1"):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return Endpoint(ip, probe.getsockname()[1])
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return Endpoint(ip, sock.getsockname()[1])
 
 
 class MemoryControl:
@@ -27,14 +27,14 @@
         self._store = store
 
     async def set_faults(self, outage=False, lost_answers=0):
-        self._store.set_down(outage)
-        self._store.lose_answers(lost_answers)
+        self._store.set_outage(outage)
+        self._store.lose_responses(lost_answers)
 
-    async def keep_copy(self):
-        self._copy = self._store.values.copy()
+    async def save_snapshot(self):
+        self._snapshot = self._store.values.snapshot()
 
     async def restore(self):
-        self._store.values.restore(self._copy)
+        self._store.values.restore(self._snapshot)
 
 
 class HttpControl:
@@ -46,7 +46,7 @@
     async def set_faults(self, **faults):
         await self._client.post("/standin/faults", json=faults)
 
-    async def keep_copy(self):
+    async def save_snapshot(self):
         await self._client.post("/standin/copies/one")
 
     async def restore(self):
--- a/tests/unit/test_configuration_source.py
+++ b/tests/unit/test_configuration_source.py
@@ -108,7 +108,7 @@
             await other.start(tasks)
             await put(store, 2)
             await relay.reach(2)
-            store.set_down(True)
+            store.set_outage(True)
             other.source.hear_version(2, relay.endpoint)
             await other.reach(2)
         assert other.log.current == relay.log.current
@@ -125,11 +125,11 @@
         async with running() as tasks:
             old = Node(store)
             await old.start(tasks)
-            store.set_down(True)
+            store.set_outage(True)
             new = Node(store, seeds=(old.endpoint,), keys=keys)
             await new.start(tasks)
             assert new.log.current == old.log.current
-            store.set_down(False)
+            store.set_outage(False)
             await put(store, 2)
             await new.reach(2)
 
@@ -189,13 +189,13 @@
     async def main():
         store = MemoryStore(ManualClock())
         await put(store, 1)
-        copy = store.values.copy()
+        snapshot = store.values.snapshot()
         async with running() as tasks:
             node = Node(store)
             await node.start(tasks)
             await put(store, 2)
             await node.reach(2)
-            store.values.restore(copy)
+            store.values.restore(snapshot)
             await node.fail("older than 2 in force")
             fresh = Node(store, seeds=(node.endpoint,))
             await fresh.start(tasks)
@@ -217,10 +217,10 @@
         async with running() as tasks:
             node = Node(store)
             await node.start(tasks)
-            store.set_down(True)
+            store.set_outage(True)
             await node.fail("outage")
             assert node.log.version == 1
-            store.set_down(False)
+            store.set_outage(False)
             await put(store, 2)
             await node.reach(2)
 
@@ -239,8 +239,8 @@
 def test_operator_is_told_through_faults(lost, down, outcome):
     async def main():
         store = MemoryStore(ManualClock())
-        store.lose_answers(lost)
-        store.set_down(down)
+        store.lose_responses(lost)
+        store.set_outage(down)
         proposal = Proposal(make_site(1), "id-of-anna", "anna")
         target = ConfigurationStore(store, SITE.name)
         limit = Millis(600 if outcome is not Accepted else 30_000)
@@ -265,7 +265,7 @@
 
     async def main():
         store = MemoryStore(ManualClock())
-        store.lose_answers(4)
+        store.lose_responses(4)
         async with running(), anyio.create_task_group() as operators:
             for number in range(10):
                 operators.start_soon(race, store, number)
--- a/tests/unit/test_load_verdict.py
+++ b/tests/unit/test_load_verdict.py
@@ -5,7 +5,7 @@
     Outcome,
     judge_echo,
     judge_feed_line,
-    judge_short,
+    judge_single_line,
     judge_upload,
 )
 from papayagw._internal.standins.workload import BackendKind, Request, Verb
@@ -32,7 +32,7 @@
     ],
 )
 def test_short_answer_is_judged(request_, service, line, outcome):
-    assert judge_short(request_, service, line) is outcome
+    assert judge_single_line(request_, service, line) is outcome
 
 
 @pytest.mark.parametrize(
@@ -102,8 +102,8 @@
 )
 def test_only_what_must_never_happen_is_a_fault(outcome, has_faults):
     recorder = LoadRecorder()
-    recorder.note_latency("order", 1_500)
-    recorder.note_outcome("order", "a", outcome)
+    recorder.record_latency("order", 1_500)
+    recorder.record_outcome("order", "a", outcome)
     report = recorder.make_report(1.0)
     assert report.has_faults is has_faults
     assert report.kinds["order"].p50_ms == pytest.approx(1.5, rel=0.01)
--- a/tests/unit/test_spray.py
+++ b/tests/unit/test_spray.py
@@ -5,7 +5,7 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.standins.spray import (
-    HOLD_OFF_MS,
+    EXCLUSION_MS,
     Impairments,
     Route,
     Sprayer,
@@ -15,10 +15,10 @@
 
 ADDRESSES = {one.sockaddr for one in BALANCERS}
 NOW = Millis(1_000)
-PLAIN = Impairments()
+UNIMPAIRED = Impairments()
 
 
-def make_sprayer(impairments=PLAIN):
+def make_sprayer(impairments=UNIMPAIRED):
     return Sprayer(BALANCERS, impairments, random.Random(5).random)
 
 
@@ -41,18 +41,18 @@
 
 
 @pytest.mark.parametrize(
-    ("held", "later", "left"),
+    ("excluded", "later", "left"),
     [
         (1, 0, 2),
         (2, 0, 1),
         (3, 0, 3),
-        (2, HOLD_OFF_MS, 3),
+        (2, EXCLUSION_MS, 3),
     ],
 )
-def test_held_target_is_left_out_for_a_while(held, later, left):
+def test_held_target_is_left_out_for_a_while(excluded, later, left):
     sprayer = make_sprayer()
-    for target in BALANCERS[:held]:
-        sprayer.hold(target.sockaddr, NOW)
+    for target in BALANCERS[:excluded]:
+        sprayer.exclude(target.sockaddr, NOW)
     picked = {sprayer.pick(Millis(NOW + later))[0] for _ in range(300)}
     assert len(picked) == left
 
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -99,7 +99,7 @@
 @over_both_stores
 def test_watch_of_a_restored_store_returns_a_lower_revision(open_store):
     async def body(store, control):
-        await control.keep_copy()
+        await control.save_snapshot()
         written = (await store.swap(KEY, b"one", 0, LONG)).unwrap()
         await control.restore()
         revision = await store.watch(KEY, written.revision, lambda _: None, LONG)
--- a/tests/unit/test_workload.py
+++ b/tests/unit/test_workload.py
@@ -39,7 +39,7 @@
 def test_journal_counts_doubled_requests(ids, doubled):
     journal = Journal()
     for one in ids:
-        journal.note(Request(Verb.ORDER, one))
+        journal.record(Request(Verb.ORDER, one))
     assert journal.doubled == doubled
     assert journal.format_lines().endswith(f"END {len(set(ids))} {doubled}\n")
 
