Rename identifiers of the soak test, the test library and the mutants

start_process in tools/fleet.py and tests/lib; soak/doubled.py becomes mutants.py and soak/world.py soak_fleet.py; uses in bench and tests follow.

--- a/bench/membership_bytes.py
+++ b/bench/membership_bytes.py
@@ -30,7 +30,7 @@
 )
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.wire.control import ControlCodec
-from tests.lib.fleet import CONTROL_ADDRESS, FleetDriver, restart
+from tests.lib.fleet import CONTROL_ADDRESS, FleetDriver, make_restarted_record
 from tests.lib.samples import KEY
 
 SIZES = (20, 40, 80, 160)
@@ -206,7 +206,10 @@
         fleet.send_all(endpoint, agent.close(fleet.now))
         fleet.run(500)
         fleet.agents[endpoint] = AgentAnnouncer(
-            restart(agent.own), CONTROL_ADDRESS, AgentDirectory(), fleet._make_random()
+            make_restarted_record(agent.own),
+            CONTROL_ADDRESS,
+            AgentDirectory(),
+            fleet._make_random(),
         )
     fleet.run(5_000)
     seconds = (fleet.now - started) // 1_000
@@ -235,8 +238,8 @@
     )
     everybody = set(fleet.balancers) | set(fleet.agents)
     fleet.frozen |= lost
-    fleet.cut_off(everybody, lost)
-    fleet.cut_off(lost, everybody - lost)
+    fleet.block_links(everybody, lost)
+    fleet.block_links(lost, everybody - lost)
     means: list[float] = []
     most = LOSS_LIMIT_SECONDS
     known = 0.0
--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -54,7 +54,7 @@
 async def restart_in_turn(fleet: Fleet, _: str) -> None:
     for name in (*fleet.settings.balancers, *fleet.settings.agents):
         await stop(fleet, name)
-        await anyio.to_thread.run_sync(fleet.start_one, name)
+        await anyio.to_thread.run_sync(fleet.start_process, name)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bench/region_cut.py
+++ b/bench/region_cut.py
@@ -45,8 +45,8 @@
 
 def cut_regions(fleet: MeteredFleet) -> None:
     one, other = (find_region(fleet, region) for region in REGIONS)
-    fleet.cut_off(one, other)
-    fleet.cut_off(other, one)
+    fleet.block_links(one, other)
+    fleet.block_links(other, one)
 
 
 def view_agents(fleet: MeteredFleet) -> View:
--- a/bench/role_start.py
+++ b/bench/role_start.py
@@ -22,7 +22,7 @@
 
 def measure(fleet, name):
     """Return the usage of one start."""
-    fleet.start_one(name)
+    fleet.start_process(name)
     fleet.wait_ready(name)
     usage = read_usage(fleet.pid(name))
     fleet.kill(name)
@@ -39,7 +39,7 @@
             for name in ("agent-1", "balancer-1"):
                 fleet.kill(name)
                 usages = [measure(fleet, name) for _ in range(ROUNDS)]
-                fleet.start_one(name)
+                fleet.start_process(name)
                 fleet.wait_ready(name)
                 seconds = statistics.median(one.cpu_seconds for one in usages)
                 held = statistics.median(one.rss_kb for one in usages) / 1_024
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -45,11 +45,11 @@
         self.balancers: dict[Endpoint, BalancerMembership] = {}
         self.agents: dict[Endpoint, AgentAnnouncer] = {}
         self.frozen: set[Endpoint] = set()
-        self.frozen_loses = False
-        self.cut: list[tuple[frozenset[Endpoint], frozenset[Endpoint]]] = []
+        self.frozen_drop_packets = False
+        self.blocked_links: list[tuple[frozenset[Endpoint], frozenset[Endpoint]]] = []
         self._queue = []
-        self._order = count()
-        self._arrived_at = 0
+        self._sequence_numbers = count()
+        self._last_delivery_at = 0
 
     def add_balancer(self, number: int, incarnation: int = 1_000) -> Endpoint:
         endpoint = Endpoint(f"127.1.{number // 250}.{1 + number % 250}", 4300)
@@ -76,12 +76,12 @@
     def kill(self, endpoint: Endpoint) -> Node:
         return self.balancers.pop(endpoint, None) or self.agents.pop(endpoint)
 
-    def cut_off(self, one_side, other_side) -> None:
+    def block_links(self, sources, destinations) -> None:
         """Drop what `one_side` sends to `other_side`."""
-        self.cut.append((frozenset(one_side), frozenset(other_side)))
+        self.blocked_links.append((frozenset(sources), frozenset(destinations)))
 
     def heal(self) -> None:
-        self.cut.clear()
+        self.blocked_links.clear()
 
     def run(self, duration_ms: int) -> None:
         end = self.now + duration_ms
@@ -112,28 +112,29 @@
             if not self.balancers:
                 return
             destination = self.random.choice(list(self.balancers))
-        is_cut = any(
-            source in ones and destination in others for ones, others in self.cut
+        is_blocked = any(
+            source in sources and destination in destinations
+            for sources, destinations in self.blocked_links
         )
-        if is_cut or self.random.random() < self.network.loss:
+        if is_blocked or self.random.random() < self.network.loss:
             return
         delay_ms = self.network.delay_ms + self.random.randint(
             0, self.network.jitter_ms
         )
-        at = max(self.now, self._arrived_at) + delay_ms
-        item = (at, next(self._order), source, destination, send)
+        at = max(self.now, self._last_delivery_at) + delay_ms
+        item = (at, next(self._sequence_numbers), source, destination, send)
         heapq.heappush(self._queue, item)
 
     def _deliver(self) -> None:
         later = []
         while self._queue and self._queue[0][0] <= self.now + TICK_MS // 2:
             item = heapq.heappop(self._queue)
-            self._arrived_at, _, source, destination, send = item
+            self._last_delivery_at, _, source, destination, send = item
             node = self.balancers.get(destination) or self.agents.get(destination)
             if destination in self.frozen:
                 # A socket's buffer keeps what a paused process doesn't read; a
                 # paused machine loses it.
-                if not self.frozen_loses:
+                if not self.frozen_drop_packets:
                     later.append(item)
             elif node is not None:
                 self.receive(node, destination, send, source)
@@ -154,7 +155,7 @@
         return random.Random(self.random.randrange(1 << 30))
 
 
-def restart(record: AgentRecord) -> AgentRecord:
+def make_restarted_record(record: AgentRecord) -> AgentRecord:
     """Return the record of the next run of an agent."""
     incarnation = Incarnation(record.incarnation + 1_000)
     return replace(
--- a/tests/lib/fleet_events.py
+++ b/tests/lib/fleet_events.py
@@ -7,7 +7,7 @@
 from papayagw._internal.core.directory import MAX_SUSPECTED_SHARE
 from papayagw._internal.models.agent import AgentState
 from papayagw._internal.models.endpoint import Endpoint
-from tests.lib.fleet import ZONES, FleetDriver, Network, restart
+from tests.lib.fleet import ZONES, FleetDriver, Network, make_restarted_record
 
 
 class Event(Enum):
@@ -38,15 +38,15 @@
     wait_ms: int
 
 
-class EventedFleet(FleetDriver):
+class FaultInjectingFleet(FleetDriver):
     """A fleet to which events happen, and which checks that no view ever reverts."""
 
     def __post_init__(self):
         super().__post_init__()
-        self.highest: dict[tuple[Endpoint, Endpoint], tuple[int, ...]] = {}
+        self.highest_precedence: dict[tuple[Endpoint, Endpoint], tuple[int, ...]] = {}
         self.zombies: list[tuple[Endpoint, AgentAnnouncer]] = []
         self.dead: set[Endpoint] = set()
-        self._balancer_count = 100
+        self._last_balancer_number = 100
 
     def apply(self, step: Step) -> None:
         getattr(self, "_" + step.event.value.replace("-", "_"))(step.number)
@@ -69,10 +69,10 @@
             if agent.own.state is AgentState.READY
         }
 
-    def count_capped(self) -> int:
+    def count_unsuspected_dead(self) -> int:
         """Return how many dead agents the cap on suspicion leaves among the ready."""
-        willing = len(self.list_alive()) + len(self.dead)
-        return max(0, len(self.dead) - int(willing * MAX_SUSPECTED_SHARE))
+        ready_or_dead = len(self.list_alive()) + len(self.dead)
+        return max(0, len(self.dead) - int(ready_or_dead * MAX_SUSPECTED_SHARE))
 
     def run(self, duration_ms: int) -> None:
         for _ in range(duration_ms // 100):
@@ -85,8 +85,8 @@
         for own, balancer in self.balancers.items():
             for record in balancer.directory.records:
                 key = (own, record.endpoint)
-                assert record.precedence >= self.highest.get(key, ())
-                self.highest[key] = record.precedence
+                assert record.precedence >= self.highest_precedence.get(key, ())
+                self.highest_precedence[key] = record.precedence
 
     def _pick(self, nodes: dict, number: int):
         return sorted(nodes)[number % len(nodes)] if nodes else None
@@ -112,7 +112,7 @@
         endpoint = self._pick(self.agents, number)
         if endpoint is not None:
             self.frozen.discard(endpoint)
-            self.add_agent(restart(self.agents[endpoint].own))
+            self.add_agent(make_restarted_record(self.agents[endpoint].own))
 
     def _freeze_agent(self, number: int) -> None:
         endpoint = self._pick(self.agents, number)
@@ -124,7 +124,7 @@
         for endpoint in sorted(self.frozen & set(self.agents)):
             old = self.agents[endpoint]
             self.frozen.discard(endpoint)
-            self.add_agent(restart(old.own))
+            self.add_agent(make_restarted_record(old.own))
             self.zombies.append((endpoint, old))
 
     def _thaw(self, _number: int) -> None:
@@ -137,8 +137,8 @@
             self.kill(endpoint)
 
     def _add_balancer(self, _number: int) -> None:
-        self._balancer_count += 1
-        self.add_balancer(self._balancer_count)
+        self._last_balancer_number += 1
+        self.add_balancer(self._last_balancer_number)
 
     def _replace_balancers(self, _number: int) -> None:
         count = len(self.balancers)
@@ -152,20 +152,20 @@
         if endpoint is not None:
             self.frozen.add(endpoint)
 
-    def _list_zone(self, number: int) -> set[Endpoint]:
+    def _list_nodes_in_zone(self, number: int) -> set[Endpoint]:
         zone = ZONES[number % len(ZONES)]
         return {one for one, node in self._list_nodes() if node.own.zone == zone}
 
     def _cut_zone(self, number: int) -> None:
-        inside = self._list_zone(number)
+        inside = self._list_nodes_in_zone(number)
         outside = {one for one, _ in self._list_nodes()} - inside
-        self.cut_off(inside, outside)
-        self.cut_off(outside, inside)
+        self.block_links(inside, outside)
+        self.block_links(outside, inside)
 
     def _cut_one_way(self, number: int) -> None:
-        inside = self._list_zone(number)
+        inside = self._list_nodes_in_zone(number)
         outside = {one for one, _ in self._list_nodes()} - inside
-        self.cut_off(inside, outside)
+        self.block_links(inside, outside)
 
     def _heal(self, _number: int) -> None:
         self.heal()
--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -84,7 +84,7 @@
     def start(self):
         """Start all processes and wait until they are ready."""
         for name in (*self.agents, *self.balancers):
-            self.start_one(name)
+            self.start_process(name)
         for name in (*self.agents, *self.balancers):
             self.wait_ready(name)
 
@@ -102,7 +102,7 @@
         role, _, number = name.partition("-")
         return self._ip(int(number) + (0 if role == "balancer" else 100))
 
-    def start_one(self, name):
+    def start_process(self, name):
         """Start a process."""
         path = self.folder / f"{name}.jsonc"
         path.write_text(json.dumps(self._settings(name)))
@@ -136,9 +136,9 @@
         """Return the process id."""
         return self._processes[name].pid
 
-    def signal(self, name, number):
+    def signal(self, name, signal_number):
         """Send a signal to a process."""
-        self._processes[name].send_signal(number)
+        self._processes[name].send_signal(signal_number)
 
     def wait_exit(self, name, timeout_s):
         """Wait until a process exits by itself; return its exit code."""
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -15,10 +15,10 @@
 
 
 @contextmanager
-def running(*words):
+def running(*arguments):
     """Run a command until the block ends, once it has said that it serves."""
     process = subprocess.Popen(
-        [sys.executable, "-m", "papayagw", *map(str, words)],
+        [sys.executable, "-m", "papayagw", *map(str, arguments)],
         env=environment(),
         stdout=subprocess.PIPE,
         text=True,
--- a/tests/lib/quic.py
+++ b/tests/lib/quic.py
@@ -20,7 +20,7 @@
 class FlowPair:
     """The caller's and the agent's end of a flow, and the datagrams between them."""
 
-    def __init__(self, folder, lose=lambda number: False):
+    def __init__(self, folder, is_lost=lambda number: False):
         files = make_development_keys(folder, ("order",))
         self.clock = ManualClock()
         self.resets = ResetTokens([KEY])
@@ -36,7 +36,7 @@
         self.to_caller: list[bytes] = []
         self.caller_events: list[StreamEvent] = []
         self.agent_events: list[StreamEvent] = []
-        self._lose = lose
+        self._is_lost = is_lost
         self._sent = 0
 
     def exchange(self, rounds=40):
@@ -56,18 +56,18 @@
             self.clock.advance(STEP_MS)
 
     def _act_on_deadlines(self, now):
-        for end in (self.caller, self.agent):
-            at = end.next_deadline if end is not None else None
+        for connection in (self.caller, self.agent):
+            at = connection.next_deadline if connection is not None else None
             if at is not None and at <= now:
-                end.on_deadline(now)
+                connection.on_deadline(now)
 
-    def _collect(self, end, now):
+    def _collect(self, connection, now):
         sent = []
-        end.transmit(now, lambda datagram, peer: sent.append(datagram))
+        connection.transmit(now, lambda datagram, peer: sent.append(datagram))
         kept = []
         for datagram in sent:
             self._sent += 1
-            if not self._lose(self._sent):
+            if not self._is_lost(self._sent):
                 kept.append(datagram)
         return kept
 
--- a/tests/lib/scenario.py
+++ b/tests/lib/scenario.py
@@ -24,14 +24,14 @@
     def __init__(self, mechanisms=None):
         self.random = random.Random(0)
         self.delay = (1, 1)
-        self.loss = self.double = 0.0
-        self.world = World(self.draw_fate, self.random.choice, mechanisms)
-        self.numbers = {}
+        self.loss = self.duplication = 0.0
+        self.world = World(self.draw_delays, self.random.choice, mechanisms)
+        self.agent_numbers = {}
 
-    def draw_fate(self):
+    def draw_delays(self):
         if self.random.random() < self.loss:
             return ()
-        copies = 2 if self.random.random() < self.double else 1
+        copies = 2 if self.random.random() < self.duplication else 1
         return tuple(self.random.randint(*self.delay) for _ in range(copies))
 
     def execute(self, text):
@@ -44,7 +44,7 @@
     def do(self, verb, *words):
         getattr(self, "do_" + verb.replace("-", "_"))(*words)
 
-    def find(self, name):
+    def find_node(self, name):
         nodes = {**self.world.balancers, **self.world.agents, **self.world.calls}
         return nodes[name]
 
@@ -53,7 +53,7 @@
         self.random.seed(int(options.get("seed", 0)))
         self.delay = tuple(int(end) for end in options.get("delay", "1-1").split("-"))
         self.loss = float(options.get("loss", 0))
-        self.double = float(options.get("double", 0))
+        self.duplication = float(options.get("double", 0))
 
     def do_balancer(self, *names):
         for name in names:
@@ -62,7 +62,7 @@
     do_start = do_balancer
 
     def do_agent(self, name, service):
-        number = self.numbers.setdefault(name, len(self.numbers) + 1)
+        number = self.agent_numbers.setdefault(name, len(self.agent_numbers) + 1)
         self.world.agents[name] = Agent(self.world, name, service, number)
 
     def do_at(self, at, *words):
@@ -82,7 +82,7 @@
             )
 
     def do_kill(self, name):
-        node = self.find(name)
+        node = self.find_node(name)
         node.die() if isinstance(node, Agent) else setattr(node, "alive", False)
 
     def do_restart(self, name, service):
@@ -90,13 +90,13 @@
         self.do_agent(name, service)
 
     def do_drain(self, name):
-        self.find(name).drain()
+        self.find_node(name).drain()
 
     def do_freeze(self, name):
-        self.find(name).frozen = True
+        self.find_node(name).frozen = True
 
     def do_thaw(self, name):
-        self.find(name).thaw()
+        self.find_node(name).thaw()
 
     def do_cut(self, source, target):
         self.world.blocked_links.add((source, target))
@@ -109,18 +109,18 @@
 
     def do_backend(self, name, mode):
         if mode == "break":
-            self.find(name).break_backend()
+            self.find_node(name).break_backend()
         else:
-            self.find(name).backend = mode
+            self.find_node(name).backend = mode
 
     def do_expect(self, pattern, *outcomes):
         calls = [c for c in self.world.calls.values() if fnmatch(c.name, pattern)]
         assert calls, f"no call is named {pattern}"
         for call in calls:
-            told = (
+            reported = (
                 "open" if call.reported_outcome is None else call.reported_outcome.value
             )
-            assert told in outcomes, f"{call.name} was told {told}"
+            assert reported in outcomes, f"{call.name} was told {reported}"
 
     def do_expect_runs(self, name, count):
         assert self.world.ground_truth.count_runs(name) == int(count)
--- a/tests/processes/test_caller.py
+++ b/tests/processes/test_caller.py
@@ -52,7 +52,7 @@
     try:
         await receive_whole(flow)
     finally:
-        fleet.start_one("agent-order-1")
+        fleet.start_process("agent-order-1")
 
 
 async def order_without_agent(fleet, caller):
@@ -62,7 +62,7 @@
         await flow.send(b"ORDER library-3\n")
         await receive_whole(flow)
     finally:
-        fleet.start_one("agent-order-1")
+        fleet.start_process("agent-order-1")
 
 
 def test_order_is_answered(fleet):
--- a/tests/processes/test_operating.py
+++ b/tests/processes/test_operating.py
@@ -148,7 +148,7 @@
     while fleet.is_running(name):
         assert time.monotonic() < deadline, f"{name} hasn't stopped"
         time.sleep(0.02)
-    fleet.start_one(name)
+    fleet.start_process(name)
 
 
 def test_flow_cut_by_second_signal_is_logged_at_both_ends(fleet, folder):
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -52,7 +52,7 @@
 def restart_balancers(fleet, owner):
     for name in fleet.settings.balancers:
         fleet.kill(name)
-        fleet.start_one(name)
+        fleet.start_process(name)
 
 
 def drain_agent(fleet, owner):
@@ -86,7 +86,7 @@
 
 def restart_agent(fleet, owner):
     fleet.kill(f"agent-{owner}")
-    fleet.start_one(f"agent-{owner}")
+    fleet.start_process(f"agent-{owner}")
 
 
 @pytest.mark.parametrize("event", [kill_agent, restart_agent])
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -57,7 +57,7 @@
     for number in range(KILLS):
         name = names[number % len(names)]
         fleet.kill(name)
-        fleet.start_one(name)
+        fleet.start_process(name)
         time.sleep(KILL_INTERVAL_S)
     sender.join()
     assert failed == []
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -24,7 +24,7 @@
 
 
 @pytest.mark.parametrize(
-    ("seed", "double", "flow_requests", "violation"),
+    ("seed", "mutant", "flow_requests", "violation"),
     [
         (1, "keeps-first-site", None, "on version"),
         (2, "never-asks", None, "unanswered"),
@@ -35,7 +35,7 @@
     ],
 )
 def test_the_soak_finds_what_is_turned_off(
-    tmp_path, block, seed, double, flow_requests, violation
+    tmp_path, block, seed, mutant, flow_requests, violation
 ):
-    soak = Soak(seed, tmp_path, block, double=double, flow_requests=flow_requests)
+    soak = Soak(seed, tmp_path, block, mutant=mutant, flow_requests=flow_requests)
     assert any(violation in one for one in soak.run())
--- a/tests/processes/test_standin_backend.py
+++ b/tests/processes/test_standin_backend.py
@@ -25,7 +25,7 @@
         yield addresses
 
 
-def ask(address, request):
+def send_request(address, request):
     with socket.create_connection(address, timeout=20) as connection:
         connection.sendall(request)
         connection.shutdown(socket.SHUT_WR)
@@ -66,7 +66,7 @@
     ],
 )
 def test_backend_answers_its_own_requests(servers, kind, request_, answer):
-    assert ask(servers[kind], request_) == answer
+    assert send_request(servers[kind], request_) == answer
 
 
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
--- a/tests/processes/test_standin_fabric.py
+++ b/tests/processes/test_standin_fabric.py
@@ -12,10 +12,10 @@
 
 
 def make_socket(stack, address):
-    one = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
-    one.bind(address)
-    one.settimeout(20)
-    return one
+    sock = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+    sock.bind(address)
+    sock.settimeout(20)
+    return sock
 
 
 @pytest.mark.parametrize("alive", [1, 2, 3])
@@ -24,7 +24,7 @@
     entry = (f"127.{block}.1.1", 19_010)
     route = f"{entry[0]}:{entry[1]}=" + ",".join(f"{ip}:{port}" for ip, port in targets)
     with ExitStack() as stack:
-        balancers = [make_socket(stack, one) for one in targets[:alive]]
+        balancers = [make_socket(stack, target) for target in targets[:alive]]
         client = make_socket(stack, (f"127.{block}.4.1", 0))
         process = stack.enter_context(running("standin", "fabric", route))
         for number in range(PACKETS):
--- a/tests/properties/isolation_proof.py
+++ b/tests/properties/isolation_proof.py
@@ -20,7 +20,7 @@
 from papayagw._internal.wire.tag import TAG_BYTES, TagCodec
 from tests.lib.samples import DRAWINGS, KEY, NO_PEERS, ORDER
 from tests.properties.proving import Mutation, Property
-from tests.properties.world_proof import RoutesByTagOnly, TakesAnyService
+from tests.properties.world_proof import AcceptsAnyService, RoutesByTagOnly
 
 ADDRESSES = tuple(Endpoint("127.0.7.1", 4_000 + number) for number in range(3))
 INCARNATION_WRAP_MS = 1 << 16
@@ -199,7 +199,7 @@
 MUTATIONS = [
     Mutation(name, PROOF, implementations)
     for name, implementations in {
-        "TakesAnyService": Implementations(agent=TakesAnyService),
+        "AcceptsAnyService": Implementations(agent=AcceptsAnyService),
         "SkipsChecks": Implementations(agent=SkipsChecks, balancer=RoutesByTagOnly),
         "PlainTags": Implementations(codec=PlainTags),
         "FlowsByNonce": Implementations(id_end=4, balancer=RoutesByTagOnly),
--- a/tests/properties/membership_proof.py
+++ b/tests/properties/membership_proof.py
@@ -20,7 +20,7 @@
 from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.clock import Millis
 from tests.lib.fleet import Network
-from tests.lib.fleet_events import Event, EventedFleet, Step
+from tests.lib.fleet_events import Event, FaultInjectingFleet, Step
 from tests.lib.samples import ORDER, make_record
 from tests.properties.proving import Mutation, Property
 
@@ -102,7 +102,7 @@
 def check_fleet(make, history) -> None:
     seed, network, steps = history
     with make():
-        fleet = EventedFleet(seed, network)
+        fleet = FaultInjectingFleet(seed, network)
         fleet.add_fleet(BALANCERS, AGENTS)
         fleet.run(3_000)
         for step in steps:
@@ -112,7 +112,9 @@
     for ready in fleet.find_ready():
         assert ready >= alive, "a ready agent gets no openings"
         assert ready - alive <= fleet.dead, "an agent that left gets openings"
-        assert len(ready - alive) <= fleet.count_capped(), "a dead agent is ready"
+        assert len(ready - alive) <= fleet.count_unsuspected_dead(), (
+            "a dead agent is ready"
+        )
     for balancer in fleet.balancers.values():
         known = len(balancer.peers) + 1
         assert known == len(fleet.balancers), "a balancer's view of its peers is wrong"
--- a/tests/properties/retry_proof.py
+++ b/tests/properties/retry_proof.py
@@ -67,7 +67,7 @@
 
 
 @dataclass(frozen=True)
-class Makers:
+class Factories:
     """Factories of the components under test."""
 
     rule: type = UndeliveredOnly
@@ -131,7 +131,7 @@
     return now, attempt - 1
 
 
-class RetriesSilence(UndeliveredOnly):
+class RetriesWithoutOutcome(UndeliveredOnly):
     """Treats an established flow without an outcome as undelivered."""
 
     def may_have_run(self, ended):
@@ -175,15 +175,15 @@
         return True
 
 
-PROOF = Property("retry", HISTORIES, check, Makers())
+PROOF = Property("retry", HISTORIES, check, Factories())
 MUTATIONS = [
-    Mutation(name, PROOF, makers)
-    for name, makers in {
-        "RetriesSilence": Makers(rule=RetriesSilence),
-        "RetriesAlways": Makers(rule=RetriesAlways),
-        "RetriesStartedAnswers": Makers(rule=RetriesStartedAnswers),
-        "ForgetsEarlierAttempts": Makers(retry=ForgetsEarlierAttempts),
-        "AcceptsLateEnds": Makers(retry=AcceptsLateEnds),
-        "EndlessBudget": Makers(budget=EndlessBudget),
+    Mutation(name, PROOF, factories)
+    for name, factories in {
+        "RetriesWithoutOutcome": Factories(rule=RetriesWithoutOutcome),
+        "RetriesAlways": Factories(rule=RetriesAlways),
+        "RetriesStartedAnswers": Factories(rule=RetriesStartedAnswers),
+        "ForgetsEarlierAttempts": Factories(retry=ForgetsEarlierAttempts),
+        "AcceptsLateEnds": Factories(retry=AcceptsLateEnds),
+        "EndlessBudget": Factories(budget=EndlessBudget),
     }.items()
 ]
--- a/tests/properties/world_proof.py
+++ b/tests/properties/world_proof.py
@@ -15,7 +15,7 @@
 from tests.lib.world import Mechanisms
 from tests.properties.lifecycle_proof import CountsWritesOnly
 from tests.properties.proving import Mutation, Property
-from tests.properties.retry_proof import RetriesAlways, RetriesSilence
+from tests.properties.retry_proof import RetriesAlways, RetriesWithoutOutcome
 
 SITE = """
 balancer b1 b2
@@ -78,7 +78,7 @@
     assert all(flow.reported_outcome for flow in flows), "a flow was never closed"
 
 
-class TakesAnyService(AgentCore):
+class AcceptsAnyService(AgentCore):
     """Accepts openings of other services."""
 
     def decide_opening(self, *_):
@@ -110,9 +110,11 @@
     for name, mechanisms in {
         "CountsWritesOnly": Mechanisms(lifecycle=CountsWritesOnly),
         "RefusesUntilAnswer": Mechanisms(lifecycle=RefusesUntilAnswer),
-        "RetriesSilence": Mechanisms(rule=RetriesSilence),
+        "RetriesWithoutOutcome": Mechanisms(rule=RetriesWithoutOutcome),
         "RetriesAlways": Mechanisms(rule=RetriesAlways),
         "KeepsEveryAnswer": Mechanisms(keeps_first_answer=False),
-        "NoServiceChecks": Mechanisms(balancer=RoutesByTagOnly, agent=TakesAnyService),
+        "NoServiceChecks": Mechanisms(
+            balancer=RoutesByTagOnly, agent=AcceptsAnyService
+        ),
     }.items()
 ]
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -44,7 +44,7 @@
     [
         ("agent_drains", Mechanisms(agent=NeverDrains)),
         ("rolling_restart", Mechanisms(agent=NeverDrains)),
-        ("agent_dies", Mechanisms(rule=retry_proof.RetriesSilence)),
+        ("agent_dies", Mechanisms(rule=retry_proof.RetriesWithoutOutcome)),
         ("agent_freezes", Mechanisms(rule=retry_proof.RetriesAlways)),
         ("lost_answers", Mechanisms(rule=retry_proof.RetriesAlways)),
         ("backend_breaks", Mechanisms(lifecycle=lifecycle_proof.CountsWritesOnly)),
@@ -54,7 +54,8 @@
         (
             "address_reused",
             Mechanisms(
-                agent=world_proof.TakesAnyService, balancer=world_proof.RoutesByTagOnly
+                agent=world_proof.AcceptsAnyService,
+                balancer=world_proof.RoutesByTagOnly,
             ),
         ),
     ],
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from tests.soak.doubled import DOUBLES
+from tests.soak.mutants import MUTANTS
 from tests.soak.soak import Soak
 from tools.fleet import claimed_block
 
@@ -20,7 +20,7 @@
     parser.add_argument("--count", type=int, default=1)
     parser.add_argument("--duration", type=float, default=6.0, help="seconds")
     parser.add_argument("--size", type=int, default=3, help="balancers, and agents")
-    parser.add_argument("--without", choices=sorted(DOUBLES), help="a mechanism")
+    parser.add_argument("--without", choices=sorted(MUTANTS), help="a mechanism")
     parser.add_argument("--flow-requests", type=int, help="requests on each flow")
     options = parser.parse_args()
     failed = []
--- a/tests/soak/doubled.py
+++ b/tests/soak/mutants.py
@@ -1,6 +1,6 @@
 """Runs a role with one mechanism turned off, which the soak has to find.
 
-Usage: ``python -m tests.soak.doubled NAME ROLE``.
+Usage: ``python -m tests.soak.mutants NAME ROLE``.
 """
 
 import sys
@@ -15,10 +15,10 @@
 
 def never_unsure():
     """Agents deny flows that they haven't seen since their start."""
-    real = OwnershipResolver.resolve
+    original = OwnershipResolver.resolve
 
     def resolve(self, question, now):
-        found = real(self, question, now)
+        found = original(self, question, now)
         return Ownership.NOT_OWNER if found is Ownership.UNKNOWN else found
 
     OwnershipResolver.resolve = resolve
@@ -36,15 +36,15 @@
 
 def keeps_first_site():
     """Balancers never put a newer configuration in force."""
-    real = PlainBalancer.apply_site
+    original = PlainBalancer.apply_site
 
     def apply_site(self, site):
-        return self._site is None and real(self, site)
+        return self._site is None and original(self, site)
 
     PlainBalancer.apply_site = apply_site
 
 
-DOUBLES = {
+MUTANTS = {
     "never-unsure": never_unsure,
     "never-asks": never_asks,
     "ignores-drain": ignores_drain,
@@ -52,5 +52,5 @@
 }
 
 if __name__ == "__main__":
-    DOUBLES[sys.argv[1]]()
+    MUTANTS[sys.argv[1]]()
     sys.exit(main(sys.argv[2:]))
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -22,11 +22,11 @@
 }
 """Faults, and the roles of machines that they strike."""
 
-USUAL_LENGTH_S = (0.1, 1.5)
-LENGTHS_S = {"backend drains": (2.0, 6.0)}
+DEFAULT_DURATION_S = (0.1, 1.5)
+DURATIONS_S = {"backend drains": (2.0, 6.0)}
 """How long faults last; a drain lasts beyond the bound for late openings."""
 
-SERIES = 3
+MAX_REPEATS = 3
 """The most times that one fault strikes in a row."""
 
 
@@ -46,10 +46,10 @@
         How long it lasts, in seconds.
     """
 
-    at: float
+    start_s: float
     kind: str
     target: str
-    for_s: float
+    duration_s: float
 
 
 def draw_plan(seed, machines, duration):
@@ -64,15 +64,17 @@
     duration : float
         The time in which faults begin, in seconds.
     """
-    draw = random.Random(seed)
+    random_source = random.Random(seed)
     faults = []
     while len(faults) < 2 * duration:
-        kind = draw.choice(list(FAULTS))
-        role = draw.choice(FAULTS[kind])
-        at = draw.uniform(0.0, duration)
-        for _ in range(draw.randint(1, SERIES)):
-            target = draw.choice(machines[role]) if role in machines else role
-            for_s = draw.uniform(*LENGTHS_S.get(kind, USUAL_LENGTH_S))
-            faults.append(Fault(at, kind, target, for_s))
-            at += draw.uniform(0.05, 0.6)
-    return sorted(faults, key=lambda one: one.at)
+        kind = random_source.choice(list(FAULTS))
+        role = random_source.choice(FAULTS[kind])
+        start_s = random_source.uniform(0.0, duration)
+        for _ in range(random_source.randint(1, MAX_REPEATS)):
+            target = random_source.choice(machines[role]) if role in machines else role
+            duration_s = random_source.uniform(
+                *DURATIONS_S.get(kind, DEFAULT_DURATION_S)
+            )
+            faults.append(Fault(start_s, kind, target, duration_s))
+            start_s += random_source.uniform(0.05, 0.6)
+    return sorted(faults, key=lambda one: one.start_s)
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -7,9 +7,9 @@
 import time
 from contextlib import suppress
 
-CHUNK = 65_536
+CHUNK_BYTES = 65_536
 DELAY_S = 0.15
-POLL_S = 0.05
+POLL_INTERVAL_S = 0.05
 
 
 class Proxy:
@@ -39,7 +39,7 @@
 
     def _run(self):
         while not self._is_closed:
-            for key, _ in self._selector.select(POLL_S):
+            for key, _ in self._selector.select(POLL_INTERVAL_S):
                 key.data(key.fileobj)
 
 
@@ -57,46 +57,49 @@
         self._selector.register(self._listener, selectors.EVENT_READ, self._accept)
 
     def _accept(self, listener):
-        near, _ = listener.accept()
+        client, _ = listener.accept()
         if self.mode == "reset":
-            self._reset(near)
+            self._reset(client)
             return
         try:
-            far = socket.create_connection(self._target, 1)
+            server = socket.create_connection(self._target, 1)
         except OSError:
-            self._reset(near)
+            self._reset(client)
             return
-        for one, other, is_answer in ((near, far, False), (far, near, True)):
-            self._peers[one] = other, is_answer
-            self._selector.register(one, selectors.EVENT_READ, self._carry)
-
-    def _carry(self, source):
+        for one, other, is_response in (
+            (client, server, False),
+            (server, client, True),
+        ):
+            self._peers[one] = other, is_response
+            self._selector.register(one, selectors.EVENT_READ, self._forward)
+
+    def _forward(self, source):
         if source not in self._peers:
             return
-        target, is_answer = self._peers[source]
+        target, is_response = self._peers[source]
         if self.mode == "reset":
-            self._end(source, self._reset)
+            self._close_pair(source, self._reset)
             return
         try:
-            data = source.recv(CHUNK)
+            data = source.recv(CHUNK_BYTES)
         except OSError:
             data = b""
         if not data:
-            self._end(source, socket.socket.close)
+            self._close_pair(source, socket.socket.close)
             return
-        if self.mode == "silent" or (self.mode == "answers lost" and is_answer):
+        if self.mode == "silent" or (self.mode == "answers lost" and is_response):
             return
         if self.mode == "delayed":
             time.sleep(DELAY_S)
         with suppress(OSError):
             target.sendall(data)
 
-    def _end(self, source, end):
+    def _close_pair(self, source, close_socket):
         target, _ = self._peers[source]
         for one in (source, target):
             self._selector.unregister(one)
             del self._peers[one]
-            end(one)
+            close_socket(one)
 
     @staticmethod
     def _reset(connection):
@@ -117,10 +120,10 @@
         self._count = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(listen)
-        self._selector.register(self._socket, selectors.EVENT_READ, self._carry)
+        self._selector.register(self._socket, selectors.EVENT_READ, self._forward)
 
-    def _carry(self, source):
-        data = source.recv(CHUNK)
+    def _forward(self, source):
+        data = source.recv(CHUNK_BYTES)
         self._count += 1
         if self.mode == "lost" and self._count % 2:
             return
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,25 +6,25 @@
 from collections import defaultdict
 
 from tests.soak.plan import draw_plan
-from tests.soak.world import SoakFleet
+from tests.soak.soak_fleet import SoakFleet
 
-FLOWS = 12
-PATIENCE_S = 8.0
+CALLER_COUNT = 12
+REQUEST_TIMEOUT_S = 8.0
 """How long a request on an open flow is sent again: a backend server gives up later."""
 
-DRAIN_S = 3.0
+DRAIN_OPENING_LIMIT_S = 3.0
 """How long after an acknowledged report openings may come; source: the rules."""
 
-IN_TOUCH_S = 4.0
+DISTURBANCE_GRACE_S = 4.0
 """How long a machine that was struck isn't held to bounds; source: the rules."""
 
-RECOVERY_S = 12.0
+RECOVERY_LIMIT_S = 12.0
 """How long after the last fault everything is served; source: the rules."""
 
-ENTRY_BACK_S = 2.0
+ENTRY_RESTORE_LIMIT_S = 2.0
 """How soon after the store's return an entry is back; source: the users' request."""
 
-START_S = 0.5
+PROCESS_START_S = 0.5
 """How long a process takes to start."""
 
 STORE_MODES = {
@@ -65,9 +65,11 @@
                 continue
             while not self.is_closed:
                 number += 1
-                outcome = self._client.request(b"request %08d" % number, PATIENCE_S)
+                outcome = self._client.request(
+                    b"request %08d" % number, REQUEST_TIMEOUT_S
+                )
                 if outcome is not True:
-                    self._soak.note_broken(self._client, outcome)
+                    self._soak.record_broken_flow(self._client, outcome)
                     break
                 time.sleep(0.03)
                 if self._flow_requests and number % self._flow_requests == 0:
@@ -103,17 +105,17 @@
         block,
         duration=6.0,
         size=3,
-        double=None,
+        mutant=None,
         flow_requests=None,
     ):
         self.violations = []
         self._flow_requests = flow_requests
-        self.fleet = SoakFleet(folder, block, size, double)
+        self.fleet = SoakFleet(folder, block, size, mutant)
         machines = {"balancer": self.fleet.balancers, "agent": self.fleet.agents}
         self.plan = draw_plan(seed, machines, duration)
-        self._undo = []
+        self._pending_ends = []
         self._restarts = []
-        self._holders = defaultdict(int)
+        self._active_counts = defaultdict(int)
 
     def run(self):
         """Play all faults; return what was violated."""
@@ -123,11 +125,11 @@
             fleet.start()
             callers = [
                 Caller(self, fleet.make_client(), self._flow_requests)
-                for _ in range(FLOWS)
+                for _ in range(CALLER_COUNT)
             ]
             for caller in callers:
                 caller.start()
-            self._play()
+            self._inject_faults()
             self._check_recovery()
             for caller in callers:
                 caller.is_closed = True
@@ -141,48 +143,54 @@
             fleet.close()
         return self.violations
 
-    def note_broken(self, client, outcome):
+    def record_broken_flow(self, client, outcome):
         """Note that a request on an open flow got a reset, or no answer."""
         for name, backend in self.fleet.backends.items():
             if backend.owns(client.flow, client.acknowledged):
                 what = "reset" if outcome == "reset" else "unanswered"
                 self.violations.append(f"{what}: {client.flow[0]} lives at {name}")
 
-    def _play(self):
+    def _inject_faults(self):
         start = time.monotonic()
         for fault in self.plan:
-            self._end_due(start + fault.at)
-            time.sleep(max(0.0, start + fault.at - time.monotonic()))
-            self._strike(fault)
-        self._end_due(None)
+            self._end_due_faults(start + fault.start_s)
+            time.sleep(max(0.0, start + fault.start_s - time.monotonic()))
+            self._inject(fault)
+        self._end_due_faults(None)
         self._join_restarts()
 
     def _join_restarts(self):
         for restart in self._restarts:
             restart.join()
 
-    def _end_due(self, until):
+    def _end_due_faults(self, until):
         """End the faults that are over before a time."""
-        while self._undo and (until is None or min(self._undo)[0] <= until):
-            ends_at, _, undo = due = min(self._undo, key=lambda one: one[:2])
-            self._undo.remove(due)
+        while self._pending_ends and (
+            until is None or min(self._pending_ends)[0] <= until
+        ):
+            ends_at, _, end_fault = due = min(
+                self._pending_ends, key=lambda one: one[:2]
+            )
+            self._pending_ends.remove(due)
             time.sleep(max(0.0, ends_at - time.monotonic()))
-            undo()
+            end_fault()
 
-    def _until_end(self, key, fault, begin, end):
+    def _hold_until_end(self, key, fault, begin, end):
         """Hold a state for as long as a fault lasts; faults of one kind overlap."""
-        self._holders[key] += 1
+        self._active_counts[key] += 1
         begin()
 
-        def undo():
-            self._holders[key] -= 1
-            if not self._holders[key]:
+        def end_fault():
+            self._active_counts[key] -= 1
+            if not self._active_counts[key]:
                 end()
 
-        ends_at = time.monotonic() + fault.for_s
-        self._undo.append((ends_at, len(self._undo) + fault.at, undo))
+        ends_at = time.monotonic() + fault.duration_s
+        self._pending_ends.append(
+            (ends_at, len(self._pending_ends) + fault.start_s, end_fault)
+        )
 
-    def _strike(self, fault):
+    def _inject(self, fault):
         fleet, name = self.fleet, fault.target
         if fault.kind in SIGNALS:
             number = SIGNALS[fault.kind]
@@ -190,7 +198,7 @@
             self._restarts.append(restart)
             restart.start()
         elif fault.kind == "pause":
-            self._until_end(
+            self._hold_until_end(
                 (name, "pause"),
                 fault,
                 lambda: self._signal(name, signal.SIGSTOP),
@@ -199,23 +207,29 @@
         elif fault.kind == "hangup":
             self._signal(name, signal.SIGHUP)
         elif fault.kind in STORE_MODES:
-            self._harm(fleet.ways[name], STORE_MODES[fault.kind], fault)
+            self._set_proxy_mode(
+                fleet.store_proxies[name], STORE_MODES[fault.kind], fault
+            )
         elif fault.kind in PACKET_MODES:
-            self._harm(fleet.entries[name], PACKET_MODES[fault.kind], fault)
+            self._set_proxy_mode(
+                fleet.packet_proxies[name], PACKET_MODES[fault.kind], fault
+            )
         else:
-            self._strike_platform(fault)
+            self._inject_service_fault(fault)
 
-    def _strike_platform(self, fault):
+    def _inject_service_fault(self, fault):
         fleet, name = self.fleet, fault.target
         match fault.kind:
             case "backend restarted":
-                fleet.disturb(name)
+                fleet.mark_disturbed(name)
                 fleet.backends[name].restart()
             case "backend drains":
                 backend = fleet.backends[name]
-                self._until_end((name, "drain"), fault, backend.drain, backend.resume)
+                self._hold_until_end(
+                    (name, "drain"), fault, backend.drain, backend.resume
+                )
             case "store down":
-                self._until_end("down", fault, self._store_down, self._store_up)
+                self._hold_until_end("down", fault, self._store_down, self._store_up)
             case "entry removed":
                 key = f"papayagw/agents/{name}"
                 if key in fleet.store.list_keys():
@@ -225,18 +239,18 @@
             case other:
                 raise ValueError(other)
 
-    def _harm(self, proxy, mode, fault):
+    def _set_proxy_mode(self, proxy, mode, fault):
         def begin():
             proxy.mode = mode
 
         def end():
             proxy.mode = "pass"
 
-        self._until_end(id(proxy), fault, begin, end)
+        self._hold_until_end(id(proxy), fault, begin, end)
 
     def _signal(self, name, number):
         with self.fleet.lock:
-            self.fleet.disturb(name)
+            self.fleet.mark_disturbed(name)
             self.fleet.signal(name, number)
 
     def _store_down(self):
@@ -248,29 +262,36 @@
     def _check_recovery(self):
         """Wait until everything is served again, within the bound."""
         fleet = self.fleet
-        time.sleep(START_S)
-        fleet.start_ended()
+        time.sleep(PROCESS_START_S)
+        fleet.restart_early_exits()
         started_at = time.monotonic()
         keys = {f"papayagw/agents/{name}" for name in fleet.agents}
-        self._expect("entries", lambda: keys <= fleet.store.list_keys(), RECOVERY_S)
+        self._wait_for(
+            "entries", lambda: keys <= fleet.store.list_keys(), RECOVERY_LIMIT_S
+        )
         names = (*fleet.balancers, *fleet.agents)
         for name in names:
-            self._expect(f"{name} ready", lambda n=name: fleet.is_ready(n), RECOVERY_S)
+            self._wait_for(
+                f"{name} ready", lambda n=name: fleet.is_ready(n), RECOVERY_LIMIT_S
+            )
         for name in fleet.balancers:
-            self._expect(
+            self._wait_for(
                 f"{name} on version {fleet.version}",
                 lambda n=name: self._last_version(n) == fleet.version,
-                RECOVERY_S,
+                RECOVERY_LIMIT_S,
             )
         client = fleet.make_client()
-        left = max(1.0, RECOVERY_S - (time.monotonic() - started_at))
-        if not client.open(left) or client.request(b"at last", left) is not True:
+        remaining_s = max(1.0, RECOVERY_LIMIT_S - (time.monotonic() - started_at))
+        if (
+            not client.open(remaining_s)
+            or client.request(b"at last", remaining_s) is not True
+        ):
             self.violations.append("a new flow isn't served")
         client.close()
 
-    def _expect(self, what, holds, seconds):
+    def _wait_for(self, what, condition, seconds):
         deadline = time.monotonic() + seconds
-        while not holds():
+        while not condition():
             if time.monotonic() > deadline:
                 self.violations.append(f"not within {seconds} s: {what}")
                 return
@@ -287,8 +308,8 @@
     def _check_records(self):
         """Check what backend servers and programs recorded."""
         fleet = self.fleet
-        fleet.note_ends()
-        self.violations += [f"ended by itself: {one}" for one in fleet.ended_alone]
+        fleet.record_unexpected_exits()
+        self.violations += [f"ended by itself: {one}" for one in fleet.unexpected_exits]
         ran_at = defaultdict(set)
         for name, backend in fleet.backends.items():
             for request in backend.runs:
@@ -301,11 +322,11 @@
             self._check_log(name)
 
     def _check_drain(self, name, backend):
-        struck_at = self.fleet.disturbed_at.get(name, 0.0)
+        last_disturbed_at = self.fleet.disturbed_at.get(name, 0.0)
         for at, drained_at in backend.openings:
-            if drained_at is None or at - drained_at <= DRAIN_S:
+            if drained_at is None or at - drained_at <= DRAIN_OPENING_LIMIT_S:
                 continue
-            if not struck_at <= at <= struck_at + IN_TOUCH_S:
+            if not last_disturbed_at <= at <= last_disturbed_at + DISTURBANCE_GRACE_S:
                 late = at - drained_at
                 self.violations.append(f"{name} drains, opening after {late:.1f} s")
 
--- a/tests/soak/world.py
+++ b/tests/soak/soak_fleet.py
@@ -63,85 +63,85 @@
 
     backend_type = RecordingBackend
 
-    def __init__(self, folder, block, size=3, double=None):
-        self._double = double
-        self._starts = Counter()
+    def __init__(self, folder, block, size=3, mutant=None):
+        self._mutant = mutant
+        self._start_counts = Counter()
         super().__init__(folder, block, size, size)
         self.lock = threading.RLock()
-        self.ended_alone = []
+        self.unexpected_exits = []
         self.disturbed_at = {}
         self._site = SITE
         names = (*self.balancers, *self.agents)
         store = (self._ip(200), self.ports.store)
-        self.ways = {
+        self.store_proxies = {
             name: ConnectionProxy((self._ip(210 + at), self.ports.store), store)
             for at, name in enumerate(names)
         }
-        self.entries = {
+        self.packet_proxies = {
             name: PacketProxy(
                 (self._ip(230 + at), self.ports.data),
                 (self.ip_of(name), self.ports.data),
             )
             for at, name in enumerate(self.balancers)
         }
-        for proxy in (*self.ways.values(), *self.entries.values()):
+        for proxy in (*self.store_proxies.values(), *self.packet_proxies.values()):
             proxy.start()
 
     def close(self):
         super().close()
-        for proxy in (*self.ways.values(), *self.entries.values()):
+        for proxy in (*self.store_proxies.values(), *self.packet_proxies.values()):
             proxy.close()
 
     def command(self, role):
-        if self._double is None:
+        if self._mutant is None:
             return super().command(role)
-        return ["tests.soak.doubled", self._double, role]
+        return ["tests.soak.mutants", self._mutant, role]
 
     def store_address(self, name):
         at = (*self.balancers, *self.agents).index(name)
         return f"{self._ip(210 + at)}:{self.ports.store}"
 
-    def start_one(self, name):
-        self._starts[name] += 1
-        super().start_one(name)
+    def start_process(self, name):
+        self._start_counts[name] += 1
+        super().start_process(name)
 
-    def disturb(self, name):
+    def mark_disturbed(self, name):
         """Note that a process was struck."""
         self.disturbed_at[name] = time.monotonic()
 
-    def restart(self, name, number):
+    def restart(self, name, signal_number):
         """End a process by a signal and start it again."""
         with self.lock:
             process = self._processes.get(name)
             if process is None:
                 return
-            has_ended = process.poll() is not None
-            if has_ended and not self._is_ended_early(name, process):
-                self.ended_alone.append((name, process.returncode))
-            self.disturb(name)
+            has_exited = process.poll() is not None
+            if has_exited and not self._exited_before_start(name, process):
+                self.unexpected_exits.append((name, process.returncode))
+            self.mark_disturbed(name)
             process.send_signal(signal.SIGCONT)
-            process.send_signal(number)
+            process.send_signal(signal_number)
             process.wait(10)
-            self.start_one(name)
-            self.disturb(name)
+            self.start_process(name)
+            self.mark_disturbed(name)
 
-    def start_ended(self):
+    def restart_early_exits(self):
         """Start what a hangup ended before the program's first instruction."""
         with self.lock:
             for name, process in list(self._processes.items()):
-                if self._is_ended_early(name, process):
-                    self.start_one(name)
+                if self._exited_before_start(name, process):
+                    self.start_process(name)
 
-    def _is_ended_early(self, name, process):
+    def _exited_before_start(self, name, process):
         events = [one["event"] for one in self.log(name)]
-        is_early = events.count("started") < self._starts[name]
-        return process.poll() == -signal.SIGHUP and is_early
+        is_before_start = events.count("started") < self._start_counts[name]
+        return process.poll() == -signal.SIGHUP and is_before_start
 
-    def note_ends(self):
+    def record_unexpected_exits(self):
         """Note processes that ended by themselves."""
         for name, process in self._processes.items():
             if process.poll() is not None:
-                self.ended_alone.append((name, process.returncode))
+                self.unexpected_exits.append((name, process.returncode))
 
     def change_site(self):
         """Accept a newer configuration."""
--- a/tests/unit/test_membership_faults.py
+++ b/tests/unit/test_membership_faults.py
@@ -15,7 +15,7 @@
 from papayagw._internal.models.agent import AgentRecord, AgentState
 from papayagw._internal.models.control import Announcement, Send
 from tests.lib.fleet import FleetDriver
-from tests.lib.fleet_events import Event, EventedFleet, Step
+from tests.lib.fleet_events import Event, FaultInjectingFleet, Step
 from tests.lib.samples import ORDER, make_record
 
 SETTLE_MS = 25_000
@@ -31,7 +31,7 @@
 
 
 def make_fleet(balancers=4, agents=8):
-    fleet = EventedFleet()
+    fleet = FaultInjectingFleet()
     fleet.add_fleet(balancers, agents)
     fleet.run(8_000)
     return fleet
@@ -82,7 +82,7 @@
 @pytest.mark.parametrize("pause_ms", [1_500, 5_000, 60_000])
 def test_resumed_balancer_suspects_no_agent(balancers, pause_ms):
     fleet = make_fleet(balancers)
-    fleet.frozen_loses = True
+    fleet.frozen_drop_packets = True
     fleet.frozen.add(sorted(fleet.balancers)[0])
     fleet.run(pause_ms)
     fleet.frozen.clear()
@@ -105,7 +105,7 @@
 def test_agent_unreachable_for_one_watcher_stays_ready():
     fleet = make_fleet(balancers=3)
     unreachable = sorted(fleet.balancers)[0]
-    fleet.cut_off(fleet.agents, [unreachable])
+    fleet.block_links(fleet.agents, [unreachable])
     for _ in range(200):
         fleet.run(100)
         assert fleet.find_ready() == [set(fleet.agents)] * 3
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -111,7 +111,7 @@
     def start(self) -> None:
         """Start all processes, and wait until each service answers."""
         if self._settings.platform:
-            self.start_one(PLATFORM)
+            self.start_process(PLATFORM)
             self.submit()
         for name in self.names:
             if name != PLATFORM:
@@ -135,7 +135,7 @@
                 stderr=errors,
             )
 
-    def start_one(self, name: str) -> None:
+    def start_process(self, name: str) -> None:
         """Start one process and wait until it is ready."""
         self.spawn(name)
         self._wait_ready(name)
