--- a/src/papayagw/_internal/load/__init__.py
+++ b/src/papayagw/_internal/load/__init__.py
@@ -1,1 +1,1 @@
-"""The load tool: open-loop arrivals of the users' workloads over TCP."""
+"""Load generator: open-loop arrivals of customers' workloads over TCP."""
--- a/src/papayagw/_internal/load/client.py
+++ b/src/papayagw/_internal/load/client.py
@@ -1,4 +1,4 @@
-"""One request over one TCP connection."""
+"""Client that sends one request over one TCP connection."""
 
 import hashlib
 from collections.abc import Awaitable, Callable
@@ -27,18 +27,18 @@
 
 
 class Exchange:
-    """A connection that carries one request.
+    """Exchange of one request and its response over a connection.
 
     Parameters
     ----------
     stream : SocketStream
-        The connection.
+        Stream of the open connection.
     kind : RequestKind
-        What is asked for.
+        Kind of the request.
     request : Request
-        The request.
+        Request to send.
     on_first : callable
-        Called when the first line of the answer is there.
+        Called when the first line of the response has been received.
     """
 
     def __init__(
@@ -55,7 +55,7 @@
         self._on_first_line = on_first_line
 
     async def run(self) -> Outcome:
-        """Send the request and judge the answer."""
+        """Send the request and classify its response."""
         runners: dict[Verb, Callable[[], Awaitable[Outcome]]] = {
             Verb.FEED: self._run_feed,
             Verb.UPLOAD: self._run_upload,
@@ -107,7 +107,7 @@
 
 
 def make_upload_body(request: Request) -> bytes:
-    """Return the bytes of an upload, which no other upload shares."""
+    """Return the body of an upload, which differs for each request id."""
     size = request.numbers[0]
     name = request.request_id.encode()
     body = _PATTERN * (size // len(_PATTERN) + 1)
@@ -121,9 +121,9 @@
     timeout: Millis,
     on_first_line: FirstLineCallback,
 ) -> Outcome:
-    """Connect, run one request and say how it ended.
+    """Connect, exchange one request and return its outcome.
 
-    `timeout` counts from the time at which the last line of the answer is due.
+    `timeout` counts from the time at which the last line of the response is due.
     """
     limit_s = to_seconds(Millis(timeout + kind.duration))
     try:
--- a/src/papayagw/_internal/load/profiles.py
+++ b/src/papayagw/_internal/load/profiles.py
@@ -1,4 +1,4 @@
-"""The workloads of the two users."""
+"""Workload profiles of the two customers."""
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -15,20 +15,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestKind:
-    """A kind of request of a workload.
+    """Kind of request in a workload.
 
     Attributes
     ----------
     name : str
-        What reports call it.
+        Name in reports.
     service : BackendKind
-        The service that it goes to.
+        Service to which requests of this kind are sent.
     verb : Verb
-        What it asks for.
+        Requested operation.
     numbers : tuple of int
-        The numbers that follow the id.
+        Integers that follow the request id.
     pause : Millis
-        The time between two lines of an echo.
+        Time between two lines of an echo, in milliseconds.
     """
 
     name: str
@@ -39,7 +39,7 @@
 
     @property
     def duration(self) -> Millis:
-        """How long a request of this kind takes when nothing is late."""
+        """Duration of a request of this kind without any delay, in milliseconds."""
         if self.verb is Verb.FEED:
             count, interval = self.numbers
             return Millis(count * interval)
@@ -48,7 +48,7 @@
         return Millis(0)
 
     def make_request(self, request_id: str) -> Request:
-        """Return one request of this kind."""
+        """Return a request of this kind with the id `request_id`."""
         return Request(self.verb, request_id, self.numbers)
 
 
@@ -65,7 +65,7 @@
 
 
 def make_valukoja(feed_lines: int) -> Workload:
-    """Return order feeds, orders and drawing uploads."""
+    """Return the workload of order feeds, orders and drawing uploads."""
     return (
         Share(_make_feed("order feed", BackendKind.ORDER, feed_lines), 0.1),
         Share(_ORDER, 0.8),
@@ -74,7 +74,7 @@
 
 
 def make_norrbo(feed_lines: int) -> Workload:
-    """Return ledger streams, rate checks and intake uploads."""
+    """Return the workload of ledger streams, rate checks and intake uploads."""
     return (
         Share(_make_feed("ledger stream", BackendKind.LEDGER, feed_lines), 0.1),
         Share(_RATE_CHECK, 0.8),
--- a/src/papayagw/_internal/load/report.py
+++ b/src/papayagw/_internal/load/report.py
@@ -1,4 +1,4 @@
-"""What a run of the load tool has seen, as a table and as JSON."""
+"""Results of a load run, as a table and as JSON."""
 
 import json
 from collections import Counter, defaultdict
@@ -18,14 +18,15 @@
 
 @dataclass(frozen=True, slots=True)
 class KindReport:
-    """The requests of one kind.
+    """Results of the requests of one kind.
 
     Attributes
     ----------
     outcomes : dict
-        How many requests ended in each way.
+        Number of requests by outcome.
     p50_ms, p99_ms, p999_ms, max_ms : float
-        Latency of the first answer line from the intended start.
+        Latency from the intended start to the first line of the response, in
+        milliseconds.
     """
 
     outcomes: dict[str, int]
@@ -37,18 +38,19 @@
 
 @dataclass(frozen=True, slots=True)
 class JournalReport:
-    """What the backend servers' journals say about a run.
+    """Comparison of the backend servers' journals with the outcomes of a run.
 
     Attributes
     ----------
     run : int
-        Requests that were run.
+        Number of requests that were executed.
     doubled : int
-        Requests that were run more than once, anywhere.
+        Number of requests that were executed more than once, on any backend servers.
     refused_but_run : int
-        Requests that were run though their caller was told that they were not.
+        Number of requests that were executed although their caller was told that
+        they were refused.
     done_but_not_run : int
-        Requests that were answered but are in no journal.
+        Number of requests that were answered but are in no journal.
     """
 
     run: int
@@ -59,16 +61,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """The whole run.
+    """Results of a load run.
 
     Attributes
     ----------
     seconds : float
-        How long it took.
+        Duration of the run, in seconds.
     kinds : dict
-        One report for each kind of request.
+        Results by the name of the kind of request.
     journal : JournalReport or None
-        None if no backend server's journal was read.
+        Comparison with the journals; None if no journal was read.
     """
 
     seconds: float
@@ -77,7 +79,7 @@
 
     @property
     def outcomes(self) -> Counter[str]:
-        """The outcomes of all kinds together."""
+        """Number of requests of all kinds by outcome."""
         total: Counter[str] = Counter()
         for report in self.kinds.values():
             total.update(report.outcomes)
@@ -85,7 +87,7 @@
 
     @property
     def has_faults(self) -> bool:
-        """Whether anything happened that must never happen."""
+        """Whether any outcome or journal shows a violation of the guarantees."""
         if any(self.outcomes[fault.value] for fault in FAULTS):
             return True
         journal = self.journal
@@ -94,11 +96,11 @@
         )
 
     def format_json(self) -> str:
-        """Return the report as JSON."""
+        """Return the results as JSON."""
         return json.dumps(asdict(self), indent=2)
 
     def format_table(self) -> str:
-        """Return the report as a table to read."""
+        """Return the results as a plain-text table."""
         names = [outcome.value for outcome in Outcome]
         head = ["kind", *names, "p50 ms", "p99 ms", "max ms"]
         rows = [[name, *_format_row(one, names)] for name, one in self.kinds.items()]
@@ -117,7 +119,7 @@
 
 
 class LoadRecorder:
-    """Collects outcomes and latencies while a run goes on."""
+    """Recorder of outcomes and latencies during a run."""
 
     def __init__(self) -> None:
         self._outcomes: dict[str, Counter[str]] = defaultdict(Counter)
@@ -126,11 +128,11 @@
 
     @property
     def outcomes_by_id(self) -> Mapping[str, Outcome]:
-        """How each request ended, by its id."""
+        """Outcome of each request, by its id."""
         return self._outcomes_by_id
 
     def record_latency(self, kind: str, latency_us: int) -> None:
-        """Note the time from the intended start to the first answer line."""
+        """Record the time from the intended start to the first line of the response."""
         histogram = self._latencies.get(kind)
         if histogram is None:
             histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS)
@@ -138,14 +140,14 @@
         histogram.record_value(max(latency_us, _LOWEST_US))
 
     def record_outcome(self, kind: str, request_id: str, outcome: Outcome) -> None:
-        """Note how a request ended."""
+        """Record the outcome of a request."""
         self._outcomes[kind][outcome.value] += 1
         self._outcomes_by_id[request_id] = outcome
 
     def make_report(
         self, seconds: float, journal: JournalReport | None = None
     ) -> LoadReport:
-        """Return what was collected."""
+        """Return the report of the recorded requests."""
         kinds = {
             kind: KindReport(dict(outcomes), *self._percentiles(kind))
             for kind, outcomes in sorted(self._outcomes.items())
@@ -165,7 +167,7 @@
 def compare_journals(
     outcomes_by_id: Mapping[str, Outcome], journals: Iterable[Mapping[str, int]]
 ) -> JournalReport:
-    """Hold what callers were told against what the backend servers ran."""
+    """Compare the outcomes that callers saw with the journals of backend servers."""
     runs: Counter[str] = Counter()
     for journal in journals:
         runs.update({one: n for one, n in journal.items() if one in outcomes_by_id})
--- a/src/papayagw/_internal/load/run.py
+++ b/src/papayagw/_internal/load/run.py
@@ -1,4 +1,4 @@
-"""A run of the load tool: starts each request when it is due."""
+"""Load run that starts each request at its scheduled time."""
 
 import time
 from collections.abc import Callable, Mapping
@@ -24,7 +24,7 @@
 from papayagw._internal.standins.workload import BackendKind
 
 PROGRESS_BAR_MIN_MS = Millis(5_000)
-"""Runs at least this long show a progress bar."""
+"""Minimum duration of runs that show a progress bar."""
 
 _NANOS_PER_MILLI = 1_000_000
 _NANOS_PER_MICRO = 1_000
@@ -33,28 +33,28 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadPlan:
-    """What a run does.
+    """Parameters of a load run.
 
     Attributes
     ----------
     workload : Workload
-        The kinds of requests.
+        Kinds of requests and their shares.
     targets : mapping
-        Where the requests of each service go.
+        Address to which the requests of each service are sent.
     rate : float
-        Requests a second, all kinds together.
+        Requests per second, all kinds together.
     duration : Millis
-        How long requests are started.
+        Time during which requests are started, in milliseconds.
     timeout : Millis
-        How long a caller waits for an answer.
+        Time for which a caller waits for a response, in milliseconds.
     max_open : int
-        Requests beyond these aren't sent.
+        Maximum number of open requests; further requests aren't sent.
     seed : int
-        Seed of the arrivals.
+        Seed of the arrival times.
     run_id : str
-        The start of each request's id.
+        Prefix of each request id.
     backends : tuple of Endpoint
-        Backend servers whose journals are read at the end.
+        Backend servers whose journals are read after the run.
     """
 
     workload: Workload
@@ -69,12 +69,12 @@
 
 
 class LoadRun:
-    """One run of the load tool.
+    """Run of the load generator.
 
     Parameters
     ----------
     plan : LoadPlan
-        What the run does.
+        Parameters of the run.
     """
 
     def __init__(self, plan: LoadPlan):
@@ -84,7 +84,7 @@
         self._started_ns = 0
 
     async def run(self) -> LoadReport:
-        """Carry the run out and report."""
+        """Start all requests, wait until they have ended and return the report."""
         self._started_ns = time.monotonic_ns()
         is_short = self._plan.duration < PROGRESS_BAR_MIN_MS
         total = round(self._plan.rate * self._plan.duration / MILLIS_PER_SECOND)
@@ -144,12 +144,18 @@
 
 
 def check_targets(plan: LoadPlan) -> None:
-    """Raise if a request of the workload has no target."""
+    """Check that each service of the workload has a target.
+
+    Raises
+    ------
+    PapayagwError
+        If a service has no target.
+    """
     services = {share.kind.service for share in plan.workload}
     missing = sorted(one.value for one in services if one not in plan.targets)
     if missing:
         raise PapayagwError(
-            f"no target for {', '.join(missing)}",
+            f"no target for the services of the workload: {', '.join(missing)}",
             step=Step.SETTINGS,
-            remedy="name one for each service: --targets order=ip:port,...",
+            remedy="give a target for each service: --targets order=ip:port,...",
         )
--- a/src/papayagw/_internal/load/verdict.py
+++ b/src/papayagw/_internal/load/verdict.py
@@ -1,4 +1,4 @@
-"""What an answer says about the request that it should belong to."""
+"""Classification of the response to a request."""
 
 from enum import Enum
 
@@ -9,29 +9,29 @@
 
 
 class Outcome(Enum):
-    """How one request ended, as its caller saw it."""
+    """Outcome of a request, as its caller observed it."""
 
     DONE = "done"
     BROKEN = "broken"
-    """The connection ended, or the answer made no sense."""
+    """The connection ended, or the response was malformed."""
     REFUSED = "refused"
-    """The caller was told that the request was not run."""
+    """The caller was told that the request was not executed."""
     UNKNOWN = "unknown"
-    """No answer within the timeout."""
+    """No complete response within the timeout."""
     CROSSED = "crossed"
-    """An answer of another request, or of another service."""
+    """The response belongs to another request or another service."""
     WRONG_BYTES = "wrong bytes"
-    """Bytes were lost or changed on the way."""
+    """Bytes were lost or changed in transit."""
     NOT_SENT = "not sent"
-    """Too many requests were open already; the tool itself was the limit."""
+    """Not sent, as the load generator's own limit of open requests was reached."""
 
 
 FAULTS = (Outcome.BROKEN, Outcome.CROSSED, Outcome.WRONG_BYTES)
-"""What must never happen."""
+"""Outcomes that violate the guarantees to callers."""
 
 
 def judge_single_line(request: Request, service: BackendKind, line: str) -> Outcome:
-    """Judge the answer to an order or a rate check."""
+    """Classify the response to an order or a rate check."""
     words = line.split()
     if (outcome := _judge_signature(request, service, words)) is not None:
         return outcome
@@ -42,7 +42,7 @@
 def judge_upload(
     request: Request, service: BackendKind, digest: str, line: str
 ) -> Outcome:
-    """Judge the answer to an upload with the checksum `digest`."""
+    """Classify the response to an upload whose SHA-256 checksum is `digest`."""
     words = line.split()
     if (outcome := _judge_signature(request, service, words)) is not None:
         return outcome
@@ -52,7 +52,7 @@
 def judge_feed_line(
     request: Request, service: BackendKind, number: int, line: str
 ) -> Outcome:
-    """Judge line `number` of a feed; DONE says that it is the right one."""
+    """Classify line `number` of a feed; DONE means that the line is as expected."""
     words = line.split()
     if (outcome := _judge_signature(request, service, words)) is not None:
         return outcome
@@ -65,7 +65,7 @@
 
 
 def judge_echo(request: Request, service: BackendKind, sent: str, line: str) -> Outcome:
-    """Judge the answer to one line of an echo."""
+    """Classify the response to one line of an echo."""
     words = line.split()
     if (outcome := _judge_signature(request, service, words)) is not None:
         return outcome
--- a/src/papayagw/_internal/standins/__init__.py
+++ b/src/papayagw/_internal/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins of the platform, the fabric and the backend servers."""
+"""Stand-ins for the platform's services, its fabric and the backend servers."""
--- a/src/papayagw/_internal/standins/backend.py
+++ b/src/papayagw/_internal/standins/backend.py
@@ -1,4 +1,4 @@
-"""Stand-in of a backend server: an ordinary TCP server."""
+"""Stand-in for a backend server: a TCP server that implements a line protocol."""
 
 import hashlib
 import socket
@@ -33,12 +33,12 @@
 
 
 class Connection:
-    """One caller's connection.
+    """TCP connection of one caller.
 
     Parameters
     ----------
     stream : SocketStream
-        The connection.
+        Stream of the accepted connection.
     """
 
     def __init__(self, stream: SocketStream):
@@ -46,15 +46,15 @@
         self._reader = BufferedByteReceiveStream(stream)
 
     async def read_line(self) -> bytes:
-        """Return the next line without its end."""
+        """Return the next line without its newline."""
         return await self._reader.receive_until(b"\n", MAX_LINE_BYTES)
 
     async def read_chunk(self, max_bytes: int) -> bytes:
-        """Return some bytes, `most` at the most."""
+        """Return the next available bytes, at most `max_bytes`."""
         return await self._reader.receive(max_bytes)
 
     async def write(self, text: str) -> None:
-        """Send a line."""
+        """Send `text` as one line."""
         await self._stream.send(f"{text}\n".encode())
 
     async def close(self) -> None:
@@ -63,14 +63,14 @@
 
 
 class BackendServer:
-    """A stand-in of a backend server.
+    """Stand-in for a backend server.
 
     Parameters
     ----------
     endpoint : Endpoint
-        Where it listens.
+        Address to listen on.
     plan : BackendPlan
-        How it behaves.
+        Service, speed and limits of the server.
     """
 
     def __init__(self, endpoint: Endpoint, plan: BackendPlan):
@@ -100,20 +100,26 @@
 
     @property
     def journal(self) -> Journal:
-        """The requests that it ran."""
+        """Journal of the executed requests."""
         return self._journal
 
     @property
     def in_progress(self) -> int:
-        """How many requests are in progress or queue, feeds included."""
+        """Number of requests that are in progress or queued, including feeds."""
         return self._in_progress
 
     def drain(self) -> None:
-        """Shed new requests; those in progress go on."""
+        """Reject new requests with SHED; requests in progress continue."""
         self._is_draining = True
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Listen, and serve in `tasks`."""
+        """Start listening and serve connections in `tasks`.
+
+        Raises
+        ------
+        BindError
+            If the address can't be bound.
+        """
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -121,21 +127,21 @@
         except OSError as error:
             listener.close()
             raise BindError(
-                error.strerror or "can't listen",
+                error.strerror or "could not bind the listening address",
                 step=Step.BIND,
                 peer=str(self._endpoint),
-                remedy="stop what holds the address, or choose another one",
+                remedy="stop the process that uses the address, or choose another",
             ) from error
         listener.listen(_BACKLOG)
         self._listener = await SocketListener.from_socket(listener)
         tasks.start_soon(self._accept, tasks)
 
     async def close(self) -> None:
-        """Stop listening; connections in progress go on."""
+        """Stop listening; open connections continue."""
         await self._listener.aclose()
 
     async def wait_idle(self) -> None:
-        """Return when no request is in progress."""
+        """Wait until no request is in progress or queued."""
         while self._in_progress:
             await anyio.sleep(0.01)
 
@@ -154,7 +160,10 @@
             pass
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             peer = stream.extra(SocketAttribute.remote_address, "?")
-            print(f"{self._plan.name}: {peer} left: {error!r}", file=sys.stderr)
+            print(
+                f"{self._plan.name}: connection from {peer} was lost: {error!r}",
+                file=sys.stderr,
+            )
         finally:
             self._connections -= 1
             await connection.close()
--- a/src/papayagw/_internal/standins/fabric.py
+++ b/src/papayagw/_internal/standins/fabric.py
@@ -1,8 +1,8 @@
-"""Stand-in of the fabric: hands each packet to any balancer.
+"""Stand-in for the platform's fabric, which sprays packets over the balancers.
 
-For each caller it keeps one socket towards the balancers, so that they see a
-distinct address for each caller as behind a real fabric, and what comes back on
-that socket goes to the caller from the entry address.
+Each caller has its own socket towards the balancers, so that the balancers see a
+distinct source address for each caller, as behind a real fabric. Packets that arrive
+on that socket are sent to the caller from the entry address.
 """
 
 import random
@@ -20,20 +20,20 @@
 from papayagw._internal.standins.spray import Impairments, Route, Sprayer
 
 MAX_BATCH_DATAGRAMS = 64
-"""The most datagrams read from one socket before the next one has its turn."""
+"""Maximum number of datagrams read from one socket before the next one is served."""
 
 CALLER_IDLE_TIMEOUT_MS = Millis(60_000)
-"""After this silence a caller's socket is closed."""
+"""Time without packets after which the socket of a caller is closed."""
 
 SWEEP_INTERVAL_MS = Millis(5_000)
 RESERVED_FILES = 64
-"""Open files kept back for the listeners and the loop."""
+"""File descriptors reserved for the entry sockets and the event loop."""
 
 MAX_DATAGRAM_BYTES = 65_535
 ENTRY_BUFFER_BYTES = 4 << 20
 CALLER_BUFFER_BYTES = 1 << 20
 _MAX_EVENTS = 256
-# Linux's number; the socket module names it from Python 3.14 on.
+# Value on Linux; the socket module defines the constant from Python 3.14 on.
 _IP_RECVERR = 11
 
 ClientAddress = tuple[str, int]
@@ -41,20 +41,20 @@
 
 @dataclass(frozen=True, slots=True)
 class FabricCounts:
-    """What a fabric has carried.
+    """Packet counts of a fabric.
 
     Attributes
     ----------
     packets_in : int
-        Packets from callers.
+        Packets received from callers.
     packets_out : int
-        Packets handed to balancers, duplicates included.
+        Packets sent to balancers, including duplicates.
     answers : int
-        Packets handed to callers.
+        Packets sent to callers.
     lost : int
-        Packets dropped on purpose or for want of room.
+        Packets dropped by simulated loss or because sending failed.
     callers_refused : int
-        Packets dropped since no more files may be opened.
+        Packets dropped because the limit of open files was reached.
     """
 
     packets_in: int
@@ -65,7 +65,7 @@
 
 
 class _Caller:
-    """A caller and its socket towards the balancers."""
+    """Address of a caller and the socket that represents it towards the balancers."""
 
     __slots__ = ("address", "socket", "last_used_at")
 
@@ -78,20 +78,20 @@
 
 
 class Fabric:
-    """A stand-in of the platform's fabric.
+    """Stand-in for the platform's fabric.
 
     Parameters
     ----------
     routes : tuple of Route
-        The entry addresses and their balancers.
+        Entry addresses and the balancers behind each.
     impairments : Impairments
-        Loss and duplication.
+        Simulated loss and duplication.
     seed : int
-        Seed of the random choices.
+        Seed of the random number generator.
     watch_health : bool
-        Whether a balancer whose host refuses a packet is left out for a second.
+        Whether a balancer whose host refuses a packet is excluded for one second.
     clock : Clock
-        The time.
+        Source of the current time.
     """
 
     def __init__(
@@ -115,7 +115,7 @@
 
     @property
     def counts(self) -> FabricCounts:
-        """What the fabric has carried so far."""
+        """Packet counts summed over all entry addresses."""
         parts = [asdict(entry.counts) for entry in self._entries]
         return FabricCounts(
             **{name: sum(part[name] for part in parts) for name in parts[0]}
@@ -133,7 +133,7 @@
         self._epoll.close()
 
     async def run(self) -> None:
-        """Carry packets until cancelled."""
+        """Forward packets until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._sweep)
             while True:
@@ -143,18 +143,18 @@
                     self._handlers[descriptor](now)
 
     def register(self, sock: socket.socket, handler: Callable[[Millis], None]) -> None:
-        """Call `handler` when a socket has datagrams."""
+        """Call `handler` with the current time whenever a socket is readable."""
         self._handlers[sock.fileno()] = handler
         self._epoll.register(sock.fileno(), select.EPOLLIN)
 
     def unregister(self, sock: socket.socket) -> None:
-        """Forget a socket that is about to close."""
+        """Stop polling a socket; call this before closing it."""
         self._epoll.unregister(sock.fileno())
         del self._handlers[sock.fileno()]
 
     @property
     def can_open_socket(self) -> bool:
-        """Whether one more caller's socket may be opened."""
+        """Whether the limit of open files allows another socket for a caller."""
         return len(self._handlers) < self._max_sockets
 
     async def _sweep(self) -> None:
@@ -165,7 +165,7 @@
 
 
 class _Entry:
-    """One entry address and its callers."""
+    """Entry address with the sockets of its callers."""
 
     def __init__(
         self, fabric: Fabric, route: Route, sprayer: Sprayer, watch_health: bool
@@ -182,7 +182,7 @@
 
     @property
     def counts(self) -> FabricCounts:
-        """What this entry has carried."""
+        """Packet counts of this entry address."""
         return FabricCounts(
             self._packets_in,
             self._packets_out,
@@ -197,13 +197,13 @@
         self._fabric.register(self._socket, self._read_entry)
 
     def close(self) -> None:
-        """Close the entry's sockets."""
+        """Close the entry socket and the sockets of all callers."""
         for caller in self._callers.values():
             caller.socket.close()
         self._socket.close()
 
     def close_idle(self, now: Millis) -> None:
-        """Close the sockets of callers that have been silent."""
+        """Close the sockets of callers whose idle timeout has passed."""
         idle = [
             one
             for one in self._callers.values()
@@ -238,7 +238,7 @@
                 caller.socket.sendto(data, target)
                 self._packets_out += 1
             except OSError:
-                # A full buffer, or the news that an earlier packet was refused.
+                # The send buffer is full, or an earlier packet was refused.
                 self._lost += 1
                 self._read_error_queue(caller, now)
 
@@ -284,13 +284,13 @@
 
 
 def max_callers() -> int:
-    """Return how many callers' sockets the limit of open files allows."""
+    """Return the number of callers that the limit of open files allows."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     return max(soft - RESERVED_FILES, 0)
 
 
 def make_udp_socket(buffer_bytes: int) -> socket.socket:
-    """Return a UDP socket that doesn't block, with large buffers."""
+    """Return a non-blocking UDP socket with buffers of `buffer_bytes`."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
@@ -299,13 +299,19 @@
 
 
 def bind_udp(sock: socket.socket, endpoint: Endpoint) -> None:
-    """Bind a socket, or raise `BindError`."""
+    """Bind a socket to `endpoint`.
+
+    Raises
+    ------
+    BindError
+        If the address can't be bound.
+    """
     try:
         sock.bind(endpoint.sockaddr)
     except OSError as error:
         raise BindError(
-            error.strerror or "can't bind",
+            error.strerror or "could not bind the address",
             step=Step.BIND,
             peer=str(endpoint),
-            remedy="stop what holds the address, or choose another one",
+            remedy="stop the process that uses the address, or choose another",
         ) from error
--- a/src/papayagw/_internal/standins/faults.py
+++ b/src/papayagw/_internal/standins/faults.py
@@ -1,4 +1,4 @@
-"""The faults that a stand-in of the platform's service shows on demand."""
+"""Fault injection and call counts for the stand-ins of the platform's service."""
 
 from collections import Counter
 from dataclasses import dataclass, fields
@@ -9,18 +9,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Faults:
-    """What is wrong now.
+    """Faults that are currently injected.
 
     Attributes
     ----------
     outage : bool
-        Every call fails, and open watches are cut.
+        Whether every call fails and open watches are ended.
     delay_ms : Millis
-        How long a call waits before it takes effect.
+        Delay before a call takes effect, in milliseconds.
     answer_delay_ms : Millis
-        How long an answer waits after the call took effect.
+        Delay of the response after the call took effect, in milliseconds.
     lost_answers : int
-        How many of the next writes take effect and then fail.
+        Number of subsequent writes that take effect but whose responses are lost.
     """
 
     outage: bool = False
@@ -30,20 +30,20 @@
 
     @classmethod
     def from_message(cls, message: dict[str, Any]) -> "Faults":
-        """Return the faults that a control message names; all others are off."""
+        """Return the faults of a control message; faults that it omits are off."""
         known = {one.name for one in fields(cls)}
         return cls(**{name: one for name, one in message.items() if name in known})
 
 
 class CallCounts:
-    """How many calls of each kind came, a waiting watch as one."""
+    """Number of calls of each kind; a watch counts once, however long it stays open."""
 
     def __init__(self) -> None:
         self._counts: Counter[str] = Counter()
 
     @property
     def by_kind(self) -> dict[str, int]:
-        """The counts by kind."""
+        """Number of calls by kind."""
         return dict(self._counts)
 
     def add(self, kind: str) -> None:
--- a/src/papayagw/_internal/standins/http_server.py
+++ b/src/papayagw/_internal/standins/http_server.py
@@ -1,4 +1,4 @@
-"""An HTTP server for the stand-ins, on the loop that is running already."""
+"""HTTP server for the stand-ins that runs in the current event loop."""
 
 from collections.abc import Callable
 from typing import Any
@@ -12,16 +12,16 @@
 
 
 class HttpServer(uvicorn.Server):
-    """Serve one application until it is told to stop.
+    """HTTP server for one ASGI application.
 
     Parameters
     ----------
     app : ASGI application
-        What to serve.
+        Application to serve.
     endpoint : Endpoint
-        Where to listen.
+        Address to listen on.
     on_ready : callable or None
-        Called when it listens.
+        Called once the server listens.
     """
 
     def __init__(
@@ -44,11 +44,11 @@
         self._on_ready = on_ready
 
     async def startup(self, sockets: Any = None) -> None:
-        """Listen, then say so."""
+        """Start listening, then call `on_ready`."""
         await super().startup(sockets)
         if self.started and self._on_ready is not None:
             self._on_ready()
 
     def stop(self) -> None:
-        """Finish what is in progress for a moment, then stop."""
+        """Request a shutdown, which lets open requests finish for up to one second."""
         self.should_exit = True
--- a/src/papayagw/_internal/standins/journal_client.py
+++ b/src/papayagw/_internal/standins/journal_client.py
@@ -1,4 +1,4 @@
-"""Reading of a backend server's journal by whoever drives a test."""
+"""Client that reads the journal of a stand-in for a backend server."""
 
 import anyio
 from anyio.streams.buffered import BufferedByteReceiveStream
@@ -9,7 +9,7 @@
 
 
 async def fetch_runs(server: Endpoint) -> dict[str, int]:
-    """Return how often a backend server ran each request."""
+    """Return the number of executions by request id, as a backend server reports."""
     runs: dict[str, int] = {}
     async with await anyio.connect_tcp(*server.sockaddr) as stream:
         reader = BufferedByteReceiveStream(stream)
--- a/src/papayagw/_internal/standins/key_values.py
+++ b/src/papayagw/_internal/standins/key_values.py
@@ -1,7 +1,7 @@
-"""A key-value store with revisions, compare-and-swap, leases and watches.
+"""In-memory key-value store with revisions, compare-and-swap, leases and watches.
 
-It holds what the platform's service would hold, without sockets: the stand-in puts
-HTTP round it, and tests drive it directly.
+It models the content of the platform's service without sockets: the stand-in serves it
+over HTTP, and tests use it directly.
 """
 
 from collections import deque
@@ -12,23 +12,23 @@
 
 NO_LEASE = 0
 MAX_EVENTS = 1000
-"""How many changes a watch may look back."""
+"""Number of past changes that are kept for watches."""
 
 
 @dataclass(frozen=True, slots=True)
 class KeyValue:
-    """A key at one revision.
+    """Key and value at one revision.
 
     Attributes
     ----------
     key, value : bytes
-        The key and its value.
+        Key and its value.
     created, modified : int
-        The revisions of its first and of its last write.
+        Revisions of the first and of the most recent write.
     version : int
-        How often it was written.
+        Number of writes since the key was created.
     lease : int
-        The lease with which it goes; `NO_LEASE` if it stays.
+        Id of the lease with which the key expires; `NO_LEASE` if it doesn't expire.
     """
 
     key: bytes
@@ -41,16 +41,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Lease:
-    """A time-limited grant to which keys can be bound.
+    """Lease to which keys can be bound; they are deleted when it ends.
 
     Attributes
     ----------
     lease_id : int
-        Its number.
+        Id of the lease.
     duration_s : int
-        How long it lasts without renewal.
+        Duration without renewal, in seconds.
     expires : Millis
-        When it lapses.
+        Time at which it expires, in milliseconds.
     """
 
     lease_id: int
@@ -60,14 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One change of a key.
+    """Change of a key.
 
     Attributes
     ----------
     key_value : KeyValue
-        The key after the change.
+        Key and value after the change.
     is_delete : bool
-        Whether it is gone.
+        Whether the key was deleted.
     """
 
     key_value: KeyValue
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreSnapshot:
-    """The whole content at one time, to restore later."""
+    """Snapshot of the content of the store, which can be restored."""
 
     revision: int
     values: dict[bytes, KeyValue]
@@ -84,12 +84,12 @@
 
 
 class KeyValues:
-    """The store.
+    """In-memory key-value store.
 
     Parameters
     ----------
     clock : Clock
-        The time, for leases.
+        Source of the current time, for the expiry of leases.
     """
 
     def __init__(self, clock: Clock):
@@ -103,11 +103,11 @@
 
     @property
     def revision(self) -> int:
-        """The revision of the whole store."""
+        """Current revision of the store."""
         return self._revision
 
     def find(self, key: bytes, range_end: bytes = b"") -> tuple[KeyValue, ...]:
-        """Return a key, or all keys from `key` up to `range_end`."""
+        """Return the entry of `key`, or all entries in [`key`, `range_end`)."""
         self.expire_leases()
         if not range_end:
             found = self._values.get(key)
@@ -117,7 +117,7 @@
         )
 
     def put(self, key: bytes, value: bytes, lease: int = NO_LEASE) -> KeyValue:
-        """Write a key."""
+        """Write a key, optionally bound to a lease, and return its new entry."""
         self._revision += 1
         previous = self._values.get(key)
         written = KeyValue(
@@ -133,7 +133,7 @@
         return written
 
     def delete(self, key: bytes) -> bool:
-        """Delete a key; return whether it was there."""
+        """Delete a key; return whether it existed."""
         deleted = self._values.pop(key, None)
         if deleted is None:
             return False
@@ -142,7 +142,10 @@
         return True
 
     def swap(self, key: bytes, value: bytes, expected: int) -> bool:
-        """Write a key if its last write was at the revision `expected`."""
+        """Write a key if its last write was at revision `expected`, 0 if it is new.
+
+        Returns whether the key was written.
+        """
         found = self.find(key)
         if (found[0].modified if found else 0) != expected:
             return False
@@ -150,7 +153,7 @@
         return True
 
     def find_events(self, key: bytes, start: int) -> tuple[Event, ...]:
-        """Return the changes of a key from the revision `start` on."""
+        """Return the changes of a key from revision `start` on."""
         self.expire_leases()
         return tuple(
             event
@@ -164,7 +167,7 @@
         return self._set_lease(self._last_lease_id, duration_s)
 
     def renew_lease(self, lease_id: int) -> Lease | None:
-        """Renew a lease, unless it has lapsed."""
+        """Renew a lease; return None if it has expired or doesn't exist."""
         self.expire_leases()
         lease = self._leases.get(lease_id)
         if lease is None:
@@ -172,7 +175,7 @@
         return self._set_lease(lease_id, lease.duration_s)
 
     def revoke_lease(self, lease_id: int) -> bool:
-        """End a lease and delete its keys; return whether it was there."""
+        """End a lease and delete its keys; return whether it existed."""
         if self._leases.pop(lease_id, None) is None:
             return False
         for one in [one for one in self._values.values() if one.lease == lease_id]:
@@ -180,17 +183,17 @@
         return True
 
     def expire_leases(self) -> None:
-        """End the leases that have lapsed."""
+        """End all expired leases and delete their keys."""
         now = self._clock.now()
         for lease in [one for one in self._leases.values() if one.expires_at <= now]:
             self.revoke_lease(lease.lease_id)
 
     def snapshot(self) -> StoreSnapshot:
-        """Return the whole content."""
+        """Return a snapshot of the content."""
         return StoreSnapshot(self._revision, dict(self._values), tuple(self._events))
 
     def restore(self, snapshot: StoreSnapshot) -> None:
-        """Go back to an earlier content."""
+        """Restore a snapshot, including its revision, and notify the listeners."""
         self._revision = snapshot.revision
         self._values = dict(snapshot.values)
         self._events = deque(snapshot.events, maxlen=MAX_EVENTS)
@@ -201,7 +204,7 @@
         self._listeners.append(listener)
 
     def remove_listener(self, listener: Callable[[], None]) -> None:
-        """Call `listener` no more."""
+        """Stop calling `listener`."""
         self._listeners.remove(listener)
 
     def _set_lease(self, lease_id: int, duration_s: int) -> Lease:
@@ -214,6 +217,6 @@
         self.notify_listeners()
 
     def notify_listeners(self) -> None:
-        """Call the listeners, as after a change."""
+        """Call all listeners, as after a change."""
         for listener in tuple(self._listeners):
             listener()
--- a/src/papayagw/_internal/standins/lifetime.py
+++ b/src/papayagw/_internal/standins/lifetime.py
@@ -1,4 +1,4 @@
-"""How a stand-in runs as a process: until a signal says to stop."""
+"""Readiness message and signal handling of stand-in processes."""
 
 import signal
 from collections.abc import AsyncIterator, Callable
@@ -10,12 +10,12 @@
 
 
 def announce_ready(name: str) -> None:
-    """Tell whoever started the process that it serves."""
+    """Print the line that tells the parent process that this one is ready."""
     print(f"ready {name}", flush=True)
 
 
 async def wait_for_stop(on_drain: Callable[[], None] | None = None) -> None:
-    """Return at SIGTERM or SIGINT; call `on_drain` at each SIGUSR1."""
+    """Wait for SIGTERM or SIGINT; call `on_drain` on each SIGUSR1."""
     watched = STOP_SIGNALS if on_drain is None else (*STOP_SIGNALS, signal.SIGUSR1)
     with anyio.open_signal_receiver(*watched) as signals:
         async for number in signals:
@@ -27,7 +27,7 @@
 
 @asynccontextmanager
 async def cancelled_by_stop() -> AsyncIterator[None]:
-    """Cancel the body at the next SIGTERM or SIGINT."""
+    """Cancel the body of the context on SIGTERM or SIGINT."""
     async with anyio.create_task_group() as tasks:
 
         async def cancel() -> None:
--- a/src/papayagw/_internal/standins/memory_store.py
+++ b/src/papayagw/_internal/standins/memory_store.py
@@ -1,4 +1,4 @@
-"""The platform's service in the memory of one process, for tests and measurements."""
+"""In-memory substitute for the platform's store, for tests and benchmarks."""
 
 from collections.abc import Callable
 
@@ -23,12 +23,12 @@
 
 
 class MemoryStore:
-    """A store whose calls are counted and can be made to fail.
+    """In-memory store that counts calls and injects faults.
 
     Parameters
     ----------
     clock : Clock
-        The time, for leases.
+        Source of the current time, for the expiry of leases.
     """
 
     def __init__(self, clock: Clock):
@@ -39,27 +39,27 @@
 
     @property
     def values(self) -> KeyValues:
-        """What it holds."""
+        """Content of the store."""
         return self._values
 
     @property
     def counts(self) -> CallCounts:
-        """The calls so far."""
+        """Number of calls by kind."""
         return self._counts
 
     def set_outage(self, is_down: bool) -> None:
-        """Begin or end an outage."""
+        """Start or end an outage, during which all calls fail."""
         self._is_down = is_down
         self._values.notify_listeners()
 
     def lose_responses(self, count: int) -> None:
-        """Let the next writes take effect and then fail."""
+        """Let the next `count` writes take effect and then fail."""
         self._responses_to_lose = count
 
     async def get(
         self, key: str, timeout_ms: Millis
     ) -> Result[Snapshot, PlatformError]:
-        """Return what `key` holds."""
+        """Return the entry of `key` and the revision of the store."""
         self._counts.add("get")
         await anyio.lowlevel.checkpoint()
         if self._is_down:
@@ -69,7 +69,7 @@
     async def swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
     ) -> Result[SwapResult, PlatformError]:
-        """Write `value` if `key` still has the revision `expected`."""
+        """Write `value` if the revision of `key` is `expected`."""
         self._counts.add("swap")
         await anyio.lowlevel.checkpoint()
         if self._is_down:
@@ -89,7 +89,11 @@
         on_entry: Callable[[Entry], None],
         timeout_ms: Millis,
     ) -> Result[int, PlatformError]:
-        """Hear of each write of `key` until `timeout_ms` has passed."""
+        """Call `on_entry` for each write of `key` after revision `after`.
+
+        Returns the revision of the store after `timeout_ms`, or earlier if a restored
+        snapshot has lowered the revision; fails as soon as an outage starts.
+        """
         self._counts.add("watch")
         seen = after
         changed = anyio.Event()
@@ -113,7 +117,7 @@
         return Success(self._values.revision)
 
     async def close(self) -> None:
-        """Do nothing: no connection is open."""
+        """Do nothing, as there is no connection to close."""
 
     def _find(self, key: str) -> Entry | None:
         found = self._values.find(key.encode())
@@ -125,4 +129,8 @@
 
 
 def _make_outage_error() -> PlatformUnreachableError:
-    return PlatformUnreachableError("an outage", step=Step.PLATFORM, peer="memory")
+    return PlatformUnreachableError(
+        "in-memory store is unavailable (injected outage)",
+        step=Step.PLATFORM,
+        peer="memory",
+    )
--- a/src/papayagw/_internal/standins/platform.py
+++ b/src/papayagw/_internal/standins/platform.py
@@ -1,7 +1,7 @@
-"""A stand-in of the platform's service: the JSON gateway of etcd v3, in memory.
+"""Stand-in for the platform's key-value service: the JSON gateway of etcd v3.
 
-Under ``/standin`` it takes faults, keeps and restores copies, and tells how many
-calls came.
+The content is in memory. Paths under ``/standin`` inject faults, take and restore
+snapshots, and return the number of calls.
 """
 
 import json
@@ -35,12 +35,12 @@
 
 
 class PlatformStandin:
-    """The service and its control path.
+    """ASGI application with the key-value service and its control paths.
 
     Parameters
     ----------
     clock : Clock
-        The time, for leases.
+        Source of the current time, for the expiry of leases.
     """
 
     def __init__(self, clock: Clock):
@@ -52,12 +52,12 @@
 
     @property
     def app(self) -> Starlette:
-        """The application, for a server."""
+        """ASGI application to serve."""
         return self._app
 
     @property
     def counts(self) -> CallCounts:
-        """The calls so far."""
+        """Number of calls by kind."""
         return self._counts
 
     def _make_routes(self) -> list[Route]:
@@ -178,7 +178,7 @@
         return StreamingResponse(self._stream_events(key, start))
 
     async def _stream_events(self, key: bytes, start: int) -> AsyncIterator[str]:
-        """Yield the messages of a watch until an outage or a restore cuts it."""
+        """Yield the messages of a watch until an outage or a restore ends it."""
         changed = anyio.Event()
 
         def on_change() -> None:
--- a/src/papayagw/_internal/standins/spray.py
+++ b/src/papayagw/_internal/standins/spray.py
@@ -1,6 +1,6 @@
-"""Which target the fabric's stand-in hands a packet to.
+"""Selection of the target of each packet by the stand-in for the fabric.
 
-A real fabric knows nothing of flows: each packet goes to any target.
+A real fabric has no knowledge of flows: each packet may reach any target.
 """
 
 from collections.abc import Callable
@@ -12,21 +12,21 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 EXCLUSION_MS = Millis(1_000)
-"""How long a target that refused a packet is left out, if health is on."""
+"""Time for which a target that refused a packet is excluded, if health is watched."""
 
 SocketAddress = tuple[str, int]
 
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """An entry address and the balancers behind it.
+    """Entry address and the balancers behind it.
 
     Attributes
     ----------
     entry : Endpoint
-        Where callers send.
+        Address to which callers send.
     targets : tuple of Endpoint
-        The balancers that the packets are sprayed over.
+        Balancers over which packets are distributed.
     """
 
     entry: Endpoint
@@ -35,14 +35,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Impairments:
-    """What the fabric does to packets besides handing them on.
+    """Simulated packet loss and duplication.
 
     Attributes
     ----------
     loss : float
-        The share of packets that are lost, 0 to 1.
+        Share of packets that are dropped, 0 to 1.
     duplicate : float
-        The share of packets that are sent twice, 0 to 1.
+        Share of packets that are sent twice, 0 to 1.
     """
 
     loss: float = 0.0
@@ -50,10 +50,10 @@
 
 
 def parse_route(text: str) -> Result[Route, str]:
-    """Read a route from ``entry=target,target``."""
+    """Parse a route of the form ``entry=target,target``."""
     entry, equals, targets = text.partition("=")
     if not equals or not targets:
-        return Failure(f"expected entry=target,target, found {text!r}")
+        return Failure(f"route has the form entry=target,target; found {text!r}")
     try:
         parsed = tuple(Endpoint.parse(one) for one in targets.split(","))
         return Success(Route(Endpoint.parse(entry), parsed))
@@ -62,16 +62,16 @@
 
 
 class Sprayer:
-    """Picks targets at random.
+    """Random choice of the targets of each packet.
 
     Parameters
     ----------
     targets : tuple of Endpoint
-        The balancers behind one entry address.
+        Balancers behind one entry address.
     impairments : Impairments
-        Loss and duplication.
+        Simulated loss and duplication.
     draw : callable
-        Returns a random number from 0 up to 1.
+        Returns a random number in [0, 1).
     """
 
     def __init__(
@@ -88,7 +88,7 @@
         self._draw = draw
 
     def pick(self, now: Millis) -> tuple[SocketAddress, ...]:
-        """Return where one packet goes: nowhere if lost, twice if duplicated."""
+        """Return the targets of one packet: none if lost, two if duplicated."""
         if self._excluded_until:
             self._end_exclusions(now)
         if self._is_unimpaired:
@@ -100,7 +100,7 @@
         return (self._pick_target(),)
 
     def exclude(self, target: SocketAddress, now: Millis) -> None:
-        """Leave a target out for a while, unless it is the last one."""
+        """Exclude a target for `EXCLUSION_MS`; if all are excluded, all are used."""
         self._excluded_until[target] = Millis(now + EXCLUSION_MS)
         self._update_available()
 
--- a/src/papayagw/_internal/standins/workload.py
+++ b/src/papayagw/_internal/standins/workload.py
@@ -1,10 +1,10 @@
-"""What a backend server's stand-in serves, and what it remembers of it.
+"""Protocol, settings and journal of the stand-in for a backend server.
 
-The protocol is lines of words. ``ORDER id`` and ``CHECK id`` take a service
-time; ``FEED id count interval_ms`` is held open; ``UPLOAD id bytes`` is followed
-by that many bytes, and ``ECHO id count`` by that many lines, each of which is sent
-back. The rest, such as ``RUNS`` and ``DRAIN``, is for whoever
-drives a test.
+A request is a line of words separated by spaces. ``ORDER id`` and ``CHECK id`` are
+answered after the service time; ``FEED id count interval_ms`` is answered by `count`
+lines at that interval; ``UPLOAD id bytes`` is followed by that many bytes, and
+``ECHO id count`` by that many lines, each of which is echoed. The other verbs, such as
+``RUNS`` and ``DRAIN``, inspect and control the stand-in and are used by tests.
 """
 
 from collections import Counter
@@ -22,7 +22,7 @@
 
 
 class Verb(Enum):
-    """The first word of a request."""
+    """Verb, the first word of a request line."""
 
     ORDER = "ORDER"
     CHECK = "CHECK"
@@ -38,7 +38,7 @@
 
 
 class BackendKind(Enum):
-    """The service that a backend server runs."""
+    """Kind of service that a backend server provides."""
 
     ORDER = "order"
     DRAWINGS = "drawings"
@@ -47,7 +47,7 @@
 
 
 CALLER_VERBS = frozenset((Verb.ORDER, Verb.CHECK, Verb.FEED, Verb.UPLOAD, Verb.ECHO))
-"""The requests of callers; the others drive the stand-in."""
+"""Verbs that callers use; the others inspect and control the stand-in."""
 
 VERBS_BY_KIND: Mapping[BackendKind, frozenset[Verb]] = {
     BackendKind.ORDER: frozenset((Verb.ORDER, Verb.FEED, Verb.ECHO)),
@@ -56,7 +56,7 @@
     BackendKind.INTAKE: frozenset((Verb.UPLOAD,)),
 }
 
-# How many numbers follow the id, or stand alone, after each verb.
+# Number of integers after the request id, or after the verb if it has no id.
 _NUMBER_COUNTS = {
     Verb.FEED: 2,
     Verb.UPLOAD: 1,
@@ -69,16 +69,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """One request line.
+    """Parsed request line.
 
     Attributes
     ----------
     verb : Verb
-        What is asked for.
+        Requested operation.
     request_id : str
-        The caller's name for the request; empty for the stand-in's own verbs.
+        Id that the caller chose; empty for verbs that control the stand-in.
     numbers : tuple of int
-        What follows.
+        Integers that follow the id.
     """
 
     verb: Verb
@@ -86,13 +86,13 @@
     numbers: tuple[int, ...] = ()
 
     def format_line(self) -> bytes:
-        """Return the line that asks for it."""
+        """Return the encoded request line, including the newline."""
         words = [self.verb.value, self.request_id, *map(str, self.numbers)]
         return " ".join(word for word in words if word).encode() + b"\n"
 
 
 def parse_request(line: bytes) -> Result[Request, str]:
-    """Read a request line, or say what is wrong with it."""
+    """Parse a request line; a failure holds the description of the error."""
     words = line.decode("ascii", "replace").split()
     try:
         verb = Verb(words[0] if words else "")
@@ -111,22 +111,22 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendPlan:
-    """How one backend server behaves.
+    """Service, speed and limits of one backend server.
 
     Attributes
     ----------
     name : str
-        What it signs its answers with.
+        Name of the server, the last word of each response.
     kind : BackendKind
-        The service that it runs.
+        Kind of service that the server provides.
     speed : float
-        1 is ordinary; a server of 0.25 takes four times the service time.
+        Relative speed: 1 is nominal, 0.25 takes four times the service time.
     slots : int
-        How many requests it works on at once; the others queue.
+        Maximum number of concurrent requests; further requests are queued.
     max_connections : int
-        Connections beyond these are closed at once.
+        Maximum number of connections; further connections are closed immediately.
     service_ms : Millis
-        The service time of one request at speed 1.
+        Service time of one request at speed 1, in milliseconds.
     """
 
     name: str
@@ -138,32 +138,32 @@
 
     @property
     def scaled_service_ms(self) -> Millis:
-        """The service time of one request on this server."""
+        """Service time of one request at the speed of this server, in milliseconds."""
         return Millis(round(self.service_ms / self.speed))
 
 
 class Journal:
-    """The requests that a backend server ran, doubled ones counted."""
+    """Journal of the requests that a backend server executed, with their counts."""
 
     def __init__(self) -> None:
         self._runs: Counter[str] = Counter()
 
     @property
     def runs(self) -> Mapping[str, int]:
-        """How often each request was run."""
+        """Number of executions of each request, by request id."""
         return self._runs
 
     @property
     def doubled(self) -> int:
-        """How many requests were run more than once."""
+        """Number of requests that were executed more than once."""
         return sum(1 for times in self._runs.values() if times > 1)
 
     def record(self, request: Request) -> None:
-        """Note that a request is run."""
+        """Record one execution of a request."""
         self._runs[request.request_id] += 1
 
     def format_lines(self) -> str:
-        """Return one line for each request, and a last one with the totals."""
+        """Return one RUN line for each request, then an END line with the totals."""
         lines = [f"RUN {one} {times}" for one, times in self._runs.items()]
         lines.append(f"END {len(self._runs)} {self.doubled}")
         return "\n".join(lines) + "\n"
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -1,4 +1,4 @@
-"""A driver of real membership cores on a clock that the test moves."""
+"""Driver of real membership cores on a simulated network and clock."""
 
 import heapq
 import random
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Network:
-    """What the network does to each datagram."""
+    """Simulated delay, loss and duplication of datagrams."""
 
     delay_ms: int = 1
     jitter_ms: int = 0
@@ -34,7 +34,7 @@
 
 @dataclass
 class FleetDriver:
-    """Balancers and agents that exchange messages through `network`."""
+    """Balancers and agents that exchange messages over a simulated network."""
 
     seed: int = 1
     network: Network = field(default_factory=Network)
@@ -77,7 +77,7 @@
         return self.balancers.pop(endpoint, None) or self.agents.pop(endpoint)
 
     def block_links(self, sources, destinations) -> None:
-        """Drop what `one_side` sends to `other_side`."""
+        """Drop datagrams from `sources` to `destinations`."""
         self.blocked_links.append((frozenset(sources), frozenset(destinations)))
 
     def heal(self) -> None:
@@ -99,7 +99,7 @@
                 self._send(source, send)
 
     def find_ready(self, service_id: int = 1) -> list[set[Endpoint]]:
-        """Return which agents take openings, in the view of each balancer."""
+        """Return the agents that are ready in the view of each running balancer."""
         return [
             {one.endpoint for one in node.directory.find_ready(service_id)}
             for endpoint, node in self.balancers.items()
@@ -132,8 +132,8 @@
             self._last_delivery_at, _, source, destination, send = item
             node = self.balancers.get(destination) or self.agents.get(destination)
             if destination in self.frozen:
-                # A socket's buffer keeps what a paused process doesn't read; a
-                # paused machine loses it.
+                # The socket buffer of a paused process keeps its datagrams; a paused
+                # machine loses them.
                 if not self.frozen_drop_packets:
                     later.append(item)
             elif node is not None:
@@ -156,7 +156,7 @@
 
 
 def make_restarted_record(record: AgentRecord) -> AgentRecord:
-    """Return the record of the next run of an agent."""
+    """Return the record of an agent after its restart."""
     incarnation = Incarnation(record.incarnation + 1_000)
     return replace(
         record, incarnation=incarnation, sequence=1, state=AgentState.READY, suspicion=0
--- a/tests/lib/fleet_events.py
+++ b/tests/lib/fleet_events.py
@@ -1,4 +1,4 @@
-"""Events that scenarios and properties put a fleet through."""
+"""Faults and operations that tests apply to a simulated fleet."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -11,7 +11,7 @@
 
 
 class Event(Enum):
-    """What may happen to a fleet; the number of an event picks the node."""
+    """Kind of fault or operation; the number of a step selects the node."""
 
     DRAIN = "drain"
     CLOSE = "close"
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """An event, the number of the node that it hits, and the time that follows."""
+    """Event, number that selects the node, and time to run afterwards."""
 
     event: Event
     number: int
@@ -39,7 +39,7 @@
 
 
 class FaultInjectingFleet(FleetDriver):
-    """A fleet to which events happen, and which checks that no view ever reverts."""
+    """Fleet that applies events and checks that no view ever reverts."""
 
     def __post_init__(self):
         super().__post_init__()
@@ -53,7 +53,7 @@
         self.run(step.wait_ms)
 
     def settle(self, duration_ms: int) -> None:
-        """End all faults and let the fleet come to rest."""
+        """End all faults and run until the fleet has converged."""
         self.network = Network()
         self.heal()
         self._thaw(0)
@@ -62,7 +62,7 @@
         self.run(duration_ms)
 
     def list_alive(self) -> set[Endpoint]:
-        """Return the agents that run and say that they are ready."""
+        """Return the agents that are running and report that they are ready."""
         return {
             endpoint
             for endpoint, agent in self.agents.items()
@@ -70,7 +70,7 @@
         }
 
     def count_unsuspected_dead(self) -> int:
-        """Return how many dead agents the cap on suspicion leaves among the ready."""
+        """Return how many dead agents remain ready due to the limit on suspicion."""
         ready_or_dead = len(self.list_alive()) + len(self.dead)
         return max(0, len(self.dead) - int(ready_or_dead * MAX_SUSPECTED_SHARE))
 
@@ -120,7 +120,7 @@
             self.frozen.add(endpoint)
 
     def _replace_frozen(self, _number: int) -> None:
-        """Give a frozen agent's endpoint to a new run, and wake the old one."""
+        """Start a new run at each frozen agent's endpoint and resume the old run."""
         for endpoint in sorted(self.frozen & set(self.agents)):
             old = self.agents[endpoint]
             self.frozen.discard(endpoint)
--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -157,7 +157,9 @@
         """Wait until a process is ready."""
         deadline = time.monotonic() + READY_TIMEOUT_S
         while not self.is_ready(name):
-            assert time.monotonic() < deadline, f"{name} isn't ready"
+            assert time.monotonic() < deadline, (
+                f"{name} is not ready after {READY_TIMEOUT_S} s"
+            )
             time.sleep(0.02)
 
     def metrics(self, name):
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -1,4 +1,4 @@
-"""Starting of papayagw's processes in tests."""
+"""Start of papayagw processes in tests."""
 
 import os
 import subprocess
@@ -10,13 +10,13 @@
 
 
 def environment():
-    """Return the environment in which this tree's code runs."""
+    """Return the environment variables with which processes use this source tree."""
     return {**os.environ, "PYTHONPATH": str(ROOT / "src")}
 
 
 @contextmanager
 def running(*arguments):
-    """Run a command until the block ends, once it has said that it serves."""
+    """Run a papayagw command; enter the context once it reports that it is ready."""
     process = subprocess.Popen(
         [sys.executable, "-m", "papayagw", *map(str, arguments)],
         env=environment(),
--- a/tests/lib/quic.py
+++ b/tests/lib/quic.py
@@ -1,4 +1,4 @@
-"""Two ends of a flow, connected without sockets."""
+"""Both QUIC connections of a flow, connected without sockets."""
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
@@ -18,7 +18,7 @@
 
 
 class FlowPair:
-    """The caller's and the agent's end of a flow, and the datagrams between them."""
+    """Connections of the caller and the agent, and the datagrams between them."""
 
     def __init__(self, folder, is_lost=lambda number: False):
         files = make_development_keys(folder, ("order",))
@@ -40,7 +40,7 @@
         self._sent = 0
 
     def exchange(self, rounds=40):
-        """Let both ends send, receive and act on their deadlines."""
+        """Let both connections send, receive and handle their deadlines."""
         for _ in range(rounds):
             now = self.clock.now()
             self._act_on_deadlines(now)
--- a/tests/lib/reports.py
+++ b/tests/lib/reports.py
@@ -18,7 +18,7 @@
 
 
 def make_latency_buckets(fast: int, slow: int = 0) -> tuple[int, ...]:
-    """Return latency buckets: `fast` answers within 1 ms, `slow` above all bounds."""
+    """Return buckets of `fast` answers within 1 ms and `slow` above all bounds."""
     return (fast, *(0 for _ in range(LATENCY_BUCKETS - 2)), slow)
 
 
--- a/tests/lib/scenario.py
+++ b/tests/lib/scenario.py
@@ -1,9 +1,9 @@
-"""A small language for scenarios; each line is a statement.
+"""Scenario language for the simulated world; each line is one statement.
 
     network seed=1 delay=1-20 loss=0.1 double=0.1
     balancer NAME...            agent NAME SERVICE
     at MS VERB WORD...          run MS
-    expect CALL OUTCOME...      (CALL may hold *; any of the outcomes)
+    expect CALL OUTCOME...      (CALL may contain *; any outcome matches)
     expect-runs CALL COUNT      expect-idle AGENT MS    (no work after MS)
 
 Verbs: call NAME SERVICE LINES, calls PREFIX COUNT SERVICE LINES EVERY_MS, kill,
@@ -19,7 +19,7 @@
 
 
 class Scenario:
-    """Carries statements out on a world."""
+    """Interpreter that executes statements on a simulated world."""
 
     def __init__(self, mechanisms=None):
         self.random = random.Random(0)
@@ -35,7 +35,7 @@
         return tuple(self.random.randint(*self.delay) for _ in range(copies))
 
     def execute(self, text):
-        """Carry out each line of `text`."""
+        """Execute each line of `text`."""
         for line in text.splitlines():
             words = line.partition("#")[0].split()
             if words:
@@ -115,16 +115,20 @@
 
     def do_expect(self, pattern, *outcomes):
         calls = [c for c in self.world.calls.values() if fnmatch(c.name, pattern)]
-        assert calls, f"no call is named {pattern}"
+        assert calls, f"no call matches {pattern!r}"
         for call in calls:
             reported = (
                 "open" if call.reported_outcome is None else call.reported_outcome.value
             )
-            assert reported in outcomes, f"{call.name} was told {reported}"
+            assert reported in outcomes, (
+                f"{call.name} got the outcome {reported!r}, expected one of {outcomes}"
+            )
 
     def do_expect_runs(self, name, count):
         assert self.world.ground_truth.count_runs(name) == int(count)
 
     def do_expect_idle(self, name, after):
-        late = [run for run in self.world.ground_truth.runs if run[1] == name]
-        assert all(at <= int(after) for _, _, at in late), f"{name} got work late"
+        runs = [run for run in self.world.ground_truth.runs if run[1] == name]
+        assert all(at <= int(after) for _, _, at in runs), (
+            f"{name} got work after {after} ms"
+        )
--- a/tests/lib/stores.py
+++ b/tests/lib/stores.py
@@ -1,4 +1,4 @@
-"""Stores for tests: in memory, and over HTTP on the running loop."""
+"""Stores for tests: in memory, and over HTTP in the current event loop."""
 
 import socket
 from contextlib import asynccontextmanager
@@ -21,7 +21,7 @@
 
 
 class MemoryControl:
-    """Faults of a memory store."""
+    """Fault injection and snapshots of an in-memory store."""
 
     def __init__(self, store):
         self._store = store
@@ -38,7 +38,7 @@
 
 
 class HttpControl:
-    """Faults of a stand-in over HTTP."""
+    """Fault injection and snapshots of a stand-in over HTTP."""
 
     def __init__(self, client):
         self._client = client
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -1,6 +1,6 @@
-"""A short soak for each change, and the seeds that once failed.
+"""Short soak tests, including the seeds that failed before.
 
-Longer ones: ``python -m tests.soak --count 50``.
+Longer runs: ``python -m tests.soak --count 50``.
 """
 
 import pytest
@@ -9,16 +9,16 @@
 
 CI_SEED = 1
 
-KEPT_SEEDS = [
-    # A balancer that started while an entry was missing reset that agent's flows;
-    # later again, where all servers had started 3 s before.
+REGRESSION_SEEDS = [
+    # A balancer that started while an agent's entry was missing reset the agent's
+    # flows. This recurred in a run in which all servers had started 3 s before.
     2,
-    # An entry that was removed twice within a second wasn't stored again.
+    # An entry that was removed from the store twice within 1 s wasn't stored again.
     5,
 ]
 
 
-@pytest.mark.parametrize("seed", [CI_SEED, *KEPT_SEEDS])
+@pytest.mark.parametrize("seed", [CI_SEED, *REGRESSION_SEEDS])
 def test_promises_hold_under_drawn_faults(tmp_path, block, seed):
     assert Soak(seed, tmp_path, block).run() == []
 
@@ -28,9 +28,9 @@
     [
         (1, "keeps-first-site", None, "on version"),
         (2, "never-asks", None, "unanswered"),
-        # Short flows, so that flows open throughout each drain. With flows that stay
-        # open, the only late openings follow one restart of a backend server, and some
-        # runs send none of them to a draining one.
+        # Short flows, so that flows are opened throughout each drain. With long flows
+        # the only late openings follow one restart of a backend server, and in some
+        # runs none of them reaches a draining one.
         (4, "ignores-drain", 10, "drains, opening after"),
     ],
 )
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Randomized faults on the real programs, with promises checked from outside."""
+"""Soak tests: random faults on real processes, with guarantees checked externally."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,7 @@
-"""Plays seeds: ``python -m tests.soak --first 1 --count 50``."""
+"""Run soak tests for a range of seeds.
+
+Example: ``python -m tests.soak --first 1 --count 50``.
+"""
 
 import argparse
 import sys
@@ -14,14 +17,25 @@
 
 
 def main():
-    """Play the seeds; return 1 if one violated a promise."""
+    """Run the soak test for each seed; return 1 if any found a violation."""
     parser = argparse.ArgumentParser(prog="python -m tests.soak")
     parser.add_argument("--first", type=int, default=int(time.time()))
     parser.add_argument("--count", type=int, default=1)
-    parser.add_argument("--duration", type=float, default=6.0, help="seconds")
-    parser.add_argument("--size", type=int, default=3, help="balancers, and agents")
-    parser.add_argument("--without", choices=sorted(MUTANTS), help="a mechanism")
-    parser.add_argument("--flow-requests", type=int, help="requests on each flow")
+    parser.add_argument(
+        "--duration",
+        type=float,
+        default=6.0,
+        help="time in which faults begin, in seconds",
+    )
+    parser.add_argument(
+        "--size", type=int, default=3, help="number of balancers and of agents"
+    )
+    parser.add_argument(
+        "--without", choices=sorted(MUTANTS), help="mechanism to disable"
+    )
+    parser.add_argument(
+        "--flow-requests", type=int, help="number of requests on each flow"
+    )
     options = parser.parse_args()
     failed = []
     with claimed_block(FIRST_BLOCK) as block:
@@ -37,12 +51,14 @@
                 options.flow_requests,
             )
             violations = soak.run()
-            print(f"seed {seed}: {len(soak.plan)} faults, {violations or 'held'}")
+            print(
+                f"seed {seed}: {len(soak.plan)} faults, {violations or 'no violations'}"
+            )
             if violations:
                 failed.append(seed)
                 print(f"  logs in {folder}")
             sys.stdout.flush()
-    print(f"{options.count} seeds, {len(failed)} violated: {failed}")
+    print(f"{options.count} seeds, {len(failed)} with violations: {failed}")
     return 1 if failed else 0
 
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -1,4 +1,4 @@
-"""Runs a role with one mechanism turned off, which the soak has to find.
+"""Run a role with one mechanism disabled, which the soak test must detect.
 
 Usage: ``python -m tests.soak.mutants NAME ROLE``.
 """
@@ -14,7 +14,7 @@
 
 
 def never_unsure():
-    """Agents deny flows that they haven't seen since their start."""
+    """Make agents deny ownership of flows that they haven't seen since their start."""
     original = OwnershipResolver.resolve
 
     def resolve(self, question, now):
@@ -25,17 +25,17 @@
 
 
 def never_asks():
-    """Balancers drop the packets of flows that they don't know."""
+    """Make balancers drop packets of unknown flows instead of looking up the owner."""
     OwnerLookup.find_owner = lambda *_, **__: []
 
 
 def ignores_drain():
-    """Agents give openings to backend servers that drain."""
+    """Make agents send openings to draining backend servers."""
     BackendState.is_draining = property(lambda _: False)
 
 
 def keeps_first_site():
-    """Balancers never put a newer configuration in force."""
+    """Make balancers ignore every configuration after the first."""
     original = PlainBalancer.apply_site
 
     def apply_site(self, site):
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -1,4 +1,4 @@
-"""What goes wrong in one soak, drawn from a seed."""
+"""Random schedule of the faults of one soak test."""
 
 import random
 from dataclasses import dataclass
@@ -20,30 +20,30 @@
     "entry removed": ("agent",),
     "configuration": ("all",),
 }
-"""Faults, and the roles of machines that they strike."""
+"""Kinds of faults, with the roles of the machines to which they apply."""
 
 DEFAULT_DURATION_S = (0.1, 1.5)
 DURATIONS_S = {"backend drains": (2.0, 6.0)}
-"""How long faults last; a drain lasts beyond the bound for late openings."""
+"""Ranges of fault durations; a drain outlasts the limit for late openings."""
 
 MAX_REPEATS = 3
-"""The most times that one fault strikes in a row."""
+"""Maximum number of consecutive occurrences of one fault."""
 
 
 @dataclass(frozen=True)
 class Fault:
-    """One fault.
+    """Scheduled fault.
 
     Attributes
     ----------
-    at : float
-        Seconds from the start.
+    start_s : float
+        Time from the start of the run, in seconds.
     kind : str
-        A key of `FAULTS`.
+        Kind of fault, a key of `FAULTS`.
     target : str
-        The machine, or "all".
-    for_s : float
-        How long it lasts, in seconds.
+        Name of the machine, or "all".
+    duration_s : float
+        Duration in seconds.
     """
 
     start_s: float
@@ -53,16 +53,16 @@
 
 
 def draw_plan(seed, machines, duration):
-    """Return the faults of a seed in order of time; they overlap.
+    """Return the faults of a seed in order of their start; they may overlap.
 
     Parameters
     ----------
     seed : int
-        The source of all draws.
+        Seed of the random number generator.
     machines : dict of str to list of str
-        The names of machines by role.
+        Names of the machines by role.
     duration : float
-        The time in which faults begin, in seconds.
+        Time in which faults begin, in seconds.
     """
     random_source = random.Random(seed)
     faults = []
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -1,4 +1,4 @@
-"""Loopback proxies that do harm to what passes them."""
+"""Loopback proxies that impair the connections and packets that they forward."""
 
 import selectors
 import socket
@@ -13,12 +13,12 @@
 
 
 class Proxy:
-    """A thread that serves sockets until it is closed.
+    """Thread that forwards the data of its sockets until it is closed.
 
     Attributes
     ----------
     mode : str
-        ``pass``, or the harm that it does.
+        ``pass``, or the impairment that is applied.
     """
 
     def __init__(self):
@@ -44,9 +44,10 @@
 
 
 class ConnectionProxy(Proxy):
-    """Carries connections to one address.
+    """Proxy of TCP connections to one address.
 
-    Modes: ``delayed``, ``reset``, ``answers lost`` (requests pass) and ``silent``.
+    Modes: ``delayed``, ``reset``, ``answers lost`` (requests are forwarded) and
+    ``silent`` (nothing is forwarded).
     """
 
     def __init__(self, listen, target):
@@ -109,9 +110,9 @@
 
 
 class PacketProxy(Proxy):
-    """Carries datagrams one way to one address.
+    """Proxy of datagrams to one address, in one direction.
 
-    Modes: ``delayed`` and ``lost`` (every second one).
+    Modes: ``delayed`` and ``lost`` (every second datagram).
     """
 
     def __init__(self, listen, target):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,4 +1,4 @@
-"""Plays the faults of a seed against a fleet and checks what was promised."""
+"""Soak test: injects the faults of a seed into a fleet and checks its guarantees."""
 
 import signal
 import threading
@@ -10,22 +10,34 @@
 
 CALLER_COUNT = 12
 REQUEST_TIMEOUT_S = 8.0
-"""How long a request on an open flow is sent again: a backend server gives up later."""
+"""Time for which a request is retransmitted on an open flow.
+
+A backend server gives up later.
+"""
 
 DRAIN_OPENING_LIMIT_S = 3.0
-"""How long after an acknowledged report openings may come; source: the rules."""
+"""Time after an acknowledged drain report in which openings may still arrive.
+
+Source: the rules.
+"""
 
 DISTURBANCE_GRACE_S = 4.0
-"""How long a machine that was struck isn't held to bounds; source: the rules."""
+"""Time after a fault on a machine during which it may exceed the limits.
+
+Source: the rules.
+"""
 
 RECOVERY_LIMIT_S = 12.0
-"""How long after the last fault everything is served; source: the rules."""
+"""Maximum time from the last fault until everything is served; source: the rules."""
 
 ENTRY_RESTORE_LIMIT_S = 2.0
-"""How soon after the store's return an entry is back; source: the users' request."""
+"""Maximum time from the store's recovery until an entry is stored again.
+
+Source: the customers' request.
+"""
 
 PROCESS_START_S = 0.5
-"""How long a process takes to start."""
+"""Time allowed for a process to start."""
 
 STORE_MODES = {
     "store delayed": "delayed",
@@ -38,14 +50,14 @@
 
 
 class Caller(threading.Thread):
-    """Sends requests on one flow, then opens another.
+    """Thread that sends requests on one flow, then opens another.
 
     Parameters
     ----------
     soak : Soak
-        Receives the broken flows.
+        Soak test to which broken flows are reported.
     client : FlowClient
-        Sends the packets.
+        Client that sends the packets.
     flow_requests : int or None
         Number of requests on each flow; None keeps a flow open until it breaks.
     """
@@ -78,22 +90,22 @@
 
 
 class Soak:
-    """One seed.
+    """Soak test of one seed.
 
     Parameters
     ----------
     seed : int
-        The source of the faults.
+        Seed of the fault schedule.
     folder : Path
-        Where settings and logs go.
+        Folder of the settings files and logs.
     block : int
-        Third part of the loopback numbers.
+        Third octet of the loopback addresses.
     duration : float
-        The time in which faults begin, in seconds.
+        Time in which faults begin, in seconds.
     size : int
-        How many balancers, and how many agents.
-    double : str or None
-        The mechanism that is turned off.
+        Number of balancers and of agents.
+    mutant : str or None
+        Name of the mutant whose mechanism is disabled, a key of `MUTANTS`.
     flow_requests : int or None
         Number of requests on each flow; None keeps flows open until they break.
     """
@@ -118,7 +130,7 @@
         self._active_counts = defaultdict(int)
 
     def run(self):
-        """Play all faults; return what was violated."""
+        """Inject all faults and return descriptions of the violations."""
         fleet = self.fleet
         callers = []
         try:
@@ -144,11 +156,13 @@
         return self.violations
 
     def record_broken_flow(self, client, outcome):
-        """Note that a request on an open flow got a reset, or no answer."""
+        """Record a violation if a flow with a reset or no response is still open."""
         for name, backend in self.fleet.backends.items():
             if backend.owns(client.flow, client.acknowledged):
                 what = "reset" if outcome == "reset" else "unanswered"
-                self.violations.append(f"{what}: {client.flow[0]} lives at {name}")
+                self.violations.append(
+                    f"{what}: flow of {client.flow[0]} is still open at {name}"
+                )
 
     def _inject_faults(self):
         start = time.monotonic()
@@ -164,7 +178,7 @@
             restart.join()
 
     def _end_due_faults(self, until):
-        """End the faults that are over before a time."""
+        """End the faults that are due before `until`, or all of them if it is None."""
         while self._pending_ends and (
             until is None or min(self._pending_ends)[0] <= until
         ):
@@ -176,7 +190,7 @@
             end_fault()
 
     def _hold_until_end(self, key, fault, begin, end):
-        """Hold a state for as long as a fault lasts; faults of one kind overlap."""
+        """Hold a state until the last of the overlapping faults with this key ends."""
         self._active_counts[key] += 1
         begin()
 
@@ -260,14 +274,16 @@
         self.fleet.store.is_down = False
 
     def _check_recovery(self):
-        """Wait until everything is served again, within the bound."""
+        """Check that everything is served again within `RECOVERY_LIMIT_S`."""
         fleet = self.fleet
         time.sleep(PROCESS_START_S)
         fleet.restart_early_exits()
         started_at = time.monotonic()
         keys = {f"papayagw/agents/{name}" for name in fleet.agents}
         self._wait_for(
-            "entries", lambda: keys <= fleet.store.list_keys(), RECOVERY_LIMIT_S
+            "entries of all agents",
+            lambda: keys <= fleet.store.list_keys(),
+            RECOVERY_LIMIT_S,
         )
         names = (*fleet.balancers, *fleet.agents)
         for name in names:
@@ -286,14 +302,14 @@
             not client.open(remaining_s)
             or client.request(b"at last", remaining_s) is not True
         ):
-            self.violations.append("a new flow isn't served")
+            self.violations.append("a new flow is not served after the last fault")
         client.close()
 
     def _wait_for(self, what, condition, seconds):
         deadline = time.monotonic() + seconds
         while not condition():
             if time.monotonic() > deadline:
-                self.violations.append(f"not within {seconds} s: {what}")
+                self.violations.append(f"not reached within {seconds} s: {what}")
                 return
             time.sleep(0.05)
 
@@ -306,10 +322,10 @@
         return versions[-1] if versions else None
 
     def _check_records(self):
-        """Check what backend servers and programs recorded."""
+        """Check the processes' exits and the records of backend servers and logs."""
         fleet = self.fleet
         fleet.record_unexpected_exits()
-        self.violations += [f"ended by itself: {one}" for one in fleet.unexpected_exits]
+        self.violations += [f"unexpected exit: {one}" for one in fleet.unexpected_exits]
         ran_at = defaultdict(set)
         for name, backend in fleet.backends.items():
             for request in backend.runs:
@@ -317,7 +333,9 @@
             self._check_drain(name, backend)
         for request, names in ran_at.items():
             if len(names) > 1:
-                self.violations.append(f"ran at {sorted(names)}: {request}")
+                self.violations.append(
+                    f"executed at several agents {sorted(names)}: {request}"
+                )
         for name in (*fleet.balancers, *fleet.agents):
             self._check_log(name)
 
@@ -334,10 +352,12 @@
         version = 0
         for one in self.fleet.log(name):
             if one["event"] == "fault":
-                self.violations.append(f"{name}: {one['error']}")
+                self.violations.append(f"{name} logged a fault: {one['error']}")
             if one["event"] == "started":
                 version = 0
             if one["event"] == "configuration in force":
                 if one["version"] < version:
-                    self.violations.append(f"{name} went back to {one['version']}")
+                    self.violations.append(
+                        f"{name} reverted to version {one['version']}"
+                    )
                 version = one["version"]
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -1,4 +1,4 @@
-"""The fleet of a soak: real programs, proxies, and stand-ins that keep a record."""
+"""Fleet of a soak test: real processes, proxies, and stand-ins that keep records."""
 
 import json
 import signal
@@ -12,7 +12,7 @@
 
 
 class RecordingBackend(BackendServer):
-    """A backend server that can end, drain, and tells what it took when."""
+    """Backend server that can restart and drain, and records its openings."""
 
     def __init__(self, name, service, ip, ports):
         self.drained_at = None
@@ -20,18 +20,18 @@
         super().__init__(name, service, ip, ports)
 
     def restart(self):
-        """End and start anew: nothing of before is known."""
+        """Simulate a restart, after which no earlier flow is known."""
         self.flows = {}
         self.started_at = time.time_ns() // 1_000_000
         self._number = 0
         self.resume()
 
     def drain(self):
-        """Want no new flows from the next report on."""
+        """Report the draining state, from the next report on."""
         self.state = "draining"
 
     def resume(self):
-        """Want new flows again; a new run would say so."""
+        """Report the ready state again, as a new run would."""
         self.state, self.drained_at = "ready", None
 
     def on_report_accepted(self, fields):
@@ -47,18 +47,18 @@
 
 
 class SoakFleet(PlainFleet):
-    """A fleet whose every way to the store and to balancers passes a proxy.
+    """Fleet with a proxy before each balancer and on each path to the store.
 
     Parameters
     ----------
     folder : Path
-        Where settings and logs go.
+        Folder of the settings files and logs.
     block : int
-        Third part of the loopback numbers.
+        Third octet of the loopback addresses.
     size : int
-        How many balancers, and how many agents.
-    double : str or None
-        The mechanism that is turned off.
+        Number of balancers and of agents.
+    mutant : str or None
+        Name of the mutant whose mechanism is disabled, a key of `MUTANTS`.
     """
 
     backend_type = RecordingBackend
@@ -74,15 +74,15 @@
         names = (*self.balancers, *self.agents)
         store = (self._ip(200), self.ports.store)
         self.store_proxies = {
-            name: ConnectionProxy((self._ip(210 + at), self.ports.store), store)
-            for at, name in enumerate(names)
+            name: ConnectionProxy((self._ip(210 + index), self.ports.store), store)
+            for index, name in enumerate(names)
         }
         self.packet_proxies = {
             name: PacketProxy(
-                (self._ip(230 + at), self.ports.data),
+                (self._ip(230 + index), self.ports.data),
                 (self.ip_of(name), self.ports.data),
             )
-            for at, name in enumerate(self.balancers)
+            for index, name in enumerate(self.balancers)
         }
         for proxy in (*self.store_proxies.values(), *self.packet_proxies.values()):
             proxy.start()
@@ -98,19 +98,19 @@
         return ["tests.soak.mutants", self._mutant, role]
 
     def store_address(self, name):
-        at = (*self.balancers, *self.agents).index(name)
-        return f"{self._ip(210 + at)}:{self.ports.store}"
+        index = (*self.balancers, *self.agents).index(name)
+        return f"{self._ip(210 + index)}:{self.ports.store}"
 
     def start_process(self, name):
         self._start_counts[name] += 1
         super().start_process(name)
 
     def mark_disturbed(self, name):
-        """Note that a process was struck."""
+        """Record the time of a fault on a process."""
         self.disturbed_at[name] = time.monotonic()
 
     def restart(self, name, signal_number):
-        """End a process by a signal and start it again."""
+        """Stop a process by a signal and start it again."""
         with self.lock:
             process = self._processes.get(name)
             if process is None:
@@ -126,7 +126,7 @@
             self.mark_disturbed(name)
 
     def restart_early_exits(self):
-        """Start what a hangup ended before the program's first instruction."""
+        """Restart processes that SIGHUP ended before their code could handle it."""
         with self.lock:
             for name, process in list(self._processes.items()):
                 if self._exited_before_start(name, process):
@@ -138,13 +138,13 @@
         return process.poll() == -signal.SIGHUP and is_before_start
 
     def record_unexpected_exits(self):
-        """Note processes that ended by themselves."""
+        """Record processes that have exited without being stopped."""
         for name, process in self._processes.items():
             if process.poll() is not None:
                 self.unexpected_exits.append((name, process.returncode))
 
     def change_site(self):
-        """Accept a newer configuration."""
+        """Write a newer configuration to the store and return its version."""
         version = self._site["version"] + 3
         limits = {"idle_timeout_ms": 15_000 + version}
         self._site = {**self._site, "version": version, "limits": limits}
@@ -153,10 +153,10 @@
 
     @property
     def version(self):
-        """The newest version of the configuration."""
+        """Version of the newest configuration."""
         return self._site["version"]
 
     def _pick_balancer(self):
         name = self._random.choice(self.balancers)
-        at = self.balancers.index(name)
-        return (self._ip(230 + at), self.ports.data)
+        index = self.balancers.index(name)
+        return (self._ip(230 + index), self.ports.data)
