Use the term response for locals of the stand-ins and their tests

standins/platform.py, tests/lib/plain_fleet.py, tests/unit/test_store.py and tests/processes/test_standin_backend.py; comment of test_soak.py reworded.

--- a/src/papayagw/_internal/standins/platform.py
+++ b/src/papayagw/_internal/standins/platform.py
@@ -94,7 +94,7 @@
             if self._faults.outage:
                 return Response(status_code=_SERVICE_UNAVAILABLE)
             try:
-                answer = call(message)
+                response = call(message)
             except (KeyError, ValueError, TypeError) as error:
                 return JSONResponse({"error": repr(error)}, _BAD_REQUEST)
             await anyio.sleep(to_seconds(self._faults.answer_delay_ms))
@@ -102,7 +102,7 @@
                 left = self._faults.lost_answers - 1
                 self._faults = replace(self._faults, lost_answers=left)
                 return Response(status_code=_GATEWAY_TIMEOUT)
-            return JSONResponse(answer)
+            return JSONResponse(response)
 
         return endpoint
 
@@ -125,10 +125,10 @@
         return {"header": self._header(), "deleted": str(int(deleted))}
 
     def _txn(self, message: Message) -> Message:
-        holds = all(self._compare(one) for one in message.get("compare", []))
-        operations = message.get("success" if holds else "failure", [])
+        is_met = all(self._compare(one) for one in message.get("compare", []))
+        operations = message.get("success" if is_met else "failure", [])
         responses = [self._run_operation(one) for one in operations]
-        return {"header": self._header(), "succeeded": holds, "responses": responses}
+        return {"header": self._header(), "succeeded": is_met, "responses": responses}
 
     def _compare(self, message: Message) -> bool:
         if message.get("result", "EQUAL") != "EQUAL":
@@ -143,14 +143,14 @@
         return str(actual) == str(wanted or 0)
 
     def _run_operation(self, message: Message) -> Message:
-        runs = {
+        operations_by_name = {
             "request_put": ("response_put", self._put),
             "request_range": ("response_range", self._range),
             "request_delete_range": ("response_delete_range", self._delete),
         }
         ((name, request),) = message.items()
-        answer, run = runs[name]
-        return {answer: run(request)}
+        response_name, run = operations_by_name[name]
+        return {response_name: run(request)}
 
     def _grant_lease(self, message: Message) -> Message:
         lease = self._store.grant_lease(int(message["TTL"]))
--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -148,8 +148,8 @@
         """Return whether the readiness probe of a process succeeds."""
         url = f"http://{self.ip_of(name)}:{self.ports.readiness}/-/readyz"
         try:
-            with urllib.request.urlopen(url, timeout=1) as answer:
-                return answer.status == 200
+            with urllib.request.urlopen(url, timeout=1) as response:
+                return response.status == 200
         except OSError:
             return False
 
@@ -165,8 +165,8 @@
     def metrics(self, name):
         """Return the metrics of a process in their text format."""
         url = f"http://{self.ip_of(name)}:{self.ports.metrics}/metrics"
-        with urllib.request.urlopen(url, timeout=2) as answer:
-            return answer.read().decode()
+        with urllib.request.urlopen(url, timeout=2) as response:
+            return response.read().decode()
 
     def log(self, name):
         """Return the log events of a process."""
--- a/tests/lib/scenario.py
+++ b/tests/lib/scenario.py
@@ -115,7 +115,7 @@
 
     def do_expect(self, pattern, *outcomes):
         calls = [c for c in self.world.calls.values() if fnmatch(c.name, pattern)]
-        assert calls, f"no call matches {pattern!r}"
+        assert calls, f"no call matches the pattern {pattern}"
         for call in calls:
             reported = (
                 "open" if call.reported_outcome is None else call.reported_outcome.value
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -28,9 +28,9 @@
     [
         (1, "keeps-first-site", None, "on version"),
         (2, "never-asks", None, "unanswered"),
-        # Short flows, so that flows are opened throughout each drain. With long flows
-        # the only late openings follow one restart of a backend server, and in some
-        # runs none of them reaches a draining one.
+        # Short flows, so that flows are opened throughout each drain. With flows
+        # that stay open, the only late openings follow one restart of a backend server,
+        # and in some runs none of them reaches a draining one.
         (4, "ignores-drain", 10, "drains, opening after"),
     ],
 )
--- a/tests/processes/test_standin_backend.py
+++ b/tests/processes/test_standin_backend.py
@@ -29,12 +29,12 @@
     with socket.create_connection(address, timeout=20) as connection:
         connection.sendall(request)
         connection.shutdown(socket.SHUT_WR)
-        with connection.makefile("rb") as answers:
-            return answers.read().decode()
+        with connection.makefile("rb") as responses:
+            return responses.read().decode()
 
 
 @pytest.mark.parametrize(
-    ("kind", "request_", "answer"),
+    ("kind", "request_", "response"),
     [
         (ORDER, b"ORDER o-1\n", "DONE o-1 order-1\n"),
         (ORDER, b"CHECK c-1\n", "WRONG c-1 order-1\n"),
@@ -65,8 +65,8 @@
         (DRAWINGS, b"RUNS\n", "RUN u-1 1\nEND 1 0\n"),
     ],
 )
-def test_backend_answers_its_own_requests(servers, kind, request_, answer):
-    assert send_request(servers[kind], request_) == answer
+def test_backend_answers_its_own_requests(servers, kind, request_, response):
+    assert send_request(servers[kind], request_) == response
 
 
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
@@ -78,10 +78,10 @@
     with running(*words, *plan, "--runs_file", runs) as process:
         with socket.create_connection(address, timeout=20) as connection:
             connection.sendall(b"FEED f-1 4 50\n")
-            answers = connection.makefile("rb")
-            first = answers.readline()
+            responses = connection.makefile("rb")
+            first = responses.readline()
             process.send_signal(number)
-            rest = answers.readlines()
+            rest = responses.readlines()
         assert process.wait(20) == 0
     assert first.startswith(b"STATUS f-1 0")
     assert rest[-1] == b"END f-1 4 order-2\n"
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -40,8 +40,8 @@
         assert isinstance(first, Swapped)
         held = Entry(b"one", first.revision)
         assert (await store.swap(KEY, b"two", 0, LONG)).unwrap() == Conflict(held)
-        answer = await store.get(KEY, LONG)
-        assert answer.unwrap() == Snapshot(held, first.revision)
+        response = await store.get(KEY, LONG)
+        assert response.unwrap() == Snapshot(held, first.revision)
         second = (await store.swap(KEY, b"two", first.revision, LONG)).unwrap()
         assert second.revision > first.revision
 
@@ -63,12 +63,12 @@
 def test_outage_fails_every_call(open_store):
     async def body(store, control):
         await control.set_faults(outage=True)
-        for answer in (
+        for response in (
             await store.get(KEY, LONG),
             await store.swap(KEY, b"one", 0, LONG),
             await store.watch(KEY, 0, lambda _: None, LONG),
         ):
-            assert isinstance(answer.failure(), PlatformUnreachableError)
+            assert isinstance(response.failure(), PlatformUnreachableError)
 
     run(open_store, body)
 
@@ -120,18 +120,18 @@
 def test_slow_service_is_unreachable(fault):
     async def body(store, control):
         await control.set_faults(**{fault: 60_000})
-        answer = await store.swap(KEY, b"one", 0, SHORT)
-        assert isinstance(answer.failure(), PlatformUnreachableError)
+        response = await store.swap(KEY, b"one", 0, SHORT)
+        assert isinstance(response.failure(), PlatformUnreachableError)
 
     run(open_http_store, body)
 
 
 def test_too_large_value_is_refused_before_it_is_sent():
     async def body(store, control):
-        answer = await store.swap(KEY, bytes(MAX_VALUE_BYTES + 1), 0, LONG)
-        assert not isinstance(answer.failure(), PlatformUnreachableError)
-        assert isinstance(answer.failure(), PlatformError)
-        assert str(MAX_VALUE_BYTES) in str(answer.failure())
+        response = await store.swap(KEY, bytes(MAX_VALUE_BYTES + 1), 0, LONG)
+        assert not isinstance(response.failure(), PlatformUnreachableError)
+        assert isinstance(response.failure(), PlatformError)
+        assert str(MAX_VALUE_BYTES) in str(response.failure())
 
     run(open_http_store, body)
 
