--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 
 from tests.soak.plan import draw_plan
-from tests.soak.soak_fleet import SoakFleet
+from tests.soak.world import SoakFleet
 
 CALLER_COUNT = 12
 REQUEST_TIMEOUT_S = 8.0
