--- a/src/papayagw/_internal/load/run.py
+++ b/src/papayagw/_internal/load/run.py
@@ -1,4 +1,4 @@
-"""A run of the load tool: starts each request when it is due."""
+"""Load run that starts each request at its scheduled time."""
 
 import time
 from collections.abc import Callable, Mapping
@@ -23,8 +23,8 @@
 from papayagw._internal.standins.journal_client import fetch_runs
 from papayagw._internal.standins.workload import BackendKind
 
-LONG_RUN_MS = Millis(5_000)
-"""Runs at least this long show a progress bar."""
+PROGRESS_BAR_MIN_MS = Millis(5_000)
+"""Minimum duration of runs that show a progress bar."""
 
 _NANOS_PER_MILLI = 1_000_000
 _NANOS_PER_MICRO = 1_000
@@ -33,28 +33,28 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadPlan:
-    """What a run does.
+    """Parameters of a load run.
 
     Attributes
     ----------
     workload : Workload
-        The kinds of requests.
+        Kinds of requests and their shares.
     targets : mapping
-        Where the requests of each service go.
+        Address to which the requests of each service are sent.
     rate : float
-        Requests a second, all kinds together.
+        Requests per second, all kinds together.
     duration : Millis
-        How long requests are started.
+        Time during which requests are started, in milliseconds.
     timeout : Millis
-        How long a caller waits for an answer.
+        Time for which a caller waits for a response, in milliseconds.
     max_open : int
-        Requests beyond these aren't sent.
+        Maximum number of open requests; further requests aren't sent.
     seed : int
-        Seed of the arrivals.
+        Seed of the arrival times.
     run_id : str
-        The start of each request's id.
+        Prefix of each request id.
     backends : tuple of Endpoint
-        Backend servers whose journals are read at the end.
+        Backend servers whose journals are read after the run.
     """
 
     workload: Workload
@@ -69,36 +69,38 @@
 
 
 class LoadRun:
-    """One run of the load tool.
+    """Run of the load generator.
 
     Parameters
     ----------
     plan : LoadPlan
-        What the run does.
+        Parameters of the run.
     """
 
     def __init__(self, plan: LoadPlan):
         self._plan = plan
         self._recorder = LoadRecorder()
-        self._open = 0
+        self._open_count = 0
         self._started_ns = 0
 
     async def run(self) -> LoadReport:
-        """Carry the run out and report."""
+        """Start all requests, wait until they have ended and return the report."""
         self._started_ns = time.monotonic_ns()
-        is_short = self._plan.duration < LONG_RUN_MS
+        is_short = self._plan.duration < PROGRESS_BAR_MIN_MS
         total = round(self._plan.rate * self._plan.duration / MILLIS_PER_SECOND)
         with tqdm(total=total, disable=is_short or None, unit="request") as bar:
             async with anyio.create_task_group() as tasks:
-                await self._start_all(tasks, bar.update)
+                await self._start_requests(tasks, bar.update)
         seconds = (time.monotonic_ns() - self._started_ns) / _NANOS_PER_SECOND
         if not self._plan.backends:
             return self._recorder.make_report(seconds)
         journals = [await fetch_runs(one) for one in self._plan.backends]
-        compared = compare_journals(self._recorder.ended, journals)
+        compared = compare_journals(self._recorder.outcomes_by_id, journals)
         return self._recorder.make_report(seconds, compared)
 
-    async def _start_all(self, tasks: TaskGroup, advance: Callable[[], object]) -> None:
+    async def _start_requests(
+        self, tasks: TaskGroup, advance: Callable[[], object]
+    ) -> None:
         plan = self._plan
         for arrival in plan_arrivals(
             plan.workload, plan.rate, plan.duration, plan.seed
@@ -107,32 +109,32 @@
             if wait_ns > 0:
                 await anyio.sleep(wait_ns / _NANOS_PER_SECOND)
             advance()
-            if self._open >= plan.max_open:
-                self._note(arrival, Outcome.NOT_SENT)
+            if self._open_count >= plan.max_open:
+                self._record_outcome(arrival, Outcome.NOT_SENT)
                 continue
-            self._open += 1
-            tasks.start_soon(self._run_one, arrival)
+            self._open_count += 1
+            tasks.start_soon(self._run_arrival, arrival)
 
-    async def _run_one(self, arrival: Arrival[RequestKind]) -> None:
+    async def _run_arrival(self, arrival: Arrival[RequestKind]) -> None:
         kind = arrival.kind
         target = self._plan.targets[kind.service]
 
-        def note_first() -> None:
-            late_ns = time.monotonic_ns() - self._due_ns(arrival)
-            self._recorder.note_latency(kind.name, late_ns // _NANOS_PER_MICRO)
+        def on_first_line() -> None:
+            latency_ns = time.monotonic_ns() - self._due_ns(arrival)
+            self._recorder.record_latency(kind.name, latency_ns // _NANOS_PER_MICRO)
 
         request = kind.make_request(self._request_id(arrival))
         try:
             outcome = await run_request(
-                target, kind, request, self._plan.timeout, note_first
+                target, kind, request, self._plan.timeout, on_first_line
             )
         finally:
-            self._open -= 1
-        self._note(arrival, outcome)
+            self._open_count -= 1
+        self._record_outcome(arrival, outcome)
 
-    def _note(self, arrival: Arrival[RequestKind], outcome: Outcome) -> None:
+    def _record_outcome(self, arrival: Arrival[RequestKind], outcome: Outcome) -> None:
         name = arrival.kind.name
-        self._recorder.note_outcome(name, self._request_id(arrival), outcome)
+        self._recorder.record_outcome(name, self._request_id(arrival), outcome)
 
     def _request_id(self, arrival: Arrival[RequestKind]) -> str:
         return f"{self._plan.run_id}-{arrival.number}"
@@ -142,12 +144,18 @@
 
 
 def check_targets(plan: LoadPlan) -> None:
-    """Raise if a request of the workload has no target."""
+    """Check that each service of the workload has a target.
+
+    Raises
+    ------
+    PapayagwError
+        If a service has no target.
+    """
     services = {share.kind.service for share in plan.workload}
     missing = sorted(one.value for one in services if one not in plan.targets)
     if missing:
         raise PapayagwError(
-            f"no target for {', '.join(missing)}",
+            f"no target for the services of the workload: {', '.join(missing)}",
             step=Step.SETTINGS,
-            remedy="name one for each service: --targets order=ip:port,...",
+            remedy="give a target for each service: --targets order=ip:port,...",
         )
--- a/src/papayagw/_internal/load/verdict.py
+++ b/src/papayagw/_internal/load/verdict.py
@@ -1,84 +1,84 @@
-"""What an answer says about the request that it should belong to."""
+"""Classification of the response to a request."""
 
 from enum import Enum
 
 from papayagw._internal.standins.workload import BackendKind, Request, Verb
 
-_ANSWERS = {Verb.ORDER: "DONE", Verb.CHECK: "RATE"}
-_SIGNED_WORDS = 3
+_RESPONSE_WORDS = {Verb.ORDER: "DONE", Verb.CHECK: "RATE"}
+_MIN_WORDS = 3
 
 
 class Outcome(Enum):
-    """How one request ended, as its caller saw it."""
+    """Outcome of a request, as its caller observed it."""
 
     DONE = "done"
     BROKEN = "broken"
-    """The connection ended, or the answer made no sense."""
+    """The connection ended, or the response was malformed."""
     REFUSED = "refused"
-    """The caller was told that the request was not run."""
+    """The caller was told that the request was not executed."""
     UNKNOWN = "unknown"
-    """No answer within the timeout."""
+    """No complete response within the timeout."""
     CROSSED = "crossed"
-    """An answer of another request, or of another service."""
+    """The response belongs to another request or another service."""
     WRONG_BYTES = "wrong bytes"
-    """Bytes were lost or changed on the way."""
+    """Bytes were lost or changed in transit."""
     NOT_SENT = "not sent"
-    """Too many requests were open already; the tool itself was the limit."""
+    """Not sent, as the load generator's own limit of open requests was reached."""
 
 
 FAULTS = (Outcome.BROKEN, Outcome.CROSSED, Outcome.WRONG_BYTES)
-"""What must never happen."""
+"""Outcomes that violate the guarantees to callers."""
 
 
-def judge_short(request: Request, service: BackendKind, line: str) -> Outcome:
-    """Judge the answer to an order or a rate check."""
+def judge_single_line(request: Request, service: BackendKind, line: str) -> Outcome:
+    """Classify the response to an order or a rate check."""
     words = line.split()
-    if (early := _judge_signature(request, service, words)) is not None:
-        return early
-    expected = [_ANSWERS[request.verb], request.request_id]
+    if (outcome := _judge_signature(request, service, words)) is not None:
+        return outcome
+    expected = [_RESPONSE_WORDS[request.verb], request.request_id]
     return Outcome.DONE if words[:2] == expected else Outcome.CROSSED
 
 
 def judge_upload(
     request: Request, service: BackendKind, digest: str, line: str
 ) -> Outcome:
-    """Judge the answer to an upload with the checksum `digest`."""
+    """Classify the response to an upload whose SHA-256 checksum is `digest`."""
     words = line.split()
-    if (early := _judge_signature(request, service, words)) is not None:
-        return early
+    if (outcome := _judge_signature(request, service, words)) is not None:
+        return outcome
     return Outcome.DONE if words[:2] == ["SHA256", digest] else Outcome.WRONG_BYTES
 
 
 def judge_feed_line(
     request: Request, service: BackendKind, number: int, line: str
 ) -> Outcome:
-    """Judge line `number` of a feed; DONE says that it is the right one."""
+    """Classify line `number` of a feed; DONE means that the line is as expected."""
     words = line.split()
-    if (early := _judge_signature(request, service, words)) is not None:
-        return early
+    if (outcome := _judge_signature(request, service, words)) is not None:
+        return outcome
     count = request.numbers[0]
     expected = "END" if number == count else "STATUS"
     if words[1] != request.request_id:
         return Outcome.CROSSED
-    right = words[0] == expected and words[2] == str(number)
-    return Outcome.DONE if right else Outcome.WRONG_BYTES
+    is_expected = words[0] == expected and words[2] == str(number)
+    return Outcome.DONE if is_expected else Outcome.WRONG_BYTES
 
 
 def judge_echo(request: Request, service: BackendKind, sent: str, line: str) -> Outcome:
-    """Judge the answer to one line of an echo."""
+    """Classify the response to one line of an echo."""
     words = line.split()
-    if (early := _judge_signature(request, service, words)) is not None:
-        return early
+    if (outcome := _judge_signature(request, service, words)) is not None:
+        return outcome
     if words[1] != request.request_id:
         return Outcome.CROSSED
-    right = words[0] == "ECHO" and words[2] == sent
-    return Outcome.DONE if right else Outcome.WRONG_BYTES
+    is_expected = words[0] == "ECHO" and words[2] == sent
+    return Outcome.DONE if is_expected else Outcome.WRONG_BYTES
 
 
 def _judge_signature(
     request: Request, service: BackendKind, words: list[str]
 ) -> Outcome | None:
-    if len(words) < _SIGNED_WORDS or words[0] == "ERROR":
+    if len(words) < _MIN_WORDS or words[0] == "ERROR":
         return Outcome.BROKEN
     if words[-1].rpartition("-")[0] != service.value or words[0] == "WRONG":
         return Outcome.CROSSED
--- a/src/papayagw/_internal/standins/backend.py
+++ b/src/papayagw/_internal/standins/backend.py
@@ -1,4 +1,4 @@
-"""Stand-in of a backend server: an ordinary TCP server."""
+"""Stand-in for a backend server: a TCP server that implements a line protocol."""
 
 import hashlib
 import socket
@@ -15,8 +15,8 @@
 from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.standins.workload import (
-    SERVED,
-    WORK,
+    CALLER_VERBS,
+    VERBS_BY_KIND,
     BackendPlan,
     Journal,
     Request,
@@ -33,12 +33,12 @@
 
 
 class Connection:
-    """One caller's connection.
+    """TCP connection of one caller.
 
     Parameters
     ----------
     stream : SocketStream
-        The connection.
+        Stream of the accepted connection.
     """
 
     def __init__(self, stream: SocketStream):
@@ -46,15 +46,15 @@
         self._reader = BufferedByteReceiveStream(stream)
 
     async def read_line(self) -> bytes:
-        """Return the next line without its end."""
+        """Return the next line without its newline."""
         return await self._reader.receive_until(b"\n", MAX_LINE_BYTES)
 
-    async def read_chunk(self, most: int) -> bytes:
-        """Return some bytes, `most` at the most."""
-        return await self._reader.receive(most)
+    async def read_chunk(self, max_bytes: int) -> bytes:
+        """Return the next available bytes, at most `max_bytes`."""
+        return await self._reader.receive(max_bytes)
 
     async def write(self, text: str) -> None:
-        """Send a line."""
+        """Send `text` as one line."""
         await self._stream.send(f"{text}\n".encode())
 
     async def close(self) -> None:
@@ -63,14 +63,14 @@
 
 
 class BackendServer:
-    """A stand-in of a backend server.
+    """Stand-in for a backend server.
 
     Parameters
     ----------
     endpoint : Endpoint
-        Where it listens.
+        Address to listen on.
     plan : BackendPlan
-        How it behaves.
+        Service, speed and limits of the server.
     """
 
     def __init__(self, endpoint: Endpoint, plan: BackendPlan):
@@ -79,11 +79,11 @@
         self._journal = Journal()
         self._slots = anyio.Semaphore(plan.slots)
         self._connections = 0
-        self._working = 0
+        self._in_progress = 0
         self._is_draining = False
         self._is_shedding = False
         self._stall_ms = Millis(0)
-        self._told_load: int | None = None
+        self._reported_load: int | None = None
         self._handlers: dict[Verb, Handler] = {
             Verb.ORDER: self._serve_order,
             Verb.CHECK: self._serve_check,
@@ -100,43 +100,49 @@
 
     @property
     def journal(self) -> Journal:
-        """The requests that it ran."""
+        """Journal of the executed requests."""
         return self._journal
 
     @property
-    def working(self) -> int:
-        """How many requests are in progress or queue, feeds included."""
-        return self._working
+    def in_progress(self) -> int:
+        """Number of requests that are in progress or queued, including feeds."""
+        return self._in_progress
 
     def drain(self) -> None:
-        """Shed new requests; those in progress go on."""
+        """Reject new requests with SHED; requests in progress continue."""
         self._is_draining = True
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Listen, and serve in `tasks`."""
-        own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        """Start listening and serve connections in `tasks`.
+
+        Raises
+        ------
+        BindError
+            If the address can't be bound.
+        """
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            own.bind(self._endpoint.sockaddr)
+            listener.bind(self._endpoint.sockaddr)
         except OSError as error:
-            own.close()
+            listener.close()
             raise BindError(
-                error.strerror or "can't listen",
+                error.strerror or "could not bind the listening address",
                 step=Step.BIND,
                 peer=str(self._endpoint),
-                remedy="stop what holds the address, or choose another one",
+                remedy="stop the process that uses the address, or choose another",
             ) from error
-        own.listen(_BACKLOG)
-        self._listener = await SocketListener.from_socket(own)
+        listener.listen(_BACKLOG)
+        self._listener = await SocketListener.from_socket(listener)
         tasks.start_soon(self._accept, tasks)
 
     async def close(self) -> None:
-        """Stop listening; connections in progress go on."""
+        """Stop listening; open connections continue."""
         await self._listener.aclose()
 
     async def wait_idle(self) -> None:
-        """Return when no request is in progress."""
-        while self._working:
+        """Wait until no request is in progress or queued."""
+        while self._in_progress:
             await anyio.sleep(0.01)
 
     async def _accept(self, tasks: TaskGroup) -> None:
@@ -154,7 +160,10 @@
             pass
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             peer = stream.extra(SocketAttribute.remote_address, "?")
-            print(f"{self._plan.name}: {peer} left: {error!r}", file=sys.stderr)
+            print(
+                f"{self._plan.name}: connection from {peer} was lost: {error!r}",
+                file=sys.stderr,
+            )
         finally:
             self._connections -= 1
             await connection.close()
@@ -169,39 +178,39 @@
 
     async def _serve_request(self, connection: Connection, request: Request) -> None:
         name = self._plan.name
-        if request.verb not in WORK:
+        if request.verb not in CALLER_VERBS:
             await self._handlers[request.verb](connection, request)
-        elif request.verb not in SERVED[self._plan.kind]:
+        elif request.verb not in VERBS_BY_KIND[self._plan.kind]:
             await connection.write(f"WRONG {request.request_id} {name}")
         elif self._is_draining or self._is_shedding:
             await connection.write(f"SHED {request.request_id} {name}")
         else:
-            await self._work(connection, request)
+            await self._run_handler(connection, request)
 
-    async def _work(self, connection: Connection, request: Request) -> None:
-        self._working += 1
+    async def _run_handler(self, connection: Connection, request: Request) -> None:
+        self._in_progress += 1
         try:
             await self._handlers[request.verb](connection, request)
         finally:
-            self._working -= 1
+            self._in_progress -= 1
 
-    async def _take_service_time(self, request: Request) -> None:
+    async def _wait_service_time(self, request: Request) -> None:
         async with self._slots:
-            self._journal.note(request)
+            self._journal.record(request)
             wait = self._plan.scaled_service_ms + self._stall_ms
             await anyio.sleep(to_seconds(Millis(wait)))
 
     async def _serve_order(self, connection: Connection, request: Request) -> None:
-        await self._take_service_time(request)
+        await self._wait_service_time(request)
         await connection.write(f"DONE {request.request_id} {self._plan.name}")
 
     async def _serve_check(self, connection: Connection, request: Request) -> None:
-        await self._take_service_time(request)
+        await self._wait_service_time(request)
         await connection.write(f"RATE {request.request_id} {self._plan.name}")
 
     async def _serve_feed(self, connection: Connection, request: Request) -> None:
         count, interval = request.numbers
-        self._journal.note(request)
+        self._journal.record(request)
         for number in range(count):
             await connection.write(
                 f"STATUS {request.request_id} {number} {self._plan.name}"
@@ -211,16 +220,16 @@
 
     async def _serve_upload(self, connection: Connection, request: Request) -> None:
         digest = hashlib.sha256()
-        left = request.numbers[0]
-        while left:
-            chunk = await connection.read_chunk(min(left, READ_BYTES))
+        remaining = request.numbers[0]
+        while remaining:
+            chunk = await connection.read_chunk(min(remaining, READ_BYTES))
             digest.update(chunk)
-            left -= len(chunk)
-        await self._take_service_time(request)
+            remaining -= len(chunk)
+        await self._wait_service_time(request)
         await connection.write(f"SHA256 {digest.hexdigest()} {self._plan.name}")
 
     async def _serve_echo(self, connection: Connection, request: Request) -> None:
-        self._journal.note(request)
+        self._journal.record(request)
         for _ in range(request.numbers[0]):
             line = (await connection.read_line()).decode("ascii", "replace")
             await connection.write(
@@ -232,9 +241,9 @@
 
     async def _serve_health(self, connection: Connection, request: Request) -> None:
         state = "draining" if self._is_draining else "ready"
-        load = self._told_load
+        load = self._reported_load
         if load is None:
-            load = _PERCENT * self._working // self._plan.slots
+            load = _PERCENT * self._in_progress // self._plan.slots
         await connection.write(f"HEALTH {state} {load} {self._plan.name}")
 
     async def _serve_drain(self, connection: Connection, request: Request) -> None:
@@ -250,5 +259,5 @@
         await connection.write(f"OK {self._plan.name}")
 
     async def _serve_lie(self, connection: Connection, request: Request) -> None:
-        self._told_load = request.numbers[0]
+        self._reported_load = request.numbers[0]
         await connection.write(f"OK {self._plan.name}")
--- a/src/papayagw/_internal/standins/fabric.py
+++ b/src/papayagw/_internal/standins/fabric.py
@@ -1,8 +1,8 @@
-"""Stand-in of the fabric: hands each packet to any balancer.
+"""Stand-in for the platform's fabric, which sprays packets over the balancers.
 
-For each caller it keeps one socket towards the balancers, so that they see a
-distinct address for each caller as behind a real fabric, and what comes back on
-that socket goes to the caller from the entry address.
+Each caller has its own socket towards the balancers, so that the balancers see a
+distinct source address for each caller, as behind a real fabric. Packets that arrive
+on that socket are sent to the caller from the entry address.
 """
 
 import random
@@ -19,21 +19,21 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.standins.spray import Impairments, Route, Sprayer
 
-BATCH = 64
-"""The most datagrams read from one socket before the next one has its turn."""
+MAX_BATCH_DATAGRAMS = 64
+"""Maximum number of datagrams read from one socket before the next one is served."""
 
-IDLE_MS = Millis(60_000)
-"""After this silence a caller's socket is closed."""
+CALLER_IDLE_TIMEOUT_MS = Millis(60_000)
+"""Time without packets after which the socket of a caller is closed."""
 
-SWEEP_MS = Millis(5_000)
-SPARE_FILES = 64
-"""Open files kept back for the listeners and the loop."""
+SWEEP_INTERVAL_MS = Millis(5_000)
+RESERVED_FILES = 64
+"""File descriptors reserved for the entry sockets and the event loop."""
 
 MAX_DATAGRAM_BYTES = 65_535
 ENTRY_BUFFER_BYTES = 4 << 20
 CALLER_BUFFER_BYTES = 1 << 20
 _MAX_EVENTS = 256
-# Linux's number; the socket module names it from Python 3.14 on.
+# Value on Linux; the socket module defines the constant from Python 3.14 on.
 _IP_RECVERR = 11
 
 ClientAddress = tuple[str, int]
@@ -41,20 +41,20 @@
 
 @dataclass(frozen=True, slots=True)
 class FabricCounts:
-    """What a fabric has carried.
+    """Packet counts of a fabric.
 
     Attributes
     ----------
     packets_in : int
-        Packets from callers.
+        Packets received from callers.
     packets_out : int
-        Packets handed to balancers, duplicates included.
+        Packets sent to balancers, including duplicates.
     answers : int
-        Packets handed to callers.
+        Packets sent to callers.
     lost : int
-        Packets dropped on purpose or for want of room.
+        Packets dropped by simulated loss or because sending failed.
     callers_refused : int
-        Packets dropped since no more files may be opened.
+        Packets dropped because the limit of open files was reached.
     """
 
     packets_in: int
@@ -65,31 +65,33 @@
 
 
 class _Caller:
-    """A caller and its socket towards the balancers."""
+    """Address of a caller and the socket that represents it towards the balancers."""
 
-    __slots__ = ("address", "socket", "used_at")
+    __slots__ = ("address", "socket", "last_used_at")
 
-    def __init__(self, address: ClientAddress, own: socket.socket, now: Millis):
+    def __init__(
+        self, address: ClientAddress, caller_socket: socket.socket, now: Millis
+    ):
         self.address = address
-        self.socket = own
-        self.used_at = now
+        self.socket = caller_socket
+        self.last_used_at = now
 
 
 class Fabric:
-    """A stand-in of the platform's fabric.
+    """Stand-in for the platform's fabric.
 
     Parameters
     ----------
     routes : tuple of Route
-        The entry addresses and their balancers.
+        Entry addresses and the balancers behind each.
     impairments : Impairments
-        Loss and duplication.
+        Simulated loss and duplication.
     seed : int
-        Seed of the random choices.
+        Seed of the random number generator.
     watch_health : bool
-        Whether a balancer whose host refuses a packet is left out for a second.
+        Whether a balancer whose host refuses a packet is excluded for one second.
     clock : Clock
-        The time.
+        Source of the current time.
     """
 
     def __init__(
@@ -109,11 +111,11 @@
             _Entry(self, route, Sprayer(route.targets, impairments, draw), watch_health)
             for route in routes
         ]
-        self._room = limit
+        self._max_sockets = limit
 
     @property
     def counts(self) -> FabricCounts:
-        """What the fabric has carried so far."""
+        """Packet counts summed over all entry addresses."""
         parts = [asdict(entry.counts) for entry in self._entries]
         return FabricCounts(
             **{name: sum(part[name] for part in parts) for name in parts[0]}
@@ -131,39 +133,39 @@
         self._epoll.close()
 
     async def run(self) -> None:
-        """Carry packets until cancelled."""
+        """Forward packets until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._sweep)
             while True:
                 await anyio.wait_readable(self._epoll.fileno())
                 now = self._clock.now()
-                for number, _ in self._epoll.poll(0, _MAX_EVENTS):
-                    self._handlers[number](now)
+                for descriptor, _ in self._epoll.poll(0, _MAX_EVENTS):
+                    self._handlers[descriptor](now)
 
-    def watch(self, one: socket.socket, handler: Callable[[Millis], None]) -> None:
-        """Call `handler` when a socket has datagrams."""
-        self._handlers[one.fileno()] = handler
-        self._epoll.register(one.fileno(), select.EPOLLIN)
+    def register(self, sock: socket.socket, handler: Callable[[Millis], None]) -> None:
+        """Call `handler` with the current time whenever a socket is readable."""
+        self._handlers[sock.fileno()] = handler
+        self._epoll.register(sock.fileno(), select.EPOLLIN)
 
-    def unwatch(self, one: socket.socket) -> None:
-        """Forget a socket that is about to close."""
-        self._epoll.unregister(one.fileno())
-        del self._handlers[one.fileno()]
+    def unregister(self, sock: socket.socket) -> None:
+        """Stop polling a socket; call this before closing it."""
+        self._epoll.unregister(sock.fileno())
+        del self._handlers[sock.fileno()]
 
     @property
-    def has_room(self) -> bool:
-        """Whether one more caller's socket may be opened."""
-        return len(self._handlers) < self._room
+    def can_open_socket(self) -> bool:
+        """Whether the limit of open files allows another socket for a caller."""
+        return len(self._handlers) < self._max_sockets
 
     async def _sweep(self) -> None:
         while True:
-            await anyio.sleep(to_seconds(SWEEP_MS))
+            await anyio.sleep(to_seconds(SWEEP_INTERVAL_MS))
             for entry in self._entries:
                 entry.close_idle(self._clock.now())
 
 
 class _Entry:
-    """One entry address and its callers."""
+    """Entry address with the sockets of its callers."""
 
     def __init__(
         self, fabric: Fabric, route: Route, sprayer: Sprayer, watch_health: bool
@@ -174,47 +176,57 @@
         self._watch_health = watch_health
         self._callers: dict[ClientAddress, _Caller] = {}
         self._socket = make_udp_socket(ENTRY_BUFFER_BYTES)
-        self._in = self._out = self._answers = self._lost = self._refused = 0
+        self._packets_in = self._packets_out = self._answers = self._lost = (
+            self._callers_refused
+        ) = 0
 
     @property
     def counts(self) -> FabricCounts:
-        """What this entry has carried."""
+        """Packet counts of this entry address."""
         return FabricCounts(
-            self._in, self._out, self._answers, self._lost, self._refused
+            self._packets_in,
+            self._packets_out,
+            self._answers,
+            self._lost,
+            self._callers_refused,
         )
 
     def start(self) -> None:
         """Bind the entry address."""
         bind_udp(self._socket, self._route.entry)
-        self._fabric.watch(self._socket, self._drain_entry)
+        self._fabric.register(self._socket, self._read_entry)
 
     def close(self) -> None:
-        """Close the entry's sockets."""
+        """Close the entry socket and the sockets of all callers."""
         for caller in self._callers.values():
             caller.socket.close()
         self._socket.close()
 
     def close_idle(self, now: Millis) -> None:
-        """Close the sockets of callers that have been silent."""
-        idle = [one for one in self._callers.values() if now - one.used_at > IDLE_MS]
+        """Close the sockets of callers whose idle timeout has passed."""
+        idle = [
+            one
+            for one in self._callers.values()
+            if now - one.last_used_at > CALLER_IDLE_TIMEOUT_MS
+        ]
         for caller in idle:
             del self._callers[caller.address]
-            self._fabric.unwatch(caller.socket)
+            self._fabric.unregister(caller.socket)
             caller.socket.close()
 
-    def _drain_entry(self, now: Millis) -> None:
+    def _read_entry(self, now: Millis) -> None:
         receive, callers = self._socket.recvfrom, self._callers
-        for _ in range(BATCH):
+        for _ in range(MAX_BATCH_DATAGRAMS):
             try:
                 data, client = receive(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
-            self._in += 1
+            self._packets_in += 1
             caller = callers.get(client) or self._open_caller(client, now)
             if caller is None:
-                self._refused += 1
+                self._callers_refused += 1
                 continue
-            caller.used_at = now
+            caller.last_used_at = now
             self._spray(caller, data, now)
 
     def _spray(self, caller: _Caller, data: bytes, now: Millis) -> None:
@@ -224,33 +236,33 @@
         for target in targets:
             try:
                 caller.socket.sendto(data, target)
-                self._out += 1
+                self._packets_out += 1
             except OSError:
-                # A full buffer, or the news that an earlier packet was refused.
+                # The send buffer is full, or an earlier packet was refused.
                 self._lost += 1
-                self._read_refusals(caller, now)
+                self._read_error_queue(caller, now)
 
     def _open_caller(self, client: ClientAddress, now: Millis) -> _Caller | None:
-        if not self._fabric.has_room:
+        if not self._fabric.can_open_socket:
             return None
-        own = make_udp_socket(CALLER_BUFFER_BYTES)
-        own.bind((self._route.entry.ip, 0))
+        caller_socket = make_udp_socket(CALLER_BUFFER_BYTES)
+        caller_socket.bind((self._route.entry.ip, 0))
         if self._watch_health:
-            own.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
-        caller = self._callers[client] = _Caller(client, own, now)
-        self._fabric.watch(own, lambda at: self._drain_caller(caller, at))
+            caller_socket.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
+        caller = self._callers[client] = _Caller(client, caller_socket, now)
+        self._fabric.register(caller_socket, lambda at: self._read_caller(caller, at))
         return caller
 
-    def _drain_caller(self, caller: _Caller, now: Millis) -> None:
+    def _read_caller(self, caller: _Caller, now: Millis) -> None:
         receive, send = caller.socket.recv, self._socket.sendto
-        caller.used_at = now
-        for _ in range(BATCH):
+        caller.last_used_at = now
+        for _ in range(MAX_BATCH_DATAGRAMS):
             try:
                 data = receive(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
             except OSError:
-                self._read_refusals(caller, now)
+                self._read_error_queue(caller, now)
                 continue
             try:
                 send(data, caller.address)
@@ -258,42 +270,48 @@
             except OSError:
                 self._lost += 1
 
-    def _read_refusals(self, caller: _Caller, now: Millis) -> None:
+    def _read_error_queue(self, caller: _Caller, now: Millis) -> None:
         if not self._watch_health:
             return
-        for _ in range(BATCH):
+        for _ in range(MAX_BATCH_DATAGRAMS):
             try:
                 _, _, _, target = caller.socket.recvmsg(
                     0, socket.CMSG_SPACE(64), socket.MSG_ERRQUEUE
                 )
             except OSError:
                 return
-            self._sprayer.hold(target, now)
+            self._sprayer.exclude(target, now)
 
 
 def max_callers() -> int:
-    """Return how many callers' sockets the limit of open files allows."""
+    """Return the number of callers that the limit of open files allows."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return max(soft - SPARE_FILES, 0)
+    return max(soft - RESERVED_FILES, 0)
 
 
 def make_udp_socket(buffer_bytes: int) -> socket.socket:
-    """Return a UDP socket that doesn't block, with large buffers."""
-    one = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    one.setblocking(False)
-    one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-    one.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
-    return one
+    """Return a non-blocking UDP socket with buffers of `buffer_bytes`."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
+    return sock
 
 
-def bind_udp(one: socket.socket, endpoint: Endpoint) -> None:
-    """Bind a socket, or raise `BindError`."""
+def bind_udp(sock: socket.socket, endpoint: Endpoint) -> None:
+    """Bind a socket to `endpoint`.
+
+    Raises
+    ------
+    BindError
+        If the address can't be bound.
+    """
     try:
-        one.bind(endpoint.sockaddr)
+        sock.bind(endpoint.sockaddr)
     except OSError as error:
         raise BindError(
-            error.strerror or "can't bind",
+            error.strerror or "could not bind the address",
             step=Step.BIND,
             peer=str(endpoint),
-            remedy="stop what holds the address, or choose another one",
+            remedy="stop the process that uses the address, or choose another",
         ) from error
--- a/src/papayagw/_internal/standins/memory_store.py
+++ b/src/papayagw/_internal/standins/memory_store.py
@@ -1,4 +1,4 @@
-"""The platform's service in the memory of one process, for tests and measurements."""
+"""In-memory substitute for the platform's store, for tests and benchmarks."""
 
 from collections.abc import Callable
 
@@ -23,61 +23,61 @@
 
 
 class MemoryStore:
-    """A store whose calls are counted and can be made to fail.
+    """In-memory store that counts calls and injects faults.
 
     Parameters
     ----------
     clock : Clock
-        The time, for leases.
+        Source of the current time, for the expiry of leases.
     """
 
     def __init__(self, clock: Clock):
         self._values = KeyValues(clock)
         self._counts = CallCounts()
         self._is_down = False
-        self._lost_answers = 0
+        self._responses_to_lose = 0
 
     @property
     def values(self) -> KeyValues:
-        """What it holds."""
+        """Content of the store."""
         return self._values
 
     @property
     def counts(self) -> CallCounts:
-        """The calls so far."""
+        """Number of calls by kind."""
         return self._counts
 
-    def set_down(self, is_down: bool) -> None:
-        """Begin or end an outage."""
+    def set_outage(self, is_down: bool) -> None:
+        """Start or end an outage, during which all calls fail."""
         self._is_down = is_down
-        self._values.tell()
+        self._values.notify_listeners()
 
-    def lose_answers(self, count: int) -> None:
-        """Let the next writes take effect and then fail."""
-        self._lost_answers = count
+    def lose_responses(self, count: int) -> None:
+        """Let the next `count` writes take effect and then fail."""
+        self._responses_to_lose = count
 
     async def get(
         self, key: str, timeout_ms: Millis
     ) -> Result[Snapshot, PlatformError]:
-        """Return what `key` holds."""
+        """Return the entry of `key` and the revision of the store."""
         self._counts.add("get")
         await anyio.lowlevel.checkpoint()
         if self._is_down:
-            return Failure(_make_outage())
+            return Failure(_make_outage_error())
         return Success(Snapshot(self._find(key), self._values.revision))
 
     async def swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
     ) -> Result[SwapResult, PlatformError]:
-        """Write `value` if `key` still has the revision `expected`."""
+        """Write `value` if the revision of `key` is `expected`."""
         self._counts.add("swap")
         await anyio.lowlevel.checkpoint()
         if self._is_down:
-            return Failure(_make_outage())
+            return Failure(_make_outage_error())
         swapped = self._values.swap(key.encode(), value, expected)
-        if self._lost_answers > 0:
-            self._lost_answers -= 1
-            return Failure(_make_outage())
+        if self._responses_to_lose > 0:
+            self._responses_to_lose -= 1
+            return Failure(_make_outage_error())
         if swapped:
             return Success(Swapped(self._values.revision))
         return Success(Conflict(self._find(key)))
@@ -89,7 +89,11 @@
         on_entry: Callable[[Entry], None],
         timeout_ms: Millis,
     ) -> Result[int, PlatformError]:
-        """Hear of each write of `key` until `timeout_ms` has passed."""
+        """Call `on_entry` for each write of `key` after revision `after`.
+
+        Returns the revision of the store after `timeout_ms`, or earlier if a restored
+        snapshot has lowered the revision; fails as soon as an outage starts.
+        """
         self._counts.add("watch")
         seen = after
         changed = anyio.Event()
@@ -97,7 +101,7 @@
         def on_change() -> None:
             changed.set()
 
-        self._values.listen(on_change)
+        self._values.add_listener(on_change)
         try:
             with anyio.move_on_after(to_seconds(timeout_ms)):
                 while self._values.revision >= seen and not self._is_down:
@@ -107,13 +111,13 @@
                     changed = anyio.Event()
                     await changed.wait()
         finally:
-            self._values.unlisten(on_change)
+            self._values.remove_listener(on_change)
         if self._is_down:
-            return Failure(_make_outage())
+            return Failure(_make_outage_error())
         return Success(self._values.revision)
 
     async def close(self) -> None:
-        """Do nothing: no connection is open."""
+        """Do nothing, as there is no connection to close."""
 
     def _find(self, key: str) -> Entry | None:
         found = self._values.find(key.encode())
@@ -124,5 +128,9 @@
     return Entry(key_value.value, key_value.modified)
 
 
-def _make_outage() -> PlatformUnreachableError:
-    return PlatformUnreachableError("an outage", step=Step.PLATFORM, peer="memory")
+def _make_outage_error() -> PlatformUnreachableError:
+    return PlatformUnreachableError(
+        "in-memory store is unavailable (injected outage)",
+        step=Step.PLATFORM,
+        peer="memory",
+    )
--- a/src/papayagw/_internal/standins/platform.py
+++ b/src/papayagw/_internal/standins/platform.py
@@ -1,7 +1,7 @@
-"""A stand-in of the platform's service: the JSON gateway of etcd v3, in memory.
+"""Stand-in for the platform's key-value service: the JSON gateway of etcd v3.
 
-Under ``/standin`` it takes faults, keeps and restores copies, and tells how many
-calls came.
+The content is in memory. Paths under ``/standin`` inject faults, take and restore
+snapshots, and return the number of calls.
 """
 
 import json
@@ -18,41 +18,46 @@
 
 from papayagw._internal.models.clock import Clock, to_seconds
 from papayagw._internal.standins.faults import CallCounts, Faults
-from papayagw._internal.standins.key_values import Copy, Event, KeyValue, KeyValues
+from papayagw._internal.standins.key_values import (
+    Event,
+    KeyValue,
+    KeyValues,
+    StoreSnapshot,
+)
 from papayagw._internal.store.protocol import MAX_VALUE_BYTES
 
 Message = dict[str, Any]
 
-_UNAVAILABLE = 503
-_LOST = 504
+_SERVICE_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
 _BAD_REQUEST = 400
-_WATCH_TICK_S = 1.0
+_WATCH_POLL_S = 1.0
 
 
 class PlatformStandin:
-    """The service and its control path.
+    """ASGI application with the key-value service and its control paths.
 
     Parameters
     ----------
     clock : Clock
-        The time, for leases.
+        Source of the current time, for the expiry of leases.
     """
 
     def __init__(self, clock: Clock):
         self._store = KeyValues(clock)
         self._faults = Faults()
         self._counts = CallCounts()
-        self._copies: dict[str, Copy] = {}
+        self._snapshots: dict[str, StoreSnapshot] = {}
         self._app = Starlette(routes=self._make_routes())
 
     @property
     def app(self) -> Starlette:
-        """The application, for a server."""
+        """ASGI application to serve."""
         return self._app
 
     @property
     def counts(self) -> CallCounts:
-        """The calls so far."""
+        """Number of calls by kind."""
         return self._counts
 
     def _make_routes(self) -> list[Route]:
@@ -72,9 +77,9 @@
             *service,
             Route("/v3/watch", self._watch, methods=["POST"]),
             Route("/standin/faults", self._set_faults, methods=["POST"]),
-            Route("/standin/copies/{name}", self._keep_copy, methods=["POST"]),
+            Route("/standin/copies/{name}", self._save_snapshot, methods=["POST"]),
             Route("/standin/restore/{name}", self._restore, methods=["POST"]),
-            Route("/standin/calls", self._show_calls, methods=["GET"]),
+            Route("/standin/calls", self._get_call_counts, methods=["GET"]),
         ]
 
     def _make_endpoint(
@@ -87,25 +92,25 @@
             message = await request.json()
             await anyio.sleep(to_seconds(self._faults.delay_ms))
             if self._faults.outage:
-                return Response(status_code=_UNAVAILABLE)
+                return Response(status_code=_SERVICE_UNAVAILABLE)
             try:
-                answer = call(message)
+                response = call(message)
             except (KeyError, ValueError, TypeError) as error:
                 return JSONResponse({"error": repr(error)}, _BAD_REQUEST)
             await anyio.sleep(to_seconds(self._faults.answer_delay_ms))
             if kind == "kv_txn" and self._faults.lost_answers > 0:
                 left = self._faults.lost_answers - 1
                 self._faults = replace(self._faults, lost_answers=left)
-                return Response(status_code=_LOST)
-            return JSONResponse(answer)
+                return Response(status_code=_GATEWAY_TIMEOUT)
+            return JSONResponse(response)
 
         return endpoint
 
     def _range(self, message: Message) -> Message:
         end = b64decode(message.get("range_end", ""))
         found = self._store.find(b64decode(message["key"]), end)
-        shown = [_show(one) for one in found]
-        return {"header": self._header(), "kvs": shown, "count": str(len(found))}
+        encoded = [_encode_key_value(one) for one in found]
+        return {"header": self._header(), "kvs": encoded, "count": str(len(found))}
 
     def _put(self, message: Message) -> Message:
         value = b64decode(message.get("value", ""))
@@ -116,14 +121,14 @@
         return {"header": self._header()}
 
     def _delete(self, message: Message) -> Message:
-        gone = self._store.delete(b64decode(message["key"]))
-        return {"header": self._header(), "deleted": str(int(gone))}
+        deleted = self._store.delete(b64decode(message["key"]))
+        return {"header": self._header(), "deleted": str(int(deleted))}
 
     def _txn(self, message: Message) -> Message:
-        holds = all(self._compare(one) for one in message.get("compare", []))
-        todo = message.get("success" if holds else "failure", [])
-        responses = [self._run_operation(one) for one in todo]
-        return {"header": self._header(), "succeeded": holds, "responses": responses}
+        is_met = all(self._compare(one) for one in message.get("compare", []))
+        operations = message.get("success" if is_met else "failure", [])
+        responses = [self._run_operation(one) for one in operations]
+        return {"header": self._header(), "succeeded": is_met, "responses": responses}
 
     def _compare(self, message: Message) -> bool:
         if message.get("result", "EQUAL") != "EQUAL":
@@ -138,14 +143,14 @@
         return str(actual) == str(wanted or 0)
 
     def _run_operation(self, message: Message) -> Message:
-        runs = {
+        operations_by_name = {
             "request_put": ("response_put", self._put),
             "request_range": ("response_range", self._range),
             "request_delete_range": ("response_delete_range", self._delete),
         }
         ((name, request),) = message.items()
-        answer, run = runs[name]
-        return {answer: run(request)}
+        response_name, run = operations_by_name[name]
+        return {response_name: run(request)}
 
     def _grant_lease(self, message: Message) -> Message:
         lease = self._store.grant_lease(int(message["TTL"]))
@@ -167,21 +172,21 @@
         message = (await request.json())["create_request"]
         await anyio.sleep(to_seconds(self._faults.delay_ms))
         if self._faults.outage:
-            return Response(status_code=_UNAVAILABLE)
+            return Response(status_code=_SERVICE_UNAVAILABLE)
         key = b64decode(message["key"])
         start = int(message.get("start_revision", 0)) or self._store.revision + 1
-        return StreamingResponse(self._tell_events(key, start))
+        return StreamingResponse(self._stream_events(key, start))
 
-    async def _tell_events(self, key: bytes, start: int) -> AsyncIterator[str]:
-        """Yield the messages of a watch until an outage or a restore cuts it."""
+    async def _stream_events(self, key: bytes, start: int) -> AsyncIterator[str]:
+        """Yield the messages of a watch until an outage or a restore ends it."""
         changed = anyio.Event()
 
         def on_change() -> None:
             changed.set()
 
-        self._store.listen(on_change)
+        self._store.add_listener(on_change)
         try:
-            yield _make_line({"header": self._header(), "created": True})
+            yield _format_line({"header": self._header(), "created": True})
             seen = self._store.revision
             while not self._faults.outage and self._store.revision >= seen:
                 seen = self._store.revision
@@ -189,34 +194,34 @@
                 changed = anyio.Event()
                 if events:
                     start = events[-1].key_value.modified + 1
-                    shown = [_show_event(one) for one in events]
-                    yield _make_line({"header": self._header(), "events": shown})
-                with anyio.move_on_after(_WATCH_TICK_S):
+                    encoded = [_encode_event(one) for one in events]
+                    yield _format_line({"header": self._header(), "events": encoded})
+                with anyio.move_on_after(_WATCH_POLL_S):
                     await changed.wait()
         finally:
-            self._store.unlisten(on_change)
+            self._store.remove_listener(on_change)
 
     async def _set_faults(self, request: Request) -> Response:
-        self._faults = Faults.read(await request.json())
-        self._store.tell()
+        self._faults = Faults.from_message(await request.json())
+        self._store.notify_listeners()
         return JSONResponse({})
 
-    async def _keep_copy(self, request: Request) -> Response:
-        self._copies[request.path_params["name"]] = self._store.copy()
+    async def _save_snapshot(self, request: Request) -> Response:
+        self._snapshots[request.path_params["name"]] = self._store.snapshot()
         return JSONResponse({"revision": self._store.revision})
 
     async def _restore(self, request: Request) -> Response:
-        self._store.restore(self._copies[request.path_params["name"]])
+        self._store.restore(self._snapshots[request.path_params["name"]])
         return JSONResponse({"revision": self._store.revision})
 
-    async def _show_calls(self, _request: Request) -> Response:
+    async def _get_call_counts(self, _request: Request) -> Response:
         return JSONResponse(self._counts.by_kind)
 
     def _header(self) -> Message:
         return {"revision": str(self._store.revision)}
 
 
-def _show(one: KeyValue) -> Message:
+def _encode_key_value(one: KeyValue) -> Message:
     return {
         "key": b64encode(one.key).decode(),
         "value": b64encode(one.value).decode(),
@@ -227,10 +232,10 @@
     }
 
 
-def _show_event(event: Event) -> Message:
+def _encode_event(event: Event) -> Message:
     kind = {"type": "DELETE"} if event.is_delete else {}
-    return {**kind, "kv": _show(event.key_value)}
+    return {**kind, "kv": _encode_key_value(event.key_value)}
 
 
-def _make_line(result: Message) -> str:
+def _format_line(result: Message) -> str:
     return json.dumps({"result": result}) + "\n"
--- a/src/papayagw/_internal/standins/spray.py
+++ b/src/papayagw/_internal/standins/spray.py
@@ -1,6 +1,6 @@
-"""Which target the fabric's stand-in hands a packet to.
+"""Selection of the target of each packet by the stand-in for the fabric.
 
-A real fabric knows nothing of flows: each packet goes to any target.
+A real fabric has no knowledge of flows: each packet may reach any target.
 """
 
 from collections.abc import Callable
@@ -11,22 +11,22 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
-HOLD_OFF_MS = Millis(1_000)
-"""How long a target that refused a packet is left out, if health is on."""
+EXCLUSION_MS = Millis(1_000)
+"""Time for which a target that refused a packet is excluded, if health is watched."""
 
 SocketAddress = tuple[str, int]
 
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """An entry address and the balancers behind it.
+    """Entry address and the balancers behind it.
 
     Attributes
     ----------
     entry : Endpoint
-        Where callers send.
+        Address to which callers send.
     targets : tuple of Endpoint
-        The balancers that the packets are sprayed over.
+        Balancers over which packets are distributed.
     """
 
     entry: Endpoint
@@ -35,14 +35,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Impairments:
-    """What the fabric does to packets besides handing them on.
+    """Simulated packet loss and duplication.
 
     Attributes
     ----------
     loss : float
-        The share of packets that are lost, 0 to 1.
+        Share of packets that are dropped, 0 to 1.
     duplicate : float
-        The share of packets that are sent twice, 0 to 1.
+        Share of packets that are sent twice, 0 to 1.
     """
 
     loss: float = 0.0
@@ -50,10 +50,10 @@
 
 
 def parse_route(text: str) -> Result[Route, str]:
-    """Read a route from ``entry=target,target``."""
+    """Parse a route of the form ``entry=target,target``."""
     entry, equals, targets = text.partition("=")
     if not equals or not targets:
-        return Failure(f"expected entry=target,target, found {text!r}")
+        return Failure(f"route has the form entry=target,target; found {text!r}")
     try:
         parsed = tuple(Endpoint.parse(one) for one in targets.split(","))
         return Success(Route(Endpoint.parse(entry), parsed))
@@ -62,16 +62,16 @@
 
 
 class Sprayer:
-    """Picks targets at random.
+    """Random choice of the targets of each packet.
 
     Parameters
     ----------
     targets : tuple of Endpoint
-        The balancers behind one entry address.
+        Balancers behind one entry address.
     impairments : Impairments
-        Loss and duplication.
+        Simulated loss and duplication.
     draw : callable
-        Returns a random number from 0 up to 1.
+        Returns a random number in [0, 1).
     """
 
     def __init__(
@@ -82,38 +82,42 @@
     ):
         self._addresses = tuple(target.sockaddr for target in targets)
         self._available = self._addresses
-        self._held: dict[SocketAddress, Millis] = {}
+        self._excluded_until: dict[SocketAddress, Millis] = {}
         self._impairments = impairments
-        self._is_plain = impairments == Impairments()
+        self._is_unimpaired = impairments == Impairments()
         self._draw = draw
 
     def pick(self, now: Millis) -> tuple[SocketAddress, ...]:
-        """Return where one packet goes: nowhere if lost, twice if duplicated."""
-        if self._held:
-            self._release(now)
-        if self._is_plain:
-            return (self._pick_one(),)
+        """Return the targets of one packet: none if lost, two if duplicated."""
+        if self._excluded_until:
+            self._end_exclusions(now)
+        if self._is_unimpaired:
+            return (self._pick_target(),)
         if self._draw() < self._impairments.loss:
             return ()
         if self._draw() < self._impairments.duplicate:
-            return (self._pick_one(), self._pick_one())
-        return (self._pick_one(),)
+            return (self._pick_target(), self._pick_target())
+        return (self._pick_target(),)
 
-    def hold(self, target: SocketAddress, now: Millis) -> None:
-        """Leave a target out for a while, unless it is the last one."""
-        self._held[target] = Millis(now + HOLD_OFF_MS)
-        self._refresh()
+    def exclude(self, target: SocketAddress, now: Millis) -> None:
+        """Exclude a target for `EXCLUSION_MS`; if all are excluded, all are used."""
+        self._excluded_until[target] = Millis(now + EXCLUSION_MS)
+        self._update_available()
 
-    def _pick_one(self) -> SocketAddress:
+    def _pick_target(self) -> SocketAddress:
         return self._available[int(self._draw() * len(self._available))]
 
-    def _release(self, now: Millis) -> None:
-        over = [target for target, until in self._held.items() if until <= now]
-        for target in over:
-            del self._held[target]
-        if over:
-            self._refresh()
-
-    def _refresh(self) -> None:
-        left = tuple(one for one in self._addresses if one not in self._held)
-        self._available = left or self._addresses
+    def _end_exclusions(self, now: Millis) -> None:
+        expired = [
+            target for target, until in self._excluded_until.items() if until <= now
+        ]
+        for target in expired:
+            del self._excluded_until[target]
+        if expired:
+            self._update_available()
+
+    def _update_available(self) -> None:
+        available = tuple(
+            one for one in self._addresses if one not in self._excluded_until
+        )
+        self._available = available or self._addresses
--- a/tests/lib/configurations.py
+++ b/tests/lib/configurations.py
@@ -67,7 +67,7 @@
         self, operators, make_submission=Submission, make_log=ConfigurationLog
     ):
         self.store = KeyValues(ManualClock())
-        self.snapshots = [self.store.copy()]
+        self.snapshots = [self.store.snapshot()]
         self.requests = {}
         self.responses = {}
         self.calls = 0
@@ -199,7 +199,7 @@
         value = write_configuration(action.configuration)
         if self.store.swap(KEY, value, action.expected):
             self.written.append(action.configuration)
-            self.snapshots.append(self.store.copy())
+            self.snapshots.append(self.store.snapshot())
             return ("on_written",)
         return ("on_conflict", current)
 
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -1,4 +1,4 @@
-"""A driver of real membership cores on a clock that the test moves."""
+"""Driver of real membership cores on a simulated network and clock."""
 
 import heapq
 import random
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Network:
-    """What the network does to each datagram."""
+    """Simulated delay, loss and duplication of datagrams."""
 
     delay_ms: int = 1
     jitter_ms: int = 0
@@ -34,7 +34,7 @@
 
 @dataclass
 class FleetDriver:
-    """Balancers and agents that exchange messages through `network`."""
+    """Balancers and agents that exchange messages over a simulated network."""
 
     seed: int = 1
     network: Network = field(default_factory=Network)
@@ -45,11 +45,11 @@
         self.balancers: dict[Endpoint, BalancerMembership] = {}
         self.agents: dict[Endpoint, AgentAnnouncer] = {}
         self.frozen: set[Endpoint] = set()
-        self.frozen_loses = False
-        self.cut: list[tuple[frozenset[Endpoint], frozenset[Endpoint]]] = []
+        self.frozen_drop_packets = False
+        self.blocked_links: list[tuple[frozenset[Endpoint], frozenset[Endpoint]]] = []
         self._queue = []
-        self._order = count()
-        self._arrived_at = 0
+        self._sequence_numbers = count()
+        self._last_delivery_at = 0
 
     def add_balancer(self, number: int, incarnation: int = 1_000) -> Endpoint:
         endpoint = Endpoint(f"127.1.{number // 250}.{1 + number % 250}", 4300)
@@ -76,12 +76,12 @@
     def kill(self, endpoint: Endpoint) -> Node:
         return self.balancers.pop(endpoint, None) or self.agents.pop(endpoint)
 
-    def cut_off(self, one_side, other_side) -> None:
-        """Drop what `one_side` sends to `other_side`."""
-        self.cut.append((frozenset(one_side), frozenset(other_side)))
+    def block_links(self, sources, destinations) -> None:
+        """Drop datagrams from `sources` to `destinations`."""
+        self.blocked_links.append((frozenset(sources), frozenset(destinations)))
 
     def heal(self) -> None:
-        self.cut.clear()
+        self.blocked_links.clear()
 
     def run(self, duration_ms: int) -> None:
         end = self.now + duration_ms
@@ -99,7 +99,7 @@
                 self._send(source, send)
 
     def find_ready(self, service_id: int = 1) -> list[set[Endpoint]]:
-        """Return which agents take openings, in the view of each balancer."""
+        """Return the agents that are ready in the view of each running balancer."""
         return [
             {one.endpoint for one in node.directory.find_ready(service_id)}
             for endpoint, node in self.balancers.items()
@@ -112,28 +112,29 @@
             if not self.balancers:
                 return
             destination = self.random.choice(list(self.balancers))
-        is_cut = any(
-            source in ones and destination in others for ones, others in self.cut
+        is_blocked = any(
+            source in sources and destination in destinations
+            for sources, destinations in self.blocked_links
         )
-        if is_cut or self.random.random() < self.network.loss:
+        if is_blocked or self.random.random() < self.network.loss:
             return
         delay_ms = self.network.delay_ms + self.random.randint(
             0, self.network.jitter_ms
         )
-        at = max(self.now, self._arrived_at) + delay_ms
-        item = (at, next(self._order), source, destination, send)
+        at = max(self.now, self._last_delivery_at) + delay_ms
+        item = (at, next(self._sequence_numbers), source, destination, send)
         heapq.heappush(self._queue, item)
 
     def _deliver(self) -> None:
         later = []
         while self._queue and self._queue[0][0] <= self.now + TICK_MS // 2:
             item = heapq.heappop(self._queue)
-            self._arrived_at, _, source, destination, send = item
+            self._last_delivery_at, _, source, destination, send = item
             node = self.balancers.get(destination) or self.agents.get(destination)
             if destination in self.frozen:
-                # A socket's buffer keeps what a paused process doesn't read; a
-                # paused machine loses it.
-                if not self.frozen_loses:
+                # The socket buffer of a paused process keeps its datagrams; a paused
+                # machine loses them.
+                if not self.frozen_drop_packets:
                     later.append(item)
             elif node is not None:
                 self.receive(node, destination, send, source)
@@ -154,8 +155,8 @@
         return random.Random(self.random.randrange(1 << 30))
 
 
-def restart(record: AgentRecord) -> AgentRecord:
-    """Return the record of the next run of an agent."""
+def make_restarted_record(record: AgentRecord) -> AgentRecord:
+    """Return the record of an agent after its restart."""
     incarnation = Incarnation(record.incarnation + 1_000)
     return replace(
         record, incarnation=incarnation, sequence=1, state=AgentState.READY, suspicion=0
--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -84,7 +84,7 @@
     def start(self):
         """Start all processes and wait until they are ready."""
         for name in (*self.agents, *self.balancers):
-            self.start_one(name)
+            self.start_process(name)
         for name in (*self.agents, *self.balancers):
             self.wait_ready(name)
 
@@ -102,7 +102,7 @@
         role, _, number = name.partition("-")
         return self._ip(int(number) + (0 if role == "balancer" else 100))
 
-    def start_one(self, name):
+    def start_process(self, name):
         """Start a process."""
         path = self.folder / f"{name}.jsonc"
         path.write_text(json.dumps(self._settings(name)))
@@ -136,9 +136,9 @@
         """Return the process id."""
         return self._processes[name].pid
 
-    def signal(self, name, number):
+    def signal(self, name, signal_number):
         """Send a signal to a process."""
-        self._processes[name].send_signal(number)
+        self._processes[name].send_signal(signal_number)
 
     def wait_exit(self, name, timeout_s):
         """Wait until a process exits by itself; return its exit code."""
@@ -148,8 +148,8 @@
         """Return whether the readiness probe of a process succeeds."""
         url = f"http://{self.ip_of(name)}:{self.ports.readiness}/-/readyz"
         try:
-            with urllib.request.urlopen(url, timeout=1) as answer:
-                return answer.status == 200
+            with urllib.request.urlopen(url, timeout=1) as response:
+                return response.status == 200
         except OSError:
             return False
 
@@ -157,14 +157,16 @@
         """Wait until a process is ready."""
         deadline = time.monotonic() + READY_TIMEOUT_S
         while not self.is_ready(name):
-            assert time.monotonic() < deadline, f"{name} isn't ready"
+            assert time.monotonic() < deadline, (
+                f"{name} is not ready after {READY_TIMEOUT_S} s"
+            )
             time.sleep(0.02)
 
     def metrics(self, name):
         """Return the metrics of a process in their text format."""
         url = f"http://{self.ip_of(name)}:{self.ports.metrics}/metrics"
-        with urllib.request.urlopen(url, timeout=2) as answer:
-            return answer.read().decode()
+        with urllib.request.urlopen(url, timeout=2) as response:
+            return response.read().decode()
 
     def log(self, name):
         """Return the log events of a process."""
--- a/tests/soak/doubled.py
+++ b/tests/soak/mutants.py
@@ -1,6 +1,6 @@
-"""Runs a role with one mechanism turned off, which the soak has to find.
+"""Run a role with one mechanism disabled, which the soak test must detect.
 
-Usage: ``python -m tests.soak.doubled NAME ROLE``.
+Usage: ``python -m tests.soak.mutants NAME ROLE``.
 """
 
 import sys
@@ -14,37 +14,37 @@
 
 
 def never_unsure():
-    """Agents deny flows that they haven't seen since their start."""
-    real = OwnershipResolver.resolve
+    """Make agents deny ownership of flows that they haven't seen since their start."""
+    original = OwnershipResolver.resolve
 
     def resolve(self, question, now):
-        found = real(self, question, now)
+        found = original(self, question, now)
         return Ownership.NOT_OWNER if found is Ownership.UNKNOWN else found
 
     OwnershipResolver.resolve = resolve
 
 
 def never_asks():
-    """Balancers drop the packets of flows that they don't know."""
+    """Make balancers drop packets of unknown flows instead of looking up the owner."""
     OwnerLookup.find_owner = lambda *_, **__: []
 
 
 def ignores_drain():
-    """Agents give openings to backend servers that drain."""
+    """Make agents send openings to draining backend servers."""
     BackendState.is_draining = property(lambda _: False)
 
 
 def keeps_first_site():
-    """Balancers never put a newer configuration in force."""
-    real = PlainBalancer.apply_site
+    """Make balancers ignore every configuration after the first."""
+    original = PlainBalancer.apply_site
 
     def apply_site(self, site):
-        return self._site is None and real(self, site)
+        return self._site is None and original(self, site)
 
     PlainBalancer.apply_site = apply_site
 
 
-DOUBLES = {
+MUTANTS = {
     "never-unsure": never_unsure,
     "never-asks": never_asks,
     "ignores-drain": ignores_drain,
@@ -52,5 +52,5 @@
 }
 
 if __name__ == "__main__":
-    DOUBLES[sys.argv[1]]()
+    MUTANTS[sys.argv[1]]()
     sys.exit(main(sys.argv[2:]))
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -1,4 +1,4 @@
-"""What goes wrong in one soak, drawn from a seed."""
+"""Random schedule of the faults of one soak test."""
 
 import random
 from dataclasses import dataclass
@@ -20,59 +20,61 @@
     "entry removed": ("agent",),
     "configuration": ("all",),
 }
-"""Faults, and the roles of machines that they strike."""
+"""Kinds of faults, with the roles of the machines to which they apply."""
 
-USUAL_LENGTH_S = (0.1, 1.5)
-LENGTHS_S = {"backend drains": (2.0, 6.0)}
-"""How long faults last; a drain lasts beyond the bound for late openings."""
+DEFAULT_DURATION_S = (0.1, 1.5)
+DURATIONS_S = {"backend drains": (2.0, 6.0)}
+"""Ranges of fault durations; a drain outlasts the limit for late openings."""
 
-SERIES = 3
-"""The most times that one fault strikes in a row."""
+MAX_REPEATS = 3
+"""Maximum number of consecutive occurrences of one fault."""
 
 
 @dataclass(frozen=True)
 class Fault:
-    """One fault.
+    """Scheduled fault.
 
     Attributes
     ----------
-    at : float
-        Seconds from the start.
+    start_s : float
+        Time from the start of the run, in seconds.
     kind : str
-        A key of `FAULTS`.
+        Kind of fault, a key of `FAULTS`.
     target : str
-        The machine, or "all".
-    for_s : float
-        How long it lasts, in seconds.
+        Name of the machine, or "all".
+    duration_s : float
+        Duration in seconds.
     """
 
-    at: float
+    start_s: float
     kind: str
     target: str
-    for_s: float
+    duration_s: float
 
 
 def draw_plan(seed, machines, duration):
-    """Return the faults of a seed in order of time; they overlap.
+    """Return the faults of a seed in order of their start; they may overlap.
 
     Parameters
     ----------
     seed : int
-        The source of all draws.
+        Seed of the random number generator.
     machines : dict of str to list of str
-        The names of machines by role.
+        Names of the machines by role.
     duration : float
-        The time in which faults begin, in seconds.
+        Time in which faults begin, in seconds.
     """
-    draw = random.Random(seed)
+    random_source = random.Random(seed)
     faults = []
     while len(faults) < 2 * duration:
-        kind = draw.choice(list(FAULTS))
-        role = draw.choice(FAULTS[kind])
-        at = draw.uniform(0.0, duration)
-        for _ in range(draw.randint(1, SERIES)):
-            target = draw.choice(machines[role]) if role in machines else role
-            for_s = draw.uniform(*LENGTHS_S.get(kind, USUAL_LENGTH_S))
-            faults.append(Fault(at, kind, target, for_s))
-            at += draw.uniform(0.05, 0.6)
-    return sorted(faults, key=lambda one: one.at)
+        kind = random_source.choice(list(FAULTS))
+        role = random_source.choice(FAULTS[kind])
+        start_s = random_source.uniform(0.0, duration)
+        for _ in range(random_source.randint(1, MAX_REPEATS)):
+            target = random_source.choice(machines[role]) if role in machines else role
+            duration_s = random_source.uniform(
+                *DURATIONS_S.get(kind, DEFAULT_DURATION_S)
+            )
+            faults.append(Fault(start_s, kind, target, duration_s))
+            start_s += random_source.uniform(0.05, 0.6)
+    return sorted(faults, key=lambda one: one.start_s)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,4 +1,4 @@
-"""Plays the faults of a seed against a fleet and checks what was promised."""
+"""Soak test: injects the faults of a seed into a fleet and checks its guarantees."""
 
 import signal
 import threading
@@ -8,24 +8,36 @@
 from tests.soak.plan import draw_plan
 from tests.soak.world import SoakFleet
 
-FLOWS = 12
-PATIENCE_S = 8.0
-"""How long a request on an open flow is sent again: a backend server gives up later."""
+CALLER_COUNT = 12
+REQUEST_TIMEOUT_S = 8.0
+"""Time for which a request is retransmitted on an open flow.
 
-DRAIN_S = 3.0
-"""How long after an acknowledged report openings may come; source: the rules."""
+A backend server gives up later.
+"""
 
-IN_TOUCH_S = 4.0
-"""How long a machine that was struck isn't held to bounds; source: the rules."""
+DRAIN_OPENING_LIMIT_S = 3.0
+"""Time after an acknowledged drain report in which openings may still arrive.
 
-RECOVERY_S = 12.0
-"""How long after the last fault everything is served; source: the rules."""
+Source: the rules.
+"""
 
-ENTRY_BACK_S = 2.0
-"""How soon after the store's return an entry is back; source: the users' request."""
+DISTURBANCE_GRACE_S = 4.0
+"""Time after a fault on a machine during which it may exceed the limits.
 
-START_S = 0.5
-"""How long a process takes to start."""
+Source: the rules.
+"""
+
+RECOVERY_LIMIT_S = 12.0
+"""Maximum time from the last fault until everything is served; source: the rules."""
+
+ENTRY_RESTORE_LIMIT_S = 2.0
+"""Maximum time from the store's recovery until an entry is stored again.
+
+Source: the customers' request.
+"""
+
+PROCESS_START_S = 0.5
+"""Time allowed for a process to start."""
 
 STORE_MODES = {
     "store delayed": "delayed",
@@ -38,14 +50,14 @@
 
 
 class Caller(threading.Thread):
-    """Sends requests on one flow, then opens another.
+    """Thread that sends requests on one flow, then opens another.
 
     Parameters
     ----------
     soak : Soak
-        Receives the broken flows.
+        Soak test to which broken flows are reported.
     client : FlowClient
-        Sends the packets.
+        Client that sends the packets.
     flow_requests : int or None
         Number of requests on each flow; None keeps a flow open until it breaks.
     """
@@ -65,9 +77,11 @@
                 continue
             while not self.is_closed:
                 number += 1
-                outcome = self._client.request(b"request %08d" % number, PATIENCE_S)
+                outcome = self._client.request(
+                    b"request %08d" % number, REQUEST_TIMEOUT_S
+                )
                 if outcome is not True:
-                    self._soak.note_broken(self._client, outcome)
+                    self._soak.record_broken_flow(self._client, outcome)
                     break
                 time.sleep(0.03)
                 if self._flow_requests and number % self._flow_requests == 0:
@@ -76,22 +90,22 @@
 
 
 class Soak:
-    """One seed.
+    """Soak test of one seed.
 
     Parameters
     ----------
     seed : int
-        The source of the faults.
+        Seed of the fault schedule.
     folder : Path
-        Where settings and logs go.
+        Folder of the settings files and logs.
     block : int
-        Third part of the loopback numbers.
+        Third octet of the loopback addresses.
     duration : float
-        The time in which faults begin, in seconds.
+        Time in which faults begin, in seconds.
     size : int
-        How many balancers, and how many agents.
-    double : str or None
-        The mechanism that is turned off.
+        Number of balancers and of agents.
+    mutant : str or None
+        Name of the mutant whose mechanism is disabled, a key of `MUTANTS`.
     flow_requests : int or None
         Number of requests on each flow; None keeps flows open until they break.
     """
@@ -103,31 +117,31 @@
         block,
         duration=6.0,
         size=3,
-        double=None,
+        mutant=None,
         flow_requests=None,
     ):
         self.violations = []
         self._flow_requests = flow_requests
-        self.fleet = SoakFleet(folder, block, size, double)
+        self.fleet = SoakFleet(folder, block, size, mutant)
         machines = {"balancer": self.fleet.balancers, "agent": self.fleet.agents}
         self.plan = draw_plan(seed, machines, duration)
-        self._undo = []
+        self._pending_ends = []
         self._restarts = []
-        self._holders = defaultdict(int)
+        self._active_counts = defaultdict(int)
 
     def run(self):
-        """Play all faults; return what was violated."""
+        """Inject all faults and return descriptions of the violations."""
         fleet = self.fleet
         callers = []
         try:
             fleet.start()
             callers = [
                 Caller(self, fleet.make_client(), self._flow_requests)
-                for _ in range(FLOWS)
+                for _ in range(CALLER_COUNT)
             ]
             for caller in callers:
                 caller.start()
-            self._play()
+            self._inject_faults()
             self._check_recovery()
             for caller in callers:
                 caller.is_closed = True
@@ -141,48 +155,56 @@
             fleet.close()
         return self.violations
 
-    def note_broken(self, client, outcome):
-        """Note that a request on an open flow got a reset, or no answer."""
+    def record_broken_flow(self, client, outcome):
+        """Record a violation if a flow with a reset or no response is still open."""
         for name, backend in self.fleet.backends.items():
             if backend.owns(client.flow, client.acknowledged):
                 what = "reset" if outcome == "reset" else "unanswered"
-                self.violations.append(f"{what}: {client.flow[0]} lives at {name}")
+                self.violations.append(
+                    f"{what}: flow of {client.flow[0]} is still open at {name}"
+                )
 
-    def _play(self):
+    def _inject_faults(self):
         start = time.monotonic()
         for fault in self.plan:
-            self._end_due(start + fault.at)
-            time.sleep(max(0.0, start + fault.at - time.monotonic()))
-            self._strike(fault)
-        self._end_due(None)
+            self._end_due_faults(start + fault.start_s)
+            time.sleep(max(0.0, start + fault.start_s - time.monotonic()))
+            self._inject(fault)
+        self._end_due_faults(None)
         self._join_restarts()
 
     def _join_restarts(self):
         for restart in self._restarts:
             restart.join()
 
-    def _end_due(self, until):
-        """End the faults that are over before a time."""
-        while self._undo and (until is None or min(self._undo)[0] <= until):
-            ends_at, _, undo = due = min(self._undo, key=lambda one: one[:2])
-            self._undo.remove(due)
+    def _end_due_faults(self, until):
+        """End the faults that are due before `until`, or all of them if it is None."""
+        while self._pending_ends and (
+            until is None or min(self._pending_ends)[0] <= until
+        ):
+            ends_at, _, end_fault = due = min(
+                self._pending_ends, key=lambda one: one[:2]
+            )
+            self._pending_ends.remove(due)
             time.sleep(max(0.0, ends_at - time.monotonic()))
-            undo()
+            end_fault()
 
-    def _until_end(self, key, fault, begin, end):
-        """Hold a state for as long as a fault lasts; faults of one kind overlap."""
-        self._holders[key] += 1
+    def _hold_until_end(self, key, fault, begin, end):
+        """Hold a state until the last of the overlapping faults with this key ends."""
+        self._active_counts[key] += 1
         begin()
 
-        def undo():
-            self._holders[key] -= 1
-            if not self._holders[key]:
+        def end_fault():
+            self._active_counts[key] -= 1
+            if not self._active_counts[key]:
                 end()
 
-        ends_at = time.monotonic() + fault.for_s
-        self._undo.append((ends_at, len(self._undo) + fault.at, undo))
+        ends_at = time.monotonic() + fault.duration_s
+        self._pending_ends.append(
+            (ends_at, len(self._pending_ends) + fault.start_s, end_fault)
+        )
 
-    def _strike(self, fault):
+    def _inject(self, fault):
         fleet, name = self.fleet, fault.target
         if fault.kind in SIGNALS:
             number = SIGNALS[fault.kind]
@@ -190,7 +212,7 @@
             self._restarts.append(restart)
             restart.start()
         elif fault.kind == "pause":
-            self._until_end(
+            self._hold_until_end(
                 (name, "pause"),
                 fault,
                 lambda: self._signal(name, signal.SIGSTOP),
@@ -199,23 +221,29 @@
         elif fault.kind == "hangup":
             self._signal(name, signal.SIGHUP)
         elif fault.kind in STORE_MODES:
-            self._harm(fleet.ways[name], STORE_MODES[fault.kind], fault)
+            self._set_proxy_mode(
+                fleet.store_proxies[name], STORE_MODES[fault.kind], fault
+            )
         elif fault.kind in PACKET_MODES:
-            self._harm(fleet.entries[name], PACKET_MODES[fault.kind], fault)
+            self._set_proxy_mode(
+                fleet.packet_proxies[name], PACKET_MODES[fault.kind], fault
+            )
         else:
-            self._strike_platform(fault)
+            self._inject_service_fault(fault)
 
-    def _strike_platform(self, fault):
+    def _inject_service_fault(self, fault):
         fleet, name = self.fleet, fault.target
         match fault.kind:
             case "backend restarted":
-                fleet.disturb(name)
+                fleet.mark_disturbed(name)
                 fleet.backends[name].restart()
             case "backend drains":
                 backend = fleet.backends[name]
-                self._until_end((name, "drain"), fault, backend.drain, backend.resume)
+                self._hold_until_end(
+                    (name, "drain"), fault, backend.drain, backend.resume
+                )
             case "store down":
-                self._until_end("down", fault, self._store_down, self._store_up)
+                self._hold_until_end("down", fault, self._store_down, self._store_up)
             case "entry removed":
                 key = f"papayagw/agents/{name}"
                 if key in fleet.store.list_keys():
@@ -225,18 +253,18 @@
             case other:
                 raise ValueError(other)
 
-    def _harm(self, proxy, mode, fault):
+    def _set_proxy_mode(self, proxy, mode, fault):
         def begin():
             proxy.mode = mode
 
         def end():
             proxy.mode = "pass"
 
-        self._until_end(id(proxy), fault, begin, end)
+        self._hold_until_end(id(proxy), fault, begin, end)
 
     def _signal(self, name, number):
         with self.fleet.lock:
-            self.fleet.disturb(name)
+            self.fleet.mark_disturbed(name)
             self.fleet.signal(name, number)
 
     def _store_down(self):
@@ -246,33 +274,42 @@
         self.fleet.store.is_down = False
 
     def _check_recovery(self):
-        """Wait until everything is served again, within the bound."""
+        """Check that everything is served again within `RECOVERY_LIMIT_S`."""
         fleet = self.fleet
-        time.sleep(START_S)
-        fleet.start_ended()
+        time.sleep(PROCESS_START_S)
+        fleet.restart_early_exits()
         started_at = time.monotonic()
         keys = {f"papayagw/agents/{name}" for name in fleet.agents}
-        self._expect("entries", lambda: keys <= fleet.store.list_keys(), RECOVERY_S)
+        self._wait_for(
+            "entries of all agents",
+            lambda: keys <= fleet.store.list_keys(),
+            RECOVERY_LIMIT_S,
+        )
         names = (*fleet.balancers, *fleet.agents)
         for name in names:
-            self._expect(f"{name} ready", lambda n=name: fleet.is_ready(n), RECOVERY_S)
+            self._wait_for(
+                f"{name} ready", lambda n=name: fleet.is_ready(n), RECOVERY_LIMIT_S
+            )
         for name in fleet.balancers:
-            self._expect(
+            self._wait_for(
                 f"{name} on version {fleet.version}",
                 lambda n=name: self._last_version(n) == fleet.version,
-                RECOVERY_S,
+                RECOVERY_LIMIT_S,
             )
         client = fleet.make_client()
-        left = max(1.0, RECOVERY_S - (time.monotonic() - started_at))
-        if not client.open(left) or client.request(b"at last", left) is not True:
-            self.violations.append("a new flow isn't served")
+        remaining_s = max(1.0, RECOVERY_LIMIT_S - (time.monotonic() - started_at))
+        if (
+            not client.open(remaining_s)
+            or client.request(b"at last", remaining_s) is not True
+        ):
+            self.violations.append("a new flow is not served after the last fault")
         client.close()
 
-    def _expect(self, what, holds, seconds):
+    def _wait_for(self, what, condition, seconds):
         deadline = time.monotonic() + seconds
-        while not holds():
+        while not condition():
             if time.monotonic() > deadline:
-                self.violations.append(f"not within {seconds} s: {what}")
+                self.violations.append(f"not reached within {seconds} s: {what}")
                 return
             time.sleep(0.05)
 
@@ -285,10 +322,10 @@
         return versions[-1] if versions else None
 
     def _check_records(self):
-        """Check what backend servers and programs recorded."""
+        """Check the processes' exits and the records of backend servers and logs."""
         fleet = self.fleet
-        fleet.note_ends()
-        self.violations += [f"ended by itself: {one}" for one in fleet.ended_alone]
+        fleet.record_unexpected_exits()
+        self.violations += [f"unexpected exit: {one}" for one in fleet.unexpected_exits]
         ran_at = defaultdict(set)
         for name, backend in fleet.backends.items():
             for request in backend.runs:
@@ -296,16 +333,18 @@
             self._check_drain(name, backend)
         for request, names in ran_at.items():
             if len(names) > 1:
-                self.violations.append(f"ran at {sorted(names)}: {request}")
+                self.violations.append(
+                    f"executed at several agents {sorted(names)}: {request}"
+                )
         for name in (*fleet.balancers, *fleet.agents):
             self._check_log(name)
 
     def _check_drain(self, name, backend):
-        struck_at = self.fleet.disturbed_at.get(name, 0.0)
+        last_disturbed_at = self.fleet.disturbed_at.get(name, 0.0)
         for at, drained_at in backend.openings:
-            if drained_at is None or at - drained_at <= DRAIN_S:
+            if drained_at is None or at - drained_at <= DRAIN_OPENING_LIMIT_S:
                 continue
-            if not struck_at <= at <= struck_at + IN_TOUCH_S:
+            if not last_disturbed_at <= at <= last_disturbed_at + DISTURBANCE_GRACE_S:
                 late = at - drained_at
                 self.violations.append(f"{name} drains, opening after {late:.1f} s")
 
@@ -313,10 +352,12 @@
         version = 0
         for one in self.fleet.log(name):
             if one["event"] == "fault":
-                self.violations.append(f"{name}: {one['error']}")
+                self.violations.append(f"{name} logged a fault: {one['error']}")
             if one["event"] == "started":
                 version = 0
             if one["event"] == "configuration in force":
                 if one["version"] < version:
-                    self.violations.append(f"{name} went back to {one['version']}")
+                    self.violations.append(
+                        f"{name} reverted to version {one['version']}"
+                    )
                 version = one["version"]
