--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -171,7 +171,7 @@
     taker.apply_if_newer(before)
     giver.apply_if_newer(Configuration(2, site, marks))
     started = time.process_time()
-    taken = taker.resolve(giver.answer(taker.question))
+    taken = taker.resolve_reply(giver.make_reply(taker.query))
     if taken is None:
         raise SystemExit("the change didn't apply")
     taker.apply_if_newer(taken)
--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -7,7 +7,7 @@
 
 from papayagw._internal.cli.loading import start_source, unwrap
 from papayagw._internal.cli.running import make_identity, run_observed
-from papayagw._internal.core.admission import make_adaptive
+from papayagw._internal.core.admission import make_adaptive_admission
 from papayagw._internal.core.agent import AgentCore
 from papayagw._internal.core.announcer import AgentAnnouncer
 from papayagw._internal.core.choice import RendezvousChooser
@@ -84,7 +84,7 @@
     announcer = AgentAnnouncer(
         own, configuration.site.control_address, siblings, random.Random()
     )
-    admission = make_adaptive(AdmissionPolicy(max_flows=service.max_flows))
+    admission = make_adaptive_admission(AdmissionPolicy(max_flows=service.max_flows))
     return AgentProcess(
         settings, configuration, core, admission, announcer, clock, source, log
     )
--- a/src/papayagw/_internal/core/admission.py
+++ b/src/papayagw/_internal/core/admission.py
@@ -39,7 +39,7 @@
     def submit(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
         """Admit, queue or refuse an accepted flow."""
 
-    def finish_work(self, flow: FlowNumber, end: ReleaseReason, now: Millis) -> None:
+    def finish_work(self, flow: FlowNumber, reason: ReleaseReason, now: Millis) -> None:
         """Record that a flow's work has ended; the flow itself may stay open."""
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
@@ -109,7 +109,7 @@
         if self.flows >= self._policy.max_flows or expires_at <= now:
             return AdmissionDecision.REFUSE
         # A client with queued requests has used up its share, or `poll` is due.
-        if not self._queue.has_client(request.client) and self._may_start(
+        if not self._queue.has_client(request.client) and self._may_admit(
             request.client
         ):
             self._add_work(request.flow, request.client, now)
@@ -121,15 +121,15 @@
             self._evicted.append(evicted)
         return AdmissionDecision.QUEUE
 
-    def finish_work(self, flow: FlowNumber, end: ReleaseReason, now: Millis) -> None:
+    def finish_work(self, flow: FlowNumber, reason: ReleaseReason, now: Millis) -> None:
         """Record that a flow's work has ended; the flow itself may stay open."""
         work = self._work.get(flow)
         if work is None:
             return
-        if end is ReleaseReason.ANSWERED:
+        if reason is ReleaseReason.ANSWERED:
             latency = Millis(now - work.admitted_at)
             self._limit.record_answer(latency, self.in_progress, now)
-        elif end is ReleaseReason.FAILED:
+        elif reason is ReleaseReason.FAILED:
             self._limit.record_failure(now)
         self._remove_work(flow)
 
@@ -153,7 +153,7 @@
         self._evicted.clear()
         admitted: list[FlowNumber] = []
         while self.flows < self._policy.max_flows:
-            request = self._queue.pop(self._rank)
+            request = self._queue.pop(self._rank_client)
             if request is None:
                 break
             self._add_work(request.flow, request.client, now)
@@ -168,13 +168,13 @@
             else min(expires_at, request.deadline)
         )
 
-    def _may_start(self, client: str) -> bool:
+    def _may_admit(self, client: str) -> bool:
         share = math.ceil(self.limit * self._policy.max_client_share)
         own = self._in_progress_of.get(client, 0)
         return self.in_progress < self.limit and own < max(1, share)
 
-    def _rank(self, client: str) -> float | None:
-        if not self._may_start(client):
+    def _rank_client(self, client: str) -> float | None:
+        if not self._may_admit(client):
             return None
         return self._in_progress_of.get(client, 0)
 
@@ -194,18 +194,18 @@
             del self._in_progress_of[work.client]
 
 
-def make_adaptive(policy: AdmissionPolicy) -> FairAdmission:
+def make_adaptive_admission(policy: AdmissionPolicy) -> FairAdmission:
     """Return admission control with an adaptive limit, as used in production."""
     limit = AdaptiveLimit(policy.initial_limit, policy.min_limit, policy.max_limit)
     return FairAdmission(policy, limit)
 
 
-def make_fixed(policy: AdmissionPolicy) -> FairAdmission:
+def make_fixed_admission(policy: AdmissionPolicy) -> FairAdmission:
     """Return a baseline with a fixed limit of `policy.max_limit`."""
     return FairAdmission(policy, FixedLimit(policy.max_limit))
 
 
-class Unlimited:
+class UnlimitedAdmission:
     """Baseline that admits every flow immediately."""
 
     @property
@@ -217,7 +217,7 @@
         """Admit the flow."""
         return AdmissionDecision.ADMIT
 
-    def finish_work(self, flow: FlowNumber, end: ReleaseReason, now: Millis) -> None:
+    def finish_work(self, flow: FlowNumber, reason: ReleaseReason, now: Millis) -> None:
         """Ignore the event."""
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -165,7 +165,7 @@
             return ()
         self._drop_silent_watchers()
         if not self._watchers:
-            return self._announce(now)
+            return self._announce_if_due(now)
         return self._send_heartbeat(now)
 
     def _announce_change(self, record: AgentRecord, now: Millis) -> tuple[Send, ...]:
@@ -178,7 +178,7 @@
         destinations = (*self._watchers, self._control_address)
         return tuple(Send(destination, message) for destination in destinations)
 
-    def _announce(self, now: Millis) -> tuple[Send, ...]:
+    def _announce_if_due(self, now: Millis) -> tuple[Send, ...]:
         if now < self._announce_at:
             return ()
         wait = self._announce_interval
--- a/src/papayagw/_internal/core/backoff.py
+++ b/src/papayagw/_internal/core/backoff.py
@@ -17,7 +17,7 @@
         Source of the jitter.
     first_ms : Millis
         Maximum wait after the first failure; doubles with each further failure.
-    longest_ms : Millis
+    max_ms : Millis
         Upper limit of the wait.
     """
 
@@ -25,11 +25,11 @@
         self,
         random: Random,
         first_ms: Millis = FIRST_WAIT_MS,
-        longest_ms: Millis = MAX_WAIT_MS,
+        max_ms: Millis = MAX_WAIT_MS,
     ):
         self._random = random
         self._first_ms = first_ms
-        self._longest_ms = longest_ms
+        self._max_ms = max_ms
         self._ceiling_ms = first_ms
 
     def reset(self) -> None:
@@ -39,5 +39,5 @@
     def next_wait(self) -> Millis:
         """Record a failure and return the wait before the next attempt."""
         ceiling = self._ceiling_ms
-        self._ceiling_ms = Millis(min(2 * ceiling, self._longest_ms))
+        self._ceiling_ms = Millis(min(2 * ceiling, self._max_ms))
         return Millis(self._random.randint(1, ceiling))
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -3,7 +3,7 @@
 from enum import Enum
 
 from papayagw._internal.core.configuration_change import (
-    ChangeLog,
+    RecentVersions,
     apply_change,
     reuse_equal_services,
 )
@@ -30,7 +30,7 @@
 
     def __init__(self) -> None:
         self._current: Configuration | None = None
-        self._changes = ChangeLog()
+        self._recent_versions = RecentVersions()
         self._refused = 0
 
     @property
@@ -49,7 +49,7 @@
         return self._refused
 
     @property
-    def question(self) -> ConfigurationQuery:
+    def query(self) -> ConfigurationQuery:
         """Query to a peer that may have a newer version."""
         submission_id = self._current.submission_id if self._current else ""
         return ConfigurationQuery(self.version, submission_id)
@@ -61,26 +61,28 @@
             if self._current is not None:
                 configuration = reuse_equal_services(self._current, configuration)
             self._current = configuration
-            self._changes.add(configuration)
+            self._recent_versions.add(configuration)
         elif order is not VersionOrder.SAME:
             self._refused += 1
         return order
 
-    def answer(self, question: ConfigurationQuery) -> ConfigurationReply:
+    def make_reply(self, query: ConfigurationQuery) -> ConfigurationReply:
         """Return the answer that updates a peer to the version in force here."""
         current = self._current
-        if current is None or question.version >= current.version:
+        if current is None or query.version >= current.version:
             return NotModified()
-        change = self._changes.find_since(question.version, question.submission_id)
+        change = self._recent_versions.find_change_since(
+            query.version, query.submission_id
+        )
         return current if change is None else change
 
-    def resolve(self, answer: ConfigurationReply) -> Configuration | None:
+    def resolve_reply(self, reply: ConfigurationReply) -> Configuration | None:
         """Return the configuration that results from a peer's answer, or None."""
-        if isinstance(answer, NotModified):
+        if isinstance(reply, NotModified):
             return None
-        if isinstance(answer, Configuration):
-            return answer
-        return apply_change(self._current, answer) if self._current else None
+        if isinstance(reply, Configuration):
+            return reply
+        return apply_change(self._current, reply) if self._current else None
 
     def _compare_version(self, configuration: Configuration) -> VersionOrder:
         if self._current is None or configuration.version > self._current.version:
--- a/src/papayagw/_internal/core/configuration_change.py
+++ b/src/papayagw/_internal/core/configuration_change.py
@@ -78,7 +78,7 @@
     return replace(after, site=replace(after.site, services=tuple(services)))
 
 
-class ChangeLog:
+class RecentVersions:
     """Most recent configuration versions of a node, to compute changes from."""
 
     def __init__(self) -> None:
@@ -90,7 +90,7 @@
         while len(self._versions) > MAX_KEPT_VERSIONS:
             self._versions.popitem(last=False)
 
-    def find_since(
+    def find_change_since(
         self, version: int, submission_id: str
     ) -> ConfigurationChange | None:
         """Return the change from a kept version to the latest, or None."""
--- a/src/papayagw/_internal/core/directory.py
+++ b/src/papayagw/_internal/core/directory.py
@@ -50,14 +50,14 @@
         if known is not None and known.precedence >= record.precedence:
             return False
         if known is not None and known.service_id != record.service_id:
-            self._remove(known)
+            self._remove_from_service(known)
         self._records[key] = record
         if record.state is AgentState.GONE:
             self._gone[key] = record.incarnation & INCARNATION_MASK
         else:
             self._gone.pop(key, None)
         self._by_service.setdefault(record.service_id, {})[key] = record
-        self._refresh(record.service_id)
+        self._update_ready(record.service_id)
         return True
 
     def forget(self, record: AgentRecord) -> None:
@@ -65,7 +65,7 @@
         known = self._records.pop(record.endpoint.sockaddr, None)
         self._gone.pop(record.endpoint.sockaddr, None)
         if known is not None:
-            self._remove(known)
+            self._remove_from_service(known)
 
     def find_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
         """Return the agents of a service that accept openings."""
@@ -80,12 +80,12 @@
         records = self._by_service.get(service_id, {}).values()
         return [record for record in records if record.state is AgentState.READY]
 
-    def _remove(self, record: AgentRecord) -> None:
+    def _remove_from_service(self, record: AgentRecord) -> None:
         of_service = self._by_service.get(record.service_id, {})
         of_service.pop(record.endpoint.sockaddr, None)
-        self._refresh(record.service_id)
+        self._update_ready(record.service_id)
 
-    def _refresh(self, service_id: ServiceId) -> None:
+    def _update_ready(self, service_id: ServiceId) -> None:
         reported_ready = self.find_reported_ready(service_id)
         excluded = select_excluded(reported_ready)
         self._ready[service_id] = tuple(
--- a/src/papayagw/_internal/core/fair_queue.py
+++ b/src/papayagw/_internal/core/fair_queue.py
@@ -55,7 +55,7 @@
             busiest_client = max(
                 self._requests, key=lambda one: len(self._requests[one]), default=""
             )
-            if self._count_of(request.client) >= self._count_of(busiest_client):
+            if self._count_queued(request.client) >= self._count_queued(busiest_client):
                 return request.flow
             evicted = self._requests[busiest_client][-1].request.flow
             self.remove(evicted)
@@ -117,5 +117,5 @@
             for queued in client_queue
         )
 
-    def _count_of(self, client: str) -> int:
+    def _count_queued(self, client: str) -> int:
         return len(self._requests.get(client, ()))
--- a/src/papayagw/_internal/core/fleet.py
+++ b/src/papayagw/_internal/core/fleet.py
@@ -36,7 +36,7 @@
         self._table.merge(own, Millis(0))
         self._updates = UpdateQueue(self._table)
         self._superseded = False
-        self._version = -1
+        self._balancers_version = -1
         self._peers: tuple[Endpoint, ...] = ()
         self._reachable: tuple[Endpoint, ...] = ()
         self._suspected: tuple[BalancerRecord, ...] = ()
@@ -65,29 +65,29 @@
     @property
     def peers(self) -> tuple[Endpoint, ...]:
         """The other balancers that aren't gone, including suspected ones."""
-        self._refresh()
+        self._refresh_balancers()
         return self._peers
 
     @property
     def reachable(self) -> tuple[Endpoint, ...]:
         """The other balancers that are neither gone nor suspected."""
-        self._refresh()
+        self._refresh_balancers()
         return self._reachable
 
     @property
     def suspected(self) -> tuple[BalancerRecord, ...]:
         """The other balancers under suspicion."""
-        self._refresh()
+        self._refresh_balancers()
         return self._suspected
 
     @property
-    def size(self) -> int:
+    def balancer_count(self) -> int:
         """The number of balancers that aren't gone, including this one."""
         return len(self.peers) + 1
 
     def list_watchers(self, agent: Endpoint) -> tuple[Endpoint, ...]:
         """Return the balancers that watch an agent."""
-        self._refresh()
+        self._refresh_balancers()
         return self._rendezvous.choose(str(agent), WATCHERS_PER_AGENT)
 
     def is_watcher(self, agent: Endpoint) -> bool:
@@ -98,7 +98,7 @@
         """Merge a record and queue it for gossip if it is newer."""
         outcome = self.merge_without_gossip(record, now)
         if outcome is MergeOutcome.NEWER:
-            self._updates.add_record(record, self.size)
+            self._updates.add_record(record, self.balancer_count)
         elif outcome is MergeOutcome.KNOWN:
             self._updates.record_duplicate(record.endpoint)
         return outcome
@@ -117,7 +117,7 @@
         for record in compared.ahead:
             self.merge_without_gossip(record, now)
         if compared.ahead:
-            self._updates.add_suspicion(vector.bucket, self.size)
+            self._updates.add_suspicion(vector.bucket, self.balancer_count)
         elif not compared.behind:
             self._updates.record_duplicate(vector.bucket)
         return True
@@ -126,7 +126,7 @@
         """Suspect a node, or clear the suspicion, and queue the change for gossip."""
         changed = replace(record, suspicion=record.suspicion + 1)
         if self.merge_without_gossip(changed, now) is MergeOutcome.NEWER:
-            self._updates.add_suspicion(find_bucket(record), self.size)
+            self._updates.add_suspicion(find_bucket(record), self.balancer_count)
 
     def mark_gone(self, record: Record, now: Millis) -> None:
         """Mark a node as gone and queue the change for gossip."""
@@ -138,7 +138,7 @@
             self._own, sequence=self._own.sequence + 1, state=AgentState.GONE
         )
         self._table.merge(self._own, now)
-        self._updates.add_record(self._own, self.size)
+        self._updates.add_record(self._own, self.balancer_count)
 
     def _merge_own(self, record: Record, now: Millis) -> MergeOutcome:
         if isinstance(record, AgentRecord) or record.incarnation > (
@@ -156,16 +156,16 @@
     def _refute(self, received: BalancerRecord, now: Millis) -> None:
         if received.sequence > self._own.sequence or received.state is AgentState.GONE:
             self._own = replace(self._own, sequence=received.sequence + 1, suspicion=0)
-            self._updates.add_record(self._own, self.size)
+            self._updates.add_record(self._own, self.balancer_count)
         else:
             self._own = replace(self._own, suspicion=received.suspicion + 1)
-            self._updates.add_suspicion(find_bucket(received), self.size)
+            self._updates.add_suspicion(find_bucket(received), self.balancer_count)
         self._table.merge(self._own, now)
 
-    def _refresh(self) -> None:
-        if self._version == self._table.balancers_version:
+    def _refresh_balancers(self) -> None:
+        if self._balancers_version == self._table.balancers_version:
             return
-        self._version = self._table.balancers_version
+        self._balancers_version = self._table.balancers_version
         balancers = self._table.balancers
         others = [one for one in balancers if one.endpoint != self._own.endpoint]
         self._peers = tuple(one.endpoint for one in others)
--- a/src/papayagw/_internal/core/gossip_probe.py
+++ b/src/papayagw/_internal/core/gossip_probe.py
@@ -14,7 +14,7 @@
 PROBE_INTERVAL_MS = Millis(1_000)
 """Minimum interval between two probes."""
 
-INQUIRE_TIMEOUT_MS = Millis(300)
+LIVENESS_REQUEST_TIMEOUT_MS = Millis(300)
 """Time without an answer after which peers are asked to probe the balancer."""
 
 SUSPECT_TIMEOUT_MS = Millis(900)
@@ -44,7 +44,7 @@
         The balancer to which a probe with the number `number` has to be sent.
     number : int
         The number that matches the answer to the probe.
-    inquire : Endpoint or None
+    request_liveness : Endpoint or None
         The balancer about which peers have to be sent a liveness request.
     suspect : Endpoint or None
         The balancer that has to be suspected.
@@ -52,7 +52,7 @@
 
     probe: Endpoint | None = None
     number: int = 0
-    inquire: Endpoint | None = None
+    request_liveness: Endpoint | None = None
     suspect: Endpoint | None = None
 
 
@@ -84,7 +84,7 @@
             return self._check_pending(self._pending, now)
         if now < self._next_at or not peers:
             return ProbeStep()
-        target = self._pick(peers)
+        target = self._pick_target(peers)
         self._number += 1
         self._next_at = Millis(now + PROBE_INTERVAL_MS)
         self._pending = _PendingProbe(target, self._number, now)
@@ -112,12 +112,12 @@
             self._pending = None
             self._misses += 1
             return ProbeStep(suspect=pending.target)
-        if age >= INQUIRE_TIMEOUT_MS and not pending.request_sent:
+        if age >= LIVENESS_REQUEST_TIMEOUT_MS and not pending.request_sent:
             self._pending = replace(pending, request_sent=True)
-            return ProbeStep(inquire=pending.target)
+            return ProbeStep(request_liveness=pending.target)
         return ProbeStep()
 
-    def _pick(self, peers: Sequence[Endpoint]) -> Endpoint:
+    def _pick_target(self, peers: Sequence[Endpoint]) -> Endpoint:
         if not self._queue:
             self._queue = list(peers)
             self._random.shuffle(self._queue)
--- a/src/papayagw/_internal/core/gossip_queue.py
+++ b/src/papayagw/_internal/core/gossip_queue.py
@@ -92,8 +92,8 @@
         """Return the updates that fit into `room_bytes`, counted as sent once."""
         records: list[Record] = []
         vectors: list[SuspicionVector] = []
-        for subject, queued in self._sort():
-            update = self._read(subject)
+        for subject, queued in self._sort_by_priority():
+            update = self._read_content(subject)
             size_bytes = 0 if update is None else estimate_bytes(update)
             if size_bytes > room_bytes:
                 break
@@ -105,13 +105,15 @@
                 records.append(update)
         return make_updates(records, vectors)
 
-    def _sort(self) -> list[tuple[Endpoint | Bucket, _QueuedUpdate]]:
+    def _sort_by_priority(self) -> list[tuple[Endpoint | Bucket, _QueuedUpdate]]:
         return sorted(
             self._queued.items(),
             key=lambda item: (item[1].priority, -item[1].transmissions),
         )
 
-    def _read(self, subject: Endpoint | Bucket) -> Record | SuspicionVector | None:
+    def _read_content(
+        self, subject: Endpoint | Bucket
+    ) -> Record | SuspicionVector | None:
         if isinstance(subject, Bucket):
             return self._table.make_vector(subject)
         return self._table.get(subject)
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -87,7 +87,7 @@
         """Whether this node has at some time held nearly all records of a peer."""
         return self._caught_up
 
-    def on_digest(
+    def on_gossip_digest(
         self, digest: int, source: Endpoint, gossip_idle: bool, now: Millis
     ) -> Iterator[Send]:
         """Compare the digest of all records with a peer's.
@@ -115,7 +115,7 @@
         self._spend(len(message.digests) * DIGEST_BYTES, now)
         yield Send(source, message)
 
-    def on_digests(
+    def on_bucket_digests(
         self, message: BucketDigests, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Answer a peer's digests with records and summaries of differing buckets."""
@@ -132,7 +132,7 @@
             if self._budget.get_level(now) > 0:
                 yield self._summarise(bucket, source, now)
 
-    def on_summary(
+    def on_bucket_summary(
         self, message: BucketSummary, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Send the records of a bucket that the peer lacks and request missing ones."""
@@ -145,7 +145,7 @@
             self._spend(len(theirs - ours) * FINGERPRINT_BYTES, now)
             yield Send(source, RecordRequest(tuple(sorted(theirs - ours))))
 
-    def on_request(
+    def on_record_request(
         self, message: RecordRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Send the records that a peer has requested."""
@@ -165,7 +165,7 @@
         self, differing: Sequence[Bucket], message: BucketDigests
     ) -> tuple[list[Record], list[Bucket]]:
         """Split differing buckets into records to send and buckets to compare."""
-        empty = set(_list_empty(message))
+        empty = set(_list_empty_buckets(message))
         whole: list[Record] = []
         compared: list[Bucket] = []
         for bucket in differing:
@@ -223,6 +223,6 @@
     ]
 
 
-def _list_empty(message: BucketDigests) -> Iterator[Bucket]:
+def _list_empty_buckets(message: BucketDigests) -> Iterator[Bucket]:
     pairs = zip(_list_buckets(message.zones), message.digests, strict=False)
     return (bucket for bucket, digest in pairs if digest == 0)
--- a/src/papayagw/_internal/core/lifecycle.py
+++ b/src/papayagw/_internal/core/lifecycle.py
@@ -45,8 +45,8 @@
 """Maximum connection attempts to the backend server per flow."""
 
 NO_ACTIONS: FlowActions = ()
-FINISH_TO_BACKEND = FinishRequest()
-FINISH_TO_CALLER = FinishAnswer()
+FINISH_REQUEST = FinishRequest()
+FINISH_ANSWER = FinishAnswer()
 CANCEL_BACKEND = CancelBackend()
 
 _FINAL_STATES = {
@@ -89,9 +89,9 @@
         "_max_connects",
         "_outcome",
         "_state",
-        "_stopping",
+        "_draining",
         "_unwritten",
-        "_writable",
+        "_backend_writable",
     )
 
     def __init__(self, max_connects: int = MAX_CONNECTS):
@@ -105,8 +105,8 @@
         self._answer_bytes = 0
         self._ignored = 0
         self._caller_finished = False
-        self._stopping = False
-        self._writable = True
+        self._draining = False
+        self._backend_writable = True
 
     @property
     def state(self) -> FlowState:
@@ -153,11 +153,11 @@
         self._ignored += 1
         return NO_ACTIONS
 
-    def _on_handshake(self, event: HandshakeCompleted) -> FlowActions:
+    def _on_handshake_completed(self, event: HandshakeCompleted) -> FlowActions:
         if self._state is not FlowState.OPENING:
             return self._ignore()
         self._state = FlowState.ACCEPTED
-        return self._fail() if self._stopping else NO_ACTIONS
+        return self._fail() if self._draining else NO_ACTIONS
 
     def _on_admitted(self, event: Admitted) -> FlowActions:
         if self._state is not FlowState.ACCEPTED:
@@ -175,7 +175,7 @@
         return (ConnectBackend(self._attempt),)
 
     def _on_caller_sent(self, event: CallerSent) -> FlowActions:
-        if self._caller_finished or not self._writable:
+        if self._caller_finished or not self._backend_writable:
             return self._ignore()
         if self._state not in _CONNECTED_STATES:
             self._buffered += event.count
@@ -191,8 +191,8 @@
         if self._caller_finished:
             return self._ignore()
         self._caller_finished = True
-        if self._state in _CONNECTED_STATES and self._writable:
-            return (FINISH_TO_BACKEND,)
+        if self._state in _CONNECTED_STATES and self._backend_writable:
+            return (FINISH_REQUEST,)
         return NO_ACTIONS
 
     def _on_caller_cancelled(self, event: CallerCancelled) -> FlowActions:
@@ -211,7 +211,7 @@
         if self._buffered:
             first = (self._deliver(self._buffered),)
             self._buffered = 0
-        return (*first, FINISH_TO_BACKEND) if self._caller_finished else first
+        return (*first, FINISH_REQUEST) if self._caller_finished else first
 
     def _on_backend_connect_failed(self, event: BackendConnectFailed) -> FlowActions:
         if self._state is not FlowState.CONNECTING or self._is_stale(event.attempt):
@@ -239,34 +239,36 @@
         if not (self._has_exchanged_data or self._caller_finished):
             return self._fail()
         self._state = FlowState.FINISHING
-        return (FINISH_TO_CALLER,)
+        return (FINISH_ANSWER,)
 
-    def _on_backend_broke(self, event: BackendConnectionLost) -> FlowActions:
+    def _on_backend_connection_lost(self, event: BackendConnectionLost) -> FlowActions:
         if self._state not in _CONNECTED_STATES or self._is_stale(event.attempt):
             return self._ignore()
         if self._state is FlowState.DELIVERING:
             return self._fail()
         # The answer is complete; further data from the caller is discarded.
-        if not self._writable:
+        if not self._backend_writable:
             return self._ignore()
-        self._writable = False
+        self._backend_writable = False
         return NO_ACTIONS
 
-    def _on_timeout(self, event: DeadlineReached | IdleTimedOut) -> FlowActions:
+    def _on_deadline_or_timeout(
+        self, event: DeadlineReached | IdleTimedOut
+    ) -> FlowActions:
         return self._fail()
 
-    def _on_stop_asked(self, event: DrainStarted) -> FlowActions:
+    def _on_drain_started(self, event: DrainStarted) -> FlowActions:
         # An established flow may run to its end. A flow that is still opening
         # can't be closed yet: its caller may already consider the handshake
         # complete, and a close during the handshake doesn't carry an outcome.
         if self._state in _CONNECTED_STATES:
             return NO_ACTIONS
         if self._state is FlowState.OPENING:
-            self._stopping = True
+            self._draining = True
             return NO_ACTIONS
         return self._fail()
 
-    def _on_stop_limit(self, event: StopLimitReached) -> FlowActions:
+    def _on_stop_limit_reached(self, event: StopLimitReached) -> FlowActions:
         return self._fail()
 
     @property
@@ -285,20 +287,20 @@
         self._outcome = outcome
         self._state = _FINAL_STATES[outcome]
         self._buffered = 0
-        notification = CloseFlow(outcome)
-        return (CANCEL_BACKEND, notification) if cancels_backend else (notification,)
+        close = CloseFlow(outcome)
+        return (CANCEL_BACKEND, close) if cancels_backend else (close,)
 
     @property
     def _has_connection(self) -> bool:
         if self._state is FlowState.CONNECTING:
             return True
-        return self._state in _CONNECTED_STATES and self._writable
+        return self._state in _CONNECTED_STATES and self._backend_writable
 
 
 _Handler = Callable[[FlowLifecycle, Any], FlowActions]
 
 _HANDLERS: dict[type, _Handler] = {
-    HandshakeCompleted: FlowLifecycle._on_handshake,
+    HandshakeCompleted: FlowLifecycle._on_handshake_completed,
     Admitted: FlowLifecycle._on_admitted,
     AdmissionRefused: FlowLifecycle._on_admission_refused,
     CallerSent: FlowLifecycle._on_caller_sent,
@@ -310,9 +312,9 @@
     BackendWrote: FlowLifecycle._on_backend_wrote,
     BackendSent: FlowLifecycle._on_backend_sent,
     BackendClosed: FlowLifecycle._on_backend_closed,
-    BackendConnectionLost: FlowLifecycle._on_backend_broke,
-    DeadlineReached: FlowLifecycle._on_timeout,
-    IdleTimedOut: FlowLifecycle._on_timeout,
-    DrainStarted: FlowLifecycle._on_stop_asked,
-    StopLimitReached: FlowLifecycle._on_stop_limit,
+    BackendConnectionLost: FlowLifecycle._on_backend_connection_lost,
+    DeadlineReached: FlowLifecycle._on_deadline_or_timeout,
+    IdleTimedOut: FlowLifecycle._on_deadline_or_timeout,
+    DrainStarted: FlowLifecycle._on_drain_started,
+    StopLimitReached: FlowLifecycle._on_stop_limit_reached,
 }
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -71,7 +71,7 @@
 
 FANOUT_INTERVAL_MS = Millis(100)
 
-INQUIRED_PEERS = 2
+LIVENESS_REQUEST_PEERS = 2
 """Number of peers that receive a liveness request about an unresponsive balancer."""
 
 SUSPICION_TIMEOUT_MS = Millis(10_000)
@@ -138,7 +138,7 @@
             MIN_GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES
         )
         self._repairer = Repairer(self._fleet.table, self._repair_budget, random_source)
-        self._suspects: dict[Endpoint, Millis] = {}
+        self._suspected_since: dict[Endpoint, Millis] = {}
         self._pending_requests: dict[int, tuple[Endpoint, LivenessRequest]] = {}
         self._request_number = _FIRST_REQUEST_NUMBER
         self._ticked_at: Millis | None = None
@@ -146,18 +146,18 @@
         self._join_interval = INITIAL_JOIN_INTERVAL_MS
         self._fanout_at = Millis(0)
         self._introduction_at = Millis(0)
-        self._version = 0
+        self._configuration_version = 0
         self._version_transmissions = 0
-        self._advertised: tuple[int, Endpoint] | None = None
+        self._advertised_configuration: tuple[int, Endpoint] | None = None
         self._handlers: dict[type, Callable[..., Iterator[Send]]] = {
             Announcement: self._on_announcement,
             Heartbeat: self._on_heartbeat,
             Join: self._on_join,
             Gossip: self._on_gossip,
-            BucketDigests: self._repairer.on_digests,
-            BucketSummary: self._repairer.on_summary,
-            RecordRequest: self._repairer.on_request,
-            MissingRecords: self._on_records,
+            BucketDigests: self._repairer.on_bucket_digests,
+            BucketSummary: self._repairer.on_bucket_summary,
+            RecordRequest: self._repairer.on_record_request,
+            MissingRecords: self._on_missing_records,
             LivenessRequest: self._on_liveness_request,
             LivenessResponse: self._on_liveness_response,
         }
@@ -200,20 +200,23 @@
     @property
     def configuration_version(self) -> int:
         """The version of the configuration that this node holds."""
-        return self._version
+        return self._configuration_version
 
     @property
     def advertised_configuration(self) -> tuple[int, Endpoint] | None:
         """The highest advertised version and a peer that has it; None if not newer."""
-        if self._advertised is None or self._advertised[0] <= self._version:
+        if (
+            self._advertised_configuration is None
+            or self._advertised_configuration[0] <= self._configuration_version
+        ):
             return None
-        return self._advertised
+        return self._advertised_configuration
 
     def set_configuration_version(self, version: int) -> None:
         """Set the version that this node holds and advertise it to the peers."""
-        if version <= self._version:
+        if version <= self._configuration_version:
             return
-        self._version = version
+        self._configuration_version = version
         self._version_transmissions = VERSION_TRANSMISSIONS
         self._watcher.set_configuration_version(version)
 
@@ -251,11 +254,11 @@
         if self._fleet.superseded:
             return ()
         isolated = self._is_isolated(now)
-        self._remove_expired_suspects(isolated, now)
+        self._mark_expired_suspects_gone(isolated, now)
         self._watcher.set_caught_up(self.caught_up)
         return (
-            *self._join(now),
-            *self._probe(now),
+            *self._send_join(now),
+            *self._run_probes(now),
             *self._watcher.on_tick(isolated, now),
             *self._disseminate(now),
         )
@@ -269,7 +272,8 @@
         updates = make_updates([self._fleet.own])
         targets = self._sample_peers(2 * FANOUT)
         return tuple(
-            self._gossip(GossipKind.UPDATE, target, 0, updates) for target in targets
+            self._make_gossip(GossipKind.UPDATE, target, 0, updates)
+            for target in targets
         )
 
     def _is_isolated(self, now: Millis) -> bool:
@@ -284,13 +288,13 @@
             pause_ms = Millis(now - self._ticked_at)
             self._watcher.compensate_pause(pause_ms, now)
             self._prober.drop_pending()
-            self._suspects = {
+            self._suspected_since = {
                 endpoint: Millis(since + pause_ms)
-                for endpoint, since in self._suspects.items()
+                for endpoint, since in self._suspected_since.items()
             }
         self._ticked_at = now
 
-    def _join(self, now: Millis) -> Iterator[Send]:
+    def _send_join(self, now: Millis) -> Iterator[Send]:
         if now < self._join_at:
             return
         peers = len(self._fleet.peers)
@@ -302,13 +306,13 @@
         self._join_at = Millis(now + wait // 2 + self._random.randrange(wait))
         yield Send(self._control_address, Join(self._fleet.own))
 
-    def _probe(self, now: Millis) -> Iterator[Send]:
+    def _run_probes(self, now: Millis) -> Iterator[Send]:
         step = self._prober.on_tick(self._fleet.peers, now)
         if step.probe is not None:
             updates = self._take_updates(now)
-            yield self._gossip(GossipKind.PROBE, step.probe, step.number, updates)
-        if step.inquire is not None:
-            yield from self._request_liveness(step.inquire)
+            yield self._make_gossip(GossipKind.PROBE, step.probe, step.number, updates)
+        if step.request_liveness is not None:
+            yield from self._request_liveness(step.request_liveness)
         if step.suspect is not None:
             self._suspect(step.suspect, now)
 
@@ -316,7 +320,7 @@
         record = self._fleet.table.get(unresponsive)
         if record is None:
             return
-        for peer in self._sample_peers(INQUIRED_PEERS):
+        for peer in self._sample_peers(LIVENESS_REQUEST_PEERS):
             if peer != unresponsive:
                 yield Send(peer, LivenessRequest(unresponsive, record.incarnation))
 
@@ -327,13 +331,14 @@
         if record.state is not AgentState.GONE and not self._is_isolated(now):
             self._fleet.toggle_suspicion(record, now)
 
-    def _remove_expired_suspects(self, isolated: bool, now: Millis) -> None:
+    def _mark_expired_suspects_gone(self, isolated: bool, now: Millis) -> None:
         suspected = self._fleet.suspected
-        self._suspects = {
-            one.endpoint: self._suspects.get(one.endpoint, now) for one in suspected
+        self._suspected_since = {
+            one.endpoint: self._suspected_since.get(one.endpoint, now)
+            for one in suspected
         }
         for record in suspected:
-            since = self._suspects[record.endpoint]
+            since = self._suspected_since[record.endpoint]
             if now - since >= SUSPICION_TIMEOUT_MS and not isolated:
                 # Every node times the suspicion out itself, so no gossip is needed.
                 gone = replace(record, state=AgentState.GONE)
@@ -355,7 +360,7 @@
             if updates == EMPTY_UPDATE and not self._version_transmissions:
                 return
             self._budget.spend(DATAGRAM_BYTES, now)
-            yield self._gossip(GossipKind.UPDATE, peer, 0, updates)
+            yield self._make_gossip(GossipKind.UPDATE, peer, 0, updates)
 
     def _has_gossip_budget(self, now: Millis) -> bool:
         """Return whether the budget suffices for a datagram with enough updates."""
@@ -380,7 +385,7 @@
         peers = self._fleet.reachable
         return self._random.sample(peers, min(count, len(peers)))
 
-    def _gossip(
+    def _make_gossip(
         self,
         kind: GossipKind,
         destination: Endpoint,
@@ -388,7 +393,10 @@
         updates: MembershipUpdate,
     ) -> Send:
         digest = self._fleet.table.digest if self.caught_up else NO_DIGEST
-        return Send(destination, Gossip(kind, number, digest, self._version, updates))
+        return Send(
+            destination,
+            Gossip(kind, number, digest, self._configuration_version, updates),
+        )
 
     def _on_announcement(
         self, message: Announcement, _source: Endpoint, now: Millis
@@ -412,7 +420,7 @@
         elif (known := self._fleet.table.get(joiner)) != message.record and known:
             records.append(known)
         self._budget.spend(RECORD_BYTES * len(records), now)
-        yield self._gossip(GossipKind.UPDATE, joiner, 0, make_updates(records))
+        yield self._make_gossip(GossipKind.UPDATE, joiner, 0, make_updates(records))
 
     def _select_join_records(self, joiner: Endpoint) -> list[Record]:
         others = [one for one in self.balancers if one.endpoint != joiner]
@@ -429,18 +437,22 @@
         self._budget.spend(_estimate_bytes(message.update), now)
         yield from self._merge_updates(message.update, source, now)
         self._record_version(message.configuration_version, source)
-        yield from self._answer(message, source, now)
+        yield from self._handle_probe_or_reply(message, source, now)
         known = self._fleet.table.get(source)
         if known is None or known.state is AgentState.GONE:
             yield from self._send_introduction(known, source, now)
             return
         gossip_idle = not self._fleet.updates
-        yield from self._repairer.on_digest(message.digest, source, gossip_idle, now)
+        yield from self._repairer.on_gossip_digest(
+            message.digest, source, gossip_idle, now
+        )
 
-    def _answer(self, message: Gossip, source: Endpoint, now: Millis) -> Iterator[Send]:
+    def _handle_probe_or_reply(
+        self, message: Gossip, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
         if message.kind is GossipKind.PROBE:
             updates = self._take_updates(now)
-            yield self._gossip(GossipKind.REPLY, source, message.number, updates)
+            yield self._make_gossip(GossipKind.REPLY, source, message.number, updates)
         elif message.kind is GossipKind.REPLY:
             self._prober.record_answer(message.number)
             waiting = self._pending_requests.pop(message.number, None)
@@ -460,7 +472,7 @@
             return
         self._introduction_at = Millis(now + INTRODUCTION_INTERVAL_MS)
         if known is not None:
-            yield self._gossip(GossipKind.UPDATE, source, 0, make_updates([known]))
+            yield self._make_gossip(GossipKind.UPDATE, source, 0, make_updates([known]))
         yield Send(source, Join(self._fleet.own))
 
     def _merge_updates(
@@ -472,7 +484,7 @@
             if not self._fleet.merge_vector(vector, now):
                 yield from self._repairer.send_bucket(vector.bucket, source, now)
 
-    def _on_records(
+    def _on_missing_records(
         self, message: MissingRecords, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         updates = message.update
@@ -491,26 +503,29 @@
     ) -> Iterator[Send]:
         record = self._fleet.table.get(message.endpoint)
         if isinstance(record, AgentRecord):
-            yield from self._watcher.on_inquiry(message, source, now)
+            yield from self._watcher.on_liveness_request(message, source, now)
         elif isinstance(record, BalancerRecord):
             self._request_number += 1
             if len(self._pending_requests) >= _MAX_PENDING_REQUESTS:
                 self._pending_requests.clear()
             self._pending_requests[self._request_number] = (source, message)
-            yield self._gossip(
+            yield self._make_gossip(
                 GossipKind.PROBE, message.endpoint, self._request_number, EMPTY_UPDATE
             )
 
     def _on_liveness_response(
         self, message: LivenessResponse, _source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        self._watcher.on_voucher(message, now)
+        self._watcher.on_liveness_response(message, now)
         self._prober.record_alive(message.endpoint)
         yield from ()
 
     def _record_version(self, version: int, source: Endpoint) -> None:
-        if version > max(self._version, self._advertised[0] if self._advertised else 0):
-            self._advertised = (version, source)
+        if version > max(
+            self._configuration_version,
+            self._advertised_configuration[0] if self._advertised_configuration else 0,
+        ):
+            self._advertised_configuration = (version, source)
 
 
 def _estimate_bytes(updates: MembershipUpdate) -> int:
--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -160,22 +160,22 @@
             self._ignored += 1
             return None
         if ended.outcome in (FlowOutcome.ANSWERED, FlowOutcome.CANCELLED):
-            return self._make_give_up(ended.outcome)
+            return self._finish(ended.outcome)
         self._may_have_run |= self._rule.may_have_run(ended)
-        return self._make_reopen(ended, now) or self._make_give_up(self._failure)
+        return self._try_reopen(ended, now) or self._finish(self._failure_outcome)
 
     def cancel(self) -> OpeningAction | None:
         """Return the action after the caller has cancelled, or None if it has ended."""
         if self._outcome is not None:
             self._ignored += 1
             return None
-        return self._make_give_up(FlowOutcome.CANCELLED)
+        return self._finish(FlowOutcome.CANCELLED)
 
     @property
-    def _failure(self) -> FlowOutcome:
+    def _failure_outcome(self) -> FlowOutcome:
         return FlowOutcome.UNKNOWN if self._may_have_run else FlowOutcome.REFUSED
 
-    def _make_reopen(self, ended: AttemptEnded, now: Millis) -> Reopen | None:
+    def _try_reopen(self, ended: AttemptEnded, now: Millis) -> Reopen | None:
         if self._attempt >= self._policy.max_attempts:
             return None
         if not self._rule.is_safe(ended, self._idempotent):
@@ -195,6 +195,6 @@
         )
         return Millis(round(ceiling_ms * self._draw()))
 
-    def _make_give_up(self, outcome: FlowOutcome) -> ReportOutcome:
+    def _finish(self, outcome: FlowOutcome) -> ReportOutcome:
         self._outcome = outcome
         return ReportOutcome(outcome)
--- a/src/papayagw/_internal/core/watch_list.py
+++ b/src/papayagw/_internal/core/watch_list.py
@@ -11,13 +11,13 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
-INQUIRE_AFTER_INTERVALS = 2.3
+LIVENESS_REQUEST_AFTER_INTERVALS = 2.3
 """Number of intervals without a heartbeat after which a liveness request is sent."""
 
 SUSPECT_AFTER_INTERVALS = 3.0
 """Number of intervals without a heartbeat after which a watcher suspects an agent."""
 
-MAX_VOUCHERS = 3
+MAX_LIVENESS_RESPONSES = 3
 """Maximum number of successive liveness responses that count; each after the first
 doubles the timeout."""
 
@@ -64,13 +64,13 @@
 
     Attributes
     ----------
-    inquire : tuple of Endpoint
+    request_liveness : tuple of Endpoint
         Agents about which another watcher has to be sent a liveness request.
     suspect : tuple of Endpoint
         Agents that have to be suspected.
     """
 
-    inquire: tuple[Endpoint, ...]
+    request_liveness: tuple[Endpoint, ...]
     suspect: tuple[Endpoint, ...]
 
 
@@ -127,7 +127,7 @@
         )
         return True
 
-    def record_voucher(
+    def record_liveness_response(
         self, endpoint: Endpoint, incarnation: Incarnation, heartbeat: ReceivedHeartbeat
     ) -> bool:
         """Record a liveness response, which counts as a heartbeat.
@@ -143,7 +143,7 @@
             return False
         self._watched[endpoint] = replace(
             self._watched[endpoint],
-            response_count=min(response_count + 1, MAX_VOUCHERS),
+            response_count=min(response_count + 1, MAX_LIVENESS_RESPONSES),
         )
         return True
 
@@ -167,18 +167,21 @@
 
     def find_overdue(self, now: Millis) -> OverdueAgents:
         """Return the agents that have become overdue since the last call."""
-        inquire: list[Endpoint] = []
+        request_liveness: list[Endpoint] = []
         suspect: list[Endpoint] = []
         for endpoint, watched in list(self._watched.items()):
             timeout_ms = watched.interval_ms << max(0, watched.response_count - 1)
             intervals = (now - watched.received_at) / timeout_ms
-            if not watched.request_sent and intervals >= INQUIRE_AFTER_INTERVALS:
+            if (
+                not watched.request_sent
+                and intervals >= LIVENESS_REQUEST_AFTER_INTERVALS
+            ):
                 self._watched[endpoint] = replace(watched, request_sent=True)
-                inquire.append(endpoint)
+                request_liveness.append(endpoint)
             elif not watched.suspected and intervals >= SUSPECT_AFTER_INTERVALS:
                 self._watched[endpoint] = replace(watched, suspected=True)
                 suspect.append(endpoint)
-        return OverdueAgents(tuple(inquire), tuple(suspect))
+        return OverdueAgents(tuple(request_liveness), tuple(suspect))
 
     def list_watched(self) -> Iterator[tuple[Endpoint, bool]]:
         """Return each agent and whether it is overdue long enough to be suspected."""
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -101,8 +101,12 @@
 
     def compute_interval(self) -> Millis:
         """Return the heartbeat interval that keeps heartbeats within their budget."""
-        size = self._fleet.size
-        watched = self._fleet.table.agent_count * min(WATCHERS_PER_AGENT, size) / size
+        balancers = self._fleet.balancer_count
+        watched = (
+            self._fleet.table.agent_count
+            * min(WATCHERS_PER_AGENT, balancers)
+            / balancers
+        )
         seconds = watched * HEARTBEAT_BYTES / HEARTBEAT_BYTES_PER_SECOND
         interval = int(seconds * MILLIS_PER_SECOND)
         return Millis(max(MIN_INTERVAL_MS, min(MAX_INTERVAL_MS, interval)))
@@ -117,9 +121,9 @@
         """Merge an agent's record and acknowledge it."""
         self._fleet.merge(message.record, now)
         known = self._fleet.table.get(message.record.endpoint)
-        if isinstance(known, AgentRecord) and _is_alive(known, message.record):
-            self._refute(message.record.endpoint, now)
-        yield self._acknowledge(message.record.endpoint, 0, now)
+        if isinstance(known, AgentRecord) and _refutes_suspicion(known, message.record):
+            self._clear_suspicion(message.record.endpoint, now)
+        yield self._make_acknowledgement(message.record.endpoint, 0, now)
 
     def on_heartbeat(self, message: Heartbeat, now: Millis) -> Iterator[Send]:
         """Record a heartbeat, and acknowledge one in `HEARTBEATS_PER_ACK`.
@@ -129,17 +133,21 @@
         """
         known = self._fleet.table.get(message.endpoint)
         if not _is_current(known, message):
-            yield self._acknowledge(message.endpoint, message.siblings_digest, now)
+            yield self._make_acknowledgement(
+                message.endpoint, message.siblings_digest, now
+            )
             return
         if not self._watch.record_heartbeat(
             message.endpoint, message.incarnation, message.heartbeat_number, now
         ):
             return
-        self._refute(message.endpoint, now)
+        self._clear_suspicion(message.endpoint, now)
         if (message.heartbeat_number + self._ack_offset) % HEARTBEATS_PER_ACK == 0:
-            yield self._acknowledge(message.endpoint, message.siblings_digest, now)
+            yield self._make_acknowledgement(
+                message.endpoint, message.siblings_digest, now
+            )
 
-    def on_inquiry(
+    def on_liveness_request(
         self, message: LivenessRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Answer a liveness request if the agent sent a heartbeat recently."""
@@ -156,18 +164,20 @@
                 ),
             )
 
-    def on_voucher(self, message: LivenessResponse, now: Millis) -> None:
+    def on_liveness_response(self, message: LivenessResponse, now: Millis) -> None:
         """Record a heartbeat that another watcher has received."""
         heartbeat = ReceivedHeartbeat(
             message.heartbeat_number, Millis(now - message.age_ms)
         )
-        if self._watch.record_voucher(message.endpoint, message.incarnation, heartbeat):
-            self._refute(message.endpoint, now)
+        if self._watch.record_liveness_response(
+            message.endpoint, message.incarnation, heartbeat
+        ):
+            self._clear_suspicion(message.endpoint, now)
 
     def on_tick(self, isolated: bool, now: Millis) -> Iterator[Send]:
         """Send liveness requests, suspect overdue agents and mark agents as gone."""
         overdue = self._watch.find_overdue(now)
-        for endpoint in overdue.inquire:
+        for endpoint in overdue.request_liveness:
             yield from self._request_liveness(endpoint)
         for endpoint in overdue.suspect:
             self._suspect(endpoint, isolated, now)
@@ -192,14 +202,16 @@
         self._watch.compensate_pause(pause_ms)
         self._accepts_refutations_at = Millis(now + RESUME_GRACE_MS)
 
-    def _refute(self, endpoint: Endpoint, now: Millis) -> None:
+    def _clear_suspicion(self, endpoint: Endpoint, now: Millis) -> None:
         if now < self._accepts_refutations_at:
             return
         known = self._fleet.table.get(endpoint)
         if known is not None and known.is_suspected:
             self._fleet.toggle_suspicion(known, now)
 
-    def _acknowledge(self, agent: Endpoint, siblings_digest: int, now: Millis) -> Send:
+    def _make_acknowledgement(
+        self, agent: Endpoint, siblings_digest: int, now: Millis
+    ) -> Send:
         known = self._fleet.table.get(agent)
         interval = self.compute_interval() if self._caught_up else KEEP_INTERVAL_MS
         watchers = self._fleet.list_watchers(agent)
@@ -211,7 +223,7 @@
         if interval != KEEP_INTERVAL_MS:
             self._watch.set_interval(agent, interval)
         siblings = self._list_siblings(known)
-        own_digest = _compute_digest(siblings)
+        own_digest = _compute_siblings_digest(siblings)
         return Send(
             agent,
             Acknowledgement(
@@ -299,7 +311,7 @@
     )
 
 
-def _is_alive(known: AgentRecord, announced: AgentRecord) -> bool:
+def _refutes_suspicion(known: AgentRecord, announced: AgentRecord) -> bool:
     """Return whether an announcement refutes a suspicion."""
     return (
         known.is_suspected
@@ -309,7 +321,7 @@
     )
 
 
-def _compute_digest(records: Sequence[AgentRecord]) -> int:
+def _compute_siblings_digest(records: Sequence[AgentRecord]) -> int:
     digest = 0
     for record in records:
         digest ^= compute_fingerprint(record)
--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -83,12 +83,12 @@
             return Failure(_fail(peer, f"no answer: {error.what}"))
         if answer is None:
             return Failure(_fail(peer, "an answer that isn't authentic"))
-        return Success(self._log.resolve(answer))
+        return Success(self._log.resolve_reply(answer))
 
     async def _ask(
         self, peer: Endpoint, codec: ExchangeCodec
     ) -> ConfigurationReply | None:
-        question, nonce = codec.seal_query(self._log.question)
+        question, nonce = codec.seal_query(self._log.query)
         stream = await TcpStream.connect(peer, self._timeout_ms)
         try:
             await send_frame(stream, question)
@@ -163,7 +163,7 @@
         if asked is None:
             self._refused += 1
             return
-        answer = self._log.answer(asked.query)
+        answer = self._log.make_reply(asked.query)
         await send_frame(stream, codec.seal_reply(answer, asked))
 
 
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -192,7 +192,7 @@
         return False
 
     async def _follow_rumours(self) -> None:
-        backoff = Backoff(self._random, longest_ms=LONGEST_FETCH_WAIT_MS)
+        backoff = Backoff(self._random, max_ms=LONGEST_FETCH_WAIT_MS)
         while True:
             await self._rumoured.wait()
             self._rumoured = anyio.Event()
--- a/src/papayagw/_internal/net/configuration_store.py
+++ b/src/papayagw/_internal/net/configuration_store.py
@@ -93,7 +93,7 @@
     ) -> Result[Swapped | Rejected, StoreError]:
         """Write a configuration if its key still has the revision `expected`."""
         value = write_configuration(configuration)
-        answer = await self._store.swap(
+        answer = await self._store.compare_and_swap(
             self._key, value, expected, self._call_timeout_ms
         )
         if isinstance(answer, Failure):
--- a/src/papayagw/_internal/observe/json_values.py
+++ b/src/papayagw/_internal/observe/json_values.py
@@ -53,7 +53,7 @@
 
 def _convert_dataclass(kind: Any, value: object, path: str) -> Any:
     if not isinstance(value, dict):
-        raise _mismatch("an object", value, path)
+        raise _make_mismatch_error("an object", value, path)
     hints = _get_type_hints(kind)
     arguments: dict[str, Any] = {}
     for one in fields(kind):
@@ -72,7 +72,7 @@
 
 def _convert_tuple(kind: Any, value: object, path: str) -> tuple[Any, ...]:
     if not isinstance(value, list):
-        raise _mismatch("a list", value, path)
+        raise _make_mismatch_error("a list", value, path)
     if kind is int and all(type(one) is int for one in value):
         return tuple(value)
     return tuple(_convert(kind, one, f"{path}[{at}]") for at, one in enumerate(value))
@@ -96,9 +96,9 @@
     if kind is float and type(value) is int:
         return float(value)
     if type(value) is not kind:
-        raise _mismatch(kind.__name__, value, path)
+        raise _make_mismatch_error(kind.__name__, value, path)
     return value
 
 
-def _mismatch(expected: str, value: object, path: str) -> ValueError:
+def _make_mismatch_error(expected: str, value: object, path: str) -> ValueError:
     return ValueError(f"{path}: expected {expected}, found {value!r:.60}")
--- a/src/papayagw/_internal/observe/status_text.py
+++ b/src/papayagw/_internal/observe/status_text.py
@@ -39,7 +39,7 @@
         _format_services(reports),
         *(format_detail(reports) for format_detail in details),
         [f"no answer: {error}" for error in errors],
-        _find_differences(reports),
+        _find_version_differences(reports),
     )
     return "\n\n".join("\n".join(lines) for lines in sections if lines)
 
@@ -115,7 +115,7 @@
     return format_table(("NODE", "COUNTER", "VALUE"), rows) if rows else []
 
 
-def _find_differences(reports: Iterable[StatusReport]) -> list[str]:
+def _find_version_differences(reports: Iterable[StatusReport]) -> list[str]:
     versions = sorted({report.configuration_version for report in reports})
     if len(versions) < 2:
         return []
--- a/src/papayagw/_internal/standins/memory_store.py
+++ b/src/papayagw/_internal/standins/memory_store.py
@@ -66,7 +66,7 @@
             return Failure(_make_outage())
         return Success(Snapshot(self._find(key), self._values.revision))
 
-    async def swap(
+    async def compare_and_swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
     ) -> Result[SwapResult, PlatformError]:
         """Write `value` if `key` still has the revision `expected`."""
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -61,12 +61,12 @@
             "/v3/kv/range", build_range_request(key), timeout_ms, parse_range_response
         )
 
-    async def swap(
+    async def compare_and_swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
     ) -> Result[SwapResult, PlatformError]:
         """Write `value` if the revision of `key` is still `expected`."""
         if len(value) > MAX_VALUE_BYTES:
-            return Failure(_too_large(key, len(value)))
+            return Failure(_make_too_large_error(key, len(value)))
         request = build_swap_request(key, value, expected)
         return await self._call_with_timeout(
             "/v3/kv/txn", request, timeout_ms, parse_swap_response
@@ -84,13 +84,15 @@
         request = build_watch_request(key, after)
         with anyio.move_on_after(to_seconds(timeout_ms)) as scope:
             failure = await self._try_urls(
-                lambda url: self._stream(url, request, progress)
+                lambda url: self._stream_watch(url, request, progress)
             )
             if isinstance(failure, Failure):
                 return failure
         if scope.cancelled_caught or progress.is_finished:
             return Success(progress.revision)
-        return Failure(_unreachable(self._urls[0], "the watch stream was closed early"))
+        return Failure(
+            _make_unreachable_error(self._urls[0], "the watch stream was closed early")
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -114,7 +116,9 @@
             return await self._try_urls(
                 lambda url: self._post(url, path, request, parse)
             )
-        return Failure(_unreachable(self._urls[0], f"no answer in {timeout_ms} ms"))
+        return Failure(
+            _make_unreachable_error(self._urls[0], f"no answer in {timeout_ms} ms")
+        )
 
     async def _try_urls(
         self, call: Callable[[str], Awaitable[Result[ResponseT, PlatformError]]]
@@ -126,8 +130,12 @@
             except (httpx.ConnectError, httpx.ConnectTimeout):
                 continue
             except httpx.HTTPError as error:
-                return Failure(_unreachable(url, str(error) or type(error).__name__))
-        return Failure(_unreachable(", ".join(self._urls), "cannot connect to any URL"))
+                return Failure(
+                    _make_unreachable_error(url, str(error) or type(error).__name__)
+                )
+        return Failure(
+            _make_unreachable_error(", ".join(self._urls), "cannot connect to any URL")
+        )
 
     async def _post(
         self,
@@ -141,15 +149,17 @@
             url + path, json=request, timeout=timeout
         )
         if response.status_code >= _FIRST_SERVER_ERROR:
-            return Failure(_unreachable(url, f"HTTP status {response.status_code}"))
+            return Failure(
+                _make_unreachable_error(url, f"HTTP status {response.status_code}")
+            )
         if response.is_error:
-            return Failure(_refused(url, response.text))
+            return Failure(_make_refused_error(url, response.text))
         try:
             return Success(parse(response.json()))
         except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
-            return Failure(_unreachable(url, f"invalid response: {error!r}"))
+            return Failure(_make_unreachable_error(url, f"invalid response: {error!r}"))
 
-    async def _stream(
+    async def _stream_watch(
         self, url: str, request: Message, progress: "_WatchProgress"
     ) -> Result[int, PlatformError]:
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
@@ -158,12 +168,16 @@
             "POST", target, json=request, timeout=timeout
         ) as response:
             if response.is_error:
-                return Failure(_unreachable(url, f"HTTP status {response.status_code}"))
+                return Failure(
+                    _make_unreachable_error(url, f"HTTP status {response.status_code}")
+                )
             async for line in response.aiter_lines():
                 try:
                     progress.handle_message(json.loads(line)["result"])
                 except (ValueError, KeyError, TypeError, AttributeError) as error:
-                    return Failure(_unreachable(url, f"invalid response: {error!r}"))
+                    return Failure(
+                        _make_unreachable_error(url, f"invalid response: {error!r}")
+                    )
                 if progress.is_finished:
                     break
         return Success(progress.revision)
@@ -200,7 +214,7 @@
             self._on_entry(entry)
 
 
-def _unreachable(url: str, reason: str) -> PlatformUnreachableError:
+def _make_unreachable_error(url: str, reason: str) -> PlatformUnreachableError:
     return PlatformUnreachableError(
         f"the platform's service gave no answer: {reason}",
         step=Step.PLATFORM,
@@ -209,7 +223,7 @@
     )
 
 
-def _refused(url: str, reason: str) -> PlatformError:
+def _make_refused_error(url: str, reason: str) -> PlatformError:
     return PlatformError(
         f"the platform's service refused the call: {reason}",
         step=Step.PLATFORM,
@@ -217,7 +231,7 @@
     )
 
 
-def _too_large(key: str, size: int) -> PlatformError:
+def _make_too_large_error(key: str, size: int) -> PlatformError:
     return PlatformError(
         f"the value of {key} has {size} bytes, the limit is {MAX_VALUE_BYTES}",
         step=Step.PLATFORM,
--- a/src/papayagw/_internal/store/protocol.py
+++ b/src/papayagw/_internal/store/protocol.py
@@ -90,7 +90,7 @@
     ) -> Result[Snapshot, PlatformError]:
         """Read the value of `key` and the revision of the store."""
 
-    async def swap(
+    async def compare_and_swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
     ) -> Result[SwapResult, PlatformError]:
         """Write `value` if the revision of `key` is still `expected`.
--- a/src/papayagw/_internal/wire/configuration_exchange.py
+++ b/src/papayagw/_internal/wire/configuration_exchange.py
@@ -123,17 +123,19 @@
         except (capnp.KjException, ValueError):
             return None
 
-    def _seal(self, key_id: int, nonce: bytes, plain: bytes, bound: bytes) -> bytes:
-        sealed = self._ciphers[key_id].encrypt(nonce, plain, bound)
+    def _seal(
+        self, key_id: int, nonce: bytes, plain: bytes, associated_data: bytes
+    ) -> bytes:
+        sealed = self._ciphers[key_id].encrypt(nonce, plain, associated_data)
         return bytes((key_id,)) + nonce + sealed
 
-    def _open(self, frame: bytes, bound: bytes) -> bytes | None:
+    def _open(self, frame: bytes, associated_data: bytes) -> bytes | None:
         cipher = self._ciphers.get(frame[0]) if frame else None
         if cipher is None:
             return None
         nonce, sealed = frame[1 : 1 + NONCE_BYTES], frame[1 + NONCE_BYTES :]
         try:
-            return cipher.decrypt(nonce, sealed, bound)
+            return cipher.decrypt(nonce, sealed, associated_data)
         except (InvalidTag, ValueError):
             return None
 
--- a/tests/lib/world_nodes.py
+++ b/tests/lib/world_nodes.py
@@ -1,6 +1,6 @@
 """The nodes of `World`: each is a thin shell around the production decisions."""
 
-from papayagw._internal.core.admission import make_adaptive
+from papayagw._internal.core.admission import make_adaptive_admission
 from papayagw._internal.core.choice import RendezvousChooser
 from papayagw._internal.core.directory import AgentDirectory
 from papayagw._internal.core.retry import OpeningRetry, TokenBudget
@@ -84,7 +84,7 @@
         self.route = FlowRoute.of(self.service_id, self.endpoint, self.incarnation)
         core = world.mechanisms.agent
         self.core = core(self.route, self.siblings, RendezvousChooser(), 100)
-        self.admission = make_adaptive(AdmissionPolicy())
+        self.admission = make_adaptive_admission(AdmissionPolicy())
         self.health = world.mechanisms.health()
         self.openings = {}
         self.flows = {}
--- a/tests/properties/admission_proof.py
+++ b/tests/properties/admission_proof.py
@@ -4,7 +4,7 @@
 
 from hypothesis import strategies as st
 
-from papayagw._internal.core.admission import FairAdmission, Unlimited
+from papayagw._internal.core.admission import FairAdmission, UnlimitedAdmission
 from papayagw._internal.core.concurrency_limit import AdaptiveLimit, FixedLimit
 from papayagw._internal.core.fair_queue import FairQueue
 from papayagw._internal.models.admission import (
@@ -195,7 +195,7 @@
 MUTATIONS = [
     Mutation(name, PROOF, make)
     for name, make in {
-        "NoLimit": Unlimited,
+        "NoLimit": UnlimitedAdmission,
         "HighFixedLimit": lambda: FairAdmission(POLICY, FixedLimit(99)),
         "NeverExpires": make_factory(queue=NeverExpires),
         "UnboundedQueue": make_factory(queue=Unbounded),
--- a/tests/properties/membership_proof.py
+++ b/tests/properties/membership_proof.py
@@ -176,12 +176,14 @@
     Mutation(
         "no-refutation-of-agents",
         FLEET_PROOF,
-        make_patch(Watcher, "_refute", do_nothing),
+        make_patch(Watcher, "_clear_suspicion", do_nothing),
     ),
     Mutation(
         "no-refutation-of-balancers",
         FLEET_PROOF,
         make_patch(Fleet, "_refute", do_nothing),
     ),
-    Mutation("no-repair", FLEET_PROOF, make_patch(Repairer, "on_digest", send_nothing)),
+    Mutation(
+        "no-repair", FLEET_PROOF, make_patch(Repairer, "on_gossip_digest", send_nothing)
+    ),
 )
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -1,6 +1,6 @@
 import pytest
 
-from papayagw._internal.core.admission import FairAdmission, Unlimited
+from papayagw._internal.core.admission import FairAdmission, UnlimitedAdmission
 from papayagw._internal.core.concurrency_limit import AdaptiveLimit, FixedLimit
 from papayagw._internal.models.admission import (
     AdmissionDecision,
@@ -43,7 +43,7 @@
 
 
 def test_baseline_without_limit_admits_everything():
-    assert submit_all(Unlimited(), "a" * 99) == [ADMIT] * 99
+    assert submit_all(UnlimitedAdmission(), "a" * 99) == [ADMIT] * 99
 
 
 @pytest.mark.parametrize("end", list(ReleaseReason))
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -81,7 +81,7 @@
     log = ConfigurationLog()
     log.apply_if_newer(make_configuration(1))
     log.apply_if_newer(make_configuration(2, site=make_site(7)))
-    assert type(log.answer(question)).__name__ == kind
+    assert type(log.make_reply(question)).__name__ == kind
 
 
 def test_versions_share_equal_services():
--- a/tests/unit/test_membership_faults.py
+++ b/tests/unit/test_membership_faults.py
@@ -181,7 +181,7 @@
     [
         (
             Watcher,
-            "on_inquiry",
+            "on_liveness_request",
             lambda *_: iter(()),
             test_agent_unreachable_for_one_watcher_stays_ready,
         ),
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -36,13 +36,17 @@
     async def body(store, control):
         found = (await store.get(KEY, LONG)).unwrap()
         assert found.entry is None
-        first = (await store.swap(KEY, b"one", 0, LONG)).unwrap()
+        first = (await store.compare_and_swap(KEY, b"one", 0, LONG)).unwrap()
         assert isinstance(first, Swapped)
         held = Entry(b"one", first.revision)
-        assert (await store.swap(KEY, b"two", 0, LONG)).unwrap() == Conflict(held)
+        assert (
+            await store.compare_and_swap(KEY, b"two", 0, LONG)
+        ).unwrap() == Conflict(held)
         answer = await store.get(KEY, LONG)
         assert answer.unwrap() == Snapshot(held, first.revision)
-        second = (await store.swap(KEY, b"two", first.revision, LONG)).unwrap()
+        second = (
+            await store.compare_and_swap(KEY, b"two", first.revision, LONG)
+        ).unwrap()
         assert second.revision > first.revision
 
     run(open_store, body)
@@ -52,7 +56,7 @@
 def test_lost_answer_is_unreachable_though_the_write_took_effect(open_store):
     async def body(store, control):
         await control.set_faults(lost_answers=1)
-        lost = await store.swap(KEY, b"one", 0, LONG)
+        lost = await store.compare_and_swap(KEY, b"one", 0, LONG)
         assert isinstance(lost.failure(), PlatformUnreachableError)
         assert (await store.get(KEY, LONG)).unwrap().entry.value == b"one"
 
@@ -65,7 +69,7 @@
         await control.set_faults(outage=True)
         for answer in (
             await store.get(KEY, LONG),
-            await store.swap(KEY, b"one", 0, LONG),
+            await store.compare_and_swap(KEY, b"one", 0, LONG),
             await store.watch(KEY, 0, lambda _: None, LONG),
         ):
             assert isinstance(answer.failure(), PlatformUnreachableError)
@@ -77,7 +81,7 @@
 def test_watch_reports_earlier_and_later_writes_in_order(open_store):
     async def body(store, control):
         start = (await store.get(KEY, LONG)).unwrap().revision
-        first = (await store.swap(KEY, b"one", 0, LONG)).unwrap()
+        first = (await store.compare_and_swap(KEY, b"one", 0, LONG)).unwrap()
         received = []
         two_received = anyio.Event()
 
@@ -88,7 +92,7 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(store.watch, KEY, start, on_entry, LONG)
-            await store.swap(KEY, b"two", first.revision, LONG)
+            await store.compare_and_swap(KEY, b"two", first.revision, LONG)
             await two_received.wait()
             tasks.cancel_scope.cancel()
         assert received == [b"one", b"two"]
@@ -100,7 +104,7 @@
 def test_watch_of_a_restored_store_returns_a_lower_revision(open_store):
     async def body(store, control):
         await control.keep_copy()
-        written = (await store.swap(KEY, b"one", 0, LONG)).unwrap()
+        written = (await store.compare_and_swap(KEY, b"one", 0, LONG)).unwrap()
         await control.restore()
         revision = await store.watch(KEY, written.revision, lambda _: None, LONG)
         assert revision.unwrap() < written.revision
@@ -120,7 +124,7 @@
 def test_slow_service_is_unreachable(fault):
     async def body(store, control):
         await control.set_faults(**{fault: 60_000})
-        answer = await store.swap(KEY, b"one", 0, SHORT)
+        answer = await store.compare_and_swap(KEY, b"one", 0, SHORT)
         assert isinstance(answer.failure(), PlatformUnreachableError)
 
     run(open_http_store, body)
@@ -128,7 +132,7 @@
 
 def test_too_large_value_is_refused_before_it_is_sent():
     async def body(store, control):
-        answer = await store.swap(KEY, bytes(MAX_VALUE_BYTES + 1), 0, LONG)
+        answer = await store.compare_and_swap(KEY, bytes(MAX_VALUE_BYTES + 1), 0, LONG)
         assert not isinstance(answer.failure(), PlatformUnreachableError)
         assert isinstance(answer.failure(), PlatformError)
         assert str(MAX_VALUE_BYTES) in str(answer.failure())
--- a/tests/unit/test_watch_list.py
+++ b/tests/unit/test_watch_list.py
@@ -2,7 +2,7 @@
 
 from papayagw._internal.core.watch_list import (
     INITIAL_INTERVAL_MS,
-    INQUIRE_AFTER_INTERVALS,
+    LIVENESS_REQUEST_AFTER_INTERVALS,
     SUSPECT_AFTER_INTERVALS,
     OverdueAgents,
     ReceivedHeartbeat,
@@ -26,18 +26,18 @@
 @pytest.mark.parametrize(
     ("intervals", "overdue"),
     [
-        (INQUIRE_AFTER_INTERVALS - 0.1, OverdueAgents((), ())),
-        (INQUIRE_AFTER_INTERVALS, OverdueAgents((AGENT,), ())),
+        (LIVENESS_REQUEST_AFTER_INTERVALS - 0.1, OverdueAgents((), ())),
+        (LIVENESS_REQUEST_AFTER_INTERVALS, OverdueAgents((AGENT,), ())),
     ],
 )
-def test_overdue_agent_leads_to_an_inquiry_first(intervals, overdue):
+def test_overdue_agent_leads_to_a_liveness_request_first(intervals, overdue):
     watch = make_watch()
     now = Millis(NOW + int(intervals * INITIAL_INTERVAL_MS))
     assert watch.find_overdue(now) == overdue
     assert watch.find_overdue(now) == OverdueAgents((), ())
 
 
-def test_overdue_agent_is_suspected_after_the_inquiry():
+def test_overdue_agent_is_suspected_after_the_liveness_request():
     watch = make_watch()
     now = Millis(NOW + int(SUSPECT_AFTER_INTERVALS * INITIAL_INTERVAL_MS))
     watch.find_overdue(now)
@@ -61,7 +61,7 @@
     assert make_watch().get_heartbeat(AGENT, incarnation, since) == beat
 
 
-def test_paused_watcher_sends_no_voucher():
+def test_paused_watcher_sends_no_liveness_response():
     watch = make_watch()
     watch.compensate_pause(Millis(5_000))
     assert watch.get_heartbeat(AGENT, RUN, NOW) is None
