--- a/src/papayagw/_internal/core/admission.py
+++ b/src/papayagw/_internal/core/admission.py
@@ -30,7 +30,7 @@
 
 
 class Admission(Protocol):
-    """Policy that admits accepted flows to the backend server."""
+    """Admission control, which decides when an accepted flow may use the backend."""
 
     @property
     def next_at(self) -> Millis | None:
@@ -40,20 +40,22 @@
         """Admit, queue or refuse an accepted flow."""
 
     def finish_work(self, flow: FlowNumber, reason: ReleaseReason, now: Millis) -> None:
-        """Record that a flow's work has ended; the flow itself may stay open."""
+        """Record that a flow has no request in progress any more; it may stay open."""
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
-        """Record that an admitted flow without work in progress sends a request."""
+        """Record that an admitted flow without a request in progress sends one."""
 
     def close(self, flow: FlowNumber) -> None:
         """Remove a flow, whether it is queued, in progress or idle."""
 
     def poll(self, now: Millis) -> AdmissionResults:
-        """Admit or refuse the queued flows that are due, and return both."""
+        """Admit queued flows within the limits and refuse expired ones; return both."""
 
 
 @dataclass(frozen=True, slots=True)
 class _Work:
+    """Request in progress: its client and the time of its admission."""
+
     client: str
     admitted_at: Millis
 
@@ -122,7 +124,7 @@
         return AdmissionDecision.QUEUE
 
     def finish_work(self, flow: FlowNumber, reason: ReleaseReason, now: Millis) -> None:
-        """Record that a flow's work has ended; the flow itself may stay open."""
+        """Record that a flow has no request in progress any more; it may stay open."""
         work = self._work.get(flow)
         if work is None:
             return
@@ -134,7 +136,7 @@
         self._remove_work(flow)
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
-        """Record that an admitted flow without work in progress sends a request."""
+        """Record that an admitted flow without a request in progress sends one."""
         client = self._open.get(flow)
         if client is not None and flow not in self._work:
             self._add_work(flow, client, now)
@@ -148,7 +150,7 @@
         self._open.pop(flow, None)
 
     def poll(self, now: Millis) -> AdmissionResults:
-        """Admit or refuse the queued flows that are due, and return both."""
+        """Admit queued flows within the limits and refuse expired ones; return both."""
         refused = (*self._evicted, *self._queue.expire(now))
         self._evicted.clear()
         admitted: list[FlowNumber] = []
@@ -161,6 +163,7 @@
         return AdmissionResults(tuple(admitted), refused)
 
     def _compute_expiry(self, request: AdmissionRequest, now: Millis) -> Millis:
+        """Return when the request leaves the queue: at its deadline or the time-out."""
         expires_at = Millis(now + self._policy.queue_timeout_ms)
         return (
             expires_at
@@ -169,11 +172,13 @@
         )
 
     def _may_admit(self, client: str) -> bool:
+        """Return whether the concurrency limit and the client's share leave room."""
         share = math.ceil(self.limit * self._policy.max_client_share)
         own = self._in_progress_of.get(client, 0)
         return self.in_progress < self.limit and own < max(1, share)
 
     def _rank_client(self, client: str) -> float | None:
+        """Return the client's requests in progress; None if it may start no more."""
         if not self._may_admit(client):
             return None
         return self._in_progress_of.get(client, 0)
@@ -195,18 +200,21 @@
 
 
 def make_adaptive_admission(policy: AdmissionPolicy) -> FairAdmission:
-    """Return admission control with an adaptive limit, as used in production."""
+    """Return admission control with an adaptive limit, as agents use it."""
     limit = AdaptiveLimit(policy.initial_limit, policy.min_limit, policy.max_limit)
     return FairAdmission(policy, limit)
 
 
 def make_fixed_admission(policy: AdmissionPolicy) -> FairAdmission:
-    """Return a baseline with a fixed limit of `policy.max_limit`."""
+    """Return admission control with the fixed limit `policy.max_limit`.
+
+    Serves as a baseline for the adaptive limit.
+    """
     return FairAdmission(policy, FixedLimit(policy.max_limit))
 
 
 class UnlimitedAdmission:
-    """Baseline that admits every flow immediately."""
+    """Admission control that admits every flow at once, a baseline for comparisons."""
 
     @property
     def next_at(self) -> Millis | None:
@@ -218,13 +226,13 @@
         return AdmissionDecision.ADMIT
 
     def finish_work(self, flow: FlowNumber, reason: ReleaseReason, now: Millis) -> None:
-        """Ignore the event."""
+        """Do nothing, as no flows are counted."""
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
-        """Ignore the event."""
+        """Do nothing, as no flows are counted."""
 
     def close(self, flow: FlowNumber) -> None:
-        """Ignore the event."""
+        """Do nothing, as no flows are counted."""
 
     def poll(self, now: Millis) -> AdmissionResults:
         """Return empty results, as no flow is ever queued."""
--- a/src/papayagw/_internal/core/agent.py
+++ b/src/papayagw/_internal/core/agent.py
@@ -1,4 +1,4 @@
-"""Decisions of an agent on packets forwarded by a balancer."""
+"""Decisions of an agent on the packets that balancers and other agents send it."""
 
 from papayagw._internal.core.choice import Chooser
 from papayagw._internal.core.directory import Directory
@@ -120,6 +120,7 @@
     def _pick_sibling(
         self, service_id: ServiceId, connection_id: bytes
     ) -> Endpoint | None:
+        """Return a ready sibling agent of the service, or None if there is none."""
         others = [
             record
             for record in self._siblings.find_ready(service_id)
--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -42,7 +42,7 @@
 """Jitter as a share of the interval, which keeps agents from synchronising."""
 
 TICK_MS = Millis(100)
-"""Time between two ticks."""
+"""Time between two calls of `AgentAnnouncer.on_tick`."""
 
 MIN_WEIGHT_CHANGE_SHARE = 0.25
 """Minimum relative change of the weight that is announced."""
@@ -52,7 +52,7 @@
 
 
 class AgentAnnouncer:
-    """Membership state machine of an agent.
+    """State machine that announces an agent and sends its heartbeats.
 
     Parameters
     ----------
@@ -127,7 +127,7 @@
         return self._announce_change(replace(self._own, state=AgentState.GONE), now)
 
     def set_weight(self, weight: int, now: Millis) -> tuple[Send, ...]:
-        """Announce a new weight if it differs enough and the last one is old enough."""
+        """Announce a new weight, unless the change is too small or follows too soon."""
         weight = max(0, min(MAX_WEIGHT, weight))
         step = MIN_WEIGHT_CHANGE_SHARE * max(
             self._own.weight, UNIT_WEIGHT * MIN_WEIGHT_CHANGE_SHARE
@@ -169,16 +169,19 @@
         return self._send_heartbeat(now)
 
     def _announce_change(self, record: AgentRecord, now: Millis) -> tuple[Send, ...]:
+        """Make `record` the agent's own, with the next sequence, and announce it."""
         self._own = replace(record, sequence=self._own.sequence + 1)
         self._retransmissions = CHANGE_RETRANSMISSIONS
         return () if self._superseded else self._announce_everywhere()
 
     def _announce_everywhere(self) -> tuple[Send, ...]:
+        """Send the agent's record to its watchers and to the control address."""
         message = Announcement(self._own)
         destinations = (*self._watchers, self._control_address)
         return tuple(Send(destination, message) for destination in destinations)
 
     def _announce_if_due(self, now: Millis) -> tuple[Send, ...]:
+        """Announce at the control address, at intervals that double up to a maximum."""
         if now < self._announce_at:
             return ()
         wait = self._announce_interval
@@ -204,6 +207,7 @@
         return tuple(Send(watcher, message) for watcher in self._watchers)
 
     def _drop_silent_watchers(self) -> None:
+        """Remove watchers that acknowledged none of the latest heartbeats."""
         for watcher, acknowledged_number in tuple(self._watchers.items()):
             if (
                 self._heartbeat_number - acknowledged_number
@@ -241,6 +245,7 @@
             self._siblings.merge(record)
 
     def _record_version(self, version: int, source: Endpoint) -> None:
+        """Record the highest configuration version that a balancer advertises."""
         advertised = self._advertised_configuration
         if version > (advertised[0] if advertised else 0):
             self._advertised_configuration = (version, source)
--- a/src/papayagw/_internal/core/balancer.py
+++ b/src/papayagw/_internal/core/balancer.py
@@ -37,7 +37,7 @@
 
 
 class Peers(Protocol):
-    """View of the other balancers used to route openings."""
+    """What routing has to know about the other balancers."""
 
     @property
     def caught_up(self) -> bool:
@@ -49,7 +49,7 @@
 
 
 class BalancerCore:
-    """Router for packets from callers.
+    """Decides where to forward packets from callers.
 
     Parameters
     ----------
@@ -122,6 +122,7 @@
                 del self._unreachable[agent]
 
     def _find_candidates(self, service_id: ServiceId) -> Sequence[AgentRecord]:
+        """Return the ready agents of a service whose port isn't known to be closed."""
         ready = self._directory.find_ready(service_id)
         if not self._unreachable:
             return ready
--- a/src/papayagw/_internal/core/burn.py
+++ b/src/papayagw/_internal/core/burn.py
@@ -45,7 +45,7 @@
 """Windows in ascending order; the last one is the budget period."""
 
 MAX_BURN = 1_000_000.0
-"""Burn rate reported for an empty error budget."""
+"""Upper limit of burn rates, also reported if no bad flow is allowed."""
 
 _BURN_DIGITS = 9
 
@@ -150,7 +150,7 @@
 
 
 def count_late(counts: FlowCounts, latency: Millis) -> int:
-    """Return the openings refused or not certainly answered within `latency` ms.
+    """Count the openings refused or not certainly answered within `latency` ms.
 
     The bucket that contains the limit counts as late, so the result may be slightly
     too high but never too low.
@@ -160,7 +160,7 @@
 
 
 def compute_burn(bad: float, allowed: float) -> float:
-    """Return the ratio of `bad` to `allowed`, at most `MAX_BURN`."""
+    """Return the burn rate, at most `MAX_BURN`: the bad share over the allowed one."""
     if bad <= 0:
         return 0.0
     if allowed <= 0:
@@ -181,6 +181,7 @@
 def _select_window(
     records: Iterable[ServiceRecord], window: Window, end: Millis
 ) -> _WindowRecords:
+    """Return the records that end in the window up to `end`."""
     start = Millis(end - window.length_ms)
     inside = tuple(one for one in records if start < one.end_ms <= end)
     present = {record.side for record in inside}
@@ -236,6 +237,7 @@
 
 
 def _count_openings(side: SideCounts, objectives: Objectives) -> tuple[int, int]:
+    """Return the number of late openings and that of all openings."""
     counts = side.counts
     openings = sum(counts.answered) + counts.refused
     return count_late(counts, objectives.latency_ms), openings
@@ -254,6 +256,7 @@
 
 
 def _measure_imbalance(one: _WindowRecords, objectives: Objectives) -> WindowBurn:
+    """Return the burn rate of the imbalance, 0 with too few flows to measure it."""
     balance = measure_balance(one.records, by_backend)
     flows = sum(group.opened for group in balance.groups)
     burn = 0.0
@@ -268,6 +271,7 @@
     windows: tuple[WindowBurn, ...],
     rules: Iterable[BurnRule],
 ) -> ObjectiveBurn:
+    """Return the burn rates of an objective with the worst risk that they imply."""
     burns = {one.window: one.burn for one in windows}
     risks = [
         rule.risk
--- a/src/papayagw/_internal/core/choice.py
+++ b/src/papayagw/_internal/core/choice.py
@@ -54,5 +54,6 @@
 
     @staticmethod
     def _score(key: bytes, record: AgentRecord) -> float:
+        """Return the score of a candidate, which is the higher the better."""
         name = str(record.endpoint).encode()
         return -record.weight / math.log(unit_hash(key, name))
--- a/src/papayagw/_internal/core/concurrency_limit.py
+++ b/src/papayagw/_internal/core/concurrency_limit.py
@@ -13,14 +13,17 @@
 from papayagw._internal.models.clock import Millis
 
 DECREASE_FACTOR = 0.9
+"""Factor by which high latency or a failure reduces the limit."""
 LATENCY_TOLERANCE = 2.0
 """Highest ratio of the mean latency to the baseline that counts as normal."""
 LATENCY_SLACK_MS = Millis(5)
+"""Latency in ms above that ratio that still counts as normal."""
 ADJUST_INTERVAL_MS = Millis(100)
 """Minimum interval between adjustments of the limit."""
 MIN_SAMPLES = 5
 """Minimum number of answers for a mean latency."""
 BASELINE_WINDOW_MS = Millis(30_000)
+"""Length of a baseline window, of which the last two give the baseline."""
 _MIN_UTILIZATION = 0.5
 """Minimum share of the limit that must be in use for it to grow."""
 
@@ -57,10 +60,10 @@
         return self._limit
 
     def record_answer(self, latency: Millis, in_progress: int, now: Millis) -> None:
-        """Ignore the answer."""
+        """Do nothing, as the limit is constant."""
 
     def record_failure(self, now: Millis) -> None:
-        """Ignore the failure."""
+        """Do nothing, as the limit is constant."""
 
 
 class AdaptiveLimit:
@@ -119,6 +122,7 @@
             self._set_limit(self._limit * DECREASE_FACTOR)
 
     def _adjust(self, now: Millis) -> None:
+        """Change the limit by the mean latency of the answers since the last change."""
         mean = self._latency_sum / self._samples
         self._lowest_mean = min(self._lowest_mean, mean)
         if mean > self.baseline_ms * LATENCY_TOLERANCE + LATENCY_SLACK_MS:
@@ -130,6 +134,7 @@
         self._rotate_baseline(now)
 
     def _rotate_baseline(self, now: Millis) -> None:
+        """Start a new baseline window and halve the limit, if the window has ended."""
         if (
             self._baseline_started_at is None
             or now - self._baseline_started_at < BASELINE_WINDOW_MS
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -1,4 +1,4 @@
-"""Configuration in force at a node."""
+"""Choice of the configuration in force at a node, and its exchange with peers."""
 
 from enum import Enum
 
@@ -26,7 +26,10 @@
 
 
 class ConfigurationLog:
-    """Configuration of a node, which is only replaced by a higher version."""
+    """Configuration in force at a node, with recent versions to answer peers.
+
+    It is only replaced by a configuration with a higher version.
+    """
 
     def __init__(self) -> None:
         self._current: Configuration | None = None
@@ -67,7 +70,7 @@
         return order
 
     def make_reply(self, query: ConfigurationQuery) -> ConfigurationReply:
-        """Return the answer that updates a peer to the version in force here."""
+        """Return the reply that updates a peer to the version in force here."""
         current = self._current
         if current is None or query.version >= current.version:
             return NotModified()
@@ -77,7 +80,11 @@
         return current if change is None else change
 
     def resolve_reply(self, reply: ConfigurationReply) -> Configuration | None:
-        """Return the configuration that results from a peer's answer, or None."""
+        """Return the configuration that results from a peer's reply.
+
+        Returns None if the peer has no newer version, or if its change isn't based on
+        the version in force here.
+        """
         if isinstance(reply, NotModified):
             return None
         if isinstance(reply, Configuration):
--- a/src/papayagw/_internal/core/configuration_change.py
+++ b/src/papayagw/_internal/core/configuration_change.py
@@ -93,7 +93,10 @@
     def find_change_since(
         self, version: int, submission_id: str
     ) -> ConfigurationChange | None:
-        """Return the change from a kept version to the latest, or None."""
+        """Return the change from `version` to the latest one.
+
+        Returns None if `version` isn't kept, is the latest or is of another submission.
+        """
         before = self._versions.get(version)
         if before is None or before.submission_id != submission_id:
             return None
--- a/src/papayagw/_internal/core/directory.py
+++ b/src/papayagw/_internal/core/directory.py
@@ -26,11 +26,11 @@
         """Return the agents of a service that accept openings."""
 
     def is_gone(self, route: FlowRoute) -> bool:
-        """Return whether the agent run named by a flow tag is known to be gone."""
+        """Return whether the agent incarnation in `route` is known to be gone."""
 
 
 class AgentDirectory:
-    """The newest record of each agent."""
+    """The newest record of each agent, by endpoint and by service."""
 
     def __init__(self) -> None:
         self._records: dict[tuple[str, int], AgentRecord] = {}
@@ -61,7 +61,7 @@
         return True
 
     def forget(self, record: AgentRecord) -> None:
-        """Drop the record of an endpoint."""
+        """Remove the record held for the endpoint of `record`."""
         known = self._records.pop(record.endpoint.sockaddr, None)
         self._gone.pop(record.endpoint.sockaddr, None)
         if known is not None:
@@ -72,7 +72,7 @@
         return self._ready.get(service_id, ())
 
     def is_gone(self, route: FlowRoute) -> bool:
-        """Return whether the agent run named by a flow tag is known to be gone."""
+        """Return whether the agent incarnation in `route` is known to be gone."""
         return self._gone.get(route.agent.sockaddr) == route.incarnation
 
     def find_reported_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
@@ -86,6 +86,7 @@
         self._update_ready(record.service_id)
 
     def _update_ready(self, service_id: ServiceId) -> None:
+        """Recompute which agents of a service may receive openings."""
         reported_ready = self.find_reported_ready(service_id)
         excluded = select_excluded(reported_ready)
         self._ready[service_id] = tuple(
--- a/src/papayagw/_internal/core/fair_queue.py
+++ b/src/papayagw/_internal/core/fair_queue.py
@@ -19,7 +19,7 @@
 
 
 class FairQueue:
-    """Queued admission requests, with a separate queue per client.
+    """Bounded queue of admission requests, with a separate queue per client.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/core/fleet.py
+++ b/src/papayagw/_internal/core/fleet.py
@@ -141,6 +141,7 @@
         self._updates.add_record(self._own, self.balancer_count)
 
     def _merge_own(self, record: Record, now: Millis) -> MergeOutcome:
+        """Refute a record of this balancer that is wrong, or notice a later run."""
         if isinstance(record, AgentRecord) or record.incarnation > (
             self._own.incarnation
         ):
@@ -154,6 +155,7 @@
         return MergeOutcome.KNOWN
 
     def _refute(self, received: BalancerRecord, now: Millis) -> None:
+        """Make the own record newer than a received one that says suspected or gone."""
         if received.sequence > self._own.sequence or received.state is AgentState.GONE:
             self._own = replace(self._own, sequence=received.sequence + 1, suspicion=0)
             self._updates.add_record(self._own, self.balancer_count)
@@ -163,6 +165,7 @@
         self._table.merge(self._own, now)
 
     def _refresh_balancers(self) -> None:
+        """Recompute the lists of balancers if the table's balancers have changed."""
         if self._balancers_version == self._table.balancers_version:
             return
         self._balancers_version = self._table.balancers_version
--- a/src/papayagw/_internal/core/gossip_budget.py
+++ b/src/papayagw/_internal/core/gossip_budget.py
@@ -4,7 +4,7 @@
 
 
 class TokenBucket:
-    """A token bucket over bytes.
+    """Token bucket that limits the bytes sent per second.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/core/gossip_probe.py
+++ b/src/papayagw/_internal/core/gossip_probe.py
@@ -118,6 +118,7 @@
         return ProbeStep()
 
     def _pick_target(self, peers: Sequence[Endpoint]) -> Endpoint:
+        """Return the next balancer of a shuffled round over all peers."""
         if not self._queue:
             self._queue = list(peers)
             self._random.shuffle(self._queue)
--- a/src/papayagw/_internal/core/gossip_queue.py
+++ b/src/papayagw/_internal/core/gossip_queue.py
@@ -67,7 +67,7 @@
         return len(self._queued)
 
     def add_record(self, record: Record, nodes: int) -> None:
-        """Queue a whole record in a fleet of `nodes` balancers."""
+        """Queue a whole record; the fleet has `nodes` balancers."""
         leaving = record.state is not AgentState.READY
         priority = _PRIORITY_LEAVING if leaving else _PRIORITY_READY
         self._queued.pop(record.endpoint, None)
@@ -76,20 +76,20 @@
         )
 
     def add_suspicion(self, bucket: Bucket, nodes: int) -> None:
-        """Queue a suspicion or a refutation in `bucket`."""
+        """Queue the suspicion counters of `bucket`; the fleet has `nodes` balancers."""
         self._queued.pop(bucket, None)
         self._queued[bucket] = _QueuedUpdate(
             _PRIORITY_SUSPICION, compute_transmissions(nodes)
         )
 
     def record_duplicate(self, subject: Endpoint | Bucket) -> None:
-        """Count an update that was received although it was already known."""
+        """Reduce the transmissions of an update that a peer already knows."""
         queued = self._queued.get(subject)
         if queued is not None:
             self._count_down(subject, queued, TRANSMISSIONS_PER_DUPLICATE)
 
     def take(self, room_bytes: float) -> MembershipUpdate:
-        """Return the updates that fit into `room_bytes`, counted as sent once."""
+        """Return the updates that fit into `room_bytes` and count them as sent once."""
         records: list[Record] = []
         vectors: list[SuspicionVector] = []
         for subject, queued in self._sort_by_priority():
@@ -114,6 +114,7 @@
     def _read_content(
         self, subject: Endpoint | Bucket
     ) -> Record | SuspicionVector | None:
+        """Return the current record or suspicion vector, or None if it was removed."""
         if isinstance(subject, Bucket):
             return self._table.make_vector(subject)
         return self._table.get(subject)
@@ -121,6 +122,7 @@
     def _count_down(
         self, subject: Endpoint | Bucket, queued: _QueuedUpdate, count: int
     ) -> None:
+        """Reduce the remaining transmissions, and remove the update at zero."""
         transmissions = queued.transmissions - count
         if transmissions <= 0:
             del self._queued[subject]
@@ -149,5 +151,5 @@
 
 
 def compute_transmissions(nodes: int) -> int:
-    """Return the transmissions of an update in a fleet of `nodes` balancers."""
+    """Return how often an update is sent in a fleet of `nodes` balancers."""
     return MIN_TRANSMISSIONS + math.ceil(TRANSMISSIONS_FACTOR * math.log(nodes + 1))
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -29,8 +29,13 @@
 """Size of a control datagram without its lists, in bytes."""
 
 RECORDS_PER_DATAGRAM = 40
+"""Maximum number of records in one datagram."""
+
 FINGERPRINT_BYTES = 4.5
+"""Estimated size of a fingerprint in a datagram, in bytes."""
+
 DIGEST_BYTES = 4.5
+"""Estimated size of a bucket's digest in a datagram, in bytes."""
 
 REPAIR_INTERVAL_MS = Millis(2_000)
 """Minimum interval between comparisons that a node starts after it has caught up."""
@@ -90,7 +95,7 @@
     def on_gossip_digest(
         self, digest: int, source: Endpoint, gossip_idle: bool, now: Millis
     ) -> Iterator[Send]:
-        """Compare the digest of all records with a peer's.
+        """Send the digests by bucket if a peer's digest of all records differs.
 
         While updates are queued (`gossip_idle` is False) the comparison is deferred,
         because gossip resolves most differences at a lower cost.
@@ -180,6 +185,7 @@
         return whole, compared
 
     def _summarise(self, bucket: Bucket, destination: Endpoint, now: Millis) -> Send:
+        """Return the message with the fingerprints of a bucket's records."""
         fingerprints = self._table.list_fingerprints(bucket)
         self._spend(len(fingerprints) * FINGERPRINT_BYTES, now)
         return Send(destination, BucketSummary(bucket, fingerprints))
@@ -193,6 +199,7 @@
             yield Send(destination, MissingRecords(make_updates(chunk)))
 
     def _make_digests(self) -> BucketDigests:
+        """Return the digests of all zones, or often of one only while catching up."""
         zones = self._table.zones
         complete = (
             self._caught_up or len(zones) <= 1 or self._digests_sent % len(zones) == 0
@@ -204,6 +211,7 @@
         return BucketDigests(zones, digests, complete)
 
     def _find_differing(self, message: BucketDigests) -> list[Bucket]:
+        """Return the buckets whose digests differ from those of the peer."""
         theirs = dict(zip(_list_buckets(message.zones), message.digests, strict=False))
         ours = set(self._table.buckets) if message.complete else set()
         buckets = sorted(set(theirs) | ours)
@@ -214,6 +222,7 @@
         ]
 
     def _spend(self, size_bytes: float, now: Millis) -> None:
+        """Charge the budget with a datagram that has lists of `size_bytes`."""
         self._budget.spend(DATAGRAM_BYTES + int(size_bytes), now)
 
 
@@ -224,5 +233,6 @@
 
 
 def _list_empty_buckets(message: BucketDigests) -> Iterator[Bucket]:
+    """Return the buckets in which the sender of `message` has no records."""
     pairs = zip(_list_buckets(message.zones), message.digests, strict=False)
     return (bucket for bucket, digest in pairs if digest == 0)
--- a/src/papayagw/_internal/core/gossip_table.py
+++ b/src/papayagw/_internal/core/gossip_table.py
@@ -35,7 +35,7 @@
 
 
 class MergeOutcome(Enum):
-    """Result of merging a record."""
+    """How a merged record compares with the known one: newer, equal or older."""
 
     NEWER = "newer"
     KNOWN = "known"
@@ -141,7 +141,7 @@
         return MergeOutcome.NEWER
 
     def forget_gone(self, now: Millis) -> None:
-        """Drop the oldest records of nodes that are gone."""
+        """Remove records of gone nodes that are too old or too many."""
         while self._gone_at:
             endpoint, gone_at = next(iter(self._gone_at.items()))
             if (
@@ -190,7 +190,7 @@
         return SuspicionVector(bucket, state.index_digest, counters)
 
     def compare(self, vector: SuspicionVector) -> VectorComparison | None:
-        """Compare a vector with the local records.
+        """Compare a suspicion vector with the local records.
 
         Return None if the local bucket has other members, incarnations or sequences.
         """
@@ -212,6 +212,7 @@
         return VectorComparison(tuple(ahead), behind)
 
     def _index(self, record: Record) -> None:
+        """Add a record to the fingerprints, digests and counts."""
         fingerprint = compute_fingerprint(record)
         self._fingerprints[record.endpoint] = fingerprint
         self._by_fingerprint[fingerprint] = record
@@ -226,6 +227,7 @@
             self._agents += 1
 
     def _unindex(self, record: Record) -> None:
+        """Remove a record from the fingerprints, digests and counts."""
         fingerprint = self._fingerprints.pop(record.endpoint)
         self._by_fingerprint.pop(fingerprint, None)
         self._digest ^= fingerprint
@@ -283,6 +285,7 @@
 
 
 def _compute_identity(record: Record) -> int:
+    """Return a hash that ignores state and suspicion, for the index digest."""
     return _hash(f"{record.endpoint} {record.incarnation} {record.sequence}")
 
 
--- a/src/papayagw/_internal/core/lifecycle.py
+++ b/src/papayagw/_internal/core/lifecycle.py
@@ -150,6 +150,7 @@
         return _HANDLERS[type(event)](self, event)
 
     def _ignore(self) -> FlowActions:
+        """Count an event that has no effect in the current state."""
         self._ignored += 1
         return NO_ACTIONS
 
@@ -170,6 +171,7 @@
         return self._fail()
 
     def _connect(self) -> FlowActions:
+        """Start the next connection attempt to the backend server."""
         self._state = FlowState.CONNECTING
         self._attempt += 1
         return (ConnectBackend(self._attempt),)
@@ -183,6 +185,7 @@
         return (self._deliver(event.count),)
 
     def _deliver(self, count: int) -> DeliverToBackend:
+        """Count bytes as delivered and return the action that writes them."""
         self._delivered += count
         self._unwritten += count
         return DeliverToBackend(count)
@@ -276,13 +279,16 @@
         return self._delivered > 0 or self._answer_bytes > 0
 
     def _is_stale(self, attempt: int) -> bool:
+        """Return whether an event belongs to an earlier connection attempt."""
         return attempt != self._attempt
 
     def _fail(self) -> FlowActions:
+        """End the flow as REFUSED, or as UNKNOWN once bytes were delivered."""
         is_undelivered = self._delivered == 0
         return self._end(FlowOutcome.REFUSED if is_undelivered else FlowOutcome.UNKNOWN)
 
     def _end(self, outcome: FlowOutcome) -> FlowActions:
+        """End the flow and return its last actions."""
         cancels_backend = outcome is not FlowOutcome.ANSWERED and self._has_connection
         self._outcome = outcome
         self._state = _FINAL_STATES[outcome]
--- a/src/papayagw/_internal/core/log_limiter.py
+++ b/src/papayagw/_internal/core/log_limiter.py
@@ -7,7 +7,7 @@
 from papayagw._internal.models.clock import Millis
 
 MAX_KINDS = 1_024
-"""Maximum number of kinds with a limit of their own; the rest share one."""
+"""Maximum number of kinds of message with a limit each; the others share one."""
 
 WINDOW_MS = Millis(1_000)
 BURST = 3
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -62,6 +62,7 @@
 """Value of `REPAIR_SHARE` while a new balancer is catching up."""
 
 GOSSIP_BURST_BYTES = 400
+"""Number of bytes that gossip, and likewise repair, may send at once."""
 
 MAX_UPDATE_BYTES = 1_050
 """Maximum size of the updates in one datagram, in bytes."""
@@ -70,6 +71,7 @@
 """Number of peers to which updates are sent in each gossip round."""
 
 FANOUT_INTERVAL_MS = Millis(100)
+"""Interval between gossip rounds."""
 
 LIVENESS_REQUEST_PEERS = 2
 """Number of peers that receive a liveness request about an unresponsive balancer."""
@@ -89,12 +91,10 @@
 """Number of peers for which `JOIN_INTERVAL_MS` is added once more to the interval."""
 
 INTRODUCTION_INTERVAL_MS = Millis(20)
-"""Minimum interval between introductions to nodes that are unknown or marked as gone.
-"""
+"""Minimum interval between introductions to unknown nodes or nodes marked as gone."""
 
 MAX_JOIN_RECORDS = 30
-"""Maximum number of records that the answer to a join carries besides the first,
-which is the record of the answering balancer."""
+"""Maximum number of records in the answer to a join, besides the answering node's."""
 
 RELAYS_PER_ZONE = 3
 """Number of balancers of a zone that watch the platform's store."""
@@ -103,6 +103,8 @@
 """Number of gossip rounds that advertise a new version of the configuration."""
 
 _FIRST_REQUEST_NUMBER = 1 << 30
+"""First number of probes sent for other balancers, above those of the own probes."""
+
 _MAX_PENDING_REQUESTS = 64
 
 
@@ -284,6 +286,7 @@
         return self._prober.is_isolated and not self._watcher.receives_heartbeats(now)
 
     def _compensate_pause(self, now: Millis) -> None:
+        """Extend the time-outs if this process was paused since the last call."""
         if self._ticked_at is not None and now - self._ticked_at > PAUSE_THRESHOLD_MS:
             pause_ms = Millis(now - self._ticked_at)
             self._watcher.compensate_pause(pause_ms, now)
@@ -295,6 +298,7 @@
         self._ticked_at = now
 
     def _send_join(self, now: Millis) -> Iterator[Send]:
+        """Send a join to the control address if one is due."""
         if now < self._join_at:
             return
         peers = len(self._fleet.peers)
@@ -307,6 +311,7 @@
         yield Send(self._control_address, Join(self._fleet.own))
 
     def _run_probes(self, now: Millis) -> Iterator[Send]:
+        """Probe the next balancer, and act on probes that remain unanswered."""
         step = self._prober.on_tick(self._fleet.peers, now)
         if step.probe is not None:
             updates = self._take_updates(now)
@@ -332,6 +337,7 @@
             self._fleet.toggle_suspicion(record, now)
 
     def _mark_expired_suspects_gone(self, isolated: bool, now: Millis) -> None:
+        """Mark balancers as gone that haven't refuted a suspicion in time."""
         suspected = self._fleet.suspected
         self._suspected_since = {
             one.endpoint: self._suspected_since.get(one.endpoint, now)
@@ -345,6 +351,7 @@
                 self._fleet.merge_without_gossip(gone, now)
 
     def _disseminate(self, now: Millis) -> Iterator[Send]:
+        """Send queued updates and a new configuration version to a few peers."""
         if now < self._fanout_at:
             return
         self._fanout_at = Millis(now + FANOUT_INTERVAL_MS)
@@ -368,6 +375,7 @@
         return self._budget.get_level(now) >= min(wanted, GOSSIP_BURST_BYTES)
 
     def _update_gossip_rates(self, now: Millis) -> None:
+        """Divide the rate left by heartbeats and probes between gossip and repair."""
         heartbeat_rate = self._watcher.estimate_bytes_per_second()
         remaining = CONTROL_BYTES_PER_SECOND - PROBE_BYTES_PER_SECOND - heartbeat_rate
         rate = max(MIN_GOSSIP_BYTES_PER_SECOND, remaining)
@@ -376,6 +384,7 @@
         self._budget.set_rate(int((1 - share) * rate), now)
 
     def _take_updates(self, now: Millis) -> MembershipUpdate:
+        """Return the queued updates that the budget allows, and charge it for them."""
         room = min(MAX_UPDATE_BYTES, self._budget.get_level(now))
         updates = self._fleet.updates.take(room)
         self._budget.spend(_estimate_bytes(updates), now)
@@ -423,6 +432,7 @@
         yield self._make_gossip(GossipKind.UPDATE, joiner, 0, make_updates(records))
 
     def _select_join_records(self, joiner: Endpoint) -> list[Record]:
+        """Return the balancers and, if all fit, the agents that a new node is sent."""
         others = [one for one in self.balancers if one.endpoint != joiner]
         balancers = self._random.sample(others, min(len(others), MAX_JOIN_RECORDS))
         agents = [
@@ -450,6 +460,7 @@
     def _handle_probe_or_reply(
         self, message: Gossip, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Reply to a probe, or match a reply to the own probe or another node's."""
         if message.kind is GossipKind.PROBE:
             updates = self._take_updates(now)
             yield self._make_gossip(GossipKind.REPLY, source, message.number, updates)
@@ -487,6 +498,7 @@
     def _on_missing_records(
         self, message: MissingRecords, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Merge repaired records, and return those for which a newer one is known."""
         updates = message.update
         self._repair_budget.spend(DATAGRAM_BYTES + _estimate_bytes(updates), now)
         newer: list[Record] = []
@@ -521,6 +533,7 @@
         yield from ()
 
     def _record_version(self, version: int, source: Endpoint) -> None:
+        """Record the highest configuration version advertised by a peer."""
         if version > max(
             self._configuration_version,
             self._advertised_configuration[0] if self._advertised_configuration else 0,
--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -83,7 +83,7 @@
 
 
 class UndeliveredOnly:
-    """Allow a retry only if no byte was delivered or the service is idempotent."""
+    """Rule that allows a retry if nothing was delivered or requests may be repeated."""
 
     def may_have_run(self, ended: AttemptEnded) -> bool:
         """Return whether a byte of the request may have reached a backend server."""
@@ -97,7 +97,7 @@
 
 
 class OpeningRetry:
-    """Attempts to open one flow.
+    """State machine of the attempts to open one flow.
 
     Parameters
     ----------
@@ -176,6 +176,7 @@
         return FlowOutcome.UNKNOWN if self._may_have_run else FlowOutcome.REFUSED
 
     def _try_reopen(self, ended: AttemptEnded, now: Millis) -> Reopen | None:
+        """Return the action of a further attempt, or None if none is allowed."""
         if self._attempt >= self._policy.max_attempts:
             return None
         if not self._rule.is_safe(ended, self._idempotent):
@@ -196,5 +197,6 @@
         return Millis(round(ceiling_ms * self._draw()))
 
     def _finish(self, outcome: FlowOutcome) -> ReportOutcome:
+        """Record the final outcome and return the action that reports it."""
         self._outcome = outcome
         return ReportOutcome(outcome)
--- a/src/papayagw/_internal/core/return_path.py
+++ b/src/papayagw/_internal/core/return_path.py
@@ -22,7 +22,7 @@
 
 
 class ReturnPath:
-    """Balancers that have sent packets to an agent.
+    """Selects the balancer for each answer among those that have sent packets.
 
     Parameters
     ----------
@@ -56,6 +56,7 @@
         return self._candidates[self._pick_index(len(self._candidates))]
 
     def _refresh(self, now: Millis) -> None:
+        """Recompute the balancers that count as alive, and drop expired ones."""
         self._refreshed_at = now
         newest = sorted(self._last_seen.items(), key=lambda item: -item[1])
         for balancer, at in newest:
--- a/src/papayagw/_internal/core/service_meter.py
+++ b/src/papayagw/_internal/core/service_meter.py
@@ -149,6 +149,7 @@
             self._service.record_cut(self._answered)
 
     def _owns_flow(self) -> bool:
+        """Return whether a cut of the flow counts at this node."""
         # An agent may also hold a duplicate of an opening accepted by another agent.
         return self._opened or self._service.side is Side.CALLER
 
--- a/src/papayagw/_internal/core/site_comparison.py
+++ b/src/papayagw/_internal/core/site_comparison.py
@@ -61,6 +61,7 @@
 
 
 def _flatten(path: str, value: Service | object) -> Iterator[tuple[str, str]]:
+    """Yield the key and the text of each value in a nested data class."""
     if isinstance(value, Endpoint) or not is_dataclass(value):
         yield path, str(value)
         return
--- a/src/papayagw/_internal/core/submission.py
+++ b/src/papayagw/_internal/core/submission.py
@@ -188,6 +188,7 @@
 
     @property
     def _submitted(self) -> Configuration:
+        """The configuration that the write in progress contains."""
         assert isinstance(self._action, Write)
         return self._action.configuration
 
@@ -218,6 +219,7 @@
         return "; ".join(incompatibilities)
 
     def _make_configuration(self, current: Configuration | None) -> Configuration:
+        """Return the proposed configuration as the version after `current`."""
         version = current.version + 1 if current else 1
         earlier = current.history if current else ()
         proposal = self._proposal
--- a/src/papayagw/_internal/core/watch_list.py
+++ b/src/papayagw/_internal/core/watch_list.py
@@ -18,8 +18,10 @@
 """Number of intervals without a heartbeat after which a watcher suspects an agent."""
 
 MAX_LIVENESS_RESPONSES = 3
-"""Maximum number of successive liveness responses that count; each after the first
-doubles the timeout."""
+"""Number of successive liveness responses that count.
+
+Each of them after the first doubles the timeout of the agent.
+"""
 
 RESUME_GRACE_MS = Millis(4_000)
 """Time after a pause in which agents that dropped this watcher reconnect to it."""
@@ -30,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Watched:
-    """The state of one watched agent."""
+    """The last heartbeat of a watched agent and the steps taken since."""
 
     incarnation: Incarnation
     heartbeat_number: int
@@ -104,7 +106,7 @@
             self._watched[endpoint] = replace(watched, interval_ms=interval_ms)
 
     def remove(self, endpoint: Endpoint) -> None:
-        """Stop watching an agent."""
+        """Remove an agent from the list, if it is watched."""
         self._watched.pop(endpoint, None)
 
     def record_heartbeat(
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -45,7 +45,7 @@
 MAX_INTERVAL_MS = Millis(3_000)
 
 HEARTBEATS_PER_ACK = 5
-"""Number of heartbeats for each acknowledgement."""
+"""Number of heartbeats of an agent that a watcher answers by one acknowledgement."""
 
 MAX_SIBLINGS = 8
 """Maximum number of siblings in an acknowledgement."""
@@ -54,12 +54,14 @@
 """Time without heartbeats after which an agent is marked as gone."""
 
 MIN_READY_SHARE = 0.5
-"""Minimum share of a service's ready agents that must be unsuspected for a removal."""
+"""Minimum share of a service's ready agents to be unsuspected before one is removed."""
 
 REMOVAL_CHECK_INTERVAL_MS = Millis(5_000)
 AUDIT_TICKS = 600
-"""Number of ticks in which all records are checked for agents that this balancer should
-watch but doesn't."""
+"""Number of ticks in which all records are checked once for unwatched agents.
+
+These are agents that this balancer should watch but doesn't.
+"""
 
 
 class Watcher:
@@ -203,6 +205,7 @@
         self._accepts_refutations_at = Millis(now + RESUME_GRACE_MS)
 
     def _clear_suspicion(self, endpoint: Endpoint, now: Millis) -> None:
+        """Withdraw the suspicion of a node, except just after a pause."""
         if now < self._accepts_refutations_at:
             return
         known = self._fleet.table.get(endpoint)
@@ -212,6 +215,7 @@
     def _make_acknowledgement(
         self, agent: Endpoint, siblings_digest: int, now: Millis
     ) -> Send:
+        """Return an acknowledgement with what is known about the agent."""
         known = self._fleet.table.get(agent)
         interval = self.compute_interval() if self._caught_up else KEEP_INTERVAL_MS
         watchers = self._fleet.list_watchers(agent)
@@ -239,6 +243,7 @@
         )
 
     def _list_siblings(self, record: AgentRecord) -> tuple[AgentRecord, ...]:
+        """Return the few other agents of the service that an agent is told about."""
         ready = self._fleet.table.directory.find_ready(record.service_id)
         others = [one for one in ready if one.endpoint != record.endpoint]
         if len(others) > MAX_SIBLINGS:
@@ -258,6 +263,7 @@
             yield Send(other, LivenessRequest(endpoint, known.incarnation))
 
     def _suspect(self, endpoint: Endpoint, isolated: bool, now: Millis) -> None:
+        """Suspect an overdue agent, or stop watching one that is not this node's."""
         known = self._fleet.table.get(endpoint)
         gone = known is None or known.state is AgentState.GONE
         if known is None or gone or not self._fleet.is_watcher(endpoint):
@@ -266,6 +272,7 @@
             self._fleet.toggle_suspicion(known, now)
 
     def _audit(self, now: Millis) -> None:
+        """Start to watch agents that were missed, checking a few records per tick."""
         if not self._audit_queue:
             self._audit_queue = list(self._fleet.table.directory.records)
         for _ in range(1 + len(self._audit_queue) // AUDIT_TICKS):
@@ -283,6 +290,7 @@
         )
 
     def _remove_expired(self, now: Millis) -> None:
+        """Mark agents as gone that sent no heartbeat for `REMOVAL_TIMEOUT_MS`."""
         since = Millis(now - REMOVAL_TIMEOUT_MS)
         for endpoint in self._watch.list_silent_since(since):
             known = self._fleet.table.get(endpoint)
@@ -291,6 +299,7 @@
                 self._watch.remove(endpoint)
 
     def _may_remove(self, record: AgentRecord) -> bool:
+        """Return whether an agent is suspected and, if ready, enough others are not."""
         if record.state is AgentState.DRAINING:
             return record.is_suspected
         reported_ready = self._fleet.table.directory.find_reported_ready(
@@ -303,6 +312,7 @@
 
 
 def _is_current(known: object, heartbeat: Heartbeat) -> bool:
+    """Return whether a heartbeat matches the known record of its agent."""
     return (
         isinstance(known, AgentRecord)
         and known.incarnation == heartbeat.incarnation
@@ -312,7 +322,7 @@
 
 
 def _refutes_suspicion(known: AgentRecord, announced: AgentRecord) -> bool:
-    """Return whether an announcement refutes a suspicion."""
+    """Return whether an announcement refutes the suspicion in the known record."""
     return (
         known.is_suspected
         and known.incarnation == announced.incarnation
--- a/src/papayagw/_internal/core/zone_loss.py
+++ b/src/papayagw/_internal/core/zone_loss.py
@@ -55,6 +55,7 @@
                 self._lost_zones |= {zone}
 
     def _find_silent_zones(self) -> frozenset[str]:
+        """Return the zones in which all of several watched agents are overdue."""
         silent: Counter[str] = Counter()
         responsive: set[str] = set()
         for endpoint, is_silent in self._watch.list_watched():
@@ -71,6 +72,7 @@
         return frozenset(silent_zones - responsive)
 
     def _suspect_zone(self, zone: str, now: Millis) -> bool:
+        """Suspect all nodes of a zone; return False if too few are suspected so far."""
         records = list(self._list_nodes(zone))
         suspected = sum(record.is_suspected for record in records)
         if suspected < MIN_SUSPECTED_SHARE * len(records):
--- a/src/papayagw/_internal/exceptions.py
+++ b/src/papayagw/_internal/exceptions.py
@@ -17,7 +17,7 @@
 
 
 class Step(Enum):
-    """The step that failed."""
+    """The operation that failed, as shown in error messages and logs."""
 
     SETTINGS = "settings"
     START = "start"
@@ -103,7 +103,7 @@
 
 
 class StatusError(PapayagwError):
-    """A node sent no valid status report."""
+    """A node answered a status query with no valid report, or not at all."""
 
 
 class ReportError(PapayagwError):
--- a/src/papayagw/_internal/models/admission.py
+++ b/src/papayagw/_internal/models/admission.py
@@ -70,7 +70,7 @@
 
 
 class ReleaseReason(Enum):
-    """Why a flow no longer counts against the concurrency limit."""
+    """Why a flow no longer counts as work in progress."""
 
     ANSWERED = "answered"
     IDLE = "idle"
--- a/src/papayagw/_internal/models/burn.py
+++ b/src/papayagw/_internal/models/burn.py
@@ -17,7 +17,7 @@
 
 
 class Risk(Enum):
-    """The urgency of an objective, in ascending order."""
+    """How urgently an objective needs attention, in ascending order."""
 
     NONE = "none"
     TICKET = "ticket"
@@ -190,7 +190,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BurnReport:
-    """The burn of all services.
+    """The burn rates of all services over the recorded period.
 
     Attributes
     ----------
--- a/src/papayagw/_internal/models/change.py
+++ b/src/papayagw/_internal/models/change.py
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotModified:
-    """The peer holds no newer version."""
+    """Reply of a peer that holds no newer version."""
 
 
 ConfigurationReply = NotModified | Configuration | ConfigurationChange
--- a/src/papayagw/_internal/models/decision.py
+++ b/src/papayagw/_internal/models/decision.py
@@ -1,4 +1,4 @@
-"""Decisions of the core about a packet."""
+"""What balancers and agents may decide to do with a packet."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reset:
-    """Send the caller a reset, since the agent of its flow is gone."""
+    """Send the caller a stateless reset, since the agent of its flow is gone."""
 
 
 BalancerDecision = Forward | Drop | Reset
--- a/src/papayagw/_internal/models/flow.py
+++ b/src/papayagw/_internal/models/flow.py
@@ -46,7 +46,7 @@
     def of(
         cls, service_id: ServiceId, agent: Endpoint, incarnation: Incarnation
     ) -> "FlowRoute":
-        """Return the route of an agent's incarnation."""
+        """Return the route to an agent, with its incarnation cut to 16 bits."""
         return cls(service_id, agent, incarnation & INCARNATION_MASK)
 
 
--- a/src/papayagw/_internal/models/report.py
+++ b/src/papayagw/_internal/models/report.py
@@ -15,7 +15,7 @@
 
 
 class Side(Enum):
-    """The end of the flows at which they were counted."""
+    """The end of a flow, the agent's or the caller's, at which it is counted."""
 
     AGENT = "agent"
     CALLER = "caller"
@@ -56,11 +56,11 @@
         return self.unknown + self.broken + self.lost
 
     def plus(self, other: "FlowCounts") -> "FlowCounts":
-        """Return the sum of both counts."""
+        """Return the sum of both counts, for each outcome."""
         return self._combine(other, 1)
 
     def minus(self, earlier: "FlowCounts") -> "FlowCounts":
-        """Return the difference to `earlier`."""
+        """Return the increase since the `earlier` counts, for each outcome."""
         return self._combine(earlier, -1)
 
     def _combine(self, other: "FlowCounts", sign: int) -> "FlowCounts":
--- a/src/papayagw/_internal/models/stream.py
+++ b/src/papayagw/_internal/models/stream.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowEnded:
-    """The flow ended.
+    """The flow ended, by a close, a reset or a time-out.
 
     Attributes
     ----------
--- a/src/papayagw/_internal/observe/burn_picture.py
+++ b/src/papayagw/_internal/observe/burn_picture.py
@@ -29,7 +29,7 @@
 
 
 def draw_burn_chart(report: BurnReport, path: Path) -> None:
-    """Write charts of burn and of load by backend server and zone to a PNG file.
+    """Write charts of burn rates and load by backend server and zone to a PNG file.
 
     Raises
     ------
@@ -62,6 +62,7 @@
 
 
 def _draw_objectives(axes: Axes, service: ServiceBurn) -> None:
+    """Draw the burn rates of a service by window, one colour per objective."""
     width = _BAR_GROUP_WIDTH / len(service.objectives)
     for index, objective in enumerate(service.objectives):
         positions = [
@@ -99,6 +100,7 @@
 
 
 def _draw_balance(axes: Axes, name: str, balance: Balance) -> None:
+    """Draw the load of each group as a bar, with a line for the mean."""
     names = [group.name for group in balance.groups]
     loads = [group.load for group in balance.groups]
     axes.bar(range(len(names)), loads)
--- a/src/papayagw/_internal/observe/burn_text.py
+++ b/src/papayagw/_internal/observe/burn_text.py
@@ -98,6 +98,7 @@
 
 
 def _format_summary(report: BurnReport) -> Iterable[str]:
+    """Return a line for each objective at risk, the most urgent first."""
     at_risk = [
         (one.risk, service, one)
         for service in report.services
--- a/src/papayagw/_internal/observe/json_lines.py
+++ b/src/papayagw/_internal/observe/json_lines.py
@@ -78,6 +78,7 @@
         self._send_buffered()
 
     def _send_buffered(self) -> None:
+        """Write buffered lines until the reader accepts no more."""
         try:
             while self._unsent:
                 written = os.write(self._descriptor, self._unsent)
--- a/src/papayagw/_internal/observe/json_values.py
+++ b/src/papayagw/_internal/observe/json_values.py
@@ -38,6 +38,7 @@
 
 
 def _convert(kind: Any, value: object, path: str) -> Any:
+    """Convert `value` to the type `kind`; `path` names the field in errors."""
     if isinstance(kind, NewType):
         return _convert(kind.__supertype__, value, path)
     if is_dataclass(kind):
--- a/src/papayagw/_internal/observe/logs.py
+++ b/src/papayagw/_internal/observe/logs.py
@@ -87,7 +87,7 @@
         self._write("error", message, fields)
 
     def failure(self, error: PapayagwError, **fields: object) -> None:
-        """Log an error with its step, peer and remedy, where it has them."""
+        """Log an exception as an error, with its step, peer and remedy if present."""
         known = {"step": error.step, "peer": error.peer, "remedy": error.remedy}
         present = {key: value for key, value in known.items() if value}
         self._write("error", error.what, {**present, **fields})
--- a/src/papayagw/_internal/observe/records.py
+++ b/src/papayagw/_internal/observe/records.py
@@ -137,6 +137,7 @@
 
 
 def _parse_line(line: bytes) -> Result[ServiceRecord, str]:
+    """Return the record of a JSON line, or the reason why it is invalid."""
     try:
         value = json.loads(line)
     except (ValueError, RecursionError):
@@ -152,6 +153,7 @@
 
 
 def _find_invalid_value(record: ServiceRecord) -> str:
+    """Return which value of a record is invalid, or an empty string."""
     counts = record.counts
     numbers = (counts.opened, counts.refused, counts.cut, *counts.answered)
     if record.end_ms <= record.start_ms:
--- a/src/papayagw/_internal/observe/status_text.py
+++ b/src/papayagw/_internal/observe/status_text.py
@@ -116,6 +116,7 @@
 
 
 def _find_version_differences(reports: Iterable[StatusReport]) -> list[str]:
+    """Return a warning if nodes have different configuration versions."""
     versions = sorted({report.configuration_version for report in reports})
     if len(versions) < 2:
         return []
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -101,6 +101,7 @@
         self._client = None
 
     def _open_client(self) -> httpx.AsyncClient:
+        """Return the HTTP client, which the first call creates."""
         if self._client is None:
             self._client = httpx.AsyncClient(trust_env=False)
         return self._client
@@ -112,6 +113,7 @@
         timeout_ms: Millis,
         parse: Callable[[Message], ResponseT],
     ) -> Result[ResponseT, PlatformError]:
+        """Post a request and return the parsed response, or the error of a time-out."""
         with anyio.move_on_after(to_seconds(timeout_ms)):
             return await self._try_urls(
                 lambda url: self._post(url, path, request, parse)
@@ -144,6 +146,7 @@
         request: Message,
         parse: Callable[[Message], ResponseT],
     ) -> Result[ResponseT, PlatformError]:
+        """Post a request to one URL and return the parsed response or its error."""
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
         response = await self._open_client().post(
             url + path, json=request, timeout=timeout
@@ -162,6 +165,7 @@
     async def _stream_watch(
         self, url: str, request: Message, progress: "_WatchProgress"
     ) -> Result[int, PlatformError]:
+        """Read one watch stream until it ends, and return the last revision."""
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
         target = url + "/v3/watch"
         async with self._open_client().stream(
--- a/src/papayagw/_internal/wire/control.py
+++ b/src/papayagw/_internal/wire/control.py
@@ -103,6 +103,7 @@
 
 
 def _make_mac(key: FleetKey) -> hashlib.blake2s:
+    """Return the keyed hash that is copied for the code of each frame."""
     secret = derive_key(key, "control", _MAC_KEY_BYTES)
     return hashlib.blake2s(key=secret, digest_size=_MAC_BYTES)
 
@@ -185,6 +186,7 @@
 
 
 def _write_zones(root: Any, update: MembershipUpdate) -> dict[str, int]:
+    """Write the zone names of an update, and return the index of each."""
     zones = {record.zone for record in update.records}
     zones.update(vector.bucket.zone for vector in update.vectors)
     names = sorted(zones)
@@ -217,6 +219,7 @@
 
 
 def _pack_counters(counters: Sequence[int]) -> bytes:
+    """Pack two 4-bit counters per byte, or a single byte if all are equal."""
     if len(counters) > _COUNTERS_PER_BYTE and len(set(counters)) == 1:
         return bytes((counters[0],))
     padded = (*counters, 0)
@@ -225,6 +228,7 @@
 
 
 def _unpack_counters(packed: bytes, length: int) -> tuple[int, ...]:
+    """Return the `length` counters packed by `_pack_counters`."""
     if len(packed) == 1 and length > _COUNTERS_PER_BYTE:
         return (packed[0] & _COUNTER_MASK,) * length
     counters: list[int] = []
--- a/src/papayagw/_internal/wire/envelope.py
+++ b/src/papayagw/_internal/wire/envelope.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Envelope:
-    """The header of an envelope.
+    """Decoded header of a forwarded packet or an answer.
 
     Attributes
     ----------
@@ -90,7 +90,7 @@
         balancer: tuple[str, int] | None = None,
         hops: int = 0,
     ) -> bytes:
-        """Do the same as `write` from plain values, for the packet path."""
+        """Return the same bytes as `write`, from plain values for the packet path."""
         balancer_ip, balancer_port = _NO_ENDPOINT
         if balancer is not None:
             balancer_ip, balancer_port = pack_ip(balancer[0]), balancer[1]
@@ -122,7 +122,7 @@
         return Envelope(FrameKind(kind), ServiceId(service_id), client, balancer, hops)
 
     def read_answer(self, frame: bytes) -> tuple[int, tuple[str, int]] | None:
-        """Return the service number and the caller of an answer, or None.
+        """Return the service id and the caller of an answer, or None if it is invalid.
 
         For the packet path: creates no objects besides the returned ones.
         """
@@ -170,5 +170,6 @@
 
 
 def _make_mac(key: FleetKey) -> hashlib.blake2s:
+    """Return the keyed hash that is copied for the code of each envelope."""
     secret = derive_key(key, "envelope", _KEY_BYTES)
     return hashlib.blake2s(key=secret, digest_size=_MAC_BYTES)
--- a/src/papayagw/_internal/wire/header.py
+++ b/src/papayagw/_internal/wire/header.py
@@ -14,7 +14,7 @@
 
 
 def read_connection_id(datagram: bytes, length: int = TAG_BYTES) -> bytes | None:
-    """Return the destination connection id of a datagram, or None.
+    """Return the destination connection id of a datagram, or None if malformed.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -38,7 +38,10 @@
 _UNLIMITED_BYTES = 1 << 60
 _INITIAL_RTT_SECONDS = 0.05
 _CLOSE_COPIES = 2
+"""How often the datagrams of a close are sent at first, since they may be lost."""
+
 _MAX_CLOSE_REPEATS = 3
+"""How many datagrams that arrive after a close are answered by repeating it."""
 
 _CODES = {
     FlowOutcome.ANSWERED: 0,
@@ -182,7 +185,7 @@
         self._send(b"", finished=True)
 
     def consume(self, count: int) -> bool:
-        """Record that `count` bytes left this process.
+        """Record that `count` received bytes were passed on and need no more memory.
 
         Returns whether flow-control credit is granted to the peer.
         """
@@ -210,6 +213,7 @@
         self._connection.send_stream_data(STREAM_ID, data, finished)
 
     def _strip_preface(self, event: events.StreamDataReceived) -> BytesArrived:
+        """Return the received bytes without those that belong to the preface."""
         data = event.data[self._preface_left :]
         self._preface_left -= len(event.data) - len(data)
         return BytesArrived(data, event.end_stream)
@@ -219,11 +223,13 @@
         return bool(token) and datagram[-RESET_TOKEN_BYTES:] == token
 
     def _repeat_close(self, sink: DatagramSink) -> None:
+        """Answer a datagram that arrived after the close by sending the close again."""
         if 0 < self._close_repeats <= _MAX_CLOSE_REPEATS:
             for datagram, peer in self._close_datagrams:
                 sink(datagram, peer)
 
     def _pop_end_event(self) -> FlowEnded | None:
+        """Return the event that the flow ended, once, or None."""
         if self._is_end_reported:
             return None
         if self._is_reset:
--- a/src/papayagw/_internal/wire/quic_adapter.py
+++ b/src/papayagw/_internal/wire/quic_adapter.py
@@ -53,7 +53,17 @@
 
 
 class TaggedConnection(QuicConnection):
-    """QUIC connection with a flow tag as server id and credit for consumed bytes."""
+    """QUIC connection with a flow tag as server id and credit for consumed bytes.
+
+    Parameters
+    ----------
+    configuration : QuicConfiguration
+        The configuration of the connection.
+    original_id : bytes or None
+        The destination connection id of the opening, on the agent's side.
+    server_tag : ServerTag or None
+        The connection id that the agent assigns; None on the caller's side.
+    """
 
     def __init__(
         self,
--- a/src/papayagw/_internal/wire/recovery.py
+++ b/src/papayagw/_internal/wire/recovery.py
@@ -29,7 +29,7 @@
 
 
 class TickPacer(QuicPacketPacer):
-    """Pacer that, at each tick of the clock, may send what the rate allows per tick."""
+    """Pacer whose rate and bursts take account of a clock with whole milliseconds."""
 
     def update_rate(self, congestion_window: int, smoothed_rtt: float) -> None:
         """Set the sending rate, with bursts of at least one tick."""
@@ -87,6 +87,7 @@
         )
 
     def _loss_delay(self) -> float:
+        """Return how long after its sending a packet is declared lost, in seconds."""
         if not self._rtt_initialized:
             return K_TIME_THRESHOLD * self._rtt_initial
         rtt = max(self._rtt_latest, self._rtt_smoothed)
--- a/src/papayagw/_internal/wire/reset.py
+++ b/src/papayagw/_internal/wire/reset.py
@@ -9,6 +9,8 @@
 RESET_TOKEN_BYTES = 16
 _KEY_BYTES = 32
 _RESET_BYTES = 40
+"""Size of a stateless reset, in bytes."""
+
 _FIRST_BYTE = 0x40
 
 
