--- a/src/papayagw/_internal/core/admission.py
+++ b/src/papayagw/_internal/core/admission.py
@@ -184,11 +184,13 @@
         return self._in_progress_of.get(client, 0)
 
     def _add_work(self, flow: FlowNumber, client: str, now: Millis) -> None:
+        """Count an admitted flow as open and its request as in progress."""
         self._open[flow] = client
         self._work[flow] = _Work(client, now)
         self._in_progress_of[client] = self._in_progress_of.get(client, 0) + 1
 
     def _remove_work(self, flow: FlowNumber) -> None:
+        """Stop counting a flow's request as in progress."""
         work = self._work.pop(flow, None)
         if work is None:
             return
--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -190,6 +190,7 @@
         return (Send(self._control_address, Announcement(self._own)),)
 
     def _send_heartbeat(self, now: Millis) -> tuple[Send, ...]:
+        """Return a heartbeat to each watcher, if one is due."""
         if now < self._heartbeat_at:
             return ()
         spread = int(HEARTBEAT_JITTER_SHARE * self._interval)
@@ -221,6 +222,7 @@
     def _update_watchers(
         self, message: Acknowledgement, source: Endpoint, now: Millis
     ) -> None:
+        """Replace the watchers by those in an acknowledgement from `source`."""
         if message.interval_ms != KEEP_INTERVAL_MS:
             self._interval = message.interval_ms
         if not self._watchers:
@@ -234,6 +236,7 @@
             self._watchers[source] = self._heartbeat_number
 
     def _update_siblings(self, message: Acknowledgement) -> None:
+        """Replace the siblings if an acknowledgement lists different ones."""
         if message.siblings_digest == self._siblings_digest or not message.incarnation:
             return
         self._siblings_digest = message.siblings_digest
--- a/src/papayagw/_internal/core/balance.py
+++ b/src/papayagw/_internal/core/balance.py
@@ -47,6 +47,7 @@
 
 
 def _measure_group(name: str, records: list[ServiceRecord]) -> GroupLoad:
+    """Return the load and the flow counts over the records of one group."""
     work = sum(record.work_ms for record in records)
     capacity_seconds = sum(
         record.capacity * to_seconds(record.duration_ms) for record in records
--- a/src/papayagw/_internal/core/balancer.py
+++ b/src/papayagw/_internal/core/balancer.py
@@ -129,6 +129,7 @@
         return [one for one in ready if one.endpoint not in self._unreachable]
 
     def _pick_peer(self, connection_id: bytes) -> Endpoint:
+        """Return the balancer to which an opening is forwarded."""
         # Keyed by the connection id, so that retransmissions reach the same peer.
         peers = self._peers.peers
         return peers[int.from_bytes(connection_id[:4], "big") % len(peers)]
--- a/src/papayagw/_internal/core/burn.py
+++ b/src/papayagw/_internal/core/burn.py
@@ -48,6 +48,7 @@
 """Upper limit of burn rates, also reported if no bad flow is allowed."""
 
 _BURN_DIGITS = 9
+"""Number of decimals to which burn rates are rounded."""
 
 MIN_FLOWS_PER_INSTANCE = 20
 """With fewer flows on average, imbalance is random and isn't evaluated."""
@@ -78,7 +79,10 @@
     BurnRule("6 h", "30 min", 6.0, Risk.PAGE),
     BurnRule("3 d", "6 h", 1.0, Risk.TICKET),
 )
+"""Alert rules for availability and latency."""
+
 IMBALANCE_RULES = (BurnRule("1 h", "5 min", 1.0, Risk.TICKET),)
+"""Alert rule for imbalance."""
 
 
 def make_report(
@@ -216,7 +220,9 @@
     allowed = 1 - objectives.latency_share
     windows = tuple(
         _pick_worst(
-            one.name, allowed, [_count_openings(side, objectives) for side in one.sides]
+            one.name,
+            allowed,
+            [_count_late_openings(side, objectives) for side in one.sides],
         )
         for one in window_records
     )
@@ -236,7 +242,7 @@
     return max(side.counts.opened, side.counts.cut)
 
 
-def _count_openings(side: SideCounts, objectives: Objectives) -> tuple[int, int]:
+def _count_late_openings(side: SideCounts, objectives: Objectives) -> tuple[int, int]:
     """Return the number of late openings and that of all openings."""
     counts = side.counts
     openings = sum(counts.answered) + counts.refused
--- a/src/papayagw/_internal/core/concurrency_limit.py
+++ b/src/papayagw/_internal/core/concurrency_limit.py
@@ -145,4 +145,5 @@
         self._set_limit(self._limit / 2)
 
     def _set_limit(self, limit: float) -> None:
+        """Set the limit, kept within its bounds."""
         self._limit = min(max(limit, self._min_limit), self._max_limit)
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -92,6 +92,7 @@
         return apply_change(self._current, reply) if self._current else None
 
     def _compare_version(self, configuration: Configuration) -> VersionOrder:
+        """Return how a configuration compares with the one in force."""
         if self._current is None or configuration.version > self._current.version:
             return VersionOrder.NEWER
         if configuration.version < self._current.version:
--- a/src/papayagw/_internal/core/gossip_probe.py
+++ b/src/papayagw/_internal/core/gossip_probe.py
@@ -107,6 +107,7 @@
         self._pending = None
 
     def _check_pending(self, pending: _PendingProbe, now: Millis) -> ProbeStep:
+        """Return the step that is due for an unanswered probe of this age."""
         age = now - pending.sent_at
         if age >= SUSPECT_TIMEOUT_MS:
             self._pending = None
--- a/src/papayagw/_internal/core/gossip_queue.py
+++ b/src/papayagw/_internal/core/gossip_queue.py
@@ -33,10 +33,12 @@
 """Transmissions of an update, as a multiple of the logarithm of the fleet's size."""
 
 MIN_TRANSMISSIONS = 2
+"""Transmissions of an update in addition to those that grow with the fleet."""
 
 TRANSMISSIONS_PER_DUPLICATE = 2
 """Number of transmissions that are dropped for each duplicate received from a peer."""
 
+# Updates with a lower priority number are sent first.
 _PRIORITY_LEAVING = 0
 _PRIORITY_SUSPICION = 1
 _PRIORITY_READY = 2
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -193,13 +193,18 @@
     def _send_records(
         self, records: Sequence[Record], destination: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Send whole records, in as many datagrams as they need."""
         for start in range(0, len(records), RECORDS_PER_DATAGRAM):
             chunk = list(records[start : start + RECORDS_PER_DATAGRAM])
             self._spend(len(chunk) * RECORD_BYTES, now)
             yield Send(destination, MissingRecords(make_updates(chunk)))
 
     def _make_digests(self) -> BucketDigests:
-        """Return the digests of all zones, or often of one only while catching up."""
+        """Return the digests of the buckets of all zones.
+
+        While this node catches up, only one message in as many as there are zones is
+        complete; each of the others has the buckets of one zone, in turn.
+        """
         zones = self._table.zones
         complete = (
             self._caught_up or len(zones) <= 1 or self._digests_sent % len(zones) == 0
@@ -227,6 +232,7 @@
 
 
 def _list_buckets(zones: Sequence[str]) -> list[Bucket]:
+    """Return all buckets of `zones`, in the order of `BucketDigests.digests`."""
     return [
         Bucket(zone, number) for zone in zones for number in range(BUCKETS_PER_ZONE)
     ]
--- a/src/papayagw/_internal/core/lifecycle.py
+++ b/src/papayagw/_internal/core/lifecycle.py
@@ -56,6 +56,7 @@
     FlowOutcome.UNKNOWN: FlowState.UNKNOWN,
 }
 _CONNECTED_STATES = (FlowState.DELIVERING, FlowState.FINISHING)
+"""States in which the flow has had a connection to the backend server."""
 
 
 class Lifecycle(Protocol):
@@ -155,17 +156,20 @@
         return NO_ACTIONS
 
     def _on_handshake_completed(self, event: HandshakeCompleted) -> FlowActions:
+        """Accept the flow, or refuse it if the agent is draining."""
         if self._state is not FlowState.OPENING:
             return self._ignore()
         self._state = FlowState.ACCEPTED
         return self._fail() if self._draining else NO_ACTIONS
 
     def _on_admitted(self, event: Admitted) -> FlowActions:
+        """Connect to the backend server."""
         if self._state is not FlowState.ACCEPTED:
             return self._ignore()
         return self._connect()
 
     def _on_admission_refused(self, event: AdmissionRefused) -> FlowActions:
+        """Refuse the flow."""
         if self._state not in (FlowState.OPENING, FlowState.ACCEPTED):
             return self._ignore()
         return self._fail()
@@ -177,6 +181,7 @@
         return (ConnectBackend(self._attempt),)
 
     def _on_caller_sent(self, event: CallerSent) -> FlowActions:
+        """Deliver the bytes, or buffer them until the backend server is connected."""
         if self._caller_finished or not self._backend_writable:
             return self._ignore()
         if self._state not in _CONNECTED_STATES:
@@ -191,6 +196,7 @@
         return DeliverToBackend(count)
 
     def _on_caller_finished(self, event: CallerFinished) -> FlowActions:
+        """Pass on the end of the request, once the backend server is connected."""
         if self._caller_finished:
             return self._ignore()
         self._caller_finished = True
@@ -199,14 +205,17 @@
         return NO_ACTIONS
 
     def _on_caller_cancelled(self, event: CallerCancelled) -> FlowActions:
+        """End the flow as CANCELLED."""
         return self._end(FlowOutcome.CANCELLED)
 
     def _on_answer_acknowledged(self, event: AnswerAcknowledged) -> FlowActions:
+        """End the flow as ANSWERED."""
         if self._state is not FlowState.FINISHING:
             return self._ignore()
         return self._end(FlowOutcome.ANSWERED)
 
     def _on_backend_connected(self, event: BackendConnected) -> FlowActions:
+        """Deliver what is buffered, and the end of the request if it has arrived."""
         if self._state is not FlowState.CONNECTING or self._is_stale(event.attempt):
             return self._ignore()
         self._state = FlowState.DELIVERING
@@ -217,6 +226,7 @@
         return (*first, FINISH_REQUEST) if self._caller_finished else first
 
     def _on_backend_connect_failed(self, event: BackendConnectFailed) -> FlowActions:
+        """Connect again, or refuse the flow after the last attempt."""
         if self._state is not FlowState.CONNECTING or self._is_stale(event.attempt):
             return self._ignore()
         if self._attempt < self._max_connects:
@@ -225,18 +235,21 @@
         return self._fail()
 
     def _on_backend_wrote(self, event: BackendWrote) -> FlowActions:
+        """Subtract the written bytes from the unwritten ones."""
         if self._is_stale(event.attempt) or event.count > self._unwritten:
             return self._ignore()
         self._unwritten -= event.count
         return NO_ACTIONS
 
     def _on_backend_sent(self, event: BackendSent) -> FlowActions:
+        """Forward bytes of the answer to the caller."""
         if self._state is not FlowState.DELIVERING or self._is_stale(event.attempt):
             return self._ignore()
         self._answer_bytes += event.count
         return (SendToCaller(event.count),)
 
     def _on_backend_closed(self, event: BackendClosed) -> FlowActions:
+        """Finish the answer, or refuse a flow that was closed before any data."""
         if self._state is not FlowState.DELIVERING or self._is_stale(event.attempt):
             return self._ignore()
         if not (self._has_exchanged_data or self._caller_finished):
@@ -245,6 +258,7 @@
         return (FINISH_ANSWER,)
 
     def _on_backend_connection_lost(self, event: BackendConnectionLost) -> FlowActions:
+        """End the flow, unless its answer is already complete."""
         if self._state not in _CONNECTED_STATES or self._is_stale(event.attempt):
             return self._ignore()
         if self._state is FlowState.DELIVERING:
@@ -258,9 +272,11 @@
     def _on_deadline_or_timeout(
         self, event: DeadlineReached | IdleTimedOut
     ) -> FlowActions:
+        """End the flow as REFUSED or UNKNOWN."""
         return self._fail()
 
     def _on_drain_started(self, event: DrainStarted) -> FlowActions:
+        """Refuse the flow, unless it is connected or still in the handshake."""
         # An established flow may run to its end. A flow that is still opening
         # can't be closed yet: its caller may already consider the handshake
         # complete, and a close during the handshake doesn't carry an outcome.
@@ -272,6 +288,7 @@
         return self._fail()
 
     def _on_stop_limit_reached(self, event: StopLimitReached) -> FlowActions:
+        """End the flow as REFUSED or UNKNOWN."""
         return self._fail()
 
     @property
@@ -298,6 +315,7 @@
 
     @property
     def _has_connection(self) -> bool:
+        """Whether a connection to the backend server is open or being opened."""
         if self._state is FlowState.CONNECTING:
             return True
         return self._state in _CONNECTED_STATES and self._backend_writable
--- a/src/papayagw/_internal/core/log_limiter.py
+++ b/src/papayagw/_internal/core/log_limiter.py
@@ -71,6 +71,7 @@
         return expired
 
     def _get_window(self, kind: str, now: Millis) -> "_KindWindow":
+        """Return the window of `kind`, or the shared one beyond `MAX_KINDS`."""
         if kind not in self._kinds and len(self._kinds) >= MAX_KINDS - 1:
             kind = _OTHER_KIND
         return self._kinds.setdefault(kind, _KindWindow(now))
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -106,6 +106,7 @@
 """First number of probes sent for other balancers, above those of the own probes."""
 
 _MAX_PENDING_REQUESTS = 64
+"""Number of pending liveness requests at which all of them are dropped."""
 
 
 class BalancerMembership:
@@ -322,6 +323,7 @@
             self._suspect(step.suspect, now)
 
     def _request_liveness(self, unresponsive: Endpoint) -> Iterator[Send]:
+        """Ask a few peers to probe an unresponsive balancer."""
         record = self._fleet.table.get(unresponsive)
         if record is None:
             return
@@ -330,6 +332,7 @@
                 yield Send(peer, LivenessRequest(unresponsive, record.incarnation))
 
     def _suspect(self, unresponsive: Endpoint, now: Millis) -> None:
+        """Suspect a balancer, unless this node is isolated."""
         record = self._fleet.table.get(unresponsive)
         if not isinstance(record, BalancerRecord) or record.is_suspected:
             return
@@ -370,7 +373,7 @@
             yield self._make_gossip(GossipKind.UPDATE, peer, 0, updates)
 
     def _has_gossip_budget(self, now: Millis) -> bool:
-        """Return whether the budget suffices for a datagram with enough updates."""
+        """Return whether the budget covers all queued updates, or is at its maximum."""
         wanted = DATAGRAM_BYTES + RECORD_BYTES * len(self._fleet.updates)
         return self._budget.get_level(now) >= min(wanted, GOSSIP_BURST_BYTES)
 
@@ -391,6 +394,7 @@
         return updates
 
     def _sample_peers(self, count: int) -> list[Endpoint]:
+        """Return up to `count` random peers that aren't suspected."""
         peers = self._fleet.reachable
         return self._random.sample(peers, min(count, len(peers)))
 
@@ -401,6 +405,7 @@
         number: int,
         updates: MembershipUpdate,
     ) -> Send:
+        """Return a gossip message with this node's digest and configuration version."""
         digest = self._fleet.table.digest if self.caught_up else NO_DIGEST
         return Send(
             destination,
@@ -418,6 +423,7 @@
         return self._watcher.on_heartbeat(message, now)
 
     def _on_join(self, message: Join, _source: Endpoint, now: Millis) -> Iterator[Send]:
+        """Send a joining balancer this node's record and, if it is new, others."""
         joiner = message.record.endpoint
         if joiner == self._fleet.own.endpoint:
             self._fleet.merge(message.record, now)
@@ -444,6 +450,7 @@
     def _on_gossip(
         self, message: Gossip, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Merge a gossip message, reply to it and compare the digests."""
         self._budget.spend(_estimate_bytes(message.update), now)
         yield from self._merge_updates(message.update, source, now)
         self._record_version(message.configuration_version, source)
@@ -489,6 +496,7 @@
     def _merge_updates(
         self, updates: MembershipUpdate, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Merge updates; send a summary of buckets that can't be compared."""
         for record in updates.records:
             self._fleet.merge(record, now)
         for vector in updates.vectors:
@@ -513,6 +521,7 @@
     def _on_liveness_request(
         self, message: LivenessRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Report an agent's last heartbeat, or probe a balancer for the requester."""
         record = self._fleet.table.get(message.endpoint)
         if isinstance(record, AgentRecord):
             yield from self._watcher.on_liveness_request(message, source, now)
@@ -528,6 +537,7 @@
     def _on_liveness_response(
         self, message: LivenessResponse, _source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Record that a peer has heard from an agent or balancer."""
         self._watcher.on_liveness_response(message, now)
         self._prober.record_alive(message.endpoint)
         yield from ()
@@ -542,4 +552,5 @@
 
 
 def _estimate_bytes(updates: MembershipUpdate) -> int:
+    """Return the estimated size of all updates, in bytes."""
     return int(sum(estimate_bytes(one) for one in (*updates.records, *updates.vectors)))
--- a/src/papayagw/_internal/core/record_maker.py
+++ b/src/papayagw/_internal/core/record_maker.py
@@ -60,6 +60,7 @@
 def _make_record(
     report: StatusReport, totals: ServiceTotals, previous: _LastReport, now: Millis
 ) -> ServiceRecord:
+    """Return the record of one service from its previous report to this one."""
     earlier = next(
         (one for one in previous.report.services if one.service == totals.service),
         ServiceTotals(totals.service),
--- a/src/papayagw/_internal/core/rendezvous.py
+++ b/src/papayagw/_internal/core/rendezvous.py
@@ -52,6 +52,7 @@
         return tuple(self._endpoints[index] for index in chosen)
 
     def _score(self, key: str) -> npt.NDArray[np.uint64]:
+        """Return the score of each balancer for `key`."""
         # The finaliser of splitmix64 (Steele, Lea and Flood 2014).
         scores = self._hashes ^ np.uint64(_hash(key))
         for factor in _FACTORS:
@@ -60,6 +61,7 @@
 
 
 def _find_best(scores: npt.NDArray[np.uint64], among: npt.NDArray[np.bool_]) -> int:
+    """Return the index of the highest score where the mask `among` is set."""
     return int(np.argmax(np.where(among, scores, np.uint64(0))))
 
 
--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -75,6 +75,7 @@
         return True
 
     def _add(self, millitokens: int) -> None:
+        """Add to the budget, up to its capacity."""
         self._millitokens = min(self._capacity, self._millitokens + millitokens)
 
 
@@ -173,6 +174,7 @@
 
     @property
     def _failure_outcome(self) -> FlowOutcome:
+        """Outcome reported if no further attempt is made."""
         return FlowOutcome.UNKNOWN if self._may_have_run else FlowOutcome.REFUSED
 
     def _try_reopen(self, ended: AttemptEnded, now: Millis) -> Reopen | None:
@@ -190,6 +192,7 @@
         return Reopen(self._attempt, at)
 
     def _draw_backoff(self) -> Millis:
+        """Return a random delay, at most the doubled back-off of this attempt."""
         ceiling_ms = min(
             self._policy.max_backoff_ms,
             self._policy.base_backoff_ms << (self._attempt - 1),
--- a/src/papayagw/_internal/core/service_meter.py
+++ b/src/papayagw/_internal/core/service_meter.py
@@ -154,6 +154,7 @@
         return self._opened or self._service.side is Side.CALLER
 
     def _end_request(self, now: Millis) -> None:
+        """Add the duration of the request in progress, if any, to the work."""
         if self._request_started_at is not None:
             self._service.record_work(Millis(now - self._request_started_at))
         self._request_started_at = None
--- a/src/papayagw/_internal/core/site_comparison.py
+++ b/src/papayagw/_internal/core/site_comparison.py
@@ -44,6 +44,7 @@
 
 
 def _flatten_site(site: Site) -> Iterator[tuple[str, str]]:
+    """Yield the key and the text of each value of a site."""
     yield "name", site.name
     yield "control_address", str(site.control_address)
     yield "zones", ", ".join(site.zones)
--- a/src/papayagw/_internal/core/submission.py
+++ b/src/papayagw/_internal/core/submission.py
@@ -229,6 +229,7 @@
 
 
 def _describe_competing_change(current: Configuration, version: int) -> str:
+    """Return the reason that another submission became `version`."""
     entries = [entry for entry in current.history if entry.version == version]
     by = f" by {entries[0].operator}" if entries else ""
     return f"another change{by} became version {version} first"
--- a/src/papayagw/_internal/core/transition.py
+++ b/src/papayagw/_internal/core/transition.py
@@ -44,12 +44,14 @@
 
 
 def _check_site_name(before: Site, after: Site) -> Iterator[Incompatibility]:
+    """Yield an incompatibility if the files belong to another site."""
     if before.name != after.name:
         reason = f"the files belong to site {after.name}, not {before.name}"
         yield Incompatibility("name", reason, is_blocking=True)
 
 
 def _check_service_ids(before: Site, after: Site) -> Iterator[Incompatibility]:
+    """Yield changed ids, and ids that were taken over from another service."""
     for service in after.services:
         path = f"services.{service.name}.id"
         known = before.find_service(service.name)
@@ -65,6 +67,7 @@
 
 
 def _check_keys(before: Site, after: Site) -> Iterator[Incompatibility]:
+    """Yield keys with which some nodes couldn't open what others seal."""
     known = {key.key_id: key.secret for key in before.keys}
     for key in after.keys:
         if known.get(key.key_id, key.secret) != key.secret:
@@ -83,6 +86,7 @@
 
 
 def _check_addresses(before: Site, after: Site) -> Iterator[Incompatibility]:
+    """Yield removed services and changed addresses, which break flows."""
     for service in before.services:
         successor = after.find_service(service.name)
         if successor is None:
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -252,6 +252,7 @@
         return tuple(others[:MAX_SIBLINGS])
 
     def _request_liveness(self, endpoint: Endpoint) -> Iterator[Send]:
+        """Ask another watcher of an agent whether it receives heartbeats."""
         known = self._fleet.table.get(endpoint)
         if known is None:
             return
@@ -283,6 +284,7 @@
                 self._watch.add(record.endpoint, record.incarnation, now)
 
     def _needs_watch(self, record: AgentRecord) -> bool:
+        """Return whether this balancer should watch an agent but doesn't."""
         return (
             record.endpoint not in self._watch
             and record.state is not AgentState.GONE
@@ -332,6 +334,7 @@
 
 
 def _compute_siblings_digest(records: Sequence[AgentRecord]) -> int:
+    """Return the digest by which an agent recognises unchanged siblings."""
     digest = 0
     for record in records:
         digest ^= compute_fingerprint(record)
--- a/src/papayagw/_internal/core/zone_loss.py
+++ b/src/papayagw/_internal/core/zone_loss.py
@@ -83,5 +83,6 @@
         return True
 
     def _list_nodes(self, zone: str) -> Iterator[Record]:
+        """Yield the records of all balancers and agents of a zone."""
         for number in range(BUCKETS_PER_ZONE):
             yield from self._fleet.table.list_members(Bucket(zone, number))
--- a/src/papayagw/_internal/models/report.py
+++ b/src/papayagw/_internal/models/report.py
@@ -64,6 +64,7 @@
         return self._combine(earlier, -1)
 
     def _combine(self, other: "FlowCounts", sign: int) -> "FlowCounts":
+        """Return these counts plus `sign` times `other`."""
         pairs = zip(self.answered, other.answered, strict=True)
         return FlowCounts(
             self.opened + sign * other.opened,
--- a/src/papayagw/_internal/observe/json_values.py
+++ b/src/papayagw/_internal/observe/json_values.py
@@ -102,4 +102,5 @@
 
 
 def _make_mismatch_error(expected: str, value: object, path: str) -> ValueError:
+    """Return the error for a value of the wrong type at `path`."""
     return ValueError(f"{path}: expected {expected}, found {value!r:.60}")
--- a/src/papayagw/_internal/observe/table.py
+++ b/src/papayagw/_internal/observe/table.py
@@ -27,4 +27,5 @@
 
 
 def _is_number(cell: str) -> bool:
+    """Return whether a cell is a number, empty or a dash."""
     return cell in ("", "-") or cell[0].isdigit()
--- a/src/papayagw/_internal/wire/configuration_exchange.py
+++ b/src/papayagw/_internal/wire/configuration_exchange.py
@@ -126,10 +126,12 @@
     def _seal(
         self, key_id: int, nonce: bytes, plain: bytes, associated_data: bytes
     ) -> bytes:
+        """Return the frame with `plain` encrypted and bound to `associated_data`."""
         sealed = self._ciphers[key_id].encrypt(nonce, plain, associated_data)
         return bytes((key_id,)) + nonce + sealed
 
     def _open(self, frame: bytes, associated_data: bytes) -> bytes | None:
+        """Return the decrypted message of a frame, or None if it isn't authentic."""
         cipher = self._ciphers.get(frame[0]) if frame else None
         if cipher is None:
             return None
--- a/src/papayagw/_internal/wire/control.py
+++ b/src/papayagw/_internal/wire/control.py
@@ -329,42 +329,42 @@
     )
 
 
-def _write_digests(root: Any, message: BucketDigests) -> None:
+def _write_bucket_digests(root: Any, message: BucketDigests) -> None:
     root.digests = message.digests
     root.complete = message.complete
     root.zones = message.zones
 
 
-def _read_digests(root: Any) -> BucketDigests:
+def _read_bucket_digests(root: Any) -> BucketDigests:
     return BucketDigests(tuple(root.zones), tuple(root.digests), root.complete)
 
 
-def _write_summary(root: Any, message: BucketSummary) -> None:
+def _write_bucket_summary(root: Any, message: BucketSummary) -> None:
     target = root.init("summary")
     target.number = message.bucket.number
     root.zones = (message.bucket.zone,)
     target.fingerprints = message.fingerprints
 
 
-def _read_summary(root: Any) -> BucketSummary:
+def _read_bucket_summary(root: Any) -> BucketSummary:
     bucket = Bucket(root.zones[0], root.summary.number)
     return BucketSummary(bucket, tuple(root.summary.fingerprints))
 
 
-def _write_request(root: Any, message: RecordRequest) -> None:
+def _write_record_request(root: Any, message: RecordRequest) -> None:
     root.recordRequest = message.fingerprints
 
 
-def _read_request(root: Any) -> RecordRequest:
+def _read_record_request(root: Any) -> RecordRequest:
     return RecordRequest(tuple(root.recordRequest))
 
 
-def _write_records(root: Any, message: MissingRecords) -> None:
+def _write_missing_records(root: Any, message: MissingRecords) -> None:
     root.records = None
     _write_update(root, message.update)
 
 
-def _read_records(root: Any) -> MissingRecords:
+def _read_missing_records(root: Any) -> MissingRecords:
     return MissingRecords(_read_update(root))
 
 
@@ -400,10 +400,10 @@
     Acknowledgement: _write_acknowledgement,
     Join: _write_join,
     Gossip: _write_gossip,
-    BucketDigests: _write_digests,
-    BucketSummary: _write_summary,
-    RecordRequest: _write_request,
-    MissingRecords: _write_records,
+    BucketDigests: _write_bucket_digests,
+    BucketSummary: _write_bucket_summary,
+    RecordRequest: _write_record_request,
+    MissingRecords: _write_missing_records,
     LivenessRequest: _write_liveness_request,
     LivenessResponse: _write_liveness_response,
 }
@@ -414,10 +414,10 @@
     "acknowledgement": _read_acknowledgement,
     "join": _read_join,
     "gossip": _read_gossip,
-    "digests": _read_digests,
-    "summary": _read_summary,
-    "recordRequest": _read_request,
-    "records": _read_records,
+    "digests": _read_bucket_digests,
+    "summary": _read_bucket_summary,
+    "recordRequest": _read_record_request,
+    "records": _read_missing_records,
     "inquiry": _read_liveness_request,
     "voucher": _read_liveness_response,
 }
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -36,7 +36,11 @@
 """
 
 _UNLIMITED_BYTES = 1 << 60
+"""Flow-control limit of a connection, so that only its stream's limit applies."""
+
 _INITIAL_RTT_SECONDS = 0.05
+"""Round-trip time that is assumed before the first measurement."""
+
 _CLOSE_COPIES = 2
 """How often the datagrams of a close are sent at first, since they may be lost."""
 
@@ -49,6 +53,8 @@
     FlowOutcome.CANCELLED: 2,
     FlowOutcome.UNKNOWN: 3,
 }
+"""Application error code of a close for each outcome."""
+
 _OUTCOMES = {code: outcome for outcome, code in _CODES.items()}
 
 DatagramSink = Callable[[bytes, tuple[str, int]], None]
@@ -205,6 +211,7 @@
         self._connection.close(error_code=_CODES[outcome], reason_phrase=reason)
 
     def _send(self, data: bytes, finished: bool) -> None:
+        """Send stream data, or keep it until the stream exists."""
         if self.is_ending:
             return
         if not self._connection.has_stream:
--- a/src/papayagw/_internal/wire/tag.py
+++ b/src/papayagw/_internal/wire/tag.py
@@ -92,6 +92,7 @@
         return FlowTag(connection_id[0], route, connection_id[1:4])
 
     def _cache_route(self, packed: bytes) -> FlowRoute:
+        """Decode a route and keep it for later packets."""
         service_id, ip, port, incarnation = _ROUTE.unpack(packed)
         agent = Endpoint(str(IPv4Address(ip)), port)
         if len(self._routes) >= _MAX_CACHED_ROUTES:
@@ -102,5 +103,6 @@
 
 
 def _make_cipher(key: FleetKey) -> Cipher[ECB]:
+    """Return the block cipher of the key derived for flow tags."""
     # A tag is a single block of unique content, so ECB is plain AES here.
     return Cipher(AES(derive_key(key, "flow tag", _BLOCK_BYTES)), ECB())
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -161,11 +161,13 @@
 
 @pytest.mark.parametrize("answer", [NotModified(), make_configuration(2), CHANGE])
 def test_exchange_round_trip(answer):
-    asking, answering = ExchangeCodec([KEY]), ExchangeCodec([OLD_KEY, KEY])
-    frame, nonce = asking.seal_query(ConfigurationQuery(4, "id-4"))
-    asked = answering.open_query(frame)
-    assert asked.query == ConfigurationQuery(4, "id-4")
-    assert asking.open_reply(answering.seal_reply(answer, asked), nonce) == answer
+    querying, replying = ExchangeCodec([KEY]), ExchangeCodec([OLD_KEY, KEY])
+    frame, nonce = querying.seal_query(ConfigurationQuery(4, "id-4"))
+    opened_query = replying.open_query(frame)
+    assert opened_query.query == ConfigurationQuery(4, "id-4")
+    assert (
+        querying.open_reply(replying.seal_reply(answer, opened_query), nonce) == answer
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_watch_list.py
+++ b/tests/unit/test_watch_list.py
@@ -45,20 +45,23 @@
 
 
 @pytest.mark.parametrize(
-    ("incarnation", "beat", "counts"),
+    ("incarnation", "heartbeat_number", "counts"),
     [(RUN, 8, True), (RUN, 7, False), (RUN, 6, False), (4, 9, False), (6, 1, True)],
 )
-def test_late_or_stale_heartbeat_is_ignored(incarnation, beat, counts):
+def test_late_or_stale_heartbeat_is_ignored(incarnation, heartbeat_number, counts):
     later = Millis(NOW + 1)
-    assert make_watch().record_heartbeat(AGENT, incarnation, beat, later) is counts
+    assert (
+        make_watch().record_heartbeat(AGENT, incarnation, heartbeat_number, later)
+        is counts
+    )
 
 
 @pytest.mark.parametrize(
-    ("incarnation", "since", "beat"),
+    ("incarnation", "since", "heartbeat"),
     [(RUN, NOW, ReceivedHeartbeat(7, NOW)), (RUN, NOW + 1, None), (6, NOW, None)],
 )
-def test_watcher_vouches_for_received_heartbeat(incarnation, since, beat):
-    assert make_watch().get_heartbeat(AGENT, incarnation, since) == beat
+def test_watcher_reports_received_heartbeat(incarnation, since, heartbeat):
+    assert make_watch().get_heartbeat(AGENT, incarnation, since) == heartbeat
 
 
 def test_paused_watcher_sends_no_liveness_response():
