--- a/tests/properties/admission_proof.py
+++ b/tests/properties/admission_proof.py
@@ -174,7 +174,7 @@
 class IgnoresClientShare(FairAdmission):
     """Lets one client use the whole concurrency limit."""
 
-    def _may_start(self, client):
+    def _may_admit(self, client):
         return self.in_progress < self.limit
 
 
