--- a/src/papayagw/_internal/core/admission.py
+++ b/src/papayagw/_internal/core/admission.py
@@ -30,7 +30,7 @@
 
 
 class Admission(Protocol):
-    """Policy that admits accepted flows to the backend server."""
+    """Admission control, which decides when an accepted flow may use the backend."""
 
     @property
     def next_at(self) -> Millis | None:
@@ -39,21 +39,23 @@
     def submit(self, request: AdmissionRequest, now: Millis) -> AdmissionDecision:
         """Admit, queue or refuse an accepted flow."""
 
-    def finish_work(self, flow: FlowNumber, end: ReleaseReason, now: Millis) -> None:
-        """Record that a flow's work has ended; the flow itself may stay open."""
+    def finish_work(self, flow: FlowNumber, reason: ReleaseReason, now: Millis) -> None:
+        """Record that a flow has no request in progress any more; it may stay open."""
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
-        """Record that an admitted flow without work in progress sends a request."""
+        """Record that an admitted flow without a request in progress sends one."""
 
     def close(self, flow: FlowNumber) -> None:
         """Remove a flow, whether it is queued, in progress or idle."""
 
     def poll(self, now: Millis) -> AdmissionResults:
-        """Admit or refuse the queued flows that are due, and return both."""
+        """Admit queued flows within the limits and refuse expired ones; return both."""
 
 
 @dataclass(frozen=True, slots=True)
 class _Work:
+    """Request in progress: its client and the time of its admission."""
+
     client: str
     admitted_at: Millis
 
@@ -109,7 +111,7 @@
         if self.flows >= self._policy.max_flows or expires_at <= now:
             return AdmissionDecision.REFUSE
         # A client with queued requests has used up its share, or `poll` is due.
-        if not self._queue.has_client(request.client) and self._may_start(
+        if not self._queue.has_client(request.client) and self._may_admit(
             request.client
         ):
             self._add_work(request.flow, request.client, now)
@@ -121,20 +123,20 @@
             self._evicted.append(evicted)
         return AdmissionDecision.QUEUE
 
-    def finish_work(self, flow: FlowNumber, end: ReleaseReason, now: Millis) -> None:
-        """Record that a flow's work has ended; the flow itself may stay open."""
+    def finish_work(self, flow: FlowNumber, reason: ReleaseReason, now: Millis) -> None:
+        """Record that a flow has no request in progress any more; it may stay open."""
         work = self._work.get(flow)
         if work is None:
             return
-        if end is ReleaseReason.ANSWERED:
+        if reason is ReleaseReason.ANSWERED:
             latency = Millis(now - work.admitted_at)
             self._limit.record_answer(latency, self.in_progress, now)
-        elif end is ReleaseReason.FAILED:
+        elif reason is ReleaseReason.FAILED:
             self._limit.record_failure(now)
         self._remove_work(flow)
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
-        """Record that an admitted flow without work in progress sends a request."""
+        """Record that an admitted flow without a request in progress sends one."""
         client = self._open.get(flow)
         if client is not None and flow not in self._work:
             self._add_work(flow, client, now)
@@ -148,12 +150,12 @@
         self._open.pop(flow, None)
 
     def poll(self, now: Millis) -> AdmissionResults:
-        """Admit or refuse the queued flows that are due, and return both."""
+        """Admit queued flows within the limits and refuse expired ones; return both."""
         refused = (*self._evicted, *self._queue.expire(now))
         self._evicted.clear()
         admitted: list[FlowNumber] = []
         while self.flows < self._policy.max_flows:
-            request = self._queue.pop(self._rank)
+            request = self._queue.pop(self._rank_client)
             if request is None:
                 break
             self._add_work(request.flow, request.client, now)
@@ -161,6 +163,7 @@
         return AdmissionResults(tuple(admitted), refused)
 
     def _compute_expiry(self, request: AdmissionRequest, now: Millis) -> Millis:
+        """Return when the request leaves the queue: at its deadline or the time-out."""
         expires_at = Millis(now + self._policy.queue_timeout_ms)
         return (
             expires_at
@@ -168,22 +171,26 @@
             else min(expires_at, request.deadline)
         )
 
-    def _may_start(self, client: str) -> bool:
+    def _may_admit(self, client: str) -> bool:
+        """Return whether the concurrency limit and the client's share leave room."""
         share = math.ceil(self.limit * self._policy.max_client_share)
         own = self._in_progress_of.get(client, 0)
         return self.in_progress < self.limit and own < max(1, share)
 
-    def _rank(self, client: str) -> float | None:
-        if not self._may_start(client):
+    def _rank_client(self, client: str) -> float | None:
+        """Return the client's requests in progress; None if it may start no more."""
+        if not self._may_admit(client):
             return None
         return self._in_progress_of.get(client, 0)
 
     def _add_work(self, flow: FlowNumber, client: str, now: Millis) -> None:
+        """Count an admitted flow as open and its request as in progress."""
         self._open[flow] = client
         self._work[flow] = _Work(client, now)
         self._in_progress_of[client] = self._in_progress_of.get(client, 0) + 1
 
     def _remove_work(self, flow: FlowNumber) -> None:
+        """Stop counting a flow's request as in progress."""
         work = self._work.pop(flow, None)
         if work is None:
             return
@@ -194,19 +201,22 @@
             del self._in_progress_of[work.client]
 
 
-def make_adaptive(policy: AdmissionPolicy) -> FairAdmission:
-    """Return admission control with an adaptive limit, as used in production."""
+def make_adaptive_admission(policy: AdmissionPolicy) -> FairAdmission:
+    """Return admission control with an adaptive limit, as agents use it."""
     limit = AdaptiveLimit(policy.initial_limit, policy.min_limit, policy.max_limit)
     return FairAdmission(policy, limit)
 
 
-def make_fixed(policy: AdmissionPolicy) -> FairAdmission:
-    """Return a baseline with a fixed limit of `policy.max_limit`."""
+def make_fixed_admission(policy: AdmissionPolicy) -> FairAdmission:
+    """Return admission control with the fixed limit `policy.max_limit`.
+
+    Serves as a baseline for the adaptive limit.
+    """
     return FairAdmission(policy, FixedLimit(policy.max_limit))
 
 
-class Unlimited:
-    """Baseline that admits every flow immediately."""
+class UnlimitedAdmission:
+    """Admission control that admits every flow at once, a baseline for comparisons."""
 
     @property
     def next_at(self) -> Millis | None:
@@ -217,14 +227,14 @@
         """Admit the flow."""
         return AdmissionDecision.ADMIT
 
-    def finish_work(self, flow: FlowNumber, end: ReleaseReason, now: Millis) -> None:
-        """Ignore the event."""
+    def finish_work(self, flow: FlowNumber, reason: ReleaseReason, now: Millis) -> None:
+        """Do nothing, as no flows are counted."""
 
     def start_work(self, flow: FlowNumber, now: Millis) -> None:
-        """Ignore the event."""
+        """Do nothing, as no flows are counted."""
 
     def close(self, flow: FlowNumber) -> None:
-        """Ignore the event."""
+        """Do nothing, as no flows are counted."""
 
     def poll(self, now: Millis) -> AdmissionResults:
         """Return empty results, as no flow is ever queued."""
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -1,9 +1,9 @@
-"""Configuration in force at a node."""
+"""Choice of the configuration in force at a node, and its exchange with peers."""
 
 from enum import Enum
 
 from papayagw._internal.core.configuration_change import (
-    ChangeLog,
+    RecentVersions,
     apply_change,
     reuse_equal_services,
 )
@@ -26,11 +26,14 @@
 
 
 class ConfigurationLog:
-    """Configuration of a node, which is only replaced by a higher version."""
+    """Configuration in force at a node, with recent versions to answer peers.
+
+    It is only replaced by a configuration with a higher version.
+    """
 
     def __init__(self) -> None:
         self._current: Configuration | None = None
-        self._changes = ChangeLog()
+        self._recent_versions = RecentVersions()
         self._refused = 0
 
     @property
@@ -49,7 +52,7 @@
         return self._refused
 
     @property
-    def question(self) -> ConfigurationQuery:
+    def query(self) -> ConfigurationQuery:
         """Query to a peer that may have a newer version."""
         submission_id = self._current.submission_id if self._current else ""
         return ConfigurationQuery(self.version, submission_id)
@@ -61,28 +64,35 @@
             if self._current is not None:
                 configuration = reuse_equal_services(self._current, configuration)
             self._current = configuration
-            self._changes.add(configuration)
+            self._recent_versions.add(configuration)
         elif order is not VersionOrder.SAME:
             self._refused += 1
         return order
 
-    def answer(self, question: ConfigurationQuery) -> ConfigurationReply:
-        """Return the answer that updates a peer to the version in force here."""
+    def make_reply(self, query: ConfigurationQuery) -> ConfigurationReply:
+        """Return the reply that updates a peer to the version in force here."""
         current = self._current
-        if current is None or question.version >= current.version:
+        if current is None or query.version >= current.version:
             return NotModified()
-        change = self._changes.find_since(question.version, question.submission_id)
+        change = self._recent_versions.find_change_since(
+            query.version, query.submission_id
+        )
         return current if change is None else change
 
-    def resolve(self, answer: ConfigurationReply) -> Configuration | None:
-        """Return the configuration that results from a peer's answer, or None."""
-        if isinstance(answer, NotModified):
+    def resolve_reply(self, reply: ConfigurationReply) -> Configuration | None:
+        """Return the configuration that results from a peer's reply.
+
+        Returns None if the peer has no newer version, or if its change isn't based on
+        the version in force here.
+        """
+        if isinstance(reply, NotModified):
             return None
-        if isinstance(answer, Configuration):
-            return answer
-        return apply_change(self._current, answer) if self._current else None
+        if isinstance(reply, Configuration):
+            return reply
+        return apply_change(self._current, reply) if self._current else None
 
     def _compare_version(self, configuration: Configuration) -> VersionOrder:
+        """Return how a configuration compares with the one in force."""
         if self._current is None or configuration.version > self._current.version:
             return VersionOrder.NEWER
         if configuration.version < self._current.version:
--- a/src/papayagw/_internal/core/configuration_change.py
+++ b/src/papayagw/_internal/core/configuration_change.py
@@ -78,7 +78,7 @@
     return replace(after, site=replace(after.site, services=tuple(services)))
 
 
-class ChangeLog:
+class RecentVersions:
     """Most recent configuration versions of a node, to compute changes from."""
 
     def __init__(self) -> None:
@@ -90,10 +90,13 @@
         while len(self._versions) > MAX_KEPT_VERSIONS:
             self._versions.popitem(last=False)
 
-    def find_since(
+    def find_change_since(
         self, version: int, submission_id: str
     ) -> ConfigurationChange | None:
-        """Return the change from a kept version to the latest, or None."""
+        """Return the change from `version` to the latest one.
+
+        Returns None if `version` isn't kept, is the latest or is of another submission.
+        """
         before = self._versions.get(version)
         if before is None or before.submission_id != submission_id:
             return None
--- a/src/papayagw/_internal/core/directory.py
+++ b/src/papayagw/_internal/core/directory.py
@@ -26,11 +26,11 @@
         """Return the agents of a service that accept openings."""
 
     def is_gone(self, route: FlowRoute) -> bool:
-        """Return whether the agent run named by a flow tag is known to be gone."""
+        """Return whether the agent incarnation in `route` is known to be gone."""
 
 
 class AgentDirectory:
-    """The newest record of each agent."""
+    """The newest record of each agent, by endpoint and by service."""
 
     def __init__(self) -> None:
         self._records: dict[tuple[str, int], AgentRecord] = {}
@@ -50,29 +50,29 @@
         if known is not None and known.precedence >= record.precedence:
             return False
         if known is not None and known.service_id != record.service_id:
-            self._remove(known)
+            self._remove_from_service(known)
         self._records[key] = record
         if record.state is AgentState.GONE:
             self._gone[key] = record.incarnation & INCARNATION_MASK
         else:
             self._gone.pop(key, None)
         self._by_service.setdefault(record.service_id, {})[key] = record
-        self._refresh(record.service_id)
+        self._update_ready(record.service_id)
         return True
 
     def forget(self, record: AgentRecord) -> None:
-        """Drop the record of an endpoint."""
+        """Remove the record held for the endpoint of `record`."""
         known = self._records.pop(record.endpoint.sockaddr, None)
         self._gone.pop(record.endpoint.sockaddr, None)
         if known is not None:
-            self._remove(known)
+            self._remove_from_service(known)
 
     def find_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
         """Return the agents of a service that accept openings."""
         return self._ready.get(service_id, ())
 
     def is_gone(self, route: FlowRoute) -> bool:
-        """Return whether the agent run named by a flow tag is known to be gone."""
+        """Return whether the agent incarnation in `route` is known to be gone."""
         return self._gone.get(route.agent.sockaddr) == route.incarnation
 
     def find_reported_ready(self, service_id: ServiceId) -> Sequence[AgentRecord]:
@@ -80,12 +80,13 @@
         records = self._by_service.get(service_id, {}).values()
         return [record for record in records if record.state is AgentState.READY]
 
-    def _remove(self, record: AgentRecord) -> None:
+    def _remove_from_service(self, record: AgentRecord) -> None:
         of_service = self._by_service.get(record.service_id, {})
         of_service.pop(record.endpoint.sockaddr, None)
-        self._refresh(record.service_id)
+        self._update_ready(record.service_id)
 
-    def _refresh(self, service_id: ServiceId) -> None:
+    def _update_ready(self, service_id: ServiceId) -> None:
+        """Recompute which agents of a service may receive openings."""
         reported_ready = self.find_reported_ready(service_id)
         excluded = select_excluded(reported_ready)
         self._ready[service_id] = tuple(
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -29,8 +29,13 @@
 """Size of a control datagram without its lists, in bytes."""
 
 RECORDS_PER_DATAGRAM = 40
+"""Maximum number of records in one datagram."""
+
 FINGERPRINT_BYTES = 4.5
+"""Estimated size of a fingerprint in a datagram, in bytes."""
+
 DIGEST_BYTES = 4.5
+"""Estimated size of a bucket's digest in a datagram, in bytes."""
 
 REPAIR_INTERVAL_MS = Millis(2_000)
 """Minimum interval between comparisons that a node starts after it has caught up."""
@@ -87,10 +92,10 @@
         """Whether this node has at some time held nearly all records of a peer."""
         return self._caught_up
 
-    def on_digest(
+    def on_gossip_digest(
         self, digest: int, source: Endpoint, gossip_idle: bool, now: Millis
     ) -> Iterator[Send]:
-        """Compare the digest of all records with a peer's.
+        """Send the digests by bucket if a peer's digest of all records differs.
 
         While updates are queued (`gossip_idle` is False) the comparison is deferred,
         because gossip resolves most differences at a lower cost.
@@ -115,7 +120,7 @@
         self._spend(len(message.digests) * DIGEST_BYTES, now)
         yield Send(source, message)
 
-    def on_digests(
+    def on_bucket_digests(
         self, message: BucketDigests, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Answer a peer's digests with records and summaries of differing buckets."""
@@ -132,7 +137,7 @@
             if self._budget.get_level(now) > 0:
                 yield self._summarise(bucket, source, now)
 
-    def on_summary(
+    def on_bucket_summary(
         self, message: BucketSummary, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Send the records of a bucket that the peer lacks and request missing ones."""
@@ -145,7 +150,7 @@
             self._spend(len(theirs - ours) * FINGERPRINT_BYTES, now)
             yield Send(source, RecordRequest(tuple(sorted(theirs - ours))))
 
-    def on_request(
+    def on_record_request(
         self, message: RecordRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Send the records that a peer has requested."""
@@ -165,7 +170,7 @@
         self, differing: Sequence[Bucket], message: BucketDigests
     ) -> tuple[list[Record], list[Bucket]]:
         """Split differing buckets into records to send and buckets to compare."""
-        empty = set(_list_empty(message))
+        empty = set(_list_empty_buckets(message))
         whole: list[Record] = []
         compared: list[Bucket] = []
         for bucket in differing:
@@ -180,6 +185,7 @@
         return whole, compared
 
     def _summarise(self, bucket: Bucket, destination: Endpoint, now: Millis) -> Send:
+        """Return the message with the fingerprints of a bucket's records."""
         fingerprints = self._table.list_fingerprints(bucket)
         self._spend(len(fingerprints) * FINGERPRINT_BYTES, now)
         return Send(destination, BucketSummary(bucket, fingerprints))
@@ -187,12 +193,18 @@
     def _send_records(
         self, records: Sequence[Record], destination: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Send whole records, in as many datagrams as they need."""
         for start in range(0, len(records), RECORDS_PER_DATAGRAM):
             chunk = list(records[start : start + RECORDS_PER_DATAGRAM])
             self._spend(len(chunk) * RECORD_BYTES, now)
             yield Send(destination, MissingRecords(make_updates(chunk)))
 
     def _make_digests(self) -> BucketDigests:
+        """Return the digests of the buckets of all zones.
+
+        While this node catches up, only one message in as many as there are zones is
+        complete; each of the others has the buckets of one zone, in turn.
+        """
         zones = self._table.zones
         complete = (
             self._caught_up or len(zones) <= 1 or self._digests_sent % len(zones) == 0
@@ -204,6 +216,7 @@
         return BucketDigests(zones, digests, complete)
 
     def _find_differing(self, message: BucketDigests) -> list[Bucket]:
+        """Return the buckets whose digests differ from those of the peer."""
         theirs = dict(zip(_list_buckets(message.zones), message.digests, strict=False))
         ours = set(self._table.buckets) if message.complete else set()
         buckets = sorted(set(theirs) | ours)
@@ -214,15 +227,18 @@
         ]
 
     def _spend(self, size_bytes: float, now: Millis) -> None:
+        """Charge the budget with a datagram that has lists of `size_bytes`."""
         self._budget.spend(DATAGRAM_BYTES + int(size_bytes), now)
 
 
 def _list_buckets(zones: Sequence[str]) -> list[Bucket]:
+    """Return all buckets of `zones`, in the order of `BucketDigests.digests`."""
     return [
         Bucket(zone, number) for zone in zones for number in range(BUCKETS_PER_ZONE)
     ]
 
 
-def _list_empty(message: BucketDigests) -> Iterator[Bucket]:
+def _list_empty_buckets(message: BucketDigests) -> Iterator[Bucket]:
+    """Return the buckets in which the sender of `message` has no records."""
     pairs = zip(_list_buckets(message.zones), message.digests, strict=False)
     return (bucket for bucket, digest in pairs if digest == 0)
--- a/src/papayagw/_internal/core/log_limiter.py
+++ b/src/papayagw/_internal/core/log_limiter.py
@@ -7,7 +7,7 @@
 from papayagw._internal.models.clock import Millis
 
 MAX_KINDS = 1_024
-"""Maximum number of kinds with a limit of their own; the rest share one."""
+"""Maximum number of kinds of message with a limit each; the others share one."""
 
 WINDOW_MS = Millis(1_000)
 BURST = 3
@@ -71,6 +71,7 @@
         return expired
 
     def _get_window(self, kind: str, now: Millis) -> "_KindWindow":
+        """Return the window of `kind`, or the shared one beyond `MAX_KINDS`."""
         if kind not in self._kinds and len(self._kinds) >= MAX_KINDS - 1:
             kind = _OTHER_KIND
         return self._kinds.setdefault(kind, _KindWindow(now))
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -62,6 +62,7 @@
 """Value of `REPAIR_SHARE` while a new balancer is catching up."""
 
 GOSSIP_BURST_BYTES = 400
+"""Number of bytes that gossip, and likewise repair, may send at once."""
 
 MAX_UPDATE_BYTES = 1_050
 """Maximum size of the updates in one datagram, in bytes."""
@@ -70,8 +71,9 @@
 """Number of peers to which updates are sent in each gossip round."""
 
 FANOUT_INTERVAL_MS = Millis(100)
+"""Interval between gossip rounds."""
 
-INQUIRED_PEERS = 2
+LIVENESS_REQUEST_PEERS = 2
 """Number of peers that receive a liveness request about an unresponsive balancer."""
 
 SUSPICION_TIMEOUT_MS = Millis(10_000)
@@ -89,12 +91,10 @@
 """Number of peers for which `JOIN_INTERVAL_MS` is added once more to the interval."""
 
 INTRODUCTION_INTERVAL_MS = Millis(20)
-"""Minimum interval between introductions to nodes that are unknown or marked as gone.
-"""
+"""Minimum interval between introductions to unknown nodes or nodes marked as gone."""
 
 MAX_JOIN_RECORDS = 30
-"""Maximum number of records that the answer to a join carries besides the first,
-which is the record of the answering balancer."""
+"""Maximum number of records in the answer to a join, besides the answering node's."""
 
 RELAYS_PER_ZONE = 3
 """Number of balancers of a zone that watch the platform's store."""
@@ -103,7 +103,10 @@
 """Number of gossip rounds that advertise a new version of the configuration."""
 
 _FIRST_REQUEST_NUMBER = 1 << 30
+"""First number of probes sent for other balancers, above those of the own probes."""
+
 _MAX_PENDING_REQUESTS = 64
+"""Number of pending liveness requests at which all of them are dropped."""
 
 
 class BalancerMembership:
@@ -138,7 +141,7 @@
             MIN_GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES
         )
         self._repairer = Repairer(self._fleet.table, self._repair_budget, random_source)
-        self._suspects: dict[Endpoint, Millis] = {}
+        self._suspected_since: dict[Endpoint, Millis] = {}
         self._pending_requests: dict[int, tuple[Endpoint, LivenessRequest]] = {}
         self._request_number = _FIRST_REQUEST_NUMBER
         self._ticked_at: Millis | None = None
@@ -146,18 +149,18 @@
         self._join_interval = INITIAL_JOIN_INTERVAL_MS
         self._fanout_at = Millis(0)
         self._introduction_at = Millis(0)
-        self._version = 0
+        self._configuration_version = 0
         self._version_transmissions = 0
-        self._advertised: tuple[int, Endpoint] | None = None
+        self._advertised_configuration: tuple[int, Endpoint] | None = None
         self._handlers: dict[type, Callable[..., Iterator[Send]]] = {
             Announcement: self._on_announcement,
             Heartbeat: self._on_heartbeat,
             Join: self._on_join,
             Gossip: self._on_gossip,
-            BucketDigests: self._repairer.on_digests,
-            BucketSummary: self._repairer.on_summary,
-            RecordRequest: self._repairer.on_request,
-            MissingRecords: self._on_records,
+            BucketDigests: self._repairer.on_bucket_digests,
+            BucketSummary: self._repairer.on_bucket_summary,
+            RecordRequest: self._repairer.on_record_request,
+            MissingRecords: self._on_missing_records,
             LivenessRequest: self._on_liveness_request,
             LivenessResponse: self._on_liveness_response,
         }
@@ -200,20 +203,23 @@
     @property
     def configuration_version(self) -> int:
         """The version of the configuration that this node holds."""
-        return self._version
+        return self._configuration_version
 
     @property
     def advertised_configuration(self) -> tuple[int, Endpoint] | None:
         """The highest advertised version and a peer that has it; None if not newer."""
-        if self._advertised is None or self._advertised[0] <= self._version:
+        if (
+            self._advertised_configuration is None
+            or self._advertised_configuration[0] <= self._configuration_version
+        ):
             return None
-        return self._advertised
+        return self._advertised_configuration
 
     def set_configuration_version(self, version: int) -> None:
         """Set the version that this node holds and advertise it to the peers."""
-        if version <= self._version:
+        if version <= self._configuration_version:
             return
-        self._version = version
+        self._configuration_version = version
         self._version_transmissions = VERSION_TRANSMISSIONS
         self._watcher.set_configuration_version(version)
 
@@ -251,11 +257,11 @@
         if self._fleet.superseded:
             return ()
         isolated = self._is_isolated(now)
-        self._remove_expired_suspects(isolated, now)
+        self._mark_expired_suspects_gone(isolated, now)
         self._watcher.set_caught_up(self.caught_up)
         return (
-            *self._join(now),
-            *self._probe(now),
+            *self._send_join(now),
+            *self._run_probes(now),
             *self._watcher.on_tick(isolated, now),
             *self._disseminate(now),
         )
@@ -269,7 +275,8 @@
         updates = make_updates([self._fleet.own])
         targets = self._sample_peers(2 * FANOUT)
         return tuple(
-            self._gossip(GossipKind.UPDATE, target, 0, updates) for target in targets
+            self._make_gossip(GossipKind.UPDATE, target, 0, updates)
+            for target in targets
         )
 
     def _is_isolated(self, now: Millis) -> bool:
@@ -280,17 +287,19 @@
         return self._prober.is_isolated and not self._watcher.receives_heartbeats(now)
 
     def _compensate_pause(self, now: Millis) -> None:
+        """Extend the time-outs if this process was paused since the last call."""
         if self._ticked_at is not None and now - self._ticked_at > PAUSE_THRESHOLD_MS:
             pause_ms = Millis(now - self._ticked_at)
             self._watcher.compensate_pause(pause_ms, now)
             self._prober.drop_pending()
-            self._suspects = {
+            self._suspected_since = {
                 endpoint: Millis(since + pause_ms)
-                for endpoint, since in self._suspects.items()
+                for endpoint, since in self._suspected_since.items()
             }
         self._ticked_at = now
 
-    def _join(self, now: Millis) -> Iterator[Send]:
+    def _send_join(self, now: Millis) -> Iterator[Send]:
+        """Send a join to the control address if one is due."""
         if now < self._join_at:
             return
         peers = len(self._fleet.peers)
@@ -302,44 +311,50 @@
         self._join_at = Millis(now + wait // 2 + self._random.randrange(wait))
         yield Send(self._control_address, Join(self._fleet.own))
 
-    def _probe(self, now: Millis) -> Iterator[Send]:
+    def _run_probes(self, now: Millis) -> Iterator[Send]:
+        """Probe the next balancer, and act on probes that remain unanswered."""
         step = self._prober.on_tick(self._fleet.peers, now)
         if step.probe is not None:
             updates = self._take_updates(now)
-            yield self._gossip(GossipKind.PROBE, step.probe, step.number, updates)
-        if step.inquire is not None:
-            yield from self._request_liveness(step.inquire)
+            yield self._make_gossip(GossipKind.PROBE, step.probe, step.number, updates)
+        if step.request_liveness is not None:
+            yield from self._request_liveness(step.request_liveness)
         if step.suspect is not None:
             self._suspect(step.suspect, now)
 
     def _request_liveness(self, unresponsive: Endpoint) -> Iterator[Send]:
+        """Ask a few peers to probe an unresponsive balancer."""
         record = self._fleet.table.get(unresponsive)
         if record is None:
             return
-        for peer in self._sample_peers(INQUIRED_PEERS):
+        for peer in self._sample_peers(LIVENESS_REQUEST_PEERS):
             if peer != unresponsive:
                 yield Send(peer, LivenessRequest(unresponsive, record.incarnation))
 
     def _suspect(self, unresponsive: Endpoint, now: Millis) -> None:
+        """Suspect a balancer, unless this node is isolated."""
         record = self._fleet.table.get(unresponsive)
         if not isinstance(record, BalancerRecord) or record.is_suspected:
             return
         if record.state is not AgentState.GONE and not self._is_isolated(now):
             self._fleet.toggle_suspicion(record, now)
 
-    def _remove_expired_suspects(self, isolated: bool, now: Millis) -> None:
+    def _mark_expired_suspects_gone(self, isolated: bool, now: Millis) -> None:
+        """Mark balancers as gone that haven't refuted a suspicion in time."""
         suspected = self._fleet.suspected
-        self._suspects = {
-            one.endpoint: self._suspects.get(one.endpoint, now) for one in suspected
+        self._suspected_since = {
+            one.endpoint: self._suspected_since.get(one.endpoint, now)
+            for one in suspected
         }
         for record in suspected:
-            since = self._suspects[record.endpoint]
+            since = self._suspected_since[record.endpoint]
             if now - since >= SUSPICION_TIMEOUT_MS and not isolated:
                 # Every node times the suspicion out itself, so no gossip is needed.
                 gone = replace(record, state=AgentState.GONE)
                 self._fleet.merge_without_gossip(gone, now)
 
     def _disseminate(self, now: Millis) -> Iterator[Send]:
+        """Send queued updates and a new configuration version to a few peers."""
         if now < self._fanout_at:
             return
         self._fanout_at = Millis(now + FANOUT_INTERVAL_MS)
@@ -355,14 +370,15 @@
             if updates == EMPTY_UPDATE and not self._version_transmissions:
                 return
             self._budget.spend(DATAGRAM_BYTES, now)
-            yield self._gossip(GossipKind.UPDATE, peer, 0, updates)
+            yield self._make_gossip(GossipKind.UPDATE, peer, 0, updates)
 
     def _has_gossip_budget(self, now: Millis) -> bool:
-        """Return whether the budget suffices for a datagram with enough updates."""
+        """Return whether the budget covers all queued updates, or is at its maximum."""
         wanted = DATAGRAM_BYTES + RECORD_BYTES * len(self._fleet.updates)
         return self._budget.get_level(now) >= min(wanted, GOSSIP_BURST_BYTES)
 
     def _update_gossip_rates(self, now: Millis) -> None:
+        """Divide the rate left by heartbeats and probes between gossip and repair."""
         heartbeat_rate = self._watcher.estimate_bytes_per_second()
         remaining = CONTROL_BYTES_PER_SECOND - PROBE_BYTES_PER_SECOND - heartbeat_rate
         rate = max(MIN_GOSSIP_BYTES_PER_SECOND, remaining)
@@ -371,24 +387,30 @@
         self._budget.set_rate(int((1 - share) * rate), now)
 
     def _take_updates(self, now: Millis) -> MembershipUpdate:
+        """Return the queued updates that the budget allows, and charge it for them."""
         room = min(MAX_UPDATE_BYTES, self._budget.get_level(now))
         updates = self._fleet.updates.take(room)
         self._budget.spend(_estimate_bytes(updates), now)
         return updates
 
     def _sample_peers(self, count: int) -> list[Endpoint]:
+        """Return up to `count` random peers that aren't suspected."""
         peers = self._fleet.reachable
         return self._random.sample(peers, min(count, len(peers)))
 
-    def _gossip(
+    def _make_gossip(
         self,
         kind: GossipKind,
         destination: Endpoint,
         number: int,
         updates: MembershipUpdate,
     ) -> Send:
+        """Return a gossip message with this node's digest and configuration version."""
         digest = self._fleet.table.digest if self.caught_up else NO_DIGEST
-        return Send(destination, Gossip(kind, number, digest, self._version, updates))
+        return Send(
+            destination,
+            Gossip(kind, number, digest, self._configuration_version, updates),
+        )
 
     def _on_announcement(
         self, message: Announcement, _source: Endpoint, now: Millis
@@ -401,6 +423,7 @@
         return self._watcher.on_heartbeat(message, now)
 
     def _on_join(self, message: Join, _source: Endpoint, now: Millis) -> Iterator[Send]:
+        """Send a joining balancer this node's record and, if it is new, others."""
         joiner = message.record.endpoint
         if joiner == self._fleet.own.endpoint:
             self._fleet.merge(message.record, now)
@@ -412,9 +435,10 @@
         elif (known := self._fleet.table.get(joiner)) != message.record and known:
             records.append(known)
         self._budget.spend(RECORD_BYTES * len(records), now)
-        yield self._gossip(GossipKind.UPDATE, joiner, 0, make_updates(records))
+        yield self._make_gossip(GossipKind.UPDATE, joiner, 0, make_updates(records))
 
     def _select_join_records(self, joiner: Endpoint) -> list[Record]:
+        """Return the balancers and, if all fit, the agents that a new node is sent."""
         others = [one for one in self.balancers if one.endpoint != joiner]
         balancers = self._random.sample(others, min(len(others), MAX_JOIN_RECORDS))
         agents = [
@@ -426,21 +450,27 @@
     def _on_gossip(
         self, message: Gossip, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Merge a gossip message, reply to it and compare the digests."""
         self._budget.spend(_estimate_bytes(message.update), now)
         yield from self._merge_updates(message.update, source, now)
         self._record_version(message.configuration_version, source)
-        yield from self._answer(message, source, now)
+        yield from self._handle_probe_or_reply(message, source, now)
         known = self._fleet.table.get(source)
         if known is None or known.state is AgentState.GONE:
             yield from self._send_introduction(known, source, now)
             return
         gossip_idle = not self._fleet.updates
-        yield from self._repairer.on_digest(message.digest, source, gossip_idle, now)
+        yield from self._repairer.on_gossip_digest(
+            message.digest, source, gossip_idle, now
+        )
 
-    def _answer(self, message: Gossip, source: Endpoint, now: Millis) -> Iterator[Send]:
+    def _handle_probe_or_reply(
+        self, message: Gossip, source: Endpoint, now: Millis
+    ) -> Iterator[Send]:
+        """Reply to a probe, or match a reply to the own probe or another node's."""
         if message.kind is GossipKind.PROBE:
             updates = self._take_updates(now)
-            yield self._gossip(GossipKind.REPLY, source, message.number, updates)
+            yield self._make_gossip(GossipKind.REPLY, source, message.number, updates)
         elif message.kind is GossipKind.REPLY:
             self._prober.record_answer(message.number)
             waiting = self._pending_requests.pop(message.number, None)
@@ -460,21 +490,23 @@
             return
         self._introduction_at = Millis(now + INTRODUCTION_INTERVAL_MS)
         if known is not None:
-            yield self._gossip(GossipKind.UPDATE, source, 0, make_updates([known]))
+            yield self._make_gossip(GossipKind.UPDATE, source, 0, make_updates([known]))
         yield Send(source, Join(self._fleet.own))
 
     def _merge_updates(
         self, updates: MembershipUpdate, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Merge updates; send a summary of buckets that can't be compared."""
         for record in updates.records:
             self._fleet.merge(record, now)
         for vector in updates.vectors:
             if not self._fleet.merge_vector(vector, now):
                 yield from self._repairer.send_bucket(vector.bucket, source, now)
 
-    def _on_records(
+    def _on_missing_records(
         self, message: MissingRecords, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Merge repaired records, and return those for which a newer one is known."""
         updates = message.update
         self._repair_budget.spend(DATAGRAM_BYTES + _estimate_bytes(updates), now)
         newer: list[Record] = []
@@ -489,29 +521,36 @@
     def _on_liveness_request(
         self, message: LivenessRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
+        """Report an agent's last heartbeat, or probe a balancer for the requester."""
         record = self._fleet.table.get(message.endpoint)
         if isinstance(record, AgentRecord):
-            yield from self._watcher.on_inquiry(message, source, now)
+            yield from self._watcher.on_liveness_request(message, source, now)
         elif isinstance(record, BalancerRecord):
             self._request_number += 1
             if len(self._pending_requests) >= _MAX_PENDING_REQUESTS:
                 self._pending_requests.clear()
             self._pending_requests[self._request_number] = (source, message)
-            yield self._gossip(
+            yield self._make_gossip(
                 GossipKind.PROBE, message.endpoint, self._request_number, EMPTY_UPDATE
             )
 
     def _on_liveness_response(
         self, message: LivenessResponse, _source: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        self._watcher.on_voucher(message, now)
+        """Record that a peer has heard from an agent or balancer."""
+        self._watcher.on_liveness_response(message, now)
         self._prober.record_alive(message.endpoint)
         yield from ()
 
     def _record_version(self, version: int, source: Endpoint) -> None:
-        if version > max(self._version, self._advertised[0] if self._advertised else 0):
-            self._advertised = (version, source)
+        """Record the highest configuration version advertised by a peer."""
+        if version > max(
+            self._configuration_version,
+            self._advertised_configuration[0] if self._advertised_configuration else 0,
+        ):
+            self._advertised_configuration = (version, source)
 
 
 def _estimate_bytes(updates: MembershipUpdate) -> int:
+    """Return the estimated size of all updates, in bytes."""
     return int(sum(estimate_bytes(one) for one in (*updates.records, *updates.vectors)))
--- a/src/papayagw/_internal/core/retry.py
+++ b/src/papayagw/_internal/core/retry.py
@@ -75,6 +75,7 @@
         return True
 
     def _add(self, millitokens: int) -> None:
+        """Add to the budget, up to its capacity."""
         self._millitokens = min(self._capacity, self._millitokens + millitokens)
 
 
@@ -83,7 +84,7 @@
 
 
 class UndeliveredOnly:
-    """Allow a retry only if no byte was delivered or the service is idempotent."""
+    """Rule that allows a retry if nothing was delivered or requests may be repeated."""
 
     def may_have_run(self, ended: AttemptEnded) -> bool:
         """Return whether a byte of the request may have reached a backend server."""
@@ -97,7 +98,7 @@
 
 
 class OpeningRetry:
-    """Attempts to open one flow.
+    """State machine of the attempts to open one flow.
 
     Parameters
     ----------
@@ -160,22 +161,24 @@
             self._ignored += 1
             return None
         if ended.outcome in (FlowOutcome.ANSWERED, FlowOutcome.CANCELLED):
-            return self._make_give_up(ended.outcome)
+            return self._finish(ended.outcome)
         self._may_have_run |= self._rule.may_have_run(ended)
-        return self._make_reopen(ended, now) or self._make_give_up(self._failure)
+        return self._try_reopen(ended, now) or self._finish(self._failure_outcome)
 
     def cancel(self) -> OpeningAction | None:
         """Return the action after the caller has cancelled, or None if it has ended."""
         if self._outcome is not None:
             self._ignored += 1
             return None
-        return self._make_give_up(FlowOutcome.CANCELLED)
+        return self._finish(FlowOutcome.CANCELLED)
 
     @property
-    def _failure(self) -> FlowOutcome:
+    def _failure_outcome(self) -> FlowOutcome:
+        """Outcome reported if no further attempt is made."""
         return FlowOutcome.UNKNOWN if self._may_have_run else FlowOutcome.REFUSED
 
-    def _make_reopen(self, ended: AttemptEnded, now: Millis) -> Reopen | None:
+    def _try_reopen(self, ended: AttemptEnded, now: Millis) -> Reopen | None:
+        """Return the action of a further attempt, or None if none is allowed."""
         if self._attempt >= self._policy.max_attempts:
             return None
         if not self._rule.is_safe(ended, self._idempotent):
@@ -189,12 +192,14 @@
         return Reopen(self._attempt, at)
 
     def _draw_backoff(self) -> Millis:
+        """Return a random delay, at most the doubled back-off of this attempt."""
         ceiling_ms = min(
             self._policy.max_backoff_ms,
             self._policy.base_backoff_ms << (self._attempt - 1),
         )
         return Millis(round(ceiling_ms * self._draw()))
 
-    def _make_give_up(self, outcome: FlowOutcome) -> ReportOutcome:
+    def _finish(self, outcome: FlowOutcome) -> ReportOutcome:
+        """Record the final outcome and return the action that reports it."""
         self._outcome = outcome
         return ReportOutcome(outcome)
--- a/src/papayagw/_internal/core/service_meter.py
+++ b/src/papayagw/_internal/core/service_meter.py
@@ -149,10 +149,12 @@
             self._service.record_cut(self._answered)
 
     def _owns_flow(self) -> bool:
+        """Return whether a cut of the flow counts at this node."""
         # An agent may also hold a duplicate of an opening accepted by another agent.
         return self._opened or self._service.side is Side.CALLER
 
     def _end_request(self, now: Millis) -> None:
+        """Add the duration of the request in progress, if any, to the work."""
         if self._request_started_at is not None:
             self._service.record_work(Millis(now - self._request_started_at))
         self._request_started_at = None
--- a/src/papayagw/_internal/core/submission.py
+++ b/src/papayagw/_internal/core/submission.py
@@ -188,6 +188,7 @@
 
     @property
     def _submitted(self) -> Configuration:
+        """The configuration that the write in progress contains."""
         assert isinstance(self._action, Write)
         return self._action.configuration
 
@@ -218,6 +219,7 @@
         return "; ".join(incompatibilities)
 
     def _make_configuration(self, current: Configuration | None) -> Configuration:
+        """Return the proposed configuration as the version after `current`."""
         version = current.version + 1 if current else 1
         earlier = current.history if current else ()
         proposal = self._proposal
@@ -227,6 +229,7 @@
 
 
 def _describe_competing_change(current: Configuration, version: int) -> str:
+    """Return the reason that another submission became `version`."""
     entries = [entry for entry in current.history if entry.version == version]
     by = f" by {entries[0].operator}" if entries else ""
     return f"another change{by} became version {version} first"
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -45,7 +45,7 @@
 MAX_INTERVAL_MS = Millis(3_000)
 
 HEARTBEATS_PER_ACK = 5
-"""Number of heartbeats for each acknowledgement."""
+"""Number of heartbeats of an agent that a watcher answers by one acknowledgement."""
 
 MAX_SIBLINGS = 8
 """Maximum number of siblings in an acknowledgement."""
@@ -54,12 +54,14 @@
 """Time without heartbeats after which an agent is marked as gone."""
 
 MIN_READY_SHARE = 0.5
-"""Minimum share of a service's ready agents that must be unsuspected for a removal."""
+"""Minimum share of a service's ready agents to be unsuspected before one is removed."""
 
 REMOVAL_CHECK_INTERVAL_MS = Millis(5_000)
 AUDIT_TICKS = 600
-"""Number of ticks in which all records are checked for agents that this balancer should
-watch but doesn't."""
+"""Number of ticks in which all records are checked once for unwatched agents.
+
+These are agents that this balancer should watch but doesn't.
+"""
 
 
 class Watcher:
@@ -101,8 +103,12 @@
 
     def compute_interval(self) -> Millis:
         """Return the heartbeat interval that keeps heartbeats within their budget."""
-        size = self._fleet.size
-        watched = self._fleet.table.agent_count * min(WATCHERS_PER_AGENT, size) / size
+        balancers = self._fleet.balancer_count
+        watched = (
+            self._fleet.table.agent_count
+            * min(WATCHERS_PER_AGENT, balancers)
+            / balancers
+        )
         seconds = watched * HEARTBEAT_BYTES / HEARTBEAT_BYTES_PER_SECOND
         interval = int(seconds * MILLIS_PER_SECOND)
         return Millis(max(MIN_INTERVAL_MS, min(MAX_INTERVAL_MS, interval)))
@@ -117,9 +123,9 @@
         """Merge an agent's record and acknowledge it."""
         self._fleet.merge(message.record, now)
         known = self._fleet.table.get(message.record.endpoint)
-        if isinstance(known, AgentRecord) and _is_alive(known, message.record):
-            self._refute(message.record.endpoint, now)
-        yield self._acknowledge(message.record.endpoint, 0, now)
+        if isinstance(known, AgentRecord) and _refutes_suspicion(known, message.record):
+            self._clear_suspicion(message.record.endpoint, now)
+        yield self._make_acknowledgement(message.record.endpoint, 0, now)
 
     def on_heartbeat(self, message: Heartbeat, now: Millis) -> Iterator[Send]:
         """Record a heartbeat, and acknowledge one in `HEARTBEATS_PER_ACK`.
@@ -129,17 +135,21 @@
         """
         known = self._fleet.table.get(message.endpoint)
         if not _is_current(known, message):
-            yield self._acknowledge(message.endpoint, message.siblings_digest, now)
+            yield self._make_acknowledgement(
+                message.endpoint, message.siblings_digest, now
+            )
             return
         if not self._watch.record_heartbeat(
             message.endpoint, message.incarnation, message.heartbeat_number, now
         ):
             return
-        self._refute(message.endpoint, now)
+        self._clear_suspicion(message.endpoint, now)
         if (message.heartbeat_number + self._ack_offset) % HEARTBEATS_PER_ACK == 0:
-            yield self._acknowledge(message.endpoint, message.siblings_digest, now)
+            yield self._make_acknowledgement(
+                message.endpoint, message.siblings_digest, now
+            )
 
-    def on_inquiry(
+    def on_liveness_request(
         self, message: LivenessRequest, source: Endpoint, now: Millis
     ) -> Iterator[Send]:
         """Answer a liveness request if the agent sent a heartbeat recently."""
@@ -156,18 +166,20 @@
                 ),
             )
 
-    def on_voucher(self, message: LivenessResponse, now: Millis) -> None:
+    def on_liveness_response(self, message: LivenessResponse, now: Millis) -> None:
         """Record a heartbeat that another watcher has received."""
         heartbeat = ReceivedHeartbeat(
             message.heartbeat_number, Millis(now - message.age_ms)
         )
-        if self._watch.record_voucher(message.endpoint, message.incarnation, heartbeat):
-            self._refute(message.endpoint, now)
+        if self._watch.record_liveness_response(
+            message.endpoint, message.incarnation, heartbeat
+        ):
+            self._clear_suspicion(message.endpoint, now)
 
     def on_tick(self, isolated: bool, now: Millis) -> Iterator[Send]:
         """Send liveness requests, suspect overdue agents and mark agents as gone."""
         overdue = self._watch.find_overdue(now)
-        for endpoint in overdue.inquire:
+        for endpoint in overdue.request_liveness:
             yield from self._request_liveness(endpoint)
         for endpoint in overdue.suspect:
             self._suspect(endpoint, isolated, now)
@@ -192,14 +204,18 @@
         self._watch.compensate_pause(pause_ms)
         self._accepts_refutations_at = Millis(now + RESUME_GRACE_MS)
 
-    def _refute(self, endpoint: Endpoint, now: Millis) -> None:
+    def _clear_suspicion(self, endpoint: Endpoint, now: Millis) -> None:
+        """Withdraw the suspicion of a node, except just after a pause."""
         if now < self._accepts_refutations_at:
             return
         known = self._fleet.table.get(endpoint)
         if known is not None and known.is_suspected:
             self._fleet.toggle_suspicion(known, now)
 
-    def _acknowledge(self, agent: Endpoint, siblings_digest: int, now: Millis) -> Send:
+    def _make_acknowledgement(
+        self, agent: Endpoint, siblings_digest: int, now: Millis
+    ) -> Send:
+        """Return an acknowledgement with what is known about the agent."""
         known = self._fleet.table.get(agent)
         interval = self.compute_interval() if self._caught_up else KEEP_INTERVAL_MS
         watchers = self._fleet.list_watchers(agent)
@@ -211,7 +227,7 @@
         if interval != KEEP_INTERVAL_MS:
             self._watch.set_interval(agent, interval)
         siblings = self._list_siblings(known)
-        own_digest = _compute_digest(siblings)
+        own_digest = _compute_siblings_digest(siblings)
         return Send(
             agent,
             Acknowledgement(
@@ -227,6 +243,7 @@
         )
 
     def _list_siblings(self, record: AgentRecord) -> tuple[AgentRecord, ...]:
+        """Return the few other agents of the service that an agent is told about."""
         ready = self._fleet.table.directory.find_ready(record.service_id)
         others = [one for one in ready if one.endpoint != record.endpoint]
         if len(others) > MAX_SIBLINGS:
@@ -235,6 +252,7 @@
         return tuple(others[:MAX_SIBLINGS])
 
     def _request_liveness(self, endpoint: Endpoint) -> Iterator[Send]:
+        """Ask another watcher of an agent whether it receives heartbeats."""
         known = self._fleet.table.get(endpoint)
         if known is None:
             return
@@ -246,6 +264,7 @@
             yield Send(other, LivenessRequest(endpoint, known.incarnation))
 
     def _suspect(self, endpoint: Endpoint, isolated: bool, now: Millis) -> None:
+        """Suspect an overdue agent, or stop watching one that is not this node's."""
         known = self._fleet.table.get(endpoint)
         gone = known is None or known.state is AgentState.GONE
         if known is None or gone or not self._fleet.is_watcher(endpoint):
@@ -254,6 +273,7 @@
             self._fleet.toggle_suspicion(known, now)
 
     def _audit(self, now: Millis) -> None:
+        """Start to watch agents that were missed, checking a few records per tick."""
         if not self._audit_queue:
             self._audit_queue = list(self._fleet.table.directory.records)
         for _ in range(1 + len(self._audit_queue) // AUDIT_TICKS):
@@ -264,6 +284,7 @@
                 self._watch.add(record.endpoint, record.incarnation, now)
 
     def _needs_watch(self, record: AgentRecord) -> bool:
+        """Return whether this balancer should watch an agent but doesn't."""
         return (
             record.endpoint not in self._watch
             and record.state is not AgentState.GONE
@@ -271,6 +292,7 @@
         )
 
     def _remove_expired(self, now: Millis) -> None:
+        """Mark agents as gone that sent no heartbeat for `REMOVAL_TIMEOUT_MS`."""
         since = Millis(now - REMOVAL_TIMEOUT_MS)
         for endpoint in self._watch.list_silent_since(since):
             known = self._fleet.table.get(endpoint)
@@ -279,6 +301,7 @@
                 self._watch.remove(endpoint)
 
     def _may_remove(self, record: AgentRecord) -> bool:
+        """Return whether an agent is suspected and, if ready, enough others are not."""
         if record.state is AgentState.DRAINING:
             return record.is_suspected
         reported_ready = self._fleet.table.directory.find_reported_ready(
@@ -291,6 +314,7 @@
 
 
 def _is_current(known: object, heartbeat: Heartbeat) -> bool:
+    """Return whether a heartbeat matches the known record of its agent."""
     return (
         isinstance(known, AgentRecord)
         and known.incarnation == heartbeat.incarnation
@@ -299,8 +323,8 @@
     )
 
 
-def _is_alive(known: AgentRecord, announced: AgentRecord) -> bool:
-    """Return whether an announcement refutes a suspicion."""
+def _refutes_suspicion(known: AgentRecord, announced: AgentRecord) -> bool:
+    """Return whether an announcement refutes the suspicion in the known record."""
     return (
         known.is_suspected
         and known.incarnation == announced.incarnation
@@ -309,7 +333,8 @@
     )
 
 
-def _compute_digest(records: Sequence[AgentRecord]) -> int:
+def _compute_siblings_digest(records: Sequence[AgentRecord]) -> int:
+    """Return the digest by which an agent recognises unchanged siblings."""
     digest = 0
     for record in records:
         digest ^= compute_fingerprint(record)
--- a/src/papayagw/_internal/net/configuration_peer.py
+++ b/src/papayagw/_internal/net/configuration_peer.py
@@ -83,12 +83,12 @@
             return Failure(_make_error(peer, f"no reply: {error.what}"))
         if reply is None:
             return Failure(_make_error(peer, "the reply isn't authentic"))
-        return Success(self._log.resolve(reply))
+        return Success(self._log.resolve_reply(reply))
 
     async def _exchange(
         self, peer: Endpoint, codec: ExchangeCodec
     ) -> ConfigurationReply | None:
-        query_frame, nonce = codec.seal_query(self._log.question)
+        query_frame, nonce = codec.seal_query(self._log.query)
         stream = await TcpStream.connect(peer, self._timeout_ms)
         try:
             await send_frame(stream, query_frame)
@@ -163,7 +163,7 @@
         if opened_query is None:
             self._refused += 1
             return
-        reply = self._log.answer(opened_query.query)
+        reply = self._log.make_reply(opened_query.query)
         await send_frame(stream, codec.seal_reply(reply, opened_query))
 
 
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -202,7 +202,7 @@
         return False
 
     async def _fetch_advertised_versions(self) -> None:
-        backoff = Backoff(self._random, longest_ms=MAX_FETCH_BACKOFF_MS)
+        backoff = Backoff(self._random, max_ms=MAX_FETCH_BACKOFF_MS)
         while True:
             await self._advertised_event.wait()
             self._advertised_event = anyio.Event()
--- a/src/papayagw/_internal/net/configuration_store.py
+++ b/src/papayagw/_internal/net/configuration_store.py
@@ -95,7 +95,7 @@
     ) -> Result[Swapped | SwapConflict, StoreError]:
         """Write a configuration if its key still has the expected revision."""
         value = write_configuration(configuration)
-        result = await self._store.swap(
+        result = await self._store.compare_and_swap(
             self._key, value, expected_revision, self._call_timeout_ms
         )
         if isinstance(result, Failure):
--- a/src/papayagw/_internal/wire/control.py
+++ b/src/papayagw/_internal/wire/control.py
@@ -103,6 +103,7 @@
 
 
 def _make_mac(key: FleetKey) -> hashlib.blake2s:
+    """Return the keyed hash that is copied for the code of each frame."""
     secret = derive_key(key, "control", _MAC_KEY_BYTES)
     return hashlib.blake2s(key=secret, digest_size=_MAC_BYTES)
 
@@ -185,6 +186,7 @@
 
 
 def _write_zones(root: Any, update: MembershipUpdate) -> dict[str, int]:
+    """Write the zone names of an update, and return the index of each."""
     zones = {record.zone for record in update.records}
     zones.update(vector.bucket.zone for vector in update.vectors)
     names = sorted(zones)
@@ -217,6 +219,7 @@
 
 
 def _pack_counters(counters: Sequence[int]) -> bytes:
+    """Pack two 4-bit counters per byte, or a single byte if all are equal."""
     if len(counters) > _COUNTERS_PER_BYTE and len(set(counters)) == 1:
         return bytes((counters[0],))
     padded = (*counters, 0)
@@ -225,6 +228,7 @@
 
 
 def _unpack_counters(packed: bytes, length: int) -> tuple[int, ...]:
+    """Return the `length` counters packed by `_pack_counters`."""
     if len(packed) == 1 and length > _COUNTERS_PER_BYTE:
         return (packed[0] & _COUNTER_MASK,) * length
     counters: list[int] = []
@@ -325,42 +329,42 @@
     )
 
 
-def _write_digests(root: Any, message: BucketDigests) -> None:
+def _write_bucket_digests(root: Any, message: BucketDigests) -> None:
     root.digests = message.digests
     root.complete = message.complete
     root.zones = message.zones
 
 
-def _read_digests(root: Any) -> BucketDigests:
+def _read_bucket_digests(root: Any) -> BucketDigests:
     return BucketDigests(tuple(root.zones), tuple(root.digests), root.complete)
 
 
-def _write_summary(root: Any, message: BucketSummary) -> None:
+def _write_bucket_summary(root: Any, message: BucketSummary) -> None:
     target = root.init("summary")
     target.number = message.bucket.number
     root.zones = (message.bucket.zone,)
     target.fingerprints = message.fingerprints
 
 
-def _read_summary(root: Any) -> BucketSummary:
+def _read_bucket_summary(root: Any) -> BucketSummary:
     bucket = Bucket(root.zones[0], root.summary.number)
     return BucketSummary(bucket, tuple(root.summary.fingerprints))
 
 
-def _write_request(root: Any, message: RecordRequest) -> None:
+def _write_record_request(root: Any, message: RecordRequest) -> None:
     root.recordRequest = message.fingerprints
 
 
-def _read_request(root: Any) -> RecordRequest:
+def _read_record_request(root: Any) -> RecordRequest:
     return RecordRequest(tuple(root.recordRequest))
 
 
-def _write_records(root: Any, message: MissingRecords) -> None:
+def _write_missing_records(root: Any, message: MissingRecords) -> None:
     root.records = None
     _write_update(root, message.update)
 
 
-def _read_records(root: Any) -> MissingRecords:
+def _read_missing_records(root: Any) -> MissingRecords:
     return MissingRecords(_read_update(root))
 
 
@@ -396,10 +400,10 @@
     Acknowledgement: _write_acknowledgement,
     Join: _write_join,
     Gossip: _write_gossip,
-    BucketDigests: _write_digests,
-    BucketSummary: _write_summary,
-    RecordRequest: _write_request,
-    MissingRecords: _write_records,
+    BucketDigests: _write_bucket_digests,
+    BucketSummary: _write_bucket_summary,
+    RecordRequest: _write_record_request,
+    MissingRecords: _write_missing_records,
     LivenessRequest: _write_liveness_request,
     LivenessResponse: _write_liveness_response,
 }
@@ -410,10 +414,10 @@
     "acknowledgement": _read_acknowledgement,
     "join": _read_join,
     "gossip": _read_gossip,
-    "digests": _read_digests,
-    "summary": _read_summary,
-    "recordRequest": _read_request,
-    "records": _read_records,
+    "digests": _read_bucket_digests,
+    "summary": _read_bucket_summary,
+    "recordRequest": _read_record_request,
+    "records": _read_missing_records,
     "inquiry": _read_liveness_request,
     "voucher": _read_liveness_response,
 }
--- a/tests/unit/test_watch_list.py
+++ b/tests/unit/test_watch_list.py
@@ -2,7 +2,7 @@
 
 from papayagw._internal.core.watch_list import (
     INITIAL_INTERVAL_MS,
-    INQUIRE_AFTER_INTERVALS,
+    LIVENESS_REQUEST_AFTER_INTERVALS,
     SUSPECT_AFTER_INTERVALS,
     OverdueAgents,
     ReceivedHeartbeat,
@@ -26,18 +26,18 @@
 @pytest.mark.parametrize(
     ("intervals", "overdue"),
     [
-        (INQUIRE_AFTER_INTERVALS - 0.1, OverdueAgents((), ())),
-        (INQUIRE_AFTER_INTERVALS, OverdueAgents((AGENT,), ())),
+        (LIVENESS_REQUEST_AFTER_INTERVALS - 0.1, OverdueAgents((), ())),
+        (LIVENESS_REQUEST_AFTER_INTERVALS, OverdueAgents((AGENT,), ())),
     ],
 )
-def test_overdue_agent_leads_to_an_inquiry_first(intervals, overdue):
+def test_overdue_agent_leads_to_a_liveness_request_first(intervals, overdue):
     watch = make_watch()
     now = Millis(NOW + int(intervals * INITIAL_INTERVAL_MS))
     assert watch.find_overdue(now) == overdue
     assert watch.find_overdue(now) == OverdueAgents((), ())
 
 
-def test_overdue_agent_is_suspected_after_the_inquiry():
+def test_overdue_agent_is_suspected_after_the_liveness_request():
     watch = make_watch()
     now = Millis(NOW + int(SUSPECT_AFTER_INTERVALS * INITIAL_INTERVAL_MS))
     watch.find_overdue(now)
@@ -45,23 +45,26 @@
 
 
 @pytest.mark.parametrize(
-    ("incarnation", "beat", "counts"),
+    ("incarnation", "heartbeat_number", "counts"),
     [(RUN, 8, True), (RUN, 7, False), (RUN, 6, False), (4, 9, False), (6, 1, True)],
 )
-def test_late_or_stale_heartbeat_is_ignored(incarnation, beat, counts):
+def test_late_or_stale_heartbeat_is_ignored(incarnation, heartbeat_number, counts):
     later = Millis(NOW + 1)
-    assert make_watch().record_heartbeat(AGENT, incarnation, beat, later) is counts
+    assert (
+        make_watch().record_heartbeat(AGENT, incarnation, heartbeat_number, later)
+        is counts
+    )
 
 
 @pytest.mark.parametrize(
-    ("incarnation", "since", "beat"),
+    ("incarnation", "since", "heartbeat"),
     [(RUN, NOW, ReceivedHeartbeat(7, NOW)), (RUN, NOW + 1, None), (6, NOW, None)],
 )
-def test_watcher_vouches_for_received_heartbeat(incarnation, since, beat):
-    assert make_watch().get_heartbeat(AGENT, incarnation, since) == beat
+def test_watcher_reports_received_heartbeat(incarnation, since, heartbeat):
+    assert make_watch().get_heartbeat(AGENT, incarnation, since) == heartbeat
 
 
-def test_paused_watcher_sends_no_voucher():
+def test_paused_watcher_sends_no_liveness_response():
     watch = make_watch()
     watch.compensate_pause(Millis(5_000))
     assert watch.get_heartbeat(AGENT, RUN, NOW) is None
