--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -132,7 +132,9 @@
 
 def test_too_large_value_is_refused_before_it_is_sent():
     async def body(store, control):
-        response = await store.compare_and_swap(KEY, bytes(MAX_VALUE_BYTES + 1), 0, LONG)
+        response = await store.compare_and_swap(
+            KEY, bytes(MAX_VALUE_BYTES + 1), 0, LONG
+        )
         assert not isinstance(response.failure(), PlatformUnreachableError)
         assert isinstance(response.failure(), PlatformError)
         assert str(MAX_VALUE_BYTES) in str(response.failure())
