Plain processes: a lost entry that no balancer has read is a test of its own

The agent's renewals succeed, its lease is still there, and a balancer reports only agents that it knew, so nobody writes the entry again.

Change: the old test waits until each balancer knows every agent, which is the state that it is about; the other state gets a test of its own, with the same bound of 2 s.

--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.lib.plain_fleet import PlainFleet
+from tests.lib.plain_fleet import READY_TIMEOUT_S, PlainFleet
 
 FLOWS = 8
 KILLS = 20
@@ -16,13 +16,18 @@
 
 
 @pytest.fixture
-def fleet(tmp_path, block):
-    one = PlainFleet(tmp_path, block)
+def unstarted_fleet(tmp_path, block):
+    fleet = PlainFleet(tmp_path, block)
     try:
-        one.start()
-        yield one
+        yield fleet
     finally:
-        one.close()
+        fleet.close()
+
+
+@pytest.fixture
+def fleet(unstarted_fleet):
+    unstarted_fleet.start()
+    return unstarted_fleet
 
 
 @pytest.fixture
@@ -80,16 +85,50 @@
     late_client.close()
 
 
+def wait_for_key(store, key, timeout_s):
+    """Wait until the store has a key."""
+    deadline = time.monotonic() + timeout_s
+    while key not in store.list_keys():
+        assert time.monotonic() < deadline, f"no {key} in the store after {timeout_s} s"
+        time.sleep(0.02)
+
+
+def wait_until_agents_are_known(fleet):
+    """Wait until each balancer has read the entries of all agents."""
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    for name in fleet.balancers:
+        while count_known_agents(fleet, name) < len(fleet.agents):
+            assert time.monotonic() < deadline, f"{name} doesn't know every agent"
+            time.sleep(0.02)
+
+
+def count_known_agents(fleet, name):
+    return [event["event"] for event in fleet.log(name)].count("agent known")
+
+
 def test_an_expired_entry_is_restored_after_a_store_outage(fleet, flows):
+    wait_until_agents_are_known(fleet)
     key = f"papayagw/agents/{fleet.agents[0]}"
     fleet.store.is_down = True
     fleet.store.remove(key)
     time.sleep(1.0)
     fleet.store.is_down = False
-    deadline = time.monotonic() + ENTRY_RESTORE_TIMEOUT_S
-    while key not in fleet.store.list_keys():
-        assert time.monotonic() < deadline, "the entry wasn't restored"
-        time.sleep(0.02)
+    wait_for_key(fleet.store, key, ENTRY_RESTORE_TIMEOUT_S)
+
+
+def test_an_entry_removed_before_a_balancer_reads_it_is_restored(unstarted_fleet):
+    """Renewals of the lease succeed, and no balancer misses an unknown agent."""
+    fleet = unstarted_fleet
+    for name in fleet.agents:
+        fleet.start_process(name)
+    key = f"papayagw/agents/{fleet.agents[0]}"
+    wait_for_key(fleet.store, key, READY_TIMEOUT_S)
+    fleet.store.remove(key)
+    for name in fleet.balancers:
+        fleet.start_process(name)
+    for name in fleet.balancers:
+        fleet.wait_ready(name)
+    wait_for_key(fleet.store, key, ENTRY_RESTORE_TIMEOUT_S)
 
 
 def test_a_stopping_balancer_serves_until_it_is_out_of_rotation(fleet, flows):
