--- a/bench/balancer_churn.py
+++ b/bench/balancer_churn.py
@@ -19,35 +19,35 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.standins.workload import BackendKind, Verb
 from tools.fleet import Fleet, running_fleet
-from tools.fleet_folder import FleetPlan, Hosts
+from tools.fleet_folder import FleetPlan, ServicePlan
 
 INTERVAL_MS = 100
 MILLIS_PER_SECOND = 1_000
 TIMEOUT_MS = Millis(60_000)
 LINE_BYTES = 190
-PLAN = FleetPlan(hosts=(Hosts("order", 2), Hosts("ledger", 2)), block=42)
+PLAN = FleetPlan(services=(ServicePlan("order", 2), ServicePlan("ledger", 2)), block=42)
 
 
-async def churn(fleet: Fleet, seconds: int, seed: int) -> None:
+async def kill_and_restart_balancers(fleet: Fleet, seconds: int, seed: int) -> None:
     """Each second kill one balancer and start the one that was killed before.
 
     A balancer that starts is not waited for, so that for part of each second only
     one of three is there.
     """
-    draw = random.Random(seed)
+    rng = random.Random(seed)
     names = list(fleet.settings.balancers)
-    dead = None
+    stopped = None
     started = anyio.current_time()
     for number in range(1, seconds + 1):
-        victim = draw.choice([name for name in names if name != dead])
+        victim = rng.choice([name for name in names if name != stopped])
         fleet.kill(victim)
-        if dead is not None:
-            fleet.spawn(dead)
-        dead = victim
+        if stopped is not None:
+            fleet.spawn(stopped)
+        stopped = victim
         await anyio.sleep_until(started + number)
 
 
-async def run(fleet: Fleet, flows: int, seconds: int, seed: int) -> LoadReport:
+async def run_load(fleet: Fleet, flows: int, seconds: int, seed: int) -> LoadReport:
     lines = seconds * MILLIS_PER_SECOND // INTERVAL_MS
     feed = RequestKind("feed", BackendKind.ORDER, Verb.FEED, (lines, INTERVAL_MS))
     pause = Millis(INTERVAL_MS)
@@ -58,7 +58,7 @@
         Batch(echo, fleet.targets["ledger"], flows - half, flows - half),
     ]
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(partial(churn, fleet, seconds, seed))
+        tasks.start_soon(partial(kill_and_restart_balancers, fleet, seconds, seed))
         return await run_batches(batches, TIMEOUT_MS, tuple(fleet.backends.values()))
 
 
@@ -78,18 +78,18 @@
     """
     flags = ["--seed", str(seed), *(["--health"] if health else [])]
     with running_fleet(PLAN, fabric_flags=flags) as fleet:
-        report = anyio.run(run, fleet, flows, seconds, seed)
-    done = report.outcomes["done"]
+        report = anyio.run(run_load, fleet, flows, seconds, seed)
+    done_count = report.outcomes["done"]
     lines = flows * seconds * MILLIS_PER_SECOND // INTERVAL_MS
     print(describe_machine())
     print(report.format_table())
     print(
         f"balancers killed {seconds} in as many seconds, seed {seed},"
-        f" flows {flows}, done {done},"
+        f" flows {flows}, done {done_count},"
         f" broken {report.outcomes['broken']}, crossed {report.outcomes['crossed']},"
         f" lines {lines}, about {lines * LINE_BYTES} bytes, {report.seconds:.1f} s"
     )
-    sys.exit(1 if report.has_faults or done != flows else 0)
+    sys.exit(1 if report.has_faults or done_count != flows else 0)
 
 
 if __name__ == "__main__":
--- a/bench/balancer_services.py
+++ b/bench/balancer_services.py
@@ -32,10 +32,10 @@
         addresses = {"inner": f"{ip}:4300", "bind_ip": ip}
         settings = folder / "balancer.jsonc"
         settings.write_text(json.dumps(node | addresses), encoding="utf-8")
-        return _watch(settings)
+        return _measure_idle(settings)
 
 
-def _watch(settings: Path) -> tuple[Usage, float]:
+def _measure_idle(settings: Path) -> tuple[Usage, float]:
     process = subprocess.Popen(
         [sys.executable, "-m", "papayagw", "balancer", str(settings)],
         stdout=subprocess.PIPE,
@@ -62,9 +62,11 @@
     memory = []
     with claimed_block(FIRST_BLOCK) as block:
         for size in SIZES:
-            usage, share = measure(size, block)
+            usage, cpu_share = measure(size, block)
             memory.append(usage.rss_kb)
-            print(f"{size:>6} services {usage.rss_kb:>8} KB {share:>7.3f} core idle")
+            print(
+                f"{size:>6} services {usage.rss_kb:>8} KB {cpu_share:>7.3f} core idle"
+            )
     line = fit_line(SIZES, memory)
     print(f"line: {line.base:.0f} KB + {line.slope:.2f} KB for each service more")
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,19 +15,19 @@
 SERVICES = 2_400
 FLOWS = 11_000_000
 OPENINGS = 65_000
-CHANGES_A_DAY = 1_500
-SECONDS_A_DAY = 86_400
+CHANGES_PER_DAY = 1_500
+SECONDS_PER_DAY = 86_400
 RELAYS = 24
 """Three nodes in each of the 8 availability zones watch the platform's store."""
 
-FLOWS_A_BALANCER = FLOWS / BALANCERS
-FLOWS_AN_AGENT = FLOWS / AGENTS
-MAX_CPU = 1.8
+FLOWS_PER_BALANCER = FLOWS / BALANCERS
+FLOWS_PER_AGENT = FLOWS / AGENTS
+MAX_CPU_PERCENT = 1.8
 MAX_MEMORY_MB = 128
-MAX_BYTES = 4_096
-KB_A_MB = 1_024
-US_A_PERCENT = 10_000
-MS_A_PERCENT = 10
+MAX_BYTES_PER_SECOND = 4_096
+KB_PER_MB = 1_024
+US_PER_PERCENT = 10_000
+MS_PER_PERCENT = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +38,7 @@
     ----------
     role : str
         The role.
-    what : str
+    purpose : str
         What it is needed for.
     value : float
         How much.
@@ -49,7 +49,7 @@
     """
 
     role: str
-    what: str
+    purpose: str
     value: float
     unit: str
     budget: float | None = None
@@ -64,25 +64,33 @@
 
 def list_needs() -> list[Need]:
     """Return the needs of all roles at the size to design for."""
-    return [*_balancer(), *_agent(), *_connect(), *_platform(), *_operator()]
+    return [
+        *_list_balancer_needs(),
+        *_list_agent_needs(),
+        *_list_connect_needs(),
+        *_list_platform_needs(),
+        *_list_operator_needs(),
+    ]
 
 
-def _balancer() -> list[Need]:
+def _list_balancer_needs() -> list[Need]:
     s, role = slopes, "balancer"
     memory_kb = s.BALANCER_BASE.value + SERVICES * s.BALANCER_SERVICE.value
-    memory = memory_kb / KB_A_MB + s.MEMBERSHIP_MEMORY.value
-    change = CHANGES_A_DAY / SECONDS_A_DAY
-    cpu = s.MEMBERSHIP_CPU.value / US_A_PERCENT
-    cpu += change * s.CHANGE_CPU.value / MS_A_PERCENT
+    memory = memory_kb / KB_PER_MB + s.MEMBERSHIP_MEMORY.value
+    change = CHANGES_PER_DAY / SECONDS_PER_DAY
+    cpu = s.MEMBERSHIP_CPU.value / US_PER_PERCENT
+    cpu += change * s.CHANGE_CPU.value / MS_PER_PERCENT
     sent = s.MEMBERSHIP_BYTES.value + change * s.CHANGE_BYTES.value
-    openings = OPENINGS / BALANCERS * s.BALANCER_OPENING.value / MS_A_PERCENT
-    probes = FLOWS_A_BALANCER * s.BALANCER_PROBE.value / US_A_PERCENT
-    table = FLOWS / 2 * s.FLOW_TABLE.value / KB_A_MB**2
+    openings = OPENINGS / BALANCERS * s.BALANCER_OPENING.value / MS_PER_PERCENT
+    probes = FLOWS_PER_BALANCER * s.BALANCER_PROBE.value / US_PER_PERCENT
+    table = FLOWS / 2 * s.FLOW_TABLE.value / KB_PER_MB**2
     return [
         Need(role, "control: memory", memory, "MB", MAX_MEMORY_MB),
-        Need(role, "control: processor", cpu, "% core", MAX_CPU),
-        Need(role, "control: bytes", sent, "B/s", MAX_BYTES),
-        Need(role, "worst second", s.MEMBERSHIP_WORST.value, "B/s", MAX_BYTES),
+        Need(role, "control: processor", cpu, "% core", MAX_CPU_PERCENT),
+        Need(role, "control: bytes", sent, "B/s", MAX_BYTES_PER_SECOND),
+        Need(
+            role, "worst second", s.MEMBERSHIP_WORST.value, "B/s", MAX_BYTES_PER_SECOND
+        ),
         Need(role, "traffic: openings", openings, "% core"),
         Need(role, "traffic: probes at 1 s", probes, "% core"),
         Need(role, "traffic: probes at 30 s", probes / 30, "% core"),
@@ -90,30 +98,36 @@
     ]
 
 
-def _agent() -> list[Need]:
+def _list_agent_needs() -> list[Need]:
     s, role = slopes, "agent"
-    base = s.AGENT_BASE.value / KB_A_MB
-    flows = FLOWS_AN_AGENT * s.AGENT_FLOW.value / KB_A_MB
-    cpu = s.AGENT_CONTROL_CPU.value / US_A_PERCENT
-    openings = OPENINGS / AGENTS * s.AGENT_OPENING.value / MS_A_PERCENT
-    probes = FLOWS_AN_AGENT * s.AGENT_PROBE.value / US_A_PERCENT
+    base = s.AGENT_BASE.value / KB_PER_MB
+    flows = FLOWS_PER_AGENT * s.AGENT_FLOW.value / KB_PER_MB
+    cpu = s.AGENT_CONTROL_CPU.value / US_PER_PERCENT
+    openings = OPENINGS / AGENTS * s.AGENT_OPENING.value / MS_PER_PERCENT
+    probes = FLOWS_PER_AGENT * s.AGENT_PROBE.value / US_PER_PERCENT
     return [
         Need(role, "control: memory", base, "MB", MAX_MEMORY_MB),
         Need(role, "control and flows", base + flows, "MB", MAX_MEMORY_MB),
-        Need(role, "control: processor", cpu, "% core", MAX_CPU),
-        Need(role, "control: bytes", s.AGENT_CONTROL_BYTES.value, "B/s", MAX_BYTES),
+        Need(role, "control: processor", cpu, "% core", MAX_CPU_PERCENT),
+        Need(
+            role,
+            "control: bytes",
+            s.AGENT_CONTROL_BYTES.value,
+            "B/s",
+            MAX_BYTES_PER_SECOND,
+        ),
         Need(role, "traffic: openings", openings, "% core"),
         Need(role, "traffic: probes at 1 s", probes, "% core"),
         Need(role, "traffic: probes at 30 s", probes / 30, "% core"),
     ]
 
 
-def _connect() -> list[Need]:
+def _list_connect_needs() -> list[Need]:
     s, role = slopes, "connect"
     flows = 1_000
-    memory = (s.CONNECT_BASE.value + flows * s.CONNECT_FLOW.value) / KB_A_MB
-    probes = flows * s.CONNECT_PROBE.value / US_A_PERCENT
-    opening = s.CONNECT_OPENING.value / MS_A_PERCENT
+    memory = (s.CONNECT_BASE.value + flows * s.CONNECT_FLOW.value) / KB_PER_MB
+    probes = flows * s.CONNECT_PROBE.value / US_PER_PERCENT
+    opening = s.CONNECT_OPENING.value / MS_PER_PERCENT
     return [
         Need(role, "memory, 1,000 flows", memory, "MB"),
         Need(role, "probes, 1,000 flows", probes, "% core"),
@@ -121,18 +135,18 @@
     ]
 
 
-def _platform() -> list[Need]:
+def _list_platform_needs() -> list[Need]:
     role = "platform"
     start = BALANCERS + AGENTS
     return [
         Need(role, "waiting watches", RELAYS, "calls", 2_000),
-        Need(role, "writes", CHANGES_A_DAY / SECONDS_A_DAY, "/s", 300),
+        Need(role, "writes", CHANGES_PER_DAY / SECONDS_PER_DAY, "/s", 300),
         Need(role, "reads, all start at once", start, "calls"),
         Need(role, "the same at 2,000/s", start / 2_000, "s"),
     ]
 
 
-def _operator() -> list[Need]:
+def _list_operator_needs() -> list[Need]:
     seconds = SERVICES * slopes.SETTINGS_READ.value / 1_000
     return [Need("operator", "reading all settings", seconds, "s")]
 
@@ -144,9 +158,9 @@
         "|---|---|---|---|---|---|",
     ]
     rows = [
-        f"| {one.role} | {one.what} | {one.value:,.2f} | {one.unit} |"
-        f" {'-' if one.budget is None else f'{one.budget:g}'} | {one.verdict} |"
-        for one in list_needs()
+        f"| {need.role} | {need.purpose} | {need.value:,.2f} | {need.unit} |"
+        f" {'-' if need.budget is None else f'{need.budget:g}'} | {need.verdict} |"
+        for need in list_needs()
     ]
     return head + rows
 
@@ -155,9 +169,9 @@
     """Return the table of slopes, as lines of Markdown."""
     head = ["| slope | value | unit | measured at | command |", "|---|---|---|---|---|"]
     rows = [
-        f"| {one.name} | {one.value:g} | {one.unit} | {one.sizes} |"
-        f" `python -m {one.command}` |"
-        for one in slopes.ALL
+        f"| {slope.name} | {slope.value:g} | {slope.unit} | {slope.sizes} |"
+        f" `python -m {slope.command}` |"
+        for slope in slopes.ALL
     ]
     return head + rows
 
--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -34,17 +34,17 @@
     OVERLAY,
     SUFFIX,
     FleetPlan,
-    Hosts,
+    ServicePlan,
     make_balancer,
     write_folder,
 )
 
-POLL_S = 0.02
-WAIT_LIMIT_S = 60.0
-SUBMIT_LIMIT_MS = Millis(15_000)
+POLL_INTERVAL_S = 0.02
+WAIT_TIMEOUT_S = 60.0
+SUBMIT_TIMEOUT_MS = Millis(15_000)
 HOLD_S = 5.0
 SITE = "bench"
-AFTER_OUTAGE = 500
+CHANGE_AFTER_OUTAGE = 500
 """The number of the change that is submitted when the platform is up again."""
 
 
@@ -60,12 +60,12 @@
         self._client = stack.enter_context(httpx.Client(trust_env=False, timeout=5))
         self.nodes = {}
         self.highest = {}
-        self._running = {}
+        self._processes = {}
 
     def start(self):
         """Start the stand-ins, submit the first version, start the balancers."""
         write_folder(self._plan, self._folder)
-        self._run("standin", "platform", "--listen", self.platform)
+        self._start_process("standin", "platform", "--listen", self.platform)
         numbers = range(1, self._plan.balancers + 1)
         inner = [make_balancer(self._plan, one)["inner"] for one in numbers]
         site = load_site(self._folder / BASE, self._folder / OVERLAY).unwrap()
@@ -74,7 +74,7 @@
             port = service.address.port
             targets = [one.replace(":4300", f":{port}") for one in inner]
             routes.append(f"{service.address}={','.join(targets)}")
-        self._run("standin", "fabric", *routes)
+        self._start_process("standin", "fabric", *routes)
         self.submit(0)
         for number in numbers[:-1]:
             self.start_balancer(number)
@@ -86,8 +86,8 @@
     def kill_balancers(self):
         """End every balancer at once."""
         for name in [one for one in self.nodes if one.startswith("balancer")]:
-            self._running[name].kill()
-            self._running[name].wait()
+            self._processes[name].kill()
+            self._processes[name].wait()
             del self.nodes[name], self.highest[name]
 
     def start_path(self, service):
@@ -95,9 +95,9 @@
         name = f"agent-{service}-1"
         settings = self._read(f"{name}{SUFFIX}")
         backend = "--listen", settings["backend"], "--kind", service
-        self._run("standin", "backend", *backend, "--name", f"{service}-1")
+        self._start_process("standin", "backend", *backend, "--name", f"{service}-1")
         self._start_node("agent", settings)
-        self._run("connect", self._folder / f"connect{SUFFIX}")
+        self._start_process("connect", self._folder / f"connect{SUFFIX}")
         listeners = self._read(f"connect{SUFFIX}")["listeners"]
         listen = next(one["listen"] for one in listeners if one["service"] == service)
         return Endpoint.parse(listen)
@@ -158,7 +158,7 @@
         }
         file = self._folder / f"platform-{settings['name']}{SUFFIX}"
         file.write_text(json.dumps(settings), encoding="utf-8")
-        self._running[settings["name"]] = self._run(role, file)
+        self._processes[settings["name"]] = self._start_process(role, file)
         self.nodes[settings["name"]] = settings["admin"]
 
     @property
@@ -169,14 +169,14 @@
     def _read(self, name):
         return json.loads((self._folder / name).read_text(encoding="utf-8"))
 
-    def _run(self, *words):
+    def _start_process(self, *words):
         return self._stack.enter_context(running(*words))
 
 
 async def _submit(url, proposal):
     store = ConfigurationStore(EtcdStore([url]), SITE)
     try:
-        return await submit(store, proposal, SUBMIT_LIMIT_MS, Random(1))
+        return await submit(store, proposal, SUBMIT_TIMEOUT_MS, Random(1))
     finally:
         await store.close()
 
@@ -193,8 +193,8 @@
     """Return how many ms it took until `condition` held."""
     start = time.monotonic()
     while not condition():
-        assert time.monotonic() - start < WAIT_LIMIT_S, condition
-        time.sleep(POLL_S)
+        assert time.monotonic() - start < WAIT_TIMEOUT_S, condition
+        time.sleep(POLL_INTERVAL_S)
     return round(1000 * (time.monotonic() - start))
 
 
@@ -218,20 +218,20 @@
     start = time.monotonic()
     bench.start_balancer(number)
     started = round(1000 * (time.monotonic() - start))
-    hold(bench, newest, seconds)
+    check_version_held(bench, newest, seconds)
     bench.control("faults")
     print(f"outage: a new balancer had version {newest} from a peer, ready in")
     print(f"  {started} ms, process start with it; no version fell in {seconds:.0f} s")
-    recovered = bench.wait_in_force(bench.submit(AFTER_OUTAGE))
+    recovered = bench.wait_in_force(bench.submit(CHANGE_AFTER_OUTAGE))
     print(f"  a change after it was in force everywhere after {recovered} ms")
 
 
-def hold(bench, version, seconds):
+def check_version_held(bench, version, seconds):
     """Check for a while that every balancer has one version in force."""
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
         assert set(bench.read_versions().values()) == {version}
-        time.sleep(POLL_S)
+        time.sleep(POLL_INTERVAL_S)
     assert set(bench.read_versions().values()) == {version}
 
 
@@ -242,21 +242,23 @@
     bench.wait_in_force(newest)
     bench.control("restore/older")
     held = bench.read_held()
-    mended = wait_until(lambda: bench.read_held() == newest)
-    hold(bench, newest, HOLD_S)
+    recovered = wait_until(lambda: bench.read_held() == newest)
+    check_version_held(bench, newest, HOLD_S)
     print(f"restore: the platform fell to version {held}; back at {newest} after")
-    print(f"  {mended} ms; in {HOLD_S:.0f} s no balancer left version {newest}")
+    print(f"  {recovered} ms; in {HOLD_S:.0f} s no balancer left version {newest}")
 
 
 @contextmanager
 def open_bench(balancers, block):
     """Start everything, and stop it when the block ends."""
-    plan = FleetPlan((Hosts("order", 1), Hosts("drawings", 1)), balancers, block)
+    plan = FleetPlan(
+        (ServicePlan("order", 1), ServicePlan("drawings", 1)), balancers, block
+    )
     with (
         tempfile.TemporaryDirectory(prefix="papayagw-bench-") as name,
-        ExitStack() as s,
+        ExitStack() as stack,
     ):
-        bench = Bench(Path(name), plan, s)
+        bench = Bench(Path(name), plan, stack)
         bench.start()
         yield bench
 
--- a/bench/config_store_calls.py
+++ b/bench/config_store_calls.py
@@ -37,20 +37,20 @@
 ZONES = 4
 GOSSIP_MS = Millis(100)
 GOSSIP_PEERS = 3
-SUBMIT_LIMIT_MS = Millis(30_000)
+SUBMIT_TIMEOUT_MS = Millis(30_000)
 PORT = 4300
 KEY = FleetKey(1, bytes(range(32)))
 
 
 @dataclass(frozen=True, slots=True)
-class Figures:
+class RunResult:
     """What one run measured.
 
     Attributes
     ----------
     nodes, relays : int
         How many nodes there were, and how many of them watched.
-    starts, calls : int
+    start_calls, calls : int
         Calls to the service at the start, and those after it.
     in_force_ms : tuple of Millis
         How long each change took until it was in force at every node.
@@ -60,7 +60,7 @@
 
     nodes: int
     relays: int
-    starts: int
+    start_calls: int
     calls: int
     in_force_ms: tuple[Millis, ...]
     bytes_per_change: int
@@ -149,7 +149,7 @@
 async def submit_change(store, services, change):
     proposal = Proposal(make_site(services, change), f"change-{change}", "bench")
     target = ConfigurationStore(store, "bench")
-    outcome = await submit(target, proposal, SUBMIT_LIMIT_MS, Random(change))
+    outcome = await submit(target, proposal, SUBMIT_TIMEOUT_MS, Random(change))
     assert isinstance(outcome, Accepted), outcome
     return outcome.version
 
@@ -177,7 +177,7 @@
     for source in fleet.sources:
         await source.close()
     received = sum(peer.received_bytes for peer in fleet.peers)
-    return Figures(
+    return RunResult(
         count,
         len(fleet.relays),
         started - before,
@@ -194,11 +194,11 @@
     print(f"services {services}, changes {changes}, seed {seed}")
     print("nodes relays start-calls later-calls in-force-ms(median,max) bytes/change")
     for count in tqdm(nodes if isinstance(nodes, (tuple, list)) else [nodes]):
-        one = anyio.run(measure, count, services, changes, everyone_watches, seed)
-        times = f"{median(one.in_force_ms):.0f},{max(one.in_force_ms)}"
+        result = anyio.run(measure, count, services, changes, everyone_watches, seed)
+        times = f"{median(result.in_force_ms):.0f},{max(result.in_force_ms)}"
         print(
-            f"{one.nodes:5} {one.relays:6} {one.starts:11} {one.calls:11}"
-            f" {times:>23} {one.bytes_per_change:12}"
+            f"{result.nodes:5} {result.relays:6} {result.start_calls:11}"
+            f" {result.calls:11} {times:>23} {result.bytes_per_change:12}"
         )
 
 
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -40,7 +40,7 @@
 HOSTS = (500, 1_000, 2_000, 4_000, 9_500)
 SERVICES = (150, 300, 600, 1_200, 2_400)
 HOSTS_PER_SERVICE = 4
-NEWS = 200
+UPDATES = 200
 OPENINGS = 2_000
 MICROS = 1_000_000
 
@@ -80,7 +80,7 @@
     ]
 
 
-def fill(hosts: int) -> AgentDirectory:
+def make_directory(hosts: int) -> AgentDirectory:
     directory = AgentDirectory()
     for record in make_records(hosts):
         directory.merge(record)
@@ -90,26 +90,26 @@
 def measure_memory(hosts: int) -> float:
     """Return KB of a directory of `hosts` agents."""
     tracemalloc.start()
-    directory = fill(hosts)
+    directory = make_directory(hosts)
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     del directory
     return used / 1_024
 
 
-def measure_news(hosts: int) -> float:
+def measure_record_update(hosts: int) -> float:
     """Return us CPU of taking in one record that is news."""
-    directory = fill(hosts)
-    news = make_records(hosts, sequence=2)[:NEWS]
+    directory = make_directory(hosts)
+    updates = make_records(hosts, sequence=2)[:UPDATES]
     started = time.process_time()
-    for record in news:
+    for record in updates:
         directory.merge(record)
-    return (time.process_time() - started) * MICROS / len(news)
+    return (time.process_time() - started) * MICROS / len(updates)
 
 
 def measure_choice(hosts: int) -> float:
     """Return us CPU of the choice for one opening."""
-    directory, chooser = fill(hosts), RendezvousChooser()
+    directory, chooser = make_directory(hosts), RendezvousChooser()
     keys = [number.to_bytes(8, "big") for number in range(OPENINGS)]
     services = hosts // HOSTS_PER_SERVICE
     started = time.process_time()
@@ -146,12 +146,12 @@
     return Service(f"service-{number}", service_id, address, max_flows=max_flows)
 
 
-def measure_body(services: int) -> float:
+def measure_encoded_size(services: int) -> float:
     """Return KB of a whole configuration as nodes hand it on."""
     return len(write_configuration(make_configuration(services))) / 1_024
 
 
-def measure_whole(services: int) -> float:
+def measure_full_configuration(services: int) -> float:
     """Return ms CPU of taking in a whole configuration."""
     body = write_configuration(make_configuration(services))
     log = ConfigurationLog()
@@ -165,16 +165,16 @@
     before = make_configuration(services)
     first = make_service(1, max_flows=1_000)
     site = replace(before.site, services=(first, *before.site.services[1:]))
-    marks = (SubmissionEntry(2, "second", "operator"), *before.history)
-    giver, taker = ConfigurationLog(), ConfigurationLog()
-    giver.apply_if_newer(before)
-    taker.apply_if_newer(before)
-    giver.apply_if_newer(Configuration(2, site, marks))
+    history = (SubmissionEntry(2, "second", "operator"), *before.history)
+    sender, receiver = ConfigurationLog(), ConfigurationLog()
+    sender.apply_if_newer(before)
+    receiver.apply_if_newer(before)
+    sender.apply_if_newer(Configuration(2, site, history))
     started = time.process_time()
-    taken = taker.resolve(giver.answer(taker.question))
-    if taken is None:
+    configuration = receiver.resolve(sender.answer(receiver.question))
+    if configuration is None:
         raise SystemExit("the change didn't apply")
-    taker.apply_if_newer(taken)
+    receiver.apply_if_newer(configuration)
     return (time.process_time() - started) * 1_000
 
 
@@ -208,11 +208,16 @@
 def measure_all() -> list[Sweep]:
     return [
         sweep("directory memory by hosts", "KB", HOSTS, measure_memory),
-        sweep("a record that is news by hosts", "us CPU", HOSTS, measure_news),
+        sweep("a record that is news by hosts", "us CPU", HOSTS, measure_record_update),
         sweep("choice for an opening by hosts", "us CPU", HOSTS, measure_choice),
         sweep("reading settings by services", "ms CPU", SERVICES, measure_settings),
-        sweep("whole configuration by services", "KB", SERVICES, measure_body),
-        sweep("taking in a whole one by services", "ms CPU", SERVICES, measure_whole),
+        sweep("whole configuration by services", "KB", SERVICES, measure_encoded_size),
+        sweep(
+            "taking in a whole one by services",
+            "ms CPU",
+            SERVICES,
+            measure_full_configuration,
+        ),
         sweep("taking in a change by services", "ms CPU", SERVICES, measure_change),
     ]
 
@@ -220,13 +225,13 @@
 def main():
     """Measure and print."""
     print(f"{describe_machine()}; 1 busy process")
-    for one in measure_all():
-        line = fit_line(one.sizes, one.values)
+    for result in measure_all():
+        line = fit_line(result.sizes, result.values)
         cells = "  ".join(
             f"{size}: {value:.1f}"
-            for size, value in zip(one.sizes, one.values, strict=True)
+            for size, value in zip(result.sizes, result.values, strict=True)
         )
-        print(f"{one.name} ({one.unit}): {cells}")
+        print(f"{result.name} ({result.unit}): {cells}")
         print(f"    line: {line.base:.2f} + {line.slope:.4f} for each one more")
 
 
--- a/bench/flow_mutations.py
+++ b/bench/flow_mutations.py
@@ -12,7 +12,7 @@
 from tests.properties.table import MUTATIONS
 
 
-def is_found(mutation, examples, seed):
+def detects_mutation(mutation, examples, seed):
     """Print whether the property found the double and return it."""
     try:
         run(mutation.proof, mutation.make, examples, seed, shrink=False)
@@ -29,7 +29,7 @@
     parser.add_argument("--examples", type=int, default=5_000)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    found = [is_found(one, options.examples, options.seed) for one in MUTATIONS]
+    found = [detects_mutation(one, options.examples, options.seed) for one in MUTATIONS]
     print(f"{sum(found)} of {len(found)} doubles found, seed={options.seed}")
     return 0 if all(found) else 1
 
--- a/bench/held_flows.py
+++ b/bench/held_flows.py
@@ -10,13 +10,13 @@
 from papayagw._internal.models.endpoint import Endpoint
 from tools.fleet import Fleet
 
-_ANSWER_LIMIT_S = 30.0
+_RESPONSE_TIMEOUT_S = 30.0
 _SETTLE_S = 1.0
-_WATCH_S = 5.0
+_MEASURE_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
+class HeldFlowsUsage:
     """What the processes use at one number of open flows.
 
     Attributes
@@ -36,7 +36,7 @@
 
 def hold_flows(
     fleet: Fleet, target: Endpoint, sizes: tuple[int, ...], names: tuple[str, ...]
-) -> Iterator[Held]:
+) -> Iterator[HeldFlowsUsage]:
     """Open more and more flows, and measure the named processes at each size."""
     with ExitStack() as stack:
         flows = 0
@@ -45,39 +45,43 @@
                 stack.enter_context(open_feed(target, f"held-{number}"))
             flows = size
             time.sleep(_SETTLE_S)
-            yield _watch(fleet, size, names)
+            yield _measure_usage(fleet, size, names)
 
 
-def fit_memory(held: list[Held], name: str) -> Line:
+def fit_memory(usages: list[HeldFlowsUsage], name: str) -> Line:
     """Return the memory of a process, in KB, as a line over open flows."""
-    return fit_line([one.flows for one in held], [one.rss_kb[name] for one in held])
+    return fit_line(
+        [usage.flows for usage in usages], [usage.rss_kb[name] for usage in usages]
+    )
 
 
-def fit_cpu(held: list[Held], name: str) -> Line:
+def fit_cpu(usages: list[HeldFlowsUsage], name: str) -> Line:
     """Return the share of a core of a process as a line over open flows."""
-    return fit_line([one.flows for one in held], [one.cpu_share[name] for one in held])
+    return fit_line(
+        [usage.flows for usage in usages], [usage.cpu_share[name] for usage in usages]
+    )
 
 
 @contextmanager
 def open_feed(target: Endpoint, feed_id: str) -> Iterator[None]:
     """Hold a feed open that says nothing for a long time after its first line."""
-    with socket.create_connection(target.sockaddr, _ANSWER_LIMIT_S) as connection:
+    with socket.create_connection(target.sockaddr, _RESPONSE_TIMEOUT_S) as connection:
         connection.sendall(f"FEED {feed_id} 2 3600000\n".encode())
         if not connection.recv(1_024).startswith(b"STATUS"):
             raise SystemExit(f"the feed {feed_id} wasn't opened")
         yield
 
 
-def _watch(fleet: Fleet, flows: int, names: tuple[str, ...]) -> Held:
+def _measure_usage(fleet: Fleet, flows: int, names: tuple[str, ...]) -> HeldFlowsUsage:
     before = {name: read_usage(fleet.pid(name)) for name in names}
-    time.sleep(_WATCH_S)
+    time.sleep(_MEASURE_S)
     after = {name: read_usage(fleet.pid(name)) for name in names}
-    return Held(
+    return HeldFlowsUsage(
         flows,
         {name: usage.rss_kb for name, usage in after.items()},
-        {name: _share(before[name], after[name]) for name in names},
+        {name: _compute_cpu_share(before[name], after[name]) for name in names},
     )
 
 
-def _share(before: Usage, after: Usage) -> float:
-    return (after.cpu_seconds - before.cpu_seconds) / _WATCH_S
+def _compute_cpu_share(before: Usage, after: Usage) -> float:
+    return (after.cpu_seconds - before.cpu_seconds) / _MEASURE_S
--- a/bench/membership_bytes.py
+++ b/bench/membership_bytes.py
@@ -51,8 +51,8 @@
 SETTLE_MS = 6_000
 STEADY_SECONDS = 10
 RESTARTS = 10
-LOSS_LIMIT_SECONDS = 60
-MOST = 0.99
+ZONE_LOSS_TIMEOUT_SECONDS = 60
+MOST_SHARE = 0.99
 NANOS_PER_MICRO = 1_000
 FIRST_INCARNATION = 1_796_371_200_000
 
@@ -79,7 +79,7 @@
         for send in sends:
             started = time.perf_counter_ns()
             frame = self.codec.write(send.message)
-            self._charge(source, frame, started)
+            self._count_frame(source, frame, started)
             self._send(source, Send(send.destination, frame))
 
     def receive(self, node, destination: Endpoint, send: Send, source) -> None:
@@ -87,7 +87,7 @@
         started = time.perf_counter_ns()
         message = self.codec.read(send.message)
         sends = node.on_message(message, source, self.now)
-        self._charge(destination, send.message, started)
+        self._count_frame(destination, send.message, started)
         self.send_all(destination, sends)
 
     def tick(self, endpoint, node) -> None:
@@ -97,7 +97,7 @@
         self._meter(endpoint).cpu_ns += time.perf_counter_ns() - started
         self.send_all(endpoint, sends)
 
-    def _charge(self, endpoint: Endpoint, frame: bytes, started: int) -> None:
+    def _count_frame(self, endpoint: Endpoint, frame: bytes, started: int) -> None:
         meter = self._meter(endpoint)
         meter.bytes += len(frame) + IP_UDP_BYTES
         meter.messages += 1
@@ -131,21 +131,21 @@
     restart_bytes: float
     loss_bytes: float
     loss_worst: float
-    loss_seconds_most: int
+    loss_seconds_to_most: int
     loss_seconds: int
     return_seconds: int
 
 
 def make_fleet(balancers: int) -> MeteredFleet:
-    """Return a fleet in which everybody knows everybody."""
+    """Return a fleet in which every node knows all others."""
     fleet = MeteredFleet(seed=balancers)
     records = [make_agent(number) for number in range(balancers * AGENTS_PER_BALANCER)]
     for number in range(balancers):
         add_balancer(fleet, number)
-    owns = tuple(node.own for node in fleet.balancers.values())
-    everything = MissingRecords(MembershipUpdate(tuple(records), owns))
+    balancer_records = tuple(node.own for node in fleet.balancers.values())
+    all_records = MissingRecords(MembershipUpdate(tuple(records), balancer_records))
     for node in fleet.balancers.values():
-        node.on_message(everything, CONTROL_ADDRESS, fleet.now)
+        node.on_message(all_records, CONTROL_ADDRESS, fleet.now)
     for record in records:
         fleet.add_agent(record)
     fleet.run(SETTLE_MS)
@@ -179,12 +179,17 @@
     fleet.meters.clear()
     fleet.run(seconds * 1_000)
     return (
-        summarise([fleet.meters.get(one, Meter()) for one in fleet.balancers], seconds),
-        summarise([fleet.meters.get(one, Meter()) for one in fleet.agents], seconds),
+        summarize(
+            [fleet.meters.get(endpoint, Meter()) for endpoint in fleet.balancers],
+            seconds,
+        ),
+        summarize(
+            [fleet.meters.get(endpoint, Meter()) for endpoint in fleet.agents], seconds
+        ),
     )
 
 
-def summarise(meters: list[Meter], seconds: int) -> Usage:
+def summarize(meters: list[Meter], seconds: int) -> Usage:
     sizes = [meter.bytes / seconds for meter in meters]
     return Usage(
         float(np.mean(sizes)),
@@ -197,9 +202,9 @@
 def measure_restarts(fleet: MeteredFleet, steady: Usage) -> float:
     """Return the bytes that one restart of an agent costs each balancer."""
     fleet.meters.clear()
-    victims = list(fleet.agents)[:: len(fleet.agents) // RESTARTS][:RESTARTS]
+    restarted = list(fleet.agents)[:: len(fleet.agents) // RESTARTS][:RESTARTS]
     started = fleet.now
-    for endpoint in victims:
+    for endpoint in restarted:
         agent = fleet.agents[endpoint]
         fleet.send_all(endpoint, agent.drain(fleet.now))
         fleet.run(500)
@@ -210,68 +215,71 @@
         )
     fleet.run(5_000)
     seconds = (fleet.now - started) // 1_000
-    meters = [fleet.meters.get(one, Meter()) for one in fleet.balancers]
-    extra = summarise(meters, seconds).mean_bytes - steady.mean_bytes
+    meters = [fleet.meters.get(endpoint, Meter()) for endpoint in fleet.balancers]
+    extra = summarize(meters, seconds).mean_bytes - steady.mean_bytes
     return max(0.0, extra * seconds / RESTARTS)
 
 
 @dataclass(frozen=True)
-class Loss:
+class ZoneLoss:
     """How the loss of a zone went."""
 
     nodes: frozenset[Endpoint]
     mean_bytes: float
     worst_second: float
-    seconds_most: int
+    seconds_to_most: int
     seconds_all: int
 
 
-def lose_zone(fleet: MeteredFleet) -> Loss:
+def lose_zone(fleet: MeteredFleet) -> ZoneLoss:
     """Freeze and cut off a zone, and run until all others know."""
     lost = frozenset(
         endpoint
         for endpoint, node in (*fleet.balancers.items(), *fleet.agents.items())
         if node.own.zone == LOST_ZONE
     )
-    everybody = set(fleet.balancers) | set(fleet.agents)
+    all_nodes = set(fleet.balancers) | set(fleet.agents)
     fleet.frozen |= lost
-    fleet.cut_off(everybody, lost)
-    fleet.cut_off(lost, everybody - lost)
+    fleet.cut_off(all_nodes, lost)
+    fleet.cut_off(lost, all_nodes - lost)
     means: list[float] = []
-    most = LOSS_LIMIT_SECONDS
-    known = 0.0
-    while len(means) < LOSS_LIMIT_SECONDS and known < 1:
+    most = ZONE_LOSS_TIMEOUT_SECONDS
+    known_share = 0.0
+    while len(means) < ZONE_LOSS_TIMEOUT_SECONDS and known_share < 1:
         fleet.meters.clear()
         fleet.run(1_000)
-        kept = [fleet.meters.get(one, Meter()) for one in fleet.balancers.keys() - lost]
-        means.append(summarise(kept, 1).mean_bytes)
-        known = measure_known(fleet, lost, suspected=True)
-        if known >= MOST:
+        remaining = [
+            fleet.meters.get(endpoint, Meter())
+            for endpoint in fleet.balancers.keys() - lost
+        ]
+        means.append(summarize(remaining, 1).mean_bytes)
+        known_share = compute_known_share(fleet, lost, suspected=True)
+        if known_share >= MOST_SHARE:
             most = min(most, len(means))
-    return Loss(lost, float(np.mean(means)), max(means), most, len(means))
+    return ZoneLoss(lost, float(np.mean(means)), max(means), most, len(means))
 
 
 def return_zone(fleet: MeteredFleet, lost: frozenset[Endpoint]) -> int:
     """Heal the cut and return the seconds until all others know."""
     fleet.heal()
     fleet.frozen.clear()
-    for seconds in range(1, LOSS_LIMIT_SECONDS + 1):
+    for seconds in range(1, ZONE_LOSS_TIMEOUT_SECONDS + 1):
         fleet.run(1_000)
-        if measure_known(fleet, lost, suspected=False) == 1:
+        if compute_known_share(fleet, lost, suspected=False) == 1:
             return seconds
-    return LOSS_LIMIT_SECONDS
+    return ZONE_LOSS_TIMEOUT_SECONDS
 
 
-def measure_known(fleet: MeteredFleet, lost, *, suspected: bool) -> float:
+def compute_known_share(fleet: MeteredFleet, lost, *, suspected: bool) -> float:
     """Return the share of lost agents, over all balancers left, seen as they are."""
-    seen = [
+    matches = [
         record.is_suspected == suspected
         for endpoint, node in fleet.balancers.items()
         if endpoint not in lost
         for record in node.directory.records
         if record.endpoint in lost
     ]
-    return sum(seen) / len(seen)
+    return sum(matches) / len(matches)
 
 
 def measure_size(balancers: int) -> Row:
@@ -288,7 +296,7 @@
         restart_bytes,
         loss.mean_bytes,
         loss.worst_second,
-        loss.seconds_most,
+        loss.seconds_to_most,
         loss.seconds_all,
         return_seconds,
     )
@@ -303,19 +311,21 @@
     records = tuple(make_agent(number) for number in range(TARGET_AGENTS))
     for number in range(1, TARGET_BALANCERS):
         add_balancer(fleet, number)
-    owns = tuple(one.own for one in fleet.balancers.values())
+    balancer_records = tuple(balancer.own for balancer in fleet.balancers.values())
     for endpoint in tuple(fleet.balancers)[1:]:
         del fleet.balancers[endpoint]
     node.on_message(
-        MissingRecords(MembershipUpdate(records, owns)), CONTROL_ADDRESS, Millis(1_000)
+        MissingRecords(MembershipUpdate(records, balancer_records)),
+        CONTROL_ADDRESS,
+        Millis(1_000),
     )
-    del records, owns
+    del records, balancer_records
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return size
 
 
-def fit(rows: list[Row], values: list[float]) -> float:
+def extrapolate(rows: list[Row], values: list[float]) -> float:
     """Return the value at the target size of a fit over the logarithm of the size."""
     sizes = np.log([row.balancers for row in rows])
     slope, base = np.polyfit(sizes, values, 1)
@@ -332,17 +342,17 @@
     print(
         f"{'':12} restart {row.restart_bytes:6.0f} B each at each balancer; zone lost "
         f"{row.loss_bytes:5.0f} B/s (worst second {row.loss_worst:5.0f}), 99% "
-        f"known after {row.loss_seconds_most} s, all after {row.loss_seconds} s, "
+        f"known after {row.loss_seconds_to_most} s, all after {row.loss_seconds} s, "
         f"its return after {row.return_seconds} s",
         flush=True,
     )
 
 
 def print_verdict(rows: list[Row], memory: int) -> bool:
-    steady = fit(rows, [row.balancer.mean_bytes for row in rows])
-    restart_bytes = fit(rows, [row.restart_bytes for row in rows])
+    steady = extrapolate(rows, [row.balancer.mean_bytes for row in rows])
+    restart_bytes = extrapolate(rows, [row.restart_bytes for row in rows])
     rolling = steady + restart_bytes * RESTARTS_PER_DAY / SECONDS_PER_DAY
-    loss = fit(rows, [row.loss_worst for row in rows])
+    loss = extrapolate(rows, [row.loss_worst for row in rows])
     # The queue of peers makes processor time grow with the size itself.
     sizes = [row.balancers for row in rows]
     slope, base = np.polyfit(sizes, [row.balancer.cpu_us for row in rows], 1)
@@ -361,8 +371,8 @@
         ("memory", memory / 2**20, MAX_MEMORY_BYTES / 2**20, "MB"),
     ]
     for name, value, limit, unit in checks:
-        word = "ok" if value <= limit else "OVER"
-        print(f"  {name:34} {value:8.2f} of {limit:7.1f} {unit:12} {word}")
+        verdict = "ok" if value <= limit else "OVER"
+        print(f"  {name:34} {value:8.2f} of {limit:7.1f} {unit:12} {verdict}")
     return all(value <= limit for _, value, limit, _ in checks)
 
 
--- a/bench/membership_properties.py
+++ b/bench/membership_properties.py
@@ -10,7 +10,7 @@
 import argparse
 import sys
 
-from bench.flow_mutations import is_found
+from bench.flow_mutations import detects_mutation
 from bench.flow_properties import check
 from tests.properties.membership_proof import MUTATIONS, PROOFS
 
@@ -25,7 +25,9 @@
     parser.add_argument("--mutations", action="store_true")
     options = parser.parse_args()
     if options.mutations:
-        found = [is_found(one, options.examples, options.seed) for one in MUTATIONS]
+        found = [
+            detects_mutation(one, options.examples, options.seed) for one in MUTATIONS
+        ]
         print(f"{sum(found)} of {len(found)} doubles found, seed={options.seed}")
         return 0 if all(found) else 1
     names = options.property or list(PROPERTIES)
--- a/bench/mixed_load.py
+++ b/bench/mixed_load.py
@@ -15,7 +15,7 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.standins.workload import BackendKind, Verb
 from tools.fleet import Fleet, running_fleet
-from tools.fleet_folder import FleetPlan, Hosts
+from tools.fleet_folder import FleetPlan, ServicePlan
 
 UPLOAD_BYTES = 20_000_000
 FEED_LINES = 100
@@ -23,7 +23,12 @@
 TIMEOUT_MS = Millis(60_000)
 
 PLAN = FleetPlan(
-    hosts=(Hosts("order", 3), Hosts("drawings", 2), Hosts("ledger", 3)), block=41
+    services=(
+        ServicePlan("order", 3),
+        ServicePlan("drawings", 2),
+        ServicePlan("ledger", 3),
+    ),
+    block=41,
 )
 DRAWING = RequestKind(
     "drawing upload", BackendKind.DRAWINGS, Verb.UPLOAD, (UPLOAD_BYTES,)
--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -20,17 +20,17 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.standins.workload import BackendKind, Verb
 from tools.fleet import Fleet, running_fleet
-from tools.fleet_folder import FleetPlan, Hosts
+from tools.fleet_folder import FleetPlan, ServicePlan
 
-PLAN = FleetPlan(hosts=(Hosts("order", 3),), block=44)
+PLAN = FleetPlan(services=(ServicePlan("order", 3),), block=44)
 TIMEOUT_MS = Millis(60_000)
 FEEDS = 60
 FEED_LINES = 100
 FEED_INTERVAL_MS = 100
 ORDERS = 1_500
-ORDERS_AT_ONCE = 10
-BEFORE_S = 2
-FROZEN_S = 8
+CONCURRENT_ORDERS = 10
+FAULT_DELAY_S = 2
+FREEZE_S = 8
 AGENT, BACKEND, BALANCER = "agent-order-1", "backend-order-1", "balancer-1"
 
 FEED = RequestKind("feed", BackendKind.ORDER, Verb.FEED, (FEED_LINES, FEED_INTERVAL_MS))
@@ -39,7 +39,7 @@
 
 async def freeze(fleet: Fleet, name: str) -> None:
     os.kill(fleet.pid(name), signal.SIGSTOP)
-    await anyio.sleep(FROZEN_S)
+    await anyio.sleep(FREEZE_S)
     os.kill(fleet.pid(name), signal.SIGCONT)
 
 
@@ -65,18 +65,18 @@
     ----------
     name : str
         What the table calls it.
-    act : callable
+    inject : callable
         Does it.
     node : str
         The node.
-    breaks : bool
+    may_break_flows : bool
         Whether flows of that node may break.
     """
 
     name: str
-    act: Callable[[Fleet, str], Awaitable[None]]
+    inject: Callable[[Fleet, str], Awaitable[None]]
     node: str
-    breaks: bool
+    may_break_flows: bool
 
 
 FAULTS = (
@@ -90,50 +90,50 @@
 )
 
 
-async def run(fleet: Fleet, fault: Fault) -> LoadReport:
+async def run_load(fleet: Fleet, fault: Fault) -> LoadReport:
     target = fleet.targets["order"]
     batches = [
         Batch(FEED, target, FEEDS, FEEDS),
-        Batch(ORDER, target, ORDERS, ORDERS_AT_ONCE),
+        Batch(ORDER, target, ORDERS, CONCURRENT_ORDERS),
     ]
 
-    async def act() -> None:
-        await anyio.sleep(BEFORE_S)
-        await fault.act(fleet, fault.node)
+    async def inject_after_delay() -> None:
+        await anyio.sleep(FAULT_DELAY_S)
+        await fault.inject(fleet, fault.node)
 
     backends = [
         endpoint
         for name, endpoint in fleet.backends.items()
-        if fault.act is not kill or f"backend-{name}" != fault.node
+        if fault.inject is not kill or f"backend-{name}" != fault.node
     ]
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(act)
+        tasks.start_soon(inject_after_delay)
         return await run_batches(batches, TIMEOUT_MS, backends)
 
 
-def is_right(fault: Fault, report: LoadReport) -> bool:
+def is_acceptable(fault: Fault, report: LoadReport) -> bool:
     """Return whether the fault did no more harm than it may."""
     outcomes, journal = report.outcomes, report.journal
     wrong = outcomes["crossed"] + outcomes["wrong bytes"]
     wrong += journal.doubled + journal.refused_but_run
     lost = outcomes.total() - outcomes["done"]
-    return wrong == 0 and (fault.breaks or lost == 0)
+    return wrong == 0 and (fault.may_break_flows or lost == 0)
 
 
 def main(*names: str):
     """Run each fault, or those that are named, and print what became of the flows."""
     print(describe_machine())
-    right = True
+    all_acceptable = True
     for fault in FAULTS:
         if names and fault.name not in names:
             continue
         with running_fleet(PLAN) as fleet:
-            report = anyio.run(run, fleet, fault)
-        verdict = "right" if is_right(fault, report) else "WRONG"
-        right = right and verdict == "right"
+            report = anyio.run(run_load, fleet, fault)
+        verdict = "right" if is_acceptable(fault, report) else "WRONG"
+        all_acceptable = all_acceptable and verdict == "right"
         kinds = {name: dict(kind.outcomes) for name, kind in report.kinds.items()}
         print(f"{fault.name}: {verdict} {kinds} {report.journal}", flush=True)
-    sys.exit(0 if right else 1)
+    sys.exit(0 if all_acceptable else 1)
 
 
 if __name__ == "__main__":
--- a/bench/packet_rate.py
+++ b/bench/packet_rate.py
@@ -26,7 +26,7 @@
 from papayagw._internal.wire.envelope import EnvelopeCodec, FrameKind
 from papayagw._internal.wire.tag import TagCodec
 from tools.fleet import ROOT
-from tools.fleet_folder import FleetPlan, Hosts, read_folder, write_folder
+from tools.fleet_folder import FleetPlan, ServicePlan, read_folder, write_folder
 
 PACKET_BYTES = 1_200
 BLOCK = 43
@@ -69,11 +69,11 @@
 
 
 def make_socket(address: tuple[str, int] | None = None) -> socket.socket:
-    one = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    udp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
     if address is not None:
-        one.bind(address)
-    return one
+        udp_socket.bind(address)
+    return udp_socket
 
 
 def send_packets(target: tuple[str, int], folder: str, case: str, flows: int) -> None:
@@ -95,24 +95,24 @@
         FlowRoute(SERVICE, Endpoint(f"127.{BLOCK}.2.{number}", SINK_PORT), 1)
         for number in range(1, AGENTS + 1)
     ]
-    heads = (
+    headers = (
         SHORT_HEADER + tags.seal(tags.make(routes[number % AGENTS]))
         for number in range(flows)
     )
-    return [head.ljust(PACKET_BYTES, b"\0") for head in heads]
+    return [header.ljust(PACKET_BYTES, b"\0") for header in headers]
 
 
 def count_packets(pipe: Connection) -> None:
     """Count what arrives; answer each message with the count so far."""
-    own = make_socket(("0.0.0.0", SINK_PORT))
+    receiver = make_socket(("0.0.0.0", SINK_PORT))
     buffer = bytearray(2 * PACKET_BYTES)
-    own.settimeout(0.2)
+    receiver.settimeout(0.2)
     count = 0
     pipe.send(count)
     while True:
         try:
             for _ in range(1_000):
-                own.recv_into(buffer)
+                receiver.recv_into(buffer)
                 count += 1
         except TimeoutError:
             pass
@@ -123,8 +123,8 @@
 
 def run_bare_loop() -> None:
     """Hand each packet on, with nothing but the two calls."""
-    own, out = make_socket(BARE), make_socket()
-    receive, send = own.recvfrom, out.sendto
+    receiver, sender = make_socket(BARE), make_socket()
+    receive, send = receiver.recvfrom, sender.sendto
     while True:
         data, _ = receive(65_535)
         send(data, CLIENT)
@@ -142,7 +142,7 @@
 
 
 @contextmanager
-def balancer(folder: Path) -> Iterator[int]:
+def running_balancer(folder: Path) -> Iterator[int]:
     command = [sys.executable, "-m", "papayagw", "balancer"]
     process = subprocess.Popen(
         [*command, str(folder / "balancer-1.jsonc")],
@@ -162,16 +162,16 @@
 def measure(name: str, pid: int, sink: Connection, seconds: float) -> Rate:
     """Measure a middle process that is being sent packets."""
     time.sleep(WARM_UP_S)
-    before, count, started = read_usage(pid), ask_count(sink), time.monotonic()
+    before, count, started = read_usage(pid), request_count(sink), time.monotonic()
     time.sleep(seconds)
-    after, packets = read_usage(pid), ask_count(sink) - count
+    after, packets = read_usage(pid), request_count(sink) - count
     elapsed = time.monotonic() - started
     cpu = after.cpu_seconds - before.cpu_seconds
     per_packet = MICROS * cpu / max(packets, 1)
     return Rate(name, packets / elapsed, per_packet, cpu / elapsed, after.rss_kb)
 
 
-def ask_count(sink: Connection) -> int:
+def request_count(sink: Connection) -> int:
     sink.send(None)
     return sink.recv()
 
@@ -193,7 +193,7 @@
     ]
     for name, target, case, flows in cases:
         with (
-            balancer(folder) as pid,
+            running_balancer(folder) as pid,
             spawned(send_packets, target, str(folder), case, flows),
         ):
             if flows > AGENTS:
@@ -213,23 +213,23 @@
     most_mb : int
         The most memory of the balancer.
     """
-    here, there = _SPAWN.Pipe()
-    plan = FleetPlan((Hosts("order", 1),), balancers=1, block=BLOCK)
-    with tempfile.TemporaryDirectory() as name, spawned(count_packets, there):
-        here.recv()
+    parent_pipe, child_pipe = _SPAWN.Pipe()
+    plan = FleetPlan((ServicePlan("order", 1),), balancers=1, block=BLOCK)
+    with tempfile.TemporaryDirectory() as name, spawned(count_packets, child_pipe):
+        parent_pipe.recv()
         write_folder(plan, Path(name))
-        rates = list(measure_all(Path(name), seconds, here))
+        rates = list(measure_all(Path(name), seconds, parent_pipe))
     print(f"{describe_machine()}; 3 busy processes; {PACKET_BYTES}-byte packets")
     bare, *others = rates
     print(f"{'case':>14} {'packets/s':>10} {'ratio':>6} {'us CPU':>7} {'busy':>5} MB")
-    for one in rates:
-        ratio = one.per_second / bare.per_second
+    for rate in rates:
+        ratio = rate.per_second / bare.per_second
         print(
-            f"{one.name:>14} {one.per_second:>10.0f} {ratio:>6.2f} {one.cpu_us:>7.1f}"
-            f" {one.busy:>5.2f} {one.rss_kb / 1024:.0f}"
+            f"{rate.name:>14} {rate.per_second:>10.0f} {ratio:>6.2f}"
+            f" {rate.cpu_us:>7.1f} {rate.busy:>5.2f} {rate.rss_kb / 1024:.0f}"
         )
-    slow = any(one.per_second < least_ratio * bare.per_second for one in others)
-    large = any(one.rss_kb > most_mb * 1024 for one in others)
+    slow = any(rate.per_second < least_ratio * bare.per_second for rate in others)
+    large = any(rate.rss_kb > most_mb * 1024 for rate in others)
     sys.exit(1 if slow or large else 0)
 
 
--- a/bench/path_ratio.py
+++ b/bench/path_ratio.py
@@ -23,18 +23,19 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.standins.workload import BackendKind, Verb
 from tools.fleet import Fleet, running_fleet
-from tools.fleet_folder import FleetPlan, Hosts
+from tools.fleet_folder import FleetPlan, ServicePlan
 
 PLAN = FleetPlan(
-    (Hosts("order", 1), Hosts("drawings", 1), Hosts("ledger", 1)), block=45
+    (ServicePlan("order", 1), ServicePlan("drawings", 1), ServicePlan("ledger", 1)),
+    block=45,
 )
 SHORT_REQUESTS = 500
 UPLOAD_BYTES = 20_000_000
 OPENINGS = 1_000
-AT_ONCE = 32
+CONCURRENCY = 32
 HELD_SIZES = (0, 200, 400, 800)
 TIMEOUT_MS = Millis(60_000)
-LIMIT_S = 60.0
+SOCKET_TIMEOUT_S = 60.0
 NO_SERVICE_TIME = ("--service_ms", "0", "--slots", "100")
 CHECK = RequestKind("rate check", BackendKind.LEDGER, Verb.CHECK)
 
@@ -44,8 +45,8 @@
     times = []
     for number in range(count):
         started = time.perf_counter()
-        with socket.create_connection(target.sockaddr, LIMIT_S) as connection:
-            ask(connection, f"CHECK short-{number}\n", b"RATE")
+        with socket.create_connection(target.sockaddr, SOCKET_TIMEOUT_S) as connection:
+            send_check(connection, f"CHECK short-{number}\n", b"RATE")
         times.append(time.perf_counter() - started)
     return summarize(times)
 
@@ -53,11 +54,11 @@
 def time_open(target: Endpoint, count: int) -> tuple[float, float]:
     """Return p50 and p99 in ms of checks over one open connection."""
     times = []
-    with socket.create_connection(target.sockaddr, LIMIT_S) as connection:
+    with socket.create_connection(target.sockaddr, SOCKET_TIMEOUT_S) as connection:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for number in range(count):
             started = time.perf_counter()
-            ask(connection, f"CHECK open-{number}\n", b"RATE")
+            send_check(connection, f"CHECK open-{number}\n", b"RATE")
             times.append(time.perf_counter() - started)
     return summarize(times)
 
@@ -67,27 +68,27 @@
     return statistics.median(times) * 1_000, quantiles[98] * 1_000
 
 
-def ask(connection: socket.socket, line: str, start: bytes) -> None:
+def send_check(connection: socket.socket, line: str, prefix: bytes) -> None:
     connection.sendall(line.encode())
-    if not connection.recv(1_024).startswith(start):
+    if not connection.recv(1_024).startswith(prefix):
         raise SystemExit(f"no right answer to {line!r}")
 
 
 def time_upload(target: Endpoint) -> float:
     """Return MB/s of one upload whose checksum comes back right."""
-    blob = bytes(range(256)) * (UPLOAD_BYTES // 256)
+    payload = bytes(range(256)) * (UPLOAD_BYTES // 256)
     started = time.perf_counter()
-    with socket.create_connection(target.sockaddr, LIMIT_S) as connection:
-        connection.sendall(f"UPLOAD large {len(blob)}\n".encode() + blob)
-        answer = connection.recv(1_024).split()
-    if answer[1].decode() != hashlib.sha256(blob).hexdigest():
+    with socket.create_connection(target.sockaddr, SOCKET_TIMEOUT_S) as connection:
+        connection.sendall(f"UPLOAD large {len(payload)}\n".encode() + payload)
+        response = connection.recv(1_024).split()
+    if response[1].decode() != hashlib.sha256(payload).hexdigest():
         raise SystemExit("the upload's checksum is wrong")
-    return len(blob) / 1e6 / (time.perf_counter() - started)
+    return len(payload) / 1e6 / (time.perf_counter() - started)
 
 
 def time_openings(target: Endpoint) -> float:
-    """Return openings a second, `AT_ONCE` at the same time."""
-    batch = Batch(CHECK, target, OPENINGS, AT_ONCE)
+    """Return openings a second, `CONCURRENCY` at the same time."""
+    batch = Batch(CHECK, target, OPENINGS, CONCURRENCY)
     report = anyio.run(run_batches, [batch], TIMEOUT_MS)
     if report.outcomes["done"] != OPENINGS:
         raise SystemExit(f"not all openings were answered: {report.outcomes}")
--- a/bench/region_cut.py
+++ b/bench/region_cut.py
@@ -18,12 +18,12 @@
 SIZES = (24, 48)
 CUT_SECONDS = 180
 STEP_SECONDS = 20
-HEAL_LIMIT_SECONDS = 120
+HEAL_TIMEOUT_SECONDS = 120
 REGIONS = ("region-1", "region-2")
 
 
 @dataclass(frozen=True, slots=True)
-class View:
+class VisibleShares:
     """What balancers see of agents, as shares from 0 to 1.
 
     Attributes
@@ -49,7 +49,7 @@
     fleet.cut_off(other, one)
 
 
-def view_agents(fleet: MeteredFleet) -> View:
+def compute_view(fleet: MeteredFleet) -> VisibleShares:
     """Return what balancers see of the two regions, on average."""
     members = {region: find_region(fleet, region) for region in REGIONS}
     own, other = [], []
@@ -63,22 +63,22 @@
         for nodes in members.values():
             agents = nodes & fleet.agents.keys()
             shares = own if endpoint in nodes else other
-            shares.append(share(ready, agents))
-    return View(sum(own) / len(own), sum(other) / len(other))
+            shares.append(compute_share(ready, agents))
+    return VisibleShares(sum(own) / len(own), sum(other) / len(other))
 
 
-def share(found: Set[Endpoint], wanted: Set[Endpoint]) -> float:
+def compute_share(found: Set[Endpoint], wanted: Set[Endpoint]) -> float:
     return len(found & wanted) / len(wanted)
 
 
 def heal(fleet: MeteredFleet) -> int:
     """Heal the cut and return the seconds until everybody sees everybody."""
     fleet.heal()
-    for seconds in range(1, HEAL_LIMIT_SECONDS + 1):
+    for seconds in range(1, HEAL_TIMEOUT_SECONDS + 1):
         fleet.run(1_000)
-        if view_agents(fleet) == View(1.0, 1.0):
+        if compute_view(fleet) == VisibleShares(1.0, 1.0):
             return seconds
-    return HEAL_LIMIT_SECONDS
+    return HEAL_TIMEOUT_SECONDS
 
 
 def measure_cut(balancers: int) -> float:
@@ -86,18 +86,18 @@
     fleet = make_fleet(balancers)
     steady, _ = measure(fleet, STEP_SECONDS)
     cut_regions(fleet)
-    least, worst, view = 1.0, 0.0, View(1.0, 1.0)
+    least, worst, view = 1.0, 0.0, VisibleShares(1.0, 1.0)
     for _ in range(CUT_SECONDS // STEP_SECONDS):
         usage, _ = measure(fleet, STEP_SECONDS)
-        view = view_agents(fleet)
+        view = compute_view(fleet)
         least = min(least, view.own)
         worst = max(worst, usage.mean_bytes)
-    healed = heal(fleet)
+    heal_seconds = heal(fleet)
     print(
         f"{balancers:>5} balancers {len(fleet.agents):>6} agents: steady"
         f" {steady.mean_bytes:.0f} B/s, cut at most {worst:.0f} B/s; own agents in"
         f" sight {least:.3f}, the other region's {view.other:.3f}; whole again"
-        f" {healed} s after the cut",
+        f" {heal_seconds} s after the cut",
         flush=True,
     )
     return least
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -28,14 +28,14 @@
         Where callers connect.
     count : int
         How many requests.
-    at_once : int
+    concurrency : int
         How many of them are open at the same time.
     """
 
     kind: RequestKind
     target: Endpoint
     count: int
-    at_once: int
+    concurrency: int
 
 
 async def run_batches(
@@ -46,7 +46,7 @@
     started = time.monotonic()
     async with anyio.create_task_group() as tasks:
         for batch in batches:
-            slots = anyio.Semaphore(batch.at_once)
+            slots = anyio.Semaphore(batch.concurrency)
             for number in range(batch.count):
                 request_id = f"{batch.kind.name.replace(' ', '-')}-{number}"
                 tasks.start_soon(_run, batch, request_id, slots, timeout, recorder)
@@ -67,10 +67,12 @@
     async with slots:
         started = time.monotonic_ns()
 
-        def note_first() -> None:
+        def record_first_response() -> None:
             micros = (time.monotonic_ns() - started) // _NANOS_PER_MICRO
             recorder.note_latency(kind.name, micros)
 
         request = kind.make_request(request_id)
-        outcome = await run_request(batch.target, kind, request, timeout, note_first)
+        outcome = await run_request(
+            batch.target, kind, request, timeout, record_first_response
+        )
         recorder.note_outcome(kind.name, request_id, outcome)
--- a/bench/usage.py
+++ b/bench/usage.py
@@ -39,8 +39,11 @@
 
 def describe_machine() -> str:
     """Return one line on the machine and how busy others keep it."""
-    one, five, _ = os.getloadavg()
-    return f"machine: {os.cpu_count()} cores, load average {one:.1f} (1 min) {five:.1f}"
+    load_1min, load_5min, _ = os.getloadavg()
+    return (
+        f"machine: {os.cpu_count()} cores, load average {load_1min:.1f} (1 min)"
+        f" {load_5min:.1f}"
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +61,7 @@
     base: float
     slope: float
 
-    def at(self, size: float) -> float:
+    def predict(self, size: float) -> float:
         """Return the value at `size`."""
         return self.base + self.slope * size
 
--- a/tests/processes/test_caller.py
+++ b/tests/processes/test_caller.py
@@ -5,9 +5,9 @@
 
 import papayagw
 from tools.fleet import running_fleet
-from tools.fleet_folder import FleetPlan, Hosts
+from tools.fleet_folder import FleetPlan, ServicePlan
 
-PLAN = FleetPlan(hosts=(Hosts("order", 1),), block=70)
+PLAN = FleetPlan(services=(ServicePlan("order", 1),), block=70)
 AUTHORITY = "keys/ca.pem"
 LIMIT_S = 60
 
--- a/tests/processes/test_fleet_folder.py
+++ b/tests/processes/test_fleet_folder.py
@@ -1,23 +1,23 @@
 import pytest
 
-from tools.fleet_folder import FleetPlan, Hosts, read_folder, write_folder
+from tools.fleet_folder import FleetPlan, ServicePlan, read_folder, write_folder
 
 
 @pytest.mark.parametrize(
-    ("hosts", "balancers", "backends"),
+    ("plans", "balancers", "backends"),
     [
-        ((Hosts("order", 1),), 1, ["order-1"]),
+        ((ServicePlan("order", 1),), 1, ["order-1"]),
         (
-            (Hosts("ledger", 2), Hosts("intake", 1)),
+            (ServicePlan("ledger", 2), ServicePlan("intake", 1)),
             3,
             ["intake-1", "ledger-1", "ledger-2"],
         ),
     ],
 )
-def test_written_folder_reads_back(tmp_path, hosts, balancers, backends):
-    write_folder(FleetPlan(hosts, balancers, block=77), tmp_path)
+def test_written_folder_reads_back(tmp_path, plans, balancers, backends):
+    write_folder(FleetPlan(plans, balancers, block=77), tmp_path)
     settings = read_folder(tmp_path)
-    services = [one.service for one in hosts]
+    services = [plan.name for plan in plans]
     assert sorted(settings.backends) == backends
     assert list(settings.targets) == services
     assert len(settings.balancers) == balancers
--- a/tests/processes/test_operating.py
+++ b/tests/processes/test_operating.py
@@ -10,10 +10,10 @@
 
 from papayagw._internal.models.decision import DropReason
 from tests.lib.processes import ROOT, environment, running
-from tools.fleet import Fleet, ask
-from tools.fleet_folder import FleetPlan, Hosts, make_balancer, write_folder
+from tools.fleet import Fleet, send_request
+from tools.fleet_folder import FleetPlan, ServicePlan, make_balancer, write_folder
 
-PLAN = FleetPlan((Hosts("order", 2),), balancers=2, block=93)
+PLAN = FleetPlan((ServicePlan("order", 2),), balancers=2, block=93)
 STOP_LIMIT_MS = 100
 LOG_FIELDS = {"time", "level", "message", "node"}
 
@@ -46,7 +46,9 @@
     try:
         one.start()
         for number in range(40):
-            assert ask(one.targets["order"], f"ORDER o-{number}").startswith("DONE")
+            assert send_request(one.targets["order"], f"ORDER o-{number}").startswith(
+                "DONE"
+            )
         yield one
     finally:
         one.close()
@@ -180,7 +182,7 @@
 @pytest.fixture
 def balancer(tmp_path):
     """A balancer's settings file, whose statsd is a socket of the test."""
-    plan = FleetPlan((Hosts("order", 1),), balancers=1, block=94)
+    plan = FleetPlan((ServicePlan("order", 1),), balancers=1, block=94)
     write_folder(plan, tmp_path)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as daemon:
         daemon.bind(("127.0.0.1", 0))
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -7,10 +7,12 @@
 import pytest
 
 from tools.fleet import running_fleet
-from tools.fleet_folder import FleetPlan, Hosts
+from tools.fleet_folder import FleetPlan, ServicePlan
 
 PLAN = FleetPlan(
-    hosts=(Hosts("order", 3), Hosts("drawings", 1)), block=60, has_platform=True
+    services=(ServicePlan("order", 3), ServicePlan("drawings", 1)),
+    block=60,
+    has_platform=True,
 )
 LIMIT_S = 60
 LINES = 20
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -13,76 +13,91 @@
 import time
 
 from papayagw._internal.models.endpoint import Endpoint
-from tools.fleet import Fleet, ask, make_command, make_environment, running_fleet
-from tools.fleet_folder import FleetPlan, Hosts
+from tools.fleet import (
+    Fleet,
+    make_command,
+    make_environment,
+    running_fleet,
+    send_request,
+)
+from tools.fleet_folder import FleetPlan, ServicePlan
 
 PLAN = FleetPlan(
-    hosts=(Hosts("order", 3), Hosts("drawings", 2)), block=46, has_platform=True
+    services=(ServicePlan("order", 3), ServicePlan("drawings", 2)),
+    block=46,
+    has_platform=True,
 )
 ORDERS = 20
 UPLOAD_BYTES = 2_000_000
-_UPLOAD_LIMIT_S = 60.0
+_UPLOAD_TIMEOUT_S = 60.0
 MILLIS_PER_SECOND = 1_000
 
 
 def send_orders(target: Endpoint) -> bool:
     """Send orders, print the answers' summary, and return whether all are right."""
     started = time.monotonic()
-    answers = [ask(target, f"ORDER demo-{number}") for number in range(ORDERS)]
-    spent = (time.monotonic() - started) * MILLIS_PER_SECOND / ORDERS
-    print(f"\nORDER demo-0 -> {answers[0]}")
-    right = [
-        answer.startswith(f"DONE demo-{number} ")
-        for number, answer in enumerate(answers)
+    responses = [
+        send_request(target, f"ORDER demo-{number}") for number in range(ORDERS)
+    ]
+    elapsed_ms = (time.monotonic() - started) * MILLIS_PER_SECOND / ORDERS
+    print(f"\nORDER demo-0 -> {responses[0]}")
+    correct = [
+        response.startswith(f"DONE demo-{number} ")
+        for number, response in enumerate(responses)
     ]
-    backends = sorted({answer.split()[-1] for answer in answers if answer})
+    backends = sorted({response.split()[-1] for response in responses if response})
     print(
-        f"{sum(right)} of {ORDERS} orders answered by {', '.join(backends)},"
-        f" {spent:.1f} ms each"
+        f"{sum(correct)} of {ORDERS} orders answered by {', '.join(backends)},"
+        f" {elapsed_ms:.1f} ms each"
     )
-    return all(right)
+    return all(correct)
 
 
 def send_upload(target: Endpoint) -> bool:
     """Upload a drawing and return whether its checksum came back."""
-    blob = bytes(range(256)) * (UPLOAD_BYTES // 256)
-    with socket.create_connection(target.sockaddr, _UPLOAD_LIMIT_S) as connection:
-        connection.sendall(f"UPLOAD demo-drawing {len(blob)}\n".encode())
-        connection.sendall(blob)
-        answer = connection.recv(1_024).decode().strip()
-    is_right = hashlib.sha256(blob).hexdigest() in answer
-    print(f"UPLOAD {len(blob):,} bytes -> {answer[:50]}... checksum right: {is_right}")
-    return is_right
+    payload = bytes(range(256)) * (UPLOAD_BYTES // 256)
+    with socket.create_connection(target.sockaddr, _UPLOAD_TIMEOUT_S) as connection:
+        connection.sendall(f"UPLOAD demo-drawing {len(payload)}\n".encode())
+        connection.sendall(payload)
+        response = connection.recv(1_024).decode().strip()
+    is_correct = hashlib.sha256(payload).hexdigest() in response
+    print(
+        f"UPLOAD {len(payload):,} bytes -> {response[:50]}..."
+        f" checksum right: {is_correct}"
+    )
+    return is_correct
 
 
-def show_status(fleet: Fleet) -> None:
+def print_status(fleet: Fleet) -> None:
     """Print what each node counted."""
     nodes = [*fleet.settings.balancers.values(), *fleet.settings.agents.values()]
-    admins = [str(one.node.admin) for one in nodes if one.node.admin]
+    admins = [str(settings.node.admin) for settings in nodes if settings.node.admin]
     print(flush=True)
     subprocess.run(make_command(["status", *admins]), env=make_environment())
 
 
-def show_carriers(fleet: Fleet) -> bool:
+def print_forwarded_packets(fleet: Fleet) -> bool:
     """Print how many packets each balancer carried; return whether all did."""
-    admins = [str(one.node.admin) for one in fleet.settings.balancers.values()]
-    done = subprocess.run(
+    admins = [
+        str(settings.node.admin) for settings in fleet.settings.balancers.values()
+    ]
+    completed = subprocess.run(
         make_command(["status", *admins, "--json"]),
         env=make_environment(),
         capture_output=True,
         text=True,
     )
-    carried = []
+    forwarded_counts = []
     print()
-    for node in json.loads(done.stdout)["nodes"]:
-        counters = {one["name"]: one["value"] for one in node["counters"]}
+    for node in json.loads(completed.stdout)["nodes"]:
+        counters = {counter["name"]: counter["value"] for counter in node["counters"]}
         forwarded = counters["balancer.forwarded"]
-        carried.append(forwarded)
+        forwarded_counts.append(forwarded)
         print(
             f"{node['node']} carried {forwarded} packets to agents and"
             f" {counters['balancer.answered']} back to callers"
         )
-    return all(carried)
+    return all(forwarded_counts)
 
 
 def main() -> int:
@@ -91,12 +106,12 @@
         print("process                  pid")
         for name in fleet.names:
             print(f"{name:20} {fleet.pid(name):7}")
-        is_right = send_orders(fleet.targets["order"])
-        is_right = send_upload(fleet.targets["drawings"]) and is_right
-        show_status(fleet)
-        is_right = show_carriers(fleet) and is_right
-    print("\nall answers right" if is_right else "\nsome answers were wrong")
-    return 0 if is_right else 1
+        is_correct = send_orders(fleet.targets["order"])
+        is_correct = send_upload(fleet.targets["drawings"]) and is_correct
+        print_status(fleet)
+        is_correct = print_forwarded_packets(fleet) and is_correct
+    print("\nall answers right" if is_correct else "\nsome answers were wrong")
+    return 0 if is_correct else 1
 
 
 if __name__ == "__main__":
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -28,13 +28,13 @@
 )
 
 ROOT = Path(__file__).resolve().parents[1]
-READY_LIMIT_S = 60.0
-SERVING_LIMIT_S = 30.0
-STOP_LIMIT_S = 15.0
+READY_TIMEOUT_S = 60.0
+SERVING_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
 _POLL_S = 0.02
 _BLOCKS_END = 255
 _CLAIM_PORT = 4399
-_ASK_LIMIT_S = 2.0
+_REQUEST_TIMEOUT_S = 2.0
 FABRIC = "fabric"
 PLATFORM = "platform"
 CONNECT = "connect"
@@ -127,7 +127,7 @@
             (self._logs / f"{name}.err").open("a", encoding="utf-8") as errors,
         ):
             self._processes[name] = subprocess.Popen(
-                make_command(self._make_words(name)),
+                make_command(self._make_arguments(name)),
                 cwd=ROOT,
                 env=make_environment(),
                 stdin=subprocess.DEVNULL,
@@ -150,13 +150,16 @@
     def submit(self) -> str:
         """Submit the base file and the overlay, and return what is said."""
         files = [str(self._folder / BASE), "--overlay", str(self._folder / OVERLAY)]
-        words = ["config", "submit", *files, "--platform", self._settings.platform]
-        done = subprocess.run(
-            make_command(words), env=make_environment(), capture_output=True, text=True
+        arguments = ["config", "submit", *files, "--platform", self._settings.platform]
+        completed = subprocess.run(
+            make_command(arguments),
+            env=make_environment(),
+            capture_output=True,
+            text=True,
         )
-        if done.returncode:
-            raise FleetError(f"config submit: {done.stdout}{done.stderr}")
-        return done.stdout
+        if completed.returncode:
+            raise FleetError(f"config submit: {completed.stdout}{completed.stderr}")
+        return completed.stdout
 
     def kill(self, name: str) -> None:
         """End a process at once, as a dead machine would."""
@@ -170,7 +173,7 @@
     def stop(self, name: str) -> int:
         """Stop a process gracefully and return its exit code."""
         self.terminate(name)
-        return self._processes[name].wait(STOP_LIMIT_S)
+        return self._processes[name].wait(STOP_TIMEOUT_S)
 
     def close(self) -> None:
         """Stop all processes: the callers' side, then the agents, then the rest.
@@ -187,7 +190,7 @@
         for name in names:
             if self.is_running(name):
                 self.terminate(name)
-        deadline = time.monotonic() + STOP_LIMIT_S
+        deadline = time.monotonic() + STOP_TIMEOUT_S
         for name in names:
             process = self._processes[name]
             with suppress(subprocess.TimeoutExpired):
@@ -201,14 +204,14 @@
 
     def wait_serving(self) -> None:
         """Return when each service answers through the whole path."""
-        deadline = time.monotonic() + SERVING_LIMIT_S
+        deadline = time.monotonic() + SERVING_TIMEOUT_S
         for service, target in self.targets.items():
-            while not _answers(target):
+            while not _is_serving(target):
                 if time.monotonic() > deadline:
                     raise FleetError(f"{service} doesn't answer at {target}")
                 time.sleep(_POLL_S)
 
-    def _make_words(self, name: str) -> list[str]:
+    def _make_arguments(self, name: str) -> list[str]:
         if name == PLATFORM:
             listen = self._settings.platform.removeprefix("http://")
             return ["standin", PLATFORM, "--listen", listen]
@@ -218,12 +221,12 @@
         if role != "backend":
             return [role, str(self._folder / f"{name}{SUFFIX}")]
         kind = rest.rpartition("-")[0]
-        words = ["standin", "backend", "--listen", str(self.backends[rest])]
+        arguments = ["standin", "backend", "--listen", str(self.backends[rest])]
         flags = self._backend_flags.get(rest, ())
-        return [*words, "--kind", kind, "--name", rest, *flags]
+        return [*arguments, "--kind", kind, "--name", rest, *flags]
 
     def _wait_ready(self, name: str) -> None:
-        deadline = time.monotonic() + READY_LIMIT_S
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while not self.output(name).startswith("ready"):
             code = self._processes[name].poll()
             if code is not None or time.monotonic() > deadline:
@@ -246,13 +249,13 @@
     """
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as claim:
         for block in range(first, _BLOCKS_END):
-            if _is_bound(claim, (f"127.{block}.255.254", _CLAIM_PORT)):
+            if _try_bind(claim, (f"127.{block}.255.254", _CLAIM_PORT)):
                 yield block
                 return
     raise FleetError(f"no free block of IP numbers from 127.{first} on")
 
 
-def _is_bound(claim: socket.socket, address: tuple[str, int]) -> bool:
+def _try_bind(claim: socket.socket, address: tuple[str, int]) -> bool:
     try:
         claim.bind(address)
     except OSError:
@@ -260,9 +263,9 @@
     return True
 
 
-def make_command(words: Sequence[str]) -> list[str]:
+def make_command(arguments: Sequence[str]) -> list[str]:
     """Return the command line of a papayagw command."""
-    return [sys.executable, "-m", "papayagw", *words]
+    return [sys.executable, "-m", "papayagw", *arguments]
 
 
 def make_environment() -> dict[str, str]:
@@ -287,10 +290,12 @@
             fleet.close()
 
 
-def ask(target: Endpoint, line: str) -> str:
+def send_request(target: Endpoint, line: str) -> str:
     """Return the first line of a backend server's answer, or nothing."""
     try:
-        with socket.create_connection(target.sockaddr, _ASK_LIMIT_S) as connection:
+        with socket.create_connection(
+            target.sockaddr, _REQUEST_TIMEOUT_S
+        ) as connection:
             connection.sendall(f"{line}\n".encode())
             with connection.makefile("rb") as answers:
                 return answers.readline().decode().strip()
@@ -298,18 +303,18 @@
         return ""
 
 
-def _answers(target: Endpoint) -> bool:
-    return ask(target, "HEALTH").startswith("HEALTH")
+def _is_serving(target: Endpoint) -> bool:
+    return send_request(target, "HEALTH").startswith("HEALTH")
 
 
-def _stop(number: int, frame: object) -> None:
+def _raise_keyboard_interrupt(signum: int, frame: object) -> None:
     raise KeyboardInterrupt
 
 
 def main(folder: str) -> None:
     """Run the fleet of a settings folder until Ctrl-C or SIGTERM."""
     for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, _stop)
+        signal.signal(number, _raise_keyboard_interrupt)
     with tempfile.TemporaryDirectory(prefix="papayagw-logs-") as logs:
         fleet = Fleet(Path(folder).resolve(), Path(logs))
         try:
--- a/tools/fleet_folder.py
+++ b/tools/fleet_folder.py
@@ -31,18 +31,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Hosts:
+class ServicePlan:
     """The backend servers of one service.
 
     Attributes
     ----------
-    service : str
+    name : str
         The service: order, drawings, ledger or intake.
     count : int
         How many backend servers, each with an agent beside it.
     """
 
-    service: str
+    name: str
     count: int
 
 
@@ -52,7 +52,7 @@
 
     Attributes
     ----------
-    hosts : tuple of Hosts
+    services : tuple of ServicePlan
         The services.
     balancers : int
         How many balancers.
@@ -63,13 +63,13 @@
         rather than from the files.
     """
 
-    hosts: tuple[Hosts, ...]
+    services: tuple[ServicePlan, ...]
     balancers: int = 3
     block: int = 40
     has_platform: bool = False
 
     @property
-    def source(self) -> dict[str, object]:
+    def configuration_source(self) -> dict[str, object]:
         """The settings that say where a node gets its configuration."""
         if not self.has_platform:
             return {"base": BASE, "overlay": OVERLAY}
@@ -102,18 +102,22 @@
     def routes(self) -> list[str]:
         """The routes of the fabric, as its command takes them."""
         balancers = self.balancers.values()
-        inner = ",".join(str(one.node.inner) for one in balancers)
+        inner = ",".join(str(balancer.node.inner) for balancer in balancers)
         routes = [f"{self.site.control_address}={inner}"]
         for service in self.site.services:
             entry = service.address
-            targets = ",".join(f"{one.bind_ip}:{entry.port}" for one in balancers)
+            targets = ",".join(
+                f"{balancer.bind_ip}:{entry.port}" for balancer in balancers
+            )
             routes.append(f"{entry}={targets}")
         return routes
 
     @property
     def targets(self) -> dict[str, Endpoint]:
         """Where ordinary TCP clients reach each service."""
-        return {one.service: one.listen for one in self.connect.listeners}
+        return {
+            listener.service: listener.listen for listener in self.connect.listeners
+        }
 
     @property
     def backends(self) -> dict[str, Endpoint]:
@@ -145,18 +149,22 @@
 
 def write_folder(plan: FleetPlan, folder: Path) -> None:
     """Write the settings files and development keys of a fleet."""
-    make_development_keys(folder / KEYS, tuple(one.service for one in plan.hosts))
-    services = {one.service: {"id": i} for i, one in enumerate(plan.hosts, 1)}
+    make_development_keys(
+        folder / KEYS, tuple(service.name for service in plan.services)
+    )
+    services = {
+        service.name: {"id": number} for number, service in enumerate(plan.services, 1)
+    }
     _write(folder, BASE, {"zones": ["a", "b", "c", "d"], "services": services})
     _write(folder, OVERLAY, _make_overlay(plan))
     for number in range(1, plan.balancers + 1):
         _write(folder, f"balancer-{number}{SUFFIX}", make_balancer(plan, number))
     number = 0
-    for one in plan.hosts:
-        for index in range(1, one.count + 1):
+    for service in plan.services:
+        for index in range(1, service.count + 1):
             number += 1
-            name = f"{one.service}-{index}"
-            settings = _make_agent(plan, one.service, name, number)
+            name = f"{service.name}-{index}"
+            settings = _make_agent(plan, service.name, name, number)
             _write(folder, f"agent-{name}{SUFFIX}", settings)
     _write(folder, f"connect{SUFFIX}", _make_connect(plan))
 
@@ -171,13 +179,13 @@
         "control_address": f"127.{plan.block}.1.100:{CONTROL_PORT}",
         "keys": [{"id": 1, "file": f"{KEYS}/fleet.key"}],
         "services": {
-            one.service: {"address": _make_entry(plan, index)}
-            for index, one in enumerate(plan.hosts, 1)
+            service.name: {"address": _make_service_address(plan, index)}
+            for index, service in enumerate(plan.services, 1)
         },
     }
 
 
-def _make_entry(plan: FleetPlan, index: int) -> str:
+def _make_service_address(plan: FleetPlan, index: int) -> str:
     return f"127.{plan.block}.1.{index}:{ENTRY_PORT + index - 1}"
 
 
@@ -190,7 +198,7 @@
         "inner": f"{ip}:4300",
         "admin": f"{ip}:4390",
         "bind_ip": ip,
-        **plan.source,
+        **plan.configuration_source,
     }
 
 
@@ -205,7 +213,7 @@
         "backend": f"127.{plan.block}.3.{number}:4320",
         "certificate": f"{KEYS}/cert.pem",
         "private_key": f"{KEYS}/key.pem",
-        **plan.source,
+        **plan.configuration_source,
     }
 
 
@@ -213,11 +221,11 @@
     ip = f"127.{plan.block}.4.1"
     listeners = [
         {
-            "service": one.service,
+            "service": service.name,
             "listen": f"{ip}:{CONNECT_PORT + index - 1}",
-            "entry": _make_entry(plan, index),
+            "entry": _make_service_address(plan, index),
         }
-        for index, one in enumerate(plan.hosts, 1)
+        for index, service in enumerate(plan.services, 1)
     ]
     authority = f"{KEYS}/ca.pem"
     return {"listeners": listeners, "authority": authority, "admin": f"{ip}:4390"}
--- a/tools/run_pytest.py
+++ b/tools/run_pytest.py
@@ -22,7 +22,7 @@
     return [entry.split("|", maxsplit=1)[0].strip() for entry in entries]
 
 
-class Verdict:
+class OutcomeRecorder:
     """Collect what failed, as pytest reports it."""
 
     def __init__(self):
@@ -40,16 +40,16 @@
 def main(arguments):
     """Run the tests and return the exit code of the whole run."""
     known_red = set(read_known_red(KNOWN_RED))
-    verdict = Verdict()
-    code = pytest.main(arguments, plugins=[verdict])
+    recorder = OutcomeRecorder()
+    code = pytest.main(arguments, plugins=[recorder])
     if code not in (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED):
         return int(code)
-    mended = known_red & verdict.passed
-    for test in sorted(verdict.failed & known_red):
+    fixed = known_red & recorder.passed
+    for test in sorted(recorder.failed & known_red):
         print(f"known red: {test}")
-    for test in sorted(mended):
+    for test in sorted(fixed):
         print(f"listed in KNOWN-RED.txt but green, take it off the list: {test}")
-    return 1 if (verdict.failed - known_red or mended) else 0
+    return 1 if (recorder.failed - known_red or fixed) else 0
 
 
 if __name__ == "__main__":
