--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -67,12 +67,12 @@
         write_folder(self._plan, self._folder)
         self._start_process("standin", "platform", "--listen", self.platform)
         numbers = range(1, self._plan.balancers + 1)
-        inner = [make_balancer(self._plan, one)["inner"] for one in numbers]
+        inner = [make_balancer(self._plan, number)["inner"] for number in numbers]
         site = load_site(self._folder / BASE, self._folder / OVERLAY).unwrap()
         routes = [f"{site.control_address}={','.join(inner)}"]
         for service in site.services:
             port = service.address.port
-            targets = [one.replace(":4300", f":{port}") for one in inner]
+            targets = [address.replace(":4300", f":{port}") for address in inner]
             routes.append(f"{service.address}={','.join(targets)}")
         self._start_process("standin", "fabric", *routes)
         self.submit(0)
@@ -85,7 +85,7 @@
 
     def kill_balancers(self):
         """Kill every balancer with SIGKILL."""
-        for name in [one for one in self.nodes if one.startswith("balancer")]:
+        for name in [node for node in self.nodes if node.startswith("balancer")]:
             self._processes[name].kill()
             self._processes[name].wait()
             del self.nodes[name], self.highest[name]
@@ -99,7 +99,11 @@
         self._start_node("agent", settings)
         self._start_process("connect", self._folder / f"connect{SUFFIX}")
         listeners = self._read(f"connect{SUFFIX}")["listeners"]
-        listen = next(one["listen"] for one in listeners if one["service"] == service)
+        listen = next(
+            listener["listen"]
+            for listener in listeners
+            if listener["service"] == service
+        )
         return Endpoint.parse(listen)
 
     def make_fleet_key(self, name):
@@ -163,7 +167,7 @@
 
     @property
     def _peers(self):
-        balancers = [make_balancer(self._plan, one)["inner"] for one in (1, 2)]
+        balancers = [make_balancer(self._plan, number)["inner"] for number in (1, 2)]
         return [*balancers, self._read(f"agent-order-1{SUFFIX}")["inner"]]
 
     def _read(self, name):
--- a/bench/config_store_calls.py
+++ b/bench/config_store_calls.py
@@ -100,7 +100,7 @@
         ]
 
     def _choose(self, zone, name):
-        records = [BalancerRecord(one, Incarnation(1), name) for one in zone]
+        records = [BalancerRecord(node, Incarnation(1), name) for node in zone]
         return Rendezvous(records).choose(f"relay {name}", RELAYS_PER_ZONE)
 
     async def start(self, tasks):
--- a/bench/flow_mutations.py
+++ b/bench/flow_mutations.py
@@ -29,7 +29,10 @@
     parser.add_argument("--examples", type=int, default=5_000)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    found = [detects_mutation(one, options.examples, options.seed) for one in MUTATIONS]
+    found = [
+        detects_mutation(mutation, options.examples, options.seed)
+        for mutation in MUTATIONS
+    ]
     print(f"{sum(found)} of {len(found)} doubles found, seed={options.seed}")
     return 0 if all(found) else 1
 
--- a/bench/membership_bytes.py
+++ b/bench/membership_bytes.py
@@ -2,8 +2,9 @@
 
 Runs the real cores and the real codec on a controlled clock, for four fleet sizes with
 eleven agents per balancer in eight zones. Each fleet is measured in steady state, under
-restarts, and during the loss and return of a zone. Prints the measurements, fits them to
-the size and exits with 1 if the fit at 840 balancers and 9,500 agents exceeds a budget.
+restarts, and during the loss and return of a zone. Prints the measurements, fits them
+to the size and exits with 1 if the fit at 840 balancers and 9,500 agents exceeds a
+budget.
 
 Run with ``python -m bench.membership_bytes``.
 """
@@ -360,7 +361,7 @@
     restart_bytes = extrapolate(rows, [row.restart_bytes for row in rows])
     rolling = steady + restart_bytes * RESTARTS_PER_DAY / SECONDS_PER_DAY
     loss = extrapolate(rows, [row.loss_worst for row in rows])
-    # Linear fit: the queue of peers makes processor time proportional to the size.
+    # The queue of peers makes processor time grow linearly with the size.
     sizes = [row.balancers for row in rows]
     slope, base = np.polyfit(sizes, [row.balancer.cpu_us for row in rows], 1)
     cpu = float(base + slope * TARGET_BALANCERS) / 1e6
--- a/bench/membership_properties.py
+++ b/bench/membership_properties.py
@@ -27,7 +27,8 @@
     options = parser.parse_args()
     if options.mutations:
         found = [
-            detects_mutation(one, options.examples, options.seed) for one in MUTATIONS
+            detects_mutation(mutation, options.examples, options.seed)
+            for mutation in MUTATIONS
         ]
         print(f"{sum(found)} of {len(found)} doubles found, seed={options.seed}")
         return 0 if all(found) else 1
--- a/bench/path_ratio.py
+++ b/bench/path_ratio.py
@@ -141,7 +141,9 @@
 
 def main():
     """Measure and print all ratios and costs."""
-    flags = {f"{one}-1": NO_SERVICE_TIME for one in ("order", "drawings", "ledger")}
+    flags = {
+        f"{service}-1": NO_SERVICE_TIME for service in ("order", "drawings", "ledger")
+    }
     with running_fleet(PLAN, backend_flags=flags) as fleet:
         print(f"{describe_machine()}; one busy client beside the fleet")
         measure_all(fleet)
--- a/bench/region_cut.py
+++ b/bench/region_cut.py
@@ -41,13 +41,13 @@
 
 def find_region(fleet: MeteredFleet, region: str) -> set[Endpoint]:
     nodes = (*fleet.balancers.items(), *fleet.agents.items())
-    return {one for one, node in nodes if node.own.zone.startswith(region)}
+    return {endpoint for endpoint, node in nodes if node.own.zone.startswith(region)}
 
 
 def cut_regions(fleet: MeteredFleet) -> None:
-    one, other = (find_region(fleet, region) for region in REGIONS)
-    fleet.cut_off(one, other)
-    fleet.cut_off(other, one)
+    first, second = (find_region(fleet, region) for region in REGIONS)
+    fleet.cut_off(first, second)
+    fleet.cut_off(second, first)
 
 
 def compute_view(fleet: MeteredFleet) -> VisibleShares:
@@ -55,7 +55,7 @@
     members = {region: find_region(fleet, region) for region in REGIONS}
     own, other = [], []
     for endpoint, node in fleet.balancers.items():
-        services = {one.service_id for one in node.directory.records}
+        services = {record.service_id for record in node.directory.records}
         ready = {
             record.endpoint
             for service_id in services
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -51,7 +51,7 @@
                 request_id = f"{batch.kind.name.replace(' ', '-')}-{number}"
                 tasks.start_soon(_run, batch, request_id, slots, timeout, recorder)
     seconds = time.monotonic() - started
-    journals = [await fetch_runs(one) for one in backends]
+    journals = [await fetch_runs(backend) for backend in backends]
     compared = compare_journals(recorder.ended, journals) if journals else None
     return recorder.make_report(seconds, compared)
 
--- a/bench/role_start.py
+++ b/bench/role_start.py
@@ -41,10 +41,12 @@
                 usages = [measure(fleet, name) for _ in range(ROUNDS)]
                 fleet.start_one(name)
                 fleet.wait_ready(name)
-                seconds = statistics.median(one.cpu_seconds for one in usages)
-                held = statistics.median(one.rss_kb for one in usages) / 1_024
-                print(f"{name:12} {seconds:.2f} s  {held:.0f} MB  ({ROUNDS} starts)")
-                is_over |= seconds > TARGET_S or held > TARGET_MB
+                seconds = statistics.median(usage.cpu_seconds for usage in usages)
+                memory_mb = statistics.median(usage.rss_kb for usage in usages) / 1_024
+                print(
+                    f"{name:12} {seconds:.2f} s  {memory_mb:.0f} MB  ({ROUNDS} starts)"
+                )
+                is_over |= seconds > TARGET_S or memory_mb > TARGET_MB
         finally:
             fleet.close()
     load = os.getloadavg()[0]
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -112,4 +112,4 @@
     "bench.flow_table_memory",
 )
 
-ALL = tuple(one for one in list(globals().values()) if isinstance(one, Slope))
+ALL = tuple(value for value in list(globals().values()) if isinstance(value, Slope))
