--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -1,8 +1,8 @@
-"""How fast a change is in force at every balancer, with balancers as processes.
+"""Time until a configuration change is in force at every balancer process.
 
-Starts the stand-ins of platform and fabric and the balancers, submits changes, then
-lets the platform fail: a new balancer starts in an outage, and the platform is
-restored from an older copy. Run: python -m bench.config_in_force
+Starts the stand-ins of platform and fabric and the balancers, and submits changes.
+Then a new balancer starts during a platform outage, and the platform is restored from
+an older snapshot. Run: python -m bench.config_in_force
 """
 
 import json
@@ -34,22 +34,22 @@
     OVERLAY,
     SUFFIX,
     FleetPlan,
-    Hosts,
+    ServicePlan,
     make_balancer,
     write_folder,
 )
 
-POLL_S = 0.02
-WAIT_LIMIT_S = 60.0
-SUBMIT_LIMIT_MS = Millis(15_000)
+POLL_INTERVAL_S = 0.02
+WAIT_TIMEOUT_S = 60.0
+SUBMIT_TIMEOUT_MS = Millis(15_000)
 HOLD_S = 5.0
 SITE = "bench"
-AFTER_OUTAGE = 500
-"""The number of the change that is submitted when the platform is up again."""
+CHANGE_AFTER_OUTAGE = 500
+"""Number of the change that is submitted after the platform outage."""
 
 
 class Bench:
-    """The processes and the operator's side of one run."""
+    """The processes of one run and the operations of its operator."""
 
     def __init__(self, folder, plan, stack):
         self._folder = folder
@@ -60,55 +60,59 @@
         self._client = stack.enter_context(httpx.Client(trust_env=False, timeout=5))
         self.nodes = {}
         self.highest = {}
-        self._running = {}
+        self._processes = {}
 
     def start(self):
-        """Start the stand-ins, submit the first version, start the balancers."""
+        """Start the stand-ins, submit a first version, start all balancers but one."""
         write_folder(self._plan, self._folder)
-        self._run("standin", "platform", "--listen", self.platform)
+        self._start_process("standin", "platform", "--listen", self.platform)
         numbers = range(1, self._plan.balancers + 1)
-        inner = [make_balancer(self._plan, one)["inner"] for one in numbers]
+        inner = [make_balancer(self._plan, number)["inner"] for number in numbers]
         site = load_site(self._folder / BASE, self._folder / OVERLAY).unwrap()
         routes = [f"{site.control_address}={','.join(inner)}"]
         for service in site.services:
             port = service.address.port
-            targets = [one.replace(":4300", f":{port}") for one in inner]
+            targets = [address.replace(":4300", f":{port}") for address in inner]
             routes.append(f"{service.address}={','.join(targets)}")
-        self._run("standin", "fabric", *routes)
+        self._start_process("standin", "fabric", *routes)
         self.submit(0)
         for number in numbers[:-1]:
             self.start_balancer(number)
 
     def start_balancer(self, number):
-        """Start one balancer, which asks the platform and two peers."""
+        """Start one balancer, configured from the platform or its peers."""
         self._start_node("balancer", make_balancer(self._plan, number))
 
     def kill_balancers(self):
-        """End every balancer at once."""
-        for name in [one for one in self.nodes if one.startswith("balancer")]:
-            self._running[name].kill()
-            self._running[name].wait()
+        """Kill every balancer with SIGKILL."""
+        for name in [node for node in self.nodes if node.startswith("balancer")]:
+            self._processes[name].kill()
+            self._processes[name].wait()
             del self.nodes[name], self.highest[name]
 
     def start_path(self, service):
-        """Start a backend server of a service, its agent and the callers' side."""
+        """Start a backend server, its agent and connect; return the client endpoint."""
         name = f"agent-{service}-1"
         settings = self._read(f"{name}{SUFFIX}")
         backend = "--listen", settings["backend"], "--kind", service
-        self._run("standin", "backend", *backend, "--name", f"{service}-1")
+        self._start_process("standin", "backend", *backend, "--name", f"{service}-1")
         self._start_node("agent", settings)
-        self._run("connect", self._folder / f"connect{SUFFIX}")
+        self._start_process("connect", self._folder / f"connect{SUFFIX}")
         listeners = self._read(f"connect{SUFFIX}")["listeners"]
-        listen = next(one["listen"] for one in listeners if one["service"] == service)
+        listen = next(
+            listener["listen"]
+            for listener in listeners
+            if listener["service"] == service
+        )
         return Endpoint.parse(listen)
 
     def make_fleet_key(self, name):
-        """Write a new fleet key and return its file as the settings name it."""
+        """Write a new fleet key and return its path relative to the settings folder."""
         make_development_keys(self._folder / name, ("order",))
         return f"{name}/fleet.key"
 
     def submit(self, change, edit=None):
-        """Submit the files after an edit of the overlay, and return the version."""
+        """Edit the overlay, submit the site and return the accepted version."""
         overlay = self._folder / OVERLAY
         content = self._read(OVERLAY)
         if edit is None:
@@ -123,15 +127,15 @@
         return outcome.version
 
     def control(self, path, **message):
-        """Tell the stand-in of the platform what to do."""
+        """Post a control command to the platform's stand-in."""
         self._client.post(f"{self.url}/standin/{path}", json=message)
 
     def count_calls(self):
-        """Return the calls that the platform has counted."""
+        """Return the platform's call counts by kind of call."""
         return self._client.get(f"{self.url}/standin/calls").json()
 
     def read_versions(self):
-        """Return the version at each balancer, and check that none fell."""
+        """Return the version in force at each node; assert that none decreased."""
         versions = {}
         for name, admin in self.nodes.items():
             report = self._client.get(f"http://{admin}/status").json()
@@ -141,11 +145,11 @@
         return versions
 
     def read_held(self):
-        """Return the version that the platform holds."""
+        """Return the configuration version stored on the platform."""
         return anyio.run(_read_held, self.url)
 
     def wait_in_force(self, version):
-        """Return how many ms it took until a version was in force everywhere."""
+        """Return the milliseconds until `version` is in force at every node."""
         return wait_until(lambda: set(self.read_versions().values()) == {version})
 
     def _start_node(self, role, settings):
@@ -158,25 +162,25 @@
         }
         file = self._folder / f"platform-{settings['name']}{SUFFIX}"
         file.write_text(json.dumps(settings), encoding="utf-8")
-        self._running[settings["name"]] = self._run(role, file)
+        self._processes[settings["name"]] = self._start_process(role, file)
         self.nodes[settings["name"]] = settings["admin"]
 
     @property
     def _peers(self):
-        balancers = [make_balancer(self._plan, one)["inner"] for one in (1, 2)]
+        balancers = [make_balancer(self._plan, number)["inner"] for number in (1, 2)]
         return [*balancers, self._read(f"agent-order-1{SUFFIX}")["inner"]]
 
     def _read(self, name):
         return json.loads((self._folder / name).read_text(encoding="utf-8"))
 
-    def _run(self, *words):
+    def _start_process(self, *words):
         return self._stack.enter_context(running(*words))
 
 
 async def _submit(url, proposal):
     store = ConfigurationStore(EtcdStore([url]), SITE)
     try:
-        return await submit(store, proposal, SUBMIT_LIMIT_MS, Random(1))
+        return await submit(store, proposal, SUBMIT_TIMEOUT_MS, Random(1))
     finally:
         await store.close()
 
@@ -190,16 +194,16 @@
 
 
 def wait_until(condition):
-    """Return how many ms it took until `condition` held."""
+    """Return the milliseconds until `condition` holds."""
     start = time.monotonic()
     while not condition():
-        assert time.monotonic() - start < WAIT_LIMIT_S, condition
-        time.sleep(POLL_S)
+        assert time.monotonic() - start < WAIT_TIMEOUT_S, condition
+        time.sleep(POLL_INTERVAL_S)
     return round(1000 * (time.monotonic() - start))
 
 
 def measure_changes(bench, changes):
-    """Print how long each change took until it was in force everywhere."""
+    """Print how long the changes took to be in force at every node."""
     before = bench.count_calls()
     in_force = []
     for change in range(1, changes + 1):
@@ -212,57 +216,59 @@
 
 
 def measure_outage(bench, number, seconds=0.0):
-    """Print how a new balancer starts while the platform is down, and the end of it."""
+    """Print how long a balancer start in an outage takes, and the recovery after it."""
     newest = max(bench.read_versions().values())
     bench.control("faults", outage=True)
     start = time.monotonic()
     bench.start_balancer(number)
     started = round(1000 * (time.monotonic() - start))
-    hold(bench, newest, seconds)
+    check_version_held(bench, newest, seconds)
     bench.control("faults")
     print(f"outage: a new balancer had version {newest} from a peer, ready in")
     print(f"  {started} ms, process start with it; no version fell in {seconds:.0f} s")
-    recovered = bench.wait_in_force(bench.submit(AFTER_OUTAGE))
+    recovered = bench.wait_in_force(bench.submit(CHANGE_AFTER_OUTAGE))
     print(f"  a change after it was in force everywhere after {recovered} ms")
 
 
-def hold(bench, version, seconds):
-    """Check for a while that every balancer has one version in force."""
+def check_version_held(bench, version, seconds):
+    """Assert for `seconds` that every node has `version` in force."""
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
         assert set(bench.read_versions().values()) == {version}
-        time.sleep(POLL_S)
+        time.sleep(POLL_INTERVAL_S)
     assert set(bench.read_versions().values()) == {version}
 
 
 def measure_restore(bench, change):
-    """Print what happens when the platform goes back to an older copy."""
+    """Print how the site recovers when the platform is restored from an older copy."""
     bench.control("copies/older")
     newest = bench.submit(change)
     bench.wait_in_force(newest)
     bench.control("restore/older")
     held = bench.read_held()
-    mended = wait_until(lambda: bench.read_held() == newest)
-    hold(bench, newest, HOLD_S)
+    recovered = wait_until(lambda: bench.read_held() == newest)
+    check_version_held(bench, newest, HOLD_S)
     print(f"restore: the platform fell to version {held}; back at {newest} after")
-    print(f"  {mended} ms; in {HOLD_S:.0f} s no balancer left version {newest}")
+    print(f"  {recovered} ms; in {HOLD_S:.0f} s no balancer left version {newest}")
 
 
 @contextmanager
 def open_bench(balancers, block):
-    """Start everything, and stop it when the block ends."""
-    plan = FleetPlan((Hosts("order", 1), Hosts("drawings", 1)), balancers, block)
+    """Run the bench's processes until the context exits."""
+    plan = FleetPlan(
+        (ServicePlan("order", 1), ServicePlan("drawings", 1)), balancers, block
+    )
     with (
         tempfile.TemporaryDirectory(prefix="papayagw-bench-") as name,
-        ExitStack() as s,
+        ExitStack() as stack,
     ):
-        bench = Bench(Path(name), plan, s)
+        bench = Bench(Path(name), plan, stack)
         bench.start()
         yield bench
 
 
 def main(balancers=20, changes=10, outage_s=5, block=61):
-    """Run all measurements; exit with 1 if a promise is broken."""
+    """Run all measurements; exit with 1 if a check fails."""
     print(describe_machine())
     try:
         with open_bench(balancers, block) as bench:
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -1,9 +1,9 @@
-"""What the control state of a node costs against the size of the fleet.
+"""Cost of a node's control state by size of the fleet.
 
-``python -m bench.control_cost`` measures, in this process alone, the memory of
-the directory of agents, the processor time of a record that is news, of the
-choice for an opening, of reading a site's settings and of taking in a
-configuration, each at several sizes, and fits a line. One process is busy.
+``python -m bench.control_cost`` measures, in this process alone, the memory of the
+agent directory, and the processor time to merge an updated record, to choose an agent
+for an opening, to read a site's settings and to apply a configuration. Each is measured
+at several sizes and fitted with a line. One process is busy.
 """
 
 import json
@@ -40,25 +40,25 @@
 HOSTS = (500, 1_000, 2_000, 4_000, 9_500)
 SERVICES = (150, 300, 600, 1_200, 2_400)
 HOSTS_PER_SERVICE = 4
-NEWS = 200
+UPDATES = 200
 OPENINGS = 2_000
 MICROS = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
 class Sweep:
-    """One cost at several sizes.
+    """The measurements of one cost at several sizes.
 
     Attributes
     ----------
     name : str
-        What was measured.
+        The measured cost.
     unit : str
-        The unit of the values.
+        Unit of `values`.
     sizes : tuple of int
-        The sizes.
+        Numbers of agents or services.
     values : tuple of float
-        The cost at each size.
+        Cost at each size.
     """
 
     name: str
@@ -80,7 +80,7 @@
     ]
 
 
-def fill(hosts: int) -> AgentDirectory:
+def make_directory(hosts: int) -> AgentDirectory:
     directory = AgentDirectory()
     for record in make_records(hosts):
         directory.merge(record)
@@ -88,28 +88,28 @@
 
 
 def measure_memory(hosts: int) -> float:
-    """Return KB of a directory of `hosts` agents."""
+    """Return the memory in KB of a directory of `hosts` agents."""
     tracemalloc.start()
-    directory = fill(hosts)
+    directory = make_directory(hosts)
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     del directory
     return used / 1_024
 
 
-def measure_news(hosts: int) -> float:
-    """Return us CPU of taking in one record that is news."""
-    directory = fill(hosts)
-    news = make_records(hosts, sequence=2)[:NEWS]
+def measure_record_update(hosts: int) -> float:
+    """Return the processor time in us of merging one updated record."""
+    directory = make_directory(hosts)
+    updates = make_records(hosts, sequence=2)[:UPDATES]
     started = time.process_time()
-    for record in news:
+    for record in updates:
         directory.merge(record)
-    return (time.process_time() - started) * MICROS / len(news)
+    return (time.process_time() - started) * MICROS / len(updates)
 
 
 def measure_choice(hosts: int) -> float:
-    """Return us CPU of the choice for one opening."""
-    directory, chooser = fill(hosts), RendezvousChooser()
+    """Return the processor time in us of choosing an agent for one opening."""
+    directory, chooser = make_directory(hosts), RendezvousChooser()
     keys = [number.to_bytes(8, "big") for number in range(OPENINGS)]
     services = hosts // HOSTS_PER_SERVICE
     started = time.process_time()
@@ -120,7 +120,7 @@
 
 
 def measure_settings(services: int) -> float:
-    """Return ms CPU of reading the settings of a site."""
+    """Return the processor time in ms of reading the settings of a site."""
     with tempfile.TemporaryDirectory() as name:
         base = write_site(Path(name), services)
         started = time.process_time()
@@ -129,7 +129,7 @@
 
 
 def make_configuration(services: int) -> Configuration:
-    """Return a configuration with that many services."""
+    """Return a configuration with the given number of services."""
     site = Site(
         name="large",
         control_address=Endpoint("10.9.255.1", 4400),
@@ -146,13 +146,13 @@
     return Service(f"service-{number}", service_id, address, max_flows=max_flows)
 
 
-def measure_body(services: int) -> float:
-    """Return KB of a whole configuration as nodes hand it on."""
+def measure_encoded_size(services: int) -> float:
+    """Return the size in KB of a full configuration as nodes send it to peers."""
     return len(write_configuration(make_configuration(services))) / 1_024
 
 
-def measure_whole(services: int) -> float:
-    """Return ms CPU of taking in a whole configuration."""
+def measure_full_configuration(services: int) -> float:
+    """Return the processor time in ms of decoding and applying a full configuration."""
     body = write_configuration(make_configuration(services))
     log = ConfigurationLog()
     started = time.process_time()
@@ -161,20 +161,20 @@
 
 
 def measure_change(services: int) -> float:
-    """Return ms CPU of taking in a change of one service, and handing it on."""
+    """Return the processor time in ms of sending and applying a one-service change."""
     before = make_configuration(services)
     first = make_service(1, max_flows=1_000)
     site = replace(before.site, services=(first, *before.site.services[1:]))
-    marks = (SubmissionEntry(2, "second", "operator"), *before.history)
-    giver, taker = ConfigurationLog(), ConfigurationLog()
-    giver.apply_if_newer(before)
-    taker.apply_if_newer(before)
-    giver.apply_if_newer(Configuration(2, site, marks))
+    history = (SubmissionEntry(2, "second", "operator"), *before.history)
+    sender, receiver = ConfigurationLog(), ConfigurationLog()
+    sender.apply_if_newer(before)
+    receiver.apply_if_newer(before)
+    sender.apply_if_newer(Configuration(2, site, history))
     started = time.process_time()
-    taken = taker.resolve_reply(giver.make_reply(taker.query))
-    if taken is None:
-        raise SystemExit("the change didn't apply")
-    taker.apply_if_newer(taken)
+    configuration = receiver.resolve_reply(sender.make_reply(receiver.query))
+    if configuration is None:
+        raise SystemExit(f"the change of one service among {services} did not apply")
+    receiver.apply_if_newer(configuration)
     return (time.process_time() - started) * 1_000
 
 
@@ -201,32 +201,37 @@
 def sweep(
     name: str, unit: str, sizes: Sequence[int], measure: Callable[[int], float]
 ) -> Sweep:
-    """Measure at each size, smallest first."""
+    """Return the results of `measure` at each size, in the given order."""
     return Sweep(name, unit, tuple(sizes), tuple(measure(size) for size in sizes))
 
 
 def measure_all() -> list[Sweep]:
     return [
         sweep("directory memory by hosts", "KB", HOSTS, measure_memory),
-        sweep("a record that is news by hosts", "us CPU", HOSTS, measure_news),
+        sweep("a record that is news by hosts", "us CPU", HOSTS, measure_record_update),
         sweep("choice for an opening by hosts", "us CPU", HOSTS, measure_choice),
         sweep("reading settings by services", "ms CPU", SERVICES, measure_settings),
-        sweep("whole configuration by services", "KB", SERVICES, measure_body),
-        sweep("taking in a whole one by services", "ms CPU", SERVICES, measure_whole),
+        sweep("whole configuration by services", "KB", SERVICES, measure_encoded_size),
+        sweep(
+            "taking in a whole one by services",
+            "ms CPU",
+            SERVICES,
+            measure_full_configuration,
+        ),
         sweep("taking in a change by services", "ms CPU", SERVICES, measure_change),
     ]
 
 
 def main():
-    """Measure and print."""
+    """Measure and print the costs and the fitted lines."""
     print(f"{describe_machine()}; 1 busy process")
-    for one in measure_all():
-        line = fit_line(one.sizes, one.values)
+    for result in measure_all():
+        line = fit_line(result.sizes, result.values)
         cells = "  ".join(
             f"{size}: {value:.1f}"
-            for size, value in zip(one.sizes, one.values, strict=True)
+            for size, value in zip(result.sizes, result.values, strict=True)
         )
-        print(f"{one.name} ({one.unit}): {cells}")
+        print(f"{result.name} ({result.unit}): {cells}")
         print(f"    line: {line.base:.2f} + {line.slope:.4f} for each one more")
 
 
--- a/bench/flow_mutations.py
+++ b/bench/flow_mutations.py
@@ -1,8 +1,8 @@
-"""Turn each mechanism off by a double and see its property turn red.
+"""Replace each mechanism by a faulty double and check that its property fails.
 
     PYTHONPATH=src:. python bench/flow_mutations.py
 
-Exit code 1 if a property stays green without its mechanism.
+Exit code 1 if a property still holds without its mechanism.
 """
 
 import argparse
@@ -12,8 +12,8 @@
 from tests.properties.table import MUTATIONS
 
 
-def is_found(mutation, examples, seed):
-    """Print whether the property found the double and return it."""
+def detects_mutation(mutation, examples, seed):
+    """Print and return whether the property detects the faulty double."""
     try:
         run(mutation.proof, mutation.make, examples, seed, shrink=False)
     except AssertionError as error:
@@ -29,7 +29,10 @@
     parser.add_argument("--examples", type=int, default=5_000)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    found = [is_found(one, options.examples, options.seed) for one in MUTATIONS]
+    found = [
+        detects_mutation(mutation, options.examples, options.seed)
+        for mutation in MUTATIONS
+    ]
     print(f"{sum(found)} of {len(found)} doubles found, seed={options.seed}")
     return 0 if all(found) else 1
 
--- a/bench/membership_properties.py
+++ b/bench/membership_properties.py
@@ -1,16 +1,17 @@
-"""Run each property of the membership over many drawn histories, one seed each.
+"""Check each property of the membership on many generated histories.
 
     python -m bench.membership_properties --examples 20000 --seed 1
     python -m bench.membership_properties --mutations
 
-With ``--mutations`` each mechanism is turned off by a double, which its property
-must find. Exit code 1 if a property fails or a double stays green.
+Each property uses one seed. With ``--mutations`` each mechanism is replaced by a faulty
+double that its property must detect. Exit code 1 if a property fails or a double is not
+detected.
 """
 
 import argparse
 import sys
 
-from bench.flow_mutations import is_found
+from bench.flow_mutations import detects_mutation
 from bench.flow_properties import check
 from tests.properties.membership_proof import MUTATIONS, PROOFS
 
@@ -25,7 +26,10 @@
     parser.add_argument("--mutations", action="store_true")
     options = parser.parse_args()
     if options.mutations:
-        found = [is_found(one, options.examples, options.seed) for one in MUTATIONS]
+        found = [
+            detects_mutation(mutation, options.examples, options.seed)
+            for mutation in MUTATIONS
+        ]
         print(f"{sum(found)} of {len(found)} doubles found, seed={options.seed}")
         return 0 if all(found) else 1
     names = options.property or list(PROPERTIES)
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -1,4 +1,4 @@
-"""Many requests at once, for benches that need given ones rather than a rate."""
+"""Run a given set of concurrent requests, rather than requests at a given rate."""
 
 import time
 from collections.abc import Iterable
@@ -18,40 +18,40 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """Requests of one kind.
+    """Requests of one kind to one endpoint.
 
     Attributes
     ----------
     kind : RequestKind
-        What is asked for.
+        Kind of the requests.
     target : Endpoint
-        Where callers connect.
+        Endpoint to connect to.
     count : int
-        How many requests.
-    at_once : int
-        How many of them are open at the same time.
+        Number of requests.
+    concurrency : int
+        Maximum number of requests open at the same time.
     """
 
     kind: RequestKind
     target: Endpoint
     count: int
-    at_once: int
+    concurrency: int
 
 
 async def run_batches(
     batches: Iterable[Batch], timeout: Millis, backends: Iterable[Endpoint] = ()
 ) -> LoadReport:
-    """Run all batches at the same time, and hold them against the journals."""
+    """Run all batches concurrently and compare the outcomes with backend journals."""
     recorder = LoadRecorder()
     started = time.monotonic()
     async with anyio.create_task_group() as tasks:
         for batch in batches:
-            slots = anyio.Semaphore(batch.at_once)
+            slots = anyio.Semaphore(batch.concurrency)
             for number in range(batch.count):
                 request_id = f"{batch.kind.name.replace(' ', '-')}-{number}"
                 tasks.start_soon(_run, batch, request_id, slots, timeout, recorder)
     seconds = time.monotonic() - started
-    journals = [await fetch_runs(one) for one in backends]
+    journals = [await fetch_runs(backend) for backend in backends]
     compared = compare_journals(recorder.outcomes_by_id, journals) if journals else None
     return recorder.make_report(seconds, compared)
 
@@ -67,10 +67,12 @@
     async with slots:
         started = time.monotonic_ns()
 
-        def note_first() -> None:
+        def record_first_response() -> None:
             micros = (time.monotonic_ns() - started) // _NANOS_PER_MICRO
             recorder.record_latency(kind.name, micros)
 
         request = kind.make_request(request_id)
-        outcome = await run_request(batch.target, kind, request, timeout, note_first)
+        outcome = await run_request(
+            batch.target, kind, request, timeout, record_first_response
+        )
         recorder.record_outcome(kind.name, request_id, outcome)
--- a/bench/role_start.py
+++ b/bench/role_start.py
@@ -1,7 +1,7 @@
-"""Processor time and memory of the prepared platform's roles until they serve.
+"""Processor time and memory of the prepared platform's roles until ready.
 
-Run ``python -m bench.role_start``. The target is 0.15 s and 25 MB; the exit code is 1
-where a role is over it.
+Run ``python -m bench.role_start``. The targets are 0.15 s and 25 MB; the exit code is
+1 if a role exceeds either.
 """
 
 import os
@@ -21,7 +21,7 @@
 
 
 def measure(fleet, name):
-    """Return the usage of one start."""
+    """Start the named process and return its usage when it is ready."""
     fleet.start_process(name)
     fleet.wait_ready(name)
     usage = read_usage(fleet.pid(name))
@@ -30,7 +30,7 @@
 
 
 def main():
-    """Print the medians of both roles; return the exit code."""
+    """Print the median usage of both roles and return the exit code."""
     is_over = False
     with claimed_block(FIRST_BLOCK) as block, tempfile.TemporaryDirectory() as folder:
         fleet = PlainFleet(Path(folder), block, balancers=1, agents=1)
@@ -41,10 +41,12 @@
                 usages = [measure(fleet, name) for _ in range(ROUNDS)]
                 fleet.start_process(name)
                 fleet.wait_ready(name)
-                seconds = statistics.median(one.cpu_seconds for one in usages)
-                held = statistics.median(one.rss_kb for one in usages) / 1_024
-                print(f"{name:12} {seconds:.2f} s  {held:.0f} MB  ({ROUNDS} starts)")
-                is_over |= seconds > TARGET_S or held > TARGET_MB
+                seconds = statistics.median(usage.cpu_seconds for usage in usages)
+                memory_mb = statistics.median(usage.rss_kb for usage in usages) / 1_024
+                print(
+                    f"{name:12} {seconds:.2f} s  {memory_mb:.0f} MB  ({ROUNDS} starts)"
+                )
+                is_over |= seconds > TARGET_S or memory_mb > TARGET_MB
         finally:
             fleet.close()
     load = os.getloadavg()[0]
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,7 +1,7 @@
 """Start and stop a fleet of papayagw processes on this machine.
 
-Run ``python -m tools.fleet FOLDER`` to start the fleet of a settings folder, such
-as examples/valukoja, until Ctrl-C. Benches and tests use :class:`Fleet`.
+``python -m tools.fleet FOLDER`` runs the fleet of a settings folder, such as
+examples/valukoja, until Ctrl-C. Benchmarks and tests use :class:`Fleet`.
 """
 
 import json
@@ -28,34 +28,36 @@
 )
 
 ROOT = Path(__file__).resolve().parents[1]
-READY_LIMIT_S = 60.0
-SERVING_LIMIT_S = 30.0
-STOP_LIMIT_S = 15.0
+READY_TIMEOUT_S = 60.0
+SERVING_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
 _POLL_S = 0.02
 _BLOCKS_END = 255
 _CLAIM_PORT = 4399
-_ASK_LIMIT_S = 2.0
+_REQUEST_TIMEOUT_S = 2.0
 FABRIC = "fabric"
 PLATFORM = "platform"
 CONNECT = "connect"
 
 
 class FleetError(Exception):
-    """A process that doesn't do what the fleet needs."""
+    """A process failed to start or respond, or no address block is free."""
 
 
 class Fleet:
-    """A fleet of processes, each under the name of its settings file.
+    """Processes of one fleet, each named after its settings file.
 
     Parameters
     ----------
     folder : Path
         The settings folder.
     logs : Path
-        Where the output of each process goes.
-    fabric_flags, backend_flags : sequence of str
-        Flags for the stand-ins; `backend_flags` maps names of backend servers to
-        theirs.
+        Folder for the standard output and standard error of each process.
+    fabric_flags : sequence of str
+        Additional command-line flags of the fabric's stand-in.
+    backend_flags : mapping of str to sequence of str, optional
+        Additional command-line flags of the backend servers' stand-ins, by the
+        names of the backend servers.
     """
 
     def __init__(
@@ -74,7 +76,7 @@
 
     @property
     def settings(self):
-        """What the folder says."""
+        """The parsed settings of the folder."""
         return self._settings
 
     @property
@@ -84,17 +86,17 @@
 
     @property
     def targets(self) -> dict[str, Endpoint]:
-        """Where ordinary TCP clients reach each service."""
+        """The TCP endpoint at which clients connect to each service."""
         return self._settings.targets
 
     @property
     def backends(self) -> dict[str, Endpoint]:
-        """The backend servers, by their names."""
+        """The endpoints of the backend servers, by name."""
         return self._settings.backends
 
     @property
     def names(self) -> list[str]:
-        """The names of all processes, in the order of their start."""
+        """The names of all processes, in start order."""
         backends = [f"backend-{name}" for name in self.backends]
         nodes = [*self._settings.balancers, *self._settings.agents]
         platform = [PLATFORM] if self._settings.platform else []
@@ -105,11 +107,11 @@
         return self._processes[name].pid
 
     def is_running(self, name: str) -> bool:
-        """Return whether a process runs."""
+        """Return whether a process has been started and has not exited."""
         return name in self._processes and self._processes[name].poll() is None
 
     def start(self) -> None:
-        """Start all processes, and wait until each service answers."""
+        """Start all processes and wait until each service responds."""
         if self._settings.platform:
             self.start_process(PLATFORM)
             self.submit()
@@ -121,13 +123,13 @@
         self.wait_serving()
 
     def spawn(self, name: str) -> None:
-        """Start one process without waiting for it."""
+        """Start one process without waiting until it is ready."""
         with (
             self._output_file(name).open("w", encoding="utf-8") as output,
             (self._logs / f"{name}.err").open("a", encoding="utf-8") as errors,
         ):
             self._processes[name] = subprocess.Popen(
-                make_command(self._make_words(name)),
+                make_command(self._make_arguments(name)),
                 cwd=ROOT,
                 env=make_environment(),
                 stdin=subprocess.DEVNULL,
@@ -141,41 +143,47 @@
         self._wait_ready(name)
 
     def change_overlay(self, edit: Callable[[dict], None]) -> None:
-        """Change the content of the overlay's file."""
+        """Apply `edit` to the content of the overlay file."""
         file = self._folder / OVERLAY
         content = json.loads(file.read_text(encoding="utf-8"))
         edit(content)
         file.write_text(json.dumps(content), encoding="utf-8")
 
     def submit(self) -> str:
-        """Submit the base file and the overlay, and return what is said."""
+        """Submit the base file and the overlay; return the command's output."""
         files = [str(self._folder / BASE), "--overlay", str(self._folder / OVERLAY)]
-        words = ["config", "submit", *files, "--platform", self._settings.platform]
-        done = subprocess.run(
-            make_command(words), env=make_environment(), capture_output=True, text=True
+        arguments = ["config", "submit", *files, "--platform", self._settings.platform]
+        completed = subprocess.run(
+            make_command(arguments),
+            env=make_environment(),
+            capture_output=True,
+            text=True,
         )
-        if done.returncode:
-            raise FleetError(f"config submit: {done.stdout}{done.stderr}")
-        return done.stdout
+        if completed.returncode:
+            raise FleetError(
+                f"config submit failed: {completed.stdout}{completed.stderr}"
+            )
+        return completed.stdout
 
     def kill(self, name: str) -> None:
-        """End a process at once, as a dead machine would."""
+        """Kill a process with SIGKILL, as if its machine had failed."""
         self._processes[name].kill()
         self._processes[name].wait()
 
     def terminate(self, name: str) -> None:
-        """Ask a process to stop gracefully, without waiting for it."""
+        """Send SIGTERM to a process without waiting for its exit."""
         self._processes[name].terminate()
 
     def stop(self, name: str) -> int:
         """Stop a process gracefully and return its exit code."""
         self.terminate(name)
-        return self._processes[name].wait(STOP_LIMIT_S)
+        return self._processes[name].wait(STOP_TIMEOUT_S)
 
     def close(self) -> None:
-        """Stop all processes: the callers' side, then the agents, then the rest.
+        """Stop all processes: connect first, then the agents, then the rest.
 
-        A flow ends at its agent through balancers and fabric, which stay that long.
+        Closing a flow takes messages between its caller and its agent, so balancers
+        and fabric keep running until both have stopped.
         """
         names = list(self._processes)
         agents = [name for name in names if name.startswith("agent-")]
@@ -187,7 +195,7 @@
         for name in names:
             if self.is_running(name):
                 self.terminate(name)
-        deadline = time.monotonic() + STOP_LIMIT_S
+        deadline = time.monotonic() + STOP_TIMEOUT_S
         for name in names:
             process = self._processes[name]
             with suppress(subprocess.TimeoutExpired):
@@ -196,19 +204,22 @@
             process.wait()
 
     def output(self, name: str) -> str:
-        """Return what a process has printed."""
+        """Return the standard output of a process since its last start."""
         return self._output_file(name).read_text(encoding="utf-8")
 
     def wait_serving(self) -> None:
-        """Return when each service answers through the whole path."""
-        deadline = time.monotonic() + SERVING_LIMIT_S
+        """Wait until each service responds through the whole path."""
+        deadline = time.monotonic() + SERVING_TIMEOUT_S
         for service, target in self.targets.items():
-            while not _answers(target):
+            while not _is_serving(target):
                 if time.monotonic() > deadline:
-                    raise FleetError(f"{service} doesn't answer at {target}")
+                    raise FleetError(
+                        f"service {service!r} did not respond at {target}"
+                        f" within {SERVING_TIMEOUT_S:.0f} s"
+                    )
                 time.sleep(_POLL_S)
 
-    def _make_words(self, name: str) -> list[str]:
+    def _make_arguments(self, name: str) -> list[str]:
         if name == PLATFORM:
             listen = self._settings.platform.removeprefix("http://")
             return ["standin", PLATFORM, "--listen", listen]
@@ -218,17 +229,17 @@
         if role != "backend":
             return [role, str(self._folder / f"{name}{SUFFIX}")]
         kind = rest.rpartition("-")[0]
-        words = ["standin", "backend", "--listen", str(self.backends[rest])]
+        arguments = ["standin", "backend", "--listen", str(self.backends[rest])]
         flags = self._backend_flags.get(rest, ())
-        return [*words, "--kind", kind, "--name", rest, *flags]
+        return [*arguments, "--kind", kind, "--name", rest, *flags]
 
     def _wait_ready(self, name: str) -> None:
-        deadline = time.monotonic() + READY_LIMIT_S
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while not self.output(name).startswith("ready"):
             code = self._processes[name].poll()
             if code is not None or time.monotonic() > deadline:
                 errors = (self._logs / f"{name}.err").read_text(encoding="utf-8")
-                raise FleetError(f"{name} isn't ready (exit code {code}): {errors}")
+                raise FleetError(f"{name} is not ready (exit code {code}): {errors}")
             time.sleep(_POLL_S)
 
     def _output_file(self, name: str) -> Path:
@@ -237,22 +248,37 @@
 
 @contextmanager
 def claimed_block(first: int) -> Iterator[int]:
-    """Claim a block of IP numbers that no other fleet on this machine uses.
+    """Reserve a block of loopback addresses, unused by other fleets on this machine.
+
+    A block is 127.N.0.0/16. A UDP socket bound to its last usable address marks it
+    as reserved until the context exits.
 
     Parameters
     ----------
     first : int
-        The block that is tried first.
+        The first block to try; later ones follow in ascending order.
+
+    Yields
+    ------
+    int
+        The second octet of the addresses.
+
+    Raises
+    ------
+    FleetError
+        If no block is free.
     """
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as claim:
         for block in range(first, _BLOCKS_END):
-            if _is_bound(claim, (f"127.{block}.255.254", _CLAIM_PORT)):
+            if _try_bind(claim, (f"127.{block}.255.254", _CLAIM_PORT)):
                 yield block
                 return
-    raise FleetError(f"no free block of IP numbers from 127.{first} on")
+    raise FleetError(
+        f"no free block of loopback addresses at or after 127.{first}.0.0/16"
+    )
 
 
-def _is_bound(claim: socket.socket, address: tuple[str, int]) -> bool:
+def _try_bind(claim: socket.socket, address: tuple[str, int]) -> bool:
     try:
         claim.bind(address)
     except OSError:
@@ -260,19 +286,19 @@
     return True
 
 
-def make_command(words: Sequence[str]) -> list[str]:
-    """Return the command line of a papayagw command."""
-    return [sys.executable, "-m", "papayagw", *words]
+def make_command(arguments: Sequence[str]) -> list[str]:
+    """Return the command line that runs a papayagw command."""
+    return [sys.executable, "-m", "papayagw", *arguments]
 
 
 def make_environment() -> dict[str, str]:
-    """Return the environment in which papayagw is found."""
+    """Return the environment with the source folder on ``PYTHONPATH``."""
     return {**os.environ, "PYTHONPATH": str(ROOT / "src")}
 
 
 @contextmanager
 def running_fleet(plan: FleetPlan, **flags):
-    """Run a fleet of a plan, in its block or the next free one."""
+    """Run the fleet of a plan in its address block or the next free one."""
     with (
         tempfile.TemporaryDirectory(prefix="papayagw-fleet-") as name,
         claimed_block(plan.block) as block,
@@ -287,10 +313,12 @@
             fleet.close()
 
 
-def ask(target: Endpoint, line: str) -> str:
-    """Return the first line of a backend server's answer, or nothing."""
+def send_request(target: Endpoint, line: str) -> str:
+    """Send one line; return the first line of the response, or "" if there is none."""
     try:
-        with socket.create_connection(target.sockaddr, _ASK_LIMIT_S) as connection:
+        with socket.create_connection(
+            target.sockaddr, _REQUEST_TIMEOUT_S
+        ) as connection:
             connection.sendall(f"{line}\n".encode())
             with connection.makefile("rb") as answers:
                 return answers.readline().decode().strip()
@@ -298,18 +326,18 @@
         return ""
 
 
-def _answers(target: Endpoint) -> bool:
-    return ask(target, "HEALTH").startswith("HEALTH")
+def _is_serving(target: Endpoint) -> bool:
+    return send_request(target, "HEALTH").startswith("HEALTH")
 
 
-def _stop(number: int, frame: object) -> None:
+def _raise_keyboard_interrupt(signum: int, frame: object) -> None:
     raise KeyboardInterrupt
 
 
 def main(folder: str) -> None:
     """Run the fleet of a settings folder until Ctrl-C or SIGTERM."""
     for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, _stop)
+        signal.signal(number, _raise_keyboard_interrupt)
     with tempfile.TemporaryDirectory(prefix="papayagw-logs-") as logs:
         fleet = Fleet(Path(folder).resolve(), Path(logs))
         try:
