--- a/src/papayagw/_internal/cli/main.py
+++ b/src/papayagw/_internal/cli/main.py
@@ -27,7 +27,7 @@
         sys.exit(ExitCode.OK)
     info = find_command(words)
     if info is None:
-        sys.exit(_handle_unknown_command(words))
+        sys.exit(_print_group_or_error(words))
     rest = list(words[len(info.words) :])
     run = info.load().run
     if _HELP_FLAG in rest:
@@ -58,7 +58,7 @@
     return " ".join(("papayagw", *words))
 
 
-def _handle_unknown_command(words: Sequence[str]) -> ExitCode:
+def _print_group_or_error(words: Sequence[str]) -> ExitCode:
     """Print the available commands if the command line doesn't name a command."""
     group = [info for info in COMMANDS if info.words[0] == words[0]]
     if group and words[1:2] in ((), (_HELP_FLAG,)):
--- a/src/papayagw/_internal/load/client.py
+++ b/src/papayagw/_internal/load/client.py
@@ -21,7 +21,7 @@
 
 MAX_LINE_BYTES = 1_024
 ECHO_PADDING = "x" * 160
-_PATTERN = bytes(range(256))
+_UPLOAD_PATTERN = bytes(range(256))
 
 FirstLineCallback = Callable[[], None]
 
@@ -110,7 +110,7 @@
     """Return the body of an upload, which differs for each request id."""
     size = request.numbers[0]
     name = request.request_id.encode()
-    body = _PATTERN * (size // len(_PATTERN) + 1)
+    body = _UPLOAD_PATTERN * (size // len(_UPLOAD_PATTERN) + 1)
     return (name + body)[:size]
 
 
--- a/src/papayagw/_internal/load/report.py
+++ b/src/papayagw/_internal/load/report.py
@@ -149,12 +149,12 @@
     ) -> LoadReport:
         """Return the report of the recorded requests."""
         kinds = {
-            kind: KindReport(dict(outcomes), *self._percentiles(kind))
+            kind: KindReport(dict(outcomes), *self._latency_percentiles(kind))
             for kind, outcomes in sorted(self._outcomes.items())
         }
         return LoadReport(seconds, kinds, journal)
 
-    def _percentiles(self, kind: str) -> tuple[float, float, float, float]:
+    def _latency_percentiles(self, kind: str) -> tuple[float, float, float, float]:
         histogram = self._latencies.get(kind)
         if histogram is None:
             return (0.0, 0.0, 0.0, 0.0)
--- a/src/papayagw/_internal/load/verdict.py
+++ b/src/papayagw/_internal/load/verdict.py
@@ -33,7 +33,7 @@
 def judge_single_line(request: Request, service: BackendKind, line: str) -> Outcome:
     """Classify the response to an order or a rate check."""
     words = line.split()
-    if (outcome := _judge_signature(request, service, words)) is not None:
+    if (outcome := _judge_common_cases(request, service, words)) is not None:
         return outcome
     expected = [_RESPONSE_WORDS[request.verb], request.request_id]
     return Outcome.DONE if words[:2] == expected else Outcome.CROSSED
@@ -44,7 +44,7 @@
 ) -> Outcome:
     """Classify the response to an upload whose SHA-256 checksum is `digest`."""
     words = line.split()
-    if (outcome := _judge_signature(request, service, words)) is not None:
+    if (outcome := _judge_common_cases(request, service, words)) is not None:
         return outcome
     return Outcome.DONE if words[:2] == ["SHA256", digest] else Outcome.WRONG_BYTES
 
@@ -54,7 +54,7 @@
 ) -> Outcome:
     """Classify line `number` of a feed; DONE means that the line is as expected."""
     words = line.split()
-    if (outcome := _judge_signature(request, service, words)) is not None:
+    if (outcome := _judge_common_cases(request, service, words)) is not None:
         return outcome
     count = request.numbers[0]
     expected = "END" if number == count else "STATUS"
@@ -67,7 +67,7 @@
 def judge_echo(request: Request, service: BackendKind, sent: str, line: str) -> Outcome:
     """Classify the response to one line of an echo."""
     words = line.split()
-    if (outcome := _judge_signature(request, service, words)) is not None:
+    if (outcome := _judge_common_cases(request, service, words)) is not None:
         return outcome
     if words[1] != request.request_id:
         return Outcome.CROSSED
@@ -75,7 +75,7 @@
     return Outcome.DONE if is_expected else Outcome.WRONG_BYTES
 
 
-def _judge_signature(
+def _judge_common_cases(
     request: Request, service: BackendKind, words: list[str]
 ) -> Outcome | None:
     if len(words) < _MIN_WORDS or words[0] == "ERROR":
