--- a/src/papayagw/_internal/cli/commands/agent.py
+++ b/src/papayagw/_internal/cli/commands/agent.py
@@ -30,7 +30,7 @@
 
 
 class AgentCommand:
-    """Own the flows of a backend server."""
+    """Accept flows and forward them to a backend server."""
 
     @property
     def run(self) -> Callable[..., int]:
--- a/src/papayagw/_internal/cli/commands/balancer.py
+++ b/src/papayagw/_internal/cli/commands/balancer.py
@@ -27,7 +27,7 @@
 
 
 def run_balancer(settings: str) -> int:
-    """Forward each packet to the agent in its tag, or to an agent chosen for it.
+    """Forward each packet to the agent named by its connection id, or select one.
 
     A balancer keeps no flow state, so it can be stopped and started at any time.
     After SIGTERM it forwards packets for one more second and exits; a second
--- a/src/papayagw/_internal/cli/commands/config_diff.py
+++ b/src/papayagw/_internal/cli/commands/config_diff.py
@@ -14,7 +14,7 @@
 
 
 class ConfigDiffCommand:
-    """Compare a site's files with other files or with the version in force."""
+    """Compare a site's files with other files or the configuration in force."""
 
     @property
     def run(self) -> Callable[..., int]:
@@ -29,7 +29,7 @@
     against_base: str | None = None,
     against_overlay: str | None = None,
 ) -> int:
-    """Print the differences of a site's files from the version in force or other files.
+    """Compare a site's files with the configuration in force or with other files.
 
     Exit codes: 0 no difference, 1 there are differences, 2 a file or the command
     line is invalid, 4 the platform doesn't respond or has no version.
@@ -41,8 +41,8 @@
     overlay : str
         Overlay of the site.
     platform : list of str
-        Compare with the version in force at these URLs of the platform, tried in
-        turn.
+        Compare with the configuration in force at these URLs of the platform, tried
+        in turn.
     against_base : str
         Compare with this base file.
     against_overlay : str
--- a/src/papayagw/_internal/cli/commands/config_status.py
+++ b/src/papayagw/_internal/cli/commands/config_status.py
@@ -1,4 +1,4 @@
-"""``papayagw config status``: the version in force at the platform and at nodes."""
+"""``papayagw config status``: the configuration version in force."""
 
 import json
 from collections.abc import Callable
@@ -33,7 +33,7 @@
 
 
 class ConfigStatusCommand:
-    """Show the version in force at the platform and at nodes."""
+    """Show the configuration version in force at the platform and at nodes."""
 
     @property
     def run(self) -> Callable[..., int]:
@@ -44,7 +44,7 @@
 def show_status(
     site: str, platform: FlagList = (), nodes: FlagList = (), json: bool = False
 ) -> int:
-    """Show the version in force at the platform and at each node.
+    """Show the configuration version in force at the platform and at each node.
 
     Exit codes: 0 all versions are the same, 1 a node has another version or doesn't
     respond, 4 the platform doesn't respond or has no version.
--- a/src/papayagw/_internal/cli/commands/config_submit.py
+++ b/src/papayagw/_internal/cli/commands/config_submit.py
@@ -26,7 +26,7 @@
 
 
 class ConfigSubmitCommand:
-    """Submit a base file and an overlay as the next version."""
+    """Submit a base file and an overlay as the next configuration version."""
 
     @property
     def run(self) -> Callable[..., int]:
@@ -43,7 +43,7 @@
     operator: str = "",
     limit_ms: int = DEFAULT_LIMIT_MS,
 ) -> int:
-    """Validate the files and submit them as the next version.
+    """Validate the files and submit them as the next configuration version.
 
     Exit codes: 0 accepted, 1 refused, 2 a file or the command line is invalid, 3
     unknown: the change may take effect now or later, so check with `papayagw config
--- a/src/papayagw/_internal/cli/commands/connect.py
+++ b/src/papayagw/_internal/cli/commands/connect.py
@@ -1,4 +1,4 @@
-"""``papayagw connect``: the process on a caller's machine."""
+"""``papayagw connect``: carry a caller's TCP connections as flows."""
 
 from collections.abc import Callable
 from pathlib import Path
--- a/src/papayagw/_internal/cli/commands/load.py
+++ b/src/papayagw/_internal/cli/commands/load.py
@@ -42,7 +42,8 @@
 
     Latency is measured from the scheduled start of a request, so that the delays of
     a slow system are included. The exit code is 1 if any request was broken,
-    crossed, doubled or answered with wrong bytes.
+    crossed, doubled or answered with wrong bytes, or if the journals contradict
+    an outcome.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/cli/commands/platform_agent.py
+++ b/src/papayagw/_internal/cli/commands/platform_agent.py
@@ -7,7 +7,7 @@
 
 
 class PlatformAgentCommand:
-    """Own the plain flows of a backend server on the prepared platform."""
+    """Forward plain flows to a backend server on the prepared platform."""
 
     @property
     def run(self) -> Callable[..., int]:
@@ -16,7 +16,7 @@
 
 
 def run() -> int:
-    """Own the flows of the backend server on this machine.
+    """Accept plain flows and forward them to the backend server on this machine.
 
     The environment variable PAPAYAGW_NODE_FILE contains the path of the settings
     file. The platform itself runs ``python -m papayagw.platform agent``, which
--- a/src/papayagw/_internal/cli/commands/standin_backend.py
+++ b/src/papayagw/_internal/cli/commands/standin_backend.py
@@ -41,12 +41,13 @@
     service_ms: int = DEFAULT_SERVICE_MS,
     runs_file: str = "",
 ) -> int:
-    """Serve requests over TCP until SIGTERM; SIGUSR1 makes it shed new requests.
+    """Serve requests over TCP until SIGTERM; reject new ones after SIGUSR1.
 
-    Requests are lines: ORDER id, CHECK id, FEED id count interval_ms, and
-    UPLOAD id bytes followed by the bytes. RUNS lists the requests that were run,
-    HEALTH reports state and load; DRAIN, STALL ms, SHED 0|1 and LIE load change its
-    behaviour.
+    Requests are lines: ORDER id, CHECK id, FEED id count interval_ms, ECHO id count
+    followed by the lines, and UPLOAD id bytes followed by the bytes. RUNS lists the
+    executed requests and HEALTH reports state and load. DRAIN rejects all new
+    requests from then on, SHED 1 until SHED 0; STALL ms delays requests, and LIE
+    load sets the load that HEALTH reports.
 
     Parameters
     ----------
@@ -65,7 +66,7 @@
     service_ms : int
         Service time of a request at speed 1, in milliseconds.
     runs_file : str
-        File to which the requests that were run are written on shutdown.
+        File to which the executed requests are written on shutdown.
     """
     plan = BackendPlan(
         name=str(name),
--- a/src/papayagw/_internal/cli/main.py
+++ b/src/papayagw/_internal/cli/main.py
@@ -59,7 +59,10 @@
 
 
 def _print_group_or_error(words: Sequence[str]) -> ExitCode:
-    """Print the available commands if the command line doesn't name a command."""
+    """Print the commands of the group that `words` name, and return OK.
+
+    Otherwise, print an error with the available commands and return USAGE.
+    """
     group = [info for info in COMMANDS if info.words[0] == words[0]]
     if group and words[1:2] in ((), (_HELP_FLAG,)):
         print(format_overview(group))
@@ -97,6 +100,7 @@
 
 
 def _run(call: Callable[[], int]) -> int:
+    """Call a command and return its exit code; print the errors that it raises."""
     try:
         return call()
     except PapayagwError as error:
--- a/src/papayagw/_internal/cli/platform_access.py
+++ b/src/papayagw/_internal/cli/platform_access.py
@@ -36,7 +36,7 @@
 
 
 async def read_in_force(urls: Sequence[str], site: str) -> Configuration:
-    """Return the configuration of a site that is in force at the platform.
+    """Return the configuration in force: the last one stored at the platform.
 
     Raises
     ------
--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -38,7 +38,7 @@
 
 COMMANDS = (
     CommandInfo(("balancer",), "balancer", "Forward packets to the agents."),
-    CommandInfo(("agent",), "agent", "Own the flows of a backend server."),
+    CommandInfo(("agent",), "agent", "Forward flows to a backend server."),
     CommandInfo(("connect",), "connect", "Forward TCP connections as flows."),
     CommandInfo(("config", "check"), "config_check", "Validate a site's files."),
     CommandInfo(
@@ -49,12 +49,16 @@
     CommandInfo(
         ("config", "submit"), "config_submit", "Submit files as the next version."
     ),
-    CommandInfo(("config", "status"), "config_status", "Show the version in force."),
+    CommandInfo(
+        ("config", "status"), "config_status", "Show the configuration in force."
+    ),
     CommandInfo(
         ("keys", "make"), "keys_make", "Create a development certificate and fleet key."
     ),
     CommandInfo(("status",), "status", "Show or record the status of nodes."),
-    CommandInfo(("report", "burn"), "report_burn", "Report on service-level burn."),
+    CommandInfo(
+        ("report", "burn"), "report_burn", "Report the burn rates of error budgets."
+    ),
     CommandInfo(
         ("platform", "balancer"),
         "platform_balancer",
@@ -63,7 +67,7 @@
     CommandInfo(
         ("platform", "agent"),
         "platform_agent",
-        "Own plain flows on the prepared platform.",
+        "Forward plain flows to a backend server of the prepared platform.",
     ),
     CommandInfo(
         ("standin", "platform"), "standin_platform", "Run an in-memory key-value store."
--- a/src/papayagw/_internal/cli/running.py
+++ b/src/papayagw/_internal/cli/running.py
@@ -14,7 +14,7 @@
 
 
 def make_identity(name: str, role: Role, zone: str) -> NodeIdentity:
-    """Create the identity of a run of a node that starts now."""
+    """Return the identity, with a new incarnation, of a node that starts now."""
     started_at = MonotonicClock().now()
     return NodeIdentity(name, role, zone, make_incarnation(), started_at)
 
--- a/src/papayagw/_internal/cli/values.py
+++ b/src/papayagw/_internal/cli/values.py
@@ -16,7 +16,7 @@
 
 
 def read_seconds(value: object, flag: str) -> Millis:
-    """Return the duration of a flag in seconds, converted to ms.
+    """Convert the value of a flag from seconds to milliseconds.
 
     Raises
     ------
--- a/src/papayagw/_internal/load/client.py
+++ b/src/papayagw/_internal/load/client.py
@@ -37,7 +37,7 @@
         Kind of the request.
     request : Request
         Request to send.
-    on_first : callable
+    on_first_line : callable
         Called when the first line of the response has been received.
     """
 
@@ -107,7 +107,7 @@
 
 
 def make_upload_body(request: Request) -> bytes:
-    """Return the body of an upload, which differs for each request id."""
+    """Return the upload body; it starts with the request id, so that bodies differ."""
     size = request.numbers[0]
     name = request.request_id.encode()
     body = _UPLOAD_PATTERN * (size // len(_UPLOAD_PATTERN) + 1)
@@ -123,7 +123,9 @@
 ) -> Outcome:
     """Connect, exchange one request and return its outcome.
 
-    `timeout` counts from the time at which the last line of the response is due.
+    The time limit is `timeout` plus the scheduled duration of the request. Reaching
+    it gives UNKNOWN, a failed connection attempt REFUSED, and a connection that
+    ends early or an overlong line BROKEN.
     """
     limit_s = to_seconds(Millis(timeout + kind.duration))
     try:
--- a/src/papayagw/_internal/load/profiles.py
+++ b/src/papayagw/_internal/load/profiles.py
@@ -39,7 +39,7 @@
 
     @property
     def duration(self) -> Millis:
-        """Duration of a request of this kind without any delay, in milliseconds."""
+        """Scheduled duration of a feed or echo, in milliseconds; 0 for other verbs."""
         if self.verb is Verb.FEED:
             count, interval = self.numbers
             return Millis(count * interval)
@@ -65,7 +65,7 @@
 
 
 def make_valukoja(feed_lines: int) -> Workload:
-    """Return the workload of order feeds, orders and drawing uploads."""
+    """Return the workload of Valukoja: order feeds, orders and drawing uploads."""
     return (
         Share(_make_feed("order feed", BackendKind.ORDER, feed_lines), 0.1),
         Share(_ORDER, 0.8),
@@ -74,7 +74,7 @@
 
 
 def make_norrbo(feed_lines: int) -> Workload:
-    """Return the workload of ledger streams, rate checks and intake uploads."""
+    """Return the workload of Norrbo: ledger streams, rate checks, intake uploads."""
     return (
         Share(_make_feed("ledger stream", BackendKind.LEDGER, feed_lines), 0.1),
         Share(_RATE_CHECK, 0.8),
--- a/src/papayagw/_internal/load/report.py
+++ b/src/papayagw/_internal/load/report.py
@@ -43,14 +43,14 @@
     Attributes
     ----------
     run : int
-        Number of requests that were executed.
+        Number of requests of the load run that were executed.
     doubled : int
         Number of requests that were executed more than once, on any backend servers.
     refused_but_run : int
         Number of requests that were executed although their caller was told that
         they were refused.
     done_but_not_run : int
-        Number of requests that were answered but are in no journal.
+        Number of requests that had the expected response but are in no journal.
     """
 
     run: int
@@ -87,7 +87,7 @@
 
     @property
     def has_faults(self) -> bool:
-        """Whether any outcome or journal shows a violation of the guarantees."""
+        """Whether an outcome or the journals show a violation of the guarantees."""
         if any(self.outcomes[fault.value] for fault in FAULTS):
             return True
         journal = self.journal
@@ -155,6 +155,10 @@
         return LoadReport(seconds, kinds, journal)
 
     def _latency_percentiles(self, kind: str) -> tuple[float, float, float, float]:
+        """Return the p50, p99, p99.9 and maximum latency in milliseconds.
+
+        All are 0 if no latency was recorded.
+        """
         histogram = self._latencies.get(kind)
         if histogram is None:
             return (0.0, 0.0, 0.0, 0.0)
@@ -167,7 +171,11 @@
 def compare_journals(
     outcomes_by_id: Mapping[str, Outcome], journals: Iterable[Mapping[str, int]]
 ) -> JournalReport:
-    """Compare the outcomes that callers saw with the journals of backend servers."""
+    """Compare the outcomes that callers saw with the journals of backend servers.
+
+    Journals map request ids to numbers of executions; ids without an outcome, such
+    as those of other runs, are ignored.
+    """
     runs: Counter[str] = Counter()
     for journal in journals:
         runs.update({one: n for one, n in journal.items() if one in outcomes_by_id})
--- a/src/papayagw/_internal/load/run.py
+++ b/src/papayagw/_internal/load/run.py
@@ -48,7 +48,7 @@
     timeout : Millis
         Time for which a caller waits for a response, in milliseconds.
     max_open : int
-        Maximum number of open requests; further requests aren't sent.
+        Maximum number of open requests; further ones are recorded as not sent.
     seed : int
         Seed of the arrival times.
     run_id : str
@@ -84,7 +84,11 @@
         self._started_ns = 0
 
     async def run(self) -> LoadReport:
-        """Start all requests, wait until they have ended and return the report."""
+        """Start the scheduled requests, wait until they end and return the report.
+
+        Requests that would exceed `max_open` are recorded as not sent. If the plan
+        names backend servers, their journals are compared with the outcomes.
+        """
         self._started_ns = time.monotonic_ns()
         is_short = self._plan.duration < PROGRESS_BAR_MIN_MS
         total = round(self._plan.rate * self._plan.duration / MILLIS_PER_SECOND)
@@ -140,6 +144,7 @@
         return f"{self._plan.run_id}-{arrival.number}"
 
     def _due_ns(self, arrival: Arrival[RequestKind]) -> int:
+        """Return the monotonic time at which a request is due, in nanoseconds."""
         return self._started_ns + arrival.due * _NANOS_PER_MILLI
 
 
--- a/src/papayagw/_internal/load/verdict.py
+++ b/src/papayagw/_internal/load/verdict.py
@@ -13,13 +13,13 @@
 
     DONE = "done"
     BROKEN = "broken"
-    """The connection ended, or the response was malformed."""
+    """The connection ended early, or the response was malformed or an error."""
     REFUSED = "refused"
-    """The caller was told that the request was not executed."""
+    """The caller was told that the request was not executed, or couldn't connect."""
     UNKNOWN = "unknown"
     """No complete response within the timeout."""
     CROSSED = "crossed"
-    """The response belongs to another request or another service."""
+    """The response is for another request, or the request reached another service."""
     WRONG_BYTES = "wrong bytes"
     """Bytes were lost or changed in transit."""
     NOT_SENT = "not sent"
@@ -78,6 +78,10 @@
 def _judge_common_cases(
     request: Request, service: BackendKind, words: list[str]
 ) -> Outcome | None:
+    """Classify an error, a rejection or a response of another service.
+
+    Returns None for any other response, which is classified by its verb.
+    """
     if len(words) < _MIN_WORDS or words[0] == "ERROR":
         return Outcome.BROKEN
     if words[-1].rpartition("-")[0] != service.value or words[0] == "WRONG":
--- a/src/papayagw/_internal/settings/node.py
+++ b/src/papayagw/_internal/settings/node.py
@@ -1,4 +1,8 @@
-"""Settings files of balancers, agents and connect processes."""
+"""Settings files of balancers, agents and connect processes.
+
+A connect process is run by ``papayagw connect`` and carries TCP connections of callers
+as flows.
+"""
 
 from dataclasses import fields
 from pathlib import Path
@@ -61,6 +65,7 @@
 
 
 def _extract_node(values: dict[str, Any], location: Location) -> dict[str, Any]:
+    """Return `values` with the settings shared by all nodes combined into `node`."""
     role_values = {
         name: value for name, value in values.items() if name not in _NODE_ATTRIBUTES
     }
@@ -107,6 +112,7 @@
 
 
 def _check_configuration_source(node: NodeSettings, location: Location) -> None:
+    """Report missing or conflicting platform, site, keys, base and overlay."""
     if bool(node.platform) == (node.base is not None):
         location.child("platform").report(
             "platform and base" if node.platform else "neither platform nor base",
@@ -176,7 +182,7 @@
 
 
 def load_connect(path: Path) -> Result[ConnectSettings, Problems]:
-    """Return the settings of a connect process, or every problem in its file."""
+    """Return the settings of ``papayagw connect``, or every problem in its file."""
     return _load(path, ObjectOf(CONNECT_KEYS, _build_connect))
 
 
--- a/src/papayagw/_internal/settings/overlay.py
+++ b/src/papayagw/_internal/settings/overlay.py
@@ -20,7 +20,7 @@
     ----------
     base, overlay : dict
         Parsed base file and overlay.
-    place : Place
+    location : Location
         Root location of the merged document.
     """
     _report_unknown_services(base, overlay, location.child(_SERVICES_KEY))
--- a/src/papayagw/_internal/settings/site.py
+++ b/src/papayagw/_internal/settings/site.py
@@ -152,6 +152,7 @@
 
 
 def _has_path(document: object, path: KeyPath) -> bool:
+    """Return whether a document sets the value at `path`, or a list around it."""
     for key in path:
         if isinstance(document, list):
             return key.isdigit()
--- a/src/papayagw/_internal/standins/backend.py
+++ b/src/papayagw/_internal/standins/backend.py
@@ -177,6 +177,11 @@
                 await connection.write(f"ERROR {parsed.failure()} {self._plan.name}")
 
     async def _serve_request(self, connection: Connection, request: Request) -> None:
+        """Handle a request, or reject it with WRONG or SHED.
+
+        WRONG means that it is for another service, SHED that the server is draining
+        or told to reject new requests.
+        """
         name = self._plan.name
         if request.verb not in CALLER_VERBS:
             await self._handlers[request.verb](connection, request)
@@ -195,6 +200,7 @@
             self._in_progress -= 1
 
     async def _wait_service_time(self, request: Request) -> None:
+        """Wait for a free slot, record the execution and wait the service time."""
         async with self._slots:
             self._journal.record(request)
             wait = self._plan.scaled_service_ms + self._stall_ms
@@ -237,9 +243,11 @@
             )
 
     async def _serve_runs(self, connection: Connection, request: Request) -> None:
+        """Send the journal of executed requests."""
         await connection.write(self._journal.format_lines().rstrip("\n"))
 
     async def _serve_health(self, connection: Connection, request: Request) -> None:
+        """Send the state and the load in percent of the slots."""
         state = "draining" if self._is_draining else "ready"
         load = self._reported_load
         if load is None:
@@ -251,13 +259,16 @@
         await connection.write(f"OK {self._plan.name}")
 
     async def _serve_stall(self, connection: Connection, request: Request) -> None:
+        """Set the delay added to each service time and feed interval."""
         self._stall_ms = Millis(request.numbers[0])
         await connection.write(f"OK {self._plan.name}")
 
     async def _serve_shed(self, connection: Connection, request: Request) -> None:
+        """Start or stop rejecting new requests with SHED."""
         self._is_shedding = bool(request.numbers[0])
         await connection.write(f"OK {self._plan.name}")
 
     async def _serve_lie(self, connection: Connection, request: Request) -> None:
+        """Set the load that HEALTH reports instead of the measured load."""
         self._reported_load = request.numbers[0]
         await connection.write(f"OK {self._plan.name}")
--- a/src/papayagw/_internal/standins/fabric.py
+++ b/src/papayagw/_internal/standins/fabric.py
@@ -215,6 +215,7 @@
             caller.socket.close()
 
     def _read_entry(self, now: Millis) -> None:
+        """Forward a batch of callers' packets to balancers."""
         receive, callers = self._socket.recvfrom, self._callers
         for _ in range(MAX_BATCH_DATAGRAMS):
             try:
@@ -230,6 +231,7 @@
             self._spray(caller, data, now)
 
     def _spray(self, caller: _Caller, data: bytes, now: Millis) -> None:
+        """Send a caller's packet to the balancers chosen at random for it."""
         targets = self._sprayer.pick(now)
         if not targets:
             self._lost += 1
@@ -243,6 +245,7 @@
                 self._read_error_queue(caller, now)
 
     def _open_caller(self, client: ClientAddress, now: Millis) -> _Caller | None:
+        """Open the socket of a new caller, or return None at the file limit."""
         if not self._fabric.can_open_socket:
             return None
         caller_socket = make_udp_socket(CALLER_BUFFER_BYTES)
@@ -254,6 +257,7 @@
         return caller
 
     def _read_caller(self, caller: _Caller, now: Millis) -> None:
+        """Forward a batch of balancers' packets to a caller."""
         receive, send = caller.socket.recv, self._socket.sendto
         caller.last_used_at = now
         for _ in range(MAX_BATCH_DATAGRAMS):
@@ -271,6 +275,7 @@
                 self._lost += 1
 
     def _read_error_queue(self, caller: _Caller, now: Millis) -> None:
+        """Exclude the balancers named by ICMP errors if health is watched."""
         if not self._watch_health:
             return
         for _ in range(MAX_BATCH_DATAGRAMS):
@@ -290,7 +295,7 @@
 
 
 def make_udp_socket(buffer_bytes: int) -> socket.socket:
-    """Return a non-blocking UDP socket with buffers of `buffer_bytes`."""
+    """Return a non-blocking UDP socket that requests buffers of `buffer_bytes`."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
--- a/src/papayagw/_internal/standins/faults.py
+++ b/src/papayagw/_internal/standins/faults.py
@@ -20,7 +20,8 @@
     answer_delay_ms : Millis
         Delay of the response after the call took effect, in milliseconds.
     lost_answers : int
-        Number of subsequent writes that take effect but whose responses are lost.
+        Number of subsequent transactions that take effect but whose responses are
+        lost.
     """
 
     outage: bool = False
--- a/src/papayagw/_internal/standins/journal_client.py
+++ b/src/papayagw/_internal/standins/journal_client.py
@@ -9,7 +9,7 @@
 
 
 async def fetch_runs(server: Endpoint) -> dict[str, int]:
-    """Return the number of executions by request id, as a backend server reports."""
+    """Return the journal of a backend server: number of executions by request id."""
     runs: dict[str, int] = {}
     async with await anyio.connect_tcp(*server.sockaddr) as stream:
         reader = BufferedByteReceiveStream(stream)
--- a/src/papayagw/_internal/standins/key_values.py
+++ b/src/papayagw/_internal/standins/key_values.py
@@ -48,9 +48,9 @@
     lease_id : int
         Id of the lease.
     duration_s : int
-        Duration without renewal, in seconds.
-    expires : Millis
-        Time at which it expires, in milliseconds.
+        Time from the grant or a renewal to the expiry, in seconds.
+    expires_at : Millis
+        Time at which it expires unless renewed, in milliseconds.
     """
 
     lease_id: int
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreSnapshot:
-    """Snapshot of the content of the store, which can be restored."""
+    """Restorable snapshot of revision, entries and past changes, without leases."""
 
     revision: int
     values: dict[bytes, KeyValue]
@@ -142,7 +142,9 @@
         return True
 
     def swap(self, key: bytes, value: bytes, expected: int) -> bool:
-        """Write a key if its last write was at revision `expected`, 0 if it is new.
+        """Write a key if its last write was at revision `expected`.
+
+        An `expected` of 0 means that the key doesn't exist.
 
         Returns whether the key was written.
         """
@@ -153,7 +155,7 @@
         return True
 
     def find_events(self, key: bytes, start: int) -> tuple[Event, ...]:
-        """Return the changes of a key from revision `start` on."""
+        """Return the kept changes of a key from revision `start` on, oldest first."""
         self.expire_leases()
         return tuple(
             event
--- a/src/papayagw/_internal/standins/memory_store.py
+++ b/src/papayagw/_internal/standins/memory_store.py
@@ -53,7 +53,7 @@
         self._values.notify_listeners()
 
     def lose_responses(self, count: int) -> None:
-        """Let the next `count` writes take effect and then fail."""
+        """Let the next `count` calls of `swap` fail after they took effect."""
         self._responses_to_lose = count
 
     async def get(
@@ -69,7 +69,7 @@
     async def swap(
         self, key: str, value: bytes, expected: int, timeout_ms: Millis
     ) -> Result[SwapResult, PlatformError]:
-        """Write `value` if the revision of `key` is `expected`."""
+        """Write `value` if `key` is at revision `expected`, else return a conflict."""
         self._counts.add("swap")
         await anyio.lowlevel.checkpoint()
         if self._is_down:
@@ -89,8 +89,9 @@
         on_entry: Callable[[Entry], None],
         timeout_ms: Millis,
     ) -> Result[int, PlatformError]:
-        """Call `on_entry` for each write of `key` after revision `after`.
+        """Call `on_entry` for each change of `key` after revision `after`.
 
+        A deletion, also one by an expired lease, is reported with an empty value.
         Returns the revision of the store after `timeout_ms`, or earlier if a restored
         snapshot has lowered the revision; fails as soon as an outage starts.
         """
--- a/src/papayagw/_internal/standins/platform.py
+++ b/src/papayagw/_internal/standins/platform.py
@@ -85,6 +85,7 @@
     def _make_endpoint(
         self, path: str, call: Callable[[Message], Message]
     ) -> Callable[[Request], Awaitable[Response]]:
+        """Return a handler that counts `call` and applies the injected faults to it."""
         kind = path.removeprefix("/v3/").replace("/", "_")
 
         async def endpoint(request: Request) -> Response:
@@ -125,6 +126,7 @@
         return {"header": self._header(), "deleted": str(int(deleted))}
 
     def _txn(self, message: Message) -> Message:
+        """Run the operations of the branch that the comparisons select."""
         is_met = all(self._compare(one) for one in message.get("compare", []))
         operations = message.get("success" if is_met else "failure", [])
         responses = [self._run_operation(one) for one in operations]
--- a/src/papayagw/_internal/standins/workload.py
+++ b/src/papayagw/_internal/standins/workload.py
@@ -18,11 +18,18 @@
 
 DEFAULT_SERVICE_MS = Millis(2)
 DEFAULT_MAX_CONNECTIONS = 2_000
+"""Default limit of open connections to one backend server."""
+
 MAX_UPLOAD_BYTES = 1 << 30
 
 
 class Verb(Enum):
-    """Verb, the first word of a request line."""
+    """Verb, the first word of a request line.
+
+    RUNS returns the journal and HEALTH the state and load. DRAIN rejects new requests,
+    SHED starts or stops doing so, STALL adds a delay to requests, and LIE sets the
+    load that HEALTH reports.
+    """
 
     ORDER = "ORDER"
     CHECK = "CHECK"
