--- a/src/papayagw/_internal/cli/commands/config_diff.py
+++ b/src/papayagw/_internal/cli/commands/config_diff.py
@@ -29,10 +29,10 @@
     against_base: str | None = None,
     against_overlay: str | None = None,
 ) -> int:
-    """Compare a site's files with the configuration in force or with other files.
+    """Print how a site's files differ from the configuration in force or other files.
 
     Exit codes: 0 no difference, 1 there are differences, 2 a file or the command
-    line is invalid, 4 the platform doesn't respond or has no version.
+    line is invalid, 4 the platform doesn't respond or has no configuration.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/cli/commands/config_status.py
+++ b/src/papayagw/_internal/cli/commands/config_status.py
@@ -47,7 +47,7 @@
     """Show the configuration version in force at the platform and at each node.
 
     Exit codes: 0 all versions are the same, 1 a node has another version or doesn't
-    respond, 4 the platform doesn't respond or has no version.
+    respond, 4 the platform doesn't respond or has no configuration.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/cli/commands/status.py
+++ b/src/papayagw/_internal/cli/commands/status.py
@@ -55,8 +55,8 @@
     json : bool
         Print JSON instead of tables: one object per round, with all details.
     every : float
-        Interval between rounds in seconds; repeat until ctrl-C or SIGTERM. The exit
-        code is that of the last round.
+        Query all nodes in rounds at this interval in seconds, until ctrl-C or SIGTERM.
+        The exit code is that of the last round.
     rounds : int
         Stop after this number of rounds.
     record : str
--- a/src/papayagw/_internal/cli/registry.py
+++ b/src/papayagw/_internal/cli/registry.py
@@ -47,7 +47,9 @@
         "Show the differences between configurations.",
     ),
     CommandInfo(
-        ("config", "submit"), "config_submit", "Submit files as the next version."
+        ("config", "submit"),
+        "config_submit",
+        "Submit files as the next configuration version.",
     ),
     CommandInfo(
         ("config", "status"), "config_status", "Show the configuration in force."
--- a/src/papayagw/_internal/load/profiles.py
+++ b/src/papayagw/_internal/load/profiles.py
@@ -26,7 +26,7 @@
     verb : Verb
         Requested operation.
     numbers : tuple of int
-        Integers that follow the request id.
+        Integers that follow the request id, such as a number of lines or bytes.
     pause : Millis
         Time between two lines of an echo, in milliseconds.
     """
--- a/src/papayagw/_internal/load/run.py
+++ b/src/papayagw/_internal/load/run.py
@@ -105,6 +105,7 @@
     async def _start_requests(
         self, tasks: TaskGroup, advance: Callable[[], object]
     ) -> None:
+        """Start each request at its due time, unless too many requests are open."""
         plan = self._plan
         for arrival in plan_arrivals(
             plan.workload, plan.rate, plan.duration, plan.seed
@@ -120,6 +121,7 @@
             tasks.start_soon(self._run_arrival, arrival)
 
     async def _run_arrival(self, arrival: Arrival[RequestKind]) -> None:
+        """Send a request and record its latency and outcome."""
         kind = arrival.kind
         target = self._plan.targets[kind.service]
 
--- a/src/papayagw/_internal/settings/development_keys.py
+++ b/src/papayagw/_internal/settings/development_keys.py
@@ -84,6 +84,7 @@
 
 
 def _write_private(path: Path, content: bytes) -> None:
+    """Write a file; if it is new, only its owner can read or write it."""
     path.touch(mode=_PRIVATE_MODE)
     path.write_bytes(content)
 
--- a/src/papayagw/_internal/settings/structure.py
+++ b/src/papayagw/_internal/settings/structure.py
@@ -119,6 +119,7 @@
         return not unknown
 
     def _suggest(self, name: str) -> str:
+        """Return a remedy for an unknown key: a similar key, or all known keys."""
         stem, _, unit = name.rpartition("_")
         for candidate in (f"{name}_ms", f"{stem}_ms" if unit in _UNITS else ""):
             if candidate in self._by_name:
--- a/src/papayagw/_internal/standins/backend.py
+++ b/src/papayagw/_internal/standins/backend.py
@@ -193,6 +193,7 @@
             await self._run_handler(connection, request)
 
     async def _run_handler(self, connection: Connection, request: Request) -> None:
+        """Handle a request and count it as in progress meanwhile."""
         self._in_progress += 1
         try:
             await self._handlers[request.verb](connection, request)
--- a/src/papayagw/_internal/standins/fabric.py
+++ b/src/papayagw/_internal/standins/fabric.py
@@ -26,6 +26,8 @@
 """Time without packets after which the socket of a caller is closed."""
 
 SWEEP_INTERVAL_MS = Millis(5_000)
+"""Interval between checks for idle callers."""
+
 RESERVED_FILES = 64
 """File descriptors reserved for the entry sockets and the event loop."""
 
--- a/src/papayagw/_internal/standins/key_values.py
+++ b/src/papayagw/_internal/standins/key_values.py
@@ -142,11 +142,9 @@
         return True
 
     def swap(self, key: bytes, value: bytes, expected: int) -> bool:
-        """Write a key if its last write was at revision `expected`.
+        """Write a key if it is at revision `expected`; return whether it was written.
 
-        An `expected` of 0 means that the key doesn't exist.
-
-        Returns whether the key was written.
+        The revision of a key is that of its last write, 0 if it doesn't exist.
         """
         found = self.find(key)
         if (found[0].modified if found else 0) != expected:
--- a/src/papayagw/_internal/standins/platform.py
+++ b/src/papayagw/_internal/standins/platform.py
@@ -32,6 +32,7 @@
 _GATEWAY_TIMEOUT = 504
 _BAD_REQUEST = 400
 _WATCH_POLL_S = 1.0
+"""Interval at which a watch checks for expired leases while nothing else changes."""
 
 
 class PlatformStandin:
@@ -180,7 +181,7 @@
         return StreamingResponse(self._stream_events(key, start))
 
     async def _stream_events(self, key: bytes, start: int) -> AsyncIterator[str]:
-        """Yield the messages of a watch until an outage or a restore ends it."""
+        """Yield a watch's messages until an outage or a restore of an old snapshot."""
         changed = anyio.Event()
 
         def on_change() -> None:
--- a/src/papayagw/_internal/standins/workload.py
+++ b/src/papayagw/_internal/standins/workload.py
@@ -17,6 +17,8 @@
 from papayagw._internal.models.clock import Millis
 
 DEFAULT_SERVICE_MS = Millis(2)
+"""Default service time of one request at speed 1."""
+
 DEFAULT_MAX_CONNECTIONS = 2_000
 """Default limit of open connections to one backend server."""
 
