--- a/src/papayagw/_internal/load/client.py
+++ b/src/papayagw/_internal/load/client.py
@@ -21,7 +21,7 @@
 
 MAX_LINE_BYTES = 1_024
 ECHO_PADDING = "x" * 160
-_PATTERN = bytes(range(256))
+_UPLOAD_PATTERN = bytes(range(256))
 
 FirstLineCallback = Callable[[], None]
 
@@ -37,7 +37,7 @@
         Kind of the request.
     request : Request
         Request to send.
-    on_first : callable
+    on_first_line : callable
         Called when the first line of the response has been received.
     """
 
@@ -107,10 +107,10 @@
 
 
 def make_upload_body(request: Request) -> bytes:
-    """Return the body of an upload, which differs for each request id."""
+    """Return the upload body; it starts with the request id, so that bodies differ."""
     size = request.numbers[0]
     name = request.request_id.encode()
-    body = _PATTERN * (size // len(_PATTERN) + 1)
+    body = _UPLOAD_PATTERN * (size // len(_UPLOAD_PATTERN) + 1)
     return (name + body)[:size]
 
 
@@ -123,7 +123,9 @@
 ) -> Outcome:
     """Connect, exchange one request and return its outcome.
 
-    `timeout` counts from the time at which the last line of the response is due.
+    The time limit is `timeout` plus the scheduled duration of the request. Reaching
+    it gives UNKNOWN, a failed connection attempt REFUSED, and a connection that
+    ends early or an overlong line BROKEN.
     """
     limit_s = to_seconds(Millis(timeout + kind.duration))
     try:
--- a/src/papayagw/_internal/standins/platform.py
+++ b/src/papayagw/_internal/standins/platform.py
@@ -32,6 +32,7 @@
 _GATEWAY_TIMEOUT = 504
 _BAD_REQUEST = 400
 _WATCH_POLL_S = 1.0
+"""Interval at which a watch checks for expired leases while nothing else changes."""
 
 
 class PlatformStandin:
@@ -85,6 +86,7 @@
     def _make_endpoint(
         self, path: str, call: Callable[[Message], Message]
     ) -> Callable[[Request], Awaitable[Response]]:
+        """Return a handler that counts `call` and applies the injected faults to it."""
         kind = path.removeprefix("/v3/").replace("/", "_")
 
         async def endpoint(request: Request) -> Response:
@@ -125,6 +127,7 @@
         return {"header": self._header(), "deleted": str(int(deleted))}
 
     def _txn(self, message: Message) -> Message:
+        """Run the operations of the branch that the comparisons select."""
         is_met = all(self._compare(one) for one in message.get("compare", []))
         operations = message.get("success" if is_met else "failure", [])
         responses = [self._run_operation(one) for one in operations]
@@ -178,7 +181,7 @@
         return StreamingResponse(self._stream_events(key, start))
 
     async def _stream_events(self, key: bytes, start: int) -> AsyncIterator[str]:
-        """Yield the messages of a watch until an outage or a restore ends it."""
+        """Yield a watch's messages until an outage or a restore of an old snapshot."""
         changed = anyio.Event()
 
         def on_change() -> None:
