--- a/src/papayagw/_internal/net/admission_gate.py
+++ b/src/papayagw/_internal/net/admission_gate.py
@@ -74,9 +74,9 @@
         """Admit or refuse queued flows as they become due, until cancelled."""
         while True:
             await self._wait()
-            self._poll()
+            self._apply_due_decisions()
 
-    def _poll(self) -> None:
+    def _apply_due_decisions(self) -> None:
         results = self._admission.poll(self._clock.now())
         for number in results.admitted:
             self._flows_by_number[number].admit()
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -268,7 +268,7 @@
         match action:
             case ConnectBackend(attempt):
                 self._attempt = attempt
-                self._owner.spawn(self._run_backend)
+                self._owner.spawn(self._connect_and_relay)
             case DeliverToBackend():
                 self._start_request()
             case FinishAnswer():
@@ -310,7 +310,7 @@
         self._meter.record_ended(outcome, self._clock.now())
         self._owner.on_outcome(self, outcome, reason)
 
-    async def _run_backend(self) -> None:
+    async def _connect_and_relay(self) -> None:
         if self._lifecycle.outcome is not None:
             return
         attempt = self._attempt
