Net and plain front end: explain sibling, tag, token, inner socket and more

Docstrings name PlainAgent and PlainBalancer instead of "the core", tell missing from gone agents, and correct the token, the request start and the announcer's receivers.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -230,7 +230,7 @@
         return [SendFrame(source, OwnerReplyFrame(replies, self.current_load(now)))]
 
     def _on_scope(self, frame: ScopeFrame, source: Endpoint) -> list[Action]:
-        """Record the entries routed to the service, unless a newer list is known."""
+        """Record the entries routed to the service if their version is newer."""
         if self._scope is not None and frame.site_version <= self._scope.site_version:
             return []
         self._scope = frame
@@ -293,7 +293,7 @@
         ]
 
     def _handle_backend_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
-        """Handle a packet from the backend server according to its kind."""
+        """Handle a rejection, an acceptance or another packet of the backend server."""
         if packet.rejected_by_backend:
             return self._on_backend_rejection(packet, now)
         owned = self._flows.find(packet.flow)
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -65,8 +65,8 @@
         Called when an agent reports a newer configuration version than the one in
         force here.
     on_owner_not_found : callable
-        Called when all known agents have replied that they don't own a flow. The
-        caller then reads the list of agents again.
+        Called when all known agents have replied that they don't own a flow. It
+        causes the list of agents to be read again.
     """
 
     _lookup_type = OwnerLookup
@@ -379,7 +379,13 @@
     def _on_returned_opening(
         self, frame: ReturnFrame, view: AgentView, route: Route, now: Millis
     ) -> list[Action]:
-        """Offer a returned opening to another agent, unless it is outdated."""
+        """Offer a returned opening to another agent.
+
+        It isn't offered if it has ended, waits for a retry or has been offered to
+        another agent since. With the reason `OLD_VERSION` the opening is dropped: the
+        agent knows a newer configuration, which doesn't route the opening's entry to
+        the agent's service.
+        """
         packet = frame.packet
         fields = {
             "flow": format_flow(packet.flow),
@@ -391,7 +397,8 @@
             view.start_backoff(now)
         opening = self._openings.find(packet.flow)
         if opening is None or opening.agent is not view:
-            # The opening has been offered to another agent since, or is finished.
+            # The opening has been offered to another agent since, waits for a retry or
+            # has ended.
             return [log_event]
         if frame.reason is ReturnReason.OLD_VERSION:
             self._openings.end(packet.flow)
@@ -417,7 +424,9 @@
         """Bring the side with the older configuration version up to date.
 
         Calls `on_newer_version` if the agent's version is newer. Yields a scope frame
-        for the agent if its version is older, at most every `SCOPE_INTERVAL_MS`.
+        for the agent if its version is older, at most every `SCOPE_INTERVAL_MS`. A
+        scope frame lists the entries (addresses and ports that clients send to) that
+        one configuration version routes to one service.
         """
         if self._site is None or load.site_version == self._site.version:
             return
--- a/src/papayagw/_internal/core/plain/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -44,8 +44,8 @@
     flows : FlowCache
         Cache of the owners that were found.
     on_owner_not_found : callable
-        Called when all known agents have replied that they don't own a flow. The
-        caller then reads the list of agents again.
+        Called when all known agents have replied that they don't own a flow. It
+        causes the list of agents to be read again.
     knows_all_agents : callable
         Returns whether the given agents are all agents that may own a flow.
     """
@@ -187,7 +187,7 @@
         ]
 
     def _confirm_no_owner(self, lookup: PendingLookup, now: Millis) -> list[Action]:
-        """Request a new list of agents if every queried agent denies the flow."""
+        """Request a new list of agents if no queried agent may own the flow."""
         if not lookup.is_denied or lookup.last_packet.kind.is_closing:
             return []
         if lookup.stage is not Stage.CONFIRMING:
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -24,7 +24,7 @@
     backend : BackendState
         Reported state of the backend server.
     flow_limit_ms : Millis
-        Idle time after which a flow may be removed. An agent that has run for so
+        Idle time after which a flow may be removed. An agent that has run for that
         long has seen all live flows.
     now : Millis
         Time at which the agent started.
--- a/src/papayagw/_internal/core/plain/pending_lookups.py
+++ b/src/papayagw/_internal/core/plain/pending_lookups.py
@@ -53,7 +53,7 @@
     TRYING = "trying"
     """Forwarding packets to possible owners until one confirms ownership."""
     CONFIRMING = "confirming"
-    """All known agents deny the flow; the list of agents is being read again."""
+    """All known agents deny owning the flow; the list of agents is being read again."""
     FAILED = "failed"
     """No possible owner was found before the timeout."""
 
--- a/src/papayagw/_internal/models/plain/action.py
+++ b/src/papayagw/_internal/models/plain/action.py
@@ -1,4 +1,4 @@
-"""Actions that the core returns and the process around it performs."""
+"""Actions that `PlainBalancer` and `PlainAgent` return for a process to perform."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -32,7 +32,8 @@
     packet : FlowPacket
         The packet.
     token : int
-        Number that the backend server sends back with the packet if it rejects it.
+        Number that identifies the balancer that forwarded the packet. If the backend
+        server rejects the packet, it sends the number back with it.
     """
 
     packet: FlowPacket
@@ -79,4 +80,4 @@
 Action = (
     SendFrame | SendToClient | SendToBackend | ResetClient | RestoreEntry | LogEvent
 )
-"""An action that the process performs for the core."""
+"""An action that a process performs for its `PlainBalancer` or `PlainAgent`."""
--- a/src/papayagw/_internal/models/plain/entry_store.py
+++ b/src/papayagw/_internal/models/plain/entry_store.py
@@ -146,7 +146,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFailed:
-    """Failed call; a write may or may not have taken effect.
+    """Failed call; unless `refused`, a write may or may not have taken effect.
 
     Attributes
     ----------
--- a/src/papayagw/_internal/models/plain/packet.py
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -61,8 +61,9 @@
         Whether a backend server has sent the client's packet back, because it refuses
         the opening or doesn't hold the flow.
     token : int
-        Number that an agent set when it passed the packet to its backend server, or
-        0 if none did.
+        Number that identifies the balancer that forwarded the packet; 0 if none. The
+        agent sets it, so that a packet that the backend server sends back can be
+        returned to that balancer.
     raw : bytes
         The datagram.
     """
--- a/src/papayagw/_internal/net/__init__.py
+++ b/src/papayagw/_internal/net/__init__.py
@@ -1,1 +1,1 @@
-"""Sockets and timers round the core."""
+"""Sockets and timers around `papayagw._internal.core`, which does no I/O."""
--- a/src/papayagw/_internal/net/account.py
+++ b/src/papayagw/_internal/net/account.py
@@ -22,9 +22,9 @@
     zone : str
         Availability zone; empty if there is none.
     run : int
-        Start of the process, in ms since 1970.
+        Start time of the process, in ms since 1970.
     started_at : Millis
-        Start of the process by the monotonic clock, in ms.
+        Start time of the process by the monotonic clock, in ms.
     """
 
     name: str
@@ -39,7 +39,7 @@
 
     @property
     def identity(self) -> NodeIdentity:
-        """Name, role and start of the process."""
+        """Name, role, zone and start time of the process."""
 
     @property
     def configuration_version(self) -> int:
@@ -52,7 +52,7 @@
         """Return the current gauges, by metric name."""
 
     def pop_timings(self) -> Mapping[str, Sequence[float]]:
-        """Return the durations in ms since the last call, by metric name."""
+        """Return the durations in ms recorded since the last call, by metric name."""
 
     def report(self, state: NodeState) -> StatusReport:
         """Return the complete status report."""
--- a/src/papayagw/_internal/net/admission_gate.py
+++ b/src/papayagw/_internal/net/admission_gate.py
@@ -50,7 +50,7 @@
                 self._wake.set()
 
     def start_work(self, flow: AgentFlow) -> None:
-        """Record that a flow sends a request."""
+        """Record that a flow begins to send a request."""
         number = self._numbers_by_flow.get(flow)
         if number is not None:
             self._admission.start_work(number, self._clock.now())
@@ -77,6 +77,7 @@
             self._apply_due_decisions()
 
     def _apply_due_decisions(self) -> None:
+        """Admit or refuse the queued flows whose decision is due."""
         results = self._admission.poll(self._clock.now())
         for number in results.admitted:
             self._flows_by_number[number].admit()
--- a/src/papayagw/_internal/net/agent.py
+++ b/src/papayagw/_internal/net/agent.py
@@ -42,7 +42,11 @@
 from papayagw._internal.wire.tag import TagCodec
 
 MAX_BACKEND_CONNECTS = 1
-"""Connection attempts per flow; an opening at a sibling is the better second try."""
+"""Maximum number of attempts per flow to connect to the backend server.
+
+After a failure the caller can open the flow again, most likely at another agent. That
+is better than a second attempt here.
+"""
 
 HANDSHAKE_TIMEOUT_MS = Millis(3_000)
 """Time limit of a handshake; a duplicated opening starts one that never completes."""
@@ -56,6 +60,10 @@
 class AgentPackets:
     """The agent's packet path: receives envelopes and sends answers to callers.
 
+    A sibling is another agent of the same service. A tag is the connection id that an
+    agent chooses for a flow that it accepts. It names the agent: it holds the agent's
+    service, endpoint and incarnation, encrypted with a fleet key.
+
     Parameters
     ----------
     settings : AgentSettings
@@ -162,7 +170,7 @@
             await self._table.run()
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
-        """Process a received envelope; the caller must call `flush` afterwards."""
+        """Process a received envelope; `flush` must be called afterwards."""
         envelope = self._envelope_codec.read(frame)
         if envelope is None or envelope.kind is not FrameKind.FORWARD:
             self._count_drop(DropReason.UNAUTHENTICATED, Endpoint(*source))
@@ -187,7 +195,7 @@
         self._return_path.remove_unreachable(peer)
 
     def flush(self) -> None:
-        """Send the datagrams that the last envelopes caused."""
+        """Process the events of the pending flows and send their datagrams."""
         self._table.flush()
 
     def drain(self) -> None:
@@ -239,7 +247,7 @@
         self._backend_health.record_connect(succeeded, self._clock.now())
 
     def on_request_started(self, flow: AgentFlow) -> None:
-        """Record that the first bytes are delivered to the backend server."""
+        """Record that the flow begins to send a request to the backend server."""
         self._gate.start_work(flow)
 
     def on_answer_started(self, flow: AgentFlow) -> None:
@@ -349,6 +357,7 @@
             self._table.flush()
 
     def _make_tag(self) -> bytes:
+        """Return an unused tag: a connection id that holds this agent's route."""
         while True:
             tag = self._tag_codec.seal(self._tag_codec.make(self._core.route))
             if self._table.find(tag) is None:
@@ -357,6 +366,11 @@
     def _forward_to_sibling(
         self, envelope: Envelope, balancer: Endpoint, datagram: bytes, sibling: Endpoint
     ) -> None:
+        """Forward an opening to a sibling, which is another agent of the same service.
+
+        The envelope names the balancer that the opening came from, as the sibling may
+        send its answers through that balancer.
+        """
         forwarded = Envelope(
             FrameKind.FORWARD,
             envelope.service_id,
--- a/src/papayagw/_internal/net/agent_account.py
+++ b/src/papayagw/_internal/net/agent_account.py
@@ -23,7 +23,7 @@
     Parameters
     ----------
     identity : NodeIdentity
-        Name, role and start of the process.
+        Name, role, zone and start time of the process.
     settings : AgentSettings
         Settings of the agent.
     process : AgentProcess
@@ -51,7 +51,7 @@
 
     @property
     def identity(self) -> NodeIdentity:
-        """Name, role and start of the process."""
+        """Name, role, zone and start time of the process."""
         return self._identity
 
     @property
@@ -76,7 +76,7 @@
         }
 
     def pop_timings(self) -> Mapping[str, Sequence[float]]:
-        """Return the durations in ms since the last call, by metric name."""
+        """Return the durations in ms recorded since the last call, by metric name."""
         return {"agent.opening": self._process.packets.meter.pop_latencies()}
 
     def report(self, state: NodeState) -> StatusReport:
--- a/src/papayagw/_internal/net/agent_flow.py
+++ b/src/papayagw/_internal/net/agent_flow.py
@@ -77,7 +77,7 @@
         """Record whether a connection attempt to the backend server succeeded."""
 
     def on_request_started(self, flow: "AgentFlow") -> None:
-        """Record that the first bytes are delivered to the backend server."""
+        """Record that the flow begins to send a request to the backend server."""
 
     def on_answer_started(self, flow: "AgentFlow") -> None:
         """Record that the first bytes came from the backend server."""
@@ -208,7 +208,7 @@
             self._owner.mark_pending(self)
 
     def finish(self) -> None:
-        """Process the end of the backend server's bytes."""
+        """Handle the end of the bytes from the backend server."""
         self._apply(BackendClosed(self._attempt), "the backend server closed")
 
     def consume(self, count: int) -> None:
@@ -311,6 +311,7 @@
         self._owner.on_outcome(self, outcome, reason)
 
     async def _connect_and_relay(self) -> None:
+        """Connect to the backend server and relay bytes until the flow ends."""
         if self._lifecycle.outcome is not None:
             return
         attempt = self._attempt
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -36,7 +36,8 @@
     admission : Admission
         Decides when accepted flows may use the backend server.
     announcer : AgentAnnouncer
-        Announces the agent to balancers and siblings.
+        Announces the agent to balancers, which inform it of its siblings: the other
+        agents of the same service.
     clock : Clock
         Source of the current time.
     source : ConfigurationSource
@@ -80,7 +81,7 @@
 
     @property
     def announcer(self) -> AgentAnnouncer:
-        """Announcer of the agent to balancers and siblings."""
+        """Announcer of the agent to balancers."""
         return self._announcer
 
     @property
--- a/src/papayagw/_internal/net/balancer.py
+++ b/src/papayagw/_internal/net/balancer.py
@@ -27,6 +27,9 @@
 class BalancerPackets:
     """Packet path of a balancer, in both directions.
 
+    The packets of an established flow carry a tag, which names the flow's agent: the
+    connection id that the agent chose when it accepted the flow.
+
     Parameters
     ----------
     core : BalancerCore
@@ -115,7 +118,10 @@
         self._inner.send_all(frames)
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
-        """Queue an agent's packet for its caller, or forward a peer's opening."""
+        """Queue an agent's packet for its caller, or forward a peer's opening.
+
+        A peer is another balancer.
+        """
         if frame[:1] == _FORWARD_BYTE:
             self._on_peer_opening(frame, source)
             return
--- a/src/papayagw/_internal/net/connect_account.py
+++ b/src/papayagw/_internal/net/connect_account.py
@@ -17,7 +17,7 @@
     Parameters
     ----------
     identity : NodeIdentity
-        Name, role and start of the process.
+        Name, role, zone and start time of the process.
     settings : ConnectSettings
         Settings of the connect process.
     process : ConnectProcess
@@ -40,7 +40,7 @@
 
     @property
     def identity(self) -> NodeIdentity:
-        """Name, role and start of the process."""
+        """Name, role, zone and start time of the process."""
         return self._identity
 
     @property
@@ -69,7 +69,7 @@
         }
 
     def pop_timings(self) -> Mapping[str, Sequence[float]]:
-        """Return the durations in ms since the last call, by metric name."""
+        """Return the durations in ms recorded since the last call, by metric name."""
         return {
             f"connect.{listener.service}.opening": connector.meter.pop_latencies()
             for listener, connector in self._listener_connectors
--- a/src/papayagw/_internal/net/control.py
+++ b/src/papayagw/_internal/net/control.py
@@ -1,4 +1,4 @@
-"""Exchange of control messages: datagrams and timer ticks around a core."""
+"""Exchange of control messages: datagrams and timer ticks around a `ControlNode`."""
 
 from collections.abc import Callable, Sequence
 from typing import Protocol
--- a/src/papayagw/_internal/net/entries.py
+++ b/src/papayagw/_internal/net/entries.py
@@ -16,7 +16,7 @@
 
 
 class EntrySockets:
-    """Set of UDP sockets, one for each service.
+    """UDP sockets that receive callers' packets, one for each service.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -83,7 +83,7 @@
     def receive(
         self, handler: FlowHandler, datagram: bytes, peer: tuple[str, int]
     ) -> None:
-        """Pass a datagram to its flow; the caller must call `flush` afterwards."""
+        """Pass a datagram to its flow; `flush` must be called afterwards."""
         with self._isolated(handler):
             handler.connection.receive(datagram, peer, self._clock.now())
             self._pending[handler] = None
--- a/src/papayagw/_internal/net/inner_loop.py
+++ b/src/papayagw/_internal/net/inner_loop.py
@@ -15,13 +15,13 @@
     """Handler of the envelopes that arrive at the inner socket of a process."""
 
     def on_frame(self, frame: bytes, source: tuple[str, int]) -> None:
-        """Process a received envelope; `flush` follows."""
+        """Process a received envelope; `flush` is called after each batch."""
 
     def on_refused(self, frame: bytes, peer: Endpoint, now: Millis) -> None:
         """Process an envelope that this process sent to a closed port of `peer`."""
 
     def flush(self) -> None:
-        """Send the datagrams that the last envelopes caused."""
+        """Send the datagrams that result from the envelopes since the last call."""
 
 
 async def serve_inner(
--- a/src/papayagw/_internal/net/plain/adapter.py
+++ b/src/papayagw/_internal/net/plain/adapter.py
@@ -19,10 +19,14 @@
         """Decode a backend server's packet; return None if `raw` is malformed."""
 
     def encode_for_backend(self, packet: FlowPacket, token: int) -> bytes:
-        """Encode a client's packet for the backend server, with the agent's token."""
+        """Encode a client's packet for the backend server, with a balancer's token.
+
+        The token identifies the balancer that forwarded the packet. The backend server
+        sends it back with a packet that it rejects.
+        """
 
     def encode_client_packet(self, packet: FlowPacket) -> bytes:
-        """Encode a packet as its client sent it, without the agent's token."""
+        """Encode a packet as its client sent it, without the balancer's token."""
 
     def encode_reset(self, flow: FlowKey, sequence: int) -> bytes:
         """Encode a reset from the flow's entry to its client, at `sequence`."""
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -36,7 +36,10 @@
 
 
 class PlainAgentProcess:
-    """Process of one agent: the core with its sockets, HTTP servers and store client.
+    """Process of one agent: `PlainAgent` with sockets, HTTP servers and store client.
+
+    `PlainAgent` does no I/O: it decides on each packet, frame, report and timer, and
+    returns the actions that this class performs.
 
     Parameters
     ----------
@@ -113,18 +116,18 @@
             self._perform(self._core.on_backend_packet(packet, now))
 
     def _on_frame(self, frame: Frame, source: Endpoint) -> None:
-        """Pass a balancer's frame to the core."""
+        """Let `PlainAgent` handle a balancer's frame; count and drop other frames."""
         if not isinstance(frame, ToAgent):
             self._runtime.metrics.count("frames of the wrong kind")
             return
         self._perform(self._core.on_frame(frame, source, self._runtime.loop.now()))
 
     def _on_timer(self) -> None:
-        """Run the core's expired timers."""
+        """Let `PlainAgent` handle its expired timers."""
         self._perform(self._core.on_timer(self._runtime.loop.now()))
 
     def _perform(self, actions: Sequence[Action]) -> None:
-        """Perform the core's actions and set the timer for its next deadline."""
+        """Perform actions of `PlainAgent` and set the timer to its next deadline."""
         for action in actions:
             match action:
                 case SendToBackend(packet, token):
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -72,7 +72,10 @@
 
 
 class PlainBalancerProcess:
-    """Process of one balancer: the core with its sockets, HTTP servers and watches.
+    """Process of one balancer: `PlainBalancer` with sockets, probes and store watches.
+
+    `PlainBalancer` does no I/O: it decides on each packet, frame and timer, and returns
+    the actions that this class performs.
 
     Parameters
     ----------
@@ -173,18 +176,18 @@
         self._perform(merge_owner_queries(actions))
 
     def _on_frame(self, frame: Frame, source: Endpoint) -> None:
-        """Pass an agent's frame to the core."""
+        """Let `PlainBalancer` handle an agent's frame; count and drop other frames."""
         if not isinstance(frame, ToBalancer):
             self._runtime.metrics.count("frames of the wrong kind")
             return
         self._perform(self._core.on_frame(frame, source, self._runtime.loop.now()))
 
     def _on_timer(self) -> None:
-        """Run the core's expired timers."""
+        """Let `PlainBalancer` handle its expired timers."""
         self._perform(self._core.on_timer(self._runtime.loop.now()))
 
     def _perform(self, actions: Sequence[Action]) -> None:
-        """Perform the core's actions and set the timer for its next deadline."""
+        """Perform actions of `PlainBalancer` and set the timer to its next deadline."""
         for action in actions:
             match action:
                 case SendFrame(peer, frame):
@@ -287,7 +290,12 @@
         self._runtime.record_event(LogEvent("agent missing", {"key": key}))
 
     def _process_missing_agents(self) -> None:
-        """Notify agents without a store entry, and remove those that are gone."""
+        """Notify the agents that are missing, and remove those that are gone.
+
+        An agent is missing while it has no store entry; it is asked to restore the
+        entry. It is gone once it has been missing for over
+        `roster.MISSING_GRACE_MS`.
+        """
         self._perform(self._core.notify_missing_agents())
         now = self._runtime.loop.now()
         for key in self._roster.remove_gone(now):
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -52,7 +52,10 @@
 
 
 class ProcessRuntime:
-    """Event loop, frame socket, HTTP servers, log and metrics of one process.
+    """Event loop, inner socket, HTTP servers, log and metrics of one process.
+
+    The inner socket is the UDP socket for frames between balancers and agents. Resets
+    to clients are sent from it too.
 
     Parameters
     ----------
@@ -92,7 +95,7 @@
         return self._settings
 
     def start(self) -> None:
-        """Install the signal handlers, bind the frame socket and serve metrics."""
+        """Install the signal handlers, bind the inner socket and serve metrics."""
         self.log.start()
         self.loop.start()
         self.loop.add_signal_handler(
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -1,4 +1,4 @@
-"""Driver that makes the core's store calls over HTTP."""
+"""Driver that makes the store calls of a `StoreClient` over HTTP."""
 
 from typing import Protocol
 
--- a/src/papayagw/platform/packet.py
+++ b/src/papayagw/platform/packet.py
@@ -26,7 +26,7 @@
 """seq, ack, echo, len, flags; the keyed checksum before flags is skipped."""
 
 _ECHO = struct.Struct(">I")
-"""The echo field, which carries an agent's token."""
+"""The echo field, which carries a balancer's token."""
 
 _ECHO_OFFSET = 8
 _FLAGS_OFFSET = 18
@@ -64,7 +64,7 @@
 
 
 def encode_for_backend(packet: FlowPacket, token: int) -> bytes:
-    """Return the client's datagram with `token` in the echo field.
+    """Return the client's datagram with a balancer's `token` in the echo field.
 
     The rejected flag is cleared. The backend server leaves the echo field unchanged.
     """
--- a/src/papayagw/platform/reports.py
+++ b/src/papayagw/platform/reports.py
@@ -64,7 +64,7 @@
     try:
         value = json.loads(body)
     except (ValueError, RecursionError):
-        # Invalid input from outside; the caller logs that the report is not used.
+        # Invalid input from outside; a report without fields is refused.
         return {}
     return value if isinstance(value, dict) else {}
 
