--- a/src/papayagw/_internal/net/agent_account.py
+++ b/src/papayagw/_internal/net/agent_account.py
@@ -76,7 +76,7 @@
         }
 
     def pop_timings(self) -> Mapping[str, Sequence[float]]:
-        """Return the durations in ms recorded since the last call, by metric name."""
+        """Return the opening latencies since the last call, in ms, by metric name."""
         return {"agent.opening": self._process.packets.meter.pop_latencies()}
 
     def report(self, state: NodeState) -> StatusReport:
--- a/src/papayagw/_internal/net/bridge.py
+++ b/src/papayagw/_internal/net/bridge.py
@@ -45,7 +45,7 @@
         self._writable_event = anyio.Event()
 
     def on_bytes(self, data: bytes, finished: bool) -> None:
-        """Queue bytes from the peer; `finished` tells that they are the last ones."""
+        """Queue bytes from the peer; `finished` means that they are the last ones."""
         if data:
             self._received.append(data)
         self._finished = self._finished or finished
--- a/src/papayagw/_internal/net/connect_account.py
+++ b/src/papayagw/_internal/net/connect_account.py
@@ -69,7 +69,7 @@
         }
 
     def pop_timings(self) -> Mapping[str, Sequence[float]]:
-        """Return the durations in ms recorded since the last call, by metric name."""
+        """Return the opening latencies since the last call, in ms, by metric name."""
         return {
             f"connect.{listener.service}.opening": connector.meter.pop_latencies()
             for listener, connector in self._listener_connectors
--- a/src/papayagw/_internal/net/datagrams.py
+++ b/src/papayagw/_internal/net/datagrams.py
@@ -9,7 +9,11 @@
 from papayagw._internal.models.endpoint import Endpoint
 
 MAX_DATAGRAM_BYTES = 2_048
-"""No process of the system sends more; longer datagrams are cut and fail to verify."""
+"""Default maximum length of a received datagram.
+
+No process of the system sends more; longer datagrams are cut and fail to verify.
+"""
+
 BATCH_DATAGRAMS = 64
 """Maximum number of datagrams to read before other tasks run."""
 
--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -25,7 +25,7 @@
         """Process events without blocking."""
 
     def on_writable(self) -> None:
-        """React to the peer possibly having acknowledged bytes."""
+        """Use the buffer space that the peer may have freed by acknowledging bytes."""
 
     def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram of the flow to `peer`."""
--- a/src/papayagw/_internal/net/inner_loop.py
+++ b/src/papayagw/_internal/net/inner_loop.py
@@ -1,4 +1,4 @@
-"""Receive loop of the inner socket, which connects balancers and agents."""
+"""Receive loop of the inner socket, for UDP traffic between balancers and agents."""
 
 from typing import Protocol
 
