--- a/src/papayagw/_internal/net/admission_gate.py
+++ b/src/papayagw/_internal/net/admission_gate.py
@@ -50,7 +50,7 @@
                 self._wake.set()
 
     def start_work(self, flow: AgentFlow) -> None:
-        """Record that a flow sends a request."""
+        """Record that a flow begins to send a request."""
         number = self._numbers_by_flow.get(flow)
         if number is not None:
             self._admission.start_work(number, self._clock.now())
@@ -74,9 +74,10 @@
         """Admit or refuse queued flows as they become due, until cancelled."""
         while True:
             await self._wait()
-            self._poll()
+            self._apply_due_decisions()
 
-    def _poll(self) -> None:
+    def _apply_due_decisions(self) -> None:
+        """Admit or refuse the queued flows whose decision is due."""
         results = self._admission.poll(self._clock.now())
         for number in results.admitted:
             self._flows_by_number[number].admit()
--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -25,7 +25,7 @@
         """Process events without blocking."""
 
     def on_writable(self) -> None:
-        """React to the peer possibly having acknowledged bytes."""
+        """Use the buffer space that the peer may have freed by acknowledging bytes."""
 
     def transmit(self, datagram: bytes, peer: tuple[str, int]) -> None:
         """Send a datagram of the flow to `peer`."""
@@ -83,7 +83,7 @@
     def receive(
         self, handler: FlowHandler, datagram: bytes, peer: tuple[str, int]
     ) -> None:
-        """Pass a datagram to its flow; the caller must call `flush` afterwards."""
+        """Pass a datagram to its flow; `flush` must be called afterwards."""
         with self._isolated(handler):
             handler.connection.receive(datagram, peer, self._clock.now())
             self._pending[handler] = None
