--- a/src/papayagw/_internal/observe/burn_text.py
+++ b/src/papayagw/_internal/observe/burn_text.py
@@ -55,8 +55,8 @@
         f"service {service.service}: burn of each objective in each window",
         *format_table(header, [_format_objective(one) for one in service.objectives]),
         *format_table(_FLOW_HEADER, flows),
-        *_format_balance("backend server", service.by_backend),
-        *_format_balance("zone", service.by_zone),
+        *_format_imbalance("backend server", service.by_backend),
+        *_format_imbalance("zone", service.by_zone),
     ]
 
 
@@ -70,7 +70,7 @@
     return f"{window.burn:.2f}" if window.flows else "-"
 
 
-def _format_balance(name: str, balance: Balance) -> list[str]:
+def _format_imbalance(name: str, balance: Balance) -> list[str]:
     if not balance.groups:
         return []
     mean = sum(group.load for group in balance.groups) / len(balance.groups)
--- a/src/papayagw/_internal/observe/json_lines.py
+++ b/src/papayagw/_internal/observe/json_lines.py
@@ -20,7 +20,7 @@
 LINES_PER_WINDOW = 40
 """Maximum number of lines per event and rate-limit window of one second."""
 
-_WINDOW_MS = Millis(1_000)
+_RATE_LIMIT_WINDOW_MS = Millis(1_000)
 _STDOUT = 1
 
 
@@ -41,7 +41,7 @@
         self._node = node
         self._clock = clock
         self._descriptor = descriptor
-        self._limiter = LogLimiter(LINES_PER_WINDOW, _WINDOW_MS)
+        self._limiter = LogLimiter(LINES_PER_WINDOW, _RATE_LIMIT_WINDOW_MS)
         self._unsent = b""
         self._dropped = 0
 
