--- a/src/papayagw/_internal/core/announcer.py
+++ b/src/papayagw/_internal/core/announcer.py
@@ -30,7 +30,10 @@
 """Number of times that a change is sent again, because datagrams may be lost."""
 
 INITIAL_ANNOUNCE_INTERVAL_MS = Millis(200)
+"""Mean wait after the first of successive announcements at the control address."""
+
 MAX_ANNOUNCE_INTERVAL_MS = Millis(2_000)
+"""Maximum of that mean wait, which doubles with each further announcement."""
 
 MAX_UNACKNOWLEDGED_HEARTBEATS = 12
 """Number of heartbeats without an acknowledgement after which a watcher is dropped."""
@@ -106,7 +109,7 @@
 
     @property
     def superseded(self) -> bool:
-        """Whether a later run has taken over this agent's endpoint."""
+        """Whether a later process has taken over this agent's endpoint."""
         return self._superseded
 
     @property
--- a/src/papayagw/_internal/core/backend_health.py
+++ b/src/papayagw/_internal/core/backend_health.py
@@ -10,7 +10,10 @@
 from papayagw._internal.models.clock import Millis
 
 FIRST_PAUSE_MS = Millis(200)
+"""Time for which openings are forwarded after the first failed connection attempt."""
+
 MAX_PAUSE_MS = Millis(5_000)
+"""Maximum of that time, which doubles with each further failure."""
 
 
 class BackendHealth(Protocol):
--- a/src/papayagw/_internal/core/backoff.py
+++ b/src/papayagw/_internal/core/backoff.py
@@ -5,7 +5,10 @@
 from papayagw._internal.models.clock import Millis
 
 FIRST_WAIT_MS = Millis(200)
+"""Upper limit of the first wait, which is random."""
+
 MAX_WAIT_MS = Millis(10_000)
+"""Upper limit of all waits, at which the limit of a wait stops doubling."""
 
 
 class Backoff:
@@ -16,9 +19,10 @@
     random : Random
         Source of the jitter.
     first_ms : Millis
-        Maximum wait after the first failure; doubles with each further failure.
+        Upper limit of the wait after the first failure, which doubles with each
+        further failure. The wait itself is random.
     max_ms : Millis
-        Upper limit of the wait.
+        Upper limit of all waits.
     """
 
     def __init__(
@@ -33,11 +37,11 @@
         self._ceiling_ms = first_ms
 
     def reset(self) -> None:
-        """Return to the initial wait, after a success."""
+        """Return to the initial maximum wait, after a success."""
         self._ceiling_ms = self._first_ms
 
     def next_wait(self) -> Millis:
-        """Record a failure and return the wait before the next attempt."""
+        """Record a failure and return the random wait before the next attempt."""
         ceiling = self._ceiling_ms
         self._ceiling_ms = Millis(min(2 * ceiling, self._max_ms))
         return Millis(self._random.randint(1, ceiling))
--- a/src/papayagw/_internal/core/configuration.py
+++ b/src/papayagw/_internal/core/configuration.py
@@ -26,9 +26,12 @@
 
 
 class ConfigurationLog:
-    """Configuration in force at a node, with recent versions to answer peers.
+    """Versions of the configuration at a node: the one in force and recent ones.
 
-    It is only replaced by a configuration with a higher version.
+    This is a history of configurations, not a log of messages. The recent versions are
+    kept to send peers the changes since their version.
+
+    The version in force is only replaced by a configuration with a higher version.
     """
 
     def __init__(self) -> None:
--- a/src/papayagw/_internal/core/fleet.py
+++ b/src/papayagw/_internal/core/fleet.py
@@ -59,7 +59,7 @@
 
     @property
     def superseded(self) -> bool:
-        """Whether a later run has taken over this balancer's endpoint."""
+        """Whether a later process or an agent has taken over this node's endpoint."""
         return self._superseded
 
     @property
@@ -141,7 +141,7 @@
         self._updates.add_record(self._own, self.balancer_count)
 
     def _merge_own(self, record: Record, now: Millis) -> MergeOutcome:
-        """Refute a record of this balancer that is wrong, or notice a later run."""
+        """Refute a wrong record of this balancer, or set `superseded` if it was replaced."""
         if isinstance(record, AgentRecord) or record.incarnation > (
             self._own.incarnation
         ):
--- a/src/papayagw/_internal/core/gossip_queue.py
+++ b/src/papayagw/_internal/core/gossip_queue.py
@@ -27,7 +27,10 @@
 """Size of an empty suspicion vector in a datagram, in bytes."""
 
 VECTOR_MEMBER_BYTES = 0.6
-"""Size of one record's counter in a suspicion vector, in bytes."""
+"""Estimated size of one record's counter in a suspicion vector, in bytes.
+
+Counters are packed two per byte.
+"""
 
 TRANSMISSIONS_FACTOR = 1.0
 """Transmissions of an update, as a multiple of the logarithm of the fleet's size."""
--- a/src/papayagw/_internal/core/gossip_repair.py
+++ b/src/papayagw/_internal/core/gossip_repair.py
@@ -50,7 +50,7 @@
 """Value of `REPAIR_INTERVAL_MS` while a new node is catching up."""
 
 BUCKET_INTERVAL_MS = Millis(1_000)
-"""Minimum interval between summaries of single buckets."""
+"""Minimum interval between summaries that `Repairer.send_bucket` sends."""
 
 MAX_COMPARED_BUCKETS = 4
 """Maximum number of buckets in a comparison that are compared record by record."""
@@ -161,7 +161,10 @@
     def send_bucket(
         self, bucket: Bucket, destination: Endpoint, now: Millis
     ) -> Iterator[Send]:
-        """Send a summary of a bucket, at most once per `BUCKET_INTERVAL_MS`."""
+        """Send a summary of a bucket, unless the budget is spent.
+
+        At most one is sent per `BUCKET_INTERVAL_MS`.
+        """
         if now >= self._next_bucket_at and self._budget.get_level(now) > 0:
             self._next_bucket_at = Millis(now + BUCKET_INTERVAL_MS)
             yield self._summarise(bucket, destination, now)
--- a/src/papayagw/_internal/core/log_limiter.py
+++ b/src/papayagw/_internal/core/log_limiter.py
@@ -10,10 +10,13 @@
 """Maximum number of kinds of message with a limit each; the others share one."""
 
 WINDOW_MS = Millis(1_000)
+"""Length of the window in which the messages of each kind are counted."""
+
 BURST = 3
 """Maximum number of messages of one kind per window."""
 
 _OTHER_KIND = "other"
+"""Kind whose limit is shared by the kinds beyond `MAX_KINDS`."""
 
 
 class LogLimiter:
--- a/src/papayagw/_internal/core/membership.py
+++ b/src/papayagw/_internal/core/membership.py
@@ -83,7 +83,11 @@
 """Minimum gap between ticks that is treated as a pause of this process."""
 
 INITIAL_JOIN_INTERVAL_MS = Millis(200)
+"""Mean wait after the first join of a node that knows no peers."""
+
 MAX_INITIAL_JOIN_INTERVAL_MS = Millis(2_000)
+"""Maximum of that mean wait, which doubles with each further join."""
+
 JOIN_INTERVAL_MS = Millis(5_000)
 """Mean interval between joins of a node that knows peers, in a small fleet."""
 
@@ -97,7 +101,7 @@
 """Maximum number of records in the answer to a join, besides the answering node's."""
 
 RELAYS_PER_ZONE = 3
-"""Number of balancers of a zone that watch the platform's store."""
+"""Number of relays of a zone: the balancers that watch the platform's store."""
 
 VERSION_TRANSMISSIONS = 8
 """Number of gossip rounds that advertise a new version of the configuration."""
@@ -192,7 +196,7 @@
 
     @property
     def superseded(self) -> bool:
-        """Whether a later run has taken over this balancer's endpoint."""
+        """Whether a later process or an agent has taken over this node's endpoint."""
         return self._fleet.superseded
 
     @property
--- a/src/papayagw/_internal/core/record_maker.py
+++ b/src/papayagw/_internal/core/record_maker.py
@@ -1,8 +1,9 @@
 """Creation of service-level records from the totals reported by nodes.
 
 Nodes persist nothing and count from their start, so a record is the difference
-between two reports of the same run. If a new run replaces one that wasn't draining,
-the flows that were open in the last report of the old run count as lost.
+between two reports of the same run of a node, which is one process. If a new run
+replaces one that wasn't draining, the flows that were open in the last report of the
+old run count as lost.
 """
 
 from dataclasses import dataclass, replace
--- a/src/papayagw/_internal/core/record_selection.py
+++ b/src/papayagw/_internal/core/record_selection.py
@@ -17,25 +17,26 @@
 """Maximum time by which a recorder's clock may be ahead."""
 
 MAX_EXACT_INTERVAL_MS = Millis(300_000)
-"""A longer record overstates the counts of the shortest window."""
+"""Length above which a record overstates the counts of the shortest burn window."""
 
 
 @dataclass(frozen=True, slots=True)
 class Selection:
-    """Selected records and the number of skipped ones.
+    """Selected records, and the numbers of skipped records and of long selected ones.
 
     Attributes
     ----------
     records : tuple of ServiceRecord
-        Sorted by end; records of one instance and service don't overlap.
+        Sorted by end; records of one service, instance and side don't overlap.
     ahead : int
-        Number of skipped records that end in the future.
+        Number of skipped records that end more than `MAX_CLOCK_SKEW_MS` in the future.
     overlapping : int
-        Number of skipped records that overlap an earlier record.
+        Number of skipped records that overlap an earlier one of the same service,
+        instance and side.
     old : int
-        Number of skipped records from before the period.
+        Number of skipped records that ended before the last `PERIOD_MS`.
     long : int
-        Number of selected records that are longer than the shortest window.
+        Number of selected records longer than `MAX_EXACT_INTERVAL_MS`.
     """
 
     records: tuple[ServiceRecord, ...]
@@ -57,7 +58,7 @@
 
 
 def select_records(records: Iterable[ServiceRecord], now: Millis) -> Selection:
-    """Return the non-overlapping records of the period before `now`.
+    """Return the records of the `PERIOD_MS` before `now`, without overlapping ones.
 
     Parameters
     ----------
@@ -80,6 +81,10 @@
 
 
 def _drop_overlapping(ordered: Iterable[ServiceRecord]) -> list[ServiceRecord]:
+    """Drop records that overlap an earlier one of the same service, instance and side.
+
+    `ordered` is sorted by start.
+    """
     covered: dict[tuple[str, str, Side], Millis] = {}
     kept = []
     for record in ordered:
--- a/src/papayagw/_internal/core/site_comparison.py
+++ b/src/papayagw/_internal/core/site_comparison.py
@@ -9,7 +9,10 @@
 from papayagw._internal.models.service import Service
 
 ABSENT = "nothing"
+"""Text shown for a value that one of the sites doesn't have."""
+
 _SHOWN_DIGEST_BYTES = 3
+"""Length of the digest that is shown in place of a secret, in bytes."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/papayagw/_internal/core/transition.py
+++ b/src/papayagw/_internal/core/transition.py
@@ -1,7 +1,8 @@
 """Compatibility of a new version of a site with the version in force.
 
 For a few seconds both versions are in force at different nodes. Every node must
-therefore be able to open what any other node seals, or the fleet splits in two.
+therefore be able to open (decrypt or verify) what any other node seals (encrypts or
+signs), or the fleet splits in two.
 A service id must never refer to two services.
 """
 
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -39,10 +39,13 @@
 """Size of an acknowledgement without siblings on the wire, in bytes."""
 
 HEARTBEAT_BYTES_PER_SECOND = 1_500
-"""Budget for the heartbeats that one balancer receives."""
+"""Budget for the heartbeats that one balancer receives, in bytes per second."""
 
 MIN_INTERVAL_MS = Millis(400)
+"""Shortest heartbeat interval that a balancer assigns to agents."""
+
 MAX_INTERVAL_MS = Millis(3_000)
+"""Longest heartbeat interval that a balancer assigns to agents."""
 
 HEARTBEATS_PER_ACK = 5
 """Number of heartbeats of an agent that a watcher answers by one acknowledgement."""
@@ -54,9 +57,15 @@
 """Time without heartbeats after which an agent is marked as gone."""
 
 MIN_READY_SHARE = 0.5
-"""Minimum share of a service's ready agents to be unsuspected before one is removed."""
+"""Minimum share of unsuspected agents among a service's ready ones, for a removal.
+
+Ready agents are those that report so, suspected or not. One of them is removed (marked
+as gone) only if the share is reached, a draining agent regardless of it.
+"""
 
 REMOVAL_CHECK_INTERVAL_MS = Millis(5_000)
+"""Interval of the checks for agents to mark as gone, see `REMOVAL_TIMEOUT_MS`."""
+
 AUDIT_TICKS = 600
 """Number of ticks in which all records are checked once for unwatched agents.
 
--- a/src/papayagw/_internal/models/agent.py
+++ b/src/papayagw/_internal/models/agent.py
@@ -8,15 +8,16 @@
 from papayagw._internal.models.service import ServiceId
 
 Incarnation = NewType("Incarnation", int)
-"""Identifies one run of an agent by its start in ms since the Unix epoch.
+"""Identifies one process of a node by its start, in ms since the Unix epoch.
 
-A later run has a higher incarnation.
+After a restart, the incarnation at the same endpoint is higher.
 """
 
 UNIT_WEIGHT = 64
 """The quantised weight of an instance of nominal capacity; 0 receives no openings."""
 
 MAX_WEIGHT = 255
+"""Maximum of the quantised weight, see `UNIT_WEIGHT`."""
 
 
 class AgentState(IntEnum):
--- a/src/papayagw/_internal/models/burn.py
+++ b/src/papayagw/_internal/models/burn.py
@@ -114,9 +114,9 @@
     load : float
         Work divided by capacity, in ms of work per second and unit of weight.
     opened : int
-        The number of flows that it accepted.
+        The number of flows opened at the backend server, or at those of the zone.
     cut : int
-        The number of flows that broke there.
+        The number of flows that were cut there, see `FlowCounts.cut`.
     """
 
     name: str
--- a/src/papayagw/_internal/models/configuration.py
+++ b/src/papayagw/_internal/models/configuration.py
@@ -14,14 +14,17 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetKey:
-    """A secret shared by the processes of a site.
+    """A secret shared by the processes of a site, which protects what they exchange.
+
+    Flow tags and configuration exchanges are encrypted, and envelopes and control
+    messages are signed, each with a key of its own that is derived from the secret.
 
     Attributes
     ----------
     key_id : int
-        The id that tags and envelopes carry, 0 to 255.
+        Id, 0 to 255, that names the key in what is sealed or signed with it.
     secret : bytes of shape (KEY_BYTES,)
-        The secret from which the keys of tags and envelopes are derived.
+        Secret from which the key of each purpose is derived, see `derive_key`.
     """
 
     key_id: int
@@ -44,8 +47,8 @@
     services : tuple of Service
         The services, sorted by their ids.
     keys : tuple of FleetKey
-        The fleet keys. The first one encrypts and signs; all of them decrypt and
-        verify.
+        The fleet keys. The first one seals (encrypts) and signs; any of them opens
+        (decrypts) and verifies.
     """
 
     name: str
--- a/src/papayagw/_internal/models/control.py
+++ b/src/papayagw/_internal/models/control.py
@@ -164,11 +164,15 @@
 """
 
 BUCKETS_PER_ZONE = AGENT_BUCKETS + 1
+"""Number of buckets of a zone: those of the agents and that of the balancers."""
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Bucket:
-    """A subset of the records of one zone, selected by a hash of the endpoint.
+    """A subset of the records of one zone, which peers compare by its digest.
+
+    A hash of the endpoint selects the bucket of an agent. The balancers of the zone
+    are all in `BALANCER_BUCKET`.
 
     Attributes
     ----------
@@ -262,7 +266,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BucketDigests:
-    """The digests of the sender's buckets.
+    """The digests of the sender's buckets, by which the receiver finds differing ones.
 
     Attributes
     ----------
--- a/src/papayagw/_internal/models/decision.py
+++ b/src/papayagw/_internal/models/decision.py
@@ -22,12 +22,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Forward:
-    """Send the packet to an agent.
+    """Send the packet to an agent, or an opening to another balancer.
 
     Attributes
     ----------
     agent : Endpoint
-        The endpoint of the agent.
+        The endpoint of the agent or balancer.
     """
 
     agent: Endpoint
--- a/src/papayagw/_internal/models/packet.py
+++ b/src/papayagw/_internal/models/packet.py
@@ -19,9 +19,10 @@
     Attributes
     ----------
     kind : PacketKind
-        Whether the packet may open a flow, carries a tag, or neither.
+        Whether the packet may open a flow, needs a valid tag, or is malformed.
     connection_id : bytes
-        The destination connection id: a flow tag, or a random id in an opening.
+        The destination connection id: a flow tag, or a random id in an opening; empty
+        if the packet is malformed.
     """
 
     kind: PacketKind
--- a/src/papayagw/_internal/models/report.py
+++ b/src/papayagw/_internal/models/report.py
@@ -12,6 +12,7 @@
 """Inclusive upper bounds of the latency buckets in ms; one more bucket has no bound."""
 
 LATENCY_BUCKETS = len(LATENCY_BOUNDS_MS) + 1
+"""Number of latency buckets."""
 
 
 class Side(Enum):
@@ -40,7 +41,8 @@
         Flows that were open in the last report of an agent before it restarted
         without draining.
     answered : tuple of int of length LATENCY_BUCKETS
-        Answered openings per latency bucket.
+        Flows whose opening was answered, for each bucket of `LATENCY_BOUNDS_MS` by
+        the time from the opening to its answer.
     """
 
     opened: int = 0
@@ -52,7 +54,7 @@
 
     @property
     def cut(self) -> int:
-        """All flows that broke: unknown, broken and lost."""
+        """Number of flows that were interrupted: `unknown`, `broken` or `lost`."""
         return self.unknown + self.broken + self.lost
 
     def plus(self, other: "FlowCounts") -> "FlowCounts":
--- a/src/papayagw/_internal/models/service.py
+++ b/src/papayagw/_internal/models/service.py
@@ -17,7 +17,7 @@
     Attributes
     ----------
     availability : float
-        The share of flows that must not break, 0 to 1.
+        The share of flows that must not be cut, 0 to 1; see `FlowCounts.cut`.
     latency_ms : Millis
         The time in ms within which an opening must be answered.
     latency_share : float
--- a/src/papayagw/_internal/observe/burn_picture.py
+++ b/src/papayagw/_internal/observe/burn_picture.py
@@ -22,10 +22,15 @@
 _DPI = 100
 _BAR_GROUP_WIDTH = 0.8
 _FULL_BUDGET_BURN = 1.0
+"""Burn rate at which exactly the budget is used up, drawn as a dashed line."""
+
 _MIN_BURN = 0.01
+"""Lower end of the logarithmic axis, at which lower burn rates are drawn."""
+
 _SMALL_FONT_SIZE = 8
 _TITLE_FONT_SIZE = 10
 _MAX_LABELS = 24
+"""Maximum number of labelled bars in a chart."""
 
 
 def draw_burn_chart(report: BurnReport, path: Path) -> None:
--- a/src/papayagw/_internal/observe/burn_text.py
+++ b/src/papayagw/_internal/observe/burn_text.py
@@ -25,11 +25,13 @@
 }
 _SIDE_LABELS = {Side.AGENT: "agents", Side.CALLER: "callers"}
 _MAX_ROWS = 24
+"""Maximum number of backend servers or zones listed for a service."""
+
 _FLOW_HEADER = ("COUNTED BY", "OPENED", "REFUSED", "UNKNOWN", "BROKEN", "LOST")
 
 
 def format_burn(report: BurnReport) -> str:
-    """Return the report as text for operators."""
+    """Return the burn report as text for operators."""
     span = Millis(report.end_ms - report.start_ms)
     header = (
         f"service-level burn, from {format_timestamp(report.start_ms)} "
@@ -71,6 +73,11 @@
 
 
 def _format_imbalance(name: str, balance: Balance) -> list[str]:
+    """Return the imbalance of the load over backend servers or zones, and their rows.
+
+    The result is empty if there are no groups. If there are too many, only some have
+    a row, see `_select_groups`.
+    """
     if not balance.groups:
         return []
     mean = sum(group.load for group in balance.groups) / len(balance.groups)
--- a/src/papayagw/_internal/observe/json_lines.py
+++ b/src/papayagw/_internal/observe/json_lines.py
@@ -18,9 +18,11 @@
 """Buffer limit for a slow reader; further lines are dropped and counted."""
 
 LINES_PER_WINDOW = 40
-"""Maximum number of lines per event and rate-limit window of one second."""
+"""Maximum number of lines per event in each `_RATE_LIMIT_WINDOW_MS`, one second."""
 
 _RATE_LIMIT_WINDOW_MS = Millis(1_000)
+"""Length of the window in which the lines of each event are counted and limited."""
+
 _STDOUT = 1
 
 
--- a/src/papayagw/_internal/observe/logs.py
+++ b/src/papayagw/_internal/observe/logs.py
@@ -58,7 +58,7 @@
 
 
 class Log:
-    """Writes log lines with fields.
+    """Logger that writes messages with fields through absl.
 
     Parameters
     ----------
--- a/src/papayagw/_internal/observe/metrics.py
+++ b/src/papayagw/_internal/observe/metrics.py
@@ -29,7 +29,7 @@
 
 
 class MemoryMetrics:
-    """Keeps measurements in memory, for the status report and for tests."""
+    """Keeps measurements in memory, so that tests can read them; used by tests only."""
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -35,6 +35,7 @@
 
 _CONNECT_TIMEOUT_S = 2.0
 _FIRST_SERVER_ERROR = 500
+"""Lowest HTTP status code of a server error."""
 
 
 class EtcdStore:
--- a/src/papayagw/_internal/wire/configuration_exchange.py
+++ b/src/papayagw/_internal/wire/configuration_exchange.py
@@ -41,6 +41,8 @@
 from papayagw._internal.wire.keys import derive_key
 
 NONCE_BYTES = 12
+"""Length of the nonce of a query or a reply, in bytes."""
+
 _KEY_BYTES = 32
 _QUERY_LABEL = b"question"
 _REPLY_LABEL = b"answer"
--- a/src/papayagw/_internal/wire/envelope.py
+++ b/src/papayagw/_internal/wire/envelope.py
@@ -22,6 +22,8 @@
 _HEADER = struct.Struct("!BBHH4sH4sB")
 _MAC_BYTES = 8
 ENVELOPE_BYTES = _HEADER.size + _MAC_BYTES
+"""Length of an envelope without the datagram that follows it, in bytes."""
+
 _KEY_BYTES = 32
 _NO_ENDPOINT = (bytes(4), 0)
 
@@ -60,7 +62,7 @@
 
 
 class EnvelopeCodec:
-    """Codec for envelopes.
+    """Codec for envelopes: the header and its authentication code before a datagram.
 
     Parameters
     ----------
@@ -147,6 +149,7 @@
 _packed_ips: dict[str, bytes] = {}
 _ip_texts: dict[bytes, str] = {}
 _MAX_CACHED_IPS = 65_536
+"""Number of cached addresses at which a cache is emptied."""
 
 
 def pack_ip(ip: str) -> bytes:
--- a/src/papayagw/_internal/wire/header.py
+++ b/src/papayagw/_internal/wire/header.py
@@ -8,7 +8,11 @@
 _LONG_ID_OFFSET = 6
 _SHORT_ID_OFFSET = 1
 _MAX_ID_BYTES = 20
+"""Maximum length of a connection id in a long header, in bytes."""
+
 _MIN_OPENING_ID_BYTES = 8
+"""Minimum length of the connection id of an opening, in bytes."""
+
 MIN_OPENING_BYTES = 1200
 """Size in bytes to which an opening is at least padded (RFC 9000, 14.1)."""
 
--- a/src/papayagw/_internal/wire/quic.py
+++ b/src/papayagw/_internal/wire/quic.py
@@ -26,6 +26,8 @@
 from papayagw._internal.wire.tag import TAG_BYTES
 
 ALPN = "papayagw/1"
+"""Application protocol that both ends negotiate in the TLS handshake (RFC 7301)."""
+
 CALLER_CONNECTION_ID_BYTES = 8
 """Length of the connection ids of callers, in bytes."""
 
--- a/src/papayagw/_internal/wire/reset.py
+++ b/src/papayagw/_internal/wire/reset.py
@@ -7,6 +7,8 @@
 from papayagw._internal.wire.keys import derive_key
 
 RESET_TOKEN_BYTES = 16
+"""Length of a stateless reset token, in bytes."""
+
 _KEY_BYTES = 32
 _RESET_BYTES = 40
 """Size of a stateless reset, in bytes."""
--- a/src/papayagw/_internal/wire/tag.py
+++ b/src/papayagw/_internal/wire/tag.py
@@ -22,11 +22,16 @@
 from papayagw._internal.wire.keys import derive_key
 
 TAG_BYTES = 20
+"""Length of a sealed tag, in bytes."""
+
 NONCE_BYTES = 3
+"""Length of the nonce that distinguishes the tags of one route, in bytes."""
+
 _BLOCK_BYTES = 16
 _ROUTE = struct.Struct("!H4sHH")
 _PADDING = bytes(3)
 _MAX_CACHED_ROUTES = 65_536
+"""Number of cached routes at which the cache is emptied."""
 
 
 class TagCodec:
