--- a/src/papayagw/_internal/core/fleet.py
+++ b/src/papayagw/_internal/core/fleet.py
@@ -141,7 +141,7 @@
         self._updates.add_record(self._own, self.balancer_count)
 
     def _merge_own(self, record: Record, now: Millis) -> MergeOutcome:
-        """Refute a wrong record of this balancer, or set `superseded` if it was replaced."""
+        """Refute a wrong record of this balancer, or set `superseded` if replaced."""
         if isinstance(record, AgentRecord) or record.incarnation > (
             self._own.incarnation
         ):
