--- a/src/papayagw/_internal/settings/kinds.py
+++ b/src/papayagw/_internal/settings/kinds.py
@@ -172,7 +172,7 @@
     @property
     def expected(self) -> str:
         """Description of a valid value."""
-        return 'an IPv4 number and a port, such as "127.0.1.1:4401"'
+        return 'an IPv4 address and a port, such as "127.0.1.1:4401"'
 
     def read(self, value: object, location: Location) -> Endpoint | None:
         """Return the parsed endpoint, or report a problem."""
@@ -192,7 +192,7 @@
     @property
     def expected(self) -> str:
         """Description of a valid value."""
-        return 'an IPv4 number, such as "127.0.0.11"'
+        return 'an IPv4 address, such as "127.0.0.11"'
 
     def read(self, value: object, location: Location) -> str | None:
         """Return the IPv4 address as text, or report a problem."""
