--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -106,7 +106,7 @@
     async def run(self) -> None:
         """Serve deadlines and pending flows until cancelled."""
         while True:
-            await self._wait()
+            await self._wait_for_work()
             now = self._clock.now()
             for handler in self._deadlines.pop_due(now):
                 with self._isolated(handler):
@@ -114,7 +114,7 @@
                     self._pending[handler] = None
             self.flush()
 
-    async def _wait(self) -> None:
+    async def _wait_for_work(self) -> None:
         next_at = self._deadlines.next_at
         if self._pending:
             await anyio.lowlevel.checkpoint()
