--- a/src/papayagw/_internal/core/plain/admission_control.py
+++ b/src/papayagw/_internal/core/plain/admission_control.py
@@ -199,7 +199,14 @@
         return ReturnReason.FULL if self.backend.is_known else ReturnReason.NOT_READY
 
     def record_accept_timeout(self, now: Millis) -> Millis:
-        """Record an unanswered opening; return the pause in openings, in ms."""
+        """Record an unanswered opening, which begins a pause unless one is in force.
+
+        Returns
+        -------
+        Millis
+            Length of the pause that begins, or if one is already in force, the length
+            that the next one would have.
+        """
         wait = Millis(min(INITIAL_PAUSE_MS << self._accept_timeout_count, MAX_PAUSE_MS))
         if now >= self._paused_until:
             self._accept_timeout_count = min(
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -501,7 +501,7 @@
                 self._end_request(owned, now, answered=False)
 
     def _notify_of_capacity(self, now: Millis) -> list[Action]:
-        """Send the load to rejected balancers for which there is capacity."""
+        """Send the load to balancers with rejected openings if there is capacity."""
         return self._send_load(
             self._admission.reserve_capacity(len(self._pending_openings), now), now
         )
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -111,7 +111,7 @@
             self._advance_client_sequence(packet.acknowledged)
 
     def _advance_client_sequence(self, end: int) -> bool:
-        """Set `client_sequence_end` to `end`; return False if not ahead."""
+        """Set `client_sequence_end` to `end`; return False if `end` isn't beyond it."""
         known = self.client_sequence_end
         if known is not None and not (end != known and is_in_window(end, known)):
             return False
--- a/src/papayagw/_internal/core/plain/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/prefix_watcher.py
@@ -25,7 +25,7 @@
 WATCH_TIMEOUT_MS = Millis(10_000)
 """How long the store waits for a write before it answers a watch.
 
-Without writes, a node makes six calls a minute.
+Without writes, each watcher makes six calls a minute.
 """
 
 WATCH_MARGIN_MS = Millis(1_000)
--- a/src/papayagw/_internal/models/flow.py
+++ b/src/papayagw/_internal/models/flow.py
@@ -56,7 +56,9 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowTag:
-    """The tag that the accepting agent puts into each packet of a flow.
+    """The tag that the accepting agent gives a flow as its connection id.
+
+    The caller's packets carry it once the caller has learned it from the agent.
 
     Attributes
     ----------
--- a/src/papayagw/_internal/net/agent_process.py
+++ b/src/papayagw/_internal/net/agent_process.py
@@ -86,7 +86,7 @@
 
     @property
     def refused_control(self) -> int:
-        """Number of control frames refused as not authentic."""
+        """Number of control frames that weren't authentic or couldn't be decoded."""
         return self._control.refused
 
     def start(self) -> None:
--- a/src/papayagw/_internal/net/balancer_process.py
+++ b/src/papayagw/_internal/net/balancer_process.py
@@ -78,7 +78,7 @@
 
     @property
     def refused_control(self) -> int:
-        """Number of control frames that weren't authentic messages."""
+        """Number of control frames that weren't authentic or couldn't be decoded."""
         return self._control.refused
 
     def start(self) -> None:
@@ -115,6 +115,7 @@
         self._membership.set_configuration_version(configuration.version)
 
     def _is_relay(self) -> bool:
+        """Return whether this balancer has to watch the store for its zone."""
         return self._membership.is_relay(self._settings.node.zone)
 
     def _after_tick(self) -> None:
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -217,6 +217,7 @@
     async def _fetch_from(
         self, peer: Endpoint, on_failure: Callable[[PapayagwError], None]
     ) -> bool:
+        """Fetch and apply a newer configuration; return False if the fetch failed."""
         result = await self._peers.fetch(peer)
         if isinstance(result, Failure):
             on_failure(result.failure())
--- a/src/papayagw/_internal/net/control.py
+++ b/src/papayagw/_internal/net/control.py
@@ -57,7 +57,7 @@
 
     @property
     def refused(self) -> int:
-        """Number of frames that weren't authentic messages."""
+        """Number of frames that weren't authentic or couldn't be decoded."""
         return self._refused
 
     def apply(self, keys: Sequence[FleetKey]) -> None:
--- a/src/papayagw/_internal/net/flow_table.py
+++ b/src/papayagw/_internal/net/flow_table.py
@@ -115,6 +115,7 @@
             self.flush()
 
     async def _wait_for_work(self) -> None:
+        """Wait until a flow is pending or the next deadline is due."""
         next_at = self._deadlines.next_at
         if self._pending:
             await anyio.lowlevel.checkpoint()
--- a/src/papayagw/_internal/net/submission.py
+++ b/src/papayagw/_internal/net/submission.py
@@ -63,6 +63,7 @@
 
 
 async def _read(submission: Submission, store: ConfigurationStore) -> bool:
+    """Read the configuration; return False if the service did not respond."""
     result = await store.read()
     if isinstance(result, Failure):
         return _handle_failure(submission, result.failure())
@@ -74,6 +75,7 @@
 async def _write(
     submission: Submission, store: ConfigurationStore, write: Write
 ) -> bool:
+    """Write the configuration; return False if the service did not respond."""
     result = await store.swap(write.configuration, write.expected)
     if isinstance(result, Failure):
         return _handle_failure(submission, result.failure())
@@ -86,6 +88,7 @@
 
 
 def _handle_failure(submission: Submission, error: StoreError) -> bool:
+    """Process a failed call; return False if the service did not respond."""
     if isinstance(error, PlatformUnreachableError):
         submission.on_no_answer()
         return False
