--- a/src/papayagw/_internal/net/tcp.py
+++ b/src/papayagw/_internal/net/tcp.py
@@ -55,10 +55,10 @@
         except (OSError, TimeoutError) as error:
             connection.close()
             raise StreamBrokenError(
-                f"connection failed: {error or 'timed out'}",
+                f"can't connect: {error or 'no answer'}",
                 step=Step.CONNECT_BACKEND,
                 peer=str(endpoint),
-                remedy="check that the backend server is running",
+                remedy="see whether the backend server runs",
             ) from error
         except BaseException:
             connection.close()
