Tests: feeds of the killed agent last until the kill, also on a busy machine

It opens 24 feeds one after the other, each of 2 s, and then kills the agent of the first.

Change: the feeds of this test last 10 s (100 lines), each still checked line by line.

--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -16,6 +16,9 @@
 )
 TIMEOUT_S = 60
 LINES = 20
+LONG_FEED_LINES = 100
+"""Lines of a feed that lasts while 24 feeds are opened, also on a busy machine."""
+
 INTERVAL_MS = 100
 BLOB = bytes(range(256)) * 4_096
 DIGEST = hashlib.sha256(BLOB).hexdigest()
@@ -28,18 +31,18 @@
 
 
 @contextmanager
-def open_feed(fleet, name):
+def open_feed(fleet, name, line_count=LINES):
     """Open an order feed; yield the fields of its first line and the other lines."""
     target = fleet.targets["order"].sockaddr
     with socket.create_connection(target, TIMEOUT_S) as connection:
-        connection.sendall(f"FEED {name} {LINES} {INTERVAL_MS}\n".encode())
+        connection.sendall(f"FEED {name} {line_count} {INTERVAL_MS}\n".encode())
         with connection.makefile("rb") as lines:
             yield lines.readline().decode().split(), lines
 
 
-def read_numbers(lines):
-    """Return the numbers of the next `LINES` lines of a feed."""
-    return [int(lines.readline().split()[2]) for _ in range(LINES)]
+def read_numbers(lines, line_count=LINES):
+    """Return the numbers of the next `line_count` lines of a feed."""
+    return [int(lines.readline().split()[2]) for _ in range(line_count)]
 
 
 def request_order(fleet, line):
@@ -104,16 +107,19 @@
 def test_only_flows_of_a_dead_agent_break(fleet):
     with ExitStack() as stack:
         feeds = [
-            stack.enter_context(open_feed(fleet, f"f{number}")) for number in range(24)
+            stack.enter_context(open_feed(fleet, f"f{number}", LONG_FEED_LINES))
+            for number in range(24)
         ]
         victim = feeds[0][0][-1]
         kill_agent(fleet, victim)
         for first, lines in feeds:
             if first[-1] == victim:
                 with pytest.raises(ConnectionResetError):
-                    read_numbers(lines)
+                    read_numbers(lines, LONG_FEED_LINES)
             else:
-                assert read_numbers(lines) == list(range(1, LINES + 1))
+                assert read_numbers(lines, LONG_FEED_LINES) == list(
+                    range(1, LONG_FEED_LINES + 1)
+                )
 
 
 @pytest.mark.parametrize(
