Plain balancer: log where a configuration came from and when the last word on it was

A balancer that was behind after connections went silent and one that follows the wrong history log the same lines: the version in force, and later a newer one. `configuration in force` now has `source` (read or watch) and `unconfirmed_ms`, the time since the store last answered on the configuration, which is also a gauge. A large value says that nobody answered the watch, a small one that the store answered without the change.

No decision changes.

--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -18,7 +18,14 @@
     ResetClient,
     SendFrame,
 )
-from papayagw._internal.models.plain.entry_store import StoredItem, StoreEvent
+from papayagw._internal.models.plain.entry_store import (
+    RangeResult,
+    StoreAnswer,
+    StoreCall,
+    StoredItem,
+    StoreEvent,
+    WatchResult,
+)
 from papayagw._internal.models.plain.frame import Frame, ToBalancer
 from papayagw._internal.models.plain.settings import PlainBalancerSettings
 from papayagw._internal.net.datagrams import BatchSocket
@@ -30,7 +37,7 @@
     SettingsLoader,
     error_fields,
 )
-from papayagw._internal.net.plain.store_driver import StoreDriver
+from papayagw._internal.net.plain.store_driver import CallRecorder, StoreDriver
 from papayagw._internal.wire.plain_entries import AGENT_PREFIX, decode_entry
 
 MIN_SITE_WATCH_INTERVAL_MS = Millis(300)
@@ -120,17 +127,27 @@
             lambda: self._roster.watch_interval_ms,
             MAX_AGENTS_RETRY_DELAY_MS,
         )
-        self._site_driver = self._make_driver(self._site_watcher)
-        self._agents_driver = self._make_driver(self._agents_watcher)
+        self._site_driver = self._make_driver(
+            self._site_watcher, self._record_site_call
+        )
+        self._agents_driver = self._make_driver(
+            self._agents_watcher, self._runtime.record_store_call
+        )
         self._alarm = Alarm(self._runtime.loop, self._on_timer)
         self._agents_refresh_alarm = Alarm(self._runtime.loop, self._refresh_agents)
         self._was_ready = False
         self._is_stopping = False
         self._refused_probes = 0
+        self._site_confirmed_at = self._runtime.loop.now()
         self._site_refreshed_at = Millis(0)
         self._agents_refreshed_at = Millis(0)
         self._last_packet_at = Millis(0)
 
+    @property
+    def _site_unconfirmed_ms(self) -> Millis:
+        """Time since the store last answered on the configuration, or since start."""
+        return Millis(self._runtime.loop.now() - self._site_confirmed_at)
+
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT and the shutdown that follows it."""
         runtime = self._runtime
@@ -142,6 +159,9 @@
         runtime.add_stop_handler(self._stop)
         runtime.metrics.gauge("flows remembered", lambda: self._core.flow_count)
         runtime.metrics.gauge("agents known", lambda: len(self._roster))
+        runtime.metrics.gauge(
+            "configuration unconfirmed ms", lambda: self._site_unconfirmed_ms
+        )
         self._site_driver.start()
         self._agents_driver.start()
         try:
@@ -150,17 +170,23 @@
             self._entry.close()
             runtime.close()
 
-    def _make_driver(self, watcher: PrefixWatcher) -> StoreDriver:
+    def _make_driver(
+        self, watcher: PrefixWatcher, on_answer: CallRecorder
+    ) -> StoreDriver:
         """Return the driver that makes the store calls of a watcher."""
         runtime = self._runtime
         return StoreDriver(
-            runtime.loop,
-            self._settings.store,
-            self._platform,
-            watcher,
-            runtime.record_store_call,
+            runtime.loop, self._settings.store, self._platform, watcher, on_answer
         )
 
+    def _record_site_call(
+        self, call: StoreCall, answer: StoreAnswer, took_ms: int
+    ) -> None:
+        """Record a call on the configuration, and when the store last answered one."""
+        self._runtime.record_store_call(call, answer, took_ms)
+        if isinstance(answer, RangeResult | WatchResult):
+            self._site_confirmed_at = self._runtime.loop.now()
+
     # Packets and frames
 
     def _receive_client_packets(self) -> None:
@@ -227,15 +253,21 @@
 
     def _on_site_items(self, items: tuple[StoredItem, ...]) -> None:
         """Apply the configuration from a full read of its key."""
-        for item in items:
-            if item.key == self._platform.site_key:
-                self._apply_site(item)
+        self._apply_sites(items, "read")
 
     def _on_site_events(self, events: tuple[StoreEvent, ...]) -> None:
         """Apply the configuration from writes of its key."""
-        self._on_site_items(tuple(e for e in events if isinstance(e, StoredItem)))
+        self._apply_sites(
+            tuple(e for e in events if isinstance(e, StoredItem)), "watch"
+        )
+
+    def _apply_sites(self, items: tuple[StoredItem, ...], source: str) -> None:
+        """Apply the configurations among `items`, which `source` returned."""
+        for item in items:
+            if item.key == self._platform.site_key:
+                self._apply_site(item, source)
 
-    def _apply_site(self, item: StoredItem) -> None:
+    def _apply_site(self, item: StoredItem, source: str) -> None:
         """Decode a stored configuration and apply it if it is newer."""
         try:
             site = self._platform.decode_site(item.value)
@@ -244,7 +276,12 @@
                 LogEvent("configuration refused", error_fields(error))
             )
             return
-        fields = {"version": site.version, "revision": item.revision}
+        fields: dict[str, object] = {
+            "version": site.version,
+            "revision": item.revision,
+            "source": source,
+            "unconfirmed_ms": self._site_unconfirmed_ms,
+        }
         if self._core.apply_site(site):
             fields["routes"] = len(site.routes)
             self._runtime.record_event(LogEvent("configuration in force", fields))
