Plain balancer: bound the time for which an unanswered watch is believed

Cause: a balancer follows the configuration by a watch that waits for up to 10 s. Connections went silent at 18.0 s, without a reset; a change was acknowledged at 18.15 s. Only keepalive (2 s idle, two probes 2 s apart: 6 s) or the timeout of the watch (10 s, 1 s of margin, 0.5 s for the call: 11.5 s) ended the wait. All 25 balancers logged `store lost` at 24.00 s and had the change in force at 24.01 s by a read, with `unconfirmed_ms` of 7,579: nobody had answered, so nothing was missed in the history.

The store answers a watch of the configuration after 2.5 s at the latest, and the call times out 1 s later, so that an answer that is lost on a connection that lives costs 3.5 s and a read.

Tests: test_a_change_is_in_force_in_time_although_open_watches_went_silent (two balancers, open watches never answered) and test_a_connection_that_went_silent_fails_before_a_change_is_overdue; both failed before.

--- a/src/papayagw/_internal/core/plain/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/prefix_watcher.py
@@ -23,12 +23,12 @@
 )
 
 WATCH_TIMEOUT_MS = Millis(10_000)
-"""How long the store waits for a write before it answers a watch.
+"""Default time for which the store waits for a write before it answers a watch.
 
 Without writes, each watcher makes six calls a minute.
 """
 
-WATCH_MARGIN_MS = Millis(1_000)
+WATCH_MARGIN_MS = Millis(500)
 """Time after the end of a watch at which its connection counts as dead.
 
 The timeout of a usual call is added to it.
@@ -68,6 +68,9 @@
         one, so that writes are batched. Called after `on_events`.
     max_retry_delay_ms : Millis
         Upper limit of the retry delay after the first read.
+    watch_timeout_ms : Millis
+        How long the store waits for a write before it answers a watch. It bounds the
+        time for which a write goes unnoticed if the answer to a watch is lost.
     """
 
     def __init__(
@@ -78,12 +81,14 @@
         random: Random,
         get_interval: GetInterval,
         max_retry_delay_ms: Millis = MAX_RETRY_DELAY_MS,
+        watch_timeout_ms: Millis = WATCH_TIMEOUT_MS,
     ):
         self._prefix = prefix
         self._on_snapshot = on_snapshot
         self._on_events = on_events
         self._get_interval = get_interval
         self._max_retry_delay_ms = max_retry_delay_ms
+        self._watch_timeout_ms = watch_timeout_ms
         self._retry_schedule = RetrySchedule(
             random, MAX_FIRST_READ_RETRY_MS, is_urgent=True
         )
@@ -103,9 +108,9 @@
         if self._revision is None:
             after = self._pages[-1].key if self._pages else ""
             return TimedCall(ReadRange(self._prefix, after), timeout_ms)
-        wait_ms = Millis(WATCH_TIMEOUT_MS + WATCH_MARGIN_MS + timeout_ms)
+        watch = WatchPrefix(self._prefix, self._revision, self._watch_timeout_ms)
         return TimedCall(
-            WatchPrefix(self._prefix, self._revision, WATCH_TIMEOUT_MS), wait_ms
+            watch, Millis(self._watch_timeout_ms + WATCH_MARGIN_MS + timeout_ms)
         )
 
     def on_answer(self, call: StoreCall, answer: StoreAnswer, now: Millis) -> None:
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -46,6 +46,13 @@
 A change must be in force within 3 s.
 """
 
+SITE_WATCH_TIMEOUT_MS = Millis(2_500)
+"""How long the store waits for a change before it answers a watch.
+
+With the timeout of the call and the read that follows, a change is in force within the
+required 4 s even if the answer to a watch is lost.
+"""
+
 MAX_AGENTS_RETRY_DELAY_MS = Millis(2_000)
 """Upper limit of the delay between attempts to read the agents' entries again.
 
@@ -118,6 +125,7 @@
             self._on_site_events,
             random,
             lambda: MIN_SITE_WATCH_INTERVAL_MS,
+            watch_timeout_ms=SITE_WATCH_TIMEOUT_MS,
         )
         self._agents_watcher = PrefixWatcher(
             AGENT_PREFIX,
--- a/src/papayagw/_internal/net/plain/http_client.py
+++ b/src/papayagw/_internal/net/plain/http_client.py
@@ -14,6 +14,7 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.net.plain.loop import Loop
+from papayagw._internal.store.keepalive import KEEPALIVE_OPTIONS
 
 MAX_RESPONSE_BYTES = 4 << 20
 """Maximum size of a response body.
@@ -24,12 +25,6 @@
 _READ_BYTES = 65_536
 """Maximum number of bytes read from the socket at once."""
 
-_KEEPALIVE_INTERVAL_S = 2
-"""Idle time before the first TCP keepalive probe, and interval between probes."""
-
-_KEEPALIVE_PROBES = 2
-"""Number of unanswered keepalive probes after which the connection is closed."""
-
 
 @dataclass(frozen=True, slots=True)
 class HttpResult:
@@ -98,13 +93,8 @@
         connection = self._socket
         connection.setblocking(False)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option, value in (
-            (socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_S),
-            (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
-            (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-        ):
-            connection.setsockopt(socket.IPPROTO_TCP, option, value)
+        for level, option, value in KEEPALIVE_OPTIONS:
+            connection.setsockopt(level, option, value)
         self._timer = self._loop.call_after(self._timeout_ms, self._on_timeout)
         code = connection.connect_ex(self._peer.sockaddr)
         if code not in (0, errno.EINPROGRESS):
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -64,11 +64,14 @@
     def __init__(self, address):
         self.address = address
         self.is_down = False
+        self.closed = threading.Event()
         self._items = {}
         self._events = []
         self._leases = {}
         self._lease_ids = itertools.count(70_000)
         self._revision = 1
+        self._open_watches = []
+        self._silenced_watches = 0
         self._changed = threading.Condition()
         service = self
 
@@ -83,6 +86,9 @@
                 status, fields = service.handle_request(
                     self.command, url.path, query, body
                 )
+                if status is None:
+                    service.closed.wait()
+                    return
                 data = json.dumps(fields).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
@@ -107,11 +113,15 @@
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     def close(self):
+        self.closed.set()
         self._server.shutdown()
         self._server.server_close()
 
     def handle_request(self, method, path, query, body):
-        """Return the status and the JSON fields of the response."""
+        """Return the status and the JSON fields of the response.
+
+        The status is None if the connection stays open without a response.
+        """
         if self.is_down:
             return 503, {}
         with self._changed:
@@ -120,7 +130,7 @@
                 case "GET", "kv-range":
                     return 200, self._range(query["prefix"])
                 case "GET", "kv-watch":
-                    return 200, self._watch(query)
+                    return self._watch(query)
                 case "POST", "kv-txn":
                     return self._write(body)
                 case "POST", "kv-lease":
@@ -145,6 +155,18 @@
         with self._changed:
             return set(self._items)
 
+    def count_watches(self, prefix):
+        """Return the number of open watches of a prefix that may still be answered."""
+        with self._changed:
+            return self._open_watches.count(prefix)
+
+    def silence_watches(self):
+        """Leave all open watches without an answer; later calls are answered."""
+        with self._changed:
+            self._open_watches.clear()
+            self._silenced_watches += 1
+            self._changed.notify_all()
+
     def _range(self, prefix):
         """Return the response to a read of the keys with a prefix."""
         items = [
@@ -155,17 +177,21 @@
     def _watch(self, query):
         """Return the response to a watch, once there are events or its time is over."""
         deadline = time.monotonic() + int(query["wait_ms"]) / 1_000
-        while True:
+        prefix, silenced = query["prefix"], self._silenced_watches
+        self._open_watches.append(prefix)
+        while self._silenced_watches == silenced:
             events = [
                 one
                 for one in self._events
                 if one["revision"] > int(query["after"])
-                and one["key"].startswith(query["prefix"])
+                and one["key"].startswith(prefix)
             ]
             left = deadline - time.monotonic()
             if events or left <= 0 or self.is_down:
-                return {"events": events, "store_revision": self._revision}
+                self._open_watches.remove(prefix)
+                return 200, {"events": events, "store_revision": self._revision}
             self._changed.wait(min(left, 0.5))
+        return None, {}
 
     def _write(self, body):
         for put in body["puts"]:
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -1,12 +1,13 @@
 """Tests of the roles as real processes, with stand-ins for the platform."""
 
+import json
 import signal
 import threading
 import time
 
 import pytest
 
-from tests.lib.plain_fleet import READY_TIMEOUT_S, PlainFleet
+from tests.lib.plain_fleet import READY_TIMEOUT_S, SITE, PlainFleet
 from tests.lib.processes import wait_until
 
 FLOWS = 8
@@ -18,6 +19,11 @@
 ENTRY_RESTORE_TIMEOUT_S = 2.0
 """Longest time until an entry is restored after a store outage."""
 
+CHANGE_TIMEOUT_S = 4.0
+"""Longest time until a change of the configuration is in force at each balancer."""
+
+SITE_KEY = "op/config"
+
 
 @pytest.fixture
 def unstarted_fleet(tmp_path, block):
@@ -163,6 +169,41 @@
     wait_for_key(fleet.store, key, ENTRY_RESTORE_TIMEOUT_S)
 
 
+def put_site(fleet, **changes):
+    """Write the configuration of the fleet with changed fields, like an operator."""
+    fleet.store.put(SITE_KEY, json.dumps({**SITE, **changes}).encode())
+
+
+def wait_until_in_force(fleet, version, timeout_s=CHANGE_TIMEOUT_S):
+    """Wait until each balancer has a version of the configuration in force."""
+    deadline = time.monotonic() + timeout_s
+
+    def has_applied(name):
+        return version in [
+            event["version"]
+            for event in fleet.log(name)
+            if event["event"] == "configuration in force"
+        ]
+
+    for name in fleet.balancers:
+        wait_until(
+            lambda name=name: has_applied(name),
+            deadline - time.monotonic(),
+            f"version {version} is not in force at {name}",
+        )
+
+
+def test_a_change_is_in_force_in_time_although_open_watches_went_silent(fleet):
+    wait_until(
+        lambda: fleet.store.count_watches(SITE_KEY) == len(fleet.balancers),
+        READY_TIMEOUT_S,
+        "not every balancer watches the configuration",
+    )
+    fleet.store.silence_watches()
+    put_site(fleet, version=4)
+    wait_until_in_force(fleet, 4)
+
+
 def test_a_stopping_balancer_serves_until_it_is_out_of_rotation(fleet, flows):
     name = fleet.balancers[0]
     fleet.signal(name, signal.SIGTERM)
--- a/tests/unit/test_plain_http.py
+++ b/tests/unit/test_plain_http.py
@@ -11,6 +11,8 @@
 from papayagw._internal.net.plain.loop import Loop
 
 TIMEOUT_MS = Millis(1_000)
+CHANGE_TIMEOUT_S = 4
+"""Longest time until a change of the configuration is in force at each balancer."""
 
 
 def response(body):
@@ -73,3 +75,24 @@
     assert (one.status, one.body) == ((200, body) if body else (0, b""))
     assert bool(one.failure) is (body is None)
     assert (other.status, other.body) == (200, b"second")
+
+
+def test_a_connection_that_went_silent_fails_before_a_change_is_overdue():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        peer, loop = Endpoint(*listener.getsockname()), Loop(lambda error: None)
+        loop.start()
+        exchange = HttpExchange(loop, peer, "GET", "/", b"", TIMEOUT_MS, print)
+        exchange.start()
+        read = exchange._socket.getsockopt
+        idle_s, interval_s, probes = (
+            read(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_KEEPCNT,
+            )
+        )
+        assert read(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        exchange.close()
+        loop.close()
+    assert idle_s + interval_s * probes < CHANGE_TIMEOUT_S
