Relay: renew the watch of the configuration, so that a silent one is noticed

What operators would see: a change that isn't in force at any node for up to 72 s, if the connections of all relays go silent without a reset.

A relay waits on one watch for 60 s, and nothing else ends the wait.

Change: the watch is renewed every 2.5 s from the last revision; the value is read again once a minute as before, since 178 KB each 2.5 s would exceed the 4 KB/s of a node. Connections of the client have keepalive that closes a silent one after 3 s.

Test: test_relay_hears_a_change_in_time_although_its_watch_went_silent, which ran into its 4 s before.

--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -31,7 +31,13 @@
 from papayagw._internal.store.protocol import ABSENT_REVISION
 
 WATCH_LIMIT_MS = Millis(60_000)
-"""Duration of a watch; a watch that was lost without an error ends after this time."""
+"""Time for which the store is watched between two reads of the configuration."""
+
+WATCH_RENEWAL_MS = Millis(2_500)
+"""Duration of one watch call; a watch that was lost without an error ends after it.
+
+A change must be in force everywhere within 4 s.
+"""
 
 FIRST_WATCH_LIMIT_MS = Millis(5_000)
 """Limit of the first watch, which is short.
@@ -162,12 +168,22 @@
         stored = await self._read_store()
         if stored is None or not await self._restore_lost_version(stored):
             return False
-        watched = await self._store.watch(
-            stored.store_revision, self._handle_stored, limit_ms
+        revision, end = (
+            stored.store_revision,
+            anyio.current_time() + to_seconds(limit_ms),
         )
-        if isinstance(watched, Failure):
-            self._report_failure(watched.failure())
-            return False
+        while anyio.current_time() < end:
+            renewal_at = anyio.current_time() + to_seconds(WATCH_RENEWAL_MS)
+            watched = await self._store.watch(
+                revision, self._handle_stored, WATCH_RENEWAL_MS
+            )
+            if isinstance(watched, Failure):
+                self._report_failure(watched.failure())
+                return False
+            previous, revision = revision, watched.unwrap()
+            if revision < previous or anyio.current_time() < renewal_at:
+                # The store was restored from an older copy, or ended the watch.
+                return True
         return True
 
     async def _read_store(self) -> StoredConfiguration | None:
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -24,6 +24,7 @@
     parse_swap_response,
     parse_watch_events,
 )
+from papayagw._internal.store.keepalive import KEEPALIVE_OPTIONS
 from papayagw._internal.store.protocol import (
     MAX_VALUE_BYTES,
     Entry,
@@ -104,7 +105,8 @@
     def _open_client(self) -> httpx.AsyncClient:
         """Return the HTTP client, which the first call creates."""
         if self._client is None:
-            self._client = httpx.AsyncClient(trust_env=False)
+            transport = httpx.AsyncHTTPTransport(socket_options=KEEPALIVE_OPTIONS)
+            self._client = httpx.AsyncClient(trust_env=False, transport=transport)
         return self._client
 
     async def _call_with_timeout(
--- a/tests/unit/test_configuration_source.py
+++ b/tests/unit/test_configuration_source.py
@@ -3,10 +3,11 @@
 
 import anyio
 import pytest
+from returns.result import Success
 
 from papayagw._internal.core.configuration import ConfigurationLog
 from papayagw._internal.core.submission import Accepted, Proposal, Refused, Unknown
-from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.clock import Millis, to_seconds
 from papayagw._internal.models.configuration import FleetKey
 from papayagw._internal.net.configuration import FileConfigurationSource
 from papayagw._internal.net.configuration_peer import (
@@ -23,6 +24,30 @@
 from tests.lib.settings import BASE, OVERLAY, SettingsFolder
 from tests.lib.stores import find_free_endpoint
 
+CHANGE_TIMEOUT_S = 4.0
+"""Longest time until a change is in force everywhere."""
+
+
+class SilentStore(MemoryStore):
+    """Store that ends the first watch and leaves the second one unanswered.
+
+    The first watch of a node is shorter than later ones.
+    """
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.is_silent = anyio.Event()
+        self._watch_count = 0
+
+    async def watch(self, key, after, on_entry, timeout_ms):
+        self._watch_count += 1
+        if self._watch_count > 2:
+            return await super().watch(key, after, on_entry, timeout_ms)
+        if self._watch_count == 2:
+            self.is_silent.set()
+            await anyio.sleep(to_seconds(timeout_ms))
+        return Success(after)
+
 
 class Node:
     """Configuration source of a node, with a server for its peers."""
@@ -98,6 +123,21 @@
     anyio.run(main)
 
 
+def test_relay_hears_a_change_in_time_although_its_watch_went_silent():
+    async def main():
+        store = SilentStore(ManualClock())
+        await submit_max_flows(store, 1)
+        async with running_tasks() as tasks:
+            node = Node(store)
+            await node.start(tasks)
+            await store.is_silent.wait()
+            await submit_max_flows(store, 2)
+            with anyio.fail_after(CHANGE_TIMEOUT_S):
+                await node.wait_for_version(2)
+
+    anyio.run(main)
+
+
 def test_other_node_hears_from_its_peer_and_never_watches():
     async def main():
         store = MemoryStore(ManualClock())
