Store client: read the era of the store's answers and log when it changes

Nothing said whether the store was away or came back from an older copy, and the hypotheses on the restored store differ in just what happens after that. Answers name the era in a header; the adapter decodes it, and each client of the store logs `store restored`. The clients themselves behave as before.

--- a/src/papayagw/_internal/models/plain/entry_store.py
+++ b/src/papayagw/_internal/models/plain/entry_store.py
@@ -171,13 +171,30 @@
     refused: bool = False
 
 
-StoreAnswer = (
-    RangeResult
-    | WatchResult
-    | HistoryCompacted
-    | PutResult
-    | LeaseResult
-    | LeaseEnded
-    | CallFailed
+UsableAnswer = (
+    RangeResult | WatchResult | HistoryCompacted | PutResult | LeaseResult | LeaseEnded
 )
+"""The answer to a call that the store executed."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """First answer to a client since the store was restored from an older copy.
+
+    What was written after the copy was made is lost, leases included. Revisions and
+    ids of leases are given out again.
+
+    Attributes
+    ----------
+    era : int
+        Number of the store's era, which a restoration begins.
+    answer : UsableAnswer
+        The answer itself, which is valid in the new era.
+    """
+
+    era: int
+    answer: UsableAnswer
+
+
+StoreAnswer = UsableAnswer | StoreRestored | CallFailed
 """The answer to a call, or its failure."""
--- a/src/papayagw/_internal/net/plain/adapter.py
+++ b/src/papayagw/_internal/net/plain/adapter.py
@@ -3,11 +3,18 @@
 from typing import Protocol
 
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.entry_store import StoreAnswer, StoreCall
+from papayagw._internal.models.plain.entry_store import (
+    CallFailed,
+    StoreCall,
+    UsableAnswer,
+)
 from papayagw._internal.models.plain.instance import Departure, StatusReport
 from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
 from papayagw._internal.models.plain.site import SiteVersion
 
+Headers = tuple[tuple[str, str], ...]
+"""Names, in lower case, and values of the headers of an HTTP response."""
+
 
 class PacketCodec(Protocol):
     """Encodes and decodes the packets of clients and backend servers."""
@@ -57,9 +64,14 @@
     def encode_call(self, call: StoreCall) -> HttpCall:
         """Encode a store call as an HTTP request."""
 
-    def decode_answer(self, call: StoreCall, status: int, body: bytes) -> StoreAnswer:
+    def decode_answer(
+        self, call: StoreCall, status: int, body: bytes
+    ) -> UsableAnswer | CallFailed:
         """Decode the HTTP response to a store call."""
 
+    def decode_era(self, headers: Headers) -> int | None:
+        """Return the store's era that a response names, or None if it names none."""
+
 
 class Platform(PacketCodec, StoreCodec, Protocol):
     """Packet formats, store protocol, configuration and reports of a platform."""
--- a/src/papayagw/_internal/net/plain/http_client.py
+++ b/src/papayagw/_internal/net/plain/http_client.py
@@ -13,6 +13,7 @@
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.net.plain.adapter import Headers
 from papayagw._internal.net.plain.loop import Loop
 from papayagw._internal.store.keepalive import KEEPALIVE_OPTIONS
 
@@ -38,11 +39,14 @@
         Response body.
     failure : str
         Cause of the failure; empty unless `status` is 0.
+    headers : Headers
+        Names, in lower case, and values of the response's headers.
     """
 
     status: int
     body: bytes = b""
     failure: str = ""
+    headers: Headers = ()
 
 
 class HttpExchange:
@@ -83,6 +87,7 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._unsent = b""
         self._status = 0
+        self._headers: Headers = ()
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._is_closed = False
@@ -163,6 +168,10 @@
             event = self._http.next_event()
             if isinstance(event, h11.Response):
                 self._status = event.status_code
+                self._headers = tuple(
+                    (name.decode(), value.decode("latin-1"))
+                    for name, value in event.headers
+                )
             elif isinstance(event, h11.Data):
                 self._body.append(bytes(event.data))
                 self._body_bytes += len(event.data)
@@ -170,7 +179,8 @@
                     self._fail("response body too large")
                     return
             elif isinstance(event, h11.EndOfMessage):
-                self._finish(HttpResult(self._status, b"".join(self._body)))
+                body = b"".join(self._body)
+                self._finish(HttpResult(self._status, body, headers=self._headers))
                 return
             else:
                 break
--- a/src/papayagw/_internal/net/plain/process.py
+++ b/src/papayagw/_internal/net/plain/process.py
@@ -15,6 +15,7 @@
     CallFailed,
     StoreAnswer,
     StoreCall,
+    StoreRestored,
     WatchPrefix,
 )
 from papayagw._internal.models.plain.frame import Frame
@@ -170,9 +171,13 @@
     ) -> None:
         """Count a store call and record its duration in the metrics.
 
-        Logs when the store becomes unreachable or reachable again.
+        Logs when the store becomes unreachable or reachable again, or was restored.
         """
         name = type(call).__name__
+        if isinstance(answer, StoreRestored):
+            self.record_event(
+                LogEvent("store restored", {"call": name, "era": answer.era})
+            )
         self.metrics.count(f"store {name}")
         if not isinstance(call, WatchPrefix):
             self.metrics.observe(f"store {name}", took_ms)
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -3,11 +3,13 @@
 from typing import Protocol
 
 from papayagw._internal.core.plain.store_calls import StoreClient
+from papayagw._internal.core.plain.store_era import EraTracker
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
     StoreAnswer,
     StoreCall,
+    StoreRestored,
 )
 from papayagw._internal.net.plain.adapter import StoreCodec
 from papayagw._internal.net.plain.http_client import HttpExchange, HttpResult
@@ -52,6 +54,7 @@
         self._client = client
         self._on_answer = on_answer
         self._exchange: HttpExchange | None = None
+        self._eras = EraTracker()
         self._alarm = Alarm(loop, self._start_call)
 
     def start(self) -> None:
@@ -105,11 +108,18 @@
         self, call: StoreCall, result: HttpResult, took_ms: int
     ) -> None:
         """Pass the answer to the client and schedule its next call."""
-        answer: StoreAnswer
-        if result.status:
-            answer = self._codec.decode_answer(call, result.status, result.body)
-        else:
-            answer = CallFailed(result.failure)
-        self._client.on_answer(call, answer, self._loop.now())
+        answer = self._decode_result(call, result)
+        inner = answer.answer if isinstance(answer, StoreRestored) else answer
+        self._client.on_answer(call, inner, self._loop.now())
         self._on_answer(call, answer, took_ms)
         self.reschedule()
+
+    def _decode_result(self, call: StoreCall, result: HttpResult) -> StoreAnswer:
+        """Decode the answer to a call, and detect that the store was restored."""
+        if not result.status:
+            return CallFailed(result.failure)
+        answer = self._codec.decode_answer(call, result.status, result.body)
+        era = self._codec.decode_era(result.headers)
+        if isinstance(answer, CallFailed) or era is None:
+            return answer
+        return StoreRestored(era, answer) if self._eras.record(era) else answer
--- a/src/papayagw/platform/adapter.py
+++ b/src/papayagw/platform/adapter.py
@@ -19,3 +19,4 @@
     decode_site = staticmethod(site.decode_site)
     encode_call = staticmethod(store.encode_call)
     decode_answer = staticmethod(store.decode_answer)
+    decode_era = staticmethod(store.decode_era)
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -5,6 +5,7 @@
 
 import json
 from base64 import b64decode, b64encode
+from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -25,10 +26,10 @@
     ReadRange,
     RemovedItem,
     RenewLease,
-    StoreAnswer,
     StoreCall,
     StoredItem,
     StoreEvent,
+    UsableAnswer,
     WatchPrefix,
     WatchResult,
 )
@@ -36,6 +37,9 @@
 _REFUSED_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 """HTTP statuses by which the store states that it did not execute the call."""
 
+_ERA_HEADER = "store-era"
+"""Header of all responses, in lower case, with the number of the store's era."""
+
 
 @dataclass(frozen=True, slots=True)
 class HttpCall:
@@ -77,7 +81,9 @@
             return HttpCall("DELETE", f"/-/kv-lease-end/{lease}")
 
 
-def decode_answer(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
+def decode_answer(
+    call: StoreCall, status: int, body: bytes
+) -> UsableAnswer | CallFailed:
     """Decode the HTTP response to a store call; an invalid one is a `CallFailed`."""
     if status in _REFUSED_STATUSES:
         return CallFailed(f"status {status}", refused=True)
@@ -87,7 +93,21 @@
         return CallFailed(f"status {status}, malformed response: {error!r}")
 
 
-def _decode_response(call: StoreCall, status: int, body: bytes) -> StoreAnswer:
+def decode_era(headers: Iterable[tuple[str, str]]) -> int | None:
+    """Return the era that a response names, or None if it names none.
+
+    The era rises by one each time that the store comes back from an older copy.
+    """
+    value = dict(headers).get(_ERA_HEADER, "")
+    try:
+        return int(value)
+    except ValueError:
+        return None
+
+
+def _decode_response(
+    call: StoreCall, status: int, body: bytes
+) -> UsableAnswer | CallFailed:
     """Decode a response whose status isn't that of a refusal."""
     fields = json.loads(body) if body else {}
     match call, status:
@@ -100,7 +120,7 @@
     return CallFailed(f"status {status}")
 
 
-def _decode_success(call: StoreCall, fields: dict[str, Any]) -> StoreAnswer:
+def _decode_success(call: StoreCall, fields: dict[str, Any]) -> UsableAnswer:
     """Decode the fields of a response with status 200."""
     match call:
         case ReadRange():
--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -22,7 +22,7 @@
     WatchPrefix,
     WatchResult,
 )
-from papayagw.platform.store import decode_answer, encode_call
+from papayagw.platform.store import decode_answer, decode_era, encode_call
 
 ITEM = {
     "key": "k",
@@ -120,3 +120,18 @@
 @pytest.mark.parametrize("call", [RANGE, WATCH, PUT, GrantLease(1), RenewLease(5)])
 def test_malformed_answers(call, body):
     assert isinstance(decode_answer(call, 200, body), CallFailed)
+
+
+@pytest.mark.parametrize(
+    ("headers", "era"),
+    [
+        ((("content-length", "2"), ("store-era", "7")), 7),
+        ((("store-era", " 7 "),), 7),
+        ((("content-length", "2"),), None),
+        ((("store-era", ""),), None),
+        ((("store-era", "seven"),), None),
+        ((("store-era", "9" * 10_000),), None),
+    ],
+)
+def test_decode_era(headers, era):
+    assert decode_era(headers) == era
