Plain balancer: read again when the store was restored from a copy

What callers would see: a change that was acknowledged after the store came back isn't in force at a balancer until the next change (CONFIG).

Cause: a revision was taken as a position in one history. After a restoration the store gives revisions out again. A watch that goes on from one of before hears nothing of what was written up to it, and status 410 comes only while the store hasn't reached it.

Change: the driver hands the first answer of another era on as `StoreRestored`. A watcher then drops its revision and the pages read so far and reads everything; if the answer is a first page, it is used. Once one watcher of a balancer learns of it, the other reads as well.

--- a/src/papayagw/_internal/core/plain/entry_registrar.py
+++ b/src/papayagw/_internal/core/plain/entry_registrar.py
@@ -18,6 +18,7 @@
     StoreAnswer,
     StoreCall,
     StoredItem,
+    StoreRestored,
 )
 from papayagw._internal.models.plain.frame import ForwardFrame, ToAgent
 
@@ -108,6 +109,8 @@
             self._due_at = Millis(now + self._retry_schedule.record_failure(answer))
             self._had_failure = True
             return
+        if isinstance(answer, StoreRestored):
+            answer = answer.answer
         self._retry_schedule.record_success()
         self._due_at = now
         match answer:
--- a/src/papayagw/_internal/core/plain/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/prefix_watcher.py
@@ -18,6 +18,7 @@
     StoreCall,
     StoredItem,
     StoreEvent,
+    StoreRestored,
     WatchPrefix,
     WatchResult,
 )
@@ -130,7 +131,12 @@
                     self._revision = max(revision, self._revision or 0)
                     self._on_events(events)
                     self._due_at = Millis(now + self._get_interval())
-            case HistoryCompacted():
+            case StoreRestored(answer=RangeResult() as page) if not self._pages:
+                self.on_answer(call, page, now)
+            case HistoryCompacted() | StoreRestored():
+                # Revisions known from before a restoration no longer hold: the store
+                # may have given them out again.
+                self._retry_schedule.record_success()
                 self.restart(now)
             case CallFailed():
                 # Writes during the failure may be missing from the history.
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -24,6 +24,7 @@
     StoreCall,
     StoredItem,
     StoreEvent,
+    StoreRestored,
     WatchResult,
 )
 from papayagw._internal.models.plain.frame import Frame, ToBalancer
@@ -139,7 +140,7 @@
             self._site_watcher, self._record_site_call
         )
         self._agents_driver = self._make_driver(
-            self._agents_watcher, self._runtime.record_store_call
+            self._agents_watcher, self._record_store_call
         )
         self._alarm = Alarm(self._runtime.loop, self._on_timer)
         self._agents_refresh_alarm = Alarm(self._runtime.loop, self._refresh_agents)
@@ -191,10 +192,19 @@
         self, call: StoreCall, answer: StoreAnswer, took_ms: int
     ) -> None:
         """Record a call on the configuration, and when the store last answered one."""
-        self._runtime.record_store_call(call, answer, took_ms)
+        self._record_store_call(call, answer, took_ms)
         if isinstance(answer, RangeResult | WatchResult):
             self._site_confirmed_at = self._runtime.loop.now()
 
+    def _record_store_call(
+        self, call: StoreCall, answer: StoreAnswer, took_ms: int
+    ) -> None:
+        """Record a call; read everything again once the store was restored."""
+        self._runtime.record_store_call(call, answer, took_ms)
+        if isinstance(answer, StoreRestored):
+            self._refresh(self._site_watcher, self._site_driver)
+            self._refresh(self._agents_watcher, self._agents_driver)
+
     # Packets and frames
 
     def _receive_client_packets(self) -> None:
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -109,8 +109,7 @@
     ) -> None:
         """Pass the answer to the client and schedule its next call."""
         answer = self._decode_result(call, result)
-        inner = answer.answer if isinstance(answer, StoreRestored) else answer
-        self._client.on_answer(call, inner, self._loop.now())
+        self._client.on_answer(call, answer, self._loop.now())
         self._on_answer(call, answer, took_ms)
         self.reschedule()
 
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -6,7 +6,6 @@
 """
 
 import base64
-import itertools
 import json
 import random
 import socket
@@ -68,7 +67,8 @@
         self._items = {}
         self._events = []
         self._leases = {}
-        self._lease_ids = itertools.count(70_000)
+        self._next_lease = 70_000
+        self._era = 1
         self._revision = 1
         self._open_watches = []
         self._silenced_watches = 0
@@ -92,6 +92,7 @@
                 data = json.dumps(fields).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
+                self.send_header("Store-Era", str(service.era))
                 self.end_headers()
                 # A killed process has closed its connection.
                 with suppress(ConnectionError):
@@ -134,7 +135,7 @@
                 case "POST", "kv-txn":
                     return self._write(body)
                 case "POST", "kv-lease":
-                    lease = next(self._lease_ids)
+                    lease, self._next_lease = self._next_lease, self._next_lease + 1
                     self._leases[lease] = (time.monotonic(), body["ttl_ms"] / 1_000)
                     return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
             verb, _, lease = path.removeprefix("/-/").partition("/")
@@ -167,6 +168,41 @@
             self._silenced_watches += 1
             self._changed.notify_all()
 
+    def lease_of(self, key):
+        """Return the lease of a key; None if the key doesn't exist."""
+        with self._changed:
+            return self._items[key]["lease"] if key in self._items else None
+
+    @property
+    def era(self):
+        """Number of restorations, plus one."""
+        return self._era
+
+    def copy(self):
+        """Return a copy for `restore`."""
+        with self._changed:
+            return (
+                dict(self._items),
+                list(self._events),
+                dict(self._leases),
+                self._next_lease,
+                self._revision,
+            )
+
+    def restore(self, copy):
+        """Return to a copy: revisions and leases since are given out again.
+
+        Open watches aren't ended.
+        """
+        items, events, leases, next_lease, revision = copy
+        with self._changed:
+            self._items, self._events = dict(items), list(events)
+            self._leases = {
+                lease: (time.monotonic(), ttl) for lease, (_, ttl) in leases.items()
+            }
+            self._next_lease, self._revision = next_lease, revision
+            self._era += 1
+
     def _range(self, prefix):
         """Return the response to a read of the keys with a prefix."""
         items = [
@@ -178,6 +214,8 @@
         """Return the response to a watch, once there are events or its time is over."""
         deadline = time.monotonic() + int(query["wait_ms"]) / 1_000
         prefix, silenced = query["prefix"], self._silenced_watches
+        if int(query["after"]) > self._revision:
+            return 410, {}
         self._open_watches.append(prefix)
         while self._silenced_watches == silenced:
             events = [
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -204,6 +204,17 @@
     wait_until_in_force(fleet, 4)
 
 
+def test_a_change_at_a_revision_that_was_given_out_before_is_in_force(fleet):
+    """The store is restored, and reaches the watched revision again."""
+    copy = fleet.store.copy()
+    put_site(fleet, version=4)
+    wait_until_in_force(fleet, 4)
+    fleet.store.restore(copy)
+    put_site(fleet, version=5)
+    fleet.store.put("servers/other", b"another writer")
+    wait_until_in_force(fleet, 5)
+
+
 def test_a_stopping_balancer_serves_until_it_is_out_of_rotation(fleet, flows):
     name = fleet.balancers[0]
     fleet.signal(name, signal.SIGTERM)
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -37,6 +37,7 @@
     RemovedItem,
     RenewLease,
     StoredItem,
+    StoreRestored,
     WatchPrefix,
     WatchResult,
 )
@@ -285,6 +286,44 @@
             [READ, watch(5), READ, watch(9)],
             [(), (A,)],
         ),
+        # Revisions are given out again after a restoration of the store.
+        (
+            [
+                RangeResult((), False, 5),
+                StoreRestored(2, WatchResult((B,), 8)),
+                RangeResult((A, B), False, 9),
+            ],
+            [READ, watch(5), READ, watch(9)],
+            [(), (A, B)],
+        ),
+        (
+            [
+                RangeResult((), False, 5),
+                StoreRestored(2, HistoryCompacted()),
+                RangeResult((A,), False, 4),
+            ],
+            [READ, watch(5), READ, watch(4)],
+            [(), (A,)],
+        ),
+        # Pages of different eras don't belong together.
+        (
+            [
+                RangeResult((A,), True, 5),
+                StoreRestored(2, RangeResult((B,), False, 4)),
+                RangeResult((C,), False, 4),
+            ],
+            [READ, ReadRange("p/", "p/a"), READ, watch(4)],
+            [(C,)],
+        ),
+        (
+            [
+                RangeResult((), False, 5),
+                TIMED_OUT,
+                StoreRestored(2, RangeResult((A,), False, 4)),
+            ],
+            [READ, watch(5), READ, watch(4)],
+            [(), (A,)],
+        ),
         # A failed watch may have missed writes that the history no longer has.
         (
             [RangeResult((), False, 5), TIMED_OUT, RangeResult((A,), False, 9)],
