Plain agent: drop the lease when the store was restored from a copy

What callers would see: openings offered to an agent that is gone, and lookups of owners that wait for it, for as long as another agent lives; or the entry of a live agent removed when another one stops.

Cause: the id of a lease was taken as the agent's own for good. After a restoration the store grants the id again. An agent that goes on with it renews the lease of another and attaches its own entry to it when balancers find that missing.

Change: on the first answer of another era an agent forgets its lease. If it had written its entry before the restoration and not since, it reads the entry, whose lease is its own if the copy has it; otherwise it writes the entry under a new lease.

Test: test_agents_dont_share_a_lease_that_was_given_out_twice (real processes; failed before: one lease for both after 2 s), five rows of test_registrar_calls.

--- a/src/papayagw/_internal/core/plain/entry_registrar.py
+++ b/src/papayagw/_internal/core/plain/entry_registrar.py
@@ -109,11 +109,11 @@
             self._due_at = Millis(now + self._retry_schedule.record_failure(answer))
             self._had_failure = True
             return
-        if isinstance(answer, StoreRestored):
-            answer = answer.answer
         self._retry_schedule.record_success()
         self._due_at = now
         match answer:
+            case StoreRestored():
+                self._on_store_restored()
             case RangeResult() if self._is_checking:
                 self._end_check(answer, now)
             case RangeResult():
@@ -157,6 +157,17 @@
         self._is_ending = True
         self._due_at = now
 
+    def _on_store_restored(self) -> None:
+        """Discard the lease, whose id the store may have granted again to another.
+
+        The entry is read, and its lease used, if this agent hasn't written it since. If
+        it may have, the entry may be attached to another agent's lease, and is written
+        again under a new one.
+        """
+        self._has_read = not self._is_stored
+        self._lease = None
+        self._is_new = self._is_stored = self._is_checking = False
+
     def _on_renewed(self, now: Millis) -> None:
         """Check the entry after the renewal of its lease if nobody else would."""
         if self._had_failure:
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -215,6 +215,25 @@
     wait_until_in_force(fleet, 5)
 
 
+def test_agents_dont_share_a_lease_that_was_given_out_twice(unstarted_fleet):
+    """The store is restored to a copy from before one agent's lease was granted."""
+    fleet, store = unstarted_fleet, unstarted_fleet.store
+    first, second = (f"papayagw/agents/{name}" for name in fleet.agents)
+    copy = store.copy()
+    fleet.start_process(fleet.agents[0])
+    wait_for_key(store, first, READY_TIMEOUT_S)
+    fleet.signal(fleet.agents[0], signal.SIGSTOP)
+    store.restore(copy)
+    fleet.start_process(fleet.agents[1])
+    wait_for_key(store, second, READY_TIMEOUT_S)
+    fleet.signal(fleet.agents[0], signal.SIGCONT)
+    wait_until(
+        lambda: store.lease_of(first) not in (None, store.lease_of(second)),
+        ENTRY_RESTORE_TIMEOUT_S,
+        f"{first} isn't stored under a lease of its own",
+    )
+
+
 def test_a_stopping_balancer_serves_until_it_is_out_of_rotation(fleet, flows):
     name = fleet.balancers[0]
     fleet.signal(name, signal.SIGTERM)
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -48,6 +48,7 @@
 KEY, VALUE = "papayagw/agents/a", b"value"
 EMPTY = RangeResult((), False, 7)
 OWN_ENTRY = RangeResult((StoredItem(KEY, VALUE, 6, 5),), False, 7)
+RESTORED = StoreRestored(2, LeaseResult(5, LEASE_TTL_MS))
 OTHER_VALUE = RangeResult((StoredItem(KEY, b"older", 6, 5),), False, 7)
 LONGER_KEY = RangeResult((StoredItem(KEY + "b", VALUE, 6, 5),), False, 7)
 TIMED_OUT = CallFailed("no answer")
@@ -109,6 +110,28 @@
             [OWN_ENTRY, REFUSED, LeaseEnded(), LEASED, PutResult(8)],
             [FIRST_READ, RENEW, RENEW, GRANT, PUT, RENEW],
         ),
+        # Ids of leases are given out again after a restoration of the store.
+        (
+            [EMPTY, LEASED, PutResult(8), RESTORED, EMPTY, LEASED],
+            [FIRST_READ, GRANT, PUT, RENEW, READ_KEY, GRANT, PUT],
+        ),
+        (
+            [EMPTY, LEASED, PutResult(8), RESTORED, OWN_ENTRY, LEASED],
+            [FIRST_READ, GRANT, PUT, RENEW, READ_KEY, RENEW, RENEW],
+        ),
+        (
+            [EMPTY, LEASED, PutResult(8), TIMED_OUT, RESTORED, EMPTY, LEASED],
+            [FIRST_READ, GRANT, PUT, RENEW, RENEW, READ_KEY, GRANT, PUT],
+        ),
+        # The entry may be attached to another agent's lease.
+        (
+            [EMPTY, LEASED, StoreRestored(2, PutResult(4)), LEASED, PutResult(5)],
+            [FIRST_READ, GRANT, PUT, GRANT, PUT, RENEW],
+        ),
+        (
+            [EMPTY, StoreRestored(2, LEASED), LEASED, PutResult(5)],
+            [FIRST_READ, GRANT, GRANT, PUT, RENEW],
+        ),
     ],
 )
 def test_registrar_calls(answers, calls):
