Readers of other writers' values: refuse what is out of range, and go on

What callers would see: a balancer that no longer follows the configuration (CONFIG), or knows no new agents, after one odd value.

Cause: a number such as 1e999 and a port such as 65536 raise OverflowError, which wasn't among the errors that the decoders expect. The loop recorded the fault, but the store client whose handler it ended made no further call. Entries could name services that no frame can carry, which failed the read in which such an entry went missing.

The driver of a store client goes on after a fault.

--- a/src/papayagw/_internal/exceptions.py
+++ b/src/papayagw/_internal/exceptions.py
@@ -11,6 +11,7 @@
     KeyError,
     TypeError,
     AttributeError,
+    OverflowError,
     RecursionError,
 )
 """Exceptions that parsing JSON with an unexpected structure may raise."""
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -109,9 +109,12 @@
     ) -> None:
         """Pass the answer to the client and schedule its next call."""
         answer = self._decode_result(call, result)
-        self._client.on_answer(call, answer, self._loop.now())
-        self._on_answer(call, answer, took_ms)
-        self.reschedule()
+        try:
+            self._client.on_answer(call, answer, self._loop.now())
+            self._on_answer(call, answer, took_ms)
+        finally:
+            # The loop records the fault of a handler; the calls must go on.
+            self.reschedule()
 
     def _decode_result(self, call: StoreCall, result: HttpResult) -> StoreAnswer:
         """Decode the answer to a call, and detect that the store was restored."""
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from papayagw._internal.exceptions import (
+    MALFORMED_JSON_ERRORS,
     PlatformError,
     PlatformUnreachableError,
     Step,
@@ -162,7 +163,7 @@
             return Failure(_make_refused_error(url, response.text))
         try:
             return Success(parse(response.json()))
-        except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
+        except (IndexError, *MALFORMED_JSON_ERRORS) as error:
             return Failure(_make_unreachable_error(url, f"invalid response: {error!r}"))
 
     async def _stream_watch(
@@ -181,7 +182,7 @@
             async for line in response.aiter_lines():
                 try:
                     progress.handle_message(json.loads(line)["result"])
-                except (ValueError, KeyError, TypeError, AttributeError) as error:
+                except (IndexError, *MALFORMED_JSON_ERRORS) as error:
                     return Failure(
                         _make_unreachable_error(url, f"invalid response: {error!r}")
                     )
--- a/src/papayagw/_internal/wire/plain_entries.py
+++ b/src/papayagw/_internal/wire/plain_entries.py
@@ -4,6 +4,7 @@
 
 from papayagw._internal.exceptions import MALFORMED_JSON_ERRORS, DecodeError, Step
 from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.fields import check_name
 from papayagw._internal.models.plain.instance import AgentEntry
 
 AGENT_PREFIX = "papayagw/agents/"
@@ -36,7 +37,8 @@
     try:
         fields = json.loads(value)
         endpoint = Endpoint.parse(fields["endpoint"])
-        return AgentEntry(endpoint, str(fields["service"]), str(fields["zone"]))
+        service = check_name(fields["service"], "service")
+        return AgentEntry(endpoint, service, check_name(fields["zone"], "zone"))
     except MALFORMED_JSON_ERRORS as error:
         raise DecodeError(
             f"malformed agent entry: {error!r}", step=Step.DECODE, peer=key
--- a/src/papayagw/platform/reports.py
+++ b/src/papayagw/platform/reports.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.fields import is_integer
 from papayagw._internal.models.plain.instance import (
     Departure,
     ReportedState,
@@ -76,6 +77,6 @@
 
 
 def _read_integer(fields: dict[str, Any], name: str) -> int | None:
-    """Return an integer field, or None if it is missing or of another type."""
+    """Return an integer field, or None if it is missing, too large or no integer."""
     value = fields.get(name)
-    return value if type(value) is int else None
+    return value if is_integer(value) else None
--- a/src/papayagw/platform/site.py
+++ b/src/papayagw/platform/site.py
@@ -4,10 +4,12 @@
 """
 
 import json
+from math import inf
 from typing import Any
 
 from papayagw._internal.exceptions import MALFORMED_JSON_ERRORS, DecodeError, Step
 from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.fields import check_count, check_name
 from papayagw._internal.models.plain.packet import EntryKey
 from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
 from papayagw.platform.packet import encode_entry
@@ -27,8 +29,11 @@
     try:
         fields = json.loads(value)
         routes = dict(_decode_route(route) for route in fields["routes"])
-        idle_timeout_ms = Millis(int(fields["limits"]["idle_timeout_ms"]))
-        return SiteVersion(int(fields["version"]), routes, idle_timeout_ms)
+        idle_timeout_ms = check_count(
+            fields["limits"]["idle_timeout_ms"], "idle_timeout_ms"
+        )
+        version = check_count(fields["version"], "version")
+        return SiteVersion(version, routes, Millis(idle_timeout_ms))
     except MALFORMED_JSON_ERRORS as error:
         raise DecodeError(
             f"invalid configuration: {error!r}", step=Step.DECODE, peer=SITE_KEY
@@ -40,7 +45,7 @@
     # Despite their names, from HTTP's host and path, `hostname` holds an IPv4 address
     # and `prefix` a port, such as "/8443/".
     address, port = fields["hostname"], int(fields["prefix"].strip("/"))
-    priority = int(fields.get("priority", 0))
+    priority = check_count(fields.get("priority", 0), "priority")
     route = Route(fields.get("name", ""), _decode_services(fields), priority)
     return EntryKey(encode_entry(address, port)), route
 
@@ -49,7 +54,24 @@
     """Decode a route's services and weights; a single service has the weight 1."""
     shares = fields.get("backends")
     if not shares:
-        return (WeightedService(fields["service"], 1.0),)
+        return (WeightedService(check_name(fields["service"], "service"), 1.0),)
     return tuple(
-        WeightedService(share["service"], float(share["weight"])) for share in shares
+        WeightedService(
+            check_name(share["service"], "service"), _check_weight(share["weight"])
+        )
+        for share in shares
     )
+
+
+def _check_weight(value: Any) -> float:
+    """Return a service's weight.
+
+    Raises
+    ------
+    ValueError
+        If it is negative, infinite or no number.
+    """
+    weight = float(value)
+    if not 0 <= weight < inf:
+        raise ValueError(f"weight: expected a number from 0, found {weight}")
+    return weight
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -66,7 +66,9 @@
         case ReadRange(prefix, after, may_be_stale):
             query = {"prefix": prefix} | ({"after": after} if after else {})
             query |= {"serializable": "1"} if may_be_stale else {}
-            return HttpCall("GET", "/-/kv-range?" + urlencode(query))
+            # A key of another writer may hold half of a surrogate pair.
+            encoded = urlencode(query, errors="surrogatepass")
+            return HttpCall("GET", "/-/kv-range?" + encoded)
         case WatchPrefix(prefix, after, wait_ms):
             query = {"prefix": prefix, "after": str(after), "wait_ms": str(wait_ms)}
             return HttpCall("GET", "/-/kv-watch?" + urlencode(query))
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -7,7 +7,14 @@
 
 import pytest
 
-from tests.lib.plain_fleet import READY_TIMEOUT_S, SITE, PlainFleet
+from tests.lib.odd_values import (
+    DEEP_ARRAY,
+    ODD_DOCUMENTS,
+    ODD_ENDPOINTS,
+    ODD_TEXTS,
+    with_field,
+)
+from tests.lib.plain_fleet import READY_TIMEOUT_S, SERVICE, SITE, PlainFleet
 from tests.lib.processes import wait_until
 
 FLOWS = 8
@@ -234,6 +241,36 @@
     )
 
 
+def test_odd_entries_among_those_of_agents_stop_no_balancer(fleet, flows):
+    """Odd entries come and go; the others are still followed."""
+    wait_until_agents_are_known(fleet)
+    entry = {"endpoint": "127.0.0.1:9", "service": SERVICE, "zone": "zone-a"}
+    values = [
+        *ODD_DOCUMENTS,
+        *(with_field(entry, "endpoint", value) for value in ODD_ENDPOINTS),
+        *(with_field(entry, "service", value) for value in ODD_TEXTS),
+        *(with_field(entry, "zone", value) for value in ODD_TEXTS),
+    ]
+    keys = [f"papayagw/agents/odd-{number}" for number in range(len(values))]
+    for key, value in zip(keys, values, strict=True):
+        fleet.store.put(key, value)
+    time.sleep(1)
+    for key in keys:
+        fleet.store.remove(key)
+    fleet.store.put(SITE_KEY, DEEP_ARRAY)
+    fleet.store.put(SITE_KEY, with_field({**SITE, "version": 4}, "version", b"1e999"))
+    put_site(fleet, version=5)
+    wait_until_in_force(fleet, 5)
+    fleet.store.remove(f"papayagw/agents/{fleet.agents[0]}")
+    wait_for_key(
+        fleet.store, f"papayagw/agents/{fleet.agents[0]}", ENTRY_RESTORE_TIMEOUT_S
+    )
+    assert all(client.request(b"after odd entries") is True for client in flows)
+    names = (*fleet.balancers, *fleet.agents)
+    events = [one["event"] for name in names for one in fleet.log(name)]
+    assert "fault" not in events
+
+
 def test_a_stopping_balancer_serves_until_it_is_out_of_rotation(fleet, flows):
     name = fleet.balancers[0]
     fleet.signal(name, signal.SIGTERM)
