--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -193,7 +193,7 @@
     ) -> None:
         """Record a call on the configuration, and when the store last answered one."""
         self._record_store_call(call, answer, took_ms)
-        if isinstance(answer, RangeResult | WatchResult):
+        if isinstance(answer, RangeResult | WatchResult | StoreRestored):
             self._site_confirmed_at = self._runtime.loop.now()
 
     def _record_store_call(
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -23,6 +23,12 @@
     assert Soak(seed, tmp_path, block).run() == []
 
 
+def test_promises_hold_while_the_store_is_restored_and_watches_go_silent(
+    tmp_path, block
+):
+    assert Soak(CI_SEED, tmp_path, block, store_losses=4).run() == []
+
+
 @pytest.mark.parametrize(
     ("seed", "mutant", "flow_requests", "violation"),
     [
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -36,6 +36,12 @@
     parser.add_argument(
         "--flow-requests", type=int, help="number of requests on each flow"
     )
+    parser.add_argument(
+        "--store-losses",
+        type=int,
+        default=0,
+        help="number of restorations of the store and of silenced watches",
+    )
     options = parser.parse_args()
     failed = []
     with claimed_block(FIRST_BLOCK) as block:
@@ -49,6 +55,7 @@
                 options.size,
                 options.without,
                 options.flow_requests,
+                options.store_losses,
             )
             violations = soak.run()
             print(
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -26,6 +26,15 @@
 DURATIONS_S = {"backend drains": (2.0, 6.0)}
 """Ranges of fault durations; a drain outlasts the limit for late openings."""
 
+STORE_LOSSES = ("store restored", "watches silent")
+"""Kinds of faults that `draw_store_losses` draws.
+
+They aren't in `FAULTS`, where they would change the faults of all earlier seeds.
+"""
+
+COPY_AGES_S = (0.5, 5.0)
+"""Range of the age of the copy from which the store is restored."""
+
 MAX_REPEATS = 3
 """Maximum number of consecutive occurrences of one fault."""
 
@@ -78,3 +87,21 @@
             faults.append(Fault(start_s, kind, target, duration_s))
             start_s += random_source.uniform(0.05, 0.6)
     return sorted(faults, key=lambda one: one.start_s)
+
+
+def draw_store_losses(seed, duration, count):
+    """Return `count` restorations of the store or silenced watches, in order.
+
+    The duration of a restoration is the age of the copy, in seconds.
+    """
+    random_source = random.Random(f"store losses of {seed}")
+    faults = [
+        Fault(
+            random_source.uniform(0.0, duration),
+            random_source.choice(STORE_LOSSES),
+            "all",
+            random_source.uniform(*COPY_AGES_S),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda one: one.start_s)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,7 +5,7 @@
 import time
 from collections import defaultdict
 
-from tests.soak.plan import draw_plan
+from tests.soak.plan import draw_plan, draw_store_losses
 from tests.soak.world import SoakFleet
 
 CALLER_COUNT = 12
@@ -108,6 +108,8 @@
         Name of the mutant whose mechanism is disabled, a key of `MUTANTS`.
     flow_requests : int or None
         Number of requests on each flow; None keeps flows open until they break.
+    store_losses : int
+        Number of restorations of the store and of silenced watches.
     """
 
     def __init__(
@@ -119,12 +121,19 @@
         size=3,
         mutant=None,
         flow_requests=None,
+        store_losses=0,
     ):
         self.violations = []
         self._flow_requests = flow_requests
         self.fleet = SoakFleet(folder, block, size, mutant)
         machines = {"balancer": self.fleet.balancers, "agent": self.fleet.agents}
-        self.plan = draw_plan(seed, machines, duration)
+        self.plan = sorted(
+            [
+                *draw_plan(seed, machines, duration),
+                *draw_store_losses(seed, duration, store_losses),
+            ],
+            key=lambda one: one.start_s,
+        )
         self._pending_ends = []
         self._restarts = []
         self._active_counts = defaultdict(int)
@@ -169,6 +178,7 @@
         for fault in self.plan:
             self._end_due_faults(start + fault.start_s)
             time.sleep(max(0.0, start + fault.start_s - time.monotonic()))
+            self.fleet.copy_store()
             self._inject(fault)
         self._end_due_faults(None)
         self._join_restarts()
@@ -250,6 +260,10 @@
                     fleet.store.remove(key)
             case "configuration":
                 fleet.change_site()
+            case "store restored":
+                fleet.restore_store(fault.duration_s)
+            case "watches silent":
+                fleet.store.silence_watches()
             case other:
                 raise ValueError(other)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -71,6 +71,7 @@
         self.unexpected_exits = []
         self.disturbed_at = {}
         self._site = SITE
+        self._copies = []
         names = (*self.balancers, *self.agents)
         store = (self._ip(200), self.ports.store)
         self.store_proxies = {
@@ -151,6 +152,24 @@
         self.store.put("op/config", json.dumps(self._site).encode())
         return version
 
+    def copy_store(self):
+        """Keep a copy of the store for `restore_store`."""
+        self._copies.append((time.monotonic(), self.store.copy()))
+
+    def restore_store(self, age_s):
+        """Restore the store from its newest copy of this age, or else its oldest.
+
+        The operator writes the configuration again.
+        """
+        latest = time.monotonic() - age_s
+        _, copy = max(
+            (one for one in self._copies if one[0] <= latest),
+            key=lambda one: one[0],
+            default=self._copies[0],
+        )
+        self.store.restore(copy)
+        self.store.put("op/config", json.dumps(self._site).encode())
+
     @property
     def version(self):
         """Version of the newest configuration."""
