--- a/src/papayagw/_internal/models/plain/fields.py
+++ b/src/papayagw/_internal/models/plain/fields.py
@@ -7,17 +7,6 @@
 """Largest number that frames and counters hold."""
 
 
-def is_name(value: object) -> bool:
-    """Return whether a value is a valid text of 1 to `MAX_NAME_BYTES` bytes."""
-    if not isinstance(value, str):
-        return False
-    try:
-        return 1 <= len(value.encode()) <= MAX_NAME_BYTES
-    except UnicodeEncodeError:
-        # JSON can express half of a surrogate pair, which no encoding has.
-        return False
-
-
 def is_integer(value: object) -> bool:
     """Return whether a value is a whole number that 64 bits hold, not a boolean."""
     return type(value) is int and -_MAX_INTEGER <= value <= _MAX_INTEGER
@@ -31,12 +20,13 @@
     ValueError
         If it holds no valid text of 1 to `MAX_NAME_BYTES` bytes.
     """
-    if not isinstance(value, str) or not is_name(value):
-        raise ValueError(
-            f"{field}: expected a text of 1 to {MAX_NAME_BYTES} bytes, "
-            f"found {type(value).__name__}"
-        )
-    return value
+    # JSON can express half of a surrogate pair, for which `encode` raises a ValueError.
+    if isinstance(value, str) and 1 <= len(value.encode()) <= MAX_NAME_BYTES:
+        return value
+    raise ValueError(
+        f"{field}: expected a text of 1 to {MAX_NAME_BYTES} bytes, "
+        f"found {type(value).__name__}"
+    )
 
 
 def check_count(value: object, field: str) -> int:
--- a/src/papayagw/_internal/net/configuration_platform.py
+++ b/src/papayagw/_internal/net/configuration_platform.py
@@ -164,14 +164,15 @@
         return Millis(round(limit_ms * (1 + spread)))
 
     async def _watch_once(self, limit_ms: Millis) -> bool:
-        """Read and watch the store for `limit_ms`; return whether that succeeded."""
+        """Read the store and watch it for `limit_ms`; return whether that succeeded.
+
+        The watch is renewed every `WATCH_RENEWAL_MS`, each time from the last revision.
+        """
         stored = await self._read_store()
         if stored is None or not await self._restore_lost_version(stored):
             return False
-        revision, end = (
-            stored.store_revision,
-            anyio.current_time() + to_seconds(limit_ms),
-        )
+        revision = stored.store_revision
+        end = anyio.current_time() + to_seconds(limit_ms)
         while anyio.current_time() < end:
             renewal_at = anyio.current_time() + to_seconds(WATCH_RENEWAL_MS)
             watched = await self._store.watch(
