--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,12 @@
 Source: the customers' request.
 """
 
+CHANGE_LIMIT_S = 4.0
+"""Maximum time until a change of the configuration is in force everywhere.
+
+Source: the size to design for.
+"""
+
 PROCESS_START_S = 0.5
 """Time allowed for a process to start."""
 
@@ -304,12 +310,15 @@
             self._wait_for(
                 f"{name} ready", lambda n=name: fleet.is_ready(n), RECOVERY_LIMIT_S
             )
-        for name in fleet.balancers:
-            self._wait_for(
-                f"{name} on version {fleet.version}",
-                lambda n=name: self._last_version(n) == fleet.version,
-                RECOVERY_LIMIT_S,
-            )
+        self._check_version(RECOVERY_LIMIT_S)
+        self._wait_for(
+            "a lease of its own for each agent",
+            lambda: len({fleet.store.lease_of(key) for key in keys}) == len(keys),
+            RECOVERY_LIMIT_S,
+        )
+        fleet.store.silence_watches()
+        fleet.change_site()
+        self._check_version(CHANGE_LIMIT_S)
         client = fleet.make_client()
         remaining_s = max(1.0, RECOVERY_LIMIT_S - (time.monotonic() - started_at))
         if (
@@ -319,6 +328,17 @@
             self.violations.append("a new flow is not served after the last fault")
         client.close()
 
+    def _check_version(self, limit_s):
+        """Check that all balancers reach the newest configuration within `limit_s`."""
+        fleet = self.fleet
+        self._wait_for(
+            f"all balancers on version {fleet.version}",
+            lambda: all(
+                self._last_version(name) == fleet.version for name in fleet.balancers
+            ),
+            limit_s,
+        )
+
     def _wait_for(self, what, condition, seconds):
         deadline = time.monotonic() + seconds
         while not condition():
