--- a/src/papayagw/_internal/exceptions.py
+++ b/src/papayagw/_internal/exceptions.py
@@ -9,6 +9,7 @@
 MALFORMED_JSON_ERRORS = (
     ValueError,
     KeyError,
+    IndexError,
     TypeError,
     AttributeError,
     OverflowError,
--- a/src/papayagw/_internal/models/plain/fields.py
+++ b/src/papayagw/_internal/models/plain/fields.py
@@ -1,5 +1,8 @@
 """Checks of the fields of messages and entries that other processes write."""
 
+from math import inf
+from typing import Any
+
 MAX_NAME_BYTES = 255
 """Maximum length of a name in UTF-8; frames give it in one byte."""
 
@@ -47,3 +50,17 @@
             f"found {type(value).__name__}"
         )
     return int(value)
+
+
+def check_weight(value: Any) -> float:
+    """Return the weight that a field holds.
+
+    Raises
+    ------
+    ValueError
+        If it is negative, infinite or no number.
+    """
+    weight = float(value)
+    if not 0 <= weight < inf:
+        raise ValueError(f"weight: expected a number from 0, found {weight}")
+    return weight
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -122,6 +122,6 @@
             return CallFailed(result.failure)
         answer = self._codec.decode_answer(call, result.status, result.body)
         era = self._codec.decode_era(result.headers)
-        if isinstance(answer, CallFailed) or era is None:
+        if era is None or isinstance(answer, CallFailed) or not self._eras.record(era):
             return answer
-        return StoreRestored(era, answer) if self._eras.record(era) else answer
+        return StoreRestored(era, answer)
--- a/src/papayagw/_internal/store/etcd.py
+++ b/src/papayagw/_internal/store/etcd.py
@@ -163,7 +163,7 @@
             return Failure(_make_refused_error(url, response.text))
         try:
             return Success(parse(response.json()))
-        except (IndexError, *MALFORMED_JSON_ERRORS) as error:
+        except MALFORMED_JSON_ERRORS as error:
             return Failure(_make_unreachable_error(url, f"invalid response: {error!r}"))
 
     async def _stream_watch(
@@ -182,7 +182,7 @@
             async for line in response.aiter_lines():
                 try:
                     progress.handle_message(json.loads(line)["result"])
-                except (IndexError, *MALFORMED_JSON_ERRORS) as error:
+                except MALFORMED_JSON_ERRORS as error:
                     return Failure(
                         _make_unreachable_error(url, f"invalid response: {error!r}")
                     )
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -187,7 +187,7 @@
 
 
 def _encode_text(text: str) -> bytes:
-    """Encode a text of at most `MAX_NAME_BYTES` bytes, preceded by its length."""
+    """Encode a text of at most 255 bytes, preceded by its length."""
     data = text.encode()
     return bytes((len(data),)) + data
 
--- a/src/papayagw/platform/site.py
+++ b/src/papayagw/platform/site.py
@@ -4,12 +4,11 @@
 """
 
 import json
-from math import inf
 from typing import Any
 
 from papayagw._internal.exceptions import MALFORMED_JSON_ERRORS, DecodeError, Step
 from papayagw._internal.models.clock import Millis
-from papayagw._internal.models.plain.fields import check_count, check_name
+from papayagw._internal.models.plain.fields import check_count, check_name, check_weight
 from papayagw._internal.models.plain.packet import EntryKey
 from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
 from papayagw.platform.packet import encode_entry
@@ -57,21 +56,7 @@
         return (WeightedService(check_name(fields["service"], "service"), 1.0),)
     return tuple(
         WeightedService(
-            check_name(share["service"], "service"), _check_weight(share["weight"])
+            check_name(share["service"], "service"), check_weight(share["weight"])
         )
         for share in shares
     )
-
-
-def _check_weight(value: Any) -> float:
-    """Return a service's weight.
-
-    Raises
-    ------
-    ValueError
-        If it is negative, infinite or no number.
-    """
-    weight = float(value)
-    if not 0 <= weight < inf:
-        raise ValueError(f"weight: expected a number from 0, found {weight}")
-    return weight
--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -17,6 +17,7 @@
 )
 from tests.lib.processes import ROOT, wait_until
 
+SITE_KEY = "op/config"
 ENTRY = ("198.18.0.1", 8443)
 SERVICE = "order"
 READY_TIMEOUT_S = 20
@@ -74,7 +75,7 @@
         self.balancers = [f"balancer-{one}" for one in range(1, balancers + 1)]
         self.agents = [f"agent-{one}" for one in range(1, agents + 1)]
         self.store = KeyValueService((self._ip(200), self.ports.store))
-        self.store.put("op/config", json.dumps(SITE).encode())
+        self.put_site(SITE)
         self.backends = {
             name: self.backend_type(f"i-{name}", SERVICE, self.ip_of(name), self.ports)
             for name in self.agents
@@ -167,6 +168,18 @@
         lines = (self.folder / f"{name}.out").read_text().splitlines()
         return [json.loads(line) for line in lines]
 
+    def put_site(self, site):
+        """Write a configuration to the store, like an operator."""
+        self.store.put(SITE_KEY, json.dumps(site).encode())
+
+    def applied_versions(self, name):
+        """Return the versions that a balancer has put in force, in order."""
+        return [
+            event["version"]
+            for event in self.log(name)
+            if event["event"] == "configuration in force"
+        ]
+
     def make_client(self):
         """Return a new client with its own address."""
         self._client_count += 1
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -1,12 +1,12 @@
 """Tests of the roles as real processes, with stand-ins for the platform."""
 
-import json
 import signal
 import threading
 import time
 
 import pytest
 
+from tests.lib.limits import CHANGE_TIMEOUT_S
 from tests.lib.odd_values import (
     DEEP_ARRAY,
     ODD_DOCUMENTS,
@@ -14,7 +14,13 @@
     ODD_TEXTS,
     with_field,
 )
-from tests.lib.plain_fleet import READY_TIMEOUT_S, SERVICE, SITE, PlainFleet
+from tests.lib.plain_fleet import (
+    READY_TIMEOUT_S,
+    SERVICE,
+    SITE,
+    SITE_KEY,
+    PlainFleet,
+)
 from tests.lib.processes import wait_until
 
 FLOWS = 8
@@ -26,11 +32,6 @@
 ENTRY_RESTORE_TIMEOUT_S = 2.0
 """Longest time until an entry is restored after a store outage."""
 
-CHANGE_TIMEOUT_S = 4.0
-"""Longest time until a change of the configuration is in force at each balancer."""
-
-SITE_KEY = "op/config"
-
 
 @pytest.fixture
 def unstarted_fleet(tmp_path, block):
@@ -176,25 +177,12 @@
     wait_for_key(fleet.store, key, ENTRY_RESTORE_TIMEOUT_S)
 
 
-def put_site(fleet, **changes):
-    """Write the configuration of the fleet with changed fields, like an operator."""
-    fleet.store.put(SITE_KEY, json.dumps({**SITE, **changes}).encode())
-
-
 def wait_until_in_force(fleet, version, timeout_s=CHANGE_TIMEOUT_S):
     """Wait until each balancer has a version of the configuration in force."""
     deadline = time.monotonic() + timeout_s
-
-    def has_applied(name):
-        return version in [
-            event["version"]
-            for event in fleet.log(name)
-            if event["event"] == "configuration in force"
-        ]
-
     for name in fleet.balancers:
         wait_until(
-            lambda name=name: has_applied(name),
+            lambda name=name: version in fleet.applied_versions(name),
             deadline - time.monotonic(),
             f"version {version} is not in force at {name}",
         )
@@ -207,17 +195,17 @@
         "not every balancer watches the configuration",
     )
     fleet.store.silence_watches()
-    put_site(fleet, version=4)
+    fleet.put_site({**SITE, "version": 4})
     wait_until_in_force(fleet, 4)
 
 
 def test_a_change_at_a_revision_that_was_given_out_before_is_in_force(fleet):
     """The store is restored, and reaches the watched revision again."""
     copy = fleet.store.copy()
-    put_site(fleet, version=4)
+    fleet.put_site({**SITE, "version": 4})
     wait_until_in_force(fleet, 4)
     fleet.store.restore(copy)
-    put_site(fleet, version=5)
+    fleet.put_site({**SITE, "version": 5})
     fleet.store.put("servers/other", b"another writer")
     wait_until_in_force(fleet, 5)
 
@@ -259,7 +247,7 @@
         fleet.store.remove(key)
     fleet.store.put(SITE_KEY, DEEP_ARRAY)
     fleet.store.put(SITE_KEY, with_field({**SITE, "version": 4}, "version", b"1e999"))
-    put_site(fleet, version=5)
+    fleet.put_site({**SITE, "version": 5})
     wait_until_in_force(fleet, 5)
     fleet.store.remove(f"papayagw/agents/{fleet.agents[0]}")
     wait_for_key(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,6 +5,7 @@
 import time
 from collections import defaultdict
 
+from tests.lib.limits import CHANGE_TIMEOUT_S
 from tests.soak.plan import draw_plan, draw_store_losses
 from tests.soak.world import SoakFleet
 
@@ -36,12 +37,6 @@
 Source: the customers' request.
 """
 
-CHANGE_LIMIT_S = 4.0
-"""Maximum time until a change of the configuration is in force everywhere.
-
-Source: the size to design for.
-"""
-
 PROCESS_START_S = 0.5
 """Time allowed for a process to start."""
 
@@ -318,7 +313,7 @@
         )
         fleet.store.silence_watches()
         fleet.change_site()
-        self._check_version(CHANGE_LIMIT_S)
+        self._check_version(CHANGE_TIMEOUT_S)
         client = fleet.make_client()
         remaining_s = max(1.0, RECOVERY_LIMIT_S - (time.monotonic() - started_at))
         if (
@@ -348,11 +343,7 @@
             time.sleep(0.05)
 
     def _last_version(self, name):
-        versions = [
-            one["version"]
-            for one in self.fleet.log(name)
-            if one["event"] == "configuration in force"
-        ]
+        versions = self.fleet.applied_versions(name)
         return versions[-1] if versions else None
 
     def _check_records(self):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,5 @@
 """Fleet of a soak test: real processes, proxies, and stand-ins that keep records."""
 
-import json
 import signal
 import threading
 import time
@@ -149,7 +148,7 @@
         version = self._site["version"] + 3
         limits = {"idle_timeout_ms": 15_000 + version}
         self._site = {**self._site, "version": version, "limits": limits}
-        self.store.put("op/config", json.dumps(self._site).encode())
+        self.put_site(self._site)
         return version
 
     def copy_store(self):
@@ -168,7 +167,7 @@
             default=self._copies[0],
         )
         self.store.restore(copy)
-        self.store.put("op/config", json.dumps(self._site).encode())
+        self.put_site(self._site)
 
     @property
     def version(self):
--- a/tests/unit/test_configuration_source.py
+++ b/tests/unit/test_configuration_source.py
@@ -20,13 +20,11 @@
 from papayagw._internal.net.submission import submit
 from papayagw._internal.standins.memory_store import MemoryStore
 from tests.lib.configurations import make_site
+from tests.lib.limits import CHANGE_TIMEOUT_S
 from tests.lib.samples import KEY, OLD_KEY, SITE, ManualClock
 from tests.lib.settings import BASE, OVERLAY, SettingsFolder
 from tests.lib.stores import find_free_endpoint
 
-CHANGE_TIMEOUT_S = 4.0
-"""Longest time until a change is in force everywhere."""
-
 
 class SilentStore(MemoryStore):
     """Store that ends the first watch and leaves the second one unanswered.
--- a/tests/unit/test_plain_http.py
+++ b/tests/unit/test_plain_http.py
@@ -9,10 +9,9 @@
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.net.plain.http_client import HttpExchange
 from papayagw._internal.net.plain.loop import Loop
+from tests.lib.limits import CHANGE_TIMEOUT_S
 
 TIMEOUT_MS = Millis(1_000)
-CHANGE_TIMEOUT_S = 4
-"""Longest time until a change of the configuration is in force at each balancer."""
 
 
 def response(body):
--- a/tests/unit/test_plain_odd_values.py
+++ b/tests/unit/test_plain_odd_values.py
@@ -43,7 +43,6 @@
     "routes": [{"hostname": "198.18.0.1", "prefix": "/8443/", "service": "order"}],
     "limits": {"idle_timeout_ms": 15_000},
 }
-ITEM = {"key": "k", "value": "dg==", "revision": 9, "lease": 5}
 ODD_PORTS = [b'"/65536/"', b'"/-7/"', b'"/%s/"' % (b"9" * 10_000), b'"//"', b"7"]
 ODD_WEIGHTS = [b"1e999", b"-1", b"NaN", b"9" * 400, b'"x"']
 
