--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -13,6 +13,9 @@
 HEARTBEAT_S = 1.2
 """Interval between acknowledged reports."""
 
+WORK_S = 0.004
+"""Time that a server works on a request."""
+
 ACK_TIMEOUT_S = 1.0
 """Time within which a report must be acknowledged."""
 
@@ -42,6 +45,7 @@
         self.identity = f"i-{random.getrandbits(40):010x}"
         self.born = time.time_ns() // 1_000_000 if born is None else born
         self.state = "ready"
+        self.acknowledged_at = 0.0
         self.acknowledged_draining_at = None
         self.flows = {}
         self.opened = {}
@@ -145,6 +149,7 @@
         found = re.search(rb"X-Request-Id: (\S+)", data)
         request = found.group(1).decode() if found else "none"
         self._record.write("request run", server=self.name, request=request)
+        time.sleep(WORK_S)
         body = f"done {request} by {self.name}".encode()
         head = (
             f"HTTP/1.1 200 OK\r\nX-Server-Stamp: {self.identity}\r\n"
@@ -178,6 +183,8 @@
             "born": self.born,
         }
         status = self._call("PUT", fields)
+        if status == 200:
+            self.acknowledged_at = time.monotonic()
         if state == "draining" and self.acknowledged_draining_at is None:
             self._record.write(
                 "draining reported", server=self.name, status=status, fields=fields
