--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -9,7 +9,7 @@
 import urllib.request
 
 from lib import packets
-from lib.packets import ACK, RST, SYN, Packet
+from lib.packets import ACK, FIN, RST, SYN, Packet
 
 COPIES_AT_S = (0.0, 0.2, 0.6)
 """When a client sends an opening and its copies."""
@@ -177,6 +177,21 @@
         self._record.write("request unanswered", request=request)
         return "no answer"
 
+    def finish(self):
+        """Close the flow; return whether the server closed it too."""
+        for _ in range(3):
+            self._send(ACK | FIN, self._position, self._last_ack)
+            packet = self._receive(
+                time.monotonic() + RETRANSMIT_S, lambda one: one.flags & FIN
+            )
+            if packet is not None and packet.flags & FIN:
+                self._position += 1
+                self._acknowledge(packet.seq + 1)
+                self.is_open = False
+                self._record.write("flow finished", client=self.name)
+                return True
+        return False
+
     def _acknowledge(self, number):
         self._last_ack = number % packets.MODULUS
         self._send(ACK, self._position, self._last_ack)
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -159,7 +159,7 @@
             "services": [
                 {"name": name, "health_path": "/healthz"} for name in services
             ],
-            "limits": {"idle_timeout_ms": 30_000},
+            "limits": {"idle_timeout_ms": 15_000},
         }
         self.store.put("op/config", json.dumps(site).encode())
         texts = {f"{ip}:{port}": service for (ip, port), service in routes.items()}
--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -50,6 +50,8 @@
         self.flows = {}
         self.opened = {}
         self.arrivals = []
+        self.requests = []
+        self._ended = {}
         self._record = record
         self._machine = machine
         self._slots = slots
@@ -105,6 +107,8 @@
             self.arrivals.append((time.monotonic(), flow, is_own))
         if packet.flags & SYN:
             self._accept(packet, flow)
+        elif flow in self._ended:
+            self._answer_ended(packet, flow)
         elif not self._holds(flow, packet.ack):
             self._record.write(
                 "packet of another server",
@@ -125,6 +129,7 @@
             self._record.write(
                 "opening taken", server=self.name, flow=flow, service=self.service
             )
+        self._ended.pop(flow, None)
         start = self.flows.setdefault(flow, random.getrandbits(32))
         self._send(flow, SYN | ACK, start, packet.seq + 1)
 
@@ -139,15 +144,28 @@
         end = packet.seq + len(packet.data)
         if packet.flags & FIN:
             self._send(flow, ACK | FIN, packet.ack, end + 1)
+            self._ended[flow] = packet.ack
+            self.flows.pop(flow)
+            self.opened.pop(flow)
+            self._record.write("flow closed", server=self.name, flow=flow)
         elif packet.data:
             answers = self.opened[flow]
             if end not in answers:
                 answers[end] = self._run(packet.data)
             self._send(flow, ACK, packet.ack, end, answers[end])
 
+    def _answer_ended(self, packet, flow):
+        """Answer a late packet of a flow that has ended here."""
+        end = packet.seq + len(packet.data)
+        if packet.flags & FIN:
+            self._send(flow, ACK, self._ended[flow] + 1, end + 1)
+        elif packet.data:
+            self._send(flow, RST, self._ended[flow] + 1, end)
+
     def _run(self, data):
         found = re.search(rb"X-Request-Id: (\S+)", data)
         request = found.group(1).decode() if found else "none"
+        self.requests.append(request)
         self._record.write("request run", server=self.name, request=request)
         time.sleep(WORK_S)
         body = f"done {request} by {self.name}".encode()
