Owner lookups ask the agents of services that a route has lost

Cause: the owner lookup asked the agents of the services that the route has in the configuration in force. That says where new flows go; open flows stay with the service that the route had before. Its agents weren't asked, the others denied truly, and "all agents deny" counted as certain.

Change: RouteHistory keeps the services that routes have lost for as long as a flow may live. Balancers that saw such a change write it to the store, under the prefix that all of them read and watch anyway, so that balancers that start later know it and the read that confirms a reset shows it.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -21,6 +21,7 @@
     AgentView,
     Roster,
 )
+from papayagw._internal.core.plain.route_history import RouteHistory
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
@@ -81,6 +82,8 @@
     ----------
     roster : Roster
         The known agents.
+    route_history : RouteHistory
+        Services that routes have lost.
     chooser : PlainChooser
         Selects the agent for an opening.
     on_newer_version : callable
@@ -96,11 +99,13 @@
     def __init__(
         self,
         roster: Roster,
+        route_history: RouteHistory,
         chooser: PlainChooser,
         on_newer_version: Callable[[], None] = lambda: None,
         on_owner_not_found: Callable[[], None] = lambda: None,
     ):
         self._roster = roster
+        self._route_history = route_history
         self._chooser = chooser
         self._on_newer_version = on_newer_version
         self._site: SiteVersion | None = None
@@ -108,7 +113,7 @@
         self._openings = Openings()
         self._early_packets = EarlyPackets()
         self._lookup = self._lookup_type(
-            self._list_routed_agents,
+            self._list_possible_owners,
             roster.find,
             self._flows,
             on_owner_not_found,
@@ -145,10 +150,12 @@
         due = (self._openings.due_at, self._lookup.due_at)
         return min((at for at in due if at is not None), default=None)
 
-    def apply_site(self, site: SiteVersion) -> bool:
+    def apply_site(self, site: SiteVersion, now: Millis) -> bool:
         """Apply a configuration if it is newer; return whether it was applied."""
-        if self._site is not None and site.version <= self._site.version:
-            return False
+        if self._site is not None:
+            if site.version <= self._site.version:
+                return False
+            self._route_history.record(self._site, site, now)
         self._site = site
         return True
 
@@ -553,14 +560,18 @@
 
     # Routes
 
-    def _list_routed_agents(self, packet: FlowPacket) -> list[AgentView]:
-        """Return the agents of all services that the packet's entry is routed to."""
+    def _list_possible_owners(self, packet: FlowPacket, now: Millis) -> list[AgentView]:
+        """Return the agents that may own a flow of the packet's entry.
+
+        These are the agents of the services that the entry is routed to, or was within
+        the life of a flow.
+        """
         route = self._find_route(packet)
-        return [
-            view
-            for service in (route.services if route is not None else ())
-            for view in self._roster.list_service(service.name)
-        ]
+        if route is None:
+            return []
+        former = self._route_history.list_former_services(packet.entry, now)
+        names = dict.fromkeys([*(one.name for one in route.services), *former])
+        return [view for name in names for view in self._roster.list_service(name)]
 
     def _find_route(self, packet: FlowPacket) -> Route | None:
         """Return the route of the entry that a packet was sent to, or None."""
--- a/src/papayagw/_internal/core/plain/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        list_agents: Callable[[FlowPacket], list[AgentView]],
+        list_agents: Callable[[FlowPacket, Millis], list[AgentView]],
         find_agent: Callable[[Endpoint], AgentView | None],
         flows: FlowCache,
         on_owner_not_found: Callable[[], None],
@@ -92,7 +92,7 @@
         lookup = self._lookups.find(packet.flow)
         if lookup is not None:
             return self._add_packet(lookup, packet, excluded, now)
-        agents = self._list_agents(packet)
+        agents = self._list_agents(packet, now)
         if excluded is not None:
             agents = [view for view in agents if view.endpoint != excluded.endpoint]
         pending_agents = {view.endpoint for view in agents}
@@ -123,7 +123,7 @@
         """Continue the lookups that wait for a full read of the agents' entries."""
         actions: list[Action] = []
         for lookup in self._lookups.list_confirming():
-            agents = self._list_agents(lookup.last_packet)
+            agents = self._list_agents(lookup.last_packet, now)
             others = [
                 view for view in agents if view.endpoint not in lookup.queried_agents
             ]
--- a/src/papayagw/_internal/core/plain/store_calls.py
+++ b/src/papayagw/_internal/core/plain/store_calls.py
@@ -51,8 +51,8 @@
     """A state machine that decides which store call is made next, and when."""
 
     @property
-    def due_at(self) -> Millis:
-        """Time at which the next call is due."""
+    def due_at(self) -> Millis | None:
+        """Time at which the next call is due; None if there is none."""
 
     def next_call(self) -> TimedCall | None:
         """Return the next call, or None if there is none."""
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -9,6 +9,8 @@
 from papayagw._internal.core.plain.choice import LeastWaitChooser
 from papayagw._internal.core.plain.prefix_watcher import PrefixWatcher
 from papayagw._internal.core.plain.roster import Roster
+from papayagw._internal.core.plain.route_change_recorder import RouteChangeRecorder
+from papayagw._internal.core.plain.route_history import RouteHistory
 from papayagw._internal.exceptions import DecodeError
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
@@ -39,7 +41,17 @@
     error_fields,
 )
 from papayagw._internal.net.plain.store_driver import CallRecorder, StoreDriver
-from papayagw._internal.wire.plain_entries import AGENT_PREFIX, decode_entry
+from papayagw._internal.wire.plain_entries import (
+    AGENT_PREFIX,
+    SYSTEM_PREFIX,
+    decode_entry,
+)
+from papayagw._internal.wire.plain_route_changes import (
+    ROUTE_CHANGE_PREFIX,
+    decode_route_change,
+    encode_route_change,
+    route_change_key,
+)
 
 MIN_SITE_WATCH_INTERVAL_MS = Millis(300)
 """Minimum time between watches of the configuration, so that changes are batched.
@@ -113,8 +125,10 @@
         self._platform = platform
         random = Random()
         self._roster = Roster()
+        self._route_history = RouteHistory(settings.flow_limit_ms)
         self._core = PlainBalancer(
             self._roster,
+            self._route_history,
             LeastWaitChooser(settings.zone, random),
             self._on_newer_version,
             self._schedule_agents_refresh,
@@ -128,10 +142,12 @@
             lambda: MIN_SITE_WATCH_INTERVAL_MS,
             watch_timeout_ms=SITE_WATCH_TIMEOUT_MS,
         )
-        self._agents_watcher = PrefixWatcher(
-            AGENT_PREFIX,
-            self._on_agent_items,
-            self._on_agent_events,
+        # One read shows both agents and route changes, so that the read that confirms
+        # the absence of an owner also shows where the owner may be.
+        self._system_watcher = PrefixWatcher(
+            SYSTEM_PREFIX,
+            self._on_system_items,
+            self._on_system_events,
             random,
             lambda: self._roster.watch_interval_ms,
             MAX_AGENTS_RETRY_DELAY_MS,
@@ -139,8 +155,18 @@
         self._site_driver = self._make_driver(
             self._site_watcher, self._record_site_call
         )
-        self._agents_driver = self._make_driver(
-            self._agents_watcher, self._record_store_call
+        self._system_driver = self._make_driver(
+            self._system_watcher, self._record_store_call
+        )
+        self._route_change_recorder = RouteChangeRecorder(
+            settings.flow_limit_ms, lambda: self._roster.watch_interval_ms, random
+        )
+        self._route_change_driver = StoreDriver(
+            self._runtime.loop,
+            settings.store,
+            platform,
+            self._route_change_recorder,
+            self._record_store_call,
         )
         self._alarm = Alarm(self._runtime.loop, self._on_timer)
         self._agents_refresh_alarm = Alarm(self._runtime.loop, self._refresh_agents)
@@ -172,7 +198,7 @@
             "configuration unconfirmed ms", lambda: self._site_unconfirmed_ms
         )
         self._site_driver.start()
-        self._agents_driver.start()
+        self._system_driver.start()
         try:
             runtime.loop.run()
         finally:
@@ -203,7 +229,7 @@
         self._runtime.record_store_call(call, answer, took_ms)
         if isinstance(answer, StoreRestored):
             self._refresh(self._site_watcher, self._site_driver)
-            self._refresh(self._agents_watcher, self._agents_driver)
+            self._refresh(self._system_watcher, self._system_driver)
 
     # Packets and frames
 
@@ -262,7 +288,7 @@
     def _refresh_agents(self) -> None:
         """Start a full read of the agents' entries."""
         self._agents_refreshed_at = self._runtime.loop.now()
-        self._refresh(self._agents_watcher, self._agents_driver)
+        self._refresh(self._system_watcher, self._system_driver)
 
     def _refresh(self, watcher: PrefixWatcher, driver: StoreDriver) -> None:
         """Start a full read of a watcher's keys unless one is in progress."""
@@ -300,32 +326,65 @@
             "source": source,
             "unconfirmed_ms": self._site_unconfirmed_ms,
         }
-        if self._core.apply_site(site):
+        now = self._runtime.loop.now()
+        if self._core.apply_site(site, now):
             fields["routes"] = len(site.routes)
             self._runtime.record_event(LogEvent("configuration in force", fields))
-            now = self._runtime.loop.now()
+            self._schedule_route_changes()
             self._perform(self._core.handle_early_packets(now))
 
-    def _on_agent_items(self, items: tuple[StoredItem, ...]) -> None:
-        """Update the roster from a full read of the agents' entries."""
+    def _on_system_items(self, items: tuple[StoredItem, ...]) -> None:
+        """Update the roster and the route changes from a full read of their keys."""
+        keys = {item.key for item in items}
+        self._route_change_recorder.on_listed(keys)
         for item in items:
-            self._put_agent(item)
+            self._put_item(item)
+        self._schedule_route_changes()
         now = self._runtime.loop.now()
-        for key in self._roster.mark_others_missing({item.key for item in items}, now):
+        for key in self._roster.mark_others_missing(keys, now):
             self._record_missing_agent(key)
         self._process_missing_agents()
         self._perform(self._core.on_agents_listed(now))
 
-    def _on_agent_events(self, events: tuple[StoreEvent, ...]) -> None:
-        """Update the roster from writes and removals of agents' entries."""
+    def _on_system_events(self, events: tuple[StoreEvent, ...]) -> None:
+        """Update the roster and the route changes from writes and removals."""
         now = self._runtime.loop.now()
         for event in events:
             if isinstance(event, StoredItem):
-                self._put_agent(event)
+                self._route_change_recorder.on_written([event.key])
+                self._put_item(event)
             elif self._roster.mark_missing(event.key, now):
                 self._record_missing_agent(event.key)
         self._process_missing_agents()
 
+    def _put_item(self, item: StoredItem) -> None:
+        """Add an agent's entry to the roster, or a route change to the history."""
+        if item.key.startswith(AGENT_PREFIX):
+            self._put_agent(item)
+        elif item.key.startswith(ROUTE_CHANGE_PREFIX):
+            self._learn_route_change(item)
+
+    def _learn_route_change(self, item: StoredItem) -> None:
+        """Add a stored route change to the history, or log that it is invalid."""
+        try:
+            change = decode_route_change(item.key, item.value)
+        except DecodeError as error:
+            self._runtime.record_event(
+                LogEvent("route change refused", error_fields(error))
+            )
+            return
+        self._route_history.learn(change, self._runtime.loop.now())
+
+    def _schedule_route_changes(self) -> None:
+        """Schedule the writes of observed route changes that the store lacks."""
+        now = self._runtime.loop.now()
+        values = {
+            route_change_key(change): encode_route_change(change)
+            for change in self._route_history.list_observed(now)
+        }
+        self._route_change_recorder.schedule(values, now)
+        self._route_change_driver.reschedule()
+
     def _put_agent(self, item: StoredItem) -> None:
         """Add an agent's store entry to the roster, or log that it is invalid."""
         try:
@@ -382,6 +441,8 @@
         self._runtime.record_event(
             LogEvent("stopping", {"flows": self._core.flow_count})
         )
+        self._route_change_recorder.flush(self._runtime.loop.now())
+        self._route_change_driver.reschedule()
         remaining_ms = self._runtime.settings.grace_ms - STOP_MARGIN_MS
         self._runtime.loop.call_after(Millis(remaining_ms), self._runtime.loop.stop)
         self._check_unrouted()
--- a/src/papayagw/_internal/wire/plain_entries.py
+++ b/src/papayagw/_internal/wire/plain_entries.py
@@ -7,7 +7,10 @@
 from papayagw._internal.models.plain.fields import check_name
 from papayagw._internal.models.plain.instance import AgentEntry
 
-AGENT_PREFIX = "papayagw/agents/"
+SYSTEM_PREFIX = "papayagw/"
+"""Prefix of all store keys that balancers and agents write."""
+
+AGENT_PREFIX = SYSTEM_PREFIX + "agents/"
 """Prefix of the store keys of agents' entries; the name of the agent's node follows."""
 
 
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -14,7 +14,7 @@
 freeze-balancer NAME MS, freeze-agent NAME MS, reuse-machine NAME SERVICE. Verbs with
 the NAME of an agent: crash and drain act on its backend server, expire-entry and
 restore on its store entry, lose ends both for good. Verbs without a name: remove-route,
-move-route SERVICE, and lose-power, which restarts all that isn't lost.
+move-route SERVICE..., and lose-power, which restarts all that isn't lost.
 `#` starts a comment.
 """
 
@@ -124,8 +124,8 @@
     def do_remove_route(self):
         self.world.apply_site(make_site(self.world.site.version + 1, routes={}))
 
-    def do_move_route(self, service):
-        self.world.apply_site(make_site(self.world.site.version + 1, service))
+    def do_move_route(self, *services):
+        self.world.apply_site(make_site(self.world.site.version + 1, *services))
 
     def do_expect(self, outcome, count):
         found = self.world.outcomes()
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -15,6 +15,7 @@
 from papayagw._internal.core.plain.balancer import PlainBalancer
 from papayagw._internal.core.plain.choice import LeastWaitChooser
 from papayagw._internal.core.plain.roster import Roster
+from papayagw._internal.core.plain.route_history import RouteHistory
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
@@ -56,16 +57,20 @@
 STORE_MS = 3
 """Time for a read or write of the store."""
 
+MAX_RECORD_DELAY_MS = 700
+"""Longest time until a balancer stores a route change that it has observed."""
+
 RESTART_MS = 300
 """Time from the end of a process to its restart."""
 
 MODULUS = 1 << 32
 
 
-def make_site(version=1, service="order", routes=None):
-    """Return a configuration with one route, or with `routes`."""
+def make_site(version=1, *services, routes=None):
+    """Return a configuration with one route to `services`, or with `routes`."""
     if routes is None:
-        routes = {ENTRY: Route("r1", (WeightedService(service, 1.0),))}
+        weighted = tuple(WeightedService(one, 1.0) for one in services or ("order",))
+        routes = {ENTRY: Route("r1", weighted)}
     return SiteVersion(version, routes, Millis(15_000))
 
 
@@ -228,6 +233,7 @@
     def __init__(self, world, name, endpoint):
         super().__init__(world, name, endpoint)
         self.roster = Roster()
+        self.route_history = RouteHistory(FLOW_LIMIT_MS)
         self.core = world.mechanisms.make_balancer(self)
         self.is_routed = True
         world.after(world.store_ms, self.list_agents)
@@ -241,11 +247,20 @@
         for key, entry in store.items():
             self.roster.put(key, entry)
         self.roster.mark_others_missing(set(store), self.world.now)
-        self.core.apply_site(self.world.site)
+        for change in self.world.route_changes:
+            self.route_history.learn(change, self.world.now)
+        self.core.apply_site(self.world.site, self.world.now)
+        for change in self.route_history.list_observed(self.world.now):
+            wait = self.world.random.randint(0, MAX_RECORD_DELAY_MS)
+            self.world.after(wait, lambda one=change: self._record_route_change(one))
         self.perform(self.core.notify_missing_agents())
         self.roster.remove_gone(self.world.now)
         self.perform(self.core.on_agents_listed(self.world.now))
 
+    def _record_route_change(self, change):
+        if self.is_alive and change not in self.world.route_changes:
+            self.world.route_changes.append(change)
+
 
 class AgentNode(Node):
     """An agent beside a backend server."""
@@ -349,6 +364,7 @@
         chooser = self.chooser("zone-a", node.world.random)
         return self.balancer(
             node.roster,
+            node.route_history,
             chooser,
             lambda: node.world.after(STORE_MS, node.list_agents),
             lambda: node.world.after(STORE_MS, node.list_agents),
@@ -380,6 +396,7 @@
         self.store_ms = STORE_MS
         self.site = make_site()
         self.store = {}
+        self.route_changes = []
         self.balancers = {}
         self.agents = {}
         self.backends = {}
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -206,6 +206,76 @@
         expect-openings a2 0 4000 9000
         expect-openings a3 0 4000 9000
     """,
+    **{
+        f"flows of a lost service survive: {name}": f"""
+        agent d1 drawings
+        agent d2 drawings
+        {before}
+        at 2000 calls 10 40 20
+        {change}
+        run 40000
+        expect served all
+    """
+        for name, before, change in [
+            (
+                "balancers restart after the route moves",
+                "",
+                """
+        at 3000 move-route drawings
+        at 5000 restart-balancer b1
+        at 6000 restart-balancer b2
+        at 7000 restart-balancer b3
+                """,
+            ),
+            (
+                "the route moves and moves back",
+                "",
+                """
+        at 3000 move-route drawings
+        at 4500 calls 10 40 20
+        at 5500 move-route order
+        at 7000 restart-balancer b1
+        at 8000 restart-balancer b2
+        at 9000 restart-balancer b3
+                """,
+            ),
+            (
+                "the route loses one of its services",
+                "at 100 move-route order drawings",
+                """
+        at 3000 move-route drawings
+        at 5000 restart-balancer b1
+        at 6000 restart-balancer b2
+        at 7000 restart-balancer b3
+                """,
+            ),
+            (
+                "agents of both services and balancers restart",
+                "",
+                """
+        at 3000 move-route drawings
+        at 5000 restart-agent a1
+        at 5000 restart-agent d1
+        at 5000 restart-agent d2
+        at 5000 restart-balancer b1
+        at 6000 restart-agent a2
+        at 6000 restart-balancer b2
+        at 6000 restart-balancer b3
+        at 7000 restart-agent a3
+                """,
+            ),
+            (
+                "balancers restart one second after the change",
+                "",
+                """
+        at 3000 move-route drawings
+        at 4000 restart-balancer b1
+        at 5000 restart-balancer b2
+        at 6000 restart-balancer b3
+                """,
+            ),
+        ]
+    },
     "loss, duplication and reordering lose no flow": """
         network loss=0.02 duplication=0.1 delay=1-40
         at 2000 calls 60 6 20
@@ -249,6 +319,14 @@
     _lookup_type = ImmediateResetLookup
 
 
+class ForgetsLostServices(PlainBalancer):
+    """Look for owners only at the services that a route has now."""
+
+    def apply_site(self, site, now):
+        self._site = None
+        return super().apply_site(site, now)
+
+
 class TrustsFirstRead(PlainBalancer):
     """Treat the agents of the first read of the store as complete."""
 
@@ -363,6 +441,11 @@
         TrustsFirstRead,
         "a balancer that starts while an entry is missing resets nothing",
     ),
+    *(
+        (ForgetsLostServices, name)
+        for name in SCENARIOS
+        if name.startswith("flows of a lost service survive")
+    ),
     (NeverNotifiesMissing, "an entry that lapsed is stored again and is used on"),
 ]
 
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -30,6 +30,7 @@
     AgentView,
     Roster,
 )
+from papayagw._internal.core.plain.route_history import RouteHistory
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import LogEvent, ResetClient, SendFrame
@@ -54,7 +55,7 @@
 )
 from papayagw._internal.models.plain.packet import FlowKey, PacketKind
 from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
-from tests.lib.plain_world import ENTRY, make_packet, make_site
+from tests.lib.plain_world import ENTRY, FLOW_LIMIT_MS, make_packet, make_site
 
 A, B, C = (Endpoint("10.0.0.2", port) for port in (1, 2, 3))
 FLOW = FlowKey(b"\x64\x40\x00\x07\x9c\x41" + ENTRY)
@@ -96,13 +97,15 @@
         for endpoint in agents:
             self.add(endpoint)
         self.not_found = self.newer = 0
+        self.history = RouteHistory(FLOW_LIMIT_MS)
         self.core = PlainBalancer(
             self.roster,
+            self.history,
             chooser or FirstChooser(),
             self.count_newer,
             self.count_not_found,
         )
-        self.core.apply_site(make_site())
+        self.core.apply_site(make_site(), START)
         self.core.on_agents_listed(START - age)
         self.now = START
 
@@ -125,7 +128,7 @@
             case "listed":
                 return core.on_agents_listed(self.now)
             case SiteVersion():
-                core.apply_site(step)
+                core.apply_site(step, self.now)
                 return []
             case (Endpoint() as agent, "missing"):
                 self.roster.mark_missing(str(agent), self.now)
@@ -344,13 +347,14 @@
 
     def __init__(self):
         self.roster = Roster()
-        self.core = PlainBalancer(self.roster, FirstChooser())
+        self.history = RouteHistory(FLOW_LIMIT_MS)
+        self.core = PlainBalancer(self.roster, self.history, FirstChooser())
         self.now = START
 
     def run_step(self, step):
         match step:
             case "site":
-                self.core.apply_site(make_site())
+                self.core.apply_site(make_site(), self.now)
                 return self.core.handle_early_packets(self.now)
             case "listed":
                 for endpoint in (A, B):
@@ -397,7 +401,7 @@
         ),
     }
     driver = Driver(agents=(A,))
-    driver.core.apply_site(make_site(2, routes=routes))
+    driver.core.apply_site(make_site(2, routes=routes), START)
     driver.run_step(load_report(A, NOT_READY, version=2))
     flows = [
         FlowKey(bytes((1,)) + FLOW[1:]),
@@ -519,6 +523,36 @@
     assert sent(actions) == frames
 
 
+@pytest.mark.parametrize(
+    ("services", "age_ms", "asked"),
+    [
+        ([("order",)], 0, 2),
+        ([("order",), ("drawings",)], 0, 5),
+        ([("order",), ("drawings",), ("order",)], 0, 5),
+        ([("order",), ("drawings",)], FLOW_LIMIT_MS, 5),
+        ([("order",), ("drawings",)], FLOW_LIMIT_MS + 1, 3),
+    ],
+)
+def test_a_lookup_asks_only_agents_of_services_that_the_route_has_or_lost(
+    services, age_ms, asked
+):
+    driver = Driver()
+    for number, service in enumerate(("drawings",) * 3 + ("intake",) * 50):
+        endpoint = Endpoint("10.0.0.3", number + 1)
+        driver.roster.put(str(endpoint), AgentEntry(endpoint, service, "zone-a"))
+    for version, names in enumerate(services, 2):
+        driver.run_step(make_site(version, *names))
+    driver.run_step(age_ms)
+    assert (
+        sent(driver.run_step(DATA))
+        == [
+            (one.endpoint, OwnerQueryFrame)
+            for name in dict.fromkeys(sum(reversed(services), ()))
+            for one in driver.roster.list_service(name)
+        ][:asked]
+    )
+
+
 @pytest.mark.parametrize(
     ("steps", "resets", "not_found"),
     [
@@ -614,7 +648,7 @@
     )
     driver = Driver(agents=(A,))
     driver.roster.put("d", AgentEntry(B, "drawings", "zone-a"))
-    driver.core.apply_site(make_site(2, routes={ENTRY: Route("r", services)}))
+    driver.core.apply_site(make_site(2, routes={ENTRY: Route("r", services)}), START)
     count = 2_000
     found = {A: 0, B: 0}
     for number in range(count):
--- a/tests/unit/test_plain_odd_values.py
+++ b/tests/unit/test_plain_odd_values.py
@@ -15,7 +15,13 @@
     WatchPrefix,
 )
 from papayagw._internal.models.plain.instance import AgentEntry
+from papayagw._internal.models.plain.packet import EntryKey
+from papayagw._internal.models.plain.route_change import RouteChange
 from papayagw._internal.wire.plain_entries import decode_entry, encode_entry
+from papayagw._internal.wire.plain_route_changes import (
+    decode_route_change,
+    encode_route_change,
+)
 from papayagw.platform.reports import decode_report
 from papayagw.platform.site import decode_site
 from papayagw.platform.store import decode_answer, encode_call
@@ -30,6 +36,8 @@
 KEY = "papayagw/agents/a"
 ENTRY = AgentEntry(Endpoint("10.0.0.1", 7_100), "order", "zone-a")
 ENTRY_FIELDS = json.loads(encode_entry(ENTRY))
+ROUTE_CHANGE = RouteChange(3, 8, {EntryKey(bytes(6)): ("order", "drawings")})
+ROUTE_CHANGE_FIELDS = json.loads(encode_route_change(ROUTE_CHANGE))
 REPORT = {
     "service": "order",
     "state": "ready",
@@ -57,6 +65,7 @@
 
 def test_the_values_without_a_change_are_read():
     assert decode_entry(KEY, json.dumps(ENTRY_FIELDS).encode()) == ENTRY
+    assert decode_route_change(KEY, encode_route_change(ROUTE_CHANGE)) == ROUTE_CHANGE
     assert decode_site(json.dumps(SITE).encode()).version == 7
     assert decode_report("PUT", "/-/instances/i", json.dumps(REPORT).encode())
 
@@ -74,6 +83,23 @@
         decode_entry(KEY, with_field(ENTRY_FIELDS, field, value))
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *cases("from_version", [*ODD_NUMBERS, b"-1"]),
+        *cases("to_version", [*ODD_NUMBERS, b"-1"]),
+        *cases("former_services", [b"7", b"null", b"[]", b'{"00":["order"]}']),
+        *cases("former_services", [b'{"x":["a"]}', b'{"000000000000":"order"}']),
+        *cases(
+            "former_services", [b'{"000000000000":[%s]}' % one for one in ODD_TEXTS]
+        ),
+    ],
+)
+def test_an_odd_field_of_a_route_change_is_refused(field, value):
+    with pytest.raises(DecodeError):
+        decode_route_change(KEY, with_field(ROUTE_CHANGE_FIELDS, field, value))
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [
@@ -116,6 +142,8 @@
 def test_an_odd_document_is_refused(document):
     with pytest.raises(DecodeError):
         decode_entry(KEY, document)
+    with pytest.raises(DecodeError):
+        decode_route_change(KEY, document)
     with pytest.raises(DecodeError):
         decode_site(document)
     assert decode_report("PUT", "/-/instances/i", document) is None
