Agents end a run only for a report of their own backend server

Cause: the agent first compared the start time of a report with that of the run it knew, and ended that run; only then it checked whether the report was for its service. A report of another writer, with a service that no configuration names, was refused, but the flows were gone.

Change: BackendState.is_valid is the one check of a report; is_new_run is false for one that isn't valid, and the agent records a report before it ends a run.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -398,15 +398,17 @@
         now : Millis
             Current time.
         """
-        actions: list[Action] = []
         backend = self._admission.backend
         before = backend.report
         is_new_run = backend.is_new_run(report)
-        if is_new_run:
-            actions = self._end_earlier_run(age_ms, now)
         if not self._admission.record_report(report, now):
-            fields = {"instance": report.instance, "number": report.number}
-            return [*actions, LogEvent("report not used", fields)]
+            fields = {
+                "instance": report.instance,
+                "service": report.service,
+                "number": report.number,
+            }
+            return [LogEvent("report not used", fields)]
+        actions = self._end_earlier_run(age_ms, now) if is_new_run else []
         if before is None or is_new_run:
             self._ownership.begin_run(report, age_ms, now)
         if before is None or before.state is not report.state or actions:
--- a/src/papayagw/_internal/core/plain/backend_state.py
+++ b/src/papayagw/_internal/core/plain/backend_state.py
@@ -82,9 +82,16 @@
         """Record the age of the run; a negative one (clock set back) means unknown."""
         self._began_at = Millis(now - age_ms) if age_ms >= 0 else None
 
+    def is_valid(self, report: StatusReport) -> bool:
+        """Whether a report is for this service and newer than the last one.
+
+        Any other says nothing about the backend server.
+        """
+        return report.service == self._service and not self._is_stale(report)
+
     def record_report(self, report: StatusReport, now: Millis) -> bool:
-        """Record a report; return False if it is stale or for another service."""
-        if report.service != self._service or self._is_stale(report):
+        """Record a report; return False if it isn't valid."""
+        if not self.is_valid(report):
             return False
         self._report = report
         self._reported_at = now
@@ -93,9 +100,11 @@
         return True
 
     def is_new_run(self, report: StatusReport) -> bool:
-        """Whether `report` belongs to a later run than the last recorded report."""
+        """Whether a valid report belongs to a later run than the last recorded one."""
         known = self._report
-        return known is not None and report.started_at > known.started_at
+        if known is None or not self.is_valid(report):
+            return False
+        return report.started_at > known.started_at
 
     def record_departure(self, departure: Departure) -> bool:
         """Record a departure; return False if it isn't for the latest run."""
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -55,8 +55,8 @@
 FINISH = make_packet(FLOW, PacketKind.FINISH, ACCEPT_SEQUENCE + 11, 11)
 
 
-def report(number=1, state=ReportedState.READY, run=1):
-    return StatusReport("i1", "order", state, 1, 0, run, number)
+def report(number=1, state=ReportedState.READY, run=1, service="order"):
+    return StatusReport("i1", service, state, 1, 0, run, number)
 
 
 # Reports by name of the step, each with the age of its run in ms.
@@ -69,6 +69,9 @@
     "again": (report(2), 0),
     "drain": (report(2, ReportedState.DRAINING), 0),
     "restart": (report(run=2), 10),
+    "other service": (report(run=2, service="drawings"), 10),
+    "other service drains": (report(9, ReportedState.DRAINING, 2, "drawings"), 0),
+    "unknown service": (report(run=3, service="x"), 10),
 }
 
 
@@ -294,6 +297,25 @@
     assert [type(one) for one in actions] == kinds
 
 
+@pytest.mark.parametrize(
+    "foreign", ["other service", "other service drains", "unknown service"]
+)
+@pytest.mark.parametrize("before", [[], ["ready"], OPEN, [*OPEN, "drain"]])
+@pytest.mark.parametrize(
+    "after", [[OwnerQueryFrame("order", (OwnerQuery(FLOW, None),))], [FORWARD], [300]]
+)
+def test_a_report_for_another_service_ends_no_run(foreign, before, after):
+    """The agent does the same with and without the report."""
+    actions, driver = run_steps([*before, 100, foreign])
+    assert actions == []
+    expected, undisturbed = run_steps([*before, 100, *after])
+    assert [driver.run(one) for one in after][-1] == expected
+    assert driver.core.flow_count == undisturbed.core.flow_count
+    assert driver.core.current_load(START + 500) == undisturbed.core.current_load(
+        START + 500
+    )
+
+
 def test_accept_notifies_the_balancer():
     actions, _ = run_steps(ACCEPTED)
     assert isinstance(actions[1].frame, OpenedFrame)
--- a/tests/unit/test_plain_backend_state.py
+++ b/tests/unit/test_plain_backend_state.py
@@ -62,6 +62,7 @@
         (report(10, 1), report(10, 2), False),
         (report(10, 1), report(20, 1), True),
         (report(20, 1), report(10, 5), False),
+        (report(10, 1), report(20, 1, service="drawings"), False),
     ],
 )
 def test_new_run(known, later, is_new):
