Roster: of the entries at one endpoint, the one written last is in use

Cause: the entry of a machine that went dark stays for the 10 s of its lease, and another machine may have its address by then. The roster kept one agent for an endpoint, that of the entry read last, and a full read gives entries in the order of their keys. With the stale one last, the new agent counted as one of the old service, and left the index with the stale entry; frames of unknown agents are ignored.

Change: the roster keeps all entries of an endpoint; of those that aren't missing the one with the highest revision is in use in every index. The list of a service's agents had the same fault where both machines are of one service.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -195,8 +195,7 @@
         """Return frames that ask agents to restore missing store entries."""
         return [
             SendFrame(view.endpoint, EntryMissingFrame(view.entry.service))
-            for view in self._roster
-            if view.missing_since is not None
+            for view in self._roster.list_missing()
         ]
 
     def on_client_packet(self, packet: FlowPacket, now: Millis) -> list[Action]:
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -83,6 +83,8 @@
     ----------
     entry : AgentEntry
         The agent's store entry.
+    revision : int
+        Store revision at which the entry was written.
 
     Attributes
     ----------
@@ -104,6 +106,7 @@
 
     __slots__ = (
         "entry",
+        "revision",
         "load_received_at",
         "load",
         "missing_since",
@@ -113,8 +116,9 @@
         "backoff_until",
     )
 
-    def __init__(self, entry: AgentEntry):
+    def __init__(self, entry: AgentEntry, revision: int):
         self.entry = entry
+        self.revision = revision
         self.load: AgentLoad | None = None
         self.load_received_at = Millis(0)
         self.missing_since: Millis | None = None
@@ -211,18 +215,24 @@
 
 
 class Roster:
-    """The agents of all services, by store key, service and endpoint."""
+    """The agents of all services, by store key, service and endpoint.
+
+    Several store entries may name one endpoint: the entry of a machine that is gone
+    stays until its lease ends, and another machine may get its address before. Of the
+    entries that aren't missing, the one written last is in use.
+    """
 
     def __init__(self) -> None:
         self._by_key: dict[str, AgentView] = {}
+        self._keys_by_endpoint: dict[Endpoint, set[str]] = {}
         self._by_service: dict[str, dict[Endpoint, AgentView]] = {}
         self._by_endpoint: dict[Endpoint, AgentView] = {}
 
     def __len__(self) -> int:
-        return len(self._by_key)
+        return len(self._by_endpoint)
 
     def __iter__(self) -> Iterator[AgentView]:
-        return iter(self._by_key.values())
+        return iter(self._by_endpoint.values())
 
     def find(self, endpoint: Endpoint) -> AgentView | None:
         """Return the agent at an endpoint, or None."""
@@ -235,8 +245,7 @@
         It is short while many entries are missing, as after an outage of the store.
         Their agents restore them, which must be known before they are considered gone.
         """
-        missing = sum(view.missing_since is not None for view in self)
-        if missing > MAX_MISSING_SHARE * len(self):
+        if len(self.list_missing()) > MAX_MISSING_SHARE * len(self._by_key):
             return MIN_WATCH_INTERVAL_MS
         interval_ms = WATCH_INTERVAL_PER_AGENT_MS * len(self)
         return Millis(
@@ -247,20 +256,35 @@
         """Return the agents of a service, including those missing from the store."""
         return list(self._by_service.get(service, {}).values())
 
-    def put(self, key: str, entry: AgentEntry) -> bool:
-        """Record the store entry under `key`; return whether anything changed."""
+    def list_missing(self) -> list[AgentView]:
+        """Return the agents whose entries are missing from the store."""
+        views = self._by_key.values()
+        return [view for view in views if view.missing_since is not None]
+
+    def put(self, key: str, entry: AgentEntry, revision: int) -> bool:
+        """Record the store entry under `key`; return whether anything changed.
+
+        Parameters
+        ----------
+        key : str
+            Store key of the entry.
+        entry : AgentEntry
+            The entry.
+        revision : int
+            Store revision at which it was written.
+        """
         known = self._by_key.get(key)
         if known is not None and known.entry == entry:
             was_missing = known.missing_since is not None
             known.missing_since = None
+            known.revision = revision
+            self._select_view(entry.endpoint)
             return was_missing
         if known is not None:
             self._remove(key, known)
-        # Another key may still hold the endpoint if the machine was replaced.
-        view = AgentView(entry)
-        self._by_key[key] = view
-        self._by_endpoint[entry.endpoint] = view
-        self._by_service.setdefault(entry.service, {})[entry.endpoint] = view
+        self._by_key[key] = AgentView(entry, revision)
+        self._keys_by_endpoint.setdefault(entry.endpoint, set()).add(key)
+        self._select_view(entry.endpoint)
         return True
 
     def mark_missing(self, key: str, now: Millis) -> bool:
@@ -269,6 +293,7 @@
         if known is None or known.missing_since is not None:
             return False
         known.missing_since = now
+        self._select_view(known.endpoint)
         return True
 
     def mark_others_missing(self, present: set[str], now: Millis) -> list[str]:
@@ -287,10 +312,27 @@
         return gone
 
     def _remove(self, key: str, view: AgentView) -> None:
-        """Remove an agent from all indexes."""
+        """Remove an entry; another one of its endpoint takes its place."""
         del self._by_key[key]
-        if self._by_endpoint.get(view.endpoint) is view:
-            del self._by_endpoint[view.endpoint]
-        members = self._by_service.get(view.entry.service, {})
-        if members.get(view.endpoint) is view:
-            del members[view.endpoint]
+        self._keys_by_endpoint[view.endpoint].remove(key)
+        self._select_view(view.endpoint)
+
+    def _select_view(self, endpoint: Endpoint) -> None:
+        """Use the latest entry of an endpoint; one that is missing only as the last."""
+        views = [self._by_key[key] for key in self._keys_by_endpoint[endpoint]]
+        latest = max(
+            views,
+            key=lambda view: (view.missing_since is None, view.revision),
+            default=None,
+        )
+        used = self._by_endpoint.get(endpoint)
+        if used is latest:
+            return
+        if used is not None:
+            del self._by_service[used.entry.service][endpoint]
+            del self._by_endpoint[endpoint]
+        if latest is None:
+            del self._keys_by_endpoint[endpoint]
+            return
+        self._by_endpoint[endpoint] = latest
+        self._by_service.setdefault(latest.entry.service, {})[endpoint] = latest
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -394,7 +394,7 @@
                 LogEvent("agent entry refused", error_fields(error))
             )
             return
-        if self._roster.put(item.key, entry):
+        if self._roster.put(item.key, entry, item.revision):
             fields = {
                 "agent": entry.endpoint,
                 "service": entry.service,
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -7,12 +7,14 @@
     expect OUTCOME COUNT        (clients with this outcome; COUNT may be "all")
     expect-event EVENT          expect-no-event EVENT      (events in the logs)
     expect-openings AGENT COUNT FROM_MS TO_MS   (openings its backend server received)
+    expect-served AGENT         (its backend server has run requests)
     expect-opened-within MS     (of every client that opened its flow)
     store MS                    (duration of a balancer's first read from now on)
 
 Verbs with the NAME of a process: restart-balancer, restart-agent, stop-balancer,
-freeze-balancer NAME MS, freeze-agent NAME MS, reuse-machine NAME SERVICE. Verbs with
-the NAME of an agent: crash and drain act on its backend server, expire-entry and
+freeze-balancer NAME MS, freeze-agent NAME MS, reuse-machine NAME SERVICE,
+replace-machine NAME NEW_NAME SERVICE (the store entry of NAME stays). Verbs with the
+NAME of an agent: crash and drain act on its backend server, expire-entry and
 restore on its store entry, lose ends both for good. Verbs without a name: remove-route,
 move-route SERVICE..., and lose-power, which restarts all that isn't lost.
 `#` starts a comment.
@@ -115,6 +117,9 @@
     def do_reuse_machine(self, name, service):
         self.world.reuse_machine(name, service)
 
+    def do_replace_machine(self, old, new, service):
+        self.world.replace_machine(old, new, service)
+
     def do_expire_entry(self, name):
         self.world.expire_entry(name)
 
@@ -132,6 +137,10 @@
         wanted = len(self.world.clients) if count == "all" else int(count)
         assert found.get(outcome, 0) == wanted, found
 
+    def do_expect_served(self, agent):
+        """Expect requests to have been run by an agent's backend server."""
+        assert self.world.backends[agent].runs, agent
+
     def do_expect_event(self, *words):
         assert " ".join(words) in self._events(), sorted(self._events())
 
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -60,6 +60,9 @@
 MAX_RECORD_DELAY_MS = 700
 """Longest time until a balancer stores a route change that it has observed."""
 
+REUSE_MS = 2_000
+"""Time from the end of a machine to the start of another one at its endpoint."""
+
 RESTART_MS = 300
 """Time from the end of a process to its restart."""
 
@@ -244,8 +247,8 @@
 
     def _read_store(self):
         store = self.world.store
-        for key, entry in store.items():
-            self.roster.put(key, entry)
+        for key, (entry, revision) in sorted(store.items()):
+            self.roster.put(key, entry, revision)
         self.roster.mark_others_missing(set(store), self.world.now)
         for change in self.world.route_changes:
             self.route_history.learn(change, self.world.now)
@@ -409,6 +412,7 @@
         self._events = []
         self._order = itertools.count()
         self._hosts = itertools.count(1)
+        self._revisions = itertools.count(1)
         self._transmissions = itertools.count(1)
 
     # Time
@@ -440,9 +444,9 @@
             old.is_alive = False
         self.balancers[name] = BalancerNode(self, name, endpoint)
 
-    def add_agent(self, name, service="order", work_ms=20):
+    def add_agent(self, name, service="order", work_ms=20, endpoint=None):
         """Add a machine with a backend server and an agent."""
-        endpoint = Endpoint("10.0.0.2", next(self._hosts))
+        endpoint = endpoint or Endpoint("10.0.0.2", next(self._hosts))
         self.backends[name] = Backend(self, name, work_ms)
         self.agents[name] = AgentNode(self, name, endpoint, service)
         self.store_entry(self.agents[name])
@@ -453,7 +457,7 @@
         self.after(STORE_MS, lambda: self._put_entry(agent))
 
     def _put_entry(self, agent):
-        self.store[agent.name] = agent.entry
+        self.store[agent.name] = (agent.entry, next(self._revisions))
         self.notify_balancers()
 
     def expire_entry(self, name):
@@ -488,6 +492,15 @@
 
         self.after(RESTART_MS, start)
 
+    def replace_machine(self, old, new, service):
+        """End a machine without a word, and start another one at its endpoint.
+
+        The old store entry stays, as its lease runs on.
+        """
+        self.lose_machine(old)
+        endpoint, work_ms = self.agents[old].endpoint, self.backends[old].work_ms
+        self.after(REUSE_MS, lambda: self.add_agent(new, service, work_ms, endpoint))
+
     def record_handover(self, balancer, agent, packet):
         """Count a packet that a balancer forwards to an agent."""
         handover = (packet.raw, balancer.endpoint, agent)
@@ -586,7 +599,8 @@
             self.record_handover(sender, peer, frame.packet)
 
         def arrive():
-            node = next((one for one in nodes.values() if one.endpoint == peer), None)
+            running = (one for one in nodes.values() if one.is_alive)
+            node = next((one for one in running if one.endpoint == peer), None)
             if node is not None:
                 callback = node.core.on_frame
                 node.run_when_active(
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -276,6 +276,25 @@
             ),
         ]
     },
+    **{
+        "flows at a reused address find their server: "
+        f"{service}, {new} instead of {old}": f"""
+        agent a9
+        agent d1 {service}
+        at 2000 replace-machine {old} {new} {service}
+        at 4500 restart-balancer b1
+        at 10000 expire-entry {old}
+        at 13000 move-route {service}
+        at 14000 calls 30 20 20
+        at 16000 stop-balancer b2
+        at 17000 stop-balancer b3
+        run 60000
+        expect served all
+        expect-served {new}
+    """
+        for service in ("drawings", "order")
+        for old, new in (("a9", "a10"), ("a1", "a5"))
+    },
     "loss, duplication and reordering lose no flow": """
         network loss=0.02 duplication=0.1 delay=1-40
         at 2000 calls 60 6 20
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -111,7 +111,7 @@
 
     def add(self, endpoint):
         entry = AgentEntry(endpoint, "order", "zone-a")
-        self.roster.put(str(endpoint), entry)
+        self.roster.put(str(endpoint), entry, 1)
 
     def count_not_found(self):
         self.not_found += 1
@@ -539,7 +539,8 @@
     driver = Driver()
     for number, service in enumerate(("drawings",) * 3 + ("intake",) * 50):
         endpoint = Endpoint("10.0.0.3", number + 1)
-        driver.roster.put(str(endpoint), AgentEntry(endpoint, service, "zone-a"))
+        entry = AgentEntry(endpoint, service, "zone-a")
+        driver.roster.put(str(endpoint), entry, 1)
     for version, names in enumerate(services, 2):
         driver.run_step(make_site(version, *names))
     driver.run_step(age_ms)
@@ -647,7 +648,7 @@
         for name, weight in zip(("order", "drawings"), weights, strict=True)
     )
     driver = Driver(agents=(A,))
-    driver.roster.put("d", AgentEntry(B, "drawings", "zone-a"))
+    driver.roster.put("d", AgentEntry(B, "drawings", "zone-a"), 2)
     driver.core.apply_site(make_site(2, routes={ENTRY: Route("r", services)}), START)
     count = 2_000
     found = {A: 0, B: 0}
@@ -664,7 +665,7 @@
 
 def make_view(port, report, now, zone="zone-a"):
     """Return a view of an agent that has sent `report`, if not None."""
-    view = AgentView(AgentEntry(Endpoint("10.0.0.2", port), "order", zone))
+    view = AgentView(AgentEntry(Endpoint("10.0.0.2", port), "order", zone), 1)
     if report is not None:
         view.record_load(report, now)
     return view
--- a/tests/unit/test_plain_roster.py
+++ b/tests/unit/test_plain_roster.py
@@ -21,7 +21,7 @@
     roster = Roster()
     for number in range(agents):
         endpoint = Endpoint("10.0.0.2", number + 1)
-        roster.put(str(number), AgentEntry(endpoint, "order", "zone-a"))
+        roster.put(str(number), AgentEntry(endpoint, "order", "zone-a"), number)
     return roster
 
 
@@ -75,3 +75,67 @@
                 watches += 1
                 next_watch = now + roster.watch_interval_ms
         assert watches <= 60_000 // roster.watch_interval_ms + 1
+
+
+REUSED = Endpoint("10.0.0.2", 1)
+STALE = (AgentEntry(REUSED, "order", "zone-a"), 5)
+LIVE = (AgentEntry(REUSED, "drawings", "zone-a"), 9)
+LIVE_SAME_SERVICE = (AgentEntry(REUSED, "order", "zone-b"), 9)
+
+
+def find_used(roster):
+    """Return the entry in use at the reused endpoint, which all lookups must agree on.
+
+    None if there is none.
+    """
+    view = roster.find(REUSED)
+    listed = [
+        one for name in ("order", "drawings") for one in roster.list_service(name)
+    ]
+    assert listed == list(roster) == ([] if view is None else [view])
+    assert len(roster) == len(listed)
+    return None if view is None else view.entry
+
+
+def remove(roster, key):
+    roster.mark_missing(key, START)
+    roster.remove_gone(START + MISSING_GRACE_MS + 1)
+
+
+@pytest.mark.parametrize("live", [LIVE, LIVE_SAME_SERVICE], ids=["other", "same"])
+@pytest.mark.parametrize("order", [("stale", "live"), ("live", "stale")])
+def test_a_reused_endpoint_belongs_to_the_entry_written_last(live, order):
+    """The order in which entries are read, that of their keys, doesn't matter."""
+    entries = {"stale": STALE, "live": live}
+    roster = Roster()
+    for key in order:
+        roster.put(key, *entries[key])
+    assert find_used(roster) == live[0]
+    for key in order:
+        roster.put(key, *entries[key])
+    assert find_used(roster) == live[0]
+    remove(roster, "stale")
+    assert find_used(roster) == live[0]
+    remove(roster, "live")
+    assert find_used(roster) is None
+
+
+@pytest.mark.parametrize("live", [LIVE, LIVE_SAME_SERVICE], ids=["other", "same"])
+def test_a_reused_endpoint_goes_back_to_the_entry_that_is_left(live):
+    """A late write of the earlier machine is in use only until it lapses."""
+    roster = Roster()
+    roster.put("live", *live)
+    roster.put("stale", STALE[0], 12)
+    assert find_used(roster) == STALE[0]
+    roster.mark_missing("stale", START)
+    assert find_used(roster) == live[0]
+    roster.remove_gone(START + MISSING_GRACE_MS + 1)
+    assert find_used(roster) == live[0]
+
+
+def test_an_entry_that_moves_to_another_endpoint_leaves_the_first_one():
+    roster = Roster()
+    roster.put("a", *STALE)
+    roster.put("a", AgentEntry(Endpoint("10.0.0.2", 2), "order", "zone-a"), 6)
+    assert roster.find(REUSED) is None
+    assert len(roster) == len(roster.list_service("order")) == 1
