An opening is a copy only if its number and its time say so

Cause: a balancer sent every opening of a flow that it knew as accepted to the owner again, as a copy of the accepted opening. It knows a flow until that was idle for 15 s, ended or not, and each such opening renewed that.

Change: balancer and agent take an opening for a copy if it has the sequence number of the first one, at most 1.4 s after it, when the client gives up. Any other begins a new flow: it follows the route, and the agent admits it or not.

Tests: scenarios (FIN, abort or left open; same or other number; 1 s and 10 s after the change), tables of balancer and agent.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -182,16 +182,19 @@
     ) -> list[Action]:
         """Pass an opening to the backend server, or return it to the balancer."""
         packet = frame.packet
-        owned = self._flows.find(packet.flow)
-        if owned is not None and owned.ended_at is not None:
-            self._remove_flow(packet.flow, owned, now)
-            owned = None
+        known = self._flows.find(packet.flow)
+        is_copy = known is not None and known.is_copy(packet, now)
+        owned = known if is_copy else None
         if owned is None or owned.accept_sequence is None:
             reason = self._find_rejection_reason(frame, source, now)
             if reason is not None:
                 return self._return_packet(packet, reason, source, now)
         if owned is None:
+            if known is not None:
+                # The earlier flow from this port is over, seen or not.
+                self._remove_flow(packet.flow, known, now)
             owned = self._flows.add(packet.flow, source, now)
+            owned.opening_sequence = packet.sequence
         owned.balancer = source
         owned.seen_at = now
         if owned.accept_sequence is None:
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -254,11 +254,14 @@
     ) -> list[Action]:
         """Offer an opening to an agent, or resend it to the agent that accepted it."""
         cached = self._flows.find(packet.flow)
-        if cached is not None and cached.is_confirmed:
+        if cached is not None and cached.is_copy(packet, now):
             # The acceptance was lost on the way to the client. The backend server
             # answers the retransmitted opening again.
             cached.seen_at = now
             return [self._make_open_frame(cached.agent, packet)]
+        if cached is not None and cached.is_confirmed:
+            # The earlier flow from this port is over, whether its end was seen or not.
+            self._flows.drop(packet.flow)
         opening = self._openings.begin(packet, now)
         return self._offer(opening, route, now)
 
@@ -286,7 +289,7 @@
         packet = opening.packet
         self._openings.record_offer(opening, agent, now)
         agent.pending_offers += 1
-        self._flows.put(packet.flow, agent, now, is_confirmed=False)
+        self._flows.put_offer(packet, agent, now)
         log_event = LogEvent(
             "opening offered", self._describe_offer(opening, agent, route)
         )
@@ -418,7 +421,7 @@
     ) -> list[Action]:
         """Record that an agent's backend server has accepted an opening."""
         opening = self._openings.end(frame.flow)
-        self._flows.put(frame.flow, view, now, is_confirmed=True)
+        self._flows.put_owner(frame.flow, view, now)
         if opening is None:
             return []
         fields = {
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/openings.py
@@ -123,8 +123,11 @@
         return self._openings.get(flow)
 
     def begin(self, packet: FlowPacket, now: Millis) -> Opening:
-        """Return the opening of the packet's flow, creating it if it is new."""
+        """Return the opening that a packet is a copy of, creating it if it is new."""
         opening = self._openings.get(packet.flow)
+        if opening is not None and opening.packet.sequence != packet.sequence:
+            self.end(packet.flow)
+            opening = None
         if opening is None:
             if len(self._openings) >= MAX_OPENINGS:
                 # Dictionaries keep insertion order, so the first key is the oldest.
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -4,7 +4,11 @@
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
-from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
+from papayagw._internal.models.plain.packet import (
+    MAX_COPY_AGE_MS,
+    FlowKey,
+    FlowPacket,
+)
 
 MAX_FLOWS = 20_000
 """Maximum number of tracked flows: ten times what a backend server holds."""
@@ -49,6 +53,8 @@
         Sequence number after the last known byte of the client.
     request_started_at : Millis or None
         Start of the request in progress; None if there is none.
+    opening_sequence : int or None
+        The client's sequence number in the opening; None if it wasn't seen.
     opening_sent_at : Millis or None
         When the opening was passed to the backend server; None once it is accepted.
     pending_opening : FlowPacket or None
@@ -66,6 +72,7 @@
         "ended_at",
         "pending_opening",
         "is_established",
+        "opening_sequence",
         "opening_sent_at",
         "balancer",
         "seen_at",
@@ -83,10 +90,22 @@
         self.acknowledged = 0
         self.client_sequence_end: int | None = None
         self.request_started_at: Millis | None = None
+        self.opening_sequence: int | None = None
         self.opening_sent_at: Millis | None = None
         self.pending_opening: FlowPacket | None = None
         self.ended_at: Millis | None = None
 
+    def is_copy(self, opening: FlowPacket, now: Millis) -> bool:
+        """Whether an opening is a copy of this flow's.
+
+        Any other begins a new flow, for which the client uses its port again.
+        """
+        return (
+            self.ended_at is None
+            and self.opening_sequence in (None, opening.sequence)
+            and now - self.began_at <= MAX_COPY_AGE_MS
+        )
+
     def matches(self, acknowledged: int | None) -> bool:
         """Whether an acknowledgement fits this backend server's sequence numbers.
 
--- a/src/papayagw/_internal/core/plain/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -139,7 +139,7 @@
         self, reply: OwnerReply, view: AgentView, now: Millis
     ) -> list[Action]:
         """Cache the owner and forward the held packets to it."""
-        self._flows.put(reply.flow, view, now, is_confirmed=True)
+        self._flows.put_owner(reply.flow, view, now)
         lookup = self._lookups.end(reply.flow)
         if lookup is None:
             return []
--- a/src/papayagw/_internal/models/plain/packet.py
+++ b/src/papayagw/_internal/models/plain/packet.py
@@ -8,12 +8,20 @@
 from enum import Enum
 from typing import NewType
 
+from papayagw._internal.models.clock import Millis
+
 FlowKey = NewType("FlowKey", bytes)
 """Identifies a flow: the client's address and port, then the `EntryKey`."""
 
 EntryKey = NewType("EntryKey", bytes)
 """Port and address that clients send to; the last bytes of a `FlowKey`."""
 
+MAX_COPY_AGE_MS = Millis(1_400)
+"""Age of an opening at which its client gives up, and sends no copy of it any more.
+
+Defined by the platform's protocol.
+"""
+
 ENTRY_KEY_BYTES = 6
 """Length of an `EntryKey`: 2 bytes of the port and 4 of the IPv4 address."""
 
--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -16,6 +16,7 @@
 replace-machine NAME NEW_NAME SERVICE (the store entry of NAME stays). Verbs with the
 NAME of an agent: crash and drain act on its backend server, expire-entry and
 restore on its store entry, lose ends both for good. Verbs without a name: remove-route,
+close-flows KIND (of packet), reuse-ports REQUESTS FIRST_SEQUENCE (of all clients),
 move-route SERVICE..., and lose-power, which restarts all that isn't lost.
 `#` starts a comment.
 """
@@ -117,6 +118,13 @@
     def do_reuse_machine(self, name, service):
         self.world.reuse_machine(name, service)
 
+    def do_close_flows(self, kind):
+        for client in self.world.clients.values():
+            client.close(PacketKind[kind])
+
+    def do_reuse_ports(self, requests, first_sequence):
+        self.world.reuse_ports(int(requests), int(first_sequence))
+
     def do_replace_machine(self, old, new, service):
         self.world.replace_machine(old, new, service)
 
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -136,7 +136,9 @@
             return
         flow = packet.flow
         self.world.record_arrival(self, packet)
-        if packet.kind is PacketKind.OPEN:
+        if packet.kind.is_closing:
+            self.flows.pop(flow, None)
+        elif packet.kind is PacketKind.OPEN:
             start = self.flows.setdefault(flow, self.world.random.getrandbits(32))
             self.send(flow, PacketKind.ACCEPT, start, packet.sequence + 1)
         elif flow not in self.flows:
@@ -286,16 +288,17 @@
     RETRANSMISSIONS = ((200, 1), (600, 2))
     ATTEMPT_MS = 1_400
 
-    def __init__(self, world, flow, requests, pause_ms):
+    def __init__(self, world, flow, requests, pause_ms, first_sequence=0):
         self.world = world
         self.flow = flow
+        self.first_sequence = first_sequence
         self.requests_left = requests
         self.pause_ms = pause_ms
         self.outcome = "opening"
         self.start = None
         self.began_at = world.now
         self.opened_at = None
-        self.position = 1
+        self.position = first_sequence + 1
         self.answered = 0
         world.clients[flow] = self
         self._open(0)
@@ -305,7 +308,9 @@
 
     def _open(self, copy):
         if self.outcome == "opening":
-            packet = make_packet(self.flow, PacketKind.OPEN, 0, None, 0, copy)
+            packet = make_packet(
+                self.flow, PacketKind.OPEN, self.first_sequence, None, 0, copy
+            )
             self.world.route(packet)
 
     def _give_up_opening(self):
@@ -334,6 +339,12 @@
         position = self.position
         self.world.after(self.pause_ms, lambda: self._request(position, 200))
 
+    def close(self, kind):
+        """Send a packet of a kind that ends the flow, if it is open or served."""
+        if self.start is not None:
+            acknowledged = (self.start + 1) % MODULUS
+            self.world.route(make_packet(self.flow, kind, self.position, acknowledged))
+
     def _request(self, position, wait):
         """Send a request, and again after doubling waits until it is answered."""
         if self.outcome != "open" or position != self.position:
@@ -564,6 +575,12 @@
         flow = FlowKey(b"\x64\x40" + number.to_bytes(2, "big") + b"\x9c\x41" + ENTRY)
         return Client(self, flow, requests, pause_ms)
 
+    def reuse_ports(self, requests, first_sequence):
+        """Have each client open a new flow from the port of its first one."""
+        for flow in list(self.clients):
+            self.owners.pop(flow, None)
+            Client(self, flow, requests, 300, first_sequence)
+
     # Network
 
     def _deliver(self, callback):
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -295,6 +295,25 @@
         for service in ("drawings", "order")
         for old, new in (("a9", "a10"), ("a1", "a5"))
     },
+    **{
+        "a new flow from a used port follows the route: "
+        f"{end or 'left open'}, sequence {sequence}, after {wait} ms": f"""
+        agent d1 drawings
+        agent d2 drawings
+        at 2000 calls 20 2 20
+        {f"at 4500 close-flows {end}" if end else ""}
+        at 5000 move-route drawings
+        at {5000 + wait} reuse-ports 2 {sequence}
+        run 30000
+        expect served all
+        expect-openings a1 0 {5000 + wait} 30000
+        expect-openings a2 0 {5000 + wait} 30000
+        expect-openings a3 0 {5000 + wait} 30000
+    """
+        for end in ("FINISH", "ABORT", "")
+        for sequence in (0, 7_000)
+        for wait in (1_000, 10_000)
+    },
     "loss, duplication and reordering lose no flow": """
         network loss=0.02 duplication=0.1 delay=1-40
         at 2000 calls 60 6 20
@@ -346,6 +365,16 @@
         return super().apply_site(site, now)
 
 
+class TakesAnyOpeningForACopy(PlainBalancer):
+    """Send every opening of a known flow to the flow's owner."""
+
+    def _on_opening(self, packet, route, now):
+        cached = self._flows.find(packet.flow)
+        if cached is not None and cached.is_confirmed:
+            return [self._make_open_frame(cached.agent, packet)]
+        return super()._on_opening(packet, route, now)
+
+
 class TrustsFirstRead(PlainBalancer):
     """Treat the agents of the first read of the store as complete."""
 
@@ -465,6 +494,11 @@
         for name in SCENARIOS
         if name.startswith("flows of a lost service survive")
     ),
+    *(
+        (TakesAnyOpeningForACopy, name)
+        for name in SCENARIOS
+        if name.startswith("a new flow from a used port")
+    ),
     (NeverNotifiesMissing, "an entry that lapsed is stored again and is used on"),
 ]
 
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -36,7 +36,11 @@
     ReportedState,
     StatusReport,
 )
-from papayagw._internal.models.plain.packet import FlowKey, PacketKind
+from papayagw._internal.models.plain.packet import (
+    MAX_COPY_AGE_MS,
+    FlowKey,
+    PacketKind,
+)
 from tests.lib.plain_world import ENTRY, make_packet
 
 BALANCER = Endpoint("10.0.0.1", 1)
@@ -297,6 +301,51 @@
     assert [type(one) for one in actions] == kinds
 
 
+USED_PORT_OPENING = OpenFrame("order", 1, make_packet(FLOW, PacketKind.OPEN, 7_000))
+
+
+@pytest.mark.parametrize(
+    ("wait_ms", "frame", "is_copy"),
+    [
+        (0, open_frame(), True),
+        (MAX_COPY_AGE_MS, open_frame(), True),
+        (MAX_COPY_AGE_MS + 1, open_frame(), False),
+        (0, USED_PORT_OPENING, False),
+        (10_000, USED_PORT_OPENING, False),
+    ],
+)
+@pytest.mark.parametrize("before", [ACCEPTED, OPEN])
+@pytest.mark.parametrize(
+    ("event", "reason"),
+    [
+        ("drain", ReturnReason.DRAINING),
+        ("leave", ReturnReason.NOT_READY),
+        (ScopeFrame("order", 5, frozenset()), ReturnReason.OLD_VERSION),
+    ],
+)
+def test_a_new_flow_from_a_used_port_needs_to_be_admitted(
+    before, wait_ms, frame, is_copy, event, reason
+):
+    """Only a copy of the accepted opening passes an agent that admits no others."""
+    actions, driver = run_steps([*before, event, wait_ms, frame])
+    if is_copy:
+        assert [type(one) for one in actions] == [SendToBackend]
+    else:
+        assert [one.frame.reason for one in actions] == [reason]
+        # The earlier flow stays with its owner.
+        assert driver.core.flow_count == 1
+
+
+def test_a_new_flow_from_a_used_port_replaces_the_earlier_one():
+    steps = [*OPEN, USED_PORT_OPENING]
+    actions, driver = run_steps(steps)
+    assert [type(one) for one in actions] == [SendToBackend]
+    driver.run(replace(ACCEPT, sequence=90_000_000))
+    query = OwnerQueryFrame("order", (OwnerQuery(FLOW, ACCEPT_SEQUENCE + 1),))
+    [reply] = driver.run(query)
+    assert reply.frame.replies[0].ownership is Ownership.NOT_OWNER
+
+
 @pytest.mark.parametrize(
     "foreign", ["other service", "other service drains", "unknown service"]
 )
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -53,7 +53,11 @@
     AgentLoad,
     Availability,
 )
-from papayagw._internal.models.plain.packet import FlowKey, PacketKind
+from papayagw._internal.models.plain.packet import (
+    MAX_COPY_AGE_MS,
+    FlowKey,
+    PacketKind,
+)
 from papayagw._internal.models.plain.site import Route, SiteVersion, WeightedService
 from tests.lib.plain_world import ENTRY, FLOW_LIMIT_MS, make_packet, make_site
 
@@ -523,6 +527,50 @@
     assert sent(actions) == frames
 
 
+DRAWINGS_AGENT = Endpoint("10.0.0.4", 1)
+"""Agent of the service "drawings"."""
+
+USED_PORT_OPENING = make_packet(FLOW, PacketKind.OPEN, 7_000)
+ABORT = make_packet(FLOW, PacketKind.ABORT, 1, 501)
+
+
+@pytest.mark.parametrize(
+    ("end", "wait_ms", "opening", "receiver"),
+    [
+        ([], 0, OPENING, A),
+        ([], MAX_COPY_AGE_MS, OPENING, A),
+        ([], MAX_COPY_AGE_MS + 1, OPENING, DRAWINGS_AGENT),
+        ([], 0, USED_PORT_OPENING, DRAWINGS_AGENT),
+        ([], 10_000, USED_PORT_OPENING, DRAWINGS_AGENT),
+        ([FINISH], 10_000, OPENING, DRAWINGS_AGENT),
+        ([FINISH], 0, USED_PORT_OPENING, DRAWINGS_AGENT),
+        ([ABORT], 10_000, OPENING, DRAWINGS_AGENT),
+        ([ABORT], 0, USED_PORT_OPENING, DRAWINGS_AGENT),
+    ],
+)
+@pytest.mark.parametrize("is_read_before", [True, False])
+def test_a_new_flow_from_a_used_port_goes_to_the_routes_new_service(
+    end, wait_ms, opening, receiver, is_read_before
+):
+    """Only a copy of the accepted opening goes to the earlier owner."""
+    driver = Driver()
+    entry = AgentEntry(DRAWINGS_AGENT, "drawings", "zone-a")
+    driver.roster.put(str(DRAWINGS_AGENT), entry, 1)
+    steps = [OPENING, OPENED, *([DATA] if is_read_before else []), *end]
+    for step in (*steps, wait_ms, make_site(2, "drawings")):
+        driver.run_step(step)
+    assert sent(driver.run_step(opening)) == [(receiver, OpenFrame)]
+
+
+def test_an_opening_from_a_used_port_replaces_one_in_progress():
+    driver = Driver()
+    driver.run_step(OPENING)
+    assert sent(driver.run_step(USED_PORT_OPENING)) == [(A, OpenFrame)]
+    driver.run_step(OPENED)
+    driver.run_step(make_site(2, "drawings"))
+    assert sent(driver.run_step(USED_PORT_OPENING)) == [(A, OpenFrame)]
+
+
 @pytest.mark.parametrize(
     ("services", "age_ms", "asked"),
     [
