Waiting openings are offered only to services that the route still has

By the source, an opening that waited for room while its route got another service could still be served by the old one.

Cause: openings wait under the name of the service that the route had when they began to wait, and an agent of that service that reports free capacity was offered them without a look at the route.

Change: the route is looked at again before the offer.

Test: test_an_opening_that_waits_goes_to_no_service_that_its_route_has_lost; the row with a moved route failed before.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -299,15 +299,21 @@
         """Offer waiting openings to an agent that has free capacity."""
         if agent.free_capacity <= 0:
             return []
-        waiting = self._openings.list_waiting(agent.entry.service)
+        service = agent.entry.service
+        waiting = self._openings.list_waiting(service)
         if not waiting or not agent.accepts_openings(now):
             return []
-        waiting.sort(key=self._priority_of)
+        # The route may have changed while an opening waited.
+        routed = [
+            (opening, route)
+            for opening in waiting
+            if (route := self._find_route(opening.packet)) is not None
+            and _pick_service(route, opening.packet) == service
+        ]
+        routed.sort(key=lambda one: one[1].priority)
         actions: list[Action] = []
-        for opening in waiting[: agent.free_capacity]:
-            route = self._find_route(opening.packet)
-            if route is not None:
-                actions += self._offer_to(agent, opening, route, now)
+        for opening, route in routed[: agent.free_capacity]:
+            actions += self._offer_to(agent, opening, route, now)
         return actions
 
     def _choose_agent(
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -18,6 +18,7 @@
 from papayagw._internal.core.plain.early_packets import MAX_EARLY_AGE_MS
 from papayagw._internal.core.plain.openings import (
     COPY_AGES_MS,
+    MIN_RETRY_MS,
     OFFER_TIMEOUT_MS,
     OPENING_TIMEOUT_MS,
 )
@@ -62,6 +63,9 @@
 from tests.lib.plain_world import ENTRY, FLOW_LIMIT_MS, make_packet, make_site
 
 A, B, C = (Endpoint("10.0.0.2", port) for port in (1, 2, 3))
+DRAWINGS_AGENT = Endpoint("10.0.0.4", 1)
+"""Agent of the service "drawings"."""
+
 FLOW = FlowKey(b"\x64\x40\x00\x07\x9c\x41" + ENTRY)
 OPENING = make_packet(FLOW, PacketKind.OPEN)
 COPY = make_packet(FLOW, PacketKind.OPEN, copy=1)
@@ -434,6 +438,29 @@
     assert sent(actions) == frames
 
 
+@pytest.mark.parametrize(
+    ("site", "receivers"),
+    [
+        (make_site(2), [A]),
+        (make_site(2, "drawings"), [DRAWINGS_AGENT]),
+        (make_site(2, routes={}), []),
+    ],
+)
+def test_an_opening_that_waits_goes_to_no_service_that_its_route_has_lost(
+    site, receivers
+):
+    driver = Driver(agents=(A,))
+    entry = AgentEntry(DRAWINGS_AGENT, "drawings", "zone-a")
+    driver.roster.put(str(DRAWINGS_AGENT), entry, 1)
+    for step in (load_report(A, NOT_READY), OPENING, site):
+        driver.run_step(step)
+    frames = [
+        *sent(driver.run_step(load_report(A, Availability.READY))),
+        *sent(driver.run_step(MIN_RETRY_MS)),
+    ]
+    assert [agent for agent, frame in frames if frame is OpenFrame] == receivers
+
+
 def test_an_opening_that_waits_is_offered_to_one_agent():
     busy = [load_report(agent, Availability.READY, busy=2) for agent in (A, B)]
     free = [load_report(agent, Availability.READY) for agent in (A, B)]
@@ -527,9 +554,6 @@
     assert sent(actions) == frames
 
 
-DRAWINGS_AGENT = Endpoint("10.0.0.4", 1)
-"""Agent of the service "drawings"."""
-
 USED_PORT_OPENING = make_packet(FLOW, PacketKind.OPEN, 7_000)
 ABORT = make_packet(FLOW, PacketKind.ABORT, 1, 501)
 
