Reports that lack a field of every backend server are refused

Cause: the decoder asked only for the fields that the agent uses.

Change: the three fields must be there, as text.

Tests: six rows of test_report_with_an_invalid_field failed before.

--- a/src/papayagw/platform/reports.py
+++ b/src/papayagw/platform/reports.py
@@ -18,6 +18,9 @@
 _INSTANCES_PATH = "/-/instances/"
 """Path of reports; the id of the backend server follows."""
 
+_UNUSED_TEXT_FIELDS = ("address", "zone", "version")
+"""Fields that every backend server sends; a report without one is another writer's."""
+
 _STATE_BY_NAME = {"ready": ReportedState.READY, "draining": ReportedState.DRAINING}
 
 READINESS_PATH = "/-/readyz"
@@ -49,6 +52,8 @@
         return None
     if number is None or started_at is None or cold_left is None:
         return None
+    if not all(_read_string(fields, name) for name in _UNUSED_TEXT_FIELDS):
+        return None
     return StatusReport(
         instance=instance,
         service=service,
--- a/tests/unit/test_plain_odd_values.py
+++ b/tests/unit/test_plain_odd_values.py
@@ -40,6 +40,9 @@
 ROUTE_CHANGE_FIELDS = json.loads(encode_route_change(ROUTE_CHANGE))
 REPORT = {
     "service": "order",
+    "address": "10.0.0.1:8080",
+    "zone": "zone-a",
+    "version": "v1",
     "state": "ready",
     "slots": 3,
     "cold_left_ms": 0,
--- a/tests/unit/test_platform_reports.py
+++ b/tests/unit/test_platform_reports.py
@@ -62,6 +62,12 @@
         ("born", 1.5),
         ("born", None),
         ("cold_left_ms", None),
+        ("address", None),
+        ("address", 8080),
+        ("zone", None),
+        ("zone", ""),
+        ("version", None),
+        ("version", 1),
     ],
 )
 def test_report_with_an_invalid_field(field, value):
