A silent agent counts as one without flows only if it was asked all the while

What callers saw: within 12 s of the start of the whole fleet, or of the return of power, flows that had been opened since were reset by a balancer that took over, while their agent was being restarted under a live server.

Cause: after a loss of power an agent that is lost for good must not delay the end of dead flows; so an agent that this balancer had never heard, or that had no report, counted as one without flows. It may never have heard the agent because it never asked.

Change: the balancer must have begun to ask the agent within 1.5 s of its own first read and have asked once a second since, without an answer that shows a report. It asks such agents every 0.5 s by itself for 12 s after its start.

Tests: test_a_fleet_that_has_just_started_resets_no_flow_of_a_dead_agent (4 of 20 rows failed before), three rows of the table of lost agents (failed before). The scenario of a machine that is lost for good still ends its flows without a delay.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -35,6 +35,7 @@
     LoadFrame,
     OpenedFrame,
     OpenFrame,
+    OwnerQueryFrame,
     OwnerReplyFrame,
     Ownership,
     ReturnFrame,
@@ -71,6 +72,12 @@
 By then the leases of the agents that are lost for good have expired.
 """
 
+PROBE_INTERVAL_MS = Millis(500)
+"""Interval between probes of agents that have had no report.
+
+Half of `MAX_REQUEST_GAP_MS`, so that one of them may be lost.
+"""
+
 SCOPE_INTERVAL_MS = Millis(200)
 """Minimum time between two scope frames sent to one agent."""
 
@@ -122,6 +129,7 @@
         )
         self._first_listed_at: Millis | None = None
         self._is_after_power_loss = False
+        self._next_probe_at: Millis | None = None
         self._scope_sent_at: dict[Endpoint, Millis] = {}
 
     @property
@@ -147,7 +155,7 @@
     @property
     def due_at(self) -> Millis | None:
         """Time at which `on_timer` must be called next; None if no timer is pending."""
-        due = (self._openings.due_at, self._lookup.due_at)
+        due = (self._openings.due_at, self._lookup.due_at, self._next_probe_at)
         return min((at for at in due if at is not None), default=None)
 
     def apply_site(self, site: SiteVersion, now: Millis) -> bool:
@@ -166,6 +174,7 @@
         """
         if self._first_listed_at is None:
             self._first_listed_at = now
+            self._next_probe_at = Millis(now + PROBE_INTERVAL_MS)
         return [
             *self._lookup.on_agents_listed(now),
             *self.handle_early_packets(now),
@@ -243,6 +252,8 @@
         for opening in sorted(overdue, key=self._priority_of):
             actions += self._on_offer_due(opening, now)
         actions += self._lookup.on_timer(now)
+        if self._next_probe_at is not None and now >= self._next_probe_at:
+            actions += self._probe_agents(now)
         if self._site is not None:
             self._flows.sweep(now, self._site.idle_timeout_ms)
         return actions
@@ -288,6 +299,7 @@
         """Offer an opening to `agent` and record the offer."""
         packet = opening.packet
         self._openings.record_offer(opening, agent, now)
+        agent.record_request(now)
         agent.pending_offers += 1
         self._flows.put_offer(packet, agent, now)
         log_event = LogEvent(
@@ -546,11 +558,37 @@
     def _lost_its_flows(self, agent: AgentView, now: Millis) -> bool:
         """Return whether an agent's backend server lost all its flows with the power.
 
-        The agent hasn't been heard since this balancer started, or its backend server
-        hasn't reported. If all others restarted just before, they lost power together;
-        what has been opened since is known to the agent, or to a balancer.
+        That is so if the fleet has lost power and the agent has had no report of its
+        server since, as far as it was asked from the start. Otherwise it may have
+        accepted flows since by way of another balancer, even if it is silent now.
+        """
+        started_at = self._first_listed_at
+        return (
+            started_at is not None
+            and agent.had_no_report_since(Millis(started_at + RESTART_SPREAD_MS), now)
+            and self._detect_power_loss(now)
+        )
+
+    def _probe_agents(self, now: Millis) -> list[Action]:
+        """Ask the agents again that have had no report since they were first asked.
+
+        Only then their silence shows that they have accepted nothing meanwhile.
         """
-        return not agent.has_report and self._detect_power_loss(now)
+        started_at = self._first_listed_at
+        if started_at is None or now - started_at > POWER_LOSS_VALIDITY_MS:
+            self._next_probe_at = None
+            return []
+        self._next_probe_at = Millis(now + PROBE_INTERVAL_MS)
+        latest_start = Millis(started_at + RESTART_SPREAD_MS)
+        probed = [
+            view for view in self._roster if view.had_no_report_since(latest_start, now)
+        ]
+        for view in probed:
+            view.record_request(now)
+        return [
+            SendFrame(view.endpoint, OwnerQueryFrame(view.entry.service, ()))
+            for view in probed
+        ]
 
     def _detect_power_loss(self, now: Millis) -> bool:
         """Return whether the whole fleet lost power shortly before this balancer."""
--- a/src/papayagw/_internal/core/plain/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -100,7 +100,7 @@
         if lookup is None:
             return []
         lookup.hold_packet(packet)
-        return [_make_query(view, packet) for view in agents]
+        return [_make_query(view, packet, now) for view in agents]
 
     def on_reply(self, reply: OwnerReply, view: AgentView, now: Millis) -> list[Action]:
         """Handle an agent's reply to an owner query, or its claim to own a flow."""
@@ -130,7 +130,9 @@
             if others:
                 endpoints = {view.endpoint for view in others}
                 self._lookups.query_others(lookup, endpoints, now)
-                actions += [_make_query(view, lookup.last_packet) for view in others]
+                actions += [
+                    _make_query(view, lookup.last_packet, now) for view in others
+                ]
             elif self._knows_all_agents(agents, now):
                 actions += self._reset_ownerless(lookup)
         return actions
@@ -230,7 +232,8 @@
     return SendFrame(agent.endpoint, ForwardFrame(agent.entry.service, packet))
 
 
-def _make_query(agent: AgentView, packet: FlowPacket) -> SendFrame:
+def _make_query(agent: AgentView, packet: FlowPacket, now: Millis) -> SendFrame:
     """Return the action that queries an agent for the owner of a packet's flow."""
+    agent.record_request(now)
     query = OwnerQuery(packet.flow, packet.acknowledged)
     return SendFrame(agent.endpoint, OwnerQueryFrame(agent.entry.service, (query,)))
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -50,6 +50,12 @@
 """Upper limit of the time as suspect, which doubles from `INITIAL_SUSPICION_MS`."""
 
 
+MAX_REQUEST_GAP_MS = Millis(1_000)
+"""Longest pause between requests to an agent that counts as asking it all the while.
+
+Less than it takes a machine to start, open a flow, and end again.
+"""
+
 MIN_WATCH_INTERVAL_MS = Millis(700)
 """Minimum time between two watches of the agents' entries, so changes are batched.
 
@@ -102,10 +108,16 @@
         End of the time as suspect.
     backoff_until : Millis
         End of the time without offers after a rejection as busy.
+    had_report : bool
+        Whether a load report has shown that the agent had a report of its backend
+        server.
     """
 
     __slots__ = (
+        "_requested_at",
+        "_requested_since",
         "entry",
+        "had_report",
         "revision",
         "load_received_at",
         "load",
@@ -126,6 +138,9 @@
         self.suspicion_count = 0
         self.suspect_until = Millis(0)
         self.backoff_until = Millis(0)
+        self.had_report = False
+        self._requested_since: Millis | None = None
+        self._requested_at = Millis(0)
 
     @property
     def endpoint(self) -> Endpoint:
@@ -139,12 +154,32 @@
         """
         self.load = load
         self.load_received_at = now
+        self.had_report |= load.run_age_ms is not None
         self.pending_offers = 0
         self.suspicion_count = 0
         self.suspect_until = Millis(0)
         if self.free_capacity > 0:
             self.backoff_until = Millis(0)
 
+    def record_request(self, now: Millis) -> None:
+        """Record that the agent was sent a frame that it answers."""
+        if (
+            self._requested_since is None
+            or now - self._requested_at > MAX_REQUEST_GAP_MS
+        ):
+            self._requested_since = now
+        self._requested_at = now
+
+    def had_no_report_since(self, at: Millis, now: Millis) -> bool:
+        """Return whether the agent can't have had a report of its server since `at`.
+
+        It has been sent requests from then on, and would have answered one of them.
+        """
+        since = self._requested_since
+        if self.had_report or since is None:
+            return False
+        return since <= at and now - self._requested_at <= MAX_REQUEST_GAP_MS
+
     def start_backoff(self, now: Millis) -> None:
         """Stop offers for `BUSY_BACKOFF_MS` after the agent rejected one as busy."""
         self.backoff_until = Millis(now + BUSY_BACKOFF_MS)
--- a/tests/properties/test_plain_flow_properties.py
+++ b/tests/properties/test_plain_flow_properties.py
@@ -1,5 +1,6 @@
 """Invariants of flows of the plain front end under generated sequences of faults."""
 
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -118,3 +119,20 @@
     broken = outcomes.get("reset", 0) + outcomes.get("deadline", 0)
     assert world.violations == []
     assert broken == 0, outcomes
+
+
+@pytest.mark.parametrize(
+    ("balancer_at", "agent_at"), [(212, 217), (202, 203), (400, 420), (1_500, 1_501)]
+)
+@pytest.mark.parametrize("seed", range(5))
+def test_a_fleet_that_has_just_started_resets_no_flow_of_a_dead_agent(
+    seed, balancer_at, agent_at
+):
+    """A start of the whole fleet looks like the return of power."""
+    history = [
+        (balancer_at, ("restart_balancer", "b1")),
+        (agent_at, ("restart_agent", "a1")),
+    ]
+    world = play(seed, NetworkConditions(delay=(1, 5)), history)
+    assert world.violations == []
+    assert world.outcomes() == {"served": 40}
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -331,6 +331,33 @@
             ],
             False,
         ),
+        # Asked too late: it may have accepted a flow since by way of another balancer.
+        (
+            [RESTART_SPREAD_MS + 1, DATA, *deny(A, B, C), REPLY_TIMEOUT_MS],
+            False,
+        ),
+        (
+            [
+                DATA,
+                *deny(A, B, C),
+                # The balancer froze, and asked nothing meanwhile.
+                RESTART_SPREAD_MS + 1,
+                DATA,
+                *deny(A, B, C),
+                REPLY_TIMEOUT_MS,
+            ],
+            False,
+        ),
+        # It has had a report, and was restarted since.
+        (
+            [
+                load_report(D, Availability.READY, run_age=YOUNG_MS),
+                DATA,
+                *deny(A, B, C),
+                owner_reply(D, Ownership.UNKNOWN, run_age=None),
+            ],
+            False,
+        ),
         # It may own a flow that was opened since its backend server started.
         (
             [
