Agents compare a flow from a used port with the one they know

What callers saw: a new flow from a port used before was reset by the agent of the server that had held the earlier one (FLOW).

Cause: an agent that was restarted adopts flows from its server's packets, without the number with which they were accepted; any acknowledgement then matched. A returned packet counted as a lost flow also where the flow had ended or the packet wasn't its own, and an ended flow was claimed whatever the acknowledgement.

Change: an adopted flow is compared by the sequence numbers of its server, an ended one like an open one; a returned packet means a lost flow only if it belongs to a flow that hasn't ended.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -322,7 +322,7 @@
             actions.append(LogEvent("flow adopted", fields))
         owned.seen_at = now
         owned.is_established = True
-        owned.record_backend_ack(packet)
+        owned.record_backend_packet(packet)
         if packet.payload_bytes:
             self._end_request(owned, now, answered=True)
         if packet.kind.is_closing:
@@ -371,12 +371,11 @@
             return self._return_packet(
                 packet, self._admission.record_rejection(), balancer, now
             )
-        if owned is not None and owned.is_established:
-            # A returned packet means that the backend server no longer holds the flow.
+        if owned is not None and owned.is_lost_by(packet):
             self._remove_flow(packet.flow, owned, now)
             reset = ResetClient(packet.flow, packet.acknowledged or 0)
             return [reset, LogEvent("flow lost", {"flow": format_flow(packet.flow)})]
-        if owned is not None:
+        if owned is not None and not owned.is_established:
             self._remove_flow(packet.flow, owned, now)
         if balancer is None:
             return []
--- a/src/papayagw/_internal/core/plain/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/owned_flows.py
@@ -66,6 +66,7 @@
     __slots__ = (
         "accept_sequence",
         "acknowledged",
+        "backend_sequence",
         "began_at",
         "request_started_at",
         "client_sequence_end",
@@ -85,6 +86,11 @@
         self.seen_at = now
         self.accept_sequence: int | None = None
         """Sequence number of the accept packet; None if it wasn't seen."""
+        self.backend_sequence: int | None = None
+        """Sequence number of the backend server's first packet after the accept packet.
+
+        None if there was none. A flow that was adopted has no other.
+        """
         self.is_established = False
         """Whether the backend server sent a packet after the accept packet."""
         self.acknowledged = 0
@@ -106,14 +112,33 @@
             and now - self.began_at <= MAX_COPY_AGE_MS
         )
 
+    def is_lost_by(self, returned: FlowPacket) -> bool:
+        """Whether a packet that the backend server returned shows it has lost the flow.
+
+        A packet that doesn't belong to the flow, or that comes after its end, may be of
+        another flow from the same port.
+        """
+        return (
+            self.is_established
+            and self.ended_at is None
+            and self.matches(returned.acknowledged)
+        )
+
     def matches(self, acknowledged: int | None) -> bool:
         """Whether an acknowledgement fits this backend server's sequence numbers.
 
         Also True if either number isn't known.
         """
-        if self.accept_sequence is None or acknowledged is None:
+        if acknowledged is None:
             return True
-        return is_in_window(acknowledged, self.accept_sequence)
+        if self.accept_sequence is not None:
+            return is_in_window(acknowledged, self.accept_sequence)
+        known = self.backend_sequence
+        return (
+            known is None
+            or is_in_window(acknowledged, known)
+            or is_in_window(known, acknowledged)
+        )
 
     def record_client_packet(self, packet: FlowPacket) -> bool:
         """Record a client's packet; return whether it carries new bytes."""
@@ -124,8 +149,10 @@
         end = (packet.sequence + packet.payload_bytes) % _MODULUS
         return self._advance_client_sequence(end)
 
-    def record_backend_ack(self, packet: FlowPacket) -> None:
-        """Record up to where the backend server has acknowledged the client's bytes."""
+    def record_backend_packet(self, packet: FlowPacket) -> None:
+        """Record the sequence numbers of a backend server's packet."""
+        if self.backend_sequence is None:
+            self.backend_sequence = packet.sequence
         if packet.acknowledged is not None:
             self._advance_client_sequence(packet.acknowledged)
 
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership.py
@@ -45,12 +45,10 @@
     def resolve(self, query: OwnerQuery, now: Millis) -> Ownership:
         """Return whether the backend server owns the flow, as far as is known."""
         owned = self._flows.find(query.flow)
-        if owned is not None and owned.ended_at is None:
+        if owned is not None:
+            # The backend server still answers late packets of a flow that has ended.
             is_ours = owned.matches(query.acknowledged)
             return Ownership.OWNER if is_ours else Ownership.NOT_OWNER
-        if owned is not None:
-            # The backend server still answers late packets of an ended flow.
-            return Ownership.OWNER
         return (
             Ownership.UNKNOWN
             if now < self._knows_all_flows_from
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -346,6 +346,44 @@
     assert reply.frame.replies[0].ownership is Ownership.NOT_OWNER
 
 
+ADOPTED = ["ready", ANSWER]
+ABORT = ForwardFrame("order", make_packet(FLOW, PacketKind.ABORT, 11, 501))
+USED_PORT_DATA = make_packet(FLOW, PacketKind.DATA, 7_001, 90_000_000, payload=10)
+
+
+@pytest.mark.parametrize("earlier", [OPEN, ADOPTED], ids=["opened", "adopted"])
+@pytest.mark.parametrize(
+    "end", [[], [ABORT], [FINISH]], ids=["open", "abort", "finish"]
+)
+@pytest.mark.parametrize(
+    "step",
+    [
+        ForwardFrame("order", USED_PORT_DATA),
+        rejected(USED_PORT_DATA),
+        OwnerQueryFrame("order", (OwnerQuery(FLOW, USED_PORT_DATA.acknowledged),)),
+    ],
+    ids=["forwarded", "rejected", "queried"],
+)
+def test_a_flow_from_a_used_port_at_another_server_is_neither_claimed_nor_reset(
+    earlier, end, step
+):
+    [action], _ = run_steps([*earlier, FORWARD, *end, step])
+    match action.frame:
+        case ReturnFrame(reason=reason):
+            assert reason is ReturnReason.NOT_OWNER
+        case OwnerReplyFrame(replies=[reply]):
+            assert reply.ownership is Ownership.NOT_OWNER
+        case other:
+            pytest.fail(f"unexpected {other}")
+
+
+@pytest.mark.parametrize("end", [ABORT, FINISH])
+def test_a_late_packet_of_a_flow_that_has_ended_causes_no_reset(end):
+    """The server may return it, as another server holds a new flow from the port."""
+    [action], _ = run_steps([*OPEN, end, rejected(DATA)])
+    assert action.frame.reason is ReturnReason.NOT_OWNER
+
+
 @pytest.mark.parametrize(
     "foreign", ["other service", "other service drains", "unknown service"]
 )
