A balancer that never saw a flow's opening knows no copy of it

What callers saw: a new flow from a port used 0.5 s before went to the route's old service, through a balancer that had looked up the earlier flow's owner (CONFIG).

A client whose data have arrived has its acceptance and sends no copies.

Test: test_a_new_flow_at_a_balancer_that_looked_up_the_earlier_ones_owner failed before.

--- a/src/papayagw/_internal/core/plain/flow_cache.py
+++ b/src/papayagw/_internal/core/plain/flow_cache.py
@@ -50,11 +50,13 @@
     def is_copy(self, opening: FlowPacket, now: Millis) -> bool:
         """Whether an opening is a copy of the one that the agent has accepted.
 
-        Any other begins a new flow, for which the client uses its port again.
+        Any other begins a new flow, for which the client uses its port again. The owner
+        of a flow whose opening isn't known here was found by a later packet, and then
+        the client sends no copies any more.
         """
         return (
             self.is_confirmed
-            and self.opening_sequence in (None, opening.sequence)
+            and self.opening_sequence == opening.sequence
             and now - self.added_at <= MAX_COPY_AGE_MS
         )
 
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -613,6 +613,16 @@
     assert sent(driver.run_step(opening)) == [(receiver, OpenFrame)]
 
 
+def test_a_new_flow_at_a_balancer_that_looked_up_the_earlier_ones_owner():
+    """It hasn't seen the earlier opening, so that none can be a copy of that."""
+    driver = Driver()
+    entry = AgentEntry(DRAWINGS_AGENT, "drawings", "zone-a")
+    driver.roster.put(str(DRAWINGS_AGENT), entry, 1)
+    for step in (DATA, owner_reply(A, Ownership.OWNER), make_site(2, "drawings")):
+        driver.run_step(step)
+    assert sent(driver.run_step(OPENING)) == [(DRAWINGS_AGENT, OpenFrame)]
+
+
 def test_an_opening_from_a_used_port_replaces_one_in_progress():
     driver = Driver()
     driver.run_step(OPENING)
