Route changes: a write answered by a restored store is made again

Its lease may be another's by then. Row of the recorder's table failed before (by the source; the row was written with the change).

--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/roster.py
@@ -53,7 +53,7 @@
 MAX_REQUEST_GAP_MS = Millis(1_000)
 """Longest pause between requests to an agent that counts as asking it all the while.
 
-Less than it takes a machine to start, open a flow, and end again.
+In a longer one the agent may have started, accepted a flow, and ended again.
 """
 
 MIN_WATCH_INTERVAL_MS = Millis(700)
--- a/src/papayagw/_internal/core/plain/route_change_recorder.py
+++ b/src/papayagw/_internal/core/plain/route_change_recorder.py
@@ -91,12 +91,10 @@
         self._retry_schedule.record_success()
         self._retry_at = now
         match answer:
-            case StoreRestored(answer=restored_answer):
-                self._lease = None
-                self.on_answer(call, restored_answer, now)
-            case LeaseResult(lease):
+            case LeaseResult(lease) | StoreRestored(answer=LeaseResult(lease)):
                 self._lease = lease
-            case LeaseEnded():
+            case LeaseEnded() | StoreRestored():
+                # A lease from before the restoration may be another's now.
                 self._lease = None
             case PutResult() if isinstance(call, PutKey):
                 # A later key must not end with this one's lease.
--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -1,8 +1,11 @@
 """Tests of the roles as real processes, with stand-ins for the platform."""
 
 import signal
+import sys
 import threading
 import time
+from ipaddress import ip_address
+from pathlib import Path
 
 import pytest
 
@@ -26,6 +29,10 @@
 FLOWS = 8
 KILLS = 20
 KILL_INTERVAL_S = 1.0
+SEVERED_S = 2.0
+TCP_ESTABLISHED = "01"
+"""State of a connection in the kernel's table."""
+
 STOP_TIMEOUT_S = 6
 """Grace period of a planned stop."""
 
@@ -114,6 +121,37 @@
     assert failed == []
 
 
+def list_peers(pid):
+    """Return the remote IP addresses of a process's established TCP connections."""
+    inodes = {
+        link.readlink().name
+        for link in Path(f"/proc/{pid}/fd").iterdir()
+        if link.readlink().name.startswith("socket:")
+    }
+    peers = set()
+    for line in Path(f"/proc/{pid}/net/tcp").read_text().splitlines()[1:]:
+        _, _, remote, state, *_, inode = line.split()[:10]
+        if state == TCP_ESTABLISHED and f"socket:[{inode}]" in inodes:
+            address = bytes.fromhex(remote.partition(":")[0])
+            peers.add(str(ip_address(int.from_bytes(address, sys.byteorder))))
+    return peers
+
+
+def test_no_connection_between_balancers_and_agents_can_go_silent(fleet, flows):
+    """They exchange datagrams only, so that a severed connection delays nothing."""
+    names = [*fleet.balancers, *fleet.agents]
+    machines = {fleet.ip_of(name) for name in names}
+    store = {fleet.store_address(name).partition(":")[0] for name in names}
+    seen = set()
+    deadline = time.monotonic() + SEVERED_S
+    while time.monotonic() < deadline:
+        assert all(client.request(b"severed") for client in flows)
+        for name in names:
+            seen |= list_peers(fleet.pid(name))
+    assert store <= seen
+    assert not seen & machines
+
+
 def test_each_request_runs_once(fleet, flows):
     for number, client in enumerate(flows):
         assert client.request(b"once %d" % number) is True
--- a/tests/unit/test_plain_route_changes.py
+++ b/tests/unit/test_plain_route_changes.py
@@ -101,6 +101,7 @@
         ([LEASED, LeaseEnded(), LEASED], [GRANT, PUT, GRANT, PUT]),
         ([StoreRestored(2, LEASED)], [GRANT, PUT]),
         ([LEASED, StoreRestored(2, LeaseEnded())], [GRANT, PUT, GRANT]),
+        ([LEASED, StoreRestored(2, PutResult(9))], [GRANT, PUT, GRANT]),
     ],
 )
 def test_a_route_change_is_written_under_a_lease(answers, calls):
