Soak: routes move, foreign reports come, addresses and ports are used again

Half of the callers abort their flows and use their ports again. The stand-in of a backend server drops flows that their client aborts.

--- a/tests/lib/plain_fleet.py
+++ b/tests/lib/plain_fleet.py
@@ -76,10 +76,7 @@
         self.agents = [f"agent-{one}" for one in range(1, agents + 1)]
         self.store = KeyValueService((self._ip(200), self.ports.store))
         self.put_site(SITE)
-        self.backends = {
-            name: self.backend_type(f"i-{name}", SERVICE, self.ip_of(name), self.ports)
-            for name in self.agents
-        }
+        self.backends = {name: self._make_backend(name) for name in self.agents}
 
     def start(self):
         """Start all processes and wait until they are ready."""
@@ -97,6 +94,15 @@
             backend.close()
         self.store.close()
 
+    def service_of(self, name):
+        """Return the service of an agent."""
+        return SERVICE
+
+    def _make_backend(self, name):
+        return self.backend_type(
+            f"i-{name}", self.service_of(name), self.ip_of(name), self.ports
+        )
+
     def ip_of(self, name):
         """Return the loopback address of a machine."""
         role, _, number = name.partition("-")
@@ -218,7 +224,7 @@
         return {
             **common,
             "data": f"{ip}:{ports.data}",
-            "service": SERVICE,
+            "service": self.service_of(name),
             "backend": f"{ip}:{ports.backend}",
             "outbound": f"{ip}:{ports.outbound}",
             "reports": f"{ip}:{ports.reports}",
--- a/tests/lib/plain_standins.py
+++ b/tests/lib/plain_standins.py
@@ -330,6 +330,9 @@
         """Accept an opening, echo data, and reject packets of unknown flows."""
         packet = decode_packet(raw)
         flow = packet["src"], packet["dst"]
+        if packet["flags"] & RST:
+            self.flows.pop(flow, None)
+            return
         if packet["flags"] & SYN:
             start = self.flows.setdefault(flow, random.getrandbits(32))
             self._send(flow, SYN | ACK, start, packet["seq"] + 1)
@@ -353,25 +356,31 @@
     def _report_periodically(self):
         while not self._is_closed:
             self._number += 1
-            fields = {
-                "service": self.service,
-                "address": f"{self._ip}:{self._ports.backend}",
-                "zone": "zone-a",
-                "version": "v1",
-                "slots": 1,
-                "state": self.state,
-                "cold_left_ms": 0,
-                "seq": self._number,
-                "born": self.started_at,
-            }
-            if self._send_report(json.dumps(fields).encode()):
+            fields = self.make_report()
+            if self.send_report(fields):
                 self.on_report_accepted(fields)
             time.sleep(REPORT_INTERVAL_S)
 
+    def make_report(self):
+        """Return the fields of the server's current report."""
+        return {
+            "service": self.service,
+            "address": f"{self._ip}:{self._ports.backend}",
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 1,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "seq": self._number,
+            "born": self.started_at,
+        }
+
     def on_report_accepted(self, fields):
         """Handle the acceptance of a report by the agent; subclasses override it."""
 
-    def _send_report(self, body):
+    def send_report(self, fields):
+        """Send a report to the agent; return whether it was acknowledged."""
+        body = json.dumps(fields).encode()
         head = (
             f"PUT /-/instances/{self.name} HTTP/1.1\r\nHost: a\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
@@ -386,6 +395,10 @@
             return False
 
 
+USED_PORT_SEQUENCE_STEP = 1_000_000
+"""Distance between the first sequence numbers of flows from one port, in bytes."""
+
+
 class FlowClient:
     """A client with one flow, which sends each packet to any running balancer."""
 
@@ -395,6 +408,7 @@
         self._pick_balancer = pick_balancer
         self._source = (ip, 40_001)
         self._server_sequence = None
+        self._first_sequence = 0
         self._position = 1
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((ip, client_port))
@@ -415,11 +429,22 @@
     def start_new_flow(self):
         """Abandon the flow; the next one uses another source port."""
         self._source = (self._ip, self._source[1] + 1)
-        self._position = 1
+        self._first_sequence, self._position = 0, 1
+
+    def abort(self):
+        """Abort the flow; the next one uses the same source port."""
+        raw = encode_packet(
+            self._source, self._entry, RST, self._position, self.acknowledged
+        )
+        balancer = self._pick_balancer()
+        if balancer is not None:
+            self._socket.sendto(raw, balancer)
+        self._first_sequence += USED_PORT_SEQUENCE_STEP
+        self._position = self._first_sequence + 1
 
     def open(self, timeout_s=5.0):
         """Open the flow; return whether it was accepted."""
-        raw = encode_packet(self._source, self._entry, SYN)
+        raw = encode_packet(self._source, self._entry, SYN, self._first_sequence)
         packet = self._send_until_answered(
             raw, lambda one: one["flags"] & SYN, timeout_s
         )
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -42,6 +42,13 @@
         default=0,
         help="number of restorations of the store and of silenced watches",
     )
+    parser.add_argument(
+        "--changes",
+        type=int,
+        default=0,
+        help="number of moved routes, foreign reports, reused addresses and restarts "
+        "each, instead of the other faults",
+    )
     options = parser.parse_args()
     failed = []
     with claimed_block(FIRST_BLOCK) as block:
@@ -56,6 +63,7 @@
                 options.without,
                 options.flow_requests,
                 options.store_losses,
+                options.changes,
             )
             violations = soak.run()
             print(
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -32,6 +32,18 @@
 They aren't in `FAULTS`, where they would change the faults of all earlier seeds.
 """
 
+CHANGES = {
+    "route moved": ("all",),
+    "foreign report": ("agent",),
+    "address reused": ("agent",),
+    "kill": ("balancer", "agent"),
+    "stop": ("balancer", "agent"),
+}
+"""Kinds of faults that `draw_changes` draws, with the roles that they apply to.
+
+The store and the network are sound meanwhile, so that all processes are in touch.
+"""
+
 COPY_AGES_S = (0.5, 5.0)
 """Range of the age of the copy from which the store is restored."""
 
@@ -105,3 +117,19 @@
         for _ in range(count)
     ]
     return sorted(faults, key=lambda one: one.start_s)
+
+
+def draw_changes(seed, machines, duration, count):
+    """Return `count` changes of each kind in order of their start; they may overlap.
+
+    Restarts of processes are among them, so that flows move meanwhile.
+    """
+    random_source = random.Random(f"changes of {seed}")
+    faults = []
+    for kind, roles in CHANGES.items():
+        for _ in range(count):
+            role = random_source.choice(roles)
+            target = random_source.choice(machines[role]) if role in machines else role
+            start_s = random_source.uniform(0.0, duration)
+            faults.append(Fault(start_s, kind, target, 0.0))
+    return sorted(faults, key=lambda one: one.start_s)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,15 +1,19 @@
 """Soak test: injects the faults of a seed into a fleet and checks its guarantees."""
 
+import itertools
 import signal
 import threading
 import time
 from collections import defaultdict
 
 from tests.lib.limits import CHANGE_TIMEOUT_S
-from tests.soak.plan import draw_plan, draw_store_losses
-from tests.soak.world import SoakFleet
+from tests.soak.plan import draw_changes, draw_plan, draw_store_losses
+from tests.soak.world import SERVICE, SoakFleet
 
 CALLER_COUNT = 12
+SHORT_FLOW_REQUESTS = 5
+"""Number of requests on each flow of callers that use their ports again."""
+
 REQUEST_TIMEOUT_S = 8.0
 """Time for which a request is retransmitted on an open flow.
 
@@ -37,6 +41,9 @@
 Source: the customers' request.
 """
 
+PORT_PAUSE_S = 0.5
+"""Time from the end of a flow to the next one from its port."""
+
 PROCESS_START_S = 0.5
 """Time allowed for a process to start."""
 
@@ -61,10 +68,13 @@
         Client that sends the packets.
     flow_requests : int or None
         Number of requests on each flow; None keeps a flow open until it breaks.
+    uses_port_again : bool
+        Whether the next flow comes from the same port.
     """
 
-    def __init__(self, soak, client, flow_requests=None):
+    def __init__(self, soak, client, flow_requests=None, uses_port_again=False):
         super().__init__(daemon=True)
+        self._uses_port_again = uses_port_again
         self._soak = soak
         self._client = client
         self._flow_requests = flow_requests
@@ -87,7 +97,11 @@
                 time.sleep(0.03)
                 if self._flow_requests and number % self._flow_requests == 0:
                     break
-            self._client.start_new_flow()
+            if self._uses_port_again:
+                self._client.abort()
+                time.sleep(PORT_PAUSE_S)
+            else:
+                self._client.start_new_flow()
 
 
 class Soak:
@@ -111,6 +125,9 @@
         Number of requests on each flow; None keeps flows open until they break.
     store_losses : int
         Number of restorations of the store and of silenced watches.
+    changes : int
+        Number of changes of each kind in `CHANGES`. If given, these are the only
+        faults, there are two services, and half of the callers use their ports again.
     """
 
     def __init__(
@@ -123,16 +140,21 @@
         mutant=None,
         flow_requests=None,
         store_losses=0,
+        changes=0,
     ):
         self.violations = []
         self._flow_requests = flow_requests
-        self.fleet = SoakFleet(folder, block, size, mutant)
+        self._has_changes = changes > 0
+        services = 2 if self._has_changes else 1
+        self.fleet = SoakFleet(folder, block, size, mutant, services)
         machines = {"balancer": self.fleet.balancers, "agent": self.fleet.agents}
+        drawn = (
+            draw_changes(seed, machines, duration, changes)
+            if self._has_changes
+            else draw_plan(seed, machines, duration)
+        )
         self.plan = sorted(
-            [
-                *draw_plan(seed, machines, duration),
-                *draw_store_losses(seed, duration, store_losses),
-            ],
+            [*drawn, *draw_store_losses(seed, duration, store_losses)],
             key=lambda one: one.start_s,
         )
         self._pending_ends = []
@@ -146,8 +168,15 @@
         try:
             fleet.start()
             callers = [
-                Caller(self, fleet.make_client(), self._flow_requests)
-                for _ in range(CALLER_COUNT)
+                Caller(
+                    self,
+                    fleet.make_client(),
+                    # Flows that stay open go on through all changes.
+                    self._flow_requests or (SHORT_FLOW_REQUESTS if is_short else None),
+                    uses_port_again=is_short,
+                )
+                for number in range(CALLER_COUNT)
+                for is_short in [self._has_changes and number % 2 == 1]
             ]
             for caller in callers:
                 caller.start()
@@ -265,6 +294,22 @@
                 fleet.restore_store(fault.duration_s)
             case "watches silent":
                 fleet.store.silence_watches()
+            case _:
+                self._inject_change(fault)
+
+    def _inject_change(self, fault):
+        fleet, name = self.fleet, fault.target
+        match fault.kind:
+            case "route moved":
+                fleet.move_route()
+            case "foreign report":
+                fleet.send_foreign_report(name)
+            case "address reused":
+                replacement = threading.Thread(
+                    target=fleet.replace_machine, args=(name,)
+                )
+                self._restarts.append(replacement)
+                replacement.start()
             case other:
                 raise ValueError(other)
 
@@ -361,6 +406,8 @@
                 self.violations.append(
                     f"executed at several agents {sorted(names)}: {request}"
                 )
+        for backend in (*fleet.backends.values(), *fleet.retired):
+            self._check_service(backend)
         for name in (*fleet.balancers, *fleet.agents):
             self._check_log(name)
 
@@ -373,6 +420,22 @@
                 late = at - drained_at
                 self.violations.append(f"{name} drains, opening after {late:.1f} s")
 
+    def _check_service(self, backend):
+        """Check that no flow opened at a service that its route lost long before."""
+        routed = [(0.0, SERVICE), *self.fleet.routed]
+        for at, _ in backend.openings:
+            current = [service for moved_at, service in routed if moved_at <= at][-1:]
+            recent = [
+                service
+                for (_, service), (lost_at, _) in itertools.pairwise(routed)
+                if at - CHANGE_TIMEOUT_S <= lost_at <= at
+            ]
+            if backend.service not in (*current, *recent):
+                self.violations.append(
+                    f"{backend.name} of {backend.service} took an opening "
+                    f"{at - self.fleet.routed[-1][0]:.1f} s after the last change"
+                )
+
     def _check_log(self, name):
         version = 0
         for one in self.fleet.log(name):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,10 +5,14 @@
 import time
 from collections import Counter
 
-from tests.lib.plain_fleet import SITE, PlainFleet
+from tests.lib.plain_fleet import SERVICE, SITE, PlainFleet
 from tests.lib.plain_standins import SYN, BackendServer, decode_packet
 from tests.soak.proxies import ConnectionProxy, PacketProxy
 
+OTHER_SERVICE = "drawings"
+REUSE_AFTER_S = 2.0
+"""Time after which the address of a machine that is gone is used again."""
+
 
 class RecordingBackend(BackendServer):
     """Backend server that can restart and drain, and records its openings."""
@@ -58,14 +62,21 @@
         Number of balancers and of agents.
     mutant : str or None
         Name of the mutant whose mechanism is disabled, a key of `MUTANTS`.
+    services : int
+        Number of services, each with `size` agents.
     """
 
     backend_type = RecordingBackend
 
-    def __init__(self, folder, block, size=3, mutant=None):
+    def __init__(self, folder, block, size=3, mutant=None, services=1):
         self._mutant = mutant
+        self._first_other_agent = size + 1
+        self._replaced_names = {}
+        self._replaced_services = {}
+        self.retired = []
+        self.routed = []
         self._start_counts = Counter()
-        super().__init__(folder, block, size, size)
+        super().__init__(folder, block, size, services * size)
         self.lock = threading.RLock()
         self.unexpected_exits = []
         self.disturbed_at = {}
@@ -73,10 +84,16 @@
         self._copies = []
         names = (*self.balancers, *self.agents)
         store = (self._ip(200), self.ports.store)
-        self.store_proxies = {
-            name: ConnectionProxy((self._ip(210 + index), self.ports.store), store)
+        listen = {
+            name: (self._ip(210 + index), self.ports.store)
             for index, name in enumerate(names)
         }
+        self._store_addresses = {
+            name: f"{host}:{port}" for name, (host, port) in listen.items()
+        }
+        self.store_proxies = {
+            name: ConnectionProxy(address, store) for name, address in listen.items()
+        }
         self.packet_proxies = {
             name: PacketProxy(
                 (self._ip(230 + index), self.ports.data),
@@ -97,9 +114,67 @@
             return super().command(role)
         return ["tests.soak.mutants", self._mutant, role]
 
+    def service_of(self, name):
+        if name in self._replaced_services:
+            return self._replaced_services[name]
+        is_other = int(name.partition("-")[2]) >= self._first_other_agent
+        return OTHER_SERVICE if is_other else SERVICE
+
+    def ip_of(self, name):
+        return super().ip_of(self._machine_of(name))
+
     def store_address(self, name):
-        index = (*self.balancers, *self.agents).index(name)
-        return f"{self._ip(210 + index)}:{self.ports.store}"
+        return self._store_addresses[self._machine_of(name)]
+
+    def _machine_of(self, name):
+        """Return the first name of the machine that a name stands for."""
+        return self._replaced_names.get(name, name)
+
+    def replace_machine(self, name):
+        """End a machine without a word, and give its address to the other service.
+
+        The new agent has another name, so that the old store entry stays until its
+        lease ends.
+        """
+        with self.lock:
+            if name not in self._processes:
+                return
+            service = self.service_of(name)
+            self.agents.remove(name)
+            self.kill(name)
+            backend = self.backends.pop(name)
+            backend.close()
+            self.retired.append(backend)
+        time.sleep(REUSE_AFTER_S)
+        with self.lock:
+            # Sorted by name, the old entry comes after the new one.
+            new = "agent-1" + name.partition("-")[2]
+            self._replaced_names[new] = self._machine_of(name)
+            self._replaced_services[new] = (
+                SERVICE if service == OTHER_SERVICE else OTHER_SERVICE
+            )
+            self.backends[new] = self._make_backend(new)
+            self.agents.append(new)
+            self.start_process(new)
+            self.mark_disturbed(new)
+
+    def move_route(self):
+        """Give the route to the other service, as the operator."""
+        route = self._site["routes"][0]
+        is_other = route["service"] == OTHER_SERVICE
+        service = SERVICE if is_other else OTHER_SERVICE
+        self._site = {**self._site, "routes": [{**route, "service": service}]}
+        self.change_site()
+        self.routed.append((time.monotonic(), service))
+
+    def send_foreign_report(self, name):
+        """Send an agent a report for a service that isn't its own, of a later run."""
+        backend = self.backends.get(name)
+        if backend is not None:
+            born = time.time_ns() // 1_000_000
+            backend.send_report(
+                {**backend.make_report(), "service": "unknown", "born": born}
+            )
 
     def start_process(self, name):
         self._start_counts[name] += 1
