--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -17,6 +17,111 @@
 run 2000
 """
 
+LOST_SERVICE_EVENTS = {
+    "balancers restart after the route moves": """
+        at 3000 move-route drawings
+        at 5000 restart-balancer b1
+        at 6000 restart-balancer b2
+        at 7000 restart-balancer b3
+    """,
+    "balancers restart one second after the change": """
+        at 3000 move-route drawings
+        at 4000 restart-balancer b1
+        at 5000 restart-balancer b2
+        at 6000 restart-balancer b3
+    """,
+    "the route moves and moves back": """
+        at 3000 move-route drawings
+        at 4500 calls 10 40 20
+        at 5500 move-route order
+        at 7000 restart-balancer b1
+        at 8000 restart-balancer b2
+        at 9000 restart-balancer b3
+    """,
+    "the route loses one of its services": """
+        at 1000 move-route order drawings
+        at 2800 calls 10 40 20
+        at 3200 move-route drawings
+        at 5000 restart-balancer b1
+        at 6000 restart-balancer b2
+        at 7000 restart-balancer b3
+    """,
+    "agents of both services and balancers restart": """
+        at 3000 move-route drawings
+        at 5000 restart-agent a1
+        at 5000 restart-agent d1
+        at 5000 restart-agent d2
+        at 5000 restart-balancer b1
+        at 6000 restart-agent a2
+        at 6000 restart-balancer b2
+        at 6000 restart-balancer b3
+        at 7000 restart-agent a3
+    """,
+}
+"""Changes of a route that has open flows, by what happens with them."""
+
+
+def make_lost_service_scenario(events):
+    """Return the scenario of open flows that stay with a service their route loses."""
+    return f"""
+        agent d1 drawings
+        agent d2 drawings
+        {events}
+        at 2000 calls 10 40 20
+        run 40000
+        expect served all
+    """
+
+
+def make_reused_address_scenario(service, old, new):
+    """Return the scenario of a balancer that starts while two entries name an endpoint.
+
+    The other balancers stop later, so that it gets their flows.
+    """
+    return f"""
+        agent a9
+        agent d1 {service}
+        at 2000 replace-machine {old} {new} {service}
+        at 4500 restart-balancer b1
+        at 10000 expire-entry {old}
+        at 13000 move-route {service}
+        at 14000 calls 30 20 20
+        at 16000 stop-balancer b2
+        at 17000 stop-balancer b3
+        run 60000
+        expect served all
+        expect-served {new}
+    """
+
+
+def make_used_port_scenario(end, sequence, wait_ms):
+    """Return the scenario of flows from used ports after their route has moved.
+
+    Parameters
+    ----------
+    end : str
+        Kind of packet by which the clients end their first flows; empty for none.
+    sequence : int
+        Sequence number of the later openings; that of the first ones is 0.
+    wait_ms : int
+        Time from the move to the later openings.
+    """
+    reuse_at = 5_000 + wait_ms
+    return f"""
+        agent d1 drawings
+        agent d2 drawings
+        at 2000 calls 20 2 20
+        {f"at 4500 close-flows {end}" if end else ""}
+        at 5000 move-route drawings
+        at {reuse_at} reuse-ports 2 {sequence}
+        run 30000
+        expect served all
+        expect-openings a1 0 {reuse_at} 30000
+        expect-openings a2 0 {reuse_at} 30000
+        expect-openings a3 0 {reuse_at} 30000
+    """
+
+
 SCENARIOS = {
     "a balancer that restarts finds the owners of all flows": """
         at 2000 calls 30 8 20
@@ -207,109 +312,20 @@
         expect-openings a3 0 4000 9000
     """,
     **{
-        f"flows of a lost service survive: {name}": f"""
-        agent d1 drawings
-        agent d2 drawings
-        {before}
-        at 2000 calls 10 40 20
-        {change}
-        run 40000
-        expect served all
-    """
-        for name, before, change in [
-            (
-                "balancers restart after the route moves",
-                "",
-                """
-        at 3000 move-route drawings
-        at 5000 restart-balancer b1
-        at 6000 restart-balancer b2
-        at 7000 restart-balancer b3
-                """,
-            ),
-            (
-                "the route moves and moves back",
-                "",
-                """
-        at 3000 move-route drawings
-        at 4500 calls 10 40 20
-        at 5500 move-route order
-        at 7000 restart-balancer b1
-        at 8000 restart-balancer b2
-        at 9000 restart-balancer b3
-                """,
-            ),
-            (
-                "the route loses one of its services",
-                "at 100 move-route order drawings",
-                """
-        at 3000 move-route drawings
-        at 5000 restart-balancer b1
-        at 6000 restart-balancer b2
-        at 7000 restart-balancer b3
-                """,
-            ),
-            (
-                "agents of both services and balancers restart",
-                "",
-                """
-        at 3000 move-route drawings
-        at 5000 restart-agent a1
-        at 5000 restart-agent d1
-        at 5000 restart-agent d2
-        at 5000 restart-balancer b1
-        at 6000 restart-agent a2
-        at 6000 restart-balancer b2
-        at 6000 restart-balancer b3
-        at 7000 restart-agent a3
-                """,
-            ),
-            (
-                "balancers restart one second after the change",
-                "",
-                """
-        at 3000 move-route drawings
-        at 4000 restart-balancer b1
-        at 5000 restart-balancer b2
-        at 6000 restart-balancer b3
-                """,
-            ),
-        ]
+        f"flows of a lost service survive: {name}": make_lost_service_scenario(events)
+        for name, events in LOST_SERVICE_EVENTS.items()
     },
     **{
-        "flows at a reused address find their server: "
-        f"{service}, {new} instead of {old}": f"""
-        agent a9
-        agent d1 {service}
-        at 2000 replace-machine {old} {new} {service}
-        at 4500 restart-balancer b1
-        at 10000 expire-entry {old}
-        at 13000 move-route {service}
-        at 14000 calls 30 20 20
-        at 16000 stop-balancer b2
-        at 17000 stop-balancer b3
-        run 60000
-        expect served all
-        expect-served {new}
-    """
+        f"a reused address: {service}, {new} instead of {old}": (
+            make_reused_address_scenario(service, old, new)
+        )
         for service in ("drawings", "order")
         for old, new in (("a9", "a10"), ("a1", "a5"))
     },
     **{
-        "a new flow from a used port follows the route: "
-        f"{end or 'left open'}, sequence {sequence}, after {wait} ms": f"""
-        agent d1 drawings
-        agent d2 drawings
-        at 2000 calls 20 2 20
-        {f"at 4500 close-flows {end}" if end else ""}
-        at 5000 move-route drawings
-        at {5000 + wait} reuse-ports 2 {sequence}
-        run 30000
-        expect served all
-        expect-openings a1 0 {5000 + wait} 30000
-        expect-openings a2 0 {5000 + wait} 30000
-        expect-openings a3 0 {5000 + wait} 30000
-    """
+        f"a used port: {end or 'left open'}, sequence {sequence}, after {wait} ms": (
+            make_used_port_scenario(end, sequence, wait)
+        )
         for end in ("FINISH", "ABORT", "")
         for sequence in (0, 7_000)
         for wait in (1_000, 10_000)
@@ -497,7 +513,7 @@
     *(
         (TakesAnyOpeningForACopy, name)
         for name in SCENARIOS
-        if name.startswith("a new flow from a used port")
+        if name.startswith("a used port")
     ),
     (NeverNotifiesMissing, "an entry that lapsed is stored again and is used on"),
 ]
