--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -6,6 +6,7 @@
 
 from papayagw._internal.core.plain.balancer import (
     POWER_LOSS_VALIDITY_MS,
+    PROBE_INTERVAL_MS,
     RESTART_SPREAD_MS,
     PlainBalancer,
 )
@@ -377,6 +378,27 @@
     assert driver.not_found == is_reset
 
 
+@pytest.mark.parametrize(
+    ("steps", "probed"),
+    [
+        ([], []),
+        ([DATA], [A, B, C]),
+        ([DATA, *deny(A, B)], [C]),
+        ([DATA, *deny(A, B), *deny(C, run_age=None)], [C]),
+        ([DATA, *deny(A, B, C)], []),
+        # First asked too late for its silence to mean anything.
+        ([RESTART_SPREAD_MS + 1, DATA], []),
+        ([POWER_LOSS_VALIDITY_MS + 1, DATA], []),
+    ],
+)
+def test_agents_without_a_report_are_asked_all_the_while(steps, probed):
+    _, driver = run_steps(steps, agents=(A, B, C), age=0)
+    driver.run_step(REPLY_TIMEOUT_MS)
+    probes = [driver.run_step(PROBE_INTERVAL_MS) for _ in range(3)]
+    expected = [(agent, OwnerQueryFrame) for agent in probed]
+    assert [sent(actions) for actions in probes] == [expected] * 3
+
+
 class EarlyDriver(Driver):
     """Run steps on a balancer that knows nothing yet; "site" applies the routes."""
 
--- a/tests/unit/test_plain_frames.py
+++ b/tests/unit/test_plain_frames.py
@@ -34,6 +34,7 @@
     OpenFrame("order", 7, PACKET),
     ForwardFrame("order", PACKET),
     OwnerQueryFrame("order", (OwnerQuery(FLOW, None), OwnerQuery(FLOW, (1 << 32) - 1))),
+    OwnerQueryFrame("order", ()),
     ScopeFrame("order", 7, frozenset()),
     ScopeFrame("order", 7, frozenset((EntryKey(b"abcdef"), EntryKey(b"ghijkl")))),
     EntryMissingFrame("order"),
