A lookup asks the agent that has got a queried endpoint meanwhile

Cause: a lookup remembered whom it had asked by endpoint. The balancer asked the endpoint while it knew the earlier machine's entry there, the new agent denied for a service that isn't its own, and after the read that showed its entry it counted as asked.

Change: a lookup remembers the entries that it asked.

Test: test_an_agent_at_a_reused_endpoint_is_asked_before_a_flow_is_reset, same and other key; both rows failed before.

--- a/src/papayagw/_internal/core/plain/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/owner_lookup.py
@@ -95,8 +95,8 @@
         agents = self._list_agents(packet, now)
         if excluded is not None:
             agents = [view for view in agents if view.endpoint != excluded.endpoint]
-        pending_agents = {view.endpoint for view in agents}
-        lookup = self._lookups.begin(packet, pending_agents, now) if agents else None
+        entries = {view.entry for view in agents}
+        lookup = self._lookups.begin(packet, entries, now) if agents else None
         if lookup is None:
             return []
         lookup.hold_packet(packet)
@@ -125,11 +125,11 @@
         for lookup in self._lookups.list_confirming():
             agents = self._list_agents(lookup.last_packet, now)
             others = [
-                view for view in agents if view.endpoint not in lookup.queried_agents
+                view for view in agents if view.entry not in lookup.queried_agents
             ]
             if others:
-                endpoints = {view.endpoint for view in others}
-                self._lookups.query_others(lookup, endpoints, now)
+                entries = {view.entry for view in others}
+                self._lookups.query_others(lookup, entries, now)
                 actions += [
                     _make_query(view, lookup.last_packet, now) for view in others
                 ]
--- a/src/papayagw/_internal/core/plain/pending_lookups.py
+++ b/src/papayagw/_internal/core/plain/pending_lookups.py
@@ -6,6 +6,7 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.frame import Ownership
+from papayagw._internal.models.plain.instance import AgentEntry
 from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
 
 REPLY_TIMEOUT_MS = Millis(40)
@@ -65,13 +66,16 @@
     ----------
     packet : FlowPacket
         The client's packet that started the lookup.
-    pending_agents : set of Endpoint
-        Agents that were queried and haven't replied yet.
+    queried_agents : set of AgentEntry
+        Agents that were queried, none of which has replied yet.
 
     Attributes
     ----------
-    queried_agents : set of Endpoint
-        All agents queried so far.
+    queried_agents : set of AgentEntry
+        All agents queried so far. An endpoint may be given to another agent meanwhile,
+        which must be queried too.
+    pending_agents : set of Endpoint
+        Agents that haven't replied yet.
     candidates : set of Endpoint
         Agents that replied that they may own the flow.
     held_packets : list of FlowPacket
@@ -92,11 +96,11 @@
         "candidates",
     )
 
-    def __init__(self, packet: FlowPacket, pending_agents: set[Endpoint]):
+    def __init__(self, packet: FlowPacket, queried_agents: set[AgentEntry]):
         self.flow = packet.flow
         self.last_packet = packet
-        self.queried_agents = set(pending_agents)
-        self.pending_agents = pending_agents
+        self.queried_agents = queried_agents
+        self.pending_agents = {entry.endpoint for entry in queried_agents}
         self.candidates: set[Endpoint] = set()
         self.held_packets: list[FlowPacket] = []
         self.stage = Stage.QUERYING
@@ -165,21 +169,21 @@
         return self._lookups.get(flow)
 
     def begin(
-        self, packet: FlowPacket, pending_agents: set[Endpoint], now: Millis
+        self, packet: FlowPacket, queried_agents: set[AgentEntry], now: Millis
     ) -> PendingLookup | None:
         """Start and return a lookup, or return None if there are too many."""
         if len(self._lookups) >= MAX_LOOKUPS:
             return None
-        lookup = self._lookups[packet.flow] = PendingLookup(packet, pending_agents)
+        lookup = self._lookups[packet.flow] = PendingLookup(packet, queried_agents)
         self._set_stage(lookup, Stage.QUERYING, REPLY_TIMEOUT_MS, now)
         return lookup
 
     def query_others(
-        self, lookup: PendingLookup, others: set[Endpoint], now: Millis
+        self, lookup: PendingLookup, others: set[AgentEntry], now: Millis
     ) -> None:
         """Restart the wait for replies, with agents that weren't queried before."""
         lookup.queried_agents |= others
-        lookup.pending_agents = set(others)
+        lookup.pending_agents = {entry.endpoint for entry in others}
         self._set_stage(lookup, Stage.QUERYING, REPLY_TIMEOUT_MS, now)
 
     def finish_querying(self, lookup: PendingLookup, now: Millis) -> None:
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -645,6 +645,25 @@
     assert sent(driver.run_step(OPENING)) == [(DRAWINGS_AGENT, OpenFrame)]
 
 
+@pytest.mark.parametrize("has_other_key", [True, False])
+def test_an_agent_at_a_reused_endpoint_is_asked_before_a_flow_is_reset(has_other_key):
+    """The agent that was asked there before it denied for its own service only."""
+    driver = Driver()
+    entries = [
+        AgentEntry(DRAWINGS_AGENT, service, "zone-a")
+        for service in ("drawings", "order")
+    ]
+    driver.run_step(make_site(2, "order", "drawings"))
+    driver.roster.put("a1", entries[0], 1)
+    denials = [owner_reply(one, Ownership.NOT_OWNER) for one in (A, B, DRAWINGS_AGENT)]
+    for step in (DATA, *denials):
+        driver.run_step(step)
+    driver.roster.put("a10" if has_other_key else "a1", entries[1], 2)
+    assert sent(driver.run_step("listed")) == [(DRAWINGS_AGENT, OwnerQueryFrame)]
+    driver.run_step(owner_reply(DRAWINGS_AGENT, Ownership.OWNER))
+    assert driver.run_step("listed") == []
+
+
 def test_an_opening_from_a_used_port_replaces_one_in_progress():
     driver = Driver()
     driver.run_step(OPENING)
