--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -4,6 +4,7 @@
 import sys
 import threading
 import time
+from contextlib import suppress
 from ipaddress import ip_address
 from pathlib import Path
 
@@ -123,15 +124,15 @@
 
 def list_peers(pid):
     """Return the remote IP addresses of a process's established TCP connections."""
-    inodes = {
-        link.readlink().name
-        for link in Path(f"/proc/{pid}/fd").iterdir()
-        if link.readlink().name.startswith("socket:")
-    }
+    links = set()
+    for link in Path(f"/proc/{pid}/fd").iterdir():
+        # The process may close a descriptor meanwhile.
+        with suppress(FileNotFoundError):
+            links.add(link.readlink().name)
     peers = set()
     for line in Path(f"/proc/{pid}/net/tcp").read_text().splitlines()[1:]:
         _, _, remote, state, *_, inode = line.split()[:10]
-        if state == TCP_ESTABLISHED and f"socket:[{inode}]" in inodes:
+        if state == TCP_ESTABLISHED and f"socket:[{inode}]" in links:
             address = bytes.fromhex(remote.partition(":")[0])
             peers.add(str(ip_address(int.from_bytes(address, sys.byteorder))))
     return peers
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -38,8 +38,8 @@
     """Make balancers ignore every configuration after the first."""
     original = PlainBalancer.apply_site
 
-    def apply_site(self, site):
-        return self._site is None and original(self, site)
+    def apply_site(self, site, now):
+        return self._site is None and original(self, site, now)
 
     PlainBalancer.apply_site = apply_site
 
