--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -168,17 +168,7 @@
         callers = []
         try:
             fleet.start()
-            callers = [
-                Caller(
-                    self,
-                    fleet.make_client(),
-                    # Flows that stay open go on through all changes.
-                    self._flow_requests or (SHORT_FLOW_REQUESTS if is_short else None),
-                    uses_port_again=is_short,
-                )
-                for number in range(CALLER_COUNT)
-                for is_short in [self._has_changes and number % 2 == 1]
-            ]
+            callers = [self._make_caller(number) for number in range(CALLER_COUNT)]
             for caller in callers:
                 caller.start()
             self._inject_faults()
@@ -195,6 +185,18 @@
             fleet.close()
         return self.violations
 
+    def _make_caller(self, number):
+        """Return a caller; among changes, each second one uses its port again.
+
+        The flows of the others stay open through all changes.
+        """
+        uses_port_again = self._has_changes and number % 2 == 1
+        flow_requests = self._flow_requests
+        if uses_port_again and flow_requests is None:
+            flow_requests = SHORT_FLOW_REQUESTS
+        client = self.fleet.make_client()
+        return Caller(self, client, flow_requests, uses_port_again)
+
     def record_broken_flow(self, client, outcome):
         """Record a violation if a flow with a reset or no response is still open."""
         for name, backend in self.fleet.backends.items():
