Route history: one record of the known changes instead of three

The services that routes have lost were kept beside the changes that they come from, and the observed changes a second time. Both follow from the changes themselves; the few of a flow's life are looked through at a lookup. Behaviour and tests are the same.

--- a/src/papayagw/_internal/core/plain/route_history.py
+++ b/src/papayagw/_internal/core/plain/route_history.py
@@ -1,11 +1,21 @@
 """Services that routes have lost, whose agents may still own flows of these routes."""
 
+from dataclasses import dataclass
+
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.packet import EntryKey
 from papayagw._internal.models.plain.route_change import RouteChange
 from papayagw._internal.models.plain.site import Route, SiteVersion
 
 
+@dataclass(frozen=True, slots=True)
+class _KnownChange:
+    """A route change, and since when it is known."""
+
+    change: RouteChange
+    since: Millis
+
+
 class RouteHistory:
     """Remembers lost services for as long as a flow may live.
 
@@ -20,9 +30,8 @@
 
     def __init__(self, flow_limit_ms: Millis):
         self._flow_limit_ms = flow_limit_ms
-        self._lost_at: dict[EntryKey, dict[str, Millis]] = {}
-        self._known_since: dict[tuple[int, int], Millis] = {}
-        self._observed: list[RouteChange] = []
+        self._known: dict[tuple[int, int], _KnownChange] = {}
+        self._observed: set[tuple[int, int]] = set()
 
     def record(self, before: SiteVersion, after: SiteVersion, now: Millis) -> None:
         """Record which services routes lose as a configuration replaces another."""
@@ -32,28 +41,24 @@
             if (lost := _list_lost_services(route, after.routes.get(entry)))
         }
         if former_services:
-            change = RouteChange(before.version, after.version, former_services)
-            self._observed.append(change)
-            self.learn(change, now)
+            self.learn(RouteChange(before.version, after.version, former_services), now)
+            self._observed.add((before.version, after.version))
 
     def learn(self, change: RouteChange, now: Millis) -> None:
         """Record a change that this or another balancer has observed."""
         self._forget_expired(now)
         versions = (change.from_version, change.to_version)
-        if versions in self._known_since:
-            return
-        self._known_since[versions] = now
-        for entry, services in change.former_services.items():
-            lost_at = self._lost_at.setdefault(entry, {})
-            lost_at.update(dict.fromkeys(services, now))
+        self._known.setdefault(versions, _KnownChange(change, now))
 
     def list_former_services(self, entry: EntryKey, now: Millis) -> list[str]:
         """Return the services that the route of `entry` lost within a flow's life."""
-        return [
+        former = (
             service
-            for service, at in self._lost_at.get(entry, {}).items()
-            if not self._is_expired(at, now)
-        ]
+            for known in self._known.values()
+            if not self._is_expired(known, now)
+            for service in known.change.former_services.get(entry, ())
+        )
+        return list(dict.fromkeys(former))
 
     def list_observed(self, now: Millis) -> list[RouteChange]:
         """Return the changes within a flow's life that this balancer has observed.
@@ -61,31 +66,24 @@
         They must be in the store for balancers that start later.
         """
         self._forget_expired(now)
-        return list(self._observed)
+        return [
+            known.change
+            for versions, known in self._known.items()
+            if versions in self._observed
+        ]
 
-    def _is_expired(self, at: Millis, now: Millis) -> bool:
-        """Whether no flow from before `at` lives any more."""
-        return now - at > self._flow_limit_ms
+    def _is_expired(self, known: _KnownChange, now: Millis) -> bool:
+        """Whether no flow from before a change lives any more."""
+        return now - known.since > self._flow_limit_ms
 
     def _forget_expired(self, now: Millis) -> None:
         """Forget the changes after which no earlier flow lives any more."""
-        expired = {
-            versions
-            for versions, at in self._known_since.items()
-            if self._is_expired(at, now)
+        self._known = {
+            versions: known
+            for versions, known in self._known.items()
+            if not self._is_expired(known, now)
         }
-        if not expired:
-            return
-        for versions in expired:
-            del self._known_since[versions]
-        self._observed = [
-            change
-            for change in self._observed
-            if (change.from_version, change.to_version) in self._known_since
-        ]
-        for entry in list(self._lost_at):
-            if not self.list_former_services(entry, now):
-                del self._lost_at[entry]
+        self._observed &= self._known.keys()
 
 
 def _list_lost_services(before: Route, after: Route | None) -> tuple[str, ...]:
