--- a/tests/unit/test_plain_route_changes.py
+++ b/tests/unit/test_plain_route_changes.py
@@ -22,6 +22,7 @@
 from papayagw._internal.models.plain.packet import EntryKey
 from papayagw._internal.models.plain.route_change import RouteChange
 from tests.lib.plain_world import ENTRY, FLOW_LIMIT_MS, make_site
+from tests.lib.store_calls import run_calls
 
 START = Millis(10_000)
 SPREAD_MS = Millis(700)
@@ -79,18 +80,6 @@
     return recorder
 
 
-def run_calls(recorder, answers):
-    """Answer each call in turn; return the calls, the next one included."""
-    calls = []
-    now = START
-    for answer in answers:
-        now = max(now, recorder.due_at)
-        call = recorder.next_call().call
-        calls.append(call)
-        recorder.on_answer(call, answer, now)
-    return [*calls, getattr(recorder.next_call(), "call", None)]
-
-
 @pytest.mark.parametrize(
     ("answers", "calls"),
     [
@@ -105,7 +94,7 @@
     ],
 )
 def test_a_route_change_is_written_under_a_lease(answers, calls):
-    assert run_calls(make_recorder(), answers) == calls
+    assert run_calls(make_recorder(), answers, START) == calls
 
 
 @pytest.mark.parametrize(
@@ -135,6 +124,6 @@
 
 def test_a_key_gets_a_lease_of_its_own():
     recorder = make_recorder()
-    run_calls(recorder, [LEASED, PutResult(9)])
+    run_calls(recorder, [LEASED, PutResult(9)], START)
     recorder.schedule({KEY: VALUE, KEY + "0": VALUE}, START + 40_000)
     assert recorder.next_call().call == GRANT
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -44,6 +44,7 @@
 from papayagw._internal.models.plain.frame import ForwardFrame, OwnerQueryFrame
 from papayagw._internal.models.plain.packet import FlowKey, PacketKind
 from tests.lib.plain_world import make_packet
+from tests.lib.store_calls import run_calls
 
 KEY, VALUE = "papayagw/agents/a", b"value"
 EMPTY = RangeResult((), False, 7)
@@ -65,18 +66,6 @@
 FORWARDED = ForwardFrame("order", make_packet(FlowKey(bytes(12)), PacketKind.DATA))
 
 
-def run_calls(registrar, answers):
-    """Answer each call in turn; return the calls, the next one included."""
-    calls = []
-    now = 0
-    for answer in answers:
-        now = max(now, registrar.due_at)
-        call = registrar.next_call().call
-        calls.append(call)
-        registrar.on_answer(call, answer, now)
-    return [*calls, getattr(registrar.next_call(), "call", None)]
-
-
 @pytest.mark.parametrize(
     ("answers", "calls"),
     [
