Core of the plain front end: a folder for each concern

Cause: 24 modules in one flat folder gave a new module no evident place. Change: moves only, with their imports; admission.py becomes admission/limits.py.

--- /dev/null
+++ b/src/papayagw/_internal/core/plain/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Whether the local backend server can receive another opening."""
--- a/src/papayagw/_internal/core/plain/admission_control.py
+++ b/src/papayagw/_internal/core/plain/admission/admission_control.py
@@ -1,8 +1,8 @@
 """Admission control for openings to the agent's local backend server."""
 
-from papayagw._internal.core.plain.admission import max_concurrent_requests
-from papayagw._internal.core.plain.backend_state import BackendState
-from papayagw._internal.core.plain.load_meter import LoadMeter
+from papayagw._internal.core.plain.admission.backend_state import BackendState
+from papayagw._internal.core.plain.admission.limits import max_concurrent_requests
+from papayagw._internal.core.plain.admission.load_meter import LoadMeter
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.frame import ReturnReason
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -5,14 +5,14 @@
 delay.
 """
 
-from papayagw._internal.core.plain.admission_control import AdmissionControl
-from papayagw._internal.core.plain.backend_state import (
+from papayagw._internal.core.plain.admission.admission_control import AdmissionControl
+from papayagw._internal.core.plain.admission.backend_state import (
     REPORT_INTERVAL_MS,
     BackendState,
 )
-from papayagw._internal.core.plain.owned_flows import OwnedFlow, OwnedFlows
-from papayagw._internal.core.plain.ownership import OwnershipResolver
-from papayagw._internal.core.plain.peers import BalancerPeers
+from papayagw._internal.core.plain.membership.peers import BalancerPeers
+from papayagw._internal.core.plain.ownership.owned_flows import OwnedFlow, OwnedFlows
+from papayagw._internal.core.plain.ownership.ownership import OwnershipResolver
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -7,21 +7,24 @@
 from collections.abc import Callable, Iterable
 
 from papayagw._internal.core.choice import unit_hash
-from papayagw._internal.core.plain.choice import PlainChooser
 from papayagw._internal.core.plain.early_packets import EarlyPackets
-from papayagw._internal.core.plain.flow_cache import FlowCache
-from papayagw._internal.core.plain.openings import (
-    Opening,
-    Openings,
-    sort_newest_first,
-)
-from papayagw._internal.core.plain.owner_lookup import OwnerLookup, make_forward
-from papayagw._internal.core.plain.roster import (
+from papayagw._internal.core.plain.membership.roster import (
     MISSING_GRACE_MS,
     AgentView,
     Roster,
 )
-from papayagw._internal.core.plain.route_history import RouteHistory
+from papayagw._internal.core.plain.ownership.flow_cache import FlowCache
+from papayagw._internal.core.plain.ownership.owner_lookup import (
+    OwnerLookup,
+    make_forward,
+)
+from papayagw._internal.core.plain.placement.choice import PlainChooser
+from papayagw._internal.core.plain.placement.openings import (
+    Opening,
+    Openings,
+    sort_newest_first,
+)
+from papayagw._internal.core.plain.routing.route_history import RouteHistory
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which agents and balancers exist, and what is known of each."""
--- a/src/papayagw/_internal/core/plain/entry_registrar.py
+++ b/src/papayagw/_internal/core/plain/membership/entry_registrar.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from papayagw._internal.core.plain.store_calls import RetrySchedule, TimedCall
+from papayagw._internal.core.plain.store.store_calls import RetrySchedule, TimedCall
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
--- a/src/papayagw/_internal/core/plain/roster.py
+++ b/src/papayagw/_internal/core/plain/membership/roster.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from papayagw._internal.core.plain.admission import max_concurrent_requests
+from papayagw._internal.core.plain.admission.limits import max_concurrent_requests
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.instance import (
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which agent owns a flow: the agent's table, the balancer's cache and lookups."""
--- a/src/papayagw/_internal/core/plain/flow_cache.py
+++ b/src/papayagw/_internal/core/plain/ownership/flow_cache.py
@@ -3,7 +3,7 @@
 A balancer may lose the cache at any time, because agents can be queried for the owner.
 """
 
-from papayagw._internal.core.plain.roster import AgentView
+from papayagw._internal.core.plain.membership.roster import AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.packet import (
     MAX_COPY_AGE_MS,
--- a/src/papayagw/_internal/core/plain/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
@@ -7,13 +7,13 @@
 
 from collections.abc import Callable
 
-from papayagw._internal.core.plain.flow_cache import FlowCache
-from papayagw._internal.core.plain.pending_lookups import (
+from papayagw._internal.core.plain.membership.roster import AgentView
+from papayagw._internal.core.plain.ownership.flow_cache import FlowCache
+from papayagw._internal.core.plain.ownership.pending_lookups import (
     PendingLookup,
     PendingLookups,
     Stage,
 )
-from papayagw._internal.core.plain.roster import AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
--- a/src/papayagw/_internal/core/plain/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership/ownership.py
@@ -1,7 +1,7 @@
 """An agent's replies to the query whether it owns a flow."""
 
-from papayagw._internal.core.plain.backend_state import BackendState
-from papayagw._internal.core.plain.owned_flows import OwnedFlows
+from papayagw._internal.core.plain.admission.backend_state import BackendState
+from papayagw._internal.core.plain.ownership.owned_flows import OwnedFlows
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.frame import OwnerQuery, Ownership
 from papayagw._internal.models.plain.instance import StatusReport
--- a/src/papayagw/_internal/core/plain/openings.py
+++ b/src/papayagw/_internal/core/plain/placement/openings.py
@@ -3,7 +3,7 @@
 from collections.abc import Reversible
 
 from papayagw._internal.core.deadlines import DeadlineQueue
-from papayagw._internal.core.plain.roster import AgentView
+from papayagw._internal.core.plain.membership.roster import AgentView
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.packet import FlowKey, FlowPacket
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes that flows may still follow after a change of the configuration."""
--- a/src/papayagw/_internal/core/plain/route_change_recorder.py
+++ b/src/papayagw/_internal/core/plain/routing/route_change_recorder.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from papayagw._internal.core.plain.store_calls import RetrySchedule, TimedCall
+from papayagw._internal.core.plain.store.store_calls import RetrySchedule, TimedCall
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
--- /dev/null
+++ b/src/papayagw/_internal/core/plain/store/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of the platform's key-value service: watches, timeouts and retries."""
--- a/src/papayagw/_internal/core/plain/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/store/prefix_watcher.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
-from papayagw._internal.core.plain.store_calls import (
+from papayagw._internal.core.plain.store.store_calls import (
     MAX_RETRY_DELAY_MS,
     RetrySchedule,
     TimedCall,
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from papayagw._internal.core.plain.agent import PlainAgent
-from papayagw._internal.core.plain.entry_registrar import EntryRegistrar
+from papayagw._internal.core.plain.membership.entry_registrar import EntryRegistrar
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -5,12 +5,14 @@
 from random import Random
 
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.batching import merge_owner_queries
-from papayagw._internal.core.plain.choice import LeastWaitChooser
-from papayagw._internal.core.plain.prefix_watcher import PrefixWatcher
-from papayagw._internal.core.plain.roster import Roster
-from papayagw._internal.core.plain.route_change_recorder import RouteChangeRecorder
-from papayagw._internal.core.plain.route_history import RouteHistory
+from papayagw._internal.core.plain.membership.roster import Roster
+from papayagw._internal.core.plain.ownership.batching import merge_owner_queries
+from papayagw._internal.core.plain.placement.choice import LeastWaitChooser
+from papayagw._internal.core.plain.routing.route_change_recorder import (
+    RouteChangeRecorder,
+)
+from papayagw._internal.core.plain.routing.route_history import RouteHistory
+from papayagw._internal.core.plain.store.prefix_watcher import PrefixWatcher
 from papayagw._internal.exceptions import DecodeError
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
-from papayagw._internal.core.plain.store_calls import StoreClient
-from papayagw._internal.core.plain.store_era import EraTracker
+from papayagw._internal.core.plain.store.store_calls import StoreClient
+from papayagw._internal.core.plain.store.store_era import EraTracker
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -13,9 +13,9 @@
 
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.choice import LeastWaitChooser
-from papayagw._internal.core.plain.roster import Roster
-from papayagw._internal.core.plain.route_history import RouteHistory
+from papayagw._internal.core.plain.membership.roster import Roster
+from papayagw._internal.core.plain.placement.choice import LeastWaitChooser
+from papayagw._internal.core.plain.routing.route_history import RouteHistory
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -4,7 +4,7 @@
 
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.owner_lookup import OwnerLookup
+from papayagw._internal.core.plain.ownership.owner_lookup import OwnerLookup
 from tests.lib.plain_scenario import PlainScenario
 from tests.lib.plain_world import Mechanisms
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -5,10 +5,10 @@
 
 import sys
 
-from papayagw._internal.core.plain.backend_state import BackendState
+from papayagw._internal.core.plain.admission.backend_state import BackendState
 from papayagw._internal.core.plain.balancer import PlainBalancer
-from papayagw._internal.core.plain.owner_lookup import OwnerLookup
-from papayagw._internal.core.plain.ownership import OwnershipResolver
+from papayagw._internal.core.plain.ownership.owner_lookup import OwnerLookup
+from papayagw._internal.core.plain.ownership.ownership import OwnershipResolver
 from papayagw._internal.models.plain.frame import Ownership
 from papayagw.platform.__main__ import main
 
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from papayagw._internal.core.plain.admission_control import FIRST_REQUEST_TIMEOUT_MS
+from papayagw._internal.core.plain.admission.admission_control import (
+    FIRST_REQUEST_TIMEOUT_MS,
+)
 from papayagw._internal.core.plain.agent import (
     BACKEND_ACCEPT_TIMEOUT_MS,
     PlainAgent,
--- a/tests/unit/test_plain_backend_state.py
+++ b/tests/unit/test_plain_backend_state.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from papayagw._internal.core.plain.admission import max_concurrent_requests
-from papayagw._internal.core.plain.backend_state import BackendState
-from papayagw._internal.core.plain.load_meter import LoadMeter
+from papayagw._internal.core.plain.admission.backend_state import BackendState
+from papayagw._internal.core.plain.admission.limits import max_concurrent_requests
+from papayagw._internal.core.plain.admission.load_meter import LoadMeter
 from papayagw._internal.models.plain.instance import (
     Departure,
     ReportedState,
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -10,29 +10,29 @@
     RESTART_SPREAD_MS,
     PlainBalancer,
 )
-from papayagw._internal.core.plain.choice import (
+from papayagw._internal.core.plain.early_packets import MAX_EARLY_AGE_MS
+from papayagw._internal.core.plain.membership.roster import (
+    BUSY_BACKOFF_MS,
+    MAX_LOAD_AGE_MS,
+    MISSING_GRACE_MS,
+    UNAVAILABLE_VALIDITY_MS,
+    AgentView,
+    Roster,
+)
+from papayagw._internal.core.plain.ownership.pending_lookups import REPLY_TIMEOUT_MS
+from papayagw._internal.core.plain.placement.choice import (
     HashChooser,
     LeastWaitChooser,
     RandomChooser,
     RoundRobinChooser,
 )
-from papayagw._internal.core.plain.early_packets import MAX_EARLY_AGE_MS
-from papayagw._internal.core.plain.openings import (
+from papayagw._internal.core.plain.placement.openings import (
     COPY_AGES_MS,
     MIN_RETRY_MS,
     OFFER_TIMEOUT_MS,
     OPENING_TIMEOUT_MS,
 )
-from papayagw._internal.core.plain.pending_lookups import REPLY_TIMEOUT_MS
-from papayagw._internal.core.plain.roster import (
-    BUSY_BACKOFF_MS,
-    MAX_LOAD_AGE_MS,
-    MISSING_GRACE_MS,
-    UNAVAILABLE_VALIDITY_MS,
-    AgentView,
-    Roster,
-)
-from papayagw._internal.core.plain.route_history import RouteHistory
+from papayagw._internal.core.plain.routing.route_history import RouteHistory
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import LogEvent, ResetClient, SendFrame
--- a/tests/unit/test_plain_batching.py
+++ b/tests/unit/test_plain_batching.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayagw._internal.core.plain.batching import (
+from papayagw._internal.core.plain.ownership.batching import (
     MAX_QUERIES_PER_FRAME,
     merge_owner_queries,
 )
--- a/tests/unit/test_plain_roster.py
+++ b/tests/unit/test_plain_roster.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayagw._internal.core.plain.roster import (
+from papayagw._internal.core.plain.membership.roster import (
     MAX_WATCH_INTERVAL_MS,
     MIN_WATCH_INTERVAL_MS,
     MISSING_GRACE_MS,
--- a/tests/unit/test_plain_route_changes.py
+++ b/tests/unit/test_plain_route_changes.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from papayagw._internal.core.plain.route_change_recorder import (
+from papayagw._internal.core.plain.routing.route_change_recorder import (
     LEASE_MARGIN_MS,
     RouteChangeRecorder,
 )
-from papayagw._internal.core.plain.route_history import RouteHistory
+from papayagw._internal.core.plain.routing.route_history import RouteHistory
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.entry_store import (
     CallFailed,
--- a/tests/unit/test_plain_store_era.py
+++ b/tests/unit/test_plain_store_era.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayagw._internal.core.plain.store_era import EraTracker
+from papayagw._internal.core.plain.store.store_era import EraTracker
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_plain_store_users.py
+++ b/tests/unit/test_plain_store_users.py
@@ -4,20 +4,20 @@
 
 import pytest
 
-from papayagw._internal.core.plain.entry_registrar import (
+from papayagw._internal.core.plain.membership.entry_registrar import (
     CHECK_INTERVAL_MS,
     LEASE_TTL_MS,
     MIN_RESTORE_INTERVAL_MS,
     RENEW_INTERVAL_MS,
     EntryRegistrar,
 )
-from papayagw._internal.core.plain.prefix_watcher import (
+from papayagw._internal.core.plain.membership.roster import MISSING_GRACE_MS
+from papayagw._internal.core.plain.store.prefix_watcher import (
     MAX_FIRST_READ_RETRY_MS,
     WATCH_TIMEOUT_MS,
     PrefixWatcher,
 )
-from papayagw._internal.core.plain.roster import MISSING_GRACE_MS
-from papayagw._internal.core.plain.store_calls import (
+from papayagw._internal.core.plain.store.store_calls import (
     INITIAL_TIMEOUT_MS,
     MAX_RETRY_DELAY_MS,
     MAX_TIMEOUT_MS,
