Evacuation of a zone: decisions of balancers and agents, frame kind 10

Cause: an operator must be able to take a zone out of service without ending its open flows. Change: ZoneEvacuations keeps the evacuated zones by era and revision of the store; agents of these zones are no candidates for openings, and an opening that no other agent can serve is refused at once. EvacuationFrame (kind 10) tells agents, which then return openings as EVACUATED on their own account. PrefixWatcher and StoreDriver give revision and era of what they report. Nothing uses the state yet in a process.

--- a/src/papayagw/_internal/core/plain/admission/admission_control.py
+++ b/src/papayagw/_internal/core/plain/admission/admission_control.py
@@ -143,6 +143,11 @@
             self._reserved_until[peer] = Millis(now + RESERVATION_MS)
         return notified
 
+    def forget_waiting_balancers(self) -> None:
+        """Stop notifying balancers with rejected openings of free capacity."""
+        self._waiting_balancers.clear()
+        self._reserved_until.clear()
+
     def expect_first_request(self, flow: FlowKey, now: Millis) -> None:
         """Count the first request of an accepted flow from now on.
 
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -10,6 +10,7 @@
     REPORT_INTERVAL_MS,
     BackendState,
 )
+from papayagw._internal.core.plain.membership.agent_evacuation import AgentEvacuation
 from papayagw._internal.core.plain.membership.peers import BalancerPeers
 from papayagw._internal.core.plain.ownership.owned_flows import OwnedFlow, OwnedFlows
 from papayagw._internal.core.plain.ownership.ownership import OwnershipResolver
@@ -26,6 +27,7 @@
 )
 from papayagw._internal.models.plain.frame import (
     EntryMissingFrame,
+    EvacuationFrame,
     ForwardFrame,
     LoadFrame,
     OpenedFrame,
@@ -92,6 +94,8 @@
         Time at which the agent started.
     report_interval_ms : Millis
         Interval between acknowledged reports of the backend server.
+    follows_evacuations : bool
+        Whether openings are refused while the agent's zone is evacuated.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         flow_limit_ms: Millis,
         now: Millis,
         report_interval_ms: Millis = REPORT_INTERVAL_MS,
+        follows_evacuations: bool = False,
     ):
         self._service = service
         self._flow_limit_ms = flow_limit_ms
@@ -108,6 +113,7 @@
         self._flows = OwnedFlows()
         self._ownership = OwnershipResolver(self._flows, backend, flow_limit_ms, now)
         self._peers = BalancerPeers()
+        self._evacuation = AgentEvacuation(follows_evacuations)
         self._scope: ScopeFrame | None = None
         self._pending_openings: dict[FlowKey, OwnedFlow] = {}
         self._last_sweep_at = now
@@ -141,7 +147,7 @@
         if self._admission.backend.is_cold(now):
             service_us = round(service_us * COLD_START_FACTOR)
         return AgentLoad(
-            availability=self._admission.availability(now),
+            availability=self._evacuation.limit(self._admission.availability(now)),
             slots=meter.slots,
             busy=self._admission.count_requests(len(self._pending_openings), now),
             flows=len(self._flows),
@@ -155,7 +161,10 @@
 
     def on_frame(self, frame: ToAgent, source: Endpoint, now: Millis) -> list[Action]:
         """Handle a frame from a balancer and return the resulting actions."""
-        self._peers.record_frame(source, now)
+        if not isinstance(frame, EvacuationFrame):
+            # All balancers send evacuation frames at the same moment. If they counted
+            # as active, the rounds of load frames would be seconds apart.
+            self._peers.record_frame(source, now)
         if frame.service != self._service:
             return self._reject_wrong_service(frame, source, now)
         return self._handle_frame(frame, source, now)
@@ -176,6 +185,8 @@
             case EntryMissingFrame():
                 fields = {"peer": source}
                 return [RestoreEntry(), LogEvent("entry missing in the store", fields)]
+            case EvacuationFrame():
+                return self._on_evacuation(frame, source, now)
 
     def _on_opening(
         self, frame: OpenFrame, source: Endpoint, now: Millis
@@ -244,6 +255,23 @@
         }
         return [LogEvent("scope in force", fields)]
 
+    def _on_evacuation(
+        self, frame: EvacuationFrame, source: Endpoint, now: Millis
+    ) -> list[Action]:
+        """Begin or end the refusal of openings, and notify the active balancers."""
+        if not self._evacuation.apply(frame):
+            return []
+        self._admission.forget_waiting_balancers()
+        fields = {
+            "evacuated": frame.is_evacuated,
+            "era": frame.revision.era,
+            "revision": frame.revision.number,
+            "peer": source,
+        }
+        peers = dict.fromkeys((source, *self._peers.list_active(now)))
+        log_event = LogEvent("evacuation changed", fields)
+        return [log_event, *self._send_load(list(peers), now)]
+
     def _find_rejection_reason(
         self, frame: OpenFrame, source: Endpoint, now: Millis
     ) -> ReturnReason | None:
@@ -255,6 +283,8 @@
             and frame.packet.entry not in scope.entries
         ):
             return ReturnReason.OLD_VERSION
+        if self._evacuation.is_evacuated:
+            return ReturnReason.EVACUATED
         return self._admission.find_rejection_reason(
             source, len(self._pending_openings), now
         )
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -8,6 +8,7 @@
 
 from papayagw._internal.core.choice import unit_hash
 from papayagw._internal.core.plain.early_packets import EarlyPackets
+from papayagw._internal.core.plain.membership.evacuation import ZoneEvacuations
 from papayagw._internal.core.plain.membership.roster import (
     MISSING_GRACE_MS,
     AgentView,
@@ -102,6 +103,8 @@
     on_owner_not_found : callable
         Called when all known agents have replied that they don't own a flow. It
         causes the list of agents to be read again.
+    evacuations : ZoneEvacuations or None
+        The evacuated zones; None if zones aren't evacuated in this deployment.
     """
 
     _lookup_type = OwnerLookup
@@ -113,10 +116,12 @@
         chooser: PlainChooser,
         on_newer_version: Callable[[], None] = lambda: None,
         on_owner_not_found: Callable[[], None] = lambda: None,
+        evacuations: ZoneEvacuations | None = None,
     ):
         self._roster = roster
         self._route_history = route_history
         self._chooser = chooser
+        self._evacuations = evacuations or ZoneEvacuations(roster)
         self._on_newer_version = on_newer_version
         self._site: SiteVersion | None = None
         self._flows = FlowCache()
@@ -158,7 +163,12 @@
     @property
     def due_at(self) -> Millis | None:
         """Time at which `on_timer` must be called next; None if no timer is pending."""
-        due = (self._openings.due_at, self._lookup.due_at, self._next_probe_at)
+        due = (
+            self._openings.due_at,
+            self._lookup.due_at,
+            self._next_probe_at,
+            self._evacuations.due_at,
+        )
         return min((at for at in due if at is not None), default=None)
 
     def apply_site(self, site: SiteVersion, now: Millis) -> bool:
@@ -244,6 +254,7 @@
         view.record_load(frame.load, now)
         return [
             *self._handle_version_mismatch(view, frame.load, now),
+            *self._evacuations.on_load(view, frame.load, now),
             *self._handle_frame(frame, view, now),
             *self._offer_waiting_openings(view, now),
         ]
@@ -255,6 +266,7 @@
         for opening in sorted(overdue, key=self._priority_of):
             actions += self._on_offer_due(opening, now)
         actions += self._lookup.on_timer(now)
+        actions += self._evacuations.on_timer(now)
         if self._next_probe_at is not None and now >= self._next_probe_at:
             actions += self._probe_agents(now)
         if self._site is not None:
@@ -283,14 +295,17 @@
         """Offer an opening to an agent that hasn't been tried yet.
 
         If there is none, another round of offers is scheduled. The opening ends if it
-        would be too old by then, or at once if a backend server has rejected it and
-        none can have accepted it.
+        would be too old by then, or at once if a backend server has rejected it, or all
+        agents are in evacuated zones, and none can have accepted it.
         """
         packet = opening.packet
         service = _pick_service(route, packet)
         agent = self._choose_agent(service, opening, now)
         if agent is None or opening.is_exhausted:
-            is_settled = opening.is_declined and opening.is_known_unopened(now)
+            is_hopeless = opening.is_declined or self._evacuations.has_emptied(
+                service, now
+            )
+            is_settled = is_hopeless and opening.is_known_unopened(now)
             if not is_settled and self._openings.schedule_retry(opening, service, now):
                 return []
             return self._end_unserved_opening(opening, service, now)
@@ -312,7 +327,7 @@
 
     def _offer_waiting_openings(self, agent: AgentView, now: Millis) -> list[Action]:
         """Offer waiting openings to an agent that has free capacity."""
-        if agent.free_capacity <= 0:
+        if agent.free_capacity <= 0 or not self._evacuations.is_in_service(agent):
             return []
         service = agent.entry.service
         waiting = self._openings.list_waiting(service)
@@ -335,9 +350,10 @@
         self, service: str, opening: Opening, now: Millis
     ) -> AgentView | None:
         """Return the agent that gets an opening next, or None if there is none."""
+        views = self._evacuations.list_in_service(self._roster.list_service(service))
         untried = [
             view
-            for view in self._roster.list_service(service)
+            for view in views
             if view.endpoint not in opening.tried_agents and not view.is_gone(now)
         ]
         available = [view for view in untried if view.accepts_openings(now)]
@@ -369,6 +385,8 @@
             "service": service,
             "declined": opening.is_declined,
         }
+        if self._evacuations.zones:
+            fields["evacuated"] = " ".join(sorted(self._evacuations.zones))
         if not opening.is_known_unopened(now):
             fields["unanswered"] = len(opening.unanswered_agents)
             fields["copies"] = len(opening.seen_copies)
--- a/src/papayagw/_internal/core/plain/store/prefix_watcher.py
+++ b/src/papayagw/_internal/core/plain/store/prefix_watcher.py
@@ -103,6 +103,14 @@
         """Time at which the next call is due."""
         return self._due_at
 
+    @property
+    def revision(self) -> int | None:
+        """Revision up to which writes have been reported; None while a read is due.
+
+        Valid in `on_snapshot` and `on_events` too.
+        """
+        return self._revision
+
     def next_call(self) -> TimedCall:
         """Return the next call: a page of the read, or a watch after the read."""
         timeout_ms = self._retry_schedule.timeout_ms
--- a/src/papayagw/_internal/core/plain/store/store_era.py
+++ b/src/papayagw/_internal/core/plain/store/store_era.py
@@ -10,6 +10,11 @@
     def __init__(self) -> None:
         self._era: int | None = None
 
+    @property
+    def era(self) -> int:
+        """Era of the last answer that named one; 0 if there was none."""
+        return self._era or 0
+
     def record(self, era: int | None) -> bool:
         """Record the era of an answer; return whether it isn't that of the last one.
 
--- a/src/papayagw/_internal/models/plain/entry_store.py
+++ b/src/papayagw/_internal/models/plain/entry_store.py
@@ -106,6 +106,23 @@
     lease: int
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StoreRevision:
+    """A revision of the store. A later era is newer, whatever its revisions.
+
+    Attributes
+    ----------
+    era : int
+        Number of the store's era, which a restoration from an older copy begins; 0 if
+        the store names none.
+    number : int
+        Store revision, which a later era may give out again.
+    """
+
+    era: int
+    number: int
+
+
 StoreCall = ReadRange | WatchPrefix | PutKey | GrantLease | RenewLease | EndLease
 """A request to the key-value service."""
 
--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from papayagw._internal.models.plain.entry_store import StoreRevision
 from papayagw._internal.models.plain.instance import AgentLoad
 from papayagw._internal.models.plain.packet import EntryKey, FlowKey, FlowPacket
 
@@ -26,6 +27,8 @@
     """The flow belongs to another backend server."""
     BUSY = 8
     """No free capacity; the agent notifies the balancer when there is some."""
+    EVACUATED = 9
+    """The agent's zone is evacuated."""
 
 
 class Ownership(Enum):
@@ -154,7 +157,33 @@
     service: str
 
 
-ToAgent = OpenFrame | ForwardFrame | OwnerQueryFrame | ScopeFrame | EntryMissingFrame
+@dataclass(frozen=True, slots=True)
+class EvacuationFrame:
+    """Tells an agent whether its zone is evacuated.
+
+    Attributes
+    ----------
+    service : str
+        The service that the sender expects the agent to serve.
+    is_evacuated : bool
+        Whether the agent's zone is evacuated.
+    revision : StoreRevision
+        Revision at which the sender knows it. The agent keeps what is newest.
+    """
+
+    service: str
+    is_evacuated: bool
+    revision: StoreRevision
+
+
+ToAgent = (
+    OpenFrame
+    | ForwardFrame
+    | OwnerQueryFrame
+    | ScopeFrame
+    | EntryMissingFrame
+    | EvacuationFrame
+)
 """A frame that a balancer sends to an agent."""
 
 ToBalancer = OpenedFrame | ReturnFrame | OwnerReplyFrame | LoadFrame
--- a/src/papayagw/_internal/models/plain/instance.py
+++ b/src/papayagw/_internal/models/plain/instance.py
@@ -91,6 +91,8 @@
     """The backend server accepts no new flows."""
     LEAVING = 4
     """The agent is stopping."""
+    EVACUATED = 5
+    """The agent's zone is evacuated."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/papayagw/_internal/net/plain/store_driver.py
+++ b/src/papayagw/_internal/net/plain/store_driver.py
@@ -57,6 +57,11 @@
         self._eras = EraTracker()
         self._alarm = Alarm(loop, self._start_call)
 
+    @property
+    def era(self) -> int:
+        """Era of the store by its last answer; 0 if it names none."""
+        return self._eras.era
+
     def start(self) -> None:
         """Make the client's first call."""
         self._start_call()
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -12,8 +12,10 @@
 
 from papayagw._internal.exceptions import DecodeError, Step
 from papayagw._internal.models.clock import Millis
+from papayagw._internal.models.plain.entry_store import StoreRevision
 from papayagw._internal.models.plain.frame import (
     EntryMissingFrame,
+    EvacuationFrame,
     ForwardFrame,
     Frame,
     LoadFrame,
@@ -27,6 +29,8 @@
     ReturnFrame,
     ReturnReason,
     ScopeFrame,
+    ToAgent,
+    ToBalancer,
 )
 from papayagw._internal.models.plain.instance import AgentLoad, Availability
 from papayagw._internal.models.plain.packet import (
@@ -57,6 +61,9 @@
 _LOAD = struct.Struct(">BHHIHIQI")
 """Fields of `AgentLoad`, in their order."""
 
+_EVACUATION = struct.Struct(">?QQ")
+"""Whether the zone is evacuated, era of the store, revision."""
+
 _OWNER_QUERY = struct.Struct(">12sBI")
 """Flow, whether there is an acknowledgement number, acknowledgement number."""
 
@@ -102,6 +109,7 @@
             7: self._decode_return,
             8: _decode_owner_replies,
             9: _decode_load_frame,
+            10: _decode_evacuation,
         }
 
     def encode(self, frame: Frame) -> bytes:
@@ -130,6 +138,12 @@
 
     def _encode_body(self, frame: Frame) -> tuple[int, bytes]:
         """Return the kind and the encoded body of a frame."""
+        if isinstance(frame, ToAgent):
+            return self._encode_body_to_agent(frame)
+        return self._encode_body_to_balancer(frame)
+
+    def _encode_body_to_agent(self, frame: ToAgent) -> tuple[int, bytes]:
+        """Return the kind and the encoded body of a balancer's frame."""
         match frame:
             case OpenFrame(service, version, packet):
                 header = _SITE_VERSION.pack(version) + _encode_text(service)
@@ -144,6 +158,13 @@
                 return 4, _SITE_VERSION.pack(version) + _encode_text(service) + body
             case EntryMissingFrame(service):
                 return 5, _encode_text(service)
+            case EvacuationFrame(service, is_evacuated, revision):
+                header = _EVACUATION.pack(is_evacuated, revision.era, revision.number)
+                return 10, header + _encode_text(service)
+
+    def _encode_body_to_balancer(self, frame: ToBalancer) -> tuple[int, bytes]:
+        """Return the kind and the encoded body of an agent's frame."""
+        match frame:
             case OpenedFrame(flow, load):
                 return 6, flow + _encode_load(load)
             case ReturnFrame(reason, packet, load):
@@ -277,3 +298,9 @@
 
 def _decode_load_frame(body: bytes) -> Frame:
     return LoadFrame(_decode_load(body))
+
+
+def _decode_evacuation(body: bytes) -> Frame:
+    is_evacuated, era, number = _EVACUATION.unpack_from(body)
+    service, _ = _decode_text(body[_EVACUATION.size :])
+    return EvacuationFrame(service, is_evacuated, StoreRevision(era, number))
--- a/tests/unit/test_plain_frames.py
+++ b/tests/unit/test_plain_frames.py
@@ -1,12 +1,16 @@
 """Tests of the codec of frames between balancers and agents."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from papayagw._internal.exceptions import DecodeError
+from papayagw._internal.models.plain.entry_store import StoreRevision
 from papayagw._internal.models.plain.frame import (
     EntryMissingFrame,
+    EvacuationFrame,
     ForwardFrame,
     LoadFrame,
     OpenedFrame,
@@ -29,6 +33,7 @@
 FLOW = FlowKey(bytes(range(12)))
 PACKET = decode_client_packet(bytes(HEADER_BYTES) + b"payload")
 LOAD = AgentLoad(Availability.READY, 3, 2, 70_000, 0.25, 48_000, 1 << 40, 86_400_000)
+EVACUATED = Availability.EVACUATED
 CODEC = PlainFrameCodec(PreparedPlatform())
 FRAMES = [
     OpenFrame("order", 7, PACKET),
@@ -38,8 +43,10 @@
     ScopeFrame("order", 7, frozenset()),
     ScopeFrame("order", 7, frozenset((EntryKey(b"abcdef"), EntryKey(b"ghijkl")))),
     EntryMissingFrame("order"),
+    EvacuationFrame("order", True, StoreRevision(2, 1 << 40)),
     OpenedFrame(FLOW, LOAD),
     ReturnFrame(ReturnReason.BUSY, PACKET, LOAD),
+    ReturnFrame(ReturnReason.EVACUATED, PACKET, replace(LOAD, availability=EVACUATED)),
     OwnerReplyFrame((OwnerReply(FLOW, Ownership.UNKNOWN),), LOAD),
     OwnerReplyFrame((), LOAD),
     LoadFrame(LOAD),
