Evacuation of a zone: settings, templates and the watch of the operator's keys

Cause: the decisions need the operator's keys, and a deployment must opt in. Change: with evacuation_ms, which the templates take from bounds.evacuate_ms, a balancer watches the prefix op/ instead of the configuration's key, so that one read returns both; an agent follows evacuation frames. Without it the prefix, the frames and the choices are those of before. The platform's adapter translates op/evacuate/ZONE. The gauge "evacuated zones" exists only with the setting.

--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -30,6 +30,9 @@
         Time after SIGTERM within which the process must exit.
     flow_limit_ms : Millis
         Idle time after which a flow may be removed.
+    evacuation_ms : Millis or None
+        Time within which the evacuation of a zone must be in force; None if zones
+        aren't evacuated in this deployment.
     """
 
     name: str
@@ -41,6 +44,7 @@
     store: Endpoint
     grace_ms: Millis
     flow_limit_ms: Millis
+    evacuation_ms: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayagw/_internal/net/plain/adapter.py
+++ b/src/papayagw/_internal/net/plain/adapter.py
@@ -80,6 +80,10 @@
     def site_key(self) -> str:
         """Key of the operators' configuration in the store."""
 
+    @property
+    def operator_prefix(self) -> str:
+        """Prefix of all keys that operators write, `site_key` included."""
+
     @property
     def readiness_path(self) -> str:
         """HTTP path of the readiness probe."""
@@ -93,6 +97,9 @@
             If `value` isn't a valid configuration.
         """
 
+    def decode_evacuated_zone(self, key: str) -> str | None:
+        """Return the zone that is evacuated while `key` exists; None for other keys."""
+
     def decode_report(
         self, method: str, path: str, body: bytes
     ) -> StatusReport | Departure | None:
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -67,6 +67,7 @@
             settings.flow_limit_ms,
             runtime.loop.now(),
             settings.report_interval_ms,
+            follows_evacuations=settings.evacuation_ms is not None,
         )
         self._outbound = BatchSocket(settings.outbound)
         entry = AgentEntry(settings.inner, settings.service, settings.zone)
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from papayagw._internal.core.plain.balancer import PlainBalancer
+from papayagw._internal.core.plain.membership.evacuation import ZoneEvacuations
 from papayagw._internal.core.plain.membership.roster import Roster
 from papayagw._internal.core.plain.ownership.batching import merge_owner_queries
 from papayagw._internal.core.plain.placement.choice import LeastWaitChooser
@@ -29,6 +30,7 @@
     StoredItem,
     StoreEvent,
     StoreRestored,
+    StoreRevision,
     WatchResult,
 )
 from papayagw._internal.models.plain.frame import Frame, ToBalancer
@@ -37,6 +39,10 @@
 from papayagw._internal.net.plain.adapter import Platform
 from papayagw._internal.net.plain.http_server import HttpRequest, HttpResponse
 from papayagw._internal.net.plain.loop import Alarm
+from papayagw._internal.net.plain.operator_keys import (
+    list_evacuated_zones,
+    list_zone_changes,
+)
 from papayagw._internal.net.plain.process import (
     ProcessRuntime,
     SettingsLoader,
@@ -75,9 +81,10 @@
 """
 
 MIN_SITE_REFRESH_INTERVAL_MS = Millis(500)
-"""Minimum time between two reads of the configuration requested by agents.
+"""Minimum time between two reads of the operator's keys requested by agents.
 
-An agent requests one by reporting a version newer than the one in force.
+An agent requests one by reporting a version newer than the one in force, or an
+evacuation that isn't known here.
 """
 
 MIN_AGENTS_REFRESH_INTERVAL_MS = Millis(200)
@@ -128,16 +135,25 @@
         random = Random()
         self._roster = Roster()
         self._route_history = RouteHistory(settings.flow_limit_ms)
+        self._follows_evacuations = settings.evacuation_ms is not None
+        self._evacuations = ZoneEvacuations(
+            self._roster, self._on_newer_operator_keys, settings.evacuation_ms
+        )
         self._core = PlainBalancer(
             self._roster,
             self._route_history,
             LeastWaitChooser(settings.zone, random),
-            self._on_newer_version,
+            self._on_newer_operator_keys,
             self._schedule_agents_refresh,
+            self._evacuations,
         )
         self._entry = BatchSocket(settings.entry)
+        # One watch covers the configuration and the evacuations, and one read returns
+        # both, so that a balancer that starts offers nothing to an evacuated zone.
         self._site_watcher = PrefixWatcher(
-            platform.site_key,
+            platform.operator_prefix
+            if self._follows_evacuations
+            else platform.site_key,
             self._on_site_items,
             self._on_site_events,
             random,
@@ -199,6 +215,10 @@
         runtime.metrics.gauge(
             "configuration unconfirmed ms", lambda: self._site_unconfirmed_ms
         )
+        if self._follows_evacuations:
+            runtime.metrics.gauge(
+                "evacuated zones", lambda: len(self._evacuations.zones)
+            )
         self._site_driver.start()
         self._system_driver.start()
         try:
@@ -273,8 +293,8 @@
 
     # The store
 
-    def _on_newer_version(self) -> None:
-        """Read the configuration again, as an agent knows a newer version."""
+    def _on_newer_operator_keys(self) -> None:
+        """Read the operator's keys again, as an agent knows newer ones."""
         now = self._runtime.loop.now()
         if now - self._site_refreshed_at >= MIN_SITE_REFRESH_INTERVAL_MS:
             self._site_refreshed_at = now
@@ -298,11 +318,28 @@
             driver.restart()
 
     def _on_site_items(self, items: tuple[StoredItem, ...]) -> None:
-        """Apply the configuration from a full read of its key."""
+        """Apply the evacuations and the configuration from a full read.
+
+        The evacuations go first, since the first configuration releases the openings
+        that wait for it.
+        """
+        revision = self._site_watcher.revision
+        if self._follows_evacuations and revision is not None:
+            zones = list_evacuated_zones(self._platform, items)
+            read_at = StoreRevision(self._site_driver.era, revision)
+            now, unconfirmed_ms = self._runtime.loop.now(), self._site_unconfirmed_ms
+            self._perform(
+                self._evacuations.on_read(zones, read_at, now, unconfirmed_ms)
+            )
         self._apply_sites(items, "read")
 
     def _on_site_events(self, events: tuple[StoreEvent, ...]) -> None:
-        """Apply the configuration from writes of its key."""
+        """Apply evacuations that began or ended, and the configuration."""
+        if self._follows_evacuations:
+            era = self._site_driver.era
+            changes = list_zone_changes(self._platform, events, era)
+            now, unconfirmed_ms = self._runtime.loop.now(), self._site_unconfirmed_ms
+            self._perform(self._evacuations.on_changes(changes, now, unconfirmed_ms))
         self._apply_sites(
             tuple(e for e in events if isinstance(e, StoredItem)), "watch"
         )
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -98,6 +98,7 @@
             "store": self.endpoint("store"),
             "grace_ms": self.seconds("grace_s"),
             "flow_limit_ms": self.seconds("flow_limit_s"),
+            "evacuation_ms": self.optional_millis("evacuation_ms"),
         }
 
     def text(self, name: str) -> str:
@@ -114,6 +115,17 @@
             raise self._invalid_field(name, "a whole number")
         return value
 
+    def optional_millis(self, name: str) -> Millis | None:
+        """Return a field of at least 1 ms; None if it is absent or null."""
+        value = self._fields.get(name)
+        if value is None:
+            return None
+        if type(value) is not int or value < 1:
+            raise self._invalid_field(
+                name, "a whole number of milliseconds, at least 1"
+            )
+        return Millis(value)
+
     def seconds(self, name: str) -> Millis:
         """Return a field that is given in seconds, converted to milliseconds."""
         value = self._fields.get(name)
--- a/src/papayagw/platform/site.py
+++ b/src/papayagw/platform/site.py
@@ -16,6 +16,23 @@
 SITE_KEY = "op/config"
 """Key of the configuration in the store."""
 
+OPERATOR_PREFIX = "op/"
+"""Prefix of all keys that operators write."""
+
+_EVACUATION_PREFIX = "op/evacuate/"
+"""Prefix of the keys of evacuated zones; the zone's name follows."""
+
+
+def decode_evacuated_zone(key: str) -> str | None:
+    """Return the zone that is evacuated while `key` exists; None for other keys.
+
+    The value isn't used.
+    """
+    zone = key.removeprefix(_EVACUATION_PREFIX)
+    if zone == key or not zone or "/" in zone:
+        return None
+    return zone
+
 
 def decode_site(value: bytes) -> SiteVersion:
     """Decode a configuration that an operator wrote to the store.
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -30,16 +30,33 @@
 }
 
 
+def with_bounds(**bounds):
+    """Return the values of a deployment with further bounds."""
+    return {**TEMPLATE_VALUES, "bounds": {**TEMPLATE_VALUES["bounds"], **bounds}}
+
+
 def render(name, machine=TEMPLATE_VALUES):
-    """Fill in a template as the platform does."""
+    """Fill in a template as the platform does.
 
-    def fill(match):
+    A section, from ``{{#name}}`` to ``{{/name}}``, is kept if it has a value.
+    """
+
+    def find(path):
         value = machine
-        for part in match[1].split("."):
+        for part in path.split("."):
             value = value[int(part)] if part.isdigit() else value[part]
+        return value
+
+    def fill(match):
+        value = find(match[1])
         return json.dumps(value) if match[2] else str(value)
 
+    def keep(match):
+        *path, last = match[1].split(".")
+        return match[2] if find(".".join(path)).get(last) is not None else ""
+
     text = (DEPLOY / name).read_text(encoding="utf-8")
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", keep, text)
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill, text)
 
 
@@ -88,6 +105,39 @@
         load_balancer_settings(write_settings(tmp_path, text))
 
 
+@pytest.mark.parametrize(
+    ("name", "load"),
+    [("balancer.jsonc", load_balancer_settings), ("agent.jsonc", load_agent_settings)],
+)
+@pytest.mark.parametrize(
+    ("machine", "found"),
+    [
+        (TEMPLATE_VALUES, None),
+        (with_bounds(evacuate_ms=None), None),
+        (with_bounds(evacuate_ms=5_000), 5_000),
+    ],
+)
+def test_evacuations_are_on_only_in_deployments_that_bound_them(
+    tmp_path, name, load, machine, found
+):
+    settings = load(write_settings(tmp_path, render(name, machine)))
+    assert settings.evacuation_ms == found
+
+
+@pytest.mark.parametrize(
+    ("value", "found"),
+    [("null", None), ("5000", 5_000), ("0", ""), ("true", ""), ('"5000"', "")],
+)
+def test_evacuation_ms(tmp_path, value, found):
+    text = render("agent.jsonc", with_bounds(evacuate_ms=value))
+    path = write_settings(tmp_path, text)
+    if found == "":
+        with pytest.raises(SettingsError, match="evacuation_ms: expected a whole"):
+            load_agent_settings(path)
+    else:
+        assert load_agent_settings(path).evacuation_ms == found
+
+
 @pytest.mark.parametrize("text", ["", "[]", "{", "node_name: x"])
 def test_invalid_settings_file(tmp_path, text):
     with pytest.raises(SettingsError):
