Tests of the evacuation of a zone

Change: tables for a balancer's and an agent's decisions, scenarios with doubles that lack one mechanism, a property over interleavings of request, withdrawal and restarts, and a comparison of all frames and log events with and without the setting. The simulated world has zones, the operator's keys and eras of the store.

--- a/tests/lib/plain_scenario.py
+++ b/tests/lib/plain_scenario.py
@@ -1,7 +1,7 @@
 """Language for fault scenarios of the plain front end, one statement on each line.
 
     network loss=0.02 duplication=0.02 delay=1-15
-    balancer NAME...            agent NAME [SERVICE] [WORK_MS]
+    balancer NAME...            agent NAME [SERVICE] [WORK_MS] [ZONE]
     at MS VERB WORD...          run MS
     call REQUESTS [PAUSE_MS]    calls COUNT REQUESTS EVERY_MS [PAUSE_MS]
     expect OUTCOME COUNT        (clients with this outcome; COUNT may be "all")
@@ -17,7 +17,9 @@
 NAME of an agent: crash and drain act on its backend server, expire-entry and
 restore on its store entry, lose ends both for good. Verbs without a name: remove-route,
 close-flows KIND (of packet), reuse-ports REQUESTS FIRST_SEQUENCE (of all clients),
-move-route SERVICE..., and lose-power, which restarts all that isn't lost.
+move-route SERVICE..., and lose-power, which restarts all that isn't lost. evacuate ZONE
+and withdraw ZONE write and remove the operator's key; copy-store and restore-store act
+on these keys. A balancer after deafen NAME isn't told of changes of the store.
 `#` starts a comment.
 """
 
@@ -31,8 +33,9 @@
     Each method ``do_NAME`` executes the statements that begin with NAME.
     """
 
-    def __init__(self, seed=0, mechanisms=None):
-        self.world = PlainWorld(seed, mechanisms=mechanisms)
+    def __init__(self, seed=0, mechanisms=None, evacuate_ms=None):
+        self.world = PlainWorld(seed, mechanisms=mechanisms, evacuate_ms=evacuate_ms)
+        self.copy = None
         self.start = self.world.now
 
     def execute(self, text):
@@ -59,8 +62,23 @@
         for name in names:
             self.world.add_balancer(name)
 
-    def do_agent(self, name, service="order", work_ms=20):
-        self.world.add_agent(name, service, int(work_ms))
+    def do_agent(self, name, service="order", work_ms=20, zone="zone-a"):
+        self.world.add_agent(name, service, int(work_ms), zone=zone)
+
+    def do_evacuate(self, zone):
+        self.world.evacuate(zone)
+
+    def do_withdraw(self, zone):
+        self.world.withdraw(zone)
+
+    def do_copy_store(self):
+        self.copy = self.world.copy_evacuations()
+
+    def do_restore_store(self):
+        self.world.restore_evacuations(self.copy)
+
+    def do_deafen(self, name):
+        self.world.balancers[name].is_deaf = True
 
     def do_at(self, at, *words):
         self.world.at(self.start + int(at), lambda: self.run_statement(*words))
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -13,6 +13,7 @@
 
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.balancer import PlainBalancer
+from papayagw._internal.core.plain.membership.evacuation import ZoneEvacuations
 from papayagw._internal.core.plain.membership.roster import Roster
 from papayagw._internal.core.plain.placement.choice import LeastWaitChooser
 from papayagw._internal.core.plain.routing.route_history import RouteHistory
@@ -26,6 +27,7 @@
     SendToBackend,
     SendToClient,
 )
+from papayagw._internal.models.plain.entry_store import StoreRevision
 from papayagw._internal.models.plain.frame import ForwardFrame, ToAgent
 from papayagw._internal.models.plain.instance import (
     AgentEntry,
@@ -139,6 +141,8 @@
         if packet.kind.is_closing:
             self.flows.pop(flow, None)
         elif packet.kind is PacketKind.OPEN:
+            if flow not in self.flows:
+                self.world.check_evacuation(self)
             start = self.flows.setdefault(flow, self.world.random.getrandbits(32))
             self.send(flow, PacketKind.ACCEPT, start, packet.sequence + 1)
         elif flow not in self.flows:
@@ -239,8 +243,12 @@
         super().__init__(world, name, endpoint)
         self.roster = Roster()
         self.route_history = RouteHistory(FLOW_LIMIT_MS)
+        self.evacuations = ZoneEvacuations(
+            self.roster, lambda: world.after(STORE_MS, self.list_agents)
+        )
         self.core = world.mechanisms.make_balancer(self)
         self.is_routed = True
+        self.is_deaf = False
         world.after(world.store_ms, self.list_agents)
 
     def list_agents(self):
@@ -249,6 +257,11 @@
 
     def _read_store(self):
         store = self.world.store
+        if self.world.evacuate_ms is not None:
+            zones = frozenset(self.world.evacuated_at)
+            revision = StoreRevision(self.world.era, self.world.revision)
+            actions = self.evacuations.on_read(zones, revision, self.world.now, 0)
+            self.perform(actions)
         for key, (entry, revision) in sorted(store.items()):
             self.roster.put(key, entry, revision)
         self.roster.mark_others_missing(set(store), self.world.now)
@@ -270,10 +283,10 @@
 class AgentNode(Node):
     """An agent beside a backend server."""
 
-    def __init__(self, world, name, endpoint, service):
+    def __init__(self, world, name, endpoint, service, zone):
         super().__init__(world, name, endpoint)
         self.service = service
-        self.entry = AgentEntry(endpoint, service, "zone-a")
+        self.entry = AgentEntry(endpoint, service, zone)
         self.core = world.mechanisms.make_agent(self)
 
     def receive_report(self, report):
@@ -376,17 +389,23 @@
     def make_balancer(self, node):
         """Return the core of a balancer."""
         chooser = self.chooser("zone-a", node.world.random)
+        is_enabled = node.world.evacuate_ms is not None
         return self.balancer(
             node.roster,
             node.route_history,
             chooser,
             lambda: node.world.after(STORE_MS, node.list_agents),
             lambda: node.world.after(STORE_MS, node.list_agents),
+            node.evacuations if is_enabled else None,
         )
 
     def make_agent(self, node):
         """Return the core of an agent."""
-        return self.agent(node.service, FLOW_LIMIT_MS, Millis(node.world.now))
+        is_enabled = node.world.evacuate_ms is not None
+        options = {"follows_evacuations": True} if is_enabled else {}
+        return self.agent(
+            node.service, FLOW_LIMIT_MS, Millis(node.world.now), **options
+        )
 
 
 class PlainWorld:
@@ -400,9 +419,16 @@
         Faults and delays of the network.
     mechanisms : Mechanisms
         Classes of the cores.
+    evacuate_ms : int or None
+        Time after which an evacuated zone must get no openings; None if zones aren't
+        evacuated in this deployment.
     """
 
-    def __init__(self, seed=0, network=None, mechanisms=None):
+    def __init__(self, seed=0, network=None, mechanisms=None, evacuate_ms=None):
+        self.evacuate_ms = evacuate_ms
+        self.evacuated_at = {}
+        self.era = 1
+        self.revision = 0
         self.random = random.Random(seed)
         self.network = network or NetworkConditions()
         self.mechanisms = mechanisms or Mechanisms()
@@ -423,7 +449,6 @@
         self._events = []
         self._order = itertools.count()
         self._hosts = itertools.count(1)
-        self._revisions = itertools.count(1)
         self._transmissions = itertools.count(1)
 
     # Time
@@ -455,11 +480,13 @@
             old.is_alive = False
         self.balancers[name] = BalancerNode(self, name, endpoint)
 
-    def add_agent(self, name, service="order", work_ms=20, endpoint=None):
+    def add_agent(
+        self, name, service="order", work_ms=20, endpoint=None, zone="zone-a"
+    ):
         """Add a machine with a backend server and an agent."""
         endpoint = endpoint or Endpoint("10.0.0.2", next(self._hosts))
         self.backends[name] = Backend(self, name, work_ms)
-        self.agents[name] = AgentNode(self, name, endpoint, service)
+        self.agents[name] = AgentNode(self, name, endpoint, service, zone)
         self.store_entry(self.agents[name])
         self.backends[name].report()
 
@@ -468,7 +495,8 @@
         self.after(STORE_MS, lambda: self._put_entry(agent))
 
     def _put_entry(self, agent):
-        self.store[agent.name] = (agent.entry, next(self._revisions))
+        self.revision += 1
+        self.store[agent.name] = (agent.entry, self.revision)
         self.notify_balancers()
 
     def expire_entry(self, name):
@@ -479,8 +507,37 @@
     def notify_balancers(self):
         """Have each balancer read the store after a random delay."""
         for balancer in list(self.balancers.values()):
+            if balancer.is_deaf:
+                continue
             self.after(self.random.randint(1, 700), balancer.list_agents)
 
+    def evacuate(self, zone):
+        """Write the key of an evacuated zone."""
+        self.evacuated_at.setdefault(zone, self.now)
+        self._on_operator_write()
+
+    def withdraw(self, zone):
+        """Remove the key of an evacuated zone."""
+        self.evacuated_at.pop(zone, None)
+        self._on_operator_write()
+
+    def _on_operator_write(self):
+        """Notify the balancers if they watch the evacuations."""
+        self.revision += 1
+        if self.evacuate_ms is not None:
+            self.notify_balancers()
+
+    def copy_evacuations(self):
+        """Return a copy of the operator's keys for `restore_evacuations`."""
+        return self.revision, frozenset(self.evacuated_at)
+
+    def restore_evacuations(self, copy):
+        """Return to a copy; revisions since are given out again in a new era."""
+        self.revision, zones = copy
+        self.evacuated_at = dict.fromkeys(zones, self.now)
+        self.era += 1
+        self.notify_balancers()
+
     def apply_site(self, site):
         """Put a configuration in force, and notify the balancers."""
         self.site = site
@@ -497,7 +554,8 @@
 
         def start():
             self.backends[name] = Backend(self, name, self.backends[name].work_ms)
-            self.agents[name] = AgentNode(self, name, old.endpoint, service)
+            zone = old.entry.zone
+            self.agents[name] = AgentNode(self, name, old.endpoint, service, zone)
             self.store_entry(self.agents[name])
             self.backends[name].report()
 
@@ -525,7 +583,8 @@
         agent.is_alive = False
 
         def start():
-            fresh = AgentNode(self, name, agent.endpoint, agent.service)
+            zone = agent.entry.zone
+            fresh = AgentNode(self, name, agent.endpoint, agent.service, zone)
             self.agents[name] = fresh
             self.store_entry(fresh)
 
@@ -639,6 +698,15 @@
 
     # Invariants and records
 
+    def check_evacuation(self, backend):
+        """Record a new flow in a zone that was evacuated before, as a violation."""
+        zone = self.agents[backend.agent_name].entry.zone
+        evacuated_at = self.evacuated_at.get(zone)
+        if self.evacuate_ms is None or evacuated_at is None:
+            return
+        if self.now - evacuated_at > self.evacuate_ms:
+            self.violations.append(f"{self.now}: opening in evacuated {zone}")
+
     def record_open(self, flow, backend):
         """Record the owner of a flow; two live owners are a violation."""
         owner = self.owners.setdefault(flow, backend)
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -89,8 +89,8 @@
     a packet of the backend server.
     """
 
-    def __init__(self):
-        self.core = PlainAgent("order", FLOW_LIMIT_MS, START)
+    def __init__(self, **options):
+        self.core = PlainAgent("order", FLOW_LIMIT_MS, START, **options)
         self.now = START
 
     def run(self, step):
@@ -121,8 +121,14 @@
     return [one for one in actions if not isinstance(one, LogEvent)], driver
 
 
-def open_frame(version=1, service="order"):
-    return OpenFrame(service, version, OPENING)
+def open_frame(version=1, service="order", packet=OPENING):
+    return OpenFrame(service, version, packet)
+
+
+def sent_loads(actions):
+    """Return the availability in each load frame."""
+    frames = [one.frame for one in actions if isinstance(one, SendFrame)]
+    return [one.load.availability for one in frames if isinstance(one, LoadFrame)]
 
 
 def rejected(packet):
