Settings: the templates pass the deployment's bounds as a whole

Change: one setting, bounds, from which the adapter reads evacuate_ms; a missing or null value means off.

--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -88,6 +89,7 @@
             packets at the same port.
         """
         ip = self.text("ip")
+        evacuate_ms = self.bound("evacuate_ms")
         return {
             "name": self.text("name"),
             "zone": self.text("zone"),
@@ -98,7 +100,9 @@
             "store": self.endpoint("store"),
             "grace_ms": self.seconds("grace_s"),
             "flow_limit_ms": self.seconds("flow_limit_s"),
-            "evacuation_ms": self.optional_millis("evacuation_ms"),
+            "evacuation_ms": None
+            if evacuate_ms is None
+            else Millis(round(evacuate_ms)),
         }
 
     def text(self, name: str) -> str:
@@ -115,16 +119,19 @@
             raise self._invalid_field(name, "a whole number")
         return value
 
-    def optional_millis(self, name: str) -> Millis | None:
-        """Return a field of at least 1 ms; None if it is absent or null."""
-        value = self._fields.get(name)
+    def bound(self, name: str) -> float | None:
+        """Return a bound that the deployment states, from 0; None if it states none."""
+        bounds = self._fields.get("bounds", {})
+        if not isinstance(bounds, dict):
+            raise self._invalid_field("bounds", "an object")
+        value = bounds.get(name)
         if value is None:
             return None
-        if type(value) is not int or value < 1:
-            raise self._invalid_field(
-                name, "a whole number of milliseconds, at least 1"
-            )
-        return Millis(value)
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            raise self._invalid_field("bounds", f"a number as {name}")
+        if not 0 <= value < inf:
+            raise self._invalid_field("bounds", f"a number from 0 as {name}")
+        return float(value)
 
     def seconds(self, name: str) -> Millis:
         """Return a field that is given in seconds, converted to milliseconds."""
