Configuration: rates of cold backend servers

Cause: a cold server handles fewer requests a second than a warm one, and balancers and agents don't know how many.

Change: services[].cold_start_s and services[].cold_per_s are decoded to SiteVersion.limits. Absent in earlier deployments, and then empty.

--- a/src/papayagw/_internal/models/plain/site.py
+++ b/src/papayagw/_internal/models/plain/site.py
@@ -42,6 +42,32 @@
     priority: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceLimits:
+    """What the configuration states on the cold servers of a service.
+
+    Attributes
+    ----------
+    cold_start_ms : Millis
+        How long a backend server is cold after its start.
+    cold_per_s : float
+        Requests a second that a cold backend server handles; 0 if none is stated.
+    """
+
+    cold_start_ms: Millis
+    cold_per_s: float
+
+    def is_cold_at(self, run_age_ms: Millis | None) -> bool:
+        """Whether a server may be cold at an age, and a rate is stated for it."""
+        if self.cold_per_s <= 0 or run_age_ms is None:
+            return False
+        return run_age_ms <= self.cold_start_ms
+
+
+NO_LIMITS = ServiceLimits(Millis(0), 0.0)
+"""The limits of a service that states none."""
+
+
 @dataclass(frozen=True, slots=True)
 class SiteVersion:
     """One accepted version of the configuration.
@@ -54,8 +80,11 @@
         The route of each served entry.
     idle_timeout_ms : Millis
         How long an idle flow is kept.
+    limits : mapping of str to ServiceLimits
+        The limits of each service that states any.
     """
 
     version: int
     routes: Mapping[EntryKey, Route] = field(repr=False)
     idle_timeout_ms: Millis
+    limits: Mapping[str, ServiceLimits] = field(default_factory=dict, repr=False)
--- a/tests/unit/test_plain_odd_values.py
+++ b/tests/unit/test_plain_odd_values.py
@@ -53,6 +53,7 @@
     "version": 7,
     "routes": [{"hostname": "198.18.0.1", "prefix": "/8443/", "service": "order"}],
     "limits": {"idle_timeout_ms": 15_000},
+    "services": [{"name": "order", "cold_start_s": 2.0, "cold_per_s": 0.0}],
 }
 ODD_PORTS = [b'"/65536/"', b'"/-7/"', b'"/%s/"' % (b"9" * 10_000), b'"//"', b"7"]
 ODD_WEIGHTS = [b"1e999", b"-1", b"NaN", b"9" * 400, b'"x"']
@@ -112,6 +113,9 @@
         *cases("routes.0.hostname", [b"7", b"null", b'"host"', b'"198.18.0.256"']),
         *cases("routes.0.prefix", ODD_PORTS),
         *cases("routes.0.service", ODD_TEXTS),
+        *cases("services.0.name", ODD_TEXTS),
+        *cases("services.0.cold_start_s", [b"-1", b'"2"', b"true", b"NaN", b"1e999"]),
+        *cases("services.0.cold_per_s", [b"-1", b'"2"', b"true", b"NaN", b"1e999"]),
         *cases("routes.0.backends", [b"7", b'{"service":"a"}', b'["a"]', b"[{}]"]),
         *cases(
             "routes.0.backends",
--- a/tests/unit/test_platform_reports.py
+++ b/tests/unit/test_platform_reports.py
@@ -1,6 +1,7 @@
 """Tests of decoding backend servers' reports and the operators' configuration."""
 
 import json
+from dataclasses import astuple
 
 import pytest
 
@@ -123,6 +124,24 @@
     assert route.priority == 2
 
 
+@pytest.mark.parametrize(
+    ("services", "limits"),
+    [
+        (None, {}),
+        ([], {}),
+        # Earlier deployments state no rates.
+        ([{"name": "a"}], {}),
+        ([{"name": "a", "cold_start_s": 2.0, "cold_per_s": 0.0}], {"a": (2_000, 0.0)}),
+        ([{"name": "a", "cold_start_s": 0.5, "cold_per_s": 12}], {"a": (500, 12.0)}),
+    ],
+)
+def test_limits_of_services(services, limits):
+    value = {"version": 7, "routes": [], "limits": LIMITS, "services": services}
+    site = decode_site(json.dumps(value).encode())
+    found = {name: astuple(one) for name, one in site.limits.items()}
+    assert found == limits
+
+
 @pytest.mark.parametrize(
     "value",
     [
