Frame of kind 11: the rate of a service's cold servers

Cause: the agent decides on openings to a cold server, but only balancers read the configuration.

Change: ServiceLimitsFrame with its encoding.

--- a/src/papayagw/_internal/models/plain/frame.py
+++ b/src/papayagw/_internal/models/plain/frame.py
@@ -154,7 +154,33 @@
     service: str
 
 
-ToAgent = OpenFrame | ForwardFrame | OwnerQueryFrame | ScopeFrame | EntryMissingFrame
+@dataclass(frozen=True, slots=True)
+class ServiceLimitsFrame:
+    """Tells an agent the rate of its cold backend server.
+
+    Attributes
+    ----------
+    service : str
+        The service that the sender expects the agent to serve.
+    site_version : int
+        The configuration version that states the rate.
+    cold_per_s : float
+        Openings a second that a cold backend server handles; above 0.
+    """
+
+    service: str
+    site_version: int
+    cold_per_s: float
+
+
+ToAgent = (
+    OpenFrame
+    | ForwardFrame
+    | OwnerQueryFrame
+    | ScopeFrame
+    | EntryMissingFrame
+    | ServiceLimitsFrame
+)
 """A frame that a balancer sends to an agent."""
 
 ToBalancer = OpenedFrame | ReturnFrame | OwnerReplyFrame | LoadFrame
--- a/src/papayagw/_internal/wire/plain_frames.py
+++ b/src/papayagw/_internal/wire/plain_frames.py
@@ -8,6 +8,7 @@
 import struct
 import zlib
 from collections.abc import Callable
+from math import inf
 from typing import Protocol
 
 from papayagw._internal.exceptions import DecodeError, Step
@@ -27,6 +28,9 @@
     ReturnFrame,
     ReturnReason,
     ScopeFrame,
+    ServiceLimitsFrame,
+    ToAgent,
+    ToBalancer,
 )
 from papayagw._internal.models.plain.instance import AgentLoad, Availability
 from papayagw._internal.models.plain.packet import (
@@ -51,6 +55,9 @@
 _SITE_VERSION = struct.Struct(">Q")
 """Configuration version."""
 
+_SERVICE_LIMITS = struct.Struct(">Qd")
+"""Configuration version, openings a second of a cold backend server."""
+
 _UNKNOWN_RUN_AGE_MS = 0xFFFFFFFF
 """Value of the run's age in `_LOAD` if it isn't known."""
 
@@ -102,6 +109,7 @@
             7: self._decode_return,
             8: _decode_owner_replies,
             9: _decode_load_frame,
+            11: _decode_service_limits,
         }
 
     def encode(self, frame: Frame) -> bytes:
@@ -130,20 +138,13 @@
 
     def _encode_body(self, frame: Frame) -> tuple[int, bytes]:
         """Return the kind and the encoded body of a frame."""
+        if isinstance(frame, ToAgent):
+            return _encode_for_agent(frame)
+        return self._encode_for_balancer(frame)
+
+    def _encode_for_balancer(self, frame: ToBalancer) -> tuple[int, bytes]:
+        """Return the kind and the encoded body of an agent's frame."""
         match frame:
-            case OpenFrame(service, version, packet):
-                header = _SITE_VERSION.pack(version) + _encode_text(service)
-                return 1, header + packet.raw
-            case ForwardFrame(service, packet):
-                return 2, _encode_text(service) + packet.raw
-            case OwnerQueryFrame(service, queries):
-                body = b"".join(_encode_owner_query(query) for query in queries)
-                return 3, _encode_text(service) + body
-            case ScopeFrame(service, version, entries):
-                body = b"".join(sorted(entries))
-                return 4, _SITE_VERSION.pack(version) + _encode_text(service) + body
-            case EntryMissingFrame(service):
-                return 5, _encode_text(service)
             case OpenedFrame(flow, load):
                 return 6, flow + _encode_load(load)
             case ReturnFrame(reason, packet, load):
@@ -186,6 +187,27 @@
         return packet
 
 
+def _encode_for_agent(frame: ToAgent) -> tuple[int, bytes]:
+    """Return the kind and the encoded body of a balancer's frame."""
+    match frame:
+        case OpenFrame(service, version, packet):
+            header = _SITE_VERSION.pack(version) + _encode_text(service)
+            return 1, header + packet.raw
+        case ForwardFrame(service, packet):
+            return 2, _encode_text(service) + packet.raw
+        case OwnerQueryFrame(service, queries):
+            body = b"".join(_encode_owner_query(query) for query in queries)
+            return 3, _encode_text(service) + body
+        case ScopeFrame(service, version, entries):
+            body = b"".join(sorted(entries))
+            return 4, _SITE_VERSION.pack(version) + _encode_text(service) + body
+        case EntryMissingFrame(service):
+            return 5, _encode_text(service)
+        case ServiceLimitsFrame(service, version, cold_per_s):
+            rates = _SERVICE_LIMITS.pack(version, cold_per_s)
+            return 11, rates + _encode_text(service)
+
+
 def _encode_text(text: str) -> bytes:
     """Encode a text of at most 255 bytes, preceded by its length."""
     data = text.encode()
@@ -277,3 +299,11 @@
 
 def _decode_load_frame(body: bytes) -> Frame:
     return LoadFrame(_decode_load(body))
+
+
+def _decode_service_limits(body: bytes) -> Frame:
+    version, cold_per_s = _SERVICE_LIMITS.unpack_from(body)
+    if not 0 < cold_per_s < inf:
+        raise ValueError(f"cold_per_s: expected a rate above 0, found {cold_per_s}")
+    service, _ = _decode_text(body[_SERVICE_LIMITS.size :])
+    return ServiceLimitsFrame(service, version, cold_per_s)
--- a/tests/unit/test_plain_frames.py
+++ b/tests/unit/test_plain_frames.py
@@ -19,6 +19,7 @@
     ReturnFrame,
     ReturnReason,
     ScopeFrame,
+    ServiceLimitsFrame,
 )
 from papayagw._internal.models.plain.instance import AgentLoad, Availability
 from papayagw._internal.models.plain.packet import EntryKey, FlowKey
@@ -38,6 +39,7 @@
     ScopeFrame("order", 7, frozenset()),
     ScopeFrame("order", 7, frozenset((EntryKey(b"abcdef"), EntryKey(b"ghijkl")))),
     EntryMissingFrame("order"),
+    ServiceLimitsFrame("order", 7, 12.5),
     OpenedFrame(FLOW, LOAD),
     ReturnFrame(ReturnReason.BUSY, PACKET, LOAD),
     OwnerReplyFrame((OwnerReply(FLOW, Ownership.UNKNOWN),), LOAD),
