Limit the openings that a cold backend server gets in a second

Cause: after a start or a loss of power the balancers send a cold server as many openings as it has free slots, several times the rate that it handles.

Change: with the settings cold_overage and cold_slack the agent keeps a sliding window of the openings passed to its server, and returns those over cold_per_s x cold_overage + cold_slack as BUSY while the server is cold. The waiting balancers are notified when the window admits openings again, and load reports show no more free capacity than it does. A balancer sends the rate before the scope frame and repeats it while the server is young, since a lost frame can't be told from a rate that isn't stated.

--- a/src/papayagw/_internal/core/plain/admission/admission_control.py
+++ b/src/papayagw/_internal/core/plain/admission/admission_control.py
@@ -1,6 +1,10 @@
 """Admission control for openings to the agent's local backend server."""
 
 from papayagw._internal.core.plain.admission.backend_state import BackendState
+from papayagw._internal.core.plain.admission.cold_start import (
+    ColdStartLimit,
+    ColdStartRule,
+)
 from papayagw._internal.core.plain.admission.limits import max_concurrent_requests
 from papayagw._internal.core.plain.admission.load_meter import LoadMeter
 from papayagw._internal.models.clock import Millis
@@ -49,12 +53,20 @@
         Reported state of the backend server.
     now : Millis
         Time at which the agent started.
+    cold_rule : ColdStartRule or None
+        Limit on the openings to a cold backend server; None for no limit.
     """
 
-    def __init__(self, backend: BackendState, now: Millis):
+    def __init__(
+        self,
+        backend: BackendState,
+        now: Millis,
+        cold_rule: ColdStartRule | None = None,
+    ):
         self._started_at = now
         self.backend = backend
         self.meter = LoadMeter()
+        self._cold_limit = ColdStartLimit(cold_rule, now) if cold_rule else None
         self._paused_until = Millis(0)
         self._accept_timeout_count = 0
         self._has_rejected = False
@@ -71,7 +83,9 @@
         """
         if not self._waiting_balancers:
             return None
-        return next(iter(self._first_request_deadlines.values()), None)
+        first_request_at = next(iter(self._first_request_deadlines.values()), None)
+        due_at = (first_request_at, self._cold_free_at)
+        return min((at for at in due_at if at is not None), default=None)
 
     def availability(self, now: Millis) -> Availability:
         """Return whether openings are admitted in general, and if not, why.
@@ -143,6 +157,60 @@
             self._reserved_until[peer] = Millis(now + RESERVATION_MS)
         return notified
 
+    def apply_cold_rate(self, cold_per_s: float, site_version: int) -> bool:
+        """Apply the rate that a configuration version states for a cold server.
+
+        Returns
+        -------
+        bool
+            False if it isn't new, or if this deployment doesn't limit cold servers.
+        """
+        limit = self._cold_limit
+        return limit is not None and limit.apply_rate(cold_per_s, site_version)
+
+    def record_run_start(self, now: Millis, *, is_later: bool) -> None:
+        """Record the first report of a run, after its age has been recorded.
+
+        Parameters
+        ----------
+        now : Millis
+            Current time.
+        is_later : bool
+            Whether there was a report of an earlier run.
+        """
+        if self._cold_limit is None:
+            return
+        age_ms = self.backend.age_ms(now)
+        began_at = None if age_ms is None else Millis(now - age_ms)
+        self._cold_limit.record_run_start(began_at, is_later=is_later)
+
+    def record_opening(self, now: Millis) -> None:
+        """Record that an opening is passed to the backend server."""
+        if self._cold_limit is not None:
+            self._cold_limit.record_opening(now)
+
+    def describe_cold_limit(self, now: Millis) -> dict[str, object]:
+        """Return the log fields of a cold server's limit; none if it doesn't bind."""
+        limit = self._cold_limit
+        if limit is None or self._free_cold_openings(now) != 0:
+            return {}
+        return {
+            "cold_limit": limit.max_openings,
+            "cold_openings": limit.count_openings(now),
+            "free_in_ms": limit.free_at - now if limit.free_at is not None else None,
+        }
+
+    def count_reported_requests(self, pending_openings: int, now: Millis) -> int:
+        """Return the number of requests in progress as reported to balancers.
+
+        It leaves them as much free capacity as the limit on a cold server does.
+        """
+        busy = self.count_requests(pending_openings, now)
+        free = self._free_cold_openings(now)
+        if free is None:
+            return busy
+        return max(busy, max_concurrent_requests(self.meter.slots) - free)
+
     def expect_first_request(self, flow: FlowKey, now: Millis) -> None:
         """Count the first request of an accepted flow from now on.
 
@@ -232,6 +300,29 @@
 
     def _free_capacity(self, pending_openings: int, now: Millis) -> int:
         """Return the number of openings that fit; negative if over the limit."""
-        return max_concurrent_requests(self.meter.slots) - self.count_requests(
+        free = max_concurrent_requests(self.meter.slots) - self.count_requests(
             pending_openings, now
         )
+        free_cold = self._free_cold_openings(now)
+        return free if free_cold is None else min(free, free_cold)
+
+    @property
+    def _cold_free_at(self) -> Millis | None:
+        """When a cold server may get an opening again; None if it may get one now."""
+        free_at = self._cold_limit.free_at if self._cold_limit is not None else None
+        if free_at is None or self.backend.report is None:
+            return free_at
+        return min(free_at, self.backend.cold_until)
+
+    def _free_cold_openings(self, now: Millis) -> int | None:
+        """Return how many openings the limit on a cold server admits.
+
+        None if there is no limit. A server that hasn't reported yet may be cold.
+        """
+        limit = self._cold_limit
+        if limit is None:
+            return None
+        if self.backend.report is not None and not self.backend.is_cold(now):
+            limit.clear_free_at()
+            return None
+        return limit.free_openings(now)
--- a/src/papayagw/_internal/core/plain/admission/backend_state.py
+++ b/src/papayagw/_internal/core/plain/admission/backend_state.py
@@ -66,6 +66,11 @@
         """
         return Millis(self._report_interval_ms * 5 // 6)
 
+    @property
+    def cold_until(self) -> Millis:
+        """Time until which the backend server is cold, as last reported."""
+        return self._cold_until
+
     def is_cold(self, now: Millis) -> bool:
         """Whether the backend server is still slow after its start, as it reported."""
         return now < self._cold_until
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -10,6 +10,7 @@
     REPORT_INTERVAL_MS,
     BackendState,
 )
+from papayagw._internal.core.plain.admission.cold_start import ColdStartRule
 from papayagw._internal.core.plain.membership.peers import BalancerPeers
 from papayagw._internal.core.plain.ownership.owned_flows import OwnedFlow, OwnedFlows
 from papayagw._internal.core.plain.ownership.ownership import OwnershipResolver
@@ -37,6 +38,7 @@
     ReturnFrame,
     ReturnReason,
     ScopeFrame,
+    ServiceLimitsFrame,
     ToAgent,
 )
 from papayagw._internal.models.plain.instance import (
@@ -92,6 +94,8 @@
         Time at which the agent started.
     report_interval_ms : Millis
         Interval between acknowledged reports of the backend server.
+    cold_rule : ColdStartRule or None
+        Limit on the openings to a cold backend server; None for no limit.
     """
 
     def __init__(
@@ -100,11 +104,12 @@
         flow_limit_ms: Millis,
         now: Millis,
         report_interval_ms: Millis = REPORT_INTERVAL_MS,
+        cold_rule: ColdStartRule | None = None,
     ):
         self._service = service
         self._flow_limit_ms = flow_limit_ms
         backend = BackendState(service, report_interval_ms)
-        self._admission = AdmissionControl(backend, now)
+        self._admission = AdmissionControl(backend, now, cold_rule)
         self._flows = OwnedFlows()
         self._ownership = OwnershipResolver(self._flows, backend, flow_limit_ms, now)
         self._peers = BalancerPeers()
@@ -143,7 +148,9 @@
         return AgentLoad(
             availability=self._admission.availability(now),
             slots=meter.slots,
-            busy=self._admission.count_requests(len(self._pending_openings), now),
+            busy=self._admission.count_reported_requests(
+                len(self._pending_openings), now
+            ),
             flows=len(self._flows),
             utilization=meter.utilization(now),
             service_us=service_us,
@@ -172,7 +179,9 @@
             case OwnerQueryFrame():
                 return self._on_owner_queries(frame, source, now)
             case ScopeFrame():
-                return self._on_scope(frame, source)
+                return self._on_scope(frame, source, now)
+            case ServiceLimitsFrame():
+                return self._on_service_limits(frame, source, now)
             case EntryMissingFrame():
                 fields = {"peer": source}
                 return [RestoreEntry(), LogEvent("entry missing in the store", fields)]
@@ -187,6 +196,11 @@
         owned = known if is_copy else None
         if owned is None or owned.accept_sequence is None:
             reason = self._find_rejection_reason(frame, source, now)
+            if reason is ReturnReason.BUSY:
+                return [
+                    *self._return_packet(packet, reason, source, now),
+                    *self._log_cold_limit(packet, now),
+                ]
             if reason is not None:
                 return self._return_packet(packet, reason, source, now)
         if owned is None:
@@ -200,6 +214,7 @@
         if owned.accept_sequence is None:
             owned.opening_sent_at = now
             owned.pending_opening = packet
+            self._admission.record_opening(now)
             self._pending_openings[packet.flow] = owned
         return [SendToBackend(packet, self._peers.token_of(source))]
 
@@ -232,17 +247,43 @@
         )
         return [SendFrame(source, OwnerReplyFrame(replies, self.current_load(now)))]
 
-    def _on_scope(self, frame: ScopeFrame, source: Endpoint) -> list[Action]:
+    def _on_scope(
+        self, frame: ScopeFrame, source: Endpoint, now: Millis
+    ) -> list[Action]:
         """Record the entries routed to the service if their version is newer."""
         if self._scope is not None and frame.site_version <= self._scope.site_version:
             return []
         self._scope = frame
+        has_new_rate = self._admission.apply_cold_rate(0.0, frame.site_version)
         fields = {
             "version": frame.site_version,
             "entries": len(frame.entries),
             "peer": source,
         }
-        return [LogEvent("scope in force", fields)]
+        notified = self._notify_of_capacity(now) if has_new_rate else []
+        return [LogEvent("scope in force", fields), *notified]
+
+    def _on_service_limits(
+        self, frame: ServiceLimitsFrame, source: Endpoint, now: Millis
+    ) -> list[Action]:
+        """Apply the rate of a cold backend server if its version is newer."""
+        if not self._admission.apply_cold_rate(frame.cold_per_s, frame.site_version):
+            return []
+        fields = {
+            "version": frame.site_version,
+            "cold_per_s": frame.cold_per_s,
+            "peer": source,
+        }
+        log_event = LogEvent("cold limit in force", fields)
+        return [log_event, *self._notify_of_capacity(now)]
+
+    def _log_cold_limit(self, packet: FlowPacket, now: Millis) -> list[Action]:
+        """Return the log event of an opening over the limit on a cold server."""
+        fields = self._admission.describe_cold_limit(now)
+        if not fields:
+            return []
+        flow = {"flow": format_flow(packet.flow)}
+        return [LogEvent("cold limit reached", flow | fields)]
 
     def _find_rejection_reason(
         self, frame: OpenFrame, source: Endpoint, now: Millis
@@ -413,6 +454,7 @@
         actions = self._end_earlier_run(age_ms, now) if is_new_run else []
         if before is None or is_new_run:
             self._ownership.begin_run(report, age_ms, now)
+            self._admission.record_run_start(now, is_later=is_new_run)
         if before is None or before.state is not report.state or actions:
             fields = {
                 "instance": report.instance,
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -44,6 +44,7 @@
     ReturnFrame,
     ReturnReason,
     ScopeFrame,
+    ServiceLimitsFrame,
     ToBalancer,
 )
 from papayagw._internal.models.plain.instance import AgentLoad
@@ -53,7 +54,7 @@
     PacketKind,
     format_flow,
 )
-from papayagw._internal.models.plain.site import Route, SiteVersion
+from papayagw._internal.models.plain.site import NO_LIMITS, Route, SiteVersion
 
 RESTART_SPREAD_MS = Millis(1_500)
 """Maximum time from a backend server's start to a balancer's first read of the store.
@@ -526,19 +527,31 @@
         for the agent if its version is older, at most every `SCOPE_INTERVAL_MS`. A
         scope frame lists the entries (addresses and ports that clients send to) that
         one configuration version routes to one service.
+
+        Before it goes the rate of the service's cold servers, if one is stated. While
+        the agent's server is cold, the rate is repeated, since a frame may be lost.
         """
-        if self._site is None or load.site_version == self._site.version:
+        if self._site is None:
             return
         if load.site_version > self._site.version:
             self._on_newer_version()
             return
+        service = view.entry.service
+        limits = self._site.limits.get(service, NO_LIMITS)
+        is_older = load.site_version < self._site.version
+        if not is_older and not limits.is_cold_at(load.run_age_ms):
+            return
         sent_at = self._scope_sent_at.get(view.endpoint)
         if sent_at is not None and now - sent_at < SCOPE_INTERVAL_MS:
             return
         self._scope_sent_at[view.endpoint] = now
-        yield SendFrame(
-            view.endpoint, _make_scope_frame(self._site, view.entry.service)
-        )
+        if limits.cold_per_s > 0:
+            yield SendFrame(
+                view.endpoint,
+                ServiceLimitsFrame(service, self._site.version, limits.cold_per_s),
+            )
+        if is_older:
+            yield SendFrame(view.endpoint, _make_scope_frame(self._site, service))
 
     def _knows_all_agents(self, agents: list[AgentView], now: Millis) -> bool:
         """Return whether `agents` includes every agent that may own a flow.
--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -72,6 +72,11 @@
         HTTP endpoint that receives the backend server's reports.
     report_interval_ms : Millis
         Interval between the backend server's reports.
+    cold_overage : float or None
+        Factor on the stated rate of a cold backend server up to which it gets
+        openings; None, as without `cold_slack`, for no limit.
+    cold_slack : float or None
+        Openings a second that a cold backend server gets in addition.
     """
 
     service: str
@@ -79,3 +84,5 @@
     outbound: Endpoint
     reports: Endpoint
     report_interval_ms: Millis
+    cold_overage: float | None = None
+    cold_slack: float | None = None
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from random import Random
 
+from papayagw._internal.core.plain.admission.cold_start import ColdStartRule
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.membership.entry_registrar import EntryRegistrar
 from papayagw._internal.models.clock import Millis
@@ -67,6 +68,7 @@
             settings.flow_limit_ms,
             runtime.loop.now(),
             settings.report_interval_ms,
+            _make_cold_rule(settings),
         )
         self._outbound = BatchSocket(settings.outbound)
         entry = AgentEntry(settings.inner, settings.service, settings.zone)
@@ -211,3 +213,10 @@
         self._registrar.end(self._runtime.loop.now())
         self._driver.restart()
         self._runtime.loop.call_after(ENTRY_REMOVAL_TIMEOUT_MS, self._runtime.loop.stop)
+
+
+def _make_cold_rule(settings: PlainAgentSettings) -> ColdStartRule | None:
+    """Return the limit on cold servers, or None if a setting of it is absent."""
+    if settings.cold_overage is None or settings.cold_slack is None:
+        return None
+    return ColdStartRule(settings.cold_overage, settings.cold_slack)
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -68,6 +69,8 @@
         outbound=fields.endpoint("outbound"),
         reports=fields.endpoint("reports"),
         report_interval_ms=Millis(fields.integer("report_interval_ms")),
+        cold_overage=fields.optional_number("cold_overage"),
+        cold_slack=fields.optional_number("cold_slack"),
     )
 
 
@@ -114,6 +117,17 @@
             raise self._invalid_field(name, "a whole number")
         return value
 
+    def optional_number(self, name: str) -> float | None:
+        """Return a field that is a number from 0; None if it is absent or null."""
+        value = self._fields.get(name)
+        if value is None:
+            return None
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            raise self._invalid_field(name, "a number")
+        if not 0 <= value < inf:
+            raise self._invalid_field(name, "a number from 0")
+        return float(value)
+
     def seconds(self, name: str) -> Millis:
         """Return a field that is given in seconds, converted to milliseconds."""
         value = self._fields.get(name)
--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -69,12 +69,12 @@
 MODULUS = 1 << 32
 
 
-def make_site(version=1, *services, routes=None):
+def make_site(version=1, *services, routes=None, limits=None):
     """Return a configuration with one route to `services`, or with `routes`."""
     if routes is None:
         weighted = tuple(WeightedService(one, 1.0) for one in services or ("order",))
         routes = {ENTRY: Route("r1", weighted)}
-    return SiteVersion(version, routes, Millis(15_000))
+    return SiteVersion(version, routes, Millis(15_000), limits or {})
 
 
 def make_packet(flow, kind, sequence=0, acknowledged=None, payload=0, copy=0):
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -39,7 +39,14 @@
             value = value[int(part)] if part.isdigit() else value[part]
         return json.dumps(value) if match[2] else str(value)
 
+    def fill_section(match):
+        value = machine
+        for part in match[1].split("."):
+            value = (value or {}).get(part)
+        return match[2] if value is not None else ""
+
     text = (DEPLOY / name).read_text(encoding="utf-8")
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", fill_section, text)
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill, text)
 
 
@@ -70,6 +77,28 @@
     assert settings.store == Endpoint("10.200.1.7", 8169)
 
 
+@pytest.mark.parametrize(
+    ("bounds", "limit"),
+    [
+        ({}, (None, None)),
+        ({"cold_overage": None, "cold_slack": None}, (None, None)),
+        ({"cold_overage": 1.5, "cold_slack": 5}, (1.5, 5.0)),
+    ],
+)
+def test_limit_on_cold_servers(tmp_path, bounds, limit):
+    machine = TEMPLATE_VALUES | {"bounds": TEMPLATE_VALUES["bounds"] | bounds}
+    path = write_settings(tmp_path, render("agent.jsonc", machine))
+    settings = load_agent_settings(path)
+    assert (settings.cold_overage, settings.cold_slack) == limit
+
+
+@pytest.mark.parametrize("value", ['"1.5"', "true", "-1", "NaN"])
+def test_an_invalid_limit_on_cold_servers_is_refused(tmp_path, value):
+    text = render("agent.jsonc").replace("{", '{"cold_overage": ' + value + ",", 1)
+    with pytest.raises(SettingsError, match="cold_overage: expected a number"):
+        load_agent_settings(write_settings(tmp_path, text))
+
+
 @pytest.mark.parametrize(
     ("field", "value", "found"),
     [
