--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -69,6 +69,8 @@
         outbound=fields.endpoint("outbound"),
         reports=fields.endpoint("reports"),
         report_interval_ms=Millis(fields.integer("report_interval_ms")),
+        cold_overage=fields.bound("cold_overage"),
+        cold_slack=fields.bound("cold_slack"),
     )
 
 
--- a/tests/unit/test_plain_frames.py
+++ b/tests/unit/test_plain_frames.py
@@ -23,6 +23,7 @@
     ReturnFrame,
     ReturnReason,
     ScopeFrame,
+    ServiceLimitsFrame,
 )
 from papayagw._internal.models.plain.instance import AgentLoad, Availability
 from papayagw._internal.models.plain.packet import EntryKey, FlowKey
@@ -44,6 +45,7 @@
     ScopeFrame("order", 7, frozenset((EntryKey(b"abcdef"), EntryKey(b"ghijkl")))),
     EntryMissingFrame("order"),
     EvacuationFrame("order", True, StoreRevision(2, 1 << 40)),
+    ServiceLimitsFrame("order", 7, 12.5),
     OpenedFrame(FLOW, LOAD),
     ReturnFrame(ReturnReason.BUSY, PACKET, LOAD),
     ReturnFrame(ReturnReason.EVACUATED, PACKET, replace(LOAD, availability=EVACUATED)),
