--- a/src/papayagw/_internal/core/plain/admission/admission_control.py
+++ b/src/papayagw/_internal/core/plain/admission/admission_control.py
@@ -3,6 +3,7 @@
 from papayagw._internal.core.plain.admission.backend_state import BackendState
 from papayagw._internal.core.plain.admission.limits import max_concurrent_requests
 from papayagw._internal.core.plain.admission.load_meter import LoadMeter
+from papayagw._internal.core.plain.admission.run_order import ReportUse
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.frame import ReturnReason
@@ -170,19 +171,18 @@
             del self._first_request_deadlines[flow]
         return self.meter.busy + pending_openings + len(self._first_request_deadlines)
 
-    def record_report(self, report: StatusReport, now: Millis) -> bool:
+    def record_report(
+        self, report: StatusReport, age_ms: Millis, now: Millis
+    ) -> ReportUse:
         """Record a report and its number of slots, and end a pause in openings.
 
-        Returns
-        -------
-        bool
-            False if the report is stale or for another service, and was ignored.
+        A report that is refused changes nothing.
         """
-        if not self.backend.record_report(report, now):
-            return False
-        self.meter.slots = report.slots
-        self.record_activity()
-        return True
+        use = self.backend.record_report(report, age_ms, now)
+        if use is not ReportUse.REFUSED:
+            self.meter.slots = report.slots
+            self.record_activity()
+        return use
 
     def record_activity(self) -> None:
         """Record that the backend server responds, which ends a pause in openings."""
--- a/src/papayagw/_internal/core/plain/admission/backend_state.py
+++ b/src/papayagw/_internal/core/plain/admission/backend_state.py
@@ -1,5 +1,6 @@
 """State of the agent's local backend server, as known from its reports."""
 
+from papayagw._internal.core.plain.admission.run_order import ReportUse, RunOrder
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.instance import (
     Departure,
@@ -32,6 +33,7 @@
         self._cold_until = Millis(0)
         self._began_at: Millis | None = None
         self._has_left = False
+        self._runs = RunOrder(self.report_timeout_ms)
 
     @property
     def report(self) -> StatusReport | None:
@@ -82,48 +84,58 @@
         """Record the age of the run; a negative one (clock set back) means unknown."""
         self._began_at = Millis(now - age_ms) if age_ms >= 0 else None
 
-    def is_valid(self, report: StatusReport) -> bool:
-        """Whether a report is for this service and newer than the last one.
+    def is_in_force(self, message: StatusReport | Departure) -> bool:
+        """Whether what a report or departure says is what is known of the server.
 
-        Any other says nothing about the backend server.
+        That is so if it was used, or repeats the last one that was. Any other must not
+        be acknowledged.
         """
-        return report.service == self._service and not self._is_stale(report)
+        if isinstance(message, StatusReport):
+            return message == self._report and not self._has_left
+        return self._has_left and self._is_of_latest_run(message)
 
-    def record_report(self, report: StatusReport, now: Millis) -> bool:
-        """Record a report; return False if it isn't valid."""
-        if not self.is_valid(report):
-            return False
+    def record_report(
+        self, report: StatusReport, age_ms: Millis, now: Millis
+    ) -> ReportUse:
+        """Record a report, unless it says nothing about the backend server.
+
+        That is so if it is for another service, of a run that has ended, or older than
+        the last one.
+        """
+        if report.service != self._service:
+            return ReportUse.REFUSED
+        use = self._runs.compare(report, age_ms, now)
+        if use is ReportUse.SAME_RUN and self._is_late(report):
+            return ReportUse.REFUSED
+        if use is ReportUse.REFUSED:
+            return use
+        self._runs.record(report, now)
         self._report = report
         self._reported_at = now
         self._cold_until = Millis(now + report.cold_left_ms)
         self._has_left = False
-        return True
-
-    def is_new_run(self, report: StatusReport) -> bool:
-        """Whether a valid report belongs to a later run than the last recorded one."""
-        known = self._report
-        if known is None or not self.is_valid(report):
-            return False
-        return report.started_at > known.started_at
+        return use
 
     def record_departure(self, departure: Departure) -> bool:
         """Record a departure; return False if it isn't for the latest run."""
-        known = self._report
-        if known is None or departure.instance != known.instance:
-            return False
-        started_at = departure.started_at
-        if started_at is not None and started_at < known.started_at:
+        if not self._is_of_latest_run(departure):
             return False
         self._has_left = True
         return True
 
-    def _is_stale(self, report: StatusReport) -> bool:
-        """Whether a report is older than the last one, or its run has ended."""
+    def _is_of_latest_run(self, departure: Departure) -> bool:
+        """Whether a departure names the latest run, or a later one of its id."""
         known = self._report
-        if known is None:
+        if known is None or departure.instance != known.instance:
             return False
-        if report.started_at != known.started_at:
-            return report.started_at < known.started_at
-        # Reports may arrive late. A run never leaves the draining state and never
-        # resumes after its departure, so a late report must not undo either.
-        return self._has_left or report.number <= known.number
+        started_at = departure.started_at
+        return started_at is None or started_at >= known.started_at
+
+    def _is_late(self, report: StatusReport) -> bool:
+        """Whether a report of the latest run is older than the last one.
+
+        A run never leaves the draining state and never resumes after its departure, so
+        a late report must not undo either.
+        """
+        known = self._report
+        return self._has_left or (known is not None and report.number <= known.number)
--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -10,6 +10,7 @@
     REPORT_INTERVAL_MS,
     BackendState,
 )
+from papayagw._internal.core.plain.admission.run_order import ReportUse
 from papayagw._internal.core.plain.membership.peers import BalancerPeers
 from papayagw._internal.core.plain.ownership.owned_flows import OwnedFlow, OwnedFlows
 from papayagw._internal.core.plain.ownership.ownership import OwnershipResolver
@@ -402,18 +403,23 @@
         """
         backend = self._admission.backend
         before = backend.report
-        is_new_run = backend.is_new_run(report)
-        if not self._admission.record_report(report, now):
+        use = self._admission.record_report(report, age_ms, now)
+        if use is ReportUse.REFUSED:
             fields = {
                 "instance": report.instance,
                 "service": report.service,
+                "run": report.started_at,
                 "number": report.number,
+                "state": report.state.value,
+                "age_ms": age_ms,
             }
             return [LogEvent("report not used", fields)]
-        actions = self._end_earlier_run(age_ms, now) if is_new_run else []
-        if before is None or is_new_run:
-            self._ownership.begin_run(report, age_ms, now)
-        if before is None or before.state is not report.state or actions:
+        actions: list[Action] = []
+        if use is ReportUse.LATER_RUN:
+            actions += self._end_earlier_run(age_ms, now)
+        if use.is_other_run:
+            self._ownership.begin_run(report, use, age_ms, now)
+        if before is None or before.state is not report.state or use.is_other_run:
             fields = {
                 "instance": report.instance,
                 "run": report.started_at,
@@ -425,6 +431,10 @@
             actions += self._send_load(self._peers.list_known(), now)
         return actions
 
+    def is_in_force(self, message: StatusReport | Departure) -> bool:
+        """Whether a report or departure may be acknowledged; any other wasn't used."""
+        return self._admission.backend.is_in_force(message)
+
     def on_departure(self, departure: Departure, now: Millis) -> list[Action]:
         """Handle the backend server's departure and return the resulting actions."""
         if not self._admission.backend.record_departure(departure):
--- a/src/papayagw/_internal/core/plain/ownership/ownership.py
+++ b/src/papayagw/_internal/core/plain/ownership/ownership.py
@@ -1,6 +1,7 @@
 """An agent's replies to the query whether it owns a flow."""
 
 from papayagw._internal.core.plain.admission.backend_state import BackendState
+from papayagw._internal.core.plain.admission.run_order import ReportUse
 from papayagw._internal.core.plain.ownership.owned_flows import OwnedFlows
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.frame import OwnerQuery, Ownership
@@ -55,12 +56,16 @@
             else Ownership.NOT_OWNER
         )
 
-    def begin_run(self, report: StatusReport, age_ms: Millis, now: Millis) -> None:
-        """Record the age of a new run of the backend server.
+    def begin_run(
+        self, report: StatusReport, use: ReportUse, age_ms: Millis, now: Millis
+    ) -> None:
+        """Record the age of a run of the backend server that wasn't the latest before.
 
         Called once per run, since the wall clock may be set back later.
         """
         self._backend.record_age(age_ms, now)
+        if use is ReportUse.RESUMED_RUN:
+            return
         if self._observed_whole_run(report, age_ms, now):
             self._knows_all_flows_from = now
 
--- a/src/papayagw/_internal/models/plain/instance.py
+++ b/src/papayagw/_internal/models/plain/instance.py
@@ -14,6 +14,23 @@
     DRAINING = "draining"
 
 
+@dataclass(frozen=True, slots=True)
+class RunId:
+    """Identity of one run of a backend server: one life of its process.
+
+    Attributes
+    ----------
+    instance : str
+        Id under which the backend server reports; a restart may reuse it.
+    started_at : int
+        Start of the run, in ms since 1970 by the server's wall clock. A later run may
+        have an earlier start, if the clock was set back.
+    """
+
+    instance: str
+    started_at: int
+
+
 @dataclass(frozen=True, slots=True)
 class StatusReport:
     """Status that a backend server reports to its agent at regular intervals.
@@ -31,8 +48,7 @@
     cold_left_ms : Millis
         Remaining time during which it is slow after its start.
     started_at : int
-        Start of this run, in ms since 1970 by its own clock. Orders the runs that
-        share an id or an address.
+        Start of this run, in ms since 1970 by its own clock.
     number : int
         Sequence number of the report within its run; orders late reports.
     """
@@ -45,6 +61,11 @@
     started_at: int
     number: int
 
+    @property
+    def run(self) -> RunId:
+        """The run that reports."""
+        return RunId(self.instance, self.started_at)
+
 
 @dataclass(frozen=True, slots=True)
 class Departure:
--- a/src/papayagw/_internal/net/plain/agent_process.py
+++ b/src/papayagw/_internal/net/plain/agent_process.py
@@ -182,6 +182,9 @@
             self._perform(self._core.on_report(report, age_ms, now))
         else:
             self._perform(self._core.on_departure(report, now))
+        # A backend server may rely on what is acknowledged, such as its draining.
+        if not self._core.is_in_force(report):
+            return HttpResponse(HTTPStatus.CONFLICT)
         return HttpResponse(HTTPStatus.OK, b"{}")
 
     def _handle_probe(self, request: HttpRequest) -> HttpResponse:
--- a/tests/unit/test_plain_backend_state.py
+++ b/tests/unit/test_plain_backend_state.py
@@ -5,6 +5,7 @@
 from papayagw._internal.core.plain.admission.backend_state import BackendState
 from papayagw._internal.core.plain.admission.limits import max_concurrent_requests
 from papayagw._internal.core.plain.admission.load_meter import LoadMeter
+from papayagw._internal.core.plain.admission.run_order import ReportUse
 from papayagw._internal.models.plain.instance import (
     Departure,
     ReportedState,
@@ -51,25 +52,25 @@
         if isinstance(one, Departure):
             state.record_departure(one)
         else:
-            state.record_report(one, 0)
+            state.record_report(one, 0, 0)
     assert (state.is_known, state.is_draining) == (is_known, is_draining)
 
 
 @pytest.mark.parametrize(
-    ("known", "later", "is_new"),
+    ("known", "later", "use"),
     [
-        (None, report(10, 1), False),
-        (report(10, 1), report(10, 2), False),
-        (report(10, 1), report(20, 1), True),
-        (report(20, 1), report(10, 5), False),
-        (report(10, 1), report(20, 1, service="drawings"), False),
+        (None, report(10, 1), ReportUse.FIRST_RUN),
+        (report(10, 1), report(10, 2), ReportUse.SAME_RUN),
+        (report(10, 1), report(20, 1), ReportUse.LATER_RUN),
+        (report(20, 1), report(10, 5), ReportUse.REFUSED),
+        (report(10, 1), report(20, 1, service="drawings"), ReportUse.REFUSED),
     ],
 )
-def test_new_run(known, later, is_new):
+def test_new_run(known, later, use):
     state = BackendState("order")
     if known is not None:
-        state.record_report(known, 0)
-    assert state.is_new_run(later) is is_new
+        state.record_report(known, 0, 0)
+    assert state.record_report(later, 0, 0) is use
 
 
 @pytest.mark.parametrize(
