--- a/tests/processes/test_plain_processes.py
+++ b/tests/processes/test_plain_processes.py
@@ -343,3 +343,21 @@
     logged = {one["flow"].partition(":")[0] for one in accepted}
     assert logged == {client.flow[0][0] for client in flows}
     assert {"time", "node", "flow", "agent", "ms", "offers"} <= set(accepted[0])
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_acknowledged"),
+    [
+        ({"seq": 900}, True),
+        ({"seq": 0}, False),
+        ({"born": 1_000, "seq": 900}, False),
+        ({"service": "unknown", "seq": 900}, False),
+    ],
+)
+def test_a_report_that_isnt_used_isnt_acknowledged(fleet, changes, is_acknowledged):
+    """A backend server that believes it drains would lose the flows it gets later."""
+    backend = fleet.backends[fleet.agents[0]]
+    report = {**backend.make_report(), **changes}
+    # The second time it repeats the one in force, or is still of no use.
+    for _ in range(2):
+        assert backend.send_report(report) is is_acknowledged
