--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -28,6 +28,7 @@
 from papayagw._internal.settings.site import load_site
 from papayagw._internal.store.etcd import EtcdStore
 from tests.lib.processes import running
+from tools.fleet import claimed_block
 from tools.fleet_folder import (
     BASE,
     KEYS,
@@ -253,15 +254,15 @@
 
 
 @contextmanager
-def open_bench(balancers, block):
-    """Run the bench's processes until the context exits."""
-    plan = FleetPlan(
-        (ServicePlan("order", 1), ServicePlan("drawings", 1)), balancers, block
-    )
+def open_bench(balancers, first_block):
+    """Run the bench's processes in the first free block until the context exits."""
+    services = ServicePlan("order", 1), ServicePlan("drawings", 1)
     with (
         tempfile.TemporaryDirectory(prefix="papayagw-bench-") as name,
+        claimed_block(first_block) as block,
         ExitStack() as stack,
     ):
+        plan = FleetPlan(services, balancers, block)
         bench = Bench(Path(name), plan, stack)
         bench.start()
         yield bench
--- a/tests/processes/test_configuration_in_force.py
+++ b/tests/processes/test_configuration_in_force.py
@@ -1,4 +1,3 @@
-import os
 import socket
 
 import pytest
@@ -11,13 +10,13 @@
 )
 
 BALANCERS = 4
-BLOCK = 100 + os.getpid() % 100
-"""Block of loopback addresses, which differs between concurrent runs of the tests."""
+FIRST_BLOCK = 100
+"""First block of loopback addresses to try."""
 
 
 @pytest.fixture(scope="module")
 def bench():
-    with open_bench(BALANCERS, BLOCK) as bench:
+    with open_bench(BALANCERS, FIRST_BLOCK) as bench:
         yield bench
 
 
--- a/tests/processes/test_operating.py
+++ b/tests/processes/test_operating.py
@@ -5,12 +5,13 @@
 import subprocess
 import sys
 import time
+from dataclasses import replace
 
 import pytest
 
 from papayagw._internal.models.decision import DropReason
 from tests.lib.processes import ROOT, environment, running, wait_until
-from tools.fleet import Fleet, send_request
+from tools.fleet import Fleet, claimed_block, send_request
 from tools.fleet_folder import FleetPlan, ServicePlan, make_balancer, write_folder
 
 PLAN = FleetPlan((ServicePlan("order", 2),), balancers=2, block=93)
@@ -38,7 +39,13 @@
 
 @pytest.fixture(scope="module")
 def fleet(folder):
-    write_folder(PLAN, folder)
+    with claimed_block(PLAN.block) as block:
+        write_folder(replace(PLAN, block=block), folder)
+        yield from run_fleet(folder)
+
+
+def run_fleet(folder):
+    """Run the fleet of a folder with a low stop limit until the generator ends."""
     for path in folder.glob("agent-*.jsonc"):
         settings = json.loads(path.read_text()) | {"stop_limit_ms": STOP_LIMIT_MS}
         path.write_text(json.dumps(settings))
@@ -181,25 +188,29 @@
 
 @pytest.fixture
 def balancer(tmp_path):
-    """Yield a balancer's settings file and the socket that receives its metrics."""
+    """Yield a balancer's settings file, its IP and the socket that gets its metrics."""
     plan = FleetPlan((ServicePlan("order", 1),), balancers=1, block=94)
-    write_folder(plan, tmp_path)
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as statsd:
+    with (
+        claimed_block(plan.block) as block,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as statsd,
+    ):
+        plan = replace(plan, block=block)
+        write_folder(plan, tmp_path)
         statsd.bind(("127.0.0.1", 0))
         statsd.settimeout(20)
-        ip, port = statsd.getsockname()
-        settings = make_balancer(plan, 1) | {"statsd": f"{ip}:{port}"}
+        statsd_ip, port = statsd.getsockname()
+        settings = make_balancer(plan, 1) | {"statsd": f"{statsd_ip}:{port}"}
         path = tmp_path / "balancer-1.jsonc"
         path.write_text(json.dumps(settings))
-        yield path, statsd
+        yield path, settings["admin"].partition(":")[0], statsd
 
 
 def test_flood_of_bad_packets_is_counted_and_logs_few_lines(balancer, capfd):
-    path, statsd = balancer
+    path, ip, statsd = balancer
     with running("balancer", path) as process:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             for _ in range(500):
-                sock.sendto(b"garbage", ("127.94.0.11", 4401))
+                sock.sendto(b"garbage", (ip, 4401))
                 time.sleep(0)
         dropped = 0
         while not dropped:
@@ -228,13 +239,13 @@
 
 
 def test_taken_admin_address_is_one_line_and_exit_code_4(balancer):
-    path, _ = balancer
+    path, ip, _ = balancer
     with socket.socket() as holder:
-        holder.bind(("127.94.0.11", 4390))
+        holder.bind((ip, 4390))
         holder.listen()
         code, out, err = run_command("balancer", path)
     line = json.loads(err.splitlines()[-1])
     assert (code, out) == (4, "")
     assert (line["level"], line["step"]) == ("error", "bind")
-    assert line["peer"] == "127.94.0.11:4390"
+    assert line["peer"] == f"{ip}:4390"
     assert line["remedy"]
