Order of waiting openings by what an answer is worth

Cause: waiting openings are offered by priority and then newest first. Near the capacity this leaves some at the bottom until their objective is over, although all could meet theirs, and kinds of low priority may get nothing.

Change: a WaitingOrder selects which waiting opening is offered. With the setting admission = deadline, ObjectiveOrder goes by priority, by whether the objective and the deadline of the route can be met, and by the least time left while all waiting openings can meet their objectives, otherwise newest first. The default, PriorityOrder, decides as before, which the tests of the balancer and a test of the two settings show. Routes get type, objective_ms and timeout_ms from the configuration.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -18,12 +18,22 @@
     OwnerLookup,
     make_forward,
 )
-from papayagw._internal.core.plain.placement.choice import PlainChooser
+from papayagw._internal.core.plain.placement.choice import (
+    FALLBACK_SERVICE_US,
+    PlainChooser,
+)
 from papayagw._internal.core.plain.placement.openings import (
     Opening,
     Openings,
     sort_newest_first,
 )
+from papayagw._internal.core.plain.placement.waiting import (
+    PriorityOrder,
+    Selection,
+    WaitingOpening,
+    WaitingOrder,
+    expected_answer_ms,
+)
 from papayagw._internal.core.plain.routing.route_history import RouteHistory
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
@@ -103,6 +113,9 @@
     on_owner_not_found : callable
         Called when all known agents have replied that they don't own a flow. It
         causes the list of agents to be read again.
+    order : WaitingOrder or None
+        Selects which waiting opening is offered next; None for the higher priority
+        and then the newest.
     """
 
     _lookup_type = OwnerLookup
@@ -114,10 +127,12 @@
         chooser: PlainChooser,
         on_newer_version: Callable[[], None] = lambda: None,
         on_owner_not_found: Callable[[], None] = lambda: None,
+        order: WaitingOrder | None = None,
     ):
         self._roster = roster
         self._route_history = route_history
         self._chooser = chooser
+        self._order: WaitingOrder = order or PriorityOrder()
         self._on_newer_version = on_newer_version
         self._site: SiteVersion | None = None
         self._flows = FlowCache()
@@ -200,7 +215,7 @@
             else:
                 actions += self.on_client_packet(packet, now)
         newest_first = sort_newest_first(list(openings.values()))
-        for opening in sorted(newest_first, key=self._priority_of):
+        for opening in sorted(newest_first, key=lambda one: self._rank_of(one, now)):
             actions += self._on_offer_due(opening, now)
         return actions
 
@@ -253,7 +268,7 @@
         """Handle timeouts and due retries, and remove idle flows from the cache."""
         actions: list[Action] = []
         overdue = self._openings.take_due(now)
-        for opening in sorted(overdue, key=self._priority_of):
+        for opening in sorted(overdue, key=lambda one: self._rank_of(one, now)):
             actions += self._on_offer_due(opening, now)
         actions += self._lookup.on_timer(now)
         if self._next_probe_at is not None and now >= self._next_probe_at:
@@ -326,10 +341,24 @@
             if (route := self._find_route(opening.packet)) is not None
             and _pick_service(route, opening.packet) == service
         ]
-        routed.sort(key=lambda one: one[1].priority)
+        service_us = agent.load.service_us if agent.load is not None else 0
+        selections = self._order.select(
+            service,
+            [_describe_waiting(opening, route, now) for opening, route in routed],
+            agent.free_capacity,
+            expected_answer_ms(service_us or FALLBACK_SERVICE_US),
+            now,
+        )
         actions: list[Action] = []
-        for opening, route in routed[: agent.free_capacity]:
+        for selection in selections:
+            opening, route = routed[selection.index]
+            opening.was_selected = True
             actions += self._offer_to(agent, opening, route, now)
+            if self._order.is_logged:
+                fields = _describe_selection(selection, opening, route, now)
+                actions.append(
+                    LogEvent("opening waited", fields | {"waiting": len(routed)})
+                )
         return actions
 
     def _choose_agent(
@@ -377,10 +406,12 @@
         fields["outcome"] = "not run"
         return [ResetClient(packet.flow, 0), LogEvent("opening refused", fields)]
 
-    def _priority_of(self, opening: Opening) -> int:
-        """Return the priority of an opening's route; 0 is served first."""
+    def _rank_of(self, opening: Opening, now: Millis) -> tuple[int, int]:
+        """Return the sort key of an opening; the least is served first."""
         route = self._find_route(opening.packet)
-        return route.priority if route is not None else 0
+        if route is None:
+            return (0, 0)
+        return self._order.rank(_describe_waiting(opening, route, now))
 
     def _on_offer_due(self, opening: Opening, now: Millis) -> list[Action]:
         """Offer an opening again after an offer timeout or a retry delay.
@@ -446,6 +477,7 @@
         self._flows.put_owner(frame.flow, view, now)
         if opening is None:
             return []
+        self._record_accepted(opening, view.entry.service, now)
         fields = {
             "flow": format_flow(frame.flow),
             "agent": view.endpoint,
@@ -454,6 +486,14 @@
         }
         return [LogEvent("opening accepted", fields)]
 
+    def _record_accepted(self, opening: Opening, service: str, now: Millis) -> None:
+        """Record an accepted opening for the order of the waiting ones."""
+        route = self._find_route(opening.packet)
+        if route is not None:
+            self._order.record_accepted(
+                service, route.type, now, was_selected=opening.was_selected
+            )
+
     def _on_returned(
         self, frame: ReturnFrame, view: AgentView, now: Millis
     ) -> list[Action]:
@@ -671,6 +711,29 @@
     return route.services[-1].name
 
 
+def _describe_waiting(opening: Opening, route: Route, now: Millis) -> WaitingOpening:
+    """Return what the order of a waiting opening depends on."""
+    return WaitingOpening(
+        route.type,
+        route.priority,
+        Millis(now - opening.started_at),
+        route.objective_ms,
+        route.timeout_ms,
+    )
+
+
+def _describe_selection(
+    selection: Selection, opening: Opening, route: Route, now: Millis
+) -> dict[str, object]:
+    """Return the log fields of an opening that is offered after it waited."""
+    return {
+        "flow": format_flow(opening.packet.flow),
+        "ms": now - opening.started_at,
+        "kind": route.type,
+        "rule": selection.rule,
+    }
+
+
 def _make_scope_frame(site: SiteVersion, service: str) -> ScopeFrame:
     """Return a frame that lists the entries routed to a service."""
     entries = frozenset(
--- a/src/papayagw/_internal/core/plain/placement/openings.py
+++ b/src/papayagw/_internal/core/plain/placement/openings.py
@@ -71,6 +71,7 @@
         "started_at",
         "tried_agents",
         "unanswered_agents",
+        "was_selected",
     )
 
     def __init__(self, packet: FlowPacket, started_at: Millis):
@@ -80,6 +81,8 @@
         self.unanswered_agents: set[Endpoint] = set()
         self.seen_copies: set[int] = set()
         self.agent: AgentView | None = None
+        self.was_selected = False
+        """Whether it was offered when capacity became free, rather than on arrival."""
         self.is_declined = False
         """Whether a backend server that accepts openings has rejected this one."""
 
--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -1,11 +1,21 @@
 """Settings of the processes of the plain front end."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
 
+class AdmissionOrder(Enum):
+    """Order in which a balancer offers waiting openings."""
+
+    PRIORITY = "priority"
+    """By priority, then the newest first."""
+    DEADLINE = "deadline"
+    """By priority, then by the worth of an answer to the client."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlainSettings:
     """Settings that balancer and agent processes have in common.
@@ -51,9 +61,12 @@
     ----------
     entry : Endpoint
         UDP endpoint that receives clients' packets.
+    admission : AdmissionOrder
+        Order in which waiting openings are offered.
     """
 
     entry: Endpoint
+    admission: AdmissionOrder = AdmissionOrder.PRIORITY
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayagw/_internal/models/plain/site.py
+++ b/src/papayagw/_internal/models/plain/site.py
@@ -35,11 +35,20 @@
         One or more services that share the new flows by weight.
     priority : int
         Order in which new flows are served under overload: 0 before 1.
+    type : str
+        The operators' name of the kind of its requests; empty if none is stated.
+    objective_ms : Millis or None
+        Time within which an answer has its full value; None if none is stated.
+    timeout_ms : Millis or None
+        Time after which clients give a request up; None if none is stated.
     """
 
     name: str
     services: tuple[WeightedService, ...]
     priority: int = 0
+    type: str = ""
+    objective_ms: Millis | None = None
+    timeout_ms: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -8,6 +8,7 @@
 from papayagw._internal.core.plain.membership.roster import Roster
 from papayagw._internal.core.plain.ownership.batching import merge_owner_queries
 from papayagw._internal.core.plain.placement.choice import LeastWaitChooser
+from papayagw._internal.core.plain.placement.waiting import make_order
 from papayagw._internal.core.plain.routing.route_change_recorder import (
     RouteChangeRecorder,
 )
@@ -134,6 +135,7 @@
             LeastWaitChooser(settings.zone, random),
             self._on_newer_version,
             self._schedule_agents_refresh,
+            make_order(settings.admission),
         )
         self._entry = BatchSocket(settings.entry)
         self._site_watcher = PrefixWatcher(
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -13,6 +13,7 @@
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.settings import (
+    AdmissionOrder,
     PlainAgentSettings,
     PlainBalancerSettings,
 )
@@ -50,7 +51,9 @@
     """
     fields = _Fields(path)
     entry = fields.endpoint("entry")
-    return PlainBalancerSettings(**fields.common_arguments(entry), entry=entry)
+    return PlainBalancerSettings(
+        **fields.common_arguments(entry), entry=entry, admission=fields.admission()
+    )
 
 
 def load_agent_settings(path: Path) -> PlainAgentSettings:
@@ -117,6 +120,17 @@
             raise self._invalid_field(name, "a whole number")
         return value
 
+    def admission(self) -> AdmissionOrder:
+        """Return the order of waiting openings; that by priority if none is given."""
+        value = self._fields.get("admission")
+        if value is None:
+            return AdmissionOrder.PRIORITY
+        try:
+            return AdmissionOrder(value)
+        except ValueError as error:
+            names = " or ".join(one.value for one in AdmissionOrder)
+            raise self._invalid_field("admission", names) from error
+
     def optional_number(self, name: str) -> float | None:
         """Return a field that is a number from 0; None if it is absent or null."""
         value = self._fields.get(name)
--- a/src/papayagw/platform/site.py
+++ b/src/papayagw/platform/site.py
@@ -54,10 +54,24 @@
     # and `prefix` a port, such as "/8443/".
     address, port = fields["hostname"], int(fields["prefix"].strip("/"))
     priority = check_count(fields.get("priority", 0), "priority")
-    route = Route(fields.get("name", ""), _decode_services(fields), priority)
+    kind = fields.get("type")
+    route = Route(
+        fields.get("name", ""),
+        _decode_services(fields),
+        priority,
+        kind if isinstance(kind, str) else "",
+        _read_duration(fields, "objective_ms"),
+        _read_duration(fields, "timeout_ms"),
+    )
     return EntryKey(encode_entry(address, port)), route
 
 
+def _read_duration(fields: dict[str, Any], name: str) -> Millis | None:
+    """Return a field that holds a duration in ms; None if it is absent or null."""
+    value = fields.get(name)
+    return None if value is None else Millis(check_count(value, name))
+
+
 def _decode_limits(services: object) -> dict[str, ServiceLimits]:
     """Decode the limits of the services that state any.
 
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -101,7 +101,9 @@
     of milliseconds to pass.
     """
 
-    def __init__(self, agents=(A, B), chooser=None, age=MISSING_GRACE_MS + 1):
+    def __init__(
+        self, agents=(A, B), chooser=None, age=MISSING_GRACE_MS + 1, order=None
+    ):
         self.roster = Roster()
         for endpoint in agents:
             self.add(endpoint)
@@ -113,6 +115,7 @@
             chooser or FirstChooser(),
             self.count_newer,
             self.count_not_found,
+            order,
         )
         self.core.apply_site(make_site(), START)
         self.core.on_agents_listed(START - age)
--- a/tests/unit/test_plain_odd_values.py
+++ b/tests/unit/test_plain_odd_values.py
@@ -113,6 +113,8 @@
         *cases("routes.0.hostname", [b"7", b"null", b'"host"', b'"198.18.0.256"']),
         *cases("routes.0.prefix", ODD_PORTS),
         *cases("routes.0.service", ODD_TEXTS),
+        *cases("routes.0.objective_ms", [b'"x"', b"-1", b"true", b"1e999"]),
+        *cases("routes.0.timeout_ms", [b'"x"', b"-1", b"true", b"1e999"]),
         *cases("services.0.name", ODD_TEXTS),
         *cases("services.0.cold_start_s", [b"-1", b'"2"', b"true", b"NaN", b"1e999"]),
         *cases("services.0.cold_per_s", [b"-1", b'"2"', b"true", b"NaN", b"1e999"]),
--- a/tests/unit/test_platform_reports.py
+++ b/tests/unit/test_platform_reports.py
@@ -124,6 +124,25 @@
     assert route.priority == 2
 
 
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        # Earlier deployments state neither.
+        ({}, ("", None, None)),
+        (
+            {"type": "chat", "objective_ms": 277, "timeout_ms": 1_453},
+            ("chat", 277, 1_453),
+        ),
+        ({"type": 7, "objective_ms": None}, ("", None, None)),
+    ],
+)
+def test_worth_of_a_routes_requests(fields, expected):
+    routes = [{**ROUTE, "service": "a", **fields}]
+    value = {"version": 7, "routes": routes, "limits": LIMITS}
+    (route,) = decode_site(json.dumps(value).encode()).routes.values()
+    assert (route.type, route.objective_ms, route.timeout_ms) == expected
+
+
 @pytest.mark.parametrize(
     ("services", "limits"),
     [
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -8,6 +8,7 @@
 
 from papayagw._internal.exceptions import SettingsError
 from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.settings import AdmissionOrder
 from papayagw.platform.settings import load_agent_settings, load_balancer_settings
 
 DEPLOY = Path(__file__).resolve().parents[2] / "deploy"
@@ -92,6 +93,22 @@
     assert (settings.cold_overage, settings.cold_slack) == limit
 
 
+@pytest.mark.parametrize(
+    ("bounds", "order"),
+    [({}, AdmissionOrder.PRIORITY), ({"cold_overage": 1.5}, AdmissionOrder.DEADLINE)],
+)
+def test_order_of_waiting_openings(tmp_path, bounds, order):
+    machine = TEMPLATE_VALUES | {"bounds": TEMPLATE_VALUES["bounds"] | bounds}
+    path = write_settings(tmp_path, render("balancer.jsonc", machine))
+    assert load_balancer_settings(path).admission is order
+
+
+def test_an_unknown_order_of_waiting_openings_is_refused(tmp_path):
+    text = render("balancer.jsonc").replace("{", '{"admission": "x",', 1)
+    with pytest.raises(SettingsError, match="admission: expected priority or deadline"):
+        load_balancer_settings(write_settings(tmp_path, text))
+
+
 @pytest.mark.parametrize("value", ['"1.5"', "true", "-1", "NaN"])
 def test_an_invalid_limit_on_cold_servers_is_refused(tmp_path, value):
     text = render("agent.jsonc").replace("{", '{"cold_overage": ' + value + ",", 1)
