Repeat the rate of cold servers every 500 ms at most

Cause: after a loss of power every balancer would send each agent five frames a second with the rate of its cold server.

Change: a longer interval than that of scope frames, unless the agent's version is older.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -95,6 +95,13 @@
 SCOPE_INTERVAL_MS = Millis(200)
 """Minimum time between two scope frames sent to one agent."""
 
+LIMITS_INTERVAL_MS = Millis(500)
+"""Minimum time between two frames with the rate of a cold server to one agent.
+
+After a loss of power all servers are cold, and each balancer repeats the rate to all
+agents that report to it.
+"""
+
 
 class PlainBalancer:
     """State machine of one balancer; performs no I/O.
@@ -582,7 +589,8 @@
         if not is_older and not limits.is_cold_at(load.run_age_ms):
             return
         sent_at = self._scope_sent_at.get(view.endpoint)
-        if sent_at is not None and now - sent_at < SCOPE_INTERVAL_MS:
+        interval_ms = SCOPE_INTERVAL_MS if is_older else LIMITS_INTERVAL_MS
+        if sent_at is not None and now - sent_at < interval_ms:
             return
         self._scope_sent_at[view.endpoint] = now
         if limits.cold_per_s > 0:
