--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -1,11 +1,29 @@
 """Settings of the processes of the plain front end."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 
 
+class AdmissionOrder(Enum):
+    """Order in which a balancer offers waiting openings."""
+
+    PRIORITY = "priority"
+    """By priority, then the newest first."""
+    DEADLINE = "deadline"
+    """By priority, then by the worth of an answer to the client."""
+
+    @classmethod
+    def default_for(cls, cold_overage: float | None) -> "AdmissionOrder":
+        """Return the order for a deployment, by its bound on cold servers, if any.
+
+        Only deployments that state one ask for policies beyond the earlier ones.
+        """
+        return cls.PRIORITY if cold_overage is None else cls.DEADLINE
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlainSettings:
     """Settings that balancer and agent processes have in common.
@@ -55,9 +73,12 @@
     ----------
     entry : Endpoint
         UDP endpoint that receives clients' packets.
+    admission : AdmissionOrder
+        Order in which waiting openings are offered.
     """
 
     entry: Endpoint
+    admission: AdmissionOrder = AdmissionOrder.PRIORITY
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -9,6 +9,7 @@
 from papayagw._internal.core.plain.membership.roster import Roster
 from papayagw._internal.core.plain.ownership.batching import merge_owner_queries
 from papayagw._internal.core.plain.placement.choice import LeastWaitChooser
+from papayagw._internal.core.plain.placement.waiting import make_order
 from papayagw._internal.core.plain.routing.route_change_recorder import (
     RouteChangeRecorder,
 )
@@ -145,7 +146,8 @@
             LeastWaitChooser(settings.zone, random),
             self._on_newer_operator_keys,
             self._schedule_agents_refresh,
-            self._evacuations,
+            evacuations=self._evacuations,
+            order=make_order(settings.admission),
         )
         self._entry = BatchSocket(settings.entry)
         # One watch covers the configuration and the evacuations, and one read returns
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -5,18 +5,23 @@
 
 import json
 import os
+from enum import Enum
 from math import inf
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from papayagw._internal.exceptions import SettingsError, Step
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.settings import (
+    AdmissionOrder,
     PlainAgentSettings,
     PlainBalancerSettings,
 )
 
+Policy = TypeVar("Policy", bound=Enum)
+"""An enumeration of policies."""
+
 SETTINGS_VARIABLE = "PAPAYAGW_NODE_FILE"
 """Environment variable that holds the path of the settings file."""
 
@@ -50,7 +55,12 @@
     """
     fields = _Fields(path)
     entry = fields.endpoint("entry")
-    return PlainBalancerSettings(**fields.common_arguments(entry), entry=entry)
+    cold_overage = fields.bound("cold_overage")
+    return PlainBalancerSettings(
+        **fields.common_arguments(entry),
+        entry=entry,
+        admission=fields.policy("admission", AdmissionOrder.default_for(cold_overage)),
+    )
 
 
 def load_agent_settings(path: Path) -> PlainAgentSettings:
@@ -121,6 +131,18 @@
             raise self._invalid_field(name, "a whole number")
         return value
 
+    def policy(self, name: str, default: Policy) -> Policy:
+        """Return a field that names a policy; `default` if it is absent or null."""
+        value = self._fields.get(name)
+        if value is None:
+            return default
+        policies = type(default)
+        try:
+            return policies(value)
+        except ValueError as error:
+            names = " or ".join(one.value for one in policies)
+            raise self._invalid_field(name, names) from error
+
     def bound(self, name: str) -> float | None:
         """Return a bound that the deployment states, from 0; None if it states none."""
         bounds = self._fields.get("bounds", {})
