--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -115,7 +115,7 @@
             chooser or FirstChooser(),
             self.count_newer,
             self.count_not_found,
-            order,
+            order=order,
         )
         self.core.apply_site(make_site(), START)
         self.core.on_agents_listed(START - age)
