Setting `placement` of the balancer

Cause: the even load policy (docs/design/hard-load.md, part 4) must be enabled by the deployment. The balancer doesn't use it yet.

--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -1,6 +1,7 @@
 """Settings of the processes of the plain front end."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
@@ -43,6 +44,15 @@
     flow_limit_ms: Millis
 
 
+class Placement(Enum):
+    """Policy that selects the agent for an opening."""
+
+    LEAST_WAIT = "least_wait"
+    """The agent that is expected to answer first, by its latest load report."""
+    EVEN = "even"
+    """A random choice among the better agents, which allows for outdated reports."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlainBalancerSettings(PlainSettings):
     """Settings of a balancer process.
@@ -51,9 +61,12 @@
     ----------
     entry : Endpoint
         UDP endpoint that receives clients' packets.
+    placement : Placement
+        Policy that selects the agent for an opening.
     """
 
     entry: Endpoint
+    placement: Placement = Placement.LEAST_WAIT
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -12,6 +12,7 @@
 from papayagw._internal.models.clock import MILLIS_PER_SECOND, Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.settings import (
+    Placement,
     PlainAgentSettings,
     PlainBalancerSettings,
 )
@@ -49,7 +50,11 @@
     """
     fields = _Fields(path)
     entry = fields.endpoint("entry")
-    return PlainBalancerSettings(**fields.common_arguments(entry), entry=entry)
+    return PlainBalancerSettings(
+        **fields.common_arguments(entry),
+        entry=entry,
+        placement=fields.placement("placement"),
+    )
 
 
 def load_agent_settings(path: Path) -> PlainAgentSettings:
@@ -128,6 +133,17 @@
         except ValueError as error:
             raise self._invalid_field(name, "ip:port") from error
 
+    def placement(self, name: str) -> Placement:
+        """Return a field that names a placement policy; the default if absent."""
+        value = self._fields.get(name)
+        if value is None:
+            return Placement.LEAST_WAIT
+        try:
+            return Placement(value)
+        except ValueError as error:
+            names = " or ".join(repr(policy.value) for policy in Placement)
+            raise self._invalid_field(name, names) from error
+
     def _invalid_field(self, name: str, expected: str) -> SettingsError:
         """Return the error that a field is missing or isn't as expected."""
         found = self._fields.get(name)
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -8,6 +8,7 @@
 
 from papayagw._internal.exceptions import SettingsError
 from papayagw._internal.models.endpoint import Endpoint
+from papayagw._internal.models.plain.settings import Placement
 from papayagw.platform.settings import load_agent_settings, load_balancer_settings
 
 DEPLOY = Path(__file__).resolve().parents[2] / "deploy"
@@ -40,6 +41,12 @@
         return json.dumps(value) if match[2] else str(value)
 
     text = (DEPLOY / name).read_text(encoding="utf-8")
+    # A section is rendered only if its value is present.
+    sections = re.compile(r"\{\{#bounds\.(\w+)\}\}(.*?)\{\{/bounds\.\1\}\}")
+    bounds = machine["bounds"]
+    text = sections.sub(
+        lambda match: match[2] if bounds.get(match[1]) is not None else "", text
+    )
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill, text)
 
 
@@ -60,6 +67,27 @@
     assert (settings.grace_ms, settings.flow_limit_ms) == (6_000, 60_500)
 
 
+@pytest.mark.parametrize(
+    ("bounds", "placement"),
+    [
+        ({}, Placement.LEAST_WAIT),
+        ({"cold_overage": None}, Placement.LEAST_WAIT),
+        ({"cold_overage": 1.5}, Placement.EVEN),
+    ],
+)
+def test_placement_is_set_by_the_template(tmp_path, bounds, placement):
+    machine = {**TEMPLATE_VALUES, "bounds": TEMPLATE_VALUES["bounds"] | bounds}
+    text = render("balancer.jsonc", machine)
+    settings = load_balancer_settings(write_settings(tmp_path, text))
+    assert settings.placement is placement
+
+
+def test_unknown_placement_is_refused(tmp_path):
+    text = render("balancer.jsonc").replace("{", '{ "placement": "random",', 1)
+    with pytest.raises(SettingsError, match="expected 'least_wait' or 'even'"):
+        load_balancer_settings(write_settings(tmp_path, text))
+
+
 def test_agent(tmp_path):
     settings = load_agent_settings(write_settings(tmp_path, render("agent.jsonc")))
     assert settings.service == "huvo11a"
