Balancer: placement by the setting, returned openings by reason

Cause: the balancer process always used LeastWaitChooser, and its metrics counted returned openings without their reasons. Change: make_chooser selects the policy by the setting; without it the choices are those of LeastWaitChooser as before, which a test shows. The counter `opening returned {reason}` shows agents that are too busy.

--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -7,7 +7,7 @@
 from papayagw._internal.core.plain.balancer import PlainBalancer
 from papayagw._internal.core.plain.membership.roster import Roster
 from papayagw._internal.core.plain.ownership.batching import merge_owner_queries
-from papayagw._internal.core.plain.placement.choice import LeastWaitChooser
+from papayagw._internal.core.plain.placement.policies import make_chooser
 from papayagw._internal.core.plain.routing.route_change_recorder import (
     RouteChangeRecorder,
 )
@@ -131,7 +131,7 @@
         self._core = PlainBalancer(
             self._roster,
             self._route_history,
-            LeastWaitChooser(settings.zone, random),
+            make_chooser(settings.placement, settings.zone, random),
             self._on_newer_version,
             self._schedule_agents_refresh,
         )
@@ -269,6 +269,9 @@
                     self._runtime.send_reset(action)
                 case LogEvent():
                     self._runtime.record_event(action)
+                    if action.event == "opening returned":
+                        reason = action.fields["reason"]
+                        self._runtime.metrics.count(f"opening returned {reason}")
         self._alarm.set(self._core.due_at)
 
     # The store
