--- a/src/papayagw/_internal/core/plain/placement/even_load.py
+++ b/src/papayagw/_internal/core/plain/placement/even_load.py
@@ -28,7 +28,7 @@
 """
 
 LOAD_WEIGHT = 0.3
-"""Weight of a server's load that doesn't make a request wait, as a share of 1.
+"""Addition to the expected response time for each request per slot, in service times.
 
 An estimate that leaves a slot free may be wrong, the more so the higher it is.
 """
@@ -96,32 +96,40 @@
         Time for which the load is estimated.
     """
 
-    # One tuple of slots, service time in us and requests in progress per slot for each
-    # candidate: an object for each of 50 would double the cost of a choice.
-    __slots__ = ("_mean_service_us", "_servers", "_utilization")
+    # Each server is a tuple of its slots, its service time in us and its requests in
+    # progress per slot, since a choice must cost no more than by least wait.
+    __slots__ = ("_mean_load", "_mean_service_us", "_servers", "_utilization")
 
     def __init__(self, candidates: Sequence[AgentView], now: Millis):
         reports = [view.load for view in candidates if view.load is not None]
         known_us = [report.service_us for report in reports if report.service_us]
         mean_us = sum(known_us) / len(known_us) if known_us else FALLBACK_SERVICE_US
-        total = sum([report.slots for report in reports])
+        reported_slots = sum([report.slots for report in reports])
         busy = sum([report.utilization * report.slots for report in reports])
-        utilization = max(busy / total if total else 0.0, MIN_UTILIZATION)
+        utilization = max(
+            busy / reported_slots if reported_slots else 0.0, MIN_UTILIZATION
+        )
+        total_slots, total_load = 0, 0.0
         servers: list[tuple[int, float, float]] = []
         for view in candidates:
             report = view.load
             if report is None:
-                servers.append((1, mean_us, utilization + view.pending_offers))
-                continue
-            slots = report.slots or 1
-            service_us = report.service_us or mean_us
-            average = (report.utilization + utilization) / 2
-            age_us = US_PER_MS * (now - view.load_received_at)
-            validity = service_us / (service_us + age_us)
-            reported = report.busy / slots - average
-            load = average + reported * validity + view.pending_offers / slots
+                slots, service_us = 1, mean_us
+                load = utilization
+            else:
+                slots = report.slots or 1
+                service_us = report.service_us or mean_us
+                average = (report.utilization + utilization) / 2
+                age_us = US_PER_MS * (now - view.load_received_at)
+                reported = (report.busy / slots - average) * service_us
+                load = average + reported / (service_us + age_us)
+            if view.pending_offers:
+                load += view.pending_offers / slots
             servers.append((slots, service_us, load))
+            total_slots += slots
+            total_load += slots * load
         self._servers = servers
+        self._mean_load = total_load / total_slots
         self._mean_service_us = mean_us
         self._utilization = utilization
 
@@ -130,16 +138,13 @@
 
         They add up to more than 0, since the differences to the mean load cancel out.
         """
-        servers = self._servers
-        total = sum([slots * load for slots, _, load in servers])
-        mean_load = total / sum([slots for slots, _, _ in servers])
+        mean_load = self._mean_load
         expected_us = self._utilization * self._mean_service_us
-        return [
-            slots * share
-            if (share := expected_us / service_us + mean_load - load) > 0
-            else 0.0
-            for slots, service_us, load in servers
+        shares = [
+            slots * (expected_us / service_us + mean_load - load)
+            for slots, service_us, load in self._servers
         ]
+        return [share if share > 0 else 0.0 for share in shares]
 
     def expected_response_us(self, index: int) -> float:
         """Return the expected response time of the candidate at `index`."""
--- a/tests/lib/placement_model.py
+++ b/tests/lib/placement_model.py
@@ -2,8 +2,7 @@
 
 Clients, the backend servers' queues and the delays are modelled. Offers, returned
 openings, retries and load reports are those of `PlainBalancer` and `PlainAgent`.
-
-    python -m tests.lib.placement_model    # the table of docs/design/even-load.md
+`python -m bench.even_load` prints the table of docs/design/even-load.md.
 """
 
 import heapq
@@ -24,7 +23,12 @@
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import SendFrame, SendToBackend
-from papayagw._internal.models.plain.frame import ForwardFrame, LoadFrame, ToBalancer
+from papayagw._internal.models.plain.frame import (
+    ForwardFrame,
+    LoadFrame,
+    ReturnFrame,
+    ToBalancer,
+)
 from papayagw._internal.models.plain.instance import (
     AgentEntry,
     Departure,
@@ -236,9 +240,7 @@
             self.model.after(max(due_at - self.model.now, 0), self.wake, due_at)
 
     def receive(self, frame, source):
-        self.model.returned += not isinstance(frame, LoadFrame) and hasattr(
-            frame, "reason"
-        )
+        self.model.returned += isinstance(frame, ReturnFrame)
         self.handle(self.core.on_frame(frame, source, self.model.now))
 
     def wake(self, due_at):
