--- a/tests/unit/test_builds.py
+++ b/tests/unit/test_builds.py
@@ -1,4 +1,8 @@
-"""Tests of the scripts that install packages: another machine's are replaced."""
+"""Tests of the scripts that install packages.
+
+Another machine's packages are replaced, and a role that starts during a build finds
+its package.
+"""
 
 import os
 import shutil
@@ -22,6 +26,12 @@
 esac
 """
 
+PROBE = """#!/bin/sh
+# Stands in for a program of the same name: records that the package is missing.
+[ -e target/deps/papayagw/__init__.py ] || echo "missing before NAME $*" >> "$CALLS"
+PATH=${PATH#*:} exec NAME "$@"
+"""
+
 
 def make_checkout(folder):
     """Copy the scripts and what they read; return the environment to run them in."""
@@ -73,3 +83,20 @@
     assert run(script, tmp_path, environment) is is_rebuilt
     if script == "deploy/build":
         assert left.exists() is not is_rebuilt
+
+
+def test_the_package_is_there_at_each_step_of_a_build(tmp_path):
+    """Roles failed to start while another build had removed the package."""
+    environment = make_checkout(tmp_path)
+    (tmp_path / "src" / "papayagw" / "__init__.py").touch()
+    run("deploy/build", tmp_path, environment)
+    for name in ("cp", "find", "ln", "mv", "readlink", "rm"):
+        path = tmp_path / "programs" / name
+        path.write_text(PROBE.replace("NAME", name))
+        path.chmod(0o755)
+    for _ in range(3):
+        run("deploy/build", tmp_path, environment)
+        assert "missing" not in (tmp_path / "calls").read_text()
+    folders = [one for one in (tmp_path / "target").iterdir() if one.is_dir()]
+    # The one in use, by both of its names, and the previous one.
+    assert len(folders) == 3
