Lookups: reset a flow whose end nobody owns, never look up an abort

Cause: a client that gives a request up after a loss of power sends a FINISH and retransmits it. Change: a FINISH is confirmed and reset like any other packet. An ABORT starts no lookup; it goes to a known owner or joins a lookup in progress, and ends one that all agents denied. So that a denial stays certain for a flow that its server alone has ended, an agent keeps such a flow until its client has ended it too (or the idle limit): 5 s after the server's end it denied a flow that the server may hold half-closed. Tests: the row of test_flows_that_nobody_owns that expected no reset for a FINISH now expects one, with rows for ABORT in each stage beside it; it guarded late packets of ended flows, which the new rows of test_ownership cover at the agent.

--- a/src/papayagw/_internal/core/plain/ownership/owned_flows.py
+++ b/src/papayagw/_internal/core/plain/ownership/owned_flows.py
@@ -8,13 +8,14 @@
     MAX_COPY_AGE_MS,
     FlowKey,
     FlowPacket,
+    PacketKind,
 )
 
 MAX_FLOWS = 20_000
 """Maximum number of tracked flows: ten times what a backend server holds."""
 
 ENDED_FLOW_RETENTION_MS = Millis(5_000)
-"""How long an ended flow stays in the table, for packets that arrive late.
+"""How long a flow that both ends have ended stays in the table, for late packets.
 
 Longer than the sum of the clients' first four retransmission intervals.
 """
@@ -61,6 +62,9 @@
         The opening that the backend server hasn't answered yet.
     ended_at : Millis or None
         When the flow was closed; None while it is open.
+    is_client_done : bool
+        Whether the client has ended its direction, or either end aborted the flow.
+        Until then the backend server may hold a flow that it has closed itself.
     """
 
     __slots__ = (
@@ -71,6 +75,7 @@
         "request_started_at",
         "client_sequence_end",
         "ended_at",
+        "is_client_done",
         "pending_opening",
         "is_established",
         "opening_sequence",
@@ -100,6 +105,7 @@
         self.opening_sent_at: Millis | None = None
         self.pending_opening: FlowPacket | None = None
         self.ended_at: Millis | None = None
+        self.is_client_done = False
 
     def is_copy(self, opening: FlowPacket, now: Millis) -> bool:
         """Whether an opening is a copy of this flow's.
@@ -142,6 +148,7 @@
 
     def record_client_packet(self, packet: FlowPacket) -> bool:
         """Record a client's packet; return whether it carries new bytes."""
+        self.is_client_done |= packet.kind.is_closing
         if packet.acknowledged is not None:
             self.acknowledged = packet.acknowledged
         if not packet.payload_bytes or self.ended_at is not None:
@@ -150,7 +157,8 @@
         return self._advance_client_sequence(end)
 
     def record_backend_packet(self, packet: FlowPacket) -> None:
-        """Record the sequence numbers of a backend server's packet."""
+        """Record a backend server's packet: its sequence numbers, and an abort."""
+        self.is_client_done |= packet.kind is PacketKind.ABORT
         if self.backend_sequence is None:
             self.backend_sequence = packet.sequence
         if packet.acknowledged is not None:
@@ -193,9 +201,10 @@
         self._flows.pop(flow, None)
 
     def sweep(self, now: Millis, idle_ms: Millis) -> list[OwnedFlow]:
-        """Remove and return flows that have been idle for `idle_ms` or ended.
+        """Remove and return flows that have been idle for `idle_ms` or have ended.
 
-        Ended flows are kept for `ENDED_FLOW_RETENTION_MS`.
+        Flows that both ends have ended are kept for `ENDED_FLOW_RETENTION_MS` after
+        their last packet.
         """
         expired = [
             (key, owned)
@@ -203,7 +212,8 @@
             if now - owned.seen_at > idle_ms
             or (
                 owned.ended_at is not None
-                and now - owned.ended_at > ENDED_FLOW_RETENTION_MS
+                and owned.is_client_done
+                and now - owned.seen_at > ENDED_FLOW_RETENTION_MS
             )
         ]
         for key, _ in expired:
--- a/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
@@ -29,7 +29,11 @@
     OwnerReply,
     Ownership,
 )
-from papayagw._internal.models.plain.packet import FlowPacket, format_flow
+from papayagw._internal.models.plain.packet import (
+    FlowPacket,
+    PacketKind,
+    format_flow,
+)
 
 
 class OwnerLookup:
@@ -92,6 +96,10 @@
         lookup = self._lookups.find(packet.flow)
         if lookup is not None:
             return self._add_packet(lookup, packet, excluded, now)
+        if packet.kind is PacketKind.ABORT:
+            # Its client expects no answer, and a server without it ends the flow once
+            # it is idle.
+            return []
         agents = self._list_agents(packet, now)
         if excluded is not None:
             agents = [view for view in agents if view.endpoint != excluded.endpoint]
@@ -164,11 +172,12 @@
         """Add another packet of the flow to a lookup in progress."""
         if excluded is None:
             lookup.hold_packet(packet)
-            return (
-                []
-                if lookup.stage is Stage.QUERYING
-                else self._forward_to_candidates(lookup)
-            )
+            if lookup.stage is Stage.QUERYING:
+                return []
+            return [
+                *self._forward_to_candidates(lookup),
+                *self._confirm_no_owner(lookup, now),
+            ]
         lookup.record_return(excluded.endpoint)
         if lookup.stage is Stage.QUERYING:
             lookup.hold_packet(packet)
@@ -200,7 +209,11 @@
 
     def _confirm_no_owner(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Request a new list of agents if no queried agent may own the flow."""
-        if not lookup.is_denied or lookup.last_packet.kind.is_closing:
+        if not lookup.is_denied:
+            return []
+        if lookup.last_packet.kind is PacketKind.ABORT:
+            # Its client expects no reset.
+            self._lookups.end(lookup.flow)
             return []
         if lookup.stage is not Stage.CONFIRMING:
             self._lookups.start_confirming(lookup, now)
--- a/tests/unit/test_plain_agent.py
+++ b/tests/unit/test_plain_agent.py
@@ -11,6 +11,9 @@
     BACKEND_ACCEPT_TIMEOUT_MS,
     PlainAgent,
 )
+from papayagw._internal.core.plain.ownership.owned_flows import (
+    ENDED_FLOW_RETENTION_MS,
+)
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
     LogEvent,
@@ -350,6 +353,9 @@
 
 ADOPTED = ["ready", ANSWER]
 ABORT = ForwardFrame("order", make_packet(FLOW, PacketKind.ABORT, 11, 501))
+CLIENT_FINISH = ForwardFrame("order", make_packet(FLOW, PacketKind.FINISH, 11, 511))
+LATER = [ENDED_FLOW_RETENTION_MS, 1_001]
+"""Steps after which the agent removes a flow that has ended."""
 USED_PORT_DATA = make_packet(FLOW, PacketKind.DATA, 7_001, 90_000_000, payload=10)
 
 
@@ -434,6 +440,24 @@
         (ACCEPTED, ACCEPT_SEQUENCE - 1, Ownership.NOT_OWNER),
         (ACCEPTED, ACCEPT_SEQUENCE + (1 << 23), Ownership.NOT_OWNER),
         ([*OPEN, FINISH], ACCEPT_SEQUENCE + 20, Ownership.OWNER),
+        # The server may hold a flow until its client has ended it too.
+        ([*OPEN, FINISH, *LATER], ACCEPT_SEQUENCE + 20, Ownership.OWNER),
+        (
+            [*OPEN, CLIENT_FINISH, FINISH, *LATER],
+            ACCEPT_SEQUENCE + 20,
+            Ownership.NOT_OWNER,
+        ),
+        (
+            [*OPEN, FINISH, *LATER, CLIENT_FINISH, 1_000],
+            ACCEPT_SEQUENCE + 20,
+            Ownership.OWNER,
+        ),
+        ([*OPEN, ABORT, *LATER], ACCEPT_SEQUENCE + 20, Ownership.NOT_OWNER),
+        (
+            [*OPEN, replace(FINISH, kind=PacketKind.ABORT), *LATER],
+            ACCEPT_SEQUENCE + 20,
+            Ownership.NOT_OWNER,
+        ),
         # Learnt from the backend server's own packets after the agent's restart.
         (["ready", ANSWER], 12_345, Ownership.OWNER),
     ],
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -72,6 +72,7 @@
 COPY = make_packet(FLOW, PacketKind.OPEN, copy=1)
 DATA = make_packet(FLOW, PacketKind.DATA, 1, 501, payload=10)
 FINISH = make_packet(FLOW, PacketKind.FINISH, 11, 501)
+ABORT = make_packet(FLOW, PacketKind.ABORT, 11, 501)
 START = 10_000
 
 
@@ -580,6 +581,14 @@
             [(A, ForwardFrame)] * 2,
         ),
         ([DATA, REPLY_TIMEOUT_MS], []),
+        # An abort is sent to a known owner, but isn't worth a query to every agent.
+        ([ABORT], []),
+        ([OPENING, OPENED, ABORT], [(A, ForwardFrame)]),
+        ([OPENING, OPENED, returned(A, ReturnReason.NOT_OWNER, ABORT)], []),
+        (
+            [DATA, ABORT, owner_reply(B, Ownership.OWNER)],
+            [(B, ForwardFrame), (B, ForwardFrame)],
+        ),
         # Returned by the cached owner: the other agent is queried.
         (
             [OPENING, OPENED, returned(A, ReturnReason.NOT_OWNER, DATA)],
@@ -604,7 +613,6 @@
 
 
 USED_PORT_OPENING = make_packet(FLOW, PacketKind.OPEN, 7_000)
-ABORT = make_packet(FLOW, PacketKind.ABORT, 1, 501)
 
 
 @pytest.mark.parametrize(
@@ -711,7 +719,13 @@
         ([*DENIED, "listed"], 1, 1),
         ([DATA, owner_reply(A, Ownership.NOT_OWNER), "listed"], 0, 0),
         ([DATA, REPLY_TIMEOUT_MS, "listed"], 0, 0),
-        ([FINISH, *DENIED[1:], "listed"], 0, 0),
+        # A client that gave up sends its end again until it is answered.
+        ([FINISH, *DENIED[1:], "listed"], 1, 1),
+        ([*DENIED, FINISH, "listed"], 1, 1),
+        # An abort needs no answer.
+        ([ABORT, *DENIED[1:], "listed"], 0, 0),
+        ([DATA, ABORT, *DENIED[1:], "listed"], 0, 0),
+        ([*DENIED, ABORT, "listed"], 0, 1),
         # The store holds an agent that hasn't been queried.
         ([*DENIED, (C, "added"), "listed"], 0, 1),
         ([*DENIED, (C, "added"), "listed", owner_reply(C, Ownership.OWNER)], 0, 1),
