Lookups: keep the denials until the list of agents is certain

Cause: a lookup that all agents had denied was dropped 700 ms after its queries if the list of agents wasn't certain by then, as within 2 s of a balancer's first read or while the store is away. One with silent agents was dropped after 150 ms. Change: a lookup is kept for 4 s after its flow's last packet. One that was denied is reset as soon as the list is certain, which is checked every 200 ms and after each read; another read is requested 700 ms after the last. One with silent or unsure agents queries only these again. The denials hold for packets with the same acknowledgement number, and end with an opening from the port. Beyond 2,048 lookups the oldest that has no reply due gives way. An agent that returned a packet isn't queried for it again: otherwise one that still tracks an ended flow claimed it, and packet and queries went round with each read. The time of the first packet of a flow to its reset is logged.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -131,6 +131,7 @@
             self._lost_its_flows,
         )
         self._first_listed_at: Millis | None = None
+        self._last_listed_at = Millis(0)
         self._is_after_power_loss = False
         self._next_probe_at: Millis | None = None
         self._scope_sent_at: dict[Endpoint, Millis] = {}
@@ -175,6 +176,7 @@
 
         Continues the owner lookups that waited for it.
         """
+        self._last_listed_at = now
         if self._first_listed_at is None:
             self._first_listed_at = now
             self._next_probe_at = Millis(now + PROBE_INTERVAL_MS)
@@ -267,6 +269,7 @@
         self, packet: FlowPacket, route: Route, now: Millis
     ) -> list[Action]:
         """Offer an opening to an agent, or resend it to the agent that accepted it."""
+        self._lookup.forget_denials(packet.flow)
         cached = self._flows.find(packet.flow)
         if cached is not None and cached.is_copy(packet, now):
             # The acceptance was lost on the way to the client. The backend server
@@ -544,13 +547,14 @@
         """Return whether `agents` includes every agent that may own a flow.
 
         At the first read of the store, the entry of a running agent may be missing; it
-        is restored within `MISSING_GRACE_MS`. If all backend servers have started
-        recently, no earlier flow can exist and there is no need to wait.
+        is restored within `MISSING_GRACE_MS`, and a later read shows it. If all backend
+        servers have started recently, no earlier flow can exist and there is no need to
+        wait.
         """
         first_listed_at = self._first_listed_at
         if first_listed_at is None:
             return False
-        if now - first_listed_at > MISSING_GRACE_MS:
+        if self._last_listed_at - first_listed_at > MISSING_GRACE_MS:
             return True
         start = Millis(first_listed_at - RESTART_SPREAD_MS)
         return all(
--- a/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
@@ -2,7 +2,8 @@
 
 The balancer queries all agents that may own the flow and forwards the client's packets
 to the owner or, if no agent confirms, to the agents that can't rule ownership out. It
-resets the flow only once it is certain that no agent owns it.
+resets the flow only once it is certain that no agent owns it. Until then it remembers
+which agents denied the flow, and queries only the others again.
 """
 
 from collections.abc import Callable
@@ -30,11 +31,28 @@
     Ownership,
 )
 from papayagw._internal.models.plain.packet import (
+    EntryKey,
+    FlowKey,
     FlowPacket,
     PacketKind,
     format_flow,
 )
 
+CHECK_INTERVAL_MS = Millis(200)
+"""Interval between checks whether the list of agents has become certain.
+
+Clients of flows without an owner wait for it. A check costs about 0.1 ms of processor
+time for each entry with such flows.
+"""
+
+READ_INTERVAL_MS = Millis(700)
+"""Time after a read of the agents' entries at which another one is requested.
+
+Applies while flows without an owner wait, since a read within `MISSING_GRACE_MS` of
+the first one may not make the list of agents certain. Longer than a slow response of
+the store.
+"""
+
 
 class OwnerLookup:
     """Finds the owners of unknown flows for one balancer.
@@ -73,11 +91,14 @@
         self._knows_all_agents = knows_all_agents
         self._lost_its_flows = lost_its_flows
         self._lookups = PendingLookups()
+        self._check_at: Millis | None = None
+        self._listed_at = Millis(0)
 
     @property
     def due_at(self) -> Millis | None:
         """Time at which `on_timer` must be called next; None if no timer is pending."""
-        return self._lookups.due_at
+        due = (self._lookups.due_at, self._check_at)
+        return min((at for at in due if at is not None), default=None)
 
     def find_owner(
         self, packet: FlowPacket, now: Millis, excluded: AgentView | None = None
@@ -95,7 +116,9 @@
         """
         lookup = self._lookups.find(packet.flow)
         if lookup is not None:
-            return self._add_packet(lookup, packet, excluded, now)
+            if not lookup.is_outdated_by(packet, now):
+                return self._add_packet(lookup, packet, excluded, now)
+            self._lookups.end(packet.flow)
         if packet.kind is PacketKind.ABORT:
             # Its client expects no answer, and a server without it ends the flow once
             # it is idle.
@@ -103,12 +126,20 @@
         agents = self._list_agents(packet, now)
         if excluded is not None:
             agents = [view for view in agents if view.endpoint != excluded.endpoint]
-        entries = {view.entry for view in agents}
-        lookup = self._lookups.begin(packet, entries, now) if agents else None
+        lookup = self._lookups.begin(packet, now) if agents else None
         if lookup is None:
             return []
+        if excluded is not None:
+            # Its backend server handed the packet back, so that it isn't the owner.
+            lookup.queried_agents = frozenset((excluded.entry,))
         lookup.hold_packet(packet)
-        return [_make_query(view, packet, now) for view in agents]
+        return self._query(lookup, agents, now)
+
+    def forget_denials(self, flow: FlowKey) -> None:
+        """Drop the denials of a flow, as its client opens another from its port."""
+        lookup = self._lookups.find(flow)
+        if lookup is not None and lookup.stage is Stage.CONFIRMING:
+            self._lookups.end(flow)
 
     def on_reply(self, reply: OwnerReply, view: AgentView, now: Millis) -> list[Action]:
         """Handle an agent's reply to an owner query, or its claim to own a flow."""
@@ -121,28 +152,64 @@
         return [] if lookup.pending_agents else self._end_querying(lookup, now)
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """End the wait for overdue replies and return the resulting actions."""
+        """End the wait for overdue replies and return the resulting actions.
+
+        Flows that no agent owns are reset if the list of agents is certain by now.
+        """
         actions: list[Action] = []
         for lookup in self._lookups.pop_due(now):
             actions += self._end_querying(lookup, now)
+        if self._check_at is not None and now >= self._check_at:
+            actions += self._reset_certain(now)
         return actions
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
         """Continue the lookups that wait for a full read of the agents' entries."""
+        self._listed_at = now
         actions: list[Action] = []
+        for lookup, agents in self._list_confirming(now):
+            lookup.is_listed = True
+            actions += self._query_others(lookup, agents, now)
+        return [*actions, *self._reset_certain(now)]
+
+    def _list_confirming(
+        self, now: Millis
+    ) -> list[tuple[PendingLookup, list[AgentView]]]:
+        """Return the lookups in the stage of confirming, each with possible owners.
+
+        The agents are the same object for all flows of an entry.
+        """
+        agents: dict[EntryKey, list[AgentView]] = {}
+        found = []
         for lookup in self._lookups.list_confirming():
-            agents = self._list_agents(lookup.last_packet, now)
-            others = [
-                view for view in agents if view.entry not in lookup.queried_agents
-            ]
-            if others:
-                entries = {view.entry for view in others}
-                self._lookups.query_others(lookup, entries, now)
-                actions += [
-                    _make_query(view, lookup.last_packet, now) for view in others
-                ]
-            elif self._knows_all_agents(agents, now):
-                actions += self._reset_ownerless(lookup)
+            packet = lookup.last_packet
+            if packet.entry not in agents:
+                agents[packet.entry] = self._list_agents(packet, now)
+            found.append((lookup, agents[packet.entry]))
+        return found
+
+    def _reset_certain(self, now: Millis) -> list[Action]:
+        """Reset the flows without an owner for which the list of agents is certain.
+
+        Requests another read of the agents' entries if there are others, and the last
+        one is `READ_INTERVAL_MS` ago.
+        """
+        actions: list[Action] = []
+        certainty: dict[EntryKey, bool] = {}
+        is_waiting = False
+        for lookup, agents in self._list_confirming(now):
+            entry = lookup.last_packet.entry
+            if lookup.is_listed and entry not in certainty:
+                certainty[entry] = self._knows_all_agents(agents, now)
+            if not lookup.is_listed or not certainty[entry]:
+                is_waiting = True
+                continue
+            # An agent may have become known since the read.
+            queries = self._query_others(lookup, agents, now)
+            actions += queries or self._reset_ownerless(lookup, now)
+        self._check_at = Millis(now + CHECK_INTERVAL_MS) if is_waiting else None
+        if is_waiting and now - self._listed_at >= READ_INTERVAL_MS:
+            self._on_owner_not_found()
         return actions
 
     def _on_owner_found(
@@ -170,7 +237,13 @@
         now: Millis,
     ) -> list[Action]:
         """Add another packet of the flow to a lookup in progress."""
+        lookup.seen_at = now
         if excluded is None:
+            if lookup.may_query_again(now):
+                return self._query_again(lookup, packet, now)
+            if lookup.stage is Stage.CONFIRMING:
+                # The client sends the same bytes again, of which one copy suffices.
+                lookup.release_packets()
             lookup.hold_packet(packet)
             if lookup.stage is Stage.QUERYING:
                 return []
@@ -186,6 +259,39 @@
         lookup.last_packet = packet
         return self._confirm_no_owner(lookup, now)
 
+    def _query(
+        self, lookup: PendingLookup, agents: list[AgentView], now: Millis
+    ) -> list[Action]:
+        """Query agents that haven't denied the flow of a lookup."""
+        self._lookups.query(lookup, [view.entry for view in agents], now)
+        return [_make_query(view, lookup.last_packet, now) for view in agents]
+
+    def _query_others(
+        self, lookup: PendingLookup, agents: list[AgentView], now: Millis
+    ) -> list[Action]:
+        """Query the given agents that haven't been queried for the flow of a lookup."""
+        others = [view for view in agents if view.entry not in lookup.queried_agents]
+        return self._query(lookup, others, now) if others else []
+
+    def _query_again(
+        self, lookup: PendingLookup, packet: FlowPacket, now: Millis
+    ) -> list[Action]:
+        """Query the agents that haven't denied the flow, now that its client waits.
+
+        These are the ones that didn't reply or may own the flow, as far as they are
+        still known, and the ones that weren't known before.
+        """
+        lookup.release_packets()
+        lookup.hold_packet(packet)
+        undecided = lookup.pending_agents | lookup.candidates
+        agents = [
+            view
+            for view in self._list_agents(packet, now)
+            if view.endpoint in undecided or view.entry not in lookup.queried_agents
+        ]
+        actions = self._query(lookup, agents, now)
+        return actions if agents else self._end_querying(lookup, now)
+
     def _end_querying(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Stop waiting for replies to the owner queries.
 
@@ -200,7 +306,7 @@
             "unsure": len(lookup.candidates),
             "silent": len(lookup.pending_agents),
         }
-        self._lookups.finish_querying(lookup, now)
+        self._lookups.finish_querying(lookup)
         return [
             LogEvent("owner unknown", fields),
             *self._forward_to_candidates(lookup),
@@ -216,16 +322,22 @@
             self._lookups.end(lookup.flow)
             return []
         if lookup.stage is not Stage.CONFIRMING:
-            self._lookups.start_confirming(lookup, now)
+            self._lookups.start_confirming(lookup)
+            if self._check_at is None:
+                self._check_at = Millis(now + CHECK_INTERVAL_MS)
             self._on_owner_not_found()
         return []
 
-    def _reset_ownerless(self, lookup: PendingLookup) -> list[Action]:
+    def _reset_ownerless(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Reset the client of a flow that no agent owns."""
         self._lookups.end(lookup.flow)
         self._flows.drop(lookup.flow)
         reset = ResetClient(lookup.flow, lookup.last_packet.acknowledged or 0)
-        fields = {"flow": format_flow(lookup.flow), "asked": len(lookup.queried_agents)}
+        fields = {
+            "flow": format_flow(lookup.flow),
+            "asked": len(lookup.queried_agents),
+            "ms": now - lookup.began_at,
+        }
         return [reset, LogEvent("flow has no owner", fields)]
 
     def _forward_to_candidates(self, lookup: PendingLookup) -> list[Action]:
--- a/src/papayagw/_internal/core/plain/ownership/pending_lookups.py
+++ b/src/papayagw/_internal/core/plain/ownership/pending_lookups.py
@@ -1,5 +1,6 @@
-"""Owner lookups in progress, with the packets held for the owner."""
+"""Owner lookups, with the packets held for the owner and the agents' denials."""
 
+from collections.abc import Collection
 from enum import Enum
 
 from papayagw._internal.core.deadlines import DeadlineQueue
@@ -19,21 +20,22 @@
 """
 
 LOOKUP_RETRY_MS = Millis(150)
-"""How long a lookup is kept after its queries if no owner is confirmed.
+"""Time after its queries from which a lookup without an owner queries again.
 
-The next packet of the flow then starts a new lookup.
+The next packet of the flow then causes queries to the agents that haven't denied it.
 
 Slightly below the client's shortest retransmission interval.
 """
 
-CONFIRM_TIMEOUT_MS = Millis(700)
-"""How long to wait for a read of the agents' entries before ending the lookup.
+LOOKUP_VALIDITY_MS = Millis(4_000)
+"""How long a lookup is kept after the last packet of its flow.
 
-Allows for one slow response of the store, which usually responds within milliseconds.
+More than two of the clients' longest retransmission intervals of 1.6 s, so that the
+denials of a flow whose client still waits outlast one lost packet.
 """
 
 MAX_LOOKUPS = 2_048
-"""Maximum number of lookups in progress."""
+"""Maximum number of lookups; beyond it, the oldest that has no reply due is dropped."""
 
 MAX_HELD_PACKETS = 16
 """Maximum number of packets held per lookup: the most a client has in flight."""
@@ -54,7 +56,7 @@
     TRYING = "trying"
     """Forwarding packets to possible owners until one confirms ownership."""
     CONFIRMING = "confirming"
-    """All known agents deny owning the flow; the list of agents is being read again."""
+    """All known agents deny owning the flow; the list of agents isn't certain yet."""
     FAILED = "failed"
     """No possible owner was found before the timeout."""
 
@@ -62,18 +64,21 @@
 class PendingLookup:
     """The lookup of the owner of one flow.
 
+    An agent that denied the flow isn't queried again: a flow that exists is never given
+    to another backend server.
+
     Parameters
     ----------
     packet : FlowPacket
         The client's packet that started the lookup.
-    queried_agents : set of AgentEntry
-        Agents that were queried, none of which has replied yet.
+    now : Millis
+        Time at which it arrived.
 
     Attributes
     ----------
-    queried_agents : set of AgentEntry
-        All agents queried so far. An endpoint may be given to another agent meanwhile,
-        which must be queried too.
+    queried_agents : frozenset of AgentEntry
+        All agents queried so far, or known to deny the flow. An endpoint may be given
+        to another agent meanwhile, which must be queried too.
     pending_agents : set of Endpoint
         Agents that haven't replied yet.
     candidates : set of Endpoint
@@ -82,42 +87,84 @@
         Packets of the flow, held until the owner is known.
     last_packet : FlowPacket
         The flow's latest packet.
+    began_at : Millis
+        When the flow's first packet arrived.
+    seen_at : Millis
+        When the flow's latest packet arrived.
+    queried_at : Millis
+        When the agents were queried last.
+    is_listed : bool
+        Whether the list of agents was read since the last denial, and showed no agent
+        that wasn't queried.
     """
 
     __slots__ = (
-        "_returning_agents",
+        "_acknowledged",
         "_trial_packet_count",
-        "queried_agents",
-        "pending_agents",
+        "began_at",
+        "candidates",
         "flow",
-        "last_packet",
         "held_packets",
+        "is_listed",
+        "last_packet",
+        "pending_agents",
+        "queried_agents",
+        "queried_at",
+        "seen_at",
         "stage",
-        "candidates",
     )
 
-    def __init__(self, packet: FlowPacket, queried_agents: set[AgentEntry]):
+    def __init__(self, packet: FlowPacket, now: Millis):
         self.flow = packet.flow
         self.last_packet = packet
-        self.queried_agents = queried_agents
-        self.pending_agents = {entry.endpoint for entry in queried_agents}
+        self.began_at = self.seen_at = self.queried_at = now
+        self.queried_agents: frozenset[AgentEntry] = frozenset()
+        self.pending_agents: set[Endpoint] = set()
         self.candidates: set[Endpoint] = set()
         self.held_packets: list[FlowPacket] = []
         self.stage = Stage.QUERYING
+        self.is_listed = False
+        self._acknowledged = packet.acknowledged
         self._trial_packet_count = 0
-        self._returning_agents: set[Endpoint] = set()
 
     @property
     def is_denied(self) -> bool:
         """Whether every queried agent has replied that it doesn't own the flow."""
         return not self.pending_agents and not self.candidates
 
+    def may_query_again(self, now: Millis) -> bool:
+        """Return whether agents that haven't denied the flow may be queried again."""
+        return (
+            self.stage in (Stage.TRYING, Stage.FAILED)
+            and now - self.queried_at >= LOOKUP_RETRY_MS
+        )
+
+    def is_outdated_by(self, packet: FlowPacket, now: Millis) -> bool:
+        """Return whether the denials so far may not hold for a packet.
+
+        With another acknowledgement number it may be of a later flow from the same
+        port, unless it follows the queries at once.
+        """
+        if packet.acknowledged == self._acknowledged:
+            return False
+        return self.stage is Stage.CONFIRMING or self.may_query_again(now)
+
     def hold_packet(self, packet: FlowPacket) -> None:
         """Hold a packet until the owner is known; drop it if there are too many."""
         self.last_packet = packet
         if len(self.held_packets) < MAX_HELD_PACKETS:
             self.held_packets.append(packet)
 
+    def release_packets(self) -> None:
+        """Drop the held packets, before their flow is looked up again."""
+        self.held_packets = []
+        self._trial_packet_count = 0
+
+    @property
+    def trial_packets(self) -> list[FlowPacket]:
+        """The held packets that possible owners have received."""
+        return self.held_packets[: self._trial_packet_count]
+
     def next_trial_packets(self) -> list[FlowPacket]:
         """Return the held packets that possible owners haven't received yet.
 
@@ -135,21 +182,26 @@
             self._trial_packet_count if owner in self.candidates else 0 :
         ]
 
-    def record_reply(self, agent: Endpoint, ownership: Ownership) -> None:
-        """Record that an agent denies owning the flow, or doesn't know."""
-        self.pending_agents.discard(agent)
-        if ownership is Ownership.UNKNOWN and agent not in self._returning_agents:
-            self.candidates.add(agent)
-        else:
+    def record_reply(self, agent: Endpoint, ownership: Ownership) -> bool:
+        """Record that an agent denies owning the flow, or doesn't know.
+
+        Return False if that changes nothing: an agent that has denied the flow, or
+        returned a packet of it, isn't the owner, whatever a late reply says.
+        """
+        if agent in self.pending_agents:
+            self.pending_agents.discard(agent)
+            if ownership is Ownership.UNKNOWN:
+                self.candidates.add(agent)
+            return True
+        if agent in self.candidates and ownership is not Ownership.UNKNOWN:
             self.candidates.discard(agent)
+            return True
+        return False
 
     def record_return(self, agent: Endpoint) -> None:
-        """Record that an agent returned a packet of the flow, so it isn't the owner.
-
-        A later reply that it doesn't know whether it owns the flow is ignored.
-        """
-        self._returning_agents.add(agent)
-        self.record_reply(agent, Ownership.NOT_OWNER)
+        """Record that an agent returned a packet of the flow, so it isn't the owner."""
+        self.pending_agents.discard(agent)
+        self.candidates.discard(agent)
 
 
 class PendingLookups:
@@ -168,35 +220,50 @@
         """Return the lookup of a flow's owner, or None."""
         return self._lookups.get(flow)
 
-    def begin(
-        self, packet: FlowPacket, queried_agents: set[AgentEntry], now: Millis
-    ) -> PendingLookup | None:
+    def begin(self, packet: FlowPacket, now: Millis) -> PendingLookup | None:
         """Start and return a lookup, or return None if there are too many."""
-        if len(self._lookups) >= MAX_LOOKUPS:
+        if len(self._lookups) >= MAX_LOOKUPS and not self._drop_oldest(now):
             return None
-        lookup = self._lookups[packet.flow] = PendingLookup(packet, queried_agents)
-        self._set_stage(lookup, Stage.QUERYING, REPLY_TIMEOUT_MS, now)
+        lookup = self._lookups[packet.flow] = PendingLookup(packet, now)
         return lookup
 
-    def query_others(
-        self, lookup: PendingLookup, others: set[AgentEntry], now: Millis
+    def query(
+        self,
+        lookup: PendingLookup,
+        entries: Collection[AgentEntry],
+        now: Millis,
     ) -> None:
-        """Restart the wait for replies, with agents that weren't queried before."""
-        lookup.queried_agents |= others
-        lookup.pending_agents = {entry.endpoint for entry in others}
-        self._set_stage(lookup, Stage.QUERYING, REPLY_TIMEOUT_MS, now)
-
-    def finish_querying(self, lookup: PendingLookup, now: Millis) -> None:
+        """Enter the stage of querying, and wait for replies of the given agents only.
+
+        Parameters
+        ----------
+        lookup : PendingLookup
+            The lookup.
+        entries : collection of AgentEntry
+            Agents that haven't denied the flow.
+        now : Millis
+            Time at which they are queried.
+        """
+        lookup.queried_agents |= frozenset(entries)
+        lookup.pending_agents = {entry.endpoint for entry in entries}
+        lookup.candidates = set()
+        lookup.queried_at = now
+        lookup.stage = Stage.QUERYING
+        self._deadlines.set(lookup.flow, Millis(now + REPLY_TIMEOUT_MS))
+
+    def finish_querying(self, lookup: PendingLookup) -> None:
         """Try the possible owners if there are any, else mark the lookup as failed."""
-        stage = Stage.TRYING if lookup.candidates else Stage.FAILED
-        self._set_stage(lookup, stage, LOOKUP_RETRY_MS, now)
+        self._set_stage(lookup, Stage.TRYING if lookup.candidates else Stage.FAILED)
 
-    def start_confirming(self, lookup: PendingLookup, now: Millis) -> None:
-        """Wait until the list of agents has been read again."""
-        self._set_stage(lookup, Stage.CONFIRMING, CONFIRM_TIMEOUT_MS, now)
+    def start_confirming(self, lookup: PendingLookup) -> None:
+        """Wait until the list of agents is certain."""
+        lookup.is_listed = False
+        # A set keeps the memory of the elements that were removed.
+        lookup.pending_agents = set()
+        self._set_stage(lookup, Stage.CONFIRMING)
 
     def list_confirming(self) -> list[PendingLookup]:
-        """Return the lookups that wait for a new list of agents."""
+        """Return the lookups that wait until the list of agents is certain."""
         return [
             lookup
             for lookup in self._lookups.values()
@@ -211,17 +278,33 @@
     def pop_due(self, now: Millis) -> list[PendingLookup]:
         """Return the lookups with overdue replies.
 
-        Lookups whose time ran out in a later stage are removed.
+        In a later stage, a lookup whose flow had no packet for `LOOKUP_VALIDITY_MS` is
+        removed.
         """
-        due = [self._lookups[flow] for flow in self._deadlines.pop_due(now)]
-        for lookup in due:
-            if lookup.stage is not Stage.QUERYING:
-                del self._lookups[lookup.flow]
-        return [lookup for lookup in due if lookup.stage is Stage.QUERYING]
-
-    def _set_stage(
-        self, lookup: PendingLookup, stage: Stage, timeout: Millis, now: Millis
-    ) -> None:
-        """Enter a stage and restart the lookup's timeout."""
+        overdue = []
+        for flow in self._deadlines.pop_due(now):
+            lookup = self._lookups[flow]
+            expires_at = Millis(lookup.seen_at + LOOKUP_VALIDITY_MS)
+            if lookup.stage is Stage.QUERYING:
+                overdue.append(lookup)
+            elif now < expires_at:
+                self._deadlines.set(flow, expires_at)
+            else:
+                del self._lookups[flow]
+        return overdue
+
+    def _drop_oldest(self, now: Millis) -> bool:
+        """Remove the oldest lookup that waits for no reply; return whether one did."""
+        for flow, lookup in self._lookups.items():
+            if (
+                lookup.stage is not Stage.QUERYING
+                and now - lookup.queried_at >= LOOKUP_RETRY_MS
+            ):
+                self.end(flow)
+                return True
+        return False
+
+    def _set_stage(self, lookup: PendingLookup, stage: Stage) -> None:
+        """Enter a stage after the queries, and keep the lookup while it is valid."""
         lookup.stage = stage
-        self._deadlines.set(lookup.flow, Millis(now + timeout))
+        self._deadlines.set(lookup.flow, Millis(lookup.seen_at + LOOKUP_VALIDITY_MS))
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -358,7 +358,7 @@
     """Reset a flow as soon as its queries end, even if an agent may own it."""
 
     def _confirm_no_owner(self, lookup, now):
-        return self._reset_ownerless(lookup)
+        return self._reset_ownerless(lookup, now)
 
 
 class NeverAsks(PlainBalancer):
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -1,5 +1,6 @@
 """Tests of the routing decisions of a balancer of the plain front end."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -19,7 +20,16 @@
     AgentView,
     Roster,
 )
-from papayagw._internal.core.plain.ownership.pending_lookups import REPLY_TIMEOUT_MS
+from papayagw._internal.core.plain.ownership import pending_lookups
+from papayagw._internal.core.plain.ownership.owner_lookup import (
+    CHECK_INTERVAL_MS,
+    READ_INTERVAL_MS,
+)
+from papayagw._internal.core.plain.ownership.pending_lookups import (
+    LOOKUP_RETRY_MS,
+    LOOKUP_VALIDITY_MS,
+    REPLY_TIMEOUT_MS,
+)
 from papayagw._internal.core.plain.placement.choice import (
     HashChooser,
     LeastWaitChooser,
@@ -177,6 +187,17 @@
     ]
 
 
+def queried(actions):
+    """Return the agents that were queried for the owner of a flow, without probes."""
+    return [
+        one.peer
+        for one in actions
+        if isinstance(one, SendFrame)
+        and isinstance(one.frame, OwnerQueryFrame)
+        and one.frame.queries
+    ]
+
+
 def load_report(agent, availability, **fields):
     """Return the step in which an agent reports its load."""
     return (agent, LoadFrame(load(availability, **fields)))
@@ -195,6 +216,10 @@
     owner_reply(B, Ownership.NOT_OWNER),
 ]
 NOT_READY = Availability.UNREADY
+YOUNG_REPORTS = [
+    load_report(agent, Availability.READY, run_age=300) for agent in (A, B)
+]
+"""Steps in which both agents report that their backend servers have just started."""
 
 
 @pytest.mark.parametrize(
@@ -751,6 +776,102 @@
     assert driver.not_found == not_found
 
 
+RETRANSMISSION_MS = 1_600
+"""Longest interval between a client's retransmissions of a packet."""
+
+
+@pytest.mark.parametrize(
+    ("steps", "frames", "resets"),
+    [
+        # The list of agents isn't certain yet: the denials are kept.
+        ([*DENIED, "listed", RETRANSMISSION_MS, DATA], [], 0),
+        ([*DENIED, "listed", MISSING_GRACE_MS + 1, DATA, "listed"], [], 1),
+        # It becomes certain by the agents' reports, without another read.
+        ([*DENIED, "listed", *YOUNG_REPORTS, CHECK_INTERVAL_MS], [], 1),
+        ([*DENIED, "listed", YOUNG_REPORTS[0], CHECK_INTERVAL_MS], [], 0),
+        ([*DENIED, *YOUNG_REPORTS, CHECK_INTERVAL_MS], [], 0),
+        # An agent became known after the read.
+        (
+            [
+                *DENIED,
+                "listed",
+                (C, "added"),
+                *YOUNG_REPORTS,
+                load_report(C, Availability.READY, run_age=300),
+                CHECK_INTERVAL_MS,
+            ],
+            [C],
+            0,
+        ),
+        # The store is away, while the client sends its packet again.
+        ([*DENIED, *[RETRANSMISSION_MS, DATA] * 5], [], 0),
+        ([*DENIED, *[RETRANSMISSION_MS, DATA] * 5, "listed", "listed"], [], 0),
+        # The client has given up.
+        ([*DENIED, "listed", LOOKUP_VALIDITY_MS, "listed"], [], 0),
+        ([*DENIED, LOOKUP_VALIDITY_MS, DATA], [A, B], 0),
+        # The client may have opened another flow from its port.
+        ([*DENIED, replace(DATA, acknowledged=901)], [A, B], 0),
+        ([*DENIED, OPENING, OPENED, "listed", MISSING_GRACE_MS + 1, "listed"], [], 0),
+        # Only the agents that haven't denied the flow are queried again.
+        ([*DENIED[:2], REPLY_TIMEOUT_MS, DATA], [], 0),
+        ([*DENIED[:2], LOOKUP_RETRY_MS - 1, DATA], [], 0),
+        ([*DENIED[:2], LOOKUP_RETRY_MS, DATA], [B], 0),
+        (
+            [
+                *DENIED[:2],
+                owner_reply(B, Ownership.UNKNOWN),
+                LOOKUP_RETRY_MS,
+                DATA,
+            ],
+            [B],
+            0,
+        ),
+        (
+            [*DENIED[:2], LOOKUP_RETRY_MS, (C, "added"), LOOKUP_RETRY_MS, DATA],
+            [B, C],
+            0,
+        ),
+        # One that returned a packet of the flow isn't queried for it.
+        (
+            [
+                OPENING,
+                OPENED,
+                returned(A, ReturnReason.NOT_OWNER, DATA),
+                owner_reply(B, Ownership.NOT_OWNER),
+                "listed",
+            ],
+            [],
+            0,
+        ),
+    ],
+)
+def test_denials_are_kept_until_the_list_of_agents_is_certain(steps, frames, resets):
+    """Otherwise each retransmission of a dead flow queries all agents again."""
+    actions, _ = run_steps(steps, age=0)
+    assert queried(actions) == frames
+    assert sum(isinstance(one, ResetClient) for one in actions) == resets
+
+
+def test_kept_denials_dont_keep_other_flows_from_being_looked_up(monkeypatch):
+    """A limit that counts them would leave flows of live servers without an owner."""
+    monkeypatch.setattr(pending_lookups, "MAX_LOOKUPS", 1)
+    driver = Driver()
+    other = replace(DATA, flow=OTHER.flow)
+    assert len(sent(driver.run_step(DATA))) == 2
+    assert sent(driver.run_step(other)) == []
+    for step in (*DENIED[1:], LOOKUP_RETRY_MS):
+        driver.run_step(step)
+    assert len(sent(driver.run_step(other))) == 2
+
+
+def test_the_agents_are_read_again_while_their_list_isnt_certain():
+    _, driver = run_steps([*DENIED, "listed"], age=0)
+    assert driver.not_found == 1
+    while driver.now < START + READ_INTERVAL_MS:
+        driver.run_step(driver.core.due_at - driver.now)
+    assert driver.not_found == 2
+
+
 @pytest.mark.parametrize(
     ("age", "runs", "resets"),
     [
