Lookups: queries share frames in rounds, late replies count

Cause: only lookups of one batch of packets shared frames, so that dead flows that begin some ms apart cost a frame each to every agent, and a reply after 40 ms wasn't counted (silent 40 to 47 in the first 2 s after a loss of power, when agents don't run yet, and at a balancer with 0.12 of a core that handles the replies late). Change: QueryBatch sends queries in rounds that are 1 ms an agent apart, 20 to 100 ms; the first round goes at once. A reply counts while its lookup is kept. When an agent that left queries unanswered sends any frame, it gets them again in one frame, without waiting for the clients.

--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -244,11 +244,13 @@
             # will be accepted once it has.
             return []
         view.record_load(frame.load, now)
-        return [
+        actions = [
             *self._handle_version_mismatch(view, frame.load, now),
             *self._handle_frame(frame, view, now),
             *self._offer_waiting_openings(view, now),
         ]
+        self._lookup.on_agent_heard(view, now)
+        return actions
 
     def on_timer(self, now: Millis) -> list[Action]:
         """Handle timeouts and due retries, and remove idle flows from the cache."""
--- a/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from papayagw._internal.core.plain.membership.roster import AgentView
+from papayagw._internal.core.plain.ownership.batching import QueryBatch
 from papayagw._internal.core.plain.ownership.flow_cache import FlowCache
 from papayagw._internal.core.plain.ownership.pending_lookups import (
     PendingLookup,
@@ -26,7 +27,6 @@
 from papayagw._internal.models.plain.frame import (
     ForwardFrame,
     OwnerQuery,
-    OwnerQueryFrame,
     OwnerReply,
     Ownership,
 )
@@ -91,13 +91,15 @@
         self._knows_all_agents = knows_all_agents
         self._lost_its_flows = lost_its_flows
         self._lookups = PendingLookups()
+        self._queries = QueryBatch()
+        self._silent_agents: set[Endpoint] = set()
         self._check_at: Millis | None = None
         self._listed_at = Millis(0)
 
     @property
     def due_at(self) -> Millis | None:
         """Time at which `on_timer` must be called next; None if no timer is pending."""
-        due = (self._lookups.due_at, self._check_at)
+        due = (self._lookups.due_at, self._queries.due_at, self._check_at)
         return min((at for at in due if at is not None), default=None)
 
     def find_owner(
@@ -133,7 +135,8 @@
             # Its backend server handed the packet back, so that it isn't the owner.
             lookup.queried_agents = frozenset((excluded.entry,))
         lookup.hold_packet(packet)
-        return self._query(lookup, agents, now)
+        self._query(lookup, agents, now)
+        return []
 
     def forget_denials(self, flow: FlowKey) -> None:
         """Drop the denials of a flow, as its client opens another from its port."""
@@ -146,10 +149,30 @@
         if reply.ownership is Ownership.OWNER:
             return self._on_owner_found(reply, view, now)
         lookup = self._lookups.find(reply.flow)
-        if lookup is None or lookup.stage is not Stage.QUERYING:
+        if lookup is None or not lookup.record_reply(view.endpoint, reply.ownership):
             return []
-        lookup.record_reply(view.endpoint, reply.ownership)
-        return [] if lookup.pending_agents else self._end_querying(lookup, now)
+        if lookup.stage is Stage.QUERYING:
+            return [] if lookup.pending_agents else self._end_querying(lookup, now)
+        # An agent that replies late that it may own the flow gets its next packet.
+        return self._confirm_no_owner(lookup, now)
+
+    def on_agent_heard(self, view: AgentView, now: Millis) -> None:
+        """Query an agent again that left queries unanswered, and now sent a frame.
+
+        After a loss of power the first queries reach agents that haven't started yet.
+        """
+        if view.endpoint not in self._silent_agents:
+            return
+        waiting = [
+            lookup
+            for lookup in self._lookups.list_failed()
+            if view.endpoint in lookup.pending_agents
+        ]
+        overdue = [lookup for lookup in waiting if lookup.may_query_again(now)]
+        if len(overdue) == len(waiting):
+            self._silent_agents.discard(view.endpoint)
+        for lookup in overdue:
+            self._queries.add([view], _make_query(lookup.last_packet), now)
 
     def on_timer(self, now: Millis) -> list[Action]:
         """End the wait for overdue replies and return the resulting actions.
@@ -161,16 +184,15 @@
             actions += self._end_querying(lookup, now)
         if self._check_at is not None and now >= self._check_at:
             actions += self._reset_certain(now)
-        return actions
+        return [*actions, *self._queries.take_due(now)]
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
         """Continue the lookups that wait for a full read of the agents' entries."""
         self._listed_at = now
-        actions: list[Action] = []
         for lookup, agents in self._list_confirming(now):
             lookup.is_listed = True
-            actions += self._query_others(lookup, agents, now)
-        return [*actions, *self._reset_certain(now)]
+            self._query_others(lookup, agents, now)
+        return self._reset_certain(now)
 
     def _list_confirming(
         self, now: Millis
@@ -205,8 +227,8 @@
                 is_waiting = True
                 continue
             # An agent may have become known since the read.
-            queries = self._query_others(lookup, agents, now)
-            actions += queries or self._reset_ownerless(lookup, now)
+            if not self._query_others(lookup, agents, now):
+                actions += self._reset_ownerless(lookup, now)
         self._check_at = Millis(now + CHECK_INTERVAL_MS) if is_waiting else None
         if is_waiting and now - self._listed_at >= READ_INTERVAL_MS:
             self._on_owner_not_found()
@@ -253,7 +275,9 @@
             ]
         lookup.record_return(excluded.endpoint)
         if lookup.stage is Stage.QUERYING:
-            lookup.hold_packet(packet)
+            if packet not in lookup.held_packets:
+                # The network may duplicate the frame that returned it.
+                lookup.hold_packet(packet)
             return [] if lookup.pending_agents else self._end_querying(lookup, now)
         # The other candidates already have the packet.
         lookup.last_packet = packet
@@ -261,17 +285,19 @@
 
     def _query(
         self, lookup: PendingLookup, agents: list[AgentView], now: Millis
-    ) -> list[Action]:
-        """Query agents that haven't denied the flow of a lookup."""
-        self._lookups.query(lookup, [view.entry for view in agents], now)
-        return [_make_query(view, lookup.last_packet, now) for view in agents]
+    ) -> None:
+        """Query agents that haven't denied the flow of a lookup, in the next round."""
+        sent_at = self._queries.add(agents, _make_query(lookup.last_packet), now)
+        self._lookups.query(lookup, [view.entry for view in agents], sent_at)
 
     def _query_others(
         self, lookup: PendingLookup, agents: list[AgentView], now: Millis
-    ) -> list[Action]:
-        """Query the given agents that haven't been queried for the flow of a lookup."""
+    ) -> bool:
+        """Query those of `agents` that haven't been; return whether there are any."""
         others = [view for view in agents if view.entry not in lookup.queried_agents]
-        return self._query(lookup, others, now) if others else []
+        if others:
+            self._query(lookup, others, now)
+        return bool(others)
 
     def _query_again(
         self, lookup: PendingLookup, packet: FlowPacket, now: Millis
@@ -289,8 +315,8 @@
             for view in self._list_agents(packet, now)
             if view.endpoint in undecided or view.entry not in lookup.queried_agents
         ]
-        actions = self._query(lookup, agents, now)
-        return actions if agents else self._end_querying(lookup, now)
+        self._query(lookup, agents, now)
+        return [] if agents else self._end_querying(lookup, now)
 
     def _end_querying(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Stop waiting for replies to the owner queries.
@@ -307,6 +333,7 @@
             "silent": len(lookup.pending_agents),
         }
         self._lookups.finish_querying(lookup)
+        self._silent_agents |= lookup.pending_agents
         return [
             LogEvent("owner unknown", fields),
             *self._forward_to_candidates(lookup),
@@ -357,8 +384,6 @@
     return SendFrame(agent.endpoint, ForwardFrame(agent.entry.service, packet))
 
 
-def _make_query(agent: AgentView, packet: FlowPacket, now: Millis) -> SendFrame:
-    """Return the action that queries an agent for the owner of a packet's flow."""
-    agent.record_request(now)
-    query = OwnerQuery(packet.flow, packet.acknowledged)
-    return SendFrame(agent.endpoint, OwnerQueryFrame(agent.entry.service, (query,)))
+def _make_query(packet: FlowPacket) -> OwnerQuery:
+    """Return the query for the owner of a packet's flow."""
+    return OwnerQuery(packet.flow, packet.acknowledged)
--- a/src/papayagw/_internal/core/plain/ownership/pending_lookups.py
+++ b/src/papayagw/_internal/core/plain/ownership/pending_lookups.py
@@ -13,7 +13,7 @@
 REPLY_TIMEOUT_MS = Millis(40)
 """How long to wait for replies to owner queries.
 
-Packets are then forwarded to possible owners.
+Packets are then forwarded to possible owners. Later replies still count.
 
 Several round trips between zones, and below the client's retransmission timeout of
 200 ms.
@@ -160,11 +160,6 @@
         self.held_packets = []
         self._trial_packet_count = 0
 
-    @property
-    def trial_packets(self) -> list[FlowPacket]:
-        """The held packets that possible owners have received."""
-        return self.held_packets[: self._trial_packet_count]
-
     def next_trial_packets(self) -> list[FlowPacket]:
         """Return the held packets that possible owners haven't received yet.
 
@@ -231,7 +226,7 @@
         self,
         lookup: PendingLookup,
         entries: Collection[AgentEntry],
-        now: Millis,
+        sent_at: Millis,
     ) -> None:
         """Enter the stage of querying, and wait for replies of the given agents only.
 
@@ -241,15 +236,15 @@
             The lookup.
         entries : collection of AgentEntry
             Agents that haven't denied the flow.
-        now : Millis
-            Time at which they are queried.
+        sent_at : Millis
+            Time at which the queries are sent.
         """
         lookup.queried_agents |= frozenset(entries)
         lookup.pending_agents = {entry.endpoint for entry in entries}
         lookup.candidates = set()
-        lookup.queried_at = now
+        lookup.queried_at = sent_at
         lookup.stage = Stage.QUERYING
-        self._deadlines.set(lookup.flow, Millis(now + REPLY_TIMEOUT_MS))
+        self._deadlines.set(lookup.flow, Millis(sent_at + REPLY_TIMEOUT_MS))
 
     def finish_querying(self, lookup: PendingLookup) -> None:
         """Try the possible owners if there are any, else mark the lookup as failed."""
@@ -270,6 +265,12 @@
             if lookup.stage is Stage.CONFIRMING
         ]
 
+    def list_failed(self) -> list[PendingLookup]:
+        """Return the lookups without a possible owner for which replies are missing."""
+        return [
+            lookup for lookup in self._lookups.values() if lookup.stage is Stage.FAILED
+        ]
+
     def end(self, flow: FlowKey) -> PendingLookup | None:
         """Remove and return a lookup, or return None if there is none."""
         self._deadlines.set(flow, None)
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -6,7 +6,6 @@
 
 from papayagw._internal.core.plain.balancer import PlainBalancer
 from papayagw._internal.core.plain.membership.roster import Roster
-from papayagw._internal.core.plain.ownership.batching import merge_owner_queries
 from papayagw._internal.core.plain.placement.choice import LeastWaitChooser
 from papayagw._internal.core.plain.routing.route_change_recorder import (
     RouteChangeRecorder,
@@ -246,7 +245,7 @@
                 continue
             self._last_packet_at = now
             actions += self._core.on_client_packet(packet, now)
-        self._perform(merge_owner_queries(actions))
+        self._perform(actions)
 
     def _on_frame(self, frame: Frame, source: Endpoint) -> None:
         """Let `PlainBalancer` handle an agent's frame; count and drop other frames."""
