--- a/tests/lib/plain_world.py
+++ b/tests/lib/plain_world.py
@@ -26,7 +26,11 @@
     SendToBackend,
     SendToClient,
 )
-from papayagw._internal.models.plain.frame import ForwardFrame, ToAgent
+from papayagw._internal.models.plain.frame import (
+    ForwardFrame,
+    OwnerQueryFrame,
+    ToAgent,
+)
 from papayagw._internal.models.plain.instance import (
     AgentEntry,
     ReportedState,
@@ -420,6 +424,7 @@
         self.handovers = Counter()
         self.violations = []
         self.arrivals = []
+        self.query_frames = []
         self._events = []
         self._order = itertools.count()
         self._hosts = itertools.count(1)
@@ -614,6 +619,8 @@
         nodes = self.agents if isinstance(frame, ToAgent) else self.balancers
         if isinstance(frame, ForwardFrame):
             self.record_handover(sender, peer, frame.packet)
+        if isinstance(frame, OwnerQueryFrame) and frame.queries:
+            self.query_frames.append((self.now, sender, peer, len(frame.queries)))
 
         def arrive():
             running = (one for one in nodes.values() if one.is_alive)
--- a/tests/scenarios/test_plain_scenarios.py
+++ b/tests/scenarios/test_plain_scenarios.py
@@ -5,6 +5,7 @@
 from papayagw._internal.core.plain.agent import PlainAgent
 from papayagw._internal.core.plain.balancer import PlainBalancer
 from papayagw._internal.core.plain.ownership.owner_lookup import OwnerLookup
+from papayagw._internal.models.plain.packet import PacketKind
 from tests.lib.plain_scenario import PlainScenario
 from tests.lib.plain_world import Mechanisms
 
@@ -214,6 +215,27 @@
         expect-event flow has no owner
         expect deadline 0
     """,
+    "a store that is away after a loss of power delays resets, but loses none": """
+        at 2000 calls 12 40 20 100
+        at 3400 store 3000
+        at 3500 lose-power
+        run 20000
+        expect-event flow has no owner
+        expect reset all
+    """,
+    "a zone that loses power ends its flows and no others": """
+        agent a4
+        at 2000 calls 30 20 20 100
+        at 3500 restart-agent a1
+        at 3500 restart-agent a2
+        at 3500 crash a1
+        at 3500 crash a2
+        at 3500 restart-balancer b1
+        at 3500 restart-balancer b2
+        run 20000
+        expect-event flow has no owner
+        expect deadline 0
+    """,
     "a machine that is silent while others restart keeps its flows": """
         agent a4
         at 2000 calls 30 20 20 100
@@ -531,3 +553,43 @@
         except AssertionError:
             found += 1
     assert found, "the scenario passes without the mechanism"
+
+
+FLOWS = 40
+"""Flows of one balancer that are open when power is lost."""
+
+
+@pytest.mark.parametrize("agents", [5, 50])
+@pytest.mark.parametrize("kind", ["DATA", "FINISH"])
+def test_dead_flows_cost_each_agent_a_bounded_number_of_queries(agents, kind):
+    """Otherwise every retransmission asks all agents, and resets wait behind that."""
+    scenario = PlainScenario(1)
+    names = [f"a{number}" for number in range(1, agents + 1)]
+    scenario.execute(
+        "network delay=1-5\nbalancer b1\n"
+        + "".join(f"agent {name}\n" for name in names)
+        + f"run 2000\ncalls {FLOWS} 40 20 100\nrun 2000\nlose-power\nrun 400"
+    )
+    world = scenario.world
+
+    def close_flows():
+        for client in world.clients.values():
+            if client.outcome == "open":
+                client.close(PacketKind[kind])
+
+    for delay in range(0, 8_000, 1_600) if kind == "FINISH" else ():
+        world.after(delay, close_flows)
+    scenario.do_run(12_000)
+    assert world.violations == []
+    assert world.outcomes() == {"reset": FLOWS}
+    waits = [
+        log_event.fields["ms"]
+        for _, _, log_event in world.log_events
+        if log_event.event == "flow has no owner"
+    ]
+    assert len(waits) >= FLOWS
+    # The servers report 1.4 s after the loss, and until then nothing is certain.
+    assert max(waits) <= 2_500
+    queries = sum(count for _, _, _, count in world.query_frames)
+    assert queries <= 2 * FLOWS * agents
+    assert len(world.query_frames) <= FLOWS * agents // 2
