--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -161,6 +161,7 @@
             MassRestart(roster).includes,
         )
         self._first_listed_at: Millis | None = None
+        self._last_listed_at = Millis(0)
         self._is_after_power_loss = False
         self._next_probe_at: Millis | None = None
         self._scope_sent_at: dict[Endpoint, Millis] = {}
@@ -210,6 +211,7 @@
 
         Continues the owner lookups that waited for it.
         """
+        self._last_listed_at = now
         if self._first_listed_at is None:
             self._first_listed_at = now
             self._next_probe_at = Millis(now + PROBE_INTERVAL_MS)
@@ -277,12 +279,14 @@
             # will be accepted once it has.
             return []
         view.record_load(frame.load, now)
-        return [
+        actions = [
             *self._handle_version_mismatch(view, frame.load, now),
             *self._evacuations.on_load(view, frame.load, now),
             *self._handle_frame(frame, view, now),
             *self._offer_waiting_openings(view, now),
         ]
+        self._lookup.on_agent_heard(view, now)
+        return actions
 
     def on_timer(self, now: Millis) -> list[Action]:
         """Handle timeouts and due retries, and remove idle flows from the cache."""
@@ -304,6 +308,7 @@
         self, packet: FlowPacket, route: Route, now: Millis
     ) -> list[Action]:
         """Offer an opening to an agent, or resend it to the agent that accepted it."""
+        self._lookup.forget_denials(packet.flow)
         cached = self._flows.find(packet.flow)
         if cached is not None and cached.is_copy(packet, now):
             # The acceptance was lost on the way to the client. The backend server
@@ -625,13 +630,14 @@
         """Return whether `agents` includes every agent that may own a flow.
 
         At the first read of the store, the entry of a running agent may be missing; it
-        is restored within `MISSING_GRACE_MS`. If all backend servers have started
-        recently, no earlier flow can exist and there is no need to wait.
+        is restored within `MISSING_GRACE_MS`, and a later read shows it. If all backend
+        servers have started recently, no earlier flow can exist and there is no need to
+        wait.
         """
         first_listed_at = self._first_listed_at
         if first_listed_at is None:
             return False
-        if now - first_listed_at > MISSING_GRACE_MS:
+        if self._last_listed_at - first_listed_at > MISSING_GRACE_MS:
             return True
         start = Millis(first_listed_at - RESTART_SPREAD_MS)
         return all(
--- a/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
@@ -2,12 +2,14 @@
 
 The balancer queries all agents that may own the flow and forwards the client's packets
 to the owner or, if no agent confirms, to the agents that can't rule ownership out. It
-resets the flow only once it is certain that no agent owns it.
+resets the flow only once it is certain that no agent owns it. Until then it remembers
+which agents denied the flow, and queries only the others again.
 """
 
 from collections.abc import Callable
 
 from papayagw._internal.core.plain.membership.roster import AgentView
+from papayagw._internal.core.plain.ownership.batching import QueryBatch
 from papayagw._internal.core.plain.ownership.flow_cache import FlowCache
 from papayagw._internal.core.plain.ownership.pending_lookups import (
     PendingLookup,
@@ -25,11 +27,31 @@
 from papayagw._internal.models.plain.frame import (
     ForwardFrame,
     OwnerQuery,
-    OwnerQueryFrame,
     OwnerReply,
     Ownership,
 )
-from papayagw._internal.models.plain.packet import FlowPacket, format_flow
+from papayagw._internal.models.plain.packet import (
+    EntryKey,
+    FlowKey,
+    FlowPacket,
+    PacketKind,
+    format_flow,
+)
+
+CHECK_INTERVAL_MS = Millis(200)
+"""Interval between checks whether the list of agents has become certain.
+
+Clients of flows without an owner wait for it. A check costs about 0.1 ms of processor
+time for each entry with such flows.
+"""
+
+READ_INTERVAL_MS = Millis(700)
+"""Time after a read of the agents' entries at which another one is requested.
+
+Applies while flows without an owner wait, since a read within `MISSING_GRACE_MS` of
+the first one may not make the list of agents certain. Longer than a slow response of
+the store.
+"""
 
 
 class OwnerLookup:
@@ -74,11 +96,16 @@
         self._lost_its_flows = lost_its_flows
         self._confirms_start = confirms_start
         self._lookups = PendingLookups()
+        self._queries = QueryBatch()
+        self._silent_agents: set[Endpoint] = set()
+        self._check_at: Millis | None = None
+        self._listed_at = Millis(0)
 
     @property
     def due_at(self) -> Millis | None:
         """Time at which `on_timer` must be called next; None if no timer is pending."""
-        return self._lookups.due_at
+        due = (self._lookups.due_at, self._queries.due_at, self._check_at)
+        return min((at for at in due if at is not None), default=None)
 
     def find_owner(
         self, packet: FlowPacket, now: Millis, excluded: AgentView | None = None
@@ -96,50 +123,121 @@
         """
         lookup = self._lookups.find(packet.flow)
         if lookup is not None:
-            return self._add_packet(lookup, packet, excluded, now)
+            if not lookup.is_outdated_by(packet, now):
+                return self._add_packet(lookup, packet, excluded, now)
+            self._lookups.end(packet.flow)
+        if packet.kind is PacketKind.ABORT:
+            # Its client expects no answer, and a server without it ends the flow once
+            # it is idle.
+            return []
         agents = self._list_agents(packet, now)
         if excluded is not None:
             agents = [view for view in agents if view.endpoint != excluded.endpoint]
-        entries = {view.entry for view in agents}
-        lookup = self._lookups.begin(packet, entries, now) if agents else None
+        lookup = self._lookups.begin(packet, now) if agents else None
         if lookup is None:
             return []
+        if excluded is not None:
+            # Its backend server handed the packet back, so that it isn't the owner.
+            lookup.queried_agents = frozenset((excluded.entry,))
         lookup.hold_packet(packet)
-        return [_make_query(view, packet, now) for view in agents]
+        self._query(lookup, agents, now)
+        return []
+
+    def forget_denials(self, flow: FlowKey) -> None:
+        """Drop the denials of a flow, as its client opens another from its port."""
+        lookup = self._lookups.find(flow)
+        if lookup is not None and lookup.stage is Stage.CONFIRMING:
+            self._lookups.end(flow)
 
     def on_reply(self, reply: OwnerReply, view: AgentView, now: Millis) -> list[Action]:
         """Handle an agent's reply to an owner query, or its claim to own a flow."""
         if reply.ownership is Ownership.OWNER:
             return self._on_owner_found(reply, view, now)
         lookup = self._lookups.find(reply.flow)
-        if lookup is None or lookup.stage is not Stage.QUERYING:
+        if lookup is None or not lookup.record_reply(view.endpoint, reply.ownership):
             return []
-        lookup.record_reply(view.endpoint, reply.ownership)
-        return [] if lookup.pending_agents else self._end_querying(lookup, now)
+        if lookup.stage is Stage.QUERYING:
+            return [] if lookup.pending_agents else self._end_querying(lookup, now)
+        # An agent that replies late that it may own the flow gets its next packet.
+        self._record_certain_denials(lookup, now)
+        return self._confirm_no_owner(lookup, now)
+
+    def on_agent_heard(self, view: AgentView, now: Millis) -> None:
+        """Query an agent again that left queries unanswered, and now sent a frame.
+
+        After a loss of power the first queries reach agents that haven't started yet.
+        """
+        if view.endpoint not in self._silent_agents:
+            return
+        waiting = [
+            lookup
+            for lookup in self._lookups.list_failed()
+            if view.endpoint in lookup.pending_agents
+        ]
+        overdue = [lookup for lookup in waiting if lookup.may_query_again(now)]
+        if len(overdue) == len(waiting):
+            self._silent_agents.discard(view.endpoint)
+        for lookup in overdue:
+            self._queries.add([view], _make_query(lookup.last_packet), now)
 
     def on_timer(self, now: Millis) -> list[Action]:
-        """End the wait for overdue replies and return the resulting actions."""
+        """End the wait for overdue replies and return the resulting actions.
+
+        Flows that no agent owns are reset if the list of agents is certain by now.
+        """
         actions: list[Action] = []
         for lookup in self._lookups.pop_due(now):
             actions += self._end_querying(lookup, now)
-        return actions
+        if self._check_at is not None and now >= self._check_at:
+            actions += self._reset_certain(now)
+        return [*actions, *self._queries.take_due(now)]
 
     def on_agents_listed(self, now: Millis) -> list[Action]:
         """Continue the lookups that wait for a full read of the agents' entries."""
-        actions: list[Action] = []
+        self._listed_at = now
+        for lookup, agents in self._list_confirming(now):
+            lookup.is_listed = True
+            self._query_others(lookup, agents, now)
+        return self._reset_certain(now)
+
+    def _list_confirming(
+        self, now: Millis
+    ) -> list[tuple[PendingLookup, list[AgentView]]]:
+        """Return the lookups in the stage of confirming, each with possible owners.
+
+        The agents are the same object for all flows of an entry.
+        """
+        agents: dict[EntryKey, list[AgentView]] = {}
+        found = []
         for lookup in self._lookups.list_confirming():
-            agents = self._list_agents(lookup.last_packet, now)
-            others = [
-                view for view in agents if view.entry not in lookup.queried_agents
-            ]
-            if others:
-                entries = {view.entry for view in others}
-                self._lookups.query_others(lookup, entries, now)
-                actions += [
-                    _make_query(view, lookup.last_packet, now) for view in others
-                ]
-            elif self._knows_all_agents(agents, now):
-                actions += self._reset_ownerless(lookup)
+            packet = lookup.last_packet
+            if packet.entry not in agents:
+                agents[packet.entry] = self._list_agents(packet, now)
+            found.append((lookup, agents[packet.entry]))
+        return found
+
+    def _reset_certain(self, now: Millis) -> list[Action]:
+        """Reset the flows without an owner for which the list of agents is certain.
+
+        Requests another read of the agents' entries if there are others, and the last
+        one is `READ_INTERVAL_MS` ago.
+        """
+        actions: list[Action] = []
+        certainty: dict[EntryKey, bool] = {}
+        is_waiting = False
+        for lookup, agents in self._list_confirming(now):
+            entry = lookup.last_packet.entry
+            if lookup.is_listed and entry not in certainty:
+                certainty[entry] = self._knows_all_agents(agents, now)
+            if not lookup.is_listed or not certainty[entry]:
+                is_waiting = True
+                continue
+            # An agent may have become known since the read.
+            if not self._query_others(lookup, agents, now):
+                actions += self._reset_ownerless(lookup, now)
+        self._check_at = Millis(now + CHECK_INTERVAL_MS) if is_waiting else None
+        if is_waiting and now - self._listed_at >= READ_INTERVAL_MS:
+            self._on_owner_not_found()
         return actions
 
     def _on_owner_found(
@@ -167,62 +265,121 @@
         now: Millis,
     ) -> list[Action]:
         """Add another packet of the flow to a lookup in progress."""
+        lookup.seen_at = now
         if excluded is None:
+            if lookup.may_query_again(now):
+                return self._query_again(lookup, packet, now)
+            if lookup.stage is Stage.CONFIRMING:
+                # The client sends the same bytes again, of which one copy suffices.
+                lookup.release_packets()
             lookup.hold_packet(packet)
-            return (
-                []
-                if lookup.stage is Stage.QUERYING
-                else self._forward_to_candidates(lookup)
-            )
+            if lookup.stage is Stage.QUERYING:
+                return []
+            return [
+                *self._forward_to_candidates(lookup),
+                *self._confirm_no_owner(lookup, now),
+            ]
         lookup.record_return(excluded.endpoint)
         if lookup.stage is Stage.QUERYING:
-            lookup.hold_packet(packet)
+            if packet not in lookup.held_packets:
+                # The network may duplicate the frame that returned it.
+                lookup.hold_packet(packet)
             return [] if lookup.pending_agents else self._end_querying(lookup, now)
         # The other candidates already have the packet.
         lookup.last_packet = packet
         return self._confirm_no_owner(lookup, now)
 
+    def _query(
+        self, lookup: PendingLookup, agents: list[AgentView], now: Millis
+    ) -> None:
+        """Query agents that haven't denied the flow of a lookup, in the next round."""
+        sent_at = self._queries.add(agents, _make_query(lookup.last_packet), now)
+        self._lookups.query(lookup, [view.entry for view in agents], sent_at)
+
+    def _query_others(
+        self, lookup: PendingLookup, agents: list[AgentView], now: Millis
+    ) -> bool:
+        """Query those of `agents` that haven't been; return whether there are any."""
+        others = [view for view in agents if view.entry not in lookup.queried_agents]
+        if others:
+            self._query(lookup, others, now)
+        return bool(others)
+
+    def _query_again(
+        self, lookup: PendingLookup, packet: FlowPacket, now: Millis
+    ) -> list[Action]:
+        """Query the agents that haven't denied the flow, now that its client waits.
+
+        These are the ones that didn't reply or may own the flow, as far as they are
+        still known, and the ones that weren't known before.
+        """
+        lookup.release_packets()
+        lookup.hold_packet(packet)
+        undecided = lookup.pending_agents | lookup.candidates
+        agents = [
+            view
+            for view in self._list_agents(packet, now)
+            if view.endpoint in undecided or view.entry not in lookup.queried_agents
+        ]
+        self._query(lookup, agents, now)
+        return [] if agents else self._end_querying(lookup, now)
+
     def _end_querying(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Stop waiting for replies to the owner queries.
 
         The first held packets are forwarded to the agents that may own the flow.
         """
-        for endpoint in lookup.pending_agents | lookup.candidates:
-            view = self._find_agent(endpoint)
-            if view is None:
-                continue
-            is_unconfirmed = endpoint in lookup.unconfirmed
-            if self._lost_its_flows(view, now) or (
-                is_unconfirmed and self._confirms_start(view, now)
-            ):
-                lookup.record_reply(endpoint, Ownership.NOT_OWNER)
+        self._record_certain_denials(lookup, now)
         fields = {
             "flow": format_flow(lookup.flow),
             "unsure": len(lookup.candidates),
             "silent": len(lookup.pending_agents),
         }
-        self._lookups.finish_querying(lookup, now)
+        self._lookups.finish_querying(lookup)
+        self._silent_agents |= lookup.pending_agents
         return [
             LogEvent("owner unknown", fields),
             *self._forward_to_candidates(lookup),
             *self._confirm_no_owner(lookup, now),
         ]
 
+    def _record_certain_denials(self, lookup: PendingLookup, now: Millis) -> None:
+        """Record that agents don't own the flow which certainly lost it, if any."""
+        for endpoint in lookup.pending_agents | lookup.candidates:
+            view = self._find_agent(endpoint)
+            if view is None:
+                continue
+            is_unconfirmed = endpoint in lookup.unconfirmed
+            if self._lost_its_flows(view, now) or (
+                is_unconfirmed and self._confirms_start(view, now)
+            ):
+                lookup.record_reply(endpoint, Ownership.NOT_OWNER)
+
     def _confirm_no_owner(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Request a new list of agents if no queried agent may own the flow."""
-        if not lookup.is_denied or lookup.last_packet.kind.is_closing:
+        if not lookup.is_denied:
+            return []
+        if lookup.last_packet.kind is PacketKind.ABORT:
+            # Its client expects no reset.
+            self._lookups.end(lookup.flow)
             return []
         if lookup.stage is not Stage.CONFIRMING:
-            self._lookups.start_confirming(lookup, now)
+            self._lookups.start_confirming(lookup)
+            if self._check_at is None:
+                self._check_at = Millis(now + CHECK_INTERVAL_MS)
             self._on_owner_not_found()
         return []
 
-    def _reset_ownerless(self, lookup: PendingLookup) -> list[Action]:
+    def _reset_ownerless(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Reset the client of a flow that no agent owns."""
         self._lookups.end(lookup.flow)
         self._flows.drop(lookup.flow)
         reset = ResetClient(lookup.flow, lookup.last_packet.acknowledged or 0)
-        fields = {"flow": format_flow(lookup.flow), "asked": len(lookup.queried_agents)}
+        fields = {
+            "flow": format_flow(lookup.flow),
+            "asked": len(lookup.queried_agents),
+            "ms": now - lookup.began_at,
+        }
         return [reset, LogEvent("flow has no owner", fields)]
 
     def _forward_to_candidates(self, lookup: PendingLookup) -> list[Action]:
@@ -242,8 +399,6 @@
     return SendFrame(agent.endpoint, ForwardFrame(agent.entry.service, packet))
 
 
-def _make_query(agent: AgentView, packet: FlowPacket, now: Millis) -> SendFrame:
-    """Return the action that queries an agent for the owner of a packet's flow."""
-    agent.record_request(now)
-    query = OwnerQuery(packet.flow, packet.acknowledged)
-    return SendFrame(agent.endpoint, OwnerQueryFrame(agent.entry.service, (query,)))
+def _make_query(packet: FlowPacket) -> OwnerQuery:
+    """Return the query for the owner of a packet's flow."""
+    return OwnerQuery(packet.flow, packet.acknowledged)
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -1,5 +1,6 @@
 """Tests of the routing decisions of a balancer of the plain front end."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -19,7 +20,17 @@
     AgentView,
     Roster,
 )
-from papayagw._internal.core.plain.ownership.pending_lookups import REPLY_TIMEOUT_MS
+from papayagw._internal.core.plain.ownership import pending_lookups
+from papayagw._internal.core.plain.ownership.batching import MIN_QUERY_INTERVAL_MS
+from papayagw._internal.core.plain.ownership.owner_lookup import (
+    CHECK_INTERVAL_MS,
+    READ_INTERVAL_MS,
+)
+from papayagw._internal.core.plain.ownership.pending_lookups import (
+    LOOKUP_RETRY_MS,
+    LOOKUP_VALIDITY_MS,
+    REPLY_TIMEOUT_MS,
+)
 from papayagw._internal.core.plain.placement.choice import (
     HashChooser,
     LeastWaitChooser,
@@ -72,6 +83,7 @@
 COPY = make_packet(FLOW, PacketKind.OPEN, copy=1)
 DATA = make_packet(FLOW, PacketKind.DATA, 1, 501, payload=10)
 FINISH = make_packet(FLOW, PacketKind.FINISH, 11, 501)
+ABORT = make_packet(FLOW, PacketKind.ABORT, 11, 501)
 START = 10_000
 
 
@@ -132,6 +144,14 @@
         self.newer += 1
 
     def run_step(self, step):
+        """Run a step, and the timer that is due then, as the event loop does."""
+        actions = self.apply_step(step)
+        due_at = self.core.due_at
+        if due_at is not None and due_at <= self.now:
+            actions += self.core.on_timer(self.now)
+        return actions
+
+    def apply_step(self, step):
         core = self.core
         match step:
             case int():
@@ -179,6 +199,17 @@
     ]
 
 
+def queried(actions):
+    """Return the agents that were queried for the owner of a flow, without probes."""
+    return [
+        one.peer
+        for one in actions
+        if isinstance(one, SendFrame)
+        and isinstance(one.frame, OwnerQueryFrame)
+        and one.frame.queries
+    ]
+
+
 def load_report(agent, availability, **fields):
     """Return the step in which an agent reports its load."""
     return (agent, LoadFrame(load(availability, **fields)))
@@ -197,6 +228,12 @@
     owner_reply(B, Ownership.NOT_OWNER),
 ]
 NOT_READY = Availability.UNREADY
+YOUNG_REPORTS = [
+    load_report(agent, Availability.READY, run_age=300) for agent in (A, B)
+]
+"""Steps in which both agents report that their backend servers have just started."""
+
+LATE_REPORT = load_report(B, Availability.READY)
 
 
 @pytest.mark.parametrize(
@@ -436,7 +473,7 @@
         self.core = PlainBalancer(self.roster, self.history, FirstChooser())
         self.now = START
 
-    def run_step(self, step):
+    def apply_step(self, step):
         match step:
             case "site":
                 self.core.apply_site(make_site(), self.now)
@@ -444,7 +481,7 @@
             case "listed":
                 for endpoint in (A, B):
                     self.add(endpoint)
-        return super().run_step(step)
+        return super().apply_step(step)
 
 
 @pytest.mark.parametrize("ready", [("site", "listed"), ("listed", "site")])
@@ -608,11 +645,29 @@
             [(A, ForwardFrame)] * 2,
         ),
         ([DATA, REPLY_TIMEOUT_MS], []),
+        # An abort is sent to a known owner, but isn't worth a query to every agent.
+        ([ABORT], []),
+        ([OPENING, OPENED, ABORT], [(A, ForwardFrame)]),
+        ([OPENING, OPENED, returned(A, ReturnReason.NOT_OWNER, ABORT)], []),
+        (
+            [DATA, ABORT, owner_reply(B, Ownership.OWNER)],
+            [(B, ForwardFrame), (B, ForwardFrame)],
+        ),
         # Returned by the cached owner: the other agent is queried.
         (
             [OPENING, OPENED, returned(A, ReturnReason.NOT_OWNER, DATA)],
             [(B, OwnerQueryFrame)],
         ),
+        # Returned twice, as the network duplicated the frame.
+        (
+            [
+                OPENING,
+                OPENED,
+                *[returned(A, ReturnReason.NOT_OWNER, DATA)] * 2,
+                owner_reply(B, Ownership.OWNER),
+            ],
+            [(B, ForwardFrame)],
+        ),
         # Returned by a possible owner, which isn't queried again.
         (
             [
@@ -632,7 +687,6 @@
 
 
 USED_PORT_OPENING = make_packet(FLOW, PacketKind.OPEN, 7_000)
-ABORT = make_packet(FLOW, PacketKind.ABORT, 1, 501)
 
 
 @pytest.mark.parametrize(
@@ -684,7 +738,7 @@
     driver.run_step(make_site(2, "order", "drawings"))
     driver.roster.put("a1", entries[0], 1)
     denials = [owner_reply(one, Ownership.NOT_OWNER) for one in (A, B, DRAWINGS_AGENT)]
-    for step in (DATA, *denials):
+    for step in (DATA, *denials, MIN_QUERY_INTERVAL_MS):
         driver.run_step(step)
     driver.roster.put("a10" if has_other_key else "a1", entries[1], 2)
     assert sent(driver.run_step("listed")) == [(DRAWINGS_AGENT, OwnerQueryFrame)]
@@ -739,7 +793,13 @@
         ([*DENIED, "listed"], 1, 1),
         ([DATA, owner_reply(A, Ownership.NOT_OWNER), "listed"], 0, 0),
         ([DATA, REPLY_TIMEOUT_MS, "listed"], 0, 0),
-        ([FINISH, *DENIED[1:], "listed"], 0, 0),
+        # A client that gave up sends its end again until it is answered.
+        ([FINISH, *DENIED[1:], "listed"], 1, 1),
+        ([*DENIED, FINISH, "listed"], 1, 1),
+        # An abort needs no answer.
+        ([ABORT, *DENIED[1:], "listed"], 0, 0),
+        ([DATA, ABORT, *DENIED[1:], "listed"], 0, 0),
+        ([*DENIED, ABORT, "listed"], 0, 1),
         # The store holds an agent that hasn't been queried.
         ([*DENIED, (C, "added"), "listed"], 0, 1),
         ([*DENIED, (C, "added"), "listed", owner_reply(C, Ownership.OWNER)], 0, 1),
@@ -765,6 +825,130 @@
     assert driver.not_found == not_found
 
 
+RETRANSMISSION_MS = 1_600
+"""Longest interval between a client's retransmissions of a packet."""
+
+
+@pytest.mark.parametrize(
+    ("steps", "frames", "resets"),
+    [
+        # The list of agents isn't certain yet: the denials are kept.
+        ([*DENIED, "listed", RETRANSMISSION_MS, DATA], [], 0),
+        ([*DENIED, "listed", MISSING_GRACE_MS + 1, DATA, "listed"], [], 1),
+        # It becomes certain by the agents' reports, without another read.
+        ([*DENIED, "listed", *YOUNG_REPORTS, CHECK_INTERVAL_MS], [], 1),
+        ([*DENIED, "listed", YOUNG_REPORTS[0], CHECK_INTERVAL_MS], [], 0),
+        ([*DENIED, *YOUNG_REPORTS, CHECK_INTERVAL_MS], [], 0),
+        # An agent became known after the read.
+        (
+            [
+                *DENIED,
+                "listed",
+                (C, "added"),
+                *YOUNG_REPORTS,
+                load_report(C, Availability.READY, run_age=300),
+                CHECK_INTERVAL_MS,
+            ],
+            [C],
+            0,
+        ),
+        # The store is away, while the client sends its packet again.
+        ([*DENIED, *[RETRANSMISSION_MS, DATA] * 5], [], 0),
+        ([*DENIED, *[RETRANSMISSION_MS, DATA] * 5, "listed", "listed"], [], 0),
+        # The client has given up.
+        ([*DENIED, "listed", LOOKUP_VALIDITY_MS, "listed"], [], 0),
+        ([*DENIED, LOOKUP_VALIDITY_MS, DATA], [A, B], 0),
+        # The client may have opened another flow from its port.
+        (
+            [*DENIED, MIN_QUERY_INTERVAL_MS, replace(DATA, acknowledged=901)],
+            [A, B],
+            0,
+        ),
+        ([*DENIED, OPENING, OPENED, "listed", MISSING_GRACE_MS + 1, "listed"], [], 0),
+        # Only the agents that haven't denied the flow are queried again.
+        ([*DENIED[:2], REPLY_TIMEOUT_MS, DATA], [], 0),
+        ([*DENIED[:2], LOOKUP_RETRY_MS - 1, DATA], [], 0),
+        ([*DENIED[:2], LOOKUP_RETRY_MS, DATA], [B], 0),
+        (
+            [
+                *DENIED[:2],
+                owner_reply(B, Ownership.UNKNOWN),
+                LOOKUP_RETRY_MS,
+                DATA,
+            ],
+            [B],
+            0,
+        ),
+        (
+            [*DENIED[:2], LOOKUP_RETRY_MS, (C, "added"), LOOKUP_RETRY_MS, DATA],
+            [B, C],
+            0,
+        ),
+        # One that returned a packet of the flow isn't queried for it.
+        (
+            [
+                OPENING,
+                OPENED,
+                returned(A, ReturnReason.NOT_OWNER, DATA),
+                owner_reply(B, Ownership.NOT_OWNER),
+                "listed",
+            ],
+            [],
+            0,
+        ),
+    ],
+)
+def test_denials_are_kept_until_the_list_of_agents_is_certain(steps, frames, resets):
+    """Otherwise each retransmission of a dead flow queries all agents again."""
+    actions, _ = run_steps(steps, age=0)
+    assert queried(actions) == frames
+    assert sum(isinstance(one, ResetClient) for one in actions) == resets
+
+
+@pytest.mark.parametrize(
+    ("steps", "frames", "resets"),
+    [
+        # A late denial completes the lookup.
+        ([DENIED[2], "listed"], [], 1),
+        # The agent had not started when it was queried; another reply of it is lost.
+        ([LOOKUP_RETRY_MS, LATE_REPORT], [B], 0),
+        ([LOOKUP_RETRY_MS, LATE_REPORT, LATE_REPORT], [], 0),
+        ([LOOKUP_RETRY_MS, LATE_REPORT, DENIED[2], "listed"], [], 1),
+        # The reply to the query may still be under way.
+        ([LATE_REPORT], [], 0),
+        ([LATE_REPORT, LOOKUP_RETRY_MS, LATE_REPORT], [B], 0),
+        # An agent that may own the flow gets its next packet.
+        ([owner_reply(B, Ownership.UNKNOWN), "listed"], [], 0),
+        ([owner_reply(B, Ownership.OWNER), "listed"], [], 0),
+    ],
+)
+def test_replies_after_the_timeout_count(steps, frames, resets):
+    """A slow balancer, or an agent that starts later, would never end a dead flow."""
+    actions, _ = run_steps([*DENIED[:2], REPLY_TIMEOUT_MS, *steps])
+    assert queried(actions) == frames
+    assert sum(isinstance(one, ResetClient) for one in actions) == resets
+
+
+def test_kept_denials_dont_keep_other_flows_from_being_looked_up(monkeypatch):
+    """A limit that counts them would leave flows of live servers without an owner."""
+    monkeypatch.setattr(pending_lookups, "MAX_LOOKUPS", 1)
+    driver = Driver()
+    other = replace(DATA, flow=OTHER.flow)
+    assert len(sent(driver.run_step(DATA))) == 2
+    assert sent(driver.run_step(other)) == []
+    for step in (*DENIED[1:], LOOKUP_RETRY_MS):
+        driver.run_step(step)
+    assert len(sent(driver.run_step(other))) == 2
+
+
+def test_the_agents_are_read_again_while_their_list_isnt_certain():
+    _, driver = run_steps([*DENIED, "listed"], age=0)
+    assert driver.not_found == 1
+    while driver.now < START + READ_INTERVAL_MS:
+        driver.run_step(driver.core.due_at - driver.now)
+    assert driver.not_found == 2
+
+
 @pytest.mark.parametrize(
     ("age", "runs", "resets"),
     [
