--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -7,8 +7,8 @@
 from dataclasses import astuple, replace
 from statistics import fmean
 
+from bench.placement_model import BASELINES, Case, run_case
 from papayagw._internal.core.plain.placement.even_load import EvenLoadChooser
-from tests.lib.placement_model import BASELINES, Case, run_case
 
 SEEDS = (1, 2, 3)
 SIZES = {"24x50": Case(24, 50), "840x12": Case(840, 12, length_ms=16_000)}
--- a/tests/lib/placement_model.py
+++ b/bench/placement_model.py
@@ -96,6 +96,7 @@
         self.report()
 
     def report(self):
+        """Report the backend server's state to its agent."""
         report = StatusReport(
             "s", "order", ReportedState.READY, self.slots, Millis(0), self.run, 1
         )
@@ -116,6 +117,7 @@
         self.changed_at = self.model.now
 
     def receive(self, frame, source):
+        """Pass a balancer's frame to the agent."""
         self.perform(self.agent.on_frame(frame, source, self.model.now))
 
     def perform(self, actions):
@@ -137,11 +139,13 @@
             self.model.after(max(due_at - self.model.now, 0), self.wake, due_at)
 
     def wake(self, due_at):
+        """Handle the agent's timer, unless it was set anew."""
         if due_at == self.due_at:
             self.due_at = None
             self.perform(self.agent.on_timer(self.model.now))
 
     def start_next(self):
+        """Start the requests for which slots are free."""
         while self.queue and self.running < self.slots:
             self.running += 1
             flow = self.queue.popleft()
@@ -150,6 +154,7 @@
             self.model.after(service_ms, self.finish, flow, self.run)
 
     def finish(self, flow, run):
+        """End a request, unless the server has restarted since."""
         if run == self.run:
             self.account()
             self.running -= 1
@@ -158,6 +163,7 @@
             self.start_next()
 
     def answer(self, flow, kind, payload=0):
+        """Send a packet of the server to its agent."""
         packet = make_packet(flow, kind, 500, None, payload)
         self.perform(self.agent.on_backend_packet(packet, self.model.now))
 
@@ -175,15 +181,18 @@
         self.server = self.started_at = None
 
     def open(self, server):
+        """Begin the flow at the server that accepted it first."""
         if self.server is None:
             self.server = server
             self.request()
 
     def request(self):
+        """Send a request in the flow."""
         self.send(make_packet(self.flow, PacketKind.DATA, self.sequence, 501, 10))
         self.sequence += 10
 
     def send(self, packet):
+        """Send a packet of the client to the server's agent."""
         self.server.receive(ForwardFrame("order", packet), self.balancer.endpoint)
 
     def draw_work_ms(self):
@@ -191,9 +200,11 @@
         return SERVICE_MS * (0.5 + self.random.expovariate(2))
 
     def start(self, now):
+        """Record the start of service."""
         self.started_at = now
 
     def finish(self, now):
+        """Record the end of a request, and schedule the next one or the end."""
         if self.asked_at >= WARM_UP_MS:
             self.model.waits.append(self.started_at - self.asked_at)
             self.model.responses.append(now - self.asked_at)
@@ -205,10 +216,12 @@
             self.send(make_packet(self.flow, PacketKind.FINISH, self.sequence, 501))
 
     def ask_again(self):
+        """Send the next request of the flow."""
         self.asked_at = self.model.now
         self.request()
 
     def give_up(self):
+        """Count the client as unserved if no server has accepted its flow."""
         if self.server is None and self.asked_at >= WARM_UP_MS:
             self.model.unserved += 1
 
@@ -230,6 +243,7 @@
         self.core.on_agents_listed(Millis(-60_000))
 
     def handle(self, actions):
+        """Deliver the balancer's frames and set its timer."""
         for action in actions:
             if isinstance(action, SendFrame):
                 server = self.model.servers[action.peer]
@@ -240,10 +254,12 @@
             self.model.after(max(due_at - self.model.now, 0), self.wake, due_at)
 
     def receive(self, frame, source):
+        """Handle an agent's frame."""
         self.model.returned += isinstance(frame, ReturnFrame)
         self.handle(self.core.on_frame(frame, source, self.model.now))
 
     def wake(self, due_at):
+        """Handle the balancer's timer, unless it was set anew."""
         if due_at == self.due_at:
             self.due_at = None
             self.handle(self.core.on_timer(self.model.now))
@@ -273,6 +289,7 @@
         self.flow_gap_ms = SERVICE_MS * requests / (case.load * capacity)
 
     def after(self, delay_ms, action, *arguments):
+        """Schedule a call after a delay."""
         self.sequence += 1
         at = self.now + delay_ms
         heapq.heappush(self.events, (at, self.sequence, action, arguments))
@@ -343,6 +360,7 @@
         self.random, self.least_wait = random, LeastWaitChooser(zone, random)
 
     def choose(self, flow, candidates, now):
+        """Return the better one of two random candidates."""
         pair = self.random.sample(candidates, min(2, len(candidates)))
         return self.least_wait.choose(flow, pair, now)
 
--- a/tests/unit/test_plain_even_load.py
+++ b/tests/unit/test_plain_even_load.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bench.placement_model import Case, run_case
 from papayagw._internal.core.plain.membership.roster import AgentView
 from papayagw._internal.core.plain.placement.choice import LeastWaitChooser
 from papayagw._internal.core.plain.placement.even_load import EvenLoadChooser
@@ -19,7 +20,6 @@
     Availability,
 )
 from papayagw._internal.models.plain.settings import Placement
-from tests.lib.placement_model import Case, run_case
 
 NOW = Millis(10_000)
 
