Review of the merged parts: faults in lookups, the least share and frames

Found by reading; each scenario is in the tests or below. - A lookup outlived an opening from the client's port, so that a late denial of the earlier flow could reset the later one: an opening ends it, and a flow with a confirmed owner isn't reset. Test red before. - A round of queries that a busy balancer sent late was counted as answered by nobody before it went: the wait begins when it goes. - Held packets counted as tried though no agent got them. - A kind that waits with gaps lost its credit at each gap and got no share: the credit is kept for 3 s. Test red before. - Frames with a cold server's rate made each sender an active balancer, which spreads an agent's load reports; they are sent only where bounds states cold_overage. - bounds = null stopped a process; an era header beyond 64 bits too.

--- a/src/papayagw/_internal/core/plain/agent.py
+++ b/src/papayagw/_internal/core/plain/agent.py
@@ -169,9 +169,9 @@
 
     def on_frame(self, frame: ToAgent, source: Endpoint, now: Millis) -> list[Action]:
         """Handle a frame from a balancer and return the resulting actions."""
-        if not isinstance(frame, EvacuationFrame):
-            # All balancers send evacuation frames at the same moment. If they counted
-            # as active, the rounds of load frames would be seconds apart.
+        if not isinstance(frame, EvacuationFrame | ServiceLimitsFrame):
+            # All balancers send these frames at the same moment. If they counted as
+            # active, the rounds of load frames would be seconds apart.
             self._peers.record_frame(source, now)
         if frame.service != self._service:
             return self._reject_wrong_service(frame, source, now)
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -308,13 +308,13 @@
         self, packet: FlowPacket, route: Route, now: Millis
     ) -> list[Action]:
         """Offer an opening to an agent, or resend it to the agent that accepted it."""
-        self._lookup.forget_denials(packet.flow)
         cached = self._flows.find(packet.flow)
         if cached is not None and cached.is_copy(packet, now):
             # The acceptance was lost on the way to the client. The backend server
             # answers the retransmitted opening again.
             cached.seen_at = now
             return [self._make_open_frame(cached.agent, packet)]
+        self._lookup.forget(packet.flow)
         if cached is not None and cached.is_confirmed:
             # The earlier flow from this port is over, whether its end was seen or not.
             self._flows.drop(packet.flow)
--- a/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
@@ -143,11 +143,12 @@
         self._query(lookup, agents, now)
         return []
 
-    def forget_denials(self, flow: FlowKey) -> None:
-        """Drop the denials of a flow, as its client opens another from its port."""
-        lookup = self._lookups.find(flow)
-        if lookup is not None and lookup.stage is Stage.CONFIRMING:
-            self._lookups.end(flow)
+    def forget(self, flow: FlowKey) -> None:
+        """End the lookup of a flow, as its client opens another from its port.
+
+        What agents replied on the earlier flow doesn't hold for the other one.
+        """
+        self._lookups.end(flow)
 
     def on_reply(self, reply: OwnerReply, view: AgentView, now: Millis) -> list[Action]:
         """Handle an agent's reply to an owner query, or its claim to own a flow."""
@@ -171,7 +172,7 @@
             return
         waiting = [
             lookup
-            for lookup in self._lookups.list_failed()
+            for lookup in self._lookups.list_in(Stage.FAILED)
             if view.endpoint in lookup.pending_agents
         ]
         overdue = [lookup for lookup in waiting if lookup.may_query_again(now)]
@@ -185,13 +186,26 @@
 
         Flows that no agent owns are reset if the list of agents is certain by now.
         """
-        actions: list[Action] = []
+        actions = self._send_queries(now)
         for lookup in self._lookups.pop_due(now):
             actions += self._end_querying(lookup, now)
         if self._check_at is not None and now >= self._check_at:
             actions += self._reset_certain(now)
         return [*actions, *self._queries.take_due(now)]
 
+    def _send_queries(self, now: Millis) -> list[Action]:
+        """Return the next round of queries if it is due.
+
+        If the balancer was too busy to send it in time, the wait for its replies
+        begins now.
+        """
+        planned_at = self._queries.due_at
+        if planned_at is not None and planned_at < now:
+            for lookup in self._lookups.list_in(Stage.QUERYING):
+                if lookup.queried_at == planned_at:
+                    self._lookups.restart_wait(lookup, now)
+        return self._queries.take_due(now)
+
     def on_agents_listed(self, now: Millis) -> list[Action]:
         """Continue the lookups that wait for a full read of the agents' entries."""
         self._listed_at = now
@@ -209,7 +223,7 @@
         """
         agents: dict[EntryKey, list[AgentView]] = {}
         found = []
-        for lookup in self._lookups.list_confirming():
+        for lookup in self._lookups.list_in(Stage.CONFIRMING):
             packet = lookup.last_packet
             if packet.entry not in agents:
                 agents[packet.entry] = self._list_agents(packet, now)
@@ -373,6 +387,10 @@
     def _reset_ownerless(self, lookup: PendingLookup, now: Millis) -> list[Action]:
         """Reset the client of a flow that no agent owns."""
         self._lookups.end(lookup.flow)
+        cached = self._flows.find(lookup.flow)
+        if cached is not None and cached.is_confirmed:
+            # An agent has accepted another flow from the client's port since.
+            return []
         self._flows.drop(lookup.flow)
         reset = ResetClient(lookup.flow, lookup.last_packet.acknowledged or 0)
         fields = {
@@ -384,6 +402,8 @@
 
     def _forward_to_candidates(self, lookup: PendingLookup) -> list[Action]:
         """Forward the next trial packets to the agents that may own the flow."""
+        if not lookup.candidates:
+            return []
         packets = lookup.next_trial_packets()
         views = [self._find_agent(endpoint) for endpoint in lookup.candidates]
         return [
--- a/src/papayagw/_internal/core/plain/ownership/pending_lookups.py
+++ b/src/papayagw/_internal/core/plain/ownership/pending_lookups.py
@@ -254,8 +254,12 @@
         lookup.pending_agents = {entry.endpoint for entry in entries}
         lookup.candidates = set()
         lookup.unconfirmed = set()
-        lookup.queried_at = sent_at
         lookup.stage = Stage.QUERYING
+        self.restart_wait(lookup, sent_at)
+
+    def restart_wait(self, lookup: PendingLookup, sent_at: Millis) -> None:
+        """Wait for replies to queries that are sent at `sent_at`."""
+        lookup.queried_at = sent_at
         self._deadlines.set(lookup.flow, Millis(sent_at + REPLY_TIMEOUT_MS))
 
     def finish_querying(self, lookup: PendingLookup) -> None:
@@ -269,19 +273,9 @@
         lookup.pending_agents = set()
         self._set_stage(lookup, Stage.CONFIRMING)
 
-    def list_confirming(self) -> list[PendingLookup]:
-        """Return the lookups that wait until the list of agents is certain."""
-        return [
-            lookup
-            for lookup in self._lookups.values()
-            if lookup.stage is Stage.CONFIRMING
-        ]
-
-    def list_failed(self) -> list[PendingLookup]:
-        """Return the lookups without a possible owner for which replies are missing."""
-        return [
-            lookup for lookup in self._lookups.values() if lookup.stage is Stage.FAILED
-        ]
+    def list_in(self, stage: Stage) -> list[PendingLookup]:
+        """Return the lookups in a stage."""
+        return [one for one in self._lookups.values() if one.stage is stage]
 
     def end(self, flow: FlowKey) -> PendingLookup | None:
         """Remove and return a lookup, or return None if there is none."""
--- a/src/papayagw/_internal/core/plain/placement/waiting.py
+++ b/src/papayagw/_internal/core/plain/placement/waiting.py
@@ -197,6 +197,14 @@
         return [Selection(index, "newest") for index in indices[:count]]
 
 
+CREDIT_VALIDITY_MS = Millis(3_000)
+"""How long a kind keeps its credit after it waited last.
+
+A kind of few requests has gaps between two that wait. With the credit lost at each gap
+it got no share at all.
+"""
+
+
 class ObjectiveOrder:
     """Selects by the value that an answer has to the clients.
 
@@ -214,6 +222,7 @@
     def __init__(self) -> None:
         self._accepted_at: dict[str, deque[Millis]] = {}
         self._credits_by_service: dict[str, dict[str, int]] = {}
+        self._waited_at: dict[tuple[str, str], Millis] = {}
 
     def record_accepted(
         self, service: str, kind: str, now: Millis, *, was_selected: bool
@@ -246,7 +255,7 @@
         waiting = Counter(opening.kind for opening in openings)
         selected: dict[int, Selection] = {}
         while len(selected) < min(count, len(openings)):
-            kind = self._find_owed_kind(service, +waiting)
+            kind = self._find_owed_kind(service, +waiting, now)
             if kind is None:
                 selection = next(one for one in by_worth if one.index not in selected)
             else:
@@ -271,27 +280,39 @@
             accepted_at.popleft()
         return len(accepted_at)
 
-    def _find_owed_kind(self, service: str, waiting: Iterable[str]) -> str | None:
+    def _find_owed_kind(
+        self, service: str, waiting: Iterable[str], now: Millis
+    ) -> str | None:
         """Return the kind that hasn't got its least share while it waited, or None.
 
-        A kind that doesn't wait loses its credit.
+        A kind that hasn't waited for `CREDIT_VALIDITY_MS` loses its credit.
         """
+        kinds = sorted(waiting)
+        for kind in kinds:
+            self._waited_at[service, kind] = now
         known = self._credits_by_service.get(service, {})
-        credits_by_kind = {kind: known.get(kind, 0) for kind in sorted(waiting)}
+        oldest = now - CREDIT_VALIDITY_MS
+        credits_by_kind = {
+            kind: credit
+            for kind, credit in known.items()
+            if self._waited_at[service, kind] >= oldest
+        }
+        for kind in kinds:
+            credits_by_kind.setdefault(kind, 0)
         self._credits_by_service[service] = credits_by_kind
-        owed = max(credits_by_kind, key=lambda kind: credits_by_kind[kind])
+        owed = max(kinds, key=lambda kind: credits_by_kind[kind])
         is_owed = credits_by_kind[owed] >= SELECTIONS_PER_SHARE - 1
         return owed if is_owed else None
 
     def _update_credits(self, service: str, kind: str) -> None:
-        """Credit each waiting kind with one for an opening of `kind`.
+        """Credit each kind that waits or did lately for an opening of `kind`.
 
         That kind is charged `SELECTIONS_PER_SHARE`, so that its share isn't less than
         one of them.
         """
         credits_by_kind = self._credits_by_service[service]
         for one in credits_by_kind:
-            credits_by_kind[one] += 1
+            credits_by_kind[one] = min(credits_by_kind[one] + 1, MAX_ADVANCE)
         if kind in credits_by_kind:
             charged = credits_by_kind[kind] - SELECTIONS_PER_SHARE
             credits_by_kind[kind] = max(-MAX_ADVANCE, charged)
--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -91,11 +91,14 @@
         Order in which waiting openings are offered.
     placement : Placement
         Policy that selects the agent for an opening.
+    limits_cold_servers : bool
+        Whether agents are told the rates of cold backend servers.
     """
 
     entry: Endpoint
     admission: AdmissionOrder = AdmissionOrder.PRIORITY
     placement: Placement = Placement.LEAST_WAIT
+    limits_cold_servers: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayagw/_internal/net/plain/balancer_process.py
+++ b/src/papayagw/_internal/net/plain/balancer_process.py
@@ -1,6 +1,7 @@
 """Process of the plain front end's balancer: sockets, probes and store watches."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 from http import HTTPStatus
 from random import Random
 
@@ -363,6 +364,8 @@
                 LogEvent("configuration refused", error_fields(error))
             )
             return
+        if not self._settings.limits_cold_servers:
+            site = replace(site, limits={})
         fields: dict[str, object] = {
             "version": site.version,
             "revision": item.revision,
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -62,6 +62,7 @@
         entry=entry,
         admission=fields.policy("admission", AdmissionOrder.default_for(cold_overage)),
         placement=fields.policy("placement", Placement.default_for(cold_overage)),
+        limits_cold_servers=cold_overage is not None,
     )
 
 
@@ -147,7 +148,9 @@
 
     def bound(self, name: str) -> float | None:
         """Return a bound that the deployment states, from 0; None if it states none."""
-        bounds = self._fields.get("bounds", {})
+        bounds = self._fields.get("bounds")
+        if bounds is None:
+            return None
         if not isinstance(bounds, dict):
             raise self._invalid_field("bounds", "an object")
         value = bounds.get(name)
--- a/src/papayagw/platform/store.py
+++ b/src/papayagw/platform/store.py
@@ -33,6 +33,7 @@
     WatchPrefix,
     WatchResult,
 )
+from papayagw._internal.models.plain.fields import is_integer
 
 _REFUSED_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 """HTTP statuses by which the store states that it did not execute the call."""
@@ -102,9 +103,10 @@
     """
     value = dict(headers).get(_ERA_HEADER, "")
     try:
-        return int(value)
+        era = int(value)
     except ValueError:
         return None
+    return era if is_integer(era) and era >= 0 else None
 
 
 def _decode_response(
--- a/tests/unit/test_plain_balancer.py
+++ b/tests/unit/test_plain_balancer.py
@@ -929,6 +929,21 @@
     assert sum(isinstance(one, ResetClient) for one in actions) == resets
 
 
+@pytest.mark.parametrize(
+    "opened",
+    [
+        [OPENING, OPENED],
+        # The flow's owner is known by a frame only, without its opening.
+        [OPENED],
+    ],
+)
+def test_a_late_denial_doesnt_reset_a_later_flow_from_the_port(opened):
+    """The reply is on the earlier flow, which the client has given up."""
+    late = [DENIED[2], "listed"]
+    actions, _ = run_steps([*DENIED[:2], REPLY_TIMEOUT_MS, *opened, *late])
+    assert not [one for one in actions if isinstance(one, ResetClient)]
+
+
 def test_kept_denials_dont_keep_other_flows_from_being_looked_up(monkeypatch):
     """A limit that counts them would leave flows of live servers without an owner."""
     monkeypatch.setattr(pending_lookups, "MAX_LOOKUPS", 1)
--- a/tests/unit/test_plain_waiting.py
+++ b/tests/unit/test_plain_waiting.py
@@ -81,6 +81,17 @@
         assert counts["c"] == 1_000 * direct_per_selection
 
 
+@pytest.mark.parametrize("gap", [2, 5, 9])
+def test_a_kind_that_waits_with_gaps_keeps_its_share(gap):
+    """Each gap took its credit, and it got nothing beside a higher priority."""
+    order, selected = ObjectiveOrder(), Counter()
+    for turn in range(1_000):
+        waiting = [HIGH, OPENING] if turn % gap else [HIGH]
+        [selection] = order.select("order", waiting, 1, 70, 10 * turn)
+        selected[waiting[selection.index].kind] += 1
+    assert selected[OPENING.kind] >= 1_000 // 12
+
+
 def test_priority_order_is_the_newest_first():
     """Without the setting, objectives and deadlines change nothing."""
     order = make_order(AdmissionOrder.PRIORITY)
