Lookups: late replies cost time by agent, not by agents times agents

Two balancers were so busy that lookups ended with all 47 agents silent. Each frame of a silent agent went through all lookups, and each late reply checked all agents.

--- a/src/papayagw/_internal/core/choice.py
+++ b/src/papayagw/_internal/core/choice.py
@@ -6,16 +6,13 @@
 (2005): the score of an agent is ``-weight / ln(hash)``.
 """
 
-import hashlib
 import math
 from collections.abc import Sequence
 from typing import Protocol
 
+from papayagw._internal.core.unit_hash import unit_hash
 from papayagw._internal.models.agent import AgentRecord
 
-_HASH_BYTES = 8
-_HASH_SPAN = float(1 << (8 * _HASH_BYTES))
-
 
 class Chooser(Protocol):
     """Policy that selects the agent for an opening."""
@@ -34,12 +31,6 @@
         """
 
 
-def unit_hash(key: bytes, name: bytes) -> float:
-    """Hash `key` and `name` to a number in (0, 1)."""
-    digest = hashlib.blake2s(name, key=key[:32], digest_size=_HASH_BYTES).digest()
-    return (int.from_bytes(digest, "big") + 0.5) / _HASH_SPAN
-
-
 class RendezvousChooser:
     """Weighted rendezvous hashing over the endpoints of the candidates."""
 
--- a/src/papayagw/_internal/core/plain/balancer.py
+++ b/src/papayagw/_internal/core/plain/balancer.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable, Iterable
 
-from papayagw._internal.core.choice import unit_hash
 from papayagw._internal.core.plain.early_packets import EarlyPackets
 from papayagw._internal.core.plain.membership.evacuation import ZoneEvacuations
 from papayagw._internal.core.plain.membership.mass_restart import MassRestart
@@ -37,6 +36,7 @@
     expected_answer_ms,
 )
 from papayagw._internal.core.plain.routing.route_history import RouteHistory
+from papayagw._internal.core.unit_hash import unit_hash
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.endpoint import Endpoint
 from papayagw._internal.models.plain.action import (
--- a/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
+++ b/src/papayagw/_internal/core/plain/ownership/owner_lookup.py
@@ -12,6 +12,8 @@
 from papayagw._internal.core.plain.ownership.batching import QueryBatch
 from papayagw._internal.core.plain.ownership.flow_cache import FlowCache
 from papayagw._internal.core.plain.ownership.pending_lookups import (
+    LOOKUP_RETRY_MS,
+    MAX_LOOKUPS,
     PendingLookup,
     PendingLookups,
     Stage,
@@ -54,6 +56,20 @@
 """
 
 
+class _SilentAgent:
+    """The flows for which an agent left a query unanswered.
+
+    They are checked at most once in `LOOKUP_RETRY_MS`: a busy balancer takes all agents
+    for silent, and to check all lookups at each of their frames made it still busier.
+    """
+
+    __slots__ = ("flows", "next_check_at")
+
+    def __init__(self, now: Millis):
+        self.flows: set[FlowKey] = set()
+        self.next_check_at = now
+
+
 class OwnerLookup:
     """Finds the owners of unknown flows for one balancer.
 
@@ -97,7 +113,7 @@
         self._confirms_start = confirms_start
         self._lookups = PendingLookups()
         self._queries = QueryBatch()
-        self._silent_agents: set[Endpoint] = set()
+        self._silent_agents: dict[Endpoint, _SilentAgent] = {}
         self._check_at: Millis | None = None
         self._listed_at = Millis(0)
 
@@ -160,7 +176,8 @@
         if lookup.stage is Stage.QUERYING:
             return [] if lookup.pending_agents else self._end_querying(lookup, now)
         # An agent that replies late that it may own the flow gets its next packet.
-        self._record_certain_denials(lookup, now)
+        if view.endpoint in lookup.unconfirmed and self._confirms_start(view, now):
+            lookup.record_reply(view.endpoint, Ownership.NOT_OWNER)
         return self._confirm_no_owner(lookup, now)
 
     def on_agent_heard(self, view: AgentView, now: Millis) -> None:
@@ -168,18 +185,23 @@
 
         After a loss of power the first queries reach agents that haven't started yet.
         """
-        if view.endpoint not in self._silent_agents:
+        silent = self._silent_agents.get(view.endpoint)
+        if silent is None or now < silent.next_check_at:
             return
-        waiting = [
-            lookup
-            for lookup in self._lookups.list_in(Stage.FAILED)
-            if view.endpoint in lookup.pending_agents
-        ]
-        overdue = [lookup for lookup in waiting if lookup.may_query_again(now)]
-        if len(overdue) == len(waiting):
-            self._silent_agents.discard(view.endpoint)
-        for lookup in overdue:
-            self._queries.add([view], _make_query(lookup.last_packet), now)
+        silent.next_check_at = Millis(now + LOOKUP_RETRY_MS)
+        for flow in list(silent.flows):
+            lookup = self._lookups.find(flow)
+            if (
+                lookup is None
+                or lookup.stage is not Stage.FAILED
+                or view.endpoint not in lookup.pending_agents
+            ):
+                silent.flows.discard(flow)
+            elif lookup.may_query_again(now):
+                silent.flows.discard(flow)
+                self._queries.add([view], _make_query(lookup.last_packet), now)
+        if not silent.flows:
+            del self._silent_agents[view.endpoint]
 
     def on_timer(self, now: Millis) -> list[Action]:
         """End the wait for overdue replies and return the resulting actions.
@@ -350,7 +372,13 @@
             "silent": len(lookup.pending_agents),
         }
         self._lookups.finish_querying(lookup)
-        self._silent_agents |= lookup.pending_agents
+        for endpoint in lookup.pending_agents:
+            silent = self._silent_agents.setdefault(endpoint, _SilentAgent(now))
+            silent.flows.add(lookup.flow)
+            if len(silent.flows) > 2 * MAX_LOOKUPS:
+                # The agent may be gone for good, and these lookups have ended.
+                found = {flow for flow in silent.flows if self._lookups.find(flow)}
+                silent.flows = found
         return [
             LogEvent("owner unknown", fields),
             *self._forward_to_candidates(lookup),
--- a/src/papayagw/_internal/core/plain/placement/choice.py
+++ b/src/papayagw/_internal/core/plain/placement/choice.py
@@ -4,8 +4,8 @@
 from random import Random
 from typing import Protocol
 
-from papayagw._internal.core.choice import unit_hash
 from papayagw._internal.core.plain.membership.roster import MAX_LOAD_AGE_MS, AgentView
+from papayagw._internal.core.unit_hash import unit_hash
 from papayagw._internal.models.clock import Millis
 from papayagw._internal.models.plain.packet import FlowKey
 
--- a/src/papayagw/_internal/core/watcher.py
+++ b/src/papayagw/_internal/core/watcher.py
@@ -9,9 +9,9 @@
 import random
 from collections.abc import Iterator, Sequence
 
-from papayagw._internal.core.choice import unit_hash
 from papayagw._internal.core.fleet import WATCHERS_PER_AGENT, Fleet
 from papayagw._internal.core.gossip_table import compute_fingerprint
+from papayagw._internal.core.unit_hash import unit_hash
 from papayagw._internal.core.watch_list import (
     RESUME_GRACE_MS,
     SUSPECT_AFTER_INTERVALS,
