--- a/src/papayagw/_internal/models/plain/settings.py
+++ b/src/papayagw/_internal/models/plain/settings.py
@@ -15,14 +15,6 @@
     DEADLINE = "deadline"
     """By priority, then by the worth of an answer to the client."""
 
-    @classmethod
-    def default_for(cls, cold_overage: float | None) -> "AdmissionOrder":
-        """Return the order for a deployment, by its bound on cold servers, if any.
-
-        Only deployments that state one ask for policies beyond the earlier ones.
-        """
-        return cls.PRIORITY if cold_overage is None else cls.DEADLINE
-
 
 class Placement(Enum):
     """Policy that selects the agent for an opening."""
@@ -34,7 +26,10 @@
 
     @classmethod
     def default_for(cls, cold_overage: float | None) -> "Placement":
-        """Return the policy for a deployment, by its bound on cold servers, if any."""
+        """Return the policy for a deployment, by its bound on cold servers, if any.
+
+        Only deployments that state one ask for policies beyond the earlier ones.
+        """
         return cls.LEAST_WAIT if cold_overage is None else cls.EVEN
 
 
--- a/src/papayagw/platform/settings.py
+++ b/src/papayagw/platform/settings.py
@@ -60,7 +60,7 @@
     return PlainBalancerSettings(
         **fields.common_arguments(entry),
         entry=entry,
-        admission=fields.policy("admission", AdmissionOrder.default_for(cold_overage)),
+        admission=fields.policy("admission", AdmissionOrder.PRIORITY),
         placement=fields.policy("placement", Placement.default_for(cold_overage)),
         limits_cold_servers=cold_overage is not None,
     )
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -108,13 +108,18 @@
 
 
 @pytest.mark.parametrize(
-    ("bounds", "order"),
-    [({}, AdmissionOrder.PRIORITY), ({"cold_overage": 1.5}, AdmissionOrder.DEADLINE)],
+    ("setting", "order"),
+    [
+        ("", AdmissionOrder.PRIORITY),
+        ('"admission": null,', AdmissionOrder.PRIORITY),
+        ('"admission": "priority",', AdmissionOrder.PRIORITY),
+        ('"admission": "deadline",', AdmissionOrder.DEADLINE),
+    ],
 )
-def test_order_of_waiting_openings(tmp_path, bounds, order):
-    machine = TEMPLATE_VALUES | {"bounds": TEMPLATE_VALUES["bounds"] | bounds}
-    path = write_settings(tmp_path, render("balancer.jsonc", machine))
-    assert load_balancer_settings(path).admission is order
+def test_order_of_waiting_openings(tmp_path, setting, order):
+    text = render("balancer.jsonc").replace("{", "{" + setting, 1)
+    settings = load_balancer_settings(write_settings(tmp_path, text))
+    assert settings.admission is order
 
 
 def test_an_unknown_order_of_waiting_openings_is_refused(tmp_path):
