--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -132,7 +132,8 @@
             for _ in range(count):
                 self.services[f"agent-{len(self.services) + 1}"] = service
         self.ports = self._find_ports()
-        self.store = Store((self._ip(200), self.ports["store"]))
+        self.store_address = (self._ip(200), self.ports["store"])
+        self.store = Store(self.store_address)
         self.hosts = {}
         self.router = Router(self)
         self.client = None
@@ -180,6 +181,16 @@
         role, _, number = name.partition("-")
         return self._ip(int(number) + (0 if role == "balancer" else 100))
 
+    def move_store(self):
+        """Serve the store at another address too; return the former address."""
+        former, self.store_address = (
+            self.store_address,
+            (self._ip(201), self.ports["store"]),
+        )
+        self.store.listen(self.store_address)
+        self.record(f"platform: the store also serves at {self.store_address[0]}")
+        return former
+
     def entry(self, number):
         """Return the address and port of a route."""
         return (self._ip(240), 8_000 + number)
@@ -226,9 +237,7 @@
     def start_process(self, name):
         """Start a process with the command and the template of the deploy file."""
         role = name.partition("-")[0]
-        path = Path(self._folder.name) / f"{name}.jsonc"
-        template = (ROOT / f"deploy/{role}.jsonc").read_text()
-        path.write_text(_render(template, self._settings(name)))
+        path = self.write_settings(name)
         environment = {
             "PATH": os.environ["PATH"],
             "HOME": os.environ.get("HOME", "/tmp"),
@@ -245,6 +254,20 @@
             )
         self.record(f"{name}: started")
 
+    def write_settings(self, name):
+        """Write the settings file of a process; return its path."""
+        role = name.partition("-")[0]
+        path = Path(self._folder.name) / f"{name}.jsonc"
+        template = (ROOT / f"deploy/{role}.jsonc").read_text()
+        path.write_text(_render(template, self._settings(name)))
+        return path
+
+    def change_settings(self, name):
+        """Write the settings file again, and tell the process by SIGHUP."""
+        self.write_settings(name)
+        self._processes[name].send_signal(signal.SIGHUP)
+        self.record(f"{name}: settings changed, SIGHUP")
+
     def kill(self, name):
         """Kill a process."""
         process = self._processes.pop(name)
@@ -315,7 +338,7 @@
             },
             "heartbeat_ms": HEARTBEAT_MS,
             "bounds": BOUNDS,
-            "platform": {"address": f"{self._ip(200)}:{ports['store']}"},
+            "platform": {"address": "{}:{}".format(*self.store_address)},
         }
         if name in self.services:
             settings["service"] = self.services[name]
--- a/review/lib2/store.py
+++ b/review/lib2/store.py
@@ -29,15 +29,26 @@
         self._revision = 1
         self._changed = threading.Condition()
         self._closed = threading.Event()
-        self._server = _make_server(address, self)
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self._servers = {}
+        self.listen(address)
         threading.Thread(target=self._expire_leases, daemon=True).start()
 
     def close(self):
         """Stop serving."""
         self._closed.set()
-        self._server.shutdown()
-        self._server.server_close()
+        for address in list(self._servers):
+            self.stop_listening(address)
+
+    def listen(self, address):
+        """Serve the same keys at an address, beside the others."""
+        server = self._servers[address] = _make_server(address, self)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+
+    def stop_listening(self, address):
+        """Refuse new channels at an address; watches that wait are still answered."""
+        server = self._servers.pop(address)
+        server.shutdown()
+        server.server_close()
 
     def wait_closed(self):
         """Block until the store is closed."""
