--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -90,7 +90,7 @@
         best = max(
             names, key=lambda name: hashlib.sha256(repr((flow, name)).encode()).digest()
         )
-        return (self._fleet.ip_of(best), self._fleet.ports["data"])
+        return self._fleet.data_of(best)
 
     def _probe(self, name):
         while not self._closed.wait(PROBE_INTERVAL_S):
@@ -191,6 +191,10 @@
         self.record(f"platform: the store also serves at {self.store_address[0]}")
         return former
 
+    def data_of(self, name):
+        """Return the address at which a balancer takes clients' packets."""
+        return (self.ip_of(name), self.ports["data"])
+
     def entry(self, number):
         """Return the address and port of a route."""
         return (self._ip(240), 8_000 + number)
--- a/review/lib2/flows.py
+++ b/review/lib2/flows.py
@@ -314,6 +314,16 @@
         self._record(f"client: {flow.name} was not opened, reset: {flow.reset}")
         return None
 
+    def send_opening(self, entry, balancer):
+        """Send one opening straight to a balancer; return the flow."""
+        with self._lock:
+            self._port += 1
+            flow = ClientFlow(self, (self._ip, self._port), entry)
+            self.flows[flow.source] = flow
+        raw = encode(flow.source, entry, SYN, flow.first_seq, 0)
+        self._socket.sendto(raw, balancer)
+        return flow
+
     def send(self, source, entry, raw):
         """Send a packet to the balancer that the routers choose for the flow."""
         peer = self._router.pick((source, entry))
