--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -244,7 +244,7 @@
         path = self.write_settings(name)
         environment = {
             "PATH": os.environ["PATH"],
-            "HOME": os.environ.get("HOME", "/tmp"),
+            "HOME": self._folder.name,
             "PYTHONPATH": str(ROOT / "target/deps"),
             "PAPAYAGW_NODE_FILE": str(path),
         }
--- a/review/lib2/flows.py
+++ b/review/lib2/flows.py
@@ -299,6 +299,7 @@
             self._port += 1
             flow = ClientFlow(self, (self._ip, self._port), entry)
             self.flows[flow.source] = flow
+        self._record(f"client: sends an opening of {flow.name}")
         began_at = time.monotonic()
         for copy, until in enumerate((*SYN_COPIES_S, OPENING_TIMEOUT_S)):
             flow.transmit(SYN, flow.first_seq, copy, b"")
@@ -398,6 +399,14 @@
 
         That is "200 NAME" with the stamp of the host, "reset ..." or "no answer".
         """
+        record = self._client._record
+        record(f"client: sends {request} for {size} bytes on {self.name}")
+        result = self._exchange(request, size, timeout_s)
+        record(f"client: {request} on {self.name}: {result}")
+        return result
+
+    def _exchange(self, request, size, timeout_s):
+        """Send a request and wait for its end."""
         if self.reset is not None:
             return f"reset {self.reset}"
         head = (
